--- /dev/null
+++ b/apps/poppyway/command.cc
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "command.h"
+
+#include <iostream>
+#include <map>
+
+namespace poppyway::cli {
+
+Result<wire::Body> Ask(const CommonOptions& common, const wire::Body& body) {
+  Error last{ResultCode::kPeerUnreachable, "no instance given; use --instance address:port"};
+  for (const Endpoint& instance : common.m_instances) {
+    Result<wire::Body> reply =
+        CallOnce(instance.m_address, instance.m_port, body, common.m_timeout);
+    if (reply)
+      return reply;
+    last = reply.error();
+  }
+  return tl::unexpected<Error>(last);
+}
+
+int Report(const Error& error) {
+  std::cerr << "poppyway: " << error.m_message << " (" << static_cast<int>(error.m_code) << " "
+            << Describe(error.m_code).m_name << ")\n";
+  if (error.m_code == ResultCode::kPeerUnreachable) {
+    std::cerr << "  is the instance running, and is this its peer endpoint? "
+                 "--instance takes several.\n";
+    return kExitUnreachable;
+  }
+  if (error.m_code == ResultCode::kNoMajority || error.m_code == ResultCode::kNotLeader)
+    std::cerr << "  no majority of members answered; resend the same command, it is safe.\n";
+  return kExitFailed;
+}
+
+Result<wire::ObjectsReply> FetchObjects(const CommonOptions& common, bool history) {
+  wire::ObjectsRequest request;
+  request.history = history;
+  wire::Body body;
+  body.__set_objects(request);
+  Result<wire::Body> reply = Ask(common, body);
+  if (!reply)
+    return tl::unexpected<Error>(reply.error());
+  return reply->objects_reply;
+}
+
+Result<wire::StatusReply> FetchStatus(const CommonOptions& common) {
+  wire::StatusRequest request;
+  request.here = false;
+  wire::Body body;
+  body.__set_status(request);
+  Result<wire::Body> reply = Ask(common, body);
+  if (!reply)
+    return tl::unexpected<Error>(reply.error());
+  return reply->status_reply;
+}
+
+bool ParseArguments(const boost::program_options::options_description& options,
+                    const char* positional,
+                    const Arguments& arguments,
+                    boost::program_options::variables_map& given,
+                    int& exit_code) {
+  namespace po = boost::program_options;
+  po::options_description all(options);
+  all.add_options()("help,h", "print this");
+  po::positional_options_description places;
+  if (positional != nullptr)
+    places.add(positional, -1);
+  try {
+    po::store(po::command_line_parser(arguments).options(all).positional(places).run(), given);
+    po::notify(given);
+  } catch (const po::error& fault) {
+    if (!given.contains("help")) {
+      std::cerr << "poppyway: " << fault.what() << "; see --help\n";
+      exit_code = kExitUsage;
+      return false;
+    }
+  }
+  if (given.contains("help")) {
+    std::cout << all;
+    exit_code = kExitOk;
+    return false;
+  }
+  return true;
+}
+
+ChangeSet Compare(const std::vector<wire::ObjectText>& present,
+                  const std::vector<DeclarationText>& wanted,
+                  bool prune) {
+  std::map<std::pair<std::string, std::string>, std::string> standing;
+  for (const wire::ObjectText& object : present)
+    standing[{object.kind, object.name}] = object.body;
+  ChangeSet changes;
+  for (const DeclarationText& declaration : wanted) {
+    const auto found = standing.find({declaration.m_kind, declaration.m_name});
+    wire::ObjectText object;
+    object.kind = declaration.m_kind;
+    object.name = declaration.m_name;
+    object.body = declaration.m_body;
+    if (found == standing.end())
+      changes.m_added.push_back(std::move(object));
+    else if (found->second != declaration.m_body)
+      changes.m_changed.push_back(std::move(object));
+    if (found != standing.end())
+      standing.erase(found);
+  }
+  for (const auto& [name, body] : standing) {
+    if (!prune)
+      break;
+    wire::ObjectKey key;
+    key.kind = name.first;
+    key.name = name.second;
+    changes.m_removed.push_back(std::move(key));
+  }
+  return changes;
+}
+
+}  // namespace poppyway::cli
--- /dev/null
+++ b/apps/poppyway/load_runner.cc
@@ -0,0 +1,254 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "load_runner.h"
+
+#include <cstdio>
+
+#include <nlohmann/json.hpp>
+
+namespace poppyway::cli {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kProbeInterval{100'000};
+constexpr Duration kTail{30'000'000};  // How long answers are awaited after the last arrival.
+constexpr int kIdleMillis = 1;
+
+/// The answer that the stand-in engine owes to this prompt; see fakes/engine_model.cc.
+std::string ExpectedToken(std::string_view prompt, std::int64_t index) {
+  char text[10];
+  std::snprintf(text, sizeof(text), "%08x ",
+                static_cast<unsigned>(Hash(prompt, static_cast<std::uint64_t>(index) + 1)));
+  return text;
+}
+
+std::string ModelBody(const PlannedRequest& request, bool stream) {
+  return json{{"messages", {{{"role", "user"}, {"content", request.m_prompt}}}},
+              {"max_tokens", request.m_output_tokens},
+              {"stream", stream}}
+      .dump();
+}
+
+/// Collects the content of a stream's events, however they were cut.
+std::string StreamContent(const std::string& body, bool& ended) {
+  std::string content;
+  std::size_t at = 0;
+  while (true) {
+    const std::size_t end = body.find("\n\n", at);
+    if (end == std::string::npos)
+      return content;
+    const std::string line = body.substr(at, end - at);
+    at = end + 2;
+    if (line == "data: [DONE]") {
+      ended = true;
+      continue;
+    }
+    const json event = json::parse(line.substr(std::min<std::size_t>(6, line.size())), nullptr,
+                                   /*allow_exceptions=*/false);
+    if (event.is_object())
+      content += event["choices"][0]["delta"].value("content", "");
+  }
+}
+
+}  // namespace
+
+struct LoadRunner::Call {
+  const PlannedRequest* m_request = nullptr;
+  const LoadClass* m_load = nullptr;
+  std::string m_sent_body;
+  std::unique_ptr<Upstream> m_upstream;
+  Instant m_begun{};
+  Instant m_first{};
+  int m_status = 0;
+  std::vector<Header> m_headers;
+  std::string m_body;
+};
+
+LoadRunner::LoadRunner(TaskLoop& loop, LoadPlan plan, LoadSettings settings)
+    : m_loop(loop), m_plan(std::move(plan)), m_settings(std::move(settings)), m_pools(loop) {
+  m_requests = Plan(m_plan, m_settings.m_seed);
+  m_results.resize(m_plan.m_classes.size());
+  for (const Endpoint& endpoint : m_settings.m_targets) {
+    m_targets.emplace_back();
+    m_targets.back().m_endpoint = endpoint;
+  }
+}
+
+LoadRunner::~LoadRunner() = default;
+
+void LoadRunner::Run() {
+  m_begun = ReadClock();
+  // The balancer learns who is ready before the first caller arrives.
+  const Instant first = m_begun + m_settings.m_balancer_lag + 4 * kProbeInterval;
+  while (ReadClock() < first) {
+    ProbeTargets(ReadClock());
+    m_loop.RunFor(kIdleMillis);
+  }
+  m_begun = ReadClock();
+  Instant last = m_begun;
+  while (m_next < m_requests.size() || !m_calls.empty()) {
+    const Instant now = ReadClock();
+    m_over.clear();
+    m_old_probes.clear();
+    ProbeTargets(now);
+    StartDue(now);
+    if (m_next < m_requests.size())
+      last = now;
+    if (now - last > kTail)
+      break;
+    m_loop.RunFor(kIdleMillis);
+  }
+  for (auto& [number, call] : m_calls)
+    ++m_results[call->m_request->m_class].m_cut;
+  m_calls.clear();
+}
+
+void LoadRunner::StartDue(Instant now) {
+  while (m_next < m_requests.size() && m_calls.size() < m_settings.m_max_open &&
+         m_begun + m_requests[m_next].m_at <= now)
+    Start(m_requests[m_next++], now);
+}
+
+std::size_t LoadRunner::PickTarget() {
+  for (std::size_t i = 0; i < m_targets.size(); ++i) {
+    const std::size_t index = (m_turn + i) % m_targets.size();
+    if (!m_targets[index].m_ready)
+      continue;
+    m_turn = index + 1;
+    return index;
+  }
+  return m_turn++ % m_targets.size();
+}
+
+void LoadRunner::Start(const PlannedRequest& request, Instant now) {
+  const LoadClass& load = m_plan.m_classes[request.m_class];
+  ++m_results[request.m_class].m_offered;
+  auto owned = std::make_unique<Call>();
+  Call& call = *owned;
+  m_calls.emplace(request.m_number, std::move(owned));
+  call.m_request = &request;
+  call.m_load = &load;
+  call.m_begun = now;
+  const bool model = load.m_service_path.empty();
+  call.m_sent_body = model ? ModelBody(request, load.m_stream) : request.m_prompt;
+  const Endpoint& target = m_targets[PickTarget()].m_endpoint;
+  std::string head = (model ? "POST /v1/chat/completions" : load.m_method + " " +
+                                                                load.m_service_path) +
+                     " HTTP/1.1\r\nhost: " + ToText(target) + "\r\n";
+  if (!load.m_event.empty())
+    head += "poppyway-event: " + load.m_event + "\r\n";
+  if (!load.m_workspace.empty())
+    head += "poppyway-workspace: " + load.m_workspace + "\r\n";
+  if (load.m_key)
+    head += "idempotency-key: " + std::to_string(m_settings.m_seed) + "-" +
+            std::to_string(request.m_number) + "\r\n";
+  head += "poppyway-deadline-ms: " + std::to_string(load.m_deadline_ms) + "\r\n";
+  head += "content-type: application/json\r\ncontent-length: " +
+          std::to_string(call.m_sent_body.size()) + "\r\n\r\n";
+  UpstreamEvents events;
+  events.m_may_send = [] { return true; };
+  events.m_on_head = [&call](const UpstreamHead& answer) {
+    call.m_status = answer.m_status;
+    call.m_headers = answer.m_headers;
+  };
+  events.m_on_data = [&call](std::string_view bytes) {
+    if (call.m_first == Instant{})
+      call.m_first = ReadClock();
+    call.m_body += bytes;
+  };
+  events.m_on_whole = [this, &call] { Finish(call, ""); };
+  events.m_on_failure = [this, &call](bool, const std::string& why) { Finish(call, why); };
+  call.m_upstream = std::make_unique<Upstream>(m_pools, target, head + call.m_sent_body, false,
+                                               std::move(events));
+}
+
+void LoadRunner::Finish(Call& call, const std::string& failure) {
+  ClassResult& result = m_results[call.m_request->m_class];
+  const Duration took = ReadClock() - call.m_begun;
+  const bool model = call.m_load->m_service_path.empty();
+  if (!failure.empty()) {
+    ++result.m_cut;
+  } else if (call.m_status == 200) {
+    bool right = true;
+    if (model) {
+      std::string expected;
+      for (std::int64_t i = 0; i < call.m_request->m_output_tokens; ++i)
+        expected += ExpectedToken(call.m_request->m_prompt + "\n", i);
+      bool ended = !call.m_load->m_stream;
+      std::string content;
+      if (call.m_load->m_stream) {
+        content = StreamContent(call.m_body, ended);
+      } else {
+        const json answer = json::parse(call.m_body, nullptr, false);
+        if (answer.is_object())
+          content = answer["choices"][0]["message"].value("content", "");
+      }
+      right = ended && content == expected;
+      m_tokens += call.m_request->m_output_tokens;
+    } else {
+      const json answer = json::parse(call.m_body, nullptr, false);
+      const std::uint64_t expected =
+          Hash(call.m_sent_body, Hash(call.m_load->m_method + " " + call.m_load->m_service_path));
+      right = answer.is_object() && answer.value("echo", std::uint64_t{0}) == expected;
+    }
+    const bool in_time = took <= std::chrono::milliseconds(call.m_load->m_deadline_ms);
+    if (!right)
+      ++result.m_wrong;
+    else if (in_time)
+      ++result.m_good;
+    else
+      ++result.m_late;
+    result.m_first_token.Record(call.m_first - call.m_begun);
+    result.m_total.Record(took);
+  } else {
+    const std::string code = HeaderValue(call.m_headers, "poppyway-code");
+    const int number = code.empty() ? call.m_status : std::atoi(code.c_str());
+    ++result.m_refused[number];
+    result.m_refusal.Record(took);
+    const ResultInfo& info = Describe(static_cast<ResultCode>(number));
+    const bool complete = !code.empty() && !HeaderValue(call.m_headers, "poppyway-run").empty() &&
+                          (!info.m_retry_after ||
+                           !HeaderValue(call.m_headers, "retry-after").empty());
+    if (!complete)
+      ++result.m_bad_refusals;
+  }
+  // Destroyed outside its own callback.
+  const auto found = m_calls.find(call.m_request->m_number);
+  m_over.push_back(std::move(found->second));
+  m_calls.erase(found);
+}
+
+void LoadRunner::ProbeTargets(Instant now) {
+  for (Target& target : m_targets) {
+    if (now - target.m_seen_at >= m_settings.m_balancer_lag)
+      target.m_ready = target.m_seen;
+  }
+  if (now < m_probe_due)
+    return;
+  m_probe_due = now + kProbeInterval;
+  for (Target& target : m_targets) {
+    const std::string request =
+        "GET /health/ready HTTP/1.1\r\nhost: " + ToText(target.m_endpoint) + "\r\n\r\n";
+    const auto saw = [&target](bool ready) {
+      if (target.m_seen == ready && target.m_seen_at != Instant{})
+        return;
+      target.m_seen = ready;
+      target.m_seen_at = ReadClock();
+    };
+    UpstreamEvents events;
+    events.m_may_send = [] { return true; };
+    events.m_on_head = [saw](const UpstreamHead& head) { saw(head.m_status == 200); };
+    events.m_on_data = [](std::string_view) {};
+    events.m_on_whole = [] {};
+    events.m_on_failure = [saw](bool, const std::string&) { saw(false); };
+    if (target.m_probe) {
+      target.m_probe->Silence();
+      m_old_probes.push_back(std::move(target.m_probe));
+    }
+    target.m_probe = std::make_unique<Upstream>(m_pools, target.m_endpoint, request, false,
+                                                std::move(events));
+  }
+}
+
+}  // namespace poppyway::cli
--- /dev/null
+++ b/apps/poppywayd/broker_side.cc
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "broker_side.h"
+
+#include "convert.h"
+
+namespace poppyway {
+
+void BrokerSide::Configure(const std::string& pool, Broker& broker) const {
+  if (!m_catalogue)
+    return;
+  std::vector<EngineBudget> engines;
+  for (const CatalogueEngine& engine : m_catalogue->m_engines) {
+    const ServerDeclaration& server = m_catalogue->m_servers[engine.m_server];
+    if (server.m_pool == pool && !server.m_leaving)
+      engines.push_back({engine.m_id, engine.m_engine.m_slots, engine.m_engine.m_prefill_tokens});
+  }
+  std::map<std::string, std::int64_t> weights;
+  for (const WorkspaceDeclaration& workspace : m_catalogue->m_workspaces)
+    weights[workspace.m_name] = workspace.m_weight;
+  EligibleFn eligible = [catalogue = m_catalogue](const std::string& event_name,
+                                                  const std::string& model) {
+    std::vector<std::string> ids;
+    for (const EventDeclaration& event : catalogue->m_events) {
+      if (event.m_name != event_name)
+        continue;
+      for (const EngineIndex index : EligibleEngines(*catalogue, event, model))
+        ids.push_back(catalogue->m_engines[index].m_id);
+    }
+    return ids;
+  };
+  UpdateEngines(broker, engines, std::move(weights), std::move(eligible));
+}
+
+void BrokerSide::OnCatalogue(std::shared_ptr<const Catalogue> catalogue) {
+  m_catalogue = std::move(catalogue);
+  for (auto& [pool, hosted] : m_brokers)
+    Configure(pool, hosted.m_broker);
+}
+
+void BrokerSide::OnLease(const wire::LeaseGrant& lease,
+                         int live_gateways,
+                         Instant valid_until,
+                         Instant now) {
+  const auto found = m_brokers.find(lease.lease);
+  const bool known = found != m_brokers.end() && found->second.m_broker.m_epoch == lease.epoch;
+  if (known) {
+    found->second.m_valid_until = std::max(found->second.m_valid_until, valid_until);
+    found->second.m_broker.m_live_gateways = live_gateways;
+    return;
+  }
+  BrokerSettings settings;
+  settings.m_lease = std::chrono::milliseconds(m_settings.m_lease_ms);
+  settings.m_lease_margin = settings.m_lease / 5;
+  Hosted hosted;
+  hosted.m_broker = MakeBroker(settings, lease.epoch, now);
+  hosted.m_broker.m_live_gateways = live_gateways;
+  hosted.m_valid_until = valid_until;
+  Configure(lease.lease, hosted.m_broker);
+  m_brokers.insert_or_assign(lease.lease, std::move(hosted));
+  POPPYWAY_LOG(info, "broker_began").Field("pool", lease.lease).Field("epoch", lease.epoch);
+}
+
+void BrokerSide::OnLeaseLost(const std::string& lease) {
+  if (m_brokers.erase(lease) > 0)
+    POPPYWAY_LOG(info, "broker_ended").Field("pool", lease);
+}
+
+void BrokerSide::OnDemand(const wire::Demand& demand, PeerConnection& from) {
+  const Instant now = ReadClock();
+  const auto found = m_brokers.find(demand.pool);
+  const bool ours = found != m_brokers.end() && now < found->second.m_valid_until &&
+                    found->second.m_broker.m_epoch == demand.epoch;
+  if (!ours) {
+    wire::Grants refusal;
+    refusal.pool = demand.pool;
+    refusal.epoch = demand.epoch;
+    refusal.sequence = demand.sequence;
+    refusal.not_broker = true;
+    wire::Envelope envelope;
+    envelope.id = 0;
+    envelope.reply = true;
+    envelope.body.__set_grants(refusal);
+    from.Send(envelope);
+    return;
+  }
+  Hosted& hosted = found->second;
+  hosted.m_lines[demand.incarnation] = {from.weak_from_this(), demand.sequence};
+  Send(demand.pool, hosted, TakeDemand(hosted.m_broker, FromWire(demand, now), now));
+}
+
+void BrokerSide::Send(const std::string& pool,
+                      Hosted& hosted,
+                      const std::vector<GrantBatch>& batches) {
+  for (const GrantBatch& batch : batches) {
+    const GatewayLine& line = hosted.m_lines[batch.m_gateway];
+    const std::shared_ptr<PeerConnection> connection = line.m_connection.lock();
+    if (!connection)
+      continue;  // Its credits come back by its resync or by its lease.
+    wire::Envelope envelope;
+    envelope.id = 0;
+    envelope.reply = true;
+    envelope.body.__set_grants(
+        ToWire(pool, batch, hosted.m_broker.m_epoch, line.m_sequence));
+    envelope.body.grants.lease_ms = m_settings.m_lease_ms;
+    connection->Send(envelope);
+  }
+}
+
+void BrokerSide::Tick(Instant now) {
+  for (auto it = m_brokers.begin(); it != m_brokers.end();) {
+    Hosted& hosted = it->second;
+    if (now >= hosted.m_valid_until) {
+      POPPYWAY_LOG(warning, "broker_lease_ran_out").Field("pool", it->first);
+      it = m_brokers.erase(it);
+      continue;
+    }
+    Send(it->first, hosted, TickBroker(hosted.m_broker, now));
+    std::erase_if(hosted.m_lines, [&hosted](const auto& line) {
+      return !hosted.m_broker.m_gateways.contains(line.first);
+    });
+    ++it;
+  }
+}
+
+void BrokerSide::AddMetrics(MetricSet& metrics) const {
+  for (const auto& [pool, hosted] : m_brokers) {
+    const Broker& broker = hosted.m_broker;
+    const std::string label = "pool=\"" + pool + "\"";
+    const TierCounts backlog = Backlog(broker);
+    for (Tier t = 0; t < kTiers; ++t) {
+      metrics.Set("poppyway_broker_backlog", label + ",tier=\"" + std::to_string(t) + "\"",
+                  backlog[t]);
+    }
+    metrics.Set("poppyway_broker_floor", label, broker.m_floor.m_floor);
+    metrics.Set("poppyway_broker_gateways", label, static_cast<double>(broker.m_gateways.size()));
+    metrics.Set("poppyway_broker_credits_out", label,
+                static_cast<double>(broker.m_credits.size()));
+    metrics.Set("poppyway_broker_drain_per_second", label, DrainRate(broker));
+    metrics.Set("poppyway_broker_slow_engines", label,
+                static_cast<double>(SlowEngines(broker).size()));
+  }
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/control_task.cc
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "control_task.h"
+
+#include "convert.h"
+
+namespace poppyway {
+namespace {
+
+constexpr std::uint64_t kTickMillis = 5;
+constexpr std::uint64_t kMetricsMillis = 1000;
+
+}  // namespace
+
+ControlTask::ControlTask(TaskLoop& loop,
+                         const DaemonSettings& settings,
+                         const std::string& incarnation,
+                         std::function<void(ControlMessage)> to_gateway)
+    : m_loop(loop),
+      m_settings(settings),
+      m_to_gateway(std::move(to_gateway)),
+      m_brokers(settings),
+      m_instance(loop, settings, incarnation, m_brokers, m_to_gateway),
+      m_member(IsMember(settings) ? std::make_unique<MemberSide>(loop, settings) : nullptr),
+      m_server(
+          loop,
+          [this](PeerConnection& connection, wire::Envelope envelope) {
+            OnPeer(connection, std::move(envelope));
+          },
+          [this](const Error& why) {
+            ++m_bad_messages;
+            POPPYWAY_LOG(warning, "peer_message_refused").Field("why", why.m_message);
+          }),
+      m_inbox(loop, [this](GatewayMessage message) { m_instance.Take(std::move(message)); }),
+      m_tick(loop, kTickMillis, [this] { Tick(); }),
+      m_metrics_timer(loop, kMetricsMillis, [this] { PublishMetrics(); }) {}
+
+Result<void> ControlTask::Start() {
+  if (m_member) {
+    if (Result<void> opened = m_member->Open(); !opened)
+      return opened;
+  }
+  return m_server.Listen(m_settings.m_peer.m_address, m_settings.m_peer.m_port);
+}
+
+void ControlTask::Tick() {
+  const Instant now = ReadClock();
+  if (m_member)
+    m_member->Tick(now);
+  m_brokers.Tick(now);
+  m_instance.Tick(now);
+  if (m_stop_requested.load() && !m_stopping) {
+    m_stopping = true;
+    m_instance.BeginStop();
+  }
+  if (m_stopping && m_instance.Stopped()) {
+    POPPYWAY_LOG(info, "stopped");
+    m_loop.Stop();
+  }
+}
+
+void ControlTask::PublishMetrics() {
+  MetricSet metrics;
+  if (m_member)
+    m_member->AddMetrics(metrics);
+  m_brokers.AddMetrics(metrics);
+  m_instance.AddMetrics(metrics);
+  metrics.Add("poppyway_peer_messages_refused_total", "", m_bad_messages);
+  m_to_gateway(ControlMetrics{metrics.Text()});
+}
+
+void ControlTask::OnPeer(PeerConnection& connection, wire::Envelope envelope) {
+  const wire::Body& body = envelope.body;
+  const ReplyFn reply = [weak = connection.weak_from_this(), id = envelope.id](wire::Body answer) {
+    const std::shared_ptr<PeerConnection> open = weak.lock();
+    if (!open)
+      return;
+    wire::Envelope reply_envelope;
+    reply_envelope.id = id;
+    reply_envelope.reply = true;
+    reply_envelope.body = std::move(answer);
+    open->Send(reply_envelope);
+  };
+  if (body.__isset.demand) {
+    m_brokers.OnDemand(body.demand, connection);
+  } else if (!m_member) {
+    OnOperator(body, reply);
+  } else if (body.__isset.log) {
+    m_member->OnLogMessage(body.log);
+  } else if (body.__isset.hello) {
+    m_member->OnHello(body.hello, reply);
+  } else if (body.__isset.heartbeat) {
+    m_member->OnHeartbeat(body.heartbeat, reply);
+  } else if (body.__isset.poll) {
+    m_member->OnPoll(body.poll, reply);
+  } else if (body.__isset.propose && m_member->leads()) {
+    m_member->OnPropose(body.propose, reply);
+  } else if (body.__isset.propose && !body.propose.commands.empty() &&
+             !body.propose.commands.front().__isset.config) {
+    reply(m_member->NotLeader());  // Instances look for the leader themselves.
+  } else {
+    OnOperator(body, reply);
+  }
+}
+
+void ControlTask::OnOperator(const wire::Body& body, const ReplyFn& reply) {
+  const bool leads = m_member && m_member->leads();
+  if (body.__isset.drain) {
+    if (body.drain.instance != m_settings.m_instance) {
+      reply(ErrorBody(ResultCode::kNotFound, "this is instance '" + m_settings.m_instance + "'"));
+      return;
+    }
+    RequestStop();
+    wire::Body done;
+    done.__set_done(true);
+    reply(std::move(done));
+  } else if (body.__isset.status && (leads || body.status.here)) {
+    wire::Body answer;
+    answer.__set_status_reply(m_member ? m_member->Status() : wire::StatusReply());
+    reply(std::move(answer));
+  } else if (body.__isset.objects && leads) {
+    m_member->OnObjects(body.objects, reply);
+  } else if (body.__isset.status || body.__isset.objects || body.__isset.propose) {
+    m_instance.Forward(body, reply);
+  } else {
+    ++m_bad_messages;
+    POPPYWAY_LOG(warning, "peer_message_refused").Field("why", "unexpected kind");
+    reply(ErrorBody(ResultCode::kPeerProtocol, "unexpected message"));
+  }
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/control_task.h
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+#include "broker_side.h"
+#include "instance_side.h"
+#include "member_side.h"
+#include "poppyway/gateway.h"
+
+namespace poppyway {
+
+/// \brief The control task of a daemon: peers, log member, brokers, instance duties. One thread.
+class ControlTask {
+ public:
+  ControlTask(TaskLoop& loop,
+              const DaemonSettings& settings,
+              const std::string& incarnation,
+              std::function<void(ControlMessage)> to_gateway);
+
+  /// Opens storage and listens for peers.
+  [[nodiscard]] Result<void> Start();
+  /// Messages of the gateway task arrive here, from any thread.
+  [[nodiscard]] Mailbox<GatewayMessage>& inbox() noexcept { return m_inbox; }
+  /// Asks for a planned stop; safe in a signal handler.
+  void RequestStop() noexcept { m_stop_requested.store(true); }
+
+ private:
+  void OnPeer(PeerConnection& connection, wire::Envelope envelope);
+  void OnOperator(const wire::Body& body, const ReplyFn& reply);
+  void Tick();
+  void PublishMetrics();
+
+  TaskLoop& m_loop;
+  DaemonSettings m_settings;
+  std::function<void(ControlMessage)> m_to_gateway;
+  BrokerSide m_brokers;
+  InstanceSide m_instance;
+  std::unique_ptr<MemberSide> m_member;  ///< Null on an instance without a disk.
+  PeerServer m_server;
+  Mailbox<GatewayMessage> m_inbox;
+  RepeatingTimer m_tick;
+  RepeatingTimer m_metrics_timer;
+  std::atomic<bool> m_stop_requested{false};
+  bool m_stopping = false;
+  std::uint64_t m_bad_messages = 0;
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/instance_side.cc
@@ -0,0 +1,362 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "instance_side.h"
+
+#include "convert.h"
+
+namespace poppyway {
+namespace {
+
+constexpr std::size_t kMaxBatch = 256;       // Commands in one proposal.
+constexpr int kMaxProposalsOut = 4;
+constexpr std::size_t kMaxCommands = 100'000;
+constexpr std::size_t kMaxSequences = 512;
+constexpr Duration kProposeTimeout{1'000'000};
+constexpr Duration kProposeBackoff{50'000};
+constexpr Duration kClaimLimit{2'000'000};    // A claim is awaited for this long.
+constexpr Duration kFinishLimit{60'000'000};
+constexpr Duration kPollBackoff{100'000};
+constexpr std::int64_t kPollWaitMs = 5'000;
+constexpr Duration kForwardTimeout{5'000'000};
+
+wire::LedgerFinish ReleaseOf(const wire::LedgerClaim& claim) {
+  wire::LedgerFinish finish;
+  finish.key = claim.key;
+  finish.owner = claim.owner;
+  finish.ref = claim.ref;
+  finish.kind = wire::FinishKind::NOT_RUN;
+  return finish;
+}
+
+}  // namespace
+
+InstanceSide::InstanceSide(TaskLoop& loop,
+                           const DaemonSettings& settings,
+                           std::string incarnation,
+                           BrokerSide& brokers,
+                           std::function<void(ControlMessage)> to_gateway)
+    : m_loop(loop),
+      m_settings(settings),
+      m_incarnation(std::move(incarnation)),
+      m_brokers(brokers),
+      m_to_gateway(std::move(to_gateway)) {
+  for (const MemberSettings& member : settings.m_members)
+    m_members.push_back(
+        std::make_unique<PeerClient>(loop, member.m_peer.m_address, member.m_peer.m_port));
+  // Readers spread over the members.
+  m_poll_member = Hash(m_incarnation) % m_members.size();
+}
+
+PeerClient& InstanceSide::Leader() {
+  return *m_members[m_leader];
+}
+
+void InstanceSide::Tick(Instant now) {
+  if (now >= m_beat_due)
+    Beat(now);
+  const bool fresh =
+      m_version > 0 && m_contact != Instant{} &&
+      now - m_contact < std::chrono::milliseconds(m_settings.m_stale_after_ms);
+  if (fresh != m_fresh) {
+    m_fresh = fresh;
+    POPPYWAY_LOG(info, "freshness").Field("fresh", fresh).Field("version", m_version);
+    m_to_gateway(SetFresh{fresh});
+  }
+  if (!m_polling && now >= m_poll_after)
+    Poll();
+  ExpireCommands(now);
+  FlushCommands();
+}
+
+void InstanceSide::Beat(Instant now) {
+  m_beat_due = now + std::chrono::milliseconds(m_settings.m_heartbeat_ms);
+  wire::Heartbeat beat;
+  beat.instance = m_settings.m_instance;
+  beat.incarnation = m_incarnation;
+  beat.address = m_settings.m_peer.m_address;
+  beat.port = m_settings.m_peer.m_port;
+  beat.data_centre = m_settings.m_data_centre;
+  beat.version_in_force = m_version;
+  beat.ready = m_fresh && !m_stopping;
+  beat.stopping = m_stopping;
+  beat.http = ToText(m_settings.m_http);
+  wire::Body body;
+  body.__set_heartbeat(beat);
+  Leader().Call(std::move(body), std::chrono::milliseconds(m_settings.m_lease_ms) / 3,
+                [this, now](Result<wire::Body> reply) {
+                  if (reply && reply->__isset.heartbeat_reply)
+                    OnBeatReply(reply->heartbeat_reply, now);
+                  else
+                    OnLeaderError(reply);
+                });
+}
+
+void InstanceSide::OnBeatReply(const wire::HeartbeatReply& reply, Instant sent) {
+  m_contact = std::max(m_contact, sent);
+  TakeLeases(reply, sent);
+}
+
+/// Turns to the member that is named as leader, or to the next one.
+void InstanceSide::OnLeaderError(const Result<wire::Body>& reply) {
+  ++m_beats_lost;
+  const bool named = reply && reply->__isset.error && reply->error.leader_port != 0;
+  std::size_t next = (m_leader + 1) % m_members.size();
+  for (std::size_t i = 0; named && i < m_members.size(); ++i) {
+    const Endpoint& peer = m_settings.m_members[i].m_peer;
+    if (peer.m_address == reply->error.leader_address &&
+        peer.m_port == reply->error.leader_port)
+      next = i;
+  }
+  m_leader = next;
+  m_beat_due = std::min(m_beat_due, ReadClock() + kProposeBackoff);
+}
+
+void InstanceSide::TakeLeases(const wire::HeartbeatReply& reply, Instant sent) {
+  const Instant now = ReadClock();
+  for (const wire::LeaseGrant& lease : reply.leases) {
+    const bool ours = lease.holder == m_incarnation;
+    if (ours && !m_stopping) {
+      const Instant valid_until = sent + std::chrono::milliseconds(m_settings.m_lease_ms);
+      m_brokers.OnLease(lease, reply.live, valid_until, now);
+    } else {
+      m_brokers.OnLeaseLost(lease.lease);
+    }
+    BrokerLine& line = m_lines[lease.lease];
+    if (line.m_client && line.m_lease.epoch >= lease.epoch)
+      continue;
+    line.m_lease = lease;
+    line.m_sent.clear();
+    line.m_client = std::make_unique<PeerClient>(m_loop, lease.address,
+                                                 static_cast<std::uint16_t>(lease.port));
+    line.m_client->SetOnPush([this](wire::Body body) {
+      if (body.__isset.grants)
+        OnGrants(body.grants);
+    });
+    line.m_client->SetOnLost(
+        [this, pool = lease.lease] { m_to_gateway(BrokerChanged{pool}); });
+    m_to_gateway(BrokerChanged{lease.lease});
+  }
+}
+
+void InstanceSide::Poll() {
+  m_polling = true;
+  wire::ConfigPoll poll;
+  poll.have_version = m_version;
+  poll.wait_ms = kPollWaitMs;
+  wire::Body body;
+  body.__set_poll(poll);
+  const Duration timeout = std::chrono::milliseconds(kPollWaitMs) + kForwardTimeout;
+  m_members[m_poll_member]->Call(std::move(body), timeout, [this](Result<wire::Body> reply) {
+    m_polling = false;
+    if (reply && reply->__isset.delta) {
+      OnDelta(reply->delta);
+      return;
+    }
+    m_poll_member = (m_poll_member + 1) % m_members.size();
+    m_poll_after = ReadClock() + kPollBackoff;
+  });
+}
+
+void InstanceSide::OnDelta(const wire::ConfigDelta& delta) {
+  if (delta.to_version < m_version) {
+    // A member that lags behind us is no source; ask another.
+    m_poll_member = (m_poll_member + 1) % m_members.size();
+    m_poll_after = ReadClock() + kPollBackoff;
+    return;
+  }
+  if (!ApplyDelta(m_objects, m_version, delta))
+    return;
+  Result<Catalogue> catalogue = Compile(ToDeclarations(m_objects), m_version);
+  if (!catalogue) {
+    // Members accept only what compiles, so this is a fault of this program.
+    POPPYWAY_LOG(error, "configuration_unusable").Field("why", catalogue.error().m_message);
+    return;
+  }
+  const auto shared = std::make_shared<const Catalogue>(std::move(*catalogue));
+  m_brokers.OnCatalogue(shared);
+  m_to_gateway(NewCatalogue{shared});
+  POPPYWAY_LOG(info, "configuration_in_force").Field("version", m_version);
+  Beat(ReadClock());  // The leader learns at once what is in force here.
+}
+
+void InstanceSide::Take(GatewayMessage message) {
+  const Instant now = ReadClock();
+  if (auto* claim = std::get_if<ClaimKey>(&message)) {
+    ++m_claims;
+    QueuedCommand queued;
+    queued.m_command.__set_claim(claim->m_claim);
+    queued.m_ref = claim->m_ref;
+    queued.m_expires = now + kClaimLimit;
+    if (m_commands.size() >= kMaxCommands)
+      GiveUp(queued);
+    else
+      m_commands.push_back(std::move(queued));
+    FlushCommands();
+  } else if (auto* finish = std::get_if<FinishKey>(&message)) {
+    QueuedCommand queued;
+    queued.m_command.__set_finish(std::move(finish->m_finish));
+    queued.m_expires = now + kFinishLimit;
+    m_commands.push_back(std::move(queued));
+    FlushCommands();
+  } else if (auto* demand = std::get_if<SendDemand>(&message)) {
+    OnDemand(*demand);
+  } else {
+    m_drained = true;
+  }
+}
+
+void InstanceSide::FlushCommands() {
+  while (!m_commands.empty() && m_proposals_out < kMaxProposalsOut &&
+         ReadClock() >= m_propose_after) {
+    std::vector<QueuedCommand> sent;
+    wire::Propose propose;
+    while (!m_commands.empty() && sent.size() < kMaxBatch) {
+      propose.commands.push_back(m_commands.front().m_command);
+      sent.push_back(std::move(m_commands.front()));
+      m_commands.pop_front();
+    }
+    wire::Body body;
+    body.__set_propose(std::move(propose));
+    ++m_proposals_out;
+    Leader().Call(std::move(body), kProposeTimeout,
+                  [this, sent = std::move(sent)](Result<wire::Body> reply) mutable {
+                    OnProposed(std::move(sent), reply);
+                  });
+  }
+}
+
+void InstanceSide::OnProposed(std::vector<QueuedCommand> sent, const Result<wire::Body>& reply) {
+  --m_proposals_out;
+  const bool done = reply && reply->__isset.propose_reply &&
+                    reply->propose_reply.results.size() == sent.size();
+  if (done) {
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+      if (sent[i].m_ref != 0)
+        Answer(sent[i].m_ref, reply->propose_reply.results[i].claim);
+    }
+    return;
+  }
+  // Every command may be repeated: claims by owner and ref, finishes by their content.
+  for (auto it = sent.rbegin(); it != sent.rend(); ++it)
+    m_commands.push_front(std::move(*it));
+  m_propose_after = ReadClock() + kProposeBackoff;
+  OnLeaderError(reply);
+}
+
+void InstanceSide::Answer(RequestRef ref, const wire::ClaimResult& result) {
+  m_to_gateway(ClaimAnswer{ref, result});
+}
+
+void InstanceSide::GiveUp(const QueuedCommand& command) {
+  if (command.m_ref == 0)
+    return;
+  ++m_claims_unavailable;
+  wire::ClaimResult unavailable;
+  unavailable.verdict = wire::ClaimVerdict::UNAVAILABLE;
+  Answer(command.m_ref, unavailable);
+  // The claim may still be committed: it must not hold the key.
+  QueuedCommand release;
+  release.m_command.__set_finish(ReleaseOf(command.m_command.claim));
+  release.m_expires = ReadClock() + kFinishLimit;
+  m_commands.push_back(std::move(release));
+}
+
+void InstanceSide::ExpireCommands(Instant now) {
+  std::vector<QueuedCommand> expired;
+  std::deque<QueuedCommand> kept;
+  for (QueuedCommand& command : m_commands) {
+    if (now >= command.m_expires)
+      expired.push_back(std::move(command));
+    else
+      kept.push_back(std::move(command));
+  }
+  m_commands.swap(kept);
+  for (const QueuedCommand& command : expired)
+    GiveUp(command);
+}
+
+void InstanceSide::OnDemand(const SendDemand& message) {
+  const auto found = m_lines.find(message.m_pool);
+  const Instant now = ReadClock();
+  if (found == m_lines.end()) {
+    // No broker is known yet. Uses of credits matter to none; the rest is sent again.
+    m_to_gateway(BrokerChanged{message.m_pool});
+    return;
+  }
+  BrokerLine& line = found->second;
+  const std::int64_t sequence = ++line.m_sequence;
+  line.m_sent[sequence] = now;
+  if (line.m_sent.size() > kMaxSequences)
+    line.m_sent.erase(line.m_sent.begin());
+  wire::Body body;
+  body.__set_demand(
+      ToWire(message.m_pool, message.m_demand, line.m_lease.epoch, sequence, now));
+  line.m_client->Tell(std::move(body));
+}
+
+void InstanceSide::OnGrants(const wire::Grants& grants) {
+  const auto found = m_lines.find(grants.pool);
+  const bool current = found != m_lines.end() && found->second.m_lease.epoch == grants.epoch;
+  if (!current)
+    return;
+  if (grants.not_broker) {
+    m_to_gateway(BrokerChanged{grants.pool});
+    return;
+  }
+  BrokerLine& line = found->second;
+  TakeGrants message;
+  message.m_pool = grants.pool;
+  message.m_batch = FromWire(grants);
+  const auto sent = line.m_sent.find(grants.sequence);
+  if (sent != line.m_sent.end()) {
+    message.m_lease_end = sent->second + std::chrono::milliseconds(grants.lease_ms);
+    line.m_sent.erase(line.m_sent.begin(), sent);
+  }
+  m_to_gateway(std::move(message));
+}
+
+void InstanceSide::BeginStop() {
+  if (m_stopping)
+    return;
+  m_stopping = true;
+  m_brokers.DropAll();  // Before the leader may give the leases to another.
+  Beat(ReadClock());
+  m_to_gateway(ControlMessage(poppyway::BeginStop{}));
+}
+
+bool InstanceSide::Stopped() const {
+  return m_drained && m_commands.empty() && m_proposals_out == 0;
+}
+
+void InstanceSide::Forward(const wire::Body& body, const std::function<void(wire::Body)>& reply) {
+  Leader().Call(body, kForwardTimeout, [this, reply](Result<wire::Body> answer) {
+    const bool misled = !answer || (answer->__isset.error &&
+                                    answer->error.code ==
+                                        static_cast<std::int32_t>(ResultCode::kNotLeader));
+    if (misled)
+      OnLeaderError(answer);
+    if (!answer)
+      reply(ErrorBody(ResultCode::kNoMajority, "the leader can't be reached: " +
+                                                   answer.error().m_message));
+    else
+      reply(*answer);
+  });
+}
+
+void InstanceSide::AddMetrics(MetricSet& metrics) const {
+  metrics.Set("poppyway_version_in_force", "", static_cast<double>(m_version));
+  metrics.Set("poppyway_fresh", "", m_fresh ? 1 : 0);
+  metrics.Set("poppyway_ledger_claims", "", static_cast<double>(m_claims));
+  metrics.Set("poppyway_ledger_claims_unavailable", "",
+              static_cast<double>(m_claims_unavailable));
+  metrics.Set("poppyway_leader_calls_failed", "", static_cast<double>(m_beats_lost));
+  metrics.Set("poppyway_commands_waiting", "", static_cast<double>(m_commands.size()));
+  std::uint64_t bytes = 0;
+  for (const auto& member : m_members)
+    bytes += member->bytes_sent();
+  for (const auto& [pool, line] : m_lines)
+    bytes += line.m_client ? line.m_client->bytes_sent() : 0;
+  metrics.Set("poppyway_control_bytes_sent", "", static_cast<double>(bytes));
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/instance_side.h
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "broker_side.h"
+#include "poppyway/gateway.h"
+#include "poppyway/settings.h"
+#include "poppyway/state.h"
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief What every instance does towards the members and the brokers: heartbeats, configuration,
+/// ledger claims, demands. Belongs to the control task.
+class InstanceSide {
+ public:
+  InstanceSide(TaskLoop& loop,
+               const DaemonSettings& settings,
+               std::string incarnation,
+               BrokerSide& brokers,
+               std::function<void(ControlMessage)> to_gateway);
+
+  void Tick(Instant now);
+  void Take(GatewayMessage message);
+  /// Stops acting as broker, tells the leader, drains the gateway.
+  void BeginStop();
+  /// True once the gateway has drained and the ledger knows all that it has to know.
+  [[nodiscard]] bool Stopped() const;
+  /// Passes an operator's request on to the leader.
+  void Forward(const wire::Body& body, const std::function<void(wire::Body)>& reply);
+  [[nodiscard]] std::int64_t version() const noexcept { return m_version; }
+  void AddMetrics(MetricSet& metrics) const;
+
+ private:
+  struct QueuedCommand {
+    wire::Command m_command;
+    RequestRef m_ref = 0;  ///< Of the exchange that waits for a claim; zero for a finish.
+    Instant m_expires{};
+  };
+  struct BrokerLine {
+    wire::LeaseGrant m_lease;
+    std::unique_ptr<PeerClient> m_client;
+    std::int64_t m_sequence = 0;
+    std::map<std::int64_t, Instant> m_sent;  ///< When each demand went out, by sequence.
+  };
+
+  void Beat(Instant now);
+  void OnBeatReply(const wire::HeartbeatReply& reply, Instant sent);
+  void OnLeaderError(const Result<wire::Body>& reply);
+  void TakeLeases(const wire::HeartbeatReply& reply, Instant sent);
+  void Poll();
+  void OnDelta(const wire::ConfigDelta& delta);
+  void FlushCommands();
+  void OnProposed(std::vector<QueuedCommand> sent, const Result<wire::Body>& reply);
+  void GiveUp(const QueuedCommand& command);
+  void Answer(RequestRef ref, const wire::ClaimResult& result);
+  void ExpireCommands(Instant now);
+  void OnDemand(const SendDemand& message);
+  void OnGrants(const wire::Grants& grants);
+  [[nodiscard]] PeerClient& Leader();
+
+  TaskLoop& m_loop;
+  DaemonSettings m_settings;
+  std::string m_incarnation;
+  BrokerSide& m_brokers;
+  std::function<void(ControlMessage)> m_to_gateway;
+  std::vector<std::unique_ptr<PeerClient>> m_members;
+  std::size_t m_leader = 0;       ///< Index of the member believed to lead.
+  std::size_t m_poll_member = 0;  ///< Index of the member that is polled.
+  bool m_polling = false;
+  Instant m_poll_after{};
+  Instant m_beat_due{};
+  int m_beats_out = 0;
+  Instant m_contact{};  ///< When the last answered heartbeat was sent.
+  bool m_fresh = false;
+  bool m_stopping = false;
+  bool m_drained = false;
+  std::int64_t m_version = 0;
+  std::map<ObjectName, wire::ObjectText> m_objects;
+  std::deque<QueuedCommand> m_commands;
+  int m_proposals_out = 0;
+  Instant m_propose_after{};
+  std::map<std::string, BrokerLine> m_lines;  ///< By pool.
+  std::uint64_t m_claims = 0;
+  std::uint64_t m_claims_unavailable = 0;
+  std::uint64_t m_beats_lost = 0;
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/member_side.cc
@@ -0,0 +1,441 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "member_side.h"
+
+#include <cstdlib>
+#include <random>
+#include <set>
+
+#include "convert.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kHelloInterval{200'000};
+constexpr Duration kProposalLimit{3'000'000};
+constexpr Duration kMaxPollWait{30'000'000};
+constexpr int kDiskFailedExit = 74;
+
+MemberId RandomId() {
+  std::random_device device;
+  std::uniform_int_distribution<MemberId> any(1, std::numeric_limits<MemberId>::max());
+  return any(device);
+}
+
+}  // namespace
+
+MemberSide::MemberSide(TaskLoop& loop, const DaemonSettings& settings)
+    : m_loop(loop), m_settings(settings), m_flusher(loop, [this](int) { Flush(); }) {
+  for (const MemberSettings& member : settings.m_members) {
+    m_formation.m_names.push_back(member.m_name);
+    if (member.m_name != settings.m_instance)
+      m_peers[member.m_name] =
+          std::make_unique<PeerClient>(loop, member.m_peer.m_address, member.m_peer.m_port);
+  }
+}
+
+MemberSide::~MemberSide() = default;
+
+Result<void> MemberSide::Open() {
+  StoredLog stored;
+  Result<std::unique_ptr<LogStore>> store =
+      LogStore::Open(m_settings.m_data_folder, m_settings.m_cluster, RandomId(), stored);
+  if (!store)
+    return tl::unexpected<Error>(store.error());
+  m_store = std::move(*store);
+  m_node.m_name = m_settings.m_instance;
+  m_node.m_cluster = m_settings.m_cluster;
+  m_node.m_random.seed(static_cast<std::uint64_t>(stored.m_id) ^
+                       static_cast<std::uint64_t>(ReadClock().time_since_epoch().count()));
+  if (stored.m_snapshot) {
+    if (Result<void> loaded = LoadMachine(m_machine, *stored.m_snapshot); !loaded)
+      return loaded;
+  }
+  RestoreLog(m_node, stored);
+  m_formation.m_self = Self();
+  POPPYWAY_LOG(info, "log_opened")
+      .Field("member_id", m_node.m_id)
+      .Field("blank", stored.m_blank)
+      .Field("last_index", LastIndex(m_node))
+      .Field("torn_bytes", stored.m_torn_bytes);
+  return {};
+}
+
+wire::MemberInfo MemberSide::Self() const {
+  wire::MemberInfo self;
+  self.id = m_node.m_id;
+  self.name = m_settings.m_instance;
+  self.address = m_settings.m_peer.m_address;
+  self.port = m_settings.m_peer.m_port;
+  self.voter = false;
+  return self;
+}
+
+void MemberSide::Take(LogEffects&& effects) {
+  MergeEffects(m_effects, std::move(effects));
+  if (m_flush_due)
+    return;
+  m_flush_due = true;
+  m_flusher.Send(0);  // Everything that arrives until then shares one sync.
+}
+
+void MemberSide::FatalDisk(const Error& why) {
+  POPPYWAY_LOG(fatal, "disk_failed").Field("why", why.m_message);
+  // What was not synced was not acknowledged; going on could acknowledge what is lost.
+  std::_Exit(kDiskFailedExit);
+}
+
+void MemberSide::Flush() {
+  m_flush_due = false;
+  const bool led = leads();
+  LogEffects effects = std::move(m_effects);
+  m_effects = {};
+  if (effects.m_install) {
+    if (Result<void> loaded = LoadMachine(m_machine, *effects.m_install); !loaded)
+      FatalDisk(loaded.error());
+  }
+  if (effects.NeedsSync()) {
+    if (Result<void> saved = m_store->Save(m_node, effects); !saved)
+      FatalDisk(saved.error());
+    ++m_syncs;
+    m_entries_synced += effects.m_append.size();
+  }
+  for (const wire::LogMessage& message : effects.m_send)
+    SendTo(message);
+  MergeEffects(effects, AfterSync(m_node));
+  Apply(effects.m_committed);
+  MaybeCompact();
+  if (!led && !m_pending.empty() && !leads())
+    FailPending("leadership was lost");
+}
+
+void MemberSide::SendTo(const wire::LogMessage& message) {
+  const wire::MemberInfo* member = FindMember(m_node.m_membership, message.to_id);
+  const auto learned = m_names.find(message.to_id);
+  std::string name;
+  if (member != nullptr)
+    name = member->name;
+  else if (learned != m_names.end())
+    name = learned->second;
+  const auto peer = m_peers.find(name);
+  if (peer == m_peers.end())
+    return;
+  wire::Body body;
+  body.__set_log(message);
+  peer->second->Tell(std::move(body));
+}
+
+void MemberSide::Apply(const std::vector<wire::LogEntry>& entries) {
+  const std::int64_t version_before = m_machine.m_configuration.m_version;
+  for (const wire::LogEntry& entry : entries) {
+    if (entry.index <= m_machine.m_applied)
+      continue;
+    wire::CommandResult result = ApplyEntry(m_machine, entry);
+    const auto found = m_pending.find(entry.index);
+    if (found == m_pending.end())
+      continue;
+    const Slot slot = found->second;
+    m_pending.erase(found);
+    PendingProposal& proposal = *slot.m_proposal;
+    if (proposal.m_term != entry.term || !proposal.m_reply)
+      continue;
+    proposal.m_results[slot.m_at] = std::move(result);
+    if (--proposal.m_left > 0)
+      continue;
+    wire::ProposeReply reply;
+    reply.results = std::move(proposal.m_results);
+    wire::Body body;
+    body.__set_propose_reply(std::move(reply));
+    proposal.m_reply(std::move(body));
+    proposal.m_reply = nullptr;
+  }
+  if (m_machine.m_configuration.m_version == version_before)
+    return;
+  POPPYWAY_LOG(info, "configuration_accepted")
+      .Field("version", m_machine.m_configuration.m_version);
+  AnswerPolls(ReadClock());
+}
+
+void MemberSide::FailPending(const std::string& why) {
+  std::map<std::int64_t, Slot> pending;
+  pending.swap(m_pending);
+  for (auto& [index, slot] : pending) {
+    if (!slot.m_proposal->m_reply)
+      continue;
+    slot.m_proposal->m_reply(ErrorBody(ResultCode::kNoMajority, why));
+    slot.m_proposal->m_reply = nullptr;
+  }
+}
+
+void MemberSide::MaybeCompact() {
+  const std::int64_t behind = m_machine.m_applied - m_node.m_snapshot_index;
+  if (behind < m_settings.m_snapshot_entries)
+    return;
+  const Instant begun = ReadClock();
+  const wire::Snapshot snapshot = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
+  if (Result<void> saved = m_store->SaveSnapshot(m_node, snapshot); !saved)
+    FatalDisk(saved.error());
+  POPPYWAY_LOG(info, "snapshot")
+      .Field("index", snapshot.index)
+      .Field("bytes", snapshot.state.size())
+      .Field("took_ms", (ReadClock() - begun).count() / 1000);
+}
+
+void MemberSide::Tick(Instant now) {
+  const bool led = leads();
+  Take(TickLog(m_node, now));
+  if (leads() && !led)
+    POPPYWAY_LOG(info, "leading").Field("term", m_node.m_hard.term);
+  if (Blank() && now >= m_hello_due)
+    SayHello(now);
+  if (leads()) {
+    if (m_table.m_leading_since == Instant{})
+      m_table = BeginLeading(std::chrono::milliseconds(m_settings.m_lease_ms),
+                             std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
+    ProposeDue(now);
+  } else {
+    m_table = {};
+    if (!m_pending.empty())
+      FailPending("leadership was lost");
+  }
+  std::vector<std::int64_t> expired;
+  for (auto& [index, slot] : m_pending) {
+    if (now < slot.m_proposal->m_expires)
+      continue;
+    expired.push_back(index);
+    if (slot.m_proposal->m_reply)
+      slot.m_proposal->m_reply(ErrorBody(ResultCode::kNoMajority, "no majority in time"));
+    slot.m_proposal->m_reply = nullptr;
+  }
+  for (const std::int64_t index : expired)
+    m_pending.erase(index);
+  AnswerPolls(now);
+}
+
+void MemberSide::SayHello(Instant now) {
+  m_hello_due = now + kHelloInterval;
+  for (auto& [name, peer] : m_peers) {
+    wire::Hello hello;
+    hello.cluster = m_settings.m_cluster;
+    hello.member = Self();
+    hello.blank = true;
+    wire::Body body;
+    body.__set_hello(hello);
+    peer->Call(std::move(body), kHelloInterval, [this](Result<wire::Body> reply) {
+      if (!reply || !reply->__isset.hello_reply)
+        return;
+      NoteHello(m_formation, reply->hello_reply.member, reply->hello_reply.blank);
+    });
+  }
+  TryForm(now);
+}
+
+void MemberSide::TryForm(Instant now) {
+  const std::optional<wire::Membership> membership = MayForm(m_formation);
+  if (!membership || !Blank())
+    return;
+  POPPYWAY_LOG(info, "cluster_formed").Field("members", membership->members.size());
+  Take(FormLog(m_node, *membership, now));
+}
+
+void MemberSide::OnHello(const wire::Hello& hello, const ReplyFn& reply) {
+  if (hello.cluster != m_settings.m_cluster) {
+    reply(ErrorBody(ResultCode::kDataForeign, "this is cluster '" + m_settings.m_cluster + "'"));
+    return;
+  }
+  m_names[hello.member.id] = hello.member.name;
+  if (Blank())
+    NoteHello(m_formation, hello.member, hello.blank);
+  else if (hello.blank)
+    m_blank_members[hello.member.name] = hello.member;
+  wire::HelloReply answer;
+  answer.member = Self();
+  answer.blank = Blank();
+  answer.leader_id = m_node.m_leader;
+  wire::Body body;
+  body.__set_hello_reply(answer);
+  reply(std::move(body));
+}
+
+/// What a leader proposes of itself: memberships, gone instances, broker leases.
+void MemberSide::ProposeDue(Instant now) {
+  if (m_machine.m_applied < m_proposing_until)
+    return;
+  LogEffects effects;
+  std::vector<wire::MemberInfo> blank;
+  for (const auto& [name, member] : m_blank_members)
+    blank.push_back(member);
+  if (const std::optional<wire::Membership> membership = DueMembership(m_node, blank)) {
+    const Result<std::int64_t> index = ProposeMembership(m_node, *membership, effects, now);
+    if (index)
+      POPPYWAY_LOG(info, "membership_proposed").Field("index", *index);
+    m_blank_members.clear();
+  }
+  std::set<std::string> owners;
+  for (const auto& [owner, keys] : m_machine.m_ledger.m_running_by_owner)
+    owners.insert(owner);
+  ExpireInstances(m_table, owners, now);
+  std::vector<wire::Command> commands;
+  for (const std::string& incarnation : m_table.m_gone) {
+    wire::InstanceGone gone;
+    gone.incarnation = incarnation;
+    commands.emplace_back().__set_gone(gone);
+    POPPYWAY_LOG(info, "instance_gone").Field("incarnation", incarnation);
+  }
+  m_table.m_gone.clear();
+  std::vector<std::string> pools;
+  for (const auto& [name, object] : m_machine.m_configuration.m_objects) {
+    if (name.first == "pool")
+      pools.push_back(name.second);
+  }
+  for (const wire::LeaseGrant& grant : DueLeases(m_table, pools, m_machine.m_leases, now)) {
+    commands.emplace_back().__set_lease(grant);
+    POPPYWAY_LOG(info, "lease_proposed").Field("lease", grant.lease).Field("holder", grant.holder);
+  }
+  if (!commands.empty() && ProposeLog(m_node, commands, effects, now))
+    m_proposing_until = LastIndex(m_node);
+  Take(std::move(effects));
+}
+
+void MemberSide::OnLogMessage(const wire::LogMessage& message) {
+  m_names[message.from_id] = message.from_name;
+  const bool led = leads();
+  Take(StepLog(m_node, message, ReadClock()));
+  if (leads() && !led) {
+    m_proposing_until = 0;
+    POPPYWAY_LOG(info, "leading").Field("term", m_node.m_hard.term);
+  }
+}
+
+wire::Body MemberSide::NotLeader() const {
+  wire::Body body = ErrorBody(ResultCode::kNotLeader, "this member is not the leader");
+  const wire::MemberInfo* leader = FindMember(m_node.m_membership, m_node.m_leader);
+  if (leader == nullptr)
+    return body;
+  body.error.leader_address = leader->address;
+  body.error.leader_port = leader->port;
+  return body;
+}
+
+void MemberSide::OnPropose(const wire::Propose& propose, const ReplyFn& reply) {
+  LogEffects effects;
+  const Instant now = ReadClock();
+  const Result<std::int64_t> first = ProposeLog(m_node, propose.commands, effects, now);
+  if (!first) {
+    reply(NotLeader());
+    return;
+  }
+  auto proposal = std::make_shared<PendingProposal>();
+  proposal->m_left = propose.commands.size();
+  proposal->m_term = m_node.m_hard.term;
+  proposal->m_results.resize(propose.commands.size());
+  proposal->m_reply = reply;
+  proposal->m_expires = now + kProposalLimit;
+  for (std::size_t i = 0; i < propose.commands.size(); ++i)
+    m_pending[*first + static_cast<std::int64_t>(i)] = {proposal, i};
+  Take(std::move(effects));
+}
+
+void MemberSide::OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply) {
+  const Instant now = ReadClock();
+  if (!LeadsWithQuorum(m_node, now) || m_table.m_leading_since == Instant{}) {
+    reply(NotLeader());
+    return;
+  }
+  TakeHeartbeat(m_table, beat, now);
+  wire::HeartbeatReply answer;
+  for (const auto& [name, lease] : m_machine.m_leases)
+    answer.leases.push_back(lease);
+  answer.version = m_machine.m_configuration.m_version;
+  answer.leader_term = m_node.m_hard.term;
+  answer.live = static_cast<std::int32_t>(m_table.m_live.size());
+  wire::Body body;
+  body.__set_heartbeat_reply(answer);
+  reply(std::move(body));
+}
+
+void MemberSide::OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply) {
+  const Instant now = ReadClock();
+  const Duration wait = std::min<Duration>(std::chrono::milliseconds(poll.wait_ms), kMaxPollWait);
+  m_polls.push_back({poll, reply, now + wait});
+  AnswerPolls(now);
+}
+
+void MemberSide::AnswerPolls(Instant now) {
+  std::map<std::int64_t, wire::Body> by_version;  // Readers of one version share one answer.
+  std::vector<ParkedPoll> parked;
+  parked.swap(m_polls);
+  for (ParkedPoll& poll : parked) {
+    const bool newer = m_machine.m_configuration.m_version > poll.m_poll.have_version;
+    if (!newer && now < poll.m_expires) {
+      m_polls.push_back(std::move(poll));
+      continue;
+    }
+    const auto [entry, added] = by_version.try_emplace(poll.m_poll.have_version);
+    if (added)
+      entry->second.__set_delta(
+          DeltaSince(m_machine.m_configuration, poll.m_poll.have_version));
+    poll.m_reply(entry->second);
+  }
+}
+
+void MemberSide::OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply) {
+  if (!LeadsWithQuorum(m_node, ReadClock())) {
+    reply(NotLeader());
+    return;
+  }
+  wire::ObjectsReply answer;
+  const Configuration& configuration = m_machine.m_configuration;
+  answer.version = configuration.m_version;
+  for (const auto& [name, state] : configuration.m_objects)
+    answer.objects.push_back(state.object);
+  if (request.history)
+    answer.history.assign(configuration.m_history.begin(), configuration.m_history.end());
+  wire::Body body;
+  body.__set_objects_reply(std::move(answer));
+  reply(std::move(body));
+}
+
+wire::StatusReply MemberSide::Status() const {
+  const Instant now = ReadClock();
+  wire::StatusReply status;
+  status.instance = m_settings.m_instance;
+  status.leader_id = m_node.m_leader;
+  status.term = m_node.m_hard.term;
+  status.commit = m_node.m_commit;
+  status.version = m_machine.m_configuration.m_version;
+  status.membership = m_node.m_membership;
+  status.leader_here = LeadsWithQuorum(m_node, now);
+  status.ledger_keys = static_cast<std::int64_t>(m_machine.m_ledger.m_keys.size());
+  status.lease_age_ms = (now - m_node.m_leader_heard).count() / 1000;
+  for (const auto& [incarnation, record] : m_table.m_live) {
+    wire::InstanceStatus instance;
+    instance.instance = record.m_beat.instance;
+    instance.incarnation = incarnation;
+    instance.data_centre = record.m_beat.data_centre;
+    instance.version_in_force = record.m_beat.version_in_force;
+    instance.ready = record.m_beat.ready;
+    instance.stopping = record.m_beat.stopping;
+    instance.age_ms = (now - record.m_heard).count() / 1000;
+    instance.http = record.m_beat.http;
+    instance.address = record.m_beat.address;
+    instance.port = record.m_beat.port;
+    status.instances.push_back(std::move(instance));
+  }
+  for (const auto& [name, lease] : m_machine.m_leases)
+    status.leases.push_back(lease);
+  return status;
+}
+
+void MemberSide::AddMetrics(MetricSet& metrics) const {
+  metrics.Set("poppyway_log_term", "", static_cast<double>(m_node.m_hard.term));
+  metrics.Set("poppyway_log_commit", "", static_cast<double>(m_node.m_commit));
+  metrics.Set("poppyway_log_leader", "", leads() ? 1 : 0);
+  metrics.Set("poppyway_log_syncs", "", static_cast<double>(m_syncs));
+  metrics.Set("poppyway_log_entries_synced", "", static_cast<double>(m_entries_synced));
+  metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
+  metrics.Set("poppyway_ledger_kept_bytes", "",
+              static_cast<double>(m_machine.m_ledger.m_kept_bytes));
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/member_side.h
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "poppyway/log.h"
+#include "poppyway/settings.h"
+#include "poppyway/state.h"
+#include "poppyway/telemetry.h"
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief Sends the answer to one peer's request.
+using ReplyFn = std::function<void(wire::Body)>;
+
+/// \brief A member of the replicated log: drives `LogNode` with storage, peers and the state
+/// machine. Belongs to the control task.
+class MemberSide {
+ public:
+  MemberSide(TaskLoop& loop, const DaemonSettings& settings);
+  ~MemberSide();
+
+  /// Opens the data folder and replays it.
+  [[nodiscard]] Result<void> Open();
+  void Tick(Instant now);
+
+  void OnLogMessage(const wire::LogMessage& message);
+  void OnHello(const wire::Hello& hello, const ReplyFn& reply);
+  /// Replies once every command is committed and applied, or with an error.
+  void OnPropose(const wire::Propose& propose, const ReplyFn& reply);
+  void OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply);
+  /// Replies as soon as the version is past the caller's, or after its wait.
+  void OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply);
+  void OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply);
+  [[nodiscard]] wire::StatusReply Status() const;
+
+  [[nodiscard]] bool leads() const noexcept { return m_node.m_role == Role::kLeader; }
+  /// The error for a caller that should ask the leader.
+  [[nodiscard]] wire::Body NotLeader() const;
+  void AddMetrics(MetricSet& metrics) const;
+
+ private:
+  struct PendingProposal {
+    std::size_t m_left = 0;
+    std::int64_t m_term = 0;
+    std::vector<wire::CommandResult> m_results;
+    ReplyFn m_reply;
+    Instant m_expires{};
+  };
+  struct ParkedPoll {
+    wire::ConfigPoll m_poll;
+    ReplyFn m_reply;
+    Instant m_expires{};
+  };
+  struct Slot {
+    std::shared_ptr<PendingProposal> m_proposal;
+    std::size_t m_at = 0;
+  };
+
+  void Take(LogEffects&& effects);
+  void Flush();
+  void Apply(const std::vector<wire::LogEntry>& entries);
+  void FailPending(const std::string& why);
+  void AnswerPolls(Instant now);
+  void SayHello(Instant now);
+  void TryForm(Instant now);
+  void ProposeDue(Instant now);
+  void MaybeCompact();
+  void SendTo(const wire::LogMessage& message);
+  [[nodiscard]] wire::MemberInfo Self() const;
+  [[nodiscard]] bool Blank() const { return m_node.m_membership.members.empty(); }
+  void FatalDisk(const Error& why);
+
+  TaskLoop& m_loop;
+  DaemonSettings m_settings;
+  LogNode m_node;
+  std::unique_ptr<LogStore> m_store;
+  StateMachine m_machine;
+  InstanceTable m_table;
+  std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
+  std::map<MemberId, std::string> m_names;                     ///< Learned from messages.
+  Formation m_formation;
+  std::map<std::string, wire::MemberInfo> m_blank_members;
+  LogEffects m_effects;
+  bool m_flush_due = false;
+  Mailbox<int> m_flusher;
+  std::map<std::int64_t, Slot> m_pending;  ///< By log index.
+  std::vector<ParkedPoll> m_polls;
+  Instant m_hello_due{};
+  std::int64_t m_proposing_until = 0;  ///< Leader's own proposals up to here are under way.
+  std::uint64_t m_syncs = 0;
+  std::uint64_t m_entries_synced = 0;
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/core/include/poppyway/core.h
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+/// \file
+/// \brief Values that every other package shares: result codes, errors, time, hashing.
+///
+/// \detail Everything here is an immutable value or a pure function, so all of it may be used from
+/// any thread. Nothing here reads a clock: callers pass an `Instant`.
+///
+/// Example:
+/// \code
+/// poppyway::Result<int> Half(int n) {
+///   if (n % 2 != 0)
+///     return poppyway::Fail(poppyway::ResultCode::kBadRequest, "odd");
+///   return n / 2;
+/// }
+/// \endcode
+
+#include "poppyway/core/impl/error.h"
+#include "poppyway/core/impl/hash.h"
+#include "poppyway/core/impl/result_code.h"
+#include "poppyway/core/impl/time.h"
--- /dev/null
+++ b/packages/core/include/poppyway/core/impl/hash.h
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace poppyway {
+
+/// \brief 64-bit XXH3 of `data`; the same on every machine and in every run.
+[[nodiscard]] std::uint64_t Hash(std::string_view data, std::uint64_t seed = 0) noexcept;
+
+/// \brief Mixes two hashes into one, as rendezvous hashing needs it.
+[[nodiscard]] std::uint64_t MixHash(std::uint64_t a, std::uint64_t b) noexcept;
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/gateway/include/poppyway/gateway/impl/control_messages.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "poppyway/policy.h"
+#include "poppyway/settings.h"
+#include "poppyway_types.h"
+
+namespace poppyway {
+
+// ---- From the gateway to the control task ----------------------------------------------------
+
+/// \brief Asks the dispatch ledger for a key.
+struct ClaimKey {
+  RequestRef m_ref = 0;
+  wire::LedgerClaim m_claim;
+};
+
+/// \brief Tells the dispatch ledger how a claimed request ended.
+struct FinishKey {
+  wire::LedgerFinish m_finish;
+};
+
+/// \brief A demand for the broker of `m_pool`.
+struct SendDemand {
+  std::string m_pool;
+  GatewayDemand m_demand;
+};
+
+/// \brief All requests of this gateway have ended after `BeginStop`.
+struct Drained {};
+
+using GatewayMessage = std::variant<ClaimKey, FinishKey, SendDemand, Drained>;
+
+// ---- From the control task to the gateway ----------------------------------------------------
+
+/// \brief A newer configuration is in force.
+struct NewCatalogue {
+  std::shared_ptr<const Catalogue> m_catalogue;
+};
+
+/// \brief The ledger's answer to a `ClaimKey`.
+struct ClaimAnswer {
+  RequestRef m_ref = 0;
+  wire::ClaimResult m_result;
+};
+
+/// \brief Grants of the broker of `m_pool`; credits may be spent until `m_lease_end`.
+struct TakeGrants {
+  std::string m_pool;
+  GrantBatch m_batch;
+  Instant m_lease_end{};
+};
+
+/// \brief The connection to the broker of `m_pool` is new: tell it all that is held.
+struct BrokerChanged {
+  std::string m_pool;
+};
+
+/// \brief Whether the configuration is fresh enough for the balancer to send callers.
+struct SetFresh {
+  bool m_fresh = false;
+};
+
+/// \brief A planned stop begins: not ready, refuse new requests after the balancer's lag, drain.
+struct BeginStop {};
+
+/// \brief Text of the control task's metrics for /metrics.
+struct ControlMetrics {
+  std::string m_text;
+};
+
+using ControlMessage = std::variant<NewCatalogue,
+                                    ClaimAnswer,
+                                    TakeGrants,
+                                    BrokerChanged,
+                                    SetFresh,
+                                    BeginStop,
+                                    ControlMetrics>;
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/gateway/include/poppyway/gateway/impl/gateway.h
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include "poppyway/gateway/impl/control_messages.h"
+#include "poppyway/gateway/impl/upstream.h"
+#include "poppyway/telemetry.h"
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief What a gateway holds for one pool.
+struct PoolSide {
+  AdmissionQueue m_queue;
+  CreditBook m_book;
+  std::vector<CreditUse> m_uses;  ///< Not yet told to the broker.
+  Tier m_floor = kTiers;
+  std::int64_t m_floor_epoch = 0;
+  bool m_contended = false;
+  double m_drain_per_s = 0;
+  TierCounts m_backlog{};
+  bool m_resync = true;   ///< The next demand tells all that is held.
+  bool m_dirty = false;   ///< There is something to tell.
+  Instant m_last_demand{};
+  std::map<std::string, double> m_service_s;  ///< Mean time from dispatch to end, by event.
+  RetryBudget m_retries;
+};
+
+/// \brief All state of the gateway task. Plain data; the filters and the functions below act on it.
+struct GatewayState {
+  DaemonSettings m_settings;
+  std::string m_incarnation;
+  std::function<void(GatewayMessage)> m_to_control;
+  std::shared_ptr<const Catalogue> m_catalogue;
+  bool m_fresh = false;
+  bool m_stopping = false;
+  Instant m_refuse_from{};  ///< A stopping gateway refuses new requests from here on.
+  bool m_drained_told = false;
+  std::map<std::string, PoolSide> m_pools;
+  std::unordered_map<RequestRef, std::unique_ptr<Exchange>> m_exchanges;
+  std::vector<std::unique_ptr<Upstream>> m_retired;  ///< Destroyed outside their callbacks.
+  std::set<std::string> m_leaving_engines;
+  RequestRef m_next_ref = 1;
+  MetricSet m_metrics;
+  std::string m_control_metrics;
+  std::unique_ptr<UpstreamPools> m_upstreams;
+  std::mt19937_64 m_random;
+  Instant m_last_poll{};
+};
+
+/// \brief The gateway task's listening side. Belongs to its loop's thread.
+class Gateway {
+ public:
+  /// \param to_control takes messages for the control task; must not block.
+  Gateway(TaskLoop& loop,
+          const DaemonSettings& settings,
+          std::string incarnation,
+          std::function<void(GatewayMessage)> to_control);
+  ~Gateway();
+
+  /// Listens for callers.
+  [[nodiscard]] Result<void> Listen();
+  /// Takes one message of the control task.
+  void Take(ControlMessage message);
+  [[nodiscard]] GatewayState& state() noexcept { return m_state; }
+
+ private:
+  struct Handler {
+    h2o_handler_t m_base;
+    Gateway* m_owner;
+  };
+  static int OnRequest(h2o_handler_t* handler, h2o_req_t* req);
+  static void OnAccept(h2o_socket_t* listener, const char* fault);
+
+  TaskLoop& m_loop;
+  GatewayState m_state;
+  h2o_globalconf_t m_global{};
+  h2o_context_t m_context{};
+  h2o_accept_ctx_t m_accept{};
+  h2o_socket_t* m_listener = nullptr;
+  std::unique_ptr<RepeatingTimer> m_tick;
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/gateway/src/dispatch.cc
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+
+#include "relay.h"
+
+namespace poppyway::impl {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopHeaders = {
+    "connection",          "keep-alive",       "proxy-authenticate", "proxy-authorization",
+    "te",                  "transfer-encoding", "upgrade",           "content-length",
+    "x-request-id"};
+
+bool IsForwarded(const Header& header) {
+  if (header.m_name.starts_with("poppyway-"))
+    return false;
+  return std::find(kHopHeaders.begin(), kHopHeaders.end(), header.m_name) == kHopHeaders.end();
+}
+
+std::string BuildRequest(const Exchange& exchange, const Endpoint& endpoint) {
+  std::string request = exchange.m_method + " " + exchange.m_path + " HTTP/1.1\r\n";
+  request += "host: " + ToText(endpoint) + "\r\n";
+  for (const Header& header : exchange.m_headers) {
+    if (IsForwarded(header) && header.m_name != "host")
+      request += header.m_name + ": " + header.m_value + "\r\n";
+  }
+  request += "x-request-id: " + exchange.m_id + "\r\n";
+  request += "poppyway-priority: " + std::to_string(TierOf(exchange)) + "\r\n";
+  request += "content-length: " + std::to_string(exchange.m_body.size()) + "\r\n\r\n";
+  return request + exchange.m_body;
+}
+
+const CatalogueEngine* FindEngine(const Catalogue& catalogue, const std::string& id) {
+  const auto found =
+      std::find_if(catalogue.m_engines.begin(), catalogue.m_engines.end(),
+                   [&id](const CatalogueEngine& engine) { return engine.m_id == id; });
+  return found == catalogue.m_engines.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+bool CallerLeft(const Exchange& exchange) {
+  h2o_req_t* req = exchange.m_caller.m_req;
+  if (req == nullptr)
+    return true;
+  const bool http2 = req->version >= 0x200;
+  if (http2)
+    return false;  // h2o disposes of an HTTP/2 request at once.
+  h2o_socket_t* socket = req->conn->callbacks->get_socket(req->conn);
+  pollfd watched{h2o_socket_get_fd(socket), POLLRDHUP, 0};
+  return poll(&watched, 1, 0) == 1 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+/// Sends the request to the engine of its credit. The first byte written is the dispatch.
+void Dispatch(GatewayState& state, Exchange& exchange) {
+  PoolSide& pool = PoolOf(state, exchange);
+  const std::vector<std::string> usable = UsableEngines(state, exchange);
+  const CatalogueEngine* engine = FindEngine(*state.m_catalogue, exchange.m_credit.m_engine);
+  const bool allowed = std::find(usable.begin(), usable.end(), exchange.m_credit.m_engine) !=
+                       usable.end();
+  NoteDispatch(pool.m_book, exchange.m_credit);
+  exchange.m_stage = Stage::kConnecting;
+  if (engine == nullptr || !allowed) {
+    OnBackendFailure(state, exchange.m_ref, false, "the engine was withdrawn");
+    return;
+  }
+  const ServerDeclaration& server = state.m_catalogue->m_servers[engine->m_server];
+  const Endpoint endpoint{server.m_address, engine->m_engine.m_port};
+  const RequestRef ref = exchange.m_ref;
+  UpstreamEvents events;
+  events.m_may_send = [&state, ref] { return OnMaySend(state, ref); };
+  events.m_on_head = [&state, ref](const UpstreamHead& head) { OnBackendHead(state, ref, head); };
+  events.m_on_data = [&state, ref](std::string_view bytes) { OnBackendData(state, ref, bytes); };
+  events.m_on_whole = [&state, ref] { OnBackendWhole(state, ref); };
+  events.m_on_failure = [&state, ref](bool sent, const std::string& why) {
+    OnBackendFailure(state, ref, sent, why);
+  };
+  exchange.m_upstream =
+      std::make_unique<Upstream>(*state.m_upstreams, endpoint, BuildRequest(exchange, endpoint),
+                                 exchange.m_method == "HEAD", std::move(events));
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/gateway/src/gateway.cc
@@ -0,0 +1,287 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/gateway.h"
+
+#include <sys/socket.h>
+
+#include "relay.h"
+
+namespace poppyway {
+namespace {
+
+using impl::CallerLeft;
+
+constexpr std::uint64_t kTickMillis = 5;
+constexpr Duration kCallerPollInterval{100'000};
+constexpr std::uint64_t kSlowSenderMillis = 10'000;
+constexpr std::size_t kBodySlack = 1 << 20;  // h2o's own limit lies this far above ours.
+
+/// Lives in the request's pool; tells when h2o disposes of the request.
+struct Anchor {
+  GatewayState* m_state;
+  RequestRef m_ref;
+};
+
+void OnDisposed(void* data) {
+  auto* anchor = static_cast<Anchor*>(data);
+  const auto found = anchor->m_state->m_exchanges.find(anchor->m_ref);
+  if (found != anchor->m_state->m_exchanges.end())
+    impl::OnCallerGone(*anchor->m_state, *found->second);
+}
+
+void ReadRequest(Exchange& exchange, h2o_req_t* req) {
+  exchange.m_method.assign(req->method.base, req->method.len);
+  exchange.m_path.assign(req->path.base, req->path.len);
+  exchange.m_body.assign(req->entity.base, req->entity.len);
+  for (size_t i = 0; i < req->headers.size; ++i) {
+    const h2o_header_t& header = req->headers.entries[i];
+    exchange.m_headers.push_back({std::string(header.name->base, header.name->len),
+                                  std::string(header.value.base, header.value.len)});
+  }
+}
+
+int SendText(h2o_req_t* req, int status, const std::string& text) {
+  req->res.status = status;
+  req->res.reason = status == 200 ? "OK" : "Service Unavailable";
+  h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
+                 H2O_STRLIT("text/plain; charset=utf-8"));
+  const h2o_iovec_t copy = h2o_strdup(&req->pool, text.data(), text.size());
+  h2o_send_inline(req, copy.base, copy.len);
+  return 0;
+}
+
+bool IsReady(const GatewayState& state) {
+  return state.m_catalogue != nullptr && state.m_fresh && !state.m_stopping;
+}
+
+/// Health and metrics; returns false if the path is not one of them.
+bool AnswerOwnPath(GatewayState& state, h2o_req_t* req) {
+  const std::string_view path(req->path_normalized.base, req->path_normalized.len);
+  if (path == "/health/live") {
+    SendText(req, 200, "live\n");
+  } else if (path == "/health/ready") {
+    const bool ready = IsReady(state);
+    SendText(req, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+  } else if (path == "/metrics") {
+    state.m_metrics.Set("poppyway_exchanges", "", static_cast<double>(state.m_exchanges.size()));
+    SendText(req, 200, state.m_metrics.Text() + state.m_control_metrics);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void OnClaimAnswer(GatewayState& state, const ClaimAnswer& answer) {
+  const auto found = state.m_exchanges.find(answer.m_ref);
+  const bool waiting =
+      found != state.m_exchanges.end() && found->second->m_stage == Stage::kClaiming;
+  if (!waiting)
+    return;  // The control task releases a claim that nobody waits for.
+  Exchange& exchange = *found->second;
+  switch (answer.m_result.verdict) {
+    case wire::ClaimVerdict::GRANTED:
+      exchange.m_claimed = true;
+      impl::RunChainAfterClaim(state, exchange);
+      return;
+    case wire::ClaimVerdict::RUNNING:
+      impl::Refuse(state, exchange, ResultCode::kInProgress, "the first request still runs");
+      return;
+    case wire::ClaimVerdict::DONE:
+      impl::Replay(state, exchange, answer.m_result.answer);
+      return;
+    case wire::ClaimVerdict::UNKNOWN:
+      impl::Refuse(state, exchange, ResultCode::kOutcomeUnknown,
+                   "an earlier request with this key was sent and its outcome was lost");
+      return;
+    case wire::ClaimVerdict::KEY_REUSED:
+      impl::Refuse(state, exchange, ResultCode::kKeyReused,
+                   "the key was first used for another request");
+      return;
+    case wire::ClaimVerdict::UNAVAILABLE:
+      impl::Refuse(state, exchange, ResultCode::kLedgerUnavailable, "the ledger has no majority");
+      return;
+  }
+}
+
+/// Ends what its caller left behind; HTTP/1 connections have to be asked.
+void PollCallers(GatewayState& state) {
+  std::vector<RequestRef> left;
+  for (const auto& [ref, exchange] : state.m_exchanges) {
+    const bool open = exchange->m_stage != Stage::kDone && exchange->m_caller.m_req != nullptr &&
+                      !exchange->m_caller.m_started;
+    if (open && CallerLeft(*exchange))
+      left.push_back(ref);
+  }
+  for (const RequestRef ref : left) {
+    const auto found = state.m_exchanges.find(ref);
+    if (found == state.m_exchanges.end())
+      continue;
+    // h2o still owns the request: answer it, so that the connection is closed and disposed of.
+    Exchange& exchange = *found->second;
+    const bool sent = exchange.m_stage >= Stage::kSent;
+    if (sent && exchange.m_claimed)
+      continue;
+    state.m_metrics.Add("poppyway_callers_left_total", sent ? "sent=\"true\"" : "sent=\"false\"");
+    impl::Refuse(state, exchange, sent ? ResultCode::kOutcomeUnknown : ResultCode::kCallerGone,
+                 "the caller closed its connection");
+  }
+}
+
+/// After the deadline of a request that was sent, its caller is told at once.
+void RefuseOverdue(GatewayState& state, Instant now) {
+  std::vector<RequestRef> overdue;
+  for (const auto& [ref, exchange] : state.m_exchanges) {
+    const bool silent = exchange->m_stage == Stage::kSent || exchange->m_stage == Stage::kConnecting;
+    if (silent && now > exchange->m_deadline && exchange->m_caller.m_req != nullptr)
+      overdue.push_back(ref);
+  }
+  for (const RequestRef ref : overdue) {
+    Exchange& exchange = *state.m_exchanges.at(ref);
+    const bool sent = exchange.m_stage == Stage::kSent;
+    impl::Refuse(state, exchange,
+                 sent ? ResultCode::kDeadlinePassed : ResultCode::kDeadlineUnreachable,
+                 "no answer began before the deadline");
+  }
+}
+
+void TellDrained(GatewayState& state, Instant now) {
+  const bool over = state.m_stopping && now >= state.m_refuse_from && state.m_exchanges.empty();
+  if (!over || state.m_drained_told)
+    return;
+  state.m_drained_told = true;
+  state.m_to_control(Drained{});
+}
+
+void Tick(GatewayState& state) {
+  const Instant now = ReadClock();
+  state.m_retired.clear();
+  for (auto& [name, pool] : state.m_pools)
+    impl::TickPool(state, name, pool, now);
+  RefuseOverdue(state, now);
+  if (now - state.m_last_poll >= kCallerPollInterval) {
+    state.m_last_poll = now;
+    PollCallers(state);
+  }
+  TellDrained(state, now);
+}
+
+/// Visits a message of the control task.
+struct Visitor {
+  GatewayState& m_state;
+
+  void operator()(NewCatalogue& message) const {
+    const bool newer = !m_state.m_catalogue ||
+                       message.m_catalogue->m_version > m_state.m_catalogue->m_version;
+    if (!newer)
+      return;  // A version in force only rises.
+    m_state.m_catalogue = std::move(message.m_catalogue);
+    for (const PoolDeclaration& pool : m_state.m_catalogue->m_pools)
+      m_state.m_pools.try_emplace(pool.m_name);
+  }
+  void operator()(const ClaimAnswer& message) const { OnClaimAnswer(m_state, message); }
+  void operator()(const TakeGrants& message) const { impl::OnGrants(m_state, message); }
+  void operator()(const BrokerChanged& message) const {
+    PoolSide& pool = m_state.m_pools[message.m_pool];
+    pool.m_resync = true;
+    pool.m_dirty = true;
+  }
+  void operator()(const SetFresh& message) const { m_state.m_fresh = message.m_fresh; }
+  void operator()(const BeginStop&) const {
+    if (m_state.m_stopping)
+      return;
+    m_state.m_stopping = true;
+    m_state.m_refuse_from =
+        ReadClock() + std::chrono::milliseconds(m_state.m_settings.m_balancer_lag_ms);
+    POPPYWAY_LOG(info, "stop_begun").Field("in_progress", m_state.m_exchanges.size());
+  }
+  void operator()(ControlMetrics& message) const {
+    m_state.m_control_metrics = std::move(message.m_text);
+  }
+};
+
+}  // namespace
+
+Gateway::Gateway(TaskLoop& loop,
+                 const DaemonSettings& settings,
+                 std::string incarnation,
+                 std::function<void(GatewayMessage)> to_control)
+    : m_loop(loop) {
+  m_state.m_settings = settings;
+  m_state.m_random.seed(Hash(incarnation));
+  m_state.m_incarnation = std::move(incarnation);
+  m_state.m_to_control = std::move(to_control);
+  m_state.m_upstreams = std::make_unique<UpstreamPools>(loop);
+  h2o_config_init(&m_global);
+  m_global.max_request_entity_size =
+      static_cast<std::size_t>(settings.m_max_body_bytes) + kBodySlack;
+  m_global.http1.req_timeout = kSlowSenderMillis;
+  m_global.server_name = h2o_iovec_init(H2O_STRLIT("poppyway"));
+  h2o_hostconf_t* host =
+      h2o_config_register_host(&m_global, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+  auto* handler =
+      reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+  handler->m_base.on_req = &Gateway::OnRequest;
+  handler->m_owner = this;
+  h2o_context_init(&m_context, loop.loop(), &m_global);
+  m_accept.ctx = &m_context;
+  m_accept.hosts = m_global.hosts;
+  m_tick = std::make_unique<RepeatingTimer>(loop, kTickMillis, [this] { Tick(m_state); });
+}
+
+Gateway::~Gateway() {
+  if (m_listener != nullptr)
+    h2o_socket_close(m_listener);
+}
+
+Result<void> Gateway::Listen() {
+  const Endpoint& where = m_state.m_settings.m_http;
+  Result<int> fd = OpenListener(where.m_address, where.m_port);
+  if (!fd)
+    return tl::unexpected<Error>(fd.error());
+  m_listener = h2o_evloop_socket_create(m_loop.loop(), *fd, H2O_SOCKET_FLAG_DONT_READ);
+  m_listener->data = this;
+  h2o_socket_read_start(m_listener, &Gateway::OnAccept);
+  return {};
+}
+
+void Gateway::OnAccept(h2o_socket_t* listener, const char* fault) {
+  auto* self = static_cast<Gateway*>(listener->data);
+  if (fault != nullptr)
+    return;
+  // Take several at once: a session opening brings hundreds.
+  constexpr int kAcceptsAtOnce = 64;
+  for (int i = 0; i < kAcceptsAtOnce; ++i) {
+    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+    if (socket == nullptr)
+      return;
+    h2o_accept(&self->m_accept, socket);
+  }
+}
+
+void Gateway::Take(ControlMessage message) {
+  std::visit(Visitor{m_state}, message);
+}
+
+int Gateway::OnRequest(h2o_handler_t* handler, h2o_req_t* req) {
+  Gateway* self = reinterpret_cast<Handler*>(handler)->m_owner;
+  GatewayState& state = self->m_state;
+  if (AnswerOwnPath(state, req))
+    return 0;
+  const RequestRef ref = state.m_next_ref++;
+  auto owned = std::make_unique<Exchange>();
+  Exchange& exchange = *owned;
+  state.m_exchanges.emplace(ref, std::move(owned));
+  exchange.m_ref = ref;
+  exchange.m_id = state.m_incarnation + "-" + std::to_string(ref);
+  exchange.m_arrived = ReadClock();
+  exchange.m_caller.m_req = req;
+  ReadRequest(exchange, req);
+  auto* anchor =
+      static_cast<Anchor*>(h2o_mem_alloc_shared(&req->pool, sizeof(Anchor), &OnDisposed));
+  *anchor = {&state, ref};
+  impl::RunChain(state, exchange);
+  return 0;
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/gateway/src/upstream.cc
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/gateway/impl/upstream.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace poppyway {
+namespace {
+
+constexpr std::uint64_t kIoTimeoutMillis = 600'000;
+constexpr std::uint64_t kIdleMillis = 30'000;
+constexpr std::size_t kPoolCapacity = 4096;
+
+/// An answer is whole only if its framing says where it ends.
+bool IsFramed(int status, const std::vector<Header>& headers, bool head_only) {
+  if (head_only || status == 204 || status == 304)
+    return true;
+  return std::any_of(headers.begin(), headers.end(), [](const Header& header) {
+    return header.m_name == "content-length" || header.m_name == "transfer-encoding";
+  });
+}
+
+}  // namespace
+
+UpstreamPools::UpstreamPools(TaskLoop& loop) : m_loop(loop), m_context{} {
+  h2o_timeout_init(loop.loop(), &m_io_timeout, kIoTimeoutMillis);
+  h2o_multithread_register_receiver(loop.queue(), &m_resolver, h2o_hostinfo_getaddr_receiver);
+  m_context.loop = loop.loop();
+  m_context.getaddr_receiver = &m_resolver;
+  m_context.io_timeout = &m_io_timeout;
+}
+
+h2o_socketpool_t* UpstreamPools::Get(const Endpoint& endpoint) {
+  std::unique_ptr<h2o_socketpool_t>& pool = m_pools[endpoint];
+  if (pool)
+    return pool.get();
+  pool = std::make_unique<h2o_socketpool_t>();
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(endpoint.m_port);
+  inet_pton(AF_INET, endpoint.m_address.c_str(), &where.sin_addr);
+  h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr*>(&where), sizeof(where), 0,
+                                 kPoolCapacity);
+  h2o_socketpool_set_timeout(pool.get(), m_loop.loop(), kIdleMillis);
+  return pool.get();
+}
+
+Upstream::Upstream(UpstreamPools& pools,
+                   const Endpoint& endpoint,
+                   std::string request,
+                   bool head_only,
+                   UpstreamEvents events)
+    : m_request(std::move(request)), m_head_only(head_only), m_events(std::move(events)) {
+  h2o_http1client_connect_with_pool(&m_client, this, pools.context(), pools.Get(endpoint),
+                                    &Upstream::OnConnect);
+}
+
+Upstream::~Upstream() {
+  if (m_client != nullptr)
+    h2o_http1client_cancel(m_client);
+}
+
+void Upstream::End(const char* why) {
+  m_client = nullptr;
+  if (m_silent)
+    return;
+  // The handler may destroy this object: nothing of it is touched afterwards.
+  if (why == nullptr) {
+    const auto on_whole = m_events.m_on_whole;
+    on_whole();
+    return;
+  }
+  const auto on_failure = m_events.m_on_failure;
+  on_failure(m_sent, why);
+}
+
+h2o_http1client_head_cb Upstream::OnConnect(h2o_http1client_t* client,
+                                            const char* fault,
+                                            h2o_iovec_t** bufs,
+                                            size_t* count,
+                                            int* is_head) {
+  auto* self = static_cast<Upstream*>(client->data);
+  if (fault != nullptr) {
+    self->End(fault);
+    return nullptr;
+  }
+  if (self->m_silent || !self->m_events.m_may_send()) {
+    self->End("withdrawn before the first byte");
+    return nullptr;
+  }
+  self->m_sent = true;
+  self->m_buffer = h2o_iovec_init(self->m_request.data(), self->m_request.size());
+  *bufs = &self->m_buffer;
+  *count = 1;
+  *is_head = self->m_head_only ? 1 : 0;
+  return &Upstream::OnHead;
+}
+
+h2o_http1client_body_cb Upstream::OnHead(h2o_http1client_t* client,
+                                         const char* fault,
+                                         int /*minor*/,
+                                         int status,
+                                         h2o_iovec_t /*message*/,
+                                         h2o_header_t* headers,
+                                         size_t header_count,
+                                         int /*length*/) {
+  auto* self = static_cast<Upstream*>(client->data);
+  const bool ended = fault == h2o_http1client_error_is_eos;
+  if (fault != nullptr && !ended) {
+    self->End(fault);
+    return nullptr;
+  }
+  UpstreamHead head;
+  head.m_status = status;
+  for (size_t i = 0; i < header_count; ++i) {
+    head.m_headers.push_back({std::string(headers[i].name->base, headers[i].name->len),
+                              std::string(headers[i].value.base, headers[i].value.len)});
+  }
+  if (!IsFramed(status, head.m_headers, self->m_head_only)) {
+    self->End("the answer's length is not framed");
+    return nullptr;
+  }
+  if (!self->m_silent)
+    self->m_events.m_on_head(head);
+  if (ended) {
+    self->End(nullptr);
+    return nullptr;
+  }
+  return &Upstream::OnBody;
+}
+
+int Upstream::OnBody(h2o_http1client_t* client, const char* fault) {
+  auto* self = static_cast<Upstream*>(client->data);
+  const bool ended = fault == h2o_http1client_error_is_eos;
+  if (fault != nullptr && !ended) {
+    self->End(fault);
+    return -1;
+  }
+  h2o_buffer_t*& input = client->sock->input;
+  if (input->size > 0 && !self->m_silent) {
+    self->m_events.m_on_data(std::string_view(input->bytes, input->size));
+    h2o_buffer_consume(&input, input->size);
+  }
+  if (ended)
+    self->End(nullptr);
+  return 0;
+}
+
+void Upstream::Pause() {
+  if (m_client == nullptr || m_client->sock == nullptr || m_paused != nullptr)
+    return;
+  m_paused = m_client->sock->_cb.read;
+  if (m_paused != nullptr)
+    h2o_socket_read_stop(m_client->sock);
+}
+
+void Upstream::Resume() {
+  if (m_client == nullptr || m_paused == nullptr)
+    return;
+  h2o_socket_read_start(m_client->sock, m_paused);
+  m_paused = nullptr;
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/log/include/poppyway/log.h
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+/// \file
+/// \brief The replicated log: elections, append, commit, snapshots and membership changes.
+///
+/// \detail The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, check-quorum,
+/// non-voting members and single-member changes, written as pure functions over `LogNode`: time,
+/// randomness and messages come in, `LogEffects` go out. The caller makes effects durable, then
+/// sends the messages, then calls `AfterSync`, then applies what is committed. Nothing here has a
+/// socket, a clock, a thread or a file, but for `LogStore`, which is the storage effect.
+///
+/// A member is its random id, made with its data folder. A folder that was lost comes back as a new
+/// id: it holds no vote and counts for no majority until it has caught up and an entry admits it.
+
+#include "poppyway/log/impl/formation.h"
+#include "poppyway/log/impl/log_node.h"
+#include "poppyway/log/impl/log_store.h"
--- /dev/null
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "poppyway/core.h"
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief Names a member for the life of its data folder; random, never zero.
+using MemberId = std::int64_t;
+
+/// \brief Timing of the log.
+struct LogTiming {
+  Duration m_election_min{300'000};
+  Duration m_election_max{600'000};
+  Duration m_heartbeat{50'000};
+};
+
+/// \brief A member's part in its term.
+enum class Role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+
+/// \brief What a leader knows of another member.
+struct Progress {
+  std::int64_t m_next = 1;
+  std::int64_t m_match = 0;
+  Instant m_heard{};
+  Instant m_snapshot_sent{};
+};
+
+/// \brief One member's state. Plain data; the functions below are its behaviour.
+struct LogNode {
+  LogTiming m_timing;
+  MemberId m_id = 0;
+  std::string m_name;
+  std::string m_cluster;
+  std::mt19937_64 m_random;
+
+  // Durable.
+  wire::HardState m_hard;
+  std::int64_t m_snapshot_index = 0;
+  std::int64_t m_snapshot_term = 0;
+  wire::Membership m_snapshot_membership;
+  std::shared_ptr<const std::string> m_snapshot_state;
+  std::deque<wire::LogEntry> m_entries;  ///< Those after the snapshot.
+
+  // Volatile.
+  wire::Membership m_membership;  ///< The latest in the log, committed or not.
+  std::int64_t m_membership_index = 0;
+  std::int64_t m_commit = 0;
+  std::int64_t m_handed_out = 0;  ///< Last index given to the caller to apply.
+  Role m_role = Role::kFollower;
+  MemberId m_leader = 0;
+  Instant m_leader_heard{};
+  Instant m_election_due{};
+  Instant m_heartbeat_due{};
+  std::int64_t m_term_start = 0;  ///< Index of a leader's first entry of its term.
+  std::set<MemberId> m_votes;
+  std::map<MemberId, Progress> m_progress;
+};
+
+/// \brief What the caller has to do, in this order: make durable, send, `AfterSync`, apply.
+struct LogEffects {
+  bool m_save_hard = false;
+  std::optional<std::int64_t> m_truncate_after;  ///< Drop stored entries after this index first.
+  std::vector<wire::LogEntry> m_append;
+  std::optional<wire::Snapshot> m_install;       ///< Replaces storage and the state machine.
+  std::vector<wire::LogMessage> m_send;
+  std::vector<wire::LogEntry> m_committed;       ///< To apply, in order, after the rest.
+
+  [[nodiscard]] bool NeedsSync() const {
+    return m_save_hard || m_truncate_after || !m_append.empty() || m_install;
+  }
+};
+
+/// \brief Advances timers: elections, heartbeats, check-quorum.
+[[nodiscard]] LogEffects TickLog(LogNode& node, Instant now);
+
+/// \brief Takes a message of another member. One for another id or cluster has no effect.
+[[nodiscard]] LogEffects StepLog(LogNode& node, const wire::LogMessage& message, Instant now);
+
+/// \brief Appends commands on the leader. \return the first index, or `kNotLeader`.
+[[nodiscard]] Result<std::int64_t> ProposeLog(LogNode& node,
+                                              const std::vector<wire::Command>& commands,
+                                              LogEffects& effects,
+                                              Instant now);
+
+/// \brief Proposes a membership that differs in at most one voter.
+/// \return its index, or why not: `kNotLeader`, or `kVersionConflict` while a change is under way.
+[[nodiscard]] Result<std::int64_t> ProposeMembership(LogNode& node,
+                                                     const wire::Membership& membership,
+                                                     LogEffects& effects,
+                                                     Instant now);
+
+/// \brief To be called after effects were made durable: a sole voter commits by itself.
+[[nodiscard]] LogEffects AfterSync(LogNode& node);
+
+/// \brief Replaces entries up to `index` by `state`. Precondition: `index` was handed out.
+[[nodiscard]] wire::Snapshot CompactLog(LogNode& node, std::int64_t index, std::string state);
+
+/// \brief Begins the first term of a new cluster on the member that forms it.
+[[nodiscard]] LogEffects FormLog(LogNode& node, const wire::Membership& membership, Instant now);
+
+/// \brief Adds one effect after another.
+void MergeEffects(LogEffects& into, LogEffects&& more);
+
+[[nodiscard]] std::int64_t LastIndex(const LogNode& node) noexcept;
+/// \brief Term of the entry at `index`, or -1 if it is not held.
+[[nodiscard]] std::int64_t TermAt(const LogNode& node, std::int64_t index) noexcept;
+[[nodiscard]] bool IsVoter(const wire::Membership& membership, MemberId id) noexcept;
+[[nodiscard]] const wire::MemberInfo* FindMember(const wire::Membership& membership, MemberId id);
+/// \brief True while a majority of voters answered within the last election timeout.
+[[nodiscard]] bool LeadsWithQuorum(const LogNode& node, Instant now);
+/// \brief A membership change for the leader to propose now, if one is due: a member whose folder
+/// was lost is replaced by its new id as a non-voter; a caught-up non-voter becomes a voter.
+[[nodiscard]] std::optional<wire::Membership> DueMembership(
+    const LogNode& node,
+    const std::vector<wire::MemberInfo>& blank_members);
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/log/src/election.cc
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "log_internal.h"
+
+namespace poppyway::impl {
+namespace {
+
+bool UpToDate(const LogNode& node, const wire::VoteRequest& request) {
+  const std::int64_t last_term = TermAt(node, LastIndex(node));
+  if (request.last_term != last_term)
+    return request.last_term > last_term;
+  return request.last_index >= LastIndex(node);
+}
+
+bool HeardLeader(const LogNode& node, Instant now) {
+  if (node.m_role == Role::kLeader)
+    return LeadsWithQuorum(node, now);
+  return node.m_leader != 0 && now - node.m_leader_heard < node.m_timing.m_election_min;
+}
+
+}  // namespace
+
+void Campaign(LogNode& node, bool pre, LogEffects& effects, Instant now) {
+  node.m_role = pre ? Role::kPreCandidate : Role::kCandidate;
+  node.m_leader = 0;
+  node.m_votes = {node.m_id};
+  ResetElection(node, now);
+  if (!pre) {
+    ++node.m_hard.term;
+    node.m_hard.vote = node.m_id;
+    effects.m_save_hard = true;
+  }
+  wire::VoteRequest request;
+  request.term = pre ? node.m_hard.term + 1 : node.m_hard.term;
+  request.last_index = LastIndex(node);
+  request.last_term = TermAt(node, LastIndex(node));
+  request.pre = pre;
+  for (const wire::MemberInfo& member : node.m_membership.members) {
+    if (member.id == node.m_id || !member.voter)
+      continue;
+    wire::LogMessage message = Message(node, member.id);
+    message.body.__set_vote(request);
+    effects.m_send.push_back(std::move(message));
+  }
+  if (node.m_votes.size() < Majority(node.m_membership))
+    return;
+  if (pre)
+    Campaign(node, false, effects, now);
+  else
+    BecomeLeader(node, effects, now);
+}
+
+void OnVoteRequest(LogNode& node,
+                   MemberId from,
+                   const wire::VoteRequest& request,
+                   LogEffects& effects,
+                   Instant now) {
+  wire::VoteReply reply;
+  reply.pre = request.pre;
+  reply.granted = false;
+  // A member that still hears its leader lets nobody disturb it, nor raise its term.
+  const bool disturbed = HeardLeader(node, now);
+  if (!request.pre && request.term > node.m_hard.term && !disturbed)
+    BecomeFollower(node, request.term, 0, effects, now);
+  if (!disturbed && UpToDate(node, request)) {
+    if (request.pre) {
+      reply.granted = request.term > node.m_hard.term;
+    } else if (request.term == node.m_hard.term &&
+               (node.m_hard.vote == 0 || node.m_hard.vote == from)) {
+      reply.granted = true;
+      node.m_hard.vote = from;
+      effects.m_save_hard = true;
+      ResetElection(node, now);
+    }
+  }
+  reply.term = request.pre && reply.granted ? request.term : node.m_hard.term;
+  wire::LogMessage message = Message(node, from);
+  message.body.__set_vote_reply(reply);
+  effects.m_send.push_back(std::move(message));
+}
+
+void OnVoteReply(LogNode& node,
+                 MemberId from,
+                 const wire::VoteReply& reply,
+                 LogEffects& effects,
+                 Instant now) {
+  if (!reply.granted) {
+    if (reply.term > node.m_hard.term)
+      BecomeFollower(node, reply.term, 0, effects, now);
+    return;
+  }
+  const bool pre_vote = node.m_role == Role::kPreCandidate && reply.pre &&
+                        reply.term == node.m_hard.term + 1;
+  const bool vote =
+      node.m_role == Role::kCandidate && !reply.pre && reply.term == node.m_hard.term;
+  if ((!pre_vote && !vote) || !IsVoter(node.m_membership, from))
+    return;
+  node.m_votes.insert(from);
+  if (node.m_votes.size() < Majority(node.m_membership))
+    return;
+  if (pre_vote)
+    Campaign(node, false, effects, now);
+  else
+    BecomeLeader(node, effects, now);
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/log/src/log_store.cc
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "record.h"
+
+namespace poppyway {
+namespace {
+
+namespace fs = std::filesystem;
+using impl::AppendRecord;
+using impl::ReadRecord;
+using impl::Record;
+using impl::RecordType;
+
+constexpr int kFormat = 1;
+constexpr const char* kIdentityFile = "identity";
+constexpr const char* kSegmentPrefix = "segment-";
+constexpr const char* kSnapshotPrefix = "snapshot-";
+
+std::string ReadAll(const fs::path& path) {
+  std::ostringstream text;
+  text << std::ifstream(path, std::ios::binary).rdbuf();
+  return text.str();
+}
+
+std::string NumberText(std::int64_t number) {
+  return std::to_string(number);
+}
+
+std::int64_t NumberIn(std::string_view bytes) {
+  std::int64_t number = 0;
+  std::memcpy(&number, bytes.data(), std::min(bytes.size(), sizeof(number)));
+  return number;
+}
+
+std::string NumberBytes(std::int64_t number) {
+  return std::string(reinterpret_cast<const char*>(&number), sizeof(number));
+}
+
+/// Numbers of the files `prefix<number>` in `folder`, ascending.
+std::vector<std::int64_t> NumbersOf(const std::string& folder, const std::string& prefix) {
+  std::vector<std::int64_t> numbers;
+  for (const auto& entry : fs::directory_iterator(folder)) {
+    const std::string name = entry.path().filename().string();
+    const bool ours = name.starts_with(prefix) && name.find('.') == std::string::npos;
+    if (ours)
+      numbers.push_back(std::stoll(name.substr(prefix.size())));
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+bool SyncFolder(const std::string& folder, const FileOps& ops) {
+  const int fd = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (fd < 0)
+    return false;
+  const bool synced = ops.m_sync(fd);
+  close(fd);
+  return synced;
+}
+
+/// Writes a file so that it is there whole or not at all.
+bool WriteWhole(const std::string& folder, const std::string& name, std::string_view bytes,
+                const FileOps& ops) {
+  const std::string path = folder + "/" + name;
+  const std::string temporary = path + ".tmp";
+  const int fd = open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return false;
+  const bool written = ops.m_write(fd, bytes) && ops.m_sync(fd);
+  close(fd);
+  return written && std::rename(temporary.c_str(), path.c_str()) == 0 && SyncFolder(folder, ops);
+}
+
+Result<void> CheckIdentity(const std::string& folder, const std::string& cluster,
+                           StoredLog& stored) {
+  std::istringstream text(ReadAll(folder + "/" + kIdentityFile));
+  int format = 0;
+  std::string found;
+  text >> format >> stored.m_id >> found;
+  const std::string where = folder + "/" + kIdentityFile + ": ";
+  if (!text || stored.m_id == 0)
+    return Fail(ResultCode::kDataDamaged, where + "can't be read");
+  if (format > kFormat)
+    return Fail(ResultCode::kDataNewer, where + "format " + std::to_string(format) +
+                                            "; this program knows up to " +
+                                            std::to_string(kFormat));
+  if (found != cluster)
+    return Fail(ResultCode::kDataForeign,
+                where + "belongs to cluster '" + found + "', not '" + cluster + "'");
+  return {};
+}
+
+Result<void> ReadSnapshot(const std::string& path, StoredLog& stored) {
+  const std::string bytes = ReadAll(path);
+  Result<std::optional<Record>> record = ReadRecord(bytes, 0);
+  const bool whole = record && record->has_value() && (*record)->m_end == bytes.size();
+  if (!whole)
+    return Fail(ResultCode::kDataDamaged, path + ": the snapshot doesn't check");
+  Result<wire::Snapshot> snapshot = Deserialize<wire::Snapshot>((*record)->m_payload);
+  if (!snapshot)
+    return Fail(ResultCode::kDataDamaged, path + ": " + snapshot.error().m_message);
+  stored.m_snapshot = std::move(*snapshot);
+  return {};
+}
+
+Result<void> Replay(const Record& record, const std::string& folder, StoredLog& stored) {
+  switch (record.m_type) {
+    case RecordType::kBase: {
+      const std::int64_t base = NumberIn(record.m_payload);
+      if (base == 0)
+        return {};
+      return ReadSnapshot(folder + "/" + kSnapshotPrefix + NumberText(base), stored);
+    }
+    case RecordType::kHardState: {
+      Result<wire::HardState> hard = Deserialize<wire::HardState>(record.m_payload);
+      if (!hard)
+        return tl::unexpected<Error>(hard.error());
+      stored.m_hard = *hard;
+      return {};
+    }
+    case RecordType::kTruncate: {
+      const std::int64_t last = NumberIn(record.m_payload);
+      std::erase_if(stored.m_entries,
+                    [last](const wire::LogEntry& entry) { return entry.index > last; });
+      return {};
+    }
+    case RecordType::kEntry: {
+      Result<wire::LogEntry> entry = Deserialize<wire::LogEntry>(record.m_payload);
+      if (!entry)
+        return tl::unexpected<Error>(entry.error());
+      stored.m_entries.push_back(std::move(*entry));
+      return {};
+    }
+  }
+  return Fail(ResultCode::kDataDamaged, "unknown kind of record");
+}
+
+/// Reads the segment; cuts a torn end.
+Result<void> ReadSegment(const std::string& folder, const std::string& path, StoredLog& stored) {
+  const std::string bytes = ReadAll(path);
+  std::size_t offset = 0;
+  while (true) {
+    Result<std::optional<Record>> record = ReadRecord(bytes, offset);
+    if (!record)
+      return Fail(record.error().m_code, path + ": " + record.error().m_message);
+    if (!record->has_value())
+      break;
+    if (Result<void> replayed = Replay(**record, folder, stored); !replayed)
+      return Fail(ResultCode::kDataDamaged, path + ": " + replayed.error().m_message);
+    offset = (*record)->m_end;
+  }
+  stored.m_torn_bytes = bytes.size() - offset;
+  if (stored.m_torn_bytes > 0 && truncate(path.c_str(), static_cast<off_t>(offset)) != 0)
+    return Fail(ResultCode::kDiskFailed, path + ": can't cut its torn end");
+  return {};
+}
+
+}  // namespace
+
+FileOps SystemFileOps() {
+  FileOps ops;
+  ops.m_write = [](int fd, std::string_view bytes) {
+    while (!bytes.empty()) {
+      const ssize_t written = write(fd, bytes.data(), bytes.size());
+      if (written <= 0)
+        return false;
+      bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+  };
+  ops.m_sync = [](int fd) { return fdatasync(fd) == 0; };
+  return ops;
+}
+
+LogStore::LogStore(std::string folder, FileOps ops)
+    : m_folder(std::move(folder)), m_ops(std::move(ops)) {}
+
+LogStore::~LogStore() {
+  if (m_segment >= 0)
+    close(m_segment);
+}
+
+Result<std::unique_ptr<LogStore>> LogStore::Open(const std::string& folder,
+                                                 const std::string& cluster,
+                                                 MemberId fresh_id,
+                                                 StoredLog& stored,
+                                                 FileOps ops) {
+  std::error_code fault;
+  fs::create_directories(folder, fault);
+  if (fault)
+    return Fail(ResultCode::kDiskFailed, folder + ": " + fault.message());
+  std::unique_ptr<LogStore> store(new LogStore(folder, std::move(ops)));
+  const bool blank = !fs::exists(folder + "/" + kIdentityFile);
+  const std::vector<std::int64_t> segments = NumbersOf(folder, kSegmentPrefix);
+  const bool snapshots = !NumbersOf(folder, kSnapshotPrefix).empty();
+  // An identity goes with a segment; only a crash right after making it leaves it alone.
+  const bool half = (blank && (!segments.empty() || snapshots)) || (segments.empty() && snapshots);
+  if (half)
+    return Fail(ResultCode::kDataDamaged, folder + ": some of its files are missing");
+  if (blank) {
+    const std::string text =
+        std::to_string(kFormat) + " " + std::to_string(fresh_id) + " " + cluster + "\n";
+    if (!WriteWhole(folder, kIdentityFile, text, store->m_ops))
+      return Fail(ResultCode::kDiskFailed, folder + ": can't write the identity");
+  }
+  if (Result<void> checked = CheckIdentity(folder, cluster, stored); !checked)
+    return tl::unexpected<Error>(checked.error());
+  stored.m_blank = blank;
+  if (segments.empty()) {
+    LogNode empty;
+    if (Result<void> begun = store->BeginSegment(empty); !begun)
+      return tl::unexpected<Error>(begun.error());
+    return store;
+  }
+  store->m_segment_number = segments.back();
+  const std::string path = folder + "/" + kSegmentPrefix + NumberText(segments.back());
+  if (Result<void> read = ReadSegment(folder, path, stored); !read)
+    return tl::unexpected<Error>(read.error());
+  store->m_segment = open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (store->m_segment < 0)
+    return Fail(ResultCode::kDiskFailed, path + ": " + std::strerror(errno));
+  return store;
+}
+
+Result<void> LogStore::Broken(const std::string& what) {
+  m_failed = true;
+  return Fail(ResultCode::kDiskFailed, m_folder + ": " + what + " failed");
+}
+
+Result<void> LogStore::Save(const LogNode& node, const LogEffects& effects) {
+  if (m_failed)
+    return Broken("an earlier write");
+  if (effects.m_install)
+    return SaveSnapshot(node, *effects.m_install);
+  std::string bytes;
+  if (effects.m_save_hard)
+    AppendRecord(bytes, RecordType::kHardState, Serialize(node.m_hard));
+  if (effects.m_truncate_after)
+    AppendRecord(bytes, RecordType::kTruncate, NumberBytes(*effects.m_truncate_after));
+  for (const wire::LogEntry& entry : effects.m_append)
+    AppendRecord(bytes, RecordType::kEntry, Serialize(entry));
+  if (bytes.empty())
+    return {};
+  if (!m_ops.m_write(m_segment, bytes))
+    return Broken("a write");
+  if (!m_ops.m_sync(m_segment))
+    return Broken("a sync");
+  return {};
+}
+
+Result<void> LogStore::SaveSnapshot(const LogNode& node, const wire::Snapshot& snapshot) {
+  if (m_failed)
+    return Broken("an earlier write");
+  std::string bytes;
+  AppendRecord(bytes, RecordType::kBase, Serialize(snapshot));
+  const std::string name = kSnapshotPrefix + NumberText(snapshot.index);
+  if (!WriteWhole(m_folder, name, bytes, m_ops))
+    return Broken("writing a snapshot");
+  return BeginSegment(node);
+}
+
+Result<void> LogStore::BeginSegment(const LogNode& node) {
+  std::string bytes;
+  AppendRecord(bytes, RecordType::kBase, NumberBytes(node.m_snapshot_index));
+  AppendRecord(bytes, RecordType::kHardState, Serialize(node.m_hard));
+  for (const wire::LogEntry& entry : node.m_entries)
+    AppendRecord(bytes, RecordType::kEntry, Serialize(entry));
+  const std::int64_t number = m_segment_number + 1;
+  const std::string name = kSegmentPrefix + NumberText(number);
+  if (!WriteWhole(m_folder, name, bytes, m_ops))
+    return Broken("beginning a segment");
+  if (m_segment >= 0)
+    close(m_segment);
+  m_segment = open((m_folder + "/" + name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+  if (m_segment < 0)
+    return Broken("opening a segment");
+  m_segment_number = number;
+  // The new segment is whole: older files are not needed any more.
+  for (const std::int64_t old : NumbersOf(m_folder, kSegmentPrefix)) {
+    if (old < number)
+      fs::remove(m_folder + "/" + kSegmentPrefix + NumberText(old));
+  }
+  for (const std::int64_t old : NumbersOf(m_folder, kSnapshotPrefix)) {
+    if (old != node.m_snapshot_index)
+      fs::remove(m_folder + "/" + kSnapshotPrefix + NumberText(old));
+  }
+  return {};
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/policy/include/poppyway/policy.h
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+/// \file
+/// \brief The decisions: admission, credits, routing, limits and retries, as pure functions.
+///
+/// \detail Nothing here reads a clock, draws unseeded random numbers, opens a socket or starts a
+/// thread. Time and randomness are arguments, effects are return values; the same arguments give
+/// the same decisions in a daemon, a test and a benchmark. No object is thread-safe; each belongs to
+/// one task. See docs/design/ for why each rule is what it is.
+///
+/// - `Broker`: the one accountant of a pool's engines. Counts credits out, highest tier first.
+/// - `ShedFloor`: which tiers are closed, moved one step at a time and acknowledged by all gateways.
+/// - `AdmissionQueue`: the requests that wait in one gateway.
+/// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
+/// - `RateEstimate`, `RetryBudget`, `RetryAfter`: speed of engines, retries, when to come back.
+
+#include "poppyway/policy/impl/admission_queue.h"
+#include "poppyway/policy/impl/broker.h"
+#include "poppyway/policy/impl/credit_book.h"
+#include "poppyway/policy/impl/prefix_index.h"
+#include "poppyway/policy/impl/rate_estimate.h"
+#include "poppyway/policy/impl/retry_after.h"
+#include "poppyway/policy/impl/retry_budget.h"
+#include "poppyway/policy/impl/shed_floor.h"
+#include "poppyway/policy/impl/tier.h"
+#include "poppyway/policy/impl/wait_estimate.h"
--- /dev/null
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "poppyway/settings/impl/yaml_reader.h"
+
+namespace poppyway {
+
+/// \brief An IPv4 number and a port.
+struct Endpoint {
+  std::string m_address;
+  std::uint16_t m_port = 0;
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+/// \brief "address:port".
+[[nodiscard]] std::string ToText(const Endpoint& endpoint);
+
+/// \brief Parses "a.b.c.d:port".
+[[nodiscard]] Result<Endpoint> ParseEndpoint(const std::string& text);
+
+/// \brief A member of the replicated log as the settings name it.
+struct MemberSettings {
+  std::string m_name;
+  Endpoint m_peer;
+
+  friend bool operator==(const MemberSettings&, const MemberSettings&) = default;
+};
+
+/// \brief The settings of one daemon; read once at start.
+struct DaemonSettings {
+  std::string m_cluster;
+  std::string m_instance;
+  std::string m_data_centre;
+  std::string m_region;
+  Endpoint m_http;
+  Endpoint m_peer;
+  std::vector<MemberSettings> m_members;
+  std::string m_data_folder;  ///< Empty on an instance without a disk.
+  std::int64_t m_max_body_bytes = 4 << 20;
+  std::int64_t m_max_queue = 20000;
+  std::int64_t m_heartbeat_ms = 500;
+  std::int64_t m_lease_ms = 3000;
+  std::int64_t m_stale_after_ms = 30000;
+  std::int64_t m_balancer_lag_ms = 1000;
+  std::int64_t m_snapshot_entries = 10000;
+  std::string m_log_file;  ///< Empty: standard error.
+
+  friend bool operator==(const DaemonSettings&, const DaemonSettings&) = default;
+};
+
+/// \brief Parses and checks a settings file's text.
+[[nodiscard]] Result<DaemonSettings> ParseDaemonSettings(const std::string& text,
+                                                         const std::string& source);
+
+/// \brief Reads a settings file.
+[[nodiscard]] Result<DaemonSettings> LoadDaemonSettings(const std::string& path);
+
+/// \brief True if this instance is one of the log's members.
+[[nodiscard]] bool IsMember(const DaemonSettings& settings);
+
+/// \brief The keys of the settings file, for docs/CONFIGURATION.md.
+[[nodiscard]] std::span<const KeyInfo> DaemonKeys();
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/settings/include/poppyway/settings/impl/declaration.h
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "poppyway/selectors.h"
+#include "poppyway/settings/impl/yaml_reader.h"
+
+namespace poppyway {
+
+/// \brief Whether a pool's back ends are model engines or plain services.
+enum class PoolType : std::uint8_t { kModel, kService };
+
+/// \brief A pool of backend servers of one type.
+struct PoolDeclaration {
+  std::string m_name;
+  PoolType m_type = PoolType::kModel;
+  std::string m_prefix;  ///< Path prefix of a service, e.g. "/examen/"; empty for models.
+
+  friend bool operator==(const PoolDeclaration&, const PoolDeclaration&) = default;
+};
+
+/// \brief One engine (or one service endpoint) on a backend server.
+struct EngineDeclaration {
+  std::string m_name;
+  std::uint16_t m_port = 0;
+  std::int64_t m_slots = 8;               ///< Requests decoded at once.
+  std::int64_t m_prefill_tokens = 16384;  ///< Outstanding prompt tokens.
+  std::vector<std::string> m_models;
+
+  friend bool operator==(const EngineDeclaration&, const EngineDeclaration&) = default;
+};
+
+/// \brief One backend server with its engines.
+struct ServerDeclaration {
+  std::string m_name;
+  std::string m_pool;
+  std::string m_address;  ///< IPv4 number.
+  Labels m_labels;
+  bool m_checks_fence = true;
+  bool m_leaving = false;
+  std::vector<EngineDeclaration> m_engines;
+
+  friend bool operator==(const ServerDeclaration&, const ServerDeclaration&) = default;
+};
+
+/// \brief Work with a fixed start, and the rules that concern it.
+struct EventDeclaration {
+  std::string m_name;
+  std::string m_pool;
+  std::string m_start;  ///< RFC 3339, or empty for standing work.
+  int m_tier = 0;       ///< 0 is the highest.
+  Labels m_labels;
+  Selector m_callers;  ///< Over the caller's labels: workspace, language, event, path, method.
+  Selector m_servers;  ///< Over the server's labels, plus server, pool.
+  std::string m_model;
+  bool m_repeatable = true;
+  std::int64_t m_deadline_ms = 30000;
+  std::int64_t m_retention_s = 900;
+
+  friend bool operator==(const EventDeclaration&, const EventDeclaration&) = default;
+};
+
+/// \brief A customer's workspace and its weight in the fair share of a tier.
+struct WorkspaceDeclaration {
+  std::string m_name;
+  std::int64_t m_weight = 1;
+  Labels m_labels;
+
+  friend bool operator==(const WorkspaceDeclaration&, const WorkspaceDeclaration&) = default;
+};
+
+/// \brief One declaration as its author wrote it: identity and YAML text.
+struct DeclarationText {
+  std::string m_kind;
+  std::string m_name;
+  std::string m_body;
+
+  friend bool operator==(const DeclarationText&, const DeclarationText&) = default;
+};
+
+/// \brief Splits a YAML stream into declarations and checks each.
+/// \param source the file's name, for errors.
+[[nodiscard]] Result<std::vector<DeclarationText>> ParseDeclarations(const std::string& text,
+                                                                     const std::string& source);
+
+/// \brief Reads every `*.yaml` file below `folder` in name order.
+[[nodiscard]] Result<std::vector<DeclarationText>> LoadDeclarations(const std::string& folder);
+
+[[nodiscard]] Result<PoolDeclaration> ReadPool(const YAML::Node& node, const std::string& source);
+[[nodiscard]] Result<ServerDeclaration> ReadServer(const YAML::Node& node,
+                                                   const std::string& source);
+[[nodiscard]] Result<EventDeclaration> ReadEvent(const YAML::Node& node,
+                                                 const std::string& source);
+[[nodiscard]] Result<WorkspaceDeclaration> ReadWorkspace(const YAML::Node& node,
+                                                         const std::string& source);
+
+/// \brief The keys of one kind ("pool", "server", "engine", "event", "workspace").
+[[nodiscard]] std::span<const KeyInfo> DeclarationKeys(std::string_view kind);
+
+/// \brief Tiers are 0 (highest) to `kTierCount - 1`.
+inline constexpr int kTierCount = 3;
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/state/include/poppyway/state/impl/state_machine.h
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "poppyway/state/impl/configuration.h"
+#include "poppyway/state/impl/dispatch_ledger.h"
+
+namespace poppyway {
+
+/// \brief All replicated state.
+struct StateMachine {
+  Configuration m_configuration;
+  DispatchLedger m_ledger;
+  std::map<std::string, wire::LeaseGrant> m_leases;  ///< By lease name.
+  std::int64_t m_applied = 0;                        ///< Index of the last applied entry.
+};
+
+/// \brief Applies one committed entry. Precondition: it follows the last one applied.
+[[nodiscard]] wire::CommandResult ApplyEntry(StateMachine& machine, const wire::LogEntry& entry);
+
+/// \brief The whole state as bytes, for a snapshot.
+[[nodiscard]] std::string SaveMachine(const StateMachine& machine);
+
+/// \brief Replaces the state by a snapshot's.
+/// \return `kDataDamaged` if the bytes can't be read.
+[[nodiscard]] Result<void> LoadMachine(StateMachine& machine, const wire::Snapshot& snapshot);
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/state/src/configuration.cc
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
+#include "poppyway/state.h"
+
+namespace poppyway {
+namespace {
+
+ObjectName NameOf(const wire::ObjectText& object) {
+  return {object.kind, object.name};
+}
+
+ObjectName NameOf(const wire::ObjectKey& key) {
+  return {key.kind, key.name};
+}
+
+std::int64_t Fingerprint(const wire::ConfigChange& change) {
+  wire::ConfigChange content = change;
+  content.change_id.clear();
+  content.author.clear();
+  content.base_version = 0;
+  return static_cast<std::int64_t>(Hash(Serialize(content)));
+}
+
+wire::ConfigOutcome Outcome(ResultCode code, std::int64_t version, std::string message) {
+  wire::ConfigOutcome outcome;
+  outcome.code = static_cast<std::int32_t>(code);
+  outcome.version = version;
+  outcome.message = std::move(message);
+  return outcome;
+}
+
+/// The declarations as they would stand after the change.
+std::vector<DeclarationText> Preview(const Configuration& configuration,
+                                     const wire::ConfigChange& change) {
+  std::map<ObjectName, wire::ObjectText> objects;
+  for (const auto& [name, state] : configuration.m_objects)
+    objects[name] = state.object;
+  for (const wire::ObjectKey& key : change.removals)
+    objects.erase(NameOf(key));
+  for (const wire::ObjectText& object : change.upserts)
+    objects[NameOf(object)] = object;
+  return ToDeclarations(objects);
+}
+
+void Remember(Configuration& configuration, const wire::ConfigChange& change,
+              const wire::ConfigOutcome& outcome) {
+  wire::ChangeState state;
+  state.change_id = change.change_id;
+  state.fingerprint = Fingerprint(change);
+  state.outcome = outcome;
+  configuration.m_changes[change.change_id] = std::move(state);
+  configuration.m_change_order.push_back(change.change_id);
+  while (configuration.m_change_order.size() > kRememberedChanges) {
+    configuration.m_changes.erase(configuration.m_change_order.front());
+    configuration.m_change_order.pop_front();
+  }
+}
+
+void ForgetOldRemovals(Configuration& configuration) {
+  while (configuration.m_removals.size() > kRememberedRemovals) {
+    const auto oldest = std::min_element(
+        configuration.m_removals.begin(), configuration.m_removals.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    configuration.m_whole_before = std::max(configuration.m_whole_before, oldest->second);
+    configuration.m_removals.erase(oldest);
+  }
+}
+
+void Accept(Configuration& configuration, const wire::ConfigChange& change) {
+  const std::int64_t version = ++configuration.m_version;
+  for (const wire::ObjectKey& key : change.removals) {
+    if (configuration.m_objects.erase(NameOf(key)) > 0)
+      configuration.m_removals[NameOf(key)] = version;
+  }
+  for (const wire::ObjectText& object : change.upserts) {
+    wire::ObjectState& state = configuration.m_objects[NameOf(object)];
+    state.object = object;
+    state.version = version;
+    configuration.m_removals.erase(NameOf(object));
+  }
+  ForgetOldRemovals(configuration);
+  wire::HistoryRow row;
+  row.version = version;
+  row.change_id = change.change_id;
+  row.author = change.author;
+  row.upserts = static_cast<std::int32_t>(change.upserts.size());
+  row.removals = static_cast<std::int32_t>(change.removals.size());
+  configuration.m_history.push_back(std::move(row));
+  if (configuration.m_history.size() > kRememberedChanges)
+    configuration.m_history.pop_front();
+}
+
+}  // namespace
+
+std::vector<DeclarationText> ToDeclarations(
+    const std::map<ObjectName, wire::ObjectText>& objects) {
+  std::vector<DeclarationText> texts;
+  for (const auto& [name, object] : objects)
+    texts.push_back({object.kind, object.name, object.body});
+  return texts;
+}
+
+wire::ConfigOutcome ApplyChange(Configuration& configuration, const wire::ConfigChange& change) {
+  const auto known = configuration.m_changes.find(change.change_id);
+  if (known != configuration.m_changes.end()) {
+    if (known->second.fingerprint == Fingerprint(change))
+      return known->second.outcome;
+    return Outcome(ResultCode::kVersionConflict, configuration.m_version,
+                   "change id '" + change.change_id + "' names another change");
+  }
+  if (change.base_version != configuration.m_version) {
+    return Outcome(ResultCode::kVersionConflict, configuration.m_version,
+                   "made on version " + std::to_string(change.base_version) +
+                       ", but version " + std::to_string(configuration.m_version) +
+                       " was accepted since; look at it and apply again");
+  }
+  const Result<Catalogue> compiled =
+      Compile(Preview(configuration, change), configuration.m_version + 1);
+  if (!compiled)
+    return Outcome(compiled.error().m_code, configuration.m_version, compiled.error().m_message);
+  Accept(configuration, change);
+  const wire::ConfigOutcome outcome =
+      Outcome(ResultCode::kOk, configuration.m_version, "accepted");
+  Remember(configuration, change, outcome);
+  return outcome;
+}
+
+wire::ConfigDelta DeltaSince(const Configuration& configuration, std::int64_t from_version) {
+  wire::ConfigDelta delta;
+  delta.from_version = from_version;
+  delta.to_version = configuration.m_version;
+  delta.whole = from_version < configuration.m_whole_before ||
+                from_version > configuration.m_version || from_version == 0;
+  for (const auto& [name, state] : configuration.m_objects) {
+    if (delta.whole || state.version > from_version)
+      delta.upserts.push_back(state.object);
+  }
+  if (delta.whole)
+    return delta;
+  for (const auto& [name, version] : configuration.m_removals) {
+    if (version <= from_version)
+      continue;
+    wire::ObjectKey key;
+    key.kind = name.first;
+    key.name = name.second;
+    delta.removals.push_back(std::move(key));
+  }
+  return delta;
+}
+
+bool ApplyDelta(std::map<ObjectName, wire::ObjectText>& objects,
+                std::int64_t& version,
+                const wire::ConfigDelta& delta) {
+  if (delta.to_version <= version || (!delta.whole && delta.from_version != version))
+    return false;
+  if (delta.whole)
+    objects.clear();
+  for (const wire::ObjectKey& key : delta.removals)
+    objects.erase(NameOf(key));
+  for (const wire::ObjectText& object : delta.upserts)
+    objects[NameOf(object)] = object;
+  version = delta.to_version;
+  return true;
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/state/src/state_machine.cc
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/state.h"
+
+namespace poppyway {
+namespace {
+
+void ApplyLease(StateMachine& machine, const wire::LeaseGrant& grant) {
+  const auto found = machine.m_leases.find(grant.lease);
+  const std::int64_t epoch = found == machine.m_leases.end() ? 0 : found->second.epoch;
+  if (grant.epoch == epoch + 1)
+    machine.m_leases[grant.lease] = grant;
+}
+
+}  // namespace
+
+wire::CommandResult ApplyEntry(StateMachine& machine, const wire::LogEntry& entry) {
+  wire::CommandResult result;
+  const wire::Command& command = entry.command;
+  machine.m_applied = entry.index;
+  if (command.__isset.config) {
+    result.__set_config(ApplyChange(machine.m_configuration, command.config));
+  } else if (command.__isset.claim) {
+    result.__set_claim(ApplyClaim(machine.m_ledger, command.claim));
+  } else {
+    if (command.__isset.finish)
+      ApplyFinish(machine.m_ledger, command.finish);
+    else if (command.__isset.lease)
+      ApplyLease(machine, command.lease);
+    else if (command.__isset.gone)
+      ApplyGone(machine.m_ledger, command.gone.incarnation);
+    result.__set_done(true);
+  }
+  return result;
+}
+
+std::string SaveMachine(const StateMachine& machine) {
+  wire::MachineState state;
+  const Configuration& configuration = machine.m_configuration;
+  state.version = configuration.m_version;
+  for (const auto& [name, object] : configuration.m_objects)
+    state.objects.push_back(object);
+  for (const auto& [name, version] : configuration.m_removals) {
+    wire::RemovalState removal;
+    removal.key.kind = name.first;
+    removal.key.name = name.second;
+    removal.version = version;
+    state.removals.push_back(std::move(removal));
+  }
+  state.whole_before = configuration.m_whole_before;
+  state.history.assign(configuration.m_history.begin(), configuration.m_history.end());
+  for (const std::string& id : configuration.m_change_order)
+    state.changes.push_back(configuration.m_changes.at(id));
+  state.keys = SaveLedger(machine.m_ledger);
+  state.now_ms = machine.m_ledger.m_now_ms;
+  for (const auto& [name, lease] : machine.m_leases)
+    state.leases.push_back(lease);
+  return Serialize(state);
+}
+
+Result<void> LoadMachine(StateMachine& machine, const wire::Snapshot& snapshot) {
+  Result<wire::MachineState> state = Deserialize<wire::MachineState>(snapshot.state);
+  if (!state)
+    return Fail(ResultCode::kDataDamaged, "snapshot: " + state.error().m_message);
+  machine = {};
+  Configuration& configuration = machine.m_configuration;
+  configuration.m_version = state->version;
+  for (const wire::ObjectState& object : state->objects)
+    configuration.m_objects[{object.object.kind, object.object.name}] = object;
+  for (const wire::RemovalState& removal : state->removals)
+    configuration.m_removals[{removal.key.kind, removal.key.name}] = removal.version;
+  configuration.m_whole_before = state->whole_before;
+  configuration.m_history.assign(state->history.begin(), state->history.end());
+  for (const wire::ChangeState& change : state->changes) {
+    configuration.m_changes[change.change_id] = change;
+    configuration.m_change_order.push_back(change.change_id);
+  }
+  LoadLedger(machine.m_ledger, *state);
+  for (const wire::LeaseGrant& lease : state->leases)
+    machine.m_leases[lease.lease] = lease;
+  machine.m_applied = snapshot.index;
+  return {};
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/telemetry/include/poppyway/telemetry/impl/log_line.h
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include <boost/log/trivial.hpp>
+
+namespace poppyway {
+
+/// \brief Sends log lines to `file` (empty: standard error), each `time=… level=… event=… key=…`.
+/// Call once, before other threads start.
+void StartLogging(const std::string& file, const std::string& instance);
+
+/// \brief One log event; the line is written when the object is destroyed. Thread-safe.
+class LogLine {
+ public:
+  LogLine(boost::log::trivial::severity_level level, std::string_view event);
+  ~LogLine();
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  template <typename T>
+  LogLine& Field(std::string_view key, const T& value) {
+    std::ostringstream text;
+    text << value;
+    Append(key, text.str());
+    return *this;
+  }
+
+ private:
+  void Append(std::string_view key, const std::string& value);
+
+  boost::log::trivial::severity_level m_level;
+  std::string m_text;
+};
+
+}  // namespace poppyway
+
+/// \brief Starts a log event: `POPPYWAY_LOG(info, "started").Field("port", 80);`
+#define POPPYWAY_LOG(level, event) ::poppyway::LogLine(::boost::log::trivial::level, (event))
--- /dev/null
+++ b/packages/wire/include/poppyway/wire/impl/peer_server.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <set>
+
+#include "poppyway/wire/impl/peer_connection.h"
+
+namespace poppyway {
+
+/// \brief Accepts peer connections. Belongs to its loop's thread.
+class PeerServer {
+ public:
+  /// \param on_refused called when a peer's malformed message closed its connection.
+  PeerServer(TaskLoop& loop,
+             PeerConnection::OnMessage on_message,
+             std::function<void(const Error&)> on_refused);
+  ~PeerServer();
+
+  /// Listens on an IPv4 number.
+  [[nodiscard]] Result<void> Listen(const std::string& address, std::uint16_t port);
+
+ private:
+  static void OnAccept(h2o_socket_t* listener, const char* fault);
+
+  TaskLoop& m_loop;
+  PeerConnection::OnMessage m_on_message;
+  std::function<void(const Error&)> m_on_refused;
+  h2o_socket_t* m_listener = nullptr;
+  std::set<std::shared_ptr<PeerConnection>> m_connections;
+};
+
+/// \brief Opens a non-blocking listening socket.
+/// \return the descriptor, or `kPeerUnreachable`.
+[[nodiscard]] Result<int> OpenListener(const std::string& address, std::uint16_t port);
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/wire/include/poppyway/wire/impl/task_loop.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <atomic>
+
+#include <h2o.h>
+
+namespace poppyway {
+
+/// \brief The event loop of one task. Create, run and destroy on one thread; `Stop` from any.
+class TaskLoop {
+ public:
+  TaskLoop();
+  ~TaskLoop();
+  TaskLoop(const TaskLoop&) = delete;
+  TaskLoop& operator=(const TaskLoop&) = delete;
+
+  /// Runs until `Stop`.
+  void Run();
+  /// Runs for about `millis`, for tests and short-lived programs.
+  void RunFor(int millis);
+  void Stop() noexcept;
+
+  [[nodiscard]] h2o_loop_t* loop() const noexcept { return m_loop; }
+  [[nodiscard]] h2o_multithread_queue_t* queue() const noexcept { return m_queue; }
+
+ private:
+  static void OnWake(h2o_multithread_receiver_t*, h2o_linklist_t*) {}
+
+  h2o_loop_t* m_loop;
+  h2o_multithread_queue_t* m_queue;
+  h2o_multithread_receiver_t m_waker;
+  std::atomic<bool> m_stopped{false};
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/wire/poppyway.thrift
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+// Messages between poppyway's own processes. Generated code is committed in gen/.
+namespace cpp poppyway.wire
+
+// ---- Configuration -------------------------------------------------------------------------
+struct ObjectKey { 1: string kind; 2: string name }
+struct ObjectText { 1: string kind; 2: string name; 3: string body }
+struct ConfigChange {
+  1: string change_id; 2: i64 base_version; 3: string author;
+  4: list<ObjectText> upserts; 5: list<ObjectKey> removals
+}
+struct ConfigOutcome { 1: i32 code; 2: i64 version; 3: string message }
+struct ConfigDelta {
+  1: i64 from_version; 2: i64 to_version; 3: bool whole;
+  4: list<ObjectText> upserts; 5: list<ObjectKey> removals
+}
+struct HistoryRow { 1: i64 version; 2: string change_id; 3: string author; 4: i32 upserts; 5: i32 removals }
+
+// ---- Dispatch ledger -----------------------------------------------------------------------
+enum KeyState { RUNNING = 0, DONE = 1, UNKNOWN = 2, RELEASED = 3 }
+struct StoredAnswer { 1: i32 status; 2: string content_type; 3: string body; 4: bool kept }
+struct LedgerClaim {
+  1: string key; 2: string owner; 3: i64 fingerprint; 4: i64 now_ms; 5: i64 retention_ms;
+  6: bool rerun_unknown; 7: i64 ref
+}
+enum ClaimVerdict { GRANTED = 0, RUNNING = 1, DONE = 2, UNKNOWN = 3, KEY_REUSED = 4, UNAVAILABLE = 5 }
+struct ClaimResult { 1: ClaimVerdict verdict; 2: StoredAnswer answer }
+enum FinishKind { DONE = 0, NOT_RUN = 1, UNKNOWN = 2 }
+struct LedgerFinish {
+  1: string key; 2: string owner; 3: FinishKind kind; 4: StoredAnswer answer; 5: i64 ref
+}
+
+// ---- Leases and instances ------------------------------------------------------------------
+struct LeaseGrant { 1: string lease; 2: string holder; 3: string address; 4: i32 port; 5: i64 epoch }
+struct InstanceGone { 1: string incarnation }
+
+// ---- Replicated log ------------------------------------------------------------------------
+struct MemberInfo { 1: i64 id; 2: string name; 3: string address; 4: i32 port; 5: bool voter }
+struct Membership { 1: list<MemberInfo> members }
+union Command {
+  1: ConfigChange config; 2: LedgerClaim claim; 3: LedgerFinish finish; 4: LeaseGrant lease;
+  5: InstanceGone gone; 6: Membership membership; 7: bool noop
+}
+struct LogEntry { 1: i64 index; 2: i64 term; 3: Command command }
+struct HardState { 1: i64 term; 2: i64 vote }
+struct Snapshot {
+  1: i64 index; 2: i64 term; 3: Membership membership; 4: binary state
+}
+struct VoteRequest { 1: i64 term; 2: i64 last_index; 3: i64 last_term; 4: bool pre }
+struct VoteReply { 1: i64 term; 2: bool granted; 3: bool pre }
+struct AppendRequest {
+  1: i64 term; 2: i64 prev_index; 3: i64 prev_term; 4: list<LogEntry> entries; 5: i64 commit;
+  6: i64 round
+}
+struct AppendReply { 1: i64 term; 2: bool ok; 3: i64 match; 4: i64 round }
+struct SnapshotRequest { 1: i64 term; 2: Snapshot snapshot; 3: i64 round }
+union LogBody {
+  1: VoteRequest vote; 2: VoteReply vote_reply; 3: AppendRequest append; 4: AppendReply append_reply;
+  5: SnapshotRequest snapshot
+}
+struct LogMessage { 1: i64 from_id; 2: i64 to_id; 3: LogBody body; 4: string cluster; 5: string from_name }
+
+// A blank member asks who is there; members answer with what they know.
+struct Hello { 1: string cluster; 2: MemberInfo member; 3: bool blank }
+struct HelloReply { 1: MemberInfo member; 2: bool blank; 3: i64 leader_id }
+
+// ---- Snapshot of the state machine ----------------------------------------------------------
+struct ObjectState { 1: ObjectText object; 2: i64 version }
+struct RemovalState { 1: ObjectKey key; 2: i64 version }
+struct ChangeState { 1: string change_id; 2: i64 fingerprint; 3: ConfigOutcome outcome }
+struct KeyRecord {
+  1: string key; 2: string owner; 3: i64 ref; 4: i64 fingerprint; 5: KeyState state;
+  6: i64 expires_ms; 7: StoredAnswer answer
+}
+struct MachineState {
+  1: i64 version; 2: list<ObjectState> objects; 3: list<RemovalState> removals;
+  4: i64 whole_before; 5: list<HistoryRow> history; 6: list<ChangeState> changes;
+  7: list<KeyRecord> keys; 8: list<LeaseGrant> leases; 9: i64 now_ms
+}
+
+// ---- Instances to the leader ---------------------------------------------------------------
+struct Heartbeat {
+  1: string instance; 2: string incarnation; 3: string address; 4: i32 port; 5: string data_centre;
+  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http
+}
+struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live }
+struct Propose { 1: list<Command> commands }
+union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done }
+struct ProposeReply { 1: list<CommandResult> results }
+struct ConfigPoll { 1: i64 have_version; 2: i64 wait_ms }
+
+// ---- Brokers -------------------------------------------------------------------------------
+struct DemandItem {
+  1: i64 ref; 2: i32 tier; 3: i64 prompt_tokens; 4: list<i64> prefixes; 5: i32 age_ms;
+  6: string workspace; 7: string event; 8: string model; 9: list<string> avoid; 10: i32 deadline_ms
+}
+enum UseStage { FIRST_TOKEN = 0, FINISHED = 1, RETURNED = 2, FAILED = 3 }
+struct CreditUse { 1: i64 credit; 2: UseStage stage; 3: i64 elapsed_us }
+struct HeldCredit { 1: i64 credit; 2: i64 ref; 3: string engine; 4: i64 prompt_tokens }
+struct Demand {
+  1: string pool; 2: string incarnation; 3: i64 epoch; 4: bool resync; 5: list<HeldCredit> held;
+  6: list<DemandItem> items; 7: list<i32> waiting; 8: list<CreditUse> uses; 9: i64 floor_ack;
+  10: i64 sequence
+}
+struct Grants {
+  1: string pool; 2: i64 epoch; 3: list<HeldCredit> credits; 4: list<i64> unreachable;
+  5: i32 floor; 6: i64 floor_epoch; 7: bool contended; 8: double drain_per_s; 9: i32 gateways;
+  10: list<i32> backlog; 11: i64 lease_ms; 12: i64 sequence; 13: bool not_broker
+}
+
+// ---- Operators -----------------------------------------------------------------------------
+struct StatusRequest { 1: bool here }
+struct InstanceStatus {
+  1: string instance; 2: string incarnation; 3: string data_centre; 4: i64 version_in_force;
+  5: bool ready; 6: bool stopping; 7: i64 age_ms; 8: string http; 9: string address; 10: i32 port
+}
+struct StatusReply {
+  1: string instance; 2: i64 leader_id; 3: i64 term; 4: i64 commit; 5: i64 version;
+  6: Membership membership; 7: list<InstanceStatus> instances; 8: list<LeaseGrant> leases;
+  9: i64 ledger_keys; 10: bool leader_here; 11: i64 lease_age_ms; 12: list<string> leaving
+}
+struct ObjectsRequest { 1: bool history }
+struct ObjectsReply { 1: i64 version; 2: list<ObjectText> objects; 3: list<HistoryRow> history }
+struct DrainRequest { 1: string instance }
+struct ErrorReply { 1: i32 code; 2: string message; 3: string leader_address; 4: i32 leader_port }
+
+union Body {
+  1: LogMessage log; 2: Hello hello; 3: HelloReply hello_reply; 4: Heartbeat heartbeat;
+  5: HeartbeatReply heartbeat_reply; 6: Propose propose; 7: ProposeReply propose_reply;
+  8: ConfigPoll poll; 9: ConfigDelta delta; 10: Demand demand; 11: Grants grants;
+  12: StatusRequest status; 13: StatusReply status_reply; 14: ObjectsRequest objects;
+  15: ObjectsReply objects_reply; 16: DrainRequest drain; 17: ErrorReply error; 18: bool done
+}
+struct Envelope { 1: i64 id; 2: bool reply; 3: Body body }
--- /dev/null
+++ b/packages/wire/src/peer_client.cc
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/wire.h"
+
+#include <arpa/inet.h>
+
+namespace poppyway {
+namespace {
+
+constexpr std::uint64_t kExpiryMillis = 20;
+constexpr std::size_t kMaxBacklog = 256;
+
+}  // namespace
+
+PeerClient::PeerClient(TaskLoop& loop, std::string address, std::uint16_t port)
+    : m_loop(loop),
+      m_address(std::move(address)),
+      m_port(port),
+      m_expiry(loop, kExpiryMillis, [this] { ExpireCalls(); }) {}
+
+PeerClient::~PeerClient() {
+  if (m_connecting != nullptr)
+    h2o_socket_close(m_connecting);
+  if (m_connection)
+    m_connection->Close();
+}
+
+std::uint64_t PeerClient::bytes_sent() const noexcept {
+  return m_closed_bytes + (m_connection ? m_connection->bytes_sent() : 0);
+}
+
+void PeerClient::Call(wire::Body body, Duration timeout, OnReply on_reply) {
+  wire::Envelope envelope;
+  envelope.id = m_next_id++;
+  envelope.reply = false;
+  envelope.body = std::move(body);
+  m_waiting[envelope.id] = {std::move(on_reply), ReadClock() + timeout};
+  Post(std::move(envelope));
+}
+
+void PeerClient::Tell(wire::Body body) {
+  wire::Envelope envelope;
+  envelope.id = 0;
+  envelope.reply = false;
+  envelope.body = std::move(body);
+  Post(std::move(envelope));
+}
+
+void PeerClient::Post(wire::Envelope envelope) {
+  if (m_connection && m_connection->open()) {
+    m_connection->Send(envelope);
+    return;
+  }
+  if (m_backlog.size() < kMaxBacklog)
+    m_backlog.push_back(std::move(envelope));
+  Connect();
+}
+
+void PeerClient::Connect() {
+  if (m_connecting != nullptr)
+    return;
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(m_port);
+  inet_pton(AF_INET, m_address.c_str(), &where.sin_addr);
+  m_connecting = h2o_socket_connect(m_loop.loop(), reinterpret_cast<sockaddr*>(&where),
+                                    sizeof(where), &PeerClient::OnConnected);
+  if (m_connecting == nullptr) {
+    m_backlog.clear();
+    return;
+  }
+  m_connecting->data = this;
+}
+
+void PeerClient::OnConnected(h2o_socket_t* socket, const char* fault) {
+  auto* self = static_cast<PeerClient*>(socket->data);
+  self->m_connecting = nullptr;
+  if (fault != nullptr) {
+    h2o_socket_close(socket);
+    self->m_backlog.clear();
+    self->FailAll({ResultCode::kPeerUnreachable, fault});
+    return;
+  }
+  if (self->m_connection)
+    self->m_closed_bytes += self->m_connection->bytes_sent();
+  self->m_connection = std::make_shared<PeerConnection>(
+      socket,
+      [self](PeerConnection&, wire::Envelope envelope) {
+        const auto found = self->m_waiting.find(envelope.id);
+        if (found == self->m_waiting.end()) {
+          if (self->m_on_push)
+            self->m_on_push(std::move(envelope.body));
+          return;
+        }
+        OnReply on_reply = std::move(found->second.m_on_reply);
+        self->m_waiting.erase(found);
+        on_reply(std::move(envelope.body));
+      },
+      [self](PeerConnection&, const Error& why) {
+        self->FailAll(why);
+        if (self->m_on_lost)
+          self->m_on_lost();
+      });
+  self->m_connection->Start();
+  const std::vector<wire::Envelope> backlog = std::move(self->m_backlog);
+  self->m_backlog.clear();
+  for (const wire::Envelope& envelope : backlog)
+    self->m_connection->Send(envelope);
+}
+
+void PeerClient::FailAll(const Error& why) {
+  std::map<std::int64_t, Waiting> failed;
+  failed.swap(m_waiting);
+  for (auto& [id, waiting] : failed)
+    waiting.m_on_reply(tl::unexpected<Error>(why));
+}
+
+void PeerClient::ExpireCalls() {
+  const Instant now = ReadClock();
+  std::vector<OnReply> expired;
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    if (it->second.m_expires > now) {
+      ++it;
+      continue;
+    }
+    expired.push_back(std::move(it->second.m_on_reply));
+    it = m_waiting.erase(it);
+  }
+  for (OnReply& on_reply : expired)
+    on_reply(Fail(ResultCode::kPeerUnreachable, "no reply in time"));
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/wire/src/peer_server.cc
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/wire.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cstring>
+
+namespace poppyway {
+namespace {
+
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Result<int> OpenListener(const std::string& address, std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(port);
+  inet_pton(AF_INET, address.c_str(), &where.sin_addr);
+  const bool bound = bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0;
+  if (bound && listen(fd, kBacklog) == 0)
+    return fd;
+  const std::string why = std::strerror(errno);
+  close(fd);
+  return Fail(ResultCode::kPeerUnreachable,
+              "can't listen on " + address + ":" + std::to_string(port) + ": " + why);
+}
+
+PeerServer::PeerServer(TaskLoop& loop,
+                       PeerConnection::OnMessage on_message,
+                       std::function<void(const Error&)> on_refused)
+    : m_loop(loop), m_on_message(std::move(on_message)), m_on_refused(std::move(on_refused)) {}
+
+PeerServer::~PeerServer() {
+  if (m_listener != nullptr)
+    h2o_socket_close(m_listener);
+}
+
+Result<void> PeerServer::Listen(const std::string& address, std::uint16_t port) {
+  Result<int> fd = OpenListener(address, port);
+  if (!fd)
+    return tl::unexpected<Error>(fd.error());
+  m_listener = h2o_evloop_socket_create(m_loop.loop(), *fd, H2O_SOCKET_FLAG_DONT_READ);
+  m_listener->data = this;
+  h2o_socket_read_start(m_listener, &PeerServer::OnAccept);
+  return {};
+}
+
+void PeerServer::OnAccept(h2o_socket_t* listener, const char* fault) {
+  auto* self = static_cast<PeerServer*>(listener->data);
+  if (fault != nullptr)
+    return;
+  h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+  if (socket == nullptr)
+    return;
+  auto connection = std::make_shared<PeerConnection>(
+      socket, self->m_on_message, [self](PeerConnection& closed, const Error& why) {
+        self->m_connections.erase(closed.shared_from_this());
+        if (why.m_code == ResultCode::kPeerProtocol)
+          self->m_on_refused(why);
+      });
+  self->m_connections.insert(connection);
+  connection->Start();
+}
+
+}  // namespace poppyway
