Make the gateway's loop on the thread that runs it

Cause: the HTTP library recycles socket buffers by thread. The gateway's loop was made on the main thread and run on another, so both threads took buffers from one free list; an address sanitizer run showed a read into a freed socket buffer on the control thread. Ruled out: use after close in PeerConnection (closing defers), double consume (the buffer's pointer is passed), the upstream call (other thread). Change: a GatewayThread makes, runs and destroys loop, gateway and inbox on its own thread.

--- a/apps/poppywayd/main.cc
+++ b/apps/poppywayd/main.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 #include <random>
 #include <thread>
@@ -36,29 +37,63 @@
   return instance + "-" + text;
 }
 
+/// The gateway task: its loop and everything on it are made, used and destroyed on its own thread,
+/// since the HTTP library keeps buffers by thread.
+class GatewayThread {
+ public:
+  GatewayThread(const DaemonSettings& settings,
+                const std::string& incarnation,
+                std::function<void(GatewayMessage)> to_control)
+      : m_thread([this, settings, incarnation, to_control] {
+          TaskLoop loop;
+          Gateway gateway(loop, settings, incarnation, to_control);
+          Mailbox<ControlMessage> inbox(
+              loop, [&gateway](ControlMessage message) { gateway.Take(std::move(message)); });
+          m_loop = &loop;
+          m_inbox = &inbox;
+          m_started.set_value(gateway.Listen());
+          loop.Run();
+        }) {}
+
+  [[nodiscard]] Result<void> AwaitStart() { return m_started.get_future().get(); }
+  void Send(ControlMessage message) { m_inbox->Send(std::move(message)); }
+  void Stop() {
+    m_loop->Stop();
+    m_thread.join();
+  }
+
+ private:
+  std::promise<Result<void>> m_started;
+  TaskLoop* m_loop = nullptr;
+  Mailbox<ControlMessage>* m_inbox = nullptr;
+  std::thread m_thread;
+};
+
+int ReportStartFailure(const Error& error) {
+  POPPYWAY_LOG(fatal, "start_failed")
+      .Field("code", Describe(error.m_code).m_name)
+      .Field("why", error.m_message);
+  std::cerr << "poppywayd: " << error.m_message << "\n";
+  return kStartFailedExit;
+}
+
 int Run(const DaemonSettings& settings) {
   const std::string incarnation = MakeIncarnation(settings.m_instance);
   StartLogging(settings.m_log_file, settings.m_instance);
   TaskLoop control_loop;
-  std::unique_ptr<Mailbox<ControlMessage>> gateway_inbox;
-  ControlTask control(control_loop, settings, incarnation, [&](ControlMessage message) {
-    gateway_inbox->Send(std::move(message));
-  });
-  TaskLoop gateway_loop;
-  Gateway gateway(gateway_loop, settings, incarnation, [&control](GatewayMessage message) {
-    control.inbox().Send(std::move(message));
+  std::unique_ptr<GatewayThread> gateway;
+  ControlTask control(control_loop, settings, incarnation, [&gateway](ControlMessage message) {
+    gateway->Send(std::move(message));
   });
-  gateway_inbox = std::make_unique<Mailbox<ControlMessage>>(
-      gateway_loop,
-      [&gateway](ControlMessage message) { gateway.Take(std::move(message)); });
-  for (const Result<void>& started : {control.Start(), gateway.Listen()}) {
-    if (started)
-      continue;
-    POPPYWAY_LOG(fatal, "start_failed")
-        .Field("code", Describe(started.error().m_code).m_name)
-        .Field("why", started.error().m_message);
-    std::cerr << "poppywayd: " << started.error().m_message << "\n";
-    return kStartFailedExit;
+  gateway = std::make_unique<GatewayThread>(
+      settings, incarnation,
+      [&control](GatewayMessage message) { control.inbox().Send(std::move(message)); });
+  Result<void> started = gateway->AwaitStart();
+  if (started)
+    started = control.Start();
+  if (!started) {
+    gateway->Stop();
+    return ReportStartFailure(started.error());
   }
   g_control = &control;
   std::signal(SIGTERM, &OnStopSignal);
@@ -68,10 +103,8 @@
       .Field("incarnation", incarnation)
       .Field("http", ToText(settings.m_http))
       .Field("peer", ToText(settings.m_peer));
-  std::thread gateway_thread([&gateway_loop] { gateway_loop.Run(); });
   control_loop.Run();
-  gateway_loop.Stop();
-  gateway_thread.join();
+  gateway->Stop();
   return EXIT_SUCCESS;
 }
 
