--- a/apps/poppyway/configure.cc
+++ b/apps/poppyway/configure.cc
@@ -121,8 +121,8 @@
   int wait_s = 0;
   po::options_description options("poppyway apply PATH...: makes declarations the configuration");
   options.add_options()("path", po::value(&paths)->composing(), "file or folder")(
-      "prune", "remove what is not declared")(
-      "change-id", po::value(&change_id), "names the change, so that it can be resent safely")(
+      "prune", "remove what is not declared")("change-id", po::value(&change_id),
+                                              "names the change, so that it can be resent safely")(
       "base", po::value(&base), "version the change was made on (default: the present one)")(
       "author", po::value(&author), "shown in the history")(
       "wait", po::value(&wait_s)->implicit_value(30),
@@ -176,15 +176,14 @@
   else
     PrintChanges(changes);
   std::cout << "version " << outcome.version << " " << outcome.message << "\n";
-  return wait_s > 0 ? WaitInForce(common, outcome.version, std::chrono::seconds(wait_s))
-                    : kExitOk;
+  return wait_s > 0 ? WaitInForce(common, outcome.version, std::chrono::seconds(wait_s)) : kExitOk;
 }
 
 int Diff(const CommonOptions& common, const Arguments& arguments) {
   std::vector<std::string> paths;
   po::options_description options("poppyway diff PATH...: what apply would change");
-  options.add_options()("path", po::value(&paths)->composing(), "file or folder")(
-      "prune", "as in apply");
+  options.add_options()("path", po::value(&paths)->composing(), "file or folder")("prune",
+                                                                                  "as in apply");
   po::variables_map given;
   int exit_code = kExitOk;
   if (!ParseArguments(options, "path", arguments, given, exit_code))
@@ -222,8 +221,8 @@
   }
   if (found || name.empty())
     return kExitOk;
-  return Report({ResultCode::kNotFound, "no declaration '" + name + "' at version " +
-                                            std::to_string(present->version)});
+  return Report({ResultCode::kNotFound,
+                 "no declaration '" + name + "' at version " + std::to_string(present->version)});
 }
 
 int History(const CommonOptions& common, const Arguments& arguments) {
@@ -238,8 +237,8 @@
   if (!present)
     return Report(present.error());
   json rows = json::array();
-  for (auto row = present->history.rbegin();
-       row != present->history.rend() && rows.size() < count; ++row) {
+  for (auto row = present->history.rbegin(); row != present->history.rend() && rows.size() < count;
+       ++row) {
     rows.push_back({{"version", row->version},
                     {"change_id", row->change_id},
                     {"author", row->author},
--- a/apps/poppyway/load_plan.cc
+++ b/apps/poppyway/load_plan.cc
@@ -92,7 +92,9 @@
   return prompt;
 }
 
-void AddClass(const LoadPlan& plan, std::size_t index, std::mt19937_64& random,
+void AddClass(const LoadPlan& plan,
+              std::size_t index,
+              std::mt19937_64& random,
               std::vector<PlannedRequest>& requests) {
   const LoadClass& load = plan.m_classes[index];
   const auto add = [&](double at_s) {
--- a/apps/poppyway/load_plan.h
+++ b/apps/poppyway/load_plan.h
@@ -17,15 +17,15 @@
   int m_tier = 0;              ///< For the report only; the event decides.
   std::string m_service_path;  ///< Empty for a model call.
   std::string m_method = "POST";
-  double m_rate = 0;           ///< Arrivals a second, all through.
-  std::int64_t m_opening = 0;  ///< Arrivals spread over the opening seconds.
-  std::int64_t m_prompt_min = 20;   ///< Prompt tokens, log-uniform between the two.
+  double m_rate = 0;               ///< Arrivals a second, all through.
+  std::int64_t m_opening = 0;      ///< Arrivals spread over the opening seconds.
+  std::int64_t m_prompt_min = 20;  ///< Prompt tokens, log-uniform between the two.
   std::int64_t m_prompt_max = 200;
   std::int64_t m_output_min = 8;
   std::int64_t m_output_max = 32;
   std::int64_t m_shared_prefix = 0;  ///< Prompt tokens shared within the class.
   std::int64_t m_deadline_ms = 10000;
-  bool m_key = false;          ///< Sends an Idempotency-Key.
+  bool m_key = false;  ///< Sends an Idempotency-Key.
   bool m_stream = true;
 };
 
--- a/apps/poppyway/load_runner.cc
+++ b/apps/poppyway/load_runner.cc
@@ -133,9 +133,9 @@
   const bool model = load.m_service_path.empty();
   call.m_sent_body = model ? ModelBody(request, load.m_stream) : request.m_prompt;
   const Endpoint& target = m_targets[PickTarget()].m_endpoint;
-  std::string head = (model ? "POST /v1/chat/completions" : load.m_method + " " +
-                                                                load.m_service_path) +
-                     " HTTP/1.1\r\nhost: " + ToText(target) + "\r\n";
+  std::string head =
+      (model ? "POST /v1/chat/completions" : load.m_method + " " + load.m_service_path) +
+      " HTTP/1.1\r\nhost: " + ToText(target) + "\r\n";
   if (!load.m_event.empty())
     head += "poppyway-event: " + load.m_event + "\r\n";
   if (!load.m_workspace.empty())
@@ -207,9 +207,9 @@
     ++result.m_refused[number];
     result.m_refusal.Record(took);
     const ResultInfo& info = Describe(static_cast<ResultCode>(number));
-    const bool complete = !code.empty() && !HeaderValue(call.m_headers, "poppyway-run").empty() &&
-                          (!info.m_retry_after ||
-                           !HeaderValue(call.m_headers, "retry-after").empty());
+    const bool complete =
+        !code.empty() && !HeaderValue(call.m_headers, "poppyway-run").empty() &&
+        (!info.m_retry_after || !HeaderValue(call.m_headers, "retry-after").empty());
     if (!complete)
       ++result.m_bad_refusals;
   }
@@ -246,8 +246,8 @@
       target.m_probe->Silence();
       m_old_probes.push_back(std::move(target.m_probe));
     }
-    target.m_probe = std::make_unique<Upstream>(m_pools, target.m_endpoint, request, false,
-                                                std::move(events));
+    target.m_probe =
+        std::make_unique<Upstream>(m_pools, target.m_endpoint, request, false, std::move(events));
   }
 }
 
--- a/apps/poppyway/operate.cc
+++ b/apps/poppyway/operate.cc
@@ -37,11 +37,10 @@
                          {"age_ms", instance.age_ms}});
   json brokers = json::array();
   for (const wire::LeaseGrant& lease : status.leases)
-    brokers.push_back(
-        {{"pool", lease.lease}, {"holder", lease.holder}, {"epoch", lease.epoch}});
-  return {{"version", status.version},   {"term", status.term},
-          {"commit", status.commit},     {"ledger_keys", status.ledger_keys},
-          {"members", members},          {"instances", instances},
+    brokers.push_back({{"pool", lease.lease}, {"holder", lease.holder}, {"epoch", lease.epoch}});
+  return {{"version", status.version}, {"term", status.term},
+          {"commit", status.commit},   {"ledger_keys", status.ledger_keys},
+          {"members", members},        {"instances", instances},
           {"brokers", brokers}};
 }
 
@@ -65,10 +64,11 @@
     const bool behind = instance.version_in_force < status.version;
     std::cout << std::setw(16) << instance.instance << std::setw(14) << instance.data_centre
               << std::setw(22) << instance.http << std::setw(10)
-              << (std::to_string(instance.version_in_force) + (behind ? " !" : ""))
-              << std::setw(10) << state << instance.age_ms << " ms ago\n";
+              << (std::to_string(instance.version_in_force) + (behind ? " !" : "")) << std::setw(10)
+              << state << instance.age_ms << " ms ago\n";
   }
-  std::cout << "\n" << std::setw(24) << "BROKER OF" << std::setw(28) << "HOLDER"
+  std::cout << "\n"
+            << std::setw(24) << "BROKER OF" << std::setw(28) << "HOLDER"
             << "EPOCH\n";
   for (const wire::LeaseGrant& lease : status.leases)
     std::cout << std::setw(24) << lease.lease << std::setw(28) << lease.holder << lease.epoch
@@ -85,9 +85,8 @@
     wire::Body body;
     body.__set_drain({});
     body.drain.instance = name;
-    const Result<wire::Body> reply =
-        CallOnce(instance.address, static_cast<std::uint16_t>(instance.port), body,
-                 common.m_timeout);
+    const Result<wire::Body> reply = CallOnce(
+        instance.address, static_cast<std::uint16_t>(instance.port), body, common.m_timeout);
     if (!reply)
       return Report(reply.error());
     std::cout << "instance " << name << " is draining\n";
@@ -163,8 +162,8 @@
   po::options_description options(
       "poppyway drain instance NAME | server NAME: a planned stop, or no new work for a server");
   options.add_options()("what", po::value(&what)->composing(), "instance or server, and its name")(
-      "undo", "for a server: give it work again")(
-      "wait", po::value(&wait_s)->implicit_value(60), "seconds to wait for an instance to stop");
+      "undo", "for a server: give it work again")("wait", po::value(&wait_s)->implicit_value(60),
+                                                  "seconds to wait for an instance to stop");
   po::variables_map given;
   int exit_code = kExitOk;
   if (!ParseArguments(options, "what", arguments, given, exit_code))
--- a/apps/poppywayd/broker_side.cc
+++ b/apps/poppywayd/broker_side.cc
@@ -100,8 +100,7 @@
     wire::Envelope envelope;
     envelope.id = 0;
     envelope.reply = true;
-    envelope.body.__set_grants(
-        ToWire(pool, batch, hosted.m_broker.m_epoch, line.m_sequence));
+    envelope.body.__set_grants(ToWire(pool, batch, hosted.m_broker.m_epoch, line.m_sequence));
     envelope.body.grants.lease_ms = m_settings.m_lease_ms;
     connection->Send(envelope);
   }
@@ -134,8 +133,7 @@
     }
     metrics.Set("poppyway_broker_floor", label, broker.m_floor.m_floor);
     metrics.Set("poppyway_broker_gateways", label, static_cast<double>(broker.m_gateways.size()));
-    metrics.Set("poppyway_broker_credits_out", label,
-                static_cast<double>(broker.m_credits.size()));
+    metrics.Set("poppyway_broker_credits_out", label, static_cast<double>(broker.m_credits.size()));
     metrics.Set("poppyway_broker_drain_per_second", label, DrainRate(broker));
     metrics.Set("poppyway_broker_slow_engines", label,
                 static_cast<double>(SlowEngines(broker).size()));
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -7,13 +7,13 @@
 namespace poppyway {
 namespace {
 
-constexpr std::size_t kMaxBatch = 256;       // Commands in one proposal.
+constexpr std::size_t kMaxBatch = 256;  // Commands in one proposal.
 constexpr int kMaxProposalsOut = 4;
 constexpr std::size_t kMaxCommands = 100'000;
 constexpr std::size_t kMaxSequences = 512;
 constexpr Duration kProposeTimeout{1'000'000};
 constexpr Duration kProposeBackoff{50'000};
-constexpr Duration kClaimLimit{2'000'000};    // A claim is awaited for this long.
+constexpr Duration kClaimLimit{2'000'000};  // A claim is awaited for this long.
 constexpr Duration kFinishLimit{60'000'000};
 constexpr Duration kPollBackoff{100'000};
 constexpr std::int64_t kPollWaitMs = 5'000;
@@ -54,9 +54,8 @@
 void InstanceSide::Tick(Instant now) {
   if (now >= m_beat_due)
     Beat(now);
-  const bool fresh =
-      m_version > 0 && m_contact != Instant{} &&
-      now - m_contact < std::chrono::milliseconds(m_settings.m_stale_after_ms);
+  const bool fresh = m_version > 0 && m_contact != Instant{} &&
+                     now - m_contact < std::chrono::milliseconds(m_settings.m_stale_after_ms);
   if (fresh != m_fresh) {
     m_fresh = fresh;
     POPPYWAY_LOG(info, "freshness").Field("fresh", fresh).Field("version", m_version);
@@ -103,8 +102,7 @@
   std::size_t next = (m_leader + 1) % m_members.size();
   for (std::size_t i = 0; named && i < m_members.size(); ++i) {
     const Endpoint& peer = m_settings.m_members[i].m_peer;
-    if (peer.m_address == reply->error.leader_address &&
-        peer.m_port == reply->error.leader_port)
+    if (peer.m_address == reply->error.leader_address && peer.m_port == reply->error.leader_port)
       next = i;
   }
   m_leader = next;
@@ -126,14 +124,13 @@
       continue;
     line.m_lease = lease;
     line.m_sent.clear();
-    line.m_client = std::make_unique<PeerClient>(m_loop, lease.address,
-                                                 static_cast<std::uint16_t>(lease.port));
+    line.m_client =
+        std::make_unique<PeerClient>(m_loop, lease.address, static_cast<std::uint16_t>(lease.port));
     line.m_client->SetOnPush([this](wire::Body body) {
       if (body.__isset.grants)
         OnGrants(body.grants);
     });
-    line.m_client->SetOnLost(
-        [this, pool = lease.lease] { m_to_gateway(BrokerChanged{pool}); });
+    line.m_client->SetOnLost([this, pool = lease.lease] { m_to_gateway(BrokerChanged{pool}); });
     m_to_gateway(BrokerChanged{lease.lease});
   }
 }
@@ -227,8 +224,8 @@
 
 void InstanceSide::OnProposed(std::vector<QueuedCommand> sent, const Result<wire::Body>& reply) {
   --m_proposals_out;
-  const bool done = reply && reply->__isset.propose_reply &&
-                    reply->propose_reply.results.size() == sent.size();
+  const bool done =
+      reply && reply->__isset.propose_reply && reply->propose_reply.results.size() == sent.size();
   if (done) {
     for (std::size_t i = 0; i < sent.size(); ++i) {
       if (sent[i].m_ref != 0)
@@ -289,8 +286,7 @@
   if (line.m_sent.size() > kMaxSequences)
     line.m_sent.erase(line.m_sent.begin());
   wire::Body body;
-  body.__set_demand(
-      ToWire(message.m_pool, message.m_demand, line.m_lease.epoch, sequence, now));
+  body.__set_demand(ToWire(message.m_pool, message.m_demand, line.m_lease.epoch, sequence, now));
   line.m_client->Tell(std::move(body));
 }
 
@@ -330,14 +326,14 @@
 
 void InstanceSide::Forward(const wire::Body& body, const std::function<void(wire::Body)>& reply) {
   Leader().Call(body, kForwardTimeout, [this, reply](Result<wire::Body> answer) {
-    const bool misled = !answer || (answer->__isset.error &&
-                                    answer->error.code ==
-                                        static_cast<std::int32_t>(ResultCode::kNotLeader));
+    const bool misled =
+        !answer || (answer->__isset.error &&
+                    answer->error.code == static_cast<std::int32_t>(ResultCode::kNotLeader));
     if (misled)
       OnLeaderError(answer);
     if (!answer)
-      reply(ErrorBody(ResultCode::kNoMajority, "the leader can't be reached: " +
-                                                   answer.error().m_message));
+      reply(ErrorBody(ResultCode::kNoMajority,
+                      "the leader can't be reached: " + answer.error().m_message));
     else
       reply(*answer);
   });
@@ -347,8 +343,7 @@
   metrics.Set("poppyway_version_in_force", "", static_cast<double>(m_version));
   metrics.Set("poppyway_fresh", "", m_fresh ? 1 : 0);
   metrics.Set("poppyway_ledger_claims", "", static_cast<double>(m_claims));
-  metrics.Set("poppyway_ledger_claims_unavailable", "",
-              static_cast<double>(m_claims_unavailable));
+  metrics.Set("poppyway_ledger_claims_unavailable", "", static_cast<double>(m_claims_unavailable));
   metrics.Set("poppyway_leader_calls_failed", "", static_cast<double>(m_beats_lost));
   metrics.Set("poppyway_commands_waiting", "", static_cast<double>(m_commands.size()));
   std::uint64_t bytes = 0;
--- a/apps/poppywayd/main.cc
+++ b/apps/poppywayd/main.cc
@@ -82,9 +82,8 @@
   StartLogging(settings.m_log_file, settings.m_instance);
   TaskLoop control_loop;
   std::unique_ptr<GatewayThread> gateway;
-  ControlTask control(control_loop, settings, incarnation, [&gateway](ControlMessage message) {
-    gateway->Send(std::move(message));
-  });
+  ControlTask control(control_loop, settings, incarnation,
+                      [&gateway](ControlMessage message) { gateway->Send(std::move(message)); });
   gateway = std::make_unique<GatewayThread>(
       settings, incarnation,
       [&control](GatewayMessage message) { control.inbox().Send(std::move(message)); });
@@ -113,7 +112,7 @@
   po::options_description options("poppywayd: the daemon of poppyway");
   options.add_options()("settings,s", po::value<std::string>(), "settings file (YAML)")(
       "check", "check the settings and exit")("version", "print the version")("help,h",
-                                                                               "print this");
+                                                                              "print this");
   po::variables_map given;
   try {
     po::store(po::parse_command_line(argc, argv, options), given);
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -373,8 +373,7 @@
     }
     const auto [entry, added] = by_version.try_emplace(poll.m_poll.have_version);
     if (added)
-      entry->second.__set_delta(
-          DeltaSince(m_machine.m_configuration, poll.m_poll.have_version));
+      entry->second.__set_delta(DeltaSince(m_machine.m_configuration, poll.m_poll.have_version));
     poll.m_reply(entry->second);
   }
 }
--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -14,14 +14,16 @@
 
 constexpr Duration kStep{1000};
 constexpr int kTickSteps = 5;
-constexpr Duration kTail{20'000'000};  // After the last arrival.
+constexpr Duration kTail{60'000'000};  // After the last arrival.
 constexpr std::size_t kMaxViolations = 5;
 constexpr std::size_t kMaxQueue = 20'000;
 constexpr Duration kSlowWindow{250'000};
+constexpr Duration kBalancerLag{1'000'000};
 
 /// A request in the run.
 struct Live {
   const Arrival* m_arrival = nullptr;
+  int m_gateway = 0;
   int m_dispatches = 0;
   bool m_ended = false;
   int m_engine = -1;
@@ -96,9 +98,8 @@
   void StartBroker(std::int64_t epoch, Instant now) {
     m_broker = MakeBroker(m_scenario.m_broker, epoch, now);
     m_broker.m_live_gateways = m_scenario.m_gateways;
-    UpdateEngines(m_broker, m_budgets, {}, [this](const std::string&, const std::string&) {
-      return m_ids;
-    });
+    UpdateEngines(m_broker, m_budgets, {},
+                  [this](const std::string&, const std::string&) { return m_ids; });
     m_broker_up = true;
   }
 
@@ -108,6 +109,8 @@
       for (std::size_t e = 0; e < m_engines.size(); e += 10)
         m_engines[e].SetSpeed(1.0 / 3);
     }
+    if (due(m_scenario.m_gateway_lost))
+      LoseGateway(now);
     if (m_strategy != Strategy::kPoppyway)
       return;
     if (due(m_scenario.m_broker_lost)) {
@@ -123,15 +126,14 @@
         client.m_dirty = true;
       }
     }
-    if (due(m_scenario.m_gateway_lost))
-      LoseGateway();
   }
 
-  void LoseGateway() {
+  void LoseGateway(Instant now) {
     m_gateway_down = true;
+    m_balanced_from = now + kBalancerLag;
     for (RequestRef ref = 1; ref < static_cast<RequestRef>(m_live.size()); ++ref) {
       Live& live = m_live[static_cast<std::size_t>(ref)];
-      if (live.m_arrival == nullptr || live.m_ended || live.m_arrival->m_gateway != 0)
+      if (live.m_arrival == nullptr || live.m_ended || live.m_gateway != 0)
         continue;
       if (live.m_engine >= 0)
         Cancel(ref, "instance_lost");
@@ -145,9 +147,15 @@
       const auto ref = static_cast<RequestRef>(m_next);
       Live& live = m_live[static_cast<std::size_t>(ref)];
       live.m_arrival = &arrival;
+      live.m_gateway = arrival.m_gateway;
+      // The balancer notices a dead gateway late.
+      if (live.m_gateway == 0 && m_gateway_down && now >= m_balanced_from)
+        live.m_gateway = 1 + static_cast<int>(m_next) % (m_scenario.m_gateways - 1);
       ++m_open;
       ++m_outcome.m_tiers[arrival.m_tier].m_offered;
-      if (m_strategy == Strategy::kPoppyway)
+      if (live.m_gateway == 0 && m_gateway_down)
+        End(live, "instance_lost");
+      else if (m_strategy == Strategy::kPoppyway)
         Admit(ref, now);
       else
         Submit(ref, ChooseBlind(arrival), now);
@@ -209,12 +217,7 @@
 
   void Admit(RequestRef ref, Instant now) {
     Live& live = m_live[static_cast<std::size_t>(ref)];
-    const int gateway = live.m_arrival->m_gateway;
-    if (gateway == 0 && m_gateway_down) {
-      End(live, "instance_lost");
-      return;
-    }
-    PoolClient& client = m_clients[static_cast<std::size_t>(gateway)];
+    PoolClient& client = ClientOf(live);
     const Admission admission = AdmitRequest(client, ToWaiting(ref), kMaxQueue, now);
     if (admission.m_evict)
       RefuseWaiting(client, *admission.m_evict, ResultCode::kQueueFull);
@@ -255,7 +258,7 @@
     m_live[static_cast<std::size_t>(ref)].m_credit = credit;
     const int engine = m_index.at(credit.m_engine);
     if (m_in_flight[engine] >= m_scenario.m_slots)
-      ++m_outcome.m_over_budget;
+      ++(credit.m_id < 0 ? m_outcome.m_over_fair_share : m_outcome.m_over_budget);
     Submit(ref, engine, now);
   }
 
@@ -275,7 +278,7 @@
       if (gateway == 0 && m_gateway_down)
         continue;
       PoolClient& client = m_clients[static_cast<std::size_t>(gateway)];
-      Perform(client, AcceptGrants(client, message.m_batch, message.m_lease_end), now);
+      Perform(client, AcceptGrants(client, message.m_batch, message.m_lease_end, now), now);
     }
     for (int g = 0; g < m_scenario.m_gateways; ++g) {
       if (g == 0 && m_gateway_down)
@@ -307,8 +310,7 @@
     for (GrantBatch& batch : batches) {
       const auto gateway = static_cast<std::size_t>(std::atoi(batch.m_gateway.c_str() + 1));
       const Instant lease_end = m_last_sent[gateway] + m_scenario.m_broker.m_lease;
-      m_to_gateway.push_back(
-          {now + m_scenario.m_message_delay, std::move(batch), lease_end});
+      m_to_gateway.push_back({now + m_scenario.m_message_delay, std::move(batch), lease_end});
     }
   }
 
@@ -355,7 +357,7 @@
   }
 
   PoolClient& ClientOf(const Live& live) {
-    return m_clients[static_cast<std::size_t>(live.m_arrival->m_gateway)];
+    return m_clients[static_cast<std::size_t>(live.m_gateway)];
   }
 
   void OnToken(const fakes::EngineEvent& event) {
@@ -365,8 +367,7 @@
     if (!live.m_first) {
       live.m_first = true;
       m_outcome.m_first_token.Record(event.m_at - live.m_arrival->m_at);
-      NoteUse(ClientOf(live), live.m_credit, UseStage::kFirstToken,
-              event.m_at - live.m_dispatched);
+      NoteUse(ClientOf(live), live.m_credit, UseStage::kFirstToken, event.m_at - live.m_dispatched);
     } else {
       m_outcome.m_between_tokens.Record(event.m_at - live.m_last_token);
     }
@@ -390,8 +391,7 @@
     --m_in_flight[live.m_engine];
     if (m_strategy != Strategy::kPoppyway)
       return;
-    NoteUse(ClientOf(live), live.m_credit, UseStage::kFinished, now - live.m_dispatched);
-    NoteEnd(ClientOf(live).m_book, live.m_credit);
+    EndDispatch(ClientOf(live), live.m_credit, UseStage::kFinished, now - live.m_dispatched, now);
   }
 
   void Cancel(RequestRef ref, const std::string& cause) {
@@ -414,10 +414,9 @@
       if (!silent || now <= live.m_arrival->m_at + live.m_arrival->m_deadline)
         continue;
       Cancel(static_cast<RequestRef>(i + 1), "deadline_passed");
-      if (m_strategy == Strategy::kPoppyway) {
-        NoteUse(ClientOf(live), live.m_credit, UseStage::kFinished, now - live.m_dispatched);
-        NoteEnd(ClientOf(live).m_book, live.m_credit);
-      }
+      if (m_strategy == Strategy::kPoppyway)
+        EndDispatch(ClientOf(live), live.m_credit, UseStage::kFinished, now - live.m_dispatched,
+                    now);
       End(live, "deadline_passed");
     }
   }
@@ -456,6 +455,7 @@
   bool m_broker_up = false;
   Instant m_broker_back{};
   bool m_gateway_down = false;
+  Instant m_balanced_from{};  ///< When the balancer has noticed.
   std::deque<ToBroker> m_to_broker;
   std::deque<ToGateway> m_to_gateway;
   std::vector<Live> m_live;  ///< By reference, which is the arrival's number from one.
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -67,7 +67,8 @@
   std::map<std::string, std::int64_t> m_wasted;    ///< Prompt tokens by cause.
   std::map<std::string, std::int64_t> m_good_by_workspace;
   std::int64_t m_prefilled = 0;
-  std::int64_t m_over_budget = 0;  ///< Dispatches over an engine's slots.
+  std::int64_t m_over_budget = 0;      ///< Dispatches on a broker's credit over an engine's slots.
+  std::int64_t m_over_fair_share = 0;  ///< The same without a broker, by fair share.
   DurationHistogram m_first_token;
   DurationHistogram m_between_tokens;
   std::vector<std::string> m_violations;  ///< Of the invariants; at most a few are kept.
--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -3,7 +3,7 @@
 // The decisions under load, against baselines in the same run. Exit code 1 if a bound or an
 // invariant is broken.
 //
-//   poppyway-bench [--quick] [--markdown FILE] [--csv FILE]
+//   poppyway-bench [--quick] [--bounds-only] [--markdown FILE] [--csv FILE]
 
 #include <cstdlib>
 #include <cstring>
@@ -90,8 +90,8 @@
       << Millis(outcome.m_first_token.Quantile(0.5)) << " / "
       << Millis(outcome.m_first_token.Quantile(0.95)) << " / "
       << Millis(outcome.m_first_token.Quantile(0.99)) << " | "
-      << Millis(outcome.m_between_tokens.Quantile(0.95)) << " | " << outcome.m_over_budget
-      << " |";
+      << Millis(outcome.m_between_tokens.Quantile(0.95)) << " | " << outcome.m_over_budget << " ("
+      << outcome.m_over_fair_share << ") |";
   for (const auto& [reason, count] : outcome.m_refusals)
     row << " " << reason << "=" << count;
   row << " |";
@@ -100,18 +100,20 @@
 
 std::string Table(const Job& job) {
   std::ostringstream text;
-  text << "\n### " << job.m_deployment.m_name << ": " << job.m_scenario.m_name << " ("
-       << job.m_scenario.m_arrivals.size() << " requests)\n\n"
-       << "| strategy | tier 0 % | tier 1 % | tier 2 % | of best % | wasted prefill % | first token "
-          "p50 / p95 / p99 ms | between tokens p95 ms | over slots | ended otherwise |\n"
-       << "|---|---|---|---|---|---|---|---|---|---|\n";
+  text
+      << "\n### " << job.m_deployment.m_name << ": " << job.m_scenario.m_name << " ("
+      << job.m_scenario.m_arrivals.size() << " requests)\n\n"
+      << "| strategy | tier 0 % | tier 1 % | tier 2 % | of best % | wasted prefill % | first token "
+         "p50 / p95 / p99 ms | between tokens p95 ms | over slots (by fair share) | ended "
+         "otherwise |\n"
+      << "|---|---|---|---|---|---|---|---|---|---|\n";
   for (std::size_t s = 0; s < kStrategies.size(); ++s)
     text << Row(job, s) << "\n";
   if (job.m_scenario.m_slow_at != Instant{}) {
     text << "\nShare of the slowed engines halved after (ms):";
     for (std::size_t s = 0; s < kStrategies.size(); ++s)
-      text << " " << NameOf(kStrategies[s]) << " "
-           << Millis(job.m_outcomes[s].m_slow_share_halved) << ";";
+      text << " " << NameOf(kStrategies[s]) << " " << Millis(job.m_outcomes[s].m_slow_share_halved)
+           << ";";
     text << " (-0.0: never)\n";
   }
   return text.str();
@@ -124,9 +126,7 @@
   double m_limit = 0;
   bool m_at_least = true;
 
-  [[nodiscard]] bool Holds() const {
-    return m_at_least ? m_value >= m_limit : m_value <= m_limit;
-  }
+  [[nodiscard]] bool Holds() const { return m_at_least ? m_value >= m_limit : m_value <= m_limit; }
 };
 
 const Outcome& Poppyway(const Job& job) {
@@ -143,8 +143,8 @@
   for (const Job& job : jobs) {
     const Outcome& own = Poppyway(job);
     const std::string name = job.m_deployment.m_name + ", " + job.m_scenario.m_name + ": ";
-    bounds.push_back({name + "invariants broken",
-                      static_cast<double>(own.m_violations.size()), 0, false});
+    bounds.push_back(
+        {name + "invariants broken", static_cast<double>(own.m_violations.size()), 0, false});
     bounds.push_back(
         {name + "dispatches over slots", static_cast<double>(own.m_over_budget), 0, false});
     if (job.m_scenario.m_name == "overload 3x")
@@ -169,8 +169,8 @@
                         100.0 * (fresh - static_cast<double>(GoodOf(own))) / fresh, 3, false});
     if (job.m_scenario.m_slow_at != Instant{}) {
       const double halved = Millis(own.m_slow_share_halved);
-      bounds.push_back({name + "slow engines' share halved, ms", halved < 0 ? 1e9 : halved, 1000,
-                        false});
+      bounds.push_back(
+          {name + "slow engines' share halved, ms", halved < 0 ? 1e9 : halved, 1000, false});
     }
   }
   return bounds;
@@ -178,24 +178,29 @@
 
 int Main(int argc, char** argv) {
   bool quick = false;
+  bool verbose = true;
   std::string markdown;
   std::string csv;
   for (int i = 1; i < argc; ++i) {
     const std::string word = argv[i];
     if (word == "--quick")
       quick = true;
+    else if (word == "--bounds-only")
+      verbose = false;
     else if (word == "--markdown" && i + 1 < argc)
       markdown = argv[++i];
     else if (word == "--csv" && i + 1 < argc)
       csv = argv[++i];
     else
-      return std::cerr << "usage: poppyway-bench [--quick] [--markdown FILE] [--csv FILE]\n", 64;
+      return std::cerr << "usage: poppyway-bench [--quick] [--bounds-only] [--markdown FILE] "
+                          "[--csv FILE]\n",
+             64;
   }
   std::vector<Job> jobs;
   for (const Deployment& deployment : {Stichting(), MalyUver(), PlannedShard()}) {
     if (quick && deployment.m_name == "planned-shard")
       continue;
-    for (Job& job : MakeJobs(deployment, quick ? 12 : 40))
+    for (Job& job : MakeJobs(deployment, quick ? 30 : 60))
       jobs.push_back(std::move(job));
   }
   std::vector<std::future<void>> running;
@@ -213,14 +218,15 @@
   std::ostringstream report;
   for (const Job& job : jobs)
     report << Table(job);
-  std::cout << report.str();
+  if (verbose)
+    std::cout << report.str();
   int broken = 0;
   std::cout << "\nBounds:\n";
   for (const Bound& bound : BoundsOf(jobs)) {
     broken += bound.Holds() ? 0 : 1;
     std::cout << (bound.Holds() ? "  ok    " : "  BROKEN ") << bound.m_what << " = "
-              << bound.m_value << (bound.m_at_least ? " (at least " : " (at most ")
-              << bound.m_limit << ")\n";
+              << bound.m_value << (bound.m_at_least ? " (at least " : " (at most ") << bound.m_limit
+              << ")\n";
   }
   for (const Job& job : jobs) {
     for (const std::string& violation : Poppyway(job).m_violations)
@@ -236,9 +242,8 @@
       for (std::size_t s = 0; s < kStrategies.size(); ++s) {
         const Outcome& outcome = job.m_outcomes[s];
         file << job.m_deployment.m_name << ",\"" << job.m_scenario.m_name << "\","
-             << NameOf(kStrategies[s]) << "," << TierGood(outcome, 0) << ","
-             << TierGood(outcome, 1) << "," << TierGood(outcome, 2) << ","
-             << Share(GoodOf(outcome), job.m_best) << ","
+             << NameOf(kStrategies[s]) << "," << TierGood(outcome, 0) << "," << TierGood(outcome, 1)
+             << "," << TierGood(outcome, 2) << "," << Share(GoodOf(outcome), job.m_best) << ","
              << Share(WastedOf(outcome), std::max<std::int64_t>(1, outcome.m_prefilled)) << "\n";
       }
     }
--- a/fakes/engine_model.cc
+++ b/fakes/engine_model.cc
@@ -60,15 +60,16 @@
 
 Duration EngineModel::Step() const {
   const double crowd = static_cast<double>(m_active.size()) / m_spec.m_slots;
-  const double step = static_cast<double>(m_spec.m_decode_step.count()) *
-                      (1 + m_spec.m_crowding * crowd) / m_speed;
+  const double step =
+      static_cast<double>(m_spec.m_decode_step.count()) * (1 + m_spec.m_crowding * crowd) / m_speed;
   return Duration(static_cast<std::int64_t>(step));
 }
 
 void EngineModel::Submit(EngineJob job, Instant now) {
   m_now = std::max(m_now, now);
   Waiting waiting;
-  waiting.m_left = static_cast<double>(std::max<std::int64_t>(1, job.m_prompt_tokens - Cached(job)));
+  waiting.m_left =
+      static_cast<double>(std::max<std::int64_t>(1, job.m_prompt_tokens - Cached(job)));
   waiting.m_job = std::move(job);
   const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& other) {
     return !other.m_began && other.m_job.m_priority > waiting.m_job.m_priority;
--- a/fakes/engine_model.h
+++ b/fakes/engine_model.h
@@ -17,10 +17,10 @@
 /// \brief Speed and limits of a model engine.
 struct EngineSpec {
   double m_prefill_tokens_per_s = 8000;
-  Duration m_decode_step{25'000};      ///< Between tokens on an otherwise empty engine.
-  double m_crowding = 0.5;             ///< Added share of the step when the batch is full.
+  Duration m_decode_step{25'000};  ///< Between tokens on an otherwise empty engine.
+  double m_crowding = 0.5;         ///< Added share of the step when the batch is full.
   int m_slots = 8;
-  std::int64_t m_cache_tokens = 65536; ///< Prompt tokens whose prefixes stay cached.
+  std::int64_t m_cache_tokens = 65536;  ///< Prompt tokens whose prefixes stay cached.
 };
 
 /// \brief A spec by hardware generation: "g1" (slow), "g2", "g3" (fast).
@@ -32,7 +32,7 @@
   std::int64_t m_prompt_tokens = 1;
   std::vector<std::uint64_t> m_prefixes;  ///< As `PrefixHashes` gives them.
   std::int64_t m_output_tokens = 1;
-  int m_priority = 0;                     ///< Lower goes first.
+  int m_priority = 0;  ///< Lower goes first.
 };
 
 /// \brief Something that became visible to the engine's caller.
--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -175,8 +175,8 @@
   Call& call = *found->second;
   const std::string text = TokenText(call.m_prompt, event.m_token);
   if (call.m_stream) {
-    call.m_pending += "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text +
-                      "\"}}]}\n\n";
+    call.m_pending +=
+        "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
     if (event.m_last)
       call.m_pending += "data: [DONE]\n\n";
     call.m_ended = call.m_ended || event.m_last;
@@ -188,8 +188,8 @@
     return;
   const nlohmann::json answer = {
       {"object", "chat.completion"},
-      {"choices", {{{"index", 0}, {"message", {{"role", "assistant"},
-                                               {"content", call.m_pending}}}}}}};
+      {"choices",
+       {{{"index", 0}, {"message", {{"role", "assistant"}, {"content", call.m_pending}}}}}}};
   call.m_pending = answer.dump();
   call.m_ended = true;
   h2o_start_response(call.m_req, &call.m_generator);
@@ -221,8 +221,8 @@
   const std::string path(req->path.base, req->path.len);
   const std::string body(req->entity.base, req->entity.len);
   const nlohmann::json answer = {{"echo", Hash(body, Hash(method + " " + path))}};
-  auto* delayed = static_cast<Delayed*>(
-      h2o_mem_alloc_shared(&req->pool, sizeof(Delayed), &OnDelayedDisposed));
+  auto* delayed =
+      static_cast<Delayed*>(h2o_mem_alloc_shared(&req->pool, sizeof(Delayed), &OnDelayedDisposed));
   delayed->m_entry = {};
   delayed->m_entry.cb = &OnDelayOver;
   delayed->m_req = req;
@@ -291,8 +291,7 @@
     std::cerr << "poppyway-fake: " << fd.error().m_message << "\n";
     return false;
   }
-  h2o_socket_t* listener =
-      h2o_evloop_socket_create(loop.loop(), *fd, H2O_SOCKET_FLAG_DONT_READ);
+  h2o_socket_t* listener = h2o_evloop_socket_create(loop.loop(), *fd, H2O_SOCKET_FLAG_DONT_READ);
   h2o_socket_read_start(listener, &OnAccept);
   return true;
 }
@@ -310,8 +309,7 @@
   h2o_context_init(&context, loop.loop(), &global);
   g_accept.ctx = &context;
   g_accept.hosts = global.hosts;
-  h2o_timeout_init(loop.loop(), &g_service_delay,
-                   static_cast<std::uint64_t>(g_state.m_service_ms));
+  h2o_timeout_init(loop.loop(), &g_service_delay, static_cast<std::uint64_t>(g_state.m_service_ms));
   for (const std::string& engine : engines) {
     const std::size_t colon = engine.find(':');
     const auto port = static_cast<std::uint16_t>(std::stoi(engine.substr(0, colon)));
--- a/packages/core/include/poppyway/core/impl/result_code.h
+++ b/packages/core/include/poppyway/core/impl/result_code.h
@@ -64,11 +64,11 @@
 /// \brief One row of the result table.
 struct ResultInfo {
   ResultCode m_code;
-  std::string_view m_name;      ///< Stable name, also the counter's label.
-  int m_http_status;            ///< Status of the answer to the caller; 0 where none is sent.
-  RunState m_run;               ///< What the caller is told about the run.
-  bool m_retry_after;           ///< True if the answer says when to come back.
-  std::string_view m_meaning;   ///< One sentence for people.
+  std::string_view m_name;     ///< Stable name, also the counter's label.
+  int m_http_status;           ///< Status of the answer to the caller; 0 where none is sent.
+  RunState m_run;              ///< What the caller is told about the run.
+  bool m_retry_after;          ///< True if the answer says when to come back.
+  std::string_view m_meaning;  ///< One sentence for people.
 };
 
 /// \brief All rows, in numeric order.
--- a/packages/core/include/poppyway/core/impl/time.h
+++ b/packages/core/include/poppyway/core/impl/time.h
@@ -22,8 +22,8 @@
 
 /// \brief Reads the monotonic clock. Called by tasks only, never by policy, log or state.
 [[nodiscard]] inline Instant ReadClock() {
-  return Instant(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  return Instant(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 /// \brief Reads the wall clock in milliseconds since 1970.
--- a/packages/gateway/include/poppyway/gateway/impl/upstream.h
+++ b/packages/gateway/include/poppyway/gateway/impl/upstream.h
@@ -53,7 +53,10 @@
 class Upstream {
  public:
   /// Starts connecting. `request` is the whole HTTP/1.1 request.
-  Upstream(UpstreamPools& pools, const Endpoint& endpoint, std::string request, bool head_only,
+  Upstream(UpstreamPools& pools,
+           const Endpoint& endpoint,
+           std::string request,
+           bool head_only,
            UpstreamEvents events);
   ~Upstream();
   Upstream(const Upstream&) = delete;
@@ -66,11 +69,19 @@
   void Resume();
 
  private:
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client, const char* fault,
-                                           h2o_iovec_t** bufs, size_t* count, int* is_head);
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client, const char* fault, int minor,
-                                        int status, h2o_iovec_t message, h2o_header_t* headers,
-                                        size_t header_count, int length);
+  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client,
+                                           const char* fault,
+                                           h2o_iovec_t** bufs,
+                                           size_t* count,
+                                           int* is_head);
+  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client,
+                                        const char* fault,
+                                        int minor,
+                                        int status,
+                                        h2o_iovec_t message,
+                                        h2o_header_t* headers,
+                                        size_t header_count,
+                                        int length);
   static int OnBody(h2o_http1client_t* client, const char* fault);
   void End(const char* why);
 
--- a/packages/gateway/src/account.cc
+++ b/packages/gateway/src/account.cc
@@ -16,14 +16,12 @@
         pool.m_dirty = true;
       return;
     case Stage::kConnecting:
-      NoteUse(pool, exchange.m_credit, UseStage::kReturned, Duration(0));
-      NoteEnd(pool.m_book, exchange.m_credit);
+      EndDispatch(pool, exchange.m_credit, UseStage::kReturned, Duration(0), ReadClock());
       return;
     case Stage::kSent:
     case Stage::kRelaying: {
-      const Duration held = ReadClock() - exchange.m_dispatched;
-      NoteUse(pool, exchange.m_credit, UseStage::kFinished, held);
-      NoteEnd(pool.m_book, exchange.m_credit);
+      const Instant now = ReadClock();
+      EndDispatch(pool, exchange.m_credit, UseStage::kFinished, now - exchange.m_dispatched, now);
       return;
     }
     case Stage::kNew:
@@ -99,8 +97,7 @@
                         tier_label + (in_time ? ",in_time=\"true\"" : ",in_time=\"false\""));
     state.m_metrics.Record("poppyway_request_seconds", tier_label, now - exchange.m_arrived);
     if (exchange.m_dispatched != Instant{})
-      LearnService(PoolOf(state, exchange), exchange.m_event->m_name,
-                   now - exchange.m_dispatched);
+      LearnService(PoolOf(state, exchange), exchange.m_event->m_name, now - exchange.m_dispatched);
   } else {
     state.m_metrics.Add("poppyway_refusals_total", TierAndReason(tier, Describe(code).m_name));
   }
--- a/packages/gateway/src/answer.cc
+++ b/packages/gateway/src/answer.cc
@@ -36,8 +36,7 @@
 
 void Begin(GatewayState& state, Exchange& exchange) {
   h2o_req_t* req = exchange.m_caller.m_req;
-  auto* generator =
-      static_cast<Generator*>(h2o_mem_alloc_pool(&req->pool, sizeof(Generator)));
+  auto* generator = static_cast<Generator*>(h2o_mem_alloc_pool(&req->pool, sizeof(Generator)));
   *generator = {{&OnProceed, nullptr}, &state, exchange.m_ref};
   AddHeader(req, "poppyway-request-id", exchange.m_id);
   exchange.m_caller.m_started = true;
@@ -57,7 +56,8 @@
            last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
-std::string ProblemJson(const Exchange& exchange, const ResultInfo& info,
+std::string ProblemJson(const Exchange& exchange,
+                        const ResultInfo& info,
                         const std::string& detail) {
   const nlohmann::json problem = {
       {"type", "urn:poppyway:result:" + std::string(info.m_name)},
@@ -71,7 +71,10 @@
   return problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
-void SendWhole(GatewayState& state, Exchange& exchange, int status, const std::string& type,
+void SendWhole(GatewayState& state,
+               Exchange& exchange,
+               int status,
+               const std::string& type,
                std::string body) {
   h2o_req_t* req = exchange.m_caller.m_req;
   req->res.status = status;
@@ -86,10 +89,7 @@
 
 }  // namespace
 
-void Refuse(GatewayState& state,
-            Exchange& exchange,
-            ResultCode code,
-            const std::string& detail) {
+void Refuse(GatewayState& state, Exchange& exchange, ResultCode code, const std::string& detail) {
   const RequestRef ref = exchange.m_ref;
   const ResultInfo& info = Describe(code);
   if (exchange.m_caller.m_req != nullptr && exchange.m_caller.m_started) {
@@ -146,8 +146,7 @@
   }
   AddHeader(req, "poppyway-run", RunStateName(RunState::kRan));
   if (!exchange.m_key.empty())
-    AddHeader(req, "poppyway-key-retention-s",
-              std::to_string(exchange.m_event->m_retention_s));
+    AddHeader(req, "poppyway-key-retention-s", std::to_string(exchange.m_event->m_retention_s));
   Begin(state, exchange);
 }
 
--- a/packages/gateway/src/dispatch.cc
+++ b/packages/gateway/src/dispatch.cc
@@ -11,9 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopHeaders = {
-    "connection",          "keep-alive",       "proxy-authenticate", "proxy-authorization",
-    "te",                  "transfer-encoding", "upgrade",           "content-length",
-    "x-request-id"};
+    "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
+    "transfer-encoding", "upgrade",    "content-length",     "x-request-id"};
 
 bool IsForwarded(const Header& header) {
   if (header.m_name.starts_with("poppyway-"))
@@ -59,8 +58,8 @@
 void Dispatch(GatewayState& state, Exchange& exchange) {
   const std::vector<std::string> usable = UsableEngines(state, exchange);
   const CatalogueEngine* engine = FindEngine(*state.m_catalogue, exchange.m_credit.m_engine);
-  const bool allowed = std::find(usable.begin(), usable.end(), exchange.m_credit.m_engine) !=
-                       usable.end();
+  const bool allowed =
+      std::find(usable.begin(), usable.end(), exchange.m_credit.m_engine) != usable.end();
   exchange.m_stage = Stage::kConnecting;
   if (engine == nullptr || !allowed) {
     OnBackendFailure(state, exchange.m_ref, false, "the engine was withdrawn");
--- a/packages/gateway/src/filter_event.cc
+++ b/packages/gateway/src/filter_event.cc
@@ -53,8 +53,7 @@
       EligibleEngines(*exchange.m_catalogue, *exchange.m_event, exchange.m_model);
   if (!engines.empty())
     return Verdict::kContinue;
-  const bool any_model =
-      !EligibleEngines(*exchange.m_catalogue, *exchange.m_event, "").empty();
+  const bool any_model = !EligibleEngines(*exchange.m_catalogue, *exchange.m_event, "").empty();
   Refuse(state, exchange, any_model ? ResultCode::kUnknownModel : ResultCode::kNoBackend,
          any_model ? "no engine of this event serves model '" + exchange.m_model + "'"
                    : "no backend server is available for this event");
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -131,7 +131,8 @@
 void RefuseOverdue(GatewayState& state, Instant now) {
   std::vector<RequestRef> overdue;
   for (const auto& [ref, exchange] : state.m_exchanges) {
-    const bool silent = exchange->m_stage == Stage::kSent || exchange->m_stage == Stage::kConnecting;
+    const bool silent =
+        exchange->m_stage == Stage::kSent || exchange->m_stage == Stage::kConnecting;
     if (silent && now > exchange->m_deadline && exchange->m_caller.m_req != nullptr)
       overdue.push_back(ref);
   }
@@ -170,8 +171,8 @@
   GatewayState& m_state;
 
   void operator()(NewCatalogue& message) const {
-    const bool newer = !m_state.m_catalogue ||
-                       message.m_catalogue->m_version > m_state.m_catalogue->m_version;
+    const bool newer =
+        !m_state.m_catalogue || message.m_catalogue->m_version > m_state.m_catalogue->m_version;
     if (!newer)
       return;  // A version in force only rises.
     m_state.m_catalogue = std::move(message.m_catalogue);
@@ -219,8 +220,7 @@
   h2o_hostconf_t* host =
       h2o_config_register_host(&m_global, h2o_iovec_init(H2O_STRLIT("default")), 65535);
   h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
-  auto* handler =
-      reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+  auto* handler = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
   handler->m_base.on_req = &Gateway::OnRequest;
   handler->m_owner = this;
   h2o_context_init(&m_context, loop.loop(), &m_global);
--- a/packages/gateway/src/json_request.cc
+++ b/packages/gateway/src/json_request.cc
@@ -16,8 +16,8 @@
     return Fail(ResultCode::kBadRequest, "'messages' must be a list of at least one message");
   std::string prompt;
   for (const json& message : messages) {
-    const bool ok = message.is_object() && message.contains("content") &&
-                    message["content"].is_string();
+    const bool ok =
+        message.is_object() && message.contains("content") && message["content"].is_string();
     if (!ok)
       return Fail(ResultCode::kBadRequest, "each of 'messages' needs a text 'content'");
     prompt += message["content"].get_ref<const std::string&>();
--- a/packages/gateway/src/pools.cc
+++ b/packages/gateway/src/pools.cc
@@ -12,7 +12,7 @@
   for (const PoolActions::Dispatch& dispatch : actions.m_dispatches) {
     Exchange& exchange = *state.m_exchanges.at(dispatch.m_ref);
     exchange.m_credit = dispatch.m_credit;
-    if (dispatch.m_credit.m_id == 0)
+    if (dispatch.m_credit.m_id < 0)
       state.m_metrics.Add("poppyway_fair_share_dispatches_total");
     Dispatch(state, exchange);
   }
@@ -65,8 +65,8 @@
       current == catalogue.m_events.end() ? *exchange.m_event : *current;
   for (const EngineIndex index : EligibleEngines(catalogue, event, exchange.m_model)) {
     const std::string& id = catalogue.m_engines[index].m_id;
-    const bool avoided = std::find(exchange.m_avoid.begin(), exchange.m_avoid.end(), id) !=
-                         exchange.m_avoid.end();
+    const bool avoided =
+        std::find(exchange.m_avoid.begin(), exchange.m_avoid.end(), id) != exchange.m_avoid.end();
     if (!avoided && !state.m_leaving_engines.contains(id))
       usable.push_back(id);
   }
@@ -81,7 +81,8 @@
 }
 
 void OnGrants(GatewayState& state, const TakeGrants& grants) {
-  Perform(state, AcceptGrants(state.m_pools[grants.m_pool], grants.m_batch, grants.m_lease_end));
+  Perform(state, AcceptGrants(state.m_pools[grants.m_pool], grants.m_batch, grants.m_lease_end,
+                              ReadClock()));
 }
 
 void TickPool(GatewayState& state, const std::string& name, PoolClient& pool, Instant now) {
--- a/packages/gateway/src/relay.cc
+++ b/packages/gateway/src/relay.cc
@@ -40,8 +40,7 @@
       NoteUse(PoolOf(state, exchange), exchange.m_credit, UseStage::kFirstToken,
               now - exchange.m_dispatched);
   } else {
-    state.m_metrics.Record("poppyway_between_tokens_seconds", labels,
-                           now - exchange.m_last_chunk);
+    state.m_metrics.Record("poppyway_between_tokens_seconds", labels, now - exchange.m_last_chunk);
   }
   exchange.m_last_chunk = now;
 }
@@ -131,16 +130,15 @@
       .Field("why", why);
   if (sent || exchange->m_stage > Stage::kConnecting) {
     const bool started = exchange->m_stage == Stage::kRelaying;
-    Refuse(state, *exchange,
-           started ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown, why);
+    Refuse(state, *exchange, started ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown,
+           why);
     return;
   }
   Retire(state, *exchange);
   PoolClient& pool = PoolOf(state, *exchange);
   const bool caller_left = CallerLeft(*exchange);
-  NoteUse(pool, exchange->m_credit, caller_left ? UseStage::kReturned : UseStage::kFailed,
-          Duration(0));
-  NoteEnd(pool.m_book, exchange->m_credit);
+  EndDispatch(pool, exchange->m_credit, caller_left ? UseStage::kReturned : UseStage::kFailed,
+              Duration(0), ReadClock());
   exchange->m_stage = Stage::kWaiting;
   if (caller_left)
     Refuse(state, *exchange, ResultCode::kCallerGone, "the caller left before dispatch");
--- a/packages/log/include/poppyway/log/impl/formation.h
+++ b/packages/log/include/poppyway/log/impl/formation.h
@@ -16,7 +16,7 @@
   std::vector<std::string> m_names;  ///< All members that the settings name.
   wire::MemberInfo m_self;
   std::map<std::string, wire::MemberInfo> m_blank;  ///< Others that said they are blank.
-  bool m_cluster_exists = false;  ///< Some member said that it is not blank.
+  bool m_cluster_exists = false;                    ///< Some member said that it is not blank.
 };
 
 /// \brief Takes a member's word on itself.
--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -73,9 +73,9 @@
   bool m_save_hard = false;
   std::optional<std::int64_t> m_truncate_after;  ///< Drop stored entries after this index first.
   std::vector<wire::LogEntry> m_append;
-  std::optional<wire::Snapshot> m_install;       ///< Replaces storage and the state machine.
+  std::optional<wire::Snapshot> m_install;  ///< Replaces storage and the state machine.
   std::vector<wire::LogMessage> m_send;
-  std::vector<wire::LogEntry> m_committed;       ///< To apply, in order, after the rest.
+  std::vector<wire::LogEntry> m_committed;  ///< To apply, in order, after the rest.
 
   [[nodiscard]] bool NeedsSync() const {
     return m_save_hard || m_truncate_after || !m_append.empty() || m_install;
--- a/packages/log/include/poppyway/log/impl/log_store.h
+++ b/packages/log/include/poppyway/log/impl/log_store.h
@@ -40,7 +40,8 @@
 class LogStore {
  public:
   /// Opens or creates the folder.
-  /// \return `kDataForeign`, `kDataNewer`, `kDataDamaged` or `kDiskFailed` with the file and offset.
+  /// \return `kDataForeign`, `kDataNewer`, `kDataDamaged` or `kDiskFailed` with the file and
+  /// offset.
   [[nodiscard]] static Result<std::unique_ptr<LogStore>> Open(const std::string& folder,
                                                               const std::string& cluster,
                                                               MemberId fresh_id,
--- a/packages/log/src/election.cc
+++ b/packages/log/src/election.cc
@@ -89,10 +89,9 @@
       BecomeFollower(node, reply.term, 0, effects, now);
     return;
   }
-  const bool pre_vote = node.m_role == Role::kPreCandidate && reply.pre &&
-                        reply.term == node.m_hard.term + 1;
-  const bool vote =
-      node.m_role == Role::kCandidate && !reply.pre && reply.term == node.m_hard.term;
+  const bool pre_vote =
+      node.m_role == Role::kPreCandidate && reply.pre && reply.term == node.m_hard.term + 1;
+  const bool vote = node.m_role == Role::kCandidate && !reply.pre && reply.term == node.m_hard.term;
   if ((!pre_vote && !vote) || !IsVoter(node.m_membership, from))
     return;
   node.m_votes.insert(from);
--- a/packages/log/src/formation.cc
+++ b/packages/log/src/formation.cc
@@ -18,8 +18,7 @@
 std::optional<wire::Membership> MayForm(const Formation& formation) {
   if (formation.m_cluster_exists)
     return std::nullopt;
-  const std::string& lowest =
-      *std::min_element(formation.m_names.begin(), formation.m_names.end());
+  const std::string& lowest = *std::min_element(formation.m_names.begin(), formation.m_names.end());
   if (formation.m_self.name != lowest)
     return std::nullopt;
   wire::Membership membership;
--- a/packages/log/src/log_internal.h
+++ b/packages/log/src/log_internal.h
@@ -9,7 +9,10 @@
 [[nodiscard]] std::size_t Majority(const wire::Membership& membership);
 void AppendLocal(LogNode& node, std::vector<wire::LogEntry> entries, LogEffects& effects);
 void AdoptMembership(LogNode& node);
-void BecomeFollower(LogNode& node, std::int64_t term, MemberId leader, LogEffects& effects,
+void BecomeFollower(LogNode& node,
+                    std::int64_t term,
+                    MemberId leader,
+                    LogEffects& effects,
                     Instant now);
 void BecomeLeader(LogNode& node, LogEffects& effects, Instant now);
 void ResetElection(LogNode& node, Instant now);
@@ -21,17 +24,32 @@
 
 // ---- election.cc -----------------------------------------------------------------------------
 void Campaign(LogNode& node, bool pre, LogEffects& effects, Instant now);
-void OnVoteRequest(LogNode& node, MemberId from, const wire::VoteRequest& request,
-                   LogEffects& effects, Instant now);
-void OnVoteReply(LogNode& node, MemberId from, const wire::VoteReply& reply, LogEffects& effects,
+void OnVoteRequest(LogNode& node,
+                   MemberId from,
+                   const wire::VoteRequest& request,
+                   LogEffects& effects,
+                   Instant now);
+void OnVoteReply(LogNode& node,
+                 MemberId from,
+                 const wire::VoteReply& reply,
+                 LogEffects& effects,
                  Instant now);
 
 // ---- replication.cc --------------------------------------------------------------------------
-void OnAppend(LogNode& node, MemberId from, const wire::AppendRequest& request,
-              LogEffects& effects, Instant now);
-void OnAppendReply(LogNode& node, MemberId from, const wire::AppendReply& reply,
-                   LogEffects& effects, Instant now);
-void OnSnapshot(LogNode& node, MemberId from, const wire::SnapshotRequest& request,
-                LogEffects& effects, Instant now);
+void OnAppend(LogNode& node,
+              MemberId from,
+              const wire::AppendRequest& request,
+              LogEffects& effects,
+              Instant now);
+void OnAppendReply(LogNode& node,
+                   MemberId from,
+                   const wire::AppendReply& reply,
+                   LogEffects& effects,
+                   Instant now);
+void OnSnapshot(LogNode& node,
+                MemberId from,
+                const wire::SnapshotRequest& request,
+                LogEffects& effects,
+                Instant now);
 
 }  // namespace poppyway::impl
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -36,8 +36,7 @@
     return false;
   std::size_t heard = IsVoter(node.m_membership, node.m_id) ? 1 : 0;
   for (const auto& [id, progress] : node.m_progress) {
-    if (IsVoter(node.m_membership, id) &&
-        now - progress.m_heard < node.m_timing.m_election_min)
+    if (IsVoter(node.m_membership, id) && now - progress.m_heard < node.m_timing.m_election_min)
       ++heard;
   }
   return heard >= Majority(node.m_membership);
@@ -59,8 +58,7 @@
     into.m_install = std::move(more.m_install);
   }
   const auto append = [](auto& to, auto& from) {
-    to.insert(to.end(), std::make_move_iterator(from.begin()),
-              std::make_move_iterator(from.end()));
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
   };
   append(into.m_append, more.m_append);
   append(into.m_send, more.m_send);
@@ -130,7 +128,8 @@
                                        Instant now) {
   if (node.m_role != Role::kLeader)
     return Fail(ResultCode::kNotLeader, "this member is not the leader");
-  const bool settled = node.m_membership_index <= node.m_commit && node.m_commit >= node.m_term_start;
+  const bool settled =
+      node.m_membership_index <= node.m_commit && node.m_commit >= node.m_term_start;
   if (!settled)
     return Fail(ResultCode::kVersionConflict, "a membership change is under way");
   wire::Command command;
--- a/packages/log/src/log_store.cc
+++ b/packages/log/src/log_store.cc
@@ -70,7 +70,9 @@
 }
 
 /// Writes a file so that it is there whole or not at all.
-bool WriteWhole(const std::string& folder, const std::string& name, std::string_view bytes,
+bool WriteWhole(const std::string& folder,
+                const std::string& name,
+                std::string_view bytes,
                 const FileOps& ops) {
   const std::string path = folder + "/" + name;
   const std::string temporary = path + ".tmp";
@@ -82,7 +84,8 @@
   return written && std::rename(temporary.c_str(), path.c_str()) == 0 && SyncFolder(folder, ops);
 }
 
-Result<void> CheckIdentity(const std::string& folder, const std::string& cluster,
+Result<void> CheckIdentity(const std::string& folder,
+                           const std::string& cluster,
                            StoredLog& stored) {
   std::istringstream text(ReadAll(folder + "/" + kIdentityFile));
   int format = 0;
--- a/packages/log/src/record.cc
+++ b/packages/log/src/record.cc
@@ -30,8 +30,7 @@
 }
 
 tl::unexpected<Error> Damaged(std::size_t offset, const char* what) {
-  return Fail(ResultCode::kDataDamaged,
-              "record at offset " + std::to_string(offset) + ": " + what);
+  return Fail(ResultCode::kDataDamaged, "record at offset " + std::to_string(offset) + ": " + what);
 }
 
 }  // namespace
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -7,11 +7,12 @@
 ///
 /// \detail Nothing here reads a clock, draws unseeded random numbers, opens a socket or starts a
 /// thread. Time and randomness are arguments, effects are return values; the same arguments give
-/// the same decisions in a daemon, a test and a benchmark. No object is thread-safe; each belongs to
-/// one task. See docs/design/ for why each rule is what it is.
+/// the same decisions in a daemon, a test and a benchmark. No object is thread-safe; each belongs
+/// to one task. See docs/design/ for why each rule is what it is.
 ///
 /// - `Broker`: the one accountant of a pool's engines. Counts credits out, highest tier first.
-/// - `ShedFloor`: which tiers are closed, moved one step at a time and acknowledged by all gateways.
+/// - `ShedFloor`: which tiers are closed, moved one step at a time and acknowledged by all
+/// gateways.
 /// - `AdmissionQueue`: the requests that wait in one gateway.
 /// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
--- a/packages/policy/include/poppyway/policy/impl/admission_queue.h
+++ b/packages/policy/include/poppyway/policy/impl/admission_queue.h
@@ -41,7 +41,8 @@
   /// \return the request, or nullopt if it does not wait here (any more).
   std::optional<WaitingRequest> Remove(RequestRef ref);
   [[nodiscard]] const WaitingRequest* Find(RequestRef ref) const;
-  /// The first `count` requests in the order of service: tiers from the highest, workspaces in turn.
+  /// The first `count` requests in the order of service: tiers from the highest, workspaces in
+  /// turn.
   [[nodiscard]] std::vector<const WaitingRequest*> Heads(std::size_t count) const;
   /// The newest request of the lowest waiting tier below `tier`, or nullopt.
   [[nodiscard]] std::optional<RequestRef> LowestBelow(Tier tier) const;
--- a/packages/policy/include/poppyway/policy/impl/broker.h
+++ b/packages/policy/include/poppyway/policy/impl/broker.h
@@ -43,9 +43,9 @@
 
 /// \brief One message of a gateway to the broker.
 struct GatewayDemand {
-  std::string m_gateway;  ///< Incarnation.
-  bool m_resync = false;  ///< First on a connection: `m_held` is complete.
-  std::vector<Credit> m_held;
+  std::string m_gateway;                ///< Incarnation.
+  bool m_resync = false;                ///< First on a connection: `m_held` is complete.
+  std::vector<Credit> m_held;           ///< Credits to adopt if the broker doesn't know them.
   std::vector<WaitingRequest> m_items;  ///< Heads of its queue; replaces the former list.
   TierCounts m_waiting{};
   std::vector<CreditUse> m_uses;
@@ -69,12 +69,12 @@
 struct BrokerSettings {
   Duration m_lease{3'000'000};
   Duration m_lease_margin{500'000};
-  double m_fallback_rate = 8000;          ///< Prefill tokens a second before any observation.
-  double m_standing_share = 0.25;         ///< Part of all slots that stands with gateways.
-  std::int64_t m_standing_tokens = 512;   ///< Prompt tokens that a standing credit pays for.
-  std::size_t m_prefix_capacity = 512;    ///< Prefix hashes remembered for each engine.
-  double m_long_share = 0.125;            ///< A prompt over this share of a budget is long.
-  double m_ejected_share = 0.33;          ///< Most engines ejected at once.
+  double m_fallback_rate = 8000;         ///< Prefill tokens a second before any observation.
+  double m_standing_share = 0.25;        ///< Part of all slots that stands with gateways.
+  std::int64_t m_standing_tokens = 512;  ///< Prompt tokens that a standing credit pays for.
+  std::size_t m_prefix_capacity = 512;   ///< Prefix hashes remembered for each engine.
+  double m_long_share = 0.125;           ///< A prompt over this share of a budget is long.
+  double m_ejected_share = 0.33;         ///< Most engines ejected at once.
   bool m_use_affinity = true;
   bool m_use_observed_rates = true;
   bool m_wait_for_acknowledgement = true;  ///< Off only to show what the rule prevents.
@@ -141,6 +141,7 @@
   std::map<std::string, std::int64_t> m_weights;
   ShedFloor m_floor;
   PrefixIndex m_prefixes{512};
+  std::array<double, kTiers> m_patience_s{};  ///< Mean time from arrival to deadline, by tier.
   double m_mean_hold_s = 0;
   std::int64_t m_finished = 0;
   EligibleFn m_eligible;
--- a/packages/policy/include/poppyway/policy/impl/credit_book.h
+++ b/packages/policy/include/poppyway/policy/impl/credit_book.h
@@ -13,11 +13,12 @@
 
 /// \brief What one gateway holds of one pool: credits, their lease, and its requests in flight.
 struct CreditBook {
-  std::map<CreditId, Credit> m_standing;  ///< Unspent standing credits.
-  std::map<CreditId, Credit> m_spent;     ///< Credits of requests in flight.
-  std::map<std::string, int> m_in_flight; ///< By engine, with or without a credit.
+  std::map<CreditId, Credit> m_standing;   ///< Unspent standing credits.
+  std::map<CreditId, Credit> m_spent;      ///< Credits of requests in flight.
+  std::map<std::string, int> m_in_flight;  ///< By engine, with or without a credit.
   Instant m_lease_end{};
-  int m_gateways = 1;  ///< Gateways that shared the pool when last heard.
+  std::int64_t m_next_own = 1;  ///< Counts dispatches by fair share.
+  int m_gateways = 1;           ///< Gateways that shared the pool when last heard.
 };
 
 /// \brief Takes an unspent standing credit that pays for `prompt_tokens` on one of `engines`.
@@ -27,7 +28,7 @@
                                                  std::int64_t prompt_tokens,
                                                  Instant now);
 
-/// \brief Records a dispatch on `credit`; a credit with id 0 is a dispatch by fair share.
+/// \brief Records a dispatch on `credit`.
 void NoteDispatch(CreditBook& book, const Credit& credit);
 
 /// \brief Records the end of a dispatch.
@@ -40,7 +41,9 @@
 ///
 /// The shares of all gateways together never exceed an engine's slots: each takes the whole part of
 /// slots / gateways, and the remainder goes to the gateways that hash lowest for that engine.
-[[nodiscard]] std::optional<Credit> TakeFairShare(const CreditBook& book,
+///
+/// Its id is negative and unique over gateways, so that the next broker can adopt it.
+[[nodiscard]] std::optional<Credit> TakeFairShare(CreditBook& book,
                                                   const std::vector<EngineBudget>& engines,
                                                   std::uint32_t gateway_rank,
                                                   std::int64_t prompt_tokens);
--- a/packages/policy/include/poppyway/policy/impl/pool_client.h
+++ b/packages/policy/include/poppyway/policy/impl/pool_client.h
@@ -16,6 +16,12 @@
 
 namespace poppyway {
 
+/// \brief How long requests of one event take from dispatch to end.
+struct ServiceEstimate {
+  double m_mean_s = 0;
+  double m_deviation_s = 0;  ///< Mean absolute deviation.
+};
+
 /// \brief One gateway's side of one pool: its queue, its credits, what the broker last said.
 struct PoolClient {
   AdmissionQueue m_queue;
@@ -29,7 +35,10 @@
   bool m_resync = true;  ///< The next demand tells all that is held.
   bool m_dirty = false;  ///< There is something to tell.
   Instant m_last_demand{};
-  std::map<std::string, double> m_service_s;  ///< Mean time from dispatch to end, by event.
+  Instant m_unanswered_since{};      ///< Of the oldest demand without an answer; zero if none.
+  Instant m_fair_share_from{};       ///< Without a broker's word, fair share holds from here.
+  std::vector<Credit> m_unreported;  ///< Dispatches by fair share that no broker knows of yet.
+  std::map<std::string, ServiceEstimate> m_service;  ///< By event.
   RetryBudget m_retries;
 };
 
@@ -74,7 +83,8 @@
 /// \brief Takes the broker's word; its credits may be spent until `lease_end`.
 [[nodiscard]] PoolActions AcceptGrants(PoolClient& pool,
                                        const GrantBatch& batch,
-                                       Instant lease_end);
+                                       Instant lease_end,
+                                       Instant now);
 
 /// \brief Refuses what can't be reached any more; without a broker, dispatches by fair share.
 /// \param rank differs between gateways; see `TakeFairShare`.
@@ -89,9 +99,17 @@
                                                      Duration lease,
                                                      Instant now);
 
-/// \brief Records a use of a credit, to be told to the broker. Fair-share credits have no broker.
+/// \brief Records a use of a credit, to be told to the broker.
 void NoteUse(PoolClient& pool, const Credit& credit, UseStage stage, Duration elapsed);
 
+/// \brief A dispatch ended. Its credit goes back, or, while the broker is silent and the lease
+/// still runs, serves the next request: the broker counts it as out either way.
+void EndDispatch(PoolClient& pool,
+                 const Credit& credit,
+                 UseStage stage,
+                 Duration elapsed,
+                 Instant now);
+
 /// \brief Learns from a request that was served in `service`.
 void LearnService(PoolClient& pool, const std::string& event, Duration service);
 
--- a/packages/policy/include/poppyway/policy/impl/retry_after.h
+++ b/packages/policy/include/poppyway/policy/impl/retry_after.h
@@ -14,6 +14,8 @@
 /// \param drain_per_s requests that the pool finishes a second.
 /// \param random uniform 64-bit number.
 /// \return whole seconds from 1 to 120.
-[[nodiscard]] int RetryAfter(std::int64_t backlog, double drain_per_s, std::uint64_t random) noexcept;
+[[nodiscard]] int RetryAfter(std::int64_t backlog,
+                             double drain_per_s,
+                             std::uint64_t random) noexcept;
 
 }  // namespace poppyway
--- a/packages/policy/include/poppyway/policy/impl/shed_floor.h
+++ b/packages/policy/include/poppyway/policy/impl/shed_floor.h
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <array>
+
 #include "poppyway/core.h"
 #include "poppyway/policy/impl/tier.h"
 
@@ -26,10 +28,14 @@
   Instant m_now{};
   bool m_all_acknowledged = false;  ///< Every live gateway acknowledged `m_epoch`.
   TierCounts m_waiting{};
-  double m_drain_per_s = 0;  ///< Requests dispatched a second.
+  double m_drain_per_s = 0;                   ///< Requests finished a second.
+  std::array<double, kTiers> m_patience_s{};  ///< Usual time from arrival to deadline; 0 unknown.
 };
 
 /// \brief The floor after applying the rule once.
+///
+/// The lowest open tier closes when its own expected wait nears its patience, or when the wait of a
+/// tier above it nears that tier's patience: the lower tier is shed first.
 [[nodiscard]] ShedFloor MoveFloor(const ShedFloor& floor, const FloorInputs& inputs) noexcept;
 
 /// \brief True if a gateway that knows `floor` may admit `tier`.
--- a/packages/policy/src/broker.cc
+++ b/packages/policy/src/broker.cc
@@ -32,9 +32,9 @@
   ++engine.m_failures;
   if (engine.m_failures < kFailuresToEject)
     return;
-  const auto ejected = std::count_if(
-      broker.m_engines.begin(), broker.m_engines.end(),
-      [now](const BrokerEngine& other) { return other.m_ejected_until > now; });
+  const auto ejected =
+      std::count_if(broker.m_engines.begin(), broker.m_engines.end(),
+                    [now](const BrokerEngine& other) { return other.m_ejected_until > now; });
   const double limit =
       broker.m_settings.m_ejected_share * static_cast<double>(broker.m_engines.size());
   if (static_cast<double>(ejected) + 1 > limit)
@@ -79,8 +79,8 @@
   impl::ReleaseCredit(broker, found);
 }
 
-/// Makes the broker's books agree with what a gateway says it holds.
-void Resync(Broker& broker, const GatewayDemand& demand, Instant now) {
+/// What a gateway doesn't hold (any more) is free again.
+void ReleaseAllBut(Broker& broker, const GatewayDemand& demand) {
   std::set<CreditId> held;
   for (const Credit& credit : demand.m_held)
     held.insert(credit.m_id);
@@ -90,24 +90,36 @@
       impl::ReleaseCredit(broker, it);
     it = next;
   }
+}
+
+/// Counts what a gateway holds by another broker's grant or by fair share.
+void AdoptHeld(Broker& broker, const GatewayDemand& demand, Instant now) {
   for (const Credit& credit : demand.m_held) {
     const auto engine = broker.m_engine_index.find(credit.m_engine);
     if (broker.m_credits.contains(credit.m_id) || engine == broker.m_engine_index.end())
       continue;
-    BrokerEngine& state = broker.m_engines[engine->second];
     IssuedCredit adopted;
     adopted.m_gateway = demand.m_gateway;
     adopted.m_ref = credit.m_ref;
     adopted.m_engine = engine->second;
     adopted.m_issued = now;
     adopted.m_first_token = true;  // Its prefill is past or unknown; only the slot is counted.
-    ++state.m_used_slots;
+    ++broker.m_engines[engine->second].m_used_slots;
     if (credit.m_ref != 0)
       broker.m_by_ref[{demand.m_gateway, credit.m_ref}] = credit.m_id;
+    else
+      ++broker.m_gateways[demand.m_gateway].m_standing;
     broker.m_credits.emplace(credit.m_id, adopted);
   }
 }
 
+void LearnPatience(Broker& broker, const WaitingRequest& item) {
+  constexpr double kWeight = 0.02;
+  double& mean = broker.m_patience_s[item.m_tier];
+  const double seen = Seconds(item.m_deadline - item.m_arrived);
+  mean += (mean == 0 ? 1.0 : kWeight) * (seen - mean);
+}
+
 void ExpireGateways(Broker& broker, Instant now) {
   std::set<std::string> gone;
   for (const auto& [name, gateway] : broker.m_gateways) {
@@ -133,8 +145,8 @@
   const TierCounts backlog = Backlog(broker);
   const std::int64_t epoch_before = broker.m_floor.m_epoch;
   if (DrainRate(broker) > 0) {
-    broker.m_floor = MoveFloor(
-        broker.m_floor, {now, AllAcknowledged(broker), backlog, DrainRate(broker)});
+    broker.m_floor = MoveFloor(broker.m_floor, {now, AllAcknowledged(broker), backlog,
+                                                DrainRate(broker), broker.m_patience_s});
   }
   if (broker.m_floor.m_epoch != epoch_before) {
     for (const auto& [name, gateway] : broker.m_gateways)
@@ -256,11 +268,13 @@
   gateway.m_floor_ack = std::max(gateway.m_floor_ack, demand.m_floor_ack);
   gateway.m_waiting = demand.m_waiting;
   if (demand.m_resync)
-    Resync(broker, demand, now);
+    ReleaseAllBut(broker, demand);
+  AdoptHeld(broker, demand, now);
   for (const CreditUse& use : demand.m_uses)
     TakeUse(broker, use, now);
   gateway.m_items.clear();
   for (const WaitingRequest& item : demand.m_items) {
+    LearnPatience(broker, item);
     if (!broker.m_by_ref.contains({demand.m_gateway, item.m_ref}))
       gateway.m_items.push_back(item);
   }
@@ -299,8 +313,7 @@
   std::vector<std::string> slow;
   if (rates.empty())
     return slow;
-  std::nth_element(rates.begin(), rates.begin() + static_cast<long>(rates.size() / 2),
-                   rates.end());
+  std::nth_element(rates.begin(), rates.begin() + static_cast<long>(rates.size() / 2), rates.end());
   const double median = rates[rates.size() / 2];
   for (const BrokerEngine& engine : broker.m_engines) {
     if (engine.m_rate.m_samples > 0 && engine.m_rate.m_tokens_per_s < median / 2)
--- a/packages/policy/src/broker_grant.cc
+++ b/packages/policy/src/broker_grant.cc
@@ -19,8 +19,8 @@
 
 /// What one round of granting knows about engines.
 struct Round {
-  std::vector<double> m_rates;       ///< Planning rate of each engine.
-  std::vector<bool> m_reserved;      ///< Held for a long prompt that waits.
+  std::vector<double> m_rates;   ///< Planning rate of each engine.
+  std::vector<bool> m_reserved;  ///< Held for a long prompt that waits.
   std::map<std::pair<std::string, std::string>, std::vector<std::uint32_t>> m_eligible;
 };
 
@@ -29,11 +29,10 @@
   const std::vector<Overdue> overdue = OldestUnanswered(broker, now);
   for (std::size_t e = 0; e < broker.m_engines.size(); ++e) {
     const double fallback = broker.m_settings.m_fallback_rate;
-    const double rate =
-        broker.m_settings.m_use_observed_rates
-            ? PlanningRate(broker.m_engines[e].m_rate, overdue[e].m_tokens, overdue[e].m_age,
-                           fallback)
-            : fallback;
+    const double rate = broker.m_settings.m_use_observed_rates
+                            ? PlanningRate(broker.m_engines[e].m_rate, overdue[e].m_tokens,
+                                           overdue[e].m_age, fallback)
+                            : fallback;
     round.m_rates.push_back(rate);
   }
   round.m_reserved.resize(broker.m_engines.size(), false);
@@ -43,8 +42,7 @@
 const std::vector<std::uint32_t>& EligibleFor(const Broker& broker,
                                               Round& round,
                                               const WaitingRequest& request) {
-  const auto [entry, added] =
-      round.m_eligible.try_emplace({request.m_event, request.m_model});
+  const auto [entry, added] = round.m_eligible.try_emplace({request.m_event, request.m_model});
   if (added && broker.m_eligible) {
     for (const std::string& id : broker.m_eligible(request.m_event, request.m_model)) {
       const auto found = broker.m_engine_index.find(id);
@@ -79,8 +77,8 @@
 
 struct Choice {
   std::optional<std::uint32_t> m_engine;
-  double m_first_token_s = 0;                ///< Predicted, on the chosen engine.
-  std::optional<std::uint32_t> m_blocked;    ///< Best engine that lacks prefill budget only.
+  double m_first_token_s = 0;              ///< Predicted, on the chosen engine.
+  std::optional<std::uint32_t> m_blocked;  ///< Best engine that lacks prefill budget only.
 };
 
 Choice ChooseEngine(const Broker& broker,
@@ -104,8 +102,8 @@
     const std::int64_t tokens = std::max<std::int64_t>(1, request.m_prompt_tokens - cached);
     if (IsLong(broker, engine, tokens) && !LongLane(e) && eligible.size() > 1)
       continue;
-    const double occupancy = static_cast<double>(engine.m_used_slots) /
-                             static_cast<double>(engine.m_budget.m_slots);
+    const double occupancy =
+        static_cast<double>(engine.m_used_slots) / static_cast<double>(engine.m_budget.m_slots);
     const double first_token =
         static_cast<double>(engine.m_used_prefill + tokens) / round.m_rates[e];
     const double score = first_token + kOccupancyPenaltyS * occupancy;
@@ -199,9 +197,8 @@
       if (done.contains(item.m_ref))
         gateway.m_waiting[item.m_tier] = std::max(0, gateway.m_waiting[item.m_tier] - 1);
     }
-    std::erase_if(gateway.m_items, [&done](const WaitingRequest& item) {
-      return done.contains(item.m_ref);
-    });
+    std::erase_if(gateway.m_items,
+                  [&done](const WaitingRequest& item) { return done.contains(item.m_ref); });
   }
 }
 
@@ -267,8 +264,7 @@
          ++tried, at = (at + 1) % broker.m_engines.size()) {
       BrokerEngine& engine = broker.m_engines[at];
       const bool half_free = engine.m_used_slots * 2 < engine.m_budget.m_slots;
-      if (!HasSlot(engine, now) || !half_free ||
-          !FitsPrefill(engine, standing.m_prompt_tokens))
+      if (!HasSlot(engine, now) || !half_free || !FitsPrefill(engine, standing.m_prompt_tokens))
         continue;
       batches[name].m_credits.push_back(
           IssueCredit(broker, name, standing, static_cast<std::uint32_t>(at), now));
--- a/packages/policy/src/credit_book.cc
+++ b/packages/policy/src/credit_book.cc
@@ -15,9 +15,8 @@
   auto best = book.m_standing.end();
   for (auto it = book.m_standing.begin(); it != book.m_standing.end(); ++it) {
     const Credit& credit = it->second;
-    const bool usable =
-        credit.m_prompt_tokens >= prompt_tokens &&
-        std::find(engines.begin(), engines.end(), credit.m_engine) != engines.end();
+    const bool usable = credit.m_prompt_tokens >= prompt_tokens &&
+                        std::find(engines.begin(), engines.end(), credit.m_engine) != engines.end();
     if (!usable)
       continue;
     if (best == book.m_standing.end() ||
@@ -33,8 +32,7 @@
 
 void NoteDispatch(CreditBook& book, const Credit& credit) {
   ++book.m_in_flight[credit.m_engine];
-  if (credit.m_id != 0)
-    book.m_spent[credit.m_id] = credit;
+  book.m_spent[credit.m_id] = credit;
 }
 
 void NoteEnd(CreditBook& book, const Credit& credit) {
@@ -52,7 +50,7 @@
   return ids;
 }
 
-std::optional<Credit> TakeFairShare(const CreditBook& book,
+std::optional<Credit> TakeFairShare(CreditBook& book,
                                     const std::vector<EngineBudget>& engines,
                                     std::uint32_t gateway_rank,
                                     std::int64_t prompt_tokens) {
@@ -74,7 +72,11 @@
   }
   if (best == nullptr)
     return std::nullopt;
-  return Credit{0, 0, best->m_id, prompt_tokens};
+  constexpr int kRankShift = 32;
+  constexpr std::uint32_t kRankMask = 0x7fffffff;
+  const CreditId id =
+      -((static_cast<CreditId>(gateway_rank & kRankMask) << kRankShift) | book.m_next_own++);
+  return Credit{id, 0, best->m_id, prompt_tokens};
 }
 
 std::vector<Credit> HeldCredits(const CreditBook& book) {
--- a/packages/policy/src/pool_client.cc
+++ b/packages/policy/src/pool_client.cc
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "poppyway/policy.h"
 
+#include <cmath>
+
 namespace poppyway {
 namespace {
 
@@ -9,21 +11,59 @@
 constexpr std::size_t kMaxItems = 64;      // Waiting requests named in one demand.
 constexpr int kKeepAlivesPerLease = 4;
 constexpr double kServiceWeight = 0.1;
+constexpr Duration kSilence{100'000};      // Without an answer for this long the broker is silent.
+constexpr Duration kFirstWait{3'000'000};  // For a first broker, before fair share holds.
+// A wait that is only estimated must pass the deadline clearly before a request is given up.
+constexpr double kWaitConfidence = 0.7;
+constexpr double kDispatchDeviations = 2.0;  // Of the service time, allowed for before dispatch.
 
 Duration FromSeconds(double seconds) {
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-Duration ServiceOf(const PoolClient& pool, const std::string& event) {
-  const auto found = pool.m_service_s.find(event);
-  return found == pool.m_service_s.end() ? Duration(0) : FromSeconds(found->second);
+Duration ServiceOf(const PoolClient& pool, const std::string& event, double deviations) {
+  const auto found = pool.m_service.find(event);
+  if (found == pool.m_service.end())
+    return Duration(0);
+  return FromSeconds(found->second.m_mean_s + deviations * found->second.m_deviation_s);
 }
 
 Duration WaitOf(const PoolClient& pool, Tier tier, int ahead_here) {
   if (!pool.m_contended)
     return Duration(0);
-  return ExpectedWait(
-      {pool.m_backlog, pool.m_queue.counts(), pool.m_drain_per_s, tier, ahead_here});
+  const Duration wait =
+      ExpectedWait({pool.m_backlog, pool.m_queue.counts(), pool.m_drain_per_s, tier, ahead_here});
+  return FromSeconds(kWaitConfidence * Seconds(wait));
+}
+
+bool BrokerIsSilent(const PoolClient& pool, Instant now) {
+  return pool.m_unanswered_since != Instant{} && now - pool.m_unanswered_since >= kSilence;
+}
+
+std::vector<std::string> IdsOf(const std::vector<EngineBudget>& budgets) {
+  std::vector<std::string> ids;
+  for (const EngineBudget& budget : budgets)
+    ids.push_back(budget.m_id);
+  return ids;
+}
+
+/// While the broker is silent, credits that came free here serve what waits here.
+void DispatchByStanding(PoolClient& pool,
+                        const BudgetsFn& budgets,
+                        Instant now,
+                        PoolActions& actions) {
+  for (const WaitingRequest* head : pool.m_queue.Heads(kMaxItems)) {
+    if (pool.m_book.m_standing.empty())
+      return;
+    const RequestRef ref = head->m_ref;
+    std::optional<Credit> credit =
+        TakeStanding(pool.m_book, IdsOf(budgets(*head)), head->m_prompt_tokens, now);
+    if (!credit)
+      continue;
+    (void)pool.m_queue.Remove(ref);
+    NoteDispatch(pool.m_book, *credit);
+    actions.m_dispatches.push_back({ref, *credit});
+  }
 }
 
 std::string MillisText(Duration duration) {
@@ -36,26 +76,57 @@
                          PoolActions& actions) {
   for (const WaitingRequest* head : pool.m_queue.Heads(kMaxItems)) {
     const RequestRef ref = head->m_ref;
-    const std::optional<Credit> credit =
+    std::optional<Credit> credit =
         TakeFairShare(pool.m_book, budgets(*head), rank, head->m_prompt_tokens);
     if (!credit)
       return;
+    credit->m_ref = ref;
     (void)pool.m_queue.Remove(ref);
     NoteDispatch(pool.m_book, *credit);
+    pool.m_unreported.push_back(*credit);
+    pool.m_dirty = true;
     actions.m_dispatches.push_back({ref, *credit});
   }
 }
 
+/// For its backlog a tier may be given up only while every lower tier is closed.
+bool MayGiveUp(const PoolClient& pool, Tier tier) {
+  return tier + 1 >= kTiers || !Admits(pool.m_floor, tier + 1);
+}
+
 void RefuseHopeless(const PoolClient& pool, Instant now, PoolActions& actions) {
   TierCounts ahead{};
   for (const WaitingRequest* request : pool.m_queue.Heads(pool.m_queue.size())) {
     const Duration wait = WaitOf(pool, request->m_tier, ahead[request->m_tier]++);
-    const Duration service = pool.m_contended ? ServiceOf(pool, request->m_event) : Duration(0);
-    if (now + wait + service < request->m_deadline)
-      continue;
-    actions.m_refusals.push_back({request->m_ref, ResultCode::kDeadlineUnreachable,
-                                  "the backlog of " + MillisText(wait) + " passes the deadline"});
+    const Duration service = pool.m_contended ? ServiceOf(pool, request->m_event, 0) : Duration(0);
+    if (now >= request->m_deadline) {
+      actions.m_refusals.push_back({request->m_ref, ResultCode::kDeadlineUnreachable,
+                                    "the deadline passed while the request waited"});
+    } else if (MayGiveUp(pool, request->m_tier) && now + wait + service > request->m_deadline) {
+      actions.m_refusals.push_back({request->m_ref, ResultCode::kOverload,
+                                    "the backlog of " + MillisText(wait) + " passes the deadline"});
+    }
+  }
+}
+
+/// Under contention a request that would hardly end in time leaves its place to another.
+bool TooLateToStart(const PoolClient& pool, const WaitingRequest& request, Instant now) {
+  return pool.m_contended &&
+         now + ServiceOf(pool, request.m_event, kDispatchDeviations) > request.m_deadline;
+}
+
+void TakeGrant(PoolClient& pool, const Credit& credit, Instant now, PoolActions& actions) {
+  const WaitingRequest* request = pool.m_queue.Find(credit.m_ref);
+  if (request == nullptr || TooLateToStart(pool, *request, now)) {
+    NoteUse(pool, credit, UseStage::kReturned, Duration(0));
+    if (request != nullptr)
+      actions.m_refusals.push_back(
+          {credit.m_ref, ResultCode::kDeadlineUnreachable, "too little time is left to serve it"});
+    return;
   }
+  (void)pool.m_queue.Remove(credit.m_ref);
+  NoteDispatch(pool.m_book, credit);
+  actions.m_dispatches.push_back({credit.m_ref, credit});
 }
 
 }  // namespace
@@ -69,12 +140,14 @@
   if (!Admits(pool.m_floor, tier))
     return {ResultCode::kOverload, "tier " + std::to_string(tier) + " is shed for overload", {}};
   const Duration wait = WaitOf(pool, tier, pool.m_queue.counts()[tier]);
-  const Duration service = ServiceOf(pool, request.m_event);
-  if (now + wait + service > request.m_deadline)
+  const Duration service = ServiceOf(pool, request.m_event, 0);
+  if (now + service > request.m_deadline)
     return {ResultCode::kDeadlineUnreachable,
-            "expected wait " + MillisText(wait) + " and service " + MillisText(service) +
-                " pass the deadline",
+            "the usual service time of " + MillisText(service) + " passes the deadline",
             {}};
+  if (MayGiveUp(pool, tier) && now + wait + service > request.m_deadline)
+    return {
+        ResultCode::kOverload, "the backlog of " + MillisText(wait) + " passes the deadline", {}};
   if (pool.m_queue.size() < max_queue)
     return {};
   const std::optional<RequestRef> lowest = pool.m_queue.LowestBelow(tier);
@@ -88,8 +161,7 @@
                                     const std::vector<std::string>& engines,
                                     Instant now) {
   if (!pool.m_contended && pool.m_queue.size() == 0) {
-    std::optional<Credit> credit =
-        TakeStanding(pool.m_book, engines, request.m_prompt_tokens, now);
+    std::optional<Credit> credit = TakeStanding(pool.m_book, engines, request.m_prompt_tokens, now);
     if (credit) {
       NoteDispatch(pool.m_book, *credit);
       return credit;
@@ -100,9 +172,14 @@
   return std::nullopt;
 }
 
-PoolActions AcceptGrants(PoolClient& pool, const GrantBatch& batch, Instant lease_end) {
+PoolActions AcceptGrants(PoolClient& pool,
+                         const GrantBatch& batch,
+                         Instant lease_end,
+                         Instant now) {
   pool.m_book.m_lease_end = std::max(pool.m_book.m_lease_end, lease_end);
   pool.m_book.m_gateways = batch.m_gateways;
+  pool.m_fair_share_from = pool.m_book.m_lease_end;
+  pool.m_unanswered_since = {};
   if (batch.m_floor_epoch > pool.m_floor_epoch) {
     pool.m_floor = batch.m_floor;
     pool.m_floor_epoch = batch.m_floor_epoch;
@@ -113,19 +190,15 @@
   pool.m_backlog = batch.m_backlog;
   PoolActions actions;
   for (const Credit& credit : batch.m_credits) {
-    if (credit.m_ref == 0) {
+    if (credit.m_ref == 0)
       pool.m_book.m_standing[credit.m_id] = credit;
-    } else if (pool.m_queue.Remove(credit.m_ref)) {
-      NoteDispatch(pool.m_book, credit);
-      actions.m_dispatches.push_back({credit.m_ref, credit});
-    } else {
-      NoteUse(pool, credit, UseStage::kReturned, Duration(0));
-    }
+    else
+      TakeGrant(pool, credit, now, actions);
   }
   for (const RequestRef ref : batch.m_unreachable) {
     if (pool.m_queue.Find(ref) != nullptr)
-      actions.m_refusals.push_back({ref, ResultCode::kDeadlineUnreachable,
-                                    "no engine can answer before the deadline"});
+      actions.m_refusals.push_back(
+          {ref, ResultCode::kDeadlineUnreachable, "no engine can answer before the deadline"});
   }
   if (pool.m_contended) {
     for (const CreditId id : DropStanding(pool.m_book))
@@ -139,7 +212,11 @@
                            const BudgetsFn& budgets,
                            Instant now) {
   PoolActions actions;
-  if (now >= pool.m_book.m_lease_end && pool.m_queue.size() > 0)
+  if (pool.m_fair_share_from == Instant{})
+    pool.m_fair_share_from = now + kFirstWait;
+  if (BrokerIsSilent(pool, now) && pool.m_queue.size() > 0)
+    DispatchByStanding(pool, budgets, now, actions);
+  if (now >= pool.m_fair_share_from && pool.m_queue.size() > 0)
     DispatchByFairShare(pool, rank, budgets, actions);
   RefuseHopeless(pool, now, actions);
   return actions;
@@ -150,14 +227,17 @@
                                        Duration lease,
                                        Instant now) {
   const Duration since = now - pool.m_last_demand;
-  const bool due = (pool.m_dirty && since >= kFlushInterval) || since >= lease / kKeepAlivesPerLease;
+  const bool due =
+      (pool.m_dirty && since >= kFlushInterval) || since >= lease / kKeepAlivesPerLease;
   if (!due)
     return std::nullopt;
   GatewayDemand demand;
   demand.m_gateway = gateway;
   demand.m_resync = pool.m_resync;
-  if (pool.m_resync)
-    demand.m_held = HeldCredits(pool.m_book);
+  demand.m_held = pool.m_resync ? HeldCredits(pool.m_book) : pool.m_unreported;
+  pool.m_unreported.clear();
+  if (pool.m_unanswered_since == Instant{})
+    pool.m_unanswered_since = now;
   for (const WaitingRequest* head : pool.m_queue.Heads(kMaxItems))
     demand.m_items.push_back(*head);
   demand.m_waiting = pool.m_queue.counts();
@@ -171,15 +251,34 @@
 }
 
 void NoteUse(PoolClient& pool, const Credit& credit, UseStage stage, Duration elapsed) {
-  if (credit.m_id == 0)
-    return;
   pool.m_uses.push_back({credit.m_id, stage, elapsed});
   pool.m_dirty = true;
 }
 
+void EndDispatch(PoolClient& pool,
+                 const Credit& credit,
+                 UseStage stage,
+                 Duration elapsed,
+                 Instant now) {
+  NoteEnd(pool.m_book, credit);
+  const bool keep = stage == UseStage::kFinished && credit.m_id > 0 && BrokerIsSilent(pool, now) &&
+                    now < pool.m_book.m_lease_end;
+  if (!keep) {
+    NoteUse(pool, credit, stage, elapsed);
+    return;
+  }
+  Credit standing = credit;
+  standing.m_ref = 0;
+  pool.m_book.m_standing[standing.m_id] = standing;
+}
+
 void LearnService(PoolClient& pool, const std::string& event, Duration service) {
-  double& mean = pool.m_service_s[event];
-  mean += (mean == 0 ? 1.0 : kServiceWeight) * (Seconds(service) - mean);
+  ServiceEstimate& estimate = pool.m_service[event];
+  const double seen = Seconds(service);
+  const bool first = estimate.m_mean_s == 0;
+  estimate.m_mean_s += (first ? 1.0 : kServiceWeight) * (seen - estimate.m_mean_s);
+  estimate.m_deviation_s +=
+      kServiceWeight * (std::abs(seen - estimate.m_mean_s) - estimate.m_deviation_s);
 }
 
 std::int64_t BacklogAhead(const PoolClient& pool, Tier tier) {
--- a/packages/policy/src/shed_floor.cc
+++ b/packages/policy/src/shed_floor.cc
@@ -7,17 +7,28 @@
 namespace poppyway {
 namespace {
 
-constexpr double kCloseWaitS = 2.0;   // Close the lowest open tier when it would wait this long.
-constexpr double kReopenWaitS = 0.5;  // Reopen a tier when what waits above it drains this fast.
+constexpr double kCloseOwn = 0.9;    // Of its own patience: a newcomer would hardly be served.
+constexpr double kCloseAbove = 0.9;  // Of a higher tier's patience: that tier needs the place.
+constexpr double kReopenOwn = 0.5;
+constexpr double kReopenAbove = 0.5;
 constexpr Duration kCloseHold{20'000};
 constexpr Duration kReopenHold{500'000};
 
-/// Seconds until a newcomer at `tier` would be served, if it waits behind its own and higher tiers.
-double ExpectedWait(const FloorInputs& inputs, Tier tier) {
+/// Share of a tier's patience that a newcomer would wait behind its own and higher tiers.
+double WaitShare(const FloorInputs& inputs, Tier tier) {
+  if (inputs.m_patience_s[tier] <= 0)
+    return 0;
   int ahead = 0;
   for (Tier t = 0; t <= tier; ++t)
     ahead += inputs.m_waiting[t];
-  return ahead / std::max(inputs.m_drain_per_s, 1.0);
+  return ahead / std::max(inputs.m_drain_per_s, 1.0) / inputs.m_patience_s[tier];
+}
+
+double WorstAbove(const FloorInputs& inputs, Tier tier) {
+  double worst = 0;
+  for (Tier t = 0; t < tier; ++t)
+    worst = std::max(worst, WaitShare(inputs, t));
+  return worst;
 }
 
 }  // namespace
@@ -27,13 +38,15 @@
     return floor;
   const Duration held = inputs.m_now - floor.m_moved;
   const Tier lowest_open = floor.m_floor - 1;
-  const bool close = lowest_open > 0 && held >= kCloseHold &&
-                     ExpectedWait(inputs, lowest_open) > kCloseWaitS;
-  if (close)
+  const bool pressed =
+      WaitShare(inputs, lowest_open) > kCloseOwn || WorstAbove(inputs, lowest_open) > kCloseAbove;
+  if (lowest_open > 0 && held >= kCloseHold && pressed)
     return {floor.m_floor - 1, floor.m_epoch + 1, inputs.m_now};
-  const bool reopen = floor.m_floor < kTiers && held >= kReopenHold &&
-                      ExpectedWait(inputs, floor.m_floor) < kReopenWaitS;
-  if (reopen)
+  if (floor.m_floor == kTiers || held < kReopenHold)
+    return floor;
+  const bool eased = WaitShare(inputs, floor.m_floor) < kReopenOwn &&
+                     WorstAbove(inputs, floor.m_floor) < kReopenAbove;
+  if (eased)
     return {floor.m_floor + 1, floor.m_epoch + 1, inputs.m_now};
   return floor;
 }
--- a/packages/selectors/src/selector.cc
+++ b/packages/selectors/src/selector.cc
@@ -102,9 +102,8 @@
 bool Holds(const Requirement& requirement, const Labels& labels) {
   const auto found = labels.find(requirement.m_label);
   const bool exists = found != labels.end();
-  const bool listed =
-      exists && std::find(requirement.m_values.begin(), requirement.m_values.end(),
-                          found->second) != requirement.m_values.end();
+  const bool listed = exists && std::find(requirement.m_values.begin(), requirement.m_values.end(),
+                                          found->second) != requirement.m_values.end();
   switch (requirement.m_op) {
     case SelectorOp::kIn:
       return listed;
--- a/packages/settings/include/poppyway/settings/impl/declaration.h
+++ b/packages/settings/include/poppyway/settings/impl/declaration.h
@@ -94,8 +94,7 @@
 [[nodiscard]] Result<PoolDeclaration> ReadPool(const YAML::Node& node, const std::string& source);
 [[nodiscard]] Result<ServerDeclaration> ReadServer(const YAML::Node& node,
                                                    const std::string& source);
-[[nodiscard]] Result<EventDeclaration> ReadEvent(const YAML::Node& node,
-                                                 const std::string& source);
+[[nodiscard]] Result<EventDeclaration> ReadEvent(const YAML::Node& node, const std::string& source);
 [[nodiscard]] Result<WorkspaceDeclaration> ReadWorkspace(const YAML::Node& node,
                                                          const std::string& source);
 
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -32,8 +32,7 @@
             "Largest accepted body."},
     KeyInfo{"max_queue", "number", "requests", "20000", "1 to 1000000",
             "Most requests waiting in this instance."},
-    KeyInfo{"heartbeat_ms", "number", "ms", "500", "10 to 60000",
-            "Interval of lease heartbeats."},
+    KeyInfo{"heartbeat_ms", "number", "ms", "500", "10 to 60000", "Interval of lease heartbeats."},
     KeyInfo{"lease_ms", "number", "ms", "3000", "50 to 600000",
             "Length of a lease; at least three heartbeats."},
     KeyInfo{"stale_after_ms", "number", "ms", "30000", "100 to 3600000",
@@ -78,8 +77,8 @@
 void CheckMembers(impl::YamlReader& reader, const DaemonSettings& settings) {
   const std::size_t count = settings.m_members.size();
   if (count % 2 == 0 || count > kMaxMembers)
-    reader.Reject("members", "'members' must name 1, 3, 5, 7 or 9 instances, not " +
-                                 std::to_string(count));
+    reader.Reject("members",
+                  "'members' must name 1, 3, 5, 7 or 9 instances, not " + std::to_string(count));
   std::set<std::string> names;
   std::set<Endpoint> endpoints;
   for (const MemberSettings& member : settings.m_members) {
--- a/packages/settings/src/yaml_reader.cc
+++ b/packages/settings/src/yaml_reader.cc
@@ -57,8 +57,8 @@
     if (known)
       continue;
     const std::string near = Nearest(key, keys);
-    FaultAt(entry.first.Mark(), "unknown key '" + key + "'" +
-                                    (near.empty() ? "" : "; did you mean '" + near + "'?"));
+    FaultAt(entry.first.Mark(),
+            "unknown key '" + key + "'" + (near.empty() ? "" : "; did you mean '" + near + "'?"));
   }
 }
 
@@ -92,8 +92,8 @@
     return fallback;
   }
   if (value < low || value > high) {
-    FaultAt(node.Mark(), "'" + std::string(key) + "' must be from " + std::to_string(low) +
-                             " to " + std::to_string(high));
+    FaultAt(node.Mark(), "'" + std::string(key) + "' must be from " + std::to_string(low) + " to " +
+                             std::to_string(high));
     return fallback;
   }
   return value;
--- a/packages/state/include/poppyway/state/impl/configuration.h
+++ b/packages/state/include/poppyway/state/impl/configuration.h
@@ -22,7 +22,7 @@
   std::int64_t m_version = 0;
   std::map<ObjectName, wire::ObjectState> m_objects;
   std::map<ObjectName, std::int64_t> m_removals;  ///< Version of each removal still remembered.
-  std::int64_t m_whole_before = 0;  ///< A reader older than this gets everything.
+  std::int64_t m_whole_before = 0;                ///< A reader older than this gets everything.
   std::deque<wire::HistoryRow> m_history;
   std::map<std::string, wire::ChangeState> m_changes;  ///< By change id.
   std::deque<std::string> m_change_order;
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -35,7 +35,8 @@
 
 /// \brief Moves instances whose lease ran out to `m_gone`, together with owners of running claims
 /// that never showed up since this leader began.
-void ExpireInstances(InstanceTable& table, const std::set<std::string>& running_owners,
+void ExpireInstances(InstanceTable& table,
+                     const std::set<std::string>& running_owners,
                      Instant now);
 
 /// \brief Lease grants that are due: pools without a live, willing holder. Nothing is granted until
--- a/packages/state/src/configuration.cc
+++ b/packages/state/src/configuration.cc
@@ -44,7 +44,8 @@
   return ToDeclarations(objects);
 }
 
-void Remember(Configuration& configuration, const wire::ConfigChange& change,
+void Remember(Configuration& configuration,
+              const wire::ConfigChange& change,
               const wire::ConfigOutcome& outcome) {
   wire::ChangeState state;
   state.change_id = change.change_id;
@@ -60,9 +61,9 @@
 
 void ForgetOldRemovals(Configuration& configuration) {
   while (configuration.m_removals.size() > kRememberedRemovals) {
-    const auto oldest = std::min_element(
-        configuration.m_removals.begin(), configuration.m_removals.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; });
+    const auto oldest =
+        std::min_element(configuration.m_removals.begin(), configuration.m_removals.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
     configuration.m_whole_before = std::max(configuration.m_whole_before, oldest->second);
     configuration.m_removals.erase(oldest);
   }
@@ -94,8 +95,7 @@
 
 }  // namespace
 
-std::vector<DeclarationText> ToDeclarations(
-    const std::map<ObjectName, wire::ObjectText>& objects) {
+std::vector<DeclarationText> ToDeclarations(const std::map<ObjectName, wire::ObjectText>& objects) {
   std::vector<DeclarationText> texts;
   for (const auto& [name, object] : objects)
     texts.push_back({object.kind, object.name, object.body});
@@ -112,8 +112,8 @@
   }
   if (change.base_version != configuration.m_version) {
     return Outcome(ResultCode::kVersionConflict, configuration.m_version,
-                   "made on version " + std::to_string(change.base_version) +
-                       ", but version " + std::to_string(configuration.m_version) +
+                   "made on version " + std::to_string(change.base_version) + ", but version " +
+                       std::to_string(configuration.m_version) +
                        " was accepted since; look at it and apply again");
   }
   const Result<Catalogue> compiled =
@@ -121,8 +121,7 @@
   if (!compiled)
     return Outcome(compiled.error().m_code, configuration.m_version, compiled.error().m_message);
   Accept(configuration, change);
-  const wire::ConfigOutcome outcome =
-      Outcome(ResultCode::kOk, configuration.m_version, "accepted");
+  const wire::ConfigOutcome outcome = Outcome(ResultCode::kOk, configuration.m_version, "accepted");
   Remember(configuration, change, outcome);
   return outcome;
 }
--- a/packages/state/src/dispatch_ledger.cc
+++ b/packages/state/src/dispatch_ledger.cc
@@ -121,8 +121,8 @@
 
 void ApplyFinish(DispatchLedger& ledger, const wire::LedgerFinish& finish) {
   const auto found = ledger.m_keys.find(finish.key);
-  const bool ours = found != ledger.m_keys.end() &&
-                    IsClaimant(found->second, finish.owner, finish.ref);
+  const bool ours =
+      found != ledger.m_keys.end() && IsClaimant(found->second, finish.owner, finish.ref);
   const bool missing = found == ledger.m_keys.end();
   if (!ours && !(missing && finish.kind == wire::FinishKind::NOT_RUN))
     return;
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -36,8 +36,8 @@
 
 void TakeHeartbeat(InstanceTable& table, const wire::Heartbeat& beat, Instant now) {
   for (auto it = table.m_live.begin(); it != table.m_live.end();) {
-    const bool former = it->second.m_beat.instance == beat.instance &&
-                        it->first != beat.incarnation;
+    const bool former =
+        it->second.m_beat.instance == beat.instance && it->first != beat.incarnation;
     if (!former) {
       ++it;
       continue;
@@ -49,7 +49,8 @@
   table.m_gone.erase(beat.incarnation);
 }
 
-void ExpireInstances(InstanceTable& table, const std::set<std::string>& running_owners,
+void ExpireInstances(InstanceTable& table,
+                     const std::set<std::string>& running_owners,
                      Instant now) {
   const Duration limit = table.m_lease + table.m_margin;
   for (auto it = table.m_live.begin(); it != table.m_live.end();) {
--- a/packages/telemetry/src/log_line.cc
+++ b/packages/telemetry/src/log_line.cc
@@ -19,12 +19,11 @@
   namespace log = boost::log;
   namespace expr = boost::log::expressions;
   log::add_common_attributes();
-  const auto format =
-      expr::stream << "time="
-                   << expr::format_date_time<boost::posix_time::ptime>("TimeStamp",
-                                                                       "%Y-%m-%dT%H:%M:%S.%f")
-                   << " level=" << log::trivial::severity << " instance=" << instance << " "
-                   << expr::smessage;
+  const auto format = expr::stream << "time="
+                                   << expr::format_date_time<boost::posix_time::ptime>(
+                                          "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                   << " level=" << log::trivial::severity
+                                   << " instance=" << instance << " " << expr::smessage;
   if (file.empty()) {
     log::add_console_log(std::clog, log::keywords::format = format,
                          log::keywords::auto_flush = true);
@@ -39,9 +38,8 @@
     : m_level(level), m_text("event=" + std::string(event)) {}
 
 LogLine::~LogLine() {
-  BOOST_LOG_STREAM_WITH_PARAMS(
-      boost::log::trivial::logger::get(),
-      (boost::log::keywords::severity = m_level))
+  BOOST_LOG_STREAM_WITH_PARAMS(boost::log::trivial::logger::get(),
+                               (boost::log::keywords::severity = m_level))
       << m_text;
 }
 
--- a/packages/wire/include/poppyway/wire.h
+++ b/packages/wire/include/poppyway/wire.h
@@ -3,8 +3,8 @@
 #pragma once
 
 /// \file
-/// \brief How poppyway's own processes talk: Thrift messages in length-prefixed frames over TCP, and
-/// the task loop that owns sockets and timers.
+/// \brief How poppyway's own processes talk: Thrift messages in length-prefixed frames over TCP,
+/// and the task loop that owns sockets and timers.
 ///
 /// \detail A task is one thread with one `TaskLoop`. Every object here except `Mailbox::Send` and
 /// `TaskLoop::Stop` belongs to its loop's thread. Messages are the structs of poppyway.thrift; the
--- a/packages/wire/include/poppyway/wire/impl/task_loop.h
+++ b/packages/wire/include/poppyway/wire/impl/task_loop.h
@@ -10,8 +10,8 @@
 
 /// \brief The event loop of one task. Create, run and destroy on one thread; `Stop` from any.
 ///
-/// The HTTP library recycles socket buffers by the thread that made the socket: a loop that is made on
-/// one thread and run on another corrupts them.
+/// The HTTP library recycles socket buffers by the thread that made the socket: a loop that is made
+/// on one thread and run on another corrupts them.
 class TaskLoop {
  public:
   TaskLoop();
--- a/packages/wire/src/task_loop.cc
+++ b/packages/wire/src/task_loop.cc
@@ -9,8 +9,7 @@
 
 }  // namespace
 
-TaskLoop::TaskLoop()
-    : m_loop(h2o_evloop_create()), m_queue(h2o_multithread_create_queue(m_loop)) {
+TaskLoop::TaskLoop() : m_loop(h2o_evloop_create()), m_queue(h2o_multithread_create_queue(m_loop)) {
   h2o_multithread_register_receiver(m_queue, &m_waker, &TaskLoop::OnWake);
 }
 
--- a/tests/log_cluster.cc
+++ b/tests/log_cluster.cc
@@ -345,8 +345,8 @@
     wire::ObjectText object;
     object.kind = "workspace";
     object.name = "w" + std::to_string(number % 7);
-    object.body = "kind: workspace\nname: " + object.name + "\nweight: " +
-                  std::to_string(1 + number % 9);
+    object.body =
+        "kind: workspace\nname: " + object.name + "\nweight: " + std::to_string(1 + number % 9);
     change.upserts.push_back(object);
     command.__set_config(change);
     return command;
--- a/tests/log_schedule_test.cc
+++ b/tests/log_schedule_test.cc
@@ -27,8 +27,7 @@
     if (!report.m_violations.empty()) {
       ++totals.m_failed;
       if (totals.m_first.empty())
-        totals.m_first =
-            "seed " + std::to_string(spec.m_seed) + ": " + report.m_violations.front();
+        totals.m_first = "seed " + std::to_string(spec.m_seed) + ": " + report.m_violations.front();
     }
     totals.m_acknowledged += report.m_acknowledged;
     totals.m_leaders += report.m_leaders;
