--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -4,8 +4,9 @@
 //
 //   poppyway-fake --engine 9001:g2 --engine 9002:g1 --service 9101 [--odd-chunks] [--die-after N]
 //
-// POST /__fake/speed?0.33   slows every engine on that port's process (body: "port factor")
-// GET  /__fake/report       one line per fact: dispatches, bodies run, duplicates
+// POST /__fake/speed        changes an engine's speed (body: "port factor")
+// GET  /__fake/report       one line per fact: dispatches, doubled ids and keys, last by port
+// GET  /__fake/ids          the request ids that were dispatched here
 
 #include <arpa/inet.h>
 
@@ -48,6 +49,7 @@
 
 /// What was asked of this process, for proofs.
 struct Report {
+  std::map<std::uint16_t, Instant> m_last_by_port;
   std::uint64_t m_dispatches = 0;
   std::uint64_t m_cancelled = 0;
   std::map<std::string, int> m_by_request_id;
@@ -243,6 +245,8 @@
        << "\nrequest_ids " << report.m_by_request_id.size() << "\nrequest_ids_doubled "
        << doubled(report.m_by_request_id) << "\nkeys " << report.m_by_key.size()
        << "\nkeys_doubled " << doubled(report.m_by_key) << "\n";
+  for (const auto& [port, last] : report.m_last_by_port)
+    text << "port " << port << " last_ms_ago " << (ReadClock() - last).count() / 1000 << "\n";
   return text.str();
 }
 
@@ -250,6 +254,12 @@
   const std::string body(req->entity.base, req->entity.len);
   if (path == "/__fake/report")
     return SendText(req, "text/plain", ReportText());
+  if (path == "/__fake/ids") {
+    std::string ids;
+    for (const auto& [id, count] : g_state.m_report.m_by_request_id)
+      ids += id + "\n";
+    return SendText(req, "text/plain", ids);
+  }
   std::istringstream words(body);
   std::uint16_t port = 0;
   double factor = 1;
@@ -267,6 +277,7 @@
     return ServeControl(req, path);
   Report& report = g_state.m_report;
   ++report.m_dispatches;
+  report.m_last_by_port[LocalPort(req)] = ReadClock();
   ++report.m_by_request_id[HeaderOf(req, "x-request-id")];
   const std::string key = HeaderOf(req, "idempotency-key");
   if (!key.empty())
--- a/packages/policy/src/broker_grant.cc
+++ b/packages/policy/src/broker_grant.cc
@@ -128,7 +128,7 @@
   return found == broker.m_weights.end() ? 1.0 : static_cast<double>(found->second);
 }
 
-/// The waiting requests of one tier by workspace, oldest first.
+/// The waiting requests of one tier by workspace, oldest last.
 std::map<std::string, std::vector<Candidate>> Lines(const Broker& broker, Tier tier) {
   std::map<std::string, std::vector<Candidate>> lines;
   for (const auto& [name, gateway] : broker.m_gateways) {
@@ -139,8 +139,9 @@
   }
   for (auto& [workspace, line] : lines) {
     std::stable_sort(line.begin(), line.end(), [](const Candidate& a, const Candidate& b) {
-      return a.m_request->m_arrived > b.m_request->m_arrived;
+      return a.m_request->m_arrived < b.m_request->m_arrived;
     });
+    std::reverse(line.begin(), line.end());  // The oldest is taken from the back.
   }
   return lines;
 }
--- /dev/null
+++ b/tests/process/promises_test.cc
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// The promises under failure, with real processes.
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "process_cluster.h"
+
+using namespace poppyway;
+using namespace poppyway::test;
+using nlohmann::json;
+
+namespace {
+
+json ClassesOf(const CommandResult& load) {
+  INFO(load.m_output);
+  const json parsed = json::parse(load.m_output, nullptr, false);
+  REQUIRE(parsed.is_object());
+  return parsed["classes"];
+}
+
+std::set<std::string> DispatchedIds(ProcessCluster& cluster) {
+  std::istringstream lines(cluster.Fake("/__fake/ids").m_body);
+  std::set<std::string> ids;
+  std::string line;
+  while (std::getline(lines, line))
+    ids.insert(line);
+  return ids;
+}
+
+HttpAnswer Book(ProcessCluster& cluster,
+                int instance,
+                const std::string& key,
+                const std::string& body) {
+  return Http(cluster.HttpPort(instance), "POST", "/desk/book",
+              {"poppyway-event: book", "idempotency-key: " + key}, body, 8000);
+}
+
+constexpr const char* kSteadyPlan = R"(duration_s: 12
+classes:
+  - {name: exam, event: exam, tier: 0, rate_per_minute: 600, output_tokens: [8, 40], deadline_ms: 10000, key: true}
+  - {name: chat, event: chat, tier: 1, rate_per_minute: 600, output_tokens: [8, 40], deadline_ms: 10000}
+  - {name: look, event: look, tier: 1, method: GET, service_path: /desk/look, rate_per_minute: 600}
+  - {name: book, event: book, tier: 0, service_path: /desk/book, rate_per_minute: 600, key: true}
+)";
+
+}  // namespace
+
+TEST_CASE("a rolling planned restart of every instance cuts no request and loses none",
+          "[process][planned-stop]") {
+  ProcessCluster cluster(4);
+  StartSmall(cluster);
+  CommandResult load;
+  std::thread caller([&] { load = cluster.Load(kSteadyPlan, 300); });
+  SleepMs(1000);
+  for (const int instance : cluster.all()) {
+    cluster.Terminate(instance);
+    CHECK(cluster.Join(instance) == 0);
+    cluster.Start(instance);
+    CHECK(cluster.AwaitReady());
+  }
+  caller.join();
+  for (const json& row : ClassesOf(load)) {
+    INFO(row.dump());
+    CHECK(row["cut"] == 0);
+    CHECK(row["wrong"] == 0);
+    CHECK(row["good"] == row["offered"]);
+  }
+  CHECK(cluster.FakeCount("request_ids_doubled") == 0);
+  CHECK(cluster.FakeCount("keys_doubled") == 0);
+}
+
+TEST_CASE(
+    "a non-repeatable request runs at most once, and 'not run' is true, while instances and "
+    "the leader are killed and callers resend elsewhere",
+    "[process][ledger]") {
+  ProcessCluster cluster(4);
+  StartSmall(cluster);
+  std::atomic<bool> over{false};
+  std::atomic<int> answered{0};
+  std::atomic<int> unknown{0};
+  std::vector<std::set<std::string>> not_run(4);
+  std::vector<std::thread> callers;
+  for (int c = 0; c < 4; ++c) {
+    callers.emplace_back([&, c] {
+      for (int i = 0; !over; ++i) {
+        const std::string key = "k" + std::to_string(c) + "-" + std::to_string(i);
+        for (int attempt = 0; attempt < 12; ++attempt) {
+          const HttpAnswer answer = Book(cluster, 1 + (c + i + attempt) % 4, key, "slot " + key);
+          if (answer.m_status == 200 && answer.m_whole) {
+            ++answered;
+            break;
+          }
+          const auto run = answer.m_headers.find("poppyway-run");
+          if (run != answer.m_headers.end() && run->second == "not run")
+            not_run[c].insert(answer.m_headers.at("poppyway-request-id"));
+          if (answer.m_headers.contains("poppyway-code") &&
+              answer.m_headers.at("poppyway-code") == "3000") {
+            ++unknown;
+            break;
+          }
+          SleepMs(100);
+        }
+      }
+    });
+  }
+  for (int round = 0; round < 4; ++round) {
+    SleepMs(700);
+    const int leader = cluster.Leader();
+    const int victim = round % 2 == 0 && leader != 0 ? leader : 4;
+    cluster.Kill(victim);
+    SleepMs(400);
+    cluster.Start(victim);
+    CHECK(cluster.AwaitReady());
+  }
+  over = true;
+  for (std::thread& caller : callers)
+    caller.join();
+  INFO("answered " << answered << ", unknown " << unknown);
+  CHECK(answered > 100);
+  CHECK(cluster.FakeCount("keys_doubled") == 0);
+  CHECK(cluster.FakeCount("request_ids_doubled") == 0);
+  const std::set<std::string> dispatched = DispatchedIds(cluster);
+  int false_claims = 0;
+  for (const std::set<std::string>& ids : not_run) {
+    for (const std::string& id : ids)
+      false_claims += dispatched.contains(id) ? 1 : 0;
+  }
+  CHECK(false_claims == 0);
+}
+
+TEST_CASE("a resend through another instance gets the first answer whole", "[process][ledger]") {
+  ProcessCluster cluster(3);
+  StartSmall(cluster);
+  const HttpAnswer first = Book(cluster, 1, "k", "slot 9");
+  REQUIRE(first.m_status == 200);
+  const HttpAnswer again = Book(cluster, 2, "k", "slot 9");
+  CHECK(again.m_status == 200);
+  CHECK(again.m_body == first.m_body);
+  CHECK(again.m_headers.at("poppyway-replayed") == "true");
+  CHECK(Book(cluster, 3, "k", "another slot").m_headers.at("poppyway-code") == "1005");
+  CHECK(cluster.FakeCount("keys") == 1);
+  CHECK(cluster.FakeCount("keys_doubled") == 0);
+}
+
+TEST_CASE("without a majority a non-repeatable request is refused as not run, and is not run",
+          "[process][ledger]") {
+  ProcessCluster cluster(4);
+  StartSmall(cluster);
+  cluster.Kill(1);
+  cluster.Kill(2);
+  const HttpAnswer refused = Book(cluster, 4, "k", "slot");
+  CHECK(refused.m_status == 503);
+  CHECK(refused.m_headers.at("poppyway-code") == "2005");
+  CHECK(refused.m_headers.at("poppyway-run") == "not run");
+  CHECK(refused.m_headers.contains("retry-after"));
+  CHECK(cluster.FakeCount("keys") == 0);
+  // The majority returns: the same key runs once.
+  cluster.Start(1);
+  cluster.Start(2);
+  REQUIRE(cluster.AwaitReady());
+  SleepMs(500);
+  CHECK(Book(cluster, 4, "k", "slot").m_status == 200);
+  CHECK(cluster.FakeCount("keys_doubled") == 0);
+}
+
+TEST_CASE("a leaving backend server gets no new work after two seconds", "[process][leaving]") {
+  ProcessCluster cluster(3);
+  StartSmall(cluster);
+  CommandResult load;
+  std::thread caller([&] {
+    load = cluster.Load(
+        "duration_s: 7\nclasses:\n"
+        "  - {name: chat, event: chat, tier: 1, rate_per_minute: 3000, output_tokens: [4, 8]}\n");
+  });
+  SleepMs(2000);
+  CHECK(cluster.Ctl({"drain", "server", "m1"}).m_exit == 0);
+  SleepMs(4000);
+  const std::string report = cluster.Fake("/__fake/report").m_body;
+  caller.join();
+  const auto last_ms = [&](int port) {
+    const std::string name = "port " + std::to_string(cluster.FakePort(port)) + " last_ms_ago ";
+    const std::size_t at = report.find(name);
+    return at == std::string::npos ? 0L : std::atol(report.c_str() + at + name.size());
+  };
+  INFO(report);
+  // Four seconds after the order: the last dispatch is at least two seconds old.
+  CHECK(last_ms(1) >= 2000);
+  CHECK(last_ms(2) >= 2000);
+  CHECK(last_ms(3) < 1000);
+  for (const json& row : ClassesOf(load)) {
+    CHECK(row["cut"] == 0);
+    CHECK(row["wrong"] == 0);
+  }
+}
+
+TEST_CASE("a caller that leaves while its request waits is never dispatched",
+          "[process][callers]") {
+  ProcessCluster cluster(3);
+  StartSmall(cluster);
+  // All engines are slowed to a crawl and filled.
+  for (int e = 1; e <= 6; ++e)
+    (void)cluster.Fake("/__fake/speed", std::to_string(cluster.FakePort(e)) + " 0.02");
+  const std::string body = R"({"prompt":"x","max_tokens":50,"stream":true})";
+  std::vector<std::thread> fillers;
+  for (int i = 0; i < 60; ++i)
+    fillers.emplace_back([&, i] {
+      (void)Http(cluster.HttpPort(1 + i % 3), "POST", "/v1/completions", {"poppyway-event: chat"},
+                 body, 4000);
+    });
+  SleepMs(1500);
+  const long before = cluster.FakeCount("dispatches");
+  CHECK(before == 48);
+  // Three callers come, wait and leave.
+  for (int i = 1; i <= 3; ++i)
+    (void)Http(cluster.HttpPort(i), "POST", "/v1/completions", {"poppyway-event: exam"}, body, 300);
+  SleepMs(500);
+  for (int e = 1; e <= 6; ++e)
+    (void)cluster.Fake("/__fake/speed", std::to_string(cluster.FakePort(e)) + " 50");
+  for (std::thread& filler : fillers)
+    filler.join();
+  SleepMs(300);
+  CHECK(cluster.FakeCount("dispatches") <= 60);
+}
