Never pass on a chunked answer that broke off between two chunks

Cause: the HTTP client library reports a close between two chunks of a chunked body as its end. Ruled out: the end-marker check of event streams (it covers them only), our own framing to the caller. Change: the upstream call watches the socket's reader, so that a close is known before the client takes it for an end; without an earlier read a closed connection counts as cut.

--- a/packages/gateway/src/upstream.cc
+++ b/packages/gateway/src/upstream.cc
@@ -123,6 +123,7 @@
     self->End("the answer's length is not framed");
     return nullptr;
   }
+  self->m_chunked = !HeaderValue(head.m_headers, "transfer-encoding").empty();
   if (!self->m_silent)
     self->m_events.m_on_head(head);
   if (ended) {
@@ -132,6 +133,30 @@
   return &Upstream::OnBody;
 }
 
+// The client takes a close between two chunks for the end of the body. It is not: only the last
+// chunk is. So closes are noticed before the client sees them.
+void Upstream::OnReadable(h2o_socket_t* socket, const char* fault) {
+  auto* client = static_cast<h2o_http1client_t*>(socket->data);
+  auto* self = static_cast<Upstream*>(client->data);
+  if (fault != nullptr)
+    self->m_closed = true;
+  self->m_read(socket, fault);
+}
+
+void Upstream::WatchClose(h2o_socket_t* socket) {
+  const bool watched = socket->_cb.read == &Upstream::OnReadable || socket->_cb.read == nullptr;
+  if (!m_chunked || watched)
+    return;
+  m_read = socket->_cb.read;
+  socket->_cb.read = &Upstream::OnReadable;
+}
+
+/// True if the peer has closed and all it sent was read.
+bool AtEnd(h2o_socket_t* socket) {
+  char byte = 0;
+  return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 int Upstream::OnBody(h2o_http1client_t* client, const char* fault) {
   auto* self = static_cast<Upstream*>(client->data);
   const bool ended = fault == h2o_http1client_error_is_eos;
@@ -139,6 +164,15 @@
     self->End(fault);
     return -1;
   }
+  if (ended && self->m_chunked) {
+    // Without an earlier call there was no watch yet: then a closed connection counts as cut.
+    const bool cut = self->m_closed || (self->m_read == nullptr && AtEnd(client->sock));
+    if (cut) {
+      self->End("closed before the last chunk");
+      return 0;
+    }
+  }
+  self->WatchClose(client->sock);
   h2o_buffer_t*& input = client->sock->input;
   if (input->size > 0 && !self->m_silent) {
     self->m_events.m_on_data(std::string_view(input->bytes, input->size));
--- /dev/null
+++ b/tests/codec_test.cc
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "poppyway/gateway.h"
+#include "poppyway/wire.h"
+
+using namespace poppyway;
+
+namespace {
+
+wire::Envelope Sample() {
+  wire::Envelope envelope;
+  envelope.id = 7;
+  envelope.reply = true;
+  envelope.body.__set_heartbeat({});
+  envelope.body.heartbeat.instance = "entry-1";
+  envelope.body.heartbeat.version_in_force = 12;
+  return envelope;
+}
+
+}  // namespace
+
+TEST_CASE("a frame comes back as it went, however it is cut", "[wire]") {
+  const wire::Envelope sample = Sample();
+  const std::string frame = EncodeFrame(sample);
+  for (std::size_t size = 0; size < frame.size(); ++size) {
+    const auto part = NextFrame(std::string_view(frame).substr(0, size));
+    REQUIRE(part);
+    CHECK_FALSE(part->has_value());
+  }
+  const std::string longer = frame + "rest";
+  const auto whole = NextFrame(longer);
+  REQUIRE(whole);
+  REQUIRE(whole->has_value());
+  CHECK((*whole)->m_consumed == frame.size());
+  CHECK(*Deserialize<wire::Envelope>((*whole)->m_payload) == sample);
+}
+
+TEST_CASE("an oversized frame is refused by its length alone", "[wire]") {
+  CHECK(NextFrame(std::string("\xff\xff\xff\xff", 4)).error().m_code == ResultCode::kPeerProtocol);
+}
+
+TEST_CASE("damaged messages are refused or read, but never crash", "[wire][fuzz]") {
+  std::mt19937_64 random(3);
+  const std::string good = Serialize(Sample());
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = good;
+    const int changes = 1 + static_cast<int>(random() % 4);
+    for (int c = 0; c < changes; ++c)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    if (random() % 3 == 0)
+      bytes.resize(random() % (bytes.size() + 1));
+    (void)Deserialize<wire::Envelope>(bytes);
+  }
+  SUCCEED();
+}
+
+TEST_CASE("damaged completion bodies are refused or read, but never crash", "[gateway][fuzz]") {
+  std::mt19937_64 random(4);
+  const std::string good =
+      R"({"model":"m","messages":[{"role":"user","content":"hi"}],"stream":true,"max_tokens":5})";
+  CHECK(ParseCompletion(good)->m_prompt == "hi\n");
+  for (int i = 0; i < 20'000; ++i) {
+    std::string bytes = good;
+    bytes[random() % bytes.size()] = static_cast<char>(random());
+    if (random() % 3 == 0)
+      bytes.resize(random() % (bytes.size() + 1));
+    (void)ParseCompletion(bytes);
+  }
+}
