Parse a declaration once, not the whole configuration for each change

Cause: every change compiled all declarations anew on every member and every instance, and every request matched selectors against every engine: at 5,300 servers and 21,000 engines both grow with what stands, not with what changes. Change: ParsedDeclarations shares what is unchanged; the gateway and the broker keep the engines of each (event, model) for the life of a catalogue. The stand-in gets an engine that streams without delay, for measuring the relay.

--- a/apps/poppywayd/broker_side.cc
+++ b/apps/poppywayd/broker_side.cc
@@ -3,6 +3,7 @@
 #include "broker_side.h"
 
 #include "convert.h"
+#include "poppyway/gateway.h"
 
 namespace poppyway {
 
@@ -18,16 +19,19 @@
   std::map<std::string, std::int64_t> weights;
   for (const WorkspaceDeclaration& workspace : m_catalogue->m_workspaces)
     weights[workspace.m_name] = workspace.m_weight;
-  EligibleFn eligible = [catalogue = m_catalogue](const std::string& event_name,
-                                                  const std::string& model) {
-    std::vector<std::string> ids;
+  auto cache = std::make_shared<EligibilityCache>();
+  EligibleFn eligible = [catalogue = m_catalogue, cache](const std::string& event_name,
+                                                         const std::string& model) {
+    const auto [entry, added] = cache->try_emplace({event_name, model});
+    if (!added)
+      return entry->second;
     for (const EventDeclaration& event : catalogue->m_events) {
       if (event.m_name != event_name)
         continue;
       for (const EngineIndex index : EligibleEngines(*catalogue, event, model))
-        ids.push_back(catalogue->m_engines[index].m_id);
+        entry->second.push_back(catalogue->m_engines[index].m_id);
     }
-    return ids;
+    return entry->second;
   };
   UpdateEngines(broker, engines, std::move(weights), std::move(eligible));
 }
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -161,9 +161,9 @@
     m_poll_after = ReadClock() + kPollBackoff;
     return;
   }
-  if (!ApplyDelta(m_objects, m_version, delta))
+  if (!ApplyDelta(m_declarations, m_version, delta))
     return;
-  Result<Catalogue> catalogue = Compile(ToDeclarations(m_objects), m_version);
+  Result<Catalogue> catalogue = BuildCatalogue(m_declarations, m_version);
   if (!catalogue) {
     // Members accept only what compiles, so this is a fault of this program.
     POPPYWAY_LOG(error, "configuration_unusable").Field("why", catalogue.error().m_message);
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -83,7 +83,7 @@
   bool m_stopping = false;
   bool m_drained = false;
   std::int64_t m_version = 0;
-  std::map<ObjectName, wire::ObjectText> m_objects;
+  ParsedDeclarations m_declarations;
   std::deque<QueuedCommand> m_commands;
   int m_proposals_out = 0;
   Instant m_propose_after{};
--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -35,6 +35,8 @@
   std::uint64_t m_id = 0;
   std::string m_prompt;
   bool m_stream = false;
+  std::int64_t m_instant_left = 0;  ///< Tokens that an instant engine still owes.
+  std::int64_t m_instant_next = 0;
   bool m_inflight = false;
   bool m_ended = false;
   bool m_final = false;
@@ -45,6 +47,7 @@
 struct FakePort {
   std::uint16_t m_port = 0;
   std::unique_ptr<EngineModel> m_engine;  ///< Null for a plain service.
+  bool m_instant = false;                 ///< A token as soon as the last one was taken.
 };
 
 /// What was asked of this process, for proofs.
@@ -115,9 +118,16 @@
            call.m_final ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+void OnToken(const EngineEvent& event);
+
 void OnProceed(h2o_generator_t* generator, h2o_req_t*) {
   Call& call = *reinterpret_cast<Call*>(generator);
   call.m_inflight = false;
+  if (call.m_instant_left > 0) {
+    const bool last = --call.m_instant_left == 0;
+    OnToken({call.m_id, call.m_instant_next++, last, {}});
+    return;
+  }
   Push(call);
 }
 
@@ -154,6 +164,18 @@
   auto* anchor = static_cast<std::uint64_t*>(
       h2o_mem_alloc_shared(&req->pool, sizeof(std::uint64_t), &OnDisposed));
   *anchor = call.m_id;
+  if (port.m_instant) {
+    req->res.status = 200;
+    req->res.reason = "OK";
+    AddHeader(req, "content-type", "text/event-stream");
+    AddHeader(req, "x-request-id", HeaderOf(req, "x-request-id"));
+    call.m_stream = true;
+    call.m_instant_left = std::max<std::int64_t>(1, parsed->m_max_tokens);
+    h2o_start_response(req, &call.m_generator);
+    const bool last = --call.m_instant_left == 0;
+    OnToken({call.m_id, call.m_instant_next++, last, {}});
+    return 0;
+  }
   EngineJob job;
   job.m_id = call.m_id;
   job.m_prompt_tokens = EstimateTokens(parsed->m_prompt);
@@ -327,6 +349,7 @@
     g_state.m_ports[port].m_engine =
         std::make_unique<EngineModel>(SpecOf(engine.substr(colon + 1)));
     g_state.m_ports[port].m_port = port;
+    g_state.m_ports[port].m_instant = engine.ends_with(":instant");
     if (!ListenOn(loop, port))
       return EXIT_FAILURE;
   }
--- a/packages/gateway/include/poppyway/gateway/impl/gateway.h
+++ b/packages/gateway/include/poppyway/gateway/impl/gateway.h
@@ -15,6 +15,9 @@
 
 namespace poppyway {
 
+/// \brief Engines by event and model, for one catalogue: worked out once, not for each request.
+using EligibilityCache = std::map<std::pair<std::string, std::string>, std::vector<std::string>>;
+
 /// \brief All state of the gateway task. Plain data; the filters and the functions below act on it.
 struct GatewayState {
   DaemonSettings m_settings;
@@ -28,7 +31,7 @@
   std::map<std::string, PoolClient> m_pools;
   std::unordered_map<RequestRef, std::unique_ptr<Exchange>> m_exchanges;
   std::vector<std::unique_ptr<Upstream>> m_retired;  ///< Destroyed outside their callbacks.
-  std::set<std::string> m_leaving_engines;
+  EligibilityCache m_eligible;  ///< Of `m_catalogue`.
   RequestRef m_next_ref = 1;
   MetricSet m_metrics;
   std::string m_control_metrics;
--- a/packages/gateway/src/dispatch.cc
+++ b/packages/gateway/src/dispatch.cc
@@ -33,13 +33,6 @@
   return request + exchange.m_body;
 }
 
-const CatalogueEngine* FindEngine(const Catalogue& catalogue, const std::string& id) {
-  const auto found =
-      std::find_if(catalogue.m_engines.begin(), catalogue.m_engines.end(),
-                   [&id](const CatalogueEngine& engine) { return engine.m_id == id; });
-  return found == catalogue.m_engines.end() ? nullptr : &*found;
-}
-
 }  // namespace
 
 bool CallerLeft(const Exchange& exchange) {
@@ -56,7 +49,7 @@
 
 /// Sends the request to the engine of its credit. The first byte written is the dispatch.
 void Dispatch(GatewayState& state, Exchange& exchange) {
-  const std::vector<std::string> usable = UsableEngines(state, exchange);
+  const std::vector<std::string>& usable = AllowedEngines(state, exchange);
   const CatalogueEngine* engine = FindEngine(*state.m_catalogue, exchange.m_credit.m_engine);
   const bool allowed =
       std::find(usable.begin(), usable.end(), exchange.m_credit.m_engine) != usable.end();
--- a/packages/gateway/src/filter_event.cc
+++ b/packages/gateway/src/filter_event.cc
@@ -49,9 +49,7 @@
   }
   const std::string& asked = exchange.m_completion.m_model;
   exchange.m_model = asked.empty() ? exchange.m_event->m_model : asked;
-  const std::vector<EngineIndex> engines =
-      EligibleEngines(*exchange.m_catalogue, *exchange.m_event, exchange.m_model);
-  if (!engines.empty())
+  if (!AllowedEngines(state, exchange).empty())
     return Verdict::kContinue;
   const bool any_model = !EligibleEngines(*exchange.m_catalogue, *exchange.m_event, "").empty();
   Refuse(state, exchange, any_model ? ResultCode::kUnknownModel : ResultCode::kNoBackend,
--- a/packages/gateway/src/filters.h
+++ b/packages/gateway/src/filters.h
@@ -62,8 +62,10 @@
 
 [[nodiscard]] PoolClient& PoolOf(GatewayState& state, const Exchange& exchange);
 /// Engines (by id) that may serve the exchange now.
-[[nodiscard]] std::vector<std::string> UsableEngines(const GatewayState& state,
-                                                     const Exchange& exchange);
+[[nodiscard]] std::vector<std::string> UsableEngines(GatewayState& state, const Exchange& exchange);
+/// Engines (by id) that the newest configuration allows for the exchange's event and model.
+[[nodiscard]] const std::vector<std::string>& AllowedEngines(GatewayState& state,
+                                                             const Exchange& exchange);
 /// What the policy needs to know of an exchange.
 [[nodiscard]] WaitingRequest ToWaiting(const Exchange& exchange);
 /// Sends the broker of `name` what is due.
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -176,6 +176,7 @@
     if (!newer)
       return;  // A version in force only rises.
     m_state.m_catalogue = std::move(message.m_catalogue);
+    m_state.m_eligible.clear();
     for (const PoolDeclaration& pool : m_state.m_catalogue->m_pools)
       m_state.m_pools.try_emplace(pool.m_name);
   }
--- a/packages/gateway/src/pools.cc
+++ b/packages/gateway/src/pools.cc
@@ -26,9 +26,9 @@
 std::vector<EngineBudget> BudgetsOf(const GatewayState& state,
                                     const std::vector<std::string>& ids) {
   std::vector<EngineBudget> budgets;
-  for (const CatalogueEngine& engine : state.m_catalogue->m_engines) {
-    if (std::find(ids.begin(), ids.end(), engine.m_id) != ids.end())
-      budgets.push_back({engine.m_id, engine.m_engine.m_slots, engine.m_engine.m_prefill_tokens});
+  for (const std::string& id : ids) {
+    const EngineDeclaration& engine = FindEngine(*state.m_catalogue, id)->m_engine;
+    budgets.push_back({id, engine.m_slots, engine.m_prefill_tokens});
   }
   return budgets;
 }
@@ -54,22 +54,29 @@
   return waiting;
 }
 
-std::vector<std::string> UsableEngines(const GatewayState& state, const Exchange& exchange) {
+const std::vector<std::string>& AllowedEngines(GatewayState& state, const Exchange& exchange) {
+  const auto [entry, added] =
+      state.m_eligible.try_emplace({exchange.m_event->m_name, exchange.m_model});
+  if (!added)
+    return entry->second;
   const Catalogue& catalogue = *state.m_catalogue;
-  std::vector<std::string> usable;
   const auto current = std::find_if(
       catalogue.m_events.begin(), catalogue.m_events.end(),
       [&](const EventDeclaration& event) { return event.m_name == exchange.m_event->m_name; });
   // The newest selectors decide; an event that was removed keeps those it was matched with.
   const EventDeclaration& event =
       current == catalogue.m_events.end() ? *exchange.m_event : *current;
-  for (const EngineIndex index : EligibleEngines(catalogue, event, exchange.m_model)) {
-    const std::string& id = catalogue.m_engines[index].m_id;
-    const bool avoided =
-        std::find(exchange.m_avoid.begin(), exchange.m_avoid.end(), id) != exchange.m_avoid.end();
-    if (!avoided && !state.m_leaving_engines.contains(id))
-      usable.push_back(id);
-  }
+  for (const EngineIndex index : EligibleEngines(catalogue, event, exchange.m_model))
+    entry->second.push_back(catalogue.m_engines[index].m_id);
+  return entry->second;
+}
+
+std::vector<std::string> UsableEngines(GatewayState& state, const Exchange& exchange) {
+  std::vector<std::string> usable = AllowedEngines(state, exchange);
+  std::erase_if(usable, [&exchange](const std::string& id) {
+    return std::find(exchange.m_avoid.begin(), exchange.m_avoid.end(), id) !=
+           exchange.m_avoid.end();
+  });
   return usable;
 }
 
--- a/packages/settings/include/poppyway/settings.h
+++ b/packages/settings/include/poppyway/settings.h
@@ -13,4 +13,5 @@
 #include "poppyway/settings/impl/catalogue.h"
 #include "poppyway/settings/impl/daemon_settings.h"
 #include "poppyway/settings/impl/declaration.h"
+#include "poppyway/settings/impl/parsed_declarations.h"
 #include "poppyway/settings/impl/yaml_reader.h"
--- a/packages/settings/include/poppyway/settings/impl/catalogue.h
+++ b/packages/settings/include/poppyway/settings/impl/catalogue.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "poppyway/settings/impl/declaration.h"
@@ -29,6 +30,7 @@
   std::vector<EventDeclaration> m_events;
   std::vector<WorkspaceDeclaration> m_workspaces;
   std::vector<CatalogueEngine> m_engines;
+  std::unordered_map<std::string, EngineIndex> m_by_id;
 
   friend bool operator==(const Catalogue&, const Catalogue&) = default;
 };
@@ -37,6 +39,9 @@
 [[nodiscard]] Result<Catalogue> Compile(const std::vector<DeclarationText>& declarations,
                                         std::int64_t version);
 
+/// \brief The engine of that id, or nullptr.
+[[nodiscard]] const CatalogueEngine* FindEngine(const Catalogue& catalogue, const std::string& id);
+
 /// \brief The pool of that name, or nullptr.
 [[nodiscard]] const PoolDeclaration* FindPool(const Catalogue& catalogue, std::string_view name);
 
--- a/packages/settings/src/catalogue.cc
+++ b/packages/settings/src/catalogue.cc
@@ -8,51 +8,6 @@
 namespace poppyway {
 namespace {
 
-Result<void> AddDeclaration(Catalogue& catalogue, const DeclarationText& text) {
-  const YAML::Node node = YAML::Load(text.m_body);
-  const std::string source = text.m_kind + "/" + text.m_name;
-  const auto append = [](auto&& read, auto& into) -> Result<void> {
-    if (!read)
-      return tl::unexpected<Error>(read.error());
-    into.push_back(std::move(*read));
-    return {};
-  };
-  if (text.m_kind == "pool")
-    return append(ReadPool(node, source), catalogue.m_pools);
-  if (text.m_kind == "server")
-    return append(ReadServer(node, source), catalogue.m_servers);
-  if (text.m_kind == "event")
-    return append(ReadEvent(node, source), catalogue.m_events);
-  if (text.m_kind == "workspace")
-    return append(ReadWorkspace(node, source), catalogue.m_workspaces);
-  return Fail(ResultCode::kBadDeclaration, source + ": unknown kind");
-}
-
-Result<void> CheckReferences(const Catalogue& catalogue) {
-  const auto check = [&catalogue](const std::string& who, const std::string& pool) -> Result<void> {
-    if (FindPool(catalogue, pool) != nullptr)
-      return {};
-    return Fail(ResultCode::kBadDeclaration, who + ": pool '" + pool + "' is not declared");
-  };
-  for (const ServerDeclaration& server : catalogue.m_servers) {
-    if (Result<void> ok = check("server/" + server.m_name, server.m_pool); !ok)
-      return ok;
-  }
-  for (const EventDeclaration& event : catalogue.m_events) {
-    if (Result<void> ok = check("event/" + event.m_name, event.m_pool); !ok)
-      return ok;
-  }
-  return {};
-}
-
-void IndexEngines(Catalogue& catalogue) {
-  for (std::uint32_t s = 0; s < catalogue.m_servers.size(); ++s) {
-    const ServerDeclaration& server = catalogue.m_servers[s];
-    for (const EngineDeclaration& engine : server.m_engines)
-      catalogue.m_engines.push_back({server.m_name + "/" + engine.m_name, s, engine});
-  }
-}
-
 Labels ServerLabels(const ServerDeclaration& server) {
   Labels labels = server.m_labels;
   labels["server"] = server.m_name;
@@ -68,20 +23,21 @@
 }  // namespace
 
 Result<Catalogue> Compile(const std::vector<DeclarationText>& declarations, std::int64_t version) {
-  Catalogue catalogue;
-  catalogue.m_version = version;
+  ParsedDeclarations parsed;
   std::set<std::pair<std::string, std::string>> seen;
   for (const DeclarationText& text : declarations) {
     if (!seen.emplace(text.m_kind, text.m_name).second)
       return Fail(ResultCode::kBadDeclaration,
                   text.m_kind + "/" + text.m_name + " is declared twice");
-    if (Result<void> added = AddDeclaration(catalogue, text); !added)
-      return tl::unexpected<Error>(added.error());
+    if (Result<void> put = PutDeclaration(parsed, text); !put)
+      return tl::unexpected<Error>(put.error());
   }
-  if (Result<void> ok = CheckReferences(catalogue); !ok)
-    return tl::unexpected<Error>(ok.error());
-  IndexEngines(catalogue);
-  return catalogue;
+  return BuildCatalogue(parsed, version);
+}
+
+const CatalogueEngine* FindEngine(const Catalogue& catalogue, const std::string& id) {
+  const auto found = catalogue.m_by_id.find(id);
+  return found == catalogue.m_by_id.end() ? nullptr : &catalogue.m_engines[found->second];
 }
 
 const PoolDeclaration* FindPool(const Catalogue& catalogue, std::string_view name) {
--- a/packages/state/include/poppyway/state/impl/configuration.h
+++ b/packages/state/include/poppyway/state/impl/configuration.h
@@ -21,6 +21,7 @@
 struct Configuration {
   std::int64_t m_version = 0;
   std::map<ObjectName, wire::ObjectState> m_objects;
+  ParsedDeclarations m_parsed;  ///< The same, parsed.
   std::map<ObjectName, std::int64_t> m_removals;  ///< Version of each removal still remembered.
   std::int64_t m_whole_before = 0;                ///< A reader older than this gets everything.
   std::deque<wire::HistoryRow> m_history;
@@ -37,15 +38,15 @@
 [[nodiscard]] wire::ConfigDelta DeltaSince(const Configuration& configuration,
                                            std::int64_t from_version);
 
-/// \brief Brings a reader's objects to `delta.to_version`.
-/// \return false, changing nothing, if the delta doesn't start at `version` or would lower it.
-[[nodiscard]] bool ApplyDelta(std::map<ObjectName, wire::ObjectText>& objects,
+/// \brief Brings a reader's declarations to `delta.to_version`.
+/// \return false, changing nothing, if the delta doesn't start at `version`, would lower it, or
+/// can't be parsed.
+[[nodiscard]] bool ApplyDelta(ParsedDeclarations& parsed,
                               std::int64_t& version,
                               const wire::ConfigDelta& delta);
 
-/// \brief The declarations as `Compile` takes them.
-[[nodiscard]] std::vector<DeclarationText> ToDeclarations(
-    const std::map<ObjectName, wire::ObjectText>& objects);
+/// \brief Parses `configuration.m_objects` anew, after a snapshot was loaded.
+[[nodiscard]] Result<void> ParseObjects(Configuration& configuration);
 
 /// \brief How many changes are remembered by id, and shown as history.
 inline constexpr std::size_t kRememberedChanges = 20'000;
--- a/packages/state/src/configuration.cc
+++ b/packages/state/src/configuration.cc
@@ -31,17 +31,23 @@
   return outcome;
 }
 
+DeclarationText TextOf(const wire::ObjectText& object) {
+  return {object.kind, object.name, object.body};
+}
+
 /// The declarations as they would stand after the change.
-std::vector<DeclarationText> Preview(const Configuration& configuration,
-                                     const wire::ConfigChange& change) {
-  std::map<ObjectName, wire::ObjectText> objects;
-  for (const auto& [name, state] : configuration.m_objects)
-    objects[name] = state.object;
+Result<ParsedDeclarations> Preview(const Configuration& configuration,
+                                   const wire::ConfigChange& change) {
+  ParsedDeclarations parsed = configuration.m_parsed;
   for (const wire::ObjectKey& key : change.removals)
-    objects.erase(NameOf(key));
-  for (const wire::ObjectText& object : change.upserts)
-    objects[NameOf(object)] = object;
-  return ToDeclarations(objects);
+    RemoveDeclaration(parsed, key.kind, key.name);
+  for (const wire::ObjectText& object : change.upserts) {
+    if (Result<void> put = PutDeclaration(parsed, TextOf(object)); !put)
+      return tl::unexpected<Error>(put.error());
+  }
+  if (Result<void> ok = CheckReferences(parsed); !ok)
+    return tl::unexpected<Error>(ok.error());
+  return parsed;
 }
 
 void Remember(Configuration& configuration,
@@ -95,11 +101,13 @@
 
 }  // namespace
 
-std::vector<DeclarationText> ToDeclarations(const std::map<ObjectName, wire::ObjectText>& objects) {
-  std::vector<DeclarationText> texts;
-  for (const auto& [name, object] : objects)
-    texts.push_back({object.kind, object.name, object.body});
-  return texts;
+Result<void> ParseObjects(Configuration& configuration) {
+  configuration.m_parsed = {};
+  for (const auto& [name, state] : configuration.m_objects) {
+    if (Result<void> put = PutDeclaration(configuration.m_parsed, TextOf(state.object)); !put)
+      return put;
+  }
+  return {};
 }
 
 wire::ConfigOutcome ApplyChange(Configuration& configuration, const wire::ConfigChange& change) {
@@ -116,10 +124,10 @@
                        std::to_string(configuration.m_version) +
                        " was accepted since; look at it and apply again");
   }
-  const Result<Catalogue> compiled =
-      Compile(Preview(configuration, change), configuration.m_version + 1);
-  if (!compiled)
-    return Outcome(compiled.error().m_code, configuration.m_version, compiled.error().m_message);
+  Result<ParsedDeclarations> next = Preview(configuration, change);
+  if (!next)
+    return Outcome(next.error().m_code, configuration.m_version, next.error().m_message);
+  configuration.m_parsed = std::move(*next);
   Accept(configuration, change);
   const wire::ConfigOutcome outcome = Outcome(ResultCode::kOk, configuration.m_version, "accepted");
   Remember(configuration, change, outcome);
@@ -149,17 +157,19 @@
   return delta;
 }
 
-bool ApplyDelta(std::map<ObjectName, wire::ObjectText>& objects,
+bool ApplyDelta(ParsedDeclarations& parsed,
                 std::int64_t& version,
                 const wire::ConfigDelta& delta) {
   if (delta.to_version <= version || (!delta.whole && delta.from_version != version))
     return false;
-  if (delta.whole)
-    objects.clear();
+  ParsedDeclarations next = delta.whole ? ParsedDeclarations{} : parsed;
   for (const wire::ObjectKey& key : delta.removals)
-    objects.erase(NameOf(key));
-  for (const wire::ObjectText& object : delta.upserts)
-    objects[NameOf(object)] = object;
+    RemoveDeclaration(next, key.kind, key.name);
+  for (const wire::ObjectText& object : delta.upserts) {
+    if (!PutDeclaration(next, TextOf(object)))
+      return false;
+  }
+  parsed = std::move(next);
   version = delta.to_version;
   return true;
 }
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -75,6 +75,8 @@
     configuration.m_changes[change.change_id] = change;
     configuration.m_change_order.push_back(change.change_id);
   }
+  if (Result<void> parsed = ParseObjects(configuration); !parsed)
+    return Fail(ResultCode::kDataDamaged, "snapshot: " + parsed.error().m_message);
   LoadLedger(machine.m_ledger, *state);
   for (const wire::LeaseGrant& lease : state->leases)
     machine.m_leases[lease.lease] = lease;
--- a/tests/configuration_test.cc
+++ b/tests/configuration_test.cc
@@ -59,7 +59,7 @@
 
 TEST_CASE("a reader's version never falls and deltas add up to the whole", "[configuration]") {
   Configuration configuration;
-  std::map<ObjectName, wire::ObjectText> reader;
+  ParsedDeclarations reader;
   std::int64_t version = 0;
   for (int i = 0; i < 50; ++i) {
     wire::ConfigChange change = Change("c" + std::to_string(i), configuration.m_version,
@@ -75,10 +75,10 @@
       CHECK(ApplyDelta(reader, version, DeltaSince(configuration, version)));
   }
   CHECK(ApplyDelta(reader, version, DeltaSince(configuration, version)));
-  std::map<ObjectName, wire::ObjectText> whole;
+  ParsedDeclarations whole;
   std::int64_t whole_version = 0;
   CHECK(ApplyDelta(whole, whole_version, DeltaSince(configuration, 0)));
-  CHECK(reader == whole);
+  CHECK(*BuildCatalogue(reader, version) == *BuildCatalogue(whole, whole_version));
   // An old or repeated delta changes nothing.
   wire::ConfigDelta old;
   old.whole = true;
