--- a/apps/poppyway/configure.cc
+++ b/apps/poppyway/configure.cc
@@ -16,7 +16,7 @@
 namespace po = boost::program_options;
 using nlohmann::json;
 
-constexpr auto kWaitPoll = std::chrono::milliseconds(50);
+constexpr auto kWaitPoll = std::chrono::milliseconds(5);
 
 std::string RandomChangeId() {
   std::random_device device;
