--- a/apps/poppyway/load_runner.cc
+++ b/apps/poppyway/load_runner.cc
@@ -163,56 +163,60 @@
                                                std::move(events));
 }
 
-void LoadRunner::Finish(Call& call, const std::string& failure) {
+bool LoadRunner::IsRight(const Call& call) {
+  const LoadClass& load = *call.m_load;
+  const json answer = json::parse(call.m_body, nullptr, /*allow_exceptions=*/false);
+  if (!load.m_service_path.empty()) {
+    const std::uint64_t expected =
+        Hash(call.m_sent_body, Hash(load.m_method + " " + load.m_service_path));
+    return answer.is_object() && answer.value("echo", std::uint64_t{0}) == expected;
+  }
+  std::string expected;
+  for (std::int64_t i = 0; i < call.m_request->m_output_tokens; ++i)
+    expected += ExpectedToken(call.m_request->m_prompt + "\n", i);
+  if (load.m_stream) {
+    bool ended = false;
+    return StreamContent(call.m_body, ended) == expected && ended;
+  }
+  return answer.is_object() && answer["choices"][0]["message"].value("content", "") == expected;
+}
+
+void LoadRunner::NoteAnswer(const Call& call, Duration took) {
   ClassResult& result = m_results[call.m_request->m_class];
+  const bool in_time = took <= std::chrono::milliseconds(call.m_load->m_deadline_ms);
+  if (!IsRight(call))
+    ++result.m_wrong;
+  else if (in_time)
+    ++result.m_good;
+  else
+    ++result.m_late;
+  if (call.m_load->m_service_path.empty())
+    m_tokens += call.m_request->m_output_tokens;
+  result.m_first_token.Record(call.m_first - call.m_begun);
+  result.m_total.Record(took);
+}
+
+void LoadRunner::NoteRefusal(const Call& call, Duration took) {
+  ClassResult& result = m_results[call.m_request->m_class];
+  const std::string code = HeaderValue(call.m_headers, "poppyway-code");
+  const int number = code.empty() ? call.m_status : std::atoi(code.c_str());
+  ++result.m_refused[number];
+  result.m_refusal.Record(took);
+  const ResultInfo& info = Describe(static_cast<ResultCode>(number));
+  const bool says_when = !info.m_retry_after || !HeaderValue(call.m_headers, "retry-after").empty();
+  const bool complete =
+      !code.empty() && !HeaderValue(call.m_headers, "poppyway-run").empty() && says_when;
+  result.m_bad_refusals += complete ? 0 : 1;
+}
+
+void LoadRunner::Finish(Call& call, const std::string& failure) {
   const Duration took = ReadClock() - call.m_begun;
-  const bool model = call.m_load->m_service_path.empty();
-  if (!failure.empty()) {
-    ++result.m_cut;
-  } else if (call.m_status == 200) {
-    bool right = true;
-    if (model) {
-      std::string expected;
-      for (std::int64_t i = 0; i < call.m_request->m_output_tokens; ++i)
-        expected += ExpectedToken(call.m_request->m_prompt + "\n", i);
-      bool ended = !call.m_load->m_stream;
-      std::string content;
-      if (call.m_load->m_stream) {
-        content = StreamContent(call.m_body, ended);
-      } else {
-        const json answer = json::parse(call.m_body, nullptr, false);
-        if (answer.is_object())
-          content = answer["choices"][0]["message"].value("content", "");
-      }
-      right = ended && content == expected;
-      m_tokens += call.m_request->m_output_tokens;
-    } else {
-      const json answer = json::parse(call.m_body, nullptr, false);
-      const std::uint64_t expected =
-          Hash(call.m_sent_body, Hash(call.m_load->m_method + " " + call.m_load->m_service_path));
-      right = answer.is_object() && answer.value("echo", std::uint64_t{0}) == expected;
-    }
-    const bool in_time = took <= std::chrono::milliseconds(call.m_load->m_deadline_ms);
-    if (!right)
-      ++result.m_wrong;
-    else if (in_time)
-      ++result.m_good;
-    else
-      ++result.m_late;
-    result.m_first_token.Record(call.m_first - call.m_begun);
-    result.m_total.Record(took);
-  } else {
-    const std::string code = HeaderValue(call.m_headers, "poppyway-code");
-    const int number = code.empty() ? call.m_status : std::atoi(code.c_str());
-    ++result.m_refused[number];
-    result.m_refusal.Record(took);
-    const ResultInfo& info = Describe(static_cast<ResultCode>(number));
-    const bool complete =
-        !code.empty() && !HeaderValue(call.m_headers, "poppyway-run").empty() &&
-        (!info.m_retry_after || !HeaderValue(call.m_headers, "retry-after").empty());
-    if (!complete)
-      ++result.m_bad_refusals;
-  }
+  if (!failure.empty())
+    ++m_results[call.m_request->m_class].m_cut;
+  else if (call.m_status == 200)
+    NoteAnswer(call, took);
+  else
+    NoteRefusal(call, took);
   // Destroyed outside its own callback.
   const auto found = m_calls.find(call.m_request->m_number);
   m_over.push_back(std::move(found->second));
--- a/apps/poppyway/load_runner.h
+++ b/apps/poppyway/load_runner.h
@@ -60,6 +60,10 @@
   void StartDue(Instant now);
   void Start(const PlannedRequest& request, Instant now);
   void Finish(Call& call, const std::string& failure);
+  /// True if the answer is the one that the stand-ins owe to this very request.
+  [[nodiscard]] static bool IsRight(const Call& call);
+  void NoteAnswer(const Call& call, Duration took);
+  void NoteRefusal(const Call& call, Duration took);
   void ProbeTargets(Instant now);
   [[nodiscard]] std::size_t PickTarget();
 
--- a/apps/poppywayd/broker_side.cc
+++ b/apps/poppywayd/broker_side.cc
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "broker_side.h"
 
+#include <algorithm>
+
 #include "convert.h"
 #include "poppyway/gateway.h"
 
@@ -133,6 +135,13 @@
   }
 }
 
+bool BrokerSide::Busy() const {
+  return std::any_of(m_brokers.begin(), m_brokers.end(), [](const auto& entry) {
+    const TierCounts backlog = Backlog(entry.second.m_broker);
+    return backlog[0] + backlog[1] + backlog[2] > 0;
+  });
+}
+
 void BrokerSide::AddMetrics(MetricSet& metrics) const {
   for (const auto& [pool, hosted] : m_brokers) {
     const Broker& broker = hosted.m_broker;
--- a/apps/poppywayd/broker_side.h
+++ b/apps/poppywayd/broker_side.h
@@ -30,6 +30,8 @@
   void Tick(Instant now);
   /// Stops acting on every lease.
   void DropAll() { m_brokers.clear(); }
+  /// True while requests wait at a broker here.
+  [[nodiscard]] bool Busy() const;
   void AddMetrics(MetricSet& metrics) const;
 
  private:
--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -7,7 +7,8 @@
 namespace poppyway {
 namespace {
 
-constexpr std::uint64_t kTickMillis = 5;
+constexpr std::uint64_t kBusyTickMillis = 5;
+constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr std::uint64_t kMetricsMillis = 1000;
 
 }  // namespace
@@ -38,7 +39,7 @@
             POPPYWAY_LOG(warning, "peer_message_refused").Field("why", why.m_message);
           }),
       m_inbox(loop, [this](GatewayMessage message) { m_instance.Take(std::move(message)); }),
-      m_tick(loop, kTickMillis, [this] { Tick(); }),
+      m_tick(loop, kBusyTickMillis, kIdleTickMillis, [this] { return Tick(); }),
       m_metrics_timer(loop, kMetricsMillis, [this] { PublishMetrics(); }) {}
 
 Result<void> ControlTask::Start() {
@@ -49,7 +50,7 @@
   return m_server.Listen(m_settings.m_peer.m_address, m_settings.m_peer.m_port);
 }
 
-void ControlTask::Tick() {
+bool ControlTask::Tick() {
   const Instant now = ReadClock();
   if (m_member)
     m_member->Tick(now);
@@ -64,6 +65,8 @@
     POPPYWAY_LOG(info, "stopped");
     m_loop.Stop();
   }
+  // A member's elections and heartbeats need the short interval; others only when work waits.
+  return m_member || m_stopping || m_brokers.Busy() || m_instance.Busy();
 }
 
 void ControlTask::PublishMetrics() {
--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -32,7 +32,8 @@
  private:
   void OnPeer(PeerConnection& connection, wire::Envelope envelope);
   void OnOperator(const wire::Body& body, const ReplyFn& reply);
-  void Tick();
+  /// Returns whether the next tick is due soon.
+  bool Tick();
   void PublishMetrics();
 
   TaskLoop& m_loop;
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -36,6 +36,8 @@
   /// Passes an operator's request on to the leader.
   void Forward(const wire::Body& body, const std::function<void(wire::Body)>& reply);
   [[nodiscard]] std::int64_t version() const noexcept { return m_version; }
+  /// True while commands for the ledger wait.
+  [[nodiscard]] bool Busy() const { return !m_commands.empty(); }
   void AddMetrics(MetricSet& metrics) const;
 
  private:
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -11,7 +11,8 @@
 
 using impl::CallerLeft;
 
-constexpr std::uint64_t kTickMillis = 5;
+constexpr std::uint64_t kBusyTickMillis = 5;
+constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr Duration kCallerPollInterval{100'000};
 constexpr std::uint64_t kSlowSenderMillis = 10'000;
 constexpr std::size_t kBodySlack = 1 << 20;  // h2o's own limit lies this far above ours.
@@ -236,7 +237,10 @@
   h2o_context_init(&m_context, loop.loop(), &m_global);
   m_accept.ctx = &m_context;
   m_accept.hosts = m_global.hosts;
-  m_tick = std::make_unique<RepeatingTimer>(loop, kTickMillis, [this] { Tick(m_state); });
+  m_tick = std::make_unique<RepeatingTimer>(loop, kBusyTickMillis, kIdleTickMillis, [this] {
+    Tick(m_state);
+    return !m_state.m_exchanges.empty();
+  });
 }
 
 Gateway::~Gateway() {
--- a/packages/wire/include/poppyway/wire/impl/peer_client.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_client.h
@@ -37,7 +37,8 @@
   void Connect();
   void Post(wire::Envelope envelope);
   void FailAll(const Error& why);
-  void ExpireCalls();
+  /// Returns whether calls still wait.
+  bool ExpireCalls();
 
   TaskLoop& m_loop;
   std::string m_address;
--- a/packages/wire/include/poppyway/wire/impl/repeating_timer.h
+++ b/packages/wire/include/poppyway/wire/impl/repeating_timer.h
@@ -8,9 +8,17 @@
 
 namespace poppyway {
 
-/// \brief Calls a function every `millis` on the loop's thread until destroyed.
+/// \brief Calls a function again and again on the loop's thread until destroyed.
+///
+/// The function says whether its task is busy: then it is called again after the short interval,
+/// else after the long one, so that an idle process costs next to nothing.
 class RepeatingTimer {
  public:
+  RepeatingTimer(TaskLoop& loop,
+                 std::uint64_t busy_millis,
+                 std::uint64_t idle_millis,
+                 std::function<bool()> on_tick);
+  /// The same interval always.
   RepeatingTimer(TaskLoop& loop, std::uint64_t millis, std::function<void()> on_tick);
   ~RepeatingTimer();
   RepeatingTimer(const RepeatingTimer&) = delete;
@@ -24,9 +32,10 @@
   static void OnTimeout(h2o_timeout_entry_t* entry);
 
   h2o_loop_t* m_loop;
-  h2o_timeout_t m_timeout;
+  h2o_timeout_t m_busy;
+  h2o_timeout_t m_idle;
   Entry m_entry;
-  std::function<void()> m_on_tick;
+  std::function<bool()> m_on_tick;
 };
 
 }  // namespace poppyway
--- a/packages/wire/src/peer_client.cc
+++ b/packages/wire/src/peer_client.cc
@@ -7,7 +7,8 @@
 namespace poppyway {
 namespace {
 
-constexpr std::uint64_t kExpiryMillis = 20;
+constexpr std::uint64_t kBusyExpiryMillis = 20;
+constexpr std::uint64_t kIdleExpiryMillis = 250;
 constexpr std::size_t kMaxBacklog = 256;
 
 }  // namespace
@@ -16,7 +17,7 @@
     : m_loop(loop),
       m_address(std::move(address)),
       m_port(port),
-      m_expiry(loop, kExpiryMillis, [this] { ExpireCalls(); }) {}
+      m_expiry(loop, kBusyExpiryMillis, kIdleExpiryMillis, [this] { return ExpireCalls(); }) {}
 
 PeerClient::~PeerClient() {
   if (m_connecting != nullptr)
@@ -115,7 +116,7 @@
     waiting.m_on_reply(tl::unexpected<Error>(why));
 }
 
-void PeerClient::ExpireCalls() {
+bool PeerClient::ExpireCalls() {
   const Instant now = ReadClock();
   std::vector<OnReply> expired;
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
@@ -128,6 +129,7 @@
   }
   for (OnReply& on_reply : expired)
     on_reply(Fail(ResultCode::kPeerUnreachable, "no reply in time"));
+  return !m_waiting.empty();
 }
 
 }  // namespace poppyway
