Make the linter clean

Cause: a structured binding captured by a lambda, which the linter's compiler refuses, and a defaulted three-way comparison that it takes for a null pointer. Change: a named reference; equality and less-than written out.

--- a/packages/policy/src/broker_grant.cc
+++ b/packages/policy/src/broker_grant.cc
@@ -198,8 +198,9 @@
       if (done.contains(item.m_ref))
         gateway.m_waiting[item.m_tier] = std::max(0, gateway.m_waiting[item.m_tier] - 1);
     }
+    const std::set<RequestRef>& granted = done;
     std::erase_if(gateway.m_items,
-                  [&done](const WaitingRequest& item) { return done.contains(item.m_ref); });
+                  [&granted](const WaitingRequest& item) { return granted.contains(item.m_ref); });
   }
 }
 
--- a/packages/settings/include/poppyway/settings/impl/daemon_settings.h
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -4,6 +4,7 @@
 
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "poppyway/settings/impl/yaml_reader.h"
@@ -15,7 +16,10 @@
   std::string m_address;
   std::uint16_t m_port = 0;
 
-  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
+  friend bool operator<(const Endpoint& a, const Endpoint& b) {
+    return std::tie(a.m_address, a.m_port) < std::tie(b.m_address, b.m_port);
+  }
 };
 
 /// \brief "address:port".
--- a/packages/settings/include/poppyway/settings/impl/parsed_declarations.h
+++ b/packages/settings/include/poppyway/settings/impl/parsed_declarations.h
@@ -10,8 +10,8 @@
 
 namespace poppyway {
 
-/// \brief All declarations, parsed, by kind and name. Copies are cheap: they share what is unchanged,
-/// so that a change costs what it changes and not what stands.
+/// \brief All declarations, parsed, by kind and name. Copies are cheap: they share what is
+/// unchanged, so that a change costs what it changes and not what stands.
 struct ParsedDeclarations {
   template <typename T>
   using ByName = std::map<std::string, std::shared_ptr<const T>>;
--- a/packages/state/include/poppyway/state/impl/configuration.h
+++ b/packages/state/include/poppyway/state/impl/configuration.h
@@ -21,7 +21,7 @@
 struct Configuration {
   std::int64_t m_version = 0;
   std::map<ObjectName, wire::ObjectState> m_objects;
-  ParsedDeclarations m_parsed;  ///< The same, parsed.
+  ParsedDeclarations m_parsed;                    ///< The same, parsed.
   std::map<ObjectName, std::int64_t> m_removals;  ///< Version of each removal still remembered.
   std::int64_t m_whole_before = 0;                ///< A reader older than this gets everything.
   std::deque<wire::HistoryRow> m_history;
--- a/packages/state/src/configuration.cc
+++ b/packages/state/src/configuration.cc
@@ -157,9 +157,7 @@
   return delta;
 }
 
-bool ApplyDelta(ParsedDeclarations& parsed,
-                std::int64_t& version,
-                const wire::ConfigDelta& delta) {
+bool ApplyDelta(ParsedDeclarations& parsed, std::int64_t& version, const wire::ConfigDelta& delta) {
   if (delta.to_version <= version || (!delta.whole && delta.from_version != version))
     return false;
   ParsedDeclarations next = delta.whole ? ParsedDeclarations{} : parsed;
