--- a/packages/gateway/src/upstream.cc
+++ b/packages/gateway/src/upstream.cc
@@ -23,6 +23,12 @@
   });
 }
 
+/// True if the peer has closed and all it sent was read.
+bool AtEnd(h2o_socket_t* socket) {
+  char byte = 0;
+  return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 }  // namespace
 
 UpstreamPools::UpstreamPools(TaskLoop& loop) : m_loop(loop), m_context{} {
@@ -151,12 +157,6 @@
   socket->_cb.read = &Upstream::OnReadable;
 }
 
-/// True if the peer has closed and all it sent was read.
-bool AtEnd(h2o_socket_t* socket) {
-  char byte = 0;
-  return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 int Upstream::OnBody(h2o_http1client_t* client, const char* fault) {
   auto* self = static_cast<Upstream*>(client->data);
   const bool ended = fault == h2o_http1client_error_is_eos;
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -208,6 +208,7 @@
   for (const json& row : ClassesOf(load)) {
     CHECK(row["cut"] == 0);
     CHECK(row["wrong"] == 0);
+    CHECK(row["good"] == row["offered"]);
   }
 }
 
