--- /dev/null
+++ b/apps/poppywayd/control_server.cc
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "control_server.h"
+
+#include "poppyway/platform.h"
+
+namespace poppyway {
+namespace {
+
+constexpr std::size_t kMaxDocument = 32 << 20;
+constexpr std::uint64_t kIdleMillis = 30'000;
+
+/// A request that may be gone by the time its outcome is known.
+struct PendingRequest {
+  h2o_req_t* m_req = nullptr;
+};
+
+std::shared_ptr<PendingRequest> Track(h2o_req_t* req) {
+  using Holder = std::shared_ptr<PendingRequest>;
+  auto pending = std::make_shared<PendingRequest>(PendingRequest{req});
+  void* memory = h2o_mem_alloc_shared(&req->pool, sizeof(Holder), [](void* data) {
+    auto* holder = static_cast<Holder*>(data);
+    (*holder)->m_req = nullptr;
+    holder->~Holder();
+  });
+  new (memory) Holder(pending);
+  return pending;
+}
+
+void Answer(const PendingRequest& pending, const platform::ControlAnswer& answer) {
+  if (pending.m_req != nullptr)
+    ReplyWhole(pending.m_req, answer.m_status, "application/json", answer.m_body);
+}
+
+void LogCall(const platform::ControlCall& call, int status, Instant begun) {
+  using Kind = platform::ControlCall::Kind;
+  const Duration took = ReadClock() - begun;
+  if (call.m_kind == Kind::kPutDocument) {
+    POPPYWAY_LOG(info, "document_call")
+        .Field("version", call.m_document.version)
+        .Field("bytes", call.m_document.body.size())
+        .Field("status", status)
+        .Field("took_ms", took.count() / 1000);
+    return;
+  }
+  const bool beat = call.m_kind == Kind::kServerSeen &&
+                    call.m_server.stage == wire::ServerStage::READY && status == 200;
+  if (beat || call.m_kind == Kind::kReadDocument)
+    return;  // They come all the time and change nothing.
+  POPPYWAY_LOG(info, "server_call")
+      .Field("server", call.m_server.id)
+      .Field("stage", static_cast<int>(call.m_server.stage))
+      .Field("status", status)
+      .Field("took_ms", took.count() / 1000);
+}
+
+}  // namespace
+
+ControlServer::ControlServer(TaskLoop& loop, const Endpoint& place, MemberSide& member)
+    : m_place(place),
+      m_member(member),
+      m_server(loop, HttpLimits{kMaxDocument, kIdleMillis}, [this](h2o_req_t* req) {
+        OnRequest(req);
+      }) {}
+
+Result<void> ControlServer::Listen() {
+  return m_server.Listen(m_place.m_address, m_place.m_port);
+}
+
+void ControlServer::OnRequest(h2o_req_t* req) {
+  using Kind = platform::ControlCall::Kind;
+  const Instant begun = ReadClock();
+  const std::string_view method(req->method.base, req->method.len);
+  const std::string_view target(req->path.base, req->path.len);
+  const std::string_view body(req->entity.base, req->entity.len);
+  Result<platform::ControlCall> call = platform::DecodeControlCall(method, target, body);
+  if (!call) {
+    const platform::ControlAnswer answer = platform::EncodeControlError(call.error());
+    POPPYWAY_LOG(warning, "call_refused")
+        .Field("target", target)
+        .Field("why", call.error().m_message);
+    ReplyWhole(req, answer.m_status, "application/json", answer.m_body);
+    return;
+  }
+  const std::shared_ptr<PendingRequest> pending = Track(req);
+  const ReplyFn reply = [pending, call = *call, begun](wire::Body outcome) {
+    const platform::ControlAnswer answer = platform::EncodeControlAnswer(call, outcome);
+    LogCall(call, answer.m_status, begun);
+    Answer(*pending, answer);
+  };
+  switch (call->m_kind) {
+    case Kind::kPutDocument:
+      m_member.SubmitDocument(call->m_document, reply);
+      return;
+    case Kind::kReadDocument:
+      m_member.ReadDocument(reply);
+      return;
+    case Kind::kServerSeen:
+    case Kind::kServerGone:
+      m_member.SubmitServer(call->m_server, reply);
+      return;
+    case Kind::kUnknown:
+      Answer(*pending, platform::EncodeControlAnswer(*call, {}));
+      return;
+  }
+}
+
+}  // namespace poppyway
--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -42,6 +42,17 @@
       m_tick(loop, kBusyTickMillis, kIdleTickMillis, [this] { return Tick(); }),
       m_metrics_timer(loop, kMetricsMillis, [this] { PublishMetrics(); }) {}
 
+void ControlTask::SetForwarder(ForwarderPort port) {
+  m_has_forwarder = true;
+  m_instance.SetForwarder(std::move(port));
+}
+
+void ControlTask::AddSeeds(const std::vector<MemberSettings>& seeds) {
+  m_instance.AddSeeds(seeds);
+  if (m_member)
+    m_member->AddSeeds(seeds);
+}
+
 Result<void> ControlTask::Start() {
   if (m_member) {
     if (Result<void> opened = m_member->Open(); !opened)
@@ -55,7 +66,9 @@
   if (m_member)
     m_member->Tick(now);
   m_brokers.Tick(now);
-  m_instance.Tick(now);
+  const bool takes_callers = !m_settings.m_hosted || m_has_forwarder;
+  if (takes_callers)
+    m_instance.Tick(now);
   m_platform.Tick(now);
   if (m_stop_requested.load() && !m_stopping) {
     m_stopping = true;
@@ -102,6 +115,12 @@
     m_member->OnHello(body.hello, reply);
   } else if (body.__isset.heartbeat) {
     m_member->OnHeartbeat(body.heartbeat, reply);
+  } else if (body.__isset.document) {
+    LeaderOnly(reply, [&] { m_member->SubmitDocument(body.document, reply); });
+  } else if (body.__isset.document_request) {
+    LeaderOnly(reply, [&] { m_member->ReadDocument(reply); });
+  } else if (body.__isset.server_seen) {
+    LeaderOnly(reply, [&] { m_member->SubmitServer(body.server_seen, reply); });
   } else if (body.__isset.poll) {
     m_member->OnPoll(body.poll, reply);
   } else if (body.__isset.propose && m_member->leads()) {
@@ -114,6 +133,13 @@
   }
 }
 
+void ControlTask::LeaderOnly(const ReplyFn& reply, const std::function<void()>& act) {
+  if (m_member->leads())
+    act();
+  else
+    reply(m_member->NotLeader());  // Never passed on twice: leaders change, and calls would circle.
+}
+
 void ControlTask::OnOperator(const wire::Body& body, const ReplyFn& reply) {
   const bool leads = m_member && m_member->leads();
   if (body.__isset.drain) {
--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -22,6 +22,12 @@
               const std::string& incarnation,
               std::function<void(ControlMessage)> to_gateway);
 
+  /// Hosted: where news for the forwarder goes. Call before `Start`.
+  void SetForwarder(ForwarderPort port);
+  /// Hosted: other ways to reach the members.
+  void AddSeeds(const std::vector<MemberSettings>& seeds);
+  /// Null on an instance without a disk.
+  [[nodiscard]] MemberSide* member() noexcept { return m_member.get(); }
   /// Opens storage and listens for peers.
   [[nodiscard]] Result<void> Start();
   /// Messages of the gateway task arrive here, from any thread.
@@ -31,6 +37,7 @@
 
  private:
   void OnPeer(PeerConnection& connection, wire::Envelope envelope);
+  void LeaderOnly(const ReplyFn& reply, const std::function<void()>& act);
   void OnOperator(const wire::Body& body, const ReplyFn& reply);
   /// Returns whether the next tick is due soon.
   bool Tick();
@@ -49,6 +56,7 @@
   RepeatingTimer m_metrics_timer;
   std::atomic<bool> m_stop_requested{false};
   bool m_stopping = false;
+  bool m_has_forwarder = false;
   std::uint64_t m_bad_messages = 0;
 };
 
--- /dev/null
+++ b/apps/poppywayd/hosted.cc
@@ -0,0 +1,199 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "hosted.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "control_server.h"
+#include "control_task.h"
+#include "incarnation.h"
+#include "poppyway/platform.h"
+
+namespace poppyway {
+namespace {
+
+constexpr int kUsageExit = 64;
+constexpr int kStartFailedExit = 70;
+constexpr std::uint16_t kMetricsOffset = 10;  // From the first internal port; see deploy/system.toml.
+constexpr std::int64_t kHeartbeatMs = 200;    // Loads are this old at most when others read them.
+constexpr std::int64_t kLeaseMs = 1500;       // An instance silent for longer counts as gone.
+constexpr double kConfirmShare = 0.9;   // Of the bound on removed keys; the rest is for our own delays.
+constexpr Duration kUnbounded{30'000'000};  // Where there is no bound: how stale we agree to be.
+constexpr double kRetryPart = 0.6;  // Of the shared limit is spent; callers' windows aren't ours.
+constexpr std::uint64_t kSignalMillis = 20;
+constexpr Duration kMemberStopTime{100'000};  // For replies that are on their way.
+
+std::atomic<bool> g_stop{false};
+std::atomic<bool> g_reload{false};
+
+void OnStopSignal(int) {
+  g_stop.store(true);
+}
+
+void OnReloadSignal(int) {
+  g_reload.store(true);
+}
+
+/// Our own protocol's place beside a control address.
+Endpoint PeerBeside(const Endpoint& control, std::uint16_t port) {
+  return {control.m_address, port};
+}
+
+std::vector<MemberSettings> SeedMembers(const platform::HostedSettings& hosted) {
+  std::vector<MemberSettings> members;
+  for (const Endpoint& seed : hosted.m_seeds) {
+    const Endpoint peer = PeerBeside(seed, hosted.m_first_internal_port);
+    members.push_back({ToText(peer), peer});
+  }
+  return members;
+}
+
+DaemonSettings ToDaemonSettings(const platform::HostedSettings& hosted) {
+  DaemonSettings settings;
+  settings.m_hosted = true;
+  settings.m_cluster = "hosted";
+  settings.m_instance = hosted.m_instance;
+  settings.m_data_centre = hosted.m_data_centre;
+  settings.m_http = hosted.m_callers;
+  settings.m_peer = {hosted.m_address, hosted.m_first_internal_port};
+  settings.m_members = SeedMembers(hosted);
+  settings.m_data_folder = hosted.m_data_folder;
+  settings.m_member = !hosted.m_data_folder.empty();
+  settings.m_may_form = hosted.m_first_start;
+  settings.m_heartbeat_ms = kHeartbeatMs;
+  settings.m_lease_ms = kLeaseMs;
+  const Duration bound = hosted.m_key_bound > Duration(0) ? hosted.m_key_bound : kUnbounded;
+  settings.m_confirm_ms =
+      static_cast<std::int64_t>(kConfirmShare * static_cast<double>(bound.count()) / 1000);
+  return settings;
+}
+
+ForwarderSettings ToForwarderSettings(const platform::HostedSettings& hosted) {
+  ForwarderSettings settings;
+  settings.m_instance = hosted.m_instance;
+  settings.m_data_centre = hosted.m_data_centre;
+  settings.m_callers = hosted.m_callers;
+  settings.m_readiness = hosted.m_readiness;
+  settings.m_metrics = {hosted.m_address, static_cast<std::uint16_t>(hosted.m_first_internal_port +
+                                                                     kMetricsOffset)};
+  settings.m_stop_limit = hosted.m_stop_limit;
+  settings.m_retry_limit = hosted.m_retry_limit;
+  settings.m_retry_limit.m_ratio *= kRetryPart;
+  settings.m_retry_limit.m_burst *= kRetryPart;
+  settings.m_retry_window = hosted.m_retry_window;
+  return settings;
+}
+
+/// All parts of a hosted daemon, on one loop.
+class HostedDaemon {
+ public:
+  explicit HostedDaemon(const platform::HostedSettings& hosted, const std::string& path)
+      : m_path(path),
+        m_settings(ToDaemonSettings(hosted)),
+        m_control(m_loop, m_settings, MakeIncarnation(hosted.m_instance), [](ControlMessage) {}),
+        m_signals(m_loop, kSignalMillis, [this] { CheckSignals(); }) {
+    if (hosted.m_callers.m_port != 0)
+      m_forwarder = std::make_unique<Forwarder>(m_loop, ToForwarderSettings(hosted),
+                                                platform::MakeDialect());
+    if (m_forwarder) {
+      m_control.SetForwarder({[this](FleetMessage message) { m_forwarder->Take(std::move(message)); },
+                              [this] { return m_forwarder->Report(); }});
+    }
+    if (hosted.m_control.m_port != 0 && m_control.member() != nullptr)
+      m_server = std::make_unique<ControlServer>(m_loop, hosted.m_control, *m_control.member());
+  }
+
+  [[nodiscard]] Result<void> Start() {
+    if (Result<void> started = m_control.Start(); !started)
+      return started;
+    if (m_forwarder) {
+      if (Result<void> listening = m_forwarder->Listen(); !listening)
+        return listening;
+    }
+    return m_server ? m_server->Listen() : Result<void>{};
+  }
+
+  void Run() { m_loop.Run(); }
+
+ private:
+  void CheckSignals() {
+    if (g_reload.exchange(false))
+      Reload();
+    if (g_stop.load())
+      Stop();
+  }
+
+  void Reload() {
+    const Result<platform::HostedSettings> hosted = platform::ReadHostedSettings(m_path);
+    if (!hosted) {
+      POPPYWAY_LOG(error, "reload_failed").Field("why", hosted.error().m_message);
+      return;
+    }
+    const std::vector<MemberSettings> seeds = SeedMembers(*hosted);
+    m_control.AddSeeds(seeds);
+    POPPYWAY_LOG(info, "reloaded").Field("seeds", seeds.size());
+  }
+
+  void Stop() {
+    const Instant now = ReadClock();
+    if (m_stop_begun == Instant{}) {
+      m_stop_begun = now;
+      if (m_forwarder)
+        m_forwarder->BeginStop();
+    }
+    const bool over =
+        m_forwarder ? m_forwarder->Stopped() : now - m_stop_begun >= kMemberStopTime;
+    if (!over)
+      return;
+    POPPYWAY_LOG(info, "stopped").Field("took_ms", (now - m_stop_begun).count() / 1000);
+    m_loop.Stop();
+  }
+
+  std::string m_path;
+  DaemonSettings m_settings;
+  TaskLoop m_loop;
+  ControlTask m_control;
+  std::unique_ptr<Forwarder> m_forwarder;
+  std::unique_ptr<ControlServer> m_server;
+  RepeatingTimer m_signals;
+  Instant m_stop_begun{};
+};
+
+int Fail(const Error& error) {
+  POPPYWAY_LOG(fatal, "start_failed")
+      .Field("code", Describe(error.m_code).m_name)
+      .Field("why", error.m_message);
+  return kStartFailedExit;
+}
+
+}  // namespace
+
+int RunHosted() {
+  const char* path = std::getenv(platform::kSettingsVariable);
+  if (path == nullptr) {
+    std::cerr << "poppywayd: " << platform::kSettingsVariable << " must name the settings file\n";
+    return kUsageExit;
+  }
+  const Result<platform::HostedSettings> hosted = platform::ReadHostedSettings(path);
+  StartLogging({.m_to_stdout = true, .m_instance = hosted ? hosted->m_instance : "unknown"});
+  if (!hosted)
+    return Fail(hosted.error());
+  std::signal(SIGTERM, &OnStopSignal);
+  std::signal(SIGINT, &OnStopSignal);
+  std::signal(SIGHUP, &OnReloadSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+  HostedDaemon daemon(*hosted, path);
+  if (Result<void> started = daemon.Start(); !started)
+    return Fail(started.error());
+  POPPYWAY_LOG(info, "started")
+      .Field("data_centre", hosted->m_data_centre)
+      .Field("first_start", hosted->m_first_start)
+      .Field("seeds", hosted->m_seeds.size());
+  daemon.Run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace poppyway
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "instance_side.h"
 
+#include <algorithm>
+
 #include "convert.h"
 
 namespace poppyway {
@@ -17,6 +19,7 @@
 constexpr Duration kFinishLimit{60'000'000};
 constexpr Duration kPollBackoff{100'000};
 constexpr std::int64_t kPollWaitMs = 5'000;
+constexpr Duration kPollOverdue{150'000};  // Followers learn of a commit within one log heartbeat, 50 ms.
 constexpr Duration kAdoptionRest{100};  // For each microsecond that adopting took.
 constexpr Duration kMaxAdoptionRest{2'000'000};
 constexpr Duration kForwardTimeout{5'000'000};
@@ -43,12 +46,25 @@
       m_brokers(brokers),
       m_to_gateway(std::move(to_gateway)) {
   for (const MemberSettings& member : settings.m_members)
-    m_members.push_back(
-        std::make_unique<PeerClient>(loop, member.m_peer.m_address, member.m_peer.m_port));
+    (void)ContactAt(member.m_peer);
   // Readers spread over the members.
   m_poll_member = Hash(m_incarnation) % m_members.size();
 }
 
+std::size_t InstanceSide::ContactAt(const Endpoint& place) {
+  const auto known = std::find(m_places.begin(), m_places.end(), place);
+  if (known != m_places.end())
+    return static_cast<std::size_t>(known - m_places.begin());
+  m_places.push_back(place);
+  m_members.push_back(std::make_unique<PeerClient>(m_loop, place.m_address, place.m_port));
+  return m_places.size() - 1;
+}
+
+void InstanceSide::AddSeeds(const std::vector<MemberSettings>& seeds) {
+  for (const MemberSettings& seed : seeds)
+    (void)ContactAt(seed.m_peer);
+}
+
 PeerClient& InstanceSide::Leader() {
   return *m_members[m_leader];
 }
@@ -82,6 +98,12 @@
   beat.stopping = m_stopping;
   beat.http = ToText(m_settings.m_http);
   beat.leases_seen = m_leases_seen;
+  if (m_settings.m_hosted) {
+    LoadReport report = m_forwarder.m_report();
+    beat.loads = std::move(report.m_loads);
+    beat.uses = std::move(report.m_uses);
+    beat.version_in_force = m_document_version;
+  }
   wire::Body body;
   body.__set_heartbeat(beat);
   Leader().Call(std::move(body), std::chrono::milliseconds(m_settings.m_lease_ms) / 3,
@@ -95,6 +117,10 @@
 
 void InstanceSide::OnBeatReply(const wire::HeartbeatReply& reply, Instant sent) {
   m_contact = std::max(m_contact, sent);
+  if (m_settings.m_hosted) {
+    OnHostedBeat(reply, sent);
+    return;
+  }
   if (!reply.leases_same) {
     m_leases = reply.leases;
     m_leases_seen = reply.leases_index;
@@ -107,15 +133,56 @@
   ++m_beats_lost;
   const bool named = reply && reply->__isset.error && reply->error.leader_port != 0;
   std::size_t next = (m_leader + 1) % m_members.size();
-  for (std::size_t i = 0; named && i < m_members.size(); ++i) {
-    const Endpoint& peer = m_settings.m_members[i].m_peer;
-    if (peer.m_address == reply->error.leader_address && peer.m_port == reply->error.leader_port)
-      next = i;
-  }
+  if (named)
+    next = ContactAt({reply->error.leader_address,
+                      static_cast<std::uint16_t>(reply->error.leader_port)});
   m_leader = next;
   m_beat_due = std::min(m_beat_due, ReadClock() + kProposeBackoff);
 }
 
+void InstanceSide::OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent) {
+  for (const wire::MemberInfo& member : reply.members)
+    (void)ContactAt({member.address, static_cast<std::uint16_t>(member.port)});
+  m_leader_document = std::max(m_leader_document, reply.document_version);
+  m_leader_servers = std::max(m_leader_servers, reply.servers_index);
+  m_leader_asked = std::max(m_leader_asked, sent);
+  PublishConfirmation();
+  FleetLoad load;
+  load.m_loads = reply.loads;
+  load.m_uses = reply.uses;
+  load.m_instances = std::max(1, reply.live);
+  m_forwarder.m_send(std::move(load));
+  const bool behind =
+      m_document_version < m_leader_document || m_servers_index < m_leader_servers;
+  const Instant now = ReadClock();
+  if (!behind || now - m_poll_sent < kPollOverdue)
+    return;
+  // The member that is polled doesn't tell what the leader knows: ask the leader itself.
+  m_poll_member = m_leader;
+  Poll();
+}
+
+void InstanceSide::PublishConfirmation() {
+  if (m_document_version == 0 || m_document_version < m_leader_document)
+    return;
+  const Instant until = m_leader_asked + std::chrono::milliseconds(m_settings.m_confirm_ms);
+  if (until <= m_published_until)
+    return;
+  m_published_until = until;
+  m_forwarder.m_send(ConfirmedUntil{until});
+}
+
+void InstanceSide::OnHostedDelta(const wire::ConfigDelta& delta) {
+  if (!delta.servers.empty() && delta.servers_index > m_servers_index)
+    m_forwarder.m_send(ServersChanged{delta.servers});
+  m_servers_index = std::max(m_servers_index, delta.servers_index);
+  if (delta.__isset.document && delta.document.version > m_document_version) {
+    m_document_version = delta.document.version;
+    m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
+    PublishConfirmation();
+  }
+}
+
 void InstanceSide::TakeLeases(int live, Instant sent) {
   const Instant now = ReadClock();
   for (const wire::LeaseGrant& lease : m_leases) {
@@ -144,14 +211,25 @@
 
 void InstanceSide::Poll() {
   m_polling = true;
+  m_poll_sent = ReadClock();
   wire::ConfigPoll poll;
+  poll.hosted = m_settings.m_hosted;
+  poll.have_document = m_document_version;
+  poll.have_servers = m_servers_index;
   poll.have_version = m_version;
   poll.wait_ms = kPollWaitMs;
   wire::Body body;
   body.__set_poll(poll);
   const Duration timeout = std::chrono::milliseconds(kPollWaitMs) + kForwardTimeout;
-  m_members[m_poll_member]->Call(std::move(body), timeout, [this](Result<wire::Body> reply) {
+  const std::uint64_t number = ++m_poll_number;
+  m_members[m_poll_member]->Call(std::move(body), timeout, [this, number](Result<wire::Body> reply) {
+    if (number != m_poll_number)
+      return;  // Another poll has taken its place.
     m_polling = false;
+    if (m_settings.m_hosted && reply && reply->__isset.delta) {
+      OnHostedDelta(reply->delta);
+      return;
+    }
     if (reply && reply->__isset.delta) {
       OnDelta(reply->delta);
       return;
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "broker_side.h"
+#include "poppyway/forward.h"
 #include "poppyway/gateway.h"
 #include "poppyway/settings.h"
 #include "poppyway/state.h"
@@ -27,6 +28,9 @@
                BrokerSide& brokers,
                std::function<void(ControlMessage)> to_gateway);
 
+  /// Hosted: news goes to the forwarder instead of the gateway.
+  void SetForwarder(ForwarderPort port) { m_forwarder = std::move(port); }
+  void AddSeeds(const std::vector<MemberSettings>& seeds);
   void Tick(Instant now);
   void Take(GatewayMessage message);
   /// Stops acting as broker, tells the leader, drains the gateway.
@@ -59,6 +63,13 @@
   void TakeLeases(int live, Instant sent);
   void Poll();
   void OnDelta(const wire::ConfigDelta& delta);
+  /// Hosted: takes the members, what the leader confirms, and the load of the other instances.
+  void OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent);
+  void OnHostedDelta(const wire::ConfigDelta& delta);
+  /// Tells the forwarder until when its document may be acted on.
+  void PublishConfirmation();
+  /// Index of the contact at this place, added if it is new.
+  [[nodiscard]] std::size_t ContactAt(const Endpoint& place);
   void FlushCommands();
   void OnProposed(std::vector<QueuedCommand> sent, const Result<wire::Body>& reply);
   void GiveUp(const QueuedCommand& command);
@@ -73,10 +84,20 @@
   std::string m_incarnation;
   BrokerSide& m_brokers;
   std::function<void(ControlMessage)> m_to_gateway;
+  ForwarderPort m_forwarder;
   std::vector<std::unique_ptr<PeerClient>> m_members;
+  std::vector<Endpoint> m_places;  ///< Of `m_members`.
   std::size_t m_leader = 0;       ///< Index of the member believed to lead.
   std::size_t m_poll_member = 0;  ///< Index of the member that is polled.
   bool m_polling = false;
+  std::uint64_t m_poll_number = 0;  ///< Replies to earlier polls are ignored.
+  Instant m_poll_sent{};
+  std::int64_t m_document_version = 0;
+  std::int64_t m_servers_index = 0;
+  std::int64_t m_leader_document = 0;  ///< As the leader last said.
+  std::int64_t m_leader_servers = 0;
+  Instant m_leader_asked{};      ///< When the heartbeat that it answered was sent.
+  Instant m_published_until{};
   Instant m_poll_after{};
   Instant m_beat_due{};
   int m_beats_out = 0;
--- a/apps/poppywayd/main.cc
+++ b/apps/poppywayd/main.cc
@@ -6,12 +6,13 @@
 #include <cstdlib>
 #include <future>
 #include <iostream>
-#include <random>
 #include <thread>
 
 #include <boost/program_options.hpp>
 
 #include "control_task.h"
+#include "hosted.h"
+#include "incarnation.h"
 #include "poppyway/gateway.h"
 
 namespace poppyway {
@@ -27,16 +28,6 @@
     g_control->RequestStop();
 }
 
-/// Unique for each run of each instance.
-std::string MakeIncarnation(const std::string& instance) {
-  std::random_device device;
-  const std::uint64_t random = (std::uint64_t{device()} << 32) | device();
-  char text[17];
-  std::snprintf(text, sizeof(text), "%012llx",
-                static_cast<unsigned long long>(random & 0xffffffffffffULL));
-  return instance + "-" + text;
-}
-
 /// The gateway task: its loop and everything on it are made, used and destroyed on its own thread,
 /// since the HTTP library keeps buffers by thread.
 class GatewayThread {
@@ -79,7 +70,7 @@
 
 int Run(const DaemonSettings& settings) {
   const std::string incarnation = MakeIncarnation(settings.m_instance);
-  StartLogging(settings.m_log_file, settings.m_instance);
+  StartLogging({.m_file = settings.m_log_file, .m_instance = settings.m_instance});
   TaskLoop control_loop;
   std::unique_ptr<GatewayThread> gateway;
   ControlTask control(control_loop, settings, incarnation,
@@ -111,7 +102,7 @@
   namespace po = boost::program_options;
   po::options_description options("poppywayd: the daemon of poppyway");
   options.add_options()("settings,s", po::value<std::string>(), "settings file (YAML)")(
-      "check", "check the settings and exit")("version", "print the version")("help,h",
+      "check", "check the settings and exit")("hosted", "run on a hosting platform, by its settings")("version", "print the version")("help,h",
                                                                               "print this");
   po::variables_map given;
   try {
@@ -126,6 +117,8 @@
       std::cout << options;
     return EXIT_SUCCESS;
   }
+  if (given.contains("hosted"))
+    return RunHosted();
   if (!given.contains("settings")) {
     std::cerr << "poppywayd: --settings is required; see --help\n";
     return kUsageExit;
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -15,6 +15,16 @@
 constexpr Duration kProposalLimit{3'000'000};
 constexpr Duration kMaxPollWait{30'000'000};
 constexpr int kDiskFailedExit = 74;
+constexpr Duration kLeaderMissed{1'000'000};  // Some election timeouts: then other ways are tried.
+constexpr Duration kAskLeaderLimit{900'000};  // Callers of this interface give up after a second.
+
+/// "name" of a voter, "(name)" of a member without a vote.
+std::string DescribeMembers(const wire::Membership& membership) {
+  std::string text;
+  for (const wire::MemberInfo& member : membership.members)
+    text += (text.empty() ? "" : ",") + (member.voter ? member.name : "(" + member.name + ")");
+  return text;
+}
 
 MemberId RandomId() {
   std::random_device device;
@@ -28,7 +38,7 @@
     : m_loop(loop), m_settings(settings), m_flusher(loop, [this](int) { Flush(); }) {
   for (const MemberSettings& member : settings.m_members) {
     m_formation.m_names.push_back(member.m_name);
-    if (member.m_name != settings.m_instance)
+    if (member.m_name != MemberName())
       m_peers[member.m_name] =
           std::make_unique<PeerClient>(loop, member.m_peer.m_address, member.m_peer.m_port);
   }
@@ -43,7 +53,7 @@
   if (!store)
     return tl::unexpected<Error>(store.error());
   m_store = std::move(*store);
-  m_node.m_name = m_settings.m_instance;
+  m_node.m_name = MemberName();
   m_node.m_cluster = m_settings.m_cluster;
   m_node.m_random.seed(static_cast<std::uint64_t>(stored.m_id) ^
                        static_cast<std::uint64_t>(ReadClock().time_since_epoch().count()));
@@ -64,7 +74,7 @@
 wire::MemberInfo MemberSide::Self() const {
   wire::MemberInfo self;
   self.id = m_node.m_id;
-  self.name = m_settings.m_instance;
+  self.name = MemberName();
   self.address = m_settings.m_peer.m_address;
   self.port = m_settings.m_peer.m_port;
   self.voter = false;
@@ -117,16 +127,41 @@
     name = member->name;
   else if (learned != m_names.end())
     name = learned->second;
-  const auto peer = m_peers.find(name);
-  if (peer == m_peers.end())
+  PeerClient* peer = PeerNamed(name);
+  if (peer == nullptr)
     return;
   wire::Body body;
   body.__set_log(message);
-  peer->second->Tell(std::move(body));
+  peer->Tell(std::move(body));
+}
+
+void MemberSide::AddSeeds(const std::vector<MemberSettings>& seeds) {
+  for (const MemberSettings& seed : seeds)
+    (void)PeerNamed(seed.m_name);
+}
+
+std::string MemberSide::MemberName() const {
+  return m_settings.m_hosted ? ToText(m_settings.m_peer) : m_settings.m_instance;
+}
+
+PeerClient* MemberSide::PeerNamed(const std::string& name) {
+  const auto known = m_peers.find(name);
+  if (known != m_peers.end())
+    return known->second.get();
+  if (!m_settings.m_hosted || name == MemberName())
+    return nullptr;
+  // A hosted member is named by where it listens.
+  const Result<Endpoint> place = ParseEndpoint(name);
+  if (!place)
+    return nullptr;
+  auto client = std::make_unique<PeerClient>(m_loop, place->m_address, place->m_port);
+  return m_peers.emplace(name, std::move(client)).first->second.get();
 }
 
 void MemberSide::Apply(const std::vector<wire::LogEntry>& entries) {
   const std::int64_t version_before = m_machine.m_configuration.m_version;
+  const std::int64_t document_before = m_machine.m_hosted.m_document.version;
+  const std::int64_t servers_before = m_machine.m_hosted.m_servers_index;
   for (const wire::LogEntry& entry : entries) {
     if (entry.index <= m_machine.m_applied)
       continue;
@@ -149,10 +184,17 @@
     proposal.m_reply(std::move(body));
     proposal.m_reply = nullptr;
   }
-  if (m_machine.m_configuration.m_version == version_before)
+  const bool declared = m_machine.m_configuration.m_version != version_before;
+  const bool document = m_machine.m_hosted.m_document.version != document_before;
+  if (!declared && !document && m_machine.m_hosted.m_servers_index == servers_before)
     return;
-  POPPYWAY_LOG(info, "configuration_accepted")
-      .Field("version", m_machine.m_configuration.m_version);
+  if (declared)
+    POPPYWAY_LOG(info, "configuration_accepted")
+        .Field("version", m_machine.m_configuration.m_version);
+  if (document)
+    POPPYWAY_LOG(info, "document_accepted")
+        .Field("version", m_machine.m_hosted.m_document.version)
+        .Field("log_index", m_machine.m_applied);
   AnswerPolls(ReadClock());
 }
 
@@ -186,7 +228,7 @@
   Take(TickLog(m_node, now));
   if (leads() && !led)
     POPPYWAY_LOG(info, "leading").Field("term", m_node.m_hard.term);
-  if (Blank() && now >= m_hello_due)
+  if ((Blank() || LacksLeader(now)) && now >= m_hello_due)
     SayHello(now);
   if (leads()) {
     if (m_table.m_leading_since == Instant{})
@@ -214,16 +256,21 @@
 
 void MemberSide::SayHello(Instant now) {
   m_hello_due = now + kHelloInterval;
+  const bool blank = Blank();
   for (auto& [name, peer] : m_peers) {
     wire::Hello hello;
     hello.cluster = m_settings.m_cluster;
     hello.member = Self();
-    hello.blank = true;
+    hello.blank = blank;
     wire::Body body;
     body.__set_hello(hello);
     peer->Call(std::move(body), kHelloInterval, [this](Result<wire::Body> reply) {
       if (!reply || !reply->__isset.hello_reply)
         return;
+      for (const wire::MemberInfo& member : reply->hello_reply.members) {
+        if (PeerNamed(member.name) != nullptr)
+          m_names[member.id] = member.name;
+      }
       NoteHello(m_formation, reply->hello_reply.member, reply->hello_reply.blank);
     });
   }
@@ -231,8 +278,10 @@
 }
 
 void MemberSide::TryForm(Instant now) {
+  if (!m_settings.m_may_form || !Blank())
+    return;
   const std::optional<wire::Membership> membership = MayForm(m_formation);
-  if (!membership || !Blank())
+  if (!membership)
     return;
   POPPYWAY_LOG(info, "cluster_formed").Field("members", membership->members.size());
   Take(FormLog(m_node, *membership, now));
@@ -244,14 +293,16 @@
     return;
   }
   m_names[hello.member.id] = hello.member.name;
+  const bool stranger = FindMember(m_node.m_membership, hello.member.id) == nullptr;
   if (Blank())
     NoteHello(m_formation, hello.member, hello.blank);
-  else if (hello.blank)
-    m_blank_members[hello.member.name] = hello.member;
+  else if (leads() && (hello.blank || (m_settings.m_hosted && stranger)))
+    m_joining[hello.member.name] = hello.member;
   wire::HelloReply answer;
   answer.member = Self();
   answer.blank = Blank();
   answer.leader_id = m_node.m_leader;
+  answer.members = m_node.m_membership.members;
   wire::Body body;
   body.__set_hello_reply(answer);
   reply(std::move(body));
@@ -262,14 +313,16 @@
   if (m_machine.m_applied < m_proposing_until)
     return;
   LogEffects effects;
-  std::vector<wire::MemberInfo> blank;
-  for (const auto& [name, member] : m_blank_members)
-    blank.push_back(member);
-  if (const std::optional<wire::Membership> membership = DueMembership(m_node, blank)) {
+  std::vector<wire::MemberInfo> joining;
+  for (const auto& [name, member] : m_joining)
+    joining.push_back(member);
+  if (const std::optional<wire::Membership> membership = DueMembership(m_node, joining, now)) {
     const Result<std::int64_t> index = ProposeMembership(m_node, *membership, effects, now);
     if (index)
-      POPPYWAY_LOG(info, "membership_proposed").Field("index", *index);
-    m_blank_members.clear();
+      POPPYWAY_LOG(info, "membership_proposed")
+          .Field("index", *index)
+          .Field("members", DescribeMembers(*membership));
+    m_joining.clear();
   }
   std::set<std::string> owners;
   for (const auto& [owner, keys] : m_machine.m_ledger.m_running_by_owner)
@@ -338,7 +391,7 @@
 
 void MemberSide::OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply) {
   const Instant now = ReadClock();
-  if (!LeadsWithQuorum(m_node, now) || m_table.m_leading_since == Instant{}) {
+  if (!ConfirmedLeader(m_node, now) || m_table.m_leading_since == Instant{}) {
     reply(NotLeader());
     return;
   }
@@ -354,6 +407,12 @@
   answer.version = m_machine.m_configuration.m_version;
   answer.leader_term = m_node.m_hard.term;
   answer.live = static_cast<std::int32_t>(m_table.m_live.size());
+  if (m_settings.m_hosted) {
+    answer.members = m_node.m_membership.members;
+    answer.document_version = m_machine.m_hosted.m_document.version;
+    answer.servers_index = m_machine.m_hosted.m_servers_index;
+    AddFleetLoad(m_table, beat.incarnation, answer);
+  }
   wire::Body body;
   body.__set_heartbeat_reply(answer);
   reply(std::move(body));
@@ -371,11 +430,16 @@
   std::vector<ParkedPoll> parked;
   parked.swap(m_polls);
   for (ParkedPoll& poll : parked) {
-    const bool newer = m_machine.m_configuration.m_version > poll.m_poll.have_version;
-    if (!newer && now < poll.m_expires) {
+    if (!HasNews(poll.m_poll) && now < poll.m_expires) {
       m_polls.push_back(std::move(poll));
       continue;
     }
+    if (poll.m_poll.hosted) {
+      wire::Body body;
+      body.__set_delta(NewsFor(poll.m_poll));
+      poll.m_reply(std::move(body));
+      continue;
+    }
     const auto [entry, added] = by_version.try_emplace(poll.m_poll.have_version);
     if (added)
       entry->second.__set_delta(DeltaSince(m_machine.m_configuration, poll.m_poll.have_version));
@@ -383,8 +447,116 @@
   }
 }
 
+bool MemberSide::HasNews(const wire::ConfigPoll& poll) const {
+  if (!poll.hosted)
+    return m_machine.m_configuration.m_version > poll.have_version;
+  const HostedState& hosted = m_machine.m_hosted;
+  return hosted.m_document.version > poll.have_document ||
+         hosted.m_servers_index > poll.have_servers;
+}
+
+wire::ConfigDelta MemberSide::NewsFor(const wire::ConfigPoll& poll) const {
+  const HostedState& hosted = m_machine.m_hosted;
+  wire::ConfigDelta delta;
+  if (hosted.m_document.version > poll.have_document)
+    delta.__set_document(hosted.m_document);
+  delta.servers = ServersSince(hosted, poll.have_servers);
+  delta.servers_index = hosted.m_servers_index;
+  return delta;
+}
+
+bool MemberSide::LacksLeader(Instant now) const {
+  return m_settings.m_hosted && !leads() && now - m_node.m_leader_heard > kLeaderMissed;
+}
+
+void MemberSide::AskLeader(wire::Body body, const ReplyFn& reply) {
+  const auto name = m_names.find(m_node.m_leader);
+  const wire::MemberInfo* leader = FindMember(m_node.m_membership, m_node.m_leader);
+  PeerClient* peer = nullptr;
+  if (leader != nullptr)
+    peer = PeerNamed(leader->name);
+  else if (name != m_names.end())
+    peer = PeerNamed(name->second);
+  if (peer == nullptr) {
+    reply(ErrorBody(ResultCode::kNoMajority, "no leader is known"));
+    return;
+  }
+  peer->Call(std::move(body), kAskLeaderLimit, [reply](Result<wire::Body> answer) {
+    reply(answer ? *answer : ErrorBody(answer.error().m_code, answer.error().m_message));
+  });
+}
+
+void MemberSide::Commit(wire::Command command, const ReplyFn& reply) {
+  wire::Propose propose;
+  propose.commands.push_back(std::move(command));
+  OnPropose(propose, [reply](wire::Body answer) {
+    if (answer.__isset.error) {
+      reply(std::move(answer));
+      return;
+    }
+    wire::Body done;
+    done.__set_done(true);
+    reply(std::move(done));
+  });
+}
+
+void MemberSide::SubmitDocument(const wire::Document& document, const ReplyFn& reply) {
+  if (!leads()) {
+    wire::Body body;
+    body.__set_document(document);
+    AskLeader(std::move(body), reply);
+    return;
+  }
+  // Also an older version goes through the log: its acknowledgement must come from a leader that
+  // still is one, and the newest one must be safe by then.
+  wire::Command command;
+  if (document.version > m_machine.m_hosted.m_document.version)
+    command.__set_document(document);
+  else
+    command.__set_noop(true);
+  Commit(std::move(command), reply);
+}
+
+void MemberSide::ReadDocument(const ReplyFn& reply) {
+  if (!leads()) {
+    wire::Body body;
+    body.__set_document_request(true);
+    AskLeader(std::move(body), reply);
+    return;
+  }
+  if (!ConfirmedLeader(m_node, ReadClock())) {
+    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+    return;
+  }
+  wire::Body body;
+  body.__set_document(m_machine.m_hosted.m_document);
+  reply(std::move(body));
+}
+
+void MemberSide::SubmitServer(const wire::ServerRecord& record, const ReplyFn& reply) {
+  if (!leads()) {
+    wire::Body body;
+    body.__set_server_seen(record);
+    AskLeader(std::move(body), reply);
+    return;
+  }
+  if (ChangesServer(m_machine.m_hosted, record)) {
+    wire::Command command;
+    command.__set_server(record);
+    Commit(std::move(command), reply);
+    return;
+  }
+  if (!ConfirmedLeader(m_node, ReadClock())) {
+    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+    return;
+  }
+  wire::Body done;
+  done.__set_done(true);
+  reply(std::move(done));
+}
+
 void MemberSide::OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply) {
-  if (!LeadsWithQuorum(m_node, ReadClock())) {
+  if (!ConfirmedLeader(m_node, ReadClock())) {
     reply(NotLeader());
     return;
   }
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -26,6 +26,8 @@
 
   /// Opens the data folder and replays it.
   [[nodiscard]] Result<void> Open();
+  /// Hosted: other members to ask for a way in.
+  void AddSeeds(const std::vector<MemberSettings>& seeds);
   void Tick(Instant now);
 
   void OnLogMessage(const wire::LogMessage& message);
@@ -38,6 +40,14 @@
   void OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply);
   [[nodiscard]] wire::StatusReply Status() const;
 
+  /// Hosted deployments: replies `done` once the document is committed, here or at the leader, or
+  /// an error after which the caller may send it again anywhere.
+  void SubmitDocument(const wire::Document& document, const ReplyFn& reply);
+  /// Replies with the newest accepted document, or an error if that can't be made sure of.
+  void ReadDocument(const ReplyFn& reply);
+  /// A backend server's own call. Replies `done` once every instance in contact will learn of it.
+  void SubmitServer(const wire::ServerRecord& record, const ReplyFn& reply);
+
   [[nodiscard]] bool leads() const noexcept { return m_node.m_role == Role::kLeader; }
   /// The error for a caller that should ask the leader.
   [[nodiscard]] wire::Body NotLeader() const;
@@ -71,6 +81,16 @@
   void ProposeDue(Instant now);
   void MaybeCompact();
   void SendTo(const wire::LogMessage& message);
+  /// The connection to a member; null if its name is no known place.
+  [[nodiscard]] PeerClient* PeerNamed(const std::string& name);
+  /// Sends to the leader, or replies that there is none in reach.
+  void AskLeader(wire::Body body, const ReplyFn& reply);
+  /// Proposes commands of this leader and replies `done` once they are applied.
+  void Commit(wire::Command command, const ReplyFn& reply);
+  [[nodiscard]] std::string MemberName() const;
+  [[nodiscard]] bool LacksLeader(Instant now) const;
+  [[nodiscard]] bool HasNews(const wire::ConfigPoll& poll) const;
+  [[nodiscard]] wire::ConfigDelta NewsFor(const wire::ConfigPoll& poll) const;
   [[nodiscard]] wire::MemberInfo Self() const;
   [[nodiscard]] bool Blank() const { return m_node.m_membership.members.empty(); }
   void FatalDisk(const Error& why);
@@ -84,7 +104,7 @@
   std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
   std::map<MemberId, std::string> m_names;                     ///< Learned from messages.
   Formation m_formation;
-  std::map<std::string, wire::MemberInfo> m_blank_members;
+  std::map<std::string, wire::MemberInfo> m_joining;  ///< Members that asked to join, by name.
   LogEffects m_effects;
   bool m_flush_due = false;
   Mailbox<int> m_flusher;
--- a/packages/core/include/poppyway/core/impl/result_code.h
+++ b/packages/core/include/poppyway/core/impl/result_code.h
@@ -27,6 +27,8 @@
   kKeyReused = 1005,
   kKeyTooOld = 1006,
   kUnknownModel = 1007,
+  kNoRoute = 1008,
+  kUnknownKey = 1009,
   // 2xxx: refused for the state of the system; it did not run.
   kOverload = 2000,
   kDeadlineUnreachable = 2001,
@@ -37,6 +39,8 @@
   kQueueFull = 2006,
   kCallerGone = 2007,
   kRetryBudgetSpent = 2008,
+  kQuotaSpent = 2009,
+  kNotConfirmed = 2010,
   // 3xxx: the request may have run.
   kOutcomeUnknown = 3000,
   kInProgress = 3001,
--- /dev/null
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "poppyway/forward/impl/dialect.h"
+#include "poppyway/forward/impl/fleet_messages.h"
+#include "poppyway/forward/impl/forwarding.h"
+#include "poppyway/http.h"
+#include "poppyway/policy.h"
+#include "poppyway/telemetry.h"
+
+namespace poppyway {
+
+/// \brief Settings of a forwarder.
+struct ForwarderSettings {
+  std::string m_instance;
+  std::string m_data_centre;
+  Endpoint m_callers;      ///< Where callers connect.
+  Endpoint m_readiness;    ///< Where the balancer asks.
+  Endpoint m_metrics;      ///< Port 0: none.
+  Duration m_stop_limit{8'000'000};   ///< A planned stop is over after this, whatever still runs.
+  RetryLimit m_retry_limit;           ///< Second dispatches, over all instances.
+  Duration m_retry_window{10'000'000};
+};
+
+/// \brief Requests of one pool that wait, highest tier first, then oldest.
+using WaitingQueue = std::map<std::pair<Tier, ForwardingRef>, ForwardingRef>;
+
+/// \brief What is known of one pool here.
+struct PoolState {
+  std::vector<std::string> m_servers;  ///< Ids, in order.
+  WaitingQueue m_waiting;
+  RetryBudget m_retries{0};
+};
+
+/// \brief All state of the forwarder task. Plain data; the functions of src/ act on it.
+struct ForwarderState {
+  ForwarderSettings m_settings;
+  Dialect m_dialect;
+  std::shared_ptr<const RouteTable> m_table;
+  Instant m_confirmed_until{};
+  int m_instances = 1;
+  bool m_stopping = false;
+  Instant m_stop_begun{};
+  bool m_ready_told = false;
+  std::map<std::string, Backend> m_backends;
+  std::map<std::string, PoolState> m_pools;
+  std::map<std::string, QuotaShare> m_quotas;  ///< By workspace.
+  std::map<std::string, double> m_others_wanted;
+  std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
+  std::vector<std::unique_ptr<BackendCall>> m_retired;  ///< Destroyed outside their events.
+  std::vector<ForwardingRef> m_over;                    ///< Forgotten outside all events.
+  ForwardingRef m_next_ref = 1;
+  std::unique_ptr<BackendPool> m_connections;
+  MetricSet m_metrics;
+  std::mt19937_64 m_random;
+  Instant m_callers_polled{};
+};
+
+/// \brief The forwarder task. Belongs to its loop's thread.
+class Forwarder {
+ public:
+  Forwarder(TaskLoop& loop, const ForwarderSettings& settings, Dialect dialect);
+  ~Forwarder();
+
+  /// Listens for callers, the balancer and readers of metrics.
+  [[nodiscard]] Result<void> Listen();
+  /// Takes one message of the control task.
+  void Take(FleetMessage message);
+  /// What to tell the leader of this instance.
+  [[nodiscard]] LoadReport Report();
+  /// A planned stop begins: not ready at once, answers are finished.
+  void BeginStop();
+  /// True once nothing is left to finish, or the limit is reached.
+  [[nodiscard]] bool Stopped() const;
+  [[nodiscard]] ForwarderState& state() noexcept { return m_state; }
+
+ private:
+  void OnRequest(h2o_req_t* req);
+  void OnReadiness(h2o_req_t* req);
+  void OnMetrics(h2o_req_t* req);
+  bool Tick();
+
+  TaskLoop& m_loop;
+  ForwarderState m_state;
+  std::unique_ptr<HttpServer> m_callers;
+  std::unique_ptr<HttpServer> m_readiness;
+  std::unique_ptr<HttpServer> m_metrics;
+  std::unique_ptr<RepeatingTimer> m_tick;
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "poppyway/forward/impl/backend_call.h"
+#include "poppyway/forward/impl/dialect.h"
+#include "poppyway/forward/impl/event_stream.h"
+#include "poppyway/http.h"
+
+namespace poppyway {
+
+/// \brief Names a request within one forwarder.
+using ForwardingRef = std::uint64_t;
+
+/// \brief Where a request stands; it moves back only from `kCalling` to `kWaiting`, for another try.
+enum class ForwardingStage : std::uint8_t {
+  kNew,
+  kWaiting,   ///< In the queue of its pool; no server works on it.
+  kCalling,   ///< A call to a server is under way; the caller has had nothing yet.
+  kRelaying,  ///< The answer's head went to the caller.
+  kDone,
+};
+
+/// \brief A backend server as this instance knows it.
+struct Backend {
+  wire::ServerRecord m_record;
+  Endpoint m_place;
+  bool m_leaving = false;   ///< It said so, or is gone: no new work.
+  bool m_replaced = false;  ///< Another server answered at its place.
+  int m_in_flight = 0;      ///< Of this instance.
+  std::int64_t m_reading_tokens = 0;
+  int m_others_in_flight = 0;
+  std::int64_t m_others_reading = 0;
+  ServerPace m_pace;
+  ServerHealth m_health;
+  Instant m_last_heard{};   ///< Any byte from it.
+  /// Prompt parts that were sent there last, with when. Bounded by `kMostParts`.
+  std::unordered_map<std::uint64_t, Instant> m_parts;
+};
+
+/// \brief One request from its arrival to its end.
+struct Forwarding {
+  ForwardingRef m_ref = 0;
+  ForwardingStage m_stage = ForwardingStage::kNew;
+  CallerSide m_caller;
+
+  // What the caller sent.
+  std::string m_method;
+  std::string m_target;
+  std::string m_host;
+  std::string m_body;
+  CallerRequest m_request;
+
+  // What was decided.
+  std::shared_ptr<const RouteTable> m_table;
+  const Route* m_route = nullptr;
+  const Workspace* m_workspace = nullptr;
+  const Pool* m_pool = nullptr;
+  Tier m_tier = 0;
+  Instant m_arrived{};
+  Instant m_deadline{};      ///< The caller's patience or the route's timeout, whichever is first.
+  Instant m_wait_until{};    ///< In the queue; refused after this.
+  std::vector<std::string> m_tried;  ///< Servers that were sent a byte.
+  int m_reached = 0;         ///< How many calls sent a byte.
+  int m_unsure = 0;          ///< Of those, calls after which the request may have run.
+
+  // The call under way.
+  std::string m_server;      ///< Its id; empty: none.
+  std::unique_ptr<BackendCall> m_call;
+  ServerAnswer m_answer;
+  bool m_headed = false;     ///< Its head has come.
+  std::string m_buffered;    ///< Its body, while the caller has had nothing.
+  EventStream m_events;
+  Instant m_dispatched{};
+  Instant m_first_event{};   ///< Of the call.
+  Instant m_last_event{};
+  std::int64_t m_call_events = 0;
+  std::int64_t m_read_tokens = 0;  ///< Prompt tokens counted at the server until its first event.
+
+  // What the caller has got.
+  Instant m_first_sent{};
+  int m_status = 0;
+};
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/forward/src/backend_call.cc
@@ -0,0 +1,407 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "poppyway/forward.h"
+
+namespace poppyway {
+namespace {
+
+constexpr std::uint64_t kConnectMillis = 300;  // Servers are at most some ms away; a lost SYN costs 1 s.
+constexpr std::uint64_t kExpiryMillis = 250;
+constexpr Duration kSilence{1'500'000};      // Unacknowledged bytes: the server's machine is out of reach.
+constexpr Duration kDefaultRest{3'000'000};  // Where a server doesn't say how long it keeps one.
+constexpr Duration kRestMargin{400'000};     // A request must not cross the server's own close.
+constexpr std::size_t kMostResting = 64;     // For one server.
+constexpr Duration kCarefulRest{1'000'000};  // For what must not be lost, a connection of late use only.
+constexpr unsigned kContinue = 200;          // Below: interim answers, to be passed over.
+
+/// True if the peer has closed or sent something: then the connection can't be used.
+bool IsStale(h2o_socket_t* socket) {
+  char byte = 0;
+  const ssize_t got = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace
+
+std::string_view CallFaultName(CallFault fault) noexcept {
+  switch (fault) {
+    case CallFault::kNotConnected:
+      return "not_connected";
+    case CallFault::kWithdrawn:
+      return "withdrawn";
+    case CallFault::kSilentClose:
+      return "closed_early";
+    case CallFault::kReset:
+      return "reset";
+    case CallFault::kNoAnswer:
+      return "not_http";
+  }
+  return "unknown";
+}
+
+struct BackendPool::Resting {
+  BackendPool* m_pool = nullptr;
+  Endpoint m_place;
+  h2o_socket_t* m_socket = nullptr;
+  Instant m_since{};
+  Instant m_until{};
+};
+
+BackendPool::BackendPool(TaskLoop& loop)
+    : m_loop(loop), m_connect_limit{}, m_at_once{}, m_expiry(loop, kExpiryMillis, [this] { Expire(); }) {
+  h2o_timeout_init(loop.loop(), &m_connect_limit, kConnectMillis);
+  h2o_timeout_init(loop.loop(), &m_at_once, 0);
+}
+
+BackendPool::~BackendPool() {
+  for (auto& [place, resting] : m_resting) {
+    for (const std::unique_ptr<Resting>& one : resting)
+      h2o_socket_close(one->m_socket);
+  }
+  h2o_timeout_dispose(m_loop.loop(), &m_connect_limit);
+  h2o_timeout_dispose(m_loop.loop(), &m_at_once);
+}
+
+h2o_socket_t* BackendPool::Take(const Endpoint& place, bool careful) {
+  const auto found = m_resting.find(place);
+  if (found == m_resting.end())
+    return nullptr;
+  const Instant now = ReadClock();
+  while (!found->second.empty()) {
+    std::unique_ptr<Resting> resting = std::move(found->second.back());
+    found->second.pop_back();
+    const bool old = now >= resting->m_until || (careful && now - resting->m_since > kCarefulRest);
+    if (old || IsStale(resting->m_socket)) {
+      h2o_socket_close(resting->m_socket);
+      continue;
+    }
+    h2o_socket_read_stop(resting->m_socket);
+    return resting->m_socket;
+  }
+  return nullptr;
+}
+
+void BackendPool::Rest(const Endpoint& place, h2o_socket_t* socket, Duration limit) {
+  std::vector<std::unique_ptr<Resting>>& resting = m_resting[place];
+  if (resting.size() >= kMostResting || limit <= Duration(0)) {
+    h2o_socket_close(socket);
+    return;
+  }
+  auto one = std::make_unique<Resting>();
+  one->m_pool = this;
+  one->m_place = place;
+  one->m_socket = socket;
+  one->m_since = ReadClock();
+  one->m_until = one->m_since + limit;
+  socket->data = one.get();
+  h2o_socket_read_start(socket, &BackendPool::OnResting);
+  resting.push_back(std::move(one));
+}
+
+/// A resting connection has nothing to say: bytes or a close end it.
+void BackendPool::OnResting(h2o_socket_t* socket, const char* /*fault*/) {
+  auto* resting = static_cast<Resting*>(socket->data);
+  resting->m_pool->Close(resting);
+}
+
+void BackendPool::Close(Resting* resting) {
+  std::vector<std::unique_ptr<Resting>>& all = m_resting[resting->m_place];
+  h2o_socket_close(resting->m_socket);
+  std::erase_if(all, [resting](const auto& one) { return one.get() == resting; });
+}
+
+void BackendPool::Forget(const Endpoint& place) {
+  const auto found = m_resting.find(place);
+  if (found == m_resting.end())
+    return;
+  for (const std::unique_ptr<Resting>& one : found->second)
+    h2o_socket_close(one->m_socket);
+  m_resting.erase(found);
+}
+
+void BackendPool::Expire() {
+  const Instant now = ReadClock();
+  for (auto& [place, resting] : m_resting) {
+    std::erase_if(resting, [now](const std::unique_ptr<Resting>& one) {
+      if (now < one->m_until)
+        return false;
+      h2o_socket_close(one->m_socket);
+      return true;
+    });
+  }
+}
+
+BackendCall::BackendCall(BackendPool& pool,
+                         const Endpoint& place,
+                         std::string request,
+                         bool head_only,
+                         bool careful,
+                         CallEvents events)
+    : m_pool(pool),
+      m_place(place),
+      m_request(std::move(request)),
+      m_head_only(head_only),
+      m_events(std::move(events)),
+      m_keep_alive(kDefaultRest) {
+  http_parser_init(&m_parser, HTTP_RESPONSE);
+  m_parser.data = this;
+  m_timer.m_base.cb = &BackendCall::OnTimer;
+  m_timer.m_owner = this;
+  m_socket = pool.Take(place, careful);
+  if (m_socket == nullptr) {
+    Connect();
+    return;
+  }
+  m_reused = true;
+  m_socket->data = this;
+  if (m_events.m_may_send())
+    Send();
+  else
+    FailLater(CallFault::kWithdrawn, pool.m_at_once);
+}
+
+BackendCall::~BackendCall() {
+  CloseSocket();
+}
+
+void BackendCall::CloseSocket() {
+  if (h2o_timeout_is_linked(&m_timer.m_base))
+    h2o_timeout_unlink(&m_timer.m_base);
+  if (m_socket == nullptr)
+    return;
+  h2o_socket_t* socket = m_socket;
+  m_socket = nullptr;
+  h2o_socket_close(socket);
+}
+
+void BackendCall::Cancel() {
+  m_silent = true;
+  m_cancelled = true;
+  if (!m_parsing)
+    CloseSocket();
+}
+
+void BackendCall::Connect() {
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(m_place.m_port);
+  inet_pton(AF_INET, m_place.m_address.c_str(), &where.sin_addr);
+  ++m_pool.m_opened;
+  m_socket = h2o_socket_connect(m_pool.m_loop.loop(), reinterpret_cast<sockaddr*>(&where),
+                                sizeof(where), &BackendCall::OnConnected);
+  if (m_socket != nullptr)
+    m_socket->data = this;
+  FailLater(CallFault::kNotConnected, m_socket == nullptr ? m_pool.m_at_once : m_pool.m_connect_limit);
+}
+
+void BackendCall::FailLater(CallFault fault, h2o_timeout_t& when) {
+  m_timer_fault = fault;
+  h2o_timeout_link(m_pool.m_loop.loop(), &when, &m_timer.m_base);
+}
+
+void BackendCall::OnTimer(h2o_timeout_entry_t* entry) {
+  BackendCall* self = reinterpret_cast<Timer*>(entry)->m_owner;
+  self->Fail(self->m_timer_fault);
+}
+
+void BackendCall::OnConnected(h2o_socket_t* socket, const char* fault) {
+  auto* self = static_cast<BackendCall*>(socket->data);
+  h2o_timeout_unlink(&self->m_timer.m_base);
+  if (fault != nullptr) {
+    self->Fail(CallFault::kNotConnected);
+    return;
+  }
+  LimitSilence(h2o_socket_get_fd(socket), kSilence);
+  if (!self->m_silent && self->m_events.m_may_send())
+    self->Send();
+  else
+    self->Fail(CallFault::kWithdrawn);
+}
+
+void BackendCall::Send() {
+  h2o_iovec_t bytes = h2o_iovec_init(m_request.data(), m_request.size());
+  h2o_socket_write(m_socket, &bytes, 1, &BackendCall::OnWritten);
+  h2o_socket_read_start(m_socket, &BackendCall::OnReadable);
+}
+
+void BackendCall::OnWritten(h2o_socket_t* socket, const char* fault) {
+  auto* self = static_cast<BackendCall*>(socket->data);
+  self->m_written = fault == nullptr;
+  // After a failed write the server may still have answered; reading tells.
+}
+
+void BackendCall::OnReadable(h2o_socket_t* socket, const char* fault) {
+  auto* self = static_cast<BackendCall*>(socket->data);
+  self->Parse();
+  const bool over = self->m_socket == nullptr || self->m_complete;
+  if (over) {
+    if (self->m_complete && self->m_socket != nullptr)
+      self->Finish();
+    return;
+  }
+  if (fault != nullptr)
+    self->OnPeerClosed(fault);
+}
+
+const http_parser_settings& BackendCall::Settings() {
+  static const http_parser_settings kSettings = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_message_begin = &BackendCall::OnStatusBegin;
+    settings.on_header_field = &BackendCall::OnFieldName;
+    settings.on_header_value = &BackendCall::OnFieldValue;
+    settings.on_headers_complete = &BackendCall::OnHeadComplete;
+    settings.on_body = &BackendCall::OnBody;
+    settings.on_message_complete = &BackendCall::OnMessageComplete;
+    return settings;
+  }();
+  return kSettings;
+}
+
+void BackendCall::Parse() {
+  while (m_socket != nullptr && !m_complete && m_socket->input->size > 0) {
+    h2o_buffer_t* input = m_socket->input;
+    m_parsing = true;
+    const std::size_t used = http_parser_execute(&m_parser, &Settings(), input->bytes, input->size);
+    m_parsing = false;
+    if (m_cancelled) {
+      CloseSocket();
+      return;
+    }
+    const http_errno fault = HTTP_PARSER_ERRNO(&m_parser);
+    h2o_buffer_consume(&m_socket->input, std::min(used, m_socket->input->size));
+    if (fault == HPE_OK)
+      continue;
+    if (fault == HPE_PAUSED) {
+      http_parser_pause(&m_parser, 0);
+      continue;  // Between two messages, or complete.
+    }
+    Fail(CallFault::kNoAnswer);
+    return;
+  }
+}
+
+void BackendCall::OnPeerClosed(const char* fault) {
+  const bool orderly = fault == h2o_socket_error_closed;
+  if (!orderly) {
+    Fail(CallFault::kReset);
+    return;
+  }
+  // The end of the connection ends an answer of unstated length, and only that: the parser knows.
+  m_surplus = true;
+  http_parser_execute(&m_parser, &Settings(), nullptr, 0);
+  if (m_complete) {
+    Finish();
+    return;
+  }
+  Fail(CallFault::kSilentClose);
+}
+
+int BackendCall::OnStatusBegin(http_parser* parser) {
+  auto* self = static_cast<BackendCall*>(parser->data);
+  self->m_fields.clear();
+  self->m_in_value = true;
+  self->m_head_done = false;
+  return 0;
+}
+
+int BackendCall::OnFieldName(http_parser* parser, const char* at, std::size_t length) {
+  auto* self = static_cast<BackendCall*>(parser->data);
+  if (self->m_in_value)
+    self->m_fields.emplace_back();
+  self->m_in_value = false;
+  std::string& name = self->m_fields.back().m_name;
+  for (std::size_t i = 0; i < length; ++i) {
+    const char c = at[i];
+    name += c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  }
+  return 0;
+}
+
+int BackendCall::OnFieldValue(http_parser* parser, const char* at, std::size_t length) {
+  auto* self = static_cast<BackendCall*>(parser->data);
+  self->m_in_value = true;
+  self->m_fields.back().m_value.append(at, length);
+  return 0;
+}
+
+int BackendCall::OnHeadComplete(http_parser* parser) {
+  constexpr int kNoBody = 1;
+  auto* self = static_cast<BackendCall*>(parser->data);
+  if (parser->status_code < kContinue)
+    return kNoBody;
+  self->m_head_done = true;
+  self->m_skipping = false;
+  if (self->m_silent)
+    return 0;
+  const HeadVerdict verdict =
+      self->m_events.m_on_head(static_cast<int>(parser->status_code), std::move(self->m_fields));
+  self->m_fields.clear();
+  self->m_skipping = verdict == HeadVerdict::kSkip;
+  self->m_surplus = self->m_surplus || self->m_skipping;
+  return self->m_head_only ? kNoBody : 0;
+}
+
+int BackendCall::OnBody(http_parser* parser, const char* at, std::size_t length) {
+  auto* self = static_cast<BackendCall*>(parser->data);
+  if (!self->m_silent && !self->m_skipping)
+    self->m_events.m_on_data(std::string_view(at, length));
+  return 0;
+}
+
+int BackendCall::OnMessageComplete(http_parser* parser) {
+  auto* self = static_cast<BackendCall*>(parser->data);
+  const bool interim = parser->status_code < kContinue;
+  if (!interim && !self->m_skipping)
+    self->m_complete = true;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+void BackendCall::Finish() {
+  h2o_socket_t* socket = m_socket;
+  m_socket = nullptr;
+  h2o_socket_read_stop(socket);
+  const bool keep = m_written && !m_surplus && !m_silent && http_should_keep_alive(&m_parser) != 0 &&
+                    socket->input->size == 0;
+  if (keep)
+    m_pool.Rest(m_place, socket, m_keep_alive - kRestMargin);
+  else
+    h2o_socket_close(socket);
+  if (m_silent)
+    return;
+  m_silent = true;
+  const auto on_whole = std::move(m_events.m_on_whole);
+  on_whole();
+}
+
+void BackendCall::Fail(CallFault fault) {
+  CloseSocket();
+  if (m_silent)
+    return;
+  m_silent = true;
+  const auto on_fault = std::move(m_events.m_on_fault);
+  on_fault(fault);
+}
+
+void BackendCall::Pause() {
+  if (m_socket == nullptr || m_paused)
+    return;
+  m_paused = true;
+  h2o_socket_read_stop(m_socket);
+}
+
+void BackendCall::Resume() {
+  if (m_socket == nullptr || !m_paused)
+    return;
+  m_paused = false;
+  h2o_socket_read_start(m_socket, &BackendCall::OnReadable);
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/forward/src/backends.cc
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+/// A record of a server that is gone is kept while requests still count on it.
+void DropUnused(ForwarderState& state) {
+  std::erase_if(state.m_backends, [&state](const auto& entry) {
+    const Backend& backend = entry.second;
+    const bool gone = backend.m_record.stage == wire::ServerStage::GONE;
+    if (!gone || backend.m_in_flight > 0)
+      return false;
+    state.m_connections->Forget(backend.m_place);
+    return true;
+  });
+}
+
+void IndexPools(ForwarderState& state) {
+  for (auto& [name, pool] : state.m_pools)
+    pool.m_servers.clear();
+  for (const auto& [id, backend] : state.m_backends) {
+    if (!backend.m_leaving)
+      state.m_pools[backend.m_record.pool].m_servers.push_back(id);
+  }
+}
+
+std::int64_t KeptTokens(const Backend& backend, const CallerRequest& request) {
+  std::int64_t kept = 0;
+  for (const PromptPart& part : request.m_parts) {
+    if (!backend.m_parts.contains(part.m_id))
+      break;  // A part is only of use with all those before it.
+    kept += part.m_tokens;
+  }
+  return kept;
+}
+
+bool Tried(const Forwarding& forwarding, const std::string& id) {
+  return std::find(forwarding.m_tried.begin(), forwarding.m_tried.end(), id) !=
+         forwarding.m_tried.end();
+}
+
+ServerView ViewOf(const ForwarderState& state,
+                  const Forwarding& forwarding,
+                  const Backend& backend,
+                  Instant now) {
+  ServerView view;
+  view.m_slots = std::max(1, backend.m_record.slots);
+  view.m_own = backend.m_in_flight;
+  view.m_others = backend.m_others_in_flight;
+  view.m_reading_tokens = backend.m_reading_tokens + backend.m_others_reading;
+  view.m_kept_tokens = KeptTokens(backend, forwarding.m_request);
+  view.m_pace = backend.m_pace;
+  view.m_usable = !backend.m_leaving && !backend.m_replaced &&
+                  !Avoided(backend.m_health, now) &&
+                  !Tried(forwarding, backend.m_record.id);
+  view.m_same_data_centre = backend.m_record.data_centre == state.m_settings.m_data_centre;
+  return view;
+}
+
+}  // namespace
+
+void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records) {
+  for (const wire::ServerRecord& record : records) {
+    const auto known = state.m_backends.find(record.id);
+    if (known == state.m_backends.end() && record.stage == wire::ServerStage::GONE)
+      continue;
+    Backend& backend = state.m_backends[record.id];
+    const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
+    backend.m_record = record;
+    backend.m_place = place;
+    backend.m_leaving = record.stage != wire::ServerStage::READY;
+    POPPYWAY_LOG(info, "server_changed")
+        .Field("server", record.id)
+        .Field("pool", record.pool)
+        .Field("place", ToText(place))
+        .Field("stage", static_cast<int>(record.stage))
+        .Field("log_index", record.index);
+  }
+  DropUnused(state);
+  IndexPools(state);
+  for (const auto& [name, pool] : state.m_pools)
+    ServeQueue(state, name);
+}
+
+void TakeFleetLoad(ForwarderState& state, const FleetLoad& load) {
+  state.m_instances = std::max(1, load.m_instances);
+  for (auto& [id, backend] : state.m_backends) {
+    backend.m_others_in_flight = 0;
+    backend.m_others_reading = 0;
+  }
+  for (const wire::ServerLoad& one : load.m_loads) {
+    Backend* backend = FindBackend(state, one.server);
+    if (backend == nullptr)
+      continue;
+    backend->m_others_in_flight = one.in_flight;
+    backend->m_others_reading = one.reading_tokens;
+  }
+  state.m_others_wanted.clear();
+  for (const wire::WorkspaceUse& use : load.m_uses)
+    state.m_others_wanted[use.workspace] = use.wanted_per_s;
+  for (auto& [workspace, share] : state.m_quotas)
+    share.m_share =
+        ShareOf(share.m_wanted_per_s, state.m_others_wanted[workspace], state.m_instances);
+  for (const auto& [name, pool] : state.m_pools) {
+    if (!pool.m_waiting.empty())
+      ServeQueue(state, name);
+  }
+}
+
+Backend* FindBackend(ForwarderState& state, const std::string& id) {
+  const auto found = state.m_backends.find(id);
+  return found == state.m_backends.end() ? nullptr : &found->second;
+}
+
+std::optional<std::string> ChooseBackend(ForwarderState& state, const Forwarding& forwarding) {
+  const std::vector<std::string>& ids = state.m_pools[forwarding.m_pool->m_name].m_servers;
+  if (ids.empty())
+    return std::nullopt;
+  const Instant now = ReadClock();
+  std::vector<ServerView> views;
+  views.reserve(ids.size());
+  for (const std::string& id : ids)
+    views.push_back(ViewOf(state, forwarding, state.m_backends.at(id), now));
+  const bool any = std::any_of(views.begin(), views.end(),
+                               [](const ServerView& view) { return view.m_usable; });
+  for (std::size_t i = 0; !any && i < ids.size(); ++i) {
+    // All are suspect: a suspect one is better than none.
+    const Backend& backend = state.m_backends.at(ids[i]);
+    views[i].m_usable = !backend.m_replaced && !Tried(forwarding, ids[i]);
+  }
+  RequestShape shape;
+  shape.m_tier = forwarding.m_tier;
+  shape.m_prompt_tokens = forwarding.m_pool->m_engines ? forwarding.m_request.m_prompt_tokens : 0;
+  shape.m_aim = forwarding.m_route->m_aim;
+  const std::optional<ServerChoice> choice =
+      ChooseServer(views, shape, TypicalPace(views), state.m_random());
+  if (!choice)
+    return std::nullopt;
+  return ids[choice->m_index];
+}
+
+void NoteHealth(ForwarderState& state, const std::string& server, ServerSign sign) {
+  Backend* backend = FindBackend(state, server);
+  if (backend == nullptr)
+    return;
+  const Instant now = ReadClock();
+  const bool avoided = Avoided(backend->m_health, now);
+  backend->m_health = Observe(backend->m_health, sign, now);
+  if (avoided || !Avoided(backend->m_health, now))
+    return;
+  POPPYWAY_LOG(info, "server_avoided")
+      .Field("server", server)
+      .Field("failures", backend->m_health.m_failures)
+      .Field("failed_share", backend->m_health.m_failed_share)
+      .Field("for_ms", (backend->m_health.m_avoid_until - now).count() / 1000);
+}
+
+LoadReport MakeReport(ForwarderState& state, Instant now) {
+  LoadReport report;
+  for (const auto& [id, backend] : state.m_backends) {
+    if (backend.m_in_flight == 0)
+      continue;
+    wire::ServerLoad load;
+    load.server = id;
+    load.in_flight = backend.m_in_flight;
+    load.reading_tokens = backend.m_reading_tokens;
+    report.m_loads.push_back(std::move(load));
+  }
+  for (auto& [workspace, share] : state.m_quotas) {
+    share = MeasureUse(share, now);
+    wire::WorkspaceUse use;
+    use.workspace = workspace;
+    use.spent_per_s = share.m_spent_per_s;
+    use.wanted_per_s = share.m_wanted_per_s;
+    report.m_uses.push_back(std::move(use));
+  }
+  return report;
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/chain.cc
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+// A stopping instance serves what still comes for this long: the balancer needs two checks a second
+// apart to take it out. What comes later is sent away, since it might outlast the stop.
+constexpr Duration kServeWhileStopping{2'500'000};
+
+}  // namespace
+
+// The way of one request, top to bottom. From `Enqueue` on the queue, the call's events and the
+// clock drive it; `Close` ends it.
+void RunChain(ForwarderState& state, Forwarding& forwarding) {
+  if (CheckInForce(state, forwarding) == Step::kEnded)
+    return;
+  if (MatchRoute(state, forwarding) == Step::kEnded)
+    return;
+  if (IdentifyWorkspace(state, forwarding) == Step::kEnded)
+    return;
+  if (CheckQuota(state, forwarding) == Step::kEnded)
+    return;
+  Enqueue(state, forwarding);
+}
+
+Step CheckInForce(ForwarderState& state, Forwarding& forwarding) {
+  const bool late = state.m_stopping && forwarding.m_arrived - state.m_stop_begun > kServeWhileStopping;
+  if (late) {
+    Refuse(state, forwarding, ResultCode::kStopping, "the instance stops");
+    return Step::kEnded;
+  }
+  if (!state.m_table) {
+    Refuse(state, forwarding, ResultCode::kNotReady, "no configuration is known yet");
+    return Step::kEnded;
+  }
+  forwarding.m_table = state.m_table;
+  return Step::kContinue;
+}
+
+Step MatchRoute(ForwarderState& state, Forwarding& forwarding) {
+  const bool confirmed = forwarding.m_arrived < state.m_confirmed_until;
+  forwarding.m_route = FindRoute(*forwarding.m_table, forwarding.m_host, forwarding.m_target);
+  if (forwarding.m_route == nullptr) {
+    // Without contact a newer configuration may have the route: then nothing is said about it.
+    Refuse(state, forwarding, confirmed ? ResultCode::kNoRoute : ResultCode::kNotConfirmed,
+           "no route serves this host and path");
+    return Step::kEnded;
+  }
+  const Route& route = *forwarding.m_route;
+  forwarding.m_tier = route.m_tier;
+  forwarding.m_deadline = forwarding.m_arrived + route.m_timeout;
+  if (forwarding.m_request.m_patience)
+    forwarding.m_deadline =
+        std::min(forwarding.m_deadline, forwarding.m_arrived + *forwarding.m_request.m_patience);
+  return Step::kContinue;
+}
+
+Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding) {
+  const RouteTable& table = *forwarding.m_table;
+  if (forwarding.m_route->m_anonymous || table.m_workspaces.empty())
+    return Step::kContinue;
+  if (forwarding.m_arrived >= state.m_confirmed_until) {
+    Refuse(state, forwarding, ResultCode::kNotConfirmed, "keys can't be relied on without contact");
+    return Step::kEnded;
+  }
+  forwarding.m_workspace = FindWorkspace(table, forwarding.m_request.m_key);
+  if (forwarding.m_workspace == nullptr) {
+    Refuse(state, forwarding, ResultCode::kUnknownKey, "no workspace holds the key");
+    return Step::kEnded;
+  }
+  forwarding.m_tier = forwarding.m_workspace->m_tier.value_or(forwarding.m_route->m_tier);
+  return Step::kContinue;
+}
+
+Step CheckQuota(ForwarderState& state, Forwarding& forwarding) {
+  const Workspace* workspace = forwarding.m_workspace;
+  if (workspace == nullptr)
+    return Step::kContinue;
+  std::optional<std::int64_t> tokens;
+  if (forwarding.m_request.m_names_tokens)
+    tokens = forwarding.m_request.m_prompt_tokens + forwarding.m_request.m_most_tokens;
+  QuotaShare& share = state.m_quotas[workspace->m_name];
+  if (share.m_share == 0)
+    share.m_share = ShareOf(0, 0, state.m_instances);
+  if (Spend(share, workspace->m_limit, CostOf(*workspace, tokens), forwarding.m_arrived))
+    return Step::kContinue;
+  Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
+  return Step::kEnded;
+}
+
+void Enqueue(ForwarderState& state, Forwarding& forwarding) {
+  const std::string& pool = PickPool(*forwarding.m_route, state.m_random());
+  forwarding.m_pool = FindPool(*forwarding.m_table, pool);
+  PoolState& waiting = state.m_pools[pool];
+  waiting.m_retries = Deposit(waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
+                                                  state.m_settings.m_retry_limit.m_burst,
+                                                  state.m_instances});
+  PutInQueue(state, forwarding, forwarding.m_arrived + FirstWait(forwarding));
+  ServeQueue(state, pool);
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/dispatch.cc
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+constexpr std::size_t kMostParts = 4096;  // Prompt parts remembered for one server.
+constexpr Duration kPartAge{60'000'000};
+
+std::string BuildRequest(const Forwarding& forwarding,
+                         const std::vector<Field>& added) {
+  std::string request;
+  request.reserve(512 + forwarding.m_body.size());
+  request += forwarding.m_method + " " + forwarding.m_target + " HTTP/1.1\r\n";
+  request += "host: " + forwarding.m_host + "\r\n";
+  for (const Field& field : forwarding.m_request.m_forwarded)
+    request += field.m_name + ": " + field.m_value + "\r\n";
+  for (const Field& field : added)
+    request += field.m_name + ": " + field.m_value + "\r\n";
+  const bool has_body = !forwarding.m_body.empty() || forwarding.m_method == "POST" ||
+                        forwarding.m_method == "PUT" || forwarding.m_method == "PATCH";
+  if (has_body)
+    request += "content-length: " + std::to_string(forwarding.m_body.size()) + "\r\n";
+  request += "\r\n";
+  request += forwarding.m_body;
+  return request;
+}
+
+void RememberParts(Backend& backend, const CallerRequest& request, Instant now) {
+  for (const PromptPart& part : request.m_parts)
+    backend.m_parts[part.m_id] = now;
+  if (backend.m_parts.size() > kMostParts)
+    std::erase_if(backend.m_parts, [now](const auto& part) { return now - part.second > kPartAge; });
+  if (backend.m_parts.size() > kMostParts)
+    backend.m_parts.clear();
+}
+
+bool OnMaySend(ForwarderState& state, ForwardingRef ref) {
+  Forwarding* forwarding = Find(state, ref);
+  if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
+    return false;
+  Backend* backend = FindBackend(state, forwarding->m_server);
+  const Instant now = ReadClock();
+  const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
+  if (backend == nullptr || backend->m_leaving || !confirmed)
+    return false;
+  ++forwarding->m_unsure;
+  ++forwarding->m_reached;
+  forwarding->m_tried.push_back(forwarding->m_server);
+  forwarding->m_dispatched = now;
+  RememberParts(*backend, forwarding->m_request, now);
+  return true;
+}
+
+}  // namespace
+
+void Dispatch(ForwarderState& state, Forwarding& forwarding, const std::string& server) {
+  Backend& backend = *FindBackend(state, server);
+  const Instant now = ReadClock();
+  const ForwardingRef ref = forwarding.m_ref;
+  forwarding.m_stage =
+      forwarding.m_caller.m_started ? ForwardingStage::kRelaying : ForwardingStage::kCalling;
+  forwarding.m_server = server;
+  forwarding.m_answer = {};
+  forwarding.m_headed = false;
+  forwarding.m_buffered.clear();
+  forwarding.m_events.m_partial.clear();
+  forwarding.m_first_event = {};
+  forwarding.m_call_events = 0;
+  forwarding.m_dispatched = now;
+  forwarding.m_read_tokens = forwarding.m_request.m_prompt_tokens;
+  ++backend.m_in_flight;
+  backend.m_reading_tokens += forwarding.m_read_tokens;
+  DispatchFields fields;
+  fields.m_server = server;
+  if (forwarding.m_workspace != nullptr)
+    fields.m_workspace = forwarding.m_workspace->m_name;
+  fields.m_left = forwarding.m_deadline - now;
+  fields.m_resume_after = forwarding.m_events.m_last ? forwarding.m_events.m_last
+                                                     : forwarding.m_request.m_resume_after;
+  CallEvents events;
+  events.m_may_send = [&state, ref] { return OnMaySend(state, ref); };
+  events.m_on_head = [&state, ref](int status, std::vector<Field> head) {
+    return OnHead(state, ref, status, std::move(head));
+  };
+  events.m_on_data = [&state, ref](std::string_view bytes) { OnData(state, ref, bytes); };
+  events.m_on_whole = [&state, ref] { OnWhole(state, ref); };
+  events.m_on_fault = [&state, ref](CallFault fault) { OnFault(state, ref, fault); };
+  const bool careful = forwarding.m_route->m_repeat == Repeat::kNever;
+  POPPYWAY_LOG(debug, "dispatch")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", server)
+      .Field("in_flight", backend.m_in_flight)
+      .Field("others", backend.m_others_in_flight);
+  forwarding.m_call = std::make_unique<BackendCall>(
+      *state.m_connections, backend.m_place,
+      BuildRequest(forwarding, state.m_dialect.m_encode_dispatch(fields)),
+      forwarding.m_method == "HEAD", careful, std::move(events));
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/finish.cc
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <cstdio>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+constexpr int kCallerGoneStatus = 499;  // Nobody reads it; the library needs an answer to let go.
+
+/// Our generator: the library calls back through it, by reference.
+struct Generator {
+  h2o_generator_t m_base;
+  ForwarderState* m_state;
+  ForwardingRef m_ref;
+};
+
+void OnProceed(h2o_generator_t* base, h2o_req_t* /*req*/) {
+  auto* self = reinterpret_cast<Generator*>(base);
+  Forwarding* forwarding = Find(*self->m_state, self->m_ref);
+  if (forwarding == nullptr)
+    return;
+  ProceedAnswer(forwarding->m_caller);
+  if (forwarding->m_call)
+    forwarding->m_call->Resume();
+}
+
+void Begin(ForwarderState& state, Forwarding& forwarding) {
+  h2o_req_t* req = forwarding.m_caller.m_req;
+  auto* generator = static_cast<Generator*>(h2o_mem_alloc_pool(&req->pool, sizeof(Generator)));
+  *generator = {{&OnProceed, nullptr}, &state, forwarding.m_ref};
+  if (state.m_stopping)
+    req->http1_is_persistent = 0;
+  forwarding.m_status = req->res.status;
+  forwarding.m_first_sent = ReadClock();
+  BeginAnswer(forwarding.m_caller, generator->m_base);
+}
+
+std::string SecondsText(Duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", Seconds(duration));
+  return text;
+}
+
+std::int64_t Millis(Duration duration) {
+  return duration.count() / 1000;
+}
+
+void LogEnd(const ForwarderState& state,
+            const Forwarding& forwarding,
+            ResultCode code,
+            std::string_view why) {
+  const Instant now = ReadClock();
+  const bool first = forwarding.m_first_sent != Instant{};
+  POPPYWAY_LOG(info, "request")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("code", Describe(code).m_name)
+      .Field("why", why)
+      .Field("status", forwarding.m_status)
+      .Field("route", forwarding.m_route == nullptr ? "-" : forwarding.m_route->m_name)
+      .Field("tier", forwarding.m_tier)
+      .Field("workspace", forwarding.m_workspace == nullptr ? "-" : forwarding.m_workspace->m_name)
+      .Field("server", forwarding.m_tried.empty() ? "-" : forwarding.m_tried.back())
+      .Field("attempts", forwarding.m_reached)
+      .Field("prompt_tokens", forwarding.m_request.m_prompt_tokens)
+      .Field("events", forwarding.m_events.m_events)
+      .Field("first_ms", first ? Millis(forwarding.m_first_sent - forwarding.m_arrived) : -1)
+      .Field("total_ms", Millis(now - forwarding.m_arrived))
+      .Field("version", forwarding.m_table ? forwarding.m_table->m_version : 0)
+      .Field("confirmed_ms", Millis(state.m_confirmed_until - now));
+}
+
+}  // namespace
+
+void StartAnswer(ForwarderState& state, Forwarding& forwarding, std::optional<std::size_t> length) {
+  h2o_req_t* req = forwarding.m_caller.m_req;
+  forwarding.m_stage = ForwardingStage::kRelaying;
+  if (req == nullptr)
+    return;
+  req->res.status = forwarding.m_answer.m_status;
+  req->res.reason = ReasonPhrase(forwarding.m_answer.m_status);
+  if (length)
+    req->res.content_length = *length;
+  for (const Field& field : forwarding.m_answer.m_relayed)
+    AddField(req, field.m_name, field.m_value);
+  Begin(state, forwarding);
+}
+
+void Refuse(ForwarderState& state, Forwarding& forwarding, ResultCode code, std::string_view why) {
+  const ResultInfo& info = Describe(code);
+  CallerSide& caller = forwarding.m_caller;
+  if (caller.m_req != nullptr && !caller.m_started) {
+    h2o_req_t* req = caller.m_req;
+    const int status = info.m_http_status == 0 ? kCallerGoneStatus : info.m_http_status;
+    const std::string body = std::string(info.m_name) + ": " + std::string(why) + "\n";
+    req->res.status = status;
+    req->res.reason = ReasonPhrase(status);
+    req->res.content_length = body.size();
+    AddField(req, "content-type", "text/plain; charset=utf-8");
+    if (info.m_retry_after)
+      AddField(req, "retry-after", SecondsText(ComeBackAfter(state, forwarding)));
+    Begin(state, forwarding);
+    SendChunk(caller, body, true);
+  } else if (caller.m_req != nullptr) {
+    AbortAnswer(caller);
+  }
+  Close(state, forwarding, code, why);
+}
+
+void Close(ForwarderState& state, Forwarding& forwarding, ResultCode code, std::string_view why) {
+  if (forwarding.m_stage == ForwardingStage::kDone)
+    return;
+  if (forwarding.m_stage == ForwardingStage::kWaiting)
+    state.m_pools[forwarding.m_pool->m_name].m_waiting.erase(
+        {forwarding.m_tier, forwarding.m_ref});
+  const std::string tier = "tier=\"" + std::to_string(forwarding.m_tier) + "\"";
+  if (code == ResultCode::kOk) {
+    state.m_metrics.Add("poppyway_forward_answers_total", tier);
+    state.m_metrics.Record("poppyway_forward_seconds", tier,
+                           ReadClock() - forwarding.m_arrived);
+  } else {
+    state.m_metrics.Add("poppyway_forward_refusals_total",
+                        TierAndReason(forwarding.m_tier, Describe(code).m_name));
+  }
+  LogEnd(state, forwarding, code, why);
+  EndCall(state, forwarding);
+  forwarding.m_stage = ForwardingStage::kDone;
+  if (forwarding.m_caller.m_req == nullptr)
+    state.m_over.push_back(forwarding.m_ref);
+}
+
+void OnDisposed(ForwarderState& state, ForwardingRef ref) {
+  Forwarding* forwarding = Find(state, ref);
+  if (forwarding == nullptr)
+    return;
+  forwarding->m_caller.m_req = nullptr;
+  if (forwarding->m_stage == ForwardingStage::kDone) {
+    state.m_over.push_back(ref);
+    return;
+  }
+  const std::string pool = forwarding->m_pool == nullptr ? "" : forwarding->m_pool->m_name;
+  Close(state, *forwarding, ResultCode::kCallerGone, "the caller closed its connection");
+  if (!pool.empty())
+    ServeQueue(state, pool);
+}
+
+void EndCall(ForwarderState& state, Forwarding& forwarding) {
+  if (!forwarding.m_server.empty()) {
+    if (Backend* backend = FindBackend(state, forwarding.m_server)) {
+      --backend->m_in_flight;
+      backend->m_reading_tokens -= forwarding.m_read_tokens;
+    }
+    forwarding.m_server.clear();
+    forwarding.m_read_tokens = 0;
+  }
+  if (!forwarding.m_call)
+    return;
+  forwarding.m_call->Cancel();
+  state.m_retired.push_back(std::move(forwarding.m_call));
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/forwarder.cc
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway {
+namespace {
+
+using impl::Find;
+
+constexpr std::uint64_t kBusyTickMillis = 10;
+constexpr std::uint64_t kIdleTickMillis = 50;
+constexpr Duration kCallerPollInterval{100'000};  // A left caller's work stops well within 0.5 s.
+constexpr std::uint64_t kCallerIdleMillis = 120'000;
+constexpr std::size_t kMaxBody = 16 << 20;
+// A planned stop ends this long before its limit, and not before the balancer has had two checks.
+constexpr Duration kStopMargin{500'000};
+constexpr Duration kStopAtLeast{3'000'000};
+
+/// Lives in the request's pool; tells when the library disposes of the request.
+struct Anchor {
+  ForwarderState* m_state;
+  ForwardingRef m_ref;
+};
+
+void OnAnchorDisposed(void* data) {
+  auto* anchor = static_cast<Anchor*>(data);
+  impl::OnDisposed(*anchor->m_state, anchor->m_ref);
+}
+
+void ReadRequest(const ForwarderState& state, Forwarding& forwarding, const h2o_req_t* req) {
+  forwarding.m_method.assign(req->method.base, req->method.len);
+  forwarding.m_target.assign(req->path.base, req->path.len);
+  forwarding.m_host.assign(req->authority.base, req->authority.len);
+  forwarding.m_body.assign(req->entity.base, req->entity.len);
+  std::vector<Field> fields;
+  fields.reserve(req->headers.size);
+  for (std::size_t i = 0; i < req->headers.size; ++i) {
+    const h2o_header_t& field = req->headers.entries[i];
+    fields.push_back({std::string(field.name->base, field.name->len),
+                      std::string(field.value.base, field.value.len)});
+  }
+  forwarding.m_request = state.m_dialect.m_decode_request(std::move(fields));
+}
+
+/// Ends what its caller left behind.
+void PollCallers(ForwarderState& state) {
+  std::vector<ForwardingRef> refs;
+  std::vector<h2o_req_t*> requests;
+  for (const auto& [ref, forwarding] : state.m_forwardings) {
+    const bool open =
+        forwarding->m_stage != ForwardingStage::kDone && forwarding->m_caller.m_req != nullptr;
+    if (!open)
+      continue;
+    refs.push_back(ref);
+    requests.push_back(forwarding->m_caller.m_req);
+  }
+  if (requests.empty())
+    return;
+  const std::vector<bool> left = CallersLeft(requests);
+  for (std::size_t i = 0; i < refs.size(); ++i) {
+    Forwarding* forwarding = left[i] ? Find(state, refs[i]) : nullptr;
+    if (forwarding == nullptr)
+      continue;
+    const std::string pool =
+        forwarding->m_pool == nullptr ? "" : forwarding->m_pool->m_name;
+    // The library still holds the request: answering closes the connection.
+    impl::Refuse(state, *forwarding, ResultCode::kCallerGone, "the caller closed its connection");
+    if (!pool.empty())
+      impl::ServeQueue(state, pool);
+  }
+}
+
+/// At its deadline a request gets its final answer, whatever its server does.
+void EndOverdue(ForwarderState& state, Instant now) {
+  std::vector<ForwardingRef> overdue;
+  for (const auto& [ref, forwarding] : state.m_forwardings) {
+    const bool called = forwarding->m_stage == ForwardingStage::kCalling ||
+                        forwarding->m_stage == ForwardingStage::kRelaying;
+    if (called && now >= forwarding->m_deadline)
+      overdue.push_back(ref);
+  }
+  for (const ForwardingRef ref : overdue) {
+    Forwarding& forwarding = *Find(state, ref);
+    const std::string pool = forwarding.m_pool->m_name;
+    impl::Refuse(state, forwarding,
+                 forwarding.m_unsure > 0 ? ResultCode::kDeadlinePassed
+                                           : ResultCode::kDeadlineUnreachable,
+                 "the deadline passed");
+    impl::ServeQueue(state, pool);
+  }
+}
+
+bool IsReady(const ForwarderState& state, Instant now) {
+  return state.m_table != nullptr && !state.m_stopping && now < state.m_confirmed_until;
+}
+
+struct Visitor {
+  ForwarderState& m_state;
+
+  void operator()(const NewDocument& message) const {
+    const wire::Document& document = *message.m_document;
+    if (m_state.m_table && document.version <= m_state.m_table->m_version)
+      return;
+    Result<RouteTable> table =
+        m_state.m_dialect.m_decode_document(document.version, document.body);
+    if (!table) {
+      POPPYWAY_LOG(error, "configuration_unusable")
+          .Field("version", document.version)
+          .Field("why", table.error().m_message);
+      return;
+    }
+    m_state.m_table = std::make_shared<const RouteTable>(std::move(*table));
+    POPPYWAY_LOG(info, "configuration_in_force")
+        .Field("version", document.version)
+        .Field("routes", m_state.m_table->m_routes.size())
+        .Field("workspaces", m_state.m_table->m_workspaces.size());
+  }
+  void operator()(const ServersChanged& message) const {
+    impl::TakeServers(m_state, message.m_servers);
+  }
+  void operator()(const ConfirmedUntil& message) const {
+    m_state.m_confirmed_until = std::max(m_state.m_confirmed_until, message.m_until);
+  }
+  void operator()(const FleetLoad& message) const { impl::TakeFleetLoad(m_state, message); }
+};
+
+}  // namespace
+
+Forwarder::Forwarder(TaskLoop& loop, const ForwarderSettings& settings, Dialect dialect)
+    : m_loop(loop) {
+  m_state.m_settings = settings;
+  m_state.m_dialect = std::move(dialect);
+  m_state.m_random.seed(Hash(settings.m_instance) ^
+                        static_cast<std::uint64_t>(ReadClock().time_since_epoch().count()));
+  m_state.m_connections = std::make_unique<BackendPool>(loop);
+  m_callers = std::make_unique<HttpServer>(loop, HttpLimits{kMaxBody, kCallerIdleMillis},
+                                           [this](h2o_req_t* req) { OnRequest(req); });
+  m_readiness = std::make_unique<HttpServer>(loop, HttpLimits{},
+                                             [this](h2o_req_t* req) { OnReadiness(req); });
+  m_metrics = std::make_unique<HttpServer>(loop, HttpLimits{},
+                                           [this](h2o_req_t* req) { OnMetrics(req); });
+  m_tick = std::make_unique<RepeatingTimer>(loop, kBusyTickMillis, kIdleTickMillis,
+                                            [this] { return Tick(); });
+}
+
+Forwarder::~Forwarder() {
+  for (auto& [ref, forwarding] : m_state.m_forwardings)
+    impl::EndCall(m_state, *forwarding);
+  m_state.m_retired.clear();
+}
+
+Result<void> Forwarder::Listen() {
+  const ForwarderSettings& settings = m_state.m_settings;
+  const std::pair<HttpServer*, const Endpoint*> listeners[] = {
+      {m_callers.get(), &settings.m_callers},
+      {m_readiness.get(), &settings.m_readiness},
+      {m_metrics.get(), &settings.m_metrics}};
+  for (const auto& [server, place] : listeners) {
+    if (place->m_port == 0)
+      continue;
+    if (Result<void> listening = server->Listen(place->m_address, place->m_port); !listening)
+      return listening;
+  }
+  return {};
+}
+
+void Forwarder::Take(FleetMessage message) {
+  std::visit(Visitor{m_state}, message);
+}
+
+LoadReport Forwarder::Report() {
+  return impl::MakeReport(m_state, ReadClock());
+}
+
+void Forwarder::BeginStop() {
+  if (m_state.m_stopping)
+    return;
+  m_state.m_stopping = true;
+  m_state.m_stop_begun = ReadClock();
+  POPPYWAY_LOG(info, "stop_begun").Field("in_progress", m_state.m_forwardings.size());
+}
+
+bool Forwarder::Stopped() const {
+  if (!m_state.m_stopping)
+    return false;
+  const Duration since = ReadClock() - m_state.m_stop_begun;
+  const bool idle = since >= kStopAtLeast && m_state.m_forwardings.empty();
+  return idle || since >= m_state.m_settings.m_stop_limit - kStopMargin;
+}
+
+void Forwarder::OnRequest(h2o_req_t* req) {
+  const ForwardingRef ref = m_state.m_next_ref++;
+  auto owned = std::make_unique<Forwarding>();
+  Forwarding& forwarding = *owned;
+  m_state.m_forwardings.emplace(ref, std::move(owned));
+  forwarding.m_ref = ref;
+  forwarding.m_arrived = ReadClock();
+  forwarding.m_deadline = forwarding.m_arrived;
+  forwarding.m_caller.m_req = req;
+  ReadRequest(m_state, forwarding, req);
+  auto* anchor =
+      static_cast<Anchor*>(h2o_mem_alloc_shared(&req->pool, sizeof(Anchor), &OnAnchorDisposed));
+  *anchor = {&m_state, ref};
+  impl::RunChain(m_state, forwarding);
+}
+
+void Forwarder::OnReadiness(h2o_req_t* req) {
+  const bool ready = IsReady(m_state, ReadClock());
+  ReplyWhole(req, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+}
+
+void Forwarder::OnMetrics(h2o_req_t* req) {
+  m_state.m_metrics.Set("poppyway_forward_in_progress", "",
+                        static_cast<double>(m_state.m_forwardings.size()));
+  m_state.m_metrics.Set("poppyway_forward_connections_opened", "",
+                        static_cast<double>(m_state.m_connections->opened()));
+  ReplyWhole(req, 200, "text/plain; version=0.0.4", m_state.m_metrics.Text());
+}
+
+bool Forwarder::Tick() {
+  const Instant now = ReadClock();
+  m_state.m_retired.clear();
+  for (const ForwardingRef ref : m_state.m_over)
+    m_state.m_forwardings.erase(ref);
+  m_state.m_over.clear();
+  impl::ExpireWaiting(m_state, now);
+  EndOverdue(m_state, now);
+  if (now - m_state.m_callers_polled >= kCallerPollInterval) {
+    m_state.m_callers_polled = now;
+    PollCallers(m_state);
+  }
+  const bool ready = IsReady(m_state, now);
+  if (ready != m_state.m_ready_told) {
+    m_state.m_ready_told = ready;
+    POPPYWAY_LOG(info, "readiness")
+        .Field("ready", ready)
+        .Field("version", m_state.m_table ? m_state.m_table->m_version : 0)
+        .Field("confirmed_ms", (m_state.m_confirmed_until - now).count() / 1000);
+  }
+  return std::any_of(m_state.m_pools.begin(), m_state.m_pools.end(),
+                     [](const auto& pool) { return !pool.second.m_waiting.empty(); });
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/forward/src/queue.cc
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+// A request is refused once it has waited this share of its aim: early enough that a caller who
+// comes back and is served then still has something of it.
+constexpr double kWaitShare = 0.22;
+// A caller told to come back uses up at most this share of the time it has left.
+constexpr double kComeBackShare = 0.3;
+constexpr Duration kComeBackLeast{150'000};  // Sooner, nothing will have changed.
+constexpr Duration kComeBackMost{2'000'000};
+constexpr int kDepthWithoutRoom = 8;  // After so many that find no room the rest is not tried.
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+/// True while its key may still be relied on.
+bool StillConfirmed(const ForwarderState& state, const Forwarding& forwarding, Instant now) {
+  return forwarding.m_workspace == nullptr || now < state.m_confirmed_until;
+}
+
+}  // namespace
+
+Duration FirstWait(const Forwarding& forwarding) noexcept {
+  return Scale(forwarding.m_route->m_aim, kWaitShare);
+}
+
+void PutInQueue(ForwarderState& state, Forwarding& forwarding, Instant until) {
+  forwarding.m_stage = ForwardingStage::kWaiting;
+  forwarding.m_wait_until = std::min(until, forwarding.m_deadline);
+  state.m_pools[forwarding.m_pool->m_name].m_waiting[{forwarding.m_tier, forwarding.m_ref}] =
+      forwarding.m_ref;
+}
+
+void ServeQueue(ForwarderState& state, const std::string& pool) {
+  const Instant now = ReadClock();
+  WaitingQueue& waiting = state.m_pools[pool].m_waiting;
+  int without_room = 0;
+  for (auto it = waiting.begin(); it != waiting.end() && without_room < kDepthWithoutRoom;) {
+    Forwarding* forwarding = Find(state, it->second);
+    if (forwarding == nullptr) {
+      it = waiting.erase(it);
+      continue;
+    }
+    const std::optional<std::string> server = ChooseBackend(state, *forwarding);
+    const bool may = server && StillConfirmed(state, *forwarding, now);
+    if (!may) {
+      ++without_room;
+      ++it;
+      continue;
+    }
+    it = waiting.erase(it);
+    Dispatch(state, *forwarding, *server);
+  }
+}
+
+void ExpireWaiting(ForwarderState& state, Instant now) {
+  std::vector<ForwardingRef> expired;
+  for (const auto& [pool, pool_state] : state.m_pools) {
+    for (const auto& [order, ref] : pool_state.m_waiting) {
+      const Forwarding* forwarding = Find(state, ref);
+      if (forwarding == nullptr)
+        continue;
+      if (now >= forwarding->m_wait_until)
+        expired.push_back(ref);
+    }
+  }
+  for (const ForwardingRef ref : expired) {
+    Forwarding* forwarding = Find(state, ref);
+    if (forwarding == nullptr)
+      continue;
+    const bool any = !state.m_pools[forwarding->m_pool->m_name].m_servers.empty();
+    if (forwarding->m_unsure > 0)
+      Refuse(state, *forwarding, ResultCode::kOutcomeUnknown, "no other server had room");
+    else
+      Refuse(state, *forwarding, any ? ResultCode::kOverload : ResultCode::kNoBackend,
+             "no server had room in time");
+  }
+}
+
+Duration ComeBackAfter(ForwarderState& state, const Forwarding& forwarding) {
+  const Duration left = forwarding.m_deadline - ReadClock();
+  const Duration most = std::min(kComeBackMost, Scale(left, kComeBackShare));
+  const double spread = 0.5 + 0.5 * static_cast<double>(state.m_random() >> 11) / 9007199254740992.0;
+  return std::max(kComeBackLeast, Scale(most, spread));
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/relay.cc
@@ -0,0 +1,259 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+constexpr std::size_t kMostBuffered = 256 * 1024;  // Of an answer, before it is passed on in pieces.
+constexpr std::size_t kMostPending = 256 * 1024;   // For a slow caller, before the server is paused.
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+bool IsServerError(int status) {
+  return status >= 500;
+}
+
+/// A request that may run again: any of a repeatable route, a stream that can go on elsewhere.
+bool MayRunAgain(const Forwarding& forwarding) {
+  const Route& route = *forwarding.m_route;
+  return route.m_stream ? route.m_resumable : route.m_repeat == Repeat::kAlways;
+}
+
+/// Takes one from the budget that all instances share, if the route allows another server at all.
+bool MayTryElsewhere(ForwarderState& state, const Forwarding& forwarding) {
+  if (forwarding.m_reached >= forwarding.m_route->m_max_attempts)
+    return false;
+  if (forwarding.m_reached == 0)
+    return true;  // No server has seen it.
+  return Withdraw(state.m_pools[forwarding.m_pool->m_name].m_retries);
+}
+
+void TryElsewhere(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  state.m_metrics.Add("poppyway_forward_retries_total",
+                      TierAndReason(forwarding.m_tier, why));
+  POPPYWAY_LOG(info, "retry")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", forwarding.m_server)
+      .Field("why", why)
+      .Field("attempt", forwarding.m_reached)
+      .Field("resume_after", forwarding.m_events.m_last.value_or(-1));
+  EndCall(state, forwarding);
+  const Instant now = ReadClock();
+  const Duration patience =
+      forwarding.m_caller.m_started ? forwarding.m_route->m_pause_aim : FirstWait(forwarding);
+  PutInQueue(state, forwarding, now + patience);
+  ServeQueue(state, forwarding.m_pool->m_name);
+}
+
+/// The server has surely not run the request.
+void OnNotRun(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  --forwarding.m_unsure;
+  if (MayTryElsewhere(state, forwarding)) {
+    TryElsewhere(state, forwarding, why);
+    return;
+  }
+  const std::string pool = forwarding.m_pool->m_name;
+  Refuse(state, forwarding,
+         forwarding.m_unsure > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kOverload, why);
+  ServeQueue(state, pool);
+}
+
+/// The server may have run the request, and no whole answer will come from it.
+void OnBroken(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  if (MayRunAgain(forwarding) && MayTryElsewhere(state, forwarding)) {
+    TryElsewhere(state, forwarding, why);
+    return;
+  }
+  const std::string pool = forwarding.m_pool->m_name;
+  Refuse(state, forwarding,
+         forwarding.m_headed ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown, why);
+  ServeQueue(state, pool);
+}
+
+void NoteFirstEvent(ForwarderState& state, Forwarding& forwarding, Instant now) {
+  forwarding.m_first_event = now;
+  Backend* backend = FindBackend(state, forwarding.m_server);
+  if (backend == nullptr)
+    return;
+  backend->m_pace =
+      ObserveFirst(backend->m_pace, forwarding.m_read_tokens, now - forwarding.m_dispatched);
+  backend->m_reading_tokens -= forwarding.m_read_tokens;
+  forwarding.m_read_tokens = 0;
+  state.m_metrics.Record("poppyway_forward_first_event_seconds",
+                         "tier=\"" + std::to_string(forwarding.m_tier) + "\"",
+                         now - forwarding.m_arrived);
+}
+
+void OnEvents(ForwarderState& state, Forwarding& forwarding, std::string_view bytes) {
+  const std::int64_t before = forwarding.m_events.m_events;
+  const std::string whole = TakeEvents(forwarding.m_events, bytes);
+  const std::int64_t added = forwarding.m_events.m_events - before;
+  const Instant now = ReadClock();
+  if (added > 0 && forwarding.m_call_events == 0)
+    NoteFirstEvent(state, forwarding, now);
+  forwarding.m_call_events += added;
+  if (added > 0)
+    forwarding.m_last_event = now;
+  if (!whole.empty()) {
+    if (!forwarding.m_caller.m_started)
+      StartAnswer(state, forwarding, std::nullopt);
+    SendChunk(forwarding.m_caller, whole, false);
+  }
+  if (!forwarding.m_events.m_out_of_order)
+    return;
+  NoteHealth(state, forwarding.m_server, ServerSign::kBad);
+  const std::string pool = forwarding.m_pool->m_name;
+  Refuse(state, forwarding, ResultCode::kAnswerIncomplete, "events out of order");
+  ServeQueue(state, pool);
+}
+
+bool IsEventAnswer(const Forwarding& forwarding) {
+  return forwarding.m_route->m_stream && IsSuccess(forwarding.m_answer.m_status);
+}
+
+void LearnFromWhole(ForwarderState& state, const Forwarding& forwarding) {
+  Backend* backend = FindBackend(state, forwarding.m_server);
+  if (backend == nullptr)
+    return;
+  const Instant now = ReadClock();
+  const bool failed = IsServerError(forwarding.m_answer.m_status);
+  backend->m_health =
+      Observe(backend->m_health, failed ? ServerSign::kBad : ServerSign::kGood, now);
+  if (failed)
+    return;
+  backend->m_pace = ObserveService(backend->m_pace, now - forwarding.m_dispatched);
+  if (forwarding.m_call_events > 1)
+    backend->m_pace = ObserveEvents(backend->m_pace, forwarding.m_call_events - 1,
+                                    forwarding.m_last_event - forwarding.m_first_event);
+}
+
+}  // namespace
+
+HeadVerdict OnHead(ForwarderState& state,
+                   ForwardingRef ref,
+                   int status,
+                   std::vector<Field> fields) {
+  Forwarding* forwarding = Find(state, ref);
+  if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
+    return HeadVerdict::kTake;
+  ServerAnswer answer = state.m_dialect.m_decode_answer(status, std::move(fields));
+  if (answer.m_id && *answer.m_id != forwarding->m_request.m_id) {
+    state.m_metrics.Add("poppyway_answers_crossed_total");
+    POPPYWAY_LOG(warning, "answer_crossed")
+        .Field("request", forwarding->m_request.m_id)
+        .Field("server", forwarding->m_server)
+        .Field("answered", *answer.m_id);
+    return HeadVerdict::kSkip;
+  }
+  Backend* backend = FindBackend(state, forwarding->m_server);
+  if (backend != nullptr)
+    backend->m_last_heard = ReadClock();
+  if (answer.m_other_server) {
+    if (backend != nullptr)
+      backend->m_replaced = true;
+    OnNotRun(state, *forwarding, "another_server_answered");
+    return HeadVerdict::kTake;
+  }
+  if (answer.m_not_run) {
+    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    OnNotRun(state, *forwarding, "server_declined");
+    return HeadVerdict::kTake;
+  }
+  const bool unproved = IsSuccess(status) && (!answer.m_signed || !answer.m_id);
+  if (unproved) {
+    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    OnBroken(state, *forwarding, "unsigned_answer");
+    return HeadVerdict::kTake;
+  }
+  const bool again = IsServerError(status) && MayRunAgain(*forwarding) &&
+                     forwarding->m_reached < forwarding->m_route->m_max_attempts;
+  if (again) {
+    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    if (Withdraw(state.m_pools[forwarding->m_pool->m_name].m_retries)) {
+      TryElsewhere(state, *forwarding, "server_error");
+      return HeadVerdict::kTake;
+    }
+  }
+  if (forwarding->m_caller.m_started && !IsSuccess(status)) {
+    OnBroken(state, *forwarding, "resume_declined");
+    return HeadVerdict::kTake;
+  }
+  forwarding->m_headed = true;
+  if (answer.m_keep_alive)
+    forwarding->m_call->SetKeepAlive(*answer.m_keep_alive);
+  forwarding->m_answer = std::move(answer);
+  return HeadVerdict::kTake;
+}
+
+void OnData(ForwarderState& state, ForwardingRef ref, std::string_view bytes) {
+  Forwarding* forwarding = Find(state, ref);
+  if (forwarding == nullptr || !forwarding->m_headed ||
+      forwarding->m_stage == ForwardingStage::kDone)
+    return;
+  if (Backend* backend = FindBackend(state, forwarding->m_server))
+    backend->m_last_heard = ReadClock();
+  if (IsEventAnswer(*forwarding)) {
+    OnEvents(state, *forwarding, bytes);
+  } else if (forwarding->m_caller.m_started) {
+    SendChunk(forwarding->m_caller, bytes, false);
+  } else {
+    forwarding->m_buffered += bytes;
+    if (forwarding->m_buffered.size() > kMostBuffered) {
+      StartAnswer(state, *forwarding, std::nullopt);
+      SendChunk(forwarding->m_caller, forwarding->m_buffered, false);
+      forwarding->m_buffered.clear();
+    }
+  }
+  if (forwarding->m_caller.m_pending.size() > kMostPending && forwarding->m_call)
+    forwarding->m_call->Pause();
+}
+
+void OnWhole(ForwarderState& state, ForwardingRef ref) {
+  Forwarding* forwarding = Find(state, ref);
+  if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
+    return;
+  const bool half_event = IsEventAnswer(*forwarding) && !forwarding->m_events.m_partial.empty();
+  if (half_event) {
+    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    OnBroken(state, *forwarding, "ended_within_an_event");
+    return;
+  }
+  LearnFromWhole(state, *forwarding);
+  const std::string pool = forwarding->m_pool->m_name;
+  if (!forwarding->m_caller.m_started)
+    StartAnswer(state, *forwarding, forwarding->m_buffered.size());
+  const std::string body = std::move(forwarding->m_buffered);
+  SendChunk(forwarding->m_caller, body, true);
+  Close(state, *forwarding, ResultCode::kOk, "");
+  ServeQueue(state, pool);
+}
+
+void OnFault(ForwarderState& state, ForwardingRef ref, CallFault fault) {
+  Forwarding* forwarding = Find(state, ref);
+  if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
+    return;
+  const std::string_view why = CallFaultName(fault);
+  POPPYWAY_LOG(info, "call_failed")
+      .Field("request", forwarding->m_request.m_id)
+      .Field("server", forwarding->m_server)
+      .Field("why", why)
+      .Field("headed", forwarding->m_headed)
+      .Field("events", forwarding->m_call_events)
+      .Field("reused", forwarding->m_call && forwarding->m_call->reused())
+      .Field("after_ms", (ReadClock() - forwarding->m_dispatched).count() / 1000);
+  if (!NothingSent(fault)) {
+    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    OnBroken(state, *forwarding, why);
+    return;
+  }
+  if (fault == CallFault::kNotConnected)
+    NoteHealth(state, forwarding->m_server, ServerSign::kUnreachable);
+  TryElsewhere(state, *forwarding, why);
+}
+
+}  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/steps.h
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include "poppyway/forward.h"
+
+namespace poppyway::impl {
+
+/// \brief What a filter decided.
+enum class Step : std::uint8_t {
+  kContinue,
+  kEnded,  ///< The request has its answer.
+};
+
+// ---- chain.cc: the filters, in order; each answers a refusal itself ----------------------------
+void RunChain(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step CheckInForce(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step MatchRoute(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step CheckQuota(ForwarderState& state, Forwarding& forwarding);
+void Enqueue(ForwarderState& state, Forwarding& forwarding);
+
+// ---- queue.cc ----------------------------------------------------------------------------------
+/// How long a new request may wait for room.
+[[nodiscard]] Duration FirstWait(const Forwarding& forwarding) noexcept;
+/// Puts a request into its pool's queue, to be refused after `until`.
+void PutInQueue(ForwarderState& state, Forwarding& forwarding, Instant until);
+/// Dispatches what has room now, highest tier first.
+void ServeQueue(ForwarderState& state, const std::string& pool);
+/// Refuses what has waited too long for its aim.
+void ExpireWaiting(ForwarderState& state, Instant now);
+/// When a refused caller should come back.
+[[nodiscard]] Duration ComeBackAfter(ForwarderState& state, const Forwarding& forwarding);
+
+// ---- dispatch.cc -------------------------------------------------------------------------------
+/// Sends a request to a server. Precondition: it is in no queue.
+void Dispatch(ForwarderState& state, Forwarding& forwarding, const std::string& server);
+
+// ---- relay.cc: what a call reports -------------------------------------------------------------
+[[nodiscard]] HeadVerdict OnHead(ForwarderState& state,
+                                 ForwardingRef ref,
+                                 int status,
+                                 std::vector<Field> fields);
+void OnData(ForwarderState& state, ForwardingRef ref, std::string_view bytes);
+void OnWhole(ForwarderState& state, ForwardingRef ref);
+void OnFault(ForwarderState& state, ForwardingRef ref, CallFault fault);
+
+// ---- finish.cc ---------------------------------------------------------------------------------
+/// Answers with a refusal or a failure of ours, or cuts an answer that has begun.
+void Refuse(ForwarderState& state, Forwarding& forwarding, ResultCode code, std::string_view why);
+/// Ends a request in the books. Call once; the caller has its answer or is gone.
+void Close(ForwarderState& state, Forwarding& forwarding, ResultCode code, std::string_view why);
+/// Begins the answer with the head that the server gave.
+void StartAnswer(ForwarderState& state, Forwarding& forwarding, std::optional<std::size_t> length);
+/// The library has disposed of the request: its caller is gone or has the whole answer.
+void OnDisposed(ForwarderState& state, ForwardingRef ref);
+/// Puts the call under way aside and gives its place at the server back.
+void EndCall(ForwarderState& state, Forwarding& forwarding);
+
+// ---- backends.cc -------------------------------------------------------------------------------
+void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records);
+void TakeFleetLoad(ForwarderState& state, const FleetLoad& load);
+[[nodiscard]] Backend* FindBackend(ForwarderState& state, const std::string& id);
+/// The server where a request should go now, if one has room.
+[[nodiscard]] std::optional<std::string> ChooseBackend(ForwarderState& state,
+                                                       const Forwarding& forwarding);
+/// Learns from how a request ended at a server.
+void NoteHealth(ForwarderState& state, const std::string& server, ServerSign sign);
+[[nodiscard]] LoadReport MakeReport(ForwarderState& state, Instant now);
+
+[[nodiscard]] inline Forwarding* Find(ForwarderState& state, ForwardingRef ref) {
+  const auto found = state.m_forwardings.find(ref);
+  return found == state.m_forwardings.end() ? nullptr : found->second.get();
+}
+
+}  // namespace poppyway::impl
--- a/packages/gateway/include/poppyway/gateway/impl/exchange.h
+++ b/packages/gateway/include/poppyway/gateway/impl/exchange.h
@@ -9,6 +9,7 @@
 #include <h2o.h>
 
 #include "poppyway/gateway/impl/json_request.h"
+#include "poppyway/http.h"
 #include "poppyway/policy.h"
 #include "poppyway/settings.h"
 
@@ -33,18 +34,6 @@
   friend bool operator==(const Header&, const Header&) = default;
 };
 
-/// \brief The caller's side: h2o's request, null once the caller is gone.
-struct CallerSide {
-  h2o_req_t* m_req = nullptr;
-  bool m_started = false;   ///< `h2o_start_response` was called.
-  bool m_inflight = false;  ///< h2o holds `m_sending` until it asks to proceed.
-  bool m_ended = false;     ///< No more bytes will be added.
-  bool m_aborted = false;   ///< The answer is cut after what is pending.
-  bool m_final = false;     ///< h2o was given the last chunk.
-  std::string m_sending;
-  std::string m_pending;
-};
-
 class Upstream;
 
 /// \brief One request from its arrival to its end. Plain data, owned by the gateway.
--- a/packages/gateway/src/account.cc
+++ b/packages/gateway/src/account.cc
@@ -81,10 +81,6 @@
 
 }  // namespace
 
-std::string TierAndReason(Tier tier, std::string_view reason) {
-  return "reason=\"" + std::string(reason) + "\",tier=\"" + std::to_string(tier) + "\"";
-}
-
 void Account(GatewayState& state, Exchange& exchange, ResultCode code) {
   if (exchange.m_stage == Stage::kDone)
     return;
--- a/packages/gateway/src/answer.cc
+++ b/packages/gateway/src/answer.cc
@@ -9,17 +9,6 @@
 
 constexpr int kCallerGoneStatus = 499;  // Nobody reads it; h2o needs an answer to let go.
 
-h2o_iovec_t Copy(h2o_mem_pool_t& pool, std::string_view text) {
-  return h2o_strdup(&pool, text.data(), text.size());
-}
-
-void AddHeader(h2o_req_t* req, std::string_view name, std::string_view value) {
-  const h2o_iovec_t name_copy = Copy(req->pool, name);
-  const h2o_iovec_t value_copy = Copy(req->pool, value);
-  h2o_add_header_by_str(&req->pool, &req->res.headers, name_copy.base, name_copy.len, 1, nullptr,
-                        value_copy.base, value_copy.len);
-}
-
 /// Our generator: h2o calls back through it, by reference number.
 struct Generator {
   h2o_generator_t m_base;
@@ -38,22 +27,10 @@
   h2o_req_t* req = exchange.m_caller.m_req;
   auto* generator = static_cast<Generator*>(h2o_mem_alloc_pool(&req->pool, sizeof(Generator)));
   *generator = {{&OnProceed, nullptr}, &state, exchange.m_ref};
-  AddHeader(req, "poppyway-request-id", exchange.m_id);
-  exchange.m_caller.m_started = true;
+  AddField(req, "poppyway-request-id", exchange.m_id);
   if (state.m_stopping)
     req->http1_is_persistent = 0;
-  h2o_start_response(req, &generator->m_base);
-}
-
-void Push(Exchange& exchange, bool last) {
-  CallerSide& caller = exchange.m_caller;
-  caller.m_sending.swap(caller.m_pending);
-  caller.m_pending.clear();
-  caller.m_inflight = true;
-  caller.m_final = last;
-  h2o_iovec_t part = h2o_iovec_init(caller.m_sending.data(), caller.m_sending.size());
-  h2o_send(caller.m_req, &part, part.len == 0 ? 0 : 1,
-           last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+  BeginAnswer(exchange.m_caller, generator->m_base);
 }
 
 std::string ProblemJson(const Exchange& exchange,
@@ -80,11 +57,9 @@
   req->res.status = status;
   req->res.reason = status < 400 ? "OK" : "Refused";
   req->res.content_length = body.size();
-  AddHeader(req, "content-type", type);
+  AddField(req, "content-type", type);
   Begin(state, exchange);
-  exchange.m_caller.m_pending = std::move(body);
-  exchange.m_caller.m_ended = true;
-  Push(exchange, true);
+  SendChunk(exchange.m_caller, body, true);
 }
 
 }  // namespace
@@ -93,13 +68,13 @@
   const RequestRef ref = exchange.m_ref;
   const ResultInfo& info = Describe(code);
   if (exchange.m_caller.m_req != nullptr && exchange.m_caller.m_started) {
-    AbortAnswer(exchange);
+    AbortAnswer(exchange.m_caller);
   } else if (exchange.m_caller.m_req != nullptr) {
     h2o_req_t* req = exchange.m_caller.m_req;
-    AddHeader(req, "poppyway-code", std::to_string(static_cast<int>(code)));
-    AddHeader(req, "poppyway-run", RunStateName(info.m_run));
+    AddField(req, "poppyway-code", std::to_string(static_cast<int>(code)));
+    AddField(req, "poppyway-run", RunStateName(info.m_run));
     if (info.m_retry_after)
-      AddHeader(req, "retry-after", std::to_string(ComeBackAfter(state, exchange)));
+      AddField(req, "retry-after", std::to_string(ComeBackAfter(state, exchange)));
     const int status = info.m_http_status == 0 ? kCallerGoneStatus : info.m_http_status;
     SendWhole(state, exchange, status, "application/problem+json",
               ProblemJson(exchange, info, detail));
@@ -115,8 +90,8 @@
   }
   const RequestRef ref = exchange.m_ref;
   if (exchange.m_caller.m_req != nullptr) {
-    AddHeader(exchange.m_caller.m_req, "poppyway-replayed", "true");
-    AddHeader(exchange.m_caller.m_req, "poppyway-run", RunStateName(RunState::kRan));
+    AddField(exchange.m_caller.m_req, "poppyway-replayed", "true");
+    AddField(exchange.m_caller.m_req, "poppyway-run", RunStateName(RunState::kRan));
     SendWhole(state, exchange, answer.status, answer.content_type, answer.body);
   }
   state.m_metrics.Add("poppyway_replays_total");
@@ -142,49 +117,16 @@
                      header.m_name == "keep-alive" || header.m_name == "server" ||
                      header.m_name == "date" || header.m_name == "x-request-id";
     if (!hop)
-      AddHeader(req, header.m_name, header.m_value);
+      AddField(req, header.m_name, header.m_value);
   }
-  AddHeader(req, "poppyway-run", RunStateName(RunState::kRan));
+  AddField(req, "poppyway-run", RunStateName(RunState::kRan));
   if (!exchange.m_key.empty())
-    AddHeader(req, "poppyway-key-retention-s", std::to_string(exchange.m_event->m_retention_s));
+    AddField(req, "poppyway-key-retention-s", std::to_string(exchange.m_event->m_retention_s));
   Begin(state, exchange);
 }
 
-void SendChunk(Exchange& exchange, std::string_view bytes, bool last) {
-  CallerSide& caller = exchange.m_caller;
-  if (caller.m_req == nullptr)
-    return;
-  caller.m_pending += bytes;
-  caller.m_ended = caller.m_ended || last;
-  if (!caller.m_inflight && (last || !caller.m_pending.empty()))
-    Push(exchange, last);
-}
-
-void AbortAnswer(Exchange& exchange) {
-  CallerSide& caller = exchange.m_caller;
-  if (caller.m_req == nullptr || caller.m_ended)
-    return;
-  caller.m_ended = true;
-  caller.m_aborted = true;
-  if (caller.m_inflight)
-    return;  // The error follows in OnCallerReady.
-  caller.m_inflight = true;
-  caller.m_final = true;
-  h2o_send(caller.m_req, nullptr, 0, H2O_SEND_STATE_ERROR);
-}
-
 void OnCallerReady(GatewayState& /*state*/, Exchange& exchange) {
-  CallerSide& caller = exchange.m_caller;
-  caller.m_inflight = false;
-  if (caller.m_req == nullptr || caller.m_final)
-    return;
-  if (!caller.m_pending.empty() || (caller.m_ended && !caller.m_aborted)) {
-    Push(exchange, caller.m_ended && !caller.m_aborted);
-  } else if (caller.m_aborted) {
-    caller.m_final = true;
-    caller.m_inflight = true;
-    h2o_send(caller.m_req, nullptr, 0, H2O_SEND_STATE_ERROR);
-  }
+  ProceedAnswer(exchange.m_caller);
   if (exchange.m_upstream)
     exchange.m_upstream->Resume();
 }
--- a/packages/gateway/src/dispatch.cc
+++ b/packages/gateway/src/dispatch.cc
@@ -1,7 +1,5 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-#include <poll.h>
-
 #include <algorithm>
 #include <array>
 
@@ -35,18 +33,6 @@
 
 }  // namespace
 
-bool CallerLeft(const Exchange& exchange) {
-  h2o_req_t* req = exchange.m_caller.m_req;
-  if (req == nullptr)
-    return true;
-  const bool http2 = req->version >= 0x200;
-  if (http2)
-    return false;  // h2o disposes of an HTTP/2 request at once.
-  h2o_socket_t* socket = req->conn->callbacks->get_socket(req->conn);
-  pollfd watched{h2o_socket_get_fd(socket), POLLRDHUP, 0};
-  return poll(&watched, 1, 0) == 1 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 /// Sends the request to the engine of its credit. The first byte written is the dispatch.
 void Dispatch(GatewayState& state, Exchange& exchange) {
   const std::vector<std::string>& usable = AllowedEngines(state, exchange);
--- a/packages/gateway/src/filters.h
+++ b/packages/gateway/src/filters.h
@@ -40,10 +40,6 @@
                  Exchange& exchange,
                  int status,
                  const std::vector<Header>& headers);
-/// Hands bytes to the caller; `last` ends the answer.
-void SendChunk(Exchange& exchange, std::string_view bytes, bool last);
-/// Cuts an answer that can't be completed, so that the caller sees it is not whole.
-void AbortAnswer(Exchange& exchange);
 /// h2o can take the next chunk.
 void OnCallerReady(GatewayState& state, Exchange& exchange);
 
@@ -75,9 +71,6 @@
 /// Refuses what can't be reached any more, dispatches by fair share without a broker.
 void TickPool(GatewayState& state, const std::string& name, PoolClient& pool, Instant now);
 
-/// \brief Labels of a metric that is counted by tier and reason.
-[[nodiscard]] std::string TierAndReason(Tier tier, std::string_view reason);
-
 /// \brief `Retry-After` for a refused exchange.
 [[nodiscard]] int ComeBackAfter(GatewayState& state, const Exchange& exchange);
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -9,8 +9,6 @@
 namespace poppyway {
 namespace {
 
-using impl::CallerLeft;
-
 constexpr std::uint64_t kBusyTickMillis = 5;
 constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr Duration kCallerPollInterval{100'000};
@@ -115,7 +113,7 @@
   for (const auto& [ref, exchange] : state.m_exchanges) {
     const bool open = exchange->m_stage != Stage::kDone && exchange->m_caller.m_req != nullptr &&
                       !exchange->m_caller.m_started;
-    if (open && CallerLeft(*exchange))
+    if (open && CallerLeft(exchange->m_caller.m_req))
       left.push_back(ref);
   }
   for (const RequestRef ref : left) {
--- a/packages/gateway/src/relay.cc
+++ b/packages/gateway/src/relay.cc
@@ -63,7 +63,7 @@
 
 bool OnMaySend(GatewayState& state, RequestRef ref) {
   Exchange* exchange = Find(state, ref);
-  if (exchange == nullptr || exchange->m_stage != Stage::kConnecting || CallerLeft(*exchange))
+  if (exchange == nullptr || exchange->m_stage != Stage::kConnecting || CallerLeft(exchange->m_caller.m_req))
     return false;
   exchange->m_stage = Stage::kSent;
   exchange->m_dispatched = ReadClock();
@@ -98,7 +98,7 @@
     if (exchange->m_tail.size() > kTailBytes)
       exchange->m_tail.erase(0, exchange->m_tail.size() - kTailBytes);
   }
-  SendChunk(*exchange, bytes, false);
+  SendChunk(exchange->m_caller, bytes, false);
   if (exchange->m_caller.m_pending.size() > kMaxBuffered && exchange->m_upstream)
     exchange->m_upstream->Pause();
 }
@@ -114,7 +114,7 @@
     return;
   }
   Retire(state, *exchange);
-  SendChunk(*exchange, "", true);
+  SendChunk(exchange->m_caller, "", true);
   Account(state, *exchange, ResultCode::kOk);
   EraseIfOver(state, ref);
 }
@@ -136,7 +136,7 @@
   }
   Retire(state, *exchange);
   PoolClient& pool = PoolOf(state, *exchange);
-  const bool caller_left = CallerLeft(*exchange);
+  const bool caller_left = CallerLeft(exchange->m_caller.m_req);
   EndDispatch(pool, exchange->m_credit, caller_left ? UseStage::kReturned : UseStage::kFailed,
               Duration(0), ReadClock());
   exchange->m_stage = Stage::kWaiting;
--- a/packages/gateway/src/relay.h
+++ b/packages/gateway/src/relay.h
@@ -6,8 +6,6 @@
 
 namespace poppyway::impl {
 
-/// True if the caller closed its connection.
-[[nodiscard]] bool CallerLeft(const Exchange& exchange);
 
 /// The connection to the back end is open: true to write the first byte, which is the dispatch.
 [[nodiscard]] bool OnMaySend(GatewayState& state, RequestRef ref);
--- /dev/null
+++ b/packages/http/include/poppyway/http.h
@@ -0,0 +1,12 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+/// \file
+/// \brief What every listener of ours shares: an HTTP/1.1 server on a task's loop, whole replies,
+/// answers sent in pieces, and noticing callers that have left.
+///
+/// \detail All of it belongs to the loop's thread.
+
+#include "poppyway/http/impl/caller_side.h"
+#include "poppyway/http/impl/http_server.h"
--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -24,6 +24,8 @@
   Duration m_election_min{300'000};
   Duration m_election_max{600'000};
   Duration m_heartbeat{50'000};
+  /// A voter this long silent may be replaced; well above a restart, which takes below a second.
+  Duration m_gone_after{5'000'000};
 };
 
 /// \brief A member's part in its term.
@@ -35,6 +37,7 @@
   std::int64_t m_match = 0;
   Instant m_heard{};
   Instant m_snapshot_sent{};
+  Instant m_confirmed{};  ///< When the newest append that it has answered was sent.
 };
 
 /// \brief One member's state. Plain data; the functions below are its behaviour.
@@ -120,10 +123,21 @@
 [[nodiscard]] const wire::MemberInfo* FindMember(const wire::Membership& membership, MemberId id);
 /// \brief True while a majority of voters answered within the last election timeout.
 [[nodiscard]] bool LeadsWithQuorum(const LogNode& node, Instant now);
+/// \brief True if a majority of voters is known to have followed this leader within the last
+/// shortest election timeout, counted from when the append was sent, and the leader has committed
+/// in its term. Until then no other leader can have committed anything, however long replies were
+/// on their way.
+[[nodiscard]] bool ConfirmedLeader(const LogNode& node, Instant now);
+/// \brief A voter that has been silent for longest and may be removed: another member is ready to
+/// take its place, or the count of voters is even, so that its removal costs no tolerance.
+[[nodiscard]] std::optional<MemberId> RemovableVoter(const LogNode& node, Instant now);
+
 /// \brief A membership change for the leader to propose now, if one is due: a member whose folder
-/// was lost is replaced by its new id as a non-voter; a caught-up non-voter becomes a voter.
+/// was lost is replaced by its new id as a non-voter; a voter that is gone is removed; a caught-up
+/// non-voter becomes a voter. `joining_members` are those that asked to join.
 [[nodiscard]] std::optional<wire::Membership> DueMembership(
     const LogNode& node,
-    const std::vector<wire::MemberInfo>& blank_members);
+    const std::vector<wire::MemberInfo>& joining_members,
+    Instant now);
 
 }  // namespace poppyway
--- a/packages/log/src/log_internal.h
+++ b/packages/log/src/log_internal.h
@@ -6,6 +6,8 @@
 
 namespace poppyway::impl {
 
+/// \brief True if a member holds nearly all of the log and answers now.
+[[nodiscard]] bool CaughtUp(const LogNode& node, MemberId id, Instant now);
 [[nodiscard]] std::size_t Majority(const wire::Membership& membership);
 void AppendLocal(LogNode& node, std::vector<wire::LogEntry> entries, LogEffects& effects);
 void AdoptMembership(LogNode& node);
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -42,6 +42,45 @@
   return heard >= Majority(node.m_membership);
 }
 
+bool ConfirmedLeader(const LogNode& node, Instant now) {
+  if (node.m_role != Role::kLeader || node.m_commit < node.m_term_start)
+    return false;
+  std::size_t confirmed = IsVoter(node.m_membership, node.m_id) ? 1 : 0;
+  for (const auto& [id, progress] : node.m_progress) {
+    const bool recent = now - progress.m_confirmed < node.m_timing.m_election_min;
+    if (IsVoter(node.m_membership, id) && recent)
+      ++confirmed;
+  }
+  return confirmed >= Majority(node.m_membership);
+}
+
+std::optional<MemberId> RemovableVoter(const LogNode& node, Instant now) {
+  const auto voters = std::count_if(node.m_membership.members.begin(),
+                                    node.m_membership.members.end(),
+                                    [](const wire::MemberInfo& m) { return m.voter; });
+  const bool successor = std::any_of(node.m_membership.members.begin(),
+                                     node.m_membership.members.end(),
+                                     [&node, now](const wire::MemberInfo& member) {
+                                       return !member.voter && CaughtUp(node, member.id, now);
+                                     });
+  constexpr std::int64_t kFewestVoters = 3;
+  if (voters <= kFewestVoters || (!successor && voters % 2 != 0))
+    return std::nullopt;
+  std::optional<MemberId> silent;
+  Instant oldest = now - node.m_timing.m_gone_after;
+  for (const wire::MemberInfo& member : node.m_membership.members) {
+    const auto progress = node.m_progress.find(member.id);
+    const bool ours = member.id == node.m_id;
+    if (ours || !member.voter || progress == node.m_progress.end())
+      continue;
+    if (progress->second.m_heard >= oldest)
+      continue;
+    oldest = progress->second.m_heard;
+    silent = member.id;
+  }
+  return silent;
+}
+
 void MergeEffects(LogEffects& into, LogEffects&& more) {
   into.m_save_hard = into.m_save_hard || more.m_save_hard;
   if (more.m_truncate_after) {
@@ -192,26 +231,26 @@
 }
 
 std::optional<wire::Membership> DueMembership(const LogNode& node,
-                                              const std::vector<wire::MemberInfo>& blank_members) {
+                                              const std::vector<wire::MemberInfo>& joining_members,
+                                              Instant now) {
   if (node.m_role != Role::kLeader)
     return std::nullopt;
   wire::Membership next = node.m_membership;
-  for (const wire::MemberInfo& blank : blank_members) {
-    if (FindMember(node.m_membership, blank.id) != nullptr)
+  for (const wire::MemberInfo& joining : joining_members) {
+    if (FindMember(node.m_membership, joining.id) != nullptr)
       continue;
     std::erase_if(next.members,
-                  [&blank](const wire::MemberInfo& m) { return m.name == blank.name; });
-    next.members.push_back(blank);
+                  [&joining](const wire::MemberInfo& m) { return m.name == joining.name; });
+    next.members.push_back(joining);
     next.members.back().voter = false;
     return next;
   }
-  constexpr std::int64_t kCaughtUp = 16;
+  if (const std::optional<MemberId> gone = RemovableVoter(node, now)) {
+    std::erase_if(next.members, [&gone](const wire::MemberInfo& m) { return m.id == *gone; });
+    return next;
+  }
   for (wire::MemberInfo& member : next.members) {
-    const auto progress = node.m_progress.find(member.id);
-    const bool caught_up = progress != node.m_progress.end() &&
-                           progress->second.m_match + kCaughtUp >= LastIndex(node) &&
-                           progress->second.m_match >= node.m_term_start;
-    if (member.voter || !caught_up)
+    if (member.voter || !CaughtUp(node, member.id, now))
       continue;
     member.voter = true;
     return next;
@@ -221,6 +260,15 @@
 
 namespace impl {
 
+bool CaughtUp(const LogNode& node, MemberId id, Instant now) {
+  constexpr std::int64_t kCaughtUp = 16;  // Entries; appends are pipelined, so never quite zero.
+  const auto progress = node.m_progress.find(id);
+  return progress != node.m_progress.end() &&
+         now - progress->second.m_heard < node.m_timing.m_election_max &&
+         progress->second.m_match + kCaughtUp >= LastIndex(node) &&
+         progress->second.m_match >= node.m_term_start;
+}
+
 std::size_t Majority(const wire::Membership& membership) {
   const auto voters = std::count_if(membership.members.begin(), membership.members.end(),
                                     [](const wire::MemberInfo& m) { return m.voter; });
@@ -290,7 +338,7 @@
   node.m_progress.clear();
   for (const wire::MemberInfo& member : node.m_membership.members) {
     if (member.id != node.m_id)
-      node.m_progress[member.id] = {LastIndex(node) + 1, 0, now, {}};
+      node.m_progress[member.id] = {LastIndex(node) + 1, 0, now, {}, {}};
   }
   node.m_term_start = LastIndex(node) + 1;
   wire::LogEntry entry;
--- a/packages/log/src/replication.cc
+++ b/packages/log/src/replication.cc
@@ -10,8 +10,14 @@
 constexpr std::size_t kMaxEntries = 512;  // In one append message.
 constexpr Duration kSnapshotResend{2'000'000};
 
-void Reply(const LogNode& node, MemberId to, bool ok, std::int64_t match, LogEffects& effects) {
+void Reply(const LogNode& node,
+           MemberId to,
+           bool ok,
+           std::int64_t match,
+           std::int64_t sent_us,
+           LogEffects& effects) {
   wire::AppendReply reply;
+  reply.sent_us = sent_us;
   reply.term = node.m_hard.term;
   reply.ok = ok;
   reply.match = match;
@@ -66,6 +72,7 @@
   request.prev_index = progress.m_next - 1;
   request.prev_term = TermAt(node, request.prev_index);
   request.commit = node.m_commit;
+  request.sent_us = now.time_since_epoch().count();
   const auto first = static_cast<std::size_t>(progress.m_next - node.m_snapshot_index - 1);
   const std::size_t last = std::min(node.m_entries.size(), first + kMaxEntries);
   for (std::size_t i = first; i < last; ++i)
@@ -81,7 +88,7 @@
   for (const wire::MemberInfo& member : node.m_membership.members) {
     if (member.id == node.m_id)
       continue;
-    node.m_progress.try_emplace(member.id, Progress{LastIndex(node) + 1, 0, now, {}});
+    node.m_progress.try_emplace(member.id, Progress{LastIndex(node) + 1, 0, now, {}, {}});
     SendAppend(node, member.id, effects, now);
   }
 }
@@ -92,13 +99,13 @@
               LogEffects& effects,
               Instant now) {
   if (request.term < node.m_hard.term) {
-    Reply(node, from, false, LastIndex(node), effects);
+    Reply(node, from, false, LastIndex(node), request.sent_us, effects);
     return;
   }
   HearLeader(node, from, request.term, effects, now);
   const bool behind_snapshot = request.prev_index < node.m_snapshot_index;
   if (!behind_snapshot && TermAt(node, request.prev_index) != request.prev_term) {
-    Reply(node, from, false, MismatchHint(node, request.prev_index), effects);
+    Reply(node, from, false, MismatchHint(node, request.prev_index), request.sent_us, effects);
     return;
   }
   std::vector<wire::LogEntry> fresh;
@@ -121,7 +128,7 @@
   AppendLocal(node, std::move(fresh), effects);
   node.m_commit = std::max(node.m_commit, std::min(request.commit, match));
   HandOut(node, effects);
-  Reply(node, from, true, match, effects);
+  Reply(node, from, true, match, request.sent_us, effects);
 }
 
 void OnAppendReply(LogNode& node,
@@ -139,6 +146,7 @@
     return;
   Progress& progress = found->second;
   progress.m_heard = now;
+  progress.m_confirmed = std::max(progress.m_confirmed, Instant(Duration(reply.sent_us)));
   if (!reply.ok) {
     // The hint may lie below what is known to match: then it is an old reply.
     progress.m_next = std::max(reply.match, progress.m_match) + 1;
@@ -158,7 +166,7 @@
                 LogEffects& effects,
                 Instant now) {
   if (request.term < node.m_hard.term) {
-    Reply(node, from, false, LastIndex(node), effects);
+    Reply(node, from, false, LastIndex(node), 0, effects);
     return;
   }
   HearLeader(node, from, request.term, effects, now);
@@ -174,7 +182,7 @@
     AdoptMembership(node);
     effects.m_install = snapshot;
   }
-  Reply(node, from, true, std::max(snapshot.index, node.m_commit), effects);
+  Reply(node, from, true, std::max(snapshot.index, node.m_commit), 0, effects);
 }
 
 }  // namespace poppyway::impl
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -16,6 +16,8 @@
 /// - `AdmissionQueue`: the requests that wait in one gateway.
 /// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
+/// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
+/// - `QuotaShare`: an instance's part of a workspace's token limit.
 /// - `RateEstimate`, `RetryBudget`, `RetryAfter`: speed of engines, retries, when to come back.
 
 #include "poppyway/policy/impl/admission_queue.h"
@@ -26,6 +28,9 @@
 #include "poppyway/policy/impl/rate_estimate.h"
 #include "poppyway/policy/impl/retry_after.h"
 #include "poppyway/policy/impl/retry_budget.h"
+#include "poppyway/policy/impl/server_choice.h"
+#include "poppyway/policy/impl/server_health.h"
 #include "poppyway/policy/impl/shed_floor.h"
 #include "poppyway/policy/impl/tier.h"
+#include "poppyway/policy/impl/token_quota.h"
 #include "poppyway/policy/impl/wait_estimate.h"
--- a/packages/policy/include/poppyway/policy/impl/retry_budget.h
+++ b/packages/policy/include/poppyway/policy/impl/retry_budget.h
@@ -24,4 +24,16 @@
 /// \brief Most retries that may be saved up.
 inline constexpr double kRetryBurst = 50;
 
+/// \brief A limit on second dispatches that all instances share; each spends a part of it.
+struct RetryLimit {
+  double m_ratio = kRetryRatio;  ///< Second dispatches for each first one.
+  double m_burst = kRetryBurst;  ///< That may be saved up, over all instances.
+  int m_instances = 1;
+
+  friend bool operator==(const RetryLimit&, const RetryLimit&) = default;
+};
+
+/// \brief Accounts for one new request under a shared limit.
+[[nodiscard]] RetryBudget Deposit(const RetryBudget& budget, const RetryLimit& limit) noexcept;
+
 }  // namespace poppyway
--- /dev/null
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "poppyway/core.h"
+#include "poppyway/policy/impl/tier.h"
+
+namespace poppyway {
+
+/// \brief How fast a backend server works, learned from its answers. Zero: not known yet.
+struct ServerPace {
+  double m_tokens_per_ms = 0;  ///< Prompt tokens read, at best; engines only.
+  double m_event_ms = 0;       ///< Between two events of a stream when little else runs.
+  double m_service_ms = 0;     ///< From dispatch to the end of an answer.
+
+  friend bool operator==(const ServerPace&, const ServerPace&) = default;
+};
+
+/// \brief One backend server as this instance sees it at the moment of a decision.
+struct ServerView {
+  int m_slots = 1;                     ///< Requests it works on at once.
+  int m_own = 0;                       ///< Of this instance, in flight there.
+  int m_others = 0;                    ///< Of other instances, as last heard.
+  std::int64_t m_reading_tokens = 0;   ///< Prompt tokens ahead that it has not finished reading.
+  std::int64_t m_kept_tokens = 0;      ///< Prompt tokens of this request that it likely still keeps.
+  ServerPace m_pace;
+  bool m_usable = true;                ///< Neither leaving nor suspect nor tried before.
+  bool m_same_data_centre = false;
+};
+
+/// \brief What of a request decides where it goes.
+struct RequestShape {
+  Tier m_tier = 0;
+  std::int64_t m_prompt_tokens = 0;  ///< Zero for plain services.
+  Duration m_aim{};                  ///< First event, or whole answer, wanted within this.
+};
+
+/// \brief A choice with what was predicted for it.
+struct ServerChoice {
+  std::size_t m_index = 0;
+  Duration m_first{};  ///< Until the first event, or the answer of a plain service.
+
+  friend bool operator==(const ServerChoice&, const ServerChoice&) = default;
+};
+
+/// \brief Predicted time to the first event at a server, its own queue included. `typical` stands
+/// in for what is not known of the server yet.
+[[nodiscard]] Duration PredictFirst(const ServerView& server,
+                                    const RequestShape& request,
+                                    const ServerPace& typical) noexcept;
+
+/// \brief True if a request of this tier may be sent there now: what would wait in the server's own
+/// queue, where tiers are not known, stays a small part of the aim.
+[[nodiscard]] bool HasRoom(const ServerView& server,
+                           const RequestShape& request,
+                           const ServerPace& typical) noexcept;
+
+/// \brief The usable server with room and the best prediction; ties are broken by `random`.
+[[nodiscard]] std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
+                                                       const RequestShape& request,
+                                                       const ServerPace& typical,
+                                                       std::uint64_t random);
+
+/// \brief The mean of what is known over a pool, to stand in for a server that is new.
+[[nodiscard]] ServerPace TypicalPace(std::span<const ServerView> servers) noexcept;
+
+/// \brief Learns from the first event of a stream.
+[[nodiscard]] ServerPace ObserveFirst(const ServerPace& pace,
+                                      std::int64_t tokens_read,
+                                      Duration elapsed) noexcept;
+/// \brief Learns from a whole stream: `events` came within `span` after the first one.
+[[nodiscard]] ServerPace ObserveEvents(const ServerPace& pace,
+                                       std::int64_t events,
+                                       Duration span) noexcept;
+/// \brief Learns from a whole answer.
+[[nodiscard]] ServerPace ObserveService(const ServerPace& pace, Duration elapsed) noexcept;
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/policy/include/poppyway/policy/impl/server_health.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include "poppyway/core.h"
+
+namespace poppyway {
+
+/// \brief What answers say about a backend server's health.
+struct ServerHealth {
+  int m_failures = 0;         ///< In a row.
+  double m_failed_share = 0;  ///< Of recent requests, smoothed.
+  Instant m_avoid_until{};    ///< No new work before, unless nothing else is left.
+
+  friend bool operator==(const ServerHealth&, const ServerHealth&) = default;
+};
+
+/// \brief How a request to a server ended, as far as its health goes.
+enum class ServerSign : std::uint8_t {
+  kGood,         ///< A whole answer.
+  kBad,          ///< A failure of its own, a broken answer, a reset.
+  kUnreachable,  ///< No connection, or silence.
+};
+
+/// \brief Learns from one request. A single bad answer changes nothing but the share; several in a
+/// row, or no connection, keep new work away for a time that doubles up to a bound.
+[[nodiscard]] ServerHealth Observe(const ServerHealth& health, ServerSign sign, Instant now) noexcept;
+
+/// \brief True if new work should go elsewhere where it can.
+[[nodiscard]] bool Avoided(const ServerHealth& health, Instant now) noexcept;
+
+}  // namespace poppyway
--- a/packages/policy/include/poppyway/policy/impl/tier.h
+++ b/packages/policy/include/poppyway/policy/impl/tier.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <array>
+#include <string>
+#include <string_view>
 
 namespace poppyway {
 
@@ -15,4 +17,9 @@
 /// \brief A count for each tier.
 using TierCounts = std::array<int, kTiers>;
 
+/// \brief Labels of a metric that is counted by tier and reason.
+[[nodiscard]] inline std::string TierAndReason(Tier tier, std::string_view reason) {
+  return "reason=\"" + std::string(reason) + "\",tier=\"" + std::to_string(tier) + "\"";
+}
+
 }  // namespace poppyway
--- /dev/null
+++ b/packages/policy/src/server_choice.cc
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+#include <cmath>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+namespace {
+
+// Share of the aim that a request may be predicted to wait in a server's own queue, by tier: what
+// waits there has lost its tier, so lower tiers keep out sooner.
+constexpr double kQueueShare[] = {0.30, 0.15, 0.05};
+constexpr double kDefaultServiceMs = 50;    // Until the first answer of a pool is seen.
+constexpr double kDefaultTokensPerMs = 30;  // Likewise; engines of today read 10 to 150.
+constexpr double kLongestSampleMs = 10'000;
+constexpr std::int64_t kLeastTokens = 256;  // Shorter prompts say nothing about the reading rate.
+constexpr double kFixedFirstMs = 15;        // A first event's time apart from reading; seen 14 to 20.
+constexpr double kGainUp = 0.25;    // Towards a faster sample: interference only ever slows one.
+constexpr double kGainDown = 0.04;  // Towards a slower one.
+constexpr double kTieMs = 2;        // Predictions closer than this count as equal.
+constexpr double kRemoteMs = 1;     // What another data centre costs in a comparison.
+
+double Known(double value, double typical, double fallback) noexcept {
+  if (value > 0)
+    return value;
+  return typical > 0 ? typical : fallback;
+}
+
+double QueueMs(const ServerView& server, const ServerPace& typical) noexcept {
+  const int ahead = server.m_own + server.m_others - server.m_slots + 1;
+  if (ahead <= 0)
+    return 0;
+  const double service =
+      Known(server.m_pace.m_service_ms, typical.m_service_ms, kDefaultServiceMs);
+  return ahead * service / std::max(1, server.m_slots);
+}
+
+double FirstMs(const ServerView& server,
+               const RequestShape& request,
+               const ServerPace& typical) noexcept {
+  const double queue = QueueMs(server, typical);
+  if (request.m_prompt_tokens == 0)
+    return queue + Known(server.m_pace.m_service_ms, typical.m_service_ms, kDefaultServiceMs);
+  const double rate =
+      Known(server.m_pace.m_tokens_per_ms, typical.m_tokens_per_ms, kDefaultTokensPerMs);
+  const std::int64_t own =
+      std::max<std::int64_t>(0, request.m_prompt_tokens - server.m_kept_tokens);
+  return queue + kFixedFirstMs + static_cast<double>(server.m_reading_tokens + own) / rate;
+}
+
+Duration FromMs(double ms) noexcept {
+  return Duration(static_cast<std::int64_t>(ms * 1000));
+}
+
+double Ms(Duration duration) noexcept {
+  return static_cast<double>(duration.count()) / 1000;
+}
+
+double Blend(double before, double sample, double gain) noexcept {
+  return before == 0 ? sample : before + gain * (sample - before);
+}
+
+}  // namespace
+
+Duration PredictFirst(const ServerView& server,
+                      const RequestShape& request,
+                      const ServerPace& typical) noexcept {
+  return FromMs(FirstMs(server, request, typical));
+}
+
+bool HasRoom(const ServerView& server,
+             const RequestShape& request,
+             const ServerPace& typical) noexcept {
+  constexpr std::size_t kLowest = std::size(kQueueShare) - 1;
+  const double share = kQueueShare[std::min<std::size_t>(
+      static_cast<std::size_t>(std::max(0, static_cast<int>(request.m_tier))), kLowest)];
+  return QueueMs(server, typical) <= share * Ms(request.m_aim);
+}
+
+std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
+                                         const RequestShape& request,
+                                         const ServerPace& typical,
+                                         std::uint64_t random) {
+  std::optional<ServerChoice> best;
+  double best_ms = 0;
+  std::uint64_t equals = 0;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    const ServerView& server = servers[i];
+    if (!server.m_usable || !HasRoom(server, request, typical))
+      continue;
+    const double first = FirstMs(server, request, typical);
+    // A loaded batch slows every token, so a busy server has to be ahead by more than a free one.
+    const double filled =
+        static_cast<double>(server.m_own + server.m_others) / std::max(1, server.m_slots);
+    const double ms = first * (1 + filled) + (server.m_same_data_centre ? 0 : kRemoteMs);
+    if (best && ms > best_ms + kTieMs)
+      continue;
+    const bool tie = best && ms >= best_ms - kTieMs;
+    equals = tie ? equals + 1 : 1;
+    random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+    const bool take = !tie || (random >> 33) % equals == 0;
+    if (!take)
+      continue;
+    best = ServerChoice{i, FromMs(first)};
+    best_ms = tie ? std::min(best_ms, ms) : ms;
+  }
+  return best;
+}
+
+ServerPace TypicalPace(std::span<const ServerView> servers) noexcept {
+  ServerPace sum;
+  int rates = 0;
+  int events = 0;
+  int services = 0;
+  for (const ServerView& server : servers) {
+    sum.m_tokens_per_ms += server.m_pace.m_tokens_per_ms;
+    sum.m_event_ms += server.m_pace.m_event_ms;
+    sum.m_service_ms += server.m_pace.m_service_ms;
+    rates += server.m_pace.m_tokens_per_ms > 0 ? 1 : 0;
+    events += server.m_pace.m_event_ms > 0 ? 1 : 0;
+    services += server.m_pace.m_service_ms > 0 ? 1 : 0;
+  }
+  sum.m_tokens_per_ms /= std::max(1, rates);
+  sum.m_event_ms /= std::max(1, events);
+  sum.m_service_ms /= std::max(1, services);
+  return sum;
+}
+
+ServerPace ObserveFirst(const ServerPace& pace,
+                        std::int64_t tokens_read,
+                        Duration elapsed) noexcept {
+  if (tokens_read < kLeastTokens || Ms(elapsed) > kLongestSampleMs)
+    return pace;
+  ServerPace after = pace;
+  const double sample =
+      static_cast<double>(tokens_read) / std::max(1.0, Ms(elapsed) - kFixedFirstMs);
+  after.m_tokens_per_ms = Blend(pace.m_tokens_per_ms, sample,
+                                sample > pace.m_tokens_per_ms ? kGainUp : kGainDown);
+  return after;
+}
+
+ServerPace ObserveEvents(const ServerPace& pace, std::int64_t events, Duration span) noexcept {
+  if (events <= 0)
+    return pace;
+  ServerPace after = pace;
+  const double sample = Ms(span) / static_cast<double>(events);
+  after.m_event_ms =
+      Blend(pace.m_event_ms, sample, sample < pace.m_event_ms ? kGainUp : kGainDown);
+  return after;
+}
+
+ServerPace ObserveService(const ServerPace& pace, Duration elapsed) noexcept {
+  constexpr double kGain = 0.1;
+  ServerPace after = pace;
+  after.m_service_ms = Blend(pace.m_service_ms, Ms(elapsed), kGain);
+  return after;
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/state/include/poppyway/state/impl/hosted_state.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief Replicated state of a hosted deployment: the operator's document, kept byte for byte, and
+/// the backend servers that registered themselves.
+///
+/// Only changes of a server are entries of the log (it appears, leaves, is gone), not its
+/// heartbeats: a pool of thousands of servers costs a few entries a second while it is replaced.
+struct HostedState {
+  wire::Document m_document;  ///< Version 0: none was accepted yet.
+  std::map<std::string, wire::ServerRecord> m_servers;  ///< By id; gone ones are remembered.
+  std::int64_t m_servers_index = 0;                     ///< Log index of the last change.
+};
+
+/// \brief Servers that are gone and still remembered, so that a late call can't bring them back.
+inline constexpr std::size_t kRememberedGone = 4096;
+
+/// \brief The document with the highest version prevails; any other changes nothing.
+void ApplyDocument(HostedState& state, const wire::Document& document);
+
+/// \brief Takes a server's call unless a later one of the same server is known. A server that has
+/// begun to leave never returns to work, and one that is gone stays gone.
+void ApplyServer(HostedState& state, const wire::ServerRecord& record, std::int64_t index);
+
+/// \brief True if applying `record` would change what instances have to know.
+[[nodiscard]] bool ChangesServer(const HostedState& state, const wire::ServerRecord& record);
+
+/// \brief Servers that changed after log index `from`.
+[[nodiscard]] std::vector<wire::ServerRecord> ServersSince(const HostedState& state,
+                                                           std::int64_t from);
+
+}  // namespace poppyway
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -39,6 +39,11 @@
                      const std::set<std::string>& running_owners,
                      Instant now);
 
+/// \brief Adds up what the other live instances have in flight and spend, for a heartbeat's reply.
+void AddFleetLoad(const InstanceTable& table,
+                  const std::string& except,
+                  wire::HeartbeatReply& reply);
+
 /// \brief Lease grants that are due: pools without a live, willing holder. Nothing is granted until
 /// a predecessor's lease has surely run out.
 [[nodiscard]] std::vector<wire::LeaseGrant> DueLeases(
--- a/packages/state/include/poppyway/state/impl/state_machine.h
+++ b/packages/state/include/poppyway/state/impl/state_machine.h
@@ -7,6 +7,7 @@
 
 #include "poppyway/state/impl/configuration.h"
 #include "poppyway/state/impl/dispatch_ledger.h"
+#include "poppyway/state/impl/hosted_state.h"
 
 namespace poppyway {
 
@@ -14,6 +15,7 @@
 struct StateMachine {
   Configuration m_configuration;
   DispatchLedger m_ledger;
+  HostedState m_hosted;
   std::map<std::string, wire::LeaseGrant> m_leases;  ///< By lease name.
   std::int64_t m_leases_index = 0;                   ///< Log index at which they last changed.
   std::int64_t m_applied = 0;                        ///< Index of the last applied entry.
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -99,4 +99,31 @@
   return due;
 }
 
+void AddFleetLoad(const InstanceTable& table,
+                  const std::string& except,
+                  wire::HeartbeatReply& reply) {
+  std::map<std::string, wire::ServerLoad> loads;
+  std::map<std::string, wire::WorkspaceUse> uses;
+  for (const auto& [incarnation, record] : table.m_live) {
+    if (incarnation == except)
+      continue;
+    for (const wire::ServerLoad& load : record.m_beat.loads) {
+      wire::ServerLoad& sum = loads[load.server];
+      sum.server = load.server;
+      sum.in_flight += load.in_flight;
+      sum.reading_tokens += load.reading_tokens;
+    }
+    for (const wire::WorkspaceUse& use : record.m_beat.uses) {
+      wire::WorkspaceUse& sum = uses[use.workspace];
+      sum.workspace = use.workspace;
+      sum.spent_per_s += use.spent_per_s;
+      sum.wanted_per_s += use.wanted_per_s;
+    }
+  }
+  for (const auto& [server, load] : loads)
+    reply.loads.push_back(load);
+  for (const auto& [workspace, use] : uses)
+    reply.uses.push_back(use);
+}
+
 }  // namespace poppyway
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
 #include "poppyway/state.h"
 
 namespace poppyway {
@@ -31,6 +33,10 @@
       ApplyLease(machine, command.lease, entry.index);
     else if (command.__isset.gone)
       ApplyGone(machine.m_ledger, command.gone.incarnation);
+    else if (command.__isset.document)
+      ApplyDocument(machine.m_hosted, command.document);
+    else if (command.__isset.server)
+      ApplyServer(machine.m_hosted, command.server, entry.index);
     result.__set_done(true);
   }
   return result;
@@ -57,6 +63,9 @@
   state.now_ms = machine.m_ledger.m_now_ms;
   for (const auto& [name, lease] : machine.m_leases)
     state.leases.push_back(lease);
+  state.document = machine.m_hosted.m_document;
+  for (const auto& [id, record] : machine.m_hosted.m_servers)
+    state.servers.push_back(record);
   return Serialize(state);
 }
 
@@ -83,6 +92,11 @@
   for (const wire::LeaseGrant& lease : state->leases)
     machine.m_leases[lease.lease] = lease;
   machine.m_leases_index = snapshot.index;
+  machine.m_hosted.m_document = state->document;
+  for (const wire::ServerRecord& record : state->servers) {
+    machine.m_hosted.m_servers[record.id] = record;
+    machine.m_hosted.m_servers_index = std::max(machine.m_hosted.m_servers_index, record.index);
+  }
   machine.m_applied = snapshot.index;
   return {};
 }
--- a/packages/telemetry/include/poppyway/telemetry/impl/log_line.h
+++ b/packages/telemetry/include/poppyway/telemetry/impl/log_line.h
@@ -10,9 +10,16 @@
 
 namespace poppyway {
 
-/// \brief Sends log lines to `file` (empty: standard error), each `time=… level=… event=… key=…`.
+/// \brief Where log lines go.
+struct LogTarget {
+  std::string m_file{};      ///< Empty: a standard stream.
+  bool m_to_stdout = false;  ///< Standard output instead of standard error.
+  std::string m_instance{};  ///< Stands in every line.
+};
+
+/// \brief Starts logging; each line is `time=… level=… instance=… event=… key=…`.
 /// Call once, before other threads start.
-void StartLogging(const std::string& file, const std::string& instance);
+void StartLogging(const LogTarget& target);
 
 /// \brief One log event; the line is written when the object is destroyed. Thread-safe.
 class LogLine {
--- a/packages/telemetry/src/log_line.cc
+++ b/packages/telemetry/src/log_line.cc
@@ -15,7 +15,7 @@
 
 namespace poppyway {
 
-void StartLogging(const std::string& file, const std::string& instance) {
+void StartLogging(const LogTarget& target) {
   namespace log = boost::log;
   namespace expr = boost::log::expressions;
   log::add_common_attributes();
@@ -23,12 +23,12 @@
                                    << expr::format_date_time<boost::posix_time::ptime>(
                                           "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                                    << " level=" << log::trivial::severity
-                                   << " instance=" << instance << " " << expr::smessage;
-  if (file.empty()) {
-    log::add_console_log(std::clog, log::keywords::format = format,
+                                   << " instance=" << target.m_instance << " " << expr::smessage;
+  if (target.m_file.empty()) {
+    log::add_console_log(target.m_to_stdout ? std::cout : std::clog, log::keywords::format = format,
                          log::keywords::auto_flush = true);
   } else {
-    log::add_file_log(log::keywords::file_name = file, log::keywords::open_mode = std::ios::app,
+    log::add_file_log(log::keywords::file_name = target.m_file, log::keywords::open_mode = std::ios::app,
                       log::keywords::format = format, log::keywords::auto_flush = true);
   }
   log::core::get()->set_filter(log::trivial::severity >= log::trivial::info);
