--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -13,6 +13,37 @@
 
 namespace poppyway { namespace wire {
 
+int _kServerStageValues[] = {
+  ServerStage::READY,
+  ServerStage::LEAVING,
+  ServerStage::GONE
+};
+const char* _kServerStageNames[] = {
+  "READY",
+  "LEAVING",
+  "GONE"
+};
+const std::map<int, const char*> _ServerStage_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kServerStageValues, _kServerStageNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const ServerStage::type& val) {
+  std::map<int, const char*>::const_iterator it = _ServerStage_VALUES_TO_NAMES.find(val);
+  if (it != _ServerStage_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const ServerStage::type& val) {
+  std::map<int, const char*>::const_iterator it = _ServerStage_VALUES_TO_NAMES.find(val);
+  if (it != _ServerStage_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kKeyStateValues[] = {
   KeyState::RUNNING,
   KeyState::DONE,
@@ -64,87 +95,779 @@
 };
 const std::map<int, const char*> _ClaimVerdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kClaimVerdictValues, _kClaimVerdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
-std::ostream& operator<<(std::ostream& out, const ClaimVerdict::type& val) {
-  std::map<int, const char*>::const_iterator it = _ClaimVerdict_VALUES_TO_NAMES.find(val);
-  if (it != _ClaimVerdict_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
+std::ostream& operator<<(std::ostream& out, const ClaimVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _ClaimVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _ClaimVerdict_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const ClaimVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _ClaimVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _ClaimVerdict_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kFinishKindValues[] = {
+  FinishKind::DONE,
+  FinishKind::NOT_RUN,
+  FinishKind::UNKNOWN
+};
+const char* _kFinishKindNames[] = {
+  "DONE",
+  "NOT_RUN",
+  "UNKNOWN"
+};
+const std::map<int, const char*> _FinishKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kFinishKindValues, _kFinishKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const FinishKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _FinishKind_VALUES_TO_NAMES.find(val);
+  if (it != _FinishKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const FinishKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _FinishKind_VALUES_TO_NAMES.find(val);
+  if (it != _FinishKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kUseStageValues[] = {
+  UseStage::FIRST_TOKEN,
+  UseStage::FINISHED,
+  UseStage::RETURNED,
+  UseStage::FAILED
+};
+const char* _kUseStageNames[] = {
+  "FIRST_TOKEN",
+  "FINISHED",
+  "RETURNED",
+  "FAILED"
+};
+const std::map<int, const char*> _UseStage_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kUseStageValues, _kUseStageNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const UseStage::type& val) {
+  std::map<int, const char*>::const_iterator it = _UseStage_VALUES_TO_NAMES.find(val);
+  if (it != _UseStage_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const UseStage::type& val) {
+  std::map<int, const char*>::const_iterator it = _UseStage_VALUES_TO_NAMES.find(val);
+  if (it != _UseStage_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+
+Document::~Document() noexcept {
+}
+
+
+void Document::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void Document::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const Document& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Document::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Document::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Document");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Document &a, Document &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+Document::Document(const Document& other0) {
+  version = other0.version;
+  body = other0.body;
+  __isset = other0.__isset;
+}
+Document::Document(Document&& other1) noexcept {
+  version = other1.version;
+  body = std::move(other1.body);
+  __isset = other1.__isset;
+}
+Document& Document::operator=(const Document& other2) {
+  version = other2.version;
+  body = other2.body;
+  __isset = other2.__isset;
+  return *this;
+}
+Document& Document::operator=(Document&& other3) noexcept {
+  version = other3.version;
+  body = std::move(other3.body);
+  __isset = other3.__isset;
+  return *this;
+}
+void Document::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Document(";
+  out << "version=" << to_string(version);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+ServerRecord::~ServerRecord() noexcept {
+}
+
+
+void ServerRecord::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ServerRecord::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void ServerRecord::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ServerRecord::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void ServerRecord::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void ServerRecord::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ServerRecord::__set_stage(const ServerStage::type val) {
+  this->stage = val;
+}
+
+void ServerRecord::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void ServerRecord::__set_index(const int64_t val) {
+  this->index = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast4;
+          xfer += iprot->readI32(ecast4);
+          this->stage = static_cast<ServerStage::type>(ecast4);
+          this->__isset.stage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerRecord &a, ServerRecord &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.pool, b.pool);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.data_centre, b.data_centre);
+  swap(a.slots, b.slots);
+  swap(a.stage, b.stage);
+  swap(a.sequence, b.sequence);
+  swap(a.index, b.index);
+  swap(a.__isset, b.__isset);
+}
+
+ServerRecord::ServerRecord(const ServerRecord& other5) {
+  id = other5.id;
+  pool = other5.pool;
+  address = other5.address;
+  port = other5.port;
+  data_centre = other5.data_centre;
+  slots = other5.slots;
+  stage = other5.stage;
+  sequence = other5.sequence;
+  index = other5.index;
+  __isset = other5.__isset;
+}
+ServerRecord::ServerRecord(ServerRecord&& other6) noexcept {
+  id = std::move(other6.id);
+  pool = std::move(other6.pool);
+  address = std::move(other6.address);
+  port = other6.port;
+  data_centre = std::move(other6.data_centre);
+  slots = other6.slots;
+  stage = other6.stage;
+  sequence = other6.sequence;
+  index = other6.index;
+  __isset = other6.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other7) {
+  id = other7.id;
+  pool = other7.pool;
+  address = other7.address;
+  port = other7.port;
+  data_centre = other7.data_centre;
+  slots = other7.slots;
+  stage = other7.stage;
+  sequence = other7.sequence;
+  index = other7.index;
+  __isset = other7.__isset;
+  return *this;
+}
+ServerRecord& ServerRecord::operator=(ServerRecord&& other8) noexcept {
+  id = std::move(other8.id);
+  pool = std::move(other8.pool);
+  address = std::move(other8.address);
+  port = other8.port;
+  data_centre = std::move(other8.data_centre);
+  slots = other8.slots;
+  stage = other8.stage;
+  sequence = other8.sequence;
+  index = other8.index;
+  __isset = other8.__isset;
+  return *this;
+}
+void ServerRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerRecord(";
+  out << "id=" << to_string(id);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "index=" << to_string(index);
+  out << ")";
+}
+
+
+ServerLoad::~ServerLoad() noexcept {
+}
+
+
+void ServerLoad::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerLoad::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+
+void ServerLoad::__set_reading_tokens(const int64_t val) {
+  this->reading_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reading_tokens);
+          this->__isset.reading_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerLoad");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reading_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reading_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerLoad &a, ServerLoad &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.in_flight, b.in_flight);
+  swap(a.reading_tokens, b.reading_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+ServerLoad::ServerLoad(const ServerLoad& other9) {
+  server = other9.server;
+  in_flight = other9.in_flight;
+  reading_tokens = other9.reading_tokens;
+  __isset = other9.__isset;
+}
+ServerLoad::ServerLoad(ServerLoad&& other10) noexcept {
+  server = std::move(other10.server);
+  in_flight = other10.in_flight;
+  reading_tokens = other10.reading_tokens;
+  __isset = other10.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other11) {
+  server = other11.server;
+  in_flight = other11.in_flight;
+  reading_tokens = other11.reading_tokens;
+  __isset = other11.__isset;
+  return *this;
+}
+ServerLoad& ServerLoad::operator=(ServerLoad&& other12) noexcept {
+  server = std::move(other12.server);
+  in_flight = other12.in_flight;
+  reading_tokens = other12.reading_tokens;
+  __isset = other12.__isset;
+  return *this;
+}
+void ServerLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerLoad(";
+  out << "server=" << to_string(server);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "reading_tokens=" << to_string(reading_tokens);
+  out << ")";
 }
 
-std::string to_string(const ClaimVerdict::type& val) {
-  std::map<int, const char*>::const_iterator it = _ClaimVerdict_VALUES_TO_NAMES.find(val);
-  if (it != _ClaimVerdict_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
+
+WorkspaceUse::~WorkspaceUse() noexcept {
 }
 
-int _kFinishKindValues[] = {
-  FinishKind::DONE,
-  FinishKind::NOT_RUN,
-  FinishKind::UNKNOWN
-};
-const char* _kFinishKindNames[] = {
-  "DONE",
-  "NOT_RUN",
-  "UNKNOWN"
-};
-const std::map<int, const char*> _FinishKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kFinishKindValues, _kFinishKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
-std::ostream& operator<<(std::ostream& out, const FinishKind::type& val) {
-  std::map<int, const char*>::const_iterator it = _FinishKind_VALUES_TO_NAMES.find(val);
-  if (it != _FinishKind_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
+void WorkspaceUse::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void WorkspaceUse::__set_spent_per_s(const double val) {
+  this->spent_per_s = val;
+}
+
+void WorkspaceUse::__set_wanted_per_s(const double val) {
+  this->wanted_per_s = val;
+}
+std::ostream& operator<<(std::ostream& out, const WorkspaceUse& obj)
+{
+  obj.printTo(out);
   return out;
 }
 
-std::string to_string(const FinishKind::type& val) {
-  std::map<int, const char*>::const_iterator it = _FinishKind_VALUES_TO_NAMES.find(val);
-  if (it != _FinishKind_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
+
+uint32_t WorkspaceUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->spent_per_s);
+          this->__isset.spent_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->wanted_per_s);
+          this->__isset.wanted_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
   }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-int _kUseStageValues[] = {
-  UseStage::FIRST_TOKEN,
-  UseStage::FINISHED,
-  UseStage::RETURNED,
-  UseStage::FAILED
-};
-const char* _kUseStageNames[] = {
-  "FIRST_TOKEN",
-  "FINISHED",
-  "RETURNED",
-  "FAILED"
-};
-const std::map<int, const char*> _UseStage_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kUseStageValues, _kUseStageNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+uint32_t WorkspaceUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkspaceUse");
 
-std::ostream& operator<<(std::ostream& out, const UseStage::type& val) {
-  std::map<int, const char*>::const_iterator it = _UseStage_VALUES_TO_NAMES.find(val);
-  if (it != _UseStage_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spent_per_s", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->spent_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted_per_s", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->wanted_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-std::string to_string(const UseStage::type& val) {
-  std::map<int, const char*>::const_iterator it = _UseStage_VALUES_TO_NAMES.find(val);
-  if (it != _UseStage_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
+void swap(WorkspaceUse &a, WorkspaceUse &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.spent_per_s, b.spent_per_s);
+  swap(a.wanted_per_s, b.wanted_per_s);
+  swap(a.__isset, b.__isset);
+}
+
+WorkspaceUse::WorkspaceUse(const WorkspaceUse& other13) {
+  workspace = other13.workspace;
+  spent_per_s = other13.spent_per_s;
+  wanted_per_s = other13.wanted_per_s;
+  __isset = other13.__isset;
+}
+WorkspaceUse::WorkspaceUse(WorkspaceUse&& other14) noexcept {
+  workspace = std::move(other14.workspace);
+  spent_per_s = other14.spent_per_s;
+  wanted_per_s = other14.wanted_per_s;
+  __isset = other14.__isset;
+}
+WorkspaceUse& WorkspaceUse::operator=(const WorkspaceUse& other15) {
+  workspace = other15.workspace;
+  spent_per_s = other15.spent_per_s;
+  wanted_per_s = other15.wanted_per_s;
+  __isset = other15.__isset;
+  return *this;
+}
+WorkspaceUse& WorkspaceUse::operator=(WorkspaceUse&& other16) noexcept {
+  workspace = std::move(other16.workspace);
+  spent_per_s = other16.spent_per_s;
+  wanted_per_s = other16.wanted_per_s;
+  __isset = other16.__isset;
+  return *this;
+}
+void WorkspaceUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkspaceUse(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "spent_per_s=" << to_string(spent_per_s);
+  out << ", " << "wanted_per_s=" << to_string(wanted_per_s);
+  out << ")";
 }
 
 
@@ -240,26 +963,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectKey::ObjectKey(const ObjectKey& other0) {
-  kind = other0.kind;
-  name = other0.name;
-  __isset = other0.__isset;
+ObjectKey::ObjectKey(const ObjectKey& other17) {
+  kind = other17.kind;
+  name = other17.name;
+  __isset = other17.__isset;
 }
-ObjectKey::ObjectKey(ObjectKey&& other1) noexcept {
-  kind = std::move(other1.kind);
-  name = std::move(other1.name);
-  __isset = other1.__isset;
+ObjectKey::ObjectKey(ObjectKey&& other18) noexcept {
+  kind = std::move(other18.kind);
+  name = std::move(other18.name);
+  __isset = other18.__isset;
 }
-ObjectKey& ObjectKey::operator=(const ObjectKey& other2) {
-  kind = other2.kind;
-  name = other2.name;
-  __isset = other2.__isset;
+ObjectKey& ObjectKey::operator=(const ObjectKey& other19) {
+  kind = other19.kind;
+  name = other19.name;
+  __isset = other19.__isset;
   return *this;
 }
-ObjectKey& ObjectKey::operator=(ObjectKey&& other3) noexcept {
-  kind = std::move(other3.kind);
-  name = std::move(other3.name);
-  __isset = other3.__isset;
+ObjectKey& ObjectKey::operator=(ObjectKey&& other20) noexcept {
+  kind = std::move(other20.kind);
+  name = std::move(other20.name);
+  __isset = other20.__isset;
   return *this;
 }
 void ObjectKey::printTo(std::ostream& out) const {
@@ -380,30 +1103,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectText::ObjectText(const ObjectText& other4) {
-  kind = other4.kind;
-  name = other4.name;
-  body = other4.body;
-  __isset = other4.__isset;
+ObjectText::ObjectText(const ObjectText& other21) {
+  kind = other21.kind;
+  name = other21.name;
+  body = other21.body;
+  __isset = other21.__isset;
 }
-ObjectText::ObjectText(ObjectText&& other5) noexcept {
-  kind = std::move(other5.kind);
-  name = std::move(other5.name);
-  body = std::move(other5.body);
-  __isset = other5.__isset;
+ObjectText::ObjectText(ObjectText&& other22) noexcept {
+  kind = std::move(other22.kind);
+  name = std::move(other22.name);
+  body = std::move(other22.body);
+  __isset = other22.__isset;
 }
-ObjectText& ObjectText::operator=(const ObjectText& other6) {
-  kind = other6.kind;
-  name = other6.name;
-  body = other6.body;
-  __isset = other6.__isset;
+ObjectText& ObjectText::operator=(const ObjectText& other23) {
+  kind = other23.kind;
+  name = other23.name;
+  body = other23.body;
+  __isset = other23.__isset;
   return *this;
 }
-ObjectText& ObjectText::operator=(ObjectText&& other7) noexcept {
-  kind = std::move(other7.kind);
-  name = std::move(other7.name);
-  body = std::move(other7.body);
-  __isset = other7.__isset;
+ObjectText& ObjectText::operator=(ObjectText&& other24) noexcept {
+  kind = std::move(other24.kind);
+  name = std::move(other24.name);
+  body = std::move(other24.body);
+  __isset = other24.__isset;
   return *this;
 }
 void ObjectText::printTo(std::ostream& out) const {
@@ -495,14 +1218,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->upserts.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->upserts.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->upserts[_i12].read(iprot);
+              xfer += this->upserts[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -515,14 +1238,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->removals.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->removals.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->removals[_i17].read(iprot);
+              xfer += this->removals[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -563,10 +1286,10 @@
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter18;
-    for (_iter18 = this->upserts.begin(); _iter18 != this->upserts.end(); ++_iter18)
+    std::vector<ObjectText> ::const_iterator _iter35;
+    for (_iter35 = this->upserts.begin(); _iter35 != this->upserts.end(); ++_iter35)
     {
-      xfer += (*_iter18).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -575,10 +1298,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter19;
-    for (_iter19 = this->removals.begin(); _iter19 != this->removals.end(); ++_iter19)
+    std::vector<ObjectKey> ::const_iterator _iter36;
+    for (_iter36 = this->removals.begin(); _iter36 != this->removals.end(); ++_iter36)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -599,38 +1322,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other20) {
-  change_id = other20.change_id;
-  base_version = other20.base_version;
-  author = other20.author;
-  upserts = other20.upserts;
-  removals = other20.removals;
-  __isset = other20.__isset;
-}
-ConfigChange::ConfigChange(ConfigChange&& other21) noexcept {
-  change_id = std::move(other21.change_id);
-  base_version = other21.base_version;
-  author = std::move(other21.author);
-  upserts = std::move(other21.upserts);
-  removals = std::move(other21.removals);
-  __isset = other21.__isset;
-}
-ConfigChange& ConfigChange::operator=(const ConfigChange& other22) {
-  change_id = other22.change_id;
-  base_version = other22.base_version;
-  author = other22.author;
-  upserts = other22.upserts;
-  removals = other22.removals;
-  __isset = other22.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other37) {
+  change_id = other37.change_id;
+  base_version = other37.base_version;
+  author = other37.author;
+  upserts = other37.upserts;
+  removals = other37.removals;
+  __isset = other37.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other38) noexcept {
+  change_id = std::move(other38.change_id);
+  base_version = other38.base_version;
+  author = std::move(other38.author);
+  upserts = std::move(other38.upserts);
+  removals = std::move(other38.removals);
+  __isset = other38.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other39) {
+  change_id = other39.change_id;
+  base_version = other39.base_version;
+  author = other39.author;
+  upserts = other39.upserts;
+  removals = other39.removals;
+  __isset = other39.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other23) noexcept {
-  change_id = std::move(other23.change_id);
-  base_version = other23.base_version;
-  author = std::move(other23.author);
-  upserts = std::move(other23.upserts);
-  removals = std::move(other23.removals);
-  __isset = other23.__isset;
+ConfigChange& ConfigChange::operator=(ConfigChange&& other40) noexcept {
+  change_id = std::move(other40.change_id);
+  base_version = other40.base_version;
+  author = std::move(other40.author);
+  upserts = std::move(other40.upserts);
+  removals = std::move(other40.removals);
+  __isset = other40.__isset;
   return *this;
 }
 void ConfigChange::printTo(std::ostream& out) const {
@@ -754,30 +1477,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigOutcome::ConfigOutcome(const ConfigOutcome& other24) {
-  code = other24.code;
-  version = other24.version;
-  message = other24.message;
-  __isset = other24.__isset;
+ConfigOutcome::ConfigOutcome(const ConfigOutcome& other41) {
+  code = other41.code;
+  version = other41.version;
+  message = other41.message;
+  __isset = other41.__isset;
+}
+ConfigOutcome::ConfigOutcome(ConfigOutcome&& other42) noexcept {
+  code = other42.code;
+  version = other42.version;
+  message = std::move(other42.message);
+  __isset = other42.__isset;
 }
-ConfigOutcome::ConfigOutcome(ConfigOutcome&& other25) noexcept {
-  code = other25.code;
-  version = other25.version;
-  message = std::move(other25.message);
-  __isset = other25.__isset;
-}
-ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other26) {
-  code = other26.code;
-  version = other26.version;
-  message = other26.message;
-  __isset = other26.__isset;
+ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other43) {
+  code = other43.code;
+  version = other43.version;
+  message = other43.message;
+  __isset = other43.__isset;
   return *this;
 }
-ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other27) noexcept {
-  code = other27.code;
-  version = other27.version;
-  message = std::move(other27.message);
-  __isset = other27.__isset;
+ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other44) noexcept {
+  code = other44.code;
+  version = other44.version;
+  message = std::move(other44.message);
+  __isset = other44.__isset;
   return *this;
 }
 void ConfigOutcome::printTo(std::ostream& out) const {
@@ -813,6 +1536,19 @@
 void ConfigDelta::__set_removals(const std::vector<ObjectKey> & val) {
   this->removals = val;
 }
+
+void ConfigDelta::__set_document(const Document& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void ConfigDelta::__set_servers(const std::vector<ServerRecord> & val) {
+  this->servers = val;
+}
+
+void ConfigDelta::__set_servers_index(const int64_t val) {
+  this->servers_index = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj)
 {
   obj.printTo(out);
@@ -869,14 +1605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->upserts.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->upserts.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->upserts[_i32].read(iprot);
+              xfer += this->upserts[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -889,14 +1625,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->removals.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->removals.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->removals[_i37].read(iprot);
+              xfer += this->removals[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -905,6 +1641,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->servers.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
+            {
+              xfer += this->servers[_i59].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_index);
+          this->__isset.servers_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -937,10 +1709,10 @@
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter38;
-    for (_iter38 = this->upserts.begin(); _iter38 != this->upserts.end(); ++_iter38)
+    std::vector<ObjectText> ::const_iterator _iter60;
+    for (_iter60 = this->upserts.begin(); _iter60 != this->upserts.end(); ++_iter60)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -949,15 +1721,36 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter39;
-    for (_iter39 = this->removals.begin(); _iter39 != this->removals.end(); ++_iter39)
+    std::vector<ObjectKey> ::const_iterator _iter61;
+    for (_iter61 = this->removals.begin(); _iter61 != this->removals.end(); ++_iter61)
+    {
+      xfer += (*_iter61).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerRecord> ::const_iterator _iter62;
+    for (_iter62 = this->servers.begin(); _iter62 != this->servers.end(); ++_iter62)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("servers_index", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->servers_index);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -970,41 +1763,56 @@
   swap(a.whole, b.whole);
   swap(a.upserts, b.upserts);
   swap(a.removals, b.removals);
+  swap(a.document, b.document);
+  swap(a.servers, b.servers);
+  swap(a.servers_index, b.servers_index);
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other40) {
-  from_version = other40.from_version;
-  to_version = other40.to_version;
-  whole = other40.whole;
-  upserts = other40.upserts;
-  removals = other40.removals;
-  __isset = other40.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other63) {
+  from_version = other63.from_version;
+  to_version = other63.to_version;
+  whole = other63.whole;
+  upserts = other63.upserts;
+  removals = other63.removals;
+  document = other63.document;
+  servers = other63.servers;
+  servers_index = other63.servers_index;
+  __isset = other63.__isset;
 }
-ConfigDelta::ConfigDelta(ConfigDelta&& other41) noexcept {
-  from_version = other41.from_version;
-  to_version = other41.to_version;
-  whole = other41.whole;
-  upserts = std::move(other41.upserts);
-  removals = std::move(other41.removals);
-  __isset = other41.__isset;
+ConfigDelta::ConfigDelta(ConfigDelta&& other64) noexcept {
+  from_version = other64.from_version;
+  to_version = other64.to_version;
+  whole = other64.whole;
+  upserts = std::move(other64.upserts);
+  removals = std::move(other64.removals);
+  document = std::move(other64.document);
+  servers = std::move(other64.servers);
+  servers_index = other64.servers_index;
+  __isset = other64.__isset;
 }
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other42) {
-  from_version = other42.from_version;
-  to_version = other42.to_version;
-  whole = other42.whole;
-  upserts = other42.upserts;
-  removals = other42.removals;
-  __isset = other42.__isset;
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other65) {
+  from_version = other65.from_version;
+  to_version = other65.to_version;
+  whole = other65.whole;
+  upserts = other65.upserts;
+  removals = other65.removals;
+  document = other65.document;
+  servers = other65.servers;
+  servers_index = other65.servers_index;
+  __isset = other65.__isset;
   return *this;
 }
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other43) noexcept {
-  from_version = other43.from_version;
-  to_version = other43.to_version;
-  whole = other43.whole;
-  upserts = std::move(other43.upserts);
-  removals = std::move(other43.removals);
-  __isset = other43.__isset;
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other66) noexcept {
+  from_version = other66.from_version;
+  to_version = other66.to_version;
+  whole = other66.whole;
+  upserts = std::move(other66.upserts);
+  removals = std::move(other66.removals);
+  document = std::move(other66.document);
+  servers = std::move(other66.servers);
+  servers_index = other66.servers_index;
+  __isset = other66.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -1015,6 +1823,9 @@
   out << ", " << "whole=" << to_string(whole);
   out << ", " << "upserts=" << to_string(upserts);
   out << ", " << "removals=" << to_string(removals);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "servers_index=" << to_string(servers_index);
   out << ")";
 }
 
@@ -1162,38 +1973,38 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRow::HistoryRow(const HistoryRow& other44) {
-  version = other44.version;
-  change_id = other44.change_id;
-  author = other44.author;
-  upserts = other44.upserts;
-  removals = other44.removals;
-  __isset = other44.__isset;
+HistoryRow::HistoryRow(const HistoryRow& other67) {
+  version = other67.version;
+  change_id = other67.change_id;
+  author = other67.author;
+  upserts = other67.upserts;
+  removals = other67.removals;
+  __isset = other67.__isset;
+}
+HistoryRow::HistoryRow(HistoryRow&& other68) noexcept {
+  version = other68.version;
+  change_id = std::move(other68.change_id);
+  author = std::move(other68.author);
+  upserts = other68.upserts;
+  removals = other68.removals;
+  __isset = other68.__isset;
 }
-HistoryRow::HistoryRow(HistoryRow&& other45) noexcept {
-  version = other45.version;
-  change_id = std::move(other45.change_id);
-  author = std::move(other45.author);
-  upserts = other45.upserts;
-  removals = other45.removals;
-  __isset = other45.__isset;
-}
-HistoryRow& HistoryRow::operator=(const HistoryRow& other46) {
-  version = other46.version;
-  change_id = other46.change_id;
-  author = other46.author;
-  upserts = other46.upserts;
-  removals = other46.removals;
-  __isset = other46.__isset;
+HistoryRow& HistoryRow::operator=(const HistoryRow& other69) {
+  version = other69.version;
+  change_id = other69.change_id;
+  author = other69.author;
+  upserts = other69.upserts;
+  removals = other69.removals;
+  __isset = other69.__isset;
   return *this;
 }
-HistoryRow& HistoryRow::operator=(HistoryRow&& other47) noexcept {
-  version = other47.version;
-  change_id = std::move(other47.change_id);
-  author = std::move(other47.author);
-  upserts = other47.upserts;
-  removals = other47.removals;
-  __isset = other47.__isset;
+HistoryRow& HistoryRow::operator=(HistoryRow&& other70) noexcept {
+  version = other70.version;
+  change_id = std::move(other70.change_id);
+  author = std::move(other70.author);
+  upserts = other70.upserts;
+  removals = other70.removals;
+  __isset = other70.__isset;
   return *this;
 }
 void HistoryRow::printTo(std::ostream& out) const {
@@ -1334,34 +2145,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other48) {
-  status = other48.status;
-  content_type = other48.content_type;
-  body = other48.body;
-  kept = other48.kept;
-  __isset = other48.__isset;
-}
-StoredAnswer::StoredAnswer(StoredAnswer&& other49) noexcept {
-  status = other49.status;
-  content_type = std::move(other49.content_type);
-  body = std::move(other49.body);
-  kept = other49.kept;
-  __isset = other49.__isset;
-}
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other50) {
-  status = other50.status;
-  content_type = other50.content_type;
-  body = other50.body;
-  kept = other50.kept;
-  __isset = other50.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other71) {
+  status = other71.status;
+  content_type = other71.content_type;
+  body = other71.body;
+  kept = other71.kept;
+  __isset = other71.__isset;
+}
+StoredAnswer::StoredAnswer(StoredAnswer&& other72) noexcept {
+  status = other72.status;
+  content_type = std::move(other72.content_type);
+  body = std::move(other72.body);
+  kept = other72.kept;
+  __isset = other72.__isset;
+}
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other73) {
+  status = other73.status;
+  content_type = other73.content_type;
+  body = other73.body;
+  kept = other73.kept;
+  __isset = other73.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other51) noexcept {
-  status = other51.status;
-  content_type = std::move(other51.content_type);
-  body = std::move(other51.body);
-  kept = other51.kept;
-  __isset = other51.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other74) noexcept {
+  status = other74.status;
+  content_type = std::move(other74.content_type);
+  body = std::move(other74.body);
+  kept = other74.kept;
+  __isset = other74.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -1552,46 +2363,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaim::LedgerClaim(const LedgerClaim& other52) {
-  key = other52.key;
-  owner = other52.owner;
-  fingerprint = other52.fingerprint;
-  now_ms = other52.now_ms;
-  retention_ms = other52.retention_ms;
-  rerun_unknown = other52.rerun_unknown;
-  ref = other52.ref;
-  __isset = other52.__isset;
-}
-LedgerClaim::LedgerClaim(LedgerClaim&& other53) noexcept {
-  key = std::move(other53.key);
-  owner = std::move(other53.owner);
-  fingerprint = other53.fingerprint;
-  now_ms = other53.now_ms;
-  retention_ms = other53.retention_ms;
-  rerun_unknown = other53.rerun_unknown;
-  ref = other53.ref;
-  __isset = other53.__isset;
-}
-LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other54) {
-  key = other54.key;
-  owner = other54.owner;
-  fingerprint = other54.fingerprint;
-  now_ms = other54.now_ms;
-  retention_ms = other54.retention_ms;
-  rerun_unknown = other54.rerun_unknown;
-  ref = other54.ref;
-  __isset = other54.__isset;
+LedgerClaim::LedgerClaim(const LedgerClaim& other75) {
+  key = other75.key;
+  owner = other75.owner;
+  fingerprint = other75.fingerprint;
+  now_ms = other75.now_ms;
+  retention_ms = other75.retention_ms;
+  rerun_unknown = other75.rerun_unknown;
+  ref = other75.ref;
+  __isset = other75.__isset;
+}
+LedgerClaim::LedgerClaim(LedgerClaim&& other76) noexcept {
+  key = std::move(other76.key);
+  owner = std::move(other76.owner);
+  fingerprint = other76.fingerprint;
+  now_ms = other76.now_ms;
+  retention_ms = other76.retention_ms;
+  rerun_unknown = other76.rerun_unknown;
+  ref = other76.ref;
+  __isset = other76.__isset;
+}
+LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other77) {
+  key = other77.key;
+  owner = other77.owner;
+  fingerprint = other77.fingerprint;
+  now_ms = other77.now_ms;
+  retention_ms = other77.retention_ms;
+  rerun_unknown = other77.rerun_unknown;
+  ref = other77.ref;
+  __isset = other77.__isset;
   return *this;
 }
-LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other55) noexcept {
-  key = std::move(other55.key);
-  owner = std::move(other55.owner);
-  fingerprint = other55.fingerprint;
-  now_ms = other55.now_ms;
-  retention_ms = other55.retention_ms;
-  rerun_unknown = other55.rerun_unknown;
-  ref = other55.ref;
-  __isset = other55.__isset;
+LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other78) noexcept {
+  key = std::move(other78.key);
+  owner = std::move(other78.owner);
+  fingerprint = other78.fingerprint;
+  now_ms = other78.now_ms;
+  retention_ms = other78.retention_ms;
+  rerun_unknown = other78.rerun_unknown;
+  ref = other78.ref;
+  __isset = other78.__isset;
   return *this;
 }
 void LedgerClaim::printTo(std::ostream& out) const {
@@ -1649,9 +2460,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast56;
-          xfer += iprot->readI32(ecast56);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast56);
+          int32_t ecast79;
+          xfer += iprot->readI32(ecast79);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast79);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1702,26 +2513,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimResult::ClaimResult(const ClaimResult& other57) {
-  verdict = other57.verdict;
-  answer = other57.answer;
-  __isset = other57.__isset;
+ClaimResult::ClaimResult(const ClaimResult& other80) {
+  verdict = other80.verdict;
+  answer = other80.answer;
+  __isset = other80.__isset;
 }
-ClaimResult::ClaimResult(ClaimResult&& other58) noexcept {
-  verdict = other58.verdict;
-  answer = std::move(other58.answer);
-  __isset = other58.__isset;
+ClaimResult::ClaimResult(ClaimResult&& other81) noexcept {
+  verdict = other81.verdict;
+  answer = std::move(other81.answer);
+  __isset = other81.__isset;
 }
-ClaimResult& ClaimResult::operator=(const ClaimResult& other59) {
-  verdict = other59.verdict;
-  answer = other59.answer;
-  __isset = other59.__isset;
+ClaimResult& ClaimResult::operator=(const ClaimResult& other82) {
+  verdict = other82.verdict;
+  answer = other82.answer;
+  __isset = other82.__isset;
   return *this;
 }
-ClaimResult& ClaimResult::operator=(ClaimResult&& other60) noexcept {
-  verdict = other60.verdict;
-  answer = std::move(other60.answer);
-  __isset = other60.__isset;
+ClaimResult& ClaimResult::operator=(ClaimResult&& other83) noexcept {
+  verdict = other83.verdict;
+  answer = std::move(other83.answer);
+  __isset = other83.__isset;
   return *this;
 }
 void ClaimResult::printTo(std::ostream& out) const {
@@ -1802,9 +2613,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast61;
-          xfer += iprot->readI32(ecast61);
-          this->kind = static_cast<FinishKind::type>(ecast61);
+          int32_t ecast84;
+          xfer += iprot->readI32(ecast84);
+          this->kind = static_cast<FinishKind::type>(ecast84);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1878,38 +2689,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinish::LedgerFinish(const LedgerFinish& other62) {
-  key = other62.key;
-  owner = other62.owner;
-  kind = other62.kind;
-  answer = other62.answer;
-  ref = other62.ref;
-  __isset = other62.__isset;
-}
-LedgerFinish::LedgerFinish(LedgerFinish&& other63) noexcept {
-  key = std::move(other63.key);
-  owner = std::move(other63.owner);
-  kind = other63.kind;
-  answer = std::move(other63.answer);
-  ref = other63.ref;
-  __isset = other63.__isset;
+LedgerFinish::LedgerFinish(const LedgerFinish& other85) {
+  key = other85.key;
+  owner = other85.owner;
+  kind = other85.kind;
+  answer = other85.answer;
+  ref = other85.ref;
+  __isset = other85.__isset;
+}
+LedgerFinish::LedgerFinish(LedgerFinish&& other86) noexcept {
+  key = std::move(other86.key);
+  owner = std::move(other86.owner);
+  kind = other86.kind;
+  answer = std::move(other86.answer);
+  ref = other86.ref;
+  __isset = other86.__isset;
 }
-LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other64) {
-  key = other64.key;
-  owner = other64.owner;
-  kind = other64.kind;
-  answer = other64.answer;
-  ref = other64.ref;
-  __isset = other64.__isset;
+LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other87) {
+  key = other87.key;
+  owner = other87.owner;
+  kind = other87.kind;
+  answer = other87.answer;
+  ref = other87.ref;
+  __isset = other87.__isset;
   return *this;
 }
-LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other65) noexcept {
-  key = std::move(other65.key);
-  owner = std::move(other65.owner);
-  kind = other65.kind;
-  answer = std::move(other65.answer);
-  ref = other65.ref;
-  __isset = other65.__isset;
+LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other88) noexcept {
+  key = std::move(other88.key);
+  owner = std::move(other88.owner);
+  kind = other88.kind;
+  answer = std::move(other88.answer);
+  ref = other88.ref;
+  __isset = other88.__isset;
   return *this;
 }
 void LedgerFinish::printTo(std::ostream& out) const {
@@ -2067,38 +2878,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other66) {
-  lease = other66.lease;
-  holder = other66.holder;
-  address = other66.address;
-  port = other66.port;
-  epoch = other66.epoch;
-  __isset = other66.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other89) {
+  lease = other89.lease;
+  holder = other89.holder;
+  address = other89.address;
+  port = other89.port;
+  epoch = other89.epoch;
+  __isset = other89.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other67) noexcept {
-  lease = std::move(other67.lease);
-  holder = std::move(other67.holder);
-  address = std::move(other67.address);
-  port = other67.port;
-  epoch = other67.epoch;
-  __isset = other67.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other90) noexcept {
+  lease = std::move(other90.lease);
+  holder = std::move(other90.holder);
+  address = std::move(other90.address);
+  port = other90.port;
+  epoch = other90.epoch;
+  __isset = other90.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other68) {
-  lease = other68.lease;
-  holder = other68.holder;
-  address = other68.address;
-  port = other68.port;
-  epoch = other68.epoch;
-  __isset = other68.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other91) {
+  lease = other91.lease;
+  holder = other91.holder;
+  address = other91.address;
+  port = other91.port;
+  epoch = other91.epoch;
+  __isset = other91.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other69) noexcept {
-  lease = std::move(other69.lease);
-  holder = std::move(other69.holder);
-  address = std::move(other69.address);
-  port = other69.port;
-  epoch = other69.epoch;
-  __isset = other69.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other92) noexcept {
+  lease = std::move(other92.lease);
+  holder = std::move(other92.holder);
+  address = std::move(other92.address);
+  port = other92.port;
+  epoch = other92.epoch;
+  __isset = other92.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -2188,22 +2999,22 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceGone::InstanceGone(const InstanceGone& other70) {
-  incarnation = other70.incarnation;
-  __isset = other70.__isset;
+InstanceGone::InstanceGone(const InstanceGone& other93) {
+  incarnation = other93.incarnation;
+  __isset = other93.__isset;
 }
-InstanceGone::InstanceGone(InstanceGone&& other71) noexcept {
-  incarnation = std::move(other71.incarnation);
-  __isset = other71.__isset;
+InstanceGone::InstanceGone(InstanceGone&& other94) noexcept {
+  incarnation = std::move(other94.incarnation);
+  __isset = other94.__isset;
 }
-InstanceGone& InstanceGone::operator=(const InstanceGone& other72) {
-  incarnation = other72.incarnation;
-  __isset = other72.__isset;
+InstanceGone& InstanceGone::operator=(const InstanceGone& other95) {
+  incarnation = other95.incarnation;
+  __isset = other95.__isset;
   return *this;
 }
-InstanceGone& InstanceGone::operator=(InstanceGone&& other73) noexcept {
-  incarnation = std::move(other73.incarnation);
-  __isset = other73.__isset;
+InstanceGone& InstanceGone::operator=(InstanceGone&& other96) noexcept {
+  incarnation = std::move(other96.incarnation);
+  __isset = other96.__isset;
   return *this;
 }
 void InstanceGone::printTo(std::ostream& out) const {
@@ -2357,38 +3168,38 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberInfo::MemberInfo(const MemberInfo& other74) {
-  id = other74.id;
-  name = other74.name;
-  address = other74.address;
-  port = other74.port;
-  voter = other74.voter;
-  __isset = other74.__isset;
+MemberInfo::MemberInfo(const MemberInfo& other97) {
+  id = other97.id;
+  name = other97.name;
+  address = other97.address;
+  port = other97.port;
+  voter = other97.voter;
+  __isset = other97.__isset;
 }
-MemberInfo::MemberInfo(MemberInfo&& other75) noexcept {
-  id = other75.id;
-  name = std::move(other75.name);
-  address = std::move(other75.address);
-  port = other75.port;
-  voter = other75.voter;
-  __isset = other75.__isset;
+MemberInfo::MemberInfo(MemberInfo&& other98) noexcept {
+  id = other98.id;
+  name = std::move(other98.name);
+  address = std::move(other98.address);
+  port = other98.port;
+  voter = other98.voter;
+  __isset = other98.__isset;
 }
-MemberInfo& MemberInfo::operator=(const MemberInfo& other76) {
-  id = other76.id;
-  name = other76.name;
-  address = other76.address;
-  port = other76.port;
-  voter = other76.voter;
-  __isset = other76.__isset;
+MemberInfo& MemberInfo::operator=(const MemberInfo& other99) {
+  id = other99.id;
+  name = other99.name;
+  address = other99.address;
+  port = other99.port;
+  voter = other99.voter;
+  __isset = other99.__isset;
   return *this;
 }
-MemberInfo& MemberInfo::operator=(MemberInfo&& other77) noexcept {
-  id = other77.id;
-  name = std::move(other77.name);
-  address = std::move(other77.address);
-  port = other77.port;
-  voter = other77.voter;
-  __isset = other77.__isset;
+MemberInfo& MemberInfo::operator=(MemberInfo&& other100) noexcept {
+  id = other100.id;
+  name = std::move(other100.name);
+  address = std::move(other100.address);
+  port = other100.port;
+  voter = other100.voter;
+  __isset = other100.__isset;
   return *this;
 }
 void MemberInfo::printTo(std::ostream& out) const {
@@ -2442,14 +3253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->members.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->members.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->members[_i82].read(iprot);
+              xfer += this->members[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2478,10 +3289,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter83;
-    for (_iter83 = this->members.begin(); _iter83 != this->members.end(); ++_iter83)
+    std::vector<MemberInfo> ::const_iterator _iter106;
+    for (_iter106 = this->members.begin(); _iter106 != this->members.end(); ++_iter106)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter106).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2498,22 +3309,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other84) {
-  members = other84.members;
-  __isset = other84.__isset;
+Membership::Membership(const Membership& other107) {
+  members = other107.members;
+  __isset = other107.__isset;
 }
-Membership::Membership(Membership&& other85) noexcept {
-  members = std::move(other85.members);
-  __isset = other85.__isset;
+Membership::Membership(Membership&& other108) noexcept {
+  members = std::move(other108.members);
+  __isset = other108.__isset;
 }
-Membership& Membership::operator=(const Membership& other86) {
-  members = other86.members;
-  __isset = other86.__isset;
+Membership& Membership::operator=(const Membership& other109) {
+  members = other109.members;
+  __isset = other109.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other87) noexcept {
-  members = std::move(other87.members);
-  __isset = other87.__isset;
+Membership& Membership::operator=(Membership&& other110) noexcept {
+  members = std::move(other110.members);
+  __isset = other110.__isset;
   return *this;
 }
 void Membership::printTo(std::ostream& out) const {
@@ -2562,6 +3373,16 @@
   this->noop = val;
 __isset.noop = true;
 }
+
+void Command::__set_document(const Document& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void Command::__set_server(const ServerRecord& val) {
+  this->server = val;
+__isset.server = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -2646,6 +3467,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->server.read(iprot);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2698,6 +3535,16 @@
     xfer += oprot->writeBool(this->noop);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.server) {
+    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->server.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2712,49 +3559,59 @@
   swap(a.gone, b.gone);
   swap(a.membership, b.membership);
   swap(a.noop, b.noop);
+  swap(a.document, b.document);
+  swap(a.server, b.server);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other88) {
-  config = other88.config;
-  claim = other88.claim;
-  finish = other88.finish;
-  lease = other88.lease;
-  gone = other88.gone;
-  membership = other88.membership;
-  noop = other88.noop;
-  __isset = other88.__isset;
-}
-Command::Command(Command&& other89) noexcept {
-  config = std::move(other89.config);
-  claim = std::move(other89.claim);
-  finish = std::move(other89.finish);
-  lease = std::move(other89.lease);
-  gone = std::move(other89.gone);
-  membership = std::move(other89.membership);
-  noop = other89.noop;
-  __isset = other89.__isset;
+Command::Command(const Command& other111) {
+  config = other111.config;
+  claim = other111.claim;
+  finish = other111.finish;
+  lease = other111.lease;
+  gone = other111.gone;
+  membership = other111.membership;
+  noop = other111.noop;
+  document = other111.document;
+  server = other111.server;
+  __isset = other111.__isset;
 }
-Command& Command::operator=(const Command& other90) {
-  config = other90.config;
-  claim = other90.claim;
-  finish = other90.finish;
-  lease = other90.lease;
-  gone = other90.gone;
-  membership = other90.membership;
-  noop = other90.noop;
-  __isset = other90.__isset;
+Command::Command(Command&& other112) noexcept {
+  config = std::move(other112.config);
+  claim = std::move(other112.claim);
+  finish = std::move(other112.finish);
+  lease = std::move(other112.lease);
+  gone = std::move(other112.gone);
+  membership = std::move(other112.membership);
+  noop = other112.noop;
+  document = std::move(other112.document);
+  server = std::move(other112.server);
+  __isset = other112.__isset;
+}
+Command& Command::operator=(const Command& other113) {
+  config = other113.config;
+  claim = other113.claim;
+  finish = other113.finish;
+  lease = other113.lease;
+  gone = other113.gone;
+  membership = other113.membership;
+  noop = other113.noop;
+  document = other113.document;
+  server = other113.server;
+  __isset = other113.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other91) noexcept {
-  config = std::move(other91.config);
-  claim = std::move(other91.claim);
-  finish = std::move(other91.finish);
-  lease = std::move(other91.lease);
-  gone = std::move(other91.gone);
-  membership = std::move(other91.membership);
-  noop = other91.noop;
-  __isset = other91.__isset;
+Command& Command::operator=(Command&& other114) noexcept {
+  config = std::move(other114.config);
+  claim = std::move(other114.claim);
+  finish = std::move(other114.finish);
+  lease = std::move(other114.lease);
+  gone = std::move(other114.gone);
+  membership = std::move(other114.membership);
+  noop = other114.noop;
+  document = std::move(other114.document);
+  server = std::move(other114.server);
+  __isset = other114.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -2767,6 +3624,8 @@
   out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
   out << ", " << "membership="; (__isset.membership ? (out << to_string(membership)) : (out << "<null>"));
   out << ", " << "noop="; (__isset.noop ? (out << to_string(noop)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2880,30 +3739,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other92) {
-  index = other92.index;
-  term = other92.term;
-  command = other92.command;
-  __isset = other92.__isset;
+LogEntry::LogEntry(const LogEntry& other115) {
+  index = other115.index;
+  term = other115.term;
+  command = other115.command;
+  __isset = other115.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other93) noexcept {
-  index = other93.index;
-  term = other93.term;
-  command = std::move(other93.command);
-  __isset = other93.__isset;
+LogEntry::LogEntry(LogEntry&& other116) noexcept {
+  index = other116.index;
+  term = other116.term;
+  command = std::move(other116.command);
+  __isset = other116.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other94) {
-  index = other94.index;
-  term = other94.term;
-  command = other94.command;
-  __isset = other94.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other117) {
+  index = other117.index;
+  term = other117.term;
+  command = other117.command;
+  __isset = other117.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other95) noexcept {
-  index = other95.index;
-  term = other95.term;
-  command = std::move(other95.command);
-  __isset = other95.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other118) noexcept {
+  index = other118.index;
+  term = other118.term;
+  command = std::move(other118.command);
+  __isset = other118.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -3008,26 +3867,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other96) noexcept {
-  term = other96.term;
-  vote = other96.vote;
-  __isset = other96.__isset;
+HardState::HardState(const HardState& other119) noexcept {
+  term = other119.term;
+  vote = other119.vote;
+  __isset = other119.__isset;
 }
-HardState::HardState(HardState&& other97) noexcept {
-  term = other97.term;
-  vote = other97.vote;
-  __isset = other97.__isset;
+HardState::HardState(HardState&& other120) noexcept {
+  term = other120.term;
+  vote = other120.vote;
+  __isset = other120.__isset;
 }
-HardState& HardState::operator=(const HardState& other98) noexcept {
-  term = other98.term;
-  vote = other98.vote;
-  __isset = other98.__isset;
+HardState& HardState::operator=(const HardState& other121) noexcept {
+  term = other121.term;
+  vote = other121.vote;
+  __isset = other121.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other99) noexcept {
-  term = other99.term;
-  vote = other99.vote;
-  __isset = other99.__isset;
+HardState& HardState::operator=(HardState&& other122) noexcept {
+  term = other122.term;
+  vote = other122.vote;
+  __isset = other122.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -3165,34 +4024,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other100) {
-  index = other100.index;
-  term = other100.term;
-  membership = other100.membership;
-  state = other100.state;
-  __isset = other100.__isset;
+Snapshot::Snapshot(const Snapshot& other123) {
+  index = other123.index;
+  term = other123.term;
+  membership = other123.membership;
+  state = other123.state;
+  __isset = other123.__isset;
+}
+Snapshot::Snapshot(Snapshot&& other124) noexcept {
+  index = other124.index;
+  term = other124.term;
+  membership = std::move(other124.membership);
+  state = std::move(other124.state);
+  __isset = other124.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other101) noexcept {
-  index = other101.index;
-  term = other101.term;
-  membership = std::move(other101.membership);
-  state = std::move(other101.state);
-  __isset = other101.__isset;
-}
-Snapshot& Snapshot::operator=(const Snapshot& other102) {
-  index = other102.index;
-  term = other102.term;
-  membership = other102.membership;
-  state = other102.state;
-  __isset = other102.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other125) {
+  index = other125.index;
+  term = other125.term;
+  membership = other125.membership;
+  state = other125.state;
+  __isset = other125.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other103) noexcept {
-  index = other103.index;
-  term = other103.term;
-  membership = std::move(other103.membership);
-  state = std::move(other103.state);
-  __isset = other103.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other126) noexcept {
+  index = other126.index;
+  term = other126.term;
+  membership = std::move(other126.membership);
+  state = std::move(other126.state);
+  __isset = other126.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -3332,34 +4191,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other104) noexcept {
-  term = other104.term;
-  last_index = other104.last_index;
-  last_term = other104.last_term;
-  pre = other104.pre;
-  __isset = other104.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other105) noexcept {
-  term = other105.term;
-  last_index = other105.last_index;
-  last_term = other105.last_term;
-  pre = other105.pre;
-  __isset = other105.__isset;
-}
-VoteRequest& VoteRequest::operator=(const VoteRequest& other106) noexcept {
-  term = other106.term;
-  last_index = other106.last_index;
-  last_term = other106.last_term;
-  pre = other106.pre;
-  __isset = other106.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other127) noexcept {
+  term = other127.term;
+  last_index = other127.last_index;
+  last_term = other127.last_term;
+  pre = other127.pre;
+  __isset = other127.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other128) noexcept {
+  term = other128.term;
+  last_index = other128.last_index;
+  last_term = other128.last_term;
+  pre = other128.pre;
+  __isset = other128.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other129) noexcept {
+  term = other129.term;
+  last_index = other129.last_index;
+  last_term = other129.last_term;
+  pre = other129.pre;
+  __isset = other129.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other107) noexcept {
-  term = other107.term;
-  last_index = other107.last_index;
-  last_term = other107.last_term;
-  pre = other107.pre;
-  __isset = other107.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other130) noexcept {
+  term = other130.term;
+  last_index = other130.last_index;
+  last_term = other130.last_term;
+  pre = other130.pre;
+  __isset = other130.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -3482,30 +4341,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other108) noexcept {
-  term = other108.term;
-  granted = other108.granted;
-  pre = other108.pre;
-  __isset = other108.__isset;
+VoteReply::VoteReply(const VoteReply& other131) noexcept {
+  term = other131.term;
+  granted = other131.granted;
+  pre = other131.pre;
+  __isset = other131.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other109) noexcept {
-  term = other109.term;
-  granted = other109.granted;
-  pre = other109.pre;
-  __isset = other109.__isset;
+VoteReply::VoteReply(VoteReply&& other132) noexcept {
+  term = other132.term;
+  granted = other132.granted;
+  pre = other132.pre;
+  __isset = other132.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other110) noexcept {
-  term = other110.term;
-  granted = other110.granted;
-  pre = other110.pre;
-  __isset = other110.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other133) noexcept {
+  term = other133.term;
+  granted = other133.granted;
+  pre = other133.pre;
+  __isset = other133.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other111) noexcept {
-  term = other111.term;
-  granted = other111.granted;
-  pre = other111.pre;
-  __isset = other111.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other134) noexcept {
+  term = other134.term;
+  granted = other134.granted;
+  pre = other134.pre;
+  __isset = other134.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -3541,6 +4400,10 @@
 void AppendRequest::__set_commit(const int64_t val) {
   this->commit = val;
 }
+
+void AppendRequest::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
@@ -3597,14 +4460,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->entries.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->entries.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += this->entries[_i116].read(iprot);
+              xfer += this->entries[_i139].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3621,6 +4484,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3653,10 +4524,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter117;
-    for (_iter117 = this->entries.begin(); _iter117 != this->entries.end(); ++_iter117)
+    std::vector<LogEntry> ::const_iterator _iter140;
+    for (_iter140 = this->entries.begin(); _iter140 != this->entries.end(); ++_iter140)
     {
-      xfer += (*_iter117).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3666,6 +4537,10 @@
   xfer += oprot->writeI64(this->commit);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3678,41 +4553,46 @@
   swap(a.prev_term, b.prev_term);
   swap(a.entries, b.entries);
   swap(a.commit, b.commit);
+  swap(a.sent_us, b.sent_us);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other118) {
-  term = other118.term;
-  prev_index = other118.prev_index;
-  prev_term = other118.prev_term;
-  entries = other118.entries;
-  commit = other118.commit;
-  __isset = other118.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other141) {
+  term = other141.term;
+  prev_index = other141.prev_index;
+  prev_term = other141.prev_term;
+  entries = other141.entries;
+  commit = other141.commit;
+  sent_us = other141.sent_us;
+  __isset = other141.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other119) noexcept {
-  term = other119.term;
-  prev_index = other119.prev_index;
-  prev_term = other119.prev_term;
-  entries = std::move(other119.entries);
-  commit = other119.commit;
-  __isset = other119.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other142) noexcept {
+  term = other142.term;
+  prev_index = other142.prev_index;
+  prev_term = other142.prev_term;
+  entries = std::move(other142.entries);
+  commit = other142.commit;
+  sent_us = other142.sent_us;
+  __isset = other142.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other120) {
-  term = other120.term;
-  prev_index = other120.prev_index;
-  prev_term = other120.prev_term;
-  entries = other120.entries;
-  commit = other120.commit;
-  __isset = other120.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other143) {
+  term = other143.term;
+  prev_index = other143.prev_index;
+  prev_term = other143.prev_term;
+  entries = other143.entries;
+  commit = other143.commit;
+  sent_us = other143.sent_us;
+  __isset = other143.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other121) noexcept {
-  term = other121.term;
-  prev_index = other121.prev_index;
-  prev_term = other121.prev_term;
-  entries = std::move(other121.entries);
-  commit = other121.commit;
-  __isset = other121.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other144) noexcept {
+  term = other144.term;
+  prev_index = other144.prev_index;
+  prev_term = other144.prev_term;
+  entries = std::move(other144.entries);
+  commit = other144.commit;
+  sent_us = other144.sent_us;
+  __isset = other144.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -3723,6 +4603,7 @@
   out << ", " << "prev_term=" << to_string(prev_term);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sent_us=" << to_string(sent_us);
   out << ")";
 }
 
@@ -3742,6 +4623,10 @@
 void AppendReply::__set_match(const int64_t val) {
   this->match = val;
 }
+
+void AppendReply::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
@@ -3794,6 +4679,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3823,6 +4716,10 @@
   xfer += oprot->writeI64(this->match);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sent_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3833,33 +4730,38 @@
   swap(a.term, b.term);
   swap(a.ok, b.ok);
   swap(a.match, b.match);
+  swap(a.sent_us, b.sent_us);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other122) noexcept {
-  term = other122.term;
-  ok = other122.ok;
-  match = other122.match;
-  __isset = other122.__isset;
+AppendReply::AppendReply(const AppendReply& other145) noexcept {
+  term = other145.term;
+  ok = other145.ok;
+  match = other145.match;
+  sent_us = other145.sent_us;
+  __isset = other145.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other123) noexcept {
-  term = other123.term;
-  ok = other123.ok;
-  match = other123.match;
-  __isset = other123.__isset;
+AppendReply::AppendReply(AppendReply&& other146) noexcept {
+  term = other146.term;
+  ok = other146.ok;
+  match = other146.match;
+  sent_us = other146.sent_us;
+  __isset = other146.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other124) noexcept {
-  term = other124.term;
-  ok = other124.ok;
-  match = other124.match;
-  __isset = other124.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other147) noexcept {
+  term = other147.term;
+  ok = other147.ok;
+  match = other147.match;
+  sent_us = other147.sent_us;
+  __isset = other147.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other125) noexcept {
-  term = other125.term;
-  ok = other125.ok;
-  match = other125.match;
-  __isset = other125.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other148) noexcept {
+  term = other148.term;
+  ok = other148.ok;
+  match = other148.match;
+  sent_us = other148.sent_us;
+  __isset = other148.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -3868,6 +4770,7 @@
   out << "term=" << to_string(term);
   out << ", " << "ok=" << to_string(ok);
   out << ", " << "match=" << to_string(match);
+  out << ", " << "sent_us=" << to_string(sent_us);
   out << ")";
 }
 
@@ -3964,26 +4867,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other126) {
-  term = other126.term;
-  snapshot = other126.snapshot;
-  __isset = other126.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other149) {
+  term = other149.term;
+  snapshot = other149.snapshot;
+  __isset = other149.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other127) noexcept {
-  term = other127.term;
-  snapshot = std::move(other127.snapshot);
-  __isset = other127.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other150) noexcept {
+  term = other150.term;
+  snapshot = std::move(other150.snapshot);
+  __isset = other150.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other128) {
-  term = other128.term;
-  snapshot = other128.snapshot;
-  __isset = other128.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other151) {
+  term = other151.term;
+  snapshot = other151.snapshot;
+  __isset = other151.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other129) noexcept {
-  term = other129.term;
-  snapshot = std::move(other129.snapshot);
-  __isset = other129.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other152) noexcept {
+  term = other152.term;
+  snapshot = std::move(other152.snapshot);
+  __isset = other152.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -4148,38 +5051,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBody::LogBody(const LogBody& other130) {
-  vote = other130.vote;
-  vote_reply = other130.vote_reply;
-  append = other130.append;
-  append_reply = other130.append_reply;
-  snapshot = other130.snapshot;
-  __isset = other130.__isset;
+LogBody::LogBody(const LogBody& other153) {
+  vote = other153.vote;
+  vote_reply = other153.vote_reply;
+  append = other153.append;
+  append_reply = other153.append_reply;
+  snapshot = other153.snapshot;
+  __isset = other153.__isset;
 }
-LogBody::LogBody(LogBody&& other131) noexcept {
-  vote = std::move(other131.vote);
-  vote_reply = std::move(other131.vote_reply);
-  append = std::move(other131.append);
-  append_reply = std::move(other131.append_reply);
-  snapshot = std::move(other131.snapshot);
-  __isset = other131.__isset;
+LogBody::LogBody(LogBody&& other154) noexcept {
+  vote = std::move(other154.vote);
+  vote_reply = std::move(other154.vote_reply);
+  append = std::move(other154.append);
+  append_reply = std::move(other154.append_reply);
+  snapshot = std::move(other154.snapshot);
+  __isset = other154.__isset;
 }
-LogBody& LogBody::operator=(const LogBody& other132) {
-  vote = other132.vote;
-  vote_reply = other132.vote_reply;
-  append = other132.append;
-  append_reply = other132.append_reply;
-  snapshot = other132.snapshot;
-  __isset = other132.__isset;
+LogBody& LogBody::operator=(const LogBody& other155) {
+  vote = other155.vote;
+  vote_reply = other155.vote_reply;
+  append = other155.append;
+  append_reply = other155.append_reply;
+  snapshot = other155.snapshot;
+  __isset = other155.__isset;
   return *this;
 }
-LogBody& LogBody::operator=(LogBody&& other133) noexcept {
-  vote = std::move(other133.vote);
-  vote_reply = std::move(other133.vote_reply);
-  append = std::move(other133.append);
-  append_reply = std::move(other133.append_reply);
-  snapshot = std::move(other133.snapshot);
-  __isset = other133.__isset;
+LogBody& LogBody::operator=(LogBody&& other156) noexcept {
+  vote = std::move(other156.vote);
+  vote_reply = std::move(other156.vote_reply);
+  append = std::move(other156.append);
+  append_reply = std::move(other156.append_reply);
+  snapshot = std::move(other156.snapshot);
+  __isset = other156.__isset;
   return *this;
 }
 void LogBody::printTo(std::ostream& out) const {
@@ -4337,38 +5240,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other134) {
-  from_id = other134.from_id;
-  to_id = other134.to_id;
-  body = other134.body;
-  cluster = other134.cluster;
-  from_name = other134.from_name;
-  __isset = other134.__isset;
+LogMessage::LogMessage(const LogMessage& other157) {
+  from_id = other157.from_id;
+  to_id = other157.to_id;
+  body = other157.body;
+  cluster = other157.cluster;
+  from_name = other157.from_name;
+  __isset = other157.__isset;
 }
-LogMessage::LogMessage(LogMessage&& other135) noexcept {
-  from_id = other135.from_id;
-  to_id = other135.to_id;
-  body = std::move(other135.body);
-  cluster = std::move(other135.cluster);
-  from_name = std::move(other135.from_name);
-  __isset = other135.__isset;
-}
-LogMessage& LogMessage::operator=(const LogMessage& other136) {
-  from_id = other136.from_id;
-  to_id = other136.to_id;
-  body = other136.body;
-  cluster = other136.cluster;
-  from_name = other136.from_name;
-  __isset = other136.__isset;
+LogMessage::LogMessage(LogMessage&& other158) noexcept {
+  from_id = other158.from_id;
+  to_id = other158.to_id;
+  body = std::move(other158.body);
+  cluster = std::move(other158.cluster);
+  from_name = std::move(other158.from_name);
+  __isset = other158.__isset;
+}
+LogMessage& LogMessage::operator=(const LogMessage& other159) {
+  from_id = other159.from_id;
+  to_id = other159.to_id;
+  body = other159.body;
+  cluster = other159.cluster;
+  from_name = other159.from_name;
+  __isset = other159.__isset;
   return *this;
 }
-LogMessage& LogMessage::operator=(LogMessage&& other137) noexcept {
-  from_id = other137.from_id;
-  to_id = other137.to_id;
-  body = std::move(other137.body);
-  cluster = std::move(other137.cluster);
-  from_name = std::move(other137.from_name);
-  __isset = other137.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other160) noexcept {
+  from_id = other160.from_id;
+  to_id = other160.to_id;
+  body = std::move(other160.body);
+  cluster = std::move(other160.cluster);
+  from_name = std::move(other160.from_name);
+  __isset = other160.__isset;
   return *this;
 }
 void LogMessage::printTo(std::ostream& out) const {
@@ -4492,30 +5395,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other138) {
-  cluster = other138.cluster;
-  member = other138.member;
-  blank = other138.blank;
-  __isset = other138.__isset;
+Hello::Hello(const Hello& other161) {
+  cluster = other161.cluster;
+  member = other161.member;
+  blank = other161.blank;
+  __isset = other161.__isset;
 }
-Hello::Hello(Hello&& other139) noexcept {
-  cluster = std::move(other139.cluster);
-  member = std::move(other139.member);
-  blank = other139.blank;
-  __isset = other139.__isset;
+Hello::Hello(Hello&& other162) noexcept {
+  cluster = std::move(other162.cluster);
+  member = std::move(other162.member);
+  blank = other162.blank;
+  __isset = other162.__isset;
 }
-Hello& Hello::operator=(const Hello& other140) {
-  cluster = other140.cluster;
-  member = other140.member;
-  blank = other140.blank;
-  __isset = other140.__isset;
+Hello& Hello::operator=(const Hello& other163) {
+  cluster = other163.cluster;
+  member = other163.member;
+  blank = other163.blank;
+  __isset = other163.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other141) noexcept {
-  cluster = std::move(other141.cluster);
-  member = std::move(other141.member);
-  blank = other141.blank;
-  __isset = other141.__isset;
+Hello& Hello::operator=(Hello&& other164) noexcept {
+  cluster = std::move(other164.cluster);
+  member = std::move(other164.member);
+  blank = other164.blank;
+  __isset = other164.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -4543,6 +5446,10 @@
 void HelloReply::__set_leader_id(const int64_t val) {
   this->leader_id = val;
 }
+
+void HelloReply::__set_members(const std::vector<MemberInfo> & val) {
+  this->members = val;
+}
 std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
@@ -4595,6 +5502,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->members.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
+            {
+              xfer += this->members[_i169].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4624,6 +5551,18 @@
   xfer += oprot->writeI64(this->leader_id);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberInfo> ::const_iterator _iter170;
+    for (_iter170 = this->members.begin(); _iter170 != this->members.end(); ++_iter170)
+    {
+      xfer += (*_iter170).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4634,33 +5573,38 @@
   swap(a.member, b.member);
   swap(a.blank, b.blank);
   swap(a.leader_id, b.leader_id);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other142) {
-  member = other142.member;
-  blank = other142.blank;
-  leader_id = other142.leader_id;
-  __isset = other142.__isset;
-}
-HelloReply::HelloReply(HelloReply&& other143) noexcept {
-  member = std::move(other143.member);
-  blank = other143.blank;
-  leader_id = other143.leader_id;
-  __isset = other143.__isset;
-}
-HelloReply& HelloReply::operator=(const HelloReply& other144) {
-  member = other144.member;
-  blank = other144.blank;
-  leader_id = other144.leader_id;
-  __isset = other144.__isset;
+HelloReply::HelloReply(const HelloReply& other171) {
+  member = other171.member;
+  blank = other171.blank;
+  leader_id = other171.leader_id;
+  members = other171.members;
+  __isset = other171.__isset;
+}
+HelloReply::HelloReply(HelloReply&& other172) noexcept {
+  member = std::move(other172.member);
+  blank = other172.blank;
+  leader_id = other172.leader_id;
+  members = std::move(other172.members);
+  __isset = other172.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other173) {
+  member = other173.member;
+  blank = other173.blank;
+  leader_id = other173.leader_id;
+  members = other173.members;
+  __isset = other173.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other145) noexcept {
-  member = std::move(other145.member);
-  blank = other145.blank;
-  leader_id = other145.leader_id;
-  __isset = other145.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other174) noexcept {
+  member = std::move(other174.member);
+  blank = other174.blank;
+  leader_id = other174.leader_id;
+  members = std::move(other174.members);
+  __isset = other174.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -4669,6 +5613,7 @@
   out << "member=" << to_string(member);
   out << ", " << "blank=" << to_string(blank);
   out << ", " << "leader_id=" << to_string(leader_id);
+  out << ", " << "members=" << to_string(members);
   out << ")";
 }
 
@@ -4765,26 +5710,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectState::ObjectState(const ObjectState& other146) {
-  object = other146.object;
-  version = other146.version;
-  __isset = other146.__isset;
+ObjectState::ObjectState(const ObjectState& other175) {
+  object = other175.object;
+  version = other175.version;
+  __isset = other175.__isset;
 }
-ObjectState::ObjectState(ObjectState&& other147) noexcept {
-  object = std::move(other147.object);
-  version = other147.version;
-  __isset = other147.__isset;
+ObjectState::ObjectState(ObjectState&& other176) noexcept {
+  object = std::move(other176.object);
+  version = other176.version;
+  __isset = other176.__isset;
 }
-ObjectState& ObjectState::operator=(const ObjectState& other148) {
-  object = other148.object;
-  version = other148.version;
-  __isset = other148.__isset;
+ObjectState& ObjectState::operator=(const ObjectState& other177) {
+  object = other177.object;
+  version = other177.version;
+  __isset = other177.__isset;
   return *this;
 }
-ObjectState& ObjectState::operator=(ObjectState&& other149) noexcept {
-  object = std::move(other149.object);
-  version = other149.version;
-  __isset = other149.__isset;
+ObjectState& ObjectState::operator=(ObjectState&& other178) noexcept {
+  object = std::move(other178.object);
+  version = other178.version;
+  __isset = other178.__isset;
   return *this;
 }
 void ObjectState::printTo(std::ostream& out) const {
@@ -4888,26 +5833,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RemovalState::RemovalState(const RemovalState& other150) {
-  key = other150.key;
-  version = other150.version;
-  __isset = other150.__isset;
+RemovalState::RemovalState(const RemovalState& other179) {
+  key = other179.key;
+  version = other179.version;
+  __isset = other179.__isset;
 }
-RemovalState::RemovalState(RemovalState&& other151) noexcept {
-  key = std::move(other151.key);
-  version = other151.version;
-  __isset = other151.__isset;
+RemovalState::RemovalState(RemovalState&& other180) noexcept {
+  key = std::move(other180.key);
+  version = other180.version;
+  __isset = other180.__isset;
 }
-RemovalState& RemovalState::operator=(const RemovalState& other152) {
-  key = other152.key;
-  version = other152.version;
-  __isset = other152.__isset;
+RemovalState& RemovalState::operator=(const RemovalState& other181) {
+  key = other181.key;
+  version = other181.version;
+  __isset = other181.__isset;
   return *this;
 }
-RemovalState& RemovalState::operator=(RemovalState&& other153) noexcept {
-  key = std::move(other153.key);
-  version = other153.version;
-  __isset = other153.__isset;
+RemovalState& RemovalState::operator=(RemovalState&& other182) noexcept {
+  key = std::move(other182.key);
+  version = other182.version;
+  __isset = other182.__isset;
   return *this;
 }
 void RemovalState::printTo(std::ostream& out) const {
@@ -5028,30 +5973,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeState::ChangeState(const ChangeState& other154) {
-  change_id = other154.change_id;
-  fingerprint = other154.fingerprint;
-  outcome = other154.outcome;
-  __isset = other154.__isset;
+ChangeState::ChangeState(const ChangeState& other183) {
+  change_id = other183.change_id;
+  fingerprint = other183.fingerprint;
+  outcome = other183.outcome;
+  __isset = other183.__isset;
 }
-ChangeState::ChangeState(ChangeState&& other155) noexcept {
-  change_id = std::move(other155.change_id);
-  fingerprint = other155.fingerprint;
-  outcome = std::move(other155.outcome);
-  __isset = other155.__isset;
+ChangeState::ChangeState(ChangeState&& other184) noexcept {
+  change_id = std::move(other184.change_id);
+  fingerprint = other184.fingerprint;
+  outcome = std::move(other184.outcome);
+  __isset = other184.__isset;
 }
-ChangeState& ChangeState::operator=(const ChangeState& other156) {
-  change_id = other156.change_id;
-  fingerprint = other156.fingerprint;
-  outcome = other156.outcome;
-  __isset = other156.__isset;
+ChangeState& ChangeState::operator=(const ChangeState& other185) {
+  change_id = other185.change_id;
+  fingerprint = other185.fingerprint;
+  outcome = other185.outcome;
+  __isset = other185.__isset;
   return *this;
 }
-ChangeState& ChangeState::operator=(ChangeState&& other157) noexcept {
-  change_id = std::move(other157.change_id);
-  fingerprint = other157.fingerprint;
-  outcome = std::move(other157.outcome);
-  __isset = other157.__isset;
+ChangeState& ChangeState::operator=(ChangeState&& other186) noexcept {
+  change_id = std::move(other186.change_id);
+  fingerprint = other186.fingerprint;
+  outcome = std::move(other186.outcome);
+  __isset = other186.__isset;
   return *this;
 }
 void ChangeState::printTo(std::ostream& out) const {
@@ -5157,9 +6102,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast158;
-          xfer += iprot->readI32(ecast158);
-          this->state = static_cast<KeyState::type>(ecast158);
+          int32_t ecast187;
+          xfer += iprot->readI32(ecast187);
+          this->state = static_cast<KeyState::type>(ecast187);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5243,46 +6188,46 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other159) {
-  key = other159.key;
-  owner = other159.owner;
-  ref = other159.ref;
-  fingerprint = other159.fingerprint;
-  state = other159.state;
-  expires_ms = other159.expires_ms;
-  answer = other159.answer;
-  __isset = other159.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other160) noexcept {
-  key = std::move(other160.key);
-  owner = std::move(other160.owner);
-  ref = other160.ref;
-  fingerprint = other160.fingerprint;
-  state = other160.state;
-  expires_ms = other160.expires_ms;
-  answer = std::move(other160.answer);
-  __isset = other160.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other161) {
-  key = other161.key;
-  owner = other161.owner;
-  ref = other161.ref;
-  fingerprint = other161.fingerprint;
-  state = other161.state;
-  expires_ms = other161.expires_ms;
-  answer = other161.answer;
-  __isset = other161.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other188) {
+  key = other188.key;
+  owner = other188.owner;
+  ref = other188.ref;
+  fingerprint = other188.fingerprint;
+  state = other188.state;
+  expires_ms = other188.expires_ms;
+  answer = other188.answer;
+  __isset = other188.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other189) noexcept {
+  key = std::move(other189.key);
+  owner = std::move(other189.owner);
+  ref = other189.ref;
+  fingerprint = other189.fingerprint;
+  state = other189.state;
+  expires_ms = other189.expires_ms;
+  answer = std::move(other189.answer);
+  __isset = other189.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other190) {
+  key = other190.key;
+  owner = other190.owner;
+  ref = other190.ref;
+  fingerprint = other190.fingerprint;
+  state = other190.state;
+  expires_ms = other190.expires_ms;
+  answer = other190.answer;
+  __isset = other190.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other162) noexcept {
-  key = std::move(other162.key);
-  owner = std::move(other162.owner);
-  ref = other162.ref;
-  fingerprint = other162.fingerprint;
-  state = other162.state;
-  expires_ms = other162.expires_ms;
-  answer = std::move(other162.answer);
-  __isset = other162.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other191) noexcept {
+  key = std::move(other191.key);
+  owner = std::move(other191.owner);
+  ref = other191.ref;
+  fingerprint = other191.fingerprint;
+  state = other191.state;
+  expires_ms = other191.expires_ms;
+  answer = std::move(other191.answer);
+  __isset = other191.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -5338,6 +6283,14 @@
 void MachineState::__set_now_ms(const int64_t val) {
   this->now_ms = val;
 }
+
+void MachineState::__set_document(const Document& val) {
+  this->document = val;
+}
+
+void MachineState::__set_servers(const std::vector<ServerRecord> & val) {
+  this->servers = val;
+}
 std::ostream& operator<<(std::ostream& out, const MachineState& obj)
 {
   obj.printTo(out);
@@ -5378,14 +6331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->objects.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->objects.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->objects[_i167].read(iprot);
+              xfer += this->objects[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5398,14 +6351,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->removals.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->removals.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->removals[_i172].read(iprot);
+              xfer += this->removals[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5426,14 +6379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->history.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->history.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->history[_i177].read(iprot);
+              xfer += this->history[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5446,14 +6399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->changes.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->changes.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->changes[_i182].read(iprot);
+              xfer += this->changes[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5466,14 +6419,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->keys.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->keys.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->keys[_i187].read(iprot);
+              xfer += this->keys[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5486,14 +6439,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->leases.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->leases.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->leases[_i192].read(iprot);
+              xfer += this->leases[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5510,6 +6463,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->servers.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
+            {
+              xfer += this->servers[_i226].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5534,10 +6515,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectState> ::const_iterator _iter193;
-    for (_iter193 = this->objects.begin(); _iter193 != this->objects.end(); ++_iter193)
+    std::vector<ObjectState> ::const_iterator _iter227;
+    for (_iter227 = this->objects.begin(); _iter227 != this->objects.end(); ++_iter227)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5546,10 +6527,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RemovalState> ::const_iterator _iter194;
-    for (_iter194 = this->removals.begin(); _iter194 != this->removals.end(); ++_iter194)
+    std::vector<RemovalState> ::const_iterator _iter228;
+    for (_iter228 = this->removals.begin(); _iter228 != this->removals.end(); ++_iter228)
     {
-      xfer += (*_iter194).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5562,10 +6543,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter195;
-    for (_iter195 = this->history.begin(); _iter195 != this->history.end(); ++_iter195)
+    std::vector<HistoryRow> ::const_iterator _iter229;
+    for (_iter229 = this->history.begin(); _iter229 != this->history.end(); ++_iter229)
     {
-      xfer += (*_iter195).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5574,10 +6555,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ChangeState> ::const_iterator _iter196;
-    for (_iter196 = this->changes.begin(); _iter196 != this->changes.end(); ++_iter196)
+    std::vector<ChangeState> ::const_iterator _iter230;
+    for (_iter230 = this->changes.begin(); _iter230 != this->changes.end(); ++_iter230)
     {
-      xfer += (*_iter196).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5586,10 +6567,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeyRecord> ::const_iterator _iter197;
-    for (_iter197 = this->keys.begin(); _iter197 != this->keys.end(); ++_iter197)
+    std::vector<KeyRecord> ::const_iterator _iter231;
+    for (_iter231 = this->keys.begin(); _iter231 != this->keys.end(); ++_iter231)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5598,10 +6579,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter198;
-    for (_iter198 = this->leases.begin(); _iter198 != this->leases.end(); ++_iter198)
+    std::vector<LeaseGrant> ::const_iterator _iter232;
+    for (_iter232 = this->leases.begin(); _iter232 != this->leases.end(); ++_iter232)
     {
-      xfer += (*_iter198).write(oprot);
+      xfer += (*_iter232).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5611,6 +6592,22 @@
   xfer += oprot->writeI64(this->now_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 10);
+  xfer += this->document.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerRecord> ::const_iterator _iter233;
+    for (_iter233 = this->servers.begin(); _iter233 != this->servers.end(); ++_iter233)
+    {
+      xfer += (*_iter233).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5627,57 +6624,67 @@
   swap(a.keys, b.keys);
   swap(a.leases, b.leases);
   swap(a.now_ms, b.now_ms);
+  swap(a.document, b.document);
+  swap(a.servers, b.servers);
   swap(a.__isset, b.__isset);
 }
 
-MachineState::MachineState(const MachineState& other199) {
-  version = other199.version;
-  objects = other199.objects;
-  removals = other199.removals;
-  whole_before = other199.whole_before;
-  history = other199.history;
-  changes = other199.changes;
-  keys = other199.keys;
-  leases = other199.leases;
-  now_ms = other199.now_ms;
-  __isset = other199.__isset;
-}
-MachineState::MachineState(MachineState&& other200) noexcept {
-  version = other200.version;
-  objects = std::move(other200.objects);
-  removals = std::move(other200.removals);
-  whole_before = other200.whole_before;
-  history = std::move(other200.history);
-  changes = std::move(other200.changes);
-  keys = std::move(other200.keys);
-  leases = std::move(other200.leases);
-  now_ms = other200.now_ms;
-  __isset = other200.__isset;
-}
-MachineState& MachineState::operator=(const MachineState& other201) {
-  version = other201.version;
-  objects = other201.objects;
-  removals = other201.removals;
-  whole_before = other201.whole_before;
-  history = other201.history;
-  changes = other201.changes;
-  keys = other201.keys;
-  leases = other201.leases;
-  now_ms = other201.now_ms;
-  __isset = other201.__isset;
+MachineState::MachineState(const MachineState& other234) {
+  version = other234.version;
+  objects = other234.objects;
+  removals = other234.removals;
+  whole_before = other234.whole_before;
+  history = other234.history;
+  changes = other234.changes;
+  keys = other234.keys;
+  leases = other234.leases;
+  now_ms = other234.now_ms;
+  document = other234.document;
+  servers = other234.servers;
+  __isset = other234.__isset;
+}
+MachineState::MachineState(MachineState&& other235) noexcept {
+  version = other235.version;
+  objects = std::move(other235.objects);
+  removals = std::move(other235.removals);
+  whole_before = other235.whole_before;
+  history = std::move(other235.history);
+  changes = std::move(other235.changes);
+  keys = std::move(other235.keys);
+  leases = std::move(other235.leases);
+  now_ms = other235.now_ms;
+  document = std::move(other235.document);
+  servers = std::move(other235.servers);
+  __isset = other235.__isset;
+}
+MachineState& MachineState::operator=(const MachineState& other236) {
+  version = other236.version;
+  objects = other236.objects;
+  removals = other236.removals;
+  whole_before = other236.whole_before;
+  history = other236.history;
+  changes = other236.changes;
+  keys = other236.keys;
+  leases = other236.leases;
+  now_ms = other236.now_ms;
+  document = other236.document;
+  servers = other236.servers;
+  __isset = other236.__isset;
   return *this;
 }
-MachineState& MachineState::operator=(MachineState&& other202) noexcept {
-  version = other202.version;
-  objects = std::move(other202.objects);
-  removals = std::move(other202.removals);
-  whole_before = other202.whole_before;
-  history = std::move(other202.history);
-  changes = std::move(other202.changes);
-  keys = std::move(other202.keys);
-  leases = std::move(other202.leases);
-  now_ms = other202.now_ms;
-  __isset = other202.__isset;
+MachineState& MachineState::operator=(MachineState&& other237) noexcept {
+  version = other237.version;
+  objects = std::move(other237.objects);
+  removals = std::move(other237.removals);
+  whole_before = other237.whole_before;
+  history = std::move(other237.history);
+  changes = std::move(other237.changes);
+  keys = std::move(other237.keys);
+  leases = std::move(other237.leases);
+  now_ms = other237.now_ms;
+  document = std::move(other237.document);
+  servers = std::move(other237.servers);
+  __isset = other237.__isset;
   return *this;
 }
 void MachineState::printTo(std::ostream& out) const {
@@ -5692,6 +6699,8 @@
   out << ", " << "keys=" << to_string(keys);
   out << ", " << "leases=" << to_string(leases);
   out << ", " << "now_ms=" << to_string(now_ms);
+  out << ", " << "document=" << to_string(document);
+  out << ", " << "servers=" << to_string(servers);
   out << ")";
 }
 
@@ -5739,6 +6748,14 @@
 void Heartbeat::__set_leases_seen(const int64_t val) {
   this->leases_seen = val;
 }
+
+void Heartbeat::__set_loads(const std::vector<ServerLoad> & val) {
+  this->loads = val;
+}
+
+void Heartbeat::__set_uses(const std::vector<WorkspaceUse> & val) {
+  this->uses = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -5847,6 +6864,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->loads.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
+            {
+              xfer += this->loads[_i242].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->uses.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
+            {
+              xfer += this->uses[_i247].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5904,6 +6961,30 @@
   xfer += oprot->writeI64(this->leases_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<ServerLoad> ::const_iterator _iter248;
+    for (_iter248 = this->loads.begin(); _iter248 != this->loads.end(); ++_iter248)
+    {
+      xfer += (*_iter248).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<WorkspaceUse> ::const_iterator _iter249;
+    for (_iter249 = this->uses.begin(); _iter249 != this->uses.end(); ++_iter249)
+    {
+      xfer += (*_iter249).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5921,61 +7002,71 @@
   swap(a.stopping, b.stopping);
   swap(a.http, b.http);
   swap(a.leases_seen, b.leases_seen);
+  swap(a.loads, b.loads);
+  swap(a.uses, b.uses);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other203) {
-  instance = other203.instance;
-  incarnation = other203.incarnation;
-  address = other203.address;
-  port = other203.port;
-  data_centre = other203.data_centre;
-  version_in_force = other203.version_in_force;
-  ready = other203.ready;
-  stopping = other203.stopping;
-  http = other203.http;
-  leases_seen = other203.leases_seen;
-  __isset = other203.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other204) noexcept {
-  instance = std::move(other204.instance);
-  incarnation = std::move(other204.incarnation);
-  address = std::move(other204.address);
-  port = other204.port;
-  data_centre = std::move(other204.data_centre);
-  version_in_force = other204.version_in_force;
-  ready = other204.ready;
-  stopping = other204.stopping;
-  http = std::move(other204.http);
-  leases_seen = other204.leases_seen;
-  __isset = other204.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other205) {
-  instance = other205.instance;
-  incarnation = other205.incarnation;
-  address = other205.address;
-  port = other205.port;
-  data_centre = other205.data_centre;
-  version_in_force = other205.version_in_force;
-  ready = other205.ready;
-  stopping = other205.stopping;
-  http = other205.http;
-  leases_seen = other205.leases_seen;
-  __isset = other205.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other250) {
+  instance = other250.instance;
+  incarnation = other250.incarnation;
+  address = other250.address;
+  port = other250.port;
+  data_centre = other250.data_centre;
+  version_in_force = other250.version_in_force;
+  ready = other250.ready;
+  stopping = other250.stopping;
+  http = other250.http;
+  leases_seen = other250.leases_seen;
+  loads = other250.loads;
+  uses = other250.uses;
+  __isset = other250.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other251) noexcept {
+  instance = std::move(other251.instance);
+  incarnation = std::move(other251.incarnation);
+  address = std::move(other251.address);
+  port = other251.port;
+  data_centre = std::move(other251.data_centre);
+  version_in_force = other251.version_in_force;
+  ready = other251.ready;
+  stopping = other251.stopping;
+  http = std::move(other251.http);
+  leases_seen = other251.leases_seen;
+  loads = std::move(other251.loads);
+  uses = std::move(other251.uses);
+  __isset = other251.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other252) {
+  instance = other252.instance;
+  incarnation = other252.incarnation;
+  address = other252.address;
+  port = other252.port;
+  data_centre = other252.data_centre;
+  version_in_force = other252.version_in_force;
+  ready = other252.ready;
+  stopping = other252.stopping;
+  http = other252.http;
+  leases_seen = other252.leases_seen;
+  loads = other252.loads;
+  uses = other252.uses;
+  __isset = other252.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other206) noexcept {
-  instance = std::move(other206.instance);
-  incarnation = std::move(other206.incarnation);
-  address = std::move(other206.address);
-  port = other206.port;
-  data_centre = std::move(other206.data_centre);
-  version_in_force = other206.version_in_force;
-  ready = other206.ready;
-  stopping = other206.stopping;
-  http = std::move(other206.http);
-  leases_seen = other206.leases_seen;
-  __isset = other206.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other253) noexcept {
+  instance = std::move(other253.instance);
+  incarnation = std::move(other253.incarnation);
+  address = std::move(other253.address);
+  port = other253.port;
+  data_centre = std::move(other253.data_centre);
+  version_in_force = other253.version_in_force;
+  ready = other253.ready;
+  stopping = other253.stopping;
+  http = std::move(other253.http);
+  leases_seen = other253.leases_seen;
+  loads = std::move(other253.loads);
+  uses = std::move(other253.uses);
+  __isset = other253.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -5991,6 +7082,8 @@
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "http=" << to_string(http);
   out << ", " << "leases_seen=" << to_string(leases_seen);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "uses=" << to_string(uses);
   out << ")";
 }
 
@@ -6022,6 +7115,26 @@
 void HeartbeatReply::__set_leases_same(const bool val) {
   this->leases_same = val;
 }
+
+void HeartbeatReply::__set_members(const std::vector<MemberInfo> & val) {
+  this->members = val;
+}
+
+void HeartbeatReply::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void HeartbeatReply::__set_servers_index(const int64_t val) {
+  this->servers_index = val;
+}
+
+void HeartbeatReply::__set_loads(const std::vector<ServerLoad> & val) {
+  this->loads = val;
+}
+
+void HeartbeatReply::__set_uses(const std::vector<WorkspaceUse> & val) {
+  this->uses = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -6054,14 +7167,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->leases.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->leases.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
             {
-              xfer += this->leases[_i211].read(iprot);
+              xfer += this->leases[_i258].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6110,6 +7223,82 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->members.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
+            {
+              xfer += this->members[_i263].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_index);
+          this->__isset.servers_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->loads.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
+            {
+              xfer += this->loads[_i268].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size269;
+            ::apache::thrift::protocol::TType _etype272;
+            xfer += iprot->readListBegin(_etype272, _size269);
+            this->uses.resize(_size269);
+            uint32_t _i273;
+            for (_i273 = 0; _i273 < _size269; ++_i273)
+            {
+              xfer += this->uses[_i273].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6130,10 +7319,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter212;
-    for (_iter212 = this->leases.begin(); _iter212 != this->leases.end(); ++_iter212)
+    std::vector<LeaseGrant> ::const_iterator _iter274;
+    for (_iter274 = this->leases.begin(); _iter274 != this->leases.end(); ++_iter274)
     {
-      xfer += (*_iter212).write(oprot);
+      xfer += (*_iter274).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6159,6 +7348,50 @@
   xfer += oprot->writeBool(this->leases_same);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberInfo> ::const_iterator _iter275;
+    for (_iter275 = this->members.begin(); _iter275 != this->members.end(); ++_iter275)
+    {
+      xfer += (*_iter275).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers_index", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->servers_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<ServerLoad> ::const_iterator _iter276;
+    for (_iter276 = this->loads.begin(); _iter276 != this->loads.end(); ++_iter276)
+    {
+      xfer += (*_iter276).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<WorkspaceUse> ::const_iterator _iter277;
+    for (_iter277 = this->uses.begin(); _iter277 != this->uses.end(); ++_iter277)
+    {
+      xfer += (*_iter277).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6172,45 +7405,70 @@
   swap(a.live, b.live);
   swap(a.leases_index, b.leases_index);
   swap(a.leases_same, b.leases_same);
+  swap(a.members, b.members);
+  swap(a.document_version, b.document_version);
+  swap(a.servers_index, b.servers_index);
+  swap(a.loads, b.loads);
+  swap(a.uses, b.uses);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other213) {
-  leases = other213.leases;
-  version = other213.version;
-  leader_term = other213.leader_term;
-  live = other213.live;
-  leases_index = other213.leases_index;
-  leases_same = other213.leases_same;
-  __isset = other213.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other214) noexcept {
-  leases = std::move(other214.leases);
-  version = other214.version;
-  leader_term = other214.leader_term;
-  live = other214.live;
-  leases_index = other214.leases_index;
-  leases_same = other214.leases_same;
-  __isset = other214.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other215) {
-  leases = other215.leases;
-  version = other215.version;
-  leader_term = other215.leader_term;
-  live = other215.live;
-  leases_index = other215.leases_index;
-  leases_same = other215.leases_same;
-  __isset = other215.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other278) {
+  leases = other278.leases;
+  version = other278.version;
+  leader_term = other278.leader_term;
+  live = other278.live;
+  leases_index = other278.leases_index;
+  leases_same = other278.leases_same;
+  members = other278.members;
+  document_version = other278.document_version;
+  servers_index = other278.servers_index;
+  loads = other278.loads;
+  uses = other278.uses;
+  __isset = other278.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other279) noexcept {
+  leases = std::move(other279.leases);
+  version = other279.version;
+  leader_term = other279.leader_term;
+  live = other279.live;
+  leases_index = other279.leases_index;
+  leases_same = other279.leases_same;
+  members = std::move(other279.members);
+  document_version = other279.document_version;
+  servers_index = other279.servers_index;
+  loads = std::move(other279.loads);
+  uses = std::move(other279.uses);
+  __isset = other279.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other280) {
+  leases = other280.leases;
+  version = other280.version;
+  leader_term = other280.leader_term;
+  live = other280.live;
+  leases_index = other280.leases_index;
+  leases_same = other280.leases_same;
+  members = other280.members;
+  document_version = other280.document_version;
+  servers_index = other280.servers_index;
+  loads = other280.loads;
+  uses = other280.uses;
+  __isset = other280.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other216) noexcept {
-  leases = std::move(other216.leases);
-  version = other216.version;
-  leader_term = other216.leader_term;
-  live = other216.live;
-  leases_index = other216.leases_index;
-  leases_same = other216.leases_same;
-  __isset = other216.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other281) noexcept {
+  leases = std::move(other281.leases);
+  version = other281.version;
+  leader_term = other281.leader_term;
+  live = other281.live;
+  leases_index = other281.leases_index;
+  leases_same = other281.leases_same;
+  members = std::move(other281.members);
+  document_version = other281.document_version;
+  servers_index = other281.servers_index;
+  loads = std::move(other281.loads);
+  uses = std::move(other281.uses);
+  __isset = other281.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -6222,6 +7480,11 @@
   out << ", " << "live=" << to_string(live);
   out << ", " << "leases_index=" << to_string(leases_index);
   out << ", " << "leases_same=" << to_string(leases_same);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "servers_index=" << to_string(servers_index);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "uses=" << to_string(uses);
   out << ")";
 }
 
@@ -6265,14 +7528,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->commands.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->commands.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->commands[_i221].read(iprot);
+              xfer += this->commands[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6301,10 +7564,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter222;
-    for (_iter222 = this->commands.begin(); _iter222 != this->commands.end(); ++_iter222)
+    std::vector<Command> ::const_iterator _iter287;
+    for (_iter287 = this->commands.begin(); _iter287 != this->commands.end(); ++_iter287)
     {
-      xfer += (*_iter222).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6321,22 +7584,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other223) {
-  commands = other223.commands;
-  __isset = other223.__isset;
+Propose::Propose(const Propose& other288) {
+  commands = other288.commands;
+  __isset = other288.__isset;
 }
-Propose::Propose(Propose&& other224) noexcept {
-  commands = std::move(other224.commands);
-  __isset = other224.__isset;
+Propose::Propose(Propose&& other289) noexcept {
+  commands = std::move(other289.commands);
+  __isset = other289.__isset;
 }
-Propose& Propose::operator=(const Propose& other225) {
-  commands = other225.commands;
-  __isset = other225.__isset;
+Propose& Propose::operator=(const Propose& other290) {
+  commands = other290.commands;
+  __isset = other290.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other226) noexcept {
-  commands = std::move(other226.commands);
-  __isset = other226.__isset;
+Propose& Propose::operator=(Propose&& other291) noexcept {
+  commands = std::move(other291.commands);
+  __isset = other291.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -6462,30 +7725,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other227) {
-  config = other227.config;
-  claim = other227.claim;
-  done = other227.done;
-  __isset = other227.__isset;
+CommandResult::CommandResult(const CommandResult& other292) {
+  config = other292.config;
+  claim = other292.claim;
+  done = other292.done;
+  __isset = other292.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other228) noexcept {
-  config = std::move(other228.config);
-  claim = std::move(other228.claim);
-  done = other228.done;
-  __isset = other228.__isset;
+CommandResult::CommandResult(CommandResult&& other293) noexcept {
+  config = std::move(other293.config);
+  claim = std::move(other293.claim);
+  done = other293.done;
+  __isset = other293.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other229) {
-  config = other229.config;
-  claim = other229.claim;
-  done = other229.done;
-  __isset = other229.__isset;
+CommandResult& CommandResult::operator=(const CommandResult& other294) {
+  config = other294.config;
+  claim = other294.claim;
+  done = other294.done;
+  __isset = other294.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other230) noexcept {
-  config = std::move(other230.config);
-  claim = std::move(other230.claim);
-  done = other230.done;
-  __isset = other230.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other295) noexcept {
+  config = std::move(other295.config);
+  claim = std::move(other295.claim);
+  done = other295.done;
+  __isset = other295.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -6537,14 +7800,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size231;
-            ::apache::thrift::protocol::TType _etype234;
-            xfer += iprot->readListBegin(_etype234, _size231);
-            this->results.resize(_size231);
-            uint32_t _i235;
-            for (_i235 = 0; _i235 < _size231; ++_i235)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->results.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->results[_i235].read(iprot);
+              xfer += this->results[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6573,10 +7836,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter236;
-    for (_iter236 = this->results.begin(); _iter236 != this->results.end(); ++_iter236)
+    std::vector<CommandResult> ::const_iterator _iter301;
+    for (_iter301 = this->results.begin(); _iter301 != this->results.end(); ++_iter301)
     {
-      xfer += (*_iter236).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6593,22 +7856,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other237) {
-  results = other237.results;
-  __isset = other237.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other302) {
+  results = other302.results;
+  __isset = other302.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other238) noexcept {
-  results = std::move(other238.results);
-  __isset = other238.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other303) noexcept {
+  results = std::move(other303.results);
+  __isset = other303.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other239) {
-  results = other239.results;
-  __isset = other239.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other304) {
+  results = other304.results;
+  __isset = other304.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other240) noexcept {
-  results = std::move(other240.results);
-  __isset = other240.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other305) noexcept {
+  results = std::move(other305.results);
+  __isset = other305.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -6630,6 +7893,18 @@
 void ConfigPoll::__set_wait_ms(const int64_t val) {
   this->wait_ms = val;
 }
+
+void ConfigPoll::__set_have_document(const int64_t val) {
+  this->have_document = val;
+}
+
+void ConfigPoll::__set_have_servers(const int64_t val) {
+  this->have_servers = val;
+}
+
+void ConfigPoll::__set_hosted(const bool val) {
+  this->hosted = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigPoll& obj)
 {
   obj.printTo(out);
@@ -6674,6 +7949,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_document);
+          this->__isset.have_document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_servers);
+          this->__isset.have_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hosted);
+          this->__isset.hosted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6699,6 +7998,18 @@
   xfer += oprot->writeI64(this->wait_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("have_document", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->have_document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_servers", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->have_servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosted", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->hosted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6708,29 +8019,44 @@
   using ::std::swap;
   swap(a.have_version, b.have_version);
   swap(a.wait_ms, b.wait_ms);
+  swap(a.have_document, b.have_document);
+  swap(a.have_servers, b.have_servers);
+  swap(a.hosted, b.hosted);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPoll::ConfigPoll(const ConfigPoll& other241) noexcept {
-  have_version = other241.have_version;
-  wait_ms = other241.wait_ms;
-  __isset = other241.__isset;
-}
-ConfigPoll::ConfigPoll(ConfigPoll&& other242) noexcept {
-  have_version = other242.have_version;
-  wait_ms = other242.wait_ms;
-  __isset = other242.__isset;
-}
-ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other243) noexcept {
-  have_version = other243.have_version;
-  wait_ms = other243.wait_ms;
-  __isset = other243.__isset;
+ConfigPoll::ConfigPoll(const ConfigPoll& other306) noexcept {
+  have_version = other306.have_version;
+  wait_ms = other306.wait_ms;
+  have_document = other306.have_document;
+  have_servers = other306.have_servers;
+  hosted = other306.hosted;
+  __isset = other306.__isset;
+}
+ConfigPoll::ConfigPoll(ConfigPoll&& other307) noexcept {
+  have_version = other307.have_version;
+  wait_ms = other307.wait_ms;
+  have_document = other307.have_document;
+  have_servers = other307.have_servers;
+  hosted = other307.hosted;
+  __isset = other307.__isset;
+}
+ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other308) noexcept {
+  have_version = other308.have_version;
+  wait_ms = other308.wait_ms;
+  have_document = other308.have_document;
+  have_servers = other308.have_servers;
+  hosted = other308.hosted;
+  __isset = other308.__isset;
   return *this;
 }
-ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other244) noexcept {
-  have_version = other244.have_version;
-  wait_ms = other244.wait_ms;
-  __isset = other244.__isset;
+ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other309) noexcept {
+  have_version = other309.have_version;
+  wait_ms = other309.wait_ms;
+  have_document = other309.have_document;
+  have_servers = other309.have_servers;
+  hosted = other309.hosted;
+  __isset = other309.__isset;
   return *this;
 }
 void ConfigPoll::printTo(std::ostream& out) const {
@@ -6738,6 +8064,9 @@
   out << "ConfigPoll(";
   out << "have_version=" << to_string(have_version);
   out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "have_document=" << to_string(have_document);
+  out << ", " << "have_servers=" << to_string(have_servers);
+  out << ", " << "hosted=" << to_string(hosted);
   out << ")";
 }
 
@@ -6841,14 +8170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size245;
-            ::apache::thrift::protocol::TType _etype248;
-            xfer += iprot->readListBegin(_etype248, _size245);
-            this->prefixes.resize(_size245);
-            uint32_t _i249;
-            for (_i249 = 0; _i249 < _size245; ++_i249)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->prefixes.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += iprot->readI64(this->prefixes[_i249]);
+              xfer += iprot->readI64(this->prefixes[_i314]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6893,14 +8222,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoid.clear();
-            uint32_t _size250;
-            ::apache::thrift::protocol::TType _etype253;
-            xfer += iprot->readListBegin(_etype253, _size250);
-            this->avoid.resize(_size250);
-            uint32_t _i254;
-            for (_i254 = 0; _i254 < _size250; ++_i254)
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->avoid.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
             {
-              xfer += iprot->readString(this->avoid[_i254]);
+              xfer += iprot->readString(this->avoid[_i319]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6949,10 +8278,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<int64_t> ::const_iterator _iter255;
-    for (_iter255 = this->prefixes.begin(); _iter255 != this->prefixes.end(); ++_iter255)
+    std::vector<int64_t> ::const_iterator _iter320;
+    for (_iter320 = this->prefixes.begin(); _iter320 != this->prefixes.end(); ++_iter320)
     {
-      xfer += oprot->writeI64((*_iter255));
+      xfer += oprot->writeI64((*_iter320));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6977,10 +8306,10 @@
   xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter256;
-    for (_iter256 = this->avoid.begin(); _iter256 != this->avoid.end(); ++_iter256)
+    std::vector<std::string> ::const_iterator _iter321;
+    for (_iter321 = this->avoid.begin(); _iter321 != this->avoid.end(); ++_iter321)
     {
-      xfer += oprot->writeString((*_iter256));
+      xfer += oprot->writeString((*_iter321));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7010,58 +8339,58 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other257) {
-  ref = other257.ref;
-  tier = other257.tier;
-  prompt_tokens = other257.prompt_tokens;
-  prefixes = other257.prefixes;
-  age_ms = other257.age_ms;
-  workspace = other257.workspace;
-  event = other257.event;
-  model = other257.model;
-  avoid = other257.avoid;
-  deadline_ms = other257.deadline_ms;
-  __isset = other257.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other258) noexcept {
-  ref = other258.ref;
-  tier = other258.tier;
-  prompt_tokens = other258.prompt_tokens;
-  prefixes = std::move(other258.prefixes);
-  age_ms = other258.age_ms;
-  workspace = std::move(other258.workspace);
-  event = std::move(other258.event);
-  model = std::move(other258.model);
-  avoid = std::move(other258.avoid);
-  deadline_ms = other258.deadline_ms;
-  __isset = other258.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other259) {
-  ref = other259.ref;
-  tier = other259.tier;
-  prompt_tokens = other259.prompt_tokens;
-  prefixes = other259.prefixes;
-  age_ms = other259.age_ms;
-  workspace = other259.workspace;
-  event = other259.event;
-  model = other259.model;
-  avoid = other259.avoid;
-  deadline_ms = other259.deadline_ms;
-  __isset = other259.__isset;
+DemandItem::DemandItem(const DemandItem& other322) {
+  ref = other322.ref;
+  tier = other322.tier;
+  prompt_tokens = other322.prompt_tokens;
+  prefixes = other322.prefixes;
+  age_ms = other322.age_ms;
+  workspace = other322.workspace;
+  event = other322.event;
+  model = other322.model;
+  avoid = other322.avoid;
+  deadline_ms = other322.deadline_ms;
+  __isset = other322.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other323) noexcept {
+  ref = other323.ref;
+  tier = other323.tier;
+  prompt_tokens = other323.prompt_tokens;
+  prefixes = std::move(other323.prefixes);
+  age_ms = other323.age_ms;
+  workspace = std::move(other323.workspace);
+  event = std::move(other323.event);
+  model = std::move(other323.model);
+  avoid = std::move(other323.avoid);
+  deadline_ms = other323.deadline_ms;
+  __isset = other323.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other324) {
+  ref = other324.ref;
+  tier = other324.tier;
+  prompt_tokens = other324.prompt_tokens;
+  prefixes = other324.prefixes;
+  age_ms = other324.age_ms;
+  workspace = other324.workspace;
+  event = other324.event;
+  model = other324.model;
+  avoid = other324.avoid;
+  deadline_ms = other324.deadline_ms;
+  __isset = other324.__isset;
   return *this;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other260) noexcept {
-  ref = other260.ref;
-  tier = other260.tier;
-  prompt_tokens = other260.prompt_tokens;
-  prefixes = std::move(other260.prefixes);
-  age_ms = other260.age_ms;
-  workspace = std::move(other260.workspace);
-  event = std::move(other260.event);
-  model = std::move(other260.model);
-  avoid = std::move(other260.avoid);
-  deadline_ms = other260.deadline_ms;
-  __isset = other260.__isset;
+DemandItem& DemandItem::operator=(DemandItem&& other325) noexcept {
+  ref = other325.ref;
+  tier = other325.tier;
+  prompt_tokens = other325.prompt_tokens;
+  prefixes = std::move(other325.prefixes);
+  age_ms = other325.age_ms;
+  workspace = std::move(other325.workspace);
+  event = std::move(other325.event);
+  model = std::move(other325.model);
+  avoid = std::move(other325.avoid);
+  deadline_ms = other325.deadline_ms;
+  __isset = other325.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -7134,9 +8463,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast261;
-          xfer += iprot->readI32(ecast261);
-          this->stage = static_cast<UseStage::type>(ecast261);
+          int32_t ecast326;
+          xfer += iprot->readI32(ecast326);
+          this->stage = static_cast<UseStage::type>(ecast326);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -7192,30 +8521,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditUse::CreditUse(const CreditUse& other262) noexcept {
-  credit = other262.credit;
-  stage = other262.stage;
-  elapsed_us = other262.elapsed_us;
-  __isset = other262.__isset;
-}
-CreditUse::CreditUse(CreditUse&& other263) noexcept {
-  credit = other263.credit;
-  stage = other263.stage;
-  elapsed_us = other263.elapsed_us;
-  __isset = other263.__isset;
+CreditUse::CreditUse(const CreditUse& other327) noexcept {
+  credit = other327.credit;
+  stage = other327.stage;
+  elapsed_us = other327.elapsed_us;
+  __isset = other327.__isset;
 }
-CreditUse& CreditUse::operator=(const CreditUse& other264) noexcept {
-  credit = other264.credit;
-  stage = other264.stage;
-  elapsed_us = other264.elapsed_us;
-  __isset = other264.__isset;
+CreditUse::CreditUse(CreditUse&& other328) noexcept {
+  credit = other328.credit;
+  stage = other328.stage;
+  elapsed_us = other328.elapsed_us;
+  __isset = other328.__isset;
+}
+CreditUse& CreditUse::operator=(const CreditUse& other329) noexcept {
+  credit = other329.credit;
+  stage = other329.stage;
+  elapsed_us = other329.elapsed_us;
+  __isset = other329.__isset;
   return *this;
 }
-CreditUse& CreditUse::operator=(CreditUse&& other265) noexcept {
-  credit = other265.credit;
-  stage = other265.stage;
-  elapsed_us = other265.elapsed_us;
-  __isset = other265.__isset;
+CreditUse& CreditUse::operator=(CreditUse&& other330) noexcept {
+  credit = other330.credit;
+  stage = other330.stage;
+  elapsed_us = other330.elapsed_us;
+  __isset = other330.__isset;
   return *this;
 }
 void CreditUse::printTo(std::ostream& out) const {
@@ -7354,34 +8683,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldCredit::HeldCredit(const HeldCredit& other266) {
-  credit = other266.credit;
-  ref = other266.ref;
-  engine = other266.engine;
-  prompt_tokens = other266.prompt_tokens;
-  __isset = other266.__isset;
-}
-HeldCredit::HeldCredit(HeldCredit&& other267) noexcept {
-  credit = other267.credit;
-  ref = other267.ref;
-  engine = std::move(other267.engine);
-  prompt_tokens = other267.prompt_tokens;
-  __isset = other267.__isset;
-}
-HeldCredit& HeldCredit::operator=(const HeldCredit& other268) {
-  credit = other268.credit;
-  ref = other268.ref;
-  engine = other268.engine;
-  prompt_tokens = other268.prompt_tokens;
-  __isset = other268.__isset;
+HeldCredit::HeldCredit(const HeldCredit& other331) {
+  credit = other331.credit;
+  ref = other331.ref;
+  engine = other331.engine;
+  prompt_tokens = other331.prompt_tokens;
+  __isset = other331.__isset;
+}
+HeldCredit::HeldCredit(HeldCredit&& other332) noexcept {
+  credit = other332.credit;
+  ref = other332.ref;
+  engine = std::move(other332.engine);
+  prompt_tokens = other332.prompt_tokens;
+  __isset = other332.__isset;
+}
+HeldCredit& HeldCredit::operator=(const HeldCredit& other333) {
+  credit = other333.credit;
+  ref = other333.ref;
+  engine = other333.engine;
+  prompt_tokens = other333.prompt_tokens;
+  __isset = other333.__isset;
   return *this;
 }
-HeldCredit& HeldCredit::operator=(HeldCredit&& other269) noexcept {
-  credit = other269.credit;
-  ref = other269.ref;
-  engine = std::move(other269.engine);
-  prompt_tokens = other269.prompt_tokens;
-  __isset = other269.__isset;
+HeldCredit& HeldCredit::operator=(HeldCredit&& other334) noexcept {
+  credit = other334.credit;
+  ref = other334.ref;
+  engine = std::move(other334.engine);
+  prompt_tokens = other334.prompt_tokens;
+  __isset = other334.__isset;
   return *this;
 }
 void HeldCredit::printTo(std::ostream& out) const {
@@ -7502,14 +8831,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->held.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->held.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += this->held[_i274].read(iprot);
+              xfer += this->held[_i339].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7522,14 +8851,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->items.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->items.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += this->items[_i279].read(iprot);
+              xfer += this->items[_i344].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7542,14 +8871,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->waiting.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->waiting.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += iprot->readI32(this->waiting[_i284]);
+              xfer += iprot->readI32(this->waiting[_i349]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7562,14 +8891,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->uses.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->uses.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += this->uses[_i289].read(iprot);
+              xfer += this->uses[_i354].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7630,10 +8959,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<HeldCredit> ::const_iterator _iter290;
-    for (_iter290 = this->held.begin(); _iter290 != this->held.end(); ++_iter290)
+    std::vector<HeldCredit> ::const_iterator _iter355;
+    for (_iter355 = this->held.begin(); _iter355 != this->held.end(); ++_iter355)
     {
-      xfer += (*_iter290).write(oprot);
+      xfer += (*_iter355).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7642,10 +8971,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter291;
-    for (_iter291 = this->items.begin(); _iter291 != this->items.end(); ++_iter291)
+    std::vector<DemandItem> ::const_iterator _iter356;
+    for (_iter356 = this->items.begin(); _iter356 != this->items.end(); ++_iter356)
     {
-      xfer += (*_iter291).write(oprot);
+      xfer += (*_iter356).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7654,10 +8983,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter292;
-    for (_iter292 = this->waiting.begin(); _iter292 != this->waiting.end(); ++_iter292)
+    std::vector<int32_t> ::const_iterator _iter357;
+    for (_iter357 = this->waiting.begin(); _iter357 != this->waiting.end(); ++_iter357)
     {
-      xfer += oprot->writeI32((*_iter292));
+      xfer += oprot->writeI32((*_iter357));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7666,10 +8995,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<CreditUse> ::const_iterator _iter293;
-    for (_iter293 = this->uses.begin(); _iter293 != this->uses.end(); ++_iter293)
+    std::vector<CreditUse> ::const_iterator _iter358;
+    for (_iter358 = this->uses.begin(); _iter358 != this->uses.end(); ++_iter358)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter358).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7703,58 +9032,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other294) {
-  pool = other294.pool;
-  incarnation = other294.incarnation;
-  epoch = other294.epoch;
-  resync = other294.resync;
-  held = other294.held;
-  items = other294.items;
-  waiting = other294.waiting;
-  uses = other294.uses;
-  floor_ack = other294.floor_ack;
-  sequence = other294.sequence;
-  __isset = other294.__isset;
-}
-Demand::Demand(Demand&& other295) noexcept {
-  pool = std::move(other295.pool);
-  incarnation = std::move(other295.incarnation);
-  epoch = other295.epoch;
-  resync = other295.resync;
-  held = std::move(other295.held);
-  items = std::move(other295.items);
-  waiting = std::move(other295.waiting);
-  uses = std::move(other295.uses);
-  floor_ack = other295.floor_ack;
-  sequence = other295.sequence;
-  __isset = other295.__isset;
-}
-Demand& Demand::operator=(const Demand& other296) {
-  pool = other296.pool;
-  incarnation = other296.incarnation;
-  epoch = other296.epoch;
-  resync = other296.resync;
-  held = other296.held;
-  items = other296.items;
-  waiting = other296.waiting;
-  uses = other296.uses;
-  floor_ack = other296.floor_ack;
-  sequence = other296.sequence;
-  __isset = other296.__isset;
+Demand::Demand(const Demand& other359) {
+  pool = other359.pool;
+  incarnation = other359.incarnation;
+  epoch = other359.epoch;
+  resync = other359.resync;
+  held = other359.held;
+  items = other359.items;
+  waiting = other359.waiting;
+  uses = other359.uses;
+  floor_ack = other359.floor_ack;
+  sequence = other359.sequence;
+  __isset = other359.__isset;
+}
+Demand::Demand(Demand&& other360) noexcept {
+  pool = std::move(other360.pool);
+  incarnation = std::move(other360.incarnation);
+  epoch = other360.epoch;
+  resync = other360.resync;
+  held = std::move(other360.held);
+  items = std::move(other360.items);
+  waiting = std::move(other360.waiting);
+  uses = std::move(other360.uses);
+  floor_ack = other360.floor_ack;
+  sequence = other360.sequence;
+  __isset = other360.__isset;
+}
+Demand& Demand::operator=(const Demand& other361) {
+  pool = other361.pool;
+  incarnation = other361.incarnation;
+  epoch = other361.epoch;
+  resync = other361.resync;
+  held = other361.held;
+  items = other361.items;
+  waiting = other361.waiting;
+  uses = other361.uses;
+  floor_ack = other361.floor_ack;
+  sequence = other361.sequence;
+  __isset = other361.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other297) noexcept {
-  pool = std::move(other297.pool);
-  incarnation = std::move(other297.incarnation);
-  epoch = other297.epoch;
-  resync = other297.resync;
-  held = std::move(other297.held);
-  items = std::move(other297.items);
-  waiting = std::move(other297.waiting);
-  uses = std::move(other297.uses);
-  floor_ack = other297.floor_ack;
-  sequence = other297.sequence;
-  __isset = other297.__isset;
+Demand& Demand::operator=(Demand&& other362) noexcept {
+  pool = std::move(other362.pool);
+  incarnation = std::move(other362.incarnation);
+  epoch = other362.epoch;
+  resync = other362.resync;
+  held = std::move(other362.held);
+  items = std::move(other362.items);
+  waiting = std::move(other362.waiting);
+  uses = std::move(other362.uses);
+  floor_ack = other362.floor_ack;
+  sequence = other362.sequence;
+  __isset = other362.__isset;
   return *this;
 }
 void Demand::printTo(std::ostream& out) const {
@@ -7877,14 +9206,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->credits.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->credits.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size363;
+            ::apache::thrift::protocol::TType _etype366;
+            xfer += iprot->readListBegin(_etype366, _size363);
+            this->credits.resize(_size363);
+            uint32_t _i367;
+            for (_i367 = 0; _i367 < _size363; ++_i367)
             {
-              xfer += this->credits[_i302].read(iprot);
+              xfer += this->credits[_i367].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7897,14 +9226,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->unreachable.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size368;
+            ::apache::thrift::protocol::TType _etype371;
+            xfer += iprot->readListBegin(_etype371, _size368);
+            this->unreachable.resize(_size368);
+            uint32_t _i372;
+            for (_i372 = 0; _i372 < _size368; ++_i372)
             {
-              xfer += iprot->readI64(this->unreachable[_i307]);
+              xfer += iprot->readI64(this->unreachable[_i372]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7957,14 +9286,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backlog.clear();
-            uint32_t _size308;
-            ::apache::thrift::protocol::TType _etype311;
-            xfer += iprot->readListBegin(_etype311, _size308);
-            this->backlog.resize(_size308);
-            uint32_t _i312;
-            for (_i312 = 0; _i312 < _size308; ++_i312)
+            uint32_t _size373;
+            ::apache::thrift::protocol::TType _etype376;
+            xfer += iprot->readListBegin(_etype376, _size373);
+            this->backlog.resize(_size373);
+            uint32_t _i377;
+            for (_i377 = 0; _i377 < _size373; ++_i377)
             {
-              xfer += iprot->readI32(this->backlog[_i312]);
+              xfer += iprot->readI32(this->backlog[_i377]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8025,10 +9354,10 @@
   xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
-    std::vector<HeldCredit> ::const_iterator _iter313;
-    for (_iter313 = this->credits.begin(); _iter313 != this->credits.end(); ++_iter313)
+    std::vector<HeldCredit> ::const_iterator _iter378;
+    for (_iter378 = this->credits.begin(); _iter378 != this->credits.end(); ++_iter378)
     {
-      xfer += (*_iter313).write(oprot);
+      xfer += (*_iter378).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8037,10 +9366,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<int64_t> ::const_iterator _iter314;
-    for (_iter314 = this->unreachable.begin(); _iter314 != this->unreachable.end(); ++_iter314)
+    std::vector<int64_t> ::const_iterator _iter379;
+    for (_iter379 = this->unreachable.begin(); _iter379 != this->unreachable.end(); ++_iter379)
     {
-      xfer += oprot->writeI64((*_iter314));
+      xfer += oprot->writeI64((*_iter379));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8069,10 +9398,10 @@
   xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
-    std::vector<int32_t> ::const_iterator _iter315;
-    for (_iter315 = this->backlog.begin(); _iter315 != this->backlog.end(); ++_iter315)
+    std::vector<int32_t> ::const_iterator _iter380;
+    for (_iter380 = this->backlog.begin(); _iter380 != this->backlog.end(); ++_iter380)
     {
-      xfer += oprot->writeI32((*_iter315));
+      xfer += oprot->writeI32((*_iter380));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8113,70 +9442,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other316) {
-  pool = other316.pool;
-  epoch = other316.epoch;
-  credits = other316.credits;
-  unreachable = other316.unreachable;
-  floor = other316.floor;
-  floor_epoch = other316.floor_epoch;
-  contended = other316.contended;
-  drain_per_s = other316.drain_per_s;
-  gateways = other316.gateways;
-  backlog = other316.backlog;
-  lease_ms = other316.lease_ms;
-  sequence = other316.sequence;
-  not_broker = other316.not_broker;
-  __isset = other316.__isset;
-}
-Grants::Grants(Grants&& other317) noexcept {
-  pool = std::move(other317.pool);
-  epoch = other317.epoch;
-  credits = std::move(other317.credits);
-  unreachable = std::move(other317.unreachable);
-  floor = other317.floor;
-  floor_epoch = other317.floor_epoch;
-  contended = other317.contended;
-  drain_per_s = other317.drain_per_s;
-  gateways = other317.gateways;
-  backlog = std::move(other317.backlog);
-  lease_ms = other317.lease_ms;
-  sequence = other317.sequence;
-  not_broker = other317.not_broker;
-  __isset = other317.__isset;
-}
-Grants& Grants::operator=(const Grants& other318) {
-  pool = other318.pool;
-  epoch = other318.epoch;
-  credits = other318.credits;
-  unreachable = other318.unreachable;
-  floor = other318.floor;
-  floor_epoch = other318.floor_epoch;
-  contended = other318.contended;
-  drain_per_s = other318.drain_per_s;
-  gateways = other318.gateways;
-  backlog = other318.backlog;
-  lease_ms = other318.lease_ms;
-  sequence = other318.sequence;
-  not_broker = other318.not_broker;
-  __isset = other318.__isset;
+Grants::Grants(const Grants& other381) {
+  pool = other381.pool;
+  epoch = other381.epoch;
+  credits = other381.credits;
+  unreachable = other381.unreachable;
+  floor = other381.floor;
+  floor_epoch = other381.floor_epoch;
+  contended = other381.contended;
+  drain_per_s = other381.drain_per_s;
+  gateways = other381.gateways;
+  backlog = other381.backlog;
+  lease_ms = other381.lease_ms;
+  sequence = other381.sequence;
+  not_broker = other381.not_broker;
+  __isset = other381.__isset;
+}
+Grants::Grants(Grants&& other382) noexcept {
+  pool = std::move(other382.pool);
+  epoch = other382.epoch;
+  credits = std::move(other382.credits);
+  unreachable = std::move(other382.unreachable);
+  floor = other382.floor;
+  floor_epoch = other382.floor_epoch;
+  contended = other382.contended;
+  drain_per_s = other382.drain_per_s;
+  gateways = other382.gateways;
+  backlog = std::move(other382.backlog);
+  lease_ms = other382.lease_ms;
+  sequence = other382.sequence;
+  not_broker = other382.not_broker;
+  __isset = other382.__isset;
+}
+Grants& Grants::operator=(const Grants& other383) {
+  pool = other383.pool;
+  epoch = other383.epoch;
+  credits = other383.credits;
+  unreachable = other383.unreachable;
+  floor = other383.floor;
+  floor_epoch = other383.floor_epoch;
+  contended = other383.contended;
+  drain_per_s = other383.drain_per_s;
+  gateways = other383.gateways;
+  backlog = other383.backlog;
+  lease_ms = other383.lease_ms;
+  sequence = other383.sequence;
+  not_broker = other383.not_broker;
+  __isset = other383.__isset;
   return *this;
 }
-Grants& Grants::operator=(Grants&& other319) noexcept {
-  pool = std::move(other319.pool);
-  epoch = other319.epoch;
-  credits = std::move(other319.credits);
-  unreachable = std::move(other319.unreachable);
-  floor = other319.floor;
-  floor_epoch = other319.floor_epoch;
-  contended = other319.contended;
-  drain_per_s = other319.drain_per_s;
-  gateways = other319.gateways;
-  backlog = std::move(other319.backlog);
-  lease_ms = other319.lease_ms;
-  sequence = other319.sequence;
-  not_broker = other319.not_broker;
-  __isset = other319.__isset;
+Grants& Grants::operator=(Grants&& other384) noexcept {
+  pool = std::move(other384.pool);
+  epoch = other384.epoch;
+  credits = std::move(other384.credits);
+  unreachable = std::move(other384.unreachable);
+  floor = other384.floor;
+  floor_epoch = other384.floor_epoch;
+  contended = other384.contended;
+  drain_per_s = other384.drain_per_s;
+  gateways = other384.gateways;
+  backlog = std::move(other384.backlog);
+  lease_ms = other384.lease_ms;
+  sequence = other384.sequence;
+  not_broker = other384.not_broker;
+  __isset = other384.__isset;
   return *this;
 }
 void Grants::printTo(std::ostream& out) const {
@@ -8274,22 +9603,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other320) noexcept {
-  here = other320.here;
-  __isset = other320.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other385) noexcept {
+  here = other385.here;
+  __isset = other385.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other321) noexcept {
-  here = other321.here;
-  __isset = other321.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other386) noexcept {
+  here = other386.here;
+  __isset = other386.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other322) noexcept {
-  here = other322.here;
-  __isset = other322.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other387) noexcept {
+  here = other387.here;
+  __isset = other387.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other323) noexcept {
-  here = other323.here;
-  __isset = other323.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other388) noexcept {
+  here = other388.here;
+  __isset = other388.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -8528,58 +9857,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other324) {
-  instance = other324.instance;
-  incarnation = other324.incarnation;
-  data_centre = other324.data_centre;
-  version_in_force = other324.version_in_force;
-  ready = other324.ready;
-  stopping = other324.stopping;
-  age_ms = other324.age_ms;
-  http = other324.http;
-  address = other324.address;
-  port = other324.port;
-  __isset = other324.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other325) noexcept {
-  instance = std::move(other325.instance);
-  incarnation = std::move(other325.incarnation);
-  data_centre = std::move(other325.data_centre);
-  version_in_force = other325.version_in_force;
-  ready = other325.ready;
-  stopping = other325.stopping;
-  age_ms = other325.age_ms;
-  http = std::move(other325.http);
-  address = std::move(other325.address);
-  port = other325.port;
-  __isset = other325.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other326) {
-  instance = other326.instance;
-  incarnation = other326.incarnation;
-  data_centre = other326.data_centre;
-  version_in_force = other326.version_in_force;
-  ready = other326.ready;
-  stopping = other326.stopping;
-  age_ms = other326.age_ms;
-  http = other326.http;
-  address = other326.address;
-  port = other326.port;
-  __isset = other326.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other389) {
+  instance = other389.instance;
+  incarnation = other389.incarnation;
+  data_centre = other389.data_centre;
+  version_in_force = other389.version_in_force;
+  ready = other389.ready;
+  stopping = other389.stopping;
+  age_ms = other389.age_ms;
+  http = other389.http;
+  address = other389.address;
+  port = other389.port;
+  __isset = other389.__isset;
+}
+InstanceStatus::InstanceStatus(InstanceStatus&& other390) noexcept {
+  instance = std::move(other390.instance);
+  incarnation = std::move(other390.incarnation);
+  data_centre = std::move(other390.data_centre);
+  version_in_force = other390.version_in_force;
+  ready = other390.ready;
+  stopping = other390.stopping;
+  age_ms = other390.age_ms;
+  http = std::move(other390.http);
+  address = std::move(other390.address);
+  port = other390.port;
+  __isset = other390.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other391) {
+  instance = other391.instance;
+  incarnation = other391.incarnation;
+  data_centre = other391.data_centre;
+  version_in_force = other391.version_in_force;
+  ready = other391.ready;
+  stopping = other391.stopping;
+  age_ms = other391.age_ms;
+  http = other391.http;
+  address = other391.address;
+  port = other391.port;
+  __isset = other391.__isset;
   return *this;
 }
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other327) noexcept {
-  instance = std::move(other327.instance);
-  incarnation = std::move(other327.incarnation);
-  data_centre = std::move(other327.data_centre);
-  version_in_force = other327.version_in_force;
-  ready = other327.ready;
-  stopping = other327.stopping;
-  age_ms = other327.age_ms;
-  http = std::move(other327.http);
-  address = std::move(other327.address);
-  port = other327.port;
-  __isset = other327.__isset;
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other392) noexcept {
+  instance = std::move(other392.instance);
+  incarnation = std::move(other392.incarnation);
+  data_centre = std::move(other392.data_centre);
+  version_in_force = other392.version_in_force;
+  ready = other392.ready;
+  stopping = other392.stopping;
+  age_ms = other392.age_ms;
+  http = std::move(other392.http);
+  address = std::move(other392.address);
+  port = other392.port;
+  __isset = other392.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -8730,14 +10059,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size328;
-            ::apache::thrift::protocol::TType _etype331;
-            xfer += iprot->readListBegin(_etype331, _size328);
-            this->instances.resize(_size328);
-            uint32_t _i332;
-            for (_i332 = 0; _i332 < _size328; ++_i332)
+            uint32_t _size393;
+            ::apache::thrift::protocol::TType _etype396;
+            xfer += iprot->readListBegin(_etype396, _size393);
+            this->instances.resize(_size393);
+            uint32_t _i397;
+            for (_i397 = 0; _i397 < _size393; ++_i397)
             {
-              xfer += this->instances[_i332].read(iprot);
+              xfer += this->instances[_i397].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8750,14 +10079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size333;
-            ::apache::thrift::protocol::TType _etype336;
-            xfer += iprot->readListBegin(_etype336, _size333);
-            this->leases.resize(_size333);
-            uint32_t _i337;
-            for (_i337 = 0; _i337 < _size333; ++_i337)
+            uint32_t _size398;
+            ::apache::thrift::protocol::TType _etype401;
+            xfer += iprot->readListBegin(_etype401, _size398);
+            this->leases.resize(_size398);
+            uint32_t _i402;
+            for (_i402 = 0; _i402 < _size398; ++_i402)
             {
-              xfer += this->leases[_i337].read(iprot);
+              xfer += this->leases[_i402].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8794,14 +10123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size338;
-            ::apache::thrift::protocol::TType _etype341;
-            xfer += iprot->readListBegin(_etype341, _size338);
-            this->leaving.resize(_size338);
-            uint32_t _i342;
-            for (_i342 = 0; _i342 < _size338; ++_i342)
+            uint32_t _size403;
+            ::apache::thrift::protocol::TType _etype406;
+            xfer += iprot->readListBegin(_etype406, _size403);
+            this->leaving.resize(_size403);
+            uint32_t _i407;
+            for (_i407 = 0; _i407 < _size403; ++_i407)
             {
-              xfer += iprot->readString(this->leaving[_i342]);
+              xfer += iprot->readString(this->leaving[_i407]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8854,10 +10183,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter343;
-    for (_iter343 = this->instances.begin(); _iter343 != this->instances.end(); ++_iter343)
+    std::vector<InstanceStatus> ::const_iterator _iter408;
+    for (_iter408 = this->instances.begin(); _iter408 != this->instances.end(); ++_iter408)
     {
-      xfer += (*_iter343).write(oprot);
+      xfer += (*_iter408).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8866,10 +10195,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter344;
-    for (_iter344 = this->leases.begin(); _iter344 != this->leases.end(); ++_iter344)
+    std::vector<LeaseGrant> ::const_iterator _iter409;
+    for (_iter409 = this->leases.begin(); _iter409 != this->leases.end(); ++_iter409)
     {
-      xfer += (*_iter344).write(oprot);
+      xfer += (*_iter409).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8890,10 +10219,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter345;
-    for (_iter345 = this->leaving.begin(); _iter345 != this->leaving.end(); ++_iter345)
+    std::vector<std::string> ::const_iterator _iter410;
+    for (_iter410 = this->leaving.begin(); _iter410 != this->leaving.end(); ++_iter410)
     {
-      xfer += oprot->writeString((*_iter345));
+      xfer += oprot->writeString((*_iter410));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8921,66 +10250,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other346) {
-  instance = other346.instance;
-  leader_id = other346.leader_id;
-  term = other346.term;
-  commit = other346.commit;
-  version = other346.version;
-  membership = other346.membership;
-  instances = other346.instances;
-  leases = other346.leases;
-  ledger_keys = other346.ledger_keys;
-  leader_here = other346.leader_here;
-  lease_age_ms = other346.lease_age_ms;
-  leaving = other346.leaving;
-  __isset = other346.__isset;
-}
-StatusReply::StatusReply(StatusReply&& other347) noexcept {
-  instance = std::move(other347.instance);
-  leader_id = other347.leader_id;
-  term = other347.term;
-  commit = other347.commit;
-  version = other347.version;
-  membership = std::move(other347.membership);
-  instances = std::move(other347.instances);
-  leases = std::move(other347.leases);
-  ledger_keys = other347.ledger_keys;
-  leader_here = other347.leader_here;
-  lease_age_ms = other347.lease_age_ms;
-  leaving = std::move(other347.leaving);
-  __isset = other347.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other348) {
-  instance = other348.instance;
-  leader_id = other348.leader_id;
-  term = other348.term;
-  commit = other348.commit;
-  version = other348.version;
-  membership = other348.membership;
-  instances = other348.instances;
-  leases = other348.leases;
-  ledger_keys = other348.ledger_keys;
-  leader_here = other348.leader_here;
-  lease_age_ms = other348.lease_age_ms;
-  leaving = other348.leaving;
-  __isset = other348.__isset;
+StatusReply::StatusReply(const StatusReply& other411) {
+  instance = other411.instance;
+  leader_id = other411.leader_id;
+  term = other411.term;
+  commit = other411.commit;
+  version = other411.version;
+  membership = other411.membership;
+  instances = other411.instances;
+  leases = other411.leases;
+  ledger_keys = other411.ledger_keys;
+  leader_here = other411.leader_here;
+  lease_age_ms = other411.lease_age_ms;
+  leaving = other411.leaving;
+  __isset = other411.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other412) noexcept {
+  instance = std::move(other412.instance);
+  leader_id = other412.leader_id;
+  term = other412.term;
+  commit = other412.commit;
+  version = other412.version;
+  membership = std::move(other412.membership);
+  instances = std::move(other412.instances);
+  leases = std::move(other412.leases);
+  ledger_keys = other412.ledger_keys;
+  leader_here = other412.leader_here;
+  lease_age_ms = other412.lease_age_ms;
+  leaving = std::move(other412.leaving);
+  __isset = other412.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other413) {
+  instance = other413.instance;
+  leader_id = other413.leader_id;
+  term = other413.term;
+  commit = other413.commit;
+  version = other413.version;
+  membership = other413.membership;
+  instances = other413.instances;
+  leases = other413.leases;
+  ledger_keys = other413.ledger_keys;
+  leader_here = other413.leader_here;
+  lease_age_ms = other413.lease_age_ms;
+  leaving = other413.leaving;
+  __isset = other413.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other349) noexcept {
-  instance = std::move(other349.instance);
-  leader_id = other349.leader_id;
-  term = other349.term;
-  commit = other349.commit;
-  version = other349.version;
-  membership = std::move(other349.membership);
-  instances = std::move(other349.instances);
-  leases = std::move(other349.leases);
-  ledger_keys = other349.ledger_keys;
-  leader_here = other349.leader_here;
-  lease_age_ms = other349.lease_age_ms;
-  leaving = std::move(other349.leaving);
-  __isset = other349.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other414) noexcept {
+  instance = std::move(other414.instance);
+  leader_id = other414.leader_id;
+  term = other414.term;
+  commit = other414.commit;
+  version = other414.version;
+  membership = std::move(other414.membership);
+  instances = std::move(other414.instances);
+  leases = std::move(other414.leases);
+  ledger_keys = other414.ledger_keys;
+  leader_here = other414.leader_here;
+  lease_age_ms = other414.lease_age_ms;
+  leaving = std::move(other414.leaving);
+  __isset = other414.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -9077,22 +10406,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsRequest::ObjectsRequest(const ObjectsRequest& other350) noexcept {
-  history = other350.history;
-  __isset = other350.__isset;
+ObjectsRequest::ObjectsRequest(const ObjectsRequest& other415) noexcept {
+  history = other415.history;
+  __isset = other415.__isset;
 }
-ObjectsRequest::ObjectsRequest(ObjectsRequest&& other351) noexcept {
-  history = other351.history;
-  __isset = other351.__isset;
+ObjectsRequest::ObjectsRequest(ObjectsRequest&& other416) noexcept {
+  history = other416.history;
+  __isset = other416.__isset;
 }
-ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other352) noexcept {
-  history = other352.history;
-  __isset = other352.__isset;
+ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other417) noexcept {
+  history = other417.history;
+  __isset = other417.__isset;
   return *this;
 }
-ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other353) noexcept {
-  history = other353.history;
-  __isset = other353.__isset;
+ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other418) noexcept {
+  history = other418.history;
+  __isset = other418.__isset;
   return *this;
 }
 void ObjectsRequest::printTo(std::ostream& out) const {
@@ -9158,14 +10487,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->objects.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->objects.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += this->objects[_i358].read(iprot);
+              xfer += this->objects[_i423].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9178,14 +10507,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size359;
-            ::apache::thrift::protocol::TType _etype362;
-            xfer += iprot->readListBegin(_etype362, _size359);
-            this->history.resize(_size359);
-            uint32_t _i363;
-            for (_i363 = 0; _i363 < _size359; ++_i363)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->history.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += this->history[_i363].read(iprot);
+              xfer += this->history[_i428].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
