@@ -9218,10 +10547,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectText> ::const_iterator _iter364;
-    for (_iter364 = this->objects.begin(); _iter364 != this->objects.end(); ++_iter364)
+    std::vector<ObjectText> ::const_iterator _iter429;
+    for (_iter429 = this->objects.begin(); _iter429 != this->objects.end(); ++_iter429)
     {
-      xfer += (*_iter364).write(oprot);
+      xfer += (*_iter429).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9230,10 +10559,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter365;
-    for (_iter365 = this->history.begin(); _iter365 != this->history.end(); ++_iter365)
+    std::vector<HistoryRow> ::const_iterator _iter430;
+    for (_iter430 = this->history.begin(); _iter430 != this->history.end(); ++_iter430)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter430).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9252,30 +10581,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsReply::ObjectsReply(const ObjectsReply& other366) {
-  version = other366.version;
-  objects = other366.objects;
-  history = other366.history;
-  __isset = other366.__isset;
+ObjectsReply::ObjectsReply(const ObjectsReply& other431) {
+  version = other431.version;
+  objects = other431.objects;
+  history = other431.history;
+  __isset = other431.__isset;
 }
-ObjectsReply::ObjectsReply(ObjectsReply&& other367) noexcept {
-  version = other367.version;
-  objects = std::move(other367.objects);
-  history = std::move(other367.history);
-  __isset = other367.__isset;
+ObjectsReply::ObjectsReply(ObjectsReply&& other432) noexcept {
+  version = other432.version;
+  objects = std::move(other432.objects);
+  history = std::move(other432.history);
+  __isset = other432.__isset;
 }
-ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other368) {
-  version = other368.version;
-  objects = other368.objects;
-  history = other368.history;
-  __isset = other368.__isset;
+ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other433) {
+  version = other433.version;
+  objects = other433.objects;
+  history = other433.history;
+  __isset = other433.__isset;
   return *this;
 }
-ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other369) noexcept {
-  version = other369.version;
-  objects = std::move(other369.objects);
-  history = std::move(other369.history);
-  __isset = other369.__isset;
+ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other434) noexcept {
+  version = other434.version;
+  objects = std::move(other434.objects);
+  history = std::move(other434.history);
+  __isset = other434.__isset;
   return *this;
 }
 void ObjectsReply::printTo(std::ostream& out) const {
@@ -9363,22 +10692,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other370) {
-  instance = other370.instance;
-  __isset = other370.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other435) {
+  instance = other435.instance;
+  __isset = other435.__isset;
 }
-DrainRequest::DrainRequest(DrainRequest&& other371) noexcept {
-  instance = std::move(other371.instance);
-  __isset = other371.__isset;
+DrainRequest::DrainRequest(DrainRequest&& other436) noexcept {
+  instance = std::move(other436.instance);
+  __isset = other436.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other372) {
-  instance = other372.instance;
-  __isset = other372.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other437) {
+  instance = other437.instance;
+  __isset = other437.__isset;
   return *this;
 }
-DrainRequest& DrainRequest::operator=(DrainRequest&& other373) noexcept {
-  instance = std::move(other373.instance);
-  __isset = other373.__isset;
+DrainRequest& DrainRequest::operator=(DrainRequest&& other438) noexcept {
+  instance = std::move(other438.instance);
+  __isset = other438.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -9515,34 +10844,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ErrorReply::ErrorReply(const ErrorReply& other374) {
-  code = other374.code;
-  message = other374.message;
-  leader_address = other374.leader_address;
-  leader_port = other374.leader_port;
-  __isset = other374.__isset;
-}
-ErrorReply::ErrorReply(ErrorReply&& other375) noexcept {
-  code = other375.code;
-  message = std::move(other375.message);
-  leader_address = std::move(other375.leader_address);
-  leader_port = other375.leader_port;
-  __isset = other375.__isset;
-}
-ErrorReply& ErrorReply::operator=(const ErrorReply& other376) {
-  code = other376.code;
-  message = other376.message;
-  leader_address = other376.leader_address;
-  leader_port = other376.leader_port;
-  __isset = other376.__isset;
+ErrorReply::ErrorReply(const ErrorReply& other439) {
+  code = other439.code;
+  message = other439.message;
+  leader_address = other439.leader_address;
+  leader_port = other439.leader_port;
+  __isset = other439.__isset;
+}
+ErrorReply::ErrorReply(ErrorReply&& other440) noexcept {
+  code = other440.code;
+  message = std::move(other440.message);
+  leader_address = std::move(other440.leader_address);
+  leader_port = other440.leader_port;
+  __isset = other440.__isset;
+}
+ErrorReply& ErrorReply::operator=(const ErrorReply& other441) {
+  code = other441.code;
+  message = other441.message;
+  leader_address = other441.leader_address;
+  leader_port = other441.leader_port;
+  __isset = other441.__isset;
   return *this;
 }
-ErrorReply& ErrorReply::operator=(ErrorReply&& other377) noexcept {
-  code = other377.code;
-  message = std::move(other377.message);
-  leader_address = std::move(other377.leader_address);
-  leader_port = other377.leader_port;
-  __isset = other377.__isset;
+ErrorReply& ErrorReply::operator=(ErrorReply&& other442) noexcept {
+  code = other442.code;
+  message = std::move(other442.message);
+  leader_address = std::move(other442.leader_address);
+  leader_port = other442.leader_port;
+  __isset = other442.__isset;
   return *this;
 }
 void ErrorReply::printTo(std::ostream& out) const {
@@ -9649,6 +10978,21 @@
   this->done = val;
 __isset.done = true;
 }
+
+void Body::__set_document_request(const bool val) {
+  this->document_request = val;
+__isset.document_request = true;
+}
+
+void Body::__set_document(const Document& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void Body::__set_server_seen(const ServerRecord& val) {
+  this->server_seen = val;
+__isset.server_seen = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -9821,6 +11165,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->document_request);
+          this->__isset.document_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->server_seen.read(iprot);
+          this->__isset.server_seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9928,6 +11296,21 @@
     xfer += oprot->writeBool(this->done);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.document_request) {
+    xfer += oprot->writeFieldBegin("document_request", ::apache::thrift::protocol::T_BOOL, 19);
+    xfer += oprot->writeBool(this->document_request);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.server_seen) {
+    xfer += oprot->writeFieldBegin("server_seen", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->server_seen.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9953,93 +11336,108 @@
   swap(a.drain, b.drain);
   swap(a.error, b.error);
   swap(a.done, b.done);
+  swap(a.document_request, b.document_request);
+  swap(a.document, b.document);
+  swap(a.server_seen, b.server_seen);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other378) {
-  log = other378.log;
-  hello = other378.hello;
-  hello_reply = other378.hello_reply;
-  heartbeat = other378.heartbeat;
-  heartbeat_reply = other378.heartbeat_reply;
-  propose = other378.propose;
-  propose_reply = other378.propose_reply;
-  poll = other378.poll;
-  delta = other378.delta;
-  demand = other378.demand;
-  grants = other378.grants;
-  status = other378.status;
-  status_reply = other378.status_reply;
-  objects = other378.objects;
-  objects_reply = other378.objects_reply;
-  drain = other378.drain;
-  error = other378.error;
-  done = other378.done;
-  __isset = other378.__isset;
-}
-Body::Body(Body&& other379) noexcept {
-  log = std::move(other379.log);
-  hello = std::move(other379.hello);
-  hello_reply = std::move(other379.hello_reply);
-  heartbeat = std::move(other379.heartbeat);
-  heartbeat_reply = std::move(other379.heartbeat_reply);
-  propose = std::move(other379.propose);
-  propose_reply = std::move(other379.propose_reply);
-  poll = std::move(other379.poll);
-  delta = std::move(other379.delta);
-  demand = std::move(other379.demand);
-  grants = std::move(other379.grants);
-  status = std::move(other379.status);
-  status_reply = std::move(other379.status_reply);
-  objects = std::move(other379.objects);
-  objects_reply = std::move(other379.objects_reply);
-  drain = std::move(other379.drain);
-  error = std::move(other379.error);
-  done = other379.done;
-  __isset = other379.__isset;
-}
-Body& Body::operator=(const Body& other380) {
-  log = other380.log;
-  hello = other380.hello;
-  hello_reply = other380.hello_reply;
-  heartbeat = other380.heartbeat;
-  heartbeat_reply = other380.heartbeat_reply;
-  propose = other380.propose;
-  propose_reply = other380.propose_reply;
-  poll = other380.poll;
-  delta = other380.delta;
-  demand = other380.demand;
-  grants = other380.grants;
-  status = other380.status;
-  status_reply = other380.status_reply;
-  objects = other380.objects;
-  objects_reply = other380.objects_reply;
-  drain = other380.drain;
-  error = other380.error;
-  done = other380.done;
-  __isset = other380.__isset;
+Body::Body(const Body& other443) {
+  log = other443.log;
+  hello = other443.hello;
+  hello_reply = other443.hello_reply;
+  heartbeat = other443.heartbeat;
+  heartbeat_reply = other443.heartbeat_reply;
+  propose = other443.propose;
+  propose_reply = other443.propose_reply;
+  poll = other443.poll;
+  delta = other443.delta;
+  demand = other443.demand;
+  grants = other443.grants;
+  status = other443.status;
+  status_reply = other443.status_reply;
+  objects = other443.objects;
+  objects_reply = other443.objects_reply;
+  drain = other443.drain;
+  error = other443.error;
+  done = other443.done;
+  document_request = other443.document_request;
+  document = other443.document;
+  server_seen = other443.server_seen;
+  __isset = other443.__isset;
+}
+Body::Body(Body&& other444) noexcept {
+  log = std::move(other444.log);
+  hello = std::move(other444.hello);
+  hello_reply = std::move(other444.hello_reply);
+  heartbeat = std::move(other444.heartbeat);
+  heartbeat_reply = std::move(other444.heartbeat_reply);
+  propose = std::move(other444.propose);
+  propose_reply = std::move(other444.propose_reply);
+  poll = std::move(other444.poll);
+  delta = std::move(other444.delta);
+  demand = std::move(other444.demand);
+  grants = std::move(other444.grants);
+  status = std::move(other444.status);
+  status_reply = std::move(other444.status_reply);
+  objects = std::move(other444.objects);
+  objects_reply = std::move(other444.objects_reply);
+  drain = std::move(other444.drain);
+  error = std::move(other444.error);
+  done = other444.done;
+  document_request = other444.document_request;
+  document = std::move(other444.document);
+  server_seen = std::move(other444.server_seen);
+  __isset = other444.__isset;
+}
+Body& Body::operator=(const Body& other445) {
+  log = other445.log;
+  hello = other445.hello;
+  hello_reply = other445.hello_reply;
+  heartbeat = other445.heartbeat;
+  heartbeat_reply = other445.heartbeat_reply;
+  propose = other445.propose;
+  propose_reply = other445.propose_reply;
+  poll = other445.poll;
+  delta = other445.delta;
+  demand = other445.demand;
+  grants = other445.grants;
+  status = other445.status;
+  status_reply = other445.status_reply;
+  objects = other445.objects;
+  objects_reply = other445.objects_reply;
+  drain = other445.drain;
+  error = other445.error;
+  done = other445.done;
+  document_request = other445.document_request;
+  document = other445.document;
+  server_seen = other445.server_seen;
+  __isset = other445.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other381) noexcept {
-  log = std::move(other381.log);
-  hello = std::move(other381.hello);
-  hello_reply = std::move(other381.hello_reply);
-  heartbeat = std::move(other381.heartbeat);
-  heartbeat_reply = std::move(other381.heartbeat_reply);
-  propose = std::move(other381.propose);
-  propose_reply = std::move(other381.propose_reply);
-  poll = std::move(other381.poll);
-  delta = std::move(other381.delta);
-  demand = std::move(other381.demand);
-  grants = std::move(other381.grants);
-  status = std::move(other381.status);
-  status_reply = std::move(other381.status_reply);
-  objects = std::move(other381.objects);
-  objects_reply = std::move(other381.objects_reply);
-  drain = std::move(other381.drain);
-  error = std::move(other381.error);
-  done = other381.done;
-  __isset = other381.__isset;
+Body& Body::operator=(Body&& other446) noexcept {
+  log = std::move(other446.log);
+  hello = std::move(other446.hello);
+  hello_reply = std::move(other446.hello_reply);
+  heartbeat = std::move(other446.heartbeat);
+  heartbeat_reply = std::move(other446.heartbeat_reply);
+  propose = std::move(other446.propose);
+  propose_reply = std::move(other446.propose_reply);
+  poll = std::move(other446.poll);
+  delta = std::move(other446.delta);
+  demand = std::move(other446.demand);
+  grants = std::move(other446.grants);
+  status = std::move(other446.status);
+  status_reply = std::move(other446.status_reply);
+  objects = std::move(other446.objects);
+  objects_reply = std::move(other446.objects_reply);
+  drain = std::move(other446.drain);
+  error = std::move(other446.error);
+  done = other446.done;
+  document_request = other446.document_request;
+  document = std::move(other446.document);
+  server_seen = std::move(other446.server_seen);
+  __isset = other446.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -10063,6 +11461,9 @@
   out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
   out << ", " << "error="; (__isset.error ? (out << to_string(error)) : (out << "<null>"));
   out << ", " << "done="; (__isset.done ? (out << to_string(done)) : (out << "<null>"));
+  out << ", " << "document_request="; (__isset.document_request ? (out << to_string(document_request)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "server_seen="; (__isset.server_seen ? (out << to_string(server_seen)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10176,30 +11577,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other382) {
-  id = other382.id;
-  reply = other382.reply;
-  body = other382.body;
-  __isset = other382.__isset;
+Envelope::Envelope(const Envelope& other447) {
+  id = other447.id;
+  reply = other447.reply;
+  body = other447.body;
+  __isset = other447.__isset;
 }
-Envelope::Envelope(Envelope&& other383) noexcept {
-  id = other383.id;
-  reply = other383.reply;
-  body = std::move(other383.body);
-  __isset = other383.__isset;
+Envelope::Envelope(Envelope&& other448) noexcept {
+  id = other448.id;
+  reply = other448.reply;
+  body = std::move(other448.body);
+  __isset = other448.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other384) {
-  id = other384.id;
-  reply = other384.reply;
-  body = other384.body;
-  __isset = other384.__isset;
+Envelope& Envelope::operator=(const Envelope& other449) {
+  id = other449.id;
+  reply = other449.reply;
+  body = other449.body;
+  __isset = other449.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other385) noexcept {
-  id = other385.id;
-  reply = other385.reply;
-  body = std::move(other385.body);
-  __isset = other385.__isset;
+Envelope& Envelope::operator=(Envelope&& other450) noexcept {
+  id = other450.id;
+  reply = other450.reply;
+  body = std::move(other450.body);
+  __isset = other450.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -21,6 +21,20 @@
 
 namespace poppyway { namespace wire {
 
+struct ServerStage {
+  enum type {
+    READY = 0,
+    LEAVING = 1,
+    GONE = 2
+  };
+};
+
+extern const std::map<int, const char*> _ServerStage_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const ServerStage::type& val);
+
+std::string to_string(const ServerStage::type& val);
+
 struct KeyState {
   enum type {
     RUNNING = 0,
@@ -82,6 +96,14 @@
 
 std::string to_string(const UseStage::type& val);
 
+class Document;
+
+class ServerRecord;
+
+class ServerLoad;
+
+class WorkspaceUse;
+
 class ObjectKey;
 
 class ObjectText;
@@ -186,6 +208,281 @@
 
 class Envelope;
 
+typedef struct _Document__isset {
+  _Document__isset() : version(false), body(false) {}
+  bool version :1;
+  bool body :1;
+} _Document__isset;
+
+class Document : public virtual ::apache::thrift::TBase {
+ public:
+
+  Document(const Document&);
+  Document(Document&&) noexcept;
+  Document& operator=(const Document&);
+  Document& operator=(Document&&) noexcept;
+  Document() noexcept
+           : version(0),
+             body() {
+  }
+
+  virtual ~Document() noexcept;
+  int64_t version;
+  std::string body;
+
+  _Document__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const Document & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const Document &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Document & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Document &a, Document &b);
+
+std::ostream& operator<<(std::ostream& out, const Document& obj);
+
+typedef struct _ServerRecord__isset {
+  _ServerRecord__isset() : id(false), pool(false), address(false), port(false), data_centre(false), slots(false), stage(false), sequence(false), index(false) {}
+  bool id :1;
+  bool pool :1;
+  bool address :1;
+  bool port :1;
+  bool data_centre :1;
+  bool slots :1;
+  bool stage :1;
+  bool sequence :1;
+  bool index :1;
+} _ServerRecord__isset;
+
+class ServerRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerRecord(const ServerRecord&);
+  ServerRecord(ServerRecord&&) noexcept;
+  ServerRecord& operator=(const ServerRecord&);
+  ServerRecord& operator=(ServerRecord&&) noexcept;
+  ServerRecord() noexcept
+               : id(),
+                 pool(),
+                 address(),
+                 port(0),
+                 data_centre(),
+                 slots(0),
+                 stage(static_cast<ServerStage::type>(0)),
+                 sequence(0),
+                 index(0) {
+  }
+
+  virtual ~ServerRecord() noexcept;
+  std::string id;
+  std::string pool;
+  std::string address;
+  int32_t port;
+  std::string data_centre;
+  int32_t slots;
+  /**
+   * 
+   * @see ServerStage
+   */
+  ServerStage::type stage;
+  int64_t sequence;
+  int64_t index;
+
+  _ServerRecord__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_stage(const ServerStage::type val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_index(const int64_t val);
+
+  bool operator == (const ServerRecord & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(stage == rhs.stage))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerRecord &a, ServerRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerRecord& obj);
+
+typedef struct _ServerLoad__isset {
+  _ServerLoad__isset() : server(false), in_flight(false), reading_tokens(false) {}
+  bool server :1;
+  bool in_flight :1;
+  bool reading_tokens :1;
+} _ServerLoad__isset;
+
+class ServerLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerLoad(const ServerLoad&);
+  ServerLoad(ServerLoad&&) noexcept;
+  ServerLoad& operator=(const ServerLoad&);
+  ServerLoad& operator=(ServerLoad&&) noexcept;
+  ServerLoad() noexcept
+             : server(),
+               in_flight(0),
+               reading_tokens(0) {
+  }
+
+  virtual ~ServerLoad() noexcept;
+  std::string server;
+  int32_t in_flight;
+  int64_t reading_tokens;
+
+  _ServerLoad__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_reading_tokens(const int64_t val);
+
+  bool operator == (const ServerLoad & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(reading_tokens == rhs.reading_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerLoad &a, ServerLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerLoad& obj);
+
+typedef struct _WorkspaceUse__isset {
+  _WorkspaceUse__isset() : workspace(false), spent_per_s(false), wanted_per_s(false) {}
+  bool workspace :1;
+  bool spent_per_s :1;
+  bool wanted_per_s :1;
+} _WorkspaceUse__isset;
+
+class WorkspaceUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkspaceUse(const WorkspaceUse&);
+  WorkspaceUse(WorkspaceUse&&) noexcept;
+  WorkspaceUse& operator=(const WorkspaceUse&);
+  WorkspaceUse& operator=(WorkspaceUse&&) noexcept;
+  WorkspaceUse() noexcept
+               : workspace(),
+                 spent_per_s(0),
+                 wanted_per_s(0) {
+  }
+
+  virtual ~WorkspaceUse() noexcept;
+  std::string workspace;
+  double spent_per_s;
+  double wanted_per_s;
+
+  _WorkspaceUse__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_spent_per_s(const double val);
+
+  void __set_wanted_per_s(const double val);
+
+  bool operator == (const WorkspaceUse & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(spent_per_s == rhs.spent_per_s))
+      return false;
+    if (!(wanted_per_s == rhs.wanted_per_s))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkspaceUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkspaceUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkspaceUse &a, WorkspaceUse &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkspaceUse& obj);
+
 typedef struct _ObjectKey__isset {
   _ObjectKey__isset() : kind(false), name(false) {}
   bool kind :1;
@@ -428,12 +725,15 @@
 std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj);
 
 typedef struct _ConfigDelta__isset {
-  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false) {}
+  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), document(false), servers(false), servers_index(false) {}
   bool from_version :1;
   bool to_version :1;
   bool whole :1;
   bool upserts :1;
   bool removals :1;
+  bool document :1;
+  bool servers :1;
+  bool servers_index :1;
 } _ConfigDelta__isset;
 
 class ConfigDelta : public virtual ::apache::thrift::TBase {
@@ -446,7 +746,8 @@
   ConfigDelta() noexcept
               : from_version(0),
                 to_version(0),
-                whole(0) {
+                whole(0),
+                servers_index(0) {
   }
 
   virtual ~ConfigDelta() noexcept;
@@ -455,6 +756,9 @@
   bool whole;
   std::vector<ObjectText>  upserts;
   std::vector<ObjectKey>  removals;
+  Document document;
+  std::vector<ServerRecord>  servers;
+  int64_t servers_index;
 
   _ConfigDelta__isset __isset;
 
@@ -468,6 +772,12 @@
 
   void __set_removals(const std::vector<ObjectKey> & val);
 
+  void __set_document(const Document& val);
+
+  void __set_servers(const std::vector<ServerRecord> & val);
+
+  void __set_servers_index(const int64_t val);
+
   bool operator == (const ConfigDelta & rhs) const
   {
     if (!(from_version == rhs.from_version))
@@ -480,6 +790,14 @@
       return false;
     if (!(removals == rhs.removals))
       return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(servers_index == rhs.servers_index))
+      return false;
     return true;
   }
   bool operator != (const ConfigDelta &rhs) const {
@@ -1091,7 +1409,7 @@
 std::ostream& operator<<(std::ostream& out, const Membership& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : config(false), claim(false), finish(false), lease(false), gone(false), membership(false), noop(false) {}
+  _Command__isset() : config(false), claim(false), finish(false), lease(false), gone(false), membership(false), noop(false), document(false), server(false) {}
   bool config :1;
   bool claim :1;
   bool finish :1;
@@ -1099,6 +1417,8 @@
   bool gone :1;
   bool membership :1;
   bool noop :1;
+  bool document :1;
+  bool server :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1120,6 +1440,8 @@
   InstanceGone gone;
   Membership membership;
   bool noop;
+  Document document;
+  ServerRecord server;
 
   _Command__isset __isset;
 
@@ -1137,6 +1459,10 @@
 
   void __set_noop(const bool val);
 
+  void __set_document(const Document& val);
+
+  void __set_server(const ServerRecord& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.config != rhs.__isset.config)
@@ -1167,6 +1493,14 @@
       return false;
     else if (__isset.noop && !(noop == rhs.noop))
       return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (__isset.server != rhs.__isset.server)
+      return false;
+    else if (__isset.server && !(server == rhs.server))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1486,12 +1820,13 @@
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj);
 
 typedef struct _AppendRequest__isset {
-  _AppendRequest__isset() : term(false), prev_index(false), prev_term(false), entries(false), commit(false) {}
+  _AppendRequest__isset() : term(false), prev_index(false), prev_term(false), entries(false), commit(false), sent_us(false) {}
   bool term :1;
   bool prev_index :1;
   bool prev_term :1;
   bool entries :1;
   bool commit :1;
+  bool sent_us :1;
 } _AppendRequest__isset;
 
 class AppendRequest : public virtual ::apache::thrift::TBase {
@@ -1505,7 +1840,8 @@
                 : term(0),
                   prev_index(0),
                   prev_term(0),
-                  commit(0) {
+                  commit(0),
+                  sent_us(0) {
   }
 
   virtual ~AppendRequest() noexcept;
@@ -1514,6 +1850,7 @@
   int64_t prev_term;
   std::vector<LogEntry>  entries;
   int64_t commit;
+  int64_t sent_us;
 
   _AppendRequest__isset __isset;
 
@@ -1527,6 +1864,8 @@
 
   void __set_commit(const int64_t val);
 
+  void __set_sent_us(const int64_t val);
+
   bool operator == (const AppendRequest & rhs) const
   {
     if (!(term == rhs.term))
@@ -1539,6 +1878,8 @@
       return false;
     if (!(commit == rhs.commit))
       return false;
+    if (!(sent_us == rhs.sent_us))
+      return false;
     return true;
   }
   bool operator != (const AppendRequest &rhs) const {
@@ -1558,10 +1899,11 @@
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj);
 
 typedef struct _AppendReply__isset {
-  _AppendReply__isset() : term(false), ok(false), match(false) {}
+  _AppendReply__isset() : term(false), ok(false), match(false), sent_us(false) {}
   bool term :1;
   bool ok :1;
   bool match :1;
+  bool sent_us :1;
 } _AppendReply__isset;
 
 class AppendReply : public virtual ::apache::thrift::TBase {
@@ -1574,13 +1916,15 @@
   AppendReply() noexcept
               : term(0),
                 ok(0),
-                match(0) {
+                match(0),
+                sent_us(0) {
   }
 
   virtual ~AppendReply() noexcept;
   int64_t term;
   bool ok;
   int64_t match;
+  int64_t sent_us;
 
   _AppendReply__isset __isset;
 
@@ -1590,6 +1934,8 @@
 
   void __set_match(const int64_t val);
 
+  void __set_sent_us(const int64_t val);
+
   bool operator == (const AppendReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -1598,6 +1944,8 @@
       return false;
     if (!(match == rhs.match))
       return false;
+    if (!(sent_us == rhs.sent_us))
+      return false;
     return true;
   }
   bool operator != (const AppendReply &rhs) const {
@@ -1876,10 +2224,11 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _HelloReply__isset {
-  _HelloReply__isset() : member(false), blank(false), leader_id(false) {}
+  _HelloReply__isset() : member(false), blank(false), leader_id(false), members(false) {}
   bool member :1;
   bool blank :1;
   bool leader_id :1;
+  bool members :1;
 } _HelloReply__isset;
 
 class HelloReply : public virtual ::apache::thrift::TBase {
@@ -1898,6 +2247,7 @@
   MemberInfo member;
   bool blank;
   int64_t leader_id;
+  std::vector<MemberInfo>  members;
 
   _HelloReply__isset __isset;
 
@@ -1907,6 +2257,8 @@
 
   void __set_leader_id(const int64_t val);
 
+  void __set_members(const std::vector<MemberInfo> & val);
+
   bool operator == (const HelloReply & rhs) const
   {
     if (!(member == rhs.member))
@@ -1915,6 +2267,8 @@
       return false;
     if (!(leader_id == rhs.leader_id))
       return false;
+    if (!(members == rhs.members))
+      return false;
     return true;
   }
   bool operator != (const HelloReply &rhs) const {
@@ -2184,7 +2538,7 @@
 std::ostream& operator<<(std::ostream& out, const KeyRecord& obj);
 
 typedef struct _MachineState__isset {
-  _MachineState__isset() : version(false), objects(false), removals(false), whole_before(false), history(false), changes(false), keys(false), leases(false), now_ms(false) {}
+  _MachineState__isset() : version(false), objects(false), removals(false), whole_before(false), history(false), changes(false), keys(false), leases(false), now_ms(false), document(false), servers(false) {}
   bool version :1;
   bool objects :1;
   bool removals :1;
@@ -2194,6 +2548,8 @@
   bool keys :1;
   bool leases :1;
   bool now_ms :1;
+  bool document :1;
+  bool servers :1;
 } _MachineState__isset;
 
 class MachineState : public virtual ::apache::thrift::TBase {
@@ -2219,6 +2575,8 @@
   std::vector<KeyRecord>  keys;
   std::vector<LeaseGrant>  leases;
   int64_t now_ms;
+  Document document;
+  std::vector<ServerRecord>  servers;
 
   _MachineState__isset __isset;
 
@@ -2240,6 +2598,10 @@
 
   void __set_now_ms(const int64_t val);
 
+  void __set_document(const Document& val);
+
+  void __set_servers(const std::vector<ServerRecord> & val);
+
   bool operator == (const MachineState & rhs) const
   {
     if (!(version == rhs.version))
@@ -2260,6 +2622,10 @@
       return false;
     if (!(now_ms == rhs.now_ms))
       return false;
+    if (!(document == rhs.document))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
     return true;
   }
   bool operator != (const MachineState &rhs) const {
@@ -2279,7 +2645,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineState& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false) {}
+  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false), loads(false), uses(false) {}
   bool instance :1;
   bool incarnation :1;
   bool address :1;
@@ -2290,6 +2656,8 @@
   bool stopping :1;
   bool http :1;
   bool leases_seen :1;
+  bool loads :1;
+  bool uses :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -2323,6 +2691,8 @@
   bool stopping;
   std::string http;
   int64_t leases_seen;
+  std::vector<ServerLoad>  loads;
+  std::vector<WorkspaceUse>  uses;
 
   _Heartbeat__isset __isset;
 
@@ -2346,6 +2716,10 @@
 
   void __set_leases_seen(const int64_t val);
 
+  void __set_loads(const std::vector<ServerLoad> & val);
+
+  void __set_uses(const std::vector<WorkspaceUse> & val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2368,6 +2742,10 @@
       return false;
     if (!(leases_seen == rhs.leases_seen))
       return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -2387,13 +2765,18 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false) {}
+  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), loads(false), uses(false) {}
   bool leases :1;
   bool version :1;
   bool leader_term :1;
   bool live :1;
   bool leases_index :1;
   bool leases_same :1;
+  bool members :1;
+  bool document_version :1;
+  bool servers_index :1;
+  bool loads :1;
+  bool uses :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -2408,7 +2791,9 @@
                    leader_term(0),
                    live(0),
                    leases_index(0),
-                   leases_same(0) {
+                   leases_same(0),
+                   document_version(0),
+                   servers_index(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -2418,6 +2803,11 @@
   int32_t live;
   int64_t leases_index;
   bool leases_same;
+  std::vector<MemberInfo>  members;
+  int64_t document_version;
+  int64_t servers_index;
+  std::vector<ServerLoad>  loads;
+  std::vector<WorkspaceUse>  uses;
 
   _HeartbeatReply__isset __isset;
 
@@ -2433,6 +2823,16 @@
 
   void __set_leases_same(const bool val);
 
+  void __set_members(const std::vector<MemberInfo> & val);
+
+  void __set_document_version(const int64_t val);
+
+  void __set_servers_index(const int64_t val);
+
+  void __set_loads(const std::vector<ServerLoad> & val);
+
+  void __set_uses(const std::vector<WorkspaceUse> & val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leases == rhs.leases))
@@ -2447,6 +2847,16 @@
       return false;
     if (!(leases_same == rhs.leases_same))
       return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(document_version == rhs.document_version))
+      return false;
+    if (!(servers_index == rhs.servers_index))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -2617,9 +3027,12 @@
 std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
 
 typedef struct _ConfigPoll__isset {
-  _ConfigPoll__isset() : have_version(false), wait_ms(false) {}
+  _ConfigPoll__isset() : have_version(false), wait_ms(false), have_document(false), have_servers(false), hosted(false) {}
   bool have_version :1;
   bool wait_ms :1;
+  bool have_document :1;
+  bool have_servers :1;
+  bool hosted :1;
 } _ConfigPoll__isset;
 
 class ConfigPoll : public virtual ::apache::thrift::TBase {
@@ -2631,12 +3044,18 @@
   ConfigPoll& operator=(ConfigPoll&&) noexcept;
   ConfigPoll() noexcept
              : have_version(0),
-               wait_ms(0) {
+               wait_ms(0),
+               have_document(0),
+               have_servers(0),
+               hosted(0) {
   }
 
   virtual ~ConfigPoll() noexcept;
   int64_t have_version;
   int64_t wait_ms;
+  int64_t have_document;
+  int64_t have_servers;
+  bool hosted;
 
   _ConfigPoll__isset __isset;
 
@@ -2644,12 +3063,24 @@
 
   void __set_wait_ms(const int64_t val);
 
+  void __set_have_document(const int64_t val);
+
+  void __set_have_servers(const int64_t val);
+
+  void __set_hosted(const bool val);
+
   bool operator == (const ConfigPoll & rhs) const
   {
     if (!(have_version == rhs.have_version))
       return false;
     if (!(wait_ms == rhs.wait_ms))
       return false;
+    if (!(have_document == rhs.have_document))
+      return false;
+    if (!(have_servers == rhs.have_servers))
+      return false;
+    if (!(hosted == rhs.hosted))
+      return false;
     return true;
   }
   bool operator != (const ConfigPoll &rhs) const {
@@ -3618,7 +4049,7 @@
 std::ostream& operator<<(std::ostream& out, const ErrorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false) {}
+  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document_request(false), document(false), server_seen(false) {}
   bool log :1;
   bool hello :1;
   bool hello_reply :1;
@@ -3637,6 +4068,9 @@
   bool drain :1;
   bool error :1;
   bool done :1;
+  bool document_request :1;
+  bool document :1;
+  bool server_seen :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -3647,7 +4081,8 @@
   Body& operator=(const Body&);
   Body& operator=(Body&&) noexcept;
   Body() noexcept
-       : done(0) {
+       : done(0),
+         document_request(0) {
   }
 
   virtual ~Body() noexcept;
@@ -3669,6 +4104,9 @@
   DrainRequest drain;
   ErrorReply error;
   bool done;
+  bool document_request;
+  Document document;
+  ServerRecord server_seen;
 
   _Body__isset __isset;
 
@@ -3708,6 +4146,12 @@
 
   void __set_done(const bool val);
 
+  void __set_document_request(const bool val);
+
+  void __set_document(const Document& val);
+
+  void __set_server_seen(const ServerRecord& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.log != rhs.__isset.log)
@@ -3782,6 +4226,18 @@
       return false;
     else if (__isset.done && !(done == rhs.done))
       return false;
+    if (__isset.document_request != rhs.__isset.document_request)
+      return false;
+    else if (__isset.document_request && !(document_request == rhs.document_request))
+      return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (__isset.server_seen != rhs.__isset.server_seen)
+      return false;
+    else if (__isset.server_seen && !(server_seen == rhs.server_seen))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/packages/wire/include/poppyway/wire/impl/peer_client.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_client.h
@@ -39,11 +39,14 @@
   void FailAll(const Error& why);
   /// Returns whether calls still wait.
   bool ExpireCalls();
+  /// Gives up a connection attempt that hangs, so that the next message tries anew.
+  void ExpireConnect(Instant now);
 
   TaskLoop& m_loop;
   std::string m_address;
   std::uint16_t m_port;
   h2o_socket_t* m_connecting = nullptr;
+  Instant m_connect_expires{};
   std::shared_ptr<PeerConnection> m_connection;
   std::vector<wire::Envelope> m_backlog;
   std::map<std::int64_t, Waiting> m_waiting;
--- a/packages/wire/include/poppyway/wire/impl/peer_connection.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_connection.h
@@ -12,6 +12,10 @@
 
 namespace poppyway {
 
+/// \brief A connection between instances whose bytes stay unacknowledged for longer is given up.
+/// Several times an election timeout, well below what operators wait for an answer.
+inline constexpr Duration kPeerSilence{1'500'000};
+
 /// \brief A framed connection to a peer. Belongs to its loop's thread.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
--- a/packages/wire/include/poppyway/wire/impl/peer_server.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_server.h
@@ -30,6 +30,10 @@
   std::set<std::shared_ptr<PeerConnection>> m_connections;
 };
 
+/// \brief Bounds how long a connection waits for a peer that has fallen silent: unacknowledged
+/// bytes and keep-alive probes give up after `limit`.
+void LimitSilence(int fd, Duration limit);
+
 /// \brief Opens a non-blocking listening socket.
 /// \return the descriptor, or `kPeerUnreachable`.
 [[nodiscard]] Result<int> OpenListener(const std::string& address, std::uint16_t port);
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -2,6 +2,22 @@
 // Messages between poppyway's own processes. Generated code is committed in gen/.
 namespace cpp poppyway.wire
 
+// ---- Hosted deployments: the operator's document and the backend servers that register ------------
+// One whole configuration; the highest version wins.
+struct Document { 1: i64 version; 2: binary body }
+enum ServerStage { READY = 0, LEAVING = 1, GONE = 2 }
+// One life of a backend server. `sequence` orders its own calls; `index` is the log index of the
+// last change.
+struct ServerRecord {
+  1: string id; 2: string pool; 3: string address; 4: i32 port; 5: string data_centre;
+  6: i32 slots; 7: ServerStage stage; 8: i64 sequence; 9: i64 index
+}
+// Requests in flight from one instance (or the sum over several) to a backend server, and the prompt
+// tokens of those whose answer has not begun.
+struct ServerLoad { 1: string server; 2: i32 in_flight; 3: i64 reading_tokens }
+// Tokens that were dispatched for a workspace lately, per second, and wanted.
+struct WorkspaceUse { 1: string workspace; 2: double spent_per_s; 3: double wanted_per_s }
+
 // ---- Configuration -------------------------------------------------------------------------
 struct ObjectKey { 1: string kind; 2: string name }
 struct ObjectText { 1: string kind; 2: string name; 3: string body }
@@ -12,7 +28,8 @@
 struct ConfigOutcome { 1: i32 code; 2: i64 version; 3: string message }
 struct ConfigDelta {
   1: i64 from_version; 2: i64 to_version; 3: bool whole;
-  4: list<ObjectText> upserts; 5: list<ObjectKey> removals
+  4: list<ObjectText> upserts; 5: list<ObjectKey> removals;
+  6: optional Document document; 7: list<ServerRecord> servers; 8: i64 servers_index
 }
 struct HistoryRow { 1: i64 version; 2: string change_id; 3: string author; 4: i32 upserts; 5: i32 removals }
 
@@ -39,7 +56,8 @@
 struct Membership { 1: list<MemberInfo> members }
 union Command {
   1: ConfigChange config; 2: LedgerClaim claim; 3: LedgerFinish finish; 4: LeaseGrant lease;
-  5: InstanceGone gone; 6: Membership membership; 7: bool noop
+  5: InstanceGone gone; 6: Membership membership; 7: bool noop; 8: Document document;
+  9: ServerRecord server
 }
 struct LogEntry { 1: i64 index; 2: i64 term; 3: Command command }
 struct HardState { 1: i64 term; 2: i64 vote }
@@ -49,9 +67,10 @@
 struct VoteRequest { 1: i64 term; 2: i64 last_index; 3: i64 last_term; 4: bool pre }
 struct VoteReply { 1: i64 term; 2: bool granted; 3: bool pre }
 struct AppendRequest {
-  1: i64 term; 2: i64 prev_index; 3: i64 prev_term; 4: list<LogEntry> entries; 5: i64 commit
+  1: i64 term; 2: i64 prev_index; 3: i64 prev_term; 4: list<LogEntry> entries; 5: i64 commit;
+  6: i64 sent_us  // The leader's clock; a reply returns it.
 }
-struct AppendReply { 1: i64 term; 2: bool ok; 3: i64 match }
+struct AppendReply { 1: i64 term; 2: bool ok; 3: i64 match; 4: i64 sent_us }
 struct SnapshotRequest { 1: i64 term; 2: Snapshot snapshot }
 union LogBody {
   1: VoteRequest vote; 2: VoteReply vote_reply; 3: AppendRequest append; 4: AppendReply append_reply;
@@ -61,7 +80,7 @@
 
 // A blank member asks who is there; members answer with what they know.
 struct Hello { 1: string cluster; 2: MemberInfo member; 3: bool blank }
-struct HelloReply { 1: MemberInfo member; 2: bool blank; 3: i64 leader_id }
+struct HelloReply { 1: MemberInfo member; 2: bool blank; 3: i64 leader_id; 4: list<MemberInfo> members }
 
 // ---- Snapshot of the state machine ----------------------------------------------------------
 struct ObjectState { 1: ObjectText object; 2: i64 version }
@@ -74,19 +93,25 @@
 struct MachineState {
   1: i64 version; 2: list<ObjectState> objects; 3: list<RemovalState> removals;
   4: i64 whole_before; 5: list<HistoryRow> history; 6: list<ChangeState> changes;
-  7: list<KeyRecord> keys; 8: list<LeaseGrant> leases; 9: i64 now_ms
+  7: list<KeyRecord> keys; 8: list<LeaseGrant> leases; 9: i64 now_ms; 10: Document document;
+  11: list<ServerRecord> servers
 }
 
 // ---- Instances to the leader ---------------------------------------------------------------
 struct Heartbeat {
   1: string instance; 2: string incarnation; 3: string address; 4: i32 port; 5: string data_centre;
-  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen
+  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen;
+  11: list<ServerLoad> loads; 12: list<WorkspaceUse> uses
 }
-struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live; 5: i64 leases_index; 6: bool leases_same }
+struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live; 5: i64 leases_index; 6: bool leases_same;
+  7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index;
+  10: list<ServerLoad> loads; 11: list<WorkspaceUse> uses }
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done }
 struct ProposeReply { 1: list<CommandResult> results }
-struct ConfigPoll { 1: i64 have_version; 2: i64 wait_ms }
+struct ConfigPoll {
+  1: i64 have_version; 2: i64 wait_ms; 3: i64 have_document; 4: i64 have_servers; 5: bool hosted
+}
 
 // ---- Brokers -------------------------------------------------------------------------------
 struct DemandItem {
@@ -128,6 +153,7 @@
   5: HeartbeatReply heartbeat_reply; 6: Propose propose; 7: ProposeReply propose_reply;
   8: ConfigPoll poll; 9: ConfigDelta delta; 10: Demand demand; 11: Grants grants;
   12: StatusRequest status; 13: StatusReply status_reply; 14: ObjectsRequest objects;
-  15: ObjectsReply objects_reply; 16: DrainRequest drain; 17: ErrorReply error; 18: bool done
+  15: ObjectsReply objects_reply; 16: DrainRequest drain; 17: ErrorReply error; 18: bool done;
+  19: bool document_request; 20: Document document; 21: ServerRecord server_seen
 }
 struct Envelope { 1: i64 id; 2: bool reply; 3: Body body }
--- a/packages/wire/src/peer_client.cc
+++ b/packages/wire/src/peer_client.cc
@@ -10,6 +10,7 @@
 constexpr std::uint64_t kBusyExpiryMillis = 20;
 constexpr std::uint64_t kIdleExpiryMillis = 250;
 constexpr std::size_t kMaxBacklog = 256;
+constexpr Duration kConnectLimit{400'000};  // Peers are a few ms away; a lost SYN costs a second.
 
 }  // namespace
 
@@ -71,11 +72,14 @@
     return;
   }
   m_connecting->data = this;
+  m_connect_expires = ReadClock() + kConnectLimit;
 }
 
 void PeerClient::OnConnected(h2o_socket_t* socket, const char* fault) {
   auto* self = static_cast<PeerClient*>(socket->data);
   self->m_connecting = nullptr;
+  if (fault == nullptr)
+    LimitSilence(h2o_socket_get_fd(socket), kPeerSilence);
   if (fault != nullptr) {
     h2o_socket_close(socket);
     self->m_backlog.clear();
@@ -116,8 +120,18 @@
     waiting.m_on_reply(tl::unexpected<Error>(why));
 }
 
+void PeerClient::ExpireConnect(Instant now) {
+  if (m_connecting == nullptr || now < m_connect_expires)
+    return;
+  h2o_socket_close(m_connecting);
+  m_connecting = nullptr;
+  m_backlog.clear();
+  FailAll({ResultCode::kPeerUnreachable, "no connection in time"});
+}
+
 bool PeerClient::ExpireCalls() {
   const Instant now = ReadClock();
+  ExpireConnect(now);
   std::vector<OnReply> expired;
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
     if (it->second.m_expires > now) {
@@ -129,7 +143,7 @@
   }
   for (OnReply& on_reply : expired)
     on_reply(Fail(ResultCode::kPeerUnreachable, "no reply in time"));
-  return !m_waiting.empty();
+  return !m_waiting.empty() || m_connecting != nullptr;
 }
 
 }  // namespace poppyway
--- a/packages/wire/src/peer_server.cc
+++ b/packages/wire/src/peer_server.cc
@@ -4,8 +4,11 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstring>
 
 namespace poppyway {
@@ -15,6 +18,18 @@
 
 }  // namespace
 
+void LimitSilence(int fd, Duration limit) {
+  const int on = 1;
+  const auto millis = static_cast<unsigned int>(limit.count() / 1000);
+  const int second = 1;
+  const int probes = std::max(1, static_cast<int>(limit.count() / 1'000'000));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &second, sizeof(second));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &second, sizeof(second));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
+}
+
 Result<int> OpenListener(const std::string& address, std::uint16_t port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -59,6 +74,7 @@
   h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
   if (socket == nullptr)
     return;
+  LimitSilence(h2o_socket_get_fd(socket), kPeerSilence);
   auto connection = std::make_shared<PeerConnection>(
       socket, self->m_on_message, [self](PeerConnection& closed, const Error& why) {
         self->m_connections.erase(closed.shared_from_this());
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3
-  libh2o-evloop-dev libssl-dev zlib1g-dev
+  libh2o-evloop-dev libhttp-parser-dev libssl-dev zlib1g-dev
   libthrift-dev libyaml-cpp-dev libexpected-dev nlohmann-json3-dev libxxhash-dev
   libboost-dev libboost-log-dev libboost-program-options-dev libboost-thread-dev
   libboost-filesystem-dev libboost-system-dev
--- a/tests/log_cluster.cc
+++ b/tests/log_cluster.cc
@@ -179,7 +179,7 @@
       if (member.m_up && member.m_node.m_membership.members.empty())
         blank.push_back(InfoOf(member, false));
     }
-    const std::optional<wire::Membership> due = DueMembership(leader.m_node, blank);
+    const std::optional<wire::Membership> due = DueMembership(leader.m_node, blank, m_now);
     if (!due)
       return;
     LogEffects effects;
