End a cut answer with the connection alone

Ruled out: our own relay, which passes whole events only. Change: the connection is shut down before the library is told of the break.

--- a/packages/http/src/caller_side.cc
+++ b/packages/http/src/caller_side.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 #include <poll.h>
+#include <sys/socket.h>
 
 #include "poppyway/http.h"
 
@@ -23,7 +24,12 @@
            last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+/// Ends the connection without the answer's end. The library would send bytes of its own to mark
+/// the break, which are no part of the protocol; a connection that is shut down carries none.
 void Cut(CallerSide& caller) {
+  const bool http2 = caller.m_req->version >= 0x200;
+  if (!http2)
+    shutdown(DescriptorOf(caller.m_req), SHUT_RDWR);
   caller.m_final = true;
   caller.m_inflight = true;
   h2o_send(caller.m_req, nullptr, 0, H2O_SEND_STATE_ERROR);
