Share a workspace's token limit by one bucket that every instance estimates

Traced with a test of six instances against one limit: spending that a silent leader never passed on, instances that are cut off and still serve, restarts that begin with a full part, and elapsed time booked at the wrong rate. Change: each instance refills the whole bucket and takes out what the others told; unheard, it keeps to an even part, and the leader counts silent instances, for which the others keep that part free; what runs again is charged, what never ran is given back.

--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -83,7 +83,7 @@
   settings.m_retry_limit = hosted.m_retry_limit;
   settings.m_retry_limit.m_ratio *= kRetryPart;
   settings.m_retry_limit.m_burst *= kRetryPart;
-  settings.m_retry_window = hosted.m_retry_window;
+  settings.m_quota_tolerance = hosted.m_quota_tolerance;
   return settings;
 }
 
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -151,6 +151,7 @@
   load.m_loads = reply.loads;
   load.m_uses = reply.uses;
   load.m_instances = std::max(1, reply.live);
+  load.m_silent = reply.silent;
   m_forwarder.m_send(std::move(load));
   const bool behind =
       m_document_version < m_leader_document || m_servers_index < m_leader_servers;
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -232,7 +232,9 @@
     SayHello(now);
   if (leads()) {
     if (m_table.m_leading_since == Instant{})
-      m_table = BeginLeading(std::chrono::milliseconds(m_settings.m_lease_ms),
+      // A hosted instance that falls silent may serve until its last confirmation lapses.
+      m_table = BeginLeading(std::chrono::milliseconds(
+                                 std::max(m_settings.m_lease_ms, m_settings.m_confirm_ms)),
                              std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
     ProposeDue(now);
   } else {
@@ -411,7 +413,7 @@
     answer.members = m_node.m_membership.members;
     answer.document_version = m_machine.m_hosted.m_document.version;
     answer.servers_index = m_machine.m_hosted.m_servers_index;
-    AddFleetLoad(m_table, beat.incarnation, answer);
+    AddFleetLoad(m_table, beat.incarnation, now, answer);
   }
   wire::Body body;
   body.__set_heartbeat_reply(answer);
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -32,7 +32,8 @@
 struct FleetLoad {
   std::vector<wire::ServerLoad> m_loads;
   std::vector<wire::WorkspaceUse> m_uses;
-  int m_instances = 1;  ///< Live instances that take callers, this one included.
+  int m_instances = 1;  ///< Instances that take callers, this one included.
+  int m_silent = 0;     ///< Of those, not heard lately.
 };
 
 /// \brief From the control task to the forwarder.
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -29,7 +29,7 @@
   Endpoint m_metrics;      ///< Port 0: none.
   Duration m_stop_limit{8'000'000};   ///< A planned stop is over after this, whatever still runs.
   RetryLimit m_retry_limit;           ///< Second dispatches, over all instances.
-  Duration m_retry_window{10'000'000};
+  QuotaTolerance m_quota_tolerance;
 };
 
 /// \brief Requests of one pool that wait, highest tier first, then oldest.
@@ -48,14 +48,13 @@
   Dialect m_dialect;
   std::shared_ptr<const RouteTable> m_table;
   Instant m_confirmed_until{};
-  int m_instances = 1;
+  QuotaSharers m_sharers;
   bool m_stopping = false;
   Instant m_stop_begun{};
   bool m_ready_told = false;
   std::map<std::string, Backend> m_backends;
   std::map<std::string, PoolState> m_pools;
-  std::map<std::string, QuotaShare> m_quotas;  ///< By workspace.
-  std::map<std::string, double> m_others_wanted;
+  std::map<std::string, QuotaBucket> m_quotas;  ///< By workspace.
   std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
   std::vector<std::unique_ptr<BackendCall>> m_retired;  ///< Destroyed outside their events.
   std::vector<ForwardingRef> m_over;                    ///< Forgotten outside all events.
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -69,6 +69,7 @@
   Instant m_wait_until{};    ///< In the queue; refused after this.
   std::vector<std::string> m_tried;  ///< Servers that were sent a byte.
   int m_reached = 0;         ///< How many calls sent a byte.
+  double m_quota_cost = 0;   ///< Taken from the workspace's limit for one run.
   int m_unsure = 0;          ///< Of those, calls after which the request may have run.
 
   // The call under way.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -86,8 +86,24 @@
     ServeQueue(state, name);
 }
 
+/// Keeps a bucket for every workspace with a limit, also while nobody asks for anything.
+void HearOtherSpenders(ForwarderState& state,
+                       const std::map<std::string, QuotaUse>& others,
+                       Instant now) {
+  if (!state.m_table)
+    return;
+  for (const Workspace& workspace : state.m_table->m_workspaces) {
+    if (workspace.m_limit.m_rate_per_s <= 0)
+      continue;
+    const auto told = others.find(workspace.m_name);
+    HearOthers(state.m_quotas[workspace.m_name],
+               Loosen(workspace.m_limit, state.m_settings.m_quota_tolerance), state.m_sharers,
+               told == others.end() ? QuotaUse{} : told->second, now);
+  }
+}
+
 void TakeFleetLoad(ForwarderState& state, const FleetLoad& load) {
-  state.m_instances = std::max(1, load.m_instances);
+  state.m_sharers = {std::max(1, load.m_instances), load.m_silent};
   for (auto& [id, backend] : state.m_backends) {
     backend.m_others_in_flight = 0;
     backend.m_others_reading = 0;
@@ -99,12 +115,11 @@
     backend->m_others_in_flight = one.in_flight;
     backend->m_others_reading = one.reading_tokens;
   }
-  state.m_others_wanted.clear();
+  std::map<std::string, QuotaUse> others;
   for (const wire::WorkspaceUse& use : load.m_uses)
-    state.m_others_wanted[use.workspace] = use.wanted_per_s;
-  for (auto& [workspace, share] : state.m_quotas)
-    share.m_share =
-        ShareOf(share.m_wanted_per_s, state.m_others_wanted[workspace], state.m_instances);
+    others[use.workspace] = {use.spent_per_s, use.wanted_per_s};
+  const Instant now = ReadClock();
+  HearOtherSpenders(state, others, now);
   for (const auto& [name, pool] : state.m_pools) {
     if (!pool.m_waiting.empty())
       ServeQueue(state, name);
@@ -170,12 +185,12 @@
     load.reading_tokens = backend.m_reading_tokens;
     report.m_loads.push_back(std::move(load));
   }
-  for (auto& [workspace, share] : state.m_quotas) {
-    share = MeasureUse(share, now);
+  for (auto& [workspace, bucket] : state.m_quotas) {
+    const QuotaUse own = ReportUse(bucket, now);
     wire::WorkspaceUse use;
     use.workspace = workspace;
-    use.spent_per_s = share.m_spent_per_s;
-    use.wanted_per_s = share.m_wanted_per_s;
+    use.spent_per_s = own.m_spent_per_s;
+    use.wanted_per_s = own.m_wanted_per_s;
     report.m_uses.push_back(std::move(use));
   }
   return report;
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -81,11 +81,15 @@
   std::optional<std::int64_t> tokens;
   if (forwarding.m_request.m_names_tokens)
     tokens = forwarding.m_request.m_prompt_tokens + forwarding.m_request.m_most_tokens;
-  QuotaShare& share = state.m_quotas[workspace->m_name];
-  if (share.m_share == 0)
-    share.m_share = ShareOf(0, 0, state.m_instances);
-  if (Spend(share, workspace->m_limit, CostOf(*workspace, tokens), forwarding.m_arrived))
+  if (workspace->m_limit.m_rate_per_s <= 0)
     return Step::kContinue;
+  const QuotaLimit limit = Loosen(workspace->m_limit, state.m_settings.m_quota_tolerance);
+  const double cost = CostOf(*workspace, tokens);
+  if (Spend(state.m_quotas[workspace->m_name], limit, cost, state.m_sharers,
+            forwarding.m_arrived)) {
+    forwarding.m_quota_cost = cost;
+    return Step::kContinue;
+  }
   Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
   return Step::kEnded;
 }
@@ -96,7 +100,7 @@
   PoolState& waiting = state.m_pools[pool];
   waiting.m_retries = Deposit(waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
                                                   state.m_settings.m_retry_limit.m_burst,
-                                                  state.m_instances});
+                                                  state.m_sharers.m_instances});
   PutInQueue(state, forwarding, forwarding.m_arrived + FirstWait(forwarding));
   ServeQueue(state, pool);
 }
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -45,6 +45,9 @@
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
   if (backend == nullptr || backend->m_leaving || !confirmed)
     return false;
+  const bool runs_again = forwarding->m_unsure > 0 && forwarding->m_quota_cost > 0;
+  if (runs_again)
+    Charge(state.m_quotas[forwarding->m_workspace->m_name], forwarding->m_quota_cost);
   ++forwarding->m_unsure;
   ++forwarding->m_reached;
   forwarding->m_tried.push_back(forwarding->m_server);
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -124,6 +124,9 @@
                         TierAndReason(forwarding.m_tier, Describe(code).m_name));
   }
   LogEnd(state, forwarding, code, why);
+  const bool never_ran = forwarding.m_unsure == 0 && forwarding.m_quota_cost > 0;
+  if (never_ran)
+    Refund(state.m_quotas[forwarding.m_workspace->m_name], forwarding.m_quota_cost);
   EndCall(state, forwarding);
   forwarding.m_stage = ForwardingStage::kDone;
   if (forwarding.m_caller.m_req == nullptr)
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -17,7 +17,7 @@
 /// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
 /// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
-/// - `QuotaShare`: an instance's part of a workspace's token limit.
+/// - `QuotaBucket`: an instance's estimate of a workspace's shared token bucket.
 /// - `RateEstimate`, `RetryBudget`, `RetryAfter`: speed of engines, retries, when to come back.
 
 #include "poppyway/policy/impl/admission_queue.h"
--- a/packages/policy/include/poppyway/policy/impl/token_quota.h
+++ b/packages/policy/include/poppyway/policy/impl/token_quota.h
@@ -14,37 +14,77 @@
   friend bool operator==(const QuotaLimit&, const QuotaLimit&) = default;
 };
 
-/// \brief This instance's part of a limit: a token bucket whose rate follows demand.
-struct QuotaShare {
-  double m_share = 0;   ///< Of the whole limit, 0 to 1.
-  double m_tokens = 0;  ///< That may be spent now; may fall below zero by one request.
+/// \brief How far all instances together may overrun a limit, as the operator bounds it.
+struct QuotaTolerance {
+  double m_overage = 0;  ///< Share of the limit.
+  double m_slack = 0;    ///< In the limit's unit, on top.
+
+  friend bool operator==(const QuotaTolerance&, const QuotaTolerance&) = default;
+};
+
+/// \brief This instance's estimate of a workspace's one shared token bucket.
+///
+/// Each instance refills the whole bucket by the limit's rate, takes out at once what it spends
+/// itself, and what the others spend at the rate that they last told. So an instance may use all
+/// that the others leave, without a message per request. Errors of the lag pay back by themselves:
+/// what was overspent is missing from the bucket later.
+struct QuotaBucket {
+  double m_tokens = 0;         ///< Left for all instances; below zero after an overrun.
+  double m_others_per_s = 0;   ///< What the other instances spend.
+  double m_period_left = 0;    ///< What this instance may spend until it hears of the others again.
+  double m_own_part = 1;       ///< Its part of the demand.
+  bool m_alone = false;        ///< Nothing was heard of the others lately.
   Instant m_filled{};
-  double m_wanted_per_s = 0;  ///< Smoothed demand, refused requests included.
+  Instant m_heard{};           ///< Of the others, last.
+  double m_spent = 0;          ///< By this instance since the last report.
+  double m_wanted = 0;         ///< Asked for here, refused requests included, since then.
+  double m_wanted_per_s = 0;   ///< Of the last report.
+  Instant m_reported{};
+
+  friend bool operator==(const QuotaBucket&, const QuotaBucket&) = default;
+};
+
+/// \brief The instances that share a limit.
+struct QuotaSharers {
+  int m_instances = 1;  ///< That take callers, this one included.
+  int m_silent = 0;     ///< Of those, not heard lately: each may still spend an even part.
+
+  friend bool operator==(const QuotaSharers&, const QuotaSharers&) = default;
+};
+
+/// \brief What one instance reports of a workspace.
+struct QuotaUse {
   double m_spent_per_s = 0;
-  double m_wanted = 0;  ///< Since the last `MeasureUse`.
-  double m_spent = 0;
-  Instant m_measured{};
+  double m_wanted_per_s = 0;
 
-  friend bool operator==(const QuotaShare&, const QuotaShare&) = default;
+  friend bool operator==(const QuotaUse&, const QuotaUse&) = default;
 };
 
-/// \brief Adds what has accrued since the last call, up to this instance's part of the burst.
-[[nodiscard]] QuotaShare Refill(const QuotaShare& share,
-                                const QuotaLimit& limit,
-                                Instant now) noexcept;
+/// \brief The limit that is aimed at: some of the tolerance is used, so that what is below the
+/// operator's limit isn't refused for an error of ours.
+[[nodiscard]] QuotaLimit Loosen(const QuotaLimit& limit, const QuotaTolerance& tolerance) noexcept;
 
-/// \brief Takes `cost` if any is left. A request may overdraw the share once: it is then paid back
-/// before the next. Counts the demand either way.
-[[nodiscard]] bool Spend(QuotaShare& share,
+/// \brief Takes `cost` if the bucket holds anything. A request may overdraw it once.
+/// Precondition: `limit` has a rate above zero.
+[[nodiscard]] bool Spend(QuotaBucket& bucket,
                          const QuotaLimit& limit,
                          double cost,
+                         const QuotaSharers& sharers,
                          Instant now) noexcept;
 
-/// \brief Smooths demand and spending; call some times a second.
-[[nodiscard]] QuotaShare MeasureUse(const QuotaShare& share, Instant now) noexcept;
+/// \brief Takes `cost` whatever is left: a request runs once more.
+void Charge(QuotaBucket& bucket, double cost) noexcept;
+/// \brief Puts back what was taken for a request that no server ran.
+void Refund(QuotaBucket& bucket, double cost) noexcept;
+
+/// \brief Takes what the other instances report together.
+void HearOthers(QuotaBucket& bucket,
+                const QuotaLimit& limit,
+                const QuotaSharers& sharers,
+                const QuotaUse& others,
+                Instant now) noexcept;
 
-/// \brief This instance's part, by its demand against that of the others. Every instance keeps a
-/// small part, so that new demand is served at once.
-[[nodiscard]] double ShareOf(double own_wanted, double others_wanted, int instances) noexcept;
+/// \brief What to report of this instance; begins a new period.
+[[nodiscard]] QuotaUse ReportUse(QuotaBucket& bucket, Instant now) noexcept;
 
 }  // namespace poppyway
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -20,6 +20,7 @@
 
 /// \brief The leader's memory of heartbeats. A new leader begins with an empty one.
 struct InstanceTable {
+  Duration m_silent_after{450'000};  ///< Some heartbeats: such an instance may be cut off.
   Duration m_lease{3'000'000};
   Duration m_margin{500'000};
   Instant m_leading_since{};
@@ -40,8 +41,10 @@
                      Instant now);
 
 /// \brief Adds up what the other live instances have in flight and spend, for a heartbeat's reply.
+/// Those that fell silent are counted in `reply.silent`.
 void AddFleetLoad(const InstanceTable& table,
                   const std::string& except,
+                  Instant now,
                   wire::HeartbeatReply& reply);
 
 /// \brief Lease grants that are due: pools without a live, willing holder. Nothing is granted until
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -101,12 +101,15 @@
 
 void AddFleetLoad(const InstanceTable& table,
                   const std::string& except,
+                  Instant now,
                   wire::HeartbeatReply& reply) {
   std::map<std::string, wire::ServerLoad> loads;
   std::map<std::string, wire::WorkspaceUse> uses;
   for (const auto& [incarnation, record] : table.m_live) {
     if (incarnation == except)
       continue;
+    if (now - record.m_heard > table.m_silent_after)
+      ++reply.silent;
     for (const wire::ServerLoad& load : record.m_beat.loads) {
       wire::ServerLoad& sum = loads[load.server];
       sum.server = load.server;
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -7135,6 +7135,10 @@
 void HeartbeatReply::__set_uses(const std::vector<WorkspaceUse> & val) {
   this->uses = val;
 }
+
+void HeartbeatReply::__set_silent(const int32_t val) {
+  this->silent = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -7299,6 +7303,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->silent);
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7392,6 +7404,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->silent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7410,6 +7426,7 @@
   swap(a.servers_index, b.servers_index);
   swap(a.loads, b.loads);
   swap(a.uses, b.uses);
+  swap(a.silent, b.silent);
   swap(a.__isset, b.__isset);
 }
 
@@ -7425,6 +7442,7 @@
   servers_index = other278.servers_index;
   loads = other278.loads;
   uses = other278.uses;
+  silent = other278.silent;
   __isset = other278.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other279) noexcept {
@@ -7439,6 +7457,7 @@
   servers_index = other279.servers_index;
   loads = std::move(other279.loads);
   uses = std::move(other279.uses);
+  silent = other279.silent;
   __isset = other279.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other280) {
@@ -7453,6 +7472,7 @@
   servers_index = other280.servers_index;
   loads = other280.loads;
   uses = other280.uses;
+  silent = other280.silent;
   __isset = other280.__isset;
   return *this;
 }
@@ -7468,6 +7488,7 @@
   servers_index = other281.servers_index;
   loads = std::move(other281.loads);
   uses = std::move(other281.uses);
+  silent = other281.silent;
   __isset = other281.__isset;
   return *this;
 }
@@ -7485,6 +7506,7 @@
   out << ", " << "servers_index=" << to_string(servers_index);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "uses=" << to_string(uses);
+  out << ", " << "silent=" << to_string(silent);
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -2765,7 +2765,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), loads(false), uses(false) {}
+  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), loads(false), uses(false), silent(false) {}
   bool leases :1;
   bool version :1;
   bool leader_term :1;
@@ -2777,6 +2777,7 @@
   bool servers_index :1;
   bool loads :1;
   bool uses :1;
+  bool silent :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -2793,7 +2794,8 @@
                    leases_index(0),
                    leases_same(0),
                    document_version(0),
-                   servers_index(0) {
+                   servers_index(0),
+                   silent(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -2808,6 +2810,7 @@
   int64_t servers_index;
   std::vector<ServerLoad>  loads;
   std::vector<WorkspaceUse>  uses;
+  int32_t silent;
 
   _HeartbeatReply__isset __isset;
 
@@ -2833,6 +2836,8 @@
 
   void __set_uses(const std::vector<WorkspaceUse> & val);
 
+  void __set_silent(const int32_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leases == rhs.leases))
@@ -2857,6 +2862,8 @@
       return false;
     if (!(uses == rhs.uses))
       return false;
+    if (!(silent == rhs.silent))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -105,7 +105,9 @@
 }
 struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live; 5: i64 leases_index; 6: bool leases_same;
   7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index;
-  10: list<ServerLoad> loads; 11: list<WorkspaceUse> uses }
+  10: list<ServerLoad> loads; 11: list<WorkspaceUse> uses;
+  12: i32 silent  // Of `live`: not heard for some heartbeats, perhaps cut off and still at work.
+}
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done }
 struct ProposeReply { 1: list<CommandResult> results }
--- /dev/null
+++ b/tests/token_quota_test.cc
@@ -0,0 +1,173 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+namespace {
+
+constexpr int kInstances = 6;
+constexpr Duration kReportEvery{200'000};
+constexpr Duration kStep{1'000};
+constexpr double kWindowSeconds = 8;
+
+/// What a run of several instances against one limit came to.
+struct LimitRun {
+  double m_worst_window = 0;  ///< Most spent in any window, against what is tolerated.
+  double m_spent = 0;
+  double m_asked = 0;
+  double m_central = 0;  ///< What one bucket that sees everything at once would have let through.
+};
+
+struct LimitSpec {
+  double m_rate = 130'000;
+  double m_demand = 1;       ///< In rates, before and after the peak.
+  double m_peak = 1;         ///< In rates, from second 5 to 12.
+  int m_silent_from_ms = -1;  ///< The leader answers nobody for `m_silent_ms`.
+  int m_silent_ms = 0;
+  int m_cut_off = 0;  ///< Instances that alone are unheard in that time; the leader counts them.
+  std::uint64_t m_seed = 1;
+};
+
+/// Instances report every 200 ms, each at its own moment, to a leader that adds up what it last
+/// heard; callers' requests are drawn at random, a few of them very large.
+LimitRun RunLimit(const LimitSpec& spec) {
+  constexpr int kSeconds = 20;
+  const QuotaLimit operators{spec.m_rate, spec.m_rate};
+  const QuotaTolerance tolerance{0.1, 140'000};
+  const QuotaLimit limit = Loosen(operators, tolerance);
+  std::mt19937_64 random(spec.m_seed);
+  std::lognormal_distribution<double> size(7.6, 1.2);  // Mean 4,100 tokens.
+  std::uniform_real_distribution<double> uniform(0, 1);
+  std::array<QuotaBucket, kInstances> buckets{};
+  std::array<QuotaUse, kInstances> heard{};
+  const std::array<double, kInstances> weights{0.05, 0.1, 0.15, 0.2, 0.2, 0.3};
+  std::deque<std::pair<double, double>> window;
+  double in_window = 0;
+  LimitRun run;
+  double central = operators.m_burst;
+  const double tolerated =
+      (spec.m_rate * kWindowSeconds + operators.m_burst) * (1 + tolerance.m_overage) +
+      tolerance.m_slack;
+  const double mean = 4'100;
+  for (QuotaBucket& bucket : buckets) {
+    // Up for a while before callers come, as after a start.
+    HearOthers(bucket, limit, {kInstances, 0}, {}, Instant(Duration(1)));
+    HearOthers(bucket, limit, {kInstances, 0}, {}, Instant(Duration(1'000'000)));
+  }
+  for (int step = 1; step <= kSeconds * 1000; ++step) {
+    const Instant now = Instant(Duration(1'000'000)) + step * kStep;
+    const bool peak = step >= 5'000 && step < 12'000;
+    const double per_step = (peak ? spec.m_peak : spec.m_demand) * spec.m_rate / mean / 1000;
+    const bool trouble =
+        step >= spec.m_silent_from_ms && step < spec.m_silent_from_ms + spec.m_silent_ms;
+    const bool noticed = trouble && step >= spec.m_silent_from_ms + 450;
+    const int silent_count = noticed ? spec.m_cut_off : 0;
+    central = std::min(operators.m_burst, central + spec.m_rate / 1000);
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      const bool cut = spec.m_cut_off == 0 || static_cast<int>(i) < spec.m_cut_off;
+      if ((step + static_cast<int>(i) * 37) % 200 == 0 && !(trouble && cut)) {
+        heard[i] = ReportUse(buckets[i], now);
+        QuotaUse others;
+        for (std::size_t j = 0; j < kInstances; ++j) {
+          others.m_spent_per_s += j == i ? 0 : heard[j].m_spent_per_s;
+          others.m_wanted_per_s += j == i ? 0 : heard[j].m_wanted_per_s;
+        }
+        HearOthers(buckets[i], limit, {kInstances, silent_count}, others, now);
+      }
+      if (uniform(random) >= per_step * weights[i])
+        continue;
+      const double cost = std::min(55'000.0, size(random));
+      run.m_asked += cost;
+      if (central > 0) {
+        central -= cost;
+        run.m_central += cost;
+      }
+      if (!Spend(buckets[i], limit, cost, {kInstances, 0}, now))
+        continue;
+      run.m_spent += cost;
+      in_window += cost;
+      window.emplace_back(step / 1000.0, cost);
+    }
+    while (!window.empty() && window.front().first < step / 1000.0 - kWindowSeconds) {
+      in_window -= window.front().second;
+      window.pop_front();
+    }
+    run.m_worst_window = std::max(run.m_worst_window, in_window / tolerated);
+  }
+  return run;
+}
+
+TEST_CASE("a workspace that asks for many times its limit never overruns the tolerance") {
+  for (const double rate : {36'000.0, 130'000.0, 255'000.0}) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      const LimitRun run = RunLimit({.m_rate = rate, .m_demand = 1, .m_peak = 7.5, .m_seed = seed});
+      CAPTURE(rate, seed, run.m_worst_window);
+      CHECK(run.m_worst_window <= 1.0);
+    }
+  }
+}
+
+TEST_CASE("a leader that answers nobody for a while doesn't let a limit be overrun") {
+  for (const int silent_ms : {500, 1500, 5000}) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      const LimitRun run = RunLimit({.m_demand = 1,
+                                     .m_peak = 7.5,
+                                     .m_silent_from_ms = 6'000,
+                                     .m_silent_ms = silent_ms,
+                                     .m_seed = seed});
+      CAPTURE(silent_ms, seed, run.m_worst_window);
+      CHECK(run.m_worst_window <= 1.0);
+    }
+  }
+}
+
+TEST_CASE("instances that are cut off and still serve don't let a limit be overrun") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const LimitRun run = RunLimit({.m_demand = 1,
+                                   .m_peak = 7.5,
+                                   .m_silent_from_ms = 6'000,
+                                   .m_silent_ms = 4'500,
+                                   .m_cut_off = 2,
+                                   .m_seed = seed});
+    CAPTURE(seed, run.m_worst_window);
+    CHECK(run.m_worst_window <= 1.0);
+  }
+}
+
+TEST_CASE("below its limit a workspace gets nearly all that one central bucket would give") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const LimitRun run = RunLimit({.m_demand = 0.8, .m_peak = 0.8, .m_seed = seed});
+    CAPTURE(seed, run.m_spent / run.m_central);
+    CHECK(run.m_spent / run.m_central > 0.97);
+  }
+}
+
+TEST_CASE("above its limit a workspace gets nearly all that one central bucket would give") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const LimitRun run = RunLimit({.m_demand = 3, .m_peak = 3, .m_seed = seed});
+    CAPTURE(seed, run.m_spent / run.m_central);
+    CHECK(run.m_spent / run.m_central > 0.97);
+  }
+}
+
+TEST_CASE("a request that runs again is charged, one that never ran is given back") {
+  QuotaBucket bucket;
+  const QuotaLimit limit{1000, 1000};
+  const Instant now{Duration(1'000'000)};
+  REQUIRE(Spend(bucket, limit, 10, {}, now));
+  const double after = bucket.m_tokens;
+  Charge(bucket, 10);
+  CHECK(bucket.m_tokens == after - 10);
+  Refund(bucket, 10);
+  CHECK(bucket.m_tokens == after);
+}
+
+}  // namespace
+}  // namespace poppyway
