--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -18,7 +18,7 @@
 constexpr int kUsageExit = 64;
 constexpr int kStartFailedExit = 70;
 constexpr std::uint16_t kMetricsOffset = 10;  // From the first internal port; see deploy/system.toml.
-constexpr std::int64_t kHeartbeatMs = 200;    // Loads are this old at most when others read them.
+constexpr std::int64_t kHeartbeatMs = 50;     // Loads are this old at most when others read them.
 constexpr std::int64_t kLeaseMs = 1500;       // An instance silent for longer counts as gone.
 constexpr double kConfirmShare = 0.9;   // Of the bound on removed keys; the rest is for our own delays.
 constexpr Duration kUnbounded{30'000'000};  // Where there is no bound: how stale we agree to be.
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -102,6 +102,7 @@
     LoadReport report = m_forwarder.m_report();
     beat.loads = std::move(report.m_loads);
     beat.uses = std::move(report.m_uses);
+    beat.waiting = std::move(report.m_waiting);
     beat.version_in_force = m_document_version;
   }
   wire::Body body;
@@ -150,6 +151,8 @@
   FleetLoad load;
   load.m_loads = reply.loads;
   load.m_uses = reply.uses;
+  load.m_waiting = reply.waiting;
+  load.m_basis = reply.basis;
   load.m_instances = std::max(1, reply.live);
   load.m_silent = reply.silent;
   m_forwarder.m_send(std::move(load));
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -32,6 +32,8 @@
 struct FleetLoad {
   std::vector<wire::ServerLoad> m_loads;
   std::vector<wire::WorkspaceUse> m_uses;
+  std::vector<wire::PoolWaiting> m_waiting;
+  std::int64_t m_basis = 0;  ///< Names the instances that the sums are of.
   int m_instances = 1;  ///< Instances that take callers, this one included.
   int m_silent = 0;     ///< Of those, not heard lately.
 };
@@ -43,6 +45,7 @@
 struct LoadReport {
   std::vector<wire::ServerLoad> m_loads;
   std::vector<wire::WorkspaceUse> m_uses;
+  std::vector<wire::PoolWaiting> m_waiting;
 };
 
 /// \brief How the control task of a hosted instance reaches its forwarder; both on one thread.
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -32,13 +32,23 @@
   QuotaTolerance m_quota_tolerance;
 };
 
-/// \brief Requests of one pool that wait, highest tier first, then oldest.
-using WaitingQueue = std::map<std::pair<Tier, ForwardingRef>, ForwardingRef>;
+/// \brief The order of waiting: the workspace's tier, then the route's, then age.
+struct WaitingOrder {
+  Tier m_tier = 0;
+  Tier m_rank = 0;
+  ForwardingRef m_ref = 0;
+
+  friend auto operator<=>(const WaitingOrder&, const WaitingOrder&) = default;
+};
+
+/// \brief Requests of one pool that wait.
+using WaitingQueue = std::map<WaitingOrder, ForwardingRef>;
 
 /// \brief What is known of one pool here.
 struct PoolState {
   std::vector<std::string> m_servers;  ///< Ids, in order.
   WaitingQueue m_waiting;
+  TierCounts m_others_waiting{};  ///< At other instances, by the route's tier.
   RetryBudget m_retries{0};
 };
 
@@ -49,6 +59,7 @@
   std::shared_ptr<const RouteTable> m_table;
   Instant m_confirmed_until{};
   QuotaSharers m_sharers;
+  double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
   bool m_stopping = false;
   Instant m_stop_begun{};
   bool m_ready_told = false;
@@ -63,6 +74,7 @@
   MetricSet m_metrics;
   std::mt19937_64 m_random;
   Instant m_callers_polled{};
+  Instant m_fleet_heard{};
 };
 
 /// \brief The forwarder task. Belongs to its loop's thread.
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -87,6 +87,7 @@
 
   // What the caller has got.
   Instant m_first_sent{};
+  Duration m_longest_pause{};  ///< Between two passes of events.
   int m_status = 0;
 };
 
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -19,6 +19,14 @@
   });
 }
 
+/// A new server at the place of another one: that one is gone, whether it said so or not.
+void RetirePlace(ForwarderState& state, const Endpoint& place) {
+  for (auto& [id, backend] : state.m_backends) {
+    if (backend.m_place == place)
+      backend.m_replaced = true;
+  }
+}
+
 void IndexPools(ForwarderState& state) {
   for (auto& [name, pool] : state.m_pools)
     pool.m_servers.clear();
@@ -68,8 +76,10 @@
     const auto known = state.m_backends.find(record.id);
     if (known == state.m_backends.end() && record.stage == wire::ServerStage::GONE)
       continue;
-    Backend& backend = state.m_backends[record.id];
     const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
+    if (known == state.m_backends.end())
+      RetirePlace(state, place);
+    Backend& backend = state.m_backends[record.id];
     backend.m_record = record;
     backend.m_place = place;
     backend.m_leaving = record.stage != wire::ServerStage::READY;
@@ -89,6 +99,7 @@
 /// Keeps a bucket for every workspace with a limit, also while nobody asks for anything.
 void HearOtherSpenders(ForwarderState& state,
                        const std::map<std::string, QuotaUse>& others,
+                       std::int64_t basis,
                        Instant now) {
   if (!state.m_table)
     return;
@@ -98,7 +109,7 @@
     const auto told = others.find(workspace.m_name);
     HearOthers(state.m_quotas[workspace.m_name],
                Loosen(workspace.m_limit, state.m_settings.m_quota_tolerance), state.m_sharers,
-               told == others.end() ? QuotaUse{} : told->second, now);
+               told == others.end() ? QuotaUse{0, 0, basis} : told->second, now);
   }
 }
 
@@ -117,9 +128,17 @@
   }
   std::map<std::string, QuotaUse> others;
   for (const wire::WorkspaceUse& use : load.m_uses)
-    others[use.workspace] = {use.spent_per_s, use.wanted_per_s};
+    others[use.workspace] = {use.spent, use.wanted_per_s, load.m_basis};
   const Instant now = ReadClock();
-  HearOtherSpenders(state, others, now);
+  HearOtherSpenders(state, others, load.m_basis, now);
+  for (auto& [name, pool] : state.m_pools)
+    pool.m_others_waiting.fill(0);
+  for (const wire::PoolWaiting& waiting : load.m_waiting) {
+    TierCounts& counts = state.m_pools[waiting.pool].m_others_waiting;
+    for (std::size_t i = 0; i < std::min(counts.size(), waiting.by_rank.size()); ++i)
+      counts[i] = waiting.by_rank[i];
+  }
+  state.m_fleet_heard = now;
   for (const auto& [name, pool] : state.m_pools) {
     if (!pool.m_waiting.empty())
       ServeQueue(state, name);
@@ -131,7 +150,9 @@
   return found == state.m_backends.end() ? nullptr : &found->second;
 }
 
-std::optional<std::string> ChooseBackend(ForwarderState& state, const Forwarding& forwarding) {
+std::optional<std::string> ChooseBackend(ForwarderState& state,
+                                         const Forwarding& forwarding,
+                                         bool yields) {
   const std::vector<std::string>& ids = state.m_pools[forwarding.m_pool->m_name].m_servers;
   if (ids.empty())
     return std::nullopt;
@@ -148,9 +169,17 @@
     views[i].m_usable = !backend.m_replaced && !Tried(forwarding, ids[i]);
   }
   RequestShape shape;
-  shape.m_tier = forwarding.m_tier;
+  shape.m_tier = forwarding.m_route->m_tier;
+  shape.m_yields = yields;
   shape.m_prompt_tokens = forwarding.m_pool->m_engines ? forwarding.m_request.m_prompt_tokens : 0;
   shape.m_aim = forwarding.m_route->m_aim;
+  shape.m_waited = now - forwarding.m_arrived;
+  shape.m_left = forwarding.m_deadline - now;
+  if (forwarding.m_route->m_stream)
+    shape.m_pause_aim = forwarding.m_route->m_pause_aim;
+  if (state.m_tokens_per_event > 0)
+    shape.m_events =
+        static_cast<double>(forwarding.m_request.m_most_tokens) / state.m_tokens_per_event;
   const std::optional<ServerChoice> choice =
       ChooseServer(views, shape, TypicalPace(views), state.m_random());
   if (!choice)
@@ -189,10 +218,19 @@
     const QuotaUse own = ReportUse(bucket, now);
     wire::WorkspaceUse use;
     use.workspace = workspace;
-    use.spent_per_s = own.m_spent_per_s;
+    use.spent = own.m_spent;
     use.wanted_per_s = own.m_wanted_per_s;
     report.m_uses.push_back(std::move(use));
   }
+  for (const auto& [name, pool] : state.m_pools) {
+    if (pool.m_waiting.empty())
+      continue;
+    wire::PoolWaiting& waiting = report.m_waiting.emplace_back();
+    waiting.pool = name;
+    waiting.by_rank.resize(kTiers);
+    for (const auto& [order, ref] : pool.m_waiting)
+      ++waiting.by_rank[static_cast<std::size_t>(std::clamp(order.m_rank, 0, kTiers - 1))];
+  }
   return report;
 }
 
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -65,7 +65,9 @@
       .Field("attempts", forwarding.m_reached)
       .Field("prompt_tokens", forwarding.m_request.m_prompt_tokens)
       .Field("events", forwarding.m_events.m_events)
+      .Field("sent_ms", forwarding.m_tried.empty() ? -1 : Millis(forwarding.m_dispatched - forwarding.m_arrived))
       .Field("first_ms", first ? Millis(forwarding.m_first_sent - forwarding.m_arrived) : -1)
+      .Field("pause_ms", Millis(forwarding.m_longest_pause))
       .Field("total_ms", Millis(now - forwarding.m_arrived))
       .Field("version", forwarding.m_table ? forwarding.m_table->m_version : 0)
       .Field("confirmed_ms", Millis(state.m_confirmed_until - now));
@@ -112,8 +114,7 @@
   if (forwarding.m_stage == ForwardingStage::kDone)
     return;
   if (forwarding.m_stage == ForwardingStage::kWaiting)
-    state.m_pools[forwarding.m_pool->m_name].m_waiting.erase(
-        {forwarding.m_tier, forwarding.m_ref});
+    state.m_pools[forwarding.m_pool->m_name].m_waiting.erase(OrderOf(forwarding));
   const std::string tier = "tier=\"" + std::to_string(forwarding.m_tier) + "\"";
   if (code == ResultCode::kOk) {
     state.m_metrics.Add("poppyway_forward_answers_total", tier);
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -97,6 +97,9 @@
   if (added > 0 && forwarding.m_call_events == 0)
     NoteFirstEvent(state, forwarding, now);
   forwarding.m_call_events += added;
+  if (added > 0 && forwarding.m_last_event != Instant{})
+    forwarding.m_longest_pause =
+        std::max(forwarding.m_longest_pause, now - forwarding.m_last_event);
   if (added > 0)
     forwarding.m_last_event = now;
   if (!whole.empty()) {
@@ -116,6 +119,15 @@
   return forwarding.m_route->m_stream && IsSuccess(forwarding.m_answer.m_status);
 }
 
+/// Learns how many tokens one event carries, from streams that ran to their end.
+void NoteEventSize(ForwarderState& state, const Forwarding& forwarding) {
+  constexpr double kGain = 0.05;
+  const double sample = static_cast<double>(forwarding.m_request.m_most_tokens) /
+                        static_cast<double>(forwarding.m_events.m_events);
+  double& size = state.m_tokens_per_event;
+  size = size == 0 ? sample : size + kGain * (sample - size);
+}
+
 void LearnFromWhole(ForwarderState& state, const Forwarding& forwarding) {
   Backend* backend = FindBackend(state, forwarding.m_server);
   if (backend == nullptr)
@@ -129,7 +141,10 @@
   backend->m_pace = ObserveService(backend->m_pace, now - forwarding.m_dispatched);
   if (forwarding.m_call_events > 1)
     backend->m_pace = ObserveEvents(backend->m_pace, forwarding.m_call_events - 1,
-                                    forwarding.m_last_event - forwarding.m_first_event);
+                                    forwarding.m_last_event - forwarding.m_first_event,
+                                    forwarding.m_longest_pause);
+  if (forwarding.m_call_events > 0 && forwarding.m_request.m_most_tokens > 0)
+    NoteEventSize(state, forwarding);
 }
 
 }  // namespace
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -21,6 +21,8 @@
 void Enqueue(ForwarderState& state, Forwarding& forwarding);
 
 // ---- queue.cc ----------------------------------------------------------------------------------
+/// Its place in its pool's queue.
+[[nodiscard]] WaitingOrder OrderOf(const Forwarding& forwarding) noexcept;
 /// How long a new request may wait for room.
 [[nodiscard]] Duration FirstWait(const Forwarding& forwarding) noexcept;
 /// Puts a request into its pool's queue, to be refused after `until`.
@@ -62,8 +64,10 @@
 void TakeFleetLoad(ForwarderState& state, const FleetLoad& load);
 [[nodiscard]] Backend* FindBackend(ForwarderState& state, const std::string& id);
 /// The server where a request should go now, if one has room.
+/// `yields`: something more urgent waits, here or at another instance.
 [[nodiscard]] std::optional<std::string> ChooseBackend(ForwarderState& state,
-                                                       const Forwarding& forwarding);
+                                                       const Forwarding& forwarding,
+                                                       bool yields);
 /// Learns from how a request ended at a server.
 void NoteHealth(ForwarderState& state, const std::string& server, ServerSign sign);
 [[nodiscard]] LoadReport MakeReport(ForwarderState& state, Instant now);
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -16,6 +16,7 @@
   double m_tokens_per_ms = 0;  ///< Prompt tokens read, at best; engines only.
   double m_event_ms = 0;       ///< Between two events of a stream when little else runs.
   double m_service_ms = 0;     ///< From dispatch to the end of an answer.
+  double m_pause_ms = 0;       ///< The longest pause of a stream, as streams go.
 
   friend bool operator==(const ServerPace&, const ServerPace&) = default;
 };
@@ -35,8 +36,13 @@
 /// \brief What of a request decides where it goes.
 struct RequestShape {
   Tier m_tier = 0;
+  bool m_yields = false;             ///< Something more urgent waits for a place.
   std::int64_t m_prompt_tokens = 0;  ///< Zero for plain services.
   Duration m_aim{};                  ///< First event, or whole answer, wanted within this.
+  Duration m_waited{};               ///< Of the aim, gone already.
+  Duration m_pause_aim{};            ///< Longest pause that is in time; zero: not a stream.
+  double m_events = 0;               ///< Expected in the answer; zero: not known.
+  Duration m_left{};                 ///< Until its deadline; zero: none.
 };
 
 /// \brief A choice with what was predicted for it.
@@ -54,7 +60,8 @@
                                     const ServerPace& typical) noexcept;
 
 /// \brief True if a request of this tier may be sent there now: what would wait in the server's own
-/// queue, where tiers are not known, stays a small part of the aim.
+/// queue, where tiers are not known, stays a small part of the aim, and the first event is expected
+/// in time. A prompt that no server can read in time only has to find little ahead of it.
 [[nodiscard]] bool HasRoom(const ServerView& server,
                            const RequestShape& request,
                            const ServerPace& typical) noexcept;
@@ -72,10 +79,12 @@
 [[nodiscard]] ServerPace ObserveFirst(const ServerPace& pace,
                                       std::int64_t tokens_read,
                                       Duration elapsed) noexcept;
-/// \brief Learns from a whole stream: `events` came within `span` after the first one.
+/// \brief Learns from a whole stream: `events` came within `span` after the first one, the longest
+/// pause between two of them was `pause`.
 [[nodiscard]] ServerPace ObserveEvents(const ServerPace& pace,
                                        std::int64_t events,
-                                       Duration span) noexcept;
+                                       Duration span,
+                                       Duration pause) noexcept;
 /// \brief Learns from a whole answer.
 [[nodiscard]] ServerPace ObserveService(const ServerPace& pace, Duration elapsed) noexcept;
 
--- a/packages/policy/include/poppyway/policy/impl/token_quota.h
+++ b/packages/policy/include/poppyway/policy/impl/token_quota.h
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <cstdint>
+
 #include "poppyway/core.h"
 
 namespace poppyway {
@@ -25,19 +27,21 @@
 /// \brief This instance's estimate of a workspace's one shared token bucket.
 ///
 /// Each instance refills the whole bucket by the limit's rate, takes out at once what it spends
-/// itself, and what the others spend at the rate that they last told. So an instance may use all
-/// that the others leave, without a message per request. Errors of the lag pay back by themselves:
-/// what was overspent is missing from the bucket later.
+/// itself, and what the others spent as soon as it hears of it. So an instance may use all that the
+/// others leave, without a message per request. Errors of the lag pay back by themselves: what was
+/// overspent is missing from the bucket later.
 struct QuotaBucket {
   double m_tokens = 0;         ///< Left for all instances; below zero after an overrun.
-  double m_others_per_s = 0;   ///< What the other instances spend.
+  double m_others_total = 0;   ///< What the others had spent when last heard of.
+  std::int64_t m_basis = 0;    ///< Whose spending that is the sum of.
+  double m_others_per_s = 0;   ///< Their spending of late, for when it can't be told.
   double m_period_left = 0;    ///< What this instance may spend until it hears of the others again.
   double m_own_part = 1;       ///< Its part of the demand.
   bool m_alone = false;        ///< Nothing was heard of the others lately.
   Instant m_filled{};
   Instant m_heard{};           ///< Of the others, last.
-  double m_spent = 0;          ///< By this instance since the last report.
-  double m_wanted = 0;         ///< Asked for here, refused requests included, since then.
+  double m_spent = 0;          ///< By this instance since it started.
+  double m_wanted = 0;         ///< Asked for here, refused requests included, since the last report.
   double m_wanted_per_s = 0;   ///< Of the last report.
   Instant m_reported{};
 
@@ -52,10 +56,11 @@
   friend bool operator==(const QuotaSharers&, const QuotaSharers&) = default;
 };
 
-/// \brief What one instance reports of a workspace.
+/// \brief What one instance reports of a workspace, or the sum over several.
 struct QuotaUse {
-  double m_spent_per_s = 0;
+  double m_spent = 0;         ///< Since the start of each.
   double m_wanted_per_s = 0;
+  std::int64_t m_basis = 0;   ///< Of a sum: names the instances in it; another one, another sum.
 
   friend bool operator==(const QuotaUse&, const QuotaUse&) = default;
 };
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -18,6 +18,15 @@
 constexpr double kFixedFirstMs = 15;        // A first event's time apart from reading; seen 14 to 20.
 constexpr double kGainUp = 0.25;    // Towards a faster sample: interference only ever slows one.
 constexpr double kGainDown = 0.04;  // Towards a slower one.
+constexpr double kInTimeShare = 0.85;  // Of what is left of the aim a prediction may fill.
+constexpr double kAheadShare = 0.3;    // Of the aim may be ahead of a prompt that is late anyway.
+constexpr double kYieldShare = 0.6;    // Of a server's places that a request which yields may fill up to.
+constexpr double kPauseGainUp = 0.2;   // Together about the longest pause of five streams in six.
+constexpr double kPauseGainDown = 0.04;
+constexpr double kRiskFrom = 0.6;      // Of the pause aim: longer usual pauses begin to count.
+constexpr double kRiskEvents = 40;     // A stream this long meets a server's usual longest pause.
+constexpr double kLateEndWeight = 1;   // Of the aim, added where the end would miss the deadline.
+constexpr double kDeadlineShare = 0.9; // Of the time left that a whole stream is expected to fill.
 constexpr double kTieMs = 2;        // Predictions closer than this count as equal.
 constexpr double kRemoteMs = 1;     // What another data centre costs in a comparison.
 
@@ -69,13 +78,52 @@
   return FromMs(FirstMs(server, request, typical));
 }
 
+namespace {
+
+/// Added to a prediction for streams that would likely be late after their first event.
+double RiskMs(const ServerView& server, const RequestShape& request, const ServerPace& typical) {
+  if (request.m_pause_aim <= Duration(0))
+    return 0;
+  const double pause = Known(server.m_pace.m_pause_ms, typical.m_pause_ms, 0);
+  const double over = (pause / Ms(request.m_pause_aim) - kRiskFrom) / (1 - kRiskFrom);
+  const double length = request.m_events > 0 ? std::min(1.0, request.m_events / kRiskEvents) : 1;
+  double risk = std::clamp(over, 0.0, 1.0) * length;
+  const double event = Known(server.m_pace.m_event_ms, typical.m_event_ms, 0);
+  const bool misses = request.m_left > Duration(0) &&
+                      request.m_events * event > kDeadlineShare * Ms(request.m_left);
+  if (misses)
+    risk += kLateEndWeight;
+  return risk * Ms(request.m_aim);
+}
+
+}  // namespace
+
 bool HasRoom(const ServerView& server,
              const RequestShape& request,
              const ServerPace& typical) noexcept {
   constexpr std::size_t kLowest = std::size(kQueueShare) - 1;
   const double share = kQueueShare[std::min<std::size_t>(
       static_cast<std::size_t>(std::max(0, static_cast<int>(request.m_tier))), kLowest)];
-  return QueueMs(server, typical) <= share * Ms(request.m_aim);
+  const double aim = Ms(request.m_aim);
+  // What is more urgent found no room: only what it can't use is left to others.
+  const int at_work = server.m_own + server.m_others;
+  if (request.m_yields && at_work >= kYieldShare * server.m_slots)
+    return false;
+  const double queue = QueueMs(server, typical);
+  if (queue > share * aim)
+    return false;
+  if (request.m_prompt_tokens == 0)
+    return true;
+  const double left = kInTimeShare * (aim - Ms(request.m_waited));
+  const double first = FirstMs(server, request, typical);
+  if (first <= left)
+    return true;
+  ServerView idle = server;
+  idle.m_reading_tokens = 0;
+  idle.m_own = 0;
+  idle.m_others = 0;
+  const double alone = FirstMs(idle, request, typical);
+  return alone > left && first - alone <= kAheadShare * aim;
 }
 
 std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
@@ -93,7 +141,8 @@
     // A loaded batch slows every token, so a busy server has to be ahead by more than a free one.
     const double filled =
         static_cast<double>(server.m_own + server.m_others) / std::max(1, server.m_slots);
-    const double ms = first * (1 + filled) + (server.m_same_data_centre ? 0 : kRemoteMs);
+    const double ms = first * (1 + filled) + RiskMs(server, request, typical) +
+                      (server.m_same_data_centre ? 0 : kRemoteMs);
     if (best && ms > best_ms + kTieMs)
       continue;
     const bool tie = best && ms >= best_ms - kTieMs;
@@ -113,17 +162,21 @@
   int rates = 0;
   int events = 0;
   int services = 0;
+  int pauses = 0;
   for (const ServerView& server : servers) {
     sum.m_tokens_per_ms += server.m_pace.m_tokens_per_ms;
     sum.m_event_ms += server.m_pace.m_event_ms;
     sum.m_service_ms += server.m_pace.m_service_ms;
+    sum.m_pause_ms += server.m_pace.m_pause_ms;
     rates += server.m_pace.m_tokens_per_ms > 0 ? 1 : 0;
     events += server.m_pace.m_event_ms > 0 ? 1 : 0;
     services += server.m_pace.m_service_ms > 0 ? 1 : 0;
+    pauses += server.m_pace.m_pause_ms > 0 ? 1 : 0;
   }
   sum.m_tokens_per_ms /= std::max(1, rates);
   sum.m_event_ms /= std::max(1, events);
   sum.m_service_ms /= std::max(1, services);
+  sum.m_pause_ms /= std::max(1, pauses);
   return sum;
 }
 
@@ -140,13 +193,18 @@
   return after;
 }
 
-ServerPace ObserveEvents(const ServerPace& pace, std::int64_t events, Duration span) noexcept {
+ServerPace ObserveEvents(const ServerPace& pace,
+                         std::int64_t events,
+                         Duration span,
+                         Duration pause) noexcept {
   if (events <= 0)
     return pace;
   ServerPace after = pace;
   const double sample = Ms(span) / static_cast<double>(events);
   after.m_event_ms =
       Blend(pace.m_event_ms, sample, sample < pace.m_event_ms ? kGainUp : kGainDown);
+  after.m_pause_ms = Blend(pace.m_pause_ms, Ms(pause),
+                           Ms(pause) > pace.m_pause_ms ? kPauseGainUp : kPauseGainDown);
   return after;
 }
 
--- a/packages/policy/src/token_quota.cc
+++ b/packages/policy/src/token_quota.cc
@@ -32,8 +32,8 @@
   if (unheard && !bucket.m_alone)
     bucket.m_period_left = std::min(bucket.m_period_left, bucket.m_tokens * even);
   bucket.m_alone = unheard;
-  const double others = unheard ? std::max(bucket.m_others_per_s, limit.m_rate_per_s * (1 - even))
-                                : bucket.m_others_per_s;
+  // Heard of lately, the others' spending is taken out when it is told.
+  const double others = unheard ? limit.m_rate_per_s * (1 - even) : 0;
   bucket.m_tokens += seconds * (limit.m_rate_per_s - others);
   bucket.m_tokens =
       std::clamp(bucket.m_tokens, -kDeepestDebt * limit.m_burst, std::max(1.0, limit.m_burst));
@@ -42,6 +42,29 @@
   bucket.m_filled = now;
 }
 
+/// Takes out what the others spent since they were last heard of.
+void TakeOut(QuotaBucket& bucket,
+             const QuotaLimit& limit,
+             const QuotaSharers& sharers,
+             const QuotaUse& others,
+             Instant now) noexcept {
+  constexpr double kGain = 0.2;
+  const bool known = bucket.m_heard != Instant{};
+  const bool alone = known && now - bucket.m_heard > kUnheard;  // Taken out by `Refill` already.
+  const double seconds = known && !alone ? Seconds(now - bucket.m_heard) : 0;
+  const bool comparable = known && others.m_basis == bucket.m_basis;
+  const double told = others.m_spent - bucket.m_others_total;
+  const double spent = comparable ? told : bucket.m_others_per_s * seconds;
+  const double silent = limit.m_rate_per_s * sharers.m_silent / std::max(1, sharers.m_instances);
+  if (!alone)
+    bucket.m_tokens -= spent;
+  bucket.m_tokens -= silent * seconds;
+  if (comparable && seconds > 0)
+    bucket.m_others_per_s += kGain * (told / seconds - bucket.m_others_per_s);
+  bucket.m_others_total = others.m_spent;
+  bucket.m_basis = others.m_basis;
+}
+
 }  // namespace
 
 QuotaLimit Loosen(const QuotaLimit& limit, const QuotaTolerance& tolerance) noexcept {
@@ -78,9 +101,8 @@
                 const QuotaSharers& sharers,
                 const QuotaUse& others,
                 Instant now) noexcept {
-  Refill(bucket, limit, sharers, now);  // Until now the others spent what they told before.
-  const double silent = limit.m_rate_per_s * sharers.m_silent / std::max(1, sharers.m_instances);
-  bucket.m_others_per_s = others.m_spent_per_s + silent;
+  Refill(bucket, limit, sharers, now);
+  TakeOut(bucket, limit, sharers, others, now);
   bucket.m_heard = now;
   const double demand = bucket.m_wanted_per_s + others.m_wanted_per_s;
   const double part = demand > 0 ? bucket.m_wanted_per_s / demand : 1;
@@ -90,17 +112,15 @@
 }
 
 QuotaUse ReportUse(QuotaBucket& bucket, Instant now) noexcept {
-  constexpr double kGain = 0.3;  // Demand is smoothed over some reports, spending is not.
+  constexpr double kGain = 0.1;  // Demand of about the last ten reports.
   const double seconds = Seconds(now - bucket.m_reported);
   const bool first = bucket.m_reported == Instant{} || seconds <= 0;
   bucket.m_reported = now;
   if (first)
-    return {};
-  const QuotaUse use{bucket.m_spent / seconds, 0};
+    return {bucket.m_spent, 0, 0};
   bucket.m_wanted_per_s += kGain * (bucket.m_wanted / seconds - bucket.m_wanted_per_s);
-  bucket.m_spent = 0;
   bucket.m_wanted = 0;
-  return {use.m_spent_per_s, bucket.m_wanted_per_s};
+  return {bucket.m_spent, bucket.m_wanted_per_s, 0};
 }
 
 }  // namespace poppyway
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -105,11 +105,20 @@
                   wire::HeartbeatReply& reply) {
   std::map<std::string, wire::ServerLoad> loads;
   std::map<std::string, wire::WorkspaceUse> uses;
+  std::map<std::string, std::vector<std::int32_t>> waiting;
+  std::uint64_t basis = static_cast<std::uint64_t>(reply.leader_term);
   for (const auto& [incarnation, record] : table.m_live) {
     if (incarnation == except)
       continue;
     if (now - record.m_heard > table.m_silent_after)
       ++reply.silent;
+    basis = MixHash(basis, Hash(incarnation));
+    for (const wire::PoolWaiting& pool : record.m_beat.waiting) {
+      std::vector<std::int32_t>& sum = waiting[pool.pool];
+      sum.resize(std::max(sum.size(), pool.by_rank.size()));
+      for (std::size_t i = 0; i < pool.by_rank.size(); ++i)
+        sum[i] += pool.by_rank[i];
+    }
     for (const wire::ServerLoad& load : record.m_beat.loads) {
       wire::ServerLoad& sum = loads[load.server];
       sum.server = load.server;
@@ -119,10 +128,16 @@
     for (const wire::WorkspaceUse& use : record.m_beat.uses) {
       wire::WorkspaceUse& sum = uses[use.workspace];
       sum.workspace = use.workspace;
-      sum.spent_per_s += use.spent_per_s;
+      sum.spent += use.spent;
       sum.wanted_per_s += use.wanted_per_s;
     }
   }
+  reply.basis = static_cast<std::int64_t>(basis);
+  for (const auto& [pool, by_rank] : waiting) {
+    wire::PoolWaiting& sum = reply.waiting.emplace_back();
+    sum.pool = pool;
+    sum.by_rank = by_rank;
+  }
   for (const auto& [server, load] : loads)
     reply.loads.push_back(load);
   for (const auto& [workspace, use] : uses)
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -734,8 +734,8 @@
   this->workspace = val;
 }
 
-void WorkspaceUse::__set_spent_per_s(const double val) {
-  this->spent_per_s = val;
+void WorkspaceUse::__set_spent(const double val) {
+  this->spent = val;
 }
 
 void WorkspaceUse::__set_wanted_per_s(const double val) {
@@ -779,8 +779,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->spent_per_s);
-          this->__isset.spent_per_s = true;
+          xfer += iprot->readDouble(this->spent);
+          this->__isset.spent = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -814,8 +814,8 @@
   xfer += oprot->writeString(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("spent_per_s", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->spent_per_s);
+  xfer += oprot->writeFieldBegin("spent", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->spent);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("wanted_per_s", ::apache::thrift::protocol::T_DOUBLE, 3);
@@ -830,33 +830,33 @@
 void swap(WorkspaceUse &a, WorkspaceUse &b) {
   using ::std::swap;
   swap(a.workspace, b.workspace);
-  swap(a.spent_per_s, b.spent_per_s);
+  swap(a.spent, b.spent);
   swap(a.wanted_per_s, b.wanted_per_s);
   swap(a.__isset, b.__isset);
 }
 
 WorkspaceUse::WorkspaceUse(const WorkspaceUse& other13) {
   workspace = other13.workspace;
-  spent_per_s = other13.spent_per_s;
+  spent = other13.spent;
   wanted_per_s = other13.wanted_per_s;
   __isset = other13.__isset;
 }
 WorkspaceUse::WorkspaceUse(WorkspaceUse&& other14) noexcept {
   workspace = std::move(other14.workspace);
-  spent_per_s = other14.spent_per_s;
+  spent = other14.spent;
   wanted_per_s = other14.wanted_per_s;
   __isset = other14.__isset;
 }
 WorkspaceUse& WorkspaceUse::operator=(const WorkspaceUse& other15) {
   workspace = other15.workspace;
-  spent_per_s = other15.spent_per_s;
+  spent = other15.spent;
   wanted_per_s = other15.wanted_per_s;
   __isset = other15.__isset;
   return *this;
 }
 WorkspaceUse& WorkspaceUse::operator=(WorkspaceUse&& other16) noexcept {
   workspace = std::move(other16.workspace);
-  spent_per_s = other16.spent_per_s;
+  spent = other16.spent;
   wanted_per_s = other16.wanted_per_s;
   __isset = other16.__isset;
   return *this;
@@ -865,12 +865,155 @@
   using ::apache::thrift::to_string;
   out << "WorkspaceUse(";
   out << "workspace=" << to_string(workspace);
-  out << ", " << "spent_per_s=" << to_string(spent_per_s);
+  out << ", " << "spent=" << to_string(spent);
   out << ", " << "wanted_per_s=" << to_string(wanted_per_s);
   out << ")";
 }
 
 
+PoolWaiting::~PoolWaiting() noexcept {
+}
+
+
+void PoolWaiting::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void PoolWaiting::__set_by_rank(const std::vector<int32_t> & val) {
+  this->by_rank = val;
+}
+std::ostream& operator<<(std::ostream& out, const PoolWaiting& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PoolWaiting::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->by_rank.clear();
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->by_rank.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
+            {
+              xfer += iprot->readI32(this->by_rank[_i21]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.by_rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PoolWaiting::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PoolWaiting");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("by_rank", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->by_rank.size()));
+    std::vector<int32_t> ::const_iterator _iter22;
+    for (_iter22 = this->by_rank.begin(); _iter22 != this->by_rank.end(); ++_iter22)
+    {
+      xfer += oprot->writeI32((*_iter22));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PoolWaiting &a, PoolWaiting &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.by_rank, b.by_rank);
+  swap(a.__isset, b.__isset);
+}
+
+PoolWaiting::PoolWaiting(const PoolWaiting& other23) {
+  pool = other23.pool;
+  by_rank = other23.by_rank;
+  __isset = other23.__isset;
+}
+PoolWaiting::PoolWaiting(PoolWaiting&& other24) noexcept {
+  pool = std::move(other24.pool);
+  by_rank = std::move(other24.by_rank);
+  __isset = other24.__isset;
+}
+PoolWaiting& PoolWaiting::operator=(const PoolWaiting& other25) {
+  pool = other25.pool;
+  by_rank = other25.by_rank;
+  __isset = other25.__isset;
+  return *this;
+}
+PoolWaiting& PoolWaiting::operator=(PoolWaiting&& other26) noexcept {
+  pool = std::move(other26.pool);
+  by_rank = std::move(other26.by_rank);
+  __isset = other26.__isset;
+  return *this;
+}
+void PoolWaiting::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PoolWaiting(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "by_rank=" << to_string(by_rank);
+  out << ")";
+}
+
+
 ObjectKey::~ObjectKey() noexcept {
 }
 
@@ -963,26 +1106,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectKey::ObjectKey(const ObjectKey& other17) {
-  kind = other17.kind;
-  name = other17.name;
-  __isset = other17.__isset;
+ObjectKey::ObjectKey(const ObjectKey& other27) {
+  kind = other27.kind;
+  name = other27.name;
+  __isset = other27.__isset;
 }
-ObjectKey::ObjectKey(ObjectKey&& other18) noexcept {
-  kind = std::move(other18.kind);
-  name = std::move(other18.name);
-  __isset = other18.__isset;
+ObjectKey::ObjectKey(ObjectKey&& other28) noexcept {
+  kind = std::move(other28.kind);
+  name = std::move(other28.name);
+  __isset = other28.__isset;
 }
-ObjectKey& ObjectKey::operator=(const ObjectKey& other19) {
-  kind = other19.kind;
-  name = other19.name;
-  __isset = other19.__isset;
+ObjectKey& ObjectKey::operator=(const ObjectKey& other29) {
+  kind = other29.kind;
+  name = other29.name;
+  __isset = other29.__isset;
   return *this;
 }
-ObjectKey& ObjectKey::operator=(ObjectKey&& other20) noexcept {
-  kind = std::move(other20.kind);
-  name = std::move(other20.name);
-  __isset = other20.__isset;
+ObjectKey& ObjectKey::operator=(ObjectKey&& other30) noexcept {
+  kind = std::move(other30.kind);
+  name = std::move(other30.name);
+  __isset = other30.__isset;
   return *this;
 }
 void ObjectKey::printTo(std::ostream& out) const {
@@ -1103,30 +1246,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectText::ObjectText(const ObjectText& other21) {
-  kind = other21.kind;
-  name = other21.name;
-  body = other21.body;
-  __isset = other21.__isset;
+ObjectText::ObjectText(const ObjectText& other31) {
+  kind = other31.kind;
+  name = other31.name;
+  body = other31.body;
+  __isset = other31.__isset;
 }
-ObjectText::ObjectText(ObjectText&& other22) noexcept {
-  kind = std::move(other22.kind);
-  name = std::move(other22.name);
-  body = std::move(other22.body);
-  __isset = other22.__isset;
+ObjectText::ObjectText(ObjectText&& other32) noexcept {
+  kind = std::move(other32.kind);
+  name = std::move(other32.name);
+  body = std::move(other32.body);
+  __isset = other32.__isset;
 }
-ObjectText& ObjectText::operator=(const ObjectText& other23) {
-  kind = other23.kind;
-  name = other23.name;
-  body = other23.body;
-  __isset = other23.__isset;
+ObjectText& ObjectText::operator=(const ObjectText& other33) {
+  kind = other33.kind;
+  name = other33.name;
+  body = other33.body;
+  __isset = other33.__isset;
   return *this;
 }
-ObjectText& ObjectText::operator=(ObjectText&& other24) noexcept {
-  kind = std::move(other24.kind);
-  name = std::move(other24.name);
-  body = std::move(other24.body);
-  __isset = other24.__isset;
+ObjectText& ObjectText::operator=(ObjectText&& other34) noexcept {
+  kind = std::move(other34.kind);
+  name = std::move(other34.name);
+  body = std::move(other34.body);
+  __isset = other34.__isset;
   return *this;
 }
 void ObjectText::printTo(std::ostream& out) const {
@@ -1218,14 +1361,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->upserts.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->upserts.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->upserts[_i29].read(iprot);
+              xfer += this->upserts[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1238,14 +1381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->removals.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->removals.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->removals[_i34].read(iprot);
+              xfer += this->removals[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1286,10 +1429,10 @@
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter35;
-    for (_iter35 = this->upserts.begin(); _iter35 != this->upserts.end(); ++_iter35)
+    std::vector<ObjectText> ::const_iterator _iter45;
+    for (_iter45 = this->upserts.begin(); _iter45 != this->upserts.end(); ++_iter45)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1298,10 +1441,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter36;
-    for (_iter36 = this->removals.begin(); _iter36 != this->removals.end(); ++_iter36)
+    std::vector<ObjectKey> ::const_iterator _iter46;
+    for (_iter46 = this->removals.begin(); _iter46 != this->removals.end(); ++_iter46)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1322,38 +1465,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other37) {
-  change_id = other37.change_id;
-  base_version = other37.base_version;
-  author = other37.author;
-  upserts = other37.upserts;
-  removals = other37.removals;
-  __isset = other37.__isset;
-}
-ConfigChange::ConfigChange(ConfigChange&& other38) noexcept {
-  change_id = std::move(other38.change_id);
-  base_version = other38.base_version;
-  author = std::move(other38.author);
-  upserts = std::move(other38.upserts);
-  removals = std::move(other38.removals);
-  __isset = other38.__isset;
-}
-ConfigChange& ConfigChange::operator=(const ConfigChange& other39) {
-  change_id = other39.change_id;
-  base_version = other39.base_version;
-  author = other39.author;
-  upserts = other39.upserts;
-  removals = other39.removals;
-  __isset = other39.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other47) {
+  change_id = other47.change_id;
+  base_version = other47.base_version;
+  author = other47.author;
+  upserts = other47.upserts;
+  removals = other47.removals;
+  __isset = other47.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other48) noexcept {
+  change_id = std::move(other48.change_id);
+  base_version = other48.base_version;
+  author = std::move(other48.author);
+  upserts = std::move(other48.upserts);
+  removals = std::move(other48.removals);
+  __isset = other48.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other49) {
+  change_id = other49.change_id;
+  base_version = other49.base_version;
+  author = other49.author;
+  upserts = other49.upserts;
+  removals = other49.removals;
+  __isset = other49.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other40) noexcept {
-  change_id = std::move(other40.change_id);
-  base_version = other40.base_version;
-  author = std::move(other40.author);
-  upserts = std::move(other40.upserts);
-  removals = std::move(other40.removals);
-  __isset = other40.__isset;
+ConfigChange& ConfigChange::operator=(ConfigChange&& other50) noexcept {
+  change_id = std::move(other50.change_id);
+  base_version = other50.base_version;
+  author = std::move(other50.author);
+  upserts = std::move(other50.upserts);
+  removals = std::move(other50.removals);
+  __isset = other50.__isset;
   return *this;
 }
 void ConfigChange::printTo(std::ostream& out) const {
@@ -1477,30 +1620,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigOutcome::ConfigOutcome(const ConfigOutcome& other41) {
-  code = other41.code;
-  version = other41.version;
-  message = other41.message;
-  __isset = other41.__isset;
+ConfigOutcome::ConfigOutcome(const ConfigOutcome& other51) {
+  code = other51.code;
+  version = other51.version;
+  message = other51.message;
+  __isset = other51.__isset;
 }
-ConfigOutcome::ConfigOutcome(ConfigOutcome&& other42) noexcept {
-  code = other42.code;
-  version = other42.version;
-  message = std::move(other42.message);
-  __isset = other42.__isset;
+ConfigOutcome::ConfigOutcome(ConfigOutcome&& other52) noexcept {
+  code = other52.code;
+  version = other52.version;
+  message = std::move(other52.message);
+  __isset = other52.__isset;
 }
-ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other43) {
-  code = other43.code;
-  version = other43.version;
-  message = other43.message;
-  __isset = other43.__isset;
+ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other53) {
+  code = other53.code;
+  version = other53.version;
+  message = other53.message;
+  __isset = other53.__isset;
   return *this;
 }
-ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other44) noexcept {
-  code = other44.code;
-  version = other44.version;
-  message = std::move(other44.message);
-  __isset = other44.__isset;
+ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other54) noexcept {
+  code = other54.code;
+  version = other54.version;
+  message = std::move(other54.message);
+  __isset = other54.__isset;
   return *this;
 }
 void ConfigOutcome::printTo(std::ostream& out) const {
@@ -1605,14 +1748,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->upserts.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->upserts.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += this->upserts[_i49].read(iprot);
+              xfer += this->upserts[_i59].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1625,14 +1768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->removals.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->removals.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->removals[_i54].read(iprot);
+              xfer += this->removals[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1653,14 +1796,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->servers.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->servers.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->servers[_i59].read(iprot);
+              xfer += this->servers[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1709,10 +1852,10 @@
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter60;
-    for (_iter60 = this->upserts.begin(); _iter60 != this->upserts.end(); ++_iter60)
+    std::vector<ObjectText> ::const_iterator _iter70;
+    for (_iter70 = this->upserts.begin(); _iter70 != this->upserts.end(); ++_iter70)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1721,10 +1864,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter61;
-    for (_iter61 = this->removals.begin(); _iter61 != this->removals.end(); ++_iter61)
+    std::vector<ObjectKey> ::const_iterator _iter71;
+    for (_iter71 = this->removals.begin(); _iter71 != this->removals.end(); ++_iter71)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1738,10 +1881,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter62;
-    for (_iter62 = this->servers.begin(); _iter62 != this->servers.end(); ++_iter62)
+    std::vector<ServerRecord> ::const_iterator _iter72;
+    for (_iter72 = this->servers.begin(); _iter72 != this->servers.end(); ++_iter72)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1769,50 +1912,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other63) {
-  from_version = other63.from_version;
-  to_version = other63.to_version;
-  whole = other63.whole;
-  upserts = other63.upserts;
-  removals = other63.removals;
-  document = other63.document;
-  servers = other63.servers;
-  servers_index = other63.servers_index;
-  __isset = other63.__isset;
-}
-ConfigDelta::ConfigDelta(ConfigDelta&& other64) noexcept {
-  from_version = other64.from_version;
-  to_version = other64.to_version;
-  whole = other64.whole;
-  upserts = std::move(other64.upserts);
-  removals = std::move(other64.removals);
-  document = std::move(other64.document);
-  servers = std::move(other64.servers);
-  servers_index = other64.servers_index;
-  __isset = other64.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other65) {
-  from_version = other65.from_version;
-  to_version = other65.to_version;
-  whole = other65.whole;
-  upserts = other65.upserts;
-  removals = other65.removals;
-  document = other65.document;
-  servers = other65.servers;
-  servers_index = other65.servers_index;
-  __isset = other65.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other73) {
+  from_version = other73.from_version;
+  to_version = other73.to_version;
+  whole = other73.whole;
+  upserts = other73.upserts;
+  removals = other73.removals;
+  document = other73.document;
+  servers = other73.servers;
+  servers_index = other73.servers_index;
+  __isset = other73.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other74) noexcept {
+  from_version = other74.from_version;
+  to_version = other74.to_version;
+  whole = other74.whole;
+  upserts = std::move(other74.upserts);
+  removals = std::move(other74.removals);
+  document = std::move(other74.document);
+  servers = std::move(other74.servers);
+  servers_index = other74.servers_index;
+  __isset = other74.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other75) {
+  from_version = other75.from_version;
+  to_version = other75.to_version;
+  whole = other75.whole;
+  upserts = other75.upserts;
+  removals = other75.removals;
+  document = other75.document;
+  servers = other75.servers;
+  servers_index = other75.servers_index;
+  __isset = other75.__isset;
   return *this;
 }
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other66) noexcept {
-  from_version = other66.from_version;
-  to_version = other66.to_version;
-  whole = other66.whole;
-  upserts = std::move(other66.upserts);
-  removals = std::move(other66.removals);
-  document = std::move(other66.document);
-  servers = std::move(other66.servers);
-  servers_index = other66.servers_index;
-  __isset = other66.__isset;
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other76) noexcept {
+  from_version = other76.from_version;
+  to_version = other76.to_version;
+  whole = other76.whole;
+  upserts = std::move(other76.upserts);
+  removals = std::move(other76.removals);
+  document = std::move(other76.document);
+  servers = std::move(other76.servers);
+  servers_index = other76.servers_index;
+  __isset = other76.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -1973,38 +2116,38 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRow::HistoryRow(const HistoryRow& other67) {
-  version = other67.version;
-  change_id = other67.change_id;
-  author = other67.author;
-  upserts = other67.upserts;
-  removals = other67.removals;
-  __isset = other67.__isset;
-}
-HistoryRow::HistoryRow(HistoryRow&& other68) noexcept {
-  version = other68.version;
-  change_id = std::move(other68.change_id);
-  author = std::move(other68.author);
-  upserts = other68.upserts;
-  removals = other68.removals;
-  __isset = other68.__isset;
-}
-HistoryRow& HistoryRow::operator=(const HistoryRow& other69) {
-  version = other69.version;
-  change_id = other69.change_id;
-  author = other69.author;
-  upserts = other69.upserts;
-  removals = other69.removals;
-  __isset = other69.__isset;
+HistoryRow::HistoryRow(const HistoryRow& other77) {
+  version = other77.version;
+  change_id = other77.change_id;
+  author = other77.author;
+  upserts = other77.upserts;
+  removals = other77.removals;
+  __isset = other77.__isset;
+}
+HistoryRow::HistoryRow(HistoryRow&& other78) noexcept {
+  version = other78.version;
+  change_id = std::move(other78.change_id);
+  author = std::move(other78.author);
+  upserts = other78.upserts;
+  removals = other78.removals;
+  __isset = other78.__isset;
+}
+HistoryRow& HistoryRow::operator=(const HistoryRow& other79) {
+  version = other79.version;
+  change_id = other79.change_id;
+  author = other79.author;
+  upserts = other79.upserts;
+  removals = other79.removals;
+  __isset = other79.__isset;
   return *this;
 }
-HistoryRow& HistoryRow::operator=(HistoryRow&& other70) noexcept {
-  version = other70.version;
-  change_id = std::move(other70.change_id);
-  author = std::move(other70.author);
-  upserts = other70.upserts;
-  removals = other70.removals;
-  __isset = other70.__isset;
+HistoryRow& HistoryRow::operator=(HistoryRow&& other80) noexcept {
+  version = other80.version;
+  change_id = std::move(other80.change_id);
+  author = std::move(other80.author);
+  upserts = other80.upserts;
+  removals = other80.removals;
+  __isset = other80.__isset;
   return *this;
 }
 void HistoryRow::printTo(std::ostream& out) const {
@@ -2145,34 +2288,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other71) {
-  status = other71.status;
-  content_type = other71.content_type;
-  body = other71.body;
-  kept = other71.kept;
-  __isset = other71.__isset;
-}
-StoredAnswer::StoredAnswer(StoredAnswer&& other72) noexcept {
-  status = other72.status;
-  content_type = std::move(other72.content_type);
-  body = std::move(other72.body);
-  kept = other72.kept;
-  __isset = other72.__isset;
-}
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other73) {
-  status = other73.status;
-  content_type = other73.content_type;
-  body = other73.body;
-  kept = other73.kept;
-  __isset = other73.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other81) {
+  status = other81.status;
+  content_type = other81.content_type;
+  body = other81.body;
+  kept = other81.kept;
+  __isset = other81.__isset;
+}
+StoredAnswer::StoredAnswer(StoredAnswer&& other82) noexcept {
+  status = other82.status;
+  content_type = std::move(other82.content_type);
+  body = std::move(other82.body);
+  kept = other82.kept;
+  __isset = other82.__isset;
+}
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other83) {
+  status = other83.status;
+  content_type = other83.content_type;
+  body = other83.body;
+  kept = other83.kept;
+  __isset = other83.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other74) noexcept {
-  status = other74.status;
-  content_type = std::move(other74.content_type);
-  body = std::move(other74.body);
-  kept = other74.kept;
-  __isset = other74.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other84) noexcept {
+  status = other84.status;
+  content_type = std::move(other84.content_type);
+  body = std::move(other84.body);
+  kept = other84.kept;
+  __isset = other84.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -2363,46 +2506,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaim::LedgerClaim(const LedgerClaim& other75) {
-  key = other75.key;
-  owner = other75.owner;
-  fingerprint = other75.fingerprint;
-  now_ms = other75.now_ms;
-  retention_ms = other75.retention_ms;
-  rerun_unknown = other75.rerun_unknown;
-  ref = other75.ref;
-  __isset = other75.__isset;
+LedgerClaim::LedgerClaim(const LedgerClaim& other85) {
+  key = other85.key;
+  owner = other85.owner;
+  fingerprint = other85.fingerprint;
+  now_ms = other85.now_ms;
+  retention_ms = other85.retention_ms;
+  rerun_unknown = other85.rerun_unknown;
+  ref = other85.ref;
+  __isset = other85.__isset;
 }
-LedgerClaim::LedgerClaim(LedgerClaim&& other76) noexcept {
-  key = std::move(other76.key);
-  owner = std::move(other76.owner);
-  fingerprint = other76.fingerprint;
-  now_ms = other76.now_ms;
-  retention_ms = other76.retention_ms;
-  rerun_unknown = other76.rerun_unknown;
-  ref = other76.ref;
-  __isset = other76.__isset;
+LedgerClaim::LedgerClaim(LedgerClaim&& other86) noexcept {
+  key = std::move(other86.key);
+  owner = std::move(other86.owner);
+  fingerprint = other86.fingerprint;
+  now_ms = other86.now_ms;
+  retention_ms = other86.retention_ms;
+  rerun_unknown = other86.rerun_unknown;
+  ref = other86.ref;
+  __isset = other86.__isset;
 }
-LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other77) {
-  key = other77.key;
-  owner = other77.owner;
-  fingerprint = other77.fingerprint;
-  now_ms = other77.now_ms;
-  retention_ms = other77.retention_ms;
-  rerun_unknown = other77.rerun_unknown;
-  ref = other77.ref;
-  __isset = other77.__isset;
+LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other87) {
+  key = other87.key;
+  owner = other87.owner;
+  fingerprint = other87.fingerprint;
+  now_ms = other87.now_ms;
+  retention_ms = other87.retention_ms;
+  rerun_unknown = other87.rerun_unknown;
+  ref = other87.ref;
+  __isset = other87.__isset;
   return *this;
 }
-LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other78) noexcept {
-  key = std::move(other78.key);
-  owner = std::move(other78.owner);
-  fingerprint = other78.fingerprint;
-  now_ms = other78.now_ms;
-  retention_ms = other78.retention_ms;
-  rerun_unknown = other78.rerun_unknown;
-  ref = other78.ref;
-  __isset = other78.__isset;
+LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other88) noexcept {
+  key = std::move(other88.key);
+  owner = std::move(other88.owner);
+  fingerprint = other88.fingerprint;
+  now_ms = other88.now_ms;
+  retention_ms = other88.retention_ms;
+  rerun_unknown = other88.rerun_unknown;
+  ref = other88.ref;
+  __isset = other88.__isset;
   return *this;
 }
 void LedgerClaim::printTo(std::ostream& out) const {
@@ -2460,9 +2603,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast79;
-          xfer += iprot->readI32(ecast79);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast79);
+          int32_t ecast89;
+          xfer += iprot->readI32(ecast89);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast89);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2513,26 +2656,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimResult::ClaimResult(const ClaimResult& other80) {
-  verdict = other80.verdict;
-  answer = other80.answer;
-  __isset = other80.__isset;
+ClaimResult::ClaimResult(const ClaimResult& other90) {
+  verdict = other90.verdict;
+  answer = other90.answer;
+  __isset = other90.__isset;
 }
-ClaimResult::ClaimResult(ClaimResult&& other81) noexcept {
-  verdict = other81.verdict;
-  answer = std::move(other81.answer);
-  __isset = other81.__isset;
+ClaimResult::ClaimResult(ClaimResult&& other91) noexcept {
+  verdict = other91.verdict;
+  answer = std::move(other91.answer);
+  __isset = other91.__isset;
 }
-ClaimResult& ClaimResult::operator=(const ClaimResult& other82) {
-  verdict = other82.verdict;
-  answer = other82.answer;
-  __isset = other82.__isset;
+ClaimResult& ClaimResult::operator=(const ClaimResult& other92) {
+  verdict = other92.verdict;
+  answer = other92.answer;
+  __isset = other92.__isset;
   return *this;
 }
-ClaimResult& ClaimResult::operator=(ClaimResult&& other83) noexcept {
-  verdict = other83.verdict;
-  answer = std::move(other83.answer);
-  __isset = other83.__isset;
+ClaimResult& ClaimResult::operator=(ClaimResult&& other93) noexcept {
+  verdict = other93.verdict;
+  answer = std::move(other93.answer);
+  __isset = other93.__isset;
   return *this;
 }
 void ClaimResult::printTo(std::ostream& out) const {
@@ -2613,9 +2756,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast84;
-          xfer += iprot->readI32(ecast84);
-          this->kind = static_cast<FinishKind::type>(ecast84);
+          int32_t ecast94;
+          xfer += iprot->readI32(ecast94);
+          this->kind = static_cast<FinishKind::type>(ecast94);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2689,38 +2832,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinish::LedgerFinish(const LedgerFinish& other85) {
-  key = other85.key;
-  owner = other85.owner;
-  kind = other85.kind;
-  answer = other85.answer;
-  ref = other85.ref;
-  __isset = other85.__isset;
+LedgerFinish::LedgerFinish(const LedgerFinish& other95) {
+  key = other95.key;
+  owner = other95.owner;
+  kind = other95.kind;
+  answer = other95.answer;
+  ref = other95.ref;
+  __isset = other95.__isset;
 }
-LedgerFinish::LedgerFinish(LedgerFinish&& other86) noexcept {
-  key = std::move(other86.key);
-  owner = std::move(other86.owner);
-  kind = other86.kind;
-  answer = std::move(other86.answer);
-  ref = other86.ref;
-  __isset = other86.__isset;
+LedgerFinish::LedgerFinish(LedgerFinish&& other96) noexcept {
+  key = std::move(other96.key);
+  owner = std::move(other96.owner);
+  kind = other96.kind;
+  answer = std::move(other96.answer);
+  ref = other96.ref;
+  __isset = other96.__isset;
 }
-LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other87) {
-  key = other87.key;
-  owner = other87.owner;
-  kind = other87.kind;
-  answer = other87.answer;
-  ref = other87.ref;
-  __isset = other87.__isset;
+LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other97) {
+  key = other97.key;
+  owner = other97.owner;
+  kind = other97.kind;
+  answer = other97.answer;
+  ref = other97.ref;
+  __isset = other97.__isset;
   return *this;
 }
-LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other88) noexcept {
-  key = std::move(other88.key);
-  owner = std::move(other88.owner);
-  kind = other88.kind;
-  answer = std::move(other88.answer);
-  ref = other88.ref;
-  __isset = other88.__isset;
+LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other98) noexcept {
+  key = std::move(other98.key);
+  owner = std::move(other98.owner);
+  kind = other98.kind;
+  answer = std::move(other98.answer);
+  ref = other98.ref;
+  __isset = other98.__isset;
   return *this;
 }
 void LedgerFinish::printTo(std::ostream& out) const {
@@ -2878,38 +3021,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other89) {
-  lease = other89.lease;
-  holder = other89.holder;
-  address = other89.address;
-  port = other89.port;
-  epoch = other89.epoch;
-  __isset = other89.__isset;
-}
-LeaseGrant::LeaseGrant(LeaseGrant&& other90) noexcept {
-  lease = std::move(other90.lease);
-  holder = std::move(other90.holder);
-  address = std::move(other90.address);
-  port = other90.port;
-  epoch = other90.epoch;
-  __isset = other90.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other99) {
+  lease = other99.lease;
+  holder = other99.holder;
+  address = other99.address;
+  port = other99.port;
+  epoch = other99.epoch;
+  __isset = other99.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other91) {
-  lease = other91.lease;
-  holder = other91.holder;
-  address = other91.address;
-  port = other91.port;
-  epoch = other91.epoch;
-  __isset = other91.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other100) noexcept {
+  lease = std::move(other100.lease);
+  holder = std::move(other100.holder);
+  address = std::move(other100.address);
+  port = other100.port;
+  epoch = other100.epoch;
+  __isset = other100.__isset;
+}
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other101) {
+  lease = other101.lease;
+  holder = other101.holder;
+  address = other101.address;
+  port = other101.port;
+  epoch = other101.epoch;
+  __isset = other101.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other92) noexcept {
-  lease = std::move(other92.lease);
-  holder = std::move(other92.holder);
-  address = std::move(other92.address);
-  port = other92.port;
-  epoch = other92.epoch;
-  __isset = other92.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other102) noexcept {
+  lease = std::move(other102.lease);
+  holder = std::move(other102.holder);
+  address = std::move(other102.address);
+  port = other102.port;
+  epoch = other102.epoch;
+  __isset = other102.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -2999,22 +3142,22 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceGone::InstanceGone(const InstanceGone& other93) {
-  incarnation = other93.incarnation;
-  __isset = other93.__isset;
+InstanceGone::InstanceGone(const InstanceGone& other103) {
+  incarnation = other103.incarnation;
+  __isset = other103.__isset;
 }
-InstanceGone::InstanceGone(InstanceGone&& other94) noexcept {
-  incarnation = std::move(other94.incarnation);
-  __isset = other94.__isset;
+InstanceGone::InstanceGone(InstanceGone&& other104) noexcept {
+  incarnation = std::move(other104.incarnation);
+  __isset = other104.__isset;
 }
-InstanceGone& InstanceGone::operator=(const InstanceGone& other95) {
-  incarnation = other95.incarnation;
-  __isset = other95.__isset;
+InstanceGone& InstanceGone::operator=(const InstanceGone& other105) {
+  incarnation = other105.incarnation;
+  __isset = other105.__isset;
   return *this;
 }
-InstanceGone& InstanceGone::operator=(InstanceGone&& other96) noexcept {
-  incarnation = std::move(other96.incarnation);
-  __isset = other96.__isset;
+InstanceGone& InstanceGone::operator=(InstanceGone&& other106) noexcept {
+  incarnation = std::move(other106.incarnation);
+  __isset = other106.__isset;
   return *this;
 }
 void InstanceGone::printTo(std::ostream& out) const {
@@ -3168,38 +3311,38 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberInfo::MemberInfo(const MemberInfo& other97) {
-  id = other97.id;
-  name = other97.name;
-  address = other97.address;
-  port = other97.port;
-  voter = other97.voter;
-  __isset = other97.__isset;
+MemberInfo::MemberInfo(const MemberInfo& other107) {
+  id = other107.id;
+  name = other107.name;
+  address = other107.address;
+  port = other107.port;
+  voter = other107.voter;
+  __isset = other107.__isset;
 }
-MemberInfo::MemberInfo(MemberInfo&& other98) noexcept {
-  id = other98.id;
-  name = std::move(other98.name);
-  address = std::move(other98.address);
-  port = other98.port;
-  voter = other98.voter;
-  __isset = other98.__isset;
+MemberInfo::MemberInfo(MemberInfo&& other108) noexcept {
+  id = other108.id;
+  name = std::move(other108.name);
+  address = std::move(other108.address);
+  port = other108.port;
+  voter = other108.voter;
+  __isset = other108.__isset;
 }
-MemberInfo& MemberInfo::operator=(const MemberInfo& other99) {
-  id = other99.id;
-  name = other99.name;
-  address = other99.address;
-  port = other99.port;
-  voter = other99.voter;
-  __isset = other99.__isset;
+MemberInfo& MemberInfo::operator=(const MemberInfo& other109) {
+  id = other109.id;
+  name = other109.name;
+  address = other109.address;
+  port = other109.port;
+  voter = other109.voter;
+  __isset = other109.__isset;
   return *this;
 }
-MemberInfo& MemberInfo::operator=(MemberInfo&& other100) noexcept {
-  id = other100.id;
-  name = std::move(other100.name);
-  address = std::move(other100.address);
-  port = other100.port;
-  voter = other100.voter;
-  __isset = other100.__isset;
+MemberInfo& MemberInfo::operator=(MemberInfo&& other110) noexcept {
+  id = other110.id;
+  name = std::move(other110.name);
+  address = std::move(other110.address);
+  port = other110.port;
+  voter = other110.voter;
+  __isset = other110.__isset;
   return *this;
 }
 void MemberInfo::printTo(std::ostream& out) const {
@@ -3253,14 +3396,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->members.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->members.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->members[_i105].read(iprot);
+              xfer += this->members[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3289,10 +3432,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter106;
-    for (_iter106 = this->members.begin(); _iter106 != this->members.end(); ++_iter106)
+    std::vector<MemberInfo> ::const_iterator _iter116;
+    for (_iter116 = this->members.begin(); _iter116 != this->members.end(); ++_iter116)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3309,22 +3452,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other107) {
-  members = other107.members;
-  __isset = other107.__isset;
+Membership::Membership(const Membership& other117) {
+  members = other117.members;
+  __isset = other117.__isset;
 }
-Membership::Membership(Membership&& other108) noexcept {
-  members = std::move(other108.members);
-  __isset = other108.__isset;
+Membership::Membership(Membership&& other118) noexcept {
+  members = std::move(other118.members);
+  __isset = other118.__isset;
 }
-Membership& Membership::operator=(const Membership& other109) {
-  members = other109.members;
-  __isset = other109.__isset;
+Membership& Membership::operator=(const Membership& other119) {
+  members = other119.members;
+  __isset = other119.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other110) noexcept {
-  members = std::move(other110.members);
-  __isset = other110.__isset;
+Membership& Membership::operator=(Membership&& other120) noexcept {
+  members = std::move(other120.members);
+  __isset = other120.__isset;
   return *this;
 }
 void Membership::printTo(std::ostream& out) const {
@@ -3564,54 +3707,54 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other111) {
-  config = other111.config;
-  claim = other111.claim;
-  finish = other111.finish;
-  lease = other111.lease;
-  gone = other111.gone;
-  membership = other111.membership;
-  noop = other111.noop;
-  document = other111.document;
-  server = other111.server;
-  __isset = other111.__isset;
-}
-Command::Command(Command&& other112) noexcept {
-  config = std::move(other112.config);
-  claim = std::move(other112.claim);
-  finish = std::move(other112.finish);
-  lease = std::move(other112.lease);
-  gone = std::move(other112.gone);
-  membership = std::move(other112.membership);
-  noop = other112.noop;
-  document = std::move(other112.document);
-  server = std::move(other112.server);
-  __isset = other112.__isset;
-}
-Command& Command::operator=(const Command& other113) {
-  config = other113.config;
-  claim = other113.claim;
-  finish = other113.finish;
-  lease = other113.lease;
-  gone = other113.gone;
-  membership = other113.membership;
-  noop = other113.noop;
-  document = other113.document;
-  server = other113.server;
-  __isset = other113.__isset;
+Command::Command(const Command& other121) {
+  config = other121.config;
+  claim = other121.claim;
+  finish = other121.finish;
+  lease = other121.lease;
+  gone = other121.gone;
+  membership = other121.membership;
+  noop = other121.noop;
+  document = other121.document;
+  server = other121.server;
+  __isset = other121.__isset;
+}
+Command::Command(Command&& other122) noexcept {
+  config = std::move(other122.config);
+  claim = std::move(other122.claim);
+  finish = std::move(other122.finish);
+  lease = std::move(other122.lease);
+  gone = std::move(other122.gone);
+  membership = std::move(other122.membership);
+  noop = other122.noop;
+  document = std::move(other122.document);
+  server = std::move(other122.server);
+  __isset = other122.__isset;
+}
+Command& Command::operator=(const Command& other123) {
+  config = other123.config;
+  claim = other123.claim;
+  finish = other123.finish;
+  lease = other123.lease;
+  gone = other123.gone;
+  membership = other123.membership;
+  noop = other123.noop;
+  document = other123.document;
+  server = other123.server;
+  __isset = other123.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other114) noexcept {
-  config = std::move(other114.config);
-  claim = std::move(other114.claim);
-  finish = std::move(other114.finish);
-  lease = std::move(other114.lease);
-  gone = std::move(other114.gone);
-  membership = std::move(other114.membership);
-  noop = other114.noop;
-  document = std::move(other114.document);
-  server = std::move(other114.server);
-  __isset = other114.__isset;
+Command& Command::operator=(Command&& other124) noexcept {
+  config = std::move(other124.config);
+  claim = std::move(other124.claim);
+  finish = std::move(other124.finish);
+  lease = std::move(other124.lease);
+  gone = std::move(other124.gone);
+  membership = std::move(other124.membership);
+  noop = other124.noop;
+  document = std::move(other124.document);
+  server = std::move(other124.server);
+  __isset = other124.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -3739,30 +3882,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other115) {
-  index = other115.index;
-  term = other115.term;
-  command = other115.command;
-  __isset = other115.__isset;
+LogEntry::LogEntry(const LogEntry& other125) {
+  index = other125.index;
+  term = other125.term;
+  command = other125.command;
+  __isset = other125.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other116) noexcept {
-  index = other116.index;
-  term = other116.term;
-  command = std::move(other116.command);
-  __isset = other116.__isset;
+LogEntry::LogEntry(LogEntry&& other126) noexcept {
+  index = other126.index;
+  term = other126.term;
+  command = std::move(other126.command);
+  __isset = other126.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other117) {
-  index = other117.index;
-  term = other117.term;
-  command = other117.command;
-  __isset = other117.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other127) {
+  index = other127.index;
+  term = other127.term;
+  command = other127.command;
+  __isset = other127.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other118) noexcept {
-  index = other118.index;
-  term = other118.term;
-  command = std::move(other118.command);
-  __isset = other118.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other128) noexcept {
+  index = other128.index;
+  term = other128.term;
+  command = std::move(other128.command);
+  __isset = other128.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -3867,26 +4010,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other119) noexcept {
-  term = other119.term;
-  vote = other119.vote;
-  __isset = other119.__isset;
+HardState::HardState(const HardState& other129) noexcept {
+  term = other129.term;
+  vote = other129.vote;
+  __isset = other129.__isset;
 }
-HardState::HardState(HardState&& other120) noexcept {
-  term = other120.term;
-  vote = other120.vote;
-  __isset = other120.__isset;
+HardState::HardState(HardState&& other130) noexcept {
+  term = other130.term;
+  vote = other130.vote;
+  __isset = other130.__isset;
 }
-HardState& HardState::operator=(const HardState& other121) noexcept {
-  term = other121.term;
-  vote = other121.vote;
-  __isset = other121.__isset;
+HardState& HardState::operator=(const HardState& other131) noexcept {
+  term = other131.term;
+  vote = other131.vote;
+  __isset = other131.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other122) noexcept {
-  term = other122.term;
-  vote = other122.vote;
-  __isset = other122.__isset;
+HardState& HardState::operator=(HardState&& other132) noexcept {
+  term = other132.term;
+  vote = other132.vote;
+  __isset = other132.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -4024,34 +4167,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other123) {
-  index = other123.index;
-  term = other123.term;
-  membership = other123.membership;
-  state = other123.state;
-  __isset = other123.__isset;
+Snapshot::Snapshot(const Snapshot& other133) {
+  index = other133.index;
+  term = other133.term;
+  membership = other133.membership;
+  state = other133.state;
+  __isset = other133.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other124) noexcept {
-  index = other124.index;
-  term = other124.term;
-  membership = std::move(other124.membership);
-  state = std::move(other124.state);
-  __isset = other124.__isset;
+Snapshot::Snapshot(Snapshot&& other134) noexcept {
+  index = other134.index;
+  term = other134.term;
+  membership = std::move(other134.membership);
+  state = std::move(other134.state);
+  __isset = other134.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other125) {
-  index = other125.index;
-  term = other125.term;
-  membership = other125.membership;
-  state = other125.state;
-  __isset = other125.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other135) {
+  index = other135.index;
+  term = other135.term;
+  membership = other135.membership;
+  state = other135.state;
+  __isset = other135.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other126) noexcept {
-  index = other126.index;
-  term = other126.term;
-  membership = std::move(other126.membership);
-  state = std::move(other126.state);
-  __isset = other126.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other136) noexcept {
+  index = other136.index;
+  term = other136.term;
+  membership = std::move(other136.membership);
+  state = std::move(other136.state);
+  __isset = other136.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -4191,34 +4334,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other127) noexcept {
-  term = other127.term;
-  last_index = other127.last_index;
-  last_term = other127.last_term;
-  pre = other127.pre;
-  __isset = other127.__isset;
-}
-VoteRequest::VoteRequest(VoteRequest&& other128) noexcept {
-  term = other128.term;
-  last_index = other128.last_index;
-  last_term = other128.last_term;
-  pre = other128.pre;
-  __isset = other128.__isset;
-}
-VoteRequest& VoteRequest::operator=(const VoteRequest& other129) noexcept {
-  term = other129.term;
-  last_index = other129.last_index;
-  last_term = other129.last_term;
-  pre = other129.pre;
-  __isset = other129.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other137) noexcept {
+  term = other137.term;
+  last_index = other137.last_index;
+  last_term = other137.last_term;
+  pre = other137.pre;
+  __isset = other137.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other138) noexcept {
+  term = other138.term;
+  last_index = other138.last_index;
+  last_term = other138.last_term;
+  pre = other138.pre;
+  __isset = other138.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other139) noexcept {
+  term = other139.term;
+  last_index = other139.last_index;
+  last_term = other139.last_term;
+  pre = other139.pre;
+  __isset = other139.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other130) noexcept {
-  term = other130.term;
-  last_index = other130.last_index;
-  last_term = other130.last_term;
-  pre = other130.pre;
-  __isset = other130.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other140) noexcept {
+  term = other140.term;
+  last_index = other140.last_index;
+  last_term = other140.last_term;
+  pre = other140.pre;
+  __isset = other140.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -4341,30 +4484,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other131) noexcept {
-  term = other131.term;
-  granted = other131.granted;
-  pre = other131.pre;
-  __isset = other131.__isset;
+VoteReply::VoteReply(const VoteReply& other141) noexcept {
+  term = other141.term;
+  granted = other141.granted;
+  pre = other141.pre;
+  __isset = other141.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other132) noexcept {
-  term = other132.term;
-  granted = other132.granted;
-  pre = other132.pre;
-  __isset = other132.__isset;
+VoteReply::VoteReply(VoteReply&& other142) noexcept {
+  term = other142.term;
+  granted = other142.granted;
+  pre = other142.pre;
+  __isset = other142.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other133) noexcept {
-  term = other133.term;
-  granted = other133.granted;
-  pre = other133.pre;
-  __isset = other133.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other143) noexcept {
+  term = other143.term;
+  granted = other143.granted;
+  pre = other143.pre;
+  __isset = other143.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other134) noexcept {
-  term = other134.term;
-  granted = other134.granted;
-  pre = other134.pre;
-  __isset = other134.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other144) noexcept {
+  term = other144.term;
+  granted = other144.granted;
+  pre = other144.pre;
+  __isset = other144.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -4460,14 +4603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->entries.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->entries.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->entries[_i139].read(iprot);
+              xfer += this->entries[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4524,10 +4667,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter140;
-    for (_iter140 = this->entries.begin(); _iter140 != this->entries.end(); ++_iter140)
+    std::vector<LogEntry> ::const_iterator _iter150;
+    for (_iter150 = this->entries.begin(); _iter150 != this->entries.end(); ++_iter150)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4557,42 +4700,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other141) {
-  term = other141.term;
-  prev_index = other141.prev_index;
-  prev_term = other141.prev_term;
-  entries = other141.entries;
-  commit = other141.commit;
-  sent_us = other141.sent_us;
-  __isset = other141.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other151) {
+  term = other151.term;
+  prev_index = other151.prev_index;
+  prev_term = other151.prev_term;
+  entries = other151.entries;
+  commit = other151.commit;
+  sent_us = other151.sent_us;
+  __isset = other151.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other142) noexcept {
-  term = other142.term;
-  prev_index = other142.prev_index;
-  prev_term = other142.prev_term;
-  entries = std::move(other142.entries);
-  commit = other142.commit;
-  sent_us = other142.sent_us;
-  __isset = other142.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other152) noexcept {
+  term = other152.term;
+  prev_index = other152.prev_index;
+  prev_term = other152.prev_term;
+  entries = std::move(other152.entries);
+  commit = other152.commit;
+  sent_us = other152.sent_us;
+  __isset = other152.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other143) {
-  term = other143.term;
-  prev_index = other143.prev_index;
-  prev_term = other143.prev_term;
-  entries = other143.entries;
-  commit = other143.commit;
-  sent_us = other143.sent_us;
-  __isset = other143.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other153) {
+  term = other153.term;
+  prev_index = other153.prev_index;
+  prev_term = other153.prev_term;
+  entries = other153.entries;
+  commit = other153.commit;
+  sent_us = other153.sent_us;
+  __isset = other153.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other144) noexcept {
-  term = other144.term;
-  prev_index = other144.prev_index;
-  prev_term = other144.prev_term;
-  entries = std::move(other144.entries);
-  commit = other144.commit;
-  sent_us = other144.sent_us;
-  __isset = other144.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other154) noexcept {
+  term = other154.term;
+  prev_index = other154.prev_index;
+  prev_term = other154.prev_term;
+  entries = std::move(other154.entries);
+  commit = other154.commit;
+  sent_us = other154.sent_us;
+  __isset = other154.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -4734,34 +4877,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other145) noexcept {
-  term = other145.term;
-  ok = other145.ok;
-  match = other145.match;
-  sent_us = other145.sent_us;
-  __isset = other145.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other146) noexcept {
-  term = other146.term;
-  ok = other146.ok;
-  match = other146.match;
-  sent_us = other146.sent_us;
-  __isset = other146.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other147) noexcept {
-  term = other147.term;
-  ok = other147.ok;
-  match = other147.match;
-  sent_us = other147.sent_us;
-  __isset = other147.__isset;
+AppendReply::AppendReply(const AppendReply& other155) noexcept {
+  term = other155.term;
+  ok = other155.ok;
+  match = other155.match;
+  sent_us = other155.sent_us;
+  __isset = other155.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other156) noexcept {
+  term = other156.term;
+  ok = other156.ok;
+  match = other156.match;
+  sent_us = other156.sent_us;
+  __isset = other156.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other157) noexcept {
+  term = other157.term;
+  ok = other157.ok;
+  match = other157.match;
+  sent_us = other157.sent_us;
+  __isset = other157.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other148) noexcept {
-  term = other148.term;
-  ok = other148.ok;
-  match = other148.match;
-  sent_us = other148.sent_us;
-  __isset = other148.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other158) noexcept {
+  term = other158.term;
+  ok = other158.ok;
+  match = other158.match;
+  sent_us = other158.sent_us;
+  __isset = other158.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -4867,26 +5010,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other149) {
-  term = other149.term;
-  snapshot = other149.snapshot;
-  __isset = other149.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other159) {
+  term = other159.term;
+  snapshot = other159.snapshot;
+  __isset = other159.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other150) noexcept {
-  term = other150.term;
-  snapshot = std::move(other150.snapshot);
-  __isset = other150.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other160) noexcept {
+  term = other160.term;
+  snapshot = std::move(other160.snapshot);
+  __isset = other160.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other151) {
-  term = other151.term;
-  snapshot = other151.snapshot;
-  __isset = other151.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other161) {
+  term = other161.term;
+  snapshot = other161.snapshot;
+  __isset = other161.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other152) noexcept {
-  term = other152.term;
-  snapshot = std::move(other152.snapshot);
-  __isset = other152.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other162) noexcept {
+  term = other162.term;
+  snapshot = std::move(other162.snapshot);
+  __isset = other162.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -5051,38 +5194,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBody::LogBody(const LogBody& other153) {
-  vote = other153.vote;
-  vote_reply = other153.vote_reply;
-  append = other153.append;
-  append_reply = other153.append_reply;
-  snapshot = other153.snapshot;
-  __isset = other153.__isset;
+LogBody::LogBody(const LogBody& other163) {
+  vote = other163.vote;
+  vote_reply = other163.vote_reply;
+  append = other163.append;
+  append_reply = other163.append_reply;
+  snapshot = other163.snapshot;
+  __isset = other163.__isset;
 }
-LogBody::LogBody(LogBody&& other154) noexcept {
-  vote = std::move(other154.vote);
-  vote_reply = std::move(other154.vote_reply);
-  append = std::move(other154.append);
-  append_reply = std::move(other154.append_reply);
-  snapshot = std::move(other154.snapshot);
-  __isset = other154.__isset;
+LogBody::LogBody(LogBody&& other164) noexcept {
+  vote = std::move(other164.vote);
+  vote_reply = std::move(other164.vote_reply);
+  append = std::move(other164.append);
+  append_reply = std::move(other164.append_reply);
+  snapshot = std::move(other164.snapshot);
+  __isset = other164.__isset;
 }
-LogBody& LogBody::operator=(const LogBody& other155) {
-  vote = other155.vote;
-  vote_reply = other155.vote_reply;
-  append = other155.append;
-  append_reply = other155.append_reply;
-  snapshot = other155.snapshot;
-  __isset = other155.__isset;
+LogBody& LogBody::operator=(const LogBody& other165) {
+  vote = other165.vote;
+  vote_reply = other165.vote_reply;
+  append = other165.append;
+  append_reply = other165.append_reply;
+  snapshot = other165.snapshot;
+  __isset = other165.__isset;
   return *this;
 }
-LogBody& LogBody::operator=(LogBody&& other156) noexcept {
-  vote = std::move(other156.vote);
-  vote_reply = std::move(other156.vote_reply);
-  append = std::move(other156.append);
-  append_reply = std::move(other156.append_reply);
-  snapshot = std::move(other156.snapshot);
-  __isset = other156.__isset;
+LogBody& LogBody::operator=(LogBody&& other166) noexcept {
+  vote = std::move(other166.vote);
+  vote_reply = std::move(other166.vote_reply);
+  append = std::move(other166.append);
+  append_reply = std::move(other166.append_reply);
+  snapshot = std::move(other166.snapshot);
+  __isset = other166.__isset;
   return *this;
 }
 void LogBody::printTo(std::ostream& out) const {
@@ -5240,38 +5383,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other157) {
-  from_id = other157.from_id;
-  to_id = other157.to_id;
-  body = other157.body;
-  cluster = other157.cluster;
-  from_name = other157.from_name;
-  __isset = other157.__isset;
-}
-LogMessage::LogMessage(LogMessage&& other158) noexcept {
-  from_id = other158.from_id;
-  to_id = other158.to_id;
-  body = std::move(other158.body);
-  cluster = std::move(other158.cluster);
-  from_name = std::move(other158.from_name);
-  __isset = other158.__isset;
-}
-LogMessage& LogMessage::operator=(const LogMessage& other159) {
-  from_id = other159.from_id;
-  to_id = other159.to_id;
-  body = other159.body;
-  cluster = other159.cluster;
-  from_name = other159.from_name;
-  __isset = other159.__isset;
+LogMessage::LogMessage(const LogMessage& other167) {
+  from_id = other167.from_id;
+  to_id = other167.to_id;
+  body = other167.body;
+  cluster = other167.cluster;
+  from_name = other167.from_name;
+  __isset = other167.__isset;
+}
+LogMessage::LogMessage(LogMessage&& other168) noexcept {
+  from_id = other168.from_id;
+  to_id = other168.to_id;
+  body = std::move(other168.body);
+  cluster = std::move(other168.cluster);
+  from_name = std::move(other168.from_name);
+  __isset = other168.__isset;
+}
+LogMessage& LogMessage::operator=(const LogMessage& other169) {
+  from_id = other169.from_id;
+  to_id = other169.to_id;
+  body = other169.body;
+  cluster = other169.cluster;
+  from_name = other169.from_name;
+  __isset = other169.__isset;
   return *this;
 }
-LogMessage& LogMessage::operator=(LogMessage&& other160) noexcept {
-  from_id = other160.from_id;
-  to_id = other160.to_id;
-  body = std::move(other160.body);
-  cluster = std::move(other160.cluster);
-  from_name = std::move(other160.from_name);
-  __isset = other160.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other170) noexcept {
+  from_id = other170.from_id;
+  to_id = other170.to_id;
+  body = std::move(other170.body);
+  cluster = std::move(other170.cluster);
+  from_name = std::move(other170.from_name);
+  __isset = other170.__isset;
   return *this;
 }
 void LogMessage::printTo(std::ostream& out) const {
@@ -5395,30 +5538,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other161) {
-  cluster = other161.cluster;
-  member = other161.member;
-  blank = other161.blank;
-  __isset = other161.__isset;
+Hello::Hello(const Hello& other171) {
+  cluster = other171.cluster;
+  member = other171.member;
+  blank = other171.blank;
+  __isset = other171.__isset;
 }
-Hello::Hello(Hello&& other162) noexcept {
-  cluster = std::move(other162.cluster);
-  member = std::move(other162.member);
-  blank = other162.blank;
-  __isset = other162.__isset;
+Hello::Hello(Hello&& other172) noexcept {
+  cluster = std::move(other172.cluster);
+  member = std::move(other172.member);
+  blank = other172.blank;
+  __isset = other172.__isset;
 }
-Hello& Hello::operator=(const Hello& other163) {
-  cluster = other163.cluster;
-  member = other163.member;
-  blank = other163.blank;
-  __isset = other163.__isset;
+Hello& Hello::operator=(const Hello& other173) {
+  cluster = other173.cluster;
+  member = other173.member;
+  blank = other173.blank;
+  __isset = other173.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other164) noexcept {
-  cluster = std::move(other164.cluster);
-  member = std::move(other164.member);
-  blank = other164.blank;
-  __isset = other164.__isset;
+Hello& Hello::operator=(Hello&& other174) noexcept {
+  cluster = std::move(other174.cluster);
+  member = std::move(other174.member);
+  blank = other174.blank;
+  __isset = other174.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -5506,14 +5649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->members.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->members.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += this->members[_i169].read(iprot);
+              xfer += this->members[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5554,10 +5697,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter170;
-    for (_iter170 = this->members.begin(); _iter170 != this->members.end(); ++_iter170)
+    std::vector<MemberInfo> ::const_iterator _iter180;
+    for (_iter180 = this->members.begin(); _iter180 != this->members.end(); ++_iter180)
     {
-      xfer += (*_iter170).write(oprot);
+      xfer += (*_iter180).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5577,34 +5720,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other171) {
-  member = other171.member;
-  blank = other171.blank;
-  leader_id = other171.leader_id;
-  members = other171.members;
-  __isset = other171.__isset;
+HelloReply::HelloReply(const HelloReply& other181) {
+  member = other181.member;
+  blank = other181.blank;
+  leader_id = other181.leader_id;
+  members = other181.members;
+  __isset = other181.__isset;
 }
-HelloReply::HelloReply(HelloReply&& other172) noexcept {
-  member = std::move(other172.member);
-  blank = other172.blank;
-  leader_id = other172.leader_id;
-  members = std::move(other172.members);
-  __isset = other172.__isset;
+HelloReply::HelloReply(HelloReply&& other182) noexcept {
+  member = std::move(other182.member);
+  blank = other182.blank;
+  leader_id = other182.leader_id;
+  members = std::move(other182.members);
+  __isset = other182.__isset;
 }
-HelloReply& HelloReply::operator=(const HelloReply& other173) {
-  member = other173.member;
-  blank = other173.blank;
-  leader_id = other173.leader_id;
-  members = other173.members;
-  __isset = other173.__isset;
+HelloReply& HelloReply::operator=(const HelloReply& other183) {
+  member = other183.member;
+  blank = other183.blank;
+  leader_id = other183.leader_id;
+  members = other183.members;
+  __isset = other183.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other174) noexcept {
-  member = std::move(other174.member);
-  blank = other174.blank;
-  leader_id = other174.leader_id;
-  members = std::move(other174.members);
-  __isset = other174.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other184) noexcept {
+  member = std::move(other184.member);
+  blank = other184.blank;
+  leader_id = other184.leader_id;
+  members = std::move(other184.members);
+  __isset = other184.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -5710,26 +5853,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectState::ObjectState(const ObjectState& other175) {
-  object = other175.object;
-  version = other175.version;
-  __isset = other175.__isset;
+ObjectState::ObjectState(const ObjectState& other185) {
+  object = other185.object;
+  version = other185.version;
+  __isset = other185.__isset;
 }
-ObjectState::ObjectState(ObjectState&& other176) noexcept {
-  object = std::move(other176.object);
-  version = other176.version;
-  __isset = other176.__isset;
+ObjectState::ObjectState(ObjectState&& other186) noexcept {
+  object = std::move(other186.object);
+  version = other186.version;
+  __isset = other186.__isset;
 }
-ObjectState& ObjectState::operator=(const ObjectState& other177) {
-  object = other177.object;
-  version = other177.version;
-  __isset = other177.__isset;
+ObjectState& ObjectState::operator=(const ObjectState& other187) {
+  object = other187.object;
+  version = other187.version;
+  __isset = other187.__isset;
   return *this;
 }
-ObjectState& ObjectState::operator=(ObjectState&& other178) noexcept {
-  object = std::move(other178.object);
-  version = other178.version;
-  __isset = other178.__isset;
+ObjectState& ObjectState::operator=(ObjectState&& other188) noexcept {
+  object = std::move(other188.object);
+  version = other188.version;
+  __isset = other188.__isset;
   return *this;
 }
 void ObjectState::printTo(std::ostream& out) const {
@@ -5833,26 +5976,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RemovalState::RemovalState(const RemovalState& other179) {
-  key = other179.key;
-  version = other179.version;
-  __isset = other179.__isset;
+RemovalState::RemovalState(const RemovalState& other189) {
+  key = other189.key;
+  version = other189.version;
+  __isset = other189.__isset;
 }
-RemovalState::RemovalState(RemovalState&& other180) noexcept {
-  key = std::move(other180.key);
-  version = other180.version;
-  __isset = other180.__isset;
+RemovalState::RemovalState(RemovalState&& other190) noexcept {
+  key = std::move(other190.key);
+  version = other190.version;
+  __isset = other190.__isset;
 }
-RemovalState& RemovalState::operator=(const RemovalState& other181) {
-  key = other181.key;
-  version = other181.version;
-  __isset = other181.__isset;
+RemovalState& RemovalState::operator=(const RemovalState& other191) {
+  key = other191.key;
+  version = other191.version;
+  __isset = other191.__isset;
   return *this;
 }
-RemovalState& RemovalState::operator=(RemovalState&& other182) noexcept {
-  key = std::move(other182.key);
-  version = other182.version;
-  __isset = other182.__isset;
+RemovalState& RemovalState::operator=(RemovalState&& other192) noexcept {
+  key = std::move(other192.key);
+  version = other192.version;
+  __isset = other192.__isset;
   return *this;
 }
 void RemovalState::printTo(std::ostream& out) const {
@@ -5973,30 +6116,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeState::ChangeState(const ChangeState& other183) {
-  change_id = other183.change_id;
-  fingerprint = other183.fingerprint;
-  outcome = other183.outcome;
-  __isset = other183.__isset;
+ChangeState::ChangeState(const ChangeState& other193) {
+  change_id = other193.change_id;
+  fingerprint = other193.fingerprint;
+  outcome = other193.outcome;
+  __isset = other193.__isset;
 }
-ChangeState::ChangeState(ChangeState&& other184) noexcept {
-  change_id = std::move(other184.change_id);
-  fingerprint = other184.fingerprint;
-  outcome = std::move(other184.outcome);
-  __isset = other184.__isset;
+ChangeState::ChangeState(ChangeState&& other194) noexcept {
+  change_id = std::move(other194.change_id);
+  fingerprint = other194.fingerprint;
+  outcome = std::move(other194.outcome);
+  __isset = other194.__isset;
 }
-ChangeState& ChangeState::operator=(const ChangeState& other185) {
-  change_id = other185.change_id;
-  fingerprint = other185.fingerprint;
-  outcome = other185.outcome;
-  __isset = other185.__isset;
+ChangeState& ChangeState::operator=(const ChangeState& other195) {
+  change_id = other195.change_id;
+  fingerprint = other195.fingerprint;
+  outcome = other195.outcome;
+  __isset = other195.__isset;
   return *this;
 }
-ChangeState& ChangeState::operator=(ChangeState&& other186) noexcept {
-  change_id = std::move(other186.change_id);
-  fingerprint = other186.fingerprint;
-  outcome = std::move(other186.outcome);
-  __isset = other186.__isset;
+ChangeState& ChangeState::operator=(ChangeState&& other196) noexcept {
+  change_id = std::move(other196.change_id);
+  fingerprint = other196.fingerprint;
+  outcome = std::move(other196.outcome);
+  __isset = other196.__isset;
   return *this;
 }
 void ChangeState::printTo(std::ostream& out) const {
@@ -6102,9 +6245,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast187;
-          xfer += iprot->readI32(ecast187);
-          this->state = static_cast<KeyState::type>(ecast187);
+          int32_t ecast197;
+          xfer += iprot->readI32(ecast197);
+          this->state = static_cast<KeyState::type>(ecast197);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6188,46 +6331,46 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other188) {
-  key = other188.key;
-  owner = other188.owner;
-  ref = other188.ref;
-  fingerprint = other188.fingerprint;
-  state = other188.state;
-  expires_ms = other188.expires_ms;
-  answer = other188.answer;
-  __isset = other188.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other189) noexcept {
-  key = std::move(other189.key);
-  owner = std::move(other189.owner);
-  ref = other189.ref;
-  fingerprint = other189.fingerprint;
-  state = other189.state;
-  expires_ms = other189.expires_ms;
-  answer = std::move(other189.answer);
-  __isset = other189.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other190) {
-  key = other190.key;
-  owner = other190.owner;
-  ref = other190.ref;
-  fingerprint = other190.fingerprint;
-  state = other190.state;
-  expires_ms = other190.expires_ms;
-  answer = other190.answer;
-  __isset = other190.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other198) {
+  key = other198.key;
+  owner = other198.owner;
+  ref = other198.ref;
+  fingerprint = other198.fingerprint;
+  state = other198.state;
+  expires_ms = other198.expires_ms;
+  answer = other198.answer;
+  __isset = other198.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other199) noexcept {
+  key = std::move(other199.key);
+  owner = std::move(other199.owner);
+  ref = other199.ref;
+  fingerprint = other199.fingerprint;
+  state = other199.state;
+  expires_ms = other199.expires_ms;
+  answer = std::move(other199.answer);
+  __isset = other199.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other200) {
+  key = other200.key;
+  owner = other200.owner;
+  ref = other200.ref;
+  fingerprint = other200.fingerprint;
+  state = other200.state;
+  expires_ms = other200.expires_ms;
+  answer = other200.answer;
+  __isset = other200.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other191) noexcept {
-  key = std::move(other191.key);
-  owner = std::move(other191.owner);
-  ref = other191.ref;
-  fingerprint = other191.fingerprint;
-  state = other191.state;
-  expires_ms = other191.expires_ms;
-  answer = std::move(other191.answer);
-  __isset = other191.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other201) noexcept {
+  key = std::move(other201.key);
+  owner = std::move(other201.owner);
+  ref = other201.ref;
+  fingerprint = other201.fingerprint;
+  state = other201.state;
+  expires_ms = other201.expires_ms;
+  answer = std::move(other201.answer);
+  __isset = other201.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -6331,14 +6474,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->objects.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->objects.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->objects[_i196].read(iprot);
+              xfer += this->objects[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6351,14 +6494,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->removals.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->removals.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->removals[_i201].read(iprot);
+              xfer += this->removals[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6379,14 +6522,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->history.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->history.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->history[_i206].read(iprot);
+              xfer += this->history[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6399,14 +6542,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->changes.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->changes.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->changes[_i211].read(iprot);
+              xfer += this->changes[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6419,14 +6562,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->keys.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->keys.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->keys[_i216].read(iprot);
+              xfer += this->keys[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6439,14 +6582,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->leases.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->leases.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += this->leases[_i221].read(iprot);
+              xfer += this->leases[_i231].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6475,14 +6618,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->servers.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->servers.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->servers[_i226].read(iprot);
+              xfer += this->servers[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6515,10 +6658,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectState> ::const_iterator _iter227;
-    for (_iter227 = this->objects.begin(); _iter227 != this->objects.end(); ++_iter227)
+    std::vector<ObjectState> ::const_iterator _iter237;
+    for (_iter237 = this->objects.begin(); _iter237 != this->objects.end(); ++_iter237)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter237).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6527,10 +6670,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RemovalState> ::const_iterator _iter228;
-    for (_iter228 = this->removals.begin(); _iter228 != this->removals.end(); ++_iter228)
+    std::vector<RemovalState> ::const_iterator _iter238;
+    for (_iter238 = this->removals.begin(); _iter238 != this->removals.end(); ++_iter238)
     {
-      xfer += (*_iter228).write(oprot);
+      xfer += (*_iter238).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6543,10 +6686,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter229;
-    for (_iter229 = this->history.begin(); _iter229 != this->history.end(); ++_iter229)
+    std::vector<HistoryRow> ::const_iterator _iter239;
+    for (_iter239 = this->history.begin(); _iter239 != this->history.end(); ++_iter239)
     {
-      xfer += (*_iter229).write(oprot);
+      xfer += (*_iter239).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6555,10 +6698,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ChangeState> ::const_iterator _iter230;
-    for (_iter230 = this->changes.begin(); _iter230 != this->changes.end(); ++_iter230)
+    std::vector<ChangeState> ::const_iterator _iter240;
+    for (_iter240 = this->changes.begin(); _iter240 != this->changes.end(); ++_iter240)
     {
-      xfer += (*_iter230).write(oprot);
+      xfer += (*_iter240).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6567,10 +6710,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeyRecord> ::const_iterator _iter231;
-    for (_iter231 = this->keys.begin(); _iter231 != this->keys.end(); ++_iter231)
+    std::vector<KeyRecord> ::const_iterator _iter241;
+    for (_iter241 = this->keys.begin(); _iter241 != this->keys.end(); ++_iter241)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter241).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6579,10 +6722,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter232;
-    for (_iter232 = this->leases.begin(); _iter232 != this->leases.end(); ++_iter232)
+    std::vector<LeaseGrant> ::const_iterator _iter242;
+    for (_iter242 = this->leases.begin(); _iter242 != this->leases.end(); ++_iter242)
     {
-      xfer += (*_iter232).write(oprot);
+      xfer += (*_iter242).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6599,10 +6742,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter233;
-    for (_iter233 = this->servers.begin(); _iter233 != this->servers.end(); ++_iter233)
+    std::vector<ServerRecord> ::const_iterator _iter243;
+    for (_iter243 = this->servers.begin(); _iter243 != this->servers.end(); ++_iter243)
     {
-      xfer += (*_iter233).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6629,62 +6772,62 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineState::MachineState(const MachineState& other234) {
-  version = other234.version;
-  objects = other234.objects;
-  removals = other234.removals;
-  whole_before = other234.whole_before;
-  history = other234.history;
-  changes = other234.changes;
-  keys = other234.keys;
-  leases = other234.leases;
-  now_ms = other234.now_ms;
-  document = other234.document;
-  servers = other234.servers;
-  __isset = other234.__isset;
-}
-MachineState::MachineState(MachineState&& other235) noexcept {
-  version = other235.version;
-  objects = std::move(other235.objects);
-  removals = std::move(other235.removals);
-  whole_before = other235.whole_before;
-  history = std::move(other235.history);
-  changes = std::move(other235.changes);
-  keys = std::move(other235.keys);
-  leases = std::move(other235.leases);
-  now_ms = other235.now_ms;
-  document = std::move(other235.document);
-  servers = std::move(other235.servers);
-  __isset = other235.__isset;
-}
-MachineState& MachineState::operator=(const MachineState& other236) {
-  version = other236.version;
-  objects = other236.objects;
-  removals = other236.removals;
-  whole_before = other236.whole_before;
-  history = other236.history;
-  changes = other236.changes;
-  keys = other236.keys;
-  leases = other236.leases;
-  now_ms = other236.now_ms;
-  document = other236.document;
-  servers = other236.servers;
-  __isset = other236.__isset;
+MachineState::MachineState(const MachineState& other244) {
+  version = other244.version;
+  objects = other244.objects;
+  removals = other244.removals;
+  whole_before = other244.whole_before;
+  history = other244.history;
+  changes = other244.changes;
+  keys = other244.keys;
+  leases = other244.leases;
+  now_ms = other244.now_ms;
+  document = other244.document;
+  servers = other244.servers;
+  __isset = other244.__isset;
+}
+MachineState::MachineState(MachineState&& other245) noexcept {
+  version = other245.version;
+  objects = std::move(other245.objects);
+  removals = std::move(other245.removals);
+  whole_before = other245.whole_before;
+  history = std::move(other245.history);
+  changes = std::move(other245.changes);
+  keys = std::move(other245.keys);
+  leases = std::move(other245.leases);
+  now_ms = other245.now_ms;
+  document = std::move(other245.document);
+  servers = std::move(other245.servers);
+  __isset = other245.__isset;
+}
+MachineState& MachineState::operator=(const MachineState& other246) {
+  version = other246.version;
+  objects = other246.objects;
+  removals = other246.removals;
+  whole_before = other246.whole_before;
+  history = other246.history;
+  changes = other246.changes;
+  keys = other246.keys;
+  leases = other246.leases;
+  now_ms = other246.now_ms;
+  document = other246.document;
+  servers = other246.servers;
+  __isset = other246.__isset;
   return *this;
 }
-MachineState& MachineState::operator=(MachineState&& other237) noexcept {
-  version = other237.version;
-  objects = std::move(other237.objects);
-  removals = std::move(other237.removals);
-  whole_before = other237.whole_before;
-  history = std::move(other237.history);
-  changes = std::move(other237.changes);
-  keys = std::move(other237.keys);
-  leases = std::move(other237.leases);
-  now_ms = other237.now_ms;
-  document = std::move(other237.document);
-  servers = std::move(other237.servers);
-  __isset = other237.__isset;
+MachineState& MachineState::operator=(MachineState&& other247) noexcept {
+  version = other247.version;
+  objects = std::move(other247.objects);
+  removals = std::move(other247.removals);
+  whole_before = other247.whole_before;
+  history = std::move(other247.history);
+  changes = std::move(other247.changes);
+  keys = std::move(other247.keys);
+  leases = std::move(other247.leases);
+  now_ms = other247.now_ms;
+  document = std::move(other247.document);
+  servers = std::move(other247.servers);
+  __isset = other247.__isset;
   return *this;
 }
 void MachineState::printTo(std::ostream& out) const {
@@ -6756,6 +6899,10 @@
 void Heartbeat::__set_uses(const std::vector<WorkspaceUse> & val) {
   this->uses = val;
 }
+
+void Heartbeat::__set_waiting(const std::vector<PoolWaiting> & val) {
+  this->waiting = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -6868,14 +7015,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->loads.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->loads.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
             {
-              xfer += this->loads[_i242].read(iprot);
+              xfer += this->loads[_i252].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6888,14 +7035,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->uses.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->uses.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
             {
-              xfer += this->uses[_i247].read(iprot);
+              xfer += this->uses[_i257].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6904,6 +7051,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waiting.clear();
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->waiting.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
+            {
+              xfer += this->waiting[_i262].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6964,10 +7131,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter248;
-    for (_iter248 = this->loads.begin(); _iter248 != this->loads.end(); ++_iter248)
+    std::vector<ServerLoad> ::const_iterator _iter263;
+    for (_iter263 = this->loads.begin(); _iter263 != this->loads.end(); ++_iter263)
     {
-      xfer += (*_iter248).write(oprot);
+      xfer += (*_iter263).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6976,10 +7143,22 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<WorkspaceUse> ::const_iterator _iter249;
-    for (_iter249 = this->uses.begin(); _iter249 != this->uses.end(); ++_iter249)
+    std::vector<WorkspaceUse> ::const_iterator _iter264;
+    for (_iter264 = this->uses.begin(); _iter264 != this->uses.end(); ++_iter264)
+    {
+      xfer += (*_iter264).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
+    std::vector<PoolWaiting> ::const_iterator _iter265;
+    for (_iter265 = this->waiting.begin(); _iter265 != this->waiting.end(); ++_iter265)
     {
-      xfer += (*_iter249).write(oprot);
+      xfer += (*_iter265).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7004,69 +7183,74 @@
   swap(a.leases_seen, b.leases_seen);
   swap(a.loads, b.loads);
   swap(a.uses, b.uses);
+  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other250) {
-  instance = other250.instance;
-  incarnation = other250.incarnation;
-  address = other250.address;
-  port = other250.port;
-  data_centre = other250.data_centre;
-  version_in_force = other250.version_in_force;
-  ready = other250.ready;
-  stopping = other250.stopping;
-  http = other250.http;
-  leases_seen = other250.leases_seen;
-  loads = other250.loads;
-  uses = other250.uses;
-  __isset = other250.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other251) noexcept {
-  instance = std::move(other251.instance);
-  incarnation = std::move(other251.incarnation);
-  address = std::move(other251.address);
-  port = other251.port;
-  data_centre = std::move(other251.data_centre);
-  version_in_force = other251.version_in_force;
-  ready = other251.ready;
-  stopping = other251.stopping;
-  http = std::move(other251.http);
-  leases_seen = other251.leases_seen;
-  loads = std::move(other251.loads);
-  uses = std::move(other251.uses);
-  __isset = other251.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other252) {
-  instance = other252.instance;
-  incarnation = other252.incarnation;
-  address = other252.address;
-  port = other252.port;
-  data_centre = other252.data_centre;
-  version_in_force = other252.version_in_force;
-  ready = other252.ready;
-  stopping = other252.stopping;
-  http = other252.http;
-  leases_seen = other252.leases_seen;
-  loads = other252.loads;
-  uses = other252.uses;
-  __isset = other252.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other266) {
+  instance = other266.instance;
+  incarnation = other266.incarnation;
+  address = other266.address;
+  port = other266.port;
+  data_centre = other266.data_centre;
+  version_in_force = other266.version_in_force;
+  ready = other266.ready;
+  stopping = other266.stopping;
+  http = other266.http;
+  leases_seen = other266.leases_seen;
+  loads = other266.loads;
+  uses = other266.uses;
+  waiting = other266.waiting;
+  __isset = other266.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other267) noexcept {
+  instance = std::move(other267.instance);
+  incarnation = std::move(other267.incarnation);
+  address = std::move(other267.address);
+  port = other267.port;
+  data_centre = std::move(other267.data_centre);
+  version_in_force = other267.version_in_force;
+  ready = other267.ready;
+  stopping = other267.stopping;
+  http = std::move(other267.http);
+  leases_seen = other267.leases_seen;
+  loads = std::move(other267.loads);
+  uses = std::move(other267.uses);
+  waiting = std::move(other267.waiting);
+  __isset = other267.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other268) {
+  instance = other268.instance;
+  incarnation = other268.incarnation;
+  address = other268.address;
+  port = other268.port;
+  data_centre = other268.data_centre;
+  version_in_force = other268.version_in_force;
+  ready = other268.ready;
+  stopping = other268.stopping;
+  http = other268.http;
+  leases_seen = other268.leases_seen;
+  loads = other268.loads;
+  uses = other268.uses;
+  waiting = other268.waiting;
+  __isset = other268.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other253) noexcept {
-  instance = std::move(other253.instance);
-  incarnation = std::move(other253.incarnation);
-  address = std::move(other253.address);
-  port = other253.port;
-  data_centre = std::move(other253.data_centre);
-  version_in_force = other253.version_in_force;
-  ready = other253.ready;
-  stopping = other253.stopping;
-  http = std::move(other253.http);
-  leases_seen = other253.leases_seen;
-  loads = std::move(other253.loads);
-  uses = std::move(other253.uses);
-  __isset = other253.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other269) noexcept {
+  instance = std::move(other269.instance);
+  incarnation = std::move(other269.incarnation);
+  address = std::move(other269.address);
+  port = other269.port;
+  data_centre = std::move(other269.data_centre);
+  version_in_force = other269.version_in_force;
+  ready = other269.ready;
+  stopping = other269.stopping;
+  http = std::move(other269.http);
+  leases_seen = other269.leases_seen;
+  loads = std::move(other269.loads);
+  uses = std::move(other269.uses);
+  waiting = std::move(other269.waiting);
+  __isset = other269.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -7084,6 +7268,7 @@
   out << ", " << "leases_seen=" << to_string(leases_seen);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "uses=" << to_string(uses);
+  out << ", " << "waiting=" << to_string(waiting);
   out << ")";
 }
 
@@ -7139,6 +7324,14 @@
 void HeartbeatReply::__set_silent(const int32_t val) {
   this->silent = val;
 }
+
+void HeartbeatReply::__set_basis(const int64_t val) {
+  this->basis = val;
+}
+
+void HeartbeatReply::__set_waiting(const std::vector<PoolWaiting> & val) {
+  this->waiting = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -7171,14 +7364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size254;
-            ::apache::thrift::protocol::TType _etype257;
-            xfer += iprot->readListBegin(_etype257, _size254);
-            this->leases.resize(_size254);
-            uint32_t _i258;
-            for (_i258 = 0; _i258 < _size254; ++_i258)
+            uint32_t _size270;
+            ::apache::thrift::protocol::TType _etype273;
+            xfer += iprot->readListBegin(_etype273, _size270);
+            this->leases.resize(_size270);
+            uint32_t _i274;
+            for (_i274 = 0; _i274 < _size270; ++_i274)
             {
-              xfer += this->leases[_i258].read(iprot);
+              xfer += this->leases[_i274].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7231,14 +7424,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size259;
-            ::apache::thrift::protocol::TType _etype262;
-            xfer += iprot->readListBegin(_etype262, _size259);
-            this->members.resize(_size259);
-            uint32_t _i263;
-            for (_i263 = 0; _i263 < _size259; ++_i263)
+            uint32_t _size275;
+            ::apache::thrift::protocol::TType _etype278;
+            xfer += iprot->readListBegin(_etype278, _size275);
+            this->members.resize(_size275);
+            uint32_t _i279;
+            for (_i279 = 0; _i279 < _size275; ++_i279)
             {
-              xfer += this->members[_i263].read(iprot);
+              xfer += this->members[_i279].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7267,14 +7460,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size264;
-            ::apache::thrift::protocol::TType _etype267;
-            xfer += iprot->readListBegin(_etype267, _size264);
-            this->loads.resize(_size264);
-            uint32_t _i268;
-            for (_i268 = 0; _i268 < _size264; ++_i268)
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->loads.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
             {
-              xfer += this->loads[_i268].read(iprot);
+              xfer += this->loads[_i284].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7287,14 +7480,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size269;
-            ::apache::thrift::protocol::TType _etype272;
-            xfer += iprot->readListBegin(_etype272, _size269);
-            this->uses.resize(_size269);
-            uint32_t _i273;
-            for (_i273 = 0; _i273 < _size269; ++_i273)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->uses.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += this->uses[_i273].read(iprot);
+              xfer += this->uses[_i289].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7311,6 +7504,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->basis);
+          this->__isset.basis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waiting.clear();
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->waiting.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
+            {
+              xfer += this->waiting[_i294].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7331,10 +7552,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter274;
-    for (_iter274 = this->leases.begin(); _iter274 != this->leases.end(); ++_iter274)
+    std::vector<LeaseGrant> ::const_iterator _iter295;
+    for (_iter295 = this->leases.begin(); _iter295 != this->leases.end(); ++_iter295)
     {
-      xfer += (*_iter274).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7363,10 +7584,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter275;
-    for (_iter275 = this->members.begin(); _iter275 != this->members.end(); ++_iter275)
+    std::vector<MemberInfo> ::const_iterator _iter296;
+    for (_iter296 = this->members.begin(); _iter296 != this->members.end(); ++_iter296)
     {
-      xfer += (*_iter275).write(oprot);
+      xfer += (*_iter296).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7383,10 +7604,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter276;
-    for (_iter276 = this->loads.begin(); _iter276 != this->loads.end(); ++_iter276)
+    std::vector<ServerLoad> ::const_iterator _iter297;
+    for (_iter297 = this->loads.begin(); _iter297 != this->loads.end(); ++_iter297)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7395,10 +7616,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<WorkspaceUse> ::const_iterator _iter277;
-    for (_iter277 = this->uses.begin(); _iter277 != this->uses.end(); ++_iter277)
+    std::vector<WorkspaceUse> ::const_iterator _iter298;
+    for (_iter298 = this->uses.begin(); _iter298 != this->uses.end(); ++_iter298)
     {
-      xfer += (*_iter277).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7408,6 +7629,22 @@
   xfer += oprot->writeI32(this->silent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("basis", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->basis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
+    std::vector<PoolWaiting> ::const_iterator _iter299;
+    for (_iter299 = this->waiting.begin(); _iter299 != this->waiting.end(); ++_iter299)
+    {
+      xfer += (*_iter299).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7427,69 +7664,79 @@
   swap(a.loads, b.loads);
   swap(a.uses, b.uses);
   swap(a.silent, b.silent);
+  swap(a.basis, b.basis);
+  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other278) {
-  leases = other278.leases;
-  version = other278.version;
-  leader_term = other278.leader_term;
-  live = other278.live;
-  leases_index = other278.leases_index;
-  leases_same = other278.leases_same;
-  members = other278.members;
-  document_version = other278.document_version;
-  servers_index = other278.servers_index;
-  loads = other278.loads;
-  uses = other278.uses;
-  silent = other278.silent;
-  __isset = other278.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other279) noexcept {
-  leases = std::move(other279.leases);
-  version = other279.version;
-  leader_term = other279.leader_term;
-  live = other279.live;
-  leases_index = other279.leases_index;
-  leases_same = other279.leases_same;
-  members = std::move(other279.members);
-  document_version = other279.document_version;
-  servers_index = other279.servers_index;
-  loads = std::move(other279.loads);
-  uses = std::move(other279.uses);
-  silent = other279.silent;
-  __isset = other279.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other280) {
-  leases = other280.leases;
-  version = other280.version;
-  leader_term = other280.leader_term;
-  live = other280.live;
-  leases_index = other280.leases_index;
-  leases_same = other280.leases_same;
-  members = other280.members;
-  document_version = other280.document_version;
-  servers_index = other280.servers_index;
-  loads = other280.loads;
-  uses = other280.uses;
-  silent = other280.silent;
-  __isset = other280.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other300) {
+  leases = other300.leases;
+  version = other300.version;
+  leader_term = other300.leader_term;
+  live = other300.live;
+  leases_index = other300.leases_index;
+  leases_same = other300.leases_same;
+  members = other300.members;
+  document_version = other300.document_version;
+  servers_index = other300.servers_index;
+  loads = other300.loads;
+  uses = other300.uses;
+  silent = other300.silent;
+  basis = other300.basis;
+  waiting = other300.waiting;
+  __isset = other300.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other301) noexcept {
+  leases = std::move(other301.leases);
+  version = other301.version;
+  leader_term = other301.leader_term;
+  live = other301.live;
+  leases_index = other301.leases_index;
+  leases_same = other301.leases_same;
+  members = std::move(other301.members);
+  document_version = other301.document_version;
+  servers_index = other301.servers_index;
+  loads = std::move(other301.loads);
+  uses = std::move(other301.uses);
+  silent = other301.silent;
+  basis = other301.basis;
+  waiting = std::move(other301.waiting);
+  __isset = other301.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other302) {
+  leases = other302.leases;
+  version = other302.version;
+  leader_term = other302.leader_term;
+  live = other302.live;
+  leases_index = other302.leases_index;
+  leases_same = other302.leases_same;
+  members = other302.members;
+  document_version = other302.document_version;
+  servers_index = other302.servers_index;
+  loads = other302.loads;
+  uses = other302.uses;
+  silent = other302.silent;
+  basis = other302.basis;
+  waiting = other302.waiting;
+  __isset = other302.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other281) noexcept {
-  leases = std::move(other281.leases);
-  version = other281.version;
-  leader_term = other281.leader_term;
-  live = other281.live;
-  leases_index = other281.leases_index;
-  leases_same = other281.leases_same;
-  members = std::move(other281.members);
-  document_version = other281.document_version;
-  servers_index = other281.servers_index;
-  loads = std::move(other281.loads);
-  uses = std::move(other281.uses);
-  silent = other281.silent;
-  __isset = other281.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other303) noexcept {
+  leases = std::move(other303.leases);
+  version = other303.version;
+  leader_term = other303.leader_term;
+  live = other303.live;
+  leases_index = other303.leases_index;
+  leases_same = other303.leases_same;
+  members = std::move(other303.members);
+  document_version = other303.document_version;
+  servers_index = other303.servers_index;
+  loads = std::move(other303.loads);
+  uses = std::move(other303.uses);
+  silent = other303.silent;
+  basis = other303.basis;
+  waiting = std::move(other303.waiting);
+  __isset = other303.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -7507,6 +7754,8 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "uses=" << to_string(uses);
   out << ", " << "silent=" << to_string(silent);
+  out << ", " << "basis=" << to_string(basis);
+  out << ", " << "waiting=" << to_string(waiting);
   out << ")";
 }
 
@@ -7550,14 +7799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size282;
-            ::apache::thrift::protocol::TType _etype285;
-            xfer += iprot->readListBegin(_etype285, _size282);
-            this->commands.resize(_size282);
-            uint32_t _i286;
-            for (_i286 = 0; _i286 < _size282; ++_i286)
+            uint32_t _size304;
+            ::apache::thrift::protocol::TType _etype307;
+            xfer += iprot->readListBegin(_etype307, _size304);
+            this->commands.resize(_size304);
+            uint32_t _i308;
+            for (_i308 = 0; _i308 < _size304; ++_i308)
             {
-              xfer += this->commands[_i286].read(iprot);
+              xfer += this->commands[_i308].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7586,10 +7835,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter287;
-    for (_iter287 = this->commands.begin(); _iter287 != this->commands.end(); ++_iter287)
+    std::vector<Command> ::const_iterator _iter309;
+    for (_iter309 = this->commands.begin(); _iter309 != this->commands.end(); ++_iter309)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7606,22 +7855,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other288) {
-  commands = other288.commands;
-  __isset = other288.__isset;
+Propose::Propose(const Propose& other310) {
+  commands = other310.commands;
+  __isset = other310.__isset;
 }
-Propose::Propose(Propose&& other289) noexcept {
-  commands = std::move(other289.commands);
-  __isset = other289.__isset;
+Propose::Propose(Propose&& other311) noexcept {
+  commands = std::move(other311.commands);
+  __isset = other311.__isset;
 }
-Propose& Propose::operator=(const Propose& other290) {
-  commands = other290.commands;
-  __isset = other290.__isset;
+Propose& Propose::operator=(const Propose& other312) {
+  commands = other312.commands;
+  __isset = other312.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other291) noexcept {
-  commands = std::move(other291.commands);
-  __isset = other291.__isset;
+Propose& Propose::operator=(Propose&& other313) noexcept {
+  commands = std::move(other313.commands);
+  __isset = other313.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -7747,30 +7996,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other292) {
-  config = other292.config;
-  claim = other292.claim;
-  done = other292.done;
-  __isset = other292.__isset;
+CommandResult::CommandResult(const CommandResult& other314) {
+  config = other314.config;
+  claim = other314.claim;
+  done = other314.done;
+  __isset = other314.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other293) noexcept {
-  config = std::move(other293.config);
-  claim = std::move(other293.claim);
-  done = other293.done;
-  __isset = other293.__isset;
+CommandResult::CommandResult(CommandResult&& other315) noexcept {
+  config = std::move(other315.config);
+  claim = std::move(other315.claim);
+  done = other315.done;
+  __isset = other315.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other294) {
-  config = other294.config;
-  claim = other294.claim;
-  done = other294.done;
-  __isset = other294.__isset;
+CommandResult& CommandResult::operator=(const CommandResult& other316) {
+  config = other316.config;
+  claim = other316.claim;
+  done = other316.done;
+  __isset = other316.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other295) noexcept {
-  config = std::move(other295.config);
-  claim = std::move(other295.claim);
-  done = other295.done;
-  __isset = other295.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other317) noexcept {
+  config = std::move(other317.config);
+  claim = std::move(other317.claim);
+  done = other317.done;
+  __isset = other317.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -7822,14 +8071,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->results.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->results.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
             {
-              xfer += this->results[_i300].read(iprot);
+              xfer += this->results[_i322].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7858,10 +8107,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter301;
-    for (_iter301 = this->results.begin(); _iter301 != this->results.end(); ++_iter301)
+    std::vector<CommandResult> ::const_iterator _iter323;
+    for (_iter323 = this->results.begin(); _iter323 != this->results.end(); ++_iter323)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter323).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7878,22 +8127,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other302) {
-  results = other302.results;
-  __isset = other302.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other324) {
+  results = other324.results;
+  __isset = other324.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other303) noexcept {
-  results = std::move(other303.results);
-  __isset = other303.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other325) noexcept {
+  results = std::move(other325.results);
+  __isset = other325.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other304) {
-  results = other304.results;
-  __isset = other304.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other326) {
+  results = other326.results;
+  __isset = other326.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other305) noexcept {
-  results = std::move(other305.results);
-  __isset = other305.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other327) noexcept {
+  results = std::move(other327.results);
+  __isset = other327.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -8047,38 +8296,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPoll::ConfigPoll(const ConfigPoll& other306) noexcept {
-  have_version = other306.have_version;
-  wait_ms = other306.wait_ms;
-  have_document = other306.have_document;
-  have_servers = other306.have_servers;
-  hosted = other306.hosted;
-  __isset = other306.__isset;
-}
-ConfigPoll::ConfigPoll(ConfigPoll&& other307) noexcept {
-  have_version = other307.have_version;
-  wait_ms = other307.wait_ms;
-  have_document = other307.have_document;
-  have_servers = other307.have_servers;
-  hosted = other307.hosted;
-  __isset = other307.__isset;
-}
-ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other308) noexcept {
-  have_version = other308.have_version;
-  wait_ms = other308.wait_ms;
-  have_document = other308.have_document;
-  have_servers = other308.have_servers;
-  hosted = other308.hosted;
-  __isset = other308.__isset;
+ConfigPoll::ConfigPoll(const ConfigPoll& other328) noexcept {
+  have_version = other328.have_version;
+  wait_ms = other328.wait_ms;
+  have_document = other328.have_document;
+  have_servers = other328.have_servers;
+  hosted = other328.hosted;
+  __isset = other328.__isset;
+}
+ConfigPoll::ConfigPoll(ConfigPoll&& other329) noexcept {
+  have_version = other329.have_version;
+  wait_ms = other329.wait_ms;
+  have_document = other329.have_document;
+  have_servers = other329.have_servers;
+  hosted = other329.hosted;
+  __isset = other329.__isset;
+}
+ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other330) noexcept {
+  have_version = other330.have_version;
+  wait_ms = other330.wait_ms;
+  have_document = other330.have_document;
+  have_servers = other330.have_servers;
+  hosted = other330.hosted;
+  __isset = other330.__isset;
   return *this;
 }
-ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other309) noexcept {
-  have_version = other309.have_version;
-  wait_ms = other309.wait_ms;
-  have_document = other309.have_document;
-  have_servers = other309.have_servers;
-  hosted = other309.hosted;
-  __isset = other309.__isset;
+ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other331) noexcept {
+  have_version = other331.have_version;
+  wait_ms = other331.wait_ms;
+  have_document = other331.have_document;
+  have_servers = other331.have_servers;
+  hosted = other331.hosted;
+  __isset = other331.__isset;
   return *this;
 }
 void ConfigPoll::printTo(std::ostream& out) const {
@@ -8192,14 +8441,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->prefixes.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
+            uint32_t _size332;
+            ::apache::thrift::protocol::TType _etype335;
+            xfer += iprot->readListBegin(_etype335, _size332);
+            this->prefixes.resize(_size332);
+            uint32_t _i336;
+            for (_i336 = 0; _i336 < _size332; ++_i336)
             {
-              xfer += iprot->readI64(this->prefixes[_i314]);
+              xfer += iprot->readI64(this->prefixes[_i336]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8244,14 +8493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoid.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->avoid.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
+            uint32_t _size337;
+            ::apache::thrift::protocol::TType _etype340;
+            xfer += iprot->readListBegin(_etype340, _size337);
+            this->avoid.resize(_size337);
+            uint32_t _i341;
+            for (_i341 = 0; _i341 < _size337; ++_i341)
             {
-              xfer += iprot->readString(this->avoid[_i319]);
+              xfer += iprot->readString(this->avoid[_i341]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8300,10 +8549,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<int64_t> ::const_iterator _iter320;
-    for (_iter320 = this->prefixes.begin(); _iter320 != this->prefixes.end(); ++_iter320)
+    std::vector<int64_t> ::const_iterator _iter342;
+    for (_iter342 = this->prefixes.begin(); _iter342 != this->prefixes.end(); ++_iter342)
     {
-      xfer += oprot->writeI64((*_iter320));
+      xfer += oprot->writeI64((*_iter342));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8328,10 +8577,10 @@
   xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter321;
-    for (_iter321 = this->avoid.begin(); _iter321 != this->avoid.end(); ++_iter321)
+    std::vector<std::string> ::const_iterator _iter343;
+    for (_iter343 = this->avoid.begin(); _iter343 != this->avoid.end(); ++_iter343)
     {
-      xfer += oprot->writeString((*_iter321));
+      xfer += oprot->writeString((*_iter343));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8361,58 +8610,58 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other322) {
-  ref = other322.ref;
-  tier = other322.tier;
-  prompt_tokens = other322.prompt_tokens;
-  prefixes = other322.prefixes;
-  age_ms = other322.age_ms;
-  workspace = other322.workspace;
-  event = other322.event;
-  model = other322.model;
-  avoid = other322.avoid;
-  deadline_ms = other322.deadline_ms;
-  __isset = other322.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other323) noexcept {
-  ref = other323.ref;
-  tier = other323.tier;
-  prompt_tokens = other323.prompt_tokens;
-  prefixes = std::move(other323.prefixes);
-  age_ms = other323.age_ms;
-  workspace = std::move(other323.workspace);
-  event = std::move(other323.event);
-  model = std::move(other323.model);
-  avoid = std::move(other323.avoid);
-  deadline_ms = other323.deadline_ms;
-  __isset = other323.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other324) {
-  ref = other324.ref;
-  tier = other324.tier;
-  prompt_tokens = other324.prompt_tokens;
-  prefixes = other324.prefixes;
-  age_ms = other324.age_ms;
-  workspace = other324.workspace;
-  event = other324.event;
-  model = other324.model;
-  avoid = other324.avoid;
-  deadline_ms = other324.deadline_ms;
-  __isset = other324.__isset;
+DemandItem::DemandItem(const DemandItem& other344) {
+  ref = other344.ref;
+  tier = other344.tier;
+  prompt_tokens = other344.prompt_tokens;
+  prefixes = other344.prefixes;
+  age_ms = other344.age_ms;
+  workspace = other344.workspace;
+  event = other344.event;
+  model = other344.model;
+  avoid = other344.avoid;
+  deadline_ms = other344.deadline_ms;
+  __isset = other344.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other345) noexcept {
+  ref = other345.ref;
+  tier = other345.tier;
+  prompt_tokens = other345.prompt_tokens;
+  prefixes = std::move(other345.prefixes);
+  age_ms = other345.age_ms;
+  workspace = std::move(other345.workspace);
+  event = std::move(other345.event);
+  model = std::move(other345.model);
+  avoid = std::move(other345.avoid);
+  deadline_ms = other345.deadline_ms;
+  __isset = other345.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other346) {
+  ref = other346.ref;
+  tier = other346.tier;
+  prompt_tokens = other346.prompt_tokens;
+  prefixes = other346.prefixes;
+  age_ms = other346.age_ms;
+  workspace = other346.workspace;
+  event = other346.event;
+  model = other346.model;
+  avoid = other346.avoid;
+  deadline_ms = other346.deadline_ms;
+  __isset = other346.__isset;
   return *this;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other325) noexcept {
-  ref = other325.ref;
-  tier = other325.tier;
-  prompt_tokens = other325.prompt_tokens;
-  prefixes = std::move(other325.prefixes);
-  age_ms = other325.age_ms;
-  workspace = std::move(other325.workspace);
-  event = std::move(other325.event);
-  model = std::move(other325.model);
-  avoid = std::move(other325.avoid);
-  deadline_ms = other325.deadline_ms;
-  __isset = other325.__isset;
+DemandItem& DemandItem::operator=(DemandItem&& other347) noexcept {
+  ref = other347.ref;
+  tier = other347.tier;
+  prompt_tokens = other347.prompt_tokens;
+  prefixes = std::move(other347.prefixes);
+  age_ms = other347.age_ms;
+  workspace = std::move(other347.workspace);
+  event = std::move(other347.event);
+  model = std::move(other347.model);
+  avoid = std::move(other347.avoid);
+  deadline_ms = other347.deadline_ms;
+  __isset = other347.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -8485,9 +8734,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast326;
-          xfer += iprot->readI32(ecast326);
-          this->stage = static_cast<UseStage::type>(ecast326);
+          int32_t ecast348;
+          xfer += iprot->readI32(ecast348);
+          this->stage = static_cast<UseStage::type>(ecast348);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8543,30 +8792,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditUse::CreditUse(const CreditUse& other327) noexcept {
-  credit = other327.credit;
-  stage = other327.stage;
-  elapsed_us = other327.elapsed_us;
-  __isset = other327.__isset;
+CreditUse::CreditUse(const CreditUse& other349) noexcept {
+  credit = other349.credit;
+  stage = other349.stage;
+  elapsed_us = other349.elapsed_us;
+  __isset = other349.__isset;
 }
-CreditUse::CreditUse(CreditUse&& other328) noexcept {
-  credit = other328.credit;
-  stage = other328.stage;
-  elapsed_us = other328.elapsed_us;
-  __isset = other328.__isset;
+CreditUse::CreditUse(CreditUse&& other350) noexcept {
+  credit = other350.credit;
+  stage = other350.stage;
+  elapsed_us = other350.elapsed_us;
+  __isset = other350.__isset;
 }
-CreditUse& CreditUse::operator=(const CreditUse& other329) noexcept {
-  credit = other329.credit;
-  stage = other329.stage;
-  elapsed_us = other329.elapsed_us;
-  __isset = other329.__isset;
+CreditUse& CreditUse::operator=(const CreditUse& other351) noexcept {
+  credit = other351.credit;
+  stage = other351.stage;
+  elapsed_us = other351.elapsed_us;
+  __isset = other351.__isset;
   return *this;
 }
-CreditUse& CreditUse::operator=(CreditUse&& other330) noexcept {
-  credit = other330.credit;
-  stage = other330.stage;
-  elapsed_us = other330.elapsed_us;
-  __isset = other330.__isset;
+CreditUse& CreditUse::operator=(CreditUse&& other352) noexcept {
+  credit = other352.credit;
+  stage = other352.stage;
+  elapsed_us = other352.elapsed_us;
+  __isset = other352.__isset;
   return *this;
 }
 void CreditUse::printTo(std::ostream& out) const {
@@ -8705,34 +8954,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldCredit::HeldCredit(const HeldCredit& other331) {
-  credit = other331.credit;
-  ref = other331.ref;
-  engine = other331.engine;
-  prompt_tokens = other331.prompt_tokens;
-  __isset = other331.__isset;
-}
-HeldCredit::HeldCredit(HeldCredit&& other332) noexcept {
-  credit = other332.credit;
-  ref = other332.ref;
-  engine = std::move(other332.engine);
-  prompt_tokens = other332.prompt_tokens;
-  __isset = other332.__isset;
-}
-HeldCredit& HeldCredit::operator=(const HeldCredit& other333) {
-  credit = other333.credit;
-  ref = other333.ref;
-  engine = other333.engine;
-  prompt_tokens = other333.prompt_tokens;
-  __isset = other333.__isset;
+HeldCredit::HeldCredit(const HeldCredit& other353) {
+  credit = other353.credit;
+  ref = other353.ref;
+  engine = other353.engine;
+  prompt_tokens = other353.prompt_tokens;
+  __isset = other353.__isset;
+}
+HeldCredit::HeldCredit(HeldCredit&& other354) noexcept {
+  credit = other354.credit;
+  ref = other354.ref;
+  engine = std::move(other354.engine);
+  prompt_tokens = other354.prompt_tokens;
+  __isset = other354.__isset;
+}
+HeldCredit& HeldCredit::operator=(const HeldCredit& other355) {
+  credit = other355.credit;
+  ref = other355.ref;
+  engine = other355.engine;
+  prompt_tokens = other355.prompt_tokens;
+  __isset = other355.__isset;
   return *this;
 }
-HeldCredit& HeldCredit::operator=(HeldCredit&& other334) noexcept {
-  credit = other334.credit;
-  ref = other334.ref;
-  engine = std::move(other334.engine);
-  prompt_tokens = other334.prompt_tokens;
-  __isset = other334.__isset;
+HeldCredit& HeldCredit::operator=(HeldCredit&& other356) noexcept {
+  credit = other356.credit;
+  ref = other356.ref;
+  engine = std::move(other356.engine);
+  prompt_tokens = other356.prompt_tokens;
+  __isset = other356.__isset;
   return *this;
 }
 void HeldCredit::printTo(std::ostream& out) const {
@@ -8853,14 +9102,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->held.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->held.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
             {
-              xfer += this->held[_i339].read(iprot);
+              xfer += this->held[_i361].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8873,14 +9122,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size340;
-            ::apache::thrift::protocol::TType _etype343;
-            xfer += iprot->readListBegin(_etype343, _size340);
-            this->items.resize(_size340);
-            uint32_t _i344;
-            for (_i344 = 0; _i344 < _size340; ++_i344)
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->items.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
             {
-              xfer += this->items[_i344].read(iprot);
+              xfer += this->items[_i366].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8893,14 +9142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size345;
-            ::apache::thrift::protocol::TType _etype348;
-            xfer += iprot->readListBegin(_etype348, _size345);
-            this->waiting.resize(_size345);
-            uint32_t _i349;
-            for (_i349 = 0; _i349 < _size345; ++_i349)
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _etype370;
+            xfer += iprot->readListBegin(_etype370, _size367);
+            this->waiting.resize(_size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
             {
-              xfer += iprot->readI32(this->waiting[_i349]);
+              xfer += iprot->readI32(this->waiting[_i371]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8913,14 +9162,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->uses.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size372;
+            ::apache::thrift::protocol::TType _etype375;
+            xfer += iprot->readListBegin(_etype375, _size372);
+            this->uses.resize(_size372);
+            uint32_t _i376;
+            for (_i376 = 0; _i376 < _size372; ++_i376)
             {
-              xfer += this->uses[_i354].read(iprot);
+              xfer += this->uses[_i376].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8981,10 +9230,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<HeldCredit> ::const_iterator _iter355;
-    for (_iter355 = this->held.begin(); _iter355 != this->held.end(); ++_iter355)
+    std::vector<HeldCredit> ::const_iterator _iter377;
+    for (_iter377 = this->held.begin(); _iter377 != this->held.end(); ++_iter377)
     {
-      xfer += (*_iter355).write(oprot);
+      xfer += (*_iter377).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8993,10 +9242,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter356;
-    for (_iter356 = this->items.begin(); _iter356 != this->items.end(); ++_iter356)
+    std::vector<DemandItem> ::const_iterator _iter378;
+    for (_iter378 = this->items.begin(); _iter378 != this->items.end(); ++_iter378)
     {
-      xfer += (*_iter356).write(oprot);
+      xfer += (*_iter378).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9005,10 +9254,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter357;
-    for (_iter357 = this->waiting.begin(); _iter357 != this->waiting.end(); ++_iter357)
+    std::vector<int32_t> ::const_iterator _iter379;
+    for (_iter379 = this->waiting.begin(); _iter379 != this->waiting.end(); ++_iter379)
     {
-      xfer += oprot->writeI32((*_iter357));
+      xfer += oprot->writeI32((*_iter379));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9017,10 +9266,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<CreditUse> ::const_iterator _iter358;
-    for (_iter358 = this->uses.begin(); _iter358 != this->uses.end(); ++_iter358)
+    std::vector<CreditUse> ::const_iterator _iter380;
+    for (_iter380 = this->uses.begin(); _iter380 != this->uses.end(); ++_iter380)
     {
-      xfer += (*_iter358).write(oprot);
+      xfer += (*_iter380).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9054,58 +9303,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other359) {
-  pool = other359.pool;
-  incarnation = other359.incarnation;
-  epoch = other359.epoch;
-  resync = other359.resync;
-  held = other359.held;
-  items = other359.items;
-  waiting = other359.waiting;
-  uses = other359.uses;
-  floor_ack = other359.floor_ack;
-  sequence = other359.sequence;
-  __isset = other359.__isset;
-}
-Demand::Demand(Demand&& other360) noexcept {
-  pool = std::move(other360.pool);
-  incarnation = std::move(other360.incarnation);
-  epoch = other360.epoch;
-  resync = other360.resync;
-  held = std::move(other360.held);
-  items = std::move(other360.items);
-  waiting = std::move(other360.waiting);
-  uses = std::move(other360.uses);
-  floor_ack = other360.floor_ack;
-  sequence = other360.sequence;
-  __isset = other360.__isset;
-}
-Demand& Demand::operator=(const Demand& other361) {
-  pool = other361.pool;
-  incarnation = other361.incarnation;
-  epoch = other361.epoch;
-  resync = other361.resync;
-  held = other361.held;
-  items = other361.items;
-  waiting = other361.waiting;
-  uses = other361.uses;
-  floor_ack = other361.floor_ack;
-  sequence = other361.sequence;
-  __isset = other361.__isset;
+Demand::Demand(const Demand& other381) {
+  pool = other381.pool;
+  incarnation = other381.incarnation;
+  epoch = other381.epoch;
+  resync = other381.resync;
+  held = other381.held;
+  items = other381.items;
+  waiting = other381.waiting;
+  uses = other381.uses;
+  floor_ack = other381.floor_ack;
+  sequence = other381.sequence;
+  __isset = other381.__isset;
+}
+Demand::Demand(Demand&& other382) noexcept {
+  pool = std::move(other382.pool);
+  incarnation = std::move(other382.incarnation);
+  epoch = other382.epoch;
+  resync = other382.resync;
+  held = std::move(other382.held);
+  items = std::move(other382.items);
+  waiting = std::move(other382.waiting);
+  uses = std::move(other382.uses);
+  floor_ack = other382.floor_ack;
+  sequence = other382.sequence;
+  __isset = other382.__isset;
+}
+Demand& Demand::operator=(const Demand& other383) {
+  pool = other383.pool;
+  incarnation = other383.incarnation;
+  epoch = other383.epoch;
+  resync = other383.resync;
+  held = other383.held;
+  items = other383.items;
+  waiting = other383.waiting;
+  uses = other383.uses;
+  floor_ack = other383.floor_ack;
+  sequence = other383.sequence;
+  __isset = other383.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other362) noexcept {
-  pool = std::move(other362.pool);
-  incarnation = std::move(other362.incarnation);
-  epoch = other362.epoch;
-  resync = other362.resync;
-  held = std::move(other362.held);
-  items = std::move(other362.items);
-  waiting = std::move(other362.waiting);
-  uses = std::move(other362.uses);
-  floor_ack = other362.floor_ack;
-  sequence = other362.sequence;
-  __isset = other362.__isset;
+Demand& Demand::operator=(Demand&& other384) noexcept {
+  pool = std::move(other384.pool);
+  incarnation = std::move(other384.incarnation);
+  epoch = other384.epoch;
+  resync = other384.resync;
+  held = std::move(other384.held);
+  items = std::move(other384.items);
+  waiting = std::move(other384.waiting);
+  uses = std::move(other384.uses);
+  floor_ack = other384.floor_ack;
+  sequence = other384.sequence;
+  __isset = other384.__isset;
   return *this;
 }
 void Demand::printTo(std::ostream& out) const {
@@ -9228,14 +9477,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->credits.clear();
-            uint32_t _size363;
-            ::apache::thrift::protocol::TType _etype366;
-            xfer += iprot->readListBegin(_etype366, _size363);
-            this->credits.resize(_size363);
-            uint32_t _i367;
-            for (_i367 = 0; _i367 < _size363; ++_i367)
+            uint32_t _size385;
+            ::apache::thrift::protocol::TType _etype388;
+            xfer += iprot->readListBegin(_etype388, _size385);
+            this->credits.resize(_size385);
+            uint32_t _i389;
+            for (_i389 = 0; _i389 < _size385; ++_i389)
             {
-              xfer += this->credits[_i367].read(iprot);
+              xfer += this->credits[_i389].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9248,14 +9497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size368;
-            ::apache::thrift::protocol::TType _etype371;
-            xfer += iprot->readListBegin(_etype371, _size368);
-            this->unreachable.resize(_size368);
-            uint32_t _i372;
-            for (_i372 = 0; _i372 < _size368; ++_i372)
+            uint32_t _size390;
+            ::apache::thrift::protocol::TType _etype393;
+            xfer += iprot->readListBegin(_etype393, _size390);
+            this->unreachable.resize(_size390);
+            uint32_t _i394;
+            for (_i394 = 0; _i394 < _size390; ++_i394)
             {
-              xfer += iprot->readI64(this->unreachable[_i372]);
+              xfer += iprot->readI64(this->unreachable[_i394]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9308,14 +9557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backlog.clear();
-            uint32_t _size373;
-            ::apache::thrift::protocol::TType _etype376;
-            xfer += iprot->readListBegin(_etype376, _size373);
-            this->backlog.resize(_size373);
-            uint32_t _i377;
-            for (_i377 = 0; _i377 < _size373; ++_i377)
+            uint32_t _size395;
+            ::apache::thrift::protocol::TType _etype398;
+            xfer += iprot->readListBegin(_etype398, _size395);
+            this->backlog.resize(_size395);
+            uint32_t _i399;
+            for (_i399 = 0; _i399 < _size395; ++_i399)
             {
-              xfer += iprot->readI32(this->backlog[_i377]);
+              xfer += iprot->readI32(this->backlog[_i399]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9376,10 +9625,10 @@
   xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
-    std::vector<HeldCredit> ::const_iterator _iter378;
-    for (_iter378 = this->credits.begin(); _iter378 != this->credits.end(); ++_iter378)
+    std::vector<HeldCredit> ::const_iterator _iter400;
+    for (_iter400 = this->credits.begin(); _iter400 != this->credits.end(); ++_iter400)
     {
-      xfer += (*_iter378).write(oprot);
+      xfer += (*_iter400).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9388,10 +9637,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<int64_t> ::const_iterator _iter379;
-    for (_iter379 = this->unreachable.begin(); _iter379 != this->unreachable.end(); ++_iter379)
+    std::vector<int64_t> ::const_iterator _iter401;
+    for (_iter401 = this->unreachable.begin(); _iter401 != this->unreachable.end(); ++_iter401)
     {
-      xfer += oprot->writeI64((*_iter379));
+      xfer += oprot->writeI64((*_iter401));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9420,10 +9669,10 @@
   xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
-    std::vector<int32_t> ::const_iterator _iter380;
-    for (_iter380 = this->backlog.begin(); _iter380 != this->backlog.end(); ++_iter380)
+    std::vector<int32_t> ::const_iterator _iter402;
+    for (_iter402 = this->backlog.begin(); _iter402 != this->backlog.end(); ++_iter402)
     {
-      xfer += oprot->writeI32((*_iter380));
+      xfer += oprot->writeI32((*_iter402));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9464,70 +9713,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other381) {
-  pool = other381.pool;
-  epoch = other381.epoch;
-  credits = other381.credits;
-  unreachable = other381.unreachable;
-  floor = other381.floor;
-  floor_epoch = other381.floor_epoch;
-  contended = other381.contended;
-  drain_per_s = other381.drain_per_s;
-  gateways = other381.gateways;
-  backlog = other381.backlog;
-  lease_ms = other381.lease_ms;
-  sequence = other381.sequence;
-  not_broker = other381.not_broker;
-  __isset = other381.__isset;
-}
-Grants::Grants(Grants&& other382) noexcept {
-  pool = std::move(other382.pool);
-  epoch = other382.epoch;
-  credits = std::move(other382.credits);
-  unreachable = std::move(other382.unreachable);
-  floor = other382.floor;
-  floor_epoch = other382.floor_epoch;
-  contended = other382.contended;
-  drain_per_s = other382.drain_per_s;
-  gateways = other382.gateways;
-  backlog = std::move(other382.backlog);
-  lease_ms = other382.lease_ms;
-  sequence = other382.sequence;
-  not_broker = other382.not_broker;
-  __isset = other382.__isset;
-}
-Grants& Grants::operator=(const Grants& other383) {
-  pool = other383.pool;
-  epoch = other383.epoch;
-  credits = other383.credits;
-  unreachable = other383.unreachable;
-  floor = other383.floor;
-  floor_epoch = other383.floor_epoch;
-  contended = other383.contended;
-  drain_per_s = other383.drain_per_s;
-  gateways = other383.gateways;
-  backlog = other383.backlog;
-  lease_ms = other383.lease_ms;
-  sequence = other383.sequence;
-  not_broker = other383.not_broker;
-  __isset = other383.__isset;
+Grants::Grants(const Grants& other403) {
+  pool = other403.pool;
+  epoch = other403.epoch;
+  credits = other403.credits;
+  unreachable = other403.unreachable;
+  floor = other403.floor;
+  floor_epoch = other403.floor_epoch;
+  contended = other403.contended;
+  drain_per_s = other403.drain_per_s;
+  gateways = other403.gateways;
+  backlog = other403.backlog;
+  lease_ms = other403.lease_ms;
+  sequence = other403.sequence;
+  not_broker = other403.not_broker;
+  __isset = other403.__isset;
+}
+Grants::Grants(Grants&& other404) noexcept {
+  pool = std::move(other404.pool);
+  epoch = other404.epoch;
+  credits = std::move(other404.credits);
+  unreachable = std::move(other404.unreachable);
+  floor = other404.floor;
+  floor_epoch = other404.floor_epoch;
+  contended = other404.contended;
+  drain_per_s = other404.drain_per_s;
+  gateways = other404.gateways;
+  backlog = std::move(other404.backlog);
+  lease_ms = other404.lease_ms;
+  sequence = other404.sequence;
+  not_broker = other404.not_broker;
+  __isset = other404.__isset;
+}
+Grants& Grants::operator=(const Grants& other405) {
+  pool = other405.pool;
+  epoch = other405.epoch;
+  credits = other405.credits;
+  unreachable = other405.unreachable;
+  floor = other405.floor;
+  floor_epoch = other405.floor_epoch;
+  contended = other405.contended;
+  drain_per_s = other405.drain_per_s;
+  gateways = other405.gateways;
+  backlog = other405.backlog;
+  lease_ms = other405.lease_ms;
+  sequence = other405.sequence;
+  not_broker = other405.not_broker;
+  __isset = other405.__isset;
   return *this;
 }
-Grants& Grants::operator=(Grants&& other384) noexcept {
-  pool = std::move(other384.pool);
-  epoch = other384.epoch;
-  credits = std::move(other384.credits);
-  unreachable = std::move(other384.unreachable);
-  floor = other384.floor;
-  floor_epoch = other384.floor_epoch;
-  contended = other384.contended;
-  drain_per_s = other384.drain_per_s;
-  gateways = other384.gateways;
-  backlog = std::move(other384.backlog);
-  lease_ms = other384.lease_ms;
-  sequence = other384.sequence;
-  not_broker = other384.not_broker;
-  __isset = other384.__isset;
+Grants& Grants::operator=(Grants&& other406) noexcept {
+  pool = std::move(other406.pool);
+  epoch = other406.epoch;
+  credits = std::move(other406.credits);
+  unreachable = std::move(other406.unreachable);
+  floor = other406.floor;
+  floor_epoch = other406.floor_epoch;
+  contended = other406.contended;
+  drain_per_s = other406.drain_per_s;
+  gateways = other406.gateways;
+  backlog = std::move(other406.backlog);
+  lease_ms = other406.lease_ms;
+  sequence = other406.sequence;
+  not_broker = other406.not_broker;
+  __isset = other406.__isset;
   return *this;
 }
 void Grants::printTo(std::ostream& out) const {
@@ -9625,22 +9874,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other385) noexcept {
-  here = other385.here;
-  __isset = other385.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other407) noexcept {
+  here = other407.here;
+  __isset = other407.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other386) noexcept {
-  here = other386.here;
-  __isset = other386.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other408) noexcept {
+  here = other408.here;
+  __isset = other408.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other387) noexcept {
-  here = other387.here;
-  __isset = other387.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other409) noexcept {
+  here = other409.here;
+  __isset = other409.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other388) noexcept {
-  here = other388.here;
-  __isset = other388.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other410) noexcept {
+  here = other410.here;
+  __isset = other410.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -9879,58 +10128,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other389) {
-  instance = other389.instance;
-  incarnation = other389.incarnation;
-  data_centre = other389.data_centre;
-  version_in_force = other389.version_in_force;
-  ready = other389.ready;
-  stopping = other389.stopping;
-  age_ms = other389.age_ms;
-  http = other389.http;
-  address = other389.address;
-  port = other389.port;
-  __isset = other389.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other390) noexcept {
-  instance = std::move(other390.instance);
-  incarnation = std::move(other390.incarnation);
-  data_centre = std::move(other390.data_centre);
-  version_in_force = other390.version_in_force;
-  ready = other390.ready;
-  stopping = other390.stopping;
-  age_ms = other390.age_ms;
-  http = std::move(other390.http);
-  address = std::move(other390.address);
-  port = other390.port;
-  __isset = other390.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other391) {
-  instance = other391.instance;
-  incarnation = other391.incarnation;
-  data_centre = other391.data_centre;
-  version_in_force = other391.version_in_force;
-  ready = other391.ready;
-  stopping = other391.stopping;
-  age_ms = other391.age_ms;
-  http = other391.http;
-  address = other391.address;
-  port = other391.port;
-  __isset = other391.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other411) {
+  instance = other411.instance;
+  incarnation = other411.incarnation;
+  data_centre = other411.data_centre;
+  version_in_force = other411.version_in_force;
+  ready = other411.ready;
+  stopping = other411.stopping;
+  age_ms = other411.age_ms;
+  http = other411.http;
+  address = other411.address;
+  port = other411.port;
+  __isset = other411.__isset;
+}
+InstanceStatus::InstanceStatus(InstanceStatus&& other412) noexcept {
+  instance = std::move(other412.instance);
+  incarnation = std::move(other412.incarnation);
+  data_centre = std::move(other412.data_centre);
+  version_in_force = other412.version_in_force;
+  ready = other412.ready;
+  stopping = other412.stopping;
+  age_ms = other412.age_ms;
+  http = std::move(other412.http);
+  address = std::move(other412.address);
+  port = other412.port;
+  __isset = other412.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other413) {
+  instance = other413.instance;
+  incarnation = other413.incarnation;
+  data_centre = other413.data_centre;
+  version_in_force = other413.version_in_force;
+  ready = other413.ready;
+  stopping = other413.stopping;
+  age_ms = other413.age_ms;
+  http = other413.http;
+  address = other413.address;
+  port = other413.port;
+  __isset = other413.__isset;
   return *this;
 }
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other392) noexcept {
-  instance = std::move(other392.instance);
-  incarnation = std::move(other392.incarnation);
-  data_centre = std::move(other392.data_centre);
-  version_in_force = other392.version_in_force;
-  ready = other392.ready;
-  stopping = other392.stopping;
-  age_ms = other392.age_ms;
-  http = std::move(other392.http);
-  address = std::move(other392.address);
-  port = other392.port;
-  __isset = other392.__isset;
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other414) noexcept {
+  instance = std::move(other414.instance);
+  incarnation = std::move(other414.incarnation);
+  data_centre = std::move(other414.data_centre);
+  version_in_force = other414.version_in_force;
+  ready = other414.ready;
+  stopping = other414.stopping;
+  age_ms = other414.age_ms;
+  http = std::move(other414.http);
+  address = std::move(other414.address);
+  port = other414.port;
+  __isset = other414.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -10081,14 +10330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size393;
-            ::apache::thrift::protocol::TType _etype396;
-            xfer += iprot->readListBegin(_etype396, _size393);
-            this->instances.resize(_size393);
-            uint32_t _i397;
-            for (_i397 = 0; _i397 < _size393; ++_i397)
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->instances.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
             {
-              xfer += this->instances[_i397].read(iprot);
+              xfer += this->instances[_i419].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10101,14 +10350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size398;
-            ::apache::thrift::protocol::TType _etype401;
-            xfer += iprot->readListBegin(_etype401, _size398);
-            this->leases.resize(_size398);
-            uint32_t _i402;
-            for (_i402 = 0; _i402 < _size398; ++_i402)
+            uint32_t _size420;
+            ::apache::thrift::protocol::TType _etype423;
+            xfer += iprot->readListBegin(_etype423, _size420);
+            this->leases.resize(_size420);
+            uint32_t _i424;
+            for (_i424 = 0; _i424 < _size420; ++_i424)
             {
-              xfer += this->leases[_i402].read(iprot);
+              xfer += this->leases[_i424].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10145,14 +10394,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size403;
-            ::apache::thrift::protocol::TType _etype406;
-            xfer += iprot->readListBegin(_etype406, _size403);
-            this->leaving.resize(_size403);
-            uint32_t _i407;
-            for (_i407 = 0; _i407 < _size403; ++_i407)
+            uint32_t _size425;
+            ::apache::thrift::protocol::TType _etype428;
+            xfer += iprot->readListBegin(_etype428, _size425);
+            this->leaving.resize(_size425);
+            uint32_t _i429;
+            for (_i429 = 0; _i429 < _size425; ++_i429)
             {
-              xfer += iprot->readString(this->leaving[_i407]);
+              xfer += iprot->readString(this->leaving[_i429]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10205,10 +10454,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter408;
-    for (_iter408 = this->instances.begin(); _iter408 != this->instances.end(); ++_iter408)
+    std::vector<InstanceStatus> ::const_iterator _iter430;
+    for (_iter430 = this->instances.begin(); _iter430 != this->instances.end(); ++_iter430)
     {
-      xfer += (*_iter408).write(oprot);
+      xfer += (*_iter430).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10217,10 +10466,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter409;
-    for (_iter409 = this->leases.begin(); _iter409 != this->leases.end(); ++_iter409)
+    std::vector<LeaseGrant> ::const_iterator _iter431;
+    for (_iter431 = this->leases.begin(); _iter431 != this->leases.end(); ++_iter431)
     {
-      xfer += (*_iter409).write(oprot);
+      xfer += (*_iter431).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10241,10 +10490,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter410;
-    for (_iter410 = this->leaving.begin(); _iter410 != this->leaving.end(); ++_iter410)
+    std::vector<std::string> ::const_iterator _iter432;
+    for (_iter432 = this->leaving.begin(); _iter432 != this->leaving.end(); ++_iter432)
     {
-      xfer += oprot->writeString((*_iter410));
+      xfer += oprot->writeString((*_iter432));
     }
     xfer += oprot->writeListEnd();
   }
