Count instances that a new leader has not heard yet as silent sharers of a limit

Change: instances remember the most sharers counted lately; test 'instances that a new leader has not heard yet ...'; a little less of the tolerance is used.

--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -84,6 +84,7 @@
   settings.m_retry_limit.m_ratio *= kRetryPart;
   settings.m_retry_limit.m_burst *= kRetryPart;
   settings.m_quota_tolerance = hosted.m_quota_tolerance;
+  settings.m_unconfirmed_limit = hosted.m_key_bound > Duration(0) ? hosted.m_key_bound : kUnbounded;
   return settings;
 }
 
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -30,6 +30,8 @@
   Duration m_stop_limit{8'000'000};   ///< A planned stop is over after this, whatever still runs.
   RetryLimit m_retry_limit;           ///< Second dispatches, over all instances.
   QuotaTolerance m_quota_tolerance;
+  /// An instance that can't reach a leader may go on for so long with what it knows.
+  Duration m_unconfirmed_limit{5'000'000};
 };
 
 /// \brief The order of waiting: the workspace's tier, then the route's, then age.
@@ -59,6 +61,7 @@
   std::shared_ptr<const RouteTable> m_table;
   Instant m_confirmed_until{};
   QuotaSharers m_sharers;
+  SharerMemory m_sharer_memory;
   double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
   bool m_stopping = false;
   Instant m_stop_begun{};
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -114,7 +114,8 @@
 }
 
 void TakeFleetLoad(ForwarderState& state, const FleetLoad& load) {
-  state.m_sharers = {std::max(1, load.m_instances), load.m_silent};
+  state.m_sharers = CountSharers(state.m_sharer_memory, load.m_instances, load.m_silent,
+                                 state.m_settings.m_unconfirmed_limit, ReadClock());
   for (auto& [id, backend] : state.m_backends) {
     backend.m_others_in_flight = 0;
     backend.m_others_reading = 0;
--- a/packages/policy/include/poppyway/policy/impl/token_quota.h
+++ b/packages/policy/include/poppyway/policy/impl/token_quota.h
@@ -56,6 +56,23 @@
   friend bool operator==(const QuotaSharers&, const QuotaSharers&) = default;
 };
 
+/// \brief The most instances that were counted of late.
+struct SharerMemory {
+  int m_most = 1;
+  Instant m_counted{};
+
+  friend bool operator==(const SharerMemory&, const SharerMemory&) = default;
+};
+
+/// \brief Counts the instances that share a limit. A new leader knows only those that have called
+/// it since: the rest of those counted before may be cut off and still serve, so they count as
+/// silent for `may_serve`.
+[[nodiscard]] QuotaSharers CountSharers(SharerMemory& memory,
+                                        int live,
+                                        int silent,
+                                        Duration may_serve,
+                                        Instant now) noexcept;
+
 /// \brief What one instance reports of a workspace, or the sum over several.
 struct QuotaUse {
   double m_spent = 0;         ///< Since the start of each.
--- a/packages/policy/src/token_quota.cc
+++ b/packages/policy/src/token_quota.cc
@@ -10,7 +10,7 @@
 // Parts of the operator's tolerance that are used. The rest covers the lag of reports: at twice the
 // limit's demand some 0.3 s of it are spent before the others hear of them.
 constexpr double kOveragePart = 0.5;
-constexpr double kSlackPart = 0.4;
+constexpr double kSlackPart = 0.3;
 constexpr double kFirstPart = 0.1;   // Of the burst is there when an instance starts.
 constexpr double kDeepestDebt = 1.0;  // In bursts: an older overrun is forgotten.
 constexpr double kPeriodPart = 2.0;   // Of its part of the bucket an instance may spend unheard.
@@ -67,6 +67,16 @@
 
 }  // namespace
 
+QuotaSharers CountSharers(SharerMemory& memory,
+                          int live,
+                          int silent,
+                          Duration may_serve,
+                          Instant now) noexcept {
+  if (live >= memory.m_most || now - memory.m_counted > may_serve)
+    memory = {std::max(1, live), now};
+  return {memory.m_most, silent + memory.m_most - std::max(1, live)};
+}
+
 QuotaLimit Loosen(const QuotaLimit& limit, const QuotaTolerance& tolerance) noexcept {
   return {limit.m_rate_per_s * (1 + kOveragePart * tolerance.m_overage),
           limit.m_burst + kSlackPart * tolerance.m_slack};
--- a/tests/token_quota_test.cc
+++ b/tests/token_quota_test.cc
@@ -164,6 +164,16 @@
   }
 }
 
+TEST_CASE("instances that a new leader has not heard yet still count as sharers of a limit") {
+  SharerMemory memory;
+  const Duration may_serve(5'000'000);
+  const Instant start{Duration(1'000'000)};
+  CHECK(CountSharers(memory, 7, 0, may_serve, start) == QuotaSharers{7, 0});
+  CHECK(CountSharers(memory, 4, 0, may_serve, start + Duration(500'000)) == QuotaSharers{7, 3});
+  CHECK(CountSharers(memory, 6, 2, may_serve, start + Duration(600'000)) == QuotaSharers{7, 3});
+  CHECK(CountSharers(memory, 4, 0, may_serve, start + Duration(5'500'000)) == QuotaSharers{4, 0});
+}
+
 TEST_CASE("a request that runs again is charged, one that never ran is given back") {
   QuotaBucket bucket;
   const QuotaLimit limit{1000, 1000};
