--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -64,6 +64,7 @@
       .Field("server", forwarding.m_tried.empty() ? "-" : forwarding.m_tried.back())
       .Field("attempts", forwarding.m_reached)
       .Field("prompt_tokens", forwarding.m_request.m_prompt_tokens)
+      .Field("most_tokens", forwarding.m_request.m_most_tokens)
       .Field("events", forwarding.m_events.m_events)
       .Field("sent_ms", forwarding.m_tried.empty() ? -1 : Millis(forwarding.m_dispatched - forwarding.m_arrived))
       .Field("first_ms", first ? Millis(forwarding.m_first_sent - forwarding.m_arrived) : -1)
