Order a rank's queue by the expected length of answers

Cause: under overload a few answers ten times as long as usual held places that several others could have used.

--- a/packages/forward/include/poppyway/forward/impl/dialect.h
+++ b/packages/forward/include/poppyway/forward/impl/dialect.h
@@ -38,6 +38,7 @@
   std::optional<Duration> m_patience;  ///< How long the caller waits, from now on.
   std::int64_t m_prompt_tokens = 0;
   std::int64_t m_most_tokens = 0;    ///< That it may generate.
+  std::int64_t m_expected_tokens = 0;  ///< That the caller expects; often far off. Zero: not told.
   bool m_names_tokens = false;
   std::vector<PromptPart> m_parts;
   std::optional<std::int64_t> m_resume_after;  ///< The last event that the caller has.
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -2,6 +2,7 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,10 +35,12 @@
   Duration m_unconfirmed_limit{5'000'000};
 };
 
-/// \brief The order of waiting: the workspace's tier, then the route's, then age.
+/// \brief The order of waiting: the workspace's tier, then the route's, then shorter answers before
+/// much longer ones, then age.
 struct WaitingOrder {
   Tier m_tier = 0;
   Tier m_rank = 0;
+  int m_length = 0;  ///< Of the expected answer: doublings above the usual.
   ForwardingRef m_ref = 0;
 
   friend auto operator<=>(const WaitingOrder&, const WaitingOrder&) = default;
@@ -50,6 +53,7 @@
 struct PoolState {
   std::vector<std::string> m_servers;  ///< Ids, in order.
   WaitingQueue m_waiting;
+  std::array<double, kTiers> m_usual_length{};  ///< Logarithm of expected tokens, by rank.
   TierCounts m_others_waiting{};  ///< At other instances, by the route's tier.
   RetryBudget m_retries{0};
 };
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -66,6 +66,7 @@
   Tier m_tier = 0;
   Instant m_arrived{};
   Instant m_deadline{};      ///< The caller's patience or the route's timeout, whichever is first.
+  int m_length = 0;          ///< Doublings of the expected answer above the usual.
   Instant m_wait_until{};    ///< In the queue; refused after this.
   std::vector<std::string> m_tried;  ///< Servers that were sent a byte.
   int m_reached = 0;         ///< How many calls sent a byte.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -180,7 +180,7 @@
     shape.m_pause_aim = forwarding.m_route->m_pause_aim;
   if (state.m_tokens_per_event > 0)
     shape.m_events =
-        static_cast<double>(forwarding.m_request.m_most_tokens) / state.m_tokens_per_event;
+        static_cast<double>(forwarding.m_request.m_expected_tokens) / state.m_tokens_per_event;
   const std::optional<ServerChoice> choice =
       ChooseServer(views, shape, TypicalPace(views), state.m_random());
   if (!choice)
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -1,5 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+#include <cmath>
+
 #include "steps.h"
 
 namespace poppyway::impl {
@@ -9,6 +12,19 @@
 // apart to take it out. What comes later is sent away, since it might outlast the stop.
 constexpr Duration kServeWhileStopping{2'500'000};
 
+/// How many times the expected answer is twice as long as usual for its rank, up to a bound.
+int LengthClass(PoolState& pool, const Forwarding& forwarding) {
+  constexpr double kGain = 0.02;  // The usual length is that of some fifty requests.
+  constexpr int kLongest = 3;
+  if (forwarding.m_request.m_expected_tokens <= 0)
+    return 0;
+  const auto rank = static_cast<std::size_t>(std::clamp(forwarding.m_route->m_tier, 0, kTiers - 1));
+  const double length = std::log2(static_cast<double>(forwarding.m_request.m_expected_tokens));
+  double& usual = pool.m_usual_length[rank];
+  usual = usual == 0 ? length : usual + kGain * (length - usual);
+  return std::clamp(static_cast<int>(length - usual), 0, kLongest);
+}
+
 }  // namespace
 
 // The way of one request, top to bottom. From `Enqueue` on the queue, the call's events and the
@@ -101,6 +117,7 @@
   waiting.m_retries = Deposit(waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
                                                   state.m_settings.m_retry_limit.m_burst,
                                                   state.m_sharers.m_instances});
+  forwarding.m_length = LengthClass(waiting, forwarding);
   PutInQueue(state, forwarding, forwarding.m_arrived + FirstWait(forwarding));
   ServeQueue(state, pool);
 }
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -38,7 +38,7 @@
 }  // namespace
 
 WaitingOrder OrderOf(const Forwarding& forwarding) noexcept {
-  return {forwarding.m_tier, forwarding.m_route->m_tier, forwarding.m_ref};
+  return {forwarding.m_tier, forwarding.m_route->m_tier, forwarding.m_length, forwarding.m_ref};
 }
 
 Duration FirstWait(const Forwarding& forwarding) noexcept {
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 #include <algorithm>
+#include <cmath>
 
 #include "steps.h"
 
@@ -119,13 +120,14 @@
   return forwarding.m_route->m_stream && IsSuccess(forwarding.m_answer.m_status);
 }
 
-/// Learns how many tokens one event carries, from streams that ran to their end.
+/// Learns how many tokens one event carries, from answers that ran to their end.
 void NoteEventSize(ForwarderState& state, const Forwarding& forwarding) {
   constexpr double kGain = 0.05;
-  const double sample = static_cast<double>(forwarding.m_request.m_most_tokens) /
-                        static_cast<double>(forwarding.m_events.m_events);
-  double& size = state.m_tokens_per_event;
-  size = size == 0 ? sample : size + kGain * (sample - size);
+  const double sample = std::log(static_cast<double>(forwarding.m_request.m_expected_tokens) /
+                                 static_cast<double>(forwarding.m_call_events));
+  // Estimates are right in the median but off by factors: their logarithms are averaged.
+  const double before = state.m_tokens_per_event > 0 ? std::log(state.m_tokens_per_event) : sample;
+  state.m_tokens_per_event = std::exp(before + kGain * (sample - before));
 }
 
 void LearnFromWhole(ForwarderState& state, const Forwarding& forwarding) {
@@ -143,7 +145,7 @@
     backend->m_pace = ObserveEvents(backend->m_pace, forwarding.m_call_events - 1,
                                     forwarding.m_last_event - forwarding.m_first_event,
                                     forwarding.m_longest_pause);
-  if (forwarding.m_call_events > 0 && forwarding.m_request.m_most_tokens > 0)
+  if (forwarding.m_call_events > 0 && forwarding.m_request.m_expected_tokens > 0)
     NoteEventSize(state, forwarding);
 }
 
