--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -28,7 +28,7 @@
 constexpr double kLateEndWeight = 1;   // Of the aim, added where the end would miss the deadline.
 constexpr double kDeadlineShare = 0.9; // Of the time left that a whole stream is expected to fill.
 constexpr double kTieMs = 2;        // Predictions closer than this count as equal.
-constexpr double kRemoteMs = 1;     // What another data centre costs in a comparison.
+constexpr double kRemoteShare = 0.12;  // Of the aim: what another data centre costs in a comparison.
 
 double Known(double value, double typical, double fallback) noexcept {
   if (value > 0)
@@ -142,7 +142,7 @@
     const double filled =
         static_cast<double>(server.m_own + server.m_others) / std::max(1, server.m_slots);
     const double ms = first * (1 + filled) + RiskMs(server, request, typical) +
-                      (server.m_same_data_centre ? 0 : kRemoteMs);
+                      (server.m_same_data_centre ? 0 : kRemoteShare * Ms(request.m_aim));
     if (best && ms > best_ms + kTieMs)
       continue;
     const bool tie = best && ms >= best_ms - kTieMs;
