--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -27,7 +27,8 @@
 
 /// Takes one from the budget that all instances share, if the route allows another server at all.
 bool MayTryElsewhere(ForwarderState& state, const Forwarding& forwarding) {
-  if (forwarding.m_reached >= forwarding.m_route->m_max_attempts)
+  const bool over = ReadClock() >= forwarding.m_deadline;
+  if (over || forwarding.m_reached >= forwarding.m_route->m_max_attempts)
     return false;
   if (forwarding.m_reached == 0)
     return true;  // No server has seen it.
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include "poppyway/platform.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace poppyway::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kEdgeSettings =
+    "node_name=edge-1\nip=10.1.0.25\nzone=ba-hall1\nlisten.front=10.1.0.25:8221\n"
+    "listen.readiness=10.1.0.25:8224\ninternal_ports=7600,7615\n"
+    "seeds=10.1.0.27:8229,10.2.0.19:8229\nbootstrap=true\nbounds.revoke_ms=5000\n"
+    "bounds.strict_revoke=true\nbounds.grace_s=8\nbounds.retry_ratio=0.2\nbounds.retry_slack=52\n"
+    "bounds.quota_overage=0.1\nbounds.quota_slack=140000\nsomething.new=1\n";
+
+Json Document() {
+  return Json::parse(R"({"version":7,
+    "routes":[
+     {"name":"r1","host":"a.example","path_prefix":"/x/","route_kind":"streaming",
+      "timeout_ms":12000,"slo_ms":1200,"priority":0,
+      "split":[{"service":"llm","weight":90},{"service":"app","weight":10}],
+      "max_attempts":2,"anonymous":false,"sticky":true,"resumable":true,"gap_slo_ms":600},
+     {"name":"r2","host":"a.example","path_prefix":"/y/","route_kind":"safe","timeout_ms":1000,
+      "slo_ms":100,"priority":2,"service":"app","max_attempts":3}],
+    "services":[{"name":"llm","health_path":"/h","max_conns":360,"engine":{"slots":7}},
+                {"name":"app","health_path":"/h","max_conns":100}],
+    "limits":{"max_body_bytes":4194304,"idle_timeout_ms":15000},
+    "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"unit":"token_stream",
+                "plain_tokens":200,"rate_per_s":1000,"burst":2000}]})");
+}
+
+TEST_CASE("settings are decoded once into fields that say what they hold") {
+  const HostedSettings settings = ParseHostedSettings(kEdgeSettings, "node.conf").value();
+  CHECK(settings.m_instance == "edge-1");
+  CHECK(settings.m_data_centre == "ba-hall1");
+  CHECK(settings.m_callers == Endpoint{"10.1.0.25", 8221});
+  CHECK(settings.m_readiness == Endpoint{"10.1.0.25", 8224});
+  CHECK(settings.m_control.m_port == 0);
+  CHECK(settings.m_first_internal_port == 7600);
+  CHECK(settings.m_seeds == std::vector<Endpoint>{{"10.1.0.27", 8229}, {"10.2.0.19", 8229}});
+  CHECK(settings.m_first_start);
+  CHECK(settings.m_key_bound == Duration(5'000'000));
+  CHECK(settings.m_stop_limit == Duration(8'000'000));
+  CHECK(settings.m_retry_limit.m_ratio == 0.2);
+  CHECK(settings.m_quota_tolerance == QuotaTolerance{0.1, 140'000});
+  CHECK(settings.m_data_folder.empty());
+}
+
+TEST_CASE("settings that are missing or malformed are refused by name") {
+  const auto why = [](const std::string& from, const std::string& to) {
+    std::string text(kEdgeSettings);
+    text.replace(text.find(from), from.size(), to);
+    const Result<HostedSettings> settings = ParseHostedSettings(text, "node.conf");
+    return settings ? std::string("accepted") : settings.error().m_message;
+  };
+  CHECK(why("node_name=edge-1\n", "") == "node.conf: node_name: it is missing");
+  CHECK(why("ip=10.1.0.25\n", "") == "node.conf: ip: it is missing");
+  CHECK(why("=7600,7615", "=many") == "node.conf: internal_ports: 'many' doesn't begin with a port");
+  CHECK(why("bounds.grace_s=8", "bounds.grace_s=soon") ==
+        "node.conf: bounds.grace_s: 'soon' is not a number");
+  CHECK(why("seeds=10.1.0.27:8229", "seeds=nowhere").starts_with("node.conf: seeds: "));
+  CHECK(why("listen.front=10.1.0.25:8221", "listen.front=x").starts_with("node.conf: listen.front: "));
+  CHECK_FALSE(ReadHostedSettings("/nonexistent/node.conf"));
+}
+
+TEST_CASE("the operator's document becomes routes, pools and workspaces") {
+  const RouteTable table = DecodeDocument(Document().dump()).value();
+  CHECK(table.m_version == 7);
+  const Route& stream = table.m_routes[0];
+  CHECK(stream.m_stream);
+  CHECK(stream.m_resumable);
+  CHECK(stream.m_repeat == Repeat::kNever);
+  CHECK(stream.m_aim == Duration(1'200'000));
+  CHECK(stream.m_pause_aim == Duration(600'000));
+  CHECK(stream.m_pools == std::vector<PoolWeight>{{"llm", 90}, {"app", 10}});
+  CHECK(table.m_routes[1].m_repeat == Repeat::kAlways);
+  CHECK(table.m_pools[0].m_engines);
+  CHECK_FALSE(table.m_pools[1].m_engines);
+  const Workspace& workspace = table.m_workspaces[0];
+  CHECK(workspace.m_tier == 1);
+  CHECK(workspace.m_counts_tokens);
+  CHECK(workspace.m_limit == QuotaLimit{1000, 2000});
+}
+
+TEST_CASE("a document that is wrong in any single field is refused") {
+  const auto refused = [](const std::function<void(Json&)>& spoil) {
+    Json document = Document();
+    spoil(document);
+    return !DecodeDocument(document.dump()).has_value();
+  };
+  CHECK_FALSE(refused([](Json&) {}));
+  CHECK(refused([](Json& d) { d.erase("version"); }));
+  CHECK(refused([](Json& d) { d["version"] = "7"; }));
+  CHECK(refused([](Json& d) { d.erase("routes"); }));
+  CHECK(refused([](Json& d) { d.erase("services"); }));
+  CHECK(refused([](Json& d) { d["routes"] = 3; }));
+  CHECK(refused([](Json& d) { d["routes"][0] = "r"; }));
+  for (const char* key : {"name", "host", "path_prefix", "route_kind", "timeout_ms"}) {
+    CAPTURE(key);
+    CHECK(refused([key](Json& d) { d["routes"][0].erase(key); }));
+    CHECK(refused([key](Json& d) { d["routes"][0][key] = Json::array(); }));
+  }
+  CHECK(refused([](Json& d) { d["routes"][0]["route_kind"] = "sometimes"; }));
+  CHECK(refused([](Json& d) { d["routes"][0]["timeout_ms"] = 0; }));
+  CHECK(refused([](Json& d) { d["routes"][0]["resumable"] = "yes"; }));
+  CHECK(refused([](Json& d) { d["routes"][1]["service"] = "nowhere"; }));
+  CHECK(refused([](Json& d) { d["routes"][1].erase("service"); }));
+  CHECK(refused([](Json& d) { d["routes"][1]["path_prefix"] = "/x/"; }));
+  CHECK(refused([](Json& d) {
+    d["routes"][0]["split"][0]["weight"] = 0;
+    d["routes"][0]["split"][1]["weight"] = 0;
+  }));
+  CHECK(refused([](Json& d) { d["tenants"].push_back({{"name", "t2"}, {"api_keys", {"k1"}}}); }));
+  CHECK(refused([](Json& d) { d["tenants"][0]["api_keys"][0] = 4; }));
+  CHECK(refused([](Json& d) { d["services"][0].erase("name"); }));
+}
+
+TEST_CASE("a document that was cut short is refused wherever it was cut") {
+  const std::string whole = Document().dump();
+  for (std::size_t length = 0; length < whole.size(); ++length)
+    CHECK_FALSE(DecodeDocument(whole.substr(0, length)).has_value());
+}
+
+TEST_CASE("spoiled bytes never crash a decoder") {
+  const std::string document = Document().dump();
+  std::mt19937_64 random(20261202);
+  for (int round = 0; round < 3'000; ++round) {
+    std::string spoiled = document;
+    for (int i = 0; i < 4; ++i)
+      spoiled[random() % spoiled.size()] = static_cast<char>(random());
+    (void)DecodeDocument(spoiled);
+    (void)DecodeControlCall("PUT", "/-/instances/a", spoiled);
+    (void)ParseHostedSettings(spoiled, "x");
+    (void)MakeDialect().m_decode_request({{"x-token-count", spoiled}, {"x-prefix-hash", spoiled}});
+    (void)MakeDialect().m_decode_answer(200, {{"x-server-load", spoiled}, {"keep-alive", spoiled}});
+  }
+}
+
+TEST_CASE("calls of operators and servers are decoded") {
+  const ControlCall put = DecodeControlCall("PUT", "/-/config", Document().dump()).value();
+  CHECK(put.m_kind == ControlCall::Kind::kPutDocument);
+  CHECK(put.m_document.version == 7);
+  CHECK(put.m_document.body == Document().dump());
+  CHECK(DecodeControlCall("GET", "/-/config", "")->m_kind == ControlCall::Kind::kReadDocument);
+  const ControlCall beat =
+      DecodeControlCall("PUT", "/-/instances/i-1",
+                        R"({"service":"llm","address":"10.128.0.9:8080","zone":"z","slots":7,
+                            "state":"draining","sequence":4})")
+          .value();
+  CHECK(beat.m_kind == ControlCall::Kind::kServerSeen);
+  CHECK(beat.m_server.id == "i-1");
+  CHECK(beat.m_server.pool == "llm");
+  CHECK(beat.m_server.address == "10.128.0.9");
+  CHECK(beat.m_server.port == 8080);
+  CHECK(beat.m_server.stage == wire::ServerStage::LEAVING);
+  CHECK(beat.m_server.sequence == 4);
+  const ControlCall gone = DecodeControlCall("DELETE", "/-/instances/i-1", "").value();
+  CHECK(gone.m_server.stage == wire::ServerStage::GONE);
+  CHECK(DecodeControlCall("GET", "/-/other", "")->m_kind == ControlCall::Kind::kUnknown);
+  CHECK(DecodeControlCall("PUT", "/-/instances/", "{}")->m_kind == ControlCall::Kind::kUnknown);
+}
+
+TEST_CASE("a heartbeat with missing or malformed fields is refused") {
+  const auto refused = [](const std::string& body) {
+    return !DecodeControlCall("PUT", "/-/instances/i-1", body).has_value();
+  };
+  CHECK(refused("not json"));
+  CHECK(refused("[]"));
+  CHECK(refused(R"({"address":"10.0.0.1:80"})"));
+  CHECK(refused(R"({"service":"llm"})"));
+  CHECK(refused(R"({"service":"llm","address":"nowhere"})"));
+  CHECK(refused(R"({"service":"llm","address":"10.0.0.1:80","slots":"many"})"));
+}
+
+TEST_CASE("a reader that can't be sure gets an error, never an empty document") {
+  ControlCall read;
+  read.m_kind = ControlCall::Kind::kReadDocument;
+  wire::Body none;
+  none.__set_document({});
+  CHECK(EncodeControlAnswer(read, none).m_status == 503);
+  wire::Body error;
+  error.__set_error({});
+  CHECK(EncodeControlAnswer(read, error).m_status == 503);
+  wire::Document document;
+  document.version = 3;
+  document.body = "{}x";
+  wire::Body known;
+  known.__set_document(document);
+  CHECK(EncodeControlAnswer(read, known) == ControlAnswer{200, "{}x"});
+}
+
+TEST_CASE("a caller's key and what only this system may set never reach a server") {
+  const CallerRequest request = MakeDialect().m_decode_request({{"x-attempt-id", "a1"},
+                                                                {"authorization", "Bearer k1"},
+                                                                {"x-tenant", "forged"},
+                                                                {"x-expect-instance", "forged"},
+                                                                {"kv-from", "forged"},
+                                                                {"x-kv-hold", "forged"},
+                                                                {"x-pin-ms", "9"},
+                                                                {"x-kv-backup", "forged"},
+                                                                {"connection", "close, X-Hop"},
+                                                                {"x-hop", "1"},
+                                                                {"x-token-count", "1460,80"},
+                                                                {"x-prefix-hash", "5c1e07a2:800,ff:60"},
+                                                                {"x-length-hint", "44"},
+                                                                {"x-deadline-ms", "1500"},
+                                                                {"last-event-id", "12"},
+                                                                {"x-other", "kept"}});
+  CHECK(request.m_id == "a1");
+  CHECK(request.m_key == "k1");
+  CHECK(request.m_patience == Duration(1'500'000));
+  CHECK(request.m_prompt_tokens == 1460);
+  CHECK(request.m_most_tokens == 80);
+  CHECK(request.m_expected_tokens == 44);
+  CHECK(request.m_parts == std::vector<PromptPart>{{0x5c1e07a2, 800}, {0xff, 60}});
+  CHECK(request.m_resume_after == 12);
+  std::vector<std::string> names;
+  for (const Field& field : request.m_forwarded)
+    names.push_back(field.m_name);
+  CHECK(names == std::vector<std::string>{"x-attempt-id", "x-token-count", "x-prefix-hash",
+                                          "x-length-hint", "x-other"});
+}
+
+TEST_CASE("a dispatch names the meant server, the workspace and the time that is left") {
+  DispatchFields dispatch;
+  dispatch.m_server = "i-1";
+  dispatch.m_workspace = "t1";
+  dispatch.m_left = Duration(1'234'567);
+  dispatch.m_resume_after = 4;
+  CHECK(MakeDialect().m_encode_dispatch(dispatch) ==
+        std::vector<Field>{{"x-deadline-ms", "1234"},
+                           {"x-expect-instance", "i-1"},
+                           {"x-tenant", "t1"},
+                           {"last-event-id", "4"}});
+}
+
+TEST_CASE("an answer says whom it is for, whether it ran, and what the caller gets of it") {
+  const ServerAnswer answer = MakeDialect().m_decode_answer(
+      200, {{"x-attempt-id", "a1"}, {"x-response-seal", "s"}, {"content-length", "4"},
+            {"keep-alive", "timeout=5"}, {"x-server-load", "3,1,8"}, {"x-own", "v"}});
+  CHECK(answer.m_id == "a1");
+  CHECK(answer.m_signed);
+  CHECK_FALSE(answer.m_not_run);
+  CHECK(answer.m_keep_alive == Duration(5'000'000));
+  CHECK(answer.m_running == 3);
+  CHECK(answer.m_waiting == 1);
+  CHECK(answer.m_relayed.back() == Field{"x-own", "v"});
+  CHECK(MakeDialect().m_decode_answer(503, {{"x-not-executed", "1"}}).m_not_run);
+  CHECK_FALSE(MakeDialect().m_decode_answer(503, {}).m_not_run);
+  CHECK(MakeDialect().m_decode_answer(421, {{"x-instance-id", "i-2"}}).m_other_server);
+  CHECK(MakeDialect().m_decode_answer(421, {}).m_not_run);
+}
+
+}  // namespace
+}  // namespace poppyway::platform
