--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -17,10 +17,12 @@
 
 constexpr int kUsageExit = 64;
 constexpr int kStartFailedExit = 70;
-constexpr std::uint16_t kMetricsOffset = 10;  // From the first internal port; see deploy/system.toml.
-constexpr std::int64_t kHeartbeatMs = 50;     // Loads are this old at most when others read them.
-constexpr std::int64_t kLeaseMs = 1500;       // An instance silent for longer counts as gone.
-constexpr double kConfirmShare = 0.9;   // Of the bound on removed keys; the rest is for our own delays.
+constexpr std::uint16_t kMetricsOffset =
+    10;                                    // From the first internal port; see deploy/system.toml.
+constexpr std::int64_t kHeartbeatMs = 50;  // Loads are this old at most when others read them.
+constexpr std::int64_t kLeaseMs = 1500;    // An instance silent for longer counts as gone.
+constexpr double kConfirmShare =
+    0.9;  // Of the bound on removed keys; the rest is for our own delays.
 constexpr Duration kUnbounded{30'000'000};  // Where there is no bound: how stale we agree to be.
 constexpr double kRetryPart = 0.6;  // Of the shared limit is spent; callers' windows aren't ours.
 constexpr std::uint64_t kSignalMillis = 20;
@@ -77,8 +79,8 @@
   settings.m_data_centre = hosted.m_data_centre;
   settings.m_callers = hosted.m_callers;
   settings.m_readiness = hosted.m_readiness;
-  settings.m_metrics = {hosted.m_address, static_cast<std::uint16_t>(hosted.m_first_internal_port +
-                                                                     kMetricsOffset)};
+  settings.m_metrics = {hosted.m_address,
+                        static_cast<std::uint16_t>(hosted.m_first_internal_port + kMetricsOffset)};
   settings.m_stop_limit = hosted.m_stop_limit;
   settings.m_retry_limit = hosted.m_retry_limit;
   settings.m_retry_limit.m_ratio *= kRetryPart;
@@ -97,11 +99,12 @@
         m_control(m_loop, m_settings, MakeIncarnation(hosted.m_instance), [](ControlMessage) {}),
         m_signals(m_loop, kSignalMillis, [this] { CheckSignals(); }) {
     if (hosted.m_callers.m_port != 0)
-      m_forwarder = std::make_unique<Forwarder>(m_loop, ToForwarderSettings(hosted),
-                                                platform::MakeDialect());
+      m_forwarder =
+          std::make_unique<Forwarder>(m_loop, ToForwarderSettings(hosted), platform::MakeDialect());
     if (m_forwarder) {
-      m_control.SetForwarder({[this](FleetMessage message) { m_forwarder->Take(std::move(message)); },
-                              [this] { return m_forwarder->Report(); }});
+      m_control.SetForwarder(
+          {[this](FleetMessage message) { m_forwarder->Take(std::move(message)); },
+           [this] { return m_forwarder->Report(); }});
     }
     if (hosted.m_control.m_port != 0 && m_control.member() != nullptr)
       m_server = std::make_unique<ControlServer>(m_loop, hosted.m_control, *m_control.member());
@@ -145,8 +148,7 @@
       if (m_forwarder)
         m_forwarder->BeginStop();
     }
-    const bool over =
-        m_forwarder ? m_forwarder->Stopped() : now - m_stop_begun >= kMemberStopTime;
+    const bool over = m_forwarder ? m_forwarder->Stopped() : now - m_stop_begun >= kMemberStopTime;
     if (!over)
       return;
     POPPYWAY_LOG(info, "stopped").Field("took_ms", (now - m_stop_begun).count() / 1000);
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -19,7 +19,8 @@
 constexpr Duration kFinishLimit{60'000'000};
 constexpr Duration kPollBackoff{100'000};
 constexpr std::int64_t kPollWaitMs = 5'000;
-constexpr Duration kPollOverdue{150'000};  // Followers learn of a commit within one log heartbeat, 50 ms.
+constexpr Duration kPollOverdue{
+    150'000};  // Followers learn of a commit within one log heartbeat, 50 ms.
 constexpr Duration kAdoptionRest{100};  // For each microsecond that adopting took.
 constexpr Duration kMaxAdoptionRest{2'000'000};
 constexpr Duration kForwardTimeout{5'000'000};
@@ -135,8 +136,8 @@
   const bool named = reply && reply->__isset.error && reply->error.leader_port != 0;
   std::size_t next = (m_leader + 1) % m_members.size();
   if (named)
-    next = ContactAt({reply->error.leader_address,
-                      static_cast<std::uint16_t>(reply->error.leader_port)});
+    next = ContactAt(
+        {reply->error.leader_address, static_cast<std::uint16_t>(reply->error.leader_port)});
   m_leader = next;
   m_beat_due = std::min(m_beat_due, ReadClock() + kProposeBackoff);
 }
@@ -156,8 +157,7 @@
   load.m_instances = std::max(1, reply.live);
   load.m_silent = reply.silent;
   m_forwarder.m_send(std::move(load));
-  const bool behind =
-      m_document_version < m_leader_document || m_servers_index < m_leader_servers;
+  const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
   const Instant now = ReadClock();
   if (!behind || now - m_poll_sent < kPollOverdue)
     return;
@@ -226,21 +226,22 @@
   body.__set_poll(poll);
   const Duration timeout = std::chrono::milliseconds(kPollWaitMs) + kForwardTimeout;
   const std::uint64_t number = ++m_poll_number;
-  m_members[m_poll_member]->Call(std::move(body), timeout, [this, number](Result<wire::Body> reply) {
-    if (number != m_poll_number)
-      return;  // Another poll has taken its place.
-    m_polling = false;
-    if (m_settings.m_hosted && reply && reply->__isset.delta) {
-      OnHostedDelta(reply->delta);
-      return;
-    }
-    if (reply && reply->__isset.delta) {
-      OnDelta(reply->delta);
-      return;
-    }
-    m_poll_member = (m_poll_member + 1) % m_members.size();
-    m_poll_after = ReadClock() + kPollBackoff;
-  });
+  m_members[m_poll_member]->Call(std::move(body), timeout,
+                                 [this, number](Result<wire::Body> reply) {
+                                   if (number != m_poll_number)
+                                     return;  // Another poll has taken its place.
+                                   m_polling = false;
+                                   if (m_settings.m_hosted && reply && reply->__isset.delta) {
+                                     OnHostedDelta(reply->delta);
+                                     return;
+                                   }
+                                   if (reply && reply->__isset.delta) {
+                                     OnDelta(reply->delta);
+                                     return;
+                                   }
+                                   m_poll_member = (m_poll_member + 1) % m_members.size();
+                                   m_poll_after = ReadClock() + kPollBackoff;
+                                 });
 }
 
 void InstanceSide::OnDelta(const wire::ConfigDelta& delta) {
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -87,8 +87,8 @@
   ForwarderPort m_forwarder;
   std::vector<std::unique_ptr<PeerClient>> m_members;
   std::vector<Endpoint> m_places;  ///< Of `m_members`.
-  std::size_t m_leader = 0;       ///< Index of the member believed to lead.
-  std::size_t m_poll_member = 0;  ///< Index of the member that is polled.
+  std::size_t m_leader = 0;        ///< Index of the member believed to lead.
+  std::size_t m_poll_member = 0;   ///< Index of the member that is polled.
   bool m_polling = false;
   std::uint64_t m_poll_number = 0;  ///< Replies to earlier polls are ignored.
   Instant m_poll_sent{};
@@ -96,7 +96,7 @@
   std::int64_t m_servers_index = 0;
   std::int64_t m_leader_document = 0;  ///< As the leader last said.
   std::int64_t m_leader_servers = 0;
-  Instant m_leader_asked{};      ///< When the heartbeat that it answered was sent.
+  Instant m_leader_asked{};  ///< When the heartbeat that it answered was sent.
   Instant m_published_until{};
   Instant m_poll_after{};
   Instant m_beat_due{};
--- a/apps/poppywayd/main.cc
+++ b/apps/poppywayd/main.cc
@@ -102,8 +102,9 @@
   namespace po = boost::program_options;
   po::options_description options("poppywayd: the daemon of poppyway");
   options.add_options()("settings,s", po::value<std::string>(), "settings file (YAML)")(
-      "check", "check the settings and exit")("hosted", "run on a hosting platform, by its settings")("version", "print the version")("help,h",
-                                                                              "print this");
+      "check", "check the settings and exit")(
+      "hosted", "run on a hosting platform, by its settings")("version", "print the version")(
+      "help,h", "print this");
   po::variables_map given;
   try {
     po::store(po::parse_command_line(argc, argv, options), given);
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -233,9 +233,9 @@
   if (leads()) {
     if (m_table.m_leading_since == Instant{})
       // A hosted instance that falls silent may serve until its last confirmation lapses.
-      m_table = BeginLeading(std::chrono::milliseconds(
-                                 std::max(m_settings.m_lease_ms, m_settings.m_confirm_ms)),
-                             std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
+      m_table = BeginLeading(
+          std::chrono::milliseconds(std::max(m_settings.m_lease_ms, m_settings.m_confirm_ms)),
+          std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
     ProposeDue(now);
   } else {
     m_table = {};
--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -155,15 +155,15 @@
   std::vector<Field> m_fields;
   bool m_in_value = false;
   bool m_head_done = false;
-  bool m_skipping = false;   ///< The message at hand answers another request.
+  bool m_skipping = false;  ///< The message at hand answers another request.
   bool m_complete = false;
   bool m_written = false;
   bool m_silent = false;
   bool m_reused = false;
   bool m_paused = false;
-  bool m_parsing = false;    ///< The parser reads the socket's buffer: it must not be freed.
+  bool m_parsing = false;  ///< The parser reads the socket's buffer: it must not be freed.
   bool m_cancelled = false;
-  bool m_surplus = false;    ///< More than one answer came: the connection isn't kept.
+  bool m_surplus = false;  ///< More than one answer came: the connection isn't kept.
   Duration m_keep_alive;
 };
 
--- a/packages/forward/include/poppyway/forward/impl/dialect.h
+++ b/packages/forward/include/poppyway/forward/impl/dialect.h
@@ -33,16 +33,16 @@
 
 /// \brief What a caller's header fields say, decoded once.
 struct CallerRequest {
-  std::string m_id;                  ///< The caller's own name for this attempt.
-  std::string m_key;                 ///< Empty: none was sent.
+  std::string m_id;                    ///< The caller's own name for this attempt.
+  std::string m_key;                   ///< Empty: none was sent.
   std::optional<Duration> m_patience;  ///< How long the caller waits, from now on.
   std::int64_t m_prompt_tokens = 0;
-  std::int64_t m_most_tokens = 0;    ///< That it may generate.
+  std::int64_t m_most_tokens = 0;      ///< That it may generate.
   std::int64_t m_expected_tokens = 0;  ///< That the caller expects; often far off. Zero: not told.
   bool m_names_tokens = false;
   std::vector<PromptPart> m_parts;
   std::optional<std::int64_t> m_resume_after;  ///< The last event that the caller has.
-  std::vector<Field> m_forwarded;    ///< What a backend server gets unchanged.
+  std::vector<Field> m_forwarded;              ///< What a backend server gets unchanged.
 
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
 };
@@ -63,11 +63,11 @@
   bool m_not_run = false;           ///< The server promises that it has not run the request.
   bool m_other_server = false;      ///< Another server than the one that was meant answered.
   bool m_event_stream = false;
-  bool m_leaving = false;           ///< The server asks for no more requests on the connection.
+  bool m_leaving = false;  ///< The server asks for no more requests on the connection.
   std::optional<Duration> m_keep_alive;  ///< How long the connection may rest.
-  int m_running = -1;               ///< Requests at work there; -1: not told.
+  int m_running = -1;                    ///< Requests at work there; -1: not told.
   int m_waiting = 0;
-  std::vector<Field> m_relayed;     ///< What the caller gets unchanged.
+  std::vector<Field> m_relayed;  ///< What the caller gets unchanged.
 
   friend bool operator==(const ServerAnswer&, const ServerAnswer&) = default;
 };
--- a/packages/forward/include/poppyway/forward/impl/event_stream.h
+++ b/packages/forward/include/poppyway/forward/impl/event_stream.h
@@ -11,10 +11,10 @@
 
 /// \brief Splits an event stream into whole events, so that a break never passes half of one on.
 struct EventStream {
-  std::string m_partial;                ///< Bytes after the last whole event.
-  std::optional<std::int64_t> m_last;   ///< Id of the last whole event.
-  std::int64_t m_events = 0;            ///< Whole events so far.
-  bool m_out_of_order = false;          ///< An id was not one above the one before.
+  std::string m_partial;               ///< Bytes after the last whole event.
+  std::optional<std::int64_t> m_last;  ///< Id of the last whole event.
+  std::int64_t m_events = 0;           ///< Whole events so far.
+  bool m_out_of_order = false;         ///< An id was not one above the one before.
 };
 
 /// \brief Takes bytes and returns those of all events that are now whole.
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -34,8 +34,8 @@
   std::vector<wire::WorkspaceUse> m_uses;
   std::vector<wire::PoolWaiting> m_waiting;
   std::int64_t m_basis = 0;  ///< Names the instances that the sums are of.
-  int m_instances = 1;  ///< Instances that take callers, this one included.
-  int m_silent = 0;     ///< Of those, not heard lately.
+  int m_instances = 1;       ///< Instances that take callers, this one included.
+  int m_silent = 0;          ///< Of those, not heard lately.
 };
 
 /// \brief From the control task to the forwarder.
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -25,11 +25,11 @@
 struct ForwarderSettings {
   std::string m_instance;
   std::string m_data_centre;
-  Endpoint m_callers;      ///< Where callers connect.
-  Endpoint m_readiness;    ///< Where the balancer asks.
-  Endpoint m_metrics;      ///< Port 0: none.
-  Duration m_stop_limit{8'000'000};   ///< A planned stop is over after this, whatever still runs.
-  RetryLimit m_retry_limit;           ///< Second dispatches, over all instances.
+  Endpoint m_callers;                ///< Where callers connect.
+  Endpoint m_readiness;              ///< Where the balancer asks.
+  Endpoint m_metrics;                ///< Port 0: none.
+  Duration m_stop_limit{8'000'000};  ///< A planned stop is over after this, whatever still runs.
+  RetryLimit m_retry_limit;          ///< Second dispatches, over all instances.
   QuotaTolerance m_quota_tolerance;
   /// An instance that can't reach a leader may go on for so long with what it knows.
   Duration m_unconfirmed_limit{5'000'000};
@@ -54,7 +54,7 @@
   std::vector<std::string> m_servers;  ///< Ids, in order.
   WaitingQueue m_waiting;
   std::array<double, kTiers> m_usual_length{};  ///< Logarithm of expected tokens, by rank.
-  TierCounts m_others_waiting{};  ///< At other instances, by the route's tier.
+  TierCounts m_others_waiting{};                ///< At other instances, by the route's tier.
   RetryBudget m_retries{0};
 };
 
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -19,7 +19,8 @@
 /// \brief Names a request within one forwarder.
 using ForwardingRef = std::uint64_t;
 
-/// \brief Where a request stands; it moves back only from `kCalling` to `kWaiting`, for another try.
+/// \brief Where a request stands; it moves back only from `kCalling` to `kWaiting`, for another
+/// try.
 enum class ForwardingStage : std::uint8_t {
   kNew,
   kWaiting,   ///< In the queue of its pool; no server works on it.
@@ -40,7 +41,7 @@
   std::int64_t m_others_reading = 0;
   ServerPace m_pace;
   ServerHealth m_health;
-  Instant m_last_heard{};   ///< Any byte from it.
+  Instant m_last_heard{};  ///< Any byte from it.
   /// Prompt parts that were sent there last, with when. Bounded by `kMostParts`.
   std::unordered_map<std::uint64_t, Instant> m_parts;
 };
@@ -65,23 +66,23 @@
   const Pool* m_pool = nullptr;
   Tier m_tier = 0;
   Instant m_arrived{};
-  Instant m_deadline{};      ///< The caller's patience or the route's timeout, whichever is first.
-  int m_length = 0;          ///< Doublings of the expected answer above the usual.
-  Instant m_wait_until{};    ///< In the queue; refused after this.
+  Instant m_deadline{};    ///< The caller's patience or the route's timeout, whichever is first.
+  int m_length = 0;        ///< Doublings of the expected answer above the usual.
+  Instant m_wait_until{};  ///< In the queue; refused after this.
   std::vector<std::string> m_tried;  ///< Servers that were sent a byte.
-  int m_reached = 0;         ///< How many calls sent a byte.
-  double m_quota_cost = 0;   ///< Taken from the workspace's limit for one run.
-  int m_unsure = 0;          ///< Of those, calls after which the request may have run.
+  int m_reached = 0;                 ///< How many calls sent a byte.
+  double m_quota_cost = 0;           ///< Taken from the workspace's limit for one run.
+  int m_unsure = 0;                  ///< Of those, calls after which the request may have run.
 
   // The call under way.
-  std::string m_server;      ///< Its id; empty: none.
+  std::string m_server;  ///< Its id; empty: none.
   std::unique_ptr<BackendCall> m_call;
   ServerAnswer m_answer;
-  bool m_headed = false;     ///< Its head has come.
-  std::string m_buffered;    ///< Its body, while the caller has had nothing.
+  bool m_headed = false;   ///< Its head has come.
+  std::string m_buffered;  ///< Its body, while the caller has had nothing.
   EventStream m_events;
   Instant m_dispatched{};
-  Instant m_first_event{};   ///< Of the call.
+  Instant m_first_event{};  ///< Of the call.
   Instant m_last_event{};
   std::int64_t m_call_events = 0;
   std::int64_t m_read_tokens = 0;  ///< Prompt tokens counted at the server until its first event.
--- a/packages/forward/include/poppyway/forward/impl/route_table.h
+++ b/packages/forward/include/poppyway/forward/impl/route_table.h
@@ -39,10 +39,10 @@
   bool m_resumable = false;  ///< A broken stream may go on at another server.
   bool m_anonymous = false;  ///< Needs no key.
   Tier m_tier = 0;
-  int m_max_attempts = 1;    ///< Servers that one request may be sent to.
-  Duration m_timeout{};      ///< Longest that a request is held.
-  Duration m_aim{};          ///< First event, or the whole answer, wanted within this.
-  Duration m_pause_aim{};    ///< Longest pause between events that is still in time.
+  int m_max_attempts = 1;  ///< Servers that one request may be sent to.
+  Duration m_timeout{};    ///< Longest that a request is held.
+  Duration m_aim{};        ///< First event, or the whole answer, wanted within this.
+  Duration m_pause_aim{};  ///< Longest pause between events that is still in time.
 
   friend bool operator==(const Route&, const Route&) = default;
 };
@@ -85,7 +85,8 @@
   std::vector<Workspace> m_workspaces;
   CallerLimits m_limits;
   // Built from the above.
-  std::map<std::string, std::vector<std::size_t>, std::less<>> m_by_host;  ///< Longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>>
+      m_by_host;  ///< Longest prefix first.
   std::map<std::string, std::size_t, std::less<>> m_by_key;
 
   friend bool operator==(const RouteTable&, const RouteTable&) = default;
@@ -101,13 +102,15 @@
                                      std::string_view host,
                                      std::string_view path) noexcept;
 /// \brief The workspace that holds `key`, or null.
-[[nodiscard]] const Workspace* FindWorkspace(const RouteTable& table, std::string_view key) noexcept;
+[[nodiscard]] const Workspace* FindWorkspace(const RouteTable& table,
+                                             std::string_view key) noexcept;
 [[nodiscard]] const Pool* FindPool(const RouteTable& table, std::string_view name) noexcept;
 
 /// \brief The pool of one request, by weight. `random` is uniform.
 [[nodiscard]] const std::string& PickPool(const Route& route, std::uint64_t random) noexcept;
 
 /// \brief What a request costs a workspace.
-[[nodiscard]] double CostOf(const Workspace& workspace, std::optional<std::int64_t> tokens) noexcept;
+[[nodiscard]] double CostOf(const Workspace& workspace,
+                            std::optional<std::int64_t> tokens) noexcept;
 
 }  // namespace poppyway
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -11,14 +11,17 @@
 namespace poppyway {
 namespace {
 
-constexpr std::uint64_t kConnectMillis = 300;  // Servers are at most some ms away; a lost SYN costs 1 s.
+constexpr std::uint64_t kConnectMillis =
+    300;  // Servers are at most some ms away; a lost SYN costs 1 s.
 constexpr std::uint64_t kExpiryMillis = 250;
-constexpr Duration kSilence{1'500'000};      // Unacknowledged bytes: the server's machine is out of reach.
+constexpr Duration kSilence{
+    1'500'000};  // Unacknowledged bytes: the server's machine is out of reach.
 constexpr Duration kDefaultRest{3'000'000};  // Where a server doesn't say how long it keeps one.
 constexpr Duration kRestMargin{400'000};     // A request must not cross the server's own close.
 constexpr std::size_t kMostResting = 64;     // For one server.
-constexpr Duration kCarefulRest{1'000'000};  // For what must not be lost, a connection of late use only.
-constexpr unsigned kContinue = 200;          // Below: interim answers, to be passed over.
+constexpr Duration kCarefulRest{
+    1'000'000};                      // For what must not be lost, a connection of late use only.
+constexpr unsigned kContinue = 200;  // Below: interim answers, to be passed over.
 
 /// True if the peer has closed or sent something: then the connection can't be used.
 bool IsStale(h2o_socket_t* socket) {
@@ -54,7 +57,9 @@
 };
 
 BackendPool::BackendPool(TaskLoop& loop)
-    : m_loop(loop), m_connect_limit{}, m_at_once{}, m_expiry(loop, kExpiryMillis, [this] { Expire(); }) {
+    : m_loop(loop), m_connect_limit{}, m_at_once{}, m_expiry(loop, kExpiryMillis, [this] {
+        Expire();
+      }) {
   h2o_timeout_init(loop.loop(), &m_connect_limit, kConnectMillis);
   h2o_timeout_init(loop.loop(), &m_at_once, 0);
 }
@@ -197,7 +202,8 @@
                                 sizeof(where), &BackendCall::OnConnected);
   if (m_socket != nullptr)
     m_socket->data = this;
-  FailLater(CallFault::kNotConnected, m_socket == nullptr ? m_pool.m_at_once : m_pool.m_connect_limit);
+  FailLater(CallFault::kNotConnected,
+            m_socket == nullptr ? m_pool.m_at_once : m_pool.m_connect_limit);
 }
 
 void BackendCall::FailLater(CallFault fault, h2o_timeout_t& when) {
@@ -368,8 +374,8 @@
   h2o_socket_t* socket = m_socket;
   m_socket = nullptr;
   h2o_socket_read_stop(socket);
-  const bool keep = m_written && !m_surplus && !m_silent && http_should_keep_alive(&m_parser) != 0 &&
-                    socket->input->size == 0;
+  const bool keep = m_written && !m_surplus && !m_silent &&
+                    http_should_keep_alive(&m_parser) != 0 && socket->input->size == 0;
   if (keep)
     m_pool.Rest(m_place, socket, m_keep_alive - kRestMargin);
   else
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -62,8 +62,7 @@
   view.m_reading_tokens = backend.m_reading_tokens + backend.m_others_reading;
   view.m_kept_tokens = KeptTokens(backend, forwarding.m_request);
   view.m_pace = backend.m_pace;
-  view.m_usable = !backend.m_leaving && !backend.m_replaced &&
-                  !Avoided(backend.m_health, now) &&
+  view.m_usable = !backend.m_leaving && !backend.m_replaced && !Avoided(backend.m_health, now) &&
                   !Tried(forwarding, backend.m_record.id);
   view.m_same_data_centre = backend.m_record.data_centre == state.m_settings.m_data_centre;
   return view;
@@ -162,8 +161,8 @@
   views.reserve(ids.size());
   for (const std::string& id : ids)
     views.push_back(ViewOf(state, forwarding, state.m_backends.at(id), now));
-  const bool any = std::any_of(views.begin(), views.end(),
-                               [](const ServerView& view) { return view.m_usable; });
+  const bool any =
+      std::any_of(views.begin(), views.end(), [](const ServerView& view) { return view.m_usable; });
   for (std::size_t i = 0; !any && i < ids.size(); ++i) {
     // All are suspect: a suspect one is better than none.
     const Backend& backend = state.m_backends.at(ids[i]);
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -42,7 +42,8 @@
 }
 
 Step CheckInForce(ForwarderState& state, Forwarding& forwarding) {
-  const bool late = state.m_stopping && forwarding.m_arrived - state.m_stop_begun > kServeWhileStopping;
+  const bool late =
+      state.m_stopping && forwarding.m_arrived - state.m_stop_begun > kServeWhileStopping;
   if (late) {
     Refuse(state, forwarding, ResultCode::kStopping, "the instance stops");
     return Step::kEnded;
@@ -114,9 +115,9 @@
   const std::string& pool = PickPool(*forwarding.m_route, state.m_random());
   forwarding.m_pool = FindPool(*forwarding.m_table, pool);
   PoolState& waiting = state.m_pools[pool];
-  waiting.m_retries = Deposit(waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
-                                                  state.m_settings.m_retry_limit.m_burst,
-                                                  state.m_sharers.m_instances});
+  waiting.m_retries = Deposit(
+      waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
+                          state.m_settings.m_retry_limit.m_burst, state.m_sharers.m_instances});
   forwarding.m_length = LengthClass(waiting, forwarding);
   PutInQueue(state, forwarding, forwarding.m_arrived + FirstWait(forwarding));
   ServeQueue(state, pool);
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -8,8 +8,7 @@
 constexpr std::size_t kMostParts = 4096;  // Prompt parts remembered for one server.
 constexpr Duration kPartAge{60'000'000};
 
-std::string BuildRequest(const Forwarding& forwarding,
-                         const std::vector<Field>& added) {
+std::string BuildRequest(const Forwarding& forwarding, const std::vector<Field>& added) {
   std::string request;
   request.reserve(512 + forwarding.m_body.size());
   request += forwarding.m_method + " " + forwarding.m_target + " HTTP/1.1\r\n";
@@ -31,7 +30,8 @@
   for (const PromptPart& part : request.m_parts)
     backend.m_parts[part.m_id] = now;
   if (backend.m_parts.size() > kMostParts)
-    std::erase_if(backend.m_parts, [now](const auto& part) { return now - part.second > kPartAge; });
+    std::erase_if(backend.m_parts,
+                  [now](const auto& part) { return now - part.second > kPartAge; });
   if (backend.m_parts.size() > kMostParts)
     backend.m_parts.clear();
 }
@@ -80,8 +80,8 @@
   if (forwarding.m_workspace != nullptr)
     fields.m_workspace = forwarding.m_workspace->m_name;
   fields.m_left = forwarding.m_deadline - now;
-  fields.m_resume_after = forwarding.m_events.m_last ? forwarding.m_events.m_last
-                                                     : forwarding.m_request.m_resume_after;
+  fields.m_resume_after =
+      forwarding.m_events.m_last ? forwarding.m_events.m_last : forwarding.m_request.m_resume_after;
   CallEvents events;
   events.m_may_send = [&state, ref] { return OnMaySend(state, ref); };
   events.m_on_head = [&state, ref](int status, std::vector<Field> head) {
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -66,7 +66,9 @@
       .Field("prompt_tokens", forwarding.m_request.m_prompt_tokens)
       .Field("most_tokens", forwarding.m_request.m_most_tokens)
       .Field("events", forwarding.m_events.m_events)
-      .Field("sent_ms", forwarding.m_tried.empty() ? -1 : Millis(forwarding.m_dispatched - forwarding.m_arrived))
+      .Field("sent_ms", forwarding.m_tried.empty()
+                            ? -1
+                            : Millis(forwarding.m_dispatched - forwarding.m_arrived))
       .Field("first_ms", first ? Millis(forwarding.m_first_sent - forwarding.m_arrived) : -1)
       .Field("pause_ms", Millis(forwarding.m_longest_pause))
       .Field("total_ms", Millis(now - forwarding.m_arrived))
@@ -119,8 +121,7 @@
   const std::string tier = "tier=\"" + std::to_string(forwarding.m_tier) + "\"";
   if (code == ResultCode::kOk) {
     state.m_metrics.Add("poppyway_forward_answers_total", tier);
-    state.m_metrics.Record("poppyway_forward_seconds", tier,
-                           ReadClock() - forwarding.m_arrived);
+    state.m_metrics.Record("poppyway_forward_seconds", tier, ReadClock() - forwarding.m_arrived);
   } else {
     state.m_metrics.Add("poppyway_forward_refusals_total",
                         TierAndReason(forwarding.m_tier, Describe(code).m_name));
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -63,8 +63,7 @@
     Forwarding* forwarding = left[i] ? Find(state, refs[i]) : nullptr;
     if (forwarding == nullptr)
       continue;
-    const std::string pool =
-        forwarding->m_pool == nullptr ? "" : forwarding->m_pool->m_name;
+    const std::string pool = forwarding->m_pool == nullptr ? "" : forwarding->m_pool->m_name;
     // The library still holds the request: answering closes the connection.
     impl::Refuse(state, *forwarding, ResultCode::kCallerGone, "the caller closed its connection");
     if (!pool.empty())
@@ -84,10 +83,10 @@
   for (const ForwardingRef ref : overdue) {
     Forwarding& forwarding = *Find(state, ref);
     const std::string pool = forwarding.m_pool->m_name;
-    impl::Refuse(state, forwarding,
-                 forwarding.m_unsure > 0 ? ResultCode::kDeadlinePassed
-                                           : ResultCode::kDeadlineUnreachable,
-                 "the deadline passed");
+    impl::Refuse(
+        state, forwarding,
+        forwarding.m_unsure > 0 ? ResultCode::kDeadlinePassed : ResultCode::kDeadlineUnreachable,
+        "the deadline passed");
     impl::ServeQueue(state, pool);
   }
 }
@@ -103,8 +102,7 @@
     const wire::Document& document = *message.m_document;
     if (m_state.m_table && document.version <= m_state.m_table->m_version)
       return;
-    Result<RouteTable> table =
-        m_state.m_dialect.m_decode_document(document.version, document.body);
+    Result<RouteTable> table = m_state.m_dialect.m_decode_document(document.version, document.body);
     if (!table) {
       POPPYWAY_LOG(error, "configuration_unusable")
           .Field("version", document.version)
@@ -139,8 +137,8 @@
                                            [this](h2o_req_t* req) { OnRequest(req); });
   m_readiness = std::make_unique<HttpServer>(loop, HttpLimits{},
                                              [this](h2o_req_t* req) { OnReadiness(req); });
-  m_metrics = std::make_unique<HttpServer>(loop, HttpLimits{},
-                                           [this](h2o_req_t* req) { OnMetrics(req); });
+  m_metrics =
+      std::make_unique<HttpServer>(loop, HttpLimits{}, [this](h2o_req_t* req) { OnMetrics(req); });
   m_tick = std::make_unique<RepeatingTimer>(loop, kBusyTickMillis, kIdleTickMillis,
                                             [this] { return Tick(); });
 }
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -14,7 +14,8 @@
 constexpr double kComeBackShare = 0.3;
 constexpr Duration kComeBackLeast{150'000};  // Sooner, nothing will have changed.
 constexpr Duration kComeBackMost{2'000'000};
-constexpr Duration kFleetFresh{300'000};  // Some heartbeats; older word of others is no reason to wait.
+constexpr Duration kFleetFresh{
+    300'000};                         // Some heartbeats; older word of others is no reason to wait.
 constexpr int kDepthWithoutRoom = 8;  // After so many that find no room the rest is not tried.
 
 Duration Scale(Duration duration, double factor) {
@@ -63,8 +64,7 @@
       continue;
     }
     const Tier rank = forwarding->m_route->m_tier;
-    const std::optional<std::string> server =
-        ChooseBackend(state, *forwarding, rank > most_urgent);
+    const std::optional<std::string> server = ChooseBackend(state, *forwarding, rank > most_urgent);
     const bool may = server && StillConfirmed(state, *forwarding, now);
     if (!may) {
       ++without_room;
@@ -104,7 +104,8 @@
 Duration ComeBackAfter(ForwarderState& state, const Forwarding& forwarding) {
   const Duration left = forwarding.m_deadline - ReadClock();
   const Duration most = std::min(kComeBackMost, Scale(left, kComeBackShare));
-  const double spread = 0.5 + 0.5 * static_cast<double>(state.m_random() >> 11) / 9007199254740992.0;
+  const double spread =
+      0.5 + 0.5 * static_cast<double>(state.m_random() >> 11) / 9007199254740992.0;
   return std::max(kComeBackLeast, Scale(most, spread));
 }
 
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -8,8 +8,9 @@
 namespace poppyway::impl {
 namespace {
 
-constexpr std::size_t kMostBuffered = 256 * 1024;  // Of an answer, before it is passed on in pieces.
-constexpr std::size_t kMostPending = 256 * 1024;   // For a slow caller, before the server is paused.
+constexpr std::size_t kMostBuffered =
+    256 * 1024;                                   // Of an answer, before it is passed on in pieces.
+constexpr std::size_t kMostPending = 256 * 1024;  // For a slow caller, before the server is paused.
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -36,8 +37,7 @@
 }
 
 void TryElsewhere(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
-  state.m_metrics.Add("poppyway_forward_retries_total",
-                      TierAndReason(forwarding.m_tier, why));
+  state.m_metrics.Add("poppyway_forward_retries_total", TierAndReason(forwarding.m_tier, why));
   POPPYWAY_LOG(info, "retry")
       .Field("request", forwarding.m_request.m_id)
       .Field("server", forwarding.m_server)
--- a/packages/forward/src/route_table.cc
+++ b/packages/forward/src/route_table.cc
@@ -64,8 +64,8 @@
           return table.m_routes[a].m_prefix == table.m_routes[b].m_prefix;
         });
     if (twice != routes.end())
-      return Fail(ResultCode::kBadDeclaration, "two routes serve '" + host +
-                                                   table.m_routes[*twice].m_prefix + "'");
+      return Fail(ResultCode::kBadDeclaration,
+                  "two routes serve '" + host + table.m_routes[*twice].m_prefix + "'");
   }
   return {};
 }
--- a/packages/gateway/src/relay.cc
+++ b/packages/gateway/src/relay.cc
@@ -63,7 +63,8 @@
 
 bool OnMaySend(GatewayState& state, RequestRef ref) {
   Exchange* exchange = Find(state, ref);
-  if (exchange == nullptr || exchange->m_stage != Stage::kConnecting || CallerLeft(exchange->m_caller.m_req))
+  if (exchange == nullptr || exchange->m_stage != Stage::kConnecting ||
+      CallerLeft(exchange->m_caller.m_req))
     return false;
   exchange->m_stage = Stage::kSent;
   exchange->m_dispatched = ReadClock();
--- a/packages/gateway/src/relay.h
+++ b/packages/gateway/src/relay.h
@@ -6,7 +6,6 @@
 
 namespace poppyway::impl {
 
-
 /// The connection to the back end is open: true to write the first byte, which is the dispatch.
 [[nodiscard]] bool OnMaySend(GatewayState& state, RequestRef ref);
 void OnBackendHead(GatewayState& state, RequestRef ref, const UpstreamHead& head);
--- a/packages/http/src/http_server.cc
+++ b/packages/http/src/http_server.cc
@@ -6,7 +6,8 @@
 namespace {
 
 constexpr int kAcceptsAtOnce = 64;  // A session opening brings hundreds of connections.
-constexpr Duration kCallerSilence{10'000'000};  // Unacknowledged bytes: the caller's machine is gone.
+constexpr Duration kCallerSilence{
+    10'000'000};  // Unacknowledged bytes: the caller's machine is gone.
 
 }  // namespace
 
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -55,14 +55,14 @@
 }
 
 std::optional<MemberId> RemovableVoter(const LogNode& node, Instant now) {
-  const auto voters = std::count_if(node.m_membership.members.begin(),
-                                    node.m_membership.members.end(),
-                                    [](const wire::MemberInfo& m) { return m.voter; });
-  const bool successor = std::any_of(node.m_membership.members.begin(),
-                                     node.m_membership.members.end(),
-                                     [&node, now](const wire::MemberInfo& member) {
-                                       return !member.voter && CaughtUp(node, member.id, now);
-                                     });
+  const auto voters =
+      std::count_if(node.m_membership.members.begin(), node.m_membership.members.end(),
+                    [](const wire::MemberInfo& m) { return m.voter; });
+  const bool successor =
+      std::any_of(node.m_membership.members.begin(), node.m_membership.members.end(),
+                  [&node, now](const wire::MemberInfo& member) {
+                    return !member.voter && CaughtUp(node, member.id, now);
+                  });
   constexpr std::int64_t kFewestVoters = 3;
   if (voters <= kFewestVoters || (!successor && voters % 2 != 0))
     return std::nullopt;
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -23,13 +23,13 @@
 
 /// \brief One backend server as this instance sees it at the moment of a decision.
 struct ServerView {
-  int m_slots = 1;                     ///< Requests it works on at once.
-  int m_own = 0;                       ///< Of this instance, in flight there.
-  int m_others = 0;                    ///< Of other instances, as last heard.
-  std::int64_t m_reading_tokens = 0;   ///< Prompt tokens ahead that it has not finished reading.
-  std::int64_t m_kept_tokens = 0;      ///< Prompt tokens of this request that it likely still keeps.
+  int m_slots = 1;                    ///< Requests it works on at once.
+  int m_own = 0;                      ///< Of this instance, in flight there.
+  int m_others = 0;                   ///< Of other instances, as last heard.
+  std::int64_t m_reading_tokens = 0;  ///< Prompt tokens ahead that it has not finished reading.
+  std::int64_t m_kept_tokens = 0;     ///< Prompt tokens of this request that it likely still keeps.
   ServerPace m_pace;
-  bool m_usable = true;                ///< Neither leaving nor suspect nor tried before.
+  bool m_usable = true;  ///< Neither leaving nor suspect nor tried before.
   bool m_same_data_centre = false;
 };
 
--- a/packages/policy/include/poppyway/policy/impl/server_health.h
+++ b/packages/policy/include/poppyway/policy/impl/server_health.h
@@ -24,7 +24,9 @@
 
 /// \brief Learns from one request. A single bad answer changes nothing but the share; several in a
 /// row, or no connection, keep new work away for a time that doubles up to a bound.
-[[nodiscard]] ServerHealth Observe(const ServerHealth& health, ServerSign sign, Instant now) noexcept;
+[[nodiscard]] ServerHealth Observe(const ServerHealth& health,
+                                   ServerSign sign,
+                                   Instant now) noexcept;
 
 /// \brief True if new work should go elsewhere where it can.
 [[nodiscard]] bool Avoided(const ServerHealth& health, Instant now) noexcept;
--- a/packages/policy/include/poppyway/policy/impl/token_quota.h
+++ b/packages/policy/include/poppyway/policy/impl/token_quota.h
@@ -31,18 +31,18 @@
 /// others leave, without a message per request. Errors of the lag pay back by themselves: what was
 /// overspent is missing from the bucket later.
 struct QuotaBucket {
-  double m_tokens = 0;         ///< Left for all instances; below zero after an overrun.
-  double m_others_total = 0;   ///< What the others had spent when last heard of.
-  std::int64_t m_basis = 0;    ///< Whose spending that is the sum of.
-  double m_others_per_s = 0;   ///< Their spending of late, for when it can't be told.
-  double m_period_left = 0;    ///< What this instance may spend until it hears of the others again.
-  double m_own_part = 1;       ///< Its part of the demand.
-  bool m_alone = false;        ///< Nothing was heard of the others lately.
+  double m_tokens = 0;        ///< Left for all instances; below zero after an overrun.
+  double m_others_total = 0;  ///< What the others had spent when last heard of.
+  std::int64_t m_basis = 0;   ///< Whose spending that is the sum of.
+  double m_others_per_s = 0;  ///< Their spending of late, for when it can't be told.
+  double m_period_left = 0;   ///< What this instance may spend until it hears of the others again.
+  double m_own_part = 1;      ///< Its part of the demand.
+  bool m_alone = false;       ///< Nothing was heard of the others lately.
   Instant m_filled{};
-  Instant m_heard{};           ///< Of the others, last.
-  double m_spent = 0;          ///< By this instance since it started.
-  double m_wanted = 0;         ///< Asked for here, refused requests included, since the last report.
-  double m_wanted_per_s = 0;   ///< Of the last report.
+  Instant m_heard{};          ///< Of the others, last.
+  double m_spent = 0;         ///< By this instance since it started.
+  double m_wanted = 0;        ///< Asked for here, refused requests included, since the last report.
+  double m_wanted_per_s = 0;  ///< Of the last report.
   Instant m_reported{};
 
   friend bool operator==(const QuotaBucket&, const QuotaBucket&) = default;
@@ -75,9 +75,9 @@
 
 /// \brief What one instance reports of a workspace, or the sum over several.
 struct QuotaUse {
-  double m_spent = 0;         ///< Since the start of each.
+  double m_spent = 0;  ///< Since the start of each.
   double m_wanted_per_s = 0;
-  std::int64_t m_basis = 0;   ///< Of a sum: names the instances in it; another one, another sum.
+  std::int64_t m_basis = 0;  ///< Of a sum: names the instances in it; another one, another sum.
 
   friend bool operator==(const QuotaUse&, const QuotaUse&) = default;
 };
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -15,20 +15,22 @@
 constexpr double kDefaultTokensPerMs = 30;  // Likewise; engines of today read 10 to 150.
 constexpr double kLongestSampleMs = 10'000;
 constexpr std::int64_t kLeastTokens = 256;  // Shorter prompts say nothing about the reading rate.
-constexpr double kFixedFirstMs = 15;        // A first event's time apart from reading; seen 14 to 20.
-constexpr double kGainUp = 0.25;    // Towards a faster sample: interference only ever slows one.
-constexpr double kGainDown = 0.04;  // Towards a slower one.
+constexpr double kFixedFirstMs = 15;   // A first event's time apart from reading; seen 14 to 20.
+constexpr double kGainUp = 0.25;       // Towards a faster sample: interference only ever slows one.
+constexpr double kGainDown = 0.04;     // Towards a slower one.
 constexpr double kInTimeShare = 0.85;  // Of what is left of the aim a prediction may fill.
 constexpr double kAheadShare = 0.3;    // Of the aim may be ahead of a prompt that is late anyway.
-constexpr double kYieldShare = 0.85;   // Of a server's places that a request which yields may fill up to.
-constexpr double kPauseGainUp = 0.2;   // Together about the longest pause of five streams in six.
+constexpr double kYieldShare =
+    0.85;  // Of a server's places that a request which yields may fill up to.
+constexpr double kPauseGainUp = 0.2;  // Together about the longest pause of five streams in six.
 constexpr double kPauseGainDown = 0.04;
-constexpr double kRiskFrom = 0.6;      // Of the pause aim: longer usual pauses begin to count.
-constexpr double kRiskEvents = 40;     // A stream this long meets a server's usual longest pause.
-constexpr double kLateEndWeight = 1;   // Of the aim, added where the end would miss the deadline.
-constexpr double kDeadlineShare = 0.9; // Of the time left that a whole stream is expected to fill.
-constexpr double kTieMs = 2;        // Predictions closer than this count as equal.
-constexpr double kRemoteShare = 0.12;  // Of the aim: what another data centre costs in a comparison.
+constexpr double kRiskFrom = 0.6;       // Of the pause aim: longer usual pauses begin to count.
+constexpr double kRiskEvents = 40;      // A stream this long meets a server's usual longest pause.
+constexpr double kLateEndWeight = 1;    // Of the aim, added where the end would miss the deadline.
+constexpr double kDeadlineShare = 0.9;  // Of the time left that a whole stream is expected to fill.
+constexpr double kTieMs = 2;            // Predictions closer than this count as equal.
+constexpr double kRemoteShare =
+    0.12;  // Of the aim: what another data centre costs in a comparison.
 
 double Known(double value, double typical, double fallback) noexcept {
   if (value > 0)
@@ -40,8 +42,7 @@
   const int ahead = server.m_own + server.m_others - server.m_slots + 1;
   if (ahead <= 0)
     return 0;
-  const double service =
-      Known(server.m_pace.m_service_ms, typical.m_service_ms, kDefaultServiceMs);
+  const double service = Known(server.m_pace.m_service_ms, typical.m_service_ms, kDefaultServiceMs);
   return ahead * service / std::max(1, server.m_slots);
 }
 
@@ -188,8 +189,8 @@
   ServerPace after = pace;
   const double sample =
       static_cast<double>(tokens_read) / std::max(1.0, Ms(elapsed) - kFixedFirstMs);
-  after.m_tokens_per_ms = Blend(pace.m_tokens_per_ms, sample,
-                                sample > pace.m_tokens_per_ms ? kGainUp : kGainDown);
+  after.m_tokens_per_ms =
+      Blend(pace.m_tokens_per_ms, sample, sample > pace.m_tokens_per_ms ? kGainUp : kGainDown);
   return after;
 }
 
@@ -201,8 +202,7 @@
     return pace;
   ServerPace after = pace;
   const double sample = Ms(span) / static_cast<double>(events);
-  after.m_event_ms =
-      Blend(pace.m_event_ms, sample, sample < pace.m_event_ms ? kGainUp : kGainDown);
+  after.m_event_ms = Blend(pace.m_event_ms, sample, sample < pace.m_event_ms ? kGainUp : kGainDown);
   after.m_pause_ms = Blend(pace.m_pause_ms, Ms(pause),
                            Ms(pause) > pace.m_pause_ms ? kPauseGainUp : kPauseGainDown);
   return after;
--- a/packages/policy/src/server_health.cc
+++ b/packages/policy/src/server_health.cc
@@ -7,10 +7,10 @@
 namespace poppyway {
 namespace {
 
-constexpr double kGain = 0.15;              // Share of failures: some ten answers back.
-constexpr double kBadShare = 0.25;          // Above: avoided after each further failure.
-constexpr int kBadInRow = 2;                // One reset alone is no sign of a dead server.
-constexpr Duration kFirstAvoid{300'000};    // About a request's time; doubled with each failure.
+constexpr double kGain = 0.15;            // Share of failures: some ten answers back.
+constexpr double kBadShare = 0.25;        // Above: avoided after each further failure.
+constexpr int kBadInRow = 2;              // One reset alone is no sign of a dead server.
+constexpr Duration kFirstAvoid{300'000};  // About a request's time; doubled with each failure.
 constexpr Duration kLongestAvoid{4'000'000};
 constexpr int kMostDoublings = 4;
 
--- a/packages/policy/src/token_quota.cc
+++ b/packages/policy/src/token_quota.cc
@@ -9,12 +9,12 @@
 
 // Parts of the operator's tolerance that are used. The rest covers the lag of reports: at twice the
 // limit's demand some 0.3 s of it are spent before the others hear of them.
-constexpr double kOveragePart = 0.5;
-constexpr double kSlackPart = 0.3;
-constexpr double kFirstPart = 0.1;   // Of the burst is there when an instance starts.
-constexpr double kDeepestDebt = 1.0;  // In bursts: an older overrun is forgotten.
-constexpr double kPeriodPart = 2.0;   // Of its part of the bucket an instance may spend unheard.
-constexpr Duration kUnheard{450'000};  // Two reports missed: each instance keeps to an even part.
+constexpr double kOveragePart = 0.3;
+constexpr double kSlackPart = 0.15;
+constexpr double kFirstPart = 0.1;     // Of the burst is there when an instance starts.
+constexpr double kDeepestDebt = 1.0;   // In bursts: an older overrun is forgotten.
+constexpr double kPeriodPart = 1.5;    // Of its part of the bucket an instance may spend unheard.
+constexpr Duration kUnheard{250'000};  // Five reports missed: each instance keeps to an even part.
 
 void Refill(QuotaBucket& bucket,
             const QuotaLimit& limit,
@@ -37,8 +37,7 @@
   bucket.m_tokens += seconds * (limit.m_rate_per_s - others);
   bucket.m_tokens =
       std::clamp(bucket.m_tokens, -kDeepestDebt * limit.m_burst, std::max(1.0, limit.m_burst));
-  bucket.m_period_left +=
-      seconds * limit.m_rate_per_s * (unheard ? even : bucket.m_own_part);
+  bucket.m_period_left += seconds * limit.m_rate_per_s * (unheard ? even : bucket.m_own_part);
   bucket.m_filled = now;
 }
 
--- a/packages/state/include/poppyway/state/impl/hosted_state.h
+++ b/packages/state/include/poppyway/state/impl/hosted_state.h
@@ -17,7 +17,7 @@
 /// Only changes of a server are entries of the log (it appears, leaves, is gone), not its
 /// heartbeats: a pool of thousands of servers costs a few entries a second while it is replaced.
 struct HostedState {
-  wire::Document m_document;  ///< Version 0: none was accepted yet.
+  wire::Document m_document;                            ///< Version 0: none was accepted yet.
   std::map<std::string, wire::ServerRecord> m_servers;  ///< By id; gone ones are remembered.
   std::int64_t m_servers_index = 0;                     ///< Log index of the last change.
 };
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -20,7 +20,7 @@
 
 /// \brief The leader's memory of heartbeats. A new leader begins with an empty one.
 struct InstanceTable {
-  Duration m_silent_after{450'000};  ///< Some heartbeats: such an instance may be cut off.
+  Duration m_silent_after{250'000};  ///< Five heartbeats: such an instance may be cut off.
   Duration m_lease{3'000'000};
   Duration m_margin{500'000};
   Instant m_leading_since{};
--- a/packages/telemetry/src/log_line.cc
+++ b/packages/telemetry/src/log_line.cc
@@ -28,8 +28,9 @@
     log::add_console_log(target.m_to_stdout ? std::cout : std::clog, log::keywords::format = format,
                          log::keywords::auto_flush = true);
   } else {
-    log::add_file_log(log::keywords::file_name = target.m_file, log::keywords::open_mode = std::ios::app,
-                      log::keywords::format = format, log::keywords::auto_flush = true);
+    log::add_file_log(log::keywords::file_name = target.m_file,
+                      log::keywords::open_mode = std::ios::app, log::keywords::format = format,
+                      log::keywords::auto_flush = true);
   }
   log::core::get()->set_filter(log::trivial::severity >= log::trivial::info);
 }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -61,11 +61,13 @@
   };
   CHECK(why("node_name=edge-1\n", "") == "node.conf: node_name: it is missing");
   CHECK(why("ip=10.1.0.25\n", "") == "node.conf: ip: it is missing");
-  CHECK(why("=7600,7615", "=many") == "node.conf: internal_ports: 'many' doesn't begin with a port");
+  CHECK(why("=7600,7615", "=many") ==
+        "node.conf: internal_ports: 'many' doesn't begin with a port");
   CHECK(why("bounds.grace_s=8", "bounds.grace_s=soon") ==
         "node.conf: bounds.grace_s: 'soon' is not a number");
   CHECK(why("seeds=10.1.0.27:8229", "seeds=nowhere").starts_with("node.conf: seeds: "));
-  CHECK(why("listen.front=10.1.0.25:8221", "listen.front=x").starts_with("node.conf: listen.front: "));
+  CHECK(why("listen.front=10.1.0.25:8221", "listen.front=x")
+            .starts_with("node.conf: listen.front: "));
   CHECK_FALSE(ReadHostedSettings("/nonexistent/node.conf"));
 }
 
@@ -196,22 +198,23 @@
 }
 
 TEST_CASE("a caller's key and what only this system may set never reach a server") {
-  const CallerRequest request = MakeDialect().m_decode_request({{"x-attempt-id", "a1"},
-                                                                {"authorization", "Bearer k1"},
-                                                                {"x-tenant", "forged"},
-                                                                {"x-expect-instance", "forged"},
-                                                                {"kv-from", "forged"},
-                                                                {"x-kv-hold", "forged"},
-                                                                {"x-pin-ms", "9"},
-                                                                {"x-kv-backup", "forged"},
-                                                                {"connection", "close, X-Hop"},
-                                                                {"x-hop", "1"},
-                                                                {"x-token-count", "1460,80"},
-                                                                {"x-prefix-hash", "5c1e07a2:800,ff:60"},
-                                                                {"x-length-hint", "44"},
-                                                                {"x-deadline-ms", "1500"},
-                                                                {"last-event-id", "12"},
-                                                                {"x-other", "kept"}});
+  const CallerRequest request =
+      MakeDialect().m_decode_request({{"x-attempt-id", "a1"},
+                                      {"authorization", "Bearer k1"},
+                                      {"x-tenant", "forged"},
+                                      {"x-expect-instance", "forged"},
+                                      {"kv-from", "forged"},
+                                      {"x-kv-hold", "forged"},
+                                      {"x-pin-ms", "9"},
+                                      {"x-kv-backup", "forged"},
+                                      {"connection", "close, X-Hop"},
+                                      {"x-hop", "1"},
+                                      {"x-token-count", "1460,80"},
+                                      {"x-prefix-hash", "5c1e07a2:800,ff:60"},
+                                      {"x-length-hint", "44"},
+                                      {"x-deadline-ms", "1500"},
+                                      {"last-event-id", "12"},
+                                      {"x-other", "kept"}});
   CHECK(request.m_id == "a1");
   CHECK(request.m_key == "k1");
   CHECK(request.m_patience == Duration(1'500'000));
@@ -241,9 +244,12 @@
 }
 
 TEST_CASE("an answer says whom it is for, whether it ran, and what the caller gets of it") {
-  const ServerAnswer answer = MakeDialect().m_decode_answer(
-      200, {{"x-attempt-id", "a1"}, {"x-response-seal", "s"}, {"content-length", "4"},
-            {"keep-alive", "timeout=5"}, {"x-server-load", "3,1,8"}, {"x-own", "v"}});
+  const ServerAnswer answer = MakeDialect().m_decode_answer(200, {{"x-attempt-id", "a1"},
+                                                                  {"x-response-seal", "s"},
+                                                                  {"content-length", "4"},
+                                                                  {"keep-alive", "timeout=5"},
+                                                                  {"x-server-load", "3,1,8"},
+                                                                  {"x-own", "v"}});
   CHECK(answer.m_id == "a1");
   CHECK(answer.m_signed);
   CHECK_FALSE(answer.m_not_run);
--- a/tests/route_table_test.cc
+++ b/tests/route_table_test.cc
@@ -51,7 +51,9 @@
 }
 
 TEST_CASE("a table that is wrong in one place is refused and the place is named") {
-  const auto message = [](const RouteTable& table) { return BuildRouteTable(table).error().m_message; };
+  const auto message = [](const RouteTable& table) {
+    return BuildRouteTable(table).error().m_message;
+  };
   RouteTable table = MakeTable();
   SECTION("an unknown pool") {
     table.m_routes[0].m_pools = {{"nowhere", 1}};
--- a/tests/server_choice_test.cc
+++ b/tests/server_choice_test.cc
@@ -28,7 +28,8 @@
   return shape;
 }
 
-std::optional<ServerChoice> Choose(const std::vector<ServerView>& views, const RequestShape& shape) {
+std::optional<ServerChoice> Choose(const std::vector<ServerView>& views,
+                                   const RequestShape& shape) {
   return ChooseServer(views, shape, TypicalPace(views), 7);
 }
 
--- a/tests/token_quota_test.cc
+++ b/tests/token_quota_test.cc
@@ -26,8 +26,8 @@
 
 struct LimitSpec {
   double m_rate = 130'000;
-  double m_demand = 1;       ///< In rates, before and after the peak.
-  double m_peak = 1;         ///< In rates, from second 5 to 12.
+  double m_demand = 1;        ///< In rates, before and after the peak.
+  double m_peak = 1;          ///< In rates, from second 5 to 12.
   int m_silent_from_ms = -1;  ///< The leader answers nobody for `m_silent_ms`.
   int m_silent_ms = 0;
   int m_cut_off = 0;  ///< Instances that alone are unheard in that time; the leader counts them.
@@ -35,8 +35,8 @@
   std::uint64_t m_seed = 1;
 };
 
-/// Instances report every 50 ms or so, each at its own moment, to a leader that adds up what it last
-/// heard; callers' requests are drawn at random, a few of them very large.
+/// Instances report every 50 ms or so, each at its own moment, to a leader that adds up what it
+/// last heard; callers' requests are drawn at random, a few of them very large.
 LimitRun RunLimit(const LimitSpec& spec) {
   constexpr int kSeconds = 20;
   const QuotaLimit operators{spec.m_rate, spec.m_rate};
@@ -67,7 +67,7 @@
     const double per_step = (peak ? spec.m_peak : spec.m_demand) * spec.m_rate / mean / 1000;
     const bool trouble =
         step >= spec.m_silent_from_ms && step < spec.m_silent_from_ms + spec.m_silent_ms;
-    const bool noticed = trouble && step >= spec.m_silent_from_ms + 450;
+    const bool noticed = trouble && step >= spec.m_silent_from_ms + 250;
     const int silent_count = noticed ? spec.m_cut_off : 0;
     central = std::min(operators.m_burst, central + spec.m_rate / 1000);
     for (std::size_t i = 0; i < kInstances; ++i) {
