--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -84,8 +84,7 @@
   settings.m_data_centre = hosted.m_data_centre;
   settings.m_callers = hosted.m_callers;
   settings.m_readiness = hosted.m_readiness;
-  settings.m_metrics = {hosted.m_address,
-                        static_cast<std::uint16_t>(hosted.m_first_internal_port + kMetricsOffset)};
+  settings.m_metrics = MetricsPlace(hosted);
   settings.m_stop_limit = hosted.m_stop_limit;
   settings.m_retry_limit = hosted.m_retry_limit;
   settings.m_retry_limit.m_ratio *= kRetryPart;
--- /dev/null
+++ b/apps/poppywayd/member_hosted.cc
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What a member does in hosted deployments only: members that are found rather than listed, the
+// operator's document, the registry of backend servers.
+
+#include "convert.h"
+#include "member_side.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kLeaderMissed{1'000'000};  // Some election timeouts: then other ways are tried.
+constexpr Duration kAskLeaderLimit{900'000};  // Callers of this interface give up after a second.
+
+}  // namespace
+
+void MemberSide::AddSeeds(const std::vector<MemberSettings>& seeds) {
+  for (const MemberSettings& seed : seeds)
+    (void)PeerNamed(seed.m_name);
+}
+
+std::string MemberSide::MemberName() const {
+  return m_settings.m_hosted ? ToText(m_settings.m_peer) : m_settings.m_instance;
+}
+
+PeerClient* MemberSide::PeerNamed(const std::string& name) {
+  const auto known = m_peers.find(name);
+  if (known != m_peers.end())
+    return known->second.get();
+  if (!m_settings.m_hosted || name == MemberName())
+    return nullptr;
+  // A hosted member is named by where it listens.
+  const Result<Endpoint> place = ParseEndpoint(name);
+  if (!place)
+    return nullptr;
+  auto client = std::make_unique<PeerClient>(m_loop, place->m_address, place->m_port);
+  return m_peers.emplace(name, std::move(client)).first->second.get();
+}
+
+bool MemberSide::HasNews(const wire::ConfigPoll& poll) const {
+  if (!poll.hosted)
+    return m_machine.m_configuration.m_version > poll.have_version;
+  const HostedState& hosted = m_machine.m_hosted;
+  return hosted.m_document.version > poll.have_document ||
+         hosted.m_servers_index > poll.have_servers;
+}
+
+wire::ConfigDelta MemberSide::NewsFor(const wire::ConfigPoll& poll) const {
+  const HostedState& hosted = m_machine.m_hosted;
+  wire::ConfigDelta delta;
+  if (hosted.m_document.version > poll.have_document)
+    delta.__set_document(hosted.m_document);
+  delta.servers = ServersSince(hosted, poll.have_servers);
+  delta.servers_index = hosted.m_servers_index;
+  return delta;
+}
+
+bool MemberSide::LacksLeader(Instant now) const {
+  return m_settings.m_hosted && !leads() && now - m_node.m_leader_heard > kLeaderMissed;
+}
+
+void MemberSide::AskLeader(wire::Body body, const ReplyFn& reply) {
+  const auto name = m_names.find(m_node.m_leader);
+  const wire::MemberInfo* leader = FindMember(m_node.m_membership, m_node.m_leader);
+  PeerClient* peer = nullptr;
+  if (leader != nullptr)
+    peer = PeerNamed(leader->name);
+  else if (name != m_names.end())
+    peer = PeerNamed(name->second);
+  if (peer == nullptr) {
+    reply(ErrorBody(ResultCode::kNoMajority, "no leader is known"));
+    return;
+  }
+  peer->Call(std::move(body), kAskLeaderLimit, [reply](Result<wire::Body> answer) {
+    reply(answer ? *answer : ErrorBody(answer.error().m_code, answer.error().m_message));
+  });
+}
+
+void MemberSide::Commit(wire::Command command, const ReplyFn& reply) {
+  wire::Propose propose;
+  propose.commands.push_back(std::move(command));
+  OnPropose(propose, [reply](wire::Body answer) {
+    if (answer.__isset.error) {
+      reply(std::move(answer));
+      return;
+    }
+    wire::Body done;
+    done.__set_done(true);
+    reply(std::move(done));
+  });
+}
+
+void MemberSide::SubmitDocument(const wire::Document& document, const ReplyFn& reply) {
+  if (!leads()) {
+    wire::Body body;
+    body.__set_document(document);
+    AskLeader(std::move(body), reply);
+    return;
+  }
+  // Also an older version goes through the log: its acknowledgement must come from a leader that
+  // still is one, and the newest one must be safe by then.
+  wire::Command command;
+  if (document.version > m_machine.m_hosted.m_document.version)
+    command.__set_document(document);
+  else
+    command.__set_noop(true);
+  Commit(std::move(command), reply);
+}
+
+void MemberSide::ReadDocument(const ReplyFn& reply) {
+  if (!leads()) {
+    wire::Body body;
+    body.__set_document_request(true);
+    AskLeader(std::move(body), reply);
+    return;
+  }
+  if (!ConfirmedLeader(m_node, ReadClock())) {
+    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+    return;
+  }
+  wire::Body body;
+  body.__set_document(m_machine.m_hosted.m_document);
+  reply(std::move(body));
+}
+
+void MemberSide::SubmitServer(const wire::ServerRecord& record, const ReplyFn& reply) {
+  if (!leads()) {
+    wire::Body body;
+    body.__set_server_seen(record);
+    AskLeader(std::move(body), reply);
+    return;
+  }
+  if (ChangesServer(m_machine.m_hosted, record)) {
+    wire::Command command;
+    command.__set_server(record);
+    Commit(std::move(command), reply);
+    return;
+  }
+  if (!ConfirmedLeader(m_node, ReadClock())) {
+    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+    return;
+  }
+  wire::Body done;
+  done.__set_done(true);
+  reply(std::move(done));
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/tests/forwarder_rig.h
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "poppyway/platform.h"
+#include "scripted_server.h"
+
+namespace poppyway {
+
+using test::AwaitClose;
+using test::CloseNow;
+using test::ResetNow;
+using test::ScriptedServer;
+using test::ScriptStep;
+using test::Send;
+using test::Wait;
+
+inline constexpr int kCallerMillis = 3'000;
+
+/// The document of all tests: one route of each kind, a workspace with a key.
+inline std::string Document(int version, const std::string& key, double rate = 0) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+    {"name":"safe","host":"a.example","path_prefix":"/safe/","route_kind":"safe","timeout_ms":1500,
+     "slo_ms":400,"priority":0,"service":"app","max_attempts":2},
+    {"name":"once","host":"a.example","path_prefix":"/once/","route_kind":"unsafe",
+     "timeout_ms":1500,"slo_ms":400,"priority":0,"service":"app","max_attempts":2},
+    {"name":"stream","host":"a.example","path_prefix":"/stream/","route_kind":"streaming",
+     "timeout_ms":1500,"slo_ms":400,"gap_slo_ms":300,"priority":0,"service":"app","max_attempts":2,
+     "resumable":true}],
+   "services":[{"name":"app","health_path":"/h","max_conns":9}],
+   "tenants":[{"name":"north","api_keys":[")" +
+         key + R"("],"unit":"token_stream","plain_tokens":10,"rate_per_s":)" +
+         std::to_string(rate) + R"(,"burst":)" + std::to_string(rate) + "}]}";
+}
+
+/// The id of the request that a server got.
+inline std::string IdOf(const std::string& request) {
+  constexpr std::string_view kName = "x-attempt-id: ";
+  const std::size_t at = request.find(kName) + kName.size();
+  return request.substr(at, request.find("\r\n", at) - at);
+}
+
+inline std::string Head(const std::string& request, const std::string& more) {
+  return "HTTP/1.1 200 OK\r\nx-attempt-id: " + IdOf(request) + "\r\nx-response-seal: s\r\n" + more +
+         "\r\n";
+}
+
+inline std::vector<ScriptStep> Answer(const std::string& request, const std::string& body) {
+  return {Send(Head(request, "content-length: " + std::to_string(body.size()) + "\r\n") + body)};
+}
+
+inline std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: " + std::string(static_cast<std::size_t>(id), 'x') +
+         "\n\n";
+}
+
+/// A forwarder on a loop of the test's thread, with servers that are known by the ids s0, s1, ...
+struct Rig {
+  TaskLoop m_loop;
+  ForwarderSettings m_settings;
+  std::unique_ptr<Forwarder> m_forwarder;
+  std::int64_t m_index = 1;
+
+  explicit Rig(const std::string& document = Document(1, "key")) {
+    static std::uint16_t port = 23400;
+    m_settings.m_instance = "edge";
+    m_settings.m_callers = {"127.0.0.1", ++port};
+    m_settings.m_retry_limit = {1, 50, 1};
+    m_forwarder = std::make_unique<Forwarder>(m_loop, m_settings, platform::MakeDialect());
+    REQUIRE(m_forwarder->Listen());
+    Adopt(1, document);
+    Confirm(Duration(60'000'000));
+  }
+  void Adopt(int version, const std::string& body) {
+    wire::Document document;
+    document.version = version;
+    document.body = body;
+    m_forwarder->Take(NewDocument{std::make_shared<const wire::Document>(document)});
+  }
+  void Confirm(Duration time) { m_forwarder->Take(ConfirmedUntil{ReadClock() + time}); }
+  void Register(const std::string& id,
+                const ScriptedServer& server,
+                wire::ServerStage::type stage = wire::ServerStage::READY) {
+    wire::ServerRecord record;
+    record.id = id;
+    record.pool = "app";
+    record.address = "127.0.0.1";
+    record.port = server.port();
+    record.slots = 4;
+    record.stage = stage;
+    record.index = ++m_index;
+    m_forwarder->Take(ServersChanged{{record}});
+  }
+  [[nodiscard]] std::uint64_t Refusals(const std::string& reason) {
+    return m_forwarder->state().m_metrics.Counter("poppyway_forward_refusals_total",
+                                                  "reason=\"" + reason + "\",tier=\"0\"");
+  }
+};
+
+/// What a caller saw: all bytes until the connection ended or an answer was whole.
+struct Seen {
+  std::string m_bytes;
+  bool m_closed = false;
+  int m_millis = 0;
+
+  [[nodiscard]] int status() const {
+    return m_bytes.size() < 12 ? 0 : std::stoi(m_bytes.substr(9, 3));
+  }
+  [[nodiscard]] std::string body() const {
+    const std::size_t at = m_bytes.find("\r\n\r\n");
+    return at == std::string::npos ? "" : m_bytes.substr(at + 4);
+  }
+};
+
+/// Lower-cases the names and values of the head; the library writes some names with capitals.
+inline std::string PlainHead(std::string bytes) {
+  const std::size_t end = std::min(bytes.find("\r\n\r\n"), bytes.size());
+  std::transform(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(end), bytes.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return bytes;
+}
+
+inline bool IsWhole(const std::string& answer) {
+  const std::string bytes = PlainHead(answer);
+  const std::size_t end = bytes.find("\r\n\r\n");
+  if (end == std::string::npos)
+    return false;
+  constexpr std::string_view kLength = "content-length: ";
+  const std::size_t at = bytes.find(kLength);
+  if (at != std::string::npos && at < end)
+    return bytes.size() >= end + 4 + std::stoul(bytes.substr(at + kLength.size()));
+  return bytes.ends_with("0\r\n\r\n");
+}
+
+inline std::string Request(const std::string& path,
+                           const std::string& id,
+                           const std::string& more = "") {
+  return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+         "\r\nAuthorization: Bearer key\r\n" + more + "\r\n";
+}
+
+/// Calls the forwarder from another thread while its loop runs on this one.
+/// \param leave_after_ms the caller closes its connection after this; -1: it waits for the answer.
+inline Seen Call(Rig& rig, const std::string& request, int leave_after_ms = -1) {
+  Seen seen;
+  std::atomic<bool> done{false};
+  std::thread caller([&] {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const timeval limit{0, 50'000};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(rig.m_settings.m_callers.m_port);
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0);
+    const Instant begun = ReadClock();
+    send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+    const int limit_ms = leave_after_ms >= 0 ? leave_after_ms : kCallerMillis;
+    while (ReadClock() - begun < std::chrono::milliseconds(limit_ms) && !IsWhole(seen.m_bytes)) {
+      char buffer[4096];
+      const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+      if (got > 0)
+        seen.m_bytes.append(buffer, static_cast<std::size_t>(got));
+      seen.m_closed = got == 0 || (got < 0 && errno == ECONNRESET);
+      if (seen.m_closed)
+        break;
+    }
+    seen.m_bytes = PlainHead(seen.m_bytes);
+    seen.m_millis = static_cast<int>((ReadClock() - begun).count() / 1000);
+    close(fd);
+    done.store(true);
+  });
+  while (!done.load())
+    rig.m_loop.RunFor(5);
+  caller.join();
+  rig.m_loop.RunFor(30);
+  return seen;
+}
+
+}  // namespace poppyway
