Let tests of the forwarder take free ports, and read the load tool's report apart from warnings

Change: a free port, tried again if taken; the report is parsed from its opening brace. Every check on the report is as it was.

--- a/tests/forwarder_rig.h
+++ b/tests/forwarder_rig.h
@@ -24,6 +24,7 @@
 using test::Wait;
 
 inline constexpr int kCallerMillis = 3'000;
+inline constexpr int kPortTries = 20;
 
 /// The document of all tests: one route of each kind, a workspace with a key.
 inline std::string Document(int version, const std::string& key, double rate = 0) {
@@ -68,6 +69,19 @@
          "\n\n";
 }
 
+/// A port that nobody listens on right now.
+inline std::uint16_t FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(where);
+  bind(fd, reinterpret_cast<sockaddr*>(&where), size);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
+  close(fd);
+  return ntohs(where.sin_port);
+}
+
 /// A forwarder on a loop of the test's thread, with servers that are known by the ids s0, s1, ...
 struct Rig {
   TaskLoop m_loop;
@@ -76,12 +90,18 @@
   std::int64_t m_index = 1;
 
   explicit Rig(const std::string& document = Document(1, "key")) {
-    static std::uint16_t port = 23400;
     m_settings.m_instance = "edge";
-    m_settings.m_callers = {"127.0.0.1", ++port};
     m_settings.m_retry_limit = {1, 50, 1};
-    m_forwarder = std::make_unique<Forwarder>(m_loop, m_settings, platform::MakeDialect());
-    REQUIRE(m_forwarder->Listen());
+    Result<void> listening;
+    // A free port may be taken by another test's process before we listen on it.
+    for (int i = 0; i < kPortTries; ++i) {
+      m_settings.m_callers = {"127.0.0.1", FreePort()};
+      m_forwarder = std::make_unique<Forwarder>(m_loop, m_settings, platform::MakeDialect());
+      listening = m_forwarder->Listen();
+      if (listening)
+        break;
+    }
+    REQUIRE(listening);
     Adopt(1, document);
     Confirm(Duration(60'000'000));
   }
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -16,9 +16,18 @@
 
 namespace {
 
+/// The report within all that the command printed: the HTTP library may write a warning about a
+/// connection that its peer closed to standard error, before the report.
+std::string ReportOf(const std::string& output) {
+  if (output.starts_with('{'))
+    return output;
+  const std::size_t at = output.find("\n{");
+  return at == std::string::npos ? output : output.substr(at + 1);
+}
+
 json ClassesOf(const CommandResult& load) {
   INFO(load.m_output);
-  const json parsed = json::parse(load.m_output, nullptr, false);
+  const json parsed = json::parse(ReportOf(load.m_output), nullptr, false);
   REQUIRE(parsed.is_object());
   return parsed["classes"];
 }
