Let the gateway listen through the shared HTTP server

Cause: the gateway's own listener and whole replies stood twice once packages/http existed. Change: the gateway uses HttpServer and ReplyWhole; 57 lines less. What changes: connections of callers get the bound on silence, and the header that offers an upgrade to HTTP/2 is ignored (prior knowledge works as before).

--- a/packages/gateway/include/poppyway/gateway/impl/gateway.h
+++ b/packages/gateway/include/poppyway/gateway/impl/gateway.h
@@ -10,6 +10,7 @@
 
 #include "poppyway/gateway/impl/control_messages.h"
 #include "poppyway/gateway/impl/upstream.h"
+#include "poppyway/http.h"
 #include "poppyway/telemetry.h"
 #include "poppyway/wire.h"
 
@@ -49,7 +50,6 @@
           const DaemonSettings& settings,
           std::string incarnation,
           std::function<void(GatewayMessage)> to_control);
-  ~Gateway();
 
   /// Listens for callers.
   [[nodiscard]] Result<void> Listen();
@@ -58,19 +58,11 @@
   [[nodiscard]] GatewayState& state() noexcept { return m_state; }
 
  private:
-  struct Handler {
-    h2o_handler_t m_base;
-    Gateway* m_owner;
-  };
-  static int OnRequest(h2o_handler_t* handler, h2o_req_t* req);
-  static void OnAccept(h2o_socket_t* listener, const char* fault);
+  void OnRequest(h2o_req_t* req);
 
   TaskLoop& m_loop;
   GatewayState m_state;
-  h2o_globalconf_t m_global{};
-  h2o_context_t m_context{};
-  h2o_accept_ctx_t m_accept{};
-  h2o_socket_t* m_listener = nullptr;
+  std::unique_ptr<HttpServer> m_server;
   std::unique_ptr<RepeatingTimer> m_tick;
 };
 
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -2,8 +2,6 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "poppyway/gateway.h"
 
-#include <sys/socket.h>
-
 #include "relay.h"
 
 namespace poppyway {
@@ -12,6 +10,7 @@
 constexpr std::uint64_t kBusyTickMillis = 5;
 constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr Duration kCallerPollInterval{100'000};
+constexpr std::string_view kPlainText = "text/plain; charset=utf-8";
 constexpr std::uint64_t kSlowSenderMillis = 10'000;
 constexpr std::size_t kBodySlack = 1 << 20;  // h2o's own limit lies this far above ours.
 
@@ -39,16 +38,6 @@
   }
 }
 
-int SendText(h2o_req_t* req, int status, const std::string& text) {
-  req->res.status = status;
-  req->res.reason = status == 200 ? "OK" : "Service Unavailable";
-  h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
-                 H2O_STRLIT("text/plain; charset=utf-8"));
-  const h2o_iovec_t copy = h2o_strdup(&req->pool, text.data(), text.size());
-  h2o_send_inline(req, copy.base, copy.len);
-  return 0;
-}
-
 bool IsReady(const GatewayState& state) {
   return state.m_catalogue != nullptr && state.m_fresh && !state.m_stopping;
 }
@@ -57,13 +46,13 @@
 bool AnswerOwnPath(GatewayState& state, h2o_req_t* req) {
   const std::string_view path(req->path_normalized.base, req->path_normalized.len);
   if (path == "/health/live") {
-    SendText(req, 200, "live\n");
+    ReplyWhole(req, 200, kPlainText, "live\n");
   } else if (path == "/health/ready") {
     const bool ready = IsReady(state);
-    SendText(req, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    ReplyWhole(req, ready ? 200 : 503, kPlainText, ready ? "ready\n" : "not ready\n");
   } else if (path == "/metrics") {
     state.m_metrics.Set("poppyway_exchanges", "", static_cast<double>(state.m_exchanges.size()));
-    SendText(req, 200, state.m_metrics.Text() + state.m_control_metrics);
+    ReplyWhole(req, 200, kPlainText, state.m_metrics.Text() + state.m_control_metrics);
   } else {
     return false;
   }
@@ -221,65 +210,28 @@
   m_state.m_incarnation = std::move(incarnation);
   m_state.m_to_control = std::move(to_control);
   m_state.m_upstreams = std::make_unique<UpstreamPools>(loop);
-  h2o_config_init(&m_global);
-  m_global.max_request_entity_size =
-      static_cast<std::size_t>(settings.m_max_body_bytes) + kBodySlack;
-  m_global.http1.req_timeout = kSlowSenderMillis;
-  m_global.server_name = h2o_iovec_init(H2O_STRLIT("poppyway"));
-  h2o_hostconf_t* host =
-      h2o_config_register_host(&m_global, h2o_iovec_init(H2O_STRLIT("default")), 65535);
-  h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
-  auto* handler = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
-  handler->m_base.on_req = &Gateway::OnRequest;
-  handler->m_owner = this;
-  h2o_context_init(&m_context, loop.loop(), &m_global);
-  m_accept.ctx = &m_context;
-  m_accept.hosts = m_global.hosts;
+  const HttpLimits limits{static_cast<std::size_t>(settings.m_max_body_bytes) + kBodySlack,
+                          kSlowSenderMillis};
+  m_server = std::make_unique<HttpServer>(loop, limits, [this](h2o_req_t* req) { OnRequest(req); });
   m_tick = std::make_unique<RepeatingTimer>(loop, kBusyTickMillis, kIdleTickMillis, [this] {
     Tick(m_state);
     return !m_state.m_exchanges.empty();
   });
 }
 
-Gateway::~Gateway() {
-  if (m_listener != nullptr)
-    h2o_socket_close(m_listener);
-}
-
 Result<void> Gateway::Listen() {
   const Endpoint& where = m_state.m_settings.m_http;
-  Result<int> fd = OpenListener(where.m_address, where.m_port);
-  if (!fd)
-    return tl::unexpected<Error>(fd.error());
-  m_listener = h2o_evloop_socket_create(m_loop.loop(), *fd, H2O_SOCKET_FLAG_DONT_READ);
-  m_listener->data = this;
-  h2o_socket_read_start(m_listener, &Gateway::OnAccept);
-  return {};
-}
-
-void Gateway::OnAccept(h2o_socket_t* listener, const char* fault) {
-  auto* self = static_cast<Gateway*>(listener->data);
-  if (fault != nullptr)
-    return;
-  // Take several at once: a session opening brings hundreds.
-  constexpr int kAcceptsAtOnce = 64;
-  for (int i = 0; i < kAcceptsAtOnce; ++i) {
-    h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-    if (socket == nullptr)
-      return;
-    h2o_accept(&self->m_accept, socket);
-  }
+  return m_server->Listen(where.m_address, where.m_port);
 }
 
 void Gateway::Take(ControlMessage message) {
   std::visit(Visitor{m_state}, message);
 }
 
-int Gateway::OnRequest(h2o_handler_t* handler, h2o_req_t* req) {
-  Gateway* self = reinterpret_cast<Handler*>(handler)->m_owner;
-  GatewayState& state = self->m_state;
+void Gateway::OnRequest(h2o_req_t* req) {
+  GatewayState& state = m_state;
   if (AnswerOwnPath(state, req))
-    return 0;
+    return;
   const RequestRef ref = state.m_next_ref++;
   auto owned = std::make_unique<Exchange>();
   Exchange& exchange = *owned;
@@ -293,7 +245,6 @@
       static_cast<Anchor*>(h2o_mem_alloc_shared(&req->pool, sizeof(Anchor), &OnDisposed));
   *anchor = {&state, ref};
   impl::RunChain(state, exchange);
-  return 0;
 }
 
 }  // namespace poppyway
