Tell a whole chunked answer from a cut one by its last read

Cause of the red test "a rolling planned restart ...": a chunked answer that arrived together with its connection's close was taken for one that broke off. The watch for a close was set at the first call with a body; where head, body and close were found late and at once, as beside load, there was none yet, and a closed connection counted as cut. The gateway uses the same client towards backend servers, so whole answers with "connection: close" were failed too.

Ruled out: the cause that was listed (a request that crosses the exit on an idle kept connection). The load tool swallowed why a call was cut; it reports the reasons now, and all of them were "closed before the last chunk".

Change: the end of a chunked body counts only if the read that led to it brought bytes; the watch on the socket's reader is gone.

--- a/apps/poppyway/load.cc
+++ b/apps/poppyway/load.cc
@@ -33,6 +33,7 @@
           {"late", result.m_late},
           {"wrong", result.m_wrong},
           {"cut", result.m_cut},
+          {"cut_reasons", result.m_cut_reasons},
           {"bad_refusals", result.m_bad_refusals},
           {"refused", refused},
           {"first_token_ms",
--- a/apps/poppyway/load_runner.cc
+++ b/apps/poppyway/load_runner.cc
@@ -100,7 +100,7 @@
     m_loop.RunFor(kIdleMillis);
   }
   for (auto& [number, call] : m_calls)
-    ++m_results[call->m_request->m_class].m_cut;
+    NoteCut(*call, "no answer by the end of the run");
   m_calls.clear();
 }
 
@@ -181,6 +181,12 @@
   return answer.is_object() && answer["choices"][0]["message"].value("content", "") == expected;
 }
 
+void LoadRunner::NoteCut(const Call& call, const std::string& why) {
+  ClassResult& result = m_results[call.m_request->m_class];
+  ++result.m_cut;
+  ++result.m_cut_reasons[why];
+}
+
 void LoadRunner::NoteAnswer(const Call& call, Duration took) {
   ClassResult& result = m_results[call.m_request->m_class];
   const bool in_time = took <= std::chrono::milliseconds(call.m_load->m_deadline_ms);
@@ -212,7 +218,7 @@
 void LoadRunner::Finish(Call& call, const std::string& failure) {
   const Duration took = ReadClock() - call.m_begun;
   if (!failure.empty())
-    ++m_results[call.m_request->m_class].m_cut;
+    NoteCut(call, failure);
   else if (call.m_status == 200)
     NoteAnswer(call, took);
   else
--- a/apps/poppyway/load_runner.h
+++ b/apps/poppyway/load_runner.h
@@ -22,6 +22,7 @@
   std::int64_t m_late = 0;                ///< Answered whole and right, after the deadline.
   std::int64_t m_wrong = 0;               ///< Answered with what is not the request's own answer.
   std::int64_t m_cut = 0;                 ///< The answer broke off, or no answer came.
+  std::map<std::string, std::int64_t> m_cut_reasons;
   std::int64_t m_bad_refusals = 0;        ///< Refusals without code, run state or Retry-After.
   std::map<int, std::int64_t> m_refused;  ///< By result code.
   DurationHistogram m_first_token;
@@ -62,6 +63,7 @@
   void Finish(Call& call, const std::string& failure);
   /// True if the answer is the one that the stand-ins owe to this very request.
   [[nodiscard]] static bool IsRight(const Call& call);
+  void NoteCut(const Call& call, const std::string& why);
   void NoteAnswer(const Call& call, Duration took);
   void NoteRefusal(const Call& call, Duration took);
   void ProbeTargets(Instant now);
--- a/packages/gateway/include/poppyway/gateway/impl/upstream.h
+++ b/packages/gateway/include/poppyway/gateway/impl/upstream.h
@@ -83,8 +83,6 @@
                                         size_t header_count,
                                         int length);
   static int OnBody(h2o_http1client_t* client, const char* fault);
-  static void OnReadable(h2o_socket_t* socket, const char* fault);
-  void WatchClose(h2o_socket_t* socket);
   void End(const char* why);
 
   std::string m_request;
@@ -96,8 +94,6 @@
   bool m_sent = false;
   bool m_silent = false;
   bool m_chunked = false;
-  bool m_closed = false;           ///< The back end closed before its last chunk.
-  h2o_socket_cb m_read = nullptr;  ///< The client's own reader, behind `OnReadable`.
 };
 
 }  // namespace poppyway
--- a/packages/gateway/src/upstream.cc
+++ b/packages/gateway/src/upstream.cc
@@ -5,7 +5,6 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace poppyway {
 namespace {
@@ -23,12 +22,6 @@
   });
 }
 
-/// True if the peer has closed and all it sent was read.
-bool AtEnd(h2o_socket_t* socket) {
-  char byte = 0;
-  return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 }  // namespace
 
 UpstreamPools::UpstreamPools(TaskLoop& loop) : m_loop(loop), m_context{} {
@@ -139,24 +132,6 @@
   return &Upstream::OnBody;
 }
 
-// The client takes a close between two chunks for the end of the body. It is not: only the last
-// chunk is. So closes are noticed before the client sees them.
-void Upstream::OnReadable(h2o_socket_t* socket, const char* fault) {
-  auto* client = static_cast<h2o_http1client_t*>(socket->data);
-  auto* self = static_cast<Upstream*>(client->data);
-  if (fault != nullptr)
-    self->m_closed = true;
-  self->m_read(socket, fault);
-}
-
-void Upstream::WatchClose(h2o_socket_t* socket) {
-  const bool watched = socket->_cb.read == &Upstream::OnReadable || socket->_cb.read == nullptr;
-  if (!m_chunked || watched)
-    return;
-  m_read = socket->_cb.read;
-  socket->_cb.read = &Upstream::OnReadable;
-}
-
 int Upstream::OnBody(h2o_http1client_t* client, const char* fault) {
   auto* self = static_cast<Upstream*>(client->data);
   const bool ended = fault == h2o_http1client_error_is_eos;
@@ -164,15 +139,13 @@
     self->End(fault);
     return -1;
   }
-  if (ended && self->m_chunked) {
-    // Without an earlier call there was no watch yet: then a closed connection counts as cut.
-    const bool cut = self->m_closed || (self->m_read == nullptr && AtEnd(client->sock));
-    if (cut) {
-      self->End("closed before the last chunk");
-      return 0;
-    }
+  // The client takes a close between two chunks for the end of the body. It is not: only the last
+  // chunk is, and that comes with bytes, while the read that finds a close brings none.
+  const bool cut = ended && self->m_chunked && client->sock->bytes_read == 0;
+  if (cut) {
+    self->End("closed before the last chunk");
+    return 0;
   }
-  self->WatchClose(client->sock);
   h2o_buffer_t*& input = client->sock->input;
   if (input->size > 0 && !self->m_silent) {
     self->m_events.m_on_data(std::string_view(input->bytes, input->size));
