Wait for engines that can end an answer in time; leave limits to what is more urgent

Engines held 11 to 13 requests for 10 places: what waited in their own queue was late by up to 2 s.

A stream goes to a server that, idle, gives its first event well in time and ends it before the deadline, where there is one; an engine without a free place gets nothing; the pace of events is a plain mean. A workspace's bucket keeps a tenth (rank 1) and a fifth (rank 2) of the burst for more urgent ranks; an instance keeps to its part only once half of the burst is gone.

--- a/apps/poppyway/load_runner.h
+++ b/apps/poppyway/load_runner.h
@@ -18,10 +18,10 @@
 /// \brief What became of one class.
 struct ClassResult {
   std::int64_t m_offered = 0;
-  std::int64_t m_good = 0;                ///< Answered whole, right and in time.
-  std::int64_t m_late = 0;                ///< Answered whole and right, after the deadline.
-  std::int64_t m_wrong = 0;               ///< Answered with what is not the request's own answer.
-  std::int64_t m_cut = 0;                 ///< The answer broke off, or no answer came.
+  std::int64_t m_good = 0;   ///< Answered whole, right and in time.
+  std::int64_t m_late = 0;   ///< Answered whole and right, after the deadline.
+  std::int64_t m_wrong = 0;  ///< Answered with what is not the request's own answer.
+  std::int64_t m_cut = 0;    ///< The answer broke off, or no answer came.
   std::map<std::string, std::int64_t> m_cut_reasons;
   std::int64_t m_bad_refusals = 0;        ///< Refusals without code, run state or Retry-After.
   std::map<int, std::int64_t> m_refused;  ///< By result code.
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -12,6 +12,17 @@
 // apart to take it out. What comes later is sent away, since it might outlast the stop.
 constexpr Duration kServeWhileStopping{2'500'000};
 
+/// The share of a workspace's limit that a request leaves to more urgent ones of the workspace.
+double ReserveOf(const Forwarding& forwarding, double cost, const QuotaLimit& limit) {
+  // Steps far enough apart that an average prompt of a more urgent rank fits between them.
+  constexpr double kReserveByRank[kTiers] = {0, 0.1, 0.2};
+  constexpr double kCheap = 0.01;  // Of the burst: taking so little sheds nothing else.
+  if (cost <= kCheap * limit.m_burst)
+    return 0;
+  return kReserveByRank[static_cast<std::size_t>(
+      std::clamp(forwarding.m_route->m_tier, 0, kTiers - 1))];
+}
+
 /// How many times the expected answer is twice as long as usual for its rank, up to a bound.
 int LengthClass(PoolState& pool, const Forwarding& forwarding) {
   constexpr double kGain = 0.02;  // The usual length is that of some fifty requests.
@@ -102,11 +113,25 @@
     return Step::kContinue;
   const QuotaLimit limit = Loosen(workspace->m_limit, state.m_settings.m_quota_tolerance);
   const double cost = CostOf(*workspace, tokens);
-  if (Spend(state.m_quotas[workspace->m_name], limit, cost, state.m_sharers,
+  const QuotaRequest request{cost, ReserveOf(forwarding, cost, limit)};
+  if (Spend(state.m_quotas[workspace->m_name], limit, request, state.m_sharers,
             forwarding.m_arrived)) {
     forwarding.m_quota_cost = cost;
     return Step::kContinue;
   }
+  const QuotaBucket& bucket = state.m_quotas[workspace->m_name];
+  POPPYWAY_LOG(info, "limit_spent")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("workspace", workspace->m_name)
+      .Field("cost", cost)
+      .Field("rate_per_s", limit.m_rate_per_s)
+      .Field("burst", limit.m_burst)
+      .Field("left", bucket.m_tokens)
+      .Field("own_left", bucket.m_period_left)
+      .Field("own_part", bucket.m_own_part)
+      .Field("heard_ms_ago", (forwarding.m_arrived - bucket.m_heard).count() / 1000)
+      .Field("sharers", state.m_sharers.m_instances)
+      .Field("silent", state.m_sharers.m_silent);
   Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
   return Step::kEnded;
 }
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -63,6 +63,7 @@
       .Field("workspace", forwarding.m_workspace == nullptr ? "-" : forwarding.m_workspace->m_name)
       .Field("server", forwarding.m_tried.empty() ? "-" : forwarding.m_tried.back())
       .Field("attempts", forwarding.m_reached)
+      .Field("allowed_ms", Millis(forwarding.m_deadline - forwarding.m_arrived))
       .Field("prompt_tokens", forwarding.m_request.m_prompt_tokens)
       .Field("most_tokens", forwarding.m_request.m_most_tokens)
       .Field("events", forwarding.m_events.m_events)
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -14,7 +14,7 @@
 /// \brief How fast a backend server works, learned from its answers. Zero: not known yet.
 struct ServerPace {
   double m_tokens_per_ms = 0;  ///< Prompt tokens read, at best; engines only.
-  double m_event_ms = 0;       ///< Between two events of a stream when little else runs.
+  double m_event_ms = 0;       ///< Between two events of a stream, as streams go.
   double m_service_ms = 0;     ///< From dispatch to the end of an answer.
   double m_pause_ms = 0;       ///< The longest pause of a stream, as streams go.
 
@@ -66,6 +66,13 @@
                            const RequestShape& request,
                            const ServerPace& typical) noexcept;
 
+/// \brief True if the server, idle, would give the first event well in time and the whole answer
+/// before the deadline. Where some server suits, a request waits for such a one: at another it
+/// would hold a place and come to nothing.
+[[nodiscard]] bool Suits(const ServerView& server,
+                         const RequestShape& request,
+                         const ServerPace& typical) noexcept;
+
 /// \brief The usable server with room and the best prediction; ties are broken by `random`.
 [[nodiscard]] std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
                                                        const RequestShape& request,
--- a/packages/policy/include/poppyway/policy/impl/token_quota.h
+++ b/packages/policy/include/poppyway/policy/impl/token_quota.h
@@ -86,11 +86,19 @@
 /// operator's limit isn't refused for an error of ours.
 [[nodiscard]] QuotaLimit Loosen(const QuotaLimit& limit, const QuotaTolerance& tolerance) noexcept;
 
-/// \brief Takes `cost` if the bucket holds anything. A request may overdraw it once.
+/// \brief What a request asks of a bucket.
+struct QuotaRequest {
+  double m_cost = 0;
+  double m_reserve = 0;  ///< Share of the burst that it leaves to more urgent requests.
+
+  friend bool operator==(const QuotaRequest&, const QuotaRequest&) = default;
+};
+
+/// \brief Takes the cost if the bucket holds more than the reserve. A request may overdraw it once.
 /// Precondition: `limit` has a rate above zero.
 [[nodiscard]] bool Spend(QuotaBucket& bucket,
                          const QuotaLimit& limit,
-                         double cost,
+                         const QuotaRequest& request,
                          const QuotaSharers& sharers,
                          Instant now) noexcept;
 
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -22,13 +22,15 @@
 constexpr double kAheadShare = 0.3;    // Of the aim may be ahead of a prompt that is late anyway.
 constexpr double kYieldShare =
     0.85;  // Of a server's places that a request which yields may fill up to.
+constexpr double kEventGain = 0.1;    // Some ten streams back, with what else ran beside them.
 constexpr double kPauseGainUp = 0.2;  // Together about the longest pause of five streams in six.
 constexpr double kPauseGainDown = 0.04;
 constexpr double kRiskFrom = 0.6;       // Of the pause aim: longer usual pauses begin to count.
 constexpr double kRiskEvents = 40;      // A stream this long meets a server's usual longest pause.
 constexpr double kLateEndWeight = 1;    // Of the aim, added where the end would miss the deadline.
 constexpr double kDeadlineShare = 0.9;  // Of the time left that a whole stream is expected to fill.
-constexpr double kTieMs = 2;            // Predictions closer than this count as equal.
+constexpr double kReadShare = 0.6;  // Of the aim that an idle server may need to the first event.
+constexpr double kTieMs = 2;        // Predictions closer than this count as equal.
 constexpr double kRemoteShare =
     0.12;  // Of the aim: what another data centre costs in a comparison.
 
@@ -115,6 +117,8 @@
     return false;
   if (request.m_prompt_tokens == 0)
     return true;
+  if (at_work >= server.m_slots)
+    return false;
   const double left = kInTimeShare * (aim - Ms(request.m_waited));
   const double first = FirstMs(server, request, typical);
   if (first <= left)
@@ -127,6 +131,23 @@
   return alone > left && first - alone <= kAheadShare * aim;
 }
 
+bool Suits(const ServerView& server,
+           const RequestShape& request,
+           const ServerPace& typical) noexcept {
+  if (request.m_prompt_tokens == 0)
+    return true;
+  ServerView idle = server;
+  idle.m_reading_tokens = 0;
+  idle.m_own = 0;
+  idle.m_others = 0;
+  const double first = FirstMs(idle, request, typical);
+  if (first > kReadShare * Ms(request.m_aim))
+    return false;
+  const double event = Known(server.m_pace.m_event_ms, typical.m_event_ms, 0);
+  const double end = first + request.m_events * event;
+  return request.m_left <= Duration(0) || end <= kDeadlineShare * Ms(request.m_left);
+}
+
 std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
                                          const RequestShape& request,
                                          const ServerPace& typical,
@@ -134,10 +155,15 @@
   std::optional<ServerChoice> best;
   double best_ms = 0;
   std::uint64_t equals = 0;
+  const bool any_suits = std::any_of(servers.begin(), servers.end(), [&](const ServerView& server) {
+    return server.m_usable && Suits(server, request, typical);
+  });
   for (std::size_t i = 0; i < servers.size(); ++i) {
     const ServerView& server = servers[i];
     if (!server.m_usable || !HasRoom(server, request, typical))
       continue;
+    if (any_suits && !Suits(server, request, typical))
+      continue;
     const double first = FirstMs(server, request, typical);
     // A loaded batch slows every token, so a busy server has to be ahead by more than a free one.
     const double filled =
@@ -202,7 +228,7 @@
     return pace;
   ServerPace after = pace;
   const double sample = Ms(span) / static_cast<double>(events);
-  after.m_event_ms = Blend(pace.m_event_ms, sample, sample < pace.m_event_ms ? kGainUp : kGainDown);
+  after.m_event_ms = Blend(pace.m_event_ms, sample, kEventGain);
   after.m_pause_ms = Blend(pace.m_pause_ms, Ms(pause),
                            Ms(pause) > pace.m_pause_ms ? kPauseGainUp : kPauseGainDown);
   return after;
--- a/packages/policy/src/token_quota.cc
+++ b/packages/policy/src/token_quota.cc
@@ -14,6 +14,7 @@
 constexpr double kFirstPart = 0.1;     // Of the burst is there when an instance starts.
 constexpr double kDeepestDebt = 1.0;   // In bursts: an older overrun is forgotten.
 constexpr double kPeriodPart = 1.2;    // Of its part of the bucket an instance may spend unheard.
+constexpr double kPlenty = 0.5;        // Of the burst is left: no part has to be kept to.
 constexpr Duration kUnheard{250'000};  // Five reports missed: each instance keeps to an even part.
 
 void Refill(QuotaBucket& bucket,
@@ -83,15 +84,17 @@
 
 bool Spend(QuotaBucket& bucket,
            const QuotaLimit& limit,
-           double cost,
+           const QuotaRequest& request,
            const QuotaSharers& sharers,
            Instant now) noexcept {
-  bucket.m_wanted += cost;
+  bucket.m_wanted += request.m_cost;
   Refill(bucket, limit, sharers, now);
-  const bool empty = bucket.m_tokens <= 0 || bucket.m_period_left <= 0;
-  if (empty)
+  const bool plenty = !bucket.m_alone && bucket.m_tokens > kPlenty * limit.m_burst;
+  if (bucket.m_tokens <= request.m_reserve * limit.m_burst)
     return false;
-  Charge(bucket, cost);
+  if (!plenty && bucket.m_period_left <= 0)
+    return false;
+  Charge(bucket, request.m_cost);
   return true;
 }
 
