Keep what reaches a starting instance until it knows the configuration

An instance is up about 0.6 s before it knows the configuration; what reached it meanwhile was refused at once.

Change: until an instance has acted on a confirmed configuration once, requests wait for it, for a tenth of the caller's patience and a second at most, 512 at most; then they take the usual way. The wait for room counts from there.

--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -79,6 +79,7 @@
   std::map<std::string, PoolState> m_pools;
   std::map<std::string, QuotaBucket> m_quotas;  ///< By workspace.
   std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
+  std::vector<ForwardingRef> m_awaiting_start;          ///< Until the configuration is known.
   std::vector<std::unique_ptr<BackendCall>> m_retired;  ///< Destroyed outside their events.
   std::vector<ForwardingRef> m_over;                    ///< Forgotten outside all events.
   ForwardingRef m_next_ref = 1;
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -59,10 +59,6 @@
     Refuse(state, forwarding, ResultCode::kStopping, "the instance stops");
     return Step::kEnded;
   }
-  if (!state.m_table) {
-    Refuse(state, forwarding, ResultCode::kNotReady, "no configuration is known yet");
-    return Step::kEnded;
-  }
   forwarding.m_table = state.m_table;
   return Step::kContinue;
 }
@@ -144,7 +140,7 @@
       waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
                           state.m_settings.m_retry_limit.m_burst, state.m_sharers.m_instances});
   forwarding.m_length = LengthClass(waiting, forwarding);
-  PutInQueue(state, forwarding, forwarding.m_arrived + FirstWait(forwarding));
+  PutInQueue(state, forwarding, ReadClock() + FirstWait(forwarding));
   ServeQueue(state, pool);
 }
 
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -114,12 +114,14 @@
         .Field("version", document.version)
         .Field("routes", m_state.m_table->m_routes.size())
         .Field("workspaces", m_state.m_table->m_workspaces.size());
+    impl::EndStart(m_state);
   }
   void operator()(const ServersChanged& message) const {
     impl::TakeServers(m_state, message.m_servers);
   }
   void operator()(const ConfirmedUntil& message) const {
     m_state.m_confirmed_until = std::max(m_state.m_confirmed_until, message.m_until);
+    impl::EndStart(m_state);
   }
   void operator()(const FleetLoad& message) const { impl::TakeFleetLoad(m_state, message); }
 };
@@ -201,7 +203,10 @@
   auto* anchor =
       static_cast<Anchor*>(h2o_mem_alloc_shared(&req->pool, sizeof(Anchor), &OnAnchorDisposed));
   *anchor = {&m_state, ref};
-  impl::RunChain(m_state, forwarding);
+  if (impl::IsStarting(m_state))
+    impl::AwaitStart(m_state, forwarding);
+  else
+    impl::RunChain(m_state, forwarding);
 }
 
 void Forwarder::OnReadiness(h2o_req_t* req) {
@@ -223,6 +228,7 @@
   for (const ForwardingRef ref : m_state.m_over)
     m_state.m_forwardings.erase(ref);
   m_state.m_over.clear();
+  impl::ExpireStart(m_state, now);
   impl::ExpireWaiting(m_state, now);
   EndOverdue(m_state, now);
   if (now - m_state.m_callers_polled >= kCallerPollInterval) {
@@ -237,6 +243,8 @@
         .Field("version", m_state.m_table ? m_state.m_table->m_version : 0)
         .Field("confirmed_ms", (m_state.m_confirmed_until - now).count() / 1000);
   }
+  if (!m_state.m_awaiting_start.empty())
+    return true;
   return std::any_of(m_state.m_pools.begin(), m_state.m_pools.end(),
                      [](const auto& pool) { return !pool.second.m_waiting.empty(); });
 }
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -20,6 +20,16 @@
 [[nodiscard]] Step CheckQuota(ForwarderState& state, Forwarding& forwarding);
 void Enqueue(ForwarderState& state, Forwarding& forwarding);
 
+// ---- start.cc ----------------------------------------------------------------------------------
+/// True until this instance has acted on a confirmed configuration once.
+[[nodiscard]] bool IsStarting(const ForwarderState& state) noexcept;
+/// Keeps a request until the configuration is known, for a small part of its caller's patience.
+void AwaitStart(ForwarderState& state, Forwarding& forwarding);
+/// Serves what awaited the configuration, once that is known.
+void EndStart(ForwarderState& state);
+/// Refuses what has awaited the configuration for too long.
+void ExpireStart(ForwarderState& state, Instant now);
+
 // ---- queue.cc ----------------------------------------------------------------------------------
 /// Its place in its pool's queue.
 [[nodiscard]] WaitingOrder OrderOf(const Forwarding& forwarding) noexcept;
--- /dev/null
+++ b/tests/start_test.cc
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What reaches an instance before it knows the configuration.
+#include <catch2/catch.hpp>
+
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+constexpr std::uint64_t kKnownAfterMillis = 60;
+const std::string kPatience = "X-Deadline-Ms: 1500\r\n";
+
+/// An instance that has just started.
+void ForgetConfiguration(Rig& rig) {
+  rig.m_forwarder->state().m_table = nullptr;
+  rig.m_forwarder->state().m_confirmed_until = Instant{};
+}
+
+TEST_CASE("a request that comes before the configuration is known is served once it is") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  rig.Register("s0", server);
+  ForgetConfiguration(rig);
+  int ticks = 0;
+  // First the document alone: a key can't be relied on before the leader has confirmed it.
+  RepeatingTimer later(rig.m_loop, kKnownAfterMillis, kKnownAfterMillis, [&] {
+    ++ticks;
+    if (ticks == 1)
+      rig.Adopt(2, Document(2, "key"));
+    if (ticks == 2)
+      rig.Confirm(Duration(60'000'000));
+    return true;
+  });
+  const Seen seen = Call(rig, Request("/safe/", "i", kPatience));
+  CHECK(seen.status() == 200);
+  CHECK(seen.body() == "ok");
+  CHECK(seen.m_millis >= static_cast<int>(kKnownAfterMillis));
+  CHECK(Call(rig, Request("/safe/", "j", kPatience)).status() == 200);
+}
+
+TEST_CASE("without a configuration a request is refused after a tenth of its caller's patience") {
+  Rig rig;
+  ForgetConfiguration(rig);
+  const Seen seen = Call(rig, Request("/safe/", "i", kPatience));
+  CHECK(seen.status() == 503);
+  CHECK(seen.m_bytes.find("retry-after: ") != std::string::npos);
+  CHECK(seen.m_millis >= 140);
+  CHECK(seen.m_millis < 400);
+}
+
+TEST_CASE("an instance that stops before it knows the configuration refuses at once") {
+  Rig rig;
+  ForgetConfiguration(rig);
+  rig.m_forwarder->BeginStop();
+  const Seen seen = Call(rig, Request("/safe/", "i", kPatience));
+  CHECK(seen.status() == 503);
+  CHECK(seen.m_millis < 100);
+}
+
+}  // namespace
+}  // namespace poppyway
