--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -61,6 +61,17 @@
   return queue + kFixedFirstMs + static_cast<double>(server.m_reading_tokens + own) / rate;
 }
 
+/// As if nothing else were at work there.
+double FirstAloneMs(const ServerView& server,
+                    const RequestShape& request,
+                    const ServerPace& typical) noexcept {
+  ServerView idle = server;
+  idle.m_reading_tokens = 0;
+  idle.m_own = 0;
+  idle.m_others = 0;
+  return FirstMs(idle, request, typical);
+}
+
 Duration FromMs(double ms) noexcept {
   return Duration(static_cast<std::int64_t>(ms * 1000));
 }
@@ -123,11 +134,7 @@
   const double first = FirstMs(server, request, typical);
   if (first <= left)
     return true;
-  ServerView idle = server;
-  idle.m_reading_tokens = 0;
-  idle.m_own = 0;
-  idle.m_others = 0;
-  const double alone = FirstMs(idle, request, typical);
+  const double alone = FirstAloneMs(server, request, typical);
   return alone > left && first - alone <= kAheadShare * aim;
 }
 
@@ -136,11 +143,7 @@
            const ServerPace& typical) noexcept {
   if (request.m_prompt_tokens == 0)
     return true;
-  ServerView idle = server;
-  idle.m_reading_tokens = 0;
-  idle.m_own = 0;
-  idle.m_others = 0;
-  const double first = FirstMs(idle, request, typical);
+  const double first = FirstAloneMs(server, request, typical);
   if (first > kReadShare * Ms(request.m_aim))
     return false;
   const double event = Known(server.m_pace.m_event_ms, typical.m_event_ms, 0);
--- a/packages/policy/src/token_quota.cc
+++ b/packages/policy/src/token_quota.cc
@@ -91,6 +91,21 @@
   bucket.m_agreed = true;
 }
 
+/// The part of what is left that this instance may spend until it hears of the others again.
+double OwnPart(const QuotaBucket& bucket,
+               const QuotaSharers& sharers,
+               const QuotaUse& others) noexcept {
+  constexpr double kLeastPart = 0.1;  // New demand is served at once.
+  const int instances = std::max(1, sharers.m_instances);
+  const int silent = std::min(sharers.m_silent, instances - 1);
+  const bool unconfirmed = !bucket.m_agreed && instances > 1;
+  // Those that aren't heard keep an even part, and so does one whose estimate nobody has confirmed.
+  const double most = unconfirmed ? 1.0 / instances : 1 - static_cast<double>(silent) / instances;
+  const double demand = bucket.m_wanted_per_s + others.m_wanted_per_s;
+  const double part = demand > 0 ? bucket.m_wanted_per_s / demand : 1;
+  return std::min(most, kPeriodPart * std::max(part, kLeastPart));
+}
+
 }  // namespace
 
 QuotaSharers CountSharers(SharerMemory& memory,
@@ -145,16 +160,7 @@
   TakeOut(bucket, limit, sharers, others, now);
   Agree(bucket, others);
   bucket.m_heard = now;
-  const double demand = bucket.m_wanted_per_s + others.m_wanted_per_s;
-  const double part = demand > 0 ? bucket.m_wanted_per_s / demand : 1;
-  constexpr double kLeastPart = 0.1;  // New demand is served at once.
-  const int instances = std::max(1, sharers.m_instances);
-  // Those that aren't heard keep an even part, and so does one whose estimate nobody has confirmed.
-  const bool alone = !bucket.m_agreed && instances > 1;
-  const double free =
-      alone ? 1.0 / instances
-            : 1 - static_cast<double>(std::min(sharers.m_silent, instances - 1)) / instances;
-  bucket.m_own_part = std::min(free, kPeriodPart * std::max(part, kLeastPart));
+  bucket.m_own_part = OwnPart(bucket, sharers, others);
   bucket.m_period_left = std::max(0.0, bucket.m_tokens) * bucket.m_own_part;
 }
 
