Count only real confirmations; a stopping instance serves what ends in time

Ruled out: slow elections. All instances were confirmed 0.43 s after the first process started.

Change: only a leader's answer confirms; the forwarder passes over a confirmation that has run out. Requests wait for the start for half of their patience, 1.5 s at most (a tenth, 1 s, before).

--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -167,7 +167,9 @@
 }
 
 void InstanceSide::PublishConfirmation() {
-  if (m_document_version == 0 || m_document_version < m_leader_document)
+  // A member's news may come before any leader has answered; only a leader confirms.
+  const bool asked = m_leader_asked != Instant{};
+  if (!asked || m_document_version == 0 || m_document_version < m_leader_document)
     return;
   const Instant until = m_leader_asked + std::chrono::milliseconds(m_settings.m_confirm_ms);
   if (until <= m_published_until)
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -8,8 +8,8 @@
 namespace poppyway::impl {
 namespace {
 
-// A stopping instance serves what still comes for this long: the balancer needs two checks a second
-// apart to take it out. What comes later is sent away, since it might outlast the stop.
+// A stopping instance serves all that still comes for this long: the balancer needs two checks a
+// second apart to take it out. Later it serves only what ends before the stop's limit.
 constexpr Duration kServeWhileStopping{2'500'000};
 
 /// The share of a workspace's limit that a request leaves to more urgent ones of the workspace.
@@ -45,6 +45,8 @@
     return;
   if (MatchRoute(state, forwarding) == Step::kEnded)
     return;
+  if (CheckStop(state, forwarding) == Step::kEnded)
+    return;
   if (IdentifyWorkspace(state, forwarding) == Step::kEnded)
     return;
   if (CheckQuota(state, forwarding) == Step::kEnded)
@@ -53,16 +55,19 @@
 }
 
 Step CheckInForce(ForwarderState& state, Forwarding& forwarding) {
-  const bool late =
-      state.m_stopping && forwarding.m_arrived - state.m_stop_begun > kServeWhileStopping;
-  if (late) {
-    Refuse(state, forwarding, ResultCode::kStopping, "the instance stops");
-    return Step::kEnded;
-  }
   forwarding.m_table = state.m_table;
   return Step::kContinue;
 }
 
+Step CheckStop(ForwarderState& state, Forwarding& forwarding) {
+  if (!state.m_stopping || forwarding.m_arrived - state.m_stop_begun <= kServeWhileStopping)
+    return Step::kContinue;
+  if (forwarding.m_deadline < StopEnd(state))
+    return Step::kContinue;
+  Refuse(state, forwarding, ResultCode::kStopping, "the instance stops");
+  return Step::kEnded;
+}
+
 Step MatchRoute(ForwarderState& state, Forwarding& forwarding) {
   const bool confirmed = forwarding.m_arrived < state.m_confirmed_until;
   forwarding.m_route = FindRoute(*forwarding.m_table, forwarding.m_host, forwarding.m_target);
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -105,7 +105,7 @@
     req->res.content_length = body.size();
     AddField(req, "content-type", "text/plain; charset=utf-8");
     if (info.m_retry_after)
-      AddField(req, "retry-after", SecondsText(ComeBackAfter(state, forwarding)));
+      AddField(req, "retry-after", SecondsText(ComeBackAfter(state, forwarding, code)));
     Begin(state, forwarding);
     SendChunk(caller, body, true);
   } else if (caller.m_req != nullptr) {
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -120,6 +120,8 @@
     impl::TakeServers(m_state, message.m_servers);
   }
   void operator()(const ConfirmedUntil& message) const {
+    if (message.m_until <= ReadClock())
+      return;  // Run out on its way: it doesn't tell that a leader is there now.
     m_state.m_confirmed_until = std::max(m_state.m_confirmed_until, message.m_until);
     impl::EndStart(m_state);
   }
@@ -128,6 +130,10 @@
 
 }  // namespace
 
+Instant impl::StopEnd(const ForwarderState& state) noexcept {
+  return state.m_stop_begun + state.m_settings.m_stop_limit - kStopMargin;
+}
+
 Forwarder::Forwarder(TaskLoop& loop, const ForwarderSettings& settings, Dialect dialect)
     : m_loop(loop) {
   m_state.m_settings = settings;
@@ -187,7 +193,7 @@
     return false;
   const Duration since = ReadClock() - m_state.m_stop_begun;
   const bool idle = since >= kStopAtLeast && m_state.m_forwardings.empty();
-  return idle || since >= m_state.m_settings.m_stop_limit - kStopMargin;
+  return idle || ReadClock() >= impl::StopEnd(m_state);
 }
 
 void Forwarder::OnRequest(h2o_req_t* req) {
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -101,7 +101,9 @@
   }
 }
 
-Duration ComeBackAfter(ForwarderState& state, const Forwarding& forwarding) {
+Duration ComeBackAfter(ForwarderState& state, const Forwarding& forwarding, ResultCode code) {
+  if (code == ResultCode::kStopping)
+    return Duration(0);  // Any other instance can serve it now.
   const Duration left = forwarding.m_deadline - ReadClock();
   const Duration most = std::min(kComeBackMost, Scale(left, kComeBackShare));
   const double spread =
--- a/packages/forward/src/start.cc
+++ b/packages/forward/src/start.cc
@@ -8,11 +8,11 @@
 namespace poppyway::impl {
 namespace {
 
-// An instance knows the configuration about 0.6 s after it starts, if a leader is there. Callers
+// An instance knows the configuration 0.4 to 0.6 s after it starts, if a leader is there. Callers
 // who lost their connection to a failure have mostly one try left: it had better not meet a
 // refusal.
-constexpr Duration kMostStartWait{1'000'000};
-constexpr double kStartWaitShare = 0.1;     // Of the caller's patience, which may be shorter.
+constexpr Duration kMostStartWait{1'500'000};
+constexpr double kStartWaitShare = 0.5;  // Of the caller's patience: the rest is for the answer.
 constexpr std::size_t kMostAwaiting = 512;  // Bounds the memory of a herd of callers.
 
 Duration StartWait(const Forwarding& forwarding) {
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -16,6 +16,7 @@
 void RunChain(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step CheckInForce(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step MatchRoute(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step CheckStop(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step CheckQuota(ForwarderState& state, Forwarding& forwarding);
 void Enqueue(ForwarderState& state, Forwarding& forwarding);
@@ -42,7 +43,9 @@
 /// Refuses what has waited too long for its aim.
 void ExpireWaiting(ForwarderState& state, Instant now);
 /// When a refused caller should come back.
-[[nodiscard]] Duration ComeBackAfter(ForwarderState& state, const Forwarding& forwarding);
+[[nodiscard]] Duration ComeBackAfter(ForwarderState& state,
+                                     const Forwarding& forwarding,
+                                     ResultCode code);
 
 // ---- dispatch.cc -------------------------------------------------------------------------------
 /// Sends a request to a server. Precondition: it is in no queue.
@@ -84,6 +87,9 @@
 void NoteOtherServer(ForwarderState& state, const std::string& meant, const std::string& found);
 [[nodiscard]] LoadReport MakeReport(ForwarderState& state, Instant now);
 
+/// \brief When a planned stop ends the process at the latest, a margin kept.
+[[nodiscard]] Instant StopEnd(const ForwarderState& state) noexcept;
+
 [[nodiscard]] inline Forwarding* Find(ForwarderState& state, ForwardingRef ref) {
   const auto found = state.m_forwardings.find(ref);
   return found == state.m_forwardings.end() ? nullptr : found->second.get();
--- a/packages/http/include/poppyway/http/impl/caller_side.h
+++ b/packages/http/include/poppyway/http/impl/caller_side.h
@@ -28,6 +28,9 @@
 void BeginAnswer(CallerSide& caller, h2o_generator_t& generator);
 /// \brief Adds bytes to the answer; `last` ends it.
 void SendChunk(CallerSide& caller, std::string_view bytes, bool last);
+/// \brief Lets the library close an HTTP/1 connection once the answer under way is sent, also where
+/// the answer's head promised to keep it. Call before the last chunk.
+void CloseAfterAnswer(CallerSide& caller);
 /// \brief Cuts an answer that can't be completed, so that the caller sees it is not whole.
 void AbortAnswer(CallerSide& caller);
 /// \brief The library can take more: sends what is pending.
--- a/packages/http/src/caller_side.cc
+++ b/packages/http/src/caller_side.cc
@@ -51,6 +51,11 @@
     Push(caller, last);
 }
 
+void CloseAfterAnswer(CallerSide& caller) {
+  if (caller.m_req != nullptr)
+    caller.m_req->http1_is_persistent = 0;
+}
+
 void AbortAnswer(CallerSide& caller) {
   if (caller.m_req == nullptr || caller.m_ended)
     return;
