--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -156,6 +156,7 @@
   load.m_basis = reply.basis;
   load.m_instances = std::max(1, reply.live);
   load.m_silent = reply.silent;
+  load.m_settled = reply.settled;
   m_forwarder.m_send(std::move(load));
   const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
   const Instant now = ReadClock();
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -389,6 +389,7 @@
     answer.document_version = m_machine.m_hosted.m_document.version;
     answer.servers_index = m_machine.m_hosted.m_servers_index;
     AddFleetLoad(m_table, beat.incarnation, now, answer);
+    answer.settled = IsSettled(m_table, now);
   }
   wire::Body body;
   body.__set_heartbeat_reply(answer);
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -36,6 +36,7 @@
   std::int64_t m_basis = 0;  ///< Names the instances that the sums are of.
   int m_instances = 1;       ///< Instances that take callers, this one included.
   int m_silent = 0;          ///< Of those, not heard lately.
+  bool m_settled = false;    ///< The leader has heard of them all.
 };
 
 /// \brief From the control task to the forwarder.
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -88,6 +88,7 @@
   std::mt19937_64 m_random;
   Instant m_callers_polled{};
   Instant m_fleet_heard{};
+  Instant m_loads_heard{};  ///< Of all other instances, from a leader that knows them.
 };
 
 /// \brief The forwarder task. Belongs to its loop's thread.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -64,6 +64,18 @@
          forwarding.m_tried.end();
 }
 
+// Some heartbeats without word of a leader that knows all instances: each keeps to an even part.
+constexpr Duration kLoadsFresh{250'000};
+
+/// Places of a server that this instance may hold in all.
+int PlacesOf(const ForwarderState& state, const Backend& backend, Instant now) {
+  const int slots = std::max(1, backend.m_record.slots);
+  if (now - state.m_loads_heard <= kLoadsFresh)
+    return slots;
+  const std::uint64_t turn = MixHash(Hash(state.m_settings.m_instance), Hash(backend.m_record.id));
+  return EvenPart(slots, state.m_sharers.m_instances, turn);
+}
+
 ServerView ViewOf(const ForwarderState& state,
                   const Forwarding& forwarding,
                   const Backend& backend,
@@ -71,6 +83,7 @@
   ServerView view;
   view.m_slots = std::max(1, backend.m_record.slots);
   view.m_own = backend.m_in_flight;
+  view.m_open = PlacesOf(state, backend, now) - backend.m_in_flight;
   view.m_others = backend.m_others_in_flight;
   view.m_reading_tokens = backend.m_reading_tokens + backend.m_others_reading;
   view.m_kept_tokens = KeptTokens(backend, forwarding.m_request);
@@ -126,9 +139,11 @@
   }
 }
 
-void TakeFleetLoad(ForwarderState& state, const FleetLoad& load) {
-  state.m_sharers = CountSharers(state.m_sharer_memory, load.m_instances, load.m_silent,
-                                 state.m_settings.m_unconfirmed_limit, ReadClock());
+/// A leader that doesn't know all instances yet tells too little: what was known before is kept.
+void TakeLoads(ForwarderState& state, const FleetLoad& load, Instant now) {
+  if (!load.m_settled)
+    return;
+  state.m_loads_heard = now;
   for (auto& [id, backend] : state.m_backends) {
     backend.m_others_in_flight = 0;
     backend.m_others_reading = 0;
@@ -140,10 +155,16 @@
     backend->m_others_in_flight = one.in_flight;
     backend->m_others_reading = one.reading_tokens;
   }
+}
+
+void TakeFleetLoad(ForwarderState& state, const FleetLoad& load) {
+  const Instant now = ReadClock();
+  state.m_sharers = CountSharers(state.m_sharer_memory, load.m_instances, load.m_silent,
+                                 state.m_settings.m_unconfirmed_limit, ReadClock());
+  TakeLoads(state, load, now);
   std::map<std::string, QuotaUse> others;
   for (const wire::WorkspaceUse& use : load.m_uses)
     others[use.workspace] = {use.spent, use.wanted_per_s, load.m_basis, use.left, use.estimates};
-  const Instant now = ReadClock();
   HearOtherSpenders(state, others, load.m_basis, now);
   for (auto& [name, pool] : state.m_pools)
     pool.m_others_waiting.fill(0);
--- a/packages/forward/src/start.cc
+++ b/packages/forward/src/start.cc
@@ -12,7 +12,7 @@
 // who lost their connection to a failure have mostly one try left: it had better not meet a
 // refusal.
 constexpr Duration kMostStartWait{1'500'000};
-constexpr double kStartWaitShare = 0.5;  // Of the caller's patience: the rest is for the answer.
+constexpr double kStartWaitShare = 0.5;     // Of the caller's patience: the rest is for the answer.
 constexpr std::size_t kMostAwaiting = 512;  // Bounds the memory of a herd of callers.
 
 Duration StartWait(const Forwarding& forwarding) {
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -17,12 +17,14 @@
 /// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
 /// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
+/// - `EvenPart`: an instance's part of a server's places while it has no word of the others.
 /// - `QuotaBucket`: an instance's estimate of a workspace's shared token bucket.
 /// - `RateEstimate`, `RetryBudget`, `RetryAfter`: speed of engines, retries, when to come back.
 
 #include "poppyway/policy/impl/admission_queue.h"
 #include "poppyway/policy/impl/broker.h"
 #include "poppyway/policy/impl/credit_book.h"
+#include "poppyway/policy/impl/place_share.h"
 #include "poppyway/policy/impl/pool_client.h"
 #include "poppyway/policy/impl/prefix_index.h"
 #include "poppyway/policy/impl/rate_estimate.h"
--- /dev/null
+++ b/packages/policy/include/poppyway/policy/impl/place_share.h
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <cstdint>
+
+namespace poppyway {
+
+/// \brief An even part of a server's places, for an instance that has no word of the others.
+///
+/// Over all instances the parts add up to about the places there are. While a new leader knew
+/// nobody's work, eight instances took all engines for idle: 21 requests were at an engine of 15
+/// places on average, 55 at most. With even parts 13 and 18, in a play of the same day.
+/// \param turn differs by instance and server: spreads what doesn't divide evenly.
+[[nodiscard]] int EvenPart(int places, int instances, std::uint64_t turn) noexcept;
+
+}  // namespace poppyway
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -26,6 +26,7 @@
   int m_slots = 1;                    ///< Requests it works on at once.
   int m_own = 0;                      ///< Of this instance, in flight there.
   int m_others = 0;                   ///< Of other instances, as last heard.
+  int m_open = 1;                     ///< Places that this instance may still take.
   std::int64_t m_reading_tokens = 0;  ///< Prompt tokens ahead that it has not finished reading.
   std::int64_t m_kept_tokens = 0;     ///< Prompt tokens of this request that it likely still keeps.
   ServerPace m_pace;
--- /dev/null
+++ b/packages/policy/src/place_share.cc
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <algorithm>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+
+int EvenPart(int places, int instances, std::uint64_t turn) noexcept {
+  const int sharers = std::max(1, instances);
+  const bool one_more = static_cast<int>(turn % static_cast<unsigned>(sharers)) < places % sharers;
+  return places / sharers + (one_more ? 1 : 0);
+}
+
+}  // namespace poppyway
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -128,7 +128,7 @@
     return false;
   if (request.m_prompt_tokens == 0)
     return true;
-  if (at_work >= server.m_slots)
+  if (at_work >= server.m_slots || server.m_open <= 0)
     return false;
   const double left = kInTimeShare * (aim - Ms(request.m_waited));
   const double first = FirstMs(server, request, typical);
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -47,6 +47,10 @@
                   Instant now,
                   wire::HeartbeatReply& reply);
 
+/// \brief True once a leader has had time to hear of all instances that are at work. Until then
+/// what it adds up is too little.
+[[nodiscard]] bool IsSettled(const InstanceTable& table, Instant now) noexcept;
+
 /// \brief Lease grants that are due: pools without a live, willing holder. Nothing is granted until
 /// a predecessor's lease has surely run out.
 [[nodiscard]] std::vector<wire::LeaseGrant> DueLeases(
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -24,6 +24,9 @@
   return best;
 }
 
+// Instances find a new leader within 0.9 s.
+constexpr Duration kSettleTime{1'000'000};
+
 }  // namespace
 
 InstanceTable BeginLeading(Duration lease, Duration margin, Instant now) {
@@ -34,6 +37,10 @@
   return table;
 }
 
+bool IsSettled(const InstanceTable& table, Instant now) noexcept {
+  return now - table.m_leading_since >= kSettleTime;
+}
+
 void TakeHeartbeat(InstanceTable& table, const wire::Heartbeat& beat, Instant now) {
   for (auto it = table.m_live.begin(); it != table.m_live.end();) {
     const bool former =
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -7376,6 +7376,10 @@
 void HeartbeatReply::__set_waiting(const std::vector<PoolWaiting> & val) {
   this->waiting = val;
 }
+
+void HeartbeatReply::__set_settled(const bool val) {
+  this->settled = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -7576,6 +7580,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7689,6 +7701,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->settled);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7710,6 +7726,7 @@
   swap(a.silent, b.silent);
   swap(a.basis, b.basis);
   swap(a.waiting, b.waiting);
+  swap(a.settled, b.settled);
   swap(a.__isset, b.__isset);
 }
 
@@ -7728,6 +7745,7 @@
   silent = other300.silent;
   basis = other300.basis;
   waiting = other300.waiting;
+  settled = other300.settled;
   __isset = other300.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other301) noexcept {
@@ -7745,6 +7763,7 @@
   silent = other301.silent;
   basis = other301.basis;
   waiting = std::move(other301.waiting);
+  settled = other301.settled;
   __isset = other301.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other302) {
@@ -7762,6 +7781,7 @@
   silent = other302.silent;
   basis = other302.basis;
   waiting = other302.waiting;
+  settled = other302.settled;
   __isset = other302.__isset;
   return *this;
 }
@@ -7780,6 +7800,7 @@
   silent = other303.silent;
   basis = other303.basis;
   waiting = std::move(other303.waiting);
+  settled = other303.settled;
   __isset = other303.__isset;
   return *this;
 }
@@ -7800,6 +7821,7 @@
   out << ", " << "silent=" << to_string(silent);
   out << ", " << "basis=" << to_string(basis);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "settled=" << to_string(settled);
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -2838,7 +2838,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), loads(false), uses(false), silent(false), basis(false), waiting(false) {}
+  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), loads(false), uses(false), silent(false), basis(false), waiting(false), settled(false) {}
   bool leases :1;
   bool version :1;
   bool leader_term :1;
@@ -2853,6 +2853,7 @@
   bool silent :1;
   bool basis :1;
   bool waiting :1;
+  bool settled :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -2871,7 +2872,8 @@
                    document_version(0),
                    servers_index(0),
                    silent(0),
-                   basis(0) {
+                   basis(0),
+                   settled(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -2889,6 +2891,7 @@
   int32_t silent;
   int64_t basis;
   std::vector<PoolWaiting>  waiting;
+  bool settled;
 
   _HeartbeatReply__isset __isset;
 
@@ -2920,6 +2923,8 @@
 
   void __set_waiting(const std::vector<PoolWaiting> & val);
 
+  void __set_settled(const bool val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leases == rhs.leases))
@@ -2950,6 +2955,8 @@
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (!(settled == rhs.settled))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -114,6 +114,7 @@
   12: i32 silent  // Of `live`: not heard for some heartbeats, perhaps cut off and still at work.
   13: i64 basis   // Names the leader and the instances that the sums are of.
   14: list<PoolWaiting> waiting
+  15: bool settled  // The leader has had time to hear of all instances: `loads` is whole.
 }
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done }
