Name only the figures that were counted in the start's comment

Cause: the comment gave a total that no run had counted. Change: the total is left out; the counts of refused callers stay. No behaviour. Conclusion: none.

--- a/packages/forward/src/start.cc
+++ b/packages/forward/src/start.cc
@@ -10,7 +10,7 @@
 
 // An instance knows the configuration 0.4 to 0.6 s after it starts, if a leader is there. Callers
 // who lost their connection to a failure have mostly one try left: it had better not meet a
-// refusal. With a tenth of the patience and 1 s in place of these, 109 of 400 callers were refused
+// refusal. With a tenth of the patience and 1 s in place of these, 109 callers were refused
 // after all instances had lost power at once; with these 13.
 constexpr Duration kMostStartWait{1'500'000};
 constexpr double kStartWaitShare = 0.5;     // Of the caller's patience: the rest is for the answer.
