--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -105,7 +105,9 @@
     reply_envelope.body = std::move(answer);
     open->Send(reply_envelope);
   };
-  if (body.__isset.demand) {
+  if (body.__isset.place_batch && m_member) {
+    m_member->OnPlaces(body.place_batch, connection);
+  } else if (body.__isset.demand) {
     m_brokers.OnDemand(body.demand, connection);
   } else if (!m_member) {
     OnOperator(body, reply);
--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -18,9 +18,10 @@
 constexpr int kUsageExit = 64;
 constexpr int kStartFailedExit = 70;
 constexpr std::uint16_t kMetricsOffset =
-    10;                                    // From the first internal port; see deploy/system.toml.
-constexpr std::int64_t kHeartbeatMs = 50;  // Loads are this old at most when others read them.
-constexpr std::int64_t kLeaseMs = 1500;    // An instance silent for longer counts as gone.
+    10;  // From the first internal port; see deploy/system.toml.
+// Heartbeats carry liveness and versions only; a broker that is gone shows by its answers sooner.
+constexpr std::int64_t kHeartbeatMs = 500;
+constexpr std::int64_t kLeaseMs = 1500;  // An instance silent for longer counts as gone.
 constexpr double kConfirmShare =
     0.9;  // Of the bound on removed keys; the rest is for our own delays.
 constexpr Duration kUnbounded{30'000'000};  // Where there is no bound: how stale we agree to be.
@@ -107,8 +108,8 @@
           std::make_unique<Forwarder>(m_loop, ToForwarderSettings(hosted), platform::MakeDialect());
     if (m_forwarder) {
       m_control.SetForwarder(
-          {[this](FleetMessage message) { m_forwarder->Take(std::move(message)); },
-           [this] { return m_forwarder->Report(); }});
+          {[this](FleetMessage message) { m_forwarder->Take(std::move(message)); }});
+      m_forwarder->SetBroker(m_control.PlacePort());
     }
     if (hosted.m_control.m_port != 0 && m_control.member() != nullptr)
       m_server = std::make_unique<ControlServer>(m_loop, hosted.m_control, *m_control.member());
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "convert.h"
+#include "place_convert.h"
 
 namespace poppyway {
 namespace {
@@ -57,8 +58,13 @@
   if (known != m_places.end())
     return static_cast<std::size_t>(known - m_places.begin());
   m_places.push_back(place);
+  const std::size_t index = m_places.size() - 1;
   m_members.push_back(std::make_unique<PeerClient>(m_loop, place.m_address, place.m_port));
-  return m_places.size() - 1;
+  if (m_settings.m_hosted) {
+    m_members.back()->SetOnPush([this, index](wire::Body body) { OnPush(index, body); });
+    m_members.back()->SetOnLost([this, index] { OnMemberLost(index); });
+  }
+  return index;
 }
 
 void InstanceSide::AddSeeds(const std::vector<MemberSettings>& seeds) {
@@ -99,17 +105,14 @@
   beat.stopping = m_stopping;
   beat.http = ToText(m_settings.m_http);
   beat.leases_seen = m_leases_seen;
-  if (m_settings.m_hosted) {
-    LoadReport report = m_forwarder.m_report();
-    beat.loads = std::move(report.m_loads);
-    beat.uses = std::move(report.m_uses);
-    beat.waiting = std::move(report.m_waiting);
+  if (m_settings.m_hosted)
     beat.version_in_force = m_document_version;
-  }
   wire::Body body;
   body.__set_heartbeat(beat);
   Leader().Call(std::move(body), std::chrono::milliseconds(m_settings.m_lease_ms) / 3,
-                [this, now](Result<wire::Body> reply) {
+                [this, now, asked = m_leader](Result<wire::Body> reply) {
+                  if (m_settings.m_hosted && asked != m_leader)
+                    return;  // Another leader has been found since.
                   if (reply && reply->__isset.heartbeat_reply)
                     OnBeatReply(reply->heartbeat_reply, now);
                   else
@@ -133,6 +136,9 @@
 /// Turns to the member that is named as leader, or to the next one.
 void InstanceSide::OnLeaderError(const Result<wire::Body>& reply) {
   ++m_beats_lost;
+  if (m_broker_told && m_forwarder.m_send)
+    m_forwarder.m_send(BrokerLost{});
+  m_broker_told = false;
   const bool named = reply && reply->__isset.error && reply->error.leader_port != 0;
   std::size_t next = (m_leader + 1) % m_members.size();
   if (named)
@@ -149,15 +155,13 @@
   m_leader_servers = std::max(m_leader_servers, reply.servers_index);
   m_leader_asked = std::max(m_leader_asked, sent);
   PublishConfirmation();
-  FleetLoad load;
-  load.m_loads = reply.loads;
-  load.m_uses = reply.uses;
-  load.m_waiting = reply.waiting;
-  load.m_basis = reply.basis;
-  load.m_instances = std::max(1, reply.live);
-  load.m_silent = reply.silent;
-  load.m_settled = reply.settled;
-  m_forwarder.m_send(std::move(load));
+  m_forwarder.m_send(FleetSize{std::max(1, reply.live)});
+  const bool new_broker = !m_broker_told || reply.leader_term > m_leader_term;
+  m_leader_term = std::max(m_leader_term, reply.leader_term);
+  if (new_broker && reply.leader_term == m_leader_term) {
+    m_broker_told = true;
+    m_forwarder.m_send(BrokerFound{reply.leader_term});
+  }
   const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
   const Instant now = ReadClock();
   if (!behind || now - m_poll_sent < kPollOverdue)
@@ -183,6 +187,7 @@
   if (!delta.servers.empty() && delta.servers_index > m_servers_index)
     m_forwarder.m_send(ServersChanged{delta.servers});
   m_servers_index = std::max(m_servers_index, delta.servers_index);
+  OnLeaderNamed(delta);
   if (delta.__isset.document && delta.document.version > m_document_version) {
     m_document_version = delta.document.version;
     m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
@@ -190,6 +195,52 @@
   }
 }
 
+void InstanceSide::OnLeaderNamed(const wire::ConfigDelta& delta) {
+  if (delta.leader_term <= m_leader_term)
+    return;
+  m_leader_term = delta.leader_term;
+  m_leader = ContactAt({delta.leader_address, static_cast<std::uint16_t>(delta.leader_port)});
+  POPPYWAY_LOG(info, "leader_named").Field("term", m_leader_term).Field("port", delta.leader_port);
+  FindBrokerAnew();
+}
+
+void InstanceSide::OnPush(std::size_t index, const wire::Body& body) {
+  if (index != m_leader || !body.__isset.place_answers)
+    return;
+  if (body.place_answers.not_broker) {
+    FindBrokerAnew();
+    return;
+  }
+  PlacesAnswered message;
+  message.m_epoch = body.place_answers.epoch;
+  for (const wire::PlaceAnswer& answer : body.place_answers.answers)
+    message.m_answers.push_back(FromWire(answer));
+  m_forwarder.m_send(std::move(message));
+}
+
+void InstanceSide::OnMemberLost(std::size_t index) {
+  if (index == m_leader && m_broker_told)
+    FindBrokerAnew();
+}
+
+void InstanceSide::FindBrokerAnew() {
+  if (m_broker_told)
+    m_forwarder.m_send(BrokerLost{});
+  m_broker_told = false;
+  m_beat_due = std::min(m_beat_due, ReadClock());
+}
+
+BrokerPort InstanceSide::PlacePort() {
+  BrokerPort port;
+  port.m_send = [this](PlaceBatch batch) {
+    wire::Body body;
+    body.__set_place_batch(ToWire(batch, m_incarnation, m_settings.m_data_centre));
+    Leader().Tell(std::move(body));
+  };
+  port.m_silent = [this] { FindBrokerAnew(); };
+  return port;
+}
+
 void InstanceSide::TakeLeases(int live, Instant sent) {
   const Instant now = ReadClock();
   for (const wire::LeaseGrant& lease : m_leases) {
@@ -223,6 +274,7 @@
   poll.hosted = m_settings.m_hosted;
   poll.have_document = m_document_version;
   poll.have_servers = m_servers_index;
+  poll.have_term = m_leader_term;
   poll.have_version = m_version;
   poll.wait_ms = kPollWaitMs;
   wire::Body body;
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -30,6 +30,8 @@
 
   /// Hosted: news goes to the forwarder instead of the gateway.
   void SetForwarder(ForwarderPort port) { m_forwarder = std::move(port); }
+  /// Hosted: how the forwarder reaches the broker of places.
+  [[nodiscard]] BrokerPort PlacePort();
   void AddSeeds(const std::vector<MemberSettings>& seeds);
   void Tick(Instant now);
   void Take(GatewayMessage message);
@@ -66,6 +68,13 @@
   /// Hosted: takes the members, what the leader confirms, and the load of the other instances.
   void OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent);
   void OnHostedDelta(const wire::ConfigDelta& delta);
+  /// Turns to the leader that a member has named in a later term.
+  void OnLeaderNamed(const wire::ConfigDelta& delta);
+  /// A message that answers no call, or the loss of the connection, from the member at `index`.
+  void OnPush(std::size_t index, const wire::Body& body);
+  void OnMemberLost(std::size_t index);
+  /// The broker doesn't answer or doesn't know this instance: it is told anew.
+  void FindBrokerAnew();
   /// Tells the forwarder until when its document may be acted on.
   void PublishConfirmation();
   /// Index of the contact at this place, added if it is new.
@@ -96,7 +105,9 @@
   std::int64_t m_servers_index = 0;
   std::int64_t m_leader_document = 0;  ///< As the leader last said.
   std::int64_t m_leader_servers = 0;
-  Instant m_leader_asked{};  ///< When the heartbeat that it answered was sent.
+  std::int64_t m_leader_term = 0;  ///< Of the latest leader that was named or answered.
+  bool m_broker_told = false;      ///< The forwarder knows of the broker at the leader.
+  Instant m_leader_asked{};        ///< When the heartbeat that it answered was sent.
   Instant m_published_until{};
   Instant m_poll_after{};
   Instant m_beat_due{};
--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -42,7 +42,12 @@
     return m_machine.m_configuration.m_version > poll.have_version;
   const HostedState& hosted = m_machine.m_hosted;
   return hosted.m_document.version > poll.have_document ||
-         hosted.m_servers_index > poll.have_servers;
+         hosted.m_servers_index > poll.have_servers || KnownLeaderTerm() > poll.have_term;
+}
+
+std::int64_t MemberSide::KnownLeaderTerm() const {
+  const wire::MemberInfo* leader = FindMember(m_node.m_membership, m_node.m_leader);
+  return leader == nullptr ? 0 : m_node.m_hard.term;
 }
 
 wire::ConfigDelta MemberSide::NewsFor(const wire::ConfigPoll& poll) const {
@@ -52,6 +57,11 @@
     delta.__set_document(hosted.m_document);
   delta.servers = ServersSince(hosted, poll.have_servers);
   delta.servers_index = hosted.m_servers_index;
+  delta.leader_term = KnownLeaderTerm();
+  if (const wire::MemberInfo* leader = FindMember(m_node.m_membership, m_node.m_leader)) {
+    delta.leader_address = leader->address;
+    delta.leader_port = leader->port;
+  }
   return delta;
 }
 
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -170,6 +170,8 @@
     POPPYWAY_LOG(info, "document_accepted")
         .Field("version", m_machine.m_hosted.m_document.version)
         .Field("log_index", m_machine.m_applied);
+  if (m_machine.m_hosted.m_servers_index != servers_before)
+    m_places.TakeServers(m_machine.m_hosted);
   AnswerPolls(ReadClock());
 }
 
@@ -212,8 +214,13 @@
           std::chrono::milliseconds(std::max(m_settings.m_lease_ms, m_settings.m_confirm_ms)),
           std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
     ProposeDue(now);
+    if (m_settings.m_hosted && m_places.epoch() != m_node.m_hard.term)
+      m_places.Begin(m_node.m_hard.term, m_machine.m_hosted,
+                     std::chrono::milliseconds(m_settings.m_confirm_ms), now);
+    m_places.Tick(now);
   } else {
     m_table = {};
+    m_places.End();
     if (!m_pending.empty())
       FailPending("leadership was lost");
   }
@@ -388,14 +395,18 @@
     answer.members = m_node.m_membership.members;
     answer.document_version = m_machine.m_hosted.m_document.version;
     answer.servers_index = m_machine.m_hosted.m_servers_index;
-    AddFleetLoad(m_table, beat.incarnation, now, answer);
-    answer.settled = IsSettled(m_table, now);
+    m_places.OnHeard(beat.incarnation, now);
   }
   wire::Body body;
   body.__set_heartbeat_reply(answer);
   reply(std::move(body));
 }
 
+void MemberSide::OnPlaces(const wire::PlaceBatch& batch, PeerConnection& from) {
+  const Instant now = ReadClock();
+  m_places.OnBatch(batch, from, ConfirmedLeader(m_node, now), now);
+}
+
 void MemberSide::OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply) {
   const Instant now = ReadClock();
   const Duration wait = std::min<Duration>(std::chrono::milliseconds(poll.wait_ms), kMaxPollWait);
@@ -482,6 +493,7 @@
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
   metrics.Set("poppyway_ledger_kept_bytes", "",
               static_cast<double>(m_machine.m_ledger.m_kept_bytes));
+  m_places.AddMetrics(metrics);
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "place_side.h"
 #include "poppyway/log.h"
 #include "poppyway/settings.h"
 #include "poppyway/state.h"
@@ -36,6 +37,8 @@
   void OnPropose(const wire::Propose& propose, const ReplyFn& reply);
   void OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply);
   /// Replies as soon as the version is past the caller's, or after its wait.
+  /// A batch of wishes and reports about places.
+  void OnPlaces(const wire::PlaceBatch& batch, PeerConnection& from);
   void OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply);
   void OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply);
   [[nodiscard]] wire::StatusReply Status() const;
@@ -90,6 +93,8 @@
   [[nodiscard]] std::string MemberName() const;
   [[nodiscard]] bool LacksLeader(Instant now) const;
   [[nodiscard]] bool HasNews(const wire::ConfigPoll& poll) const;
+  /// The term of the leader that this member follows or is; zero: it knows none.
+  [[nodiscard]] std::int64_t KnownLeaderTerm() const;
   [[nodiscard]] wire::ConfigDelta NewsFor(const wire::ConfigPoll& poll) const;
   [[nodiscard]] wire::MemberInfo Self() const;
   [[nodiscard]] bool Blank() const { return m_node.m_membership.members.empty(); }
@@ -101,6 +106,7 @@
   std::unique_ptr<LogStore> m_store;
   StateMachine m_machine;
   InstanceTable m_table;
+  PlaceSide m_places;
   std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
   std::map<MemberId, std::string> m_names;                     ///< Learned from messages.
   Formation m_formation;
--- /dev/null
+++ b/apps/poppywayd/place_convert.h
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include "poppyway/policy.h"
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief Batches for the broker of places and its answers as they go over the wire: points in
+/// time become ages and spans, in milliseconds; the incarnation and data centre are the sender's.
+[[nodiscard]] wire::PlaceBatch ToWire(const PlaceBatch& batch,
+                                      const std::string& incarnation,
+                                      const std::string& data_centre);
+[[nodiscard]] PlaceBatch FromWire(const wire::PlaceBatch& batch);
+
+[[nodiscard]] wire::PlaceAnswer ToWire(const PlaceAnswer& answer);
+[[nodiscard]] PlaceAnswer FromWire(const wire::PlaceAnswer& answer);
+
+/// \brief What of a registered server decides on its places.
+[[nodiscard]] PlaceServer ToPlaceServer(const wire::ServerRecord& record);
+
+}  // namespace poppyway
--- /dev/null
+++ b/apps/poppywayd/place_side.h
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "poppyway/policy.h"
+#include "poppyway/state.h"
+#include "poppyway/telemetry.h"
+#include "poppyway/wire.h"
+
+namespace poppyway {
+
+/// \brief A leading member's broker of places: its lines to the instances. It begins and ends with
+/// the lead, whose term is its epoch. Belongs to the control task.
+class PlaceSide {
+ public:
+  /// This member leads in `term`; `servers` are all that are registered.
+  /// \param may_serve for how long an instance out of touch goes on serving.
+  void Begin(std::int64_t term, const HostedState& servers, Duration may_serve, Instant now);
+  /// It leads no longer: nothing more is given out.
+  void End();
+  [[nodiscard]] bool active() const noexcept { return m_broker.has_value(); }
+  [[nodiscard]] std::int64_t epoch() const noexcept { return m_broker ? m_broker->m_epoch : 0; }
+  /// The registry has changed.
+  void TakeServers(const HostedState& servers);
+  /// A batch of an instance. Refused unless this broker is the one it means and knows it.
+  /// \param may_decide a majority has confirmed lately that this member leads.
+  void OnBatch(const wire::PlaceBatch& batch, PeerConnection& from, bool may_decide, Instant now);
+  /// An instance was heard of otherwise.
+  void OnHeard(const std::string& incarnation, Instant now);
+  /// Ends waits, forgets instances that are gone. To be called every few ms.
+  void Tick(Instant now);
+  void AddMetrics(MetricSet& metrics) const;
+
+ private:
+  struct Line {
+    std::weak_ptr<PeerConnection> m_connection;
+    Instant m_lost{};  ///< When its connection was found closed; zero: open.
+  };
+
+  void Send(const std::vector<PlaceAnswer>& answers);
+  void DropGone(Instant now);
+
+  std::optional<PlaceBroker> m_broker;
+  std::map<std::string, Line> m_lines;  ///< By incarnation.
+  Instant m_served{};
+  std::uint64_t m_verdicts[5] = {};  ///< Answers given, by verdict.
+};
+
+}  // namespace poppyway
--- a/packages/forward/include/poppyway/forward/impl/dialect.h
+++ b/packages/forward/include/poppyway/forward/impl/dialect.h
@@ -23,14 +23,6 @@
   friend bool operator==(const Field&, const Field&) = default;
 };
 
-/// \brief A part of a prompt that requests may share.
-struct PromptPart {
-  std::uint64_t m_id = 0;
-  std::int64_t m_tokens = 0;
-
-  friend bool operator==(const PromptPart&, const PromptPart&) = default;
-};
-
 /// \brief What a caller's header fields say, decoded once.
 struct CallerRequest {
   std::string m_id;                    ///< The caller's own name for this attempt.
@@ -40,7 +32,7 @@
   std::int64_t m_most_tokens = 0;      ///< That it may generate.
   std::int64_t m_expected_tokens = 0;  ///< That the caller expects; often far off. Zero: not told.
   bool m_names_tokens = false;
-  std::vector<PromptPart> m_parts;
+  std::vector<PrefixPart> m_parts;
   std::optional<std::int64_t> m_resume_after;  ///< The last event that the caller has.
   std::vector<Field> m_forwarded;              ///< What a backend server gets unchanged.
 
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "poppyway/core.h"
+#include "poppyway/policy.h"
 #include "poppyway_types.h"
 
 namespace poppyway {
@@ -28,31 +29,43 @@
   Instant m_until{};
 };
 
-/// \brief What the other instances have in flight and spend, as the leader last heard.
-struct FleetLoad {
-  std::vector<wire::ServerLoad> m_loads;
-  std::vector<wire::WorkspaceUse> m_uses;
-  std::vector<wire::PoolWaiting> m_waiting;
-  std::int64_t m_basis = 0;  ///< Names the instances that the sums are of.
-  int m_instances = 1;       ///< Instances that take callers, this one included.
-  int m_silent = 0;          ///< Of those, not heard lately.
-  bool m_settled = false;    ///< The leader has heard of them all.
+/// \brief How many instances take callers, this one included, as the leader last heard.
+struct FleetSize {
+  int m_instances = 1;
 };
 
-/// \brief From the control task to the forwarder.
-using FleetMessage = std::variant<NewDocument, ServersChanged, ConfirmedUntil, FleetLoad>;
+/// \brief A broker answers at the leader; it knows nothing of this instance yet.
+struct BrokerFound {
+  std::int64_t m_epoch = 0;
+};
 
-/// \brief What an instance tells of itself with each heartbeat.
-struct LoadReport {
-  std::vector<wire::ServerLoad> m_loads;
-  std::vector<wire::WorkspaceUse> m_uses;
-  std::vector<wire::PoolWaiting> m_waiting;
+/// \brief The connection to the broker is lost.
+struct BrokerLost {};
+
+/// \brief The broker's answers to wishes for places.
+struct PlacesAnswered {
+  std::int64_t m_epoch = 0;
+  std::vector<PlaceAnswer> m_answers;
 };
 
+/// \brief From the control task to the forwarder.
+using FleetMessage = std::variant<NewDocument,
+                                  ServersChanged,
+                                  ConfirmedUntil,
+                                  FleetSize,
+                                  BrokerFound,
+                                  BrokerLost,
+                                  PlacesAnswered>;
+
 /// \brief How the control task of a hosted instance reaches its forwarder; both on one thread.
 struct ForwarderPort {
   std::function<void(FleetMessage)> m_send;
-  std::function<LoadReport()> m_report;
+};
+
+/// \brief How the forwarder reaches the broker, through the control task; both on one thread.
+struct BrokerPort {
+  std::function<void(PlaceBatch)> m_send;
+  std::function<void()> m_silent;  ///< The broker doesn't answer: it is to be found anew.
 };
 
 }  // namespace poppyway
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -59,25 +59,44 @@
   std::vector<std::string> m_servers;  ///< Ids, in order.
   WaitingQueue m_waiting;
   std::array<double, kTiers> m_usual_length{};  ///< Logarithm of expected tokens, by rank.
-  TierCounts m_others_waiting{};                ///< At other instances, by the route's tier.
   RetryBudget m_retries{0};
 };
 
+/// \brief What a broker last said of a workspace's limit.
+struct LimitLeft {
+  double m_left = 0;
+  QuotaLimit m_limit;
+  Instant m_told{};
+  std::int64_t m_epoch = 0;  ///< Of that broker.
+};
+
+/// \brief This instance's line to the broker of places.
+struct BrokerLink {
+  BrokerPort m_port;
+  bool m_active = false;  ///< A broker answers. If not, this instance decides alone.
+  std::int64_t m_epoch = 0;
+  PlaceRef m_next_ref = 1;
+  std::unordered_map<PlaceRef, ForwardingRef> m_asked;  ///< Answers that are awaited.
+  PlaceBatch m_outbox;
+  std::map<std::string, LimitLeft> m_left;  ///< By workspace.
+  std::map<std::string, LoneLimit> m_lone;  ///< By workspace, since the broker was lost.
+  CostSums m_costs;                         ///< Of all requests here that a limit applies to.
+};
+
 /// \brief All state of the forwarder task. Plain data; the functions of src/ act on it.
 struct ForwarderState {
   ForwarderSettings m_settings;
   Dialect m_dialect;
   std::shared_ptr<const RouteTable> m_table;
   Instant m_confirmed_until{};
-  QuotaSharers m_sharers;
-  SharerMemory m_sharer_memory;
+  BrokerLink m_broker;
+  InstanceCount m_instances;
   double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
   bool m_stopping = false;
   Instant m_stop_begun{};
   bool m_ready_told = false;
   std::map<std::string, Backend> m_backends;
   std::map<std::string, PoolState> m_pools;
-  std::map<std::string, QuotaBucket> m_quotas;  ///< By workspace.
   std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
   std::vector<ForwardingRef> m_awaiting_start;          ///< Until the configuration is known.
   std::vector<std::unique_ptr<BackendCall>> m_retired;  ///< Destroyed outside their events.
@@ -87,8 +106,6 @@
   MetricSet m_metrics;
   std::mt19937_64 m_random;
   Instant m_callers_polled{};
-  Instant m_fleet_heard{};
-  Instant m_loads_heard{};  ///< Of all other instances, from a leader that knows them.
 };
 
 /// \brief The forwarder task. Belongs to its loop's thread.
@@ -101,8 +118,8 @@
   [[nodiscard]] Result<void> Listen();
   /// Takes one message of the control task.
   void Take(FleetMessage message);
-  /// What to tell the leader of this instance.
-  [[nodiscard]] LoadReport Report();
+  /// Where wishes for places go. Without one this instance decides alone.
+  void SetBroker(BrokerPort port) { m_state.m_broker.m_port = std::move(port); }
   /// A planned stop begins: not ready at once, answers are finished.
   void BeginStop();
   /// True once nothing is left to finish, or the limit is reached.
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -37,8 +37,7 @@
   bool m_replaced = false;  ///< Another server answered at its place.
   int m_in_flight = 0;      ///< Of this instance.
   std::int64_t m_reading_tokens = 0;
-  int m_others_in_flight = 0;
-  std::int64_t m_others_reading = 0;
+  int m_own_before = 0;  ///< In flight when the broker was lost.
   ServerPace m_pace;
   ServerHealth m_health;
   Instant m_last_heard{};  ///< Any byte from it.
@@ -71,9 +70,21 @@
   Instant m_wait_until{};  ///< In the queue; refused after this.
   std::vector<std::string> m_tried;  ///< Servers that were sent a byte.
   int m_reached = 0;                 ///< How many calls sent a byte.
-  double m_quota_cost = 0;           ///< Taken from the workspace's limit for one run.
+  QuotaRequest m_quota;              ///< What one run takes of the workspace's limit.
+  QuotaLimit m_limit;                ///< That limit, as it is aimed at.
+  bool m_paid_alone = false;         ///< It was taken from this instance's part of the limit.
   int m_unsure = 0;                  ///< Of those, calls after which the request may have run.
 
+  // The wish for a place and the place.
+  PlaceRef m_ask = 0;        ///< The broker's answer is awaited; zero: it isn't.
+  Instant m_asked{};         ///< When it was asked.
+  bool m_queued = false;     ///< The broker has said that it waits there.
+  PlaceRef m_place = 0;      ///< Held for the call under way; zero: none.
+  PlaceReport m_report;      ///< Of that place, as far as it isn't told yet.
+  Duration m_forecast{};     ///< Of the first event, when the place was given.
+  bool m_by_broker = false;  ///< The broker gave the place.
+  bool m_sent = false;       ///< The server may have run the call under way.
+
   // The call under way.
   std::string m_server;  ///< Its id; empty: none.
   std::unique_ptr<BackendCall> m_call;
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -51,7 +51,7 @@
 
 std::int64_t KeptTokens(const Backend& backend, const CallerRequest& request) {
   std::int64_t kept = 0;
-  for (const PromptPart& part : request.m_parts) {
+  for (const PrefixPart& part : request.m_parts) {
     if (!backend.m_parts.contains(part.m_id))
       break;  // A part is only of use with all those before it.
     kept += part.m_tokens;
@@ -64,18 +64,6 @@
          forwarding.m_tried.end();
 }
 
-// Some heartbeats without word of a leader that knows all instances: each keeps to an even part.
-constexpr Duration kLoadsFresh{250'000};
-
-/// Places of a server that this instance may hold in all.
-int PlacesOf(const ForwarderState& state, const Backend& backend, Instant now) {
-  const int slots = std::max(1, backend.m_record.slots);
-  if (now - state.m_loads_heard <= kLoadsFresh)
-    return slots;
-  const std::uint64_t turn = MixHash(Hash(state.m_settings.m_instance), Hash(backend.m_record.id));
-  return EvenPart(slots, state.m_sharers.m_instances, turn);
-}
-
 ServerView ViewOf(const ForwarderState& state,
                   const Forwarding& forwarding,
                   const Backend& backend,
@@ -83,9 +71,8 @@
   ServerView view;
   view.m_slots = std::max(1, backend.m_record.slots);
   view.m_own = backend.m_in_flight;
-  view.m_open = PlacesOf(state, backend, now) - backend.m_in_flight;
-  view.m_others = backend.m_others_in_flight;
-  view.m_reading_tokens = backend.m_reading_tokens + backend.m_others_reading;
+  view.m_open = PlacesAlone(state, backend) - backend.m_in_flight;
+  view.m_reading_tokens = backend.m_reading_tokens;
   view.m_kept_tokens = KeptTokens(backend, forwarding.m_request);
   view.m_pace = backend.m_pace;
   view.m_usable = !backend.m_leaving && !backend.m_replaced && !Avoided(backend.m_health, now) &&
@@ -122,64 +109,6 @@
     ServeQueue(state, name);
 }
 
-/// Keeps a bucket for every workspace with a limit, also while nobody asks for anything.
-void HearOtherSpenders(ForwarderState& state,
-                       const std::map<std::string, QuotaUse>& others,
-                       std::int64_t basis,
-                       Instant now) {
-  if (!state.m_table)
-    return;
-  for (const Workspace& workspace : state.m_table->m_workspaces) {
-    if (workspace.m_limit.m_rate_per_s <= 0)
-      continue;
-    const auto told = others.find(workspace.m_name);
-    HearOthers(state.m_quotas[workspace.m_name],
-               Loosen(workspace.m_limit, state.m_settings.m_quota_tolerance), state.m_sharers,
-               told == others.end() ? QuotaUse{0, 0, basis} : told->second, now);
-  }
-}
-
-/// A leader that doesn't know all instances yet tells too little: what was known before is kept.
-void TakeLoads(ForwarderState& state, const FleetLoad& load, Instant now) {
-  if (!load.m_settled)
-    return;
-  state.m_loads_heard = now;
-  for (auto& [id, backend] : state.m_backends) {
-    backend.m_others_in_flight = 0;
-    backend.m_others_reading = 0;
-  }
-  for (const wire::ServerLoad& one : load.m_loads) {
-    Backend* backend = FindBackend(state, one.server);
-    if (backend == nullptr)
-      continue;
-    backend->m_others_in_flight = one.in_flight;
-    backend->m_others_reading = one.reading_tokens;
-  }
-}
-
-void TakeFleetLoad(ForwarderState& state, const FleetLoad& load) {
-  const Instant now = ReadClock();
-  state.m_sharers = CountSharers(state.m_sharer_memory, load.m_instances, load.m_silent,
-                                 state.m_settings.m_unconfirmed_limit, ReadClock());
-  TakeLoads(state, load, now);
-  std::map<std::string, QuotaUse> others;
-  for (const wire::WorkspaceUse& use : load.m_uses)
-    others[use.workspace] = {use.spent, use.wanted_per_s, load.m_basis, use.left, use.estimates};
-  HearOtherSpenders(state, others, load.m_basis, now);
-  for (auto& [name, pool] : state.m_pools)
-    pool.m_others_waiting.fill(0);
-  for (const wire::PoolWaiting& waiting : load.m_waiting) {
-    TierCounts& counts = state.m_pools[waiting.pool].m_others_waiting;
-    for (std::size_t i = 0; i < std::min(counts.size(), waiting.by_rank.size()); ++i)
-      counts[i] = waiting.by_rank[i];
-  }
-  state.m_fleet_heard = now;
-  for (const auto& [name, pool] : state.m_pools) {
-    if (!pool.m_waiting.empty())
-      ServeQueue(state, name);
-  }
-}
-
 Backend* FindBackend(ForwarderState& state, const std::string& id) {
   const auto found = state.m_backends.find(id);
   return found == state.m_backends.end() ? nullptr : &found->second;
@@ -222,7 +151,9 @@
   return ids[choice->m_index];
 }
 
-void NoteHealth(ForwarderState& state, const std::string& server, ServerSign sign) {
+void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign) {
+  forwarding.m_report.m_sign = sign;
+  const std::string& server = forwarding.m_server;
   Backend* backend = FindBackend(state, server);
   if (backend == nullptr)
     return;
@@ -252,50 +183,4 @@
       .Field("restored", restored);
 }
 
-namespace {
-
-void ReportSpending(ForwarderState& state, Instant now, LoadReport& report) {
-  if (!state.m_table)
-    return;
-  for (const Workspace& workspace : state.m_table->m_workspaces) {
-    const auto bucket = state.m_quotas.find(workspace.m_name);
-    if (bucket == state.m_quotas.end() || workspace.m_limit.m_rate_per_s <= 0)
-      continue;
-    const QuotaLimit limit = Loosen(workspace.m_limit, state.m_settings.m_quota_tolerance);
-    const QuotaUse own = ReportUse(bucket->second, limit, state.m_sharers, now);
-    wire::WorkspaceUse& use = report.m_uses.emplace_back();
-    use.workspace = workspace.m_name;
-    use.spent = own.m_spent;
-    use.wanted_per_s = own.m_wanted_per_s;
-    use.left = own.m_left;
-    use.estimates = own.m_estimates;
-  }
-}
-
-}  // namespace
-
-LoadReport MakeReport(ForwarderState& state, Instant now) {
-  LoadReport report;
-  for (const auto& [id, backend] : state.m_backends) {
-    if (backend.m_in_flight == 0)
-      continue;
-    wire::ServerLoad load;
-    load.server = id;
-    load.in_flight = backend.m_in_flight;
-    load.reading_tokens = backend.m_reading_tokens;
-    report.m_loads.push_back(std::move(load));
-  }
-  ReportSpending(state, now, report);
-  for (const auto& [name, pool] : state.m_pools) {
-    if (pool.m_waiting.empty())
-      continue;
-    wire::PoolWaiting& waiting = report.m_waiting.emplace_back();
-    waiting.pool = name;
-    waiting.by_rank.resize(kTiers);
-    for (const auto& [order, ref] : pool.m_waiting)
-      ++waiting.by_rank[static_cast<std::size_t>(std::clamp(order.m_rank, 0, kTiers - 1))];
-  }
-  return report;
-}
-
 }  // namespace poppyway::impl
--- /dev/null
+++ b/packages/forward/src/broker_link.cc
@@ -0,0 +1,288 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Wishes for places and their answers, and what the broker is told of places held.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+// A broker answers within some ms; a machine that has used up its share of the processor may stand
+// still for the rest of a tenth of a second.
+constexpr Duration kAskPatience{100'000};
+
+PlaceAsk MakeAsk(const ForwarderState& state, const Forwarding& forwarding, Instant now) {
+  const Route& route = *forwarding.m_route;
+  PlaceAsk ask;
+  ask.m_ref = forwarding.m_ask;
+  ask.m_pool = forwarding.m_pool->m_name;
+  ask.m_data_centre = state.m_settings.m_data_centre;
+  ask.m_tier = forwarding.m_tier;
+  ask.m_shape.m_tier = route.m_tier;
+  ask.m_shape.m_prompt_tokens =
+      forwarding.m_pool->m_engines ? forwarding.m_request.m_prompt_tokens : 0;
+  ask.m_shape.m_aim = route.m_aim;
+  ask.m_shape.m_waited = now - forwarding.m_arrived;
+  ask.m_shape.m_left = forwarding.m_deadline - now;
+  if (route.m_stream)
+    ask.m_shape.m_pause_aim = route.m_pause_aim;
+  ask.m_expected_tokens = forwarding.m_request.m_expected_tokens;
+  ask.m_wait = forwarding.m_wait_until - now;
+  if (forwarding.m_pool->m_engines)
+    ask.m_parts = forwarding.m_request.m_parts;
+  ask.m_tried = forwarding.m_tried;
+  if (forwarding.m_quota.m_cost <= 0)
+    return ask;
+  ask.m_workspace = forwarding.m_workspace->m_name;
+  ask.m_quota = forwarding.m_quota;
+  ask.m_limit = forwarding.m_limit;
+  return ask;
+}
+
+HeldPlace MakeHeld(const Forwarding& forwarding) {
+  HeldPlace held;
+  held.m_ref = forwarding.m_place;
+  held.m_server = forwarding.m_server;
+  held.m_reading_tokens = forwarding.m_read_tokens;
+  held.m_expected_tokens = forwarding.m_request.m_expected_tokens;
+  return held;
+}
+
+/// The place isn't used: it goes back at once.
+void ReturnPlace(ForwarderState& state, PlaceRef ref) {
+  PlaceReport report;
+  report.m_ref = ref;
+  report.m_ended = true;
+  report.m_ran = false;
+  state.m_broker.m_outbox.m_reports.push_back(report);
+  FlushToBroker(state);
+}
+
+void RememberLeft(ForwarderState& state, const Forwarding& forwarding, const PlaceAnswer& answer) {
+  if (forwarding.m_quota.m_cost <= 0 || answer.m_verdict == PlaceVerdict::kQueued)
+    return;
+  state.m_broker.m_left[forwarding.m_workspace->m_name] = {answer.m_left, forwarding.m_limit,
+                                                           ReadClock(), state.m_broker.m_epoch};
+}
+
+void UsePlace(ForwarderState& state, Forwarding& forwarding, const PlaceAnswer& answer) {
+  const Backend* backend = FindBackend(state, answer.m_server);
+  const bool confirmed = forwarding.m_workspace == nullptr || ReadClock() < state.m_confirmed_until;
+  const bool usable = backend != nullptr && !backend->m_leaving && confirmed;
+  if (!usable) {
+    POPPYWAY_LOG(info, "place_returned")
+        .Field("request", forwarding.m_request.m_id)
+        .Field("server", answer.m_server)
+        .Field("known", backend != nullptr)
+        .Field("confirmed", confirmed);
+    ReturnPlace(state, answer.m_ref);
+    forwarding.m_tried.push_back(answer.m_server);
+    if (state.m_broker.m_active)
+      AskBroker(state, forwarding);
+    return;
+  }
+  state.m_pools[forwarding.m_pool->m_name].m_waiting.erase(OrderOf(forwarding));
+  forwarding.m_place = answer.m_ref;
+  forwarding.m_by_broker = true;
+  forwarding.m_forecast = answer.m_first;
+  Dispatch(state, forwarding, answer.m_server);
+}
+
+void RefuseByBroker(ForwarderState& state, Forwarding& forwarding, PlaceVerdict verdict) {
+  if (forwarding.m_unsure > 0) {
+    Refuse(state, forwarding, ResultCode::kOutcomeUnknown, "no other server had room");
+    return;
+  }
+  switch (verdict) {
+    case PlaceVerdict::kOverLimit:
+      Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
+      return;
+    case PlaceVerdict::kNoServer:
+      Refuse(state, forwarding, ResultCode::kNoBackend, "the pool has no server");
+      return;
+    default:
+      Refuse(state, forwarding, ResultCode::kOverload, "no server had room in time");
+  }
+}
+
+void TakeAnswer(ForwarderState& state, const PlaceAnswer& answer) {
+  BrokerLink& link = state.m_broker;
+  const auto asked = link.m_asked.find(answer.m_ref);
+  Forwarding* forwarding = asked == link.m_asked.end() ? nullptr : Find(state, asked->second);
+  const bool awaited = forwarding != nullptr && forwarding->m_ask == answer.m_ref;
+  if (!awaited) {
+    if (answer.m_verdict == PlaceVerdict::kPlaced)
+      ReturnPlace(state, answer.m_ref);
+    return;
+  }
+  RememberLeft(state, *forwarding, answer);
+  if (answer.m_verdict == PlaceVerdict::kQueued) {
+    forwarding->m_queued = true;
+    return;
+  }
+  link.m_asked.erase(asked);
+  forwarding->m_ask = 0;
+  if (answer.m_verdict == PlaceVerdict::kPlaced)
+    UsePlace(state, *forwarding, answer);
+  else
+    RefuseByBroker(state, *forwarding, answer.m_verdict);
+}
+
+/// What a new broker has to know of limits.
+std::vector<LimitWord> LimitWords(const BrokerLink& link, Instant now) {
+  std::map<std::string, LimitWord> words;
+  for (const auto& [workspace, left] : link.m_left)
+    words[workspace] = {workspace, left.m_limit, left.m_left, now - left.m_told, left.m_epoch, 0};
+  for (const auto& [workspace, lone] : link.m_lone) {
+    LimitWord& word = words[workspace];
+    word.m_workspace = workspace;
+    word.m_limit = lone.m_limit;
+    word.m_spent_alone = lone.m_spent;
+  }
+  std::vector<LimitWord> list;
+  for (auto& [workspace, word] : words)
+    list.push_back(std::move(word));
+  return list;
+}
+
+/// Their answers, should they come, are no longer awaited.
+void ForgetAsks(ForwarderState& state) {
+  for (const auto& [ask, ref] : state.m_broker.m_asked) {
+    if (Forwarding* forwarding = Find(state, ref))
+      forwarding->m_ask = 0;
+  }
+  state.m_broker.m_asked.clear();
+}
+
+void AskForAllThatWaits(ForwarderState& state) {
+  std::vector<ForwardingRef> waiting;
+  for (const auto& [name, pool] : state.m_pools) {
+    for (const auto& [order, ref] : pool.m_waiting)
+      waiting.push_back(ref);
+  }
+  for (const ForwardingRef ref : waiting) {
+    Forwarding* forwarding = Find(state, ref);
+    if (forwarding == nullptr || forwarding->m_ask != 0)
+      continue;
+    RefundAlone(state, *forwarding);  // The broker charges it.
+    AskBroker(state, *forwarding);
+  }
+}
+
+}  // namespace
+
+void AskBroker(ForwarderState& state, Forwarding& forwarding) {
+  BrokerLink& link = state.m_broker;
+  const Instant now = ReadClock();
+  forwarding.m_ask = link.m_next_ref++;
+  forwarding.m_asked = now;
+  forwarding.m_queued = false;
+  link.m_asked[forwarding.m_ask] = forwarding.m_ref;
+  link.m_outbox.m_asks.push_back(MakeAsk(state, forwarding, now));
+  FlushToBroker(state);
+}
+
+void WithdrawAsk(ForwarderState& state, Forwarding& forwarding) {
+  if (forwarding.m_ask == 0)
+    return;
+  state.m_broker.m_asked.erase(forwarding.m_ask);
+  state.m_broker.m_outbox.m_withdrawn.push_back(forwarding.m_ask);
+  forwarding.m_ask = 0;
+  FlushToBroker(state);
+}
+
+void TakeAnswers(ForwarderState& state, const PlacesAnswered& message) {
+  if (!state.m_broker.m_active || message.m_epoch != state.m_broker.m_epoch)
+    return;
+  for (const PlaceAnswer& answer : message.m_answers)
+    TakeAnswer(state, answer);
+}
+
+void OnBrokerFound(ForwarderState& state, const BrokerFound& message) {
+  BrokerLink& link = state.m_broker;
+  const Instant now = ReadClock();
+  link.m_active = true;
+  link.m_epoch = message.m_epoch;
+  ForgetAsks(state);  // Those of a former broker.
+  link.m_outbox = {};
+  link.m_outbox.m_resync = true;
+  link.m_outbox.m_instances = state.m_instances.m_most;
+  link.m_outbox.m_limits = LimitWords(link, now);
+  link.m_lone.clear();
+  for (const auto& [ref, forwarding] : state.m_forwardings) {
+    if (forwarding->m_place != 0)
+      link.m_outbox.m_held.push_back(MakeHeld(*forwarding));
+  }
+  POPPYWAY_LOG(info, "broker_found")
+      .Field("epoch", message.m_epoch)
+      .Field("held", link.m_outbox.m_held.size())
+      .Field("instances", state.m_instances.m_most);
+  FlushToBroker(state);
+  AskForAllThatWaits(state);
+}
+
+void OnBrokerLost(ForwarderState& state, std::string_view why) {
+  BrokerLink& link = state.m_broker;
+  if (!link.m_active)
+    return;
+  link.m_active = false;
+  link.m_outbox = {};
+  POPPYWAY_LOG(info, "broker_lost")
+      .Field("why", why)
+      .Field("epoch", link.m_epoch)
+      .Field("awaited", link.m_asked.size());
+  for (auto& [id, backend] : state.m_backends)
+    backend.m_own_before = backend.m_in_flight;
+  ForgetAsks(state);
+  for (const auto& [name, pool] : state.m_pools)
+    ServeQueue(state, name);
+}
+
+void CheckBroker(ForwarderState& state, Instant now) {
+  BrokerLink& link = state.m_broker;
+  const bool silent =
+      std::any_of(link.m_asked.begin(), link.m_asked.end(), [&state, now](const auto& asked) {
+        const Forwarding* forwarding = Find(state, asked.second);
+        return forwarding != nullptr && !forwarding->m_queued &&
+               now - forwarding->m_asked > kAskPatience;
+      });
+  if (!silent)
+    return;
+  OnBrokerLost(state, "no_answer");
+  if (link.m_port.m_silent)
+    link.m_port.m_silent();
+}
+
+void TellHeld(ForwarderState& state, const Forwarding& forwarding) {
+  if (state.m_broker.m_active)
+    state.m_broker.m_outbox.m_held.push_back(MakeHeld(forwarding));
+}
+
+void TellPlace(ForwarderState& state, Forwarding& forwarding, bool ended) {
+  if (forwarding.m_place == 0)
+    return;
+  PlaceReport report = forwarding.m_report;
+  report.m_ended = ended;
+  report.m_ran = forwarding.m_sent;
+  forwarding.m_report = {.m_ref = forwarding.m_place};
+  if (ended)
+    forwarding.m_place = 0;
+  if (!state.m_broker.m_active)
+    return;
+  state.m_broker.m_outbox.m_reports.push_back(report);
+  if (ended)
+    FlushToBroker(state);  // Others wait for the place.
+}
+
+void FlushToBroker(ForwarderState& state) {
+  BrokerLink& link = state.m_broker;
+  if (!link.m_active || link.m_outbox.empty() || !link.m_port.m_send)
+    return;
+  PlaceBatch batch = std::move(link.m_outbox);
+  link.m_outbox = {};
+  batch.m_epoch = link.m_epoch;
+  link.m_port.m_send(std::move(batch));
+}
+
+}  // namespace poppyway::impl
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 #include <algorithm>
-#include <cmath>
 
 #include "steps.h"
 
@@ -24,19 +23,6 @@
       std::clamp(forwarding.m_route->m_tier, 0, kTiers - 1))];
 }
 
-/// How many times the expected answer is twice as long as usual for its rank, up to a bound.
-int LengthClass(PoolState& pool, const Forwarding& forwarding) {
-  constexpr double kGain = 0.02;  // The usual length is that of some fifty requests.
-  constexpr int kLongest = 3;
-  if (forwarding.m_request.m_expected_tokens <= 0)
-    return 0;
-  const auto rank = static_cast<std::size_t>(std::clamp(forwarding.m_route->m_tier, 0, kTiers - 1));
-  const double length = std::log2(static_cast<double>(forwarding.m_request.m_expected_tokens));
-  double& usual = pool.m_usual_length[rank];
-  usual = usual == 0 ? length : usual + kGain * (length - usual);
-  return std::clamp(static_cast<int>(length - usual), 0, kLongest);
-}
-
 }  // namespace
 
 // The way of one request, top to bottom. From `Enqueue` on the queue, the call's events and the
@@ -50,8 +36,7 @@
     return;
   if (IdentifyWorkspace(state, forwarding) == Step::kEnded)
     return;
-  if (CheckQuota(state, forwarding) == Step::kEnded)
-    return;
+  PriceRequest(state, forwarding);
   Enqueue(state, forwarding);
 }
 
@@ -104,48 +89,29 @@
   return Step::kContinue;
 }
 
-Step CheckQuota(ForwarderState& state, Forwarding& forwarding) {
+void PriceRequest(ForwarderState& state, Forwarding& forwarding) {
   const Workspace* workspace = forwarding.m_workspace;
-  if (workspace == nullptr)
-    return Step::kContinue;
+  if (workspace == nullptr || workspace->m_limit.m_rate_per_s <= 0)
+    return;
   std::optional<std::int64_t> tokens;
   if (forwarding.m_request.m_names_tokens)
     tokens = forwarding.m_request.m_prompt_tokens + forwarding.m_request.m_most_tokens;
-  if (workspace->m_limit.m_rate_per_s <= 0)
-    return Step::kContinue;
-  const QuotaLimit limit = Loosen(workspace->m_limit, state.m_settings.m_quota_tolerance);
+  forwarding.m_limit = Loosen(workspace->m_limit, state.m_settings.m_quota_tolerance);
   const double cost = CostOf(*workspace, tokens);
-  const QuotaRequest request{cost, ReserveOf(forwarding, cost, limit)};
-  if (Spend(state.m_quotas[workspace->m_name], limit, request, state.m_sharers,
-            forwarding.m_arrived)) {
-    forwarding.m_quota_cost = cost;
-    return Step::kContinue;
-  }
-  const QuotaBucket& bucket = state.m_quotas[workspace->m_name];
-  POPPYWAY_LOG(info, "limit_spent")
-      .Field("request", forwarding.m_request.m_id)
-      .Field("workspace", workspace->m_name)
-      .Field("cost", cost)
-      .Field("rate_per_s", limit.m_rate_per_s)
-      .Field("burst", limit.m_burst)
-      .Field("left", bucket.m_tokens)
-      .Field("own_left", bucket.m_period_left)
-      .Field("own_part", bucket.m_own_part)
-      .Field("heard_ms_ago", (forwarding.m_arrived - bucket.m_heard).count() / 1000)
-      .Field("sharers", state.m_sharers.m_instances)
-      .Field("silent", state.m_sharers.m_silent);
-  Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
-  return Step::kEnded;
+  state.m_broker.m_costs = Add(state.m_broker.m_costs, cost);
+  forwarding.m_quota = {cost, ReserveOf(forwarding, cost, forwarding.m_limit)};
 }
 
 void Enqueue(ForwarderState& state, Forwarding& forwarding) {
   const std::string& pool = PickPool(*forwarding.m_route, state.m_random());
   forwarding.m_pool = FindPool(*forwarding.m_table, pool);
   PoolState& waiting = state.m_pools[pool];
-  waiting.m_retries = Deposit(
-      waiting.m_retries, {state.m_settings.m_retry_limit.m_ratio,
-                          state.m_settings.m_retry_limit.m_burst, state.m_sharers.m_instances});
-  forwarding.m_length = LengthClass(waiting, forwarding);
+  waiting.m_retries = Deposit(waiting.m_retries,
+                              {state.m_settings.m_retry_limit.m_ratio,
+                               state.m_settings.m_retry_limit.m_burst, state.m_instances.m_most});
+  const auto rank = static_cast<std::size_t>(std::clamp(forwarding.m_route->m_tier, 0, kTiers - 1));
+  forwarding.m_length =
+      LengthClass(waiting.m_usual_length[rank], forwarding.m_request.m_expected_tokens);
   PutInQueue(state, forwarding, ReadClock() + FirstWait(forwarding));
   ServeQueue(state, pool);
 }
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -27,7 +27,7 @@
 }
 
 void RememberParts(Backend& backend, const CallerRequest& request, Instant now) {
-  for (const PromptPart& part : request.m_parts)
+  for (const PrefixPart& part : request.m_parts)
     backend.m_parts[part.m_id] = now;
   if (backend.m_parts.size() > kMostParts)
     std::erase_if(backend.m_parts,
@@ -45,11 +45,9 @@
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
   if (backend == nullptr || backend->m_leaving || !confirmed)
     return false;
-  const bool runs_again = forwarding->m_unsure > 0 && forwarding->m_quota_cost > 0;
-  if (runs_again)
-    Charge(state.m_quotas[forwarding->m_workspace->m_name], forwarding->m_quota_cost);
   ++forwarding->m_unsure;
   ++forwarding->m_reached;
+  forwarding->m_sent = true;
   forwarding->m_tried.push_back(forwarding->m_server);
   forwarding->m_dispatched = now;
   RememberParts(*backend, forwarding->m_request, now);
@@ -72,6 +70,13 @@
   forwarding.m_first_event = {};
   forwarding.m_call_events = 0;
   forwarding.m_dispatched = now;
+  forwarding.m_sent = false;
+  if (forwarding.m_place == 0) {
+    forwarding.m_place = state.m_broker.m_next_ref++;
+    forwarding.m_by_broker = false;
+    TellHeld(state, forwarding);
+  }
+  forwarding.m_report = {.m_ref = forwarding.m_place};
   forwarding.m_read_tokens = forwarding.m_request.m_prompt_tokens;
   ++backend.m_in_flight;
   backend.m_reading_tokens += forwarding.m_read_tokens;
@@ -95,7 +100,8 @@
       .Field("request", forwarding.m_request.m_id)
       .Field("server", server)
       .Field("in_flight", backend.m_in_flight)
-      .Field("others", backend.m_others_in_flight);
+      .Field("by_broker", forwarding.m_by_broker)
+      .Field("forecast_ms", forwarding.m_forecast.count() / 1000);
   forwarding.m_call = std::make_unique<BackendCall>(
       *state.m_connections, backend.m_place,
       BuildRequest(forwarding, state.m_dialect.m_encode_dispatch(fields)),
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -71,6 +71,8 @@
                             ? -1
                             : Millis(forwarding.m_dispatched - forwarding.m_arrived))
       .Field("first_ms", first ? Millis(forwarding.m_first_sent - forwarding.m_arrived) : -1)
+      .Field("forecast_ms", forwarding.m_tried.empty() ? -1 : Millis(forwarding.m_forecast))
+      .Field("by_broker", forwarding.m_by_broker)
       .Field("pause_ms", Millis(forwarding.m_longest_pause))
       .Field("total_ms", Millis(now - forwarding.m_arrived))
       .Field("version", forwarding.m_table ? forwarding.m_table->m_version : 0)
@@ -119,6 +121,7 @@
     return;
   if (forwarding.m_stage == ForwardingStage::kWaiting)
     state.m_pools[forwarding.m_pool->m_name].m_waiting.erase(OrderOf(forwarding));
+  WithdrawAsk(state, forwarding);
   const std::string tier = "tier=\"" + std::to_string(forwarding.m_tier) + "\"";
   if (code == ResultCode::kOk) {
     state.m_metrics.Add("poppyway_forward_answers_total", tier);
@@ -128,10 +131,9 @@
                         TierAndReason(forwarding.m_tier, Describe(code).m_name));
   }
   LogEnd(state, forwarding, code, why);
-  const bool never_ran = forwarding.m_unsure == 0 && forwarding.m_quota_cost > 0;
-  if (never_ran)
-    Refund(state.m_quotas[forwarding.m_workspace->m_name], forwarding.m_quota_cost);
   EndCall(state, forwarding);
+  if (forwarding.m_unsure == 0)
+    RefundAlone(state, forwarding);
   forwarding.m_stage = ForwardingStage::kDone;
   if (forwarding.m_caller.m_req == nullptr)
     state.m_over.push_back(forwarding.m_ref);
@@ -158,6 +160,7 @@
       --backend->m_in_flight;
       backend->m_reading_tokens -= forwarding.m_read_tokens;
     }
+    TellPlace(state, forwarding, true);
     forwarding.m_server.clear();
     forwarding.m_read_tokens = 0;
   }
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -125,7 +125,15 @@
     m_state.m_confirmed_until = std::max(m_state.m_confirmed_until, message.m_until);
     impl::EndStart(m_state);
   }
-  void operator()(const FleetLoad& message) const { impl::TakeFleetLoad(m_state, message); }
+  void operator()(const FleetSize& message) const {
+    m_state.m_instances = CountInstances(m_state.m_instances, message.m_instances,
+                                         m_state.m_settings.m_unconfirmed_limit, ReadClock());
+  }
+  void operator()(const BrokerFound& message) const { impl::OnBrokerFound(m_state, message); }
+  void operator()(const BrokerLost& /*message*/) const {
+    impl::OnBrokerLost(m_state, "connection_lost");
+  }
+  void operator()(const PlacesAnswered& message) const { impl::TakeAnswers(m_state, message); }
 };
 
 }  // namespace
@@ -176,10 +184,6 @@
   std::visit(Visitor{m_state}, message);
 }
 
-LoadReport Forwarder::Report() {
-  return impl::MakeReport(m_state, ReadClock());
-}
-
 void Forwarder::BeginStop() {
   if (m_state.m_stopping)
     return;
@@ -234,6 +238,7 @@
   for (const ForwardingRef ref : m_state.m_over)
     m_state.m_forwardings.erase(ref);
   m_state.m_over.clear();
+  impl::CheckBroker(m_state, now);
   impl::ExpireStart(m_state, now);
   impl::ExpireWaiting(m_state, now);
   EndOverdue(m_state, now);
@@ -241,6 +246,7 @@
     m_state.m_callers_polled = now;
     PollCallers(m_state);
   }
+  impl::FlushToBroker(m_state);
   const bool ready = IsReady(m_state, now);
   if (ready != m_state.m_ready_told) {
     m_state.m_ready_told = ready;
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -14,23 +14,14 @@
 constexpr double kComeBackShare = 0.3;
 constexpr Duration kComeBackLeast{150'000};  // Sooner, nothing will have changed.
 constexpr Duration kComeBackMost{2'000'000};
-constexpr Duration kFleetFresh{
-    300'000};                         // Some heartbeats; older word of others is no reason to wait.
+// The broker itself refuses what has waited for long enough; its word needs this long at most.
+constexpr Duration kAnswerOnItsWay{50'000};
 constexpr int kDepthWithoutRoom = 8;  // After so many that find no room the rest is not tried.
 
 Duration Scale(Duration duration, double factor) {
   return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
-/// The most urgent rank that waits at another instance, as far as is known.
-Tier OthersMostUrgent(const ForwarderState& state, const std::string& pool, Instant now) {
-  if (now - state.m_fleet_heard > kFleetFresh)
-    return kTiers;
-  const TierCounts& counts = state.m_pools.at(pool).m_others_waiting;
-  const auto found = std::find_if(counts.begin(), counts.end(), [](int n) { return n > 0; });
-  return static_cast<Tier>(found - counts.begin());
-}
-
 /// True while its key may still be relied on.
 bool StillConfirmed(const ForwarderState& state, const Forwarding& forwarding, Instant now) {
   return forwarding.m_workspace == nullptr || now < state.m_confirmed_until;
@@ -50,19 +41,32 @@
   forwarding.m_stage = ForwardingStage::kWaiting;
   forwarding.m_wait_until = std::min(until, forwarding.m_deadline);
   state.m_pools[forwarding.m_pool->m_name].m_waiting[OrderOf(forwarding)] = forwarding.m_ref;
+  if (state.m_broker.m_active)
+    AskBroker(state, forwarding);
 }
 
 void ServeQueue(ForwarderState& state, const std::string& pool) {
   const Instant now = ReadClock();
   WaitingQueue& waiting = state.m_pools[pool].m_waiting;
   int without_room = 0;
-  Tier most_urgent = OthersMostUrgent(state, pool, now);
+  Tier most_urgent = kTiers;
   for (auto it = waiting.begin(); it != waiting.end() && without_room < kDepthWithoutRoom;) {
     Forwarding* forwarding = Find(state, it->second);
     if (forwarding == nullptr) {
       it = waiting.erase(it);
       continue;
     }
+    if (forwarding->m_ask != 0) {
+      ++it;  // The broker decides.
+      continue;
+    }
+    if (!PayAlone(state, *forwarding, now)) {
+      ++it;
+      Refuse(state, *forwarding,
+             forwarding->m_unsure > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kQuotaSpent,
+             "the workspace has used up its limit");
+      continue;
+    }
     const Tier rank = forwarding->m_route->m_tier;
     const std::optional<std::string> server = ChooseBackend(state, *forwarding, rank > most_urgent);
     const bool may = server && StillConfirmed(state, *forwarding, now);
@@ -84,7 +88,8 @@
       const Forwarding* forwarding = Find(state, ref);
       if (forwarding == nullptr)
         continue;
-      if (now >= forwarding->m_wait_until)
+      const Duration more = forwarding->m_ask != 0 ? kAnswerOnItsWay : Duration(0);
+      if (now >= forwarding->m_wait_until + more)
         expired.push_back(ref);
     }
   }
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -45,6 +45,8 @@
       .Field("attempt", forwarding.m_reached)
       .Field("resume_after", forwarding.m_events.m_last.value_or(-1));
   EndCall(state, forwarding);
+  // A run that may have happened is paid for; the next one is paid for anew.
+  forwarding.m_paid_alone = forwarding.m_paid_alone && forwarding.m_unsure == 0;
   const Instant now = ReadClock();
   const Duration patience =
       forwarding.m_caller.m_started ? forwarding.m_route->m_pause_aim : FirstWait(forwarding);
@@ -55,6 +57,7 @@
 /// The server has surely not run the request.
 void OnNotRun(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
   --forwarding.m_unsure;
+  forwarding.m_sent = false;
   if (MayTryElsewhere(state, forwarding)) {
     TryElsewhere(state, forwarding, why);
     return;
@@ -82,10 +85,13 @@
   Backend* backend = FindBackend(state, forwarding.m_server);
   if (backend == nullptr)
     return;
+  forwarding.m_report.m_tokens_read = forwarding.m_read_tokens;
+  forwarding.m_report.m_first = std::max(Duration(1), now - forwarding.m_dispatched);
   backend->m_pace =
       ObserveFirst(backend->m_pace, forwarding.m_read_tokens, now - forwarding.m_dispatched);
   backend->m_reading_tokens -= forwarding.m_read_tokens;
   forwarding.m_read_tokens = 0;
+  TellPlace(state, forwarding, false);
   state.m_metrics.Record("poppyway_forward_first_event_seconds",
                          "tier=\"" + std::to_string(forwarding.m_tier) + "\"",
                          now - forwarding.m_arrived);
@@ -111,7 +117,7 @@
   }
   if (!forwarding.m_events.m_out_of_order)
     return;
-  NoteHealth(state, forwarding.m_server, ServerSign::kBad);
+  NoteHealth(state, forwarding, ServerSign::kBad);
   const std::string pool = forwarding.m_pool->m_name;
   Refuse(state, forwarding, ResultCode::kAnswerIncomplete, "events out of order");
   ServeQueue(state, pool);
@@ -131,21 +137,24 @@
   state.m_tokens_per_event = std::exp(before + kGain * (sample - before));
 }
 
-void LearnFromWhole(ForwarderState& state, const Forwarding& forwarding) {
+void LearnFromWhole(ForwarderState& state, Forwarding& forwarding) {
   Backend* backend = FindBackend(state, forwarding.m_server);
   if (backend == nullptr)
     return;
   const Instant now = ReadClock();
   const bool failed = IsServerError(forwarding.m_answer.m_status);
-  backend->m_health =
-      Observe(backend->m_health, failed ? ServerSign::kBad : ServerSign::kGood, now);
+  NoteHealth(state, forwarding, failed ? ServerSign::kBad : ServerSign::kGood);
   if (failed)
     return;
-  backend->m_pace = ObserveService(backend->m_pace, now - forwarding.m_dispatched);
+  PlaceReport& report = forwarding.m_report;
+  report.m_service = now - forwarding.m_dispatched;
+  report.m_events = forwarding.m_call_events;
+  report.m_span = forwarding.m_last_event - forwarding.m_first_event;
+  report.m_pause = forwarding.m_longest_pause;
+  backend->m_pace = ObserveService(backend->m_pace, report.m_service);
   if (forwarding.m_call_events > 1)
-    backend->m_pace = ObserveEvents(backend->m_pace, forwarding.m_call_events - 1,
-                                    forwarding.m_last_event - forwarding.m_first_event,
-                                    forwarding.m_longest_pause);
+    backend->m_pace =
+        ObserveEvents(backend->m_pace, forwarding.m_call_events - 1, report.m_span, report.m_pause);
   if (forwarding.m_call_events > 0 && forwarding.m_request.m_expected_tokens > 0)
     NoteEventSize(state, forwarding);
 }
@@ -173,24 +182,25 @@
     backend->m_last_heard = ReadClock();
   if (answer.m_other_server) {
     NoteOtherServer(state, forwarding->m_server, *answer.m_other_server);
+    forwarding->m_report.m_sign = ServerSign::kUnreachable;
     OnNotRun(state, *forwarding, "another_server_answered");
     return HeadVerdict::kTake;
   }
   if (answer.m_not_run) {
-    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    NoteHealth(state, *forwarding, ServerSign::kBad);
     OnNotRun(state, *forwarding, "server_declined");
     return HeadVerdict::kTake;
   }
   const bool unproved = IsSuccess(status) && (!answer.m_signed || !answer.m_id);
   if (unproved) {
-    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    NoteHealth(state, *forwarding, ServerSign::kBad);
     OnBroken(state, *forwarding, "unsigned_answer");
     return HeadVerdict::kTake;
   }
   const bool again = IsServerError(status) && MayRunAgain(*forwarding) &&
                      forwarding->m_reached < forwarding->m_route->m_max_attempts;
   if (again) {
-    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    NoteHealth(state, *forwarding, ServerSign::kBad);
     if (Withdraw(state.m_pools[forwarding->m_pool->m_name].m_retries)) {
       TryElsewhere(state, *forwarding, "server_error");
       return HeadVerdict::kTake;
@@ -236,7 +246,7 @@
     return;
   const bool half_event = IsEventAnswer(*forwarding) && !forwarding->m_events.m_partial.empty();
   if (half_event) {
-    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    NoteHealth(state, *forwarding, ServerSign::kBad);
     OnBroken(state, *forwarding, "ended_within_an_event");
     return;
   }
@@ -266,12 +276,12 @@
       .Field("reused", forwarding->m_call && forwarding->m_call->reused())
       .Field("after_ms", (ReadClock() - forwarding->m_dispatched).count() / 1000);
   if (!NothingSent(fault)) {
-    NoteHealth(state, forwarding->m_server, ServerSign::kBad);
+    NoteHealth(state, *forwarding, ServerSign::kBad);
     OnBroken(state, *forwarding, why);
     return;
   }
   if (fault == CallFault::kNotConnected)
-    NoteHealth(state, forwarding->m_server, ServerSign::kUnreachable);
+    NoteHealth(state, *forwarding, ServerSign::kUnreachable);
   TryElsewhere(state, *forwarding, why);
 }
 
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -18,7 +18,8 @@
 [[nodiscard]] Step MatchRoute(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step CheckStop(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding);
-[[nodiscard]] Step CheckQuota(ForwarderState& state, Forwarding& forwarding);
+/// Notes what the request takes of its workspace's limit; it is taken with the place.
+void PriceRequest(ForwarderState& state, Forwarding& forwarding);
 void Enqueue(ForwarderState& state, Forwarding& forwarding);
 
 // ---- start.cc ----------------------------------------------------------------------------------
@@ -36,9 +37,10 @@
 [[nodiscard]] WaitingOrder OrderOf(const Forwarding& forwarding) noexcept;
 /// How long a new request may wait for room.
 [[nodiscard]] Duration FirstWait(const Forwarding& forwarding) noexcept;
-/// Puts a request into its pool's queue, to be refused after `until`.
+/// Puts a request into its pool's queue, to be refused after `until`, and asks the broker for a
+/// place if there is one.
 void PutInQueue(ForwarderState& state, Forwarding& forwarding, Instant until);
-/// Dispatches what has room now, highest tier first.
+/// Dispatches what has room now and isn't at the broker, highest tier first.
 void ServeQueue(ForwarderState& state, const std::string& pool);
 /// Refuses what has waited too long for its aim.
 void ExpireWaiting(ForwarderState& state, Instant now);
@@ -47,6 +49,33 @@
                                      const Forwarding& forwarding,
                                      ResultCode code);
 
+// ---- broker_link.cc ----------------------------------------------------------------------------
+/// Asks the broker for a place. Precondition: the link is active, the request waits.
+void AskBroker(ForwarderState& state, Forwarding& forwarding);
+/// The request no longer awaits the broker's answer, if it did.
+void WithdrawAsk(ForwarderState& state, Forwarding& forwarding);
+void TakeAnswers(ForwarderState& state, const PlacesAnswered& message);
+/// Tells the broker all that it has to know of this instance, and asks for all that waits.
+void OnBrokerFound(ForwarderState& state, const BrokerFound& message);
+/// Decides alone from now on.
+void OnBrokerLost(ForwarderState& state, std::string_view why);
+/// Gives a broker up that leaves wishes without any answer.
+void CheckBroker(ForwarderState& state, Instant now);
+/// Tells the broker of a place that it didn't give.
+void TellHeld(ForwarderState& state, const Forwarding& forwarding);
+/// Tells what is known of a place; with `ended` it is free.
+void TellPlace(ForwarderState& state, Forwarding& forwarding, bool ended);
+/// Sends what has gathered for the broker.
+void FlushToBroker(ForwarderState& state);
+
+// ---- alone.cc: without a broker ----------------------------------------------------------------
+/// Takes the request's cost from this instance's part of the limit; false if it is used up.
+[[nodiscard]] bool PayAlone(ForwarderState& state, Forwarding& forwarding, Instant now);
+/// Gives it back: no server ran the request.
+void RefundAlone(ForwarderState& state, Forwarding& forwarding);
+/// Places of a server that this instance may hold in all.
+[[nodiscard]] int PlacesAlone(const ForwarderState& state, const Backend& backend);
+
 // ---- dispatch.cc -------------------------------------------------------------------------------
 /// Sends a request to a server. Precondition: it is in no queue.
 void Dispatch(ForwarderState& state, Forwarding& forwarding, const std::string& server);
@@ -74,19 +103,16 @@
 
 // ---- backends.cc -------------------------------------------------------------------------------
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records);
-void TakeFleetLoad(ForwarderState& state, const FleetLoad& load);
 [[nodiscard]] Backend* FindBackend(ForwarderState& state, const std::string& id);
 /// The server where a request should go now, if one has room.
 /// `yields`: something more urgent waits, here or at another instance.
 [[nodiscard]] std::optional<std::string> ChooseBackend(ForwarderState& state,
                                                        const Forwarding& forwarding,
                                                        bool yields);
-/// Learns from how a request ended at a server.
-void NoteHealth(ForwarderState& state, const std::string& server, ServerSign sign);
+/// Learns from how a request ended at its server, here and for the broker.
+void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign);
 /// `found` answered at the place of `meant`.
 void NoteOtherServer(ForwarderState& state, const std::string& meant, const std::string& found);
-[[nodiscard]] LoadReport MakeReport(ForwarderState& state, Instant now);
-
 /// \brief When a planned stop ends the process at the latest, a margin kept.
 [[nodiscard]] Instant StopEnd(const ForwarderState& state) noexcept;
 
--- a/packages/policy/include/poppyway/policy/impl/place_share.h
+++ b/packages/policy/include/poppyway/policy/impl/place_share.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 
+#include "poppyway/core.h"
+
 namespace poppyway {
 
 /// \brief An even part of a server's places, for an instance that has no word of the others.
@@ -14,4 +16,20 @@
 /// \param turn differs by instance and server: spreads what doesn't divide evenly.
 [[nodiscard]] int EvenPart(int places, int instances, std::uint64_t turn) noexcept;
 
+/// \brief The most instances that were counted of late.
+struct InstanceCount {
+  int m_most = 1;
+  Instant m_counted{};
+
+  friend bool operator==(const InstanceCount&, const InstanceCount&) = default;
+};
+
+/// \brief Counts the instances that share places and limits. A new leader knows only those that
+/// have called it since: the rest of those counted before may be cut off and still serve, so they
+/// count for `may_serve`.
+[[nodiscard]] InstanceCount CountInstances(const InstanceCount& before,
+                                           int live,
+                                           Duration may_serve,
+                                           Instant now) noexcept;
+
 }  // namespace poppyway
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -44,6 +44,8 @@
   Duration m_pause_aim{};            ///< Longest pause that is in time; zero: not a stream.
   double m_events = 0;               ///< Expected in the answer; zero: not known.
   Duration m_left{};                 ///< Until its deadline; zero: none.
+
+  friend bool operator==(const RequestShape&, const RequestShape&) = default;
 };
 
 /// \brief A choice with what was predicted for it.
@@ -74,6 +76,11 @@
                          const RequestShape& request,
                          const ServerPace& typical) noexcept;
 
+/// \brief True if some usable server suits the request.
+[[nodiscard]] bool AnySuits(std::span<const ServerView> servers,
+                            const RequestShape& request,
+                            const ServerPace& typical) noexcept;
+
 /// \brief The usable server with room and the best prediction; ties are broken by `random`.
 [[nodiscard]] std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
                                                        const RequestShape& request,
--- a/packages/policy/src/place_share.cc
+++ b/packages/policy/src/place_share.cc
@@ -12,4 +12,13 @@
   return places / sharers + (one_more ? 1 : 0);
 }
 
+InstanceCount CountInstances(const InstanceCount& before,
+                             int live,
+                             Duration may_serve,
+                             Instant now) noexcept {
+  if (live < before.m_most && now - before.m_counted <= may_serve)
+    return before;
+  return {std::max(1, live), now};
+}
+
 }  // namespace poppyway
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -151,6 +151,14 @@
   return request.m_left <= Duration(0) || end <= kDeadlineShare * Ms(request.m_left);
 }
 
+bool AnySuits(std::span<const ServerView> servers,
+              const RequestShape& request,
+              const ServerPace& typical) noexcept {
+  return std::any_of(servers.begin(), servers.end(), [&](const ServerView& server) {
+    return server.m_usable && Suits(server, request, typical);
+  });
+}
+
 std::optional<ServerChoice> ChooseServer(std::span<const ServerView> servers,
                                          const RequestShape& request,
                                          const ServerPace& typical,
@@ -158,9 +166,7 @@
   std::optional<ServerChoice> best;
   double best_ms = 0;
   std::uint64_t equals = 0;
-  const bool any_suits = std::any_of(servers.begin(), servers.end(), [&](const ServerView& server) {
-    return server.m_usable && Suits(server, request, typical);
-  });
+  const bool any_suits = AnySuits(servers, request, typical);
   for (std::size_t i = 0; i < servers.size(); ++i) {
     const ServerView& server = servers[i];
     if (!server.m_usable || !HasRoom(server, request, typical))
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -20,7 +20,6 @@
 
 /// \brief The leader's memory of heartbeats. A new leader begins with an empty one.
 struct InstanceTable {
-  Duration m_silent_after{250'000};  ///< Five heartbeats: such an instance may be cut off.
   Duration m_lease{3'000'000};
   Duration m_margin{500'000};
   Instant m_leading_since{};
@@ -40,17 +39,6 @@
                      const std::set<std::string>& running_owners,
                      Instant now);
 
-/// \brief Adds up what the other live instances have in flight and spend, for a heartbeat's reply.
-/// Those that fell silent are counted in `reply.silent`.
-void AddFleetLoad(const InstanceTable& table,
-                  const std::string& except,
-                  Instant now,
-                  wire::HeartbeatReply& reply);
-
-/// \brief True once a leader has had time to hear of all instances that are at work. Until then
-/// what it adds up is too little.
-[[nodiscard]] bool IsSettled(const InstanceTable& table, Instant now) noexcept;
-
 /// \brief Lease grants that are due: pools without a live, willing holder. Nothing is granted until
 /// a predecessor's lease has surely run out.
 [[nodiscard]] std::vector<wire::LeaseGrant> DueLeases(
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -24,9 +24,6 @@
   return best;
 }
 
-// Instances find a new leader within 0.9 s.
-constexpr Duration kSettleTime{1'000'000};
-
 }  // namespace
 
 InstanceTable BeginLeading(Duration lease, Duration margin, Instant now) {
@@ -37,10 +34,6 @@
   return table;
 }
 
-bool IsSettled(const InstanceTable& table, Instant now) noexcept {
-  return now - table.m_leading_since >= kSettleTime;
-}
-
 void TakeHeartbeat(InstanceTable& table, const wire::Heartbeat& beat, Instant now) {
   for (auto it = table.m_live.begin(); it != table.m_live.end();) {
     const bool former =
@@ -106,53 +99,4 @@
   return due;
 }
 
-void AddFleetLoad(const InstanceTable& table,
-                  const std::string& except,
-                  Instant now,
-                  wire::HeartbeatReply& reply) {
-  std::map<std::string, wire::ServerLoad> loads;
-  std::map<std::string, wire::WorkspaceUse> uses;
-  std::map<std::string, std::vector<std::int32_t>> waiting;
-  std::uint64_t basis = static_cast<std::uint64_t>(reply.leader_term);
-  for (const auto& [incarnation, record] : table.m_live) {
-    if (incarnation == except)
-      continue;
-    const bool silent = now - record.m_heard > table.m_silent_after;
-    reply.silent += silent ? 1 : 0;
-    basis = MixHash(basis, Hash(incarnation));
-    for (const wire::PoolWaiting& pool : record.m_beat.waiting) {
-      std::vector<std::int32_t>& sum = waiting[pool.pool];
-      sum.resize(std::max(sum.size(), pool.by_rank.size()));
-      for (std::size_t i = 0; i < pool.by_rank.size(); ++i)
-        sum[i] += pool.by_rank[i];
-    }
-    for (const wire::ServerLoad& load : record.m_beat.loads) {
-      wire::ServerLoad& sum = loads[load.server];
-      sum.server = load.server;
-      sum.in_flight += load.in_flight;
-      sum.reading_tokens += load.reading_tokens;
-    }
-    for (const wire::WorkspaceUse& use : record.m_beat.uses) {
-      wire::WorkspaceUse& sum = uses[use.workspace];
-      sum.workspace = use.workspace;
-      sum.spent += use.spent;
-      sum.wanted_per_s += use.wanted_per_s;
-      if (silent)
-        continue;  // What it estimated is too old.
-      sum.left += use.left;
-      sum.estimates += use.estimates;
-    }
-  }
-  reply.basis = static_cast<std::int64_t>(basis);
-  for (const auto& [pool, by_rank] : waiting) {
-    wire::PoolWaiting& sum = reply.waiting.emplace_back();
-    sum.pool = pool;
-    sum.by_rank = by_rank;
-  }
-  for (const auto& [server, load] : loads)
-    reply.loads.push_back(load);
-  for (const auto& [workspace, use] : uses)
-    reply.uses.push_back(use);
-}
-
 }  // namespace poppyway
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -178,6 +178,74 @@
   }
 }
 
+int _kPlaceSignValues[] = {
+  PlaceSign::NONE,
+  PlaceSign::GOOD,
+  PlaceSign::BAD,
+  PlaceSign::UNREACHABLE
+};
+const char* _kPlaceSignNames[] = {
+  "NONE",
+  "GOOD",
+  "BAD",
+  "UNREACHABLE"
+};
+const std::map<int, const char*> _PlaceSign_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kPlaceSignValues, _kPlaceSignNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const PlaceSign::type& val) {
+  std::map<int, const char*>::const_iterator it = _PlaceSign_VALUES_TO_NAMES.find(val);
+  if (it != _PlaceSign_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const PlaceSign::type& val) {
+  std::map<int, const char*>::const_iterator it = _PlaceSign_VALUES_TO_NAMES.find(val);
+  if (it != _PlaceSign_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kPlaceVerdictValues[] = {
+  PlaceVerdict::PLACED,
+  PlaceVerdict::QUEUED,
+  PlaceVerdict::NO_ROOM,
+  PlaceVerdict::OVER_LIMIT,
+  PlaceVerdict::NO_SERVER
+};
+const char* _kPlaceVerdictNames[] = {
+  "PLACED",
+  "QUEUED",
+  "NO_ROOM",
+  "OVER_LIMIT",
+  "NO_SERVER"
+};
+const std::map<int, const char*> _PlaceVerdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kPlaceVerdictValues, _kPlaceVerdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const PlaceVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _PlaceVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _PlaceVerdict_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const PlaceVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _PlaceVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _PlaceVerdict_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 Document::~Document() noexcept {
 }
@@ -581,29 +649,25 @@
 }
 
 
-ServerLoad::~ServerLoad() noexcept {
+ObjectKey::~ObjectKey() noexcept {
 }
 
 
-void ServerLoad::__set_server(const std::string& val) {
-  this->server = val;
-}
-
-void ServerLoad::__set_in_flight(const int32_t val) {
-  this->in_flight = val;
+void ObjectKey::__set_kind(const std::string& val) {
+  this->kind = val;
 }
 
-void ServerLoad::__set_reading_tokens(const int64_t val) {
-  this->reading_tokens = val;
+void ObjectKey::__set_name(const std::string& val) {
+  this->name = val;
 }
-std::ostream& operator<<(std::ostream& out, const ServerLoad& obj)
+std::ostream& operator<<(std::ostream& out, const ObjectKey& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ServerLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ObjectKey::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -626,24 +690,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->server);
-          this->__isset.server = true;
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->in_flight);
-          this->__isset.in_flight = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->reading_tokens);
-          this->__isset.reading_tokens = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -660,21 +716,17 @@
   return xfer;
 }
 
-uint32_t ServerLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ObjectKey::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ServerLoad");
-
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->server);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ObjectKey");
 
-  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reading_tokens", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->reading_tokens);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -682,81 +734,67 @@
   return xfer;
 }
 
-void swap(ServerLoad &a, ServerLoad &b) {
+void swap(ObjectKey &a, ObjectKey &b) {
   using ::std::swap;
-  swap(a.server, b.server);
-  swap(a.in_flight, b.in_flight);
-  swap(a.reading_tokens, b.reading_tokens);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
   swap(a.__isset, b.__isset);
 }
 
-ServerLoad::ServerLoad(const ServerLoad& other9) {
-  server = other9.server;
-  in_flight = other9.in_flight;
-  reading_tokens = other9.reading_tokens;
+ObjectKey::ObjectKey(const ObjectKey& other9) {
+  kind = other9.kind;
+  name = other9.name;
   __isset = other9.__isset;
 }
-ServerLoad::ServerLoad(ServerLoad&& other10) noexcept {
-  server = std::move(other10.server);
-  in_flight = other10.in_flight;
-  reading_tokens = other10.reading_tokens;
+ObjectKey::ObjectKey(ObjectKey&& other10) noexcept {
+  kind = std::move(other10.kind);
+  name = std::move(other10.name);
   __isset = other10.__isset;
 }
-ServerLoad& ServerLoad::operator=(const ServerLoad& other11) {
-  server = other11.server;
-  in_flight = other11.in_flight;
-  reading_tokens = other11.reading_tokens;
+ObjectKey& ObjectKey::operator=(const ObjectKey& other11) {
+  kind = other11.kind;
+  name = other11.name;
   __isset = other11.__isset;
   return *this;
 }
-ServerLoad& ServerLoad::operator=(ServerLoad&& other12) noexcept {
-  server = std::move(other12.server);
-  in_flight = other12.in_flight;
-  reading_tokens = other12.reading_tokens;
+ObjectKey& ObjectKey::operator=(ObjectKey&& other12) noexcept {
+  kind = std::move(other12.kind);
+  name = std::move(other12.name);
   __isset = other12.__isset;
   return *this;
 }
-void ServerLoad::printTo(std::ostream& out) const {
+void ObjectKey::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ServerLoad(";
-  out << "server=" << to_string(server);
-  out << ", " << "in_flight=" << to_string(in_flight);
-  out << ", " << "reading_tokens=" << to_string(reading_tokens);
+  out << "ObjectKey(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
   out << ")";
 }
 
 
-WorkspaceUse::~WorkspaceUse() noexcept {
-}
-
-
-void WorkspaceUse::__set_workspace(const std::string& val) {
-  this->workspace = val;
+ObjectText::~ObjectText() noexcept {
 }
 
-void WorkspaceUse::__set_spent(const double val) {
-  this->spent = val;
-}
 
-void WorkspaceUse::__set_wanted_per_s(const double val) {
-  this->wanted_per_s = val;
+void ObjectText::__set_kind(const std::string& val) {
+  this->kind = val;
 }
 
-void WorkspaceUse::__set_left(const double val) {
-  this->left = val;
+void ObjectText::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void WorkspaceUse::__set_estimates(const int32_t val) {
-  this->estimates = val;
+void ObjectText::__set_body(const std::string& val) {
+  this->body = val;
 }
-std::ostream& operator<<(std::ostream& out, const WorkspaceUse& obj)
+std::ostream& operator<<(std::ostream& out, const ObjectText& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t WorkspaceUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ObjectText::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -779,40 +817,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->workspace);
-          this->__isset.workspace = true;
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->spent);
-          this->__isset.spent = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->wanted_per_s);
-          this->__isset.wanted_per_s = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->left);
-          this->__isset.left = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->estimates);
-          this->__isset.estimates = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -829,29 +851,21 @@
   return xfer;
 }
 
-uint32_t WorkspaceUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ObjectText::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("WorkspaceUse");
-
-  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->workspace);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("spent", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->spent);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ObjectText");
 
-  xfer += oprot->writeFieldBegin("wanted_per_s", ::apache::thrift::protocol::T_DOUBLE, 3);
-  xfer += oprot->writeDouble(this->wanted_per_s);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 4);
-  xfer += oprot->writeDouble(this->left);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("estimates", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->estimates);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -859,81 +873,81 @@
   return xfer;
 }
 
-void swap(WorkspaceUse &a, WorkspaceUse &b) {
+void swap(ObjectText &a, ObjectText &b) {
   using ::std::swap;
-  swap(a.workspace, b.workspace);
-  swap(a.spent, b.spent);
-  swap(a.wanted_per_s, b.wanted_per_s);
-  swap(a.left, b.left);
-  swap(a.estimates, b.estimates);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-WorkspaceUse::WorkspaceUse(const WorkspaceUse& other13) {
-  workspace = other13.workspace;
-  spent = other13.spent;
-  wanted_per_s = other13.wanted_per_s;
-  left = other13.left;
-  estimates = other13.estimates;
+ObjectText::ObjectText(const ObjectText& other13) {
+  kind = other13.kind;
+  name = other13.name;
+  body = other13.body;
   __isset = other13.__isset;
 }
-WorkspaceUse::WorkspaceUse(WorkspaceUse&& other14) noexcept {
-  workspace = std::move(other14.workspace);
-  spent = other14.spent;
-  wanted_per_s = other14.wanted_per_s;
-  left = other14.left;
-  estimates = other14.estimates;
+ObjectText::ObjectText(ObjectText&& other14) noexcept {
+  kind = std::move(other14.kind);
+  name = std::move(other14.name);
+  body = std::move(other14.body);
   __isset = other14.__isset;
 }
-WorkspaceUse& WorkspaceUse::operator=(const WorkspaceUse& other15) {
-  workspace = other15.workspace;
-  spent = other15.spent;
-  wanted_per_s = other15.wanted_per_s;
-  left = other15.left;
-  estimates = other15.estimates;
+ObjectText& ObjectText::operator=(const ObjectText& other15) {
+  kind = other15.kind;
+  name = other15.name;
+  body = other15.body;
   __isset = other15.__isset;
   return *this;
 }
-WorkspaceUse& WorkspaceUse::operator=(WorkspaceUse&& other16) noexcept {
-  workspace = std::move(other16.workspace);
-  spent = other16.spent;
-  wanted_per_s = other16.wanted_per_s;
-  left = other16.left;
-  estimates = other16.estimates;
+ObjectText& ObjectText::operator=(ObjectText&& other16) noexcept {
+  kind = std::move(other16.kind);
+  name = std::move(other16.name);
+  body = std::move(other16.body);
   __isset = other16.__isset;
   return *this;
 }
-void WorkspaceUse::printTo(std::ostream& out) const {
+void ObjectText::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "WorkspaceUse(";
-  out << "workspace=" << to_string(workspace);
-  out << ", " << "spent=" << to_string(spent);
-  out << ", " << "wanted_per_s=" << to_string(wanted_per_s);
-  out << ", " << "left=" << to_string(left);
-  out << ", " << "estimates=" << to_string(estimates);
+  out << "ObjectText(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-PoolWaiting::~PoolWaiting() noexcept {
+ConfigChange::~ConfigChange() noexcept {
 }
 
 
-void PoolWaiting::__set_pool(const std::string& val) {
-  this->pool = val;
+void ConfigChange::__set_change_id(const std::string& val) {
+  this->change_id = val;
+}
+
+void ConfigChange::__set_base_version(const int64_t val) {
+  this->base_version = val;
+}
+
+void ConfigChange::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void ConfigChange::__set_upserts(const std::vector<ObjectText> & val) {
+  this->upserts = val;
 }
 
-void PoolWaiting::__set_by_rank(const std::vector<int32_t> & val) {
-  this->by_rank = val;
+void ConfigChange::__set_removals(const std::vector<ObjectKey> & val) {
+  this->removals = val;
 }
-std::ostream& operator<<(std::ostream& out, const PoolWaiting& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PoolWaiting::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -956,28 +970,64 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
+          xfer += iprot->readString(this->change_id);
+          this->__isset.change_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_version);
+          this->__isset.base_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->by_rank.clear();
+            this->upserts.clear();
             uint32_t _size17;
             ::apache::thrift::protocol::TType _etype20;
             xfer += iprot->readListBegin(_etype20, _size17);
-            this->by_rank.resize(_size17);
+            this->upserts.resize(_size17);
             uint32_t _i21;
             for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += iprot->readI32(this->by_rank[_i21]);
+              xfer += this->upserts[_i21].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.upserts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removals.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->removals.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->removals[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.by_rank = true;
+          this->__isset.removals = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -994,22 +1044,42 @@
   return xfer;
 }
 
-uint32_t PoolWaiting::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PoolWaiting");
+  xfer += oprot->writeStructBegin("ConfigChange");
 
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->change_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
+    std::vector<ObjectText> ::const_iterator _iter27;
+    for (_iter27 = this->upserts.begin(); _iter27 != this->upserts.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("by_rank", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->by_rank.size()));
-    std::vector<int32_t> ::const_iterator _iter22;
-    for (_iter22 = this->by_rank.begin(); _iter22 != this->by_rank.end(); ++_iter22)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
+    std::vector<ObjectKey> ::const_iterator _iter28;
+    for (_iter28 = this->removals.begin(); _iter28 != this->removals.end(); ++_iter28)
     {
-      xfer += oprot->writeI32((*_iter22));
+      xfer += (*_iter28).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1020,63 +1090,85 @@
   return xfer;
 }
 
-void swap(PoolWaiting &a, PoolWaiting &b) {
+void swap(ConfigChange &a, ConfigChange &b) {
   using ::std::swap;
-  swap(a.pool, b.pool);
-  swap(a.by_rank, b.by_rank);
+  swap(a.change_id, b.change_id);
+  swap(a.base_version, b.base_version);
+  swap(a.author, b.author);
+  swap(a.upserts, b.upserts);
+  swap(a.removals, b.removals);
   swap(a.__isset, b.__isset);
 }
 
-PoolWaiting::PoolWaiting(const PoolWaiting& other23) {
-  pool = other23.pool;
-  by_rank = other23.by_rank;
-  __isset = other23.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other29) {
+  change_id = other29.change_id;
+  base_version = other29.base_version;
+  author = other29.author;
+  upserts = other29.upserts;
+  removals = other29.removals;
+  __isset = other29.__isset;
 }
-PoolWaiting::PoolWaiting(PoolWaiting&& other24) noexcept {
-  pool = std::move(other24.pool);
-  by_rank = std::move(other24.by_rank);
-  __isset = other24.__isset;
+ConfigChange::ConfigChange(ConfigChange&& other30) noexcept {
+  change_id = std::move(other30.change_id);
+  base_version = other30.base_version;
+  author = std::move(other30.author);
+  upserts = std::move(other30.upserts);
+  removals = std::move(other30.removals);
+  __isset = other30.__isset;
 }
-PoolWaiting& PoolWaiting::operator=(const PoolWaiting& other25) {
-  pool = other25.pool;
-  by_rank = other25.by_rank;
-  __isset = other25.__isset;
+ConfigChange& ConfigChange::operator=(const ConfigChange& other31) {
+  change_id = other31.change_id;
+  base_version = other31.base_version;
+  author = other31.author;
+  upserts = other31.upserts;
+  removals = other31.removals;
+  __isset = other31.__isset;
   return *this;
 }
-PoolWaiting& PoolWaiting::operator=(PoolWaiting&& other26) noexcept {
-  pool = std::move(other26.pool);
-  by_rank = std::move(other26.by_rank);
-  __isset = other26.__isset;
+ConfigChange& ConfigChange::operator=(ConfigChange&& other32) noexcept {
+  change_id = std::move(other32.change_id);
+  base_version = other32.base_version;
+  author = std::move(other32.author);
+  upserts = std::move(other32.upserts);
+  removals = std::move(other32.removals);
+  __isset = other32.__isset;
   return *this;
 }
-void PoolWaiting::printTo(std::ostream& out) const {
+void ConfigChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PoolWaiting(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "by_rank=" << to_string(by_rank);
+  out << "ConfigChange(";
+  out << "change_id=" << to_string(change_id);
+  out << ", " << "base_version=" << to_string(base_version);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "upserts=" << to_string(upserts);
+  out << ", " << "removals=" << to_string(removals);
   out << ")";
 }
 
 
-ObjectKey::~ObjectKey() noexcept {
+ConfigOutcome::~ConfigOutcome() noexcept {
 }
 
 
-void ObjectKey::__set_kind(const std::string& val) {
-  this->kind = val;
+void ConfigOutcome::__set_code(const int32_t val) {
+  this->code = val;
 }
 
-void ObjectKey::__set_name(const std::string& val) {
-  this->name = val;
+void ConfigOutcome::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const ObjectKey& obj)
+
+void ConfigOutcome::__set_message(const std::string& val) {
+  this->message = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ObjectKey::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1098,17 +1190,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->kind);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1125,17 +1225,21 @@
   return xfer;
 }
 
-uint32_t ObjectKey::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ObjectKey");
+  xfer += oprot->writeStructBegin("ConfigOutcome");
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->message);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1143,220 +1247,106 @@
   return xfer;
 }
 
-void swap(ObjectKey &a, ObjectKey &b) {
+void swap(ConfigOutcome &a, ConfigOutcome &b) {
   using ::std::swap;
-  swap(a.kind, b.kind);
-  swap(a.name, b.name);
+  swap(a.code, b.code);
+  swap(a.version, b.version);
+  swap(a.message, b.message);
   swap(a.__isset, b.__isset);
 }
 
-ObjectKey::ObjectKey(const ObjectKey& other27) {
-  kind = other27.kind;
-  name = other27.name;
-  __isset = other27.__isset;
+ConfigOutcome::ConfigOutcome(const ConfigOutcome& other33) {
+  code = other33.code;
+  version = other33.version;
+  message = other33.message;
+  __isset = other33.__isset;
 }
-ObjectKey::ObjectKey(ObjectKey&& other28) noexcept {
-  kind = std::move(other28.kind);
-  name = std::move(other28.name);
-  __isset = other28.__isset;
+ConfigOutcome::ConfigOutcome(ConfigOutcome&& other34) noexcept {
+  code = other34.code;
+  version = other34.version;
+  message = std::move(other34.message);
+  __isset = other34.__isset;
 }
-ObjectKey& ObjectKey::operator=(const ObjectKey& other29) {
-  kind = other29.kind;
-  name = other29.name;
-  __isset = other29.__isset;
+ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other35) {
+  code = other35.code;
+  version = other35.version;
+  message = other35.message;
+  __isset = other35.__isset;
   return *this;
 }
-ObjectKey& ObjectKey::operator=(ObjectKey&& other30) noexcept {
-  kind = std::move(other30.kind);
-  name = std::move(other30.name);
-  __isset = other30.__isset;
+ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other36) noexcept {
+  code = other36.code;
+  version = other36.version;
+  message = std::move(other36.message);
+  __isset = other36.__isset;
   return *this;
 }
-void ObjectKey::printTo(std::ostream& out) const {
+void ConfigOutcome::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ObjectKey(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "name=" << to_string(name);
+  out << "ConfigOutcome(";
+  out << "code=" << to_string(code);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "message=" << to_string(message);
   out << ")";
 }
 
 
-ObjectText::~ObjectText() noexcept {
-}
-
-
-void ObjectText::__set_kind(const std::string& val) {
-  this->kind = val;
+ConfigDelta::~ConfigDelta() noexcept {
 }
 
-void ObjectText::__set_name(const std::string& val) {
-  this->name = val;
-}
 
-void ObjectText::__set_body(const std::string& val) {
-  this->body = val;
-}
-std::ostream& operator<<(std::ostream& out, const ObjectText& obj)
-{
-  obj.printTo(out);
-  return out;
+void ConfigDelta::__set_from_version(const int64_t val) {
+  this->from_version = val;
 }
 
-
-uint32_t ObjectText::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->kind);
-          this->__isset.kind = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
+void ConfigDelta::__set_to_version(const int64_t val) {
+  this->to_version = val;
 }
 
-uint32_t ObjectText::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ObjectText");
-
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->kind);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->name);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->body);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
+void ConfigDelta::__set_whole(const bool val) {
+  this->whole = val;
 }
 
-void swap(ObjectText &a, ObjectText &b) {
-  using ::std::swap;
-  swap(a.kind, b.kind);
-  swap(a.name, b.name);
-  swap(a.body, b.body);
-  swap(a.__isset, b.__isset);
+void ConfigDelta::__set_upserts(const std::vector<ObjectText> & val) {
+  this->upserts = val;
 }
 
-ObjectText::ObjectText(const ObjectText& other31) {
-  kind = other31.kind;
-  name = other31.name;
-  body = other31.body;
-  __isset = other31.__isset;
-}
-ObjectText::ObjectText(ObjectText&& other32) noexcept {
-  kind = std::move(other32.kind);
-  name = std::move(other32.name);
-  body = std::move(other32.body);
-  __isset = other32.__isset;
-}
-ObjectText& ObjectText::operator=(const ObjectText& other33) {
-  kind = other33.kind;
-  name = other33.name;
-  body = other33.body;
-  __isset = other33.__isset;
-  return *this;
-}
-ObjectText& ObjectText::operator=(ObjectText&& other34) noexcept {
-  kind = std::move(other34.kind);
-  name = std::move(other34.name);
-  body = std::move(other34.body);
-  __isset = other34.__isset;
-  return *this;
-}
-void ObjectText::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ObjectText(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "body=" << to_string(body);
-  out << ")";
+void ConfigDelta::__set_removals(const std::vector<ObjectKey> & val) {
+  this->removals = val;
 }
 
-
-ConfigChange::~ConfigChange() noexcept {
+void ConfigDelta::__set_document(const Document& val) {
+  this->document = val;
+__isset.document = true;
 }
 
-
-void ConfigChange::__set_change_id(const std::string& val) {
-  this->change_id = val;
+void ConfigDelta::__set_servers(const std::vector<ServerRecord> & val) {
+  this->servers = val;
 }
 
-void ConfigChange::__set_base_version(const int64_t val) {
-  this->base_version = val;
+void ConfigDelta::__set_servers_index(const int64_t val) {
+  this->servers_index = val;
 }
 
-void ConfigChange::__set_author(const std::string& val) {
-  this->author = val;
+void ConfigDelta::__set_leader_term(const int64_t val) {
+  this->leader_term = val;
 }
 
-void ConfigChange::__set_upserts(const std::vector<ObjectText> & val) {
-  this->upserts = val;
+void ConfigDelta::__set_leader_address(const std::string& val) {
+  this->leader_address = val;
 }
 
-void ConfigChange::__set_removals(const std::vector<ObjectKey> & val) {
-  this->removals = val;
+void ConfigDelta::__set_leader_port(const int32_t val) {
+  this->leader_port = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1378,25 +1368,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->change_id);
-          this->__isset.change_id = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_version);
+          this->__isset.from_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->base_version);
-          this->__isset.base_version = true;
+          xfer += iprot->readI64(this->to_version);
+          this->__isset.to_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1405,14 +1395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->upserts.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->upserts.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->upserts[_i39].read(iprot);
+              xfer += this->upserts[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1425,14 +1415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->removals.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->removals.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->removals[_i44].read(iprot);
+              xfer += this->removals[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1441,42 +1431,102 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigChange");
-
-  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->change_id);
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->servers.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
+            {
+              xfer += this->servers[_i51].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_index);
+          this->__isset.servers_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leader_term);
+          this->__isset.leader_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader_address);
+          this->__isset.leader_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->leader_port);
+          this->__isset.leader_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigDelta");
+
+  xfer += oprot->writeFieldBegin("from_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->base_version);
+  xfer += oprot->writeFieldBegin("to_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->to_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter45;
-    for (_iter45 = this->upserts.begin(); _iter45 != this->upserts.end(); ++_iter45)
+    std::vector<ObjectText> ::const_iterator _iter52;
+    for (_iter52 = this->upserts.begin(); _iter52 != this->upserts.end(); ++_iter52)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1485,99 +1535,176 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter46;
-    for (_iter46 = this->removals.begin(); _iter46 != this->removals.end(); ++_iter46)
+    std::vector<ObjectKey> ::const_iterator _iter53;
+    for (_iter53 = this->removals.begin(); _iter53 != this->removals.end(); ++_iter53)
+    {
+      xfer += (*_iter53).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerRecord> ::const_iterator _iter54;
+    for (_iter54 = this->servers.begin(); _iter54 != this->servers.end(); ++_iter54)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("servers_index", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->servers_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader_term", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->leader_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader_address", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->leader_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader_port", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->leader_port);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ConfigChange &a, ConfigChange &b) {
+void swap(ConfigDelta &a, ConfigDelta &b) {
   using ::std::swap;
-  swap(a.change_id, b.change_id);
-  swap(a.base_version, b.base_version);
-  swap(a.author, b.author);
+  swap(a.from_version, b.from_version);
+  swap(a.to_version, b.to_version);
+  swap(a.whole, b.whole);
   swap(a.upserts, b.upserts);
   swap(a.removals, b.removals);
+  swap(a.document, b.document);
+  swap(a.servers, b.servers);
+  swap(a.servers_index, b.servers_index);
+  swap(a.leader_term, b.leader_term);
+  swap(a.leader_address, b.leader_address);
+  swap(a.leader_port, b.leader_port);
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other47) {
-  change_id = other47.change_id;
-  base_version = other47.base_version;
-  author = other47.author;
-  upserts = other47.upserts;
-  removals = other47.removals;
-  __isset = other47.__isset;
-}
-ConfigChange::ConfigChange(ConfigChange&& other48) noexcept {
-  change_id = std::move(other48.change_id);
-  base_version = other48.base_version;
-  author = std::move(other48.author);
-  upserts = std::move(other48.upserts);
-  removals = std::move(other48.removals);
-  __isset = other48.__isset;
-}
-ConfigChange& ConfigChange::operator=(const ConfigChange& other49) {
-  change_id = other49.change_id;
-  base_version = other49.base_version;
-  author = other49.author;
-  upserts = other49.upserts;
-  removals = other49.removals;
-  __isset = other49.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other55) {
+  from_version = other55.from_version;
+  to_version = other55.to_version;
+  whole = other55.whole;
+  upserts = other55.upserts;
+  removals = other55.removals;
+  document = other55.document;
+  servers = other55.servers;
+  servers_index = other55.servers_index;
+  leader_term = other55.leader_term;
+  leader_address = other55.leader_address;
+  leader_port = other55.leader_port;
+  __isset = other55.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other56) noexcept {
+  from_version = other56.from_version;
+  to_version = other56.to_version;
+  whole = other56.whole;
+  upserts = std::move(other56.upserts);
+  removals = std::move(other56.removals);
+  document = std::move(other56.document);
+  servers = std::move(other56.servers);
+  servers_index = other56.servers_index;
+  leader_term = other56.leader_term;
+  leader_address = std::move(other56.leader_address);
+  leader_port = other56.leader_port;
+  __isset = other56.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other57) {
+  from_version = other57.from_version;
+  to_version = other57.to_version;
+  whole = other57.whole;
+  upserts = other57.upserts;
+  removals = other57.removals;
+  document = other57.document;
+  servers = other57.servers;
+  servers_index = other57.servers_index;
+  leader_term = other57.leader_term;
+  leader_address = other57.leader_address;
+  leader_port = other57.leader_port;
+  __isset = other57.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other50) noexcept {
-  change_id = std::move(other50.change_id);
-  base_version = other50.base_version;
-  author = std::move(other50.author);
-  upserts = std::move(other50.upserts);
-  removals = std::move(other50.removals);
-  __isset = other50.__isset;
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other58) noexcept {
+  from_version = other58.from_version;
+  to_version = other58.to_version;
+  whole = other58.whole;
+  upserts = std::move(other58.upserts);
+  removals = std::move(other58.removals);
+  document = std::move(other58.document);
+  servers = std::move(other58.servers);
+  servers_index = other58.servers_index;
+  leader_term = other58.leader_term;
+  leader_address = std::move(other58.leader_address);
+  leader_port = other58.leader_port;
+  __isset = other58.__isset;
   return *this;
 }
-void ConfigChange::printTo(std::ostream& out) const {
+void ConfigDelta::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigChange(";
-  out << "change_id=" << to_string(change_id);
-  out << ", " << "base_version=" << to_string(base_version);
-  out << ", " << "author=" << to_string(author);
+  out << "ConfigDelta(";
+  out << "from_version=" << to_string(from_version);
+  out << ", " << "to_version=" << to_string(to_version);
+  out << ", " << "whole=" << to_string(whole);
   out << ", " << "upserts=" << to_string(upserts);
   out << ", " << "removals=" << to_string(removals);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "servers_index=" << to_string(servers_index);
+  out << ", " << "leader_term=" << to_string(leader_term);
+  out << ", " << "leader_address=" << to_string(leader_address);
+  out << ", " << "leader_port=" << to_string(leader_port);
   out << ")";
 }
 
 
-ConfigOutcome::~ConfigOutcome() noexcept {
+HistoryRow::~HistoryRow() noexcept {
 }
 
 
-void ConfigOutcome::__set_code(const int32_t val) {
-  this->code = val;
+void HistoryRow::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void ConfigOutcome::__set_version(const int64_t val) {
-  this->version = val;
+void HistoryRow::__set_change_id(const std::string& val) {
+  this->change_id = val;
 }
 
-void ConfigOutcome::__set_message(const std::string& val) {
-  this->message = val;
+void HistoryRow::__set_author(const std::string& val) {
+  this->author = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj)
+
+void HistoryRow::__set_upserts(const int32_t val) {
+  this->upserts = val;
+}
+
+void HistoryRow::__set_removals(const int32_t val) {
+  this->removals = val;
+}
+std::ostream& operator<<(std::ostream& out, const HistoryRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HistoryRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1599,25 +1726,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->code);
-          this->__isset.code = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->change_id);
+          this->__isset.change_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->upserts);
+          this->__isset.upserts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->removals);
+          this->__isset.removals = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1634,21 +1777,29 @@
   return xfer;
 }
 
-uint32_t ConfigOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HistoryRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigOutcome");
+  xfer += oprot->writeStructBegin("HistoryRow");
 
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->change_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->upserts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->removals);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1656,94 +1807,89 @@
   return xfer;
 }
 
-void swap(ConfigOutcome &a, ConfigOutcome &b) {
+void swap(HistoryRow &a, HistoryRow &b) {
   using ::std::swap;
-  swap(a.code, b.code);
   swap(a.version, b.version);
-  swap(a.message, b.message);
+  swap(a.change_id, b.change_id);
+  swap(a.author, b.author);
+  swap(a.upserts, b.upserts);
+  swap(a.removals, b.removals);
   swap(a.__isset, b.__isset);
 }
 
-ConfigOutcome::ConfigOutcome(const ConfigOutcome& other51) {
-  code = other51.code;
-  version = other51.version;
-  message = other51.message;
-  __isset = other51.__isset;
-}
-ConfigOutcome::ConfigOutcome(ConfigOutcome&& other52) noexcept {
-  code = other52.code;
-  version = other52.version;
-  message = std::move(other52.message);
-  __isset = other52.__isset;
-}
-ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other53) {
-  code = other53.code;
-  version = other53.version;
-  message = other53.message;
-  __isset = other53.__isset;
+HistoryRow::HistoryRow(const HistoryRow& other59) {
+  version = other59.version;
+  change_id = other59.change_id;
+  author = other59.author;
+  upserts = other59.upserts;
+  removals = other59.removals;
+  __isset = other59.__isset;
+}
+HistoryRow::HistoryRow(HistoryRow&& other60) noexcept {
+  version = other60.version;
+  change_id = std::move(other60.change_id);
+  author = std::move(other60.author);
+  upserts = other60.upserts;
+  removals = other60.removals;
+  __isset = other60.__isset;
+}
+HistoryRow& HistoryRow::operator=(const HistoryRow& other61) {
+  version = other61.version;
+  change_id = other61.change_id;
+  author = other61.author;
+  upserts = other61.upserts;
+  removals = other61.removals;
+  __isset = other61.__isset;
   return *this;
 }
-ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other54) noexcept {
-  code = other54.code;
-  version = other54.version;
-  message = std::move(other54.message);
-  __isset = other54.__isset;
+HistoryRow& HistoryRow::operator=(HistoryRow&& other62) noexcept {
+  version = other62.version;
+  change_id = std::move(other62.change_id);
+  author = std::move(other62.author);
+  upserts = other62.upserts;
+  removals = other62.removals;
+  __isset = other62.__isset;
   return *this;
 }
-void ConfigOutcome::printTo(std::ostream& out) const {
+void HistoryRow::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigOutcome(";
-  out << "code=" << to_string(code);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "message=" << to_string(message);
+  out << "HistoryRow(";
+  out << "version=" << to_string(version);
+  out << ", " << "change_id=" << to_string(change_id);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "upserts=" << to_string(upserts);
+  out << ", " << "removals=" << to_string(removals);
   out << ")";
 }
 
 
-ConfigDelta::~ConfigDelta() noexcept {
+StoredAnswer::~StoredAnswer() noexcept {
 }
 
 
-void ConfigDelta::__set_from_version(const int64_t val) {
-  this->from_version = val;
+void StoredAnswer::__set_status(const int32_t val) {
+  this->status = val;
 }
 
-void ConfigDelta::__set_to_version(const int64_t val) {
-  this->to_version = val;
+void StoredAnswer::__set_content_type(const std::string& val) {
+  this->content_type = val;
 }
 
-void ConfigDelta::__set_whole(const bool val) {
-  this->whole = val;
+void StoredAnswer::__set_body(const std::string& val) {
+  this->body = val;
 }
 
-void ConfigDelta::__set_upserts(const std::vector<ObjectText> & val) {
-  this->upserts = val;
+void StoredAnswer::__set_kept(const bool val) {
+  this->kept = val;
 }
-
-void ConfigDelta::__set_removals(const std::vector<ObjectKey> & val) {
-  this->removals = val;
-}
-
-void ConfigDelta::__set_document(const Document& val) {
-  this->document = val;
-__isset.document = true;
-}
-
-void ConfigDelta::__set_servers(const std::vector<ServerRecord> & val) {
-  this->servers = val;
-}
-
-void ConfigDelta::__set_servers_index(const int64_t val) {
-  this->servers_index = val;
-}
-std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj)
+std::ostream& operator<<(std::ostream& out, const StoredAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StoredAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1765,101 +1911,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->from_version);
-          this->__isset.from_version = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->to_version);
-          this->__isset.to_version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content_type);
+          this->__isset.content_type = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->whole);
-          this->__isset.whole = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->upserts.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->upserts.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
-            {
-              xfer += this->upserts[_i59].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.upserts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->removals.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->removals.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
-            {
-              xfer += this->removals[_i64].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.removals = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->servers.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->servers.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
-            {
-              xfer += this->servers[_i69].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.servers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->servers_index);
-          this->__isset.servers_index = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->kept);
+          this->__isset.kept = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1876,66 +1954,25 @@
   return xfer;
 }
 
-uint32_t ConfigDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StoredAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigDelta");
-
-  xfer += oprot->writeFieldBegin("from_version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->from_version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("to_version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->to_version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->whole);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("StoredAnswer");
 
-  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter70;
-    for (_iter70 = this->upserts.begin(); _iter70 != this->upserts.end(); ++_iter70)
-    {
-      xfer += (*_iter70).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter71;
-    for (_iter71 = this->removals.begin(); _iter71 != this->removals.end(); ++_iter71)
-    {
-      xfer += (*_iter71).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->content_type);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->document.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter72;
-    for (_iter72 = this->servers.begin(); _iter72 != this->servers.end(); ++_iter72)
-    {
-      xfer += (*_iter72).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("servers_index", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->servers_index);
+  xfer += oprot->writeFieldBegin("kept", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->kept);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1943,111 +1980,95 @@
   return xfer;
 }
 
-void swap(ConfigDelta &a, ConfigDelta &b) {
+void swap(StoredAnswer &a, StoredAnswer &b) {
   using ::std::swap;
-  swap(a.from_version, b.from_version);
-  swap(a.to_version, b.to_version);
-  swap(a.whole, b.whole);
-  swap(a.upserts, b.upserts);
-  swap(a.removals, b.removals);
-  swap(a.document, b.document);
-  swap(a.servers, b.servers);
-  swap(a.servers_index, b.servers_index);
+  swap(a.status, b.status);
+  swap(a.content_type, b.content_type);
+  swap(a.body, b.body);
+  swap(a.kept, b.kept);
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other73) {
-  from_version = other73.from_version;
-  to_version = other73.to_version;
-  whole = other73.whole;
-  upserts = other73.upserts;
-  removals = other73.removals;
-  document = other73.document;
-  servers = other73.servers;
-  servers_index = other73.servers_index;
-  __isset = other73.__isset;
-}
-ConfigDelta::ConfigDelta(ConfigDelta&& other74) noexcept {
-  from_version = other74.from_version;
-  to_version = other74.to_version;
-  whole = other74.whole;
-  upserts = std::move(other74.upserts);
-  removals = std::move(other74.removals);
-  document = std::move(other74.document);
-  servers = std::move(other74.servers);
-  servers_index = other74.servers_index;
-  __isset = other74.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other75) {
-  from_version = other75.from_version;
-  to_version = other75.to_version;
-  whole = other75.whole;
-  upserts = other75.upserts;
-  removals = other75.removals;
-  document = other75.document;
-  servers = other75.servers;
-  servers_index = other75.servers_index;
-  __isset = other75.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other63) {
+  status = other63.status;
+  content_type = other63.content_type;
+  body = other63.body;
+  kept = other63.kept;
+  __isset = other63.__isset;
+}
+StoredAnswer::StoredAnswer(StoredAnswer&& other64) noexcept {
+  status = other64.status;
+  content_type = std::move(other64.content_type);
+  body = std::move(other64.body);
+  kept = other64.kept;
+  __isset = other64.__isset;
+}
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other65) {
+  status = other65.status;
+  content_type = other65.content_type;
+  body = other65.body;
+  kept = other65.kept;
+  __isset = other65.__isset;
   return *this;
 }
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other76) noexcept {
-  from_version = other76.from_version;
-  to_version = other76.to_version;
-  whole = other76.whole;
-  upserts = std::move(other76.upserts);
-  removals = std::move(other76.removals);
-  document = std::move(other76.document);
-  servers = std::move(other76.servers);
-  servers_index = other76.servers_index;
-  __isset = other76.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other66) noexcept {
+  status = other66.status;
+  content_type = std::move(other66.content_type);
+  body = std::move(other66.body);
+  kept = other66.kept;
+  __isset = other66.__isset;
   return *this;
 }
-void ConfigDelta::printTo(std::ostream& out) const {
+void StoredAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigDelta(";
-  out << "from_version=" << to_string(from_version);
-  out << ", " << "to_version=" << to_string(to_version);
-  out << ", " << "whole=" << to_string(whole);
-  out << ", " << "upserts=" << to_string(upserts);
-  out << ", " << "removals=" << to_string(removals);
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
-  out << ", " << "servers=" << to_string(servers);
-  out << ", " << "servers_index=" << to_string(servers_index);
+  out << "StoredAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "kept=" << to_string(kept);
   out << ")";
 }
 
 
-HistoryRow::~HistoryRow() noexcept {
+LedgerClaim::~LedgerClaim() noexcept {
 }
 
 
-void HistoryRow::__set_version(const int64_t val) {
-  this->version = val;
+void LedgerClaim::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void HistoryRow::__set_change_id(const std::string& val) {
-  this->change_id = val;
+void LedgerClaim::__set_owner(const std::string& val) {
+  this->owner = val;
 }
 
-void HistoryRow::__set_author(const std::string& val) {
-  this->author = val;
+void LedgerClaim::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
 }
 
-void HistoryRow::__set_upserts(const int32_t val) {
-  this->upserts = val;
+void LedgerClaim::__set_now_ms(const int64_t val) {
+  this->now_ms = val;
 }
 
-void HistoryRow::__set_removals(const int32_t val) {
-  this->removals = val;
+void LedgerClaim::__set_retention_ms(const int64_t val) {
+  this->retention_ms = val;
 }
-std::ostream& operator<<(std::ostream& out, const HistoryRow& obj)
+
+void LedgerClaim::__set_rerun_unknown(const bool val) {
+  this->rerun_unknown = val;
+}
+
+void LedgerClaim::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerClaim& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HistoryRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LedgerClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2069,41 +2090,57 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->change_id);
-          this->__isset.change_id = true;
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->upserts);
-          this->__isset.upserts = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->now_ms);
+          this->__isset.now_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->removals);
-          this->__isset.removals = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retention_ms);
+          this->__isset.retention_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->rerun_unknown);
+          this->__isset.rerun_unknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2120,29 +2157,37 @@
   return xfer;
 }
 
-uint32_t HistoryRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LedgerClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HistoryRow");
+  xfer += oprot->writeStructBegin("LedgerClaim");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->change_id);
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->owner);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->upserts);
+  xfer += oprot->writeFieldBegin("now_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->now_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->removals);
+  xfer += oprot->writeFieldBegin("retention_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->retention_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rerun_unknown", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->rerun_unknown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2150,89 +2195,93 @@
   return xfer;
 }
 
-void swap(HistoryRow &a, HistoryRow &b) {
+void swap(LedgerClaim &a, LedgerClaim &b) {
   using ::std::swap;
-  swap(a.version, b.version);
-  swap(a.change_id, b.change_id);
-  swap(a.author, b.author);
-  swap(a.upserts, b.upserts);
-  swap(a.removals, b.removals);
+  swap(a.key, b.key);
+  swap(a.owner, b.owner);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.now_ms, b.now_ms);
+  swap(a.retention_ms, b.retention_ms);
+  swap(a.rerun_unknown, b.rerun_unknown);
+  swap(a.ref, b.ref);
   swap(a.__isset, b.__isset);
 }
 
-HistoryRow::HistoryRow(const HistoryRow& other77) {
-  version = other77.version;
-  change_id = other77.change_id;
-  author = other77.author;
-  upserts = other77.upserts;
-  removals = other77.removals;
-  __isset = other77.__isset;
-}
-HistoryRow::HistoryRow(HistoryRow&& other78) noexcept {
-  version = other78.version;
-  change_id = std::move(other78.change_id);
-  author = std::move(other78.author);
-  upserts = other78.upserts;
-  removals = other78.removals;
-  __isset = other78.__isset;
-}
-HistoryRow& HistoryRow::operator=(const HistoryRow& other79) {
-  version = other79.version;
-  change_id = other79.change_id;
-  author = other79.author;
-  upserts = other79.upserts;
-  removals = other79.removals;
-  __isset = other79.__isset;
+LedgerClaim::LedgerClaim(const LedgerClaim& other67) {
+  key = other67.key;
+  owner = other67.owner;
+  fingerprint = other67.fingerprint;
+  now_ms = other67.now_ms;
+  retention_ms = other67.retention_ms;
+  rerun_unknown = other67.rerun_unknown;
+  ref = other67.ref;
+  __isset = other67.__isset;
+}
+LedgerClaim::LedgerClaim(LedgerClaim&& other68) noexcept {
+  key = std::move(other68.key);
+  owner = std::move(other68.owner);
+  fingerprint = other68.fingerprint;
+  now_ms = other68.now_ms;
+  retention_ms = other68.retention_ms;
+  rerun_unknown = other68.rerun_unknown;
+  ref = other68.ref;
+  __isset = other68.__isset;
+}
+LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other69) {
+  key = other69.key;
+  owner = other69.owner;
+  fingerprint = other69.fingerprint;
+  now_ms = other69.now_ms;
+  retention_ms = other69.retention_ms;
+  rerun_unknown = other69.rerun_unknown;
+  ref = other69.ref;
+  __isset = other69.__isset;
   return *this;
 }
-HistoryRow& HistoryRow::operator=(HistoryRow&& other80) noexcept {
-  version = other80.version;
-  change_id = std::move(other80.change_id);
-  author = std::move(other80.author);
-  upserts = other80.upserts;
-  removals = other80.removals;
-  __isset = other80.__isset;
+LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other70) noexcept {
+  key = std::move(other70.key);
+  owner = std::move(other70.owner);
+  fingerprint = other70.fingerprint;
+  now_ms = other70.now_ms;
+  retention_ms = other70.retention_ms;
+  rerun_unknown = other70.rerun_unknown;
+  ref = other70.ref;
+  __isset = other70.__isset;
   return *this;
 }
-void HistoryRow::printTo(std::ostream& out) const {
+void LedgerClaim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HistoryRow(";
-  out << "version=" << to_string(version);
-  out << ", " << "change_id=" << to_string(change_id);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "upserts=" << to_string(upserts);
-  out << ", " << "removals=" << to_string(removals);
+  out << "LedgerClaim(";
+  out << "key=" << to_string(key);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "now_ms=" << to_string(now_ms);
+  out << ", " << "retention_ms=" << to_string(retention_ms);
+  out << ", " << "rerun_unknown=" << to_string(rerun_unknown);
+  out << ", " << "ref=" << to_string(ref);
   out << ")";
 }
 
 
-StoredAnswer::~StoredAnswer() noexcept {
-}
-
-
-void StoredAnswer::__set_status(const int32_t val) {
-  this->status = val;
+ClaimResult::~ClaimResult() noexcept {
 }
 
-void StoredAnswer::__set_content_type(const std::string& val) {
-  this->content_type = val;
-}
 
-void StoredAnswer::__set_body(const std::string& val) {
-  this->body = val;
+void ClaimResult::__set_verdict(const ClaimVerdict::type val) {
+  this->verdict = val;
 }
 
-void StoredAnswer::__set_kept(const bool val) {
-  this->kept = val;
+void ClaimResult::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
 }
-std::ostream& operator<<(std::ostream& out, const StoredAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimResult& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StoredAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimResult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2255,32 +2304,18 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+          int32_t ecast71;
+          xfer += iprot->readI32(ecast71);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast71);
+          this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->content_type);
-          this->__isset.content_type = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->kept);
-          this->__isset.kept = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2297,25 +2332,17 @@
   return xfer;
 }
 
-uint32_t StoredAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StoredAnswer");
-
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->status);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->content_type);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ClaimResult");
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kept", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->kept);
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->answer.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2323,95 +2350,75 @@
   return xfer;
 }
 
-void swap(StoredAnswer &a, StoredAnswer &b) {
+void swap(ClaimResult &a, ClaimResult &b) {
   using ::std::swap;
-  swap(a.status, b.status);
-  swap(a.content_type, b.content_type);
-  swap(a.body, b.body);
-  swap(a.kept, b.kept);
+  swap(a.verdict, b.verdict);
+  swap(a.answer, b.answer);
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other81) {
-  status = other81.status;
-  content_type = other81.content_type;
-  body = other81.body;
-  kept = other81.kept;
-  __isset = other81.__isset;
+ClaimResult::ClaimResult(const ClaimResult& other72) {
+  verdict = other72.verdict;
+  answer = other72.answer;
+  __isset = other72.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other82) noexcept {
-  status = other82.status;
-  content_type = std::move(other82.content_type);
-  body = std::move(other82.body);
-  kept = other82.kept;
-  __isset = other82.__isset;
+ClaimResult::ClaimResult(ClaimResult&& other73) noexcept {
+  verdict = other73.verdict;
+  answer = std::move(other73.answer);
+  __isset = other73.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other83) {
-  status = other83.status;
-  content_type = other83.content_type;
-  body = other83.body;
-  kept = other83.kept;
-  __isset = other83.__isset;
+ClaimResult& ClaimResult::operator=(const ClaimResult& other74) {
+  verdict = other74.verdict;
+  answer = other74.answer;
+  __isset = other74.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other84) noexcept {
-  status = other84.status;
-  content_type = std::move(other84.content_type);
-  body = std::move(other84.body);
-  kept = other84.kept;
-  __isset = other84.__isset;
+ClaimResult& ClaimResult::operator=(ClaimResult&& other75) noexcept {
+  verdict = other75.verdict;
+  answer = std::move(other75.answer);
+  __isset = other75.__isset;
   return *this;
 }
-void StoredAnswer::printTo(std::ostream& out) const {
+void ClaimResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StoredAnswer(";
-  out << "status=" << to_string(status);
-  out << ", " << "content_type=" << to_string(content_type);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "kept=" << to_string(kept);
+  out << "ClaimResult(";
+  out << "verdict=" << to_string(verdict);
+  out << ", " << "answer=" << to_string(answer);
   out << ")";
 }
 
 
-LedgerClaim::~LedgerClaim() noexcept {
+LedgerFinish::~LedgerFinish() noexcept {
 }
 
 
-void LedgerClaim::__set_key(const std::string& val) {
+void LedgerFinish::__set_key(const std::string& val) {
   this->key = val;
 }
 
-void LedgerClaim::__set_owner(const std::string& val) {
+void LedgerFinish::__set_owner(const std::string& val) {
   this->owner = val;
 }
 
-void LedgerClaim::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
-}
-
-void LedgerClaim::__set_now_ms(const int64_t val) {
-  this->now_ms = val;
-}
-
-void LedgerClaim::__set_retention_ms(const int64_t val) {
-  this->retention_ms = val;
+void LedgerFinish::__set_kind(const FinishKind::type val) {
+  this->kind = val;
 }
 
-void LedgerClaim::__set_rerun_unknown(const bool val) {
-  this->rerun_unknown = val;
+void LedgerFinish::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
 }
 
-void LedgerClaim::__set_ref(const int64_t val) {
+void LedgerFinish::__set_ref(const int64_t val) {
   this->ref = val;
 }
-std::ostream& operator<<(std::ostream& out, const LedgerClaim& obj)
+std::ostream& operator<<(std::ostream& out, const LedgerFinish& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LedgerClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LedgerFinish::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2449,38 +2456,24 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast76;
+          xfer += iprot->readI32(ecast76);
+          this->kind = static_cast<FinishKind::type>(ecast76);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->now_ms);
-          this->__isset.now_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retention_ms);
-          this->__isset.retention_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->rerun_unknown);
-          this->__isset.rerun_unknown = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->ref);
           this->__isset.ref = true;
@@ -2500,10 +2493,10 @@
   return xfer;
 }
 
-uint32_t LedgerClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LedgerFinish::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LedgerClaim");
+  xfer += oprot->writeStructBegin("LedgerFinish");
 
   xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->key);
@@ -2513,23 +2506,15 @@
   xfer += oprot->writeString(this->owner);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("now_ms", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->now_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("retention_ms", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->retention_ms);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rerun_unknown", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->rerun_unknown);
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->answer.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
@@ -2538,93 +2523,93 @@
   return xfer;
 }
 
-void swap(LedgerClaim &a, LedgerClaim &b) {
+void swap(LedgerFinish &a, LedgerFinish &b) {
   using ::std::swap;
   swap(a.key, b.key);
   swap(a.owner, b.owner);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.now_ms, b.now_ms);
-  swap(a.retention_ms, b.retention_ms);
-  swap(a.rerun_unknown, b.rerun_unknown);
+  swap(a.kind, b.kind);
+  swap(a.answer, b.answer);
   swap(a.ref, b.ref);
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaim::LedgerClaim(const LedgerClaim& other85) {
-  key = other85.key;
-  owner = other85.owner;
-  fingerprint = other85.fingerprint;
-  now_ms = other85.now_ms;
-  retention_ms = other85.retention_ms;
-  rerun_unknown = other85.rerun_unknown;
-  ref = other85.ref;
-  __isset = other85.__isset;
+LedgerFinish::LedgerFinish(const LedgerFinish& other77) {
+  key = other77.key;
+  owner = other77.owner;
+  kind = other77.kind;
+  answer = other77.answer;
+  ref = other77.ref;
+  __isset = other77.__isset;
 }
-LedgerClaim::LedgerClaim(LedgerClaim&& other86) noexcept {
-  key = std::move(other86.key);
-  owner = std::move(other86.owner);
-  fingerprint = other86.fingerprint;
-  now_ms = other86.now_ms;
-  retention_ms = other86.retention_ms;
-  rerun_unknown = other86.rerun_unknown;
-  ref = other86.ref;
-  __isset = other86.__isset;
+LedgerFinish::LedgerFinish(LedgerFinish&& other78) noexcept {
+  key = std::move(other78.key);
+  owner = std::move(other78.owner);
+  kind = other78.kind;
+  answer = std::move(other78.answer);
+  ref = other78.ref;
+  __isset = other78.__isset;
 }
-LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other87) {
-  key = other87.key;
-  owner = other87.owner;
-  fingerprint = other87.fingerprint;
-  now_ms = other87.now_ms;
-  retention_ms = other87.retention_ms;
-  rerun_unknown = other87.rerun_unknown;
-  ref = other87.ref;
-  __isset = other87.__isset;
+LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other79) {
+  key = other79.key;
+  owner = other79.owner;
+  kind = other79.kind;
+  answer = other79.answer;
+  ref = other79.ref;
+  __isset = other79.__isset;
   return *this;
 }
-LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other88) noexcept {
-  key = std::move(other88.key);
-  owner = std::move(other88.owner);
-  fingerprint = other88.fingerprint;
-  now_ms = other88.now_ms;
-  retention_ms = other88.retention_ms;
-  rerun_unknown = other88.rerun_unknown;
-  ref = other88.ref;
-  __isset = other88.__isset;
+LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other80) noexcept {
+  key = std::move(other80.key);
+  owner = std::move(other80.owner);
+  kind = other80.kind;
+  answer = std::move(other80.answer);
+  ref = other80.ref;
+  __isset = other80.__isset;
   return *this;
 }
-void LedgerClaim::printTo(std::ostream& out) const {
+void LedgerFinish::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LedgerClaim(";
+  out << "LedgerFinish(";
   out << "key=" << to_string(key);
   out << ", " << "owner=" << to_string(owner);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "now_ms=" << to_string(now_ms);
-  out << ", " << "retention_ms=" << to_string(retention_ms);
-  out << ", " << "rerun_unknown=" << to_string(rerun_unknown);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "answer=" << to_string(answer);
   out << ", " << "ref=" << to_string(ref);
   out << ")";
 }
 
 
-ClaimResult::~ClaimResult() noexcept {
+LeaseGrant::~LeaseGrant() noexcept {
 }
 
 
-void ClaimResult::__set_verdict(const ClaimVerdict::type val) {
-  this->verdict = val;
+void LeaseGrant::__set_lease(const std::string& val) {
+  this->lease = val;
 }
 
-void ClaimResult::__set_answer(const StoredAnswer& val) {
-  this->answer = val;
+void LeaseGrant::__set_holder(const std::string& val) {
+  this->holder = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimResult& obj)
+
+void LeaseGrant::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void LeaseGrant::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void LeaseGrant::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2646,19 +2631,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast89;
-          xfer += iprot->readI32(ecast89);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast89);
-          this->__isset.verdict = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lease);
+          this->__isset.lease = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->answer.read(iprot);
-          this->__isset.answer = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2675,17 +2682,29 @@
   return xfer;
 }
 
-uint32_t ClaimResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimResult");
+  xfer += oprot->writeStructBegin("LeaseGrant");
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->lease);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2693,75 +2712,77 @@
   return xfer;
 }
 
-void swap(ClaimResult &a, ClaimResult &b) {
+void swap(LeaseGrant &a, LeaseGrant &b) {
   using ::std::swap;
-  swap(a.verdict, b.verdict);
-  swap(a.answer, b.answer);
+  swap(a.lease, b.lease);
+  swap(a.holder, b.holder);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
-ClaimResult::ClaimResult(const ClaimResult& other90) {
-  verdict = other90.verdict;
-  answer = other90.answer;
-  __isset = other90.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other81) {
+  lease = other81.lease;
+  holder = other81.holder;
+  address = other81.address;
+  port = other81.port;
+  epoch = other81.epoch;
+  __isset = other81.__isset;
 }
-ClaimResult::ClaimResult(ClaimResult&& other91) noexcept {
-  verdict = other91.verdict;
-  answer = std::move(other91.answer);
-  __isset = other91.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other82) noexcept {
+  lease = std::move(other82.lease);
+  holder = std::move(other82.holder);
+  address = std::move(other82.address);
+  port = other82.port;
+  epoch = other82.epoch;
+  __isset = other82.__isset;
 }
-ClaimResult& ClaimResult::operator=(const ClaimResult& other92) {
-  verdict = other92.verdict;
-  answer = other92.answer;
-  __isset = other92.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other83) {
+  lease = other83.lease;
+  holder = other83.holder;
+  address = other83.address;
+  port = other83.port;
+  epoch = other83.epoch;
+  __isset = other83.__isset;
   return *this;
 }
-ClaimResult& ClaimResult::operator=(ClaimResult&& other93) noexcept {
-  verdict = other93.verdict;
-  answer = std::move(other93.answer);
-  __isset = other93.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other84) noexcept {
+  lease = std::move(other84.lease);
+  holder = std::move(other84.holder);
+  address = std::move(other84.address);
+  port = other84.port;
+  epoch = other84.epoch;
+  __isset = other84.__isset;
   return *this;
 }
-void ClaimResult::printTo(std::ostream& out) const {
+void LeaseGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimResult(";
-  out << "verdict=" << to_string(verdict);
-  out << ", " << "answer=" << to_string(answer);
+  out << "LeaseGrant(";
+  out << "lease=" << to_string(lease);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "epoch=" << to_string(epoch);
   out << ")";
 }
 
 
-LedgerFinish::~LedgerFinish() noexcept {
-}
-
-
-void LedgerFinish::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void LedgerFinish::__set_owner(const std::string& val) {
-  this->owner = val;
-}
-
-void LedgerFinish::__set_kind(const FinishKind::type val) {
-  this->kind = val;
+InstanceGone::~InstanceGone() noexcept {
 }
 
-void LedgerFinish::__set_answer(const StoredAnswer& val) {
-  this->answer = val;
-}
 
-void LedgerFinish::__set_ref(const int64_t val) {
-  this->ref = val;
+void InstanceGone::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const LedgerFinish& obj)
+std::ostream& operator<<(std::ostream& out, const InstanceGone& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LedgerFinish::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t InstanceGone::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2784,42 +2805,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->owner);
-          this->__isset.owner = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast94;
-          xfer += iprot->readI32(ecast94);
-          this->kind = static_cast<FinishKind::type>(ecast94);
-          this->__isset.kind = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->answer.read(iprot);
-          this->__isset.answer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2836,29 +2823,13 @@
   return xfer;
 }
 
-uint32_t LedgerFinish::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t InstanceGone::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LedgerFinish");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->owner);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->answer.write(oprot);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("InstanceGone");
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2866,93 +2837,69 @@
   return xfer;
 }
 
-void swap(LedgerFinish &a, LedgerFinish &b) {
+void swap(InstanceGone &a, InstanceGone &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.owner, b.owner);
-  swap(a.kind, b.kind);
-  swap(a.answer, b.answer);
-  swap(a.ref, b.ref);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinish::LedgerFinish(const LedgerFinish& other95) {
-  key = other95.key;
-  owner = other95.owner;
-  kind = other95.kind;
-  answer = other95.answer;
-  ref = other95.ref;
-  __isset = other95.__isset;
-}
-LedgerFinish::LedgerFinish(LedgerFinish&& other96) noexcept {
-  key = std::move(other96.key);
-  owner = std::move(other96.owner);
-  kind = other96.kind;
-  answer = std::move(other96.answer);
-  ref = other96.ref;
-  __isset = other96.__isset;
-}
-LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other97) {
-  key = other97.key;
-  owner = other97.owner;
-  kind = other97.kind;
-  answer = other97.answer;
-  ref = other97.ref;
-  __isset = other97.__isset;
+InstanceGone::InstanceGone(const InstanceGone& other85) {
+  incarnation = other85.incarnation;
+  __isset = other85.__isset;
+}
+InstanceGone::InstanceGone(InstanceGone&& other86) noexcept {
+  incarnation = std::move(other86.incarnation);
+  __isset = other86.__isset;
+}
+InstanceGone& InstanceGone::operator=(const InstanceGone& other87) {
+  incarnation = other87.incarnation;
+  __isset = other87.__isset;
   return *this;
 }
-LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other98) noexcept {
-  key = std::move(other98.key);
-  owner = std::move(other98.owner);
-  kind = other98.kind;
-  answer = std::move(other98.answer);
-  ref = other98.ref;
-  __isset = other98.__isset;
+InstanceGone& InstanceGone::operator=(InstanceGone&& other88) noexcept {
+  incarnation = std::move(other88.incarnation);
+  __isset = other88.__isset;
   return *this;
 }
-void LedgerFinish::printTo(std::ostream& out) const {
+void InstanceGone::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LedgerFinish(";
-  out << "key=" << to_string(key);
-  out << ", " << "owner=" << to_string(owner);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "answer=" << to_string(answer);
-  out << ", " << "ref=" << to_string(ref);
+  out << "InstanceGone(";
+  out << "incarnation=" << to_string(incarnation);
   out << ")";
 }
 
 
-LeaseGrant::~LeaseGrant() noexcept {
+MemberInfo::~MemberInfo() noexcept {
 }
 
 
-void LeaseGrant::__set_lease(const std::string& val) {
-  this->lease = val;
+void MemberInfo::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void LeaseGrant::__set_holder(const std::string& val) {
-  this->holder = val;
+void MemberInfo::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void LeaseGrant::__set_address(const std::string& val) {
+void MemberInfo::__set_address(const std::string& val) {
   this->address = val;
 }
 
-void LeaseGrant::__set_port(const int32_t val) {
+void MemberInfo::__set_port(const int32_t val) {
   this->port = val;
 }
 
-void LeaseGrant::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void MemberInfo::__set_voter(const bool val) {
+  this->voter = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+std::ostream& operator<<(std::ostream& out, const MemberInfo& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MemberInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2974,17 +2921,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->lease);
-          this->__isset.lease = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->holder);
-          this->__isset.holder = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3006,9 +2953,9 @@
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->voter);
+          this->__isset.voter = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3025,17 +2972,17 @@
   return xfer;
 }
 
-uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseGrant");
+  xfer += oprot->writeStructBegin("MemberInfo");
 
-  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->lease);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
@@ -3046,8 +2993,8 @@
   xfer += oprot->writeI32(this->port);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("voter", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->voter);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3055,77 +3002,77 @@
   return xfer;
 }
 
-void swap(LeaseGrant &a, LeaseGrant &b) {
+void swap(MemberInfo &a, MemberInfo &b) {
   using ::std::swap;
-  swap(a.lease, b.lease);
-  swap(a.holder, b.holder);
+  swap(a.id, b.id);
+  swap(a.name, b.name);
   swap(a.address, b.address);
   swap(a.port, b.port);
-  swap(a.epoch, b.epoch);
+  swap(a.voter, b.voter);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other99) {
-  lease = other99.lease;
-  holder = other99.holder;
-  address = other99.address;
-  port = other99.port;
-  epoch = other99.epoch;
-  __isset = other99.__isset;
-}
-LeaseGrant::LeaseGrant(LeaseGrant&& other100) noexcept {
-  lease = std::move(other100.lease);
-  holder = std::move(other100.holder);
-  address = std::move(other100.address);
-  port = other100.port;
-  epoch = other100.epoch;
-  __isset = other100.__isset;
+MemberInfo::MemberInfo(const MemberInfo& other89) {
+  id = other89.id;
+  name = other89.name;
+  address = other89.address;
+  port = other89.port;
+  voter = other89.voter;
+  __isset = other89.__isset;
+}
+MemberInfo::MemberInfo(MemberInfo&& other90) noexcept {
+  id = other90.id;
+  name = std::move(other90.name);
+  address = std::move(other90.address);
+  port = other90.port;
+  voter = other90.voter;
+  __isset = other90.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other101) {
-  lease = other101.lease;
-  holder = other101.holder;
-  address = other101.address;
-  port = other101.port;
-  epoch = other101.epoch;
-  __isset = other101.__isset;
+MemberInfo& MemberInfo::operator=(const MemberInfo& other91) {
+  id = other91.id;
+  name = other91.name;
+  address = other91.address;
+  port = other91.port;
+  voter = other91.voter;
+  __isset = other91.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other102) noexcept {
-  lease = std::move(other102.lease);
-  holder = std::move(other102.holder);
-  address = std::move(other102.address);
-  port = other102.port;
-  epoch = other102.epoch;
-  __isset = other102.__isset;
+MemberInfo& MemberInfo::operator=(MemberInfo&& other92) noexcept {
+  id = other92.id;
+  name = std::move(other92.name);
+  address = std::move(other92.address);
+  port = other92.port;
+  voter = other92.voter;
+  __isset = other92.__isset;
   return *this;
 }
-void LeaseGrant::printTo(std::ostream& out) const {
+void MemberInfo::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseGrant(";
-  out << "lease=" << to_string(lease);
-  out << ", " << "holder=" << to_string(holder);
+  out << "MemberInfo(";
+  out << "id=" << to_string(id);
+  out << ", " << "name=" << to_string(name);
   out << ", " << "address=" << to_string(address);
   out << ", " << "port=" << to_string(port);
-  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "voter=" << to_string(voter);
   out << ")";
 }
 
 
-InstanceGone::~InstanceGone() noexcept {
+Membership::~Membership() noexcept {
 }
 
 
-void InstanceGone::__set_incarnation(const std::string& val) {
-  this->incarnation = val;
+void Membership::__set_members(const std::vector<MemberInfo> & val) {
+  this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const InstanceGone& obj)
+std::ostream& operator<<(std::ostream& out, const Membership& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t InstanceGone::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3147,9 +3094,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->incarnation);
-          this->__isset.incarnation = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->members.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->members[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3166,13 +3125,21 @@
   return xfer;
 }
 
-uint32_t InstanceGone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Membership::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("InstanceGone");
+  xfer += oprot->writeStructBegin("Membership");
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberInfo> ::const_iterator _iter98;
+    for (_iter98 = this->members.begin(); _iter98 != this->members.end(); ++_iter98)
+    {
+      xfer += (*_iter98).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3180,69 +3147,94 @@
   return xfer;
 }
 
-void swap(InstanceGone &a, InstanceGone &b) {
+void swap(Membership &a, Membership &b) {
   using ::std::swap;
-  swap(a.incarnation, b.incarnation);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-InstanceGone::InstanceGone(const InstanceGone& other103) {
-  incarnation = other103.incarnation;
-  __isset = other103.__isset;
+Membership::Membership(const Membership& other99) {
+  members = other99.members;
+  __isset = other99.__isset;
 }
-InstanceGone::InstanceGone(InstanceGone&& other104) noexcept {
-  incarnation = std::move(other104.incarnation);
-  __isset = other104.__isset;
+Membership::Membership(Membership&& other100) noexcept {
+  members = std::move(other100.members);
+  __isset = other100.__isset;
 }
-InstanceGone& InstanceGone::operator=(const InstanceGone& other105) {
-  incarnation = other105.incarnation;
-  __isset = other105.__isset;
+Membership& Membership::operator=(const Membership& other101) {
+  members = other101.members;
+  __isset = other101.__isset;
   return *this;
 }
-InstanceGone& InstanceGone::operator=(InstanceGone&& other106) noexcept {
-  incarnation = std::move(other106.incarnation);
-  __isset = other106.__isset;
+Membership& Membership::operator=(Membership&& other102) noexcept {
+  members = std::move(other102.members);
+  __isset = other102.__isset;
   return *this;
 }
-void InstanceGone::printTo(std::ostream& out) const {
+void Membership::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "InstanceGone(";
-  out << "incarnation=" << to_string(incarnation);
+  out << "Membership(";
+  out << "members=" << to_string(members);
   out << ")";
 }
 
 
-MemberInfo::~MemberInfo() noexcept {
+Command::~Command() noexcept {
 }
 
 
-void MemberInfo::__set_id(const int64_t val) {
-  this->id = val;
+void Command::__set_config(const ConfigChange& val) {
+  this->config = val;
+__isset.config = true;
 }
 
-void MemberInfo::__set_name(const std::string& val) {
-  this->name = val;
+void Command::__set_claim(const LedgerClaim& val) {
+  this->claim = val;
+__isset.claim = true;
 }
 
-void MemberInfo::__set_address(const std::string& val) {
-  this->address = val;
+void Command::__set_finish(const LedgerFinish& val) {
+  this->finish = val;
+__isset.finish = true;
 }
 
-void MemberInfo::__set_port(const int32_t val) {
-  this->port = val;
+void Command::__set_lease(const LeaseGrant& val) {
+  this->lease = val;
+__isset.lease = true;
 }
 
-void MemberInfo::__set_voter(const bool val) {
-  this->voter = val;
+void Command::__set_gone(const InstanceGone& val) {
+  this->gone = val;
+__isset.gone = true;
 }
-std::ostream& operator<<(std::ostream& out, const MemberInfo& obj)
+
+void Command::__set_membership(const Membership& val) {
+  this->membership = val;
+__isset.membership = true;
+}
+
+void Command::__set_noop(const bool val) {
+  this->noop = val;
+__isset.noop = true;
+}
+
+void Command::__set_document(const Document& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void Command::__set_server(const ServerRecord& val) {
+  this->server = val;
+__isset.server = true;
+}
+std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MemberInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3264,41 +3256,73 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config.read(iprot);
+          this->__isset.config = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim.read(iprot);
+          this->__isset.claim = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->finish.read(iprot);
+          this->__isset.finish = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->port);
-          this->__isset.port = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->lease.read(iprot);
+          this->__isset.lease = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->gone.read(iprot);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership.read(iprot);
+          this->__isset.membership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->voter);
-          this->__isset.voter = true;
+          xfer += iprot->readBool(this->noop);
+          this->__isset.noop = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->server.read(iprot);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
