@@ -3315,107 +3339,164 @@
   return xfer;
 }
 
-uint32_t MemberInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MemberInfo");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->name);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->address);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->port);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("voter", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->voter);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(MemberInfo &a, MemberInfo &b) {
-  using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.name, b.name);
-  swap(a.address, b.address);
-  swap(a.port, b.port);
-  swap(a.voter, b.voter);
-  swap(a.__isset, b.__isset);
-}
+  xfer += oprot->writeStructBegin("Command");
 
-MemberInfo::MemberInfo(const MemberInfo& other107) {
-  id = other107.id;
-  name = other107.name;
-  address = other107.address;
-  port = other107.port;
-  voter = other107.voter;
-  __isset = other107.__isset;
-}
-MemberInfo::MemberInfo(MemberInfo&& other108) noexcept {
-  id = other108.id;
-  name = std::move(other108.name);
-  address = std::move(other108.address);
-  port = other108.port;
-  voter = other108.voter;
-  __isset = other108.__isset;
-}
-MemberInfo& MemberInfo::operator=(const MemberInfo& other109) {
-  id = other109.id;
-  name = other109.name;
-  address = other109.address;
-  port = other109.port;
-  voter = other109.voter;
-  __isset = other109.__isset;
+  if (this->__isset.config) {
+    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->config.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.claim) {
+    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.finish) {
+    xfer += oprot->writeFieldBegin("finish", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->finish.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lease) {
+    xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->lease.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.gone) {
+    xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->gone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.membership) {
+    xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->membership.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.noop) {
+    xfer += oprot->writeFieldBegin("noop", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->noop);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.server) {
+    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->server.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Command &a, Command &b) {
+  using ::std::swap;
+  swap(a.config, b.config);
+  swap(a.claim, b.claim);
+  swap(a.finish, b.finish);
+  swap(a.lease, b.lease);
+  swap(a.gone, b.gone);
+  swap(a.membership, b.membership);
+  swap(a.noop, b.noop);
+  swap(a.document, b.document);
+  swap(a.server, b.server);
+  swap(a.__isset, b.__isset);
+}
+
+Command::Command(const Command& other103) {
+  config = other103.config;
+  claim = other103.claim;
+  finish = other103.finish;
+  lease = other103.lease;
+  gone = other103.gone;
+  membership = other103.membership;
+  noop = other103.noop;
+  document = other103.document;
+  server = other103.server;
+  __isset = other103.__isset;
+}
+Command::Command(Command&& other104) noexcept {
+  config = std::move(other104.config);
+  claim = std::move(other104.claim);
+  finish = std::move(other104.finish);
+  lease = std::move(other104.lease);
+  gone = std::move(other104.gone);
+  membership = std::move(other104.membership);
+  noop = other104.noop;
+  document = std::move(other104.document);
+  server = std::move(other104.server);
+  __isset = other104.__isset;
+}
+Command& Command::operator=(const Command& other105) {
+  config = other105.config;
+  claim = other105.claim;
+  finish = other105.finish;
+  lease = other105.lease;
+  gone = other105.gone;
+  membership = other105.membership;
+  noop = other105.noop;
+  document = other105.document;
+  server = other105.server;
+  __isset = other105.__isset;
   return *this;
 }
-MemberInfo& MemberInfo::operator=(MemberInfo&& other110) noexcept {
-  id = other110.id;
-  name = std::move(other110.name);
-  address = std::move(other110.address);
-  port = other110.port;
-  voter = other110.voter;
-  __isset = other110.__isset;
+Command& Command::operator=(Command&& other106) noexcept {
+  config = std::move(other106.config);
+  claim = std::move(other106.claim);
+  finish = std::move(other106.finish);
+  lease = std::move(other106.lease);
+  gone = std::move(other106.gone);
+  membership = std::move(other106.membership);
+  noop = other106.noop;
+  document = std::move(other106.document);
+  server = std::move(other106.server);
+  __isset = other106.__isset;
   return *this;
 }
-void MemberInfo::printTo(std::ostream& out) const {
+void Command::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "MemberInfo(";
-  out << "id=" << to_string(id);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "port=" << to_string(port);
-  out << ", " << "voter=" << to_string(voter);
+  out << "Command(";
+  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
+  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "finish="; (__isset.finish ? (out << to_string(finish)) : (out << "<null>"));
+  out << ", " << "lease="; (__isset.lease ? (out << to_string(lease)) : (out << "<null>"));
+  out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
+  out << ", " << "membership="; (__isset.membership ? (out << to_string(membership)) : (out << "<null>"));
+  out << ", " << "noop="; (__isset.noop ? (out << to_string(noop)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
   out << ")";
 }
 
 
-Membership::~Membership() noexcept {
+LogEntry::~LogEntry() noexcept {
 }
 
 
-void Membership::__set_members(const std::vector<MemberInfo> & val) {
-  this->members = val;
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
 }
-std::ostream& operator<<(std::ostream& out, const Membership& obj)
+
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void LogEntry::__set_command(const Command& val) {
+  this->command = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3437,21 +3518,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->members.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
-            {
-              xfer += this->members[_i115].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->command.read(iprot);
+          this->__isset.command = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3468,21 +3553,21 @@
   return xfer;
 }
 
-uint32_t Membership::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Membership");
+  xfer += oprot->writeStructBegin("LogEntry");
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter116;
-    for (_iter116 = this->members.begin(); _iter116 != this->members.end(); ++_iter116)
-    {
-      xfer += (*_iter116).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->command.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3490,94 +3575,69 @@
   return xfer;
 }
 
-void swap(Membership &a, Membership &b) {
+void swap(LogEntry &a, LogEntry &b) {
   using ::std::swap;
-  swap(a.members, b.members);
+  swap(a.index, b.index);
+  swap(a.term, b.term);
+  swap(a.command, b.command);
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other117) {
-  members = other117.members;
-  __isset = other117.__isset;
+LogEntry::LogEntry(const LogEntry& other107) {
+  index = other107.index;
+  term = other107.term;
+  command = other107.command;
+  __isset = other107.__isset;
 }
-Membership::Membership(Membership&& other118) noexcept {
-  members = std::move(other118.members);
-  __isset = other118.__isset;
+LogEntry::LogEntry(LogEntry&& other108) noexcept {
+  index = other108.index;
+  term = other108.term;
+  command = std::move(other108.command);
+  __isset = other108.__isset;
 }
-Membership& Membership::operator=(const Membership& other119) {
-  members = other119.members;
-  __isset = other119.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other109) {
+  index = other109.index;
+  term = other109.term;
+  command = other109.command;
+  __isset = other109.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other120) noexcept {
-  members = std::move(other120.members);
-  __isset = other120.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other110) noexcept {
+  index = other110.index;
+  term = other110.term;
+  command = std::move(other110.command);
+  __isset = other110.__isset;
   return *this;
 }
-void Membership::printTo(std::ostream& out) const {
+void LogEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Membership(";
-  out << "members=" << to_string(members);
+  out << "LogEntry(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "command=" << to_string(command);
   out << ")";
 }
 
 
-Command::~Command() noexcept {
-}
-
-
-void Command::__set_config(const ConfigChange& val) {
-  this->config = val;
-__isset.config = true;
-}
-
-void Command::__set_claim(const LedgerClaim& val) {
-  this->claim = val;
-__isset.claim = true;
-}
-
-void Command::__set_finish(const LedgerFinish& val) {
-  this->finish = val;
-__isset.finish = true;
-}
-
-void Command::__set_lease(const LeaseGrant& val) {
-  this->lease = val;
-__isset.lease = true;
-}
-
-void Command::__set_gone(const InstanceGone& val) {
-  this->gone = val;
-__isset.gone = true;
-}
-
-void Command::__set_membership(const Membership& val) {
-  this->membership = val;
-__isset.membership = true;
+HardState::~HardState() noexcept {
 }
 
-void Command::__set_noop(const bool val) {
-  this->noop = val;
-__isset.noop = true;
-}
 
-void Command::__set_document(const Document& val) {
-  this->document = val;
-__isset.document = true;
+void HardState::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void Command::__set_server(const ServerRecord& val) {
-  this->server = val;
-__isset.server = true;
+void HardState::__set_vote(const int64_t val) {
+  this->vote = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+std::ostream& operator<<(std::ostream& out, const HardState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3599,79 +3659,23 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config.read(iprot);
-          this->__isset.config = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claim.read(iprot);
-          this->__isset.claim = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vote);
+          this->__isset.vote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->finish.read(iprot);
-          this->__isset.finish = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->lease.read(iprot);
-          this->__isset.lease = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->gone.read(iprot);
-          this->__isset.gone = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->membership.read(iprot);
-          this->__isset.membership = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->noop);
-          this->__isset.noop = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->server.read(iprot);
-          this->__isset.server = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
+      default:
+        xfer += iprot->skip(ftype);
         break;
     }
     xfer += iprot->readFieldEnd();
@@ -3682,164 +3686,89 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
+  xfer += oprot->writeStructBegin("HardState");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->vote);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.config) {
-    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->config.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.claim) {
-    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->claim.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.finish) {
-    xfer += oprot->writeFieldBegin("finish", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->finish.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.lease) {
-    xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->lease.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.gone) {
-    xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->gone.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.membership) {
-    xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->membership.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.noop) {
-    xfer += oprot->writeFieldBegin("noop", ::apache::thrift::protocol::T_BOOL, 7);
-    xfer += oprot->writeBool(this->noop);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->document.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.server) {
-    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->server.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Command &a, Command &b) {
+void swap(HardState &a, HardState &b) {
   using ::std::swap;
-  swap(a.config, b.config);
-  swap(a.claim, b.claim);
-  swap(a.finish, b.finish);
-  swap(a.lease, b.lease);
-  swap(a.gone, b.gone);
-  swap(a.membership, b.membership);
-  swap(a.noop, b.noop);
-  swap(a.document, b.document);
-  swap(a.server, b.server);
+  swap(a.term, b.term);
+  swap(a.vote, b.vote);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other121) {
-  config = other121.config;
-  claim = other121.claim;
-  finish = other121.finish;
-  lease = other121.lease;
-  gone = other121.gone;
-  membership = other121.membership;
-  noop = other121.noop;
-  document = other121.document;
-  server = other121.server;
-  __isset = other121.__isset;
+HardState::HardState(const HardState& other111) noexcept {
+  term = other111.term;
+  vote = other111.vote;
+  __isset = other111.__isset;
 }
-Command::Command(Command&& other122) noexcept {
-  config = std::move(other122.config);
-  claim = std::move(other122.claim);
-  finish = std::move(other122.finish);
-  lease = std::move(other122.lease);
-  gone = std::move(other122.gone);
-  membership = std::move(other122.membership);
-  noop = other122.noop;
-  document = std::move(other122.document);
-  server = std::move(other122.server);
-  __isset = other122.__isset;
+HardState::HardState(HardState&& other112) noexcept {
+  term = other112.term;
+  vote = other112.vote;
+  __isset = other112.__isset;
 }
-Command& Command::operator=(const Command& other123) {
-  config = other123.config;
-  claim = other123.claim;
-  finish = other123.finish;
-  lease = other123.lease;
-  gone = other123.gone;
-  membership = other123.membership;
-  noop = other123.noop;
-  document = other123.document;
-  server = other123.server;
-  __isset = other123.__isset;
+HardState& HardState::operator=(const HardState& other113) noexcept {
+  term = other113.term;
+  vote = other113.vote;
+  __isset = other113.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other124) noexcept {
-  config = std::move(other124.config);
-  claim = std::move(other124.claim);
-  finish = std::move(other124.finish);
-  lease = std::move(other124.lease);
-  gone = std::move(other124.gone);
-  membership = std::move(other124.membership);
-  noop = other124.noop;
-  document = std::move(other124.document);
-  server = std::move(other124.server);
-  __isset = other124.__isset;
+HardState& HardState::operator=(HardState&& other114) noexcept {
+  term = other114.term;
+  vote = other114.vote;
+  __isset = other114.__isset;
   return *this;
 }
-void Command::printTo(std::ostream& out) const {
+void HardState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
-  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
-  out << ", " << "finish="; (__isset.finish ? (out << to_string(finish)) : (out << "<null>"));
-  out << ", " << "lease="; (__isset.lease ? (out << to_string(lease)) : (out << "<null>"));
-  out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
-  out << ", " << "membership="; (__isset.membership ? (out << to_string(membership)) : (out << "<null>"));
-  out << ", " << "noop="; (__isset.noop ? (out << to_string(noop)) : (out << "<null>"));
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
-  out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
+  out << "HardState(";
+  out << "term=" << to_string(term);
+  out << ", " << "vote=" << to_string(vote);
   out << ")";
 }
 
 
-LogEntry::~LogEntry() noexcept {
+Snapshot::~Snapshot() noexcept {
 }
 
 
-void LogEntry::__set_index(const int64_t val) {
+void Snapshot::__set_index(const int64_t val) {
   this->index = val;
 }
 
-void LogEntry::__set_term(const int64_t val) {
+void Snapshot::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void LogEntry::__set_command(const Command& val) {
-  this->command = val;
+void Snapshot::__set_membership(const Membership& val) {
+  this->membership = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+
+void Snapshot::__set_state(const std::string& val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const Snapshot& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Snapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3878,8 +3807,16 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->command.read(iprot);
-          this->__isset.command = true;
+          xfer += this->membership.read(iprot);
+          this->__isset.membership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3896,10 +3833,10 @@
   return xfer;
 }
 
-uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Snapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogEntry");
+  xfer += oprot->writeStructBegin("Snapshot");
 
   xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->index);
@@ -3909,8 +3846,12 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->command.write(oprot);
+  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->membership.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3918,69 +3859,83 @@
   return xfer;
 }
 
-void swap(LogEntry &a, LogEntry &b) {
+void swap(Snapshot &a, Snapshot &b) {
   using ::std::swap;
   swap(a.index, b.index);
   swap(a.term, b.term);
-  swap(a.command, b.command);
+  swap(a.membership, b.membership);
+  swap(a.state, b.state);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other125) {
-  index = other125.index;
-  term = other125.term;
-  command = other125.command;
-  __isset = other125.__isset;
-}
-LogEntry::LogEntry(LogEntry&& other126) noexcept {
-  index = other126.index;
-  term = other126.term;
-  command = std::move(other126.command);
-  __isset = other126.__isset;
-}
-LogEntry& LogEntry::operator=(const LogEntry& other127) {
-  index = other127.index;
-  term = other127.term;
-  command = other127.command;
-  __isset = other127.__isset;
+Snapshot::Snapshot(const Snapshot& other115) {
+  index = other115.index;
+  term = other115.term;
+  membership = other115.membership;
+  state = other115.state;
+  __isset = other115.__isset;
+}
+Snapshot::Snapshot(Snapshot&& other116) noexcept {
+  index = other116.index;
+  term = other116.term;
+  membership = std::move(other116.membership);
+  state = std::move(other116.state);
+  __isset = other116.__isset;
+}
+Snapshot& Snapshot::operator=(const Snapshot& other117) {
+  index = other117.index;
+  term = other117.term;
+  membership = other117.membership;
+  state = other117.state;
+  __isset = other117.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other128) noexcept {
-  index = other128.index;
-  term = other128.term;
-  command = std::move(other128.command);
-  __isset = other128.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other118) noexcept {
+  index = other118.index;
+  term = other118.term;
+  membership = std::move(other118.membership);
+  state = std::move(other118.state);
+  __isset = other118.__isset;
   return *this;
 }
-void LogEntry::printTo(std::ostream& out) const {
+void Snapshot::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogEntry(";
+  out << "Snapshot(";
   out << "index=" << to_string(index);
   out << ", " << "term=" << to_string(term);
-  out << ", " << "command=" << to_string(command);
+  out << ", " << "membership=" << to_string(membership);
+  out << ", " << "state=" << to_string(state);
   out << ")";
 }
 
 
-HardState::~HardState() noexcept {
+VoteRequest::~VoteRequest() noexcept {
 }
 
 
-void HardState::__set_term(const int64_t val) {
+void VoteRequest::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void HardState::__set_vote(const int64_t val) {
-  this->vote = val;
+void VoteRequest::__set_last_index(const int64_t val) {
+  this->last_index = val;
 }
-std::ostream& operator<<(std::ostream& out, const HardState& obj)
+
+void VoteRequest::__set_last_term(const int64_t val) {
+  this->last_term = val;
+}
+
+void VoteRequest::__set_pre(const bool val) {
+  this->pre = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4011,8 +3966,24 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->vote);
-          this->__isset.vote = true;
+          xfer += iprot->readI64(this->last_index);
+          this->__isset.last_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_term);
+          this->__isset.last_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pre);
+          this->__isset.pre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4029,17 +4000,25 @@
   return xfer;
 }
 
-uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HardState");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->vote);
+  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->last_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->last_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->pre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4047,71 +4026,79 @@
   return xfer;
 }
 
-void swap(HardState &a, HardState &b) {
+void swap(VoteRequest &a, VoteRequest &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.vote, b.vote);
-  swap(a.__isset, b.__isset);
+  swap(a.last_index, b.last_index);
+  swap(a.last_term, b.last_term);
+  swap(a.pre, b.pre);
+  swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other129) noexcept {
-  term = other129.term;
-  vote = other129.vote;
-  __isset = other129.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other119) noexcept {
+  term = other119.term;
+  last_index = other119.last_index;
+  last_term = other119.last_term;
+  pre = other119.pre;
+  __isset = other119.__isset;
 }
-HardState::HardState(HardState&& other130) noexcept {
-  term = other130.term;
-  vote = other130.vote;
-  __isset = other130.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other120) noexcept {
+  term = other120.term;
+  last_index = other120.last_index;
+  last_term = other120.last_term;
+  pre = other120.pre;
+  __isset = other120.__isset;
 }
-HardState& HardState::operator=(const HardState& other131) noexcept {
-  term = other131.term;
-  vote = other131.vote;
-  __isset = other131.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other121) noexcept {
+  term = other121.term;
+  last_index = other121.last_index;
+  last_term = other121.last_term;
+  pre = other121.pre;
+  __isset = other121.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other132) noexcept {
-  term = other132.term;
-  vote = other132.vote;
-  __isset = other132.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other122) noexcept {
+  term = other122.term;
+  last_index = other122.last_index;
+  last_term = other122.last_term;
+  pre = other122.pre;
+  __isset = other122.__isset;
   return *this;
 }
-void HardState::printTo(std::ostream& out) const {
+void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HardState(";
+  out << "VoteRequest(";
   out << "term=" << to_string(term);
-  out << ", " << "vote=" << to_string(vote);
+  out << ", " << "last_index=" << to_string(last_index);
+  out << ", " << "last_term=" << to_string(last_term);
+  out << ", " << "pre=" << to_string(pre);
   out << ")";
 }
 
 
-Snapshot::~Snapshot() noexcept {
+VoteReply::~VoteReply() noexcept {
 }
 
 
-void Snapshot::__set_index(const int64_t val) {
-  this->index = val;
-}
-
-void Snapshot::__set_term(const int64_t val) {
+void VoteReply::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void Snapshot::__set_membership(const Membership& val) {
-  this->membership = val;
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
 }
 
-void Snapshot::__set_state(const std::string& val) {
-  this->state = val;
+void VoteReply::__set_pre(const bool val) {
+  this->pre = val;
 }
-std::ostream& operator<<(std::ostream& out, const Snapshot& obj)
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Snapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4133,14 +4120,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->term);
           this->__isset.term = true;
@@ -4148,18 +4127,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->membership.read(iprot);
-          this->__isset.membership = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->state);
-          this->__isset.state = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pre);
+          this->__isset.pre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4176,25 +4155,21 @@
   return xfer;
 }
 
-uint32_t Snapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Snapshot");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("VoteReply");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->membership.write(oprot);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->state);
+  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->pre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4202,83 +4177,85 @@
   return xfer;
 }
 
-void swap(Snapshot &a, Snapshot &b) {
+void swap(VoteReply &a, VoteReply &b) {
   using ::std::swap;
-  swap(a.index, b.index);
   swap(a.term, b.term);
-  swap(a.membership, b.membership);
-  swap(a.state, b.state);
+  swap(a.granted, b.granted);
+  swap(a.pre, b.pre);
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other133) {
-  index = other133.index;
-  term = other133.term;
-  membership = other133.membership;
-  state = other133.state;
-  __isset = other133.__isset;
+VoteReply::VoteReply(const VoteReply& other123) noexcept {
+  term = other123.term;
+  granted = other123.granted;
+  pre = other123.pre;
+  __isset = other123.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other134) noexcept {
-  index = other134.index;
-  term = other134.term;
-  membership = std::move(other134.membership);
-  state = std::move(other134.state);
-  __isset = other134.__isset;
+VoteReply::VoteReply(VoteReply&& other124) noexcept {
+  term = other124.term;
+  granted = other124.granted;
+  pre = other124.pre;
+  __isset = other124.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other135) {
-  index = other135.index;
-  term = other135.term;
-  membership = other135.membership;
-  state = other135.state;
-  __isset = other135.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other125) noexcept {
+  term = other125.term;
+  granted = other125.granted;
+  pre = other125.pre;
+  __isset = other125.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other136) noexcept {
-  index = other136.index;
-  term = other136.term;
-  membership = std::move(other136.membership);
-  state = std::move(other136.state);
-  __isset = other136.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other126) noexcept {
+  term = other126.term;
+  granted = other126.granted;
+  pre = other126.pre;
+  __isset = other126.__isset;
   return *this;
 }
-void Snapshot::printTo(std::ostream& out) const {
+void VoteReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Snapshot(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "membership=" << to_string(membership);
-  out << ", " << "state=" << to_string(state);
+  out << "VoteReply(";
+  out << "term=" << to_string(term);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "pre=" << to_string(pre);
   out << ")";
 }
 
 
-VoteRequest::~VoteRequest() noexcept {
+AppendRequest::~AppendRequest() noexcept {
 }
 
 
-void VoteRequest::__set_term(const int64_t val) {
+void AppendRequest::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void VoteRequest::__set_last_index(const int64_t val) {
-  this->last_index = val;
+void AppendRequest::__set_prev_index(const int64_t val) {
+  this->prev_index = val;
 }
 
-void VoteRequest::__set_last_term(const int64_t val) {
-  this->last_term = val;
+void AppendRequest::__set_prev_term(const int64_t val) {
+  this->prev_term = val;
 }
 
-void VoteRequest::__set_pre(const bool val) {
-  this->pre = val;
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4309,24 +4286,52 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->last_index);
-          this->__isset.last_index = true;
+          xfer += iprot->readI64(this->prev_index);
+          this->__isset.prev_index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->last_term);
-          this->__isset.last_term = true;
+          xfer += iprot->readI64(this->prev_term);
+          this->__isset.prev_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->pre);
-          this->__isset.pre = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->entries.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += this->entries[_i131].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4343,25 +4348,41 @@
   return xfer;
 }
 
-uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRequest");
+  xfer += oprot->writeStructBegin("AppendRequest");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->last_index);
+  xfer += oprot->writeFieldBegin("prev_index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prev_index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("last_term", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->last_term);
+  xfer += oprot->writeFieldBegin("prev_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prev_term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->pre);
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter132;
+    for (_iter132 = this->entries.begin(); _iter132 != this->entries.end(); ++_iter132)
+    {
+      xfer += (*_iter132).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent_us);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4369,79 +4390,95 @@
   return xfer;
 }
 
-void swap(VoteRequest &a, VoteRequest &b) {
+void swap(AppendRequest &a, AppendRequest &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.last_index, b.last_index);
-  swap(a.last_term, b.last_term);
-  swap(a.pre, b.pre);
+  swap(a.prev_index, b.prev_index);
+  swap(a.prev_term, b.prev_term);
+  swap(a.entries, b.entries);
+  swap(a.commit, b.commit);
+  swap(a.sent_us, b.sent_us);
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other137) noexcept {
-  term = other137.term;
-  last_index = other137.last_index;
-  last_term = other137.last_term;
-  pre = other137.pre;
-  __isset = other137.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other133) {
+  term = other133.term;
+  prev_index = other133.prev_index;
+  prev_term = other133.prev_term;
+  entries = other133.entries;
+  commit = other133.commit;
+  sent_us = other133.sent_us;
+  __isset = other133.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other138) noexcept {
-  term = other138.term;
-  last_index = other138.last_index;
-  last_term = other138.last_term;
-  pre = other138.pre;
-  __isset = other138.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other134) noexcept {
+  term = other134.term;
+  prev_index = other134.prev_index;
+  prev_term = other134.prev_term;
+  entries = std::move(other134.entries);
+  commit = other134.commit;
+  sent_us = other134.sent_us;
+  __isset = other134.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other139) noexcept {
-  term = other139.term;
-  last_index = other139.last_index;
-  last_term = other139.last_term;
-  pre = other139.pre;
-  __isset = other139.__isset;
+AppendRequest& AppendRequest::operator=(const AppendRequest& other135) {
+  term = other135.term;
+  prev_index = other135.prev_index;
+  prev_term = other135.prev_term;
+  entries = other135.entries;
+  commit = other135.commit;
+  sent_us = other135.sent_us;
+  __isset = other135.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other140) noexcept {
-  term = other140.term;
-  last_index = other140.last_index;
-  last_term = other140.last_term;
-  pre = other140.pre;
-  __isset = other140.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other136) noexcept {
+  term = other136.term;
+  prev_index = other136.prev_index;
+  prev_term = other136.prev_term;
+  entries = std::move(other136.entries);
+  commit = other136.commit;
+  sent_us = other136.sent_us;
+  __isset = other136.__isset;
   return *this;
 }
-void VoteRequest::printTo(std::ostream& out) const {
+void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRequest(";
+  out << "AppendRequest(";
   out << "term=" << to_string(term);
-  out << ", " << "last_index=" << to_string(last_index);
-  out << ", " << "last_term=" << to_string(last_term);
-  out << ", " << "pre=" << to_string(pre);
+  out << ", " << "prev_index=" << to_string(prev_index);
+  out << ", " << "prev_term=" << to_string(prev_term);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sent_us=" << to_string(sent_us);
   out << ")";
 }
 
 
-VoteReply::~VoteReply() noexcept {
+AppendReply::~AppendReply() noexcept {
 }
 
 
-void VoteReply::__set_term(const int64_t val) {
+void AppendReply::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void VoteReply::__set_granted(const bool val) {
-  this->granted = val;
+void AppendReply::__set_ok(const bool val) {
+  this->ok = val;
 }
 
-void VoteReply::__set_pre(const bool val) {
-  this->pre = val;
+void AppendReply::__set_match(const int64_t val) {
+  this->match = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
-{
-  obj.printTo(out);
-  return out;
+
+void AppendReply::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
 
-uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4472,16 +4509,24 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
+          xfer += iprot->readBool(this->ok);
+          this->__isset.ok = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->pre);
-          this->__isset.pre = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->match);
+          this->__isset.match = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4498,21 +4543,25 @@
   return xfer;
 }
 
-uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteReply");
+  xfer += oprot->writeStructBegin("AppendReply");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldBegin("ok", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->ok);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->pre);
+  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->match);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sent_us);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4520,85 +4569,75 @@
   return xfer;
 }
 
-void swap(VoteReply &a, VoteReply &b) {
+void swap(AppendReply &a, AppendReply &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.granted, b.granted);
-  swap(a.pre, b.pre);
+  swap(a.ok, b.ok);
+  swap(a.match, b.match);
+  swap(a.sent_us, b.sent_us);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other141) noexcept {
-  term = other141.term;
-  granted = other141.granted;
-  pre = other141.pre;
-  __isset = other141.__isset;
+AppendReply::AppendReply(const AppendReply& other137) noexcept {
+  term = other137.term;
+  ok = other137.ok;
+  match = other137.match;
+  sent_us = other137.sent_us;
+  __isset = other137.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other142) noexcept {
-  term = other142.term;
-  granted = other142.granted;
-  pre = other142.pre;
-  __isset = other142.__isset;
+AppendReply::AppendReply(AppendReply&& other138) noexcept {
+  term = other138.term;
+  ok = other138.ok;
+  match = other138.match;
+  sent_us = other138.sent_us;
+  __isset = other138.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other143) noexcept {
-  term = other143.term;
-  granted = other143.granted;
-  pre = other143.pre;
-  __isset = other143.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other139) noexcept {
+  term = other139.term;
+  ok = other139.ok;
+  match = other139.match;
+  sent_us = other139.sent_us;
+  __isset = other139.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other144) noexcept {
-  term = other144.term;
-  granted = other144.granted;
-  pre = other144.pre;
-  __isset = other144.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other140) noexcept {
+  term = other140.term;
+  ok = other140.ok;
+  match = other140.match;
+  sent_us = other140.sent_us;
+  __isset = other140.__isset;
   return *this;
 }
-void VoteReply::printTo(std::ostream& out) const {
+void AppendReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteReply(";
+  out << "AppendReply(";
   out << "term=" << to_string(term);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "pre=" << to_string(pre);
+  out << ", " << "ok=" << to_string(ok);
+  out << ", " << "match=" << to_string(match);
+  out << ", " << "sent_us=" << to_string(sent_us);
   out << ")";
 }
 
 
-AppendRequest::~AppendRequest() noexcept {
+SnapshotRequest::~SnapshotRequest() noexcept {
 }
 
 
-void AppendRequest::__set_term(const int64_t val) {
+void SnapshotRequest::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void AppendRequest::__set_prev_index(const int64_t val) {
-  this->prev_index = val;
-}
-
-void AppendRequest::__set_prev_term(const int64_t val) {
-  this->prev_term = val;
-}
-
-void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
-}
-
-void AppendRequest::__set_commit(const int64_t val) {
-  this->commit = val;
-}
-
-void AppendRequest::__set_sent_us(const int64_t val) {
-  this->sent_us = val;
+void SnapshotRequest::__set_snapshot(const Snapshot& val) {
+  this->snapshot = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4628,53 +4667,9 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prev_index);
-          this->__isset.prev_index = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prev_term);
-          this->__isset.prev_term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->entries.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
-            {
-              xfer += this->entries[_i149].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sent_us);
-          this->__isset.sent_us = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot.read(iprot);
+          this->__isset.snapshot = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4691,41 +4686,17 @@
   return xfer;
 }
 
-uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendRequest");
+  xfer += oprot->writeStructBegin("SnapshotRequest");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prev_index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->prev_index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prev_term", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prev_term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter150;
-    for (_iter150 = this->entries.begin(); _iter150 != this->entries.end(); ++_iter150)
-    {
-      xfer += (*_iter150).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->commit);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->sent_us);
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->snapshot.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4733,95 +4704,80 @@
   return xfer;
 }
 
-void swap(AppendRequest &a, AppendRequest &b) {
+void swap(SnapshotRequest &a, SnapshotRequest &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.prev_index, b.prev_index);
-  swap(a.prev_term, b.prev_term);
-  swap(a.entries, b.entries);
-  swap(a.commit, b.commit);
-  swap(a.sent_us, b.sent_us);
+  swap(a.snapshot, b.snapshot);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other151) {
-  term = other151.term;
-  prev_index = other151.prev_index;
-  prev_term = other151.prev_term;
-  entries = other151.entries;
-  commit = other151.commit;
-  sent_us = other151.sent_us;
-  __isset = other151.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other141) {
+  term = other141.term;
+  snapshot = other141.snapshot;
+  __isset = other141.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other152) noexcept {
-  term = other152.term;
-  prev_index = other152.prev_index;
-  prev_term = other152.prev_term;
-  entries = std::move(other152.entries);
-  commit = other152.commit;
-  sent_us = other152.sent_us;
-  __isset = other152.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other142) noexcept {
+  term = other142.term;
+  snapshot = std::move(other142.snapshot);
+  __isset = other142.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other153) {
-  term = other153.term;
-  prev_index = other153.prev_index;
-  prev_term = other153.prev_term;
-  entries = other153.entries;
-  commit = other153.commit;
-  sent_us = other153.sent_us;
-  __isset = other153.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other143) {
+  term = other143.term;
+  snapshot = other143.snapshot;
+  __isset = other143.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other154) noexcept {
-  term = other154.term;
-  prev_index = other154.prev_index;
-  prev_term = other154.prev_term;
-  entries = std::move(other154.entries);
-  commit = other154.commit;
-  sent_us = other154.sent_us;
-  __isset = other154.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other144) noexcept {
+  term = other144.term;
+  snapshot = std::move(other144.snapshot);
+  __isset = other144.__isset;
   return *this;
 }
-void AppendRequest::printTo(std::ostream& out) const {
+void SnapshotRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendRequest(";
+  out << "SnapshotRequest(";
   out << "term=" << to_string(term);
-  out << ", " << "prev_index=" << to_string(prev_index);
-  out << ", " << "prev_term=" << to_string(prev_term);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "sent_us=" << to_string(sent_us);
+  out << ", " << "snapshot=" << to_string(snapshot);
   out << ")";
 }
 
 
-AppendReply::~AppendReply() noexcept {
+LogBody::~LogBody() noexcept {
 }
 
 
-void AppendReply::__set_term(const int64_t val) {
-  this->term = val;
+void LogBody::__set_vote(const VoteRequest& val) {
+  this->vote = val;
+__isset.vote = true;
 }
 
-void AppendReply::__set_ok(const bool val) {
-  this->ok = val;
+void LogBody::__set_vote_reply(const VoteReply& val) {
+  this->vote_reply = val;
+__isset.vote_reply = true;
 }
 
-void AppendReply::__set_match(const int64_t val) {
-  this->match = val;
+void LogBody::__set_append(const AppendRequest& val) {
+  this->append = val;
+__isset.append = true;
 }
 
-void AppendReply::__set_sent_us(const int64_t val) {
-  this->sent_us = val;
+void LogBody::__set_append_reply(const AppendReply& val) {
+  this->append_reply = val;
+__isset.append_reply = true;
 }
-std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+
+void LogBody::__set_snapshot(const SnapshotRequest& val) {
+  this->snapshot = val;
+__isset.snapshot = true;
+}
+std::ostream& operator<<(std::ostream& out, const LogBody& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogBody::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4843,33 +4799,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->vote.read(iprot);
+          this->__isset.vote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ok);
-          this->__isset.ok = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->vote_reply.read(iprot);
+          this->__isset.vote_reply = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->match);
-          this->__isset.match = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->append.read(iprot);
+          this->__isset.append = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sent_us);
-          this->__isset.sent_us = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->append_reply.read(iprot);
+          this->__isset.append_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot.read(iprot);
+          this->__isset.snapshot = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4886,101 +4850,128 @@
   return xfer;
 }
 
-uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendReply");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ok", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->ok);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->match);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sent_us);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogBody");
 
+  if (this->__isset.vote) {
+    xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->vote.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.vote_reply) {
+    xfer += oprot->writeFieldBegin("vote_reply", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->vote_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.append) {
+    xfer += oprot->writeFieldBegin("append", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->append.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.append_reply) {
+    xfer += oprot->writeFieldBegin("append_reply", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->append_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.snapshot) {
+    xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->snapshot.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(AppendReply &a, AppendReply &b) {
+void swap(LogBody &a, LogBody &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.ok, b.ok);
-  swap(a.match, b.match);
-  swap(a.sent_us, b.sent_us);
+  swap(a.vote, b.vote);
+  swap(a.vote_reply, b.vote_reply);
+  swap(a.append, b.append);
+  swap(a.append_reply, b.append_reply);
+  swap(a.snapshot, b.snapshot);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other155) noexcept {
-  term = other155.term;
-  ok = other155.ok;
-  match = other155.match;
-  sent_us = other155.sent_us;
-  __isset = other155.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other156) noexcept {
-  term = other156.term;
-  ok = other156.ok;
-  match = other156.match;
-  sent_us = other156.sent_us;
-  __isset = other156.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other157) noexcept {
-  term = other157.term;
-  ok = other157.ok;
-  match = other157.match;
-  sent_us = other157.sent_us;
-  __isset = other157.__isset;
+LogBody::LogBody(const LogBody& other145) {
+  vote = other145.vote;
+  vote_reply = other145.vote_reply;
+  append = other145.append;
+  append_reply = other145.append_reply;
+  snapshot = other145.snapshot;
+  __isset = other145.__isset;
+}
+LogBody::LogBody(LogBody&& other146) noexcept {
+  vote = std::move(other146.vote);
+  vote_reply = std::move(other146.vote_reply);
+  append = std::move(other146.append);
+  append_reply = std::move(other146.append_reply);
+  snapshot = std::move(other146.snapshot);
+  __isset = other146.__isset;
+}
+LogBody& LogBody::operator=(const LogBody& other147) {
+  vote = other147.vote;
+  vote_reply = other147.vote_reply;
+  append = other147.append;
+  append_reply = other147.append_reply;
+  snapshot = other147.snapshot;
+  __isset = other147.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other158) noexcept {
-  term = other158.term;
-  ok = other158.ok;
-  match = other158.match;
-  sent_us = other158.sent_us;
-  __isset = other158.__isset;
+LogBody& LogBody::operator=(LogBody&& other148) noexcept {
+  vote = std::move(other148.vote);
+  vote_reply = std::move(other148.vote_reply);
+  append = std::move(other148.append);
+  append_reply = std::move(other148.append_reply);
+  snapshot = std::move(other148.snapshot);
+  __isset = other148.__isset;
   return *this;
 }
-void AppendReply::printTo(std::ostream& out) const {
+void LogBody::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendReply(";
-  out << "term=" << to_string(term);
-  out << ", " << "ok=" << to_string(ok);
-  out << ", " << "match=" << to_string(match);
-  out << ", " << "sent_us=" << to_string(sent_us);
+  out << "LogBody(";
+  out << "vote="; (__isset.vote ? (out << to_string(vote)) : (out << "<null>"));
+  out << ", " << "vote_reply="; (__isset.vote_reply ? (out << to_string(vote_reply)) : (out << "<null>"));
+  out << ", " << "append="; (__isset.append ? (out << to_string(append)) : (out << "<null>"));
+  out << ", " << "append_reply="; (__isset.append_reply ? (out << to_string(append_reply)) : (out << "<null>"));
+  out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
   out << ")";
 }
 
 
-SnapshotRequest::~SnapshotRequest() noexcept {
+LogMessage::~LogMessage() noexcept {
 }
 
 
-void SnapshotRequest::__set_term(const int64_t val) {
-  this->term = val;
+void LogMessage::__set_from_id(const int64_t val) {
+  this->from_id = val;
 }
 
-void SnapshotRequest::__set_snapshot(const Snapshot& val) {
-  this->snapshot = val;
+void LogMessage::__set_to_id(const int64_t val) {
+  this->to_id = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
+
+void LogMessage::__set_body(const LogBody& val) {
+  this->body = val;
+}
+
+void LogMessage::__set_cluster(const std::string& val) {
+  this->cluster = val;
+}
+
+void LogMessage::__set_from_name(const std::string& val) {
+  this->from_name = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5003,16 +4994,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->from_id);
+          this->__isset.from_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_id);
+          this->__isset.to_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->snapshot.read(iprot);
-          this->__isset.snapshot = true;
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cluster);
+          this->__isset.cluster = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->from_name);
+          this->__isset.from_name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5029,17 +5044,29 @@
   return xfer;
 }
 
-uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRequest");
+  xfer += oprot->writeStructBegin("LogMessage");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("from_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->snapshot.write(oprot);
+  xfer += oprot->writeFieldBegin("to_id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->to_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("from_name", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->from_name);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5047,80 +5074,85 @@
   return xfer;
 }
 
-void swap(SnapshotRequest &a, SnapshotRequest &b) {
+void swap(LogMessage &a, LogMessage &b) {
   using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.snapshot, b.snapshot);
+  swap(a.from_id, b.from_id);
+  swap(a.to_id, b.to_id);
+  swap(a.body, b.body);
+  swap(a.cluster, b.cluster);
+  swap(a.from_name, b.from_name);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other159) {
-  term = other159.term;
-  snapshot = other159.snapshot;
-  __isset = other159.__isset;
-}
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other160) noexcept {
-  term = other160.term;
-  snapshot = std::move(other160.snapshot);
-  __isset = other160.__isset;
-}
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other161) {
-  term = other161.term;
-  snapshot = other161.snapshot;
-  __isset = other161.__isset;
+LogMessage::LogMessage(const LogMessage& other149) {
+  from_id = other149.from_id;
+  to_id = other149.to_id;
+  body = other149.body;
+  cluster = other149.cluster;
+  from_name = other149.from_name;
+  __isset = other149.__isset;
+}
+LogMessage::LogMessage(LogMessage&& other150) noexcept {
+  from_id = other150.from_id;
+  to_id = other150.to_id;
+  body = std::move(other150.body);
+  cluster = std::move(other150.cluster);
+  from_name = std::move(other150.from_name);
+  __isset = other150.__isset;
+}
+LogMessage& LogMessage::operator=(const LogMessage& other151) {
+  from_id = other151.from_id;
+  to_id = other151.to_id;
+  body = other151.body;
+  cluster = other151.cluster;
+  from_name = other151.from_name;
+  __isset = other151.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other162) noexcept {
-  term = other162.term;
-  snapshot = std::move(other162.snapshot);
-  __isset = other162.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other152) noexcept {
+  from_id = other152.from_id;
+  to_id = other152.to_id;
+  body = std::move(other152.body);
+  cluster = std::move(other152.cluster);
+  from_name = std::move(other152.from_name);
+  __isset = other152.__isset;
   return *this;
 }
-void SnapshotRequest::printTo(std::ostream& out) const {
+void LogMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRequest(";
-  out << "term=" << to_string(term);
-  out << ", " << "snapshot=" << to_string(snapshot);
+  out << "LogMessage(";
+  out << "from_id=" << to_string(from_id);
+  out << ", " << "to_id=" << to_string(to_id);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "cluster=" << to_string(cluster);
+  out << ", " << "from_name=" << to_string(from_name);
   out << ")";
 }
 
 
-LogBody::~LogBody() noexcept {
-}
-
-
-void LogBody::__set_vote(const VoteRequest& val) {
-  this->vote = val;
-__isset.vote = true;
+Hello::~Hello() noexcept {
 }
 
-void LogBody::__set_vote_reply(const VoteReply& val) {
-  this->vote_reply = val;
-__isset.vote_reply = true;
-}
 
-void LogBody::__set_append(const AppendRequest& val) {
-  this->append = val;
-__isset.append = true;
+void Hello::__set_cluster(const std::string& val) {
+  this->cluster = val;
 }
 
-void LogBody::__set_append_reply(const AppendReply& val) {
-  this->append_reply = val;
-__isset.append_reply = true;
+void Hello::__set_member(const MemberInfo& val) {
+  this->member = val;
 }
 
-void LogBody::__set_snapshot(const SnapshotRequest& val) {
-  this->snapshot = val;
-__isset.snapshot = true;
+void Hello::__set_blank(const bool val) {
+  this->blank = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogBody& obj)
+std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Hello::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5142,41 +5174,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->vote.read(iprot);
-          this->__isset.vote = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cluster);
+          this->__isset.cluster = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->vote_reply.read(iprot);
-          this->__isset.vote_reply = true;
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->append.read(iprot);
-          this->__isset.append = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->append_reply.read(iprot);
-          this->__isset.append_reply = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->snapshot.read(iprot);
-          this->__isset.snapshot = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->blank);
+          this->__isset.blank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5193,128 +5209,99 @@
   return xfer;
 }
 
-uint32_t LogBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Hello::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogBody");
+  xfer += oprot->writeStructBegin("Hello");
+
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->blank);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.vote) {
-    xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->vote.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.vote_reply) {
-    xfer += oprot->writeFieldBegin("vote_reply", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->vote_reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.append) {
-    xfer += oprot->writeFieldBegin("append", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->append.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.append_reply) {
-    xfer += oprot->writeFieldBegin("append_reply", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->append_reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.snapshot) {
-    xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->snapshot.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(LogBody &a, LogBody &b) {
+void swap(Hello &a, Hello &b) {
   using ::std::swap;
-  swap(a.vote, b.vote);
-  swap(a.vote_reply, b.vote_reply);
-  swap(a.append, b.append);
-  swap(a.append_reply, b.append_reply);
-  swap(a.snapshot, b.snapshot);
+  swap(a.cluster, b.cluster);
+  swap(a.member, b.member);
+  swap(a.blank, b.blank);
   swap(a.__isset, b.__isset);
 }
 
-LogBody::LogBody(const LogBody& other163) {
-  vote = other163.vote;
-  vote_reply = other163.vote_reply;
-  append = other163.append;
-  append_reply = other163.append_reply;
-  snapshot = other163.snapshot;
-  __isset = other163.__isset;
+Hello::Hello(const Hello& other153) {
+  cluster = other153.cluster;
+  member = other153.member;
+  blank = other153.blank;
+  __isset = other153.__isset;
 }
-LogBody::LogBody(LogBody&& other164) noexcept {
-  vote = std::move(other164.vote);
-  vote_reply = std::move(other164.vote_reply);
-  append = std::move(other164.append);
-  append_reply = std::move(other164.append_reply);
-  snapshot = std::move(other164.snapshot);
-  __isset = other164.__isset;
+Hello::Hello(Hello&& other154) noexcept {
+  cluster = std::move(other154.cluster);
+  member = std::move(other154.member);
+  blank = other154.blank;
+  __isset = other154.__isset;
 }
-LogBody& LogBody::operator=(const LogBody& other165) {
-  vote = other165.vote;
-  vote_reply = other165.vote_reply;
-  append = other165.append;
-  append_reply = other165.append_reply;
-  snapshot = other165.snapshot;
-  __isset = other165.__isset;
+Hello& Hello::operator=(const Hello& other155) {
+  cluster = other155.cluster;
+  member = other155.member;
+  blank = other155.blank;
+  __isset = other155.__isset;
   return *this;
 }
-LogBody& LogBody::operator=(LogBody&& other166) noexcept {
-  vote = std::move(other166.vote);
-  vote_reply = std::move(other166.vote_reply);
-  append = std::move(other166.append);
-  append_reply = std::move(other166.append_reply);
-  snapshot = std::move(other166.snapshot);
-  __isset = other166.__isset;
+Hello& Hello::operator=(Hello&& other156) noexcept {
+  cluster = std::move(other156.cluster);
+  member = std::move(other156.member);
+  blank = other156.blank;
+  __isset = other156.__isset;
   return *this;
 }
-void LogBody::printTo(std::ostream& out) const {
+void Hello::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogBody(";
-  out << "vote="; (__isset.vote ? (out << to_string(vote)) : (out << "<null>"));
-  out << ", " << "vote_reply="; (__isset.vote_reply ? (out << to_string(vote_reply)) : (out << "<null>"));
-  out << ", " << "append="; (__isset.append ? (out << to_string(append)) : (out << "<null>"));
-  out << ", " << "append_reply="; (__isset.append_reply ? (out << to_string(append_reply)) : (out << "<null>"));
-  out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
+  out << "Hello(";
+  out << "cluster=" << to_string(cluster);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "blank=" << to_string(blank);
   out << ")";
 }
 
 
-LogMessage::~LogMessage() noexcept {
+HelloReply::~HelloReply() noexcept {
 }
 
 
-void LogMessage::__set_from_id(const int64_t val) {
-  this->from_id = val;
-}
-
-void LogMessage::__set_to_id(const int64_t val) {
-  this->to_id = val;
+void HelloReply::__set_member(const MemberInfo& val) {
+  this->member = val;
 }
 
-void LogMessage::__set_body(const LogBody& val) {
-  this->body = val;
+void HelloReply::__set_blank(const bool val) {
+  this->blank = val;
 }
 
-void LogMessage::__set_cluster(const std::string& val) {
-  this->cluster = val;
+void HelloReply::__set_leader_id(const int64_t val) {
+  this->leader_id = val;
 }
 
-void LogMessage::__set_from_name(const std::string& val) {
-  this->from_name = val;
+void HelloReply::__set_members(const std::vector<MemberInfo> & val) {
+  this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogMessage& obj)
+std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HelloReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5336,41 +5323,45 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->from_id);
-          this->__isset.from_id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->to_id);
-          this->__isset.to_id = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->blank);
+          this->__isset.blank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leader_id);
+          this->__isset.leader_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->cluster);
-          this->__isset.cluster = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->from_name);
-          this->__isset.from_name = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->members.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += this->members[_i161].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5387,29 +5378,33 @@
   return xfer;
 }
 
-uint32_t LogMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HelloReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogMessage");
-
-  xfer += oprot->writeFieldBegin("from_id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->from_id);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("HelloReply");
 
-  xfer += oprot->writeFieldBegin("to_id", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->to_id);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->member.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->blank);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->cluster);
+  xfer += oprot->writeFieldBegin("leader_id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->leader_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("from_name", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->from_name);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberInfo> ::const_iterator _iter162;
+    for (_iter162 = this->members.begin(); _iter162 != this->members.end(); ++_iter162)
+    {
+      xfer += (*_iter162).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5417,85 +5412,75 @@
   return xfer;
 }
 
-void swap(LogMessage &a, LogMessage &b) {
+void swap(HelloReply &a, HelloReply &b) {
   using ::std::swap;
-  swap(a.from_id, b.from_id);
-  swap(a.to_id, b.to_id);
-  swap(a.body, b.body);
-  swap(a.cluster, b.cluster);
-  swap(a.from_name, b.from_name);
+  swap(a.member, b.member);
+  swap(a.blank, b.blank);
+  swap(a.leader_id, b.leader_id);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other167) {
-  from_id = other167.from_id;
-  to_id = other167.to_id;
-  body = other167.body;
-  cluster = other167.cluster;
-  from_name = other167.from_name;
-  __isset = other167.__isset;
+HelloReply::HelloReply(const HelloReply& other163) {
+  member = other163.member;
+  blank = other163.blank;
+  leader_id = other163.leader_id;
+  members = other163.members;
+  __isset = other163.__isset;
 }
-LogMessage::LogMessage(LogMessage&& other168) noexcept {
-  from_id = other168.from_id;
-  to_id = other168.to_id;
-  body = std::move(other168.body);
-  cluster = std::move(other168.cluster);
-  from_name = std::move(other168.from_name);
-  __isset = other168.__isset;
+HelloReply::HelloReply(HelloReply&& other164) noexcept {
+  member = std::move(other164.member);
+  blank = other164.blank;
+  leader_id = other164.leader_id;
+  members = std::move(other164.members);
+  __isset = other164.__isset;
 }
-LogMessage& LogMessage::operator=(const LogMessage& other169) {
-  from_id = other169.from_id;
-  to_id = other169.to_id;
-  body = other169.body;
-  cluster = other169.cluster;
-  from_name = other169.from_name;
-  __isset = other169.__isset;
+HelloReply& HelloReply::operator=(const HelloReply& other165) {
+  member = other165.member;
+  blank = other165.blank;
+  leader_id = other165.leader_id;
+  members = other165.members;
+  __isset = other165.__isset;
   return *this;
 }
-LogMessage& LogMessage::operator=(LogMessage&& other170) noexcept {
-  from_id = other170.from_id;
-  to_id = other170.to_id;
-  body = std::move(other170.body);
-  cluster = std::move(other170.cluster);
-  from_name = std::move(other170.from_name);
-  __isset = other170.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other166) noexcept {
+  member = std::move(other166.member);
+  blank = other166.blank;
+  leader_id = other166.leader_id;
+  members = std::move(other166.members);
+  __isset = other166.__isset;
   return *this;
 }
-void LogMessage::printTo(std::ostream& out) const {
+void HelloReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogMessage(";
-  out << "from_id=" << to_string(from_id);
-  out << ", " << "to_id=" << to_string(to_id);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "cluster=" << to_string(cluster);
-  out << ", " << "from_name=" << to_string(from_name);
+  out << "HelloReply(";
+  out << "member=" << to_string(member);
+  out << ", " << "blank=" << to_string(blank);
+  out << ", " << "leader_id=" << to_string(leader_id);
+  out << ", " << "members=" << to_string(members);
   out << ")";
 }
 
 
-Hello::~Hello() noexcept {
+ObjectState::~ObjectState() noexcept {
 }
 
 
-void Hello::__set_cluster(const std::string& val) {
-  this->cluster = val;
-}
-
-void Hello::__set_member(const MemberInfo& val) {
-  this->member = val;
+void ObjectState::__set_object(const ObjectText& val) {
+  this->object = val;
 }
 
-void Hello::__set_blank(const bool val) {
-  this->blank = val;
+void ObjectState::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const Hello& obj)
+std::ostream& operator<<(std::ostream& out, const ObjectState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Hello::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ObjectState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5517,25 +5502,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->cluster);
-          this->__isset.cluster = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->member.read(iprot);
-          this->__isset.member = true;
+          xfer += this->object.read(iprot);
+          this->__isset.object = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->blank);
-          this->__isset.blank = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5552,21 +5529,17 @@
   return xfer;
 }
 
-uint32_t Hello::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ObjectState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Hello");
-
-  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->cluster);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ObjectState");
 
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->object.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->blank);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5574,77 +5547,63 @@
   return xfer;
 }
 
-void swap(Hello &a, Hello &b) {
+void swap(ObjectState &a, ObjectState &b) {
   using ::std::swap;
-  swap(a.cluster, b.cluster);
-  swap(a.member, b.member);
-  swap(a.blank, b.blank);
+  swap(a.object, b.object);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other171) {
-  cluster = other171.cluster;
-  member = other171.member;
-  blank = other171.blank;
-  __isset = other171.__isset;
+ObjectState::ObjectState(const ObjectState& other167) {
+  object = other167.object;
+  version = other167.version;
+  __isset = other167.__isset;
 }
-Hello::Hello(Hello&& other172) noexcept {
-  cluster = std::move(other172.cluster);
-  member = std::move(other172.member);
-  blank = other172.blank;
-  __isset = other172.__isset;
+ObjectState::ObjectState(ObjectState&& other168) noexcept {
+  object = std::move(other168.object);
+  version = other168.version;
+  __isset = other168.__isset;
 }
-Hello& Hello::operator=(const Hello& other173) {
-  cluster = other173.cluster;
-  member = other173.member;
-  blank = other173.blank;
-  __isset = other173.__isset;
+ObjectState& ObjectState::operator=(const ObjectState& other169) {
+  object = other169.object;
+  version = other169.version;
+  __isset = other169.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other174) noexcept {
-  cluster = std::move(other174.cluster);
-  member = std::move(other174.member);
-  blank = other174.blank;
-  __isset = other174.__isset;
+ObjectState& ObjectState::operator=(ObjectState&& other170) noexcept {
+  object = std::move(other170.object);
+  version = other170.version;
+  __isset = other170.__isset;
   return *this;
 }
-void Hello::printTo(std::ostream& out) const {
+void ObjectState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Hello(";
-  out << "cluster=" << to_string(cluster);
-  out << ", " << "member=" << to_string(member);
-  out << ", " << "blank=" << to_string(blank);
+  out << "ObjectState(";
+  out << "object=" << to_string(object);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
 
-HelloReply::~HelloReply() noexcept {
-}
-
-
-void HelloReply::__set_member(const MemberInfo& val) {
-  this->member = val;
+RemovalState::~RemovalState() noexcept {
 }
 
-void HelloReply::__set_blank(const bool val) {
-  this->blank = val;
-}
 
-void HelloReply::__set_leader_id(const int64_t val) {
-  this->leader_id = val;
+void RemovalState::__set_key(const ObjectKey& val) {
+  this->key = val;
 }
 
-void HelloReply::__set_members(const std::vector<MemberInfo> & val) {
-  this->members = val;
+void RemovalState::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
+std::ostream& operator<<(std::ostream& out, const RemovalState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HelloReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RemovalState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5667,44 +5626,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->member.read(iprot);
-          this->__isset.member = true;
+          xfer += this->key.read(iprot);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->blank);
-          this->__isset.blank = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leader_id);
-          this->__isset.leader_id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->members.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
-            {
-              xfer += this->members[_i179].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5721,33 +5652,17 @@
   return xfer;
 }
 
-uint32_t HelloReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RemovalState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HelloReply");
-
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->member.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->blank);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RemovalState");
 
-  xfer += oprot->writeFieldBegin("leader_id", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->leader_id);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter180;
-    for (_iter180 = this->members.begin(); _iter180 != this->members.end(); ++_iter180)
-    {
-      xfer += (*_iter180).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5755,75 +5670,67 @@
   return xfer;
 }
 
-void swap(HelloReply &a, HelloReply &b) {
+void swap(RemovalState &a, RemovalState &b) {
   using ::std::swap;
-  swap(a.member, b.member);
-  swap(a.blank, b.blank);
-  swap(a.leader_id, b.leader_id);
-  swap(a.members, b.members);
+  swap(a.key, b.key);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other181) {
-  member = other181.member;
-  blank = other181.blank;
-  leader_id = other181.leader_id;
-  members = other181.members;
-  __isset = other181.__isset;
+RemovalState::RemovalState(const RemovalState& other171) {
+  key = other171.key;
+  version = other171.version;
+  __isset = other171.__isset;
 }
-HelloReply::HelloReply(HelloReply&& other182) noexcept {
-  member = std::move(other182.member);
-  blank = other182.blank;
-  leader_id = other182.leader_id;
-  members = std::move(other182.members);
-  __isset = other182.__isset;
+RemovalState::RemovalState(RemovalState&& other172) noexcept {
+  key = std::move(other172.key);
+  version = other172.version;
+  __isset = other172.__isset;
 }
-HelloReply& HelloReply::operator=(const HelloReply& other183) {
-  member = other183.member;
-  blank = other183.blank;
-  leader_id = other183.leader_id;
-  members = other183.members;
-  __isset = other183.__isset;
+RemovalState& RemovalState::operator=(const RemovalState& other173) {
+  key = other173.key;
+  version = other173.version;
+  __isset = other173.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other184) noexcept {
-  member = std::move(other184.member);
-  blank = other184.blank;
-  leader_id = other184.leader_id;
-  members = std::move(other184.members);
-  __isset = other184.__isset;
+RemovalState& RemovalState::operator=(RemovalState&& other174) noexcept {
+  key = std::move(other174.key);
+  version = other174.version;
+  __isset = other174.__isset;
   return *this;
 }
-void HelloReply::printTo(std::ostream& out) const {
+void RemovalState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HelloReply(";
-  out << "member=" << to_string(member);
-  out << ", " << "blank=" << to_string(blank);
-  out << ", " << "leader_id=" << to_string(leader_id);
-  out << ", " << "members=" << to_string(members);
+  out << "RemovalState(";
+  out << "key=" << to_string(key);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
 
-ObjectState::~ObjectState() noexcept {
+ChangeState::~ChangeState() noexcept {
 }
 
 
-void ObjectState::__set_object(const ObjectText& val) {
-  this->object = val;
+void ChangeState::__set_change_id(const std::string& val) {
+  this->change_id = val;
 }
 
-void ObjectState::__set_version(const int64_t val) {
-  this->version = val;
+void ChangeState::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
 }
-std::ostream& operator<<(std::ostream& out, const ObjectState& obj)
+
+void ChangeState::__set_outcome(const ConfigOutcome& val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangeState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ObjectState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ChangeState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5845,17 +5752,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->object.read(iprot);
-          this->__isset.object = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->change_id);
+          this->__isset.change_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome.read(iprot);
+          this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5872,17 +5787,21 @@
   return xfer;
 }
 
-uint32_t ObjectState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ChangeState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ObjectState");
+  xfer += oprot->writeStructBegin("ChangeState");
 
-  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->object.write(oprot);
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->change_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->outcome.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5890,63 +5809,89 @@
   return xfer;
 }
 
-void swap(ObjectState &a, ObjectState &b) {
+void swap(ChangeState &a, ChangeState &b) {
   using ::std::swap;
-  swap(a.object, b.object);
-  swap(a.version, b.version);
+  swap(a.change_id, b.change_id);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.outcome, b.outcome);
   swap(a.__isset, b.__isset);
 }
 
-ObjectState::ObjectState(const ObjectState& other185) {
-  object = other185.object;
-  version = other185.version;
-  __isset = other185.__isset;
+ChangeState::ChangeState(const ChangeState& other175) {
+  change_id = other175.change_id;
+  fingerprint = other175.fingerprint;
+  outcome = other175.outcome;
+  __isset = other175.__isset;
 }
-ObjectState::ObjectState(ObjectState&& other186) noexcept {
-  object = std::move(other186.object);
-  version = other186.version;
-  __isset = other186.__isset;
+ChangeState::ChangeState(ChangeState&& other176) noexcept {
+  change_id = std::move(other176.change_id);
+  fingerprint = other176.fingerprint;
+  outcome = std::move(other176.outcome);
+  __isset = other176.__isset;
 }
-ObjectState& ObjectState::operator=(const ObjectState& other187) {
-  object = other187.object;
-  version = other187.version;
-  __isset = other187.__isset;
+ChangeState& ChangeState::operator=(const ChangeState& other177) {
+  change_id = other177.change_id;
+  fingerprint = other177.fingerprint;
+  outcome = other177.outcome;
+  __isset = other177.__isset;
   return *this;
 }
-ObjectState& ObjectState::operator=(ObjectState&& other188) noexcept {
-  object = std::move(other188.object);
-  version = other188.version;
-  __isset = other188.__isset;
+ChangeState& ChangeState::operator=(ChangeState&& other178) noexcept {
+  change_id = std::move(other178.change_id);
+  fingerprint = other178.fingerprint;
+  outcome = std::move(other178.outcome);
+  __isset = other178.__isset;
   return *this;
 }
-void ObjectState::printTo(std::ostream& out) const {
+void ChangeState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ObjectState(";
-  out << "object=" << to_string(object);
-  out << ", " << "version=" << to_string(version);
+  out << "ChangeState(";
+  out << "change_id=" << to_string(change_id);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "outcome=" << to_string(outcome);
   out << ")";
 }
 
 
-RemovalState::~RemovalState() noexcept {
+KeyRecord::~KeyRecord() noexcept {
 }
 
 
-void RemovalState::__set_key(const ObjectKey& val) {
+void KeyRecord::__set_key(const std::string& val) {
   this->key = val;
 }
 
-void RemovalState::__set_version(const int64_t val) {
-  this->version = val;
+void KeyRecord::__set_owner(const std::string& val) {
+  this->owner = val;
 }
-std::ostream& operator<<(std::ostream& out, const RemovalState& obj)
+
+void KeyRecord::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void KeyRecord::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void KeyRecord::__set_state(const KeyState::type val) {
+  this->state = val;
+}
+
+void KeyRecord::__set_expires_ms(const int64_t val) {
+  this->expires_ms = val;
+}
+
+void KeyRecord::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeyRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RemovalState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t KeyRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5968,330 +5913,42 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->key.read(iprot);
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
           this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t RemovalState::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RemovalState");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->key.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(RemovalState &a, RemovalState &b) {
-  using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.version, b.version);
-  swap(a.__isset, b.__isset);
-}
-
-RemovalState::RemovalState(const RemovalState& other189) {
-  key = other189.key;
-  version = other189.version;
-  __isset = other189.__isset;
-}
-RemovalState::RemovalState(RemovalState&& other190) noexcept {
-  key = std::move(other190.key);
-  version = other190.version;
-  __isset = other190.__isset;
-}
-RemovalState& RemovalState::operator=(const RemovalState& other191) {
-  key = other191.key;
-  version = other191.version;
-  __isset = other191.__isset;
-  return *this;
-}
-RemovalState& RemovalState::operator=(RemovalState&& other192) noexcept {
-  key = std::move(other192.key);
-  version = other192.version;
-  __isset = other192.__isset;
-  return *this;
-}
-void RemovalState::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "RemovalState(";
-  out << "key=" << to_string(key);
-  out << ", " << "version=" << to_string(version);
-  out << ")";
-}
-
-
-ChangeState::~ChangeState() noexcept {
-}
-
-
-void ChangeState::__set_change_id(const std::string& val) {
-  this->change_id = val;
-}
-
-void ChangeState::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
-}
-
-void ChangeState::__set_outcome(const ConfigOutcome& val) {
-  this->outcome = val;
-}
-std::ostream& operator<<(std::ostream& out, const ChangeState& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t ChangeState::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->change_id);
-          this->__isset.change_id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcome.read(iprot);
-          this->__isset.outcome = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t ChangeState::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ChangeState");
-
-  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->change_id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->outcome.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(ChangeState &a, ChangeState &b) {
-  using ::std::swap;
-  swap(a.change_id, b.change_id);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.outcome, b.outcome);
-  swap(a.__isset, b.__isset);
-}
-
-ChangeState::ChangeState(const ChangeState& other193) {
-  change_id = other193.change_id;
-  fingerprint = other193.fingerprint;
-  outcome = other193.outcome;
-  __isset = other193.__isset;
-}
-ChangeState::ChangeState(ChangeState&& other194) noexcept {
-  change_id = std::move(other194.change_id);
-  fingerprint = other194.fingerprint;
-  outcome = std::move(other194.outcome);
-  __isset = other194.__isset;
-}
-ChangeState& ChangeState::operator=(const ChangeState& other195) {
-  change_id = other195.change_id;
-  fingerprint = other195.fingerprint;
-  outcome = other195.outcome;
-  __isset = other195.__isset;
-  return *this;
-}
-ChangeState& ChangeState::operator=(ChangeState&& other196) noexcept {
-  change_id = std::move(other196.change_id);
-  fingerprint = other196.fingerprint;
-  outcome = std::move(other196.outcome);
-  __isset = other196.__isset;
-  return *this;
-}
-void ChangeState::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "ChangeState(";
-  out << "change_id=" << to_string(change_id);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "outcome=" << to_string(outcome);
-  out << ")";
-}
-
-
-KeyRecord::~KeyRecord() noexcept {
-}
-
-
-void KeyRecord::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void KeyRecord::__set_owner(const std::string& val) {
-  this->owner = val;
-}
-
-void KeyRecord::__set_ref(const int64_t val) {
-  this->ref = val;
-}
-
-void KeyRecord::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
-}
-
-void KeyRecord::__set_state(const KeyState::type val) {
-  this->state = val;
-}
-
-void KeyRecord::__set_expires_ms(const int64_t val) {
-  this->expires_ms = val;
-}
-
-void KeyRecord::__set_answer(const StoredAnswer& val) {
-  this->answer = val;
-}
-std::ostream& operator<<(std::ostream& out, const KeyRecord& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t KeyRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->owner);
-          this->__isset.owner = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast197;
-          xfer += iprot->readI32(ecast197);
-          this->state = static_cast<KeyState::type>(ecast197);
+          int32_t ecast179;
+          xfer += iprot->readI32(ecast179);
+          this->state = static_cast<KeyState::type>(ecast179);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6375,46 +6032,46 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other198) {
-  key = other198.key;
-  owner = other198.owner;
-  ref = other198.ref;
-  fingerprint = other198.fingerprint;
-  state = other198.state;
-  expires_ms = other198.expires_ms;
-  answer = other198.answer;
-  __isset = other198.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other199) noexcept {
-  key = std::move(other199.key);
-  owner = std::move(other199.owner);
-  ref = other199.ref;
-  fingerprint = other199.fingerprint;
-  state = other199.state;
-  expires_ms = other199.expires_ms;
-  answer = std::move(other199.answer);
-  __isset = other199.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other200) {
-  key = other200.key;
-  owner = other200.owner;
-  ref = other200.ref;
-  fingerprint = other200.fingerprint;
-  state = other200.state;
-  expires_ms = other200.expires_ms;
-  answer = other200.answer;
-  __isset = other200.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other180) {
+  key = other180.key;
+  owner = other180.owner;
+  ref = other180.ref;
+  fingerprint = other180.fingerprint;
+  state = other180.state;
+  expires_ms = other180.expires_ms;
+  answer = other180.answer;
+  __isset = other180.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other181) noexcept {
+  key = std::move(other181.key);
+  owner = std::move(other181.owner);
+  ref = other181.ref;
+  fingerprint = other181.fingerprint;
+  state = other181.state;
+  expires_ms = other181.expires_ms;
+  answer = std::move(other181.answer);
+  __isset = other181.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other182) {
+  key = other182.key;
+  owner = other182.owner;
+  ref = other182.ref;
+  fingerprint = other182.fingerprint;
+  state = other182.state;
+  expires_ms = other182.expires_ms;
+  answer = other182.answer;
+  __isset = other182.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other201) noexcept {
-  key = std::move(other201.key);
-  owner = std::move(other201.owner);
-  ref = other201.ref;
-  fingerprint = other201.fingerprint;
-  state = other201.state;
-  expires_ms = other201.expires_ms;
-  answer = std::move(other201.answer);
-  __isset = other201.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other183) noexcept {
+  key = std::move(other183.key);
+  owner = std::move(other183.owner);
+  ref = other183.ref;
+  fingerprint = other183.fingerprint;
+  state = other183.state;
+  expires_ms = other183.expires_ms;
+  answer = std::move(other183.answer);
+  __isset = other183.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -6518,14 +6175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->objects.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->objects.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->objects[_i206].read(iprot);
+              xfer += this->objects[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6538,14 +6195,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->removals.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->removals.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += this->removals[_i211].read(iprot);
+              xfer += this->removals[_i193].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6566,14 +6223,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->history.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->history.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->history[_i216].read(iprot);
+              xfer += this->history[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6586,14 +6243,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->changes.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size199;
+            ::apache::thrift::protocol::TType _etype202;
+            xfer += iprot->readListBegin(_etype202, _size199);
+            this->changes.resize(_size199);
+            uint32_t _i203;
+            for (_i203 = 0; _i203 < _size199; ++_i203)
             {
-              xfer += this->changes[_i221].read(iprot);
+              xfer += this->changes[_i203].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6606,14 +6263,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->keys.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->keys.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->keys[_i226].read(iprot);
+              xfer += this->keys[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6626,14 +6283,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readListBegin(_etype230, _size227);
-            this->leases.resize(_size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->leases.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->leases[_i231].read(iprot);
+              xfer += this->leases[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6662,14 +6319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->servers.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->servers.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->servers[_i236].read(iprot);
+              xfer += this->servers[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6702,10 +6359,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectState> ::const_iterator _iter237;
-    for (_iter237 = this->objects.begin(); _iter237 != this->objects.end(); ++_iter237)
+    std::vector<ObjectState> ::const_iterator _iter219;
+    for (_iter219 = this->objects.begin(); _iter219 != this->objects.end(); ++_iter219)
     {
-      xfer += (*_iter237).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6714,10 +6371,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RemovalState> ::const_iterator _iter238;
-    for (_iter238 = this->removals.begin(); _iter238 != this->removals.end(); ++_iter238)
+    std::vector<RemovalState> ::const_iterator _iter220;
+    for (_iter220 = this->removals.begin(); _iter220 != this->removals.end(); ++_iter220)
     {
-      xfer += (*_iter238).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6730,10 +6387,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter239;
-    for (_iter239 = this->history.begin(); _iter239 != this->history.end(); ++_iter239)
+    std::vector<HistoryRow> ::const_iterator _iter221;
+    for (_iter221 = this->history.begin(); _iter221 != this->history.end(); ++_iter221)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6742,10 +6399,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ChangeState> ::const_iterator _iter240;
-    for (_iter240 = this->changes.begin(); _iter240 != this->changes.end(); ++_iter240)
+    std::vector<ChangeState> ::const_iterator _iter222;
+    for (_iter222 = this->changes.begin(); _iter222 != this->changes.end(); ++_iter222)
     {
-      xfer += (*_iter240).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6754,10 +6411,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeyRecord> ::const_iterator _iter241;
-    for (_iter241 = this->keys.begin(); _iter241 != this->keys.end(); ++_iter241)
+    std::vector<KeyRecord> ::const_iterator _iter223;
+    for (_iter223 = this->keys.begin(); _iter223 != this->keys.end(); ++_iter223)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter223).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6766,10 +6423,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter242;
-    for (_iter242 = this->leases.begin(); _iter242 != this->leases.end(); ++_iter242)
+    std::vector<LeaseGrant> ::const_iterator _iter224;
+    for (_iter224 = this->leases.begin(); _iter224 != this->leases.end(); ++_iter224)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6786,10 +6443,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter243;
-    for (_iter243 = this->servers.begin(); _iter243 != this->servers.end(); ++_iter243)
+    std::vector<ServerRecord> ::const_iterator _iter225;
+    for (_iter225 = this->servers.begin(); _iter225 != this->servers.end(); ++_iter225)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6816,62 +6473,62 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineState::MachineState(const MachineState& other244) {
-  version = other244.version;
-  objects = other244.objects;
-  removals = other244.removals;
-  whole_before = other244.whole_before;
-  history = other244.history;
-  changes = other244.changes;
-  keys = other244.keys;
-  leases = other244.leases;
-  now_ms = other244.now_ms;
-  document = other244.document;
-  servers = other244.servers;
-  __isset = other244.__isset;
-}
-MachineState::MachineState(MachineState&& other245) noexcept {
-  version = other245.version;
-  objects = std::move(other245.objects);
-  removals = std::move(other245.removals);
-  whole_before = other245.whole_before;
-  history = std::move(other245.history);
-  changes = std::move(other245.changes);
-  keys = std::move(other245.keys);
-  leases = std::move(other245.leases);
-  now_ms = other245.now_ms;
-  document = std::move(other245.document);
-  servers = std::move(other245.servers);
-  __isset = other245.__isset;
-}
-MachineState& MachineState::operator=(const MachineState& other246) {
-  version = other246.version;
-  objects = other246.objects;
-  removals = other246.removals;
-  whole_before = other246.whole_before;
-  history = other246.history;
-  changes = other246.changes;
-  keys = other246.keys;
-  leases = other246.leases;
-  now_ms = other246.now_ms;
-  document = other246.document;
-  servers = other246.servers;
-  __isset = other246.__isset;
+MachineState::MachineState(const MachineState& other226) {
+  version = other226.version;
+  objects = other226.objects;
+  removals = other226.removals;
+  whole_before = other226.whole_before;
+  history = other226.history;
+  changes = other226.changes;
+  keys = other226.keys;
+  leases = other226.leases;
+  now_ms = other226.now_ms;
+  document = other226.document;
+  servers = other226.servers;
+  __isset = other226.__isset;
+}
+MachineState::MachineState(MachineState&& other227) noexcept {
+  version = other227.version;
+  objects = std::move(other227.objects);
+  removals = std::move(other227.removals);
+  whole_before = other227.whole_before;
+  history = std::move(other227.history);
+  changes = std::move(other227.changes);
+  keys = std::move(other227.keys);
+  leases = std::move(other227.leases);
+  now_ms = other227.now_ms;
+  document = std::move(other227.document);
+  servers = std::move(other227.servers);
+  __isset = other227.__isset;
+}
+MachineState& MachineState::operator=(const MachineState& other228) {
+  version = other228.version;
+  objects = other228.objects;
+  removals = other228.removals;
+  whole_before = other228.whole_before;
+  history = other228.history;
+  changes = other228.changes;
+  keys = other228.keys;
+  leases = other228.leases;
+  now_ms = other228.now_ms;
+  document = other228.document;
+  servers = other228.servers;
+  __isset = other228.__isset;
   return *this;
 }
-MachineState& MachineState::operator=(MachineState&& other247) noexcept {
-  version = other247.version;
-  objects = std::move(other247.objects);
-  removals = std::move(other247.removals);
-  whole_before = other247.whole_before;
-  history = std::move(other247.history);
-  changes = std::move(other247.changes);
-  keys = std::move(other247.keys);
-  leases = std::move(other247.leases);
-  now_ms = other247.now_ms;
-  document = std::move(other247.document);
-  servers = std::move(other247.servers);
-  __isset = other247.__isset;
+MachineState& MachineState::operator=(MachineState&& other229) noexcept {
+  version = other229.version;
+  objects = std::move(other229.objects);
+  removals = std::move(other229.removals);
+  whole_before = other229.whole_before;
+  history = std::move(other229.history);
+  changes = std::move(other229.changes);
+  keys = std::move(other229.keys);
+  leases = std::move(other229.leases);
+  now_ms = other229.now_ms;
+  document = std::move(other229.document);
+  servers = std::move(other229.servers);
+  __isset = other229.__isset;
   return *this;
 }
 void MachineState::printTo(std::ostream& out) const {
@@ -6935,18 +6592,6 @@
 void Heartbeat::__set_leases_seen(const int64_t val) {
   this->leases_seen = val;
 }
-
-void Heartbeat::__set_loads(const std::vector<ServerLoad> & val) {
-  this->loads = val;
-}
-
-void Heartbeat::__set_uses(const std::vector<WorkspaceUse> & val) {
-  this->uses = val;
-}
-
-void Heartbeat::__set_waiting(const std::vector<PoolWaiting> & val) {
-  this->waiting = val;
-}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -7055,66 +6700,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->loads.clear();
-            uint32_t _size248;
-            ::apache::thrift::protocol::TType _etype251;
-            xfer += iprot->readListBegin(_etype251, _size248);
-            this->loads.resize(_size248);
-            uint32_t _i252;
-            for (_i252 = 0; _i252 < _size248; ++_i252)
-            {
-              xfer += this->loads[_i252].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.loads = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->uses.clear();
-            uint32_t _size253;
-            ::apache::thrift::protocol::TType _etype256;
-            xfer += iprot->readListBegin(_etype256, _size253);
-            this->uses.resize(_size253);
-            uint32_t _i257;
-            for (_i257 = 0; _i257 < _size253; ++_i257)
-            {
-              xfer += this->uses[_i257].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.uses = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->waiting.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->waiting.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
-            {
-              xfer += this->waiting[_i262].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.waiting = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7172,42 +6757,6 @@
   xfer += oprot->writeI64(this->leases_seen);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 11);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter263;
-    for (_iter263 = this->loads.begin(); _iter263 != this->loads.end(); ++_iter263)
-    {
-      xfer += (*_iter263).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 12);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<WorkspaceUse> ::const_iterator _iter264;
-    for (_iter264 = this->uses.begin(); _iter264 != this->uses.end(); ++_iter264)
-    {
-      xfer += (*_iter264).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 13);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<PoolWaiting> ::const_iterator _iter265;
-    for (_iter265 = this->waiting.begin(); _iter265 != this->waiting.end(); ++_iter265)
-    {
-      xfer += (*_iter265).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7225,76 +6774,61 @@
   swap(a.stopping, b.stopping);
   swap(a.http, b.http);
   swap(a.leases_seen, b.leases_seen);
-  swap(a.loads, b.loads);
-  swap(a.uses, b.uses);
-  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other266) {
-  instance = other266.instance;
-  incarnation = other266.incarnation;
-  address = other266.address;
-  port = other266.port;
-  data_centre = other266.data_centre;
-  version_in_force = other266.version_in_force;
-  ready = other266.ready;
-  stopping = other266.stopping;
-  http = other266.http;
-  leases_seen = other266.leases_seen;
-  loads = other266.loads;
-  uses = other266.uses;
-  waiting = other266.waiting;
-  __isset = other266.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other267) noexcept {
-  instance = std::move(other267.instance);
-  incarnation = std::move(other267.incarnation);
-  address = std::move(other267.address);
-  port = other267.port;
-  data_centre = std::move(other267.data_centre);
-  version_in_force = other267.version_in_force;
-  ready = other267.ready;
-  stopping = other267.stopping;
-  http = std::move(other267.http);
-  leases_seen = other267.leases_seen;
-  loads = std::move(other267.loads);
-  uses = std::move(other267.uses);
-  waiting = std::move(other267.waiting);
-  __isset = other267.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other268) {
-  instance = other268.instance;
-  incarnation = other268.incarnation;
-  address = other268.address;
-  port = other268.port;
-  data_centre = other268.data_centre;
-  version_in_force = other268.version_in_force;
-  ready = other268.ready;
-  stopping = other268.stopping;
-  http = other268.http;
-  leases_seen = other268.leases_seen;
-  loads = other268.loads;
-  uses = other268.uses;
-  waiting = other268.waiting;
-  __isset = other268.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other230) {
+  instance = other230.instance;
+  incarnation = other230.incarnation;
+  address = other230.address;
+  port = other230.port;
+  data_centre = other230.data_centre;
+  version_in_force = other230.version_in_force;
+  ready = other230.ready;
+  stopping = other230.stopping;
+  http = other230.http;
+  leases_seen = other230.leases_seen;
+  __isset = other230.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other231) noexcept {
+  instance = std::move(other231.instance);
+  incarnation = std::move(other231.incarnation);
+  address = std::move(other231.address);
+  port = other231.port;
+  data_centre = std::move(other231.data_centre);
+  version_in_force = other231.version_in_force;
+  ready = other231.ready;
+  stopping = other231.stopping;
+  http = std::move(other231.http);
+  leases_seen = other231.leases_seen;
+  __isset = other231.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other232) {
+  instance = other232.instance;
+  incarnation = other232.incarnation;
+  address = other232.address;
+  port = other232.port;
+  data_centre = other232.data_centre;
+  version_in_force = other232.version_in_force;
+  ready = other232.ready;
+  stopping = other232.stopping;
+  http = other232.http;
+  leases_seen = other232.leases_seen;
+  __isset = other232.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other269) noexcept {
-  instance = std::move(other269.instance);
-  incarnation = std::move(other269.incarnation);
-  address = std::move(other269.address);
-  port = other269.port;
-  data_centre = std::move(other269.data_centre);
-  version_in_force = other269.version_in_force;
-  ready = other269.ready;
-  stopping = other269.stopping;
-  http = std::move(other269.http);
-  leases_seen = other269.leases_seen;
-  loads = std::move(other269.loads);
-  uses = std::move(other269.uses);
-  waiting = std::move(other269.waiting);
-  __isset = other269.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other233) noexcept {
+  instance = std::move(other233.instance);
+  incarnation = std::move(other233.incarnation);
+  address = std::move(other233.address);
+  port = other233.port;
+  data_centre = std::move(other233.data_centre);
+  version_in_force = other233.version_in_force;
+  ready = other233.ready;
+  stopping = other233.stopping;
+  http = std::move(other233.http);
+  leases_seen = other233.leases_seen;
+  __isset = other233.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -7310,9 +6844,6 @@
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "http=" << to_string(http);
   out << ", " << "leases_seen=" << to_string(leases_seen);
-  out << ", " << "loads=" << to_string(loads);
-  out << ", " << "uses=" << to_string(uses);
-  out << ", " << "waiting=" << to_string(waiting);
   out << ")";
 }
 
@@ -7356,30 +6887,6 @@
 void HeartbeatReply::__set_servers_index(const int64_t val) {
   this->servers_index = val;
 }
-
-void HeartbeatReply::__set_loads(const std::vector<ServerLoad> & val) {
-  this->loads = val;
-}
-
-void HeartbeatReply::__set_uses(const std::vector<WorkspaceUse> & val) {
-  this->uses = val;
-}
-
-void HeartbeatReply::__set_silent(const int32_t val) {
-  this->silent = val;
-}
-
-void HeartbeatReply::__set_basis(const int64_t val) {
-  this->basis = val;
-}
-
-void HeartbeatReply::__set_waiting(const std::vector<PoolWaiting> & val) {
-  this->waiting = val;
-}
-
-void HeartbeatReply::__set_settled(const bool val) {
-  this->settled = val;
-}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -7412,14 +6919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->leases.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size234;
+            ::apache::thrift::protocol::TType _etype237;
+            xfer += iprot->readListBegin(_etype237, _size234);
+            this->leases.resize(_size234);
+            uint32_t _i238;
+            for (_i238 = 0; _i238 < _size234; ++_i238)
             {
-              xfer += this->leases[_i274].read(iprot);
+              xfer += this->leases[_i238].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7472,14 +6979,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->members.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->members.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->members[_i279].read(iprot);
+              xfer += this->members[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7504,90 +7011,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->loads.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->loads.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
-            {
-              xfer += this->loads[_i284].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.loads = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->uses.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->uses.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
-            {
-              xfer += this->uses[_i289].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.uses = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->silent);
-          this->__isset.silent = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->basis);
-          this->__isset.basis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->waiting.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->waiting.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
-            {
-              xfer += this->waiting[_i294].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.waiting = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->settled);
-          this->__isset.settled = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7608,10 +7031,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter295;
-    for (_iter295 = this->leases.begin(); _iter295 != this->leases.end(); ++_iter295)
+    std::vector<LeaseGrant> ::const_iterator _iter244;
+    for (_iter244 = this->leases.begin(); _iter244 != this->leases.end(); ++_iter244)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter244).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7640,10 +7063,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter296;
-    for (_iter296 = this->members.begin(); _iter296 != this->members.end(); ++_iter296)
+    std::vector<MemberInfo> ::const_iterator _iter245;
+    for (_iter245 = this->members.begin(); _iter245 != this->members.end(); ++_iter245)
     {
-      xfer += (*_iter296).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7657,54 +7080,6 @@
   xfer += oprot->writeI64(this->servers_index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter297;
-    for (_iter297 = this->loads.begin(); _iter297 != this->loads.end(); ++_iter297)
-    {
-      xfer += (*_iter297).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 11);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<WorkspaceUse> ::const_iterator _iter298;
-    for (_iter298 = this->uses.begin(); _iter298 != this->uses.end(); ++_iter298)
-    {
-      xfer += (*_iter298).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_I32, 12);
-  xfer += oprot->writeI32(this->silent);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("basis", ::apache::thrift::protocol::T_I64, 13);
-  xfer += oprot->writeI64(this->basis);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 14);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<PoolWaiting> ::const_iterator _iter299;
-    for (_iter299 = this->waiting.begin(); _iter299 != this->waiting.end(); ++_iter299)
-    {
-      xfer += (*_iter299).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 15);
-  xfer += oprot->writeBool(this->settled);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7721,87 +7096,57 @@
   swap(a.members, b.members);
   swap(a.document_version, b.document_version);
   swap(a.servers_index, b.servers_index);
-  swap(a.loads, b.loads);
-  swap(a.uses, b.uses);
-  swap(a.silent, b.silent);
-  swap(a.basis, b.basis);
-  swap(a.waiting, b.waiting);
-  swap(a.settled, b.settled);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other300) {
-  leases = other300.leases;
-  version = other300.version;
-  leader_term = other300.leader_term;
-  live = other300.live;
-  leases_index = other300.leases_index;
-  leases_same = other300.leases_same;
-  members = other300.members;
-  document_version = other300.document_version;
-  servers_index = other300.servers_index;
-  loads = other300.loads;
-  uses = other300.uses;
-  silent = other300.silent;
-  basis = other300.basis;
-  waiting = other300.waiting;
-  settled = other300.settled;
-  __isset = other300.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other246) {
+  leases = other246.leases;
+  version = other246.version;
+  leader_term = other246.leader_term;
+  live = other246.live;
+  leases_index = other246.leases_index;
+  leases_same = other246.leases_same;
+  members = other246.members;
+  document_version = other246.document_version;
+  servers_index = other246.servers_index;
+  __isset = other246.__isset;
 }
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other301) noexcept {
-  leases = std::move(other301.leases);
-  version = other301.version;
-  leader_term = other301.leader_term;
-  live = other301.live;
-  leases_index = other301.leases_index;
-  leases_same = other301.leases_same;
-  members = std::move(other301.members);
-  document_version = other301.document_version;
-  servers_index = other301.servers_index;
-  loads = std::move(other301.loads);
-  uses = std::move(other301.uses);
-  silent = other301.silent;
-  basis = other301.basis;
-  waiting = std::move(other301.waiting);
-  settled = other301.settled;
-  __isset = other301.__isset;
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other247) noexcept {
+  leases = std::move(other247.leases);
+  version = other247.version;
+  leader_term = other247.leader_term;
+  live = other247.live;
+  leases_index = other247.leases_index;
+  leases_same = other247.leases_same;
+  members = std::move(other247.members);
+  document_version = other247.document_version;
+  servers_index = other247.servers_index;
+  __isset = other247.__isset;
 }
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other302) {
-  leases = other302.leases;
-  version = other302.version;
-  leader_term = other302.leader_term;
-  live = other302.live;
-  leases_index = other302.leases_index;
-  leases_same = other302.leases_same;
-  members = other302.members;
-  document_version = other302.document_version;
-  servers_index = other302.servers_index;
-  loads = other302.loads;
-  uses = other302.uses;
-  silent = other302.silent;
-  basis = other302.basis;
-  waiting = other302.waiting;
-  settled = other302.settled;
-  __isset = other302.__isset;
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other248) {
+  leases = other248.leases;
+  version = other248.version;
+  leader_term = other248.leader_term;
+  live = other248.live;
+  leases_index = other248.leases_index;
+  leases_same = other248.leases_same;
+  members = other248.members;
+  document_version = other248.document_version;
+  servers_index = other248.servers_index;
+  __isset = other248.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other303) noexcept {
-  leases = std::move(other303.leases);
-  version = other303.version;
-  leader_term = other303.leader_term;
-  live = other303.live;
-  leases_index = other303.leases_index;
-  leases_same = other303.leases_same;
-  members = std::move(other303.members);
-  document_version = other303.document_version;
-  servers_index = other303.servers_index;
-  loads = std::move(other303.loads);
-  uses = std::move(other303.uses);
-  silent = other303.silent;
-  basis = other303.basis;
-  waiting = std::move(other303.waiting);
-  settled = other303.settled;
-  __isset = other303.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other249) noexcept {
+  leases = std::move(other249.leases);
+  version = other249.version;
+  leader_term = other249.leader_term;
+  live = other249.live;
+  leases_index = other249.leases_index;
+  leases_same = other249.leases_same;
+  members = std::move(other249.members);
+  document_version = other249.document_version;
+  servers_index = other249.servers_index;
+  __isset = other249.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -7816,12 +7161,6 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "document_version=" << to_string(document_version);
   out << ", " << "servers_index=" << to_string(servers_index);
-  out << ", " << "loads=" << to_string(loads);
-  out << ", " << "uses=" << to_string(uses);
-  out << ", " << "silent=" << to_string(silent);
-  out << ", " << "basis=" << to_string(basis);
-  out << ", " << "waiting=" << to_string(waiting);
-  out << ", " << "settled=" << to_string(settled);
   out << ")";
 }
 
@@ -7865,14 +7204,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size304;
-            ::apache::thrift::protocol::TType _etype307;
-            xfer += iprot->readListBegin(_etype307, _size304);
-            this->commands.resize(_size304);
-            uint32_t _i308;
-            for (_i308 = 0; _i308 < _size304; ++_i308)
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->commands.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
             {
-              xfer += this->commands[_i308].read(iprot);
+              xfer += this->commands[_i254].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7901,10 +7240,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter309;
-    for (_iter309 = this->commands.begin(); _iter309 != this->commands.end(); ++_iter309)
+    std::vector<Command> ::const_iterator _iter255;
+    for (_iter255 = this->commands.begin(); _iter255 != this->commands.end(); ++_iter255)
     {
-      xfer += (*_iter309).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7921,22 +7260,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other310) {
-  commands = other310.commands;
-  __isset = other310.__isset;
+Propose::Propose(const Propose& other256) {
+  commands = other256.commands;
+  __isset = other256.__isset;
 }
-Propose::Propose(Propose&& other311) noexcept {
-  commands = std::move(other311.commands);
-  __isset = other311.__isset;
+Propose::Propose(Propose&& other257) noexcept {
+  commands = std::move(other257.commands);
+  __isset = other257.__isset;
 }
-Propose& Propose::operator=(const Propose& other312) {
-  commands = other312.commands;
-  __isset = other312.__isset;
+Propose& Propose::operator=(const Propose& other258) {
+  commands = other258.commands;
+  __isset = other258.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other313) noexcept {
-  commands = std::move(other313.commands);
-  __isset = other313.__isset;
+Propose& Propose::operator=(Propose&& other259) noexcept {
+  commands = std::move(other259.commands);
+  __isset = other259.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
