@@ -8062,57 +7401,1850 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other314) {
-  config = other314.config;
-  claim = other314.claim;
-  done = other314.done;
-  __isset = other314.__isset;
+CommandResult::CommandResult(const CommandResult& other260) {
+  config = other260.config;
+  claim = other260.claim;
+  done = other260.done;
+  __isset = other260.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other315) noexcept {
-  config = std::move(other315.config);
-  claim = std::move(other315.claim);
-  done = other315.done;
-  __isset = other315.__isset;
+CommandResult::CommandResult(CommandResult&& other261) noexcept {
+  config = std::move(other261.config);
+  claim = std::move(other261.claim);
+  done = other261.done;
+  __isset = other261.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other316) {
-  config = other316.config;
-  claim = other316.claim;
-  done = other316.done;
-  __isset = other316.__isset;
+CommandResult& CommandResult::operator=(const CommandResult& other262) {
+  config = other262.config;
+  claim = other262.claim;
+  done = other262.done;
+  __isset = other262.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other317) noexcept {
-  config = std::move(other317.config);
-  claim = std::move(other317.claim);
-  done = other317.done;
-  __isset = other317.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other263) noexcept {
+  config = std::move(other263.config);
+  claim = std::move(other263.claim);
+  done = other263.done;
+  __isset = other263.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CommandResult(";
-  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
-  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
-  out << ", " << "done="; (__isset.done ? (out << to_string(done)) : (out << "<null>"));
+  out << "CommandResult(";
+  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
+  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "done="; (__isset.done ? (out << to_string(done)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ProposeReply::~ProposeReply() noexcept {
+}
+
+
+void ProposeReply::__set_results(const std::vector<CommandResult> & val) {
+  this->results = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->results.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
+            {
+              xfer += this->results[_i268].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeReply");
+
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<CommandResult> ::const_iterator _iter269;
+    for (_iter269 = this->results.begin(); _iter269 != this->results.end(); ++_iter269)
+    {
+      xfer += (*_iter269).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeReply &a, ProposeReply &b) {
+  using ::std::swap;
+  swap(a.results, b.results);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeReply::ProposeReply(const ProposeReply& other270) {
+  results = other270.results;
+  __isset = other270.__isset;
+}
+ProposeReply::ProposeReply(ProposeReply&& other271) noexcept {
+  results = std::move(other271.results);
+  __isset = other271.__isset;
+}
+ProposeReply& ProposeReply::operator=(const ProposeReply& other272) {
+  results = other272.results;
+  __isset = other272.__isset;
+  return *this;
+}
+ProposeReply& ProposeReply::operator=(ProposeReply&& other273) noexcept {
+  results = std::move(other273.results);
+  __isset = other273.__isset;
+  return *this;
+}
+void ProposeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProposeReply(";
+  out << "results=" << to_string(results);
+  out << ")";
+}
+
+
+ConfigPoll::~ConfigPoll() noexcept {
+}
+
+
+void ConfigPoll::__set_have_version(const int64_t val) {
+  this->have_version = val;
+}
+
+void ConfigPoll::__set_wait_ms(const int64_t val) {
+  this->wait_ms = val;
+}
+
+void ConfigPoll::__set_have_document(const int64_t val) {
+  this->have_document = val;
+}
+
+void ConfigPoll::__set_have_servers(const int64_t val) {
+  this->have_servers = val;
+}
+
+void ConfigPoll::__set_hosted(const bool val) {
+  this->hosted = val;
+}
+
+void ConfigPoll::__set_have_term(const int64_t val) {
+  this->have_term = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPoll& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_version);
+          this->__isset.have_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_document);
+          this->__isset.have_document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_servers);
+          this->__isset.have_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hosted);
+          this->__isset.hosted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_term);
+          this->__isset.have_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPoll");
+
+  xfer += oprot->writeFieldBegin("have_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_document", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->have_document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_servers", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->have_servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosted", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->hosted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_term", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->have_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPoll &a, ConfigPoll &b) {
+  using ::std::swap;
+  swap(a.have_version, b.have_version);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.have_document, b.have_document);
+  swap(a.have_servers, b.have_servers);
+  swap(a.hosted, b.hosted);
+  swap(a.have_term, b.have_term);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPoll::ConfigPoll(const ConfigPoll& other274) noexcept {
+  have_version = other274.have_version;
+  wait_ms = other274.wait_ms;
+  have_document = other274.have_document;
+  have_servers = other274.have_servers;
+  hosted = other274.hosted;
+  have_term = other274.have_term;
+  __isset = other274.__isset;
+}
+ConfigPoll::ConfigPoll(ConfigPoll&& other275) noexcept {
+  have_version = other275.have_version;
+  wait_ms = other275.wait_ms;
+  have_document = other275.have_document;
+  have_servers = other275.have_servers;
+  hosted = other275.hosted;
+  have_term = other275.have_term;
+  __isset = other275.__isset;
+}
+ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other276) noexcept {
+  have_version = other276.have_version;
+  wait_ms = other276.wait_ms;
+  have_document = other276.have_document;
+  have_servers = other276.have_servers;
+  hosted = other276.hosted;
+  have_term = other276.have_term;
+  __isset = other276.__isset;
+  return *this;
+}
+ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other277) noexcept {
+  have_version = other277.have_version;
+  wait_ms = other277.wait_ms;
+  have_document = other277.have_document;
+  have_servers = other277.have_servers;
+  hosted = other277.hosted;
+  have_term = other277.have_term;
+  __isset = other277.__isset;
+  return *this;
+}
+void ConfigPoll::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPoll(";
+  out << "have_version=" << to_string(have_version);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "have_document=" << to_string(have_document);
+  out << ", " << "have_servers=" << to_string(have_servers);
+  out << ", " << "hosted=" << to_string(hosted);
+  out << ", " << "have_term=" << to_string(have_term);
+  out << ")";
+}
+
+
+DemandItem::~DemandItem() noexcept {
+}
+
+
+void DemandItem::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void DemandItem::__set_tier(const int32_t val) {
+  this->tier = val;
+}
+
+void DemandItem::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+
+void DemandItem::__set_prefixes(const std::vector<int64_t> & val) {
+  this->prefixes = val;
+}
+
+void DemandItem::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void DemandItem::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void DemandItem::__set_event(const std::string& val) {
+  this->event = val;
+}
+
+void DemandItem::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void DemandItem::__set_avoid(const std::vector<std::string> & val) {
+  this->avoid = val;
+}
+
+void DemandItem::__set_deadline_ms(const int32_t val) {
+  this->deadline_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const DemandItem& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DemandItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tier);
+          this->__isset.tier = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->prefixes.clear();
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->prefixes.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
+            {
+              xfer += iprot->readI64(this->prefixes[_i282]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.prefixes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->event);
+          this->__isset.event = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->avoid.clear();
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->avoid.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
+            {
+              xfer += iprot->readString(this->avoid[_i287]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.avoid = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->deadline_ms);
+          this->__isset.deadline_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DemandItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DemandItem");
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tier", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tier);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
+    std::vector<int64_t> ::const_iterator _iter288;
+    for (_iter288 = this->prefixes.begin(); _iter288 != this->prefixes.end(); ++_iter288)
+    {
+      xfer += oprot->writeI64((*_iter288));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("event", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->event);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
+    std::vector<std::string> ::const_iterator _iter289;
+    for (_iter289 = this->avoid.begin(); _iter289 != this->avoid.end(); ++_iter289)
+    {
+      xfer += oprot->writeString((*_iter289));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deadline_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->deadline_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DemandItem &a, DemandItem &b) {
+  using ::std::swap;
+  swap(a.ref, b.ref);
+  swap(a.tier, b.tier);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.prefixes, b.prefixes);
+  swap(a.age_ms, b.age_ms);
+  swap(a.workspace, b.workspace);
+  swap(a.event, b.event);
+  swap(a.model, b.model);
+  swap(a.avoid, b.avoid);
+  swap(a.deadline_ms, b.deadline_ms);
+  swap(a.__isset, b.__isset);
+}
+
+DemandItem::DemandItem(const DemandItem& other290) {
+  ref = other290.ref;
+  tier = other290.tier;
+  prompt_tokens = other290.prompt_tokens;
+  prefixes = other290.prefixes;
+  age_ms = other290.age_ms;
+  workspace = other290.workspace;
+  event = other290.event;
+  model = other290.model;
+  avoid = other290.avoid;
+  deadline_ms = other290.deadline_ms;
+  __isset = other290.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other291) noexcept {
+  ref = other291.ref;
+  tier = other291.tier;
+  prompt_tokens = other291.prompt_tokens;
+  prefixes = std::move(other291.prefixes);
+  age_ms = other291.age_ms;
+  workspace = std::move(other291.workspace);
+  event = std::move(other291.event);
+  model = std::move(other291.model);
+  avoid = std::move(other291.avoid);
+  deadline_ms = other291.deadline_ms;
+  __isset = other291.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other292) {
+  ref = other292.ref;
+  tier = other292.tier;
+  prompt_tokens = other292.prompt_tokens;
+  prefixes = other292.prefixes;
+  age_ms = other292.age_ms;
+  workspace = other292.workspace;
+  event = other292.event;
+  model = other292.model;
+  avoid = other292.avoid;
+  deadline_ms = other292.deadline_ms;
+  __isset = other292.__isset;
+  return *this;
+}
+DemandItem& DemandItem::operator=(DemandItem&& other293) noexcept {
+  ref = other293.ref;
+  tier = other293.tier;
+  prompt_tokens = other293.prompt_tokens;
+  prefixes = std::move(other293.prefixes);
+  age_ms = other293.age_ms;
+  workspace = std::move(other293.workspace);
+  event = std::move(other293.event);
+  model = std::move(other293.model);
+  avoid = std::move(other293.avoid);
+  deadline_ms = other293.deadline_ms;
+  __isset = other293.__isset;
+  return *this;
+}
+void DemandItem::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DemandItem(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "tier=" << to_string(tier);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "prefixes=" << to_string(prefixes);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "event=" << to_string(event);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "avoid=" << to_string(avoid);
+  out << ", " << "deadline_ms=" << to_string(deadline_ms);
+  out << ")";
+}
+
+
+CreditUse::~CreditUse() noexcept {
+}
+
+
+void CreditUse::__set_credit(const int64_t val) {
+  this->credit = val;
+}
+
+void CreditUse::__set_stage(const UseStage::type val) {
+  this->stage = val;
+}
+
+void CreditUse::__set_elapsed_us(const int64_t val) {
+  this->elapsed_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->credit);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast294;
+          xfer += iprot->readI32(ecast294);
+          this->stage = static_cast<UseStage::type>(ecast294);
+          this->__isset.stage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsed_us);
+          this->__isset.elapsed_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CreditUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditUse");
+
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsed_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->elapsed_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditUse &a, CreditUse &b) {
+  using ::std::swap;
+  swap(a.credit, b.credit);
+  swap(a.stage, b.stage);
+  swap(a.elapsed_us, b.elapsed_us);
+  swap(a.__isset, b.__isset);
+}
+
+CreditUse::CreditUse(const CreditUse& other295) noexcept {
+  credit = other295.credit;
+  stage = other295.stage;
+  elapsed_us = other295.elapsed_us;
+  __isset = other295.__isset;
+}
+CreditUse::CreditUse(CreditUse&& other296) noexcept {
+  credit = other296.credit;
+  stage = other296.stage;
+  elapsed_us = other296.elapsed_us;
+  __isset = other296.__isset;
+}
+CreditUse& CreditUse::operator=(const CreditUse& other297) noexcept {
+  credit = other297.credit;
+  stage = other297.stage;
+  elapsed_us = other297.elapsed_us;
+  __isset = other297.__isset;
+  return *this;
+}
+CreditUse& CreditUse::operator=(CreditUse&& other298) noexcept {
+  credit = other298.credit;
+  stage = other298.stage;
+  elapsed_us = other298.elapsed_us;
+  __isset = other298.__isset;
+  return *this;
+}
+void CreditUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditUse(";
+  out << "credit=" << to_string(credit);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "elapsed_us=" << to_string(elapsed_us);
+  out << ")";
+}
+
+
+HeldCredit::~HeldCredit() noexcept {
+}
+
+
+void HeldCredit::__set_credit(const int64_t val) {
+  this->credit = val;
+}
+
+void HeldCredit::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void HeldCredit::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void HeldCredit::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const HeldCredit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HeldCredit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->credit);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HeldCredit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HeldCredit");
+
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HeldCredit &a, HeldCredit &b) {
+  using ::std::swap;
+  swap(a.credit, b.credit);
+  swap(a.ref, b.ref);
+  swap(a.engine, b.engine);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+HeldCredit::HeldCredit(const HeldCredit& other299) {
+  credit = other299.credit;
+  ref = other299.ref;
+  engine = other299.engine;
+  prompt_tokens = other299.prompt_tokens;
+  __isset = other299.__isset;
+}
+HeldCredit::HeldCredit(HeldCredit&& other300) noexcept {
+  credit = other300.credit;
+  ref = other300.ref;
+  engine = std::move(other300.engine);
+  prompt_tokens = other300.prompt_tokens;
+  __isset = other300.__isset;
+}
+HeldCredit& HeldCredit::operator=(const HeldCredit& other301) {
+  credit = other301.credit;
+  ref = other301.ref;
+  engine = other301.engine;
+  prompt_tokens = other301.prompt_tokens;
+  __isset = other301.__isset;
+  return *this;
+}
+HeldCredit& HeldCredit::operator=(HeldCredit&& other302) noexcept {
+  credit = other302.credit;
+  ref = other302.ref;
+  engine = std::move(other302.engine);
+  prompt_tokens = other302.prompt_tokens;
+  __isset = other302.__isset;
+  return *this;
+}
+void HeldCredit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HeldCredit(";
+  out << "credit=" << to_string(credit);
+  out << ", " << "ref=" << to_string(ref);
+  out << ", " << "engine=" << to_string(engine);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ")";
+}
+
+
+Demand::~Demand() noexcept {
+}
+
+
+void Demand::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void Demand::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void Demand::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void Demand::__set_resync(const bool val) {
+  this->resync = val;
+}
+
+void Demand::__set_held(const std::vector<HeldCredit> & val) {
+  this->held = val;
+}
+
+void Demand::__set_items(const std::vector<DemandItem> & val) {
+  this->items = val;
+}
+
+void Demand::__set_waiting(const std::vector<int32_t> & val) {
+  this->waiting = val;
+}
+
+void Demand::__set_uses(const std::vector<CreditUse> & val) {
+  this->uses = val;
+}
+
+void Demand::__set_floor_ack(const int64_t val) {
+  this->floor_ack = val;
+}
+
+void Demand::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+std::ostream& operator<<(std::ostream& out, const Demand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resync);
+          this->__isset.resync = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->held.clear();
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->held.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
+            {
+              xfer += this->held[_i307].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size308;
+            ::apache::thrift::protocol::TType _etype311;
+            xfer += iprot->readListBegin(_etype311, _size308);
+            this->items.resize(_size308);
+            uint32_t _i312;
+            for (_i312 = 0; _i312 < _size308; ++_i312)
+            {
+              xfer += this->items[_i312].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waiting.clear();
+            uint32_t _size313;
+            ::apache::thrift::protocol::TType _etype316;
+            xfer += iprot->readListBegin(_etype316, _size313);
+            this->waiting.resize(_size313);
+            uint32_t _i317;
+            for (_i317 = 0; _i317 < _size313; ++_i317)
+            {
+              xfer += iprot->readI32(this->waiting[_i317]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->uses.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
+            {
+              xfer += this->uses[_i322].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->floor_ack);
+          this->__isset.floor_ack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Demand");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resync", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->resync);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
+    std::vector<HeldCredit> ::const_iterator _iter323;
+    for (_iter323 = this->held.begin(); _iter323 != this->held.end(); ++_iter323)
+    {
+      xfer += (*_iter323).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<DemandItem> ::const_iterator _iter324;
+    for (_iter324 = this->items.begin(); _iter324 != this->items.end(); ++_iter324)
+    {
+      xfer += (*_iter324).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
+    std::vector<int32_t> ::const_iterator _iter325;
+    for (_iter325 = this->waiting.begin(); _iter325 != this->waiting.end(); ++_iter325)
+    {
+      xfer += oprot->writeI32((*_iter325));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<CreditUse> ::const_iterator _iter326;
+    for (_iter326 = this->uses.begin(); _iter326 != this->uses.end(); ++_iter326)
+    {
+      xfer += (*_iter326).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor_ack", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->floor_ack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Demand &a, Demand &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.incarnation, b.incarnation);
+  swap(a.epoch, b.epoch);
+  swap(a.resync, b.resync);
+  swap(a.held, b.held);
+  swap(a.items, b.items);
+  swap(a.waiting, b.waiting);
+  swap(a.uses, b.uses);
+  swap(a.floor_ack, b.floor_ack);
+  swap(a.sequence, b.sequence);
+  swap(a.__isset, b.__isset);
+}
+
+Demand::Demand(const Demand& other327) {
+  pool = other327.pool;
+  incarnation = other327.incarnation;
+  epoch = other327.epoch;
+  resync = other327.resync;
+  held = other327.held;
+  items = other327.items;
+  waiting = other327.waiting;
+  uses = other327.uses;
+  floor_ack = other327.floor_ack;
+  sequence = other327.sequence;
+  __isset = other327.__isset;
+}
+Demand::Demand(Demand&& other328) noexcept {
+  pool = std::move(other328.pool);
+  incarnation = std::move(other328.incarnation);
+  epoch = other328.epoch;
+  resync = other328.resync;
+  held = std::move(other328.held);
+  items = std::move(other328.items);
+  waiting = std::move(other328.waiting);
+  uses = std::move(other328.uses);
+  floor_ack = other328.floor_ack;
+  sequence = other328.sequence;
+  __isset = other328.__isset;
+}
+Demand& Demand::operator=(const Demand& other329) {
+  pool = other329.pool;
+  incarnation = other329.incarnation;
+  epoch = other329.epoch;
+  resync = other329.resync;
+  held = other329.held;
+  items = other329.items;
+  waiting = other329.waiting;
+  uses = other329.uses;
+  floor_ack = other329.floor_ack;
+  sequence = other329.sequence;
+  __isset = other329.__isset;
+  return *this;
+}
+Demand& Demand::operator=(Demand&& other330) noexcept {
+  pool = std::move(other330.pool);
+  incarnation = std::move(other330.incarnation);
+  epoch = other330.epoch;
+  resync = other330.resync;
+  held = std::move(other330.held);
+  items = std::move(other330.items);
+  waiting = std::move(other330.waiting);
+  uses = std::move(other330.uses);
+  floor_ack = other330.floor_ack;
+  sequence = other330.sequence;
+  __isset = other330.__isset;
+  return *this;
+}
+void Demand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Demand(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "resync=" << to_string(resync);
+  out << ", " << "held=" << to_string(held);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "uses=" << to_string(uses);
+  out << ", " << "floor_ack=" << to_string(floor_ack);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ")";
+}
+
+
+Grants::~Grants() noexcept {
+}
+
+
+void Grants::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void Grants::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void Grants::__set_credits(const std::vector<HeldCredit> & val) {
+  this->credits = val;
+}
+
+void Grants::__set_unreachable(const std::vector<int64_t> & val) {
+  this->unreachable = val;
+}
+
+void Grants::__set_floor(const int32_t val) {
+  this->floor = val;
+}
+
+void Grants::__set_floor_epoch(const int64_t val) {
+  this->floor_epoch = val;
+}
+
+void Grants::__set_contended(const bool val) {
+  this->contended = val;
+}
+
+void Grants::__set_drain_per_s(const double val) {
+  this->drain_per_s = val;
+}
+
+void Grants::__set_gateways(const int32_t val) {
+  this->gateways = val;
+}
+
+void Grants::__set_backlog(const std::vector<int32_t> & val) {
+  this->backlog = val;
+}
+
+void Grants::__set_lease_ms(const int64_t val) {
+  this->lease_ms = val;
+}
+
+void Grants::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Grants::__set_not_broker(const bool val) {
+  this->not_broker = val;
+}
+std::ostream& operator<<(std::ostream& out, const Grants& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Grants::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->credits.clear();
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->credits.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
+            {
+              xfer += this->credits[_i335].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.credits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unreachable.clear();
+            uint32_t _size336;
+            ::apache::thrift::protocol::TType _etype339;
+            xfer += iprot->readListBegin(_etype339, _size336);
+            this->unreachable.resize(_size336);
+            uint32_t _i340;
+            for (_i340 = 0; _i340 < _size336; ++_i340)
+            {
+              xfer += iprot->readI64(this->unreachable[_i340]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->floor);
+          this->__isset.floor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->floor_epoch);
+          this->__isset.floor_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->contended);
+          this->__isset.contended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->drain_per_s);
+          this->__isset.drain_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gateways);
+          this->__isset.gateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->backlog.clear();
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->backlog.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
+            {
+              xfer += iprot->readI32(this->backlog[_i345]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.backlog = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease_ms);
+          this->__isset.lease_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_broker);
+          this->__isset.not_broker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Grants::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Grants");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
+    std::vector<HeldCredit> ::const_iterator _iter346;
+    for (_iter346 = this->credits.begin(); _iter346 != this->credits.end(); ++_iter346)
+    {
+      xfer += (*_iter346).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
+    std::vector<int64_t> ::const_iterator _iter347;
+    for (_iter347 = this->unreachable.begin(); _iter347 != this->unreachable.end(); ++_iter347)
+    {
+      xfer += oprot->writeI64((*_iter347));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->floor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor_epoch", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->floor_epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contended", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->contended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drain_per_s", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->drain_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->gateways);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
+    std::vector<int32_t> ::const_iterator _iter348;
+    for (_iter348 = this->backlog.begin(); _iter348 != this->backlog.end(); ++_iter348)
+    {
+      xfer += oprot->writeI32((*_iter348));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease_ms", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->lease_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->not_broker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Grants &a, Grants &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.epoch, b.epoch);
+  swap(a.credits, b.credits);
+  swap(a.unreachable, b.unreachable);
+  swap(a.floor, b.floor);
+  swap(a.floor_epoch, b.floor_epoch);
+  swap(a.contended, b.contended);
+  swap(a.drain_per_s, b.drain_per_s);
+  swap(a.gateways, b.gateways);
+  swap(a.backlog, b.backlog);
+  swap(a.lease_ms, b.lease_ms);
+  swap(a.sequence, b.sequence);
+  swap(a.not_broker, b.not_broker);
+  swap(a.__isset, b.__isset);
+}
+
+Grants::Grants(const Grants& other349) {
+  pool = other349.pool;
+  epoch = other349.epoch;
+  credits = other349.credits;
+  unreachable = other349.unreachable;
+  floor = other349.floor;
+  floor_epoch = other349.floor_epoch;
+  contended = other349.contended;
+  drain_per_s = other349.drain_per_s;
+  gateways = other349.gateways;
+  backlog = other349.backlog;
+  lease_ms = other349.lease_ms;
+  sequence = other349.sequence;
+  not_broker = other349.not_broker;
+  __isset = other349.__isset;
+}
+Grants::Grants(Grants&& other350) noexcept {
+  pool = std::move(other350.pool);
+  epoch = other350.epoch;
+  credits = std::move(other350.credits);
+  unreachable = std::move(other350.unreachable);
+  floor = other350.floor;
+  floor_epoch = other350.floor_epoch;
+  contended = other350.contended;
+  drain_per_s = other350.drain_per_s;
+  gateways = other350.gateways;
+  backlog = std::move(other350.backlog);
+  lease_ms = other350.lease_ms;
+  sequence = other350.sequence;
+  not_broker = other350.not_broker;
+  __isset = other350.__isset;
+}
+Grants& Grants::operator=(const Grants& other351) {
+  pool = other351.pool;
+  epoch = other351.epoch;
+  credits = other351.credits;
+  unreachable = other351.unreachable;
+  floor = other351.floor;
+  floor_epoch = other351.floor_epoch;
+  contended = other351.contended;
+  drain_per_s = other351.drain_per_s;
+  gateways = other351.gateways;
+  backlog = other351.backlog;
+  lease_ms = other351.lease_ms;
+  sequence = other351.sequence;
+  not_broker = other351.not_broker;
+  __isset = other351.__isset;
+  return *this;
+}
+Grants& Grants::operator=(Grants&& other352) noexcept {
+  pool = std::move(other352.pool);
+  epoch = other352.epoch;
+  credits = std::move(other352.credits);
+  unreachable = std::move(other352.unreachable);
+  floor = other352.floor;
+  floor_epoch = other352.floor_epoch;
+  contended = other352.contended;
+  drain_per_s = other352.drain_per_s;
+  gateways = other352.gateways;
+  backlog = std::move(other352.backlog);
+  lease_ms = other352.lease_ms;
+  sequence = other352.sequence;
+  not_broker = other352.not_broker;
+  __isset = other352.__isset;
+  return *this;
+}
+void Grants::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Grants(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "credits=" << to_string(credits);
+  out << ", " << "unreachable=" << to_string(unreachable);
+  out << ", " << "floor=" << to_string(floor);
+  out << ", " << "floor_epoch=" << to_string(floor_epoch);
+  out << ", " << "contended=" << to_string(contended);
+  out << ", " << "drain_per_s=" << to_string(drain_per_s);
+  out << ", " << "gateways=" << to_string(gateways);
+  out << ", " << "backlog=" << to_string(backlog);
+  out << ", " << "lease_ms=" << to_string(lease_ms);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "not_broker=" << to_string(not_broker);
   out << ")";
 }
 
 
-ProposeReply::~ProposeReply() noexcept {
+PromptPart::~PromptPart() noexcept {
 }
 
 
-void ProposeReply::__set_results(const std::vector<CommandResult> & val) {
-  this->results = val;
+void PromptPart::__set_id(const int64_t val) {
+  this->id = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+
+void PromptPart::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptPart& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PromptPart::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8134,21 +9266,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->results.clear();
-            uint32_t _size318;
-            ::apache::thrift::protocol::TType _etype321;
-            xfer += iprot->readListBegin(_etype321, _size318);
-            this->results.resize(_size318);
-            uint32_t _i322;
-            for (_i322 = 0; _i322 < _size318; ++_i322)
-            {
-              xfer += this->results[_i322].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.results = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8165,21 +9293,17 @@
   return xfer;
 }
 
-uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PromptPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeReply");
+  xfer += oprot->writeStructBegin("PromptPart");
 
-  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter323;
-    for (_iter323 = this->results.begin(); _iter323 != this->results.end(); ++_iter323)
-    {
-      xfer += (*_iter323).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8187,69 +9311,127 @@
   return xfer;
 }
 
-void swap(ProposeReply &a, ProposeReply &b) {
+void swap(PromptPart &a, PromptPart &b) {
   using ::std::swap;
-  swap(a.results, b.results);
+  swap(a.id, b.id);
+  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other324) {
-  results = other324.results;
-  __isset = other324.__isset;
+PromptPart::PromptPart(const PromptPart& other353) noexcept {
+  id = other353.id;
+  tokens = other353.tokens;
+  __isset = other353.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other325) noexcept {
-  results = std::move(other325.results);
-  __isset = other325.__isset;
+PromptPart::PromptPart(PromptPart&& other354) noexcept {
+  id = other354.id;
+  tokens = other354.tokens;
+  __isset = other354.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other326) {
-  results = other326.results;
-  __isset = other326.__isset;
+PromptPart& PromptPart::operator=(const PromptPart& other355) noexcept {
+  id = other355.id;
+  tokens = other355.tokens;
+  __isset = other355.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other327) noexcept {
-  results = std::move(other327.results);
-  __isset = other327.__isset;
+PromptPart& PromptPart::operator=(PromptPart&& other356) noexcept {
+  id = other356.id;
+  tokens = other356.tokens;
+  __isset = other356.__isset;
   return *this;
 }
-void ProposeReply::printTo(std::ostream& out) const {
+void PromptPart::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeReply(";
-  out << "results=" << to_string(results);
+  out << "PromptPart(";
+  out << "id=" << to_string(id);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
 
-ConfigPoll::~ConfigPoll() noexcept {
+PlaceAsk::~PlaceAsk() noexcept {
 }
 
 
-void ConfigPoll::__set_have_version(const int64_t val) {
-  this->have_version = val;
+void PlaceAsk::__set_ref(const int64_t val) {
+  this->ref = val;
 }
 
-void ConfigPoll::__set_wait_ms(const int64_t val) {
+void PlaceAsk::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void PlaceAsk::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void PlaceAsk::__set_tier(const int32_t val) {
+  this->tier = val;
+}
+
+void PlaceAsk::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void PlaceAsk::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+
+void PlaceAsk::__set_expected_tokens(const int64_t val) {
+  this->expected_tokens = val;
+}
+
+void PlaceAsk::__set_aim_ms(const int32_t val) {
+  this->aim_ms = val;
+}
+
+void PlaceAsk::__set_waited_ms(const int32_t val) {
+  this->waited_ms = val;
+}
+
+void PlaceAsk::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+
+void PlaceAsk::__set_pause_aim_ms(const int32_t val) {
+  this->pause_aim_ms = val;
+}
+
+void PlaceAsk::__set_wait_ms(const int32_t val) {
   this->wait_ms = val;
 }
 
-void ConfigPoll::__set_have_document(const int64_t val) {
-  this->have_document = val;
+void PlaceAsk::__set_parts(const std::vector<PromptPart> & val) {
+  this->parts = val;
 }
 
-void ConfigPoll::__set_have_servers(const int64_t val) {
-  this->have_servers = val;
+void PlaceAsk::__set_tried(const std::vector<std::string> & val) {
+  this->tried = val;
 }
 
-void ConfigPoll::__set_hosted(const bool val) {
-  this->hosted = val;
+void PlaceAsk::__set_cost(const double val) {
+  this->cost = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPoll& obj)
+
+void PlaceAsk::__set_reserve(const double val) {
+  this->reserve = val;
+}
+
+void PlaceAsk::__set_limit_rate(const double val) {
+  this->limit_rate = val;
+}
+
+void PlaceAsk::__set_limit_burst(const double val) {
+  this->limit_burst = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8272,40 +9454,168 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_version);
-          this->__isset.have_version = true;
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->wait_ms);
-          this->__isset.wait_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_document);
-          this->__isset.have_document = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_servers);
-          this->__isset.have_servers = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tier);
+          this->__isset.tier = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->hosted);
-          this->__isset.hosted = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_tokens);
+          this->__isset.expected_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->aim_ms);
+          this->__isset.aim_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waited_ms);
+          this->__isset.waited_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pause_aim_ms);
+          this->__isset.pause_aim_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->parts.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
+            {
+              xfer += this->parts[_i361].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tried.clear();
+            uint32_t _size362;
+            ::apache::thrift::protocol::TType _etype365;
+            xfer += iprot->readListBegin(_etype365, _size362);
+            this->tried.resize(_size362);
+            uint32_t _i366;
+            for (_i366 = 0; _i366 < _size362; ++_i366)
+            {
+              xfer += iprot->readString(this->tried[_i366]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tried = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cost);
+          this->__isset.cost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->reserve);
+          this->__isset.reserve = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit_rate);
+          this->__isset.limit_rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit_burst);
+          this->__isset.limit_burst = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8317,34 +9627,102 @@
     xfer += iprot->readFieldEnd();
   }
 
-  xfer += iprot->readStructEnd();
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAsk");
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
 
-  return xfer;
-}
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
 
-uint32_t ConfigPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigPoll");
+  xfer += oprot->writeFieldBegin("tier", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->tier);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("have_version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->have_version);
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->rank);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->prompt_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("have_document", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->have_document);
+  xfer += oprot->writeFieldBegin("expected_tokens", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->expected_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("have_servers", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->have_servers);
+  xfer += oprot->writeFieldBegin("aim_ms", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->aim_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hosted", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->hosted);
+  xfer += oprot->writeFieldBegin("waited_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->waited_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pause_aim_ms", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->pause_aim_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<PromptPart> ::const_iterator _iter367;
+    for (_iter367 = this->parts.begin(); _iter367 != this->parts.end(); ++_iter367)
+    {
+      xfer += (*_iter367).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tried.size()));
+    std::vector<std::string> ::const_iterator _iter368;
+    for (_iter368 = this->tried.begin(); _iter368 != this->tried.end(); ++_iter368)
+    {
+      xfer += oprot->writeString((*_iter368));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cost", ::apache::thrift::protocol::T_DOUBLE, 15);
+  xfer += oprot->writeDouble(this->cost);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserve", ::apache::thrift::protocol::T_DOUBLE, 16);
+  xfer += oprot->writeDouble(this->reserve);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_rate", ::apache::thrift::protocol::T_DOUBLE, 17);
+  xfer += oprot->writeDouble(this->limit_rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("limit_burst", ::apache::thrift::protocol::T_DOUBLE, 18);
+  xfer += oprot->writeDouble(this->limit_burst);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8352,113 +9730,167 @@
   return xfer;
 }
 
-void swap(ConfigPoll &a, ConfigPoll &b) {
+void swap(PlaceAsk &a, PlaceAsk &b) {
   using ::std::swap;
-  swap(a.have_version, b.have_version);
+  swap(a.ref, b.ref);
+  swap(a.pool, b.pool);
+  swap(a.workspace, b.workspace);
+  swap(a.tier, b.tier);
+  swap(a.rank, b.rank);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.expected_tokens, b.expected_tokens);
+  swap(a.aim_ms, b.aim_ms);
+  swap(a.waited_ms, b.waited_ms);
+  swap(a.left_ms, b.left_ms);
+  swap(a.pause_aim_ms, b.pause_aim_ms);
   swap(a.wait_ms, b.wait_ms);
-  swap(a.have_document, b.have_document);
-  swap(a.have_servers, b.have_servers);
-  swap(a.hosted, b.hosted);
+  swap(a.parts, b.parts);
+  swap(a.tried, b.tried);
+  swap(a.cost, b.cost);
+  swap(a.reserve, b.reserve);
+  swap(a.limit_rate, b.limit_rate);
+  swap(a.limit_burst, b.limit_burst);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPoll::ConfigPoll(const ConfigPoll& other328) noexcept {
-  have_version = other328.have_version;
-  wait_ms = other328.wait_ms;
-  have_document = other328.have_document;
-  have_servers = other328.have_servers;
-  hosted = other328.hosted;
-  __isset = other328.__isset;
-}
-ConfigPoll::ConfigPoll(ConfigPoll&& other329) noexcept {
-  have_version = other329.have_version;
-  wait_ms = other329.wait_ms;
-  have_document = other329.have_document;
-  have_servers = other329.have_servers;
-  hosted = other329.hosted;
-  __isset = other329.__isset;
-}
-ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other330) noexcept {
-  have_version = other330.have_version;
-  wait_ms = other330.wait_ms;
-  have_document = other330.have_document;
-  have_servers = other330.have_servers;
-  hosted = other330.hosted;
-  __isset = other330.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other369) {
+  ref = other369.ref;
+  pool = other369.pool;
+  workspace = other369.workspace;
+  tier = other369.tier;
+  rank = other369.rank;
+  prompt_tokens = other369.prompt_tokens;
+  expected_tokens = other369.expected_tokens;
+  aim_ms = other369.aim_ms;
+  waited_ms = other369.waited_ms;
+  left_ms = other369.left_ms;
+  pause_aim_ms = other369.pause_aim_ms;
+  wait_ms = other369.wait_ms;
+  parts = other369.parts;
+  tried = other369.tried;
+  cost = other369.cost;
+  reserve = other369.reserve;
+  limit_rate = other369.limit_rate;
+  limit_burst = other369.limit_burst;
+  __isset = other369.__isset;
+}
+PlaceAsk::PlaceAsk(PlaceAsk&& other370) noexcept {
+  ref = other370.ref;
+  pool = std::move(other370.pool);
+  workspace = std::move(other370.workspace);
+  tier = other370.tier;
+  rank = other370.rank;
+  prompt_tokens = other370.prompt_tokens;
+  expected_tokens = other370.expected_tokens;
+  aim_ms = other370.aim_ms;
+  waited_ms = other370.waited_ms;
+  left_ms = other370.left_ms;
+  pause_aim_ms = other370.pause_aim_ms;
+  wait_ms = other370.wait_ms;
+  parts = std::move(other370.parts);
+  tried = std::move(other370.tried);
+  cost = other370.cost;
+  reserve = other370.reserve;
+  limit_rate = other370.limit_rate;
+  limit_burst = other370.limit_burst;
+  __isset = other370.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other371) {
+  ref = other371.ref;
+  pool = other371.pool;
+  workspace = other371.workspace;
+  tier = other371.tier;
+  rank = other371.rank;
+  prompt_tokens = other371.prompt_tokens;
+  expected_tokens = other371.expected_tokens;
+  aim_ms = other371.aim_ms;
+  waited_ms = other371.waited_ms;
+  left_ms = other371.left_ms;
+  pause_aim_ms = other371.pause_aim_ms;
+  wait_ms = other371.wait_ms;
+  parts = other371.parts;
+  tried = other371.tried;
+  cost = other371.cost;
+  reserve = other371.reserve;
+  limit_rate = other371.limit_rate;
+  limit_burst = other371.limit_burst;
+  __isset = other371.__isset;
   return *this;
 }
-ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other331) noexcept {
-  have_version = other331.have_version;
-  wait_ms = other331.wait_ms;
-  have_document = other331.have_document;
-  have_servers = other331.have_servers;
-  hosted = other331.hosted;
-  __isset = other331.__isset;
+PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other372) noexcept {
+  ref = other372.ref;
+  pool = std::move(other372.pool);
+  workspace = std::move(other372.workspace);
+  tier = other372.tier;
+  rank = other372.rank;
+  prompt_tokens = other372.prompt_tokens;
+  expected_tokens = other372.expected_tokens;
+  aim_ms = other372.aim_ms;
+  waited_ms = other372.waited_ms;
+  left_ms = other372.left_ms;
+  pause_aim_ms = other372.pause_aim_ms;
+  wait_ms = other372.wait_ms;
+  parts = std::move(other372.parts);
+  tried = std::move(other372.tried);
+  cost = other372.cost;
+  reserve = other372.reserve;
+  limit_rate = other372.limit_rate;
+  limit_burst = other372.limit_burst;
+  __isset = other372.__isset;
   return *this;
 }
-void ConfigPoll::printTo(std::ostream& out) const {
+void PlaceAsk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigPoll(";
-  out << "have_version=" << to_string(have_version);
+  out << "PlaceAsk(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "tier=" << to_string(tier);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "expected_tokens=" << to_string(expected_tokens);
+  out << ", " << "aim_ms=" << to_string(aim_ms);
+  out << ", " << "waited_ms=" << to_string(waited_ms);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ", " << "pause_aim_ms=" << to_string(pause_aim_ms);
   out << ", " << "wait_ms=" << to_string(wait_ms);
-  out << ", " << "have_document=" << to_string(have_document);
-  out << ", " << "have_servers=" << to_string(have_servers);
-  out << ", " << "hosted=" << to_string(hosted);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "tried=" << to_string(tried);
+  out << ", " << "cost=" << to_string(cost);
+  out << ", " << "reserve=" << to_string(reserve);
+  out << ", " << "limit_rate=" << to_string(limit_rate);
+  out << ", " << "limit_burst=" << to_string(limit_burst);
   out << ")";
 }
 
 
-DemandItem::~DemandItem() noexcept {
+PlaceHeld::~PlaceHeld() noexcept {
 }
 
 
-void DemandItem::__set_ref(const int64_t val) {
+void PlaceHeld::__set_ref(const int64_t val) {
   this->ref = val;
 }
 
-void DemandItem::__set_tier(const int32_t val) {
-  this->tier = val;
-}
-
-void DemandItem::__set_prompt_tokens(const int64_t val) {
-  this->prompt_tokens = val;
-}
-
-void DemandItem::__set_prefixes(const std::vector<int64_t> & val) {
-  this->prefixes = val;
-}
-
-void DemandItem::__set_age_ms(const int32_t val) {
-  this->age_ms = val;
-}
-
-void DemandItem::__set_workspace(const std::string& val) {
-  this->workspace = val;
-}
-
-void DemandItem::__set_event(const std::string& val) {
-  this->event = val;
-}
-
-void DemandItem::__set_model(const std::string& val) {
-  this->model = val;
+void PlaceHeld::__set_server(const std::string& val) {
+  this->server = val;
 }
 
-void DemandItem::__set_avoid(const std::vector<std::string> & val) {
-  this->avoid = val;
+void PlaceHeld::__set_reading_tokens(const int64_t val) {
+  this->reading_tokens = val;
 }
 
-void DemandItem::__set_deadline_ms(const int32_t val) {
-  this->deadline_ms = val;
+void PlaceHeld::__set_expected_tokens(const int64_t val) {
+  this->expected_tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const DemandItem& obj)
+std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t DemandItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceHeld::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8488,97 +9920,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->tier);
-          this->__isset.tier = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prompt_tokens);
-          this->__isset.prompt_tokens = true;
+          xfer += iprot->readI64(this->reading_tokens);
+          this->__isset.reading_tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->prefixes.clear();
-            uint32_t _size332;
-            ::apache::thrift::protocol::TType _etype335;
-            xfer += iprot->readListBegin(_etype335, _size332);
-            this->prefixes.resize(_size332);
-            uint32_t _i336;
-            for (_i336 = 0; _i336 < _size332; ++_i336)
-            {
-              xfer += iprot->readI64(this->prefixes[_i336]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.prefixes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->age_ms);
-          this->__isset.age_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->workspace);
-          this->__isset.workspace = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->event);
-          this->__isset.event = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->model);
-          this->__isset.model = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->avoid.clear();
-            uint32_t _size337;
-            ::apache::thrift::protocol::TType _etype340;
-            xfer += iprot->readListBegin(_etype340, _size337);
-            this->avoid.resize(_size337);
-            uint32_t _i341;
-            for (_i341 = 0; _i341 < _size337; ++_i341)
-            {
-              xfer += iprot->readString(this->avoid[_i341]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.avoid = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->deadline_ms);
-          this->__isset.deadline_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_tokens);
+          this->__isset.expected_tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8595,65 +9955,25 @@
   return xfer;
 }
 
-uint32_t DemandItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceHeld::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("DemandItem");
+  xfer += oprot->writeStructBegin("PlaceHeld");
 
   xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tier", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->tier);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prompt_tokens);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<int64_t> ::const_iterator _iter342;
-    for (_iter342 = this->prefixes.begin(); _iter342 != this->prefixes.end(); ++_iter342)
-    {
-      xfer += oprot->writeI64((*_iter342));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->age_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->workspace);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("event", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->event);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter343;
-    for (_iter343 = this->avoid.begin(); _iter343 != this->avoid.end(); ++_iter343)
-    {
-      xfer += oprot->writeString((*_iter343));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("reading_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reading_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("deadline_ms", ::apache::thrift::protocol::T_I32, 10);
-  xfer += oprot->writeI32(this->deadline_ms);
+  xfer += oprot->writeFieldBegin("expected_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->expected_tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8661,115 +9981,107 @@
   return xfer;
 }
 
-void swap(DemandItem &a, DemandItem &b) {
+void swap(PlaceHeld &a, PlaceHeld &b) {
   using ::std::swap;
   swap(a.ref, b.ref);
-  swap(a.tier, b.tier);
-  swap(a.prompt_tokens, b.prompt_tokens);
-  swap(a.prefixes, b.prefixes);
-  swap(a.age_ms, b.age_ms);
-  swap(a.workspace, b.workspace);
-  swap(a.event, b.event);
-  swap(a.model, b.model);
-  swap(a.avoid, b.avoid);
-  swap(a.deadline_ms, b.deadline_ms);
+  swap(a.server, b.server);
+  swap(a.reading_tokens, b.reading_tokens);
+  swap(a.expected_tokens, b.expected_tokens);
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other344) {
-  ref = other344.ref;
-  tier = other344.tier;
-  prompt_tokens = other344.prompt_tokens;
-  prefixes = other344.prefixes;
-  age_ms = other344.age_ms;
-  workspace = other344.workspace;
-  event = other344.event;
-  model = other344.model;
-  avoid = other344.avoid;
-  deadline_ms = other344.deadline_ms;
-  __isset = other344.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other345) noexcept {
-  ref = other345.ref;
-  tier = other345.tier;
-  prompt_tokens = other345.prompt_tokens;
-  prefixes = std::move(other345.prefixes);
-  age_ms = other345.age_ms;
-  workspace = std::move(other345.workspace);
-  event = std::move(other345.event);
-  model = std::move(other345.model);
-  avoid = std::move(other345.avoid);
-  deadline_ms = other345.deadline_ms;
-  __isset = other345.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other346) {
-  ref = other346.ref;
-  tier = other346.tier;
-  prompt_tokens = other346.prompt_tokens;
-  prefixes = other346.prefixes;
-  age_ms = other346.age_ms;
-  workspace = other346.workspace;
-  event = other346.event;
-  model = other346.model;
-  avoid = other346.avoid;
-  deadline_ms = other346.deadline_ms;
-  __isset = other346.__isset;
-  return *this;
+PlaceHeld::PlaceHeld(const PlaceHeld& other373) {
+  ref = other373.ref;
+  server = other373.server;
+  reading_tokens = other373.reading_tokens;
+  expected_tokens = other373.expected_tokens;
+  __isset = other373.__isset;
+}
+PlaceHeld::PlaceHeld(PlaceHeld&& other374) noexcept {
+  ref = other374.ref;
+  server = std::move(other374.server);
+  reading_tokens = other374.reading_tokens;
+  expected_tokens = other374.expected_tokens;
+  __isset = other374.__isset;
+}
+PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other375) {
+  ref = other375.ref;
+  server = other375.server;
+  reading_tokens = other375.reading_tokens;
+  expected_tokens = other375.expected_tokens;
+  __isset = other375.__isset;
+  return *this;
+}
+PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other376) noexcept {
+  ref = other376.ref;
+  server = std::move(other376.server);
+  reading_tokens = other376.reading_tokens;
+  expected_tokens = other376.expected_tokens;
+  __isset = other376.__isset;
+  return *this;
+}
+void PlaceHeld::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceHeld(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "reading_tokens=" << to_string(reading_tokens);
+  out << ", " << "expected_tokens=" << to_string(expected_tokens);
+  out << ")";
+}
+
+
+PlaceReport::~PlaceReport() noexcept {
+}
+
+
+void PlaceReport::__set_ref(const int64_t val) {
+  this->ref = val;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other347) noexcept {
-  ref = other347.ref;
-  tier = other347.tier;
-  prompt_tokens = other347.prompt_tokens;
-  prefixes = std::move(other347.prefixes);
-  age_ms = other347.age_ms;
-  workspace = std::move(other347.workspace);
-  event = std::move(other347.event);
-  model = std::move(other347.model);
-  avoid = std::move(other347.avoid);
-  deadline_ms = other347.deadline_ms;
-  __isset = other347.__isset;
-  return *this;
+
+void PlaceReport::__set_tokens_read(const int64_t val) {
+  this->tokens_read = val;
 }
-void DemandItem::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "DemandItem(";
-  out << "ref=" << to_string(ref);
-  out << ", " << "tier=" << to_string(tier);
-  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
-  out << ", " << "prefixes=" << to_string(prefixes);
-  out << ", " << "age_ms=" << to_string(age_ms);
-  out << ", " << "workspace=" << to_string(workspace);
-  out << ", " << "event=" << to_string(event);
-  out << ", " << "model=" << to_string(model);
-  out << ", " << "avoid=" << to_string(avoid);
-  out << ", " << "deadline_ms=" << to_string(deadline_ms);
-  out << ")";
+
+void PlaceReport::__set_first_ms(const int32_t val) {
+  this->first_ms = val;
 }
 
+void PlaceReport::__set_ended(const bool val) {
+  this->ended = val;
+}
 
-CreditUse::~CreditUse() noexcept {
+void PlaceReport::__set_ran(const bool val) {
+  this->ran = val;
 }
 
+void PlaceReport::__set_sign(const PlaceSign::type val) {
+  this->sign = val;
+}
 
-void CreditUse::__set_credit(const int64_t val) {
-  this->credit = val;
+void PlaceReport::__set_service_ms(const int32_t val) {
+  this->service_ms = val;
 }
 
-void CreditUse::__set_stage(const UseStage::type val) {
-  this->stage = val;
+void PlaceReport::__set_events(const int64_t val) {
+  this->events = val;
 }
 
-void CreditUse::__set_elapsed_us(const int64_t val) {
-  this->elapsed_us = val;
+void PlaceReport::__set_span_ms(const int32_t val) {
+  this->span_ms = val;
 }
-std::ostream& operator<<(std::ostream& out, const CreditUse& obj)
+
+void PlaceReport::__set_pause_ms(const int32_t val) {
+  this->pause_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CreditUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8792,26 +10104,82 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->credit);
-          this->__isset.credit = true;
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast348;
-          xfer += iprot->readI32(ecast348);
-          this->stage = static_cast<UseStage::type>(ecast348);
-          this->__isset.stage = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens_read);
+          this->__isset.tokens_read = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first_ms);
+          this->__isset.first_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ended);
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ran);
+          this->__isset.ran = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast377;
+          xfer += iprot->readI32(ecast377);
+          this->sign = static_cast<PlaceSign::type>(ecast377);
+          this->__isset.sign = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->service_ms);
+          this->__isset.service_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->elapsed_us);
-          this->__isset.elapsed_us = true;
+          xfer += iprot->readI64(this->events);
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->span_ms);
+          this->__isset.span_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pause_ms);
+          this->__isset.pause_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8828,21 +10196,49 @@
   return xfer;
 }
 
-uint32_t CreditUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CreditUse");
+  xfer += oprot->writeStructBegin("PlaceReport");
 
-  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
+  xfer += oprot->writeFieldBegin("tokens_read", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tokens_read);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("elapsed_us", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->elapsed_us);
+  xfer += oprot->writeFieldBegin("first_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->first_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ran", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->ran);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sign", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->sign));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_ms", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->service_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->events);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("span_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->span_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pause_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->pause_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8850,77 +10246,131 @@
   return xfer;
 }
 
-void swap(CreditUse &a, CreditUse &b) {
+void swap(PlaceReport &a, PlaceReport &b) {
   using ::std::swap;
-  swap(a.credit, b.credit);
-  swap(a.stage, b.stage);
-  swap(a.elapsed_us, b.elapsed_us);
+  swap(a.ref, b.ref);
+  swap(a.tokens_read, b.tokens_read);
+  swap(a.first_ms, b.first_ms);
+  swap(a.ended, b.ended);
+  swap(a.ran, b.ran);
+  swap(a.sign, b.sign);
+  swap(a.service_ms, b.service_ms);
+  swap(a.events, b.events);
+  swap(a.span_ms, b.span_ms);
+  swap(a.pause_ms, b.pause_ms);
   swap(a.__isset, b.__isset);
 }
 
-CreditUse::CreditUse(const CreditUse& other349) noexcept {
-  credit = other349.credit;
-  stage = other349.stage;
-  elapsed_us = other349.elapsed_us;
-  __isset = other349.__isset;
-}
-CreditUse::CreditUse(CreditUse&& other350) noexcept {
-  credit = other350.credit;
-  stage = other350.stage;
-  elapsed_us = other350.elapsed_us;
-  __isset = other350.__isset;
-}
-CreditUse& CreditUse::operator=(const CreditUse& other351) noexcept {
-  credit = other351.credit;
-  stage = other351.stage;
-  elapsed_us = other351.elapsed_us;
-  __isset = other351.__isset;
+PlaceReport::PlaceReport(const PlaceReport& other378) noexcept {
+  ref = other378.ref;
+  tokens_read = other378.tokens_read;
+  first_ms = other378.first_ms;
+  ended = other378.ended;
+  ran = other378.ran;
+  sign = other378.sign;
+  service_ms = other378.service_ms;
+  events = other378.events;
+  span_ms = other378.span_ms;
+  pause_ms = other378.pause_ms;
+  __isset = other378.__isset;
+}
+PlaceReport::PlaceReport(PlaceReport&& other379) noexcept {
+  ref = other379.ref;
+  tokens_read = other379.tokens_read;
+  first_ms = other379.first_ms;
+  ended = other379.ended;
+  ran = other379.ran;
+  sign = other379.sign;
+  service_ms = other379.service_ms;
+  events = other379.events;
+  span_ms = other379.span_ms;
+  pause_ms = other379.pause_ms;
+  __isset = other379.__isset;
+}
+PlaceReport& PlaceReport::operator=(const PlaceReport& other380) noexcept {
+  ref = other380.ref;
+  tokens_read = other380.tokens_read;
+  first_ms = other380.first_ms;
+  ended = other380.ended;
+  ran = other380.ran;
+  sign = other380.sign;
+  service_ms = other380.service_ms;
+  events = other380.events;
+  span_ms = other380.span_ms;
+  pause_ms = other380.pause_ms;
+  __isset = other380.__isset;
   return *this;
 }
-CreditUse& CreditUse::operator=(CreditUse&& other352) noexcept {
-  credit = other352.credit;
-  stage = other352.stage;
-  elapsed_us = other352.elapsed_us;
-  __isset = other352.__isset;
+PlaceReport& PlaceReport::operator=(PlaceReport&& other381) noexcept {
+  ref = other381.ref;
+  tokens_read = other381.tokens_read;
+  first_ms = other381.first_ms;
+  ended = other381.ended;
+  ran = other381.ran;
+  sign = other381.sign;
+  service_ms = other381.service_ms;
+  events = other381.events;
+  span_ms = other381.span_ms;
+  pause_ms = other381.pause_ms;
+  __isset = other381.__isset;
   return *this;
 }
-void CreditUse::printTo(std::ostream& out) const {
+void PlaceReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CreditUse(";
-  out << "credit=" << to_string(credit);
-  out << ", " << "stage=" << to_string(stage);
-  out << ", " << "elapsed_us=" << to_string(elapsed_us);
+  out << "PlaceReport(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "tokens_read=" << to_string(tokens_read);
+  out << ", " << "first_ms=" << to_string(first_ms);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "ran=" << to_string(ran);
+  out << ", " << "sign=" << to_string(sign);
+  out << ", " << "service_ms=" << to_string(service_ms);
+  out << ", " << "events=" << to_string(events);
+  out << ", " << "span_ms=" << to_string(span_ms);
+  out << ", " << "pause_ms=" << to_string(pause_ms);
   out << ")";
 }
 
 
-HeldCredit::~HeldCredit() noexcept {
+LimitUse::~LimitUse() noexcept {
 }
 
 
-void HeldCredit::__set_credit(const int64_t val) {
-  this->credit = val;
+void LimitUse::__set_workspace(const std::string& val) {
+  this->workspace = val;
 }
 
-void HeldCredit::__set_ref(const int64_t val) {
-  this->ref = val;
+void LimitUse::__set_left(const double val) {
+  this->left = val;
 }
 
-void HeldCredit::__set_engine(const std::string& val) {
-  this->engine = val;
+void LimitUse::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
 }
 
-void HeldCredit::__set_prompt_tokens(const int64_t val) {
-  this->prompt_tokens = val;
+void LimitUse::__set_spent_alone(const double val) {
+  this->spent_alone = val;
 }
-std::ostream& operator<<(std::ostream& out, const HeldCredit& obj)
+
+void LimitUse::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void LimitUse::__set_burst(const double val) {
+  this->burst = val;
+}
+
+void LimitUse::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitUse& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HeldCredit::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LimitUse::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8942,33 +10392,57 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->credit);
-          this->__isset.credit = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->left);
+          this->__isset.left = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->engine);
-          this->__isset.engine = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->spent_alone);
+          this->__isset.spent_alone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prompt_tokens);
-          this->__isset.prompt_tokens = true;
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8985,25 +10459,37 @@
   return xfer;
 }
 
-uint32_t HeldCredit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LimitUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HeldCredit");
+  xfer += oprot->writeStructBegin("LimitUse");
 
-  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->left);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldBegin("spent_alone", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->spent_alone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9011,107 +10497,125 @@
   return xfer;
 }
 
-void swap(HeldCredit &a, HeldCredit &b) {
+void swap(LimitUse &a, LimitUse &b) {
   using ::std::swap;
-  swap(a.credit, b.credit);
-  swap(a.ref, b.ref);
-  swap(a.engine, b.engine);
-  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.workspace, b.workspace);
+  swap(a.left, b.left);
+  swap(a.age_ms, b.age_ms);
+  swap(a.spent_alone, b.spent_alone);
+  swap(a.rate, b.rate);
+  swap(a.burst, b.burst);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
-HeldCredit::HeldCredit(const HeldCredit& other353) {
-  credit = other353.credit;
-  ref = other353.ref;
-  engine = other353.engine;
-  prompt_tokens = other353.prompt_tokens;
-  __isset = other353.__isset;
+LimitUse::LimitUse(const LimitUse& other382) {
+  workspace = other382.workspace;
+  left = other382.left;
+  age_ms = other382.age_ms;
+  spent_alone = other382.spent_alone;
+  rate = other382.rate;
+  burst = other382.burst;
+  epoch = other382.epoch;
+  __isset = other382.__isset;
 }
-HeldCredit::HeldCredit(HeldCredit&& other354) noexcept {
-  credit = other354.credit;
-  ref = other354.ref;
-  engine = std::move(other354.engine);
-  prompt_tokens = other354.prompt_tokens;
-  __isset = other354.__isset;
+LimitUse::LimitUse(LimitUse&& other383) noexcept {
+  workspace = std::move(other383.workspace);
+  left = other383.left;
+  age_ms = other383.age_ms;
+  spent_alone = other383.spent_alone;
+  rate = other383.rate;
+  burst = other383.burst;
+  epoch = other383.epoch;
+  __isset = other383.__isset;
 }
-HeldCredit& HeldCredit::operator=(const HeldCredit& other355) {
-  credit = other355.credit;
-  ref = other355.ref;
-  engine = other355.engine;
-  prompt_tokens = other355.prompt_tokens;
-  __isset = other355.__isset;
+LimitUse& LimitUse::operator=(const LimitUse& other384) {
+  workspace = other384.workspace;
+  left = other384.left;
+  age_ms = other384.age_ms;
+  spent_alone = other384.spent_alone;
+  rate = other384.rate;
+  burst = other384.burst;
+  epoch = other384.epoch;
+  __isset = other384.__isset;
   return *this;
 }
-HeldCredit& HeldCredit::operator=(HeldCredit&& other356) noexcept {
-  credit = other356.credit;
-  ref = other356.ref;
-  engine = std::move(other356.engine);
-  prompt_tokens = other356.prompt_tokens;
-  __isset = other356.__isset;
+LimitUse& LimitUse::operator=(LimitUse&& other385) noexcept {
+  workspace = std::move(other385.workspace);
+  left = other385.left;
+  age_ms = other385.age_ms;
+  spent_alone = other385.spent_alone;
+  rate = other385.rate;
+  burst = other385.burst;
+  epoch = other385.epoch;
+  __isset = other385.__isset;
   return *this;
 }
-void HeldCredit::printTo(std::ostream& out) const {
+void LimitUse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HeldCredit(";
-  out << "credit=" << to_string(credit);
-  out << ", " << "ref=" << to_string(ref);
-  out << ", " << "engine=" << to_string(engine);
-  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << "LimitUse(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "left=" << to_string(left);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "spent_alone=" << to_string(spent_alone);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "burst=" << to_string(burst);
+  out << ", " << "epoch=" << to_string(epoch);
   out << ")";
 }
 
 
-Demand::~Demand() noexcept {
+PlaceBatch::~PlaceBatch() noexcept {
 }
 
 
-void Demand::__set_pool(const std::string& val) {
-  this->pool = val;
+void PlaceBatch::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
 }
 
-void Demand::__set_incarnation(const std::string& val) {
-  this->incarnation = val;
+void PlaceBatch::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
 }
 
-void Demand::__set_epoch(const int64_t val) {
+void PlaceBatch::__set_epoch(const int64_t val) {
   this->epoch = val;
 }
 
-void Demand::__set_resync(const bool val) {
+void PlaceBatch::__set_resync(const bool val) {
   this->resync = val;
 }
 
-void Demand::__set_held(const std::vector<HeldCredit> & val) {
-  this->held = val;
+void PlaceBatch::__set_instances(const int32_t val) {
+  this->instances = val;
 }
 
-void Demand::__set_items(const std::vector<DemandItem> & val) {
-  this->items = val;
+void PlaceBatch::__set_held(const std::vector<PlaceHeld> & val) {
+  this->held = val;
 }
-
-void Demand::__set_waiting(const std::vector<int32_t> & val) {
-  this->waiting = val;
+
+void PlaceBatch::__set_limits(const std::vector<LimitUse> & val) {
+  this->limits = val;
 }
 
-void Demand::__set_uses(const std::vector<CreditUse> & val) {
-  this->uses = val;
+void PlaceBatch::__set_asks(const std::vector<PlaceAsk> & val) {
+  this->asks = val;
 }
 
-void Demand::__set_floor_ack(const int64_t val) {
-  this->floor_ack = val;
+void PlaceBatch::__set_withdrawn(const std::vector<int64_t> & val) {
+  this->withdrawn = val;
 }
 
-void Demand::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void PlaceBatch::__set_reports(const std::vector<PlaceReport> & val) {
+  this->reports = val;
 }
-std::ostream& operator<<(std::ostream& out, const Demand& obj)
+std::ostream& operator<<(std::ostream& out, const PlaceBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9134,16 +10638,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->incarnation);
-          this->__isset.incarnation = true;
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9165,21 +10669,9 @@
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->held.clear();
-            uint32_t _size357;
-            ::apache::thrift::protocol::TType _etype360;
-            xfer += iprot->readListBegin(_etype360, _size357);
-            this->held.resize(_size357);
-            uint32_t _i361;
-            for (_i361 = 0; _i361 < _size357; ++_i361)
-            {
-              xfer += this->held[_i361].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.held = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->instances);
+          this->__isset.instances = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9187,19 +10679,19 @@
       case 6:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->items.clear();
-            uint32_t _size362;
-            ::apache::thrift::protocol::TType _etype365;
-            xfer += iprot->readListBegin(_etype365, _size362);
-            this->items.resize(_size362);
-            uint32_t _i366;
-            for (_i366 = 0; _i366 < _size362; ++_i366)
+            this->held.clear();
+            uint32_t _size386;
+            ::apache::thrift::protocol::TType _etype389;
+            xfer += iprot->readListBegin(_etype389, _size386);
+            this->held.resize(_size386);
+            uint32_t _i390;
+            for (_i390 = 0; _i390 < _size386; ++_i390)
             {
-              xfer += this->items[_i366].read(iprot);
+              xfer += this->held[_i390].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.items = true;
+          this->__isset.held = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9207,19 +10699,19 @@
       case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->waiting.clear();
-            uint32_t _size367;
-            ::apache::thrift::protocol::TType _etype370;
-            xfer += iprot->readListBegin(_etype370, _size367);
-            this->waiting.resize(_size367);
-            uint32_t _i371;
-            for (_i371 = 0; _i371 < _size367; ++_i371)
+            this->limits.clear();
+            uint32_t _size391;
+            ::apache::thrift::protocol::TType _etype394;
+            xfer += iprot->readListBegin(_etype394, _size391);
+            this->limits.resize(_size391);
+            uint32_t _i395;
+            for (_i395 = 0; _i395 < _size391; ++_i395)
             {
-              xfer += iprot->readI32(this->waiting[_i371]);
+              xfer += this->limits[_i395].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.waiting = true;
+          this->__isset.limits = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9227,35 +10719,59 @@
       case 8:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->uses.clear();
-            uint32_t _size372;
-            ::apache::thrift::protocol::TType _etype375;
-            xfer += iprot->readListBegin(_etype375, _size372);
-            this->uses.resize(_size372);
-            uint32_t _i376;
-            for (_i376 = 0; _i376 < _size372; ++_i376)
+            this->asks.clear();
+            uint32_t _size396;
+            ::apache::thrift::protocol::TType _etype399;
+            xfer += iprot->readListBegin(_etype399, _size396);
+            this->asks.resize(_size396);
+            uint32_t _i400;
+            for (_i400 = 0; _i400 < _size396; ++_i400)
             {
-              xfer += this->uses[_i376].read(iprot);
+              xfer += this->asks[_i400].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.uses = true;
+          this->__isset.asks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->floor_ack);
-          this->__isset.floor_ack = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->withdrawn.clear();
+            uint32_t _size401;
+            ::apache::thrift::protocol::TType _etype404;
+            xfer += iprot->readListBegin(_etype404, _size401);
+            this->withdrawn.resize(_size401);
+            uint32_t _i405;
+            for (_i405 = 0; _i405 < _size401; ++_i405)
+            {
+              xfer += iprot->readI64(this->withdrawn[_i405]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.withdrawn = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->reports.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
+            {
+              xfer += this->reports[_i410].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9272,17 +10788,17 @@
   return xfer;
 }
 
-uint32_t Demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Demand");
+  xfer += oprot->writeStructBegin("PlaceBatch");
 
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
@@ -9293,60 +10809,68 @@
   xfer += oprot->writeBool(this->resync);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->instances);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<HeldCredit> ::const_iterator _iter377;
-    for (_iter377 = this->held.begin(); _iter377 != this->held.end(); ++_iter377)
+    std::vector<PlaceHeld> ::const_iterator _iter411;
+    for (_iter411 = this->held.begin(); _iter411 != this->held.end(); ++_iter411)
     {
-      xfer += (*_iter377).write(oprot);
+      xfer += (*_iter411).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter378;
-    for (_iter378 = this->items.begin(); _iter378 != this->items.end(); ++_iter378)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<LimitUse> ::const_iterator _iter412;
+    for (_iter412 = this->limits.begin(); _iter412 != this->limits.end(); ++_iter412)
     {
-      xfer += (*_iter378).write(oprot);
+      xfer += (*_iter412).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter379;
-    for (_iter379 = this->waiting.begin(); _iter379 != this->waiting.end(); ++_iter379)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<PlaceAsk> ::const_iterator _iter413;
+    for (_iter413 = this->asks.begin(); _iter413 != this->asks.end(); ++_iter413)
     {
-      xfer += oprot->writeI32((*_iter379));
+      xfer += (*_iter413).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_LIST, 9);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<CreditUse> ::const_iterator _iter380;
-    for (_iter380 = this->uses.begin(); _iter380 != this->uses.end(); ++_iter380)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withdrawn.size()));
+    std::vector<int64_t> ::const_iterator _iter414;
+    for (_iter414 = this->withdrawn.begin(); _iter414 != this->withdrawn.end(); ++_iter414)
     {
-      xfer += (*_iter380).write(oprot);
+      xfer += oprot->writeI64((*_iter414));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("floor_ack", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->floor_ack);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<PlaceReport> ::const_iterator _iter415;
+    for (_iter415 = this->reports.begin(); _iter415 != this->reports.end(); ++_iter415)
+    {
+      xfer += (*_iter415).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9354,155 +10878,306 @@
   return xfer;
 }
 
-void swap(Demand &a, Demand &b) {
+void swap(PlaceBatch &a, PlaceBatch &b) {
   using ::std::swap;
-  swap(a.pool, b.pool);
   swap(a.incarnation, b.incarnation);
+  swap(a.data_centre, b.data_centre);
   swap(a.epoch, b.epoch);
   swap(a.resync, b.resync);
+  swap(a.instances, b.instances);
   swap(a.held, b.held);
-  swap(a.items, b.items);
-  swap(a.waiting, b.waiting);
-  swap(a.uses, b.uses);
-  swap(a.floor_ack, b.floor_ack);
-  swap(a.sequence, b.sequence);
+  swap(a.limits, b.limits);
+  swap(a.asks, b.asks);
+  swap(a.withdrawn, b.withdrawn);
+  swap(a.reports, b.reports);
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other381) {
-  pool = other381.pool;
-  incarnation = other381.incarnation;
-  epoch = other381.epoch;
-  resync = other381.resync;
-  held = other381.held;
-  items = other381.items;
-  waiting = other381.waiting;
-  uses = other381.uses;
-  floor_ack = other381.floor_ack;
-  sequence = other381.sequence;
-  __isset = other381.__isset;
-}
-Demand::Demand(Demand&& other382) noexcept {
-  pool = std::move(other382.pool);
-  incarnation = std::move(other382.incarnation);
-  epoch = other382.epoch;
-  resync = other382.resync;
-  held = std::move(other382.held);
-  items = std::move(other382.items);
-  waiting = std::move(other382.waiting);
-  uses = std::move(other382.uses);
-  floor_ack = other382.floor_ack;
-  sequence = other382.sequence;
-  __isset = other382.__isset;
-}
-Demand& Demand::operator=(const Demand& other383) {
-  pool = other383.pool;
-  incarnation = other383.incarnation;
-  epoch = other383.epoch;
-  resync = other383.resync;
-  held = other383.held;
-  items = other383.items;
-  waiting = other383.waiting;
-  uses = other383.uses;
-  floor_ack = other383.floor_ack;
-  sequence = other383.sequence;
-  __isset = other383.__isset;
+PlaceBatch::PlaceBatch(const PlaceBatch& other416) {
+  incarnation = other416.incarnation;
+  data_centre = other416.data_centre;
+  epoch = other416.epoch;
+  resync = other416.resync;
+  instances = other416.instances;
+  held = other416.held;
+  limits = other416.limits;
+  asks = other416.asks;
+  withdrawn = other416.withdrawn;
+  reports = other416.reports;
+  __isset = other416.__isset;
+}
+PlaceBatch::PlaceBatch(PlaceBatch&& other417) noexcept {
+  incarnation = std::move(other417.incarnation);
+  data_centre = std::move(other417.data_centre);
+  epoch = other417.epoch;
+  resync = other417.resync;
+  instances = other417.instances;
+  held = std::move(other417.held);
+  limits = std::move(other417.limits);
+  asks = std::move(other417.asks);
+  withdrawn = std::move(other417.withdrawn);
+  reports = std::move(other417.reports);
+  __isset = other417.__isset;
+}
+PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other418) {
+  incarnation = other418.incarnation;
+  data_centre = other418.data_centre;
+  epoch = other418.epoch;
+  resync = other418.resync;
+  instances = other418.instances;
+  held = other418.held;
+  limits = other418.limits;
+  asks = other418.asks;
+  withdrawn = other418.withdrawn;
+  reports = other418.reports;
+  __isset = other418.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other384) noexcept {
-  pool = std::move(other384.pool);
-  incarnation = std::move(other384.incarnation);
-  epoch = other384.epoch;
-  resync = other384.resync;
-  held = std::move(other384.held);
-  items = std::move(other384.items);
-  waiting = std::move(other384.waiting);
-  uses = std::move(other384.uses);
-  floor_ack = other384.floor_ack;
-  sequence = other384.sequence;
-  __isset = other384.__isset;
+PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other419) noexcept {
+  incarnation = std::move(other419.incarnation);
+  data_centre = std::move(other419.data_centre);
+  epoch = other419.epoch;
+  resync = other419.resync;
+  instances = other419.instances;
+  held = std::move(other419.held);
+  limits = std::move(other419.limits);
+  asks = std::move(other419.asks);
+  withdrawn = std::move(other419.withdrawn);
+  reports = std::move(other419.reports);
+  __isset = other419.__isset;
   return *this;
 }
-void Demand::printTo(std::ostream& out) const {
+void PlaceBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Demand(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "incarnation=" << to_string(incarnation);
+  out << "PlaceBatch(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "data_centre=" << to_string(data_centre);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "resync=" << to_string(resync);
+  out << ", " << "instances=" << to_string(instances);
   out << ", " << "held=" << to_string(held);
-  out << ", " << "items=" << to_string(items);
-  out << ", " << "waiting=" << to_string(waiting);
-  out << ", " << "uses=" << to_string(uses);
-  out << ", " << "floor_ack=" << to_string(floor_ack);
-  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "withdrawn=" << to_string(withdrawn);
+  out << ", " << "reports=" << to_string(reports);
   out << ")";
 }
 
 
-Grants::~Grants() noexcept {
+PlaceAnswer::~PlaceAnswer() noexcept {
 }
 
 
-void Grants::__set_pool(const std::string& val) {
-  this->pool = val;
+void PlaceAnswer::__set_ref(const int64_t val) {
+  this->ref = val;
 }
 
-void Grants::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void PlaceAnswer::__set_verdict(const PlaceVerdict::type val) {
+  this->verdict = val;
 }
 
-void Grants::__set_credits(const std::vector<HeldCredit> & val) {
-  this->credits = val;
+void PlaceAnswer::__set_server(const std::string& val) {
+  this->server = val;
 }
 
-void Grants::__set_unreachable(const std::vector<int64_t> & val) {
-  this->unreachable = val;
+void PlaceAnswer::__set_first_ms(const int32_t val) {
+  this->first_ms = val;
 }
 
-void Grants::__set_floor(const int32_t val) {
-  this->floor = val;
+void PlaceAnswer::__set_left(const double val) {
+  this->left = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Grants::__set_floor_epoch(const int64_t val) {
-  this->floor_epoch = val;
+
+uint32_t PlaceAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast420;
+          xfer += iprot->readI32(ecast420);
+          this->verdict = static_cast<PlaceVerdict::type>(ecast420);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first_ms);
+          this->__isset.first_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->left);
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void Grants::__set_contended(const bool val) {
-  this->contended = val;
+uint32_t PlaceAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAnswer");
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->first_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->left);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void Grants::__set_drain_per_s(const double val) {
-  this->drain_per_s = val;
+void swap(PlaceAnswer &a, PlaceAnswer &b) {
+  using ::std::swap;
+  swap(a.ref, b.ref);
+  swap(a.verdict, b.verdict);
+  swap(a.server, b.server);
+  swap(a.first_ms, b.first_ms);
+  swap(a.left, b.left);
+  swap(a.__isset, b.__isset);
 }
 
-void Grants::__set_gateways(const int32_t val) {
-  this->gateways = val;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other421) {
+  ref = other421.ref;
+  verdict = other421.verdict;
+  server = other421.server;
+  first_ms = other421.first_ms;
+  left = other421.left;
+  __isset = other421.__isset;
+}
+PlaceAnswer::PlaceAnswer(PlaceAnswer&& other422) noexcept {
+  ref = other422.ref;
+  verdict = other422.verdict;
+  server = std::move(other422.server);
+  first_ms = other422.first_ms;
+  left = other422.left;
+  __isset = other422.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other423) {
+  ref = other423.ref;
+  verdict = other423.verdict;
+  server = other423.server;
+  first_ms = other423.first_ms;
+  left = other423.left;
+  __isset = other423.__isset;
+  return *this;
+}
+PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other424) noexcept {
+  ref = other424.ref;
+  verdict = other424.verdict;
+  server = std::move(other424.server);
+  first_ms = other424.first_ms;
+  left = other424.left;
+  __isset = other424.__isset;
+  return *this;
+}
+void PlaceAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAnswer(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "first_ms=" << to_string(first_ms);
+  out << ", " << "left=" << to_string(left);
+  out << ")";
 }
 
-void Grants::__set_backlog(const std::vector<int32_t> & val) {
-  this->backlog = val;
+
+PlaceAnswers::~PlaceAnswers() noexcept {
 }
 
-void Grants::__set_lease_ms(const int64_t val) {
-  this->lease_ms = val;
+
+void PlaceAnswers::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void Grants::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void PlaceAnswers::__set_answers(const std::vector<PlaceAnswer> & val) {
+  this->answers = val;
 }
 
-void Grants::__set_not_broker(const bool val) {
+void PlaceAnswers::__set_not_broker(const bool val) {
   this->not_broker = val;
 }
-std::ostream& operator<<(std::ostream& out, const Grants& obj)
+std::ostream& operator<<(std::ostream& out, const PlaceAnswers& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Grants::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9524,14 +11199,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->epoch);
           this->__isset.epoch = true;
@@ -9539,123 +11206,27 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->credits.clear();
-            uint32_t _size385;
-            ::apache::thrift::protocol::TType _etype388;
-            xfer += iprot->readListBegin(_etype388, _size385);
-            this->credits.resize(_size385);
-            uint32_t _i389;
-            for (_i389 = 0; _i389 < _size385; ++_i389)
-            {
-              xfer += this->credits[_i389].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.credits = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->unreachable.clear();
-            uint32_t _size390;
-            ::apache::thrift::protocol::TType _etype393;
-            xfer += iprot->readListBegin(_etype393, _size390);
-            this->unreachable.resize(_size390);
-            uint32_t _i394;
-            for (_i394 = 0; _i394 < _size390; ++_i394)
-            {
-              xfer += iprot->readI64(this->unreachable[_i394]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.unreachable = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->floor);
-          this->__isset.floor = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->floor_epoch);
-          this->__isset.floor_epoch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->contended);
-          this->__isset.contended = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->drain_per_s);
-          this->__isset.drain_per_s = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->gateways);
-          this->__isset.gateways = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->backlog.clear();
-            uint32_t _size395;
-            ::apache::thrift::protocol::TType _etype398;
-            xfer += iprot->readListBegin(_etype398, _size395);
-            this->backlog.resize(_size395);
-            uint32_t _i399;
-            for (_i399 = 0; _i399 < _size395; ++_i399)
+            this->answers.clear();
+            uint32_t _size425;
+            ::apache::thrift::protocol::TType _etype428;
+            xfer += iprot->readListBegin(_etype428, _size425);
+            this->answers.resize(_size425);
+            uint32_t _i429;
+            for (_i429 = 0; _i429 < _size425; ++_i429)
             {
-              xfer += iprot->readI32(this->backlog[_i399]);
+              xfer += this->answers[_i429].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.backlog = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lease_ms);
-          this->__isset.lease_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          this->__isset.answers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->not_broker);
           this->__isset.not_broker = true;
@@ -9675,84 +11246,28 @@
   return xfer;
 }
 
-uint32_t Grants::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Grants");
-
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->pool);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("PlaceAnswers");
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
-    std::vector<HeldCredit> ::const_iterator _iter400;
-    for (_iter400 = this->credits.begin(); _iter400 != this->credits.end(); ++_iter400)
-    {
-      xfer += (*_iter400).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<int64_t> ::const_iterator _iter401;
-    for (_iter401 = this->unreachable.begin(); _iter401 != this->unreachable.end(); ++_iter401)
-    {
-      xfer += oprot->writeI64((*_iter401));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("floor", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->floor);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("floor_epoch", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->floor_epoch);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("contended", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->contended);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("drain_per_s", ::apache::thrift::protocol::T_DOUBLE, 8);
-  xfer += oprot->writeDouble(this->drain_per_s);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->gateways);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
-    std::vector<int32_t> ::const_iterator _iter402;
-    for (_iter402 = this->backlog.begin(); _iter402 != this->backlog.end(); ++_iter402)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<PlaceAnswer> ::const_iterator _iter430;
+    for (_iter430 = this->answers.begin(); _iter430 != this->answers.end(); ++_iter430)
     {
-      xfer += oprot->writeI32((*_iter402));
+      xfer += (*_iter430).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lease_ms", ::apache::thrift::protocol::T_I64, 11);
-  xfer += oprot->writeI64(this->lease_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 3);
   xfer += oprot->writeBool(this->not_broker);
   xfer += oprot->writeFieldEnd();
 
@@ -9761,105 +11276,45 @@
   return xfer;
 }
 
-void swap(Grants &a, Grants &b) {
+void swap(PlaceAnswers &a, PlaceAnswers &b) {
   using ::std::swap;
-  swap(a.pool, b.pool);
   swap(a.epoch, b.epoch);
-  swap(a.credits, b.credits);
-  swap(a.unreachable, b.unreachable);
-  swap(a.floor, b.floor);
-  swap(a.floor_epoch, b.floor_epoch);
-  swap(a.contended, b.contended);
-  swap(a.drain_per_s, b.drain_per_s);
-  swap(a.gateways, b.gateways);
-  swap(a.backlog, b.backlog);
-  swap(a.lease_ms, b.lease_ms);
-  swap(a.sequence, b.sequence);
+  swap(a.answers, b.answers);
   swap(a.not_broker, b.not_broker);
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other403) {
-  pool = other403.pool;
-  epoch = other403.epoch;
-  credits = other403.credits;
-  unreachable = other403.unreachable;
-  floor = other403.floor;
-  floor_epoch = other403.floor_epoch;
-  contended = other403.contended;
-  drain_per_s = other403.drain_per_s;
-  gateways = other403.gateways;
-  backlog = other403.backlog;
-  lease_ms = other403.lease_ms;
-  sequence = other403.sequence;
-  not_broker = other403.not_broker;
-  __isset = other403.__isset;
-}
-Grants::Grants(Grants&& other404) noexcept {
-  pool = std::move(other404.pool);
-  epoch = other404.epoch;
-  credits = std::move(other404.credits);
-  unreachable = std::move(other404.unreachable);
-  floor = other404.floor;
-  floor_epoch = other404.floor_epoch;
-  contended = other404.contended;
-  drain_per_s = other404.drain_per_s;
-  gateways = other404.gateways;
-  backlog = std::move(other404.backlog);
-  lease_ms = other404.lease_ms;
-  sequence = other404.sequence;
-  not_broker = other404.not_broker;
-  __isset = other404.__isset;
-}
-Grants& Grants::operator=(const Grants& other405) {
-  pool = other405.pool;
-  epoch = other405.epoch;
-  credits = other405.credits;
-  unreachable = other405.unreachable;
-  floor = other405.floor;
-  floor_epoch = other405.floor_epoch;
-  contended = other405.contended;
-  drain_per_s = other405.drain_per_s;
-  gateways = other405.gateways;
-  backlog = other405.backlog;
-  lease_ms = other405.lease_ms;
-  sequence = other405.sequence;
-  not_broker = other405.not_broker;
-  __isset = other405.__isset;
+PlaceAnswers::PlaceAnswers(const PlaceAnswers& other431) {
+  epoch = other431.epoch;
+  answers = other431.answers;
+  not_broker = other431.not_broker;
+  __isset = other431.__isset;
+}
+PlaceAnswers::PlaceAnswers(PlaceAnswers&& other432) noexcept {
+  epoch = other432.epoch;
+  answers = std::move(other432.answers);
+  not_broker = other432.not_broker;
+  __isset = other432.__isset;
+}
+PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other433) {
+  epoch = other433.epoch;
+  answers = other433.answers;
+  not_broker = other433.not_broker;
+  __isset = other433.__isset;
   return *this;
 }
-Grants& Grants::operator=(Grants&& other406) noexcept {
-  pool = std::move(other406.pool);
-  epoch = other406.epoch;
-  credits = std::move(other406.credits);
-  unreachable = std::move(other406.unreachable);
-  floor = other406.floor;
-  floor_epoch = other406.floor_epoch;
-  contended = other406.contended;
-  drain_per_s = other406.drain_per_s;
-  gateways = other406.gateways;
-  backlog = std::move(other406.backlog);
-  lease_ms = other406.lease_ms;
-  sequence = other406.sequence;
-  not_broker = other406.not_broker;
-  __isset = other406.__isset;
+PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other434) noexcept {
+  epoch = other434.epoch;
+  answers = std::move(other434.answers);
+  not_broker = other434.not_broker;
+  __isset = other434.__isset;
   return *this;
 }
-void Grants::printTo(std::ostream& out) const {
+void PlaceAnswers::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Grants(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "epoch=" << to_string(epoch);
-  out << ", " << "credits=" << to_string(credits);
-  out << ", " << "unreachable=" << to_string(unreachable);
-  out << ", " << "floor=" << to_string(floor);
-  out << ", " << "floor_epoch=" << to_string(floor_epoch);
-  out << ", " << "contended=" << to_string(contended);
-  out << ", " << "drain_per_s=" << to_string(drain_per_s);
-  out << ", " << "gateways=" << to_string(gateways);
-  out << ", " << "backlog=" << to_string(backlog);
-  out << ", " << "lease_ms=" << to_string(lease_ms);
-  out << ", " << "sequence=" << to_string(sequence);
+  out << "PlaceAnswers(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "answers=" << to_string(answers);
   out << ", " << "not_broker=" << to_string(not_broker);
   out << ")";
 }
@@ -9940,22 +11395,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other407) noexcept {
-  here = other407.here;
-  __isset = other407.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other435) noexcept {
+  here = other435.here;
+  __isset = other435.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other408) noexcept {
-  here = other408.here;
-  __isset = other408.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other436) noexcept {
+  here = other436.here;
+  __isset = other436.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other409) noexcept {
-  here = other409.here;
-  __isset = other409.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other437) noexcept {
+  here = other437.here;
+  __isset = other437.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other410) noexcept {
-  here = other410.here;
-  __isset = other410.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other438) noexcept {
+  here = other438.here;
+  __isset = other438.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -10194,58 +11649,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other411) {
-  instance = other411.instance;
-  incarnation = other411.incarnation;
-  data_centre = other411.data_centre;
-  version_in_force = other411.version_in_force;
-  ready = other411.ready;
-  stopping = other411.stopping;
-  age_ms = other411.age_ms;
-  http = other411.http;
-  address = other411.address;
-  port = other411.port;
-  __isset = other411.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other412) noexcept {
-  instance = std::move(other412.instance);
-  incarnation = std::move(other412.incarnation);
-  data_centre = std::move(other412.data_centre);
-  version_in_force = other412.version_in_force;
-  ready = other412.ready;
-  stopping = other412.stopping;
-  age_ms = other412.age_ms;
-  http = std::move(other412.http);
-  address = std::move(other412.address);
-  port = other412.port;
-  __isset = other412.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other413) {
-  instance = other413.instance;
-  incarnation = other413.incarnation;
-  data_centre = other413.data_centre;
-  version_in_force = other413.version_in_force;
-  ready = other413.ready;
-  stopping = other413.stopping;
-  age_ms = other413.age_ms;
-  http = other413.http;
-  address = other413.address;
-  port = other413.port;
-  __isset = other413.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other439) {
+  instance = other439.instance;
+  incarnation = other439.incarnation;
+  data_centre = other439.data_centre;
+  version_in_force = other439.version_in_force;
+  ready = other439.ready;
+  stopping = other439.stopping;
+  age_ms = other439.age_ms;
+  http = other439.http;
+  address = other439.address;
+  port = other439.port;
+  __isset = other439.__isset;
+}
+InstanceStatus::InstanceStatus(InstanceStatus&& other440) noexcept {
+  instance = std::move(other440.instance);
+  incarnation = std::move(other440.incarnation);
+  data_centre = std::move(other440.data_centre);
+  version_in_force = other440.version_in_force;
+  ready = other440.ready;
+  stopping = other440.stopping;
+  age_ms = other440.age_ms;
+  http = std::move(other440.http);
+  address = std::move(other440.address);
+  port = other440.port;
+  __isset = other440.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other441) {
+  instance = other441.instance;
+  incarnation = other441.incarnation;
+  data_centre = other441.data_centre;
+  version_in_force = other441.version_in_force;
+  ready = other441.ready;
+  stopping = other441.stopping;
+  age_ms = other441.age_ms;
+  http = other441.http;
+  address = other441.address;
+  port = other441.port;
+  __isset = other441.__isset;
   return *this;
 }
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other414) noexcept {
-  instance = std::move(other414.instance);
-  incarnation = std::move(other414.incarnation);
-  data_centre = std::move(other414.data_centre);
-  version_in_force = other414.version_in_force;
-  ready = other414.ready;
-  stopping = other414.stopping;
-  age_ms = other414.age_ms;
-  http = std::move(other414.http);
-  address = std::move(other414.address);
-  port = other414.port;
-  __isset = other414.__isset;
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other442) noexcept {
+  instance = std::move(other442.instance);
+  incarnation = std::move(other442.incarnation);
+  data_centre = std::move(other442.data_centre);
+  version_in_force = other442.version_in_force;
+  ready = other442.ready;
+  stopping = other442.stopping;
+  age_ms = other442.age_ms;
+  http = std::move(other442.http);
+  address = std::move(other442.address);
+  port = other442.port;
+  __isset = other442.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -10396,14 +11851,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size415;
-            ::apache::thrift::protocol::TType _etype418;
-            xfer += iprot->readListBegin(_etype418, _size415);
-            this->instances.resize(_size415);
-            uint32_t _i419;
-            for (_i419 = 0; _i419 < _size415; ++_i419)
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _etype446;
+            xfer += iprot->readListBegin(_etype446, _size443);
+            this->instances.resize(_size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
             {
-              xfer += this->instances[_i419].read(iprot);
+              xfer += this->instances[_i447].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10416,14 +11871,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size420;
-            ::apache::thrift::protocol::TType _etype423;
-            xfer += iprot->readListBegin(_etype423, _size420);
-            this->leases.resize(_size420);
-            uint32_t _i424;
-            for (_i424 = 0; _i424 < _size420; ++_i424)
+            uint32_t _size448;
+            ::apache::thrift::protocol::TType _etype451;
+            xfer += iprot->readListBegin(_etype451, _size448);
+            this->leases.resize(_size448);
+            uint32_t _i452;
+            for (_i452 = 0; _i452 < _size448; ++_i452)
             {
-              xfer += this->leases[_i424].read(iprot);
+              xfer += this->leases[_i452].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10460,14 +11915,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size425;
-            ::apache::thrift::protocol::TType _etype428;
-            xfer += iprot->readListBegin(_etype428, _size425);
-            this->leaving.resize(_size425);
-            uint32_t _i429;
-            for (_i429 = 0; _i429 < _size425; ++_i429)
+            uint32_t _size453;
+            ::apache::thrift::protocol::TType _etype456;
+            xfer += iprot->readListBegin(_etype456, _size453);
+            this->leaving.resize(_size453);
+            uint32_t _i457;
+            for (_i457 = 0; _i457 < _size453; ++_i457)
             {
-              xfer += iprot->readString(this->leaving[_i429]);
+              xfer += iprot->readString(this->leaving[_i457]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10520,10 +11975,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter430;
-    for (_iter430 = this->instances.begin(); _iter430 != this->instances.end(); ++_iter430)
+    std::vector<InstanceStatus> ::const_iterator _iter458;
+    for (_iter458 = this->instances.begin(); _iter458 != this->instances.end(); ++_iter458)
     {
-      xfer += (*_iter430).write(oprot);
+      xfer += (*_iter458).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10532,10 +11987,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter431;
-    for (_iter431 = this->leases.begin(); _iter431 != this->leases.end(); ++_iter431)
+    std::vector<LeaseGrant> ::const_iterator _iter459;
+    for (_iter459 = this->leases.begin(); _iter459 != this->leases.end(); ++_iter459)
     {
-      xfer += (*_iter431).write(oprot);
+      xfer += (*_iter459).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10556,10 +12011,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter432;
-    for (_iter432 = this->leaving.begin(); _iter432 != this->leaving.end(); ++_iter432)
+    std::vector<std::string> ::const_iterator _iter460;
+    for (_iter460 = this->leaving.begin(); _iter460 != this->leaving.end(); ++_iter460)
     {
-      xfer += oprot->writeString((*_iter432));
+      xfer += oprot->writeString((*_iter460));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10587,66 +12042,66 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other433) {
-  instance = other433.instance;
-  leader_id = other433.leader_id;
-  term = other433.term;
-  commit = other433.commit;
-  version = other433.version;
-  membership = other433.membership;
-  instances = other433.instances;
-  leases = other433.leases;
-  ledger_keys = other433.ledger_keys;
-  leader_here = other433.leader_here;
-  lease_age_ms = other433.lease_age_ms;
-  leaving = other433.leaving;
-  __isset = other433.__isset;
+StatusReply::StatusReply(const StatusReply& other461) {
+  instance = other461.instance;
+  leader_id = other461.leader_id;
+  term = other461.term;
+  commit = other461.commit;
+  version = other461.version;
+  membership = other461.membership;
+  instances = other461.instances;
+  leases = other461.leases;
+  ledger_keys = other461.ledger_keys;
+  leader_here = other461.leader_here;
+  lease_age_ms = other461.lease_age_ms;
+  leaving = other461.leaving;
+  __isset = other461.__isset;
 }
-StatusReply::StatusReply(StatusReply&& other434) noexcept {
-  instance = std::move(other434.instance);
-  leader_id = other434.leader_id;
-  term = other434.term;
-  commit = other434.commit;
-  version = other434.version;
-  membership = std::move(other434.membership);
-  instances = std::move(other434.instances);
-  leases = std::move(other434.leases);
-  ledger_keys = other434.ledger_keys;
-  leader_here = other434.leader_here;
-  lease_age_ms = other434.lease_age_ms;
-  leaving = std::move(other434.leaving);
-  __isset = other434.__isset;
+StatusReply::StatusReply(StatusReply&& other462) noexcept {
+  instance = std::move(other462.instance);
+  leader_id = other462.leader_id;
+  term = other462.term;
+  commit = other462.commit;
+  version = other462.version;
+  membership = std::move(other462.membership);
+  instances = std::move(other462.instances);
+  leases = std::move(other462.leases);
+  ledger_keys = other462.ledger_keys;
+  leader_here = other462.leader_here;
+  lease_age_ms = other462.lease_age_ms;
+  leaving = std::move(other462.leaving);
+  __isset = other462.__isset;
 }
-StatusReply& StatusReply::operator=(const StatusReply& other435) {
-  instance = other435.instance;
-  leader_id = other435.leader_id;
-  term = other435.term;
-  commit = other435.commit;
-  version = other435.version;
-  membership = other435.membership;
-  instances = other435.instances;
-  leases = other435.leases;
-  ledger_keys = other435.ledger_keys;
-  leader_here = other435.leader_here;
-  lease_age_ms = other435.lease_age_ms;
-  leaving = other435.leaving;
-  __isset = other435.__isset;
+StatusReply& StatusReply::operator=(const StatusReply& other463) {
+  instance = other463.instance;
+  leader_id = other463.leader_id;
+  term = other463.term;
+  commit = other463.commit;
+  version = other463.version;
+  membership = other463.membership;
+  instances = other463.instances;
+  leases = other463.leases;
+  ledger_keys = other463.ledger_keys;
+  leader_here = other463.leader_here;
+  lease_age_ms = other463.lease_age_ms;
+  leaving = other463.leaving;
+  __isset = other463.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other436) noexcept {
-  instance = std::move(other436.instance);
-  leader_id = other436.leader_id;
-  term = other436.term;
-  commit = other436.commit;
-  version = other436.version;
-  membership = std::move(other436.membership);
-  instances = std::move(other436.instances);
-  leases = std::move(other436.leases);
-  ledger_keys = other436.ledger_keys;
-  leader_here = other436.leader_here;
-  lease_age_ms = other436.lease_age_ms;
-  leaving = std::move(other436.leaving);
-  __isset = other436.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other464) noexcept {
+  instance = std::move(other464.instance);
+  leader_id = other464.leader_id;
+  term = other464.term;
+  commit = other464.commit;
+  version = other464.version;
+  membership = std::move(other464.membership);
+  instances = std::move(other464.instances);
+  leases = std::move(other464.leases);
+  ledger_keys = other464.ledger_keys;
+  leader_here = other464.leader_here;
+  lease_age_ms = other464.lease_age_ms;
+  leaving = std::move(other464.leaving);
+  __isset = other464.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -10743,22 +12198,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsRequest::ObjectsRequest(const ObjectsRequest& other437) noexcept {
-  history = other437.history;
-  __isset = other437.__isset;
+ObjectsRequest::ObjectsRequest(const ObjectsRequest& other465) noexcept {
+  history = other465.history;
+  __isset = other465.__isset;
 }
-ObjectsRequest::ObjectsRequest(ObjectsRequest&& other438) noexcept {
-  history = other438.history;
-  __isset = other438.__isset;
+ObjectsRequest::ObjectsRequest(ObjectsRequest&& other466) noexcept {
+  history = other466.history;
+  __isset = other466.__isset;
 }
-ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other439) noexcept {
-  history = other439.history;
-  __isset = other439.__isset;
+ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other467) noexcept {
+  history = other467.history;
+  __isset = other467.__isset;
   return *this;
 }
-ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other440) noexcept {
-  history = other440.history;
-  __isset = other440.__isset;
+ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other468) noexcept {
+  history = other468.history;
+  __isset = other468.__isset;
   return *this;
 }
 void ObjectsRequest::printTo(std::ostream& out) const {
@@ -10824,14 +12279,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size441;
-            ::apache::thrift::protocol::TType _etype444;
-            xfer += iprot->readListBegin(_etype444, _size441);
-            this->objects.resize(_size441);
-            uint32_t _i445;
-            for (_i445 = 0; _i445 < _size441; ++_i445)
+            uint32_t _size469;
+            ::apache::thrift::protocol::TType _etype472;
+            xfer += iprot->readListBegin(_etype472, _size469);
+            this->objects.resize(_size469);
+            uint32_t _i473;
+            for (_i473 = 0; _i473 < _size469; ++_i473)
             {
-              xfer += this->objects[_i445].read(iprot);
+              xfer += this->objects[_i473].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10844,14 +12299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->history.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size474;
+            ::apache::thrift::protocol::TType _etype477;
+            xfer += iprot->readListBegin(_etype477, _size474);
+            this->history.resize(_size474);
+            uint32_t _i478;
+            for (_i478 = 0; _i478 < _size474; ++_i478)
             {
-              xfer += this->history[_i450].read(iprot);
+              xfer += this->history[_i478].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10884,10 +12339,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectText> ::const_iterator _iter451;
-    for (_iter451 = this->objects.begin(); _iter451 != this->objects.end(); ++_iter451)
+    std::vector<ObjectText> ::const_iterator _iter479;
+    for (_iter479 = this->objects.begin(); _iter479 != this->objects.end(); ++_iter479)
     {
-      xfer += (*_iter451).write(oprot);
+      xfer += (*_iter479).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10896,10 +12351,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter452;
-    for (_iter452 = this->history.begin(); _iter452 != this->history.end(); ++_iter452)
+    std::vector<HistoryRow> ::const_iterator _iter480;
+    for (_iter480 = this->history.begin(); _iter480 != this->history.end(); ++_iter480)
     {
-      xfer += (*_iter452).write(oprot);
+      xfer += (*_iter480).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10918,30 +12373,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsReply::ObjectsReply(const ObjectsReply& other453) {
-  version = other453.version;
-  objects = other453.objects;
-  history = other453.history;
-  __isset = other453.__isset;
+ObjectsReply::ObjectsReply(const ObjectsReply& other481) {
+  version = other481.version;
+  objects = other481.objects;
+  history = other481.history;
+  __isset = other481.__isset;
 }
-ObjectsReply::ObjectsReply(ObjectsReply&& other454) noexcept {
-  version = other454.version;
-  objects = std::move(other454.objects);
-  history = std::move(other454.history);
-  __isset = other454.__isset;
+ObjectsReply::ObjectsReply(ObjectsReply&& other482) noexcept {
+  version = other482.version;
+  objects = std::move(other482.objects);
+  history = std::move(other482.history);
+  __isset = other482.__isset;
 }
-ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other455) {
-  version = other455.version;
-  objects = other455.objects;
-  history = other455.history;
-  __isset = other455.__isset;
+ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other483) {
+  version = other483.version;
+  objects = other483.objects;
+  history = other483.history;
+  __isset = other483.__isset;
   return *this;
 }
-ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other456) noexcept {
-  version = other456.version;
-  objects = std::move(other456.objects);
-  history = std::move(other456.history);
-  __isset = other456.__isset;
+ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other484) noexcept {
+  version = other484.version;
+  objects = std::move(other484.objects);
+  history = std::move(other484.history);
+  __isset = other484.__isset;
   return *this;
 }
 void ObjectsReply::printTo(std::ostream& out) const {
@@ -11029,22 +12484,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other457) {
-  instance = other457.instance;
-  __isset = other457.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other485) {
+  instance = other485.instance;
+  __isset = other485.__isset;
 }
-DrainRequest::DrainRequest(DrainRequest&& other458) noexcept {
-  instance = std::move(other458.instance);
-  __isset = other458.__isset;
+DrainRequest::DrainRequest(DrainRequest&& other486) noexcept {
+  instance = std::move(other486.instance);
+  __isset = other486.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other459) {
-  instance = other459.instance;
-  __isset = other459.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other487) {
+  instance = other487.instance;
+  __isset = other487.__isset;
   return *this;
 }
-DrainRequest& DrainRequest::operator=(DrainRequest&& other460) noexcept {
-  instance = std::move(other460.instance);
-  __isset = other460.__isset;
+DrainRequest& DrainRequest::operator=(DrainRequest&& other488) noexcept {
+  instance = std::move(other488.instance);
+  __isset = other488.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -11181,34 +12636,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ErrorReply::ErrorReply(const ErrorReply& other461) {
-  code = other461.code;
-  message = other461.message;
-  leader_address = other461.leader_address;
-  leader_port = other461.leader_port;
-  __isset = other461.__isset;
-}
-ErrorReply::ErrorReply(ErrorReply&& other462) noexcept {
-  code = other462.code;
-  message = std::move(other462.message);
-  leader_address = std::move(other462.leader_address);
-  leader_port = other462.leader_port;
-  __isset = other462.__isset;
-}
-ErrorReply& ErrorReply::operator=(const ErrorReply& other463) {
-  code = other463.code;
-  message = other463.message;
-  leader_address = other463.leader_address;
-  leader_port = other463.leader_port;
-  __isset = other463.__isset;
+ErrorReply::ErrorReply(const ErrorReply& other489) {
+  code = other489.code;
+  message = other489.message;
+  leader_address = other489.leader_address;
+  leader_port = other489.leader_port;
+  __isset = other489.__isset;
+}
+ErrorReply::ErrorReply(ErrorReply&& other490) noexcept {
+  code = other490.code;
+  message = std::move(other490.message);
+  leader_address = std::move(other490.leader_address);
+  leader_port = other490.leader_port;
+  __isset = other490.__isset;
+}
+ErrorReply& ErrorReply::operator=(const ErrorReply& other491) {
+  code = other491.code;
+  message = other491.message;
+  leader_address = other491.leader_address;
+  leader_port = other491.leader_port;
+  __isset = other491.__isset;
   return *this;
 }
-ErrorReply& ErrorReply::operator=(ErrorReply&& other464) noexcept {
-  code = other464.code;
-  message = std::move(other464.message);
-  leader_address = std::move(other464.leader_address);
-  leader_port = other464.leader_port;
-  __isset = other464.__isset;
+ErrorReply& ErrorReply::operator=(ErrorReply&& other492) noexcept {
+  code = other492.code;
+  message = std::move(other492.message);
+  leader_address = std::move(other492.leader_address);
+  leader_port = other492.leader_port;
+  __isset = other492.__isset;
   return *this;
 }
 void ErrorReply::printTo(std::ostream& out) const {
@@ -11330,6 +12785,16 @@
   this->server_seen = val;
 __isset.server_seen = true;
 }
+
+void Body::__set_place_batch(const PlaceBatch& val) {
+  this->place_batch = val;
+__isset.place_batch = true;
+}
+
+void Body::__set_place_answers(const PlaceAnswers& val) {
+  this->place_answers = val;
+__isset.place_answers = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -11526,6 +12991,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->place_batch.read(iprot);
+          this->__isset.place_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->place_answers.read(iprot);
+          this->__isset.place_answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11648,6 +13129,16 @@
     xfer += this->server_seen.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.place_batch) {
+    xfer += oprot->writeFieldBegin("place_batch", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->place_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.place_answers) {
+    xfer += oprot->writeFieldBegin("place_answers", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->place_answers.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11676,105 +13167,115 @@
   swap(a.document_request, b.document_request);
   swap(a.document, b.document);
   swap(a.server_seen, b.server_seen);
+  swap(a.place_batch, b.place_batch);
+  swap(a.place_answers, b.place_answers);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other465) {
-  log = other465.log;
-  hello = other465.hello;
-  hello_reply = other465.hello_reply;
-  heartbeat = other465.heartbeat;
-  heartbeat_reply = other465.heartbeat_reply;
-  propose = other465.propose;
-  propose_reply = other465.propose_reply;
-  poll = other465.poll;
-  delta = other465.delta;
-  demand = other465.demand;
-  grants = other465.grants;
-  status = other465.status;
-  status_reply = other465.status_reply;
-  objects = other465.objects;
-  objects_reply = other465.objects_reply;
-  drain = other465.drain;
-  error = other465.error;
-  done = other465.done;
-  document_request = other465.document_request;
-  document = other465.document;
-  server_seen = other465.server_seen;
-  __isset = other465.__isset;
-}
-Body::Body(Body&& other466) noexcept {
-  log = std::move(other466.log);
-  hello = std::move(other466.hello);
-  hello_reply = std::move(other466.hello_reply);
-  heartbeat = std::move(other466.heartbeat);
-  heartbeat_reply = std::move(other466.heartbeat_reply);
-  propose = std::move(other466.propose);
-  propose_reply = std::move(other466.propose_reply);
-  poll = std::move(other466.poll);
-  delta = std::move(other466.delta);
-  demand = std::move(other466.demand);
-  grants = std::move(other466.grants);
-  status = std::move(other466.status);
-  status_reply = std::move(other466.status_reply);
-  objects = std::move(other466.objects);
-  objects_reply = std::move(other466.objects_reply);
-  drain = std::move(other466.drain);
-  error = std::move(other466.error);
-  done = other466.done;
-  document_request = other466.document_request;
-  document = std::move(other466.document);
-  server_seen = std::move(other466.server_seen);
-  __isset = other466.__isset;
-}
-Body& Body::operator=(const Body& other467) {
-  log = other467.log;
-  hello = other467.hello;
-  hello_reply = other467.hello_reply;
-  heartbeat = other467.heartbeat;
-  heartbeat_reply = other467.heartbeat_reply;
-  propose = other467.propose;
-  propose_reply = other467.propose_reply;
-  poll = other467.poll;
-  delta = other467.delta;
-  demand = other467.demand;
-  grants = other467.grants;
-  status = other467.status;
-  status_reply = other467.status_reply;
-  objects = other467.objects;
-  objects_reply = other467.objects_reply;
-  drain = other467.drain;
-  error = other467.error;
-  done = other467.done;
-  document_request = other467.document_request;
-  document = other467.document;
-  server_seen = other467.server_seen;
-  __isset = other467.__isset;
+Body::Body(const Body& other493) {
+  log = other493.log;
+  hello = other493.hello;
+  hello_reply = other493.hello_reply;
+  heartbeat = other493.heartbeat;
+  heartbeat_reply = other493.heartbeat_reply;
+  propose = other493.propose;
+  propose_reply = other493.propose_reply;
+  poll = other493.poll;
+  delta = other493.delta;
+  demand = other493.demand;
+  grants = other493.grants;
+  status = other493.status;
+  status_reply = other493.status_reply;
+  objects = other493.objects;
+  objects_reply = other493.objects_reply;
+  drain = other493.drain;
+  error = other493.error;
+  done = other493.done;
+  document_request = other493.document_request;
+  document = other493.document;
+  server_seen = other493.server_seen;
+  place_batch = other493.place_batch;
+  place_answers = other493.place_answers;
+  __isset = other493.__isset;
+}
+Body::Body(Body&& other494) noexcept {
+  log = std::move(other494.log);
+  hello = std::move(other494.hello);
+  hello_reply = std::move(other494.hello_reply);
+  heartbeat = std::move(other494.heartbeat);
+  heartbeat_reply = std::move(other494.heartbeat_reply);
+  propose = std::move(other494.propose);
+  propose_reply = std::move(other494.propose_reply);
+  poll = std::move(other494.poll);
+  delta = std::move(other494.delta);
+  demand = std::move(other494.demand);
+  grants = std::move(other494.grants);
+  status = std::move(other494.status);
+  status_reply = std::move(other494.status_reply);
+  objects = std::move(other494.objects);
+  objects_reply = std::move(other494.objects_reply);
+  drain = std::move(other494.drain);
+  error = std::move(other494.error);
+  done = other494.done;
+  document_request = other494.document_request;
+  document = std::move(other494.document);
+  server_seen = std::move(other494.server_seen);
+  place_batch = std::move(other494.place_batch);
+  place_answers = std::move(other494.place_answers);
+  __isset = other494.__isset;
+}
+Body& Body::operator=(const Body& other495) {
+  log = other495.log;
+  hello = other495.hello;
+  hello_reply = other495.hello_reply;
+  heartbeat = other495.heartbeat;
+  heartbeat_reply = other495.heartbeat_reply;
+  propose = other495.propose;
+  propose_reply = other495.propose_reply;
+  poll = other495.poll;
+  delta = other495.delta;
+  demand = other495.demand;
+  grants = other495.grants;
+  status = other495.status;
+  status_reply = other495.status_reply;
+  objects = other495.objects;
+  objects_reply = other495.objects_reply;
+  drain = other495.drain;
+  error = other495.error;
+  done = other495.done;
+  document_request = other495.document_request;
+  document = other495.document;
+  server_seen = other495.server_seen;
+  place_batch = other495.place_batch;
+  place_answers = other495.place_answers;
+  __isset = other495.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other468) noexcept {
-  log = std::move(other468.log);
-  hello = std::move(other468.hello);
-  hello_reply = std::move(other468.hello_reply);
-  heartbeat = std::move(other468.heartbeat);
-  heartbeat_reply = std::move(other468.heartbeat_reply);
-  propose = std::move(other468.propose);
-  propose_reply = std::move(other468.propose_reply);
-  poll = std::move(other468.poll);
-  delta = std::move(other468.delta);
-  demand = std::move(other468.demand);
-  grants = std::move(other468.grants);
-  status = std::move(other468.status);
-  status_reply = std::move(other468.status_reply);
-  objects = std::move(other468.objects);
-  objects_reply = std::move(other468.objects_reply);
-  drain = std::move(other468.drain);
-  error = std::move(other468.error);
-  done = other468.done;
-  document_request = other468.document_request;
-  document = std::move(other468.document);
-  server_seen = std::move(other468.server_seen);
-  __isset = other468.__isset;
+Body& Body::operator=(Body&& other496) noexcept {
+  log = std::move(other496.log);
+  hello = std::move(other496.hello);
+  hello_reply = std::move(other496.hello_reply);
+  heartbeat = std::move(other496.heartbeat);
+  heartbeat_reply = std::move(other496.heartbeat_reply);
+  propose = std::move(other496.propose);
+  propose_reply = std::move(other496.propose_reply);
+  poll = std::move(other496.poll);
+  delta = std::move(other496.delta);
+  demand = std::move(other496.demand);
+  grants = std::move(other496.grants);
+  status = std::move(other496.status);
+  status_reply = std::move(other496.status_reply);
+  objects = std::move(other496.objects);
+  objects_reply = std::move(other496.objects_reply);
+  drain = std::move(other496.drain);
+  error = std::move(other496.error);
+  done = other496.done;
+  document_request = other496.document_request;
+  document = std::move(other496.document);
+  server_seen = std::move(other496.server_seen);
+  place_batch = std::move(other496.place_batch);
+  place_answers = std::move(other496.place_answers);
+  __isset = other496.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -11801,6 +13302,8 @@
   out << ", " << "document_request="; (__isset.document_request ? (out << to_string(document_request)) : (out << "<null>"));
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "server_seen="; (__isset.server_seen ? (out << to_string(server_seen)) : (out << "<null>"));
+  out << ", " << "place_batch="; (__isset.place_batch ? (out << to_string(place_batch)) : (out << "<null>"));
+  out << ", " << "place_answers="; (__isset.place_answers ? (out << to_string(place_answers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11914,30 +13417,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other469) {
-  id = other469.id;
-  reply = other469.reply;
-  body = other469.body;
-  __isset = other469.__isset;
+Envelope::Envelope(const Envelope& other497) {
+  id = other497.id;
+  reply = other497.reply;
+  body = other497.body;
+  __isset = other497.__isset;
 }
-Envelope::Envelope(Envelope&& other470) noexcept {
-  id = other470.id;
-  reply = other470.reply;
-  body = std::move(other470.body);
-  __isset = other470.__isset;
+Envelope::Envelope(Envelope&& other498) noexcept {
+  id = other498.id;
+  reply = other498.reply;
+  body = std::move(other498.body);
+  __isset = other498.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other471) {
-  id = other471.id;
-  reply = other471.reply;
-  body = other471.body;
-  __isset = other471.__isset;
+Envelope& Envelope::operator=(const Envelope& other499) {
+  id = other499.id;
+  reply = other499.reply;
+  body = other499.body;
+  __isset = other499.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other472) noexcept {
-  id = other472.id;
-  reply = other472.reply;
-  body = std::move(other472.body);
-  __isset = other472.__isset;
+Envelope& Envelope::operator=(Envelope&& other500) noexcept {
+  id = other500.id;
+  reply = other500.reply;
+  body = std::move(other500.body);
+  __isset = other500.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
