--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -96,15 +96,40 @@
 
 std::string to_string(const UseStage::type& val);
 
-class Document;
+struct PlaceSign {
+  enum type {
+    NONE = 0,
+    GOOD = 1,
+    BAD = 2,
+    UNREACHABLE = 3
+  };
+};
 
-class ServerRecord;
+extern const std::map<int, const char*> _PlaceSign_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const PlaceSign::type& val);
+
+std::string to_string(const PlaceSign::type& val);
+
+struct PlaceVerdict {
+  enum type {
+    PLACED = 0,
+    QUEUED = 1,
+    NO_ROOM = 2,
+    OVER_LIMIT = 3,
+    NO_SERVER = 4
+  };
+};
+
+extern const std::map<int, const char*> _PlaceVerdict_VALUES_TO_NAMES;
 
-class ServerLoad;
+std::ostream& operator<<(std::ostream& out, const PlaceVerdict::type& val);
 
-class WorkspaceUse;
+std::string to_string(const PlaceVerdict::type& val);
 
-class PoolWaiting;
+class Document;
+
+class ServerRecord;
 
 class ObjectKey;
 
@@ -192,6 +217,22 @@
 
 class Grants;
 
+class PromptPart;
+
+class PlaceAsk;
+
+class PlaceHeld;
+
+class PlaceReport;
+
+class LimitUse;
+
+class PlaceBatch;
+
+class PlaceAnswer;
+
+class PlaceAnswers;
+
 class StatusRequest;
 
 class InstanceStatus;
@@ -367,189 +408,6 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj);
 
-typedef struct _ServerLoad__isset {
-  _ServerLoad__isset() : server(false), in_flight(false), reading_tokens(false) {}
-  bool server :1;
-  bool in_flight :1;
-  bool reading_tokens :1;
-} _ServerLoad__isset;
-
-class ServerLoad : public virtual ::apache::thrift::TBase {
- public:
-
-  ServerLoad(const ServerLoad&);
-  ServerLoad(ServerLoad&&) noexcept;
-  ServerLoad& operator=(const ServerLoad&);
-  ServerLoad& operator=(ServerLoad&&) noexcept;
-  ServerLoad() noexcept
-             : server(),
-               in_flight(0),
-               reading_tokens(0) {
-  }
-
-  virtual ~ServerLoad() noexcept;
-  std::string server;
-  int32_t in_flight;
-  int64_t reading_tokens;
-
-  _ServerLoad__isset __isset;
-
-  void __set_server(const std::string& val);
-
-  void __set_in_flight(const int32_t val);
-
-  void __set_reading_tokens(const int64_t val);
-
-  bool operator == (const ServerLoad & rhs) const
-  {
-    if (!(server == rhs.server))
-      return false;
-    if (!(in_flight == rhs.in_flight))
-      return false;
-    if (!(reading_tokens == rhs.reading_tokens))
-      return false;
-    return true;
-  }
-  bool operator != (const ServerLoad &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ServerLoad & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ServerLoad &a, ServerLoad &b);
-
-std::ostream& operator<<(std::ostream& out, const ServerLoad& obj);
-
-typedef struct _WorkspaceUse__isset {
-  _WorkspaceUse__isset() : workspace(false), spent(false), wanted_per_s(false), left(false), estimates(false) {}
-  bool workspace :1;
-  bool spent :1;
-  bool wanted_per_s :1;
-  bool left :1;
-  bool estimates :1;
-} _WorkspaceUse__isset;
-
-class WorkspaceUse : public virtual ::apache::thrift::TBase {
- public:
-
-  WorkspaceUse(const WorkspaceUse&);
-  WorkspaceUse(WorkspaceUse&&) noexcept;
-  WorkspaceUse& operator=(const WorkspaceUse&);
-  WorkspaceUse& operator=(WorkspaceUse&&) noexcept;
-  WorkspaceUse() noexcept
-               : workspace(),
-                 spent(0),
-                 wanted_per_s(0),
-                 left(0),
-                 estimates(0) {
-  }
-
-  virtual ~WorkspaceUse() noexcept;
-  std::string workspace;
-  double spent;
-  double wanted_per_s;
-  double left;
-  int32_t estimates;
-
-  _WorkspaceUse__isset __isset;
-
-  void __set_workspace(const std::string& val);
-
-  void __set_spent(const double val);
-
-  void __set_wanted_per_s(const double val);
-
-  void __set_left(const double val);
-
-  void __set_estimates(const int32_t val);
-
-  bool operator == (const WorkspaceUse & rhs) const
-  {
-    if (!(workspace == rhs.workspace))
-      return false;
-    if (!(spent == rhs.spent))
-      return false;
-    if (!(wanted_per_s == rhs.wanted_per_s))
-      return false;
-    if (!(left == rhs.left))
-      return false;
-    if (!(estimates == rhs.estimates))
-      return false;
-    return true;
-  }
-  bool operator != (const WorkspaceUse &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const WorkspaceUse & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(WorkspaceUse &a, WorkspaceUse &b);
-
-std::ostream& operator<<(std::ostream& out, const WorkspaceUse& obj);
-
-typedef struct _PoolWaiting__isset {
-  _PoolWaiting__isset() : pool(false), by_rank(false) {}
-  bool pool :1;
-  bool by_rank :1;
-} _PoolWaiting__isset;
-
-class PoolWaiting : public virtual ::apache::thrift::TBase {
- public:
-
-  PoolWaiting(const PoolWaiting&);
-  PoolWaiting(PoolWaiting&&) noexcept;
-  PoolWaiting& operator=(const PoolWaiting&);
-  PoolWaiting& operator=(PoolWaiting&&) noexcept;
-  PoolWaiting() noexcept
-              : pool() {
-  }
-
-  virtual ~PoolWaiting() noexcept;
-  std::string pool;
-  std::vector<int32_t>  by_rank;
-
-  _PoolWaiting__isset __isset;
-
-  void __set_pool(const std::string& val);
-
-  void __set_by_rank(const std::vector<int32_t> & val);
-
-  bool operator == (const PoolWaiting & rhs) const
-  {
-    if (!(pool == rhs.pool))
-      return false;
-    if (!(by_rank == rhs.by_rank))
-      return false;
-    return true;
-  }
-  bool operator != (const PoolWaiting &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const PoolWaiting & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(PoolWaiting &a, PoolWaiting &b);
-
-std::ostream& operator<<(std::ostream& out, const PoolWaiting& obj);
-
 typedef struct _ObjectKey__isset {
   _ObjectKey__isset() : kind(false), name(false) {}
   bool kind :1;
@@ -792,7 +650,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj);
 
 typedef struct _ConfigDelta__isset {
-  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), document(false), servers(false), servers_index(false) {}
+  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), document(false), servers(false), servers_index(false), leader_term(false), leader_address(false), leader_port(false) {}
   bool from_version :1;
   bool to_version :1;
   bool whole :1;
@@ -801,6 +659,9 @@
   bool document :1;
   bool servers :1;
   bool servers_index :1;
+  bool leader_term :1;
+  bool leader_address :1;
+  bool leader_port :1;
 } _ConfigDelta__isset;
 
 class ConfigDelta : public virtual ::apache::thrift::TBase {
@@ -814,7 +675,10 @@
               : from_version(0),
                 to_version(0),
                 whole(0),
-                servers_index(0) {
+                servers_index(0),
+                leader_term(0),
+                leader_address(),
+                leader_port(0) {
   }
 
   virtual ~ConfigDelta() noexcept;
@@ -826,6 +690,9 @@
   Document document;
   std::vector<ServerRecord>  servers;
   int64_t servers_index;
+  int64_t leader_term;
+  std::string leader_address;
+  int32_t leader_port;
 
   _ConfigDelta__isset __isset;
 
@@ -845,6 +712,12 @@
 
   void __set_servers_index(const int64_t val);
 
+  void __set_leader_term(const int64_t val);
+
+  void __set_leader_address(const std::string& val);
+
+  void __set_leader_port(const int32_t val);
+
   bool operator == (const ConfigDelta & rhs) const
   {
     if (!(from_version == rhs.from_version))
@@ -865,6 +738,12 @@
       return false;
     if (!(servers_index == rhs.servers_index))
       return false;
+    if (!(leader_term == rhs.leader_term))
+      return false;
+    if (!(leader_address == rhs.leader_address))
+      return false;
+    if (!(leader_port == rhs.leader_port))
+      return false;
     return true;
   }
   bool operator != (const ConfigDelta &rhs) const {
@@ -2712,7 +2591,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineState& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false), loads(false), uses(false), waiting(false) {}
+  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false) {}
   bool instance :1;
   bool incarnation :1;
   bool address :1;
@@ -2723,9 +2602,6 @@
   bool stopping :1;
   bool http :1;
   bool leases_seen :1;
-  bool loads :1;
-  bool uses :1;
-  bool waiting :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -2759,9 +2635,6 @@
   bool stopping;
   std::string http;
   int64_t leases_seen;
-  std::vector<ServerLoad>  loads;
-  std::vector<WorkspaceUse>  uses;
-  std::vector<PoolWaiting>  waiting;
 
   _Heartbeat__isset __isset;
 
@@ -2785,12 +2658,6 @@
 
   void __set_leases_seen(const int64_t val);
 
-  void __set_loads(const std::vector<ServerLoad> & val);
-
-  void __set_uses(const std::vector<WorkspaceUse> & val);
-
-  void __set_waiting(const std::vector<PoolWaiting> & val);
-
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2813,12 +2680,6 @@
       return false;
     if (!(leases_seen == rhs.leases_seen))
       return false;
-    if (!(loads == rhs.loads))
-      return false;
-    if (!(uses == rhs.uses))
-      return false;
-    if (!(waiting == rhs.waiting))
-      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -2838,7 +2699,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), loads(false), uses(false), silent(false), basis(false), waiting(false), settled(false) {}
+  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false) {}
   bool leases :1;
   bool version :1;
   bool leader_term :1;
@@ -2848,12 +2709,6 @@
   bool members :1;
   bool document_version :1;
   bool servers_index :1;
-  bool loads :1;
-  bool uses :1;
-  bool silent :1;
-  bool basis :1;
-  bool waiting :1;
-  bool settled :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -2870,10 +2725,7 @@
                    leases_index(0),
                    leases_same(0),
                    document_version(0),
-                   servers_index(0),
-                   silent(0),
-                   basis(0),
-                   settled(0) {
+                   servers_index(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -2886,12 +2738,6 @@
   std::vector<MemberInfo>  members;
   int64_t document_version;
   int64_t servers_index;
-  std::vector<ServerLoad>  loads;
-  std::vector<WorkspaceUse>  uses;
-  int32_t silent;
-  int64_t basis;
-  std::vector<PoolWaiting>  waiting;
-  bool settled;
 
   _HeartbeatReply__isset __isset;
 
@@ -2913,18 +2759,6 @@
 
   void __set_servers_index(const int64_t val);
 
-  void __set_loads(const std::vector<ServerLoad> & val);
-
-  void __set_uses(const std::vector<WorkspaceUse> & val);
-
-  void __set_silent(const int32_t val);
-
-  void __set_basis(const int64_t val);
-
-  void __set_waiting(const std::vector<PoolWaiting> & val);
-
-  void __set_settled(const bool val);
-
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leases == rhs.leases))
@@ -2945,18 +2779,6 @@
       return false;
     if (!(servers_index == rhs.servers_index))
       return false;
-    if (!(loads == rhs.loads))
-      return false;
-    if (!(uses == rhs.uses))
-      return false;
-    if (!(silent == rhs.silent))
-      return false;
-    if (!(basis == rhs.basis))
-      return false;
-    if (!(waiting == rhs.waiting))
-      return false;
-    if (!(settled == rhs.settled))
-      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -3127,12 +2949,13 @@
 std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
 
 typedef struct _ConfigPoll__isset {
-  _ConfigPoll__isset() : have_version(false), wait_ms(false), have_document(false), have_servers(false), hosted(false) {}
+  _ConfigPoll__isset() : have_version(false), wait_ms(false), have_document(false), have_servers(false), hosted(false), have_term(false) {}
   bool have_version :1;
   bool wait_ms :1;
   bool have_document :1;
   bool have_servers :1;
   bool hosted :1;
+  bool have_term :1;
 } _ConfigPoll__isset;
 
 class ConfigPoll : public virtual ::apache::thrift::TBase {
@@ -3147,7 +2970,8 @@
                wait_ms(0),
                have_document(0),
                have_servers(0),
-               hosted(0) {
+               hosted(0),
+               have_term(0) {
   }
 
   virtual ~ConfigPoll() noexcept;
@@ -3156,6 +2980,7 @@
   int64_t have_document;
   int64_t have_servers;
   bool hosted;
+  int64_t have_term;
 
   _ConfigPoll__isset __isset;
 
@@ -3169,6 +2994,8 @@
 
   void __set_hosted(const bool val);
 
+  void __set_have_term(const int64_t val);
+
   bool operator == (const ConfigPoll & rhs) const
   {
     if (!(have_version == rhs.have_version))
@@ -3181,6 +3008,8 @@
       return false;
     if (!(hosted == rhs.hosted))
       return false;
+    if (!(have_term == rhs.have_term))
+      return false;
     return true;
   }
   bool operator != (const ConfigPoll &rhs) const {
@@ -3664,40 +3493,47 @@
 
 std::ostream& operator<<(std::ostream& out, const Grants& obj);
 
-typedef struct _StatusRequest__isset {
-  _StatusRequest__isset() : here(false) {}
-  bool here :1;
-} _StatusRequest__isset;
+typedef struct _PromptPart__isset {
+  _PromptPart__isset() : id(false), tokens(false) {}
+  bool id :1;
+  bool tokens :1;
+} _PromptPart__isset;
 
-class StatusRequest : public virtual ::apache::thrift::TBase {
+class PromptPart : public virtual ::apache::thrift::TBase {
  public:
 
-  StatusRequest(const StatusRequest&) noexcept;
-  StatusRequest(StatusRequest&&) noexcept;
-  StatusRequest& operator=(const StatusRequest&) noexcept;
-  StatusRequest& operator=(StatusRequest&&) noexcept;
-  StatusRequest() noexcept
-                : here(0) {
+  PromptPart(const PromptPart&) noexcept;
+  PromptPart(PromptPart&&) noexcept;
+  PromptPart& operator=(const PromptPart&) noexcept;
+  PromptPart& operator=(PromptPart&&) noexcept;
+  PromptPart() noexcept
+             : id(0),
+               tokens(0) {
   }
 
-  virtual ~StatusRequest() noexcept;
-  bool here;
+  virtual ~PromptPart() noexcept;
+  int64_t id;
+  int32_t tokens;
 
-  _StatusRequest__isset __isset;
+  _PromptPart__isset __isset;
 
-  void __set_here(const bool val);
+  void __set_id(const int64_t val);
 
-  bool operator == (const StatusRequest & rhs) const
+  void __set_tokens(const int32_t val);
+
+  bool operator == (const PromptPart & rhs) const
   {
-    if (!(here == rhs.here))
+    if (!(id == rhs.id))
+      return false;
+    if (!(tokens == rhs.tokens))
       return false;
     return true;
   }
-  bool operator != (const StatusRequest &rhs) const {
+  bool operator != (const PromptPart &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const StatusRequest & ) const;
+  bool operator < (const PromptPart & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -3705,55 +3541,765 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(StatusRequest &a, StatusRequest &b);
-
-std::ostream& operator<<(std::ostream& out, const StatusRequest& obj);
+void swap(PromptPart &a, PromptPart &b);
 
-typedef struct _InstanceStatus__isset {
-  _InstanceStatus__isset() : instance(false), incarnation(false), data_centre(false), version_in_force(false), ready(false), stopping(false), age_ms(false), http(false), address(false), port(false) {}
-  bool instance :1;
-  bool incarnation :1;
-  bool data_centre :1;
-  bool version_in_force :1;
-  bool ready :1;
-  bool stopping :1;
-  bool age_ms :1;
-  bool http :1;
-  bool address :1;
-  bool port :1;
-} _InstanceStatus__isset;
+std::ostream& operator<<(std::ostream& out, const PromptPart& obj);
 
-class InstanceStatus : public virtual ::apache::thrift::TBase {
+typedef struct _PlaceAsk__isset {
+  _PlaceAsk__isset() : ref(false), pool(false), workspace(false), tier(false), rank(false), prompt_tokens(false), expected_tokens(false), aim_ms(false), waited_ms(false), left_ms(false), pause_aim_ms(false), wait_ms(false), parts(false), tried(false), cost(false), reserve(false), limit_rate(false), limit_burst(false) {}
+  bool ref :1;
+  bool pool :1;
+  bool workspace :1;
+  bool tier :1;
+  bool rank :1;
+  bool prompt_tokens :1;
+  bool expected_tokens :1;
+  bool aim_ms :1;
+  bool waited_ms :1;
+  bool left_ms :1;
+  bool pause_aim_ms :1;
+  bool wait_ms :1;
+  bool parts :1;
+  bool tried :1;
+  bool cost :1;
+  bool reserve :1;
+  bool limit_rate :1;
+  bool limit_burst :1;
+} _PlaceAsk__isset;
+
+class PlaceAsk : public virtual ::apache::thrift::TBase {
  public:
 
-  InstanceStatus(const InstanceStatus&);
-  InstanceStatus(InstanceStatus&&) noexcept;
-  InstanceStatus& operator=(const InstanceStatus&);
-  InstanceStatus& operator=(InstanceStatus&&) noexcept;
-  InstanceStatus() noexcept
-                 : instance(),
-                   incarnation(),
-                   data_centre(),
-                   version_in_force(0),
-                   ready(0),
-                   stopping(0),
-                   age_ms(0),
-                   http(),
-                   address(),
-                   port(0) {
-  }
+  PlaceAsk(const PlaceAsk&);
+  PlaceAsk(PlaceAsk&&) noexcept;
+  PlaceAsk& operator=(const PlaceAsk&);
+  PlaceAsk& operator=(PlaceAsk&&) noexcept;
+  PlaceAsk() noexcept
+           : ref(0),
+             pool(),
+             workspace(),
+             tier(0),
+             rank(0),
+             prompt_tokens(0),
+             expected_tokens(0),
+             aim_ms(0),
+             waited_ms(0),
+             left_ms(0),
+             pause_aim_ms(0),
+             wait_ms(0),
+             cost(0),
+             reserve(0),
+             limit_rate(0),
+             limit_burst(0) {
+  }
+
+  virtual ~PlaceAsk() noexcept;
+  int64_t ref;
+  std::string pool;
+  std::string workspace;
+  int32_t tier;
+  int32_t rank;
+  int64_t prompt_tokens;
+  int64_t expected_tokens;
+  int32_t aim_ms;
+  int32_t waited_ms;
+  int32_t left_ms;
+  int32_t pause_aim_ms;
+  int32_t wait_ms;
+  std::vector<PromptPart>  parts;
+  std::vector<std::string>  tried;
+  double cost;
+  double reserve;
+  double limit_rate;
+  double limit_burst;
+
+  _PlaceAsk__isset __isset;
 
-  virtual ~InstanceStatus() noexcept;
-  std::string instance;
-  std::string incarnation;
-  std::string data_centre;
-  int64_t version_in_force;
-  bool ready;
-  bool stopping;
-  int64_t age_ms;
-  std::string http;
-  std::string address;
-  int32_t port;
+  void __set_ref(const int64_t val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_workspace(const std::string& val);
+
+  void __set_tier(const int32_t val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_prompt_tokens(const int64_t val);
+
+  void __set_expected_tokens(const int64_t val);
+
+  void __set_aim_ms(const int32_t val);
+
+  void __set_waited_ms(const int32_t val);
+
+  void __set_left_ms(const int32_t val);
+
+  void __set_pause_aim_ms(const int32_t val);
+
+  void __set_wait_ms(const int32_t val);
+
+  void __set_parts(const std::vector<PromptPart> & val);
+
+  void __set_tried(const std::vector<std::string> & val);
+
+  void __set_cost(const double val);
+
+  void __set_reserve(const double val);
+
+  void __set_limit_rate(const double val);
+
+  void __set_limit_burst(const double val);
+
+  bool operator == (const PlaceAsk & rhs) const
+  {
+    if (!(ref == rhs.ref))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(tier == rhs.tier))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(expected_tokens == rhs.expected_tokens))
+      return false;
+    if (!(aim_ms == rhs.aim_ms))
+      return false;
+    if (!(waited_ms == rhs.waited_ms))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    if (!(pause_aim_ms == rhs.pause_aim_ms))
+      return false;
+    if (!(wait_ms == rhs.wait_ms))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(tried == rhs.tried))
+      return false;
+    if (!(cost == rhs.cost))
+      return false;
+    if (!(reserve == rhs.reserve))
+      return false;
+    if (!(limit_rate == rhs.limit_rate))
+      return false;
+    if (!(limit_burst == rhs.limit_burst))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAsk &a, PlaceAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
+
+typedef struct _PlaceHeld__isset {
+  _PlaceHeld__isset() : ref(false), server(false), reading_tokens(false), expected_tokens(false) {}
+  bool ref :1;
+  bool server :1;
+  bool reading_tokens :1;
+  bool expected_tokens :1;
+} _PlaceHeld__isset;
+
+class PlaceHeld : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceHeld(const PlaceHeld&);
+  PlaceHeld(PlaceHeld&&) noexcept;
+  PlaceHeld& operator=(const PlaceHeld&);
+  PlaceHeld& operator=(PlaceHeld&&) noexcept;
+  PlaceHeld() noexcept
+            : ref(0),
+              server(),
+              reading_tokens(0),
+              expected_tokens(0) {
+  }
+
+  virtual ~PlaceHeld() noexcept;
+  int64_t ref;
+  std::string server;
+  int64_t reading_tokens;
+  int64_t expected_tokens;
+
+  _PlaceHeld__isset __isset;
+
+  void __set_ref(const int64_t val);
+
+  void __set_server(const std::string& val);
+
+  void __set_reading_tokens(const int64_t val);
+
+  void __set_expected_tokens(const int64_t val);
+
+  bool operator == (const PlaceHeld & rhs) const
+  {
+    if (!(ref == rhs.ref))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(reading_tokens == rhs.reading_tokens))
+      return false;
+    if (!(expected_tokens == rhs.expected_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceHeld &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceHeld & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceHeld &a, PlaceHeld &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj);
+
+typedef struct _PlaceReport__isset {
+  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false) {}
+  bool ref :1;
+  bool tokens_read :1;
+  bool first_ms :1;
+  bool ended :1;
+  bool ran :1;
+  bool sign :1;
+  bool service_ms :1;
+  bool events :1;
+  bool span_ms :1;
+  bool pause_ms :1;
+} _PlaceReport__isset;
+
+class PlaceReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceReport(const PlaceReport&) noexcept;
+  PlaceReport(PlaceReport&&) noexcept;
+  PlaceReport& operator=(const PlaceReport&) noexcept;
+  PlaceReport& operator=(PlaceReport&&) noexcept;
+  PlaceReport() noexcept
+              : ref(0),
+                tokens_read(0),
+                first_ms(0),
+                ended(0),
+                ran(0),
+                sign(static_cast<PlaceSign::type>(0)),
+                service_ms(0),
+                events(0),
+                span_ms(0),
+                pause_ms(0) {
+  }
+
+  virtual ~PlaceReport() noexcept;
+  int64_t ref;
+  int64_t tokens_read;
+  int32_t first_ms;
+  bool ended;
+  bool ran;
+  /**
+   * 
+   * @see PlaceSign
+   */
+  PlaceSign::type sign;
+  int32_t service_ms;
+  int64_t events;
+  int32_t span_ms;
+  int32_t pause_ms;
+
+  _PlaceReport__isset __isset;
+
+  void __set_ref(const int64_t val);
+
+  void __set_tokens_read(const int64_t val);
+
+  void __set_first_ms(const int32_t val);
+
+  void __set_ended(const bool val);
+
+  void __set_ran(const bool val);
+
+  void __set_sign(const PlaceSign::type val);
+
+  void __set_service_ms(const int32_t val);
+
+  void __set_events(const int64_t val);
+
+  void __set_span_ms(const int32_t val);
+
+  void __set_pause_ms(const int32_t val);
+
+  bool operator == (const PlaceReport & rhs) const
+  {
+    if (!(ref == rhs.ref))
+      return false;
+    if (!(tokens_read == rhs.tokens_read))
+      return false;
+    if (!(first_ms == rhs.first_ms))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(ran == rhs.ran))
+      return false;
+    if (!(sign == rhs.sign))
+      return false;
+    if (!(service_ms == rhs.service_ms))
+      return false;
+    if (!(events == rhs.events))
+      return false;
+    if (!(span_ms == rhs.span_ms))
+      return false;
+    if (!(pause_ms == rhs.pause_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceReport &a, PlaceReport &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceReport& obj);
+
+typedef struct _LimitUse__isset {
+  _LimitUse__isset() : workspace(false), left(false), age_ms(false), spent_alone(false), rate(false), burst(false), epoch(false) {}
+  bool workspace :1;
+  bool left :1;
+  bool age_ms :1;
+  bool spent_alone :1;
+  bool rate :1;
+  bool burst :1;
+  bool epoch :1;
+} _LimitUse__isset;
+
+class LimitUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitUse(const LimitUse&);
+  LimitUse(LimitUse&&) noexcept;
+  LimitUse& operator=(const LimitUse&);
+  LimitUse& operator=(LimitUse&&) noexcept;
+  LimitUse() noexcept
+           : workspace(),
+             left(0),
+             age_ms(0),
+             spent_alone(0),
+             rate(0),
+             burst(0),
+             epoch(0) {
+  }
+
+  virtual ~LimitUse() noexcept;
+  std::string workspace;
+  double left;
+  int32_t age_ms;
+  double spent_alone;
+  double rate;
+  double burst;
+  int64_t epoch;
+
+  _LimitUse__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_left(const double val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_spent_alone(const double val);
+
+  void __set_rate(const double val);
+
+  void __set_burst(const double val);
+
+  void __set_epoch(const int64_t val);
+
+  bool operator == (const LimitUse & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(left == rhs.left))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(spent_alone == rhs.spent_alone))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitUse &a, LimitUse &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitUse& obj);
+
+typedef struct _PlaceBatch__isset {
+  _PlaceBatch__isset() : incarnation(false), data_centre(false), epoch(false), resync(false), instances(false), held(false), limits(false), asks(false), withdrawn(false), reports(false) {}
+  bool incarnation :1;
+  bool data_centre :1;
+  bool epoch :1;
+  bool resync :1;
+  bool instances :1;
+  bool held :1;
+  bool limits :1;
+  bool asks :1;
+  bool withdrawn :1;
+  bool reports :1;
+} _PlaceBatch__isset;
+
+class PlaceBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceBatch(const PlaceBatch&);
+  PlaceBatch(PlaceBatch&&) noexcept;
+  PlaceBatch& operator=(const PlaceBatch&);
+  PlaceBatch& operator=(PlaceBatch&&) noexcept;
+  PlaceBatch() noexcept
+             : incarnation(),
+               data_centre(),
+               epoch(0),
+               resync(0),
+               instances(0) {
+  }
+
+  virtual ~PlaceBatch() noexcept;
+  std::string incarnation;
+  std::string data_centre;
+  int64_t epoch;
+  bool resync;
+  int32_t instances;
+  std::vector<PlaceHeld>  held;
+  std::vector<LimitUse>  limits;
+  std::vector<PlaceAsk>  asks;
+  std::vector<int64_t>  withdrawn;
+  std::vector<PlaceReport>  reports;
+
+  _PlaceBatch__isset __isset;
+
+  void __set_incarnation(const std::string& val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_resync(const bool val);
+
+  void __set_instances(const int32_t val);
+
+  void __set_held(const std::vector<PlaceHeld> & val);
+
+  void __set_limits(const std::vector<LimitUse> & val);
+
+  void __set_asks(const std::vector<PlaceAsk> & val);
+
+  void __set_withdrawn(const std::vector<int64_t> & val);
+
+  void __set_reports(const std::vector<PlaceReport> & val);
+
+  bool operator == (const PlaceBatch & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(resync == rhs.resync))
+      return false;
+    if (!(instances == rhs.instances))
+      return false;
+    if (!(held == rhs.held))
+      return false;
+    if (!(limits == rhs.limits))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(withdrawn == rhs.withdrawn))
+      return false;
+    if (!(reports == rhs.reports))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceBatch &a, PlaceBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceBatch& obj);
+
+typedef struct _PlaceAnswer__isset {
+  _PlaceAnswer__isset() : ref(false), verdict(false), server(false), first_ms(false), left(false) {}
+  bool ref :1;
+  bool verdict :1;
+  bool server :1;
+  bool first_ms :1;
+  bool left :1;
+} _PlaceAnswer__isset;
+
+class PlaceAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAnswer(const PlaceAnswer&);
+  PlaceAnswer(PlaceAnswer&&) noexcept;
+  PlaceAnswer& operator=(const PlaceAnswer&);
+  PlaceAnswer& operator=(PlaceAnswer&&) noexcept;
+  PlaceAnswer() noexcept
+              : ref(0),
+                verdict(static_cast<PlaceVerdict::type>(0)),
+                server(),
+                first_ms(0),
+                left(0) {
+  }
+
+  virtual ~PlaceAnswer() noexcept;
+  int64_t ref;
+  /**
+   * 
+   * @see PlaceVerdict
+   */
+  PlaceVerdict::type verdict;
+  std::string server;
+  int32_t first_ms;
+  double left;
+
+  _PlaceAnswer__isset __isset;
+
+  void __set_ref(const int64_t val);
+
+  void __set_verdict(const PlaceVerdict::type val);
+
+  void __set_server(const std::string& val);
+
+  void __set_first_ms(const int32_t val);
+
+  void __set_left(const double val);
+
+  bool operator == (const PlaceAnswer & rhs) const
+  {
+    if (!(ref == rhs.ref))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(first_ms == rhs.first_ms))
+      return false;
+    if (!(left == rhs.left))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAnswer &a, PlaceAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj);
+
+typedef struct _PlaceAnswers__isset {
+  _PlaceAnswers__isset() : epoch(false), answers(false), not_broker(false) {}
+  bool epoch :1;
+  bool answers :1;
+  bool not_broker :1;
+} _PlaceAnswers__isset;
+
+class PlaceAnswers : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAnswers(const PlaceAnswers&);
+  PlaceAnswers(PlaceAnswers&&) noexcept;
+  PlaceAnswers& operator=(const PlaceAnswers&);
+  PlaceAnswers& operator=(PlaceAnswers&&) noexcept;
+  PlaceAnswers() noexcept
+               : epoch(0),
+                 not_broker(0) {
+  }
+
+  virtual ~PlaceAnswers() noexcept;
+  int64_t epoch;
+  std::vector<PlaceAnswer>  answers;
+  bool not_broker;
+
+  _PlaceAnswers__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_answers(const std::vector<PlaceAnswer> & val);
+
+  void __set_not_broker(const bool val);
+
+  bool operator == (const PlaceAnswers & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(not_broker == rhs.not_broker))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAnswers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAnswers & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAnswers &a, PlaceAnswers &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAnswers& obj);
+
+typedef struct _StatusRequest__isset {
+  _StatusRequest__isset() : here(false) {}
+  bool here :1;
+} _StatusRequest__isset;
+
+class StatusRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatusRequest(const StatusRequest&) noexcept;
+  StatusRequest(StatusRequest&&) noexcept;
+  StatusRequest& operator=(const StatusRequest&) noexcept;
+  StatusRequest& operator=(StatusRequest&&) noexcept;
+  StatusRequest() noexcept
+                : here(0) {
+  }
+
+  virtual ~StatusRequest() noexcept;
+  bool here;
+
+  _StatusRequest__isset __isset;
+
+  void __set_here(const bool val);
+
+  bool operator == (const StatusRequest & rhs) const
+  {
+    if (!(here == rhs.here))
+      return false;
+    return true;
+  }
+  bool operator != (const StatusRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatusRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatusRequest &a, StatusRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const StatusRequest& obj);
+
+typedef struct _InstanceStatus__isset {
+  _InstanceStatus__isset() : instance(false), incarnation(false), data_centre(false), version_in_force(false), ready(false), stopping(false), age_ms(false), http(false), address(false), port(false) {}
+  bool instance :1;
+  bool incarnation :1;
+  bool data_centre :1;
+  bool version_in_force :1;
+  bool ready :1;
+  bool stopping :1;
+  bool age_ms :1;
+  bool http :1;
+  bool address :1;
+  bool port :1;
+} _InstanceStatus__isset;
+
+class InstanceStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  InstanceStatus(const InstanceStatus&);
+  InstanceStatus(InstanceStatus&&) noexcept;
+  InstanceStatus& operator=(const InstanceStatus&);
+  InstanceStatus& operator=(InstanceStatus&&) noexcept;
+  InstanceStatus() noexcept
+                 : instance(),
+                   incarnation(),
+                   data_centre(),
+                   version_in_force(0),
+                   ready(0),
+                   stopping(0),
+                   age_ms(0),
+                   http(),
+                   address(),
+                   port(0) {
+  }
+
+  virtual ~InstanceStatus() noexcept;
+  std::string instance;
+  std::string incarnation;
+  std::string data_centre;
+  int64_t version_in_force;
+  bool ready;
+  bool stopping;
+  int64_t age_ms;
+  std::string http;
+  std::string address;
+  int32_t port;
 
   _InstanceStatus__isset __isset;
 
@@ -4149,7 +4695,7 @@
 std::ostream& operator<<(std::ostream& out, const ErrorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document_request(false), document(false), server_seen(false) {}
+  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document_request(false), document(false), server_seen(false), place_batch(false), place_answers(false) {}
   bool log :1;
   bool hello :1;
   bool hello_reply :1;
@@ -4171,6 +4717,8 @@
   bool document_request :1;
   bool document :1;
   bool server_seen :1;
+  bool place_batch :1;
+  bool place_answers :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -4207,6 +4755,8 @@
   bool document_request;
   Document document;
   ServerRecord server_seen;
+  PlaceBatch place_batch;
+  PlaceAnswers place_answers;
 
   _Body__isset __isset;
 
@@ -4252,6 +4802,10 @@
 
   void __set_server_seen(const ServerRecord& val);
 
+  void __set_place_batch(const PlaceBatch& val);
+
+  void __set_place_answers(const PlaceAnswers& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.log != rhs.__isset.log)
@@ -4338,6 +4892,14 @@
       return false;
     else if (__isset.server_seen && !(server_seen == rhs.server_seen))
       return false;
+    if (__isset.place_batch != rhs.__isset.place_batch)
+      return false;
+    else if (__isset.place_batch && !(place_batch == rhs.place_batch))
+      return false;
+    if (__isset.place_answers != rhs.__isset.place_answers)
+      return false;
+    else if (__isset.place_answers && !(place_answers == rhs.place_answers))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -12,16 +12,6 @@
   1: string id; 2: string pool; 3: string address; 4: i32 port; 5: string data_centre;
   6: i32 slots; 7: ServerStage stage; 8: i64 sequence; 9: i64 index
 }
-// Requests in flight from one instance (or the sum over several) to a backend server, and the prompt
-// tokens of those whose answer has not begun.
-struct ServerLoad { 1: string server; 2: i32 in_flight; 3: i64 reading_tokens }
-// What was spent for a workspace since an instance started, and what is asked for per second.
-// What is left of a workspace's limit is estimated by each instance; a sum names how many it is of.
-struct WorkspaceUse {
-  1: string workspace; 2: double spent; 3: double wanted_per_s; 4: double left; 5: i32 estimates
-}
-// Requests that wait for a pool, by rank.
-struct PoolWaiting { 1: string pool; 2: list<i32> by_rank }
 
 // ---- Configuration -------------------------------------------------------------------------
 struct ObjectKey { 1: string kind; 2: string name }
@@ -34,7 +24,9 @@
 struct ConfigDelta {
   1: i64 from_version; 2: i64 to_version; 3: bool whole;
   4: list<ObjectText> upserts; 5: list<ObjectKey> removals;
-  6: optional Document document; 7: list<ServerRecord> servers; 8: i64 servers_index
+  6: optional Document document; 7: list<ServerRecord> servers; 8: i64 servers_index;
+  // The leader that the member follows; term 0: it knows none.
+  9: i64 leader_term; 10: string leader_address; 11: i32 leader_port
 }
 struct HistoryRow { 1: i64 version; 2: string change_id; 3: string author; 4: i32 upserts; 5: i32 removals }
 
@@ -105,22 +97,17 @@
 // ---- Instances to the leader ---------------------------------------------------------------
 struct Heartbeat {
   1: string instance; 2: string incarnation; 3: string address; 4: i32 port; 5: string data_centre;
-  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen;
-  11: list<ServerLoad> loads; 12: list<WorkspaceUse> uses; 13: list<PoolWaiting> waiting
+  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen
 }
 struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live; 5: i64 leases_index; 6: bool leases_same;
-  7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index;
-  10: list<ServerLoad> loads; 11: list<WorkspaceUse> uses;
-  12: i32 silent  // Of `live`: not heard for some heartbeats, perhaps cut off and still at work.
-  13: i64 basis   // Names the leader and the instances that the sums are of.
-  14: list<PoolWaiting> waiting
-  15: bool settled  // The leader has had time to hear of all instances: `loads` is whole.
+  7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index
 }
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done }
 struct ProposeReply { 1: list<CommandResult> results }
 struct ConfigPoll {
-  1: i64 have_version; 2: i64 wait_ms; 3: i64 have_document; 4: i64 have_servers; 5: bool hosted
+  1: i64 have_version; 2: i64 wait_ms; 3: i64 have_document; 4: i64 have_servers; 5: bool hosted;
+  6: i64 have_term
 }
 
 // ---- Brokers -------------------------------------------------------------------------------
@@ -142,6 +129,40 @@
   10: list<i32> backlog; 11: i64 lease_ms; 12: i64 sequence; 13: bool not_broker
 }
 
+// ---- Places: what instances of hosted deployments ask of the one broker -----------------------
+struct PromptPart { 1: i64 id; 2: i32 tokens }
+// One request that wants a place at a backend server now. `ref` is the instance's own name for it.
+struct PlaceAsk {
+  1: i64 ref; 2: string pool; 3: string workspace; 4: i32 tier; 5: i32 rank; 6: i64 prompt_tokens;
+  7: i64 expected_tokens; 8: i32 aim_ms; 9: i32 waited_ms; 10: i32 left_ms; 11: i32 pause_aim_ms;
+  12: i32 wait_ms; 13: list<PromptPart> parts; 14: list<string> tried; 15: double cost;
+  16: double reserve; 17: double limit_rate; 18: double limit_burst
+}
+// A place that an instance holds without the broker's word, or from before its time.
+struct PlaceHeld { 1: i64 ref; 2: string server; 3: i64 reading_tokens; 4: i64 expected_tokens }
+enum PlaceSign { NONE = 0, GOOD = 1, BAD = 2, UNREACHABLE = 3 }
+// What a request met at its place. `ran`: the server may have run it.
+struct PlaceReport {
+  1: i64 ref; 2: i64 tokens_read; 3: i32 first_ms; 4: bool ended; 5: bool ran; 6: PlaceSign sign;
+  7: i32 service_ms; 8: i64 events; 9: i32 span_ms; 10: i32 pause_ms
+}
+// What was left of a workspace's limit when a broker last said so, and what was spent since without one.
+struct LimitUse {
+  1: string workspace; 2: double left; 3: i32 age_ms; 4: double spent_alone; 5: double rate;
+  6: double burst; 7: i64 epoch  // Of the broker that said it.
+}
+// From an instance. With `resync`, `held` is all that it holds.
+struct PlaceBatch {
+  1: string incarnation; 2: string data_centre; 3: i64 epoch; 4: bool resync; 5: i32 instances;
+  6: list<PlaceHeld> held; 7: list<LimitUse> limits; 8: list<PlaceAsk> asks; 9: list<i64> withdrawn;
+  10: list<PlaceReport> reports
+}
+enum PlaceVerdict { PLACED = 0, QUEUED = 1, NO_ROOM = 2, OVER_LIMIT = 3, NO_SERVER = 4 }
+struct PlaceAnswer {
+  1: i64 ref; 2: PlaceVerdict verdict; 3: string server; 4: i32 first_ms; 5: double left
+}
+struct PlaceAnswers { 1: i64 epoch; 2: list<PlaceAnswer> answers; 3: bool not_broker }
+
 // ---- Operators -----------------------------------------------------------------------------
 struct StatusRequest { 1: bool here }
 struct InstanceStatus {
@@ -164,6 +185,7 @@
   8: ConfigPoll poll; 9: ConfigDelta delta; 10: Demand demand; 11: Grants grants;
   12: StatusRequest status; 13: StatusReply status_reply; 14: ObjectsRequest objects;
   15: ObjectsReply objects_reply; 16: DrainRequest drain; 17: ErrorReply error; 18: bool done;
-  19: bool document_request; 20: Document document; 21: ServerRecord server_seen
+  19: bool document_request; 20: Document document; 21: ServerRecord server_seen;
+  22: PlaceBatch place_batch; 23: PlaceAnswers place_answers
 }
 struct Envelope { 1: i64 id; 2: bool reply; 3: Body body }
--- /dev/null
+++ b/tests/broker_link_test.cc
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// An instance and the broker of places: asking, being without one, finding one anew.
+#include <catch2/catch.hpp>
+
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+/// Notes what the forwarder sends; the test answers.
+struct FakeBroker {
+  std::vector<PlaceBatch> m_batches;
+  int m_silent = 0;
+
+  explicit FakeBroker(Rig& rig, std::int64_t epoch = 1) {
+    rig.m_forwarder->SetBroker({[this](PlaceBatch batch) { m_batches.push_back(std::move(batch)); },
+                                [this] { ++m_silent; }});
+    rig.m_forwarder->Take(FleetSize{4});
+    rig.m_forwarder->Take(BrokerFound{epoch});
+  }
+  [[nodiscard]] std::vector<PlaceAsk> Asks() const {
+    std::vector<PlaceAsk> asks;
+    for (const PlaceBatch& batch : m_batches)
+      asks.insert(asks.end(), batch.m_asks.begin(), batch.m_asks.end());
+    return asks;
+  }
+  [[nodiscard]] std::vector<PlaceReport> Reports() const {
+    std::vector<PlaceReport> reports;
+    for (const PlaceBatch& batch : m_batches)
+      reports.insert(reports.end(), batch.m_reports.begin(), batch.m_reports.end());
+    return reports;
+  }
+};
+
+void Decide(Rig& rig, PlaceRef ref, PlaceVerdict verdict, const std::string& server = "") {
+  PlaceAnswer answer;
+  answer.m_ref = ref;
+  answer.m_verdict = verdict;
+  answer.m_server = server;
+  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
+}
+
+TEST_CASE("a request goes where the broker says, and its place is given back when it ends") {
+  ScriptedServer wrong([](const std::string& request) { return Answer(request, "wrong"); });
+  ScriptedServer right([](const std::string& request) { return Answer(request, "right"); });
+  Rig rig;
+  rig.Register("s0", wrong);
+  rig.Register("s1", right);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "s1");
+  CHECK(call.Finish(rig).body() == "right");
+  CHECK(wrong.requests().empty());
+  REQUIRE(broker.Reports().size() == 1);
+  const PlaceReport report = broker.Reports()[0];
+  CHECK(report.m_ref == broker.Asks()[0].m_ref);
+  CHECK(report.m_ended);
+  CHECK(report.m_ran);
+  CHECK(report.m_sign == ServerSign::kGood);
+}
+
+TEST_CASE("what the broker refuses gets its answer at once and runs nowhere") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  rig.Register("s0", server);
+  FakeBroker broker(rig);
+  const std::pair<PlaceVerdict, int> cases[] = {{PlaceVerdict::kNoRoom, 503},
+                                                {PlaceVerdict::kNoServer, 503},
+                                                {PlaceVerdict::kOverLimit, 429}};
+  for (const auto& [verdict, status] : cases) {
+    broker.m_batches.clear();
+    Pending call(rig, Request("/safe/", "i"));
+    rig.RunUntil([&] { return !broker.Asks().empty(); });
+    REQUIRE(broker.Asks().size() == 1);
+    Decide(rig, broker.Asks()[0].m_ref, verdict);
+    const Seen seen = call.Finish(rig);
+    CHECK(seen.status() == status);
+    CHECK(seen.m_bytes.find("retry-after: ") != std::string::npos);
+  }
+  CHECK(server.requests().empty());
+}
+
+TEST_CASE(
+    "a broker that gives no answer is left after some tens of ms, and the request is served") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  rig.Register("s0", server);
+  FakeBroker broker(rig);
+  const Instant begun = ReadClock();
+  CHECK(Call(rig, Request("/safe/", "i")).status() == 200);
+  CHECK(ReadClock() - begun >= Duration(100'000));
+  CHECK(ReadClock() - begun < Duration(300'000));
+  CHECK(broker.m_silent == 1);
+  const Instant again = ReadClock();
+  CHECK(Call(rig, Request("/safe/", "j")).status() == 200);
+  CHECK(ReadClock() - again < Duration(90'000));
+}
+
+TEST_CASE("a request that waits at the broker is decided here once the broker is lost") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig(Document(1, "key"));
+  rig.Register("s0", server);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kQueued);
+  rig.m_forwarder->Take(BrokerLost{});
+  CHECK(call.Finish(rig).status() == 200);
+}
+
+TEST_CASE("a place that comes too late goes back, and nothing runs there") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  rig.Register("s0", server);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  const PlaceRef ref = broker.Asks()[0].m_ref;
+  Decide(rig, ref, PlaceVerdict::kNoRoom);
+  CHECK(call.Finish(rig).status() == 503);
+  Decide(rig, ref, PlaceVerdict::kPlaced, "s0");
+  REQUIRE(broker.Reports().size() == 1);
+  CHECK(broker.Reports()[0].m_ref == ref);
+  CHECK(broker.Reports()[0].m_ended);
+  CHECK_FALSE(broker.Reports()[0].m_ran);
+  CHECK(server.requests().empty());
+}
+
+TEST_CASE("a place at a server that is leaving goes back, and another one is asked for") {
+  ScriptedServer leaving([](const std::string& request) { return Answer(request, "old"); });
+  ScriptedServer other([](const std::string& request) { return Answer(request, "new"); });
+  Rig rig;
+  rig.Register("s0", leaving);
+  rig.Register("s1", other);
+  rig.Register("s0", leaving, wire::ServerStage::LEAVING);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  REQUIRE(broker.Asks().size() == 2);
+  CHECK(broker.Asks()[1].m_tried == std::vector<std::string>{"s0"});
+  Decide(rig, broker.Asks()[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  CHECK(call.Finish(rig).body() == "new");
+  CHECK(leaving.requests().empty());
+}
+
+TEST_CASE("a broker that is found anew is told what is held and asked for what waits") {
+  ScriptedServer server([](const std::string& request) {
+    std::vector<ScriptStep> steps = {Wait(300)};
+    for (const ScriptStep& step : Answer(request, "ok"))
+      steps.push_back(step);
+    return steps;
+  });
+  Rig rig;
+  rig.Register("s0", server);
+  FakeBroker broker(rig);
+  Pending running(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return broker.Asks().size() == 1; });
+  const PlaceRef held = broker.Asks()[0].m_ref;
+  Decide(rig, held, PlaceVerdict::kPlaced, "s0");
+  Pending waiting(rig, Request("/safe/", "j"));
+  rig.RunUntil([&] { return broker.Asks().size() == 2; });
+  broker.m_batches.clear();
+  rig.m_forwarder->Take(BrokerFound{2});
+  REQUIRE_FALSE(broker.m_batches.empty());
+  const PlaceBatch& first = broker.m_batches[0];
+  CHECK(first.m_resync);
+  CHECK(first.m_epoch == 2);
+  CHECK(first.m_instances == 4);
+  REQUIRE(first.m_held.size() == 1);
+  CHECK(first.m_held[0].m_ref == held);
+  CHECK(first.m_held[0].m_server == "s0");
+  REQUIRE(broker.Asks().size() == 1);
+  CHECK(running.Finish(rig).status() == 200);
+}
+
+TEST_CASE("a caller that leaves withdraws its wish") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  rig.Register("s0", server);
+  FakeBroker broker(rig);
+  PlaceRef ref = 0;
+  {
+    Pending call(rig, Request("/safe/", "i"));
+    rig.RunUntil([&] { return !broker.Asks().empty(); });
+    ref = broker.Asks()[0].m_ref;
+    Decide(rig, ref, PlaceVerdict::kQueued);
+    call.Leave();
+  }
+  const auto withdrawn = [&] {
+    return std::any_of(
+        broker.m_batches.begin(), broker.m_batches.end(),
+        [ref](const PlaceBatch& batch) { return batch.m_withdrawn == std::vector<PlaceRef>{ref}; });
+  };
+  rig.RunUntil(withdrawn);
+  CHECK(withdrawn());
+}
+
+}  // namespace
+}  // namespace poppyway
--- /dev/null
+++ b/tests/place_broker_test.cc
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// The one broker of places: exact counts, one order, one place for each request.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kSecond{1'000'000};
+const Instant kStart{Duration(10'000'000)};
+
+PlaceServer Server(const std::string& id, int slots) {
+  return {id, "engines", "east", slots, false};
+}
+
+PlaceBroker BrokerWith(const std::vector<PlaceServer>& servers) {
+  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
+  SetServers(broker, servers);
+  for (const std::string holder : {"a", "b"})
+    Resync(broker, holder, 2, kStart);
+  return broker;
+}
+
+PlaceAsk Wish(PlaceRef ref, Tier rank = 0) {
+  PlaceAsk ask;
+  ask.m_ref = ref;
+  ask.m_pool = "engines";
+  ask.m_data_centre = "east";
+  ask.m_tier = rank;
+  ask.m_shape.m_tier = rank;
+  ask.m_shape.m_prompt_tokens = 600;
+  ask.m_shape.m_aim = Duration(800'000);
+  ask.m_shape.m_left = 10 * kSecond;
+  ask.m_expected_tokens = 100;
+  ask.m_wait = Duration(200'000);
+  return ask;
+}
+
+PlaceAsk Costly(PlaceRef ref, double cost, double rate) {
+  PlaceAsk ask = Wish(ref);
+  ask.m_workspace = "north";
+  ask.m_quota.m_cost = cost;
+  ask.m_limit = {rate, rate};
+  return ask;
+}
+
+PlaceReport End(PlaceRef ref, bool ran = true) {
+  PlaceReport report;
+  report.m_ref = ref;
+  report.m_ended = true;
+  report.m_ran = ran;
+  return report;
+}
+
+std::vector<PlaceAnswer> AskFor(PlaceBroker& broker, const std::string& holder, PlaceAsk ask) {
+  std::vector<PlaceAnswer> out;
+  Ask(broker, holder, std::move(ask), kStart, out);
+  return out;
+}
+
+int Taken(const PlaceBroker& broker) {
+  int taken = 0;
+  for (const ServerView& view : broker.m_pools.at("engines").m_views)
+    taken += view.m_others;
+  return taken;
+}
+
+TEST_CASE("an engine's places are given out once each, whoever asks") {
+  PlaceBroker broker = BrokerWith({Server("s0", 2), Server("s1", 1)});
+  int placed = 0;
+  for (PlaceRef ref = 1; ref <= 6; ++ref) {
+    const auto answers = AskFor(broker, ref % 2 == 0 ? "a" : "b", Wish(ref));
+    REQUIRE(answers.size() == 1);
+    placed += answers[0].m_verdict == PlaceVerdict::kPlaced ? 1 : 0;
+  }
+  CHECK(placed == 3);
+  CHECK(Taken(broker) == 3);
+  for (const ServerView& view : broker.m_pools.at("engines").m_views)
+    CHECK(view.m_others == view.m_slots);
+}
+
+TEST_CASE("a place that comes free goes at once to what is most urgent, then to what came first") {
+  PlaceBroker broker = BrokerWith({Server("s0", 1)});
+  (void)AskFor(broker, "a", Wish(1));
+  CHECK(AskFor(broker, "a", Wish(2, 1))[0].m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskFor(broker, "b", Wish(3, 0))[0].m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskFor(broker, "a", Wish(4, 0))[0].m_verdict == PlaceVerdict::kQueued);
+  std::vector<PlaceRef> order;
+  PlaceRef running = 1;
+  std::string holder = "a";
+  for (int i = 0; i < 3; ++i) {
+    std::vector<PlaceAnswer> out;
+    Report(broker, holder, End(running), kStart + Duration(1'000), out);
+    REQUIRE(out.size() == 1);
+    CHECK(out[0].m_verdict == PlaceVerdict::kPlaced);
+    order.push_back(out[0].m_ref);
+    running = out[0].m_ref;
+    holder = out[0].m_holder;
+  }
+  CHECK(order == std::vector<PlaceRef>{3, 4, 2});
+}
+
+TEST_CASE("a wish that was withdrawn gets no place") {
+  PlaceBroker broker = BrokerWith({Server("s0", 1)});
+  (void)AskFor(broker, "a", Wish(1));
+  (void)AskFor(broker, "b", Wish(2));
+  Withdraw(broker, "b", 2);
+  std::vector<PlaceAnswer> out;
+  Report(broker, "a", End(1), kStart, out);
+  CHECK(out.empty());
+  CHECK(Taken(broker) == 0);
+}
+
+TEST_CASE("what finds no room in its time is refused, and costs its workspace nothing") {
+  PlaceBroker broker = BrokerWith({Server("s0", 1)});
+  (void)AskFor(broker, "a", Wish(1));
+  (void)AskFor(broker, "a", Costly(2, 100, 1'000));
+  const double left = broker.m_limits.at("north").m_tokens;
+  std::vector<PlaceAnswer> out;
+  TickBroker(broker, kStart + Duration(199'000), out);
+  CHECK(out.empty());
+  TickBroker(broker, kStart + Duration(200'000), out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].m_verdict == PlaceVerdict::kNoRoom);
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(left + 100));
+}
+
+TEST_CASE("a limit is charged with the place and given back only where no server ran the request") {
+  PlaceBroker broker = BrokerWith({Server("s0", 4)});
+  (void)AskFor(broker, "a", Costly(1, 100, 1'000));
+  (void)AskFor(broker, "a", Costly(2, 100, 1'000));
+  const double left = broker.m_limits.at("north").m_tokens;
+  std::vector<PlaceAnswer> out;
+  Report(broker, "a", End(1, true), kStart, out);
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(left));
+  Report(broker, "a", End(2, false), kStart, out);
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(left + 100));
+  // A second word on the same place changes nothing.
+  Report(broker, "a", End(2, false), kStart, out);
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(left + 100));
+  CHECK(Taken(broker) == 0);
+}
+
+TEST_CASE("the places of an instance that is gone come free") {
+  PlaceBroker broker = BrokerWith({Server("s0", 1)});
+  (void)AskFor(broker, "a", Wish(1));
+  (void)AskFor(broker, "b", Wish(2));
+  std::vector<PlaceAnswer> out;
+  DropHolder(broker, "a", kStart + Duration(1'000), out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].m_holder == "b");
+  CHECK(out[0].m_verdict == PlaceVerdict::kPlaced);
+  CHECK(Taken(broker) == 1);
+}
+
+TEST_CASE("an instance that tells anew what it holds is counted once") {
+  PlaceBroker broker = BrokerWith({Server("s0", 4)});
+  (void)AskFor(broker, "a", Wish(1));
+  (void)AskFor(broker, "a", Wish(2));
+  PlaceBatch batch;
+  batch.m_epoch = 1;
+  batch.m_resync = true;
+  batch.m_instances = 2;
+  batch.m_held = {{.m_ref = 2, .m_server = "s0"}};
+  std::vector<PlaceAnswer> out;
+  TakeBatch(broker, "a", batch, kStart, out);
+  TakeBatch(broker, "a", batch, kStart, out);
+  CHECK(Taken(broker) == 1);
+}
+
+TEST_CASE("a new broker gives out only the part of places whose holders have told") {
+  PlaceBroker broker = BeginBroker(2, 7, Duration(4'500'000), kStart);
+  SetServers(broker, {Server("s0", 8)});
+  Resync(broker, "a", 4, kStart);
+  int placed = 0;
+  for (PlaceRef ref = 1; ref <= 8; ++ref)
+    placed += AskFor(broker, "a", Wish(ref))[0].m_verdict == PlaceVerdict::kPlaced ? 1 : 0;
+  CHECK(placed == 2);
+  for (const std::string holder : {"b", "c", "d"})
+    Resync(broker, holder, 4, kStart);
+  std::vector<PlaceAnswer> out;
+  TickBroker(broker, kStart + Duration(20'000), out);
+  CHECK(out.size() == 6);
+}
+
+TEST_CASE("a broker that hears only some instances grants only their share of a limit's rate") {
+  PlaceBroker broker = BeginBroker(2, 7, Duration(4'500'000), kStart);
+  SetServers(broker, {Server("s0", 8)});
+  for (const std::string holder : {"a", "b", "c", "d"})
+    Resync(broker, holder, 4, kStart);
+  CHECK(HeardShare(broker) == 1);
+  std::vector<PlaceAnswer> out;
+  broker.m_holders.at("a").m_heard = kStart + 2 * kSecond;
+  TickBroker(broker, kStart + 2 * kSecond, out);
+  CHECK(HeardShare(broker) == 0.25);
+  // Who is silent for longer than it may serve no longer counts.
+  broker.m_holders.at("a").m_heard = kStart + 7 * kSecond;
+  TickBroker(broker, kStart + 7 * kSecond, out);
+  CHECK(HeardShare(broker) == 1);
+}
+
+TEST_CASE("what an earlier broker said to be left is taken over, its own word is not") {
+  PlaceBroker broker = BeginBroker(2, 7, Duration(4'500'000), kStart);
+  LimitWord word{"north", {1'000, 1'000}, 300, Duration(100'000), 1, 0};
+  HearLimit(broker, word, kStart);
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(400));
+  word.m_age = Duration(200'000);
+  word.m_left = 900;
+  HearLimit(broker, word, kStart);  // An older word.
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(400));
+  word.m_age = Duration(0);
+  word.m_epoch = 2;
+  HearLimit(broker, word, kStart);  // This broker's own word.
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(400));
+  word.m_spent_alone = 150;
+  HearLimit(broker, word, kStart);
+  CHECK(broker.m_limits.at("north").m_tokens == Approx(250));
+}
+
+TEST_CASE("a server that fails is found by all instances' answers together") {
+  PlaceBroker broker = BrokerWith({Server("s0", 8), Server("s1", 8)});
+  std::vector<PlaceAnswer> out;
+  int failures = 0;
+  for (PlaceRef ref = 1; ref <= 40; ++ref) {
+    const std::string holder = ref % 2 == 0 ? "a" : "b";
+    const PlaceAnswer answer = AskFor(broker, holder, Wish(ref))[0];
+    REQUIRE(answer.m_verdict == PlaceVerdict::kPlaced);
+    PlaceReport report = End(ref);
+    const bool bad = answer.m_server == "s0";
+    failures += bad ? 1 : 0;
+    report.m_sign = bad ? ServerSign::kBad : ServerSign::kGood;
+    Report(broker, holder, report, kStart, out);
+  }
+  CHECK(failures == 2);
+}
+
+TEST_CASE("a server that begins to leave gets nothing more, and what it has is still counted") {
+  PlaceBroker broker = BrokerWith({Server("s0", 2)});
+  (void)AskFor(broker, "a", Wish(1));
+  PlaceServer leaving = Server("s0", 2);
+  leaving.m_leaving = true;
+  SetServers(broker, {leaving, Server("s1", 2)});
+  CHECK(Taken(broker) == 1);
+  for (PlaceRef ref = 2; ref <= 3; ++ref)
+    CHECK(AskFor(broker, "a", Wish(ref))[0].m_server == "s1");
+  std::vector<PlaceAnswer> out;
+  Report(broker, "a", End(1), kStart, out);
+  CHECK(Taken(broker) == 2);
+}
+
+TEST_CASE("a prompt goes where its parts are kept, if that costs no wait") {
+  PlaceBroker broker = BrokerWith({Server("s0", 8), Server("s1", 8), Server("s2", 8)});
+  PlaceAsk first = Wish(1);
+  first.m_parts = {{11, 60}, {12, 500}};
+  const std::string server = AskFor(broker, "a", first)[0].m_server;
+  std::vector<PlaceAnswer> out;
+  PlaceReport end = End(1);
+  end.m_first = Duration(40'000);
+  end.m_tokens_read = 600;
+  Report(broker, "a", end, kStart, out);
+  for (PlaceRef ref = 2; ref <= 4; ++ref) {
+    PlaceAsk again = first;
+    again.m_ref = ref;
+    CHECK(AskFor(broker, "b", again)[0].m_server == server);
+    Report(broker, "b", End(ref), kStart, out);
+  }
+}
+
+}  // namespace
+}  // namespace poppyway
