Keep a member with a full disk up; keep the start before many servers linear

Change: a refused write is cut off the log and tried again every 100 ms; until then the member takes no part in elections and acknowledges nothing. A failed sync still ends it. A member that isn't sure to lead no longer names itself as leader. Instances find servers at one address by a look-up; changes of servers are told at most every 100 ms.

--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr Duration kLeaderMissed{1'000'000};  // Some election timeouts: then other ways are tried.
+// Changes of servers are told to instances in batches: while pools are replaced or come up some
+// tens of changes a second would each be told to hundreds of instances. A twentieth of the time in
+// which a leaving server must get no more work.
+constexpr Duration kServerNewsInterval{100'000};
 constexpr Duration kAskLeaderLimit{900'000};  // Callers of this interface give up after a second.
 
 }  // namespace
@@ -41,8 +45,13 @@
   if (!poll.hosted)
     return m_machine.m_configuration.m_version > poll.have_version;
   const HostedState& hosted = m_machine.m_hosted;
-  return hosted.m_document.version > poll.have_document ||
-         hosted.m_servers_index > poll.have_servers || KnownLeaderTerm() > poll.have_term;
+  return hosted.m_document.version > poll.have_document || KnownLeaderTerm() > poll.have_term ||
+         (hosted.m_servers_index > poll.have_servers && MayTellServers(poll));
+}
+
+bool MemberSide::MayTellServers(const wire::ConfigPoll& poll) const {
+  const bool starting = poll.have_servers == 0;
+  return starting || ReadClock() >= m_servers_told + kServerNewsInterval;
 }
 
 std::int64_t MemberSide::KnownLeaderTerm() const {
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -14,6 +14,7 @@
 constexpr Duration kHelloInterval{200'000};
 constexpr Duration kProposalLimit{3'000'000};
 constexpr Duration kMaxPollWait{30'000'000};
+constexpr Duration kDiskRetryInterval{100'000};  // One small write, until there is room.
 constexpr int kDiskFailedExit = 74;
 
 /// "name" of a voter, "(name)" of a member without a vote.
@@ -93,8 +94,34 @@
   std::_Exit(kDiskFailedExit);
 }
 
+void MemberSide::HoldBack(LogEffects&& effects, const Error& why) {
+  if (m_disk_full_since == Instant{}) {
+    m_disk_full_since = ReadClock();
+    POPPYWAY_LOG(error, "disk_full").Field("why", why.m_message);
+  }
+  MergeEffects(effects, std::move(m_effects));
+  m_effects = std::move(effects);
+  m_disk_full = true;
+  m_disk_retry = ReadClock() + kDiskRetryInterval;
+}
+
+void MemberSide::RetryDisk(Instant now) {
+  if (!m_disk_full || now < m_disk_retry)
+    return;
+  m_disk_full = false;
+  Flush();
+  if (m_disk_full)
+    return;
+  POPPYWAY_LOG(info, "disk_has_room")
+      .Field("last_index", LastIndex(m_node))
+      .Field("after_ms", (now - m_disk_full_since).count() / 1000);
+  m_disk_full_since = Instant{};
+}
+
 void MemberSide::Flush() {
   m_flush_due = false;
+  if (m_disk_full)
+    return;
   const bool led = leads();
   LogEffects effects = std::move(m_effects);
   m_effects = {};
@@ -103,8 +130,12 @@
       FatalDisk(loaded.error());
   }
   if (effects.NeedsSync()) {
-    if (Result<void> saved = m_store->Save(m_node, effects); !saved)
-      FatalDisk(saved.error());
+    if (Result<void> saved = m_store->Save(m_node, effects); !saved) {
+      if (saved.error().m_code != ResultCode::kDiskFull)
+        FatalDisk(saved.error());
+      HoldBack(std::move(effects), saved.error());
+      return;
+    }
     ++m_syncs;
     m_entries_synced += effects.m_append.size();
   }
@@ -192,8 +223,13 @@
     return;
   const Instant begun = ReadClock();
   const wire::Snapshot snapshot = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
-  if (Result<void> saved = m_store->SaveSnapshot(m_node, snapshot); !saved)
-    FatalDisk(saved.error());
+  if (Result<void> saved = m_store->SaveSnapshot(m_node, snapshot); !saved) {
+    if (saved.error().m_code != ResultCode::kDiskFull)
+      FatalDisk(saved.error());
+    // The log in memory begins after the snapshot now; the one on the disk is whole without it.
+    POPPYWAY_LOG(warning, "snapshot_put_off").Field("why", saved.error().m_message);
+    return;
+  }
   POPPYWAY_LOG(info, "snapshot")
       .Field("index", snapshot.index)
       .Field("bytes", snapshot.state.size())
@@ -201,29 +237,40 @@
 }
 
 void MemberSide::Tick(Instant now) {
+  RetryDisk(now);
+  if (!m_disk_full)
+    Lead(now);
+  ExpireProposals(now);
+  AnswerPolls(now);
+}
+
+void MemberSide::Lead(Instant now) {
   const bool led = leads();
   Take(TickLog(m_node, now));
   if (leads() && !led)
     POPPYWAY_LOG(info, "leading").Field("term", m_node.m_hard.term);
   if ((Blank() || LacksLeader(now)) && now >= m_hello_due)
     SayHello(now);
-  if (leads()) {
-    if (m_table.m_leading_since == Instant{})
-      // A hosted instance that falls silent may serve until its last confirmation lapses.
-      m_table = BeginLeading(
-          std::chrono::milliseconds(std::max(m_settings.m_lease_ms, m_settings.m_confirm_ms)),
-          std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
-    ProposeDue(now);
-    if (m_settings.m_hosted && m_places.epoch() != m_node.m_hard.term)
-      m_places.Begin(m_node.m_hard.term, m_machine.m_hosted,
-                     std::chrono::milliseconds(m_settings.m_confirm_ms), now);
-    m_places.Tick(now);
-  } else {
+  if (!leads()) {
     m_table = {};
     m_places.End();
     if (!m_pending.empty())
       FailPending("leadership was lost");
+    return;
   }
+  if (m_table.m_leading_since == Instant{})
+    // A hosted instance that falls silent may serve until its last confirmation lapses.
+    m_table = BeginLeading(
+        std::chrono::milliseconds(std::max(m_settings.m_lease_ms, m_settings.m_confirm_ms)),
+        std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
+  ProposeDue(now);
+  if (m_settings.m_hosted && m_places.epoch() != m_node.m_hard.term)
+    m_places.Begin(m_node.m_hard.term, m_machine.m_hosted,
+                   std::chrono::milliseconds(m_settings.m_confirm_ms), now);
+  m_places.Tick(now);
+}
+
+void MemberSide::ExpireProposals(Instant now) {
   std::vector<std::int64_t> expired;
   for (auto& [index, slot] : m_pending) {
     if (now < slot.m_proposal->m_expires)
@@ -235,7 +282,6 @@
   }
   for (const std::int64_t index : expired)
     m_pending.erase(index);
-  AnswerPolls(now);
 }
 
 void MemberSide::SayHello(Instant now) {
@@ -335,6 +381,8 @@
 }
 
 void MemberSide::OnLogMessage(const wire::LogMessage& message) {
+  if (m_disk_full)
+    return;  // A member that can't write takes no part, as if it were slow.
   m_names[message.from_id] = message.from_name;
   const bool led = leads();
   Take(StepLog(m_node, message, ReadClock()));
@@ -347,7 +395,8 @@
 wire::Body MemberSide::NotLeader() const {
   wire::Body body = ErrorBody(ResultCode::kNotLeader, "this member is not the leader");
   const wire::MemberInfo* leader = FindMember(m_node.m_membership, m_node.m_leader);
-  if (leader == nullptr)
+  // One that has led and isn't sure any more is no help.
+  if (leader == nullptr || leader->id == m_node.m_id)
     return body;
   body.error.leader_address = leader->address;
   body.error.leader_port = leader->port;
@@ -355,6 +404,10 @@
 }
 
 void MemberSide::OnPropose(const wire::Propose& propose, const ReplyFn& reply) {
+  if (m_disk_full) {
+    reply(ErrorBody(ResultCode::kDiskFull, "this member's disk has no room"));
+    return;
+  }
   LogEffects effects;
   const Instant now = ReadClock();
   const Result<std::int64_t> first = ProposeLog(m_node, propose.commands, effects, now);
@@ -418,6 +471,7 @@
   std::map<std::int64_t, wire::Body> by_version;  // Readers of one version share one answer.
   std::vector<ParkedPoll> parked;
   parked.swap(m_polls);
+  bool told_servers = false;
   for (ParkedPoll& poll : parked) {
     if (!HasNews(poll.m_poll) && now < poll.m_expires) {
       m_polls.push_back(std::move(poll));
@@ -426,6 +480,7 @@
     if (poll.m_poll.hosted) {
       wire::Body body;
       body.__set_delta(NewsFor(poll.m_poll));
+      told_servers = told_servers || (poll.m_poll.have_servers != 0 && !body.delta.servers.empty());
       poll.m_reply(std::move(body));
       continue;
     }
@@ -434,6 +489,8 @@
       entry->second.__set_delta(DeltaSince(m_machine.m_configuration, poll.m_poll.have_version));
     poll.m_reply(entry->second);
   }
+  if (told_servers)
+    m_servers_told = now;
 }
 
 void MemberSide::OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply) {
@@ -490,6 +547,7 @@
   metrics.Set("poppyway_log_leader", "", leads() ? 1 : 0);
   metrics.Set("poppyway_log_syncs", "", static_cast<double>(m_syncs));
   metrics.Set("poppyway_log_entries_synced", "", static_cast<double>(m_entries_synced));
+  metrics.Set("poppyway_log_disk_full", "", m_disk_full ? 1 : 0);
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
   metrics.Set("poppyway_ledger_kept_bytes", "",
               static_cast<double>(m_machine.m_ledger.m_kept_bytes));
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -93,12 +93,21 @@
   [[nodiscard]] std::string MemberName() const;
   [[nodiscard]] bool LacksLeader(Instant now) const;
   [[nodiscard]] bool HasNews(const wire::ConfigPoll& poll) const;
+  /// True if changes of servers may be told now.
+  [[nodiscard]] bool MayTellServers(const wire::ConfigPoll& poll) const;
   /// The term of the leader that this member follows or is; zero: it knows none.
   [[nodiscard]] std::int64_t KnownLeaderTerm() const;
   [[nodiscard]] wire::ConfigDelta NewsFor(const wire::ConfigPoll& poll) const;
   [[nodiscard]] wire::MemberInfo Self() const;
   [[nodiscard]] bool Blank() const { return m_node.m_membership.members.empty(); }
   void FatalDisk(const Error& why);
+  /// The disk has no room for these effects: nothing is sent or acknowledged until it has.
+  void HoldBack(LogEffects&& effects, const Error& why);
+  /// Tries again what was held back.
+  void RetryDisk(Instant now);
+  /// Elections, proposals of its own, the broker of places.
+  void Lead(Instant now);
+  void ExpireProposals(Instant now);
 
   TaskLoop& m_loop;
   DaemonSettings m_settings;
@@ -113,9 +122,13 @@
   std::map<std::string, wire::MemberInfo> m_joining;  ///< Members that asked to join, by name.
   LogEffects m_effects;
   bool m_flush_due = false;
+  bool m_disk_full = false;     ///< `m_effects` is held back; this member takes no part meanwhile.
+  Instant m_disk_full_since{};  ///< Zero: it isn't.
+  Instant m_disk_retry{};
   Mailbox<int> m_flusher;
   std::map<std::int64_t, Slot> m_pending;  ///< By log index.
   std::vector<ParkedPoll> m_polls;
+  Instant m_servers_told{};  ///< When parked polls last got changes of servers.
   Instant m_hello_due{};
   std::int64_t m_proposing_until = 0;  ///< Leader's own proposals up to here are under way.
   std::uint64_t m_syncs = 0;
--- a/packages/core/include/poppyway/core/impl/result_code.h
+++ b/packages/core/include/poppyway/core/impl/result_code.h
@@ -63,6 +63,7 @@
   kDiskFailed = 5003,
   kPeerProtocol = 5004,
   kPeerUnreachable = 5005,
+  kDiskFull = 5006,
 };
 
 /// \brief One row of the result table.
--- a/packages/core/src/result_code.cc
+++ b/packages/core/src/result_code.cc
@@ -75,6 +75,8 @@
     ResultInfo{kPeerProtocol, "peer_protocol", 0, kNo, false,
                "A peer sent a malformed message; the connection was closed."},
     ResultInfo{kPeerUnreachable, "peer_unreachable", 0, kNo, true, "A peer can't be reached."},
+    ResultInfo{kDiskFull, "disk_full", 0, kNo, true,
+               "A write found no room; nothing of it is kept, and it is tried again."},
 };
 
 }  // namespace
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -96,6 +96,7 @@
   Instant m_stop_begun{};
   bool m_ready_told = false;
   std::map<std::string, Backend> m_backends;
+  std::map<Endpoint, std::vector<std::string>> m_at_place;  ///< Ids of servers at each address.
   std::map<std::string, PoolState> m_pools;
   std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
   std::vector<ForwardingRef> m_awaiting_start;          ///< Until the configuration is known.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -7,6 +7,9 @@
 namespace poppyway::impl {
 namespace {
 
+// Of a longer list, as an instance gets it when it starts, only the length is logged.
+constexpr std::size_t kMostLogged = 64;
+
 /// A record of a server that is gone is kept while requests still count on it.
 void DropUnused(ForwarderState& state) {
   std::erase_if(state.m_backends, [&state](const auto& entry) {
@@ -15,19 +18,43 @@
     if (!gone || backend.m_in_flight > 0)
       return false;
     state.m_connections->Forget(backend.m_place);
+    std::erase(state.m_at_place[backend.m_place], entry.first);
+    if (state.m_at_place[backend.m_place].empty())
+      state.m_at_place.erase(backend.m_place);
     return true;
   });
 }
 
-/// A new server at the place of others: those are gone, whether they said so or not.
+/// A new server at the place of others: those are gone, whether they said so or not. The look-up
+/// by place keeps a whole list linear: an instance with a quarter of a core that compared each of
+/// 3,000 servers with all others spent seconds of its start on it.
 void RetireOthers(ForwarderState& state, const std::string& server) {
-  const Endpoint& place = state.m_backends.at(server).m_place;
-  for (auto& [id, backend] : state.m_backends) {
-    if (id != server && backend.m_place == place)
-      backend.m_replaced = true;
+  for (const std::string& id : state.m_at_place[state.m_backends.at(server).m_place]) {
+    if (id != server)
+      state.m_backends.at(id).m_replaced = true;
   }
 }
 
+void Locate(ForwarderState& state, Backend& backend, const std::string& id, const Endpoint& place) {
+  std::vector<std::string>& here = state.m_at_place[place];
+  if (backend.m_place == place && std::find(here.begin(), here.end(), id) != here.end())
+    return;
+  const auto before = state.m_at_place.find(backend.m_place);
+  if (before != state.m_at_place.end())
+    std::erase(before->second, id);
+  backend.m_place = place;
+  here.push_back(id);
+}
+
+void LogServer(const wire::ServerRecord& record) {
+  POPPYWAY_LOG(info, "server_changed")
+      .Field("server", record.id)
+      .Field("pool", record.pool)
+      .Field("place", record.address + ":" + std::to_string(record.port))
+      .Field("stage", static_cast<int>(record.stage))
+      .Field("log_index", record.index);
+}
+
 /// In the order in which they changed: of two at one place the later one is there now. A whole
 /// list, as an instance gets it when it starts, comes in the order of ids.
 std::vector<const wire::ServerRecord*> ByChange(const std::vector<wire::ServerRecord>& records) {
@@ -92,17 +119,15 @@
     const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
     Backend& backend = state.m_backends[record.id];
     backend.m_record = record;
-    backend.m_place = place;
+    Locate(state, backend, record.id, place);
     backend.m_leaving = record.stage != wire::ServerStage::READY;
     if (!known && !backend.m_leaving)
       RetireOthers(state, record.id);
-    POPPYWAY_LOG(info, "server_changed")
-        .Field("server", record.id)
-        .Field("pool", record.pool)
-        .Field("place", ToText(place))
-        .Field("stage", static_cast<int>(record.stage))
-        .Field("log_index", record.index);
+    if (records.size() <= kMostLogged)
+      LogServer(record);
   }
+  if (records.size() > kMostLogged)
+    POPPYWAY_LOG(info, "servers_changed").Field("servers", records.size());
   DropUnused(state);
   IndexPools(state);
   for (const auto& [name, pool] : state.m_pools)
--- a/packages/log/include/poppyway/log/impl/log_store.h
+++ b/packages/log/include/poppyway/log/impl/log_store.h
@@ -51,7 +51,9 @@
   LogStore(const LogStore&) = delete;
   LogStore& operator=(const LogStore&) = delete;
 
-  /// Makes the effects durable with one sync. After a failure the store takes nothing more.
+  /// Makes the effects durable with one sync.
+  /// \return `kDiskFull` if there was no room: nothing of it is kept, and the same effects may be
+  /// saved again later. After `kDiskFailed` the store takes nothing more.
   [[nodiscard]] Result<void> Save(const LogNode& node, const LogEffects& effects);
   /// Stores a snapshot, begins a new segment with what follows it, and drops the old files.
   [[nodiscard]] Result<void> SaveSnapshot(const LogNode& node, const wire::Snapshot& snapshot);
@@ -59,12 +61,17 @@
  private:
   LogStore(std::string folder, FileOps ops);
   [[nodiscard]] Result<void> BeginSegment(const LogNode& node);
+  /// Cuts off what a refused write may have left. \return false if it can't be cut now.
+  [[nodiscard]] bool CutTorn();
+  [[nodiscard]] Result<void> Full(const std::string& what) const;
   [[nodiscard]] Result<void> Broken(const std::string& what);
 
   std::string m_folder;
   FileOps m_ops;
   int m_segment = -1;
   std::int64_t m_segment_number = 0;
+  std::int64_t m_segment_bytes = 0;  ///< Known to be whole records.
+  bool m_torn = false;               ///< Part of a refused write may follow them.
   bool m_failed = false;
 };
 
--- a/packages/log/src/log_store.cc
+++ b/packages/log/src/log_store.cc
@@ -233,6 +233,9 @@
   store->m_segment = open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
   if (store->m_segment < 0)
     return Fail(ResultCode::kDiskFailed, path + ": " + std::strerror(errno));
+  store->m_segment_bytes = static_cast<std::int64_t>(fs::file_size(path, fault));
+  if (fault)
+    return Fail(ResultCode::kDiskFailed, path + ": " + fault.message());
   return store;
 }
 
@@ -241,6 +244,17 @@
   return Fail(ResultCode::kDiskFailed, m_folder + ": " + what + " failed");
 }
 
+Result<void> LogStore::Full(const std::string& what) const {
+  return Fail(ResultCode::kDiskFull, m_folder + ": no room for " + what);
+}
+
+bool LogStore::CutTorn() {
+  if (!m_torn)
+    return true;
+  m_torn = ftruncate(m_segment, static_cast<off_t>(m_segment_bytes)) != 0;
+  return !m_torn;
+}
+
 Result<void> LogStore::Save(const LogNode& node, const LogEffects& effects) {
   if (m_failed)
     return Broken("an earlier write");
@@ -255,8 +269,15 @@
     AppendRecord(bytes, RecordType::kEntry, Serialize(entry));
   if (bytes.empty())
     return {};
-  if (!m_ops.m_write(m_segment, bytes))
-    return Broken("a write");
+  if (!CutTorn())
+    return Full("the log");
+  if (!m_ops.m_write(m_segment, bytes)) {
+    m_torn = true;
+    (void)CutTorn();  // Else before the next write.
+    return Full("the log");
+  }
+  m_segment_bytes += static_cast<std::int64_t>(bytes.size());
+  // What a failed sync leaves on the disk can't be known, also if a later one succeeds.
   if (!m_ops.m_sync(m_segment))
     return Broken("a sync");
   return {};
@@ -269,7 +290,7 @@
   AppendRecord(bytes, RecordType::kBase, Serialize(snapshot));
   const std::string name = kSnapshotPrefix + NumberText(snapshot.index);
   if (!WriteWhole(m_folder, name, bytes, m_ops))
-    return Broken("writing a snapshot");
+    return Full("a snapshot");
   return BeginSegment(node);
 }
 
@@ -282,13 +303,15 @@
   const std::int64_t number = m_segment_number + 1;
   const std::string name = kSegmentPrefix + NumberText(number);
   if (!WriteWhole(m_folder, name, bytes, m_ops))
-    return Broken("beginning a segment");
+    return Full("a segment");
   if (m_segment >= 0)
     close(m_segment);
   m_segment = open((m_folder + "/" + name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
   if (m_segment < 0)
     return Broken("opening a segment");
   m_segment_number = number;
+  m_segment_bytes = static_cast<std::int64_t>(bytes.size());
+  m_torn = false;
   // The new segment is whole: older files are not needed any more.
   for (const std::int64_t old : NumbersOf(m_folder, kSegmentPrefix)) {
     if (old < number)
