Forecast when a place comes free, and wait, refuse and return by it

Cause: wishes waited for 0.22 of their aim whatever stood before them, were refused then (held for nothing) and were told to come back after up to 2 s, mostly into the same burst. Change: the broker forecasts a wish's wait from how fast places come free or, by Little's law, from how long they are held; from what waits ahead; and from what more urgent goes on to arrive. What can't be in time is refused at once with the forecast as its time to come back, the rest waits for twice its forecast at most. The share of the aim stays for instances without a broker.

--- a/apps/poppywayd/place_convert.cc
+++ b/apps/poppywayd/place_convert.cc
@@ -214,6 +214,7 @@
   sent.server = answer.m_server;
   sent.first_ms = ToMillis(answer.m_first);
   sent.left = answer.m_left;
+  sent.come_back_ms = ToMillis(answer.m_come_back);
   return sent;
 }
 
@@ -224,6 +225,7 @@
   answer.m_server = sent.server;
   answer.m_first = FromMillis(sent.first_ms);
   answer.m_left = sent.left;
+  answer.m_come_back = FromMillis(sent.come_back_ms);
   return answer;
 }
 
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -81,6 +81,7 @@
   bool m_queued = false;     ///< The broker has said that it waits there.
   PlaceRef m_place = 0;      ///< Held for the call under way; zero: none.
   PlaceReport m_report;      ///< Of that place, as far as it isn't told yet.
+  Duration m_come_back{};    ///< When the broker expects room; zero: it didn't say.
   Duration m_forecast{};     ///< Of the first event, when the place was given.
   bool m_by_broker = false;  ///< The broker gave the place.
   bool m_sent = false;       ///< The server may have run the call under way.
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -28,7 +28,7 @@
   if (route.m_stream)
     ask.m_shape.m_pause_aim = route.m_pause_aim;
   ask.m_expected_tokens = forwarding.m_request.m_expected_tokens;
-  ask.m_wait = forwarding.m_wait_until - now;
+  ask.m_wait = forwarding.m_deadline - now;
   if (forwarding.m_pool->m_engines)
     ask.m_parts = forwarding.m_request.m_parts;
   ask.m_tried = forwarding.m_tried;
@@ -101,6 +101,7 @@
 }
 
 void RefuseByBroker(ForwarderState& state, Forwarding& forwarding, const PlaceAnswer& answer) {
+  forwarding.m_come_back = answer.m_come_back;
   if (answer.m_verdict == PlaceVerdict::kOverLimit)
     LogOverLimit(forwarding, answer);
   if (forwarding.m_unsure > 0) {
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -14,8 +14,6 @@
 constexpr double kComeBackShare = 0.3;
 constexpr Duration kComeBackLeast{150'000};  // Sooner, nothing will have changed.
 constexpr Duration kComeBackMost{2'000'000};
-// The broker itself refuses what has waited for long enough; its word needs this long at most.
-constexpr Duration kAnswerOnItsWay{50'000};
 constexpr int kDepthWithoutRoom = 8;  // After so many that find no room the rest is not tried.
 
 Duration Scale(Duration duration, double factor) {
@@ -88,8 +86,10 @@
       const Forwarding* forwarding = Find(state, ref);
       if (forwarding == nullptr)
         continue;
-      const Duration more = forwarding->m_ask != 0 ? kAnswerOnItsWay : Duration(0);
-      if (now >= forwarding->m_wait_until + more)
+      // What the broker has is refused by the broker.
+      const Instant until =
+          forwarding->m_ask != 0 ? forwarding->m_deadline : forwarding->m_wait_until;
+      if (now >= until)
         expired.push_back(ref);
     }
   }
@@ -110,9 +110,12 @@
   if (code == ResultCode::kStopping)
     return Duration(0);  // Any other instance can serve it now.
   const Duration left = forwarding.m_deadline - ReadClock();
-  const Duration most = std::min(kComeBackMost, Scale(left, kComeBackShare));
   const double spread =
       0.5 + 0.5 * static_cast<double>(state.m_random() >> 11) / 9007199254740992.0;
+  if (forwarding.m_come_back > Duration(0))
+    return std::clamp(Scale(forwarding.m_come_back, 2 * spread), kComeBackLeast,
+                      std::max(kComeBackLeast, Scale(left, kComeBackShare)));
+  const Duration most = std::min(kComeBackMost, Scale(left, kComeBackShare));
   return std::max(kComeBackLeast, Scale(most, spread));
 }
 
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -25,6 +25,7 @@
 #include "poppyway/policy/impl/broker.h"
 #include "poppyway/policy/impl/credit_book.h"
 #include "poppyway/policy/impl/place_broker.h"
+#include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
 #include "poppyway/policy/impl/pool_client.h"
 #include "poppyway/policy/impl/prefix_index.h"
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "poppyway/core.h"
+#include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
 #include "poppyway/policy/impl/server_choice.h"
 #include "poppyway/policy/impl/server_health.h"
@@ -53,7 +54,7 @@
   Tier m_tier = 0;            ///< Of the workspace.
   RequestShape m_shape;  ///< As of now; `m_tier` is the route's. `m_events` is set by the broker.
   std::int64_t m_expected_tokens = 0;
-  Duration m_wait{};  ///< It may wait for a place for so long.
+  Duration m_wait{};  ///< Its caller waits for so long.
   std::vector<PrefixPart> m_parts;
   std::vector<std::string> m_tried;  ///< Servers that it must not go to.
   QuotaRequest m_quota;
@@ -80,8 +81,9 @@
   PlaceRef m_ref = 0;
   PlaceVerdict m_verdict = PlaceVerdict::kPlaced;
   std::string m_server;
-  Duration m_first{};  ///< Forecast of the first event, or the answer of a plain service.
-  double m_left = 0;   ///< Of the workspace's limit.
+  Duration m_first{};      ///< Forecast of the first event, or the answer of a plain service.
+  double m_left = 0;       ///< Of the workspace's limit.
+  Duration m_come_back{};  ///< Of a refusal: when there is room, as far as can be told. Zero: not.
 
   friend bool operator==(const PlaceAnswer&, const PlaceAnswer&) = default;
 };
@@ -108,6 +110,7 @@
   std::string m_server;
   std::int64_t m_reading_tokens = 0;  ///< Of its prompt, not read yet.
   std::int64_t m_expected_tokens = 0;
+  Instant m_taken{};        ///< Given by this broker then; zero: it was told of it.
   std::string m_workspace;  ///< Charged for it here; empty: not here.
   double m_cost = 0;
 
@@ -164,6 +167,7 @@
   std::string m_holder;
   PlaceAsk m_ask;
   Instant m_asked{};
+  Instant m_until{};      ///< Refused then.
   bool m_choosy = false;  ///< Some server suits it, so one that doesn't gets it not.
 };
 
@@ -180,6 +184,7 @@
   std::unordered_map<std::uint64_t, PartKeepers> m_parts;  ///< By the part's id.
   ServerPace m_typical;
   Instant m_typical_at{};
+  PlaceFlow m_flow;
 };
 
 /// \brief What the broker knows of one instance.
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -62,6 +62,11 @@
                                     const RequestShape& request,
                                     const ServerPace& typical) noexcept;
 
+/// \brief The same as if nothing else were at work there.
+[[nodiscard]] Duration PredictAlone(const ServerView& server,
+                                    const RequestShape& request,
+                                    const ServerPace& typical) noexcept;
+
 /// \brief True if a request of this tier may be sent there now: what would wait in the server's own
 /// queue, where tiers are not known, stays a small part of the aim, and the first event is expected
 /// in time. A prompt that no server can read in time only has to find little ahead of it.
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -17,7 +17,11 @@
 constexpr std::size_t kDepth = 64;           // Of the queue that a free place is offered to.
 constexpr std::size_t kTickDepth = 8;        // Of the queue that all servers are tried for.
 constexpr Duration kTypicalAge{100'000};
-constexpr double kEventGain = 0.02;  // Of the size of events: some fifty answers back.
+constexpr double kInTimeShare = 0.85;  // Of the aim: forecasts are some tens of ms off.
+constexpr int kForecastSlack =
+    2;  // Places come free in clusters: a wait may take twice its forecast.
+constexpr Duration kLeastWait{40'000};  // Some places come free in it even where few do.
+constexpr double kEventGain = 0.02;     // Of the size of events: some fifty answers back.
 
 std::size_t RankIndex(Tier rank) {
   return static_cast<std::size_t>(std::clamp(rank, 0, kTiers - 1));
@@ -112,6 +116,7 @@
   held.m_expected_tokens = ask.m_expected_tokens;
   held.m_workspace = ask.m_workspace;
   held.m_cost = ask.m_quota.m_cost;
+  held.m_taken = now;
   ++view.m_others;
   view.m_reading_tokens += held.m_reading_tokens;
   if (OnTrial(pool.m_health[i]))
@@ -214,20 +219,48 @@
     Refund(limit->second, ask.m_quota.m_cost);
 }
 
+int TakenOf(const PlacePool& pool) {
+  int taken = 0;
+  for (const ServerView& view : pool.m_views)
+    taken += view.m_others;
+  return taken;
+}
+
 void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out) {
-  for (auto it = pool.m_waiting.begin(); it != pool.m_waiting.end();) {
+  int ahead = 0;
+  for (auto it = pool.m_waiting.begin(); it != pool.m_waiting.end(); ++ahead) {
     const WaitingAsk& waiting = it->second;
-    if (now < waiting.m_asked + waiting.m_ask.m_wait) {
+    if (now < waiting.m_until) {
       ++it;
       continue;
     }
     GiveBack(broker, waiting.m_ask);
     broker.m_holders[waiting.m_holder].m_waiting.erase(waiting.m_ask.m_ref);
     out.push_back(RefusalOf(waiting.m_holder, waiting.m_ask.m_ref, PlaceVerdict::kNoRoom, 0));
+    out.back().m_come_back =
+        ForecastWait(pool.m_flow, it->first.m_rank, ahead, TakenOf(pool)).value_or(Duration(0));
     it = pool.m_waiting.erase(it);
   }
 }
 
+int CountAhead(const PlacePool& pool, const PlaceOrder& order) {
+  return static_cast<int>(std::distance(pool.m_waiting.begin(), pool.m_waiting.lower_bound(order)));
+}
+
+/// After it a place would be of no use for an answer in time, or its caller is gone.
+Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting) {
+  const RequestShape& shape = waiting.m_ask.m_shape;
+  Duration fastest = kLongestWait;
+  for (const ServerView& view : pool.m_views) {
+    if (view.m_usable)
+      fastest = std::min(fastest, PredictAlone(view, shape, pool.m_typical));
+  }
+  const auto aim = static_cast<double>(shape.m_aim.count());
+  const Duration in_time =
+      Duration(static_cast<std::int64_t>(kInTimeShare * aim)) - shape.m_waited - fastest;
+  return std::clamp(in_time, Duration(0), waiting.m_ask.m_wait);
+}
+
 /// The pool and index of a server; a null pool if it is not known (any more).
 std::pair<PlacePool*, std::size_t> FindServer(PlaceBroker& broker, const std::string& id) {
   const auto found = broker.m_server_index.find(id);
@@ -245,10 +278,12 @@
   broker.m_instances = CountInstances(broker.m_instances, broker.m_heard, broker.m_may_serve, now);
 }
 
-void FreePlace(PlaceBroker& broker, const HeldPlace& held) {
+void FreePlace(PlaceBroker& broker, const HeldPlace& held, Instant now) {
   const auto [pool, i] = FindServer(broker, held.m_server);
   if (pool == nullptr)
     return;
+  if (held.m_taken != Instant{})
+    pool->m_flow = CountFreed(pool->m_flow, now - held.m_taken, now);
   --pool->m_views[i].m_others;
   pool->m_views[i].m_reading_tokens -= held.m_reading_tokens;
 }
@@ -421,12 +456,24 @@
   const PlaceOrder order{ask.m_tier, rank,
                          LengthClass(pool.m_usual_length[RankIndex(rank)], ask.m_expected_tokens),
                          broker.m_next_number++};
-  WaitingAsk waiting{holder, std::move(ask), now, false};
+  pool.m_flow = CountAsked(pool.m_flow, rank, now);
+  WaitingAsk waiting{holder, std::move(ask), now, {}, false};
   if (std::optional<PlaceAnswer> answer = TryAll(broker, pool, waiting, Yields(pool, rank), now)) {
     out.push_back(std::move(*answer));
     return;
   }
   const PlaceRef ref = waiting.m_ask.m_ref;
+  const std::optional<Duration> forecast =
+      ForecastWait(pool.m_flow, rank, CountAhead(pool, order), TakenOf(pool));
+  const Duration most = LongestUsefulWait(pool, waiting);
+  if (forecast && *forecast > most) {
+    GiveBack(broker, waiting.m_ask);
+    out.push_back(RefusalOf(holder, ref, PlaceVerdict::kNoRoom, 0));
+    out.back().m_come_back = *forecast;
+    return;
+  }
+  const Duration wait = forecast ? kForecastSlack * *forecast : most;
+  waiting.m_until = now + std::clamp(wait, std::min(kLeastWait, most), most);
   out.push_back(RefusalOf(holder, ref, PlaceVerdict::kQueued, 0));
   broker.m_holders[holder].m_waiting[ref] = {waiting.m_ask.m_pool, order};
   pool.m_waiting.emplace(order, std::move(waiting));
@@ -473,7 +520,7 @@
   const auto limit = broker.m_limits.find(held.m_workspace);
   if (!report.m_ran && limit != broker.m_limits.end())
     Refund(limit->second, held.m_cost);
-  FreePlace(broker, held);
+  FreePlace(broker, held, now);
   known.m_held.erase(found);
   if (pool != nullptr && !pool->m_waiting.empty())
     ServeServer(broker, *pool, i, now, out);
@@ -497,7 +544,7 @@
   const auto found = broker.m_holders.find(holder);
   if (found != broker.m_holders.end()) {
     for (const auto& [ref, held] : found->second.m_held)
-      FreePlace(broker, held);
+      FreePlace(broker, held, now);
     const std::unordered_map<PlaceRef, std::pair<std::string, PlaceOrder>> waiting =
         found->second.m_waiting;
     for (const auto& [ref, where] : waiting)
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -92,6 +92,12 @@
   return FromMs(FirstMs(server, request, typical));
 }
 
+Duration PredictAlone(const ServerView& server,
+                      const RequestShape& request,
+                      const ServerPace& typical) noexcept {
+  return FromMs(FirstAloneMs(server, request, typical));
+}
+
 namespace {
 
 /// Added to a prediction for streams that would likely be late after their first event.
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -10987,6 +10987,10 @@
 void PlaceAnswer::__set_left(const double val) {
   this->left = val;
 }
+
+void PlaceAnswer::__set_come_back_ms(const int32_t val) {
+  this->come_back_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
 {
   obj.printTo(out);
@@ -11057,6 +11061,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->come_back_ms);
+          this->__isset.come_back_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11094,6 +11106,10 @@
   xfer += oprot->writeDouble(this->left);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("come_back_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->come_back_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11106,6 +11122,7 @@
   swap(a.server, b.server);
   swap(a.first_ms, b.first_ms);
   swap(a.left, b.left);
+  swap(a.come_back_ms, b.come_back_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -11115,6 +11132,7 @@
   server = other421.server;
   first_ms = other421.first_ms;
   left = other421.left;
+  come_back_ms = other421.come_back_ms;
   __isset = other421.__isset;
 }
 PlaceAnswer::PlaceAnswer(PlaceAnswer&& other422) noexcept {
@@ -11123,6 +11141,7 @@
   server = std::move(other422.server);
   first_ms = other422.first_ms;
   left = other422.left;
+  come_back_ms = other422.come_back_ms;
   __isset = other422.__isset;
 }
 PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other423) {
@@ -11131,6 +11150,7 @@
   server = other423.server;
   first_ms = other423.first_ms;
   left = other423.left;
+  come_back_ms = other423.come_back_ms;
   __isset = other423.__isset;
   return *this;
 }
@@ -11140,6 +11160,7 @@
   server = std::move(other424.server);
   first_ms = other424.first_ms;
   left = other424.left;
+  come_back_ms = other424.come_back_ms;
   __isset = other424.__isset;
   return *this;
 }
@@ -11151,6 +11172,7 @@
   out << ", " << "server=" << to_string(server);
   out << ", " << "first_ms=" << to_string(first_ms);
   out << ", " << "left=" << to_string(left);
+  out << ", " << "come_back_ms=" << to_string(come_back_ms);
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -4076,12 +4076,13 @@
 std::ostream& operator<<(std::ostream& out, const PlaceBatch& obj);
 
 typedef struct _PlaceAnswer__isset {
-  _PlaceAnswer__isset() : ref(false), verdict(false), server(false), first_ms(false), left(false) {}
+  _PlaceAnswer__isset() : ref(false), verdict(false), server(false), first_ms(false), left(false), come_back_ms(false) {}
   bool ref :1;
   bool verdict :1;
   bool server :1;
   bool first_ms :1;
   bool left :1;
+  bool come_back_ms :1;
 } _PlaceAnswer__isset;
 
 class PlaceAnswer : public virtual ::apache::thrift::TBase {
@@ -4096,7 +4097,8 @@
                 verdict(static_cast<PlaceVerdict::type>(0)),
                 server(),
                 first_ms(0),
-                left(0) {
+                left(0),
+                come_back_ms(0) {
   }
 
   virtual ~PlaceAnswer() noexcept;
@@ -4109,6 +4111,7 @@
   std::string server;
   int32_t first_ms;
   double left;
+  int32_t come_back_ms;
 
   _PlaceAnswer__isset __isset;
 
@@ -4122,6 +4125,8 @@
 
   void __set_left(const double val);
 
+  void __set_come_back_ms(const int32_t val);
+
   bool operator == (const PlaceAnswer & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -4134,6 +4139,8 @@
       return false;
     if (!(left == rhs.left))
       return false;
+    if (!(come_back_ms == rhs.come_back_ms))
+      return false;
     return true;
   }
   bool operator != (const PlaceAnswer &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -159,7 +159,8 @@
 }
 enum PlaceVerdict { PLACED = 0, QUEUED = 1, NO_ROOM = 2, OVER_LIMIT = 3, NO_SERVER = 4 }
 struct PlaceAnswer {
-  1: i64 ref; 2: PlaceVerdict verdict; 3: string server; 4: i32 first_ms; 5: double left
+  1: i64 ref; 2: PlaceVerdict verdict; 3: string server; 4: i32 first_ms; 5: double left;
+  6: i32 come_back_ms
 }
 struct PlaceAnswers { 1: i64 epoch; 2: list<PlaceAnswer> answers; 3: bool not_broker }
 
--- /dev/null
+++ b/tests/place_flow_test.cc
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// When a place comes free for a request, and what the broker makes of it.
+#include <catch2/catch.hpp>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+namespace {
+
+const Instant kStart{Duration(10'000'000)};
+
+/// A pool that frees and is asked for this many places a second, for five seconds.
+PlaceFlow Steady(int freed_per_s, int urgent_per_s) {
+  PlaceFlow flow;
+  flow.m_at = kStart;
+  for (int ms = 0; ms < 5'000; ++ms) {
+    const Instant now = kStart + ms * Duration(1'000);
+    if (ms * freed_per_s / 1'000 != (ms + 1) * freed_per_s / 1'000)
+      flow = CountFreed(flow, Duration(100'000), now);
+    if (ms * urgent_per_s / 1'000 != (ms + 1) * urgent_per_s / 1'000)
+      flow = CountAsked(flow, 0, now);
+  }
+  return flow;
+}
+
+TEST_CASE("a request waits for those ahead of it at the rate at which places come free") {
+  const PlaceFlow flow = Steady(100, 0);
+  const std::optional<Duration> forecast = ForecastWait(flow, 0, 9, 10);
+  REQUIRE(forecast);
+  CHECK(Seconds(*forecast) == Approx(0.1).epsilon(0.05));
+}
+
+TEST_CASE("what is more urgent goes on to arrive and takes its part of the places first") {
+  const PlaceFlow flow = Steady(100, 60);
+  CHECK(Seconds(*ForecastWait(flow, 0, 9, 10)) == Approx(0.1).epsilon(0.05));
+  CHECK(Seconds(*ForecastWait(flow, 1, 9, 10)) == Approx(0.25).epsilon(0.1));
+  CHECK(*ForecastWait(Steady(100, 120), 1, 0, 10) == kLongestWait);
+}
+
+TEST_CASE("a pool that was half used frees twice as much once it is full") {
+  const PlaceFlow flow = Steady(50, 0);  // Five of ten places, 100 ms each.
+  CHECK(Seconds(*ForecastWait(flow, 0, 9, 10)) == Approx(0.1).epsilon(0.05));
+}
+
+TEST_CASE("nothing is forecast from next to nothing, and a burst is forgotten within seconds") {
+  PlaceFlow flow;
+  CHECK_FALSE(ForecastWait(flow, 0, 0, 0));
+  flow = Steady(100, 200);
+  CHECK(*ForecastWait(flow, 2, 0, 10) == kLongestWait);
+  for (int i = 0; i < 300; ++i)
+    flow = CountFreed(flow, Duration(100'000), kStart + Duration(5'000'000) + i * Duration(10'000));
+  CHECK(*ForecastWait(flow, 2, 0, 10) < Duration(50'000));
+}
+
+TEST_CASE(
+    "a burst over capacity is refused at once beyond what can be in time, told when to return") {
+  // 200 short requests at once for ten places that are each free again after 100 ms.
+  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
+  SetServers(broker, {{"s0", "pool", "east", 10, false}});
+  Resync(broker, "a", 1, kStart);
+  std::vector<PlaceAnswer> out;
+  PlaceRef next = 1;
+  const auto wish = [&](Instant now) {
+    PlaceAsk ask;
+    ask.m_ref = next++;
+    ask.m_pool = "pool";
+    ask.m_data_centre = "east";
+    ask.m_shape.m_prompt_tokens = 300;
+    ask.m_shape.m_aim = Duration(800'000);
+    ask.m_shape.m_left = Duration(10'000'000);
+    ask.m_wait = Duration(10'000'000);
+    Ask(broker, "a", ask, now, out);
+  };
+  std::vector<std::pair<Instant, PlaceRef>> running;
+  std::size_t read = 0;
+  int placed = 0;
+  int late = 0;
+  int refused_at_once = 0;
+  const auto take = [&](Instant now, Instant asked) {
+    for (; read < out.size(); ++read) {
+      const PlaceAnswer& answer = out[read];
+      if (answer.m_verdict == PlaceVerdict::kPlaced) {
+        running.emplace_back(now + Duration(100'000), answer.m_ref);
+        ++placed;
+        late += now - asked > Duration(800'000) ? 1 : 0;
+      } else if (answer.m_verdict == PlaceVerdict::kNoRoom && now == asked) {
+        CHECK(answer.m_come_back > Duration(500'000));
+        ++refused_at_once;
+      }
+    }
+  };
+  Instant burst{};
+  for (int ms = 0; ms < 4'000; ms += 5) {
+    const Instant now = kStart + ms * Duration(1'000);
+    for (std::size_t i = 0; i < running.size();) {
+      if (now < running[i].first) {
+        ++i;
+        continue;
+      }
+      PlaceReport end;
+      end.m_ref = running[i].second;
+      end.m_ended = true;
+      running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+      Report(broker, "a", end, now, out);
+    }
+    if (ms < 2'000 && ms % 20 == 0)
+      wish(now);  // Half of the capacity, so that the flow is known.
+    if (ms == 2'000) {
+      burst = now;
+      for (int i = 0; i < 200; ++i)
+        wish(now);
+    }
+    TickBroker(broker, now, out);
+    take(now, ms >= 2'000 ? burst : now);
+  }
+  CHECK(late == 0);
+  CHECK(refused_at_once >= 100);  // 200 less ten and what comes free in 0.68 s.
+  CHECK(placed >= 100 + 60);
+}
+
+}  // namespace
+}  // namespace poppyway
