--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 
 #include "convert.h"
-#include "place_convert.h"
 
 namespace poppyway {
 namespace {
@@ -20,8 +19,6 @@
 constexpr Duration kFinishLimit{60'000'000};
 constexpr Duration kPollBackoff{100'000};
 constexpr std::int64_t kPollWaitMs = 5'000;
-constexpr Duration kPollOverdue{
-    150'000};  // Followers learn of a commit within one log heartbeat, 50 ms.
 constexpr Duration kAdoptionRest{100};  // For each microsecond that adopting took.
 constexpr Duration kMaxAdoptionRest{2'000'000};
 constexpr Duration kForwardTimeout{5'000'000};
@@ -148,99 +145,6 @@
   m_beat_due = std::min(m_beat_due, ReadClock() + kProposeBackoff);
 }
 
-void InstanceSide::OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent) {
-  for (const wire::MemberInfo& member : reply.members)
-    (void)ContactAt({member.address, static_cast<std::uint16_t>(member.port)});
-  m_leader_document = std::max(m_leader_document, reply.document_version);
-  m_leader_servers = std::max(m_leader_servers, reply.servers_index);
-  m_leader_asked = std::max(m_leader_asked, sent);
-  PublishConfirmation();
-  m_forwarder.m_send(FleetSize{std::max(1, reply.live)});
-  const bool new_broker = !m_broker_told || reply.leader_term > m_leader_term;
-  m_leader_term = std::max(m_leader_term, reply.leader_term);
-  if (new_broker && reply.leader_term == m_leader_term) {
-    m_broker_told = true;
-    m_forwarder.m_send(BrokerFound{reply.leader_term});
-  }
-  const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
-  const Instant now = ReadClock();
-  if (!behind || now - m_poll_sent < kPollOverdue)
-    return;
-  // The member that is polled doesn't tell what the leader knows: ask the leader itself.
-  m_poll_member = m_leader;
-  Poll();
-}
-
-void InstanceSide::PublishConfirmation() {
-  // A member's news may come before any leader has answered; only a leader confirms.
-  const bool asked = m_leader_asked != Instant{};
-  if (!asked || m_document_version == 0 || m_document_version < m_leader_document)
-    return;
-  const Instant until = m_leader_asked + std::chrono::milliseconds(m_settings.m_confirm_ms);
-  if (until <= m_published_until)
-    return;
-  m_published_until = until;
-  m_forwarder.m_send(ConfirmedUntil{until});
-}
-
-void InstanceSide::OnHostedDelta(const wire::ConfigDelta& delta) {
-  if (!delta.servers.empty() && delta.servers_index > m_servers_index)
-    m_forwarder.m_send(ServersChanged{delta.servers});
-  m_servers_index = std::max(m_servers_index, delta.servers_index);
-  OnLeaderNamed(delta);
-  if (delta.__isset.document && delta.document.version > m_document_version) {
-    m_document_version = delta.document.version;
-    m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
-    PublishConfirmation();
-  }
-}
-
-void InstanceSide::OnLeaderNamed(const wire::ConfigDelta& delta) {
-  if (delta.leader_term <= m_leader_term)
-    return;
-  m_leader_term = delta.leader_term;
-  m_leader = ContactAt({delta.leader_address, static_cast<std::uint16_t>(delta.leader_port)});
-  POPPYWAY_LOG(info, "leader_named").Field("term", m_leader_term).Field("port", delta.leader_port);
-  FindBrokerAnew();
-}
-
-void InstanceSide::OnPush(std::size_t index, const wire::Body& body) {
-  if (index != m_leader || !body.__isset.place_answers)
-    return;
-  if (body.place_answers.not_broker) {
-    FindBrokerAnew();
-    return;
-  }
-  PlacesAnswered message;
-  message.m_epoch = body.place_answers.epoch;
-  for (const wire::PlaceAnswer& answer : body.place_answers.answers)
-    message.m_answers.push_back(FromWire(answer));
-  m_forwarder.m_send(std::move(message));
-}
-
-void InstanceSide::OnMemberLost(std::size_t index) {
-  if (index == m_leader && m_broker_told)
-    FindBrokerAnew();
-}
-
-void InstanceSide::FindBrokerAnew() {
-  if (m_broker_told)
-    m_forwarder.m_send(BrokerLost{});
-  m_broker_told = false;
-  m_beat_due = std::min(m_beat_due, ReadClock());
-}
-
-BrokerPort InstanceSide::PlacePort() {
-  BrokerPort port;
-  port.m_send = [this](PlaceBatch batch) {
-    wire::Body body;
-    body.__set_place_batch(ToWire(batch, m_incarnation, m_settings.m_data_centre));
-    Leader().Tell(std::move(body));
-  };
-  port.m_silent = [this] { FindBrokerAnew(); };
-  return port;
-}
-
 void InstanceSide::TakeLeases(int live, Instant sent) {
   const Instant now = ReadClock();
   for (const wire::LeaseGrant& lease : m_leases) {
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -17,8 +17,10 @@
 /// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
 /// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
-/// - `EvenPart`: an instance's part of a server's places while it has no word of the others.
-/// - `QuotaBucket`: an instance's estimate of a workspace's shared token bucket.
+/// - `PlaceBroker`: the one broker of a hosted deployment; gives each request its place.
+/// - `ForecastWait`: when a place comes free.
+/// - `EvenPart`: an instance's part of a server's places while no broker answers.
+/// - `SharedLimit`, `LoneLimit`: a workspace's limit at the broker, and without one.
 /// - `RateEstimate`, `RetryBudget`, `RetryAfter`: speed of engines, retries, when to come back.
 
 #include "poppyway/policy/impl/admission_queue.h"
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -21,11 +21,11 @@
   friend bool operator==(const ServerPace&, const ServerPace&) = default;
 };
 
-/// \brief One backend server as this instance sees it at the moment of a decision.
+/// \brief One backend server as it is seen at the moment of a decision.
 struct ServerView {
   int m_slots = 1;                    ///< Requests it works on at once.
   int m_own = 0;                      ///< Of this instance, in flight there.
-  int m_others = 0;                   ///< Of other instances, as last heard.
+  int m_others = 0;                   ///< Of other instances; at the broker, of all.
   int m_open = 1;                     ///< Places that this instance may still take.
   std::int64_t m_reading_tokens = 0;  ///< Prompt tokens ahead that it has not finished reading.
   std::int64_t m_kept_tokens = 0;     ///< Prompt tokens of this request that it likely still keeps.
--- /dev/null
+++ b/packages/policy/src/place_internal.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+
+// ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief A tier as an index.
+[[nodiscard]] std::size_t RankIndex(Tier rank);
+/// \brief Recounts what stands in for servers that are new, every so often.
+void RefreshTypical(PlacePool& pool, Instant now);
+/// \brief True if something more urgent than `rank` waits for the pool.
+[[nodiscard]] bool Yields(const PlacePool& pool, Tier rank);
+/// \brief An answer without a place.
+[[nodiscard]] PlaceAnswer RefusalOf(const std::string& holder,
+                                    PlaceRef ref,
+                                    PlaceVerdict verdict,
+                                    double left);
+/// \brief Gives the wish the best place of all servers, or says that none has room.
+[[nodiscard]] std::optional<PlaceAnswer> TryAll(PlaceBroker& broker,
+                                                PlacePool& pool,
+                                                WaitingAsk& waiting,
+                                                bool yields,
+                                                Instant now);
+/// \brief Offers what came free at server `i` to what waits, in order.
+void ServeServer(PlaceBroker& broker,
+                 PlacePool& pool,
+                 std::size_t i,
+                 Instant now,
+                 std::vector<PlaceAnswer>& out);
+/// \brief Tries all servers for the first that wait.
+void ServePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+/// \brief Puts back what a wish that gets no place was charged.
+void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
+/// \brief Refuses what has waited until its time.
+void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+/// \brief After it a place would be of no use for an answer in time, or its caller is gone.
+[[nodiscard]] Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting);
+/// \brief Lets a wish wait that may still get a place in time; refuses any other at once.
+void WaitOrRefuse(PlaceBroker& broker,
+                  PlacePool& pool,
+                  WaitingAsk waiting,
+                  const PlaceOrder& order,
+                  Instant now,
+                  std::vector<PlaceAnswer>& out);
+
+// ---- place_learn.cc ----------------------------------------------------------------------------
+/// \brief What an instance says of a server's health.
+struct HealthWord {
+  std::string m_holder;
+  ServerSign m_sign;
+};
+/// \brief Learns how many tokens one event carries, from streams that ran to their end.
+void LearnEventSize(PlaceBroker& broker, std::int64_t expected_tokens, std::int64_t events);
+/// \brief Learns a server's health.
+void LearnHealth(PlaceBroker& broker,
+                 PlacePool& pool,
+                 std::size_t i,
+                 const HealthWord& word,
+                 Instant now);
+/// \brief Learns a server's speeds.
+[[nodiscard]] ServerPace LearnPace(const ServerPace& before, const PlaceReport& report);
+
+// ---- place_parts.cc ----------------------------------------------------------------------------
+/// \brief Sets `m_kept_tokens` of all views: prompt tokens that each server likely still keeps.
+void SetKeptTokens(PlacePool& pool, const PlaceAsk& ask);
+
+/// \brief The request went to server `i` of its pool, which keeps its prompt from now on.
+void RememberParts(PlacePool& pool, std::size_t i, const PlaceAsk& ask, Instant now);
+
+}  // namespace poppyway
--- a/packages/policy/src/place_parts.cc
+++ b/packages/policy/src/place_parts.cc
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-#include "place_parts.h"
+#include "place_internal.h"
 
 #include <algorithm>
 
