Use ordinary names for what instances ask of the broker

Cause: reading the change as a newcomer: "wish" and "word" are no terms of the field. Change: place request, LimitReport, HealthReport, m_needs_suitable; names and comments only.

--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -37,7 +37,7 @@
   void OnPropose(const wire::Propose& propose, const ReplyFn& reply);
   void OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply);
   /// Replies as soon as the version is past the caller's, or after its wait.
-  /// A batch of wishes and reports about places.
+  /// A batch of place requests and reports about places.
   void OnPlaces(const wire::PlaceBatch& batch, PeerConnection& from);
   void OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply);
   void OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply);
--- a/apps/poppywayd/place_convert.cc
+++ b/apps/poppywayd/place_convert.cc
@@ -144,7 +144,7 @@
   return report;
 }
 
-wire::LimitUse ToWire(const LimitWord& word) {
+wire::LimitUse ToWire(const LimitReport& word) {
   wire::LimitUse sent;
   sent.workspace = word.m_workspace;
   sent.left = word.m_left;
@@ -156,8 +156,8 @@
   return sent;
 }
 
-LimitWord FromWire(const wire::LimitUse& sent) {
-  LimitWord word;
+LimitReport FromWire(const wire::LimitUse& sent) {
+  LimitReport word;
   word.m_workspace = sent.workspace;
   word.m_limit = {sent.rate, sent.burst};
   word.m_left = sent.left;
@@ -180,7 +180,7 @@
   sent.instances = batch.m_instances;
   for (const HeldPlace& held : batch.m_held)
     sent.held.push_back(ToWire(held));
-  for (const LimitWord& word : batch.m_limits)
+  for (const LimitReport& word : batch.m_limits)
     sent.limits.push_back(ToWire(word));
   for (const PlaceAsk& ask : batch.m_asks)
     sent.asks.push_back(ToWire(ask));
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-// Wishes for places and their answers, and what the broker is told of places held.
+// Place requests for places and their answers, and what the broker is told of places held.
 #include <algorithm>
 
 #include "steps.h"
@@ -144,17 +144,17 @@
 }
 
 /// What a new broker has to know of limits.
-std::vector<LimitWord> LimitWords(const BrokerLink& link, Instant now) {
-  std::map<std::string, LimitWord> words;
+std::vector<LimitReport> LimitReports(const BrokerLink& link, Instant now) {
+  std::map<std::string, LimitReport> words;
   for (const auto& [workspace, left] : link.m_left)
     words[workspace] = {workspace, left.m_limit, left.m_left, now - left.m_told, left.m_epoch, 0};
   for (const auto& [workspace, lone] : link.m_lone) {
-    LimitWord& word = words[workspace];
+    LimitReport& word = words[workspace];
     word.m_workspace = workspace;
     word.m_limit = lone.m_limit;
     word.m_spent_alone = lone.m_spent;
   }
-  std::vector<LimitWord> list;
+  std::vector<LimitReport> list;
   for (auto& [workspace, word] : words)
     list.push_back(std::move(word));
   return list;
@@ -222,7 +222,7 @@
   link.m_outbox = {};
   link.m_outbox.m_resync = true;
   link.m_outbox.m_instances = state.m_instances.m_most;
-  link.m_outbox.m_limits = LimitWords(link, now);
+  link.m_outbox.m_limits = LimitReports(link, now);
   link.m_lone.clear();
   for (const auto& [ref, forwarding] : state.m_forwardings) {
     if (forwarding->m_place != 0)
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -59,7 +59,7 @@
 void OnBrokerFound(ForwarderState& state, const BrokerFound& message);
 /// Decides alone from now on.
 void OnBrokerLost(ForwarderState& state, std::string_view why);
-/// Gives a broker up that leaves wishes without any answer.
+/// Gives a broker up that leaves place requests without any answer.
 void CheckBroker(ForwarderState& state, Instant now);
 /// Tells the broker of a place that it didn't give.
 void TellHeld(ForwarderState& state, const Forwarding& forwarding);
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -23,7 +23,7 @@
 
 namespace poppyway {
 
-/// \brief Names a place or the wish for one, within the instance that asks.
+/// \brief Names a place or the request for one, within the instance that asks.
 using PlaceRef = std::int64_t;
 
 /// \brief A part of a prompt that requests may share.
@@ -63,7 +63,7 @@
   friend bool operator==(const PlaceAsk&, const PlaceAsk&) = default;
 };
 
-/// \brief What became of a wish for a place.
+/// \brief What became of a place request for a place.
 enum class PlaceVerdict : std::uint8_t {
   kPlaced,
   kQueued,     ///< It waits at the broker; a second answer follows.
@@ -75,7 +75,7 @@
 /// \brief Text for logs and counters.
 [[nodiscard]] std::string_view PlaceVerdictName(PlaceVerdict verdict) noexcept;
 
-/// \brief The broker's answer to one wish.
+/// \brief The broker's answer to one place request.
 struct PlaceAnswer {
   std::string m_holder;  ///< The instance, by incarnation.
   PlaceRef m_ref = 0;
@@ -118,7 +118,7 @@
 };
 
 /// \brief What an instance tells of a workspace's limit when it finds a broker.
-struct LimitWord {
+struct LimitReport {
   std::string m_workspace;
   QuotaLimit m_limit;
   double m_left = 0;         ///< As a broker last said.
@@ -126,7 +126,7 @@
   std::int64_t m_epoch = 0;  ///< Of the broker that said it; zero: none did.
   double m_spent_alone = 0;  ///< By this instance since that broker was lost.
 
-  friend bool operator==(const LimitWord&, const LimitWord&) = default;
+  friend bool operator==(const LimitReport&, const LimitReport&) = default;
 };
 
 /// \brief All that an instance has for the broker at one moment.
@@ -135,7 +135,7 @@
   bool m_resync = false;  ///< `m_held` is all that the instance holds.
   int m_instances = 1;    ///< At work, as it last knew.
   std::vector<HeldPlace> m_held;
-  std::vector<LimitWord> m_limits;
+  std::vector<LimitReport> m_limits;
   std::vector<PlaceRef> m_withdrawn;
   std::vector<PlaceReport> m_reports;
   std::vector<PlaceAsk> m_asks;
@@ -162,13 +162,13 @@
   }
 };
 
-/// \brief A wish that waits at the broker.
+/// \brief A place request that waits at the broker.
 struct WaitingAsk {
   std::string m_holder;
   PlaceAsk m_ask;
   Instant m_asked{};
-  Instant m_until{};      ///< Refused then.
-  bool m_choosy = false;  ///< Some server suits it, so one that doesn't gets it not.
+  Instant m_until{};              ///< Refused then.
+  bool m_needs_suitable = false;  ///< Some server suits it, so one that doesn't gets it not.
 };
 
 /// \brief Which servers keep a part of a prompt, by index in the pool, with when it was sent there.
@@ -236,7 +236,7 @@
 /// \brief Takes the whole list of servers. What is in flight and learned stays with their ids.
 void SetServers(PlaceBroker& broker, const std::vector<PlaceServer>& servers);
 
-/// \brief Takes all of a batch: what is held and free first, then the new wishes.
+/// \brief Takes all of a batch: what is held and free first, then the new place requests.
 /// Precondition: it is of this broker's epoch, and its sender known or in resync.
 void TakeBatch(PlaceBroker& broker,
                const std::string& holder,
@@ -244,7 +244,7 @@
                Instant now,
                std::vector<PlaceAnswer>& out);
 
-/// \brief One wish; answers may be for others too.
+/// \brief One place request; answers may be for others too.
 void Ask(PlaceBroker& broker,
          const std::string& holder,
          PlaceAsk ask,
@@ -269,9 +269,9 @@
 void Resync(PlaceBroker& broker, const std::string& holder, int instances, Instant now);
 
 /// \brief What an instance knows of a workspace's limit.
-void HearLimit(PlaceBroker& broker, const LimitWord& word, Instant now);
+void HearLimit(PlaceBroker& broker, const LimitReport& word, Instant now);
 
-/// \brief An instance is gone: its places are free, its wishes forgotten.
+/// \brief An instance is gone: its places are free, its place requests forgotten.
 void DropHolder(PlaceBroker& broker,
                 const std::string& holder,
                 Instant now,
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -123,7 +123,7 @@
                std::vector<PlaceAnswer>& out) {
   if (batch.m_resync)
     Resync(broker, holder, batch.m_instances, now);
-  for (const LimitWord& word : batch.m_limits)
+  for (const LimitReport& word : batch.m_limits)
     HearLimit(broker, word, now);
   for (const HeldPlace& held : batch.m_held)
     Hold(broker, holder, held, now);
@@ -252,7 +252,7 @@
   CountHeard(broker, now);
 }
 
-void HearLimit(PlaceBroker& broker, const LimitWord& word, Instant now) {
+void HearLimit(PlaceBroker& broker, const LimitReport& word, Instant now) {
   SharedLimit& limit =
       broker.m_limits.try_emplace(word.m_workspace, BeginLimit(word.m_limit, broker.m_began))
           .first->second;
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -23,7 +23,7 @@
                                     PlaceRef ref,
                                     PlaceVerdict verdict,
                                     double left);
-/// \brief Gives the wish the best place of all servers, or says that none has room.
+/// \brief Gives the place request the best place of all servers, or says that none has room.
 [[nodiscard]] std::optional<PlaceAnswer> TryAll(PlaceBroker& broker,
                                                 PlacePool& pool,
                                                 WaitingAsk& waiting,
@@ -37,13 +37,13 @@
                  std::vector<PlaceAnswer>& out);
 /// \brief Tries all servers for the first that wait.
 void ServePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
-/// \brief Puts back what a wish that gets no place was charged.
+/// \brief Puts back what a place request that gets no place was charged.
 void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
 /// \brief Refuses what has waited until its time.
 void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
 /// \brief After it a place would be of no use for an answer in time, or its caller is gone.
 [[nodiscard]] Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting);
-/// \brief Lets a wish wait that may still get a place in time; refuses any other at once.
+/// \brief Lets a place request wait that may still get a place in time; refuses any other at once.
 void WaitOrRefuse(PlaceBroker& broker,
                   PlacePool& pool,
                   WaitingAsk waiting,
@@ -53,7 +53,7 @@
 
 // ---- place_learn.cc ----------------------------------------------------------------------------
 /// \brief What an instance says of a server's health.
-struct HealthWord {
+struct HealthReport {
   std::string m_holder;
   ServerSign m_sign;
 };
@@ -63,7 +63,7 @@
 void LearnHealth(PlaceBroker& broker,
                  PlacePool& pool,
                  std::size_t i,
-                 const HealthWord& word,
+                 const HealthReport& word,
                  Instant now);
 /// \brief Learns a server's speeds.
 [[nodiscard]] ServerPace LearnPace(const ServerPace& before, const PlaceReport& report);
--- a/packages/policy/src/place_learn.cc
+++ b/packages/policy/src/place_learn.cc
@@ -26,7 +26,7 @@
 void LearnHealth(PlaceBroker& broker,
                  PlacePool& pool,
                  std::size_t i,
-                 const HealthWord& word,
+                 const HealthReport& word,
                  Instant now) {
   ServerHealth& health = pool.m_health[i];
   const bool avoided = Avoided(health, now);
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-// Which server a wish gets, how long it waits for one, and who is served when a place comes free.
+// Which server a place request gets, how long it waits for one, and who is served when a place
+// comes free.
 #include <algorithm>
 #include <cmath>
 
@@ -73,7 +74,7 @@
   SetKeptTokens(pool, ask);
 }
 
-/// The wish as it stands after it has waited since `asked`.
+/// The place request as it stands after it has waited since `asked`.
 RequestShape ShapeNow(const WaitingAsk& waiting, bool yields, Instant now) {
   RequestShape shape = waiting.m_ask.m_shape;
   const Duration since = now - waiting.m_asked;
@@ -166,7 +167,7 @@
       ChooseServer(pool.m_views, shape, pool.m_typical, NextRandom(broker));
   if (choice)
     return Take(broker, pool, choice->m_index, waiting, choice->m_first, now);
-  waiting.m_choosy = AnySuits(pool.m_views, shape, pool.m_typical);
+  waiting.m_needs_suitable = AnySuits(pool.m_views, shape, pool.m_typical);
   return std::nullopt;
 }
 
@@ -185,7 +186,7 @@
     const ServerView& view = pool.m_views[i];
     const RequestShape shape = ShapeNow(waiting, rank > most_urgent, now);
     const bool fits = view.m_usable && HasRoom(view, shape, pool.m_typical) &&
-                      (!waiting.m_choosy || Suits(view, shape, pool.m_typical));
+                      (!waiting.m_needs_suitable || Suits(view, shape, pool.m_typical));
     if (!fits) {
       most_urgent = std::min(most_urgent, rank);
       ++it;
--- a/tests/broker_link_test.cc
+++ b/tests/broker_link_test.cc
@@ -177,7 +177,7 @@
   CHECK(running.Finish(rig).status() == 200);
 }
 
-TEST_CASE("a caller that leaves withdraws its wish") {
+TEST_CASE("a caller that leaves withdraws its place request") {
   ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
   Rig rig;
   rig.Register("s0", server);
--- a/tests/place_broker_test.cc
+++ b/tests/place_broker_test.cc
@@ -25,7 +25,7 @@
   return broker;
 }
 
-PlaceAsk Wish(PlaceRef ref, Tier rank = 0) {
+PlaceAsk PlaceWanted(PlaceRef ref, Tier rank = 0) {
   PlaceAsk ask;
   ask.m_ref = ref;
   ask.m_pool = "engines";
@@ -41,7 +41,7 @@
 }
 
 PlaceAsk Costly(PlaceRef ref, double cost, double rate) {
-  PlaceAsk ask = Wish(ref);
+  PlaceAsk ask = PlaceWanted(ref);
   ask.m_workspace = "north";
   ask.m_quota.m_cost = cost;
   ask.m_limit = {rate, rate};
@@ -73,7 +73,7 @@
   PlaceBroker broker = BrokerWith({Server("s0", 2), Server("s1", 1)});
   int placed = 0;
   for (PlaceRef ref = 1; ref <= 6; ++ref) {
-    const auto answers = AskFor(broker, ref % 2 == 0 ? "a" : "b", Wish(ref));
+    const auto answers = AskFor(broker, ref % 2 == 0 ? "a" : "b", PlaceWanted(ref));
     REQUIRE(answers.size() == 1);
     placed += answers[0].m_verdict == PlaceVerdict::kPlaced ? 1 : 0;
   }
@@ -85,10 +85,10 @@
 
 TEST_CASE("a place that comes free goes at once to what is most urgent, then to what came first") {
   PlaceBroker broker = BrokerWith({Server("s0", 1)});
-  (void)AskFor(broker, "a", Wish(1));
-  CHECK(AskFor(broker, "a", Wish(2, 1))[0].m_verdict == PlaceVerdict::kQueued);
-  CHECK(AskFor(broker, "b", Wish(3, 0))[0].m_verdict == PlaceVerdict::kQueued);
-  CHECK(AskFor(broker, "a", Wish(4, 0))[0].m_verdict == PlaceVerdict::kQueued);
+  (void)AskFor(broker, "a", PlaceWanted(1));
+  CHECK(AskFor(broker, "a", PlaceWanted(2, 1))[0].m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskFor(broker, "b", PlaceWanted(3, 0))[0].m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskFor(broker, "a", PlaceWanted(4, 0))[0].m_verdict == PlaceVerdict::kQueued);
   std::vector<PlaceRef> order;
   PlaceRef running = 1;
   std::string holder = "a";
@@ -104,10 +104,10 @@
   CHECK(order == std::vector<PlaceRef>{3, 4, 2});
 }
 
-TEST_CASE("a wish that was withdrawn gets no place") {
+TEST_CASE("a place request that was withdrawn gets no place") {
   PlaceBroker broker = BrokerWith({Server("s0", 1)});
-  (void)AskFor(broker, "a", Wish(1));
-  (void)AskFor(broker, "b", Wish(2));
+  (void)AskFor(broker, "a", PlaceWanted(1));
+  (void)AskFor(broker, "b", PlaceWanted(2));
   Withdraw(broker, "b", 2);
   std::vector<PlaceAnswer> out;
   Report(broker, "a", End(1), kStart, out);
@@ -117,7 +117,7 @@
 
 TEST_CASE("what finds no room in its time is refused, and costs its workspace nothing") {
   PlaceBroker broker = BrokerWith({Server("s0", 1)});
-  (void)AskFor(broker, "a", Wish(1));
+  (void)AskFor(broker, "a", PlaceWanted(1));
   (void)AskFor(broker, "a", Costly(2, 100, 1'000));
   const double left = broker.m_limits.at("north").m_tokens;
   std::vector<PlaceAnswer> out;
@@ -147,8 +147,8 @@
 
 TEST_CASE("the places of an instance that is gone come free") {
   PlaceBroker broker = BrokerWith({Server("s0", 1)});
-  (void)AskFor(broker, "a", Wish(1));
-  (void)AskFor(broker, "b", Wish(2));
+  (void)AskFor(broker, "a", PlaceWanted(1));
+  (void)AskFor(broker, "b", PlaceWanted(2));
   std::vector<PlaceAnswer> out;
   DropHolder(broker, "a", kStart + Duration(1'000), out);
   REQUIRE(out.size() == 1);
@@ -159,8 +159,8 @@
 
 TEST_CASE("an instance that tells anew what it holds is counted once") {
   PlaceBroker broker = BrokerWith({Server("s0", 4)});
-  (void)AskFor(broker, "a", Wish(1));
-  (void)AskFor(broker, "a", Wish(2));
+  (void)AskFor(broker, "a", PlaceWanted(1));
+  (void)AskFor(broker, "a", PlaceWanted(2));
   PlaceBatch batch;
   batch.m_epoch = 1;
   batch.m_resync = true;
@@ -178,7 +178,7 @@
   Resync(broker, "a", 4, kStart);
   int placed = 0;
   for (PlaceRef ref = 1; ref <= 8; ++ref)
-    placed += AskFor(broker, "a", Wish(ref))[0].m_verdict == PlaceVerdict::kPlaced ? 1 : 0;
+    placed += AskFor(broker, "a", PlaceWanted(ref))[0].m_verdict == PlaceVerdict::kPlaced ? 1 : 0;
   CHECK(placed == 2);
   for (const std::string holder : {"b", "c", "d"})
     Resync(broker, holder, 4, kStart);
@@ -205,7 +205,7 @@
 
 TEST_CASE("what an earlier broker said to be left is taken over, its own word is not") {
   PlaceBroker broker = BeginBroker(2, 7, Duration(4'500'000), kStart);
-  LimitWord word{"north", {1'000, 1'000}, 300, Duration(100'000), 1, 0};
+  LimitReport word{"north", {1'000, 1'000}, 300, Duration(100'000), 1, 0};
   HearLimit(broker, word, kStart);
   CHECK(broker.m_limits.at("north").m_tokens == Approx(400));
   word.m_age = Duration(200'000);
@@ -227,7 +227,7 @@
   int failures = 0;
   for (PlaceRef ref = 1; ref <= 40; ++ref) {
     const std::string holder = ref % 2 == 0 ? "a" : "b";
-    const PlaceAnswer answer = AskFor(broker, holder, Wish(ref))[0];
+    const PlaceAnswer answer = AskFor(broker, holder, PlaceWanted(ref))[0];
     REQUIRE(answer.m_verdict == PlaceVerdict::kPlaced);
     PlaceReport report = End(ref);
     const bool bad = answer.m_server == "s0";
@@ -245,7 +245,7 @@
   Instant now = kStart;
   PlaceRef ref = 0;
   for (int step = 0; step < 2'000; ++step, now += Duration(5'000)) {
-    Ask(broker, "a", Wish(++ref), now, out);
+    Ask(broker, "a", PlaceWanted(++ref), now, out);
     const PlaceAnswer answer = out.back();
     REQUIRE(answer.m_verdict == PlaceVerdict::kPlaced);
     PlaceReport report = End(ref);
@@ -266,7 +266,7 @@
       ServerHealth{.m_failures = 3, .m_avoid_until = kStart - Duration(1)};
   int at_suspect = 0;
   for (PlaceRef ref = 1; ref <= 4; ++ref)
-    at_suspect += AskFor(broker, "a", Wish(ref))[0].m_server == "s0" ? 1 : 0;
+    at_suspect += AskFor(broker, "a", PlaceWanted(ref))[0].m_server == "s0" ? 1 : 0;
   CHECK(at_suspect == 1);
 }
 
@@ -281,19 +281,19 @@
   }
   std::set<std::string> used;
   for (PlaceRef ref = 1; ref <= 4; ++ref)
-    used.insert(AskFor(broker, "a", Wish(ref))[0].m_server);
+    used.insert(AskFor(broker, "a", PlaceWanted(ref))[0].m_server);
   CHECK(used == std::set<std::string>{"", "s2", "s3"});
 }
 
 TEST_CASE("a server that begins to leave gets nothing more, and what it has is still counted") {
   PlaceBroker broker = BrokerWith({Server("s0", 2)});
-  (void)AskFor(broker, "a", Wish(1));
+  (void)AskFor(broker, "a", PlaceWanted(1));
   PlaceServer leaving = Server("s0", 2);
   leaving.m_leaving = true;
   SetServers(broker, {leaving, Server("s1", 2)});
   CHECK(Taken(broker) == 1);
   for (PlaceRef ref = 2; ref <= 3; ++ref)
-    CHECK(AskFor(broker, "a", Wish(ref))[0].m_server == "s1");
+    CHECK(AskFor(broker, "a", PlaceWanted(ref))[0].m_server == "s1");
   std::vector<PlaceAnswer> out;
   Report(broker, "a", End(1), kStart, out);
   CHECK(Taken(broker) == 2);
@@ -301,7 +301,7 @@
 
 TEST_CASE("a prompt goes where its parts are kept, if that costs no wait") {
   PlaceBroker broker = BrokerWith({Server("s0", 8), Server("s1", 8), Server("s2", 8)});
-  PlaceAsk first = Wish(1);
+  PlaceAsk first = PlaceWanted(1);
   first.m_parts = {{11, 60}, {12, 500}};
   const std::string server = AskFor(broker, "a", first)[0].m_server;
   std::vector<PlaceAnswer> out;
--- a/tests/place_flow_test.cc
+++ b/tests/place_flow_test.cc
@@ -61,7 +61,7 @@
   Resync(broker, "a", 1, kStart);
   std::vector<PlaceAnswer> out;
   PlaceRef next = 1;
-  const auto wish = [&](Instant now) {
+  const auto want_place = [&](Instant now) {
     PlaceAsk ask;
     ask.m_ref = next++;
     ask.m_pool = "pool";
@@ -105,11 +105,11 @@
       Report(broker, "a", end, now, out);
     }
     if (ms < 2'000 && ms % 20 == 0)
-      wish(now);  // Half of the capacity, so that the flow is known.
+      want_place(now);  // Half of the capacity, so that the flow is known.
     if (ms == 2'000) {
       burst = now;
       for (int i = 0; i < 200; ++i)
-        wish(now);
+        want_place(now);
     }
     TickBroker(broker, now, out);
     take(now, ms >= 2'000 ? burst : now);
