--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -42,7 +42,7 @@
 /// \brief The connection to the broker is lost.
 struct BrokerLost {};
 
-/// \brief The broker's answers to place requests for places.
+/// \brief The broker's answers to place requests.
 struct PlacesAnswered {
   std::int64_t m_epoch = 0;
   std::vector<PlaceAnswer> m_answers;
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -119,7 +119,7 @@
   [[nodiscard]] Result<void> Listen();
   /// Takes one message of the control task.
   void Take(FleetMessage message);
-  /// Where place requests for places go. Without one this instance decides alone.
+  /// Where place requests go. Without one this instance decides alone.
   void SetBroker(BrokerPort port) { m_state.m_broker.m_port = std::move(port); }
   /// A planned stop begins: not ready at once, answers are finished.
   void BeginStop();
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -75,7 +75,7 @@
   bool m_paid_alone = false;         ///< It was taken from this instance's part of the limit.
   int m_unsure = 0;                  ///< Of those, calls after which the request may have run.
 
-  // The place request for a place and the place.
+  // The place request and the place.
   PlaceRef m_ask = 0;        ///< The broker's answer is awaited; zero: it isn't.
   Instant m_asked{};         ///< When it was asked.
   bool m_queued = false;     ///< The broker has said that it waits there.
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-// Place requests for places and their answers, and what the broker is told of places held.
+// Place requests and their answers, and what the broker is told of places held.
 #include <algorithm>
 
 #include "steps.h"
