Hold every kind, length and workspace to a floor of served share

Cause: strict rank, and shorter answers first within a rank, turn a lack of some places into no service at all for the least urgent kind and for the longest answers. Both are rules broken by our own order. Ruled out: the prompt's size (tenths by prompt are served alike).

Change: the broker counts what it serves by rank, length class and workspace over about ten seconds. A request whose group is served under 0.6 (length: 0.7) as often as all is owed the next place, ahead of rank; never where something more urgent is served less often. That is the line against 'a higher tier is never shed before a lower one': the floor takes from the more urgent only what keeps a kind above half of what all get.

--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -32,9 +32,10 @@
   if (forwarding.m_pool->m_engines)
     ask.m_parts = forwarding.m_request.m_parts;
   ask.m_tried = forwarding.m_tried;
+  if (forwarding.m_workspace != nullptr)
+    ask.m_workspace = forwarding.m_workspace->m_name;
   if (forwarding.m_quota.m_cost <= 0)
     return ask;
-  ask.m_workspace = forwarding.m_workspace->m_name;
   ask.m_quota = forwarding.m_quota;
   ask.m_limit = forwarding.m_limit;
   return ask;
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -18,6 +18,7 @@
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
 /// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
 /// - `PlaceBroker`: the one broker of a hosted deployment; gives each request its place.
+/// - `ServedShares`: who is owed a place since its group was served too seldom.
 /// - `ForecastWait`: when a place comes free.
 /// - `EvenPart`: an instance's part of a server's places while no broker answers.
 /// - `SharedLimit`, `LoneLimit`: a workspace's limit at the broker, and without one.
@@ -35,6 +36,7 @@
 #include "poppyway/policy/impl/rate_estimate.h"
 #include "poppyway/policy/impl/retry_after.h"
 #include "poppyway/policy/impl/retry_budget.h"
+#include "poppyway/policy/impl/served_share.h"
 #include "poppyway/policy/impl/server_choice.h"
 #include "poppyway/policy/impl/server_health.h"
 #include "poppyway/policy/impl/shared_limit.h"
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -16,6 +16,7 @@
 #include "poppyway/core.h"
 #include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
+#include "poppyway/policy/impl/served_share.h"
 #include "poppyway/policy/impl/server_choice.h"
 #include "poppyway/policy/impl/server_health.h"
 #include "poppyway/policy/impl/shared_limit.h"
@@ -49,7 +50,7 @@
 struct PlaceAsk {
   PlaceRef m_ref = 0;
   std::string m_pool;
-  std::string m_workspace;    ///< Empty: no limit applies.
+  std::string m_workspace;    ///< Empty: it belongs to none.
   std::string m_data_centre;  ///< Of the instance that asks.
   Tier m_tier = 0;            ///< Of the workspace.
   RequestShape m_shape;  ///< As of now; `m_tier` is the route's. `m_events` is set by the broker.
@@ -147,9 +148,10 @@
   friend bool operator==(const PlaceBatch&, const PlaceBatch&) = default;
 };
 
-/// \brief The order of service: the workspace's tier, the route's, shorter answers before much
-/// longer ones, then age.
+/// \brief The order of service: what is owed a place, then the workspace's tier, the route's,
+/// shorter answers before much longer ones, then age.
 struct PlaceOrder {
+  bool m_owed = false;  ///< Its group was served too seldom: see `OwedPlace`.
   Tier m_tier = 0;
   Tier m_rank = 0;
   int m_length = 0;  ///< Of the expected answer: doublings above the usual.
@@ -157,8 +159,8 @@
 
   friend bool operator==(const PlaceOrder&, const PlaceOrder&) = default;
   friend bool operator<(const PlaceOrder& a, const PlaceOrder& b) {
-    return std::tie(a.m_tier, a.m_rank, a.m_length, a.m_number) <
-           std::tie(b.m_tier, b.m_rank, b.m_length, b.m_number);
+    return std::tie(b.m_owed, a.m_tier, a.m_rank, a.m_length, a.m_number) <
+           std::tie(a.m_owed, b.m_tier, b.m_rank, b.m_length, b.m_number);
   }
 };
 
@@ -166,6 +168,8 @@
 struct WaitingAsk {
   std::string m_holder;
   PlaceAsk m_ask;
+  ShareGroup m_group;
+  PlaceOrder m_order;
   Instant m_asked{};
   Instant m_until{};              ///< Refused then.
   bool m_needs_suitable = false;  ///< Some server suits it, so one that doesn't gets it not.
@@ -185,6 +189,7 @@
   ServerPace m_typical;
   Instant m_typical_at{};
   PlaceFlow m_flow;
+  ServedShares m_shares;
 };
 
 /// \brief What the broker knows of one instance.
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -60,7 +60,7 @@
 
 int LengthClass(double& usual, std::int64_t expected_tokens) noexcept {
   constexpr double kGain = 0.02;  // The usual length is that of some fifty requests.
-  constexpr int kLongest = 3;
+  constexpr int kLongest = kLengthClasses - 1;
   if (expected_tokens <= 0)
     return 0;
   const double length = std::log2(static_cast<double>(expected_tokens));
@@ -142,6 +142,7 @@
          std::vector<PlaceAnswer>& out) {
   broker.m_holders[holder].m_heard = now;
   PlacePool& pool = broker.m_pools[ask.m_pool];
+  ShareGroup group{ask.m_shape.m_tier, 0, ask.m_workspace};
   const bool limited = !ask.m_workspace.empty() && ask.m_limit.m_rate_per_s > 0;
   if (limited) {
     SharedLimit& limit =
@@ -164,16 +165,20 @@
   if (broker.m_tokens_per_event > 0)
     ask.m_shape.m_events = static_cast<double>(ask.m_expected_tokens) / broker.m_tokens_per_event;
   const Tier rank = ask.m_shape.m_tier;
-  const PlaceOrder order{ask.m_tier, rank,
-                         LengthClass(pool.m_usual_length[RankIndex(rank)], ask.m_expected_tokens),
-                         broker.m_next_number++};
+  group.m_length = LengthClass(pool.m_usual_length[RankIndex(rank)], ask.m_expected_tokens);
   pool.m_flow = CountAsked(pool.m_flow, rank, now);
-  WaitingAsk waiting{holder, std::move(ask), now, {}, false};
-  if (std::optional<PlaceAnswer> answer = TryAll(broker, pool, waiting, Yields(pool, rank), now)) {
+  CountAsked(pool.m_shares, group, now);
+  const bool owed = OwedPlace(pool.m_shares, group);
+  if (owed)
+    CountServed(pool.m_shares, group, now);
+  const PlaceOrder order{owed, ask.m_tier, rank, group.m_length, broker.m_next_number++};
+  WaitingAsk waiting{holder, std::move(ask), std::move(group), order, now, {}, false};
+  const bool yields = !owed && Yields(pool, rank);
+  if (std::optional<PlaceAnswer> answer = TryAll(broker, pool, waiting, yields, now)) {
     out.push_back(std::move(*answer));
     return;
   }
-  WaitOrRefuse(broker, pool, std::move(waiting), order, now, out);
+  WaitOrRefuse(broker, pool, std::move(waiting), now, out);
 }
 
 void Withdraw(PlaceBroker& broker, const std::string& holder, PlaceRef ref) {
@@ -187,6 +192,8 @@
   if (waiting == pool.m_waiting.end())
     return;
   GiveBack(broker, waiting->second.m_ask);
+  if (waiting->first.m_owed)
+    CountUnserved(pool.m_shares, waiting->second.m_group, pool.m_shares.m_all.m_at);
   pool.m_waiting.erase(waiting);
 }
 
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -47,7 +47,6 @@
 void WaitOrRefuse(PlaceBroker& broker,
                   PlacePool& pool,
                   WaitingAsk waiting,
-                  const PlaceOrder& order,
                   Instant now,
                   std::vector<PlaceAnswer>& out);
 
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -106,6 +106,8 @@
   if (OnTrial(pool.m_health[i]))
     pool.m_health[i] = BeginTrial(pool.m_health[i], now);
   RememberParts(pool, i, ask, now);
+  if (!waiting.m_order.m_owed)
+    CountServed(pool.m_shares, waiting.m_group, now);
   PlaceAnswer answer;
   answer.m_holder = waiting.m_holder;
   answer.m_ref = ask.m_ref;
@@ -125,6 +127,13 @@
   return taken;
 }
 
+/// When a place comes free for what has `ahead` others before it. What is owed a place waits for
+/// nothing more urgent.
+std::optional<Duration> ForecastOf(const PlacePool& pool, const PlaceOrder& order, int ahead) {
+  const Tier rank = order.m_owed ? 0 : order.m_rank;
+  return ForecastWait(pool.m_flow, rank, ahead, TakenOf(pool));
+}
+
 int CountAhead(const PlacePool& pool, const PlaceOrder& order) {
   return static_cast<int>(std::distance(pool.m_waiting.begin(), pool.m_waiting.lower_bound(order)));
 }
@@ -182,9 +191,10 @@
   for (auto it = pool.m_waiting.begin(); it != pool.m_waiting.end() && depth < kDepth; ++depth) {
     WaitingAsk& waiting = it->second;
     const Tier rank = it->first.m_rank;
+    const bool yields = !it->first.m_owed && rank > most_urgent;
     SetView(pool, i, waiting.m_ask, told, now);
     const ServerView& view = pool.m_views[i];
-    const RequestShape shape = ShapeNow(waiting, rank > most_urgent, now);
+    const RequestShape shape = ShapeNow(waiting, yields, now);
     const bool fits = view.m_usable && HasRoom(view, shape, pool.m_typical) &&
                       (!waiting.m_needs_suitable || Suits(view, shape, pool.m_typical));
     if (!fits) {
@@ -205,7 +215,8 @@
   std::size_t without_room = 0;
   for (auto it = pool.m_waiting.begin(); it != pool.m_waiting.end() && without_room < kTickDepth;) {
     const Tier rank = it->first.m_rank;
-    std::optional<PlaceAnswer> answer = TryAll(broker, pool, it->second, rank > most_urgent, now);
+    const bool yields = !it->first.m_owed && rank > most_urgent;
+    std::optional<PlaceAnswer> answer = TryAll(broker, pool, it->second, yields, now);
     if (!answer) {
       most_urgent = std::min(most_urgent, rank);
       ++without_room;
@@ -233,10 +244,11 @@
       continue;
     }
     GiveBack(broker, waiting.m_ask);
+    if (it->first.m_owed)
+      CountUnserved(pool.m_shares, waiting.m_group, now);
     broker.m_holders[waiting.m_holder].m_waiting.erase(waiting.m_ask.m_ref);
     out.push_back(RefusalOf(waiting.m_holder, waiting.m_ask.m_ref, PlaceVerdict::kNoRoom, 0));
-    out.back().m_come_back =
-        ForecastWait(pool.m_flow, it->first.m_rank, ahead, TakenOf(pool)).value_or(Duration(0));
+    out.back().m_come_back = ForecastOf(pool, it->first, ahead).value_or(Duration(0));
     it = pool.m_waiting.erase(it);
   }
 }
@@ -257,16 +269,17 @@
 void WaitOrRefuse(PlaceBroker& broker,
                   PlacePool& pool,
                   WaitingAsk waiting,
-                  const PlaceOrder& order,
                   Instant now,
                   std::vector<PlaceAnswer>& out) {
   const std::string holder = waiting.m_holder;
   const PlaceRef ref = waiting.m_ask.m_ref;
-  const std::optional<Duration> forecast =
-      ForecastWait(pool.m_flow, order.m_rank, CountAhead(pool, order), TakenOf(pool));
+  const PlaceOrder order = waiting.m_order;
+  const std::optional<Duration> forecast = ForecastOf(pool, order, CountAhead(pool, order));
   const Duration most = LongestUsefulWait(pool, waiting);
   if (forecast && *forecast > most) {
     GiveBack(broker, waiting.m_ask);
+    if (order.m_owed)
+      CountUnserved(pool.m_shares, waiting.m_group, now);
     out.push_back(RefusalOf(holder, ref, PlaceVerdict::kNoRoom, 0));
     out.back().m_come_back = *forecast;
     return;
--- /dev/null
+++ b/tests/pool_simulation.h
@@ -0,0 +1,281 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "poppyway/policy.h"
+
+/// \file
+/// \brief A pool of engines, its callers and a broker of places on simulated time: no network, no
+/// clock. One seed gives one course of events.
+
+namespace poppyway::test {
+
+/// \brief One kind of request as callers send it.
+struct SimulatedKind {
+  Tier m_rank = 0;
+  double m_per_s = 0;
+  double m_prompt_tokens = 0;
+  double m_events = 0;  ///< Mean of an answer.
+  Duration m_aim{};
+  Duration m_deadline{};
+};
+
+/// \brief What became of a group of requests.
+struct SimulatedOutcome {
+  int m_asked = 0;
+  int m_served = 0;  ///< A place was given in time for the whole answer before its deadline.
+
+  [[nodiscard]] double share() const { return m_asked == 0 ? 1 : double(m_served) / m_asked; }
+};
+
+/// \brief A day: kinds, engines, how long.
+struct SimulatedDay {
+  std::vector<SimulatedKind> m_kinds;
+  int m_engines = 60;
+  int m_slots = 9;
+  std::vector<double> m_event_ms = {25, 44, 120};  ///< By generation of engines, in turn, as full ones run.
+  double m_tokens_per_ms = 56.6;
+  double m_tokens_per_event = 7;
+  int m_workspaces = 16;
+  double m_length_spread = 1.2;  ///< Of the logarithm of an answer's length.
+  double m_hint_spread = 0.5;    ///< Of the logarithm of the callers' error on it.
+  Duration m_span{30'000'000};
+  Duration m_return{700'000};  ///< A refused caller comes back once, after this.
+  std::uint64_t m_seed = 1;
+};
+
+/// \brief Outcomes by group.
+struct SimulatedResult {
+  SimulatedOutcome m_all;
+  std::map<Tier, SimulatedOutcome> m_by_rank;
+  std::map<std::string, SimulatedOutcome> m_by_workspace;
+  std::map<std::string, SimulatedOutcome> m_by_data_centre;
+  std::map<Tier, SimulatedOutcome> m_largest_tenth;  ///< By tokens in and ten times tokens out.
+  std::map<Tier, SimulatedOutcome> m_next_fifth;
+};
+
+/// \brief Plays a day with one instance per data centre before one broker.
+class PoolSimulation {
+ public:
+  explicit PoolSimulation(SimulatedDay day) : m_day(std::move(day)), m_random(m_day.m_seed) {}
+
+  [[nodiscard]] SimulatedResult Play() {
+    Begin();
+    while (!m_events.empty()) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.m_at;
+      Handle(event);
+    }
+    return Count();
+  }
+
+ private:
+  enum class What { kArrive, kFirst, kEnd, kTick };
+  struct Event {
+    Instant m_at{};
+    std::int64_t m_number = 0;  ///< Events of one moment keep their order.
+    What m_what = What::kTick;
+    PlaceRef m_ref = 0;
+    bool operator<(const Event& b) const {
+      return m_at != b.m_at ? m_at > b.m_at : m_number > b.m_number;
+    }
+  };
+  struct Request {
+    const SimulatedKind* m_kind = nullptr;
+    std::string m_workspace;
+    std::string m_data_centre;
+    std::int64_t m_prompt = 0;
+    std::int64_t m_length = 0;  ///< Events.
+    std::int64_t m_hint = 0;    ///< Tokens, as the caller expects them.
+    Instant m_arrived{};
+    std::size_t m_engine = 0;
+    Duration m_first{};
+    int m_tries = 0;
+    bool m_served = false;
+
+    [[nodiscard]] double size(double tokens_per_event) const {
+      return double(m_prompt) + 10 * tokens_per_event * double(m_length);
+    }
+  };
+
+  static constexpr Duration kTickInterval{20'000};
+
+  void Begin() {
+    m_now = Instant(Duration(1'000'000));
+    m_broker = BeginBroker(1, m_day.m_seed, Duration(4'500'000), m_now - Duration(2'000'000));
+    std::vector<PlaceServer> servers;
+    for (int i = 0; i < m_day.m_engines; ++i)
+      servers.push_back({"s" + std::to_string(i), "engines", DataCentre(i), m_day.m_slots, false});
+    SetServers(m_broker, servers);
+    for (int i = 0; i < 4; ++i)
+      Resync(m_broker, DataCentre(i), 4, m_now);
+    m_end = m_now + m_day.m_span;
+    for (const SimulatedKind& kind : m_day.m_kinds)
+      Arrivals(kind);
+    for (Instant at = m_now; at < m_end; at += kTickInterval)
+      Schedule(at, What::kTick, 0);
+  }
+
+  static std::string DataCentre(int i) { return std::string(1, static_cast<char>('a' + i % 4)); }
+
+  void Arrivals(const SimulatedKind& kind) {
+    std::exponential_distribution<double> gap(kind.m_per_s);
+    std::lognormal_distribution<double> length(
+        std::log(kind.m_events) - m_day.m_length_spread * m_day.m_length_spread / 2,
+        m_day.m_length_spread);
+    std::lognormal_distribution<double> error(0, m_day.m_hint_spread);
+    std::lognormal_distribution<double> prompt(std::log(kind.m_prompt_tokens) - 0.32, 0.8);
+    for (double at = gap(m_random); at < Seconds(m_day.m_span); at += gap(m_random)) {
+      const PlaceRef ref = static_cast<PlaceRef>(m_requests.size()) + 1;
+      Request& request = m_requests.emplace_back();
+      request.m_kind = &kind;
+      request.m_workspace = "w" + std::to_string(m_random() % unsigned(m_day.m_workspaces));
+      request.m_data_centre = DataCentre(static_cast<int>(m_random() % 4));
+      request.m_prompt = std::max<std::int64_t>(20, std::int64_t(prompt(m_random)));
+      const double events = std::min(length(m_random), 10 * kind.m_events);
+      request.m_length = std::max<std::int64_t>(1, std::int64_t(events));
+      request.m_hint = std::max<std::int64_t>(
+          1, std::int64_t(double(request.m_length) * m_day.m_tokens_per_event * error(m_random)));
+      Schedule(m_now + Duration(std::int64_t(at * 1e6)), What::kArrive, ref);
+    }
+  }
+
+  void Schedule(Instant at, What what, PlaceRef ref) {
+    m_events.push({at, ++m_number, what, ref});
+  }
+
+  Request& At(PlaceRef ref) { return m_requests[static_cast<std::size_t>(ref) - 1]; }
+
+  void Handle(const Event& event) {
+    std::vector<PlaceAnswer> out;
+    switch (event.m_what) {
+      case What::kArrive:
+        AskFor(event.m_ref, out);
+        break;
+      case What::kFirst: {
+        PlaceReport report{.m_ref = event.m_ref};
+        report.m_tokens_read = At(event.m_ref).m_prompt;
+        report.m_first = At(event.m_ref).m_first;
+        Report(m_broker, At(event.m_ref).m_data_centre, report, m_now, out);
+        break;
+      }
+      case What::kEnd:
+        End(event.m_ref, out);
+        break;
+      case What::kTick:
+        TickBroker(m_broker, m_now, out);
+        break;
+    }
+    for (const PlaceAnswer& answer : out)
+      Take(answer);
+  }
+
+  void AskFor(PlaceRef ref, std::vector<PlaceAnswer>& out) {
+    Request& request = At(ref);
+    if (request.m_tries++ == 0)
+      request.m_arrived = m_now;
+    PlaceAsk ask;
+    ask.m_ref = ref;
+    ask.m_pool = "engines";
+    ask.m_workspace = request.m_workspace;
+    ask.m_data_centre = request.m_data_centre;
+    ask.m_tier = 0;
+    ask.m_shape.m_tier = request.m_kind->m_rank;
+    ask.m_shape.m_prompt_tokens = request.m_prompt;
+    ask.m_shape.m_aim = request.m_kind->m_aim;
+    ask.m_shape.m_pause_aim = Duration(500'000);
+    ask.m_shape.m_left = request.m_arrived + request.m_kind->m_deadline - m_now;
+    ask.m_expected_tokens = request.m_hint;
+    ask.m_wait = ask.m_shape.m_left;
+    Ask(m_broker, request.m_data_centre, ask, m_now, out);
+  }
+
+  void End(PlaceRef ref, std::vector<PlaceAnswer>& out) {
+    const Request& request = At(ref);
+    PlaceReport report{.m_ref = ref};
+    report.m_ended = true;
+    report.m_sign = ServerSign::kGood;
+    report.m_events = request.m_length;
+    report.m_span = Span(request);
+    report.m_service = request.m_first + report.m_span;
+    report.m_pause = Duration(std::int64_t(3 * EventMs(request) * 1000));
+    Report(m_broker, request.m_data_centre, report, m_now, out);
+  }
+
+  [[nodiscard]] double EventMs(const Request& request) const {
+    return m_day.m_event_ms[request.m_engine % m_day.m_event_ms.size()];
+  }
+  [[nodiscard]] Duration Span(const Request& request) const {
+    return Duration(std::int64_t(double(request.m_length) * EventMs(request) * 1000));
+  }
+
+  void Take(const PlaceAnswer& answer) {
+    Request& request = At(answer.m_ref);
+    if (answer.m_verdict == PlaceVerdict::kQueued)
+      return;
+    if (answer.m_verdict != PlaceVerdict::kPlaced) {
+      const bool again = request.m_tries == 1 && m_now + m_day.m_return < Deadline(request);
+      if (again)
+        Schedule(m_now + m_day.m_return, What::kArrive, answer.m_ref);
+      return;
+    }
+    request.m_engine = std::stoul(answer.m_server.substr(1));
+    request.m_first =
+        Duration(std::int64_t((15 + double(request.m_prompt) / m_day.m_tokens_per_ms) * 1000));
+    Schedule(m_now + request.m_first, What::kFirst, answer.m_ref);
+    const Instant end = m_now + request.m_first + Span(request);
+    request.m_served = end <= Deadline(request);
+    Schedule(std::min(end, Deadline(request)), What::kEnd, answer.m_ref);
+  }
+
+  [[nodiscard]] Instant Deadline(const Request& request) const {
+    return request.m_arrived + request.m_kind->m_deadline;
+  }
+
+  static void Add(SimulatedOutcome& outcome, const Request& request) {
+    ++outcome.m_asked;
+    outcome.m_served += request.m_served ? 1 : 0;
+  }
+
+  [[nodiscard]] SimulatedResult Count() const {
+    SimulatedResult result;
+    std::map<Tier, std::vector<const Request*>> by_rank;
+    for (const Request& request : m_requests) {
+      const Tier rank = request.m_kind->m_rank;
+      Add(result.m_all, request);
+      Add(result.m_by_rank[rank], request);
+      Add(result.m_by_workspace[request.m_workspace], request);
+      Add(result.m_by_data_centre[request.m_data_centre], request);
+      by_rank[rank].push_back(&request);
+    }
+    for (auto& [rank, requests] : by_rank) {
+      std::sort(requests.begin(), requests.end(), [this](const auto* a, const auto* b) {
+        return a->size(m_day.m_tokens_per_event) > b->size(m_day.m_tokens_per_event);
+      });
+      for (std::size_t i = 0; i < requests.size() * 3 / 10; ++i)
+        Add(i < requests.size() / 10 ? result.m_largest_tenth[rank] : result.m_next_fifth[rank],
+            *requests[i]);
+    }
+    return result;
+  }
+
+  SimulatedDay m_day;
+  std::mt19937_64 m_random;
+  Instant m_now{};
+  Instant m_end{};
+  PlaceBroker m_broker;
+  std::vector<Request> m_requests;
+  std::priority_queue<Event> m_events;
+  std::int64_t m_number = 0;
+};
+
+}  // namespace poppyway::test
