Play roll-outs through real processes before stand-in servers of two versions

Cause: the model of two versions shows the decisions; nothing showed the way of an order through members, log, broker, instances and servers.

Change: soak/ starts five members and three instances, each with an address of its own on loopback, stand-in servers of two versions with heartbeats, callers and an operator; checks come from what these saw.

--- /dev/null
+++ b/soak/stand_ins.py
@@ -0,0 +1,195 @@
+# SPDX-License-Identifier: MIT
+# Part of poppyway, a request scheduler for unlike engines.
+"""Stand-ins for the outside of a hosted deployment: backend servers, callers, an operator."""
+
+import asyncio
+import json
+import random
+import time
+
+from fleet import CALLERS_PORT, CONTROL_PORT
+
+
+async def read_message(reader):
+    """The first line, the fields and the body of one HTTP message, or None at the end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        return None  # The peer or this stand-in ends the connection.
+    fields = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    return head[0], fields, body
+
+
+async def call(address, port, method, path, body="", fields=(), timeout=2.0):
+    """One request on a connection of its own: status and body; 0 without a whole answer."""
+    writer = None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(address, port)
+            lines = [f"{method} {path} HTTP/1.1", "Host: a.example",
+                     f"Content-Length: {len(body)}", *fields]
+            writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+            message = await read_message(reader)
+            return (0, b"") if message is None else (int(message[0].split()[1]), message[2])
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return 0, b""
+    finally:
+        if writer:
+            writer.close()
+
+
+class Badness:
+    """How a version is bad: what share of its answers, how, from when, where."""
+
+    def __init__(self, fails=0.0, slow=1.0, share=1.0, from_s=0.0, route=None, above=0):
+        self.fails, self.slow, self.share = fails, slow, share
+        self.from_s, self.route, self.above = from_s, route, above
+
+    def strikes(self, since, path, at_work, rng):
+        return (since >= self.from_s and (self.route is None or path.startswith(f"/{self.route}/"))
+                and at_work > self.above and rng.random() < self.share)
+
+
+class Servers:
+    """Backend servers of one version, each with a heartbeat of its own."""
+
+    WORK_S = 0.02
+
+    def __init__(self, subnet, version, count, members, badness, seed):
+        self.version = version
+        self.runs = {}  # Request id to when it ran.
+        self.bad = []  # When each bad answer was given.
+        self.begun = time.monotonic()
+        self._places = [f"127.{subnet}.{2 if version == 'v1' else 3}.{i + 1}" for i in range(count)]
+        self._members = members
+        self._badness = badness
+        self._rng = random.Random(f"{seed}-{version}")
+        self._stage = "ready"
+        self._tasks = []
+        self._listeners = []
+
+    async def start(self, pool):
+        self.begun = time.monotonic()
+        for i, place in enumerate(self._places):
+            state = {"at_work": 0, "speed": self._rng.uniform(0.8, 1.25)}
+            handler = lambda r, w, s=state: self._serve(r, w, s)
+            self._listeners.append(await asyncio.start_server(handler, place, 8080))
+            name = f"i-{self.version}-{i}"
+            self._tasks.append(asyncio.create_task(self._beat(name, place, pool)))
+
+    async def stop(self):
+        """At once, as a platform stops servers: connections are cut."""
+        for task in self._tasks:
+            task.cancel()
+        for listener in self._listeners:
+            listener.close()
+
+    async def _beat(self, name, place, pool):
+        sequence = 0
+        while True:
+            sequence += 1
+            body = json.dumps({"service": pool, "address": f"{place}:8080", "zone": "east",
+                               "version": self.version, "slots": 6, "state": self._stage,
+                               "sequence": sequence})
+            for member in self._rng.sample(self._members, len(self._members)):
+                status, _ = await call(member.address, CONTROL_PORT, "PUT",
+                                       f"/-/instances/{name}", body, timeout=1.0)
+                if status == 200:
+                    break
+            await asyncio.sleep(1.0)
+
+    async def _serve(self, reader, writer, state):
+        while (message := await read_message(reader)) is not None:
+            path = message[0].split()[1]
+            ident = message[1].get("x-attempt-id", "")
+            now = time.monotonic()
+            state["at_work"] += 1
+            self.runs.setdefault(ident, []).append(now)
+            bad = self._badness.strikes(now - self.begun, path, state["at_work"], self._rng)
+            slow = self._badness.slow if bad else 1.0
+            failed = bad and self._rng.random() < self._badness.fails
+            if failed or (bad and self._badness.slow > 1):
+                self.bad.append(now)
+            work = self.WORK_S * state["speed"] * slow * self._rng.uniform(0.8, 1.3)
+            await asyncio.sleep(work)
+            state["at_work"] -= 1
+            status = "500 Internal Server Error" if failed else "200 OK"
+            body = f"{self.version} {ident}"
+            try:
+                writer.write((f"HTTP/1.1 {status}\r\nX-Attempt-Id: {ident}\r\n"
+                              f"X-Response-Seal: {self.version}\r\n"
+                              f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+                await writer.drain()
+            except ConnectionError:
+                break
+        writer.close()
+
+
+class Callers:
+    """A steady stream of requests to all instances; counts what came of them."""
+
+    def __init__(self, instances, key, per_s, seed):
+        self.sent = []  # (when, id)
+        self.outcomes = {}  # Status to count.
+        self.wrong = []  # Answers that aren't the caller's own.
+        self._instances, self._key, self._per_s = instances, key, per_s
+        self._rng = random.Random(f"{seed}-callers")
+        self._task = None
+        self._open = set()
+
+    def start(self):
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self):
+        self._task.cancel()
+        await asyncio.gather(*self._open, return_exceptions=True)
+
+    async def _run(self):
+        number = 0
+        while True:
+            number += 1
+            task = asyncio.create_task(self._one(f"r{number}"))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+            await asyncio.sleep(self._rng.expovariate(self._per_s))
+
+    async def _one(self, ident):
+        route = "look" if self._rng.random() < 0.5 else "book"
+        self.sent.append((time.monotonic(), ident))
+        status, body = await call(
+            self._rng.choice(self._instances).address, CALLERS_PORT,
+            "GET" if route == "look" else "POST", f"/{route}/x",
+            fields=(f"X-Attempt-Id: {ident}", f"Authorization: Bearer {self._key}",
+                    "X-Deadline-Ms: 2000"), timeout=3.0)
+        self.outcomes[status] = self.outcomes.get(status, 0) + 1
+        if status == 200 and not body.endswith(f" {ident}".encode()):
+            self.wrong.append(ident)
+
+
+class Operator:
+    """Sends orders to any member, as operators do, until they get a clear answer."""
+
+    def __init__(self, members, seed):
+        self._members = members
+        self._rng = random.Random(f"{seed}-operator")
+
+    async def ask(self, method, path, body="", limit=5.0):
+        """Status and body of the first clear answer; 0 if none came in time."""
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            member = self._rng.choice(self._members)
+            status, answer = await call(member.address, CONTROL_PORT, method, path, body,
+                                        timeout=1.0)
+            if status not in (0, 503):
+                return status, answer
+            await asyncio.sleep(0.05)
+        return 0, b""
+
+    async def order(self, pool, version, seconds):
+        body = json.dumps({"service": pool, "target_version": version, "duration_s": seconds})
+        return (await self.ask("POST", "/-/rollouts", body))[0]
+
+    async def state(self, pool):
+        status, body = await self.ask("GET", f"/-/rollouts/{pool}", limit=2.0)
+        return json.loads(body)["state"] if status == 200 else f"status {status}"
