Let any member answer a server's heartbeat that tells nothing new

Cause: a server calls any member, and each call was passed on to the leader: with 3,000 servers some 2,000 calls a second, most of which change nothing.

Change: a member that follows a leader and has applied what the call says answers itself. Nothing is promised by such an answer that isn't committed. Beside it: a request's line holds the caller's expected tokens, so that how far off they are can be told.

--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -144,7 +144,18 @@
   reply(std::move(body));
 }
 
+bool MemberSide::KnowsAlready(const wire::ServerRecord& record) const {
+  const bool followed = ReadClock() - m_node.m_leader_heard <= kLeaderMissed;
+  return followed && !ChangesServer(m_machine.m_hosted, record);
+}
+
 void MemberSide::SubmitServer(const wire::ServerRecord& record, const ReplyFn& reply) {
+  if (!leads() && KnowsAlready(record)) {
+    wire::Body done;
+    done.__set_done(true);
+    reply(std::move(done));
+    return;
+  }
   if (!leads()) {
     wire::Body body;
     body.__set_server_seen(record);
@@ -187,8 +198,8 @@
     return;
   }
   if (!KnowsPool(order.pool)) {
-    reply(ErrorBody(ResultCode::kNotFound, "no backend server of pool '" + order.pool +
-                                               "' has ever registered"));
+    reply(ErrorBody(ResultCode::kNotFound,
+                    "no backend server of pool '" + order.pool + "' has ever registered"));
     return;
   }
   wire::Propose propose;
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -7,12 +7,12 @@
 #include <vector>
 
 #include "place_side.h"
-#include "rollout_side.h"
 #include "poppyway/log.h"
 #include "poppyway/settings.h"
 #include "poppyway/state.h"
 #include "poppyway/telemetry.h"
 #include "poppyway/wire.h"
+#include "rollout_side.h"
 
 namespace poppyway {
 
@@ -117,6 +117,10 @@
   /// Hosted, as the leader: what is due of roll-outs.
   void ProposeRollouts(Instant now);
   [[nodiscard]] bool KnowsPool(const std::string& pool) const;
+  /// Following a leader, this member has applied what the server's call says: it needs no leader.
+  /// Four heartbeats of five tell nothing new at another member; with 3,000 servers that were 2,000
+  /// calls a second passed on to the leader.
+  [[nodiscard]] bool KnowsAlready(const wire::ServerRecord& record) const;
 
   TaskLoop& m_loop;
   DaemonSettings m_settings;
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -66,6 +66,7 @@
       .Field("allowed_ms", Millis(forwarding.m_deadline - forwarding.m_arrived))
       .Field("prompt_tokens", forwarding.m_request.m_prompt_tokens)
       .Field("most_tokens", forwarding.m_request.m_most_tokens)
+      .Field("expected_tokens", forwarding.m_request.m_expected_tokens)
       .Field("events", forwarding.m_events.m_events)
       .Field("sent_ms", forwarding.m_tried.empty()
                             ? -1
