--- a/apps/poppyway/command.h
+++ b/apps/poppyway/command.h
@@ -38,6 +38,7 @@
 int History(const CommonOptions& common, const Arguments& arguments);
 int Status(const CommonOptions& common, const Arguments& arguments);
 int Drain(const CommonOptions& common, const Arguments& arguments);
+int Rollout(const CommonOptions& common, const Arguments& arguments);
 int Check(const CommonOptions& common, const Arguments& arguments);
 int Load(const CommonOptions& common, const Arguments& arguments);
 
--- a/apps/poppywayd/place_side.cc
+++ b/apps/poppywayd/place_side.cc
@@ -66,10 +66,10 @@
   std::vector<PlaceRollout> rollouts;
   for (const auto& [pool, rollout] : state.m_rollouts) {
     if (UnderWay(rollout))
-      rollouts.push_back({pool,
-                          {rollout.number, rollout.target,
-                           rollout.stage == wire::RolloutStage::MOVING, rollout.requests,
-                           rollout.allowed}});
+      rollouts.push_back(
+          {pool,
+           {rollout.number, rollout.target, rollout.stage == wire::RolloutStage::MOVING,
+            rollout.requests, rollout.allowed}});
   }
   return rollouts;
 }
--- a/apps/poppywayd/rollout_side.cc
+++ b/apps/poppywayd/rollout_side.cc
@@ -129,8 +129,8 @@
   const auto watch = m_watches.find(order.pool);
   if (rollout == state.m_rollouts.end() || watch == m_watches.end())
     return false;
-  const bool same = rollout->second.target == order.target &&
-                    rollout->second.duration_ms == order.duration_ms;
+  const bool same =
+      rollout->second.target == order.target && rollout->second.duration_ms == order.duration_ms;
   return same && now - watch->second.m_seen < kRepeatTime;
 }
 
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -79,7 +79,7 @@
 /// is told anew.
 struct BrokerLink {
   BrokerPort m_port;
-  bool m_active = false;  ///< A broker was found. If not, this instance decides alone.
+  bool m_active = false;    ///< A broker was found. If not, this instance decides alone.
   Instant m_quiet_since{};  ///< A place request has had no answer for too long; zero: none.
   std::int64_t m_epoch = 0;
   PlaceRef m_next_ref = 1;
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -55,7 +55,7 @@
   std::string m_workspace;    ///< Empty: it belongs to none.
   std::string m_data_centre;  ///< Of the instance that asks.
   RouteKey m_route = 0;
-  Tier m_tier = 0;            ///< Of the workspace.
+  Tier m_tier = 0;       ///< Of the workspace.
   RequestShape m_shape;  ///< As of now; `m_tier` is the route's. `m_events` is set by the broker.
   std::int64_t m_expected_tokens = 0;
   Duration m_wait{};  ///< Its caller waits for so long.
--- a/packages/policy/include/poppyway/policy/impl/rollout_trial.h
+++ b/packages/policy/include/poppyway/policy/impl/rollout_trial.h
@@ -60,8 +60,8 @@
   kTooLittle,  ///< Too few answers to tell.
   kDoubtful,   ///< Neither good nor bad.
   kGood,
-  kFails,      ///< It answers with failures more often than the others do.
-  kSlow,       ///< It is slower than the others.
+  kFails,  ///< It answers with failures more often than the others do.
+  kSlow,   ///< It is slower than the others.
 };
 
 /// \brief Text for logs.
@@ -79,8 +79,9 @@
   bool m_moving = false;        ///< Found good: the target gets all new work.
   std::int64_t m_requests = 0;  ///< To the pool since the order.
   std::int64_t m_sent = 0;      ///< Of those, to the target.
-  std::int64_t m_allowed = 0;   ///< Of those, how many the target may get until the leader says more.
-  std::int64_t m_runs = 0;      ///< Whole or failed answers of the target.
+  std::int64_t m_allowed =
+      0;                    ///< Of those, how many the target may get until the leader says more.
+  std::int64_t m_runs = 0;  ///< Whole or failed answers of the target.
   std::int64_t m_bad_runs = 0;
   TrialFinding m_finding = TrialFinding::kTooLittle;  ///< As of the last answer; bad stays bad.
   ExposureBounds m_bounds;
@@ -123,7 +124,8 @@
 /// \brief What the evidence comes to.
 ///
 /// At the time to move, and some times more when moving work comes near to the bounds on exposure,
-/// a version is held to the whole of its answers as well: with more bad ones than chance gives it is in doubt.
+/// a version is held to the whole of its answers as well: with more bad ones than chance gives it
+/// is in doubt.
 ///
 /// Failures and answers far slower than their server's usual are tested one by one, by route: a
 /// cumulative sum (Page 1954) of the log likelihood of a share `kWorseBy` above that of the other
@@ -151,10 +153,10 @@
 /// \brief The decision, with its reason in `why`.
 ///
 /// A bad version is rolled back at once. A good one is kept on trial for as long as is safe, since
-/// some turn bad later or under load only: work moves when some answers' time is left, and the roll-out is
-/// completed once the others are idle or the time that an acknowledgement takes is left. Without
-/// enough evidence by then it is rolled back: an unknown version with all of the work could break
-/// the bound on exposure, a good one that is rolled back costs another order.
+/// some turn bad later or under load only: work moves when some answers' time is left, and the
+/// roll-out is completed once the others are idle or the time that an acknowledgement takes is
+/// left. Without enough evidence by then it is rolled back: an unknown version with all of the work
+/// could break the bound on exposure, a good one that is rolled back costs another order.
 [[nodiscard]] RolloutDecision Decide(const RolloutView& view, std::string_view& why) noexcept;
 
 }  // namespace poppyway
--- a/packages/policy/src/place_rollout.cc
+++ b/packages/policy/src/place_rollout.cc
@@ -39,7 +39,9 @@
 void SetRollouts(PlaceBroker& broker,
                  const std::vector<PlaceRollout>& rollouts,
                  const ExposureBounds& bounds) {
-  for (auto& [name, pool] : broker.m_pools) {
+  for (auto& entry : broker.m_pools) {
+    const std::string& name = entry.first;
+    PlacePool& pool = entry.second;
     const auto found = std::find_if(rollouts.begin(), rollouts.end(),
                                     [&](const PlaceRollout& r) { return r.m_pool == name; });
     if (found == rollouts.end()) {
@@ -89,10 +91,9 @@
                       HasRoom(pool.m_views[i], shape, pool.m_typical);
     if (!open)
       continue;
-    const bool better =
-        !best || (fullest ? pool.m_views[i].m_others > pool.m_views[*best].m_others
-                          : RunsOf(trial, pool.m_servers[i].m_id) <
-                                RunsOf(trial, pool.m_servers[*best].m_id));
+    const bool better = !best || (fullest ? pool.m_views[i].m_others > pool.m_views[*best].m_others
+                                          : RunsOf(trial, pool.m_servers[i].m_id) <
+                                                RunsOf(trial, pool.m_servers[*best].m_id));
     if (better)
       best = i;
   }
--- a/packages/policy/src/rollout_trial.cc
+++ b/packages/policy/src/rollout_trial.cc
@@ -22,10 +22,12 @@
 constexpr double kWorseBy = 0.06;
 // The sum that finds a version bad: a good one reaches it once in some 8,000 answers (e^9).
 constexpr double kBadSum = 9;
-constexpr double kDoubtDeviations = 2.3;  // Above what the others' share comes to: 1 good one in 100.
-constexpr double kDoubtMore = 1;          // And so many bad answers more.
+constexpr double kDoubtDeviations =
+    2.3;                              // Above what the others' share comes to: 1 good one in 100.
+constexpr double kDoubtMore = 1;      // And so many bad answers more.
 constexpr double kServerShare = 0.7;  // Of `kBadSum`, from one server.
-constexpr double kOthersMemoryS = 4;  // "The same seconds": long enough for some answers of a route.
+constexpr double kOthersMemoryS =
+    4;  // "The same seconds": long enough for some answers of a route.
 // Until others have answered on a route their share of bad answers is taken to be about this.
 constexpr double kPriorShare = 0.03;
 constexpr double kPriorRuns = 20;
@@ -79,8 +81,7 @@
   if (pace_ms <= 0)
     return false;
   const double pace = std::log(pace_ms);
-  const bool outlier =
-      server.m_timed >= kUsualAfter && pace - server.m_usual > std::log(kOutlier);
+  const bool outlier = server.m_timed >= kUsualAfter && pace - server.m_usual > std::log(kOutlier);
   const bool first = server.m_timed == 0;
   server.m_usual = first ? pace : server.m_usual + kUsualGain * (pace - server.m_usual);
   server.m_recent = first ? pace : server.m_recent + kRecentGain * (pace - server.m_recent);
@@ -89,7 +90,10 @@
 }
 
 /// Adds one answer of the target to the sequential test of its route.
-void Test(RolloutTrial& trial, RouteEvidence& evidence, ServerEvidence& server, RouteKey route,
+void Test(RolloutTrial& trial,
+          RouteEvidence& evidence,
+          ServerEvidence& server,
+          RouteKey route,
           bool bad) {
   const double same = OthersShare(trial, route);
   const double worse = std::min(same + kWorseBy, (same + 1) / 2);
@@ -215,8 +219,8 @@
 }
 
 std::int64_t AllowedBy(const ExposureBounds& bounds, std::int64_t requests) noexcept {
-  const double allowed = kBoundShare * bounds.m_share * static_cast<double>(requests) +
-                         kSlackShare * bounds.m_slack;
+  const double allowed =
+      kBoundShare * bounds.m_share * static_cast<double>(requests) + kSlackShare * bounds.m_slack;
   return static_cast<std::int64_t>(allowed);
 }
 
--- a/packages/policy/src/served_share.cc
+++ b/packages/policy/src/served_share.cc
@@ -53,9 +53,8 @@
 void ForgetIdle(ServedShares& shares, Instant now) {
   if (shares.m_by_workspace.size() <= kMostWorkspaces)
     return;
-  std::erase_if(shares.m_by_workspace, [now](const auto& entry) {
-    return Seconds(now - entry.second.m_at) > kMemoryS;
-  });
+  std::erase_if(shares.m_by_workspace,
+                [now](const auto& entry) { return Seconds(now - entry.second.m_at) > kMemoryS; });
 }
 
 /// Of a group that has hardly asked, nothing is known: it counts as served.
--- a/packages/settings/include/poppyway/settings/impl/daemon_settings.h
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -57,11 +57,11 @@
   std::string m_log_file;       ///< Empty: standard error.
 
   // Set by code for hosted deployments, where members are found rather than listed.
-  bool m_hosted = false;   ///< The members named above are only a way in.
+  bool m_hosted = false;          ///< The members named above are only a way in.
   double m_exposure_share = 0.1;  ///< Of a pool's requests, for a version under trial.
   double m_exposure_slack = 50;   ///< Requests beyond that share.
-  bool m_member = false;   ///< Hosted: this instance keeps the log.
-  bool m_may_form = true;  ///< A blank member may form the first cluster.
+  bool m_member = false;          ///< Hosted: this instance keeps the log.
+  bool m_may_form = true;         ///< A blank member may form the first cluster.
   bool m_log_to_stdout = false;
   std::int64_t m_confirm_ms = 0;  ///< How long a confirmed document may be acted on; 0: for ever.
 
--- a/tests/pool_simulation.h
+++ b/tests/pool_simulation.h
@@ -41,7 +41,8 @@
   std::vector<SimulatedKind> m_kinds;
   int m_engines = 60;
   int m_slots = 9;
-  std::vector<double> m_event_ms = {25, 44, 120};  ///< By generation of engines, in turn, as full ones run.
+  std::vector<double> m_event_ms = {25, 44,
+                                    120};  ///< By generation of engines, in turn, as full ones run.
   double m_tokens_per_ms = 56.6;
   double m_tokens_per_event = 7;
   int m_workspaces = 16;
@@ -149,9 +150,7 @@
     }
   }
 
-  void Schedule(Instant at, What what, PlaceRef ref) {
-    m_events.push({at, ++m_number, what, ref});
-  }
+  void Schedule(Instant at, What what, PlaceRef ref) { m_events.push({at, ++m_number, what, ref}); }
 
   Request& At(PlaceRef ref) { return m_requests[static_cast<std::size_t>(ref) - 1]; }
 
--- a/tests/process/process_cluster.cc
+++ b/tests/process/process_cluster.cc
@@ -13,6 +13,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 #include <thread>
 
@@ -259,9 +260,23 @@
       return true;
     SleepMs(50);
   }
+  PrintUnready();
   return false;
 }
 
+void ProcessCluster::PrintUnready() const {
+  constexpr std::size_t kTail = 4'000;  // Bytes of each log: some seconds of a quiet instance.
+  for (const auto& [instance, pid] : m_pids) {
+    const int status = Http(HttpPort(instance), "GET", "/health/ready", {}, "", 500).m_status;
+    if (status == 200)
+      continue;
+    const std::string log = LogOf(instance);
+    std::cerr << NameOf(instance) << " (pid " << pid << ") answers " << status
+              << "; its log ends with:\n"
+              << log.substr(log.size() - std::min(log.size(), kTail)) << "\n";
+  }
+}
+
 Result<wire::StatusReply> ProcessCluster::Status() {
   wire::Body body;
   body.__set_status({});
--- a/tests/process/process_cluster.h
+++ b/tests/process/process_cluster.h
@@ -77,6 +77,9 @@
   [[nodiscard]] const std::vector<int>& all() const { return m_all; }
 
  private:
+  /// What each instance that isn't ready says and last logged, so that a failure can be traced.
+  void PrintUnready() const;
+
   TemporaryFolder m_folder;
   std::vector<int> m_all;
   std::map<int, pid_t> m_pids;
--- a/tests/rollout_trial_test.cc
+++ b/tests/rollout_trial_test.cc
@@ -16,11 +16,11 @@
 
 /// How the target version is bad.
 struct Fault {
-  double m_fails = 0;    ///< Share of its answers that are failures.
-  double m_slow = 1;     ///< Times slower...
-  double m_slow_share = 0;  ///< ...of this share of its answers.
-  double m_from_s = 0;   ///< Bad from this second on.
-  int m_on_route = -1;   ///< Only there; -1: on all.
+  double m_fails = 0;         ///< Share of its answers that are failures.
+  double m_slow = 1;          ///< Times slower...
+  double m_slow_share = 0;    ///< ...of this share of its answers.
+  double m_from_s = 0;        ///< Bad from this second on.
+  int m_on_route = -1;        ///< Only there; -1: on all.
   bool m_under_load = false;  ///< Only at servers that are over half full.
 };
 
@@ -87,8 +87,8 @@
                          (fault.m_on_route < 0 || fault.m_on_route == static_cast<int>(route)) &&
                          (!fault.m_under_load || loaded);
     const bool burst = seconds >= 3 && seconds < 6;
-    const double fails = model.m_natural[route] + (bad_now ? fault.m_fails : 0) +
-                         (burst ? model.m_burst_fails : 0);
+    const double fails =
+        model.m_natural[route] + (bad_now ? fault.m_fails : 0) + (burst ? model.m_burst_fails : 0);
     VersionSample sample;
     sample.m_target = target;
     sample.m_route = route;
@@ -221,8 +221,8 @@
 
 TEST_CASE("with too little known by the time to move, the version is rolled back") {
   std::string_view why;
-  RolloutView view{
-      false, TrialFinding::kTooLittle, true, true, kSecond, kRollout, Duration(6'000'000)};
+  RolloutView view{false,    TrialFinding::kTooLittle, true, true, kSecond,
+                   kRollout, Duration(6'000'000)};
   CHECK(Decide(view, why) == RolloutDecision::kWait);
   view.m_left = Duration(2'600'000);
   CHECK(Decide(view, why) == RolloutDecision::kRollBack);
@@ -233,8 +233,7 @@
 
 TEST_CASE("work that has moved is completed once the others are idle, or time is up") {
   std::string_view why;
-  RolloutView view{
-      true, TrialFinding::kGood, true, true, kSecond, kRollout, Duration(3'000'000)};
+  RolloutView view{true, TrialFinding::kGood, true, true, kSecond, kRollout, Duration(3'000'000)};
   CHECK(Decide(view, why) == RolloutDecision::kWait);
   view.m_others_busy = false;
   CHECK(Decide(view, why) == RolloutDecision::kComplete);
