--- a/packages/policy/src/rollout_trial.cc
+++ b/packages/policy/src/rollout_trial.cc
@@ -51,7 +51,9 @@
 constexpr double kMoveAnswers = 2;   // Times an answer's usual time.
 constexpr double kMoveShare = 0.25;  // Of the whole time, at most.
 constexpr Duration kMoveLeast{200'000};
-constexpr Duration kMoveMost{3'000'000};
+// With 3 s all of 500 versions of 60 engines that failed 30 % from the ninth of 12 s on went over
+// the bound on exposure, with this none.
+constexpr Duration kMoveMost{1'500'000};
 // A decision is committed in some ms; readers may ask for it only every few hundred.
 constexpr Duration kAckTime{700'000};
 
--- a/tests/rollout_trial_test.cc
+++ b/tests/rollout_trial_test.cc
@@ -180,6 +180,17 @@
   CHECK(tally.m_over == 0);
 }
 
+TEST_CASE("a version of engines that turns bad late stays within its exposure") {
+  Model engines;
+  engines.m_servers = 60;
+  engines.m_speed_spread = 0.65;
+  engines.m_per_s = 426;
+  engines.m_service_ms = 2'000;
+  const Tally tally = PlayAll(engines, {0.3, 1, 0, 9, -1, false}, true);
+  CHECK(tally.m_right >= 0.97 * kPlays);
+  CHECK(tally.m_over == 0);
+}
+
 TEST_CASE("one server of a good version that dies does not make the version bad") {
   RolloutTrial trial = BeginTrial({1, "v2", false, 0, 0}, kBounds);
   const Instant now{Duration(1'000'000)};
@@ -224,7 +235,7 @@
   RolloutView view{false,    TrialFinding::kTooLittle, true, true, kSecond,
                    kRollout, Duration(6'000'000)};
   CHECK(Decide(view, why) == RolloutDecision::kWait);
-  view.m_left = Duration(2'600'000);
+  view.m_left = Duration(2'100'000);
   CHECK(Decide(view, why) == RolloutDecision::kRollBack);
   CHECK(why == "too_little");
   view.m_finding = TrialFinding::kGood;
