--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -128,6 +128,13 @@
   Commit(std::move(command), reply);
 }
 
+bool MemberSide::LeadsForSure(const ReplyFn& reply) const {
+  if (ConfirmedLeader(m_node, ReadClock()))
+    return true;
+  reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+  return false;
+}
+
 void MemberSide::ReadDocument(const ReplyFn& reply) {
   if (!leads()) {
     wire::Body body;
@@ -135,10 +142,8 @@
     AskLeader(std::move(body), reply);
     return;
   }
-  if (!ConfirmedLeader(m_node, ReadClock())) {
-    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+  if (!LeadsForSure(reply))
     return;
-  }
   wire::Body body;
   body.__set_document(m_machine.m_hosted.m_document);
   reply(std::move(body));
@@ -168,10 +173,8 @@
     Commit(std::move(command), reply);
     return;
   }
-  if (!ConfirmedLeader(m_node, ReadClock())) {
-    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+  if (!LeadsForSure(reply))
     return;
-  }
   wire::Body done;
   done.__set_done(true);
   reply(std::move(done));
@@ -230,10 +233,8 @@
     AskLeader(std::move(body), reply);
     return;
   }
-  if (!ConfirmedLeader(m_node, ReadClock())) {
-    reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+  if (!LeadsForSure(reply))
     return;
-  }
   const auto found = m_machine.m_hosted.m_rollouts.find(pool);
   if (found == m_machine.m_hosted.m_rollouts.end()) {
     reply(ErrorBody(ResultCode::kNotFound, "no roll-out of pool '" + pool + "' was ordered"));
--- a/packages/policy/include/poppyway/policy/impl/rollout_trial.h
+++ b/packages/policy/include/poppyway/policy/impl/rollout_trial.h
@@ -79,9 +79,8 @@
   bool m_moving = false;        ///< Found good: the target gets all new work.
   std::int64_t m_requests = 0;  ///< To the pool since the order.
   std::int64_t m_sent = 0;      ///< Of those, to the target.
-  std::int64_t m_allowed =
-      0;                    ///< Of those, how many the target may get until the leader says more.
-  std::int64_t m_runs = 0;  ///< Whole or failed answers of the target.
+  std::int64_t m_allowed = 0;   ///< Of those, to the target at most, as the log has it.
+  std::int64_t m_runs = 0;      ///< Whole or failed answers of the target.
   std::int64_t m_bad_runs = 0;
   TrialFinding m_finding = TrialFinding::kTooLittle;  ///< As of the last answer; bad stays bad.
   ExposureBounds m_bounds;
