--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import tempfile
 
@@ -18,6 +19,21 @@
 INTERNAL_PORTS = "7600,7615"
 
 
+def hold_subnets(count):
+    """The first of `count` numbers N whose addresses 127.N.x.y no other run uses, and the socket
+    that holds them for as long as it is kept."""
+    guard_port = 7999
+    for first in range(20, 250 - count, count):
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{first}.0.250", guard_port))
+            guard.listen(1)
+            return first, guard
+        except OSError:
+            guard.close()
+    raise RuntimeError("no loopback addresses are free")
+
+
 class Process:
     """One poppywayd with its settings file, data folder and log."""
 
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from fleet import Fleet, document
+from fleet import Fleet, document, hold_subnets
 from stand_ins import Badness, Callers, Operator, Servers
 
 POOL = "app"
@@ -41,10 +41,9 @@
 class Case:
     """One roll-out from start to end."""
 
-    def __init__(self, program, name, number, seed):
+    def __init__(self, program, name, subnet, seed):
         self.name = name
         self.badness, self.fault = CASES[name]
-        subnet = 20 + number
         self.fleet = Fleet(program, subnet)
         members = self.fleet.members
         self.old = Servers(subnet, "v1", 4, members, GOOD, seed)
@@ -137,8 +136,8 @@
               f"outcomes={self.callers.outcomes}", flush=True)
 
 
-async def run_case(program, name, number, seed, keep_logs):
-    case = Case(program, name, number, seed)
+async def run_case(program, name, subnet, seed, keep_logs):
+    case = Case(program, name, subnet, seed)
     try:
         await case.play()
     finally:
@@ -163,9 +162,11 @@
     parser.add_argument("--keep-logs", help="folder for the logs of cases that fail")
     options = parser.parse_args()
     passed = 0
+    first, guard = hold_subnets(len(CASES))
     for number, name in enumerate(options.case):
         passed += asyncio.run(
-            run_case(options.program, name, number, options.seed, options.keep_logs))
+            run_case(options.program, name, first + number, options.seed, options.keep_logs))
+    guard.close()
     failed = len(options.case) - passed
     print(f"{passed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
--- a/tests/process/process_cluster.cc
+++ b/tests/process/process_cluster.cc
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <stdexcept>
 #include <thread>
 
 extern char** environ;
@@ -22,11 +23,41 @@
 namespace poppyway::test {
 namespace {
 
-constexpr std::uint16_t kBasePort = 25'000;
+constexpr std::uint16_t kFirstPort = 20'000;  // Below those that the kernel gives to connections.
+constexpr std::uint16_t kLastPort = 32'000;
+constexpr std::uint16_t kPorts = 300;  // Of one test process.
 constexpr std::uint16_t kPeerOffset = 100;
 constexpr std::uint16_t kFakeOffset = 200;
+constexpr std::uint16_t kGuardOffset = kPorts - 1;
 const std::string kBuild = POPPYWAY_BUILD;
 
+/// Listens on `port` until this process ends. \return false if it is taken.
+bool HoldPort(std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  where.sin_port = htons(port);
+  const bool held =
+      bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0 && listen(fd, 1) == 0;
+  if (!held)
+    close(fd);
+  return held;
+}
+
+/// The first of this process's ports. Another run of these tests on the machine has others: with
+/// the same ones an instance that is killed here finds its port taken there when it starts again.
+std::uint16_t BasePort() {
+  static const std::uint16_t base = [] {
+    for (std::uint16_t first = kFirstPort; first + kPorts <= kLastPort; first += kPorts) {
+      if (HoldPort(first + kGuardOffset))
+        return first;
+    }
+    throw std::runtime_error("no range of ports is free for the process tests");
+  }();
+  return base;
+}
+
 pid_t Spawn(std::vector<std::string> words, int output = -1) {
   std::vector<char*> argv;
   for (std::string& word : words)
@@ -196,13 +227,13 @@
 }
 
 std::uint16_t ProcessCluster::HttpPort(int instance) const {
-  return static_cast<std::uint16_t>(kBasePort + instance);
+  return static_cast<std::uint16_t>(BasePort() + instance);
 }
 std::uint16_t ProcessCluster::PeerPort(int instance) const {
-  return static_cast<std::uint16_t>(kBasePort + kPeerOffset + instance);
+  return static_cast<std::uint16_t>(BasePort() + kPeerOffset + instance);
 }
 std::uint16_t ProcessCluster::FakePort(int number) const {
-  return static_cast<std::uint16_t>(kBasePort + kFakeOffset + number);
+  return static_cast<std::uint16_t>(BasePort() + kFakeOffset + number);
 }
 
 void ProcessCluster::StartFake(const std::vector<std::string>& arguments) {
