--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -95,6 +95,7 @@
     PlacePool& kept = broker.m_pools[name];
     kept.m_waiting = std::move(pool.m_waiting);
     kept.m_usual_length = pool.m_usual_length;
+    kept.m_flow = pool.m_flow;
     kept.m_shares = std::move(pool.m_shares);
     kept.m_trial = std::move(pool.m_trial);
     // Parts go by index, which changes: what engines keep is found again by use.
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Works out docs/CAPACITY.md from measured slopes. Usage: capacity.py SLOPES.csv HOP.md"""
+"""Works out docs/CAPACITY.md from measured slopes. Usage: capacity.py SLOPES.csv HOP.md SWEEP.csv"""
 import collections
 import csv
 import math
@@ -37,6 +37,40 @@
     return a, b, 1 - rest / syy if syy else 1.0
 
 
+# Of hosted deployments: the sheets' largest size, and limits of their machines.
+SHEET_MACHINES = 1730
+HOSTED_LIMITS = {
+    "member: processor %": 60, "member: memory MB": 256, "member: connections": 3896,
+    "gateway: processor %": 12, "gateway: memory MB": 160, "gateway: connections": 3900,
+    "config in force, ms": 2500, "serving after all were killed, ms": 15000,
+}
+MOST_POWER = 2  # What grows faster between three sizes is told so, and not carried on faster.
+
+
+def hosted(path, say):
+    """What sweeps over the sizes of hosted deployments come to at larger sizes."""
+    with open(path) as file:
+        rows = list(csv.DictReader(file))
+    say("## On a hosting platform\n")
+    say("Busiest machine of each role in sweeps over 30, 100 and 300 machines with ten servers a machine "
+        "(docs/measurements/sweep.csv), carried on by the power at which it grew. A limit is that of the "
+        "machines of those sheets, or the bound of the rule.\n")
+    say(f"| deployment | what | 30 | 100 | 300 | power | at {DAEMONS} | at {SHEET_MACHINES} | limit |")
+    say("|---|---|---|---|---|---|---|---|---|")
+    for row in rows:
+        power = min(MOST_POWER, max(0.0, float(row["power"])))
+        limit = HOSTED_LIMITS.get(row["what"])
+        carried = [float(row["at_300"]) * (size / 300) ** power for size in (DAEMONS, SHEET_MACHINES)]
+        cells = [f"**{value:.3g}**" if limit and value > limit else f"{value:.3g}" for value in carried]
+        say(f"| {row['deployment']} | {row['what']} | {row['at_30']} | {row['at_100']} | {row['at_300']} | "
+            f"{row['power']} | {cells[0]} | {cells[1]} | {limit or '-'} |")
+    say("\nIn bold: over its limit there. The leading member's processor and memory grow with servers: each request "
+        "for a place looks at all servers of its pool, and each instance that starts is told of all "
+        "servers. Mechanisms that are missing: brokers by pool and data centre, an index of free places, one "
+        "encoding of the list of servers for all, told on within a data centre. \"Serving after all were "
+        "killed\" is not explained at 300 machines (docs/QUESTIONS.md, 10).\n")
+
+
 def main():
     rows = collections.defaultdict(list)
     with open(sys.argv[1]) as file:
@@ -186,6 +220,7 @@
         f"request were named, {math.ceil(groups / NAMED)} groups would be needed, more than ten instances carry; "
         "then retention has to shrink or keys have to be kept in memory of the daemons in three data centres.\n")
 
+    hosted(sys.argv[3], say)
     say("## Failures at that size\n")
     say("| failure | how often | leases | ledger | configuration | goodput |\n|---|---|---|---|---|---|")
     lease = 3.6
--- a/tests/place_broker_test.cc
+++ b/tests/place_broker_test.cc
@@ -317,6 +317,34 @@
   }
 }
 
+TEST_CASE("how fast places come free is still known after a change of servers") {
+  // A pool that is full and short, whose places came free all the time: what can't be served in
+  // time is refused at once, with a time to come back.
+  const auto verdict_of_last = [](bool servers_change) {
+    PlaceBroker broker = BrokerWith({Server("s0", 4), Server("s1", 4)});
+    PlaceServer leaving = Server("s2", 4);
+    leaving.m_leaving = true;
+    std::vector<PlaceAnswer> out;
+    Instant now = kStart;
+    PlaceRef ref = 0;
+    for (int i = 0; i < 8; ++i)
+      Ask(broker, "a", PlaceWanted(++ref), now, out);
+    for (PlaceRef ended = 1; ended <= 24; ++ended) {
+      now += Duration(100'000);
+      Report(broker, "a", End(ended), now, out);
+      Ask(broker, "a", PlaceWanted(++ref), now, out);
+    }
+    for (int i = 0; i < 40; ++i)
+      Ask(broker, "b", PlaceWanted(++ref), now, out);
+    if (servers_change)
+      SetServers(broker, {Server("s0", 4), Server("s1", 4), leaving});
+    Ask(broker, "b", PlaceWanted(++ref), now, out);
+    return out.back();
+  };
+  CHECK(verdict_of_last(false).m_verdict == PlaceVerdict::kNoRoom);
+  CHECK(verdict_of_last(true).m_verdict == PlaceVerdict::kNoRoom);
+}
+
 /// A pool of two versions with a roll-out to v2 under way.
 PlaceBroker InRollout(bool moving, std::int64_t allowed) {
   std::vector<PlaceServer> servers;
