--- a/tests/rollout_trial_test.cc
+++ b/tests/rollout_trial_test.cc
@@ -36,6 +36,16 @@
   double m_burst_fails = 0;  ///< Share that fails at every version between 3 and 6 s.
 };
 
+/// A pool of sixty engines whose generations are five times apart in speed.
+Model Engines() {
+  Model engines;
+  engines.m_servers = 60;
+  engines.m_speed_spread = 0.65;
+  engines.m_per_s = 426;
+  engines.m_service_ms = 2'000;
+  return engines;
+}
+
 struct Outcome {
   bool m_rolled_back = false;
   bool m_completed = false;
@@ -129,12 +139,7 @@
 
 TEST_CASE("a good version is completed") {
   CHECK(PlayAll({}, {}, false).m_right >= 0.98 * kPlays);
-  Model engines;
-  engines.m_servers = 60;
-  engines.m_speed_spread = 0.65;  // Generations five times apart.
-  engines.m_per_s = 426;
-  engines.m_service_ms = 2'000;
-  CHECK(PlayAll(engines, {}, false).m_right >= 0.98 * kPlays);
+  CHECK(PlayAll(Engines(), {}, false).m_right >= 0.98 * kPlays);
 }
 
 TEST_CASE("a good version is completed although servers of all versions fail for some seconds") {
@@ -170,23 +175,13 @@
 }
 
 TEST_CASE("a slow version of unlike engines is rolled back") {
-  Model engines;
-  engines.m_servers = 60;
-  engines.m_speed_spread = 0.65;
-  engines.m_per_s = 426;
-  engines.m_service_ms = 2'000;
-  const Tally tally = PlayAll(engines, {0, 5, 1, 0, -1, false}, true);
+  const Tally tally = PlayAll(Engines(), {0, 5, 1, 0, -1, false}, true);
   CHECK(tally.m_right >= 0.97 * kPlays);
   CHECK(tally.m_over == 0);
 }
 
 TEST_CASE("a version of engines that turns bad late stays within its exposure") {
-  Model engines;
-  engines.m_servers = 60;
-  engines.m_speed_spread = 0.65;
-  engines.m_per_s = 426;
-  engines.m_service_ms = 2'000;
-  const Tally tally = PlayAll(engines, {0.3, 1, 0, 9, -1, false}, true);
+  const Tally tally = PlayAll(Engines(), {0.3, 1, 0, 9, -1, false}, true);
   CHECK(tally.m_right >= 0.97 * kPlays);
   CHECK(tally.m_over == 0);
 }
