Let the test of the platform's list take its port from its own range

Cause: it named the stand-in's port by its number, so since each run has ports of its own nobody served the list, and the server that leaves by it went on getting work.

--- a/tests/process/process_cluster.cc
+++ b/tests/process/process_cluster.cc
@@ -232,7 +232,7 @@
 std::uint16_t ProcessCluster::PeerPort(int instance) const {
   return static_cast<std::uint16_t>(BasePort() + kPeerOffset + instance);
 }
-std::uint16_t ProcessCluster::FakePort(int number) const {
+std::uint16_t ProcessCluster::FakePort(int number) {
   return static_cast<std::uint16_t>(BasePort() + kFakeOffset + number);
 }
 
--- a/tests/process/process_cluster.h
+++ b/tests/process/process_cluster.h
@@ -73,7 +73,7 @@
 
   [[nodiscard]] std::uint16_t HttpPort(int instance) const;
   [[nodiscard]] std::uint16_t PeerPort(int instance) const;
-  [[nodiscard]] std::uint16_t FakePort(int number) const;
+  [[nodiscard]] static std::uint16_t FakePort(int number);
   [[nodiscard]] const std::vector<int>& all() const { return m_all; }
 
  private:
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -183,7 +183,8 @@
 
 TEST_CASE("a leaving backend server gets no new work after two seconds", "[process][leaving]") {
   const bool by_platform = GENERATE(false, true);
-  ProcessCluster cluster(3, {"platform_list: 127.0.0.1:25201/__fake/platform"});
+  const std::string fake = "127.0.0.1:" + std::to_string(ProcessCluster::FakePort(1));
+  ProcessCluster cluster(3, {"platform_list: " + fake + "/__fake/platform"});
   StartSmall(cluster);
   CommandResult load;
   std::thread caller([&] {
