--- a/packages/policy/src/served_share.cc
+++ b/packages/policy/src/served_share.cc
@@ -8,13 +8,13 @@
 namespace poppyway {
 namespace {
 
-// At 1.4 times a pool's places for half a minute (tests/place_overload_test.cc, mean of six seeds) the
-// least urgent kind gets 0.48 of its requests served, beside 0.68 of all; without a floor 0.11. The
-// most urgent gives up 0.001 of its own. Half is needed; the rest is for what is counted here and not
-// yet known: who waits counts as unserved, who runs may still fail.
+// At 1.4 times a pool's places for half a minute (tests/place_overload_test.cc, mean of six seeds)
+// the least urgent kind gets 0.48 of its requests served, beside 0.68 of all; without a floor 0.11.
+// The most urgent gives up 0.001 of its own. Half is needed; the rest is for what is counted here
+// and not yet known: who waits counts as unserved, who runs may still fail.
 constexpr double kFloor = 0.6;
-// The longest tenth of the second kind gets 0.71 of what all of that kind get, where half is needed;
-// without a floor 0.36.
+// The longest tenth of the second kind gets 0.71 of what all of that kind get, where half is
+// needed; without a floor 0.36.
 constexpr double kLengthFloor = 0.7;
 // Long enough that a burst of some seconds is still served by rank alone, short enough that a
 // session of half a minute starves nobody.
