@@ -10023,70 +10465,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other370) {
-  pool = other370.pool;
-  epoch = other370.epoch;
-  credits = other370.credits;
-  unreachable = other370.unreachable;
-  floor = other370.floor;
-  floor_epoch = other370.floor_epoch;
-  contended = other370.contended;
-  drain_per_s = other370.drain_per_s;
-  gateways = other370.gateways;
-  backlog = other370.backlog;
-  lease_ms = other370.lease_ms;
-  sequence = other370.sequence;
-  not_broker = other370.not_broker;
-  __isset = other370.__isset;
+Grants::Grants(const Grants& other390) {
+  pool = other390.pool;
+  epoch = other390.epoch;
+  credits = other390.credits;
+  unreachable = other390.unreachable;
+  floor = other390.floor;
+  floor_epoch = other390.floor_epoch;
+  contended = other390.contended;
+  drain_per_s = other390.drain_per_s;
+  gateways = other390.gateways;
+  backlog = other390.backlog;
+  lease_ms = other390.lease_ms;
+  sequence = other390.sequence;
+  not_broker = other390.not_broker;
+  __isset = other390.__isset;
 }
-Grants::Grants(Grants&& other371) noexcept {
-  pool = std::move(other371.pool);
-  epoch = other371.epoch;
-  credits = std::move(other371.credits);
-  unreachable = std::move(other371.unreachable);
-  floor = other371.floor;
-  floor_epoch = other371.floor_epoch;
-  contended = other371.contended;
-  drain_per_s = other371.drain_per_s;
-  gateways = other371.gateways;
-  backlog = std::move(other371.backlog);
-  lease_ms = other371.lease_ms;
-  sequence = other371.sequence;
-  not_broker = other371.not_broker;
-  __isset = other371.__isset;
+Grants::Grants(Grants&& other391) noexcept {
+  pool = std::move(other391.pool);
+  epoch = other391.epoch;
+  credits = std::move(other391.credits);
+  unreachable = std::move(other391.unreachable);
+  floor = other391.floor;
+  floor_epoch = other391.floor_epoch;
+  contended = other391.contended;
+  drain_per_s = other391.drain_per_s;
+  gateways = other391.gateways;
+  backlog = std::move(other391.backlog);
+  lease_ms = other391.lease_ms;
+  sequence = other391.sequence;
+  not_broker = other391.not_broker;
+  __isset = other391.__isset;
+}
+Grants& Grants::operator=(const Grants& other392) {
+  pool = other392.pool;
+  epoch = other392.epoch;
+  credits = other392.credits;
+  unreachable = other392.unreachable;
+  floor = other392.floor;
+  floor_epoch = other392.floor_epoch;
+  contended = other392.contended;
+  drain_per_s = other392.drain_per_s;
+  gateways = other392.gateways;
+  backlog = other392.backlog;
+  lease_ms = other392.lease_ms;
+  sequence = other392.sequence;
+  not_broker = other392.not_broker;
+  __isset = other392.__isset;
+  return *this;
 }
-Grants& Grants::operator=(const Grants& other372) {
-  pool = other372.pool;
-  epoch = other372.epoch;
-  credits = other372.credits;
-  unreachable = other372.unreachable;
-  floor = other372.floor;
-  floor_epoch = other372.floor_epoch;
-  contended = other372.contended;
-  drain_per_s = other372.drain_per_s;
-  gateways = other372.gateways;
-  backlog = other372.backlog;
-  lease_ms = other372.lease_ms;
-  sequence = other372.sequence;
-  not_broker = other372.not_broker;
-  __isset = other372.__isset;
-  return *this;
-}
-Grants& Grants::operator=(Grants&& other373) noexcept {
-  pool = std::move(other373.pool);
-  epoch = other373.epoch;
-  credits = std::move(other373.credits);
-  unreachable = std::move(other373.unreachable);
-  floor = other373.floor;
-  floor_epoch = other373.floor_epoch;
-  contended = other373.contended;
-  drain_per_s = other373.drain_per_s;
-  gateways = other373.gateways;
-  backlog = std::move(other373.backlog);
-  lease_ms = other373.lease_ms;
-  sequence = other373.sequence;
-  not_broker = other373.not_broker;
-  __isset = other373.__isset;
+Grants& Grants::operator=(Grants&& other393) noexcept {
+  pool = std::move(other393.pool);
+  epoch = other393.epoch;
+  credits = std::move(other393.credits);
+  unreachable = std::move(other393.unreachable);
+  floor = other393.floor;
+  floor_epoch = other393.floor_epoch;
+  contended = other393.contended;
+  drain_per_s = other393.drain_per_s;
+  gateways = other393.gateways;
+  backlog = std::move(other393.backlog);
+  lease_ms = other393.lease_ms;
+  sequence = other393.sequence;
+  not_broker = other393.not_broker;
+  __isset = other393.__isset;
   return *this;
 }
 void Grants::printTo(std::ostream& out) const {
@@ -10201,26 +10643,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptPart::PromptPart(const PromptPart& other374) noexcept {
-  id = other374.id;
-  tokens = other374.tokens;
-  __isset = other374.__isset;
+PromptPart::PromptPart(const PromptPart& other394) noexcept {
+  id = other394.id;
+  tokens = other394.tokens;
+  __isset = other394.__isset;
 }
-PromptPart::PromptPart(PromptPart&& other375) noexcept {
-  id = other375.id;
-  tokens = other375.tokens;
-  __isset = other375.__isset;
+PromptPart::PromptPart(PromptPart&& other395) noexcept {
+  id = other395.id;
+  tokens = other395.tokens;
+  __isset = other395.__isset;
 }
-PromptPart& PromptPart::operator=(const PromptPart& other376) noexcept {
-  id = other376.id;
-  tokens = other376.tokens;
-  __isset = other376.__isset;
+PromptPart& PromptPart::operator=(const PromptPart& other396) noexcept {
+  id = other396.id;
+  tokens = other396.tokens;
+  __isset = other396.__isset;
   return *this;
 }
-PromptPart& PromptPart::operator=(PromptPart&& other377) noexcept {
-  id = other377.id;
-  tokens = other377.tokens;
-  __isset = other377.__isset;
+PromptPart& PromptPart::operator=(PromptPart&& other397) noexcept {
+  id = other397.id;
+  tokens = other397.tokens;
+  __isset = other397.__isset;
   return *this;
 }
 void PromptPart::printTo(std::ostream& out) const {
@@ -10311,6 +10753,14 @@
 void PlaceAsk::__set_route(const int64_t val) {
   this->route = val;
 }
+
+void PlaceAsk::__set_regions(const std::vector<std::string> & val) {
+  this->regions = val;
+}
+
+void PlaceAsk::__set_bound(const bool val) {
+  this->bound = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
@@ -10439,14 +10889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size378;
-            ::apache::thrift::protocol::TType _etype381;
-            xfer += iprot->readListBegin(_etype381, _size378);
-            this->parts.resize(_size378);
-            uint32_t _i382;
-            for (_i382 = 0; _i382 < _size378; ++_i382)
+            uint32_t _size398;
+            ::apache::thrift::protocol::TType _etype401;
+            xfer += iprot->readListBegin(_etype401, _size398);
+            this->parts.resize(_size398);
+            uint32_t _i402;
+            for (_i402 = 0; _i402 < _size398; ++_i402)
             {
-              xfer += this->parts[_i382].read(iprot);
+              xfer += this->parts[_i402].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10459,14 +10909,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size383;
-            ::apache::thrift::protocol::TType _etype386;
-            xfer += iprot->readListBegin(_etype386, _size383);
-            this->tried.resize(_size383);
-            uint32_t _i387;
-            for (_i387 = 0; _i387 < _size383; ++_i387)
+            uint32_t _size403;
+            ::apache::thrift::protocol::TType _etype406;
+            xfer += iprot->readListBegin(_etype406, _size403);
+            this->tried.resize(_size403);
+            uint32_t _i407;
+            for (_i407 = 0; _i407 < _size403; ++_i407)
             {
-              xfer += iprot->readString(this->tried[_i387]);
+              xfer += iprot->readString(this->tried[_i407]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10507,10 +10957,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 19:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->route);
-          this->__isset.route = true;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->regions.clear();
+            uint32_t _size408;
+            ::apache::thrift::protocol::TType _etype411;
+            xfer += iprot->readListBegin(_etype411, _size408);
+            this->regions.resize(_size408);
+            uint32_t _i412;
+            for (_i412 = 0; _i412 < _size408; ++_i412)
+            {
+              xfer += iprot->readString(this->regions[_i412]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.regions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->bound);
+          this->__isset.bound = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10583,10 +11061,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<PromptPart> ::const_iterator _iter388;
-    for (_iter388 = this->parts.begin(); _iter388 != this->parts.end(); ++_iter388)
+    std::vector<PromptPart> ::const_iterator _iter413;
+    for (_iter413 = this->parts.begin(); _iter413 != this->parts.end(); ++_iter413)
     {
-      xfer += (*_iter388).write(oprot);
+      xfer += (*_iter413).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10595,10 +11073,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tried.size()));
-    std::vector<std::string> ::const_iterator _iter389;
-    for (_iter389 = this->tried.begin(); _iter389 != this->tried.end(); ++_iter389)
+    std::vector<std::string> ::const_iterator _iter414;
+    for (_iter414 = this->tried.begin(); _iter414 != this->tried.end(); ++_iter414)
     {
-      xfer += oprot->writeString((*_iter389));
+      xfer += oprot->writeString((*_iter414));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10624,6 +11102,22 @@
   xfer += oprot->writeI64(this->route);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 20);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
+    std::vector<std::string> ::const_iterator _iter415;
+    for (_iter415 = this->regions.begin(); _iter415 != this->regions.end(); ++_iter415)
+    {
+      xfer += oprot->writeString((*_iter415));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bound", ::apache::thrift::protocol::T_BOOL, 21);
+  xfer += oprot->writeBool(this->bound);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10650,97 +11144,107 @@
   swap(a.limit_rate, b.limit_rate);
   swap(a.limit_burst, b.limit_burst);
   swap(a.route, b.route);
+  swap(a.regions, b.regions);
+  swap(a.bound, b.bound);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other390) {
-  ref = other390.ref;
-  pool = other390.pool;
-  workspace = other390.workspace;
-  tier = other390.tier;
-  rank = other390.rank;
-  prompt_tokens = other390.prompt_tokens;
-  expected_tokens = other390.expected_tokens;
-  aim_ms = other390.aim_ms;
-  waited_ms = other390.waited_ms;
-  left_ms = other390.left_ms;
-  pause_aim_ms = other390.pause_aim_ms;
-  wait_ms = other390.wait_ms;
-  parts = other390.parts;
-  tried = other390.tried;
-  cost = other390.cost;
-  reserve = other390.reserve;
-  limit_rate = other390.limit_rate;
-  limit_burst = other390.limit_burst;
-  route = other390.route;
-  __isset = other390.__isset;
-}
-PlaceAsk::PlaceAsk(PlaceAsk&& other391) noexcept {
-  ref = other391.ref;
-  pool = std::move(other391.pool);
-  workspace = std::move(other391.workspace);
-  tier = other391.tier;
-  rank = other391.rank;
-  prompt_tokens = other391.prompt_tokens;
-  expected_tokens = other391.expected_tokens;
-  aim_ms = other391.aim_ms;
-  waited_ms = other391.waited_ms;
-  left_ms = other391.left_ms;
-  pause_aim_ms = other391.pause_aim_ms;
-  wait_ms = other391.wait_ms;
-  parts = std::move(other391.parts);
-  tried = std::move(other391.tried);
-  cost = other391.cost;
-  reserve = other391.reserve;
-  limit_rate = other391.limit_rate;
-  limit_burst = other391.limit_burst;
-  route = other391.route;
-  __isset = other391.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other392) {
-  ref = other392.ref;
-  pool = other392.pool;
-  workspace = other392.workspace;
-  tier = other392.tier;
-  rank = other392.rank;
-  prompt_tokens = other392.prompt_tokens;
-  expected_tokens = other392.expected_tokens;
-  aim_ms = other392.aim_ms;
-  waited_ms = other392.waited_ms;
-  left_ms = other392.left_ms;
-  pause_aim_ms = other392.pause_aim_ms;
-  wait_ms = other392.wait_ms;
-  parts = other392.parts;
-  tried = other392.tried;
-  cost = other392.cost;
-  reserve = other392.reserve;
-  limit_rate = other392.limit_rate;
-  limit_burst = other392.limit_burst;
-  route = other392.route;
-  __isset = other392.__isset;
-  return *this;
-}
-PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other393) noexcept {
-  ref = other393.ref;
-  pool = std::move(other393.pool);
-  workspace = std::move(other393.workspace);
-  tier = other393.tier;
-  rank = other393.rank;
-  prompt_tokens = other393.prompt_tokens;
-  expected_tokens = other393.expected_tokens;
-  aim_ms = other393.aim_ms;
-  waited_ms = other393.waited_ms;
-  left_ms = other393.left_ms;
-  pause_aim_ms = other393.pause_aim_ms;
-  wait_ms = other393.wait_ms;
-  parts = std::move(other393.parts);
-  tried = std::move(other393.tried);
-  cost = other393.cost;
-  reserve = other393.reserve;
-  limit_rate = other393.limit_rate;
-  limit_burst = other393.limit_burst;
-  route = other393.route;
-  __isset = other393.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other416) {
+  ref = other416.ref;
+  pool = other416.pool;
+  workspace = other416.workspace;
+  tier = other416.tier;
+  rank = other416.rank;
+  prompt_tokens = other416.prompt_tokens;
+  expected_tokens = other416.expected_tokens;
+  aim_ms = other416.aim_ms;
+  waited_ms = other416.waited_ms;
+  left_ms = other416.left_ms;
+  pause_aim_ms = other416.pause_aim_ms;
+  wait_ms = other416.wait_ms;
+  parts = other416.parts;
+  tried = other416.tried;
+  cost = other416.cost;
+  reserve = other416.reserve;
+  limit_rate = other416.limit_rate;
+  limit_burst = other416.limit_burst;
+  route = other416.route;
+  regions = other416.regions;
+  bound = other416.bound;
+  __isset = other416.__isset;
+}
+PlaceAsk::PlaceAsk(PlaceAsk&& other417) noexcept {
+  ref = other417.ref;
+  pool = std::move(other417.pool);
+  workspace = std::move(other417.workspace);
+  tier = other417.tier;
+  rank = other417.rank;
+  prompt_tokens = other417.prompt_tokens;
+  expected_tokens = other417.expected_tokens;
+  aim_ms = other417.aim_ms;
+  waited_ms = other417.waited_ms;
+  left_ms = other417.left_ms;
+  pause_aim_ms = other417.pause_aim_ms;
+  wait_ms = other417.wait_ms;
+  parts = std::move(other417.parts);
+  tried = std::move(other417.tried);
+  cost = other417.cost;
+  reserve = other417.reserve;
+  limit_rate = other417.limit_rate;
+  limit_burst = other417.limit_burst;
+  route = other417.route;
+  regions = std::move(other417.regions);
+  bound = other417.bound;
+  __isset = other417.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other418) {
+  ref = other418.ref;
+  pool = other418.pool;
+  workspace = other418.workspace;
+  tier = other418.tier;
+  rank = other418.rank;
+  prompt_tokens = other418.prompt_tokens;
+  expected_tokens = other418.expected_tokens;
+  aim_ms = other418.aim_ms;
+  waited_ms = other418.waited_ms;
+  left_ms = other418.left_ms;
+  pause_aim_ms = other418.pause_aim_ms;
+  wait_ms = other418.wait_ms;
+  parts = other418.parts;
+  tried = other418.tried;
+  cost = other418.cost;
+  reserve = other418.reserve;
+  limit_rate = other418.limit_rate;
+  limit_burst = other418.limit_burst;
+  route = other418.route;
+  regions = other418.regions;
+  bound = other418.bound;
+  __isset = other418.__isset;
+  return *this;
+}
+PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other419) noexcept {
+  ref = other419.ref;
+  pool = std::move(other419.pool);
+  workspace = std::move(other419.workspace);
+  tier = other419.tier;
+  rank = other419.rank;
+  prompt_tokens = other419.prompt_tokens;
+  expected_tokens = other419.expected_tokens;
+  aim_ms = other419.aim_ms;
+  waited_ms = other419.waited_ms;
+  left_ms = other419.left_ms;
+  pause_aim_ms = other419.pause_aim_ms;
+  wait_ms = other419.wait_ms;
+  parts = std::move(other419.parts);
+  tried = std::move(other419.tried);
+  cost = other419.cost;
+  reserve = other419.reserve;
+  limit_rate = other419.limit_rate;
+  limit_burst = other419.limit_burst;
+  route = other419.route;
+  regions = std::move(other419.regions);
+  bound = other419.bound;
+  __isset = other419.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -10765,6 +11269,8 @@
   out << ", " << "limit_rate=" << to_string(limit_rate);
   out << ", " << "limit_burst=" << to_string(limit_burst);
   out << ", " << "route=" << to_string(route);
+  out << ", " << "regions=" << to_string(regions);
+  out << ", " << "bound=" << to_string(bound);
   out << ")";
 }
 
@@ -10788,6 +11294,10 @@
 void PlaceHeld::__set_expected_tokens(const int64_t val) {
   this->expected_tokens = val;
 }
+
+void PlaceHeld::__set_born(const int64_t val) {
+  this->born = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj)
 {
   obj.printTo(out);
@@ -10848,6 +11358,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10881,6 +11399,10 @@
   xfer += oprot->writeI64(this->expected_tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10892,37 +11414,42 @@
   swap(a.server, b.server);
   swap(a.reading_tokens, b.reading_tokens);
   swap(a.expected_tokens, b.expected_tokens);
+  swap(a.born, b.born);
   swap(a.__isset, b.__isset);
 }
 
-PlaceHeld::PlaceHeld(const PlaceHeld& other394) {
-  ref = other394.ref;
-  server = other394.server;
-  reading_tokens = other394.reading_tokens;
-  expected_tokens = other394.expected_tokens;
-  __isset = other394.__isset;
-}
-PlaceHeld::PlaceHeld(PlaceHeld&& other395) noexcept {
-  ref = other395.ref;
-  server = std::move(other395.server);
-  reading_tokens = other395.reading_tokens;
-  expected_tokens = other395.expected_tokens;
-  __isset = other395.__isset;
-}
-PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other396) {
-  ref = other396.ref;
-  server = other396.server;
-  reading_tokens = other396.reading_tokens;
-  expected_tokens = other396.expected_tokens;
-  __isset = other396.__isset;
-  return *this;
-}
-PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other397) noexcept {
-  ref = other397.ref;
-  server = std::move(other397.server);
-  reading_tokens = other397.reading_tokens;
-  expected_tokens = other397.expected_tokens;
-  __isset = other397.__isset;
+PlaceHeld::PlaceHeld(const PlaceHeld& other420) {
+  ref = other420.ref;
+  server = other420.server;
+  reading_tokens = other420.reading_tokens;
+  expected_tokens = other420.expected_tokens;
+  born = other420.born;
+  __isset = other420.__isset;
+}
+PlaceHeld::PlaceHeld(PlaceHeld&& other421) noexcept {
+  ref = other421.ref;
+  server = std::move(other421.server);
+  reading_tokens = other421.reading_tokens;
+  expected_tokens = other421.expected_tokens;
+  born = other421.born;
+  __isset = other421.__isset;
+}
+PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other422) {
+  ref = other422.ref;
+  server = other422.server;
+  reading_tokens = other422.reading_tokens;
+  expected_tokens = other422.expected_tokens;
+  born = other422.born;
+  __isset = other422.__isset;
+  return *this;
+}
+PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other423) noexcept {
+  ref = other423.ref;
+  server = std::move(other423.server);
+  reading_tokens = other423.reading_tokens;
+  expected_tokens = other423.expected_tokens;
+  born = other423.born;
+  __isset = other423.__isset;
   return *this;
 }
 void PlaceHeld::printTo(std::ostream& out) const {
@@ -10932,6 +11459,7 @@
   out << ", " << "server=" << to_string(server);
   out << ", " << "reading_tokens=" << to_string(reading_tokens);
   out << ", " << "expected_tokens=" << to_string(expected_tokens);
+  out << ", " << "born=" << to_string(born);
   out << ")";
 }
 
@@ -10983,6 +11511,10 @@
 void PlaceReport::__set_failed(const bool val) {
   this->failed = val;
 }
+
+void PlaceReport::__set_connect_us(const int32_t val) {
+  this->connect_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceReport& obj)
 {
   obj.printTo(out);
@@ -11053,9 +11585,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast398;
-          xfer += iprot->readI32(ecast398);
-          this->sign = static_cast<PlaceSign::type>(ecast398);
+          int32_t ecast424;
+          xfer += iprot->readI32(ecast424);
+          this->sign = static_cast<PlaceSign::type>(ecast424);
           this->__isset.sign = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11101,6 +11633,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->connect_us);
+          this->__isset.connect_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11162,6 +11702,10 @@
   xfer += oprot->writeBool(this->failed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("connect_us", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->connect_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11180,65 +11724,70 @@
   swap(a.span_ms, b.span_ms);
   swap(a.pause_ms, b.pause_ms);
   swap(a.failed, b.failed);
+  swap(a.connect_us, b.connect_us);
   swap(a.__isset, b.__isset);
 }
 
-PlaceReport::PlaceReport(const PlaceReport& other399) noexcept {
-  ref = other399.ref;
-  tokens_read = other399.tokens_read;
-  first_ms = other399.first_ms;
-  ended = other399.ended;
-  ran = other399.ran;
-  sign = other399.sign;
-  service_ms = other399.service_ms;
-  events = other399.events;
-  span_ms = other399.span_ms;
-  pause_ms = other399.pause_ms;
-  failed = other399.failed;
-  __isset = other399.__isset;
-}
-PlaceReport::PlaceReport(PlaceReport&& other400) noexcept {
-  ref = other400.ref;
-  tokens_read = other400.tokens_read;
-  first_ms = other400.first_ms;
-  ended = other400.ended;
-  ran = other400.ran;
-  sign = other400.sign;
-  service_ms = other400.service_ms;
-  events = other400.events;
-  span_ms = other400.span_ms;
-  pause_ms = other400.pause_ms;
-  failed = other400.failed;
-  __isset = other400.__isset;
-}
-PlaceReport& PlaceReport::operator=(const PlaceReport& other401) noexcept {
-  ref = other401.ref;
-  tokens_read = other401.tokens_read;
-  first_ms = other401.first_ms;
-  ended = other401.ended;
-  ran = other401.ran;
-  sign = other401.sign;
-  service_ms = other401.service_ms;
-  events = other401.events;
-  span_ms = other401.span_ms;
-  pause_ms = other401.pause_ms;
-  failed = other401.failed;
-  __isset = other401.__isset;
-  return *this;
-}
-PlaceReport& PlaceReport::operator=(PlaceReport&& other402) noexcept {
-  ref = other402.ref;
-  tokens_read = other402.tokens_read;
-  first_ms = other402.first_ms;
-  ended = other402.ended;
-  ran = other402.ran;
-  sign = other402.sign;
-  service_ms = other402.service_ms;
-  events = other402.events;
-  span_ms = other402.span_ms;
-  pause_ms = other402.pause_ms;
-  failed = other402.failed;
-  __isset = other402.__isset;
+PlaceReport::PlaceReport(const PlaceReport& other425) noexcept {
+  ref = other425.ref;
+  tokens_read = other425.tokens_read;
+  first_ms = other425.first_ms;
+  ended = other425.ended;
+  ran = other425.ran;
+  sign = other425.sign;
+  service_ms = other425.service_ms;
+  events = other425.events;
+  span_ms = other425.span_ms;
+  pause_ms = other425.pause_ms;
+  failed = other425.failed;
+  connect_us = other425.connect_us;
+  __isset = other425.__isset;
+}
+PlaceReport::PlaceReport(PlaceReport&& other426) noexcept {
+  ref = other426.ref;
+  tokens_read = other426.tokens_read;
+  first_ms = other426.first_ms;
+  ended = other426.ended;
+  ran = other426.ran;
+  sign = other426.sign;
+  service_ms = other426.service_ms;
+  events = other426.events;
+  span_ms = other426.span_ms;
+  pause_ms = other426.pause_ms;
+  failed = other426.failed;
+  connect_us = other426.connect_us;
+  __isset = other426.__isset;
+}
+PlaceReport& PlaceReport::operator=(const PlaceReport& other427) noexcept {
+  ref = other427.ref;
+  tokens_read = other427.tokens_read;
+  first_ms = other427.first_ms;
+  ended = other427.ended;
+  ran = other427.ran;
+  sign = other427.sign;
+  service_ms = other427.service_ms;
+  events = other427.events;
+  span_ms = other427.span_ms;
+  pause_ms = other427.pause_ms;
+  failed = other427.failed;
+  connect_us = other427.connect_us;
+  __isset = other427.__isset;
+  return *this;
+}
+PlaceReport& PlaceReport::operator=(PlaceReport&& other428) noexcept {
+  ref = other428.ref;
+  tokens_read = other428.tokens_read;
+  first_ms = other428.first_ms;
+  ended = other428.ended;
+  ran = other428.ran;
+  sign = other428.sign;
+  service_ms = other428.service_ms;
+  events = other428.events;
+  span_ms = other428.span_ms;
+  pause_ms = other428.pause_ms;
+  failed = other428.failed;
+  connect_us = other428.connect_us;
+  __isset = other428.__isset;
   return *this;
 }
 void PlaceReport::printTo(std::ostream& out) const {
@@ -11255,6 +11804,7 @@
   out << ", " << "span_ms=" << to_string(span_ms);
   out << ", " << "pause_ms=" << to_string(pause_ms);
   out << ", " << "failed=" << to_string(failed);
+  out << ", " << "connect_us=" << to_string(connect_us);
   out << ")";
 }
 
@@ -11436,46 +11986,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitUse::LimitUse(const LimitUse& other403) {
-  workspace = other403.workspace;
-  left = other403.left;
-  age_ms = other403.age_ms;
-  spent_alone = other403.spent_alone;
-  rate = other403.rate;
-  burst = other403.burst;
-  epoch = other403.epoch;
-  __isset = other403.__isset;
-}
-LimitUse::LimitUse(LimitUse&& other404) noexcept {
-  workspace = std::move(other404.workspace);
-  left = other404.left;
-  age_ms = other404.age_ms;
-  spent_alone = other404.spent_alone;
-  rate = other404.rate;
-  burst = other404.burst;
-  epoch = other404.epoch;
-  __isset = other404.__isset;
-}
-LimitUse& LimitUse::operator=(const LimitUse& other405) {
-  workspace = other405.workspace;
-  left = other405.left;
-  age_ms = other405.age_ms;
-  spent_alone = other405.spent_alone;
-  rate = other405.rate;
-  burst = other405.burst;
-  epoch = other405.epoch;
-  __isset = other405.__isset;
-  return *this;
-}
-LimitUse& LimitUse::operator=(LimitUse&& other406) noexcept {
-  workspace = std::move(other406.workspace);
-  left = other406.left;
-  age_ms = other406.age_ms;
-  spent_alone = other406.spent_alone;
-  rate = other406.rate;
-  burst = other406.burst;
-  epoch = other406.epoch;
-  __isset = other406.__isset;
+LimitUse::LimitUse(const LimitUse& other429) {
+  workspace = other429.workspace;
+  left = other429.left;
+  age_ms = other429.age_ms;
+  spent_alone = other429.spent_alone;
+  rate = other429.rate;
+  burst = other429.burst;
+  epoch = other429.epoch;
+  __isset = other429.__isset;
+}
+LimitUse::LimitUse(LimitUse&& other430) noexcept {
+  workspace = std::move(other430.workspace);
+  left = other430.left;
+  age_ms = other430.age_ms;
+  spent_alone = other430.spent_alone;
+  rate = other430.rate;
+  burst = other430.burst;
+  epoch = other430.epoch;
+  __isset = other430.__isset;
+}
+LimitUse& LimitUse::operator=(const LimitUse& other431) {
+  workspace = other431.workspace;
+  left = other431.left;
+  age_ms = other431.age_ms;
+  spent_alone = other431.spent_alone;
+  rate = other431.rate;
+  burst = other431.burst;
+  epoch = other431.epoch;
+  __isset = other431.__isset;
+  return *this;
+}
+LimitUse& LimitUse::operator=(LimitUse&& other432) noexcept {
+  workspace = std::move(other432.workspace);
+  left = other432.left;
+  age_ms = other432.age_ms;
+  spent_alone = other432.spent_alone;
+  rate = other432.rate;
+  burst = other432.burst;
+  epoch = other432.epoch;
+  __isset = other432.__isset;
   return *this;
 }
 void LimitUse::printTo(std::ostream& out) const {
@@ -11607,14 +12157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size407;
-            ::apache::thrift::protocol::TType _etype410;
-            xfer += iprot->readListBegin(_etype410, _size407);
-            this->held.resize(_size407);
-            uint32_t _i411;
-            for (_i411 = 0; _i411 < _size407; ++_i411)
+            uint32_t _size433;
+            ::apache::thrift::protocol::TType _etype436;
+            xfer += iprot->readListBegin(_etype436, _size433);
+            this->held.resize(_size433);
+            uint32_t _i437;
+            for (_i437 = 0; _i437 < _size433; ++_i437)
             {
-              xfer += this->held[_i411].read(iprot);
+              xfer += this->held[_i437].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11627,14 +12177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size412;
-            ::apache::thrift::protocol::TType _etype415;
-            xfer += iprot->readListBegin(_etype415, _size412);
-            this->limits.resize(_size412);
-            uint32_t _i416;
-            for (_i416 = 0; _i416 < _size412; ++_i416)
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->limits.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
             {
-              xfer += this->limits[_i416].read(iprot);
+              xfer += this->limits[_i442].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11647,14 +12197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size417;
-            ::apache::thrift::protocol::TType _etype420;
-            xfer += iprot->readListBegin(_etype420, _size417);
-            this->asks.resize(_size417);
-            uint32_t _i421;
-            for (_i421 = 0; _i421 < _size417; ++_i421)
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _etype446;
+            xfer += iprot->readListBegin(_etype446, _size443);
+            this->asks.resize(_size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
             {
-              xfer += this->asks[_i421].read(iprot);
+              xfer += this->asks[_i447].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11667,14 +12217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withdrawn.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->withdrawn.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size448;
+            ::apache::thrift::protocol::TType _etype451;
+            xfer += iprot->readListBegin(_etype451, _size448);
+            this->withdrawn.resize(_size448);
+            uint32_t _i452;
+            for (_i452 = 0; _i452 < _size448; ++_i452)
             {
-              xfer += iprot->readI64(this->withdrawn[_i426]);
+              xfer += iprot->readI64(this->withdrawn[_i452]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11687,14 +12237,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size427;
-            ::apache::thrift::protocol::TType _etype430;
-            xfer += iprot->readListBegin(_etype430, _size427);
-            this->reports.resize(_size427);
-            uint32_t _i431;
-            for (_i431 = 0; _i431 < _size427; ++_i431)
+            uint32_t _size453;
+            ::apache::thrift::protocol::TType _etype456;
+            xfer += iprot->readListBegin(_etype456, _size453);
+            this->reports.resize(_size453);
+            uint32_t _i457;
+            for (_i457 = 0; _i457 < _size453; ++_i457)
             {
-              xfer += this->reports[_i431].read(iprot);
+              xfer += this->reports[_i457].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11743,10 +12293,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<PlaceHeld> ::const_iterator _iter432;
-    for (_iter432 = this->held.begin(); _iter432 != this->held.end(); ++_iter432)
+    std::vector<PlaceHeld> ::const_iterator _iter458;
+    for (_iter458 = this->held.begin(); _iter458 != this->held.end(); ++_iter458)
     {
-      xfer += (*_iter432).write(oprot);
+      xfer += (*_iter458).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11755,10 +12305,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<LimitUse> ::const_iterator _iter433;
-    for (_iter433 = this->limits.begin(); _iter433 != this->limits.end(); ++_iter433)
+    std::vector<LimitUse> ::const_iterator _iter459;
+    for (_iter459 = this->limits.begin(); _iter459 != this->limits.end(); ++_iter459)
     {
-      xfer += (*_iter433).write(oprot);
+      xfer += (*_iter459).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11767,10 +12317,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter434;
-    for (_iter434 = this->asks.begin(); _iter434 != this->asks.end(); ++_iter434)
+    std::vector<PlaceAsk> ::const_iterator _iter460;
+    for (_iter460 = this->asks.begin(); _iter460 != this->asks.end(); ++_iter460)
     {
-      xfer += (*_iter434).write(oprot);
+      xfer += (*_iter460).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11779,10 +12329,10 @@
   xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withdrawn.size()));
-    std::vector<int64_t> ::const_iterator _iter435;
-    for (_iter435 = this->withdrawn.begin(); _iter435 != this->withdrawn.end(); ++_iter435)
+    std::vector<int64_t> ::const_iterator _iter461;
+    for (_iter461 = this->withdrawn.begin(); _iter461 != this->withdrawn.end(); ++_iter461)
     {
-      xfer += oprot->writeI64((*_iter435));
+      xfer += oprot->writeI64((*_iter461));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11791,10 +12341,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<PlaceReport> ::const_iterator _iter436;
-    for (_iter436 = this->reports.begin(); _iter436 != this->reports.end(); ++_iter436)
+    std::vector<PlaceReport> ::const_iterator _iter462;
+    for (_iter462 = this->reports.begin(); _iter462 != this->reports.end(); ++_iter462)
     {
-      xfer += (*_iter436).write(oprot);
+      xfer += (*_iter462).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11820,58 +12370,58 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceBatch::PlaceBatch(const PlaceBatch& other437) {
-  incarnation = other437.incarnation;
-  data_centre = other437.data_centre;
-  epoch = other437.epoch;
-  resync = other437.resync;
-  instances = other437.instances;
-  held = other437.held;
-  limits = other437.limits;
-  asks = other437.asks;
-  withdrawn = other437.withdrawn;
-  reports = other437.reports;
-  __isset = other437.__isset;
-}
-PlaceBatch::PlaceBatch(PlaceBatch&& other438) noexcept {
-  incarnation = std::move(other438.incarnation);
-  data_centre = std::move(other438.data_centre);
-  epoch = other438.epoch;
-  resync = other438.resync;
-  instances = other438.instances;
-  held = std::move(other438.held);
-  limits = std::move(other438.limits);
-  asks = std::move(other438.asks);
-  withdrawn = std::move(other438.withdrawn);
-  reports = std::move(other438.reports);
-  __isset = other438.__isset;
-}
-PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other439) {
-  incarnation = other439.incarnation;
-  data_centre = other439.data_centre;
-  epoch = other439.epoch;
-  resync = other439.resync;
-  instances = other439.instances;
-  held = other439.held;
-  limits = other439.limits;
-  asks = other439.asks;
-  withdrawn = other439.withdrawn;
-  reports = other439.reports;
-  __isset = other439.__isset;
-  return *this;
-}
-PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other440) noexcept {
-  incarnation = std::move(other440.incarnation);
-  data_centre = std::move(other440.data_centre);
-  epoch = other440.epoch;
-  resync = other440.resync;
-  instances = other440.instances;
-  held = std::move(other440.held);
-  limits = std::move(other440.limits);
-  asks = std::move(other440.asks);
-  withdrawn = std::move(other440.withdrawn);
-  reports = std::move(other440.reports);
-  __isset = other440.__isset;
+PlaceBatch::PlaceBatch(const PlaceBatch& other463) {
+  incarnation = other463.incarnation;
+  data_centre = other463.data_centre;
+  epoch = other463.epoch;
+  resync = other463.resync;
+  instances = other463.instances;
+  held = other463.held;
+  limits = other463.limits;
+  asks = other463.asks;
+  withdrawn = other463.withdrawn;
+  reports = other463.reports;
+  __isset = other463.__isset;
+}
+PlaceBatch::PlaceBatch(PlaceBatch&& other464) noexcept {
+  incarnation = std::move(other464.incarnation);
+  data_centre = std::move(other464.data_centre);
+  epoch = other464.epoch;
+  resync = other464.resync;
+  instances = other464.instances;
+  held = std::move(other464.held);
+  limits = std::move(other464.limits);
+  asks = std::move(other464.asks);
+  withdrawn = std::move(other464.withdrawn);
+  reports = std::move(other464.reports);
+  __isset = other464.__isset;
+}
+PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other465) {
+  incarnation = other465.incarnation;
+  data_centre = other465.data_centre;
+  epoch = other465.epoch;
+  resync = other465.resync;
+  instances = other465.instances;
+  held = other465.held;
+  limits = other465.limits;
+  asks = other465.asks;
+  withdrawn = other465.withdrawn;
+  reports = other465.reports;
+  __isset = other465.__isset;
+  return *this;
+}
+PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other466) noexcept {
+  incarnation = std::move(other466.incarnation);
+  data_centre = std::move(other466.data_centre);
+  epoch = other466.epoch;
+  resync = other466.resync;
+  instances = other466.instances;
+  held = std::move(other466.held);
+  limits = std::move(other466.limits);
+  asks = std::move(other466.asks);
+  withdrawn = std::move(other466.withdrawn);
+  reports = std::move(other466.reports);
+  __isset = other466.__isset;
   return *this;
 }
 void PlaceBatch::printTo(std::ostream& out) const {
@@ -11918,6 +12468,18 @@
 void PlaceAnswer::__set_come_back_ms(const int32_t val) {
   this->come_back_ms = val;
 }
+
+void PlaceAnswer::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void PlaceAnswer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void PlaceAnswer::__set_port(const int32_t val) {
+  this->port = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
 {
   obj.printTo(out);
@@ -11956,9 +12518,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast441;
-          xfer += iprot->readI32(ecast441);
-          this->verdict = static_cast<PlaceVerdict::type>(ecast441);
+          int32_t ecast467;
+          xfer += iprot->readI32(ecast467);
+          this->verdict = static_cast<PlaceVerdict::type>(ecast467);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11996,6 +12558,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12037,6 +12623,18 @@
   xfer += oprot->writeI32(this->come_back_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12050,45 +12648,60 @@
   swap(a.first_ms, b.first_ms);
   swap(a.left, b.left);
   swap(a.come_back_ms, b.come_back_ms);
+  swap(a.born, b.born);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other442) {
-  ref = other442.ref;
-  verdict = other442.verdict;
-  server = other442.server;
-  first_ms = other442.first_ms;
-  left = other442.left;
-  come_back_ms = other442.come_back_ms;
-  __isset = other442.__isset;
-}
-PlaceAnswer::PlaceAnswer(PlaceAnswer&& other443) noexcept {
-  ref = other443.ref;
-  verdict = other443.verdict;
-  server = std::move(other443.server);
-  first_ms = other443.first_ms;
-  left = other443.left;
-  come_back_ms = other443.come_back_ms;
-  __isset = other443.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other444) {
-  ref = other444.ref;
-  verdict = other444.verdict;
-  server = other444.server;
-  first_ms = other444.first_ms;
-  left = other444.left;
-  come_back_ms = other444.come_back_ms;
-  __isset = other444.__isset;
-  return *this;
-}
-PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other445) noexcept {
-  ref = other445.ref;
-  verdict = other445.verdict;
-  server = std::move(other445.server);
-  first_ms = other445.first_ms;
-  left = other445.left;
-  come_back_ms = other445.come_back_ms;
-  __isset = other445.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other468) {
+  ref = other468.ref;
+  verdict = other468.verdict;
+  server = other468.server;
+  first_ms = other468.first_ms;
+  left = other468.left;
+  come_back_ms = other468.come_back_ms;
+  born = other468.born;
+  address = other468.address;
+  port = other468.port;
+  __isset = other468.__isset;
+}
+PlaceAnswer::PlaceAnswer(PlaceAnswer&& other469) noexcept {
+  ref = other469.ref;
+  verdict = other469.verdict;
+  server = std::move(other469.server);
+  first_ms = other469.first_ms;
+  left = other469.left;
+  come_back_ms = other469.come_back_ms;
+  born = other469.born;
+  address = std::move(other469.address);
+  port = other469.port;
+  __isset = other469.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other470) {
+  ref = other470.ref;
+  verdict = other470.verdict;
+  server = other470.server;
+  first_ms = other470.first_ms;
+  left = other470.left;
+  come_back_ms = other470.come_back_ms;
+  born = other470.born;
+  address = other470.address;
+  port = other470.port;
+  __isset = other470.__isset;
+  return *this;
+}
+PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other471) noexcept {
+  ref = other471.ref;
+  verdict = other471.verdict;
+  server = std::move(other471.server);
+  first_ms = other471.first_ms;
+  left = other471.left;
+  come_back_ms = other471.come_back_ms;
+  born = other471.born;
+  address = std::move(other471.address);
+  port = other471.port;
+  __isset = other471.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -12100,6 +12713,9 @@
   out << ", " << "first_ms=" << to_string(first_ms);
   out << ", " << "left=" << to_string(left);
   out << ", " << "come_back_ms=" << to_string(come_back_ms);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
   out << ")";
 }
 
@@ -12159,14 +12775,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->answers.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->answers.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
             {
-              xfer += this->answers[_i450].read(iprot);
+              xfer += this->answers[_i476].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12207,10 +12823,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter451;
-    for (_iter451 = this->answers.begin(); _iter451 != this->answers.end(); ++_iter451)
+    std::vector<PlaceAnswer> ::const_iterator _iter477;
+    for (_iter477 = this->answers.begin(); _iter477 != this->answers.end(); ++_iter477)
     {
-      xfer += (*_iter451).write(oprot);
+      xfer += (*_iter477).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12233,30 +12849,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswers::PlaceAnswers(const PlaceAnswers& other452) {
-  epoch = other452.epoch;
-  answers = other452.answers;
-  not_broker = other452.not_broker;
-  __isset = other452.__isset;
+PlaceAnswers::PlaceAnswers(const PlaceAnswers& other478) {
+  epoch = other478.epoch;
+  answers = other478.answers;
+  not_broker = other478.not_broker;
+  __isset = other478.__isset;
 }
-PlaceAnswers::PlaceAnswers(PlaceAnswers&& other453) noexcept {
-  epoch = other453.epoch;
-  answers = std::move(other453.answers);
-  not_broker = other453.not_broker;
-  __isset = other453.__isset;
+PlaceAnswers::PlaceAnswers(PlaceAnswers&& other479) noexcept {
+  epoch = other479.epoch;
+  answers = std::move(other479.answers);
+  not_broker = other479.not_broker;
+  __isset = other479.__isset;
 }
-PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other454) {
-  epoch = other454.epoch;
-  answers = other454.answers;
-  not_broker = other454.not_broker;
-  __isset = other454.__isset;
+PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other480) {
+  epoch = other480.epoch;
+  answers = other480.answers;
+  not_broker = other480.not_broker;
+  __isset = other480.__isset;
   return *this;
 }
-PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other455) noexcept {
-  epoch = other455.epoch;
-  answers = std::move(other455.answers);
-  not_broker = other455.not_broker;
-  __isset = other455.__isset;
+PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other481) noexcept {
+  epoch = other481.epoch;
+  answers = std::move(other481.answers);
+  not_broker = other481.not_broker;
+  __isset = other481.__isset;
   return *this;
 }
 void PlaceAnswers::printTo(std::ostream& out) const {
@@ -12344,22 +12960,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other456) noexcept {
-  here = other456.here;
-  __isset = other456.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other482) noexcept {
+  here = other482.here;
+  __isset = other482.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other457) noexcept {
-  here = other457.here;
-  __isset = other457.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other483) noexcept {
+  here = other483.here;
+  __isset = other483.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other458) noexcept {
-  here = other458.here;
-  __isset = other458.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other484) noexcept {
+  here = other484.here;
+  __isset = other484.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other459) noexcept {
-  here = other459.here;
-  __isset = other459.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other485) noexcept {
+  here = other485.here;
+  __isset = other485.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -12598,58 +13214,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other460) {
-  instance = other460.instance;
-  incarnation = other460.incarnation;
-  data_centre = other460.data_centre;
-  version_in_force = other460.version_in_force;
-  ready = other460.ready;
-  stopping = other460.stopping;
-  age_ms = other460.age_ms;
-  http = other460.http;
-  address = other460.address;
-  port = other460.port;
-  __isset = other460.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other461) noexcept {
-  instance = std::move(other461.instance);
-  incarnation = std::move(other461.incarnation);
-  data_centre = std::move(other461.data_centre);
-  version_in_force = other461.version_in_force;
-  ready = other461.ready;
-  stopping = other461.stopping;
-  age_ms = other461.age_ms;
-  http = std::move(other461.http);
-  address = std::move(other461.address);
-  port = other461.port;
-  __isset = other461.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other462) {
-  instance = other462.instance;
-  incarnation = other462.incarnation;
-  data_centre = other462.data_centre;
-  version_in_force = other462.version_in_force;
-  ready = other462.ready;
-  stopping = other462.stopping;
-  age_ms = other462.age_ms;
-  http = other462.http;
-  address = other462.address;
-  port = other462.port;
-  __isset = other462.__isset;
-  return *this;
-}
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other463) noexcept {
-  instance = std::move(other463.instance);
-  incarnation = std::move(other463.incarnation);
-  data_centre = std::move(other463.data_centre);
-  version_in_force = other463.version_in_force;
-  ready = other463.ready;
-  stopping = other463.stopping;
-  age_ms = other463.age_ms;
-  http = std::move(other463.http);
-  address = std::move(other463.address);
-  port = other463.port;
-  __isset = other463.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other486) {
+  instance = other486.instance;
+  incarnation = other486.incarnation;
+  data_centre = other486.data_centre;
+  version_in_force = other486.version_in_force;
+  ready = other486.ready;
+  stopping = other486.stopping;
+  age_ms = other486.age_ms;
+  http = other486.http;
+  address = other486.address;
+  port = other486.port;
+  __isset = other486.__isset;
+}
+InstanceStatus::InstanceStatus(InstanceStatus&& other487) noexcept {
+  instance = std::move(other487.instance);
+  incarnation = std::move(other487.incarnation);
+  data_centre = std::move(other487.data_centre);
+  version_in_force = other487.version_in_force;
+  ready = other487.ready;
+  stopping = other487.stopping;
+  age_ms = other487.age_ms;
+  http = std::move(other487.http);
+  address = std::move(other487.address);
+  port = other487.port;
+  __isset = other487.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other488) {
+  instance = other488.instance;
+  incarnation = other488.incarnation;
+  data_centre = other488.data_centre;
+  version_in_force = other488.version_in_force;
+  ready = other488.ready;
+  stopping = other488.stopping;
+  age_ms = other488.age_ms;
+  http = other488.http;
+  address = other488.address;
+  port = other488.port;
+  __isset = other488.__isset;
+  return *this;
+}
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other489) noexcept {
+  instance = std::move(other489.instance);
+  incarnation = std::move(other489.incarnation);
+  data_centre = std::move(other489.data_centre);
+  version_in_force = other489.version_in_force;
+  ready = other489.ready;
+  stopping = other489.stopping;
+  age_ms = other489.age_ms;
+  http = std::move(other489.http);
+  address = std::move(other489.address);
+  port = other489.port;
+  __isset = other489.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -12669,6 +13285,151 @@
 }
 
 
+EvacuationStatus::~EvacuationStatus() noexcept {
+}
+
+
+void EvacuationStatus::__set_evacuation(const Evacuation& val) {
+  this->evacuation = val;
+}
+
+void EvacuationStatus::__set_servers(const int32_t val) {
+  this->servers = val;
+}
+
+void EvacuationStatus::__set_running(const int32_t val) {
+  this->running = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuationStatus& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuationStatus::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuationStatus::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationStatus");
+
+  xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->evacuation.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationStatus &a, EvacuationStatus &b) {
+  using ::std::swap;
+  swap(a.evacuation, b.evacuation);
+  swap(a.servers, b.servers);
+  swap(a.running, b.running);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuationStatus::EvacuationStatus(const EvacuationStatus& other490) {
+  evacuation = other490.evacuation;
+  servers = other490.servers;
+  running = other490.running;
+  __isset = other490.__isset;
+}
+EvacuationStatus::EvacuationStatus(EvacuationStatus&& other491) noexcept {
+  evacuation = std::move(other491.evacuation);
+  servers = other491.servers;
+  running = other491.running;
+  __isset = other491.__isset;
+}
+EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other492) {
+  evacuation = other492.evacuation;
+  servers = other492.servers;
+  running = other492.running;
+  __isset = other492.__isset;
+  return *this;
+}
+EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other493) noexcept {
+  evacuation = std::move(other493.evacuation);
+  servers = other493.servers;
+  running = other493.running;
+  __isset = other493.__isset;
+  return *this;
+}
+void EvacuationStatus::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuationStatus(";
+  out << "evacuation=" << to_string(evacuation);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "running=" << to_string(running);
+  out << ")";
+}
+
+
 StatusReply::~StatusReply() noexcept {
 }
 
@@ -12720,6 +13481,10 @@
 void StatusReply::__set_leaving(const std::vector<std::string> & val) {
   this->leaving = val;
 }
+
+void StatusReply::__set_evacuations(const std::vector<EvacuationStatus> & val) {
+  this->evacuations = val;
+}
 std::ostream& operator<<(std::ostream& out, const StatusReply& obj)
 {
   obj.printTo(out);
@@ -12800,14 +13565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size464;
-            ::apache::thrift::protocol::TType _etype467;
-            xfer += iprot->readListBegin(_etype467, _size464);
-            this->instances.resize(_size464);
-            uint32_t _i468;
-            for (_i468 = 0; _i468 < _size464; ++_i468)
+            uint32_t _size494;
+            ::apache::thrift::protocol::TType _etype497;
+            xfer += iprot->readListBegin(_etype497, _size494);
+            this->instances.resize(_size494);
+            uint32_t _i498;
+            for (_i498 = 0; _i498 < _size494; ++_i498)
             {
-              xfer += this->instances[_i468].read(iprot);
+              xfer += this->instances[_i498].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12820,14 +13585,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size469;
-            ::apache::thrift::protocol::TType _etype472;
-            xfer += iprot->readListBegin(_etype472, _size469);
-            this->leases.resize(_size469);
-            uint32_t _i473;
-            for (_i473 = 0; _i473 < _size469; ++_i473)
+            uint32_t _size499;
+            ::apache::thrift::protocol::TType _etype502;
+            xfer += iprot->readListBegin(_etype502, _size499);
+            this->leases.resize(_size499);
+            uint32_t _i503;
+            for (_i503 = 0; _i503 < _size499; ++_i503)
             {
-              xfer += this->leases[_i473].read(iprot);
+              xfer += this->leases[_i503].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12864,14 +13629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size474;
-            ::apache::thrift::protocol::TType _etype477;
-            xfer += iprot->readListBegin(_etype477, _size474);
-            this->leaving.resize(_size474);
-            uint32_t _i478;
-            for (_i478 = 0; _i478 < _size474; ++_i478)
+            uint32_t _size504;
+            ::apache::thrift::protocol::TType _etype507;
+            xfer += iprot->readListBegin(_etype507, _size504);
+            this->leaving.resize(_size504);
+            uint32_t _i508;
+            for (_i508 = 0; _i508 < _size504; ++_i508)
             {
-              xfer += iprot->readString(this->leaving[_i478]);
+              xfer += iprot->readString(this->leaving[_i508]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12880,6 +13645,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size509;
+            ::apache::thrift::protocol::TType _etype512;
+            xfer += iprot->readListBegin(_etype512, _size509);
+            this->evacuations.resize(_size509);
+            uint32_t _i513;
+            for (_i513 = 0; _i513 < _size509; ++_i513)
+            {
+              xfer += this->evacuations[_i513].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12924,10 +13709,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter479;
-    for (_iter479 = this->instances.begin(); _iter479 != this->instances.end(); ++_iter479)
+    std::vector<InstanceStatus> ::const_iterator _iter514;
+    for (_iter514 = this->instances.begin(); _iter514 != this->instances.end(); ++_iter514)
     {
-      xfer += (*_iter479).write(oprot);
+      xfer += (*_iter514).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12936,10 +13721,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter480;
-    for (_iter480 = this->leases.begin(); _iter480 != this->leases.end(); ++_iter480)
+    std::vector<LeaseGrant> ::const_iterator _iter515;
+    for (_iter515 = this->leases.begin(); _iter515 != this->leases.end(); ++_iter515)
     {
-      xfer += (*_iter480).write(oprot);
+      xfer += (*_iter515).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12960,10 +13745,22 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter481;
-    for (_iter481 = this->leaving.begin(); _iter481 != this->leaving.end(); ++_iter481)
+    std::vector<std::string> ::const_iterator _iter516;
+    for (_iter516 = this->leaving.begin(); _iter516 != this->leaving.end(); ++_iter516)
     {
-      xfer += oprot->writeString((*_iter481));
+      xfer += oprot->writeString((*_iter516));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<EvacuationStatus> ::const_iterator _iter517;
+    for (_iter517 = this->evacuations.begin(); _iter517 != this->evacuations.end(); ++_iter517)
+    {
+      xfer += (*_iter517).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12988,69 +13785,74 @@
   swap(a.leader_here, b.leader_here);
   swap(a.lease_age_ms, b.lease_age_ms);
   swap(a.leaving, b.leaving);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other482) {
-  instance = other482.instance;
-  leader_id = other482.leader_id;
-  term = other482.term;
-  commit = other482.commit;
-  version = other482.version;
-  membership = other482.membership;
-  instances = other482.instances;
-  leases = other482.leases;
-  ledger_keys = other482.ledger_keys;
-  leader_here = other482.leader_here;
-  lease_age_ms = other482.lease_age_ms;
-  leaving = other482.leaving;
-  __isset = other482.__isset;
+StatusReply::StatusReply(const StatusReply& other518) {
+  instance = other518.instance;
+  leader_id = other518.leader_id;
+  term = other518.term;
+  commit = other518.commit;
+  version = other518.version;
+  membership = other518.membership;
+  instances = other518.instances;
+  leases = other518.leases;
+  ledger_keys = other518.ledger_keys;
+  leader_here = other518.leader_here;
+  lease_age_ms = other518.lease_age_ms;
+  leaving = other518.leaving;
+  evacuations = other518.evacuations;
+  __isset = other518.__isset;
 }
-StatusReply::StatusReply(StatusReply&& other483) noexcept {
-  instance = std::move(other483.instance);
-  leader_id = other483.leader_id;
-  term = other483.term;
-  commit = other483.commit;
-  version = other483.version;
-  membership = std::move(other483.membership);
-  instances = std::move(other483.instances);
-  leases = std::move(other483.leases);
-  ledger_keys = other483.ledger_keys;
-  leader_here = other483.leader_here;
-  lease_age_ms = other483.lease_age_ms;
-  leaving = std::move(other483.leaving);
-  __isset = other483.__isset;
+StatusReply::StatusReply(StatusReply&& other519) noexcept {
+  instance = std::move(other519.instance);
+  leader_id = other519.leader_id;
+  term = other519.term;
+  commit = other519.commit;
+  version = other519.version;
+  membership = std::move(other519.membership);
+  instances = std::move(other519.instances);
+  leases = std::move(other519.leases);
+  ledger_keys = other519.ledger_keys;
+  leader_here = other519.leader_here;
+  lease_age_ms = other519.lease_age_ms;
+  leaving = std::move(other519.leaving);
+  evacuations = std::move(other519.evacuations);
+  __isset = other519.__isset;
 }
-StatusReply& StatusReply::operator=(const StatusReply& other484) {
-  instance = other484.instance;
-  leader_id = other484.leader_id;
-  term = other484.term;
-  commit = other484.commit;
-  version = other484.version;
-  membership = other484.membership;
-  instances = other484.instances;
-  leases = other484.leases;
-  ledger_keys = other484.ledger_keys;
-  leader_here = other484.leader_here;
-  lease_age_ms = other484.lease_age_ms;
-  leaving = other484.leaving;
-  __isset = other484.__isset;
+StatusReply& StatusReply::operator=(const StatusReply& other520) {
+  instance = other520.instance;
+  leader_id = other520.leader_id;
+  term = other520.term;
+  commit = other520.commit;
+  version = other520.version;
+  membership = other520.membership;
+  instances = other520.instances;
+  leases = other520.leases;
+  ledger_keys = other520.ledger_keys;
+  leader_here = other520.leader_here;
+  lease_age_ms = other520.lease_age_ms;
+  leaving = other520.leaving;
+  evacuations = other520.evacuations;
+  __isset = other520.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other485) noexcept {
-  instance = std::move(other485.instance);
-  leader_id = other485.leader_id;
-  term = other485.term;
-  commit = other485.commit;
-  version = other485.version;
-  membership = std::move(other485.membership);
-  instances = std::move(other485.instances);
-  leases = std::move(other485.leases);
-  ledger_keys = other485.ledger_keys;
-  leader_here = other485.leader_here;
-  lease_age_ms = other485.lease_age_ms;
-  leaving = std::move(other485.leaving);
-  __isset = other485.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other521) noexcept {
+  instance = std::move(other521.instance);
+  leader_id = other521.leader_id;
+  term = other521.term;
+  commit = other521.commit;
+  version = other521.version;
+  membership = std::move(other521.membership);
+  instances = std::move(other521.instances);
+  leases = std::move(other521.leases);
+  ledger_keys = other521.ledger_keys;
+  leader_here = other521.leader_here;
+  lease_age_ms = other521.lease_age_ms;
+  leaving = std::move(other521.leaving);
+  evacuations = std::move(other521.evacuations);
+  __isset = other521.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -13068,6 +13870,7 @@
   out << ", " << "leader_here=" << to_string(leader_here);
   out << ", " << "lease_age_ms=" << to_string(lease_age_ms);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ")";
 }
 
@@ -13147,22 +13950,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsRequest::ObjectsRequest(const ObjectsRequest& other486) noexcept {
-  history = other486.history;
-  __isset = other486.__isset;
+ObjectsRequest::ObjectsRequest(const ObjectsRequest& other522) noexcept {
+  history = other522.history;
+  __isset = other522.__isset;
 }
-ObjectsRequest::ObjectsRequest(ObjectsRequest&& other487) noexcept {
-  history = other487.history;
-  __isset = other487.__isset;
+ObjectsRequest::ObjectsRequest(ObjectsRequest&& other523) noexcept {
+  history = other523.history;
+  __isset = other523.__isset;
 }
-ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other488) noexcept {
-  history = other488.history;
-  __isset = other488.__isset;
+ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other524) noexcept {
+  history = other524.history;
+  __isset = other524.__isset;
   return *this;
 }
-ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other489) noexcept {
-  history = other489.history;
-  __isset = other489.__isset;
+ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other525) noexcept {
+  history = other525.history;
+  __isset = other525.__isset;
   return *this;
 }
 void ObjectsRequest::printTo(std::ostream& out) const {
@@ -13228,14 +14031,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size490;
-            ::apache::thrift::protocol::TType _etype493;
-            xfer += iprot->readListBegin(_etype493, _size490);
-            this->objects.resize(_size490);
-            uint32_t _i494;
-            for (_i494 = 0; _i494 < _size490; ++_i494)
+            uint32_t _size526;
+            ::apache::thrift::protocol::TType _etype529;
+            xfer += iprot->readListBegin(_etype529, _size526);
+            this->objects.resize(_size526);
+            uint32_t _i530;
+            for (_i530 = 0; _i530 < _size526; ++_i530)
             {
-              xfer += this->objects[_i494].read(iprot);
+              xfer += this->objects[_i530].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13248,14 +14051,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size495;
-            ::apache::thrift::protocol::TType _etype498;
-            xfer += iprot->readListBegin(_etype498, _size495);
-            this->history.resize(_size495);
-            uint32_t _i499;
-            for (_i499 = 0; _i499 < _size495; ++_i499)
+            uint32_t _size531;
+            ::apache::thrift::protocol::TType _etype534;
+            xfer += iprot->readListBegin(_etype534, _size531);
+            this->history.resize(_size531);
+            uint32_t _i535;
+            for (_i535 = 0; _i535 < _size531; ++_i535)
             {
-              xfer += this->history[_i499].read(iprot);
+              xfer += this->history[_i535].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13288,10 +14091,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectText> ::const_iterator _iter500;
-    for (_iter500 = this->objects.begin(); _iter500 != this->objects.end(); ++_iter500)
+    std::vector<ObjectText> ::const_iterator _iter536;
+    for (_iter536 = this->objects.begin(); _iter536 != this->objects.end(); ++_iter536)
     {
-      xfer += (*_iter500).write(oprot);
+      xfer += (*_iter536).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13300,10 +14103,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter501;
-    for (_iter501 = this->history.begin(); _iter501 != this->history.end(); ++_iter501)
+    std::vector<HistoryRow> ::const_iterator _iter537;
+    for (_iter537 = this->history.begin(); _iter537 != this->history.end(); ++_iter537)
     {
-      xfer += (*_iter501).write(oprot);
+      xfer += (*_iter537).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13322,30 +14125,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsReply::ObjectsReply(const ObjectsReply& other502) {
-  version = other502.version;
-  objects = other502.objects;
-  history = other502.history;
-  __isset = other502.__isset;
+ObjectsReply::ObjectsReply(const ObjectsReply& other538) {
+  version = other538.version;
+  objects = other538.objects;
+  history = other538.history;
+  __isset = other538.__isset;
 }
-ObjectsReply::ObjectsReply(ObjectsReply&& other503) noexcept {
-  version = other503.version;
-  objects = std::move(other503.objects);
-  history = std::move(other503.history);
-  __isset = other503.__isset;
+ObjectsReply::ObjectsReply(ObjectsReply&& other539) noexcept {
+  version = other539.version;
+  objects = std::move(other539.objects);
+  history = std::move(other539.history);
+  __isset = other539.__isset;
 }
-ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other504) {
-  version = other504.version;
-  objects = other504.objects;
-  history = other504.history;
-  __isset = other504.__isset;
+ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other540) {
+  version = other540.version;
+  objects = other540.objects;
+  history = other540.history;
+  __isset = other540.__isset;
   return *this;
 }
-ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other505) noexcept {
-  version = other505.version;
-  objects = std::move(other505.objects);
-  history = std::move(other505.history);
-  __isset = other505.__isset;
+ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other541) noexcept {
+  version = other541.version;
+  objects = std::move(other541.objects);
+  history = std::move(other541.history);
+  __isset = other541.__isset;
   return *this;
 }
 void ObjectsReply::printTo(std::ostream& out) const {
@@ -13433,22 +14236,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other506) {
-  instance = other506.instance;
-  __isset = other506.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other542) {
+  instance = other542.instance;
+  __isset = other542.__isset;
 }
-DrainRequest::DrainRequest(DrainRequest&& other507) noexcept {
-  instance = std::move(other507.instance);
-  __isset = other507.__isset;
+DrainRequest::DrainRequest(DrainRequest&& other543) noexcept {
+  instance = std::move(other543.instance);
+  __isset = other543.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other508) {
-  instance = other508.instance;
-  __isset = other508.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other544) {
+  instance = other544.instance;
+  __isset = other544.__isset;
   return *this;
 }
-DrainRequest& DrainRequest::operator=(DrainRequest&& other509) noexcept {
-  instance = std::move(other509.instance);
-  __isset = other509.__isset;
+DrainRequest& DrainRequest::operator=(DrainRequest&& other545) noexcept {
+  instance = std::move(other545.instance);
+  __isset = other545.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -13585,34 +14388,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ErrorReply::ErrorReply(const ErrorReply& other510) {
-  code = other510.code;
-  message = other510.message;
-  leader_address = other510.leader_address;
-  leader_port = other510.leader_port;
-  __isset = other510.__isset;
+ErrorReply::ErrorReply(const ErrorReply& other546) {
+  code = other546.code;
+  message = other546.message;
+  leader_address = other546.leader_address;
+  leader_port = other546.leader_port;
+  __isset = other546.__isset;
 }
-ErrorReply::ErrorReply(ErrorReply&& other511) noexcept {
-  code = other511.code;
-  message = std::move(other511.message);
-  leader_address = std::move(other511.leader_address);
-  leader_port = other511.leader_port;
-  __isset = other511.__isset;
+ErrorReply::ErrorReply(ErrorReply&& other547) noexcept {
+  code = other547.code;
+  message = std::move(other547.message);
+  leader_address = std::move(other547.leader_address);
+  leader_port = other547.leader_port;
+  __isset = other547.__isset;
 }
-ErrorReply& ErrorReply::operator=(const ErrorReply& other512) {
-  code = other512.code;
-  message = other512.message;
-  leader_address = other512.leader_address;
-  leader_port = other512.leader_port;
-  __isset = other512.__isset;
+ErrorReply& ErrorReply::operator=(const ErrorReply& other548) {
+  code = other548.code;
+  message = other548.message;
+  leader_address = other548.leader_address;
+  leader_port = other548.leader_port;
+  __isset = other548.__isset;
   return *this;
 }
-ErrorReply& ErrorReply::operator=(ErrorReply&& other513) noexcept {
-  code = other513.code;
-  message = std::move(other513.message);
-  leader_address = std::move(other513.leader_address);
-  leader_port = other513.leader_port;
-  __isset = other513.__isset;
+ErrorReply& ErrorReply::operator=(ErrorReply&& other549) noexcept {
+  code = other549.code;
+  message = std::move(other549.message);
+  leader_address = std::move(other549.leader_address);
+  leader_port = other549.leader_port;
+  __isset = other549.__isset;
   return *this;
 }
 void ErrorReply::printTo(std::ostream& out) const {
@@ -13759,6 +14562,11 @@
   this->rollout = val;
 __isset.rollout = true;
 }
+
+void Body::__set_evacuation_order(const EvacuationOrder& val) {
+  this->evacuation_order = val;
+__isset.evacuation_order = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -13995,6 +14803,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation_order.read(iprot);
+          this->__isset.evacuation_order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14142,6 +14958,11 @@
     xfer += this->rollout.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuation_order) {
+    xfer += oprot->writeFieldBegin("evacuation_order", ::apache::thrift::protocol::T_STRUCT, 27);
+    xfer += this->evacuation_order.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14175,125 +14996,130 @@
   swap(a.rollout_order, b.rollout_order);
   swap(a.rollout_request, b.rollout_request);
   swap(a.rollout, b.rollout);
+  swap(a.evacuation_order, b.evacuation_order);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other514) {
-  log = other514.log;
-  hello = other514.hello;
-  hello_reply = other514.hello_reply;
-  heartbeat = other514.heartbeat;
-  heartbeat_reply = other514.heartbeat_reply;
-  propose = other514.propose;
-  propose_reply = other514.propose_reply;
-  poll = other514.poll;
-  delta = other514.delta;
-  demand = other514.demand;
-  grants = other514.grants;
-  status = other514.status;
-  status_reply = other514.status_reply;
-  objects = other514.objects;
-  objects_reply = other514.objects_reply;
-  drain = other514.drain;
-  error = other514.error;
-  done = other514.done;
-  document_request = other514.document_request;
-  document = other514.document;
-  server_seen = other514.server_seen;
-  place_batch = other514.place_batch;
-  place_answers = other514.place_answers;
-  rollout_order = other514.rollout_order;
-  rollout_request = other514.rollout_request;
-  rollout = other514.rollout;
-  __isset = other514.__isset;
-}
-Body::Body(Body&& other515) noexcept {
-  log = std::move(other515.log);
-  hello = std::move(other515.hello);
-  hello_reply = std::move(other515.hello_reply);
-  heartbeat = std::move(other515.heartbeat);
-  heartbeat_reply = std::move(other515.heartbeat_reply);
-  propose = std::move(other515.propose);
-  propose_reply = std::move(other515.propose_reply);
-  poll = std::move(other515.poll);
-  delta = std::move(other515.delta);
-  demand = std::move(other515.demand);
-  grants = std::move(other515.grants);
-  status = std::move(other515.status);
-  status_reply = std::move(other515.status_reply);
-  objects = std::move(other515.objects);
-  objects_reply = std::move(other515.objects_reply);
-  drain = std::move(other515.drain);
-  error = std::move(other515.error);
-  done = other515.done;
-  document_request = other515.document_request;
-  document = std::move(other515.document);
-  server_seen = std::move(other515.server_seen);
-  place_batch = std::move(other515.place_batch);
-  place_answers = std::move(other515.place_answers);
-  rollout_order = std::move(other515.rollout_order);
-  rollout_request = std::move(other515.rollout_request);
-  rollout = std::move(other515.rollout);
-  __isset = other515.__isset;
-}
-Body& Body::operator=(const Body& other516) {
-  log = other516.log;
-  hello = other516.hello;
-  hello_reply = other516.hello_reply;
-  heartbeat = other516.heartbeat;
-  heartbeat_reply = other516.heartbeat_reply;
-  propose = other516.propose;
-  propose_reply = other516.propose_reply;
-  poll = other516.poll;
-  delta = other516.delta;
-  demand = other516.demand;
-  grants = other516.grants;
-  status = other516.status;
-  status_reply = other516.status_reply;
-  objects = other516.objects;
-  objects_reply = other516.objects_reply;
-  drain = other516.drain;
-  error = other516.error;
-  done = other516.done;
-  document_request = other516.document_request;
-  document = other516.document;
-  server_seen = other516.server_seen;
-  place_batch = other516.place_batch;
-  place_answers = other516.place_answers;
-  rollout_order = other516.rollout_order;
-  rollout_request = other516.rollout_request;
-  rollout = other516.rollout;
-  __isset = other516.__isset;
-  return *this;
-}
-Body& Body::operator=(Body&& other517) noexcept {
-  log = std::move(other517.log);
-  hello = std::move(other517.hello);
-  hello_reply = std::move(other517.hello_reply);
-  heartbeat = std::move(other517.heartbeat);
-  heartbeat_reply = std::move(other517.heartbeat_reply);
-  propose = std::move(other517.propose);
-  propose_reply = std::move(other517.propose_reply);
-  poll = std::move(other517.poll);
-  delta = std::move(other517.delta);
-  demand = std::move(other517.demand);
-  grants = std::move(other517.grants);
-  status = std::move(other517.status);
-  status_reply = std::move(other517.status_reply);
-  objects = std::move(other517.objects);
-  objects_reply = std::move(other517.objects_reply);
-  drain = std::move(other517.drain);
-  error = std::move(other517.error);
-  done = other517.done;
-  document_request = other517.document_request;
-  document = std::move(other517.document);
-  server_seen = std::move(other517.server_seen);
-  place_batch = std::move(other517.place_batch);
-  place_answers = std::move(other517.place_answers);
-  rollout_order = std::move(other517.rollout_order);
-  rollout_request = std::move(other517.rollout_request);
-  rollout = std::move(other517.rollout);
-  __isset = other517.__isset;
+Body::Body(const Body& other550) {
+  log = other550.log;
+  hello = other550.hello;
+  hello_reply = other550.hello_reply;
+  heartbeat = other550.heartbeat;
+  heartbeat_reply = other550.heartbeat_reply;
+  propose = other550.propose;
+  propose_reply = other550.propose_reply;
+  poll = other550.poll;
+  delta = other550.delta;
+  demand = other550.demand;
+  grants = other550.grants;
+  status = other550.status;
+  status_reply = other550.status_reply;
+  objects = other550.objects;
+  objects_reply = other550.objects_reply;
+  drain = other550.drain;
+  error = other550.error;
+  done = other550.done;
+  document_request = other550.document_request;
+  document = other550.document;
+  server_seen = other550.server_seen;
+  place_batch = other550.place_batch;
+  place_answers = other550.place_answers;
+  rollout_order = other550.rollout_order;
+  rollout_request = other550.rollout_request;
+  rollout = other550.rollout;
+  evacuation_order = other550.evacuation_order;
+  __isset = other550.__isset;
+}
+Body::Body(Body&& other551) noexcept {
+  log = std::move(other551.log);
+  hello = std::move(other551.hello);
+  hello_reply = std::move(other551.hello_reply);
+  heartbeat = std::move(other551.heartbeat);
+  heartbeat_reply = std::move(other551.heartbeat_reply);
+  propose = std::move(other551.propose);
+  propose_reply = std::move(other551.propose_reply);
+  poll = std::move(other551.poll);
+  delta = std::move(other551.delta);
+  demand = std::move(other551.demand);
+  grants = std::move(other551.grants);
+  status = std::move(other551.status);
+  status_reply = std::move(other551.status_reply);
+  objects = std::move(other551.objects);
+  objects_reply = std::move(other551.objects_reply);
+  drain = std::move(other551.drain);
+  error = std::move(other551.error);
+  done = other551.done;
+  document_request = other551.document_request;
+  document = std::move(other551.document);
+  server_seen = std::move(other551.server_seen);
+  place_batch = std::move(other551.place_batch);
+  place_answers = std::move(other551.place_answers);
+  rollout_order = std::move(other551.rollout_order);
+  rollout_request = std::move(other551.rollout_request);
+  rollout = std::move(other551.rollout);
+  evacuation_order = std::move(other551.evacuation_order);
+  __isset = other551.__isset;
+}
+Body& Body::operator=(const Body& other552) {
+  log = other552.log;
+  hello = other552.hello;
+  hello_reply = other552.hello_reply;
+  heartbeat = other552.heartbeat;
+  heartbeat_reply = other552.heartbeat_reply;
+  propose = other552.propose;
+  propose_reply = other552.propose_reply;
+  poll = other552.poll;
+  delta = other552.delta;
+  demand = other552.demand;
+  grants = other552.grants;
+  status = other552.status;
+  status_reply = other552.status_reply;
+  objects = other552.objects;
+  objects_reply = other552.objects_reply;
+  drain = other552.drain;
+  error = other552.error;
+  done = other552.done;
+  document_request = other552.document_request;
+  document = other552.document;
+  server_seen = other552.server_seen;
+  place_batch = other552.place_batch;
+  place_answers = other552.place_answers;
+  rollout_order = other552.rollout_order;
+  rollout_request = other552.rollout_request;
+  rollout = other552.rollout;
+  evacuation_order = other552.evacuation_order;
+  __isset = other552.__isset;
+  return *this;
+}
+Body& Body::operator=(Body&& other553) noexcept {
+  log = std::move(other553.log);
+  hello = std::move(other553.hello);
+  hello_reply = std::move(other553.hello_reply);
+  heartbeat = std::move(other553.heartbeat);
+  heartbeat_reply = std::move(other553.heartbeat_reply);
+  propose = std::move(other553.propose);
+  propose_reply = std::move(other553.propose_reply);
+  poll = std::move(other553.poll);
+  delta = std::move(other553.delta);
+  demand = std::move(other553.demand);
+  grants = std::move(other553.grants);
+  status = std::move(other553.status);
+  status_reply = std::move(other553.status_reply);
+  objects = std::move(other553.objects);
+  objects_reply = std::move(other553.objects_reply);
+  drain = std::move(other553.drain);
+  error = std::move(other553.error);
+  done = other553.done;
+  document_request = other553.document_request;
+  document = std::move(other553.document);
+  server_seen = std::move(other553.server_seen);
+  place_batch = std::move(other553.place_batch);
+  place_answers = std::move(other553.place_answers);
+  rollout_order = std::move(other553.rollout_order);
+  rollout_request = std::move(other553.rollout_request);
+  rollout = std::move(other553.rollout);
+  evacuation_order = std::move(other553.evacuation_order);
+  __isset = other553.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -14325,6 +15151,7 @@
   out << ", " << "rollout_order="; (__isset.rollout_order ? (out << to_string(rollout_order)) : (out << "<null>"));
   out << ", " << "rollout_request="; (__isset.rollout_request ? (out << to_string(rollout_request)) : (out << "<null>"));
   out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
+  out << ", " << "evacuation_order="; (__isset.evacuation_order ? (out << to_string(evacuation_order)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14438,30 +15265,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other518) {
-  id = other518.id;
-  reply = other518.reply;
-  body = other518.body;
-  __isset = other518.__isset;
+Envelope::Envelope(const Envelope& other554) {
+  id = other554.id;
+  reply = other554.reply;
+  body = other554.body;
+  __isset = other554.__isset;
 }
-Envelope::Envelope(Envelope&& other519) noexcept {
-  id = other519.id;
-  reply = other519.reply;
-  body = std::move(other519.body);
-  __isset = other519.__isset;
+Envelope::Envelope(Envelope&& other555) noexcept {
+  id = other555.id;
+  reply = other555.reply;
+  body = std::move(other555.body);
+  __isset = other555.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other520) {
-  id = other520.id;
-  reply = other520.reply;
-  body = other520.body;
-  __isset = other520.__isset;
+Envelope& Envelope::operator=(const Envelope& other556) {
+  id = other556.id;
+  reply = other556.reply;
+  body = other556.body;
+  __isset = other556.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other521) noexcept {
-  id = other521.id;
-  reply = other521.reply;
-  body = std::move(other521.body);
-  __isset = other521.__isset;
+Envelope& Envelope::operator=(Envelope&& other557) noexcept {
+  id = other557.id;
+  reply = other557.reply;
+  body = std::move(other557.body);
+  __isset = other557.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -160,6 +160,10 @@
 
 class ServerRecord;
 
+class EvacuationOrder;
+
+class Evacuation;
+
 class RolloutOrder;
 
 class Rollout;
@@ -272,6 +276,8 @@
 
 class InstanceStatus;
 
+class EvacuationStatus;
+
 class StatusReply;
 
 class ObjectsRequest;
@@ -339,7 +345,7 @@
 std::ostream& operator<<(std::ostream& out, const Document& obj);
 
 typedef struct _ServerRecord__isset {
-  _ServerRecord__isset() : id(false), pool(false), address(false), port(false), data_centre(false), slots(false), stage(false), sequence(false), index(false), version(false), held_back(false) {}
+  _ServerRecord__isset() : id(false), pool(false), address(false), port(false), data_centre(false), slots(false), stage(false), sequence(false), index(false), version(false), held_back(false), born(false), cold_left_ms(false) {}
   bool id :1;
   bool pool :1;
   bool address :1;
@@ -351,6 +357,8 @@
   bool index :1;
   bool version :1;
   bool held_back :1;
+  bool born :1;
+  bool cold_left_ms :1;
 } _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
@@ -371,7 +379,9 @@
                  sequence(0),
                  index(0),
                  version(),
-                 held_back(0) {
+                 held_back(0),
+                 born(0),
+                 cold_left_ms(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -390,6 +400,8 @@
   int64_t index;
   std::string version;
   bool held_back;
+  int64_t born;
+  int32_t cold_left_ms;
 
   _ServerRecord__isset __isset;
 
@@ -415,6 +427,10 @@
 
   void __set_held_back(const bool val);
 
+  void __set_born(const int64_t val);
+
+  void __set_cold_left_ms(const int32_t val);
+
   bool operator == (const ServerRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -439,6 +455,10 @@
       return false;
     if (!(held_back == rhs.held_back))
       return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(cold_left_ms == rhs.cold_left_ms))
+      return false;
     return true;
   }
   bool operator != (const ServerRecord &rhs) const {
@@ -457,6 +477,124 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj);
 
+typedef struct _EvacuationOrder__isset {
+  _EvacuationOrder__isset() : data_centre(false), ends(false) {}
+  bool data_centre :1;
+  bool ends :1;
+} _EvacuationOrder__isset;
+
+class EvacuationOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationOrder(const EvacuationOrder&);
+  EvacuationOrder(EvacuationOrder&&) noexcept;
+  EvacuationOrder& operator=(const EvacuationOrder&);
+  EvacuationOrder& operator=(EvacuationOrder&&) noexcept;
+  EvacuationOrder() noexcept
+                  : data_centre(),
+                    ends(0) {
+  }
+
+  virtual ~EvacuationOrder() noexcept;
+  std::string data_centre;
+  bool ends;
+
+  _EvacuationOrder__isset __isset;
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_ends(const bool val);
+
+  bool operator == (const EvacuationOrder & rhs) const
+  {
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(ends == rhs.ends))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationOrder &a, EvacuationOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationOrder& obj);
+
+typedef struct _Evacuation__isset {
+  _Evacuation__isset() : data_centre(false), number(false), ended(false), index(false) {}
+  bool data_centre :1;
+  bool number :1;
+  bool ended :1;
+  bool index :1;
+} _Evacuation__isset;
+
+class Evacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  Evacuation(const Evacuation&);
+  Evacuation(Evacuation&&) noexcept;
+  Evacuation& operator=(const Evacuation&);
+  Evacuation& operator=(Evacuation&&) noexcept;
+  Evacuation() noexcept
+             : data_centre(),
+               number(0),
+               ended(0),
+               index(0) {
+  }
+
+  virtual ~Evacuation() noexcept;
+  std::string data_centre;
+  int64_t number;
+  bool ended;
+  int64_t index;
+
+  _Evacuation__isset __isset;
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_ended(const bool val);
+
+  void __set_index(const int64_t val);
+
+  bool operator == (const Evacuation & rhs) const
+  {
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    return true;
+  }
+  bool operator != (const Evacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Evacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Evacuation &a, Evacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj);
+
 typedef struct _RolloutOrder__isset {
   _RolloutOrder__isset() : pool(false), target(false), duration_ms(false) {}
   bool pool :1;
@@ -954,7 +1092,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj);
 
 typedef struct _ConfigDelta__isset {
-  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), document(false), servers(false), servers_index(false), leader_term(false), leader_address(false), leader_port(false) {}
+  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), document(false), servers(false), servers_index(false), leader_term(false), leader_address(false), leader_port(false), evacuations(false) {}
   bool from_version :1;
   bool to_version :1;
   bool whole :1;
@@ -966,6 +1104,7 @@
   bool leader_term :1;
   bool leader_address :1;
   bool leader_port :1;
+  bool evacuations :1;
 } _ConfigDelta__isset;
 
 class ConfigDelta : public virtual ::apache::thrift::TBase {
@@ -997,6 +1136,7 @@
   int64_t leader_term;
   std::string leader_address;
   int32_t leader_port;
+  std::vector<Evacuation>  evacuations;
 
   _ConfigDelta__isset __isset;
 
@@ -1022,6 +1162,8 @@
 
   void __set_leader_port(const int32_t val);
 
+  void __set_evacuations(const std::vector<Evacuation> & val);
+
   bool operator == (const ConfigDelta & rhs) const
   {
     if (!(from_version == rhs.from_version))
@@ -1048,6 +1190,8 @@
       return false;
     if (!(leader_port == rhs.leader_port))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const ConfigDelta &rhs) const {
@@ -1659,7 +1803,7 @@
 std::ostream& operator<<(std::ostream& out, const Membership& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : config(false), claim(false), finish(false), lease(false), gone(false), membership(false), noop(false), document(false), server(false), rollout(false), rollout_step(false) {}
+  _Command__isset() : config(false), claim(false), finish(false), lease(false), gone(false), membership(false), noop(false), document(false), server(false), rollout(false), rollout_step(false), evacuation(false) {}
   bool config :1;
   bool claim :1;
   bool finish :1;
@@ -1671,6 +1815,7 @@
   bool server :1;
   bool rollout :1;
   bool rollout_step :1;
+  bool evacuation :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1696,6 +1841,7 @@
   ServerRecord server;
   RolloutOrder rollout;
   RolloutStep rollout_step;
+  EvacuationOrder evacuation;
 
   _Command__isset __isset;
 
@@ -1721,6 +1867,8 @@
 
   void __set_rollout_step(const RolloutStep& val);
 
+  void __set_evacuation(const EvacuationOrder& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.config != rhs.__isset.config)
@@ -1767,6 +1915,10 @@
       return false;
     else if (__isset.rollout_step && !(rollout_step == rhs.rollout_step))
       return false;
+    if (__isset.evacuation != rhs.__isset.evacuation)
+      return false;
+    else if (__isset.evacuation && !(evacuation == rhs.evacuation))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -2804,7 +2956,7 @@
 std::ostream& operator<<(std::ostream& out, const KeyRecord& obj);
 
 typedef struct _MachineState__isset {
-  _MachineState__isset() : version(false), objects(false), removals(false), whole_before(false), history(false), changes(false), keys(false), leases(false), now_ms(false), document(false), servers(false), rollouts(false) {}
+  _MachineState__isset() : version(false), objects(false), removals(false), whole_before(false), history(false), changes(false), keys(false), leases(false), now_ms(false), document(false), servers(false), rollouts(false), evacuations(false) {}
   bool version :1;
   bool objects :1;
   bool removals :1;
@@ -2817,6 +2969,7 @@
   bool document :1;
   bool servers :1;
   bool rollouts :1;
+  bool evacuations :1;
 } _MachineState__isset;
 
 class MachineState : public virtual ::apache::thrift::TBase {
@@ -2845,6 +2998,7 @@
   Document document;
   std::vector<ServerRecord>  servers;
   std::vector<Rollout>  rollouts;
+  std::vector<Evacuation>  evacuations;
 
   _MachineState__isset __isset;
 
@@ -2872,6 +3026,8 @@
 
   void __set_rollouts(const std::vector<Rollout> & val);
 
+  void __set_evacuations(const std::vector<Evacuation> & val);
+
   bool operator == (const MachineState & rhs) const
   {
     if (!(version == rhs.version))
@@ -2898,6 +3054,8 @@
       return false;
     if (!(rollouts == rhs.rollouts))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const MachineState &rhs) const {
@@ -3885,7 +4043,7 @@
 std::ostream& operator<<(std::ostream& out, const PromptPart& obj);
 
 typedef struct _PlaceAsk__isset {
-  _PlaceAsk__isset() : ref(false), pool(false), workspace(false), tier(false), rank(false), prompt_tokens(false), expected_tokens(false), aim_ms(false), waited_ms(false), left_ms(false), pause_aim_ms(false), wait_ms(false), parts(false), tried(false), cost(false), reserve(false), limit_rate(false), limit_burst(false), route(false) {}
+  _PlaceAsk__isset() : ref(false), pool(false), workspace(false), tier(false), rank(false), prompt_tokens(false), expected_tokens(false), aim_ms(false), waited_ms(false), left_ms(false), pause_aim_ms(false), wait_ms(false), parts(false), tried(false), cost(false), reserve(false), limit_rate(false), limit_burst(false), route(false), regions(false), bound(false) {}
   bool ref :1;
   bool pool :1;
   bool workspace :1;
@@ -3905,6 +4063,8 @@
   bool limit_rate :1;
   bool limit_burst :1;
   bool route :1;
+  bool regions :1;
+  bool bound :1;
 } _PlaceAsk__isset;
 
 class PlaceAsk : public virtual ::apache::thrift::TBase {
@@ -3931,7 +4091,8 @@
              reserve(0),
              limit_rate(0),
              limit_burst(0),
-             route(0) {
+             route(0),
+             bound(0) {
   }
 
   virtual ~PlaceAsk() noexcept;
@@ -3954,6 +4115,8 @@
   double limit_rate;
   double limit_burst;
   int64_t route;
+  std::vector<std::string>  regions;
+  bool bound;
 
   _PlaceAsk__isset __isset;
 
@@ -3995,6 +4158,10 @@
 
   void __set_route(const int64_t val);
 
+  void __set_regions(const std::vector<std::string> & val);
+
+  void __set_bound(const bool val);
+
   bool operator == (const PlaceAsk & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -4035,6 +4202,10 @@
       return false;
     if (!(route == rhs.route))
       return false;
+    if (!(regions == rhs.regions))
+      return false;
+    if (!(bound == rhs.bound))
+      return false;
     return true;
   }
   bool operator != (const PlaceAsk &rhs) const {
@@ -4054,11 +4225,12 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlaceHeld__isset {
-  _PlaceHeld__isset() : ref(false), server(false), reading_tokens(false), expected_tokens(false) {}
+  _PlaceHeld__isset() : ref(false), server(false), reading_tokens(false), expected_tokens(false), born(false) {}
   bool ref :1;
   bool server :1;
   bool reading_tokens :1;
   bool expected_tokens :1;
+  bool born :1;
 } _PlaceHeld__isset;
 
 class PlaceHeld : public virtual ::apache::thrift::TBase {
@@ -4072,7 +4244,8 @@
             : ref(0),
               server(),
               reading_tokens(0),
-              expected_tokens(0) {
+              expected_tokens(0),
+              born(0) {
   }
 
   virtual ~PlaceHeld() noexcept;
@@ -4080,6 +4253,7 @@
   std::string server;
   int64_t reading_tokens;
   int64_t expected_tokens;
+  int64_t born;
 
   _PlaceHeld__isset __isset;
 
@@ -4091,6 +4265,8 @@
 
   void __set_expected_tokens(const int64_t val);
 
+  void __set_born(const int64_t val);
+
   bool operator == (const PlaceHeld & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -4101,6 +4277,8 @@
       return false;
     if (!(expected_tokens == rhs.expected_tokens))
       return false;
+    if (!(born == rhs.born))
+      return false;
     return true;
   }
   bool operator != (const PlaceHeld &rhs) const {
@@ -4120,7 +4298,7 @@
 std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj);
 
 typedef struct _PlaceReport__isset {
-  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false), failed(false) {}
+  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false), failed(false), connect_us(false) {}
   bool ref :1;
   bool tokens_read :1;
   bool first_ms :1;
@@ -4132,6 +4310,7 @@
   bool span_ms :1;
   bool pause_ms :1;
   bool failed :1;
+  bool connect_us :1;
 } _PlaceReport__isset;
 
 class PlaceReport : public virtual ::apache::thrift::TBase {
@@ -4152,7 +4331,8 @@
                 events(0),
                 span_ms(0),
                 pause_ms(0),
-                failed(0) {
+                failed(0),
+                connect_us(0) {
   }
 
   virtual ~PlaceReport() noexcept;
@@ -4171,6 +4351,7 @@
   int32_t span_ms;
   int32_t pause_ms;
   bool failed;
+  int32_t connect_us;
 
   _PlaceReport__isset __isset;
 
@@ -4196,6 +4377,8 @@
 
   void __set_failed(const bool val);
 
+  void __set_connect_us(const int32_t val);
+
   bool operator == (const PlaceReport & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -4220,6 +4403,8 @@
       return false;
     if (!(failed == rhs.failed))
       return false;
+    if (!(connect_us == rhs.connect_us))
+      return false;
     return true;
   }
   bool operator != (const PlaceReport &rhs) const {
@@ -4429,13 +4614,16 @@
 std::ostream& operator<<(std::ostream& out, const PlaceBatch& obj);
 
 typedef struct _PlaceAnswer__isset {
-  _PlaceAnswer__isset() : ref(false), verdict(false), server(false), first_ms(false), left(false), come_back_ms(false) {}
+  _PlaceAnswer__isset() : ref(false), verdict(false), server(false), first_ms(false), left(false), come_back_ms(false), born(false), address(false), port(false) {}
   bool ref :1;
   bool verdict :1;
   bool server :1;
   bool first_ms :1;
   bool left :1;
   bool come_back_ms :1;
+  bool born :1;
+  bool address :1;
+  bool port :1;
 } _PlaceAnswer__isset;
 
 class PlaceAnswer : public virtual ::apache::thrift::TBase {
@@ -4451,7 +4639,10 @@
                 server(),
                 first_ms(0),
                 left(0),
-                come_back_ms(0) {
+                come_back_ms(0),
+                born(0),
+                address(),
+                port(0) {
   }
 
   virtual ~PlaceAnswer() noexcept;
@@ -4465,6 +4656,9 @@
   int32_t first_ms;
   double left;
   int32_t come_back_ms;
+  int64_t born;
+  std::string address;
+  int32_t port;
 
   _PlaceAnswer__isset __isset;
 
@@ -4480,6 +4674,12 @@
 
   void __set_come_back_ms(const int32_t val);
 
+  void __set_born(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
   bool operator == (const PlaceAnswer & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -4494,6 +4694,12 @@
       return false;
     if (!(come_back_ms == rhs.come_back_ms))
       return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
     return true;
   }
   bool operator != (const PlaceAnswer &rhs) const {
@@ -4723,8 +4929,66 @@
 
 std::ostream& operator<<(std::ostream& out, const InstanceStatus& obj);
 
+typedef struct _EvacuationStatus__isset {
+  _EvacuationStatus__isset() : evacuation(false), servers(false), running(false) {}
+  bool evacuation :1;
+  bool servers :1;
+  bool running :1;
+} _EvacuationStatus__isset;
+
+class EvacuationStatus : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationStatus(const EvacuationStatus&);
+  EvacuationStatus(EvacuationStatus&&) noexcept;
+  EvacuationStatus& operator=(const EvacuationStatus&);
+  EvacuationStatus& operator=(EvacuationStatus&&) noexcept;
+  EvacuationStatus() noexcept
+                   : servers(0),
+                     running(0) {
+  }
+
+  virtual ~EvacuationStatus() noexcept;
+  Evacuation evacuation;
+  int32_t servers;
+  int32_t running;
+
+  _EvacuationStatus__isset __isset;
+
+  void __set_evacuation(const Evacuation& val);
+
+  void __set_servers(const int32_t val);
+
+  void __set_running(const int32_t val);
+
+  bool operator == (const EvacuationStatus & rhs) const
+  {
+    if (!(evacuation == rhs.evacuation))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationStatus &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationStatus & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationStatus &a, EvacuationStatus &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationStatus& obj);
+
 typedef struct _StatusReply__isset {
-  _StatusReply__isset() : instance(false), leader_id(false), term(false), commit(false), version(false), membership(false), instances(false), leases(false), ledger_keys(false), leader_here(false), lease_age_ms(false), leaving(false) {}
+  _StatusReply__isset() : instance(false), leader_id(false), term(false), commit(false), version(false), membership(false), instances(false), leases(false), ledger_keys(false), leader_here(false), lease_age_ms(false), leaving(false), evacuations(false) {}
   bool instance :1;
   bool leader_id :1;
   bool term :1;
@@ -4737,6 +5001,7 @@
   bool leader_here :1;
   bool lease_age_ms :1;
   bool leaving :1;
+  bool evacuations :1;
 } _StatusReply__isset;
 
 class StatusReply : public virtual ::apache::thrift::TBase {
@@ -4770,6 +5035,7 @@
   bool leader_here;
   int64_t lease_age_ms;
   std::vector<std::string>  leaving;
+  std::vector<EvacuationStatus>  evacuations;
 
   _StatusReply__isset __isset;
 
@@ -4797,6 +5063,8 @@
 
   void __set_leaving(const std::vector<std::string> & val);
 
+  void __set_evacuations(const std::vector<EvacuationStatus> & val);
+
   bool operator == (const StatusReply & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -4823,6 +5091,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const StatusReply &rhs) const {
@@ -5055,7 +5325,7 @@
 std::ostream& operator<<(std::ostream& out, const ErrorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document_request(false), document(false), server_seen(false), place_batch(false), place_answers(false), rollout_order(false), rollout_request(false), rollout(false) {}
+  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document_request(false), document(false), server_seen(false), place_batch(false), place_answers(false), rollout_order(false), rollout_request(false), rollout(false), evacuation_order(false) {}
   bool log :1;
   bool hello :1;
   bool hello_reply :1;
@@ -5082,6 +5352,7 @@
   bool rollout_order :1;
   bool rollout_request :1;
   bool rollout :1;
+  bool evacuation_order :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -5124,6 +5395,7 @@
   RolloutOrder rollout_order;
   std::string rollout_request;
   Rollout rollout;
+  EvacuationOrder evacuation_order;
 
   _Body__isset __isset;
 
@@ -5179,6 +5451,8 @@
 
   void __set_rollout(const Rollout& val);
 
+  void __set_evacuation_order(const EvacuationOrder& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.log != rhs.__isset.log)
@@ -5285,6 +5559,10 @@
       return false;
     else if (__isset.rollout && !(rollout == rhs.rollout))
       return false;
+    if (__isset.evacuation_order != rhs.__isset.evacuation_order)
+      return false;
+    else if (__isset.evacuation_order && !(evacuation_order == rhs.evacuation_order))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -15,8 +15,20 @@
   10: string version;
   // Of the version that a roll-out under way keeps from ordinary work.
   11: bool held_back
+  // Unix milliseconds of the start of this life; zero: not told. A server may start again under its
+  // id; the later birth is the server that is there now.
+  12: i64 born;
+  // How much longer the server is cold (slow after its start) when it last said so; zero: warm.
+  13: i32 cold_left_ms
 }
 
+// ---- Evacuations: a data centre whose servers get no new work -------------------------------------
+struct EvacuationOrder { 1: string data_centre; 2: bool ends }
+// `number` counts the orders of a deployment that changed something; `index` is the log index of this
+// one. An ended one is remembered until
+// its servers have had time to warm up.
+struct Evacuation { 1: string data_centre; 2: i64 number; 3: bool ended; 4: i64 index }
+
 // ---- Roll-outs: a pool's work moves to servers of another version --------------------------------
 // TRIAL: the target version gets a bounded share. MOVING: it was found good, and gets all new work.
 enum RolloutStage { TRIAL = 0, MOVING = 1, COMPLETED = 2, ROLLED_BACK = 3 }
@@ -48,7 +60,9 @@
   4: list<ObjectText> upserts; 5: list<ObjectKey> removals;
   6: optional Document document; 7: list<ServerRecord> servers; 8: i64 servers_index;
   // The leader that the member follows; term 0: it knows none.
-  9: i64 leader_term; 10: string leader_address; 11: i32 leader_port
+  9: i64 leader_term; 10: string leader_address; 11: i32 leader_port;
+  // All that were ordered, with every answer; few, and mostly none.
+  12: list<Evacuation> evacuations
 }
 struct HistoryRow { 1: i64 version; 2: string change_id; 3: string author; 4: i32 upserts; 5: i32 removals }
 
@@ -76,7 +90,8 @@
 union Command {
   1: ConfigChange config; 2: LedgerClaim claim; 3: LedgerFinish finish; 4: LeaseGrant lease;
   5: InstanceGone gone; 6: Membership membership; 7: bool noop; 8: Document document;
-  9: ServerRecord server; 10: RolloutOrder rollout; 11: RolloutStep rollout_step
+  9: ServerRecord server; 10: RolloutOrder rollout; 11: RolloutStep rollout_step;
+  12: EvacuationOrder evacuation
 }
 struct LogEntry { 1: i64 index; 2: i64 term; 3: Command command }
 struct HardState { 1: i64 term; 2: i64 vote }
@@ -113,7 +128,7 @@
   1: i64 version; 2: list<ObjectState> objects; 3: list<RemovalState> removals;
   4: i64 whole_before; 5: list<HistoryRow> history; 6: list<ChangeState> changes;
   7: list<KeyRecord> keys; 8: list<LeaseGrant> leases; 9: i64 now_ms; 10: Document document;
-  11: list<ServerRecord> servers; 12: list<Rollout> rollouts
+  11: list<ServerRecord> servers; 12: list<Rollout> rollouts; 13: list<Evacuation> evacuations
 }
 
 // ---- Instances to the leader ---------------------------------------------------------------
@@ -158,15 +173,21 @@
   1: i64 ref; 2: string pool; 3: string workspace; 4: i32 tier; 5: i32 rank; 6: i64 prompt_tokens;
   7: i64 expected_tokens; 8: i32 aim_ms; 9: i32 waited_ms; 10: i32 left_ms; 11: i32 pause_aim_ms;
   12: i32 wait_ms; 13: list<PromptPart> parts; 14: list<string> tried; 15: double cost;
-  16: double reserve; 17: double limit_rate; 18: double limit_burst; 19: i64 route
+  16: double reserve; 17: double limit_rate; 18: double limit_burst; 19: i64 route;
+  // Regions that may serve it; with `bound` unset any may.
+  20: list<string> regions; 21: bool bound
 }
 // A place that an instance holds without the broker's word, or from before its time.
-struct PlaceHeld { 1: i64 ref; 2: string server; 3: i64 reading_tokens; 4: i64 expected_tokens }
+struct PlaceHeld {
+  1: i64 ref; 2: string server; 3: i64 reading_tokens; 4: i64 expected_tokens;
+  5: i64 born  // Of the server, when the place was taken.
+}
 enum PlaceSign { NONE = 0, GOOD = 1, BAD = 2, UNREACHABLE = 3 }
 // What a request met at its place. `ran`: the server may have run it.
 struct PlaceReport {
   1: i64 ref; 2: i64 tokens_read; 3: i32 first_ms; 4: bool ended; 5: bool ran; 6: PlaceSign sign;
-  7: i32 service_ms; 8: i64 events; 9: i32 span_ms; 10: i32 pause_ms; 11: bool failed
+  7: i32 service_ms; 8: i64 events; 9: i32 span_ms; 10: i32 pause_ms; 11: bool failed;
+  12: i32 connect_us  // A new connection took so long to come up; zero: none was opened.
 }
 // What was left of a workspace's limit when a broker last said so, and what was spent since without one.
 struct LimitUse {
@@ -182,7 +203,9 @@
 enum PlaceVerdict { PLACED = 0, QUEUED = 1, NO_ROOM = 2, OVER_LIMIT = 3, NO_SERVER = 4 }
 struct PlaceAnswer {
   1: i64 ref; 2: PlaceVerdict verdict; 3: string server; 4: i32 first_ms; 5: double left;
-  6: i32 come_back_ms
+  6: i32 come_back_ms;
+  // Of the server: an instance that has no news of it yet, or of an earlier life, can go there.
+  7: i64 born; 8: string address; 9: i32 port
 }
 struct PlaceAnswers { 1: i64 epoch; 2: list<PlaceAnswer> answers; 3: bool not_broker }
 
@@ -192,10 +215,13 @@
   1: string instance; 2: string incarnation; 3: string data_centre; 4: i64 version_in_force;
   5: bool ready; 6: bool stopping; 7: i64 age_ms; 8: string http; 9: string address; 10: i32 port
 }
+// `running`: requests of instances in touch that are still at its servers; -1: not known here.
+struct EvacuationStatus { 1: Evacuation evacuation; 2: i32 servers; 3: i32 running }
 struct StatusReply {
   1: string instance; 2: i64 leader_id; 3: i64 term; 4: i64 commit; 5: i64 version;
   6: Membership membership; 7: list<InstanceStatus> instances; 8: list<LeaseGrant> leases;
-  9: i64 ledger_keys; 10: bool leader_here; 11: i64 lease_age_ms; 12: list<string> leaving
+  9: i64 ledger_keys; 10: bool leader_here; 11: i64 lease_age_ms; 12: list<string> leaving;
+  13: list<EvacuationStatus> evacuations
 }
 struct ObjectsRequest { 1: bool history }
 struct ObjectsReply { 1: i64 version; 2: list<ObjectText> objects; 3: list<HistoryRow> history }
@@ -210,6 +236,6 @@
   15: ObjectsReply objects_reply; 16: DrainRequest drain; 17: ErrorReply error; 18: bool done;
   19: bool document_request; 20: Document document; 21: ServerRecord server_seen;
   22: PlaceBatch place_batch; 23: PlaceAnswers place_answers; 24: RolloutOrder rollout_order;
-  25: string rollout_request; 26: Rollout rollout
+  25: string rollout_request; 26: Rollout rollout; 27: EvacuationOrder evacuation_order
 }
 struct Envelope { 1: i64 id; 2: bool reply; 3: Body body }
