Read news from a member nearby, and go back to it after asking the leader

Cause: an instance chose the member that it reads from by chance, so two of three changes of a server crossed data centres once for each instance. And it turned to the leader as soon as a heartbeat named something newer than its member had told, which a third of the instances met with each change (changes are told every 100 ms and committed within 50), and it stayed there: in the end all read from the leader.

Change: members name their data centre; an instance reads from one of its own, else of its region, else any. It asks the leader only for what is overdue by 300 ms since the leader named it, passes the member that lagged over for 5 s, and goes back. The list of members comes with a heartbeat's answer only if it is another one.

Ruled out for now: telling each instance only some of the servers (an instance alone needs even parts of those it knows); compressed lists.

--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -9,14 +9,18 @@
 namespace poppyway {
 namespace {
 
-constexpr Duration kPollOverdue{
-    150'000};  // Followers learn of a commit within one log heartbeat, 50 ms.
+// A follower learns of a commit within one log heartbeat (50 ms) and some way, and tells changes of
+// servers every 100 ms. Twice that: asked at once, a third of the instances turned to the leader
+// with each change, and in the end all read from it.
+constexpr Duration kPollOverdue{300'000};
 
 }  // namespace
 
 void InstanceSide::OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent) {
-  for (const wire::MemberInfo& member : reply.members)
-    (void)ContactAt({member.address, static_cast<std::uint16_t>(member.port)});
+  if (!reply.members.empty()) {
+    TakeMembers(reply.members);
+    m_members_digest = reply.members_digest;
+  }
   m_leader_document = std::max(m_leader_document, reply.document_version);
   m_leader_servers = std::max(m_leader_servers, reply.servers_index);
   m_leader_asked = std::max(m_leader_asked, sent);
@@ -28,11 +32,39 @@
     m_broker_told = true;
     m_forwarder.m_send(BrokerFound{reply.leader_term});
   }
+  CheckBehind(ReadClock());
+}
+
+void InstanceSide::TakeMembers(const std::vector<wire::MemberInfo>& members) {
+  for (const wire::MemberInfo& member : members) {
+    const std::size_t index = ContactAt({member.address, static_cast<std::uint16_t>(member.port)});
+    m_sources[index].m_data_centre = member.data_centre;
+  }
+}
+
+std::size_t InstanceSide::NearestSource(Instant now) const {
+  const ReaderPlace here{m_settings.m_data_centre, m_settings.m_region};
+  return ChooseNewsSource(m_sources, m_settings.m_regions, here, Hash(m_incarnation), now);
+}
+
+void InstanceSide::CheckBehind(Instant now) {
   const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
-  const Instant now = ReadClock();
-  if (!behind || now - m_poll_sent < kPollOverdue)
+  if (!behind) {
+    m_behind_since = {};
+    return;
+  }
+  if (m_behind_since == Instant{})
+    m_behind_since = now;
+  if (now - m_behind_since < kPollOverdue)
     return;
-  // The member that is polled doesn't tell what the leader knows: ask the leader itself.
+  POPPYWAY_LOG(info, "news_overdue")
+      .Field("member", ToText(m_places[m_poll_member]))
+      .Field("have_servers", m_servers_index)
+      .Field("leader_servers", m_leader_servers)
+      .Field("have_document", m_document_version)
+      .Field("leader_document", m_leader_document);
+  AvoidSource(now);
+  m_behind_since = now;
   m_poll_member = m_leader;
   Poll();
 }
@@ -56,6 +88,7 @@
     m_forwarder.m_send(ServersChanged{delta.servers});
   m_servers_index = std::max(m_servers_index, delta.servers_index);
   OnLeaderNamed(delta);
+  m_poll_member = NearestSource(ReadClock());
   if (delta.__isset.document && delta.document.version > m_document_version) {
     m_document_version = delta.document.version;
     m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -18,6 +18,8 @@
 constexpr Duration kClaimLimit{2'000'000};  // A claim is awaited for this long.
 constexpr Duration kFinishLimit{60'000'000};
 constexpr Duration kPollBackoff{100'000};
+// A member that lagged is a follower that was cut off or restarts; it has caught up by then.
+constexpr Duration kAvoidSource{5'000'000};
 constexpr std::int64_t kPollWaitMs = 5'000;
 constexpr Duration kAdoptionRest{100};  // For each microsecond that adopting took.
 constexpr Duration kMaxAdoptionRest{2'000'000};
@@ -55,6 +57,7 @@
   if (known != m_places.end())
     return static_cast<std::size_t>(known - m_places.begin());
   m_places.push_back(place);
+  m_sources.emplace_back();
   const std::size_t index = m_places.size() - 1;
   m_members.push_back(std::make_unique<PeerClient>(m_loop, place.m_address, place.m_port));
   if (m_settings.m_hosted) {
@@ -83,6 +86,8 @@
     POPPYWAY_LOG(info, "freshness").Field("fresh", fresh).Field("version", m_version);
     m_to_gateway(SetFresh{fresh});
   }
+  if (m_settings.m_hosted)
+    CheckBehind(now);
   if (!m_polling && now >= m_poll_after)
     Poll();
   ExpireCommands(now);
@@ -102,6 +107,7 @@
   beat.stopping = m_stopping;
   beat.http = ToText(m_settings.m_http);
   beat.leases_seen = m_leases_seen;
+  beat.members_seen = m_members_digest;
   if (m_settings.m_hosted)
     beat.version_in_force = m_document_version;
   wire::Body body;
@@ -175,7 +181,6 @@
 
 void InstanceSide::Poll() {
   m_polling = true;
-  m_poll_sent = ReadClock();
   wire::ConfigPoll poll;
   poll.hosted = m_settings.m_hosted;
   poll.have_document = m_document_version;
@@ -200,15 +205,21 @@
                                      OnDelta(reply->delta);
                                      return;
                                    }
-                                   m_poll_member = (m_poll_member + 1) % m_members.size();
-                                   m_poll_after = ReadClock() + kPollBackoff;
+                                   const Instant now = ReadClock();
+                                   AvoidSource(now);
+                                   m_poll_after = now + kPollBackoff;
                                  });
 }
 
+void InstanceSide::AvoidSource(Instant now) {
+  m_sources[m_poll_member].m_avoid_until = now + kAvoidSource;
+  m_poll_member = m_settings.m_hosted ? NearestSource(now) : (m_poll_member + 1) % m_members.size();
+}
+
 void InstanceSide::OnDelta(const wire::ConfigDelta& delta) {
   if (delta.to_version < m_version) {
     // A member that lags behind us is no source; ask another.
-    m_poll_member = (m_poll_member + 1) % m_members.size();
+    AvoidSource(ReadClock());
     m_poll_after = ReadClock() + kPollBackoff;
     return;
   }
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -77,6 +77,14 @@
   void FindBrokerAnew();
   /// Tells the forwarder until when its document may be acted on.
   void PublishConfirmation();
+  /// Takes the members that a leader lists, with their data centres.
+  void TakeMembers(const std::vector<wire::MemberInfo>& members);
+  /// Hosted: the member to poll next.
+  [[nodiscard]] std::size_t NearestSource(Instant now) const;
+  /// Asks the leader itself for what the member that is polled has not told in time.
+  void CheckBehind(Instant now);
+  /// The member that is polled lags or doesn't answer: others are read for a while.
+  void AvoidSource(Instant now);
   /// Index of the contact at this place, added if it is new.
   [[nodiscard]] std::size_t ContactAt(const Endpoint& place);
   void FlushCommands();
@@ -95,12 +103,14 @@
   std::function<void(ControlMessage)> m_to_gateway;
   ForwarderPort m_forwarder;
   std::vector<std::unique_ptr<PeerClient>> m_members;
-  std::vector<Endpoint> m_places;  ///< Of `m_members`.
-  std::size_t m_leader = 0;        ///< Index of the member believed to lead.
-  std::size_t m_poll_member = 0;   ///< Index of the member that is polled.
+  std::vector<Endpoint> m_places;     ///< Of `m_members`.
+  std::vector<NewsSource> m_sources;  ///< Of `m_members`.
+  std::int64_t m_members_digest = 0;  ///< Of the members as a leader last listed them.
+  std::size_t m_leader = 0;           ///< Index of the member believed to lead.
+  std::size_t m_poll_member = 0;      ///< Index of the member that is polled.
   bool m_polling = false;
   std::uint64_t m_poll_number = 0;  ///< Replies to earlier polls are ignored.
-  Instant m_poll_sent{};
+  Instant m_behind_since{};         ///< The leader knows something newer; zero: it doesn't.
   std::int64_t m_document_version = 0;
   std::int64_t m_servers_index = 0;
   std::int64_t m_leader_document = 0;  ///< As the leader last said.
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -23,6 +23,11 @@
   return text;
 }
 
+/// Tells one list of members from another.
+std::int64_t DigestOf(const wire::Membership& membership) {
+  return static_cast<std::int64_t>(Hash(Serialize(membership)));
+}
+
 MemberId RandomId() {
   std::random_device device;
   std::uniform_int_distribution<MemberId> any(1, std::numeric_limits<MemberId>::max());
@@ -80,6 +85,7 @@
   self.address = m_settings.m_peer.m_address;
   self.port = m_settings.m_peer.m_port;
   self.voter = false;
+  self.data_centre = m_settings.m_data_centre;
   return self;
 }
 
@@ -375,7 +381,9 @@
   answer.leader_term = m_node.m_hard.term;
   answer.live = static_cast<std::int32_t>(m_table.m_live.size());
   if (m_settings.m_hosted) {
-    answer.members = m_node.m_membership.members;
+    answer.members_digest = DigestOf(m_node.m_membership);
+    if (answer.members_digest != beat.members_seen)
+      answer.members = m_node.m_membership.members;
     answer.document_version = m_machine.m_hosted.m_document.version;
     answer.servers_index = m_machine.m_hosted.m_servers_index;
     m_places.OnHeard(beat.incarnation, now);
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -24,6 +24,7 @@
 /// - `RolloutTrial`: what a version under trial may get, and what its answers say of it.
 /// - `ForecastWait`: when a place comes free.
 /// - `EvenPart`: an instance's part of a server's places while no broker answers.
+/// - `ChooseNewsSource`: from which member an instance reads news.
 /// - `SharedLimit`, `LoneLimit`: a workspace's limit at the broker, and without one.
 /// - `RateEstimate`, `RetryBudget`, `RetryAfter`: speed of engines, retries, when to come back.
 
@@ -31,6 +32,7 @@
 #include "poppyway/policy/impl/broker.h"
 #include "poppyway/policy/impl/cold_ramp.h"
 #include "poppyway/policy/impl/credit_book.h"
+#include "poppyway/policy/impl/news_source.h"
 #include "poppyway/policy/impl/place_broker.h"
 #include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
--- /dev/null
+++ b/packages/policy/include/poppyway/policy/impl/news_source.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "poppyway/core.h"
+
+namespace poppyway {
+
+/// \brief A member that an instance may read the configuration and the servers from.
+struct NewsSource {
+  std::string m_data_centre;  ///< Empty: not known yet.
+  Instant m_avoid_until{};    ///< It lagged or didn't answer.
+
+  friend bool operator==(const NewsSource&, const NewsSource&) = default;
+};
+
+/// \brief Where an instance is.
+struct ReaderPlace {
+  std::string_view m_data_centre;
+  std::string_view m_region;
+};
+
+/// \brief The member that an instance reads from: one in its own data centre, else in its region,
+/// else any, so that each change crosses a link between data centres once for each member rather
+/// than once for each instance. Of equals, `turn` spreads the readers.
+/// Precondition: `sources` is not empty.
+[[nodiscard]] std::size_t ChooseNewsSource(std::span<const NewsSource> sources,
+                                           const RegionMap& regions,
+                                           const ReaderPlace& reader,
+                                           std::uint64_t turn,
+                                           Instant now);
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/policy/src/news_source.cc
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <vector>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+namespace {
+
+/// The nearer, the less.
+int DistanceOf(const NewsSource& source, const RegionMap& regions, const ReaderPlace& reader) {
+  if (source.m_data_centre.empty())
+    return 2;
+  if (source.m_data_centre == reader.m_data_centre)
+    return 0;
+  const std::string_view region = RegionOf(regions, source.m_data_centre);
+  return !region.empty() && region == reader.m_region ? 1 : 2;
+}
+
+}  // namespace
+
+std::size_t ChooseNewsSource(std::span<const NewsSource> sources,
+                             const RegionMap& regions,
+                             const ReaderPlace& reader,
+                             std::uint64_t turn,
+                             Instant now) {
+  constexpr int kAvoided = 3;  // Farther than any that is not.
+  std::vector<std::size_t> nearest;
+  int least = kAvoided + 1;
+  for (std::size_t i = 0; i < sources.size(); ++i) {
+    const bool avoided = now < sources[i].m_avoid_until;
+    const int distance = avoided ? kAvoided : DistanceOf(sources[i], regions, reader);
+    if (distance > least)
+      continue;
+    if (distance < least)
+      nearest.clear();
+    least = distance;
+    nearest.push_back(i);
+  }
+  return nearest[turn % nearest.size()];
+}
+
+}  // namespace poppyway
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -4035,6 +4035,10 @@
 void MemberInfo::__set_voter(const bool val) {
   this->voter = val;
 }
+
+void MemberInfo::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberInfo& obj)
 {
   obj.printTo(out);
@@ -4103,6 +4107,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4140,6 +4152,10 @@
   xfer += oprot->writeBool(this->voter);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4152,6 +4168,7 @@
   swap(a.address, b.address);
   swap(a.port, b.port);
   swap(a.voter, b.voter);
+  swap(a.data_centre, b.data_centre);
   swap(a.__isset, b.__isset);
 }
 
@@ -4161,6 +4178,7 @@
   address = other117.address;
   port = other117.port;
   voter = other117.voter;
+  data_centre = other117.data_centre;
   __isset = other117.__isset;
 }
 MemberInfo::MemberInfo(MemberInfo&& other118) noexcept {
@@ -4169,6 +4187,7 @@
   address = std::move(other118.address);
   port = other118.port;
   voter = other118.voter;
+  data_centre = std::move(other118.data_centre);
   __isset = other118.__isset;
 }
 MemberInfo& MemberInfo::operator=(const MemberInfo& other119) {
@@ -4177,6 +4196,7 @@
   address = other119.address;
   port = other119.port;
   voter = other119.voter;
+  data_centre = other119.data_centre;
   __isset = other119.__isset;
   return *this;
 }
@@ -4186,6 +4206,7 @@
   address = std::move(other120.address);
   port = other120.port;
   voter = other120.voter;
+  data_centre = std::move(other120.data_centre);
   __isset = other120.__isset;
   return *this;
 }
@@ -4197,6 +4218,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "port=" << to_string(port);
   out << ", " << "voter=" << to_string(voter);
+  out << ", " << "data_centre=" << to_string(data_centre);
   out << ")";
 }
 
@@ -7891,6 +7913,10 @@
 void Heartbeat::__set_leases_seen(const int64_t val) {
   this->leases_seen = val;
 }
+
+void Heartbeat::__set_members_seen(const int64_t val) {
+  this->members_seen = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -7999,6 +8025,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->members_seen);
+          this->__isset.members_seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8056,6 +8090,10 @@
   xfer += oprot->writeI64(this->leases_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("members_seen", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->members_seen);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8073,6 +8111,7 @@
   swap(a.stopping, b.stopping);
   swap(a.http, b.http);
   swap(a.leases_seen, b.leases_seen);
+  swap(a.members_seen, b.members_seen);
   swap(a.__isset, b.__isset);
 }
 
@@ -8087,6 +8126,7 @@
   stopping = other270.stopping;
   http = other270.http;
   leases_seen = other270.leases_seen;
+  members_seen = other270.members_seen;
   __isset = other270.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other271) noexcept {
@@ -8100,6 +8140,7 @@
   stopping = other271.stopping;
   http = std::move(other271.http);
   leases_seen = other271.leases_seen;
+  members_seen = other271.members_seen;
   __isset = other271.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other272) {
@@ -8113,6 +8154,7 @@
   stopping = other272.stopping;
   http = other272.http;
   leases_seen = other272.leases_seen;
+  members_seen = other272.members_seen;
   __isset = other272.__isset;
   return *this;
 }
@@ -8127,6 +8169,7 @@
   stopping = other273.stopping;
   http = std::move(other273.http);
   leases_seen = other273.leases_seen;
+  members_seen = other273.members_seen;
   __isset = other273.__isset;
   return *this;
 }
@@ -8143,6 +8186,7 @@
   out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "http=" << to_string(http);
   out << ", " << "leases_seen=" << to_string(leases_seen);
+  out << ", " << "members_seen=" << to_string(members_seen);
   out << ")";
 }
 
@@ -8186,6 +8230,10 @@
 void HeartbeatReply::__set_servers_index(const int64_t val) {
   this->servers_index = val;
 }
+
+void HeartbeatReply::__set_members_digest(const int64_t val) {
+  this->members_digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -8310,6 +8358,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->members_digest);
+          this->__isset.members_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8379,6 +8435,10 @@
   xfer += oprot->writeI64(this->servers_index);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("members_digest", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->members_digest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8395,6 +8455,7 @@
   swap(a.members, b.members);
   swap(a.document_version, b.document_version);
   swap(a.servers_index, b.servers_index);
+  swap(a.members_digest, b.members_digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -8408,6 +8469,7 @@
   members = other286.members;
   document_version = other286.document_version;
   servers_index = other286.servers_index;
+  members_digest = other286.members_digest;
   __isset = other286.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other287) noexcept {
@@ -8420,6 +8482,7 @@
   members = std::move(other287.members);
   document_version = other287.document_version;
   servers_index = other287.servers_index;
+  members_digest = other287.members_digest;
   __isset = other287.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other288) {
@@ -8432,6 +8495,7 @@
   members = other288.members;
   document_version = other288.document_version;
   servers_index = other288.servers_index;
+  members_digest = other288.members_digest;
   __isset = other288.__isset;
   return *this;
 }
@@ -8445,6 +8509,7 @@
   members = std::move(other289.members);
   document_version = other289.document_version;
   servers_index = other289.servers_index;
+  members_digest = other289.members_digest;
   __isset = other289.__isset;
   return *this;
 }
@@ -8460,6 +8525,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "document_version=" << to_string(document_version);
   out << ", " << "servers_index=" << to_string(servers_index);
+  out << ", " << "members_digest=" << to_string(members_digest);
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -1686,12 +1686,13 @@
 std::ostream& operator<<(std::ostream& out, const InstanceGone& obj);
 
 typedef struct _MemberInfo__isset {
-  _MemberInfo__isset() : id(false), name(false), address(false), port(false), voter(false) {}
+  _MemberInfo__isset() : id(false), name(false), address(false), port(false), voter(false), data_centre(false) {}
   bool id :1;
   bool name :1;
   bool address :1;
   bool port :1;
   bool voter :1;
+  bool data_centre :1;
 } _MemberInfo__isset;
 
 class MemberInfo : public virtual ::apache::thrift::TBase {
@@ -1706,7 +1707,8 @@
                name(),
                address(),
                port(0),
-               voter(0) {
+               voter(0),
+               data_centre() {
   }
 
   virtual ~MemberInfo() noexcept;
@@ -1715,6 +1717,7 @@
   std::string address;
   int32_t port;
   bool voter;
+  std::string data_centre;
 
   _MemberInfo__isset __isset;
 
@@ -1728,6 +1731,8 @@
 
   void __set_voter(const bool val);
 
+  void __set_data_centre(const std::string& val);
+
   bool operator == (const MemberInfo & rhs) const
   {
     if (!(id == rhs.id))
@@ -1740,6 +1745,8 @@
       return false;
     if (!(voter == rhs.voter))
       return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
     return true;
   }
   bool operator != (const MemberInfo &rhs) const {
@@ -3075,7 +3082,7 @@
 std::ostream& operator<<(std::ostream& out, const MachineState& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false) {}
+  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false), members_seen(false) {}
   bool instance :1;
   bool incarnation :1;
   bool address :1;
@@ -3086,6 +3093,7 @@
   bool stopping :1;
   bool http :1;
   bool leases_seen :1;
+  bool members_seen :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -3105,7 +3113,8 @@
               ready(0),
               stopping(0),
               http(),
-              leases_seen(0) {
+              leases_seen(0),
+              members_seen(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -3119,6 +3128,7 @@
   bool stopping;
   std::string http;
   int64_t leases_seen;
+  int64_t members_seen;
 
   _Heartbeat__isset __isset;
 
@@ -3142,6 +3152,8 @@
 
   void __set_leases_seen(const int64_t val);
 
+  void __set_members_seen(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -3164,6 +3176,8 @@
       return false;
     if (!(leases_seen == rhs.leases_seen))
       return false;
+    if (!(members_seen == rhs.members_seen))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -3183,7 +3197,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false) {}
+  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), members_digest(false) {}
   bool leases :1;
   bool version :1;
   bool leader_term :1;
@@ -3193,6 +3207,7 @@
   bool members :1;
   bool document_version :1;
   bool servers_index :1;
+  bool members_digest :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -3209,7 +3224,8 @@
                    leases_index(0),
                    leases_same(0),
                    document_version(0),
-                   servers_index(0) {
+                   servers_index(0),
+                   members_digest(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -3222,6 +3238,7 @@
   std::vector<MemberInfo>  members;
   int64_t document_version;
   int64_t servers_index;
+  int64_t members_digest;
 
   _HeartbeatReply__isset __isset;
 
@@ -3243,6 +3260,8 @@
 
   void __set_servers_index(const int64_t val);
 
+  void __set_members_digest(const int64_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leases == rhs.leases))
@@ -3263,6 +3282,8 @@
       return false;
     if (!(servers_index == rhs.servers_index))
       return false;
+    if (!(members_digest == rhs.members_digest))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -85,7 +85,10 @@
 struct InstanceGone { 1: string incarnation }
 
 // ---- Replicated log ------------------------------------------------------------------------
-struct MemberInfo { 1: i64 id; 2: string name; 3: string address; 4: i32 port; 5: bool voter }
+struct MemberInfo {
+  1: i64 id; 2: string name; 3: string address; 4: i32 port; 5: bool voter;
+  6: string data_centre  // Readers of news prefer a member of their own.
+}
 struct Membership { 1: list<MemberInfo> members }
 union Command {
   1: ConfigChange config; 2: LedgerClaim claim; 3: LedgerFinish finish; 4: LeaseGrant lease;
@@ -134,10 +137,12 @@
 // ---- Instances to the leader ---------------------------------------------------------------
 struct Heartbeat {
   1: string instance; 2: string incarnation; 3: string address; 4: i32 port; 5: string data_centre;
-  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen
+  6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen;
+  11: i64 members_seen  // Digest of the members as the leader last listed them.
 }
 struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live; 5: i64 leases_index; 6: bool leases_same;
-  7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index
+  7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index;
+  10: i64 members_digest  // The list itself goes only to who has another one.
 }
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done; 4: RolloutVerdict rollout }
