--- a/apps/poppywayd/place_side.cc
+++ b/apps/poppywayd/place_side.cc
@@ -84,6 +84,7 @@
                       Instant now) {
   const auto seed = static_cast<std::uint64_t>(now.time_since_epoch().count());
   m_broker = BeginBroker(term, seed, may_serve, now);
+  SetRegions(*m_broker, m_regions);
   m_lines.clear();
   TakeServers(servers);
   POPPYWAY_LOG(info, "broker_began").Field("epoch", term);
@@ -242,6 +243,12 @@
         .Field("holders", m_broker->m_holders.size())
         .Field("heard_share", HeardShare(*m_broker));
   }
+  for (const auto& [pair, trip] : m_broker->m_reach.m_round_trips) {
+    POPPYWAY_LOG(info, "round_trip")
+        .Field("from", pair.first)
+        .Field("to", pair.second)
+        .Field("us", trip.count());
+  }
 }
 
 void PlaceSide::AddMetrics(MetricSet& metrics) const {
@@ -254,6 +261,9 @@
   if (!m_broker)
     return;
   metrics.Set("poppyway_place_holders", "", static_cast<double>(m_broker->m_holders.size()));
+  for (const auto& [pair, trip] : m_broker->m_reach.m_round_trips)
+    metrics.Set("poppyway_place_round_trip_seconds",
+                "from=\"" + pair.first + "\",to=\"" + pair.second + "\"", Seconds(trip));
   for (const auto& [name, pool] : m_broker->m_pools) {
     const std::string label = "pool=\"" + name + "\"";
     const PoolSums sums = SumOf(pool, ReadClock());
--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -115,6 +115,8 @@
   /// How long the connection may rest after this answer.
   void SetKeepAlive(Duration limit) noexcept { m_keep_alive = limit; }
   [[nodiscard]] bool reused() const noexcept { return m_reused; }
+  /// How long a new connection took to come up; zero: it isn't up, or none was opened.
+  [[nodiscard]] Duration connect_time() const noexcept { return m_connect_time; }
 
  private:
   struct Timer {
@@ -160,6 +162,8 @@
   bool m_written = false;
   bool m_silent = false;
   bool m_reused = false;
+  Instant m_connect_begun{};
+  Duration m_connect_time{};
   bool m_paused = false;
   bool m_parsing = false;  ///< The parser reads the socket's buffer: it must not be freed.
   bool m_cancelled = false;
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -101,6 +101,7 @@
   BrokerLink m_broker;
   InstanceCount m_instances;
   double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
+  ReachTable m_reach;             ///< From this instance's region.
   bool m_stopping = false;
   Instant m_stop_begun{};
   bool m_ready_told = false;
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -72,9 +72,9 @@
   int m_reached = 0;                 ///< How many calls sent a byte.
   QuotaRequest m_quota;              ///< What one run takes of the workspace's limit.
   QuotaLimit m_limit;                ///< That limit, as it is aimed at.
-  HomeRegions m_homes;               ///< Where it may be served.
-  bool m_paid_alone = false;         ///< It was taken from this instance's part of the limit.
-  int m_unsure = 0;                  ///< Of those, calls after which the request may have run.
+  HomeRegions m_homes;        ///< Where it may be served: by its document and the one in force.
+  bool m_paid_alone = false;  ///< It was taken from this instance's part of the limit.
+  int m_unsure = 0;           ///< Of those, calls after which the request may have run.
 
   // The place request and the place.
   PlaceRef m_ask = 0;        ///< The broker's answer is awaited; zero: it isn't.
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -198,6 +198,7 @@
   where.sin_port = htons(m_place.m_port);
   inet_pton(AF_INET, m_place.m_address.c_str(), &where.sin_addr);
   ++m_pool.m_opened;
+  m_connect_begun = ReadClock();
   m_socket = h2o_socket_connect(m_pool.m_loop.loop(), reinterpret_cast<sockaddr*>(&where),
                                 sizeof(where), &BackendCall::OnConnected);
   if (m_socket != nullptr)
@@ -223,6 +224,7 @@
     self->Fail(CallFault::kNotConnected);
     return;
   }
+  self->m_connect_time = ReadClock() - self->m_connect_begun;
   LimitSilence(h2o_socket_get_fd(socket), kSilence);
   if (!self->m_silent && self->m_events.m_may_send())
     self->Send();
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -104,9 +104,21 @@
   view.m_pace = backend.m_pace;
   view.m_usable = BarOf(state, forwarding, backend, now) == ServerBar::kNone;
   view.m_same_data_centre = backend.m_record.data_centre == state.m_settings.m_data_centre;
+  view.m_round_trip = RoundTripOf(state, backend);
   return view;
 }
 
+/// Without what an instance only believes of a server.
+ServerStanding PlainStanding(const ForwarderState& state, const Backend& backend) {
+  const std::string& data_centre = backend.m_record.data_centre;
+  const auto evacuation = state.m_evacuations.find(data_centre);
+  ServerStanding standing;
+  standing.m_leaving = backend.m_leaving;
+  standing.m_evacuated = evacuation != state.m_evacuations.end() && !evacuation->second.ended;
+  standing.m_region = RegionOf(state.m_settings.m_regions, data_centre);
+  return standing;
+}
+
 }  // namespace
 
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records) {
@@ -143,18 +155,20 @@
                 const Forwarding& forwarding,
                 const Backend& backend,
                 Instant now) {
-  const std::string& data_centre = backend.m_record.data_centre;
-  const auto evacuation = state.m_evacuations.find(data_centre);
-  ServerStanding standing;
+  ServerStanding standing = PlainStanding(state, backend);
   standing.m_leaving = backend.m_leaving || backend.m_replaced;
-  standing.m_evacuated = evacuation != state.m_evacuations.end() && !evacuation->second.ended;
   // A version on trial gets work from the broker only, which keeps count of it.
   standing.m_kept_by_rollout = backend.m_record.held_back;
   standing.m_suspect = Avoided(backend.m_health, now);
-  standing.m_region = RegionOf(state.m_settings.m_regions, data_centre);
   return BarFor(standing, forwarding.m_homes, Tried(forwarding, backend.m_record.id));
 }
 
+ServerBar BarOnSend(const ForwarderState& state,
+                    const Forwarding& forwarding,
+                    const Backend& backend) {
+  return BarFor(PlainStanding(state, backend), forwarding.m_homes, false);
+}
+
 Backend* FindBackend(ForwarderState& state, const std::string& id) {
   const auto found = state.m_backends.find(id);
   return found == state.m_backends.end() ? nullptr : &found->second;
@@ -173,8 +187,11 @@
     views.push_back(ViewOf(state, forwarding, state.m_backends.at(id), now));
   const bool any =
       std::any_of(views.begin(), views.end(), [](const ServerView& view) { return view.m_usable; });
-  const bool any_free = std::any_of(ids.begin(), ids.end(), [&state](const std::string& id) {
-    return !state.m_backends.at(id).m_record.held_back;
+  const bool any_free = std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
+    const Backend& backend = state.m_backends.at(id);
+    return !backend.m_record.held_back &&
+           ServesAtHome(forwarding.m_homes,
+                        RegionOf(state.m_settings.m_regions, backend.m_record.data_centre));
   });
   for (std::size_t i = 0; !any && i < ids.size(); ++i) {
     // All are suspect: a suspect one is better than none, and so is one on trial.
@@ -200,6 +217,22 @@
   return ids[choice->m_index];
 }
 
+Duration RoundTripOf(const ForwarderState& state, const Backend& backend) {
+  const ForwarderSettings& settings = state.m_settings;
+  return RoundTrip(state.m_reach, RegionOf(settings.m_regions, settings.m_data_centre),
+                   RegionOf(settings.m_regions, backend.m_record.data_centre));
+}
+
+void LearnConnect(ForwarderState& state,
+                  Forwarding& forwarding,
+                  const Backend& backend,
+                  Duration connect) {
+  const ForwarderSettings& settings = state.m_settings;
+  forwarding.m_report.m_connect = connect;
+  ObserveConnect(state.m_reach, RegionOf(settings.m_regions, settings.m_data_centre),
+                 RegionOf(settings.m_regions, backend.m_record.data_centre), connect);
+}
+
 void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign) {
   forwarding.m_report.m_sign = sign;
   const std::string& server = forwarding.m_server;
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -37,6 +37,7 @@
   if (forwarding.m_pool->m_engines)
     ask.m_parts = forwarding.m_request.m_parts;
   ask.m_tried = forwarding.m_tried;
+  ask.m_homes = forwarding.m_homes;
   if (forwarding.m_workspace != nullptr)
     ask.m_workspace = forwarding.m_workspace->m_name;
   if (forwarding.m_quota.m_cost <= 0)
@@ -75,12 +76,15 @@
 void UsePlace(ForwarderState& state, Forwarding& forwarding, const PlaceAnswer& answer) {
   const Backend* backend = FindBackend(state, answer.m_server);
   const bool confirmed = forwarding.m_workspace == nullptr || ReadClock() < state.m_confirmed_until;
-  const bool usable = backend != nullptr && !backend->m_leaving && confirmed;
+  const ServerBar bar =
+      backend == nullptr ? ServerBar::kLeaving : BarOnSend(state, forwarding, *backend);
+  const bool usable = bar == ServerBar::kNone && confirmed;
   if (!usable) {
     POPPYWAY_LOG(info, "place_returned")
         .Field("request", forwarding.m_request.m_id)
         .Field("server", answer.m_server)
         .Field("known", backend != nullptr)
+        .Field("bar", ServerBarName(bar))
         .Field("confirmed", confirmed);
     ReturnPlace(state, answer.m_ref);
     forwarding.m_tried.push_back(answer.m_server);
@@ -119,7 +123,9 @@
       Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
       return;
     case PlaceVerdict::kNoServer:
-      Refuse(state, forwarding, ResultCode::kNoBackend, "the pool has no server");
+      Refuse(state, forwarding, ResultCode::kNoBackend,
+             forwarding.m_homes.m_bound ? "the pool has no server in a home region"
+                                        : "the pool has no server");
       return;
     default:
       Refuse(state, forwarding, ResultCode::kOverload, "no server had room in time");
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -36,6 +36,8 @@
     return;
   if (IdentifyWorkspace(state, forwarding) == Step::kEnded)
     return;
+  if (SetHomes(state, forwarding) == Step::kEnded)
+    return;
   PriceRequest(state, forwarding);
   Enqueue(state, forwarding);
 }
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -43,13 +43,16 @@
   Backend* backend = FindBackend(state, forwarding->m_server);
   const Instant now = ReadClock();
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
-  if (backend == nullptr || backend->m_leaving || !confirmed)
+  if (backend == nullptr || !confirmed ||
+      BarOnSend(state, *forwarding, *backend) != ServerBar::kNone)
     return false;
   ++forwarding->m_unsure;
   ++forwarding->m_reached;
   forwarding->m_sent = true;
   forwarding->m_tried.push_back(forwarding->m_server);
   forwarding->m_dispatched = now;
+  if (forwarding->m_call)
+    LearnConnect(state, *forwarding, *backend, forwarding->m_call->connect_time());
   RememberParts(*backend, forwarding->m_request, now);
   return true;
 }
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -114,6 +114,7 @@
         .Field("version", document.version)
         .Field("routes", m_state.m_table->m_routes.size())
         .Field("workspaces", m_state.m_table->m_workspaces.size());
+    impl::RefreshHomes(m_state);
     impl::EndStart(m_state);
   }
   void operator()(const ServersChanged& message) const {
--- /dev/null
+++ b/packages/forward/src/homes.cc
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Regions in which a request may be served, while it waits, is tried again or goes on elsewhere.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+HomeRegions HomesOf(const Route* route, const Workspace* workspace) {
+  const HomeRegions unbound;
+  return CommonHomes(route == nullptr ? unbound : route->m_homes,
+                     workspace == nullptr ? unbound : workspace->m_homes);
+}
+
+const Workspace* FindByName(const RouteTable& table, const std::string& name) {
+  const auto found =
+      std::find_if(table.m_workspaces.begin(), table.m_workspaces.end(),
+                   [&name](const Workspace& workspace) { return workspace.m_name == name; });
+  return found == table.m_workspaces.end() ? nullptr : &*found;
+}
+
+/// By the document in force, whose route and workspace may have other homes than those that the
+/// request arrived under, or be gone.
+HomeRegions HomesInForce(const RouteTable& table, const Forwarding& forwarding) {
+  const Workspace* workspace = forwarding.m_workspace == nullptr
+                                   ? nullptr
+                                   : FindByName(table, forwarding.m_workspace->m_name);
+  return HomesOf(FindRoute(table, forwarding.m_host, forwarding.m_target), workspace);
+}
+
+bool BoundToNothing(const HomeRegions& homes) {
+  return homes.m_bound && homes.m_regions.empty();
+}
+
+std::string RegionsText(const HomeRegions& homes) {
+  std::string text;
+  for (const std::string& region : homes.m_regions)
+    text += (text.empty() ? "" : ",") + region;
+  return text;
+}
+
+void RefuseHomeless(ForwarderState& state, Forwarding& forwarding) {
+  POPPYWAY_LOG(info, "no_home")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("route", forwarding.m_route->m_name)
+      .Field("route_homes", RegionsText(forwarding.m_route->m_homes))
+      .Field("workspace", forwarding.m_workspace == nullptr ? "-" : forwarding.m_workspace->m_name)
+      .Field("version", state.m_table->m_version);
+  Refuse(state, forwarding,
+         forwarding.m_unsure > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kNoHome,
+         "route and workspace share no home region");
+}
+
+/// What waits: the broker keeps to the homes that it was told, so it is asked anew.
+void WaitAtNewHomes(ForwarderState& state, Forwarding& forwarding) {
+  if (BoundToNothing(forwarding.m_homes)) {
+    RefuseHomeless(state, forwarding);
+    return;
+  }
+  if (forwarding.m_ask == 0)
+    return;
+  WithdrawAsk(state, forwarding);
+  if (state.m_broker.m_active && !IsQuiet(state.m_broker))
+    AskBroker(state, forwarding);
+}
+
+}  // namespace
+
+Step SetHomes(ForwarderState& state, Forwarding& forwarding) {
+  forwarding.m_homes = HomesOf(forwarding.m_route, forwarding.m_workspace);
+  if (!BoundToNothing(forwarding.m_homes))
+    return Step::kContinue;
+  RefuseHomeless(state, forwarding);
+  return Step::kEnded;
+}
+
+HomeRegions HomesNow(const ForwarderState& state, const Forwarding& forwarding) {
+  const HomeRegions arrived = HomesOf(forwarding.m_route, forwarding.m_workspace);
+  if (state.m_table == forwarding.m_table)
+    return arrived;
+  return CommonHomes(arrived, HomesInForce(*state.m_table, forwarding));
+}
+
+void RefreshHomes(ForwarderState& state) {
+  std::vector<ForwardingRef> changed;
+  for (auto& [ref, forwarding] : state.m_forwardings) {
+    const bool open =
+        forwarding->m_route != nullptr && forwarding->m_stage != ForwardingStage::kDone;
+    if (!open)
+      continue;
+    HomeRegions homes = HomesNow(state, *forwarding);
+    if (homes == forwarding->m_homes)
+      continue;
+    forwarding->m_homes = std::move(homes);
+    changed.push_back(ref);
+  }
+  if (changed.empty())
+    return;
+  POPPYWAY_LOG(info, "homes_changed")
+      .Field("version", state.m_table->m_version)
+      .Field("requests", changed.size());
+  for (const ForwardingRef ref : changed) {
+    Forwarding* forwarding = Find(state, ref);
+    if (forwarding != nullptr && forwarding->m_stage == ForwardingStage::kWaiting)
+      WaitAtNewHomes(state, *forwarding);
+  }
+  for (const auto& [name, pool] : state.m_pools)
+    ServeQueue(state, name);
+}
+
+bool NoneAtHome(const ForwarderState& state, const Forwarding& forwarding) {
+  if (!forwarding.m_homes.m_bound)
+    return false;
+  const auto pool = state.m_pools.find(forwarding.m_pool->m_name);
+  if (pool == state.m_pools.end() || pool->second.m_servers.empty())
+    return false;
+  const std::vector<std::string>& servers = pool->second.m_servers;
+  return std::none_of(servers.begin(), servers.end(), [&](const std::string& id) {
+    const std::string& data_centre = state.m_backends.at(id).m_record.data_centre;
+    return ServesAtHome(forwarding.m_homes, RegionOf(state.m_settings.m_regions, data_centre));
+  });
+}
+
+}  // namespace poppyway::impl
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -58,6 +58,13 @@
       ++it;  // The broker decides.
       continue;
     }
+    if (NoneAtHome(state, *forwarding)) {
+      ++it;
+      Refuse(state, *forwarding,
+             forwarding->m_unsure > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kNoBackend,
+             "the pool has no server in a home region");
+      continue;
+    }
     if (!PayAlone(state, *forwarding, now)) {
       ++it;
       Refuse(state, *forwarding,
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -88,7 +88,8 @@
   forwarding.m_report.m_tokens_read = forwarding.m_read_tokens;
   forwarding.m_report.m_first = std::max(Duration(1), now - forwarding.m_dispatched);
   backend->m_pace =
-      ObserveFirst(backend->m_pace, forwarding.m_read_tokens, now - forwarding.m_dispatched);
+      ObserveFirst(backend->m_pace, forwarding.m_read_tokens,
+                   AtServer(now - forwarding.m_dispatched, RoundTripOf(state, *backend)));
   backend->m_reading_tokens -= forwarding.m_read_tokens;
   forwarding.m_read_tokens = 0;
   TellPlace(state, forwarding, false);
@@ -152,7 +153,8 @@
   report.m_events = forwarding.m_call_events;
   report.m_span = forwarding.m_last_event - forwarding.m_first_event;
   report.m_pause = forwarding.m_longest_pause;
-  backend->m_pace = ObserveService(backend->m_pace, report.m_service);
+  backend->m_pace =
+      ObserveService(backend->m_pace, AtServer(report.m_service, RoundTripOf(state, *backend)));
   if (forwarding.m_call_events > 1)
     backend->m_pace =
         ObserveEvents(backend->m_pace, forwarding.m_call_events - 1, report.m_span, report.m_pause);
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -18,6 +18,7 @@
 [[nodiscard]] Step MatchRoute(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step CheckStop(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step SetHomes(ForwarderState& state, Forwarding& forwarding);
 /// Notes what the request takes of its workspace's limit; it is taken with the place.
 void PriceRequest(ForwarderState& state, Forwarding& forwarding);
 void Enqueue(ForwarderState& state, Forwarding& forwarding);
@@ -32,6 +33,15 @@
 /// Refuses what has awaited the configuration for too long.
 void ExpireStart(ForwarderState& state, Instant now);
 
+// ---- homes.cc ----------------------------------------------------------------------------------
+/// Where a request may be served: in regions that are homes by the document that it arrived under
+/// and by the one in force now. Precondition: its route is known.
+[[nodiscard]] HomeRegions HomesNow(const ForwarderState& state, const Forwarding& forwarding);
+/// A document has come into force: requests that aren't over keep to its homes from now on.
+void RefreshHomes(ForwarderState& state);
+/// True if the pool has servers, and the request may be served at none of them.
+[[nodiscard]] bool NoneAtHome(const ForwarderState& state, const Forwarding& forwarding);
+
 // ---- queue.cc ----------------------------------------------------------------------------------
 /// Its place in its pool's queue.
 [[nodiscard]] WaitingOrder OrderOf(const Forwarding& forwarding) noexcept;
@@ -114,12 +124,24 @@
                               const Forwarding& forwarding,
                               const Backend& backend,
                               Instant now);
+/// What keeps a request from a server that was chosen a moment ago. Failures since, and what a
+/// roll-out or the broker decided on purpose, don't.
+[[nodiscard]] ServerBar BarOnSend(const ForwarderState& state,
+                                  const Forwarding& forwarding,
+                                  const Backend& backend);
 [[nodiscard]] Backend* FindBackend(ForwarderState& state, const std::string& id);
 /// The server where a request should go now, if one has room.
 /// `yields`: something more urgent waits, here or at another instance.
 [[nodiscard]] std::optional<std::string> ChooseBackend(ForwarderState& state,
                                                        const Forwarding& forwarding,
                                                        bool yields);
+/// The round trip to a server of another region; zero for one of the own region.
+[[nodiscard]] Duration RoundTripOf(const ForwarderState& state, const Backend& backend);
+/// A new connection to a server came up in `connect`; zero: none was opened.
+void LearnConnect(ForwarderState& state,
+                  Forwarding& forwarding,
+                  const Backend& backend,
+                  Duration connect);
 /// Learns from how a request ended at its server, here and for the broker.
 void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign);
 /// `found` answered at the place of `meant`.
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -20,6 +20,7 @@
 /// - `ColdRamp`: what a server may get while it is slow after its start.
 /// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
 /// - `PlaceBroker`: the one broker of a hosted deployment; gives each request its place.
+/// - `ReachTable`: round trips between regions, learned from connections.
 /// - `ServedShares`: who is owed a place since its group was served too seldom.
 /// - `RolloutTrial`: what a version under trial may get, and what its answers say of it.
 /// - `ForecastWait`: when a place comes free.
@@ -38,6 +39,7 @@
 #include "poppyway/policy/impl/prefix_index.h"
 #include "poppyway/policy/impl/quota_limit.h"
 #include "poppyway/policy/impl/rate_estimate.h"
+#include "poppyway/policy/impl/reach.h"
 #include "poppyway/policy/impl/retry_after.h"
 #include "poppyway/policy/impl/retry_budget.h"
 #include "poppyway/policy/impl/rollout_trial.h"
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -17,6 +17,7 @@
 #include "poppyway/policy/impl/cold_ramp.h"
 #include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
+#include "poppyway/policy/impl/reach.h"
 #include "poppyway/policy/impl/rollout_trial.h"
 #include "poppyway/policy/impl/served_share.h"
 #include "poppyway/policy/impl/server_access.h"
@@ -82,7 +83,7 @@
   kQueued,     ///< It waits at the broker; a second answer follows.
   kNoRoom,     ///< It waited for as long as it may.
   kOverLimit,  ///< The workspace has used up its limit.
-  kNoServer,   ///< The pool has no server.
+  kNoServer,   ///< The pool has no server, or none where the request may be served.
 };
 
 /// \brief Text for logs and counters.
@@ -133,6 +134,7 @@
   double m_cost = 0;
   RouteKey m_route = 0;
   std::int64_t m_born = 0;  ///< Of the server when the place was taken.
+  std::string m_from;       ///< Region that asked; empty: not known, or not given here.
 
   friend bool operator==(const HeldPlace&, const HeldPlace&) = default;
 };
@@ -257,6 +259,8 @@
   std::map<std::string, SharedLimit> m_limits;   ///< By workspace.
   std::vector<AvoidedServer> m_avoided;          ///< To be logged and cleared by the owner.
   double m_tokens_per_event = 0;                 ///< Learned; zero: not known yet.
+  RegionMap m_regions;                           ///< Of all data centres.
+  ReachTable m_reach;
   std::int64_t m_next_number = 1;
   std::uint64_t m_random = 1;
 };
@@ -271,6 +275,9 @@
 /// \brief Takes the whole list of servers. What is in flight and learned stays with their ids.
 void SetServers(PlaceBroker& broker, const std::vector<PlaceServer>& servers);
 
+/// \brief Takes the region of each data centre.
+void SetRegions(PlaceBroker& broker, RegionMap regions);
+
 /// \brief Takes what each pool says of its cold servers; of a pool that isn't named, nothing.
 void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits);
 
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -32,6 +32,7 @@
   ServerPace m_pace;
   bool m_usable = true;  ///< Neither leaving nor suspect nor tried before.
   bool m_same_data_centre = false;
+  Duration m_round_trip{};  ///< To another region, as learned; zero: the same one, or not known.
 };
 
 /// \brief What of a request decides where it goes.
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -123,6 +123,10 @@
   }
 }
 
+void SetRegions(PlaceBroker& broker, RegionMap regions) {
+  broker.m_regions = std::move(regions);
+}
+
 void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits) {
   for (auto& [name, pool] : broker.m_pools)
     pool.m_cold = {};
@@ -170,7 +174,7 @@
   } else {
     ask.m_workspace.clear();
   }
-  if (pool.m_servers.empty()) {
+  if (pool.m_servers.empty() || NoneAtHome(pool, ask)) {
     GiveBack(broker, ask);
     out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kNoServer, 0));
     return;
@@ -224,8 +228,9 @@
   HeldPlace& held = found->second;
   const auto [pool, i] = FindServer(broker, held.m_server);
   if (pool != nullptr) {
-    pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, report);
-    LearnVersion(*pool, i, held, report, now);
+    const PlaceReport at_server = LearnReach(broker, held, pool->m_servers[i].m_region, report);
+    pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, at_server);
+    LearnVersion(*pool, i, held, at_server, now);
     if (report.m_sign)
       LearnHealth(broker, *pool, i, {holder, *report.m_sign}, now);
     if (report.m_first > Duration(0)) {
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -12,6 +12,15 @@
 namespace poppyway {
 
 // ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief What keeps server `i` from the request.
+/// \param kept whether a roll-out keeps the server from work.
+[[nodiscard]] ServerBar BarOf(const PlacePool& pool,
+                              std::size_t i,
+                              const PlaceAsk& ask,
+                              bool kept,
+                              Instant now);
+/// \brief True if the request is bound to regions in which the pool has no server.
+[[nodiscard]] bool NoneAtHome(const PlacePool& pool, const PlaceAsk& ask);
 /// \brief A tier as an index.
 [[nodiscard]] std::size_t RankIndex(Tier rank);
 /// \brief Recounts what stands in for servers that are new, every so often.
@@ -87,6 +96,12 @@
                  std::size_t i,
                  const HealthReport& word,
                  Instant now);
+/// \brief Learns the way from a report, and takes it off the times that the report tells.
+/// \param region of the server.
+[[nodiscard]] PlaceReport LearnReach(PlaceBroker& broker,
+                                     const HeldPlace& held,
+                                     const std::string& region,
+                                     const PlaceReport& report);
 /// \brief Learns a server's speeds.
 [[nodiscard]] ServerPace LearnPace(const ServerPace& before, const PlaceReport& report);
 
--- a/packages/policy/src/place_learn.cc
+++ b/packages/policy/src/place_learn.cc
@@ -35,6 +35,20 @@
     broker.m_avoided.push_back({pool.m_servers[i].m_id, word.m_holder, health});
 }
 
+PlaceReport LearnReach(PlaceBroker& broker,
+                       const HeldPlace& held,
+                       const std::string& region,
+                       const PlaceReport& report) {
+  ObserveConnect(broker.m_reach, held.m_from, region, report.m_connect);
+  const Duration trip = RoundTrip(broker.m_reach, held.m_from, region);
+  PlaceReport at_server = report;
+  if (report.m_first > Duration(0))
+    at_server.m_first = AtServer(report.m_first, trip);
+  if (report.m_service > Duration(0))
+    at_server.m_service = AtServer(report.m_service, trip);
+  return at_server;
+}
+
 ServerPace LearnPace(const ServerPace& before, const PlaceReport& report) {
   ServerPace pace = before;
   if (report.m_first > Duration(0))
--- a/packages/policy/src/place_rollout.cc
+++ b/packages/policy/src/place_rollout.cc
@@ -84,10 +84,7 @@
   const bool fullest = trial.m_sent % 2 == 1;
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const bool open = IsTarget(pool, i) && !pool.m_servers[i].m_leaving &&
-                      !Avoided(pool.m_health[i], now) &&
-                      std::find(ask.m_tried.begin(), ask.m_tried.end(), pool.m_servers[i].m_id) ==
-                          ask.m_tried.end() &&
+    const bool open = IsTarget(pool, i) && BarOf(pool, i, ask, false, now) == ServerBar::kNone &&
                       HasRoom(pool.m_views[i], shape, pool.m_typical);
     if (!open)
       continue;
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -27,24 +27,12 @@
   return std::find(ask.m_tried.begin(), ask.m_tried.end(), server) != ask.m_tried.end();
 }
 
-/// What keeps server `i` from the request.
-/// `kept`: whether a roll-out keeps the server from work.
-ServerBar BarOf(const PlacePool& pool, std::size_t i, const PlaceAsk& ask, bool kept, Instant now) {
-  const PlaceServer& server = pool.m_servers[i];
-  ServerStanding standing;
-  standing.m_leaving = server.m_leaving;
-  standing.m_evacuated = server.m_evacuated;
-  standing.m_kept_by_rollout = kept;
-  standing.m_suspect = Avoided(pool.m_health[i], now);
-  standing.m_region = server.m_region;
-  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
-}
-
 /// Sets what of a server's view depends on who asks and on the time.
 /// `kept`: whether a roll-out keeps the server from work.
 void SetView(PlacePool& pool,
              std::size_t i,
              const PlaceAsk& ask,
+             const RoundTrips& trips,
              double told,
              bool kept,
              Instant now) {
@@ -52,6 +40,7 @@
   ServerView& view = pool.m_views[i];
   view.m_usable = BarOf(pool, i, ask, kept, now) == ServerBar::kNone;
   view.m_same_data_centre = server.m_data_centre == ask.m_data_centre;
+  view.m_round_trip = trips.empty() ? Duration(0) : RoundTripTo(trips, server.m_region);
   view.m_open = static_cast<int>(std::ceil(view.m_slots * told)) - view.m_others;
   view.m_kept_tokens = 0;
 }
@@ -81,12 +70,17 @@
     pool.m_views[suspects[k]].m_usable = true;
 }
 
+RoundTrips TripsOf(const PlaceBroker& broker, const PlaceAsk& ask) {
+  return RoundTripsFrom(broker.m_reach, RegionOf(broker.m_regions, ask.m_data_centre));
+}
+
 void SetViews(PlaceBroker& broker, PlacePool& pool, const PlaceAsk& ask, Instant now) {
   const double told = ToldShare(broker, now);
   const WorkingSide side = SideAtWork(pool);
+  const RoundTrips trips = TripsOf(broker, ask);
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    SetView(pool, i, ask, told, KeptFromWork(pool, side, i), now);
+    SetView(pool, i, ask, trips, told, KeptFromWork(pool, side, i), now);
     usable += pool.m_views[i].m_usable ? 1 : 0;
   }
   if (usable * 2 < pool.m_servers.size())
@@ -128,6 +122,7 @@
   RememberParts(pool, i, ask, now);
   CountPlaced(pool, i);
   held.m_route = ask.m_route;
+  held.m_from = RegionOf(broker.m_regions, ask.m_data_centre);
   if (!waiting.m_order.m_owed)
     CountServed(pool.m_shares, waiting.m_group, now);
   PlaceAnswer answer;
@@ -162,6 +157,26 @@
 
 }  // namespace
 
+ServerBar BarOf(const PlacePool& pool, std::size_t i, const PlaceAsk& ask, bool kept, Instant now) {
+  const PlaceServer& server = pool.m_servers[i];
+  ServerStanding standing;
+  standing.m_leaving = server.m_leaving;
+  standing.m_evacuated = server.m_evacuated;
+  standing.m_kept_by_rollout = kept;
+  standing.m_suspect = Avoided(pool.m_health[i], now);
+  standing.m_region = server.m_region;
+  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
+}
+
+bool NoneAtHome(const PlacePool& pool, const PlaceAsk& ask) {
+  if (!ask.m_homes.m_bound)
+    return false;
+  return std::none_of(pool.m_servers.begin(), pool.m_servers.end(),
+                      [&ask](const PlaceServer& server) {
+                        return !server.m_leaving && ServesAtHome(ask.m_homes, server.m_region);
+                      });
+}
+
 std::size_t RankIndex(Tier rank) {
   return static_cast<std::size_t>(std::clamp(rank, 0, kTiers - 1));
 }
@@ -220,7 +235,7 @@
     WaitingAsk& waiting = it->second;
     const Tier rank = it->first.m_rank;
     const bool yields = !it->first.m_owed && rank > most_urgent;
-    SetView(pool, i, waiting.m_ask, told, false, now);
+    SetView(pool, i, waiting.m_ask, TripsOf(broker, waiting.m_ask), told, false, now);
     const ServerView& view = pool.m_views[i];
     const RequestShape shape = ShapeNow(waiting, yields, now);
     const bool fits = view.m_usable && HasRoom(view, shape, pool.m_typical) &&
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -48,9 +48,14 @@
   return ahead * service / std::max(1, server.m_slots);
 }
 
-double FirstMs(const ServerView& server,
-               const RequestShape& request,
-               const ServerPace& typical) noexcept {
+double Ms(Duration duration) noexcept {
+  return static_cast<double>(duration.count()) / 1000;
+}
+
+/// Until the first event leaves the server, from when the request has reached it.
+double WorkMs(const ServerView& server,
+              const RequestShape& request,
+              const ServerPace& typical) noexcept {
   const double queue = QueueMs(server, typical);
   if (request.m_prompt_tokens == 0)
     return queue + Known(server.m_pace.m_service_ms, typical.m_service_ms, kDefaultServiceMs);
@@ -61,6 +66,12 @@
   return queue + kFixedFirstMs + static_cast<double>(server.m_reading_tokens + own) / rate;
 }
 
+double FirstMs(const ServerView& server,
+               const RequestShape& request,
+               const ServerPace& typical) noexcept {
+  return WorkMs(server, request, typical) + Ms(server.m_round_trip);
+}
+
 /// As if nothing else were at work there.
 double FirstAloneMs(const ServerView& server,
                     const RequestShape& request,
@@ -76,10 +87,6 @@
   return Duration(static_cast<std::int64_t>(ms * 1000));
 }
 
-double Ms(Duration duration) noexcept {
-  return static_cast<double>(duration.count()) / 1000;
-}
-
 double Blend(double before, double sample, double gain) noexcept {
   return before == 0 ? sample : before + gain * (sample - before);
 }
@@ -147,9 +154,12 @@
 bool Suits(const ServerView& server,
            const RequestShape& request,
            const ServerPace& typical) noexcept {
-  if (request.m_prompt_tokens == 0)
+  const bool plain = request.m_prompt_tokens == 0;
+  if (plain && server.m_round_trip == Duration(0))
     return true;
   const double first = FirstAloneMs(server, request, typical);
+  if (plain)
+    return first <= kInTimeShare * Ms(request.m_aim);
   if (first > kReadShare * Ms(request.m_aim))
     return false;
   const double event = Known(server.m_pace.m_event_ms, typical.m_event_ms, 0);
@@ -179,11 +189,12 @@
       continue;
     if (any_suits && !Suits(server, request, typical))
       continue;
-    const double first = FirstMs(server, request, typical);
+    const double work = WorkMs(server, request, typical);
+    const double way = Ms(server.m_round_trip);
     // A loaded batch slows every token, so a busy server has to be ahead by more than a free one.
     const double filled =
         static_cast<double>(server.m_own + server.m_others) / std::max(1, server.m_slots);
-    const double ms = first * (1 + filled) + RiskMs(server, request, typical) +
+    const double ms = work * (1 + filled) + way + RiskMs(server, request, typical) +
                       (server.m_same_data_centre ? 0 : kRemoteShare * Ms(request.m_aim));
     if (best && ms > best_ms + kTieMs)
       continue;
@@ -193,7 +204,7 @@
     const bool take = !tie || (random >> 33) % equals == 0;
     if (!take)
       continue;
-    best = ServerChoice{i, FromMs(first)};
+    best = ServerChoice{i, FromMs(work + way)};
     best_ms = tie ? std::min(best_ms, ms) : ms;
   }
   return best;
--- /dev/null
+++ b/tests/homes_test.cc
@@ -0,0 +1,410 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Regions that may serve a route or a workspace.
+#include <catch2/catch.hpp>
+
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+const Instant kStart{Duration(10'000'000)};
+
+/// The document of all tests with homes, each a JSON list or "null".
+std::string DocumentWithHomes(int version,
+                              const std::string& route,
+                              const std::string& workspace = "null") {
+  std::string text = Document(version, "key");
+  for (const std::string name : {"safe", "once", "stream"}) {
+    const std::string at = "{\"name\":\"" + name + "\",";
+    text.replace(text.find(at), at.size(), at + "\"home_regions\":" + route + ",");
+  }
+  const std::string at = R"({"name":"north",)";
+  text.replace(text.find(at), at.size(), at + "\"home_regions\":" + workspace + ",");
+  return text;
+}
+
+/// An instance in the data centre e1 of the region east; w1 lies in the region west.
+struct TwoRegions : Rig {
+  explicit TwoRegions(const std::string& document) : Rig(document) {
+    ForwarderSettings& settings = m_forwarder->state().m_settings;
+    settings.m_data_centre = "e1";
+    settings.m_regions = {{"e1", "east"}, {"w1", "west"}};
+  }
+  void RegisterAt(const std::string& id,
+                  const ScriptedServer& server,
+                  const std::string& data_centre) {
+    wire::ServerRecord record = Record(id, server);
+    record.data_centre = data_centre;
+    m_forwarder->Take(ServersChanged{{record}});
+  }
+};
+
+std::vector<ScriptStep> Ok(const std::string& request) {
+  return Answer(request, "ok");
+}
+
+/// Notes what the forwarder sends; the test answers.
+struct FakeBroker {
+  std::vector<PlaceAsk> m_asks;
+  std::vector<PlaceRef> m_withdrawn;
+  std::vector<PlaceReport> m_reports;
+
+  explicit FakeBroker(Rig& rig) {
+    rig.m_forwarder->SetBroker({[this](PlaceBatch batch) { Note(batch); }, [] {}});
+    rig.m_forwarder->Take(FleetSize{4});
+    rig.m_forwarder->Take(BrokerFound{1});
+  }
+  void Note(const PlaceBatch& batch) {
+    m_asks.insert(m_asks.end(), batch.m_asks.begin(), batch.m_asks.end());
+    m_withdrawn.insert(m_withdrawn.end(), batch.m_withdrawn.begin(), batch.m_withdrawn.end());
+    m_reports.insert(m_reports.end(), batch.m_reports.begin(), batch.m_reports.end());
+  }
+};
+
+void Decide(Rig& rig, PlaceRef ref, PlaceVerdict verdict, const std::string& server = "") {
+  PlaceAnswer answer;
+  answer.m_ref = ref;
+  answer.m_verdict = verdict;
+  answer.m_server = server;
+  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
+}
+
+TEST_CASE("homes of routes and workspaces are read from the document") {
+  const auto decode = [](const std::string& text) { return platform::DecodeDocument(text); };
+  const Result<RouteTable> table =
+      decode(DocumentWithHomes(1, R"(["east","west"])", R"(["west"])"));
+  REQUIRE(table);
+  CHECK(table->m_routes[0].m_homes == HomeRegions{true, {"east", "west"}});
+  CHECK(table->m_workspaces[0].m_homes == HomeRegions{true, {"west"}});
+  for (const std::string none : {"null", "[]"}) {
+    const Result<RouteTable> unbound = decode(DocumentWithHomes(1, none, none));
+    REQUIRE(unbound);
+    CHECK(unbound->m_routes[0].m_homes == HomeRegions{});
+    CHECK(unbound->m_workspaces[0].m_homes == HomeRegions{});
+  }
+  CHECK(decode(Document(1, "key"))->m_routes[0].m_homes == HomeRegions{});
+  for (const std::string bad : {"\"east\"", "[1]", "[\"\"]", "{}", "[null]"}) {
+    const Result<RouteTable> refused = decode(DocumentWithHomes(1, bad));
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().m_message.find("home_regions") != std::string::npos);
+  }
+}
+
+TEST_CASE("an instance alone sends a request only to servers at home, of route and workspace") {
+  for (const auto& [route, workspace] : {std::pair<std::string, std::string>{R"(["west"])", "null"},
+                                         {"null", R"(["west"])"},
+                                         {R"(["east","west"])", R"(["west","south"])"}}) {
+    ScriptedServer near(Ok);
+    ScriptedServer far(Ok);
+    TwoRegions rig(DocumentWithHomes(1, route, workspace));
+    rig.RegisterAt("s0", near, "e1");
+    rig.RegisterAt("s1", far, "w1");
+    for (int i = 0; i < 6; ++i)
+      CHECK(Call(rig, Request("/once/", "i" + std::to_string(i))).status() == 200);
+    CHECK(near.requests().empty());
+    CHECK(far.requests().size() == 6);
+  }
+}
+
+TEST_CASE("a server of a region that isn't known serves only what isn't bound") {
+  ScriptedServer server(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
+  rig.RegisterAt("s0", server, "nowhere");
+  CHECK(Call(rig, Request("/safe/", "i")).status() == 503);
+  CHECK(server.requests().empty());
+  rig.Adopt(2, Document(2, "key"));
+  CHECK(Call(rig, Request("/safe/", "j")).status() == 200);
+}
+
+TEST_CASE("what route and workspace share no home for is refused at once and runs nowhere") {
+  ScriptedServer near(Ok);
+  ScriptedServer far(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["east"])", R"(["west"])"));
+  rig.RegisterAt("s0", near, "e1");
+  rig.RegisterAt("s1", far, "w1");
+  const Seen seen = Call(rig, Request("/once/", "i"));
+  CHECK(seen.status() == 503);
+  CHECK(seen.body().starts_with("no_home"));
+  CHECK(seen.m_millis < 80);
+  CHECK(rig.Refusals("no_home") == 1);
+  CHECK(near.requests().empty());
+  CHECK(far.requests().empty());
+}
+
+TEST_CASE("without a server at home a request is refused at once, alone and by the broker") {
+  ScriptedServer near(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
+  rig.RegisterAt("s0", near, "e1");
+  const Seen seen = Call(rig, Request("/safe/", "i"));
+  CHECK(seen.status() == 503);
+  CHECK(seen.body().starts_with("no_backend"));
+  CHECK(seen.m_millis < 80);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/safe/", "j"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  CHECK(broker.m_asks[0].m_homes == HomeRegions{true, {"west"}});
+  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kNoServer);
+  CHECK(call.Finish(rig).body().starts_with("no_backend"));
+  CHECK(near.requests().empty());
+}
+
+TEST_CASE("another try of a request stays at home, and ends where home has no other server") {
+  ScriptedServer near(Ok);
+  ScriptedServer bad([](const std::string&) { return std::vector<ScriptStep>{CloseNow()}; });
+  ScriptedServer good(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
+  rig.RegisterAt("s0", near, "e1");
+  rig.RegisterAt("s1", bad, "w1");
+  CHECK(Call(rig, Request("/safe/", "i")).status() == 502);
+  rig.RegisterAt("s2", good, "w1");
+  for (int i = 0; i < 6; ++i)
+    CHECK(Call(rig, Request("/safe/", "i" + std::to_string(i))).status() == 200);
+  CHECK(near.requests().empty());
+}
+
+TEST_CASE("a stream goes on by homes of the document in force, not only of its arrival") {
+  std::atomic<bool> changed{false};
+  std::atomic<int> calls{0};
+  const auto script = [&](const std::string& request) {
+    const std::string head =
+        Head(request, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
+    if (++calls > 1)
+      return std::vector<ScriptStep>{Send(head + Chunk(Event(2)) + "0\r\n\r\n")};
+    return std::vector<ScriptStep>{Send(head + Chunk(Event(1))), Wait(250), ResetNow()};
+  };
+  ScriptedServer first(script);
+  ScriptedServer out_of_home(script);
+  ScriptedServer at_home(script);
+  TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
+  rig.RegisterAt("s0", first, "w1");
+  Pending call(rig, Request("/stream/", "i"));
+  rig.RunUntil([&] { return first.requests().size() == 1; });
+  // While the stream runs: its homes become wider than at its arrival, which still holds.
+  rig.Adopt(2, DocumentWithHomes(2, R"(["west","east"])"));
+  rig.RegisterAt("s1", out_of_home, "e1");
+  rig.RegisterAt("s2", at_home, "w1");
+  const Seen seen = call.Finish(rig);
+  CHECK(IsWhole(seen.m_bytes));
+  CHECK(out_of_home.requests().empty());
+  CHECK(at_home.requests().size() == 1);
+}
+
+TEST_CASE("a stream whose home moved away while it ran goes on nowhere else") {
+  const auto script = [](const std::string& request) {
+    const std::string head =
+        Head(request, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n");
+    return std::vector<ScriptStep>{Send(head + Chunk(Event(1))), Wait(250), ResetNow()};
+  };
+  ScriptedServer first(script);
+  ScriptedServer former_home(script);
+  ScriptedServer new_home(script);
+  TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
+  rig.RegisterAt("s0", first, "w1");
+  Pending call(rig, Request("/stream/", "i"));
+  rig.RunUntil([&] { return first.requests().size() == 1; });
+  rig.Adopt(2, DocumentWithHomes(2, R"(["east"])"));
+  rig.RegisterAt("s1", former_home, "w1");
+  rig.RegisterAt("s2", new_home, "e1");
+  const Seen seen = call.Finish(rig);
+  CHECK_FALSE(IsWhole(seen.m_bytes));
+  CHECK(former_home.requests().empty());
+  CHECK(new_home.requests().empty());
+}
+
+TEST_CASE("what waits at the broker is asked for anew when its homes change") {
+  ScriptedServer near(Ok);
+  ScriptedServer far(Ok);
+  TwoRegions rig(Document(1, "key"));
+  rig.RegisterAt("s0", near, "e1");
+  rig.RegisterAt("s1", far, "w1");
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kQueued);
+  rig.Adopt(2, DocumentWithHomes(2, "null", R"(["west"])"));
+  CHECK(broker.m_withdrawn == std::vector<PlaceRef>{broker.m_asks[0].m_ref});
+  REQUIRE(broker.m_asks.size() == 2);
+  CHECK(broker.m_asks[1].m_homes == HomeRegions{true, {"west"}});
+  // A place from before the change crosses the word of it: it goes back unused.
+  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  REQUIRE(broker.m_reports.size() == 1);
+  CHECK(broker.m_reports[0].m_ended);
+  CHECK_FALSE(broker.m_reports[0].m_ran);
+  Decide(rig, broker.m_asks[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(near.requests().empty());
+  CHECK(far.requests().size() == 1);
+}
+
+TEST_CASE("what waits is refused at once when a change leaves it no home") {
+  ScriptedServer near(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["east"])"));
+  rig.RegisterAt("s0", near, "e1");
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  rig.Adopt(2, DocumentWithHomes(2, R"(["west"])"));
+  CHECK(call.Finish(rig).body().starts_with("no_home"));
+  CHECK(near.requests().empty());
+}
+
+TEST_CASE("a request waits at an instance alone by its new homes") {
+  ScriptedServer near(Ok);
+  ScriptedServer far(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["east","west"])"));
+  rig.RegisterAt("s0", near, "e1");
+  rig.RegisterAt("s1", far, "w1");
+  // Nobody has room until the homes have changed.
+  for (auto& [id, backend] : rig.m_forwarder->state().m_backends)
+    backend.m_in_flight = 1000;
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] {
+    const PoolState& pool = rig.m_forwarder->state().m_pools["app"];
+    return !pool.m_waiting.empty();
+  });
+  for (auto& [id, backend] : rig.m_forwarder->state().m_backends)
+    backend.m_in_flight = 0;
+  rig.Adopt(2, DocumentWithHomes(2, R"(["west"])"));
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(near.requests().empty());
+  CHECK(far.requests().size() == 1);
+}
+
+TEST_CASE("a place that a broker gives outside the homes goes back unused") {
+  ScriptedServer near(Ok);
+  ScriptedServer far(Ok);
+  TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
+  rig.RegisterAt("s0", near, "e1");
+  rig.RegisterAt("s1", far, "w1");
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  REQUIRE(broker.m_asks.size() == 2);
+  Decide(rig, broker.m_asks[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(near.requests().empty());
+  CHECK(far.requests().size() == 1);
+}
+
+TEST_CASE("a connection that comes up after the homes changed carries nothing") {
+  ScriptedServer near(Ok);
+  ScriptedServer far(Ok);
+  TwoRegions rig(Document(1, "key"));
+  rig.RegisterAt("s0", near, "e1");
+  rig.RegisterAt("s1", far, "w1");
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  // The connection to s0 is begun here and comes up when the loop runs next.
+  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  rig.Adopt(2, DocumentWithHomes(2, R"(["west"])"));
+  rig.RunUntil([&] { return broker.m_asks.size() == 2; });
+  REQUIRE(broker.m_asks.size() == 2);
+  CHECK(broker.m_asks[1].m_homes == HomeRegions{true, {"west"}});
+  Decide(rig, broker.m_asks[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(near.requests().empty());
+}
+
+// ---- At the broker -----------------------------------------------------------------------------
+
+PlaceServer ServerAt(const std::string& id, const std::string& data_centre) {
+  PlaceServer server;
+  server.m_id = id;
+  server.m_pool = "engines";
+  server.m_data_centre = data_centre;
+  server.m_region = data_centre == "e1" ? "east" : "west";
+  server.m_slots = 2;
+  return server;
+}
+
+PlaceBroker BrokerWith(const std::vector<PlaceServer>& servers) {
+  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
+  SetServers(broker, servers);
+  Resync(broker, "a", 1, kStart);
+  return broker;
+}
+
+PlaceAsk Bound(PlaceRef ref, const std::string& region) {
+  PlaceAsk ask;
+  ask.m_ref = ref;
+  ask.m_pool = "engines";
+  ask.m_data_centre = "e1";
+  ask.m_shape.m_prompt_tokens = 600;
+  ask.m_shape.m_aim = Duration(800'000);
+  ask.m_shape.m_left = Duration(10'000'000);
+  ask.m_wait = Duration(200'000);
+  ask.m_homes = {true, {region}};
+  return ask;
+}
+
+PlaceAnswer AskFor(PlaceBroker& broker, const PlaceAsk& ask, Instant now = kStart) {
+  std::vector<PlaceAnswer> out;
+  Ask(broker, "a", ask, now, out);
+  return out.at(0);
+}
+
+TEST_CASE("the broker gives places at home only, and has the rest wait for one there") {
+  PlaceBroker broker = BrokerWith({ServerAt("s0", "e1"), ServerAt("s1", "w1")});
+  CHECK(AskFor(broker, Bound(1, "west")).m_server == "s1");
+  CHECK(AskFor(broker, Bound(2, "west")).m_server == "s1");
+  CHECK(AskFor(broker, Bound(3, "west")).m_verdict == PlaceVerdict::kQueued);
+  PlaceReport end;
+  end.m_ref = 1;
+  end.m_ended = true;
+  std::vector<PlaceAnswer> out;
+  Report(broker, "a", end, kStart, out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].m_ref == 3);
+  CHECK(out[0].m_server == "s1");
+}
+
+TEST_CASE("the broker refuses at once what has no server at home, and charges nothing") {
+  PlaceBroker broker = BrokerWith({ServerAt("s0", "e1")});
+  PlaceAsk ask = Bound(1, "east");
+  ask.m_workspace = "north";
+  ask.m_quota.m_cost = 100;
+  ask.m_limit = {1'000, 1'000};
+  CHECK(AskFor(broker, ask).m_verdict == PlaceVerdict::kPlaced);
+  const double left = broker.m_limits.at("north").m_tokens;
+  ask.m_ref = 2;
+  ask.m_homes = {true, {"west"}};
+  CHECK(AskFor(broker, ask).m_verdict == PlaceVerdict::kNoServer);
+  CHECK(broker.m_limits.at("north").m_tokens == left);
+  PlaceServer leaving = ServerAt("s1", "w1");
+  leaving.m_leaving = true;
+  SetServers(broker, {ServerAt("s0", "e1"), leaving});
+  CHECK(AskFor(broker, Bound(3, "west")).m_verdict == PlaceVerdict::kNoServer);
+}
+
+TEST_CASE("half of the servers at home stay in use, whatever the rest of the pool does") {
+  PlaceBroker broker = BrokerWith(
+      {ServerAt("s0", "e1"), ServerAt("s1", "e1"), ServerAt("s2", "w1"), ServerAt("s3", "w1")});
+  PlacePool& pool = broker.m_pools.at("engines");
+  for (std::size_t i = 2; i < 4; ++i)
+    pool.m_health[i] = Observe(pool.m_health[i], ServerSign::kUnreachable, kStart);
+  const PlaceAnswer answer = AskFor(broker, Bound(1, "west"));
+  CHECK(answer.m_verdict == PlaceVerdict::kPlaced);
+  CHECK((answer.m_server == "s2" || answer.m_server == "s3"));
+}
+
+TEST_CASE("a version under trial gets only requests that are at home where it runs") {
+  PlaceServer target = ServerAt("s1", "e1");
+  target.m_version = "v2";
+  PlaceServer other = ServerAt("s0", "w1");
+  other.m_version = "v1";
+  PlaceBroker broker = BrokerWith({other, target});
+  SetRollouts(broker, {{"engines", {1, "v2", false, 0, 100}}}, {0.5, 100});
+  broker.m_pools.at("engines").m_trial->m_sent = 0;
+  CHECK(AskFor(broker, Bound(1, "west")).m_server == "s0");
+  CHECK(AskFor(broker, Bound(2, "east")).m_server == "s1");
+}
+
+}  // namespace
+}  // namespace poppyway
--- /dev/null
+++ b/tests/reach_test.cc
@@ -0,0 +1,252 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What reaching another region costs, in the choice of a server.
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+const Instant kStart{Duration(10'000'000)};
+constexpr Duration kTrip{60'000};
+
+ServerView Service(int at_work, Duration round_trip) {
+  ServerView view;
+  view.m_slots = 4;
+  view.m_others = at_work;
+  view.m_pace.m_service_ms = 15;
+  view.m_same_data_centre = round_trip == Duration(0);
+  view.m_round_trip = round_trip;
+  return view;
+}
+
+RequestShape Booking(Duration aim = Duration(200'000)) {
+  RequestShape shape;
+  shape.m_aim = aim;
+  return shape;
+}
+
+std::optional<ServerChoice> Choose(const std::vector<ServerView>& views,
+                                   const RequestShape& shape) {
+  return ChooseServer(views, shape, TypicalPace(views), 7);
+}
+
+TEST_CASE("a round trip is learned from connections, the same both ways") {
+  ReachTable table;
+  CHECK(RoundTrip(table, "east", "west") == Duration(0));
+  ObserveConnect(table, "east", "west", kTrip);
+  CHECK(RoundTrip(table, "west", "east") == kTrip);
+  CHECK(RoundTrip(table, "east", "north") == Duration(0));
+  CHECK(RoundTripsFrom(table, "west") == RoundTrips{{"east", kTrip}});
+  CHECK(RoundTripTo(RoundTripsFrom(table, "west"), "east") == kTrip);
+  CHECK(RoundTripsFrom(table, "north").empty());
+}
+
+TEST_CASE("nothing is learned within a region, of unknown regions or without a new connection") {
+  ReachTable table;
+  ObserveConnect(table, "east", "east", kTrip);
+  ObserveConnect(table, "", "east", kTrip);
+  ObserveConnect(table, "east", "", kTrip);
+  ObserveConnect(table, "", "", kTrip);
+  ObserveConnect(table, "east", "west", Duration(0));
+  CHECK(table == ReachTable{});
+}
+
+TEST_CASE("lost packets and busy machines hardly change a round trip, whenever they come") {
+  std::mt19937 random(1);
+  std::uniform_real_distribution<double> part;
+  for (const bool slow_first : {false, true}) {
+    ReachTable table;
+    if (slow_first)
+      ObserveConnect(table, "east", "west", Duration(290'000));
+    for (int i = 0; i < 300; ++i) {
+      Duration connect = kTrip + Duration(static_cast<std::int64_t>(part(random) * 4'000));
+      const double luck = part(random);
+      if (luck < 0.05)
+        connect += Duration(1'000'000);  // A lost first packet.
+      else if (luck < 0.25)
+        connect += Duration(static_cast<std::int64_t>(part(random) * 150'000));  // A busy machine.
+      ObserveConnect(table, "east", "west", connect);
+    }
+    CHECK(RoundTrip(table, "east", "west") >= kTrip);
+    CHECK(RoundTrip(table, "east", "west") < kTrip + Duration(6'000));
+  }
+}
+
+TEST_CASE("a way that gets longer or shorter is learned anew") {
+  ReachTable table;
+  for (const Duration trip : {kTrip, 2 * kTrip, kTrip / 3}) {
+    for (int i = 0; i < 600; ++i)
+      ObserveConnect(table, "east", "west", trip);
+    CHECK(RoundTrip(table, "east", "west").count() == Approx(trip.count()).epsilon(0.02));
+  }
+}
+
+TEST_CASE("a forecast holds the round trip") {
+  const ServerView near = Service(0, Duration(0));
+  const ServerView far = Service(0, kTrip);
+  CHECK(PredictFirst(far, Booking(), {}) == PredictFirst(near, Booking(), {}) + kTrip);
+  CHECK(PredictAlone(far, Booking(), {}) == PredictAlone(near, Booking(), {}) + kTrip);
+}
+
+TEST_CASE("a short answer isn't fetched from far away while its own region gives it sooner") {
+  // 15 ms of queue here; 60 ms of way there.
+  const std::vector<ServerView> views{Service(7, Duration(0)), Service(0, kTrip)};
+  CHECK(Choose(views, Booking())->m_index == 0);
+}
+
+TEST_CASE("what finds no room in its region goes to another one where it is in time") {
+  const std::vector<ServerView> views{Service(40, Duration(0)), Service(0, kTrip)};
+  const std::optional<ServerChoice> choice = Choose(views, Booking());
+  REQUIRE(choice);
+  CHECK(choice->m_index == 1);
+  CHECK(choice->m_first == Duration(75'000));
+}
+
+TEST_CASE("what would be late by the way waits for its own region, if that has a server at all") {
+  const RequestShape hurried = Booking(Duration(80'000));
+  CHECK_FALSE(Choose({Service(40, Duration(0)), Service(0, kTrip)}, hurried));
+  ServerView gone = Service(40, Duration(0));
+  gone.m_usable = false;
+  CHECK(Choose({gone, Service(0, kTrip)}, hurried)->m_index == 1);
+}
+
+TEST_CASE("a prompt whose first event the way makes late has no room there") {
+  ServerView far;
+  far.m_slots = 4;
+  far.m_pace.m_tokens_per_ms = 10;
+  RequestShape prompt;
+  prompt.m_prompt_tokens = 4'500;  // 450 ms to read, 15 ms besides.
+  prompt.m_aim = Duration(600'000);
+  CHECK(HasRoom(far, prompt, {}));
+  far.m_reading_tokens = 300;
+  CHECK(HasRoom(far, prompt, {}));
+  far.m_round_trip = kTrip;
+  far.m_reading_tokens = 2'000;
+  CHECK_FALSE(HasRoom(far, prompt, {}));
+}
+
+// ---- At the broker -----------------------------------------------------------------------------
+
+PlaceServer ServerAt(const std::string& id, const std::string& data_centre) {
+  PlaceServer server;
+  server.m_id = id;
+  server.m_pool = "app";
+  server.m_data_centre = data_centre;
+  server.m_slots = 4;
+  return server;
+}
+
+PlaceBroker BrokerOf(const RegionMap& regions) {
+  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
+  SetRegions(broker, regions);
+  std::vector<PlaceServer> servers{ServerAt("s0", "e1"), ServerAt("s1", "w1"),
+                                   ServerAt("s2", "w1")};
+  for (PlaceServer& server : servers)
+    server.m_region = RegionOf(regions, server.m_data_centre);
+  SetServers(broker, servers);
+  Resync(broker, "a", 1, kStart);
+  return broker;
+}
+
+PlaceAsk PlaceWanted(PlaceRef ref, const std::string& data_centre = "e1") {
+  PlaceAsk ask;
+  ask.m_ref = ref;
+  ask.m_pool = "app";
+  ask.m_data_centre = data_centre;
+  ask.m_shape.m_aim = Duration(200'000);
+  ask.m_shape.m_left = Duration(3'000'000);
+  ask.m_wait = Duration(200'000);
+  return ask;
+}
+
+PlaceReport EndOf(PlaceRef ref, Duration service, Duration connect) {
+  PlaceReport report;
+  report.m_ref = ref;
+  report.m_ended = true;
+  report.m_sign = ServerSign::kGood;
+  report.m_service = service;
+  report.m_connect = connect;
+  return report;
+}
+
+TEST_CASE("the broker learns the way between regions, and counts it neither as speed nor as wait") {
+  PlaceBroker broker = BrokerOf({{"e1", "east"}, {"w1", "west"}});
+  PlaceAsk ask = PlaceWanted(1);
+  ask.m_tried = {"s0"};
+  std::vector<PlaceAnswer> out;
+  Ask(broker, "a", ask, kStart, out);
+  REQUIRE(out.at(0).m_verdict == PlaceVerdict::kPlaced);
+  Report(broker, "a", EndOf(1, Duration(75'000), kTrip), kStart, out);
+  CHECK(RoundTrip(broker.m_reach, "east", "west") == kTrip);
+  const PlacePool& pool = broker.m_pools.at("app");
+  CHECK(pool.m_views[1].m_pace.m_service_ms + pool.m_views[2].m_pace.m_service_ms == Approx(15));
+  // From the other region the same servers are near.
+  out.clear();
+  PlaceAsk there = PlaceWanted(2, "w1");
+  there.m_tried = {"s0"};
+  Ask(broker, "a", there, kStart, out);
+  CHECK(out.at(0).m_first == Duration(15'000));
+  out.clear();
+  ask.m_ref = 3;
+  Ask(broker, "a", ask, kStart, out);
+  CHECK(out.at(0).m_first == Duration(75'000));
+}
+
+TEST_CASE("in one region, or without regions, nothing is learned and every place is the same") {
+  PlaceBroker none = BrokerOf({});
+  PlaceBroker one = BrokerOf({{"e1", "east"}, {"w1", "east"}});
+  std::mt19937 random(3);
+  for (PlaceRef ref = 1; ref <= 400; ++ref) {
+    const Instant now = kStart + Duration(5'000 * ref);
+    const std::string from = random() % 2 == 0 ? "e1" : "w1";
+    const Duration service(10'000 + static_cast<std::int64_t>(random() % 40'000));
+    const Duration connect(static_cast<std::int64_t>(random() % 90'000));
+    std::vector<PlaceAnswer> left;
+    std::vector<PlaceAnswer> right;
+    Ask(none, "a", PlaceWanted(ref, from), now, left);
+    Ask(one, "a", PlaceWanted(ref, from), now, right);
+    Report(none, "a", EndOf(ref - 9, service, connect), now, left);
+    Report(one, "a", EndOf(ref - 9, service, connect), now, right);
+    REQUIRE(left == right);
+  }
+  CHECK(one.m_reach == ReachTable{});
+  CHECK(none.m_pools.at("app").m_views[1].m_pace == one.m_pools.at("app").m_views[1].m_pace);
+}
+
+// ---- At an instance ----------------------------------------------------------------------------
+
+TEST_CASE("an instance learns the way for itself and tells the broker of new connections") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  ForwarderState& state = rig.m_forwarder->state();
+  state.m_settings.m_data_centre = "e1";
+  state.m_settings.m_regions = {{"e1", "east"}, {"w1", "west"}};
+  wire::ServerRecord record = rig.Record("s0", server);
+  record.data_centre = "w1";
+  rig.m_forwarder->Take(ServersChanged{{record}});
+  std::vector<PlaceAsk> asks;
+  std::vector<PlaceReport> reports;
+  const auto note = [&](const PlaceBatch& batch) {
+    asks.insert(asks.end(), batch.m_asks.begin(), batch.m_asks.end());
+    reports.insert(reports.end(), batch.m_reports.begin(), batch.m_reports.end());
+  };
+  rig.m_forwarder->SetBroker({note, [] {}});
+  rig.m_forwarder->Take(BrokerFound{1});
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !asks.empty(); });
+  REQUIRE(asks.size() == 1);
+  PlaceAnswer answer;
+  answer.m_ref = asks[0].m_ref;
+  answer.m_server = "s0";
+  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
+  CHECK(call.Finish(rig).status() == 200);
+  REQUIRE(reports.size() == 1);
+  CHECK(reports[0].m_connect > Duration(0));
+  CHECK(RoundTrip(state.m_reach, "east", "west") == reports[0].m_connect);
+}
+
+}  // namespace
+}  // namespace poppyway
