Play roll-outs' faults at steps that are seen, not at fixed times

Cause: the process test of roll-outs sent the order for v3, which must get 409, after a fault at 2 s. The verdict on a bad version may come earlier (1.3 and 1.7 s after the order in logs); v3 then finds nothing under way and is rightly accepted, and its 8 s are taken for the first one's. Member's log: rollout_decided version=v2 number=1 why=fails, then rollout_ordered version=v3 verdict=0, then rollout_decided version=v3 number=2.

Ruled out: that the program accepts another version while one is under way. In all kept logs v3 was accepted only when no order had been accepted, or the first one was over.

Change: v3 is sent while the operator's GET says in_progress and no verdict may come: before the target has servers, and again later in the trial of versions that aren't bad (yet). It must get 409, the repeated order 200 or 409, and the state must be in_progress before and after. The leader is killed at the first work at the target, right after the acknowledgement, at the verdict, and while work moves (checked: one decision in its log, old servers still at work). turns-bad-leader-killed keeps the order for v3 after a kill in the trial of a bad version; fails-leader-killed keeps a version that is bad when the leader is killed, and only repeats its own order after it. All checks of before are kept. A loop that never ran left the time of the end at 0, which passed its check; it fails now. Runs hold each of their subnets, so that runs of different numbers of cases don't overlap.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,24 +16,41 @@
 CALLERS_PORT = 8221
 CONTROL_PORT = 8229
 READINESS_PORT = 8224
+GUARD_PORT = 7999  # Of the socket that marks a subnet as used.
 INTERNAL_PORTS = "7600,7615"
 
 
 def hold_subnets(count):
-    """The first of `count` numbers N whose addresses 127.N.x.y no other run uses, and the socket
-    that holds them for as long as it is kept."""
-    guard_port = 7999
+    """The first of `count` numbers N whose addresses 127.N.x.y no other run uses, and the sockets
+    that hold them, one each, for as long as they are kept: runs of other counts see them too."""
     for first in range(20, 250 - count, count):
-        guard = socket.socket()
+        guards = []
         try:
-            guard.bind((f"127.{first}.0.250", guard_port))
-            guard.listen(1)
-            return first, guard
+            for number in range(first, first + count):
+                guards.append(hold_subnet(number))
+            return first, guards
         except OSError:
-            guard.close()
+            release(guards)
     raise RuntimeError("no loopback addresses are free")
 
 
+def hold_subnet(number):
+    """A socket that marks the addresses 127.number.x.y as used; OSError if another run has them."""
+    guard = socket.socket()
+    try:
+        guard.bind((f"127.{number}.0.250", GUARD_PORT))
+        guard.listen(1)
+    except OSError:
+        guard.close()
+        raise
+    return guard
+
+
+def release(guards):
+    for guard in guards:
+        guard.close()
+
+
 class Process:
     """One poppywayd with its settings file, data folder and log."""
 
@@ -138,6 +155,11 @@
                     best, term = member, found
         return best
 
+    def leader_says(self, words):
+        """How many times the leader's log has the words."""
+        leader = self.leader()
+        return 0 if leader is None else leader.log().count(words)
+
 
 def document(version, pool, key):
     """An operator's document: one pool, a route that may be repeated and one that may not."""
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -40,11 +40,14 @@
 
 
 class Badness:
-    """How a version is bad: what share of its answers, how, from when, where."""
+    """How a version is bad: what share of its answers, how, from when, where. One that is bad when
+    told stays good until its servers are told to turn bad."""
 
-    def __init__(self, fails=0.0, slow=1.0, share=1.0, from_s=0.0, route=None, above=0):
+    def __init__(self, fails=0.0, slow=1.0, share=1.0, from_s=0.0, route=None, above=0,
+                 when_told=False):
         self.fails, self.slow, self.share = fails, slow, share
         self.from_s, self.route, self.above = from_s, route, above
+        self.when_told = when_told
 
     def strikes(self, since, path, at_work, rng):
         return (since >= self.from_s and (self.route is None or path.startswith(f"/{self.route}/"))
@@ -54,9 +57,7 @@
 class Servers:
     """Backend servers of one version, each with a heartbeat of its own."""
 
-    WORK_S = 0.02
-
-    def __init__(self, subnet, version, count, members, badness, seed):
+    def __init__(self, subnet, version, count, members, badness, seed, work_s):
         self.version = version
         self.runs = {}  # Request id to when it ran.
         self.bad = []  # When each bad answer was given.
@@ -64,6 +65,8 @@
         self._places = [f"127.{subnet}.{2 if version == 'v1' else 3}.{i + 1}" for i in range(count)]
         self._members = members
         self._badness = badness
+        self._work_s = work_s
+        self._may_be_bad = not badness.when_told
         self._rng = random.Random(f"{seed}-{version}")
         self._stage = "ready"
         self._tasks = []
@@ -85,6 +88,9 @@
         for listener in self._listeners:
             listener.close()
 
+    def turn_bad(self):
+        self._may_be_bad = True
+
     async def _beat(self, name, place, pool):
         sequence = 0
         while True:
@@ -106,12 +112,13 @@
             now = time.monotonic()
             state["at_work"] += 1
             self.runs.setdefault(ident, []).append(now)
-            bad = self._badness.strikes(now - self.begun, path, state["at_work"], self._rng)
+            bad = self._may_be_bad and self._badness.strikes(
+                now - self.begun, path, state["at_work"], self._rng)
             slow = self._badness.slow if bad else 1.0
             failed = bad and self._rng.random() < self._badness.fails
             if failed or (bad and self._badness.slow > 1):
                 self.bad.append(now)
-            work = self.WORK_S * state["speed"] * slow * self._rng.uniform(0.8, 1.3)
+            work = self._work_s * state["speed"] * slow * self._rng.uniform(0.8, 1.3)
             await asyncio.sleep(work)
             state["at_work"] -= 1
             status = "500 Internal Server Error" if failed else "200 OK"
@@ -186,9 +193,9 @@
             await asyncio.sleep(0.05)
         return 0, b""
 
-    async def order(self, pool, version, seconds):
+    async def order(self, pool, version, seconds, limit=5.0):
         body = json.dumps({"service": pool, "target_version": version, "duration_s": seconds})
-        return (await self.ask("POST", "/-/rollouts", body))[0]
+        return (await self.ask("POST", "/-/rollouts", body, limit))[0]
 
     async def state(self, pool):
         status, body = await self.ask("GET", f"/-/rollouts/{pool}", limit=2.0)
