--- a/apps/poppyway/command.cc
+++ b/apps/poppyway/command.cc
@@ -6,13 +6,21 @@
 #include <map>
 
 namespace poppyway::cli {
+namespace {
+
+/// A refusal that comes from the leader: the others only say that they aren't it.
+bool IsFinal(ResultCode code) {
+  return code == ResultCode::kNotFound || code == ResultCode::kOtherRollout;
+}
+
+}  // namespace
 
 Result<wire::Body> Ask(const CommonOptions& common, const wire::Body& body) {
   Error last{ResultCode::kPeerUnreachable, "no instance given; use --instance address:port"};
   for (const Endpoint& instance : common.m_instances) {
     Result<wire::Body> reply =
         CallOnce(instance.m_address, instance.m_port, body, common.m_timeout);
-    if (reply)
+    if (reply || IsFinal(reply.error().m_code))
       return reply;
     last = reply.error();
   }
--- a/apps/poppyway/command.h
+++ b/apps/poppyway/command.h
@@ -39,6 +39,7 @@
 int Status(const CommonOptions& common, const Arguments& arguments);
 int Drain(const CommonOptions& common, const Arguments& arguments);
 int Rollout(const CommonOptions& common, const Arguments& arguments);
+int Evacuate(const CommonOptions& common, const Arguments& arguments);
 int Check(const CommonOptions& common, const Arguments& arguments);
 int Load(const CommonOptions& common, const Arguments& arguments);
 
--- /dev/null
+++ b/apps/poppyway/evacuate.cc
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// evacuate: a data centre gets nothing new, or work again.
+
+#include <iostream>
+
+#include "command.h"
+
+namespace poppyway::cli {
+
+int Evacuate(const CommonOptions& common, const Arguments& arguments) {
+  namespace po = boost::program_options;
+  std::vector<std::string> what;
+  po::options_description options(
+      "poppyway evacuate DATA_CENTRE [--end]: its servers get nothing new; what runs there ends");
+  options.add_options()("what", po::value(&what)->composing(), "the data centre")(
+      "end", "take the order back");
+  po::variables_map given;
+  int exit_code = kExitOk;
+  if (!ParseArguments(options, "what", arguments, given, exit_code))
+    return exit_code;
+  if (what.size() != 1) {
+    std::cerr << "poppyway evacuate: name one data centre\n";
+    return kExitUsage;
+  }
+  wire::EvacuationOrder order;
+  order.data_centre = what[0];
+  order.ends = given.contains("end");
+  wire::Body body;
+  body.__set_evacuation_order(order);
+  const Result<wire::Body> reply = Ask(common, body);
+  if (!reply)
+    return Report(reply.error());
+  if (reply->__isset.error)
+    return Report({static_cast<ResultCode>(reply->error.code), reply->error.message});
+  std::cout << "data centre " << order.data_centre
+            << (order.ends ? " gets work again" : " gets nothing new; see poppyway status") << "\n";
+  return kExitOk;
+}
+
+}  // namespace poppyway::cli
--- a/apps/poppyway/main.cc
+++ b/apps/poppyway/main.cc
@@ -26,6 +26,7 @@
     Command{"status", "show members, instances and brokers", &Status},
     Command{"drain", "stop an instance, or take a backend server out of work", &Drain},
     Command{"rollout", "move a pool's work to servers of another version", &Rollout},
+    Command{"evacuate", "give the servers of a data centre nothing new", &Evacuate},
     Command{"check", "validate declarations and settings offline", &Check},
     Command{"load", "generate a bounded load and report goodput by tier", &Load},
 };
--- a/apps/poppyway/operate.cc
+++ b/apps/poppyway/operate.cc
@@ -38,10 +38,31 @@
   json brokers = json::array();
   for (const wire::LeaseGrant& lease : status.leases)
     brokers.push_back({{"pool", lease.lease}, {"holder", lease.holder}, {"epoch", lease.epoch}});
+  json evacuations = json::array();
+  for (const wire::EvacuationStatus& one : status.evacuations)
+    evacuations.push_back({{"data_centre", one.evacuation.data_centre},
+                           {"number", one.evacuation.number},
+                           {"ended", one.evacuation.ended},
+                           {"servers", one.servers},
+                           {"running", one.running}});
   return {{"version", status.version}, {"term", status.term},
           {"commit", status.commit},   {"ledger_keys", status.ledger_keys},
           {"members", members},        {"instances", instances},
-          {"brokers", brokers}};
+          {"brokers", brokers},        {"evacuations", evacuations}};
+}
+
+void PrintEvacuations(const std::vector<wire::EvacuationStatus>& evacuations) {
+  if (evacuations.empty())
+    return;
+  std::cout << "\n"
+            << std::setw(16) << "DATA CENTRE" << std::setw(12) << "EVACUATED" << std::setw(10)
+            << "SERVERS"
+            << "RUNNING\n";
+  for (const wire::EvacuationStatus& one : evacuations) {
+    std::cout << std::setw(16) << one.evacuation.data_centre << std::setw(12)
+              << (one.evacuation.ended ? "ended" : "yes") << std::setw(10) << one.servers
+              << (one.running < 0 ? "?" : std::to_string(one.running)) << "\n";
+  }
 }
 
 void PrintTable(const wire::StatusReply& status) {
@@ -73,6 +94,7 @@
   for (const wire::LeaseGrant& lease : status.leases)
     std::cout << std::setw(24) << lease.lease << std::setw(28) << lease.holder << lease.epoch
               << "\n";
+  PrintEvacuations(status.evacuations);
 }
 
 int DrainInstance(const CommonOptions& common, const std::string& name, int wait_s) {
--- a/apps/poppywayd/control_server.cc
+++ b/apps/poppywayd/control_server.cc
@@ -51,6 +51,14 @@
         .Field("took_ms", took.count() / 1000);
     return;
   }
+  if (call.m_kind == Kind::kOrderEvacuation) {
+    POPPYWAY_LOG(info, "evacuation_call")
+        .Field("data_centre", call.m_evacuation.data_centre)
+        .Field("ends", call.m_evacuation.ends)
+        .Field("status", status)
+        .Field("took_ms", took.count() / 1000);
+    return;
+  }
   const bool beat = call.m_kind == Kind::kServerSeen &&
                     call.m_server.stage == wire::ServerStage::READY && status == 200;
   const bool read = call.m_kind == Kind::kReadDocument || call.m_kind == Kind::kReadRollout;
@@ -114,6 +122,9 @@
     case Kind::kReadRollout:
       m_member.ReadRollout(call->m_rollout.pool, reply);
       return;
+    case Kind::kOrderEvacuation:
+      m_member.SubmitEvacuation(call->m_evacuation, reply);
+      return;
     case Kind::kUnknown:
       Answer(*pending, platform::EncodeControlAnswer(*call, {}));
       return;
--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -127,6 +127,8 @@
     LeaderOnly(reply, [&] { m_member->SubmitRollout(body.rollout_order, reply); });
   } else if (body.__isset.rollout_request) {
     LeaderOnly(reply, [&] { m_member->ReadRollout(body.rollout_request, reply); });
+  } else if (body.__isset.evacuation_order) {
+    LeaderOnly(reply, [&] { m_member->SubmitEvacuation(body.evacuation_order, reply); });
   } else if (body.__isset.poll) {
     m_member->OnPoll(body.poll, reply);
   } else if (body.__isset.propose && m_member->leads()) {
@@ -164,7 +166,8 @@
   } else if (body.__isset.objects && leads) {
     m_member->OnObjects(body.objects, reply);
   } else if (body.__isset.status || body.__isset.objects || body.__isset.propose ||
-             body.__isset.rollout_order || body.__isset.rollout_request) {
+             body.__isset.rollout_order || body.__isset.rollout_request ||
+             body.__isset.evacuation_order) {
     m_instance.Forward(body, reply);
   } else {
     ++m_bad_messages;
--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -48,6 +48,7 @@
     return m_machine.m_configuration.m_version > poll.have_version;
   const HostedState& hosted = m_machine.m_hosted;
   return hosted.m_document.version > poll.have_document || KnownLeaderTerm() > poll.have_term ||
+         LastEvacuationIndex(hosted) > poll.have_servers ||
          (hosted.m_servers_index > poll.have_servers && MayTellServers(poll));
 }
 
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -468,6 +468,7 @@
   }
   for (const auto& [name, lease] : m_machine.m_leases)
     status.leases.push_back(lease);
+  status.evacuations = EvacuationStatuses();
   return status;
 }
 
@@ -481,6 +482,12 @@
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
   metrics.Set("poppyway_ledger_kept_bytes", "",
               static_cast<double>(m_machine.m_ledger.m_kept_bytes));
+  for (const wire::EvacuationStatus& status : EvacuationStatuses()) {
+    const std::string label = "data_centre=\"" + status.evacuation.data_centre + "\"";
+    metrics.Set("poppyway_evacuated", label, status.evacuation.ended ? 0 : 1);
+    if (status.running >= 0)
+      metrics.Set("poppyway_evacuated_running", label, status.running);
+  }
   m_places.AddMetrics(metrics);
 }
 
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -57,6 +57,10 @@
   /// Replies with the last roll-out of a pool, or an error if that can't be made sure of.
   void ReadRollout(const std::string& pool, const ReplyFn& reply);
 
+  /// An operator's order for a data centre. Replies `done` once it is committed, also to one that
+  /// repeats it, or an error after which the caller may send it again anywhere.
+  void SubmitEvacuation(const wire::EvacuationOrder& order, const ReplyFn& reply);
+
   [[nodiscard]] bool leads() const noexcept { return m_node.m_role == Role::kLeader; }
   /// The error for a caller that should ask the leader.
   [[nodiscard]] wire::Body NotLeader() const;
@@ -106,6 +110,8 @@
   [[nodiscard]] wire::ConfigDelta NewsFor(const wire::ConfigPoll& poll) const;
   [[nodiscard]] wire::MemberInfo Self() const;
   [[nodiscard]] bool Blank() const { return m_node.m_membership.members.empty(); }
+  /// What status shows of each data centre that an order was given for.
+  [[nodiscard]] std::vector<wire::EvacuationStatus> EvacuationStatuses() const;
   void FatalDisk(const Error& why);
   /// The disk has no room for these effects: nothing is sent or acknowledged until it has.
   void HoldBack(LogEffects&& effects, const Error& why);
--- a/apps/poppywayd/place_side.cc
+++ b/apps/poppywayd/place_side.cc
@@ -31,7 +31,7 @@
 PoolSums SumOf(const PlacePool& pool, Instant now) {
   PoolSums sums;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    if (pool.m_servers[i].m_leaving)
+    if (pool.m_servers[i].m_leaving || pool.m_servers[i].m_evacuated)
       continue;
     ++sums.m_servers;
     sums.m_avoided += Avoided(pool.m_health[i], now) ? 1 : 0;
@@ -130,6 +130,19 @@
   return sight;
 }
 
+std::optional<int> PlaceSide::RunningIn(const std::string& data_centre) const {
+  if (!m_broker)
+    return std::nullopt;
+  int running = 0;
+  for (const auto& [name, pool] : m_broker->m_pools) {
+    for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
+      if (pool.m_servers[i].m_data_centre == data_centre)
+        running += pool.m_views[i].m_others;
+    }
+  }
+  return running;
+}
+
 void PlaceSide::OnBatch(const wire::PlaceBatch& batch,
                         PeerConnection& from,
                         bool may_decide,
--- a/apps/poppywayd/place_side.h
+++ b/apps/poppywayd/place_side.h
@@ -55,6 +55,8 @@
   void Tick(Instant now);
   /// What is known of the roll-out of a pool that is under way.
   [[nodiscard]] RolloutSight SeeRollout(const std::string& pool) const;
+  /// Requests at the servers of a data centre; nullopt: this member isn't the broker.
+  [[nodiscard]] std::optional<int> RunningIn(const std::string& data_centre) const;
   void AddMetrics(MetricSet& metrics) const;
 
  private:
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -10,6 +10,10 @@
 // Of a longer list, as an instance gets it when it starts, only the length is logged.
 constexpr std::size_t kMostLogged = 64;
 
+std::string DataCentreLabel(const std::string& data_centre) {
+  return "data_centre=\"" + data_centre + "\"";
+}
+
 /// A record of a server that is gone is kept while requests still count on it.
 void DropUnused(ForwarderState& state) {
   std::erase_if(state.m_backends, [&state](const auto& entry) {
@@ -76,6 +80,28 @@
   }
 }
 
+/// Of an evacuation that was ordered or has ended. What runs there ends by itself.
+void PutInForce(ForwarderState& state, const wire::Evacuation& evacuation) {
+  int servers = 0;
+  int running = 0;
+  for (const auto& [id, backend] : state.m_backends) {
+    if (backend.m_record.data_centre != evacuation.data_centre)
+      continue;
+    ++servers;
+    running += backend.m_in_flight;
+    if (!evacuation.ended)
+      state.m_connections->Forget(backend.m_place);
+  }
+  state.m_metrics.Set("poppyway_evacuated", DataCentreLabel(evacuation.data_centre),
+                      evacuation.ended ? 0 : 1);
+  POPPYWAY_LOG(info, "evacuation_in_force")
+      .Field("data_centre", evacuation.data_centre)
+      .Field("number", evacuation.number)
+      .Field("ends", evacuation.ended)
+      .Field("servers", servers)
+      .Field("running", running);
+}
+
 std::int64_t KeptTokens(const Backend& backend, const CallerRequest& request) {
   std::int64_t kept = 0;
   for (const PrefixPart& part : request.m_parts) {
@@ -134,24 +160,67 @@
 }
 
 void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations) {
-  state.m_evacuations.clear();
-  for (const wire::Evacuation& evacuation : evacuations)
-    state.m_evacuations[evacuation.data_centre] = evacuation;
+  bool changed = false;
+  for (const wire::Evacuation& evacuation : evacuations) {
+    wire::Evacuation& known = state.m_evacuations[evacuation.data_centre];
+    if (evacuation.number <= known.number)
+      continue;
+    known = evacuation;
+    changed = true;
+    PutInForce(state, evacuation);
+  }
+  if (!changed)
+    return;
+  for (const auto& [name, pool] : state.m_pools)
+    ServeQueue(state, name);
+}
+
+bool IsEvacuated(const ForwarderState& state, const Backend& backend) {
+  const auto found = state.m_evacuations.find(backend.m_record.data_centre);
+  return found != state.m_evacuations.end() && !found->second.ended;
+}
+
+bool EvacuatedAway(const ForwarderState& state, const Forwarding& forwarding) {
+  const auto pool = state.m_pools.find(forwarding.m_pool->m_name);
+  if (state.m_evacuations.empty() || pool == state.m_pools.end())
+    return false;
+  bool evacuated = false;
+  for (const std::string& id : pool->second.m_servers) {
+    const Backend& backend = state.m_backends.at(id);
+    const std::string_view region =
+        RegionOf(state.m_settings.m_regions, backend.m_record.data_centre);
+    if (backend.m_replaced || !ServesAtHome(forwarding.m_homes, region))
+      continue;
+    if (!IsEvacuated(state, backend))
+      return false;
+    evacuated = true;
+  }
+  return evacuated;
+}
+
+void CountEvacuated(ForwarderState& state) {
+  std::map<std::string, int> running;
+  for (const auto& [data_centre, evacuation] : state.m_evacuations)
+    running[data_centre] = 0;
+  for (const auto& [id, backend] : state.m_backends) {
+    if (IsEvacuated(state, backend))
+      running[backend.m_record.data_centre] += backend.m_in_flight;
+  }
+  for (const auto& [data_centre, count] : running)
+    state.m_metrics.Set("poppyway_evacuated_running", DataCentreLabel(data_centre), count);
 }
 
 ServerBar BarOf(const ForwarderState& state,
                 const Forwarding& forwarding,
                 const Backend& backend,
                 Instant now) {
-  const std::string& data_centre = backend.m_record.data_centre;
-  const auto evacuation = state.m_evacuations.find(data_centre);
   ServerStanding standing;
   standing.m_leaving = backend.m_leaving || backend.m_replaced;
-  standing.m_evacuated = evacuation != state.m_evacuations.end() && !evacuation->second.ended;
+  standing.m_evacuated = IsEvacuated(state, backend);
   // A version on trial gets work from the broker only, which keeps count of it.
   standing.m_kept_by_rollout = backend.m_record.held_back;
   standing.m_suspect = Avoided(backend.m_health, now);
-  standing.m_region = RegionOf(state.m_settings.m_regions, data_centre);
+  standing.m_region = RegionOf(state.m_settings.m_regions, backend.m_record.data_centre);
   return BarFor(standing, forwarding.m_homes, Tried(forwarding, backend.m_record.id));
 }
 
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -75,12 +75,15 @@
 void UsePlace(ForwarderState& state, Forwarding& forwarding, const PlaceAnswer& answer) {
   const Backend* backend = FindBackend(state, answer.m_server);
   const bool confirmed = forwarding.m_workspace == nullptr || ReadClock() < state.m_confirmed_until;
-  const bool usable = backend != nullptr && !backend->m_leaving && confirmed;
+  // The broker's word may be older than the news of an evacuation here.
+  const bool evacuated = backend != nullptr && IsEvacuated(state, *backend);
+  const bool usable = backend != nullptr && !backend->m_leaving && !evacuated && confirmed;
   if (!usable) {
     POPPYWAY_LOG(info, "place_returned")
         .Field("request", forwarding.m_request.m_id)
         .Field("server", answer.m_server)
         .Field("known", backend != nullptr)
+        .Field("evacuated", evacuated)
         .Field("confirmed", confirmed);
     ReturnPlace(state, answer.m_ref);
     forwarding.m_tried.push_back(answer.m_server);
@@ -119,7 +122,7 @@
       Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
       return;
     case PlaceVerdict::kNoServer:
-      Refuse(state, forwarding, ResultCode::kNoBackend, "the pool has no server");
+      Refuse(state, forwarding, ResultCode::kNoBackend, "the pool has no server that may take it");
       return;
     default:
       Refuse(state, forwarding, ResultCode::kOverload, "no server had room in time");
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -45,6 +45,8 @@
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
   if (backend == nullptr || backend->m_leaving || !confirmed)
     return false;
+  if (IsEvacuated(state, *backend))
+    return false;  // Ordered while the connection came up.
   ++forwarding->m_unsure;
   ++forwarding->m_reached;
   forwarding->m_sent = true;
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -160,6 +160,8 @@
     if (Backend* backend = FindBackend(state, forwarding.m_server)) {
       --backend->m_in_flight;
       backend->m_reading_tokens -= forwarding.m_read_tokens;
+      if (IsEvacuated(state, *backend))
+        state.m_connections->Forget(backend->m_place);
     }
     TellPlace(state, forwarding, true);
     forwarding.m_server.clear();
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -232,6 +232,7 @@
                         static_cast<double>(m_state.m_forwardings.size()));
   m_state.m_metrics.Set("poppyway_forward_connections_opened", "",
                         static_cast<double>(m_state.m_connections->opened()));
+  impl::CountEvacuated(m_state);
   ReplyWhole(req, 200, "text/plain; version=0.0.4", m_state.m_metrics.Text());
 }
 
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -89,7 +89,8 @@
       // What the broker has is refused by the broker.
       const Instant until =
           forwarding->m_ask != 0 ? forwarding->m_deadline : forwarding->m_wait_until;
-      if (now >= until)
+      const bool nowhere = forwarding->m_ask == 0 && EvacuatedAway(state, *forwarding);
+      if (now >= until || nowhere)
         expired.push_back(ref);
     }
   }
@@ -97,7 +98,8 @@
     Forwarding* forwarding = Find(state, ref);
     if (forwarding == nullptr)
       continue;
-    const bool any = !state.m_pools[forwarding->m_pool->m_name].m_servers.empty();
+    const bool any = !state.m_pools[forwarding->m_pool->m_name].m_servers.empty() &&
+                     !EvacuatedAway(state, *forwarding);
     if (forwarding->m_unsure > 0)
       Refuse(state, *forwarding, ResultCode::kOutcomeUnknown, "no other server had room");
     else
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -109,6 +109,12 @@
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records);
 /// Takes all evacuations that were ordered.
 void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations);
+/// True if the server's data centre is to get nothing new.
+[[nodiscard]] bool IsEvacuated(const ForwarderState& state, const Backend& backend);
+/// True if evacuations have left the request no server: none may take it before they end.
+[[nodiscard]] bool EvacuatedAway(const ForwarderState& state, const Forwarding& forwarding);
+/// Sets the counters of requests that still run at evacuated servers.
+void CountEvacuated(ForwarderState& state);
 /// What keeps a server from a request, for every send that this instance makes.
 [[nodiscard]] ServerBar BarOf(const ForwarderState& state,
                               const Forwarding& forwarding,
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -82,7 +82,7 @@
   kQueued,     ///< It waits at the broker; a second answer follows.
   kNoRoom,     ///< It waited for as long as it may.
   kOverLimit,  ///< The workspace has used up its limit.
-  kNoServer,   ///< The pool has no server.
+  kNoServer,   ///< The pool has no server, or evacuations left it none.
 };
 
 /// \brief Text for logs and counters.
@@ -271,6 +271,10 @@
 /// \brief Takes the whole list of servers. What is in flight and learned stays with their ids.
 void SetServers(PlaceBroker& broker, const std::vector<PlaceServer>& servers);
 
+/// \brief True if an evacuation has left what has these homes no server of the pool: none may take
+/// it before the evacuation ends or others come.
+[[nodiscard]] bool EvacuatedAway(const PlacePool& pool, const HomeRegions& homes) noexcept;
+
 /// \brief Takes what each pool says of its cold servers; of a pool that isn't named, nothing.
 void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits);
 
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -34,7 +34,8 @@
   const auto [pool, i] = FindServer(broker, held.m_server);
   if (pool == nullptr)
     return;
-  if (held.m_taken != Instant{})
+  // A place at an evacuated server comes free for nobody.
+  if (held.m_taken != Instant{} && !pool->m_servers[i].m_evacuated)
     pool->m_flow = CountFreed(pool->m_flow, now - held.m_taken, now);
   --pool->m_views[i].m_others;
   pool->m_views[i].m_reading_tokens -= held.m_reading_tokens;
@@ -130,6 +131,18 @@
     broker.m_pools[name].m_cold = limit;
 }
 
+bool EvacuatedAway(const PlacePool& pool, const HomeRegions& homes) noexcept {
+  bool evacuated = false;
+  for (const PlaceServer& server : pool.m_servers) {
+    if (server.m_leaving || !ServesAtHome(homes, server.m_region))
+      continue;
+    if (!server.m_evacuated)
+      return false;
+    evacuated = true;
+  }
+  return evacuated;
+}
+
 void TakeBatch(PlaceBroker& broker,
                const std::string& holder,
                PlaceBatch batch,
@@ -170,7 +183,7 @@
   } else {
     ask.m_workspace.clear();
   }
-  if (pool.m_servers.empty()) {
+  if (pool.m_servers.empty() || EvacuatedAway(pool, ask.m_homes)) {
     GiveBack(broker, ask);
     out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kNoServer, 0));
     return;
@@ -300,6 +313,8 @@
   for (auto& [name, pool] : broker.m_pools) {
     if (pool.m_waiting.empty())
       continue;
+    if (EvacuatedAway(pool, {}))
+      RefuseAll(broker, pool, now, out);
     ExpirePool(broker, pool, now, out);
     ServePool(broker, pool, now, out);
   }
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -12,6 +12,13 @@
 namespace poppyway {
 
 // ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief What keeps server `i` of the pool from a request.
+/// \param kept whether a roll-out keeps the server from work.
+[[nodiscard]] ServerBar BarOf(const PlacePool& pool,
+                              std::size_t i,
+                              const PlaceAsk& ask,
+                              bool kept,
+                              Instant now);
 /// \brief A tier as an index.
 [[nodiscard]] std::size_t RankIndex(Tier rank);
 /// \brief Recounts what stands in for servers that are new, every so often.
@@ -41,6 +48,8 @@
 void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
 /// \brief Refuses what has waited until its time.
 void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+/// \brief Refuses all that waits: the pool has no server left.
+void RefuseAll(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
 /// \brief After it a place would be of no use for an answer in time, or its caller is gone.
 [[nodiscard]] Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting);
 /// \brief Lets a place request wait that may still get a place in time; refuses any other at once.
--- a/packages/policy/src/place_rollout.cc
+++ b/packages/policy/src/place_rollout.cc
@@ -12,10 +12,13 @@
   return pool.m_servers[i].m_version == pool.m_trial->m_target;
 }
 
-/// True if the pool has a server of the target version, or of others, that may work.
+/// True if the pool has a server of the target version, or of others, that may work. An evacuation
+/// of all others doesn't end a trial: its bound would be lost.
 bool AnyOnSide(const PlacePool& pool, bool target) {
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    if (!pool.m_servers[i].m_leaving && IsTarget(pool, i) == target)
+    const bool away = target && pool.m_servers[i].m_evacuated;
+    const bool may_work = !pool.m_servers[i].m_leaving && !away;
+    if (may_work && IsTarget(pool, i) == target)
       return true;
   }
   return false;
@@ -84,10 +87,7 @@
   const bool fullest = trial.m_sent % 2 == 1;
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const bool open = IsTarget(pool, i) && !pool.m_servers[i].m_leaving &&
-                      !Avoided(pool.m_health[i], now) &&
-                      std::find(ask.m_tried.begin(), ask.m_tried.end(), pool.m_servers[i].m_id) ==
-                          ask.m_tried.end() &&
+    const bool open = IsTarget(pool, i) && BarOf(pool, i, ask, false, now) == ServerBar::kNone &&
                       HasRoom(pool.m_views[i], shape, pool.m_typical);
     if (!open)
       continue;
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -27,19 +27,6 @@
   return std::find(ask.m_tried.begin(), ask.m_tried.end(), server) != ask.m_tried.end();
 }
 
-/// What keeps server `i` from the request.
-/// `kept`: whether a roll-out keeps the server from work.
-ServerBar BarOf(const PlacePool& pool, std::size_t i, const PlaceAsk& ask, bool kept, Instant now) {
-  const PlaceServer& server = pool.m_servers[i];
-  ServerStanding standing;
-  standing.m_leaving = server.m_leaving;
-  standing.m_evacuated = server.m_evacuated;
-  standing.m_kept_by_rollout = kept;
-  standing.m_suspect = Avoided(pool.m_health[i], now);
-  standing.m_region = server.m_region;
-  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
-}
-
 /// Sets what of a server's view depends on who asks and on the time.
 /// `kept`: whether a roll-out keeps the server from work.
 void SetView(PlacePool& pool,
@@ -142,10 +129,11 @@
   return answer;
 }
 
+/// Places that come free for others; those at evacuated servers don't.
 int TakenOf(const PlacePool& pool) {
   int taken = 0;
-  for (const ServerView& view : pool.m_views)
-    taken += view.m_others;
+  for (std::size_t i = 0; i < pool.m_views.size(); ++i)
+    taken += pool.m_servers[i].m_evacuated ? 0 : pool.m_views[i].m_others;
   return taken;
 }
 
@@ -162,6 +150,17 @@
 
 }  // namespace
 
+ServerBar BarOf(const PlacePool& pool, std::size_t i, const PlaceAsk& ask, bool kept, Instant now) {
+  const PlaceServer& server = pool.m_servers[i];
+  ServerStanding standing;
+  standing.m_leaving = server.m_leaving;
+  standing.m_evacuated = server.m_evacuated;
+  standing.m_kept_by_rollout = kept;
+  standing.m_suspect = Avoided(pool.m_health[i], now);
+  standing.m_region = server.m_region;
+  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
+}
+
 std::size_t RankIndex(Tier rank) {
   return static_cast<std::size_t>(std::clamp(rank, 0, kTiers - 1));
 }
@@ -281,6 +280,17 @@
   }
 }
 
+void RefuseAll(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out) {
+  for (const auto& [order, waiting] : pool.m_waiting) {
+    GiveBack(broker, waiting.m_ask);
+    if (order.m_owed)
+      CountUnserved(pool.m_shares, waiting.m_group, now);
+    broker.m_holders[waiting.m_holder].m_waiting.erase(waiting.m_ask.m_ref);
+    out.push_back(RefusalOf(waiting.m_holder, waiting.m_ask.m_ref, PlaceVerdict::kNoServer, 0));
+  }
+  pool.m_waiting.clear();
+}
+
 Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting) {
   const RequestShape& shape = waiting.m_ask.m_shape;
   Duration fastest = kLongestWait;
--- a/packages/state/src/evacuation_state.cc
+++ b/packages/state/src/evacuation_state.cc
@@ -19,6 +19,9 @@
 void ApplyEvacuation(HostedState& state, const wire::EvacuationOrder& order, std::int64_t index) {
   if (IsEvacuated(state, order.data_centre) != order.ends)
     return;
+  const bool late = order.__isset.known && order.known < LastOrder(state, order.data_centre);
+  if (late)
+    return;
   wire::Evacuation evacuation;
   evacuation.data_centre = order.data_centre;
   evacuation.number = NextNumber(state);
@@ -34,4 +37,24 @@
   return found != state.m_evacuations.end() && !found->second.ended;
 }
 
+std::int64_t LastOrder(const HostedState& state, const std::string& data_centre) {
+  const auto found = state.m_evacuations.find(data_centre);
+  return found == state.m_evacuations.end() ? 0 : found->second.number;
+}
+
+std::int64_t LastEvacuationIndex(const HostedState& state) {
+  std::int64_t last = 0;
+  for (const auto& [data_centre, evacuation] : state.m_evacuations)
+    last = std::max(last, evacuation.index);
+  return last;
+}
+
+bool KnowsDataCentre(const HostedState& state, const std::string& data_centre) {
+  const auto registered = [&data_centre](const auto& entry) {
+    return entry.second.data_centre == data_centre;
+  };
+  return state.m_evacuations.contains(data_centre) ||
+         std::any_of(state.m_servers.begin(), state.m_servers.end(), registered);
+}
+
 }  // namespace poppyway
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -812,6 +812,11 @@
 void EvacuationOrder::__set_ends(const bool val) {
   this->ends = val;
 }
+
+void EvacuationOrder::__set_known(const int64_t val) {
+  this->known = val;
+__isset.known = true;
+}
 std::ostream& operator<<(std::ostream& out, const EvacuationOrder& obj)
 {
   obj.printTo(out);
@@ -856,6 +861,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -881,6 +894,11 @@
   xfer += oprot->writeBool(this->ends);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.known) {
+    xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->known);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -890,28 +908,33 @@
   using ::std::swap;
   swap(a.data_centre, b.data_centre);
   swap(a.ends, b.ends);
+  swap(a.known, b.known);
   swap(a.__isset, b.__isset);
 }
 
 EvacuationOrder::EvacuationOrder(const EvacuationOrder& other9) {
   data_centre = other9.data_centre;
   ends = other9.ends;
+  known = other9.known;
   __isset = other9.__isset;
 }
 EvacuationOrder::EvacuationOrder(EvacuationOrder&& other10) noexcept {
   data_centre = std::move(other10.data_centre);
   ends = other10.ends;
+  known = other10.known;
   __isset = other10.__isset;
 }
 EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other11) {
   data_centre = other11.data_centre;
   ends = other11.ends;
+  known = other11.known;
   __isset = other11.__isset;
   return *this;
 }
 EvacuationOrder& EvacuationOrder::operator=(EvacuationOrder&& other12) noexcept {
   data_centre = std::move(other12.data_centre);
   ends = other12.ends;
+  known = other12.known;
   __isset = other12.__isset;
   return *this;
 }
@@ -920,6 +943,7 @@
   out << "EvacuationOrder(";
   out << "data_centre=" << to_string(data_centre);
   out << ", " << "ends=" << to_string(ends);
+  out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -478,9 +478,10 @@
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj);
 
 typedef struct _EvacuationOrder__isset {
-  _EvacuationOrder__isset() : data_centre(false), ends(false) {}
+  _EvacuationOrder__isset() : data_centre(false), ends(false), known(false) {}
   bool data_centre :1;
   bool ends :1;
+  bool known :1;
 } _EvacuationOrder__isset;
 
 class EvacuationOrder : public virtual ::apache::thrift::TBase {
@@ -492,12 +493,14 @@
   EvacuationOrder& operator=(EvacuationOrder&&) noexcept;
   EvacuationOrder() noexcept
                   : data_centre(),
-                    ends(0) {
+                    ends(0),
+                    known(0) {
   }
 
   virtual ~EvacuationOrder() noexcept;
   std::string data_centre;
   bool ends;
+  int64_t known;
 
   _EvacuationOrder__isset __isset;
 
@@ -505,12 +508,18 @@
 
   void __set_ends(const bool val);
 
+  void __set_known(const int64_t val);
+
   bool operator == (const EvacuationOrder & rhs) const
   {
     if (!(data_centre == rhs.data_centre))
       return false;
     if (!(ends == rhs.ends))
       return false;
+    if (__isset.known != rhs.__isset.known)
+      return false;
+    else if (__isset.known && !(known == rhs.known))
+      return false;
     return true;
   }
   bool operator != (const EvacuationOrder &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -23,7 +23,9 @@
 }
 
 // ---- Evacuations: a data centre whose servers get no new work -------------------------------------
-struct EvacuationOrder { 1: string data_centre; 2: bool ends }
+// `known` is the number of the data centre's last order that was known where this one was taken. One
+// that comes late to the leader, after others, must not undo them. Not set: the leader sets it.
+struct EvacuationOrder { 1: string data_centre; 2: bool ends; 3: optional i64 known }
 // `number` counts the orders of a deployment that changed something; `index` is the log index of this
 // one. An ended one is remembered until
 // its servers have had time to warm up.
--- /dev/null
+++ b/soak/evacuations.py
@@ -0,0 +1,206 @@
+#!/usr/bin/env python3
+# SPDX-License-Identifier: MIT
+# Part of poppyway, a request scheduler for unlike engines.
+"""Evacuations through real processes: stand-in servers in two data centres, callers, an operator.
+
+Each case orders that one data centre gets nothing new, with one fault of ours; checks are made from
+what servers, callers and the operator saw. One seed gives one schedule of requests.
+
+    soak/evacuations.py --program build/poppywayd [--seed N] [--case NAME ...]
+"""
+
+import argparse
+import asyncio
+import sys
+import time
+
+from fleet import Fleet, document, hold_subnets
+from stand_ins import Badness, Callers, Operator, Servers
+
+POOL = "app"
+KEY = "key-of-north"
+PER_S = 120
+EVACUATE_S = 5.0  # The bound; cases hold the product to less, so that short ones show something.
+ACK_S = 5.0
+EAST = "/-/evacuations/east"
+
+
+class Case:
+    """One fleet, and what was seen of one evacuation."""
+
+    def __init__(self, program, name, subnet, seed):
+        self.name = name
+        self.fleet = Fleet(program, subnet)
+        members = self.fleet.members
+        self.east = Servers(subnet, "v1", 4, members, Badness(), seed, block=2)
+        self.west = Servers(subnet, "v1", 4, members, Badness(), seed, zone="west", block=3)
+        self.callers = Callers(self.fleet.instances, KEY, PER_S, seed)
+        self.operator = Operator(members, seed)
+        self.failures = []
+        self.figures = {}
+
+    def check(self, holds, what):
+        if not holds:
+            self.failures.append(what)
+
+    async def start(self):
+        self.fleet.start()
+        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY), limit=15)
+        self.check(status == 200, f"the document got {status}")
+        await self.east.start(POOL)
+        await self.west.start(POOL)
+        await asyncio.sleep(2.0)
+        self.callers.start()
+        await asyncio.sleep(1.0)
+        now = time.monotonic()
+        self.check(self.east.arrivals(now - 0.5, now), "no work before the order")
+
+    async def order(self, ends=False):
+        """Gives the order, or takes it back; returns when it was given and acknowledged."""
+        began = time.monotonic()
+        status = await self.operator.evacuate("east", ends)
+        acknowledged = time.monotonic()
+        what = "the end" if ends else "the order"
+        self.check(status == 200, f"{what} got {status}")
+        self.check(acknowledged - began <= ACK_S, f"{what} took {acknowledged - began:.1f} s")
+        return began, acknowledged
+
+    def check_empty(self, acknowledged, ended, within):
+        """Nothing reached the east from `within` after the acknowledgement until the end."""
+        assert within <= EVACUATE_S and ended > acknowledged + within
+        seen = self.east.arrivals(acknowledged, ended)
+        last = seen[-1] - acknowledged if seen else 0.0
+        self.figures["last_arrival_s"] = round(last, 3)
+        self.check(last <= within, f"work reached the east {last:.2f} s after the order")
+        self.check(self.west.arrivals(acknowledged + within, ended), "no work in the west")
+
+    async def check_returned(self):
+        await asyncio.sleep(1.0)
+        now = time.monotonic()
+        self.check(self.east.arrivals(now - 0.5, now), "no work in the east after the end")
+
+    async def ordered_and_ended(self):
+        for ends in (False, True):
+            self.check(await self.operator.evacuate("nowhere", ends) == 404, "unknown, not 404")
+        self.check(await self.operator.evacuate("east", True) == 200, "an end without an order")
+        _, acknowledged = await self.order()
+        self.check(await self.operator.evacuate("east") == 200, "repeated")
+        await asyncio.sleep(2.0)
+        ended, _ = await self.order(ends=True)
+        self.check(await self.operator.evacuate("east", True) == 200, "the end repeated")
+        self.check_empty(acknowledged, ended, 0.5)
+        await self.check_returned()
+
+    async def leader_killed(self):
+        leader = self.fleet.leader()
+        order = asyncio.create_task(self.order())
+        await asyncio.sleep(0.003)
+        leader.kill()
+        _, acknowledged = await order
+        await asyncio.sleep(1.0)
+        leader.start()
+        await asyncio.sleep(3.0)
+        ended, _ = await self.order(ends=True)
+        self.check_empty(acknowledged, ended, 2.0)
+        await self.check_returned()
+
+    async def answer_lost(self):
+        await self.operator.lose_answer("POST", EAST)
+        _, acknowledged = await self.order()
+        await asyncio.sleep(1.5)
+        ended = time.monotonic()
+        await self.operator.lose_answer("DELETE", EAST)
+        await self.order(ends=True)
+        self.check_empty(acknowledged, ended, 0.5)
+        await self.check_returned()
+
+    async def all_members_killed(self):
+        _, acknowledged = await self.order()
+        for member in self.fleet.members:
+            member.kill()
+        await asyncio.sleep(0.5)
+        for member in self.fleet.members:
+            member.start()
+        await asyncio.sleep(6.0)
+        ended, _ = await self.order(ends=True)
+        self.check_empty(acknowledged, ended, 3.0)
+        await self.check_returned()
+
+    async def taken_back_while_told(self):
+        for _ in range(5):
+            await self.order()
+            await self.order(ends=True)
+        await self.check_returned()
+        _, acknowledged = await self.order()
+        await asyncio.sleep(1.5)
+        ended, _ = await self.order(ends=True)
+        self.check_empty(acknowledged, ended, 0.5)
+        await self.check_returned()
+
+    async def play(self):
+        await self.start()
+        await CASES[self.name](self)
+        await self.callers.stop()
+        self.judge()
+
+    def judge(self):
+        runs = self.east.runs | self.west.runs
+        twice = [i for i, when in runs.items() if len(when) > 2]
+        self.check(not twice, f"run more often than the route allows: {twice[:3]}")
+        self.check(not self.callers.wrong, "answers of other requests")
+        served = self.callers.outcomes.get(200, 0)
+        total = sum(self.callers.outcomes.values())
+        if self.name not in ("leader-killed", "all-members-killed"):
+            self.check(served >= 0.99 * total, f"{served} of {total} served")
+        figures = " ".join(f"{key}={value}" for key, value in self.figures.items())
+        print(f"case={self.name} {figures} served={served} total={total} "
+              f"outcomes={self.callers.outcomes}", flush=True)
+
+
+CASES = {
+    "ordered-and-ended": Case.ordered_and_ended,
+    "leader-killed": Case.leader_killed,
+    "answer-lost": Case.answer_lost,
+    "all-members-killed": Case.all_members_killed,
+    "taken-back-while-told": Case.taken_back_while_told,
+}
+
+
+async def run_case(program, name, subnet, seed, keep_logs):
+    case = Case(program, name, subnet, seed)
+    try:
+        await case.play()
+    finally:
+        if case.failures and keep_logs:
+            for process in case.fleet.members + case.fleet.instances:
+                with open(f"{keep_logs}/{name}-{seed}-{process.name}.log", "w",
+                          encoding="utf-8") as kept:
+                    kept.write(process.log())
+        await case.east.stop()
+        await case.west.stop()
+        case.fleet.stop()
+    for failure in case.failures:
+        print(f"FAILED case={name} seed={seed}: {failure}", flush=True)
+    return not case.failures
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--program", required=True, help="path of poppywayd")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--case", nargs="*", default=list(CASES), choices=list(CASES))
+    parser.add_argument("--keep-logs", help="folder for the logs of cases that fail")
+    options = parser.parse_args()
+    passed = 0
+    first, guard = hold_subnets(len(CASES))
+    for number, name in enumerate(options.case):
+        passed += asyncio.run(
+            run_case(options.program, name, first + number, options.seed, options.keep_logs))
+    guard.close()
+    failed = len(options.case) - passed
+    print(f"{passed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -62,6 +62,7 @@
             "bounds.grace_s": 8,
             "bounds.exposure_share": 0.1,
             "bounds.exposure_slack": 50,
+            "bounds.evacuate_ms": 5000,
         }
         if self.member:
             lines["data_dir"] = os.path.join(self._folder, "data")
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -56,12 +56,17 @@
 
     WORK_S = 0.02
 
-    def __init__(self, subnet, version, count, members, badness, seed):
+    def __init__(self, subnet, version, count, members, badness, seed, zone="east", block=None):
+        """`block`: the third number of their addresses; by default it goes by the version."""
         self.version = version
+        self.zone = zone
         self.runs = {}  # Request id to when it ran.
         self.bad = []  # When each bad answer was given.
         self.begun = time.monotonic()
-        self._places = [f"127.{subnet}.{2 if version == 'v1' else 3}.{i + 1}" for i in range(count)]
+        if block is None:
+            block = 2 if version == "v1" else 3
+        self._names = f"i-{version}" if zone == "east" else f"i-{zone}-{version}"
+        self._places = [f"127.{subnet}.{block}.{i + 1}" for i in range(count)]
         self._members = members
         self._badness = badness
         self._rng = random.Random(f"{seed}-{version}")
@@ -75,7 +80,7 @@
             state = {"at_work": 0, "speed": self._rng.uniform(0.8, 1.25)}
             handler = lambda r, w, s=state: self._serve(r, w, s)
             self._listeners.append(await asyncio.start_server(handler, place, 8080))
-            name = f"i-{self.version}-{i}"
+            name = f"{self._names}-{i}"
             self._tasks.append(asyncio.create_task(self._beat(name, place, pool)))
 
     async def stop(self):
@@ -85,11 +90,16 @@
         for listener in self._listeners:
             listener.close()
 
+    def arrivals(self, begin, end):
+        """When requests reached these servers between two times."""
+        return sorted(when for whens in self.runs.values() for when in whens
+                      if begin <= when <= end)
+
     async def _beat(self, name, place, pool):
         sequence = 0
         while True:
             sequence += 1
-            body = json.dumps({"service": pool, "address": f"{place}:8080", "zone": "east",
+            body = json.dumps({"service": pool, "address": f"{place}:8080", "zone": self.zone,
                                "version": self.version, "slots": 6, "state": self._stage,
                                "sequence": sequence})
             for member in self._rng.sample(self._members, len(self._members)):
@@ -193,3 +203,19 @@
     async def state(self, pool):
         status, body = await self.ask("GET", f"/-/rollouts/{pool}", limit=2.0)
         return json.loads(body)["state"] if status == 200 else f"status {status}"
+
+    async def evacuate(self, zone, ends=False, limit=5.0):
+        method = "DELETE" if ends else "POST"
+        return (await self.ask(method, f"/-/evacuations/{zone}", limit=limit))[0]
+
+    async def lose_answer(self, method, path):
+        """Sends an order to one member and doesn't wait for what it says."""
+        member = self._rng.choice(self._members)
+        try:
+            _, writer = await asyncio.open_connection(member.address, CONTROL_PORT)
+            writer.write(f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+                         "Content-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            writer.close()
+        except OSError:
+            pass  # A member that is gone took no order either.
--- /dev/null
+++ b/tests/evacuation_test.cc
@@ -0,0 +1,466 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// A data centre that gets nothing new: the order, the broker, instances.
+#include <catch2/catch.hpp>
+
+#include "forwarder_rig.h"
+#include "poppyway/state.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kSecond{1'000'000};
+const Instant kStart{Duration(10'000'000)};
+
+wire::EvacuationOrder Order(const std::string& data_centre, bool ends = false) {
+  wire::EvacuationOrder order;
+  order.data_centre = data_centre;
+  order.ends = ends;
+  return order;
+}
+
+wire::Evacuation Evacuated(const std::string& data_centre, std::int64_t number, bool ended) {
+  wire::Evacuation evacuation;
+  evacuation.data_centre = data_centre;
+  evacuation.number = number;
+  evacuation.ended = ended;
+  return evacuation;
+}
+
+// ---- The replicated state -----------------------------------------------------------------------
+
+TEST_CASE("an evacuation that is ordered twice counts once, and so does its end") {
+  HostedState state;
+  ApplyEvacuation(state, Order("east"), 7);
+  CHECK(IsEvacuated(state, "east"));
+  CHECK_FALSE(IsEvacuated(state, "west"));
+  CHECK(state.m_servers_index == 7);
+  ApplyEvacuation(state, Order("east"), 8);
+  CHECK(LastOrder(state, "east") == 1);
+  CHECK(LastEvacuationIndex(state) == 7);
+  ApplyEvacuation(state, Order("east", true), 9);
+  ApplyEvacuation(state, Order("east", true), 10);
+  CHECK_FALSE(IsEvacuated(state, "east"));
+  CHECK(LastOrder(state, "east") == 2);
+  CHECK(LastEvacuationIndex(state) == 9);
+}
+
+TEST_CASE("the end of an evacuation that nobody ordered changes nothing") {
+  HostedState state;
+  ApplyEvacuation(state, Order("east", true), 7);
+  CHECK(state.m_evacuations.empty());
+  CHECK(state.m_servers_index == 0);
+}
+
+TEST_CASE("an order that arrives after others were given doesn't undo them") {
+  HostedState state;
+  wire::EvacuationOrder first = Order("east");
+  first.__set_known(LastOrder(state, "east"));
+  ApplyEvacuation(state, Order("east"), 7);        // The same order, through another member.
+  ApplyEvacuation(state, Order("east", true), 8);  // Taken back.
+  ApplyEvacuation(state, first, 9);                // What was held up on its way.
+  CHECK_FALSE(IsEvacuated(state, "east"));
+  CHECK(LastOrder(state, "east") == 2);
+  wire::EvacuationOrder next = Order("east");
+  next.__set_known(LastOrder(state, "east"));
+  ApplyEvacuation(state, next, 10);
+  CHECK(IsEvacuated(state, "east"));
+}
+
+TEST_CASE("an order for one data centre makes none for another late") {
+  HostedState state;
+  wire::EvacuationOrder west = Order("west");
+  west.__set_known(LastOrder(state, "west"));
+  ApplyEvacuation(state, Order("east"), 7);
+  ApplyEvacuation(state, west, 8);
+  CHECK(IsEvacuated(state, "west"));
+}
+
+TEST_CASE("evacuations survive a snapshot") {
+  StateMachine machine;
+  ApplyEvacuation(machine.m_hosted, Order("east"), 4);
+  ApplyEvacuation(machine.m_hosted, Order("west"), 5);
+  ApplyEvacuation(machine.m_hosted, Order("west", true), 6);
+  wire::Snapshot snapshot;
+  snapshot.index = 6;
+  snapshot.state = SaveMachine(machine);
+  StateMachine loaded;
+  REQUIRE(LoadMachine(loaded, snapshot));
+  CHECK(loaded.m_hosted.m_evacuations == machine.m_hosted.m_evacuations);
+  CHECK(IsEvacuated(loaded.m_hosted, "east"));
+  CHECK(loaded.m_hosted.m_servers_index == 6);
+}
+
+TEST_CASE("a data centre is known once a server has registered from it, also when that is gone") {
+  HostedState state;
+  CHECK_FALSE(KnowsDataCentre(state, "east"));
+  wire::ServerRecord server;
+  server.id = "s0";
+  server.pool = "app";
+  server.data_centre = "east";
+  server.stage = wire::ServerStage::READY;
+  server.sequence = 1;
+  ApplyServer(state, server, 3);
+  CHECK(KnowsDataCentre(state, "east"));
+  CHECK_FALSE(KnowsDataCentre(state, ""));
+  state.m_servers.clear();
+  ApplyEvacuation(state, Order("east"), 4);
+  CHECK(KnowsDataCentre(state, "east"));  // Or nobody could take the order back.
+}
+
+// ---- The platform's calls -----------------------------------------------------------------------
+
+TEST_CASE("calls that order an evacuation and its end are decoded") {
+  using platform::ControlCall;
+  using platform::DecodeControlCall;
+  const ControlCall order = DecodeControlCall("POST", "/-/evacuations/perth-a", "").value();
+  CHECK(order.m_kind == ControlCall::Kind::kOrderEvacuation);
+  CHECK(order.m_evacuation == Order("perth-a"));
+  const ControlCall end = DecodeControlCall("DELETE", "/-/evacuations/perth-a", "").value();
+  CHECK(end.m_kind == ControlCall::Kind::kOrderEvacuation);
+  CHECK(end.m_evacuation == Order("perth-a", true));
+  for (const char* method : {"GET", "PUT"})
+    CHECK(DecodeControlCall(method, "/-/evacuations/perth-a", "")->m_kind ==
+          ControlCall::Kind::kUnknown);
+  for (const char* target : {"/-/evacuations", "/-/evacuations/"})
+    CHECK(DecodeControlCall("POST", target, "")->m_kind == ControlCall::Kind::kUnknown);
+}
+
+TEST_CASE("an order for a data centre that nobody knows is told apart from one to be sent again") {
+  const platform::ControlCall call =
+      platform::DecodeControlCall("POST", "/-/evacuations/nowhere", "").value();
+  wire::Body done;
+  done.__set_done(true);
+  CHECK(platform::EncodeControlAnswer(call, done).m_status == 200);
+  wire::ErrorReply unknown;
+  unknown.code = static_cast<std::int32_t>(ResultCode::kNotFound);
+  unknown.message = "data centre 'nowhere' is not in the settings";
+  wire::Body refused;
+  refused.__set_error(unknown);
+  const platform::ControlAnswer answer = platform::EncodeControlAnswer(call, refused);
+  CHECK(answer.m_status == 404);
+  CHECK(answer.m_body.find("nowhere") != std::string::npos);
+  wire::ErrorReply none;
+  none.code = static_cast<std::int32_t>(ResultCode::kNoMajority);
+  wire::Body later;
+  later.__set_error(none);
+  CHECK(platform::EncodeControlAnswer(call, later).m_status == 503);
+}
+
+// ---- The broker of places -----------------------------------------------------------------------
+
+PlaceServer Server(const std::string& id, const std::string& data_centre, bool evacuated) {
+  PlaceServer server;
+  server.m_id = id;
+  server.m_pool = "engines";
+  server.m_data_centre = data_centre;
+  server.m_region = data_centre;
+  server.m_slots = 2;
+  server.m_evacuated = evacuated;
+  return server;
+}
+
+PlaceAsk Ask(PlaceRef ref) {
+  PlaceAsk ask;
+  ask.m_ref = ref;
+  ask.m_pool = "engines";
+  ask.m_data_centre = "east";
+  ask.m_shape.m_prompt_tokens = 600;  // For an engine, which has no queue of its own.
+  ask.m_shape.m_aim = Duration(800'000);
+  ask.m_shape.m_left = 10 * kSecond;
+  ask.m_wait = kSecond;
+  return ask;
+}
+
+PlaceBroker Broker(const std::vector<PlaceServer>& servers) {
+  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart - 10 * kSecond);
+  SetServers(broker, servers);
+  Resync(broker, "a", 1, kStart);
+  return broker;
+}
+
+PlaceAnswer AskFor(PlaceBroker& broker, PlaceAsk ask, Instant now = kStart) {
+  std::vector<PlaceAnswer> out;
+  poppyway::Ask(broker, "a", std::move(ask), now, out);
+  REQUIRE(out.size() == 1);
+  return out[0];
+}
+
+TEST_CASE("servers of an evacuated data centre get nothing new, and what they run still counts") {
+  PlaceBroker broker = Broker({Server("e", "east", false), Server("w", "west", false)});
+  for (PlaceRef ref = 1; ref <= 4; ++ref)
+    CHECK(AskFor(broker, Ask(ref)).m_verdict == PlaceVerdict::kPlaced);
+  SetServers(broker, {Server("e", "east", true), Server("w", "west", false)});
+  const PlacePool& pool = broker.m_pools.at("engines");
+  CHECK(pool.m_views[0].m_others == 2);
+  // Both places at the evacuated server come free; who waits gets none of them.
+  CHECK(AskFor(broker, Ask(5)).m_verdict == PlaceVerdict::kQueued);
+  for (const auto& [ref, held] : std::unordered_map(broker.m_holders.at("a").m_held)) {
+    if (held.m_server != "e")
+      continue;
+    PlaceReport report;
+    report.m_ref = ref;
+    report.m_ended = true;
+    std::vector<PlaceAnswer> out;
+    Report(broker, "a", report, kStart, out);
+    CHECK(out.empty());
+  }
+  CHECK(broker.m_pools.at("engines").m_views[0].m_others == 0);
+  // Those places say nothing of how soon others come free.
+  CHECK(broker.m_pools.at("engines").m_flow.m_freed == 0);
+  std::vector<PlaceAnswer> out;
+  SetServers(broker, {Server("e", "east", false), Server("w", "west", false)});
+  TickBroker(broker, kStart, out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].m_server == "e");
+}
+
+TEST_CASE("a pool that an evacuation has left no server refuses at once, also what waits") {
+  PlaceBroker broker = Broker({Server("e", "east", false)});
+  (void)AskFor(broker, Ask(1));
+  (void)AskFor(broker, Ask(2));
+  CHECK(AskFor(broker, Ask(3)).m_verdict == PlaceVerdict::kQueued);
+  SetServers(broker, {Server("e", "east", true)});
+  std::vector<PlaceAnswer> out;
+  TickBroker(broker, kStart, out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].m_ref == 3);
+  CHECK(out[0].m_verdict == PlaceVerdict::kNoServer);
+  CHECK(broker.m_holders.at("a").m_waiting.empty());
+  CHECK(AskFor(broker, Ask(4)).m_verdict == PlaceVerdict::kNoServer);
+}
+
+TEST_CASE("a server that leaves doesn't stand for what an evacuation has left") {
+  PlaceServer leaving = Server("w", "west", false);
+  leaving.m_leaving = true;
+  PlaceBroker broker = Broker({Server("e", "east", true), leaving});
+  CHECK(AskFor(broker, Ask(1)).m_verdict == PlaceVerdict::kNoServer);
+}
+
+TEST_CASE("what may be served only where all is evacuated is refused at once, other work goes on") {
+  PlaceBroker broker = Broker({Server("e", "east", true), Server("w", "west", false)});
+  PlaceAsk bound = Ask(1);
+  bound.m_homes = {true, {"east"}};
+  CHECK(AskFor(broker, bound).m_verdict == PlaceVerdict::kNoServer);
+  CHECK(AskFor(broker, Ask(2)).m_server == "w");
+}
+
+TEST_CASE("half of what an evacuation has left stays in use, not half of the whole pool") {
+  std::vector<PlaceServer> servers;
+  for (int i = 0; i < 6; ++i)
+    servers.push_back(Server("e" + std::to_string(i), "east", true));
+  servers.push_back(Server("w0", "west", false));
+  servers.push_back(Server("w1", "west", false));
+  PlaceBroker broker = Broker(servers);
+  PlacePool& pool = broker.m_pools.at("engines");
+  pool.m_health[6].m_failures = 9;
+  pool.m_health[6].m_avoid_until = kStart + 5 * kSecond;
+  REQUIRE(Avoided(pool.m_health[6], kStart));
+  for (PlaceRef ref = 1; ref <= 2; ++ref)
+    CHECK(AskFor(broker, Ask(ref)).m_server == "w1");
+  CHECK(AskFor(broker, Ask(3)).m_verdict == PlaceVerdict::kQueued);
+}
+
+TEST_CASE("work that moves to a version whose servers are all evacuated goes on with the others") {
+  PlaceServer target = Server("e", "east", true);
+  target.m_version = "v2";
+  PlaceServer other = Server("w", "west", false);
+  other.m_version = "v1";
+  PlaceBroker broker = Broker({target, other});
+  SetRollouts(broker, {{"engines", {1, "v2", true, 0, 0}}}, ExposureBounds{});
+  CHECK(AskFor(broker, Ask(1)).m_server == "w");
+}
+
+TEST_CASE("an evacuated server of a version on trial gets no trial request either") {
+  PlaceServer target = Server("e", "east", false);
+  target.m_version = "v2";
+  PlaceServer other = Server("w", "west", false);
+  other.m_version = "v1";
+  other.m_slots = 100;
+  for (const bool evacuated : {false, true}) {
+    CAPTURE(evacuated);
+    target.m_evacuated = evacuated;
+    PlaceBroker broker = Broker({target, other});
+    SetRollouts(broker, {{"engines", {1, "v2", false, 0, 0}}}, ExposureBounds{});
+    broker.m_pools.at("engines").m_trial->m_allowed = 5;
+    int trials = 0;
+    for (PlaceRef ref = 1; ref <= 20; ++ref)
+      trials += AskFor(broker, Ask(ref)).m_server == "e" ? 1 : 0;
+    CHECK((trials > 0) == !evacuated);
+  }
+}
+
+TEST_CASE("evacuating all other servers doesn't give a version on trial the whole work") {
+  PlaceServer target = Server("w", "west", false);
+  target.m_version = "v2";
+  target.m_slots = 100;
+  PlaceServer other = Server("e", "east", true);
+  other.m_version = "v1";
+  PlaceBroker broker = Broker({target, other});
+  SetRollouts(broker, {{"engines", {1, "v2", false, 0, 0}}}, ExposureBounds{});
+  for (PlaceRef ref = 1; ref <= 20; ++ref)
+    CHECK(AskFor(broker, Ask(ref)).m_verdict != PlaceVerdict::kPlaced);
+}
+
+// ---- An instance --------------------------------------------------------------------------------
+
+struct FakeBroker {
+  std::vector<PlaceAsk> m_asks;
+  std::vector<PlaceReport> m_reports;
+
+  explicit FakeBroker(Rig& rig) {
+    rig.m_forwarder->SetBroker({[this](PlaceBatch batch) {
+                                  for (PlaceAsk& ask : batch.m_asks)
+                                    m_asks.push_back(std::move(ask));
+                                  for (PlaceReport& report : batch.m_reports)
+                                    m_reports.push_back(report);
+                                },
+                                [] {}});
+    rig.m_forwarder->Take(BrokerFound{1});
+  }
+  void Place(Rig& rig, std::size_t ask, const std::string& server) const {
+    PlaceAnswer answer;
+    answer.m_ref = m_asks[ask].m_ref;
+    answer.m_verdict = PlaceVerdict::kPlaced;
+    answer.m_server = server;
+    rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
+  }
+};
+
+void RegisterIn(Rig& rig,
+                const std::string& data_centre,
+                const std::string& id,
+                const ScriptedServer& server) {
+  wire::ServerRecord record = rig.Record(id, server);
+  record.data_centre = data_centre;
+  rig.m_forwarder->Take(ServersChanged{{record}});
+}
+
+void Evacuate(Rig& rig, std::int64_t number, bool ended = false) {
+  rig.m_forwarder->Take(EvacuationsChanged{{Evacuated("east", number, ended)}});
+}
+
+std::vector<ScriptStep> Ok(const std::string& request) {
+  return Answer(request, "ok");
+}
+
+TEST_CASE("a call whose connection comes up after the order sends nothing and goes elsewhere") {
+  ScriptedServer east(&Ok);
+  ScriptedServer west(&Ok);
+  Rig rig;
+  RegisterIn(rig, "east", "e", east);
+  RegisterIn(rig, "west", "w", west);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  broker.Place(rig, 0, "e");
+  Evacuate(rig, 1);
+  rig.RunUntil([&] { return broker.m_asks.size() == 2; });
+  REQUIRE(broker.m_asks.size() == 2);
+  broker.Place(rig, 1, "w");
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(east.requests().empty());
+  CHECK(west.requests().size() == 1);
+  // The first place was given back as one that ran nothing.
+  REQUIRE(!broker.m_reports.empty());
+  CHECK(broker.m_reports[0].m_ended);
+  CHECK_FALSE(broker.m_reports[0].m_ran);
+}
+
+TEST_CASE("a place that was given before the order and arrives after it isn't used") {
+  ScriptedServer east(&Ok);
+  ScriptedServer west(&Ok);
+  Rig rig;
+  RegisterIn(rig, "east", "e", east);
+  RegisterIn(rig, "west", "w", west);
+  FakeBroker broker(rig);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  Evacuate(rig, 1);
+  broker.Place(rig, 0, "e");
+  REQUIRE(broker.m_asks.size() == 2);
+  CHECK(broker.m_asks[1].m_tried == std::vector<std::string>{"e"});
+  broker.Place(rig, 1, "w");
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(east.requests().empty());
+}
+
+TEST_CASE("an instance alone keeps to an evacuation, refuses where nothing is left, and returns") {
+  ScriptedServer east(&Ok);
+  ScriptedServer west(&Ok);
+  Rig rig;
+  RegisterIn(rig, "east", "e", east);
+  Evacuate(rig, 1);
+  const Seen refused = Call(rig, Request("/safe/", "i"));
+  CHECK(refused.status() == 503);
+  CHECK(refused.m_millis < 80);  // Its aim would let it wait for 88 ms.
+  CHECK(rig.Refusals(std::string(Describe(ResultCode::kNoBackend).m_name)) == 1);
+  RegisterIn(rig, "west", "w", west);
+  CHECK(Call(rig, Request("/safe/", "j")).status() == 200);
+  CHECK(east.requests().empty());
+  CHECK(west.requests().size() == 1);
+  rig.m_forwarder->Take(ServersChanged{{rig.Record("w", west, wire::ServerStage::GONE)}});
+  Evacuate(rig, 2, true);
+  CHECK(Call(rig, Request("/safe/", "k")).status() == 200);
+  CHECK(east.requests().size() == 1);
+}
+
+TEST_CASE("news of an evacuation that is older than what is known changes nothing") {
+  ScriptedServer east(&Ok);
+  Rig rig;
+  RegisterIn(rig, "east", "e", east);
+  Evacuate(rig, 2, true);
+  Evacuate(rig, 1);
+  CHECK(Call(rig, Request("/safe/", "i")).status() == 200);
+}
+
+/// Keeps its connection until the instance closes it.
+std::vector<ScriptStep> OkAndStay(const std::string& request) {
+  return {Wait(100), Answer(request, "ok")[0], AwaitClose()};
+}
+
+TEST_CASE("connections that rest at an evacuated server are closed") {
+  ScriptedServer east(&OkAndStay);
+  Rig rig;
+  RegisterIn(rig, "east", "e", east);
+  CHECK(Call(rig, Request("/safe/", "i")).status() == 200);
+  CHECK(east.peer_closes() == 0);
+  Evacuate(rig, 1);
+  rig.RunUntil([&] { return east.peer_closes() == 1; });
+  CHECK(east.peer_closes() == 1);
+}
+
+TEST_CASE("what runs at an evacuated server ends there, and its connection isn't kept") {
+  ScriptedServer east(&OkAndStay);
+  Rig rig;
+  RegisterIn(rig, "east", "e", east);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return east.requests().size() == 1; });
+  Evacuate(rig, 1);
+  CHECK(call.Finish(rig).status() == 200);
+  rig.RunUntil([&] { return east.peer_closes() == 1; });
+  CHECK(east.peer_closes() == 1);
+}
+
+TEST_CASE("a stream that breaks isn't resumed in an evacuated data centre") {
+  ScriptedServer east(&Ok);
+  ScriptedServer west([](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send(Head(request, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n") +
+             Chunk(Event(1))),
+        Wait(100), ResetNow()};
+  });
+  Rig rig;
+  RegisterIn(rig, "west", "w", west);
+  Pending call(rig, Request("/stream/", "i"));
+  rig.RunUntil([&] { return west.requests().size() == 1; });
+  RegisterIn(rig, "east", "e", east);
+  Evacuate(rig, 1);
+  (void)call.Finish(rig);
+  CHECK(east.requests().empty());
+}
+
+}  // namespace
+}  // namespace poppyway
