--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -50,6 +50,8 @@
 void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
 /// \brief Refuses what has waited until its time.
 void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+/// \brief Refuses all that waits: the pool has no server left.
+void RefuseAll(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
 /// \brief After it a place would be of no use for an answer in time, or its caller is gone.
 [[nodiscard]] Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting);
 /// \brief Lets a place request wait that may still get a place in time; refuses any other at once.
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -142,10 +142,11 @@
   return answer;
 }
 
+/// Places that come free for others; those at evacuated servers don't.
 int TakenOf(const PlacePool& pool) {
   int taken = 0;
-  for (const ServerView& view : pool.m_views)
-    taken += view.m_others;
+  for (std::size_t i = 0; i < pool.m_views.size(); ++i)
+    taken += pool.m_servers[i].m_evacuated ? 0 : pool.m_views[i].m_others;
   return taken;
 }
 
@@ -311,6 +312,17 @@
   }
 }
 
+void RefuseAll(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out) {
+  for (const auto& [order, waiting] : pool.m_waiting) {
+    GiveBack(broker, waiting.m_ask);
+    if (order.m_owed)
+      CountUnserved(pool.m_shares, waiting.m_group, now);
+    broker.m_holders[waiting.m_holder].m_waiting.erase(waiting.m_ask.m_ref);
+    out.push_back(RefusalOf(waiting.m_holder, waiting.m_ask.m_ref, PlaceVerdict::kNoServer, 0));
+  }
+  pool.m_waiting.clear();
+}
+
 Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting) {
   const RequestShape& shape = waiting.m_ask.m_shape;
   Duration fastest = kLongestWait;
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -111,8 +111,7 @@
     machine.m_hosted.m_rollouts[rollout.pool] = rollout;
   for (const wire::Evacuation& evacuation : state->evacuations) {
     machine.m_hosted.m_evacuations[evacuation.data_centre] = evacuation;
-    machine.m_hosted.m_servers_index =
-        std::max(machine.m_hosted.m_servers_index, evacuation.index);
+    machine.m_hosted.m_servers_index = std::max(machine.m_hosted.m_servers_index, evacuation.index);
   }
   machine.m_applied = snapshot.index;
   return {};
