--- a/packages/policy/src/place_cold.cc
+++ b/packages/policy/src/place_cold.cc
@@ -44,6 +44,9 @@
 std::optional<Duration> ColdForecast(const PlacePool& pool, int ahead) {
   double per_s = 0;
   for (std::size_t i = 0; i < pool.m_ramps.size(); ++i) {
+    // Where others work too, places come free as they do: that forecast is the better one.
+    if (pool.m_views[i].m_usable)
+      return std::nullopt;
     if (pool.m_ramps[i].m_full && pool.m_views[i].m_others < pool.m_views[i].m_slots)
       per_s += pool.m_cold.m_per_s;
   }
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -77,7 +77,7 @@
 /// \brief Learns from a report whether server `i` may have started again.
 void NoteColdSign(PlacePool& pool, std::size_t i, const PlaceReport& report, Instant now);
 /// \brief When cold servers that had got as much as they may have room for what has `ahead` others
-/// before it; nullopt if there are none.
+/// before it; nullopt if there are none, or others that work.
 [[nodiscard]] std::optional<Duration> ColdForecast(const PlacePool& pool, int ahead);
 
 // ---- place_learn.cc ----------------------------------------------------------------------------
