Cold servers: tests of an instance that decides alone

Cause: what an instance alone does was tested at its pure functions only. The new tests showed that a first wait was drawn anew at each look once the one before had lapsed by more than the time between two sends: where that is shorter than a tick, a cold server was never used.

Change: a first wait lapses after a second at the soonest. Tests through the forwarder: warm servers first, the even part, nothing where no part is left, the end of an evacuation.

Process tests weren't run.

--- a/packages/policy/src/cold_ramp.cc
+++ b/packages/policy/src/cold_ramp.cc
@@ -125,7 +125,8 @@
                 Instant now) noexcept {
   const Duration gap = GapAlone(limit, instances);
   // What could have been sent but wasn't was no cold server, or the broker was there.
-  const bool begun = ramp.m_next_alone != Instant{} && now < ramp.m_next_alone + gap;
+  const Duration lapses = std::max(gap, kColdWindow);
+  const bool begun = ramp.m_next_alone != Instant{} && now < ramp.m_next_alone + lapses;
   if (begun || gap == Duration(0))
     return;
   ramp.m_next_alone =
--- /dev/null
+++ b/tests/cold_alone_test.cc
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What an instance that decides alone sends to cold servers.
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+/// The document of all tests, with servers that are cold for 8 s after a start.
+std::string ColdDocument() {
+  std::string document = Document(1, "key");
+  const std::string before = R"("max_conns":9)";
+  return document.replace(document.find(before), before.size(),
+                          before + R"(,"cold_s":8,"cold_per_s":12)");
+}
+
+void RegisterCold(Rig& rig,
+                  const std::string& id,
+                  const ScriptedServer& server,
+                  const std::string& data_centre = "") {
+  wire::ServerRecord record = rig.Record(id, server);
+  record.data_centre = data_centre;
+  record.cold_left_ms = 8'000;
+  rig.m_forwarder->Take(ServersChanged{{record}});
+}
+
+int Served(Rig& rig, int calls) {
+  int served = 0;
+  for (int i = 0; i < calls; ++i)
+    served += Call(rig, Request("/safe/", "i" + std::to_string(i))).status() == 200 ? 1 : 0;
+  return served;
+}
+
+TEST_CASE("an instance that decides alone sends to warm servers while they have room") {
+  ScriptedServer warm([](const std::string& request) { return Answer(request, "ok"); });
+  ScriptedServer cold([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig(ColdDocument());
+  rig.m_forwarder->state().m_settings.m_cold_tolerance = {1, 10'000};  // It may at any time.
+  // Were both warm, the one in the instance's own data centre would get all.
+  rig.m_forwarder->state().m_settings.m_data_centre = "east";
+  rig.Register("s0", warm);
+  RegisterCold(rig, "s1", cold, "east");
+  CHECK(Served(rig, 12) == 12);
+  CHECK(cold.requests().empty());
+}
+
+TEST_CASE("an instance that decides alone sends cold servers its even part") {
+  ScriptedServer cold([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig(ColdDocument());
+  // Half of 10 a second, for one instance: every 200 ms.
+  rig.m_forwarder->state().m_settings.m_cold_tolerance = {1, 10};
+  RegisterCold(rig, "s0", cold);
+  const Instant begun = ReadClock();
+  const int served = Served(rig, 8);
+  const double spent_s = static_cast<double>((ReadClock() - begun).count()) / 1e6;
+  CHECK(served >= 1);
+  CHECK(served <= 1 + spent_s * 5);
+  CHECK(cold.requests().size() == static_cast<std::size_t>(served));
+}
+
+TEST_CASE("an instance that decides alone sends cold servers nothing where no part is left") {
+  ScriptedServer cold([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig(ColdDocument());
+  RegisterCold(rig, "s0", cold);
+  CHECK(Served(rig, 3) == 0);
+  CHECK(cold.requests().empty());
+}
+
+TEST_CASE("an evacuation that ends leaves its servers presumed cold at an instance") {
+  ScriptedServer server([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig(ColdDocument());
+  wire::ServerRecord record = rig.Record("s0", server);
+  record.data_centre = "east";
+  rig.m_forwarder->Take(ServersChanged{{record}});
+  CHECK(Served(rig, 1) == 1);
+  wire::Evacuation evacuation;
+  evacuation.data_centre = "east";
+  rig.m_forwarder->Take(EvacuationsChanged{{evacuation}});
+  evacuation.ended = true;
+  rig.m_forwarder->Take(EvacuationsChanged{{evacuation}});
+  CHECK(Served(rig, 1) == 0);
+}
+
+}  // namespace
+}  // namespace poppyway
