Serve a request in its own region while that has room

Change: in a comparison another region costs the whole aim beside its round trip; other data centres of a region cost what they did.

All 283 of poppyway_tests pass.

--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -34,6 +34,17 @@
 constexpr double kRemoteShare =
     0.12;  // Of the aim: what another data centre costs in a comparison.
 
+// Of the aim: what another region costs in a comparison, beside the way. As much as the aim itself:
+// a region that has room serves its own, and only what finds none leaves it.
+constexpr double kRegionShare = 1;
+
+/// What a server that isn't near costs in a comparison, beside the way: a share of the aim.
+double FarShare(const ServerView& server) noexcept {
+  if (server.m_same_data_centre)
+    return 0;
+  return server.m_round_trip > Duration(0) ? kRegionShare : kRemoteShare;
+}
+
 double Known(double value, double typical, double fallback) noexcept {
   if (value > 0)
     return value;
@@ -195,7 +206,7 @@
     const double filled =
         static_cast<double>(server.m_own + server.m_others) / std::max(1, server.m_slots);
     const double ms = work * (1 + filled) + way + RiskMs(server, request, typical) +
-                      (server.m_same_data_centre ? 0 : kRemoteShare * Ms(request.m_aim));
+                      FarShare(server) * Ms(request.m_aim);
     if (best && ms > best_ms + kTieMs)
       continue;
     const bool tie = best && ms >= best_ms - kTieMs;
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -97,6 +97,22 @@
   CHECK(Choose(views, Booking())->m_index == 0);
 }
 
+TEST_CASE("a region that has room serves its own, although another one would be sooner") {
+  ServerView near;
+  near.m_slots = 4;
+  near.m_pace.m_tokens_per_ms = 10;
+  ServerView far = near;
+  far.m_round_trip = kTrip;
+  near.m_same_data_centre = true;
+  near.m_reading_tokens = 2'000;  // 200 ms ahead here, 60 ms of way there.
+  RequestShape prompt;
+  prompt.m_prompt_tokens = 500;
+  prompt.m_aim = Duration(800'000);
+  CHECK(Choose({near, far}, prompt)->m_index == 0);
+  near.m_reading_tokens = 9'000;
+  CHECK(Choose({near, far}, prompt)->m_index == 1);
+}
+
 TEST_CASE("what finds no room in its region goes to another one where it is in time") {
   const std::vector<ServerView> views{Service(40, Duration(0)), Service(0, kTrip)};
   const std::optional<ServerChoice> choice = Choose(views, Booking());
