--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from fleet import Fleet, document, hold_subnets
+from fleet import Fleet, document, hold_subnets, release
 from stand_ins import Badness, Callers, Operator, Servers
 
 POOL = "app"
@@ -198,11 +198,11 @@
     parser.add_argument("--keep-logs", help="folder for the logs of cases that fail")
     options = parser.parse_args()
     passed = 0
-    first, guard = hold_subnets(len(CASES))
+    first, guards = hold_subnets(len(options.case))
     for number, name in enumerate(options.case):
         passed += asyncio.run(
             run_case(options.program, name, first + number, options.seed, options.keep_logs))
-    guard.close()
+    release(guards)
     failed = len(options.case) - passed
     print(f"{passed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
