--- a/apps/poppywayd/control_server.cc
+++ b/apps/poppywayd/control_server.cc
@@ -9,6 +9,10 @@
 
 constexpr std::size_t kMaxDocument = 32 << 20;
 constexpr std::uint64_t kIdleMillis = 30'000;
+// Another writer may send heartbeats that can't be used without end: the counters tell of the rest.
+constexpr Duration kLinesInterval{1'000'000};
+constexpr int kMostLines = 10;
+constexpr std::size_t kMostLogged = 300;  // Bytes of a target: the longest id of a server fits.
 
 /// A request that may be gone by the time its outcome is known.
 struct PendingRequest {
@@ -76,6 +80,22 @@
   return m_server.Listen(m_place.m_address, m_place.m_port);
 }
 
+bool ControlServer::MayLogRefused(Instant now) {
+  if (now - m_lines_since >= kLinesInterval) {
+    m_lines_since = now;
+    m_lines = 0;
+  }
+  return ++m_lines <= kMostLines;
+}
+
+void ControlServer::AddMetrics(MetricSet& metrics) const {
+  for (std::size_t i = 0; i < m_refused.size(); ++i) {
+    const auto fault = static_cast<platform::HeartbeatFault>(i);
+    const std::string label = "reason=\"" + std::string(platform::HeartbeatFaultName(fault)) + "\"";
+    metrics.Set("poppyway_heartbeats_refused_total", label, static_cast<double>(m_refused[i]));
+  }
+}
+
 void ControlServer::OnRequest(h2o_req_t* req) {
   using Kind = platform::ControlCall::Kind;
   const Instant begun = ReadClock();
@@ -85,9 +105,13 @@
   Result<platform::ControlCall> call = platform::DecodeControlCall(method, target, body);
   if (!call) {
     const platform::ControlAnswer answer = platform::EncodeControlError(call.error());
-    POPPYWAY_LOG(warning, "call_refused")
-        .Field("target", target)
-        .Field("why", call.error().m_message);
+    const auto fault = platform::HeartbeatFaultOf(method, target, body);
+    if (fault)
+      ++m_refused[static_cast<std::size_t>(*fault)];
+    if (!fault || MayLogRefused(begun))
+      POPPYWAY_LOG(warning, "call_refused")
+          .Field("target", target.substr(0, kMostLogged))
+          .Field("why", call.error().m_message);
     ReplyWhole(req, answer.m_status, "application/json", answer.m_body);
     return;
   }
--- a/apps/poppywayd/control_server.h
+++ b/apps/poppywayd/control_server.h
@@ -2,8 +2,11 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <array>
+
 #include "member_side.h"
 #include "poppyway/http.h"
+#include "poppyway/platform.h"
 #include "poppyway/settings.h"
 
 namespace poppyway {
@@ -15,13 +18,19 @@
   ControlServer(TaskLoop& loop, const Endpoint& place, MemberSide& member);
 
   [[nodiscard]] Result<void> Listen();
+  void AddMetrics(MetricSet& metrics) const;
 
  private:
   void OnRequest(h2o_req_t* req);
+  /// False once as many refused heartbeats were logged as an interval may.
+  [[nodiscard]] bool MayLogRefused(Instant now);
 
   Endpoint m_place;
   MemberSide& m_member;
   HttpServer m_server;
+  std::array<std::uint64_t, platform::kHeartbeatFaults> m_refused{};  ///< By fault.
+  Instant m_lines_since{};
+  int m_lines = 0;
 };
 
 }  // namespace poppyway
--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -151,6 +151,8 @@
     MetricSet metrics;
     if (m_control.member() != nullptr)
       m_control.member()->AddMetrics(metrics);
+    if (m_server)
+      m_server->AddMetrics(metrics);
     ReplyWhole(req, 200, "text/plain; version=0.0.4", metrics.Text());
   }
 
--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -170,6 +170,12 @@
     return;
   }
   if (ChangesServer(m_machine.m_hosted, record)) {
+    if (m_registry.Refuses(m_machine.m_hosted, record)) {
+      reply(ErrorBody(ResultCode::kNotFound, "no service '" + record.pool +
+                                                 "' is configured, and too many such servers "
+                                                 "are registered"));
+      return;
+    }
     wire::Command command;
     command.__set_server(record);
     Commit(std::move(command), reply);
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -482,6 +482,7 @@
   metrics.Set("poppyway_ledger_kept_bytes", "",
               static_cast<double>(m_machine.m_ledger.m_kept_bytes));
   m_places.AddMetrics(metrics);
+  m_registry.AddMetrics(metrics);
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -12,6 +12,7 @@
 #include "poppyway/state.h"
 #include "poppyway/telemetry.h"
 #include "poppyway/wire.h"
+#include "registry_bound.h"
 #include "rollout_side.h"
 
 namespace poppyway {
@@ -132,6 +133,7 @@
   InstanceTable m_table;
   PlaceSide m_places;
   RolloutSide m_rollouts;
+  RegistryBound m_registry;
   std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
   std::map<MemberId, std::string> m_names;                     ///< Learned from messages.
   Formation m_formation;
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -117,6 +117,7 @@
   MetricSet m_metrics;
   std::mt19937_64 m_random;
   Instant m_callers_polled{};
+  bool m_lives_changed = false;  ///< Calls may be under way to earlier lives of servers.
 };
 
 /// \brief The forwarder task. Belongs to its loop's thread.
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -41,6 +41,7 @@
   ServerPace m_pace;
   ServerHealth m_health;
   Instant m_last_heard{};  ///< Any byte from it.
+  Instant m_life_told{};   ///< When this instance learned that it had started again.
   /// Prompt parts that were sent there last, with when. Bounded by `kMostParts`.
   std::unordered_map<std::uint64_t, Instant> m_parts;
 };
@@ -96,6 +97,7 @@
   std::string m_buffered;  ///< Its body, while the caller has had nothing.
   EventStream m_events;
   Instant m_dispatched{};
+  Instant m_heard{};        ///< Its last byte.
   Instant m_first_event{};  ///< Of the call.
   Instant m_last_event{};
   std::int64_t m_call_events = 0;
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -67,15 +67,6 @@
   return ordered;
 }
 
-void IndexPools(ForwarderState& state) {
-  for (auto& [name, pool] : state.m_pools)
-    pool.m_servers.clear();
-  for (const auto& [id, backend] : state.m_backends) {
-    if (!backend.m_leaving)
-      state.m_pools[backend.m_record.pool].m_servers.push_back(id);
-  }
-}
-
 std::int64_t KeptTokens(const Backend& backend, const CallerRequest& request) {
   std::int64_t kept = 0;
   for (const PrefixPart& part : request.m_parts) {
@@ -109,21 +100,40 @@
 
 }  // namespace
 
+void IndexPools(ForwarderState& state) {
+  for (auto& [name, pool] : state.m_pools)
+    pool.m_servers.clear();
+  for (const auto& [id, backend] : state.m_backends) {
+    if (!backend.m_leaving)
+      state.m_pools[backend.m_record.pool].m_servers.push_back(id);
+  }
+}
+
+void TakeServer(ForwarderState& state, const wire::ServerRecord& record) {
+  const bool known = state.m_backends.contains(record.id);
+  if (!known && record.stage == wire::ServerStage::GONE)
+    return;
+  const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
+  Backend& backend = state.m_backends[record.id];
+  if (record.born > 0 && record.born < backend.m_record.born)
+    return;  // Late news of an earlier life.
+  const bool new_life = IsNewLife(backend, record);
+  if (new_life)
+    BeginLife(state, backend, record);
+  else if (known && record.born > backend.m_record.born)
+    TakeBirth(state, record.id, record.born);
+  backend.m_record = record;
+  Locate(state, backend, record.id, place);
+  backend.m_leaving = record.stage != wire::ServerStage::READY;
+  if ((!known || new_life) && !backend.m_leaving)
+    RetireOthers(state, record.id);
+}
+
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records) {
-  for (const wire::ServerRecord* changed : ByChange(records)) {
-    const wire::ServerRecord& record = *changed;
-    const bool known = state.m_backends.contains(record.id);
-    if (!known && record.stage == wire::ServerStage::GONE)
-      continue;
-    const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
-    Backend& backend = state.m_backends[record.id];
-    backend.m_record = record;
-    Locate(state, backend, record.id, place);
-    backend.m_leaving = record.stage != wire::ServerStage::READY;
-    if (!known && !backend.m_leaving)
-      RetireOthers(state, record.id);
+  for (const wire::ServerRecord* record : ByChange(records)) {
+    TakeServer(state, *record);
     if (records.size() <= kMostLogged)
-      LogServer(record);
+      LogServer(*record);
   }
   if (records.size() > kMostLogged)
     POPPYWAY_LOG(info, "servers_changed").Field("servers", records.size());
@@ -203,7 +213,7 @@
 void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign) {
   forwarding.m_report.m_sign = sign;
   const std::string& server = forwarding.m_server;
-  Backend* backend = FindBackend(state, server);
+  Backend* backend = FindOwnBackend(state, forwarding);
   if (backend == nullptr)
     return;
   const Instant now = ReadClock();
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -52,6 +52,7 @@
   held.m_server = forwarding.m_server;
   held.m_reading_tokens = forwarding.m_read_tokens;
   held.m_expected_tokens = forwarding.m_request.m_expected_tokens;
+  held.m_born = forwarding.m_server_born;
   return held;
 }
 
@@ -73,6 +74,7 @@
 }
 
 void UsePlace(ForwarderState& state, Forwarding& forwarding, const PlaceAnswer& answer) {
+  HearOfLife(state, answer);
   const Backend* backend = FindBackend(state, answer.m_server);
   const bool confirmed = forwarding.m_workspace == nullptr || ReadClock() < state.m_confirmed_until;
   const bool usable = backend != nullptr && !backend->m_leaving && confirmed;
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -40,7 +40,8 @@
   Forwarding* forwarding = Find(state, ref);
   if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
     return false;
-  Backend* backend = FindBackend(state, forwarding->m_server);
+  // A server that has started again since holds no place for it.
+  Backend* backend = FindOwnBackend(state, *forwarding);
   const Instant now = ReadClock();
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
   if (backend == nullptr || backend->m_leaving || !confirmed)
@@ -63,10 +64,12 @@
   forwarding.m_stage =
       forwarding.m_caller.m_started ? ForwardingStage::kRelaying : ForwardingStage::kCalling;
   forwarding.m_server = server;
+  forwarding.m_server_born = backend.m_record.born;
   forwarding.m_answer = {};
   forwarding.m_headed = false;
   forwarding.m_buffered.clear();
   forwarding.m_events.m_partial.clear();
+  forwarding.m_heard = {};
   forwarding.m_first_event = {};
   forwarding.m_call_events = 0;
   forwarding.m_dispatched = now;
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -157,7 +157,7 @@
 
 void EndCall(ForwarderState& state, Forwarding& forwarding) {
   if (!forwarding.m_server.empty()) {
-    if (Backend* backend = FindBackend(state, forwarding.m_server)) {
+    if (Backend* backend = FindOwnBackend(state, forwarding)) {
       --backend->m_in_flight;
       backend->m_reading_tokens -= forwarding.m_read_tokens;
     }
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -118,6 +118,7 @@
   }
   void operator()(const ServersChanged& message) const {
     impl::TakeServers(m_state, message.m_servers);
+    impl::EndLostCalls(m_state, ReadClock());
   }
   void operator()(const EvacuationsChanged& message) const {
     impl::TakeEvacuations(m_state, message.m_evacuations);
@@ -245,6 +246,7 @@
   impl::ExpireStart(m_state, now);
   impl::ExpireWaiting(m_state, now);
   EndOverdue(m_state, now);
+  impl::EndLostCalls(m_state, now);
   if (now - m_state.m_callers_polled >= kCallerPollInterval) {
     m_state.m_callers_polled = now;
     PollCallers(m_state);
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -68,28 +68,21 @@
   ServeQueue(state, pool);
 }
 
-/// The server may have run the request, and no whole answer will come from it.
-void OnBroken(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
-  if (MayRunAgain(forwarding) && MayTryElsewhere(state, forwarding)) {
-    TryElsewhere(state, forwarding, why);
-    return;
-  }
-  const std::string pool = forwarding.m_pool->m_name;
-  Refuse(state, forwarding,
-         forwarding.m_headed ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown, why);
-  ServeQueue(state, pool);
+void NoteByte(ForwarderState& state, Forwarding& forwarding) {
+  forwarding.m_heard = ReadClock();
+  if (Backend* backend = FindOwnBackend(state, forwarding))
+    backend->m_last_heard = forwarding.m_heard;
 }
 
 void NoteFirstEvent(ForwarderState& state, Forwarding& forwarding, Instant now) {
   forwarding.m_first_event = now;
-  Backend* backend = FindBackend(state, forwarding.m_server);
-  if (backend == nullptr)
-    return;
   forwarding.m_report.m_tokens_read = forwarding.m_read_tokens;
   forwarding.m_report.m_first = std::max(Duration(1), now - forwarding.m_dispatched);
-  backend->m_pace =
-      ObserveFirst(backend->m_pace, forwarding.m_read_tokens, now - forwarding.m_dispatched);
-  backend->m_reading_tokens -= forwarding.m_read_tokens;
+  if (Backend* backend = FindOwnBackend(state, forwarding)) {
+    backend->m_pace =
+        ObserveFirst(backend->m_pace, forwarding.m_read_tokens, now - forwarding.m_dispatched);
+    backend->m_reading_tokens -= forwarding.m_read_tokens;
+  }
   forwarding.m_read_tokens = 0;
   TellPlace(state, forwarding, false);
   state.m_metrics.Record("poppyway_forward_first_event_seconds",
@@ -138,9 +131,6 @@
 }
 
 void LearnFromWhole(ForwarderState& state, Forwarding& forwarding) {
-  Backend* backend = FindBackend(state, forwarding.m_server);
-  if (backend == nullptr)
-    return;
   const Instant now = ReadClock();
   const bool failed = IsServerError(forwarding.m_answer.m_status);
   NoteHealth(state, forwarding, failed ? ServerSign::kBad : ServerSign::kGood);
@@ -152,16 +142,29 @@
   report.m_events = forwarding.m_call_events;
   report.m_span = forwarding.m_last_event - forwarding.m_first_event;
   report.m_pause = forwarding.m_longest_pause;
-  backend->m_pace = ObserveService(backend->m_pace, report.m_service);
-  if (forwarding.m_call_events > 1)
-    backend->m_pace =
-        ObserveEvents(backend->m_pace, forwarding.m_call_events - 1, report.m_span, report.m_pause);
+  if (Backend* backend = FindOwnBackend(state, forwarding)) {
+    backend->m_pace = ObserveService(backend->m_pace, report.m_service);
+    if (forwarding.m_call_events > 1)
+      backend->m_pace = ObserveEvents(backend->m_pace, forwarding.m_call_events - 1, report.m_span,
+                                      report.m_pause);
+  }
   if (forwarding.m_call_events > 0 && forwarding.m_request.m_expected_tokens > 0)
     NoteEventSize(state, forwarding);
 }
 
 }  // namespace
 
+void OnBroken(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  if (MayRunAgain(forwarding) && MayTryElsewhere(state, forwarding)) {
+    TryElsewhere(state, forwarding, why);
+    return;
+  }
+  const std::string pool = forwarding.m_pool->m_name;
+  Refuse(state, forwarding,
+         forwarding.m_headed ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown, why);
+  ServeQueue(state, pool);
+}
+
 HeadVerdict OnHead(ForwarderState& state,
                    ForwardingRef ref,
                    int status,
@@ -178,9 +181,7 @@
         .Field("answered", *answer.m_id);
     return HeadVerdict::kSkip;
   }
-  Backend* backend = FindBackend(state, forwarding->m_server);
-  if (backend != nullptr)
-    backend->m_last_heard = ReadClock();
+  NoteByte(state, *forwarding);
   if (answer.m_other_server) {
     NoteOtherServer(state, forwarding->m_server, *answer.m_other_server);
     forwarding->m_report.m_sign = ServerSign::kUnreachable;
@@ -224,8 +225,7 @@
   if (forwarding == nullptr || !forwarding->m_headed ||
       forwarding->m_stage == ForwardingStage::kDone)
     return;
-  if (Backend* backend = FindBackend(state, forwarding->m_server))
-    backend->m_last_heard = ReadClock();
+  NoteByte(state, *forwarding);
   if (IsEventAnswer(*forwarding)) {
     OnEvents(state, *forwarding, bytes);
   } else if (forwarding->m_caller.m_started) {
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -92,6 +92,9 @@
 void OnData(ForwarderState& state, ForwardingRef ref, std::string_view bytes);
 void OnWhole(ForwarderState& state, ForwardingRef ref);
 void OnFault(ForwarderState& state, ForwardingRef ref, CallFault fault);
+/// The server may have run the request, and no whole answer will come from it: tries elsewhere what
+/// may run again, and ends any other.
+void OnBroken(ForwarderState& state, Forwarding& forwarding, std::string_view why);
 
 // ---- finish.cc ---------------------------------------------------------------------------------
 /// Answers with a refusal or a failure of ours, or cuts an answer that has begun.
@@ -106,6 +109,10 @@
 void EndCall(ForwarderState& state, Forwarding& forwarding);
 
 // ---- backends.cc -------------------------------------------------------------------------------
+/// Takes what is told of one server. `IndexPools` follows.
+void TakeServer(ForwarderState& state, const wire::ServerRecord& record);
+/// Lists anew which servers of each pool may get work.
+void IndexPools(ForwarderState& state);
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records);
 /// Takes all evacuations that were ordered.
 void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations);
@@ -124,6 +131,22 @@
 void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign);
 /// `found` answered at the place of `meant`.
 void NoteOtherServer(ForwarderState& state, const std::string& meant, const std::string& found);
+
+// ---- lives.cc: servers that start again under their id -----------------------------------------
+/// True if the record tells of a later life of the server than is known.
+[[nodiscard]] bool IsNewLife(const Backend& known, const wire::ServerRecord& record) noexcept;
+/// Forgets what was known of the server's earlier life. Its record is still that of the earlier
+/// one.
+void BeginLife(ForwarderState& state, Backend& backend, const wire::ServerRecord& record);
+/// Gives calls at a server whose birth is told for the first time that birth.
+void TakeBirth(ForwarderState& state, const std::string& server, std::int64_t born);
+/// The server of the call under way, if it still lives the life that the call went to.
+[[nodiscard]] Backend* FindOwnBackend(ForwarderState& state, const Forwarding& forwarding);
+/// A place was given at a later life than this instance has heard of: takes it as heard.
+void HearOfLife(ForwarderState& state, const PlaceAnswer& answer);
+/// Ends calls to earlier lives that have been silent for too long.
+void EndLostCalls(ForwarderState& state, Instant now);
+
 /// \brief When a planned stop ends the process at the latest, a margin kept.
 [[nodiscard]] Instant StopEnd(const ForwarderState& state) noexcept;
 
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -132,7 +132,8 @@
   std::string m_workspace;  ///< Charged for it here; empty: not here.
   double m_cost = 0;
   RouteKey m_route = 0;
-  std::int64_t m_born = 0;  ///< Of the server when the place was taken.
+  std::int64_t m_born = 0;  ///< Of the server when the place was taken; zero: not told.
+  std::string m_version;    ///< Of the server then, as the broker knew it.
 
   friend bool operator==(const HeldPlace&, const HeldPlace&) = default;
 };
@@ -268,7 +269,9 @@
                                       Duration may_serve,
                                       Instant now);
 
-/// \brief Takes the whole list of servers. What is in flight and learned stays with their ids.
+/// \brief Takes the whole list of servers. What is in flight and learned stays with their ids. Of a
+/// server that started again only its pace stays: what was in flight at its earlier life no longer
+/// counts, nor do later reports of that.
 void SetServers(PlaceBroker& broker, const std::vector<PlaceServer>& servers);
 
 /// \brief Takes what each pool says of its cold servers; of a pool that isn't named, nothing.
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -21,6 +21,41 @@
   return {&broker.m_pools[found->second.first], found->second.second};
 }
 
+/// True if the place is at the life of its server that is known. A birth that one side doesn't tell
+/// is that of the life known.
+bool AtThisLife(const HeldPlace& held, const PlaceServer& server) {
+  return held.m_born == 0 || server.m_born == 0 || held.m_born == server.m_born;
+}
+
+/// Counts places that are held at a later life than was known until now, and gives those at a life
+/// whose birth is told only now that birth.
+void TakeBirth(PlaceBroker& broker, const std::string& id, std::int64_t before) {
+  const auto [pool, i] = FindServer(broker, id);
+  const std::int64_t born = pool->m_servers[i].m_born;
+  for (auto& [name, holder] : broker.m_holders) {
+    for (auto& [ref, held] : holder.m_held) {
+      if (held.m_server != id)
+        continue;
+      if (before == 0 && held.m_born == 0)
+        held.m_born = born;
+      if (before == 0 || held.m_born != born)
+        continue;
+      ++pool->m_views[i].m_others;
+      pool->m_views[i].m_reading_tokens += held.m_reading_tokens;
+      CountPlaced(*pool, i);
+    }
+  }
+}
+
+/// What is known of a server's new life from its earlier one: nothing but its pace, which its
+/// engine will likely have again.
+ServerView ViewOfNewLife(const ServerView& earlier, bool same_pool) {
+  ServerView view;
+  if (same_pool)
+    view.m_pace = earlier.m_pace;
+  return view;
+}
+
 void CountHeard(PlaceBroker& broker, Instant now) {
   const auto heard = [now](const auto& entry) {
     return now - entry.second.m_heard <= kHeardLately;
@@ -32,7 +67,7 @@
 
 void FreePlace(PlaceBroker& broker, const HeldPlace& held, Instant now) {
   const auto [pool, i] = FindServer(broker, held.m_server);
-  if (pool == nullptr)
+  if (pool == nullptr || !AtThisLife(held, pool->m_servers[i]))
     return;
   if (held.m_taken != Instant{})
     pool->m_flow = CountFreed(pool->m_flow, now - held.m_taken, now);
@@ -101,6 +136,7 @@
     kept.m_cold = pool.m_cold;
     // Parts go by index, which changes: what engines keep is found again by use.
   }
+  std::vector<std::pair<std::string, std::int64_t>> births;  // Told since, with what was known.
   for (const PlaceServer& server : servers) {
     PlacePool& pool = broker.m_pools[server.m_pool];
     ServerView view;
@@ -112,6 +148,14 @@
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
       ramp = old.m_ramps[known->second.second];
+      const std::int64_t born = old.m_servers[known->second.second].m_born;
+      if (server.m_born > born)
+        births.emplace_back(server.m_id, born);
+      if (born > 0 && server.m_born > born) {
+        view = ViewOfNewLife(view, known->second.first == server.m_pool);
+        health = {};
+        ramp = {};
+      }
     }
     view.m_slots = std::max(1, server.m_slots);
     view.m_own = 0;
@@ -121,6 +165,8 @@
     pool.m_health.push_back(health);
     pool.m_ramps.push_back(ramp);
   }
+  for (const auto& [id, before] : births)
+    TakeBirth(broker, id, before);
 }
 
 void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits) {
@@ -223,9 +269,11 @@
     return;
   HeldPlace& held = found->second;
   const auto [pool, i] = FindServer(broker, held.m_server);
-  if (pool != nullptr) {
+  const bool counts = pool != nullptr && AtThisLife(held, pool->m_servers[i]);
+  if (pool != nullptr)
+    LearnVersion(*pool, held, report, now);
+  if (counts) {
     pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, report);
-    LearnVersion(*pool, i, held, report, now);
     if (report.m_sign)
       LearnHealth(broker, *pool, i, {holder, *report.m_sign}, now);
     if (report.m_first > Duration(0)) {
@@ -241,18 +289,24 @@
     Refund(limit->second, held.m_cost);
   FreePlace(broker, held, now);
   known.m_held.erase(found);
-  if (pool != nullptr && !pool->m_waiting.empty())
+  if (counts && !pool->m_waiting.empty())
     ServeServer(broker, *pool, i, now, out);
 }
 
 void Hold(PlaceBroker& broker, const std::string& holder, const HeldPlace& held, Instant now) {
   PlaceHolder& known = broker.m_holders[holder];
   known.m_heard = now;
-  if (!known.m_held.emplace(held.m_ref, held).second)
+  const auto [place, added] = known.m_held.emplace(held.m_ref, held);
+  if (!added)
     return;
   const auto [pool, i] = FindServer(broker, held.m_server);
   if (pool == nullptr)
     return;
+  place->second.m_version = pool->m_servers[i].m_version;
+  if (!AtThisLife(held, pool->m_servers[i]))
+    return;
+  if (held.m_born == 0)
+    place->second.m_born = pool->m_servers[i].m_born;
   ++pool->m_views[i].m_others;
   pool->m_views[i].m_reading_tokens += held.m_reading_tokens;
   CountPlaced(*pool, i);
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -66,12 +66,8 @@
                                                            Instant now);
 /// \brief A place was given or told: counts it, if a roll-out is under way.
 void CountPlaced(PlacePool& pool, std::size_t i);
-/// \brief Learns what an answer says of its server's version.
-void LearnVersion(PlacePool& pool,
-                  std::size_t i,
-                  const HeldPlace& held,
-                  const PlaceReport& report,
-                  Instant now);
+/// \brief Learns what an answer says of the version that its server had when the place was taken.
+void LearnVersion(PlacePool& pool, const HeldPlace& held, const PlaceReport& report, Instant now);
 
 // ---- place_learn.cc ----------------------------------------------------------------------------
 /// \brief What an instance says of a server's health.
--- a/packages/policy/src/place_rollout.cc
+++ b/packages/policy/src/place_rollout.cc
@@ -105,16 +105,12 @@
     CountSent(*pool.m_trial, IsTarget(pool, i));
 }
 
-void LearnVersion(PlacePool& pool,
-                  std::size_t i,
-                  const HeldPlace& held,
-                  const PlaceReport& report,
-                  Instant now) {
+void LearnVersion(PlacePool& pool, const HeldPlace& held, const PlaceReport& report, Instant now) {
   const bool told = pool.m_trial && report.m_ended && report.m_ran && report.m_sign;
   if (!told)
     return;
   VersionSample sample;
-  sample.m_target = IsTarget(pool, i);
+  sample.m_target = held.m_version == pool.m_trial->m_target;
   sample.m_route = held.m_route;
   sample.m_server = held.m_server;
   sample.m_failed = report.m_failed;
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -115,7 +115,10 @@
   ServerView& view = pool.m_views[i];
   HeldPlace held;
   held.m_ref = ask.m_ref;
-  held.m_server = pool.m_servers[i].m_id;
+  const PlaceServer& server = pool.m_servers[i];
+  held.m_server = server.m_id;
+  held.m_version = server.m_version;
+  held.m_born = server.m_born;
   held.m_reading_tokens = ask.m_shape.m_prompt_tokens;
   held.m_expected_tokens = ask.m_expected_tokens;
   held.m_workspace = ask.m_workspace;
@@ -135,6 +138,9 @@
   answer.m_ref = ask.m_ref;
   answer.m_verdict = PlaceVerdict::kPlaced;
   answer.m_server = held.m_server;
+  answer.m_born = server.m_born;
+  answer.m_address = server.m_address;
+  answer.m_port = server.m_port;
   answer.m_first = first;
   if (!ask.m_workspace.empty())
     answer.m_left = broker.m_limits[ask.m_workspace].m_tokens;
--- a/packages/state/include/poppyway/state/impl/hosted_state.h
+++ b/packages/state/include/poppyway/state/impl/hosted_state.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,13 +31,28 @@
 /// \brief The document with the highest version prevails; any other changes nothing.
 void ApplyDocument(HostedState& state, const wire::Document& document);
 
-/// \brief Takes a server's call unless a later one of the same server is known. A server that has
-/// begun to leave never returns to work, and one that is gone stays gone.
+/// \brief Takes a server's call unless a later one of the same server is known. A server is (id,
+/// born): a later birth replaces the record whole, an earlier one is late news. Within one life a
+/// server that has begun to leave never returns to work, and one that is gone stays gone.
+///
+/// A record without a birth counts for the life that is known. A known server at work whose birth
+/// wasn't told takes over the first one that is.
 void ApplyServer(HostedState& state, const wire::ServerRecord& record, std::int64_t index);
 
 /// \brief True if applying `record` would change what instances have to know.
 [[nodiscard]] bool ChangesServer(const HostedState& state, const wire::ServerRecord& record);
 
+/// \brief Servers of pools that no document names that are kept at most: another writer may name
+/// any. Above what a large deployment registers before its first document; a server refused comes
+/// again with its next heartbeat.
+inline constexpr std::size_t kUnnamedServers = 8192;
+
+/// \brief True if `record` tells of a server that would be one too many of pools that aren't among
+/// `named`.
+[[nodiscard]] bool IsOneTooMany(const HostedState& state,
+                                const std::set<std::string>& named,
+                                const wire::ServerRecord& record);
+
 /// \brief Servers that changed after log index `from`.
 [[nodiscard]] std::vector<wire::ServerRecord> ServersSince(const HostedState& state,
                                                            std::int64_t from);
--- a/packages/state/src/hosted_state.cc
+++ b/packages/state/src/hosted_state.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 #include <algorithm>
+#include <cstdint>
 
 #include "poppyway/state.h"
 
@@ -27,6 +28,37 @@
          a.version == b.version;
 }
 
+/// What a record says of a server's life beside the one that is known.
+enum class Life : std::uint8_t {
+  kSame,     ///< Or it doesn't tell: the order by stage and sequence holds.
+  kEarlier,  ///< Late news.
+  kLater,
+};
+
+Life LifeOf(const wire::ServerRecord& known, const wire::ServerRecord& record) {
+  if (record.born <= 0 || record.born == known.born)
+    return Life::kSame;
+  if (known.born > 0)
+    return record.born > known.born ? Life::kLater : Life::kEarlier;
+  // The first birth that is told: of the server that works, or late news of one that has left.
+  return known.stage == wire::ServerStage::READY ? Life::kLater : Life::kEarlier;
+}
+
+/// Takes a record of the life that is known.
+void Update(wire::ServerRecord& known, const wire::ServerRecord& record) {
+  const std::int64_t sequence = std::max(known.sequence, record.sequence);
+  const std::int64_t born = std::max(known.born, record.born);
+  const bool named = !record.pool.empty();
+  if (named) {
+    known = record;
+  } else {
+    known.id = record.id;
+    known.stage = record.stage;
+  }
+  known.sequence = sequence;
+  known.born = born;
+}
+
 }  // namespace
 
 void ApplyDocument(HostedState& state, const wire::Document& document) {
@@ -39,6 +71,9 @@
   if (found == state.m_servers.end())
     return true;
   const wire::ServerRecord& known = found->second;
+  const Life life = LifeOf(known, record);
+  if (life != Life::kSame)
+    return life == Life::kLater;
   const bool late = record.sequence != 0 && record.sequence < known.sequence;
   if (record.stage < known.stage)
     return false;  // Stages only move towards GONE within one life.
@@ -51,15 +86,10 @@
   if (!ChangesServer(state, record))
     return;
   wire::ServerRecord& known = state.m_servers[record.id];
-  const std::int64_t sequence = std::max(known.sequence, record.sequence);
-  const bool named = !record.pool.empty();
-  if (named) {
-    known = record;
-  } else {
-    known.id = record.id;
-    known.stage = record.stage;
-  }
-  known.sequence = sequence;
+  if (LifeOf(known, record) == Life::kLater)
+    known = record;  // Its counts start anew.
+  else
+    Update(known, record);
   known.index = index;
   known.held_back = HeldBack(state, known);
   if (known.stage == wire::ServerStage::READY && RolledBack(state, known))
@@ -69,6 +99,22 @@
     ForgetOldest(state);
 }
 
+bool IsOneTooMany(const HostedState& state,
+                  const std::set<std::string>& named,
+                  const wire::ServerRecord& record) {
+  if (record.pool.empty() || named.contains(record.pool))
+    return false;
+  const auto known = state.m_servers.find(record.id);
+  const auto counts = [&named](const wire::ServerRecord& server) {
+    return server.stage != wire::ServerStage::GONE && !named.contains(server.pool);
+  };
+  if (known != state.m_servers.end() && counts(known->second))
+    return false;  // It is kept already.
+  const auto kept = std::count_if(state.m_servers.begin(), state.m_servers.end(),
+                                  [&counts](const auto& entry) { return counts(entry.second); });
+  return static_cast<std::size_t>(kept) >= kUnnamedServers;
+}
+
 std::vector<wire::ServerRecord> ServersSince(const HostedState& state, std::int64_t from) {
   std::vector<wire::ServerRecord> changed;
   for (const auto& [id, record] : state.m_servers) {
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -2,7 +2,7 @@
 # The one list of Debian packages that poppyway needs to build, check and test.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3
+  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy clang libclang-rt-14-dev python3
   libh2o-evloop-dev libhttp-parser-dev libssl-dev zlib1g-dev
   libthrift-dev libyaml-cpp-dev libexpected-dev nlohmann-json3-dev libxxhash-dev
   libboost-dev libboost-log-dev libboost-program-options-dev libboost-thread-dev
--- /dev/null
+++ b/tests/forwarder_lives_test.cc
@@ -0,0 +1,255 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// An instance and backend servers that start again under their id.
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kNewsDelay{1'500'000};  // As in the product, with the next line some time above.
+constexpr Duration kLonger = kNewsDelay + Duration(100'000);
+
+/// Routes that wait for longer than a lost call is kept.
+std::string PatientDocument() {
+  std::string text = Document(1, "key");
+  const std::string shorter = "\"timeout_ms\":1500";
+  for (std::size_t at = text.find(shorter); at != std::string::npos; at = text.find(shorter, at))
+    text.replace(at, shorter.size(), "\"timeout_ms\":9000");
+  return text;
+}
+
+std::vector<ScriptStep> Silence(const std::string& /*request*/) {
+  return {AwaitClose()};
+}
+
+void Live(Rig& rig, const std::string& id, const ScriptedServer& server, std::int64_t born) {
+  wire::ServerRecord record = rig.Record(id, server);
+  record.born = born;
+  rig.m_forwarder->Take(ServersChanged{{record}});
+}
+
+const Backend& BackendOf(Rig& rig, const std::string& id) {
+  return rig.m_forwarder->state().m_backends.at(id);
+}
+
+void RunFor(Rig& rig, Duration time) {
+  const Instant begun = ReadClock();
+  while (ReadClock() - begun < time)
+    rig.m_loop.RunFor(5);
+}
+
+void AwaitRequests(Rig& rig, const ScriptedServer& server, std::size_t count) {
+  rig.RunUntil([&] { return server.requests().size() >= count; });
+  REQUIRE(server.requests().size() == count);
+}
+
+TEST_CASE("a server that started again at its address or another one gets the work") {
+  const auto script = [](const std::string& request) { return Answer(request, "ok"); };
+  ScriptedServer old_place(script);
+  ScriptedServer new_place(script);
+  Rig rig;
+  Live(rig, "s0", old_place, 5);
+  CHECK(Call(rig, Request("/once/", "a")).status() == 200);
+  rig.Register("s0", old_place, wire::ServerStage::GONE);
+  CHECK(Call(rig, Request("/once/", "b")).status() == 503);
+  Live(rig, "s0", old_place, 9);
+  CHECK(Call(rig, Request("/once/", "c")).status() == 200);
+  CHECK(old_place.requests().size() == 2);
+  Live(rig, "s0", new_place, 12);
+  CHECK(Call(rig, Request("/once/", "d")).status() == 200);
+  CHECK(new_place.requests().size() == 1);
+}
+
+TEST_CASE("late news of an earlier life changes nothing here") {
+  const auto script = [](const std::string& request) { return Answer(request, "ok"); };
+  ScriptedServer old_place(script);
+  ScriptedServer new_place(script);
+  Rig rig;
+  Live(rig, "s0", new_place, 9);
+  wire::ServerRecord late = rig.Record("s0", old_place, wire::ServerStage::LEAVING);
+  late.born = 5;
+  rig.m_forwarder->Take(ServersChanged{{late}});
+  CHECK(Call(rig, Request("/once/", "a")).status() == 200);
+  CHECK(old_place.requests().empty());
+}
+
+TEST_CASE("a new life at the address of another server takes it over") {
+  ScriptedServer place([](const std::string& request) {
+    if (request.find("x-expect-instance: s0") != std::string::npos)
+      return Answer(request, "ok");
+    return std::vector<ScriptStep>{
+        Send("HTTP/1.1 421 Other\r\nx-instance-id: s0\r\ncontent-length: 0\r\n\r\n")};
+  });
+  ScriptedServer away(Silence);
+  Rig rig;
+  Live(rig, "s0", away, 5);
+  Live(rig, "s1", place, 5);
+  Live(rig, "s0", place, 9);
+  CHECK(BackendOf(rig, "s1").m_replaced);
+  for (int i = 0; i < 4; ++i)
+    CHECK(Call(rig, Request("/once/", "i" + std::to_string(i))).status() == 200);
+  CHECK(place.requests().size() == 4);
+}
+
+TEST_CASE("calls at an earlier life neither count at the later one nor harm it") {
+  ScriptedServer server([](const std::string& request) {
+    std::vector<ScriptStep> steps = {Wait(150), ResetNow()};
+    if (request.find("/safe/") != std::string::npos)
+      steps = {AwaitClose()};
+    return steps;
+  });
+  Rig rig;
+  Live(rig, "s0", server, 5);
+  Pending call(rig, Request("/once/", "a"));
+  AwaitRequests(rig, server, 1);
+  CHECK(BackendOf(rig, "s0").m_in_flight == 1);
+  Live(rig, "s0", server, 9);
+  CHECK(BackendOf(rig, "s0").m_in_flight == 0);
+  CHECK(BackendOf(rig, "s0").m_reading_tokens == 0);
+  Pending next(rig, Request("/safe/", "b"), 700);
+  AwaitRequests(rig, server, 2);
+  CHECK(BackendOf(rig, "s0").m_in_flight == 1);
+  CHECK(call.Finish(rig).status() == 502);
+  CHECK(BackendOf(rig, "s0").m_in_flight == 1);
+  CHECK(BackendOf(rig, "s0").m_health == ServerHealth{});
+  (void)next.Finish(rig);
+  rig.RunUntil([&] { return BackendOf(rig, "s0").m_in_flight == 0; });
+  CHECK(BackendOf(rig, "s0").m_in_flight == 0);
+}
+
+TEST_CASE("a first birth that is told is that of the calls under way") {
+  ScriptedServer server(Silence);
+  Rig rig;
+  rig.Register("s0", server);
+  Pending call(rig, Request("/once/", "a"), 400);
+  AwaitRequests(rig, server, 1);
+  Live(rig, "s0", server, 5);
+  CHECK(BackendOf(rig, "s0").m_in_flight == 1);
+  (void)call.Finish(rig);
+  rig.RunUntil([&] { return BackendOf(rig, "s0").m_in_flight == 0; });
+  CHECK(BackendOf(rig, "s0").m_in_flight == 0);
+}
+
+TEST_CASE("a silent call to an earlier life ends once: repeated if it may be, else unsure") {
+  ScriptedServer silent(Silence);
+  ScriptedServer good([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig(PatientDocument());
+  Live(rig, "s0", silent, 5);
+  Pending once(rig, Request("/once/", "a", "X-Deadline-Ms: 8000\r\n"));
+  Pending safe(rig, Request("/safe/", "b", "X-Deadline-Ms: 8000\r\n"));
+  AwaitRequests(rig, silent, 2);
+  RunFor(rig, kLonger);
+  rig.Register("s1", good);
+  Live(rig, "s0", silent, 9);
+  const Seen seen = once.Finish(rig);
+  CHECK(seen.status() == 502);
+  CHECK(seen.m_bytes.find("server_restarted") != std::string::npos);
+  CHECK(safe.Finish(rig).body() == "ok");
+  CHECK(silent.requests().size() == 2);
+  CHECK(good.requests().size() == 1);
+  CHECK(rig.Refusals("outcome_unknown") == 1);
+  CHECK(BackendOf(rig, "s0").m_in_flight == 0);
+}
+
+TEST_CASE("a call that went out shortly before the news may be the new life's and goes on") {
+  ScriptedServer server([](const std::string& request) {
+    std::vector<ScriptStep> steps = Answer(request, "late");
+    steps.insert(steps.begin(), Wait(2'000));
+    return steps;
+  });
+  Rig rig(PatientDocument());
+  Live(rig, "s0", server, 5);
+  Pending call(rig, Request("/once/", "a", "X-Deadline-Ms: 8000\r\n"));
+  AwaitRequests(rig, server, 1);
+  Live(rig, "s0", server, 9);
+  const Seen seen = call.Finish(rig);
+  CHECK(seen.status() == 200);
+  CHECK(seen.body() == "late");
+}
+
+TEST_CASE("a stream of an earlier life that still comes goes on until it falls silent") {
+  ScriptedServer server([](const std::string& request) {
+    std::vector<ScriptStep> steps = {Send(Head(request, "transfer-encoding: chunked\r\n"))};
+    for (int i = 1; i <= 4; ++i) {
+      steps.push_back(Send(Chunk(Event(i))));
+      steps.push_back(Wait(600));
+    }
+    steps.push_back(Send("0\r\n\r\n"));
+    return steps;
+  });
+  Rig rig(PatientDocument());
+  Live(rig, "s0", server, 5);
+  Pending call(rig, Request("/stream/", "a", "X-Deadline-Ms: 8000\r\n"));
+  AwaitRequests(rig, server, 1);
+  RunFor(rig, kLonger);
+  Live(rig, "s0", server, 9);
+  const Seen seen = call.Finish(rig);
+  CHECK(seen.m_bytes.ends_with("0\r\n\r\n"));
+  CHECK(seen.m_bytes.find("id: 4") != std::string::npos);
+}
+
+/// Notes what the forwarder sends to its broker.
+struct Broker {
+  std::vector<PlaceBatch> m_batches;
+
+  explicit Broker(Rig& rig) {
+    rig.m_forwarder->SetBroker(
+        {[this](PlaceBatch batch) { m_batches.push_back(std::move(batch)); }, [] {}});
+    rig.m_forwarder->Take(BrokerFound{1});
+  }
+  [[nodiscard]] std::optional<PlaceRef> Asked() const {
+    for (const PlaceBatch& batch : m_batches) {
+      if (!batch.m_asks.empty())
+        return batch.m_asks[0].m_ref;
+    }
+    return std::nullopt;
+  }
+};
+
+TEST_CASE("a place at a life that this instance has not heard of is used, where that life is") {
+  const auto script = [](const std::string& request) { return Answer(request, "ok"); };
+  ScriptedServer old_place(script);
+  ScriptedServer new_place(script);
+  Rig rig;
+  Live(rig, "s0", old_place, 5);
+  wire::ServerRecord drained = rig.Record("s0", old_place, wire::ServerStage::LEAVING);
+  drained.born = 5;
+  rig.m_forwarder->Take(ServersChanged{{drained}});
+  Broker broker(rig);
+  Pending call(rig, Request("/once/", "a"));
+  rig.RunUntil([&] { return broker.Asked().has_value(); });
+  PlaceAnswer answer;
+  answer.m_ref = broker.Asked().value();
+  answer.m_server = "s0";
+  answer.m_born = 9;
+  answer.m_address = "127.0.0.1";
+  answer.m_port = new_place.port();
+  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
+  CHECK(call.Finish(rig).status() == 200);
+  CHECK(new_place.requests().size() == 1);
+  CHECK(old_place.requests().empty());
+  // The news that comes later tells nothing new.
+  rig.m_forwarder->Take(ServersChanged{{drained}});
+  CHECK_FALSE(BackendOf(rig, "s0").m_leaving);
+}
+
+TEST_CASE("what is held is told to a new broker with the life where it is held") {
+  ScriptedServer server(Silence);
+  Rig rig;
+  Live(rig, "s0", server, 5);
+  Pending call(rig, Request("/once/", "a"), 400);
+  AwaitRequests(rig, server, 1);
+  Live(rig, "s0", server, 9);
+  Broker broker(rig);
+  REQUIRE_FALSE(broker.m_batches.empty());
+  REQUIRE(broker.m_batches[0].m_held.size() == 1);
+  CHECK(broker.m_batches[0].m_held[0].m_server == "s0");
+  CHECK(broker.m_batches[0].m_held[0].m_born == 5);
+  (void)call.Finish(rig);
+  // The end of the call is told to the broker, which must outlive it.
+  rig.RunUntil([&] { return rig.m_forwarder->state().m_forwardings.empty(); });
+  CHECK(broker.m_batches.back().m_reports.size() == 1);
+}
+
+}  // namespace
+}  // namespace poppyway
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -331,7 +331,8 @@
 TEST_CASE("a heartbeat carries its server's version") {
   const Result<ControlCall> call = DecodeControlCall(
       "PUT", "/-/instances/i-1",
-      R"({"service":"llm","address":"10.0.0.9:80","version":"v7","slots":2,"state":"ready"})");
+      R"({"service":"llm","address":"10.0.0.9:80","zone":"z","version":"v7","slots":2,
+          "state":"ready","sequence":1})");
   REQUIRE(call);
   CHECK(call->m_server.version == "v7");
 }
