Bound what a peer's message may claim to hold

Cause: found by the fuzzer. A message of 39 bytes that claims 1,872,363,498 elements overflows Thrift's own check. Lists of structs are not held by that check at all: room is made before the elements are found missing.

Change: strings and containers may claim at most as many bytes or elements as the message has bytes.

Shown first: "a message that claims more elements*" failed without the change (refused, but only after making room).

--- a/packages/wire/include/poppyway/wire/impl/codec.h
+++ b/packages/wire/include/poppyway/wire/impl/codec.h
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <algorithm>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,7 +36,11 @@
   auto buffer = std::make_shared<TMemoryBuffer>(
       reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
       static_cast<std::uint32_t>(bytes.size()));
-  apache::thrift::protocol::TCompactProtocol protocol(buffer);
+  // Each element takes a byte at least. Without this bound a few bytes that claim a billion
+  // elements would have the reader ask for as much memory before it finds that they aren't there.
+  const auto most = static_cast<std::int32_t>(
+      std::clamp<std::size_t>(bytes.size(), 1, std::numeric_limits<std::int32_t>::max()));
+  apache::thrift::protocol::TCompactProtocol protocol(buffer, most, most);
   T value;
   try {
     value.read(&protocol);
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -43,6 +43,21 @@
   CHECK(NextFrame(std::string("\xff\xff\xff\xff", 4)).error().m_code == ResultCode::kPeerProtocol);
 }
 
+TEST_CASE("a message that claims more elements than it has bytes is refused before room is made",
+          "[wire]") {
+  wire::Envelope envelope;
+  wire::PlaceAnswers answers;
+  answers.answers.resize(15);  // From 15 on the count is a number of its own.
+  envelope.body.__set_place_answers(answers);
+  std::string bytes = Serialize(envelope);
+  const std::size_t at = bytes.find("\xfc\x0f");  // A list of structs, 15 of them.
+  REQUIRE(at != std::string::npos);
+  bytes.replace(at + 1, 1, "\x80\x80\x08");  // 131,072.
+  const Result<wire::Envelope> read = Deserialize<wire::Envelope>(bytes);
+  REQUIRE_FALSE(read);
+  CHECK(read.error().m_message.find("size limit") != std::string::npos);
+}
+
 TEST_CASE("damaged messages are refused or read, but never crash", "[wire][fuzz]") {
   std::mt19937_64 random(3);
   const std::string good = Serialize(Sample());
