--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -503,6 +503,7 @@
       metrics.Set("poppyway_evacuated_running", label, status.running);
   }
   m_places.AddMetrics(metrics);
+  m_registry.AddMetrics(metrics);
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -13,6 +13,7 @@
 #include "poppyway/state.h"
 #include "poppyway/telemetry.h"
 #include "poppyway/wire.h"
+#include "registry_bound.h"
 #include "rollout_side.h"
 
 namespace poppyway {
@@ -150,7 +151,8 @@
   PlaceSide m_places;
   RolloutSide m_rollouts;
   ColdReader m_cold_reader;
-  std::map<std::string, Instant> m_cold_until;                 ///< By server, as each said last.
+  std::map<std::string, Instant> m_cold_until;  ///< By server, as each said last.
+  RegistryBound m_registry;
   std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
   std::map<MemberId, std::string> m_names;                     ///< Learned from messages.
   Formation m_formation;
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -71,15 +71,6 @@
   return ordered;
 }
 
-void IndexPools(ForwarderState& state) {
-  for (auto& [name, pool] : state.m_pools)
-    pool.m_servers.clear();
-  for (const auto& [id, backend] : state.m_backends) {
-    if (!backend.m_leaving)
-      state.m_pools[backend.m_record.pool].m_servers.push_back(id);
-  }
-}
-
 /// Of an evacuation that was ordered or has ended. What runs there ends by itself.
 void PutInForce(ForwarderState& state, const wire::Evacuation& evacuation) {
   int servers = 0;
@@ -156,25 +147,46 @@
 
 }  // namespace
 
+void IndexPools(ForwarderState& state) {
+  for (auto& [name, pool] : state.m_pools)
+    pool.m_servers.clear();
+  for (const auto& [id, backend] : state.m_backends) {
+    if (!backend.m_leaving)
+      state.m_pools[backend.m_record.pool].m_servers.push_back(id);
+  }
+}
+
+void TakeServer(ForwarderState& state, const wire::ServerRecord& record) {
+  const bool known = state.m_backends.contains(record.id);
+  if (!known && record.stage == wire::ServerStage::GONE)
+    return;
+  const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
+  Backend& backend = state.m_backends[record.id];
+  if (record.born > 0 && record.born < backend.m_record.born)
+    return;  // Late news of an earlier life.
+  const bool new_life = IsNewLife(backend, record);
+  if (new_life)
+    BeginLife(state, backend, record);
+  else if (known && record.born > backend.m_record.born)
+    TakeBirth(state, record.id, record.born);
+  backend.m_record = record;
+  Locate(state, backend, record.id, place);
+  backend.m_leaving = record.stage != wire::ServerStage::READY;
+  if ((!known || new_life) && !backend.m_leaving)
+    RetireOthers(state, record.id);
+}
+
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records) {
   // The first list is of servers that were there before this instance.
   const bool serving = !state.m_backends.empty();
   const Instant now = ReadClock();
-  for (const wire::ServerRecord* changed : ByChange(records)) {
-    const wire::ServerRecord& record = *changed;
-    const bool known = state.m_backends.contains(record.id);
-    if (!known && record.stage == wire::ServerStage::GONE)
-      continue;
-    const Endpoint place{record.address, static_cast<std::uint16_t>(record.port)};
-    Backend& backend = state.m_backends[record.id];
-    backend.m_record = record;
-    Locate(state, backend, record.id, place);
-    backend.m_leaving = record.stage != wire::ServerStage::READY;
-    TakeColdNews(state, backend, serving && !known, now);
-    if (!known && !backend.m_leaving)
-      RetireOthers(state, record.id);
+  for (const wire::ServerRecord* record : ByChange(records)) {
+    const bool known = state.m_backends.contains(record->id);
+    TakeServer(state, *record);
+    if (Backend* backend = FindBackend(state, record->id))
+      TakeColdNews(state, *backend, serving && !known, now);
     if (records.size() <= kMostLogged)
-      LogServer(record);
+      LogServer(*record);
   }
   if (records.size() > kMostLogged)
     POPPYWAY_LOG(info, "servers_changed").Field("servers", records.size());
@@ -343,7 +355,7 @@
 void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign) {
   forwarding.m_report.m_sign = sign;
   const std::string& server = forwarding.m_server;
-  Backend* backend = FindBackend(state, server);
+  Backend* backend = FindOwnBackend(state, forwarding);
   if (backend == nullptr)
     return;
   const Instant now = ReadClock();
