--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -83,6 +83,8 @@
   message.m_epoch = body.place_answers.epoch;
   for (const wire::PlaceAnswer& answer : body.place_answers.answers)
     message.m_answers.push_back(FromWire(answer));
+  if (body.place_answers.__isset.suspects)
+    message.m_suspects = body.place_answers.suspects;
   m_forwarder.m_send(std::move(message));
 }
 
--- a/apps/poppywayd/place_side.cc
+++ b/apps/poppywayd/place_side.cc
@@ -14,6 +14,9 @@
 // An instance whose connection was reset connects anew and tells what it holds within some ms; one
 // that died never does, and its servers have seen its connections close too.
 constexpr Duration kReturnTime{300'000};
+// Of an instance in a data centre that is held to be lost: two heartbeats and some delay. What it
+// still runs, it runs at servers of that data centre, which get nothing new.
+constexpr Duration kLostHolderLease{1'200'000};
 // What waits is tried on all servers this often, beside each place that comes free.
 constexpr Duration kServeInterval{20'000};
 
@@ -28,13 +31,14 @@
   int m_taken = 0;
 };
 
-PoolSums SumOf(const PlacePool& pool, Instant now) {
+PoolSums SumOf(const OutageWatch& outages, const PlacePool& pool, Instant now) {
   PoolSums sums;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
     if (pool.m_servers[i].m_leaving)
       continue;
     ++sums.m_servers;
-    sums.m_avoided += Avoided(pool.m_health[i], now) ? 1 : 0;
+    const bool lost = IsLost(outages, pool.m_servers[i].m_data_centre, pool.m_servers[i].m_id);
+    sums.m_avoided += lost || Avoided(pool.m_health[i], now) ? 1 : 0;
     sums.m_slots += pool.m_views[i].m_slots;
     sums.m_taken += pool.m_views[i].m_others;
   }
@@ -190,7 +194,8 @@
     else if (line.m_lost == Instant{})
       line.m_lost = now;
     const bool left = !open && now - line.m_lost >= kReturnTime;
-    if (left || now - holder.m_heard >= kHolderLease)
+    const bool lost = IsSuspect(m_broker->m_outages, holder.m_data_centre);
+    if (left || now - holder.m_heard >= (lost ? kLostHolderLease : kHolderLease))
       gone.push_back(incarnation);
   }
   std::vector<PlaceAnswer> answers;
@@ -204,6 +209,46 @@
   Send(answers);
 }
 
+void PlaceSide::TellOutages() {
+  wire::PlaceAnswers news;
+  news.epoch = epoch();
+  std::vector<std::string> suspects;
+  for (const auto& [data_centre, sight] : m_broker->m_outages.m_sights) {
+    if (sight.m_suspect && sight.m_back.empty())
+      suspects.push_back(data_centre);
+  }
+  news.__set_suspects(suspects);
+  wire::Envelope envelope;
+  envelope.id = 0;
+  envelope.reply = true;
+  envelope.body.__set_place_answers(news);
+  for (const auto& [incarnation, line] : m_lines) {
+    const std::shared_ptr<PeerConnection> connection = line.m_connection.lock();
+    if (connection && connection->open())
+      connection->Send(envelope);
+  }
+}
+
+void PlaceSide::LogOutages() {
+  if (m_broker->m_outage_news.empty())
+    return;
+  for (const OutageNews& news : m_broker->m_outage_news) {
+    ++m_outage_changes[static_cast<std::size_t>(news.m_change)];
+    const bool one_of_many = news.m_change == OutageChange::kHeard && news.m_back > 1;
+    if (one_of_many)
+      continue;
+    POPPYWAY_LOG(info, OutageChangeName(news.m_change))
+        .Field("data_centre", news.m_data_centre)
+        .Field("lost", news.m_lost)
+        .Field("told_by", news.m_tellers)
+        .Field("back", news.m_back)
+        .Field("servers", news.m_servers)
+        .Field("after_ms", news.m_quiet.count() / 1000);
+  }
+  m_broker->m_outage_news.clear();
+  TellOutages();
+}
+
 void PlaceSide::Tick(Instant now) {
   if (!m_broker || now - m_served < kServeInterval)
     return;
@@ -211,6 +256,7 @@
   std::vector<PlaceAnswer> answers;
   TickBroker(*m_broker, now, answers);
   Send(answers);
+  LogOutages();
   DropGone(now);
   for (const AvoidedServer& avoided : m_broker->m_avoided) {
     POPPYWAY_LOG(info, "server_avoided")
@@ -229,7 +275,7 @@
     return;
   m_logged = now;
   for (const auto& [name, pool] : m_broker->m_pools) {
-    const PoolSums sums = SumOf(pool, now);
+    const PoolSums sums = SumOf(m_broker->m_outages, pool, now);
     if (sums.m_slots == 0)
       continue;
     POPPYWAY_LOG(info, "places")
@@ -251,12 +297,19 @@
                 "verdict=\"" + std::string(PlaceVerdictName(verdict)) + "\"",
                 static_cast<double>(m_verdicts[i]));
   }
+  for (const OutageChange change :
+       {OutageChange::kSuspect, OutageChange::kHeard, OutageChange::kOver}) {
+    metrics.Set("poppyway_outage_changes_total",
+                "change=\"" + std::string(OutageChangeName(change)) + "\"",
+                static_cast<double>(m_outage_changes[static_cast<std::size_t>(change)]));
+  }
   if (!m_broker)
     return;
+  metrics.Set("poppyway_suspect_data_centres", "", m_broker->m_outages.m_suspects);
   metrics.Set("poppyway_place_holders", "", static_cast<double>(m_broker->m_holders.size()));
   for (const auto& [name, pool] : m_broker->m_pools) {
     const std::string label = "pool=\"" + name + "\"";
-    const PoolSums sums = SumOf(pool, ReadClock());
+    const PoolSums sums = SumOf(m_broker->m_outages, pool, ReadClock());
     metrics.Set("poppyway_place_slots", label, sums.m_slots);
     metrics.Set("poppyway_place_taken", label, sums.m_taken);
     metrics.Set("poppyway_place_avoided", label, sums.m_avoided);
--- a/apps/poppywayd/place_side.h
+++ b/apps/poppywayd/place_side.h
@@ -65,6 +65,8 @@
 
   void Send(const std::vector<PlaceAnswer>& answers);
   void DropGone(Instant now);
+  void TellOutages();
+  void LogOutages();
   void LogPools(Instant now);
 
   ExposureBounds m_bounds;
@@ -73,7 +75,8 @@
   std::map<std::string, Line> m_lines;  ///< By incarnation.
   Instant m_served{};
   Instant m_logged{};
-  std::uint64_t m_verdicts[5] = {};  ///< Answers given, by verdict.
+  std::uint64_t m_verdicts[5] = {};        ///< Answers given, by verdict.
+  std::uint64_t m_outage_changes[4] = {};  ///< By kind.
 };
 
 }  // namespace poppyway
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -51,6 +51,8 @@
 struct PlacesAnswered {
   std::int64_t m_epoch = 0;
   std::vector<PlaceAnswer> m_answers;
+  /// All data centres that it holds to be lost or cut off; unset: no news of it.
+  std::optional<std::vector<std::string>> m_suspects = std::nullopt;
 };
 
 /// \brief From the control task to the forwarder.
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -108,6 +108,8 @@
   std::map<Endpoint, std::vector<std::string>> m_at_place;  ///< Ids of servers at each address.
   std::map<std::string, PoolState> m_pools;
   std::map<std::string, wire::Evacuation> m_evacuations;  ///< By data centre.
+  OutageWatch m_outages = OwnOutageWatch();               ///< Fed by this instance's own requests.
+  std::vector<std::string> m_suspects;  ///< Data centres that the broker holds to be lost.
   std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
   std::vector<ForwardingRef> m_awaiting_start;          ///< Until the configuration is known.
   std::vector<std::unique_ptr<BackendCall>> m_retired;  ///< Destroyed outside their events.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -129,6 +129,7 @@
     POPPYWAY_LOG(info, "servers_changed").Field("servers", records.size());
   DropUnused(state);
   IndexPools(state);
+  WatchServers(state);
   for (const auto& [name, pool] : state.m_pools)
     ServeQueue(state, name);
 }
@@ -150,7 +151,10 @@
   standing.m_evacuated = evacuation != state.m_evacuations.end() && !evacuation->second.ended;
   // A version on trial gets work from the broker only, which keeps count of it.
   standing.m_kept_by_rollout = backend.m_record.held_back;
-  standing.m_suspect = Avoided(backend.m_health, now);
+  const std::string& server = backend.m_record.id;
+  const bool lost = IsLost(state.m_outages, data_centre, server) &&
+                    !MayTry(state.m_outages, data_centre, server, now);
+  standing.m_suspect = lost || Avoided(backend.m_health, now);
   standing.m_region = RegionOf(state.m_settings.m_regions, data_centre);
   return BarFor(standing, forwarding.m_homes, Tried(forwarding, backend.m_record.id));
 }
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -265,6 +265,8 @@
         .Field("quiet_ms", (ReadClock() - link.m_quiet_since).count() / 1000);
     link.m_quiet_since = {};
   }
+  if (message.m_suspects)
+    TakeSuspects(state, *message.m_suspects);
   for (const PlaceAnswer& answer : message.m_answers)
     TakeAnswer(state, answer);
   if (was_quiet) {
@@ -279,7 +281,8 @@
   link.m_active = true;
   link.m_quiet_since = {};
   link.m_epoch = message.m_epoch;
-  ForgetAsks(state);  // Those of a former broker.
+  ForgetAsks(state);         // Those of a former broker.
+  state.m_suspects.clear();  // The new broker says anew what it finds.
   link.m_outbox = {};
   link.m_outbox.m_resync = true;
   link.m_outbox.m_instances = state.m_instances.m_most;
@@ -304,6 +307,7 @@
   link.m_active = false;
   link.m_quiet_since = {};
   link.m_outbox = {};
+  state.m_suspects.clear();
   POPPYWAY_LOG(info, "broker_lost")
       .Field("why", why)
       .Field("epoch", link.m_epoch)
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -79,6 +79,7 @@
   forwarding.m_report = {.m_ref = forwarding.m_place};
   forwarding.m_read_tokens = forwarding.m_request.m_prompt_tokens;
   ++backend.m_in_flight;
+  BeginTrial(state.m_outages, backend.m_record.data_centre, server, now);
   backend.m_reading_tokens += forwarding.m_read_tokens;
   DispatchFields fields;
   fields.m_server = server;
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -244,6 +244,7 @@
   impl::CheckBroker(m_state, now);
   impl::ExpireStart(m_state, now);
   impl::ExpireWaiting(m_state, now);
+  impl::EndSilentCalls(m_state, now);
   EndOverdue(m_state, now);
   if (now - m_state.m_callers_polled >= kCallerPollInterval) {
     m_state.m_callers_polled = now;
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -162,6 +162,13 @@
 
 }  // namespace
 
+bool LeaveServer(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  if (!MayRunAgain(forwarding) || !MayTryElsewhere(state, forwarding))
+    return false;
+  TryElsewhere(state, forwarding, why);
+  return true;
+}
+
 HeadVerdict OnHead(ForwarderState& state,
                    ForwardingRef ref,
                    int status,
@@ -181,6 +188,7 @@
   Backend* backend = FindBackend(state, forwarding->m_server);
   if (backend != nullptr)
     backend->m_last_heard = ReadClock();
+  NotePath(state, *forwarding, true);
   if (answer.m_other_server) {
     NoteOtherServer(state, forwarding->m_server, *answer.m_other_server);
     forwarding->m_report.m_sign = ServerSign::kUnreachable;
@@ -277,6 +285,8 @@
       .Field("events", forwarding->m_call_events)
       .Field("reused", forwarding->m_call && forwarding->m_call->reused())
       .Field("after_ms", (ReadClock() - forwarding->m_dispatched).count() / 1000);
+  if (fault != CallFault::kWithdrawn)
+    NotePath(state, *forwarding, false);
   if (!NothingSent(fault)) {
     NoteHealth(state, *forwarding, ServerSign::kBad);
     OnBroken(state, *forwarding, why);
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -92,6 +92,8 @@
 void OnData(ForwarderState& state, ForwardingRef ref, std::string_view bytes);
 void OnWhole(ForwarderState& state, ForwardingRef ref);
 void OnFault(ForwarderState& state, ForwardingRef ref, CallFault fault);
+/// Gives up the call under way and lets the request run elsewhere; false if it may not.
+[[nodiscard]] bool LeaveServer(ForwarderState& state, Forwarding& forwarding, std::string_view why);
 
 // ---- finish.cc ---------------------------------------------------------------------------------
 /// Answers with a refusal or a failure of ours, or cuts an answer that has begun.
@@ -127,6 +129,17 @@
 /// \brief When a planned stop ends the process at the latest, a margin kept.
 [[nodiscard]] Instant StopEnd(const ForwarderState& state) noexcept;
 
+// ---- outage.cc: data centres lost or cut off as a whole -----------------------------------------
+/// Tells the instance's own watch whether the server of the call under way was heard.
+void NotePath(ForwarderState& state, const Forwarding& forwarding, bool heard);
+/// Tells it which data centres have servers.
+void WatchServers(ForwarderState& state);
+/// Takes what the broker holds to be lost. Connections that rest there are closed.
+void TakeSuspects(ForwarderState& state, const std::vector<std::string>& suspects);
+/// Takes calls elsewhere that may run again and are silent at a data centre that is held to be
+/// lost.
+void EndSilentCalls(ForwarderState& state, Instant now);
+
 [[nodiscard]] inline Forwarding* Find(ForwarderState& state, ForwardingRef ref) {
   const auto found = state.m_forwardings.find(ref);
   return found == state.m_forwardings.end() ? nullptr : found->second.get();
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -15,6 +15,7 @@
 
 #include "poppyway/core.h"
 #include "poppyway/policy/impl/cold_ramp.h"
+#include "poppyway/policy/impl/outage_watch.h"
 #include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
 #include "poppyway/policy/impl/rollout_trial.h"
@@ -227,6 +228,7 @@
   std::unordered_map<PlaceRef, HeldPlace> m_held;
   std::unordered_map<PlaceRef, std::pair<std::string, PlaceOrder>> m_waiting;  ///< With the pool.
   Instant m_heard{};
+  std::string m_data_centre;  ///< As its place requests say; empty: none came yet.
 };
 
 /// \brief A server that is kept from new work since the last look, for the log.
@@ -256,6 +258,8 @@
   std::map<std::string, PlaceHolder> m_holders;  ///< By incarnation.
   std::map<std::string, SharedLimit> m_limits;   ///< By workspace.
   std::vector<AvoidedServer> m_avoided;          ///< To be logged and cleared by the owner.
+  OutageWatch m_outages;                         ///< Fed by the reports of all instances.
+  std::vector<OutageNews> m_outage_news;         ///< To be logged and cleared by the owner.
   double m_tokens_per_event = 0;                 ///< Learned; zero: not known yet.
   std::int64_t m_next_number = 1;
   std::uint64_t m_random = 1;
--- a/packages/policy/include/poppyway/policy/impl/shared_limit.h
+++ b/packages/policy/include/poppyway/policy/impl/shared_limit.h
@@ -10,10 +10,11 @@
 /// \brief The one token bucket of a workspace, kept by the broker: exact, since every request of
 /// the workspace is charged here before a server sees it.
 struct SharedLimit {
-  double m_tokens = 0;   ///< Left; below zero after a request that cost more than was left.
-  double m_spent = 0;    ///< Charged here since this broker began, less what was given back.
-  Instant m_filled{};    ///< Zero: not used yet.
-  Instant m_known_at{};  ///< When what an earlier broker left behind was true; zero: not known.
+  double m_tokens = 0;    ///< Left; below zero after a request that cost more than was left.
+  double m_spent = 0;     ///< Charged here since this broker began, less what was given back.
+  Instant m_filled{};     ///< Zero: not used yet.
+  double m_withheld = 0;  ///< Not granted here: the part of instances that are not heard.
+  Instant m_known_at{};   ///< When what an earlier broker left behind was true; zero: not known.
 
   friend bool operator==(const SharedLimit&, const SharedLimit&) = default;
 };
@@ -31,8 +32,19 @@
 
 /// \brief Takes `cost` whatever is left: it was spent without the broker.
 void Charge(SharedLimit& shared, double cost) noexcept;
-/// \brief Takes what was spent without the broker and is told late, down to a debt of one burst:
-/// older overruns lie before the time that a limit is judged by.
+/// \brief Sets aside what the limit's rate comes to, since the last request, for instances that
+/// aren't heard; what they spent meanwhile is taken from it when they are heard again. Charged to
+/// what is left instead, it would be taken twice, and all callers of the workspace refused for it.
+/// Once all are heard it runs out at the limit's rate. Call before `Spend`. \param heard share of
+/// the instances that are heard. \param most an instance that isn't heard serves on for so long.
+void Withhold(SharedLimit& shared,
+              const QuotaLimit& limit,
+              double heard,
+              Duration most,
+              Instant now) noexcept;
+
+/// \brief Takes what was spent without the broker and is told late, as far as it wasn't withheld,
+/// down to a debt of one burst: older overruns lie before the time that a limit is judged by.
 void ChargeLate(SharedLimit& shared, const QuotaLimit& limit, double cost) noexcept;
 /// \brief Puts back what was taken for a request that no server ran.
 void Refund(SharedLimit& shared, double cost) noexcept;
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -107,12 +107,16 @@
     ServerHealth health;
     ColdRamp ramp;
     const auto known = index_before.find(server.m_id);
-    if (known != index_before.end()) {
+    bool appeared = known == index_before.end();
+    if (!appeared) {
       const PlacePool& old = before[known->second.first];
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
       ramp = old.m_ramps[known->second.second];
+      appeared = server.m_born != old.m_servers[known->second.second].m_born;
     }
+    if (appeared)
+      Appear(broker.m_outages, server.m_data_centre, server.m_id);
     view.m_slots = std::max(1, server.m_slots);
     view.m_own = 0;
     broker.m_server_index[server.m_id] = {server.m_pool, pool.m_servers.size()};
@@ -121,6 +125,7 @@
     pool.m_health.push_back(health);
     pool.m_ramps.push_back(ramp);
   }
+  WatchServers(broker);
 }
 
 void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits) {
@@ -155,6 +160,7 @@
          Instant now,
          std::vector<PlaceAnswer>& out) {
   broker.m_holders[holder].m_heard = now;
+  broker.m_holders[holder].m_data_centre = ask.m_data_centre;
   PlacePool& pool = broker.m_pools[ask.m_pool];
   ShareGroup group{ask.m_shape.m_tier, 0, ask.m_workspace};
   const bool limited = !ask.m_workspace.empty() && ask.m_limit.m_rate_per_s > 0;
@@ -162,7 +168,9 @@
     SharedLimit& limit =
         broker.m_limits.try_emplace(ask.m_workspace, BeginLimit(ask.m_limit, broker.m_began))
             .first->second;
-    const QuotaLimit heard{ask.m_limit.m_rate_per_s * HeardShare(broker), ask.m_limit.m_burst};
+    const double share = HeardShare(broker);
+    Withhold(limit, ask.m_limit, share, broker.m_may_serve, now);
+    const QuotaLimit heard{ask.m_limit.m_rate_per_s * share, ask.m_limit.m_burst};
     if (!Spend(limit, heard, ask.m_quota, now)) {
       out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kOverLimit, limit.m_tokens));
       return;
@@ -226,7 +234,10 @@
   if (pool != nullptr) {
     pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, report);
     LearnVersion(*pool, i, held, report, now);
-    if (report.m_sign)
+    LearnPath(broker, holder, held, report, now);
+    const bool old = BeforeReturn(broker.m_outages, pool->m_servers[i].m_data_centre, held.m_server,
+                                  held.m_taken);
+    if (report.m_sign && !(old && report.m_sign != ServerSign::kGood))
       LearnHealth(broker, *pool, i, {holder, *report.m_sign}, now);
     if (report.m_first > Duration(0)) {
       pool->m_views[i].m_reading_tokens -= held.m_reading_tokens;
@@ -297,6 +308,7 @@
 
 void TickBroker(PlaceBroker& broker, Instant now, std::vector<PlaceAnswer>& out) {
   CountHeard(broker, now);
+  SettleOutages(broker, now);
   for (auto& [name, pool] : broker.m_pools) {
     if (pool.m_waiting.empty())
       continue;
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -90,6 +90,40 @@
 /// \brief Learns a server's speeds.
 [[nodiscard]] ServerPace LearnPace(const ServerPace& before, const PlaceReport& report);
 
+// ---- place_outage.cc ---------------------------------------------------------------------------
+/// \brief Learns from a report whether its server's data centre is within reach.
+void LearnPath(PlaceBroker& broker,
+               const std::string& holder,
+               const HeldPlace& held,
+               const PlaceReport& report,
+               Instant now);
+/// \brief True if server `i` is kept from work for its failures, or for those of its data centre.
+[[nodiscard]] bool IsSuspect(const OutageWatch& outages,
+                             const PlacePool& pool,
+                             std::size_t i,
+                             Instant now);
+/// \brief A server of a suspect data centre that the request may find out about, if one has room.
+/// Precondition: `SetViews` was called for the request.
+[[nodiscard]] std::optional<std::size_t> ChooseOutageTrial(const PlaceBroker& broker,
+                                                           const PlacePool& pool,
+                                                           const PlaceAsk& ask,
+                                                           const RequestShape& shape,
+                                                           Instant now);
+/// \brief Tells the watch how many servers each data centre has.
+void WatchServers(PlaceBroker& broker);
+/// \brief Ends suspicions that are over.
+void SettleOutages(PlaceBroker& broker, Instant now);
+
+// ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief What keeps server `i` from the request.
+/// \param kept whether a roll-out keeps the server from work.
+[[nodiscard]] ServerBar BarOf(const OutageWatch& outages,
+                              const PlacePool& pool,
+                              std::size_t i,
+                              const PlaceAsk& ask,
+                              bool kept,
+                              Instant now);
+
 // ---- place_parts.cc ----------------------------------------------------------------------------
 /// \brief Sets `m_kept_tokens` of all views: prompt tokens that each server likely still keeps.
 void SetKeptTokens(PlacePool& pool, const PlaceAsk& ask);
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -27,22 +27,10 @@
   return std::find(ask.m_tried.begin(), ask.m_tried.end(), server) != ask.m_tried.end();
 }
 
-/// What keeps server `i` from the request.
-/// `kept`: whether a roll-out keeps the server from work.
-ServerBar BarOf(const PlacePool& pool, std::size_t i, const PlaceAsk& ask, bool kept, Instant now) {
-  const PlaceServer& server = pool.m_servers[i];
-  ServerStanding standing;
-  standing.m_leaving = server.m_leaving;
-  standing.m_evacuated = server.m_evacuated;
-  standing.m_kept_by_rollout = kept;
-  standing.m_suspect = Avoided(pool.m_health[i], now);
-  standing.m_region = server.m_region;
-  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
-}
-
 /// Sets what of a server's view depends on who asks and on the time.
 /// `kept`: whether a roll-out keeps the server from work.
-void SetView(PlacePool& pool,
+void SetView(const OutageWatch& outages,
+             PlacePool& pool,
              std::size_t i,
              const PlaceAsk& ask,
              double told,
@@ -50,19 +38,27 @@
              Instant now) {
   const PlaceServer& server = pool.m_servers[i];
   ServerView& view = pool.m_views[i];
-  view.m_usable = BarOf(pool, i, ask, kept, now) == ServerBar::kNone;
+  view.m_usable = BarOf(outages, pool, i, ask, kept, now) == ServerBar::kNone;
   view.m_same_data_centre = server.m_data_centre == ask.m_data_centre;
   view.m_open = static_cast<int>(std::ceil(view.m_slots * told)) - view.m_others;
   view.m_kept_tokens = 0;
 }
 
 /// Half of a pool stays in use, whatever failures say: of the suspects those that fail least.
-void UseSuspects(PlacePool& pool, const PlaceAsk& ask, WorkingSide side, Instant now) {
+/// `lost`: whether those of lost data centres count too.
+void UseSuspects(const OutageWatch& outages,
+                 PlacePool& pool,
+                 const PlaceAsk& ask,
+                 WorkingSide side,
+                 bool lost,
+                 Instant now) {
   std::vector<std::size_t> suspects;
   std::size_t present = 0;
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const ServerBar bar = BarOf(pool, i, ask, KeptFromWork(pool, side, i), now);
+    if (!lost && IsLost(outages, pool.m_servers[i].m_data_centre, pool.m_servers[i].m_id))
+      continue;
+    const ServerBar bar = BarOf(outages, pool, i, ask, KeptFromWork(pool, side, i), now);
     if (bar != ServerBar::kNone && bar != ServerBar::kSuspect)
       continue;
     ++present;
@@ -86,11 +82,16 @@
   const WorkingSide side = SideAtWork(pool);
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    SetView(pool, i, ask, told, KeptFromWork(pool, side, i), now);
+    SetView(broker.m_outages, pool, i, ask, told, KeptFromWork(pool, side, i), now);
     usable += pool.m_views[i].m_usable ? 1 : 0;
   }
   if (usable * 2 < pool.m_servers.size())
-    UseSuspects(pool, ask, side, now);
+    UseSuspects(broker.m_outages, pool, ask, side, false, now);
+  const bool none = broker.m_outages.m_suspects > 0 &&
+                    std::none_of(pool.m_views.begin(), pool.m_views.end(),
+                                 [](const ServerView& view) { return view.m_usable; });
+  if (none)
+    UseSuspects(broker.m_outages, pool, ask, side, true, now);
   SetKeptTokens(pool, ask);
 }
 
@@ -123,6 +124,7 @@
   held.m_taken = now;
   ++view.m_others;
   view.m_reading_tokens += held.m_reading_tokens;
+  BeginTrial(broker.m_outages, pool.m_servers[i].m_data_centre, held.m_server, now);
   if (OnTrial(pool.m_health[i]))
     pool.m_health[i] = BeginTrial(pool.m_health[i], now);
   RememberParts(pool, i, ask, now);
@@ -162,6 +164,22 @@
 
 }  // namespace
 
+ServerBar BarOf(const OutageWatch& outages,
+                const PlacePool& pool,
+                std::size_t i,
+                const PlaceAsk& ask,
+                bool kept,
+                Instant now) {
+  const PlaceServer& server = pool.m_servers[i];
+  ServerStanding standing;
+  standing.m_leaving = server.m_leaving;
+  standing.m_evacuated = server.m_evacuated;
+  standing.m_kept_by_rollout = kept;
+  standing.m_suspect = IsSuspect(outages, pool, i, now);
+  standing.m_region = server.m_region;
+  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
+}
+
 std::size_t RankIndex(Tier rank) {
   return static_cast<std::size_t>(std::clamp(rank, 0, kTiers - 1));
 }
@@ -198,6 +216,10 @@
     const Duration first = PredictFirst(pool.m_views[*i], shape, pool.m_typical);
     return Take(broker, pool, *i, waiting, first, now);
   }
+  if (const auto i = ChooseOutageTrial(broker, pool, waiting.m_ask, shape, now)) {
+    const Duration first = PredictFirst(pool.m_views[*i], shape, pool.m_typical);
+    return Take(broker, pool, *i, waiting, first, now);
+  }
   const std::optional<ServerChoice> choice =
       ChooseServer(pool.m_views, shape, pool.m_typical, NextRandom(broker));
   if (choice)
@@ -220,7 +242,7 @@
     WaitingAsk& waiting = it->second;
     const Tier rank = it->first.m_rank;
     const bool yields = !it->first.m_owed && rank > most_urgent;
-    SetView(pool, i, waiting.m_ask, told, false, now);
+    SetView(broker.m_outages, pool, i, waiting.m_ask, told, false, now);
     const ServerView& view = pool.m_views[i];
     const RequestShape shape = ShapeNow(waiting, yields, now);
     const bool fits = view.m_usable && HasRoom(view, shape, pool.m_typical) &&
--- a/packages/policy/src/shared_limit.cc
+++ b/packages/policy/src/shared_limit.cc
@@ -50,9 +50,22 @@
   shared.m_spent += cost;
 }
 
+void Withhold(SharedLimit& shared,
+              const QuotaLimit& limit,
+              double heard,
+              Duration most,
+              Instant now) noexcept {
+  const double seconds = Seconds(now - shared.m_filled);
+  const double change = (heard < 1 ? 1 - heard : -1) * limit.m_rate_per_s * seconds;
+  const double bound = (heard < 1 ? 1 - heard : 1) * limit.m_rate_per_s * Seconds(most);
+  shared.m_withheld = std::clamp(shared.m_withheld + change, 0.0, bound);
+}
+
 void ChargeLate(SharedLimit& shared, const QuotaLimit& limit, double cost) noexcept {
+  const double withheld = std::min(cost, shared.m_withheld);
+  shared.m_withheld -= withheld;
   const double most = std::max(0.0, shared.m_tokens + limit.m_burst);
-  Charge(shared, std::min(cost, most));
+  Charge(shared, std::min(cost - withheld, most));
 }
 
 void Refund(SharedLimit& shared, double cost) noexcept {
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -12735,6 +12735,11 @@
 void PlaceAnswers::__set_not_broker(const bool val) {
   this->not_broker = val;
 }
+
+void PlaceAnswers::__set_suspects(const std::vector<std::string> & val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAnswers& obj)
 {
   obj.printTo(out);
@@ -12799,6 +12804,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size477;
+            ::apache::thrift::protocol::TType _etype480;
+            xfer += iprot->readListBegin(_etype480, _size477);
+            this->suspects.resize(_size477);
+            uint32_t _i481;
+            for (_i481 = 0; _i481 < _size477; ++_i481)
+            {
+              xfer += iprot->readString(this->suspects[_i481]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12823,10 +12848,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter477;
-    for (_iter477 = this->answers.begin(); _iter477 != this->answers.end(); ++_iter477)
+    std::vector<PlaceAnswer> ::const_iterator _iter482;
+    for (_iter482 = this->answers.begin(); _iter482 != this->answers.end(); ++_iter482)
     {
-      xfer += (*_iter477).write(oprot);
+      xfer += (*_iter482).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12836,6 +12861,19 @@
   xfer += oprot->writeBool(this->not_broker);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->suspects.size()));
+      std::vector<std::string> ::const_iterator _iter483;
+      for (_iter483 = this->suspects.begin(); _iter483 != this->suspects.end(); ++_iter483)
+      {
+        xfer += oprot->writeString((*_iter483));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12846,33 +12884,38 @@
   swap(a.epoch, b.epoch);
   swap(a.answers, b.answers);
   swap(a.not_broker, b.not_broker);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswers::PlaceAnswers(const PlaceAnswers& other478) {
-  epoch = other478.epoch;
-  answers = other478.answers;
-  not_broker = other478.not_broker;
-  __isset = other478.__isset;
+PlaceAnswers::PlaceAnswers(const PlaceAnswers& other484) {
+  epoch = other484.epoch;
+  answers = other484.answers;
+  not_broker = other484.not_broker;
+  suspects = other484.suspects;
+  __isset = other484.__isset;
 }
-PlaceAnswers::PlaceAnswers(PlaceAnswers&& other479) noexcept {
-  epoch = other479.epoch;
-  answers = std::move(other479.answers);
-  not_broker = other479.not_broker;
-  __isset = other479.__isset;
+PlaceAnswers::PlaceAnswers(PlaceAnswers&& other485) noexcept {
+  epoch = other485.epoch;
+  answers = std::move(other485.answers);
+  not_broker = other485.not_broker;
+  suspects = std::move(other485.suspects);
+  __isset = other485.__isset;
 }
-PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other480) {
-  epoch = other480.epoch;
-  answers = other480.answers;
-  not_broker = other480.not_broker;
-  __isset = other480.__isset;
+PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other486) {
+  epoch = other486.epoch;
+  answers = other486.answers;
+  not_broker = other486.not_broker;
+  suspects = other486.suspects;
+  __isset = other486.__isset;
   return *this;
 }
-PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other481) noexcept {
-  epoch = other481.epoch;
-  answers = std::move(other481.answers);
-  not_broker = other481.not_broker;
-  __isset = other481.__isset;
+PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other487) noexcept {
+  epoch = other487.epoch;
+  answers = std::move(other487.answers);
+  not_broker = other487.not_broker;
+  suspects = std::move(other487.suspects);
+  __isset = other487.__isset;
   return *this;
 }
 void PlaceAnswers::printTo(std::ostream& out) const {
@@ -12881,6 +12924,7 @@
   out << "epoch=" << to_string(epoch);
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "not_broker=" << to_string(not_broker);
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
@@ -12960,22 +13004,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other482) noexcept {
-  here = other482.here;
-  __isset = other482.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other488) noexcept {
+  here = other488.here;
+  __isset = other488.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other483) noexcept {
-  here = other483.here;
-  __isset = other483.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other489) noexcept {
+  here = other489.here;
+  __isset = other489.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other484) noexcept {
-  here = other484.here;
-  __isset = other484.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other490) noexcept {
+  here = other490.here;
+  __isset = other490.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other485) noexcept {
-  here = other485.here;
-  __isset = other485.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other491) noexcept {
+  here = other491.here;
+  __isset = other491.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -13214,58 +13258,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other486) {
-  instance = other486.instance;
-  incarnation = other486.incarnation;
-  data_centre = other486.data_centre;
-  version_in_force = other486.version_in_force;
-  ready = other486.ready;
-  stopping = other486.stopping;
-  age_ms = other486.age_ms;
-  http = other486.http;
-  address = other486.address;
-  port = other486.port;
-  __isset = other486.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other487) noexcept {
-  instance = std::move(other487.instance);
-  incarnation = std::move(other487.incarnation);
-  data_centre = std::move(other487.data_centre);
-  version_in_force = other487.version_in_force;
-  ready = other487.ready;
-  stopping = other487.stopping;
-  age_ms = other487.age_ms;
-  http = std::move(other487.http);
-  address = std::move(other487.address);
-  port = other487.port;
-  __isset = other487.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other492) {
+  instance = other492.instance;
+  incarnation = other492.incarnation;
+  data_centre = other492.data_centre;
+  version_in_force = other492.version_in_force;
+  ready = other492.ready;
+  stopping = other492.stopping;
+  age_ms = other492.age_ms;
+  http = other492.http;
+  address = other492.address;
+  port = other492.port;
+  __isset = other492.__isset;
 }
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other488) {
-  instance = other488.instance;
-  incarnation = other488.incarnation;
-  data_centre = other488.data_centre;
-  version_in_force = other488.version_in_force;
-  ready = other488.ready;
-  stopping = other488.stopping;
-  age_ms = other488.age_ms;
-  http = other488.http;
-  address = other488.address;
-  port = other488.port;
-  __isset = other488.__isset;
-  return *this;
+InstanceStatus::InstanceStatus(InstanceStatus&& other493) noexcept {
+  instance = std::move(other493.instance);
+  incarnation = std::move(other493.incarnation);
+  data_centre = std::move(other493.data_centre);
+  version_in_force = other493.version_in_force;
+  ready = other493.ready;
+  stopping = other493.stopping;
+  age_ms = other493.age_ms;
+  http = std::move(other493.http);
+  address = std::move(other493.address);
+  port = other493.port;
+  __isset = other493.__isset;
 }
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other489) noexcept {
-  instance = std::move(other489.instance);
-  incarnation = std::move(other489.incarnation);
-  data_centre = std::move(other489.data_centre);
-  version_in_force = other489.version_in_force;
-  ready = other489.ready;
-  stopping = other489.stopping;
-  age_ms = other489.age_ms;
-  http = std::move(other489.http);
-  address = std::move(other489.address);
-  port = other489.port;
-  __isset = other489.__isset;
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other494) {
+  instance = other494.instance;
+  incarnation = other494.incarnation;
+  data_centre = other494.data_centre;
+  version_in_force = other494.version_in_force;
+  ready = other494.ready;
+  stopping = other494.stopping;
+  age_ms = other494.age_ms;
+  http = other494.http;
+  address = other494.address;
+  port = other494.port;
+  __isset = other494.__isset;
+  return *this;
+}
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other495) noexcept {
+  instance = std::move(other495.instance);
+  incarnation = std::move(other495.incarnation);
+  data_centre = std::move(other495.data_centre);
+  version_in_force = other495.version_in_force;
+  ready = other495.ready;
+  stopping = other495.stopping;
+  age_ms = other495.age_ms;
+  http = std::move(other495.http);
+  address = std::move(other495.address);
+  port = other495.port;
+  __isset = other495.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -13394,30 +13438,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationStatus::EvacuationStatus(const EvacuationStatus& other490) {
-  evacuation = other490.evacuation;
-  servers = other490.servers;
-  running = other490.running;
-  __isset = other490.__isset;
+EvacuationStatus::EvacuationStatus(const EvacuationStatus& other496) {
+  evacuation = other496.evacuation;
+  servers = other496.servers;
+  running = other496.running;
+  __isset = other496.__isset;
 }
-EvacuationStatus::EvacuationStatus(EvacuationStatus&& other491) noexcept {
-  evacuation = std::move(other491.evacuation);
-  servers = other491.servers;
-  running = other491.running;
-  __isset = other491.__isset;
+EvacuationStatus::EvacuationStatus(EvacuationStatus&& other497) noexcept {
+  evacuation = std::move(other497.evacuation);
+  servers = other497.servers;
+  running = other497.running;
+  __isset = other497.__isset;
 }
-EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other492) {
-  evacuation = other492.evacuation;
-  servers = other492.servers;
-  running = other492.running;
-  __isset = other492.__isset;
+EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other498) {
+  evacuation = other498.evacuation;
+  servers = other498.servers;
+  running = other498.running;
+  __isset = other498.__isset;
   return *this;
 }
-EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other493) noexcept {
-  evacuation = std::move(other493.evacuation);
-  servers = other493.servers;
-  running = other493.running;
-  __isset = other493.__isset;
+EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other499) noexcept {
+  evacuation = std::move(other499.evacuation);
+  servers = other499.servers;
+  running = other499.running;
+  __isset = other499.__isset;
   return *this;
 }
 void EvacuationStatus::printTo(std::ostream& out) const {
@@ -13565,14 +13609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size494;
-            ::apache::thrift::protocol::TType _etype497;
-            xfer += iprot->readListBegin(_etype497, _size494);
-            this->instances.resize(_size494);
-            uint32_t _i498;
-            for (_i498 = 0; _i498 < _size494; ++_i498)
+            uint32_t _size500;
+            ::apache::thrift::protocol::TType _etype503;
+            xfer += iprot->readListBegin(_etype503, _size500);
+            this->instances.resize(_size500);
+            uint32_t _i504;
+            for (_i504 = 0; _i504 < _size500; ++_i504)
             {
-              xfer += this->instances[_i498].read(iprot);
+              xfer += this->instances[_i504].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13585,14 +13629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size499;
-            ::apache::thrift::protocol::TType _etype502;
-            xfer += iprot->readListBegin(_etype502, _size499);
-            this->leases.resize(_size499);
-            uint32_t _i503;
-            for (_i503 = 0; _i503 < _size499; ++_i503)
+            uint32_t _size505;
+            ::apache::thrift::protocol::TType _etype508;
+            xfer += iprot->readListBegin(_etype508, _size505);
+            this->leases.resize(_size505);
+            uint32_t _i509;
+            for (_i509 = 0; _i509 < _size505; ++_i509)
             {
-              xfer += this->leases[_i503].read(iprot);
+              xfer += this->leases[_i509].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13629,14 +13673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size504;
-            ::apache::thrift::protocol::TType _etype507;
-            xfer += iprot->readListBegin(_etype507, _size504);
-            this->leaving.resize(_size504);
-            uint32_t _i508;
-            for (_i508 = 0; _i508 < _size504; ++_i508)
+            uint32_t _size510;
+            ::apache::thrift::protocol::TType _etype513;
+            xfer += iprot->readListBegin(_etype513, _size510);
+            this->leaving.resize(_size510);
+            uint32_t _i514;
+            for (_i514 = 0; _i514 < _size510; ++_i514)
             {
-              xfer += iprot->readString(this->leaving[_i508]);
+              xfer += iprot->readString(this->leaving[_i514]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13649,14 +13693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size509;
-            ::apache::thrift::protocol::TType _etype512;
-            xfer += iprot->readListBegin(_etype512, _size509);
-            this->evacuations.resize(_size509);
-            uint32_t _i513;
-            for (_i513 = 0; _i513 < _size509; ++_i513)
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->evacuations.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += this->evacuations[_i513].read(iprot);
+              xfer += this->evacuations[_i519].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13709,10 +13753,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter514;
-    for (_iter514 = this->instances.begin(); _iter514 != this->instances.end(); ++_iter514)
+    std::vector<InstanceStatus> ::const_iterator _iter520;
+    for (_iter520 = this->instances.begin(); _iter520 != this->instances.end(); ++_iter520)
     {
-      xfer += (*_iter514).write(oprot);
+      xfer += (*_iter520).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13721,10 +13765,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter515;
-    for (_iter515 = this->leases.begin(); _iter515 != this->leases.end(); ++_iter515)
+    std::vector<LeaseGrant> ::const_iterator _iter521;
+    for (_iter521 = this->leases.begin(); _iter521 != this->leases.end(); ++_iter521)
     {
-      xfer += (*_iter515).write(oprot);
+      xfer += (*_iter521).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13745,10 +13789,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter516;
-    for (_iter516 = this->leaving.begin(); _iter516 != this->leaving.end(); ++_iter516)
+    std::vector<std::string> ::const_iterator _iter522;
+    for (_iter522 = this->leaving.begin(); _iter522 != this->leaving.end(); ++_iter522)
     {
-      xfer += oprot->writeString((*_iter516));
+      xfer += oprot->writeString((*_iter522));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13757,10 +13801,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<EvacuationStatus> ::const_iterator _iter517;
-    for (_iter517 = this->evacuations.begin(); _iter517 != this->evacuations.end(); ++_iter517)
+    std::vector<EvacuationStatus> ::const_iterator _iter523;
+    for (_iter523 = this->evacuations.begin(); _iter523 != this->evacuations.end(); ++_iter523)
     {
-      xfer += (*_iter517).write(oprot);
+      xfer += (*_iter523).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13789,70 +13833,70 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other518) {
-  instance = other518.instance;
-  leader_id = other518.leader_id;
-  term = other518.term;
-  commit = other518.commit;
-  version = other518.version;
-  membership = other518.membership;
-  instances = other518.instances;
-  leases = other518.leases;
-  ledger_keys = other518.ledger_keys;
-  leader_here = other518.leader_here;
-  lease_age_ms = other518.lease_age_ms;
-  leaving = other518.leaving;
-  evacuations = other518.evacuations;
-  __isset = other518.__isset;
-}
-StatusReply::StatusReply(StatusReply&& other519) noexcept {
-  instance = std::move(other519.instance);
-  leader_id = other519.leader_id;
-  term = other519.term;
-  commit = other519.commit;
-  version = other519.version;
-  membership = std::move(other519.membership);
-  instances = std::move(other519.instances);
-  leases = std::move(other519.leases);
-  ledger_keys = other519.ledger_keys;
-  leader_here = other519.leader_here;
-  lease_age_ms = other519.lease_age_ms;
-  leaving = std::move(other519.leaving);
-  evacuations = std::move(other519.evacuations);
-  __isset = other519.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other520) {
-  instance = other520.instance;
-  leader_id = other520.leader_id;
-  term = other520.term;
-  commit = other520.commit;
-  version = other520.version;
-  membership = other520.membership;
-  instances = other520.instances;
-  leases = other520.leases;
-  ledger_keys = other520.ledger_keys;
-  leader_here = other520.leader_here;
-  lease_age_ms = other520.lease_age_ms;
-  leaving = other520.leaving;
-  evacuations = other520.evacuations;
-  __isset = other520.__isset;
-  return *this;
-}
-StatusReply& StatusReply::operator=(StatusReply&& other521) noexcept {
-  instance = std::move(other521.instance);
-  leader_id = other521.leader_id;
-  term = other521.term;
-  commit = other521.commit;
-  version = other521.version;
-  membership = std::move(other521.membership);
-  instances = std::move(other521.instances);
-  leases = std::move(other521.leases);
-  ledger_keys = other521.ledger_keys;
-  leader_here = other521.leader_here;
-  lease_age_ms = other521.lease_age_ms;
-  leaving = std::move(other521.leaving);
-  evacuations = std::move(other521.evacuations);
-  __isset = other521.__isset;
+StatusReply::StatusReply(const StatusReply& other524) {
+  instance = other524.instance;
+  leader_id = other524.leader_id;
+  term = other524.term;
+  commit = other524.commit;
+  version = other524.version;
+  membership = other524.membership;
+  instances = other524.instances;
+  leases = other524.leases;
+  ledger_keys = other524.ledger_keys;
+  leader_here = other524.leader_here;
+  lease_age_ms = other524.lease_age_ms;
+  leaving = other524.leaving;
+  evacuations = other524.evacuations;
+  __isset = other524.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other525) noexcept {
+  instance = std::move(other525.instance);
+  leader_id = other525.leader_id;
+  term = other525.term;
+  commit = other525.commit;
+  version = other525.version;
+  membership = std::move(other525.membership);
+  instances = std::move(other525.instances);
+  leases = std::move(other525.leases);
+  ledger_keys = other525.ledger_keys;
+  leader_here = other525.leader_here;
+  lease_age_ms = other525.lease_age_ms;
+  leaving = std::move(other525.leaving);
+  evacuations = std::move(other525.evacuations);
+  __isset = other525.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other526) {
+  instance = other526.instance;
+  leader_id = other526.leader_id;
+  term = other526.term;
+  commit = other526.commit;
+  version = other526.version;
+  membership = other526.membership;
+  instances = other526.instances;
+  leases = other526.leases;
+  ledger_keys = other526.ledger_keys;
+  leader_here = other526.leader_here;
+  lease_age_ms = other526.lease_age_ms;
+  leaving = other526.leaving;
+  evacuations = other526.evacuations;
+  __isset = other526.__isset;
+  return *this;
+}
+StatusReply& StatusReply::operator=(StatusReply&& other527) noexcept {
+  instance = std::move(other527.instance);
+  leader_id = other527.leader_id;
+  term = other527.term;
+  commit = other527.commit;
+  version = other527.version;
+  membership = std::move(other527.membership);
+  instances = std::move(other527.instances);
+  leases = std::move(other527.leases);
+  ledger_keys = other527.ledger_keys;
+  leader_here = other527.leader_here;
+  lease_age_ms = other527.lease_age_ms;
+  leaving = std::move(other527.leaving);
+  evacuations = std::move(other527.evacuations);
+  __isset = other527.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -13950,22 +13994,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsRequest::ObjectsRequest(const ObjectsRequest& other522) noexcept {
-  history = other522.history;
-  __isset = other522.__isset;
+ObjectsRequest::ObjectsRequest(const ObjectsRequest& other528) noexcept {
+  history = other528.history;
+  __isset = other528.__isset;
 }
-ObjectsRequest::ObjectsRequest(ObjectsRequest&& other523) noexcept {
-  history = other523.history;
-  __isset = other523.__isset;
+ObjectsRequest::ObjectsRequest(ObjectsRequest&& other529) noexcept {
+  history = other529.history;
+  __isset = other529.__isset;
 }
-ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other524) noexcept {
-  history = other524.history;
-  __isset = other524.__isset;
+ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other530) noexcept {
+  history = other530.history;
+  __isset = other530.__isset;
   return *this;
 }
-ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other525) noexcept {
-  history = other525.history;
-  __isset = other525.__isset;
+ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other531) noexcept {
+  history = other531.history;
+  __isset = other531.__isset;
   return *this;
 }
 void ObjectsRequest::printTo(std::ostream& out) const {
@@ -14031,14 +14075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size526;
-            ::apache::thrift::protocol::TType _etype529;
-            xfer += iprot->readListBegin(_etype529, _size526);
-            this->objects.resize(_size526);
-            uint32_t _i530;
-            for (_i530 = 0; _i530 < _size526; ++_i530)
+            uint32_t _size532;
+            ::apache::thrift::protocol::TType _etype535;
+            xfer += iprot->readListBegin(_etype535, _size532);
+            this->objects.resize(_size532);
+            uint32_t _i536;
+            for (_i536 = 0; _i536 < _size532; ++_i536)
             {
-              xfer += this->objects[_i530].read(iprot);
+              xfer += this->objects[_i536].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14051,14 +14095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size531;
-            ::apache::thrift::protocol::TType _etype534;
-            xfer += iprot->readListBegin(_etype534, _size531);
-            this->history.resize(_size531);
-            uint32_t _i535;
-            for (_i535 = 0; _i535 < _size531; ++_i535)
+            uint32_t _size537;
+            ::apache::thrift::protocol::TType _etype540;
+            xfer += iprot->readListBegin(_etype540, _size537);
+            this->history.resize(_size537);
+            uint32_t _i541;
+            for (_i541 = 0; _i541 < _size537; ++_i541)
             {
-              xfer += this->history[_i535].read(iprot);
+              xfer += this->history[_i541].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14091,10 +14135,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectText> ::const_iterator _iter536;
-    for (_iter536 = this->objects.begin(); _iter536 != this->objects.end(); ++_iter536)
+    std::vector<ObjectText> ::const_iterator _iter542;
+    for (_iter542 = this->objects.begin(); _iter542 != this->objects.end(); ++_iter542)
     {
-      xfer += (*_iter536).write(oprot);
+      xfer += (*_iter542).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14103,10 +14147,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter537;
-    for (_iter537 = this->history.begin(); _iter537 != this->history.end(); ++_iter537)
+    std::vector<HistoryRow> ::const_iterator _iter543;
+    for (_iter543 = this->history.begin(); _iter543 != this->history.end(); ++_iter543)
     {
-      xfer += (*_iter537).write(oprot);
+      xfer += (*_iter543).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14125,30 +14169,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsReply::ObjectsReply(const ObjectsReply& other538) {
-  version = other538.version;
-  objects = other538.objects;
-  history = other538.history;
-  __isset = other538.__isset;
+ObjectsReply::ObjectsReply(const ObjectsReply& other544) {
+  version = other544.version;
+  objects = other544.objects;
+  history = other544.history;
+  __isset = other544.__isset;
 }
-ObjectsReply::ObjectsReply(ObjectsReply&& other539) noexcept {
-  version = other539.version;
-  objects = std::move(other539.objects);
-  history = std::move(other539.history);
-  __isset = other539.__isset;
+ObjectsReply::ObjectsReply(ObjectsReply&& other545) noexcept {
+  version = other545.version;
+  objects = std::move(other545.objects);
+  history = std::move(other545.history);
+  __isset = other545.__isset;
 }
-ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other540) {
-  version = other540.version;
-  objects = other540.objects;
-  history = other540.history;
-  __isset = other540.__isset;
+ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other546) {
+  version = other546.version;
+  objects = other546.objects;
+  history = other546.history;
+  __isset = other546.__isset;
   return *this;
 }
-ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other541) noexcept {
-  version = other541.version;
-  objects = std::move(other541.objects);
-  history = std::move(other541.history);
-  __isset = other541.__isset;
+ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other547) noexcept {
+  version = other547.version;
+  objects = std::move(other547.objects);
+  history = std::move(other547.history);
+  __isset = other547.__isset;
   return *this;
 }
 void ObjectsReply::printTo(std::ostream& out) const {
@@ -14236,22 +14280,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other542) {
-  instance = other542.instance;
-  __isset = other542.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other548) {
+  instance = other548.instance;
+  __isset = other548.__isset;
 }
-DrainRequest::DrainRequest(DrainRequest&& other543) noexcept {
-  instance = std::move(other543.instance);
-  __isset = other543.__isset;
+DrainRequest::DrainRequest(DrainRequest&& other549) noexcept {
+  instance = std::move(other549.instance);
+  __isset = other549.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other544) {
-  instance = other544.instance;
-  __isset = other544.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other550) {
+  instance = other550.instance;
+  __isset = other550.__isset;
   return *this;
 }
-DrainRequest& DrainRequest::operator=(DrainRequest&& other545) noexcept {
-  instance = std::move(other545.instance);
-  __isset = other545.__isset;
+DrainRequest& DrainRequest::operator=(DrainRequest&& other551) noexcept {
+  instance = std::move(other551.instance);
+  __isset = other551.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -14388,34 +14432,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ErrorReply::ErrorReply(const ErrorReply& other546) {
-  code = other546.code;
-  message = other546.message;
-  leader_address = other546.leader_address;
-  leader_port = other546.leader_port;
-  __isset = other546.__isset;
+ErrorReply::ErrorReply(const ErrorReply& other552) {
+  code = other552.code;
+  message = other552.message;
+  leader_address = other552.leader_address;
+  leader_port = other552.leader_port;
+  __isset = other552.__isset;
 }
-ErrorReply::ErrorReply(ErrorReply&& other547) noexcept {
-  code = other547.code;
-  message = std::move(other547.message);
-  leader_address = std::move(other547.leader_address);
-  leader_port = other547.leader_port;
-  __isset = other547.__isset;
+ErrorReply::ErrorReply(ErrorReply&& other553) noexcept {
+  code = other553.code;
+  message = std::move(other553.message);
+  leader_address = std::move(other553.leader_address);
+  leader_port = other553.leader_port;
+  __isset = other553.__isset;
 }
-ErrorReply& ErrorReply::operator=(const ErrorReply& other548) {
-  code = other548.code;
-  message = other548.message;
-  leader_address = other548.leader_address;
-  leader_port = other548.leader_port;
-  __isset = other548.__isset;
+ErrorReply& ErrorReply::operator=(const ErrorReply& other554) {
+  code = other554.code;
+  message = other554.message;
+  leader_address = other554.leader_address;
+  leader_port = other554.leader_port;
+  __isset = other554.__isset;
   return *this;
 }
-ErrorReply& ErrorReply::operator=(ErrorReply&& other549) noexcept {
-  code = other549.code;
-  message = std::move(other549.message);
-  leader_address = std::move(other549.leader_address);
-  leader_port = other549.leader_port;
-  __isset = other549.__isset;
+ErrorReply& ErrorReply::operator=(ErrorReply&& other555) noexcept {
+  code = other555.code;
+  message = std::move(other555.message);
+  leader_address = std::move(other555.leader_address);
+  leader_port = other555.leader_port;
+  __isset = other555.__isset;
   return *this;
 }
 void ErrorReply::printTo(std::ostream& out) const {
@@ -15000,126 +15044,126 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other550) {
-  log = other550.log;
-  hello = other550.hello;
-  hello_reply = other550.hello_reply;
-  heartbeat = other550.heartbeat;
-  heartbeat_reply = other550.heartbeat_reply;
-  propose = other550.propose;
-  propose_reply = other550.propose_reply;
-  poll = other550.poll;
-  delta = other550.delta;
-  demand = other550.demand;
-  grants = other550.grants;
-  status = other550.status;
-  status_reply = other550.status_reply;
-  objects = other550.objects;
-  objects_reply = other550.objects_reply;
-  drain = other550.drain;
-  error = other550.error;
-  done = other550.done;
-  document_request = other550.document_request;
-  document = other550.document;
-  server_seen = other550.server_seen;
-  place_batch = other550.place_batch;
-  place_answers = other550.place_answers;
-  rollout_order = other550.rollout_order;
-  rollout_request = other550.rollout_request;
-  rollout = other550.rollout;
-  evacuation_order = other550.evacuation_order;
-  __isset = other550.__isset;
-}
-Body::Body(Body&& other551) noexcept {
-  log = std::move(other551.log);
-  hello = std::move(other551.hello);
-  hello_reply = std::move(other551.hello_reply);
-  heartbeat = std::move(other551.heartbeat);
-  heartbeat_reply = std::move(other551.heartbeat_reply);
-  propose = std::move(other551.propose);
-  propose_reply = std::move(other551.propose_reply);
-  poll = std::move(other551.poll);
-  delta = std::move(other551.delta);
-  demand = std::move(other551.demand);
-  grants = std::move(other551.grants);
-  status = std::move(other551.status);
-  status_reply = std::move(other551.status_reply);
-  objects = std::move(other551.objects);
-  objects_reply = std::move(other551.objects_reply);
-  drain = std::move(other551.drain);
-  error = std::move(other551.error);
-  done = other551.done;
-  document_request = other551.document_request;
-  document = std::move(other551.document);
-  server_seen = std::move(other551.server_seen);
-  place_batch = std::move(other551.place_batch);
-  place_answers = std::move(other551.place_answers);
-  rollout_order = std::move(other551.rollout_order);
-  rollout_request = std::move(other551.rollout_request);
-  rollout = std::move(other551.rollout);
-  evacuation_order = std::move(other551.evacuation_order);
-  __isset = other551.__isset;
+Body::Body(const Body& other556) {
+  log = other556.log;
+  hello = other556.hello;
+  hello_reply = other556.hello_reply;
+  heartbeat = other556.heartbeat;
+  heartbeat_reply = other556.heartbeat_reply;
+  propose = other556.propose;
+  propose_reply = other556.propose_reply;
+  poll = other556.poll;
+  delta = other556.delta;
+  demand = other556.demand;
+  grants = other556.grants;
+  status = other556.status;
+  status_reply = other556.status_reply;
+  objects = other556.objects;
+  objects_reply = other556.objects_reply;
+  drain = other556.drain;
+  error = other556.error;
+  done = other556.done;
+  document_request = other556.document_request;
+  document = other556.document;
+  server_seen = other556.server_seen;
+  place_batch = other556.place_batch;
+  place_answers = other556.place_answers;
+  rollout_order = other556.rollout_order;
+  rollout_request = other556.rollout_request;
+  rollout = other556.rollout;
+  evacuation_order = other556.evacuation_order;
+  __isset = other556.__isset;
 }
-Body& Body::operator=(const Body& other552) {
-  log = other552.log;
-  hello = other552.hello;
-  hello_reply = other552.hello_reply;
-  heartbeat = other552.heartbeat;
-  heartbeat_reply = other552.heartbeat_reply;
-  propose = other552.propose;
-  propose_reply = other552.propose_reply;
-  poll = other552.poll;
-  delta = other552.delta;
-  demand = other552.demand;
-  grants = other552.grants;
-  status = other552.status;
-  status_reply = other552.status_reply;
-  objects = other552.objects;
-  objects_reply = other552.objects_reply;
-  drain = other552.drain;
-  error = other552.error;
-  done = other552.done;
-  document_request = other552.document_request;
-  document = other552.document;
-  server_seen = other552.server_seen;
-  place_batch = other552.place_batch;
-  place_answers = other552.place_answers;
-  rollout_order = other552.rollout_order;
-  rollout_request = other552.rollout_request;
-  rollout = other552.rollout;
-  evacuation_order = other552.evacuation_order;
-  __isset = other552.__isset;
-  return *this;
+Body::Body(Body&& other557) noexcept {
+  log = std::move(other557.log);
+  hello = std::move(other557.hello);
+  hello_reply = std::move(other557.hello_reply);
+  heartbeat = std::move(other557.heartbeat);
+  heartbeat_reply = std::move(other557.heartbeat_reply);
+  propose = std::move(other557.propose);
+  propose_reply = std::move(other557.propose_reply);
+  poll = std::move(other557.poll);
+  delta = std::move(other557.delta);
+  demand = std::move(other557.demand);
+  grants = std::move(other557.grants);
+  status = std::move(other557.status);
+  status_reply = std::move(other557.status_reply);
+  objects = std::move(other557.objects);
+  objects_reply = std::move(other557.objects_reply);
+  drain = std::move(other557.drain);
+  error = std::move(other557.error);
+  done = other557.done;
+  document_request = other557.document_request;
+  document = std::move(other557.document);
+  server_seen = std::move(other557.server_seen);
+  place_batch = std::move(other557.place_batch);
+  place_answers = std::move(other557.place_answers);
+  rollout_order = std::move(other557.rollout_order);
+  rollout_request = std::move(other557.rollout_request);
+  rollout = std::move(other557.rollout);
+  evacuation_order = std::move(other557.evacuation_order);
+  __isset = other557.__isset;
 }
-Body& Body::operator=(Body&& other553) noexcept {
-  log = std::move(other553.log);
-  hello = std::move(other553.hello);
-  hello_reply = std::move(other553.hello_reply);
-  heartbeat = std::move(other553.heartbeat);
-  heartbeat_reply = std::move(other553.heartbeat_reply);
-  propose = std::move(other553.propose);
-  propose_reply = std::move(other553.propose_reply);
-  poll = std::move(other553.poll);
-  delta = std::move(other553.delta);
-  demand = std::move(other553.demand);
-  grants = std::move(other553.grants);
-  status = std::move(other553.status);
-  status_reply = std::move(other553.status_reply);
-  objects = std::move(other553.objects);
-  objects_reply = std::move(other553.objects_reply);
-  drain = std::move(other553.drain);
-  error = std::move(other553.error);
-  done = other553.done;
-  document_request = other553.document_request;
-  document = std::move(other553.document);
-  server_seen = std::move(other553.server_seen);
-  place_batch = std::move(other553.place_batch);
-  place_answers = std::move(other553.place_answers);
-  rollout_order = std::move(other553.rollout_order);
-  rollout_request = std::move(other553.rollout_request);
-  rollout = std::move(other553.rollout);
-  evacuation_order = std::move(other553.evacuation_order);
-  __isset = other553.__isset;
+Body& Body::operator=(const Body& other558) {
+  log = other558.log;
+  hello = other558.hello;
+  hello_reply = other558.hello_reply;
+  heartbeat = other558.heartbeat;
+  heartbeat_reply = other558.heartbeat_reply;
+  propose = other558.propose;
+  propose_reply = other558.propose_reply;
+  poll = other558.poll;
+  delta = other558.delta;
+  demand = other558.demand;
+  grants = other558.grants;
+  status = other558.status;
+  status_reply = other558.status_reply;
+  objects = other558.objects;
+  objects_reply = other558.objects_reply;
+  drain = other558.drain;
+  error = other558.error;
+  done = other558.done;
+  document_request = other558.document_request;
+  document = other558.document;
+  server_seen = other558.server_seen;
+  place_batch = other558.place_batch;
+  place_answers = other558.place_answers;
+  rollout_order = other558.rollout_order;
+  rollout_request = other558.rollout_request;
+  rollout = other558.rollout;
+  evacuation_order = other558.evacuation_order;
+  __isset = other558.__isset;
+  return *this;
+}
+Body& Body::operator=(Body&& other559) noexcept {
+  log = std::move(other559.log);
+  hello = std::move(other559.hello);
+  hello_reply = std::move(other559.hello_reply);
+  heartbeat = std::move(other559.heartbeat);
+  heartbeat_reply = std::move(other559.heartbeat_reply);
+  propose = std::move(other559.propose);
+  propose_reply = std::move(other559.propose_reply);
+  poll = std::move(other559.poll);
+  delta = std::move(other559.delta);
+  demand = std::move(other559.demand);
+  grants = std::move(other559.grants);
+  status = std::move(other559.status);
+  status_reply = std::move(other559.status_reply);
+  objects = std::move(other559.objects);
+  objects_reply = std::move(other559.objects_reply);
+  drain = std::move(other559.drain);
+  error = std::move(other559.error);
+  done = other559.done;
+  document_request = other559.document_request;
+  document = std::move(other559.document);
+  server_seen = std::move(other559.server_seen);
+  place_batch = std::move(other559.place_batch);
+  place_answers = std::move(other559.place_answers);
+  rollout_order = std::move(other559.rollout_order);
+  rollout_request = std::move(other559.rollout_request);
+  rollout = std::move(other559.rollout);
+  evacuation_order = std::move(other559.evacuation_order);
+  __isset = other559.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -15265,30 +15309,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other554) {
-  id = other554.id;
-  reply = other554.reply;
-  body = other554.body;
-  __isset = other554.__isset;
+Envelope::Envelope(const Envelope& other560) {
+  id = other560.id;
+  reply = other560.reply;
+  body = other560.body;
+  __isset = other560.__isset;
 }
-Envelope::Envelope(Envelope&& other555) noexcept {
-  id = other555.id;
-  reply = other555.reply;
-  body = std::move(other555.body);
-  __isset = other555.__isset;
+Envelope::Envelope(Envelope&& other561) noexcept {
+  id = other561.id;
+  reply = other561.reply;
+  body = std::move(other561.body);
+  __isset = other561.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other556) {
-  id = other556.id;
-  reply = other556.reply;
-  body = other556.body;
-  __isset = other556.__isset;
+Envelope& Envelope::operator=(const Envelope& other562) {
+  id = other562.id;
+  reply = other562.reply;
+  body = other562.body;
+  __isset = other562.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other557) noexcept {
-  id = other557.id;
-  reply = other557.reply;
-  body = std::move(other557.body);
-  __isset = other557.__isset;
+Envelope& Envelope::operator=(Envelope&& other563) noexcept {
+  id = other563.id;
+  reply = other563.reply;
+  body = std::move(other563.body);
+  __isset = other563.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -4719,10 +4719,11 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj);
 
 typedef struct _PlaceAnswers__isset {
-  _PlaceAnswers__isset() : epoch(false), answers(false), not_broker(false) {}
+  _PlaceAnswers__isset() : epoch(false), answers(false), not_broker(false), suspects(false) {}
   bool epoch :1;
   bool answers :1;
   bool not_broker :1;
+  bool suspects :1;
 } _PlaceAnswers__isset;
 
 class PlaceAnswers : public virtual ::apache::thrift::TBase {
@@ -4741,6 +4742,7 @@
   int64_t epoch;
   std::vector<PlaceAnswer>  answers;
   bool not_broker;
+  std::vector<std::string>  suspects;
 
   _PlaceAnswers__isset __isset;
 
@@ -4750,6 +4752,8 @@
 
   void __set_not_broker(const bool val);
 
+  void __set_suspects(const std::vector<std::string> & val);
+
   bool operator == (const PlaceAnswers & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -4758,6 +4762,10 @@
       return false;
     if (!(not_broker == rhs.not_broker))
       return false;
+    if (__isset.suspects != rhs.__isset.suspects)
+      return false;
+    else if (__isset.suspects && !(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const PlaceAnswers &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -207,7 +207,11 @@
   // Of the server: an instance that has no news of it yet, or of an earlier life, can go there.
   7: i64 born; 8: string address; 9: i32 port
 }
-struct PlaceAnswers { 1: i64 epoch; 2: list<PlaceAnswer> answers; 3: bool not_broker }
+struct PlaceAnswers {
+  1: i64 epoch; 2: list<PlaceAnswer> answers; 3: bool not_broker;
+  // All data centres that the broker holds to be lost or cut off; unset: no news of it.
+  4: optional list<string> suspects
+}
 
 // ---- Operators -----------------------------------------------------------------------------
 struct StatusRequest { 1: bool here }
--- /dev/null
+++ b/tests/outage_forward_test.cc
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What an instance does when the broker holds a data centre to be lost, and when it finds one so.
+#include <catch2/catch.hpp>
+
+#include "forwarder_rig.h"
+
+namespace poppyway {
+namespace {
+
+struct AskedBroker {
+  std::vector<PlaceAsk> m_asks;
+
+  explicit AskedBroker(Rig& rig) {
+    rig.m_forwarder->SetBroker({[this](const PlaceBatch& batch) {
+                                  m_asks.insert(m_asks.end(), batch.m_asks.begin(),
+                                                batch.m_asks.end());
+                                },
+                                [] {}});
+    rig.m_forwarder->Take(FleetSize{4});
+    rig.m_forwarder->Take(BrokerFound{1});
+  }
+};
+
+void RegisterIn(Rig& rig,
+                const std::string& centre,
+                const std::string& id,
+                const ScriptedServer& server) {
+  wire::ServerRecord record = rig.Record(id, server);
+  record.data_centre = centre;
+  rig.m_forwarder->Take(ServersChanged{{record}});
+}
+
+void Place(Rig& rig, PlaceRef ref, const std::string& server) {
+  PlaceAnswer answer;
+  answer.m_ref = ref;
+  answer.m_verdict = PlaceVerdict::kPlaced;
+  answer.m_server = server;
+  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
+}
+
+void TellSuspects(Rig& rig, const std::vector<std::string>& suspects) {
+  rig.m_forwarder->Take(PlacesAnswered{1, {}, suspects});
+}
+
+void RunFor(Rig& rig, Duration time) {
+  const Instant begun = ReadClock();
+  while (ReadClock() - begun < time)
+    rig.m_loop.RunFor(5);
+}
+
+std::vector<ScriptStep> Silence(const std::string& /*request*/) {
+  return {AwaitClose()};
+}
+
+TEST_CASE("a repeatable request that is silent at a lost data centre goes on elsewhere") {
+  ScriptedServer silent(Silence);
+  ScriptedServer other([](const std::string& request) { return Answer(request, "other"); });
+  Rig rig;
+  RegisterIn(rig, "east", "s0", silent);
+  RegisterIn(rig, "west", "s1", other);
+  AskedBroker broker(rig);
+  Pending call(rig, Request("/safe/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  Place(rig, broker.m_asks[0].m_ref, "s0");
+  rig.RunUntil([&] { return !silent.requests().empty(); });
+  TellSuspects(rig, {"east"});
+  RunFor(rig, Duration(150'000));
+  CHECK(broker.m_asks.size() == 1);  // It may still answer: it isn't silent for long.
+  rig.RunUntil([&] { return broker.m_asks.size() == 2; });
+  REQUIRE(broker.m_asks.size() == 2);
+  CHECK(broker.m_asks[1].m_tried == std::vector<std::string>{"s0"});
+  rig.RunUntil([&] { return silent.peer_closes() == 1; });
+  CHECK(silent.peer_closes() == 1);  // Before it runs elsewhere.
+  Place(rig, broker.m_asks[1].m_ref, "s1");
+  CHECK(call.Finish(rig).body() == "other");
+}
+
+TEST_CASE("what may not run twice awaits its silent server, lost or not") {
+  ScriptedServer silent(Silence);
+  Rig rig;
+  RegisterIn(rig, "east", "s0", silent);
+  AskedBroker broker(rig);
+  Pending call(rig, Request("/once/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  Place(rig, broker.m_asks[0].m_ref, "s0");
+  rig.RunUntil([&] { return !silent.requests().empty(); });
+  TellSuspects(rig, {"east"});
+  RunFor(rig, Duration(600'000));
+  CHECK(silent.peer_closes() == 0);
+  CHECK(broker.m_asks.size() == 1);
+  CHECK(call.Finish(rig).status() == 504);
+}
+
+TEST_CASE("a stream that still flows from a data centre that is held to be lost isn't cut") {
+  ScriptedServer flowing([](const std::string& request) {
+    std::vector<ScriptStep> steps = {
+        Send(Head(request, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"))};
+    for (int id = 1; id <= 8; ++id) {
+      steps.push_back(Send(Chunk(Event(id))));
+      steps.push_back(Wait(100));
+    }
+    steps.push_back(Send("0\r\n\r\n"));
+    return steps;
+  });
+  Rig rig;
+  RegisterIn(rig, "east", "s0", flowing);
+  AskedBroker broker(rig);
+  Pending call(rig, Request("/stream/", "i"));
+  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  REQUIRE(broker.m_asks.size() == 1);
+  Place(rig, broker.m_asks[0].m_ref, "s0");
+  TellSuspects(rig, {"east"});
+  const Seen seen = call.Finish(rig);
+  CHECK(seen.m_bytes.ends_with("0\r\n\r\n"));
+  CHECK(broker.m_asks.size() == 1);
+  CHECK(flowing.requests().size() == 1);
+}
+
+TEST_CASE("connections that rest at a lost data centre are closed, and others kept") {
+  const auto answer = [](const std::string& request) { return Answer(request, "ok"); };
+  ScriptedServer east(answer);
+  ScriptedServer west(answer);
+  Rig rig;
+  RegisterIn(rig, "east", "s0", east);
+  RegisterIn(rig, "west", "s1", west);
+  AskedBroker broker(rig);
+  const auto call = [&](const std::string& server) {
+    const std::size_t before = broker.m_asks.size();
+    Pending one(rig, Request("/safe/", server + std::to_string(before)));
+    rig.RunUntil([&] { return broker.m_asks.size() > before; });
+    REQUIRE(broker.m_asks.size() == before + 1);
+    Place(rig, broker.m_asks.back().m_ref, server);
+    CHECK(one.Finish(rig).status() == 200);
+  };
+  call("s0");
+  call("s1");
+  TellSuspects(rig, {"east"});
+  call("s0");
+  call("s1");
+  CHECK(east.connections() == 2);
+  CHECK(west.connections() == 1);
+}
+
+TEST_CASE("an instance alone holds a data centre to be lost after three of its servers") {
+  ScriptedServer west([](const std::string& request) { return Answer(request, "ok"); });
+  Rig rig;
+  RegisterIn(rig, "west", "w0", west);
+  REQUIRE(Call(rig, Request("/safe/", "first")).status() == 200);
+  std::vector<wire::ServerRecord> records;
+  for (int i = 0; i < 12; ++i) {
+    wire::ServerRecord record = rig.Record("e" + std::to_string(i), west);
+    record.port = FreePort();  // Nobody listens.
+    record.data_centre = "east";
+    records.push_back(record);
+  }
+  rig.m_forwarder->Take(ServersChanged{records});
+  const OutageWatch& watch = rig.m_forwarder->state().m_outages;
+  for (int i = 0; i < 12 && !IsSuspect(watch, "east"); ++i) {
+    CHECK(Call(rig, Request("/safe/", "i" + std::to_string(i))).status() == 200);
+    RunFor(rig, Duration(30'000));
+  }
+  REQUIRE(IsSuspect(watch, "east"));
+  CHECK_FALSE(IsSuspect(watch, "west"));
+  int tried = 0;
+  for (const auto& [id, backend] : rig.m_forwarder->state().m_backends)
+    tried += backend.m_health.m_failures > 0 ? 1 : 0;
+  CHECK(tried == 3);
+}
+
+}  // namespace
+}  // namespace poppyway
--- /dev/null
+++ b/tests/withheld_limit_test.cc
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// A limit while some instances are cut off from the broker, and when they are back.
+#include <catch2/catch.hpp>
+
+#include "poppyway/policy.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kMs{1'000};
+constexpr Duration kSecond{1'000'000};
+constexpr Duration kMayServe{4'500'000};
+constexpr double kRate = 1'000;
+constexpr double kCost = 10;
+const Instant kStart{100 * kSecond};
+
+/// One of three hundred requests a second, more than the limit allows.
+double AskAndEnd(PlaceBroker& broker, const std::string& holder, PlaceRef ref, Instant now) {
+  PlaceAsk ask;
+  ask.m_ref = ref;
+  ask.m_pool = "engines";
+  ask.m_workspace = "north";
+  ask.m_shape.m_aim = kSecond;
+  ask.m_shape.m_left = 10 * kSecond;
+  ask.m_quota.m_cost = kCost;
+  ask.m_limit = {kRate, kRate};
+  std::vector<PlaceAnswer> out;
+  Ask(broker, holder, ask, now, out);
+  if (out.empty() || out[0].m_verdict != PlaceVerdict::kPlaced)
+    return 0;
+  PlaceReport end;
+  end.m_ref = ref;
+  end.m_ended = true;
+  Report(broker, holder, end, now, out);
+  return kCost;
+}
+
+struct Cut {
+  PlaceBroker m_broker;
+  double m_spent = 0;
+  PlaceRef m_next = 1;
+
+  Cut() : m_broker(BeginBroker(1, 7, kMayServe, kStart - 10 * kSecond)) {
+    PlaceServer server;
+    server.m_id = "s0";
+    server.m_pool = "engines";
+    server.m_slots = 64;
+    SetServers(m_broker, {server});
+    for (const std::string holder : {"a", "b", "c", "d"})
+      Resync(m_broker, holder, 4, kStart);
+  }
+  /// `heard` of the four instances ask, others are silent.
+  void Play(Duration from, Duration until, int heard) {
+    for (Instant now = kStart + from; now < kStart + until; now += Duration(3'333)) {
+      std::vector<PlaceAnswer> out;
+      TickBroker(m_broker, now, out);
+      const std::string holder(1, static_cast<char>('a' + m_next % heard));
+      m_spent += AskAndEnd(m_broker, holder, m_next++, now);
+    }
+  }
+  void Return(double spent_alone, Duration at) {
+    Resync(m_broker, "d", 4, kStart + at);
+    LimitReport word;
+    word.m_workspace = "north";
+    word.m_limit = {kRate, kRate};
+    word.m_spent_alone = spent_alone;
+    HearLimit(m_broker, word, kStart + at);
+    m_spent += spent_alone;
+  }
+};
+
+TEST_CASE("an instance that returns from a cut with its part spent leaves no debt to others") {
+  Cut cut;
+  cut.Play(Duration(0), 2 * kSecond, 4);
+  cut.Play(2 * kSecond, 7 * kSecond, 3);
+  // A quarter of the rate for as long as it may serve on.
+  cut.Return(kRate / 4 * 4.5, 7 * kSecond);
+  CHECK(cut.m_broker.m_limits.at("north").m_tokens > -kRate / 2);
+  const double before = cut.m_spent;
+  cut.Play(7 * kSecond, 8 * kSecond, 4);
+  CHECK(cut.m_spent - before > 0.5 * kRate);
+  CHECK(cut.m_spent <= 8 * kRate + kRate + kCost);  // One request may overdraw a limit.
+}
+
+TEST_CASE("what is withheld for instances that never return is given to nobody twice") {
+  Cut cut;
+  cut.Play(Duration(0), 2 * kSecond, 4);
+  cut.Play(2 * kSecond, 12 * kSecond, 3);
+  CHECK(cut.m_broker.m_limits.at("north").m_withheld <= kRate / 4 * 4.5 + 1);
+  cut.Return(0, 12 * kSecond);
+  cut.Play(12 * kSecond, 15 * kSecond, 4);
+  CHECK(cut.m_broker.m_limits.at("north").m_withheld == 0);
+  CHECK(cut.m_spent <= 15 * kRate + kRate + kCost);
+}
+
+TEST_CASE("what is spent alone beyond the withheld part is charged as before") {
+  SharedLimit shared;
+  shared.m_tokens = 100;
+  shared.m_filled = kStart;
+  const QuotaLimit limit{kRate, kRate};
+  Withhold(shared, limit, 0.75, kMayServe, kStart + 100 * kMs);
+  ChargeLate(shared, limit, 35);
+  CHECK(shared.m_withheld == Approx(0));
+  CHECK(shared.m_tokens == Approx(90));
+}
+
+}  // namespace
+}  // namespace poppyway
