--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -55,7 +55,7 @@
   }
   if (m_behind_since == Instant{})
     m_behind_since = now;
-  if (now - m_behind_since < kPollOverdue)
+  if (now - m_behind_since < kPollOverdue || m_poll_member == m_leader)
     return;
   POPPYWAY_LOG(info, "news_overdue")
       .Field("member", ToText(m_places[m_poll_member]))
@@ -88,12 +88,14 @@
     m_forwarder.m_send(ServersChanged{delta.servers});
   m_servers_index = std::max(m_servers_index, delta.servers_index);
   OnLeaderNamed(delta);
-  m_poll_member = NearestSource(ReadClock());
   if (delta.__isset.document && delta.document.version > m_document_version) {
     m_document_version = delta.document.version;
     m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
     PublishConfirmation();
   }
+  const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
+  if (!behind)
+    m_poll_member = NearestSource(ReadClock());
 }
 
 void InstanceSide::OnLeaderNamed(const wire::ConfigDelta& delta) {
@@ -116,6 +118,8 @@
   message.m_epoch = body.place_answers.epoch;
   for (const wire::PlaceAnswer& answer : body.place_answers.answers)
     message.m_answers.push_back(FromWire(answer));
+  if (body.place_answers.__isset.suspects)
+    message.m_suspects = body.place_answers.suspects;
   m_forwarder.m_send(std::move(message));
 }
 
--- a/apps/poppywayd/member_evacuation.cc
+++ b/apps/poppywayd/member_evacuation.cc
@@ -27,6 +27,10 @@
                           "' is not in the settings and no backend server registered from it"));
     return;
   }
+  // Refused at once, so that the operator turns to another member: an order that a leader without a
+  // majority takes would be answered long after its caller has given up.
+  if (!LeadsForSure(reply))
+    return;
   // Also a repeated order goes through the log: its acknowledgement must come from a leader that
   // still is one, and the first one must be safe by then.
   wire::Command command;
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -68,9 +68,7 @@
       return loaded;
   }
   RestoreLog(m_node, stored);
-  ReadColdLimits();
-  ExpectWarmth(0, ReadClock());
-  m_rollouts.OnApplied(m_machine.m_hosted, ReadClock());
+  OnStateReplaced();
   m_formation.m_self = Self();
   POPPYWAY_LOG(info, "log_opened")
       .Field("member_id", m_node.m_id)
@@ -80,6 +78,14 @@
   return {};
 }
 
+void MemberSide::OnStateReplaced() {
+  const Instant now = ReadClock();
+  m_rollouts.OnApplied(m_machine.m_hosted, now);
+  ReadColdLimits();
+  m_cold_until.clear();
+  ExpectWarmth(0, now);
+}
+
 wire::MemberInfo MemberSide::Self() const {
   wire::MemberInfo self;
   self.id = m_node.m_id;
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -140,6 +140,8 @@
   [[nodiscard]] bool TellsNews(const wire::ServerRecord& record) const;
   /// Notes until when servers that changed after `index` said that they are cold.
   void ExpectWarmth(std::int64_t index, Instant now);
+  /// A snapshot took the place of the state: what is derived from it is worked out anew.
+  void OnStateReplaced();
   void ReadColdLimits();
 
   TaskLoop& m_loop;
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -192,6 +192,7 @@
     POPPYWAY_LOG(info, "servers_changed").Field("servers", records.size());
   DropUnused(state);
   IndexPools(state);
+  WatchServers(state);
   for (const auto& [name, pool] : state.m_pools)
     ServeQueue(state, name);
 }
@@ -263,21 +264,72 @@
 
 }  // namespace
 
-ServerBar BarOf(const ForwarderState& state,
+namespace {
+
+bool IsSuspectAlone(const ForwarderState& state, const Backend& backend, Instant now) {
+  const std::string& data_centre = backend.m_record.data_centre;
+  const std::string& server = backend.m_record.id;
+  const bool lost = IsLost(state.m_outages, data_centre, server) &&
+                    !MayTry(state.m_outages, data_centre, server, now);
+  return lost || Avoided(backend.m_health, now);
+}
+
+/// `kept`: whether a roll-out keeps the server from work.
+ServerBar BarIf(const ForwarderState& state,
                 const Forwarding& forwarding,
                 const Backend& backend,
+                bool kept,
                 Instant now) {
   ServerStanding standing = PlainStanding(state, backend);
   standing.m_leaving = backend.m_leaving || backend.m_replaced;
-  // A version on trial gets work from the broker only, which keeps count of it.
-  standing.m_kept_by_rollout = backend.m_record.held_back;
+  standing.m_kept_by_rollout = kept;
   standing.m_cold_full =
       IsCold(backend.m_ramp, now) &&
       !MaySendAlone(backend.m_ramp, ColdLimitOf(state, backend.m_record.pool), now);
-  standing.m_suspect = Avoided(backend.m_health, now);
+  standing.m_suspect = IsSuspectAlone(state, backend, now);
   return BarFor(standing, forwarding.m_homes, Tried(forwarding, backend.m_record.id));
 }
 
+/// True if the server does ordinary work that this request may be part of, now or a little later.
+bool WorksFor(const ForwarderState& state,
+              const Forwarding& forwarding,
+              const Backend& backend,
+              Instant now) {
+  if (backend.m_record.held_back)
+    return false;
+  const ServerBar bar = BarIf(state, forwarding, backend, false, now);
+  return bar != ServerBar::kLeaving && bar != ServerBar::kEvacuated &&
+         bar != ServerBar::kOutsideHome;
+}
+
+/// None is free of suspicion: a suspect server is better than none, and so is one on trial if all
+/// that work are gone.
+void UseLastResorts(const ForwarderState& state,
+                    const Forwarding& forwarding,
+                    const std::vector<std::string>& ids,
+                    std::vector<ServerView>& views,
+                    Instant now) {
+  const bool any_works = std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
+    return WorksFor(state, forwarding, state.m_backends.at(id), now);
+  });
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    const Backend& backend = state.m_backends.at(ids[i]);
+    const bool kept = backend.m_record.held_back && any_works;
+    const ServerBar bar = BarIf(state, forwarding, backend, kept, now);
+    views[i].m_usable = bar == ServerBar::kNone || bar == ServerBar::kSuspect;
+  }
+}
+
+}  // namespace
+
+ServerBar BarOf(const ForwarderState& state,
+                const Forwarding& forwarding,
+                const Backend& backend,
+                Instant now) {
+  // A version on trial gets work from the broker only, which keeps count of it.
+  return BarIf(state, forwarding, backend, backend.m_record.held_back, now);
+}
+
 ServerBar BarOnSend(const ForwarderState& state,
                     const Forwarding& forwarding,
                     const Backend& backend) {
@@ -303,20 +355,13 @@
   for (const std::string& id : ids) {
     const Backend& backend = state.m_backends.at(id);
     views.push_back(ViewOf(state, forwarding, backend, now));
-    any =
-        any || views.back().m_usable || BarOf(state, forwarding, backend, now) == ServerBar::kCold;
-  }
-  const bool any_free = std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
-    const Backend& backend = state.m_backends.at(id);
-    return !backend.m_record.held_back &&
-           ServesAtHome(forwarding.m_homes,
-                        RegionOf(state.m_settings.m_regions, backend.m_record.data_centre));
-  });
-  for (std::size_t i = 0; !any && i < ids.size(); ++i) {
-    // All are suspect: a suspect one is better than none, and so is one on trial.
-    const ServerBar bar = BarOf(state, forwarding, state.m_backends.at(ids[i]), now);
-    views[i].m_usable = bar == ServerBar::kSuspect || (bar == ServerBar::kRollout && !any_free);
+    // A cold server that has got as much as it may is in use; one that is suspect too isn't.
+    const bool cold_in_use = BarOf(state, forwarding, backend, now) == ServerBar::kCold &&
+                             !IsSuspectAlone(state, backend, now);
+    any = any || views.back().m_usable || cold_in_use;
   }
+  if (!any)
+    UseLastResorts(state, forwarding, ids, views, now);
   RequestShape shape;
   shape.m_tier = forwarding.m_route->m_tier;
   shape.m_yields = yields;
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -156,11 +156,16 @@
 
 }  // namespace
 
+bool LeaveServer(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  if (!MayRunAgain(forwarding) || !MayTryElsewhere(state, forwarding))
+    return false;
+  TryElsewhere(state, forwarding, why);
+  return true;
+}
+
 void OnBroken(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
-  if (MayRunAgain(forwarding) && MayTryElsewhere(state, forwarding)) {
-    TryElsewhere(state, forwarding, why);
+  if (LeaveServer(state, forwarding, why))
     return;
-  }
   const std::string pool = forwarding.m_pool->m_name;
   Refuse(state, forwarding,
          forwarding.m_headed ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown, why);
@@ -184,6 +189,7 @@
     return HeadVerdict::kSkip;
   }
   NoteByte(state, *forwarding);
+  NotePath(state, *forwarding, true);
   if (answer.m_other_server) {
     NoteOtherServer(state, forwarding->m_server, *answer.m_other_server);
     forwarding->m_report.m_sign = ServerSign::kUnreachable;
@@ -279,6 +285,8 @@
       .Field("events", forwarding->m_call_events)
       .Field("reused", forwarding->m_call && forwarding->m_call->reused())
       .Field("after_ms", (ReadClock() - forwarding->m_dispatched).count() / 1000);
+  if (fault != CallFault::kWithdrawn)
+    NotePath(state, *forwarding, false);
   if (!NothingSent(fault)) {
     NoteHealth(state, *forwarding, ServerSign::kBad);
     OnBroken(state, *forwarding, why);
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -15,6 +15,7 @@
 
 #include "poppyway/core.h"
 #include "poppyway/policy/impl/cold_ramp.h"
+#include "poppyway/policy/impl/outage_watch.h"
 #include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
 #include "poppyway/policy/impl/reach.h"
@@ -230,6 +231,7 @@
   std::unordered_map<PlaceRef, HeldPlace> m_held;
   std::unordered_map<PlaceRef, std::pair<std::string, PlaceOrder>> m_waiting;  ///< With the pool.
   Instant m_heard{};
+  std::string m_data_centre;  ///< As its place requests say; empty: none came yet.
 };
 
 /// \brief A server that is kept from new work since the last look, for the log.
@@ -259,6 +261,8 @@
   std::map<std::string, PlaceHolder> m_holders;  ///< By incarnation.
   std::map<std::string, SharedLimit> m_limits;   ///< By workspace.
   std::vector<AvoidedServer> m_avoided;          ///< To be logged and cleared by the owner.
+  OutageWatch m_outages;                         ///< Fed by the reports of all instances.
+  std::vector<OutageNews> m_outage_news;         ///< To be logged and cleared by the owner.
   /// By pool: looks at all servers that found no room for a request while cold ones were full.
   std::map<std::string, std::int64_t> m_cold_waits;
   double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
--- a/packages/policy/src/cold_ramp.cc
+++ b/packages/policy/src/cold_ramp.cc
@@ -124,8 +124,9 @@
                 double random,
                 Instant now) noexcept {
   const Duration gap = GapAlone(limit, instances);
-  // What could have been sent but wasn't was no cold server, or the broker was there.
-  const Duration lapses = std::max(gap, kColdWindow);
+  // A turn that nobody used is over: kept, those of all instances would be used in the one moment
+  // in which the warm servers are full.
+  const Duration lapses = std::min(gap, kColdWindow / kParts);
   const bool begun = ramp.m_next_alone != Instant{} && now < ramp.m_next_alone + lapses;
   if (begun || gap == Duration(0))
     return;
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -144,12 +144,14 @@
     ServerHealth health;
     ColdRamp ramp;
     const auto known = index_before.find(server.m_id);
-    if (known != index_before.end()) {
+    bool appeared = known == index_before.end();
+    if (!appeared) {
       const PlacePool& old = before[known->second.first];
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
       ramp = old.m_ramps[known->second.second];
       const std::int64_t born = old.m_servers[known->second.second].m_born;
+      appeared = server.m_born != born;
       if (server.m_born > born)
         births.emplace_back(server.m_id, born);
       if (born > 0 && server.m_born > born) {
@@ -157,6 +159,8 @@
         health = {};
       }
     }
+    if (appeared)
+      Appear(broker.m_outages, server.m_data_centre, server.m_id);
     view.m_slots = std::max(1, server.m_slots);
     view.m_own = 0;
     broker.m_server_index[server.m_id] = {server.m_pool, pool.m_servers.size()};
@@ -167,6 +171,7 @@
   }
   for (const auto& [id, before] : births)
     TakeBirth(broker, id, before);
+  WatchServers(broker);
 }
 
 void SetRegions(PlaceBroker& broker, RegionMap regions) {
@@ -217,6 +222,7 @@
          Instant now,
          std::vector<PlaceAnswer>& out) {
   broker.m_holders[holder].m_heard = now;
+  broker.m_holders[holder].m_data_centre = ask.m_data_centre;
   PlacePool& pool = broker.m_pools[ask.m_pool];
   ShareGroup group{ask.m_shape.m_tier, 0, ask.m_workspace};
   const bool limited = !ask.m_workspace.empty() && ask.m_limit.m_rate_per_s > 0;
@@ -224,7 +230,9 @@
     SharedLimit& limit =
         broker.m_limits.try_emplace(ask.m_workspace, BeginLimit(ask.m_limit, broker.m_began))
             .first->second;
-    const QuotaLimit heard{ask.m_limit.m_rate_per_s * HeardShare(broker), ask.m_limit.m_burst};
+    const double share = HeardShare(broker);
+    Withhold(limit, ask.m_limit, share, broker.m_may_serve, now);
+    const QuotaLimit heard{ask.m_limit.m_rate_per_s * share, ask.m_limit.m_burst};
     if (!Spend(limit, heard, ask.m_quota, now)) {
       out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kOverLimit, limit.m_tokens));
       return;
@@ -295,9 +303,15 @@
       pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, at_server);
   }
   if (counts) {
-    if (report.m_sign)
+    LearnPath(broker, holder, held, report, now);
+    const bool old = BeforeReturn(broker.m_outages, pool->m_servers[i].m_data_centre, held.m_server,
+                                  held.m_taken);
+    // A failure of a request that was sent before the server's return says nothing of it now.
+    const bool tells = report.m_sign && (!old || report.m_sign == ServerSign::kGood);
+    if (tells) {
       LearnHealth(broker, *pool, i, {holder, *report.m_sign}, now);
-    NoteColdSign(*pool, i, report, now);
+      NoteColdSign(*pool, i, report, now);
+    }
     if (report.m_first > Duration(0)) {
       pool->m_views[i].m_reading_tokens -= held.m_reading_tokens;
       held.m_reading_tokens = 0;
@@ -373,11 +387,11 @@
 
 void TickBroker(PlaceBroker& broker, Instant now, std::vector<PlaceAnswer>& out) {
   CountHeard(broker, now);
+  SettleOutages(broker, now);
   for (auto& [name, pool] : broker.m_pools) {
     if (pool.m_waiting.empty())
       continue;
-    if (EvacuatedAway(pool, {}))
-      RefuseAll(broker, pool, now, out);
+    RefuseUnservable(broker, pool, now, out);
     ExpirePool(broker, pool, now, out);
     ServePool(broker, pool, now, out);
   }
--- a/packages/policy/src/place_cold.cc
+++ b/packages/policy/src/place_cold.cc
@@ -30,8 +30,9 @@
 }
 
 void NoteColdSign(PlacePool& pool, std::size_t i, const PlaceReport& report, Instant now) {
-  // A whole answer that is a failure comes from a server that runs.
-  const bool says = report.m_sign && !report.m_failed && pool.m_cold.m_per_s > 0;
+  // A whole answer that is a failure comes from a server that runs, and so does a refusal to run.
+  const bool declined = !report.m_ran && report.m_sign == ServerSign::kBad;
+  const bool says = report.m_sign && !report.m_failed && !declined && pool.m_cold.m_per_s > 0;
   if (!says)
     return;
   const bool nothing_new = *report.m_sign == ServerSign::kGood && !pool.m_ramps[i].m_silent;
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -12,13 +12,6 @@
 namespace poppyway {
 
 // ---- place_serve.cc ----------------------------------------------------------------------------
-/// \brief What keeps server `i` from the request.
-/// \param kept whether a roll-out keeps the server from work.
-[[nodiscard]] ServerBar BarOf(const PlacePool& pool,
-                              std::size_t i,
-                              const PlaceAsk& ask,
-                              bool kept,
-                              Instant now);
 /// \brief True if the request is bound to regions in which the pool has no server.
 [[nodiscard]] bool NoneAtHome(const PlacePool& pool, const PlaceAsk& ask);
 /// \brief A tier as an index.
@@ -50,8 +43,11 @@
 void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
 /// \brief Refuses what has waited until its time.
 void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
-/// \brief Refuses all that waits: the pool has no server left.
-void RefuseAll(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+/// \brief Refuses what waits and can't be served any more: evacuations or homes leave it no server.
+void RefuseUnservable(PlaceBroker& broker,
+                      PlacePool& pool,
+                      Instant now,
+                      std::vector<PlaceAnswer>& out);
 /// \brief After it a place would be of no use for an answer in time, or its caller is gone.
 [[nodiscard]] Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting);
 /// \brief Lets a place request wait that may still get a place in time; refuses any other at once.
@@ -71,7 +67,8 @@
 [[nodiscard]] bool KeptFromWork(const PlacePool& pool, WorkingSide side, std::size_t i);
 /// \brief The trial server for a request, if the trial wants it and one has room.
 /// Precondition: `SetViews` was called for the request.
-[[nodiscard]] std::optional<std::size_t> ChooseTrialServer(const PlacePool& pool,
+[[nodiscard]] std::optional<std::size_t> ChooseTrialServer(const OutageWatch& outages,
+                                                           const PlacePool& pool,
                                                            const PlaceAsk& ask,
                                                            const RequestShape& shape,
                                                            Instant now);
@@ -110,6 +107,40 @@
 /// \brief Learns a server's speeds.
 [[nodiscard]] ServerPace LearnPace(const ServerPace& before, const PlaceReport& report);
 
+// ---- place_outage.cc ---------------------------------------------------------------------------
+/// \brief Learns from a report whether its server's data centre is within reach.
+void LearnPath(PlaceBroker& broker,
+               const std::string& holder,
+               const HeldPlace& held,
+               const PlaceReport& report,
+               Instant now);
+/// \brief True if server `i` is kept from work for its failures, or for those of its data centre.
+[[nodiscard]] bool IsSuspect(const OutageWatch& outages,
+                             const PlacePool& pool,
+                             std::size_t i,
+                             Instant now);
+/// \brief A server of a suspect data centre that the request may find out about, if one has room.
+/// Precondition: `SetViews` was called for the request.
+[[nodiscard]] std::optional<std::size_t> ChooseOutageTrial(const PlaceBroker& broker,
+                                                           const PlacePool& pool,
+                                                           const PlaceAsk& ask,
+                                                           const RequestShape& shape,
+                                                           Instant now);
+/// \brief Tells the watch how many servers each data centre has.
+void WatchServers(PlaceBroker& broker);
+/// \brief Ends suspicions that are over.
+void SettleOutages(PlaceBroker& broker, Instant now);
+
+// ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief What keeps server `i` from the request.
+/// \param kept whether a roll-out keeps the server from work.
+[[nodiscard]] ServerBar BarOf(const OutageWatch& outages,
+                              const PlacePool& pool,
+                              std::size_t i,
+                              const PlaceAsk& ask,
+                              bool kept,
+                              Instant now);
+
 // ---- place_parts.cc ----------------------------------------------------------------------------
 /// \brief Sets `m_kept_tokens` of all views: prompt tokens that each server likely still keeps.
 void SetKeptTokens(PlacePool& pool, const PlaceAsk& ask);
--- a/packages/policy/src/place_rollout.cc
+++ b/packages/policy/src/place_rollout.cc
@@ -73,7 +73,8 @@
   return side != WorkingSide::kAll && IsTarget(pool, i) != (side == WorkingSide::kTarget);
 }
 
-std::optional<std::size_t> ChooseTrialServer(const PlacePool& pool,
+std::optional<std::size_t> ChooseTrialServer(const OutageWatch& outages,
+                                             const PlacePool& pool,
                                              const PlaceAsk& ask,
                                              const RequestShape& shape,
                                              Instant now) {
@@ -87,7 +88,8 @@
   const bool fullest = trial.m_sent % 2 == 1;
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const bool open = IsTarget(pool, i) && BarOf(pool, i, ask, false, now) == ServerBar::kNone &&
+    const bool open = IsTarget(pool, i) &&
+                      BarOf(outages, pool, i, ask, false, now) == ServerBar::kNone &&
                       HasRoom(pool.m_views[i], shape, pool.m_typical);
     if (!open)
       continue;
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -29,7 +29,8 @@
 
 /// Sets what of a server's view depends on who asks and on the time.
 /// `kept`: whether a roll-out keeps the server from work.
-void SetView(PlacePool& pool,
+void SetView(const OutageWatch& outages,
+             PlacePool& pool,
              std::size_t i,
              const PlaceAsk& ask,
              const RoundTrips& trips,
@@ -38,9 +39,9 @@
              Instant now) {
   const PlaceServer& server = pool.m_servers[i];
   ServerView& view = pool.m_views[i];
-  const ServerBar bar = BarOf(pool, i, ask, kept, now);
+  const ServerBar bar = BarOf(outages, pool, i, ask, kept, now);
   view.m_usable = bar == ServerBar::kNone;
-  pool.m_ramps[i].m_full = bar == ServerBar::kCold && !Avoided(pool.m_health[i], now);
+  pool.m_ramps[i].m_full = bar == ServerBar::kCold && !IsSuspect(outages, pool, i, now);
   view.m_same_data_centre = server.m_data_centre == ask.m_data_centre;
   view.m_round_trip = trips.empty() ? Duration(0) : RoundTripTo(trips, server.m_region);
   view.m_open = static_cast<int>(std::ceil(view.m_slots * told)) - view.m_others;
@@ -48,14 +49,22 @@
 }
 
 /// Half of a pool stays in use, whatever failures say: of the suspects those that fail least.
-void UseSuspects(PlacePool& pool, const PlaceAsk& ask, WorkingSide side, Instant now) {
+/// `lost`: whether those of lost data centres count too.
+void UseSuspects(const OutageWatch& outages,
+                 PlacePool& pool,
+                 const PlaceAsk& ask,
+                 WorkingSide side,
+                 bool lost,
+                 Instant now) {
   std::vector<std::size_t> suspects;
   std::size_t present = 0;
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const ServerBar bar = BarOf(pool, i, ask, KeptFromWork(pool, side, i), now);
+    if (!lost && IsLost(outages, pool.m_servers[i].m_data_centre, pool.m_servers[i].m_id))
+      continue;
+    const ServerBar bar = BarOf(outages, pool, i, ask, KeptFromWork(pool, side, i), now);
     // A cold server that has got as much as it may is in use; one that is suspect too isn't.
-    const bool cold_in_use = bar == ServerBar::kCold && !Avoided(pool.m_health[i], now);
+    const bool cold_in_use = bar == ServerBar::kCold && !IsSuspect(outages, pool, i, now);
     if (bar != ServerBar::kNone && bar != ServerBar::kSuspect && !cold_in_use)
       continue;
     ++present;
@@ -84,11 +93,16 @@
   const RoundTrips trips = TripsOf(broker, ask);
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    SetView(pool, i, ask, trips, told, KeptFromWork(pool, side, i), now);
+    SetView(broker.m_outages, pool, i, ask, trips, told, KeptFromWork(pool, side, i), now);
     usable += pool.m_views[i].m_usable ? 1 : 0;
   }
   if (usable * 2 < pool.m_servers.size())
-    UseSuspects(pool, ask, side, now);
+    UseSuspects(broker.m_outages, pool, ask, side, false, now);
+  const bool none = broker.m_outages.m_suspects > 0 &&
+                    std::none_of(pool.m_views.begin(), pool.m_views.end(),
+                                 [](const ServerView& view) { return view.m_usable; });
+  if (none)
+    UseSuspects(broker.m_outages, pool, ask, side, true, now);
   SetKeptTokens(pool, ask);
 }
 
@@ -124,6 +138,7 @@
   held.m_taken = now;
   ++view.m_others;
   view.m_reading_tokens += held.m_reading_tokens;
+  BeginTrial(broker.m_outages, pool.m_servers[i].m_data_centre, held.m_server, now);
   if (OnTrial(pool.m_health[i]))
     pool.m_health[i] = BeginTrial(pool.m_health[i], now);
   RememberParts(pool, i, ask, now);
@@ -176,14 +191,19 @@
 
 }  // namespace
 
-ServerBar BarOf(const PlacePool& pool, std::size_t i, const PlaceAsk& ask, bool kept, Instant now) {
+ServerBar BarOf(const OutageWatch& outages,
+                const PlacePool& pool,
+                std::size_t i,
+                const PlaceAsk& ask,
+                bool kept,
+                Instant now) {
   const PlaceServer& server = pool.m_servers[i];
   ServerStanding standing;
   standing.m_leaving = server.m_leaving;
   standing.m_evacuated = server.m_evacuated;
   standing.m_kept_by_rollout = kept;
   standing.m_cold_full = ColdFull(pool.m_ramps[i], pool.m_cold, now);
-  standing.m_suspect = Avoided(pool.m_health[i], now);
+  standing.m_suspect = IsSuspect(outages, pool, i, now);
   standing.m_region = server.m_region;
   return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
 }
@@ -229,7 +249,11 @@
                                   Instant now) {
   SetViews(broker, pool, waiting.m_ask, now);
   const RequestShape shape = ShapeNow(waiting, yields, now);
-  if (const auto i = ChooseTrialServer(pool, waiting.m_ask, shape, now)) {
+  if (const auto i = ChooseTrialServer(broker.m_outages, pool, waiting.m_ask, shape, now)) {
+    const Duration first = PredictFirst(pool.m_views[*i], shape, pool.m_typical);
+    return Take(broker, pool, *i, waiting, first, now);
+  }
+  if (const auto i = ChooseOutageTrial(broker, pool, waiting.m_ask, shape, now)) {
     const Duration first = PredictFirst(pool.m_views[*i], shape, pool.m_typical);
     return Take(broker, pool, *i, waiting, first, now);
   }
@@ -257,7 +281,8 @@
     WaitingAsk& waiting = it->second;
     const Tier rank = it->first.m_rank;
     const bool yields = !it->first.m_owed && rank > most_urgent;
-    SetView(pool, i, waiting.m_ask, TripsOf(broker, waiting.m_ask), told, false, now);
+    SetView(broker.m_outages, pool, i, waiting.m_ask, TripsOf(broker, waiting.m_ask), told, false,
+            now);
     const ServerView& view = pool.m_views[i];
     const RequestShape shape = ShapeNow(waiting, yields, now);
     const bool fits = view.m_usable && HasRoom(view, shape, pool.m_typical) &&
@@ -318,15 +343,27 @@
   }
 }
 
-void RefuseAll(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out) {
-  for (const auto& [order, waiting] : pool.m_waiting) {
+void RefuseUnservable(PlaceBroker& broker,
+                      PlacePool& pool,
+                      Instant now,
+                      std::vector<PlaceAnswer>& out) {
+  const bool none = EvacuatedAway(pool, {});
+  for (auto it = pool.m_waiting.begin(); it != pool.m_waiting.end();) {
+    const WaitingAsk& waiting = it->second;
+    const HomeRegions& homes = waiting.m_ask.m_homes;
+    const bool none_at_home =
+        homes.m_bound && (EvacuatedAway(pool, homes) || NoneAtHome(pool, waiting.m_ask));
+    if (!none && !none_at_home) {
+      ++it;
+      continue;
+    }
     GiveBack(broker, waiting.m_ask);
-    if (order.m_owed)
+    if (it->first.m_owed)
       CountUnserved(pool.m_shares, waiting.m_group, now);
     broker.m_holders[waiting.m_holder].m_waiting.erase(waiting.m_ask.m_ref);
     out.push_back(RefusalOf(waiting.m_holder, waiting.m_ask.m_ref, PlaceVerdict::kNoServer, 0));
+    it = pool.m_waiting.erase(it);
   }
-  pool.m_waiting.clear();
 }
 
 Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting) {
