--- a/tests/cold_ramp_test.cc
+++ b/tests/cold_ramp_test.cc
@@ -249,6 +249,33 @@
     CHECK(MostInASecond(SentByLone(80, 80, seed)) <= kMost);
 }
 
+/// Of `alone` of 80 instances: for 15 s warm servers have room for all; then each has something for
+/// the cold one.
+std::vector<Sent> SentOnceWarmAreFull(int alone, unsigned seed) {
+  constexpr int kInstances = 80;
+  std::mt19937 random(seed);
+  std::vector<Lone> lone(static_cast<std::size_t>(alone));
+  for (Lone& one : lone) {
+    one.m_ramp.m_cold_until = kStart + kLongAgo;
+    BeginAlone(one.m_ramp, kLimit, kInstances, std::uniform_real_distribution<>(0, 1)(random),
+               kStart);
+  }
+  std::vector<Sent> sent;
+  const Instant full = kStart + 15 * kSecond;
+  for (Instant now = full; now < full + 2 * kSecond; now += kTick) {
+    for (Lone& one : lone)
+      one.Step(kInstances, random, now, sent);
+  }
+  return sent;
+}
+
+TEST_CASE("turns that nobody used are not kept for the moment in which all have work") {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    CHECK(MostInASecond(SentOnceWarmAreFull(80, seed)) <= 23);  // No broker gives anything.
+    CHECK(MostInASecond(SentOnceWarmAreFull(27, seed)) <= 11);  // Beside 12 of the broker.
+  }
+}
+
 TEST_CASE("sends held up by as much as half a second reach a cold server within the bound") {
   Rush rush(Servers(8, 10 * kSecond));
   rush.Run(8 * kSecond);
@@ -423,6 +450,20 @@
   CHECK_FALSE(ChangesCold(state, Record(1, 8'000)));
 }
 
+TEST_CASE("the late word of an earlier life that it is cold changes nothing") {
+  HostedState state;
+  wire::ServerRecord later = Record(1, 0);
+  later.born = 2'000;
+  later.address = "10.0.0.2";
+  ApplyServer(state, later, 5);
+  wire::ServerRecord earlier = Record(9, 8'000);
+  earlier.born = 1'000;
+  CHECK_FALSE(ChangesCold(state, earlier));
+  ApplyServer(state, earlier, 6);
+  CHECK(state.m_servers.at("s0").address == "10.0.0.2");
+  CHECK(state.m_servers_index == 5);
+}
+
 std::string DocumentWith(const std::string& cold) {
   return R"({"version":1,"routes":[],"services":[{"name":"apps")" + cold + "}]}";
 }
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -245,6 +245,22 @@
   CHECK(AskFor(broker, Ask(2)).m_server == "w");
 }
 
+TEST_CASE("what waits and may be served only where all is evacuated is refused at once") {
+  PlaceBroker broker = Broker({Server("e", "east", false), Server("w", "west", false)});
+  PlaceRef ref = 1;
+  while (AskFor(broker, Ask(ref)).m_verdict == PlaceVerdict::kPlaced)
+    ++ref;
+  PlaceAsk bound = Ask(ref + 1);
+  bound.m_homes = {true, {"east"}};
+  REQUIRE(AskFor(broker, bound).m_verdict == PlaceVerdict::kQueued);
+  SetServers(broker, {Server("e", "east", true), Server("w", "west", false)});
+  std::vector<PlaceAnswer> out;
+  TickBroker(broker, kStart, out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].m_ref == ref + 1);
+  CHECK(out[0].m_verdict == PlaceVerdict::kNoServer);
+}
+
 TEST_CASE("half of what an evacuation has left stays in use, not half of the whole pool") {
   std::vector<PlaceServer> servers;
   for (int i = 0; i < 6; ++i)
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -337,5 +337,20 @@
   CHECK(call->m_server.version == "v7");
 }
 
+TEST_CASE("a count of tokens that is none counts as none, and a huge one is bounded") {
+  const Dialect dialect = platform::MakeDialect();
+  const CallerRequest odd = dialect.m_decode_request({{"x-token-count", "-600,-1"},
+                                                      {"x-prefix-hash", "1f:-9"},
+                                                      {"x-deadline-ms", "9223372036854775807"}});
+  CHECK(odd.m_prompt_tokens == 0);
+  CHECK(odd.m_most_tokens == 0);
+  REQUIRE(odd.m_parts.size() == 1);
+  CHECK(odd.m_parts[0].m_tokens == 0);
+  CHECK(odd.m_patience == std::chrono::hours(24));
+  const CallerRequest huge = dialect.m_decode_request({{"x-token-count", "9223372036854775807,5"}});
+  CHECK(huge.m_prompt_tokens == std::int64_t{1} << 40);
+  CHECK(huge.m_most_tokens == 5);
+}
+
 }  // namespace
 }  // namespace poppyway::platform
