--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -60,6 +60,8 @@
   settings.m_cluster = "hosted";
   settings.m_instance = hosted.m_instance;
   settings.m_data_centre = hosted.m_data_centre;
+  settings.m_region = RegionOf(hosted.m_regions, hosted.m_data_centre);
+  settings.m_regions = hosted.m_regions;
   settings.m_http = hosted.m_callers;
   settings.m_peer = {hosted.m_address, hosted.m_first_internal_port};
   settings.m_members = SeedMembers(hosted);
@@ -85,6 +87,8 @@
   ForwarderSettings settings;
   settings.m_instance = hosted.m_instance;
   settings.m_data_centre = hosted.m_data_centre;
+  settings.m_regions = hosted.m_regions;
+  settings.m_cold_tolerance = hosted.m_cold_tolerance;
   settings.m_callers = hosted.m_callers;
   settings.m_readiness = hosted.m_readiness;
   settings.m_metrics = MetricsPlace(hosted);
@@ -97,6 +101,22 @@
   return settings;
 }
 
+/// Reads the limits of cold servers out of the operator's document.
+MemberSide::ColdReader ColdReaderOf(const ColdTolerance& tolerance) {
+  return [tolerance, decode = platform::MakeDialect().m_decode_document](
+             const wire::Document& document) -> Result<std::map<std::string, ColdLimit>> {
+    const Result<RouteTable> table = decode(document.version, document.body);
+    if (!table)
+      return tl::unexpected<Error>(table.error());
+    std::map<std::string, ColdLimit> limits;
+    for (const Pool& pool : table->m_pools) {
+      if (pool.m_cold.m_per_s > 0)
+        limits[pool.m_name] = WithMost(pool.m_cold, tolerance);
+    }
+    return limits;
+  };
+}
+
 /// All parts of a hosted daemon, on one loop.
 class HostedDaemon {
  public:
@@ -113,6 +133,8 @@
           {[this](FleetMessage message) { m_forwarder->Take(std::move(message)); }});
       m_forwarder->SetBroker(m_control.PlacePort());
     }
+    if (m_control.member() != nullptr)
+      m_control.member()->SetColdReader(ColdReaderOf(hosted.m_cold_tolerance));
     if (hosted.m_control.m_port != 0 && m_control.member() != nullptr)
       m_server = std::make_unique<ControlServer>(m_loop, hosted.m_control, *m_control.member());
     if (!m_forwarder) {
@@ -145,6 +167,8 @@
     MetricSet metrics;
     if (m_control.member() != nullptr)
       m_control.member()->AddMetrics(metrics);
+    if (m_server)
+      m_server->AddMetrics(metrics);
     ReplyWhole(req, 200, "text/plain; version=0.0.4", metrics.Text());
   }
 
--- a/apps/poppywayd/member_disk.cc
+++ b/apps/poppywayd/member_disk.cc
@@ -54,6 +54,7 @@
   if (effects.m_install) {
     if (Result<void> loaded = LoadMachine(m_machine, *effects.m_install); !loaded)
       FatalDisk(loaded.error());
+    OnStateReplaced();
   }
   if (effects.NeedsSync()) {
     if (Result<void> saved = m_store->Save(m_node, effects); !saved) {
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -23,6 +23,11 @@
   return text;
 }
 
+/// Tells one list of members from another.
+std::int64_t DigestOf(const wire::Membership& membership) {
+  return static_cast<std::int64_t>(Hash(Serialize(membership)));
+}
+
 MemberId RandomId() {
   std::random_device device;
   std::uniform_int_distribution<MemberId> any(1, std::numeric_limits<MemberId>::max());
@@ -34,7 +39,7 @@
 MemberSide::MemberSide(TaskLoop& loop, const DaemonSettings& settings)
     : m_loop(loop),
       m_settings(settings),
-      m_places({settings.m_exposure_share, settings.m_exposure_slack}),
+      m_places({settings.m_exposure_share, settings.m_exposure_slack}, settings.m_regions),
       m_rollouts({settings.m_exposure_share, settings.m_exposure_slack}),
       m_flusher(loop, [this](int) { Flush(); }) {
   for (const MemberSettings& member : settings.m_members) {
@@ -63,7 +68,7 @@
       return loaded;
   }
   RestoreLog(m_node, stored);
-  m_rollouts.OnApplied(m_machine.m_hosted, ReadClock());
+  OnStateReplaced();
   m_formation.m_self = Self();
   POPPYWAY_LOG(info, "log_opened")
       .Field("member_id", m_node.m_id)
@@ -73,6 +78,14 @@
   return {};
 }
 
+void MemberSide::OnStateReplaced() {
+  const Instant now = ReadClock();
+  m_rollouts.OnApplied(m_machine.m_hosted, now);
+  ReadColdLimits();
+  m_cold_until.clear();
+  ExpectWarmth(0, now);
+}
+
 wire::MemberInfo MemberSide::Self() const {
   wire::MemberInfo self;
   self.id = m_node.m_id;
@@ -80,6 +93,7 @@
   self.address = m_settings.m_peer.m_address;
   self.port = m_settings.m_peer.m_port;
   self.voter = false;
+  self.data_centre = m_settings.m_data_centre;
   return self;
 }
 
@@ -140,8 +154,12 @@
   const bool rollouts = m_machine.m_hosted.m_rollouts != rollouts_before;
   if (rollouts)
     m_rollouts.OnApplied(m_machine.m_hosted, ReadClock());
+  if (document)
+    ReadColdLimits();
+  if (servers)
+    ExpectWarmth(servers_before, ReadClock());
   if (servers || rollouts)
-    m_places.TakeServers(m_machine.m_hosted);
+    m_places.TakeServers(m_machine.m_hosted, ReadClock());
   if (!declared && !document && !servers)
     return;
   if (declared)
@@ -375,7 +393,9 @@
   answer.leader_term = m_node.m_hard.term;
   answer.live = static_cast<std::int32_t>(m_table.m_live.size());
   if (m_settings.m_hosted) {
-    answer.members = m_node.m_membership.members;
+    answer.members_digest = DigestOf(m_node.m_membership);
+    if (answer.members_digest != beat.members_seen)
+      answer.members = m_node.m_membership.members;
     answer.document_version = m_machine.m_hosted.m_document.version;
     answer.servers_index = m_machine.m_hosted.m_servers_index;
     m_places.OnHeard(beat.incarnation, now);
@@ -468,6 +488,7 @@
   }
   for (const auto& [name, lease] : m_machine.m_leases)
     status.leases.push_back(lease);
+  status.evacuations = EvacuationStatuses();
   return status;
 }
 
@@ -481,7 +502,14 @@
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
   metrics.Set("poppyway_ledger_kept_bytes", "",
               static_cast<double>(m_machine.m_ledger.m_kept_bytes));
+  for (const wire::EvacuationStatus& status : EvacuationStatuses()) {
+    const std::string label = "data_centre=\"" + status.evacuation.data_centre + "\"";
+    metrics.Set("poppyway_evacuated", label, status.evacuation.ended ? 0 : 1);
+    if (status.running >= 0)
+      metrics.Set("poppyway_evacuated_running", label, status.running);
+  }
   m_places.AddMetrics(metrics);
+  m_registry.AddMetrics(metrics);
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/place_side.cc
+++ b/apps/poppywayd/place_side.cc
@@ -14,9 +14,15 @@
 // An instance whose connection was reset connects anew and tells what it holds within some ms; one
 // that died never does, and its servers have seen its connections close too.
 constexpr Duration kReturnTime{300'000};
+// Of an instance in a data centre that is held to be lost: two heartbeats and some delay. What it
+// still runs, it runs at servers of that data centre, which get nothing new.
+constexpr Duration kLostHolderLease{1'200'000};
 // What waits is tried on all servers this often, beside each place that comes free.
 constexpr Duration kServeInterval{20'000};
 
+// Servers that turned cold or warm, named one by one at one look; of more the number.
+constexpr std::size_t kMostColdLogged = 16;
+
 // A line on each pool this often.
 constexpr Duration kLogInterval{1'000'000};
 
@@ -26,23 +32,26 @@
   int m_avoided = 0;  ///< Of those, kept from it for failures.
   int m_slots = 0;
   int m_taken = 0;
+  int m_cold = 0;  ///< That are, or may be, cold.
 };
 
-PoolSums SumOf(const PlacePool& pool, Instant now) {
+PoolSums SumOf(const OutageWatch& outages, const PlacePool& pool, Instant now) {
   PoolSums sums;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    if (pool.m_servers[i].m_leaving)
+    if (pool.m_servers[i].m_leaving || pool.m_servers[i].m_evacuated)
       continue;
     ++sums.m_servers;
-    sums.m_avoided += Avoided(pool.m_health[i], now) ? 1 : 0;
+    const bool lost = IsLost(outages, pool.m_servers[i].m_data_centre, pool.m_servers[i].m_id);
+    sums.m_avoided += lost || Avoided(pool.m_health[i], now) ? 1 : 0;
     sums.m_slots += pool.m_views[i].m_slots;
+    sums.m_cold += pool.m_cold.m_per_s > 0 && IsCold(pool.m_ramps[i], now) ? 1 : 0;
     sums.m_taken += pool.m_views[i].m_others;
   }
   return sums;
 }
 
 /// Of several servers at one address only the latest is there.
-std::vector<PlaceServer> PresentServers(const HostedState& state) {
+std::vector<PlaceServer> PresentServers(const HostedState& state, const RegionMap& regions) {
   std::map<std::pair<std::string, int>, const wire::ServerRecord*> latest;
   for (const auto& [id, record] : state.m_servers) {
     const wire::ServerRecord*& known = latest[{record.address, record.port}];
@@ -57,6 +66,8 @@
     if (record.stage == wire::ServerStage::GONE || record.pool.empty())
       continue;
     PlaceServer& server = servers.emplace_back(ToPlaceServer(record));
+    server.m_region = RegionOf(regions, record.data_centre);
+    server.m_evacuated = IsEvacuated(state, record.data_centre);
     server.m_leaving = server.m_leaving || latest.at({record.address, record.port}) != &record;
   }
   return servers;
@@ -82,8 +93,9 @@
                       Instant now) {
   const auto seed = static_cast<std::uint64_t>(now.time_since_epoch().count());
   m_broker = BeginBroker(term, seed, may_serve, now);
+  SetRegions(*m_broker, m_regions);
   m_lines.clear();
-  TakeServers(servers);
+  TakeServers(servers, now);
   POPPYWAY_LOG(info, "broker_began").Field("epoch", term);
 }
 
@@ -95,10 +107,20 @@
   m_lines.clear();
 }
 
-void PlaceSide::TakeServers(const HostedState& servers) {
+void PlaceSide::TakeColdLimits(std::map<std::string, ColdLimit> limits, Instant now) {
+  m_cold_limits = std::move(limits);
   if (!m_broker)
     return;
-  SetServers(*m_broker, PresentServers(servers));
+  SetColdLimits(*m_broker, m_cold_limits);
+  TakeColdNews(*m_broker, now);
+}
+
+void PlaceSide::TakeServers(const HostedState& servers, Instant now) {
+  if (!m_broker)
+    return;
+  SetServers(*m_broker, PresentServers(servers, m_regions));
+  SetColdLimits(*m_broker, m_cold_limits);
+  TakeColdNews(*m_broker, now);
   SetRollouts(*m_broker, RolloutsUnderWay(servers), m_bounds);
 }
 
@@ -128,6 +150,19 @@
   return sight;
 }
 
+std::optional<int> PlaceSide::RunningIn(const std::string& data_centre) const {
+  if (!m_broker)
+    return std::nullopt;
+  int running = 0;
+  for (const auto& [name, pool] : m_broker->m_pools) {
+    for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
+      if (pool.m_servers[i].m_data_centre == data_centre)
+        running += pool.m_views[i].m_others;
+    }
+  }
+  return running;
+}
+
 void PlaceSide::OnBatch(const wire::PlaceBatch& batch,
                         PeerConnection& from,
                         bool may_decide,
@@ -188,7 +223,8 @@
     else if (line.m_lost == Instant{})
       line.m_lost = now;
     const bool left = !open && now - line.m_lost >= kReturnTime;
-    if (left || now - holder.m_heard >= kHolderLease)
+    const bool lost = IsSuspect(m_broker->m_outages, holder.m_data_centre);
+    if (left || now - holder.m_heard >= (lost ? kLostHolderLease : kHolderLease))
       gone.push_back(incarnation);
   }
   std::vector<PlaceAnswer> answers;
@@ -202,6 +238,46 @@
   Send(answers);
 }
 
+void PlaceSide::TellOutages() {
+  wire::PlaceAnswers news;
+  news.epoch = epoch();
+  std::vector<std::string> suspects;
+  for (const auto& [data_centre, sight] : m_broker->m_outages.m_sights) {
+    if (sight.m_suspect && sight.m_back.empty())
+      suspects.push_back(data_centre);
+  }
+  news.__set_suspects(suspects);
+  wire::Envelope envelope;
+  envelope.id = 0;
+  envelope.reply = true;
+  envelope.body.__set_place_answers(news);
+  for (const auto& [incarnation, line] : m_lines) {
+    const std::shared_ptr<PeerConnection> connection = line.m_connection.lock();
+    if (connection && connection->open())
+      connection->Send(envelope);
+  }
+}
+
+void PlaceSide::LogOutages() {
+  if (m_broker->m_outage_news.empty())
+    return;
+  for (const OutageNews& news : m_broker->m_outage_news) {
+    ++m_outage_changes[static_cast<std::size_t>(news.m_change)];
+    const bool one_of_many = news.m_change == OutageChange::kHeard && news.m_back > 1;
+    if (one_of_many)
+      continue;
+    POPPYWAY_LOG(info, OutageChangeName(news.m_change))
+        .Field("data_centre", news.m_data_centre)
+        .Field("lost", news.m_lost)
+        .Field("told_by", news.m_tellers)
+        .Field("back", news.m_back)
+        .Field("servers", news.m_servers)
+        .Field("after_ms", news.m_quiet.count() / 1000);
+  }
+  m_broker->m_outage_news.clear();
+  TellOutages();
+}
+
 void PlaceSide::Tick(Instant now) {
   if (!m_broker || now - m_served < kServeInterval)
     return;
@@ -209,6 +285,7 @@
   std::vector<PlaceAnswer> answers;
   TickBroker(*m_broker, now, answers);
   Send(answers);
+  LogOutages();
   DropGone(now);
   for (const AvoidedServer& avoided : m_broker->m_avoided) {
     POPPYWAY_LOG(info, "server_avoided")
@@ -219,27 +296,59 @@
         .Field("for_ms", (avoided.m_health.m_avoid_until - now).count() / 1000);
   }
   m_broker->m_avoided.clear();
+  LogCold(now);
   LogPools(now);
 }
 
+void PlaceSide::LogCold(Instant now) {
+  std::size_t changed = 0;
+  for (auto& [name, pool] : m_broker->m_pools) {
+    for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
+      ColdRamp& ramp = pool.m_ramps[i];
+      const bool cold = pool.m_cold.m_per_s > 0 && IsCold(ramp, now);
+      if (cold == ramp.m_logged)
+        continue;
+      ramp.m_logged = cold;
+      if (++changed > kMostColdLogged)
+        continue;
+      POPPYWAY_LOG(info, cold ? "server_cold" : "server_warm")
+          .Field("server", pool.m_servers[i].m_id)
+          .Field("pool", name)
+          .Field("silent", ramp.m_silent)
+          .Field("told_ms", ramp.m_news.m_left.count() / 1000)
+          .Field("sent_last_s", ramp.m_sent.size());
+    }
+  }
+  if (changed > kMostColdLogged)
+    POPPYWAY_LOG(info, "servers_cold_changed").Field("servers", changed);
+}
+
 void PlaceSide::LogPools(Instant now) {
   if (now - m_logged < kLogInterval)
     return;
   m_logged = now;
   for (const auto& [name, pool] : m_broker->m_pools) {
-    const PoolSums sums = SumOf(pool, now);
+    const PoolSums sums = SumOf(m_broker->m_outages, pool, now);
     if (sums.m_slots == 0)
       continue;
     POPPYWAY_LOG(info, "places")
         .Field("pool", name)
         .Field("servers", sums.m_servers)
         .Field("avoided", sums.m_avoided)
+        .Field("cold", sums.m_cold)
+        .Field("cold_waits", m_broker->m_cold_waits[name])
         .Field("slots", sums.m_slots)
         .Field("taken", sums.m_taken)
         .Field("waiting", pool.m_waiting.size())
         .Field("holders", m_broker->m_holders.size())
         .Field("heard_share", HeardShare(*m_broker));
   }
+  for (const auto& [pair, trip] : m_broker->m_reach.m_round_trips) {
+    POPPYWAY_LOG(info, "round_trip")
+        .Field("from", pair.first)
+        .Field("to", pair.second)
+        .Field("us", trip.count());
+  }
 }
 
 void PlaceSide::AddMetrics(MetricSet& metrics) const {
@@ -249,15 +358,29 @@
                 "verdict=\"" + std::string(PlaceVerdictName(verdict)) + "\"",
                 static_cast<double>(m_verdicts[i]));
   }
+  for (const OutageChange change :
+       {OutageChange::kSuspect, OutageChange::kHeard, OutageChange::kOver}) {
+    metrics.Set("poppyway_outage_changes_total",
+                "change=\"" + std::string(OutageChangeName(change)) + "\"",
+                static_cast<double>(m_outage_changes[static_cast<std::size_t>(change)]));
+  }
   if (!m_broker)
     return;
+  metrics.Set("poppyway_suspect_data_centres", "", m_broker->m_outages.m_suspects);
   metrics.Set("poppyway_place_holders", "", static_cast<double>(m_broker->m_holders.size()));
+  for (const auto& [pair, trip] : m_broker->m_reach.m_round_trips)
+    metrics.Set("poppyway_place_round_trip_seconds",
+                "from=\"" + pair.first + "\",to=\"" + pair.second + "\"", Seconds(trip));
   for (const auto& [name, pool] : m_broker->m_pools) {
     const std::string label = "pool=\"" + name + "\"";
-    const PoolSums sums = SumOf(pool, ReadClock());
+    const PoolSums sums = SumOf(m_broker->m_outages, pool, ReadClock());
     metrics.Set("poppyway_place_slots", label, sums.m_slots);
     metrics.Set("poppyway_place_taken", label, sums.m_taken);
     metrics.Set("poppyway_place_avoided", label, sums.m_avoided);
+    metrics.Set("poppyway_place_cold", label, sums.m_cold);
+    const auto waits = m_broker->m_cold_waits.find(name);
+    if (waits != m_broker->m_cold_waits.end())
+      metrics.Set("poppyway_place_cold_waits_total", label, static_cast<double>(waits->second));
     metrics.Set("poppyway_place_waiting", label, static_cast<double>(pool.m_waiting.size()));
     if (!pool.m_trial)
       continue;
--- a/apps/poppywayd/place_side.h
+++ b/apps/poppywayd/place_side.h
@@ -33,7 +33,9 @@
 /// the lead, whose term is its epoch. Belongs to the control task.
 class PlaceSide {
  public:
-  explicit PlaceSide(const ExposureBounds& bounds) : m_bounds(bounds) {}
+  /// \param regions of all data centres.
+  PlaceSide(const ExposureBounds& bounds, RegionMap regions)
+      : m_bounds(bounds), m_regions(std::move(regions)) {}
 
   /// This member leads in `term`; `servers` are all that are registered.
   /// \param may_serve for how long an instance out of touch goes on serving.
@@ -43,7 +45,9 @@
   [[nodiscard]] bool active() const noexcept { return m_broker.has_value(); }
   [[nodiscard]] std::int64_t epoch() const noexcept { return m_broker ? m_broker->m_epoch : 0; }
   /// The registry or a roll-out has changed.
-  void TakeServers(const HostedState& servers);
+  void TakeServers(const HostedState& servers, Instant now);
+  /// What each pool says of its cold servers has changed; it stays over a change of broker.
+  void TakeColdLimits(std::map<std::string, ColdLimit> limits, Instant now);
   /// A batch of an instance. Refused unless this broker is the one it means and knows it.
   /// \param may_decide a majority has confirmed lately that this member leads.
   void OnBatch(const wire::PlaceBatch& batch, PeerConnection& from, bool may_decide, Instant now);
@@ -53,6 +57,8 @@
   void Tick(Instant now);
   /// What is known of the roll-out of a pool that is under way.
   [[nodiscard]] RolloutSight SeeRollout(const std::string& pool) const;
+  /// Requests at the servers of a data centre; nullopt: this member isn't the broker.
+  [[nodiscard]] std::optional<int> RunningIn(const std::string& data_centre) const;
   void AddMetrics(MetricSet& metrics) const;
 
  private:
@@ -63,14 +69,20 @@
 
   void Send(const std::vector<PlaceAnswer>& answers);
   void DropGone(Instant now);
+  void TellOutages();
+  void LogOutages();
   void LogPools(Instant now);
+  void LogCold(Instant now);
 
   ExposureBounds m_bounds;
+  RegionMap m_regions;
+  std::map<std::string, ColdLimit> m_cold_limits;  ///< By pool.
   std::optional<PlaceBroker> m_broker;
   std::map<std::string, Line> m_lines;  ///< By incarnation.
   Instant m_served{};
   Instant m_logged{};
-  std::uint64_t m_verdicts[5] = {};  ///< Answers given, by verdict.
+  std::uint64_t m_verdicts[5] = {};        ///< Answers given, by verdict.
+  std::uint64_t m_outage_changes[4] = {};  ///< By kind.
 };
 
 }  // namespace poppyway
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -23,6 +23,11 @@
   std::vector<wire::ServerRecord> m_servers;
 };
 
+/// \brief All evacuations that were ordered, also those that have ended lately.
+struct EvacuationsChanged {
+  std::vector<wire::Evacuation> m_evacuations;
+};
+
 /// \brief A leader has confirmed that the document in force here was the newest one; it may be
 /// acted on until `m_until`.
 struct ConfirmedUntil {
@@ -46,11 +51,14 @@
 struct PlacesAnswered {
   std::int64_t m_epoch = 0;
   std::vector<PlaceAnswer> m_answers;
+  /// All data centres that it holds to be lost or cut off; unset: no news of it.
+  std::optional<std::vector<std::string>> m_suspects = std::nullopt;
 };
 
 /// \brief From the control task to the forwarder.
 using FleetMessage = std::variant<NewDocument,
                                   ServersChanged,
+                                  EvacuationsChanged,
                                   ConfirmedUntil,
                                   FleetSize,
                                   BrokerFound,
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -26,6 +26,8 @@
 struct ForwarderSettings {
   std::string m_instance;
   std::string m_data_centre;
+  RegionMap m_regions;  ///< Of all data centres.
+  ColdTolerance m_cold_tolerance;
   Endpoint m_callers;                ///< Where callers connect.
   Endpoint m_readiness;              ///< Where the balancer asks.
   Endpoint m_metrics;                ///< Port 0: none.
@@ -60,6 +62,7 @@
   WaitingQueue m_waiting;
   std::array<double, kTiers> m_usual_length{};  ///< Logarithm of expected tokens, by rank.
   RetryBudget m_retries{0};
+  bool m_cold_told = false;  ///< One of its servers has said that it is cold.
 };
 
 /// \brief What a broker last said of a workspace's limit.
@@ -99,12 +102,16 @@
   BrokerLink m_broker;
   InstanceCount m_instances;
   double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
+  ReachTable m_reach;             ///< From this instance's region.
   bool m_stopping = false;
   Instant m_stop_begun{};
   bool m_ready_told = false;
   std::map<std::string, Backend> m_backends;
   std::map<Endpoint, std::vector<std::string>> m_at_place;  ///< Ids of servers at each address.
   std::map<std::string, PoolState> m_pools;
+  std::map<std::string, wire::Evacuation> m_evacuations;  ///< By data centre.
+  OutageWatch m_outages = OwnOutageWatch();               ///< Fed by this instance's own requests.
+  std::vector<std::string> m_suspects;  ///< Data centres that the broker holds to be lost.
   std::unordered_map<ForwardingRef, std::unique_ptr<Forwarding>> m_forwardings;
   std::vector<ForwardingRef> m_awaiting_start;          ///< Until the configuration is known.
   std::vector<std::unique_ptr<BackendCall>> m_retired;  ///< Destroyed outside their events.
@@ -114,6 +121,7 @@
   MetricSet m_metrics;
   std::mt19937_64 m_random;
   Instant m_callers_polled{};
+  bool m_lives_changed = false;  ///< Calls may be under way to earlier lives of servers.
 };
 
 /// \brief The forwarder task. Belongs to its loop's thread.
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -40,7 +40,9 @@
   int m_own_before = 0;  ///< In flight when the broker was lost.
   ServerPace m_pace;
   ServerHealth m_health;
+  ColdRamp m_ramp;
   Instant m_last_heard{};  ///< Any byte from it.
+  Instant m_life_told{};   ///< When this instance learned that it had started again.
   /// Prompt parts that were sent there last, with when. Bounded by `kMostParts`.
   std::unordered_map<std::uint64_t, Instant> m_parts;
 };
@@ -72,8 +74,9 @@
   int m_reached = 0;                 ///< How many calls sent a byte.
   QuotaRequest m_quota;              ///< What one run takes of the workspace's limit.
   QuotaLimit m_limit;                ///< That limit, as it is aimed at.
-  bool m_paid_alone = false;         ///< It was taken from this instance's part of the limit.
-  int m_unsure = 0;                  ///< Of those, calls after which the request may have run.
+  HomeRegions m_homes;        ///< Where it may be served: by its document and the one in force.
+  bool m_paid_alone = false;  ///< It was taken from this instance's part of the limit.
+  int m_unsure = 0;           ///< Of those, calls after which the request may have run.
 
   // The place request and the place.
   PlaceRef m_ask = 0;        ///< The broker's answer is awaited; zero: it isn't.
@@ -87,13 +90,15 @@
   bool m_sent = false;       ///< The server may have run the call under way.
 
   // The call under way.
-  std::string m_server;  ///< Its id; empty: none.
+  std::string m_server;            ///< Its id; empty: none.
+  std::int64_t m_server_born = 0;  ///< Of the life of that server that the call went to.
   std::unique_ptr<BackendCall> m_call;
   ServerAnswer m_answer;
   bool m_headed = false;   ///< Its head has come.
   std::string m_buffered;  ///< Its body, while the caller has had nothing.
   EventStream m_events;
   Instant m_dispatched{};
+  Instant m_heard{};        ///< Its last byte.
   Instant m_first_event{};  ///< Of the call.
   Instant m_last_event{};
   std::int64_t m_call_events = 0;
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -37,6 +37,7 @@
   if (forwarding.m_pool->m_engines)
     ask.m_parts = forwarding.m_request.m_parts;
   ask.m_tried = forwarding.m_tried;
+  ask.m_homes = forwarding.m_homes;
   if (forwarding.m_workspace != nullptr)
     ask.m_workspace = forwarding.m_workspace->m_name;
   if (forwarding.m_quota.m_cost <= 0)
@@ -52,6 +53,7 @@
   held.m_server = forwarding.m_server;
   held.m_reading_tokens = forwarding.m_read_tokens;
   held.m_expected_tokens = forwarding.m_request.m_expected_tokens;
+  held.m_born = forwarding.m_server_born;
   return held;
 }
 
@@ -73,14 +75,18 @@
 }
 
 void UsePlace(ForwarderState& state, Forwarding& forwarding, const PlaceAnswer& answer) {
+  HearOfLife(state, answer);
   const Backend* backend = FindBackend(state, answer.m_server);
   const bool confirmed = forwarding.m_workspace == nullptr || ReadClock() < state.m_confirmed_until;
-  const bool usable = backend != nullptr && !backend->m_leaving && confirmed;
+  const ServerBar bar =
+      backend == nullptr ? ServerBar::kLeaving : BarOnSend(state, forwarding, *backend);
+  const bool usable = bar == ServerBar::kNone && confirmed;
   if (!usable) {
     POPPYWAY_LOG(info, "place_returned")
         .Field("request", forwarding.m_request.m_id)
         .Field("server", answer.m_server)
         .Field("known", backend != nullptr)
+        .Field("bar", ServerBarName(bar))
         .Field("confirmed", confirmed);
     ReturnPlace(state, answer.m_ref);
     forwarding.m_tried.push_back(answer.m_server);
@@ -119,7 +125,9 @@
       Refuse(state, forwarding, ResultCode::kQuotaSpent, "the workspace has used up its limit");
       return;
     case PlaceVerdict::kNoServer:
-      Refuse(state, forwarding, ResultCode::kNoBackend, "the pool has no server");
+      Refuse(state, forwarding, ResultCode::kNoBackend,
+             forwarding.m_homes.m_bound ? "the pool has no server in a home region"
+                                        : "the pool has no server");
       return;
     default:
       Refuse(state, forwarding, ResultCode::kOverload, "no server had room in time");
@@ -265,6 +273,8 @@
         .Field("quiet_ms", (ReadClock() - link.m_quiet_since).count() / 1000);
     link.m_quiet_since = {};
   }
+  if (message.m_suspects)
+    TakeSuspects(state, *message.m_suspects);
   for (const PlaceAnswer& answer : message.m_answers)
     TakeAnswer(state, answer);
   if (was_quiet) {
@@ -279,7 +289,8 @@
   link.m_active = true;
   link.m_quiet_since = {};
   link.m_epoch = message.m_epoch;
-  ForgetAsks(state);  // Those of a former broker.
+  ForgetAsks(state);         // Those of a former broker.
+  state.m_suspects.clear();  // The new broker says anew what it finds.
   link.m_outbox = {};
   link.m_outbox.m_resync = true;
   link.m_outbox.m_instances = state.m_instances.m_most;
@@ -304,6 +315,7 @@
   link.m_active = false;
   link.m_quiet_since = {};
   link.m_outbox = {};
+  state.m_suspects.clear();
   POPPYWAY_LOG(info, "broker_lost")
       .Field("why", why)
       .Field("epoch", link.m_epoch)
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -40,16 +40,20 @@
   Forwarding* forwarding = Find(state, ref);
   if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
     return false;
-  Backend* backend = FindBackend(state, forwarding->m_server);
+  // A server that has started again since holds no place for it.
+  Backend* backend = FindOwnBackend(state, *forwarding);
   const Instant now = ReadClock();
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
-  if (backend == nullptr || backend->m_leaving || !confirmed)
+  if (backend == nullptr || !confirmed ||
+      BarOnSend(state, *forwarding, *backend) != ServerBar::kNone)
     return false;
   ++forwarding->m_unsure;
   ++forwarding->m_reached;
   forwarding->m_sent = true;
   forwarding->m_tried.push_back(forwarding->m_server);
   forwarding->m_dispatched = now;
+  if (forwarding->m_call)
+    LearnConnect(state, *forwarding, *backend, forwarding->m_call->connect_time());
   RememberParts(*backend, forwarding->m_request, now);
   return true;
 }
@@ -63,10 +67,12 @@
   forwarding.m_stage =
       forwarding.m_caller.m_started ? ForwardingStage::kRelaying : ForwardingStage::kCalling;
   forwarding.m_server = server;
+  forwarding.m_server_born = backend.m_record.born;
   forwarding.m_answer = {};
   forwarding.m_headed = false;
   forwarding.m_buffered.clear();
   forwarding.m_events.m_partial.clear();
+  forwarding.m_heard = {};
   forwarding.m_first_event = {};
   forwarding.m_call_events = 0;
   forwarding.m_dispatched = now;
@@ -74,11 +80,13 @@
   if (forwarding.m_place == 0) {
     forwarding.m_place = state.m_broker.m_next_ref++;
     forwarding.m_by_broker = false;
+    NoteColdAlone(state, backend, now);
     TellHeld(state, forwarding);
   }
   forwarding.m_report = {.m_ref = forwarding.m_place};
   forwarding.m_read_tokens = forwarding.m_request.m_prompt_tokens;
   ++backend.m_in_flight;
+  BeginTrial(state.m_outages, backend.m_record.data_centre, server, now);
   backend.m_reading_tokens += forwarding.m_read_tokens;
   DispatchFields fields;
   fields.m_server = server;
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -114,10 +114,15 @@
         .Field("version", document.version)
         .Field("routes", m_state.m_table->m_routes.size())
         .Field("workspaces", m_state.m_table->m_workspaces.size());
+    impl::RefreshHomes(m_state);
     impl::EndStart(m_state);
   }
   void operator()(const ServersChanged& message) const {
     impl::TakeServers(m_state, message.m_servers);
+    impl::EndLostCalls(m_state, ReadClock());
+  }
+  void operator()(const EvacuationsChanged& message) const {
+    impl::TakeEvacuations(m_state, message.m_evacuations);
   }
   void operator()(const ConfirmedUntil& message) const {
     if (message.m_until <= ReadClock())
@@ -229,6 +234,7 @@
                         static_cast<double>(m_state.m_forwardings.size()));
   m_state.m_metrics.Set("poppyway_forward_connections_opened", "",
                         static_cast<double>(m_state.m_connections->opened()));
+  impl::CountEvacuated(m_state);
   ReplyWhole(req, 200, "text/plain; version=0.0.4", m_state.m_metrics.Text());
 }
 
@@ -241,7 +247,9 @@
   impl::CheckBroker(m_state, now);
   impl::ExpireStart(m_state, now);
   impl::ExpireWaiting(m_state, now);
+  impl::EndSilentCalls(m_state, now);
   EndOverdue(m_state, now);
+  impl::EndLostCalls(m_state, now);
   if (now - m_state.m_callers_polled >= kCallerPollInterval) {
     m_state.m_callers_polled = now;
     PollCallers(m_state);
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -18,6 +18,7 @@
 [[nodiscard]] Step MatchRoute(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step CheckStop(ForwarderState& state, Forwarding& forwarding);
 [[nodiscard]] Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding);
+[[nodiscard]] Step SetHomes(ForwarderState& state, Forwarding& forwarding);
 /// Notes what the request takes of its workspace's limit; it is taken with the place.
 void PriceRequest(ForwarderState& state, Forwarding& forwarding);
 void Enqueue(ForwarderState& state, Forwarding& forwarding);
@@ -32,6 +33,15 @@
 /// Refuses what has awaited the configuration for too long.
 void ExpireStart(ForwarderState& state, Instant now);
 
+// ---- homes.cc ----------------------------------------------------------------------------------
+/// Where a request may be served: in regions that are homes by the document that it arrived under
+/// and by the one in force now. Precondition: its route is known.
+[[nodiscard]] HomeRegions HomesNow(const ForwarderState& state, const Forwarding& forwarding);
+/// A document has come into force: requests that aren't over keep to its homes from now on.
+void RefreshHomes(ForwarderState& state);
+/// True if the pool has servers, and the request may be served at none of them.
+[[nodiscard]] bool NoneAtHome(const ForwarderState& state, const Forwarding& forwarding);
+
 // ---- queue.cc ----------------------------------------------------------------------------------
 /// Its place in its pool's queue.
 [[nodiscard]] WaitingOrder OrderOf(const Forwarding& forwarding) noexcept;
@@ -80,6 +90,19 @@
 /// Places of a server that this instance may hold in all.
 [[nodiscard]] int PlacesAlone(const ForwarderState& state, const Backend& backend);
 
+// ---- cold.cc: cold servers, as this instance knows of them -------------------------------------
+/// What the document in force says of cold servers of a pool, with the most they may get.
+[[nodiscard]] ColdLimit ColdLimitOf(const ForwarderState& state, const std::string& pool);
+/// Takes what a server's record and the orders say. `fresh`: it appeared while this instance
+/// served.
+void TakeColdNews(ForwarderState& state, Backend& backend, bool fresh, Instant now);
+/// A request to the server ended.
+void NoteColdSign(ForwarderState& state, Backend& backend, ServerSign sign, Instant now);
+/// This instance is about to choose a server of a pool by itself.
+void BeginColdAlone(ForwarderState& state, const std::string& pool, Instant now);
+/// It chose the server by itself.
+void NoteColdAlone(ForwarderState& state, Backend& backend, Instant now);
+
 // ---- dispatch.cc -------------------------------------------------------------------------------
 /// Sends a request to a server. Precondition: it is in no queue.
 void Dispatch(ForwarderState& state, Forwarding& forwarding, const std::string& server);
@@ -92,6 +115,11 @@
 void OnData(ForwarderState& state, ForwardingRef ref, std::string_view bytes);
 void OnWhole(ForwarderState& state, ForwardingRef ref);
 void OnFault(ForwarderState& state, ForwardingRef ref, CallFault fault);
+/// The server may have run the request, and no whole answer will come from it: tries elsewhere what
+/// may run again, and ends any other.
+void OnBroken(ForwarderState& state, Forwarding& forwarding, std::string_view why);
+/// Gives up the call under way and lets the request run elsewhere; false if it may not.
+[[nodiscard]] bool LeaveServer(ForwarderState& state, Forwarding& forwarding, std::string_view why);
 
 // ---- finish.cc ---------------------------------------------------------------------------------
 /// Answers with a refusal or a failure of ours, or cuts an answer that has begun.
@@ -106,20 +134,76 @@
 void EndCall(ForwarderState& state, Forwarding& forwarding);
 
 // ---- backends.cc -------------------------------------------------------------------------------
+/// Takes what is told of one server. `IndexPools` follows.
+void TakeServer(ForwarderState& state, const wire::ServerRecord& record);
+/// Lists anew which servers of each pool may get work.
+void IndexPools(ForwarderState& state);
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records);
+/// Takes all evacuations that were ordered.
+void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations);
+/// True if the server's data centre is to get nothing new.
+[[nodiscard]] bool IsEvacuated(const ForwarderState& state, const Backend& backend);
+/// True if evacuations have left the request no server: none may take it before they end.
+[[nodiscard]] bool EvacuatedAway(const ForwarderState& state, const Forwarding& forwarding);
+/// Sets the counters of requests that still run at evacuated servers.
+void CountEvacuated(ForwarderState& state);
+/// What keeps a server from a request, for every send that this instance makes.
+[[nodiscard]] ServerBar BarOf(const ForwarderState& state,
+                              const Forwarding& forwarding,
+                              const Backend& backend,
+                              Instant now);
+/// What keeps a request from a server that was chosen a moment ago. Failures since, and what a
+/// roll-out or the broker decided on purpose, don't.
+[[nodiscard]] ServerBar BarOnSend(const ForwarderState& state,
+                                  const Forwarding& forwarding,
+                                  const Backend& backend);
 [[nodiscard]] Backend* FindBackend(ForwarderState& state, const std::string& id);
 /// The server where a request should go now, if one has room.
 /// `yields`: something more urgent waits, here or at another instance.
 [[nodiscard]] std::optional<std::string> ChooseBackend(ForwarderState& state,
                                                        const Forwarding& forwarding,
                                                        bool yields);
+/// The round trip to a server of another region; zero for one of the own region.
+[[nodiscard]] Duration RoundTripOf(const ForwarderState& state, const Backend& backend);
+/// A new connection to a server came up in `connect`; zero: none was opened.
+void LearnConnect(ForwarderState& state,
+                  Forwarding& forwarding,
+                  const Backend& backend,
+                  Duration connect);
 /// Learns from how a request ended at its server, here and for the broker.
 void NoteHealth(ForwarderState& state, Forwarding& forwarding, ServerSign sign);
 /// `found` answered at the place of `meant`.
 void NoteOtherServer(ForwarderState& state, const std::string& meant, const std::string& found);
+
+// ---- lives.cc: servers that start again under their id -----------------------------------------
+/// True if the record tells of a later life of the server than is known.
+[[nodiscard]] bool IsNewLife(const Backend& known, const wire::ServerRecord& record) noexcept;
+/// Forgets what was known of the server's earlier life. Its record is still that of the earlier
+/// one.
+void BeginLife(ForwarderState& state, Backend& backend, const wire::ServerRecord& record);
+/// Gives calls at a server whose birth is told for the first time that birth.
+void TakeBirth(ForwarderState& state, const std::string& server, std::int64_t born);
+/// The server of the call under way, if it still lives the life that the call went to.
+[[nodiscard]] Backend* FindOwnBackend(ForwarderState& state, const Forwarding& forwarding);
+/// A place was given at a later life than this instance has heard of: takes it as heard.
+void HearOfLife(ForwarderState& state, const PlaceAnswer& answer);
+/// Ends calls to earlier lives that have been silent for too long.
+void EndLostCalls(ForwarderState& state, Instant now);
+
 /// \brief When a planned stop ends the process at the latest, a margin kept.
 [[nodiscard]] Instant StopEnd(const ForwarderState& state) noexcept;
 
+// ---- outage.cc: data centres lost or cut off as a whole -----------------------------------------
+/// Tells the instance's own watch whether the server of the call under way was heard.
+void NotePath(ForwarderState& state, const Forwarding& forwarding, bool heard);
+/// Tells it which data centres have servers.
+void WatchServers(ForwarderState& state);
+/// Takes what the broker holds to be lost. Connections that rest there are closed.
+void TakeSuspects(ForwarderState& state, const std::vector<std::string>& suspects);
+/// Takes calls elsewhere that may run again and are silent at a data centre that is held to be
+/// lost.
+void EndSilentCalls(ForwarderState& state, Instant now);
+
 [[nodiscard]] inline Forwarding* Find(ForwarderState& state, ForwardingRef ref) {
   const auto found = state.m_forwardings.find(ref);
   return found == state.m_forwardings.end() ? nullptr : found->second.get();
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -14,10 +14,14 @@
 #include <vector>
 
 #include "poppyway/core.h"
+#include "poppyway/policy/impl/cold_ramp.h"
+#include "poppyway/policy/impl/outage_watch.h"
 #include "poppyway/policy/impl/place_flow.h"
 #include "poppyway/policy/impl/place_share.h"
+#include "poppyway/policy/impl/reach.h"
 #include "poppyway/policy/impl/rollout_trial.h"
 #include "poppyway/policy/impl/served_share.h"
+#include "poppyway/policy/impl/server_access.h"
 #include "poppyway/policy/impl/server_choice.h"
 #include "poppyway/policy/impl/server_health.h"
 #include "poppyway/policy/impl/shared_limit.h"
@@ -41,9 +45,15 @@
   std::string m_id;
   std::string m_pool;
   std::string m_data_centre;
-  int m_slots = 1;         ///< Requests it works on at once.
-  bool m_leaving = false;  ///< It said so, is gone, or another one took its address.
-  std::string m_version;   ///< Of its software.
+  int m_slots = 1;           ///< Requests it works on at once.
+  bool m_leaving = false;    ///< It said so, is gone, or another one took its address.
+  std::string m_version;     ///< Of its software.
+  std::string m_region;      ///< Of its data centre; empty: not known.
+  bool m_evacuated = false;  ///< Its data centre is to get nothing new.
+  std::int64_t m_born = 0;   ///< Unix milliseconds of this life's start; zero: not told.
+  Duration m_cold_left{};    ///< As it said when it last changed.
+  std::string m_address;
+  std::uint16_t m_port = 0;
 
   friend bool operator==(const PlaceServer&, const PlaceServer&) = default;
 };
@@ -63,6 +73,7 @@
   std::vector<std::string> m_tried;  ///< Servers that it must not go to.
   QuotaRequest m_quota;
   QuotaLimit m_limit;
+  HomeRegions m_homes;  ///< Where it may be served.
 
   friend bool operator==(const PlaceAsk&, const PlaceAsk&) = default;
 };
@@ -73,7 +84,7 @@
   kQueued,     ///< It waits at the broker; a second answer follows.
   kNoRoom,     ///< It waited for as long as it may.
   kOverLimit,  ///< The workspace has used up its limit.
-  kNoServer,   ///< The pool has no server.
+  kNoServer,   ///< The pool has no server, or none where it may be served: homes, evacuations.
 };
 
 /// \brief Text for logs and counters.
@@ -85,9 +96,12 @@
   PlaceRef m_ref = 0;
   PlaceVerdict m_verdict = PlaceVerdict::kPlaced;
   std::string m_server;
-  Duration m_first{};      ///< Forecast of the first event, or the answer of a plain service.
-  double m_left = 0;       ///< Of the workspace's limit.
-  Duration m_come_back{};  ///< Of a refusal: when there is room, as far as can be told. Zero: not.
+  Duration m_first{};       ///< Forecast of the first event, or the answer of a plain service.
+  double m_left = 0;        ///< Of the workspace's limit.
+  Duration m_come_back{};   ///< Of a refusal: when there is room, as far as can be told. Zero: not.
+  std::int64_t m_born = 0;  ///< Of the server.
+  std::string m_address;    ///< Of the server.
+  std::uint16_t m_port = 0;
 
   friend bool operator==(const PlaceAnswer&, const PlaceAnswer&) = default;
 };
@@ -105,6 +119,7 @@
   std::int64_t m_events = 0;  ///< Of a whole stream.
   Duration m_span{};          ///< From the first event to the last.
   Duration m_pause{};         ///< The longest between two events.
+  Duration m_connect{};       ///< A new connection took so long to come up.
 
   friend bool operator==(const PlaceReport&, const PlaceReport&) = default;
 };
@@ -119,6 +134,9 @@
   std::string m_workspace;  ///< Charged for it here; empty: not here.
   double m_cost = 0;
   RouteKey m_route = 0;
+  std::int64_t m_born = 0;  ///< Of the server when the place was taken; zero: not told.
+  std::string m_version;    ///< Of the server then, as the broker knew it.
+  std::string m_from;       ///< Region that asked; empty: not known, or not given here.
 
   friend bool operator==(const HeldPlace&, const HeldPlace&) = default;
 };
@@ -188,6 +206,8 @@
   std::vector<PlaceServer> m_servers;
   std::vector<ServerView> m_views;  ///< `m_others` counts all places taken.
   std::vector<ServerHealth> m_health;
+  std::vector<ColdRamp> m_ramps;
+  ColdLimit m_cold;  ///< Of its servers; by default they are never cold.
   std::map<PlaceOrder, WaitingAsk> m_waiting;
   std::array<double, kTiers> m_usual_length{};  ///< Logarithm of expected tokens, by rank.
   std::unordered_map<std::uint64_t, PartKeepers> m_parts;  ///< By the part's id.
@@ -211,6 +231,7 @@
   std::unordered_map<PlaceRef, HeldPlace> m_held;
   std::unordered_map<PlaceRef, std::pair<std::string, PlaceOrder>> m_waiting;  ///< With the pool.
   Instant m_heard{};
+  std::string m_data_centre;  ///< As its place requests say; empty: none came yet.
 };
 
 /// \brief A server that is kept from new work since the last look, for the log.
@@ -240,7 +261,13 @@
   std::map<std::string, PlaceHolder> m_holders;  ///< By incarnation.
   std::map<std::string, SharedLimit> m_limits;   ///< By workspace.
   std::vector<AvoidedServer> m_avoided;          ///< To be logged and cleared by the owner.
-  double m_tokens_per_event = 0;                 ///< Learned; zero: not known yet.
+  OutageWatch m_outages;                         ///< Fed by the reports of all instances.
+  std::vector<OutageNews> m_outage_news;         ///< To be logged and cleared by the owner.
+  /// By pool: looks at all servers that found no room for a request while cold ones were full.
+  std::map<std::string, std::int64_t> m_cold_waits;
+  double m_tokens_per_event = 0;  ///< Learned; zero: not known yet.
+  RegionMap m_regions;            ///< Of all data centres.
+  ReachTable m_reach;
   std::int64_t m_next_number = 1;
   std::uint64_t m_random = 1;
 };
@@ -252,9 +279,25 @@
                                       Duration may_serve,
                                       Instant now);
 
-/// \brief Takes the whole list of servers. What is in flight and learned stays with their ids.
+/// \brief Takes the whole list of servers. What is in flight and learned stays with their ids. Of a
+/// server that started again only its pace stays: what was in flight at its earlier life no longer
+/// counts, nor do later reports of that.
 void SetServers(PlaceBroker& broker, const std::vector<PlaceServer>& servers);
 
+/// \brief Takes the region of each data centre.
+void SetRegions(PlaceBroker& broker, RegionMap regions);
+
+/// \brief True if an evacuation has left what has these homes no server of the pool: none may take
+/// it before the evacuation ends or others come.
+[[nodiscard]] bool EvacuatedAway(const PlacePool& pool, const HomeRegions& homes) noexcept;
+
+/// \brief Takes what each pool says of its cold servers; of a pool that isn't named, nothing.
+void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits);
+
+/// \brief Takes what the servers' records say of being cold. To be called after `SetServers` and
+/// `SetColdLimits`.
+void TakeColdNews(PlaceBroker& broker, Instant now);
+
 /// \brief Takes all roll-outs that are under way. What is known of those that go on stays.
 void SetRollouts(PlaceBroker& broker,
                  const std::vector<PlaceRollout>& rollouts,
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -21,6 +21,41 @@
   return {&broker.m_pools[found->second.first], found->second.second};
 }
 
+/// True if the place is at the life of its server that is known. A birth that one side doesn't tell
+/// is that of the life known.
+bool AtThisLife(const HeldPlace& held, const PlaceServer& server) {
+  return held.m_born == 0 || server.m_born == 0 || held.m_born == server.m_born;
+}
+
+/// Counts places that are held at a later life than was known until now, and gives those at a life
+/// whose birth is told only now that birth.
+void TakeBirth(PlaceBroker& broker, const std::string& id, std::int64_t before) {
+  const auto [pool, i] = FindServer(broker, id);
+  const std::int64_t born = pool->m_servers[i].m_born;
+  for (auto& [name, holder] : broker.m_holders) {
+    for (auto& [ref, held] : holder.m_held) {
+      if (held.m_server != id)
+        continue;
+      if (before == 0 && held.m_born == 0)
+        held.m_born = born;
+      if (before == 0 || held.m_born != born)
+        continue;
+      ++pool->m_views[i].m_others;
+      pool->m_views[i].m_reading_tokens += held.m_reading_tokens;
+      CountPlaced(*pool, i);
+    }
+  }
+}
+
+/// What is known of a server's new life from its earlier one: nothing but its pace, which its
+/// engine will likely have again.
+ServerView ViewOfNewLife(const ServerView& earlier, bool same_pool) {
+  ServerView view;
+  if (same_pool)
+    view.m_pace = earlier.m_pace;
+  return view;
+}
+
 void CountHeard(PlaceBroker& broker, Instant now) {
   const auto heard = [now](const auto& entry) {
     return now - entry.second.m_heard <= kHeardLately;
@@ -32,9 +67,10 @@
 
 void FreePlace(PlaceBroker& broker, const HeldPlace& held, Instant now) {
   const auto [pool, i] = FindServer(broker, held.m_server);
-  if (pool == nullptr)
+  if (pool == nullptr || !AtThisLife(held, pool->m_servers[i]))
     return;
-  if (held.m_taken != Instant{})
+  // A place at an evacuated server comes free for nobody.
+  if (held.m_taken != Instant{} && !pool->m_servers[i].m_evacuated)
     pool->m_flow = CountFreed(pool->m_flow, now - held.m_taken, now);
   --pool->m_views[i].m_others;
   pool->m_views[i].m_reading_tokens -= held.m_reading_tokens;
@@ -98,25 +134,67 @@
     kept.m_flow = pool.m_flow;
     kept.m_shares = std::move(pool.m_shares);
     kept.m_trial = std::move(pool.m_trial);
+    kept.m_cold = pool.m_cold;
     // Parts go by index, which changes: what engines keep is found again by use.
   }
+  std::vector<std::pair<std::string, std::int64_t>> births;  // Told since, with what was known.
   for (const PlaceServer& server : servers) {
     PlacePool& pool = broker.m_pools[server.m_pool];
     ServerView view;
     ServerHealth health;
+    ColdRamp ramp;
     const auto known = index_before.find(server.m_id);
-    if (known != index_before.end()) {
+    bool appeared = known == index_before.end();
+    if (!appeared) {
       const PlacePool& old = before[known->second.first];
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
+      ramp = old.m_ramps[known->second.second];
+      const std::int64_t born = old.m_servers[known->second.second].m_born;
+      appeared = server.m_born != born;
+      if (server.m_born > born)
+        births.emplace_back(server.m_id, born);
+      if (born > 0 && server.m_born > born) {
+        view = ViewOfNewLife(view, known->second.first == server.m_pool);
+        health = {};
+      }
     }
+    if (appeared)
+      Appear(broker.m_outages, server.m_data_centre, server.m_id);
     view.m_slots = std::max(1, server.m_slots);
     view.m_own = 0;
     broker.m_server_index[server.m_id] = {server.m_pool, pool.m_servers.size()};
     pool.m_servers.push_back(server);
     pool.m_views.push_back(view);
     pool.m_health.push_back(health);
+    pool.m_ramps.push_back(ramp);
   }
+  for (const auto& [id, before] : births)
+    TakeBirth(broker, id, before);
+  WatchServers(broker);
+}
+
+void SetRegions(PlaceBroker& broker, RegionMap regions) {
+  broker.m_regions = std::move(regions);
+}
+
+void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits) {
+  for (auto& [name, pool] : broker.m_pools)
+    pool.m_cold = {};
+  for (const auto& [name, limit] : limits)
+    broker.m_pools[name].m_cold = limit;
+}
+
+bool EvacuatedAway(const PlacePool& pool, const HomeRegions& homes) noexcept {
+  bool evacuated = false;
+  for (const PlaceServer& server : pool.m_servers) {
+    if (server.m_leaving || !ServesAtHome(homes, server.m_region))
+      continue;
+    if (!server.m_evacuated)
+      return false;
+    evacuated = true;
+  }
+  return evacuated;
 }
 
 void TakeBatch(PlaceBroker& broker,
@@ -144,6 +222,7 @@
          Instant now,
          std::vector<PlaceAnswer>& out) {
   broker.m_holders[holder].m_heard = now;
+  broker.m_holders[holder].m_data_centre = ask.m_data_centre;
   PlacePool& pool = broker.m_pools[ask.m_pool];
   ShareGroup group{ask.m_shape.m_tier, 0, ask.m_workspace};
   const bool limited = !ask.m_workspace.empty() && ask.m_limit.m_rate_per_s > 0;
@@ -151,7 +230,9 @@
     SharedLimit& limit =
         broker.m_limits.try_emplace(ask.m_workspace, BeginLimit(ask.m_limit, broker.m_began))
             .first->second;
-    const QuotaLimit heard{ask.m_limit.m_rate_per_s * HeardShare(broker), ask.m_limit.m_burst};
+    const double share = HeardShare(broker);
+    Withhold(limit, ask.m_limit, share, broker.m_may_serve, now);
+    const QuotaLimit heard{ask.m_limit.m_rate_per_s * share, ask.m_limit.m_burst};
     if (!Spend(limit, heard, ask.m_quota, now)) {
       out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kOverLimit, limit.m_tokens));
       return;
@@ -159,7 +240,9 @@
   } else {
     ask.m_workspace.clear();
   }
-  if (pool.m_servers.empty()) {
+  const bool none =
+      pool.m_servers.empty() || NoneAtHome(pool, ask) || EvacuatedAway(pool, ask.m_homes);
+  if (none) {
     GiveBack(broker, ask);
     out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kNoServer, 0));
     return;
@@ -212,11 +295,23 @@
     return;
   HeldPlace& held = found->second;
   const auto [pool, i] = FindServer(broker, held.m_server);
+  const bool counts = pool != nullptr && AtThisLife(held, pool->m_servers[i]);
   if (pool != nullptr) {
-    pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, report);
-    LearnVersion(*pool, i, held, report, now);
-    if (report.m_sign)
+    const PlaceReport at_server = LearnReach(broker, held, pool->m_servers[i].m_region, report);
+    LearnVersion(*pool, held, at_server, now);
+    if (counts)
+      pool->m_views[i].m_pace = LearnPace(pool->m_views[i].m_pace, at_server);
+  }
+  if (counts) {
+    LearnPath(broker, holder, held, report, now);
+    const bool old = BeforeReturn(broker.m_outages, pool->m_servers[i].m_data_centre, held.m_server,
+                                  held.m_taken);
+    // A failure of a request that was sent before the server's return says nothing of it now.
+    const bool tells = report.m_sign && (!old || report.m_sign == ServerSign::kGood);
+    if (tells) {
       LearnHealth(broker, *pool, i, {holder, *report.m_sign}, now);
+      NoteColdSign(*pool, i, report, now);
+    }
     if (report.m_first > Duration(0)) {
       pool->m_views[i].m_reading_tokens -= held.m_reading_tokens;
       held.m_reading_tokens = 0;
@@ -230,18 +325,24 @@
     Refund(limit->second, held.m_cost);
   FreePlace(broker, held, now);
   known.m_held.erase(found);
-  if (pool != nullptr && !pool->m_waiting.empty())
+  if (counts && !pool->m_waiting.empty())
     ServeServer(broker, *pool, i, now, out);
 }
 
 void Hold(PlaceBroker& broker, const std::string& holder, const HeldPlace& held, Instant now) {
   PlaceHolder& known = broker.m_holders[holder];
   known.m_heard = now;
-  if (!known.m_held.emplace(held.m_ref, held).second)
+  const auto [place, added] = known.m_held.emplace(held.m_ref, held);
+  if (!added)
     return;
   const auto [pool, i] = FindServer(broker, held.m_server);
   if (pool == nullptr)
     return;
+  place->second.m_version = pool->m_servers[i].m_version;
+  if (!AtThisLife(held, pool->m_servers[i]))
+    return;
+  if (held.m_born == 0)
+    place->second.m_born = pool->m_servers[i].m_born;
   ++pool->m_views[i].m_others;
   pool->m_views[i].m_reading_tokens += held.m_reading_tokens;
   CountPlaced(*pool, i);
@@ -286,9 +387,11 @@
 
 void TickBroker(PlaceBroker& broker, Instant now, std::vector<PlaceAnswer>& out) {
   CountHeard(broker, now);
+  SettleOutages(broker, now);
   for (auto& [name, pool] : broker.m_pools) {
     if (pool.m_waiting.empty())
       continue;
+    RefuseUnservable(broker, pool, now, out);
     ExpirePool(broker, pool, now, out);
     ServePool(broker, pool, now, out);
   }
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -12,6 +12,8 @@
 namespace poppyway {
 
 // ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief True if the request is bound to regions in which the pool has no server.
+[[nodiscard]] bool NoneAtHome(const PlacePool& pool, const PlaceAsk& ask);
 /// \brief A tier as an index.
 [[nodiscard]] std::size_t RankIndex(Tier rank);
 /// \brief Recounts what stands in for servers that are new, every so often.
@@ -41,6 +43,11 @@
 void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
 /// \brief Refuses what has waited until its time.
 void ExpirePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+/// \brief Refuses what waits and can't be served any more: evacuations or homes leave it no server.
+void RefuseUnservable(PlaceBroker& broker,
+                      PlacePool& pool,
+                      Instant now,
+                      std::vector<PlaceAnswer>& out);
 /// \brief After it a place would be of no use for an answer in time, or its caller is gone.
 [[nodiscard]] Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting);
 /// \brief Lets a place request wait that may still get a place in time; refuses any other at once.
@@ -60,18 +67,22 @@
 [[nodiscard]] bool KeptFromWork(const PlacePool& pool, WorkingSide side, std::size_t i);
 /// \brief The trial server for a request, if the trial wants it and one has room.
 /// Precondition: `SetViews` was called for the request.
-[[nodiscard]] std::optional<std::size_t> ChooseTrialServer(const PlacePool& pool,
+[[nodiscard]] std::optional<std::size_t> ChooseTrialServer(const OutageWatch& outages,
+                                                           const PlacePool& pool,
                                                            const PlaceAsk& ask,
                                                            const RequestShape& shape,
                                                            Instant now);
 /// \brief A place was given or told: counts it, if a roll-out is under way.
 void CountPlaced(PlacePool& pool, std::size_t i);
-/// \brief Learns what an answer says of its server's version.
-void LearnVersion(PlacePool& pool,
-                  std::size_t i,
-                  const HeldPlace& held,
-                  const PlaceReport& report,
-                  Instant now);
+/// \brief Learns what an answer says of the version that its server had when the place was taken.
+void LearnVersion(PlacePool& pool, const HeldPlace& held, const PlaceReport& report, Instant now);
+
+// ---- place_cold.cc -----------------------------------------------------------------------------
+/// \brief Learns from a report whether server `i` may have started again.
+void NoteColdSign(PlacePool& pool, std::size_t i, const PlaceReport& report, Instant now);
+/// \brief When cold servers that had got as much as they may have room for what has `ahead` others
+/// before it; nullopt if there are none, or others that work.
+[[nodiscard]] std::optional<Duration> ColdForecast(const PlacePool& pool, int ahead);
 
 // ---- place_learn.cc ----------------------------------------------------------------------------
 /// \brief What an instance says of a server's health.
@@ -87,9 +98,49 @@
                  std::size_t i,
                  const HealthReport& word,
                  Instant now);
+/// \brief Learns the way from a report, and takes it off the times that the report tells.
+/// \param region of the server.
+[[nodiscard]] PlaceReport LearnReach(PlaceBroker& broker,
+                                     const HeldPlace& held,
+                                     const std::string& region,
+                                     const PlaceReport& report);
 /// \brief Learns a server's speeds.
 [[nodiscard]] ServerPace LearnPace(const ServerPace& before, const PlaceReport& report);
 
+// ---- place_outage.cc ---------------------------------------------------------------------------
+/// \brief Learns from a report whether its server's data centre is within reach.
+void LearnPath(PlaceBroker& broker,
+               const std::string& holder,
+               const HeldPlace& held,
+               const PlaceReport& report,
+               Instant now);
+/// \brief True if server `i` is kept from work for its failures, or for those of its data centre.
+[[nodiscard]] bool IsSuspect(const OutageWatch& outages,
+                             const PlacePool& pool,
+                             std::size_t i,
+                             Instant now);
+/// \brief A server of a suspect data centre that the request may find out about, if one has room.
+/// Precondition: `SetViews` was called for the request.
+[[nodiscard]] std::optional<std::size_t> ChooseOutageTrial(const PlaceBroker& broker,
+                                                           const PlacePool& pool,
+                                                           const PlaceAsk& ask,
+                                                           const RequestShape& shape,
+                                                           Instant now);
+/// \brief Tells the watch how many servers each data centre has.
+void WatchServers(PlaceBroker& broker);
+/// \brief Ends suspicions that are over.
+void SettleOutages(PlaceBroker& broker, Instant now);
+
+// ---- place_serve.cc ----------------------------------------------------------------------------
+/// \brief What keeps server `i` from the request.
+/// \param kept whether a roll-out keeps the server from work.
+[[nodiscard]] ServerBar BarOf(const OutageWatch& outages,
+                              const PlacePool& pool,
+                              std::size_t i,
+                              const PlaceAsk& ask,
+                              bool kept,
+                              Instant now);
+
 // ---- place_parts.cc ----------------------------------------------------------------------------
 /// \brief Sets `m_kept_tokens` of all views: prompt tokens that each server likely still keeps.
 void SetKeptTokens(PlacePool& pool, const PlaceAsk& ask);
--- a/packages/policy/src/place_rollout.cc
+++ b/packages/policy/src/place_rollout.cc
@@ -12,10 +12,13 @@
   return pool.m_servers[i].m_version == pool.m_trial->m_target;
 }
 
-/// True if the pool has a server of the target version, or of others, that may work.
+/// True if the pool has a server of the target version, or of others, that may work. An evacuation
+/// of all others doesn't end a trial: its bound would be lost.
 bool AnyOnSide(const PlacePool& pool, bool target) {
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    if (!pool.m_servers[i].m_leaving && IsTarget(pool, i) == target)
+    const bool away = target && pool.m_servers[i].m_evacuated;
+    const bool may_work = !pool.m_servers[i].m_leaving && !away;
+    if (may_work && IsTarget(pool, i) == target)
       return true;
   }
   return false;
@@ -70,7 +73,8 @@
   return side != WorkingSide::kAll && IsTarget(pool, i) != (side == WorkingSide::kTarget);
 }
 
-std::optional<std::size_t> ChooseTrialServer(const PlacePool& pool,
+std::optional<std::size_t> ChooseTrialServer(const OutageWatch& outages,
+                                             const PlacePool& pool,
                                              const PlaceAsk& ask,
                                              const RequestShape& shape,
                                              Instant now) {
@@ -84,10 +88,8 @@
   const bool fullest = trial.m_sent % 2 == 1;
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const bool open = IsTarget(pool, i) && !pool.m_servers[i].m_leaving &&
-                      !Avoided(pool.m_health[i], now) &&
-                      std::find(ask.m_tried.begin(), ask.m_tried.end(), pool.m_servers[i].m_id) ==
-                          ask.m_tried.end() &&
+    const bool open = IsTarget(pool, i) &&
+                      BarOf(outages, pool, i, ask, false, now) == ServerBar::kNone &&
                       HasRoom(pool.m_views[i], shape, pool.m_typical);
     if (!open)
       continue;
@@ -105,16 +107,12 @@
     CountSent(*pool.m_trial, IsTarget(pool, i));
 }
 
-void LearnVersion(PlacePool& pool,
-                  std::size_t i,
-                  const HeldPlace& held,
-                  const PlaceReport& report,
-                  Instant now) {
+void LearnVersion(PlacePool& pool, const HeldPlace& held, const PlaceReport& report, Instant now) {
   const bool told = pool.m_trial && report.m_ended && report.m_ran && report.m_sign;
   if (!told)
     return;
   VersionSample sample;
-  sample.m_target = IsTarget(pool, i);
+  sample.m_target = held.m_version == pool.m_trial->m_target;
   sample.m_route = held.m_route;
   sample.m_server = held.m_server;
   sample.m_failed = report.m_failed;
--- a/packages/policy/src/place_serve.cc
+++ b/packages/policy/src/place_serve.cc
@@ -29,35 +29,49 @@
 
 /// Sets what of a server's view depends on who asks and on the time.
 /// `kept`: whether a roll-out keeps the server from work.
-void SetView(PlacePool& pool,
+void SetView(const OutageWatch& outages,
+             PlacePool& pool,
              std::size_t i,
              const PlaceAsk& ask,
+             const RoundTrips& trips,
              double told,
              bool kept,
              Instant now) {
   const PlaceServer& server = pool.m_servers[i];
   ServerView& view = pool.m_views[i];
-  const bool tried = !ask.m_tried.empty() && Tried(ask, server.m_id);
-  view.m_usable = !server.m_leaving && !kept && !tried && !Avoided(pool.m_health[i], now);
+  const ServerBar bar = BarOf(outages, pool, i, ask, kept, now);
+  view.m_usable = bar == ServerBar::kNone;
+  pool.m_ramps[i].m_full = bar == ServerBar::kCold && !IsSuspect(outages, pool, i, now);
   view.m_same_data_centre = server.m_data_centre == ask.m_data_centre;
+  view.m_round_trip = trips.empty() ? Duration(0) : RoundTripTo(trips, server.m_region);
   view.m_open = static_cast<int>(std::ceil(view.m_slots * told)) - view.m_others;
   view.m_kept_tokens = 0;
 }
 
 /// Half of a pool stays in use, whatever failures say: of the suspects those that fail least.
-void UseSuspects(PlacePool& pool, const PlaceAsk& ask, WorkingSide side) {
+/// `lost`: whether those of lost data centres count too.
+void UseSuspects(const OutageWatch& outages,
+                 PlacePool& pool,
+                 const PlaceAsk& ask,
+                 WorkingSide side,
+                 bool lost,
+                 Instant now) {
   std::vector<std::size_t> suspects;
   std::size_t present = 0;
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    if (pool.m_servers[i].m_leaving || KeptFromWork(pool, side, i) ||
-        Tried(ask, pool.m_servers[i].m_id))
+    if (!lost && IsLost(outages, pool.m_servers[i].m_data_centre, pool.m_servers[i].m_id))
+      continue;
+    const ServerBar bar = BarOf(outages, pool, i, ask, KeptFromWork(pool, side, i), now);
+    // A cold server that has got as much as it may is in use; one that is suspect too isn't.
+    const bool cold_in_use = bar == ServerBar::kCold && !IsSuspect(outages, pool, i, now);
+    if (bar != ServerBar::kNone && bar != ServerBar::kSuspect && !cold_in_use)
       continue;
     ++present;
-    if (pool.m_views[i].m_usable)
-      ++usable;
-    else
+    if (bar == ServerBar::kSuspect)
       suspects.push_back(i);
+    else
+      ++usable;
   }
   if (usable * 2 >= present)
     return;
@@ -69,16 +83,26 @@
     pool.m_views[suspects[k]].m_usable = true;
 }
 
+RoundTrips TripsOf(const PlaceBroker& broker, const PlaceAsk& ask) {
+  return RoundTripsFrom(broker.m_reach, RegionOf(broker.m_regions, ask.m_data_centre));
+}
+
 void SetViews(PlaceBroker& broker, PlacePool& pool, const PlaceAsk& ask, Instant now) {
   const double told = ToldShare(broker, now);
   const WorkingSide side = SideAtWork(pool);
+  const RoundTrips trips = TripsOf(broker, ask);
   std::size_t usable = 0;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    SetView(pool, i, ask, told, KeptFromWork(pool, side, i), now);
+    SetView(broker.m_outages, pool, i, ask, trips, told, KeptFromWork(pool, side, i), now);
     usable += pool.m_views[i].m_usable ? 1 : 0;
   }
   if (usable * 2 < pool.m_servers.size())
-    UseSuspects(pool, ask, side);
+    UseSuspects(broker.m_outages, pool, ask, side, false, now);
+  const bool none = broker.m_outages.m_suspects > 0 &&
+                    std::none_of(pool.m_views.begin(), pool.m_views.end(),
+                                 [](const ServerView& view) { return view.m_usable; });
+  if (none)
+    UseSuspects(broker.m_outages, pool, ask, side, true, now);
   SetKeptTokens(pool, ask);
 }
 
@@ -103,7 +127,10 @@
   ServerView& view = pool.m_views[i];
   HeldPlace held;
   held.m_ref = ask.m_ref;
-  held.m_server = pool.m_servers[i].m_id;
+  const PlaceServer& server = pool.m_servers[i];
+  held.m_server = server.m_id;
+  held.m_version = server.m_version;
+  held.m_born = server.m_born;
   held.m_reading_tokens = ask.m_shape.m_prompt_tokens;
   held.m_expected_tokens = ask.m_expected_tokens;
   held.m_workspace = ask.m_workspace;
@@ -111,11 +138,14 @@
   held.m_taken = now;
   ++view.m_others;
   view.m_reading_tokens += held.m_reading_tokens;
+  BeginTrial(broker.m_outages, pool.m_servers[i].m_data_centre, held.m_server, now);
   if (OnTrial(pool.m_health[i]))
     pool.m_health[i] = BeginTrial(pool.m_health[i], now);
   RememberParts(pool, i, ask, now);
   CountPlaced(pool, i);
+  NoteSent(pool.m_ramps[i], pool.m_cold, now);
   held.m_route = ask.m_route;
+  held.m_from = RegionOf(broker.m_regions, ask.m_data_centre);
   if (!waiting.m_order.m_owed)
     CountServed(pool.m_shares, waiting.m_group, now);
   PlaceAnswer answer;
@@ -123,6 +153,9 @@
   answer.m_ref = ask.m_ref;
   answer.m_verdict = PlaceVerdict::kPlaced;
   answer.m_server = held.m_server;
+  answer.m_born = server.m_born;
+  answer.m_address = server.m_address;
+  answer.m_port = server.m_port;
   answer.m_first = first;
   if (!ask.m_workspace.empty())
     answer.m_left = broker.m_limits[ask.m_workspace].m_tokens;
@@ -130,18 +163,26 @@
   return answer;
 }
 
+/// Places that come free for others; those at evacuated servers don't.
 int TakenOf(const PlacePool& pool) {
   int taken = 0;
-  for (const ServerView& view : pool.m_views)
-    taken += view.m_others;
+  for (std::size_t i = 0; i < pool.m_views.size(); ++i)
+    taken += pool.m_servers[i].m_evacuated ? 0 : pool.m_views[i].m_others;
   return taken;
 }
 
+bool AnyColdFull(const PlacePool& pool) {
+  return std::any_of(pool.m_ramps.begin(), pool.m_ramps.end(),
+                     [](const ColdRamp& ramp) { return ramp.m_full; });
+}
+
 /// When a place comes free for what has `ahead` others before it. What is owed a place waits for
 /// nothing more urgent.
 std::optional<Duration> ForecastOf(const PlacePool& pool, const PlaceOrder& order, int ahead) {
   const Tier rank = order.m_owed ? 0 : order.m_rank;
-  return ForecastWait(pool.m_flow, rank, ahead, TakenOf(pool));
+  const std::optional<Duration> free = ForecastWait(pool.m_flow, rank, ahead, TakenOf(pool));
+  const std::optional<Duration> cold = ColdForecast(pool, ahead);
+  return free && cold ? std::min(*free, *cold) : free;
 }
 
 int CountAhead(const PlacePool& pool, const PlaceOrder& order) {
@@ -150,6 +191,32 @@
 
 }  // namespace
 
+ServerBar BarOf(const OutageWatch& outages,
+                const PlacePool& pool,
+                std::size_t i,
+                const PlaceAsk& ask,
+                bool kept,
+                Instant now) {
+  const PlaceServer& server = pool.m_servers[i];
+  ServerStanding standing;
+  standing.m_leaving = server.m_leaving;
+  standing.m_evacuated = server.m_evacuated;
+  standing.m_kept_by_rollout = kept;
+  standing.m_cold_full = ColdFull(pool.m_ramps[i], pool.m_cold, now);
+  standing.m_suspect = IsSuspect(outages, pool, i, now);
+  standing.m_region = server.m_region;
+  return BarFor(standing, ask.m_homes, !ask.m_tried.empty() && Tried(ask, server.m_id));
+}
+
+bool NoneAtHome(const PlacePool& pool, const PlaceAsk& ask) {
+  if (!ask.m_homes.m_bound)
+    return false;
+  return std::none_of(pool.m_servers.begin(), pool.m_servers.end(),
+                      [&ask](const PlaceServer& server) {
+                        return !server.m_leaving && ServesAtHome(ask.m_homes, server.m_region);
+                      });
+}
+
 std::size_t RankIndex(Tier rank) {
   return static_cast<std::size_t>(std::clamp(rank, 0, kTiers - 1));
 }
@@ -182,7 +249,11 @@
                                   Instant now) {
   SetViews(broker, pool, waiting.m_ask, now);
   const RequestShape shape = ShapeNow(waiting, yields, now);
-  if (const auto i = ChooseTrialServer(pool, waiting.m_ask, shape, now)) {
+  if (const auto i = ChooseTrialServer(broker.m_outages, pool, waiting.m_ask, shape, now)) {
+    const Duration first = PredictFirst(pool.m_views[*i], shape, pool.m_typical);
+    return Take(broker, pool, *i, waiting, first, now);
+  }
+  if (const auto i = ChooseOutageTrial(broker, pool, waiting.m_ask, shape, now)) {
     const Duration first = PredictFirst(pool.m_views[*i], shape, pool.m_typical);
     return Take(broker, pool, *i, waiting, first, now);
   }
@@ -190,6 +261,8 @@
       ChooseServer(pool.m_views, shape, pool.m_typical, NextRandom(broker));
   if (choice)
     return Take(broker, pool, choice->m_index, waiting, choice->m_first, now);
+  if (AnyColdFull(pool))
+    ++broker.m_cold_waits[waiting.m_ask.m_pool];
   waiting.m_needs_suitable = AnySuits(pool.m_views, shape, pool.m_typical);
   return std::nullopt;
 }
@@ -208,7 +281,8 @@
     WaitingAsk& waiting = it->second;
     const Tier rank = it->first.m_rank;
     const bool yields = !it->first.m_owed && rank > most_urgent;
-    SetView(pool, i, waiting.m_ask, told, false, now);
+    SetView(broker.m_outages, pool, i, waiting.m_ask, TripsOf(broker, waiting.m_ask), told, false,
+            now);
     const ServerView& view = pool.m_views[i];
     const RequestShape shape = ShapeNow(waiting, yields, now);
     const bool fits = view.m_usable && HasRoom(view, shape, pool.m_typical) &&
@@ -269,12 +343,36 @@
   }
 }
 
+void RefuseUnservable(PlaceBroker& broker,
+                      PlacePool& pool,
+                      Instant now,
+                      std::vector<PlaceAnswer>& out) {
+  const bool none = EvacuatedAway(pool, {});
+  for (auto it = pool.m_waiting.begin(); it != pool.m_waiting.end();) {
+    const WaitingAsk& waiting = it->second;
+    const HomeRegions& homes = waiting.m_ask.m_homes;
+    const bool none_at_home =
+        homes.m_bound && (EvacuatedAway(pool, homes) || NoneAtHome(pool, waiting.m_ask));
+    if (!none && !none_at_home) {
+      ++it;
+      continue;
+    }
+    GiveBack(broker, waiting.m_ask);
+    if (it->first.m_owed)
+      CountUnserved(pool.m_shares, waiting.m_group, now);
+    broker.m_holders[waiting.m_holder].m_waiting.erase(waiting.m_ask.m_ref);
+    out.push_back(RefusalOf(waiting.m_holder, waiting.m_ask.m_ref, PlaceVerdict::kNoServer, 0));
+    it = pool.m_waiting.erase(it);
+  }
+}
+
 Duration LongestUsefulWait(const PlacePool& pool, const WaitingAsk& waiting) {
   const RequestShape& shape = waiting.m_ask.m_shape;
   Duration fastest = kLongestWait;
-  for (const ServerView& view : pool.m_views) {
-    if (view.m_usable)
-      fastest = std::min(fastest, PredictAlone(view, shape, pool.m_typical));
+  for (std::size_t i = 0; i < pool.m_views.size(); ++i) {
+    // A cold server that is full now has room within the next second.
+    if (pool.m_views[i].m_usable || pool.m_ramps[i].m_full)
+      fastest = std::min(fastest, PredictAlone(pool.m_views[i], shape, pool.m_typical));
   }
   const auto aim = static_cast<double>(shape.m_aim.count());
   const Duration in_time =
--- a/packages/settings/include/poppyway/settings/impl/daemon_settings.h
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -60,6 +60,7 @@
   bool m_hosted = false;          ///< The members named above are only a way in.
   double m_exposure_share = 0.1;  ///< Of a pool's requests, for a version under trial.
   double m_exposure_slack = 50;   ///< Requests beyond that share.
+  RegionMap m_regions;            ///< Of all data centres.
   bool m_member = false;          ///< Hosted: this instance keeps the log.
   bool m_may_form = true;         ///< A blank member may form the first cluster.
   bool m_log_to_stdout = false;
