--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -9,9 +9,9 @@
 namespace poppyway {
 namespace {
 
-// A follower learns of a commit within one log heartbeat (50 ms) and some way, and tells changes of
-// servers every 100 ms. Twice that: asked at once, a third of the instances turned to the leader
-// with each change, and in the end all read from it.
+// Twice the usual delay: a follower learns of a commit within one log heartbeat (50 ms) and tells
+// changes of servers every 100 ms. With no wait, ordinary delays would turn a third of the
+// instances to the leader with each change.
 constexpr Duration kPollOverdue{300'000};
 
 }  // namespace
@@ -47,9 +47,12 @@
   return ChooseNewsSource(m_sources, m_settings.m_regions, here, Hash(m_incarnation), now);
 }
 
+bool InstanceSide::IsBehind() const {
+  return m_document_version < m_leader_document || m_servers_index < m_leader_servers;
+}
+
 void InstanceSide::CheckBehind(Instant now) {
-  const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
-  if (!behind) {
+  if (!IsBehind()) {
     m_behind_since = {};
     return;
   }
@@ -93,8 +96,7 @@
     m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
     PublishConfirmation();
   }
-  const bool behind = m_document_version < m_leader_document || m_servers_index < m_leader_servers;
-  if (!behind)
+  if (!IsBehind())
     m_poll_member = NearestSource(ReadClock());
 }
 
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -81,6 +81,8 @@
   void TakeMembers(const std::vector<wire::MemberInfo>& members);
   /// Hosted: the member to poll next.
   [[nodiscard]] std::size_t NearestSource(Instant now) const;
+  /// True if the leader knows something newer than what was told here.
+  [[nodiscard]] bool IsBehind() const;
   /// Asks the leader itself for what the member that is polled has not told in time.
   void CheckBehind(Instant now);
   /// The member that is polled lags or doesn't answer: others are read for a while.
--- a/apps/poppywayd/place_side.h
+++ b/apps/poppywayd/place_side.h
@@ -44,7 +44,7 @@
   void End();
   [[nodiscard]] bool active() const noexcept { return m_broker.has_value(); }
   [[nodiscard]] std::int64_t epoch() const noexcept { return m_broker ? m_broker->m_epoch : 0; }
-  /// The registry or a roll-out has changed.
+  /// The registry, a roll-out or an evacuation has changed.
   void TakeServers(const HostedState& servers, Instant now);
   /// What each pool says of its cold servers has changed; it stays over a change of broker.
   void TakeColdLimits(std::map<std::string, ColdLimit> limits, Instant now);
--- a/packages/forward/include/poppyway/forward/impl/fleet_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/fleet_messages.h
@@ -23,7 +23,7 @@
   std::vector<wire::ServerRecord> m_servers;
 };
 
-/// \brief All evacuations that were ordered, also those that have ended lately.
+/// \brief The last evacuation of each data centre, ended or not.
 struct EvacuationsChanged {
   std::vector<wire::Evacuation> m_evacuations;
 };
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -262,10 +262,6 @@
   return standing;
 }
 
-}  // namespace
-
-namespace {
-
 bool IsSuspectAlone(const ForwarderState& state, const Backend& backend, Instant now) {
   const std::string& data_centre = backend.m_record.data_centre;
   const std::string& server = backend.m_record.id;
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -78,7 +78,7 @@
   friend bool operator==(const PlaceAsk&, const PlaceAsk&) = default;
 };
 
-/// \brief What became of a place request for a place.
+/// \brief What became of a place request.
 enum class PlaceVerdict : std::uint8_t {
   kPlaced,
   kQueued,     ///< It waits at the broker; a second answer follows.
--- a/packages/policy/include/poppyway/policy/impl/shared_limit.h
+++ b/packages/policy/include/poppyway/policy/impl/shared_limit.h
@@ -35,8 +35,9 @@
 /// \brief Sets aside what the limit's rate comes to, since the last request, for instances that
 /// aren't heard; what they spent meanwhile is taken from it when they are heard again. Charged to
 /// what is left instead, it would be taken twice, and all callers of the workspace refused for it.
-/// Once all are heard it runs out at the limit's rate. Call before `Spend`. \param heard share of
-/// the instances that are heard. \param most an instance that isn't heard serves on for so long.
+/// Once all are heard it runs out at the limit's rate. Call before `Spend`.
+/// \param heard share of the instances that are heard.
+/// \param most an instance that isn't heard serves on for so long.
 void Withhold(SharedLimit& shared,
               const QuotaLimit& limit,
               double heard,
--- a/packages/policy/src/cold_ramp.cc
+++ b/packages/policy/src/cold_ramp.cc
@@ -8,11 +8,12 @@
 namespace poppyway {
 namespace {
 
-constexpr int kParts = 4;  // Of the window; sends held up by half a second bunch up to 6 parts.
+// A second cut in four: sends delayed by half a second put those of six parts into one window.
+constexpr int kParts = 4;
 // Servers say how long they are cold about every 1.2 s: two such words and the way through the log.
 constexpr Duration kOwnWordTime{3'000'000};
-// Of what the broker leaves. Those who decide alone have no common clock: by chance their sends
-// fall together. With all of it 4 courses of 400 went 1 to 3 requests over a bound of 23.
+// Of what the broker leaves. Those who decide alone have no common clock, so some of their sends
+// coincide: with all of it the limit was exceeded by 1 to 3 requests in one of 100 simulated runs.
 constexpr double kSharedAlone = 0.5;
 // Of someone who decides alone; keeps clear of overflow where hardly anything is left to share.
 constexpr double kLongestGapS = 600;
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -27,8 +27,7 @@
 // that comes late to the leader, after others, must not undo them. Not set: the leader sets it.
 struct EvacuationOrder { 1: string data_centre; 2: bool ends; 3: optional i64 known }
 // `number` counts the orders of a deployment that changed something; `index` is the log index of this
-// one. An ended one is remembered until
-// its servers have had time to warm up.
+// one. The last one of each data centre is kept, ended or not.
 struct Evacuation { 1: string data_centre; 2: i64 number; 3: bool ended; 4: i64 index }
 
 // ---- Roll-outs: a pool's work moves to servers of another version --------------------------------
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -347,6 +347,8 @@
   REQUIRE(odd.m_parts.size() == 1);
   CHECK(odd.m_parts[0].m_tokens == 0);
   CHECK(odd.m_patience == std::chrono::hours(24));
+  const CallerRequest past = dialect.m_decode_request({{"x-deadline-ms", "-9223372036854775807"}});
+  CHECK(past.m_patience == Duration(0));
   const CallerRequest huge = dialect.m_decode_request({{"x-token-count", "9223372036854775807,5"}});
   CHECK(huge.m_prompt_tokens == std::int64_t{1} << 40);
   CHECK(huge.m_most_tokens == 5);
