--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -66,8 +66,8 @@
             f"{row['power']} | {cells[0]} | {cells[1]} | {limit or '-'} |")
     say("\nIn bold: over its limit there. The leading member's processor and memory grow with servers: each request "
         "for a place looks at all servers of its pool, and each instance that starts is told of all "
-        "servers. Mechanisms that are missing: brokers by pool and data centre, an index of free places, one "
-        "encoding of the list of servers for all, told on within a data centre. \"Serving after all were "
+        "servers, by a member of its data centre where there is one. Mechanisms that are missing: brokers by "
+        "region, pool and data centre, an index of free places, news by need. \"Serving after all were "
         "killed\" is not explained at 300 machines (docs/QUESTIONS.md, 10).\n")
 
 
