An instance is ready only once a leader's version of the declarations is in force

Cause, by reading: after all processes are killed and restarted, a member that has not heard the new leader yet answers a poll with its own, older version; the instance was ready as soon as it had any version and a leader's answer.

Ruled out: the leader itself, which answers heartbeats only once an entry of its own term is committed.

--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -79,8 +79,12 @@
 void InstanceSide::Tick(Instant now) {
   if (now >= m_beat_due)
     Beat(now);
-  const bool fresh = m_version > 0 && m_contact != Instant{} &&
-                     now - m_contact < std::chrono::milliseconds(m_settings.m_stale_after_ms);
+  // Right after a restart of all, a member that lags may tell an older configuration than was
+  // accepted: until a leader's version is in force here, this instance isn't ready.
+  m_caught_up =
+      m_caught_up || (m_contact != Instant{} && m_version > 0 && m_version >= m_leader_version);
+  const bool fresh =
+      m_caught_up && now - m_contact < std::chrono::milliseconds(m_settings.m_stale_after_ms);
   if (fresh != m_fresh) {
     m_fresh = fresh;
     POPPYWAY_LOG(info, "freshness").Field("fresh", fresh).Field("version", m_version);
@@ -127,6 +131,7 @@
 
 void InstanceSide::OnBeatReply(const wire::HeartbeatReply& reply, Instant sent) {
   m_contact = std::max(m_contact, sent);
+  m_leader_version = std::max(m_leader_version, reply.version);
   if (m_settings.m_hosted) {
     OnHostedBeat(reply, sent);
     return;
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -124,7 +124,9 @@
   Instant m_poll_after{};
   Instant m_beat_due{};
   int m_beats_out = 0;
-  Instant m_contact{};  ///< When the last answered heartbeat was sent.
+  Instant m_contact{};                ///< When the last answered heartbeat was sent.
+  std::int64_t m_leader_version = 0;  ///< As a leader last said.
+  bool m_caught_up = false;           ///< That version, or a later one, has been in force here.
   bool m_fresh = false;
   bool m_stopping = false;
   bool m_drained = false;
