Give the time that a server stays cold a name of our own outside the adapter

Cause: the replicated record took over the platform's word for it, cold_left_ms, so five files outside platform/ spoke the platform's language; a refusal said 'service' where we say pool.

Change: ServerRecord.cold_for_ms, generated code with it. platform/ translates. No behaviour changes.

--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -175,8 +175,8 @@
 
 void MemberSide::ExpectWarmth(std::int64_t index, Instant now) {
   for (const wire::ServerRecord& record : ServersSince(m_machine.m_hosted, index)) {
-    if (record.cold_left_ms > 0 && record.stage != wire::ServerStage::GONE)
-      m_cold_until[record.id] = now + std::chrono::milliseconds(record.cold_left_ms);
+    if (record.cold_for_ms > 0 && record.stage != wire::ServerStage::GONE)
+      m_cold_until[record.id] = now + std::chrono::milliseconds(record.cold_for_ms);
     else
       m_cold_until.erase(record.id);
   }
@@ -188,7 +188,7 @@
   const auto expected = m_cold_until.find(record.id);
   if (expected == m_cold_until.end() || !ChangesCold(m_machine.m_hosted, record))
     return false;
-  const Instant until = ReadClock() + std::chrono::milliseconds(record.cold_left_ms);
+  const Instant until = ReadClock() + std::chrono::milliseconds(record.cold_for_ms);
   return until > expected->second + kColdWordSlack;
 }
 
@@ -212,7 +212,7 @@
   }
   if (TellsNews(record)) {
     if (m_registry.Refuses(m_machine.m_hosted, record)) {
-      reply(ErrorBody(ResultCode::kNotFound, "no service '" + record.pool +
+      reply(ErrorBody(ResultCode::kNotFound, "no pool '" + record.pool +
                                                  "' is configured, and too many such servers "
                                                  "are registered"));
       return;
--- a/apps/poppywayd/place_convert.cc
+++ b/apps/poppywayd/place_convert.cc
@@ -256,7 +256,7 @@
   server.m_leaving = record.stage != wire::ServerStage::READY;
   server.m_version = record.version;
   server.m_born = record.born;
-  server.m_cold_left = FromMillis(record.cold_left_ms);
+  server.m_cold_left = FromMillis(record.cold_for_ms);
   server.m_address = record.address;
   server.m_port = static_cast<std::uint16_t>(record.port);
   return server;
--- a/fuzz/codec_fuzz.cc
+++ b/fuzz/codec_fuzz.cc
@@ -42,7 +42,7 @@
   const wire::ServerRecord& server = call->m_server;
   Require(!server.id.empty() && !server.pool.empty() && !server.data_centre.empty());
   Require(server.port > 0 && server.port <= 65'535 && server.slots >= 1);
-  Require(server.sequence >= 0 && server.born >= 0 && server.cold_left_ms >= 0);
+  Require(server.sequence >= 0 && server.born >= 0 && server.cold_for_ms >= 0);
 }
 
 void FuzzDocument(std::string_view bytes) {
--- a/packages/forward/src/cold.cc
+++ b/packages/forward/src/cold.cc
@@ -15,11 +15,11 @@
 void TakeColdNews(ForwarderState& state, Backend& backend, bool fresh, Instant now) {
   const wire::ServerRecord& record = backend.m_record;
   ColdNews news;
-  news.m_left = std::chrono::milliseconds(record.cold_left_ms);
+  news.m_left = std::chrono::milliseconds(record.cold_for_ms);
   news.m_born = record.born;
   news.m_evacuated = IsEvacuated(state, backend);
   bool& told = state.m_pools[record.pool].m_cold_told;
-  told = told || record.cold_left_ms > 0;
+  told = told || record.cold_for_ms > 0;
   const Duration presumed = PresumedTime(ColdLimitOf(state, record.pool), told);
   poppyway::TakeColdNews(backend.m_ramp, news, fresh, presumed, now);
 }
--- a/packages/state/src/hosted_state.cc
+++ b/packages/state/src/hosted_state.cc
@@ -81,7 +81,7 @@
     return true;
   if (late || record.stage == wire::ServerStage::GONE)
     return false;
-  return !SamePlace(known, record) || (known.cold_left_ms > 0) != (record.cold_left_ms > 0);
+  return !SamePlace(known, record) || (known.cold_for_ms > 0) != (record.cold_for_ms > 0);
 }
 
 bool ChangesCold(const HostedState& state, const wire::ServerRecord& record) {
@@ -92,7 +92,7 @@
   const bool late = record.sequence != 0 && record.sequence < known.sequence;
   const bool same_life = LifeOf(known, record) == Life::kSame && record.stage == known.stage &&
                          record.stage != wire::ServerStage::GONE;
-  return same_life && !late && record.cold_left_ms != known.cold_left_ms;
+  return same_life && !late && record.cold_for_ms != known.cold_for_ms;
 }
 
 void ApplyServer(HostedState& state, const wire::ServerRecord& record, std::int64_t index) {
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -486,8 +486,8 @@
   this->born = val;
 }
 
-void ServerRecord::__set_cold_left_ms(const int32_t val) {
-  this->cold_left_ms = val;
+void ServerRecord::__set_cold_for_ms(const int32_t val) {
+  this->cold_for_ms = val;
 }
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
@@ -617,8 +617,8 @@
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->cold_left_ms);
-          this->__isset.cold_left_ms = true;
+          xfer += iprot->readI32(this->cold_for_ms);
+          this->__isset.cold_for_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -688,8 +688,8 @@
   xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cold_left_ms", ::apache::thrift::protocol::T_I32, 13);
-  xfer += oprot->writeI32(this->cold_left_ms);
+  xfer += oprot->writeFieldBegin("cold_for_ms", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->cold_for_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -711,7 +711,7 @@
   swap(a.version, b.version);
   swap(a.held_back, b.held_back);
   swap(a.born, b.born);
-  swap(a.cold_left_ms, b.cold_left_ms);
+  swap(a.cold_for_ms, b.cold_for_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -728,7 +728,7 @@
   version = other5.version;
   held_back = other5.held_back;
   born = other5.born;
-  cold_left_ms = other5.cold_left_ms;
+  cold_for_ms = other5.cold_for_ms;
   __isset = other5.__isset;
 }
 ServerRecord::ServerRecord(ServerRecord&& other6) noexcept {
@@ -744,7 +744,7 @@
   version = std::move(other6.version);
   held_back = other6.held_back;
   born = other6.born;
-  cold_left_ms = other6.cold_left_ms;
+  cold_for_ms = other6.cold_for_ms;
   __isset = other6.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other7) {
@@ -760,7 +760,7 @@
   version = other7.version;
   held_back = other7.held_back;
   born = other7.born;
-  cold_left_ms = other7.cold_left_ms;
+  cold_for_ms = other7.cold_for_ms;
   __isset = other7.__isset;
   return *this;
 }
@@ -777,7 +777,7 @@
   version = std::move(other8.version);
   held_back = other8.held_back;
   born = other8.born;
-  cold_left_ms = other8.cold_left_ms;
+  cold_for_ms = other8.cold_for_ms;
   __isset = other8.__isset;
   return *this;
 }
@@ -796,7 +796,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "held_back=" << to_string(held_back);
   out << ", " << "born=" << to_string(born);
-  out << ", " << "cold_left_ms=" << to_string(cold_left_ms);
+  out << ", " << "cold_for_ms=" << to_string(cold_for_ms);
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -345,7 +345,7 @@
 std::ostream& operator<<(std::ostream& out, const Document& obj);
 
 typedef struct _ServerRecord__isset {
-  _ServerRecord__isset() : id(false), pool(false), address(false), port(false), data_centre(false), slots(false), stage(false), sequence(false), index(false), version(false), held_back(false), born(false), cold_left_ms(false) {}
+  _ServerRecord__isset() : id(false), pool(false), address(false), port(false), data_centre(false), slots(false), stage(false), sequence(false), index(false), version(false), held_back(false), born(false), cold_for_ms(false) {}
   bool id :1;
   bool pool :1;
   bool address :1;
@@ -358,7 +358,7 @@
   bool version :1;
   bool held_back :1;
   bool born :1;
-  bool cold_left_ms :1;
+  bool cold_for_ms :1;
 } _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
@@ -381,7 +381,7 @@
                  version(),
                  held_back(0),
                  born(0),
-                 cold_left_ms(0) {
+                 cold_for_ms(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -401,7 +401,7 @@
   std::string version;
   bool held_back;
   int64_t born;
-  int32_t cold_left_ms;
+  int32_t cold_for_ms;
 
   _ServerRecord__isset __isset;
 
@@ -429,7 +429,7 @@
 
   void __set_born(const int64_t val);
 
-  void __set_cold_left_ms(const int32_t val);
+  void __set_cold_for_ms(const int32_t val);
 
   bool operator == (const ServerRecord & rhs) const
   {
@@ -457,7 +457,7 @@
       return false;
     if (!(born == rhs.born))
       return false;
-    if (!(cold_left_ms == rhs.cold_left_ms))
+    if (!(cold_for_ms == rhs.cold_for_ms))
       return false;
     return true;
   }
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -19,7 +19,7 @@
   // id; the later birth is the server that is there now.
   12: i64 born;
   // How much longer the server is cold (slow after its start) when it last said so; zero: warm.
-  13: i32 cold_left_ms
+  13: i32 cold_for_ms
 }
 
 // ---- Evacuations: a data centre whose servers get no new work -------------------------------------
--- a/tests/cold_alone_test.cc
+++ b/tests/cold_alone_test.cc
@@ -20,7 +20,7 @@
                   const std::string& data_centre = "") {
   wire::ServerRecord record = rig.Record(id, server);
   record.data_centre = data_centre;
-  record.cold_left_ms = 8'000;
+  record.cold_for_ms = 8'000;
   rig.m_forwarder->Take(ServersChanged{{record}});
 }
 
--- a/tests/cold_ramp_test.cc
+++ b/tests/cold_ramp_test.cc
@@ -418,14 +418,14 @@
   CHECK(MaySendAlone(ramp, strict, kStart + kSecond));  // Warm.
 }
 
-wire::ServerRecord Record(int sequence, int cold_left_ms) {
+wire::ServerRecord Record(int sequence, int cold_for_ms) {
   wire::ServerRecord record;
   record.id = "s0";
   record.pool = "apps";
   record.slots = 4;
   record.stage = wire::ServerStage::READY;
   record.sequence = sequence;
-  record.cold_left_ms = cold_left_ms;
+  record.cold_for_ms = cold_for_ms;
   return record;
 }
 
@@ -435,7 +435,7 @@
   CHECK_FALSE(ChangesServer(state, Record(2, 6'800)));
   CHECK(ChangesServer(state, Record(3, 0)));
   ApplyServer(state, Record(3, 0), 6);
-  CHECK(state.m_servers.at("s0").cold_left_ms == 0);
+  CHECK(state.m_servers.at("s0").cold_for_ms == 0);
   CHECK(state.m_servers_index == 6);
   CHECK(ChangesServer(state, Record(4, 7'500)));
   CHECK_FALSE(ChangesServer(state, Record(2, 6'800)));  // Late.
@@ -446,7 +446,7 @@
   ApplyServer(state, Record(1, 8'000), 5);
   CHECK(ChangesCold(state, Record(2, 7'900)));
   ApplyServer(state, Record(2, 7'900), 6);
-  CHECK(state.m_servers.at("s0").cold_left_ms == 7'900);
+  CHECK(state.m_servers.at("s0").cold_for_ms == 7'900);
   CHECK_FALSE(ChangesCold(state, Record(1, 8'000)));
 }
 
--- a/tests/heartbeat_test.cc
+++ b/tests/heartbeat_test.cc
@@ -56,7 +56,7 @@
   CHECK(server.slots == 7);
   CHECK(server.stage == wire::ServerStage::READY);
   CHECK(server.sequence == 4);
-  CHECK(server.cold_left_ms == 250);
+  CHECK(server.cold_for_ms == 250);
   CHECK(server.born == 1'764'727'200'000);
 }
 
--- a/tests/incarnation_test.cc
+++ b/tests/incarnation_test.cc
@@ -52,7 +52,7 @@
     CAPTURE(stage);
     wire::ServerRecord earlier = Heartbeat(kFirst, 90, stage == kGone ? kReady : stage);
     earlier.version = "v1";
-    earlier.cold_left_ms = 7;
+    earlier.cold_for_ms = 7;
     HostedState state = After({earlier});
     if (stage == kGone)
       ApplyServer(state, Removal(), 20);
