--- a/packages/policy/include/poppyway/policy/impl/cold_ramp.h
+++ b/packages/policy/include/poppyway/policy/impl/cold_ramp.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <vector>
 
 #include "poppyway/core.h"
 #include "poppyway/policy/impl/server_health.h"
@@ -39,15 +39,15 @@
 
 /// \brief What one server got while it is, or may be, cold.
 struct ColdRamp {
-  Instant m_cold_until{};      ///< Told by the server, or presumed.
-  std::deque<Instant> m_sent;  ///< Requests given to it, of the last second.
-  Instant m_blind_until{};     ///< Before it, what others gave to it isn't known: no room.
-  Instant m_next_alone{};      ///< Who decides alone may send the next one then.
-  bool m_silent = false;       ///< It failed as one does that starts again; no answer since.
-  bool m_known = false;        ///< `m_news` was taken before.
-  bool m_full = false;         ///< At the last look it had got as much as it may.
-  bool m_tells = false;        ///< It has said once that it is cold.
-  bool m_logged = false;       ///< That it is cold was logged.
+  Instant m_cold_until{};       ///< Told by the server, or presumed.
+  std::vector<Instant> m_sent;  ///< Requests given to it, of the last second; in order.
+  Instant m_blind_until{};      ///< Before it, what others gave to it isn't known: no room.
+  Instant m_next_alone{};       ///< Who decides alone may send the next one then.
+  bool m_silent = false;        ///< It failed as one does that starts again; no answer since.
+  bool m_known = false;         ///< `m_news` was taken before.
+  bool m_full = false;          ///< At the last look it had got as much as it may.
+  bool m_tells = false;         ///< It has said once that it is cold.
+  bool m_logged = false;        ///< That it is cold was logged.
   ColdNews m_news;
 
   friend bool operator==(const ColdRamp&, const ColdRamp&) = default;
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -287,10 +287,6 @@
 /// \brief Takes the region of each data centre.
 void SetRegions(PlaceBroker& broker, RegionMap regions);
 
-/// \brief True if an evacuation has left what has these homes no server of the pool: none may take
-/// it before the evacuation ends or others come.
-[[nodiscard]] bool EvacuatedAway(const PlacePool& pool, const HomeRegions& homes) noexcept;
-
 /// \brief Takes what each pool says of its cold servers; of a pool that isn't named, nothing.
 void SetColdLimits(PlaceBroker& broker, const std::map<std::string, ColdLimit>& limits);
 
--- a/packages/policy/src/cold_ramp.cc
+++ b/packages/policy/src/cold_ramp.cc
@@ -63,8 +63,7 @@
 void NoteSent(ColdRamp& ramp, const ColdLimit& limit, Instant now) {
   if (limit.m_per_s <= 0)
     return;
-  while (!ramp.m_sent.empty() && ramp.m_sent.front() <= now - kColdWindow)
-    ramp.m_sent.pop_front();
+  std::erase_if(ramp.m_sent, [now](Instant sent) { return sent <= now - kColdWindow; });
   ramp.m_sent.push_back(now);
 }
 
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -146,10 +146,10 @@
     const auto known = index_before.find(server.m_id);
     bool appeared = known == index_before.end();
     if (!appeared) {
-      const PlacePool& old = before[known->second.first];
+      PlacePool& old = before[known->second.first];
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
-      ramp = old.m_ramps[known->second.second];
+      ramp = std::move(old.m_ramps[known->second.second]);
       const std::int64_t born = old.m_servers[known->second.second].m_born;
       appeared = server.m_born != born;
       if (server.m_born > born)
@@ -167,7 +167,7 @@
     pool.m_servers.push_back(server);
     pool.m_views.push_back(view);
     pool.m_health.push_back(health);
-    pool.m_ramps.push_back(ramp);
+    pool.m_ramps.push_back(std::move(ramp));
   }
   for (const auto& [id, before] : births)
     TakeBirth(broker, id, before);
@@ -185,18 +185,6 @@
     broker.m_pools[name].m_cold = limit;
 }
 
-bool EvacuatedAway(const PlacePool& pool, const HomeRegions& homes) noexcept {
-  bool evacuated = false;
-  for (const PlaceServer& server : pool.m_servers) {
-    if (server.m_leaving || !ServesAtHome(homes, server.m_region))
-      continue;
-    if (!server.m_evacuated)
-      return false;
-    evacuated = true;
-  }
-  return evacuated;
-}
-
 void TakeBatch(PlaceBroker& broker,
                const std::string& holder,
                PlaceBatch batch,
@@ -240,9 +228,7 @@
   } else {
     ask.m_workspace.clear();
   }
-  const bool none =
-      pool.m_servers.empty() || NoneAtHome(pool, ask) || EvacuatedAway(pool, ask.m_homes);
-  if (none) {
+  if (pool.m_servers.empty() || NoneMayServe(pool, ask.m_homes)) {
     GiveBack(broker, ask);
     out.push_back(RefusalOf(holder, ask.m_ref, PlaceVerdict::kNoServer, 0));
     return;
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -12,8 +12,14 @@
 namespace poppyway {
 
 // ---- place_serve.cc ----------------------------------------------------------------------------
-/// \brief True if the request is bound to regions in which the pool has no server.
-[[nodiscard]] bool NoneAtHome(const PlacePool& pool, const PlaceAsk& ask);
+/// \brief What keeps server `i` from the request.
+/// \param kept whether a roll-out keeps the server from work.
+[[nodiscard]] ServerBar BarOf(const OutageWatch& outages,
+                              const PlacePool& pool,
+                              std::size_t i,
+                              const PlaceAsk& ask,
+                              bool kept,
+                              Instant now);
 /// \brief A tier as an index.
 [[nodiscard]] std::size_t RankIndex(Tier rank);
 /// \brief Recounts what stands in for servers that are new, every so often.
@@ -39,6 +45,10 @@
                  std::vector<PlaceAnswer>& out);
 /// \brief Tries all servers for the first that wait.
 void ServePool(PlaceBroker& broker, PlacePool& pool, Instant now, std::vector<PlaceAnswer>& out);
+
+// ---- place_wait.cc -----------------------------------------------------------------------------
+/// \brief True if evacuations or homes leave the pool no server for what has these homes.
+[[nodiscard]] bool NoneMayServe(const PlacePool& pool, const HomeRegions& homes) noexcept;
 /// \brief Puts back what a place request that gets no place was charged.
 void GiveBack(PlaceBroker& broker, const PlaceAsk& ask);
 /// \brief Refuses what has waited until its time.
@@ -131,16 +141,6 @@
 /// \brief Ends suspicions that are over.
 void SettleOutages(PlaceBroker& broker, Instant now);
 
-// ---- place_serve.cc ----------------------------------------------------------------------------
-/// \brief What keeps server `i` from the request.
-/// \param kept whether a roll-out keeps the server from work.
-[[nodiscard]] ServerBar BarOf(const OutageWatch& outages,
-                              const PlacePool& pool,
-                              std::size_t i,
-                              const PlaceAsk& ask,
-                              bool kept,
-                              Instant now);
-
 // ---- place_parts.cc ----------------------------------------------------------------------------
 /// \brief Sets `m_kept_tokens` of all views: prompt tokens that each server likely still keeps.
 void SetKeptTokens(PlacePool& pool, const PlaceAsk& ask);
