Split what an instance knows of servers by job; ask each server once in a choice

Change: access.cc and evacuation.cc; one bar a server and one look-up of round trips a choice; TakeServer takes the cold news itself. No decision changes.

--- /dev/null
+++ b/apps/poppywayd/member_status.cc
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What a member tells operators: objects, status, metrics.
+
+#include "convert.h"
+#include "member_side.h"
+
+namespace poppyway {
+
+void MemberSide::OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply) {
+  if (!ConfirmedLeader(m_node, ReadClock())) {
+    reply(NotLeader());
+    return;
+  }
+  wire::ObjectsReply answer;
+  const Configuration& configuration = m_machine.m_configuration;
+  answer.version = configuration.m_version;
+  for (const auto& [name, state] : configuration.m_objects)
+    answer.objects.push_back(state.object);
+  if (request.history)
+    answer.history.assign(configuration.m_history.begin(), configuration.m_history.end());
+  wire::Body body;
+  body.__set_objects_reply(std::move(answer));
+  reply(std::move(body));
+}
+
+wire::StatusReply MemberSide::Status() const {
+  const Instant now = ReadClock();
+  wire::StatusReply status;
+  status.instance = m_settings.m_instance;
+  status.leader_id = m_node.m_leader;
+  status.term = m_node.m_hard.term;
+  status.commit = m_node.m_commit;
+  status.version = m_machine.m_configuration.m_version;
+  status.membership = m_node.m_membership;
+  status.leader_here = LeadsWithQuorum(m_node, now);
+  status.ledger_keys = static_cast<std::int64_t>(m_machine.m_ledger.m_keys.size());
+  status.lease_age_ms = (now - m_node.m_leader_heard).count() / 1000;
+  for (const auto& [incarnation, record] : m_table.m_live) {
+    wire::InstanceStatus instance;
+    instance.instance = record.m_beat.instance;
+    instance.incarnation = incarnation;
+    instance.data_centre = record.m_beat.data_centre;
+    instance.version_in_force = record.m_beat.version_in_force;
+    instance.ready = record.m_beat.ready;
+    instance.stopping = record.m_beat.stopping;
+    instance.age_ms = (now - record.m_heard).count() / 1000;
+    instance.http = record.m_beat.http;
+    instance.address = record.m_beat.address;
+    instance.port = record.m_beat.port;
+    status.instances.push_back(std::move(instance));
+  }
+  for (const auto& [name, lease] : m_machine.m_leases)
+    status.leases.push_back(lease);
+  status.evacuations = EvacuationStatuses();
+  return status;
+}
+
+void MemberSide::AddMetrics(MetricSet& metrics) const {
+  metrics.Set("poppyway_log_term", "", static_cast<double>(m_node.m_hard.term));
+  metrics.Set("poppyway_log_commit", "", static_cast<double>(m_node.m_commit));
+  metrics.Set("poppyway_log_leader", "", leads() ? 1 : 0);
+  metrics.Set("poppyway_log_syncs", "", static_cast<double>(m_syncs));
+  metrics.Set("poppyway_log_entries_synced", "", static_cast<double>(m_entries_synced));
+  metrics.Set("poppyway_log_disk_full", "", m_disk_full ? 1 : 0);
+  metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
+  metrics.Set("poppyway_ledger_kept_bytes", "",
+              static_cast<double>(m_machine.m_ledger.m_kept_bytes));
+  for (const wire::EvacuationStatus& status : EvacuationStatuses()) {
+    const std::string label = "data_centre=\"" + status.evacuation.data_centre + "\"";
+    metrics.Set("poppyway_evacuated", label, status.evacuation.ended ? 0 : 1);
+    if (status.running >= 0)
+      metrics.Set("poppyway_evacuated_running", label, status.running);
+  }
+  m_places.AddMetrics(metrics);
+  m_registry.AddMetrics(metrics);
+}
+
+}  // namespace poppyway
--- /dev/null
+++ b/packages/forward/src/access.cc
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Which servers this instance may send a request to.
+#include <algorithm>
+
+#include "steps.h"
+
+namespace poppyway::impl {
+namespace {
+
+bool Tried(const Forwarding& forwarding, const std::string& id) {
+  return std::find(forwarding.m_tried.begin(), forwarding.m_tried.end(), id) !=
+         forwarding.m_tried.end();
+}
+
+/// Without what an instance only believes of a server.
+ServerStanding PlainStanding(const ForwarderState& state, const Backend& backend) {
+  ServerStanding standing;
+  standing.m_leaving = backend.m_leaving;
+  standing.m_evacuated = IsEvacuated(state, backend);
+  standing.m_region = RegionOf(state.m_settings.m_regions, backend.m_record.data_centre);
+  return standing;
+}
+
+/// `kept`: whether a roll-out keeps the server from work.
+ServerBar BarIf(const ForwarderState& state,
+                const Forwarding& forwarding,
+                const Backend& backend,
+                bool kept,
+                Instant now) {
+  ServerStanding standing = PlainStanding(state, backend);
+  standing.m_leaving = backend.m_leaving || backend.m_replaced;
+  standing.m_kept_by_rollout = kept;
+  standing.m_cold_full =
+      IsCold(backend.m_ramp, now) &&
+      !MaySendAlone(backend.m_ramp, ColdLimitOf(state, backend.m_record.pool), now);
+  standing.m_suspect = IsSuspectAlone(state, backend, now);
+  return BarFor(standing, forwarding.m_homes, Tried(forwarding, backend.m_record.id));
+}
+
+/// True if the server does ordinary work that this request may be part of, now or a little later.
+bool WorksFor(const ForwarderState& state,
+              const Forwarding& forwarding,
+              const Backend& backend,
+              Instant now) {
+  if (backend.m_record.held_back)
+    return false;
+  const ServerBar bar = BarIf(state, forwarding, backend, false, now);
+  return bar != ServerBar::kLeaving && bar != ServerBar::kEvacuated &&
+         bar != ServerBar::kOutsideHome;
+}
+
+}  // namespace
+
+ServerBar BarOf(const ForwarderState& state,
+                const Forwarding& forwarding,
+                const Backend& backend,
+                Instant now) {
+  // A version on trial gets work from the broker only, which keeps count of it.
+  return BarIf(state, forwarding, backend, backend.m_record.held_back, now);
+}
+
+ServerBar BarOnSend(const ForwarderState& state,
+                    const Forwarding& forwarding,
+                    const Backend& backend) {
+  return BarFor(PlainStanding(state, backend), forwarding.m_homes, false);
+}
+
+bool IsSuspectAlone(const ForwarderState& state, const Backend& backend, Instant now) {
+  const std::string& data_centre = backend.m_record.data_centre;
+  const std::string& server = backend.m_record.id;
+  const bool lost = IsLost(state.m_outages, data_centre, server) &&
+                    !MayTry(state.m_outages, data_centre, server, now);
+  return lost || Avoided(backend.m_health, now);
+}
+
+void UseLastResorts(const ForwarderState& state,
+                    const Forwarding& forwarding,
+                    const std::vector<std::string>& ids,
+                    std::vector<ServerView>& views,
+                    Instant now) {
+  const bool any_works = std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
+    return WorksFor(state, forwarding, state.m_backends.at(id), now);
+  });
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    const Backend& backend = state.m_backends.at(ids[i]);
+    const bool kept = backend.m_record.held_back && any_works;
+    const ServerBar bar = BarIf(state, forwarding, backend, kept, now);
+    views[i].m_usable = bar == ServerBar::kNone || bar == ServerBar::kSuspect;
+  }
+}
+
+}  // namespace poppyway::impl
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -10,10 +10,6 @@
 // Of a longer list, as an instance gets it when it starts, only the length is logged.
 constexpr std::size_t kMostLogged = 64;
 
-std::string DataCentreLabel(const std::string& data_centre) {
-  return "data_centre=\"" + data_centre + "\"";
-}
-
 /// A record of a server that is gone is kept while requests still count on it.
 void DropUnused(ForwarderState& state) {
   std::erase_if(state.m_backends, [&state](const auto& entry) {
@@ -71,28 +67,6 @@
   return ordered;
 }
 
-/// Of an evacuation that was ordered or has ended. What runs there ends by itself.
-void PutInForce(ForwarderState& state, const wire::Evacuation& evacuation) {
-  int servers = 0;
-  int running = 0;
-  for (const auto& [id, backend] : state.m_backends) {
-    if (backend.m_record.data_centre != evacuation.data_centre)
-      continue;
-    ++servers;
-    running += backend.m_in_flight;
-    if (!evacuation.ended)
-      state.m_connections->Forget(backend.m_place);
-  }
-  state.m_metrics.Set("poppyway_evacuated", DataCentreLabel(evacuation.data_centre),
-                      evacuation.ended ? 0 : 1);
-  POPPYWAY_LOG(info, "evacuation_in_force")
-      .Field("data_centre", evacuation.data_centre)
-      .Field("number", evacuation.number)
-      .Field("ends", evacuation.ended)
-      .Field("servers", servers)
-      .Field("running", running);
-}
-
 std::int64_t KeptTokens(const Backend& backend, const CallerRequest& request) {
   std::int64_t kept = 0;
   for (const PrefixPart& part : request.m_parts) {
@@ -103,15 +77,10 @@
   return kept;
 }
 
-bool Tried(const Forwarding& forwarding, const std::string& id) {
-  return std::find(forwarding.m_tried.begin(), forwarding.m_tried.end(), id) !=
-         forwarding.m_tried.end();
-}
-
 ServerView ViewOf(const ForwarderState& state,
                   const Forwarding& forwarding,
                   const Backend& backend,
-                  Instant now) {
+                  const RoundTrips& trips) {
   ServerView view;
   view.m_slots = std::max(1, backend.m_record.slots);
   view.m_own = backend.m_in_flight;
@@ -119,9 +88,9 @@
   view.m_reading_tokens = backend.m_reading_tokens;
   view.m_kept_tokens = KeptTokens(backend, forwarding.m_request);
   view.m_pace = backend.m_pace;
-  view.m_usable = BarOf(state, forwarding, backend, now) == ServerBar::kNone;
   view.m_same_data_centre = backend.m_record.data_centre == state.m_settings.m_data_centre;
-  view.m_round_trip = RoundTripOf(state, backend);
+  view.m_round_trip =
+      RoundTripTo(trips, RegionOf(state.m_settings.m_regions, backend.m_record.data_centre));
   return view;
 }
 
@@ -156,7 +125,7 @@
   }
 }
 
-void TakeServer(ForwarderState& state, const wire::ServerRecord& record) {
+void TakeServer(ForwarderState& state, const wire::ServerRecord& record, bool fresh, Instant now) {
   const bool known = state.m_backends.contains(record.id);
   if (!known && record.stage == wire::ServerStage::GONE)
     return;
@@ -174,6 +143,7 @@
   backend.m_leaving = record.stage != wire::ServerStage::READY;
   if ((!known || new_life) && !backend.m_leaving)
     RetireOthers(state, record.id);
+  TakeColdNews(state, backend, fresh, now);
 }
 
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records) {
@@ -182,9 +152,7 @@
   const Instant now = ReadClock();
   for (const wire::ServerRecord* record : ByChange(records)) {
     const bool known = state.m_backends.contains(record->id);
-    TakeServer(state, *record);
-    if (Backend* backend = FindBackend(state, record->id))
-      TakeColdNews(state, *backend, serving && !known, now);
+    TakeServer(state, *record, serving && !known, now);
     if (records.size() <= kMostLogged)
       LogServer(*record);
   }
@@ -197,141 +165,6 @@
     ServeQueue(state, name);
 }
 
-void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations) {
-  bool changed = false;
-  for (const wire::Evacuation& evacuation : evacuations) {
-    wire::Evacuation& known = state.m_evacuations[evacuation.data_centre];
-    if (evacuation.number <= known.number)
-      continue;
-    known = evacuation;
-    changed = true;
-    PutInForce(state, evacuation);
-  }
-  if (!changed)
-    return;
-  const Instant now = ReadClock();
-  for (auto& [id, backend] : state.m_backends)
-    TakeColdNews(state, backend, false, now);
-  for (const auto& [name, pool] : state.m_pools)
-    ServeQueue(state, name);
-}
-
-bool IsEvacuated(const ForwarderState& state, const Backend& backend) {
-  const auto found = state.m_evacuations.find(backend.m_record.data_centre);
-  return found != state.m_evacuations.end() && !found->second.ended;
-}
-
-bool EvacuatedAway(const ForwarderState& state, const Forwarding& forwarding) {
-  const auto pool = state.m_pools.find(forwarding.m_pool->m_name);
-  if (state.m_evacuations.empty() || pool == state.m_pools.end())
-    return false;
-  bool evacuated = false;
-  for (const std::string& id : pool->second.m_servers) {
-    const Backend& backend = state.m_backends.at(id);
-    const std::string_view region =
-        RegionOf(state.m_settings.m_regions, backend.m_record.data_centre);
-    if (backend.m_replaced || !ServesAtHome(forwarding.m_homes, region))
-      continue;
-    if (!IsEvacuated(state, backend))
-      return false;
-    evacuated = true;
-  }
-  return evacuated;
-}
-
-void CountEvacuated(ForwarderState& state) {
-  std::map<std::string, int> running;
-  for (const auto& [data_centre, evacuation] : state.m_evacuations)
-    running[data_centre] = 0;
-  for (const auto& [id, backend] : state.m_backends) {
-    if (IsEvacuated(state, backend))
-      running[backend.m_record.data_centre] += backend.m_in_flight;
-  }
-  for (const auto& [data_centre, count] : running)
-    state.m_metrics.Set("poppyway_evacuated_running", DataCentreLabel(data_centre), count);
-}
-
-namespace {
-
-/// Without what an instance only believes of a server.
-ServerStanding PlainStanding(const ForwarderState& state, const Backend& backend) {
-  ServerStanding standing;
-  standing.m_leaving = backend.m_leaving;
-  standing.m_evacuated = IsEvacuated(state, backend);
-  standing.m_region = RegionOf(state.m_settings.m_regions, backend.m_record.data_centre);
-  return standing;
-}
-
-bool IsSuspectAlone(const ForwarderState& state, const Backend& backend, Instant now) {
-  const std::string& data_centre = backend.m_record.data_centre;
-  const std::string& server = backend.m_record.id;
-  const bool lost = IsLost(state.m_outages, data_centre, server) &&
-                    !MayTry(state.m_outages, data_centre, server, now);
-  return lost || Avoided(backend.m_health, now);
-}
-
-/// `kept`: whether a roll-out keeps the server from work.
-ServerBar BarIf(const ForwarderState& state,
-                const Forwarding& forwarding,
-                const Backend& backend,
-                bool kept,
-                Instant now) {
-  ServerStanding standing = PlainStanding(state, backend);
-  standing.m_leaving = backend.m_leaving || backend.m_replaced;
-  standing.m_kept_by_rollout = kept;
-  standing.m_cold_full =
-      IsCold(backend.m_ramp, now) &&
-      !MaySendAlone(backend.m_ramp, ColdLimitOf(state, backend.m_record.pool), now);
-  standing.m_suspect = IsSuspectAlone(state, backend, now);
-  return BarFor(standing, forwarding.m_homes, Tried(forwarding, backend.m_record.id));
-}
-
-/// True if the server does ordinary work that this request may be part of, now or a little later.
-bool WorksFor(const ForwarderState& state,
-              const Forwarding& forwarding,
-              const Backend& backend,
-              Instant now) {
-  if (backend.m_record.held_back)
-    return false;
-  const ServerBar bar = BarIf(state, forwarding, backend, false, now);
-  return bar != ServerBar::kLeaving && bar != ServerBar::kEvacuated &&
-         bar != ServerBar::kOutsideHome;
-}
-
-/// None is free of suspicion: a suspect server is better than none, and so is one on trial if all
-/// that work are gone.
-void UseLastResorts(const ForwarderState& state,
-                    const Forwarding& forwarding,
-                    const std::vector<std::string>& ids,
-                    std::vector<ServerView>& views,
-                    Instant now) {
-  const bool any_works = std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
-    return WorksFor(state, forwarding, state.m_backends.at(id), now);
-  });
-  for (std::size_t i = 0; i < ids.size(); ++i) {
-    const Backend& backend = state.m_backends.at(ids[i]);
-    const bool kept = backend.m_record.held_back && any_works;
-    const ServerBar bar = BarIf(state, forwarding, backend, kept, now);
-    views[i].m_usable = bar == ServerBar::kNone || bar == ServerBar::kSuspect;
-  }
-}
-
-}  // namespace
-
-ServerBar BarOf(const ForwarderState& state,
-                const Forwarding& forwarding,
-                const Backend& backend,
-                Instant now) {
-  // A version on trial gets work from the broker only, which keeps count of it.
-  return BarIf(state, forwarding, backend, backend.m_record.held_back, now);
-}
-
-ServerBar BarOnSend(const ForwarderState& state,
-                    const Forwarding& forwarding,
-                    const Backend& backend) {
-  return BarFor(PlainStanding(state, backend), forwarding.m_homes, false);
-}
-
 Backend* FindBackend(ForwarderState& state, const std::string& id) {
   const auto found = state.m_backends.find(id);
   return found == state.m_backends.end() ? nullptr : &found->second;
@@ -345,15 +178,18 @@
     return std::nullopt;
   const Instant now = ReadClock();
   BeginColdAlone(state, forwarding.m_pool->m_name, now);
+  const RoundTrips trips = RoundTripsFrom(
+      state.m_reach, RegionOf(state.m_settings.m_regions, state.m_settings.m_data_centre));
   std::vector<ServerView> views;
   views.reserve(ids.size());
   bool any = false;
   for (const std::string& id : ids) {
     const Backend& backend = state.m_backends.at(id);
-    views.push_back(ViewOf(state, forwarding, backend, now));
+    const ServerBar bar = BarOf(state, forwarding, backend, now);
+    views.push_back(ViewOf(state, forwarding, backend, trips));
+    views.back().m_usable = bar == ServerBar::kNone;
     // A cold server that has got as much as it may is in use; one that is suspect too isn't.
-    const bool cold_in_use = BarOf(state, forwarding, backend, now) == ServerBar::kCold &&
-                             !IsSuspectAlone(state, backend, now);
+    const bool cold_in_use = bar == ServerBar::kCold && !IsSuspectAlone(state, backend, now);
     any = any || views.back().m_usable || cold_in_use;
   }
   if (!any)
--- a/packages/forward/src/lives.cc
+++ b/packages/forward/src/lives.cc
@@ -80,8 +80,7 @@
   record.address = answer.m_address;
   record.port = answer.m_port;
   record.stage = wire::ServerStage::READY;
-  TakeServer(state, record);
-  TakeColdNews(state, *FindBackend(state, record.id), true, ReadClock());
+  TakeServer(state, record, true, ReadClock());
   IndexPools(state);  // What waits is not served here: this is within the answer to one of them.
 }
 
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -135,28 +135,11 @@
 
 // ---- backends.cc -------------------------------------------------------------------------------
 /// Takes what is told of one server. `IndexPools` follows.
-void TakeServer(ForwarderState& state, const wire::ServerRecord& record);
+/// `fresh`: it appeared while this instance served.
+void TakeServer(ForwarderState& state, const wire::ServerRecord& record, bool fresh, Instant now);
 /// Lists anew which servers of each pool may get work.
 void IndexPools(ForwarderState& state);
 void TakeServers(ForwarderState& state, const std::vector<wire::ServerRecord>& records);
-/// Takes all evacuations that were ordered.
-void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations);
-/// True if the server's data centre is to get nothing new.
-[[nodiscard]] bool IsEvacuated(const ForwarderState& state, const Backend& backend);
-/// True if evacuations have left the request no server: none may take it before they end.
-[[nodiscard]] bool EvacuatedAway(const ForwarderState& state, const Forwarding& forwarding);
-/// Sets the counters of requests that still run at evacuated servers.
-void CountEvacuated(ForwarderState& state);
-/// What keeps a server from a request, for every send that this instance makes.
-[[nodiscard]] ServerBar BarOf(const ForwarderState& state,
-                              const Forwarding& forwarding,
-                              const Backend& backend,
-                              Instant now);
-/// What keeps a request from a server that was chosen a moment ago. Failures since, and what a
-/// roll-out or the broker decided on purpose, don't.
-[[nodiscard]] ServerBar BarOnSend(const ForwarderState& state,
-                                  const Forwarding& forwarding,
-                                  const Backend& backend);
 [[nodiscard]] Backend* FindBackend(ForwarderState& state, const std::string& id);
 /// The server where a request should go now, if one has room.
 /// `yields`: something more urgent waits, here or at another instance.
@@ -175,6 +158,37 @@
 /// `found` answered at the place of `meant`.
 void NoteOtherServer(ForwarderState& state, const std::string& meant, const std::string& found);
 
+// ---- evacuation.cc -----------------------------------------------------------------------------
+/// Takes all evacuations that were ordered.
+void TakeEvacuations(ForwarderState& state, const std::vector<wire::Evacuation>& evacuations);
+/// True if the server's data centre is to get nothing new.
+[[nodiscard]] bool IsEvacuated(const ForwarderState& state, const Backend& backend);
+/// True if evacuations have left the request no server: none may take it before they end.
+[[nodiscard]] bool EvacuatedAway(const ForwarderState& state, const Forwarding& forwarding);
+/// Sets the counters of requests that still run at evacuated servers.
+void CountEvacuated(ForwarderState& state);
+
+// ---- access.cc: which servers may get a request ------------------------------------------------
+/// What keeps a server from a request, where this instance chooses the server itself.
+[[nodiscard]] ServerBar BarOf(const ForwarderState& state,
+                              const Forwarding& forwarding,
+                              const Backend& backend,
+                              Instant now);
+/// What keeps a request from a server that was chosen a moment ago. Failures since, and what a
+/// roll-out or the broker decided on purpose, don't.
+[[nodiscard]] ServerBar BarOnSend(const ForwarderState& state,
+                                  const Forwarding& forwarding,
+                                  const Backend& backend);
+/// True if the server failed lately, or its data centre is held to be lost.
+[[nodiscard]] bool IsSuspectAlone(const ForwarderState& state, const Backend& backend, Instant now);
+/// None is free of suspicion: a suspect server is better than none, and so is one on trial if all
+/// that work are gone.
+void UseLastResorts(const ForwarderState& state,
+                    const Forwarding& forwarding,
+                    const std::vector<std::string>& ids,
+                    std::vector<ServerView>& views,
+                    Instant now);
+
 // ---- lives.cc: servers that start again under their id -----------------------------------------
 /// True if the record tells of a later life of the server than is known.
 [[nodiscard]] bool IsNewLife(const Backend& known, const wire::ServerRecord& record) noexcept;
@@ -190,6 +204,7 @@
 /// Ends calls to earlier lives that have been silent for too long.
 void EndLostCalls(ForwarderState& state, Instant now);
 
+// ---- forwarder.cc ------------------------------------------------------------------------------
 /// \brief When a planned stop ends the process at the latest, a margin kept.
 [[nodiscard]] Instant StopEnd(const ForwarderState& state) noexcept;
 
