One fake broker, one runner of soak cases

Cause: four test files had each a fake broker of its own, one of them a twin of the project's; two soak programs shared their command line and the running of a case line by line.

Change: tests/fake_broker.h, taken from broker_link_test.cc; soak/cases.py. Every assertion stands as it was.

--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -9,18 +9,17 @@
     soak/evacuations.py --program build/poppywayd [--seed N] [--case NAME ...]
 """
 
-import argparse
 import asyncio
-import sys
 import time
 
-from fleet import Fleet, document, hold_subnets, release
+from cases import run_cases
+from fleet import Fleet, document
 from stand_ins import Badness, Callers, Operator, Servers
 
 POOL = "app"
 KEY = "key-of-north"
 PER_S = 120
-EVACUATE_S = 5.0  # The bound; cases hold the product to less, so that short ones show something.
+EVACUATE_S = 5.0  # The bound; cases check a shorter time of their own.
 ACK_S = 5.0
 EAST = "/-/evacuations/east"
 
@@ -162,6 +161,11 @@
         print(f"case={self.name} {figures} served={served} total={total} "
               f"outcomes={self.callers.outcomes}", flush=True)
 
+    async def stop(self):
+        await self.east.stop()
+        await self.west.stop()
+        self.fleet.stop()
+
 
 CASES = {
     "ordered-and-ended": Case.ordered_and_ended,
@@ -172,41 +176,5 @@
 }
 
 
-async def run_case(program, name, subnet, seed, keep_logs):
-    case = Case(program, name, subnet, seed)
-    try:
-        await case.play()
-    finally:
-        if case.failures and keep_logs:
-            for process in case.fleet.members + case.fleet.instances:
-                with open(f"{keep_logs}/{name}-{seed}-{process.name}.log", "w",
-                          encoding="utf-8") as kept:
-                    kept.write(process.log())
-        await case.east.stop()
-        await case.west.stop()
-        case.fleet.stop()
-    for failure in case.failures:
-        print(f"FAILED case={name} seed={seed}: {failure}", flush=True)
-    return not case.failures
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--program", required=True, help="path of poppywayd")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--case", nargs="*", default=list(CASES), choices=list(CASES))
-    parser.add_argument("--keep-logs", help="folder for the logs of cases that fail")
-    options = parser.parse_args()
-    passed = 0
-    first, guards = hold_subnets(len(options.case))
-    for number, name in enumerate(options.case):
-        passed += asyncio.run(
-            run_case(options.program, name, first + number, options.seed, options.keep_logs))
-    release(guards)
-    failed = len(options.case) - passed
-    print(f"{passed} passed, {failed} failed")
-    sys.exit(1 if failed else 0)
-
-
 if __name__ == "__main__":
-    main()
+    run_cases(Case, CASES, __doc__)
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -11,12 +11,11 @@
     soak/rollouts.py --program build/poppywayd [--seed N] [--case NAME ...]
 """
 
-import argparse
 import asyncio
-import sys
 import time
 
-from fleet import Fleet, document, hold_subnets, release
+from cases import run_cases
+from fleet import Fleet, document
 from stand_ins import Badness, Callers, Operator, Servers
 
 POOL = "app"
@@ -259,42 +258,11 @@
               f"of={reached} bad={len(self.new.bad)} served={served} total={total} "
               f"outcomes={self.callers.outcomes}", flush=True)
 
-
-async def run_case(program, name, subnet, seed, keep_logs):
-    case = Case(program, name, subnet, seed)
-    try:
-        await case.play()
-    finally:
-        if case.failures and keep_logs:
-            for process in case.fleet.members + case.fleet.instances:
-                with open(f"{keep_logs}/{name}-{seed}-{process.name}.log", "w",
-                          encoding="utf-8") as kept:
-                    kept.write(process.log())
-        await case.old.stop()
-        await case.new.stop()
-        case.fleet.stop()
-    for failure in case.failures:
-        print(f"FAILED case={name} seed={seed}: {failure}", flush=True)
-    return not case.failures
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--program", required=True, help="path of poppywayd")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--case", nargs="*", default=list(CASES), choices=list(CASES))
-    parser.add_argument("--keep-logs", help="folder for the logs of cases that fail")
-    options = parser.parse_args()
-    passed = 0
-    first, guards = hold_subnets(len(options.case))
-    for number, name in enumerate(options.case):
-        passed += asyncio.run(
-            run_case(options.program, name, first + number, options.seed, options.keep_logs))
-    release(guards)
-    failed = len(options.case) - passed
-    print(f"{passed} passed, {failed} failed")
-    sys.exit(1 if failed else 0)
+    async def stop(self):
+        await self.old.stop()
+        await self.new.stop()
+        self.fleet.stop()
 
 
 if __name__ == "__main__":
-    main()
+    run_cases(Case, CASES, __doc__)
--- a/tests/broker_link_test.cc
+++ b/tests/broker_link_test.cc
@@ -3,44 +3,12 @@
 // An instance and the broker of places: asking, being without one, finding one anew.
 #include <catch2/catch.hpp>
 
+#include "fake_broker.h"
 #include "forwarder_rig.h"
 
 namespace poppyway {
 namespace {
 
-/// Notes what the forwarder sends; the test answers.
-struct FakeBroker {
-  std::vector<PlaceBatch> m_batches;
-  int m_silent = 0;
-
-  explicit FakeBroker(Rig& rig, std::int64_t epoch = 1) {
-    rig.m_forwarder->SetBroker({[this](PlaceBatch batch) { m_batches.push_back(std::move(batch)); },
-                                [this] { ++m_silent; }});
-    rig.m_forwarder->Take(FleetSize{4});
-    rig.m_forwarder->Take(BrokerFound{epoch});
-  }
-  [[nodiscard]] std::vector<PlaceAsk> Asks() const {
-    std::vector<PlaceAsk> asks;
-    for (const PlaceBatch& batch : m_batches)
-      asks.insert(asks.end(), batch.m_asks.begin(), batch.m_asks.end());
-    return asks;
-  }
-  [[nodiscard]] std::vector<PlaceReport> Reports() const {
-    std::vector<PlaceReport> reports;
-    for (const PlaceBatch& batch : m_batches)
-      reports.insert(reports.end(), batch.m_reports.begin(), batch.m_reports.end());
-    return reports;
-  }
-};
-
-void Decide(Rig& rig, PlaceRef ref, PlaceVerdict verdict, const std::string& server = "") {
-  PlaceAnswer answer;
-  answer.m_ref = ref;
-  answer.m_verdict = verdict;
-  answer.m_server = server;
-  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
-}
-
 TEST_CASE("a request goes where the broker says, and its place is given back when it ends") {
   ScriptedServer wrong([](const std::string& request) { return Answer(request, "wrong"); });
   ScriptedServer right([](const std::string& request) { return Answer(request, "right"); });
--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -3,6 +3,7 @@
 // A data centre that gets nothing new: the order, the broker, instances.
 #include <catch2/catch.hpp>
 
+#include "fake_broker.h"
 #include "forwarder_rig.h"
 #include "poppyway/state.h"
 
@@ -320,46 +321,10 @@
 
 // ---- An instance --------------------------------------------------------------------------------
 
-struct FakeBroker {
-  std::vector<PlaceAsk> m_asks;
-  std::vector<PlaceReport> m_reports;
-
-  explicit FakeBroker(Rig& rig) {
-    rig.m_forwarder->SetBroker({[this](PlaceBatch batch) {
-                                  for (PlaceAsk& ask : batch.m_asks)
-                                    m_asks.push_back(std::move(ask));
-                                  for (PlaceReport& report : batch.m_reports)
-                                    m_reports.push_back(report);
-                                },
-                                [] {}});
-    rig.m_forwarder->Take(BrokerFound{1});
-  }
-  void Place(Rig& rig, std::size_t ask, const std::string& server) const {
-    PlaceAnswer answer;
-    answer.m_ref = m_asks[ask].m_ref;
-    answer.m_verdict = PlaceVerdict::kPlaced;
-    answer.m_server = server;
-    rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
-  }
-};
-
-void RegisterIn(Rig& rig,
-                const std::string& data_centre,
-                const std::string& id,
-                const ScriptedServer& server) {
-  wire::ServerRecord record = rig.Record(id, server);
-  record.data_centre = data_centre;
-  rig.m_forwarder->Take(ServersChanged{{record}});
-}
-
 void Evacuate(Rig& rig, std::int64_t number, bool ended = false) {
   rig.m_forwarder->Take(EvacuationsChanged{{Evacuated("east", number, ended)}});
 }
 
-std::vector<ScriptStep> Ok(const std::string& request) {
-  return Answer(request, "ok");
-}
-
 TEST_CASE("a call whose connection comes up after the order sends nothing and goes elsewhere") {
   ScriptedServer east(&Ok);
   ScriptedServer west(&Ok);
@@ -368,20 +333,20 @@
   RegisterIn(rig, "west", "w", west);
   FakeBroker broker(rig);
   Pending call(rig, Request("/once/", "i"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
-  REQUIRE(broker.m_asks.size() == 1);
-  broker.Place(rig, 0, "e");
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "e");
   Evacuate(rig, 1);
-  rig.RunUntil([&] { return broker.m_asks.size() == 2; });
-  REQUIRE(broker.m_asks.size() == 2);
-  broker.Place(rig, 1, "w");
+  rig.RunUntil([&] { return broker.Asks().size() == 2; });
+  REQUIRE(broker.Asks().size() == 2);
+  Decide(rig, broker.Asks()[1].m_ref, PlaceVerdict::kPlaced, "w");
   CHECK(call.Finish(rig).status() == 200);
   CHECK(east.requests().empty());
   CHECK(west.requests().size() == 1);
   // The first place was given back as one that ran nothing.
-  REQUIRE(!broker.m_reports.empty());
-  CHECK(broker.m_reports[0].m_ended);
-  CHECK_FALSE(broker.m_reports[0].m_ran);
+  REQUIRE(!broker.Reports().empty());
+  CHECK(broker.Reports()[0].m_ended);
+  CHECK_FALSE(broker.Reports()[0].m_ran);
 }
 
 TEST_CASE("a place that was given before the order and arrives after it isn't used") {
@@ -392,13 +357,13 @@
   RegisterIn(rig, "west", "w", west);
   FakeBroker broker(rig);
   Pending call(rig, Request("/safe/", "i"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
-  REQUIRE(broker.m_asks.size() == 1);
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
   Evacuate(rig, 1);
-  broker.Place(rig, 0, "e");
-  REQUIRE(broker.m_asks.size() == 2);
-  CHECK(broker.m_asks[1].m_tried == std::vector<std::string>{"e"});
-  broker.Place(rig, 1, "w");
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "e");
+  REQUIRE(broker.Asks().size() == 2);
+  CHECK(broker.Asks()[1].m_tried == std::vector<std::string>{"e"});
+  Decide(rig, broker.Asks()[1].m_ref, PlaceVerdict::kPlaced, "w");
   CHECK(call.Finish(rig).status() == 200);
   CHECK(east.requests().empty());
 }
--- a/tests/forwarder_lives_test.cc
+++ b/tests/forwarder_lives_test.cc
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 // An instance and backend servers that start again under their id.
+#include "fake_broker.h"
 #include "forwarder_rig.h"
 
 namespace poppyway {
@@ -44,9 +45,8 @@
 }
 
 TEST_CASE("a server that started again at its address or another one gets the work") {
-  const auto script = [](const std::string& request) { return Answer(request, "ok"); };
-  ScriptedServer old_place(script);
-  ScriptedServer new_place(script);
+  ScriptedServer old_place(&Ok);
+  ScriptedServer new_place(&Ok);
   Rig rig;
   Live(rig, "s0", old_place, 5);
   CHECK(Call(rig, Request("/once/", "a")).status() == 200);
@@ -61,9 +61,8 @@
 }
 
 TEST_CASE("late news of an earlier life changes nothing here") {
-  const auto script = [](const std::string& request) { return Answer(request, "ok"); };
-  ScriptedServer old_place(script);
-  ScriptedServer new_place(script);
+  ScriptedServer old_place(&Ok);
+  ScriptedServer new_place(&Ok);
   Rig rig;
   Live(rig, "s0", new_place, 9);
   wire::ServerRecord late = rig.Record("s0", old_place, wire::ServerStage::LEAVING);
@@ -188,38 +187,19 @@
   CHECK(seen.m_bytes.find("id: 4") != std::string::npos);
 }
 
-/// Notes what the forwarder sends to its broker.
-struct Broker {
-  std::vector<PlaceBatch> m_batches;
-
-  explicit Broker(Rig& rig) {
-    rig.m_forwarder->SetBroker(
-        {[this](PlaceBatch batch) { m_batches.push_back(std::move(batch)); }, [] {}});
-    rig.m_forwarder->Take(BrokerFound{1});
-  }
-  [[nodiscard]] std::optional<PlaceRef> Asked() const {
-    for (const PlaceBatch& batch : m_batches) {
-      if (!batch.m_asks.empty())
-        return batch.m_asks[0].m_ref;
-    }
-    return std::nullopt;
-  }
-};
-
 TEST_CASE("a place at a life that this instance has not heard of is used, where that life is") {
-  const auto script = [](const std::string& request) { return Answer(request, "ok"); };
-  ScriptedServer old_place(script);
-  ScriptedServer new_place(script);
+  ScriptedServer old_place(&Ok);
+  ScriptedServer new_place(&Ok);
   Rig rig;
   Live(rig, "s0", old_place, 5);
   wire::ServerRecord drained = rig.Record("s0", old_place, wire::ServerStage::LEAVING);
   drained.born = 5;
   rig.m_forwarder->Take(ServersChanged{{drained}});
-  Broker broker(rig);
+  FakeBroker broker(rig);
   Pending call(rig, Request("/once/", "a"));
-  rig.RunUntil([&] { return broker.Asked().has_value(); });
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
   PlaceAnswer answer;
-  answer.m_ref = broker.Asked().value();
+  answer.m_ref = broker.Asks().at(0).m_ref;
   answer.m_server = "s0";
   answer.m_born = 9;
   answer.m_address = "127.0.0.1";
@@ -240,7 +220,7 @@
   Pending call(rig, Request("/once/", "a"), 400);
   AwaitRequests(rig, server, 1);
   Live(rig, "s0", server, 9);
-  Broker broker(rig);
+  FakeBroker broker(rig);
   REQUIRE_FALSE(broker.m_batches.empty());
   REQUIRE(broker.m_batches[0].m_held.size() == 1);
   CHECK(broker.m_batches[0].m_held[0].m_server == "s0");
--- a/tests/homes_test.cc
+++ b/tests/homes_test.cc
@@ -3,6 +3,7 @@
 // Regions that may serve a route or a workspace.
 #include <catch2/catch.hpp>
 
+#include "fake_broker.h"
 #include "forwarder_rig.h"
 
 namespace poppyway {
@@ -31,45 +32,8 @@
     settings.m_data_centre = "e1";
     settings.m_regions = {{"e1", "east"}, {"w1", "west"}};
   }
-  void RegisterAt(const std::string& id,
-                  const ScriptedServer& server,
-                  const std::string& data_centre) {
-    wire::ServerRecord record = Record(id, server);
-    record.data_centre = data_centre;
-    m_forwarder->Take(ServersChanged{{record}});
-  }
-};
-
-std::vector<ScriptStep> Ok(const std::string& request) {
-  return Answer(request, "ok");
-}
-
-/// Notes what the forwarder sends; the test answers.
-struct FakeBroker {
-  std::vector<PlaceAsk> m_asks;
-  std::vector<PlaceRef> m_withdrawn;
-  std::vector<PlaceReport> m_reports;
-
-  explicit FakeBroker(Rig& rig) {
-    rig.m_forwarder->SetBroker({[this](PlaceBatch batch) { Note(batch); }, [] {}});
-    rig.m_forwarder->Take(FleetSize{4});
-    rig.m_forwarder->Take(BrokerFound{1});
-  }
-  void Note(const PlaceBatch& batch) {
-    m_asks.insert(m_asks.end(), batch.m_asks.begin(), batch.m_asks.end());
-    m_withdrawn.insert(m_withdrawn.end(), batch.m_withdrawn.begin(), batch.m_withdrawn.end());
-    m_reports.insert(m_reports.end(), batch.m_reports.begin(), batch.m_reports.end());
-  }
 };
 
-void Decide(Rig& rig, PlaceRef ref, PlaceVerdict verdict, const std::string& server = "") {
-  PlaceAnswer answer;
-  answer.m_ref = ref;
-  answer.m_verdict = verdict;
-  answer.m_server = server;
-  rig.m_forwarder->Take(PlacesAnswered{1, {answer}});
-}
-
 TEST_CASE("homes of routes and workspaces are read from the document") {
   const auto decode = [](const std::string& text) { return platform::DecodeDocument(text); };
   const Result<RouteTable> table =
@@ -98,8 +62,8 @@
     ScriptedServer near(Ok);
     ScriptedServer far(Ok);
     TwoRegions rig(DocumentWithHomes(1, route, workspace));
-    rig.RegisterAt("s0", near, "e1");
-    rig.RegisterAt("s1", far, "w1");
+    RegisterIn(rig, "e1", "s0", near);
+    RegisterIn(rig, "w1", "s1", far);
     for (int i = 0; i < 6; ++i)
       CHECK(Call(rig, Request("/once/", "i" + std::to_string(i))).status() == 200);
     CHECK(near.requests().empty());
@@ -110,7 +74,7 @@
 TEST_CASE("a server of a region that isn't known serves only what isn't bound") {
   ScriptedServer server(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
-  rig.RegisterAt("s0", server, "nowhere");
+  RegisterIn(rig, "nowhere", "s0", server);
   CHECK(Call(rig, Request("/safe/", "i")).status() == 503);
   CHECK(server.requests().empty());
   rig.Adopt(2, Document(2, "key"));
@@ -121,8 +85,8 @@
   ScriptedServer near(Ok);
   ScriptedServer far(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["east"])", R"(["west"])"));
-  rig.RegisterAt("s0", near, "e1");
-  rig.RegisterAt("s1", far, "w1");
+  RegisterIn(rig, "e1", "s0", near);
+  RegisterIn(rig, "w1", "s1", far);
   const Seen seen = Call(rig, Request("/once/", "i"));
   CHECK(seen.status() == 503);
   CHECK(seen.body().starts_with("no_home"));
@@ -135,17 +99,17 @@
 TEST_CASE("without a server at home a request is refused at once, alone and by the broker") {
   ScriptedServer near(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
-  rig.RegisterAt("s0", near, "e1");
+  RegisterIn(rig, "e1", "s0", near);
   const Seen seen = Call(rig, Request("/safe/", "i"));
   CHECK(seen.status() == 503);
   CHECK(seen.body().starts_with("no_backend"));
   CHECK(seen.m_millis < 80);
   FakeBroker broker(rig);
   Pending call(rig, Request("/safe/", "j"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
-  REQUIRE(broker.m_asks.size() == 1);
-  CHECK(broker.m_asks[0].m_homes == HomeRegions{true, {"west"}});
-  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kNoServer);
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
+  CHECK(broker.Asks()[0].m_homes == HomeRegions{true, {"west"}});
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kNoServer);
   CHECK(call.Finish(rig).body().starts_with("no_backend"));
   CHECK(near.requests().empty());
 }
@@ -155,10 +119,10 @@
   ScriptedServer bad([](const std::string&) { return std::vector<ScriptStep>{CloseNow()}; });
   ScriptedServer good(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
-  rig.RegisterAt("s0", near, "e1");
-  rig.RegisterAt("s1", bad, "w1");
+  RegisterIn(rig, "e1", "s0", near);
+  RegisterIn(rig, "w1", "s1", bad);
   CHECK(Call(rig, Request("/safe/", "i")).status() == 502);
-  rig.RegisterAt("s2", good, "w1");
+  RegisterIn(rig, "w1", "s2", good);
   for (int i = 0; i < 6; ++i)
     CHECK(Call(rig, Request("/safe/", "i" + std::to_string(i))).status() == 200);
   CHECK(near.requests().empty());
@@ -178,13 +142,13 @@
   ScriptedServer out_of_home(script);
   ScriptedServer at_home(script);
   TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
-  rig.RegisterAt("s0", first, "w1");
+  RegisterIn(rig, "w1", "s0", first);
   Pending call(rig, Request("/stream/", "i"));
   rig.RunUntil([&] { return first.requests().size() == 1; });
   // While the stream runs: its homes become wider than at its arrival, which still holds.
   rig.Adopt(2, DocumentWithHomes(2, R"(["west","east"])"));
-  rig.RegisterAt("s1", out_of_home, "e1");
-  rig.RegisterAt("s2", at_home, "w1");
+  RegisterIn(rig, "e1", "s1", out_of_home);
+  RegisterIn(rig, "w1", "s2", at_home);
   const Seen seen = call.Finish(rig);
   CHECK(IsWhole(seen.m_bytes));
   CHECK(out_of_home.requests().empty());
@@ -201,12 +165,12 @@
   ScriptedServer former_home(script);
   ScriptedServer new_home(script);
   TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
-  rig.RegisterAt("s0", first, "w1");
+  RegisterIn(rig, "w1", "s0", first);
   Pending call(rig, Request("/stream/", "i"));
   rig.RunUntil([&] { return first.requests().size() == 1; });
   rig.Adopt(2, DocumentWithHomes(2, R"(["east"])"));
-  rig.RegisterAt("s1", former_home, "w1");
-  rig.RegisterAt("s2", new_home, "e1");
+  RegisterIn(rig, "w1", "s1", former_home);
+  RegisterIn(rig, "e1", "s2", new_home);
   const Seen seen = call.Finish(rig);
   CHECK_FALSE(IsWhole(seen.m_bytes));
   CHECK(former_home.requests().empty());
@@ -217,23 +181,23 @@
   ScriptedServer near(Ok);
   ScriptedServer far(Ok);
   TwoRegions rig(Document(1, "key"));
-  rig.RegisterAt("s0", near, "e1");
-  rig.RegisterAt("s1", far, "w1");
+  RegisterIn(rig, "e1", "s0", near);
+  RegisterIn(rig, "w1", "s1", far);
   FakeBroker broker(rig);
   Pending call(rig, Request("/once/", "i"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
-  REQUIRE(broker.m_asks.size() == 1);
-  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kQueued);
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kQueued);
   rig.Adopt(2, DocumentWithHomes(2, "null", R"(["west"])"));
-  CHECK(broker.m_withdrawn == std::vector<PlaceRef>{broker.m_asks[0].m_ref});
-  REQUIRE(broker.m_asks.size() == 2);
-  CHECK(broker.m_asks[1].m_homes == HomeRegions{true, {"west"}});
+  CHECK(broker.Withdrawn() == std::vector<PlaceRef>{broker.Asks()[0].m_ref});
+  REQUIRE(broker.Asks().size() == 2);
+  CHECK(broker.Asks()[1].m_homes == HomeRegions{true, {"west"}});
   // A place from before the change crosses the word of it: it goes back unused.
-  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kPlaced, "s0");
-  REQUIRE(broker.m_reports.size() == 1);
-  CHECK(broker.m_reports[0].m_ended);
-  CHECK_FALSE(broker.m_reports[0].m_ran);
-  Decide(rig, broker.m_asks[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  REQUIRE(broker.Reports().size() == 1);
+  CHECK(broker.Reports()[0].m_ended);
+  CHECK_FALSE(broker.Reports()[0].m_ran);
+  Decide(rig, broker.Asks()[1].m_ref, PlaceVerdict::kPlaced, "s1");
   CHECK(call.Finish(rig).status() == 200);
   CHECK(near.requests().empty());
   CHECK(far.requests().size() == 1);
@@ -242,10 +206,10 @@
 TEST_CASE("what waits is refused at once when a change leaves it no home") {
   ScriptedServer near(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["east"])"));
-  rig.RegisterAt("s0", near, "e1");
+  RegisterIn(rig, "e1", "s0", near);
   FakeBroker broker(rig);
   Pending call(rig, Request("/once/", "i"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
   rig.Adopt(2, DocumentWithHomes(2, R"(["west"])"));
   CHECK(call.Finish(rig).body().starts_with("no_home"));
   CHECK(near.requests().empty());
@@ -255,8 +219,8 @@
   ScriptedServer near(Ok);
   ScriptedServer far(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["east","west"])"));
-  rig.RegisterAt("s0", near, "e1");
-  rig.RegisterAt("s1", far, "w1");
+  RegisterIn(rig, "e1", "s0", near);
+  RegisterIn(rig, "w1", "s1", far);
   // Nobody has room until the homes have changed.
   for (auto& [id, backend] : rig.m_forwarder->state().m_backends)
     backend.m_in_flight = 1000;
@@ -277,15 +241,15 @@
   ScriptedServer near(Ok);
   ScriptedServer far(Ok);
   TwoRegions rig(DocumentWithHomes(1, R"(["west"])"));
-  rig.RegisterAt("s0", near, "e1");
-  rig.RegisterAt("s1", far, "w1");
+  RegisterIn(rig, "e1", "s0", near);
+  RegisterIn(rig, "w1", "s1", far);
   FakeBroker broker(rig);
   Pending call(rig, Request("/once/", "i"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
-  REQUIRE(broker.m_asks.size() == 1);
-  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kPlaced, "s0");
-  REQUIRE(broker.m_asks.size() == 2);
-  Decide(rig, broker.m_asks[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  REQUIRE(broker.Asks().size() == 2);
+  Decide(rig, broker.Asks()[1].m_ref, PlaceVerdict::kPlaced, "s1");
   CHECK(call.Finish(rig).status() == 200);
   CHECK(near.requests().empty());
   CHECK(far.requests().size() == 1);
@@ -295,19 +259,19 @@
   ScriptedServer near(Ok);
   ScriptedServer far(Ok);
   TwoRegions rig(Document(1, "key"));
-  rig.RegisterAt("s0", near, "e1");
-  rig.RegisterAt("s1", far, "w1");
+  RegisterIn(rig, "e1", "s0", near);
+  RegisterIn(rig, "w1", "s1", far);
   FakeBroker broker(rig);
   Pending call(rig, Request("/once/", "i"));
-  rig.RunUntil([&] { return !broker.m_asks.empty(); });
-  REQUIRE(broker.m_asks.size() == 1);
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  REQUIRE(broker.Asks().size() == 1);
   // The connection to s0 is begun here and comes up when the loop runs next.
-  Decide(rig, broker.m_asks[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "s0");
   rig.Adopt(2, DocumentWithHomes(2, R"(["west"])"));
-  rig.RunUntil([&] { return broker.m_asks.size() == 2; });
-  REQUIRE(broker.m_asks.size() == 2);
-  CHECK(broker.m_asks[1].m_homes == HomeRegions{true, {"west"}});
-  Decide(rig, broker.m_asks[1].m_ref, PlaceVerdict::kPlaced, "s1");
+  rig.RunUntil([&] { return broker.Asks().size() == 2; });
+  REQUIRE(broker.Asks().size() == 2);
+  CHECK(broker.Asks()[1].m_homes == HomeRegions{true, {"west"}});
+  Decide(rig, broker.Asks()[1].m_ref, PlaceVerdict::kPlaced, "s1");
   CHECK(call.Finish(rig).status() == 200);
   CHECK(near.requests().empty());
 }
