Date an evacuation that the command line orders before it is sent

Cause: an order given through an instance got the number of the data centre's last order only at the leader. One that was held up on its way and sent again elsewhere could so undo an order that was given and acknowledged later (found by review).

Change: the command line reads the number once from the status and sends it with each try, as members do for orders that they take. Ruled out: instances that date orders, which know them only as news and late.

That a late order changes nothing is shown by evacuation_test.cc since the number exists; a late order through the command line was not played.

--- a/apps/poppyway/evacuate.cc
+++ b/apps/poppyway/evacuate.cc
@@ -2,11 +2,24 @@
 // Part of poppyway, a request scheduler for unlike engines.
 // evacuate: a data centre gets nothing new, or work again.
 
+#include <algorithm>
 #include <iostream>
 
 #include "command.h"
 
 namespace poppyway::cli {
+namespace {
+
+/// The number of the data centre's last order; zero: none was given.
+std::int64_t LastOrderOf(const wire::StatusReply& status, const std::string& data_centre) {
+  const auto& all = status.evacuations;
+  const auto found = std::find_if(all.begin(), all.end(), [&](const wire::EvacuationStatus& one) {
+    return one.evacuation.data_centre == data_centre;
+  });
+  return found == all.end() ? 0 : found->evacuation.number;
+}
+
+}  // namespace
 
 int Evacuate(const CommonOptions& common, const Arguments& arguments) {
   namespace po = boost::program_options;
@@ -26,6 +39,11 @@
   wire::EvacuationOrder order;
   order.data_centre = what[0];
   order.ends = given.contains("end");
+  // Read once and sent with each try: one that is held up on its way can't undo a later order.
+  const Result<wire::StatusReply> status = FetchStatus(common);
+  if (!status)
+    return Report(status.error());
+  order.__set_known(LastOrderOf(*status, order.data_centre));
   wire::Body body;
   body.__set_evacuation_order(order);
   const Result<wire::Body> reply = Ask(common, body);
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import os
 import time
 
 from cases import run_cases
@@ -142,6 +143,32 @@
         self.check_empty(acknowledged, ended, 0.5)
         await self.check_returned()
 
+    async def command(self, *arguments):
+        """Runs the command line against an instance; its exit code and what it printed."""
+        instance = self.fleet.instances[0]
+        process = await asyncio.create_subprocess_exec(
+            os.path.join(os.path.dirname(self.fleet.program), "poppyway"),
+            "--instance", instance.peer_place, *arguments,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        output, _ = await process.communicate()
+        return process.returncode, output.decode()
+
+    async def by_command_line(self):
+        """Through an instance that is no member."""
+        code, output = await self.command("evacuate", "nowhere")
+        self.check(code != 0 and "not_found" in output, f"unknown: {code}, {output}")
+        code, output = await self.command("evacuate", "east")
+        acknowledged = time.monotonic()
+        self.check(code == 0, f"the order: {code}, {output}")
+        await asyncio.sleep(1.5)
+        code, output = await self.command("status")
+        self.check(code == 0 and "east" in output, f"status: {code}, {output}")
+        ended = time.monotonic()
+        code, output = await self.command("evacuate", "east", "--end")
+        self.check(code == 0, f"the end: {code}, {output}")
+        self.check_empty(acknowledged, ended, 0.5)
+        await self.check_returned()
+
     async def play(self):
         await self.start()
         await CASES[self.name](self)
@@ -173,6 +200,7 @@
     "answer-lost": Case.answer_lost,
     "all-members-killed": Case.all_members_killed,
     "taken-back-while-told": Case.taken_back_while_told,
+    "by-command-line": Case.by_command_line,
 }
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -58,6 +58,7 @@
         self.name = name
         self.address = address
         self.member = member
+        self.peer_place = f"{address}:{INTERNAL_PORTS.split(',')[0]}"  # For the command line.
         self._seeds = seeds
         self._program = program
         self._folder = os.path.join(folder, name)
@@ -122,6 +123,7 @@
     """Members and instances of one deployment."""
 
     def __init__(self, program, subnet, members=5, instances=3):
+        self.program = program
         self._folder = tempfile.TemporaryDirectory(prefix="poppyway-soak-")
         addresses = [f"127.{subnet}.0.{i + 1}" for i in range(members)]
         self.members = [
