Log what a backend server says of itself: a time without requests, that it leaves

The logs couldn't tell a wish that is passed over from one that nobody made: no line held what a server asked for with a 503. The adapter now decodes it once into typed fields (a span; whether the server leaves; the name of a field that can't be read), and the instance logs and counts it. Nothing acts on it yet. A connection that its server closes after an answer was decoded as the server's leaving, though it says so of one connection only; nothing used that field, and it is gone.

--- a/packages/forward/include/poppyway/forward/impl/dialect.h
+++ b/packages/forward/include/poppyway/forward/impl/dialect.h
@@ -56,10 +56,12 @@
   /// Another server than the one that was meant answered: its id.
   std::optional<std::string> m_other_server;
   bool m_event_stream = false;
-  bool m_leaving = false;  ///< The server asks for no more requests on the connection.
+  bool m_leaving = false;                ///< The server is about to end: it wants nothing new.
+  std::optional<Duration> m_back_off;    ///< It asks this instance to send nothing for so long.
   std::optional<Duration> m_keep_alive;  ///< How long the connection may rest.
   int m_running = -1;                    ///< Requests at work there; -1: not told.
   int m_waiting = 0;
+  std::string m_unreadable;      ///< Name of a field whose value can't be read; empty: none.
   std::vector<Field> m_relayed;  ///< What the caller gets unchanged.
 
   friend bool operator==(const ServerAnswer&, const ServerAnswer&) = default;
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -190,6 +190,7 @@
   }
   NoteByte(state, *forwarding);
   NotePath(state, *forwarding, true);
+  TakeServerWord(state, *forwarding, answer);
   if (answer.m_other_server) {
     NoteOtherServer(state, forwarding->m_server, *answer.m_other_server);
     forwarding->m_report.m_sign = ServerSign::kUnreachable;
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -121,6 +121,12 @@
 /// Gives up the call under way and lets the request run elsewhere; false if it may not.
 [[nodiscard]] bool LeaveServer(ForwarderState& state, Forwarding& forwarding, std::string_view why);
 
+// ---- server_word.cc: what servers say of themselves ---------------------------------------------
+/// Takes what the head of an answer says of its server.
+void TakeServerWord(ForwarderState& state,
+                    const Forwarding& forwarding,
+                    const ServerAnswer& answer);
+
 // ---- finish.cc ---------------------------------------------------------------------------------
 /// Answers with a refusal or a failure of ours, or cuts an answer that has begun.
 void Refuse(ForwarderState& state, Forwarding& forwarding, ResultCode code, std::string_view why);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -263,6 +263,35 @@
   CHECK(MakeDialect().m_decode_answer(421, {}).m_not_run);
 }
 
+TEST_CASE("a server's 503 may ask for a time without requests, in seconds and fractions") {
+  const auto decode = MakeDialect().m_decode_answer;
+  CHECK(decode(503, {{"retry-after", "3"}}).m_back_off == Duration(3'000'000));
+  CHECK(decode(503, {{"retry-after", " 0.25 "}}).m_back_off == Duration(250'000));
+  CHECK_FALSE(decode(503, {}).m_back_off);
+  // Of other answers it is for the caller.
+  CHECK_FALSE(decode(429, {{"retry-after", "3"}}).m_back_off);
+  CHECK_FALSE(decode(200, {{"retry-after", "3"}}).m_back_off);
+  CHECK(decode(503, {{"retry-after", "1e300"}}).m_back_off == Duration(86'400'000'000));
+  for (const std::string spoiled : {"", "-1", "soon", "3s", "nan", "inf", "1e999"}) {
+    const ServerAnswer answer = decode(503, {{"retry-after", spoiled}});
+    CHECK_FALSE(answer.m_back_off);
+    CHECK(answer.m_unreadable == "retry-after");
+  }
+  CHECK(decode(503, {{"retry-after", "3"}}).m_unreadable.empty());
+}
+
+TEST_CASE("a server says in its answers that it leaves; the end of a connection doesn't say so") {
+  const auto decode = MakeDialect().m_decode_answer;
+  for (const int status : {200, 421, 500, 503})
+    CHECK(decode(status, {{"server-leaving", "1"}}).m_leaving);
+  CHECK_FALSE(decode(200, {}).m_leaving);
+  CHECK_FALSE(decode(200, {{"connection", "close"}}).m_leaving);
+  CHECK_FALSE(decode(200, {{"server-leaving", "0"}}).m_leaving);
+  const ServerAnswer spoiled = decode(200, {{"server-leaving", "later"}});
+  CHECK_FALSE(spoiled.m_leaving);
+  CHECK(spoiled.m_unreadable == "server-leaving");
+}
+
 TEST_CASE("an order to roll out is decoded, or refused with what is wrong") {
   const auto decode = [](const std::string& body) {
     return DecodeControlCall("POST", "/-/rollouts", body);
