Servers that ask for a time without requests or leave, reproduced: tests that fail

Callers saw 503 though other servers had room; servers got what they had asked not to get.

A stand-in that turned everything away didn't show it: a server that only fails is soon avoided for seconds. It takes one that also serves, as the servers of the incident did with the streams that they still ran: each good answer ends the avoidance. So the stand-ins turn half away.

--- /dev/null
+++ b/soak/server_words.py
@@ -0,0 +1,163 @@
+#!/usr/bin/env python3
+# SPDX-License-Identifier: MIT
+# Part of poppyway, a request scheduler for unlike engines.
+"""What servers say of themselves in their answers, heeded by real processes: stand-in servers that
+turn requests away and ask the instance for a time without requests, or say that they leave.
+
+Each case has one fault of ours; checks are made from what servers and callers saw. One seed gives
+one schedule of requests.
+
+    soak/server_words.py --program build/poppywayd [--seed N] [--case NAME ...]
+"""
+
+import asyncio
+import random
+
+from cases import run_cases
+from fleet import Fleet, document
+from stand_ins import Badness, Callers, Operator, Servers
+
+POOL = "app"
+KEY = "key-of-north"
+PER_S = 150
+SERVERS = 8
+SPEAKING = 2  # Servers that ask for a time without requests, or leave.
+BACK_OFF_S = 2.0
+SPELL_S = 5.0  # For which they do so.
+TURNED_AWAY = 0.5  # Of the requests. A server that turned all away would be avoided for failing.
+CROSSING_S = 0.5  # Requests that were on their way when a server answered.
+CROSSING_MOST = 2
+LEAVE_S = 2.0  # A server that leaves serves on for so long.
+REST_S = 1.0  # After it: work has come back, or stays away.
+
+
+class Speaking(Servers):
+    """Servers of which the first few speak, once told."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.backing_off = False
+        self.leaving = False
+        self.asked = {}  # (server, instance) to when it asked last.
+        self.reached = {}  # (server, instance) to when requests came within a time it asked for.
+        self.told_leaving = {}  # (server, instance) to when its first answer that says so went out.
+        self.late = []  # Requests after that: by how much.
+
+    def judge(self, place, ident, now):
+        """Notes a request that reached a server; the fields that its answer gets, and whether it
+        is turned away."""
+        if self.places.index(place) >= SPEAKING:
+            return [], False
+        pair = (place, ident.split("-")[1])
+        asked = self.asked.get(pair)
+        if asked is not None and CROSSING_S <= now - asked < BACK_OFF_S:
+            self.reached.setdefault((pair, asked), []).append(now - asked)
+        told = self.told_leaving.get(pair)
+        if told is not None and now - told > LEAVE_S:
+            self.late.append(round(now - told, 2))
+        fields = []
+        if self.leaving:
+            self.told_leaving.setdefault(pair, now)
+            fields.append("Server-Leaving: 1")
+        turned_away = self.backing_off and self._rng.random() < TURNED_AWAY
+        if turned_away:
+            if asked is None or now - asked >= BACK_OFF_S:
+                self.asked[pair] = now
+            fields += [f"Retry-After: {BACK_OFF_S}", "X-Not-Executed: 1"]
+        return fields, turned_away
+
+    def broken(self):
+        """Times that were asked for and not kept."""
+        return {pair: [round(late, 2) for late in lates]
+                for (pair, _), lates in self.reached.items() if len(lates) > CROSSING_MOST}
+
+
+class Case:
+    """One fleet, and what its servers saw."""
+
+    def __init__(self, program, name, subnet, seed):
+        self.name = name
+        self.fleet = Fleet(program, subnet)
+        self.servers = Speaking(subnet, "v1", SERVERS, self.fleet.members, Badness(), seed)
+        self.callers = Callers(self.fleet.instances, KEY, PER_S, seed)
+        self.operator = Operator(self.fleet.members, seed)
+        self.rng = random.Random(f"{seed}-faults")
+        self.failures = []
+
+    def check(self, holds, what):
+        if not holds:
+            self.failures.append(what)
+
+    async def start(self):
+        self.fleet.start()
+        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY), limit=15)
+        self.check(status == 200, f"the document got {status}")
+        await self.servers.start(POOL)
+        await asyncio.sleep(2.0)
+        self.callers.start()
+        await asyncio.sleep(1.0)
+
+    async def nothing_else(self):
+        await asyncio.sleep(SPELL_S)
+
+    async def leader_killed(self):
+        """Twice: the broker that knew what servers had said is gone, and so is the next one."""
+        for _ in range(2):
+            await asyncio.sleep(self.rng.uniform(0.3, 1.2))
+            leader = self.fleet.leader()
+            leader.kill()
+            await asyncio.sleep(SPELL_S / 2 - 1.0)
+            leader.start()
+
+    async def all_members_killed(self):
+        """Instances decide alone meanwhile."""
+        await asyncio.sleep(self.rng.uniform(0.3, 1.2))
+        for member in self.fleet.members:
+            member.kill()
+        await asyncio.sleep(SPELL_S / 2)
+        for member in self.fleet.members:
+            member.start()
+        await asyncio.sleep(SPELL_S / 2)
+
+    async def play(self):
+        await self.start()
+        fault, speaks = CASES[self.name]
+        setattr(self.servers, speaks, True)
+        await fault(self)
+        setattr(self.servers, speaks, False)
+        await asyncio.sleep(REST_S)
+        await self.callers.stop()
+        self.judge(speaks)
+
+    def judge(self, speaks):
+        broken = self.servers.broken()
+        self.check(not broken, f"requests in a time that a server asked for: {broken}")
+        late = self.servers.late
+        self.check(not late, f"{len(late)} requests at servers that had said they leave: {late[:5]}")
+        spoke = self.servers.asked if speaks == "backing_off" else self.servers.told_leaving
+        self.check(len(spoke) > 1, "no server spoke")
+        self.check(not self.callers.wrong, "answers of other requests")
+        served = self.callers.outcomes.get(200, 0)
+        total = sum(self.callers.outcomes.values())
+        if self.name.endswith("no-fault"):
+            self.check(served >= 0.9 * total, f"{served} of {total} served")
+        print(f"case={self.name} spoke={len(spoke)} broken={len(broken)} late={len(late)} "
+              f"served={served} total={total} outcomes={self.callers.outcomes}", flush=True)
+
+    async def stop(self):
+        await self.servers.stop()
+        self.fleet.stop()
+
+
+CASES = {
+    "back-off-no-fault": (Case.nothing_else, "backing_off"),
+    "back-off-leader-killed": (Case.leader_killed, "backing_off"),
+    "back-off-all-members-killed": (Case.all_members_killed, "backing_off"),
+    "leaving-no-fault": (Case.nothing_else, "leaving"),
+    "leaving-leader-killed": (Case.leader_killed, "leaving"),
+    "leaving-all-members-killed": (Case.all_members_killed, "leaving"),
+}
+
+
+if __name__ == "__main__":
+    run_cases(Case, CASES, __doc__)
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -69,7 +69,7 @@
         if block is None:
             block = 2 if version == "v1" else 3
         self._names = f"i-{version}" if zone == "east" else f"i-{zone}-{version}"
-        self._places = [f"127.{subnet}.{block}.{i + 1}" for i in range(count)]
+        self.places = [f"127.{subnet}.{block}.{i + 1}" for i in range(count)]
         self._members = members
         self._badness = badness
         self._work_s = work_s
@@ -81,8 +81,8 @@
 
     async def start(self, pool):
         self.begun = time.monotonic()
-        for i, place in enumerate(self._places):
-            state = {"at_work": 0, "speed": self._rng.uniform(0.8, 1.25)}
+        for i, place in enumerate(self.places):
+            state = {"at_work": 0, "speed": self._rng.uniform(0.8, 1.25), "place": place}
             handler = lambda r, w, s=state: self._serve(r, w, s)
             self._listeners.append(await asyncio.start_server(handler, place, 8080))
             name = f"{self._names}-{i}"
@@ -95,6 +95,10 @@
         for listener in self._listeners:
             listener.close()
 
+    def judge(self, _place, _ident, _now):
+        """Fields that an answer gets beside the usual ones, and whether it turns the request away."""
+        return [], False
+
     def turn_bad(self):
         self._may_be_bad = True
 
@@ -122,6 +126,12 @@
             path = message[0].split()[1]
             ident = message[1].get("x-attempt-id", "")
             now = time.monotonic()
+            fields, turned_away = self.judge(state["place"], ident, now)
+            more = "".join(f"{field}\r\n" for field in fields)
+            if turned_away:
+                writer.write((f"HTTP/1.1 503 Full\r\nX-Attempt-Id: {ident}\r\n{more}"
+                              "Content-Length: 0\r\n\r\n").encode())
+                continue
             state["at_work"] += 1
             self.runs.setdefault(ident, []).append(now)
             bad = self._may_be_bad and self._badness.strikes(
@@ -137,7 +147,7 @@
             body = f"{self.version} {ident}"
             try:
                 writer.write((f"HTTP/1.1 {status}\r\nX-Attempt-Id: {ident}\r\n"
-                              f"X-Response-Seal: {self.version}\r\n"
+                              f"X-Response-Seal: {self.version}\r\n{more}"
                               f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
                 await writer.drain()
             except ConnectionError:
@@ -149,7 +159,7 @@
     """A steady stream of requests to all instances; counts what came of them."""
 
     def __init__(self, instances, key, per_s, seed):
-        self.sent = []  # (when, id)
+        self.sent = []  # (when, id); the id ends with the number of the instance that got it.
         self.outcomes = {}  # Status to count.
         self.wrong = []  # Answers that aren't the caller's own.
         self._instances, self._key, self._per_s = instances, key, per_s
@@ -168,16 +178,17 @@
         number = 0
         while True:
             number += 1
-            task = asyncio.create_task(self._one(f"r{number}"))
+            instance = self._rng.randrange(len(self._instances))
+            task = asyncio.create_task(self._one(f"r{number}-{instance}", instance))
             self._open.add(task)
             task.add_done_callback(self._open.discard)
             await asyncio.sleep(self._rng.expovariate(self._per_s))
 
-    async def _one(self, ident):
+    async def _one(self, ident, instance):
         route = "look" if self._rng.random() < 0.5 else "book"
         self.sent.append((time.monotonic(), ident))
         status, body = await call(
-            self._rng.choice(self._instances).address, CALLERS_PORT,
+            self._instances[instance].address, CALLERS_PORT,
             "GET" if route == "look" else "POST", f"/{route}/x",
             fields=(f"X-Attempt-Id: {ident}", f"Authorization: Bearer {self._key}",
                     "X-Deadline-Ms: 2000"), timeout=3.0)
