Send nothing new to a backend server that says in an answer that it leaves

Servers that are about to end say so in all their answers; callers' requests went on being sent to them until the registry's word came, which lags by the acknowledgement that the server waits for, and never comes from one that only says it in answers. Such requests risk to be cut when the server ends.

Cause, the same as for a time without requests: the field wasn't read. Ruled out: a record of the registry that undoes the leaving (there was nothing to undo; now there is, and the record no longer does).

The leaving is a fact of the server's life: the instance that hears it takes the server out of its choice at once, also if the registry's record says ready; a 421 by another server that has the address speaks of that one. The broker hears of it at once, and again with each resync, and gives no instance a place there. A new life starts anew. Answers to other requests on the same connection count too: they are the same server's words.

--- a/apps/poppywayd/place_convert.cc
+++ b/apps/poppywayd/place_convert.cc
@@ -184,6 +184,7 @@
   sent.server = word.m_server;
   sent.born = word.m_born;
   sent.back_off_ms = ToMillis(word.m_back_off);
+  sent.leaving = word.m_leaving;
   return sent;
 }
 
@@ -192,6 +193,7 @@
   word.m_server = sent.server;
   word.m_born = sent.born;
   word.m_back_off = FromMillis(sent.back_off_ms);
+  word.m_leaving = sent.leaving;
   return word;
 }
 
--- a/apps/poppywayd/place_side.cc
+++ b/apps/poppywayd/place_side.cc
@@ -298,6 +298,11 @@
         .Field("for_ms", (avoided.m_health.m_avoid_until - now).count() / 1000);
   }
   m_broker->m_avoided.clear();
+  for (const LeavingServer& leaving : m_broker->m_leaving_news)
+    POPPYWAY_LOG(info, "server_leaves")
+        .Field("server", leaving.m_server)
+        .Field("told_by", leaving.m_told_by);
+  m_broker->m_leaving_news.clear();
   LogCold(now);
   LogPools(now);
 }
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -33,9 +33,10 @@
 struct Backend {
   wire::ServerRecord m_record;
   Endpoint m_place;
-  bool m_leaving = false;   ///< It said so, or is gone: no new work.
-  bool m_replaced = false;  ///< Another server answered at its place.
-  int m_in_flight = 0;      ///< Of this instance.
+  bool m_leaving = false;       ///< It said so, or is gone: no new work.
+  bool m_says_leaving = false;  ///< In an answer of this life; the registry may not know yet.
+  bool m_replaced = false;      ///< Another server answered at its place.
+  int m_in_flight = 0;          ///< Of this instance.
   std::int64_t m_reading_tokens = 0;
   int m_own_before = 0;  ///< In flight when the broker was lost.
   ServerPace m_pace;
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -140,7 +140,9 @@
     TakeBirth(state, record.id, record.born);
   backend.m_record = record;
   Locate(state, backend, record.id, place);
-  backend.m_leaving = record.stage != wire::ServerStage::READY;
+  // What a server says itself is newer than what the registry was told of it, which may lag by an
+  // acknowledgement that the server waits for, or never come.
+  backend.m_leaving = record.stage != wire::ServerStage::READY || backend.m_says_leaving;
   if ((!known || new_life) && !backend.m_leaving)
     RetireOthers(state, record.id);
   TakeColdNews(state, backend, fresh, now);
--- a/packages/forward/src/lives.cc
+++ b/packages/forward/src/lives.cc
@@ -51,6 +51,7 @@
   backend.m_own_before = 0;
   backend.m_health = {};
   backend.m_back_off_until = {};
+  backend.m_says_leaving = false;
   backend.m_last_heard = {};
   backend.m_parts.clear();
   backend.m_life_told = ReadClock();
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -180,6 +180,7 @@
   if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
     return HeadVerdict::kTake;
   ServerAnswer answer = state.m_dialect.m_decode_answer(status, std::move(fields));
+  TakeServerWord(state, *forwarding, answer);
   if (answer.m_id && *answer.m_id != forwarding->m_request.m_id) {
     state.m_metrics.Add("poppyway_answers_crossed_total");
     POPPYWAY_LOG(warning, "answer_crossed")
@@ -190,7 +191,6 @@
   }
   NoteByte(state, *forwarding);
   NotePath(state, *forwarding, true);
-  TakeServerWord(state, *forwarding, answer);
   if (answer.m_other_server) {
     NoteOtherServer(state, forwarding->m_server, *answer.m_other_server);
     forwarding->m_report.m_sign = ServerSign::kUnreachable;
--- a/packages/forward/src/server_word.cc
+++ b/packages/forward/src/server_word.cc
@@ -21,9 +21,20 @@
   word.m_server = backend.m_record.id;
   word.m_born = backend.m_record.born;
   word.m_back_off = std::max(Duration(0), backend.m_back_off_until - now);
+  word.m_leaving = backend.m_says_leaving;
   return word;
 }
 
+/// The broker would go on to give this instance places there, each of which costs a request the way
+/// to the broker and back. What is on its way is held back here, at the last look before the first
+/// byte: see `BarOnSend`.
+void TellBroker(ForwarderState& state, const Backend& backend, Instant now) {
+  if (!state.m_broker.m_active)
+    return;
+  state.m_broker.m_outbox.m_words.push_back(WordOf(backend, now));
+  FlushToBroker(state);
+}
+
 void TakeBackOff(ForwarderState& state,
                  Backend& backend,
                  const Forwarding& forwarding,
@@ -41,13 +52,26 @@
     return;
   backend.m_back_off_until = now + back_off;
   state.m_back_off_until = std::max(state.m_back_off_until, backend.m_back_off_until);
-  // The broker would go on to give this instance places there, each of which costs a request the
-  // way to the broker and back. What is on its way is held back here, at the last look before the
-  // first byte: see `BarOnSend`.
-  if (!state.m_broker.m_active)
+  TellBroker(state, backend, now);
+}
+
+void TakeLeaving(ForwarderState& state,
+                 Backend& backend,
+                 const Forwarding& forwarding,
+                 Instant now) {
+  if (backend.m_says_leaving)
     return;
-  state.m_broker.m_outbox.m_words.push_back(WordOf(backend, now));
-  FlushToBroker(state);
+  state.m_metrics.Add("poppyway_forward_servers_leaving_total");
+  POPPYWAY_LOG(info, "server_leaves")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", backend.m_record.id)
+      .Field("known", backend.m_leaving)
+      .Field("in_flight", backend.m_in_flight);
+  backend.m_says_leaving = true;
+  backend.m_leaving = true;
+  IndexPools(state);
+  WatchServers(state);
+  TellBroker(state, backend, now);
 }
 
 }  // namespace
@@ -57,17 +81,24 @@
                     const ServerAnswer& answer) {
   if (!answer.m_unreadable.empty())
     NoteUnreadable(state, forwarding, answer.m_unreadable);
-  Backend* backend = FindOwnBackend(state, forwarding);
-  if (backend != nullptr && answer.m_back_off)
-    TakeBackOff(state, *backend, forwarding, *answer.m_back_off, ReadClock());
+  // Of a server that has taken the place of the one that was meant, the answer speaks of the
+  // former.
+  Backend* backend = answer.m_other_server ? FindBackend(state, *answer.m_other_server)
+                                           : FindOwnBackend(state, forwarding);
+  if (backend == nullptr)
+    return;
+  const Instant now = ReadClock();
+  if (answer.m_leaving)
+    TakeLeaving(state, *backend, forwarding, now);
+  if (answer.m_back_off)
+    TakeBackOff(state, *backend, forwarding, *answer.m_back_off, now);
 }
 
 std::vector<ServerWord> WordsInForce(const ForwarderState& state, Instant now) {
   std::vector<ServerWord> words;
-  if (now >= state.m_back_off_until)
-    return words;
   for (const auto& [id, backend] : state.m_backends) {
-    if (now < backend.m_back_off_until)
+    const bool holds = backend.m_says_leaving || now < backend.m_back_off_until;
+    if (holds)
       words.push_back(WordOf(backend, now));
   }
   return words;
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -122,7 +122,8 @@
 [[nodiscard]] bool LeaveServer(ForwarderState& state, Forwarding& forwarding, std::string_view why);
 
 // ---- server_word.cc: what servers say of themselves ---------------------------------------------
-/// Takes what the head of an answer says of its server, and tells the broker.
+/// Takes what the head of an answer says of its server, whatever request it answers, and tells the
+/// broker.
 void TakeServerWord(ForwarderState& state,
                     const Forwarding& forwarding,
                     const ServerAnswer& answer);
--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -246,6 +246,14 @@
   friend bool operator==(const AvoidedServer&, const AvoidedServer&) = default;
 };
 
+/// \brief A server that has said in an answer that it leaves since the last look, for the log.
+struct LeavingServer {
+  std::string m_server;
+  std::string m_told_by;  ///< The first instance that told.
+
+  friend bool operator==(const LeavingServer&, const LeavingServer&) = default;
+};
+
 /// \brief The one broker of a deployment: it gives each request its place at a backend server.
 ///
 /// Every place is given here and given back here, so what is in flight at a server is known exactly
@@ -264,6 +272,7 @@
   std::map<std::string, PlaceHolder> m_holders;  ///< By incarnation.
   std::map<std::string, SharedLimit> m_limits;   ///< By workspace.
   std::vector<AvoidedServer> m_avoided;          ///< To be logged and cleared by the owner.
+  std::vector<LeavingServer> m_leaving_news;     ///< To be logged and cleared by the owner.
   OutageWatch m_outages;                         ///< Fed by the reports of all instances.
   std::vector<OutageNews> m_outage_news;         ///< To be logged and cleared by the owner.
   /// By pool: looks at all servers that found no room for a request while cold ones were full.
--- a/packages/policy/include/poppyway/policy/impl/server_word.h
+++ b/packages/policy/include/poppyway/policy/impl/server_word.h
@@ -17,6 +17,7 @@
   std::int64_t m_born =
       0;  ///< Unix milliseconds of the start of the life that said it; zero: not told.
   Duration m_back_off{};  ///< It wants nothing from that instance for so long. Zero: it didn't ask.
+  bool m_leaving = false;  ///< It is about to end: no instance is to send it anything new.
 
   friend bool operator==(const ServerWord&, const ServerWord&) = default;
 };
@@ -25,6 +26,7 @@
 /// else is known of the server: good answers don't end it, since a server goes on with what it runs
 /// while it turns new requests away.
 struct ServerWords {
+  bool m_leaving = false;  ///< To any instance; a life that leaves doesn't come back.
   std::map<std::string, Instant> m_back_off_until;  ///< By instance (incarnation) that was asked.
 
   friend bool operator==(const ServerWords&, const ServerWords&) = default;
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -173,6 +173,8 @@
     view.m_own = 0;
     broker.m_server_index[server.m_id] = {server.m_pool, pool.m_servers.size()};
     pool.m_servers.push_back(server);
+    // The registry's word may be of before.
+    pool.m_servers.back().m_leaving = server.m_leaving || words.m_leaving;
     pool.m_views.push_back(view);
     pool.m_health.push_back(health);
     pool.m_words.push_back(std::move(words));
@@ -348,8 +350,15 @@
 void HearWord(PlaceBroker& broker, const std::string& holder, const ServerWord& word, Instant now) {
   broker.m_holders[holder].m_heard = now;
   const auto [pool, i] = FindServer(broker, word.m_server);
-  if (pool != nullptr && IsSameLife(word.m_born, pool->m_servers[i]))
-    TakeWord(pool->m_words[i], holder, word, now);
+  if (pool == nullptr || !IsSameLife(word.m_born, pool->m_servers[i]))
+    return;
+  TakeWord(pool->m_words[i], holder, word, now);
+  PlaceServer& server = pool->m_servers[i];
+  if (!word.m_leaving || server.m_leaving)
+    return;
+  server.m_leaving = true;
+  broker.m_leaving_news.push_back({server.m_id, holder});
+  WatchServers(broker);
 }
 
 void Resync(PlaceBroker& broker, const std::string& holder, int instances, Instant now) {
--- a/packages/policy/src/server_word.cc
+++ b/packages/policy/src/server_word.cc
@@ -7,6 +7,7 @@
 namespace poppyway {
 
 void TakeWord(ServerWords& words, const std::string& holder, const ServerWord& word, Instant now) {
+  words.m_leaving = words.m_leaving || word.m_leaving;
   std::erase_if(words.m_back_off_until, [now](const auto& entry) { return entry.second <= now; });
   if (word.m_back_off <= Duration(0))
     return;
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -12147,6 +12147,10 @@
 void ServerWord::__set_back_off_ms(const int32_t val) {
   this->back_off_ms = val;
 }
+
+void ServerWord::__set_leaving(const bool val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerWord& obj)
 {
   obj.printTo(out);
@@ -12199,6 +12203,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12228,6 +12240,10 @@
   xfer += oprot->writeI32(this->back_off_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12238,6 +12254,7 @@
   swap(a.server, b.server);
   swap(a.born, b.born);
   swap(a.back_off_ms, b.back_off_ms);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -12245,18 +12262,21 @@
   server = other433.server;
   born = other433.born;
   back_off_ms = other433.back_off_ms;
+  leaving = other433.leaving;
   __isset = other433.__isset;
 }
 ServerWord::ServerWord(ServerWord&& other434) noexcept {
   server = std::move(other434.server);
   born = other434.born;
   back_off_ms = other434.back_off_ms;
+  leaving = other434.leaving;
   __isset = other434.__isset;
 }
 ServerWord& ServerWord::operator=(const ServerWord& other435) {
   server = other435.server;
   born = other435.born;
   back_off_ms = other435.back_off_ms;
+  leaving = other435.leaving;
   __isset = other435.__isset;
   return *this;
 }
@@ -12264,6 +12284,7 @@
   server = std::move(other436.server);
   born = other436.born;
   back_off_ms = other436.back_off_ms;
+  leaving = other436.leaving;
   __isset = other436.__isset;
   return *this;
 }
@@ -12273,6 +12294,7 @@
   out << "server=" << to_string(server);
   out << ", " << "born=" << to_string(born);
   out << ", " << "back_off_ms=" << to_string(back_off_ms);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -4543,10 +4543,11 @@
 std::ostream& operator<<(std::ostream& out, const LimitUse& obj);
 
 typedef struct _ServerWord__isset {
-  _ServerWord__isset() : server(false), born(false), back_off_ms(false) {}
+  _ServerWord__isset() : server(false), born(false), back_off_ms(false), leaving(false) {}
   bool server :1;
   bool born :1;
   bool back_off_ms :1;
+  bool leaving :1;
 } _ServerWord__isset;
 
 class ServerWord : public virtual ::apache::thrift::TBase {
@@ -4559,13 +4560,15 @@
   ServerWord() noexcept
              : server(),
                born(0),
-               back_off_ms(0) {
+               back_off_ms(0),
+               leaving(0) {
   }
 
   virtual ~ServerWord() noexcept;
   std::string server;
   int64_t born;
   int32_t back_off_ms;
+  bool leaving;
 
   _ServerWord__isset __isset;
 
@@ -4575,6 +4578,8 @@
 
   void __set_back_off_ms(const int32_t val);
 
+  void __set_leaving(const bool val);
+
   bool operator == (const ServerWord & rhs) const
   {
     if (!(server == rhs.server))
@@ -4583,6 +4588,8 @@
       return false;
     if (!(back_off_ms == rhs.back_off_ms))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const ServerWord &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -201,8 +201,8 @@
   6: double burst; 7: i64 epoch  // Of the broker that said it.
 }
 // What a server said of itself in an answer to the instance. `back_off_ms`: it wants nothing from that
-// instance for so long, from now on; zero: it didn't ask.
-struct ServerWord { 1: string server; 2: i64 born; 3: i32 back_off_ms }
+// instance for so long, from now on; zero: it didn't ask. `leaving`: it is about to end.
+struct ServerWord { 1: string server; 2: i64 born; 3: i32 back_off_ms; 4: bool leaving }
 // From an instance. With `resync`, `held` is all that it holds and `words` all that still hold.
 struct PlaceBatch {
   1: string incarnation; 2: string data_centre; 3: i64 epoch; 4: bool resync; 5: i32 instances;
--- a/tests/server_word_test.cc
+++ b/tests/server_word_test.cc
@@ -11,8 +11,9 @@
 // still ran ended that. Proved by the first test below, which failed with 4 requests where 1 is
 // allowed, and by the logs: the gaps between the requests were those of the health estimate.
 //
-// Found beside it: servers that say in their answers that they leave got new work until the
-// registry told of it.
+// Found beside it, with the same cause: servers that say in their answers that they leave got new
+// work until the registry told of it, which it may never do. Proved by the tests at the end, which
+// failed with 14 requests where 1 is allowed.
 #include <catch2/catch.hpp>
 
 #include "fake_broker.h"
@@ -183,6 +184,20 @@
   CHECK(server.requests().size() == 2);
 }
 
+TEST_CASE("what a server says of itself holds though the answer is another request's") {
+  ScriptedServer busy([](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send("HTTP/1.1 503 Full\r\nx-attempt-id: earlier\r\nx-not-executed: 1\r\nretry-after: 1\r\n"
+             "content-length: 0\r\n\r\n"),
+        Send(Head(request, "content-length: 2\r\n") + "ok")};
+  });
+  Rig rig;
+  rig.Register("s0", busy);
+  CHECK(Call(rig, Request("/safe/", "a")).status() == 200);
+  CHECK(Call(rig, Request("/safe/", "b")).status() == 503);
+  CHECK(busy.requests().size() == 1);
+}
+
 // ---- The broker ---------------------------------------------------------------------------------
 
 constexpr Duration kSecond{1'000'000};
@@ -305,11 +320,13 @@
 
 // ---- Servers that leave -------------------------------------------------------------------------
 
+/// A script of a server that answers well and says that it leaves.
+std::vector<ScriptStep> OkAndLeaving(const std::string& request) {
+  return {Send(Head(request, "server-leaving: 1\r\ncontent-length: 2\r\n") + "ok")};
+}
+
 TEST_CASE("a server that says in an answer that it leaves gets nothing new") {
-  ScriptedServer leaving([](const std::string& request) {
-    return std::vector<ScriptStep>{
-        Send(Head(request, "server-leaving: 1\r\ncontent-length: 2\r\n") + "ok")};
-  });
+  ScriptedServer leaving(OkAndLeaving);
   ScriptedServer stays(Ok);
   Rig rig;
   rig.Register("s0", leaving);
@@ -326,5 +343,131 @@
   CHECK(stays.requests().size() == 40);
 }
 
+TEST_CASE("the broker learns at once that a server leaves, and a new broker with the resync") {
+  ScriptedServer leaving(OkAndLeaving);
+  Rig rig;
+  rig.Register("s0", leaving);
+  FakeBroker broker(rig);
+  for (int i = 0; i < 2; ++i) {
+    const std::size_t asked = broker.Asks().size();
+    Pending call(rig, Request("/once/", "i" + std::to_string(i)));
+    rig.RunUntil([&] { return broker.Asks().size() > asked; });
+    Decide(rig, broker.Asks().back().m_ref, PlaceVerdict::kPlaced, "s0");
+    if (i == 0)
+      CHECK(call.Finish(rig).status() == 200);
+  }
+  // Told once; the place that was given after it went back unused.
+  REQUIRE(broker.Words().size() == 1);
+  CHECK(broker.Words()[0].m_server == "s0");
+  CHECK(broker.Words()[0].m_leaving);
+  CHECK(leaving.requests().size() == 1);
+  rig.m_forwarder->Take(BrokerFound{2});
+  REQUIRE(broker.Words().size() == 2);
+  CHECK(broker.Words()[1].m_leaving);
+}
+
+TEST_CASE("an instance that loses its broker sends nothing new to a server that leaves") {
+  ScriptedServer leaving(OkAndLeaving);
+  ScriptedServer stays(Ok);
+  Rig rig;
+  rig.Register("s0", leaving);
+  FakeBroker broker(rig);
+  Pending first(rig, Request("/safe/", "a"));
+  rig.RunUntil([&] { return !broker.Asks().empty(); });
+  Decide(rig, broker.Asks()[0].m_ref, PlaceVerdict::kPlaced, "s0");
+  CHECK(first.Finish(rig).status() == 200);
+  rig.Register("s1", stays);
+  rig.m_forwarder->Take(BrokerLost{});
+  for (int i = 0; i < 10; ++i)
+    CHECK(Call(rig, Request("/safe/", "i" + std::to_string(i))).status() == 200);
+  CHECK(leaving.requests().size() == 1);
+}
+
+TEST_CASE("a failure or a refusal says that a server leaves as well as a good answer does") {
+  const std::string head =
+      GENERATE(as<std::string>(), "HTTP/1.1 500 Error\r\n",
+               "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\n", "HTTP/1.1 421 Other version\r\n");
+  ScriptedServer leaving([head](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send(head + "x-attempt-id: " + IdOf(request) +
+             "\r\nx-response-seal: s\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n")};
+  });
+  ScriptedServer stays(Ok);
+  Rig rig;
+  rig.Register("s0", leaving);
+  CHECK(Call(rig, Request("/once/", "a")).status() >= 500);
+  rig.Register("s1", stays);
+  for (int i = 0; i < 10; ++i)
+    CHECK(Call(rig, Request("/once/", "i" + std::to_string(i))).status() == 200);
+  CHECK(leaving.requests().size() == 1);
+}
+
+TEST_CASE("a stream that breaks goes on at no server that leaves") {
+  ScriptedServer leaving(OkAndLeaving);
+  ScriptedServer breaks([](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send(Head(request, "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n")),
+        Send(Chunk(Event(1))), Wait(20), ResetNow()};
+  });
+  Rig rig;
+  rig.Register("s0", leaving);
+  CHECK(Call(rig, Request("/safe/", "a")).status() == 200);
+  rig.Register("s1", breaks);
+  CHECK_FALSE(IsWhole(Call(rig, Request("/stream/", "b")).m_bytes));
+  CHECK(leaving.requests().size() == 1);
+}
+
+TEST_CASE("the server that has taken another's address leaves, not the one that was meant") {
+  ScriptedServer other([](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send("HTTP/1.1 421 Other\r\nx-attempt-id: " + IdOf(request) +
+             "\r\nx-instance-id: s9\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n")};
+  });
+  Rig rig;
+  rig.Register("s9", other);
+  rig.Register("s0", other);  // As the registry has it.
+  (void)Call(rig, Request("/safe/", "a"));
+  const std::map<std::string, Backend>& backends = rig.m_forwarder->state().m_backends;
+  CHECK(backends.at("s9").m_says_leaving);
+  CHECK_FALSE(backends.at("s0").m_says_leaving);
+}
+
+TEST_CASE("a server that has started again gets work though its earlier life left") {
+  ScriptedServer server([](const std::string& request) {
+    return IdOf(request) == "a" ? OkAndLeaving(request) : Ok(request);
+  });
+  Rig rig;
+  wire::ServerRecord record = rig.Record("s0", server);
+  record.born = 1'000;
+  rig.m_forwarder->Take(ServersChanged{{record}});
+  CHECK(Call(rig, Request("/safe/", "a")).status() == 200);
+  CHECK(Call(rig, Request("/safe/", "b")).status() == 503);
+  record.born = 2'000;
+  ++record.index;
+  rig.m_forwarder->Take(ServersChanged{{record}});
+  CHECK(Call(rig, Request("/safe/", "c")).status() == 200);
+}
+
+TEST_CASE("the broker gives no instance a place at a server that told one of them that it leaves") {
+  PlaceBroker broker = BrokerWith({Server("s0", 1'000), Server("s1")});
+  ServerWord word;
+  word.m_server = "s0";
+  word.m_born = 1'000;
+  word.m_leaving = true;
+  HearWord(broker, "a", word, kStart);
+  HearWord(broker, "b", word, kStart);
+  CHECK(broker.m_leaving_news == std::vector<LeavingServer>{{"s0", "a"}});
+  CHECK(AskOnce(broker, "a", 1, kStart).m_server == "s1");
+  CHECK(AskOnce(broker, "b", 2, kStart).m_server == "s1");
+  CHECK(AskOnce(broker, "b", 3, kStart).m_verdict == PlaceVerdict::kQueued);
+  // The registry doesn't know it yet.
+  SetServers(broker, {Server("s0", 1'000), Server("s2")});
+  CHECK(AskOnce(broker, "b", 4, kStart).m_server == "s2");
+  CHECK(AskOnce(broker, "b", 5, kStart).m_server == "s2");
+  CHECK(AskOnce(broker, "b", 6, kStart).m_verdict == PlaceVerdict::kQueued);
+  SetServers(broker, {Server("s0", 2'000)});
+  CHECK(AskOnce(broker, "b", 7, kStart).m_server == "s0");
+}
+
 }  // namespace
 }  // namespace poppyway
