Free what the broker keeps of times that servers asked for, once none is in force

A server that asked all instances once and never again kept one time for each of them for as long as it lived: found in reading the change again. Each look at a pool now drops them when the last one is over, which also spares the search for servers that back off while none does.

--- a/packages/policy/include/poppyway/policy/impl/place_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/place_broker.h
@@ -209,6 +209,7 @@
   std::vector<ServerView> m_views;  ///< `m_others` counts all places taken.
   std::vector<ServerHealth> m_health;
   std::vector<ServerWords> m_words;
+  Instant m_back_off_until{};  ///< No server backs off from an instance after it.
   std::vector<ColdRamp> m_ramps;
   ColdLimit m_cold;  ///< Of its servers; by default they are never cold.
   std::map<PlaceOrder, WaitingAsk> m_waiting;
--- a/packages/policy/include/poppyway/policy/impl/server_word.h
+++ b/packages/policy/include/poppyway/policy/impl/server_word.h
@@ -14,8 +14,7 @@
 /// \brief What a backend server said of itself in an answer to one instance.
 struct ServerWord {
   std::string m_server;
-  std::int64_t m_born =
-      0;  ///< Unix milliseconds of the start of the life that said it; zero: not told.
+  std::int64_t m_born = 0;  ///< Birth of the life that said it, as in `PlaceServer`.
   Duration m_back_off{};  ///< It wants nothing from that instance for so long. Zero: it didn't ask.
   bool m_leaving = false;  ///< It is about to end: no instance is to send it anything new.
 
@@ -33,7 +32,7 @@
 };
 
 /// \brief Takes a word that the server said to `holder` just now. A shorter time than the one under
-/// way doesn't shorten it. Bounded by the instances that are asked at one time. Not thread-safe.
+/// way doesn't shorten it. Times that are over are dropped. Not thread-safe.
 void TakeWord(ServerWords& words, const std::string& holder, const ServerWord& word, Instant now);
 
 /// \brief For how long the server still wants nothing from `holder`; zero: it may get requests.
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -61,6 +61,16 @@
   return view;
 }
 
+/// Frees what is kept of times that are over. A server that has asked all instances once and never
+/// again would keep one for each.
+void DropBackOffs(PlacePool& pool, Instant now) {
+  if (pool.m_back_off_until == Instant{} || now < pool.m_back_off_until)
+    return;
+  pool.m_back_off_until = {};
+  for (ServerWords& words : pool.m_words)
+    words.m_back_off_until.clear();
+}
+
 void CountHeard(PlaceBroker& broker, Instant now) {
   const auto heard = [now](const auto& entry) {
     return now - entry.second.m_heard <= kHeardLately;
@@ -140,6 +150,7 @@
     kept.m_shares = std::move(pool.m_shares);
     kept.m_trial = std::move(pool.m_trial);
     kept.m_cold = pool.m_cold;
+    kept.m_back_off_until = pool.m_back_off_until;
     // Parts go by index, which changes: what engines keep is found again by use.
   }
   std::vector<std::pair<std::string, std::int64_t>> births;  // Told since, with what was known.
@@ -353,6 +364,7 @@
   if (pool == nullptr || !IsSameLife(word.m_born, pool->m_servers[i]))
     return;
   TakeWord(pool->m_words[i], holder, word, now);
+  pool->m_back_off_until = std::max(pool->m_back_off_until, now + word.m_back_off);
   PlaceServer& server = pool->m_servers[i];
   if (!word.m_leaving || server.m_leaving)
     return;
@@ -402,6 +414,7 @@
   CountHeard(broker, now);
   SettleOutages(broker, now);
   for (auto& [name, pool] : broker.m_pools) {
+    DropBackOffs(pool, now);
     if (pool.m_waiting.empty())
       continue;
     RefuseUnservable(broker, pool, now, out);
--- a/packages/policy/src/place_wait.cc
+++ b/packages/policy/src/place_wait.cc
@@ -35,6 +35,8 @@
                                    const PlacePool& pool,
                                    const WaitingAsk& waiting,
                                    Instant now) {
+  if (now >= pool.m_back_off_until)
+    return std::nullopt;
   const WorkingSide side = SideAtWork(pool);
   std::optional<Duration> shortest;
   for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
--- a/tests/server_word_test.cc
+++ b/tests/server_word_test.cc
@@ -309,6 +309,18 @@
   CHECK(AskOnce(broker, "a", 5, kStart).m_server == "s0");
 }
 
+TEST_CASE("the broker keeps nothing of wishes that are over") {
+  PlaceBroker broker = BrokerWith({Server("s0"), Server("s1")});
+  HearWord(broker, "a", Wish("s0", kSecond), kStart);
+  HearWord(broker, "b", Wish("s1", 2 * kSecond), kStart);
+  std::vector<PlaceAnswer> out;
+  TickBroker(broker, kStart + kSecond, out);
+  CHECK(AskOnce(broker, "b", 1, kStart + kSecond).m_server == "s0");
+  TickBroker(broker, kStart + 2 * kSecond, out);
+  for (const ServerWords& words : broker.m_pools.at("app").m_words)
+    CHECK(words.m_back_off_until.empty());
+}
+
 TEST_CASE("wishes are bounded by the instances that are asked at one time") {
   ServerWords words;
   for (int i = 0; i < 1'000; ++i)
