--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 #include <algorithm>
-#include <cmath>
 
 #include "steps.h"
 
@@ -11,6 +10,8 @@
 constexpr std::size_t kMostBuffered =
     256 * 1024;                                   // Of an answer, before it is passed on in pieces.
 constexpr std::size_t kMostPending = 256 * 1024;  // For a slow caller, before the server is paused.
+// Of the size of events, from this instance's own answers: some twenty back.
+constexpr double kEventGain = 0.05;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -121,16 +122,6 @@
   return forwarding.m_route->m_stream && IsSuccess(forwarding.m_answer.m_status);
 }
 
-/// Learns how many tokens one event carries, from answers that ran to their end.
-void NoteEventSize(ForwarderState& state, const Forwarding& forwarding) {
-  constexpr double kGain = 0.05;
-  const double sample = std::log(static_cast<double>(forwarding.m_request.m_expected_tokens) /
-                                 static_cast<double>(forwarding.m_call_events));
-  // Estimates are right in the median but off by factors: their logarithms are averaged.
-  const double before = state.m_tokens_per_event > 0 ? std::log(state.m_tokens_per_event) : sample;
-  state.m_tokens_per_event = std::exp(before + kGain * (sample - before));
-}
-
 void LearnFromWhole(ForwarderState& state, Forwarding& forwarding) {
   const Instant now = ReadClock();
   const bool failed = IsServerError(forwarding.m_answer.m_status);
@@ -150,8 +141,9 @@
       backend->m_pace = ObserveEvents(backend->m_pace, forwarding.m_call_events - 1, report.m_span,
                                       report.m_pause);
   }
-  if (forwarding.m_call_events > 0 && forwarding.m_request.m_expected_tokens > 0)
-    NoteEventSize(state, forwarding);
+  state.m_tokens_per_event =
+      LearnEventSize(state.m_tokens_per_event, forwarding.m_request.m_expected_tokens,
+                     forwarding.m_call_events, kEventGain);
 }
 
 }  // namespace
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -17,7 +17,7 @@
 /// - `CreditBook`: the credits that one gateway holds, and its fair share without a broker.
 /// - `PoolClient`: one gateway's decisions for one pool, over the two above.
 /// - `BarFor`: whether a server may take a request at all, for all who send one.
-/// - `ServerWords`: what a server says of itself: it wants nothing for a while.
+/// - `ServerWords`: what a server says of itself: it wants nothing for a while, it leaves.
 /// - `OutageWatch`: which data centres are lost or cut off as a whole.
 /// - `ColdRamp`: what a server may get while it is slow after its start.
 /// - `ChooseServer`, `ServerHealth`: where a request goes among servers that know no tiers.
@@ -35,6 +35,7 @@
 #include "poppyway/policy/impl/broker.h"
 #include "poppyway/policy/impl/cold_ramp.h"
 #include "poppyway/policy/impl/credit_book.h"
+#include "poppyway/policy/impl/event_size.h"
 #include "poppyway/policy/impl/news_source.h"
 #include "poppyway/policy/impl/outage_watch.h"
 #include "poppyway/policy/impl/place_broker.h"
--- a/packages/policy/src/place_broker.cc
+++ b/packages/policy/src/place_broker.cc
@@ -11,6 +11,7 @@
 // After a change of broker instances find the new one within some heartbeats; who is silent for
 // longer holds little that others could run into.
 constexpr Duration kResyncTime{1'000'000};
+constexpr double kEventGain = 0.02;          // Of the size of events: some fifty answers back.
 constexpr Duration kHeardLately{1'200'000};  // Two heartbeats and some delay.
 
 /// The pool and index of a server; a null pool if it is not known (any more).
@@ -327,7 +328,8 @@
       held.m_reading_tokens = 0;
     }
   }
-  LearnEventSize(broker, held.m_expected_tokens, report.m_events);
+  broker.m_tokens_per_event = LearnEventSize(broker.m_tokens_per_event, held.m_expected_tokens,
+                                             report.m_events, kEventGain);
   if (!report.m_ended)
     return;
   const auto limit = broker.m_limits.find(held.m_workspace);
--- a/packages/policy/src/place_internal.h
+++ b/packages/policy/src/place_internal.h
@@ -102,8 +102,6 @@
   std::string m_holder;
   ServerSign m_sign;
 };
-/// \brief Learns how many tokens one event carries, from streams that ran to their end.
-void LearnEventSize(PlaceBroker& broker, std::int64_t expected_tokens, std::int64_t events);
 /// \brief Learns a server's health.
 void LearnHealth(PlaceBroker& broker,
                  PlacePool& pool,
--- a/packages/policy/src/place_learn.cc
+++ b/packages/policy/src/place_learn.cc
@@ -1,27 +1,9 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 // What the broker of places learns from reports.
-#include <cmath>
-
 #include "place_internal.h"
 
 namespace poppyway {
-namespace {
-
-constexpr double kEventGain = 0.02;  // Of the size of events: some fifty answers back.
-
-}  // namespace
-
-void LearnEventSize(PlaceBroker& broker, std::int64_t expected_tokens, std::int64_t events) {
-  if (expected_tokens <= 0 || events <= 0)
-    return;
-  const double sample =
-      std::log(static_cast<double>(expected_tokens) / static_cast<double>(events));
-  // Estimates are right in the median but off by factors: their logarithms are averaged.
-  const double before =
-      broker.m_tokens_per_event > 0 ? std::log(broker.m_tokens_per_event) : sample;
-  broker.m_tokens_per_event = std::exp(before + kEventGain * (sample - before));
-}
 
 void LearnHealth(PlaceBroker& broker,
                  PlacePool& pool,
