--- a/soak/server_words.py
+++ b/soak/server_words.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 import random
 
 from cases import run_cases
@@ -32,21 +33,28 @@
 
 
 class Speaking(Servers):
-    """Servers of which the first few speak, once told."""
+    """Servers of which the busiest speak, once told. Slow ones may get no request for seconds."""
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.backing_off = False
         self.leaving = False
+        self.speaking = set()  # Their places.
+        self.got = collections.Counter()  # Requests by place.
         self.asked = {}  # (server, instance) to when it asked last.
         self.reached = {}  # (server, instance) to when requests came within a time it asked for.
         self.told_leaving = {}  # (server, instance) to when its first answer that says so went out.
         self.late = []  # Requests after that: by how much.
 
+    def speak(self, what):
+        self.speaking = {place for place, _ in self.got.most_common(SPEAKING)}
+        setattr(self, what, True)
+
     def judge(self, place, ident, now):
         """Notes a request that reached a server; the fields that its answer gets, and whether it
         is turned away."""
-        if self.places.index(place) >= SPEAKING:
+        self.got[place] += 1
+        if place not in self.speaking:
             return [], False
         pair = (place, ident.split("-")[1])
         asked = self.asked.get(pair)
@@ -122,7 +130,7 @@
     async def play(self):
         await self.start()
         fault, speaks = CASES[self.name]
-        setattr(self.servers, speaks, True)
+        self.servers.speak(speaks)
         await fault(self)
         setattr(self.servers, speaks, False)
         await asyncio.sleep(REST_S)
