--- a/soak/cases.py
+++ b/soak/cases.py
@@ -1,12 +1,52 @@
 # SPDX-License-Identifier: MIT
 # Part of poppyway, a request scheduler for unlike engines.
-"""Runs cases of a soak program one after the other, each on a subnet of its own."""
+"""What all cases of the soak share, and the running of them one after the other, each on a subnet
+of its own."""
 
 import argparse
 import asyncio
 import sys
 
-from fleet import hold_subnets, release
+from fleet import Fleet, document, hold_subnets, release
+from stand_ins import Callers, Operator
+
+POOL = "app"
+KEY = "key-of-north"
+DOCUMENT_LIMIT_S = 15
+REGISTER_S = 2.0  # Servers register within two of their heartbeats.
+WARM_UP_S = 1.0
+
+
+class FleetCase:
+    """One fleet with its callers and its operator, and the checks that failed."""
+
+    def __init__(self, program, name, subnet, seed, per_s):
+        self.name = name
+        self.fleet = Fleet(program, subnet)
+        self.callers = Callers(self.fleet.instances, KEY, per_s, seed)
+        self.operator = Operator(self.fleet.members, seed)
+        self.failures = []
+
+    def check(self, holds, what):
+        if not holds:
+            self.failures.append(what)
+
+    async def start_with(self, *servers, warm_up_s=WARM_UP_S):
+        """Starts all processes, gives the document, then starts the servers and the callers."""
+        self.fleet.start()
+        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY),
+                                            limit=DOCUMENT_LIMIT_S)
+        self.check(status == 200, f"the document got {status}")
+        for some in servers:
+            await some.start(POOL)
+        await asyncio.sleep(REGISTER_S)
+        self.callers.start()
+        await asyncio.sleep(warm_up_s)
+
+    async def stop_with(self, *servers):
+        for some in servers:
+            await some.stop()
+        self.fleet.stop()
 
 
 async def run_case(make_case, name, subnet, options):
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -13,45 +13,27 @@
 import os
 import time
 
-from cases import run_cases
-from fleet import Fleet, document
-from stand_ins import Badness, Callers, Operator, Servers
+from cases import FleetCase, run_cases
+from stand_ins import Badness, Servers
 
-POOL = "app"
-KEY = "key-of-north"
 PER_S = 120
 EVACUATE_S = 5.0  # The bound; cases check a shorter time of their own.
 ACK_S = 5.0
 EAST = "/-/evacuations/east"
 
 
-class Case:
+class Case(FleetCase):
     """One fleet, and what was seen of one evacuation."""
 
     def __init__(self, program, name, subnet, seed):
-        self.name = name
-        self.fleet = Fleet(program, subnet)
+        super().__init__(program, name, subnet, seed, PER_S)
         members = self.fleet.members
         self.east = Servers(subnet, "v1", 4, members, Badness(), seed, block=2)
         self.west = Servers(subnet, "v1", 4, members, Badness(), seed, zone="west", block=3)
-        self.callers = Callers(self.fleet.instances, KEY, PER_S, seed)
-        self.operator = Operator(members, seed)
-        self.failures = []
         self.figures = {}
 
-    def check(self, holds, what):
-        if not holds:
-            self.failures.append(what)
-
     async def start(self):
-        self.fleet.start()
-        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY), limit=15)
-        self.check(status == 200, f"the document got {status}")
-        await self.east.start(POOL)
-        await self.west.start(POOL)
-        await asyncio.sleep(2.0)
-        self.callers.start()
-        await asyncio.sleep(1.0)
+        await self.start_with(self.east, self.west)
         now = time.monotonic()
         self.check(self.east.arrivals(now - 0.5, now), "no work before the order")
 
@@ -189,9 +171,7 @@
               f"outcomes={self.callers.outcomes}", flush=True)
 
     async def stop(self):
-        await self.east.stop()
-        await self.west.stop()
-        self.fleet.stop()
+        await self.stop_with(self.east, self.west)
 
 
 CASES = {
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -14,12 +14,9 @@
 import asyncio
 import time
 
-from cases import run_cases
-from fleet import Fleet, document
-from stand_ins import Badness, Callers, Operator, Servers
+from cases import POOL, FleetCase, run_cases
+from stand_ins import Badness, Servers
 
-POOL = "app"
-KEY = "key-of-north"
 SECONDS = 8
 PER_S = 120
 EXPOSURE_SHARE, EXPOSURE_SLACK = 0.1, 50
@@ -68,34 +65,20 @@
     return True
 
 
-class Case:
+class Case(FleetCase):
     """One roll-out from start to end."""
 
     def __init__(self, program, name, subnet, seed):
-        self.name = name
+        super().__init__(program, name, subnet, seed, PER_S)
         self.badness, self.step = CASES[name]
-        self.fleet = Fleet(program, subnet)
         members = self.fleet.members
         work_s = LONG_WORK_S if self.step == "leader_killed_moving" else WORK_S
         self.old = Servers(subnet, "v1", 4, members, GOOD, seed, work_s)
         self.new = Servers(subnet, "v2", 4, members, self.badness, seed, work_s)
-        self.callers = Callers(self.fleet.instances, KEY, PER_S, seed)
-        self.operator = Operator(members, seed)
-        self.failures = []
         self.ordered = 0.0
 
-    def check(self, holds, what):
-        if not holds:
-            self.failures.append(what)
-
     async def start(self):
-        self.fleet.start()
-        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY), limit=15)
-        self.check(status == 200, f"the document got {status}")
-        await self.old.start(POOL)
-        await asyncio.sleep(2.0)
-        self.callers.start()
-        await asyncio.sleep(1.5)
+        await self.start_with(self.old, warm_up_s=1.5)
 
     async def orders(self):
         """The order itself, and orders that must be told apart from it."""
@@ -259,9 +242,7 @@
               f"outcomes={self.callers.outcomes}", flush=True)
 
     async def stop(self):
-        await self.old.stop()
-        await self.new.stop()
-        self.fleet.stop()
+        await self.stop_with(self.old, self.new)
 
 
 if __name__ == "__main__":
--- a/soak/server_words.py
+++ b/soak/server_words.py
@@ -14,12 +14,9 @@
 import collections
 import random
 
-from cases import run_cases
-from fleet import Fleet, document
-from stand_ins import Badness, Callers, Operator, Servers
+from cases import FleetCase, run_cases
+from stand_ins import Badness, Servers
 
-POOL = "app"
-KEY = "key-of-north"
 PER_S = 150
 SERVERS = 8
 SPEAKING = 2  # Servers that ask for a time without requests, or leave.
@@ -80,30 +77,13 @@
                 for (pair, _), lates in self.reached.items() if len(lates) > CROSSING_MOST}
 
 
-class Case:
+class Case(FleetCase):
     """One fleet, and what its servers saw."""
 
     def __init__(self, program, name, subnet, seed):
-        self.name = name
-        self.fleet = Fleet(program, subnet)
+        super().__init__(program, name, subnet, seed, PER_S)
         self.servers = Speaking(subnet, "v1", SERVERS, self.fleet.members, Badness(), seed)
-        self.callers = Callers(self.fleet.instances, KEY, PER_S, seed)
-        self.operator = Operator(self.fleet.members, seed)
         self.rng = random.Random(f"{seed}-faults")
-        self.failures = []
-
-    def check(self, holds, what):
-        if not holds:
-            self.failures.append(what)
-
-    async def start(self):
-        self.fleet.start()
-        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY), limit=15)
-        self.check(status == 200, f"the document got {status}")
-        await self.servers.start(POOL)
-        await asyncio.sleep(2.0)
-        self.callers.start()
-        await asyncio.sleep(1.0)
 
     async def nothing_else(self):
         await asyncio.sleep(SPELL_S)
@@ -128,7 +108,7 @@
         await asyncio.sleep(SPELL_S / 2)
 
     async def play(self):
-        await self.start()
+        await self.start_with(self.servers)
         fault, speaks = CASES[self.name]
         self.servers.speak(speaks)
         await fault(self)
@@ -153,8 +133,7 @@
               f"served={served} total={total} outcomes={self.callers.outcomes}", flush=True)
 
     async def stop(self):
-        await self.servers.stop()
-        self.fleet.stop()
+        await self.stop_with(self.servers)
 
 
 CASES = {
