--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -95,6 +95,9 @@
         return path
 
     def start(self, first_start=False):
+        """No effect while it runs: faults that overlap may both start what one of them killed."""
+        if self.running():
+            return
         settings = self._write_settings(first_start)
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
--- a/soak/server_words.py
+++ b/soak/server_words.py
@@ -13,6 +13,7 @@
 import asyncio
 import collections
 import random
+import signal
 
 from cases import FleetCase, run_cases
 from stand_ins import Badness, Servers
@@ -22,10 +23,13 @@
 SPEAKING = 2  # Servers that ask for a time without requests, or leave.
 BACK_OFF_S = 2.0
 SPELL_S = 5.0  # For which they do so.
+BACKS_OFF = "backs off"
+LEAVES = "leaves"
 TURNED_AWAY = 0.5  # Of the requests. A server that turned all away would be avoided for failing.
 CROSSING_S = 0.5  # Requests that were on their way when a server answered.
 CROSSING_MOST = 2
 LEAVE_S = 2.0  # A server that leaves serves on for so long.
+FAULTS = 8  # Of the case with many.
 REST_S = 1.0  # After it: work has come back, or stays away.
 
 
@@ -34,25 +38,33 @@
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.backing_off = False
-        self.leaving = False
-        self.speaking = set()  # Their places.
+        self.speaking = {BACKS_OFF: set(), LEAVES: set()}  # Places by what they say.
         self.got = collections.Counter()  # Requests by place.
         self.asked = {}  # (server, instance) to when it asked last.
         self.reached = {}  # (server, instance) to when requests came within a time it asked for.
         self.told_leaving = {}  # (server, instance) to when its first answer that says so went out.
         self.late = []  # Requests after that: by how much.
 
-    def speak(self, what):
-        self.speaking = {place for place, _ in self.got.most_common(SPEAKING)}
-        setattr(self, what, True)
+    def speak(self, *words):
+        """The busiest say the first word from now on, the next ones the second."""
+        busiest = [place for place, _ in self.got.most_common()]
+        for k, word in enumerate(words):
+            self.speaking[word] = set(busiest[k * SPEAKING:(k + 1) * SPEAKING])
+
+    def fall_silent(self):
+        for places in self.speaking.values():
+            places.clear()
+
+    def forget(self, instance):
+        """The instance has died: its next life knows nothing of what was said."""
+        for known in (self.asked, self.told_leaving):
+            for pair in [pair for pair in known if pair[1] == str(instance)]:
+                del known[pair]
 
     def judge(self, place, ident, now):
         """Notes a request that reached a server; the fields that its answer gets, and whether it
         is turned away."""
         self.got[place] += 1
-        if place not in self.speaking:
-            return [], False
         pair = (place, ident.split("-")[1])
         asked = self.asked.get(pair)
         if asked is not None and CROSSING_S <= now - asked < BACK_OFF_S:
@@ -61,10 +73,10 @@
         if told is not None and now - told > LEAVE_S:
             self.late.append(round(now - told, 2))
         fields = []
-        if self.leaving:
+        if place in self.speaking[LEAVES]:
             self.told_leaving.setdefault(pair, now)
             fields.append("Server-Leaving: 1")
-        turned_away = self.backing_off and self._rng.random() < TURNED_AWAY
+        turned_away = place in self.speaking[BACKS_OFF] and self._rng.random() < TURNED_AWAY
         if turned_away:
             if asked is None or now - asked >= BACK_OFF_S:
                 self.asked[pair] = now
@@ -107,29 +119,61 @@
             member.start()
         await asyncio.sleep(SPELL_S / 2)
 
+    async def kill_leader(self):
+        leader = self.fleet.leader()
+        if leader is None:
+            return  # All that have led are down.
+        leader.kill()
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        leader.start()
+
+    async def pause_member(self):
+        member = self.rng.choice(self.fleet.members)
+        member.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        member.send_signal(signal.SIGCONT)
+
+    async def restart_instance(self):
+        number = self.rng.randrange(len(self.fleet.instances))
+        instance = self.fleet.instances[number]
+        instance.kill()
+        await asyncio.sleep(0.3)  # What it sent has been answered by then.
+        self.servers.forget(number)
+        instance.start()
+
+    async def overlapping(self):
+        """Kills, restarts and pauses, some of them at the same time."""
+        faults = []
+        for _ in range(FAULTS):
+            fault = self.rng.choice((self.kill_leader, self.pause_member, self.restart_instance))
+            faults.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self.rng.uniform(0.2, 1.2))
+        await asyncio.gather(*faults)
+
     async def play(self):
         await self.start_with(self.servers)
-        fault, speaks = CASES[self.name]
-        self.servers.speak(speaks)
+        fault, words = CASES[self.name]
+        self.servers.speak(*words)
         await fault(self)
-        setattr(self.servers, speaks, False)
+        self.servers.fall_silent()
         await asyncio.sleep(REST_S)
         await self.callers.stop()
-        self.judge(speaks)
+        self.judge(words)
 
-    def judge(self, speaks):
+    def judge(self, words):
         broken = self.servers.broken()
         self.check(not broken, f"requests in a time that a server asked for: {broken}")
         late = self.servers.late
         self.check(not late, f"{len(late)} requests at servers that had said they leave: {late[:5]}")
-        spoke = self.servers.asked if speaks == "backing_off" else self.servers.told_leaving
-        self.check(len(spoke) > 1, "no server spoke")
+        spoke = {BACKS_OFF: self.servers.asked, LEAVES: self.servers.told_leaving}
+        for word in words:
+            self.check(len(spoke[word]) > 1, f"no server said that it {word}")
         self.check(not self.callers.wrong, "answers of other requests")
         served = self.callers.outcomes.get(200, 0)
         total = sum(self.callers.outcomes.values())
         if self.name.endswith("no-fault"):
             self.check(served >= 0.9 * total, f"{served} of {total} served")
-        print(f"case={self.name} spoke={len(spoke)} broken={len(broken)} late={len(late)} "
+        print(f"case={self.name} spoke={[len(spoke[word]) for word in words]} broken={len(broken)} late={len(late)} "
               f"served={served} total={total} outcomes={self.callers.outcomes}", flush=True)
 
     async def stop(self):
@@ -137,12 +181,13 @@
 
 
 CASES = {
-    "back-off-no-fault": (Case.nothing_else, "backing_off"),
-    "back-off-leader-killed": (Case.leader_killed, "backing_off"),
-    "back-off-all-members-killed": (Case.all_members_killed, "backing_off"),
-    "leaving-no-fault": (Case.nothing_else, "leaving"),
-    "leaving-leader-killed": (Case.leader_killed, "leaving"),
-    "leaving-all-members-killed": (Case.all_members_killed, "leaving"),
+    "back-off-no-fault": (Case.nothing_else, (BACKS_OFF,)),
+    "back-off-leader-killed": (Case.leader_killed, (BACKS_OFF,)),
+    "back-off-all-members-killed": (Case.all_members_killed, (BACKS_OFF,)),
+    "leaving-no-fault": (Case.nothing_else, (LEAVES,)),
+    "leaving-leader-killed": (Case.leader_killed, (LEAVES,)),
+    "leaving-all-members-killed": (Case.all_members_killed, (LEAVES,)),
+    "overlapping-faults": (Case.overlapping, (LEAVES, BACKS_OFF)),
 }
 
 
