--- a/soak/server_words.py
+++ b/soak/server_words.py
@@ -4,7 +4,7 @@
 """What servers say of themselves in their answers, heeded by real processes: stand-in servers that
 turn requests away and ask the instance for a time without requests, or say that they leave.
 
-Each case has one fault of ours; checks are made from what servers and callers saw. One seed gives
+Each case has one kind of fault of ours, the last one several; checks are made from what servers and callers saw. One seed gives
 one schedule of requests.
 
     soak/server_words.py --program build/poppywayd [--seed N] [--case NAME ...]
@@ -29,8 +29,8 @@
 CROSSING_S = 0.5  # Requests that were on their way when a server answered.
 CROSSING_MOST = 2
 LEAVE_S = 2.0  # A server that leaves serves on for so long.
-FAULTS = 8  # Of the case with many.
-REST_S = 1.0  # After it: work has come back, or stays away.
+FAULTS = 8  # Of the case whose faults overlap.
+REST_S = 1.0  # From the last fault to the end of a case.
 
 
 class Speaking(Servers):
@@ -173,8 +173,9 @@
         total = sum(self.callers.outcomes.values())
         if self.name.endswith("no-fault"):
             self.check(served >= 0.9 * total, f"{served} of {total} served")
-        print(f"case={self.name} spoke={[len(spoke[word]) for word in words]} broken={len(broken)} late={len(late)} "
-              f"served={served} total={total} outcomes={self.callers.outcomes}", flush=True)
+        print(f"case={self.name} spoke={[len(spoke[word]) for word in words]} "
+              f"broken={len(broken)} late={len(late)} served={served} total={total} "
+              f"outcomes={self.callers.outcomes}", flush=True)
 
     async def stop(self):
         await self.stop_with(self.servers)
