--- a/packages/forward/src/server_word.cc
+++ b/packages/forward/src/server_word.cc
@@ -110,16 +110,14 @@
   const auto pool = state.m_pools.find(forwarding.m_pool->m_name);
   if (now >= state.m_back_off_until || pool == state.m_pools.end())
     return std::nullopt;
-  std::optional<Duration> shortest;
-  for (const std::string& id : pool->second.m_servers) {
-    const Backend& backend = state.m_backends.at(id);
-    const ServerBar bar = BarOf(state, forwarding, backend, now);
-    if (bar == ServerBar::kBackOff)
-      shortest = Shorter(shortest, backend.m_back_off_until - now);
-    else if (MayTakeLater(bar))
-      return std::nullopt;
-  }
-  return shortest;
+  const std::vector<std::string>& ids = pool->second.m_servers;
+  const auto bar_of = [&](std::size_t i) {
+    return BarOf(state, forwarding, state.m_backends.at(ids[i]), now);
+  };
+  const auto left_of = [&](std::size_t i) {
+    return state.m_backends.at(ids[i]).m_back_off_until - now;
+  };
+  return UntilOneWants(ids.size(), bar_of, left_of);
 }
 
 }  // namespace poppyway::impl
--- a/packages/policy/include/poppyway/policy/impl/server_word.h
+++ b/packages/policy/include/poppyway/policy/impl/server_word.h
@@ -2,12 +2,15 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 
 #include "poppyway/core.h"
+#include "poppyway/policy/impl/server_access.h"
 
 namespace poppyway {
 
@@ -45,7 +48,26 @@
 /// Pure; any thread.
 [[nodiscard]] bool AnyBackOff(const ServerWords& words, Instant now) noexcept;
 
-/// \brief The shorter of two times, of which the first may not be known yet. Pure; any thread.
-[[nodiscard]] Duration Shorter(std::optional<Duration> known, Duration other) noexcept;
+/// \brief When the first server that could serve a request wants something from its instance again,
+/// if all of them have asked that instance to send nothing for a while; nullopt if one takes it
+/// now, or as soon as it has room, and if none could serve it at all. Any thread. \param servers
+/// how many there are. \param bar_of what keeps the i-th from the request. \param left_of for how
+/// long the i-th, which backs off, still does.
+template <typename BarOf, typename LeftOf>
+[[nodiscard]] std::optional<Duration> UntilOneWants(std::size_t servers,
+                                                    BarOf bar_of,
+                                                    LeftOf left_of) {
+  std::optional<Duration> shortest;
+  for (std::size_t i = 0; i < servers; ++i) {
+    const ServerBar bar = bar_of(i);
+    if (bar == ServerBar::kBackOff) {
+      const Duration left = left_of(i);
+      shortest = shortest ? std::min(*shortest, left) : left;
+    } else if (MayTakeLater(bar)) {
+      return std::nullopt;
+    }
+  }
+  return shortest;
+}
 
 }  // namespace poppyway
--- a/packages/policy/src/place_wait.cc
+++ b/packages/policy/src/place_wait.cc
@@ -38,16 +38,13 @@
   if (now >= pool.m_back_off_until)
     return std::nullopt;
   const WorkingSide side = SideAtWork(pool);
-  std::optional<Duration> shortest;
-  for (std::size_t i = 0; i < pool.m_servers.size(); ++i) {
-    const ServerBar bar =
-        BarOf(broker.m_outages, pool, i, waiting, KeptFromWork(pool, side, i), now);
-    if (bar == ServerBar::kBackOff)
-      shortest = Shorter(shortest, BackOffLeft(pool.m_words[i], waiting.m_holder, now));
-    else if (MayTakeLater(bar))
-      return std::nullopt;
-  }
-  return shortest;
+  const auto bar_of = [&](std::size_t i) {
+    return BarOf(broker.m_outages, pool, i, waiting, KeptFromWork(pool, side, i), now);
+  };
+  const auto left_of = [&](std::size_t i) {
+    return BackOffLeft(pool.m_words[i], waiting.m_holder, now);
+  };
+  return UntilOneWants(pool.m_servers.size(), bar_of, left_of);
 }
 
 /// When a place comes free for a request that finds none now.
--- a/packages/policy/src/server_word.cc
+++ b/packages/policy/src/server_word.cc
@@ -27,8 +27,4 @@
                      [now](const auto& entry) { return now < entry.second; });
 }
 
-Duration Shorter(std::optional<Duration> known, Duration other) noexcept {
-  return known ? std::min(*known, other) : other;
-}
-
 }  // namespace poppyway
