One set-up for tests of the broker of places

Five test files each built the same engines, the same broker with its instances and the same place request. They share tests/place_rig.h now. The tests of what servers say use the pool "engines" in place of "app", as the others do.

--- a/tests/evacuation_test.cc
+++ b/tests/evacuation_test.cc
@@ -5,14 +5,12 @@
 
 #include "fake_broker.h"
 #include "forwarder_rig.h"
+#include "place_rig.h"
 #include "poppyway/state.h"
 
 namespace poppyway {
 namespace {
 
-constexpr Duration kSecond{1'000'000};
-const Instant kStart{Duration(10'000'000)};
-
 wire::EvacuationOrder Order(const std::string& data_centre, bool ends = false) {
   wire::EvacuationOrder order;
   order.data_centre = data_centre;
@@ -151,40 +149,24 @@
 // ---- The broker of places -----------------------------------------------------------------------
 
 PlaceServer Server(const std::string& id, const std::string& data_centre, bool evacuated) {
-  PlaceServer server;
-  server.m_id = id;
-  server.m_pool = "engines";
-  server.m_data_centre = data_centre;
+  PlaceServer server = Engine(id, data_centre);
   server.m_region = data_centre;
-  server.m_slots = 2;
   server.m_evacuated = evacuated;
   return server;
 }
 
 PlaceAsk Ask(PlaceRef ref) {
-  PlaceAsk ask;
-  ask.m_ref = ref;
-  ask.m_pool = "engines";
-  ask.m_data_centre = "east";
-  ask.m_shape.m_prompt_tokens = 600;  // For an engine, which has no queue of its own.
-  ask.m_shape.m_aim = Duration(800'000);
-  ask.m_shape.m_left = 10 * kSecond;
+  PlaceAsk ask = WantedPlace(ref);
   ask.m_wait = kSecond;
   return ask;
 }
 
 PlaceBroker Broker(const std::vector<PlaceServer>& servers) {
-  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart - 10 * kSecond);
-  SetServers(broker, servers);
-  Resync(broker, "a", 1, kStart);
-  return broker;
+  return BrokerFor({"a"}, servers, kStart - 10 * kSecond);
 }
 
 PlaceAnswer AskFor(PlaceBroker& broker, PlaceAsk ask, Instant now = kStart) {
-  std::vector<PlaceAnswer> out;
-  poppyway::Ask(broker, "a", std::move(ask), now, out);
-  REQUIRE(out.size() == 1);
-  return out[0];
+  return AskOnce(broker, "a", std::move(ask), now);
 }
 
 TEST_CASE("servers of an evacuated data centre get nothing new, and what they run still counts") {
--- a/tests/homes_test.cc
+++ b/tests/homes_test.cc
@@ -5,12 +5,11 @@
 
 #include "fake_broker.h"
 #include "forwarder_rig.h"
+#include "place_rig.h"
 
 namespace poppyway {
 namespace {
 
-const Instant kStart{Duration(10'000'000)};
-
 /// The document of all tests with homes, each a JSON list or "null".
 std::string DocumentWithHomes(int version,
                               const std::string& route,
@@ -279,31 +278,18 @@
 // ---- At the broker -----------------------------------------------------------------------------
 
 PlaceServer ServerAt(const std::string& id, const std::string& data_centre) {
-  PlaceServer server;
-  server.m_id = id;
-  server.m_pool = "engines";
-  server.m_data_centre = data_centre;
+  PlaceServer server = Engine(id, data_centre);
   server.m_region = data_centre == "e1" ? "east" : "west";
-  server.m_slots = 2;
   return server;
 }
 
 PlaceBroker BrokerWith(const std::vector<PlaceServer>& servers) {
-  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
-  SetServers(broker, servers);
-  Resync(broker, "a", 1, kStart);
-  return broker;
+  return BrokerFor({"a"}, servers);
 }
 
 PlaceAsk Bound(PlaceRef ref, const std::string& region) {
-  PlaceAsk ask;
-  ask.m_ref = ref;
-  ask.m_pool = "engines";
+  PlaceAsk ask = WantedPlace(ref);
   ask.m_data_centre = "e1";
-  ask.m_shape.m_prompt_tokens = 600;
-  ask.m_shape.m_aim = Duration(800'000);
-  ask.m_shape.m_left = Duration(10'000'000);
-  ask.m_wait = Duration(200'000);
   ask.m_homes = {true, {region}};
   return ask;
 }
--- a/tests/place_broker_test.cc
+++ b/tests/place_broker_test.cc
@@ -5,38 +5,24 @@
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "poppyway/policy.h"
+#include "place_rig.h"
 
 namespace poppyway {
 namespace {
 
-constexpr Duration kSecond{1'000'000};
-const Instant kStart{Duration(10'000'000)};
-
 PlaceServer Server(const std::string& id, int slots) {
   return {id, "engines", "east", slots, false};
 }
 
 PlaceBroker BrokerWith(const std::vector<PlaceServer>& servers) {
-  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
-  SetServers(broker, servers);
-  for (const std::string holder : {"a", "b"})
-    Resync(broker, holder, 2, kStart);
-  return broker;
+  return BrokerFor({"a", "b"}, servers);
 }
 
 PlaceAsk PlaceWanted(PlaceRef ref, Tier rank = 0) {
-  PlaceAsk ask;
-  ask.m_ref = ref;
-  ask.m_pool = "engines";
-  ask.m_data_centre = "east";
+  PlaceAsk ask = WantedPlace(ref);
   ask.m_tier = rank;
   ask.m_shape.m_tier = rank;
-  ask.m_shape.m_prompt_tokens = 600;
-  ask.m_shape.m_aim = Duration(800'000);
-  ask.m_shape.m_left = 10 * kSecond;
   ask.m_expected_tokens = 100;
-  ask.m_wait = Duration(200'000);
   return ask;
 }
 
--- a/tests/place_lives_test.cc
+++ b/tests/place_lives_test.cc
@@ -3,20 +3,15 @@
 // The broker and servers that start again under their id.
 #include <catch2/catch.hpp>
 
-#include "poppyway/policy.h"
+#include "place_rig.h"
 
 namespace poppyway {
 namespace {
 
 constexpr Duration kMilli{1'000};
-const Instant kStart{Duration(10'000'000)};
 
 PlaceServer Server(std::int64_t born, const std::string& address = "10.0.0.1") {
-  PlaceServer server;
-  server.m_id = "s0";
-  server.m_pool = "engines";
-  server.m_data_centre = "east";
-  server.m_slots = 2;
+  PlaceServer server = Engine("s0");
   server.m_born = born;
   server.m_address = address;
   server.m_port = 80;
@@ -24,27 +19,14 @@
 }
 
 PlaceBroker BrokerWith(const PlaceServer& server) {
-  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
-  SetServers(broker, {server});
-  Resync(broker, "a", 1, kStart);
-  return broker;
+  return BrokerFor({"a"}, {server});
 }
 
 PlaceAnswer AskFor(PlaceBroker& broker, PlaceRef ref) {
-  PlaceAsk ask;
-  ask.m_ref = ref;
-  ask.m_pool = "engines";
-  ask.m_data_centre = "east";
-  ask.m_shape.m_prompt_tokens = 600;
-  ask.m_shape.m_aim = Duration(800'000);
-  ask.m_shape.m_left = Duration(10'000'000);
+  PlaceAsk ask = WantedPlace(ref);
   ask.m_expected_tokens = 100;
-  ask.m_wait = Duration(200'000);
   ask.m_parts = {{77, 600}};
-  std::vector<PlaceAnswer> out;
-  Ask(broker, "a", std::move(ask), kStart, out);
-  REQUIRE(out.size() == 1);
-  return out[0];
+  return AskOnce(broker, "a", std::move(ask));
 }
 
 PlaceReport End(PlaceRef ref, ServerSign sign) {
--- a/tests/server_word_test.cc
+++ b/tests/server_word_test.cc
@@ -18,6 +18,7 @@
 
 #include "fake_broker.h"
 #include "forwarder_rig.h"
+#include "place_rig.h"
 
 namespace poppyway {
 namespace {
@@ -200,40 +201,14 @@
 
 // ---- The broker ---------------------------------------------------------------------------------
 
-constexpr Duration kSecond{1'000'000};
-const Instant kStart{Duration(10'000'000)};
-
-PlaceServer Server(const std::string& id, std::int64_t born = 0) {
-  PlaceServer server;
-  server.m_id = id;
-  server.m_pool = "app";
-  server.m_data_centre = "east";
-  server.m_slots = 2;
+PlaceServer EngineBorn(const std::string& id, std::int64_t born) {
+  PlaceServer server = Engine(id);
   server.m_born = born;
   return server;
 }
 
 PlaceBroker BrokerWith(const std::vector<PlaceServer>& servers) {
-  PlaceBroker broker = BeginBroker(1, 7, Duration(4'500'000), kStart);
-  SetServers(broker, servers);
-  for (const std::string holder : {"a", "b"})
-    Resync(broker, holder, 2, kStart);
-  return broker;
-}
-
-PlaceAnswer AskOnce(PlaceBroker& broker, const std::string& holder, PlaceRef ref, Instant now) {
-  PlaceAsk ask;
-  ask.m_ref = ref;
-  ask.m_pool = "app";
-  ask.m_data_centre = "east";
-  ask.m_shape.m_prompt_tokens = 600;
-  ask.m_shape.m_aim = Duration(800'000);
-  ask.m_shape.m_left = 10 * kSecond;
-  ask.m_wait = Duration(200'000);
-  std::vector<PlaceAnswer> out;
-  Ask(broker, holder, std::move(ask), now, out);
-  REQUIRE(out.size() == 1);
-  return out[0];
+  return BrokerFor({"a", "b"}, servers);
 }
 
 ServerWord Wish(const std::string& server, Duration back_off, std::int64_t born = 0) {
@@ -245,14 +220,14 @@
 }
 
 TEST_CASE("the broker gives an instance no place at a server that backs off from it") {
-  PlaceBroker broker = BrokerWith({Server("s0"), Server("s1")});
+  PlaceBroker broker = BrokerWith({Engine("s0"), Engine("s1")});
   HearWord(broker, "a", Wish("s0", kSecond), kStart);
   for (PlaceRef ref = 1; ref <= 2; ++ref)
-    CHECK(AskOnce(broker, "a", ref, kStart).m_server == "s1");
+    CHECK(AskOnce(broker, "a", WantedPlace(ref), kStart).m_server == "s1");
   // Full: it waits, though the other server has room.
-  CHECK(AskOnce(broker, "a", 3, kStart).m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskOnce(broker, "a", WantedPlace(3), kStart).m_verdict == PlaceVerdict::kQueued);
   // The other instance wasn't asked.
-  CHECK(AskOnce(broker, "b", 4, kStart).m_server == "s0");
+  CHECK(AskOnce(broker, "b", WantedPlace(4), kStart).m_server == "s0");
   // A place that comes free at the server isn't given to the one that it backs off from.
   std::vector<PlaceAnswer> out;
   PlaceReport end;
@@ -260,32 +235,32 @@
   end.m_ended = true;
   Report(broker, "b", end, kStart + Duration(100'000), out);
   CHECK(out.empty());
-  CHECK(AskOnce(broker, "a", 5, kStart + kSecond).m_server == "s0");
+  CHECK(AskOnce(broker, "a", WantedPlace(5), kStart + kSecond).m_server == "s0");
 }
 
 TEST_CASE("half of a pool stays in use for failures, but never against a server's own wish") {
-  PlaceBroker broker = BrokerWith({Server("s0"), Server("s1"), Server("s2"), Server("s3")});
+  PlaceBroker broker = BrokerWith({Engine("s0"), Engine("s1"), Engine("s2"), Engine("s3")});
   for (const std::string id : {"s0", "s1", "s2"})
     HearWord(broker, "a", Wish(id, kSecond), kStart);
-  CHECK(AskOnce(broker, "a", 1, kStart).m_server == "s3");
-  CHECK(AskOnce(broker, "a", 2, kStart).m_server == "s3");
-  CHECK(AskOnce(broker, "a", 3, kStart).m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskOnce(broker, "a", WantedPlace(1), kStart).m_server == "s3");
+  CHECK(AskOnce(broker, "a", WantedPlace(2), kStart).m_server == "s3");
+  CHECK(AskOnce(broker, "a", WantedPlace(3), kStart).m_verdict == PlaceVerdict::kQueued);
 }
 
 TEST_CASE("a request that no server wants in time is refused at once, to come back then") {
-  PlaceBroker broker = BrokerWith({Server("s0"), Server("s1")});
+  PlaceBroker broker = BrokerWith({Engine("s0"), Engine("s1")});
   HearWord(broker, "a", Wish("s0", 3 * kSecond), kStart);
   HearWord(broker, "a", Wish("s1", 2 * kSecond), kStart);
-  const PlaceAnswer refused = AskOnce(broker, "a", 1, kStart);
+  const PlaceAnswer refused = AskOnce(broker, "a", WantedPlace(1), kStart);
   CHECK(refused.m_verdict == PlaceVerdict::kNoRoom);
   CHECK(refused.m_come_back == 2 * kSecond);
-  CHECK(AskOnce(broker, "b", 2, kStart).m_verdict == PlaceVerdict::kPlaced);
+  CHECK(AskOnce(broker, "b", WantedPlace(2), kStart).m_verdict == PlaceVerdict::kPlaced);
 }
 
 TEST_CASE("a request waits for a server that wants something again soon, and gets it") {
-  PlaceBroker broker = BrokerWith({Server("s0")});
+  PlaceBroker broker = BrokerWith({Engine("s0")});
   HearWord(broker, "a", Wish("s0", Duration(50'000)), kStart);
-  CHECK(AskOnce(broker, "a", 1, kStart).m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskOnce(broker, "a", WantedPlace(1), kStart).m_verdict == PlaceVerdict::kQueued);
   std::vector<PlaceAnswer> out;
   TickBroker(broker, kStart + Duration(49'000), out);
   CHECK(out.empty());
@@ -296,28 +271,28 @@
 
 TEST_CASE(
     "the broker keeps a server's wish over changes of the list, and forgets it with its life") {
-  PlaceBroker broker = BrokerWith({Server("s0", 1'000)});
+  PlaceBroker broker = BrokerWith({EngineBorn("s0", 1'000)});
   HearWord(broker, "a", Wish("s0", 5 * kSecond, 1'000), kStart);
-  SetServers(broker, {Server("r9"), Server("s0", 1'000)});
-  CHECK(AskOnce(broker, "a", 1, kStart).m_server == "r9");
-  CHECK(AskOnce(broker, "a", 2, kStart).m_server == "r9");
-  CHECK(AskOnce(broker, "a", 3, kStart).m_verdict == PlaceVerdict::kQueued);
-  SetServers(broker, {Server("s0", 2'000)});
-  CHECK(AskOnce(broker, "a", 4, kStart).m_server == "s0");
+  SetServers(broker, {Engine("r9"), EngineBorn("s0", 1'000)});
+  CHECK(AskOnce(broker, "a", WantedPlace(1), kStart).m_server == "r9");
+  CHECK(AskOnce(broker, "a", WantedPlace(2), kStart).m_server == "r9");
+  CHECK(AskOnce(broker, "a", WantedPlace(3), kStart).m_verdict == PlaceVerdict::kQueued);
+  SetServers(broker, {EngineBorn("s0", 2'000)});
+  CHECK(AskOnce(broker, "a", WantedPlace(4), kStart).m_server == "s0");
   // What was said by the earlier life comes late.
   HearWord(broker, "a", Wish("s0", 5 * kSecond, 1'000), kStart);
-  CHECK(AskOnce(broker, "a", 5, kStart).m_server == "s0");
+  CHECK(AskOnce(broker, "a", WantedPlace(5), kStart).m_server == "s0");
 }
 
 TEST_CASE("the broker keeps nothing of wishes that are over") {
-  PlaceBroker broker = BrokerWith({Server("s0"), Server("s1")});
+  PlaceBroker broker = BrokerWith({Engine("s0"), Engine("s1")});
   HearWord(broker, "a", Wish("s0", kSecond), kStart);
   HearWord(broker, "b", Wish("s1", 2 * kSecond), kStart);
   std::vector<PlaceAnswer> out;
   TickBroker(broker, kStart + kSecond, out);
-  CHECK(AskOnce(broker, "b", 1, kStart + kSecond).m_server == "s0");
+  CHECK(AskOnce(broker, "b", WantedPlace(1), kStart + kSecond).m_server == "s0");
   TickBroker(broker, kStart + 2 * kSecond, out);
-  for (const ServerWords& words : broker.m_pools.at("app").m_words)
+  for (const ServerWords& words : broker.m_pools.at("engines").m_words)
     CHECK(words.m_back_off_until.empty());
 }
 
@@ -461,7 +436,7 @@
 }
 
 TEST_CASE("the broker gives no instance a place at a server that told one of them that it leaves") {
-  PlaceBroker broker = BrokerWith({Server("s0", 1'000), Server("s1")});
+  PlaceBroker broker = BrokerWith({EngineBorn("s0", 1'000), Engine("s1")});
   ServerWord word;
   word.m_server = "s0";
   word.m_born = 1'000;
@@ -469,16 +444,16 @@
   HearWord(broker, "a", word, kStart);
   HearWord(broker, "b", word, kStart);
   CHECK(broker.m_leaving_news == std::vector<LeavingServer>{{"s0", "a"}});
-  CHECK(AskOnce(broker, "a", 1, kStart).m_server == "s1");
-  CHECK(AskOnce(broker, "b", 2, kStart).m_server == "s1");
-  CHECK(AskOnce(broker, "b", 3, kStart).m_verdict == PlaceVerdict::kQueued);
+  CHECK(AskOnce(broker, "a", WantedPlace(1), kStart).m_server == "s1");
+  CHECK(AskOnce(broker, "b", WantedPlace(2), kStart).m_server == "s1");
+  CHECK(AskOnce(broker, "b", WantedPlace(3), kStart).m_verdict == PlaceVerdict::kQueued);
   // The registry doesn't know it yet.
-  SetServers(broker, {Server("s0", 1'000), Server("s2")});
-  CHECK(AskOnce(broker, "b", 4, kStart).m_server == "s2");
-  CHECK(AskOnce(broker, "b", 5, kStart).m_server == "s2");
-  CHECK(AskOnce(broker, "b", 6, kStart).m_verdict == PlaceVerdict::kQueued);
-  SetServers(broker, {Server("s0", 2'000)});
-  CHECK(AskOnce(broker, "b", 7, kStart).m_server == "s0");
+  SetServers(broker, {EngineBorn("s0", 1'000), Engine("s2")});
+  CHECK(AskOnce(broker, "b", WantedPlace(4), kStart).m_server == "s2");
+  CHECK(AskOnce(broker, "b", WantedPlace(5), kStart).m_server == "s2");
+  CHECK(AskOnce(broker, "b", WantedPlace(6), kStart).m_verdict == PlaceVerdict::kQueued);
+  SetServers(broker, {EngineBorn("s0", 2'000)});
+  CHECK(AskOnce(broker, "b", WantedPlace(7), kStart).m_server == "s0");
 }
 
 }  // namespace
