Tell what documents cost on their way: bytes, queues, repeats, the last byte of late news

The three hypotheses of the incident of large changes couldn't be told apart: no line said whether bytes still came when news were called overdue, how much of the log was sent again, or how long small messages waited in a queue.

Added: news_overdue says when the last byte came from the member (last_byte_ms); configuration_in_force says the document's bytes and the time it took; peer_queue, once a second at most, what waits for peers and since when, where that is over 100 ms; metrics of bytes sent to peers, waiting bytes, log bytes sent and sent again, bytes of documents in news. Instances of hosted deployments serve the metrics of their control task too; until now only members did. No logic is changed.

--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -10,6 +10,7 @@
 constexpr std::uint64_t kBusyTickMillis = 5;
 constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr std::uint64_t kMetricsMillis = 1000;
+constexpr Duration kLongQueue{100'000};  // A message that waits for longer is late for its reader.
 
 }  // namespace
 
@@ -82,12 +83,35 @@
   return m_member || m_stopping || m_brokers.Busy() || m_instance.Busy();
 }
 
-void ControlTask::PublishMetrics() {
-  MetricSet metrics;
+SendQueue ControlTask::Queue() const {
+  const SendQueue peers = Join(m_server.queue(), m_instance.queue());
+  return m_member ? Join(peers, m_member->queue()) : peers;
+}
+
+void ControlTask::LogQueue() const {
+  const SendQueue queue = Queue();
+  const Duration waited = queue.m_since == Instant{} ? Duration(0) : ReadClock() - queue.m_since;
+  if (waited > kLongQueue)
+    POPPYWAY_LOG(info, "peer_queue")
+        .Field("bytes", queue.m_bytes)
+        .Field("waited_ms", waited.count() / 1000);
+}
+
+void ControlTask::AddMetrics(MetricSet& metrics) const {
   if (m_member)
     m_member->AddMetrics(metrics);
   m_brokers.AddMetrics(metrics);
   m_instance.AddMetrics(metrics);
+  const std::uint64_t sent =
+      m_server.bytes_sent() + m_instance.bytes_sent() + (m_member ? m_member->bytes_sent() : 0);
+  metrics.Set("poppyway_peer_sent_bytes", "", static_cast<double>(sent));
+  metrics.Set("poppyway_peer_queued_bytes", "", static_cast<double>(Queue().m_bytes));
+}
+
+void ControlTask::PublishMetrics() {
+  LogQueue();
+  MetricSet metrics;
+  AddMetrics(metrics);
   metrics.Set("poppyway_platform_list_failures", "", static_cast<double>(m_platform.failures()));
   metrics.Add("poppyway_peer_messages_refused_total", "", m_bad_messages);
   m_to_gateway(ControlMetrics{metrics.Text()});
--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -34,6 +34,8 @@
   [[nodiscard]] Result<void> Start();
   /// Messages of the gateway task arrive here, from any thread.
   [[nodiscard]] Mailbox<GatewayMessage>& inbox() noexcept { return m_inbox; }
+  /// Of the peers, the member and the instance.
+  void AddMetrics(MetricSet& metrics) const;
   /// Asks for a planned stop; safe in a signal handler.
   void RequestStop() noexcept { m_stop_requested.store(true); }
 
@@ -44,6 +46,10 @@
   /// Returns whether the next tick is due soon.
   bool Tick();
   void PublishMetrics();
+  /// What waits to be written to peers.
+  [[nodiscard]] SendQueue Queue() const;
+  /// At most one line a call, where something has waited for long.
+  void LogQueue() const;
 
   TaskLoop& m_loop;
   DaemonSettings m_settings;
--- a/apps/poppywayd/hosted.cc
+++ b/apps/poppywayd/hosted.cc
@@ -132,6 +132,7 @@
       m_control.SetForwarder(
           {[this](FleetMessage message) { m_forwarder->Take(std::move(message)); }});
       m_forwarder->SetBroker(m_control.PlacePort());
+      m_forwarder->SetMoreMetrics([this](MetricSet& metrics) { m_control.AddMetrics(metrics); });
     }
     if (m_control.member() != nullptr)
       m_control.member()->SetColdReader(ColdReaderOf(hosted.m_cold_tolerance));
@@ -165,8 +166,7 @@
  private:
   void ReplyMetrics(h2o_req_t* req) {
     MetricSet metrics;
-    if (m_control.member() != nullptr)
-      m_control.member()->AddMetrics(metrics);
+    m_control.AddMetrics(metrics);
     if (m_server)
       m_server->AddMetrics(metrics);
     ReplyWhole(req, 200, "text/plain; version=0.0.4", metrics.Text());
--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -51,6 +51,11 @@
   return m_document_version < m_leader_document || m_servers_index < m_leader_servers;
 }
 
+std::int64_t InstanceSide::SinceLastByte(Instant now) const {
+  const Instant last = m_members[m_poll_member]->last_read();
+  return last == Instant{} ? -1 : (now - last).count() / 1000;
+}
+
 void InstanceSide::CheckBehind(Instant now) {
   if (!IsBehind()) {
     m_behind_since = {};
@@ -65,7 +70,8 @@
       .Field("have_servers", m_servers_index)
       .Field("leader_servers", m_leader_servers)
       .Field("have_document", m_document_version)
-      .Field("leader_document", m_leader_document);
+      .Field("leader_document", m_leader_document)
+      .Field("last_byte_ms", SinceLastByte(now));
   AvoidSource(now);
   m_behind_since = now;
   m_poll_member = m_leader;
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -410,6 +410,22 @@
   });
 }
 
+std::uint64_t InstanceSide::bytes_sent() const {
+  std::uint64_t bytes = 0;
+  for (const auto& member : m_members)
+    bytes += member->bytes_sent();
+  for (const auto& [pool, line] : m_lines)
+    bytes += line.m_client ? line.m_client->bytes_sent() : 0;
+  return bytes;
+}
+
+SendQueue InstanceSide::queue() const {
+  SendQueue all;
+  for (const auto& member : m_members)
+    all = Join(all, member->queue());
+  return all;
+}
+
 void InstanceSide::AddMetrics(MetricSet& metrics) const {
   metrics.Set("poppyway_version_in_force", "", static_cast<double>(m_version));
   metrics.Set("poppyway_fresh", "", m_fresh ? 1 : 0);
@@ -417,12 +433,7 @@
   metrics.Set("poppyway_ledger_claims_unavailable", "", static_cast<double>(m_claims_unavailable));
   metrics.Set("poppyway_leader_calls_failed", "", static_cast<double>(m_beats_lost));
   metrics.Set("poppyway_commands_waiting", "", static_cast<double>(m_commands.size()));
-  std::uint64_t bytes = 0;
-  for (const auto& member : m_members)
-    bytes += member->bytes_sent();
-  for (const auto& [pool, line] : m_lines)
-    bytes += line.m_client ? line.m_client->bytes_sent() : 0;
-  metrics.Set("poppyway_control_bytes_sent", "", static_cast<double>(bytes));
+  metrics.Set("poppyway_control_bytes_sent", "", static_cast<double>(bytes_sent()));
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -45,6 +45,9 @@
   /// True while commands for the ledger wait.
   [[nodiscard]] bool Busy() const { return !m_commands.empty(); }
   void AddMetrics(MetricSet& metrics) const;
+  [[nodiscard]] SendQueue queue() const;
+  /// To members and brokers.
+  [[nodiscard]] std::uint64_t bytes_sent() const;
 
  private:
   struct QueuedCommand {
@@ -83,6 +86,8 @@
   [[nodiscard]] std::size_t NearestSource(Instant now) const;
   /// True if the leader knows something newer than what was told here.
   [[nodiscard]] bool IsBehind() const;
+  /// Milliseconds since bytes last came from the member that is polled; -1: none ever did.
+  [[nodiscard]] std::int64_t SinceLastByte(Instant now) const;
   /// Asks the leader itself for what the member that is polled has not told in time.
   void CheckBehind(Instant now);
   /// The member that is polled lags or doesn't answer: others are read for a while.
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -116,11 +116,22 @@
   PeerClient* peer = PeerNamed(name);
   if (peer == nullptr)
     return;
+  CountEntries(message);
   wire::Body body;
   body.__set_log(message);
   peer->Tell(std::move(body));
 }
 
+void MemberSide::CountEntries(const wire::LogMessage& message) {
+  std::int64_t& until = m_sent_until[message.to_id];
+  for (const wire::LogEntry& entry : message.body.append.entries) {
+    m_log_bytes += BytesOf(entry);
+    if (entry.index <= until)
+      m_log_bytes_again += BytesOf(entry);
+    until = std::max(until, entry.index);
+  }
+}
+
 void MemberSide::Apply(const std::vector<wire::LogEntry>& entries) {
   const std::int64_t version_before = m_machine.m_configuration.m_version;
   const std::int64_t document_before = m_machine.m_hosted.m_document.version;
@@ -430,6 +441,8 @@
     if (poll.m_poll.hosted) {
       wire::Body body;
       body.__set_delta(NewsFor(poll.m_poll));
+      ++m_news_answers;
+      m_news_bytes += body.delta.document.body.size();
       told_servers = told_servers || (poll.m_poll.have_servers != 0 && !body.delta.servers.empty());
       poll.m_reply(std::move(body));
       continue;
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -71,6 +71,9 @@
   /// The error for a caller that should ask the leader.
   [[nodiscard]] wire::Body NotLeader() const;
   void AddMetrics(MetricSet& metrics) const;
+  [[nodiscard]] SendQueue queue() const;
+  /// To other members.
+  [[nodiscard]] std::uint64_t bytes_sent() const;
 
  private:
   struct PendingProposal {
@@ -100,6 +103,7 @@
   void ProposeDue(Instant now);
   void MaybeCompact();
   void SendTo(const wire::LogMessage& message);
+  void CountEntries(const wire::LogMessage& message);
   /// The connection to a member; null if its name is no known place.
   [[nodiscard]] PeerClient* PeerNamed(const std::string& name);
   /// Sends to the leader, or replies that there is none in reach.
@@ -172,6 +176,11 @@
   std::int64_t m_proposing_until = 0;  ///< Leader's own proposals up to here are under way.
   std::uint64_t m_syncs = 0;
   std::uint64_t m_entries_synced = 0;
+  std::map<MemberId, std::int64_t> m_sent_until;  ///< Last log index that each was sent.
+  std::uint64_t m_log_bytes = 0;                  ///< Of entries sent to members.
+  std::uint64_t m_log_bytes_again = 0;            ///< Of those, sent before to the same member.
+  std::uint64_t m_news_answers = 0;               ///< To questions for news.
+  std::uint64_t m_news_bytes = 0;                 ///< Of documents in them.
 };
 
 }  // namespace poppyway
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -56,6 +56,20 @@
   return status;
 }
 
+std::uint64_t MemberSide::bytes_sent() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [name, peer] : m_peers)
+    bytes += peer->bytes_sent();
+  return bytes;
+}
+
+SendQueue MemberSide::queue() const {
+  SendQueue all;
+  for (const auto& [name, peer] : m_peers)
+    all = Join(all, peer->queue());
+  return all;
+}
+
 void MemberSide::AddMetrics(MetricSet& metrics) const {
   metrics.Set("poppyway_log_term", "", static_cast<double>(m_node.m_hard.term));
   metrics.Set("poppyway_log_commit", "", static_cast<double>(m_node.m_commit));
@@ -63,6 +77,10 @@
   metrics.Set("poppyway_log_syncs", "", static_cast<double>(m_syncs));
   metrics.Set("poppyway_log_entries_synced", "", static_cast<double>(m_entries_synced));
   metrics.Set("poppyway_log_disk_full", "", m_disk_full ? 1 : 0);
+  metrics.Set("poppyway_log_sent_bytes", "", static_cast<double>(m_log_bytes));
+  metrics.Set("poppyway_log_sent_again_bytes", "", static_cast<double>(m_log_bytes_again));
+  metrics.Set("poppyway_news_answers", "", static_cast<double>(m_news_answers));
+  metrics.Set("poppyway_news_document_bytes", "", static_cast<double>(m_news_bytes));
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
   metrics.Set("poppyway_ledger_kept_bytes", "",
               static_cast<double>(m_machine.m_ledger.m_kept_bytes));
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -137,6 +137,8 @@
   void Take(FleetMessage message);
   /// Where place requests go. Without one this instance decides alone.
   void SetBroker(BrokerPort port) { m_state.m_broker.m_port = std::move(port); }
+  /// Adds the metrics of other parts of the daemon to those that are served.
+  void SetMoreMetrics(std::function<void(MetricSet&)> add) { m_more_metrics = std::move(add); }
   /// A planned stop begins: not ready at once, answers are finished.
   void BeginStop();
   /// True once nothing is left to finish, or the limit is reached.
@@ -155,6 +157,7 @@
   std::unique_ptr<HttpServer> m_readiness;
   std::unique_ptr<HttpServer> m_metrics;
   std::unique_ptr<RepeatingTimer> m_tick;
+  std::function<void(MetricSet&)> m_more_metrics;
 };
 
 }  // namespace poppyway
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -102,6 +102,7 @@
     const wire::Document& document = *message.m_document;
     if (m_state.m_table && document.version <= m_state.m_table->m_version)
       return;
+    const Instant begun = ReadClock();
     Result<RouteTable> table = m_state.m_dialect.m_decode_document(document.version, document.body);
     if (!table) {
       POPPYWAY_LOG(error, "configuration_unusable")
@@ -113,6 +114,8 @@
     POPPYWAY_LOG(info, "configuration_in_force")
         .Field("version", document.version)
         .Field("routes", m_state.m_table->m_routes.size())
+        .Field("bytes", document.body.size())
+        .Field("took_ms", (ReadClock() - begun).count() / 1000)
         .Field("workspaces", m_state.m_table->m_workspaces.size());
     impl::RefreshHomes(m_state);
     impl::EndStart(m_state);
@@ -235,7 +238,10 @@
   m_state.m_metrics.Set("poppyway_forward_connections_opened", "",
                         static_cast<double>(m_state.m_connections->opened()));
   impl::CountEvacuated(m_state);
-  ReplyWhole(req, 200, "text/plain; version=0.0.4", m_state.m_metrics.Text());
+  MetricSet more;
+  if (m_more_metrics)
+    m_more_metrics(more);
+  ReplyWhole(req, 200, "text/plain; version=0.0.4", m_state.m_metrics.Text() + more.Text());
 }
 
 bool Forwarder::Tick() {
--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -121,6 +121,8 @@
 [[nodiscard]] std::int64_t TermAt(const LogNode& node, std::int64_t index) noexcept;
 [[nodiscard]] bool IsVoter(const wire::Membership& membership, MemberId id) noexcept;
 [[nodiscard]] const wire::MemberInfo* FindMember(const wire::Membership& membership, MemberId id);
+/// \brief About how many bytes an entry takes on a link: exact for what can be large.
+[[nodiscard]] std::size_t BytesOf(const wire::LogEntry& entry) noexcept;
 /// \brief True while a majority of voters answered within the last election timeout.
 [[nodiscard]] bool LeadsWithQuorum(const LogNode& node, Instant now);
 /// \brief True if a majority of voters is known to have followed this leader within the last
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -20,6 +20,21 @@
   return node.m_entries[static_cast<std::size_t>(index - node.m_snapshot_index - 1)].term;
 }
 
+std::size_t BytesOf(const wire::LogEntry& entry) noexcept {
+  constexpr std::size_t kSmallCommand = 128;
+  const wire::Command& command = entry.command;
+  std::size_t bytes = kSmallCommand;
+  if (command.__isset.document)
+    bytes += command.document.body.size();
+  if (command.__isset.finish)
+    bytes += command.finish.answer.body.size();
+  if (command.__isset.config) {
+    for (const wire::ObjectText& object : command.config.upserts)
+      bytes += object.body.size();
+  }
+  return bytes;
+}
+
 const wire::MemberInfo* FindMember(const wire::Membership& membership, MemberId id) {
   const auto found = std::find_if(membership.members.begin(), membership.members.end(),
                                   [id](const wire::MemberInfo& m) { return m.id == id; });
--- a/packages/wire/include/poppyway/wire/impl/peer_client.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_client.h
@@ -29,6 +29,9 @@
   /// When the peer last sent anything; zero: never.
   [[nodiscard]] Instant last_heard() const noexcept { return m_last_heard; }
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
+  /// When bytes last arrived on the present connection, whole message or not; zero: never.
+  [[nodiscard]] Instant last_read() const noexcept;
+  [[nodiscard]] SendQueue queue() const noexcept;
 
  private:
   struct Waiting {
--- a/packages/wire/include/poppyway/wire/impl/peer_connection.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_connection.h
@@ -16,6 +16,17 @@
 /// Several times an election timeout, well below what operators wait for an answer.
 inline constexpr Duration kPeerSilence{1'500'000};
 
+/// \brief What a connection still has to write.
+struct SendQueue {
+  std::size_t m_bytes = 0;
+  Instant m_since{};  ///< When it was empty last; zero: it is empty.
+
+  friend bool operator==(const SendQueue&, const SendQueue&) = default;
+};
+
+/// \brief Two queues as one: the bytes together, the longer wait.
+[[nodiscard]] SendQueue Join(const SendQueue& a, const SendQueue& b) noexcept;
+
 /// \brief A framed connection to a peer. Belongs to its loop's thread.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
@@ -36,6 +47,9 @@
   void Close();
   [[nodiscard]] bool open() const noexcept { return m_socket != nullptr; }
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return m_bytes_sent; }
+  [[nodiscard]] SendQueue queue() const noexcept;
+  /// When bytes last arrived, whole message or not; zero: never.
+  [[nodiscard]] Instant last_read() const noexcept { return m_last_read; }
 
  private:
   static void OnReadable(h2o_socket_t* socket, const char* fault);
@@ -49,6 +63,8 @@
   std::string m_pending;
   std::string m_writing;
   std::uint64_t m_bytes_sent = 0;
+  Instant m_queued_since{};
+  Instant m_last_read{};
 };
 
 }  // namespace poppyway
--- a/packages/wire/include/poppyway/wire/impl/peer_server.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_server.h
@@ -19,6 +19,10 @@
 
   /// Listens on an IPv4 number.
   [[nodiscard]] Result<void> Listen(const std::string& address, std::uint16_t port);
+  /// Of all connections: the bytes together, and since when the one that waits longest waits.
+  [[nodiscard]] SendQueue queue() const noexcept;
+  /// On all connections that ever were.
+  [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
 
  private:
   static void OnAccept(h2o_socket_t* listener, const char* fault);
@@ -28,6 +32,7 @@
   std::function<void(const Error&)> m_on_refused;
   h2o_socket_t* m_listener = nullptr;
   std::set<std::shared_ptr<PeerConnection>> m_connections;
+  std::uint64_t m_closed_bytes = 0;  ///< Sent on connections that are closed.
 };
 
 /// \brief Bounds how long a connection waits for a peer that has fallen silent: unacknowledged
--- a/packages/wire/src/peer_client.cc
+++ b/packages/wire/src/peer_client.cc
@@ -31,6 +31,14 @@
   return m_closed_bytes + (m_connection ? m_connection->bytes_sent() : 0);
 }
 
+Instant PeerClient::last_read() const noexcept {
+  return m_connection ? m_connection->last_read() : Instant{};
+}
+
+SendQueue PeerClient::queue() const noexcept {
+  return m_connection ? m_connection->queue() : SendQueue{};
+}
+
 void PeerClient::Call(wire::Body body, Duration timeout, OnReply on_reply) {
   wire::Envelope envelope;
   envelope.id = m_next_id++;
--- a/packages/wire/src/peer_connection.cc
+++ b/packages/wire/src/peer_connection.cc
@@ -4,6 +4,13 @@
 
 namespace poppyway {
 
+SendQueue Join(const SendQueue& a, const SendQueue& b) noexcept {
+  SendQueue both{a.m_bytes + b.m_bytes, a.m_since};
+  if (a.m_since == Instant{} || (b.m_since != Instant{} && b.m_since < a.m_since))
+    both.m_since = b.m_since;
+  return both;
+}
+
 PeerConnection::PeerConnection(h2o_socket_t* socket, OnMessage on_message, OnClosed on_closed)
     : m_socket(socket), m_on_message(std::move(on_message)), m_on_closed(std::move(on_closed)) {
   m_socket->data = this;
@@ -20,10 +27,16 @@
 void PeerConnection::Send(const wire::Envelope& envelope) {
   if (!open())
     return;
+  if (m_queued_since == Instant{})
+    m_queued_since = ReadClock();
   m_pending += EncodeFrame(envelope);
   Flush();
 }
 
+SendQueue PeerConnection::queue() const noexcept {
+  return {m_writing.size() + m_pending.size(), m_queued_since};
+}
+
 void PeerConnection::Close() {
   if (m_socket == nullptr)
     return;
@@ -56,6 +69,8 @@
     self->Drop({ResultCode::kPeerUnreachable, fault});
     return;
   }
+  if (self->m_pending.empty())
+    self->m_queued_since = {};
   self->Flush();
 }
 
@@ -65,6 +80,7 @@
     self->Drop({ResultCode::kPeerUnreachable, fault});
     return;
   }
+  self->m_last_read = ReadClock();
   const auto keep = self->shared_from_this();
   while (self->open()) {
     const std::string_view bytes(socket->input->bytes, socket->input->size);
--- a/packages/wire/src/peer_server.cc
+++ b/packages/wire/src/peer_server.cc
@@ -67,6 +67,20 @@
   return {};
 }
 
+SendQueue PeerServer::queue() const noexcept {
+  SendQueue all;
+  for (const auto& connection : m_connections)
+    all = Join(all, connection->queue());
+  return all;
+}
+
+std::uint64_t PeerServer::bytes_sent() const noexcept {
+  std::uint64_t bytes = m_closed_bytes;
+  for (const auto& connection : m_connections)
+    bytes += connection->bytes_sent();
+  return bytes;
+}
+
 void PeerServer::OnAccept(h2o_socket_t* listener, const char* fault) {
   auto* self = static_cast<PeerServer*>(listener->data);
   if (fault != nullptr)
@@ -77,6 +91,7 @@
   LimitSilence(h2o_socket_get_fd(socket), kPeerSilence);
   auto connection = std::make_shared<PeerConnection>(
       socket, self->m_on_message, [self](PeerConnection& closed, const Error& why) {
+        self->m_closed_bytes += closed.bytes_sent();
         self->m_connections.erase(closed.shared_from_this());
         if (why.m_code == ResultCode::kPeerProtocol)
           self->m_on_refused(why);
