--- a/apps/poppywayd/control_server.cc
+++ b/apps/poppywayd/control_server.cc
@@ -7,7 +7,6 @@
 namespace poppyway {
 namespace {
 
-constexpr std::size_t kMaxDocument = 32 << 20;
 constexpr std::uint64_t kIdleMillis = 30'000;
 // Another writer may send heartbeats that can't be used without end: the counters tell of the rest.
 constexpr Duration kLinesInterval{1'000'000};
@@ -80,7 +79,7 @@
 ControlServer::ControlServer(TaskLoop& loop, const Endpoint& place, MemberSide& member)
     : m_place(place),
       m_member(member),
-      m_server(loop, HttpLimits{kMaxDocument, kIdleMillis}, [this](h2o_req_t* req) {
+      m_server(loop, HttpLimits{kMaxDocumentBytes, kIdleMillis}, [this](h2o_req_t* req) {
         OnRequest(req);
       }) {}
 
--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -141,10 +141,10 @@
     m_member->OnHello(body.hello, reply);
   } else if (body.__isset.heartbeat) {
     m_member->OnHeartbeat(body.heartbeat, reply);
-  } else if (body.__isset.document) {
-    LeaderOnly(reply, [&] { m_member->SubmitDocument(body.document, reply); });
-  } else if (body.__isset.document_request) {
-    LeaderOnly(reply, [&] { m_member->ReadDocument(reply); });
+  } else if (body.__isset.document_change) {
+    LeaderOnly(reply, [&] { m_member->SubmitDocumentChange(body.document_change, reply); });
+  } else if (body.__isset.document_read) {
+    LeaderOnly(reply, [&] { m_member->ReadDocumentSteps(body.document_read, reply); });
   } else if (body.__isset.server_seen) {
     LeaderOnly(reply, [&] { m_member->SubmitServer(body.server_seen, reply); });
   } else if (body.__isset.rollout_order) {
@@ -155,6 +155,8 @@
     LeaderOnly(reply, [&] { m_member->SubmitEvacuation(body.evacuation_order, reply); });
   } else if (body.__isset.poll) {
     m_member->OnPoll(body.poll, reply);
+  } else if (body.__isset.piece_request) {
+    m_member->OnPieceRequest(body.piece_request, reply);
   } else if (body.__isset.propose && m_member->leads()) {
     m_member->OnPropose(body.propose, reply);
   } else if (body.__isset.propose && !body.propose.commands.empty() &&
--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -7,15 +7,6 @@
 #include "place_convert.h"
 
 namespace poppyway {
-namespace {
-
-// Twice the usual delay: a follower learns of a commit within one log heartbeat (50 ms) and tells
-// changes of servers every 100 ms. With no wait, ordinary delays would turn a third of the
-// instances to the leader with each change.
-constexpr Duration kPollOverdue{300'000};
-
-}  // namespace
-
 void InstanceSide::OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent) {
   if (!reply.members.empty()) {
     TakeMembers(reply.members);
@@ -28,11 +19,11 @@
   m_forwarder.m_send(FleetSize{std::max(1, reply.live)});
   const bool new_broker = !m_broker_told || reply.leader_term > m_leader_term;
   m_leader_term = std::max(m_leader_term, reply.leader_term);
+  m_news->SetLeaderTerm(m_leader_term);
   if (new_broker && reply.leader_term == m_leader_term) {
     m_broker_told = true;
     m_forwarder.m_send(BrokerFound{reply.leader_term});
   }
-  CheckBehind(ReadClock());
 }
 
 void InstanceSide::TakeMembers(const std::vector<wire::MemberInfo>& members) {
@@ -47,41 +38,11 @@
   return ChooseNewsSource(m_sources, m_settings.m_regions, here, Hash(m_incarnation), now);
 }
 
-bool InstanceSide::IsBehind() const {
-  return m_document_version < m_leader_document || m_servers_index < m_leader_servers;
-}
-
-std::int64_t InstanceSide::SinceLastByte(Instant now) const {
-  const Instant last = m_members[m_poll_member]->last_read();
-  return last == Instant{} ? -1 : (now - last).count() / 1000;
-}
-
-void InstanceSide::CheckBehind(Instant now) {
-  if (!IsBehind()) {
-    m_behind_since = {};
-    return;
-  }
-  if (m_behind_since == Instant{})
-    m_behind_since = now;
-  if (now - m_behind_since < kPollOverdue || m_poll_member == m_leader)
-    return;
-  POPPYWAY_LOG(info, "news_overdue")
-      .Field("member", ToText(m_places[m_poll_member]))
-      .Field("have_servers", m_servers_index)
-      .Field("leader_servers", m_leader_servers)
-      .Field("have_document", m_document_version)
-      .Field("leader_document", m_leader_document)
-      .Field("last_byte_ms", SinceLastByte(now));
-  AvoidSource(now);
-  m_behind_since = now;
-  m_poll_member = m_leader;
-  Poll();
-}
-
 void InstanceSide::PublishConfirmation() {
   // A member's news may come before any leader has answered; only a leader confirms.
   const bool asked = m_leader_asked != Instant{};
-  if (!asked || m_document_version == 0 || m_document_version < m_leader_document)
+  const std::int64_t version = m_news->document_version();
+  if (!asked || version == 0 || version < m_leader_document)
     return;
   const Instant until = m_leader_asked + std::chrono::milliseconds(m_settings.m_confirm_ms);
   if (until <= m_published_until)
@@ -90,26 +51,34 @@
   m_forwarder.m_send(ConfirmedUntil{until});
 }
 
-void InstanceSide::OnHostedDelta(const wire::ConfigDelta& delta) {
-  if (delta.servers_index > m_servers_index)
+NewsPort InstanceSide::MakeNewsPort() {
+  NewsPort port;
+  port.m_ask = [this](std::size_t member, wire::Body body, Duration timeout,
+                      PeerClient::OnReply on_reply) {
+    m_members[member]->Call(std::move(body), timeout, std::move(on_reply));
+  };
+  port.m_last_read = [this](std::size_t member) { return m_members[member]->last_read(); };
+  port.m_nearest = [this](Instant now) { return NearestSource(now); };
+  port.m_avoid = [this](std::size_t member, Instant now) { AvoidSource(member, now); };
+  port.m_leader = [this] { return m_leader; };
+  port.m_on_leader = [this](const wire::ConfigDelta& delta) { OnLeaderNamed(delta); };
+  port.m_on_servers = [this](const wire::ConfigDelta& delta) {
     m_forwarder.m_send(EvacuationsChanged{delta.evacuations});
-  if (!delta.servers.empty() && delta.servers_index > m_servers_index)
-    m_forwarder.m_send(ServersChanged{delta.servers});
-  m_servers_index = std::max(m_servers_index, delta.servers_index);
-  OnLeaderNamed(delta);
-  if (delta.__isset.document && delta.document.version > m_document_version) {
-    m_document_version = delta.document.version;
-    m_forwarder.m_send(NewDocument{std::make_shared<const wire::Document>(delta.document)});
+    if (!delta.servers.empty())
+      m_forwarder.m_send(ServersChanged{delta.servers});
+  };
+  port.m_on_document = [this](std::shared_ptr<const wire::Document> document) {
+    m_forwarder.m_send(NewDocument{std::move(document)});
     PublishConfirmation();
-  }
-  if (!IsBehind())
-    m_poll_member = NearestSource(ReadClock());
+  };
+  return port;
 }
 
 void InstanceSide::OnLeaderNamed(const wire::ConfigDelta& delta) {
   if (delta.leader_term <= m_leader_term)
     return;
   m_leader_term = delta.leader_term;
+  m_news->SetLeaderTerm(m_leader_term);
   m_leader = ContactAt({delta.leader_address, static_cast<std::uint16_t>(delta.leader_port)});
   POPPYWAY_LOG(info, "leader_named").Field("term", m_leader_term).Field("port", delta.leader_port);
   FindBrokerAnew();
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -50,6 +50,8 @@
     (void)ContactAt(member.m_peer);
   // Readers spread over the members.
   m_poll_member = Hash(m_incarnation) % m_members.size();
+  if (m_settings.m_hosted)
+    m_news = std::make_unique<HostedNews>(MakeNewsPort());
 }
 
 std::size_t InstanceSide::ContactAt(const Endpoint& place) {
@@ -90,9 +92,9 @@
     POPPYWAY_LOG(info, "freshness").Field("fresh", fresh).Field("version", m_version);
     m_to_gateway(SetFresh{fresh});
   }
-  if (m_settings.m_hosted)
-    CheckBehind(now);
-  if (!m_polling && now >= m_poll_after)
+  if (m_news)
+    m_news->Tick(m_leader_document, m_leader_servers, now);
+  else if (!m_polling && now >= m_poll_after)
     Poll();
   ExpireCommands(now);
   FlushCommands();
@@ -112,8 +114,8 @@
   beat.http = ToText(m_settings.m_http);
   beat.leases_seen = m_leases_seen;
   beat.members_seen = m_members_digest;
-  if (m_settings.m_hosted)
-    beat.version_in_force = m_document_version;
+  if (m_news)
+    beat.version_in_force = m_news->document_version();
   wire::Body body;
   body.__set_heartbeat(beat);
   Leader().Call(std::move(body), std::chrono::milliseconds(m_settings.m_lease_ms) / 3,
@@ -187,45 +189,33 @@
 void InstanceSide::Poll() {
   m_polling = true;
   wire::ConfigPoll poll;
-  poll.hosted = m_settings.m_hosted;
-  poll.have_document = m_document_version;
-  poll.have_servers = m_servers_index;
-  poll.have_term = m_leader_term;
   poll.have_version = m_version;
   poll.wait_ms = kPollWaitMs;
   wire::Body body;
   body.__set_poll(poll);
   const Duration timeout = std::chrono::milliseconds(kPollWaitMs) + kForwardTimeout;
-  const std::uint64_t number = ++m_poll_number;
-  m_members[m_poll_member]->Call(std::move(body), timeout,
-                                 [this, number](Result<wire::Body> reply) {
-                                   if (number != m_poll_number)
-                                     return;  // Another poll has taken its place.
-                                   m_polling = false;
-                                   if (m_settings.m_hosted && reply && reply->__isset.delta) {
-                                     OnHostedDelta(reply->delta);
-                                     return;
-                                   }
-                                   if (reply && reply->__isset.delta) {
-                                     OnDelta(reply->delta);
-                                     return;
-                                   }
-                                   const Instant now = ReadClock();
-                                   AvoidSource(now);
-                                   m_poll_after = now + kPollBackoff;
-                                 });
+  m_members[m_poll_member]->Call(std::move(body), timeout, [this](Result<wire::Body> reply) {
+    m_polling = false;
+    if (reply && reply->__isset.delta)
+      OnDelta(reply->delta);
+    else
+      PollNext();
+  });
+}
+
+void InstanceSide::PollNext() {
+  m_poll_member = (m_poll_member + 1) % m_members.size();
+  m_poll_after = ReadClock() + kPollBackoff;
 }
 
-void InstanceSide::AvoidSource(Instant now) {
-  m_sources[m_poll_member].m_avoid_until = now + kAvoidSource;
-  m_poll_member = m_settings.m_hosted ? NearestSource(now) : (m_poll_member + 1) % m_members.size();
+void InstanceSide::AvoidSource(std::size_t member, Instant now) {
+  m_sources[member].m_avoid_until = now + kAvoidSource;
 }
 
 void InstanceSide::OnDelta(const wire::ConfigDelta& delta) {
   if (delta.to_version < m_version) {
     // A member that lags behind us is no source; ask another.
-    AvoidSource(ReadClock());
-    m_poll_after = ReadClock() + kPollBackoff;
+    PollNext();
     return;
   }
   const Instant begun = ReadClock();
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -12,6 +12,7 @@
 #include "broker_side.h"
 #include "poppyway/forward.h"
 #include "poppyway/gateway.h"
+#include "poppyway/news.h"
 #include "poppyway/settings.h"
 #include "poppyway/state.h"
 #include "poppyway/wire.h"
@@ -70,7 +71,8 @@
   void OnDelta(const wire::ConfigDelta& delta);
   /// Hosted: takes the members, what the leader confirms, and the load of the other instances.
   void OnHostedBeat(const wire::HeartbeatReply& reply, Instant sent);
-  void OnHostedDelta(const wire::ConfigDelta& delta);
+  /// Hosted: how news is read, and where it goes.
+  [[nodiscard]] NewsPort MakeNewsPort();
   /// Turns to the leader that a member has named in a later term.
   void OnLeaderNamed(const wire::ConfigDelta& delta);
   /// A message that answers no call, or the loss of the connection, from the member at `index`.
@@ -84,14 +86,10 @@
   void TakeMembers(const std::vector<wire::MemberInfo>& members);
   /// Hosted: the member to poll next.
   [[nodiscard]] std::size_t NearestSource(Instant now) const;
-  /// True if the leader knows something newer than what was told here.
-  [[nodiscard]] bool IsBehind() const;
-  /// Milliseconds since bytes last came from the member that is polled; -1: none ever did.
-  [[nodiscard]] std::int64_t SinceLastByte(Instant now) const;
-  /// Asks the leader itself for what the member that is polled has not told in time.
-  void CheckBehind(Instant now);
-  /// The member that is polled lags or doesn't answer: others are read for a while.
-  void AvoidSource(Instant now);
+  /// A member lags or doesn't answer: others are read for a while.
+  void AvoidSource(std::size_t member, Instant now);
+  /// The member that is polled lags or doesn't answer: the next one is asked.
+  void PollNext();
   /// Index of the contact at this place, added if it is new.
   [[nodiscard]] std::size_t ContactAt(const Endpoint& place);
   void FlushCommands();
@@ -116,10 +114,7 @@
   std::size_t m_leader = 0;           ///< Index of the member believed to lead.
   std::size_t m_poll_member = 0;      ///< Index of the member that is polled.
   bool m_polling = false;
-  std::uint64_t m_poll_number = 0;  ///< Replies to earlier polls are ignored.
-  Instant m_behind_since{};         ///< The leader knows something newer; zero: it doesn't.
-  std::int64_t m_document_version = 0;
-  std::int64_t m_servers_index = 0;
+  std::unique_ptr<HostedNews> m_news;  ///< Null: not hosted.
   std::int64_t m_leader_document = 0;  ///< As the leader last said.
   std::int64_t m_leader_servers = 0;
   std::int64_t m_leader_term = 0;  ///< Of the latest leader that was named or answered.
--- /dev/null
+++ b/apps/poppywayd/member_document.cc
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// What a member does with the operator's document: takes it, passes it on, reads it back. Between
+// members it travels as steps from one version to the next, so that a change costs what it changes.
+
+#include <utility>
+
+#include "convert.h"
+#include "member_side.h"
+
+namespace poppyway {
+namespace {
+
+wire::Body Done() {
+  wire::Body done;
+  done.__set_done(true);
+  return done;
+}
+
+bool IsConflict(const wire::Body& answer) {
+  return answer.__isset.error &&
+         answer.error.code == static_cast<std::int32_t>(ResultCode::kVersionConflict);
+}
+
+void ReplyAll(const std::vector<ReplyFn>& replies, const wire::Body& answer) {
+  for (const ReplyFn& reply : replies)
+    reply(answer);
+}
+
+/// The newest document of those that a member's `steps` lead to from `held`, or why there is none.
+Result<wire::Document> Follow(const wire::Document& held, const wire::DocumentSteps& steps) {
+  wire::Document document = held;
+  for (const wire::DocumentChange& step : steps.steps) {
+    if (step.version <= document.version)
+      continue;  // Applied here since the steps were asked for.
+    Result<wire::Document> next = ApplyStep(document, step);
+    if (!next)
+      return next;
+    document = std::move(*next);
+  }
+  return document;
+}
+
+}  // namespace
+
+void MemberSide::SubmitDocument(const wire::Document& document, const ReplyFn& reply) {
+  if (!leads()) {
+    ForwardDocument(document, false, reply);
+    return;
+  }
+  if (document.version <= m_machine.m_hosted.m_document.version) {
+    // An older version goes through the log too: its acknowledgement must come from a leader that
+    // still is one, and the newest one must be safe by then.
+    wire::Command command;
+    command.__set_noop(true);
+    Commit(std::move(command), reply);
+    return;
+  }
+  if (!m_proposed_document) {
+    ProposeDocument({document, {reply}});
+    return;
+  }
+  if (document.version <= m_proposed_document->m_document.version) {
+    m_proposed_document->m_replies.push_back(reply);
+    return;
+  }
+  // Of those that wait the highest prevails; the others are acknowledged once it is committed.
+  if (!m_waiting_document)
+    m_waiting_document.emplace();
+  if (document.version > m_waiting_document->m_document.version)
+    m_waiting_document->m_document = document;
+  m_waiting_document->m_replies.push_back(reply);
+}
+
+void MemberSide::ProposeDocument(DocumentOrder order) {
+  const Instant begun = ReadClock();
+  wire::DocumentChange change = ChangeBetween(m_machine.m_hosted.m_document, order.m_document);
+  POPPYWAY_LOG(info, "document_proposed")
+      .Field("base", change.base)
+      .Field("version", change.version)
+      .Field("bytes", order.m_document.body.size())
+      .Field("step_bytes", change.bytes)
+      .Field("orders", order.m_replies.size())
+      .Field("took_ms", (ReadClock() - begun).count() / 1000);
+  m_proposed_document = std::move(order);
+  wire::Propose propose;
+  propose.commands.emplace_back().__set_document_change(std::move(change));
+  OnPropose(propose, [this](const wire::Body& answer) { OnDocumentProposed(answer); });
+}
+
+void MemberSide::OnDocumentProposed(const wire::Body& answer) {
+  const DocumentOrder order = std::exchange(m_proposed_document, std::nullopt).value();
+  if (answer.__isset.error)
+    ReplyAll(order.m_replies, answer);
+  else if (answer.propose_reply.results.at(0).done)
+    ReplyAll(order.m_replies, Done());
+  else
+    ReplyAll(order.m_replies,
+             ErrorBody(ResultCode::kVersionConflict, "another version was accepted meanwhile"));
+  if (!m_waiting_document)
+    return;
+  const DocumentOrder waiting = std::exchange(m_waiting_document, std::nullopt).value();
+  const bool newer = waiting.m_document.version > m_machine.m_hosted.m_document.version;
+  if (leads() && newer) {
+    ProposeDocument(waiting);
+    return;
+  }
+  for (const ReplyFn& reply : waiting.m_replies)
+    SubmitDocument(waiting.m_document, reply);
+}
+
+void MemberSide::ForwardDocument(const wire::Document& document, bool whole, const ReplyFn& reply) {
+  const wire::Document& held = m_machine.m_hosted.m_document;
+  wire::DocumentChange change;
+  if (document.version > held.version)
+    change = whole ? WholeOf(document) : ChangeBetween(held, document);
+  else
+    change.version = document.version;  // The leader holds one as high, and needs no more of it.
+  wire::Body body;
+  body.__set_document_change(std::move(change));
+  AskLeader(std::move(body), [this, document, whole, reply](const wire::Body& answer) {
+    if (IsConflict(answer) && !whole)
+      ForwardDocument(document, true, reply);
+    else
+      reply(answer);
+  });
+}
+
+void MemberSide::SubmitDocumentChange(const wire::DocumentChange& change, const ReplyFn& reply) {
+  const wire::Document& held = m_machine.m_hosted.m_document;
+  wire::Document document;
+  document.version = change.version;
+  if (change.version > held.version) {
+    Result<wire::Document> after = ApplyStep(held, change);
+    if (!after) {
+      reply(ErrorBody(after.error().m_code, after.error().m_message));
+      return;
+    }
+    document = std::move(*after);
+  }
+  SubmitDocument(document, reply);
+}
+
+void MemberSide::ReadDocument(const ReplyFn& reply) {
+  if (leads()) {
+    if (!LeadsForSure(reply))
+      return;
+    wire::Body body;
+    body.__set_document(m_machine.m_hosted.m_document);
+    reply(std::move(body));
+    return;
+  }
+  wire::DocumentRead read;
+  read.have_version = m_machine.m_hosted.m_document.version;
+  wire::Body body;
+  body.__set_document_read(read);
+  AskLeader(std::move(body), [this, reply](const wire::Body& answer) {
+    if (!answer.__isset.document_steps) {
+      reply(answer);
+      return;
+    }
+    Result<wire::Document> document = Follow(m_machine.m_hosted.m_document, answer.document_steps);
+    if (!document) {
+      reply(ErrorBody(document.error().m_code, document.error().m_message));
+      return;
+    }
+    wire::Body found;
+    found.__set_document(std::move(*document));
+    reply(std::move(found));
+  });
+}
+
+void MemberSide::ReadDocumentSteps(const wire::DocumentRead& read, const ReplyFn& reply) {
+  if (!LeadsForSure(reply))
+    return;
+  wire::DocumentSteps steps;
+  steps.steps = StepsFrom(m_steps, m_machine.m_hosted.m_document, read.have_version);
+  wire::Body body;
+  body.__set_document_steps(std::move(steps));
+  reply(std::move(body));
+}
+
+}  // namespace poppyway
--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -18,6 +18,9 @@
 constexpr Duration kServerNewsInterval{100'000};
 // Calls of servers are late by differing times: cold for longer than by so much is news.
 constexpr Duration kColdWordSlack{1'000'000};
+// What else a connection carries waits for no more than this of a document.
+constexpr std::int64_t kInlineBytes = 8 << 10;
+constexpr std::size_t kPieceBytes = 16 << 10;
 constexpr Duration kAskLeaderLimit{900'000};  // Callers of this interface give up after a second.
 
 }  // namespace
@@ -49,8 +52,9 @@
   if (!poll.hosted)
     return m_machine.m_configuration.m_version > poll.have_version;
   const HostedState& hosted = m_machine.m_hosted;
-  return hosted.m_document.version > poll.have_document || KnownLeaderTerm() > poll.have_term ||
-         LastEvacuationIndex(hosted) > poll.have_servers ||
+  if (poll.kind == wire::NewsKind::DOCUMENT)
+    return hosted.m_document.version > poll.have_document;
+  return KnownLeaderTerm() > poll.have_term || LastEvacuationIndex(hosted) > poll.have_servers ||
          (hosted.m_servers_index > poll.have_servers && MayTellServers(poll));
 }
 
@@ -64,11 +68,16 @@
   return leader == nullptr ? 0 : m_node.m_hard.term;
 }
 
-wire::ConfigDelta MemberSide::NewsFor(const wire::ConfigPoll& poll) const {
+wire::ConfigDelta MemberSide::NewsFor(const wire::ConfigPoll& poll) {
   const HostedState& hosted = m_machine.m_hosted;
   wire::ConfigDelta delta;
-  if (hosted.m_document.version > poll.have_document)
-    delta.__set_document(hosted.m_document);
+  if (poll.kind == wire::NewsKind::DOCUMENT) {
+    delta.steps =
+        FirstSteps(StepsFrom(m_steps, hosted.m_document, poll.have_document), kInlineBytes);
+    for (const wire::DocumentChange& step : delta.steps)
+      m_news_bytes += step.edits.size();
+    return delta;
+  }
   delta.servers = ServersSince(hosted, poll.have_servers);
   delta.servers_index = hosted.m_servers_index;
   for (const auto& [data_centre, evacuation] : hosted.m_evacuations)
@@ -81,6 +90,18 @@
   return delta;
 }
 
+void MemberSide::OnPieceRequest(const wire::PieceRequest& request, const ReplyFn& reply) {
+  wire::Piece piece;
+  const wire::DocumentChange* step = FindStep(m_steps, request.base, request.version);
+  const auto offset = static_cast<std::size_t>(std::max<std::int64_t>(request.offset, 0));
+  if (step != nullptr && offset < step->edits.size())
+    piece.bytes = step->edits.substr(offset, kPieceBytes);
+  m_news_bytes += piece.bytes.size();
+  wire::Body body;
+  body.__set_piece(std::move(piece));
+  reply(std::move(body));
+}
+
 bool MemberSide::LacksLeader(Instant now) const {
   return m_settings.m_hosted && !leads() && now - m_node.m_leader_heard > kLeaderMissed;
 }
@@ -116,23 +137,6 @@
   });
 }
 
-void MemberSide::SubmitDocument(const wire::Document& document, const ReplyFn& reply) {
-  if (!leads()) {
-    wire::Body body;
-    body.__set_document(document);
-    AskLeader(std::move(body), reply);
-    return;
-  }
-  // Also an older version goes through the log: its acknowledgement must come from a leader that
-  // still is one, and the newest one must be safe by then.
-  wire::Command command;
-  if (document.version > m_machine.m_hosted.m_document.version)
-    command.__set_document(document);
-  else
-    command.__set_noop(true);
-  Commit(std::move(command), reply);
-}
-
 bool MemberSide::LeadsForSure(const ReplyFn& reply) const {
   if (ConfirmedLeader(m_node, ReadClock()))
     return true;
@@ -140,20 +144,6 @@
   return false;
 }
 
-void MemberSide::ReadDocument(const ReplyFn& reply) {
-  if (!leads()) {
-    wire::Body body;
-    body.__set_document_request(true);
-    AskLeader(std::move(body), reply);
-    return;
-  }
-  if (!LeadsForSure(reply))
-    return;
-  wire::Body body;
-  body.__set_document(m_machine.m_hosted.m_document);
-  reply(std::move(body));
-}
-
 void MemberSide::SetColdReader(ColdReader reader) {
   m_cold_reader = std::move(reader);
   ReadColdLimits();
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -80,6 +80,7 @@
 
 void MemberSide::OnStateReplaced() {
   const Instant now = ReadClock();
+  m_steps = {};
   m_rollouts.OnApplied(m_machine.m_hosted, now);
   ReadColdLimits();
   m_cold_until.clear();
@@ -140,7 +141,10 @@
   for (const wire::LogEntry& entry : entries) {
     if (entry.index <= m_machine.m_applied)
       continue;
+    const std::int64_t held = m_machine.m_hosted.m_document.version;
     wire::CommandResult result = ApplyEntry(m_machine, entry);
+    if (m_machine.m_hosted.m_document.version != held)
+      NoteStep(m_steps, entry.command.document_change);
     const auto found = m_pending.find(entry.index);
     if (found == m_pending.end())
       continue;
@@ -442,7 +446,6 @@
       wire::Body body;
       body.__set_delta(NewsFor(poll.m_poll));
       ++m_news_answers;
-      m_news_bytes += body.delta.document.body.size();
       told_servers = told_servers || (poll.m_poll.have_servers != 0 && !body.delta.servers.empty());
       poll.m_reply(std::move(body));
       continue;
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "place_side.h"
@@ -43,12 +44,20 @@
   /// A batch of place requests and reports about places.
   void OnPlaces(const wire::PlaceBatch& batch, PeerConnection& from);
   void OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply);
+  /// Replies with a part of a step of the document, without bytes if it isn't kept.
+  void OnPieceRequest(const wire::PieceRequest& request, const ReplyFn& reply);
   void OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply);
   [[nodiscard]] wire::StatusReply Status() const;
 
   /// Hosted deployments: replies `done` once the document is committed, here or at the leader, or
   /// an error after which the caller may send it again anywhere.
   void SubmitDocument(const wire::Document& document, const ReplyFn& reply);
+  /// A document that another member passes on, as the step from the version held there.
+  /// Precondition: this member leads. Replies `kVersionConflict` if it holds another version.
+  void SubmitDocumentChange(const wire::DocumentChange& change, const ReplyFn& reply);
+  /// Replies with the steps that lead another member to the newest document. Precondition: as
+  /// above.
+  void ReadDocumentSteps(const wire::DocumentRead& read, const ReplyFn& reply);
   /// Replies with the newest accepted document, or an error if that can't be made sure of.
   void ReadDocument(const ReplyFn& reply);
   /// A backend server's own call. Replies `done` once every instance in contact will learn of it.
@@ -83,6 +92,11 @@
     ReplyFn m_reply;
     Instant m_expires{};
   };
+  /// Operators' documents of one version or several, acknowledged together.
+  struct DocumentOrder {
+    wire::Document m_document;  ///< The newest of them.
+    std::vector<ReplyFn> m_replies;
+  };
   struct ParkedPoll {
     wire::ConfigPoll m_poll;
     ReplyFn m_reply;
@@ -108,6 +122,12 @@
   [[nodiscard]] PeerClient* PeerNamed(const std::string& name);
   /// Sends to the leader, or replies that there is none in reach.
   void AskLeader(wire::Body body, const ReplyFn& reply);
+  /// Proposes the step to the document; one at a time, since it has to follow on what is held when
+  /// it is applied.
+  void ProposeDocument(DocumentOrder order);
+  void OnDocumentProposed(const wire::Body& answer);
+  /// Passes a document on to the leader: the step from the version held here, or the whole.
+  void ForwardDocument(const wire::Document& document, bool whole, const ReplyFn& reply);
   /// Proposes commands of this leader and replies `done` once they are applied.
   void Commit(wire::Command command, const ReplyFn& reply);
   [[nodiscard]] std::string MemberName() const;
@@ -117,7 +137,7 @@
   [[nodiscard]] bool MayTellServers(const wire::ConfigPoll& poll) const;
   /// The term of the leader that this member follows or is; zero: it knows none.
   [[nodiscard]] std::int64_t KnownLeaderTerm() const;
-  [[nodiscard]] wire::ConfigDelta NewsFor(const wire::ConfigPoll& poll) const;
+  [[nodiscard]] wire::ConfigDelta NewsFor(const wire::ConfigPoll& poll);
   [[nodiscard]] wire::MemberInfo Self() const;
   [[nodiscard]] bool Blank() const { return m_node.m_membership.members.empty(); }
   /// What status shows of each data centre that an order was given for.
@@ -171,6 +191,9 @@
   Mailbox<int> m_flusher;
   std::map<std::int64_t, Slot> m_pending;  ///< By log index.
   std::vector<ParkedPoll> m_polls;
+  DocumentHistory m_steps;
+  std::optional<DocumentOrder> m_proposed_document;  ///< Under way.
+  std::optional<DocumentOrder> m_waiting_document;   ///< Comes after it.
   Instant m_servers_told{};  ///< When parked polls last got changes of servers.
   Instant m_hello_due{};
   std::int64_t m_proposing_until = 0;  ///< Leader's own proposals up to here are under way.
--- a/fuzz/codec_fuzz.cc
+++ b/fuzz/codec_fuzz.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 
 #include "poppyway/platform.h"
+#include "poppyway/state.h"
 #include "poppyway/wire.h"
 
 namespace poppyway {
@@ -101,6 +102,20 @@
   Require(again.has_value() && Serialize(*again) == written);
 }
 
+/// The edits of a step of the document, as they come packed and as they are inside: a text and a
+/// list.
+void FuzzEdits(std::string_view bytes) {
+  constexpr std::size_t kMost = 1 << 16;
+  const std::string base(bytes.substr(0, bytes.size() / 2));
+  const std::string_view list = bytes.substr(bytes.size() / 2);
+  for (const std::string& edits : {std::string(list), Pack(list)}) {
+    const Result<std::string> text = ApplyEdits(base, edits, kMost);
+    Require(!text || text->size() <= kMost);
+  }
+  const Result<std::string> again = ApplyEdits(base, EncodeEdits(base, list), kMost);
+  Require(list.size() > kMost || (again && *again == list));
+}
+
 }  // namespace
 }  // namespace poppyway
 
@@ -122,6 +137,9 @@
     case 'e':
       FuzzEvents(bytes);
       break;
+    case 's':
+      FuzzEdits(bytes);
+      break;
     case 'p':
       FuzzEnvelope(bytes);
       break;
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -26,6 +26,8 @@
   std::size_t bytes = kSmallCommand;
   if (command.__isset.document)
     bytes += command.document.body.size();
+  if (command.__isset.document_change)
+    bytes += command.document_change.edits.size();
   if (command.__isset.finish)
     bytes += command.finish.answer.body.size();
   if (command.__isset.config) {
--- a/packages/state/include/poppyway/state.h
+++ b/packages/state/include/poppyway/state.h
@@ -12,8 +12,10 @@
 
 #include "poppyway/state/impl/configuration.h"
 #include "poppyway/state/impl/dispatch_ledger.h"
+#include "poppyway/state/impl/document_steps.h"
 #include "poppyway/state/impl/evacuation_state.h"
 #include "poppyway/state/impl/hosted_state.h"
 #include "poppyway/state/impl/instance_table.h"
 #include "poppyway/state/impl/rollout_state.h"
 #include "poppyway/state/impl/state_machine.h"
+#include "poppyway/state/impl/text_edits.h"
--- a/packages/state/include/poppyway/state/impl/hosted_state.h
+++ b/packages/state/include/poppyway/state/impl/hosted_state.h
@@ -31,6 +31,12 @@
 /// \brief The document with the highest version prevails; any other changes nothing.
 void ApplyDocument(HostedState& state, const wire::Document& document);
 
+/// \brief Takes a step to a higher version, on the version that it is from.
+/// \return false if the document is at another version, or the step can't be taken: nothing
+/// changed. True also for a step to a version that isn't above the one held, which changes nothing
+/// either.
+[[nodiscard]] bool ApplyDocumentChange(HostedState& state, const wire::DocumentChange& change);
+
 /// \brief Takes a server's call unless a later one of the same server is known. A server is (id,
 /// born): a later birth replaces the record whole, an earlier one is late news. Within one life a
 /// server that has begun to leave never returns to work, and one that is gone stays gone.
--- a/packages/state/src/hosted_state.cc
+++ b/packages/state/src/hosted_state.cc
@@ -66,6 +66,16 @@
     state.m_document = document;
 }
 
+bool ApplyDocumentChange(HostedState& state, const wire::DocumentChange& change) {
+  if (change.version <= state.m_document.version)
+    return true;
+  Result<wire::Document> document = ApplyStep(state.m_document, change);
+  if (!document)
+    return false;
+  state.m_document = std::move(*document);
+  return true;
+}
+
 bool ChangesServer(const HostedState& state, const wire::ServerRecord& record) {
   const auto found = state.m_servers.find(record.id);
   if (found == state.m_servers.end())
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -26,6 +26,8 @@
     result.__set_config(ApplyChange(machine.m_configuration, command.config));
   } else if (command.__isset.rollout) {
     result.__set_rollout(ApplyRolloutOrder(machine.m_hosted, command.rollout, entry.index));
+  } else if (command.__isset.document_change) {
+    result.__set_done(ApplyDocumentChange(machine.m_hosted, command.document_change));
   } else if (command.__isset.claim) {
     result.__set_claim(ApplyClaim(machine.m_ledger, command.claim));
   } else {
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -209,6 +209,35 @@
   }
 }
 
+int _kNewsKindValues[] = {
+  NewsKind::SERVERS,
+  NewsKind::DOCUMENT
+};
+const char* _kNewsKindNames[] = {
+  "SERVERS",
+  "DOCUMENT"
+};
+const std::map<int, const char*> _NewsKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kNewsKindValues, _kNewsKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const NewsKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _NewsKind_VALUES_TO_NAMES.find(val);
+  if (it != _NewsKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const NewsKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _NewsKind_VALUES_TO_NAMES.find(val);
+  if (it != _NewsKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kUseStageValues[] = {
   UseStage::FIRST_TOKEN,
   UseStage::FINISHED,
@@ -434,69 +463,29 @@
 }
 
 
-ServerRecord::~ServerRecord() noexcept {
-}
-
-
-void ServerRecord::__set_id(const std::string& val) {
-  this->id = val;
-}
-
-void ServerRecord::__set_pool(const std::string& val) {
-  this->pool = val;
-}
-
-void ServerRecord::__set_address(const std::string& val) {
-  this->address = val;
-}
-
-void ServerRecord::__set_port(const int32_t val) {
-  this->port = val;
-}
-
-void ServerRecord::__set_data_centre(const std::string& val) {
-  this->data_centre = val;
-}
-
-void ServerRecord::__set_slots(const int32_t val) {
-  this->slots = val;
-}
-
-void ServerRecord::__set_stage(const ServerStage::type val) {
-  this->stage = val;
-}
-
-void ServerRecord::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void ServerRecord::__set_index(const int64_t val) {
-  this->index = val;
+TextEdit::~TextEdit() noexcept {
 }
 
-void ServerRecord::__set_version(const std::string& val) {
-  this->version = val;
-}
 
-void ServerRecord::__set_held_back(const bool val) {
-  this->held_back = val;
+void TextEdit::__set_offset(const int64_t val) {
+  this->offset = val;
 }
 
-void ServerRecord::__set_born(const int64_t val) {
-  this->born = val;
+void TextEdit::__set_length(const int64_t val) {
+  this->length = val;
 }
 
-void ServerRecord::__set_cold_for_ms(const int32_t val) {
-  this->cold_for_ms = val;
+void TextEdit::__set_own(const std::string& val) {
+  this->own = val;
 }
-std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
+std::ostream& operator<<(std::ostream& out, const TextEdit& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ServerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TextEdit::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -518,107 +507,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->id);
-          this->__isset.id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->port);
-          this->__isset.port = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->data_centre);
-          this->__isset.data_centre = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->slots);
-          this->__isset.slots = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast4;
-          xfer += iprot->readI32(ecast4);
-          this->stage = static_cast<ServerStage::type>(ecast4);
-          this->__isset.stage = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->length);
+          this->__isset.length = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->held_back);
-          this->__isset.held_back = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->born);
-          this->__isset.born = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->cold_for_ms);
-          this->__isset.cold_for_ms = true;
+          xfer += iprot->readBinary(this->own);
+          this->__isset.own = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -635,61 +542,21 @@
   return xfer;
 }
 
-uint32_t ServerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TextEdit::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ServerRecord");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->pool);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->address);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->port);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->data_centre);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->slots);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("TextEdit");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 10);
-  xfer += oprot->writeString(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("held_back", ::apache::thrift::protocol::T_BOOL, 11);
-  xfer += oprot->writeBool(this->held_back);
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->offset);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 12);
-  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldBegin("length", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->length);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cold_for_ms", ::apache::thrift::protocol::T_I32, 13);
-  xfer += oprot->writeI32(this->cold_for_ms);
+  xfer += oprot->writeFieldBegin("own", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->own);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -697,134 +564,65 @@
   return xfer;
 }
 
-void swap(ServerRecord &a, ServerRecord &b) {
+void swap(TextEdit &a, TextEdit &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.pool, b.pool);
-  swap(a.address, b.address);
-  swap(a.port, b.port);
-  swap(a.data_centre, b.data_centre);
-  swap(a.slots, b.slots);
-  swap(a.stage, b.stage);
-  swap(a.sequence, b.sequence);
-  swap(a.index, b.index);
-  swap(a.version, b.version);
-  swap(a.held_back, b.held_back);
-  swap(a.born, b.born);
-  swap(a.cold_for_ms, b.cold_for_ms);
+  swap(a.offset, b.offset);
+  swap(a.length, b.length);
+  swap(a.own, b.own);
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other5) {
-  id = other5.id;
-  pool = other5.pool;
-  address = other5.address;
-  port = other5.port;
-  data_centre = other5.data_centre;
-  slots = other5.slots;
-  stage = other5.stage;
-  sequence = other5.sequence;
-  index = other5.index;
-  version = other5.version;
-  held_back = other5.held_back;
-  born = other5.born;
-  cold_for_ms = other5.cold_for_ms;
+TextEdit::TextEdit(const TextEdit& other4) {
+  offset = other4.offset;
+  length = other4.length;
+  own = other4.own;
+  __isset = other4.__isset;
+}
+TextEdit::TextEdit(TextEdit&& other5) noexcept {
+  offset = other5.offset;
+  length = other5.length;
+  own = std::move(other5.own);
   __isset = other5.__isset;
 }
-ServerRecord::ServerRecord(ServerRecord&& other6) noexcept {
-  id = std::move(other6.id);
-  pool = std::move(other6.pool);
-  address = std::move(other6.address);
-  port = other6.port;
-  data_centre = std::move(other6.data_centre);
-  slots = other6.slots;
-  stage = other6.stage;
-  sequence = other6.sequence;
-  index = other6.index;
-  version = std::move(other6.version);
-  held_back = other6.held_back;
-  born = other6.born;
-  cold_for_ms = other6.cold_for_ms;
+TextEdit& TextEdit::operator=(const TextEdit& other6) {
+  offset = other6.offset;
+  length = other6.length;
+  own = other6.own;
   __isset = other6.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other7) {
-  id = other7.id;
-  pool = other7.pool;
-  address = other7.address;
-  port = other7.port;
-  data_centre = other7.data_centre;
-  slots = other7.slots;
-  stage = other7.stage;
-  sequence = other7.sequence;
-  index = other7.index;
-  version = other7.version;
-  held_back = other7.held_back;
-  born = other7.born;
-  cold_for_ms = other7.cold_for_ms;
-  __isset = other7.__isset;
   return *this;
 }
-ServerRecord& ServerRecord::operator=(ServerRecord&& other8) noexcept {
-  id = std::move(other8.id);
-  pool = std::move(other8.pool);
-  address = std::move(other8.address);
-  port = other8.port;
-  data_centre = std::move(other8.data_centre);
-  slots = other8.slots;
-  stage = other8.stage;
-  sequence = other8.sequence;
-  index = other8.index;
-  version = std::move(other8.version);
-  held_back = other8.held_back;
-  born = other8.born;
-  cold_for_ms = other8.cold_for_ms;
-  __isset = other8.__isset;
+TextEdit& TextEdit::operator=(TextEdit&& other7) noexcept {
+  offset = other7.offset;
+  length = other7.length;
+  own = std::move(other7.own);
+  __isset = other7.__isset;
   return *this;
 }
-void ServerRecord::printTo(std::ostream& out) const {
+void TextEdit::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ServerRecord(";
-  out << "id=" << to_string(id);
-  out << ", " << "pool=" << to_string(pool);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "port=" << to_string(port);
-  out << ", " << "data_centre=" << to_string(data_centre);
-  out << ", " << "slots=" << to_string(slots);
-  out << ", " << "stage=" << to_string(stage);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "index=" << to_string(index);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "held_back=" << to_string(held_back);
-  out << ", " << "born=" << to_string(born);
-  out << ", " << "cold_for_ms=" << to_string(cold_for_ms);
+  out << "TextEdit(";
+  out << "offset=" << to_string(offset);
+  out << ", " << "length=" << to_string(length);
+  out << ", " << "own=" << to_string(own);
   out << ")";
 }
 
 
-EvacuationOrder::~EvacuationOrder() noexcept {
-}
-
-
-void EvacuationOrder::__set_data_centre(const std::string& val) {
-  this->data_centre = val;
+TextEdits::~TextEdits() noexcept {
 }
 
-void EvacuationOrder::__set_ends(const bool val) {
-  this->ends = val;
-}
 
-void EvacuationOrder::__set_known(const int64_t val) {
-  this->known = val;
-__isset.known = true;
+void TextEdits::__set_edits(const std::vector<TextEdit> & val) {
+  this->edits = val;
 }
-std::ostream& operator<<(std::ostream& out, const EvacuationOrder& obj)
+std::ostream& operator<<(std::ostream& out, const TextEdits& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EvacuationOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TextEdits::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -846,25 +644,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->data_centre);
-          this->__isset.data_centre = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ends);
-          this->__isset.ends = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->known);
-          this->__isset.known = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->edits.clear();
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->edits.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
+            {
+              xfer += this->edits[_i12].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.edits = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -881,100 +675,91 @@
   return xfer;
 }
 
-uint32_t EvacuationOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TextEdits::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EvacuationOrder");
-
-  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->data_centre);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("TextEdits");
 
-  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->ends);
+  xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->edits.size()));
+    std::vector<TextEdit> ::const_iterator _iter13;
+    for (_iter13 = this->edits.begin(); _iter13 != this->edits.end(); ++_iter13)
+    {
+      xfer += (*_iter13).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.known) {
-    xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 3);
-    xfer += oprot->writeI64(this->known);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(EvacuationOrder &a, EvacuationOrder &b) {
+void swap(TextEdits &a, TextEdits &b) {
   using ::std::swap;
-  swap(a.data_centre, b.data_centre);
-  swap(a.ends, b.ends);
-  swap(a.known, b.known);
+  swap(a.edits, b.edits);
   swap(a.__isset, b.__isset);
 }
 
-EvacuationOrder::EvacuationOrder(const EvacuationOrder& other9) {
-  data_centre = other9.data_centre;
-  ends = other9.ends;
-  known = other9.known;
-  __isset = other9.__isset;
+TextEdits::TextEdits(const TextEdits& other14) {
+  edits = other14.edits;
+  __isset = other14.__isset;
 }
-EvacuationOrder::EvacuationOrder(EvacuationOrder&& other10) noexcept {
-  data_centre = std::move(other10.data_centre);
-  ends = other10.ends;
-  known = other10.known;
-  __isset = other10.__isset;
+TextEdits::TextEdits(TextEdits&& other15) noexcept {
+  edits = std::move(other15.edits);
+  __isset = other15.__isset;
 }
-EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other11) {
-  data_centre = other11.data_centre;
-  ends = other11.ends;
-  known = other11.known;
-  __isset = other11.__isset;
+TextEdits& TextEdits::operator=(const TextEdits& other16) {
+  edits = other16.edits;
+  __isset = other16.__isset;
   return *this;
 }
-EvacuationOrder& EvacuationOrder::operator=(EvacuationOrder&& other12) noexcept {
-  data_centre = std::move(other12.data_centre);
-  ends = other12.ends;
-  known = other12.known;
-  __isset = other12.__isset;
+TextEdits& TextEdits::operator=(TextEdits&& other17) noexcept {
+  edits = std::move(other17.edits);
+  __isset = other17.__isset;
   return *this;
 }
-void EvacuationOrder::printTo(std::ostream& out) const {
+void TextEdits::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EvacuationOrder(";
-  out << "data_centre=" << to_string(data_centre);
-  out << ", " << "ends=" << to_string(ends);
-  out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
+  out << "TextEdits(";
+  out << "edits=" << to_string(edits);
   out << ")";
 }
 
 
-Evacuation::~Evacuation() noexcept {
+DocumentChange::~DocumentChange() noexcept {
 }
 
 
-void Evacuation::__set_data_centre(const std::string& val) {
-  this->data_centre = val;
+void DocumentChange::__set_base(const int64_t val) {
+  this->base = val;
 }
 
-void Evacuation::__set_number(const int64_t val) {
-  this->number = val;
+void DocumentChange::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void Evacuation::__set_ended(const bool val) {
-  this->ended = val;
+void DocumentChange::__set_digest(const int64_t val) {
+  this->digest = val;
 }
 
-void Evacuation::__set_index(const int64_t val) {
-  this->index = val;
+void DocumentChange::__set_edits(const std::string& val) {
+  this->edits = val;
 }
-std::ostream& operator<<(std::ostream& out, const Evacuation& obj)
+
+void DocumentChange::__set_bytes(const int64_t val) {
+  this->bytes = val;
+}
+std::ostream& operator<<(std::ostream& out, const DocumentChange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t DocumentChange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -996,33 +781,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->data_centre);
-          this->__isset.data_centre = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ended);
-          this->__isset.ended = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->edits);
+          this->__isset.edits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+          xfer += iprot->readI64(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1039,25 +832,29 @@
   return xfer;
 }
 
-uint32_t Evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t DocumentChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Evacuation");
+  xfer += oprot->writeStructBegin("DocumentChange");
 
-  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->ended);
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldBegin("edits", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->edits);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->bytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1065,79 +862,125 @@
   return xfer;
 }
 
-void swap(Evacuation &a, Evacuation &b) {
+void swap(DocumentChange &a, DocumentChange &b) {
   using ::std::swap;
-  swap(a.data_centre, b.data_centre);
-  swap(a.number, b.number);
-  swap(a.ended, b.ended);
-  swap(a.index, b.index);
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.edits, b.edits);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-Evacuation::Evacuation(const Evacuation& other13) {
-  data_centre = other13.data_centre;
-  number = other13.number;
-  ended = other13.ended;
-  index = other13.index;
-  __isset = other13.__isset;
+DocumentChange::DocumentChange(const DocumentChange& other18) {
+  base = other18.base;
+  version = other18.version;
+  digest = other18.digest;
+  edits = other18.edits;
+  bytes = other18.bytes;
+  __isset = other18.__isset;
 }
-Evacuation::Evacuation(Evacuation&& other14) noexcept {
-  data_centre = std::move(other14.data_centre);
-  number = other14.number;
-  ended = other14.ended;
-  index = other14.index;
-  __isset = other14.__isset;
+DocumentChange::DocumentChange(DocumentChange&& other19) noexcept {
+  base = other19.base;
+  version = other19.version;
+  digest = other19.digest;
+  edits = std::move(other19.edits);
+  bytes = other19.bytes;
+  __isset = other19.__isset;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other15) {
-  data_centre = other15.data_centre;
-  number = other15.number;
-  ended = other15.ended;
-  index = other15.index;
-  __isset = other15.__isset;
+DocumentChange& DocumentChange::operator=(const DocumentChange& other20) {
+  base = other20.base;
+  version = other20.version;
+  digest = other20.digest;
+  edits = other20.edits;
+  bytes = other20.bytes;
+  __isset = other20.__isset;
   return *this;
 }
-Evacuation& Evacuation::operator=(Evacuation&& other16) noexcept {
-  data_centre = std::move(other16.data_centre);
-  number = other16.number;
-  ended = other16.ended;
-  index = other16.index;
-  __isset = other16.__isset;
+DocumentChange& DocumentChange::operator=(DocumentChange&& other21) noexcept {
+  base = other21.base;
+  version = other21.version;
+  digest = other21.digest;
+  edits = std::move(other21.edits);
+  bytes = other21.bytes;
+  __isset = other21.__isset;
   return *this;
 }
-void Evacuation::printTo(std::ostream& out) const {
+void DocumentChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Evacuation(";
-  out << "data_centre=" << to_string(data_centre);
-  out << ", " << "number=" << to_string(number);
-  out << ", " << "ended=" << to_string(ended);
-  out << ", " << "index=" << to_string(index);
+  out << "DocumentChange(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "edits=" << to_string(edits);
+  out << ", " << "bytes=" << to_string(bytes);
   out << ")";
 }
 
 
-RolloutOrder::~RolloutOrder() noexcept {
+ServerRecord::~ServerRecord() noexcept {
 }
 
 
-void RolloutOrder::__set_pool(const std::string& val) {
+void ServerRecord::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ServerRecord::__set_pool(const std::string& val) {
   this->pool = val;
 }
 
-void RolloutOrder::__set_target(const std::string& val) {
-  this->target = val;
+void ServerRecord::__set_address(const std::string& val) {
+  this->address = val;
 }
 
-void RolloutOrder::__set_duration_ms(const int64_t val) {
-  this->duration_ms = val;
+void ServerRecord::__set_port(const int32_t val) {
+  this->port = val;
 }
-std::ostream& operator<<(std::ostream& out, const RolloutOrder& obj)
+
+void ServerRecord::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void ServerRecord::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ServerRecord::__set_stage(const ServerStage::type val) {
+  this->stage = val;
+}
+
+void ServerRecord::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void ServerRecord::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void ServerRecord::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void ServerRecord::__set_held_back(const bool val) {
+  this->held_back = val;
+}
+
+void ServerRecord::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void ServerRecord::__set_cold_for_ms(const int32_t val) {
+  this->cold_for_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RolloutOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServerRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1160,55 +1003,177 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast22;
+          xfer += iprot->readI32(ecast22);
+          this->stage = static_cast<ServerStage::type>(ecast22);
+          this->__isset.stage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->duration_ms);
-          this->__isset.duration_ms = true;
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t RolloutOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RolloutOrder");
-
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->pool);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("duration_ms", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->duration_ms);
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->held_back);
+          this->__isset.held_back = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cold_for_ms);
+          this->__isset.cold_for_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerRecord");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_back", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->held_back);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cold_for_ms", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->cold_for_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1216,97 +1181,134 @@
   return xfer;
 }
 
-void swap(RolloutOrder &a, RolloutOrder &b) {
+void swap(ServerRecord &a, ServerRecord &b) {
   using ::std::swap;
+  swap(a.id, b.id);
   swap(a.pool, b.pool);
-  swap(a.target, b.target);
-  swap(a.duration_ms, b.duration_ms);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.data_centre, b.data_centre);
+  swap(a.slots, b.slots);
+  swap(a.stage, b.stage);
+  swap(a.sequence, b.sequence);
+  swap(a.index, b.index);
+  swap(a.version, b.version);
+  swap(a.held_back, b.held_back);
+  swap(a.born, b.born);
+  swap(a.cold_for_ms, b.cold_for_ms);
   swap(a.__isset, b.__isset);
 }
 
-RolloutOrder::RolloutOrder(const RolloutOrder& other17) {
-  pool = other17.pool;
-  target = other17.target;
-  duration_ms = other17.duration_ms;
-  __isset = other17.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other23) {
+  id = other23.id;
+  pool = other23.pool;
+  address = other23.address;
+  port = other23.port;
+  data_centre = other23.data_centre;
+  slots = other23.slots;
+  stage = other23.stage;
+  sequence = other23.sequence;
+  index = other23.index;
+  version = other23.version;
+  held_back = other23.held_back;
+  born = other23.born;
+  cold_for_ms = other23.cold_for_ms;
+  __isset = other23.__isset;
 }
-RolloutOrder::RolloutOrder(RolloutOrder&& other18) noexcept {
-  pool = std::move(other18.pool);
-  target = std::move(other18.target);
-  duration_ms = other18.duration_ms;
-  __isset = other18.__isset;
+ServerRecord::ServerRecord(ServerRecord&& other24) noexcept {
+  id = std::move(other24.id);
+  pool = std::move(other24.pool);
+  address = std::move(other24.address);
+  port = other24.port;
+  data_centre = std::move(other24.data_centre);
+  slots = other24.slots;
+  stage = other24.stage;
+  sequence = other24.sequence;
+  index = other24.index;
+  version = std::move(other24.version);
+  held_back = other24.held_back;
+  born = other24.born;
+  cold_for_ms = other24.cold_for_ms;
+  __isset = other24.__isset;
 }
-RolloutOrder& RolloutOrder::operator=(const RolloutOrder& other19) {
-  pool = other19.pool;
-  target = other19.target;
-  duration_ms = other19.duration_ms;
-  __isset = other19.__isset;
+ServerRecord& ServerRecord::operator=(const ServerRecord& other25) {
+  id = other25.id;
+  pool = other25.pool;
+  address = other25.address;
+  port = other25.port;
+  data_centre = other25.data_centre;
+  slots = other25.slots;
+  stage = other25.stage;
+  sequence = other25.sequence;
+  index = other25.index;
+  version = other25.version;
+  held_back = other25.held_back;
+  born = other25.born;
+  cold_for_ms = other25.cold_for_ms;
+  __isset = other25.__isset;
   return *this;
 }
-RolloutOrder& RolloutOrder::operator=(RolloutOrder&& other20) noexcept {
-  pool = std::move(other20.pool);
-  target = std::move(other20.target);
-  duration_ms = other20.duration_ms;
-  __isset = other20.__isset;
+ServerRecord& ServerRecord::operator=(ServerRecord&& other26) noexcept {
+  id = std::move(other26.id);
+  pool = std::move(other26.pool);
+  address = std::move(other26.address);
+  port = other26.port;
+  data_centre = std::move(other26.data_centre);
+  slots = other26.slots;
+  stage = other26.stage;
+  sequence = other26.sequence;
+  index = other26.index;
+  version = std::move(other26.version);
+  held_back = other26.held_back;
+  born = other26.born;
+  cold_for_ms = other26.cold_for_ms;
+  __isset = other26.__isset;
   return *this;
 }
-void RolloutOrder::printTo(std::ostream& out) const {
+void ServerRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RolloutOrder(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "target=" << to_string(target);
-  out << ", " << "duration_ms=" << to_string(duration_ms);
+  out << "ServerRecord(";
+  out << "id=" << to_string(id);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "held_back=" << to_string(held_back);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "cold_for_ms=" << to_string(cold_for_ms);
   out << ")";
 }
 
 
-Rollout::~Rollout() noexcept {
-}
-
-
-void Rollout::__set_pool(const std::string& val) {
-  this->pool = val;
-}
-
-void Rollout::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void Rollout::__set_number(const int64_t val) {
-  this->number = val;
-}
-
-void Rollout::__set_duration_ms(const int64_t val) {
-  this->duration_ms = val;
-}
-
-void Rollout::__set_stage(const RolloutStage::type val) {
-  this->stage = val;
+EvacuationOrder::~EvacuationOrder() noexcept {
 }
 
-void Rollout::__set_left_ms(const int64_t val) {
-  this->left_ms = val;
-}
 
-void Rollout::__set_requests(const int64_t val) {
-  this->requests = val;
+void EvacuationOrder::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
 }
 
-void Rollout::__set_allowed(const int64_t val) {
-  this->allowed = val;
+void EvacuationOrder::__set_ends(const bool val) {
+  this->ends = val;
 }
 
-void Rollout::__set_why(const std::string& val) {
-  this->why = val;
+void EvacuationOrder::__set_known(const int64_t val) {
+  this->known = val;
+__isset.known = true;
 }
-std::ostream& operator<<(std::ostream& out, const Rollout& obj)
+std::ostream& operator<<(std::ostream& out, const EvacuationOrder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Rollout::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EvacuationOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1329,74 +1331,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ends);
+          this->__isset.ends = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->duration_ms);
-          this->__isset.duration_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast21;
-          xfer += iprot->readI32(ecast21);
-          this->stage = static_cast<RolloutStage::type>(ecast21);
-          this->__isset.stage = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->left_ms);
-          this->__isset.left_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->requests);
-          this->__isset.requests = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->allowed);
-          this->__isset.allowed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->why);
-          this->__isset.why = true;
+          xfer += iprot->readI64(this->known);
+          this->__isset.known = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1413,171 +1365,100 @@
   return xfer;
 }
 
-uint32_t Rollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EvacuationOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Rollout");
+  xfer += oprot->writeStructBegin("EvacuationOrder");
 
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->pool);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->number);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("duration_ms", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->duration_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->left_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->requests);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->allowed);
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("why", ::apache::thrift::protocol::T_STRING, 9);
-  xfer += oprot->writeString(this->why);
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->ends);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.known) {
+    xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->known);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Rollout &a, Rollout &b) {
+void swap(EvacuationOrder &a, EvacuationOrder &b) {
   using ::std::swap;
-  swap(a.pool, b.pool);
-  swap(a.target, b.target);
-  swap(a.number, b.number);
-  swap(a.duration_ms, b.duration_ms);
-  swap(a.stage, b.stage);
-  swap(a.left_ms, b.left_ms);
-  swap(a.requests, b.requests);
-  swap(a.allowed, b.allowed);
-  swap(a.why, b.why);
+  swap(a.data_centre, b.data_centre);
+  swap(a.ends, b.ends);
+  swap(a.known, b.known);
   swap(a.__isset, b.__isset);
 }
 
-Rollout::Rollout(const Rollout& other22) {
-  pool = other22.pool;
-  target = other22.target;
-  number = other22.number;
-  duration_ms = other22.duration_ms;
-  stage = other22.stage;
-  left_ms = other22.left_ms;
-  requests = other22.requests;
-  allowed = other22.allowed;
-  why = other22.why;
-  __isset = other22.__isset;
-}
-Rollout::Rollout(Rollout&& other23) noexcept {
-  pool = std::move(other23.pool);
-  target = std::move(other23.target);
-  number = other23.number;
-  duration_ms = other23.duration_ms;
-  stage = other23.stage;
-  left_ms = other23.left_ms;
-  requests = other23.requests;
-  allowed = other23.allowed;
-  why = std::move(other23.why);
-  __isset = other23.__isset;
+EvacuationOrder::EvacuationOrder(const EvacuationOrder& other27) {
+  data_centre = other27.data_centre;
+  ends = other27.ends;
+  known = other27.known;
+  __isset = other27.__isset;
 }
-Rollout& Rollout::operator=(const Rollout& other24) {
-  pool = other24.pool;
-  target = other24.target;
-  number = other24.number;
-  duration_ms = other24.duration_ms;
-  stage = other24.stage;
-  left_ms = other24.left_ms;
-  requests = other24.requests;
-  allowed = other24.allowed;
-  why = other24.why;
-  __isset = other24.__isset;
+EvacuationOrder::EvacuationOrder(EvacuationOrder&& other28) noexcept {
+  data_centre = std::move(other28.data_centre);
+  ends = other28.ends;
+  known = other28.known;
+  __isset = other28.__isset;
+}
+EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other29) {
+  data_centre = other29.data_centre;
+  ends = other29.ends;
+  known = other29.known;
+  __isset = other29.__isset;
   return *this;
 }
-Rollout& Rollout::operator=(Rollout&& other25) noexcept {
-  pool = std::move(other25.pool);
-  target = std::move(other25.target);
-  number = other25.number;
-  duration_ms = other25.duration_ms;
-  stage = other25.stage;
-  left_ms = other25.left_ms;
-  requests = other25.requests;
-  allowed = other25.allowed;
-  why = std::move(other25.why);
-  __isset = other25.__isset;
+EvacuationOrder& EvacuationOrder::operator=(EvacuationOrder&& other30) noexcept {
+  data_centre = std::move(other30.data_centre);
+  ends = other30.ends;
+  known = other30.known;
+  __isset = other30.__isset;
   return *this;
 }
-void Rollout::printTo(std::ostream& out) const {
+void EvacuationOrder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Rollout(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "target=" << to_string(target);
-  out << ", " << "number=" << to_string(number);
-  out << ", " << "duration_ms=" << to_string(duration_ms);
-  out << ", " << "stage=" << to_string(stage);
-  out << ", " << "left_ms=" << to_string(left_ms);
-  out << ", " << "requests=" << to_string(requests);
-  out << ", " << "allowed=" << to_string(allowed);
-  out << ", " << "why=" << to_string(why);
+  out << "EvacuationOrder(";
+  out << "data_centre=" << to_string(data_centre);
+  out << ", " << "ends=" << to_string(ends);
+  out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
   out << ")";
 }
 
 
-RolloutStep::~RolloutStep() noexcept {
+Evacuation::~Evacuation() noexcept {
 }
 
 
-void RolloutStep::__set_pool(const std::string& val) {
-  this->pool = val;
+void Evacuation::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
 }
 
-void RolloutStep::__set_number(const int64_t val) {
+void Evacuation::__set_number(const int64_t val) {
   this->number = val;
 }
 
-void RolloutStep::__set_stage(const RolloutStage::type val) {
-  this->stage = val;
-}
-
-void RolloutStep::__set_left_ms(const int64_t val) {
-  this->left_ms = val;
-}
-
-void RolloutStep::__set_requests(const int64_t val) {
-  this->requests = val;
-}
-
-void RolloutStep::__set_allowed(const int64_t val) {
-  this->allowed = val;
+void Evacuation::__set_ended(const bool val) {
+  this->ended = val;
 }
 
-void RolloutStep::__set_why(const std::string& val) {
-  this->why = val;
+void Evacuation::__set_index(const int64_t val) {
+  this->index = val;
 }
-std::ostream& operator<<(std::ostream& out, const RolloutStep& obj)
+std::ostream& operator<<(std::ostream& out, const Evacuation& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RolloutStep::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Evacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1600,8 +1481,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1615,43 +1496,17 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast26;
-          xfer += iprot->readI32(ecast26);
-          this->stage = static_cast<RolloutStage::type>(ecast26);
-          this->__isset.stage = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ended);
+          this->__isset.ended = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->left_ms);
-          this->__isset.left_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->requests);
-          this->__isset.requests = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->allowed);
-          this->__isset.allowed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->why);
-          this->__isset.why = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1668,37 +1523,25 @@
   return xfer;
 }
 
-uint32_t RolloutStep::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Evacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RolloutStep");
+  xfer += oprot->writeStructBegin("Evacuation");
 
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->left_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->requests);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->allowed);
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->ended);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("why", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->why);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1706,93 +1549,79 @@
   return xfer;
 }
 
-void swap(RolloutStep &a, RolloutStep &b) {
+void swap(Evacuation &a, Evacuation &b) {
   using ::std::swap;
-  swap(a.pool, b.pool);
+  swap(a.data_centre, b.data_centre);
   swap(a.number, b.number);
-  swap(a.stage, b.stage);
-  swap(a.left_ms, b.left_ms);
-  swap(a.requests, b.requests);
-  swap(a.allowed, b.allowed);
-  swap(a.why, b.why);
+  swap(a.ended, b.ended);
+  swap(a.index, b.index);
   swap(a.__isset, b.__isset);
 }
 
-RolloutStep::RolloutStep(const RolloutStep& other27) {
-  pool = other27.pool;
-  number = other27.number;
-  stage = other27.stage;
-  left_ms = other27.left_ms;
-  requests = other27.requests;
-  allowed = other27.allowed;
-  why = other27.why;
-  __isset = other27.__isset;
+Evacuation::Evacuation(const Evacuation& other31) {
+  data_centre = other31.data_centre;
+  number = other31.number;
+  ended = other31.ended;
+  index = other31.index;
+  __isset = other31.__isset;
 }
-RolloutStep::RolloutStep(RolloutStep&& other28) noexcept {
-  pool = std::move(other28.pool);
-  number = other28.number;
-  stage = other28.stage;
-  left_ms = other28.left_ms;
-  requests = other28.requests;
-  allowed = other28.allowed;
-  why = std::move(other28.why);
-  __isset = other28.__isset;
+Evacuation::Evacuation(Evacuation&& other32) noexcept {
+  data_centre = std::move(other32.data_centre);
+  number = other32.number;
+  ended = other32.ended;
+  index = other32.index;
+  __isset = other32.__isset;
 }
-RolloutStep& RolloutStep::operator=(const RolloutStep& other29) {
-  pool = other29.pool;
-  number = other29.number;
-  stage = other29.stage;
-  left_ms = other29.left_ms;
-  requests = other29.requests;
-  allowed = other29.allowed;
-  why = other29.why;
-  __isset = other29.__isset;
+Evacuation& Evacuation::operator=(const Evacuation& other33) {
+  data_centre = other33.data_centre;
+  number = other33.number;
+  ended = other33.ended;
+  index = other33.index;
+  __isset = other33.__isset;
   return *this;
 }
-RolloutStep& RolloutStep::operator=(RolloutStep&& other30) noexcept {
-  pool = std::move(other30.pool);
-  number = other30.number;
-  stage = other30.stage;
-  left_ms = other30.left_ms;
-  requests = other30.requests;
-  allowed = other30.allowed;
-  why = std::move(other30.why);
-  __isset = other30.__isset;
+Evacuation& Evacuation::operator=(Evacuation&& other34) noexcept {
+  data_centre = std::move(other34.data_centre);
+  number = other34.number;
+  ended = other34.ended;
+  index = other34.index;
+  __isset = other34.__isset;
   return *this;
 }
-void RolloutStep::printTo(std::ostream& out) const {
+void Evacuation::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RolloutStep(";
-  out << "pool=" << to_string(pool);
+  out << "Evacuation(";
+  out << "data_centre=" << to_string(data_centre);
   out << ", " << "number=" << to_string(number);
-  out << ", " << "stage=" << to_string(stage);
-  out << ", " << "left_ms=" << to_string(left_ms);
-  out << ", " << "requests=" << to_string(requests);
-  out << ", " << "allowed=" << to_string(allowed);
-  out << ", " << "why=" << to_string(why);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "index=" << to_string(index);
   out << ")";
 }
 
 
-ObjectKey::~ObjectKey() noexcept {
+RolloutOrder::~RolloutOrder() noexcept {
 }
 
 
-void ObjectKey::__set_kind(const std::string& val) {
-  this->kind = val;
+void RolloutOrder::__set_pool(const std::string& val) {
+  this->pool = val;
 }
 
-void ObjectKey::__set_name(const std::string& val) {
-  this->name = val;
+void RolloutOrder::__set_target(const std::string& val) {
+  this->target = val;
 }
-std::ostream& operator<<(std::ostream& out, const ObjectKey& obj)
+
+void RolloutOrder::__set_duration_ms(const int64_t val) {
+  this->duration_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutOrder& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ObjectKey::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RolloutOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1815,16 +1644,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->kind);
-          this->__isset.kind = true;
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->duration_ms);
+          this->__isset.duration_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1841,85 +1678,119 @@
   return xfer;
 }
 
-uint32_t ObjectKey::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ObjectKey");
+  xfer += oprot->writeStructBegin("RolloutOrder");
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
+  xfer += oprot->writeFieldBegin("duration_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->duration_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(ObjectKey &a, ObjectKey &b) {
+void swap(RolloutOrder &a, RolloutOrder &b) {
   using ::std::swap;
-  swap(a.kind, b.kind);
-  swap(a.name, b.name);
+  swap(a.pool, b.pool);
+  swap(a.target, b.target);
+  swap(a.duration_ms, b.duration_ms);
   swap(a.__isset, b.__isset);
 }
 
-ObjectKey::ObjectKey(const ObjectKey& other31) {
-  kind = other31.kind;
-  name = other31.name;
-  __isset = other31.__isset;
+RolloutOrder::RolloutOrder(const RolloutOrder& other35) {
+  pool = other35.pool;
+  target = other35.target;
+  duration_ms = other35.duration_ms;
+  __isset = other35.__isset;
 }
-ObjectKey::ObjectKey(ObjectKey&& other32) noexcept {
-  kind = std::move(other32.kind);
-  name = std::move(other32.name);
-  __isset = other32.__isset;
+RolloutOrder::RolloutOrder(RolloutOrder&& other36) noexcept {
+  pool = std::move(other36.pool);
+  target = std::move(other36.target);
+  duration_ms = other36.duration_ms;
+  __isset = other36.__isset;
 }
-ObjectKey& ObjectKey::operator=(const ObjectKey& other33) {
-  kind = other33.kind;
-  name = other33.name;
-  __isset = other33.__isset;
+RolloutOrder& RolloutOrder::operator=(const RolloutOrder& other37) {
+  pool = other37.pool;
+  target = other37.target;
+  duration_ms = other37.duration_ms;
+  __isset = other37.__isset;
   return *this;
 }
-ObjectKey& ObjectKey::operator=(ObjectKey&& other34) noexcept {
-  kind = std::move(other34.kind);
-  name = std::move(other34.name);
-  __isset = other34.__isset;
+RolloutOrder& RolloutOrder::operator=(RolloutOrder&& other38) noexcept {
+  pool = std::move(other38.pool);
+  target = std::move(other38.target);
+  duration_ms = other38.duration_ms;
+  __isset = other38.__isset;
   return *this;
 }
-void ObjectKey::printTo(std::ostream& out) const {
+void RolloutOrder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ObjectKey(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "name=" << to_string(name);
+  out << "RolloutOrder(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "duration_ms=" << to_string(duration_ms);
   out << ")";
 }
 
 
-ObjectText::~ObjectText() noexcept {
+Rollout::~Rollout() noexcept {
 }
 
 
-void ObjectText::__set_kind(const std::string& val) {
-  this->kind = val;
+void Rollout::__set_pool(const std::string& val) {
+  this->pool = val;
 }
 
-void ObjectText::__set_name(const std::string& val) {
-  this->name = val;
+void Rollout::__set_target(const std::string& val) {
+  this->target = val;
 }
 
-void ObjectText::__set_body(const std::string& val) {
-  this->body = val;
+void Rollout::__set_number(const int64_t val) {
+  this->number = val;
 }
-std::ostream& operator<<(std::ostream& out, const ObjectText& obj)
+
+void Rollout::__set_duration_ms(const int64_t val) {
+  this->duration_ms = val;
+}
+
+void Rollout::__set_stage(const RolloutStage::type val) {
+  this->stage = val;
+}
+
+void Rollout::__set_left_ms(const int64_t val) {
+  this->left_ms = val;
+}
+
+void Rollout::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+
+void Rollout::__set_allowed(const int64_t val) {
+  this->allowed = val;
+}
+
+void Rollout::__set_why(const std::string& val) {
+  this->why = val;
+}
+std::ostream& operator<<(std::ostream& out, const Rollout& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ObjectText::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Rollout::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1942,24 +1813,74 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->kind);
-          this->__isset.kind = true;
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->duration_ms);
+          this->__isset.duration_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast39;
+          xfer += iprot->readI32(ecast39);
+          this->stage = static_cast<RolloutStage::type>(ecast39);
+          this->__isset.stage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->allowed);
+          this->__isset.allowed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
+          xfer += iprot->readString(this->why);
+          this->__isset.why = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1976,21 +1897,45 @@
   return xfer;
 }
 
-uint32_t ObjectText::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Rollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ObjectText");
+  xfer += oprot->writeStructBegin("Rollout");
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("duration_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->duration_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->allowed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("why", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->why);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1998,81 +1943,125 @@
   return xfer;
 }
 
-void swap(ObjectText &a, ObjectText &b) {
+void swap(Rollout &a, Rollout &b) {
   using ::std::swap;
-  swap(a.kind, b.kind);
-  swap(a.name, b.name);
-  swap(a.body, b.body);
+  swap(a.pool, b.pool);
+  swap(a.target, b.target);
+  swap(a.number, b.number);
+  swap(a.duration_ms, b.duration_ms);
+  swap(a.stage, b.stage);
+  swap(a.left_ms, b.left_ms);
+  swap(a.requests, b.requests);
+  swap(a.allowed, b.allowed);
+  swap(a.why, b.why);
   swap(a.__isset, b.__isset);
 }
 
-ObjectText::ObjectText(const ObjectText& other35) {
-  kind = other35.kind;
-  name = other35.name;
-  body = other35.body;
-  __isset = other35.__isset;
-}
-ObjectText::ObjectText(ObjectText&& other36) noexcept {
-  kind = std::move(other36.kind);
-  name = std::move(other36.name);
-  body = std::move(other36.body);
-  __isset = other36.__isset;
-}
-ObjectText& ObjectText::operator=(const ObjectText& other37) {
-  kind = other37.kind;
-  name = other37.name;
-  body = other37.body;
-  __isset = other37.__isset;
+Rollout::Rollout(const Rollout& other40) {
+  pool = other40.pool;
+  target = other40.target;
+  number = other40.number;
+  duration_ms = other40.duration_ms;
+  stage = other40.stage;
+  left_ms = other40.left_ms;
+  requests = other40.requests;
+  allowed = other40.allowed;
+  why = other40.why;
+  __isset = other40.__isset;
+}
+Rollout::Rollout(Rollout&& other41) noexcept {
+  pool = std::move(other41.pool);
+  target = std::move(other41.target);
+  number = other41.number;
+  duration_ms = other41.duration_ms;
+  stage = other41.stage;
+  left_ms = other41.left_ms;
+  requests = other41.requests;
+  allowed = other41.allowed;
+  why = std::move(other41.why);
+  __isset = other41.__isset;
+}
+Rollout& Rollout::operator=(const Rollout& other42) {
+  pool = other42.pool;
+  target = other42.target;
+  number = other42.number;
+  duration_ms = other42.duration_ms;
+  stage = other42.stage;
+  left_ms = other42.left_ms;
+  requests = other42.requests;
+  allowed = other42.allowed;
+  why = other42.why;
+  __isset = other42.__isset;
   return *this;
 }
-ObjectText& ObjectText::operator=(ObjectText&& other38) noexcept {
-  kind = std::move(other38.kind);
-  name = std::move(other38.name);
-  body = std::move(other38.body);
-  __isset = other38.__isset;
+Rollout& Rollout::operator=(Rollout&& other43) noexcept {
+  pool = std::move(other43.pool);
+  target = std::move(other43.target);
+  number = other43.number;
+  duration_ms = other43.duration_ms;
+  stage = other43.stage;
+  left_ms = other43.left_ms;
+  requests = other43.requests;
+  allowed = other43.allowed;
+  why = std::move(other43.why);
+  __isset = other43.__isset;
   return *this;
 }
-void ObjectText::printTo(std::ostream& out) const {
+void Rollout::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ObjectText(";
-  out << "kind=" << to_string(kind);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "body=" << to_string(body);
+  out << "Rollout(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "duration_ms=" << to_string(duration_ms);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "allowed=" << to_string(allowed);
+  out << ", " << "why=" << to_string(why);
   out << ")";
 }
 
 
-ConfigChange::~ConfigChange() noexcept {
+RolloutStep::~RolloutStep() noexcept {
 }
 
 
-void ConfigChange::__set_change_id(const std::string& val) {
-  this->change_id = val;
+void RolloutStep::__set_pool(const std::string& val) {
+  this->pool = val;
 }
 
-void ConfigChange::__set_base_version(const int64_t val) {
-  this->base_version = val;
+void RolloutStep::__set_number(const int64_t val) {
+  this->number = val;
 }
 
-void ConfigChange::__set_author(const std::string& val) {
-  this->author = val;
+void RolloutStep::__set_stage(const RolloutStage::type val) {
+  this->stage = val;
 }
 
-void ConfigChange::__set_upserts(const std::vector<ObjectText> & val) {
-  this->upserts = val;
+void RolloutStep::__set_left_ms(const int64_t val) {
+  this->left_ms = val;
 }
 
-void ConfigChange::__set_removals(const std::vector<ObjectKey> & val) {
-  this->removals = val;
+void RolloutStep::__set_requests(const int64_t val) {
+  this->requests = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
+
+void RolloutStep::__set_allowed(const int64_t val) {
+  this->allowed = val;
+}
+
+void RolloutStep::__set_why(const std::string& val) {
+  this->why = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutStep& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RolloutStep::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2095,64 +2084,58 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->change_id);
-          this->__isset.change_id = true;
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->base_version);
-          this->__isset.base_version = true;
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->author);
-          this->__isset.author = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast44;
+          xfer += iprot->readI32(ecast44);
+          this->stage = static_cast<RolloutStage::type>(ecast44);
+          this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->upserts.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->upserts.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
-            {
-              xfer += this->upserts[_i43].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.upserts = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_ms);
+          this->__isset.left_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->removals.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->removals.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
-            {
-              xfer += this->removals[_i48].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.removals = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->allowed);
+          this->__isset.allowed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->why);
+          this->__isset.why = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2169,45 +2152,37 @@
   return xfer;
 }
 
-uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RolloutStep::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigChange");
+  xfer += oprot->writeStructBegin("RolloutStep");
 
-  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->change_id);
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->base_version);
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldBegin("stage", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->stage));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter49;
-    for (_iter49 = this->upserts.begin(); _iter49 != this->upserts.end(); ++_iter49)
-    {
-      xfer += (*_iter49).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->left_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter50;
-    for (_iter50 = this->removals.begin(); _iter50 != this->removals.end(); ++_iter50)
-    {
-      xfer += (*_iter50).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->allowed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("why", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->why);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2215,85 +2190,93 @@
   return xfer;
 }
 
-void swap(ConfigChange &a, ConfigChange &b) {
+void swap(RolloutStep &a, RolloutStep &b) {
   using ::std::swap;
-  swap(a.change_id, b.change_id);
-  swap(a.base_version, b.base_version);
-  swap(a.author, b.author);
-  swap(a.upserts, b.upserts);
-  swap(a.removals, b.removals);
+  swap(a.pool, b.pool);
+  swap(a.number, b.number);
+  swap(a.stage, b.stage);
+  swap(a.left_ms, b.left_ms);
+  swap(a.requests, b.requests);
+  swap(a.allowed, b.allowed);
+  swap(a.why, b.why);
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other51) {
-  change_id = other51.change_id;
-  base_version = other51.base_version;
-  author = other51.author;
-  upserts = other51.upserts;
-  removals = other51.removals;
-  __isset = other51.__isset;
-}
-ConfigChange::ConfigChange(ConfigChange&& other52) noexcept {
-  change_id = std::move(other52.change_id);
-  base_version = other52.base_version;
-  author = std::move(other52.author);
-  upserts = std::move(other52.upserts);
-  removals = std::move(other52.removals);
-  __isset = other52.__isset;
-}
-ConfigChange& ConfigChange::operator=(const ConfigChange& other53) {
-  change_id = other53.change_id;
-  base_version = other53.base_version;
-  author = other53.author;
-  upserts = other53.upserts;
-  removals = other53.removals;
-  __isset = other53.__isset;
+RolloutStep::RolloutStep(const RolloutStep& other45) {
+  pool = other45.pool;
+  number = other45.number;
+  stage = other45.stage;
+  left_ms = other45.left_ms;
+  requests = other45.requests;
+  allowed = other45.allowed;
+  why = other45.why;
+  __isset = other45.__isset;
+}
+RolloutStep::RolloutStep(RolloutStep&& other46) noexcept {
+  pool = std::move(other46.pool);
+  number = other46.number;
+  stage = other46.stage;
+  left_ms = other46.left_ms;
+  requests = other46.requests;
+  allowed = other46.allowed;
+  why = std::move(other46.why);
+  __isset = other46.__isset;
+}
+RolloutStep& RolloutStep::operator=(const RolloutStep& other47) {
+  pool = other47.pool;
+  number = other47.number;
+  stage = other47.stage;
+  left_ms = other47.left_ms;
+  requests = other47.requests;
+  allowed = other47.allowed;
+  why = other47.why;
+  __isset = other47.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other54) noexcept {
-  change_id = std::move(other54.change_id);
-  base_version = other54.base_version;
-  author = std::move(other54.author);
-  upserts = std::move(other54.upserts);
-  removals = std::move(other54.removals);
-  __isset = other54.__isset;
+RolloutStep& RolloutStep::operator=(RolloutStep&& other48) noexcept {
+  pool = std::move(other48.pool);
+  number = other48.number;
+  stage = other48.stage;
+  left_ms = other48.left_ms;
+  requests = other48.requests;
+  allowed = other48.allowed;
+  why = std::move(other48.why);
+  __isset = other48.__isset;
   return *this;
 }
-void ConfigChange::printTo(std::ostream& out) const {
+void RolloutStep::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigChange(";
-  out << "change_id=" << to_string(change_id);
-  out << ", " << "base_version=" << to_string(base_version);
-  out << ", " << "author=" << to_string(author);
-  out << ", " << "upserts=" << to_string(upserts);
-  out << ", " << "removals=" << to_string(removals);
+  out << "RolloutStep(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "stage=" << to_string(stage);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "allowed=" << to_string(allowed);
+  out << ", " << "why=" << to_string(why);
   out << ")";
 }
 
 
-ConfigOutcome::~ConfigOutcome() noexcept {
+ObjectKey::~ObjectKey() noexcept {
 }
 
 
-void ConfigOutcome::__set_code(const int32_t val) {
-  this->code = val;
-}
-
-void ConfigOutcome::__set_version(const int64_t val) {
-  this->version = val;
+void ObjectKey::__set_kind(const std::string& val) {
+  this->kind = val;
 }
 
-void ConfigOutcome::__set_message(const std::string& val) {
-  this->message = val;
+void ObjectKey::__set_name(const std::string& val) {
+  this->name = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj)
+std::ostream& operator<<(std::ostream& out, const ObjectKey& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ObjectKey::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2315,25 +2298,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->code);
-          this->__isset.code = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2350,21 +2325,17 @@
   return xfer;
 }
 
-uint32_t ConfigOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ObjectKey::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigOutcome");
-
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->code);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ObjectKey");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2372,110 +2343,67 @@
   return xfer;
 }
 
-void swap(ConfigOutcome &a, ConfigOutcome &b) {
+void swap(ObjectKey &a, ObjectKey &b) {
   using ::std::swap;
-  swap(a.code, b.code);
-  swap(a.version, b.version);
-  swap(a.message, b.message);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
   swap(a.__isset, b.__isset);
 }
 
-ConfigOutcome::ConfigOutcome(const ConfigOutcome& other55) {
-  code = other55.code;
-  version = other55.version;
-  message = other55.message;
-  __isset = other55.__isset;
+ObjectKey::ObjectKey(const ObjectKey& other49) {
+  kind = other49.kind;
+  name = other49.name;
+  __isset = other49.__isset;
 }
-ConfigOutcome::ConfigOutcome(ConfigOutcome&& other56) noexcept {
-  code = other56.code;
-  version = other56.version;
-  message = std::move(other56.message);
-  __isset = other56.__isset;
+ObjectKey::ObjectKey(ObjectKey&& other50) noexcept {
+  kind = std::move(other50.kind);
+  name = std::move(other50.name);
+  __isset = other50.__isset;
 }
-ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other57) {
-  code = other57.code;
-  version = other57.version;
-  message = other57.message;
-  __isset = other57.__isset;
+ObjectKey& ObjectKey::operator=(const ObjectKey& other51) {
+  kind = other51.kind;
+  name = other51.name;
+  __isset = other51.__isset;
   return *this;
 }
-ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other58) noexcept {
-  code = other58.code;
-  version = other58.version;
-  message = std::move(other58.message);
-  __isset = other58.__isset;
+ObjectKey& ObjectKey::operator=(ObjectKey&& other52) noexcept {
+  kind = std::move(other52.kind);
+  name = std::move(other52.name);
+  __isset = other52.__isset;
   return *this;
 }
-void ConfigOutcome::printTo(std::ostream& out) const {
+void ObjectKey::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigOutcome(";
-  out << "code=" << to_string(code);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "message=" << to_string(message);
+  out << "ObjectKey(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
   out << ")";
 }
 
 
-ConfigDelta::~ConfigDelta() noexcept {
-}
-
-
-void ConfigDelta::__set_from_version(const int64_t val) {
-  this->from_version = val;
-}
-
-void ConfigDelta::__set_to_version(const int64_t val) {
-  this->to_version = val;
-}
-
-void ConfigDelta::__set_whole(const bool val) {
-  this->whole = val;
-}
-
-void ConfigDelta::__set_upserts(const std::vector<ObjectText> & val) {
-  this->upserts = val;
-}
-
-void ConfigDelta::__set_removals(const std::vector<ObjectKey> & val) {
-  this->removals = val;
-}
-
-void ConfigDelta::__set_document(const Document& val) {
-  this->document = val;
-__isset.document = true;
-}
-
-void ConfigDelta::__set_servers(const std::vector<ServerRecord> & val) {
-  this->servers = val;
-}
-
-void ConfigDelta::__set_servers_index(const int64_t val) {
-  this->servers_index = val;
+ObjectText::~ObjectText() noexcept {
 }
 
-void ConfigDelta::__set_leader_term(const int64_t val) {
-  this->leader_term = val;
-}
 
-void ConfigDelta::__set_leader_address(const std::string& val) {
-  this->leader_address = val;
+void ObjectText::__set_kind(const std::string& val) {
+  this->kind = val;
 }
 
-void ConfigDelta::__set_leader_port(const int32_t val) {
-  this->leader_port = val;
+void ObjectText::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void ConfigDelta::__set_evacuations(const std::vector<Evacuation> & val) {
-  this->evacuations = val;
+void ObjectText::__set_body(const std::string& val) {
+  this->body = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj)
+std::ostream& operator<<(std::ostream& out, const ObjectText& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ObjectText::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2497,145 +2425,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->from_version);
-          this->__isset.from_version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->to_version);
-          this->__isset.to_version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->whole);
-          this->__isset.whole = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->upserts.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->upserts.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
-            {
-              xfer += this->upserts[_i63].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.upserts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->removals.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->removals.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
-            {
-              xfer += this->removals[_i68].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.removals = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->servers.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->servers.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
-            {
-              xfer += this->servers[_i73].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.servers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->servers_index);
-          this->__isset.servers_index = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leader_term);
-          this->__isset.leader_term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leader_address);
-          this->__isset.leader_address = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->leader_port);
-          this->__isset.leader_port = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->evacuations.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->evacuations.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
-            {
-              xfer += this->evacuations[_i78].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.evacuations = true;
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2652,90 +2460,21 @@
   return xfer;
 }
 
-uint32_t ConfigDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ObjectText::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigDelta");
-
-  xfer += oprot->writeFieldBegin("from_version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->from_version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("to_version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->to_version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->whole);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter79;
-    for (_iter79 = this->upserts.begin(); _iter79 != this->upserts.end(); ++_iter79)
-    {
-      xfer += (*_iter79).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter80;
-    for (_iter80 = this->removals.begin(); _iter80 != this->removals.end(); ++_iter80)
-    {
-      xfer += (*_iter80).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->document.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter81;
-    for (_iter81 = this->servers.begin(); _iter81 != this->servers.end(); ++_iter81)
-    {
-      xfer += (*_iter81).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("servers_index", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->servers_index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leader_term", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->leader_term);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ObjectText");
 
-  xfer += oprot->writeFieldBegin("leader_address", ::apache::thrift::protocol::T_STRING, 10);
-  xfer += oprot->writeString(this->leader_address);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader_port", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(this->leader_port);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 12);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<Evacuation> ::const_iterator _iter82;
-    for (_iter82 = this->evacuations.begin(); _iter82 != this->evacuations.end(); ++_iter82)
-    {
-      xfer += (*_iter82).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2743,135 +2482,81 @@
   return xfer;
 }
 
-void swap(ConfigDelta &a, ConfigDelta &b) {
+void swap(ObjectText &a, ObjectText &b) {
   using ::std::swap;
-  swap(a.from_version, b.from_version);
-  swap(a.to_version, b.to_version);
-  swap(a.whole, b.whole);
-  swap(a.upserts, b.upserts);
-  swap(a.removals, b.removals);
-  swap(a.document, b.document);
-  swap(a.servers, b.servers);
-  swap(a.servers_index, b.servers_index);
-  swap(a.leader_term, b.leader_term);
-  swap(a.leader_address, b.leader_address);
-  swap(a.leader_port, b.leader_port);
-  swap(a.evacuations, b.evacuations);
+  swap(a.kind, b.kind);
+  swap(a.name, b.name);
+  swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other83) {
-  from_version = other83.from_version;
-  to_version = other83.to_version;
-  whole = other83.whole;
-  upserts = other83.upserts;
-  removals = other83.removals;
-  document = other83.document;
-  servers = other83.servers;
-  servers_index = other83.servers_index;
-  leader_term = other83.leader_term;
-  leader_address = other83.leader_address;
-  leader_port = other83.leader_port;
-  evacuations = other83.evacuations;
-  __isset = other83.__isset;
-}
-ConfigDelta::ConfigDelta(ConfigDelta&& other84) noexcept {
-  from_version = other84.from_version;
-  to_version = other84.to_version;
-  whole = other84.whole;
-  upserts = std::move(other84.upserts);
-  removals = std::move(other84.removals);
-  document = std::move(other84.document);
-  servers = std::move(other84.servers);
-  servers_index = other84.servers_index;
-  leader_term = other84.leader_term;
-  leader_address = std::move(other84.leader_address);
-  leader_port = other84.leader_port;
-  evacuations = std::move(other84.evacuations);
-  __isset = other84.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other85) {
-  from_version = other85.from_version;
-  to_version = other85.to_version;
-  whole = other85.whole;
-  upserts = other85.upserts;
-  removals = other85.removals;
-  document = other85.document;
-  servers = other85.servers;
-  servers_index = other85.servers_index;
-  leader_term = other85.leader_term;
-  leader_address = other85.leader_address;
-  leader_port = other85.leader_port;
-  evacuations = other85.evacuations;
-  __isset = other85.__isset;
-  return *this;
-}
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other86) noexcept {
-  from_version = other86.from_version;
-  to_version = other86.to_version;
-  whole = other86.whole;
-  upserts = std::move(other86.upserts);
-  removals = std::move(other86.removals);
-  document = std::move(other86.document);
-  servers = std::move(other86.servers);
-  servers_index = other86.servers_index;
-  leader_term = other86.leader_term;
-  leader_address = std::move(other86.leader_address);
-  leader_port = other86.leader_port;
-  evacuations = std::move(other86.evacuations);
-  __isset = other86.__isset;
+ObjectText::ObjectText(const ObjectText& other53) {
+  kind = other53.kind;
+  name = other53.name;
+  body = other53.body;
+  __isset = other53.__isset;
+}
+ObjectText::ObjectText(ObjectText&& other54) noexcept {
+  kind = std::move(other54.kind);
+  name = std::move(other54.name);
+  body = std::move(other54.body);
+  __isset = other54.__isset;
+}
+ObjectText& ObjectText::operator=(const ObjectText& other55) {
+  kind = other55.kind;
+  name = other55.name;
+  body = other55.body;
+  __isset = other55.__isset;
   return *this;
 }
-void ConfigDelta::printTo(std::ostream& out) const {
+ObjectText& ObjectText::operator=(ObjectText&& other56) noexcept {
+  kind = std::move(other56.kind);
+  name = std::move(other56.name);
+  body = std::move(other56.body);
+  __isset = other56.__isset;
+  return *this;
+}
+void ObjectText::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigDelta(";
-  out << "from_version=" << to_string(from_version);
-  out << ", " << "to_version=" << to_string(to_version);
-  out << ", " << "whole=" << to_string(whole);
-  out << ", " << "upserts=" << to_string(upserts);
-  out << ", " << "removals=" << to_string(removals);
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
-  out << ", " << "servers=" << to_string(servers);
-  out << ", " << "servers_index=" << to_string(servers_index);
-  out << ", " << "leader_term=" << to_string(leader_term);
-  out << ", " << "leader_address=" << to_string(leader_address);
-  out << ", " << "leader_port=" << to_string(leader_port);
-  out << ", " << "evacuations=" << to_string(evacuations);
+  out << "ObjectText(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "body=" << to_string(body);
   out << ")";
 }
 
 
-HistoryRow::~HistoryRow() noexcept {
+ConfigChange::~ConfigChange() noexcept {
 }
 
 
-void HistoryRow::__set_version(const int64_t val) {
-  this->version = val;
+void ConfigChange::__set_change_id(const std::string& val) {
+  this->change_id = val;
 }
 
-void HistoryRow::__set_change_id(const std::string& val) {
-  this->change_id = val;
+void ConfigChange::__set_base_version(const int64_t val) {
+  this->base_version = val;
 }
 
-void HistoryRow::__set_author(const std::string& val) {
+void ConfigChange::__set_author(const std::string& val) {
   this->author = val;
 }
 
-void HistoryRow::__set_upserts(const int32_t val) {
+void ConfigChange::__set_upserts(const std::vector<ObjectText> & val) {
   this->upserts = val;
 }
 
-void HistoryRow::__set_removals(const int32_t val) {
+void ConfigChange::__set_removals(const std::vector<ObjectKey> & val) {
   this->removals = val;
 }
-std::ostream& operator<<(std::ostream& out, const HistoryRow& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigChange& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HistoryRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigChange::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2893,17 +2578,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->change_id);
+          this->__isset.change_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->change_id);
-          this->__isset.change_id = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_version);
+          this->__isset.base_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2917,21 +2602,45 @@
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->upserts);
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upserts.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->upserts.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += this->upserts[_i61].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
           this->__isset.upserts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->removals);
-          this->__isset.removals = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removals.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->removals.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += this->removals[_i66].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2944,29 +2653,45 @@
   return xfer;
 }
 
-uint32_t HistoryRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HistoryRow");
+  xfer += oprot->writeStructBegin("ConfigChange");
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->change_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->change_id);
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base_version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->author);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->upserts);
+  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
+    std::vector<ObjectText> ::const_iterator _iter67;
+    for (_iter67 = this->upserts.begin(); _iter67 != this->upserts.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->removals);
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
+    std::vector<ObjectKey> ::const_iterator _iter68;
+    for (_iter68 = this->removals.begin(); _iter68 != this->removals.end(); ++_iter68)
+    {
+      xfer += (*_iter68).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2974,55 +2699,55 @@
   return xfer;
 }
 
-void swap(HistoryRow &a, HistoryRow &b) {
+void swap(ConfigChange &a, ConfigChange &b) {
   using ::std::swap;
-  swap(a.version, b.version);
   swap(a.change_id, b.change_id);
+  swap(a.base_version, b.base_version);
   swap(a.author, b.author);
   swap(a.upserts, b.upserts);
   swap(a.removals, b.removals);
   swap(a.__isset, b.__isset);
 }
 
-HistoryRow::HistoryRow(const HistoryRow& other87) {
-  version = other87.version;
-  change_id = other87.change_id;
-  author = other87.author;
-  upserts = other87.upserts;
-  removals = other87.removals;
-  __isset = other87.__isset;
-}
-HistoryRow::HistoryRow(HistoryRow&& other88) noexcept {
-  version = other88.version;
-  change_id = std::move(other88.change_id);
-  author = std::move(other88.author);
-  upserts = other88.upserts;
-  removals = other88.removals;
-  __isset = other88.__isset;
-}
-HistoryRow& HistoryRow::operator=(const HistoryRow& other89) {
-  version = other89.version;
-  change_id = other89.change_id;
-  author = other89.author;
-  upserts = other89.upserts;
-  removals = other89.removals;
-  __isset = other89.__isset;
-  return *this;
-}
-HistoryRow& HistoryRow::operator=(HistoryRow&& other90) noexcept {
-  version = other90.version;
-  change_id = std::move(other90.change_id);
-  author = std::move(other90.author);
-  upserts = other90.upserts;
-  removals = other90.removals;
-  __isset = other90.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other69) {
+  change_id = other69.change_id;
+  base_version = other69.base_version;
+  author = other69.author;
+  upserts = other69.upserts;
+  removals = other69.removals;
+  __isset = other69.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other70) noexcept {
+  change_id = std::move(other70.change_id);
+  base_version = other70.base_version;
+  author = std::move(other70.author);
+  upserts = std::move(other70.upserts);
+  removals = std::move(other70.removals);
+  __isset = other70.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other71) {
+  change_id = other71.change_id;
+  base_version = other71.base_version;
+  author = other71.author;
+  upserts = other71.upserts;
+  removals = other71.removals;
+  __isset = other71.__isset;
   return *this;
 }
-void HistoryRow::printTo(std::ostream& out) const {
+ConfigChange& ConfigChange::operator=(ConfigChange&& other72) noexcept {
+  change_id = std::move(other72.change_id);
+  base_version = other72.base_version;
+  author = std::move(other72.author);
+  upserts = std::move(other72.upserts);
+  removals = std::move(other72.removals);
+  __isset = other72.__isset;
+  return *this;
+}
+void ConfigChange::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HistoryRow(";
-  out << "version=" << to_string(version);
-  out << ", " << "change_id=" << to_string(change_id);
+  out << "ConfigChange(";
+  out << "change_id=" << to_string(change_id);
+  out << ", " << "base_version=" << to_string(base_version);
   out << ", " << "author=" << to_string(author);
   out << ", " << "upserts=" << to_string(upserts);
   out << ", " << "removals=" << to_string(removals);
@@ -3030,33 +2755,29 @@
 }
 
 
-StoredAnswer::~StoredAnswer() noexcept {
+ConfigOutcome::~ConfigOutcome() noexcept {
 }
 
 
-void StoredAnswer::__set_status(const int32_t val) {
-  this->status = val;
-}
-
-void StoredAnswer::__set_content_type(const std::string& val) {
-  this->content_type = val;
+void ConfigOutcome::__set_code(const int32_t val) {
+  this->code = val;
 }
 
-void StoredAnswer::__set_body(const std::string& val) {
-  this->body = val;
+void ConfigOutcome::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void StoredAnswer::__set_kept(const bool val) {
-  this->kept = val;
+void ConfigOutcome::__set_message(const std::string& val) {
+  this->message = val;
 }
-std::ostream& operator<<(std::ostream& out, const StoredAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StoredAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigOutcome::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3079,32 +2800,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->status);
-          this->__isset.status = true;
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->content_type);
-          this->__isset.content_type = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->body);
-          this->__isset.body = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->kept);
-          this->__isset.kept = true;
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3121,25 +2834,21 @@
   return xfer;
 }
 
-uint32_t StoredAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigOutcome::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StoredAnswer");
-
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->status);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ConfigOutcome");
 
-  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->content_type);
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->code);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->body);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kept", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->kept);
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->message);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3147,95 +2856,109 @@
   return xfer;
 }
 
-void swap(StoredAnswer &a, StoredAnswer &b) {
+void swap(ConfigOutcome &a, ConfigOutcome &b) {
   using ::std::swap;
-  swap(a.status, b.status);
-  swap(a.content_type, b.content_type);
-  swap(a.body, b.body);
-  swap(a.kept, b.kept);
+  swap(a.code, b.code);
+  swap(a.version, b.version);
+  swap(a.message, b.message);
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other91) {
-  status = other91.status;
-  content_type = other91.content_type;
-  body = other91.body;
-  kept = other91.kept;
-  __isset = other91.__isset;
+ConfigOutcome::ConfigOutcome(const ConfigOutcome& other73) {
+  code = other73.code;
+  version = other73.version;
+  message = other73.message;
+  __isset = other73.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other92) noexcept {
-  status = other92.status;
-  content_type = std::move(other92.content_type);
-  body = std::move(other92.body);
-  kept = other92.kept;
-  __isset = other92.__isset;
+ConfigOutcome::ConfigOutcome(ConfigOutcome&& other74) noexcept {
+  code = other74.code;
+  version = other74.version;
+  message = std::move(other74.message);
+  __isset = other74.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other93) {
-  status = other93.status;
-  content_type = other93.content_type;
-  body = other93.body;
-  kept = other93.kept;
-  __isset = other93.__isset;
+ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other75) {
+  code = other75.code;
+  version = other75.version;
+  message = other75.message;
+  __isset = other75.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other94) noexcept {
-  status = other94.status;
-  content_type = std::move(other94.content_type);
-  body = std::move(other94.body);
-  kept = other94.kept;
-  __isset = other94.__isset;
+ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other76) noexcept {
+  code = other76.code;
+  version = other76.version;
+  message = std::move(other76.message);
+  __isset = other76.__isset;
   return *this;
 }
-void StoredAnswer::printTo(std::ostream& out) const {
+void ConfigOutcome::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StoredAnswer(";
-  out << "status=" << to_string(status);
-  out << ", " << "content_type=" << to_string(content_type);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "kept=" << to_string(kept);
+  out << "ConfigOutcome(";
+  out << "code=" << to_string(code);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "message=" << to_string(message);
   out << ")";
 }
 
 
-LedgerClaim::~LedgerClaim() noexcept {
+ConfigDelta::~ConfigDelta() noexcept {
 }
 
 
-void LedgerClaim::__set_key(const std::string& val) {
-  this->key = val;
+void ConfigDelta::__set_from_version(const int64_t val) {
+  this->from_version = val;
 }
 
-void LedgerClaim::__set_owner(const std::string& val) {
-  this->owner = val;
+void ConfigDelta::__set_to_version(const int64_t val) {
+  this->to_version = val;
 }
 
-void LedgerClaim::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
+void ConfigDelta::__set_whole(const bool val) {
+  this->whole = val;
 }
 
-void LedgerClaim::__set_now_ms(const int64_t val) {
-  this->now_ms = val;
+void ConfigDelta::__set_upserts(const std::vector<ObjectText> & val) {
+  this->upserts = val;
 }
 
-void LedgerClaim::__set_retention_ms(const int64_t val) {
-  this->retention_ms = val;
+void ConfigDelta::__set_removals(const std::vector<ObjectKey> & val) {
+  this->removals = val;
 }
 
-void LedgerClaim::__set_rerun_unknown(const bool val) {
-  this->rerun_unknown = val;
+void ConfigDelta::__set_steps(const std::vector<DocumentChange> & val) {
+  this->steps = val;
 }
 
-void LedgerClaim::__set_ref(const int64_t val) {
-  this->ref = val;
+void ConfigDelta::__set_servers(const std::vector<ServerRecord> & val) {
+  this->servers = val;
 }
-std::ostream& operator<<(std::ostream& out, const LedgerClaim& obj)
+
+void ConfigDelta::__set_servers_index(const int64_t val) {
+  this->servers_index = val;
+}
+
+void ConfigDelta::__set_leader_term(const int64_t val) {
+  this->leader_term = val;
+}
+
+void ConfigDelta::__set_leader_address(const std::string& val) {
+  this->leader_address = val;
+}
+
+void ConfigDelta::__set_leader_port(const int32_t val) {
+  this->leader_port = val;
+}
+
+void ConfigDelta::__set_evacuations(const std::vector<Evacuation> & val) {
+  this->evacuations = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigDelta& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LedgerClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigDelta::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3257,63 +2980,163 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_version);
+          this->__isset.from_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->owner);
-          this->__isset.owner = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_version);
+          this->__isset.to_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->now_ms);
-          this->__isset.now_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upserts.clear();
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->upserts.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
+            {
+              xfer += this->upserts[_i81].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.upserts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retention_ms);
-          this->__isset.retention_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removals.clear();
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->removals.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
+            {
+              xfer += this->removals[_i86].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removals = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->rerun_unknown);
-          this->__isset.rerun_unknown = true;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->steps.clear();
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->steps.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
+            {
+              xfer += this->steps[_i91].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.steps = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->servers.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
+            {
+              xfer += this->servers[_i96].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->servers_index);
+          this->__isset.servers_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leader_term);
+          this->__isset.leader_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader_address);
+          this->__isset.leader_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->leader_port);
+          this->__isset.leader_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuations.clear();
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->evacuations.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
+            {
+              xfer += this->evacuations[_i101].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
         break;
     }
     xfer += iprot->readFieldEnd();
@@ -3324,37 +3147,97 @@
   return xfer;
 }
 
-uint32_t LedgerClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigDelta::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LedgerClaim");
+  xfer += oprot->writeStructBegin("ConfigDelta");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldBegin("from_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldBegin("to_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->to_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->whole);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("now_ms", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->now_ms);
+  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
+    std::vector<ObjectText> ::const_iterator _iter102;
+    for (_iter102 = this->upserts.begin(); _iter102 != this->upserts.end(); ++_iter102)
+    {
+      xfer += (*_iter102).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("retention_ms", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->retention_ms);
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
+    std::vector<ObjectKey> ::const_iterator _iter103;
+    for (_iter103 = this->removals.begin(); _iter103 != this->removals.end(); ++_iter103)
+    {
+      xfer += (*_iter103).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rerun_unknown", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->rerun_unknown);
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerRecord> ::const_iterator _iter104;
+    for (_iter104 = this->servers.begin(); _iter104 != this->servers.end(); ++_iter104)
+    {
+      xfer += (*_iter104).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldBegin("servers_index", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->servers_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader_term", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->leader_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader_address", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->leader_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader_port", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->leader_port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
+    std::vector<Evacuation> ::const_iterator _iter105;
+    for (_iter105 = this->evacuations.begin(); _iter105 != this->evacuations.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
+    std::vector<DocumentChange> ::const_iterator _iter106;
+    for (_iter106 = this->steps.begin(); _iter106 != this->steps.end(); ++_iter106)
+    {
+      xfer += (*_iter106).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3362,93 +3245,135 @@
   return xfer;
 }
 
-void swap(LedgerClaim &a, LedgerClaim &b) {
+void swap(ConfigDelta &a, ConfigDelta &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.owner, b.owner);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.now_ms, b.now_ms);
-  swap(a.retention_ms, b.retention_ms);
-  swap(a.rerun_unknown, b.rerun_unknown);
-  swap(a.ref, b.ref);
+  swap(a.from_version, b.from_version);
+  swap(a.to_version, b.to_version);
+  swap(a.whole, b.whole);
+  swap(a.upserts, b.upserts);
+  swap(a.removals, b.removals);
+  swap(a.steps, b.steps);
+  swap(a.servers, b.servers);
+  swap(a.servers_index, b.servers_index);
+  swap(a.leader_term, b.leader_term);
+  swap(a.leader_address, b.leader_address);
+  swap(a.leader_port, b.leader_port);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaim::LedgerClaim(const LedgerClaim& other95) {
-  key = other95.key;
-  owner = other95.owner;
-  fingerprint = other95.fingerprint;
-  now_ms = other95.now_ms;
-  retention_ms = other95.retention_ms;
-  rerun_unknown = other95.rerun_unknown;
-  ref = other95.ref;
-  __isset = other95.__isset;
-}
-LedgerClaim::LedgerClaim(LedgerClaim&& other96) noexcept {
-  key = std::move(other96.key);
-  owner = std::move(other96.owner);
-  fingerprint = other96.fingerprint;
-  now_ms = other96.now_ms;
-  retention_ms = other96.retention_ms;
-  rerun_unknown = other96.rerun_unknown;
-  ref = other96.ref;
-  __isset = other96.__isset;
-}
-LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other97) {
-  key = other97.key;
-  owner = other97.owner;
-  fingerprint = other97.fingerprint;
-  now_ms = other97.now_ms;
-  retention_ms = other97.retention_ms;
-  rerun_unknown = other97.rerun_unknown;
-  ref = other97.ref;
-  __isset = other97.__isset;
-  return *this;
-}
-LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other98) noexcept {
-  key = std::move(other98.key);
-  owner = std::move(other98.owner);
-  fingerprint = other98.fingerprint;
-  now_ms = other98.now_ms;
-  retention_ms = other98.retention_ms;
-  rerun_unknown = other98.rerun_unknown;
-  ref = other98.ref;
-  __isset = other98.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other107) {
+  from_version = other107.from_version;
+  to_version = other107.to_version;
+  whole = other107.whole;
+  upserts = other107.upserts;
+  removals = other107.removals;
+  steps = other107.steps;
+  servers = other107.servers;
+  servers_index = other107.servers_index;
+  leader_term = other107.leader_term;
+  leader_address = other107.leader_address;
+  leader_port = other107.leader_port;
+  evacuations = other107.evacuations;
+  __isset = other107.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other108) noexcept {
+  from_version = other108.from_version;
+  to_version = other108.to_version;
+  whole = other108.whole;
+  upserts = std::move(other108.upserts);
+  removals = std::move(other108.removals);
+  steps = std::move(other108.steps);
+  servers = std::move(other108.servers);
+  servers_index = other108.servers_index;
+  leader_term = other108.leader_term;
+  leader_address = std::move(other108.leader_address);
+  leader_port = other108.leader_port;
+  evacuations = std::move(other108.evacuations);
+  __isset = other108.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other109) {
+  from_version = other109.from_version;
+  to_version = other109.to_version;
+  whole = other109.whole;
+  upserts = other109.upserts;
+  removals = other109.removals;
+  steps = other109.steps;
+  servers = other109.servers;
+  servers_index = other109.servers_index;
+  leader_term = other109.leader_term;
+  leader_address = other109.leader_address;
+  leader_port = other109.leader_port;
+  evacuations = other109.evacuations;
+  __isset = other109.__isset;
   return *this;
 }
-void LedgerClaim::printTo(std::ostream& out) const {
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other110) noexcept {
+  from_version = other110.from_version;
+  to_version = other110.to_version;
+  whole = other110.whole;
+  upserts = std::move(other110.upserts);
+  removals = std::move(other110.removals);
+  steps = std::move(other110.steps);
+  servers = std::move(other110.servers);
+  servers_index = other110.servers_index;
+  leader_term = other110.leader_term;
+  leader_address = std::move(other110.leader_address);
+  leader_port = other110.leader_port;
+  evacuations = std::move(other110.evacuations);
+  __isset = other110.__isset;
+  return *this;
+}
+void ConfigDelta::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LedgerClaim(";
-  out << "key=" << to_string(key);
-  out << ", " << "owner=" << to_string(owner);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "now_ms=" << to_string(now_ms);
-  out << ", " << "retention_ms=" << to_string(retention_ms);
-  out << ", " << "rerun_unknown=" << to_string(rerun_unknown);
-  out << ", " << "ref=" << to_string(ref);
+  out << "ConfigDelta(";
+  out << "from_version=" << to_string(from_version);
+  out << ", " << "to_version=" << to_string(to_version);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "upserts=" << to_string(upserts);
+  out << ", " << "removals=" << to_string(removals);
+  out << ", " << "steps=" << to_string(steps);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "servers_index=" << to_string(servers_index);
+  out << ", " << "leader_term=" << to_string(leader_term);
+  out << ", " << "leader_address=" << to_string(leader_address);
+  out << ", " << "leader_port=" << to_string(leader_port);
+  out << ", " << "evacuations=" << to_string(evacuations);
   out << ")";
 }
 
 
-ClaimResult::~ClaimResult() noexcept {
+HistoryRow::~HistoryRow() noexcept {
 }
 
 
-void ClaimResult::__set_verdict(const ClaimVerdict::type val) {
-  this->verdict = val;
+void HistoryRow::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void ClaimResult::__set_answer(const StoredAnswer& val) {
-  this->answer = val;
+void HistoryRow::__set_change_id(const std::string& val) {
+  this->change_id = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimResult& obj)
+
+void HistoryRow::__set_author(const std::string& val) {
+  this->author = val;
+}
+
+void HistoryRow::__set_upserts(const int32_t val) {
+  this->upserts = val;
+}
+
+void HistoryRow::__set_removals(const int32_t val) {
+  this->removals = val;
+}
+std::ostream& operator<<(std::ostream& out, const HistoryRow& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HistoryRow::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3470,19 +3395,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast99;
-          xfer += iprot->readI32(ecast99);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast99);
-          this->__isset.verdict = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->answer.read(iprot);
-          this->__isset.answer = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->change_id);
+          this->__isset.change_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->upserts);
+          this->__isset.upserts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->removals);
+          this->__isset.removals = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3499,93 +3446,119 @@
   return xfer;
 }
 
-uint32_t ClaimResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HistoryRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimResult");
+  xfer += oprot->writeStructBegin("HistoryRow");
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->change_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
 
-void swap(ClaimResult &a, ClaimResult &b) {
-  using ::std::swap;
-  swap(a.verdict, b.verdict);
-  swap(a.answer, b.answer);
+  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->upserts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->removals);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HistoryRow &a, HistoryRow &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.change_id, b.change_id);
+  swap(a.author, b.author);
+  swap(a.upserts, b.upserts);
+  swap(a.removals, b.removals);
   swap(a.__isset, b.__isset);
 }
 
-ClaimResult::ClaimResult(const ClaimResult& other100) {
-  verdict = other100.verdict;
-  answer = other100.answer;
-  __isset = other100.__isset;
+HistoryRow::HistoryRow(const HistoryRow& other111) {
+  version = other111.version;
+  change_id = other111.change_id;
+  author = other111.author;
+  upserts = other111.upserts;
+  removals = other111.removals;
+  __isset = other111.__isset;
 }
-ClaimResult::ClaimResult(ClaimResult&& other101) noexcept {
-  verdict = other101.verdict;
-  answer = std::move(other101.answer);
-  __isset = other101.__isset;
+HistoryRow::HistoryRow(HistoryRow&& other112) noexcept {
+  version = other112.version;
+  change_id = std::move(other112.change_id);
+  author = std::move(other112.author);
+  upserts = other112.upserts;
+  removals = other112.removals;
+  __isset = other112.__isset;
 }
-ClaimResult& ClaimResult::operator=(const ClaimResult& other102) {
-  verdict = other102.verdict;
-  answer = other102.answer;
-  __isset = other102.__isset;
+HistoryRow& HistoryRow::operator=(const HistoryRow& other113) {
+  version = other113.version;
+  change_id = other113.change_id;
+  author = other113.author;
+  upserts = other113.upserts;
+  removals = other113.removals;
+  __isset = other113.__isset;
   return *this;
 }
-ClaimResult& ClaimResult::operator=(ClaimResult&& other103) noexcept {
-  verdict = other103.verdict;
-  answer = std::move(other103.answer);
-  __isset = other103.__isset;
+HistoryRow& HistoryRow::operator=(HistoryRow&& other114) noexcept {
+  version = other114.version;
+  change_id = std::move(other114.change_id);
+  author = std::move(other114.author);
+  upserts = other114.upserts;
+  removals = other114.removals;
+  __isset = other114.__isset;
   return *this;
 }
-void ClaimResult::printTo(std::ostream& out) const {
+void HistoryRow::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimResult(";
-  out << "verdict=" << to_string(verdict);
-  out << ", " << "answer=" << to_string(answer);
+  out << "HistoryRow(";
+  out << "version=" << to_string(version);
+  out << ", " << "change_id=" << to_string(change_id);
+  out << ", " << "author=" << to_string(author);
+  out << ", " << "upserts=" << to_string(upserts);
+  out << ", " << "removals=" << to_string(removals);
   out << ")";
 }
 
 
-LedgerFinish::~LedgerFinish() noexcept {
+StoredAnswer::~StoredAnswer() noexcept {
 }
 
 
-void LedgerFinish::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void LedgerFinish::__set_owner(const std::string& val) {
-  this->owner = val;
+void StoredAnswer::__set_status(const int32_t val) {
+  this->status = val;
 }
 
-void LedgerFinish::__set_kind(const FinishKind::type val) {
-  this->kind = val;
+void StoredAnswer::__set_content_type(const std::string& val) {
+  this->content_type = val;
 }
 
-void LedgerFinish::__set_answer(const StoredAnswer& val) {
-  this->answer = val;
+void StoredAnswer::__set_body(const std::string& val) {
+  this->body = val;
 }
 
-void LedgerFinish::__set_ref(const int64_t val) {
-  this->ref = val;
+void StoredAnswer::__set_kept(const bool val) {
+  this->kept = val;
 }
-std::ostream& operator<<(std::ostream& out, const LedgerFinish& obj)
+std::ostream& operator<<(std::ostream& out, const StoredAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LedgerFinish::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t StoredAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3607,43 +3580,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->owner);
-          this->__isset.owner = true;
+          xfer += iprot->readString(this->content_type);
+          this->__isset.content_type = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast104;
-          xfer += iprot->readI32(ecast104);
-          this->kind = static_cast<FinishKind::type>(ecast104);
-          this->__isset.kind = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->body);
+          this->__isset.body = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->answer.read(iprot);
-          this->__isset.answer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->kept);
+          this->__isset.kept = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3660,29 +3623,25 @@
   return xfer;
 }
 
-uint32_t LedgerFinish::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t StoredAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LedgerFinish");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("StoredAnswer");
 
-  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->content_type);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->body);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldBegin("kept", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->kept);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3690,93 +3649,95 @@
   return xfer;
 }
 
-void swap(LedgerFinish &a, LedgerFinish &b) {
+void swap(StoredAnswer &a, StoredAnswer &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.owner, b.owner);
-  swap(a.kind, b.kind);
-  swap(a.answer, b.answer);
-  swap(a.ref, b.ref);
+  swap(a.status, b.status);
+  swap(a.content_type, b.content_type);
+  swap(a.body, b.body);
+  swap(a.kept, b.kept);
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinish::LedgerFinish(const LedgerFinish& other105) {
-  key = other105.key;
-  owner = other105.owner;
-  kind = other105.kind;
-  answer = other105.answer;
-  ref = other105.ref;
-  __isset = other105.__isset;
-}
-LedgerFinish::LedgerFinish(LedgerFinish&& other106) noexcept {
-  key = std::move(other106.key);
-  owner = std::move(other106.owner);
-  kind = other106.kind;
-  answer = std::move(other106.answer);
-  ref = other106.ref;
-  __isset = other106.__isset;
-}
-LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other107) {
-  key = other107.key;
-  owner = other107.owner;
-  kind = other107.kind;
-  answer = other107.answer;
-  ref = other107.ref;
-  __isset = other107.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other115) {
+  status = other115.status;
+  content_type = other115.content_type;
+  body = other115.body;
+  kept = other115.kept;
+  __isset = other115.__isset;
+}
+StoredAnswer::StoredAnswer(StoredAnswer&& other116) noexcept {
+  status = other116.status;
+  content_type = std::move(other116.content_type);
+  body = std::move(other116.body);
+  kept = other116.kept;
+  __isset = other116.__isset;
+}
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other117) {
+  status = other117.status;
+  content_type = other117.content_type;
+  body = other117.body;
+  kept = other117.kept;
+  __isset = other117.__isset;
   return *this;
 }
-LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other108) noexcept {
-  key = std::move(other108.key);
-  owner = std::move(other108.owner);
-  kind = other108.kind;
-  answer = std::move(other108.answer);
-  ref = other108.ref;
-  __isset = other108.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other118) noexcept {
+  status = other118.status;
+  content_type = std::move(other118.content_type);
+  body = std::move(other118.body);
+  kept = other118.kept;
+  __isset = other118.__isset;
   return *this;
 }
-void LedgerFinish::printTo(std::ostream& out) const {
+void StoredAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LedgerFinish(";
-  out << "key=" << to_string(key);
-  out << ", " << "owner=" << to_string(owner);
-  out << ", " << "kind=" << to_string(kind);
-  out << ", " << "answer=" << to_string(answer);
-  out << ", " << "ref=" << to_string(ref);
+  out << "StoredAnswer(";
+  out << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "kept=" << to_string(kept);
   out << ")";
 }
 
 
-LeaseGrant::~LeaseGrant() noexcept {
+LedgerClaim::~LedgerClaim() noexcept {
 }
 
 
-void LeaseGrant::__set_lease(const std::string& val) {
-  this->lease = val;
+void LedgerClaim::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void LeaseGrant::__set_holder(const std::string& val) {
-  this->holder = val;
+void LedgerClaim::__set_owner(const std::string& val) {
+  this->owner = val;
 }
 
-void LeaseGrant::__set_address(const std::string& val) {
-  this->address = val;
+void LedgerClaim::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
 }
 
-void LeaseGrant::__set_port(const int32_t val) {
-  this->port = val;
+void LedgerClaim::__set_now_ms(const int64_t val) {
+  this->now_ms = val;
 }
 
-void LeaseGrant::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void LedgerClaim::__set_retention_ms(const int64_t val) {
+  this->retention_ms = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
+
+void LedgerClaim::__set_rerun_unknown(const bool val) {
+  this->rerun_unknown = val;
+}
+
+void LedgerClaim::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+std::ostream& operator<<(std::ostream& out, const LedgerClaim& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LedgerClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3799,40 +3760,56 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->lease);
-          this->__isset.lease = true;
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->holder);
-          this->__isset.holder = true;
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->port);
-          this->__isset.port = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->now_ms);
+          this->__isset.now_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+          xfer += iprot->readI64(this->retention_ms);
+          this->__isset.retention_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->rerun_unknown);
+          this->__isset.rerun_unknown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3849,29 +3826,37 @@
   return xfer;
 }
 
-uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LedgerClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaseGrant");
+  xfer += oprot->writeStructBegin("LedgerClaim");
 
-  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->lease);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->owner);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldBegin("now_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->now_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("retention_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->retention_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rerun_unknown", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->rerun_unknown);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
