@@ -3879,77 +3864,93 @@
   return xfer;
 }
 
-void swap(LeaseGrant &a, LeaseGrant &b) {
+void swap(LedgerClaim &a, LedgerClaim &b) {
   using ::std::swap;
-  swap(a.lease, b.lease);
-  swap(a.holder, b.holder);
-  swap(a.address, b.address);
-  swap(a.port, b.port);
-  swap(a.epoch, b.epoch);
+  swap(a.key, b.key);
+  swap(a.owner, b.owner);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.now_ms, b.now_ms);
+  swap(a.retention_ms, b.retention_ms);
+  swap(a.rerun_unknown, b.rerun_unknown);
+  swap(a.ref, b.ref);
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other109) {
-  lease = other109.lease;
-  holder = other109.holder;
-  address = other109.address;
-  port = other109.port;
-  epoch = other109.epoch;
-  __isset = other109.__isset;
+LedgerClaim::LedgerClaim(const LedgerClaim& other119) {
+  key = other119.key;
+  owner = other119.owner;
+  fingerprint = other119.fingerprint;
+  now_ms = other119.now_ms;
+  retention_ms = other119.retention_ms;
+  rerun_unknown = other119.rerun_unknown;
+  ref = other119.ref;
+  __isset = other119.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other110) noexcept {
-  lease = std::move(other110.lease);
-  holder = std::move(other110.holder);
-  address = std::move(other110.address);
-  port = other110.port;
-  epoch = other110.epoch;
-  __isset = other110.__isset;
+LedgerClaim::LedgerClaim(LedgerClaim&& other120) noexcept {
+  key = std::move(other120.key);
+  owner = std::move(other120.owner);
+  fingerprint = other120.fingerprint;
+  now_ms = other120.now_ms;
+  retention_ms = other120.retention_ms;
+  rerun_unknown = other120.rerun_unknown;
+  ref = other120.ref;
+  __isset = other120.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other111) {
-  lease = other111.lease;
-  holder = other111.holder;
-  address = other111.address;
-  port = other111.port;
-  epoch = other111.epoch;
-  __isset = other111.__isset;
+LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other121) {
+  key = other121.key;
+  owner = other121.owner;
+  fingerprint = other121.fingerprint;
+  now_ms = other121.now_ms;
+  retention_ms = other121.retention_ms;
+  rerun_unknown = other121.rerun_unknown;
+  ref = other121.ref;
+  __isset = other121.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other112) noexcept {
-  lease = std::move(other112.lease);
-  holder = std::move(other112.holder);
-  address = std::move(other112.address);
-  port = other112.port;
-  epoch = other112.epoch;
-  __isset = other112.__isset;
+LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other122) noexcept {
+  key = std::move(other122.key);
+  owner = std::move(other122.owner);
+  fingerprint = other122.fingerprint;
+  now_ms = other122.now_ms;
+  retention_ms = other122.retention_ms;
+  rerun_unknown = other122.rerun_unknown;
+  ref = other122.ref;
+  __isset = other122.__isset;
   return *this;
 }
-void LeaseGrant::printTo(std::ostream& out) const {
+void LedgerClaim::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaseGrant(";
-  out << "lease=" << to_string(lease);
-  out << ", " << "holder=" << to_string(holder);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "port=" << to_string(port);
-  out << ", " << "epoch=" << to_string(epoch);
+  out << "LedgerClaim(";
+  out << "key=" << to_string(key);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "now_ms=" << to_string(now_ms);
+  out << ", " << "retention_ms=" << to_string(retention_ms);
+  out << ", " << "rerun_unknown=" << to_string(rerun_unknown);
+  out << ", " << "ref=" << to_string(ref);
   out << ")";
 }
 
 
-InstanceGone::~InstanceGone() noexcept {
+ClaimResult::~ClaimResult() noexcept {
 }
 
 
-void InstanceGone::__set_incarnation(const std::string& val) {
-  this->incarnation = val;
+void ClaimResult::__set_verdict(const ClaimVerdict::type val) {
+  this->verdict = val;
 }
-std::ostream& operator<<(std::ostream& out, const InstanceGone& obj)
+
+void ClaimResult::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimResult& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t InstanceGone::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimResult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3971,9 +3972,19 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->incarnation);
-          this->__isset.incarnation = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast123;
+          xfer += iprot->readI32(ecast123);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast123);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3990,13 +4001,17 @@
   return xfer;
 }
 
-uint32_t InstanceGone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("InstanceGone");
+  xfer += oprot->writeStructBegin("ClaimResult");
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->answer.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4004,73 +4019,75 @@
   return xfer;
 }
 
-void swap(InstanceGone &a, InstanceGone &b) {
+void swap(ClaimResult &a, ClaimResult &b) {
   using ::std::swap;
-  swap(a.incarnation, b.incarnation);
+  swap(a.verdict, b.verdict);
+  swap(a.answer, b.answer);
   swap(a.__isset, b.__isset);
 }
 
-InstanceGone::InstanceGone(const InstanceGone& other113) {
-  incarnation = other113.incarnation;
-  __isset = other113.__isset;
+ClaimResult::ClaimResult(const ClaimResult& other124) {
+  verdict = other124.verdict;
+  answer = other124.answer;
+  __isset = other124.__isset;
 }
-InstanceGone::InstanceGone(InstanceGone&& other114) noexcept {
-  incarnation = std::move(other114.incarnation);
-  __isset = other114.__isset;
+ClaimResult::ClaimResult(ClaimResult&& other125) noexcept {
+  verdict = other125.verdict;
+  answer = std::move(other125.answer);
+  __isset = other125.__isset;
 }
-InstanceGone& InstanceGone::operator=(const InstanceGone& other115) {
-  incarnation = other115.incarnation;
-  __isset = other115.__isset;
+ClaimResult& ClaimResult::operator=(const ClaimResult& other126) {
+  verdict = other126.verdict;
+  answer = other126.answer;
+  __isset = other126.__isset;
   return *this;
 }
-InstanceGone& InstanceGone::operator=(InstanceGone&& other116) noexcept {
-  incarnation = std::move(other116.incarnation);
-  __isset = other116.__isset;
+ClaimResult& ClaimResult::operator=(ClaimResult&& other127) noexcept {
+  verdict = other127.verdict;
+  answer = std::move(other127.answer);
+  __isset = other127.__isset;
   return *this;
 }
-void InstanceGone::printTo(std::ostream& out) const {
+void ClaimResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "InstanceGone(";
-  out << "incarnation=" << to_string(incarnation);
+  out << "ClaimResult(";
+  out << "verdict=" << to_string(verdict);
+  out << ", " << "answer=" << to_string(answer);
   out << ")";
 }
 
 
-MemberInfo::~MemberInfo() noexcept {
+LedgerFinish::~LedgerFinish() noexcept {
 }
 
 
-void MemberInfo::__set_id(const int64_t val) {
-  this->id = val;
-}
-
-void MemberInfo::__set_name(const std::string& val) {
-  this->name = val;
+void LedgerFinish::__set_key(const std::string& val) {
+  this->key = val;
 }
 
-void MemberInfo::__set_address(const std::string& val) {
-  this->address = val;
+void LedgerFinish::__set_owner(const std::string& val) {
+  this->owner = val;
 }
 
-void MemberInfo::__set_port(const int32_t val) {
-  this->port = val;
+void LedgerFinish::__set_kind(const FinishKind::type val) {
+  this->kind = val;
 }
 
-void MemberInfo::__set_voter(const bool val) {
-  this->voter = val;
+void LedgerFinish::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
 }
 
-void MemberInfo::__set_data_centre(const std::string& val) {
-  this->data_centre = val;
+void LedgerFinish::__set_ref(const int64_t val) {
+  this->ref = val;
 }
-std::ostream& operator<<(std::ostream& out, const MemberInfo& obj)
+std::ostream& operator<<(std::ostream& out, const LedgerFinish& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t MemberInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LedgerFinish::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4092,49 +4109,43 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->name);
-          this->__isset.name = true;
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast128;
+          xfer += iprot->readI32(ecast128);
+          this->kind = static_cast<FinishKind::type>(ecast128);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->port);
-          this->__isset.port = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->voter);
-          this->__isset.voter = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->data_centre);
-          this->__isset.data_centre = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4151,33 +4162,29 @@
   return xfer;
 }
 
-uint32_t MemberInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LedgerFinish::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("MemberInfo");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LedgerFinish");
 
-  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->owner);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("voter", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->voter);
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->answer.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4185,83 +4192,93 @@
   return xfer;
 }
 
-void swap(MemberInfo &a, MemberInfo &b) {
+void swap(LedgerFinish &a, LedgerFinish &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.name, b.name);
-  swap(a.address, b.address);
-  swap(a.port, b.port);
-  swap(a.voter, b.voter);
-  swap(a.data_centre, b.data_centre);
+  swap(a.key, b.key);
+  swap(a.owner, b.owner);
+  swap(a.kind, b.kind);
+  swap(a.answer, b.answer);
+  swap(a.ref, b.ref);
   swap(a.__isset, b.__isset);
 }
 
-MemberInfo::MemberInfo(const MemberInfo& other117) {
-  id = other117.id;
-  name = other117.name;
-  address = other117.address;
-  port = other117.port;
-  voter = other117.voter;
-  data_centre = other117.data_centre;
-  __isset = other117.__isset;
+LedgerFinish::LedgerFinish(const LedgerFinish& other129) {
+  key = other129.key;
+  owner = other129.owner;
+  kind = other129.kind;
+  answer = other129.answer;
+  ref = other129.ref;
+  __isset = other129.__isset;
 }
-MemberInfo::MemberInfo(MemberInfo&& other118) noexcept {
-  id = other118.id;
-  name = std::move(other118.name);
-  address = std::move(other118.address);
-  port = other118.port;
-  voter = other118.voter;
-  data_centre = std::move(other118.data_centre);
-  __isset = other118.__isset;
+LedgerFinish::LedgerFinish(LedgerFinish&& other130) noexcept {
+  key = std::move(other130.key);
+  owner = std::move(other130.owner);
+  kind = other130.kind;
+  answer = std::move(other130.answer);
+  ref = other130.ref;
+  __isset = other130.__isset;
 }
-MemberInfo& MemberInfo::operator=(const MemberInfo& other119) {
-  id = other119.id;
-  name = other119.name;
-  address = other119.address;
-  port = other119.port;
-  voter = other119.voter;
-  data_centre = other119.data_centre;
-  __isset = other119.__isset;
+LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other131) {
+  key = other131.key;
+  owner = other131.owner;
+  kind = other131.kind;
+  answer = other131.answer;
+  ref = other131.ref;
+  __isset = other131.__isset;
   return *this;
 }
-MemberInfo& MemberInfo::operator=(MemberInfo&& other120) noexcept {
-  id = other120.id;
-  name = std::move(other120.name);
-  address = std::move(other120.address);
-  port = other120.port;
-  voter = other120.voter;
-  data_centre = std::move(other120.data_centre);
-  __isset = other120.__isset;
+LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other132) noexcept {
+  key = std::move(other132.key);
+  owner = std::move(other132.owner);
+  kind = other132.kind;
+  answer = std::move(other132.answer);
+  ref = other132.ref;
+  __isset = other132.__isset;
   return *this;
 }
-void MemberInfo::printTo(std::ostream& out) const {
+void LedgerFinish::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "MemberInfo(";
-  out << "id=" << to_string(id);
-  out << ", " << "name=" << to_string(name);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "port=" << to_string(port);
-  out << ", " << "voter=" << to_string(voter);
-  out << ", " << "data_centre=" << to_string(data_centre);
+  out << "LedgerFinish(";
+  out << "key=" << to_string(key);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "answer=" << to_string(answer);
+  out << ", " << "ref=" << to_string(ref);
   out << ")";
 }
 
 
-Membership::~Membership() noexcept {
+LeaseGrant::~LeaseGrant() noexcept {
 }
 
 
-void Membership::__set_members(const std::vector<MemberInfo> & val) {
-  this->members = val;
+void LeaseGrant::__set_lease(const std::string& val) {
+  this->lease = val;
 }
-std::ostream& operator<<(std::ostream& out, const Membership& obj)
+
+void LeaseGrant::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void LeaseGrant::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void LeaseGrant::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void LeaseGrant::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeaseGrant& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LeaseGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4283,27 +4300,47 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->members.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
-            {
-              xfer += this->members[_i125].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->lease);
+          this->__isset.lease = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
         break;
     }
     xfer += iprot->readFieldEnd();
@@ -4314,21 +4351,29 @@
   return xfer;
 }
 
-uint32_t Membership::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LeaseGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Membership");
+  xfer += oprot->writeStructBegin("LeaseGrant");
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter126;
-    for (_iter126 = this->members.begin(); _iter126 != this->members.end(); ++_iter126)
-    {
-      xfer += (*_iter126).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->lease);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4336,109 +4381,198 @@
   return xfer;
 }
 
-void swap(Membership &a, Membership &b) {
+void swap(LeaseGrant &a, LeaseGrant &b) {
   using ::std::swap;
-  swap(a.members, b.members);
+  swap(a.lease, b.lease);
+  swap(a.holder, b.holder);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other127) {
-  members = other127.members;
-  __isset = other127.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other133) {
+  lease = other133.lease;
+  holder = other133.holder;
+  address = other133.address;
+  port = other133.port;
+  epoch = other133.epoch;
+  __isset = other133.__isset;
 }
-Membership::Membership(Membership&& other128) noexcept {
-  members = std::move(other128.members);
-  __isset = other128.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other134) noexcept {
+  lease = std::move(other134.lease);
+  holder = std::move(other134.holder);
+  address = std::move(other134.address);
+  port = other134.port;
+  epoch = other134.epoch;
+  __isset = other134.__isset;
 }
-Membership& Membership::operator=(const Membership& other129) {
-  members = other129.members;
-  __isset = other129.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other135) {
+  lease = other135.lease;
+  holder = other135.holder;
+  address = other135.address;
+  port = other135.port;
+  epoch = other135.epoch;
+  __isset = other135.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other130) noexcept {
-  members = std::move(other130.members);
-  __isset = other130.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other136) noexcept {
+  lease = std::move(other136.lease);
+  holder = std::move(other136.holder);
+  address = std::move(other136.address);
+  port = other136.port;
+  epoch = other136.epoch;
+  __isset = other136.__isset;
   return *this;
 }
-void Membership::printTo(std::ostream& out) const {
+void LeaseGrant::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Membership(";
-  out << "members=" << to_string(members);
+  out << "LeaseGrant(";
+  out << "lease=" << to_string(lease);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "epoch=" << to_string(epoch);
   out << ")";
 }
 
 
-Command::~Command() noexcept {
+InstanceGone::~InstanceGone() noexcept {
 }
 
 
-void Command::__set_config(const ConfigChange& val) {
-  this->config = val;
-__isset.config = true;
+void InstanceGone::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const InstanceGone& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Command::__set_claim(const LedgerClaim& val) {
-  this->claim = val;
-__isset.claim = true;
+
+uint32_t InstanceGone::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void Command::__set_finish(const LedgerFinish& val) {
-  this->finish = val;
-__isset.finish = true;
+uint32_t InstanceGone::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("InstanceGone");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void Command::__set_lease(const LeaseGrant& val) {
-  this->lease = val;
-__isset.lease = true;
+void swap(InstanceGone &a, InstanceGone &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
 }
 
-void Command::__set_gone(const InstanceGone& val) {
-  this->gone = val;
-__isset.gone = true;
+InstanceGone::InstanceGone(const InstanceGone& other137) {
+  incarnation = other137.incarnation;
+  __isset = other137.__isset;
+}
+InstanceGone::InstanceGone(InstanceGone&& other138) noexcept {
+  incarnation = std::move(other138.incarnation);
+  __isset = other138.__isset;
+}
+InstanceGone& InstanceGone::operator=(const InstanceGone& other139) {
+  incarnation = other139.incarnation;
+  __isset = other139.__isset;
+  return *this;
+}
+InstanceGone& InstanceGone::operator=(InstanceGone&& other140) noexcept {
+  incarnation = std::move(other140.incarnation);
+  __isset = other140.__isset;
+  return *this;
+}
+void InstanceGone::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "InstanceGone(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ")";
 }
 
-void Command::__set_membership(const Membership& val) {
-  this->membership = val;
-__isset.membership = true;
+
+MemberInfo::~MemberInfo() noexcept {
 }
 
-void Command::__set_noop(const bool val) {
-  this->noop = val;
-__isset.noop = true;
+
+void MemberInfo::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void Command::__set_document(const Document& val) {
-  this->document = val;
-__isset.document = true;
+void MemberInfo::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void Command::__set_server(const ServerRecord& val) {
-  this->server = val;
-__isset.server = true;
+void MemberInfo::__set_address(const std::string& val) {
+  this->address = val;
 }
 
-void Command::__set_rollout(const RolloutOrder& val) {
-  this->rollout = val;
-__isset.rollout = true;
+void MemberInfo::__set_port(const int32_t val) {
+  this->port = val;
 }
 
-void Command::__set_rollout_step(const RolloutStep& val) {
-  this->rollout_step = val;
-__isset.rollout_step = true;
+void MemberInfo::__set_voter(const bool val) {
+  this->voter = val;
 }
 
-void Command::__set_evacuation(const EvacuationOrder& val) {
-  this->evacuation = val;
-__isset.evacuation = true;
+void MemberInfo::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
 }
-std::ostream& operator<<(std::ostream& out, const Command& obj)
+std::ostream& operator<<(std::ostream& out, const MemberInfo& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MemberInfo::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4460,97 +4594,49 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config.read(iprot);
-          this->__isset.config = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claim.read(iprot);
-          this->__isset.claim = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->finish.read(iprot);
-          this->__isset.finish = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->lease.read(iprot);
-          this->__isset.lease = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->gone.read(iprot);
-          this->__isset.gone = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->voter);
+          this->__isset.voter = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->membership.read(iprot);
-          this->__isset.membership = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->noop);
-          this->__isset.noop = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->server.read(iprot);
-          this->__isset.server = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->rollout.read(iprot);
-          this->__isset.rollout = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->rollout_step.read(iprot);
-          this->__isset.rollout_step = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->evacuation.read(iprot);
-          this->__isset.evacuation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4567,197 +4653,117 @@
   return xfer;
 }
 
-uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberInfo::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Command");
+  xfer += oprot->writeStructBegin("MemberInfo");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("voter", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->voter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.config) {
-    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->config.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.claim) {
-    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->claim.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.finish) {
-    xfer += oprot->writeFieldBegin("finish", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->finish.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.lease) {
-    xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->lease.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.gone) {
-    xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->gone.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.membership) {
-    xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->membership.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.noop) {
-    xfer += oprot->writeFieldBegin("noop", ::apache::thrift::protocol::T_BOOL, 7);
-    xfer += oprot->writeBool(this->noop);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->document.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.server) {
-    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->server.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.rollout) {
-    xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 10);
-    xfer += this->rollout.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.rollout_step) {
-    xfer += oprot->writeFieldBegin("rollout_step", ::apache::thrift::protocol::T_STRUCT, 11);
-    xfer += this->rollout_step.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.evacuation) {
-    xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 12);
-    xfer += this->evacuation.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Command &a, Command &b) {
+void swap(MemberInfo &a, MemberInfo &b) {
   using ::std::swap;
-  swap(a.config, b.config);
-  swap(a.claim, b.claim);
-  swap(a.finish, b.finish);
-  swap(a.lease, b.lease);
-  swap(a.gone, b.gone);
-  swap(a.membership, b.membership);
-  swap(a.noop, b.noop);
-  swap(a.document, b.document);
-  swap(a.server, b.server);
-  swap(a.rollout, b.rollout);
-  swap(a.rollout_step, b.rollout_step);
-  swap(a.evacuation, b.evacuation);
+  swap(a.id, b.id);
+  swap(a.name, b.name);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.voter, b.voter);
+  swap(a.data_centre, b.data_centre);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other131) {
-  config = other131.config;
-  claim = other131.claim;
-  finish = other131.finish;
-  lease = other131.lease;
-  gone = other131.gone;
-  membership = other131.membership;
-  noop = other131.noop;
-  document = other131.document;
-  server = other131.server;
-  rollout = other131.rollout;
-  rollout_step = other131.rollout_step;
-  evacuation = other131.evacuation;
-  __isset = other131.__isset;
+MemberInfo::MemberInfo(const MemberInfo& other141) {
+  id = other141.id;
+  name = other141.name;
+  address = other141.address;
+  port = other141.port;
+  voter = other141.voter;
+  data_centre = other141.data_centre;
+  __isset = other141.__isset;
 }
-Command::Command(Command&& other132) noexcept {
-  config = std::move(other132.config);
-  claim = std::move(other132.claim);
-  finish = std::move(other132.finish);
-  lease = std::move(other132.lease);
-  gone = std::move(other132.gone);
-  membership = std::move(other132.membership);
-  noop = other132.noop;
-  document = std::move(other132.document);
-  server = std::move(other132.server);
-  rollout = std::move(other132.rollout);
-  rollout_step = std::move(other132.rollout_step);
-  evacuation = std::move(other132.evacuation);
-  __isset = other132.__isset;
+MemberInfo::MemberInfo(MemberInfo&& other142) noexcept {
+  id = other142.id;
+  name = std::move(other142.name);
+  address = std::move(other142.address);
+  port = other142.port;
+  voter = other142.voter;
+  data_centre = std::move(other142.data_centre);
+  __isset = other142.__isset;
 }
-Command& Command::operator=(const Command& other133) {
-  config = other133.config;
-  claim = other133.claim;
-  finish = other133.finish;
-  lease = other133.lease;
-  gone = other133.gone;
-  membership = other133.membership;
-  noop = other133.noop;
-  document = other133.document;
-  server = other133.server;
-  rollout = other133.rollout;
-  rollout_step = other133.rollout_step;
-  evacuation = other133.evacuation;
-  __isset = other133.__isset;
+MemberInfo& MemberInfo::operator=(const MemberInfo& other143) {
+  id = other143.id;
+  name = other143.name;
+  address = other143.address;
+  port = other143.port;
+  voter = other143.voter;
+  data_centre = other143.data_centre;
+  __isset = other143.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other134) noexcept {
-  config = std::move(other134.config);
-  claim = std::move(other134.claim);
-  finish = std::move(other134.finish);
-  lease = std::move(other134.lease);
-  gone = std::move(other134.gone);
-  membership = std::move(other134.membership);
-  noop = other134.noop;
-  document = std::move(other134.document);
-  server = std::move(other134.server);
-  rollout = std::move(other134.rollout);
-  rollout_step = std::move(other134.rollout_step);
-  evacuation = std::move(other134.evacuation);
-  __isset = other134.__isset;
+MemberInfo& MemberInfo::operator=(MemberInfo&& other144) noexcept {
+  id = other144.id;
+  name = std::move(other144.name);
+  address = std::move(other144.address);
+  port = other144.port;
+  voter = other144.voter;
+  data_centre = std::move(other144.data_centre);
+  __isset = other144.__isset;
   return *this;
 }
-void Command::printTo(std::ostream& out) const {
+void MemberInfo::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Command(";
-  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
-  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
-  out << ", " << "finish="; (__isset.finish ? (out << to_string(finish)) : (out << "<null>"));
-  out << ", " << "lease="; (__isset.lease ? (out << to_string(lease)) : (out << "<null>"));
-  out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
-  out << ", " << "membership="; (__isset.membership ? (out << to_string(membership)) : (out << "<null>"));
-  out << ", " << "noop="; (__isset.noop ? (out << to_string(noop)) : (out << "<null>"));
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
-  out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
-  out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
-  out << ", " << "rollout_step="; (__isset.rollout_step ? (out << to_string(rollout_step)) : (out << "<null>"));
-  out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
+  out << "MemberInfo(";
+  out << "id=" << to_string(id);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "voter=" << to_string(voter);
+  out << ", " << "data_centre=" << to_string(data_centre);
   out << ")";
 }
 
 
-LogEntry::~LogEntry() noexcept {
-}
-
-
-void LogEntry::__set_index(const int64_t val) {
-  this->index = val;
+Membership::~Membership() noexcept {
 }
 
-void LogEntry::__set_term(const int64_t val) {
-  this->term = val;
-}
 
-void LogEntry::__set_command(const Command& val) {
-  this->command = val;
+void Membership::__set_members(const std::vector<MemberInfo> & val) {
+  this->members = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
+std::ostream& operator<<(std::ostream& out, const Membership& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Membership::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -4779,25 +4785,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->command.read(iprot);
-          this->__isset.command = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->members.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
+            {
+              xfer += this->members[_i149].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4814,21 +4816,21 @@
   return xfer;
 }
 
-uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Membership::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogEntry");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Membership");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->command.write(oprot);
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberInfo> ::const_iterator _iter150;
+    for (_iter150 = this->members.begin(); _iter150 != this->members.end(); ++_iter150)
+    {
+      xfer += (*_iter150).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4836,200 +4838,114 @@
   return xfer;
 }
 
-void swap(LogEntry &a, LogEntry &b) {
+void swap(Membership &a, Membership &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
-  swap(a.command, b.command);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other135) {
-  index = other135.index;
-  term = other135.term;
-  command = other135.command;
-  __isset = other135.__isset;
+Membership::Membership(const Membership& other151) {
+  members = other151.members;
+  __isset = other151.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other136) noexcept {
-  index = other136.index;
-  term = other136.term;
-  command = std::move(other136.command);
-  __isset = other136.__isset;
+Membership::Membership(Membership&& other152) noexcept {
+  members = std::move(other152.members);
+  __isset = other152.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other137) {
-  index = other137.index;
-  term = other137.term;
-  command = other137.command;
-  __isset = other137.__isset;
+Membership& Membership::operator=(const Membership& other153) {
+  members = other153.members;
+  __isset = other153.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other138) noexcept {
-  index = other138.index;
-  term = other138.term;
-  command = std::move(other138.command);
-  __isset = other138.__isset;
+Membership& Membership::operator=(Membership&& other154) noexcept {
+  members = std::move(other154.members);
+  __isset = other154.__isset;
   return *this;
 }
-void LogEntry::printTo(std::ostream& out) const {
+void Membership::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogEntry(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "command=" << to_string(command);
+  out << "Membership(";
+  out << "members=" << to_string(members);
   out << ")";
 }
 
 
-HardState::~HardState() noexcept {
+Command::~Command() noexcept {
 }
 
 
-void HardState::__set_term(const int64_t val) {
-  this->term = val;
+void Command::__set_config(const ConfigChange& val) {
+  this->config = val;
+__isset.config = true;
 }
 
-void HardState::__set_vote(const int64_t val) {
-  this->vote = val;
-}
-std::ostream& operator<<(std::ostream& out, const HardState& obj)
-{
-  obj.printTo(out);
-  return out;
+void Command::__set_claim(const LedgerClaim& val) {
+  this->claim = val;
+__isset.claim = true;
 }
 
-
-uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->vote);
-          this->__isset.vote = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
+void Command::__set_finish(const LedgerFinish& val) {
+  this->finish = val;
+__isset.finish = true;
 }
 
-uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HardState");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->vote);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
+void Command::__set_lease(const LeaseGrant& val) {
+  this->lease = val;
+__isset.lease = true;
 }
 
-void swap(HardState &a, HardState &b) {
-  using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.vote, b.vote);
-  swap(a.__isset, b.__isset);
+void Command::__set_gone(const InstanceGone& val) {
+  this->gone = val;
+__isset.gone = true;
 }
 
-HardState::HardState(const HardState& other139) noexcept {
-  term = other139.term;
-  vote = other139.vote;
-  __isset = other139.__isset;
-}
-HardState::HardState(HardState&& other140) noexcept {
-  term = other140.term;
-  vote = other140.vote;
-  __isset = other140.__isset;
-}
-HardState& HardState::operator=(const HardState& other141) noexcept {
-  term = other141.term;
-  vote = other141.vote;
-  __isset = other141.__isset;
-  return *this;
-}
-HardState& HardState::operator=(HardState&& other142) noexcept {
-  term = other142.term;
-  vote = other142.vote;
-  __isset = other142.__isset;
-  return *this;
-}
-void HardState::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "HardState(";
-  out << "term=" << to_string(term);
-  out << ", " << "vote=" << to_string(vote);
-  out << ")";
+void Command::__set_membership(const Membership& val) {
+  this->membership = val;
+__isset.membership = true;
 }
 
+void Command::__set_noop(const bool val) {
+  this->noop = val;
+__isset.noop = true;
+}
 
-Snapshot::~Snapshot() noexcept {
+void Command::__set_document(const Document& val) {
+  this->document = val;
+__isset.document = true;
 }
 
+void Command::__set_server(const ServerRecord& val) {
+  this->server = val;
+__isset.server = true;
+}
 
-void Snapshot::__set_index(const int64_t val) {
-  this->index = val;
+void Command::__set_rollout(const RolloutOrder& val) {
+  this->rollout = val;
+__isset.rollout = true;
 }
 
-void Snapshot::__set_term(const int64_t val) {
-  this->term = val;
+void Command::__set_rollout_step(const RolloutStep& val) {
+  this->rollout_step = val;
+__isset.rollout_step = true;
 }
 
-void Snapshot::__set_membership(const Membership& val) {
-  this->membership = val;
+void Command::__set_evacuation(const EvacuationOrder& val) {
+  this->evacuation = val;
+__isset.evacuation = true;
 }
 
-void Snapshot::__set_state(const std::string& val) {
-  this->state = val;
+void Command::__set_document_change(const DocumentChange& val) {
+  this->document_change = val;
+__isset.document_change = true;
 }
-std::ostream& operator<<(std::ostream& out, const Snapshot& obj)
+std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Snapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Command::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5051,22 +4967,46 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->index);
-          this->__isset.index = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config.read(iprot);
+          this->__isset.config = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim.read(iprot);
+          this->__isset.claim = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->finish.read(iprot);
+          this->__isset.finish = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->lease.read(iprot);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->gone.read(iprot);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->membership.read(iprot);
           this->__isset.membership = true;
@@ -5074,129 +5014,276 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->state);
-          this->__isset.state = true;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->noop);
+          this->__isset.noop = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      default:
-        xfer += iprot->skip(ftype);
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Snapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Snapshot");
-
-  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->index);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->membership.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeBinary(this->state);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->server.read(iprot);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout.read(iprot);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rollout_step.read(iprot);
+          this->__isset.rollout_step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_change.read(iprot);
+          this->__isset.document_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Command::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Command");
+
+  if (this->__isset.config) {
+    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->config.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.claim) {
+    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.finish) {
+    xfer += oprot->writeFieldBegin("finish", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->finish.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lease) {
+    xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->lease.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.gone) {
+    xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->gone.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.membership) {
+    xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->membership.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.noop) {
+    xfer += oprot->writeFieldBegin("noop", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->noop);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.server) {
+    xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->server.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollout) {
+    xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->rollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollout_step) {
+    xfer += oprot->writeFieldBegin("rollout_step", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->rollout_step.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.evacuation) {
+    xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->evacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_change) {
+    xfer += oprot->writeFieldBegin("document_change", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->document_change.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Snapshot &a, Snapshot &b) {
+void swap(Command &a, Command &b) {
   using ::std::swap;
-  swap(a.index, b.index);
-  swap(a.term, b.term);
+  swap(a.config, b.config);
+  swap(a.claim, b.claim);
+  swap(a.finish, b.finish);
+  swap(a.lease, b.lease);
+  swap(a.gone, b.gone);
   swap(a.membership, b.membership);
-  swap(a.state, b.state);
+  swap(a.noop, b.noop);
+  swap(a.document, b.document);
+  swap(a.server, b.server);
+  swap(a.rollout, b.rollout);
+  swap(a.rollout_step, b.rollout_step);
+  swap(a.evacuation, b.evacuation);
+  swap(a.document_change, b.document_change);
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other143) {
-  index = other143.index;
-  term = other143.term;
-  membership = other143.membership;
-  state = other143.state;
-  __isset = other143.__isset;
-}
-Snapshot::Snapshot(Snapshot&& other144) noexcept {
-  index = other144.index;
-  term = other144.term;
-  membership = std::move(other144.membership);
-  state = std::move(other144.state);
-  __isset = other144.__isset;
-}
-Snapshot& Snapshot::operator=(const Snapshot& other145) {
-  index = other145.index;
-  term = other145.term;
-  membership = other145.membership;
-  state = other145.state;
-  __isset = other145.__isset;
+Command::Command(const Command& other155) {
+  config = other155.config;
+  claim = other155.claim;
+  finish = other155.finish;
+  lease = other155.lease;
+  gone = other155.gone;
+  membership = other155.membership;
+  noop = other155.noop;
+  document = other155.document;
+  server = other155.server;
+  rollout = other155.rollout;
+  rollout_step = other155.rollout_step;
+  evacuation = other155.evacuation;
+  document_change = other155.document_change;
+  __isset = other155.__isset;
+}
+Command::Command(Command&& other156) noexcept {
+  config = std::move(other156.config);
+  claim = std::move(other156.claim);
+  finish = std::move(other156.finish);
+  lease = std::move(other156.lease);
+  gone = std::move(other156.gone);
+  membership = std::move(other156.membership);
+  noop = other156.noop;
+  document = std::move(other156.document);
+  server = std::move(other156.server);
+  rollout = std::move(other156.rollout);
+  rollout_step = std::move(other156.rollout_step);
+  evacuation = std::move(other156.evacuation);
+  document_change = std::move(other156.document_change);
+  __isset = other156.__isset;
+}
+Command& Command::operator=(const Command& other157) {
+  config = other157.config;
+  claim = other157.claim;
+  finish = other157.finish;
+  lease = other157.lease;
+  gone = other157.gone;
+  membership = other157.membership;
+  noop = other157.noop;
+  document = other157.document;
+  server = other157.server;
+  rollout = other157.rollout;
+  rollout_step = other157.rollout_step;
+  evacuation = other157.evacuation;
+  document_change = other157.document_change;
+  __isset = other157.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other146) noexcept {
-  index = other146.index;
-  term = other146.term;
-  membership = std::move(other146.membership);
-  state = std::move(other146.state);
-  __isset = other146.__isset;
+Command& Command::operator=(Command&& other158) noexcept {
+  config = std::move(other158.config);
+  claim = std::move(other158.claim);
+  finish = std::move(other158.finish);
+  lease = std::move(other158.lease);
+  gone = std::move(other158.gone);
+  membership = std::move(other158.membership);
+  noop = other158.noop;
+  document = std::move(other158.document);
+  server = std::move(other158.server);
+  rollout = std::move(other158.rollout);
+  rollout_step = std::move(other158.rollout_step);
+  evacuation = std::move(other158.evacuation);
+  document_change = std::move(other158.document_change);
+  __isset = other158.__isset;
   return *this;
 }
-void Snapshot::printTo(std::ostream& out) const {
+void Command::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Snapshot(";
-  out << "index=" << to_string(index);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "membership=" << to_string(membership);
-  out << ", " << "state=" << to_string(state);
+  out << "Command(";
+  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
+  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "finish="; (__isset.finish ? (out << to_string(finish)) : (out << "<null>"));
+  out << ", " << "lease="; (__isset.lease ? (out << to_string(lease)) : (out << "<null>"));
+  out << ", " << "gone="; (__isset.gone ? (out << to_string(gone)) : (out << "<null>"));
+  out << ", " << "membership="; (__isset.membership ? (out << to_string(membership)) : (out << "<null>"));
+  out << ", " << "noop="; (__isset.noop ? (out << to_string(noop)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "server="; (__isset.server ? (out << to_string(server)) : (out << "<null>"));
+  out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
+  out << ", " << "rollout_step="; (__isset.rollout_step ? (out << to_string(rollout_step)) : (out << "<null>"));
+  out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
+  out << ", " << "document_change="; (__isset.document_change ? (out << to_string(document_change)) : (out << "<null>"));
   out << ")";
 }
 
 
-VoteRequest::~VoteRequest() noexcept {
+LogEntry::~LogEntry() noexcept {
 }
 
 
-void VoteRequest::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void VoteRequest::__set_last_index(const int64_t val) {
-  this->last_index = val;
+void LogEntry::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void VoteRequest::__set_last_term(const int64_t val) {
-  this->last_term = val;
+void LogEntry::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void VoteRequest::__set_pre(const bool val) {
-  this->pre = val;
+void LogEntry::__set_command(const Command& val) {
+  this->command = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
+std::ostream& operator<<(std::ostream& out, const LogEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5219,32 +5306,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->last_index);
-          this->__isset.last_index = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->last_term);
-          this->__isset.last_term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->pre);
-          this->__isset.pre = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->command.read(iprot);
+          this->__isset.command = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5261,25 +5340,21 @@
   return xfer;
 }
 
-uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteRequest");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogEntry");
 
-  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->last_index);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("last_term", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->last_term);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->pre);
+  xfer += oprot->writeFieldBegin("command", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->command.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5287,79 +5362,69 @@
   return xfer;
 }
 
-void swap(VoteRequest &a, VoteRequest &b) {
+void swap(LogEntry &a, LogEntry &b) {
   using ::std::swap;
+  swap(a.index, b.index);
   swap(a.term, b.term);
-  swap(a.last_index, b.last_index);
-  swap(a.last_term, b.last_term);
-  swap(a.pre, b.pre);
+  swap(a.command, b.command);
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other147) noexcept {
-  term = other147.term;
-  last_index = other147.last_index;
-  last_term = other147.last_term;
-  pre = other147.pre;
-  __isset = other147.__isset;
+LogEntry::LogEntry(const LogEntry& other159) {
+  index = other159.index;
+  term = other159.term;
+  command = other159.command;
+  __isset = other159.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other148) noexcept {
-  term = other148.term;
-  last_index = other148.last_index;
-  last_term = other148.last_term;
-  pre = other148.pre;
-  __isset = other148.__isset;
+LogEntry::LogEntry(LogEntry&& other160) noexcept {
+  index = other160.index;
+  term = other160.term;
+  command = std::move(other160.command);
+  __isset = other160.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other149) noexcept {
-  term = other149.term;
-  last_index = other149.last_index;
-  last_term = other149.last_term;
-  pre = other149.pre;
-  __isset = other149.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other161) {
+  index = other161.index;
+  term = other161.term;
+  command = other161.command;
+  __isset = other161.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other150) noexcept {
-  term = other150.term;
-  last_index = other150.last_index;
-  last_term = other150.last_term;
-  pre = other150.pre;
-  __isset = other150.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other162) noexcept {
+  index = other162.index;
+  term = other162.term;
+  command = std::move(other162.command);
+  __isset = other162.__isset;
   return *this;
 }
-void VoteRequest::printTo(std::ostream& out) const {
+void LogEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteRequest(";
-  out << "term=" << to_string(term);
-  out << ", " << "last_index=" << to_string(last_index);
-  out << ", " << "last_term=" << to_string(last_term);
-  out << ", " << "pre=" << to_string(pre);
+  out << "LogEntry(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "command=" << to_string(command);
   out << ")";
 }
 
 
-VoteReply::~VoteReply() noexcept {
+HardState::~HardState() noexcept {
 }
 
 
-void VoteReply::__set_term(const int64_t val) {
+void HardState::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void VoteReply::__set_granted(const bool val) {
-  this->granted = val;
-}
-
-void VoteReply::__set_pre(const bool val) {
-  this->pre = val;
+void HardState::__set_vote(const int64_t val) {
+  this->vote = val;
 }
-std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+std::ostream& operator<<(std::ostream& out, const HardState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HardState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5389,17 +5454,9 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->granted);
-          this->__isset.granted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->pre);
-          this->__isset.pre = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->vote);
+          this->__isset.vote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5416,21 +5473,17 @@
   return xfer;
 }
 
-uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HardState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("VoteReply");
+  xfer += oprot->writeStructBegin("HardState");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->granted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->pre);
+  xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->vote);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5438,85 +5491,71 @@
   return xfer;
 }
 
-void swap(VoteReply &a, VoteReply &b) {
+void swap(HardState &a, HardState &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.granted, b.granted);
-  swap(a.pre, b.pre);
+  swap(a.vote, b.vote);
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other151) noexcept {
-  term = other151.term;
-  granted = other151.granted;
-  pre = other151.pre;
-  __isset = other151.__isset;
+HardState::HardState(const HardState& other163) noexcept {
+  term = other163.term;
+  vote = other163.vote;
+  __isset = other163.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other152) noexcept {
-  term = other152.term;
-  granted = other152.granted;
-  pre = other152.pre;
-  __isset = other152.__isset;
+HardState::HardState(HardState&& other164) noexcept {
+  term = other164.term;
+  vote = other164.vote;
+  __isset = other164.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other153) noexcept {
-  term = other153.term;
-  granted = other153.granted;
-  pre = other153.pre;
-  __isset = other153.__isset;
+HardState& HardState::operator=(const HardState& other165) noexcept {
+  term = other165.term;
+  vote = other165.vote;
+  __isset = other165.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other154) noexcept {
-  term = other154.term;
-  granted = other154.granted;
-  pre = other154.pre;
-  __isset = other154.__isset;
+HardState& HardState::operator=(HardState&& other166) noexcept {
+  term = other166.term;
+  vote = other166.vote;
+  __isset = other166.__isset;
   return *this;
 }
-void VoteReply::printTo(std::ostream& out) const {
+void HardState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "VoteReply(";
+  out << "HardState(";
   out << "term=" << to_string(term);
-  out << ", " << "granted=" << to_string(granted);
-  out << ", " << "pre=" << to_string(pre);
+  out << ", " << "vote=" << to_string(vote);
   out << ")";
 }
 
 
-AppendRequest::~AppendRequest() noexcept {
-}
-
-
-void AppendRequest::__set_term(const int64_t val) {
-  this->term = val;
+Snapshot::~Snapshot() noexcept {
 }
 
-void AppendRequest::__set_prev_index(const int64_t val) {
-  this->prev_index = val;
-}
 
-void AppendRequest::__set_prev_term(const int64_t val) {
-  this->prev_term = val;
+void Snapshot::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
-  this->entries = val;
+void Snapshot::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void AppendRequest::__set_commit(const int64_t val) {
-  this->commit = val;
+void Snapshot::__set_membership(const Membership& val) {
+  this->membership = val;
 }
 
-void AppendRequest::__set_sent_us(const int64_t val) {
-  this->sent_us = val;
+void Snapshot::__set_state(const std::string& val) {
+  this->state = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+std::ostream& operator<<(std::ostream& out, const Snapshot& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Snapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5539,60 +5578,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prev_index);
-          this->__isset.prev_index = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prev_term);
-          this->__isset.prev_term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership.read(iprot);
+          this->__isset.membership = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->entries.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->entries.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
-            {
-              xfer += this->entries[_i159].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.entries = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->commit);
-          this->__isset.commit = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sent_us);
-          this->__isset.sent_us = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5609,41 +5620,25 @@
   return xfer;
 }
 
-uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Snapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendRequest");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prev_index", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->prev_index);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Snapshot");
 
-  xfer += oprot->writeFieldBegin("prev_term", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->prev_term);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter160;
-    for (_iter160 = this->entries.begin(); _iter160 != this->entries.end(); ++_iter160)
-    {
-      xfer += (*_iter160).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->membership.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->sent_us);
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->state);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5651,95 +5646,83 @@
   return xfer;
 }
 
-void swap(AppendRequest &a, AppendRequest &b) {
+void swap(Snapshot &a, Snapshot &b) {
   using ::std::swap;
+  swap(a.index, b.index);
   swap(a.term, b.term);
-  swap(a.prev_index, b.prev_index);
-  swap(a.prev_term, b.prev_term);
-  swap(a.entries, b.entries);
-  swap(a.commit, b.commit);
-  swap(a.sent_us, b.sent_us);
+  swap(a.membership, b.membership);
+  swap(a.state, b.state);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other161) {
-  term = other161.term;
-  prev_index = other161.prev_index;
-  prev_term = other161.prev_term;
-  entries = other161.entries;
-  commit = other161.commit;
-  sent_us = other161.sent_us;
-  __isset = other161.__isset;
+Snapshot::Snapshot(const Snapshot& other167) {
+  index = other167.index;
+  term = other167.term;
+  membership = other167.membership;
+  state = other167.state;
+  __isset = other167.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other162) noexcept {
-  term = other162.term;
-  prev_index = other162.prev_index;
-  prev_term = other162.prev_term;
-  entries = std::move(other162.entries);
-  commit = other162.commit;
-  sent_us = other162.sent_us;
-  __isset = other162.__isset;
+Snapshot::Snapshot(Snapshot&& other168) noexcept {
+  index = other168.index;
+  term = other168.term;
+  membership = std::move(other168.membership);
+  state = std::move(other168.state);
+  __isset = other168.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other163) {
-  term = other163.term;
-  prev_index = other163.prev_index;
-  prev_term = other163.prev_term;
-  entries = other163.entries;
-  commit = other163.commit;
-  sent_us = other163.sent_us;
-  __isset = other163.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other169) {
+  index = other169.index;
+  term = other169.term;
+  membership = other169.membership;
+  state = other169.state;
+  __isset = other169.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other164) noexcept {
-  term = other164.term;
-  prev_index = other164.prev_index;
-  prev_term = other164.prev_term;
-  entries = std::move(other164.entries);
-  commit = other164.commit;
-  sent_us = other164.sent_us;
-  __isset = other164.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other170) noexcept {
+  index = other170.index;
+  term = other170.term;
+  membership = std::move(other170.membership);
+  state = std::move(other170.state);
+  __isset = other170.__isset;
   return *this;
 }
-void AppendRequest::printTo(std::ostream& out) const {
+void Snapshot::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendRequest(";
-  out << "term=" << to_string(term);
-  out << ", " << "prev_index=" << to_string(prev_index);
-  out << ", " << "prev_term=" << to_string(prev_term);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "commit=" << to_string(commit);
-  out << ", " << "sent_us=" << to_string(sent_us);
+  out << "Snapshot(";
+  out << "index=" << to_string(index);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "membership=" << to_string(membership);
+  out << ", " << "state=" << to_string(state);
   out << ")";
 }
 
 
-AppendReply::~AppendReply() noexcept {
+VoteRequest::~VoteRequest() noexcept {
 }
 
 
-void AppendReply::__set_term(const int64_t val) {
+void VoteRequest::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void AppendReply::__set_ok(const bool val) {
-  this->ok = val;
+void VoteRequest::__set_last_index(const int64_t val) {
+  this->last_index = val;
 }
 
-void AppendReply::__set_match(const int64_t val) {
-  this->match = val;
+void VoteRequest::__set_last_term(const int64_t val) {
+  this->last_term = val;
 }
 
-void AppendReply::__set_sent_us(const int64_t val) {
-  this->sent_us = val;
+void VoteRequest::__set_pre(const bool val) {
+  this->pre = val;
 }
-std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5769,25 +5752,25 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ok);
-          this->__isset.ok = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_index);
+          this->__isset.last_index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->match);
-          this->__isset.match = true;
+          xfer += iprot->readI64(this->last_term);
+          this->__isset.last_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sent_us);
-          this->__isset.sent_us = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pre);
+          this->__isset.pre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5804,25 +5787,25 @@
   return xfer;
 }
 
-uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AppendReply");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ok", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->ok);
+  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->last_index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->match);
+  xfer += oprot->writeFieldBegin("last_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->last_term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->sent_us);
+  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->pre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5830,75 +5813,79 @@
   return xfer;
 }
 
-void swap(AppendReply &a, AppendReply &b) {
+void swap(VoteRequest &a, VoteRequest &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.ok, b.ok);
-  swap(a.match, b.match);
-  swap(a.sent_us, b.sent_us);
-  swap(a.__isset, b.__isset);
+  swap(a.last_index, b.last_index);
+  swap(a.last_term, b.last_term);
+  swap(a.pre, b.pre);
+  swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other165) noexcept {
-  term = other165.term;
-  ok = other165.ok;
-  match = other165.match;
-  sent_us = other165.sent_us;
-  __isset = other165.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other171) noexcept {
+  term = other171.term;
+  last_index = other171.last_index;
+  last_term = other171.last_term;
+  pre = other171.pre;
+  __isset = other171.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other166) noexcept {
-  term = other166.term;
-  ok = other166.ok;
-  match = other166.match;
-  sent_us = other166.sent_us;
-  __isset = other166.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other172) noexcept {
+  term = other172.term;
+  last_index = other172.last_index;
+  last_term = other172.last_term;
+  pre = other172.pre;
+  __isset = other172.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other167) noexcept {
-  term = other167.term;
-  ok = other167.ok;
-  match = other167.match;
-  sent_us = other167.sent_us;
-  __isset = other167.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other173) noexcept {
+  term = other173.term;
+  last_index = other173.last_index;
+  last_term = other173.last_term;
+  pre = other173.pre;
+  __isset = other173.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other168) noexcept {
-  term = other168.term;
-  ok = other168.ok;
-  match = other168.match;
-  sent_us = other168.sent_us;
-  __isset = other168.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other174) noexcept {
+  term = other174.term;
+  last_index = other174.last_index;
+  last_term = other174.last_term;
+  pre = other174.pre;
+  __isset = other174.__isset;
   return *this;
 }
-void AppendReply::printTo(std::ostream& out) const {
+void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AppendReply(";
+  out << "VoteRequest(";
   out << "term=" << to_string(term);
-  out << ", " << "ok=" << to_string(ok);
-  out << ", " << "match=" << to_string(match);
-  out << ", " << "sent_us=" << to_string(sent_us);
+  out << ", " << "last_index=" << to_string(last_index);
+  out << ", " << "last_term=" << to_string(last_term);
+  out << ", " << "pre=" << to_string(pre);
   out << ")";
 }
 
 
-SnapshotRequest::~SnapshotRequest() noexcept {
+VoteReply::~VoteReply() noexcept {
 }
 
 
-void SnapshotRequest::__set_term(const int64_t val) {
+void VoteReply::__set_term(const int64_t val) {
   this->term = val;
 }
 
-void SnapshotRequest::__set_snapshot(const Snapshot& val) {
-  this->snapshot = val;
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
 }
-std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
+
+void VoteReply::__set_pre(const bool val) {
+  this->pre = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5928,9 +5915,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->snapshot.read(iprot);
-          this->__isset.snapshot = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pre);
+          this->__isset.pre = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5947,17 +5942,21 @@
   return xfer;
 }
 
-uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SnapshotRequest");
+  xfer += oprot->writeStructBegin("VoteReply");
 
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->snapshot.write(oprot);
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pre", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->pre);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5965,80 +5964,85 @@
   return xfer;
 }
 
-void swap(SnapshotRequest &a, SnapshotRequest &b) {
+void swap(VoteReply &a, VoteReply &b) {
   using ::std::swap;
   swap(a.term, b.term);
-  swap(a.snapshot, b.snapshot);
+  swap(a.granted, b.granted);
+  swap(a.pre, b.pre);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other169) {
-  term = other169.term;
-  snapshot = other169.snapshot;
-  __isset = other169.__isset;
+VoteReply::VoteReply(const VoteReply& other175) noexcept {
+  term = other175.term;
+  granted = other175.granted;
+  pre = other175.pre;
+  __isset = other175.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other170) noexcept {
-  term = other170.term;
-  snapshot = std::move(other170.snapshot);
-  __isset = other170.__isset;
+VoteReply::VoteReply(VoteReply&& other176) noexcept {
+  term = other176.term;
+  granted = other176.granted;
+  pre = other176.pre;
+  __isset = other176.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other171) {
-  term = other171.term;
-  snapshot = other171.snapshot;
-  __isset = other171.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other177) noexcept {
+  term = other177.term;
+  granted = other177.granted;
+  pre = other177.pre;
+  __isset = other177.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other172) noexcept {
-  term = other172.term;
-  snapshot = std::move(other172.snapshot);
-  __isset = other172.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other178) noexcept {
+  term = other178.term;
+  granted = other178.granted;
+  pre = other178.pre;
+  __isset = other178.__isset;
   return *this;
 }
-void SnapshotRequest::printTo(std::ostream& out) const {
+void VoteReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SnapshotRequest(";
+  out << "VoteReply(";
   out << "term=" << to_string(term);
-  out << ", " << "snapshot=" << to_string(snapshot);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "pre=" << to_string(pre);
   out << ")";
 }
 
 
-LogBody::~LogBody() noexcept {
+AppendRequest::~AppendRequest() noexcept {
 }
 
 
-void LogBody::__set_vote(const VoteRequest& val) {
-  this->vote = val;
-__isset.vote = true;
+void AppendRequest::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void LogBody::__set_vote_reply(const VoteReply& val) {
-  this->vote_reply = val;
-__isset.vote_reply = true;
+void AppendRequest::__set_prev_index(const int64_t val) {
+  this->prev_index = val;
 }
 
-void LogBody::__set_append(const AppendRequest& val) {
-  this->append = val;
-__isset.append = true;
+void AppendRequest::__set_prev_term(const int64_t val) {
+  this->prev_term = val;
 }
 
-void LogBody::__set_append_reply(const AppendReply& val) {
-  this->append_reply = val;
-__isset.append_reply = true;
+void AppendRequest::__set_entries(const std::vector<LogEntry> & val) {
+  this->entries = val;
 }
 
-void LogBody::__set_snapshot(const SnapshotRequest& val) {
-  this->snapshot = val;
-__isset.snapshot = true;
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogBody& obj)
+
+void AppendRequest::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6060,41 +6064,61 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->vote.read(iprot);
-          this->__isset.vote = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->vote_reply.read(iprot);
-          this->__isset.vote_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prev_index);
+          this->__isset.prev_index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->append.read(iprot);
-          this->__isset.append = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prev_term);
+          this->__isset.prev_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->append_reply.read(iprot);
-          this->__isset.append_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->entries.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
+            {
+              xfer += this->entries[_i183].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->snapshot.read(iprot);
-          this->__isset.snapshot = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6111,128 +6135,137 @@
   return xfer;
 }
 
-uint32_t LogBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogBody");
+  xfer += oprot->writeStructBegin("AppendRequest");
 
-  if (this->__isset.vote) {
-    xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->vote.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.vote_reply) {
-    xfer += oprot->writeFieldBegin("vote_reply", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->vote_reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.append) {
-    xfer += oprot->writeFieldBegin("append", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->append.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.append_reply) {
-    xfer += oprot->writeFieldBegin("append_reply", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->append_reply.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.snapshot) {
-    xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->snapshot.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prev_index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prev_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prev_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prev_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<LogEntry> ::const_iterator _iter184;
+    for (_iter184 = this->entries.begin(); _iter184 != this->entries.end(); ++_iter184)
+    {
+      xfer += (*_iter184).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(LogBody &a, LogBody &b) {
+void swap(AppendRequest &a, AppendRequest &b) {
   using ::std::swap;
-  swap(a.vote, b.vote);
-  swap(a.vote_reply, b.vote_reply);
-  swap(a.append, b.append);
-  swap(a.append_reply, b.append_reply);
-  swap(a.snapshot, b.snapshot);
+  swap(a.term, b.term);
+  swap(a.prev_index, b.prev_index);
+  swap(a.prev_term, b.prev_term);
+  swap(a.entries, b.entries);
+  swap(a.commit, b.commit);
+  swap(a.sent_us, b.sent_us);
   swap(a.__isset, b.__isset);
 }
 
-LogBody::LogBody(const LogBody& other173) {
-  vote = other173.vote;
-  vote_reply = other173.vote_reply;
-  append = other173.append;
-  append_reply = other173.append_reply;
-  snapshot = other173.snapshot;
-  __isset = other173.__isset;
-}
-LogBody::LogBody(LogBody&& other174) noexcept {
-  vote = std::move(other174.vote);
-  vote_reply = std::move(other174.vote_reply);
-  append = std::move(other174.append);
-  append_reply = std::move(other174.append_reply);
-  snapshot = std::move(other174.snapshot);
-  __isset = other174.__isset;
-}
-LogBody& LogBody::operator=(const LogBody& other175) {
-  vote = other175.vote;
-  vote_reply = other175.vote_reply;
-  append = other175.append;
-  append_reply = other175.append_reply;
-  snapshot = other175.snapshot;
-  __isset = other175.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other185) {
+  term = other185.term;
+  prev_index = other185.prev_index;
+  prev_term = other185.prev_term;
+  entries = other185.entries;
+  commit = other185.commit;
+  sent_us = other185.sent_us;
+  __isset = other185.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other186) noexcept {
+  term = other186.term;
+  prev_index = other186.prev_index;
+  prev_term = other186.prev_term;
+  entries = std::move(other186.entries);
+  commit = other186.commit;
+  sent_us = other186.sent_us;
+  __isset = other186.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other187) {
+  term = other187.term;
+  prev_index = other187.prev_index;
+  prev_term = other187.prev_term;
+  entries = other187.entries;
+  commit = other187.commit;
+  sent_us = other187.sent_us;
+  __isset = other187.__isset;
   return *this;
 }
-LogBody& LogBody::operator=(LogBody&& other176) noexcept {
-  vote = std::move(other176.vote);
-  vote_reply = std::move(other176.vote_reply);
-  append = std::move(other176.append);
-  append_reply = std::move(other176.append_reply);
-  snapshot = std::move(other176.snapshot);
-  __isset = other176.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other188) noexcept {
+  term = other188.term;
+  prev_index = other188.prev_index;
+  prev_term = other188.prev_term;
+  entries = std::move(other188.entries);
+  commit = other188.commit;
+  sent_us = other188.sent_us;
+  __isset = other188.__isset;
   return *this;
 }
-void LogBody::printTo(std::ostream& out) const {
+void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogBody(";
-  out << "vote="; (__isset.vote ? (out << to_string(vote)) : (out << "<null>"));
-  out << ", " << "vote_reply="; (__isset.vote_reply ? (out << to_string(vote_reply)) : (out << "<null>"));
-  out << ", " << "append="; (__isset.append ? (out << to_string(append)) : (out << "<null>"));
-  out << ", " << "append_reply="; (__isset.append_reply ? (out << to_string(append_reply)) : (out << "<null>"));
-  out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
-  out << ")";
+  out << "AppendRequest(";
+  out << "term=" << to_string(term);
+  out << ", " << "prev_index=" << to_string(prev_index);
+  out << ", " << "prev_term=" << to_string(prev_term);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sent_us=" << to_string(sent_us);
+  out << ")";
 }
 
 
-LogMessage::~LogMessage() noexcept {
+AppendReply::~AppendReply() noexcept {
 }
 
 
-void LogMessage::__set_from_id(const int64_t val) {
-  this->from_id = val;
-}
-
-void LogMessage::__set_to_id(const int64_t val) {
-  this->to_id = val;
+void AppendReply::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void LogMessage::__set_body(const LogBody& val) {
-  this->body = val;
+void AppendReply::__set_ok(const bool val) {
+  this->ok = val;
 }
 
-void LogMessage::__set_cluster(const std::string& val) {
-  this->cluster = val;
+void AppendReply::__set_match(const int64_t val) {
+  this->match = val;
 }
 
-void LogMessage::__set_from_name(const std::string& val) {
-  this->from_name = val;
+void AppendReply::__set_sent_us(const int64_t val) {
+  this->sent_us = val;
 }
-std::ostream& operator<<(std::ostream& out, const LogMessage& obj)
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LogMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6255,40 +6288,32 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->from_id);
-          this->__isset.from_id = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->to_id);
-          this->__isset.to_id = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ok);
+          this->__isset.ok = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->match);
+          this->__isset.match = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->cluster);
-          this->__isset.cluster = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->from_name);
-          this->__isset.from_name = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_us);
+          this->__isset.sent_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6305,29 +6330,25 @@
   return xfer;
 }
 
-uint32_t LogMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LogMessage");
-
-  xfer += oprot->writeFieldBegin("from_id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->from_id);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("AppendReply");
 
-  xfer += oprot->writeFieldBegin("to_id", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->to_id);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("ok", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->ok);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->cluster);
+  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->match);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("from_name", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->from_name);
+  xfer += oprot->writeFieldBegin("sent_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sent_us);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6335,85 +6356,75 @@
   return xfer;
 }
 
-void swap(LogMessage &a, LogMessage &b) {
+void swap(AppendReply &a, AppendReply &b) {
   using ::std::swap;
-  swap(a.from_id, b.from_id);
-  swap(a.to_id, b.to_id);
-  swap(a.body, b.body);
-  swap(a.cluster, b.cluster);
-  swap(a.from_name, b.from_name);
+  swap(a.term, b.term);
+  swap(a.ok, b.ok);
+  swap(a.match, b.match);
+  swap(a.sent_us, b.sent_us);
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other177) {
-  from_id = other177.from_id;
-  to_id = other177.to_id;
-  body = other177.body;
-  cluster = other177.cluster;
-  from_name = other177.from_name;
-  __isset = other177.__isset;
-}
-LogMessage::LogMessage(LogMessage&& other178) noexcept {
-  from_id = other178.from_id;
-  to_id = other178.to_id;
-  body = std::move(other178.body);
-  cluster = std::move(other178.cluster);
-  from_name = std::move(other178.from_name);
-  __isset = other178.__isset;
-}
-LogMessage& LogMessage::operator=(const LogMessage& other179) {
-  from_id = other179.from_id;
-  to_id = other179.to_id;
-  body = other179.body;
-  cluster = other179.cluster;
-  from_name = other179.from_name;
-  __isset = other179.__isset;
+AppendReply::AppendReply(const AppendReply& other189) noexcept {
+  term = other189.term;
+  ok = other189.ok;
+  match = other189.match;
+  sent_us = other189.sent_us;
+  __isset = other189.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other190) noexcept {
+  term = other190.term;
+  ok = other190.ok;
+  match = other190.match;
+  sent_us = other190.sent_us;
+  __isset = other190.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other191) noexcept {
+  term = other191.term;
+  ok = other191.ok;
+  match = other191.match;
+  sent_us = other191.sent_us;
+  __isset = other191.__isset;
   return *this;
 }
-LogMessage& LogMessage::operator=(LogMessage&& other180) noexcept {
-  from_id = other180.from_id;
-  to_id = other180.to_id;
-  body = std::move(other180.body);
-  cluster = std::move(other180.cluster);
-  from_name = std::move(other180.from_name);
-  __isset = other180.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other192) noexcept {
+  term = other192.term;
+  ok = other192.ok;
+  match = other192.match;
+  sent_us = other192.sent_us;
+  __isset = other192.__isset;
   return *this;
 }
-void LogMessage::printTo(std::ostream& out) const {
+void AppendReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LogMessage(";
-  out << "from_id=" << to_string(from_id);
-  out << ", " << "to_id=" << to_string(to_id);
-  out << ", " << "body=" << to_string(body);
-  out << ", " << "cluster=" << to_string(cluster);
-  out << ", " << "from_name=" << to_string(from_name);
+  out << "AppendReply(";
+  out << "term=" << to_string(term);
+  out << ", " << "ok=" << to_string(ok);
+  out << ", " << "match=" << to_string(match);
+  out << ", " << "sent_us=" << to_string(sent_us);
   out << ")";
 }
 
 
-Hello::~Hello() noexcept {
+SnapshotRequest::~SnapshotRequest() noexcept {
 }
 
 
-void Hello::__set_cluster(const std::string& val) {
-  this->cluster = val;
-}
-
-void Hello::__set_member(const MemberInfo& val) {
-  this->member = val;
+void SnapshotRequest::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void Hello::__set_blank(const bool val) {
-  this->blank = val;
+void SnapshotRequest::__set_snapshot(const Snapshot& val) {
+  this->snapshot = val;
 }
-std::ostream& operator<<(std::ostream& out, const Hello& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Hello::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6435,25 +6446,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->cluster);
-          this->__isset.cluster = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->member.read(iprot);
-          this->__isset.member = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->blank);
-          this->__isset.blank = true;
+          xfer += this->snapshot.read(iprot);
+          this->__isset.snapshot = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6470,21 +6473,17 @@
   return xfer;
 }
 
-uint32_t Hello::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Hello");
-
-  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->cluster);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("SnapshotRequest");
 
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->blank);
+  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->snapshot.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6492,77 +6491,80 @@
   return xfer;
 }
 
-void swap(Hello &a, Hello &b) {
+void swap(SnapshotRequest &a, SnapshotRequest &b) {
   using ::std::swap;
-  swap(a.cluster, b.cluster);
-  swap(a.member, b.member);
-  swap(a.blank, b.blank);
+  swap(a.term, b.term);
+  swap(a.snapshot, b.snapshot);
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other181) {
-  cluster = other181.cluster;
-  member = other181.member;
-  blank = other181.blank;
-  __isset = other181.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other193) {
+  term = other193.term;
+  snapshot = other193.snapshot;
+  __isset = other193.__isset;
 }
-Hello::Hello(Hello&& other182) noexcept {
-  cluster = std::move(other182.cluster);
-  member = std::move(other182.member);
-  blank = other182.blank;
-  __isset = other182.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other194) noexcept {
+  term = other194.term;
+  snapshot = std::move(other194.snapshot);
+  __isset = other194.__isset;
 }
-Hello& Hello::operator=(const Hello& other183) {
-  cluster = other183.cluster;
-  member = other183.member;
-  blank = other183.blank;
-  __isset = other183.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other195) {
+  term = other195.term;
+  snapshot = other195.snapshot;
+  __isset = other195.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other184) noexcept {
-  cluster = std::move(other184.cluster);
-  member = std::move(other184.member);
-  blank = other184.blank;
-  __isset = other184.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other196) noexcept {
+  term = other196.term;
+  snapshot = std::move(other196.snapshot);
+  __isset = other196.__isset;
   return *this;
 }
-void Hello::printTo(std::ostream& out) const {
+void SnapshotRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Hello(";
-  out << "cluster=" << to_string(cluster);
-  out << ", " << "member=" << to_string(member);
-  out << ", " << "blank=" << to_string(blank);
+  out << "SnapshotRequest(";
+  out << "term=" << to_string(term);
+  out << ", " << "snapshot=" << to_string(snapshot);
   out << ")";
 }
 
 
-HelloReply::~HelloReply() noexcept {
+LogBody::~LogBody() noexcept {
 }
 
 
-void HelloReply::__set_member(const MemberInfo& val) {
-  this->member = val;
+void LogBody::__set_vote(const VoteRequest& val) {
+  this->vote = val;
+__isset.vote = true;
 }
 
-void HelloReply::__set_blank(const bool val) {
-  this->blank = val;
+void LogBody::__set_vote_reply(const VoteReply& val) {
+  this->vote_reply = val;
+__isset.vote_reply = true;
 }
 
-void HelloReply::__set_leader_id(const int64_t val) {
-  this->leader_id = val;
+void LogBody::__set_append(const AppendRequest& val) {
+  this->append = val;
+__isset.append = true;
 }
 
-void HelloReply::__set_members(const std::vector<MemberInfo> & val) {
-  this->members = val;
+void LogBody::__set_append_reply(const AppendReply& val) {
+  this->append_reply = val;
+__isset.append_reply = true;
 }
-std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
+
+void LogBody::__set_snapshot(const SnapshotRequest& val) {
+  this->snapshot = val;
+__isset.snapshot = true;
+}
+std::ostream& operator<<(std::ostream& out, const LogBody& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HelloReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogBody::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6585,44 +6587,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->member.read(iprot);
-          this->__isset.member = true;
+          xfer += this->vote.read(iprot);
+          this->__isset.vote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->blank);
-          this->__isset.blank = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->vote_reply.read(iprot);
+          this->__isset.vote_reply = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->leader_id);
-          this->__isset.leader_id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->append.read(iprot);
+          this->__isset.append = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size185;
-            ::apache::thrift::protocol::TType _etype188;
-            xfer += iprot->readListBegin(_etype188, _size185);
-            this->members.resize(_size185);
-            uint32_t _i189;
-            for (_i189 = 0; _i189 < _size185; ++_i189)
-            {
-              xfer += this->members[_i189].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->append_reply.read(iprot);
+          this->__isset.append_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot.read(iprot);
+          this->__isset.snapshot = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6639,109 +6637,128 @@
   return xfer;
 }
 
-uint32_t HelloReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HelloReply");
-
-  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->member.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->blank);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("leader_id", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->leader_id);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LogBody");
 
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter190;
-    for (_iter190 = this->members.begin(); _iter190 != this->members.end(); ++_iter190)
-    {
-      xfer += (*_iter190).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
+  if (this->__isset.vote) {
+    xfer += oprot->writeFieldBegin("vote", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->vote.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.vote_reply) {
+    xfer += oprot->writeFieldBegin("vote_reply", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->vote_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.append) {
+    xfer += oprot->writeFieldBegin("append", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->append.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.append_reply) {
+    xfer += oprot->writeFieldBegin("append_reply", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->append_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.snapshot) {
+    xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->snapshot.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(HelloReply &a, HelloReply &b) {
+void swap(LogBody &a, LogBody &b) {
   using ::std::swap;
-  swap(a.member, b.member);
-  swap(a.blank, b.blank);
-  swap(a.leader_id, b.leader_id);
-  swap(a.members, b.members);
+  swap(a.vote, b.vote);
+  swap(a.vote_reply, b.vote_reply);
+  swap(a.append, b.append);
+  swap(a.append_reply, b.append_reply);
+  swap(a.snapshot, b.snapshot);
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other191) {
-  member = other191.member;
-  blank = other191.blank;
-  leader_id = other191.leader_id;
-  members = other191.members;
-  __isset = other191.__isset;
+LogBody::LogBody(const LogBody& other197) {
+  vote = other197.vote;
+  vote_reply = other197.vote_reply;
+  append = other197.append;
+  append_reply = other197.append_reply;
+  snapshot = other197.snapshot;
+  __isset = other197.__isset;
 }
-HelloReply::HelloReply(HelloReply&& other192) noexcept {
-  member = std::move(other192.member);
-  blank = other192.blank;
-  leader_id = other192.leader_id;
-  members = std::move(other192.members);
-  __isset = other192.__isset;
+LogBody::LogBody(LogBody&& other198) noexcept {
+  vote = std::move(other198.vote);
+  vote_reply = std::move(other198.vote_reply);
+  append = std::move(other198.append);
+  append_reply = std::move(other198.append_reply);
+  snapshot = std::move(other198.snapshot);
+  __isset = other198.__isset;
 }
-HelloReply& HelloReply::operator=(const HelloReply& other193) {
-  member = other193.member;
-  blank = other193.blank;
-  leader_id = other193.leader_id;
-  members = other193.members;
-  __isset = other193.__isset;
+LogBody& LogBody::operator=(const LogBody& other199) {
+  vote = other199.vote;
+  vote_reply = other199.vote_reply;
+  append = other199.append;
+  append_reply = other199.append_reply;
+  snapshot = other199.snapshot;
+  __isset = other199.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other194) noexcept {
-  member = std::move(other194.member);
-  blank = other194.blank;
-  leader_id = other194.leader_id;
-  members = std::move(other194.members);
-  __isset = other194.__isset;
+LogBody& LogBody::operator=(LogBody&& other200) noexcept {
+  vote = std::move(other200.vote);
+  vote_reply = std::move(other200.vote_reply);
+  append = std::move(other200.append);
+  append_reply = std::move(other200.append_reply);
+  snapshot = std::move(other200.snapshot);
+  __isset = other200.__isset;
   return *this;
 }
-void HelloReply::printTo(std::ostream& out) const {
+void LogBody::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HelloReply(";
-  out << "member=" << to_string(member);
-  out << ", " << "blank=" << to_string(blank);
-  out << ", " << "leader_id=" << to_string(leader_id);
-  out << ", " << "members=" << to_string(members);
+  out << "LogBody(";
+  out << "vote="; (__isset.vote ? (out << to_string(vote)) : (out << "<null>"));
+  out << ", " << "vote_reply="; (__isset.vote_reply ? (out << to_string(vote_reply)) : (out << "<null>"));
+  out << ", " << "append="; (__isset.append ? (out << to_string(append)) : (out << "<null>"));
+  out << ", " << "append_reply="; (__isset.append_reply ? (out << to_string(append_reply)) : (out << "<null>"));
+  out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
   out << ")";
 }
 
 
-ObjectState::~ObjectState() noexcept {
+LogMessage::~LogMessage() noexcept {
 }
 
 
-void ObjectState::__set_object(const ObjectText& val) {
-  this->object = val;
+void LogMessage::__set_from_id(const int64_t val) {
+  this->from_id = val;
 }
 
-void ObjectState::__set_version(const int64_t val) {
-  this->version = val;
+void LogMessage::__set_to_id(const int64_t val) {
+  this->to_id = val;
 }
-std::ostream& operator<<(std::ostream& out, const ObjectState& obj)
+
+void LogMessage::__set_body(const LogBody& val) {
+  this->body = val;
+}
+
+void LogMessage::__set_cluster(const std::string& val) {
+  this->cluster = val;
+}
+
+void LogMessage::__set_from_name(const std::string& val) {
+  this->from_name = val;
+}
+std::ostream& operator<<(std::ostream& out, const LogMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ObjectState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LogMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6763,17 +6780,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->object.read(iprot);
-          this->__isset.object = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_id);
+          this->__isset.from_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readI64(this->to_id);
+          this->__isset.to_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cluster);
+          this->__isset.cluster = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->from_name);
+          this->__isset.from_name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6790,17 +6831,29 @@
   return xfer;
 }
 
-uint32_t ObjectState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LogMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ObjectState");
+  xfer += oprot->writeStructBegin("LogMessage");
 
-  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->object.write(oprot);
+  xfer += oprot->writeFieldBegin("from_id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("to_id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->to_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->cluster);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("from_name", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->from_name);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6808,63 +6861,85 @@
   return xfer;
 }
 
-void swap(ObjectState &a, ObjectState &b) {
+void swap(LogMessage &a, LogMessage &b) {
   using ::std::swap;
-  swap(a.object, b.object);
-  swap(a.version, b.version);
+  swap(a.from_id, b.from_id);
+  swap(a.to_id, b.to_id);
+  swap(a.body, b.body);
+  swap(a.cluster, b.cluster);
+  swap(a.from_name, b.from_name);
   swap(a.__isset, b.__isset);
 }
 
-ObjectState::ObjectState(const ObjectState& other195) {
-  object = other195.object;
-  version = other195.version;
-  __isset = other195.__isset;
+LogMessage::LogMessage(const LogMessage& other201) {
+  from_id = other201.from_id;
+  to_id = other201.to_id;
+  body = other201.body;
+  cluster = other201.cluster;
+  from_name = other201.from_name;
+  __isset = other201.__isset;
 }
-ObjectState::ObjectState(ObjectState&& other196) noexcept {
-  object = std::move(other196.object);
-  version = other196.version;
-  __isset = other196.__isset;
+LogMessage::LogMessage(LogMessage&& other202) noexcept {
+  from_id = other202.from_id;
+  to_id = other202.to_id;
+  body = std::move(other202.body);
+  cluster = std::move(other202.cluster);
+  from_name = std::move(other202.from_name);
+  __isset = other202.__isset;
 }
-ObjectState& ObjectState::operator=(const ObjectState& other197) {
-  object = other197.object;
-  version = other197.version;
-  __isset = other197.__isset;
+LogMessage& LogMessage::operator=(const LogMessage& other203) {
+  from_id = other203.from_id;
+  to_id = other203.to_id;
+  body = other203.body;
+  cluster = other203.cluster;
+  from_name = other203.from_name;
+  __isset = other203.__isset;
   return *this;
 }
-ObjectState& ObjectState::operator=(ObjectState&& other198) noexcept {
-  object = std::move(other198.object);
-  version = other198.version;
-  __isset = other198.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other204) noexcept {
+  from_id = other204.from_id;
+  to_id = other204.to_id;
+  body = std::move(other204.body);
+  cluster = std::move(other204.cluster);
+  from_name = std::move(other204.from_name);
+  __isset = other204.__isset;
   return *this;
 }
-void ObjectState::printTo(std::ostream& out) const {
+void LogMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ObjectState(";
-  out << "object=" << to_string(object);
-  out << ", " << "version=" << to_string(version);
+  out << "LogMessage(";
+  out << "from_id=" << to_string(from_id);
+  out << ", " << "to_id=" << to_string(to_id);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "cluster=" << to_string(cluster);
+  out << ", " << "from_name=" << to_string(from_name);
   out << ")";
 }
 
 
-RemovalState::~RemovalState() noexcept {
+Hello::~Hello() noexcept {
 }
 
 
-void RemovalState::__set_key(const ObjectKey& val) {
-  this->key = val;
+void Hello::__set_cluster(const std::string& val) {
+  this->cluster = val;
 }
 
-void RemovalState::__set_version(const int64_t val) {
-  this->version = val;
+void Hello::__set_member(const MemberInfo& val) {
+  this->member = val;
 }
-std::ostream& operator<<(std::ostream& out, const RemovalState& obj)
+
+void Hello::__set_blank(const bool val) {
+  this->blank = val;
+}
+std::ostream& operator<<(std::ostream& out, const Hello& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t RemovalState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Hello::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -6886,17 +6961,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->key.read(iprot);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->cluster);
+          this->__isset.cluster = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->blank);
+          this->__isset.blank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -6913,17 +6996,21 @@
   return xfer;
 }
 
-uint32_t RemovalState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Hello::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RemovalState");
+  xfer += oprot->writeStructBegin("Hello");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldBegin("cluster", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->cluster);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->member.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->blank);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -6931,67 +7018,77 @@
   return xfer;
 }
 
-void swap(RemovalState &a, RemovalState &b) {
+void swap(Hello &a, Hello &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.version, b.version);
+  swap(a.cluster, b.cluster);
+  swap(a.member, b.member);
+  swap(a.blank, b.blank);
   swap(a.__isset, b.__isset);
 }
 
-RemovalState::RemovalState(const RemovalState& other199) {
-  key = other199.key;
-  version = other199.version;
-  __isset = other199.__isset;
+Hello::Hello(const Hello& other205) {
+  cluster = other205.cluster;
+  member = other205.member;
+  blank = other205.blank;
+  __isset = other205.__isset;
 }
-RemovalState::RemovalState(RemovalState&& other200) noexcept {
-  key = std::move(other200.key);
-  version = other200.version;
-  __isset = other200.__isset;
+Hello::Hello(Hello&& other206) noexcept {
+  cluster = std::move(other206.cluster);
+  member = std::move(other206.member);
+  blank = other206.blank;
+  __isset = other206.__isset;
 }
-RemovalState& RemovalState::operator=(const RemovalState& other201) {
-  key = other201.key;
-  version = other201.version;
-  __isset = other201.__isset;
+Hello& Hello::operator=(const Hello& other207) {
+  cluster = other207.cluster;
+  member = other207.member;
+  blank = other207.blank;
+  __isset = other207.__isset;
   return *this;
 }
-RemovalState& RemovalState::operator=(RemovalState&& other202) noexcept {
-  key = std::move(other202.key);
-  version = other202.version;
-  __isset = other202.__isset;
+Hello& Hello::operator=(Hello&& other208) noexcept {
+  cluster = std::move(other208.cluster);
+  member = std::move(other208.member);
+  blank = other208.blank;
+  __isset = other208.__isset;
   return *this;
 }
-void RemovalState::printTo(std::ostream& out) const {
+void Hello::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "RemovalState(";
-  out << "key=" << to_string(key);
-  out << ", " << "version=" << to_string(version);
+  out << "Hello(";
+  out << "cluster=" << to_string(cluster);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "blank=" << to_string(blank);
   out << ")";
 }
 
 
-ChangeState::~ChangeState() noexcept {
+HelloReply::~HelloReply() noexcept {
 }
 
 
-void ChangeState::__set_change_id(const std::string& val) {
-  this->change_id = val;
+void HelloReply::__set_member(const MemberInfo& val) {
+  this->member = val;
 }
 
-void ChangeState::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
+void HelloReply::__set_blank(const bool val) {
+  this->blank = val;
 }
 
-void ChangeState::__set_outcome(const ConfigOutcome& val) {
-  this->outcome = val;
+void HelloReply::__set_leader_id(const int64_t val) {
+  this->leader_id = val;
 }
-std::ostream& operator<<(std::ostream& out, const ChangeState& obj)
+
+void HelloReply::__set_members(const std::vector<MemberInfo> & val) {
+  this->members = val;
+}
+std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ChangeState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t HelloReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7013,25 +7110,45 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->change_id);
-          this->__isset.change_id = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->member.read(iprot);
+          this->__isset.member = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->blank);
+          this->__isset.blank = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcome.read(iprot);
-          this->__isset.outcome = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leader_id);
+          this->__isset.leader_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->members.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
+            {
+              xfer += this->members[_i213].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7048,21 +7165,33 @@
   return xfer;
 }
 
-uint32_t ChangeState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t HelloReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ChangeState");
+  xfer += oprot->writeStructBegin("HelloReply");
 
-  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->change_id);
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->member.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldBegin("blank", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->blank);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 3);
-  xfer += this->outcome.write(oprot);
+  xfer += oprot->writeFieldBegin("leader_id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->leader_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<MemberInfo> ::const_iterator _iter214;
+    for (_iter214 = this->members.begin(); _iter214 != this->members.end(); ++_iter214)
+    {
+      xfer += (*_iter214).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7070,89 +7199,75 @@
   return xfer;
 }
 
-void swap(ChangeState &a, ChangeState &b) {
+void swap(HelloReply &a, HelloReply &b) {
   using ::std::swap;
-  swap(a.change_id, b.change_id);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.outcome, b.outcome);
+  swap(a.member, b.member);
+  swap(a.blank, b.blank);
+  swap(a.leader_id, b.leader_id);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-ChangeState::ChangeState(const ChangeState& other203) {
-  change_id = other203.change_id;
-  fingerprint = other203.fingerprint;
-  outcome = other203.outcome;
-  __isset = other203.__isset;
-}
-ChangeState::ChangeState(ChangeState&& other204) noexcept {
-  change_id = std::move(other204.change_id);
-  fingerprint = other204.fingerprint;
-  outcome = std::move(other204.outcome);
-  __isset = other204.__isset;
-}
-ChangeState& ChangeState::operator=(const ChangeState& other205) {
-  change_id = other205.change_id;
-  fingerprint = other205.fingerprint;
-  outcome = other205.outcome;
-  __isset = other205.__isset;
+HelloReply::HelloReply(const HelloReply& other215) {
+  member = other215.member;
+  blank = other215.blank;
+  leader_id = other215.leader_id;
+  members = other215.members;
+  __isset = other215.__isset;
+}
+HelloReply::HelloReply(HelloReply&& other216) noexcept {
+  member = std::move(other216.member);
+  blank = other216.blank;
+  leader_id = other216.leader_id;
+  members = std::move(other216.members);
+  __isset = other216.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other217) {
+  member = other217.member;
+  blank = other217.blank;
+  leader_id = other217.leader_id;
+  members = other217.members;
+  __isset = other217.__isset;
   return *this;
 }
-ChangeState& ChangeState::operator=(ChangeState&& other206) noexcept {
-  change_id = std::move(other206.change_id);
-  fingerprint = other206.fingerprint;
-  outcome = std::move(other206.outcome);
-  __isset = other206.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other218) noexcept {
+  member = std::move(other218.member);
+  blank = other218.blank;
+  leader_id = other218.leader_id;
+  members = std::move(other218.members);
+  __isset = other218.__isset;
   return *this;
 }
-void ChangeState::printTo(std::ostream& out) const {
+void HelloReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ChangeState(";
-  out << "change_id=" << to_string(change_id);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "outcome=" << to_string(outcome);
+  out << "HelloReply(";
+  out << "member=" << to_string(member);
+  out << ", " << "blank=" << to_string(blank);
+  out << ", " << "leader_id=" << to_string(leader_id);
+  out << ", " << "members=" << to_string(members);
   out << ")";
 }
 
 
-KeyRecord::~KeyRecord() noexcept {
-}
-
-
-void KeyRecord::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void KeyRecord::__set_owner(const std::string& val) {
-  this->owner = val;
-}
-
-void KeyRecord::__set_ref(const int64_t val) {
-  this->ref = val;
-}
-
-void KeyRecord::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
+ObjectState::~ObjectState() noexcept {
 }
 
-void KeyRecord::__set_state(const KeyState::type val) {
-  this->state = val;
-}
 
-void KeyRecord::__set_expires_ms(const int64_t val) {
-  this->expires_ms = val;
+void ObjectState::__set_object(const ObjectText& val) {
+  this->object = val;
 }
 
-void KeyRecord::__set_answer(const StoredAnswer& val) {
-  this->answer = val;
+void ObjectState::__set_version(const int64_t val) {
+  this->version = val;
 }
-std::ostream& operator<<(std::ostream& out, const KeyRecord& obj)
+std::ostream& operator<<(std::ostream& out, const ObjectState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t KeyRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ObjectState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -7174,59 +7289,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->object.read(iprot);
+          this->__isset.object = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->owner);
-          this->__isset.owner = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast207;
-          xfer += iprot->readI32(ecast207);
-          this->state = static_cast<KeyState::type>(ecast207);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expires_ms);
-          this->__isset.expires_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->answer.read(iprot);
-          this->__isset.answer = true;
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7243,37 +7316,17 @@
   return xfer;
 }
 
-uint32_t KeyRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ObjectState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("KeyRecord");
-
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->owner);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->ref);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ObjectState");
 
-  xfer += oprot->writeFieldBegin("expires_ms", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->expires_ms);
+  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->object.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 7);
-  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -7281,69 +7334,542 @@
   return xfer;
 }
 
-void swap(KeyRecord &a, KeyRecord &b) {
+void swap(ObjectState &a, ObjectState &b) {
   using ::std::swap;
-  swap(a.key, b.key);
-  swap(a.owner, b.owner);
-  swap(a.ref, b.ref);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.state, b.state);
-  swap(a.expires_ms, b.expires_ms);
-  swap(a.answer, b.answer);
+  swap(a.object, b.object);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other208) {
-  key = other208.key;
-  owner = other208.owner;
-  ref = other208.ref;
-  fingerprint = other208.fingerprint;
-  state = other208.state;
-  expires_ms = other208.expires_ms;
-  answer = other208.answer;
-  __isset = other208.__isset;
+ObjectState::ObjectState(const ObjectState& other219) {
+  object = other219.object;
+  version = other219.version;
+  __isset = other219.__isset;
 }
-KeyRecord::KeyRecord(KeyRecord&& other209) noexcept {
-  key = std::move(other209.key);
-  owner = std::move(other209.owner);
-  ref = other209.ref;
-  fingerprint = other209.fingerprint;
-  state = other209.state;
-  expires_ms = other209.expires_ms;
-  answer = std::move(other209.answer);
-  __isset = other209.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other210) {
-  key = other210.key;
-  owner = other210.owner;
-  ref = other210.ref;
-  fingerprint = other210.fingerprint;
-  state = other210.state;
-  expires_ms = other210.expires_ms;
-  answer = other210.answer;
-  __isset = other210.__isset;
-  return *this;
-}
-KeyRecord& KeyRecord::operator=(KeyRecord&& other211) noexcept {
-  key = std::move(other211.key);
-  owner = std::move(other211.owner);
-  ref = other211.ref;
-  fingerprint = other211.fingerprint;
-  state = other211.state;
-  expires_ms = other211.expires_ms;
-  answer = std::move(other211.answer);
-  __isset = other211.__isset;
+ObjectState::ObjectState(ObjectState&& other220) noexcept {
+  object = std::move(other220.object);
+  version = other220.version;
+  __isset = other220.__isset;
+}
+ObjectState& ObjectState::operator=(const ObjectState& other221) {
+  object = other221.object;
+  version = other221.version;
+  __isset = other221.__isset;
   return *this;
 }
-void KeyRecord::printTo(std::ostream& out) const {
+ObjectState& ObjectState::operator=(ObjectState&& other222) noexcept {
+  object = std::move(other222.object);
+  version = other222.version;
+  __isset = other222.__isset;
+  return *this;
+}
+void ObjectState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "KeyRecord(";
-  out << "key=" << to_string(key);
-  out << ", " << "owner=" << to_string(owner);
-  out << ", " << "ref=" << to_string(ref);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "expires_ms=" << to_string(expires_ms);
+  out << "ObjectState(";
+  out << "object=" << to_string(object);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+RemovalState::~RemovalState() noexcept {
+}
+
+
+void RemovalState::__set_key(const ObjectKey& val) {
+  this->key = val;
+}
+
+void RemovalState::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RemovalState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RemovalState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RemovalState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RemovalState");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->key.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RemovalState &a, RemovalState &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+RemovalState::RemovalState(const RemovalState& other223) {
+  key = other223.key;
+  version = other223.version;
+  __isset = other223.__isset;
+}
+RemovalState::RemovalState(RemovalState&& other224) noexcept {
+  key = std::move(other224.key);
+  version = other224.version;
+  __isset = other224.__isset;
+}
+RemovalState& RemovalState::operator=(const RemovalState& other225) {
+  key = other225.key;
+  version = other225.version;
+  __isset = other225.__isset;
+  return *this;
+}
+RemovalState& RemovalState::operator=(RemovalState&& other226) noexcept {
+  key = std::move(other226.key);
+  version = other226.version;
+  __isset = other226.__isset;
+  return *this;
+}
+void RemovalState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RemovalState(";
+  out << "key=" << to_string(key);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
+ChangeState::~ChangeState() noexcept {
+}
+
+
+void ChangeState::__set_change_id(const std::string& val) {
+  this->change_id = val;
+}
+
+void ChangeState::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void ChangeState::__set_outcome(const ConfigOutcome& val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangeState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ChangeState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->change_id);
+          this->__isset.change_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome.read(iprot);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ChangeState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ChangeState");
+
+  xfer += oprot->writeFieldBegin("change_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->change_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->outcome.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ChangeState &a, ChangeState &b) {
+  using ::std::swap;
+  swap(a.change_id, b.change_id);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.outcome, b.outcome);
+  swap(a.__isset, b.__isset);
+}
+
+ChangeState::ChangeState(const ChangeState& other227) {
+  change_id = other227.change_id;
+  fingerprint = other227.fingerprint;
+  outcome = other227.outcome;
+  __isset = other227.__isset;
+}
+ChangeState::ChangeState(ChangeState&& other228) noexcept {
+  change_id = std::move(other228.change_id);
+  fingerprint = other228.fingerprint;
+  outcome = std::move(other228.outcome);
+  __isset = other228.__isset;
+}
+ChangeState& ChangeState::operator=(const ChangeState& other229) {
+  change_id = other229.change_id;
+  fingerprint = other229.fingerprint;
+  outcome = other229.outcome;
+  __isset = other229.__isset;
+  return *this;
+}
+ChangeState& ChangeState::operator=(ChangeState&& other230) noexcept {
+  change_id = std::move(other230.change_id);
+  fingerprint = other230.fingerprint;
+  outcome = std::move(other230.outcome);
+  __isset = other230.__isset;
+  return *this;
+}
+void ChangeState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ChangeState(";
+  out << "change_id=" << to_string(change_id);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ")";
+}
+
+
+KeyRecord::~KeyRecord() noexcept {
+}
+
+
+void KeyRecord::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void KeyRecord::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void KeyRecord::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void KeyRecord::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void KeyRecord::__set_state(const KeyState::type val) {
+  this->state = val;
+}
+
+void KeyRecord::__set_expires_ms(const int64_t val) {
+  this->expires_ms = val;
+}
+
+void KeyRecord::__set_answer(const StoredAnswer& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeyRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeyRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast231;
+          xfer += iprot->readI32(ecast231);
+          this->state = static_cast<KeyState::type>(ecast231);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expires_ms);
+          this->__isset.expires_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeyRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeyRecord");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expires_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->expires_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeyRecord &a, KeyRecord &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.owner, b.owner);
+  swap(a.ref, b.ref);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.state, b.state);
+  swap(a.expires_ms, b.expires_ms);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+KeyRecord::KeyRecord(const KeyRecord& other232) {
+  key = other232.key;
+  owner = other232.owner;
+  ref = other232.ref;
+  fingerprint = other232.fingerprint;
+  state = other232.state;
+  expires_ms = other232.expires_ms;
+  answer = other232.answer;
+  __isset = other232.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other233) noexcept {
+  key = std::move(other233.key);
+  owner = std::move(other233.owner);
+  ref = other233.ref;
+  fingerprint = other233.fingerprint;
+  state = other233.state;
+  expires_ms = other233.expires_ms;
+  answer = std::move(other233.answer);
+  __isset = other233.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other234) {
+  key = other234.key;
+  owner = other234.owner;
+  ref = other234.ref;
+  fingerprint = other234.fingerprint;
+  state = other234.state;
+  expires_ms = other234.expires_ms;
+  answer = other234.answer;
+  __isset = other234.__isset;
+  return *this;
+}
+KeyRecord& KeyRecord::operator=(KeyRecord&& other235) noexcept {
+  key = std::move(other235.key);
+  owner = std::move(other235.owner);
+  ref = other235.ref;
+  fingerprint = other235.fingerprint;
+  state = other235.state;
+  expires_ms = other235.expires_ms;
+  answer = std::move(other235.answer);
+  __isset = other235.__isset;
+  return *this;
+}
+void KeyRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeyRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "ref=" << to_string(ref);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "expires_ms=" << to_string(expires_ms);
   out << ", " << "answer=" << to_string(answer);
   out << ")";
 }
@@ -7444,14 +7970,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->objects.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->objects.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->objects[_i216].read(iprot);
+              xfer += this->objects[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7464,14 +7990,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->removals.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->removals.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
             {
-              xfer += this->removals[_i221].read(iprot);
+              xfer += this->removals[_i245].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7492,14 +8018,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->history.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->history.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->history[_i226].read(iprot);
+              xfer += this->history[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7512,14 +8038,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readListBegin(_etype230, _size227);
-            this->changes.resize(_size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->changes.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->changes[_i231].read(iprot);
+              xfer += this->changes[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7532,14 +8058,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->keys.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->keys.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->keys[_i236].read(iprot);
+              xfer += this->keys[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7552,14 +8078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size237;
-            ::apache::thrift::protocol::TType _etype240;
-            xfer += iprot->readListBegin(_etype240, _size237);
-            this->leases.resize(_size237);
-            uint32_t _i241;
-            for (_i241 = 0; _i241 < _size237; ++_i241)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->leases.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->leases[_i241].read(iprot);
+              xfer += this->leases[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7588,14 +8114,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->servers.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->servers.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->servers[_i246].read(iprot);
+              xfer += this->servers[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7608,14 +8134,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rollouts.clear();
-            uint32_t _size247;
-            ::apache::thrift::protocol::TType _etype250;
-            xfer += iprot->readListBegin(_etype250, _size247);
-            this->rollouts.resize(_size247);
-            uint32_t _i251;
-            for (_i251 = 0; _i251 < _size247; ++_i251)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->rollouts.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->rollouts[_i251].read(iprot);
+              xfer += this->rollouts[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7628,14 +8154,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size252;
-            ::apache::thrift::protocol::TType _etype255;
-            xfer += iprot->readListBegin(_etype255, _size252);
-            this->evacuations.resize(_size252);
-            uint32_t _i256;
-            for (_i256 = 0; _i256 < _size252; ++_i256)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->evacuations.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              xfer += this->evacuations[_i256].read(iprot);
+              xfer += this->evacuations[_i280].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7668,10 +8194,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectState> ::const_iterator _iter257;
-    for (_iter257 = this->objects.begin(); _iter257 != this->objects.end(); ++_iter257)
+    std::vector<ObjectState> ::const_iterator _iter281;
+    for (_iter281 = this->objects.begin(); _iter281 != this->objects.end(); ++_iter281)
     {
-      xfer += (*_iter257).write(oprot);
+      xfer += (*_iter281).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7680,10 +8206,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RemovalState> ::const_iterator _iter258;
-    for (_iter258 = this->removals.begin(); _iter258 != this->removals.end(); ++_iter258)
+    std::vector<RemovalState> ::const_iterator _iter282;
+    for (_iter282 = this->removals.begin(); _iter282 != this->removals.end(); ++_iter282)
     {
-      xfer += (*_iter258).write(oprot);
+      xfer += (*_iter282).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7696,10 +8222,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter259;
-    for (_iter259 = this->history.begin(); _iter259 != this->history.end(); ++_iter259)
+    std::vector<HistoryRow> ::const_iterator _iter283;
+    for (_iter283 = this->history.begin(); _iter283 != this->history.end(); ++_iter283)
     {
-      xfer += (*_iter259).write(oprot);
+      xfer += (*_iter283).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7708,10 +8234,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ChangeState> ::const_iterator _iter260;
-    for (_iter260 = this->changes.begin(); _iter260 != this->changes.end(); ++_iter260)
+    std::vector<ChangeState> ::const_iterator _iter284;
+    for (_iter284 = this->changes.begin(); _iter284 != this->changes.end(); ++_iter284)
     {
-      xfer += (*_iter260).write(oprot);
+      xfer += (*_iter284).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7720,10 +8246,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeyRecord> ::const_iterator _iter261;
-    for (_iter261 = this->keys.begin(); _iter261 != this->keys.end(); ++_iter261)
+    std::vector<KeyRecord> ::const_iterator _iter285;
+    for (_iter285 = this->keys.begin(); _iter285 != this->keys.end(); ++_iter285)
     {
-      xfer += (*_iter261).write(oprot);
+      xfer += (*_iter285).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7732,10 +8258,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter262;
-    for (_iter262 = this->leases.begin(); _iter262 != this->leases.end(); ++_iter262)
+    std::vector<LeaseGrant> ::const_iterator _iter286;
+    for (_iter286 = this->leases.begin(); _iter286 != this->leases.end(); ++_iter286)
     {
-      xfer += (*_iter262).write(oprot);
+      xfer += (*_iter286).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7752,10 +8278,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter263;
-    for (_iter263 = this->servers.begin(); _iter263 != this->servers.end(); ++_iter263)
+    std::vector<ServerRecord> ::const_iterator _iter287;
+    for (_iter287 = this->servers.begin(); _iter287 != this->servers.end(); ++_iter287)
     {
-      xfer += (*_iter263).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7764,10 +8290,10 @@
   xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
-    std::vector<Rollout> ::const_iterator _iter264;
-    for (_iter264 = this->rollouts.begin(); _iter264 != this->rollouts.end(); ++_iter264)
+    std::vector<Rollout> ::const_iterator _iter288;
+    for (_iter288 = this->rollouts.begin(); _iter288 != this->rollouts.end(); ++_iter288)
     {
-      xfer += (*_iter264).write(oprot);
+      xfer += (*_iter288).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7776,10 +8302,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<Evacuation> ::const_iterator _iter265;
-    for (_iter265 = this->evacuations.begin(); _iter265 != this->evacuations.end(); ++_iter265)
+    std::vector<Evacuation> ::const_iterator _iter289;
+    for (_iter289 = this->evacuations.begin(); _iter289 != this->evacuations.end(); ++_iter289)
     {
-      xfer += (*_iter265).write(oprot);
+      xfer += (*_iter289).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7808,70 +8334,70 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineState::MachineState(const MachineState& other266) {
-  version = other266.version;
-  objects = other266.objects;
-  removals = other266.removals;
-  whole_before = other266.whole_before;
-  history = other266.history;
-  changes = other266.changes;
-  keys = other266.keys;
-  leases = other266.leases;
-  now_ms = other266.now_ms;
-  document = other266.document;
-  servers = other266.servers;
-  rollouts = other266.rollouts;
-  evacuations = other266.evacuations;
-  __isset = other266.__isset;
-}
-MachineState::MachineState(MachineState&& other267) noexcept {
-  version = other267.version;
-  objects = std::move(other267.objects);
-  removals = std::move(other267.removals);
-  whole_before = other267.whole_before;
-  history = std::move(other267.history);
-  changes = std::move(other267.changes);
-  keys = std::move(other267.keys);
-  leases = std::move(other267.leases);
-  now_ms = other267.now_ms;
-  document = std::move(other267.document);
-  servers = std::move(other267.servers);
-  rollouts = std::move(other267.rollouts);
-  evacuations = std::move(other267.evacuations);
-  __isset = other267.__isset;
-}
-MachineState& MachineState::operator=(const MachineState& other268) {
-  version = other268.version;
-  objects = other268.objects;
-  removals = other268.removals;
-  whole_before = other268.whole_before;
-  history = other268.history;
-  changes = other268.changes;
-  keys = other268.keys;
-  leases = other268.leases;
-  now_ms = other268.now_ms;
-  document = other268.document;
-  servers = other268.servers;
-  rollouts = other268.rollouts;
-  evacuations = other268.evacuations;
-  __isset = other268.__isset;
-  return *this;
-}
-MachineState& MachineState::operator=(MachineState&& other269) noexcept {
-  version = other269.version;
-  objects = std::move(other269.objects);
-  removals = std::move(other269.removals);
-  whole_before = other269.whole_before;
-  history = std::move(other269.history);
-  changes = std::move(other269.changes);
-  keys = std::move(other269.keys);
-  leases = std::move(other269.leases);
-  now_ms = other269.now_ms;
-  document = std::move(other269.document);
-  servers = std::move(other269.servers);
-  rollouts = std::move(other269.rollouts);
-  evacuations = std::move(other269.evacuations);
-  __isset = other269.__isset;
+MachineState::MachineState(const MachineState& other290) {
+  version = other290.version;
+  objects = other290.objects;
+  removals = other290.removals;
+  whole_before = other290.whole_before;
+  history = other290.history;
+  changes = other290.changes;
+  keys = other290.keys;
+  leases = other290.leases;
+  now_ms = other290.now_ms;
+  document = other290.document;
+  servers = other290.servers;
+  rollouts = other290.rollouts;
+  evacuations = other290.evacuations;
+  __isset = other290.__isset;
+}
+MachineState::MachineState(MachineState&& other291) noexcept {
+  version = other291.version;
+  objects = std::move(other291.objects);
+  removals = std::move(other291.removals);
+  whole_before = other291.whole_before;
+  history = std::move(other291.history);
+  changes = std::move(other291.changes);
+  keys = std::move(other291.keys);
+  leases = std::move(other291.leases);
+  now_ms = other291.now_ms;
+  document = std::move(other291.document);
+  servers = std::move(other291.servers);
+  rollouts = std::move(other291.rollouts);
+  evacuations = std::move(other291.evacuations);
+  __isset = other291.__isset;
+}
+MachineState& MachineState::operator=(const MachineState& other292) {
+  version = other292.version;
+  objects = other292.objects;
+  removals = other292.removals;
+  whole_before = other292.whole_before;
+  history = other292.history;
+  changes = other292.changes;
+  keys = other292.keys;
+  leases = other292.leases;
+  now_ms = other292.now_ms;
+  document = other292.document;
+  servers = other292.servers;
+  rollouts = other292.rollouts;
+  evacuations = other292.evacuations;
+  __isset = other292.__isset;
+  return *this;
+}
+MachineState& MachineState::operator=(MachineState&& other293) noexcept {
+  version = other293.version;
+  objects = std::move(other293.objects);
+  removals = std::move(other293.removals);
+  whole_before = other293.whole_before;
+  history = std::move(other293.history);
+  changes = std::move(other293.changes);
+  keys = std::move(other293.keys);
+  leases = std::move(other293.leases);
+  now_ms = other293.now_ms;
+  document = std::move(other293.document);
+  servers = std::move(other293.servers);
+  rollouts = std::move(other293.rollouts);
+  evacuations = std::move(other293.evacuations);
+  __isset = other293.__isset;
   return *this;
 }
 void MachineState::printTo(std::ostream& out) const {
@@ -8139,62 +8665,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other270) {
-  instance = other270.instance;
-  incarnation = other270.incarnation;
-  address = other270.address;
-  port = other270.port;
-  data_centre = other270.data_centre;
-  version_in_force = other270.version_in_force;
-  ready = other270.ready;
-  stopping = other270.stopping;
-  http = other270.http;
-  leases_seen = other270.leases_seen;
-  members_seen = other270.members_seen;
-  __isset = other270.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other271) noexcept {
-  instance = std::move(other271.instance);
-  incarnation = std::move(other271.incarnation);
-  address = std::move(other271.address);
-  port = other271.port;
-  data_centre = std::move(other271.data_centre);
-  version_in_force = other271.version_in_force;
-  ready = other271.ready;
-  stopping = other271.stopping;
-  http = std::move(other271.http);
-  leases_seen = other271.leases_seen;
-  members_seen = other271.members_seen;
-  __isset = other271.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other272) {
-  instance = other272.instance;
-  incarnation = other272.incarnation;
-  address = other272.address;
-  port = other272.port;
-  data_centre = other272.data_centre;
-  version_in_force = other272.version_in_force;
-  ready = other272.ready;
-  stopping = other272.stopping;
-  http = other272.http;
-  leases_seen = other272.leases_seen;
-  members_seen = other272.members_seen;
-  __isset = other272.__isset;
-  return *this;
-}
-Heartbeat& Heartbeat::operator=(Heartbeat&& other273) noexcept {
-  instance = std::move(other273.instance);
-  incarnation = std::move(other273.incarnation);
-  address = std::move(other273.address);
-  port = other273.port;
-  data_centre = std::move(other273.data_centre);
-  version_in_force = other273.version_in_force;
-  ready = other273.ready;
-  stopping = other273.stopping;
-  http = std::move(other273.http);
-  leases_seen = other273.leases_seen;
-  members_seen = other273.members_seen;
-  __isset = other273.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other294) {
+  instance = other294.instance;
+  incarnation = other294.incarnation;
+  address = other294.address;
+  port = other294.port;
+  data_centre = other294.data_centre;
+  version_in_force = other294.version_in_force;
+  ready = other294.ready;
+  stopping = other294.stopping;
+  http = other294.http;
+  leases_seen = other294.leases_seen;
+  members_seen = other294.members_seen;
+  __isset = other294.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other295) noexcept {
+  instance = std::move(other295.instance);
+  incarnation = std::move(other295.incarnation);
+  address = std::move(other295.address);
+  port = other295.port;
+  data_centre = std::move(other295.data_centre);
+  version_in_force = other295.version_in_force;
+  ready = other295.ready;
+  stopping = other295.stopping;
+  http = std::move(other295.http);
+  leases_seen = other295.leases_seen;
+  members_seen = other295.members_seen;
+  __isset = other295.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other296) {
+  instance = other296.instance;
+  incarnation = other296.incarnation;
+  address = other296.address;
+  port = other296.port;
+  data_centre = other296.data_centre;
+  version_in_force = other296.version_in_force;
+  ready = other296.ready;
+  stopping = other296.stopping;
+  http = other296.http;
+  leases_seen = other296.leases_seen;
+  members_seen = other296.members_seen;
+  __isset = other296.__isset;
+  return *this;
+}
+Heartbeat& Heartbeat::operator=(Heartbeat&& other297) noexcept {
+  instance = std::move(other297.instance);
+  incarnation = std::move(other297.incarnation);
+  address = std::move(other297.address);
+  port = other297.port;
+  data_centre = std::move(other297.data_centre);
+  version_in_force = other297.version_in_force;
+  ready = other297.ready;
+  stopping = other297.stopping;
+  http = std::move(other297.http);
+  leases_seen = other297.leases_seen;
+  members_seen = other297.members_seen;
+  __isset = other297.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -8290,14 +8816,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->leases.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->leases.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += this->leases[_i278].read(iprot);
+              xfer += this->leases[_i302].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8350,14 +8876,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size279;
-            ::apache::thrift::protocol::TType _etype282;
-            xfer += iprot->readListBegin(_etype282, _size279);
-            this->members.resize(_size279);
-            uint32_t _i283;
-            for (_i283 = 0; _i283 < _size279; ++_i283)
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->members.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
             {
-              xfer += this->members[_i283].read(iprot);
+              xfer += this->members[_i307].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8410,10 +8936,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter284;
-    for (_iter284 = this->leases.begin(); _iter284 != this->leases.end(); ++_iter284)
+    std::vector<LeaseGrant> ::const_iterator _iter308;
+    for (_iter308 = this->leases.begin(); _iter308 != this->leases.end(); ++_iter308)
     {
-      xfer += (*_iter284).write(oprot);
+      xfer += (*_iter308).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
