@@ -8442,10 +8968,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter285;
-    for (_iter285 = this->members.begin(); _iter285 != this->members.end(); ++_iter285)
+    std::vector<MemberInfo> ::const_iterator _iter309;
+    for (_iter309 = this->members.begin(); _iter309 != this->members.end(); ++_iter309)
     {
-      xfer += (*_iter285).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8483,58 +9009,58 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other286) {
-  leases = other286.leases;
-  version = other286.version;
-  leader_term = other286.leader_term;
-  live = other286.live;
-  leases_index = other286.leases_index;
-  leases_same = other286.leases_same;
-  members = other286.members;
-  document_version = other286.document_version;
-  servers_index = other286.servers_index;
-  members_digest = other286.members_digest;
-  __isset = other286.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other287) noexcept {
-  leases = std::move(other287.leases);
-  version = other287.version;
-  leader_term = other287.leader_term;
-  live = other287.live;
-  leases_index = other287.leases_index;
-  leases_same = other287.leases_same;
-  members = std::move(other287.members);
-  document_version = other287.document_version;
-  servers_index = other287.servers_index;
-  members_digest = other287.members_digest;
-  __isset = other287.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other288) {
-  leases = other288.leases;
-  version = other288.version;
-  leader_term = other288.leader_term;
-  live = other288.live;
-  leases_index = other288.leases_index;
-  leases_same = other288.leases_same;
-  members = other288.members;
-  document_version = other288.document_version;
-  servers_index = other288.servers_index;
-  members_digest = other288.members_digest;
-  __isset = other288.__isset;
-  return *this;
-}
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other289) noexcept {
-  leases = std::move(other289.leases);
-  version = other289.version;
-  leader_term = other289.leader_term;
-  live = other289.live;
-  leases_index = other289.leases_index;
-  leases_same = other289.leases_same;
-  members = std::move(other289.members);
-  document_version = other289.document_version;
-  servers_index = other289.servers_index;
-  members_digest = other289.members_digest;
-  __isset = other289.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other310) {
+  leases = other310.leases;
+  version = other310.version;
+  leader_term = other310.leader_term;
+  live = other310.live;
+  leases_index = other310.leases_index;
+  leases_same = other310.leases_same;
+  members = other310.members;
+  document_version = other310.document_version;
+  servers_index = other310.servers_index;
+  members_digest = other310.members_digest;
+  __isset = other310.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other311) noexcept {
+  leases = std::move(other311.leases);
+  version = other311.version;
+  leader_term = other311.leader_term;
+  live = other311.live;
+  leases_index = other311.leases_index;
+  leases_same = other311.leases_same;
+  members = std::move(other311.members);
+  document_version = other311.document_version;
+  servers_index = other311.servers_index;
+  members_digest = other311.members_digest;
+  __isset = other311.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other312) {
+  leases = other312.leases;
+  version = other312.version;
+  leader_term = other312.leader_term;
+  live = other312.live;
+  leases_index = other312.leases_index;
+  leases_same = other312.leases_same;
+  members = other312.members;
+  document_version = other312.document_version;
+  servers_index = other312.servers_index;
+  members_digest = other312.members_digest;
+  __isset = other312.__isset;
+  return *this;
+}
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other313) noexcept {
+  leases = std::move(other313.leases);
+  version = other313.version;
+  leader_term = other313.leader_term;
+  live = other313.live;
+  leases_index = other313.leases_index;
+  leases_same = other313.leases_same;
+  members = std::move(other313.members);
+  document_version = other313.document_version;
+  servers_index = other313.servers_index;
+  members_digest = other313.members_digest;
+  __isset = other313.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -8593,14 +9119,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->commands.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->commands.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
             {
-              xfer += this->commands[_i294].read(iprot);
+              xfer += this->commands[_i318].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8629,10 +9155,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter295;
-    for (_iter295 = this->commands.begin(); _iter295 != this->commands.end(); ++_iter295)
+    std::vector<Command> ::const_iterator _iter319;
+    for (_iter319 = this->commands.begin(); _iter319 != this->commands.end(); ++_iter319)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter319).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8649,63 +9175,369 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other296) {
-  commands = other296.commands;
-  __isset = other296.__isset;
+Propose::Propose(const Propose& other320) {
+  commands = other320.commands;
+  __isset = other320.__isset;
+}
+Propose::Propose(Propose&& other321) noexcept {
+  commands = std::move(other321.commands);
+  __isset = other321.__isset;
+}
+Propose& Propose::operator=(const Propose& other322) {
+  commands = other322.commands;
+  __isset = other322.__isset;
+  return *this;
+}
+Propose& Propose::operator=(Propose&& other323) noexcept {
+  commands = std::move(other323.commands);
+  __isset = other323.__isset;
+  return *this;
+}
+void Propose::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Propose(";
+  out << "commands=" << to_string(commands);
+  out << ")";
+}
+
+
+CommandResult::~CommandResult() noexcept {
+}
+
+
+void CommandResult::__set_config(const ConfigOutcome& val) {
+  this->config = val;
+__isset.config = true;
+}
+
+void CommandResult::__set_claim(const ClaimResult& val) {
+  this->claim = val;
+__isset.claim = true;
+}
+
+void CommandResult::__set_done(const bool val) {
+  this->done = val;
+__isset.done = true;
+}
+
+void CommandResult::__set_rollout(const RolloutVerdict::type val) {
+  this->rollout = val;
+__isset.rollout = true;
+}
+std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CommandResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config.read(iprot);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim.read(iprot);
+          this->__isset.claim = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast324;
+          xfer += iprot->readI32(ecast324);
+          this->rollout = static_cast<RolloutVerdict::type>(ecast324);
+          this->__isset.rollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CommandResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CommandResult");
+
+  if (this->__isset.config) {
+    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->config.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.claim) {
+    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->claim.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.done) {
+    xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->done);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollout) {
+    xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(static_cast<int32_t>(this->rollout));
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CommandResult &a, CommandResult &b) {
+  using ::std::swap;
+  swap(a.config, b.config);
+  swap(a.claim, b.claim);
+  swap(a.done, b.done);
+  swap(a.rollout, b.rollout);
+  swap(a.__isset, b.__isset);
+}
+
+CommandResult::CommandResult(const CommandResult& other325) {
+  config = other325.config;
+  claim = other325.claim;
+  done = other325.done;
+  rollout = other325.rollout;
+  __isset = other325.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other326) noexcept {
+  config = std::move(other326.config);
+  claim = std::move(other326.claim);
+  done = other326.done;
+  rollout = other326.rollout;
+  __isset = other326.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other327) {
+  config = other327.config;
+  claim = other327.claim;
+  done = other327.done;
+  rollout = other327.rollout;
+  __isset = other327.__isset;
+  return *this;
+}
+CommandResult& CommandResult::operator=(CommandResult&& other328) noexcept {
+  config = std::move(other328.config);
+  claim = std::move(other328.claim);
+  done = other328.done;
+  rollout = other328.rollout;
+  __isset = other328.__isset;
+  return *this;
+}
+void CommandResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CommandResult(";
+  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
+  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
+  out << ", " << "done="; (__isset.done ? (out << to_string(done)) : (out << "<null>"));
+  out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ProposeReply::~ProposeReply() noexcept {
+}
+
+
+void ProposeReply::__set_results(const std::vector<CommandResult> & val) {
+  this->results = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->results.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
+            {
+              xfer += this->results[_i333].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeReply");
+
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<CommandResult> ::const_iterator _iter334;
+    for (_iter334 = this->results.begin(); _iter334 != this->results.end(); ++_iter334)
+    {
+      xfer += (*_iter334).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeReply &a, ProposeReply &b) {
+  using ::std::swap;
+  swap(a.results, b.results);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeReply::ProposeReply(const ProposeReply& other335) {
+  results = other335.results;
+  __isset = other335.__isset;
 }
-Propose::Propose(Propose&& other297) noexcept {
-  commands = std::move(other297.commands);
-  __isset = other297.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other336) noexcept {
+  results = std::move(other336.results);
+  __isset = other336.__isset;
 }
-Propose& Propose::operator=(const Propose& other298) {
-  commands = other298.commands;
-  __isset = other298.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other337) {
+  results = other337.results;
+  __isset = other337.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other299) noexcept {
-  commands = std::move(other299.commands);
-  __isset = other299.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other338) noexcept {
+  results = std::move(other338.results);
+  __isset = other338.__isset;
   return *this;
 }
-void Propose::printTo(std::ostream& out) const {
+void ProposeReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Propose(";
-  out << "commands=" << to_string(commands);
+  out << "ProposeReply(";
+  out << "results=" << to_string(results);
   out << ")";
 }
 
 
-CommandResult::~CommandResult() noexcept {
+ConfigPoll::~ConfigPoll() noexcept {
 }
 
 
-void CommandResult::__set_config(const ConfigOutcome& val) {
-  this->config = val;
-__isset.config = true;
+void ConfigPoll::__set_have_version(const int64_t val) {
+  this->have_version = val;
 }
 
-void CommandResult::__set_claim(const ClaimResult& val) {
-  this->claim = val;
-__isset.claim = true;
+void ConfigPoll::__set_wait_ms(const int64_t val) {
+  this->wait_ms = val;
 }
 
-void CommandResult::__set_done(const bool val) {
-  this->done = val;
-__isset.done = true;
+void ConfigPoll::__set_have_document(const int64_t val) {
+  this->have_document = val;
 }
 
-void CommandResult::__set_rollout(const RolloutVerdict::type val) {
-  this->rollout = val;
-__isset.rollout = true;
+void ConfigPoll::__set_have_servers(const int64_t val) {
+  this->have_servers = val;
 }
-std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
+
+void ConfigPoll::__set_hosted(const bool val) {
+  this->hosted = val;
+}
+
+void ConfigPoll::__set_have_term(const int64_t val) {
+  this->have_term = val;
+}
+
+void ConfigPoll::__set_kind(const NewsKind::type val) {
+  this->kind = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPoll& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t CommandResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8727,35 +9559,59 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config.read(iprot);
-          this->__isset.config = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_version);
+          this->__isset.have_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claim.read(iprot);
-          this->__isset.claim = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_ms);
+          this->__isset.wait_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->done);
-          this->__isset.done = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_document);
+          this->__isset.have_document = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_servers);
+          this->__isset.have_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hosted);
+          this->__isset.hosted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->have_term);
+          this->__isset.have_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast300;
-          xfer += iprot->readI32(ecast300);
-          this->rollout = static_cast<RolloutVerdict::type>(ecast300);
-          this->__isset.rollout = true;
+          int32_t ecast339;
+          xfer += iprot->readI32(ecast339);
+          this->kind = static_cast<NewsKind::type>(ecast339);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8772,101 +9628,135 @@
   return xfer;
 }
 
-uint32_t CommandResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CommandResult");
+  xfer += oprot->writeStructBegin("ConfigPoll");
+
+  xfer += oprot->writeFieldBegin("have_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_document", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->have_document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_servers", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->have_servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosted", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->hosted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("have_term", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->have_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.config) {
-    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->config.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.claim) {
-    xfer += oprot->writeFieldBegin("claim", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->claim.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.done) {
-    xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 3);
-    xfer += oprot->writeBool(this->done);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.rollout) {
-    xfer += oprot->writeFieldBegin("rollout", ::apache::thrift::protocol::T_I32, 4);
-    xfer += oprot->writeI32(static_cast<int32_t>(this->rollout));
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(CommandResult &a, CommandResult &b) {
+void swap(ConfigPoll &a, ConfigPoll &b) {
   using ::std::swap;
-  swap(a.config, b.config);
-  swap(a.claim, b.claim);
-  swap(a.done, b.done);
-  swap(a.rollout, b.rollout);
+  swap(a.have_version, b.have_version);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.have_document, b.have_document);
+  swap(a.have_servers, b.have_servers);
+  swap(a.hosted, b.hosted);
+  swap(a.have_term, b.have_term);
+  swap(a.kind, b.kind);
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other301) {
-  config = other301.config;
-  claim = other301.claim;
-  done = other301.done;
-  rollout = other301.rollout;
-  __isset = other301.__isset;
+ConfigPoll::ConfigPoll(const ConfigPoll& other340) noexcept {
+  have_version = other340.have_version;
+  wait_ms = other340.wait_ms;
+  have_document = other340.have_document;
+  have_servers = other340.have_servers;
+  hosted = other340.hosted;
+  have_term = other340.have_term;
+  kind = other340.kind;
+  __isset = other340.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other302) noexcept {
-  config = std::move(other302.config);
-  claim = std::move(other302.claim);
-  done = other302.done;
-  rollout = other302.rollout;
-  __isset = other302.__isset;
+ConfigPoll::ConfigPoll(ConfigPoll&& other341) noexcept {
+  have_version = other341.have_version;
+  wait_ms = other341.wait_ms;
+  have_document = other341.have_document;
+  have_servers = other341.have_servers;
+  hosted = other341.hosted;
+  have_term = other341.have_term;
+  kind = other341.kind;
+  __isset = other341.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other303) {
-  config = other303.config;
-  claim = other303.claim;
-  done = other303.done;
-  rollout = other303.rollout;
-  __isset = other303.__isset;
+ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other342) noexcept {
+  have_version = other342.have_version;
+  wait_ms = other342.wait_ms;
+  have_document = other342.have_document;
+  have_servers = other342.have_servers;
+  hosted = other342.hosted;
+  have_term = other342.have_term;
+  kind = other342.kind;
+  __isset = other342.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other304) noexcept {
-  config = std::move(other304.config);
-  claim = std::move(other304.claim);
-  done = other304.done;
-  rollout = other304.rollout;
-  __isset = other304.__isset;
+ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other343) noexcept {
+  have_version = other343.have_version;
+  wait_ms = other343.wait_ms;
+  have_document = other343.have_document;
+  have_servers = other343.have_servers;
+  hosted = other343.hosted;
+  have_term = other343.have_term;
+  kind = other343.kind;
+  __isset = other343.__isset;
   return *this;
 }
-void CommandResult::printTo(std::ostream& out) const {
+void ConfigPoll::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "CommandResult(";
-  out << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
-  out << ", " << "claim="; (__isset.claim ? (out << to_string(claim)) : (out << "<null>"));
-  out << ", " << "done="; (__isset.done ? (out << to_string(done)) : (out << "<null>"));
-  out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
+  out << "ConfigPoll(";
+  out << "have_version=" << to_string(have_version);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "have_document=" << to_string(have_document);
+  out << ", " << "have_servers=" << to_string(have_servers);
+  out << ", " << "hosted=" << to_string(hosted);
+  out << ", " << "have_term=" << to_string(have_term);
+  out << ", " << "kind=" << to_string(kind);
   out << ")";
 }
 
 
-ProposeReply::~ProposeReply() noexcept {
+PieceRequest::~PieceRequest() noexcept {
 }
 
 
-void ProposeReply::__set_results(const std::vector<CommandResult> & val) {
-  this->results = val;
+void PieceRequest::__set_base(const int64_t val) {
+  this->base = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+
+void PieceRequest::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PieceRequest::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+std::ostream& operator<<(std::ostream& out, const PieceRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PieceRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8888,21 +9778,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->results.clear();
-            uint32_t _size305;
-            ::apache::thrift::protocol::TType _etype308;
-            xfer += iprot->readListBegin(_etype308, _size305);
-            this->results.resize(_size305);
-            uint32_t _i309;
-            for (_i309 = 0; _i309 < _size305; ++_i309)
-            {
-              xfer += this->results[_i309].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.results = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8919,21 +9813,21 @@
   return xfer;
 }
 
-uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PieceRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeReply");
+  xfer += oprot->writeStructBegin("PieceRequest");
 
-  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter310;
-    for (_iter310 = this->results.begin(); _iter310 != this->results.end(); ++_iter310)
-    {
-      xfer += (*_iter310).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->offset);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8941,73 +9835,65 @@
   return xfer;
 }
 
-void swap(ProposeReply &a, ProposeReply &b) {
+void swap(PieceRequest &a, PieceRequest &b) {
   using ::std::swap;
-  swap(a.results, b.results);
+  swap(a.base, b.base);
+  swap(a.version, b.version);
+  swap(a.offset, b.offset);
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other311) {
-  results = other311.results;
-  __isset = other311.__isset;
+PieceRequest::PieceRequest(const PieceRequest& other344) noexcept {
+  base = other344.base;
+  version = other344.version;
+  offset = other344.offset;
+  __isset = other344.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other312) noexcept {
-  results = std::move(other312.results);
-  __isset = other312.__isset;
+PieceRequest::PieceRequest(PieceRequest&& other345) noexcept {
+  base = other345.base;
+  version = other345.version;
+  offset = other345.offset;
+  __isset = other345.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other313) {
-  results = other313.results;
-  __isset = other313.__isset;
+PieceRequest& PieceRequest::operator=(const PieceRequest& other346) noexcept {
+  base = other346.base;
+  version = other346.version;
+  offset = other346.offset;
+  __isset = other346.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other314) noexcept {
-  results = std::move(other314.results);
-  __isset = other314.__isset;
+PieceRequest& PieceRequest::operator=(PieceRequest&& other347) noexcept {
+  base = other347.base;
+  version = other347.version;
+  offset = other347.offset;
+  __isset = other347.__isset;
   return *this;
 }
-void ProposeReply::printTo(std::ostream& out) const {
+void PieceRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeReply(";
-  out << "results=" << to_string(results);
+  out << "PieceRequest(";
+  out << "base=" << to_string(base);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "offset=" << to_string(offset);
   out << ")";
 }
 
 
-ConfigPoll::~ConfigPoll() noexcept {
-}
-
-
-void ConfigPoll::__set_have_version(const int64_t val) {
-  this->have_version = val;
-}
-
-void ConfigPoll::__set_wait_ms(const int64_t val) {
-  this->wait_ms = val;
-}
-
-void ConfigPoll::__set_have_document(const int64_t val) {
-  this->have_document = val;
-}
-
-void ConfigPoll::__set_have_servers(const int64_t val) {
-  this->have_servers = val;
-}
-
-void ConfigPoll::__set_hosted(const bool val) {
-  this->hosted = val;
+Piece::~Piece() noexcept {
 }
 
-void ConfigPoll::__set_have_term(const int64_t val) {
-  this->have_term = val;
+
+void Piece::__set_bytes(const std::string& val) {
+  this->bytes = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigPoll& obj)
+std::ostream& operator<<(std::ostream& out, const Piece& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigPoll::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Piece::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9029,49 +9915,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_version);
-          this->__isset.have_version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->wait_ms);
-          this->__isset.wait_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_document);
-          this->__isset.have_document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_servers);
-          this->__isset.have_servers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->hosted);
-          this->__isset.hosted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->have_term);
-          this->__isset.have_term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->bytes);
+          this->__isset.bytes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9088,33 +9934,13 @@
   return xfer;
 }
 
-uint32_t ConfigPoll::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Piece::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigPoll");
-
-  xfer += oprot->writeFieldBegin("have_version", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->have_version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->wait_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("have_document", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->have_document);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("have_servers", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->have_servers);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hosted", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->hosted);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("Piece");
 
-  xfer += oprot->writeFieldBegin("have_term", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->have_term);
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->bytes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9122,64 +9948,34 @@
   return xfer;
 }
 
-void swap(ConfigPoll &a, ConfigPoll &b) {
+void swap(Piece &a, Piece &b) {
   using ::std::swap;
-  swap(a.have_version, b.have_version);
-  swap(a.wait_ms, b.wait_ms);
-  swap(a.have_document, b.have_document);
-  swap(a.have_servers, b.have_servers);
-  swap(a.hosted, b.hosted);
-  swap(a.have_term, b.have_term);
+  swap(a.bytes, b.bytes);
   swap(a.__isset, b.__isset);
 }
 
-ConfigPoll::ConfigPoll(const ConfigPoll& other315) noexcept {
-  have_version = other315.have_version;
-  wait_ms = other315.wait_ms;
-  have_document = other315.have_document;
-  have_servers = other315.have_servers;
-  hosted = other315.hosted;
-  have_term = other315.have_term;
-  __isset = other315.__isset;
-}
-ConfigPoll::ConfigPoll(ConfigPoll&& other316) noexcept {
-  have_version = other316.have_version;
-  wait_ms = other316.wait_ms;
-  have_document = other316.have_document;
-  have_servers = other316.have_servers;
-  hosted = other316.hosted;
-  have_term = other316.have_term;
-  __isset = other316.__isset;
-}
-ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other317) noexcept {
-  have_version = other317.have_version;
-  wait_ms = other317.wait_ms;
-  have_document = other317.have_document;
-  have_servers = other317.have_servers;
-  hosted = other317.hosted;
-  have_term = other317.have_term;
-  __isset = other317.__isset;
-  return *this;
-}
-ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other318) noexcept {
-  have_version = other318.have_version;
-  wait_ms = other318.wait_ms;
-  have_document = other318.have_document;
-  have_servers = other318.have_servers;
-  hosted = other318.hosted;
-  have_term = other318.have_term;
-  __isset = other318.__isset;
+Piece::Piece(const Piece& other348) {
+  bytes = other348.bytes;
+  __isset = other348.__isset;
+}
+Piece::Piece(Piece&& other349) noexcept {
+  bytes = std::move(other349.bytes);
+  __isset = other349.__isset;
+}
+Piece& Piece::operator=(const Piece& other350) {
+  bytes = other350.bytes;
+  __isset = other350.__isset;
   return *this;
 }
-void ConfigPoll::printTo(std::ostream& out) const {
+Piece& Piece::operator=(Piece&& other351) noexcept {
+  bytes = std::move(other351.bytes);
+  __isset = other351.__isset;
+  return *this;
+}
+void Piece::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigPoll(";
-  out << "have_version=" << to_string(have_version);
-  out << ", " << "wait_ms=" << to_string(wait_ms);
-  out << ", " << "have_document=" << to_string(have_document);
-  out << ", " << "have_servers=" << to_string(have_servers);
-  out << ", " << "hosted=" << to_string(hosted);
-  out << ", " << "have_term=" << to_string(have_term);
+  out << "Piece(";
+  out << "bytes=" << to_string(bytes);
   out << ")";
 }
 
@@ -9283,14 +10079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size319;
-            ::apache::thrift::protocol::TType _etype322;
-            xfer += iprot->readListBegin(_etype322, _size319);
-            this->prefixes.resize(_size319);
-            uint32_t _i323;
-            for (_i323 = 0; _i323 < _size319; ++_i323)
+            uint32_t _size352;
+            ::apache::thrift::protocol::TType _etype355;
+            xfer += iprot->readListBegin(_etype355, _size352);
+            this->prefixes.resize(_size352);
+            uint32_t _i356;
+            for (_i356 = 0; _i356 < _size352; ++_i356)
             {
-              xfer += iprot->readI64(this->prefixes[_i323]);
+              xfer += iprot->readI64(this->prefixes[_i356]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9335,14 +10131,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoid.clear();
-            uint32_t _size324;
-            ::apache::thrift::protocol::TType _etype327;
-            xfer += iprot->readListBegin(_etype327, _size324);
-            this->avoid.resize(_size324);
-            uint32_t _i328;
-            for (_i328 = 0; _i328 < _size324; ++_i328)
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->avoid.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
             {
-              xfer += iprot->readString(this->avoid[_i328]);
+              xfer += iprot->readString(this->avoid[_i361]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9391,10 +10187,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<int64_t> ::const_iterator _iter329;
-    for (_iter329 = this->prefixes.begin(); _iter329 != this->prefixes.end(); ++_iter329)
+    std::vector<int64_t> ::const_iterator _iter362;
+    for (_iter362 = this->prefixes.begin(); _iter362 != this->prefixes.end(); ++_iter362)
     {
-      xfer += oprot->writeI64((*_iter329));
+      xfer += oprot->writeI64((*_iter362));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9419,10 +10215,10 @@
   xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter330;
-    for (_iter330 = this->avoid.begin(); _iter330 != this->avoid.end(); ++_iter330)
+    std::vector<std::string> ::const_iterator _iter363;
+    for (_iter363 = this->avoid.begin(); _iter363 != this->avoid.end(); ++_iter363)
     {
-      xfer += oprot->writeString((*_iter330));
+      xfer += oprot->writeString((*_iter363));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9452,58 +10248,58 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other331) {
-  ref = other331.ref;
-  tier = other331.tier;
-  prompt_tokens = other331.prompt_tokens;
-  prefixes = other331.prefixes;
-  age_ms = other331.age_ms;
-  workspace = other331.workspace;
-  event = other331.event;
-  model = other331.model;
-  avoid = other331.avoid;
-  deadline_ms = other331.deadline_ms;
-  __isset = other331.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other332) noexcept {
-  ref = other332.ref;
-  tier = other332.tier;
-  prompt_tokens = other332.prompt_tokens;
-  prefixes = std::move(other332.prefixes);
-  age_ms = other332.age_ms;
-  workspace = std::move(other332.workspace);
-  event = std::move(other332.event);
-  model = std::move(other332.model);
-  avoid = std::move(other332.avoid);
-  deadline_ms = other332.deadline_ms;
-  __isset = other332.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other333) {
-  ref = other333.ref;
-  tier = other333.tier;
-  prompt_tokens = other333.prompt_tokens;
-  prefixes = other333.prefixes;
-  age_ms = other333.age_ms;
-  workspace = other333.workspace;
-  event = other333.event;
-  model = other333.model;
-  avoid = other333.avoid;
-  deadline_ms = other333.deadline_ms;
-  __isset = other333.__isset;
-  return *this;
-}
-DemandItem& DemandItem::operator=(DemandItem&& other334) noexcept {
-  ref = other334.ref;
-  tier = other334.tier;
-  prompt_tokens = other334.prompt_tokens;
-  prefixes = std::move(other334.prefixes);
-  age_ms = other334.age_ms;
-  workspace = std::move(other334.workspace);
-  event = std::move(other334.event);
-  model = std::move(other334.model);
-  avoid = std::move(other334.avoid);
-  deadline_ms = other334.deadline_ms;
-  __isset = other334.__isset;
+DemandItem::DemandItem(const DemandItem& other364) {
+  ref = other364.ref;
+  tier = other364.tier;
+  prompt_tokens = other364.prompt_tokens;
+  prefixes = other364.prefixes;
+  age_ms = other364.age_ms;
+  workspace = other364.workspace;
+  event = other364.event;
+  model = other364.model;
+  avoid = other364.avoid;
+  deadline_ms = other364.deadline_ms;
+  __isset = other364.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other365) noexcept {
+  ref = other365.ref;
+  tier = other365.tier;
+  prompt_tokens = other365.prompt_tokens;
+  prefixes = std::move(other365.prefixes);
+  age_ms = other365.age_ms;
+  workspace = std::move(other365.workspace);
+  event = std::move(other365.event);
+  model = std::move(other365.model);
+  avoid = std::move(other365.avoid);
+  deadline_ms = other365.deadline_ms;
+  __isset = other365.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other366) {
+  ref = other366.ref;
+  tier = other366.tier;
+  prompt_tokens = other366.prompt_tokens;
+  prefixes = other366.prefixes;
+  age_ms = other366.age_ms;
+  workspace = other366.workspace;
+  event = other366.event;
+  model = other366.model;
+  avoid = other366.avoid;
+  deadline_ms = other366.deadline_ms;
+  __isset = other366.__isset;
+  return *this;
+}
+DemandItem& DemandItem::operator=(DemandItem&& other367) noexcept {
+  ref = other367.ref;
+  tier = other367.tier;
+  prompt_tokens = other367.prompt_tokens;
+  prefixes = std::move(other367.prefixes);
+  age_ms = other367.age_ms;
+  workspace = std::move(other367.workspace);
+  event = std::move(other367.event);
+  model = std::move(other367.model);
+  avoid = std::move(other367.avoid);
+  deadline_ms = other367.deadline_ms;
+  __isset = other367.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -9576,9 +10372,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast335;
-          xfer += iprot->readI32(ecast335);
-          this->stage = static_cast<UseStage::type>(ecast335);
+          int32_t ecast368;
+          xfer += iprot->readI32(ecast368);
+          this->stage = static_cast<UseStage::type>(ecast368);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9634,30 +10430,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditUse::CreditUse(const CreditUse& other336) noexcept {
-  credit = other336.credit;
-  stage = other336.stage;
-  elapsed_us = other336.elapsed_us;
-  __isset = other336.__isset;
+CreditUse::CreditUse(const CreditUse& other369) noexcept {
+  credit = other369.credit;
+  stage = other369.stage;
+  elapsed_us = other369.elapsed_us;
+  __isset = other369.__isset;
 }
-CreditUse::CreditUse(CreditUse&& other337) noexcept {
-  credit = other337.credit;
-  stage = other337.stage;
-  elapsed_us = other337.elapsed_us;
-  __isset = other337.__isset;
+CreditUse::CreditUse(CreditUse&& other370) noexcept {
+  credit = other370.credit;
+  stage = other370.stage;
+  elapsed_us = other370.elapsed_us;
+  __isset = other370.__isset;
 }
-CreditUse& CreditUse::operator=(const CreditUse& other338) noexcept {
-  credit = other338.credit;
-  stage = other338.stage;
-  elapsed_us = other338.elapsed_us;
-  __isset = other338.__isset;
+CreditUse& CreditUse::operator=(const CreditUse& other371) noexcept {
+  credit = other371.credit;
+  stage = other371.stage;
+  elapsed_us = other371.elapsed_us;
+  __isset = other371.__isset;
   return *this;
 }
-CreditUse& CreditUse::operator=(CreditUse&& other339) noexcept {
-  credit = other339.credit;
-  stage = other339.stage;
-  elapsed_us = other339.elapsed_us;
-  __isset = other339.__isset;
+CreditUse& CreditUse::operator=(CreditUse&& other372) noexcept {
+  credit = other372.credit;
+  stage = other372.stage;
+  elapsed_us = other372.elapsed_us;
+  __isset = other372.__isset;
   return *this;
 }
 void CreditUse::printTo(std::ostream& out) const {
@@ -9670,33 +10466,224 @@
 }
 
 
-HeldCredit::~HeldCredit() noexcept {
+HeldCredit::~HeldCredit() noexcept {
+}
+
+
+void HeldCredit::__set_credit(const int64_t val) {
+  this->credit = val;
+}
+
+void HeldCredit::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void HeldCredit::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void HeldCredit::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const HeldCredit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HeldCredit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->credit);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HeldCredit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HeldCredit");
+
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HeldCredit &a, HeldCredit &b) {
+  using ::std::swap;
+  swap(a.credit, b.credit);
+  swap(a.ref, b.ref);
+  swap(a.engine, b.engine);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+HeldCredit::HeldCredit(const HeldCredit& other373) {
+  credit = other373.credit;
+  ref = other373.ref;
+  engine = other373.engine;
+  prompt_tokens = other373.prompt_tokens;
+  __isset = other373.__isset;
+}
+HeldCredit::HeldCredit(HeldCredit&& other374) noexcept {
+  credit = other374.credit;
+  ref = other374.ref;
+  engine = std::move(other374.engine);
+  prompt_tokens = other374.prompt_tokens;
+  __isset = other374.__isset;
+}
+HeldCredit& HeldCredit::operator=(const HeldCredit& other375) {
+  credit = other375.credit;
+  ref = other375.ref;
+  engine = other375.engine;
+  prompt_tokens = other375.prompt_tokens;
+  __isset = other375.__isset;
+  return *this;
+}
+HeldCredit& HeldCredit::operator=(HeldCredit&& other376) noexcept {
+  credit = other376.credit;
+  ref = other376.ref;
+  engine = std::move(other376.engine);
+  prompt_tokens = other376.prompt_tokens;
+  __isset = other376.__isset;
+  return *this;
+}
+void HeldCredit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HeldCredit(";
+  out << "credit=" << to_string(credit);
+  out << ", " << "ref=" << to_string(ref);
+  out << ", " << "engine=" << to_string(engine);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ")";
+}
+
+
+Demand::~Demand() noexcept {
+}
+
+
+void Demand::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void Demand::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void Demand::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void Demand::__set_resync(const bool val) {
+  this->resync = val;
+}
+
+void Demand::__set_held(const std::vector<HeldCredit> & val) {
+  this->held = val;
 }
 
+void Demand::__set_items(const std::vector<DemandItem> & val) {
+  this->items = val;
+}
 
-void HeldCredit::__set_credit(const int64_t val) {
-  this->credit = val;
+void Demand::__set_waiting(const std::vector<int32_t> & val) {
+  this->waiting = val;
 }
 
-void HeldCredit::__set_ref(const int64_t val) {
-  this->ref = val;
+void Demand::__set_uses(const std::vector<CreditUse> & val) {
+  this->uses = val;
 }
 
-void HeldCredit::__set_engine(const std::string& val) {
-  this->engine = val;
+void Demand::__set_floor_ack(const int64_t val) {
+  this->floor_ack = val;
 }
 
-void HeldCredit::__set_prompt_tokens(const int64_t val) {
-  this->prompt_tokens = val;
+void Demand::__set_sequence(const int64_t val) {
+  this->sequence = val;
 }
-std::ostream& operator<<(std::ostream& out, const HeldCredit& obj)
+std::ostream& operator<<(std::ostream& out, const Demand& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t HeldCredit::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Demand::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9718,33 +10705,129 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->credit);
-          this->__isset.credit = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->engine);
-          this->__isset.engine = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resync);
+          this->__isset.resync = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->held.clear();
+            uint32_t _size377;
+            ::apache::thrift::protocol::TType _etype380;
+            xfer += iprot->readListBegin(_etype380, _size377);
+            this->held.resize(_size377);
+            uint32_t _i381;
+            for (_i381 = 0; _i381 < _size377; ++_i381)
+            {
+              xfer += this->held[_i381].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size382;
+            ::apache::thrift::protocol::TType _etype385;
+            xfer += iprot->readListBegin(_etype385, _size382);
+            this->items.resize(_size382);
+            uint32_t _i386;
+            for (_i386 = 0; _i386 < _size382; ++_i386)
+            {
+              xfer += this->items[_i386].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waiting.clear();
+            uint32_t _size387;
+            ::apache::thrift::protocol::TType _etype390;
+            xfer += iprot->readListBegin(_etype390, _size387);
+            this->waiting.resize(_size387);
+            uint32_t _i391;
+            for (_i391 = 0; _i391 < _size387; ++_i391)
+            {
+              xfer += iprot->readI32(this->waiting[_i391]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size392;
+            ::apache::thrift::protocol::TType _etype395;
+            xfer += iprot->readListBegin(_etype395, _size392);
+            this->uses.resize(_size392);
+            uint32_t _i396;
+            for (_i396 = 0; _i396 < _size392; ++_i396)
+            {
+              xfer += this->uses[_i396].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prompt_tokens);
-          this->__isset.prompt_tokens = true;
+          xfer += iprot->readI64(this->floor_ack);
+          this->__isset.floor_ack = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9761,25 +10844,81 @@
   return xfer;
 }
 
-uint32_t HeldCredit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("HeldCredit");
+  xfer += oprot->writeStructBegin("Demand");
 
-  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->pool);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldBegin("resync", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->resync);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
+    std::vector<HeldCredit> ::const_iterator _iter397;
+    for (_iter397 = this->held.begin(); _iter397 != this->held.end(); ++_iter397)
+    {
+      xfer += (*_iter397).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<DemandItem> ::const_iterator _iter398;
+    for (_iter398 = this->items.begin(); _iter398 != this->items.end(); ++_iter398)
+    {
+      xfer += (*_iter398).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
+    std::vector<int32_t> ::const_iterator _iter399;
+    for (_iter399 = this->waiting.begin(); _iter399 != this->waiting.end(); ++_iter399)
+    {
+      xfer += oprot->writeI32((*_iter399));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<CreditUse> ::const_iterator _iter400;
+    for (_iter400 = this->uses.begin(); _iter400 != this->uses.end(); ++_iter400)
+    {
+      xfer += (*_iter400).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor_ack", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->floor_ack);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->sequence);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9787,107 +10926,155 @@
   return xfer;
 }
 
-void swap(HeldCredit &a, HeldCredit &b) {
+void swap(Demand &a, Demand &b) {
   using ::std::swap;
-  swap(a.credit, b.credit);
-  swap(a.ref, b.ref);
-  swap(a.engine, b.engine);
-  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.pool, b.pool);
+  swap(a.incarnation, b.incarnation);
+  swap(a.epoch, b.epoch);
+  swap(a.resync, b.resync);
+  swap(a.held, b.held);
+  swap(a.items, b.items);
+  swap(a.waiting, b.waiting);
+  swap(a.uses, b.uses);
+  swap(a.floor_ack, b.floor_ack);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
-HeldCredit::HeldCredit(const HeldCredit& other340) {
-  credit = other340.credit;
-  ref = other340.ref;
-  engine = other340.engine;
-  prompt_tokens = other340.prompt_tokens;
-  __isset = other340.__isset;
-}
-HeldCredit::HeldCredit(HeldCredit&& other341) noexcept {
-  credit = other341.credit;
-  ref = other341.ref;
-  engine = std::move(other341.engine);
-  prompt_tokens = other341.prompt_tokens;
-  __isset = other341.__isset;
-}
-HeldCredit& HeldCredit::operator=(const HeldCredit& other342) {
-  credit = other342.credit;
-  ref = other342.ref;
-  engine = other342.engine;
-  prompt_tokens = other342.prompt_tokens;
-  __isset = other342.__isset;
+Demand::Demand(const Demand& other401) {
+  pool = other401.pool;
+  incarnation = other401.incarnation;
+  epoch = other401.epoch;
+  resync = other401.resync;
+  held = other401.held;
+  items = other401.items;
+  waiting = other401.waiting;
+  uses = other401.uses;
+  floor_ack = other401.floor_ack;
+  sequence = other401.sequence;
+  __isset = other401.__isset;
+}
+Demand::Demand(Demand&& other402) noexcept {
+  pool = std::move(other402.pool);
+  incarnation = std::move(other402.incarnation);
+  epoch = other402.epoch;
+  resync = other402.resync;
+  held = std::move(other402.held);
+  items = std::move(other402.items);
+  waiting = std::move(other402.waiting);
+  uses = std::move(other402.uses);
+  floor_ack = other402.floor_ack;
+  sequence = other402.sequence;
+  __isset = other402.__isset;
+}
+Demand& Demand::operator=(const Demand& other403) {
+  pool = other403.pool;
+  incarnation = other403.incarnation;
+  epoch = other403.epoch;
+  resync = other403.resync;
+  held = other403.held;
+  items = other403.items;
+  waiting = other403.waiting;
+  uses = other403.uses;
+  floor_ack = other403.floor_ack;
+  sequence = other403.sequence;
+  __isset = other403.__isset;
   return *this;
 }
-HeldCredit& HeldCredit::operator=(HeldCredit&& other343) noexcept {
-  credit = other343.credit;
-  ref = other343.ref;
-  engine = std::move(other343.engine);
-  prompt_tokens = other343.prompt_tokens;
-  __isset = other343.__isset;
+Demand& Demand::operator=(Demand&& other404) noexcept {
+  pool = std::move(other404.pool);
+  incarnation = std::move(other404.incarnation);
+  epoch = other404.epoch;
+  resync = other404.resync;
+  held = std::move(other404.held);
+  items = std::move(other404.items);
+  waiting = std::move(other404.waiting);
+  uses = std::move(other404.uses);
+  floor_ack = other404.floor_ack;
+  sequence = other404.sequence;
+  __isset = other404.__isset;
   return *this;
 }
-void HeldCredit::printTo(std::ostream& out) const {
+void Demand::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "HeldCredit(";
-  out << "credit=" << to_string(credit);
-  out << ", " << "ref=" << to_string(ref);
-  out << ", " << "engine=" << to_string(engine);
-  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << "Demand(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "resync=" << to_string(resync);
+  out << ", " << "held=" << to_string(held);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "uses=" << to_string(uses);
+  out << ", " << "floor_ack=" << to_string(floor_ack);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
 
-Demand::~Demand() noexcept {
+Grants::~Grants() noexcept {
 }
 
 
-void Demand::__set_pool(const std::string& val) {
+void Grants::__set_pool(const std::string& val) {
   this->pool = val;
 }
 
-void Demand::__set_incarnation(const std::string& val) {
-  this->incarnation = val;
+void Grants::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void Demand::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void Grants::__set_credits(const std::vector<HeldCredit> & val) {
+  this->credits = val;
 }
 
-void Demand::__set_resync(const bool val) {
-  this->resync = val;
+void Grants::__set_unreachable(const std::vector<int64_t> & val) {
+  this->unreachable = val;
+}
+
+void Grants::__set_floor(const int32_t val) {
+  this->floor = val;
+}
+
+void Grants::__set_floor_epoch(const int64_t val) {
+  this->floor_epoch = val;
 }
 
-void Demand::__set_held(const std::vector<HeldCredit> & val) {
-  this->held = val;
+void Grants::__set_contended(const bool val) {
+  this->contended = val;
 }
 
-void Demand::__set_items(const std::vector<DemandItem> & val) {
-  this->items = val;
+void Grants::__set_drain_per_s(const double val) {
+  this->drain_per_s = val;
 }
 
-void Demand::__set_waiting(const std::vector<int32_t> & val) {
-  this->waiting = val;
+void Grants::__set_gateways(const int32_t val) {
+  this->gateways = val;
 }
 
-void Demand::__set_uses(const std::vector<CreditUse> & val) {
-  this->uses = val;
+void Grants::__set_backlog(const std::vector<int32_t> & val) {
+  this->backlog = val;
 }
 
-void Demand::__set_floor_ack(const int64_t val) {
-  this->floor_ack = val;
+void Grants::__set_lease_ms(const int64_t val) {
+  this->lease_ms = val;
 }
 
-void Demand::__set_sequence(const int64_t val) {
+void Grants::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
-std::ostream& operator<<(std::ostream& out, const Demand& obj)
+
+void Grants::__set_not_broker(const bool val) {
+  this->not_broker = val;
+}
+std::ostream& operator<<(std::ostream& out, const Grants& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Grants::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9917,14 +11104,6 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->epoch);
           this->__isset.epoch = true;
@@ -9932,103 +11111,115 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->resync);
-          this->__isset.resync = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->held.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->held.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            this->credits.clear();
+            uint32_t _size405;
+            ::apache::thrift::protocol::TType _etype408;
+            xfer += iprot->readListBegin(_etype408, _size405);
+            this->credits.resize(_size405);
+            uint32_t _i409;
+            for (_i409 = 0; _i409 < _size405; ++_i409)
             {
-              xfer += this->held[_i348].read(iprot);
+              xfer += this->credits[_i409].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.held = true;
+          this->__isset.credits = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->items.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->items.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            this->unreachable.clear();
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->unreachable.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += this->items[_i353].read(iprot);
+              xfer += iprot->readI64(this->unreachable[_i414]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.items = true;
+          this->__isset.unreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->floor);
+          this->__isset.floor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->floor_epoch);
+          this->__isset.floor_epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->waiting.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->waiting.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
-            {
-              xfer += iprot->readI32(this->waiting[_i358]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.waiting = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->contended);
+          this->__isset.contended = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->drain_per_s);
+          this->__isset.drain_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gateways);
+          this->__isset.gateways = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->uses.clear();
-            uint32_t _size359;
-            ::apache::thrift::protocol::TType _etype362;
-            xfer += iprot->readListBegin(_etype362, _size359);
-            this->uses.resize(_size359);
-            uint32_t _i363;
-            for (_i363 = 0; _i363 < _size359; ++_i363)
+            this->backlog.clear();
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->backlog.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
             {
-              xfer += this->uses[_i363].read(iprot);
+              xfer += iprot->readI32(this->backlog[_i419]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.uses = true;
+          this->__isset.backlog = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 11:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->floor_ack);
-          this->__isset.floor_ack = true;
+          xfer += iprot->readI64(this->lease_ms);
+          this->__isset.lease_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
+      case 12:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->sequence);
           this->__isset.sequence = true;
@@ -10036,6 +11227,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_broker);
+          this->__isset.not_broker = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10048,81 +11247,274 @@
   return xfer;
 }
 
-uint32_t Demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t Grants::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Demand");
+  xfer += oprot->writeStructBegin("Grants");
 
   xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->pool);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("resync", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->resync);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<HeldCredit> ::const_iterator _iter364;
-    for (_iter364 = this->held.begin(); _iter364 != this->held.end(); ++_iter364)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
+    std::vector<HeldCredit> ::const_iterator _iter420;
+    for (_iter420 = this->credits.begin(); _iter420 != this->credits.end(); ++_iter420)
     {
-      xfer += (*_iter364).write(oprot);
+      xfer += (*_iter420).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
+  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter365;
-    for (_iter365 = this->items.begin(); _iter365 != this->items.end(); ++_iter365)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
+    std::vector<int64_t> ::const_iterator _iter421;
+    for (_iter421 = this->unreachable.begin(); _iter421 != this->unreachable.end(); ++_iter421)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += oprot->writeI64((*_iter421));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("floor", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->floor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("floor_epoch", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->floor_epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contended", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->contended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("drain_per_s", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->drain_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->gateways);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter366;
-    for (_iter366 = this->waiting.begin(); _iter366 != this->waiting.end(); ++_iter366)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
+    std::vector<int32_t> ::const_iterator _iter422;
+    for (_iter422 = this->backlog.begin(); _iter422 != this->backlog.end(); ++_iter422)
     {
-      xfer += oprot->writeI32((*_iter366));
+      xfer += oprot->writeI32((*_iter422));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
+  xfer += oprot->writeFieldBegin("lease_ms", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->lease_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->not_broker);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Grants &a, Grants &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.epoch, b.epoch);
+  swap(a.credits, b.credits);
+  swap(a.unreachable, b.unreachable);
+  swap(a.floor, b.floor);
+  swap(a.floor_epoch, b.floor_epoch);
+  swap(a.contended, b.contended);
+  swap(a.drain_per_s, b.drain_per_s);
+  swap(a.gateways, b.gateways);
+  swap(a.backlog, b.backlog);
+  swap(a.lease_ms, b.lease_ms);
+  swap(a.sequence, b.sequence);
+  swap(a.not_broker, b.not_broker);
+  swap(a.__isset, b.__isset);
+}
+
+Grants::Grants(const Grants& other423) {
+  pool = other423.pool;
+  epoch = other423.epoch;
+  credits = other423.credits;
+  unreachable = other423.unreachable;
+  floor = other423.floor;
+  floor_epoch = other423.floor_epoch;
+  contended = other423.contended;
+  drain_per_s = other423.drain_per_s;
+  gateways = other423.gateways;
+  backlog = other423.backlog;
+  lease_ms = other423.lease_ms;
+  sequence = other423.sequence;
+  not_broker = other423.not_broker;
+  __isset = other423.__isset;
+}
+Grants::Grants(Grants&& other424) noexcept {
+  pool = std::move(other424.pool);
+  epoch = other424.epoch;
+  credits = std::move(other424.credits);
+  unreachable = std::move(other424.unreachable);
+  floor = other424.floor;
+  floor_epoch = other424.floor_epoch;
+  contended = other424.contended;
+  drain_per_s = other424.drain_per_s;
+  gateways = other424.gateways;
+  backlog = std::move(other424.backlog);
+  lease_ms = other424.lease_ms;
+  sequence = other424.sequence;
+  not_broker = other424.not_broker;
+  __isset = other424.__isset;
+}
+Grants& Grants::operator=(const Grants& other425) {
+  pool = other425.pool;
+  epoch = other425.epoch;
+  credits = other425.credits;
+  unreachable = other425.unreachable;
+  floor = other425.floor;
+  floor_epoch = other425.floor_epoch;
+  contended = other425.contended;
+  drain_per_s = other425.drain_per_s;
+  gateways = other425.gateways;
+  backlog = other425.backlog;
+  lease_ms = other425.lease_ms;
+  sequence = other425.sequence;
+  not_broker = other425.not_broker;
+  __isset = other425.__isset;
+  return *this;
+}
+Grants& Grants::operator=(Grants&& other426) noexcept {
+  pool = std::move(other426.pool);
+  epoch = other426.epoch;
+  credits = std::move(other426.credits);
+  unreachable = std::move(other426.unreachable);
+  floor = other426.floor;
+  floor_epoch = other426.floor_epoch;
+  contended = other426.contended;
+  drain_per_s = other426.drain_per_s;
+  gateways = other426.gateways;
+  backlog = std::move(other426.backlog);
+  lease_ms = other426.lease_ms;
+  sequence = other426.sequence;
+  not_broker = other426.not_broker;
+  __isset = other426.__isset;
+  return *this;
+}
+void Grants::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Grants(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "credits=" << to_string(credits);
+  out << ", " << "unreachable=" << to_string(unreachable);
+  out << ", " << "floor=" << to_string(floor);
+  out << ", " << "floor_epoch=" << to_string(floor_epoch);
+  out << ", " << "contended=" << to_string(contended);
+  out << ", " << "drain_per_s=" << to_string(drain_per_s);
+  out << ", " << "gateways=" << to_string(gateways);
+  out << ", " << "backlog=" << to_string(backlog);
+  out << ", " << "lease_ms=" << to_string(lease_ms);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "not_broker=" << to_string(not_broker);
+  out << ")";
+}
+
+
+PromptPart::~PromptPart() noexcept {
+}
+
+
+void PromptPart::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void PromptPart::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<CreditUse> ::const_iterator _iter367;
-    for (_iter367 = this->uses.begin(); _iter367 != this->uses.end(); ++_iter367)
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
     {
-      xfer += (*_iter367).write(oprot);
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
     }
-    xfer += oprot->writeListEnd();
+    xfer += iprot->readFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("floor_ack", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->floor_ack);
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptPart");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10130,155 +11522,139 @@
   return xfer;
 }
 
-void swap(Demand &a, Demand &b) {
+void swap(PromptPart &a, PromptPart &b) {
   using ::std::swap;
-  swap(a.pool, b.pool);
-  swap(a.incarnation, b.incarnation);
-  swap(a.epoch, b.epoch);
-  swap(a.resync, b.resync);
-  swap(a.held, b.held);
-  swap(a.items, b.items);
-  swap(a.waiting, b.waiting);
-  swap(a.uses, b.uses);
-  swap(a.floor_ack, b.floor_ack);
-  swap(a.sequence, b.sequence);
+  swap(a.id, b.id);
+  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other368) {
-  pool = other368.pool;
-  incarnation = other368.incarnation;
-  epoch = other368.epoch;
-  resync = other368.resync;
-  held = other368.held;
-  items = other368.items;
-  waiting = other368.waiting;
-  uses = other368.uses;
-  floor_ack = other368.floor_ack;
-  sequence = other368.sequence;
-  __isset = other368.__isset;
-}
-Demand::Demand(Demand&& other369) noexcept {
-  pool = std::move(other369.pool);
-  incarnation = std::move(other369.incarnation);
-  epoch = other369.epoch;
-  resync = other369.resync;
-  held = std::move(other369.held);
-  items = std::move(other369.items);
-  waiting = std::move(other369.waiting);
-  uses = std::move(other369.uses);
-  floor_ack = other369.floor_ack;
-  sequence = other369.sequence;
-  __isset = other369.__isset;
+PromptPart::PromptPart(const PromptPart& other427) noexcept {
+  id = other427.id;
+  tokens = other427.tokens;
+  __isset = other427.__isset;
 }
-Demand& Demand::operator=(const Demand& other370) {
-  pool = other370.pool;
-  incarnation = other370.incarnation;
-  epoch = other370.epoch;
-  resync = other370.resync;
-  held = other370.held;
-  items = other370.items;
-  waiting = other370.waiting;
-  uses = other370.uses;
-  floor_ack = other370.floor_ack;
-  sequence = other370.sequence;
-  __isset = other370.__isset;
+PromptPart::PromptPart(PromptPart&& other428) noexcept {
+  id = other428.id;
+  tokens = other428.tokens;
+  __isset = other428.__isset;
+}
+PromptPart& PromptPart::operator=(const PromptPart& other429) noexcept {
+  id = other429.id;
+  tokens = other429.tokens;
+  __isset = other429.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other371) noexcept {
-  pool = std::move(other371.pool);
-  incarnation = std::move(other371.incarnation);
-  epoch = other371.epoch;
-  resync = other371.resync;
-  held = std::move(other371.held);
-  items = std::move(other371.items);
-  waiting = std::move(other371.waiting);
-  uses = std::move(other371.uses);
-  floor_ack = other371.floor_ack;
-  sequence = other371.sequence;
-  __isset = other371.__isset;
+PromptPart& PromptPart::operator=(PromptPart&& other430) noexcept {
+  id = other430.id;
+  tokens = other430.tokens;
+  __isset = other430.__isset;
   return *this;
 }
-void Demand::printTo(std::ostream& out) const {
+void PromptPart::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Demand(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "epoch=" << to_string(epoch);
-  out << ", " << "resync=" << to_string(resync);
-  out << ", " << "held=" << to_string(held);
-  out << ", " << "items=" << to_string(items);
-  out << ", " << "waiting=" << to_string(waiting);
-  out << ", " << "uses=" << to_string(uses);
-  out << ", " << "floor_ack=" << to_string(floor_ack);
-  out << ", " << "sequence=" << to_string(sequence);
+  out << "PromptPart(";
+  out << "id=" << to_string(id);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
 
-Grants::~Grants() noexcept {
+PlaceAsk::~PlaceAsk() noexcept {
 }
 
 
-void Grants::__set_pool(const std::string& val) {
+void PlaceAsk::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void PlaceAsk::__set_pool(const std::string& val) {
   this->pool = val;
 }
 
-void Grants::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void PlaceAsk::__set_workspace(const std::string& val) {
+  this->workspace = val;
 }
 
-void Grants::__set_credits(const std::vector<HeldCredit> & val) {
-  this->credits = val;
+void PlaceAsk::__set_tier(const int32_t val) {
+  this->tier = val;
 }
 
-void Grants::__set_unreachable(const std::vector<int64_t> & val) {
-  this->unreachable = val;
+void PlaceAsk::__set_rank(const int32_t val) {
+  this->rank = val;
 }
 
-void Grants::__set_floor(const int32_t val) {
-  this->floor = val;
+void PlaceAsk::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
 }
 
-void Grants::__set_floor_epoch(const int64_t val) {
-  this->floor_epoch = val;
+void PlaceAsk::__set_expected_tokens(const int64_t val) {
+  this->expected_tokens = val;
 }
 
-void Grants::__set_contended(const bool val) {
-  this->contended = val;
+void PlaceAsk::__set_aim_ms(const int32_t val) {
+  this->aim_ms = val;
 }
 
-void Grants::__set_drain_per_s(const double val) {
-  this->drain_per_s = val;
+void PlaceAsk::__set_waited_ms(const int32_t val) {
+  this->waited_ms = val;
 }
 
-void Grants::__set_gateways(const int32_t val) {
-  this->gateways = val;
+void PlaceAsk::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
 }
 
-void Grants::__set_backlog(const std::vector<int32_t> & val) {
-  this->backlog = val;
+void PlaceAsk::__set_pause_aim_ms(const int32_t val) {
+  this->pause_aim_ms = val;
 }
 
-void Grants::__set_lease_ms(const int64_t val) {
-  this->lease_ms = val;
+void PlaceAsk::__set_wait_ms(const int32_t val) {
+  this->wait_ms = val;
 }
 
-void Grants::__set_sequence(const int64_t val) {
-  this->sequence = val;
+void PlaceAsk::__set_parts(const std::vector<PromptPart> & val) {
+  this->parts = val;
 }
 
-void Grants::__set_not_broker(const bool val) {
-  this->not_broker = val;
+void PlaceAsk::__set_tried(const std::vector<std::string> & val) {
+  this->tried = val;
 }
-std::ostream& operator<<(std::ostream& out, const Grants& obj)
+
+void PlaceAsk::__set_cost(const double val) {
+  this->cost = val;
+}
+
+void PlaceAsk::__set_reserve(const double val) {
+  this->reserve = val;
+}
+
+void PlaceAsk::__set_limit_rate(const double val) {
+  this->limit_rate = val;
+}
+
+void PlaceAsk::__set_limit_burst(const double val) {
+  this->limit_burst = val;
+}
+
+void PlaceAsk::__set_route(const int64_t val) {
+  this->route = val;
+}
+
+void PlaceAsk::__set_regions(const std::vector<std::string> & val) {
+  this->regions = val;
+}
+
+void PlaceAsk::__set_bound(const bool val) {
+  this->bound = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Grants::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10300,6 +11676,14 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->pool);
           this->__isset.pool = true;
@@ -10307,134 +11691,190 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tier);
+          this->__isset.tier = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_tokens);
+          this->__isset.expected_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->aim_ms);
+          this->__isset.aim_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waited_ms);
+          this->__isset.waited_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pause_aim_ms);
+          this->__isset.pause_aim_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wait_ms);
+          this->__isset.wait_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 13:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->credits.clear();
-            uint32_t _size372;
-            ::apache::thrift::protocol::TType _etype375;
-            xfer += iprot->readListBegin(_etype375, _size372);
-            this->credits.resize(_size372);
-            uint32_t _i376;
-            for (_i376 = 0; _i376 < _size372; ++_i376)
+            this->parts.clear();
+            uint32_t _size431;
+            ::apache::thrift::protocol::TType _etype434;
+            xfer += iprot->readListBegin(_etype434, _size431);
+            this->parts.resize(_size431);
+            uint32_t _i435;
+            for (_i435 = 0; _i435 < _size431; ++_i435)
             {
-              xfer += this->credits[_i376].read(iprot);
+              xfer += this->parts[_i435].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.credits = true;
+          this->__isset.parts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 14:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->unreachable.clear();
-            uint32_t _size377;
-            ::apache::thrift::protocol::TType _etype380;
-            xfer += iprot->readListBegin(_etype380, _size377);
-            this->unreachable.resize(_size377);
-            uint32_t _i381;
-            for (_i381 = 0; _i381 < _size377; ++_i381)
+            this->tried.clear();
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readListBegin(_etype439, _size436);
+            this->tried.resize(_size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              xfer += iprot->readI64(this->unreachable[_i381]);
+              xfer += iprot->readString(this->tried[_i440]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.unreachable = true;
+          this->__isset.tried = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->floor);
-          this->__isset.floor = true;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cost);
+          this->__isset.cost = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->floor_epoch);
-          this->__isset.floor_epoch = true;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->reserve);
+          this->__isset.reserve = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->contended);
-          this->__isset.contended = true;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit_rate);
+          this->__isset.limit_rate = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 18:
         if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->drain_per_s);
-          this->__isset.drain_per_s = true;
+          xfer += iprot->readDouble(this->limit_burst);
+          this->__isset.limit_burst = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->gateways);
-          this->__isset.gateways = true;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->route);
+          this->__isset.route = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
+      case 20:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->backlog.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _etype385;
-            xfer += iprot->readListBegin(_etype385, _size382);
-            this->backlog.resize(_size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            this->regions.clear();
+            uint32_t _size441;
+            ::apache::thrift::protocol::TType _etype444;
+            xfer += iprot->readListBegin(_etype444, _size441);
+            this->regions.resize(_size441);
+            uint32_t _i445;
+            for (_i445 = 0; _i445 < _size441; ++_i445)
             {
-              xfer += iprot->readI32(this->backlog[_i386]);
+              xfer += iprot->readString(this->regions[_i445]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.backlog = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->lease_ms);
-          this->__isset.lease_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          this->__isset.regions = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
+      case 21:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->not_broker);
-          this->__isset.not_broker = true;
+          xfer += iprot->readBool(this->bound);
+          this->__isset.bound = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10451,85 +11891,117 @@
   return xfer;
 }
 
-uint32_t Grants::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Grants");
+  xfer += oprot->writeStructBegin("PlaceAsk");
 
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->pool);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("tier", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->tier);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_tokens", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->expected_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("aim_ms", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->aim_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waited_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->waited_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pause_aim_ms", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->pause_aim_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 13);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
-    std::vector<HeldCredit> ::const_iterator _iter387;
-    for (_iter387 = this->credits.begin(); _iter387 != this->credits.end(); ++_iter387)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<PromptPart> ::const_iterator _iter446;
+    for (_iter446 = this->parts.begin(); _iter446 != this->parts.end(); ++_iter446)
     {
-      xfer += (*_iter387).write(oprot);
+      xfer += (*_iter446).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
+  xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 14);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<int64_t> ::const_iterator _iter388;
-    for (_iter388 = this->unreachable.begin(); _iter388 != this->unreachable.end(); ++_iter388)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tried.size()));
+    std::vector<std::string> ::const_iterator _iter447;
+    for (_iter447 = this->tried.begin(); _iter447 != this->tried.end(); ++_iter447)
     {
-      xfer += oprot->writeI64((*_iter388));
+      xfer += oprot->writeString((*_iter447));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("floor", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->floor);
+  xfer += oprot->writeFieldBegin("cost", ::apache::thrift::protocol::T_DOUBLE, 15);
+  xfer += oprot->writeDouble(this->cost);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("floor_epoch", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->floor_epoch);
+  xfer += oprot->writeFieldBegin("reserve", ::apache::thrift::protocol::T_DOUBLE, 16);
+  xfer += oprot->writeDouble(this->reserve);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("contended", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->contended);
+  xfer += oprot->writeFieldBegin("limit_rate", ::apache::thrift::protocol::T_DOUBLE, 17);
+  xfer += oprot->writeDouble(this->limit_rate);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("drain_per_s", ::apache::thrift::protocol::T_DOUBLE, 8);
-  xfer += oprot->writeDouble(this->drain_per_s);
+  xfer += oprot->writeFieldBegin("limit_burst", ::apache::thrift::protocol::T_DOUBLE, 18);
+  xfer += oprot->writeDouble(this->limit_burst);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("gateways", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->gateways);
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
+  xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 20);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
-    std::vector<int32_t> ::const_iterator _iter389;
-    for (_iter389 = this->backlog.begin(); _iter389 != this->backlog.end(); ++_iter389)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
+    std::vector<std::string> ::const_iterator _iter448;
+    for (_iter448 = this->regions.begin(); _iter448 != this->regions.end(); ++_iter448)
     {
-      xfer += oprot->writeI32((*_iter389));
+      xfer += oprot->writeString((*_iter448));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lease_ms", ::apache::thrift::protocol::T_I64, 11);
-  xfer += oprot->writeI64(this->lease_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 13);
-  xfer += oprot->writeBool(this->not_broker);
+  xfer += oprot->writeFieldBegin("bound", ::apache::thrift::protocol::T_BOOL, 21);
+  xfer += oprot->writeBool(this->bound);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10537,129 +12009,189 @@
   return xfer;
 }
 
-void swap(Grants &a, Grants &b) {
+void swap(PlaceAsk &a, PlaceAsk &b) {
   using ::std::swap;
+  swap(a.ref, b.ref);
   swap(a.pool, b.pool);
-  swap(a.epoch, b.epoch);
-  swap(a.credits, b.credits);
-  swap(a.unreachable, b.unreachable);
-  swap(a.floor, b.floor);
-  swap(a.floor_epoch, b.floor_epoch);
-  swap(a.contended, b.contended);
-  swap(a.drain_per_s, b.drain_per_s);
-  swap(a.gateways, b.gateways);
-  swap(a.backlog, b.backlog);
-  swap(a.lease_ms, b.lease_ms);
-  swap(a.sequence, b.sequence);
-  swap(a.not_broker, b.not_broker);
+  swap(a.workspace, b.workspace);
+  swap(a.tier, b.tier);
+  swap(a.rank, b.rank);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.expected_tokens, b.expected_tokens);
+  swap(a.aim_ms, b.aim_ms);
+  swap(a.waited_ms, b.waited_ms);
+  swap(a.left_ms, b.left_ms);
+  swap(a.pause_aim_ms, b.pause_aim_ms);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.parts, b.parts);
+  swap(a.tried, b.tried);
+  swap(a.cost, b.cost);
+  swap(a.reserve, b.reserve);
+  swap(a.limit_rate, b.limit_rate);
+  swap(a.limit_burst, b.limit_burst);
+  swap(a.route, b.route);
+  swap(a.regions, b.regions);
+  swap(a.bound, b.bound);
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other390) {
-  pool = other390.pool;
-  epoch = other390.epoch;
-  credits = other390.credits;
-  unreachable = other390.unreachable;
-  floor = other390.floor;
-  floor_epoch = other390.floor_epoch;
-  contended = other390.contended;
-  drain_per_s = other390.drain_per_s;
-  gateways = other390.gateways;
-  backlog = other390.backlog;
-  lease_ms = other390.lease_ms;
-  sequence = other390.sequence;
-  not_broker = other390.not_broker;
-  __isset = other390.__isset;
-}
-Grants::Grants(Grants&& other391) noexcept {
-  pool = std::move(other391.pool);
-  epoch = other391.epoch;
-  credits = std::move(other391.credits);
-  unreachable = std::move(other391.unreachable);
-  floor = other391.floor;
-  floor_epoch = other391.floor_epoch;
-  contended = other391.contended;
-  drain_per_s = other391.drain_per_s;
-  gateways = other391.gateways;
-  backlog = std::move(other391.backlog);
-  lease_ms = other391.lease_ms;
-  sequence = other391.sequence;
-  not_broker = other391.not_broker;
-  __isset = other391.__isset;
-}
-Grants& Grants::operator=(const Grants& other392) {
-  pool = other392.pool;
-  epoch = other392.epoch;
-  credits = other392.credits;
-  unreachable = other392.unreachable;
-  floor = other392.floor;
-  floor_epoch = other392.floor_epoch;
-  contended = other392.contended;
-  drain_per_s = other392.drain_per_s;
-  gateways = other392.gateways;
-  backlog = other392.backlog;
-  lease_ms = other392.lease_ms;
-  sequence = other392.sequence;
-  not_broker = other392.not_broker;
-  __isset = other392.__isset;
-  return *this;
-}
-Grants& Grants::operator=(Grants&& other393) noexcept {
-  pool = std::move(other393.pool);
-  epoch = other393.epoch;
-  credits = std::move(other393.credits);
-  unreachable = std::move(other393.unreachable);
-  floor = other393.floor;
-  floor_epoch = other393.floor_epoch;
-  contended = other393.contended;
-  drain_per_s = other393.drain_per_s;
-  gateways = other393.gateways;
-  backlog = std::move(other393.backlog);
-  lease_ms = other393.lease_ms;
-  sequence = other393.sequence;
-  not_broker = other393.not_broker;
-  __isset = other393.__isset;
-  return *this;
-}
-void Grants::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Grants(";
-  out << "pool=" << to_string(pool);
-  out << ", " << "epoch=" << to_string(epoch);
-  out << ", " << "credits=" << to_string(credits);
-  out << ", " << "unreachable=" << to_string(unreachable);
-  out << ", " << "floor=" << to_string(floor);
-  out << ", " << "floor_epoch=" << to_string(floor_epoch);
-  out << ", " << "contended=" << to_string(contended);
-  out << ", " << "drain_per_s=" << to_string(drain_per_s);
-  out << ", " << "gateways=" << to_string(gateways);
-  out << ", " << "backlog=" << to_string(backlog);
-  out << ", " << "lease_ms=" << to_string(lease_ms);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "not_broker=" << to_string(not_broker);
-  out << ")";
+PlaceAsk::PlaceAsk(const PlaceAsk& other449) {
+  ref = other449.ref;
+  pool = other449.pool;
+  workspace = other449.workspace;
+  tier = other449.tier;
+  rank = other449.rank;
+  prompt_tokens = other449.prompt_tokens;
+  expected_tokens = other449.expected_tokens;
+  aim_ms = other449.aim_ms;
+  waited_ms = other449.waited_ms;
+  left_ms = other449.left_ms;
+  pause_aim_ms = other449.pause_aim_ms;
+  wait_ms = other449.wait_ms;
+  parts = other449.parts;
+  tried = other449.tried;
+  cost = other449.cost;
+  reserve = other449.reserve;
+  limit_rate = other449.limit_rate;
+  limit_burst = other449.limit_burst;
+  route = other449.route;
+  regions = other449.regions;
+  bound = other449.bound;
+  __isset = other449.__isset;
+}
+PlaceAsk::PlaceAsk(PlaceAsk&& other450) noexcept {
+  ref = other450.ref;
+  pool = std::move(other450.pool);
+  workspace = std::move(other450.workspace);
+  tier = other450.tier;
+  rank = other450.rank;
+  prompt_tokens = other450.prompt_tokens;
+  expected_tokens = other450.expected_tokens;
+  aim_ms = other450.aim_ms;
+  waited_ms = other450.waited_ms;
+  left_ms = other450.left_ms;
+  pause_aim_ms = other450.pause_aim_ms;
+  wait_ms = other450.wait_ms;
+  parts = std::move(other450.parts);
+  tried = std::move(other450.tried);
+  cost = other450.cost;
+  reserve = other450.reserve;
+  limit_rate = other450.limit_rate;
+  limit_burst = other450.limit_burst;
+  route = other450.route;
+  regions = std::move(other450.regions);
+  bound = other450.bound;
+  __isset = other450.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other451) {
+  ref = other451.ref;
+  pool = other451.pool;
+  workspace = other451.workspace;
+  tier = other451.tier;
+  rank = other451.rank;
+  prompt_tokens = other451.prompt_tokens;
+  expected_tokens = other451.expected_tokens;
+  aim_ms = other451.aim_ms;
+  waited_ms = other451.waited_ms;
+  left_ms = other451.left_ms;
+  pause_aim_ms = other451.pause_aim_ms;
+  wait_ms = other451.wait_ms;
+  parts = other451.parts;
+  tried = other451.tried;
+  cost = other451.cost;
+  reserve = other451.reserve;
+  limit_rate = other451.limit_rate;
+  limit_burst = other451.limit_burst;
+  route = other451.route;
+  regions = other451.regions;
+  bound = other451.bound;
+  __isset = other451.__isset;
+  return *this;
+}
+PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other452) noexcept {
+  ref = other452.ref;
+  pool = std::move(other452.pool);
+  workspace = std::move(other452.workspace);
+  tier = other452.tier;
+  rank = other452.rank;
+  prompt_tokens = other452.prompt_tokens;
+  expected_tokens = other452.expected_tokens;
+  aim_ms = other452.aim_ms;
+  waited_ms = other452.waited_ms;
+  left_ms = other452.left_ms;
+  pause_aim_ms = other452.pause_aim_ms;
+  wait_ms = other452.wait_ms;
+  parts = std::move(other452.parts);
+  tried = std::move(other452.tried);
+  cost = other452.cost;
+  reserve = other452.reserve;
+  limit_rate = other452.limit_rate;
+  limit_burst = other452.limit_burst;
+  route = other452.route;
+  regions = std::move(other452.regions);
+  bound = other452.bound;
+  __isset = other452.__isset;
+  return *this;
+}
+void PlaceAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAsk(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "tier=" << to_string(tier);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "expected_tokens=" << to_string(expected_tokens);
+  out << ", " << "aim_ms=" << to_string(aim_ms);
+  out << ", " << "waited_ms=" << to_string(waited_ms);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ", " << "pause_aim_ms=" << to_string(pause_aim_ms);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "tried=" << to_string(tried);
+  out << ", " << "cost=" << to_string(cost);
+  out << ", " << "reserve=" << to_string(reserve);
+  out << ", " << "limit_rate=" << to_string(limit_rate);
+  out << ", " << "limit_burst=" << to_string(limit_burst);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "regions=" << to_string(regions);
+  out << ", " << "bound=" << to_string(bound);
+  out << ")";
+}
+
+
+PlaceHeld::~PlaceHeld() noexcept {
 }
 
 
-PromptPart::~PromptPart() noexcept {
+void PlaceHeld::__set_ref(const int64_t val) {
+  this->ref = val;
 }
 
+void PlaceHeld::__set_server(const std::string& val) {
+  this->server = val;
+}
 
-void PromptPart::__set_id(const int64_t val) {
-  this->id = val;
+void PlaceHeld::__set_reading_tokens(const int64_t val) {
+  this->reading_tokens = val;
 }
 
-void PromptPart::__set_tokens(const int32_t val) {
-  this->tokens = val;
+void PlaceHeld::__set_expected_tokens(const int64_t val) {
+  this->expected_tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const PromptPart& obj)
+
+void PlaceHeld::__set_born(const int64_t val) {
+  this->born = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PromptPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceHeld::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10682,16 +12214,40 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          this->__isset.id = true;
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->tokens);
-          this->__isset.tokens = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reading_tokens);
+          this->__isset.reading_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_tokens);
+          this->__isset.expected_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -10708,17 +12264,29 @@
   return xfer;
 }
 
-uint32_t PromptPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceHeld::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PromptPart");
+  xfer += oprot->writeStructBegin("PlaceHeld");
 
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reading_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->reading_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->expected_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10726,139 +12294,121 @@
   return xfer;
 }
 
-void swap(PromptPart &a, PromptPart &b) {
+void swap(PlaceHeld &a, PlaceHeld &b) {
   using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.tokens, b.tokens);
+  swap(a.ref, b.ref);
+  swap(a.server, b.server);
+  swap(a.reading_tokens, b.reading_tokens);
+  swap(a.expected_tokens, b.expected_tokens);
+  swap(a.born, b.born);
   swap(a.__isset, b.__isset);
 }
 
-PromptPart::PromptPart(const PromptPart& other394) noexcept {
-  id = other394.id;
-  tokens = other394.tokens;
-  __isset = other394.__isset;
-}
-PromptPart::PromptPart(PromptPart&& other395) noexcept {
-  id = other395.id;
-  tokens = other395.tokens;
-  __isset = other395.__isset;
-}
-PromptPart& PromptPart::operator=(const PromptPart& other396) noexcept {
-  id = other396.id;
-  tokens = other396.tokens;
-  __isset = other396.__isset;
+PlaceHeld::PlaceHeld(const PlaceHeld& other453) {
+  ref = other453.ref;
+  server = other453.server;
+  reading_tokens = other453.reading_tokens;
+  expected_tokens = other453.expected_tokens;
+  born = other453.born;
+  __isset = other453.__isset;
+}
+PlaceHeld::PlaceHeld(PlaceHeld&& other454) noexcept {
+  ref = other454.ref;
+  server = std::move(other454.server);
+  reading_tokens = other454.reading_tokens;
+  expected_tokens = other454.expected_tokens;
+  born = other454.born;
+  __isset = other454.__isset;
+}
+PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other455) {
+  ref = other455.ref;
+  server = other455.server;
+  reading_tokens = other455.reading_tokens;
+  expected_tokens = other455.expected_tokens;
+  born = other455.born;
+  __isset = other455.__isset;
   return *this;
 }
-PromptPart& PromptPart::operator=(PromptPart&& other397) noexcept {
-  id = other397.id;
-  tokens = other397.tokens;
-  __isset = other397.__isset;
+PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other456) noexcept {
+  ref = other456.ref;
+  server = std::move(other456.server);
+  reading_tokens = other456.reading_tokens;
+  expected_tokens = other456.expected_tokens;
+  born = other456.born;
+  __isset = other456.__isset;
   return *this;
 }
-void PromptPart::printTo(std::ostream& out) const {
+void PlaceHeld::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PromptPart(";
-  out << "id=" << to_string(id);
-  out << ", " << "tokens=" << to_string(tokens);
+  out << "PlaceHeld(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "reading_tokens=" << to_string(reading_tokens);
+  out << ", " << "expected_tokens=" << to_string(expected_tokens);
+  out << ", " << "born=" << to_string(born);
   out << ")";
 }
 
 
-PlaceAsk::~PlaceAsk() noexcept {
+PlaceReport::~PlaceReport() noexcept {
 }
 
 
-void PlaceAsk::__set_ref(const int64_t val) {
+void PlaceReport::__set_ref(const int64_t val) {
   this->ref = val;
 }
 
-void PlaceAsk::__set_pool(const std::string& val) {
-  this->pool = val;
-}
-
-void PlaceAsk::__set_workspace(const std::string& val) {
-  this->workspace = val;
-}
-
-void PlaceAsk::__set_tier(const int32_t val) {
-  this->tier = val;
-}
-
-void PlaceAsk::__set_rank(const int32_t val) {
-  this->rank = val;
-}
-
-void PlaceAsk::__set_prompt_tokens(const int64_t val) {
-  this->prompt_tokens = val;
-}
-
-void PlaceAsk::__set_expected_tokens(const int64_t val) {
-  this->expected_tokens = val;
-}
-
-void PlaceAsk::__set_aim_ms(const int32_t val) {
-  this->aim_ms = val;
-}
-
-void PlaceAsk::__set_waited_ms(const int32_t val) {
-  this->waited_ms = val;
-}
-
-void PlaceAsk::__set_left_ms(const int32_t val) {
-  this->left_ms = val;
-}
-
-void PlaceAsk::__set_pause_aim_ms(const int32_t val) {
-  this->pause_aim_ms = val;
+void PlaceReport::__set_tokens_read(const int64_t val) {
+  this->tokens_read = val;
 }
 
-void PlaceAsk::__set_wait_ms(const int32_t val) {
-  this->wait_ms = val;
+void PlaceReport::__set_first_ms(const int32_t val) {
+  this->first_ms = val;
 }
 
-void PlaceAsk::__set_parts(const std::vector<PromptPart> & val) {
-  this->parts = val;
+void PlaceReport::__set_ended(const bool val) {
+  this->ended = val;
 }
 
-void PlaceAsk::__set_tried(const std::vector<std::string> & val) {
-  this->tried = val;
+void PlaceReport::__set_ran(const bool val) {
+  this->ran = val;
 }
 
-void PlaceAsk::__set_cost(const double val) {
-  this->cost = val;
+void PlaceReport::__set_sign(const PlaceSign::type val) {
+  this->sign = val;
 }
 
-void PlaceAsk::__set_reserve(const double val) {
-  this->reserve = val;
+void PlaceReport::__set_service_ms(const int32_t val) {
+  this->service_ms = val;
 }
 
-void PlaceAsk::__set_limit_rate(const double val) {
-  this->limit_rate = val;
+void PlaceReport::__set_events(const int64_t val) {
+  this->events = val;
 }
 
-void PlaceAsk::__set_limit_burst(const double val) {
-  this->limit_burst = val;
+void PlaceReport::__set_span_ms(const int32_t val) {
+  this->span_ms = val;
 }
 
-void PlaceAsk::__set_route(const int64_t val) {
-  this->route = val;
+void PlaceReport::__set_pause_ms(const int32_t val) {
+  this->pause_ms = val;
 }
 
-void PlaceAsk::__set_regions(const std::vector<std::string> & val) {
-  this->regions = val;
+void PlaceReport::__set_failed(const bool val) {
+  this->failed = val;
 }
 
-void PlaceAsk::__set_bound(const bool val) {
-  this->bound = val;
+void PlaceReport::__set_connect_us(const int32_t val) {
+  this->connect_us = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
+std::ostream& operator<<(std::ostream& out, const PlaceReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlaceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -10881,204 +12431,98 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->pool);
-          this->__isset.pool = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->workspace);
-          this->__isset.workspace = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->tier);
-          this->__isset.tier = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->rank);
-          this->__isset.rank = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->prompt_tokens);
-          this->__isset.prompt_tokens = true;
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expected_tokens);
-          this->__isset.expected_tokens = true;
+          xfer += iprot->readI64(this->tokens_read);
+          this->__isset.tokens_read = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->aim_ms);
-          this->__isset.aim_ms = true;
+          xfer += iprot->readI32(this->first_ms);
+          this->__isset.first_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->waited_ms);
-          this->__isset.waited_ms = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ended);
+          this->__isset.ended = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->left_ms);
-          this->__isset.left_ms = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->ran);
+          this->__isset.ran = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->pause_aim_ms);
-          this->__isset.pause_aim_ms = true;
+          int32_t ecast457;
+          xfer += iprot->readI32(ecast457);
+          this->sign = static_cast<PlaceSign::type>(ecast457);
+          this->__isset.sign = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 12:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->wait_ms);
-          this->__isset.wait_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->parts.clear();
-            uint32_t _size398;
-            ::apache::thrift::protocol::TType _etype401;
-            xfer += iprot->readListBegin(_etype401, _size398);
-            this->parts.resize(_size398);
-            uint32_t _i402;
-            for (_i402 = 0; _i402 < _size398; ++_i402)
-            {
-              xfer += this->parts[_i402].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.parts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->tried.clear();
-            uint32_t _size403;
-            ::apache::thrift::protocol::TType _etype406;
-            xfer += iprot->readListBegin(_etype406, _size403);
-            this->tried.resize(_size403);
-            uint32_t _i407;
-            for (_i407 = 0; _i407 < _size403; ++_i407)
-            {
-              xfer += iprot->readString(this->tried[_i407]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.tried = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->cost);
-          this->__isset.cost = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->reserve);
-          this->__isset.reserve = true;
+          xfer += iprot->readI32(this->service_ms);
+          this->__isset.service_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->limit_rate);
-          this->__isset.limit_rate = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->events);
+          this->__isset.events = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 18:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->limit_burst);
-          this->__isset.limit_burst = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->span_ms);
+          this->__isset.span_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 19:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->route);
-          this->__isset.route = true;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pause_ms);
+          this->__isset.pause_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 20:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->regions.clear();
-            uint32_t _size408;
-            ::apache::thrift::protocol::TType _etype411;
-            xfer += iprot->readListBegin(_etype411, _size408);
-            this->regions.resize(_size408);
-            uint32_t _i412;
-            for (_i412 = 0; _i412 < _size408; ++_i412)
-            {
-              xfer += iprot->readString(this->regions[_i412]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.regions = true;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->failed);
+          this->__isset.failed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 21:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->bound);
-          this->__isset.bound = true;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->connect_us);
+          this->__isset.connect_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -11095,307 +12539,201 @@
   return xfer;
 }
 
-uint32_t PlaceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlaceAsk");
+  xfer += oprot->writeStructBegin("PlaceReport");
 
   xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->ref);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->pool);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->workspace);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("tier", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->tier);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->rank);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->prompt_tokens);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("expected_tokens", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->expected_tokens);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("aim_ms", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(this->aim_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("waited_ms", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->waited_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 10);
-  xfer += oprot->writeI32(this->left_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("pause_aim_ms", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(this->pause_aim_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I32, 12);
-  xfer += oprot->writeI32(this->wait_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 13);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<PromptPart> ::const_iterator _iter413;
-    for (_iter413 = this->parts.begin(); _iter413 != this->parts.end(); ++_iter413)
-    {
-      xfer += (*_iter413).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("tokens_read", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tokens_read);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 14);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tried.size()));
-    std::vector<std::string> ::const_iterator _iter414;
-    for (_iter414 = this->tried.begin(); _iter414 != this->tried.end(); ++_iter414)
-    {
-      xfer += oprot->writeString((*_iter414));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("first_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->first_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cost", ::apache::thrift::protocol::T_DOUBLE, 15);
-  xfer += oprot->writeDouble(this->cost);
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->ended);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reserve", ::apache::thrift::protocol::T_DOUBLE, 16);
-  xfer += oprot->writeDouble(this->reserve);
+  xfer += oprot->writeFieldBegin("ran", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->ran);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("limit_rate", ::apache::thrift::protocol::T_DOUBLE, 17);
-  xfer += oprot->writeDouble(this->limit_rate);
+  xfer += oprot->writeFieldBegin("sign", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->sign));
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("limit_burst", ::apache::thrift::protocol::T_DOUBLE, 18);
-  xfer += oprot->writeDouble(this->limit_burst);
+  xfer += oprot->writeFieldBegin("service_ms", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->service_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_I64, 19);
-  xfer += oprot->writeI64(this->route);
+  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->events);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 20);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
-    std::vector<std::string> ::const_iterator _iter415;
-    for (_iter415 = this->regions.begin(); _iter415 != this->regions.end(); ++_iter415)
-    {
-      xfer += oprot->writeString((*_iter415));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("span_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->span_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bound", ::apache::thrift::protocol::T_BOOL, 21);
-  xfer += oprot->writeBool(this->bound);
+  xfer += oprot->writeFieldBegin("pause_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->pause_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(PlaceAsk &a, PlaceAsk &b) {
-  using ::std::swap;
-  swap(a.ref, b.ref);
-  swap(a.pool, b.pool);
-  swap(a.workspace, b.workspace);
-  swap(a.tier, b.tier);
-  swap(a.rank, b.rank);
-  swap(a.prompt_tokens, b.prompt_tokens);
-  swap(a.expected_tokens, b.expected_tokens);
-  swap(a.aim_ms, b.aim_ms);
-  swap(a.waited_ms, b.waited_ms);
-  swap(a.left_ms, b.left_ms);
-  swap(a.pause_aim_ms, b.pause_aim_ms);
-  swap(a.wait_ms, b.wait_ms);
-  swap(a.parts, b.parts);
-  swap(a.tried, b.tried);
-  swap(a.cost, b.cost);
-  swap(a.reserve, b.reserve);
-  swap(a.limit_rate, b.limit_rate);
-  swap(a.limit_burst, b.limit_burst);
-  swap(a.route, b.route);
-  swap(a.regions, b.regions);
-  swap(a.bound, b.bound);
+  xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->failed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("connect_us", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->connect_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceReport &a, PlaceReport &b) {
+  using ::std::swap;
+  swap(a.ref, b.ref);
+  swap(a.tokens_read, b.tokens_read);
+  swap(a.first_ms, b.first_ms);
+  swap(a.ended, b.ended);
+  swap(a.ran, b.ran);
+  swap(a.sign, b.sign);
+  swap(a.service_ms, b.service_ms);
+  swap(a.events, b.events);
+  swap(a.span_ms, b.span_ms);
+  swap(a.pause_ms, b.pause_ms);
+  swap(a.failed, b.failed);
+  swap(a.connect_us, b.connect_us);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other416) {
-  ref = other416.ref;
-  pool = other416.pool;
-  workspace = other416.workspace;
-  tier = other416.tier;
-  rank = other416.rank;
-  prompt_tokens = other416.prompt_tokens;
-  expected_tokens = other416.expected_tokens;
-  aim_ms = other416.aim_ms;
-  waited_ms = other416.waited_ms;
-  left_ms = other416.left_ms;
-  pause_aim_ms = other416.pause_aim_ms;
-  wait_ms = other416.wait_ms;
-  parts = other416.parts;
-  tried = other416.tried;
-  cost = other416.cost;
-  reserve = other416.reserve;
-  limit_rate = other416.limit_rate;
-  limit_burst = other416.limit_burst;
-  route = other416.route;
-  regions = other416.regions;
-  bound = other416.bound;
-  __isset = other416.__isset;
-}
-PlaceAsk::PlaceAsk(PlaceAsk&& other417) noexcept {
-  ref = other417.ref;
-  pool = std::move(other417.pool);
-  workspace = std::move(other417.workspace);
-  tier = other417.tier;
-  rank = other417.rank;
-  prompt_tokens = other417.prompt_tokens;
-  expected_tokens = other417.expected_tokens;
-  aim_ms = other417.aim_ms;
-  waited_ms = other417.waited_ms;
-  left_ms = other417.left_ms;
-  pause_aim_ms = other417.pause_aim_ms;
-  wait_ms = other417.wait_ms;
-  parts = std::move(other417.parts);
-  tried = std::move(other417.tried);
-  cost = other417.cost;
-  reserve = other417.reserve;
-  limit_rate = other417.limit_rate;
-  limit_burst = other417.limit_burst;
-  route = other417.route;
-  regions = std::move(other417.regions);
-  bound = other417.bound;
-  __isset = other417.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other418) {
-  ref = other418.ref;
-  pool = other418.pool;
-  workspace = other418.workspace;
-  tier = other418.tier;
-  rank = other418.rank;
-  prompt_tokens = other418.prompt_tokens;
-  expected_tokens = other418.expected_tokens;
-  aim_ms = other418.aim_ms;
-  waited_ms = other418.waited_ms;
-  left_ms = other418.left_ms;
-  pause_aim_ms = other418.pause_aim_ms;
-  wait_ms = other418.wait_ms;
-  parts = other418.parts;
-  tried = other418.tried;
-  cost = other418.cost;
-  reserve = other418.reserve;
-  limit_rate = other418.limit_rate;
-  limit_burst = other418.limit_burst;
-  route = other418.route;
-  regions = other418.regions;
-  bound = other418.bound;
-  __isset = other418.__isset;
-  return *this;
-}
-PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other419) noexcept {
-  ref = other419.ref;
-  pool = std::move(other419.pool);
-  workspace = std::move(other419.workspace);
-  tier = other419.tier;
-  rank = other419.rank;
-  prompt_tokens = other419.prompt_tokens;
-  expected_tokens = other419.expected_tokens;
-  aim_ms = other419.aim_ms;
-  waited_ms = other419.waited_ms;
-  left_ms = other419.left_ms;
-  pause_aim_ms = other419.pause_aim_ms;
-  wait_ms = other419.wait_ms;
-  parts = std::move(other419.parts);
-  tried = std::move(other419.tried);
-  cost = other419.cost;
-  reserve = other419.reserve;
-  limit_rate = other419.limit_rate;
-  limit_burst = other419.limit_burst;
-  route = other419.route;
-  regions = std::move(other419.regions);
-  bound = other419.bound;
-  __isset = other419.__isset;
+PlaceReport::PlaceReport(const PlaceReport& other458) noexcept {
+  ref = other458.ref;
+  tokens_read = other458.tokens_read;
+  first_ms = other458.first_ms;
+  ended = other458.ended;
+  ran = other458.ran;
+  sign = other458.sign;
+  service_ms = other458.service_ms;
+  events = other458.events;
+  span_ms = other458.span_ms;
+  pause_ms = other458.pause_ms;
+  failed = other458.failed;
+  connect_us = other458.connect_us;
+  __isset = other458.__isset;
+}
+PlaceReport::PlaceReport(PlaceReport&& other459) noexcept {
+  ref = other459.ref;
+  tokens_read = other459.tokens_read;
+  first_ms = other459.first_ms;
+  ended = other459.ended;
+  ran = other459.ran;
+  sign = other459.sign;
+  service_ms = other459.service_ms;
+  events = other459.events;
+  span_ms = other459.span_ms;
+  pause_ms = other459.pause_ms;
+  failed = other459.failed;
+  connect_us = other459.connect_us;
+  __isset = other459.__isset;
+}
+PlaceReport& PlaceReport::operator=(const PlaceReport& other460) noexcept {
+  ref = other460.ref;
+  tokens_read = other460.tokens_read;
+  first_ms = other460.first_ms;
+  ended = other460.ended;
+  ran = other460.ran;
+  sign = other460.sign;
+  service_ms = other460.service_ms;
+  events = other460.events;
+  span_ms = other460.span_ms;
+  pause_ms = other460.pause_ms;
+  failed = other460.failed;
+  connect_us = other460.connect_us;
+  __isset = other460.__isset;
   return *this;
 }
-void PlaceAsk::printTo(std::ostream& out) const {
+PlaceReport& PlaceReport::operator=(PlaceReport&& other461) noexcept {
+  ref = other461.ref;
+  tokens_read = other461.tokens_read;
+  first_ms = other461.first_ms;
+  ended = other461.ended;
+  ran = other461.ran;
+  sign = other461.sign;
+  service_ms = other461.service_ms;
+  events = other461.events;
+  span_ms = other461.span_ms;
+  pause_ms = other461.pause_ms;
+  failed = other461.failed;
+  connect_us = other461.connect_us;
+  __isset = other461.__isset;
+  return *this;
+}
+void PlaceReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlaceAsk(";
+  out << "PlaceReport(";
   out << "ref=" << to_string(ref);
-  out << ", " << "pool=" << to_string(pool);
-  out << ", " << "workspace=" << to_string(workspace);
-  out << ", " << "tier=" << to_string(tier);
-  out << ", " << "rank=" << to_string(rank);
-  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
-  out << ", " << "expected_tokens=" << to_string(expected_tokens);
-  out << ", " << "aim_ms=" << to_string(aim_ms);
-  out << ", " << "waited_ms=" << to_string(waited_ms);
-  out << ", " << "left_ms=" << to_string(left_ms);
-  out << ", " << "pause_aim_ms=" << to_string(pause_aim_ms);
-  out << ", " << "wait_ms=" << to_string(wait_ms);
-  out << ", " << "parts=" << to_string(parts);
-  out << ", " << "tried=" << to_string(tried);
-  out << ", " << "cost=" << to_string(cost);
-  out << ", " << "reserve=" << to_string(reserve);
-  out << ", " << "limit_rate=" << to_string(limit_rate);
-  out << ", " << "limit_burst=" << to_string(limit_burst);
-  out << ", " << "route=" << to_string(route);
-  out << ", " << "regions=" << to_string(regions);
-  out << ", " << "bound=" << to_string(bound);
+  out << ", " << "tokens_read=" << to_string(tokens_read);
+  out << ", " << "first_ms=" << to_string(first_ms);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "ran=" << to_string(ran);
+  out << ", " << "sign=" << to_string(sign);
+  out << ", " << "service_ms=" << to_string(service_ms);
+  out << ", " << "events=" << to_string(events);
+  out << ", " << "span_ms=" << to_string(span_ms);
+  out << ", " << "pause_ms=" << to_string(pause_ms);
+  out << ", " << "failed=" << to_string(failed);
+  out << ", " << "connect_us=" << to_string(connect_us);
   out << ")";
 }
 
 
-PlaceHeld::~PlaceHeld() noexcept {
+LimitUse::~LimitUse() noexcept {
 }
 
 
-void PlaceHeld::__set_ref(const int64_t val) {
-  this->ref = val;
+void LimitUse::__set_workspace(const std::string& val) {
+  this->workspace = val;
 }
 
-void PlaceHeld::__set_server(const std::string& val) {
-  this->server = val;
+void LimitUse::__set_left(const double val) {
+  this->left = val;
 }
 
-void PlaceHeld::__set_reading_tokens(const int64_t val) {
-  this->reading_tokens = val;
+void LimitUse::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
 }
 
-void PlaceHeld::__set_expected_tokens(const int64_t val) {
-  this->expected_tokens = val;
+void LimitUse::__set_spent_alone(const double val) {
+  this->spent_alone = val;
 }
 
-void PlaceHeld::__set_born(const int64_t val) {
-  this->born = val;
+void LimitUse::__set_rate(const double val) {
+  this->rate = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj)
+
+void LimitUse::__set_burst(const double val) {
+  this->burst = val;
+}
+
+void LimitUse::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitUse& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlaceHeld::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LimitUse::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -11417,41 +12755,57 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->server);
-          this->__isset.server = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->left);
+          this->__isset.left = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->reading_tokens);
-          this->__isset.reading_tokens = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expected_tokens);
-          this->__isset.expected_tokens = true;
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->spent_alone);
+          this->__isset.spent_alone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->born);
-          this->__isset.born = true;
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -11468,29 +12822,37 @@
   return xfer;
 }
 
-uint32_t PlaceHeld::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LimitUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlaceHeld");
+  xfer += oprot->writeStructBegin("LimitUse");
 
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->left);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reading_tokens", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->reading_tokens);
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("expected_tokens", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->expected_tokens);
+  xfer += oprot->writeFieldBegin("spent_alone", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->spent_alone);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -11498,121 +12860,101 @@
   return xfer;
 }
 
-void swap(PlaceHeld &a, PlaceHeld &b) {
+void swap(LimitUse &a, LimitUse &b) {
   using ::std::swap;
-  swap(a.ref, b.ref);
-  swap(a.server, b.server);
-  swap(a.reading_tokens, b.reading_tokens);
-  swap(a.expected_tokens, b.expected_tokens);
-  swap(a.born, b.born);
+  swap(a.workspace, b.workspace);
+  swap(a.left, b.left);
+  swap(a.age_ms, b.age_ms);
+  swap(a.spent_alone, b.spent_alone);
+  swap(a.rate, b.rate);
+  swap(a.burst, b.burst);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
-PlaceHeld::PlaceHeld(const PlaceHeld& other420) {
-  ref = other420.ref;
-  server = other420.server;
-  reading_tokens = other420.reading_tokens;
-  expected_tokens = other420.expected_tokens;
-  born = other420.born;
-  __isset = other420.__isset;
-}
-PlaceHeld::PlaceHeld(PlaceHeld&& other421) noexcept {
-  ref = other421.ref;
-  server = std::move(other421.server);
-  reading_tokens = other421.reading_tokens;
-  expected_tokens = other421.expected_tokens;
-  born = other421.born;
-  __isset = other421.__isset;
-}
-PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other422) {
-  ref = other422.ref;
-  server = other422.server;
-  reading_tokens = other422.reading_tokens;
-  expected_tokens = other422.expected_tokens;
-  born = other422.born;
-  __isset = other422.__isset;
-  return *this;
-}
-PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other423) noexcept {
-  ref = other423.ref;
-  server = std::move(other423.server);
-  reading_tokens = other423.reading_tokens;
-  expected_tokens = other423.expected_tokens;
-  born = other423.born;
-  __isset = other423.__isset;
+LimitUse::LimitUse(const LimitUse& other462) {
+  workspace = other462.workspace;
+  left = other462.left;
+  age_ms = other462.age_ms;
+  spent_alone = other462.spent_alone;
+  rate = other462.rate;
+  burst = other462.burst;
+  epoch = other462.epoch;
+  __isset = other462.__isset;
+}
+LimitUse::LimitUse(LimitUse&& other463) noexcept {
+  workspace = std::move(other463.workspace);
+  left = other463.left;
+  age_ms = other463.age_ms;
+  spent_alone = other463.spent_alone;
+  rate = other463.rate;
+  burst = other463.burst;
+  epoch = other463.epoch;
+  __isset = other463.__isset;
+}
+LimitUse& LimitUse::operator=(const LimitUse& other464) {
+  workspace = other464.workspace;
+  left = other464.left;
+  age_ms = other464.age_ms;
+  spent_alone = other464.spent_alone;
+  rate = other464.rate;
+  burst = other464.burst;
+  epoch = other464.epoch;
+  __isset = other464.__isset;
   return *this;
 }
-void PlaceHeld::printTo(std::ostream& out) const {
+LimitUse& LimitUse::operator=(LimitUse&& other465) noexcept {
+  workspace = std::move(other465.workspace);
+  left = other465.left;
+  age_ms = other465.age_ms;
+  spent_alone = other465.spent_alone;
+  rate = other465.rate;
+  burst = other465.burst;
+  epoch = other465.epoch;
+  __isset = other465.__isset;
+  return *this;
+}
+void LimitUse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlaceHeld(";
-  out << "ref=" << to_string(ref);
-  out << ", " << "server=" << to_string(server);
-  out << ", " << "reading_tokens=" << to_string(reading_tokens);
-  out << ", " << "expected_tokens=" << to_string(expected_tokens);
-  out << ", " << "born=" << to_string(born);
+  out << "LimitUse(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "left=" << to_string(left);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "spent_alone=" << to_string(spent_alone);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "burst=" << to_string(burst);
+  out << ", " << "epoch=" << to_string(epoch);
   out << ")";
 }
 
 
-PlaceReport::~PlaceReport() noexcept {
-}
-
-
-void PlaceReport::__set_ref(const int64_t val) {
-  this->ref = val;
-}
-
-void PlaceReport::__set_tokens_read(const int64_t val) {
-  this->tokens_read = val;
-}
-
-void PlaceReport::__set_first_ms(const int32_t val) {
-  this->first_ms = val;
-}
-
-void PlaceReport::__set_ended(const bool val) {
-  this->ended = val;
-}
-
-void PlaceReport::__set_ran(const bool val) {
-  this->ran = val;
-}
-
-void PlaceReport::__set_sign(const PlaceSign::type val) {
-  this->sign = val;
-}
-
-void PlaceReport::__set_service_ms(const int32_t val) {
-  this->service_ms = val;
+ServerWord::~ServerWord() noexcept {
 }
 
-void PlaceReport::__set_events(const int64_t val) {
-  this->events = val;
-}
 
-void PlaceReport::__set_span_ms(const int32_t val) {
-  this->span_ms = val;
+void ServerWord::__set_server(const std::string& val) {
+  this->server = val;
 }
 
-void PlaceReport::__set_pause_ms(const int32_t val) {
-  this->pause_ms = val;
+void ServerWord::__set_born(const int64_t val) {
+  this->born = val;
 }
 
-void PlaceReport::__set_failed(const bool val) {
-  this->failed = val;
+void ServerWord::__set_back_off_ms(const int32_t val) {
+  this->back_off_ms = val;
 }
 
-void PlaceReport::__set_connect_us(const int32_t val) {
-  this->connect_us = val;
+void ServerWord::__set_leaving(const bool val) {
+  this->leaving = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlaceReport& obj)
+std::ostream& operator<<(std::ostream& out, const ServerWord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlaceReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ServerWord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -11634,99 +12976,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tokens_read);
-          this->__isset.tokens_read = true;
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->first_ms);
-          this->__isset.first_ms = true;
+          xfer += iprot->readI32(this->back_off_ms);
+          this->__isset.back_off_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ended);
-          this->__isset.ended = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->ran);
-          this->__isset.ran = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast424;
-          xfer += iprot->readI32(ecast424);
-          this->sign = static_cast<PlaceSign::type>(ecast424);
-          this->__isset.sign = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->service_ms);
-          this->__isset.service_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->events);
-          this->__isset.events = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->span_ms);
-          this->__isset.span_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->pause_ms);
-          this->__isset.pause_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->failed);
-          this->__isset.failed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->connect_us);
-          this->__isset.connect_us = true;
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -11743,57 +13019,25 @@
   return xfer;
 }
 
-uint32_t PlaceReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServerWord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlaceReport");
-
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->ref);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("tokens_read", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->tokens_read);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("first_ms", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->first_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->ended);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("ran", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->ran);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sign", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->sign));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("service_ms", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->service_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->events);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ServerWord");
 
-  xfer += oprot->writeFieldBegin("span_ms", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->span_ms);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("pause_ms", ::apache::thrift::protocol::T_I32, 10);
-  xfer += oprot->writeI32(this->pause_ms);
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_BOOL, 11);
-  xfer += oprot->writeBool(this->failed);
+  xfer += oprot->writeFieldBegin("back_off_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->back_off_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("connect_us", ::apache::thrift::protocol::T_I32, 12);
-  xfer += oprot->writeI32(this->connect_us);
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -11801,143 +13045,111 @@
   return xfer;
 }
 
-void swap(PlaceReport &a, PlaceReport &b) {
+void swap(ServerWord &a, ServerWord &b) {
   using ::std::swap;
-  swap(a.ref, b.ref);
-  swap(a.tokens_read, b.tokens_read);
-  swap(a.first_ms, b.first_ms);
-  swap(a.ended, b.ended);
-  swap(a.ran, b.ran);
-  swap(a.sign, b.sign);
-  swap(a.service_ms, b.service_ms);
-  swap(a.events, b.events);
-  swap(a.span_ms, b.span_ms);
-  swap(a.pause_ms, b.pause_ms);
-  swap(a.failed, b.failed);
-  swap(a.connect_us, b.connect_us);
+  swap(a.server, b.server);
+  swap(a.born, b.born);
+  swap(a.back_off_ms, b.back_off_ms);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-PlaceReport::PlaceReport(const PlaceReport& other425) noexcept {
-  ref = other425.ref;
-  tokens_read = other425.tokens_read;
-  first_ms = other425.first_ms;
-  ended = other425.ended;
-  ran = other425.ran;
-  sign = other425.sign;
-  service_ms = other425.service_ms;
-  events = other425.events;
-  span_ms = other425.span_ms;
-  pause_ms = other425.pause_ms;
-  failed = other425.failed;
-  connect_us = other425.connect_us;
-  __isset = other425.__isset;
-}
-PlaceReport::PlaceReport(PlaceReport&& other426) noexcept {
-  ref = other426.ref;
-  tokens_read = other426.tokens_read;
-  first_ms = other426.first_ms;
-  ended = other426.ended;
-  ran = other426.ran;
-  sign = other426.sign;
-  service_ms = other426.service_ms;
-  events = other426.events;
-  span_ms = other426.span_ms;
-  pause_ms = other426.pause_ms;
-  failed = other426.failed;
-  connect_us = other426.connect_us;
-  __isset = other426.__isset;
-}
-PlaceReport& PlaceReport::operator=(const PlaceReport& other427) noexcept {
-  ref = other427.ref;
-  tokens_read = other427.tokens_read;
-  first_ms = other427.first_ms;
-  ended = other427.ended;
-  ran = other427.ran;
-  sign = other427.sign;
-  service_ms = other427.service_ms;
-  events = other427.events;
-  span_ms = other427.span_ms;
-  pause_ms = other427.pause_ms;
-  failed = other427.failed;
-  connect_us = other427.connect_us;
-  __isset = other427.__isset;
+ServerWord::ServerWord(const ServerWord& other466) {
+  server = other466.server;
+  born = other466.born;
+  back_off_ms = other466.back_off_ms;
+  leaving = other466.leaving;
+  __isset = other466.__isset;
+}
+ServerWord::ServerWord(ServerWord&& other467) noexcept {
+  server = std::move(other467.server);
+  born = other467.born;
+  back_off_ms = other467.back_off_ms;
+  leaving = other467.leaving;
+  __isset = other467.__isset;
+}
+ServerWord& ServerWord::operator=(const ServerWord& other468) {
+  server = other468.server;
+  born = other468.born;
+  back_off_ms = other468.back_off_ms;
+  leaving = other468.leaving;
+  __isset = other468.__isset;
   return *this;
 }
-PlaceReport& PlaceReport::operator=(PlaceReport&& other428) noexcept {
-  ref = other428.ref;
-  tokens_read = other428.tokens_read;
-  first_ms = other428.first_ms;
-  ended = other428.ended;
-  ran = other428.ran;
-  sign = other428.sign;
-  service_ms = other428.service_ms;
-  events = other428.events;
-  span_ms = other428.span_ms;
-  pause_ms = other428.pause_ms;
-  failed = other428.failed;
-  connect_us = other428.connect_us;
-  __isset = other428.__isset;
+ServerWord& ServerWord::operator=(ServerWord&& other469) noexcept {
+  server = std::move(other469.server);
+  born = other469.born;
+  back_off_ms = other469.back_off_ms;
+  leaving = other469.leaving;
+  __isset = other469.__isset;
   return *this;
 }
-void PlaceReport::printTo(std::ostream& out) const {
+void ServerWord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlaceReport(";
-  out << "ref=" << to_string(ref);
-  out << ", " << "tokens_read=" << to_string(tokens_read);
-  out << ", " << "first_ms=" << to_string(first_ms);
-  out << ", " << "ended=" << to_string(ended);
-  out << ", " << "ran=" << to_string(ran);
-  out << ", " << "sign=" << to_string(sign);
-  out << ", " << "service_ms=" << to_string(service_ms);
-  out << ", " << "events=" << to_string(events);
-  out << ", " << "span_ms=" << to_string(span_ms);
-  out << ", " << "pause_ms=" << to_string(pause_ms);
-  out << ", " << "failed=" << to_string(failed);
-  out << ", " << "connect_us=" << to_string(connect_us);
+  out << "ServerWord(";
+  out << "server=" << to_string(server);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "back_off_ms=" << to_string(back_off_ms);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
 
-LimitUse::~LimitUse() noexcept {
+PlaceBatch::~PlaceBatch() noexcept {
 }
 
 
-void LimitUse::__set_workspace(const std::string& val) {
-  this->workspace = val;
+void PlaceBatch::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
 }
 
-void LimitUse::__set_left(const double val) {
-  this->left = val;
+void PlaceBatch::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
 }
 
-void LimitUse::__set_age_ms(const int32_t val) {
-  this->age_ms = val;
+void PlaceBatch::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void LimitUse::__set_spent_alone(const double val) {
-  this->spent_alone = val;
+void PlaceBatch::__set_resync(const bool val) {
+  this->resync = val;
 }
 
-void LimitUse::__set_rate(const double val) {
-  this->rate = val;
+void PlaceBatch::__set_instances(const int32_t val) {
+  this->instances = val;
 }
 
-void LimitUse::__set_burst(const double val) {
-  this->burst = val;
+void PlaceBatch::__set_held(const std::vector<PlaceHeld> & val) {
+  this->held = val;
 }
 
-void LimitUse::__set_epoch(const int64_t val) {
-  this->epoch = val;
+void PlaceBatch::__set_limits(const std::vector<LimitUse> & val) {
+  this->limits = val;
 }
-std::ostream& operator<<(std::ostream& out, const LimitUse& obj)
+
+void PlaceBatch::__set_asks(const std::vector<PlaceAsk> & val) {
+  this->asks = val;
+}
+
+void PlaceBatch::__set_withdrawn(const std::vector<int64_t> & val) {
+  this->withdrawn = val;
+}
+
+void PlaceBatch::__set_reports(const std::vector<PlaceReport> & val) {
+  this->reports = val;
+}
+
+void PlaceBatch::__set_words(const std::vector<ServerWord> & val) {
+  this->words = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceBatch& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LimitUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -11960,56 +13172,160 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->workspace);
-          this->__isset.workspace = true;
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->resync);
+          this->__isset.resync = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->left);
-          this->__isset.left = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->instances);
+          this->__isset.instances = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->age_ms);
-          this->__isset.age_ms = true;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->held.clear();
+            uint32_t _size470;
+            ::apache::thrift::protocol::TType _etype473;
+            xfer += iprot->readListBegin(_etype473, _size470);
+            this->held.resize(_size470);
+            uint32_t _i474;
+            for (_i474 = 0; _i474 < _size470; ++_i474)
+            {
+              xfer += this->held[_i474].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.held = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->spent_alone);
-          this->__isset.spent_alone = true;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size475;
+            ::apache::thrift::protocol::TType _etype478;
+            xfer += iprot->readListBegin(_etype478, _size475);
+            this->limits.resize(_size475);
+            uint32_t _i479;
+            for (_i479 = 0; _i479 < _size475; ++_i479)
+            {
+              xfer += this->limits[_i479].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->rate);
-          this->__isset.rate = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->asks.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
+            {
+              xfer += this->asks[_i484].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->burst);
-          this->__isset.burst = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->withdrawn.clear();
+            uint32_t _size485;
+            ::apache::thrift::protocol::TType _etype488;
+            xfer += iprot->readListBegin(_etype488, _size485);
+            this->withdrawn.resize(_size485);
+            uint32_t _i489;
+            for (_i489 = 0; _i489 < _size485; ++_i489)
+            {
+              xfer += iprot->readI64(this->withdrawn[_i489]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.withdrawn = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size490;
+            ::apache::thrift::protocol::TType _etype493;
+            xfer += iprot->readListBegin(_etype493, _size490);
+            this->reports.resize(_size490);
+            uint32_t _i494;
+            for (_i494 = 0; _i494 < _size490; ++_i494)
+            {
+              xfer += this->reports[_i494].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->words.clear();
+            uint32_t _size495;
+            ::apache::thrift::protocol::TType _etype498;
+            xfer += iprot->readListBegin(_etype498, _size495);
+            this->words.resize(_size495);
+            uint32_t _i499;
+            for (_i499 = 0; _i499 < _size495; ++_i499)
+            {
+              xfer += this->words[_i499].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.words = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -12026,37 +13342,101 @@
   return xfer;
 }
 
-uint32_t LimitUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LimitUse");
+  xfer += oprot->writeStructBegin("PlaceBatch");
 
-  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->left);
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("spent_alone", ::apache::thrift::protocol::T_DOUBLE, 4);
-  xfer += oprot->writeDouble(this->spent_alone);
+  xfer += oprot->writeFieldBegin("resync", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->resync);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 5);
-  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->instances);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 6);
-  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
+    std::vector<PlaceHeld> ::const_iterator _iter500;
+    for (_iter500 = this->held.begin(); _iter500 != this->held.end(); ++_iter500)
+    {
+      xfer += (*_iter500).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+    std::vector<LimitUse> ::const_iterator _iter501;
+    for (_iter501 = this->limits.begin(); _iter501 != this->limits.end(); ++_iter501)
+    {
+      xfer += (*_iter501).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<PlaceAsk> ::const_iterator _iter502;
+    for (_iter502 = this->asks.begin(); _iter502 != this->asks.end(); ++_iter502)
+    {
+      xfer += (*_iter502).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withdrawn.size()));
+    std::vector<int64_t> ::const_iterator _iter503;
+    for (_iter503 = this->withdrawn.begin(); _iter503 != this->withdrawn.end(); ++_iter503)
+    {
+      xfer += oprot->writeI64((*_iter503));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<PlaceReport> ::const_iterator _iter504;
+    for (_iter504 = this->reports.begin(); _iter504 != this->reports.end(); ++_iter504)
+    {
+      xfer += (*_iter504).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("words", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->words.size()));
+    std::vector<ServerWord> ::const_iterator _iter505;
+    for (_iter505 = this->words.begin(); _iter505 != this->words.end(); ++_iter505)
+    {
+      xfer += (*_iter505).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -12064,101 +13444,145 @@
   return xfer;
 }
 
-void swap(LimitUse &a, LimitUse &b) {
+void swap(PlaceBatch &a, PlaceBatch &b) {
   using ::std::swap;
-  swap(a.workspace, b.workspace);
-  swap(a.left, b.left);
-  swap(a.age_ms, b.age_ms);
-  swap(a.spent_alone, b.spent_alone);
-  swap(a.rate, b.rate);
-  swap(a.burst, b.burst);
+  swap(a.incarnation, b.incarnation);
+  swap(a.data_centre, b.data_centre);
   swap(a.epoch, b.epoch);
+  swap(a.resync, b.resync);
+  swap(a.instances, b.instances);
+  swap(a.held, b.held);
+  swap(a.limits, b.limits);
+  swap(a.asks, b.asks);
+  swap(a.withdrawn, b.withdrawn);
+  swap(a.reports, b.reports);
+  swap(a.words, b.words);
   swap(a.__isset, b.__isset);
 }
 
-LimitUse::LimitUse(const LimitUse& other429) {
-  workspace = other429.workspace;
-  left = other429.left;
-  age_ms = other429.age_ms;
-  spent_alone = other429.spent_alone;
-  rate = other429.rate;
-  burst = other429.burst;
-  epoch = other429.epoch;
-  __isset = other429.__isset;
+PlaceBatch::PlaceBatch(const PlaceBatch& other506) {
+  incarnation = other506.incarnation;
+  data_centre = other506.data_centre;
+  epoch = other506.epoch;
+  resync = other506.resync;
+  instances = other506.instances;
+  held = other506.held;
+  limits = other506.limits;
+  asks = other506.asks;
+  withdrawn = other506.withdrawn;
+  reports = other506.reports;
+  words = other506.words;
+  __isset = other506.__isset;
 }
-LimitUse::LimitUse(LimitUse&& other430) noexcept {
-  workspace = std::move(other430.workspace);
-  left = other430.left;
-  age_ms = other430.age_ms;
-  spent_alone = other430.spent_alone;
-  rate = other430.rate;
-  burst = other430.burst;
-  epoch = other430.epoch;
-  __isset = other430.__isset;
+PlaceBatch::PlaceBatch(PlaceBatch&& other507) noexcept {
+  incarnation = std::move(other507.incarnation);
+  data_centre = std::move(other507.data_centre);
+  epoch = other507.epoch;
+  resync = other507.resync;
+  instances = other507.instances;
+  held = std::move(other507.held);
+  limits = std::move(other507.limits);
+  asks = std::move(other507.asks);
+  withdrawn = std::move(other507.withdrawn);
+  reports = std::move(other507.reports);
+  words = std::move(other507.words);
+  __isset = other507.__isset;
 }
-LimitUse& LimitUse::operator=(const LimitUse& other431) {
-  workspace = other431.workspace;
-  left = other431.left;
-  age_ms = other431.age_ms;
-  spent_alone = other431.spent_alone;
-  rate = other431.rate;
-  burst = other431.burst;
-  epoch = other431.epoch;
-  __isset = other431.__isset;
+PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other508) {
+  incarnation = other508.incarnation;
+  data_centre = other508.data_centre;
+  epoch = other508.epoch;
+  resync = other508.resync;
+  instances = other508.instances;
+  held = other508.held;
+  limits = other508.limits;
+  asks = other508.asks;
+  withdrawn = other508.withdrawn;
+  reports = other508.reports;
+  words = other508.words;
+  __isset = other508.__isset;
   return *this;
 }
-LimitUse& LimitUse::operator=(LimitUse&& other432) noexcept {
-  workspace = std::move(other432.workspace);
-  left = other432.left;
-  age_ms = other432.age_ms;
-  spent_alone = other432.spent_alone;
-  rate = other432.rate;
-  burst = other432.burst;
-  epoch = other432.epoch;
-  __isset = other432.__isset;
+PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other509) noexcept {
+  incarnation = std::move(other509.incarnation);
+  data_centre = std::move(other509.data_centre);
+  epoch = other509.epoch;
+  resync = other509.resync;
+  instances = other509.instances;
+  held = std::move(other509.held);
+  limits = std::move(other509.limits);
+  asks = std::move(other509.asks);
+  withdrawn = std::move(other509.withdrawn);
+  reports = std::move(other509.reports);
+  words = std::move(other509.words);
+  __isset = other509.__isset;
   return *this;
 }
-void LimitUse::printTo(std::ostream& out) const {
+void PlaceBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LimitUse(";
-  out << "workspace=" << to_string(workspace);
-  out << ", " << "left=" << to_string(left);
-  out << ", " << "age_ms=" << to_string(age_ms);
-  out << ", " << "spent_alone=" << to_string(spent_alone);
-  out << ", " << "rate=" << to_string(rate);
-  out << ", " << "burst=" << to_string(burst);
+  out << "PlaceBatch(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "data_centre=" << to_string(data_centre);
   out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "resync=" << to_string(resync);
+  out << ", " << "instances=" << to_string(instances);
+  out << ", " << "held=" << to_string(held);
+  out << ", " << "limits=" << to_string(limits);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "withdrawn=" << to_string(withdrawn);
+  out << ", " << "reports=" << to_string(reports);
+  out << ", " << "words=" << to_string(words);
   out << ")";
 }
 
 
-ServerWord::~ServerWord() noexcept {
+PlaceAnswer::~PlaceAnswer() noexcept {
 }
 
 
-void ServerWord::__set_server(const std::string& val) {
+void PlaceAnswer::__set_ref(const int64_t val) {
+  this->ref = val;
+}
+
+void PlaceAnswer::__set_verdict(const PlaceVerdict::type val) {
+  this->verdict = val;
+}
+
+void PlaceAnswer::__set_server(const std::string& val) {
   this->server = val;
 }
 
-void ServerWord::__set_born(const int64_t val) {
+void PlaceAnswer::__set_first_ms(const int32_t val) {
+  this->first_ms = val;
+}
+
+void PlaceAnswer::__set_left(const double val) {
+  this->left = val;
+}
+
+void PlaceAnswer::__set_come_back_ms(const int32_t val) {
+  this->come_back_ms = val;
+}
+
+void PlaceAnswer::__set_born(const int64_t val) {
   this->born = val;
 }
 
-void ServerWord::__set_back_off_ms(const int32_t val) {
-  this->back_off_ms = val;
+void PlaceAnswer::__set_address(const std::string& val) {
+  this->address = val;
 }
 
-void ServerWord::__set_leaving(const bool val) {
-  this->leaving = val;
+void PlaceAnswer::__set_port(const int32_t val) {
+  this->port = val;
 }
-std::ostream& operator<<(std::ostream& out, const ServerWord& obj)
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ServerWord::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -12180,6 +13604,24 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ref);
+          this->__isset.ref = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast510;
+          xfer += iprot->readI32(ecast510);
+          this->verdict = static_cast<PlaceVerdict::type>(ecast510);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->server);
           this->__isset.server = true;
@@ -12187,7 +13629,31 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first_ms);
+          this->__isset.first_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->left);
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->come_back_ms);
+          this->__isset.come_back_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->born);
           this->__isset.born = true;
@@ -12195,18 +13661,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->back_off_ms);
-          this->__isset.back_off_ms = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leaving);
-          this->__isset.leaving = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
         } else {
           xfer += iprot->skip(ftype);
         }
