@@ -12223,25 +13689,45 @@
   return xfer;
 }
 
-uint32_t ServerWord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ServerWord");
+  xfer += oprot->writeStructBegin("PlaceAnswer");
 
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ref);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeFieldBegin("first_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->first_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->left);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("come_back_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->come_back_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("back_off_ms", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->back_off_ms);
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->port);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -12249,287 +13735,186 @@
   return xfer;
 }
 
-void swap(ServerWord &a, ServerWord &b) {
+void swap(PlaceAnswer &a, PlaceAnswer &b) {
   using ::std::swap;
+  swap(a.ref, b.ref);
+  swap(a.verdict, b.verdict);
   swap(a.server, b.server);
+  swap(a.first_ms, b.first_ms);
+  swap(a.left, b.left);
+  swap(a.come_back_ms, b.come_back_ms);
   swap(a.born, b.born);
-  swap(a.back_off_ms, b.back_off_ms);
-  swap(a.leaving, b.leaving);
+  swap(a.address, b.address);
+  swap(a.port, b.port);
   swap(a.__isset, b.__isset);
 }
 
-ServerWord::ServerWord(const ServerWord& other433) {
-  server = other433.server;
-  born = other433.born;
-  back_off_ms = other433.back_off_ms;
-  leaving = other433.leaving;
-  __isset = other433.__isset;
-}
-ServerWord::ServerWord(ServerWord&& other434) noexcept {
-  server = std::move(other434.server);
-  born = other434.born;
-  back_off_ms = other434.back_off_ms;
-  leaving = other434.leaving;
-  __isset = other434.__isset;
-}
-ServerWord& ServerWord::operator=(const ServerWord& other435) {
-  server = other435.server;
-  born = other435.born;
-  back_off_ms = other435.back_off_ms;
-  leaving = other435.leaving;
-  __isset = other435.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other511) {
+  ref = other511.ref;
+  verdict = other511.verdict;
+  server = other511.server;
+  first_ms = other511.first_ms;
+  left = other511.left;
+  come_back_ms = other511.come_back_ms;
+  born = other511.born;
+  address = other511.address;
+  port = other511.port;
+  __isset = other511.__isset;
+}
+PlaceAnswer::PlaceAnswer(PlaceAnswer&& other512) noexcept {
+  ref = other512.ref;
+  verdict = other512.verdict;
+  server = std::move(other512.server);
+  first_ms = other512.first_ms;
+  left = other512.left;
+  come_back_ms = other512.come_back_ms;
+  born = other512.born;
+  address = std::move(other512.address);
+  port = other512.port;
+  __isset = other512.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other513) {
+  ref = other513.ref;
+  verdict = other513.verdict;
+  server = other513.server;
+  first_ms = other513.first_ms;
+  left = other513.left;
+  come_back_ms = other513.come_back_ms;
+  born = other513.born;
+  address = other513.address;
+  port = other513.port;
+  __isset = other513.__isset;
   return *this;
 }
-ServerWord& ServerWord::operator=(ServerWord&& other436) noexcept {
-  server = std::move(other436.server);
-  born = other436.born;
-  back_off_ms = other436.back_off_ms;
-  leaving = other436.leaving;
-  __isset = other436.__isset;
+PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other514) noexcept {
+  ref = other514.ref;
+  verdict = other514.verdict;
+  server = std::move(other514.server);
+  first_ms = other514.first_ms;
+  left = other514.left;
+  come_back_ms = other514.come_back_ms;
+  born = other514.born;
+  address = std::move(other514.address);
+  port = other514.port;
+  __isset = other514.__isset;
   return *this;
 }
-void ServerWord::printTo(std::ostream& out) const {
+void PlaceAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ServerWord(";
-  out << "server=" << to_string(server);
+  out << "PlaceAnswer(";
+  out << "ref=" << to_string(ref);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "first_ms=" << to_string(first_ms);
+  out << ", " << "left=" << to_string(left);
+  out << ", " << "come_back_ms=" << to_string(come_back_ms);
   out << ", " << "born=" << to_string(born);
-  out << ", " << "back_off_ms=" << to_string(back_off_ms);
-  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
   out << ")";
 }
 
 
-PlaceBatch::~PlaceBatch() noexcept {
-}
-
-
-void PlaceBatch::__set_incarnation(const std::string& val) {
-  this->incarnation = val;
+PlaceAnswers::~PlaceAnswers() noexcept {
 }
 
-void PlaceBatch::__set_data_centre(const std::string& val) {
-  this->data_centre = val;
-}
 
-void PlaceBatch::__set_epoch(const int64_t val) {
+void PlaceAnswers::__set_epoch(const int64_t val) {
   this->epoch = val;
 }
 
-void PlaceBatch::__set_resync(const bool val) {
-  this->resync = val;
-}
-
-void PlaceBatch::__set_instances(const int32_t val) {
-  this->instances = val;
-}
-
-void PlaceBatch::__set_held(const std::vector<PlaceHeld> & val) {
-  this->held = val;
-}
-
-void PlaceBatch::__set_limits(const std::vector<LimitUse> & val) {
-  this->limits = val;
-}
-
-void PlaceBatch::__set_asks(const std::vector<PlaceAsk> & val) {
-  this->asks = val;
-}
-
-void PlaceBatch::__set_withdrawn(const std::vector<int64_t> & val) {
-  this->withdrawn = val;
+void PlaceAnswers::__set_answers(const std::vector<PlaceAnswer> & val) {
+  this->answers = val;
 }
 
-void PlaceBatch::__set_reports(const std::vector<PlaceReport> & val) {
-  this->reports = val;
+void PlaceAnswers::__set_not_broker(const bool val) {
+  this->not_broker = val;
 }
 
-void PlaceBatch::__set_words(const std::vector<ServerWord> & val) {
-  this->words = val;
+void PlaceAnswers::__set_suspects(const std::vector<std::string> & val) {
+  this->suspects = val;
+__isset.suspects = true;
 }
-std::ostream& operator<<(std::ostream& out, const PlaceBatch& obj)
+std::ostream& operator<<(std::ostream& out, const PlaceAnswers& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlaceBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PlaceAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->incarnation);
-          this->__isset.incarnation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->data_centre);
-          this->__isset.data_centre = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->resync);
-          this->__isset.resync = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->instances);
-          this->__isset.instances = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->held.clear();
-            uint32_t _size437;
-            ::apache::thrift::protocol::TType _etype440;
-            xfer += iprot->readListBegin(_etype440, _size437);
-            this->held.resize(_size437);
-            uint32_t _i441;
-            for (_i441 = 0; _i441 < _size437; ++_i441)
-            {
-              xfer += this->held[_i441].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.held = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->limits.clear();
-            uint32_t _size442;
-            ::apache::thrift::protocol::TType _etype445;
-            xfer += iprot->readListBegin(_etype445, _size442);
-            this->limits.resize(_size442);
-            uint32_t _i446;
-            for (_i446 = 0; _i446 < _size442; ++_i446)
-            {
-              xfer += this->limits[_i446].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.limits = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->asks.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _etype450;
-            xfer += iprot->readListBegin(_etype450, _size447);
-            this->asks.resize(_size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
-            {
-              xfer += this->asks[_i451].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.asks = true;
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->withdrawn.clear();
-            uint32_t _size452;
-            ::apache::thrift::protocol::TType _etype455;
-            xfer += iprot->readListBegin(_etype455, _size452);
-            this->withdrawn.resize(_size452);
-            uint32_t _i456;
-            for (_i456 = 0; _i456 < _size452; ++_i456)
+            this->answers.clear();
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->answers.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += iprot->readI64(this->withdrawn[_i456]);
+              xfer += this->answers[_i519].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.withdrawn = true;
+          this->__isset.answers = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->reports.clear();
-            uint32_t _size457;
-            ::apache::thrift::protocol::TType _etype460;
-            xfer += iprot->readListBegin(_etype460, _size457);
-            this->reports.resize(_size457);
-            uint32_t _i461;
-            for (_i461 = 0; _i461 < _size457; ++_i461)
-            {
-              xfer += this->reports[_i461].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.reports = true;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_broker);
+          this->__isset.not_broker = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->words.clear();
-            uint32_t _size462;
-            ::apache::thrift::protocol::TType _etype465;
-            xfer += iprot->readListBegin(_etype465, _size462);
-            this->words.resize(_size462);
-            uint32_t _i466;
-            for (_i466 = 0; _i466 < _size462; ++_i466)
+            this->suspects.clear();
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->suspects.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += this->words[_i466].read(iprot);
+              xfer += iprot->readString(this->suspects[_i524]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.words = true;
+          this->__isset.suspects = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -12546,247 +13931,114 @@
   return xfer;
 }
 
-uint32_t PlaceBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PlaceAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlaceBatch");
-
-  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->incarnation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->data_centre);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("PlaceAnswers");
 
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("resync", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->resync);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->instances);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<PlaceHeld> ::const_iterator _iter467;
-    for (_iter467 = this->held.begin(); _iter467 != this->held.end(); ++_iter467)
-    {
-      xfer += (*_iter467).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<LimitUse> ::const_iterator _iter468;
-    for (_iter468 = this->limits.begin(); _iter468 != this->limits.end(); ++_iter468)
-    {
-      xfer += (*_iter468).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter469;
-    for (_iter469 = this->asks.begin(); _iter469 != this->asks.end(); ++_iter469)
-    {
-      xfer += (*_iter469).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_LIST, 9);
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withdrawn.size()));
-    std::vector<int64_t> ::const_iterator _iter470;
-    for (_iter470 = this->withdrawn.begin(); _iter470 != this->withdrawn.end(); ++_iter470)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<PlaceAnswer> ::const_iterator _iter525;
+    for (_iter525 = this->answers.begin(); _iter525 != this->answers.end(); ++_iter525)
     {
-      xfer += oprot->writeI64((*_iter470));
+      xfer += (*_iter525).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<PlaceReport> ::const_iterator _iter471;
-    for (_iter471 = this->reports.begin(); _iter471 != this->reports.end(); ++_iter471)
-    {
-      xfer += (*_iter471).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->not_broker);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("words", ::apache::thrift::protocol::T_LIST, 11);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->words.size()));
-    std::vector<ServerWord> ::const_iterator _iter472;
-    for (_iter472 = this->words.begin(); _iter472 != this->words.end(); ++_iter472)
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
     {
-      xfer += (*_iter472).write(oprot);
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->suspects.size()));
+      std::vector<std::string> ::const_iterator _iter526;
+      for (_iter526 = this->suspects.begin(); _iter526 != this->suspects.end(); ++_iter526)
+      {
+        xfer += oprot->writeString((*_iter526));
+      }
+      xfer += oprot->writeListEnd();
     }
-    xfer += oprot->writeListEnd();
+    xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(PlaceBatch &a, PlaceBatch &b) {
+void swap(PlaceAnswers &a, PlaceAnswers &b) {
   using ::std::swap;
-  swap(a.incarnation, b.incarnation);
-  swap(a.data_centre, b.data_centre);
   swap(a.epoch, b.epoch);
-  swap(a.resync, b.resync);
-  swap(a.instances, b.instances);
-  swap(a.held, b.held);
-  swap(a.limits, b.limits);
-  swap(a.asks, b.asks);
-  swap(a.withdrawn, b.withdrawn);
-  swap(a.reports, b.reports);
-  swap(a.words, b.words);
+  swap(a.answers, b.answers);
+  swap(a.not_broker, b.not_broker);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-PlaceBatch::PlaceBatch(const PlaceBatch& other473) {
-  incarnation = other473.incarnation;
-  data_centre = other473.data_centre;
-  epoch = other473.epoch;
-  resync = other473.resync;
-  instances = other473.instances;
-  held = other473.held;
-  limits = other473.limits;
-  asks = other473.asks;
-  withdrawn = other473.withdrawn;
-  reports = other473.reports;
-  words = other473.words;
-  __isset = other473.__isset;
-}
-PlaceBatch::PlaceBatch(PlaceBatch&& other474) noexcept {
-  incarnation = std::move(other474.incarnation);
-  data_centre = std::move(other474.data_centre);
-  epoch = other474.epoch;
-  resync = other474.resync;
-  instances = other474.instances;
-  held = std::move(other474.held);
-  limits = std::move(other474.limits);
-  asks = std::move(other474.asks);
-  withdrawn = std::move(other474.withdrawn);
-  reports = std::move(other474.reports);
-  words = std::move(other474.words);
-  __isset = other474.__isset;
-}
-PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other475) {
-  incarnation = other475.incarnation;
-  data_centre = other475.data_centre;
-  epoch = other475.epoch;
-  resync = other475.resync;
-  instances = other475.instances;
-  held = other475.held;
-  limits = other475.limits;
-  asks = other475.asks;
-  withdrawn = other475.withdrawn;
-  reports = other475.reports;
-  words = other475.words;
-  __isset = other475.__isset;
-  return *this;
-}
-PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other476) noexcept {
-  incarnation = std::move(other476.incarnation);
-  data_centre = std::move(other476.data_centre);
-  epoch = other476.epoch;
-  resync = other476.resync;
-  instances = other476.instances;
-  held = std::move(other476.held);
-  limits = std::move(other476.limits);
-  asks = std::move(other476.asks);
-  withdrawn = std::move(other476.withdrawn);
-  reports = std::move(other476.reports);
-  words = std::move(other476.words);
-  __isset = other476.__isset;
+PlaceAnswers::PlaceAnswers(const PlaceAnswers& other527) {
+  epoch = other527.epoch;
+  answers = other527.answers;
+  not_broker = other527.not_broker;
+  suspects = other527.suspects;
+  __isset = other527.__isset;
+}
+PlaceAnswers::PlaceAnswers(PlaceAnswers&& other528) noexcept {
+  epoch = other528.epoch;
+  answers = std::move(other528.answers);
+  not_broker = other528.not_broker;
+  suspects = std::move(other528.suspects);
+  __isset = other528.__isset;
+}
+PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other529) {
+  epoch = other529.epoch;
+  answers = other529.answers;
+  not_broker = other529.not_broker;
+  suspects = other529.suspects;
+  __isset = other529.__isset;
   return *this;
 }
-void PlaceBatch::printTo(std::ostream& out) const {
+PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other530) noexcept {
+  epoch = other530.epoch;
+  answers = std::move(other530.answers);
+  not_broker = other530.not_broker;
+  suspects = std::move(other530.suspects);
+  __isset = other530.__isset;
+  return *this;
+}
+void PlaceAnswers::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlaceBatch(";
-  out << "incarnation=" << to_string(incarnation);
-  out << ", " << "data_centre=" << to_string(data_centre);
-  out << ", " << "epoch=" << to_string(epoch);
-  out << ", " << "resync=" << to_string(resync);
-  out << ", " << "instances=" << to_string(instances);
-  out << ", " << "held=" << to_string(held);
-  out << ", " << "limits=" << to_string(limits);
-  out << ", " << "asks=" << to_string(asks);
-  out << ", " << "withdrawn=" << to_string(withdrawn);
-  out << ", " << "reports=" << to_string(reports);
-  out << ", " << "words=" << to_string(words);
+  out << "PlaceAnswers(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "not_broker=" << to_string(not_broker);
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
 
-PlaceAnswer::~PlaceAnswer() noexcept {
-}
-
-
-void PlaceAnswer::__set_ref(const int64_t val) {
-  this->ref = val;
-}
-
-void PlaceAnswer::__set_verdict(const PlaceVerdict::type val) {
-  this->verdict = val;
-}
-
-void PlaceAnswer::__set_server(const std::string& val) {
-  this->server = val;
-}
-
-void PlaceAnswer::__set_first_ms(const int32_t val) {
-  this->first_ms = val;
-}
-
-void PlaceAnswer::__set_left(const double val) {
-  this->left = val;
-}
-
-void PlaceAnswer::__set_come_back_ms(const int32_t val) {
-  this->come_back_ms = val;
-}
-
-void PlaceAnswer::__set_born(const int64_t val) {
-  this->born = val;
+DocumentRead::~DocumentRead() noexcept {
 }
 
-void PlaceAnswer::__set_address(const std::string& val) {
-  this->address = val;
-}
 
-void PlaceAnswer::__set_port(const int32_t val) {
-  this->port = val;
+void DocumentRead::__set_have_version(const int64_t val) {
+  this->have_version = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const DocumentRead& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlaceAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t DocumentRead::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -12805,78 +14057,12 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ref);
-          this->__isset.ref = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast477;
-          xfer += iprot->readI32(ecast477);
-          this->verdict = static_cast<PlaceVerdict::type>(ecast477);
-          this->__isset.verdict = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->server);
-          this->__isset.server = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->first_ms);
-          this->__isset.first_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->left);
-          this->__isset.left = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->come_back_ms);
-          this->__isset.come_back_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
+    switch (fid)
+    {
+      case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->born);
-          this->__isset.born = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->address);
-          this->__isset.address = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->port);
-          this->__isset.port = true;
+          xfer += iprot->readI64(this->have_version);
+          this->__isset.have_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -12893,45 +14079,13 @@
   return xfer;
 }
 
-uint32_t PlaceAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t DocumentRead::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlaceAnswer");
-
-  xfer += oprot->writeFieldBegin("ref", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->ref);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->server);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("first_ms", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->first_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_DOUBLE, 5);
-  xfer += oprot->writeDouble(this->left);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("come_back_ms", ::apache::thrift::protocol::T_I32, 6);
-  xfer += oprot->writeI32(this->come_back_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 7);
-  xfer += oprot->writeI64(this->born);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 8);
-  xfer += oprot->writeString(this->address);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("DocumentRead");
 
-  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldBegin("have_version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->have_version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -12939,114 +14093,53 @@
   return xfer;
 }
 
-void swap(PlaceAnswer &a, PlaceAnswer &b) {
+void swap(DocumentRead &a, DocumentRead &b) {
   using ::std::swap;
-  swap(a.ref, b.ref);
-  swap(a.verdict, b.verdict);
-  swap(a.server, b.server);
-  swap(a.first_ms, b.first_ms);
-  swap(a.left, b.left);
-  swap(a.come_back_ms, b.come_back_ms);
-  swap(a.born, b.born);
-  swap(a.address, b.address);
-  swap(a.port, b.port);
+  swap(a.have_version, b.have_version);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other478) {
-  ref = other478.ref;
-  verdict = other478.verdict;
-  server = other478.server;
-  first_ms = other478.first_ms;
-  left = other478.left;
-  come_back_ms = other478.come_back_ms;
-  born = other478.born;
-  address = other478.address;
-  port = other478.port;
-  __isset = other478.__isset;
-}
-PlaceAnswer::PlaceAnswer(PlaceAnswer&& other479) noexcept {
-  ref = other479.ref;
-  verdict = other479.verdict;
-  server = std::move(other479.server);
-  first_ms = other479.first_ms;
-  left = other479.left;
-  come_back_ms = other479.come_back_ms;
-  born = other479.born;
-  address = std::move(other479.address);
-  port = other479.port;
-  __isset = other479.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other480) {
-  ref = other480.ref;
-  verdict = other480.verdict;
-  server = other480.server;
-  first_ms = other480.first_ms;
-  left = other480.left;
-  come_back_ms = other480.come_back_ms;
-  born = other480.born;
-  address = other480.address;
-  port = other480.port;
-  __isset = other480.__isset;
-  return *this;
-}
-PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other481) noexcept {
-  ref = other481.ref;
-  verdict = other481.verdict;
-  server = std::move(other481.server);
-  first_ms = other481.first_ms;
-  left = other481.left;
-  come_back_ms = other481.come_back_ms;
-  born = other481.born;
-  address = std::move(other481.address);
-  port = other481.port;
-  __isset = other481.__isset;
+DocumentRead::DocumentRead(const DocumentRead& other531) noexcept {
+  have_version = other531.have_version;
+  __isset = other531.__isset;
+}
+DocumentRead::DocumentRead(DocumentRead&& other532) noexcept {
+  have_version = other532.have_version;
+  __isset = other532.__isset;
+}
+DocumentRead& DocumentRead::operator=(const DocumentRead& other533) noexcept {
+  have_version = other533.have_version;
+  __isset = other533.__isset;
   return *this;
 }
-void PlaceAnswer::printTo(std::ostream& out) const {
+DocumentRead& DocumentRead::operator=(DocumentRead&& other534) noexcept {
+  have_version = other534.have_version;
+  __isset = other534.__isset;
+  return *this;
+}
+void DocumentRead::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlaceAnswer(";
-  out << "ref=" << to_string(ref);
-  out << ", " << "verdict=" << to_string(verdict);
-  out << ", " << "server=" << to_string(server);
-  out << ", " << "first_ms=" << to_string(first_ms);
-  out << ", " << "left=" << to_string(left);
-  out << ", " << "come_back_ms=" << to_string(come_back_ms);
-  out << ", " << "born=" << to_string(born);
-  out << ", " << "address=" << to_string(address);
-  out << ", " << "port=" << to_string(port);
+  out << "DocumentRead(";
+  out << "have_version=" << to_string(have_version);
   out << ")";
 }
 
 
-PlaceAnswers::~PlaceAnswers() noexcept {
-}
-
-
-void PlaceAnswers::__set_epoch(const int64_t val) {
-  this->epoch = val;
-}
-
-void PlaceAnswers::__set_answers(const std::vector<PlaceAnswer> & val) {
-  this->answers = val;
+DocumentSteps::~DocumentSteps() noexcept {
 }
 
-void PlaceAnswers::__set_not_broker(const bool val) {
-  this->not_broker = val;
-}
 
-void PlaceAnswers::__set_suspects(const std::vector<std::string> & val) {
-  this->suspects = val;
-__isset.suspects = true;
+void DocumentSteps::__set_steps(const std::vector<DocumentChange> & val) {
+  this->steps = val;
 }
-std::ostream& operator<<(std::ostream& out, const PlaceAnswers& obj)
+std::ostream& operator<<(std::ostream& out, const DocumentSteps& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PlaceAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t DocumentSteps::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13068,57 +14161,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->epoch);
-          this->__isset.epoch = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->answers.clear();
-            uint32_t _size482;
-            ::apache::thrift::protocol::TType _etype485;
-            xfer += iprot->readListBegin(_etype485, _size482);
-            this->answers.resize(_size482);
-            uint32_t _i486;
-            for (_i486 = 0; _i486 < _size482; ++_i486)
-            {
-              xfer += this->answers[_i486].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.answers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->not_broker);
-          this->__isset.not_broker = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->suspects.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->suspects.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            this->steps.clear();
+            uint32_t _size535;
+            ::apache::thrift::protocol::TType _etype538;
+            xfer += iprot->readListBegin(_etype538, _size535);
+            this->steps.resize(_size535);
+            uint32_t _i539;
+            for (_i539 = 0; _i539 < _size535; ++_i539)
             {
-              xfer += iprot->readString(this->suspects[_i491]);
+              xfer += this->steps[_i539].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.suspects = true;
+          this->__isset.steps = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13135,95 +14192,56 @@
   return xfer;
 }
 
-uint32_t PlaceAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t DocumentSteps::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PlaceAnswers");
-
-  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->epoch);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("DocumentSteps");
 
-  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter492;
-    for (_iter492 = this->answers.begin(); _iter492 != this->answers.end(); ++_iter492)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
+    std::vector<DocumentChange> ::const_iterator _iter540;
+    for (_iter540 = this->steps.begin(); _iter540 != this->steps.end(); ++_iter540)
     {
-      xfer += (*_iter492).write(oprot);
+      xfer += (*_iter540).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("not_broker", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->not_broker);
-  xfer += oprot->writeFieldEnd();
-
-  if (this->__isset.suspects) {
-    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<std::string> ::const_iterator _iter493;
-      for (_iter493 = this->suspects.begin(); _iter493 != this->suspects.end(); ++_iter493)
-      {
-        xfer += oprot->writeString((*_iter493));
-      }
-      xfer += oprot->writeListEnd();
-    }
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(PlaceAnswers &a, PlaceAnswers &b) {
+void swap(DocumentSteps &a, DocumentSteps &b) {
   using ::std::swap;
-  swap(a.epoch, b.epoch);
-  swap(a.answers, b.answers);
-  swap(a.not_broker, b.not_broker);
-  swap(a.suspects, b.suspects);
+  swap(a.steps, b.steps);
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswers::PlaceAnswers(const PlaceAnswers& other494) {
-  epoch = other494.epoch;
-  answers = other494.answers;
-  not_broker = other494.not_broker;
-  suspects = other494.suspects;
-  __isset = other494.__isset;
+DocumentSteps::DocumentSteps(const DocumentSteps& other541) {
+  steps = other541.steps;
+  __isset = other541.__isset;
 }
-PlaceAnswers::PlaceAnswers(PlaceAnswers&& other495) noexcept {
-  epoch = other495.epoch;
-  answers = std::move(other495.answers);
-  not_broker = other495.not_broker;
-  suspects = std::move(other495.suspects);
-  __isset = other495.__isset;
+DocumentSteps::DocumentSteps(DocumentSteps&& other542) noexcept {
+  steps = std::move(other542.steps);
+  __isset = other542.__isset;
 }
-PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other496) {
-  epoch = other496.epoch;
-  answers = other496.answers;
-  not_broker = other496.not_broker;
-  suspects = other496.suspects;
-  __isset = other496.__isset;
+DocumentSteps& DocumentSteps::operator=(const DocumentSteps& other543) {
+  steps = other543.steps;
+  __isset = other543.__isset;
   return *this;
 }
-PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other497) noexcept {
-  epoch = other497.epoch;
-  answers = std::move(other497.answers);
-  not_broker = other497.not_broker;
-  suspects = std::move(other497.suspects);
-  __isset = other497.__isset;
+DocumentSteps& DocumentSteps::operator=(DocumentSteps&& other544) noexcept {
+  steps = std::move(other544.steps);
+  __isset = other544.__isset;
   return *this;
 }
-void PlaceAnswers::printTo(std::ostream& out) const {
+void DocumentSteps::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PlaceAnswers(";
-  out << "epoch=" << to_string(epoch);
-  out << ", " << "answers=" << to_string(answers);
-  out << ", " << "not_broker=" << to_string(not_broker);
-  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << "DocumentSteps(";
+  out << "steps=" << to_string(steps);
   out << ")";
 }
 
@@ -13303,22 +14321,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other498) noexcept {
-  here = other498.here;
-  __isset = other498.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other545) noexcept {
+  here = other545.here;
+  __isset = other545.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other499) noexcept {
-  here = other499.here;
-  __isset = other499.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other546) noexcept {
+  here = other546.here;
+  __isset = other546.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other500) noexcept {
-  here = other500.here;
-  __isset = other500.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other547) noexcept {
+  here = other547.here;
+  __isset = other547.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other501) noexcept {
-  here = other501.here;
-  __isset = other501.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other548) noexcept {
+  here = other548.here;
+  __isset = other548.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -13557,58 +14575,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other502) {
-  instance = other502.instance;
-  incarnation = other502.incarnation;
-  data_centre = other502.data_centre;
-  version_in_force = other502.version_in_force;
-  ready = other502.ready;
-  stopping = other502.stopping;
-  age_ms = other502.age_ms;
-  http = other502.http;
-  address = other502.address;
-  port = other502.port;
-  __isset = other502.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other503) noexcept {
-  instance = std::move(other503.instance);
-  incarnation = std::move(other503.incarnation);
-  data_centre = std::move(other503.data_centre);
-  version_in_force = other503.version_in_force;
-  ready = other503.ready;
-  stopping = other503.stopping;
-  age_ms = other503.age_ms;
-  http = std::move(other503.http);
-  address = std::move(other503.address);
-  port = other503.port;
-  __isset = other503.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other504) {
-  instance = other504.instance;
-  incarnation = other504.incarnation;
-  data_centre = other504.data_centre;
-  version_in_force = other504.version_in_force;
-  ready = other504.ready;
-  stopping = other504.stopping;
-  age_ms = other504.age_ms;
-  http = other504.http;
-  address = other504.address;
-  port = other504.port;
-  __isset = other504.__isset;
-  return *this;
-}
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other505) noexcept {
-  instance = std::move(other505.instance);
-  incarnation = std::move(other505.incarnation);
-  data_centre = std::move(other505.data_centre);
-  version_in_force = other505.version_in_force;
-  ready = other505.ready;
-  stopping = other505.stopping;
-  age_ms = other505.age_ms;
-  http = std::move(other505.http);
-  address = std::move(other505.address);
-  port = other505.port;
-  __isset = other505.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other549) {
+  instance = other549.instance;
+  incarnation = other549.incarnation;
+  data_centre = other549.data_centre;
+  version_in_force = other549.version_in_force;
+  ready = other549.ready;
+  stopping = other549.stopping;
+  age_ms = other549.age_ms;
+  http = other549.http;
+  address = other549.address;
+  port = other549.port;
+  __isset = other549.__isset;
+}
+InstanceStatus::InstanceStatus(InstanceStatus&& other550) noexcept {
+  instance = std::move(other550.instance);
+  incarnation = std::move(other550.incarnation);
+  data_centre = std::move(other550.data_centre);
+  version_in_force = other550.version_in_force;
+  ready = other550.ready;
+  stopping = other550.stopping;
+  age_ms = other550.age_ms;
+  http = std::move(other550.http);
+  address = std::move(other550.address);
+  port = other550.port;
+  __isset = other550.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other551) {
+  instance = other551.instance;
+  incarnation = other551.incarnation;
+  data_centre = other551.data_centre;
+  version_in_force = other551.version_in_force;
+  ready = other551.ready;
+  stopping = other551.stopping;
+  age_ms = other551.age_ms;
+  http = other551.http;
+  address = other551.address;
+  port = other551.port;
+  __isset = other551.__isset;
+  return *this;
+}
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other552) noexcept {
+  instance = std::move(other552.instance);
+  incarnation = std::move(other552.incarnation);
+  data_centre = std::move(other552.data_centre);
+  version_in_force = other552.version_in_force;
+  ready = other552.ready;
+  stopping = other552.stopping;
+  age_ms = other552.age_ms;
+  http = std::move(other552.http);
+  address = std::move(other552.address);
+  port = other552.port;
+  __isset = other552.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -13737,30 +14755,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationStatus::EvacuationStatus(const EvacuationStatus& other506) {
-  evacuation = other506.evacuation;
-  servers = other506.servers;
-  running = other506.running;
-  __isset = other506.__isset;
+EvacuationStatus::EvacuationStatus(const EvacuationStatus& other553) {
+  evacuation = other553.evacuation;
+  servers = other553.servers;
+  running = other553.running;
+  __isset = other553.__isset;
 }
-EvacuationStatus::EvacuationStatus(EvacuationStatus&& other507) noexcept {
-  evacuation = std::move(other507.evacuation);
-  servers = other507.servers;
-  running = other507.running;
-  __isset = other507.__isset;
+EvacuationStatus::EvacuationStatus(EvacuationStatus&& other554) noexcept {
+  evacuation = std::move(other554.evacuation);
+  servers = other554.servers;
+  running = other554.running;
+  __isset = other554.__isset;
 }
-EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other508) {
-  evacuation = other508.evacuation;
-  servers = other508.servers;
-  running = other508.running;
-  __isset = other508.__isset;
+EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other555) {
+  evacuation = other555.evacuation;
+  servers = other555.servers;
+  running = other555.running;
+  __isset = other555.__isset;
   return *this;
 }
-EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other509) noexcept {
-  evacuation = std::move(other509.evacuation);
-  servers = other509.servers;
-  running = other509.running;
-  __isset = other509.__isset;
+EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other556) noexcept {
+  evacuation = std::move(other556.evacuation);
+  servers = other556.servers;
+  running = other556.running;
+  __isset = other556.__isset;
   return *this;
 }
 void EvacuationStatus::printTo(std::ostream& out) const {
@@ -13908,14 +14926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size510;
-            ::apache::thrift::protocol::TType _etype513;
-            xfer += iprot->readListBegin(_etype513, _size510);
-            this->instances.resize(_size510);
-            uint32_t _i514;
-            for (_i514 = 0; _i514 < _size510; ++_i514)
+            uint32_t _size557;
+            ::apache::thrift::protocol::TType _etype560;
+            xfer += iprot->readListBegin(_etype560, _size557);
+            this->instances.resize(_size557);
+            uint32_t _i561;
+            for (_i561 = 0; _i561 < _size557; ++_i561)
             {
-              xfer += this->instances[_i514].read(iprot);
+              xfer += this->instances[_i561].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13928,14 +14946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size515;
-            ::apache::thrift::protocol::TType _etype518;
-            xfer += iprot->readListBegin(_etype518, _size515);
-            this->leases.resize(_size515);
-            uint32_t _i519;
-            for (_i519 = 0; _i519 < _size515; ++_i519)
+            uint32_t _size562;
+            ::apache::thrift::protocol::TType _etype565;
+            xfer += iprot->readListBegin(_etype565, _size562);
+            this->leases.resize(_size562);
+            uint32_t _i566;
+            for (_i566 = 0; _i566 < _size562; ++_i566)
             {
-              xfer += this->leases[_i519].read(iprot);
+              xfer += this->leases[_i566].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13972,14 +14990,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size520;
-            ::apache::thrift::protocol::TType _etype523;
-            xfer += iprot->readListBegin(_etype523, _size520);
-            this->leaving.resize(_size520);
-            uint32_t _i524;
-            for (_i524 = 0; _i524 < _size520; ++_i524)
+            uint32_t _size567;
+            ::apache::thrift::protocol::TType _etype570;
+            xfer += iprot->readListBegin(_etype570, _size567);
+            this->leaving.resize(_size567);
+            uint32_t _i571;
+            for (_i571 = 0; _i571 < _size567; ++_i571)
             {
-              xfer += iprot->readString(this->leaving[_i524]);
+              xfer += iprot->readString(this->leaving[_i571]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13992,14 +15010,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size525;
-            ::apache::thrift::protocol::TType _etype528;
-            xfer += iprot->readListBegin(_etype528, _size525);
-            this->evacuations.resize(_size525);
-            uint32_t _i529;
-            for (_i529 = 0; _i529 < _size525; ++_i529)
+            uint32_t _size572;
+            ::apache::thrift::protocol::TType _etype575;
+            xfer += iprot->readListBegin(_etype575, _size572);
+            this->evacuations.resize(_size572);
+            uint32_t _i576;
+            for (_i576 = 0; _i576 < _size572; ++_i576)
             {
-              xfer += this->evacuations[_i529].read(iprot);
+              xfer += this->evacuations[_i576].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14052,10 +15070,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter530;
-    for (_iter530 = this->instances.begin(); _iter530 != this->instances.end(); ++_iter530)
+    std::vector<InstanceStatus> ::const_iterator _iter577;
+    for (_iter577 = this->instances.begin(); _iter577 != this->instances.end(); ++_iter577)
     {
-      xfer += (*_iter530).write(oprot);
+      xfer += (*_iter577).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14064,10 +15082,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter531;
-    for (_iter531 = this->leases.begin(); _iter531 != this->leases.end(); ++_iter531)
+    std::vector<LeaseGrant> ::const_iterator _iter578;
+    for (_iter578 = this->leases.begin(); _iter578 != this->leases.end(); ++_iter578)
     {
-      xfer += (*_iter531).write(oprot);
+      xfer += (*_iter578).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14088,10 +15106,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter532;
-    for (_iter532 = this->leaving.begin(); _iter532 != this->leaving.end(); ++_iter532)
+    std::vector<std::string> ::const_iterator _iter579;
+    for (_iter579 = this->leaving.begin(); _iter579 != this->leaving.end(); ++_iter579)
     {
-      xfer += oprot->writeString((*_iter532));
+      xfer += oprot->writeString((*_iter579));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14100,10 +15118,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<EvacuationStatus> ::const_iterator _iter533;
-    for (_iter533 = this->evacuations.begin(); _iter533 != this->evacuations.end(); ++_iter533)
+    std::vector<EvacuationStatus> ::const_iterator _iter580;
+    for (_iter580 = this->evacuations.begin(); _iter580 != this->evacuations.end(); ++_iter580)
     {
-      xfer += (*_iter533).write(oprot);
+      xfer += (*_iter580).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14132,70 +15150,70 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other534) {
-  instance = other534.instance;
-  leader_id = other534.leader_id;
-  term = other534.term;
-  commit = other534.commit;
-  version = other534.version;
-  membership = other534.membership;
-  instances = other534.instances;
-  leases = other534.leases;
-  ledger_keys = other534.ledger_keys;
-  leader_here = other534.leader_here;
-  lease_age_ms = other534.lease_age_ms;
-  leaving = other534.leaving;
-  evacuations = other534.evacuations;
-  __isset = other534.__isset;
+StatusReply::StatusReply(const StatusReply& other581) {
+  instance = other581.instance;
+  leader_id = other581.leader_id;
+  term = other581.term;
+  commit = other581.commit;
+  version = other581.version;
+  membership = other581.membership;
+  instances = other581.instances;
+  leases = other581.leases;
+  ledger_keys = other581.ledger_keys;
+  leader_here = other581.leader_here;
+  lease_age_ms = other581.lease_age_ms;
+  leaving = other581.leaving;
+  evacuations = other581.evacuations;
+  __isset = other581.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other582) noexcept {
+  instance = std::move(other582.instance);
+  leader_id = other582.leader_id;
+  term = other582.term;
+  commit = other582.commit;
+  version = other582.version;
+  membership = std::move(other582.membership);
+  instances = std::move(other582.instances);
+  leases = std::move(other582.leases);
+  ledger_keys = other582.ledger_keys;
+  leader_here = other582.leader_here;
+  lease_age_ms = other582.lease_age_ms;
+  leaving = std::move(other582.leaving);
+  evacuations = std::move(other582.evacuations);
+  __isset = other582.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other583) {
+  instance = other583.instance;
+  leader_id = other583.leader_id;
+  term = other583.term;
+  commit = other583.commit;
+  version = other583.version;
+  membership = other583.membership;
+  instances = other583.instances;
+  leases = other583.leases;
+  ledger_keys = other583.ledger_keys;
+  leader_here = other583.leader_here;
+  lease_age_ms = other583.lease_age_ms;
+  leaving = other583.leaving;
+  evacuations = other583.evacuations;
+  __isset = other583.__isset;
+  return *this;
 }
-StatusReply::StatusReply(StatusReply&& other535) noexcept {
-  instance = std::move(other535.instance);
-  leader_id = other535.leader_id;
-  term = other535.term;
-  commit = other535.commit;
-  version = other535.version;
-  membership = std::move(other535.membership);
-  instances = std::move(other535.instances);
-  leases = std::move(other535.leases);
-  ledger_keys = other535.ledger_keys;
-  leader_here = other535.leader_here;
-  lease_age_ms = other535.lease_age_ms;
-  leaving = std::move(other535.leaving);
-  evacuations = std::move(other535.evacuations);
-  __isset = other535.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other536) {
-  instance = other536.instance;
-  leader_id = other536.leader_id;
-  term = other536.term;
-  commit = other536.commit;
-  version = other536.version;
-  membership = other536.membership;
-  instances = other536.instances;
-  leases = other536.leases;
-  ledger_keys = other536.ledger_keys;
-  leader_here = other536.leader_here;
-  lease_age_ms = other536.lease_age_ms;
-  leaving = other536.leaving;
-  evacuations = other536.evacuations;
-  __isset = other536.__isset;
-  return *this;
-}
-StatusReply& StatusReply::operator=(StatusReply&& other537) noexcept {
-  instance = std::move(other537.instance);
-  leader_id = other537.leader_id;
-  term = other537.term;
-  commit = other537.commit;
-  version = other537.version;
-  membership = std::move(other537.membership);
-  instances = std::move(other537.instances);
-  leases = std::move(other537.leases);
-  ledger_keys = other537.ledger_keys;
-  leader_here = other537.leader_here;
-  lease_age_ms = other537.lease_age_ms;
-  leaving = std::move(other537.leaving);
-  evacuations = std::move(other537.evacuations);
-  __isset = other537.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other584) noexcept {
+  instance = std::move(other584.instance);
+  leader_id = other584.leader_id;
+  term = other584.term;
+  commit = other584.commit;
+  version = other584.version;
+  membership = std::move(other584.membership);
+  instances = std::move(other584.instances);
+  leases = std::move(other584.leases);
+  ledger_keys = other584.ledger_keys;
+  leader_here = other584.leader_here;
+  lease_age_ms = other584.lease_age_ms;
+  leaving = std::move(other584.leaving);
+  evacuations = std::move(other584.evacuations);
+  __isset = other584.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -14293,22 +15311,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsRequest::ObjectsRequest(const ObjectsRequest& other538) noexcept {
-  history = other538.history;
-  __isset = other538.__isset;
+ObjectsRequest::ObjectsRequest(const ObjectsRequest& other585) noexcept {
+  history = other585.history;
+  __isset = other585.__isset;
 }
-ObjectsRequest::ObjectsRequest(ObjectsRequest&& other539) noexcept {
-  history = other539.history;
-  __isset = other539.__isset;
+ObjectsRequest::ObjectsRequest(ObjectsRequest&& other586) noexcept {
+  history = other586.history;
+  __isset = other586.__isset;
 }
-ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other540) noexcept {
-  history = other540.history;
-  __isset = other540.__isset;
+ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other587) noexcept {
+  history = other587.history;
+  __isset = other587.__isset;
   return *this;
 }
-ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other541) noexcept {
-  history = other541.history;
-  __isset = other541.__isset;
+ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other588) noexcept {
+  history = other588.history;
+  __isset = other588.__isset;
   return *this;
 }
 void ObjectsRequest::printTo(std::ostream& out) const {
@@ -14374,14 +15392,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size542;
-            ::apache::thrift::protocol::TType _etype545;
-            xfer += iprot->readListBegin(_etype545, _size542);
-            this->objects.resize(_size542);
-            uint32_t _i546;
-            for (_i546 = 0; _i546 < _size542; ++_i546)
+            uint32_t _size589;
+            ::apache::thrift::protocol::TType _etype592;
+            xfer += iprot->readListBegin(_etype592, _size589);
+            this->objects.resize(_size589);
+            uint32_t _i593;
+            for (_i593 = 0; _i593 < _size589; ++_i593)
             {
-              xfer += this->objects[_i546].read(iprot);
+              xfer += this->objects[_i593].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14394,14 +15412,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size547;
-            ::apache::thrift::protocol::TType _etype550;
-            xfer += iprot->readListBegin(_etype550, _size547);
-            this->history.resize(_size547);
-            uint32_t _i551;
-            for (_i551 = 0; _i551 < _size547; ++_i551)
+            uint32_t _size594;
+            ::apache::thrift::protocol::TType _etype597;
+            xfer += iprot->readListBegin(_etype597, _size594);
+            this->history.resize(_size594);
+            uint32_t _i598;
+            for (_i598 = 0; _i598 < _size594; ++_i598)
             {
-              xfer += this->history[_i551].read(iprot);
+              xfer += this->history[_i598].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14434,10 +15452,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectText> ::const_iterator _iter552;
-    for (_iter552 = this->objects.begin(); _iter552 != this->objects.end(); ++_iter552)
+    std::vector<ObjectText> ::const_iterator _iter599;
+    for (_iter599 = this->objects.begin(); _iter599 != this->objects.end(); ++_iter599)
     {
-      xfer += (*_iter552).write(oprot);
+      xfer += (*_iter599).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14446,10 +15464,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter553;
-    for (_iter553 = this->history.begin(); _iter553 != this->history.end(); ++_iter553)
+    std::vector<HistoryRow> ::const_iterator _iter600;
+    for (_iter600 = this->history.begin(); _iter600 != this->history.end(); ++_iter600)
     {
-      xfer += (*_iter553).write(oprot);
+      xfer += (*_iter600).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14468,30 +15486,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsReply::ObjectsReply(const ObjectsReply& other554) {
-  version = other554.version;
-  objects = other554.objects;
-  history = other554.history;
-  __isset = other554.__isset;
+ObjectsReply::ObjectsReply(const ObjectsReply& other601) {
+  version = other601.version;
+  objects = other601.objects;
+  history = other601.history;
+  __isset = other601.__isset;
 }
-ObjectsReply::ObjectsReply(ObjectsReply&& other555) noexcept {
-  version = other555.version;
-  objects = std::move(other555.objects);
-  history = std::move(other555.history);
-  __isset = other555.__isset;
+ObjectsReply::ObjectsReply(ObjectsReply&& other602) noexcept {
+  version = other602.version;
+  objects = std::move(other602.objects);
+  history = std::move(other602.history);
+  __isset = other602.__isset;
 }
-ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other556) {
-  version = other556.version;
-  objects = other556.objects;
-  history = other556.history;
-  __isset = other556.__isset;
+ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other603) {
+  version = other603.version;
+  objects = other603.objects;
+  history = other603.history;
+  __isset = other603.__isset;
   return *this;
 }
-ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other557) noexcept {
-  version = other557.version;
-  objects = std::move(other557.objects);
-  history = std::move(other557.history);
-  __isset = other557.__isset;
+ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other604) noexcept {
+  version = other604.version;
+  objects = std::move(other604.objects);
+  history = std::move(other604.history);
+  __isset = other604.__isset;
   return *this;
 }
 void ObjectsReply::printTo(std::ostream& out) const {
@@ -14579,22 +15597,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other558) {
-  instance = other558.instance;
-  __isset = other558.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other605) {
+  instance = other605.instance;
+  __isset = other605.__isset;
 }
-DrainRequest::DrainRequest(DrainRequest&& other559) noexcept {
-  instance = std::move(other559.instance);
-  __isset = other559.__isset;
+DrainRequest::DrainRequest(DrainRequest&& other606) noexcept {
+  instance = std::move(other606.instance);
+  __isset = other606.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other560) {
-  instance = other560.instance;
-  __isset = other560.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other607) {
+  instance = other607.instance;
+  __isset = other607.__isset;
   return *this;
 }
-DrainRequest& DrainRequest::operator=(DrainRequest&& other561) noexcept {
-  instance = std::move(other561.instance);
-  __isset = other561.__isset;
+DrainRequest& DrainRequest::operator=(DrainRequest&& other608) noexcept {
+  instance = std::move(other608.instance);
+  __isset = other608.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -14731,34 +15749,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ErrorReply::ErrorReply(const ErrorReply& other562) {
-  code = other562.code;
-  message = other562.message;
-  leader_address = other562.leader_address;
-  leader_port = other562.leader_port;
-  __isset = other562.__isset;
-}
-ErrorReply::ErrorReply(ErrorReply&& other563) noexcept {
-  code = other563.code;
-  message = std::move(other563.message);
-  leader_address = std::move(other563.leader_address);
-  leader_port = other563.leader_port;
-  __isset = other563.__isset;
-}
-ErrorReply& ErrorReply::operator=(const ErrorReply& other564) {
-  code = other564.code;
-  message = other564.message;
-  leader_address = other564.leader_address;
-  leader_port = other564.leader_port;
-  __isset = other564.__isset;
+ErrorReply::ErrorReply(const ErrorReply& other609) {
+  code = other609.code;
+  message = other609.message;
+  leader_address = other609.leader_address;
+  leader_port = other609.leader_port;
+  __isset = other609.__isset;
+}
+ErrorReply::ErrorReply(ErrorReply&& other610) noexcept {
+  code = other610.code;
+  message = std::move(other610.message);
+  leader_address = std::move(other610.leader_address);
+  leader_port = other610.leader_port;
+  __isset = other610.__isset;
+}
+ErrorReply& ErrorReply::operator=(const ErrorReply& other611) {
+  code = other611.code;
+  message = other611.message;
+  leader_address = other611.leader_address;
+  leader_port = other611.leader_port;
+  __isset = other611.__isset;
   return *this;
 }
-ErrorReply& ErrorReply::operator=(ErrorReply&& other565) noexcept {
-  code = other565.code;
-  message = std::move(other565.message);
-  leader_address = std::move(other565.leader_address);
-  leader_port = other565.leader_port;
-  __isset = other565.__isset;
+ErrorReply& ErrorReply::operator=(ErrorReply&& other612) noexcept {
+  code = other612.code;
+  message = std::move(other612.message);
+  leader_address = std::move(other612.leader_address);
+  leader_port = other612.leader_port;
+  __isset = other612.__isset;
   return *this;
 }
 void ErrorReply::printTo(std::ostream& out) const {
@@ -14866,11 +15884,6 @@
 __isset.done = true;
 }
 
-void Body::__set_document_request(const bool val) {
-  this->document_request = val;
-__isset.document_request = true;
-}
-
 void Body::__set_document(const Document& val) {
   this->document = val;
 __isset.document = true;
@@ -14910,6 +15923,31 @@
   this->evacuation_order = val;
 __isset.evacuation_order = true;
 }
+
+void Body::__set_document_change(const DocumentChange& val) {
+  this->document_change = val;
+__isset.document_change = true;
+}
+
+void Body::__set_document_read(const DocumentRead& val) {
+  this->document_read = val;
+__isset.document_read = true;
+}
+
+void Body::__set_document_steps(const DocumentSteps& val) {
+  this->document_steps = val;
+__isset.document_steps = true;
+}
+
+void Body::__set_piece_request(const PieceRequest& val) {
+  this->piece_request = val;
+__isset.piece_request = true;
+}
+
+void Body::__set_piece(const Piece& val) {
+  this->piece = val;
+__isset.piece = true;
+}
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
   obj.printTo(out);
@@ -15082,14 +16120,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 19:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->document_request);
-          this->__isset.document_request = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->document.read(iprot);
@@ -15154,6 +16184,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_change.read(iprot);
+          this->__isset.document_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_read.read(iprot);
+          this->__isset.document_read = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document_steps.read(iprot);
+          this->__isset.document_steps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->piece_request.read(iprot);
+          this->__isset.piece_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->piece.read(iprot);
+          this->__isset.piece = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15261,11 +16331,6 @@
     xfer += oprot->writeBool(this->done);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.document_request) {
-    xfer += oprot->writeFieldBegin("document_request", ::apache::thrift::protocol::T_BOOL, 19);
-    xfer += oprot->writeBool(this->document_request);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.document) {
     xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 20);
     xfer += this->document.write(oprot);
@@ -15306,6 +16371,31 @@
     xfer += this->evacuation_order.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.document_change) {
+    xfer += oprot->writeFieldBegin("document_change", ::apache::thrift::protocol::T_STRUCT, 28);
+    xfer += this->document_change.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_read) {
+    xfer += oprot->writeFieldBegin("document_read", ::apache::thrift::protocol::T_STRUCT, 29);
+    xfer += this->document_read.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.document_steps) {
+    xfer += oprot->writeFieldBegin("document_steps", ::apache::thrift::protocol::T_STRUCT, 30);
+    xfer += this->document_steps.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.piece_request) {
+    xfer += oprot->writeFieldBegin("piece_request", ::apache::thrift::protocol::T_STRUCT, 31);
+    xfer += this->piece_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.piece) {
+    xfer += oprot->writeFieldBegin("piece", ::apache::thrift::protocol::T_STRUCT, 32);
+    xfer += this->piece.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15331,7 +16421,6 @@
   swap(a.drain, b.drain);
   swap(a.error, b.error);
   swap(a.done, b.done);
-  swap(a.document_request, b.document_request);
   swap(a.document, b.document);
   swap(a.server_seen, b.server_seen);
   swap(a.place_batch, b.place_batch);
@@ -15340,129 +16429,150 @@
   swap(a.rollout_request, b.rollout_request);
   swap(a.rollout, b.rollout);
   swap(a.evacuation_order, b.evacuation_order);
+  swap(a.document_change, b.document_change);
+  swap(a.document_read, b.document_read);
+  swap(a.document_steps, b.document_steps);
+  swap(a.piece_request, b.piece_request);
+  swap(a.piece, b.piece);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other566) {
-  log = other566.log;
-  hello = other566.hello;
-  hello_reply = other566.hello_reply;
-  heartbeat = other566.heartbeat;
-  heartbeat_reply = other566.heartbeat_reply;
-  propose = other566.propose;
-  propose_reply = other566.propose_reply;
-  poll = other566.poll;
-  delta = other566.delta;
-  demand = other566.demand;
-  grants = other566.grants;
-  status = other566.status;
-  status_reply = other566.status_reply;
-  objects = other566.objects;
-  objects_reply = other566.objects_reply;
-  drain = other566.drain;
-  error = other566.error;
-  done = other566.done;
-  document_request = other566.document_request;
-  document = other566.document;
-  server_seen = other566.server_seen;
-  place_batch = other566.place_batch;
-  place_answers = other566.place_answers;
-  rollout_order = other566.rollout_order;
-  rollout_request = other566.rollout_request;
-  rollout = other566.rollout;
-  evacuation_order = other566.evacuation_order;
-  __isset = other566.__isset;
-}
-Body::Body(Body&& other567) noexcept {
-  log = std::move(other567.log);
-  hello = std::move(other567.hello);
-  hello_reply = std::move(other567.hello_reply);
-  heartbeat = std::move(other567.heartbeat);
-  heartbeat_reply = std::move(other567.heartbeat_reply);
-  propose = std::move(other567.propose);
-  propose_reply = std::move(other567.propose_reply);
-  poll = std::move(other567.poll);
-  delta = std::move(other567.delta);
-  demand = std::move(other567.demand);
-  grants = std::move(other567.grants);
-  status = std::move(other567.status);
-  status_reply = std::move(other567.status_reply);
-  objects = std::move(other567.objects);
-  objects_reply = std::move(other567.objects_reply);
-  drain = std::move(other567.drain);
-  error = std::move(other567.error);
-  done = other567.done;
-  document_request = other567.document_request;
-  document = std::move(other567.document);
-  server_seen = std::move(other567.server_seen);
-  place_batch = std::move(other567.place_batch);
-  place_answers = std::move(other567.place_answers);
-  rollout_order = std::move(other567.rollout_order);
-  rollout_request = std::move(other567.rollout_request);
-  rollout = std::move(other567.rollout);
-  evacuation_order = std::move(other567.evacuation_order);
-  __isset = other567.__isset;
-}
-Body& Body::operator=(const Body& other568) {
-  log = other568.log;
-  hello = other568.hello;
-  hello_reply = other568.hello_reply;
-  heartbeat = other568.heartbeat;
-  heartbeat_reply = other568.heartbeat_reply;
-  propose = other568.propose;
-  propose_reply = other568.propose_reply;
-  poll = other568.poll;
-  delta = other568.delta;
-  demand = other568.demand;
-  grants = other568.grants;
-  status = other568.status;
-  status_reply = other568.status_reply;
-  objects = other568.objects;
-  objects_reply = other568.objects_reply;
-  drain = other568.drain;
-  error = other568.error;
-  done = other568.done;
-  document_request = other568.document_request;
-  document = other568.document;
-  server_seen = other568.server_seen;
-  place_batch = other568.place_batch;
-  place_answers = other568.place_answers;
-  rollout_order = other568.rollout_order;
-  rollout_request = other568.rollout_request;
-  rollout = other568.rollout;
-  evacuation_order = other568.evacuation_order;
-  __isset = other568.__isset;
-  return *this;
-}
-Body& Body::operator=(Body&& other569) noexcept {
-  log = std::move(other569.log);
-  hello = std::move(other569.hello);
-  hello_reply = std::move(other569.hello_reply);
-  heartbeat = std::move(other569.heartbeat);
-  heartbeat_reply = std::move(other569.heartbeat_reply);
-  propose = std::move(other569.propose);
-  propose_reply = std::move(other569.propose_reply);
-  poll = std::move(other569.poll);
-  delta = std::move(other569.delta);
-  demand = std::move(other569.demand);
-  grants = std::move(other569.grants);
-  status = std::move(other569.status);
-  status_reply = std::move(other569.status_reply);
-  objects = std::move(other569.objects);
-  objects_reply = std::move(other569.objects_reply);
-  drain = std::move(other569.drain);
-  error = std::move(other569.error);
-  done = other569.done;
-  document_request = other569.document_request;
-  document = std::move(other569.document);
-  server_seen = std::move(other569.server_seen);
-  place_batch = std::move(other569.place_batch);
-  place_answers = std::move(other569.place_answers);
-  rollout_order = std::move(other569.rollout_order);
-  rollout_request = std::move(other569.rollout_request);
-  rollout = std::move(other569.rollout);
-  evacuation_order = std::move(other569.evacuation_order);
-  __isset = other569.__isset;
+Body::Body(const Body& other613) {
+  log = other613.log;
+  hello = other613.hello;
+  hello_reply = other613.hello_reply;
+  heartbeat = other613.heartbeat;
+  heartbeat_reply = other613.heartbeat_reply;
+  propose = other613.propose;
+  propose_reply = other613.propose_reply;
+  poll = other613.poll;
+  delta = other613.delta;
+  demand = other613.demand;
+  grants = other613.grants;
+  status = other613.status;
+  status_reply = other613.status_reply;
+  objects = other613.objects;
+  objects_reply = other613.objects_reply;
+  drain = other613.drain;
+  error = other613.error;
+  done = other613.done;
+  document = other613.document;
+  server_seen = other613.server_seen;
+  place_batch = other613.place_batch;
+  place_answers = other613.place_answers;
+  rollout_order = other613.rollout_order;
+  rollout_request = other613.rollout_request;
+  rollout = other613.rollout;
+  evacuation_order = other613.evacuation_order;
+  document_change = other613.document_change;
+  document_read = other613.document_read;
+  document_steps = other613.document_steps;
+  piece_request = other613.piece_request;
+  piece = other613.piece;
+  __isset = other613.__isset;
+}
+Body::Body(Body&& other614) noexcept {
+  log = std::move(other614.log);
+  hello = std::move(other614.hello);
+  hello_reply = std::move(other614.hello_reply);
+  heartbeat = std::move(other614.heartbeat);
+  heartbeat_reply = std::move(other614.heartbeat_reply);
+  propose = std::move(other614.propose);
+  propose_reply = std::move(other614.propose_reply);
+  poll = std::move(other614.poll);
+  delta = std::move(other614.delta);
+  demand = std::move(other614.demand);
+  grants = std::move(other614.grants);
+  status = std::move(other614.status);
+  status_reply = std::move(other614.status_reply);
+  objects = std::move(other614.objects);
+  objects_reply = std::move(other614.objects_reply);
+  drain = std::move(other614.drain);
+  error = std::move(other614.error);
+  done = other614.done;
+  document = std::move(other614.document);
+  server_seen = std::move(other614.server_seen);
+  place_batch = std::move(other614.place_batch);
+  place_answers = std::move(other614.place_answers);
+  rollout_order = std::move(other614.rollout_order);
+  rollout_request = std::move(other614.rollout_request);
+  rollout = std::move(other614.rollout);
+  evacuation_order = std::move(other614.evacuation_order);
+  document_change = std::move(other614.document_change);
+  document_read = std::move(other614.document_read);
+  document_steps = std::move(other614.document_steps);
+  piece_request = std::move(other614.piece_request);
+  piece = std::move(other614.piece);
+  __isset = other614.__isset;
+}
+Body& Body::operator=(const Body& other615) {
+  log = other615.log;
+  hello = other615.hello;
+  hello_reply = other615.hello_reply;
+  heartbeat = other615.heartbeat;
+  heartbeat_reply = other615.heartbeat_reply;
+  propose = other615.propose;
+  propose_reply = other615.propose_reply;
+  poll = other615.poll;
+  delta = other615.delta;
+  demand = other615.demand;
+  grants = other615.grants;
+  status = other615.status;
+  status_reply = other615.status_reply;
+  objects = other615.objects;
+  objects_reply = other615.objects_reply;
+  drain = other615.drain;
+  error = other615.error;
+  done = other615.done;
+  document = other615.document;
+  server_seen = other615.server_seen;
+  place_batch = other615.place_batch;
+  place_answers = other615.place_answers;
+  rollout_order = other615.rollout_order;
+  rollout_request = other615.rollout_request;
+  rollout = other615.rollout;
+  evacuation_order = other615.evacuation_order;
+  document_change = other615.document_change;
+  document_read = other615.document_read;
+  document_steps = other615.document_steps;
+  piece_request = other615.piece_request;
+  piece = other615.piece;
+  __isset = other615.__isset;
+  return *this;
+}
+Body& Body::operator=(Body&& other616) noexcept {
+  log = std::move(other616.log);
+  hello = std::move(other616.hello);
+  hello_reply = std::move(other616.hello_reply);
+  heartbeat = std::move(other616.heartbeat);
+  heartbeat_reply = std::move(other616.heartbeat_reply);
+  propose = std::move(other616.propose);
+  propose_reply = std::move(other616.propose_reply);
+  poll = std::move(other616.poll);
+  delta = std::move(other616.delta);
+  demand = std::move(other616.demand);
+  grants = std::move(other616.grants);
+  status = std::move(other616.status);
+  status_reply = std::move(other616.status_reply);
+  objects = std::move(other616.objects);
+  objects_reply = std::move(other616.objects_reply);
+  drain = std::move(other616.drain);
+  error = std::move(other616.error);
+  done = other616.done;
+  document = std::move(other616.document);
+  server_seen = std::move(other616.server_seen);
+  place_batch = std::move(other616.place_batch);
+  place_answers = std::move(other616.place_answers);
+  rollout_order = std::move(other616.rollout_order);
+  rollout_request = std::move(other616.rollout_request);
+  rollout = std::move(other616.rollout);
+  evacuation_order = std::move(other616.evacuation_order);
+  document_change = std::move(other616.document_change);
+  document_read = std::move(other616.document_read);
+  document_steps = std::move(other616.document_steps);
+  piece_request = std::move(other616.piece_request);
+  piece = std::move(other616.piece);
+  __isset = other616.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -15486,7 +16596,6 @@
   out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
   out << ", " << "error="; (__isset.error ? (out << to_string(error)) : (out << "<null>"));
   out << ", " << "done="; (__isset.done ? (out << to_string(done)) : (out << "<null>"));
-  out << ", " << "document_request="; (__isset.document_request ? (out << to_string(document_request)) : (out << "<null>"));
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "server_seen="; (__isset.server_seen ? (out << to_string(server_seen)) : (out << "<null>"));
   out << ", " << "place_batch="; (__isset.place_batch ? (out << to_string(place_batch)) : (out << "<null>"));
@@ -15495,6 +16604,11 @@
   out << ", " << "rollout_request="; (__isset.rollout_request ? (out << to_string(rollout_request)) : (out << "<null>"));
   out << ", " << "rollout="; (__isset.rollout ? (out << to_string(rollout)) : (out << "<null>"));
   out << ", " << "evacuation_order="; (__isset.evacuation_order ? (out << to_string(evacuation_order)) : (out << "<null>"));
+  out << ", " << "document_change="; (__isset.document_change ? (out << to_string(document_change)) : (out << "<null>"));
+  out << ", " << "document_read="; (__isset.document_read ? (out << to_string(document_read)) : (out << "<null>"));
+  out << ", " << "document_steps="; (__isset.document_steps ? (out << to_string(document_steps)) : (out << "<null>"));
+  out << ", " << "piece_request="; (__isset.piece_request ? (out << to_string(piece_request)) : (out << "<null>"));
+  out << ", " << "piece="; (__isset.piece ? (out << to_string(piece)) : (out << "<null>"));
   out << ")";
 }
 
@@ -15608,30 +16722,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other570) {
-  id = other570.id;
-  reply = other570.reply;
-  body = other570.body;
-  __isset = other570.__isset;
+Envelope::Envelope(const Envelope& other617) {
+  id = other617.id;
+  reply = other617.reply;
+  body = other617.body;
+  __isset = other617.__isset;
 }
-Envelope::Envelope(Envelope&& other571) noexcept {
-  id = other571.id;
-  reply = other571.reply;
-  body = std::move(other571.body);
-  __isset = other571.__isset;
+Envelope::Envelope(Envelope&& other618) noexcept {
+  id = other618.id;
+  reply = other618.reply;
+  body = std::move(other618.body);
+  __isset = other618.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other572) {
-  id = other572.id;
-  reply = other572.reply;
-  body = other572.body;
-  __isset = other572.__isset;
+Envelope& Envelope::operator=(const Envelope& other619) {
+  id = other619.id;
+  reply = other619.reply;
+  body = other619.body;
+  __isset = other619.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other573) noexcept {
-  id = other573.id;
-  reply = other573.reply;
-  body = std::move(other573.body);
-  __isset = other573.__isset;
+Envelope& Envelope::operator=(Envelope&& other620) noexcept {
+  id = other620.id;
+  reply = other620.reply;
+  body = std::move(other620.body);
+  __isset = other620.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -110,6 +110,19 @@
 
 std::string to_string(const FinishKind::type& val);
 
+struct NewsKind {
+  enum type {
+    SERVERS = 0,
+    DOCUMENT = 1
+  };
+};
+
+extern const std::map<int, const char*> _NewsKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const NewsKind::type& val);
+
+std::string to_string(const NewsKind::type& val);
+
 struct UseStage {
   enum type {
     FIRST_TOKEN = 0,
@@ -158,6 +171,12 @@
 
 class Document;
 
+class TextEdit;
+
+class TextEdits;
+
+class DocumentChange;
+
 class ServerRecord;
 
 class EvacuationOrder;
@@ -246,6 +265,10 @@
 
 class ConfigPoll;
 
+class PieceRequest;
+
+class Piece;
+
 class DemandItem;
 
 class CreditUse;
@@ -274,6 +297,10 @@
 
 class PlaceAnswers;
 
+class DocumentRead;
+
+class DocumentSteps;
+
 class StatusRequest;
 
 class InstanceStatus;
@@ -346,6 +373,182 @@
 
 std::ostream& operator<<(std::ostream& out, const Document& obj);
 
+typedef struct _TextEdit__isset {
+  _TextEdit__isset() : offset(false), length(false), own(false) {}
+  bool offset :1;
+  bool length :1;
+  bool own :1;
+} _TextEdit__isset;
+
+class TextEdit : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextEdit(const TextEdit&);
+  TextEdit(TextEdit&&) noexcept;
+  TextEdit& operator=(const TextEdit&);
+  TextEdit& operator=(TextEdit&&) noexcept;
+  TextEdit() noexcept
+           : offset(0),
+             length(0),
+             own() {
+  }
+
+  virtual ~TextEdit() noexcept;
+  int64_t offset;
+  int64_t length;
+  std::string own;
+
+  _TextEdit__isset __isset;
+
+  void __set_offset(const int64_t val);
+
+  void __set_length(const int64_t val);
+
+  void __set_own(const std::string& val);
+
+  bool operator == (const TextEdit & rhs) const
+  {
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(length == rhs.length))
+      return false;
+    if (!(own == rhs.own))
+      return false;
+    return true;
+  }
+  bool operator != (const TextEdit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextEdit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextEdit &a, TextEdit &b);
+
+std::ostream& operator<<(std::ostream& out, const TextEdit& obj);
+
+typedef struct _TextEdits__isset {
+  _TextEdits__isset() : edits(false) {}
+  bool edits :1;
+} _TextEdits__isset;
+
+class TextEdits : public virtual ::apache::thrift::TBase {
+ public:
+
+  TextEdits(const TextEdits&);
+  TextEdits(TextEdits&&) noexcept;
+  TextEdits& operator=(const TextEdits&);
+  TextEdits& operator=(TextEdits&&) noexcept;
+  TextEdits() noexcept {
+  }
+
+  virtual ~TextEdits() noexcept;
+  std::vector<TextEdit>  edits;
+
+  _TextEdits__isset __isset;
+
+  void __set_edits(const std::vector<TextEdit> & val);
+
+  bool operator == (const TextEdits & rhs) const
+  {
+    if (!(edits == rhs.edits))
+      return false;
+    return true;
+  }
+  bool operator != (const TextEdits &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TextEdits & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TextEdits &a, TextEdits &b);
+
+std::ostream& operator<<(std::ostream& out, const TextEdits& obj);
+
+typedef struct _DocumentChange__isset {
+  _DocumentChange__isset() : base(false), version(false), digest(false), edits(false), bytes(false) {}
+  bool base :1;
+  bool version :1;
+  bool digest :1;
+  bool edits :1;
+  bool bytes :1;
+} _DocumentChange__isset;
+
+class DocumentChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  DocumentChange(const DocumentChange&);
+  DocumentChange(DocumentChange&&) noexcept;
+  DocumentChange& operator=(const DocumentChange&);
+  DocumentChange& operator=(DocumentChange&&) noexcept;
+  DocumentChange() noexcept
+                 : base(0),
+                   version(0),
+                   digest(0),
+                   edits(),
+                   bytes(0) {
+  }
+
+  virtual ~DocumentChange() noexcept;
+  int64_t base;
+  int64_t version;
+  int64_t digest;
+  std::string edits;
+  int64_t bytes;
+
+  _DocumentChange__isset __isset;
+
+  void __set_base(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_edits(const std::string& val);
+
+  void __set_bytes(const int64_t val);
+
+  bool operator == (const DocumentChange & rhs) const
+  {
+    if (!(base == rhs.base))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(edits == rhs.edits))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const DocumentChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DocumentChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DocumentChange &a, DocumentChange &b);
+
+std::ostream& operator<<(std::ostream& out, const DocumentChange& obj);
+
 typedef struct _ServerRecord__isset {
   _ServerRecord__isset() : id(false), pool(false), address(false), port(false), data_centre(false), slots(false), stage(false), sequence(false), index(false), version(false), held_back(false), born(false), cold_for_ms(false) {}
   bool id :1;
@@ -1103,13 +1306,13 @@
 std::ostream& operator<<(std::ostream& out, const ConfigOutcome& obj);
 
 typedef struct _ConfigDelta__isset {
-  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), document(false), servers(false), servers_index(false), leader_term(false), leader_address(false), leader_port(false), evacuations(false) {}
+  _ConfigDelta__isset() : from_version(false), to_version(false), whole(false), upserts(false), removals(false), steps(false), servers(false), servers_index(false), leader_term(false), leader_address(false), leader_port(false), evacuations(false) {}
   bool from_version :1;
   bool to_version :1;
   bool whole :1;
   bool upserts :1;
   bool removals :1;
-  bool document :1;
+  bool steps :1;
   bool servers :1;
   bool servers_index :1;
   bool leader_term :1;
@@ -1141,7 +1344,7 @@
   bool whole;
   std::vector<ObjectText>  upserts;
   std::vector<ObjectKey>  removals;
-  Document document;
+  std::vector<DocumentChange>  steps;
   std::vector<ServerRecord>  servers;
   int64_t servers_index;
   int64_t leader_term;
@@ -1161,7 +1364,7 @@
 
   void __set_removals(const std::vector<ObjectKey> & val);
 
-  void __set_document(const Document& val);
+  void __set_steps(const std::vector<DocumentChange> & val);
 
   void __set_servers(const std::vector<ServerRecord> & val);
 
@@ -1187,9 +1390,7 @@
       return false;
     if (!(removals == rhs.removals))
       return false;
-    if (__isset.document != rhs.__isset.document)
-      return false;
-    else if (__isset.document && !(document == rhs.document))
+    if (!(steps == rhs.steps))
       return false;
     if (!(servers == rhs.servers))
       return false;
@@ -1821,7 +2022,7 @@
 std::ostream& operator<<(std::ostream& out, const Membership& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : config(false), claim(false), finish(false), lease(false), gone(false), membership(false), noop(false), document(false), server(false), rollout(false), rollout_step(false), evacuation(false) {}
+  _Command__isset() : config(false), claim(false), finish(false), lease(false), gone(false), membership(false), noop(false), document(false), server(false), rollout(false), rollout_step(false), evacuation(false), document_change(false) {}
   bool config :1;
   bool claim :1;
   bool finish :1;
@@ -1834,6 +2035,7 @@
   bool rollout :1;
   bool rollout_step :1;
   bool evacuation :1;
+  bool document_change :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1860,6 +2062,7 @@
   RolloutOrder rollout;
   RolloutStep rollout_step;
   EvacuationOrder evacuation;
+  DocumentChange document_change;
 
   _Command__isset __isset;
 
@@ -1887,6 +2090,8 @@
 
   void __set_evacuation(const EvacuationOrder& val);
 
+  void __set_document_change(const DocumentChange& val);
+
   bool operator == (const Command & rhs) const
   {
     if (__isset.config != rhs.__isset.config)
@@ -1937,6 +2142,10 @@
       return false;
     else if (__isset.evacuation && !(evacuation == rhs.evacuation))
       return false;
+    if (__isset.document_change != rhs.__isset.document_change)
+      return false;
+    else if (__isset.document_change && !(document_change == rhs.document_change))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -3478,13 +3687,14 @@
 std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
 
 typedef struct _ConfigPoll__isset {
-  _ConfigPoll__isset() : have_version(false), wait_ms(false), have_document(false), have_servers(false), hosted(false), have_term(false) {}
+  _ConfigPoll__isset() : have_version(false), wait_ms(false), have_document(false), have_servers(false), hosted(false), have_term(false), kind(false) {}
   bool have_version :1;
   bool wait_ms :1;
   bool have_document :1;
   bool have_servers :1;
   bool hosted :1;
   bool have_term :1;
+  bool kind :1;
 } _ConfigPoll__isset;
 
 class ConfigPoll : public virtual ::apache::thrift::TBase {
@@ -3500,7 +3710,8 @@
                have_document(0),
                have_servers(0),
                hosted(0),
-               have_term(0) {
+               have_term(0),
+               kind(static_cast<NewsKind::type>(0)) {
   }
 
   virtual ~ConfigPoll() noexcept;
@@ -3510,6 +3721,11 @@
   int64_t have_servers;
   bool hosted;
   int64_t have_term;
+  /**
+   * 
+   * @see NewsKind
+   */
+  NewsKind::type kind;
 
   _ConfigPoll__isset __isset;
 
@@ -3525,6 +3741,8 @@
 
   void __set_have_term(const int64_t val);
 
+  void __set_kind(const NewsKind::type val);
+
   bool operator == (const ConfigPoll & rhs) const
   {
     if (!(have_version == rhs.have_version))
@@ -3539,6 +3757,8 @@
       return false;
     if (!(have_term == rhs.have_term))
       return false;
+    if (!(kind == rhs.kind))
+      return false;
     return true;
   }
   bool operator != (const ConfigPoll &rhs) const {
@@ -3557,6 +3777,110 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigPoll& obj);
 
+typedef struct _PieceRequest__isset {
+  _PieceRequest__isset() : base(false), version(false), offset(false) {}
+  bool base :1;
+  bool version :1;
+  bool offset :1;
+} _PieceRequest__isset;
+
+class PieceRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PieceRequest(const PieceRequest&) noexcept;
+  PieceRequest(PieceRequest&&) noexcept;
+  PieceRequest& operator=(const PieceRequest&) noexcept;
+  PieceRequest& operator=(PieceRequest&&) noexcept;
+  PieceRequest() noexcept
+               : base(0),
+                 version(0),
+                 offset(0) {
+  }
+
+  virtual ~PieceRequest() noexcept;
+  int64_t base;
+  int64_t version;
+  int64_t offset;
+
+  _PieceRequest__isset __isset;
+
+  void __set_base(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  bool operator == (const PieceRequest & rhs) const
+  {
+    if (!(base == rhs.base))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    return true;
+  }
+  bool operator != (const PieceRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PieceRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PieceRequest &a, PieceRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PieceRequest& obj);
+
+typedef struct _Piece__isset {
+  _Piece__isset() : bytes(false) {}
+  bool bytes :1;
+} _Piece__isset;
+
+class Piece : public virtual ::apache::thrift::TBase {
+ public:
+
+  Piece(const Piece&);
+  Piece(Piece&&) noexcept;
+  Piece& operator=(const Piece&);
+  Piece& operator=(Piece&&) noexcept;
+  Piece() noexcept
+        : bytes() {
+  }
+
+  virtual ~Piece() noexcept;
+  std::string bytes;
+
+  _Piece__isset __isset;
+
+  void __set_bytes(const std::string& val);
+
+  bool operator == (const Piece & rhs) const
+  {
+    if (!(bytes == rhs.bytes))
+      return false;
+    return true;
+  }
+  bool operator != (const Piece &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Piece & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Piece &a, Piece &b);
+
+std::ostream& operator<<(std::ostream& out, const Piece& obj);
+
 typedef struct _DemandItem__isset {
   _DemandItem__isset() : ref(false), tier(false), prompt_tokens(false), prefixes(false), age_ms(false), workspace(false), event(false), model(false), avoid(false), deadline_ms(false) {}
   bool ref :1;
@@ -4888,6 +5212,95 @@
 
 std::ostream& operator<<(std::ostream& out, const PlaceAnswers& obj);
 
+typedef struct _DocumentRead__isset {
+  _DocumentRead__isset() : have_version(false) {}
+  bool have_version :1;
+} _DocumentRead__isset;
+
+class DocumentRead : public virtual ::apache::thrift::TBase {
+ public:
+
+  DocumentRead(const DocumentRead&) noexcept;
+  DocumentRead(DocumentRead&&) noexcept;
+  DocumentRead& operator=(const DocumentRead&) noexcept;
+  DocumentRead& operator=(DocumentRead&&) noexcept;
+  DocumentRead() noexcept
+               : have_version(0) {
+  }
+
+  virtual ~DocumentRead() noexcept;
+  int64_t have_version;
+
+  _DocumentRead__isset __isset;
+
+  void __set_have_version(const int64_t val);
+
+  bool operator == (const DocumentRead & rhs) const
+  {
+    if (!(have_version == rhs.have_version))
+      return false;
+    return true;
+  }
+  bool operator != (const DocumentRead &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DocumentRead & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DocumentRead &a, DocumentRead &b);
+
+std::ostream& operator<<(std::ostream& out, const DocumentRead& obj);
+
+typedef struct _DocumentSteps__isset {
+  _DocumentSteps__isset() : steps(false) {}
+  bool steps :1;
+} _DocumentSteps__isset;
+
+class DocumentSteps : public virtual ::apache::thrift::TBase {
+ public:
+
+  DocumentSteps(const DocumentSteps&);
+  DocumentSteps(DocumentSteps&&) noexcept;
+  DocumentSteps& operator=(const DocumentSteps&);
+  DocumentSteps& operator=(DocumentSteps&&) noexcept;
+  DocumentSteps() noexcept {
+  }
+
+  virtual ~DocumentSteps() noexcept;
+  std::vector<DocumentChange>  steps;
+
+  _DocumentSteps__isset __isset;
+
+  void __set_steps(const std::vector<DocumentChange> & val);
+
+  bool operator == (const DocumentSteps & rhs) const
+  {
+    if (!(steps == rhs.steps))
+      return false;
+    return true;
+  }
+  bool operator != (const DocumentSteps &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DocumentSteps & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DocumentSteps &a, DocumentSteps &b);
+
+std::ostream& operator<<(std::ostream& out, const DocumentSteps& obj);
+
 typedef struct _StatusRequest__isset {
   _StatusRequest__isset() : here(false) {}
   bool here :1;
@@ -5437,7 +5850,7 @@
 std::ostream& operator<<(std::ostream& out, const ErrorReply& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document_request(false), document(false), server_seen(false), place_batch(false), place_answers(false), rollout_order(false), rollout_request(false), rollout(false), evacuation_order(false) {}
+  _Body__isset() : log(false), hello(false), hello_reply(false), heartbeat(false), heartbeat_reply(false), propose(false), propose_reply(false), poll(false), delta(false), demand(false), grants(false), status(false), status_reply(false), objects(false), objects_reply(false), drain(false), error(false), done(false), document(false), server_seen(false), place_batch(false), place_answers(false), rollout_order(false), rollout_request(false), rollout(false), evacuation_order(false), document_change(false), document_read(false), document_steps(false), piece_request(false), piece(false) {}
   bool log :1;
   bool hello :1;
   bool hello_reply :1;
@@ -5456,7 +5869,6 @@
   bool drain :1;
   bool error :1;
   bool done :1;
-  bool document_request :1;
   bool document :1;
   bool server_seen :1;
   bool place_batch :1;
@@ -5465,6 +5877,11 @@
   bool rollout_request :1;
   bool rollout :1;
   bool evacuation_order :1;
+  bool document_change :1;
+  bool document_read :1;
+  bool document_steps :1;
+  bool piece_request :1;
+  bool piece :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -5476,7 +5893,6 @@
   Body& operator=(Body&&) noexcept;
   Body() noexcept
        : done(0),
-         document_request(0),
          rollout_request() {
   }
 
@@ -5499,7 +5915,6 @@
   DrainRequest drain;
   ErrorReply error;
   bool done;
-  bool document_request;
   Document document;
   ServerRecord server_seen;
   PlaceBatch place_batch;
@@ -5508,6 +5923,11 @@
   std::string rollout_request;
   Rollout rollout;
   EvacuationOrder evacuation_order;
+  DocumentChange document_change;
+  DocumentRead document_read;
+  DocumentSteps document_steps;
+  PieceRequest piece_request;
+  Piece piece;
 
   _Body__isset __isset;
 
@@ -5547,8 +5967,6 @@
 
   void __set_done(const bool val);
 
-  void __set_document_request(const bool val);
-
   void __set_document(const Document& val);
 
   void __set_server_seen(const ServerRecord& val);
@@ -5565,6 +5983,16 @@
 
   void __set_evacuation_order(const EvacuationOrder& val);
 
+  void __set_document_change(const DocumentChange& val);
+
+  void __set_document_read(const DocumentRead& val);
+
+  void __set_document_steps(const DocumentSteps& val);
+
+  void __set_piece_request(const PieceRequest& val);
+
+  void __set_piece(const Piece& val);
+
   bool operator == (const Body & rhs) const
   {
     if (__isset.log != rhs.__isset.log)
@@ -5639,10 +6067,6 @@
       return false;
     else if (__isset.done && !(done == rhs.done))
       return false;
-    if (__isset.document_request != rhs.__isset.document_request)
-      return false;
-    else if (__isset.document_request && !(document_request == rhs.document_request))
-      return false;
     if (__isset.document != rhs.__isset.document)
       return false;
     else if (__isset.document && !(document == rhs.document))
@@ -5675,6 +6099,26 @@
       return false;
     else if (__isset.evacuation_order && !(evacuation_order == rhs.evacuation_order))
       return false;
+    if (__isset.document_change != rhs.__isset.document_change)
+      return false;
+    else if (__isset.document_change && !(document_change == rhs.document_change))
+      return false;
+    if (__isset.document_read != rhs.__isset.document_read)
+      return false;
+    else if (__isset.document_read && !(document_read == rhs.document_read))
+      return false;
+    if (__isset.document_steps != rhs.__isset.document_steps)
+      return false;
+    else if (__isset.document_steps && !(document_steps == rhs.document_steps))
+      return false;
+    if (__isset.piece_request != rhs.__isset.piece_request)
+      return false;
+    else if (__isset.piece_request && !(piece_request == rhs.piece_request))
+      return false;
+    if (__isset.piece != rhs.__isset.piece)
+      return false;
+    else if (__isset.piece && !(piece == rhs.piece))
+      return false;
     return true;
   }
   bool operator != (const Body &rhs) const {
--- a/packages/wire/include/poppyway/wire.h
+++ b/packages/wire/include/poppyway/wire.h
@@ -14,6 +14,7 @@
 #include "poppyway/wire/impl/blocking_client.h"
 #include "poppyway/wire/impl/codec.h"
 #include "poppyway/wire/impl/mailbox.h"
+#include "poppyway/wire/impl/packed.h"
 #include "poppyway/wire/impl/peer_client.h"
 #include "poppyway/wire/impl/peer_connection.h"
 #include "poppyway/wire/impl/peer_server.h"
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -5,6 +5,13 @@
 // ---- Hosted deployments: the operator's document and the backend servers that register ------------
 // One whole configuration; the highest version wins.
 struct Document { 1: i64 version; 2: binary body }
+// How one text becomes another: for each edit, `length` bytes of the base at `offset`, then `own`.
+struct TextEdit { 1: i64 offset; 2: i64 length; 3: binary own }
+struct TextEdits { 1: list<TextEdit> edits }
+// The step from one version of the document to a later one. `edits` are packed `TextEdits`; base 0 is
+// the empty text, so that such a step is the whole document. `digest` is of the text after it.
+// `bytes` are those of the edits, also where these are left out to be fetched piece by piece.
+struct DocumentChange { 1: i64 base; 2: i64 version; 3: i64 digest; 4: binary edits; 5: i64 bytes }
 enum ServerStage { READY = 0, LEAVING = 1, GONE = 2 }
 // One life of a backend server. `sequence` orders its own calls; `index` is the log index of the
 // last change.
@@ -59,7 +66,9 @@
 struct ConfigDelta {
   1: i64 from_version; 2: i64 to_version; 3: bool whole;
   4: list<ObjectText> upserts; 5: list<ObjectKey> removals;
-  6: optional Document document; 7: list<ServerRecord> servers; 8: i64 servers_index;
+  // In hosted deployments the operator's document: one step after the other. The last one may come
+  // without its edits, where they are large: they are fetched in pieces.
+  13: list<DocumentChange> steps; 7: list<ServerRecord> servers; 8: i64 servers_index;
   // The leader that the member follows; term 0: it knows none.
   9: i64 leader_term; 10: string leader_address; 11: i32 leader_port;
   // All that were ordered, with every answer; few, and mostly none.
@@ -95,7 +104,7 @@
   1: ConfigChange config; 2: LedgerClaim claim; 3: LedgerFinish finish; 4: LeaseGrant lease;
   5: InstanceGone gone; 6: Membership membership; 7: bool noop; 8: Document document;
   9: ServerRecord server; 10: RolloutOrder rollout; 11: RolloutStep rollout_step;
-  12: EvacuationOrder evacuation
+  12: EvacuationOrder evacuation; 13: DocumentChange document_change
 }
 struct LogEntry { 1: i64 index; 2: i64 term; 3: Command command }
 struct HardState { 1: i64 term; 2: i64 vote }
@@ -148,10 +157,16 @@
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done; 4: RolloutVerdict rollout }
 struct ProposeReply { 1: list<CommandResult> results }
+// What a poll of a hosted deployment asks for: servers, evacuations and the leader's name, or the
+// document.
+enum NewsKind { SERVERS = 0, DOCUMENT = 1 }
 struct ConfigPoll {
   1: i64 have_version; 2: i64 wait_ms; 3: i64 have_document; 4: i64 have_servers; 5: bool hosted;
-  6: i64 have_term
+  6: i64 have_term; 7: NewsKind kind
 }
+// A part of a step's edits, from `offset` on; an answer without bytes: that step isn't kept (any more).
+struct PieceRequest { 1: i64 base; 2: i64 version; 3: i64 offset }
+struct Piece { 1: binary bytes }
 
 // ---- Brokers -------------------------------------------------------------------------------
 struct DemandItem {
@@ -222,6 +237,11 @@
   4: optional list<string> suspects
 }
 
+// ---- The operator's document between members ---------------------------------------------------
+// For the steps from the version that the reader has to the newest; none, if that is the newest.
+struct DocumentRead { 1: i64 have_version }
+struct DocumentSteps { 1: list<DocumentChange> steps }
+
 // ---- Operators -----------------------------------------------------------------------------
 struct StatusRequest { 1: bool here }
 struct InstanceStatus {
@@ -247,8 +267,10 @@
   8: ConfigPoll poll; 9: ConfigDelta delta; 10: Demand demand; 11: Grants grants;
   12: StatusRequest status; 13: StatusReply status_reply; 14: ObjectsRequest objects;
   15: ObjectsReply objects_reply; 16: DrainRequest drain; 17: ErrorReply error; 18: bool done;
-  19: bool document_request; 20: Document document; 21: ServerRecord server_seen;
+  20: Document document; 21: ServerRecord server_seen;
   22: PlaceBatch place_batch; 23: PlaceAnswers place_answers; 24: RolloutOrder rollout_order;
-  25: string rollout_request; 26: Rollout rollout; 27: EvacuationOrder evacuation_order
+  25: string rollout_request; 26: Rollout rollout; 27: EvacuationOrder evacuation_order;
+  28: DocumentChange document_change; 29: DocumentRead document_read; 30: DocumentSteps document_steps;
+  31: PieceRequest piece_request; 32: Piece piece
 }
 struct Envelope { 1: i64 id; 2: bool reply; 3: Body body }
