News that are on their way are not asked for again; late answers are taken

What callers saw: instances that never got past an old configuration, 24 s after the last change, and whose links were full: connections to backend servers didn't come up within 300 ms, heartbeats were lost.

Cause: an instance that had heard of something newer dropped its question after 300 ms, whatever was on its way, ignored that answer when it came, and asked another member for all of it.

Change: an answer is overdue only if no byte has come from the member for 300 ms; each time in a row the patience doubles, to 2.4 s at most; an answer to an earlier question is taken all the same, since what it says is ordered by version and index.

Why this works: a retry adds load only where nothing arrives, and ever more rarely. Tests: tests/hosted_news_test.cc, two cases that fail without the change.

--- a/packages/news/include/poppyway/news/impl/hosted_news.h
+++ b/packages/news/include/poppyway/news/impl/hosted_news.h
@@ -52,6 +52,7 @@
     std::uint64_t m_number = 0;  ///< Of the last time it was asked.
     Instant m_after{};           ///< Not to be asked before.
     Instant m_behind_since{};  ///< While open, the leader knows something newer; zero: it doesn't.
+    Duration m_patience{};     ///< For which an answer may be late.
   };
   /// A step that is being fetched.
   struct Fetch {
--- a/packages/news/src/hosted_news.cc
+++ b/packages/news/src/hosted_news.cc
@@ -17,6 +17,7 @@
 // changes of servers every 100 ms. With no wait, ordinary delays would turn a third of the
 // instances to the leader with each change.
 constexpr Duration kPollOverdue{300'000};
+constexpr Duration kMostPatience{2'400'000};
 constexpr Duration kPieceTimeout{1'000'000};
 // Taking a document holds up requests: it gets at most a fifth of the time.
 constexpr int kAdoptionRest = 4;
@@ -67,14 +68,16 @@
                           std::uint64_t number,
                           std::size_t member,
                           const Result<wire::Body>& reply) {
-  if (number != question.m_number)
-    return;  // It has been asked again since.
-  question.m_open = false;
+  const bool current = number == question.m_number;
+  if (current)
+    question.m_open = false;
   const bool answered = reply && reply->__isset.delta;
   if (!answered) {
-    TurnAway(question, ReadClock());
+    if (current)
+      TurnAway(question, ReadClock());
     return;
   }
+  // An answer that comes late is news all the same.
   m_port.m_on_leader(reply->delta);
   if (question.m_kind == wire::NewsKind::SERVERS)
     OnServers(reply->delta);
@@ -189,13 +192,17 @@
 void HostedNews::CheckBehind(Question& question, bool behind, Instant now) {
   if (!behind) {
     question.m_behind_since = {};
+    question.m_patience = kPollOverdue;
     return;
   }
   if (question.m_behind_since == Instant{})
     question.m_behind_since = now;
   const std::size_t leader = m_port.m_leader();
   const Instant last_read = m_port.m_last_read(question.m_member);
-  if (now - question.m_behind_since < kPollOverdue || question.m_member == leader)
+  // What still arrives would only come later if it were asked for again.
+  const bool arriving = last_read != Instant{} && now - last_read < kPollOverdue;
+  const bool patient = now - question.m_behind_since < question.m_patience;
+  if (patient || arriving || question.m_member == leader)
     return;
   POPPYWAY_LOG(info, "news_overdue")
       .Field("kind", question.m_kind == wire::NewsKind::SERVERS ? "servers" : "document")
@@ -204,6 +211,7 @@
       .Field("have_document", m_published)
       .Field("last_byte_ms", last_read == Instant{} ? -1 : (now - last_read).count() / 1000);
   m_port.m_avoid(question.m_member, now);
+  question.m_patience = std::min(2 * question.m_patience, kMostPatience);
   question.m_member = leader;
   Ask(question, now);
 }
--- a/tests/hosted_news_test.cc
+++ b/tests/hosted_news_test.cc
@@ -129,6 +129,18 @@
   return step;
 }
 
+// Instances asked other members for news that were on their way, until links carried nothing else.
+TEST_CASE("news that are on their way are not asked for again, however long they take") {
+  Members members;
+  members.m_arriving = true;
+  members.m_leader_servers = 9;
+  members.m_leader_document = 9;
+  members.Pass(10'000);
+  CHECK(members.Polls(wire::NewsKind::SERVERS).size() == 1);
+  CHECK(members.Polls(wire::NewsKind::DOCUMENT).size() == 1);
+  CHECK(members.m_avoided.empty());
+}
+
 TEST_CASE("a member that has not told what the leader has is passed over for the leader") {
   Members members;
   members.m_leader_servers = 9;
@@ -142,6 +154,16 @@
   CHECK(members.Polls(wire::NewsKind::SERVERS).size() == 2);
 }
 
+TEST_CASE("an answer that comes late is taken, and an older one changes nothing") {
+  Members members;
+  members.m_leader_servers = 9;
+  members.Pass(400);
+  const std::vector<Asked*> polls = members.Polls(wire::NewsKind::SERVERS);
+  Members::Answer(*polls[0], Members::Servers(9));
+  Members::Answer(*polls[1], Members::Servers(8));
+  CHECK(members.m_servers == std::vector<std::int64_t>{9});
+}
+
 TEST_CASE("a small step comes with the answer") {
   Members members;
   members.Pass(50);
