Entries that a follower lacks are sent once, and in bounded appends

What callers saw: in one region configurations and the leaving of servers were known up to 7 s later than in the other; members near their 256 MB.

Cause: a follower answers each append that it can't take, and the leader sent all that it lacked with each such answer. With 50 ms between appends and 60 ms and more between regions, one lost connection had everything sent many times, in appends of any size.

Change: an answer to an append that was sent before the entries were last sent again is passed over: the answer carries the leader's clock. An append carries 64 KB of entries, or one larger entry; the rest follows with the answer.

Why this works: a second loss shows by an answer to a later append. Test: tests/log_node_test.cc, both cases fail on the code before (5 appends for 5 answers; all entries in one).

--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -38,6 +38,7 @@
   Instant m_heard{};
   Instant m_snapshot_sent{};
   Instant m_confirmed{};  ///< When the newest append that it has answered was sent.
+  Instant m_resent{};     ///< When entries that it lacked were last sent again.
 };
 
 /// \brief One member's state. Plain data; the functions below are its behaviour.
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -355,7 +355,7 @@
   node.m_progress.clear();
   for (const wire::MemberInfo& member : node.m_membership.members) {
     if (member.id != node.m_id)
-      node.m_progress[member.id] = {LastIndex(node) + 1, 0, now, {}, {}};
+      node.m_progress[member.id] = {LastIndex(node) + 1, 0, now, {}, {}, {}};
   }
   node.m_term_start = LastIndex(node) + 1;
   wire::LogEntry entry;
--- a/packages/log/src/replication.cc
+++ b/packages/log/src/replication.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t kMaxEntries = 512;  // In one append message.
+// What else a connection carries waits for no more than this of the log.
+constexpr std::size_t kMaxAppendBytes = 64 << 10;
 constexpr Duration kSnapshotResend{2'000'000};
 
 void Reply(const LogNode& node,
@@ -75,8 +77,11 @@
   request.sent_us = now.time_since_epoch().count();
   const auto first = static_cast<std::size_t>(progress.m_next - node.m_snapshot_index - 1);
   const std::size_t last = std::min(node.m_entries.size(), first + kMaxEntries);
-  for (std::size_t i = first; i < last; ++i)
+  std::size_t bytes = 0;
+  for (std::size_t i = first; i < last && bytes < kMaxAppendBytes; ++i) {
+    bytes += BytesOf(node.m_entries[i]);
     request.entries.push_back(node.m_entries[i]);
+  }
   progress.m_next += static_cast<std::int64_t>(request.entries.size());  // Pipelined.
   wire::LogMessage message = Message(node, to);
   message.body.__set_append(std::move(request));
@@ -88,7 +93,7 @@
   for (const wire::MemberInfo& member : node.m_membership.members) {
     if (member.id == node.m_id)
       continue;
-    node.m_progress.try_emplace(member.id, Progress{LastIndex(node) + 1, 0, now, {}, {}});
+    node.m_progress.try_emplace(member.id, Progress{LastIndex(node) + 1, 0, now, {}, {}, {}});
     SendAppend(node, member.id, effects, now);
   }
 }
@@ -146,8 +151,12 @@
     return;
   Progress& progress = found->second;
   progress.m_heard = now;
-  progress.m_confirmed = std::max(progress.m_confirmed, Instant(Duration(reply.sent_us)));
+  const Instant sent{Duration(reply.sent_us)};
+  progress.m_confirmed = std::max(progress.m_confirmed, sent);
   if (!reply.ok) {
+    if (sent < progress.m_resent)
+      return;  // What it lacks has been sent again since.
+    progress.m_resent = now;
     // The hint may lie below what is known to match: then it is an old reply.
     progress.m_next = std::max(reply.match, progress.m_match) + 1;
     SendAppend(node, from, effects, now);
--- a/tests/log_node_test.cc
+++ b/tests/log_node_test.cc
@@ -186,3 +186,57 @@
   NoteHello(lowest, info("c", 3), false);
   CHECK_FALSE(MayForm(lowest));
 }
+
+namespace {
+
+wire::LogEntry Answered(std::int64_t index, std::int64_t term, std::size_t bytes) {
+  wire::LogEntry entry = Noop(index, term);
+  entry.command = {};
+  wire::DocumentChange change;
+  change.edits.assign(bytes, 'x');
+  entry.command.__set_document_change(change);
+  return entry;
+}
+
+/// A follower says of an append that was sent at `sent` that it lacks what is after `match`.
+LogEffects Lacks(LogNode& node, MemberId from, std::int64_t match, int sent, int at) {
+  wire::LogMessage message = From(from, node.m_id);
+  wire::AppendReply reply;
+  reply.term = node.m_hard.term;
+  reply.ok = false;
+  reply.match = match;
+  reply.sent_us = At(sent).time_since_epoch().count();
+  message.body.__set_append_reply(reply);
+  return StepLog(node, message, At(at));
+}
+
+}  // namespace
+
+// Each late answer of a follower had all that it lacked sent to it once more.
+TEST_CASE("what a follower lacks is sent once for all answers to appends before that",
+          "[log][append]") {
+  LogNode node = Node(1, {Answered(2, 2, 5000)}, 3);
+  Elect(node, 0);
+  const LogEffects first = Lacks(node, 2, 1, 1010, 1100);
+  REQUIRE(first.m_send.size() == 1);
+  CHECK(first.m_send[0].body.append.entries.size() == 2);
+  for (const int sent : {1020, 1040, 1060, 1080})
+    CHECK(Lacks(node, 2, 1, sent, sent + 100).m_send.empty());
+  // An append of later says that they didn't come: the connection was lost.
+  CHECK(Lacks(node, 2, 1, 1150, 1250).m_send.size() == 1);
+}
+
+TEST_CASE("an append carries a bounded number of bytes and the rest follows", "[log][append]") {
+  std::vector<wire::LogEntry> entries;
+  for (std::int64_t index = 2; index < 12; ++index)
+    entries.push_back(Answered(index, 2, 30'000));
+  LogNode node = Node(1, entries, 3);
+  Elect(node, 0);
+  const LogEffects first = Lacks(node, 2, 1, 1010, 1100);
+  REQUIRE(first.m_send.size() == 1);
+  CHECK(first.m_send[0].body.append.entries.size() == 3);
+  const LogEffects second = Acknowledge(node, 2, 4, 1200);
+  REQUIRE(second.m_send.size() == 1);
+  CHECK(second.m_send[0].body.append.prev_index == 4);
+  CHECK(second.m_send[0].body.append.entries.size() == 3);
+}
