--- a/fuzz/codec_fuzz.cc
+++ b/fuzz/codec_fuzz.cc
@@ -46,8 +46,18 @@
   Require(server.sequence >= 0 && server.born >= 0 && server.cold_for_ms >= 0);
 }
 
+/// A decoder that has read a document before says of the next one what one says that hasn't.
+void RequireSameAfterAnother(std::string_view bytes, const Result<RouteTable>& table) {
+  platform::DocumentDecoder decoder;
+  for (int i = 0; i < 2; ++i) {
+    const Result<RouteTable> again = decoder.Decode(bytes);
+    Require(again.has_value() == table.has_value() && (!table || *again == *table));
+  }
+}
+
 void FuzzDocument(std::string_view bytes) {
   const Result<RouteTable> table = platform::DecodeDocument(bytes);
+  RequireSameAfterAnother(bytes, table);
   if (!table)
     return;
   for (const Route& route : table->m_routes) {
--- /dev/null
+++ b/tests/document_decoder_test.cc
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Documents that follow on one another are read as each is alone, whatever stays the same.
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <random>
+
+#include "poppyway/platform.h"
+
+namespace poppyway {
+namespace {
+
+std::string RouteText(int number, int timeout) {
+  const std::string name = std::to_string(number);
+  return R"({"name":"r)" + name + R"(","host":"A.example","path_prefix":"/p)" + name +
+         R"(/","route_kind":"safe","timeout_ms":)" + std::to_string(timeout) +
+         R"(,"slo_ms":300,"service":"app","note":"a ] \" } in words"})";
+}
+
+std::string DocumentText(const std::vector<std::string>& routes, const std::string& rest) {
+  std::string list;
+  for (const std::string& route : routes)
+    list += (list.empty() ? "" : ",\n ") + route;
+  return R"({"version":3,"routes":[)" + list + "]," + rest + "}";
+}
+
+const std::string kRest = R"("services":[{"name":"app"},{"name":"routes"}],"tenants":[])";
+
+/// Both say the same, of the table or of what is wrong.
+void CheckSame(platform::DocumentDecoder& decoder, const std::string& text) {
+  const Result<RouteTable> alone = platform::DecodeDocument(text);
+  const Result<RouteTable> after = decoder.Decode(text);
+  INFO(text.substr(0, 300));
+  REQUIRE(alone.has_value() == after.has_value());
+  if (alone)
+    CHECK(*alone == *after);
+  else
+    CHECK(alone.error().m_message == after.error().m_message);
+}
+
+TEST_CASE("a document after others is read as it is alone, whatever was changed") {
+  std::mt19937_64 random(17);
+  platform::DocumentDecoder decoder;
+  std::vector<std::string> routes;
+  for (int i = 0; i < 30; ++i)
+    routes.push_back(RouteText(i, 1000));
+  for (int round = 0; round < 100; ++round) {
+    switch (random() % 4) {
+      case 0:
+        routes.push_back(RouteText(100 + round, 1000));
+        break;
+      case 1:
+        routes.erase(routes.begin() + static_cast<std::ptrdiff_t>(random() % routes.size()));
+        break;
+      case 2:
+        routes[random() % routes.size()] = RouteText(1000 + round, round);  // Zero is refused.
+        break;
+      default:
+        std::shuffle(routes.begin(), routes.end(), random);
+        break;
+    }
+    CheckSame(decoder, DocumentText(routes, kRest));
+    if (round == 50)
+      CheckSame(decoder, DocumentText(routes, R"("services":[{"name":"other"}])"));
+  }
+}
+
+TEST_CASE("documents of odd shapes are read as each is alone") {
+  platform::DocumentDecoder decoder;
+  const std::string route = RouteText(1, 1000);
+  CheckSame(decoder, DocumentText({route}, kRest));
+  for (const std::string& text : {
+           DocumentText({}, kRest),
+           DocumentText({route, route}, kRest),
+           DocumentText({route}, kRest + R"(,"routes":[])"),
+           DocumentText({route}, kRest + R"(,"rout\u0065s":[)" + RouteText(2, 500) + "]"),
+           DocumentText({route}, kRest + ",") + " ",
+           DocumentText({route + ","}, kRest),
+           DocumentText({route, "7"}, kRest),
+           DocumentText({route, "[]"}, kRest),
+           DocumentText({route, "{]"}, kRest),
+           DocumentText({route, R"({"name":"r2"})"}, kRest),
+           DocumentText({route}, R"("services":[{"name":"app","routes":[{}]}])"),
+           R"({"version":3,"services":[]})" + std::string(),
+           R"({"version":3,"routes":null,"services":[]})" + std::string(),
+           R"({"version":3,"routes":{},"services":[]})" + std::string(),
+           " \n{ \"routes\" : [ " + route +
+               " ] , \"version\" : 4 , \"services\" : [ {\"name\":\"app\"} ] } ",
+           DocumentText({route}, kRest).substr(0, 200),
+           DocumentText({route}, kRest) + "}",
+           std::string(),
+           std::string("[]"),
+           std::string("{"),
+           std::string(R"({"routes":[")"),
+       })
+    CheckSame(decoder, text);
+  CheckSame(decoder, DocumentText({route}, kRest));
+}
+
+// Each change of a large configuration held up the requests of an instance while all of it was
+// read.
+TEST_CASE("a small change of a large document is read in a small part of the time of all of it") {
+  std::vector<std::string> routes;
+  for (int i = 0; i < 4000; ++i)
+    routes.push_back(RouteText(i, 1000));
+  const std::string first = DocumentText(routes, kRest);
+  routes[2000] = RouteText(2000, 1500);
+  const std::string second = DocumentText(routes, kRest);
+  const auto seconds_of = [](platform::DocumentDecoder& decoder, const std::string& text) {
+    const auto begun = std::chrono::steady_clock::now();
+    REQUIRE(decoder.Decode(text));
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  };
+  double whole = 0;
+  double change = 0;
+  constexpr int kRounds = 5;  // The best of each counts: others may use the processor.
+  for (int round = 0; round < kRounds; ++round) {
+    platform::DocumentDecoder decoder;
+    const double whole_now = seconds_of(decoder, first);
+    const double change_now = seconds_of(decoder, second);
+    whole = round == 0 ? whole_now : std::min(whole, whole_now);
+    change = round == 0 ? change_now : std::min(change, change_now);
+  }
+  CHECK(change < whole / 3);
+}
+
+}  // namespace
+}  // namespace poppyway
