--- a/soak/cases.py
+++ b/soak/cases.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import random
 import sys
 
 from fleet import Fleet, document, hold_subnets, release
@@ -25,6 +26,7 @@
         self.fleet = Fleet(program, subnet)
         self.callers = Callers(self.fleet.instances, KEY, per_s, seed)
         self.operator = Operator(self.fleet.members, seed)
+        self.rng = random.Random(f"{seed}-faults")  # Of what strikes and when.
         self.failures = []
 
     def check(self, holds, what):
@@ -43,6 +45,14 @@
         self.callers.start()
         await asyncio.sleep(warm_up_s)
 
+    async def kill_leader(self):
+        leader = self.fleet.leader()
+        if leader is None:
+            return  # All that have led are down.
+        leader.kill()
+        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
+        leader.start()
+
     async def stop_with(self, *servers):
         for some in servers:
             await some.stop()
--- a/soak/large_changes.py
+++ b/soak/large_changes.py
@@ -65,7 +65,6 @@
     def __init__(self, program, name, subnet, seed):
         super().__init__(program, name, subnet, seed, PER_S)
         self.servers = Servers(subnet, "v1", 4, self.fleet.members, Badness(), seed)
-        self.rng = random.Random(f"{seed}-faults")
         self.configuration = Configuration(seed)
         self.late = []
 
@@ -144,14 +143,6 @@
         for instance in struck:
             instance.start()
 
-    async def kill_leader(self):
-        leader = self.fleet.leader()
-        if leader is None:
-            return  # All that have led are down.
-        leader.kill()
-        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
-        leader.start()
-
     async def kill_members(self):
         for member in self.fleet.members:
             member.kill()
--- a/soak/server_words.py
+++ b/soak/server_words.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import collections
-import random
 import signal
 
 from cases import FleetCase, run_cases
@@ -95,7 +94,6 @@
     def __init__(self, program, name, subnet, seed):
         super().__init__(program, name, subnet, seed, PER_S)
         self.servers = Speaking(subnet, "v1", SERVERS, self.fleet.members, Badness(), seed)
-        self.rng = random.Random(f"{seed}-faults")
 
     async def nothing_else(self):
         await asyncio.sleep(SPELL_S)
@@ -119,14 +117,6 @@
             member.start()
         await asyncio.sleep(SPELL_S / 2)
 
-    async def kill_leader(self):
-        leader = self.fleet.leader()
-        if leader is None:
-            return  # All that have led are down.
-        leader.kill()
-        await asyncio.sleep(self.rng.uniform(0.2, 1.0))
-        leader.start()
-
     async def pause_member(self):
         member = self.rng.choice(self.fleet.members)
         member.send_signal(signal.SIGSTOP)
