--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -193,6 +193,13 @@
         "change; deltas by long poll, spread over the members. Not built: one group in each region (today a "
         "parted region without the majority keeps its version and stops changing).\n")
 
+    say("A hosted deployment's document travels as steps: a change of one time-out in 0.8 MB (4,250 routes) is "
+        "0.09 to 0.17 KB to each member and instance, 1,400 new routes are 22 to 33 KB, an instance that starts "
+        f"fetches some 60 KB; {changes:.3f} small changes/s are {changes * 170:.0f} B/s an instance. A member keeps the "
+        "last 512 steps (1 MB at most) and two packed documents beside the document; an instance keeps the "
+        "document. Taking a step costs an instance a quarter of the time of reading all (5.6 of 21.6 ms on one "
+        "core), at most a fifth of its time.\n")
+
     # ---- ledger ------------------------------------------------------------------------------
     named = REQUESTS * NAMED
     sync = at("log_sync_per_entry_us", BATCH)
