A new leader answers nothing before its state holds all that is acknowledged

What callers saw: an operator who asked right after a leader was killed was told that no roll-out was ordered (404), though its order had been acknowledged; or was shown an older version of the configuration than one that was acknowledged.

Cause: a leader may answer reads once it has committed the first entry of its term. But what is committed is applied to its state only after the next sync, and calls that came meanwhile were answered from the state before, which may lack the last entries of the leader before. Refusals (unknown pool, too many servers) were given from that state as well, and places by a broker that may not know that a server leaves.

Evidence: the check now says what was answered.

Change: ConfirmedLeader takes the index that is applied, so that no reader of the state can pass over it. Refusals are given by a confirmed leader only.

Why this works: all that earlier leaders acknowledged lies before the first entry of the term; what this leader acknowledges is applied first.

--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -137,10 +137,14 @@
   });
 }
 
+bool MemberSide::Confirmed(Instant now) const {
+  return ConfirmedLeader(m_node, m_machine.m_applied, now);
+}
+
 bool MemberSide::LeadsForSure(const ReplyFn& reply) const {
-  if (ConfirmedLeader(m_node, ReadClock()))
+  if (Confirmed(ReadClock()))
     return true;
-  reply(ErrorBody(ResultCode::kNoMajority, "this leader has not heard a majority lately"));
+  reply(ErrorBody(ResultCode::kNoMajority, "this leader is not confirmed by a majority"));
   return false;
 }
 
@@ -202,9 +206,10 @@
   }
   if (TellsNews(record)) {
     if (m_registry.Refuses(m_machine.m_hosted, record)) {
-      reply(ErrorBody(ResultCode::kNotFound, "no pool '" + record.pool +
-                                                 "' is configured, and too many such servers "
-                                                 "are registered"));
+      if (LeadsForSure(reply))
+        reply(ErrorBody(ResultCode::kNotFound, "no pool '" + record.pool +
+                                                   "' is configured, and too many such servers "
+                                                   "are registered"));
       return;
     }
     wire::Command command;
@@ -235,13 +240,14 @@
   wire::Body done;
   done.__set_done(true);
   const Instant now = ReadClock();
-  if (m_rollouts.Repeats(m_machine.m_hosted, order, now) && ConfirmedLeader(m_node, now)) {
+  if (m_rollouts.Repeats(m_machine.m_hosted, order, now) && Confirmed(now)) {
     reply(std::move(done));
     return;
   }
   if (!KnowsPool(order.pool)) {
-    reply(ErrorBody(ResultCode::kNotFound,
-                    "no backend server of pool '" + order.pool + "' has ever registered"));
+    if (LeadsForSure(reply))
+      reply(ErrorBody(ResultCode::kNotFound,
+                      "no backend server of pool '" + order.pool + "' has ever registered"));
     return;
   }
   wire::Propose propose;
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -391,7 +391,7 @@
 
 void MemberSide::OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply) {
   const Instant now = ReadClock();
-  if (!ConfirmedLeader(m_node, now) || m_table.m_leading_since == Instant{}) {
+  if (!Confirmed(now) || m_table.m_leading_since == Instant{}) {
     reply(NotLeader());
     return;
   }
@@ -422,7 +422,7 @@
 
 void MemberSide::OnPlaces(const wire::PlaceBatch& batch, PeerConnection& from) {
   const Instant now = ReadClock();
-  m_places.OnBatch(batch, from, ConfirmedLeader(m_node, now), now);
+  m_places.OnBatch(batch, from, Confirmed(now), now);
 }
 
 void MemberSide::OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply) {
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -153,7 +153,10 @@
   /// Hosted, as the leader: what is due of roll-outs.
   void ProposeRollouts(Instant now);
   [[nodiscard]] bool KnowsPool(const std::string& pool) const;
-  /// True if a majority has confirmed lately that this member leads; if not, replies so.
+  /// True if a majority has confirmed lately that this member leads, and its state holds all that
+  /// is acknowledged.
+  [[nodiscard]] bool Confirmed(Instant now) const;
+  /// True if it is confirmed; if not, replies so.
   [[nodiscard]] bool LeadsForSure(const ReplyFn& reply) const;
   /// Following a leader, this member has applied what the server's call says: it needs no leader.
   /// Four heartbeats of five tell nothing new at another member; with 3,000 servers that were 2,000
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -8,7 +8,7 @@
 namespace poppyway {
 
 void MemberSide::OnObjects(const wire::ObjectsRequest& request, const ReplyFn& reply) {
-  if (!ConfirmedLeader(m_node, ReadClock())) {
+  if (!Confirmed(ReadClock())) {
     reply(NotLeader());
     return;
   }
--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -126,11 +126,15 @@
 [[nodiscard]] std::size_t BytesOf(const wire::LogEntry& entry) noexcept;
 /// \brief True while a majority of voters answered within the last election timeout.
 [[nodiscard]] bool LeadsWithQuorum(const LogNode& node, Instant now);
-/// \brief True if a majority of voters is known to have followed this leader within the last
-/// shortest election timeout, counted from when the append was sent, and the leader has committed
-/// in its term. Until then no other leader can have committed anything, however long replies were
-/// on their way.
-[[nodiscard]] bool ConfirmedLeader(const LogNode& node, Instant now);
+/// \brief True on a leader whose state, with entries up to `applied` in it, holds all that leaders
+/// before it committed. A new leader learns what that is by committing the first entry of its term.
+[[nodiscard]] bool HoldsAllCommitted(const LogNode& node, std::int64_t applied) noexcept;
+/// \brief True if reads of a leader's state, with entries up to `applied` in it, miss nothing that
+/// was acknowledged: it holds all that is committed, and a majority of voters is known to have
+/// followed this leader within the last shortest election timeout, counted from when the append was
+/// sent. Until then no other leader can have committed anything, however long replies were on their
+/// way.
+[[nodiscard]] bool ConfirmedLeader(const LogNode& node, std::int64_t applied, Instant now);
 /// \brief A voter that has been silent for longest and may be removed: another member is ready to
 /// take its place, or the count of voters is even, so that its removal costs no tolerance.
 [[nodiscard]] std::optional<MemberId> RemovableVoter(const LogNode& node, Instant now);
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -59,8 +59,12 @@
   return heard >= Majority(node.m_membership);
 }
 
-bool ConfirmedLeader(const LogNode& node, Instant now) {
-  if (node.m_role != Role::kLeader || node.m_commit < node.m_term_start)
+bool HoldsAllCommitted(const LogNode& node, std::int64_t applied) noexcept {
+  return node.m_role == Role::kLeader && applied >= node.m_term_start;
+}
+
+bool ConfirmedLeader(const LogNode& node, std::int64_t applied, Instant now) {
+  if (!HoldsAllCommitted(node, applied))
     return false;
   std::size_t confirmed = IsVoter(node.m_membership, node.m_id) ? 1 : 0;
   for (const auto& [id, progress] : node.m_progress) {
--- a/soak/large_changes.py
+++ b/soak/large_changes.py
@@ -14,7 +14,7 @@
 import time
 
 from cases import KEY, POOL, FleetCase, run_cases
-from fleet import INTERNAL_PORTS, document
+from fleet import CONTROL_PORT, INTERNAL_PORTS, document
 from stand_ins import Badness, Servers, call
 
 PER_S = 50
@@ -29,6 +29,9 @@
 IDLE_S = 3.0  # For which the bytes of a fleet at rest are counted.
 # What a change may cost for each process beside its own size: versions, answers, acknowledgements.
 SMALL_COST_BYTES = 4096
+KILLS = 8  # Of one leader after the other, while operators ask.
+ASKED_S = 0.8  # From a kill on: another leads by then.
+READERS, WRITERS = 5, 3  # At each member, each one call after the other.
 METRICS_PORT = int(INTERNAL_PORTS.split(",")[0]) + 10
 
 
@@ -168,6 +171,35 @@
         self.check(held == self.configuration.version,
                    f"read back {held} after {self.configuration.version} was acknowledged")
 
+    async def asked_while_leaders_change(self):
+        """No operator is shown an older version than one that was acknowledged, and none that sends
+        a newer one is refused."""
+        for _ in range(KILLS):
+            leader = self.fleet.leader()
+            self.configuration.change_time_out()
+            await self.put()
+            leader.kill()
+            acknowledged, end = self.configuration.version, time.monotonic() + ASKED_S
+            members = [member for member in self.fleet.members if member is not leader]
+            await asyncio.gather(
+                *[self.read_until(end, member, acknowledged) for member in members * READERS],
+                *[self.write_until(end, member) for member in members * WRITERS])
+            leader.start()
+            await asyncio.sleep(ASKED_S)
+
+    async def read_until(self, end, member, acknowledged):
+        while time.monotonic() < end:
+            status, body = await call(member.address, CONTROL_PORT, "GET", "/-/config")
+            if status == 200:
+                held = json.loads(body)["version"]
+                self.check(held >= acknowledged, f"{held} was read after {acknowledged}")
+
+    async def write_until(self, end, member):
+        while time.monotonic() < end:
+            text = self.configuration.next_text()
+            status, _ = await call(member.address, CONTROL_PORT, "PUT", "/-/config", text)
+            self.check(status in (0, 200, 503), f"a newer version got {status}")
+
     async def play(self):
         await self.start_with(self.servers)
         await CASES[self.name](self)
@@ -187,6 +219,7 @@
     "leader-killed": lambda case: case.changes_under(case.kill_leader),
     "all-members-killed": lambda case: case.changes_under(case.kill_members),
     "overlapping-faults": lambda case: case.changes_under(case.overlapping),
+    "asked-while-leaders-change": Case.asked_while_leaders_change,
 }
 
 
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -92,10 +92,12 @@
     async def refuses_others(self):
         """Orders while the roll-out is under way. Only called while no verdict may come: the target
         has no servers yet, or none that is bad, and it is long before the time to move."""
-        self.check(await self.operator.state(POOL) == "in_progress", "not under way")
+        state = await self.operator.state(POOL)
+        self.check(state == "in_progress", f"not under way: {state}")
         self.check(await self.operator.order(POOL, "v3", SECONDS) == 409, "another version")
         self.check(await self.operator.order(POOL, "v2", SECONDS) in (200, 409), "repeated")
-        self.check(await self.operator.state(POOL) == "in_progress", "no longer under way")
+        state = await self.operator.state(POOL)
+        self.check(state == "in_progress", f"no longer under way: {state}")
 
     async def repeats(self):
         """The same order again, whether a verdict came or not."""
--- a/tests/log_membership_test.cc
+++ b/tests/log_membership_test.cc
@@ -55,18 +55,27 @@
     progress.m_confirmed = {};
   (void)StepLog(node, AppendAnswer(2, kNow - Duration(4'000'000)), kNow);
   CHECK(LeadsWithQuorum(node, kNow));
-  CHECK_FALSE(ConfirmedLeader(node, kNow));
+  CHECK_FALSE(ConfirmedLeader(node, node.m_commit, kNow));
   (void)StepLog(node, AppendAnswer(2, kNow - Duration(5'000)), kNow);
-  CHECK(ConfirmedLeader(node, kNow));
-  CHECK_FALSE(ConfirmedLeader(node, kNow + node.m_timing.m_election_min));
+  CHECK(ConfirmedLeader(node, node.m_commit, kNow));
+  CHECK_FALSE(ConfirmedLeader(node, node.m_commit, kNow + node.m_timing.m_election_min));
 }
 
 TEST_CASE("a leader that has committed nothing in its term confirms nothing") {
   LogNode node = MakeLeader(3);
   node.m_term_start = 1;
-  CHECK_FALSE(ConfirmedLeader(node, kNow));
+  CHECK_FALSE(ConfirmedLeader(node, node.m_commit, kNow));
   node.m_commit = 1;
-  CHECK(ConfirmedLeader(node, kNow));
+  CHECK(ConfirmedLeader(node, node.m_commit, kNow));
+}
+
+TEST_CASE("a leader that has not applied the first entry of its term confirms nothing") {
+  // Its state misses what an earlier leader acknowledged.
+  LogNode node = MakeLeader(3);
+  node.m_term_start = 1;
+  node.m_commit = 1;
+  CHECK_FALSE(ConfirmedLeader(node, 0, kNow));
+  CHECK(ConfirmedLeader(node, 1, kNow));
 }
 
 TEST_CASE("a gone voter is removed once a successor has caught up") {
