A new leader proposes no step from a document that was replaced before it led

A new leader that had not applied the last entries of the one before made it from an older document; the step was refused when it was applied, and an operator's proper order got a conflict.

Change: such an order waits until the first entry of the leader's term is applied, behind an entry of its own, and is looked at then. That takes some milliseconds once after an election; a leader without a majority answers as before, after its proposal's time.

--- a/apps/poppywayd/member_document.cc
+++ b/apps/poppywayd/member_document.cc
@@ -48,6 +48,11 @@
     ForwardDocument(document, false, reply);
     return;
   }
+  if (!HoldsAllCommitted(m_node, m_machine.m_applied)) {
+    // A step from a document that an earlier leader has replaced would be refused.
+    AwaitState(reply, [this, document, reply] { SubmitDocument(document, reply); });
+    return;
+  }
   if (document.version <= m_machine.m_hosted.m_document.version) {
     // An older version goes through the log too: its acknowledgement must come from a leader that
     // still is one, and the newest one must be safe by then.
@@ -72,6 +77,17 @@
   m_waiting_document->m_replies.push_back(reply);
 }
 
+void MemberSide::AwaitState(const ReplyFn& reply, std::function<void()> act) {
+  wire::Command command;
+  command.__set_noop(true);
+  Commit(std::move(command), [reply, act = std::move(act)](wire::Body answer) {
+    if (answer.__isset.error)
+      reply(std::move(answer));
+    else
+      act();
+  });
+}
+
 void MemberSide::ProposeDocument(DocumentOrder order) {
   const Instant begun = ReadClock();
   wire::DocumentChange change = ChangeBetween(m_machine.m_hosted.m_document, order.m_document);
@@ -127,6 +143,10 @@
 }
 
 void MemberSide::SubmitDocumentChange(const wire::DocumentChange& change, const ReplyFn& reply) {
+  if (leads() && !HoldsAllCommitted(m_node, m_machine.m_applied)) {
+    AwaitState(reply, [this, change, reply] { SubmitDocumentChange(change, reply); });
+    return;
+  }
   const wire::Document& held = m_machine.m_hosted.m_document;
   wire::Document document;
   document.version = change.version;
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -130,6 +130,9 @@
   void ForwardDocument(const wire::Document& document, bool whole, const ReplyFn& reply);
   /// Proposes commands of this leader and replies `done` once they are applied.
   void Commit(wire::Command command, const ReplyFn& reply);
+  /// Calls `act` once this new leader's state holds all that earlier ones committed, or `reply`
+  /// with why that failed.
+  void AwaitState(const ReplyFn& reply, std::function<void()> act);
   [[nodiscard]] std::string MemberName() const;
   [[nodiscard]] bool LacksLeader(Instant now) const;
   [[nodiscard]] bool HasNews(const wire::ConfigPoll& poll) const;
