Callers of the soak keep their connections open; planned stops are one of its faults

Until now each request of the soak came on a connection of its own, so that no run showed what happens to a caller that goes on using the one it has until the process is gone. Callers now use their open connections again; one that the other side closed is dropped. Calls of operators and servers stay as they were, through the same code.

New case of soak/large_changes.py, instances-stop: two thirds of the instances are told to stop while versions come. They must end in time, and no request that was sent up to 2 s after the signal (instances say that they serve for 2.5 s) may be without an answer. Planned stops are also among the faults that overlap. `seen` is shared by the soak programs.

--- a/soak/cases.py
+++ b/soak/cases.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import sys
+import time
 
 from fleet import Fleet, document, hold_subnets, release
 from stand_ins import Callers, Operator
@@ -16,6 +17,17 @@
 DOCUMENT_LIMIT_S = 15
 REGISTER_S = 2.0  # Servers register within two of their heartbeats.
 WARM_UP_S = 1.0
+STEP_LIMIT_S = 5.0  # For a step that is waited for; every one comes far earlier.
+
+
+async def seen(sight, limit=STEP_LIMIT_S):
+    """Waits until `sight()` holds; false if it doesn't within the limit."""
+    end = time.monotonic() + limit
+    while not sight():
+        if time.monotonic() > end:
+            return False
+        await asyncio.sleep(0.005)
+    return True
 
 
 class FleetCase:
--- a/soak/large_changes.py
+++ b/soak/large_changes.py
@@ -11,9 +11,10 @@
 import json
 import random
 import re
+import signal
 import time
 
-from cases import KEY, POOL, FleetCase, run_cases
+from cases import KEY, POOL, FleetCase, run_cases, seen
 from fleet import CONTROL_PORT, INTERNAL_PORTS, document
 from stand_ins import Badness, Servers, call
 
@@ -24,6 +25,8 @@
 SMALL = 12  # Small changes in a row.
 SMALL_GAP_S = 0.2
 IN_FORCE_S = 3.0  # From the acknowledgement of a change until it holds at every instance.
+SERVES_S = 2.0  # An instance that is told to stop serves for longer.
+STOPPED_S = 8.0  # Until it has ended.
 FAULT_S = 6.0  # For the faults of a case to be over and what they struck to have caught up.
 REST_S = 2.0
 IDLE_S = 3.0  # For which the bytes of a fleet at rest are counted.
@@ -146,6 +149,19 @@
         for instance in struck:
             instance.start()
 
+    async def stop_instances(self):
+        """Planned stops, while callers use their open connections until the process is gone."""
+        struck = self.rng.sample(self.fleet.instances, max(1, len(self.fleet.instances) * 2 // 3))
+        begun = time.monotonic()
+        for instance in struck:
+            instance.send_signal(signal.SIGTERM)
+        ended = await seen(lambda: not any(instance.running() for instance in struck), STOPPED_S)
+        self.check(ended, f"a stopped instance still runs after {STOPPED_S} s")
+        cut = [sent - begun for sent, _ in self.callers.cut if sent <= begun + SERVES_S]
+        self.check(not cut, f"requests without an answer, sent {cut[:3]} s after the stop")
+        for instance in struck:
+            instance.start()
+
     async def kill_members(self):
         for member in self.fleet.members:
             member.kill()
@@ -153,10 +169,17 @@
         for member in self.fleet.members:
             member.start()
 
+    async def stop_in_passing(self):
+        """A planned stop of one instance that other faults may strike meanwhile."""
+        struck = self.rng.choice(self.fleet.instances)
+        struck.send_signal(signal.SIGTERM)
+        await seen(lambda: not struck.running(), STOPPED_S)
+        struck.start()
+
     async def overlapping(self):
         for fault in self.rng.sample(
                 (self.restart_instances, self.kill_leader, self.kill_members,
-                 self.restart_instances, self.kill_leader), 3):
+                 self.stop_in_passing, self.kill_leader), 3):
             await fault()
             await asyncio.sleep(self.rng.uniform(0.0, 0.8))
 
@@ -216,6 +239,7 @@
 CASES = {
     "cost": Case.cost_follows_the_change,
     "instances-restart": lambda case: case.changes_under(case.restart_instances),
+    "instances-stop": lambda case: case.changes_under(case.stop_instances),
     "leader-killed": lambda case: case.changes_under(case.kill_leader),
     "all-members-killed": lambda case: case.changes_under(case.kill_members),
     "overlapping-faults": lambda case: case.changes_under(case.overlapping),
--- a/soak/rollouts.py
+++ b/soak/rollouts.py
@@ -14,7 +14,7 @@
 import asyncio
 import time
 
-from cases import POOL, FleetCase, run_cases
+from cases import POOL, FleetCase, run_cases, seen
 from stand_ins import Badness, Servers
 
 SECONDS = 8
@@ -26,7 +26,6 @@
 WORK_S = 0.02  # A request's time at a server.
 LONG_WORK_S = 0.1  # Keeps old servers at work for some time after the decision to move.
 MOVED_RUNS = 2  # At the target, after the decision to move: it was committed and is acted upon.
-STEP_LIMIT_S = 5.0  # For a step that is waited for; every one comes far earlier.
 LEADER_GONE_S = 1.0  # The others elect a new leader in this time.
 DECIDED = "event=rollout_decided"  # A leader's log has it at the move, and again at the end.
 # An order is answered as before for 6 s; one that is sent again by then, with an answer in time,
@@ -55,16 +54,6 @@
 }
 
 
-async def seen(sight, limit=STEP_LIMIT_S):
-    """Waits until `sight()` holds; false if it doesn't within the limit."""
-    end = time.monotonic() + limit
-    while not sight():
-        if time.monotonic() > end:
-            return False
-        await asyncio.sleep(0.005)
-    return True
-
-
 class Case(FleetCase):
     """One roll-out from start to end."""
 
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -21,22 +21,63 @@
     return head[0], fields, body
 
 
+def write_request(writer, method, path, body, fields):
+    lines = [f"{method} {path} HTTP/1.1", "Host: a.example", f"Content-Length: {len(body)}", *fields]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+
+
 async def call(address, port, method, path, body="", fields=(), timeout=2.0):
     """One request on a connection of its own: status and body; 0 without a whole answer."""
-    writer = None
+    connections = Connections(address, port)
     try:
-        async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.open_connection(address, port)
-            lines = [f"{method} {path} HTTP/1.1", "Host: a.example",
-                     f"Content-Length: {len(body)}", *fields]
-            writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
-            message = await read_message(reader)
-            return (0, b"") if message is None else (int(message[0].split()[1]), message[2])
-    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-        return 0, b""
+        return await connections.call(method, path, body, fields, timeout)
     finally:
-        if writer:
+        connections.close()
+
+
+class Connections:
+    """Connections to one place that stay open and are used again until the place closes them."""
+
+    def __init__(self, address, port):
+        self._address, self._port = address, port
+        self._idle = []
+
+    async def call(self, method, path, body="", fields=(), timeout=2.0):
+        """Status and body; 0 without a whole answer."""
+        reader, writer = None, None
+        try:
+            async with asyncio.timeout(timeout):
+                reader, writer = self._take() or await asyncio.open_connection(
+                    self._address, self._port)
+                write_request(writer, method, path, body, fields)
+                message = await read_message(reader)
+            if message is None:
+                return 0, b""
+            status, answer = int(message[0].split()[1]), message[2]
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            return 0, b""
+        else:
+            if message[1].get("connection") != "close":
+                self._idle.append((reader, writer))
+                writer = None
+            return status, answer
+        finally:
+            if writer:
+                writer.close()
+
+    def close(self):
+        for _, writer in self._idle:
+            writer.close()
+        self._idle = []
+
+    def _take(self):
+        """An open connection that nothing is asked on, or None."""
+        while self._idle:
+            reader, writer = self._idle.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
             writer.close()
+        return None
 
 
 class Badness:
@@ -156,13 +197,16 @@
 
 
 class Callers:
-    """A steady stream of requests to all instances; counts what came of them."""
+    """A steady stream of requests to all instances, on connections that stay open until the instance
+    closes them or is gone; counts what came of them."""
 
     def __init__(self, instances, key, per_s, seed):
         self.sent = []  # (when, id); the id ends with the number of the instance that got it.
         self.outcomes = {}  # Status to count.
         self.wrong = []  # Answers that aren't the caller's own.
-        self._instances, self._key, self._per_s = instances, key, per_s
+        self.cut = []  # (when it was sent, number of the instance) of requests without an answer.
+        self._key, self._per_s = key, per_s
+        self._connections = [Connections(instance.address, CALLERS_PORT) for instance in instances]
         self._rng = random.Random(f"{seed}-callers")
         self._task = None
         self._open = set()
@@ -173,12 +217,14 @@
     async def stop(self):
         self._task.cancel()
         await asyncio.gather(*self._open, return_exceptions=True)
+        for connections in self._connections:
+            connections.close()
 
     async def _run(self):
         number = 0
         while True:
             number += 1
-            instance = self._rng.randrange(len(self._instances))
+            instance = self._rng.randrange(len(self._connections))
             task = asyncio.create_task(self._one(f"r{number}-{instance}", instance))
             self._open.add(task)
             task.add_done_callback(self._open.discard)
@@ -186,13 +232,15 @@
 
     async def _one(self, ident, instance):
         route = "look" if self._rng.random() < 0.5 else "book"
-        self.sent.append((time.monotonic(), ident))
-        status, body = await call(
-            self._instances[instance].address, CALLERS_PORT,
+        sent = time.monotonic()
+        self.sent.append((sent, ident))
+        status, body = await self._connections[instance].call(
             "GET" if route == "look" else "POST", f"/{route}/x",
             fields=(f"X-Attempt-Id: {ident}", f"Authorization: Bearer {self._key}",
                     "X-Deadline-Ms: 2000"), timeout=3.0)
         self.outcomes[status] = self.outcomes.get(status, 0) + 1
+        if status == 0:
+            self.cut.append((sent, instance))
         if status == 200 and not body.endswith(f" {ident}".encode()):
             self.wrong.append(ident)
 
