--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -10,6 +10,7 @@
 constexpr std::uint64_t kBusyTickMillis = 5;
 constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr std::uint64_t kMetricsMillis = 1000;
+constexpr Duration kStall{100'000};      // Twice the interval of the log's heartbeats.
 constexpr Duration kLongQueue{100'000};  // A message that waits for longer is late for its reader.
 
 }  // namespace
@@ -62,8 +63,20 @@
   return m_server.Listen(m_settings.m_peer.m_address, m_settings.m_peer.m_port);
 }
 
+void ControlTask::LogStall(Instant now) {
+  const Duration synced = m_member ? m_member->SyncTime() : Duration(0);
+  if (m_ticked != Instant{} && now - m_ticked > kStall) {
+    ++m_stalls;
+    POPPYWAY_LOG(warning, "loop_stalled")
+        .Field("ms", (now - m_ticked).count() / 1000)
+        .Field("sync_ms", (synced - m_synced).count() / 1000);
+  }
+  m_synced = synced;
+}
+
 bool ControlTask::Tick() {
   const Instant now = ReadClock();
+  LogStall(now);
   if (m_member)
     m_member->Tick(now);
   m_brokers.Tick(now);
@@ -73,12 +86,16 @@
   m_platform.Tick(now);
   if (m_stop_requested.load() && !m_stopping) {
     m_stopping = true;
+    POPPYWAY_LOG(info, "stopping")
+        .Field("leads", m_member && m_member->leads())
+        .Field("follows", m_member && m_member->Follows(now));
     m_instance.BeginStop();
   }
   if (m_stopping && m_instance.Stopped()) {
     POPPYWAY_LOG(info, "stopped");
     m_loop.Stop();
   }
+  m_ticked = ReadClock();
   // A member's elections and heartbeats need the short interval; others only when work waits.
   return m_member || m_stopping || m_brokers.Busy() || m_instance.Busy();
 }
@@ -104,6 +121,7 @@
   m_instance.AddMetrics(metrics);
   const std::uint64_t sent =
       m_server.bytes_sent() + m_instance.bytes_sent() + (m_member ? m_member->bytes_sent() : 0);
+  metrics.Set("poppyway_loop_stalls", "", static_cast<double>(m_stalls));
   metrics.Set("poppyway_peer_sent_bytes", "", static_cast<double>(sent));
   metrics.Set("poppyway_peer_queued_bytes", "", static_cast<double>(Queue().m_bytes));
 }
--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -46,6 +46,8 @@
   /// Returns whether the next tick is due soon.
   bool Tick();
   void PublishMetrics();
+  /// Writes a line if the loop did nothing else for long since its last tick.
+  void LogStall(Instant now);
   /// What waits to be written to peers.
   [[nodiscard]] SendQueue Queue() const;
   /// At most one line a call, where something has waited for long.
@@ -66,6 +68,9 @@
   bool m_stopping = false;
   bool m_has_forwarder = false;
   std::uint64_t m_bad_messages = 0;
+  Instant m_ticked{};          ///< End of the last tick.
+  Duration m_synced{};         ///< What syncs had taken in all until then.
+  std::uint64_t m_stalls = 0;  ///< Of the loop.
 };
 
 }  // namespace poppyway
--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -244,6 +244,8 @@
     QueuedCommand queued;
     queued.m_command.__set_claim(claim->m_claim);
     queued.m_ref = claim->m_ref;
+    queued.m_asked = now;
+    queued.m_deadline = claim->m_deadline;
     queued.m_expires = now + kClaimLimit;
     if (m_commands.size() >= kMaxCommands)
       GiveUp(queued);
@@ -271,6 +273,7 @@
     while (!m_commands.empty() && sent.size() < kMaxBatch) {
       propose.commands.push_back(m_commands.front().m_command);
       sent.push_back(std::move(m_commands.front()));
+      ++sent.back().m_tries;
       m_commands.pop_front();
     }
     wire::Body body;
@@ -289,8 +292,12 @@
       reply && reply->__isset.propose_reply && reply->propose_reply.results.size() == sent.size();
   if (done) {
     for (std::size_t i = 0; i < sent.size(); ++i) {
-      if (sent[i].m_ref != 0)
-        Answer(sent[i].m_ref, reply->propose_reply.results[i].claim);
+      if (sent[i].m_ref == 0)
+        continue;
+      const wire::ClaimResult& claim = reply->propose_reply.results[i].claim;
+      if (claim.verdict == wire::ClaimVerdict::UNKNOWN)
+        LogClaim("claim_unknown", sent[i]);
+      Answer(sent[i].m_ref, claim);
     }
     return;
   }
@@ -305,9 +312,18 @@
   m_to_gateway(ClaimAnswer{ref, result});
 }
 
+void InstanceSide::LogClaim(const char* event, const QueuedCommand& command) {
+  const Instant now = ReadClock();
+  POPPYWAY_LOG(info, event)
+      .Field("waited_ms", (now - command.m_asked).count() / 1000)
+      .Field("left_ms", (command.m_deadline - now).count() / 1000)
+      .Field("tries", command.m_tries);
+}
+
 void InstanceSide::GiveUp(const QueuedCommand& command) {
   if (command.m_ref == 0)
     return;
+  LogClaim("claim_given_up", command);
   ++m_claims_unavailable;
   wire::ClaimResult unavailable;
   unavailable.verdict = wire::ClaimVerdict::UNAVAILABLE;
--- a/apps/poppywayd/instance_side.h
+++ b/apps/poppywayd/instance_side.h
@@ -54,7 +54,10 @@
   struct QueuedCommand {
     wire::Command m_command;
     RequestRef m_ref = 0;  ///< Of the exchange that waits for a claim; zero for a finish.
+    Instant m_asked{};
+    Instant m_deadline{};  ///< Of the request.
     Instant m_expires{};
+    int m_tries = 0;  ///< Times that it was sent to a leader.
   };
   struct BrokerLine {
     wire::LeaseGrant m_lease;
@@ -96,6 +99,8 @@
   void OnProposed(std::vector<QueuedCommand> sent, const Result<wire::Body>& reply);
   void GiveUp(const QueuedCommand& command);
   void Answer(RequestRef ref, const wire::ClaimResult& result);
+  /// One line on a claim that got neither a grant nor an earlier answer.
+  static void LogClaim(const char* event, const QueuedCommand& command);
   void ExpireCommands(Instant now);
   void OnDemand(const SendDemand& message);
   void OnGrants(const wire::Grants& grants);
--- a/apps/poppywayd/member_disk.cc
+++ b/apps/poppywayd/member_disk.cc
@@ -57,7 +57,10 @@
     OnStateReplaced();
   }
   if (effects.NeedsSync()) {
-    if (Result<void> saved = m_store->Save(m_node, effects); !saved) {
+    const Instant begun = ReadClock();
+    const Result<void> saved = m_store->Save(m_node, effects);
+    m_sync_times.Record(ReadClock() - begun);
+    if (!saved) {
       if (saved.error().m_code != ResultCode::kDiskFull)
         FatalDisk(saved.error());
       HoldBack(std::move(effects), saved.error());
@@ -81,7 +84,9 @@
     return;
   const Instant begun = ReadClock();
   const wire::Snapshot snapshot = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
-  if (Result<void> saved = m_store->SaveSnapshot(m_node, snapshot); !saved) {
+  const Result<void> saved = m_store->SaveSnapshot(m_node, snapshot);
+  m_sync_times.Record(ReadClock() - begun);
+  if (!saved) {
     if (saved.error().m_code != ResultCode::kDiskFull)
       FatalDisk(saved.error());
     // The log in memory begins after the snapshot now; the one on the disk is whole without it.
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -206,11 +206,26 @@
   AnswerPolls(now);
 }
 
-void MemberSide::Lead(Instant now) {
-  const bool led = leads();
-  Take(TickLog(m_node, now));
+void MemberSide::LogPartChange(const Part& before, Instant heard, Instant now) const {
+  const std::int64_t silent_ms = (now - heard).count() / 1000;
+  const bool led = before.m_role == Role::kLeader;
   if (leads() && !led)
     POPPYWAY_LOG(info, "leading").Field("term", m_node.m_hard.term);
+  if (led && !leads())
+    POPPYWAY_LOG(info, "lead_lost").Field("term", m_node.m_hard.term).Field("led_ms", silent_ms);
+  if (!leads() && before.m_leader == 0 && m_node.m_leader != 0)
+    POPPYWAY_LOG(info, "following").Field("term", m_node.m_hard.term);
+  if (!led && before.m_leader != 0 && m_node.m_leader == 0)
+    POPPYWAY_LOG(info, "leader_lost")
+        .Field("term", m_node.m_hard.term)
+        .Field("silent_ms", silent_ms);
+}
+
+void MemberSide::Lead(Instant now) {
+  const Part before = CurrentPart();
+  const Instant heard = m_node.m_leader_heard;
+  Take(TickLog(m_node, now));
+  LogPartChange(before, heard, now);
   if ((Blank() || LacksLeader(now)) && now >= m_hello_due)
     SayHello(now);
   if (!leads()) {
@@ -326,7 +341,10 @@
     wire::InstanceGone gone;
     gone.incarnation = incarnation;
     commands.emplace_back().__set_gone(gone);
-    POPPYWAY_LOG(info, "instance_gone").Field("incarnation", incarnation);
+    POPPYWAY_LOG(info, "instance_gone")
+        .Field("incarnation", incarnation)
+        .Field("led_ms", (now - m_table.m_leading_since).count() / 1000)
+        .Field("beats_refused", m_beats_refused);
   }
   m_table.m_gone.clear();
   std::vector<std::string> pools;
@@ -347,12 +365,13 @@
   if (m_disk_full)
     return;  // A member that can't write takes no part, as if it were slow.
   m_names[message.from_id] = message.from_name;
-  const bool led = leads();
-  Take(StepLog(m_node, message, ReadClock()));
-  if (leads() && !led) {
+  const Part before = CurrentPart();
+  const Instant heard = m_node.m_leader_heard;
+  const Instant now = ReadClock();
+  Take(StepLog(m_node, message, now));
+  if (leads() && before.m_role != Role::kLeader)
     m_proposing_until = 0;
-    POPPYWAY_LOG(info, "leading").Field("term", m_node.m_hard.term);
-  }
+  LogPartChange(before, heard, now);
 }
 
 wire::Body MemberSide::NotLeader() const {
@@ -392,6 +411,8 @@
 void MemberSide::OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply) {
   const Instant now = ReadClock();
   if (!Confirmed(now) || m_table.m_leading_since == Instant{}) {
+    if (leads())
+      ++m_beats_refused;
     reply(NotLeader());
     return;
   }
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -81,6 +81,10 @@
   [[nodiscard]] wire::Body NotLeader() const;
   void AddMetrics(MetricSet& metrics) const;
   [[nodiscard]] SendQueue queue() const;
+  /// Total time that syncs took.
+  [[nodiscard]] Duration SyncTime() const noexcept;
+  /// True while this member leads, or follows a leader that it has heard lately.
+  [[nodiscard]] bool Follows(Instant now) const;
   /// To other members.
   [[nodiscard]] std::uint64_t bytes_sent() const;
 
@@ -107,6 +111,17 @@
     std::size_t m_at = 0;
   };
 
+  /// What others may ask about this member's part in the log; compared before and after a step.
+  struct Part {
+    Role m_role = Role::kFollower;
+    MemberId m_leader = 0;
+  };
+  [[nodiscard]] Part CurrentPart() const { return {m_node.m_role, m_node.m_leader}; }
+  /// Writes a line if this member began or ceased to lead, or lost its leader. `heard`: when it had
+  /// Writes a line if this member began or ceased to lead, or found or lost a leader. `heard`: when
+  /// it had last heard the leader, or began to lead, before the step.
+  void LogPartChange(const Part& before, Instant heard, Instant now) const;
+
   void Take(LogEffects&& effects);
   void Flush();
   void Apply(const std::vector<wire::LogEntry>& entries);
@@ -204,10 +219,12 @@
   Instant m_hello_due{};
   std::int64_t m_proposing_until = 0;  ///< Leader's own proposals up to here are under way.
   std::uint64_t m_syncs = 0;
+  DurationHistogram m_sync_times;
   std::uint64_t m_entries_synced = 0;
   std::map<MemberId, std::int64_t> m_sent_until;  ///< Last log index that each was sent.
   std::uint64_t m_log_bytes = 0;                  ///< Of entries sent to members.
   std::uint64_t m_log_bytes_again = 0;            ///< Of those, sent before to the same member.
+  std::uint64_t m_beats_refused = 0;              ///< As a leader that wasn't confirmed.
   std::uint64_t m_news_answers = 0;               ///< To questions for news.
   std::uint64_t m_news_bytes = 0;                 ///< Of documents in them.
 };
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -56,6 +56,17 @@
   return status;
 }
 
+Duration MemberSide::SyncTime() const noexcept {
+  constexpr double kMicrosPerSecond = 1e6;
+  return Duration(static_cast<std::int64_t>(m_sync_times.SumSeconds() * kMicrosPerSecond));
+}
+
+bool MemberSide::Follows(Instant now) const {
+  if (leads())
+    return LeadsWithQuorum(m_node, now);
+  return m_node.m_leader != 0 && now - m_node.m_leader_heard < m_node.m_timing.m_election_max;
+}
+
 std::uint64_t MemberSide::bytes_sent() const {
   std::uint64_t bytes = 0;
   for (const auto& [name, peer] : m_peers)
@@ -75,10 +86,12 @@
   metrics.Set("poppyway_log_commit", "", static_cast<double>(m_node.m_commit));
   metrics.Set("poppyway_log_leader", "", leads() ? 1 : 0);
   metrics.Set("poppyway_log_syncs", "", static_cast<double>(m_syncs));
+  metrics.Put("poppyway_log_sync_seconds", "", m_sync_times);
   metrics.Set("poppyway_log_entries_synced", "", static_cast<double>(m_entries_synced));
   metrics.Set("poppyway_log_disk_full", "", m_disk_full ? 1 : 0);
   metrics.Set("poppyway_log_sent_bytes", "", static_cast<double>(m_log_bytes));
   metrics.Set("poppyway_log_sent_again_bytes", "", static_cast<double>(m_log_bytes_again));
+  metrics.Set("poppyway_heartbeats_unconfirmed", "", static_cast<double>(m_beats_refused));
   metrics.Set("poppyway_news_answers", "", static_cast<double>(m_news_answers));
   metrics.Set("poppyway_news_document_bytes", "", static_cast<double>(m_news_bytes));
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
--- a/packages/gateway/include/poppyway/gateway/impl/control_messages.h
+++ b/packages/gateway/include/poppyway/gateway/impl/control_messages.h
@@ -19,6 +19,7 @@
 struct ClaimKey {
   RequestRef m_ref = 0;
   wire::LedgerClaim m_claim;
+  Instant m_deadline{};  ///< Of the request.
 };
 
 /// \brief Tells the dispatch ledger how a claimed request ended.
--- a/packages/gateway/src/filter_duplicate.cc
+++ b/packages/gateway/src/filter_duplicate.cc
@@ -15,6 +15,7 @@
   }
   ClaimKey claim;
   claim.m_ref = exchange.m_ref;
+  claim.m_deadline = exchange.m_deadline;
   claim.m_claim.key = exchange.m_key;
   claim.m_claim.owner = state.m_incarnation;
   claim.m_claim.ref = exchange.m_ref;
--- a/packages/telemetry/src/metric_set.cc
+++ b/packages/telemetry/src/metric_set.cc
@@ -75,6 +75,12 @@
   m_histograms[Key(name, labels)].Record(value);
 }
 
+void MetricSet::Put(std::string_view name,
+                    std::string_view labels,
+                    const DurationHistogram& histogram) {
+  m_histograms[Key(name, labels)] = histogram;
+}
+
 std::uint64_t MetricSet::Counter(std::string_view name, std::string_view labels) const {
   const auto found = m_counters.find(Key(name, labels));
   return found == m_counters.end() ? 0 : found->second;
--- a/tests/process/process_cluster.cc
+++ b/tests/process/process_cluster.cc
@@ -58,11 +58,22 @@
   return base;
 }
 
-pid_t Spawn(std::vector<std::string> words, int output = -1) {
-  std::vector<char*> argv;
+/// Pointers for the system's calls; valid while `words` are.
+std::vector<char*> PointersTo(std::vector<std::string>& words) {
+  std::vector<char*> pointers;
   for (std::string& word : words)
-    argv.push_back(word.data());
-  argv.push_back(nullptr);
+    pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+pid_t Spawn(std::vector<std::string> words,
+            int output = -1,
+            std::vector<std::string> environment = {}) {
+  for (char** entry = environ; *entry != nullptr; ++entry)
+    environment.emplace_back(*entry);
+  const std::vector<char*> argv = PointersTo(words);
+  const std::vector<char*> variables = PointersTo(environment);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   if (output >= 0) {
@@ -73,7 +84,7 @@
     posix_spawn_file_actions_addopen(&actions, 2, "/dev/null", O_WRONLY, 0);
   }
   pid_t pid = 0;
-  const int failed = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
+  const int failed = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), variables.data());
   posix_spawn_file_actions_destroy(&actions);
   REQUIRE(failed == 0);
   return pid;
@@ -236,6 +247,12 @@
   return static_cast<std::uint16_t>(BasePort() + kFakeOffset + number);
 }
 
+void ProcessCluster::SlowDisks(int sync_ms, double share) {
+  m_environment = {"LD_PRELOAD=" + kBuild + "/tests/libpoppyway_slow_sync.so",
+                   "POPPYWAY_SYNC_MS=" + std::to_string(sync_ms),
+                   "POPPYWAY_SYNC_SHARE=" + std::to_string(share)};
+}
+
 void ProcessCluster::StartFake(const std::vector<std::string>& arguments) {
   std::vector<std::string> words = {kBuild + "/fakes/poppyway-fake"};
   words.insert(words.end(), arguments.begin(), arguments.end());
@@ -250,7 +267,8 @@
 
 void ProcessCluster::Start(int instance) {
   m_pids[instance] = Spawn(
-      {kBuild + "/poppywayd", "--settings", m_folder.path() + "/" + NameOf(instance) + ".yaml"});
+      {kBuild + "/poppywayd", "--settings", m_folder.path() + "/" + NameOf(instance) + ".yaml"}, -1,
+      m_environment);
 }
 
 void ProcessCluster::Kill(int instance) {
--- a/tests/process/process_cluster.h
+++ b/tests/process/process_cluster.h
@@ -44,6 +44,8 @@
   explicit ProcessCluster(int instances, std::vector<std::string> extra_settings = {});
   ~ProcessCluster();
 
+  /// From the next start on, a sync of an instance takes `sync_ms` longer, in a share of all cases.
+  void SlowDisks(int sync_ms, double share = 1);
   void StartFake(const std::vector<std::string>& arguments);
   void Start(int instance);
   void Kill(int instance);       ///< SIGKILL, and waits.
@@ -83,6 +85,7 @@
   TemporaryFolder m_folder;
   std::vector<int> m_all;
   std::map<int, pid_t> m_pids;
+  std::vector<std::string> m_environment;  ///< Of instances, besides that of the tests.
   pid_t m_fake = 0;
   std::uint16_t m_fake_control = 0;
 };
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -83,6 +83,34 @@
   CHECK(cluster.FakeCount("keys_doubled") == 0);
 }
 
+// Guards against a leader that is lost, or takes living instances for gone, because syncs are slow.
+TEST_CASE("a rolling planned restart on slow disks cuts no request and loses none",
+          "[process][planned-stop]") {
+  const auto [sync_ms, share] = GENERATE(std::pair(200, 1.0), std::pair(700, 0.2));
+  CAPTURE(sync_ms, share);
+  ProcessCluster cluster(4);
+  cluster.SlowDisks(sync_ms, share);
+  StartSmall(cluster);
+  CommandResult load;
+  std::thread caller([&] { load = cluster.Load(kSteadyPlan, 300); });
+  SleepMs(1000);
+  for (const int instance : cluster.all()) {
+    cluster.Terminate(instance);
+    CHECK(cluster.Join(instance) == 0);
+    cluster.Start(instance);
+    CHECK(cluster.AwaitReady());
+  }
+  caller.join();
+  for (const json& row : ClassesOf(load)) {
+    INFO(row.dump());
+    CHECK(row["cut"] == 0);
+    CHECK(row["wrong"] == 0);
+    CHECK(row["good"] == row["offered"]);
+  }
+  CHECK(cluster.FakeCount("request_ids_doubled") == 0);
+  CHECK(cluster.FakeCount("keys_doubled") == 0);
+}
+
 TEST_CASE(
     "a non-repeatable request runs at most once, and 'not run' is true, while instances and "
     "the leader are killed and callers resend elsewhere",
