An owner that was taken for gone and still asks for its claim is granted it

What callers saw: 3000, outcome unknown, for a request that was never sent anywhere; its key stays blocked for all who come back.

Cause: an instance was taken for gone while the answer to its claim was on its way or lost. Its key became UNKNOWN, and when it asked again under the same owner and number it was told so. But an instance dispatches only once it is granted: one that asks has run nothing. Ruled out: requests that had been sent, which never ask again (their lines would show one try).

Why this works: the claimant gets its claim, and counts as a running owner again, so that a real end of it is told as before. A claim whose outcome its owner itself reported as unknown has no claimant any more: a late copy of it stays UNKNOWN. Nobody else is granted anything that he wasn't before. The first of the two tests fails on the code before (UNKNOWN instead of GRANTED, by its first grant); the second guards the mend. Members decide this alike only on one build: they are upgraded together.

--- a/packages/state/src/dispatch_ledger.cc
+++ b/packages/state/src/dispatch_ledger.cc
@@ -79,6 +79,14 @@
   return Verdict(wire::ClaimVerdict::GRANTED);
 }
 
+/// An owner that was taken for gone asks again for its claim. It dispatches only once it is
+/// granted: while it asks, nothing has run.
+wire::ClaimResult GrantAgain(DispatchLedger& ledger, wire::KeyRecord& record) {
+  record.state = wire::KeyState::RUNNING;
+  ledger.m_running_by_owner[record.owner].insert(record.key);
+  return Verdict(wire::ClaimVerdict::GRANTED);
+}
+
 bool IsClaimant(const wire::KeyRecord& record, const std::string& owner, std::int64_t ref) {
   return record.owner == owner && record.ref == ref;
 }
@@ -90,7 +98,7 @@
   const auto found = ledger.m_keys.find(claim.key);
   if (found == ledger.m_keys.end())
     return Grant(ledger, claim);
-  const wire::KeyRecord& record = found->second;
+  wire::KeyRecord& record = found->second;
   const bool own = IsClaimant(record, claim.owner, claim.ref);
   if (record.state == wire::KeyState::RELEASED) {
     if (own)
@@ -109,6 +117,8 @@
       return result;
     }
     case wire::KeyState::UNKNOWN:
+      if (own)
+        return GrantAgain(ledger, record);
       if (!claim.rerun_unknown)
         return Verdict(wire::ClaimVerdict::UNKNOWN);
       EraseKey(ledger, claim.key);
@@ -142,6 +152,7 @@
       break;
     case wire::FinishKind::UNKNOWN:
       record.state = wire::KeyState::UNKNOWN;
+      record.owner.clear();  // A late copy of its claim is no claimant any more.
       break;
     case wire::FinishKind::NOT_RUN:
       // The key is free for others; only the late twin of this claim is kept out.
--- a/tests/dispatch_ledger_test.cc
+++ b/tests/dispatch_ledger_test.cc
@@ -53,6 +53,28 @@
   CHECK(ApplyClaim(ledger, Claim("k", "b", 1)).verdict == Verdict::RUNNING);
 }
 
+// Guards against "outcome unknown" for a request that was never sent anywhere.
+TEST_CASE("an owner that was taken for gone and still asks for its claim is granted it",
+          "[ledger]") {
+  DispatchLedger ledger;
+  (void)ApplyClaim(ledger, Claim("k", "a", 1));
+  ApplyGone(ledger, "a");
+  CHECK(ApplyClaim(ledger, Claim("k", "b", 1)).verdict == Verdict::UNKNOWN);
+  CHECK(ApplyClaim(ledger, Claim("k", "a", 2)).verdict == Verdict::UNKNOWN);
+  CHECK(ApplyClaim(ledger, Claim("k", "a", 1)).verdict == Verdict::GRANTED);
+  CHECK(ApplyClaim(ledger, Claim("k", "b", 1)).verdict == Verdict::RUNNING);
+  ApplyGone(ledger, "a");  // It is counted as an owner again.
+  CHECK(ApplyClaim(ledger, Claim("k", "b", 1)).verdict == Verdict::UNKNOWN);
+}
+
+TEST_CASE("a late copy of a claim whose outcome was lost is granted nothing", "[ledger]") {
+  DispatchLedger ledger;
+  (void)ApplyClaim(ledger, Claim("k", "a", 1));
+  ApplyFinish(ledger, Finish("k", "a", 1, wire::FinishKind::UNKNOWN));
+  CHECK(ApplyClaim(ledger, Claim("k", "a", 1)).verdict == Verdict::UNKNOWN);
+  CHECK(ledger.m_running_by_owner.empty());
+}
+
 TEST_CASE("a done key gives back its whole answer", "[ledger]") {
   DispatchLedger ledger;
   (void)ApplyClaim(ledger, Claim("k", "a", 1));
