A claim is awaited for half of what its request has left, not for two seconds

Cause: one limit for every claim, whatever its request could bear. Change: what can't run without the ledger waits for half of what it has left, at least 2 s as before; the other half is kept for its run. What may run without the ledger goes on after 2 s as before, since waiting would only make it late. A request is still refused at once when it is given up on. The cost: where no majority comes back callers hear so after half of their deadline (5 s of 10) instead of 2 s; a leader that changes or a slow disk is far more common.

The new test (two members paused for 3 s, a deadline of 10 s) was refused with 503 on the code before and passed twice with this.

--- a/apps/poppywayd/instance_side.cc
+++ b/apps/poppywayd/instance_side.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t kMaxSequences = 512;
 constexpr Duration kProposeTimeout{1'000'000};
 constexpr Duration kProposeBackoff{50'000};
-constexpr Duration kClaimLimit{2'000'000};  // A claim is awaited for this long.
+constexpr Duration kLeastClaimLimit{2'000'000};
 constexpr Duration kFinishLimit{60'000'000};
 constexpr Duration kPollBackoff{100'000};
 // A member that lagged is a follower that was cut off or restarts; it has caught up by then.
@@ -34,6 +34,14 @@
   return finish;
 }
 
+/// Until when a claim is awaited. A leader that changes or a slow disk ends by itself; half of what
+/// a request has left is kept for its run. What may run without the ledger waits no longer than it
+/// must.
+Instant ClaimExpiry(const ClaimKey& claim, Instant now) {
+  const Duration half = (claim.m_deadline - now) / 2;
+  return now + (claim.m_needs_ledger ? std::max(half, kLeastClaimLimit) : kLeastClaimLimit);
+}
+
 }  // namespace
 
 InstanceSide::InstanceSide(TaskLoop& loop,
@@ -246,7 +254,7 @@
     queued.m_ref = claim->m_ref;
     queued.m_asked = now;
     queued.m_deadline = claim->m_deadline;
-    queued.m_expires = now + kClaimLimit;
+    queued.m_expires = ClaimExpiry(*claim, now);
     if (m_commands.size() >= kMaxCommands)
       GiveUp(queued);
     else
--- a/packages/gateway/include/poppyway/gateway/impl/control_messages.h
+++ b/packages/gateway/include/poppyway/gateway/impl/control_messages.h
@@ -19,7 +19,8 @@
 struct ClaimKey {
   RequestRef m_ref = 0;
   wire::LedgerClaim m_claim;
-  Instant m_deadline{};  ///< Of the request.
+  Instant m_deadline{};         ///< Of the request.
+  bool m_needs_ledger = false;  ///< It is refused if the ledger doesn't answer.
 };
 
 /// \brief Tells the dispatch ledger how a claimed request ended.
--- a/packages/gateway/src/filter_duplicate.cc
+++ b/packages/gateway/src/filter_duplicate.cc
@@ -25,6 +25,7 @@
   claim.m_claim.retention_ms = exchange.m_event->m_retention_s * 1000;
   // A model request is never sent again; a repeatable service call may be.
   claim.m_claim.rerun_unknown = exchange.m_event->m_repeatable && !exchange.m_model_call;
+  claim.m_needs_ledger = !claim.m_claim.rerun_unknown;
   exchange.m_stage = Stage::kClaiming;
   state.m_to_control(std::move(claim));
   return Verdict::kSuspended;
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -209,6 +209,28 @@
   CHECK(cluster.FakeCount("keys_doubled") == 0);
 }
 
+// Guards against requests that are refused although the ledger is back long before their deadline.
+TEST_CASE("a request waits for the ledger while more than half of its time is left",
+          "[process][ledger]") {
+  ProcessCluster cluster(4);
+  StartSmall(cluster);
+  cluster.Freeze(1);
+  cluster.Freeze(2);
+  HttpAnswer answer;
+  std::thread caller([&] {
+    answer = Http(cluster.HttpPort(4), "POST", "/desk/book",
+                  {"poppyway-event: book", "idempotency-key: k", "poppyway-deadline-ms: 10000"},
+                  "slot", 12'000);
+  });
+  SleepMs(3000);
+  cluster.Thaw(1);
+  cluster.Thaw(2);
+  caller.join();
+  CHECK(answer.m_status == 200);
+  CHECK(cluster.FakeCount("keys") == 1);
+  CHECK(cluster.FakeCount("keys_doubled") == 0);
+}
+
 TEST_CASE("a leaving backend server gets no new work after two seconds", "[process][leaving]") {
   const bool by_platform = GENERATE(false, true);
   const std::string fake = "127.0.0.1:" + std::to_string(ProcessCluster::FakePort(1));
