A leader counts heartbeats that it may not answer

What callers saw: requests that waited for seconds, since all that living instances had claimed became unknown and their leases moved.

Cause: a leader that isn't confirmed refused heartbeats and did not count them as heard. With two syncs of 200 ms between an append and its answer it is never confirmed within 300 ms, so it took each instance, itself too, for gone as soon as a lease and its margin had passed since it began. Evidence: 7 to 71 heartbeats refused in each line instance_gone, most of them 1.0 to 1.4 s after the leader began.

Why this works: to hear is no decision; what rests on a majority (that an instance is gone, a lease) is committed before it counts.

--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -410,13 +410,15 @@
 
 void MemberSide::OnHeartbeat(const wire::Heartbeat& beat, const ReplyFn& reply) {
   const Instant now = ReadClock();
-  if (!Confirmed(now) || m_table.m_leading_since == Instant{}) {
-    if (leads())
-      ++m_beats_refused;
+  const bool begun = leads() && m_table.m_leading_since != Instant{};
+  // It has been heard, whether or not it may be answered.
+  if (begun)
+    TakeHeartbeat(m_table, beat, now);
+  if (!begun || !Confirmed(now)) {
+    m_beats_refused += begun ? 1 : 0;
     reply(NotLeader());
     return;
   }
-  TakeHeartbeat(m_table, beat, now);
   wire::HeartbeatReply answer;
   // Who knows them already is spared the list: it is long at the planned size.
   answer.leases_index = m_machine.m_leases_index;
