A member whose admission a change of leader cut off asks again

What operators see: a member that lost its folder stays without a part in the log for good, so that the next loss of a member costs the majority. Declared deployments only; hosted ones ask again already.

Cause: the leader's entry that admits the member reached it and nobody else before the leader was lost. The member held a list of members then, so it no longer counted as blank and said nothing; the next leader's list has its former id. By reading, the daemon of a declared deployment does the same; no run of processes showed it.

Change: as in hosted deployments, a member that hears no leader for a second says hello to the others, and a leader admits one that it doesn't know, without a vote until it has caught up.

--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -103,7 +103,7 @@
 }
 
 bool MemberSide::LacksLeader(Instant now) const {
-  return m_settings.m_hosted && !leads() && now - m_node.m_leader_heard > kLeaderMissed;
+  return !leads() && now - m_node.m_leader_heard > kLeaderMissed;
 }
 
 void MemberSide::AskLeader(wire::Body body, const ReplyFn& reply) {
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -304,7 +304,7 @@
   const bool stranger = FindMember(m_node.m_membership, hello.member.id) == nullptr;
   if (Blank())
     NoteHello(m_formation, hello.member, hello.blank);
-  else if (leads() && (hello.blank || (m_settings.m_hosted && stranger)))
+  else if (leads() && (hello.blank || stranger))
     m_joining[hello.member.name] = hello.member;
   wire::HelloReply answer;
   answer.member = Self();
