A command asks again for five seconds while no leader answers

Cause: a command asked each instance once; a leader that has begun answers only once the first entry of its term is committed, with syncs of 200 ms after some 0.5 s. Each command may be sent again. Why this works: what passes by itself is awaited, all else is reported at once as before.

--- a/apps/poppyway/command.cc
+++ b/apps/poppyway/command.cc
@@ -4,18 +4,26 @@
 
 #include <iostream>
 #include <map>
+#include <thread>
 
 namespace poppyway::cli {
 namespace {
 
+constexpr Duration kLeaderWait{5'000'000};  // An election takes about one, beside slow disks some.
+constexpr Duration kAskPause{200'000};
+
 /// A refusal that comes from the leader: the others only say that they aren't it.
 bool IsFinal(ResultCode code) {
   return code == ResultCode::kNotFound || code == ResultCode::kOtherRollout;
 }
 
-}  // namespace
+/// A leader that has just begun, or is being elected, answers within seconds.
+bool MayPass(ResultCode code) {
+  return code == ResultCode::kNotLeader || code == ResultCode::kNoMajority;
+}
 
-Result<wire::Body> Ask(const CommonOptions& common, const wire::Body& body) {
+/// Asks one instance after the other until one answers.
+Result<wire::Body> AskEach(const CommonOptions& common, const wire::Body& body) {
   Error last{ResultCode::kPeerUnreachable, "no instance given; use --instance address:port"};
   for (const Endpoint& instance : common.m_instances) {
     Result<wire::Body> reply =
@@ -27,6 +35,18 @@
   return tl::unexpected<Error>(last);
 }
 
+}  // namespace
+
+Result<wire::Body> Ask(const CommonOptions& common, const wire::Body& body) {
+  const Instant end = ReadClock() + kLeaderWait;
+  while (true) {
+    Result<wire::Body> reply = AskEach(common, body);
+    if (reply || !MayPass(reply.error().m_code) || ReadClock() >= end)
+      return reply;
+    std::this_thread::sleep_for(kAskPause);
+  }
+}
+
 int Report(const Error& error) {
   std::cerr << "poppyway: " << error.m_message << " (" << static_cast<int>(error.m_code) << " "
             << Describe(error.m_code).m_name << ")\n";
