A member saves its log beside its loop, not within it

Cause: a member synced within its control task.

Change: a task of its own saves, one batch after another; the log is told when a save begins and ends. A leader counts its own log for commitment only up to what it has saved, and sends entries meanwhile; votes wait for the save, and so do promises of entries, while a follower tells at once that it follows. What a majority holds is applied at once, also where the own save is late. A candidate's time runs from when its own vote is durable. Ways weighed: a longer election time-out (every real loss of a leader would last longer); asynchronous writes by the kernel (not in the platform's set of calls); a thread for the whole member (all of its state would be shared).

The schedules' driver is the daemon's: it asks for all members that a leader doesn't know, and forms its cluster before the first fault.

--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -64,14 +64,10 @@
 }
 
 void ControlTask::LogStall(Instant now) {
-  const Duration synced = m_member ? m_member->SyncTime() : Duration(0);
   if (m_ticked != Instant{} && now - m_ticked > kStall) {
     ++m_stalls;
-    POPPYWAY_LOG(warning, "loop_stalled")
-        .Field("ms", (now - m_ticked).count() / 1000)
-        .Field("sync_ms", (synced - m_synced).count() / 1000);
+    POPPYWAY_LOG(warning, "loop_stalled").Field("ms", (now - m_ticked).count() / 1000);
   }
-  m_synced = synced;
 }
 
 bool ControlTask::Tick() {
--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -69,7 +69,6 @@
   bool m_has_forwarder = false;
   std::uint64_t m_bad_messages = 0;
   Instant m_ticked{};          ///< End of the last tick.
-  Duration m_synced{};         ///< What syncs had taken in all until then.
   std::uint64_t m_stalls = 0;  ///< Of the loop.
 };
 
--- a/apps/poppywayd/member_disk.cc
+++ b/apps/poppywayd/member_disk.cc
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-// What a member does with its disk: one sync for all that gathered, snapshots, a disk without room.
+// What a member does with its disk: one save at a time for all that gathered meanwhile, snapshots,
+// a disk without room.
 
 #include <cstdlib>
+#include <utility>
 
 #include "member_side.h"
 
@@ -25,22 +27,28 @@
     m_disk_full_since = ReadClock();
     POPPYWAY_LOG(error, "disk_full").Field("why", why.m_message);
   }
-  MergeEffects(effects, std::move(m_effects));
-  m_effects = std::move(effects);
+  PutBack(std::move(effects));
   m_disk_full = true;
   m_disk_retry = ReadClock() + kDiskRetryInterval;
 }
 
+void MemberSide::PutBack(LogEffects&& effects) {
+  MergeEffects(effects, std::move(m_unsaved));
+  m_unsaved = std::move(effects);
+}
+
 void MemberSide::RetryDisk(Instant now) {
   if (!m_disk_full || now < m_disk_retry)
     return;
+  m_disk_retry = now + kDiskRetryInterval;
+  StartSave();
+}
+
+void MemberSide::DiskHasRoom() {
   m_disk_full = false;
-  Flush();
-  if (m_disk_full)
-    return;
   POPPYWAY_LOG(info, "disk_has_room")
       .Field("last_index", LastIndex(m_node))
-      .Field("after_ms", (now - m_disk_full_since).count() / 1000);
+      .Field("after_ms", (ReadClock() - m_disk_full_since).count() / 1000);
   m_disk_full_since = Instant{};
 }
 
@@ -56,47 +64,78 @@
       FatalDisk(loaded.error());
     OnStateReplaced();
   }
-  if (effects.NeedsSync()) {
-    const Instant begun = ReadClock();
-    const Result<void> saved = m_store->Save(m_node, effects);
-    m_sync_times.Record(ReadClock() - begun);
-    if (!saved) {
-      if (saved.error().m_code != ResultCode::kDiskFull)
-        FatalDisk(saved.error());
-      HoldBack(std::move(effects), saved.error());
+  SendOrHold(std::exchange(effects.m_send, {}));
+  const std::vector<wire::LogEntry> committed = std::exchange(effects.m_committed, {});
+  MergeEffects(m_unsaved, std::move(effects));
+  StartSave();
+  Apply(committed);
+  if (!led && !m_pending.empty() && !leads())
+    FailPending("leadership was lost");
+}
+
+void MemberSide::SendOrHold(std::vector<wire::LogMessage> messages) {
+  for (wire::LogMessage& message : messages) {
+    if (MaySend(m_node, message))
+      SendTo(message);
+    else
+      HoldMessage(m_held, std::move(message));
+  }
+}
+
+void MemberSide::StartSave() {
+  if (m_node.m_save_under_way || !m_unsaved.NeedsSync())
+    return;
+  LogSave save;
+  save.m_node = DurablePart(m_node, m_unsaved.m_install.has_value());
+  save.m_effects = std::exchange(m_unsaved, {});
+  BeforeSync(m_node);
+  m_writer->Save(std::move(save));
+}
+
+void MemberSide::OnSaved(SaveOutcome outcome) {
+  m_sync_times.Record(outcome.m_took);
+  LogSave& save = outcome.m_save;
+  if (!outcome.m_result) {
+    const Error& why = outcome.m_result.error();
+    if (why.m_code != ResultCode::kDiskFull)
+      FatalDisk(why);
+    SaveRefused(m_node);
+    if (!save.m_compacted) {
+      HoldBack(std::move(save.m_effects), why);
       return;
     }
-    ++m_syncs;
-    m_entries_synced += effects.m_append.size();
+    // The log in memory begins after the snapshot now; the one on the disk is whole without it.
+    POPPYWAY_LOG(warning, "snapshot_put_off").Field("why", why.m_message);
+    PutBack(std::move(save.m_effects));
+    StartSave();
+    return;
   }
-  for (const wire::LogMessage& message : effects.m_send)
-    SendTo(message);
-  MergeEffects(effects, AfterSync(m_node));
-  Apply(effects.m_committed);
+  ++m_syncs;
+  m_entries_synced += save.m_effects.m_append.size();
+  if (save.m_compacted)
+    POPPYWAY_LOG(info, "snapshot")
+        .Field("index", save.m_compacted->index)
+        .Field("bytes", save.m_compacted->state.size())
+        .Field("took_ms", outcome.m_took.count() / 1000);
+  if (m_disk_full)
+    DiskHasRoom();
+  MergeEffects(m_effects, AfterSync(m_node));
+  SendOrHold(std::exchange(m_held, {}));
   MaybeCompact();
-  if (!led && !m_pending.empty() && !leads())
-    FailPending("leadership was lost");
+  Flush();
 }
 
 void MemberSide::MaybeCompact() {
   const std::int64_t behind = m_machine.m_applied - m_node.m_snapshot_index;
-  if (behind < m_settings.m_snapshot_entries)
+  if (behind < m_settings.m_snapshot_entries || m_node.m_save_under_way || m_unsaved.m_install)
     return;
-  const Instant begun = ReadClock();
-  const wire::Snapshot snapshot = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
-  const Result<void> saved = m_store->SaveSnapshot(m_node, snapshot);
-  m_sync_times.Record(ReadClock() - begun);
-  if (!saved) {
-    if (saved.error().m_code != ResultCode::kDiskFull)
-      FatalDisk(saved.error());
-    // The log in memory begins after the snapshot now; the one on the disk is whole without it.
-    POPPYWAY_LOG(warning, "snapshot_put_off").Field("why", saved.error().m_message);
-    return;
-  }
-  POPPYWAY_LOG(info, "snapshot")
-      .Field("index", snapshot.index)
-      .Field("bytes", snapshot.state.size())
-      .Field("took_ms", (ReadClock() - begun).count() / 1000);
+  LogSave save;
+  save.m_compacted = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
+  // The new segment holds all that the log does, also what isn't saved yet.
+  save.m_node = DurablePart(m_node, true);
+  save.m_effects = std::exchange(m_unsaved, {});
+  BeforeSync(m_node);
+  m_writer->Save(std::move(save));
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/member_side.cc
+++ b/apps/poppywayd/member_side.cc
@@ -58,7 +58,6 @@
       LogStore::Open(m_settings.m_data_folder, m_settings.m_cluster, RandomId(), stored);
   if (!store)
     return tl::unexpected<Error>(store.error());
-  m_store = std::move(*store);
   m_node.m_name = MemberName();
   m_node.m_cluster = m_settings.m_cluster;
   m_node.m_random.seed(static_cast<std::uint64_t>(stored.m_id) ^
@@ -68,6 +67,8 @@
       return loaded;
   }
   RestoreLog(m_node, stored);
+  m_writer = std::make_unique<LogWriter>(
+      m_loop, std::move(*store), [this](SaveOutcome outcome) { OnSaved(std::move(outcome)); });
   OnStateReplaced();
   m_formation.m_self = Self();
   POPPYWAY_LOG(info, "log_opened")
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "log_writer.h"
 #include "place_side.h"
 #include "poppyway/log.h"
 #include "poppyway/settings.h"
@@ -81,8 +82,6 @@
   [[nodiscard]] wire::Body NotLeader() const;
   void AddMetrics(MetricSet& metrics) const;
   [[nodiscard]] SendQueue queue() const;
-  /// Total time that syncs took.
-  [[nodiscard]] Duration SyncTime() const noexcept;
   /// True while this member leads, or follows a leader that it has heard lately.
   [[nodiscard]] bool Follows(Instant now) const;
   /// To other members.
@@ -123,7 +122,16 @@
   void LogPartChange(const Part& before, Instant heard, Instant now) const;
 
   void Take(LogEffects&& effects);
+  /// Sends and applies what has gathered, and begins to save it.
   void Flush();
+  /// Sends what rests on durable state; the rest waits for the next save.
+  void SendOrHold(std::vector<wire::LogMessage> messages);
+  /// Saves what isn't saved yet, if there is anything and no other save is under way.
+  void StartSave();
+  void OnSaved(SaveOutcome outcome);
+  /// What was refused is saved before all that came after it.
+  void PutBack(LogEffects&& effects);
+  void DiskHasRoom();
   void Apply(const std::vector<wire::LogEntry>& entries);
   void FailPending(const std::string& why);
   void AnswerPolls(Instant now);
@@ -161,7 +169,7 @@
   /// What status shows of each data centre that an order was given for.
   [[nodiscard]] std::vector<wire::EvacuationStatus> EvacuationStatuses() const;
   void FatalDisk(const Error& why);
-  /// The disk has no room for these effects: nothing is sent or acknowledged until it has.
+  /// The disk has no room for these effects: nothing more is sent until it has.
   void HoldBack(LogEffects&& effects, const Error& why);
   /// Tries again what was held back.
   void RetryDisk(Instant now);
@@ -192,7 +200,7 @@
   TaskLoop& m_loop;
   DaemonSettings m_settings;
   LogNode m_node;
-  std::unique_ptr<LogStore> m_store;
+  std::unique_ptr<LogWriter> m_writer;
   StateMachine m_machine;
   InstanceTable m_table;
   PlaceSide m_places;
@@ -204,9 +212,11 @@
   std::map<MemberId, std::string> m_names;                     ///< Learned from messages.
   Formation m_formation;
   std::map<std::string, wire::MemberInfo> m_joining;  ///< Members that asked to join, by name.
-  LogEffects m_effects;
+  LogEffects m_effects;                               ///< What the next flush performs.
+  LogEffects m_unsaved;                  ///< Of effects performed, what the next save takes.
+  std::vector<wire::LogMessage> m_held;  ///< Until what they rest on is durable.
   bool m_flush_due = false;
-  bool m_disk_full = false;     ///< `m_effects` is held back; this member takes no part meanwhile.
+  bool m_disk_full = false;     ///< This member takes no part meanwhile.
   Instant m_disk_full_since{};  ///< Zero: it isn't.
   Instant m_disk_retry{};
   Mailbox<int> m_flusher;
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -56,11 +56,6 @@
   return status;
 }
 
-Duration MemberSide::SyncTime() const noexcept {
-  constexpr double kMicrosPerSecond = 1e6;
-  return Duration(static_cast<std::int64_t>(m_sync_times.SumSeconds() * kMicrosPerSecond));
-}
-
 bool MemberSide::Follows(Instant now) const {
   if (leads())
     return LeadsWithQuorum(m_node, now);
--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -57,6 +57,13 @@
   std::shared_ptr<const std::string> m_snapshot_state;
   std::deque<wire::LogEntry> m_entries;  ///< Those after the snapshot.
 
+  // What of that is durable.
+  std::int64_t m_saved = 0;  ///< Last index up to which the log is durable as it stands.
+  wire::HardState m_saved_hard;
+  bool m_save_under_way = false;
+  std::int64_t m_saving = 0;  ///< What `m_saved` will be once the save under way has ended.
+  wire::HardState m_saving_hard;
+
   // Volatile.
   wire::Membership m_membership;  ///< The latest in the log, committed or not.
   std::int64_t m_membership_index = 0;
@@ -72,14 +79,14 @@
   std::map<MemberId, Progress> m_progress;
 };
 
-/// \brief What the caller has to do, in this order: make durable, send, `AfterSync`, apply.
+/// \brief What the caller has to do: make durable, send what `MaySend` allows, apply.
 struct LogEffects {
   bool m_save_hard = false;
   std::optional<std::int64_t> m_truncate_after;  ///< Drop stored entries after this index first.
   std::vector<wire::LogEntry> m_append;
   std::optional<wire::Snapshot> m_install;  ///< Replaces storage and the state machine.
   std::vector<wire::LogMessage> m_send;
-  std::vector<wire::LogEntry> m_committed;  ///< To apply, in order, after the rest.
+  std::vector<wire::LogEntry> m_committed;  ///< To apply, in order, after `m_install`.
 
   [[nodiscard]] bool NeedsSync() const {
     return m_save_hard || m_truncate_after || !m_append.empty() || m_install;
@@ -105,9 +112,29 @@
                                                      LogEffects& effects,
                                                      Instant now);
 
-/// \brief To be called after effects were made durable: a sole voter commits by itself.
+/// \brief Notes that all effects up to now are being made durable. Precondition: no other save is
+/// under way.
+void BeforeSync(LogNode& node);
+
+/// \brief Notes that what `BeforeSync` was called for is durable: a leader counts its own log for
+/// commitment only from then on.
 [[nodiscard]] LogEffects AfterSync(LogNode& node);
 
+/// \brief Notes that what `BeforeSync` was called for was refused and is not durable.
+void SaveRefused(LogNode& node);
+
+/// \brief True if a message tells nothing that rests on what isn't durable here yet. One that must
+/// wait is asked about again after the next save.
+[[nodiscard]] bool MaySend(const LogNode& node, const wire::LogMessage& message);
+
+/// \brief Keeps a message that must wait. It takes the place of a waiting answer to the same member
+/// that says no more, so that what waits stays bounded however long a save takes.
+void HoldMessage(std::vector<wire::LogMessage>& held, wire::LogMessage message);
+
+/// \brief The part of a node that a save writes, for use while the node goes on. Entries are needed
+/// only where a segment begins anew.
+[[nodiscard]] LogNode DurablePart(const LogNode& node, bool with_entries);
+
 /// \brief Replaces entries up to `index` by `state`. Precondition: `index` was handed out.
 [[nodiscard]] wire::Snapshot CompactLog(LogNode& node, std::int64_t index, std::string state);
 
--- a/packages/log/src/log_internal.h
+++ b/packages/log/src/log_internal.h
@@ -20,6 +20,8 @@
 void ResetElection(LogNode& node, Instant now);
 void AdvanceCommit(LogNode& node, LogEffects& effects);
 void HandOut(LogNode& node, LogEffects& effects);
+/// \brief What is durable after `index` will be cut off or replaced.
+void ForgetSavedAfter(LogNode& node, std::int64_t index);
 void SendAppend(LogNode& node, MemberId to, LogEffects& effects, Instant now);
 void SendAppends(LogNode& node, LogEffects& effects, Instant now);
 [[nodiscard]] wire::LogMessage Message(const LogNode& node, MemberId to);
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -139,6 +139,9 @@
       SendAppends(node, effects, now);
     return effects;
   }
+  // Votes are asked for once its own is durable: the time to get them begins then.
+  if (node.m_role == Role::kCandidate && node.m_saved_hard != node.m_hard)
+    ResetElection(node, now);
   if (now >= node.m_election_due && IsVoter(node.m_membership, node.m_id))
     Campaign(node, true, effects, now);
   return effects;
@@ -197,13 +200,6 @@
   return ProposeLog(node, {command}, effects, now);
 }
 
-LogEffects AfterSync(LogNode& node) {
-  LogEffects effects;
-  if (node.m_role == Role::kLeader)
-    AdvanceCommit(node, effects);
-  return effects;
-}
-
 wire::Snapshot CompactLog(LogNode& node, std::int64_t index, std::string state) {
   wire::Snapshot snapshot;
   snapshot.index = index;
@@ -235,6 +231,8 @@
   node.m_commit = node.m_snapshot_index;
   node.m_handed_out = node.m_snapshot_index;
   AdoptMembership(node);
+  node.m_saved = LastIndex(node);
+  node.m_saved_hard = node.m_hard;
 }
 
 LogEffects FormLog(LogNode& node, const wire::Membership& membership, Instant now) {
@@ -387,7 +385,7 @@
       continue;
     const auto progress = node.m_progress.find(member.id);
     if (member.id == node.m_id)
-      matches.push_back(LastIndex(node));
+      matches.push_back(node.m_saved);
     else
       matches.push_back(progress == node.m_progress.end() ? 0 : progress->second.m_match);
   }
--- a/packages/log/src/replication.cc
+++ b/packages/log/src/replication.cc
@@ -121,6 +121,7 @@
       continue;  // Held already.
     if (fresh.empty() && entry.index <= LastIndex(node)) {
       effects.m_truncate_after = entry.index - 1;
+      ForgetSavedAfter(node, entry.index - 1);
       while (LastIndex(node) >= entry.index)
         node.m_entries.pop_back();
       AdoptMembership(node);
@@ -134,6 +135,9 @@
   node.m_commit = std::max(node.m_commit, std::min(request.commit, match));
   HandOut(node, effects);
   Reply(node, from, true, match, request.sent_us, effects);
+  // That one waits for the save. This one tells the leader in time that it is followed.
+  if (node.m_save_under_way && match > node.m_saved)
+    Reply(node, from, true, node.m_saved, request.sent_us, effects);
 }
 
 void OnAppendReply(LogNode& node,
@@ -186,6 +190,7 @@
     node.m_commit = snapshot.index;
     HandOut(node, effects);
   } else if (new_here) {
+    ForgetSavedAfter(node, node.m_commit);
     node.m_entries.clear();
     node.m_snapshot_index = snapshot.index;
     node.m_snapshot_term = snapshot.term;
--- a/tests/log_cluster.cc
+++ b/tests/log_cluster.cc
@@ -3,6 +3,7 @@
 #include "log_cluster.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poppyway::test {
 namespace {
@@ -19,6 +20,12 @@
   bool m_up = false;
   bool m_cut = false;
   Instant m_frozen_until{};
+  LogEffects m_unsaved;                  ///< What the next save takes.
+  std::vector<wire::LogMessage> m_held;  ///< Until what they rest on is durable.
+  LogNode m_saving_node;                 ///< As it was when the save under way began.
+  LogEffects m_saving;                   ///< What that save makes durable.
+  std::optional<wire::Snapshot> m_compacting;
+  Instant m_save_ends{};
   std::map<std::int64_t, std::int64_t> m_proposed;  ///< Index to term of what clients await here.
 };
 
@@ -41,7 +48,8 @@
         Propose();
     }
     Heal();
-    for (int step = 0; step < kSettleSteps; ++step)
+    // Each of the messages that settle the cluster may wait for a save.
+    for (int step = 0; step < kSettleSteps + 20 * m_spec.m_save_steps; ++step)
       Step();
     CheckEnd();
     return m_report;
@@ -64,7 +72,12 @@
       Start(m_members[i]);
       membership.members.push_back(InfoOf(m_members[i], true));
     }
+    // A cluster whose formation is lost is formed anew, which no schedule plays.
+    m_healed = true;
     Perform(0, FormLog(m_members[0].m_node, membership, m_now));
+    if (m_members[0].m_node.m_save_under_way)
+      EndSave(0);
+    m_healed = false;
   }
 
   wire::MemberInfo InfoOf(const Member& member, bool voter) {
@@ -84,12 +97,16 @@
     member.m_node.m_random.seed(m_random());
     if (member.m_disk.m_snapshot)
       (void)LoadMachine(member.m_machine, *member.m_disk.m_snapshot);
-    RestoreLog(member.m_node, member.m_disk);
     if (m_spec.m_vote_is_forgotten)
-      member.m_node.m_hard.vote = 0;
+      member.m_disk.m_hard.vote = 0;
+    RestoreLog(member.m_node, member.m_disk);
     member.m_up = true;
     member.m_frozen_until = {};
     member.m_proposed.clear();
+    member.m_unsaved = {};
+    member.m_held.clear();
+    member.m_saving = {};
+    member.m_compacting.reset();
   }
 
   void Crash(Member& member) {
@@ -132,7 +149,7 @@
     if (Chance(m_spec.m_crash))
       Crash(m_members[Pick()]);
     for (Member& member : m_members) {
-      if (!member.m_up && Chance(0.05))
+      if (!member.m_up && Chance(m_spec.m_restart))
         Start(member);
       if (member.m_cut && Chance(0.02))
         member.m_cut = false;
@@ -162,6 +179,10 @@
       Member& member = m_members[i];
       if (!Runs(member))
         continue;
+      if (member.m_node.m_save_under_way && m_now >= member.m_save_ends)
+        EndSave(i);
+      if (!member.m_up)
+        continue;
       Perform(i, TickLog(member.m_node, m_now));
       ProposeMembershipIfDue(i);
     }
@@ -174,12 +195,12 @@
     Member& leader = m_members[i];
     if (leader.m_node.m_role != Role::kLeader)
       return;
-    std::vector<wire::MemberInfo> blank;
+    std::vector<wire::MemberInfo> strangers;
     for (const Member& member : m_members) {
-      if (member.m_up && member.m_node.m_membership.members.empty())
-        blank.push_back(InfoOf(member, false));
+      if (member.m_up && FindMember(leader.m_node.m_membership, member.m_disk.m_id) == nullptr)
+        strangers.push_back(InfoOf(member, false));
     }
-    const std::optional<wire::Membership> due = DueMembership(leader.m_node, blank, m_now);
+    const std::optional<wire::Membership> due = DueMembership(leader.m_node, strangers, m_now);
     if (!due)
       return;
     LogEffects effects;
@@ -203,7 +224,8 @@
     }
   }
 
-  /// What a daemon does with effects: make durable, send, apply. A crash may fall in between.
+  /// What a daemon does with effects: send what may be sent, apply, and save one batch after
+  /// another. A crash may fall in between.
   void Perform(std::size_t i, LogEffects effects) {
     Member& member = m_members[i];
     if (m_spec.m_send_before_sync) {
@@ -214,39 +236,81 @@
         return;
       }
     }
-    if (effects.NeedsSync() && !m_healed && Chance(m_spec.m_crash / 20)) {
-      Crash(member);  // Before the sync: nothing of it was durable, nothing was sent.
-      return;
-    }
-    MakeDurable(member, effects);
-    if (effects.NeedsSync() && !m_healed && Chance(m_spec.m_crash / 20)) {
-      Crash(member);  // After the sync, before sending.
-      return;
-    }
     if (effects.m_install) {
       ++m_report.m_snapshots_installed;
       (void)LoadMachine(member.m_machine, *effects.m_install);
     }
-    Send(i, effects.m_send);
-    MergeEffects(effects, AfterSync(member.m_node));
-    for (const wire::LogEntry& entry : effects.m_committed)
+    SendOrHold(i, std::exchange(effects.m_send, {}));
+    for (const wire::LogEntry& entry : std::exchange(effects.m_committed, {}))
       Apply(member, entry);
     NoteLeader(member);
-    if (member.m_machine.m_applied - member.m_node.m_snapshot_index >= m_spec.m_snapshot_every) {
-      const wire::Snapshot snapshot =
+    MergeEffects(member.m_unsaved, std::move(effects));
+    BeginSave(i);
+  }
+
+  void SendOrHold(std::size_t i, std::vector<wire::LogMessage> messages) {
+    Member& member = m_members[i];
+    std::vector<wire::LogMessage> allowed;
+    for (wire::LogMessage& message : messages) {
+      if (MaySend(member.m_node, message))
+        allowed.push_back(std::move(message));
+      else
+        HoldMessage(member.m_held, std::move(message));
+    }
+    Send(i, allowed);
+  }
+
+  void BeginSave(std::size_t i) {
+    Member& member = m_members[i];
+    if (member.m_node.m_save_under_way)
+      return;
+    const bool compact =
+        member.m_machine.m_applied - member.m_node.m_snapshot_index >= m_spec.m_snapshot_every &&
+        !member.m_unsaved.m_install;
+    if (!compact && !member.m_unsaved.NeedsSync())
+      return;
+    if (!m_healed && Chance(m_spec.m_crash / 20)) {
+      Crash(
+          member);  // Before the save: nothing of it is durable, nothing that rests on it was sent.
+      return;
+    }
+    if (compact)
+      member.m_compacting =
           CompactLog(member.m_node, member.m_machine.m_applied, SaveMachine(member.m_machine));
-      member.m_disk.m_snapshot = snapshot;
-      member.m_disk.m_entries.assign(member.m_node.m_entries.begin(),
-                                     member.m_node.m_entries.end());
+    member.m_saving_node = member.m_node;
+    member.m_saving = std::exchange(member.m_unsaved, {});
+    BeforeSync(member.m_node);
+    if (m_spec.m_save_steps > 0)
+      member.m_save_ends =
+          m_now + kStep * static_cast<std::int64_t>(m_random() %
+                                                    static_cast<unsigned>(m_spec.m_save_steps));
+    else
+      EndSave(i);
+  }
+
+  void EndSave(std::size_t i) {
+    Member& member = m_members[i];
+    MakeDurable(member);
+    if (!m_healed && Chance(m_spec.m_crash / 20)) {
+      Crash(member);  // After the save, before what rests on it is sent.
+      return;
     }
+    LogEffects effects = AfterSync(member.m_node);
+    SendOrHold(i, std::exchange(member.m_held, {}));
+    Perform(i, std::move(effects));
   }
 
-  static void MakeDurable(Member& member, const LogEffects& effects) {
+  static void MakeDurable(Member& member) {
     StoredLog& disk = member.m_disk;
-    disk.m_hard = member.m_node.m_hard;
-    if (effects.m_install) {
-      disk.m_snapshot = *effects.m_install;
-      disk.m_entries.assign(member.m_node.m_entries.begin(), member.m_node.m_entries.end());
+    const LogNode& node = member.m_saving_node;
+    const LogEffects effects = std::exchange(member.m_saving, {});
+    std::optional<wire::Snapshot> snapshot = std::exchange(member.m_compacting, std::nullopt);
+    if (!snapshot && effects.m_install)
+      snapshot = effects.m_install;
+    disk.m_hard = node.m_hard;
+    if (snapshot) {
+      disk.m_snapshot = snapshot;
+      disk.m_entries.assign(node.m_entries.begin(), node.m_entries.end());
       return;
     }
     if (effects.m_truncate_after) {
@@ -261,6 +325,7 @@
     if (m_members[from].m_cut)
       return;
     for (const wire::LogMessage& message : messages) {
+      NoteVote(message);
       if (!m_healed && Chance(m_spec.m_drop))
         continue;
       const auto to = std::find_if(m_members.begin(), m_members.end(), [&](const Member& member) {
@@ -274,6 +339,16 @@
     }
   }
 
+  void NoteVote(const wire::LogMessage& message) {
+    const wire::VoteReply& vote = message.body.vote_reply;
+    if (!message.body.__isset.vote_reply || vote.pre || !vote.granted)
+      return;
+    const auto [given, first] =
+        m_votes.emplace(std::pair(message.from_id, vote.term), message.to_id);
+    if (!first && given->second != message.to_id)
+      Violate("a vote is given twice in term " + std::to_string(vote.term));
+  }
+
   void NoteLeader(const Member& member) {
     if (member.m_node.m_role != Role::kLeader)
       return;
@@ -388,6 +463,7 @@
   std::map<std::int64_t, std::string> m_committed;
   std::map<std::int64_t, std::string> m_acknowledged;
   std::map<std::int64_t, MemberId> m_leader_of_term;
+  std::map<std::pair<MemberId, std::int64_t>, MemberId> m_votes;  ///< By voter and term.
   std::map<std::string, std::string> m_holders;
 };
 
--- a/tests/log_cluster.h
+++ b/tests/log_cluster.h
@@ -20,9 +20,11 @@
   int m_steps = 600;          ///< Of 10 ms each.
   double m_drop = 0.02;       ///< Share of messages lost.
   double m_crash = 0.01;      ///< Chance of a crash in a step.
+  double m_restart = 0.05;    ///< Chance that a crashed member starts again in a step.
   double m_cut = 0.01;        ///< Chance that one member is cut off.
   double m_freeze = 0.005;    ///< Chance that one member's process is paused for long.
   double m_blank = 0.003;     ///< Chance that one member loses its folder.
+  int m_save_steps = 0;       ///< Most steps that a save takes; none: it ends at once.
   int m_snapshot_every = 25;  ///< Applied entries between snapshots.
   // Faults of a wrong driver; each must make the checker find something.
   bool m_keep_id_when_blank = false;
--- a/tests/log_node_test.cc
+++ b/tests/log_node_test.cc
@@ -59,6 +59,12 @@
   return message;
 }
 
+/// Makes durable all that the node has so far.
+void Save(LogNode& node) {
+  BeforeSync(node);
+  (void)AfterSync(node);
+}
+
 /// Elects node 1 by the votes of node 2.
 void Elect(LogNode& node, int at) {
   (void)TickLog(node, At(at));
@@ -73,6 +79,7 @@
     (void)StepLog(node, vote, At(at + 1001));
   }
   REQUIRE(node.m_role == Role::kLeader);
+  Save(node);
 }
 
 LogEffects Acknowledge(LogNode& node, MemberId from, std::int64_t match, int at) {
--- a/tests/log_schedule_test.cc
+++ b/tests/log_schedule_test.cc
@@ -61,6 +61,27 @@
   CHECK(totals.m_failed == 0);
 }
 
+// Guards against answers, votes or commits that rest on entries whose save has not ended.
+TEST_CASE("saves that take long beside the log's work lose no acknowledged entry",
+          "[log][schedule]") {
+  ScheduleSpec spec;
+  spec.m_save_steps = GENERATE(3, 20, 60);  // Up to 20, 190 and 590 ms.
+  const Totals totals = RunMany(spec, 200);
+  INFO(totals.m_first);
+  CHECK(totals.m_failed == 0);
+  CHECK(totals.m_acknowledged > 500);
+  CHECK(totals.m_snapshots > 10);
+}
+
+TEST_CASE("the checker sees messages that are sent before a save that takes long",
+          "[log][schedule][teeth]") {
+  ScheduleSpec spec;
+  spec.m_send_before_sync = true;
+  spec.m_save_steps = 20;
+  spec.m_crash = 0.05;
+  CHECK(RunMany(spec, 100).m_failed > 0);
+}
+
 TEST_CASE("a harsh network loses no acknowledged entry", "[log][schedule]") {
   ScheduleSpec spec;
   spec.m_drop = 0.25;
@@ -88,7 +109,10 @@
 TEST_CASE("the checker sees a vote that is forgotten on restart", "[log][schedule][teeth]") {
   ScheduleSpec spec;
   spec.m_vote_is_forgotten = true;
+  spec.m_members = 5;
   spec.m_crash = 0.15;
   spec.m_drop = 0.2;
+  spec.m_restart = 0.5;
+  spec.m_save_steps = 10;
   CHECK(RunMany(spec, 400).m_failed > 0);
 }
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -231,6 +231,27 @@
   CHECK(cluster.FakeCount("keys_doubled") == 0);
 }
 
+// Guards against heartbeats that a leader doesn't count while it isn't confirmed.
+TEST_CASE("on slow disks no instance that lives is taken for gone", "[process][members]") {
+  ProcessCluster cluster(4);
+  cluster.SlowDisks(200);
+  cluster.StartFake(SmallFake(cluster));
+  for (const int instance : cluster.all())
+    cluster.Start(instance);
+  const std::string path = cluster.Write("deployment.yaml", SmallDeployment(cluster));
+  CommandResult applied;
+  for (int tries = 0; tries < 10 && applied.m_exit != 0; ++tries) {
+    SleepMs(1000);
+    applied = cluster.Ctl({"apply", path, "--wait", "20"});
+  }
+  INFO(applied.m_output);
+  REQUIRE(applied.m_exit == 0);
+  REQUIRE(cluster.AwaitReady());
+  (void)cluster.Load(kSteadyPlan, 300);
+  for (const int instance : cluster.all())
+    CHECK(cluster.LogOf(instance).find("event=instance_gone") == std::string::npos);
+}
+
 TEST_CASE("a leaving backend server gets no new work after two seconds", "[process][leaving]") {
   const bool by_platform = GENERATE(false, true);
   const std::string fake = "127.0.0.1:" + std::to_string(ProcessCluster::FakePort(1));
--- a/tests/process/shared_state_test.cc
+++ b/tests/process/shared_state_test.cc
@@ -89,6 +89,52 @@
   CHECK(cluster.LogOf(1).find("event=snapshot") != std::string::npos);
 }
 
+// Guards against an instance that takes what a member tells from its snapshot for current.
+TEST_CASE(
+    "an instance that reads a lagging member after a restart of all isn't ready until it holds "
+    "the last version",
+    "[process][configuration]") {
+  ProcessCluster cluster(4, {"snapshot_entries: 20"});
+  StartSmall(cluster);
+  std::int64_t version = VersionOf(cluster);
+  for (int i = 0; i < 50; ++i)
+    version = ChangeOnce(cluster, i, version);
+  REQUIRE(version == 51);
+  for (const int instance : cluster.all())
+    cluster.Kill(instance);
+  const std::size_t before = cluster.LogOf(4).size();
+  // One member of three has no leader: it tells what its snapshot holds.
+  cluster.Start(1);
+  cluster.Start(4);
+  const auto told = [&] {
+    return cluster.LogOf(4).find("event=configuration_in_force", before) != std::string::npos;
+  };
+  for (int waited = 0; waited < 10'000 && !told(); waited += 50)
+    SleepMs(50);
+  REQUIRE(told());
+  // It waits for news from there while the two others elect a leader.
+  SleepMs(300);
+  cluster.Freeze(1);
+  cluster.Start(2);
+  cluster.Start(3);
+  bool heard = false;
+  bool older = false;
+  (void)cluster.AwaitStatus(
+      [&](const wire::StatusReply& s) {
+        for (const wire::InstanceStatus& instance : s.instances) {
+          const bool ours = instance.instance == "entry-4";
+          heard = heard || ours;
+          older = older || (ours && instance.ready && instance.version_in_force < version);
+        }
+        return false;
+      },
+      4000);
+  CHECK(heard);
+  CHECK_FALSE(older);
+  cluster.Thaw(1);
+  CHECK(cluster.AwaitStatus([&](const wire::StatusReply& s) { return AllInForce(s, 4, version); }));
+}
+
 TEST_CASE("of two operators on one base version one wins and the other learns of it",
           "[process][configuration]") {
   ProcessCluster cluster(3);
