--- a/tests/process/shared_state_test.cc
+++ b/tests/process/shared_state_test.cc
@@ -89,6 +89,65 @@
   CHECK(cluster.LogOf(1).find("event=snapshot") != std::string::npos);
 }
 
+namespace {
+
+/// When all processes are killed, and how they come back.
+enum class Blow { kBeforeForce, kDuringElection, kStartedLate, kKilledAgain };
+
+void KillAll(ProcessCluster& cluster) {
+  for (const int instance : cluster.all()) {
+    if (cluster.running(instance))
+      cluster.Kill(instance);
+  }
+}
+
+void StartAll(ProcessCluster& cluster, int apart_ms) {
+  const std::vector<int> last_first(cluster.all().rbegin(), cluster.all().rend());
+  for (const int instance : last_first) {
+    cluster.Start(instance);
+    SleepMs(apart_ms);
+  }
+}
+
+void Strike(ProcessCluster& cluster, Blow blow) {
+  if (blow == Blow::kDuringElection) {
+    cluster.Kill(cluster.Leader());
+    SleepMs(350);  // The others have just missed it.
+  }
+  KillAll(cluster);
+  if (blow == Blow::kKilledAgain) {
+    StartAll(cluster, 0);
+    SleepMs(400);
+    KillAll(cluster);
+  }
+  StartAll(cluster, blow == Blow::kStartedLate ? 700 : 0);
+}
+
+}  // namespace
+
+// Guards against a restart of all at another moment than after the changes are in force.
+TEST_CASE("a kill of every process at any moment leaves the last version acknowledged in force",
+          "[process][configuration]") {
+  const Blow blow =
+      GENERATE(Blow::kBeforeForce, Blow::kDuringElection, Blow::kStartedLate, Blow::kKilledAgain);
+  CAPTURE(static_cast<int>(blow));
+  ProcessCluster cluster(4, {"snapshot_entries: 20"});
+  StartSmall(cluster);
+  std::int64_t version = VersionOf(cluster);
+  for (int i = 0; i < 60; ++i)
+    version = ChangeOnce(cluster, i, version);
+  REQUIRE(version == 61);
+  Strike(cluster, blow);
+  bool older = false;
+  CHECK(cluster.AwaitStatus([&](const wire::StatusReply& s) {
+    for (const wire::InstanceStatus& instance : s.instances)
+      older = older || (instance.ready && instance.version_in_force < version);
+    return s.version >= version && AllInForce(s, 4, version);
+  }));
+  CHECK_FALSE(older);
+  CHECK(VersionOf(cluster) == version);
+}
+
 // Guards against an instance that takes what a member tells from its snapshot for current.
 TEST_CASE(
     "an instance that reads a lagging member after a restart of all isn't ready until it holds "
