--- a/apps/poppywayd/member_disk.cc
+++ b/apps/poppywayd/member_disk.cc
@@ -41,7 +41,9 @@
   if (!m_disk_full || now < m_disk_retry)
     return;
   m_disk_retry = now + kDiskRetryInterval;
+  const std::vector<wire::LogEntry> committed = Perform();
   StartSave();
+  Apply(committed);
 }
 
 void MemberSide::DiskHasRoom() {
@@ -57,25 +59,29 @@
   if (m_disk_full)
     return;
   const bool led = leads();
-  LogEffects effects = std::move(m_effects);
-  m_effects = {};
+  const std::vector<wire::LogEntry> committed = Perform();
+  StartSave();
+  Apply(committed);
+  if (!led && !m_pending.empty() && !leads())
+    FailPending("leadership was lost");
+}
+
+std::vector<wire::LogEntry> MemberSide::Perform() {
+  LogEffects effects = std::exchange(m_effects, {});
   if (effects.m_install) {
     if (Result<void> loaded = LoadMachine(m_machine, *effects.m_install); !loaded)
       FatalDisk(loaded.error());
     OnStateReplaced();
   }
   SendOrHold(std::exchange(effects.m_send, {}));
-  const std::vector<wire::LogEntry> committed = std::exchange(effects.m_committed, {});
+  std::vector<wire::LogEntry> committed = std::exchange(effects.m_committed, {});
   MergeEffects(m_unsaved, std::move(effects));
-  StartSave();
-  Apply(committed);
-  if (!led && !m_pending.empty() && !leads())
-    FailPending("leadership was lost");
+  return committed;
 }
 
 void MemberSide::SendOrHold(std::vector<wire::LogMessage> messages) {
   for (wire::LogMessage& message : messages) {
-    if (MaySend(m_node, message))
+    if (!m_disk_full && MaySend(m_node, message))
       SendTo(message);
     else
       HoldMessage(m_held, std::move(message));
@@ -83,10 +89,15 @@
 }
 
 void MemberSide::StartSave() {
-  if (m_node.m_save_under_way || !m_unsaved.NeedsSync())
+  if (m_node.m_save_under_way)
     return;
   LogSave save;
-  save.m_node = DurablePart(m_node, m_unsaved.m_install.has_value());
+  if (SnapshotDue())
+    save.m_compacted = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
+  else if (!m_unsaved.NeedsSync())
+    return;
+  // A segment that begins anew holds the whole log, also what isn't saved yet.
+  save.m_node = DurablePart(m_node, save.m_compacted || m_unsaved.m_install);
   save.m_effects = std::exchange(m_unsaved, {});
   BeforeSync(m_node);
   m_writer->Save(std::move(save));
@@ -107,7 +118,7 @@
     // The log in memory begins after the snapshot now; the one on the disk is whole without it.
     POPPYWAY_LOG(warning, "snapshot_put_off").Field("why", why.m_message);
     PutBack(std::move(save.m_effects));
-    StartSave();
+    Flush();
     return;
   }
   ++m_syncs;
@@ -121,21 +132,12 @@
     DiskHasRoom();
   MergeEffects(m_effects, AfterSync(m_node));
   SendOrHold(std::exchange(m_held, {}));
-  MaybeCompact();
   Flush();
 }
 
-void MemberSide::MaybeCompact() {
+bool MemberSide::SnapshotDue() const {
   const std::int64_t behind = m_machine.m_applied - m_node.m_snapshot_index;
-  if (behind < m_settings.m_snapshot_entries || m_node.m_save_under_way || m_unsaved.m_install)
-    return;
-  LogSave save;
-  save.m_compacted = CompactLog(m_node, m_machine.m_applied, SaveMachine(m_machine));
-  // The new segment holds all that the log does, also what isn't saved yet.
-  save.m_node = DurablePart(m_node, true);
-  save.m_effects = std::exchange(m_unsaved, {});
-  BeforeSync(m_node);
-  m_writer->Save(std::move(save));
+  return behind >= m_settings.m_snapshot_entries && !m_disk_full && !m_unsaved.m_install;
 }
 
 }  // namespace poppyway
--- a/apps/poppywayd/member_side.h
+++ b/apps/poppywayd/member_side.h
@@ -126,7 +126,11 @@
   void Flush();
   /// Sends what rests on durable state; the rest waits for the next save.
   void SendOrHold(std::vector<wire::LogMessage> messages);
-  /// Saves what isn't saved yet, if there is anything and no other save is under way.
+  /// Takes up what has gathered: sends it, or holds it, and counts it as not saved yet. Returns
+  /// what is to be applied.
+  [[nodiscard]] std::vector<wire::LogEntry> Perform();
+  /// Saves what isn't saved yet, or a snapshot that is due, unless another save is under way.
+  /// Precondition: `Perform` has just been called, so that the save holds all that the log does.
   void StartSave();
   void OnSaved(SaveOutcome outcome);
   /// What was refused is saved before all that came after it.
@@ -138,7 +142,7 @@
   void SayHello(Instant now);
   void TryForm(Instant now);
   void ProposeDue(Instant now);
-  void MaybeCompact();
+  [[nodiscard]] bool SnapshotDue() const;
   void SendTo(const wire::LogMessage& message);
   void CountEntries(const wire::LogMessage& message);
   /// The connection to a member; null if its name is no known place.
--- a/packages/log/src/log_store.cc
+++ b/packages/log/src/log_store.cc
@@ -142,6 +142,9 @@
       Result<wire::LogEntry> entry = Deserialize<wire::LogEntry>(record.m_payload);
       if (!entry)
         return tl::unexpected<Error>(entry.error());
+      // One that was written again takes the place of what stood there.
+      while (!stored.m_entries.empty() && stored.m_entries.back().index >= entry->index)
+        stored.m_entries.pop_back();
       stored.m_entries.push_back(std::move(*entry));
       return {};
     }
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -177,6 +177,31 @@
   CHECK(again.m_entries.size() == 4);
 }
 
+// Guards against a log whose entries stand at other places in memory than their indexes say.
+TEST_CASE("an entry that was saved twice is read once", "[log][store]") {
+  const TemporaryFolder folder;
+  {
+    StoredLog stored;
+    auto store = LogStore::Open(folder.path(), "c", 7, stored);
+    REQUIRE(store);
+    LogNode node;
+    node.m_id = stored.m_id;
+    LogEffects effects;
+    for (int i = 1; i <= 5; ++i) {
+      node.m_entries.push_back(Entry(i));
+      effects.m_append.push_back(Entry(i));
+    }
+    REQUIRE((*store)->SaveSnapshot(node, CompactLog(node, 3, "state")));
+    effects.m_append.erase(effects.m_append.begin(), effects.m_append.begin() + 4);
+    REQUIRE((*store)->Save(node, effects));  // The segment holds entry 5 already.
+  }
+  const auto reopened = Reopen(folder.path());
+  REQUIRE(reopened);
+  REQUIRE(reopened->m_entries.size() == 2);
+  CHECK(reopened->m_entries.front().index == 4);
+  CHECK(reopened->m_entries.back().index == 5);
+}
+
 TEST_CASE("a folder of another cluster or a newer format is refused", "[log][store]") {
   const TemporaryFolder folder;
   WriteEntries(folder.path(), 1);
