Log what a request contains: a fingerprint in lines of requests and failed calls

Cause of the gap: each attempt has an id of its own, so no line could show that two attempts bring the same request, nor tell a repeat from another request with equal token counts. Change: FingerprintOf (method, host, target, workspace, body) in core; the fields are in the lines request, call_failed and call_lost; a counter of failed calls by reason.

--- a/packages/core/include/poppyway/core.h
+++ b/packages/core/include/poppyway/core.h
@@ -18,6 +18,7 @@
 /// \endcode
 
 #include "poppyway/core/impl/error.h"
+#include "poppyway/core/impl/fingerprint.h"
 #include "poppyway/core/impl/hash.h"
 #include "poppyway/core/impl/region_map.h"
 #include "poppyway/core/impl/result_code.h"
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -68,6 +68,7 @@
   const Route* m_route = nullptr;
   const Workspace* m_workspace = nullptr;
   const Pool* m_pool = nullptr;
+  RequestFingerprint m_fingerprint = 0;  ///< Zero until the workspace is known.
   Tier m_tier = 0;  ///< The workspace's tier, or the route's if the workspace has none.
   Instant m_arrived{};
   Instant m_deadline{};              ///< The earlier of the caller's and the route's timeout.
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -37,6 +37,7 @@
     return;
   if (IdentifyWorkspace(state, forwarding) == Step::kEnded)
     return;
+  SetFingerprint(forwarding);
   if (SetHomeRegions(state, forwarding) == Step::kEnded)
     return;
   PriceRequest(state, forwarding);
@@ -92,6 +93,13 @@
   return Step::kContinue;
 }
 
+void SetFingerprint(Forwarding& forwarding) {
+  const Workspace* workspace = forwarding.m_workspace;
+  forwarding.m_fingerprint =
+      FingerprintOf(forwarding.m_method, forwarding.m_host, forwarding.m_target,
+                    workspace == nullptr ? "" : workspace->m_name, forwarding.m_body);
+}
+
 void PriceRequest(ForwarderState& state, Forwarding& forwarding) {
   const Workspace* workspace = forwarding.m_workspace;
   if (workspace == nullptr || workspace->m_limit.m_rate_per_s <= 0)
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -62,6 +62,7 @@
       .Field("route", forwarding.m_route == nullptr ? "-" : forwarding.m_route->m_name)
       .Field("tier", forwarding.m_tier)
       .Field("workspace", forwarding.m_workspace == nullptr ? "-" : forwarding.m_workspace->m_name)
+      .Field("fingerprint", FingerprintText(forwarding.m_fingerprint))
       .Field("server", forwarding.m_tried.empty() ? "-" : forwarding.m_tried.back())
       .Field("attempts", forwarding.m_attempts)
       .Field("allowed_ms", Millis(forwarding.m_deadline - forwarding.m_arrived))
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -275,8 +275,10 @@
   if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
     return;
   const std::string_view why = CallFaultName(fault);
+  state.m_metrics.Add("poppyway_forward_calls_failed_total", "why=\"" + std::string(why) + "\"");
   POPPYWAY_LOG(info, "call_failed")
       .Field("request", forwarding->m_request.m_id)
+      .Field("fingerprint", FingerprintText(forwarding->m_fingerprint))
       .Field("server", forwarding->m_server)
       .Field("why", why)
       .Field("headed", forwarding->m_head_accepted)
--- a/packages/forward/src/restarts.cc
+++ b/packages/forward/src/restarts.cc
@@ -110,6 +110,7 @@
       continue;
     POPPYWAY_LOG(info, "call_lost")
         .Field("request", forwarding->m_request.m_id)
+        .Field("fingerprint", FingerprintText(forwarding->m_fingerprint))
         .Field("server", forwarding->m_server)
         .Field("born", forwarding->m_server_started_ms)
         .Field("after_ms", (now - forwarding->m_dispatched).count() / 1000);
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -23,6 +23,8 @@
 [[nodiscard]] Step CheckShutdown(ForwarderState& state, Forwarding& forwarding);
 /// Finds the workspace by the request's API key; sets its tier.
 [[nodiscard]] Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding);
+/// Sets the fingerprint. Precondition: the workspace is known.
+void SetFingerprint(Forwarding& forwarding);
 /// Sets the regions that may serve the request; rejects it if there are none.
 [[nodiscard]] Step SetHomeRegions(ForwarderState& state, Forwarding& forwarding);
 /// Sets the quota cost of the request, which is charged when it gets a slot.
