--- a/fakes/scripted_server.cc
+++ b/fakes/scripted_server.cc
@@ -60,15 +60,17 @@
   shutdown(m_listener, SHUT_RDWR);
   close(m_listener);
   m_acceptor.join();
-  {
-    const std::lock_guard lock(m_mutex);
-    for (const int fd : m_open)
-      shutdown(fd, SHUT_RDWR);
-  }
+  EndAllConnections();
   for (std::thread& thread : m_threads)
     thread.join();
 }
 
+void ScriptedServer::EndAllConnections() {
+  const std::lock_guard lock(m_mutex);
+  for (const int fd : m_open)
+    shutdown(fd, SHUT_RDWR);
+}
+
 std::vector<std::string> ScriptedServer::requests() const {
   const std::lock_guard lock(m_mutex);
   return m_requests;
@@ -125,6 +127,11 @@
         ++m_peer_closes;
       return false;
     }
+    case ScriptStep::Kind::kCrash:
+      m_crashed.store(true);
+      shutdown(m_listener, SHUT_RDWR);
+      EndAllConnections();
+      return false;
   }
   return false;
 }
--- a/fakes/scripted_server.h
+++ b/fakes/scripted_server.h
@@ -20,6 +20,7 @@
     kClose,       ///< Closes the connection in order (FIN).
     kReset,       ///< Closes the connection with a reset (RST).
     kAwaitClose,  ///< Waits until the peer closes, at most two seconds, then closes.
+    kCrash,       ///< Ends the server: closes all connections and refuses new ones.
   };
   Kind m_kind = Kind::kSend;
   std::string m_bytes;  ///< What kSend sends.
@@ -42,6 +43,10 @@
   return {ScriptStep::Kind::kAwaitClose, "", 0};
 }
 
+[[nodiscard]] inline ScriptStep Crash() {
+  return {ScriptStep::Kind::kCrash, "", 0};
+}
+
 /// \brief A backend server on loopback that responds to each request as a script says. It uses one
 /// thread per connection. Thread-safe.
 class ScriptedServer {
@@ -62,9 +67,12 @@
   [[nodiscard]] int connections() const noexcept { return m_accepted.load(); }
   /// \brief Number of kAwaitClose steps during which the peer closed the connection.
   [[nodiscard]] int peer_closes() const noexcept { return m_peer_closes.load(); }
+  /// \brief Returns true once a kCrash step has ended the server.
+  [[nodiscard]] bool crashed() const noexcept { return m_crashed.load(); }
 
  private:
   void Accept();
+  void EndAllConnections();
   void Serve(int fd);
   /// Performs one step. Returns false if the connection must be closed.
   bool Perform(int fd, const ScriptStep& step);
@@ -73,6 +81,7 @@
   int m_listener = -1;
   std::uint16_t m_port = 0;
   std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_crashed{false};
   std::atomic<int> m_accepted{0};
   std::atomic<int> m_peer_closes{0};
   mutable std::mutex m_mutex;
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -150,6 +150,10 @@
         """Returns additional headers of a response, and whether the request is rejected."""
         return [], False
 
+    def judge_path(self, _path, _state):
+        """Returns True for a request that gets no response."""
+        return False
+
     def turn_bad(self):
         self._faults_enabled = True
 
@@ -186,6 +190,8 @@
                 continue
             state["running"] += 1
             self.runs.setdefault(ident, []).append(now)
+            if self.judge_path(path, state):
+                continue
             bad = self._faults_enabled and self._fault_model.affects(
                 now - self.begun, path, state["running"], self._rng)
             slow = self._fault_model.slow if bad else 1.0
@@ -216,7 +222,7 @@
         self.outcomes = {}  # Status to count.
         self.wrong = []  # Ids of requests that got the response to another request.
         self.cut = []  # (time, number of the instance) of requests without a complete response.
-        self._key, self._per_s = key, per_s
+        self.key, self._per_s = key, per_s
         self._connections = [Connections(instance.address, CALLERS_PORT) for instance in instances]
         self._rng = random.Random(f"{seed}-callers")
         self._task = None
@@ -247,7 +253,7 @@
         self.sent.append((sent, ident))
         status, body = await self._connections[instance].call(
             "GET" if route == "look" else "POST", f"/{route}/x",
-            fields=(f"X-Attempt-Id: {ident}", f"Authorization: Bearer {self._key}",
+            fields=(f"X-Attempt-Id: {ident}", f"Authorization: Bearer {self.key}",
                     "X-Deadline-Ms: 2000"), timeout=3.0)
         self.outcomes[status] = self.outcomes.get(status, 0) + 1
         if status == 0:
--- a/tests/forwarder_fixture.h
+++ b/tests/forwarder_fixture.h
@@ -19,6 +19,7 @@
 
 using test::AwaitClose;
 using test::CloseNow;
+using test::Crash;
 using test::ResetNow;
 using test::ScriptedServer;
 using test::ScriptStep;
