Count suspended time: leases and deadlines read CLOCK_BOOTTIME

What was wrong: all leases, confirmations, quotas and deadlines read the steady clock, which stands still while a machine is suspended. An instance that woke up believed its confirmation as fresh as before and used keys that had been revoked meanwhile; a leader believed its majority. The class: a duration agreed with others, measured on a clock that others don't share. Looked for elsewhere: ReadClock is the only place that reads a clock for durations; h2o's timers use the time of day. A request whose deadline passed while its instance was suspended was still sent from the queue, with a deadline of 1 ms: the last look before the first byte now checks it. Shown: the new tests replace the clock of the test program so that only the monotonic one stands still. All three fail when the clock that ReadClock uses stands still (a key is used 120 s after its confirmation ended; a late request runs) and pass now. The third failed also with the new clock before the deadline check. The code before was not built again for this. Not reproduced with a real suspended machine: none can be had here.

--- a/packages/core/include/poppyway/core/impl/time.h
+++ b/packages/core/include/poppyway/core/impl/time.h
@@ -2,7 +2,10 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
+#include <cstdint>
 
 namespace poppyway {
 
@@ -18,14 +21,20 @@
   static constexpr bool is_steady = true;
 };
 
-/// \brief A point in monotonic time, in microseconds.
+/// \brief A point in monotonic time, in microseconds. Time during which the machine is suspended
+/// counts.
 using Instant = GivenClock::time_point;
 
 /// \brief Reads the monotonic clock. Only tasks call it; policy, log and state take the time as a
 /// parameter.
+///
+/// `std::chrono::steady_clock` isn't used: on Linux it stands still while the machine is suspended,
+/// so that leases and deadlines would last longer here than for everybody else.
 [[nodiscard]] inline Instant ReadClock() {
-  return Instant(
-      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /// \brief Reads the wall clock. \return milliseconds since 1970-01-01 UTC.
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -45,7 +45,8 @@
   Backend* backend = FindCalledBackend(state, *forwarding);
   const Instant now = ReadClock();
   const bool confirmed = forwarding->m_workspace == nullptr || now < state.m_confirmed_until;
-  if (backend == nullptr || !confirmed || IsQuarantined(state, forwarding->m_fingerprint) ||
+  const bool late = now >= forwarding->m_deadline;
+  if (backend == nullptr || !confirmed || late || IsQuarantined(state, forwarding->m_fingerprint) ||
       CheckEligibilityOnSend(state, *forwarding, *backend, now) != IneligibleReason::kNone)
     return false;
   ++forwarding->m_possible_runs;
--- /dev/null
+++ b/tests/suspension_test.cc
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Machines that are suspended for a time.
+//
+// Guards against leases and deadlines that last longer at a machine which was suspended, since the
+// steady clock stands still meanwhile: such an instance kept using keys that had been revoked.
+#include <sys/syscall.h>
+
+#include <atomic>
+
+#include "forwarder_fixture.h"
+
+namespace {
+
+std::atomic<long> g_suspended_s{0};  // Time for which the machine has been suspended so far.
+
+}  // namespace
+
+/// Replaces the library's function in this program. Of the clocks, only the monotonic one doesn't
+/// count the time for which the machine was suspended.
+extern "C" int clock_gettime(clockid_t clock, timespec* now) {
+  const long result = syscall(SYS_clock_gettime, clock, now);
+  if (clock != CLOCK_MONOTONIC)
+    now->tv_sec += g_suspended_s.load();
+  return static_cast<int>(result);
+}
+
+namespace poppyway {
+namespace {
+
+/// Suspends the machine for some seconds, in no time for the test.
+void Suspend(long seconds) {
+  g_suspended_s += seconds;
+}
+
+TEST_CASE("the clock counts the time for which the machine was suspended") {
+  const Instant before = ReadClock();
+  Suspend(10);
+  CHECK(ReadClock() - before >= Duration(10'000'000));
+  CHECK(ReadClock() - before < Duration(11'000'000));
+}
+
+TEST_CASE("an instance that was suspended past its confirmation relies on no key") {
+  ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
+  ForwarderFixture fixture;
+  fixture.Register("s0", server);
+  fixture.Confirm(Duration(60'000'000));
+  CHECK(Call(fixture, Request("/safe/", "before")).status() == 200);
+  Suspend(120);
+  const CallResult result = Call(fixture, Request("/safe/", "after"));
+  CHECK(result.status() == 503);
+  CHECK(result.body().starts_with("not_confirmed"));
+  CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE("a request whose deadline passed while its instance was suspended is not sent") {
+  ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
+  ForwarderFixture fixture;
+  fixture.Confirm(Duration(3'600'000'000));
+  BackgroundCall call(fixture, Request("/safe/", "waits"));
+  fixture.RunUntil([&] { return !fixture.m_forwarder->state().m_forwardings.empty(); });
+  Suspend(5);
+  fixture.Register("s0", server);
+  CHECK(call.AwaitResponse(fixture).status() == 503);
+  CHECK(server.requests().empty());
+}
+
+}  // namespace
+}  // namespace poppyway
