Decode and log the limits that servers state in their answers

Cause of the gap: no log line could show whether a server had stated a limit, what it said and which instance had heard it. Change: decoded once in the adapter into a typed field; the line server_limit and a counter; the value is kept with the server and decides nothing yet. An answer to another request, or to one that was sent before the last change, doesn't end a limit.

--- a/packages/forward/include/poppyway/forward/impl/protocol_adapter.h
+++ b/packages/forward/include/poppyway/forward/impl/protocol_adapter.h
@@ -56,8 +56,10 @@
   /// Id of the responding server, if it isn't the one that the request was sent to.
   std::optional<std::string> m_other_server;
   bool m_event_stream = false;
-  bool m_leaving = false;                ///< The server drains and takes no new requests.
-  std::optional<Duration> m_back_off;    ///< The server asks for no requests for this long.
+  bool m_leaving = false;              ///< The server drains and takes no new requests.
+  std::optional<Duration> m_back_off;  ///< The server asks for no requests for this long.
+  /// Requests per second that the server takes from all instances together; unset: any number.
+  std::optional<double> m_limit_per_s;
   std::optional<Duration> m_keep_alive;  ///< How long the connection may stay idle.
   int m_running = -1;                    ///< Requests that the server runs; -1: not stated.
   int m_waiting = 0;                     ///< Requests queued at the server.
--- a/packages/forward/src/server_notice.cc
+++ b/packages/forward/src/server_notice.cc
@@ -75,6 +75,30 @@
   NotifyBroker(state, backend, now);
 }
 
+/// Records the limit of a response head. A response to another request, or to one that was sent
+/// before the last change, may be older than the change, so it doesn't end a limit.
+void HandleLimit(ForwarderState& state,
+                 Backend& backend,
+                 const Forwarding& forwarding,
+                 const ServerResponse& answer,
+                 Instant now) {
+  const std::optional<double> limit_per_s = answer.m_limit_per_s;
+  if (backend.m_limit_per_s == limit_per_s)
+    return;
+  const bool crossed = answer.m_id && *answer.m_id != forwarding.m_request.m_id;
+  if (!limit_per_s && (crossed || forwarding.m_dispatched <= backend.m_limit_stated))
+    return;
+  state.m_metrics.Add("poppyway_forward_server_limits_total");
+  POPPYWAY_LOG(info, "server_limit")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", backend.m_record.id)
+      .Field("per_s", limit_per_s.value_or(-1))
+      .Field("before_per_s", backend.m_limit_per_s.value_or(-1))
+      .Field("in_flight", backend.m_in_flight);
+  backend.m_limit_per_s = limit_per_s;
+  backend.m_limit_stated = now;
+}
+
 }  // namespace
 
 void HandleServerNotice(ForwarderState& state,
@@ -82,14 +106,13 @@
                         const ServerResponse& answer) {
   if (!answer.m_unreadable.empty())
     LogUnreadable(state, forwarding, answer.m_unreadable);
-  if (!answer.m_leaving && !answer.m_back_off)
-    return;  // Most responses have no notice; this saves the look-up.
   // If another server answered at the address, the notice is about that server.
   Backend* backend = answer.m_other_server ? FindBackend(state, *answer.m_other_server)
                                            : FindCalledBackend(state, forwarding);
   if (backend == nullptr)
     return;
   const Instant now = ReadClock();
+  HandleLimit(state, *backend, forwarding, answer, now);
   if (answer.m_leaving)
     HandleLeaving(state, *backend, forwarding, now);
   if (answer.m_back_off)
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -286,6 +286,19 @@
   CHECK(decode(503, {{"retry-after", "3"}}).m_unreadable.empty());
 }
 
+TEST_CASE("a server states in its answers how many requests a second it takes") {
+  const auto decode = MakeProtocolAdapter().m_decode_response;
+  CHECK(decode(200, {{"server-limit", "2.6"}}).m_limit_per_s == 2.6);
+  CHECK(decode(503, {{"server-limit", " 3 "}}).m_limit_per_s == 3);
+  CHECK(decode(200, {{"server-limit", "0"}}).m_limit_per_s == 0);
+  CHECK_FALSE(decode(200, {}).m_limit_per_s);
+  for (const std::string malformed : {"", "-1", "few", "2.6/s", "nan", "inf", "1e999"}) {
+    const ServerResponse answer = decode(200, {{"server-limit", malformed}});
+    CHECK_FALSE(answer.m_limit_per_s);
+    CHECK(answer.m_unreadable == "server-limit");
+  }
+}
+
 TEST_CASE("a server says in its answers that it leaves; the end of a connection doesn't say so") {
   const auto decode = MakeProtocolAdapter().m_decode_response;
   for (const int status : {200, 421, 500, 503})
