Keep all instances together to the limits that servers state

What callers saw: nothing yet; servers in need got 21 to 34 requests in 4 s where 17 to 21 are allowed, as many as before they stated their limits. The class is the one of the pauses that servers asked for: what a server says of itself was no input to any decision. Looked for again: the other fields of answers are acted on, but the load that servers tell, which the broker counts exactly. Ruled out: limits kept by each instance alone (one instance broke one by itself), knowledge that comes late (each second was over the limit). Change: ServerLimit, a bucket a server at the broker; each report on a slot carries what the response stated, so the newest answer sets or ends a limit; a resync tells a new broker. Without a broker all instances share half the rate, paced.

--- a/apps/poppywayd/slot_broker_service.cc
+++ b/apps/poppywayd/slot_broker_service.cc
@@ -37,6 +37,7 @@
   int m_in_flight = 0;
   int m_cold = 0;         ///< Servers that are, or may be, cold.
   int m_backing_off = 0;  ///< Servers that asked an instance to send nothing for a while.
+  int m_limited = 0;      ///< Servers that state how many requests a second they take.
 };
 
 PoolTotals TotalsOf(const OutageDetector& outages, const SlotPool& pool, Instant now) {
@@ -52,6 +53,7 @@
     totals.m_cold +=
         pool.m_slow_start_limit.m_per_s > 0 && IsCold(pool.m_slow_starts[i], now) ? 1 : 0;
     totals.m_backing_off += AnyBackOff(pool.m_notices[i], now) ? 1 : 0;
+    totals.m_limited += pool.m_limits[i].m_per_s ? 1 : 0;
     totals.m_in_flight += pool.m_views[i].m_other_in_flight;
   }
   return totals;
@@ -355,6 +357,7 @@
         .Field("avoided", totals.m_ejected)
         .Field("cold", totals.m_cold)
         .Field("backing_off", totals.m_backing_off)
+        .Field("limited", totals.m_limited)
         .Field("cold_waits", m_broker->m_cold_waits[name])
         .Field("slots", totals.m_slots)
         .Field("taken", totals.m_in_flight)
@@ -399,6 +402,7 @@
     metrics.Set("poppyway_place_avoided", label, totals.m_ejected);
     metrics.Set("poppyway_place_cold", label, totals.m_cold);
     metrics.Set("poppyway_place_backing_off", label, totals.m_backing_off);
+    metrics.Set("poppyway_place_limited", label, totals.m_limited);
     const auto waits = m_broker->m_cold_waits.find(name);
     if (waits != m_broker->m_cold_waits.end())
       metrics.Set("poppyway_place_cold_waits_total", label, static_cast<double>(waits->second));
--- a/apps/poppywayd/slot_convert.cc
+++ b/apps/poppywayd/slot_convert.cc
@@ -136,6 +136,9 @@
   message.pause_ms = ToMillis(report.m_longest_pause);
   message.connect_us = static_cast<std::int32_t>(
       std::min<std::int64_t>(report.m_connect.count(), std::numeric_limits<std::int32_t>::max()));
+  message.head = report.m_head;
+  if (report.m_limit_per_s)
+    message.__set_limit_per_s(*report.m_limit_per_s);
   return message;
 }
 
@@ -153,6 +156,9 @@
   report.m_span = FromMillis(message.span_ms);
   report.m_longest_pause = FromMillis(message.pause_ms);
   report.m_connect = Duration(message.connect_us);
+  report.m_head = message.head;
+  if (message.__isset.limit_per_s)
+    report.m_limit_per_s = message.limit_per_s;
   return report;
 }
 
@@ -185,6 +191,8 @@
   message.born = notice.m_started_ms;
   message.back_off_ms = ToMillis(notice.m_back_off);
   message.leaving = notice.m_leaving;
+  if (notice.m_limit_per_s)
+    message.__set_limit_per_s(*notice.m_limit_per_s);
   return message;
 }
 
@@ -194,6 +202,8 @@
   notice.m_started_ms = message.born;
   notice.m_back_off = FromMillis(message.back_off_ms);
   notice.m_leaving = message.leaving;
+  if (message.__isset.limit_per_s)
+    notice.m_limit_per_s = message.limit_per_s;
   return notice;
 }
 
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -42,9 +42,7 @@
   ServerPerformance m_performance;
   ServerHealth m_health;
   Instant m_back_off_until{};  ///< The server asked for no requests before this time.
-  /// Requests per second that the server last stated to take from all instances; unset: any number.
-  std::optional<double> m_limit_per_s;
-  Instant m_limit_stated{};  ///< When that limit last changed.
+  ServerLimit m_limit;         ///< As the server last stated to this instance.
   SlowStartState m_slow_start;
   Instant m_last_byte{};        ///< When this instance last received a byte from it.
   Instant m_restart_learned{};  ///< When this instance learned of the server's last restart.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -98,6 +98,14 @@
   return view;
 }
 
+/// Prepares a choice without a broker at a server that has stated a limit.
+void BeginPacing(ForwarderState& state, Backend& backend, Instant now) {
+  if (!backend.m_limit.m_per_s)
+    return;
+  const double random = static_cast<double>(state.m_random() >> 11) * 0x1.0p-53;
+  BeginPacingWithoutBroker(backend.m_limit, state.m_instances.m_recent_max, random, now);
+}
+
 /// Chooses a cold server only if no warm one has a free slot.
 std::optional<ServerChoice> ChooseWarmFirst(ForwarderState& state,
                                             const std::vector<std::string>& ids,
@@ -194,14 +202,16 @@
   views.reserve(ids.size());
   bool any = false;
   for (const std::string& id : ids) {
-    const Backend& backend = state.m_backends.at(id);
+    Backend& backend = state.m_backends.at(id);
+    BeginPacing(state, backend, now);
     const IneligibleReason reason = CheckEligibilityOnChoice(state, forwarding, backend, now);
     views.push_back(ViewOf(state, forwarding, backend, trips));
     views.back().m_usable = reason == IneligibleReason::kNone;
-    // A cold server at its limit counts as in use, unless it is suspect as well.
-    const bool cold_in_use =
-        reason == IneligibleReason::kCold && !IsSuspectLocally(state, backend, now);
-    any = any || views.back().m_usable || cold_in_use;
+    // A server at its limit, or a cold one at its own, counts as in use unless it is suspect as
+    // well.
+    const bool paced =
+        reason == IneligibleReason::kCold || reason == IneligibleReason::kServerLimit;
+    any = any || views.back().m_usable || (paced && !IsSuspectLocally(state, backend, now));
   }
   if (!any)
     UseFallbackServers(state, forwarding, ids, views, now);
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -83,6 +83,7 @@
     forwarding.m_slot = state.m_broker.m_next_ref++;
     forwarding.m_by_broker = false;
     RecordColdSendWithoutBroker(state, backend, now);
+    CountRequestWithoutBroker(backend.m_limit, state.m_instances.m_recent_max, now);
     ReportHeldSlot(state, forwarding);
   }
   forwarding.m_report = {.m_ref = forwarding.m_slot};
--- a/packages/forward/src/restarts.cc
+++ b/packages/forward/src/restarts.cc
@@ -54,8 +54,7 @@
   backend.m_in_flight_at_loss = 0;
   backend.m_health = {};
   backend.m_back_off_until = {};
-  backend.m_limit_per_s = {};
-  backend.m_limit_stated = {};
+  backend.m_limit = {};
   backend.m_announced_leaving = false;
   backend.m_last_byte = {};
   backend.m_prompt_segments.clear();
--- a/packages/forward/src/server_notice.cc
+++ b/packages/forward/src/server_notice.cc
@@ -22,6 +22,7 @@
   notice.m_started_ms = backend.m_record.born;
   notice.m_back_off = std::max(Duration(0), backend.m_back_off_until - now);
   notice.m_leaving = backend.m_announced_leaving;
+  notice.m_limit_per_s = backend.m_limit.m_per_s;
   return notice;
 }
 
@@ -75,34 +76,34 @@
   NotifyBroker(state, backend, now);
 }
 
-/// Records the limit of a response head. A response to another request, or to one that was sent
-/// before the last change, may be older than the change, so it doesn't end a limit.
+/// Records the limit of a response head. A response to another request may be older than the last
+/// change, so it doesn't end a limit. The broker hears of it with the next report on the slot.
 void HandleLimit(ForwarderState& state,
                  Backend& backend,
-                 const Forwarding& forwarding,
+                 Forwarding& forwarding,
                  const ServerResponse& answer,
                  Instant now) {
-  const std::optional<double> limit_per_s = answer.m_limit_per_s;
-  if (backend.m_limit_per_s == limit_per_s)
-    return;
   const bool crossed = answer.m_id && *answer.m_id != forwarding.m_request.m_id;
-  if (!limit_per_s && (crossed || forwarding.m_dispatched <= backend.m_limit_stated))
+  if (crossed && !answer.m_limit_per_s)
+    return;
+  forwarding.m_report.m_head = true;
+  forwarding.m_report.m_limit_per_s = answer.m_limit_per_s;
+  const std::optional<double> before = backend.m_limit.m_per_s;
+  if (!ApplyStatedLimit(backend.m_limit, answer.m_limit_per_s, forwarding.m_dispatched, now))
     return;
   state.m_metrics.Add("poppyway_forward_server_limits_total");
   POPPYWAY_LOG(info, "server_limit")
       .Field("request", forwarding.m_request.m_id)
       .Field("server", backend.m_record.id)
-      .Field("per_s", limit_per_s.value_or(-1))
-      .Field("before_per_s", backend.m_limit_per_s.value_or(-1))
+      .Field("per_s", answer.m_limit_per_s.value_or(-1))
+      .Field("before_per_s", before.value_or(-1))
       .Field("in_flight", backend.m_in_flight);
-  backend.m_limit_per_s = limit_per_s;
-  backend.m_limit_stated = now;
 }
 
 }  // namespace
 
 void HandleServerNotice(ForwarderState& state,
-                        const Forwarding& forwarding,
+                        Forwarding& forwarding,
                         const ServerResponse& answer) {
   if (!answer.m_unreadable.empty())
     LogUnreadable(state, forwarding, answer.m_unreadable);
@@ -112,7 +113,8 @@
   if (backend == nullptr)
     return;
   const Instant now = ReadClock();
-  HandleLimit(state, *backend, forwarding, answer, now);
+  if (!answer.m_other_server)
+    HandleLimit(state, *backend, forwarding, answer, now);
   if (answer.m_leaving)
     HandleLeaving(state, *backend, forwarding, now);
   if (answer.m_back_off)
@@ -122,7 +124,8 @@
 std::vector<ServerNotice> CurrentNotices(const ForwarderState& state, Instant now) {
   std::vector<ServerNotice> notices;
   for (const auto& [id, backend] : state.m_backends) {
-    const bool holds = backend.m_announced_leaving || now < backend.m_back_off_until;
+    const bool holds = backend.m_announced_leaving || now < backend.m_back_off_until ||
+                       backend.m_limit.m_per_s.has_value();
     if (holds)
       notices.push_back(MakeNotice(backend, now));
   }
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -144,10 +144,10 @@
                                   std::string_view why);
 
 // ---- server_notice.cc: drain and back-off notices in responses ---------------------------------
-/// Applies the drain and back-off notices of a response head, whichever request it answers, and
-/// forwards them to the broker.
+/// Applies what a server says of itself in a response head, whichever request it answers: that it
+/// drains, backs off or has a limit. The broker is told.
 void HandleServerNotice(ForwarderState& state,
-                        const Forwarding& forwarding,
+                        Forwarding& forwarding,
                         const ServerResponse& answer);
 /// Returns all notices that still apply, for a new broker.
 [[nodiscard]] std::vector<ServerNotice> CurrentNotices(const ForwarderState& state, Instant now);
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -19,6 +19,7 @@
 /// - `CheckEligibility`: decides whether a server may take a request, for every sender.
 /// - `ServerNotices`: the notices of servers that back off or leave.
 /// - `CrashSuspects`: finds the requests that crash servers.
+/// - `ServerLimit`: the rate that a server states to take from all instances together.
 /// - `OutageDetector`: detects data centres that are lost or unreachable as a whole.
 /// - `SlowStartState`: limits the requests to a server that is slow after its start.
 /// - `ChooseServer`, `ServerHealth`: choose a backend server by predicted time and health.
@@ -53,6 +54,7 @@
 #include "poppyway/policy/impl/server_choice.h"
 #include "poppyway/policy/impl/server_eligibility.h"
 #include "poppyway/policy/impl/server_health.h"
+#include "poppyway/policy/impl/server_limit.h"
 #include "poppyway/policy/impl/server_notice.h"
 #include "poppyway/policy/impl/shed_floor.h"
 #include "poppyway/policy/impl/slot_broker.h"
--- a/packages/policy/include/poppyway/policy/impl/server_eligibility.h
+++ b/packages/policy/include/poppyway/policy/impl/server_eligibility.h
@@ -21,7 +21,8 @@
   kTried,        ///< The request was already sent to the server.
   /// The server asked this instance to send nothing for a time that isn't over yet.
   kBackOff,
-  kCold,  ///< The server is cold and has got as many requests as it may.
+  kServerLimit,  ///< The server has got as many requests as it states to take.
+  kCold,         ///< The server is cold and has got as many requests as it may.
   /// The server failed recently; it is used all the same if too few other servers are left.
   kSuspect,
 };
@@ -38,6 +39,7 @@
   bool m_evacuated = false;
   bool m_kept_by_rollout = false;
   bool m_backs_off = false;  ///< The server asked the sending instance to back off.
+  bool m_at_limit = false;   ///< The server has got as many requests as it states to take.
   bool m_cold_full = false;  ///< See `ColdFull`.
   bool m_suspect = false;
   std::string_view m_region;  ///< Empty if unknown.
--- a/packages/policy/include/poppyway/policy/impl/server_notice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_notice.h
@@ -22,6 +22,8 @@
   /// Time for which the server wants no requests from that instance; zero if it didn't ask.
   Duration m_back_off{};
   bool m_leaving = false;  ///< The server is shutting down and gets no new work from any instance.
+  /// Requests per second that the server states to take from all instances; unset: any number.
+  std::optional<double> m_limit_per_s;
 
   friend bool operator==(const ServerNotice&, const ServerNotice&) = default;
 };
--- a/packages/policy/include/poppyway/policy/impl/slot_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/slot_broker.h
@@ -22,6 +22,7 @@
 #include "poppyway/policy/impl/server_choice.h"
 #include "poppyway/policy/impl/server_eligibility.h"
 #include "poppyway/policy/impl/server_health.h"
+#include "poppyway/policy/impl/server_limit.h"
 #include "poppyway/policy/impl/server_notice.h"
 #include "poppyway/policy/impl/slot_turnover.h"
 #include "poppyway/policy/impl/slow_start.h"
@@ -129,6 +130,9 @@
   Duration m_span{};           ///< Time from the first event to the last.
   Duration m_longest_pause{};  ///< Longest time between two consecutive events.
   Duration m_connect{};        ///< Time to establish a new connection.
+  bool m_head = false;         ///< A response head has arrived since the last report.
+  /// With `m_head`: requests per second that the server states to take; unset: any number.
+  std::optional<double> m_limit_per_s;
 
   friend bool operator==(const SlotReport&, const SlotReport&) = default;
 };
@@ -226,6 +230,7 @@
   std::vector<ServerHealth> m_health;
   std::vector<ServerNotices> m_notices;
   Instant m_back_off_until{};  ///< After this time no back-off of the pool's servers is in effect.
+  std::vector<ServerLimit> m_limits;  ///< Rates that the servers stated.
   std::vector<SlowStartState> m_slow_starts;
   /// Limit of the pool's servers; by default they are never cold.
   SlowStartLimit m_slow_start_limit;
--- a/packages/policy/src/server_eligibility.cc
+++ b/packages/policy/src/server_eligibility.cc
@@ -22,6 +22,8 @@
       return "tried";
     case IneligibleReason::kBackOff:
       return "back_off";
+    case IneligibleReason::kServerLimit:
+      return "server_limit";
     case IneligibleReason::kCold:
       return "cold";
     case IneligibleReason::kSuspect:
@@ -32,7 +34,8 @@
 
 bool MayBecomeEligible(IneligibleReason reason) noexcept {
   return reason == IneligibleReason::kNone || reason == IneligibleReason::kBackOff ||
-         reason == IneligibleReason::kCold || reason == IneligibleReason::kSuspect;
+         reason == IneligibleReason::kServerLimit || reason == IneligibleReason::kCold ||
+         reason == IneligibleReason::kSuspect;
 }
 
 bool AllowsRegion(const HomeRegions& homes, std::string_view region) noexcept {
@@ -59,6 +62,8 @@
   // if every server of the pool asks for it and the request must be rejected.
   if (server.m_backs_off)
     return IneligibleReason::kBackOff;
+  if (server.m_at_limit)
+    return IneligibleReason::kServerLimit;
   if (server.m_cold_full)
     return IneligibleReason::kCold;
   return server.m_suspect ? IneligibleReason::kSuspect : IneligibleReason::kNone;
--- a/packages/policy/src/slot_broker.cc
+++ b/packages/policy/src/slot_broker.cc
@@ -164,6 +164,7 @@
     ServerView view;
     ServerHealth health;
     ServerNotices notices;
+    ServerLimit limit;
     SlowStartState slow_start;
     const auto known = index_before.find(server.m_id);
     bool appeared = known == index_before.end();
@@ -172,6 +173,7 @@
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
       notices = std::move(old.m_notices[known->second.second]);
+      limit = old.m_limits[known->second.second];
       slow_start = std::move(old.m_slow_starts[known->second.second]);
       const std::int64_t started_ms = old.m_servers[known->second.second].m_started_ms;
       appeared = server.m_started_ms != started_ms;
@@ -181,6 +183,7 @@
         view = ViewAfterRestart(view, known->second.first == server.m_pool);
         health = {};
         notices = {};
+        limit = {};
       }
     }
     if (appeared)
@@ -194,6 +197,7 @@
     pool.m_views.push_back(view);
     pool.m_health.push_back(health);
     pool.m_notices.push_back(std::move(notices));
+    pool.m_limits.push_back(limit);
     pool.m_slow_starts.push_back(std::move(slow_start));
   }
   for (const auto& [id, before] : restarts)
@@ -325,6 +329,8 @@
       pool->m_views[i].m_performance = LearnPerformance(pool->m_views[i].m_performance, at_server);
   }
   if (counts) {
+    if (report.m_head)
+      ApplyStatedLimit(pool->m_limits[i], report.m_limit_per_s, held.m_taken, now);
     LearnReachability(broker, instance, held, report, now);
     const bool old = SentBeforeRecovery(broker.m_outages, pool->m_servers[i].m_data_centre,
                                         held.m_server, held.m_taken);
@@ -371,6 +377,7 @@
   ++pool->m_views[i].m_other_in_flight;
   pool->m_views[i].m_pending_prefill_tokens += held.m_pending_prefill_tokens;
   CountPlaced(*pool, i);
+  CountRequest(pool->m_limits[i], now);
 }
 
 void ApplyServerNotice(SlotBroker& broker,
@@ -382,6 +389,9 @@
   if (pool == nullptr || !IsSameProcess(notice.m_started_ms, pool->m_servers[i]))
     return;
   RecordNotice(pool->m_notices[i], instance, notice, now);
+  // Only a response that a report tells of ends a limit: the instance may not have heard lately.
+  if (notice.m_limit_per_s)
+    ApplyStatedLimit(pool->m_limits[i], notice.m_limit_per_s, now, now);
   pool->m_back_off_until = std::max(pool->m_back_off_until, now + notice.m_back_off);
   BackendServer& server = pool->m_servers[i];
   if (!notice.m_leaving || server.m_leaving)
--- a/packages/policy/src/slot_internal.h
+++ b/packages/policy/src/slot_internal.h
@@ -101,9 +101,10 @@
 // ---- slot_slow_start.cc -----------------------------------------------------------------------
 /// \brief Learns from a report whether server `i` may have restarted.
 void ObserveRestartSign(SlotPool& pool, std::size_t i, const SlotReport& report, Instant now);
-/// \brief Forecasts the time until a cold server at its limit may take a request behind `ahead`
-/// others. Returns nullopt if there is no such server or a usable server exists.
-[[nodiscard]] std::optional<Duration> ForecastColdWait(const SlotPool& pool, int ahead);
+/// \brief Forecasts the time until a server at its limit, as a cold one or as it states itself, may
+/// take a request behind `ahead` others. Returns nullopt if there is no such server or a usable
+/// server exists.
+[[nodiscard]] std::optional<Duration> ForecastPacedWait(const SlotPool& pool, int ahead);
 
 // ---- slot_learn.cc ----------------------------------------------------------------------------
 /// \brief A health signal that an instance reports about a server.
--- a/packages/policy/src/slot_serve.cc
+++ b/packages/policy/src/slot_serve.cc
@@ -68,9 +68,11 @@
       continue;
     const IneligibleReason reason =
         CheckServerEligibility(outages, pool, i, waiting, IsExcludedByRollout(pool, group, i), now);
-    // A cold server at its limit is in use, unless it is suspect too.
-    const bool cold_in_use = reason == IneligibleReason::kCold && !IsSuspect(outages, pool, i, now);
-    if (reason != IneligibleReason::kNone && reason != IneligibleReason::kSuspect && !cold_in_use)
+    // A server at its limit, or a cold one at its own, is in use unless it is suspect too.
+    const bool paced =
+        reason == IneligibleReason::kCold || reason == IneligibleReason::kServerLimit;
+    const bool paced_in_use = paced && !IsSuspect(outages, pool, i, now);
+    if (reason != IneligibleReason::kNone && reason != IneligibleReason::kSuspect && !paced_in_use)
       continue;
     ++present;
     if (reason == IneligibleReason::kSuspect)
@@ -151,6 +153,7 @@
   RecordPromptSegments(pool, i, slot_request, now);
   CountPlaced(pool, i);
   RecordSent(pool.m_slow_starts[i], pool.m_slow_start_limit, now);
+  CountRequest(pool.m_limits[i], now);
   held.m_route = slot_request.m_route;
   held.m_from = RegionOf(broker.m_regions, slot_request.m_data_centre);
   if (!waiting.m_order.m_underserved)
@@ -192,6 +195,7 @@
   inputs.m_evacuated = server.m_evacuated;
   inputs.m_kept_by_rollout = excluded_by_rollout;
   inputs.m_backs_off = BackOffLeft(pool.m_notices[i], waiting.m_instance, now) > Duration(0);
+  inputs.m_at_limit = !TakesRequest(pool.m_limits[i], now);
   inputs.m_cold_full = ColdFull(pool.m_slow_starts[i], pool.m_slow_start_limit, now);
   inputs.m_suspect = IsSuspect(outages, pool, i, now);
   inputs.m_region = server.m_region;
--- a/packages/policy/src/slot_slow_start.cc
+++ b/packages/policy/src/slot_slow_start.cc
@@ -45,14 +45,20 @@
                      now);
 }
 
-std::optional<Duration> ForecastColdWait(const SlotPool& pool, int ahead) {
+std::optional<Duration> ForecastPacedWait(const SlotPool& pool, int ahead) {
   double per_s = 0;
   for (std::size_t i = 0; i < pool.m_slow_starts.size(); ++i) {
     // If other servers work too, the forecast from the rate of freed slots is better.
     if (pool.m_views[i].m_usable)
       return std::nullopt;
-    if (pool.m_slow_starts[i].m_full && pool.m_views[i].m_other_in_flight < pool.m_views[i].m_slots)
+    const BackendServer& server = pool.m_servers[i];
+    const bool in_use = !server.m_leaving && !server.m_evacuated;
+    if (!in_use || pool.m_views[i].m_other_in_flight >= pool.m_views[i].m_slots)
+      continue;
+    if (pool.m_slow_starts[i].m_full)
       per_s += pool.m_slow_start_limit.m_per_s;
+    else
+      per_s += pool.m_limits[i].m_per_s.value_or(0);
   }
   if (per_s <= 0)
     return std::nullopt;
--- a/packages/policy/src/slot_wait.cc
+++ b/packages/policy/src/slot_wait.cc
@@ -32,8 +32,8 @@
   const Tier route_tier = order.m_underserved ? 0 : order.m_route_tier;
   const std::optional<Duration> free =
       ForecastWait(pool.m_turnover, route_tier, ahead, CountTakenSlots(pool));
-  const std::optional<Duration> cold = ForecastColdWait(pool, ahead);
-  return free && cold ? std::min(*free, *cold) : free;
+  const std::optional<Duration> paced = ForecastPacedWait(pool, ahead);
+  return free && paced ? std::min(*free, *paced) : free;
 }
 
 /// Returns the shortest remaining back-off if all servers that could serve the request have asked
@@ -154,10 +154,10 @@
   const RequestShape& shape = waiting.m_request.m_shape;
   Duration fastest = kLongestWait;
   for (std::size_t i = 0; i < pool.m_views.size(); ++i) {
-    // A cold server at its limit takes requests again within a second, and a back-off may end in
-    // time.
+    // A server at its limit takes requests again soon, and a back-off may end in time.
+    const bool paced = pool.m_slow_starts[i].m_full || pool.m_limits[i].m_per_s.has_value();
     const bool backs_off = BackOffLeft(pool.m_notices[i], waiting.m_instance, now) > Duration(0);
-    if (pool.m_views[i].m_usable || pool.m_slow_starts[i].m_full || backs_off)
+    if (pool.m_views[i].m_usable || paced || backs_off)
       fastest = std::min(fastest,
                          PredictUnloadedTimeToFirstEvent(pool.m_views[i], shape, pool.m_typical));
   }
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -12905,6 +12905,15 @@
 void PlaceReport::__set_connect_us(const int32_t val) {
   this->connect_us = val;
 }
+
+void PlaceReport::__set_limit_per_s(const double val) {
+  this->limit_per_s = val;
+__isset.limit_per_s = true;
+}
+
+void PlaceReport::__set_head(const bool val) {
+  this->head = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceReport& obj)
 {
   obj.printTo(out);
@@ -13031,6 +13040,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit_per_s);
+          this->__isset.limit_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->head);
+          this->__isset.head = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13096,6 +13121,15 @@
   xfer += oprot->writeI32(this->connect_us);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limit_per_s) {
+    xfer += oprot->writeFieldBegin("limit_per_s", ::apache::thrift::protocol::T_DOUBLE, 13);
+    xfer += oprot->writeDouble(this->limit_per_s);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("head", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->head);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13115,6 +13149,8 @@
   swap(a.pause_ms, b.pause_ms);
   swap(a.failed, b.failed);
   swap(a.connect_us, b.connect_us);
+  swap(a.limit_per_s, b.limit_per_s);
+  swap(a.head, b.head);
   swap(a.__isset, b.__isset);
 }
 
@@ -13131,6 +13167,8 @@
   pause_ms = other496.pause_ms;
   failed = other496.failed;
   connect_us = other496.connect_us;
+  limit_per_s = other496.limit_per_s;
+  head = other496.head;
   __isset = other496.__isset;
 }
 PlaceReport::PlaceReport(PlaceReport&& other497) noexcept {
@@ -13146,6 +13184,8 @@
   pause_ms = other497.pause_ms;
   failed = other497.failed;
   connect_us = other497.connect_us;
+  limit_per_s = other497.limit_per_s;
+  head = other497.head;
   __isset = other497.__isset;
 }
 PlaceReport& PlaceReport::operator=(const PlaceReport& other498) noexcept {
@@ -13161,6 +13201,8 @@
   pause_ms = other498.pause_ms;
   failed = other498.failed;
   connect_us = other498.connect_us;
+  limit_per_s = other498.limit_per_s;
+  head = other498.head;
   __isset = other498.__isset;
   return *this;
 }
@@ -13177,6 +13219,8 @@
   pause_ms = other499.pause_ms;
   failed = other499.failed;
   connect_us = other499.connect_us;
+  limit_per_s = other499.limit_per_s;
+  head = other499.head;
   __isset = other499.__isset;
   return *this;
 }
@@ -13195,6 +13239,8 @@
   out << ", " << "pause_ms=" << to_string(pause_ms);
   out << ", " << "failed=" << to_string(failed);
   out << ", " << "connect_us=" << to_string(connect_us);
+  out << ", " << "limit_per_s="; (__isset.limit_per_s ? (out << to_string(limit_per_s)) : (out << "<null>"));
+  out << ", " << "head=" << to_string(head);
   out << ")";
 }
 
@@ -13451,6 +13497,11 @@
 void ServerWord::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void ServerWord::__set_limit_per_s(const double val) {
+  this->limit_per_s = val;
+__isset.limit_per_s = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerWord& obj)
 {
   obj.printTo(out);
@@ -13511,6 +13562,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit_per_s);
+          this->__isset.limit_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13544,6 +13603,11 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limit_per_s) {
+    xfer += oprot->writeFieldBegin("limit_per_s", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->limit_per_s);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13555,6 +13619,7 @@
   swap(a.born, b.born);
   swap(a.back_off_ms, b.back_off_ms);
   swap(a.leaving, b.leaving);
+  swap(a.limit_per_s, b.limit_per_s);
   swap(a.__isset, b.__isset);
 }
 
@@ -13563,6 +13628,7 @@
   born = other504.born;
   back_off_ms = other504.back_off_ms;
   leaving = other504.leaving;
+  limit_per_s = other504.limit_per_s;
   __isset = other504.__isset;
 }
 ServerWord::ServerWord(ServerWord&& other505) noexcept {
@@ -13570,6 +13636,7 @@
   born = other505.born;
   back_off_ms = other505.back_off_ms;
   leaving = other505.leaving;
+  limit_per_s = other505.limit_per_s;
   __isset = other505.__isset;
 }
 ServerWord& ServerWord::operator=(const ServerWord& other506) {
@@ -13577,6 +13644,7 @@
   born = other506.born;
   back_off_ms = other506.back_off_ms;
   leaving = other506.leaving;
+  limit_per_s = other506.limit_per_s;
   __isset = other506.__isset;
   return *this;
 }
@@ -13585,6 +13653,7 @@
   born = other507.born;
   back_off_ms = other507.back_off_ms;
   leaving = other507.leaving;
+  limit_per_s = other507.limit_per_s;
   __isset = other507.__isset;
   return *this;
 }
@@ -13595,6 +13664,7 @@
   out << ", " << "born=" << to_string(born);
   out << ", " << "back_off_ms=" << to_string(back_off_ms);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "limit_per_s="; (__isset.limit_per_s ? (out << to_string(limit_per_s)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -4809,7 +4809,7 @@
 std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj);
 
 typedef struct _PlaceReport__isset {
-  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false), failed(false), connect_us(false) {}
+  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false), failed(false), connect_us(false), limit_per_s(false), head(false) {}
   bool ref :1;
   bool tokens_read :1;
   bool first_ms :1;
@@ -4822,6 +4822,8 @@
   bool pause_ms :1;
   bool failed :1;
   bool connect_us :1;
+  bool limit_per_s :1;
+  bool head :1;
 } _PlaceReport__isset;
 
 class PlaceReport : public virtual ::apache::thrift::TBase {
@@ -4843,7 +4845,9 @@
                 span_ms(0),
                 pause_ms(0),
                 failed(0),
-                connect_us(0) {
+                connect_us(0),
+                limit_per_s(0),
+                head(0) {
   }
 
   virtual ~PlaceReport() noexcept;
@@ -4863,6 +4867,8 @@
   int32_t pause_ms;
   bool failed;
   int32_t connect_us;
+  double limit_per_s;
+  bool head;
 
   _PlaceReport__isset __isset;
 
@@ -4890,6 +4896,10 @@
 
   void __set_connect_us(const int32_t val);
 
+  void __set_limit_per_s(const double val);
+
+  void __set_head(const bool val);
+
   bool operator == (const PlaceReport & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -4916,6 +4926,12 @@
       return false;
     if (!(connect_us == rhs.connect_us))
       return false;
+    if (__isset.limit_per_s != rhs.__isset.limit_per_s)
+      return false;
+    else if (__isset.limit_per_s && !(limit_per_s == rhs.limit_per_s))
+      return false;
+    if (!(head == rhs.head))
+      return false;
     return true;
   }
   bool operator != (const PlaceReport &rhs) const {
@@ -5022,11 +5038,12 @@
 std::ostream& operator<<(std::ostream& out, const LimitUse& obj);
 
 typedef struct _ServerWord__isset {
-  _ServerWord__isset() : server(false), born(false), back_off_ms(false), leaving(false) {}
+  _ServerWord__isset() : server(false), born(false), back_off_ms(false), leaving(false), limit_per_s(false) {}
   bool server :1;
   bool born :1;
   bool back_off_ms :1;
   bool leaving :1;
+  bool limit_per_s :1;
 } _ServerWord__isset;
 
 class ServerWord : public virtual ::apache::thrift::TBase {
@@ -5040,7 +5057,8 @@
              : server(),
                born(0),
                back_off_ms(0),
-               leaving(0) {
+               leaving(0),
+               limit_per_s(0) {
   }
 
   virtual ~ServerWord() noexcept;
@@ -5048,6 +5066,7 @@
   int64_t born;
   int32_t back_off_ms;
   bool leaving;
+  double limit_per_s;
 
   _ServerWord__isset __isset;
 
@@ -5059,6 +5078,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_limit_per_s(const double val);
+
   bool operator == (const ServerWord & rhs) const
   {
     if (!(server == rhs.server))
@@ -5069,6 +5090,10 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (__isset.limit_per_s != rhs.__isset.limit_per_s)
+      return false;
+    else if (__isset.limit_per_s && !(limit_per_s == rhs.limit_per_s))
+      return false;
     return true;
   }
   bool operator != (const ServerWord &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -226,7 +226,10 @@
 struct PlaceReport {
   1: i64 ref; 2: i64 tokens_read; 3: i32 first_ms; 4: bool ended; 5: bool ran; 6: PlaceSign sign;
   7: i32 service_ms; 8: i64 events; 9: i32 span_ms; 10: i32 pause_ms; 11: bool failed;
-  12: i32 connect_us  // The time to open a new connection; zero: none was opened.
+  12: i32 connect_us;  // The time to open a new connection; zero: none was opened.
+  // `head`: a response head has arrived since the last report. With it, `limit_per_s` is the number
+  // of requests a second that the server states to take from all instances; unset: any number.
+  13: optional double limit_per_s; 14: bool head
 }
 // The rest of a workspace's quota as a broker last reported it, and what the instance has charged
 // to it since without a broker.
@@ -236,8 +239,11 @@
 }
 // A server notice: what a server announced in a response to the instance. `back_off_ms`: the server
 // asks that instance to send no requests for this long from now on; zero: no backoff. `leaving`:
-// the server is about to stop.
-struct ServerWord { 1: string server; 2: i64 born; 3: i32 back_off_ms; 4: bool leaving }
+// the server is about to stop. `limit_per_s`: the number of requests a second that the server stated
+// to take from all instances together; unset: any number.
+struct ServerWord {
+  1: string server; 2: i64 born; 3: i32 back_off_ms; 4: bool leaving; 5: optional double limit_per_s
+}
 // Sent by an instance. With `resync`, `held` lists all slots that it holds and `words` all server
 // notices that are still in force.
 struct PlaceBatch {
