Forgive an answered request one broken call only; share the soak's faults

Cause: an instance that had seen a complete response to a request passed over all its later crashes while it remembered that, so a request that a later version of the servers can't bear would have crashed them without end. Found by reading the change again. Change: the memory of a response is used up by the next broken call.

--- a/packages/forward/include/poppyway/forward/impl/crash_tracker.h
+++ b/packages/forward/include/poppyway/forward/impl/crash_tracker.h
@@ -27,6 +27,8 @@
 
 /// \brief Adds a fingerprint. Not thread-safe.
 void Remember(RecentFingerprints& recent, RequestFingerprint fingerprint);
+/// \brief Removes a fingerprint. Not thread-safe.
+void Forget(RecentFingerprints& recent, RequestFingerprint fingerprint);
 /// \brief Returns true if the fingerprint was added recently.
 [[nodiscard]] bool Contains(const RecentFingerprints& recent, RequestFingerprint fingerprint);
 
@@ -49,7 +51,8 @@
   CrashSuspects m_uncommitted;                 ///< From own reports that no leader has committed.
   std::map<ServerProcessId, CrashCheck> m_checks;
   RecentFingerprints m_reported;  ///< Requests in own reports.
-  RecentFingerprints m_answered;  ///< Requests with a complete response; they crash no server.
+  /// Requests with a complete response since their last broken call; they crash no server so far.
+  RecentFingerprints m_answered;
 };
 
 }  // namespace poppyway
--- a/packages/forward/src/crashes.cc
+++ b/packages/forward/src/crashes.cc
@@ -16,6 +16,11 @@
   recent.m_current.clear();
 }
 
+void Forget(RecentFingerprints& recent, RequestFingerprint fingerprint) {
+  recent.m_current.erase(fingerprint);
+  recent.m_previous.erase(fingerprint);
+}
+
 bool Contains(const RecentFingerprints& recent, RequestFingerprint fingerprint) {
   return recent.m_current.contains(fingerprint) || recent.m_previous.contains(fingerprint);
 }
@@ -109,8 +114,13 @@
 }
 
 void OnCallBroken(ForwarderState& state, const Forwarding& forwarding) {
-  if (!forwarding.m_sent || Contains(state.m_crashes.m_answered, forwarding.m_fingerprint))
+  if (!forwarding.m_sent)
     return;
+  if (Contains(state.m_crashes.m_answered, forwarding.m_fingerprint)) {
+    // It counts from the next time on: other servers may have other software since.
+    Forget(state.m_crashes.m_answered, forwarding.m_fingerprint);
+    return;
+  }
   const ServerProcessId process =
       ServerProcessOf(forwarding.m_server, forwarding.m_server_started_ms);
   const Backend* backend = FindBackend(state, forwarding.m_server);
@@ -137,8 +147,7 @@
       crashes.m_quarantined.contains(fingerprint) || Contains(crashes.m_reported, fingerprint);
   if (!suspected)
     return;
-  crashes.m_reported.m_current.erase(fingerprint);
-  crashes.m_reported.m_previous.erase(fingerprint);
+  Forget(crashes.m_reported, fingerprint);
   POPPYWAY_LOG(info, "suspect_cleared")
       .Field("request", forwarding.m_request.m_id)
       .Field("fingerprint", FingerprintText(fingerprint));
--- a/soak/cases.py
+++ b/soak/cases.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import random
+import signal
 import sys
 import time
 
@@ -65,6 +66,25 @@
         await asyncio.sleep(self.rng.uniform(0.2, 1.0))
         leader.start()
 
+    async def pause(self, process):
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        process.send_signal(signal.SIGCONT)
+
+    async def pause_member(self):
+        await self.pause(self.rng.choice(self.fleet.members))
+
+    async def restart_instance(self):
+        number = self.rng.randrange(len(self.fleet.instances))
+        instance = self.fleet.instances[number]
+        instance.kill()
+        await asyncio.sleep(0.3)  # Its outstanding requests are complete by then.
+        self.on_instance_killed(number)
+        instance.start()
+
+    def on_instance_killed(self, number):
+        """Called between the end of an instance and its next start."""
+
     async def stop_with(self, *servers):
         for group in servers:
             await group.stop()
--- a/soak/crashing_requests.py
+++ b/soak/crashing_requests.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import signal
 import time
 
 from cases import FleetCase, run_cases, wait_until
@@ -164,17 +163,6 @@
             process.start()
         await asyncio.sleep(PLAY_S)
 
-    async def pause(self, process):
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
-        process.send_signal(signal.SIGCONT)
-
-    async def restart_instance(self):
-        instance = self.rng.choice(self.fleet.instances)
-        instance.kill()
-        await asyncio.sleep(0.3)
-        instance.start()
-
     async def overlapping(self):
         """Injects random kills, restarts and pauses, some of them at the same time."""
         faults = []
--- a/soak/server_limits.py
+++ b/soak/server_limits.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import collections
-import signal
 import time
 
 from cases import FleetCase, run_cases
@@ -120,20 +119,9 @@
             member.start()
         await asyncio.sleep(STATED_S / 2)
 
-    async def pause_member(self):
-        member = self.rng.choice(self.fleet.members)
-        member.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
-        member.send_signal(signal.SIGCONT)
-
-    async def restart_instance(self):
-        number = self.rng.randrange(len(self.fleet.instances))
-        instance = self.fleet.instances[number]
-        begin = time.monotonic()
-        instance.kill()
-        await asyncio.sleep(0.3)
-        instance.start()
-        self.servers.excused.append((begin, begin + CONTACT_S, str(number)))
+    def on_instance_killed(self, number):
+        now = time.monotonic()
+        self.servers.excused.append((now, now + CONTACT_S, str(number)))
 
     async def overlapping(self):
         """Injects random kills, restarts and pauses, some of them at the same time."""
--- a/soak/server_words.py
+++ b/soak/server_words.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import collections
-import signal
 
 from cases import FleetCase, run_cases
 from stand_ins import FaultModel, Servers
@@ -125,19 +124,8 @@
             member.start()
         await asyncio.sleep(NOTICE_S / 2)
 
-    async def pause_member(self):
-        member = self.rng.choice(self.fleet.members)
-        member.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
-        member.send_signal(signal.SIGCONT)
-
-    async def restart_instance(self):
-        number = self.rng.randrange(len(self.fleet.instances))
-        instance = self.fleet.instances[number]
-        instance.kill()
-        await asyncio.sleep(0.3)  # Its outstanding requests are complete by then.
+    def on_instance_killed(self, number):
         self.servers.forget(number)
-        instance.start()
 
     async def overlapping(self):
         """Injects random kills, restarts and pauses, some of them at the same time."""
--- a/tests/crash_repeats_test.cc
+++ b/tests/crash_repeats_test.cc
@@ -196,6 +196,23 @@
   CHECK(log.m_reports.empty());
 }
 
+// Guards against a request that was answered once and crashes every server of a later version.
+TEST_CASE("a request that was answered before is held back once it crashes servers") {
+  ScriptedServer good(MakeOkResponse);
+  ForwarderFixture fixture;
+  fixture.Register("good", good);
+  CHECK(Call(fixture, Request("/once/fatal", "a")).status() == 200);
+  fixture.Register("good", good, wire::ServerStage::LEAVING);
+  std::vector<std::unique_ptr<ScriptedServer>> later;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    later.push_back(std::make_unique<ScriptedServer>(&CrashAtFatal));
+    fixture.Register("later" + std::to_string(i), *later.back());
+  }
+  for (int i = 0; i < kMostCrashes + 1; ++i)
+    CHECK(Call(fixture, Request("/once/fatal", "b" + std::to_string(i))).status() == 502);
+  CHECK(Call(fixture, Request("/once/fatal", "c")).status() == 503);
+}
+
 TEST_CASE("a suspect that has had a complete response is reported as cleared") {
   ScriptedServer good(MakeOkResponse);
   ScriptedServer bad(&CrashAtFatal);
