Send a server that states to take nothing a request each ten seconds

Cause, by reading and from writing down the question: only an answer ends a stated limit, and a server with a limit of 0 that has finished its requests would never get one that it could answer. Change: rates below 0.1 a second count as 0.1, at the broker and without one; the rule's five requests of slack in 4 s hold that many times over.

--- a/packages/policy/src/server_limit.cc
+++ b/packages/policy/src/server_limit.cc
@@ -15,14 +15,22 @@
 // the moment when the other servers are full.
 constexpr Duration kUnusedTime{250'000};
 
+// A server that states a lower rate gets this one, in requests per second: without any request it
+// could not state that its need is over.
+constexpr double kLeastPerS = 0.1;
+
+double RateOf(const ServerLimit& limit) noexcept {
+  return std::max(kLeastPerS, *limit.m_per_s);
+}
+
 double TokensNow(const ServerLimit& limit, Instant now) noexcept {
-  const double added = *limit.m_per_s * Seconds(now - limit.m_counted);
+  const double added = RateOf(limit) * Seconds(now - limit.m_counted);
   return std::min(kServerLimitBurst, limit.m_tokens + std::max(0.0, added));
 }
 
 Duration IntervalWithoutBroker(const ServerLimit& limit, int instances) noexcept {
-  const double shared = kServerLimitWithoutBroker * *limit.m_per_s;
-  const double interval_s = shared <= 0 ? kLongestIntervalS : std::max(1, instances) / shared;
+  const double shared = kServerLimitWithoutBroker * RateOf(limit);
+  const double interval_s = std::max(1, instances) / shared;
   return Duration(static_cast<std::int64_t>(std::min(kLongestIntervalS, interval_s) * 1e6));
 }
 
