Log what a call's connection attempt came to, and what others heard of an avoided server

What couldn't be told apart: whether a call without a connection means a dead server or a broken path of the instance, and which avoided servers respond to other instances all the while.

Added: 'call_failed' has 'connect' (connected, refused, timed_out, none) and 'any_heard_ms', the time since any server last sent this instance a byte; a counter by outcome; 'server_avoided' of the broker has 'teller_heard_ms', the time since the reporting instance reported a response of any server, and 'others_heard_ms', the time since the server responded to another instance. No decision reads them.

--- a/apps/poppywayd/slot_broker_service.cc
+++ b/apps/poppywayd/slot_broker_service.cc
@@ -29,6 +29,11 @@
 // Each pool and each round-trip time is logged at this interval.
 constexpr Duration kLogInterval{1'000'000};
 
+/// Returns the milliseconds since `time`; -1 if it is zero.
+std::int64_t MillisSince(Instant time, Instant now) {
+  return time == Instant{} ? -1 : (now - time).count() / 1000;
+}
+
 /// Totals over the servers of a pool that accept new requests.
 struct PoolTotals {
   int m_servers = 0;
@@ -309,7 +314,9 @@
         .Field("told_by", avoided.m_reported_by)
         .Field("failures", avoided.m_health.m_failures)
         .Field("failed_share", avoided.m_health.m_failure_rate)
-        .Field("for_ms", (avoided.m_health.m_ejected_until - now).count() / 1000);
+        .Field("for_ms", (avoided.m_health.m_ejected_until - now).count() / 1000)
+        .Field("teller_heard_ms", MillisSince(avoided.m_reporter_last_response, now))
+        .Field("others_heard_ms", MillisSince(avoided.m_last_response_to_others, now));
   }
   m_broker->m_ejected.clear();
   for (const LeavingServer& leaving : m_broker->m_leaving_events)
--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -37,6 +37,17 @@
   return fault == CallFault::kNotConnected || fault == CallFault::kWithdrawn;
 }
 
+/// \brief What became of a call's connection attempt.
+enum class ConnectOutcome : std::uint8_t {
+  kNone,       ///< A kept connection was reused, or the attempt hasn't ended.
+  kConnected,
+  kRefused,    ///< The attempt failed before its time limit: the peer or the network refused it.
+  kTimedOut,   ///< Nothing came back within the time limit.
+};
+
+/// \brief Returns the text of an outcome for logs and counters.
+[[nodiscard]] std::string_view ConnectOutcomeName(ConnectOutcome outcome) noexcept;
+
 /// \brief How the owner of a call treats a response head.
 enum class HeadVerdict : std::uint8_t {
   kAccept,  ///< The response belongs to this request.
@@ -124,6 +135,8 @@
   [[nodiscard]] bool reused() const noexcept { return m_reused; }
   /// \brief Returns the connect time; zero: not connected, or a connection was reused.
   [[nodiscard]] Duration connect_time() const noexcept { return m_connect_time; }
+  /// \brief Returns what became of the connection attempt.
+  [[nodiscard]] ConnectOutcome connect_outcome() const noexcept { return m_connect_outcome; }
 
  private:
   struct Timer {
@@ -171,6 +184,7 @@
   bool m_reused = false;
   Instant m_connect_begun{};
   Duration m_connect_time{};
+  ConnectOutcome m_connect_outcome = ConnectOutcome::kNone;
   bool m_paused = false;
   bool m_parsing = false;  ///< The parser reads the socket's buffer, which must not be freed.
   bool m_cancelled = false;
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -131,6 +131,7 @@
   bool m_ready_logged = false;
   std::map<std::string, Backend> m_backends;
   Instant m_back_off_until{};  ///< The latest back-off end of all servers.
+  Instant m_last_byte{};       ///< When this instance last received a byte of any server.
   std::map<Endpoint, std::vector<std::string>> m_by_address;  ///< Server ids by address.
   std::map<std::string, PoolState> m_pools;
   std::map<std::string, wire::Evacuation> m_evacuations;  ///< Latest evacuation by data centre.
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -50,6 +50,20 @@
   return "unknown";
 }
 
+std::string_view ConnectOutcomeName(ConnectOutcome outcome) noexcept {
+  switch (outcome) {
+    case ConnectOutcome::kNone:
+      return "none";
+    case ConnectOutcome::kConnected:
+      return "connected";
+    case ConnectOutcome::kRefused:
+      return "refused";
+    case ConnectOutcome::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
 struct BackendPool::IdleConnection {
   BackendPool* m_pool = nullptr;
   Endpoint m_endpoint;
@@ -216,12 +230,17 @@
 
 void BackendCall::OnTimer(h2o_timeout_entry_t* entry) {
   BackendCall* self = reinterpret_cast<Timer*>(entry)->m_owner;
+  if (self->m_timer_fault == CallFault::kNotConnected)
+    self->m_connect_outcome =
+        self->m_socket == nullptr ? ConnectOutcome::kRefused : ConnectOutcome::kTimedOut;
   self->Fail(self->m_timer_fault);
 }
 
 void BackendCall::OnConnected(h2o_socket_t* socket, const char* fault) {
   auto* self = static_cast<BackendCall*>(socket->data);
   h2o_timeout_unlink(&self->m_timer.m_base);
+  self->m_connect_outcome =
+      fault == nullptr ? ConnectOutcome::kConnected : ConnectOutcome::kRefused;
   if (fault != nullptr) {
     self->Fail(CallFault::kNotConnected);
     return;
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -93,6 +93,7 @@
 
 void RecordByte(ForwarderState& state, Forwarding& forwarding) {
   forwarding.m_last_byte = ReadClock();
+  state.m_last_byte = forwarding.m_last_byte;
   if (Backend* backend = FindCalledBackend(state, forwarding))
     backend->m_last_byte = forwarding.m_last_byte;
 }
@@ -298,6 +299,12 @@
     return;
   const std::string_view why = CallFaultName(fault);
   state.m_metrics.Add("poppyway_forward_calls_failed_total", "why=\"" + std::string(why) + "\"");
+  const Instant now = ReadClock();
+  const ConnectOutcome connect =
+      forwarding->m_call ? forwarding->m_call->connect_outcome() : ConnectOutcome::kNone;
+  if (connect != ConnectOutcome::kNone)
+    state.m_metrics.Add("poppyway_forward_failed_calls_by_connect_total",
+                        "connect=\"" + std::string(ConnectOutcomeName(connect)) + "\"");
   POPPYWAY_LOG(info, "call_failed")
       .Field("request", forwarding->m_request.m_id)
       .Field("fingerprint", FingerprintText(forwarding->m_fingerprint))
@@ -306,7 +313,10 @@
       .Field("headed", forwarding->m_head_accepted)
       .Field("events", forwarding->m_call_events)
       .Field("reused", forwarding->m_call && forwarding->m_call->reused())
-      .Field("after_ms", (ReadClock() - forwarding->m_dispatched).count() / 1000);
+      .Field("connect", ConnectOutcomeName(connect))
+      .Field("any_heard_ms",
+             state.m_last_byte == Instant{} ? -1 : (now - state.m_last_byte).count() / 1000)
+      .Field("after_ms", (now - forwarding->m_dispatched).count() / 1000);
   if (fault != CallFault::kWithdrawn)
     ReportReachability(state, *forwarding, false);
   if (!NothingSent(fault)) {
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -20,6 +20,7 @@
 /// - `ServerNotices`: the notices of servers that back off or leave.
 /// - `CrashSuspects`: finds the requests that crash servers.
 /// - `ServerLimit`: the rate that a server states to take from all instances together.
+/// - `LastResponses`: which instances a server responded to last.
 /// - `OutageDetector`: detects data centres that are lost or unreachable as a whole.
 /// - `SlowStartState`: limits the requests to a server that is slow after its start.
 /// - `ChooseServer`, `ServerHealth`: choose a backend server by predicted time and health.
@@ -41,6 +42,7 @@
 #include "poppyway/policy/impl/event_size.h"
 #include "poppyway/policy/impl/held_bytes.h"
 #include "poppyway/policy/impl/instance_share.h"
+#include "poppyway/policy/impl/last_responses.h"
 #include "poppyway/policy/impl/outage_detector.h"
 #include "poppyway/policy/impl/poll_source.h"
 #include "poppyway/policy/impl/pool_client.h"
--- a/packages/policy/include/poppyway/policy/impl/slot_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/slot_broker.h
@@ -15,6 +15,7 @@
 
 #include "poppyway/core.h"
 #include "poppyway/policy/impl/instance_share.h"
+#include "poppyway/policy/impl/last_responses.h"
 #include "poppyway/policy/impl/outage_detector.h"
 #include "poppyway/policy/impl/quota_bucket.h"
 #include "poppyway/policy/impl/retry_budget.h"
@@ -240,6 +241,7 @@
   std::vector<BackendServer> m_servers;
   std::vector<ServerView> m_views;  ///< `m_other_in_flight` counts all slots taken.
   std::vector<ServerHealth> m_health;
+  std::vector<LastResponses> m_responses;
   std::vector<ServerNotices> m_notices;
   Instant m_back_off_until{};  ///< After this time no back-off of the pool's servers is in effect.
   std::vector<ServerLimit> m_limits;  ///< Rates that the servers stated.
@@ -281,6 +283,7 @@
   Instant m_last_heard{};
   /// Data centre in the instance's last slot request; empty before the first.
   std::string m_data_centre;
+  Instant m_last_response{};  ///< When it last reported a response of any server; zero: never.
 };
 
 /// \brief A server ejected for its failures, to be logged.
@@ -288,6 +291,10 @@
   std::string m_server;
   std::string m_reported_by;  ///< Instance whose report led to the ejection.
   ServerHealth m_health;
+  /// When that instance last reported a response of any server; zero: never.
+  Instant m_reporter_last_response{};
+  /// When the server last responded to another instance; zero: never.
+  Instant m_last_response_to_others{};
 
   friend bool operator==(const EjectedServer&, const EjectedServer&) = default;
 };
--- a/packages/policy/src/slot_broker.cc
+++ b/packages/policy/src/slot_broker.cc
@@ -175,6 +175,7 @@
     SlotPool& pool = broker.m_pools[server.m_pool];
     ServerView view;
     ServerHealth health;
+    LastResponses responses;
     ServerNotices notices;
     ServerLimit limit;
     SlowStartState slow_start;
@@ -184,6 +185,7 @@
       SlotPool& old = before[known->second.first];
       view = old.m_views[known->second.second];
       health = old.m_health[known->second.second];
+      responses = std::move(old.m_responses[known->second.second]);
       notices = std::move(old.m_notices[known->second.second]);
       limit = old.m_limits[known->second.second];
       slow_start = std::move(old.m_slow_starts[known->second.second]);
@@ -194,6 +196,7 @@
       if (started_ms > 0 && server.m_started_ms > started_ms) {
         view = ViewAfterRestart(view, known->second.first == server.m_pool);
         health = {};
+        responses = {};
         notices = {};
         limit = {};
       }
@@ -208,6 +211,7 @@
     pool.m_servers.back().m_leaving = server.m_leaving || notices.m_leaving;
     pool.m_views.push_back(view);
     pool.m_health.push_back(health);
+    pool.m_responses.push_back(std::move(responses));
     pool.m_notices.push_back(std::move(notices));
     pool.m_limits.push_back(limit);
     pool.m_slow_starts.push_back(std::move(slow_start));
--- a/packages/policy/src/slot_learn.cc
+++ b/packages/policy/src/slot_learn.cc
@@ -14,7 +14,9 @@
   const bool was_ejected = IsEjected(health, now);
   health = Observe(health, report.m_health_signal, now);
   if (!was_ejected && IsEjected(health, now))
-    broker.m_ejected.push_back({pool.m_servers[i].m_id, report.m_instance, health});
+    broker.m_ejected.push_back({pool.m_servers[i].m_id, report.m_instance, health,
+                                broker.m_instance_slots[report.m_instance].m_last_response,
+                                LastResponseToOthers(pool.m_responses[i], report.m_instance)});
 }
 
 SlotReport LearnRoundTrip(SlotBroker& broker,
--- a/packages/policy/src/slot_outage.cc
+++ b/packages/policy/src/slot_outage.cc
@@ -43,6 +43,10 @@
     return;
   const auto& [name, i] = found->second;
   const bool responded = ServerResponded(report);
+  if (responded) {
+    RecordResponse(broker.m_pools.at(name).m_responses[i], instance, now);
+    broker.m_instance_slots[instance].m_last_response = now;
+  }
   const bool inconclusive =
       !responded && (!report.m_health_signal || report.m_health_signal == HealthSignal::kSuccess);
   if (inconclusive)
