--- a/soak/cases.py
+++ b/soak/cases.py
@@ -34,9 +34,9 @@
 class FleetCase:
     """A fleet with its clients and operator, and the checks that failed."""
 
-    def __init__(self, program, name, subnet, seed, per_s):
+    def __init__(self, program, name, subnet, seed, per_s, **fleet_options):
         self.name = name
-        self.fleet = Fleet(program, subnet)
+        self.fleet = Fleet(program, subnet, **fleet_options)
         self.callers = Callers(self.fleet.instances, KEY, per_s, seed)
         self.operator = Operator(self.fleet.members, seed)
         self.rng = random.Random(f"{seed}-faults")  # Chooses the faults and their times.
@@ -108,15 +108,20 @@
     return not case.failures
 
 
-def run_cases(make_case, names, description):
+def run_cases(make_case, names, description, add_arguments=None):
     """Entry point of a soak program: parses the command line, runs the cases and exits with status
-    1 if one of them failed."""
+    1 if one of them failed. `add_arguments` adds the program's own to the parser; `make_case` gets
+    their values as further arguments."""
     parser = argparse.ArgumentParser(description=description.splitlines()[0])
     parser.add_argument("--program", required=True, help="path of poppywayd")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--case", nargs="*", default=list(names), choices=list(names))
     parser.add_argument("--keep-logs", help="folder for the logs of cases that fail")
+    own = add_arguments(parser) if add_arguments else []
     options = parser.parse_args()
+    if own:
+        values = [getattr(options, name) for name in own]
+        make_plain, make_case = make_case, lambda *given: make_plain(*given, *values)
     first, guards = reserve_subnets(len(options.case))
     passed = sum(asyncio.run(run_case(make_case, name, first + number, options))
                  for number, name in enumerate(options.case))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -57,7 +57,7 @@
 class Process:
     """A poppywayd process with its settings file, data folder and log."""
 
-    def __init__(self, folder, name, address, member, seeds, program):
+    def __init__(self, folder, name, address, member, seeds, program, environment=()):
         self.name = name
         self.address = address
         self.member = member
@@ -65,6 +65,7 @@
         self.peer_endpoint = f"{address}:{INTERNAL_PORTS.split(',')[0]}"
         self._seeds = seeds
         self._program = program
+        self._environment = dict(environment)
         self._folder = os.path.join(folder, name)
         self._process = None
         os.makedirs(self._folder)
@@ -107,17 +108,26 @@
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
                 [self._program, "--hosted"],
-                env={"POPPYWAY_BOOT": settings, "PATH": os.environ["PATH"]},
+                env={"POPPYWAY_BOOT": settings, "PATH": os.environ["PATH"],
+                     **self._environment},
                 stdout=log, stderr=log)
 
     def running(self):
         return self._process is not None and self._process.poll() is None
 
+    def pid(self):
+        """Returns the process id; None if the process doesn't run."""
+        return self._process.pid if self.running() else None
+
     def kill(self):
         if self.running():
             self._process.kill()
             self._process.wait()
 
+    def terminate(self):
+        """Asks the process to stop, as a platform does before a planned stop."""
+        self.send_signal(signal.SIGTERM)
+
     def send_signal(self, number):
         if self.running():
             os.kill(self._process.pid, number)
@@ -130,7 +140,9 @@
 class Fleet:
     """The members and instances of one deployment."""
 
-    def __init__(self, program, subnet, members=5, instances=3):
+    def __init__(self, program, subnet, members=5, instances=3, environment_of=None):
+        """`environment_of`: returns additional environment variables of an instance, by its
+        number."""
         self.program = program
         self._folder = tempfile.TemporaryDirectory(prefix="poppyway-soak-")
         addresses = [f"127.{subnet}.0.{i + 1}" for i in range(members)]
@@ -139,7 +151,7 @@
             for i, address in enumerate(addresses)]
         self.instances = [
             Process(self._folder.name, f"edge-{i}", f"127.{subnet}.1.{i + 1}", False,
-                    addresses[:3], program)
+                    addresses[:3], program, environment_of(i) if environment_of else ())
             for i in range(instances)]
 
     def start(self):
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -225,7 +225,10 @@
     def __init__(self, instances, key, per_s, seed):
         self.sent = []  # (time, id); the id ends with the number of the instance.
         self.outcomes = {}  # Status to count.
+        self.statuses = {}  # Id to status.
         self.wrong = []  # Ids of requests that got the response to another request.
+        self.books = set()  # Ids of non-repeatable requests.
+        self._left = set()  # Numbers of instances that get no more requests.
         self.cut = []  # (time, number of the instance) of requests without a complete response.
         self.key, self._per_s = key, per_s
         self._connections = [Connections(instance.address, CALLERS_PORT) for instance in instances]
@@ -242,11 +245,16 @@
         for connections in self._connections:
             connections.close()
 
+    def leave(self, instance):
+        """Sends no more requests to an instance, as a balancer that has taken it out."""
+        self._left.add(instance)
+
     async def _run(self):
         number = 0
         while True:
             number += 1
-            instance = self._rng.randrange(len(self._connections))
+            instance = self._rng.choice([other for other in range(len(self._connections))
+                                         if other not in self._left])
             task = asyncio.create_task(self._one(f"r{number}-{instance}", instance))
             self._open.add(task)
             task.add_done_callback(self._open.discard)
@@ -256,11 +264,14 @@
         route = "look" if self._rng.random() < 0.5 else "book"
         sent = time.monotonic()
         self.sent.append((sent, ident))
+        if route == "book":
+            self.books.add(ident)
         status, body = await self._connections[instance].call(
             "GET" if route == "look" else "POST", f"/{route}/x",
             fields=(f"X-Attempt-Id: {ident}", f"Authorization: Bearer {self.key}",
                     "X-Deadline-Ms: 2000"), timeout=3.0)
         self.outcomes[status] = self.outcomes.get(status, 0) + 1
+        self.statuses[ident] = status
         if status == 0:
             self.cut.append((sent, instance))
         if status == 200 and not body.endswith(f" {ident}".encode()):
