Disregard failures that say something of the reporting instance, not of the server

What callers saw: while two of six instances were cut off from all servers, the broker avoided sound servers and whole data centres on their word (388 lines 'server_avoided' in 10 s of the incident, 373 on the word of the two; two suspicions of a data centre). Cause: the broker took each failure for the server's, whoever told it. Class: one instance's failures move a belief that all share. Ruled out: real failures (no server crashed; others_heard_ms of the avoided ones was some 10 ms). Change: a failure without a response counts for nothing (health, version, data centre) if no server has responded to that instance since it got the slot, and the server has responded to another instance within a second, or the instance fails at several servers.

--- a/apps/poppywayd/slot_broker_service.cc
+++ b/apps/poppywayd/slot_broker_service.cc
@@ -415,6 +415,8 @@
     const auto waits = m_broker->m_cold_waits.find(name);
     if (waits != m_broker->m_cold_waits.end())
       metrics.Set("poppyway_place_cold_waits_total", label, static_cast<double>(waits->second));
+    metrics.Set("poppyway_place_disregarded_failures_total", "",
+                static_cast<double>(m_broker->m_disregarded_failures));
     metrics.Set("poppyway_place_waiting", label, static_cast<double>(pool.m_waiting.size()));
     metrics.Set("poppyway_place_retries_left", label, RetriesLeft(*m_broker, pool));
     if (!pool.m_trial)
--- a/packages/policy/include/poppyway/policy/impl/slot_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/slot_broker.h
@@ -284,6 +284,8 @@
   /// Data centre in the instance's last slot request; empty before the first.
   std::string m_data_centre;
   Instant m_last_response{};  ///< When it last reported a response of any server; zero: never.
+  /// The first server that it has reported since then as failing without a response; empty: none.
+  std::string m_failing_server;
 };
 
 /// \brief A server ejected for its failures, to be logged.
@@ -326,6 +328,8 @@
   std::map<std::string, InstanceSlots> m_instance_slots;  ///< By incarnation.
   std::map<std::string, QuotaBucket> m_limits;            ///< By workspace.
   RetryLimit m_retry_limit;                               ///< Of each pool.
+  /// Number of reported failures that say something of the reporting instance, not of the server.
+  std::int64_t m_disregarded_failures = 0;
   std::vector<EjectedServer> m_ejected;                   ///< The owner logs and clears them.
   std::vector<LeavingServer> m_leaving_events;            ///< The owner logs and clears them.
   OutageDetector m_outages;                               ///< Fed by the reports of all instances.
--- a/packages/policy/src/slot_broker.cc
+++ b/packages/policy/src/slot_broker.cc
@@ -333,16 +333,22 @@
 
 void ApplyReport(SlotBroker& broker,
                  const std::string& instance,
-                 const SlotReport& report,
+                 const SlotReport& original,
                  Instant now,
                  std::vector<SlotResponse>& out) {
   InstanceSlots& known = broker.m_instance_slots[instance];
   known.m_last_heard = now;
-  const auto found = known.m_held.find(report.m_ref);
+  const auto found = known.m_held.find(original.m_ref);
   if (found == known.m_held.end())
     return;
   HeldSlot& held = found->second;
   const auto [pool, i] = FindServer(broker, held.m_server);
+  SlotReport report = original;
+  // Such a failure must move no belief about the server, its version or its data centre.
+  if (pool != nullptr && SpeaksOfInstance(broker, *pool, i, instance, held, report, now)) {
+    report.m_health_signal.reset();
+    ++broker.m_disregarded_failures;
+  }
   const bool counts = pool != nullptr && IsAtCurrentProcess(held, pool->m_servers[i]);
   if (pool != nullptr) {
     const SlotReport at_server = LearnRoundTrip(broker, held, pool->m_servers[i].m_region, report);
--- a/packages/policy/src/slot_internal.h
+++ b/packages/policy/src/slot_internal.h
@@ -126,6 +126,22 @@
                                           SlotPool& pool,
                                           const SlotRequest& slot_request);
 
+// ---- slot_evidence.cc -------------------------------------------------------------------------
+/// \brief Returns true if the server sent anything, even a rejection.
+[[nodiscard]] bool ServerResponded(const SlotReport& report) noexcept;
+/// \brief Records what a report shows of the instance's own paths, and returns true if the failure
+/// in it likely says something of the instance and not of the server.
+///
+/// That is so if no server has responded to the instance since it got the slot, and either the
+/// server responds to other instances or the instance fails at several servers.
+[[nodiscard]] bool SpeaksOfInstance(SlotBroker& broker,
+                                    const SlotPool& pool,
+                                    std::size_t i,
+                                    const std::string& instance,
+                                    const HeldSlot& held,
+                                    const SlotReport& report,
+                                    Instant now);
+
 // ---- slot_rollout.cc --------------------------------------------------------------------------
 /// \brief The servers of a pool that take its ordinary work.
 enum class ServingGroup : std::uint8_t { kAll, kTarget, kOthers };
--- a/packages/policy/src/slot_outage.cc
+++ b/packages/policy/src/slot_outage.cc
@@ -10,13 +10,6 @@
 // elsewhere.
 constexpr Duration kMinTimeLeft{1'000'000};
 
-/// Returns true if the server sent anything, even a rejection.
-bool ServerResponded(const SlotReport& report) {
-  const bool declined = report.m_health_signal == HealthSignal::kFailure && !report.m_may_have_run;
-  return report.m_time_to_first_event > Duration(0) || report.m_connect > Duration(0) ||
-         report.m_failed || report.m_health_signal == HealthSignal::kSuccess || declined;
-}
-
 void AppendOutageEvent(SlotBroker& broker, OutageEvent event) {
   if (event.m_transition != OutageTransition::kNone)
     broker.m_outage_events.push_back(std::move(event));
@@ -43,10 +36,8 @@
     return;
   const auto& [name, i] = found->second;
   const bool responded = ServerResponded(report);
-  if (responded) {
+  if (responded)
     RecordResponse(broker.m_pools.at(name).m_responses[i], instance, now);
-    broker.m_instance_slots[instance].m_last_response = now;
-  }
   const bool inconclusive =
       !responded && (!report.m_health_signal || report.m_health_signal == HealthSignal::kSuccess);
   if (inconclusive)
