--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -31,6 +31,11 @@
   [[nodiscard]] BrokerPort MakeSlotBrokerPort() { return m_instance.MakeSlotBrokerPort(); }
   /// Returns the port for reports of crashed servers. Hosted deployments only.
   [[nodiscard]] CrashReportPort MakeCrashReportPort() { return m_instance.MakeCrashReportPort(); }
+  /// Sets how the control task learns that the forwarder reaches no servers. Hosted deployments
+  /// only.
+  void SetCutOffReader(std::function<bool()> is_cut_off) {
+    m_instance.SetCutOffReader(std::move(is_cut_off));
+  }
   /// Adds addresses at which members can be reached. Hosted deployments only.
   void AddSeeds(const std::vector<MemberSettings>& seeds);
   /// Returns the log member, or null on an instance without a disk.
--- a/apps/poppywayd/hosted_daemon.cc
+++ b/apps/poppywayd/hosted_daemon.cc
@@ -19,6 +19,8 @@
 constexpr int kStartFailedExit = 70;
 // The offset of the metrics port from the first internal port; see deploy/system.toml.
 constexpr std::uint16_t kMetricsOffset = 10;
+// The same for the port on which an instance passes on calls of others.
+constexpr std::uint16_t kRelayOffset = 5;
 // Heartbeats carry liveness and versions only; the responses to other requests, or their absence,
 // reveal a lost broker sooner.
 constexpr std::int64_t kHeartbeatMs = 500;
@@ -66,6 +68,14 @@
   return {kRetryShare * hosted.m_retry_limit.m_ratio, kRetryShare * hosted.m_retry_limit.m_burst};
 }
 
+/// Returns where an instance with callers passes on calls of others.
+Endpoint RelayEndpoint(const platform::HostedSettings& hosted) {
+  if (hosted.m_caller_endpoint.m_port == 0)
+    return {};
+  return {hosted.m_address,
+          static_cast<std::uint16_t>(hosted.m_first_internal_port + kRelayOffset)};
+}
+
 DaemonSettings ToDaemonSettings(const platform::HostedSettings& hosted) {
   DaemonSettings settings;
   settings.m_hosted = true;
@@ -76,6 +86,7 @@
   settings.m_regions = hosted.m_regions;
   settings.m_http = hosted.m_caller_endpoint;
   settings.m_peer = {hosted.m_address, hosted.m_first_internal_port};
+  settings.m_relay = RelayEndpoint(hosted);
   settings.m_members = SeedMembers(hosted);
   settings.m_data_folder = hosted.m_data_folder;
   settings.m_is_member = !hosted.m_data_folder.empty();
@@ -107,6 +118,7 @@
   settings.m_caller_endpoint = hosted.m_caller_endpoint;
   settings.m_readiness_endpoint = hosted.m_readiness_endpoint;
   settings.m_metrics_endpoint = MetricsEndpoint(hosted);
+  settings.m_relay_endpoint = RelayEndpoint(hosted);
   settings.m_shutdown_timeout = hosted.m_shutdown_timeout;
   settings.m_retry_limit = UsedRetryLimit(hosted);
   settings.m_quota_tolerance = hosted.m_quota_tolerance;
@@ -149,6 +161,7 @@
     if (m_forwarder) {
       m_control.SetForwarder(
           {[this](ForwarderMessage message) { m_forwarder->HandleMessage(std::move(message)); }});
+      m_control.SetCutOffReader([this] { return m_forwarder->IsCutOff(); });
       m_forwarder->SetBrokerPort(m_control.MakeSlotBrokerPort());
       m_forwarder->SetCrashReportPort(m_control.MakeCrashReportPort());
       m_forwarder->SetExtraMetrics([this](MetricSet& metrics) { m_control.AddMetrics(metrics); });
--- a/apps/poppywayd/instance_agent.cc
+++ b/apps/poppywayd/instance_agent.cc
@@ -21,6 +21,9 @@
 // A member that lags is a follower that was partitioned or is restarting; it has caught up by then.
 constexpr Duration kSourceExclusion{5'000'000};
 constexpr std::int64_t kPollWaitMs = 5'000;
+// An instance that reaches servers itself asks for helpers at this interval; one that doesn't, with
+// each heartbeat.
+constexpr Duration kHelpersAge{5'000'000};
 constexpr Duration kApplyPauseFactor{100};  // The pause for each microsecond that applying took.
 constexpr Duration kMaxApplyPause{2'000'000};
 constexpr Duration kForwardTimeout{5'000'000};
@@ -122,8 +125,12 @@
   heartbeat.http = ToText(m_settings.m_http);
   heartbeat.leases_seen = m_leases_seen;
   heartbeat.members_seen = m_members_digest;
-  if (m_poller)
+  if (m_poller) {
     heartbeat.version_in_force = m_poller->document_version();
+    heartbeat.relay_port = m_settings.m_relay.m_port;
+    heartbeat.cut_off = m_is_cut_off && m_is_cut_off();
+    heartbeat.wants_helpers = heartbeat.cut_off || now - m_helpers_at >= kHelpersAge;
+  }
   wire::Body body;
   body.__set_heartbeat(heartbeat);
   Leader().Call(std::move(body), std::chrono::milliseconds(m_settings.m_lease_ms) / 3,
--- a/apps/poppywayd/instance_agent.h
+++ b/apps/poppywayd/instance_agent.h
@@ -40,6 +40,8 @@
   /// Creates the object through which the forwarder reports crashes of servers. Hosted deployments
   /// only.
   [[nodiscard]] CrashReportPort MakeCrashReportPort();
+  /// Sets how the agent learns that the forwarder reaches no servers. Hosted deployments only.
+  void SetCutOffReader(std::function<bool()> is_cut_off) { m_is_cut_off = std::move(is_cut_off); }
   /// Adds addresses at which members can be reached.
   void AddSeeds(const std::vector<MemberSettings>& seeds);
   /// Sends heartbeats, polls and ledger commands that are due.
@@ -148,6 +150,8 @@
   std::int64_t m_leader_servers = 0;    ///< Highest index of servers that a leader reported.
   std::int64_t m_leader_term = 0;       ///< Term of the latest leader that was named or responded.
   bool m_broker_announced = false;      ///< The forwarder uses the broker at the leader.
+  std::function<bool()> m_is_cut_off;
+  Instant m_helpers_at{};  ///< When a leader last named helpers.
   Instant m_answered_heartbeat_sent{};  ///< Send time of the last heartbeat that a leader answered.
   Instant m_published_until{};
   Instant m_poll_after{};
--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -20,6 +20,13 @@
     UpdateMembers(reply.members);
     m_members_digest = reply.members_digest;
   }
+  if (!reply.helpers.empty()) {
+    HelpersChanged message;
+    for (const wire::PeerAddress& helper : reply.helpers)
+      message.m_helpers.push_back({helper.address, static_cast<std::uint16_t>(helper.port)});
+    m_helpers_at = ReadClock();
+    m_forwarder.m_send(std::move(message));
+  }
   m_leader_document = std::max(m_leader_document, reply.document_version);
   m_leader_servers = std::max(m_leader_servers, reply.servers_index);
   m_answered_heartbeat_sent = std::max(m_answered_heartbeat_sent, sent);
--- a/packages/forward/include/poppyway/forward.h
+++ b/packages/forward/include/poppyway/forward.h
@@ -13,10 +13,14 @@
 /// document, so that nothing here depends on a deployment's names.
 
 #include "poppyway/forward/impl/backend_call.h"
+#include "poppyway/forward/impl/connection_probe.h"
 #include "poppyway/forward/impl/crash_tracker.h"
 #include "poppyway/forward/impl/event_stream.h"
 #include "poppyway/forward/impl/forwarder.h"
 #include "poppyway/forward/impl/forwarder_messages.h"
 #include "poppyway/forward/impl/forwarding.h"
+#include "poppyway/forward/impl/helper_choice.h"
+#include "poppyway/forward/impl/path_check.h"
+#include "poppyway/forward/impl/peer_relay.h"
 #include "poppyway/forward/impl/protocol_adapter.h"
 #include "poppyway/forward/impl/route_table.h"
--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -85,8 +85,12 @@
 
  private:
   friend class BackendCall;
+  friend class ConnectionProbe;
   struct IdleConnection;
 
+  /// Begins a connection attempt. Returns null if it fails at once.
+  [[nodiscard]] h2o_socket_t* OpenConnection(const Endpoint& endpoint, h2o_socket_cb on_connected);
+
   /// Returns an idle connection that hasn't reached its idle limit, or null. `careful` selects only
   /// connections that were used within `kCarefulIdleLimit`.
   [[nodiscard]] h2o_socket_t* TakeIdle(const Endpoint& endpoint, bool careful);
@@ -97,7 +101,8 @@
 
   EventLoop& m_loop;
   h2o_timeout_t m_connect_limit;
-  h2o_timeout_t m_at_once;  ///< Fires in the next iteration of the loop.
+  h2o_timeout_t m_at_once;     ///< Fires in the next iteration of the loop.
+  h2o_timeout_t m_probe_hold;  ///< How long a probe waits for a reset.
   std::map<Endpoint, std::vector<std::unique_ptr<IdleConnection>>> m_idle;
   std::uint64_t m_opened = 0;
   RepeatingTimer m_expiry;
--- a/packages/forward/include/poppyway/forward/impl/crash_tracker.h
+++ b/packages/forward/include/poppyway/forward/impl/crash_tracker.h
@@ -3,15 +3,11 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
-#include <memory>
 #include <set>
-#include <string>
 #include <unordered_set>
 #include <vector>
 
 #include "poppyway/core.h"
-#include "poppyway/forward/impl/backend_call.h"
 #include "poppyway/forward/impl/forwarder_messages.h"
 #include "poppyway/policy.h"
 
@@ -32,14 +28,6 @@
 /// \brief Returns true if the fingerprint was added recently.
 [[nodiscard]] bool Contains(const RecentFingerprints& recent, RequestFingerprint fingerprint);
 
-/// \brief A connection attempt to a server after calls there broke off: if it is refused, the
-/// server process has ended; if it succeeds, only the calls did.
-struct CrashCheck {
-  std::string m_server;
-  std::vector<RequestFingerprint> m_running;  ///< Of the calls that broke off.
-  std::unique_ptr<BackendCall> m_probe;
-};
-
 /// \brief What an instance knows of requests that crash servers.
 ///
 /// The replicated state decides which requests are quarantined, from the reports of all instances.
@@ -49,7 +37,6 @@
   CrashReportPort m_port;
   std::set<RequestFingerprint> m_quarantined;  ///< As the members last reported.
   CrashSuspects m_uncommitted;                 ///< From own reports that no leader has committed.
-  std::map<ServerProcessId, CrashCheck> m_checks;
   RecentFingerprints m_reported;  ///< Requests in own reports.
   /// Requests with a complete response since their last broken call; they crash no server so far.
   RecentFingerprints m_answered;
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -16,6 +16,9 @@
 #include "poppyway/forward/impl/crash_tracker.h"
 #include "poppyway/forward/impl/forwarder_messages.h"
 #include "poppyway/forward/impl/forwarding.h"
+#include "poppyway/forward/impl/helper_choice.h"
+#include "poppyway/forward/impl/path_check.h"
+#include "poppyway/forward/impl/peer_relay.h"
 #include "poppyway/forward/impl/protocol_adapter.h"
 #include "poppyway/http.h"
 #include "poppyway/policy.h"
@@ -32,6 +35,7 @@
   Endpoint m_caller_endpoint;     ///< Listens for callers.
   Endpoint m_readiness_endpoint;  ///< Serves the load balancer's readiness checks.
   Endpoint m_metrics_endpoint;    ///< Serves metrics; port 0: disabled.
+  Endpoint m_relay_endpoint;      ///< Passes on calls of other instances; port 0: disabled.
   Duration m_shutdown_timeout{
       8'000'000};  ///< A planned shutdown ends after this time, even with requests in flight.
   RetryLimit m_retry_limit;  ///< Limit of retries over all instances.
@@ -131,7 +135,14 @@
   bool m_ready_logged = false;
   std::map<std::string, Backend> m_backends;
   Instant m_back_off_until{};  ///< The latest back-off end of all servers.
-  Instant m_last_byte{};       ///< When this instance last received a byte of any server.
+  Instant m_last_byte{};       ///< When any server last sent a byte to this instance itself.
+  Instant m_last_open_path{};  ///< When a probe of a path last succeeded.
+  ServerPaths m_paths;
+  std::vector<Helper> m_helpers;
+  std::map<ServerProcessId, PathCheck> m_path_checks;
+  std::unique_ptr<ConnectionProbe> m_restoring;  ///< The probe of a path while cut off.
+  std::vector<std::unique_ptr<ConnectionProbe>> m_retired_probes;  ///< Destroyed outside callbacks.
+  Instant m_next_silence_check{};
   std::map<Endpoint, std::vector<std::string>> m_by_address;  ///< Server ids by address.
   std::map<std::string, PoolState> m_pools;
   std::map<std::string, wire::Evacuation> m_evacuations;  ///< Latest evacuation by data centre.
@@ -173,6 +184,8 @@
   /// \brief Returns true once all requests have ended and the balancer had time to notice, or once
   /// the shutdown timeout, less a margin, has passed.
   [[nodiscard]] bool ShutdownComplete() const;
+  /// \brief Returns true while this instance reaches no backend servers itself.
+  [[nodiscard]] bool IsCutOff() const noexcept { return m_state.m_paths.m_cut_off; }
   [[nodiscard]] ForwarderState& state() noexcept { return m_state; }
 
  private:
@@ -186,6 +199,7 @@
   std::unique_ptr<HttpServer> m_caller_server;
   std::unique_ptr<HttpServer> m_readiness_server;
   std::unique_ptr<HttpServer> m_metrics_server;
+  std::unique_ptr<PeerRelay> m_relay;
   std::unique_ptr<RepeatingTimer> m_tick;
   std::function<void(MetricSet&)> m_extra_metrics;
 };
--- a/packages/forward/include/poppyway/forward/impl/forwarder_messages.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder_messages.h
@@ -9,6 +9,7 @@
 
 #include "poppyway/core.h"
 #include "poppyway/policy.h"
+#include "poppyway/settings.h"
 #include "poppyway_types.h"
 
 namespace poppyway {
@@ -66,6 +67,11 @@
   ServerProcessId m_process = 0;
 };
 
+/// \brief The instances that may pass on calls to servers which this one doesn't reach.
+struct HelpersChanged {
+  std::vector<Endpoint> m_helpers;
+};
+
 /// \brief Any message from the control task to the forwarder.
 using ForwarderMessage = std::variant<NewDocument,
                                       ServersChanged,
@@ -76,7 +82,8 @@
                                       BrokerDisconnected,
                                       SlotResponses,
                                       QuarantineChanged,
-                                      CrashReported>;
+                                      CrashReported,
+                                      HelpersChanged>;
 
 /// \brief The control task's port to the forwarder. Both tasks run on one thread.
 struct ForwarderPort {
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -102,6 +102,8 @@
   std::string m_server;                  ///< Id of the called server; empty: none.
   std::int64_t m_server_started_ms = 0;  ///< Start time of the server process that was called.
   std::unique_ptr<BackendCall> m_call;
+  std::optional<Endpoint> m_helper;  ///< The instance that passes the active call on, if one does.
+  int m_helpers_tried = 0;           ///< For the current slot.
   ServerResponse m_response;
   bool m_head_accepted = false;  ///< The response head has been accepted.
   std::string m_buffered;        ///< Response body held until the caller's response starts.
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -13,6 +13,8 @@
 
 // Servers are at most some ms away; retransmitting a lost SYN takes 1 s.
 constexpr std::uint64_t kConnectMillis = 300;
+// A connection that is reset right after it came up is of no use.
+constexpr std::uint64_t kProbeHoldMillis = 50;
 constexpr std::uint64_t kExpiryMillis = 250;
 // With bytes unacknowledged for this long, the server's machine is unreachable.
 constexpr Duration kServerAckTimeout{1'500'000};
@@ -73,11 +75,14 @@
 };
 
 BackendPool::BackendPool(EventLoop& loop)
-    : m_loop(loop), m_connect_limit{}, m_at_once{}, m_expiry(loop, kExpiryMillis, [this] {
-        Expire();
-      }) {
+    : m_loop(loop),
+      m_connect_limit{},
+      m_at_once{},
+      m_probe_hold{},
+      m_expiry(loop, kExpiryMillis, [this] { Expire(); }) {
   h2o_timeout_init(loop.loop(), &m_connect_limit, kConnectMillis);
   h2o_timeout_init(loop.loop(), &m_at_once, 0);
+  h2o_timeout_init(loop.loop(), &m_probe_hold, kProbeHoldMillis);
 }
 
 BackendPool::~BackendPool() {
@@ -87,6 +92,17 @@
   }
   h2o_timeout_dispose(m_loop.loop(), &m_connect_limit);
   h2o_timeout_dispose(m_loop.loop(), &m_at_once);
+  h2o_timeout_dispose(m_loop.loop(), &m_probe_hold);
+}
+
+h2o_socket_t* BackendPool::OpenConnection(const Endpoint& endpoint, h2o_socket_cb on_connected) {
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(endpoint.m_port);
+  inet_pton(AF_INET, endpoint.m_address.c_str(), &where.sin_addr);
+  ++m_opened;
+  return h2o_socket_connect(m_loop.loop(), reinterpret_cast<sockaddr*>(&where), sizeof(where),
+                            on_connected);
 }
 
 h2o_socket_t* BackendPool::TakeIdle(const Endpoint& endpoint, bool careful) {
@@ -209,14 +225,8 @@
 }
 
 void BackendCall::Connect() {
-  sockaddr_in where{};
-  where.sin_family = AF_INET;
-  where.sin_port = htons(m_endpoint.m_port);
-  inet_pton(AF_INET, m_endpoint.m_address.c_str(), &where.sin_addr);
-  ++m_pool.m_opened;
   m_connect_begun = ReadClock();
-  m_socket = h2o_socket_connect(m_pool.m_loop.loop(), reinterpret_cast<sockaddr*>(&where),
-                                sizeof(where), &BackendCall::OnConnected);
+  m_socket = m_pool.OpenConnection(m_endpoint, &BackendCall::OnConnected);
   if (m_socket != nullptr)
     m_socket->data = this;
   FailLater(CallFault::kNotConnected,
--- a/packages/forward/src/crashes.cc
+++ b/packages/forward/src/crashes.cc
@@ -52,7 +52,8 @@
   }
 }
 
-/// Counts a crash and reports it.
+}  // namespace
+
 void RecordServerCrash(ForwarderState& state, const std::string& server, const ServerCrash& crash) {
   state.m_metrics.Add("poppyway_forward_server_crashes_total");
   POPPYWAY_LOG(info, "server_crashed")
@@ -65,36 +66,6 @@
   RefuseQuarantined(state);
 }
 
-void OnCheckEnded(ForwarderState& state, ServerProcessId process, CallFault fault) {
-  const auto found = state.m_crashes.m_checks.find(process);
-  if (found == state.m_crashes.m_checks.end())
-    return;
-  CrashCheck check = std::move(found->second);
-  state.m_crashes.m_checks.erase(found);
-  state.m_retired.push_back(std::move(check.m_probe));
-  if (fault == CallFault::kNotConnected)
-    RecordServerCrash(state, check.m_server, {process, std::move(check.m_running)});
-  else
-    POPPYWAY_LOG(info, "server_alive")
-        .Field("server", check.m_server)
-        .Field("broken_calls", check.m_running.size());
-}
-
-void BeginCheck(ForwarderState& state,
-                ServerProcessId process,
-                CrashCheck& check,
-                const Endpoint& endpoint) {
-  // Connections that were idle may not show yet that the server closed them.
-  state.m_connections->Forget(endpoint);
-  CallEvents events;
-  events.m_may_send = [] { return false; };  // Nothing is sent: a connection is the answer.
-  events.m_on_fault = [&state, process](CallFault fault) { OnCheckEnded(state, process, fault); };
-  check.m_probe = std::make_unique<BackendCall>(*state.m_connections, endpoint, std::string(),
-                                                false, true, std::move(events));
-}
-
-}  // namespace
-
 bool IsQuarantined(const ForwarderState& state, RequestFingerprint fingerprint) {
   return state.m_crashes.m_quarantined.contains(fingerprint) ||
          poppyway::IsQuarantined(state.m_crashes.m_uncommitted, fingerprint);
@@ -131,11 +102,7 @@
     RecordServerCrash(state, forwarding.m_server, {process, {forwarding.m_fingerprint}});
     return;
   }
-  const auto [entry, added] = state.m_crashes.m_checks.try_emplace(process);
-  entry->second.m_server = forwarding.m_server;
-  entry->second.m_running.push_back(forwarding.m_fingerprint);
-  if (added)
-    BeginCheck(state, process, entry->second, backend->m_endpoint);
+  BeginPathCheck(state, forwarding.m_server, {forwarding.m_fingerprint});
 }
 
 void OnCompleteResponse(ForwarderState& state, const Forwarding& forwarding) {
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -9,24 +9,6 @@
 // Older ones are dropped first when the map is full.
 constexpr Duration kMaxSegmentAge{60'000'000};
 
-std::string BuildRequest(const Forwarding& forwarding, const std::vector<Field>& added) {
-  std::string request;
-  request.reserve(512 + forwarding.m_body.size());
-  request += forwarding.m_method + " " + forwarding.m_target + " HTTP/1.1\r\n";
-  request += "host: " + forwarding.m_host + "\r\n";
-  for (const Field& field : forwarding.m_request.m_forwarded)
-    request += field.m_name + ": " + field.m_value + "\r\n";
-  for (const Field& field : added)
-    request += field.m_name + ": " + field.m_value + "\r\n";
-  const bool has_body = !forwarding.m_body.empty() || forwarding.m_method == "POST" ||
-                        forwarding.m_method == "PUT" || forwarding.m_method == "PATCH";
-  if (has_body)
-    request += "content-length: " + std::to_string(forwarding.m_body.size()) + "\r\n";
-  request += "\r\n";
-  request += forwarding.m_body;
-  return request;
-}
-
 void RememberSegments(Backend& backend, const CallerRequest& request, Instant now) {
   for (const PromptSegment& segment : request.m_prompt_segments)
     backend.m_prompt_segments[segment.m_id] = now;
@@ -55,7 +37,7 @@
   forwarding->m_sent = true;
   forwarding->m_tried.push_back(forwarding->m_server);
   forwarding->m_dispatched = now;
-  if (forwarding->m_call)
+  if (forwarding->m_call && !forwarding->m_helper)
     RecordConnectTime(state, *forwarding, *backend, forwarding->m_call->connect_time());
   RememberSegments(*backend, forwarding->m_request, now);
   return true;
@@ -63,10 +45,68 @@
 
 }  // namespace
 
+std::string FormatRequest(const std::string& method,
+                          const std::string& target,
+                          const std::string& host,
+                          const std::vector<Field>& fields,
+                          const std::string& body) {
+  std::string request;
+  request.reserve(512 + body.size());
+  request += method + " " + target + " HTTP/1.1\r\n";
+  request += "host: " + host + "\r\n";
+  for (const Field& field : fields)
+    request += field.m_name + ": " + field.m_value + "\r\n";
+  const bool has_body =
+      !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+  if (has_body)
+    request += "content-length: " + std::to_string(body.size()) + "\r\n";
+  request += "\r\n";
+  request += body;
+  return request;
+}
+
+void StartCall(ForwarderState& state, Forwarding& forwarding, const Backend& backend) {
+  const ForwardingRef ref = forwarding.m_ref;
+  DispatchFields dispatch;
+  dispatch.m_server = forwarding.m_server;
+  if (forwarding.m_workspace != nullptr)
+    dispatch.m_workspace = forwarding.m_workspace->m_name;
+  dispatch.m_left = forwarding.m_deadline - ReadClock();
+  dispatch.m_resume_after = forwarding.m_events.m_last_id ? forwarding.m_events.m_last_id
+                                                          : forwarding.m_request.m_resume_after;
+  std::vector<Field> fields = forwarding.m_request.m_forwarded;
+  for (Field& field : state.m_adapter.m_encode_dispatch(dispatch))
+    fields.push_back(std::move(field));
+  if (forwarding.m_helper)
+    fields.push_back({std::string(kRelayTo), ToText(backend.m_endpoint)});
+  CallEvents events;
+  events.m_may_send = [&state, ref] { return OnMaySend(state, ref); };
+  events.m_on_head = [&state, ref](int status, std::vector<Field> head) {
+    return OnHead(state, ref, status, std::move(head));
+  };
+  events.m_on_data = [&state, ref](std::string_view bytes) { OnData(state, ref, bytes); };
+  events.m_on_complete = [&state, ref] { OnComplete(state, ref); };
+  events.m_on_fault = [&state, ref](CallFault fault) { OnFault(state, ref, fault); };
+  const bool careful = forwarding.m_route->m_repeat == Repeat::kNever;
+  POPPYWAY_LOG(debug, "dispatch")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", forwarding.m_server)
+      .Field("helper", forwarding.m_helper ? ToText(*forwarding.m_helper) : "-")
+      .Field("in_flight", backend.m_in_flight)
+      .Field("by_broker", forwarding.m_by_broker)
+      .Field("forecast_ms", forwarding.m_forecast.count() / 1000);
+  if (forwarding.m_helper)
+    state.m_metrics.Add("poppyway_forward_calls_through_helpers_total");
+  forwarding.m_call = std::make_unique<BackendCall>(
+      *state.m_connections, forwarding.m_helper.value_or(backend.m_endpoint),
+      FormatRequest(forwarding.m_method, forwarding.m_target, forwarding.m_host, fields,
+                    forwarding.m_body),
+      forwarding.m_method == "HEAD", careful, std::move(events));
+}
+
 void Dispatch(ForwarderState& state, Forwarding& forwarding, const std::string& server) {
   Backend& backend = *FindBackend(state, server);
   const Instant now = ReadClock();
-  const ForwardingRef ref = forwarding.m_ref;
   forwarding.m_stage =
       forwarding.m_caller.m_started ? ForwardingStage::kRelaying : ForwardingStage::kCalling;
   forwarding.m_server = server;
@@ -93,32 +133,11 @@
   ++backend.m_in_flight;
   BeginProbe(state.m_outages, backend.m_record.data_centre, server, now);
   backend.m_pending_prefill_tokens += forwarding.m_prefill_tokens;
-  DispatchFields fields;
-  fields.m_server = server;
-  if (forwarding.m_workspace != nullptr)
-    fields.m_workspace = forwarding.m_workspace->m_name;
-  fields.m_left = forwarding.m_deadline - now;
-  fields.m_resume_after = forwarding.m_events.m_last_id ? forwarding.m_events.m_last_id
-                                                        : forwarding.m_request.m_resume_after;
-  CallEvents events;
-  events.m_may_send = [&state, ref] { return OnMaySend(state, ref); };
-  events.m_on_head = [&state, ref](int status, std::vector<Field> head) {
-    return OnHead(state, ref, status, std::move(head));
-  };
-  events.m_on_data = [&state, ref](std::string_view bytes) { OnData(state, ref, bytes); };
-  events.m_on_complete = [&state, ref] { OnComplete(state, ref); };
-  events.m_on_fault = [&state, ref](CallFault fault) { OnFault(state, ref, fault); };
-  const bool careful = forwarding.m_route->m_repeat == Repeat::kNever;
-  POPPYWAY_LOG(debug, "dispatch")
-      .Field("request", forwarding.m_request.m_id)
-      .Field("server", server)
-      .Field("in_flight", backend.m_in_flight)
-      .Field("by_broker", forwarding.m_by_broker)
-      .Field("forecast_ms", forwarding.m_forecast.count() / 1000);
-  forwarding.m_call = std::make_unique<BackendCall>(
-      *state.m_connections, backend.m_endpoint,
-      BuildRequest(forwarding, state.m_adapter.m_encode_dispatch(fields)),
-      forwarding.m_method == "HEAD", careful, std::move(events));
+  forwarding.m_helpers_tried = 0;
+  forwarding.m_helper.reset();
+  if (IsPathBroken(state.m_paths, server, now))
+    forwarding.m_helper = HelperFor(state, forwarding);
+  StartCall(state, forwarding, backend);
 }
 
 }  // namespace poppyway::impl
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -153,6 +153,9 @@
   void operator()(const CrashReported& message) const {
     impl::HandleCrashReported(m_state, message);
   }
+  void operator()(const HelpersChanged& message) const {
+    SetHelpers(m_state.m_helpers, message.m_helpers);
+  }
 };
 
 }  // namespace
@@ -175,6 +178,7 @@
                                                     [this](h2o_req_t* req) { OnReadiness(req); });
   m_metrics_server =
       std::make_unique<HttpServer>(loop, HttpLimits{}, [this](h2o_req_t* req) { OnMetrics(req); });
+  m_relay = std::make_unique<PeerRelay>(loop, m_state);
   m_tick = std::make_unique<RepeatingTimer>(loop, kBusyTickMillis, kIdleTickMillis,
                                             [this] { return Tick(); });
 }
@@ -182,7 +186,9 @@
 Forwarder::~Forwarder() {
   for (auto& [ref, forwarding] : m_state.m_forwardings)
     impl::EndCall(m_state, *forwarding);
-  m_state.m_crashes.m_checks.clear();
+  m_state.m_path_checks.clear();
+  m_state.m_restoring.reset();
+  m_state.m_retired_probes.clear();
   m_state.m_retired.clear();
 }
 
@@ -198,7 +204,9 @@
     if (Result<void> listening = server->Listen(endpoint->m_address, endpoint->m_port); !listening)
       return listening;
   }
-  return {};
+  if (settings.m_relay_endpoint.m_port == 0)
+    return {};
+  return m_relay->Listen(settings.m_relay_endpoint);
 }
 
 void Forwarder::HandleMessage(ForwarderMessage message) {
@@ -217,7 +225,8 @@
   if (!m_state.m_stopping)
     return false;
   const Duration since = ReadClock() - m_state.m_shutdown_started;
-  const bool idle = since >= kMinShutdown && m_state.m_forwardings.empty();
+  const bool idle = since >= kMinShutdown && m_state.m_forwardings.empty() &&
+                    m_relay->in_progress() == 0;
   return idle || ReadClock() >= impl::ShutdownEnd(m_state);
 }
 
@@ -253,6 +262,8 @@
                         static_cast<double>(m_state.m_held.m_total));
   m_state.m_metrics.Set("poppyway_forward_connections_opened", "",
                         static_cast<double>(m_state.m_connections->opened()));
+  m_state.m_metrics.Set("poppyway_forward_relayed", "",
+                        static_cast<double>(m_relay->in_progress()));
   impl::CountEvacuated(m_state);
   MetricSet more;
   if (m_extra_metrics)
@@ -267,7 +278,9 @@
     impl::EraseForwarding(m_state, ref);
   m_state.m_finished.clear();
   impl::ResumeReading(m_state);
+  m_relay->Tick(now);
   impl::CheckBroker(m_state, now);
+  impl::TickPaths(m_state, now);
   impl::ExpireHeld(m_state, now);
   impl::ExpireWaiting(m_state, now);
   impl::LeaveLostDataCentres(m_state, now);
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -52,31 +52,6 @@
   return BeginRetry(state, forwarding);
 }
 
-void RetryRequest(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
-  state.m_metrics.Add("poppyway_forward_retries_total", TierAndReason(forwarding.m_tier, why));
-  POPPYWAY_LOG(info, "retry")
-      .Field("request", forwarding.m_request.m_id)
-      .Field("server", forwarding.m_server)
-      .Field("why", why)
-      .Field("attempt", forwarding.m_attempts)
-      .Field("resume_after", forwarding.m_events.m_last_id.value_or(-1));
-  EndCall(state, forwarding);
-  if (IsQuarantined(state, forwarding.m_fingerprint)) {
-    const std::string pool = forwarding.m_pool->m_name;
-    RefuseAsQuarantined(state, forwarding);
-    ServeQueue(state, pool);
-    return;
-  }
-  // A call that may have run stays charged, and the next one is charged again.
-  forwarding.m_charged_without_broker =
-      forwarding.m_charged_without_broker && forwarding.m_possible_runs == 0;
-  const Instant now = ReadClock();
-  const Duration timeout = forwarding.m_caller.m_started ? forwarding.m_route->m_gap_target
-                                                         : InitialQueueTimeout(forwarding);
-  PutInQueue(state, forwarding, now + timeout);
-  ServeQueue(state, forwarding.m_pool->m_name);
-}
-
 /// Handles a response by which the server has certainly not run the request.
 void OnRejected(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
   --forwarding.m_possible_runs;
@@ -93,7 +68,8 @@
 
 void RecordByte(ForwarderState& state, Forwarding& forwarding) {
   forwarding.m_last_byte = ReadClock();
-  state.m_last_byte = forwarding.m_last_byte;
+  if (!forwarding.m_helper)
+    state.m_last_byte = forwarding.m_last_byte;
   if (Backend* backend = FindCalledBackend(state, forwarding))
     backend->m_last_byte = forwarding.m_last_byte;
 }
@@ -171,6 +147,31 @@
 
 }  // namespace
 
+void RetryRequest(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
+  state.m_metrics.Add("poppyway_forward_retries_total", TierAndReason(forwarding.m_tier, why));
+  POPPYWAY_LOG(info, "retry")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", forwarding.m_server)
+      .Field("why", why)
+      .Field("attempt", forwarding.m_attempts)
+      .Field("resume_after", forwarding.m_events.m_last_id.value_or(-1));
+  EndCall(state, forwarding);
+  if (IsQuarantined(state, forwarding.m_fingerprint)) {
+    const std::string pool = forwarding.m_pool->m_name;
+    RefuseAsQuarantined(state, forwarding);
+    ServeQueue(state, pool);
+    return;
+  }
+  // A call that may have run stays charged, and the next one is charged again.
+  forwarding.m_charged_without_broker =
+      forwarding.m_charged_without_broker && forwarding.m_possible_runs == 0;
+  const Instant now = ReadClock();
+  const Duration timeout = forwarding.m_caller.m_started ? forwarding.m_route->m_gap_target
+                                                         : InitialQueueTimeout(forwarding);
+  PutInQueue(state, forwarding, now + timeout);
+  ServeQueue(state, forwarding.m_pool->m_name);
+}
+
 bool RetryElsewhere(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
   if (!MayRerun(forwarding) || !MayRetry(state, forwarding))
     return false;
@@ -195,6 +196,12 @@
   Forwarding* forwarding = Find(state, ref);
   if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
     return HeadVerdict::kAccept;
+  if (forwarding->m_helper) {
+    if (const std::optional<RelayFault> fault = FindRelayFault(fields)) {
+      OnRelayFault(state, *forwarding, *fault);
+      return HeadVerdict::kAccept;
+    }
+  }
   ServerResponse answer = state.m_adapter.m_decode_response(status, std::move(fields));
   HandleServerNotice(state, *forwarding, answer);
   if (answer.m_id && *answer.m_id != forwarding->m_request.m_id) {
@@ -293,6 +300,37 @@
   ServeQueue(state, pool);
 }
 
+namespace {
+
+/// Handles a call of which the server got nothing. A connection that fails is made through a
+/// helper, which shows whether the server or only the path to it is lost.
+void OnNothingSent(ForwarderState& state, Forwarding& forwarding, CallFault fault) {
+  if (fault == CallFault::kNotConnected) {
+    const Backend* backend = FindBackend(state, forwarding.m_server);
+    if (backend != nullptr)
+      CheckPathAfterFailedConnect(state, backend->m_endpoint);
+    if (CallThroughHelper(state, forwarding))
+      return;
+    ReportReachability(state, forwarding, false);
+    RecordHealth(state, forwarding, HealthSignal::kUnreachable);
+  }
+  RetryRequest(state, forwarding, CallFaultName(fault));
+}
+
+/// Handles a call that broke off after it was sent.
+void OnBroken(ForwarderState& state, Forwarding& forwarding, CallFault fault) {
+  const bool own_path =
+      RecordBrokenCall(state.m_paths, forwarding.m_server, state.m_last_byte, ReadClock());
+  if (!own_path) {
+    ReportReachability(state, forwarding, false);
+    RecordHealth(state, forwarding, HealthSignal::kFailure);
+  }
+  OnCallBroken(state, forwarding);
+  OnIncompleteResponse(state, forwarding, CallFaultName(fault));
+}
+
+}  // namespace
+
 void OnFault(ForwarderState& state, ForwardingRef ref, CallFault fault) {
   Forwarding* forwarding = Find(state, ref);
   if (forwarding == nullptr || forwarding->m_stage == ForwardingStage::kDone)
@@ -314,20 +352,16 @@
       .Field("events", forwarding->m_call_events)
       .Field("reused", forwarding->m_call && forwarding->m_call->reused())
       .Field("connect", ConnectOutcomeName(connect))
+      .Field("helper", forwarding->m_helper ? ToText(*forwarding->m_helper) : "-")
       .Field("any_heard_ms",
              state.m_last_byte == Instant{} ? -1 : (now - state.m_last_byte).count() / 1000)
       .Field("after_ms", (now - forwarding->m_dispatched).count() / 1000);
-  if (fault != CallFault::kWithdrawn)
-    ReportReachability(state, *forwarding, false);
-  if (!NothingSent(fault)) {
-    RecordHealth(state, *forwarding, HealthSignal::kFailure);
-    OnCallBroken(state, *forwarding);
-    OnIncompleteResponse(state, *forwarding, why);
-    return;
-  }
-  if (fault == CallFault::kNotConnected)
-    RecordHealth(state, *forwarding, HealthSignal::kUnreachable);
-  RetryRequest(state, *forwarding, why);
+  if (forwarding->m_helper)
+    OnHelperLost(state, *forwarding, fault);
+  else if (NothingSent(fault))
+    OnNothingSent(state, *forwarding, fault);
+  else
+    OnBroken(state, *forwarding, fault);
 }
 
 }  // namespace poppyway::impl
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -148,6 +148,14 @@
 void RecordColdSendWithoutBroker(ForwarderState& state, Backend& backend, Instant now);
 
 // ---- dispatch.cc -------------------------------------------------------------------------------
+/// Returns a complete HTTP/1.1 request, with the length of its body.
+[[nodiscard]] std::string FormatRequest(const std::string& method,
+                                        const std::string& target,
+                                        const std::string& host,
+                                        const std::vector<Field>& fields,
+                                        const std::string& body);
+/// Starts the active call of a request that has a slot, through its helper if it has one.
+void StartCall(ForwarderState& state, Forwarding& forwarding, const Backend& backend);
 /// Starts a call to a server. Preconditions: the request is in no queue and the server is known.
 void Dispatch(ForwarderState& state, Forwarding& forwarding, const std::string& server);
 
@@ -166,6 +174,8 @@
 /// Handles a call that may have run but returns no complete response: retries the request if it may
 /// run again, and ends it otherwise.
 void OnIncompleteResponse(ForwarderState& state, Forwarding& forwarding, std::string_view why);
+/// Abandons the active call and puts the request into its queue again.
+void RetryRequest(ForwarderState& state, Forwarding& forwarding, std::string_view why);
 /// Abandons the active call and retries the request at another server. Returns false, without any
 /// change, if it may not be retried.
 [[nodiscard]] bool RetryElsewhere(ForwarderState& state,
@@ -286,6 +296,32 @@
 /// Ends calls to earlier processes of restarted servers if no byte has arrived for too long.
 void EndLostCalls(ForwarderState& state, Instant now);
 
+// ---- path_checks.cc: broken paths to servers ---------------------------------------------------
+/// Records that a helper reaches a server that this instance doesn't.
+void OnBrokenPath(ForwarderState& state, const std::string& server);
+/// Checks whether a server, or the path to it, has failed. `broken_calls`: fingerprints of the
+/// requests that ran there; the server has crashed under them if no instance reaches it.
+void BeginPathCheck(ForwarderState& state,
+                    const std::string& server,
+                    const std::vector<RequestFingerprint>& broken_calls);
+/// Asks a helper whether it reaches a server to which a connection from here has just failed.
+void CheckPathAfterFailedConnect(ForwarderState& state, const Endpoint& endpoint);
+/// Returns what this instance, as a helper, can tell of a server that it doesn't reach.
+[[nodiscard]] RelayFault FaultWithoutConnection(const ForwarderState& state, Instant now) noexcept;
+/// Watches the paths: probes them while this instance is cut off, checks them when all servers are
+/// silent, and gives up silent calls.
+void TickPaths(ForwarderState& state, Instant now);
+
+// ---- helpers.cc: calls through another instance ------------------------------------------------
+/// Returns the next helper for the request's slot, if one is left to try.
+[[nodiscard]] std::optional<Endpoint> HelperFor(ForwarderState& state, Forwarding& forwarding);
+/// Starts the active call anew, through a helper. Returns false if there is none, with no change.
+[[nodiscard]] bool CallThroughHelper(ForwarderState& state, Forwarding& forwarding);
+/// Handles a call whose connection to its helper failed or broke off.
+void OnHelperLost(ForwarderState& state, Forwarding& forwarding, CallFault fault);
+/// Handles a helper's response that isn't the server's.
+void OnRelayFault(ForwarderState& state, Forwarding& forwarding, RelayFault fault);
+
 // ---- crashes.cc: requests that crash servers ---------------------------------------------------
 /// Returns true if no server may be sent the request.
 [[nodiscard]] bool IsQuarantined(const ForwarderState& state, RequestFingerprint fingerprint);
@@ -294,6 +330,8 @@
 /// Checks whether the server of a call that broke off has crashed. Must be called while the request
 /// still names the server.
 void OnCallBroken(ForwarderState& state, const Forwarding& forwarding);
+/// Counts and reports the crash of a server.
+void RecordServerCrash(ForwarderState& state, const std::string& server, const ServerCrash& crash);
 /// Records that a request has had a complete response, so that it crashes no server.
 void OnCompleteResponse(ForwarderState& state, const Forwarding& forwarding);
 /// Applies the list of quarantined requests; queued ones are rejected.
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -21,6 +21,7 @@
 /// - `CrashSuspects`: finds the requests that crash servers.
 /// - `ServerLimit`: the rate that a server states to take from all instances together.
 /// - `LastResponses`: which instances a server responded to last.
+/// - `ServerPaths`: whether an instance reaches the backend servers itself.
 /// - `OutageDetector`: detects data centres that are lost or unreachable as a whole.
 /// - `SlowStartState`: limits the requests to a server that is slow after its start.
 /// - `ChooseServer`, `ServerHealth`: choose a backend server by predicted time and health.
@@ -60,6 +61,7 @@
 #include "poppyway/policy/impl/server_limit.h"
 #include "poppyway/policy/impl/server_notice.h"
 #include "poppyway/policy/impl/server_order.h"
+#include "poppyway/policy/impl/server_paths.h"
 #include "poppyway/policy/impl/shed_floor.h"
 #include "poppyway/policy/impl/slot_broker.h"
 #include "poppyway/policy/impl/slot_turnover.h"
--- a/packages/settings/include/poppyway/settings/impl/daemon_settings.h
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -44,6 +44,7 @@
   std::string m_region;
   Endpoint m_http;
   Endpoint m_peer;
+  Endpoint m_relay;  ///< Passes on calls of other instances; port 0: it doesn't. Hosted only.
   std::vector<MemberSettings> m_members;
   std::string m_data_folder;  ///< Empty on an instance without a disk.
   std::int64_t m_max_body_bytes = 4 << 20;
--- a/packages/state/include/poppyway/state/impl/instance_table.h
+++ b/packages/state/include/poppyway/state/impl/instance_table.h
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -25,8 +27,14 @@
   Instant m_leading_since{};
   std::map<std::string, InstanceRecord> m_live;  ///< By incarnation.
   std::set<std::string> m_ended_incarnations;    ///< To be reported to the ledger.
+  /// Instances that pass on calls of others, as of `m_relays_at`.
+  std::vector<wire::PeerAddress> m_relays;
+  Instant m_relays_at{};
 };
 
+/// \brief Largest number of helpers that an instance is told.
+inline constexpr std::size_t kMaxHelpers = 6;
+
 /// \brief Returns the empty table of a leader that starts at `now`.
 [[nodiscard]] InstanceTable MakeInstanceTable(Duration lease, Duration margin, Instant now);
 
@@ -39,6 +47,15 @@
                      const std::set<std::string>& running_owners,
                      Instant now);
 
+/// \brief Returns some instances that pass on calls to servers, for one that may need them: each is
+/// chosen at random, so that many that are cut off at once don't ask the same. Those that are cut
+/// off themselves, are stopping or haven't sent a heartbeat lately are left out.
+/// \param for_instance the heartbeat of the instance that asks.
+[[nodiscard]] std::vector<wire::PeerAddress> ChooseHelpers(InstanceTable& table,
+                                                           const wire::Heartbeat& for_instance,
+                                                           std::uint64_t random,
+                                                           Instant now);
+
 /// \brief Returns the lease grants to propose now: one for each of `leases` without a live holder
 /// that isn't stopping, if an instance can take it.
 ///
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -24,8 +24,54 @@
   return best;
 }
 
+// The list of all relays is made anew at this interval, not for each of many heartbeats.
+constexpr Duration kRelaysAge{250'000};
+// A relay without a heartbeat for longer may be gone.
+constexpr Duration kRelayHeartbeatAge{1'200'000};
+
+void RefreshRelays(InstanceTable& table, Instant now) {
+  if (table.m_relays_at != Instant{} && now - table.m_relays_at < kRelaysAge)
+    return;
+  table.m_relays_at = now;
+  table.m_relays.clear();
+  for (const auto& [incarnation, record] : table.m_live) {
+    const wire::Heartbeat& heartbeat = record.m_heartbeat;
+    const bool relays = heartbeat.relay_port != 0 && !heartbeat.cut_off && !heartbeat.stopping &&
+                        now - record.m_last_heartbeat <= kRelayHeartbeatAge;
+    if (!relays)
+      continue;
+    wire::PeerAddress address;
+    address.address = heartbeat.address;
+    address.port = heartbeat.relay_port;
+    table.m_relays.push_back(std::move(address));
+  }
+}
+
 }  // namespace
 
+std::vector<wire::PeerAddress> ChooseHelpers(InstanceTable& table,
+                                             const wire::Heartbeat& for_instance,
+                                             std::uint64_t random,
+                                             Instant now) {
+  RefreshRelays(table, now);
+  const std::vector<wire::PeerAddress>& relays = table.m_relays;
+  std::vector<wire::PeerAddress> chosen;
+  if (relays.empty())
+    return chosen;
+  // Steps of a random width from a random place: cheap for any number of instances, and each relay
+  // is as likely as any other.
+  const std::size_t step = 1 + (random >> 32U) % relays.size();
+  std::size_t at = random % relays.size();
+  for (std::size_t tries = 0; tries < 2 * kMaxHelpers + 1 && chosen.size() < kMaxHelpers;
+       ++tries, at = (at + step) % relays.size()) {
+    const wire::PeerAddress& relay = relays[at];
+    const bool own = relay.address == for_instance.address && relay.port == for_instance.relay_port;
+    if (!own && std::find(chosen.begin(), chosen.end(), relay) == chosen.end())
+      chosen.push_back(relay);
+  }
+  return chosen;
+}
+
 InstanceTable MakeInstanceTable(Duration lease, Duration margin, Instant now) {
   InstanceTable table;
   table.m_lease = lease;
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -9009,6 +9009,129 @@
 }
 
 
+PeerAddress::~PeerAddress() noexcept {
+}
+
+
+void PeerAddress::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void PeerAddress::__set_port(const int32_t val) {
+  this->port = val;
+}
+std::ostream& operator<<(std::ostream& out, const PeerAddress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PeerAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PeerAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PeerAddress");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PeerAddress &a, PeerAddress &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.port, b.port);
+  swap(a.__isset, b.__isset);
+}
+
+PeerAddress::PeerAddress(const PeerAddress& other334) {
+  address = other334.address;
+  port = other334.port;
+  __isset = other334.__isset;
+}
+PeerAddress::PeerAddress(PeerAddress&& other335) noexcept {
+  address = std::move(other335.address);
+  port = other335.port;
+  __isset = other335.__isset;
+}
+PeerAddress& PeerAddress::operator=(const PeerAddress& other336) {
+  address = other336.address;
+  port = other336.port;
+  __isset = other336.__isset;
+  return *this;
+}
+PeerAddress& PeerAddress::operator=(PeerAddress&& other337) noexcept {
+  address = std::move(other337.address);
+  port = other337.port;
+  __isset = other337.__isset;
+  return *this;
+}
+void PeerAddress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PeerAddress(";
+  out << "address=" << to_string(address);
+  out << ", " << "port=" << to_string(port);
+  out << ")";
+}
+
+
 Heartbeat::~Heartbeat() noexcept {
 }
 
@@ -9056,6 +9179,18 @@
 void Heartbeat::__set_members_seen(const int64_t val) {
   this->members_seen = val;
 }
+
+void Heartbeat::__set_relay_port(const int32_t val) {
+  this->relay_port = val;
+}
+
+void Heartbeat::__set_cut_off(const bool val) {
+  this->cut_off = val;
+}
+
+void Heartbeat::__set_wants_helpers(const bool val) {
+  this->wants_helpers = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -9172,6 +9307,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->relay_port);
+          this->__isset.relay_port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cut_off);
+          this->__isset.cut_off = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_helpers);
+          this->__isset.wants_helpers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9233,6 +9392,18 @@
   xfer += oprot->writeI64(this->members_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("relay_port", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->relay_port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cut_off", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->cut_off);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_helpers", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->wants_helpers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9251,65 +9422,80 @@
   swap(a.http, b.http);
   swap(a.leases_seen, b.leases_seen);
   swap(a.members_seen, b.members_seen);
+  swap(a.relay_port, b.relay_port);
+  swap(a.cut_off, b.cut_off);
+  swap(a.wants_helpers, b.wants_helpers);
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other334) {
-  instance = other334.instance;
-  incarnation = other334.incarnation;
-  address = other334.address;
-  port = other334.port;
-  data_centre = other334.data_centre;
-  version_in_force = other334.version_in_force;
-  ready = other334.ready;
-  stopping = other334.stopping;
-  http = other334.http;
-  leases_seen = other334.leases_seen;
-  members_seen = other334.members_seen;
-  __isset = other334.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other335) noexcept {
-  instance = std::move(other335.instance);
-  incarnation = std::move(other335.incarnation);
-  address = std::move(other335.address);
-  port = other335.port;
-  data_centre = std::move(other335.data_centre);
-  version_in_force = other335.version_in_force;
-  ready = other335.ready;
-  stopping = other335.stopping;
-  http = std::move(other335.http);
-  leases_seen = other335.leases_seen;
-  members_seen = other335.members_seen;
-  __isset = other335.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other336) {
-  instance = other336.instance;
-  incarnation = other336.incarnation;
-  address = other336.address;
-  port = other336.port;
-  data_centre = other336.data_centre;
-  version_in_force = other336.version_in_force;
-  ready = other336.ready;
-  stopping = other336.stopping;
-  http = other336.http;
-  leases_seen = other336.leases_seen;
-  members_seen = other336.members_seen;
-  __isset = other336.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other338) {
+  instance = other338.instance;
+  incarnation = other338.incarnation;
+  address = other338.address;
+  port = other338.port;
+  data_centre = other338.data_centre;
+  version_in_force = other338.version_in_force;
+  ready = other338.ready;
+  stopping = other338.stopping;
+  http = other338.http;
+  leases_seen = other338.leases_seen;
+  members_seen = other338.members_seen;
+  relay_port = other338.relay_port;
+  cut_off = other338.cut_off;
+  wants_helpers = other338.wants_helpers;
+  __isset = other338.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other339) noexcept {
+  instance = std::move(other339.instance);
+  incarnation = std::move(other339.incarnation);
+  address = std::move(other339.address);
+  port = other339.port;
+  data_centre = std::move(other339.data_centre);
+  version_in_force = other339.version_in_force;
+  ready = other339.ready;
+  stopping = other339.stopping;
+  http = std::move(other339.http);
+  leases_seen = other339.leases_seen;
+  members_seen = other339.members_seen;
+  relay_port = other339.relay_port;
+  cut_off = other339.cut_off;
+  wants_helpers = other339.wants_helpers;
+  __isset = other339.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other340) {
+  instance = other340.instance;
+  incarnation = other340.incarnation;
+  address = other340.address;
+  port = other340.port;
+  data_centre = other340.data_centre;
+  version_in_force = other340.version_in_force;
+  ready = other340.ready;
+  stopping = other340.stopping;
+  http = other340.http;
+  leases_seen = other340.leases_seen;
+  members_seen = other340.members_seen;
+  relay_port = other340.relay_port;
+  cut_off = other340.cut_off;
+  wants_helpers = other340.wants_helpers;
+  __isset = other340.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other337) noexcept {
-  instance = std::move(other337.instance);
-  incarnation = std::move(other337.incarnation);
-  address = std::move(other337.address);
-  port = other337.port;
-  data_centre = std::move(other337.data_centre);
-  version_in_force = other337.version_in_force;
-  ready = other337.ready;
-  stopping = other337.stopping;
-  http = std::move(other337.http);
-  leases_seen = other337.leases_seen;
-  members_seen = other337.members_seen;
-  __isset = other337.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other341) noexcept {
+  instance = std::move(other341.instance);
+  incarnation = std::move(other341.incarnation);
+  address = std::move(other341.address);
+  port = other341.port;
+  data_centre = std::move(other341.data_centre);
+  version_in_force = other341.version_in_force;
+  ready = other341.ready;
+  stopping = other341.stopping;
+  http = std::move(other341.http);
+  leases_seen = other341.leases_seen;
+  members_seen = other341.members_seen;
+  relay_port = other341.relay_port;
+  cut_off = other341.cut_off;
+  wants_helpers = other341.wants_helpers;
+  __isset = other341.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -9326,6 +9512,9 @@
   out << ", " << "http=" << to_string(http);
   out << ", " << "leases_seen=" << to_string(leases_seen);
   out << ", " << "members_seen=" << to_string(members_seen);
+  out << ", " << "relay_port=" << to_string(relay_port);
+  out << ", " << "cut_off=" << to_string(cut_off);
+  out << ", " << "wants_helpers=" << to_string(wants_helpers);
   out << ")";
 }
 
@@ -9373,6 +9562,10 @@
 void HeartbeatReply::__set_members_digest(const int64_t val) {
   this->members_digest = val;
 }
+
+void HeartbeatReply::__set_helpers(const std::vector<PeerAddress> & val) {
+  this->helpers = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -9405,14 +9598,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size338;
-            ::apache::thrift::protocol::TType _etype341;
-            xfer += iprot->readListBegin(_etype341, _size338);
-            this->leases.resize(_size338);
-            uint32_t _i342;
-            for (_i342 = 0; _i342 < _size338; ++_i342)
+            uint32_t _size342;
+            ::apache::thrift::protocol::TType _etype345;
+            xfer += iprot->readListBegin(_etype345, _size342);
+            this->leases.resize(_size342);
+            uint32_t _i346;
+            for (_i346 = 0; _i346 < _size342; ++_i346)
             {
-              xfer += this->leases[_i342].read(iprot);
+              xfer += this->leases[_i346].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9465,14 +9658,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size343;
-            ::apache::thrift::protocol::TType _etype346;
-            xfer += iprot->readListBegin(_etype346, _size343);
-            this->members.resize(_size343);
-            uint32_t _i347;
-            for (_i347 = 0; _i347 < _size343; ++_i347)
+            uint32_t _size347;
+            ::apache::thrift::protocol::TType _etype350;
+            xfer += iprot->readListBegin(_etype350, _size347);
+            this->members.resize(_size347);
+            uint32_t _i351;
+            for (_i351 = 0; _i351 < _size347; ++_i351)
             {
-              xfer += this->members[_i347].read(iprot);
+              xfer += this->members[_i351].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9505,6 +9698,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->helpers.clear();
+            uint32_t _size352;
+            ::apache::thrift::protocol::TType _etype355;
+            xfer += iprot->readListBegin(_etype355, _size352);
+            this->helpers.resize(_size352);
+            uint32_t _i356;
+            for (_i356 = 0; _i356 < _size352; ++_i356)
+            {
+              xfer += this->helpers[_i356].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.helpers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9525,10 +9738,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter348;
-    for (_iter348 = this->leases.begin(); _iter348 != this->leases.end(); ++_iter348)
+    std::vector<LeaseGrant> ::const_iterator _iter357;
+    for (_iter357 = this->leases.begin(); _iter357 != this->leases.end(); ++_iter357)
     {
-      xfer += (*_iter348).write(oprot);
+      xfer += (*_iter357).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9557,10 +9770,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter349;
-    for (_iter349 = this->members.begin(); _iter349 != this->members.end(); ++_iter349)
+    std::vector<MemberInfo> ::const_iterator _iter358;
+    for (_iter358 = this->members.begin(); _iter358 != this->members.end(); ++_iter358)
     {
-      xfer += (*_iter349).write(oprot);
+      xfer += (*_iter358).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9578,6 +9791,18 @@
   xfer += oprot->writeI64(this->members_digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("helpers", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->helpers.size()));
+    std::vector<PeerAddress> ::const_iterator _iter359;
+    for (_iter359 = this->helpers.begin(); _iter359 != this->helpers.end(); ++_iter359)
+    {
+      xfer += (*_iter359).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9595,61 +9820,66 @@
   swap(a.document_version, b.document_version);
   swap(a.servers_index, b.servers_index);
   swap(a.members_digest, b.members_digest);
+  swap(a.helpers, b.helpers);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other350) {
-  leases = other350.leases;
-  version = other350.version;
-  leader_term = other350.leader_term;
-  live = other350.live;
-  leases_index = other350.leases_index;
-  leases_same = other350.leases_same;
-  members = other350.members;
-  document_version = other350.document_version;
-  servers_index = other350.servers_index;
-  members_digest = other350.members_digest;
-  __isset = other350.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other351) noexcept {
-  leases = std::move(other351.leases);
-  version = other351.version;
-  leader_term = other351.leader_term;
-  live = other351.live;
-  leases_index = other351.leases_index;
-  leases_same = other351.leases_same;
-  members = std::move(other351.members);
-  document_version = other351.document_version;
-  servers_index = other351.servers_index;
-  members_digest = other351.members_digest;
-  __isset = other351.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other352) {
-  leases = other352.leases;
-  version = other352.version;
-  leader_term = other352.leader_term;
-  live = other352.live;
-  leases_index = other352.leases_index;
-  leases_same = other352.leases_same;
-  members = other352.members;
-  document_version = other352.document_version;
-  servers_index = other352.servers_index;
-  members_digest = other352.members_digest;
-  __isset = other352.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other360) {
+  leases = other360.leases;
+  version = other360.version;
+  leader_term = other360.leader_term;
+  live = other360.live;
+  leases_index = other360.leases_index;
+  leases_same = other360.leases_same;
+  members = other360.members;
+  document_version = other360.document_version;
+  servers_index = other360.servers_index;
+  members_digest = other360.members_digest;
+  helpers = other360.helpers;
+  __isset = other360.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other361) noexcept {
+  leases = std::move(other361.leases);
+  version = other361.version;
+  leader_term = other361.leader_term;
+  live = other361.live;
+  leases_index = other361.leases_index;
+  leases_same = other361.leases_same;
+  members = std::move(other361.members);
+  document_version = other361.document_version;
+  servers_index = other361.servers_index;
+  members_digest = other361.members_digest;
+  helpers = std::move(other361.helpers);
+  __isset = other361.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other362) {
+  leases = other362.leases;
+  version = other362.version;
+  leader_term = other362.leader_term;
+  live = other362.live;
+  leases_index = other362.leases_index;
+  leases_same = other362.leases_same;
+  members = other362.members;
+  document_version = other362.document_version;
+  servers_index = other362.servers_index;
+  members_digest = other362.members_digest;
+  helpers = other362.helpers;
+  __isset = other362.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other353) noexcept {
-  leases = std::move(other353.leases);
-  version = other353.version;
-  leader_term = other353.leader_term;
-  live = other353.live;
-  leases_index = other353.leases_index;
-  leases_same = other353.leases_same;
-  members = std::move(other353.members);
-  document_version = other353.document_version;
-  servers_index = other353.servers_index;
-  members_digest = other353.members_digest;
-  __isset = other353.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other363) noexcept {
+  leases = std::move(other363.leases);
+  version = other363.version;
+  leader_term = other363.leader_term;
+  live = other363.live;
+  leases_index = other363.leases_index;
+  leases_same = other363.leases_same;
+  members = std::move(other363.members);
+  document_version = other363.document_version;
+  servers_index = other363.servers_index;
+  members_digest = other363.members_digest;
+  helpers = std::move(other363.helpers);
+  __isset = other363.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -9665,6 +9895,7 @@
   out << ", " << "document_version=" << to_string(document_version);
   out << ", " << "servers_index=" << to_string(servers_index);
   out << ", " << "members_digest=" << to_string(members_digest);
+  out << ", " << "helpers=" << to_string(helpers);
   out << ")";
 }
 
@@ -9708,14 +9939,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->commands.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
+            uint32_t _size364;
+            ::apache::thrift::protocol::TType _etype367;
+            xfer += iprot->readListBegin(_etype367, _size364);
+            this->commands.resize(_size364);
+            uint32_t _i368;
+            for (_i368 = 0; _i368 < _size364; ++_i368)
             {
-              xfer += this->commands[_i358].read(iprot);
+              xfer += this->commands[_i368].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9744,10 +9975,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter359;
-    for (_iter359 = this->commands.begin(); _iter359 != this->commands.end(); ++_iter359)
+    std::vector<Command> ::const_iterator _iter369;
+    for (_iter369 = this->commands.begin(); _iter369 != this->commands.end(); ++_iter369)
     {
-      xfer += (*_iter359).write(oprot);
+      xfer += (*_iter369).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9764,22 +9995,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other360) {
-  commands = other360.commands;
-  __isset = other360.__isset;
+Propose::Propose(const Propose& other370) {
+  commands = other370.commands;
+  __isset = other370.__isset;
 }
-Propose::Propose(Propose&& other361) noexcept {
-  commands = std::move(other361.commands);
-  __isset = other361.__isset;
+Propose::Propose(Propose&& other371) noexcept {
+  commands = std::move(other371.commands);
+  __isset = other371.__isset;
 }
-Propose& Propose::operator=(const Propose& other362) {
-  commands = other362.commands;
-  __isset = other362.__isset;
+Propose& Propose::operator=(const Propose& other372) {
+  commands = other372.commands;
+  __isset = other372.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other363) noexcept {
-  commands = std::move(other363.commands);
-  __isset = other363.__isset;
+Propose& Propose::operator=(Propose&& other373) noexcept {
+  commands = std::move(other373.commands);
+  __isset = other373.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -9867,9 +10098,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast364;
-          xfer += iprot->readI32(ecast364);
-          this->rollout = static_cast<RolloutVerdict::type>(ecast364);
+          int32_t ecast374;
+          xfer += iprot->readI32(ecast374);
+          this->rollout = static_cast<RolloutVerdict::type>(ecast374);
           this->__isset.rollout = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9926,34 +10157,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other365) {
-  config = other365.config;
-  claim = other365.claim;
-  done = other365.done;
-  rollout = other365.rollout;
-  __isset = other365.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other366) noexcept {
-  config = std::move(other366.config);
-  claim = std::move(other366.claim);
-  done = other366.done;
-  rollout = other366.rollout;
-  __isset = other366.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other367) {
-  config = other367.config;
-  claim = other367.claim;
-  done = other367.done;
-  rollout = other367.rollout;
-  __isset = other367.__isset;
+CommandResult::CommandResult(const CommandResult& other375) {
+  config = other375.config;
+  claim = other375.claim;
+  done = other375.done;
+  rollout = other375.rollout;
+  __isset = other375.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other376) noexcept {
+  config = std::move(other376.config);
+  claim = std::move(other376.claim);
+  done = other376.done;
+  rollout = other376.rollout;
+  __isset = other376.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other377) {
+  config = other377.config;
+  claim = other377.claim;
+  done = other377.done;
+  rollout = other377.rollout;
+  __isset = other377.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other368) noexcept {
-  config = std::move(other368.config);
-  claim = std::move(other368.claim);
-  done = other368.done;
-  rollout = other368.rollout;
-  __isset = other368.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other378) noexcept {
+  config = std::move(other378.config);
+  claim = std::move(other378.claim);
+  done = other378.done;
+  rollout = other378.rollout;
+  __isset = other378.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -10006,14 +10237,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size369;
-            ::apache::thrift::protocol::TType _etype372;
-            xfer += iprot->readListBegin(_etype372, _size369);
-            this->results.resize(_size369);
-            uint32_t _i373;
-            for (_i373 = 0; _i373 < _size369; ++_i373)
+            uint32_t _size379;
+            ::apache::thrift::protocol::TType _etype382;
+            xfer += iprot->readListBegin(_etype382, _size379);
+            this->results.resize(_size379);
+            uint32_t _i383;
+            for (_i383 = 0; _i383 < _size379; ++_i383)
             {
-              xfer += this->results[_i373].read(iprot);
+              xfer += this->results[_i383].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10042,10 +10273,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter374;
-    for (_iter374 = this->results.begin(); _iter374 != this->results.end(); ++_iter374)
+    std::vector<CommandResult> ::const_iterator _iter384;
+    for (_iter384 = this->results.begin(); _iter384 != this->results.end(); ++_iter384)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter384).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10062,22 +10293,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other375) {
-  results = other375.results;
-  __isset = other375.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other385) {
+  results = other385.results;
+  __isset = other385.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other376) noexcept {
-  results = std::move(other376.results);
-  __isset = other376.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other386) noexcept {
+  results = std::move(other386.results);
+  __isset = other386.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other377) {
-  results = other377.results;
-  __isset = other377.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other387) {
+  results = other387.results;
+  __isset = other387.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other378) noexcept {
-  results = std::move(other378.results);
-  __isset = other378.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other388) noexcept {
+  results = std::move(other388.results);
+  __isset = other388.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -10197,9 +10428,9 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast379;
-          xfer += iprot->readI32(ecast379);
-          this->kind = static_cast<NewsKind::type>(ecast379);
+          int32_t ecast389;
+          xfer += iprot->readI32(ecast389);
+          this->kind = static_cast<NewsKind::type>(ecast389);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10267,46 +10498,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPoll::ConfigPoll(const ConfigPoll& other380) noexcept {
-  have_version = other380.have_version;
-  wait_ms = other380.wait_ms;
-  have_document = other380.have_document;
-  have_servers = other380.have_servers;
-  hosted = other380.hosted;
-  have_term = other380.have_term;
-  kind = other380.kind;
-  __isset = other380.__isset;
-}
-ConfigPoll::ConfigPoll(ConfigPoll&& other381) noexcept {
-  have_version = other381.have_version;
-  wait_ms = other381.wait_ms;
-  have_document = other381.have_document;
-  have_servers = other381.have_servers;
-  hosted = other381.hosted;
-  have_term = other381.have_term;
-  kind = other381.kind;
-  __isset = other381.__isset;
-}
-ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other382) noexcept {
-  have_version = other382.have_version;
-  wait_ms = other382.wait_ms;
-  have_document = other382.have_document;
-  have_servers = other382.have_servers;
-  hosted = other382.hosted;
-  have_term = other382.have_term;
-  kind = other382.kind;
-  __isset = other382.__isset;
+ConfigPoll::ConfigPoll(const ConfigPoll& other390) noexcept {
+  have_version = other390.have_version;
+  wait_ms = other390.wait_ms;
+  have_document = other390.have_document;
+  have_servers = other390.have_servers;
+  hosted = other390.hosted;
+  have_term = other390.have_term;
+  kind = other390.kind;
+  __isset = other390.__isset;
+}
+ConfigPoll::ConfigPoll(ConfigPoll&& other391) noexcept {
+  have_version = other391.have_version;
+  wait_ms = other391.wait_ms;
+  have_document = other391.have_document;
+  have_servers = other391.have_servers;
+  hosted = other391.hosted;
+  have_term = other391.have_term;
+  kind = other391.kind;
+  __isset = other391.__isset;
+}
+ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other392) noexcept {
+  have_version = other392.have_version;
+  wait_ms = other392.wait_ms;
+  have_document = other392.have_document;
+  have_servers = other392.have_servers;
+  hosted = other392.hosted;
+  have_term = other392.have_term;
+  kind = other392.kind;
+  __isset = other392.__isset;
   return *this;
 }
-ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other383) noexcept {
-  have_version = other383.have_version;
-  wait_ms = other383.wait_ms;
-  have_document = other383.have_document;
-  have_servers = other383.have_servers;
-  hosted = other383.hosted;
-  have_term = other383.have_term;
-  kind = other383.kind;
-  __isset = other383.__isset;
+ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other393) noexcept {
+  have_version = other393.have_version;
+  wait_ms = other393.wait_ms;
+  have_document = other393.have_document;
+  have_servers = other393.have_servers;
+  hosted = other393.hosted;
+  have_term = other393.have_term;
+  kind = other393.kind;
+  __isset = other393.__isset;
   return *this;
 }
 void ConfigPoll::printTo(std::ostream& out) const {
@@ -10432,30 +10663,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PieceRequest::PieceRequest(const PieceRequest& other384) noexcept {
-  base = other384.base;
-  version = other384.version;
-  offset = other384.offset;
-  __isset = other384.__isset;
+PieceRequest::PieceRequest(const PieceRequest& other394) noexcept {
+  base = other394.base;
+  version = other394.version;
+  offset = other394.offset;
+  __isset = other394.__isset;
 }
-PieceRequest::PieceRequest(PieceRequest&& other385) noexcept {
-  base = other385.base;
-  version = other385.version;
-  offset = other385.offset;
-  __isset = other385.__isset;
+PieceRequest::PieceRequest(PieceRequest&& other395) noexcept {
+  base = other395.base;
+  version = other395.version;
+  offset = other395.offset;
+  __isset = other395.__isset;
 }
-PieceRequest& PieceRequest::operator=(const PieceRequest& other386) noexcept {
-  base = other386.base;
-  version = other386.version;
-  offset = other386.offset;
-  __isset = other386.__isset;
+PieceRequest& PieceRequest::operator=(const PieceRequest& other396) noexcept {
+  base = other396.base;
+  version = other396.version;
+  offset = other396.offset;
+  __isset = other396.__isset;
   return *this;
 }
-PieceRequest& PieceRequest::operator=(PieceRequest&& other387) noexcept {
-  base = other387.base;
-  version = other387.version;
-  offset = other387.offset;
-  __isset = other387.__isset;
+PieceRequest& PieceRequest::operator=(PieceRequest&& other397) noexcept {
+  base = other397.base;
+  version = other397.version;
+  offset = other397.offset;
+  __isset = other397.__isset;
   return *this;
 }
 void PieceRequest::printTo(std::ostream& out) const {
@@ -10543,22 +10774,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Piece::Piece(const Piece& other388) {
-  bytes = other388.bytes;
-  __isset = other388.__isset;
+Piece::Piece(const Piece& other398) {
+  bytes = other398.bytes;
+  __isset = other398.__isset;
 }
-Piece::Piece(Piece&& other389) noexcept {
-  bytes = std::move(other389.bytes);
-  __isset = other389.__isset;
+Piece::Piece(Piece&& other399) noexcept {
+  bytes = std::move(other399.bytes);
+  __isset = other399.__isset;
 }
-Piece& Piece::operator=(const Piece& other390) {
-  bytes = other390.bytes;
-  __isset = other390.__isset;
+Piece& Piece::operator=(const Piece& other400) {
+  bytes = other400.bytes;
+  __isset = other400.__isset;
   return *this;
 }
-Piece& Piece::operator=(Piece&& other391) noexcept {
-  bytes = std::move(other391.bytes);
-  __isset = other391.__isset;
+Piece& Piece::operator=(Piece&& other401) noexcept {
+  bytes = std::move(other401.bytes);
+  __isset = other401.__isset;
   return *this;
 }
 void Piece::printTo(std::ostream& out) const {
@@ -10668,14 +10899,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size392;
-            ::apache::thrift::protocol::TType _etype395;
-            xfer += iprot->readListBegin(_etype395, _size392);
-            this->prefixes.resize(_size392);
-            uint32_t _i396;
-            for (_i396 = 0; _i396 < _size392; ++_i396)
+            uint32_t _size402;
+            ::apache::thrift::protocol::TType _etype405;
+            xfer += iprot->readListBegin(_etype405, _size402);
+            this->prefixes.resize(_size402);
+            uint32_t _i406;
+            for (_i406 = 0; _i406 < _size402; ++_i406)
             {
-              xfer += iprot->readI64(this->prefixes[_i396]);
+              xfer += iprot->readI64(this->prefixes[_i406]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10720,14 +10951,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoid.clear();
-            uint32_t _size397;
-            ::apache::thrift::protocol::TType _etype400;
-            xfer += iprot->readListBegin(_etype400, _size397);
-            this->avoid.resize(_size397);
-            uint32_t _i401;
-            for (_i401 = 0; _i401 < _size397; ++_i401)
+            uint32_t _size407;
+            ::apache::thrift::protocol::TType _etype410;
+            xfer += iprot->readListBegin(_etype410, _size407);
+            this->avoid.resize(_size407);
+            uint32_t _i411;
+            for (_i411 = 0; _i411 < _size407; ++_i411)
             {
-              xfer += iprot->readString(this->avoid[_i401]);
+              xfer += iprot->readString(this->avoid[_i411]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10776,10 +11007,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<int64_t> ::const_iterator _iter402;
-    for (_iter402 = this->prefixes.begin(); _iter402 != this->prefixes.end(); ++_iter402)
+    std::vector<int64_t> ::const_iterator _iter412;
+    for (_iter412 = this->prefixes.begin(); _iter412 != this->prefixes.end(); ++_iter412)
     {
-      xfer += oprot->writeI64((*_iter402));
+      xfer += oprot->writeI64((*_iter412));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10804,10 +11035,10 @@
   xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter403;
-    for (_iter403 = this->avoid.begin(); _iter403 != this->avoid.end(); ++_iter403)
+    std::vector<std::string> ::const_iterator _iter413;
+    for (_iter413 = this->avoid.begin(); _iter413 != this->avoid.end(); ++_iter413)
     {
-      xfer += oprot->writeString((*_iter403));
+      xfer += oprot->writeString((*_iter413));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10837,58 +11068,58 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other404) {
-  ref = other404.ref;
-  tier = other404.tier;
-  prompt_tokens = other404.prompt_tokens;
-  prefixes = other404.prefixes;
-  age_ms = other404.age_ms;
-  workspace = other404.workspace;
-  event = other404.event;
-  model = other404.model;
-  avoid = other404.avoid;
-  deadline_ms = other404.deadline_ms;
-  __isset = other404.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other405) noexcept {
-  ref = other405.ref;
-  tier = other405.tier;
-  prompt_tokens = other405.prompt_tokens;
-  prefixes = std::move(other405.prefixes);
-  age_ms = other405.age_ms;
-  workspace = std::move(other405.workspace);
-  event = std::move(other405.event);
-  model = std::move(other405.model);
-  avoid = std::move(other405.avoid);
-  deadline_ms = other405.deadline_ms;
-  __isset = other405.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other406) {
-  ref = other406.ref;
-  tier = other406.tier;
-  prompt_tokens = other406.prompt_tokens;
-  prefixes = other406.prefixes;
-  age_ms = other406.age_ms;
-  workspace = other406.workspace;
-  event = other406.event;
-  model = other406.model;
-  avoid = other406.avoid;
-  deadline_ms = other406.deadline_ms;
-  __isset = other406.__isset;
+DemandItem::DemandItem(const DemandItem& other414) {
+  ref = other414.ref;
+  tier = other414.tier;
+  prompt_tokens = other414.prompt_tokens;
+  prefixes = other414.prefixes;
+  age_ms = other414.age_ms;
+  workspace = other414.workspace;
+  event = other414.event;
+  model = other414.model;
+  avoid = other414.avoid;
+  deadline_ms = other414.deadline_ms;
+  __isset = other414.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other415) noexcept {
+  ref = other415.ref;
+  tier = other415.tier;
+  prompt_tokens = other415.prompt_tokens;
+  prefixes = std::move(other415.prefixes);
+  age_ms = other415.age_ms;
+  workspace = std::move(other415.workspace);
+  event = std::move(other415.event);
+  model = std::move(other415.model);
+  avoid = std::move(other415.avoid);
+  deadline_ms = other415.deadline_ms;
+  __isset = other415.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other416) {
+  ref = other416.ref;
+  tier = other416.tier;
+  prompt_tokens = other416.prompt_tokens;
+  prefixes = other416.prefixes;
+  age_ms = other416.age_ms;
+  workspace = other416.workspace;
+  event = other416.event;
+  model = other416.model;
+  avoid = other416.avoid;
+  deadline_ms = other416.deadline_ms;
+  __isset = other416.__isset;
   return *this;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other407) noexcept {
-  ref = other407.ref;
-  tier = other407.tier;
-  prompt_tokens = other407.prompt_tokens;
-  prefixes = std::move(other407.prefixes);
-  age_ms = other407.age_ms;
-  workspace = std::move(other407.workspace);
-  event = std::move(other407.event);
-  model = std::move(other407.model);
-  avoid = std::move(other407.avoid);
-  deadline_ms = other407.deadline_ms;
-  __isset = other407.__isset;
+DemandItem& DemandItem::operator=(DemandItem&& other417) noexcept {
+  ref = other417.ref;
+  tier = other417.tier;
+  prompt_tokens = other417.prompt_tokens;
+  prefixes = std::move(other417.prefixes);
+  age_ms = other417.age_ms;
+  workspace = std::move(other417.workspace);
+  event = std::move(other417.event);
+  model = std::move(other417.model);
+  avoid = std::move(other417.avoid);
+  deadline_ms = other417.deadline_ms;
+  __isset = other417.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -10961,9 +11192,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast408;
-          xfer += iprot->readI32(ecast408);
-          this->stage = static_cast<UseStage::type>(ecast408);
+          int32_t ecast418;
+          xfer += iprot->readI32(ecast418);
+          this->stage = static_cast<UseStage::type>(ecast418);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11019,30 +11250,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditUse::CreditUse(const CreditUse& other409) noexcept {
-  credit = other409.credit;
-  stage = other409.stage;
-  elapsed_us = other409.elapsed_us;
-  __isset = other409.__isset;
+CreditUse::CreditUse(const CreditUse& other419) noexcept {
+  credit = other419.credit;
+  stage = other419.stage;
+  elapsed_us = other419.elapsed_us;
+  __isset = other419.__isset;
 }
-CreditUse::CreditUse(CreditUse&& other410) noexcept {
-  credit = other410.credit;
-  stage = other410.stage;
-  elapsed_us = other410.elapsed_us;
-  __isset = other410.__isset;
+CreditUse::CreditUse(CreditUse&& other420) noexcept {
+  credit = other420.credit;
+  stage = other420.stage;
+  elapsed_us = other420.elapsed_us;
+  __isset = other420.__isset;
 }
-CreditUse& CreditUse::operator=(const CreditUse& other411) noexcept {
-  credit = other411.credit;
-  stage = other411.stage;
-  elapsed_us = other411.elapsed_us;
-  __isset = other411.__isset;
+CreditUse& CreditUse::operator=(const CreditUse& other421) noexcept {
+  credit = other421.credit;
+  stage = other421.stage;
+  elapsed_us = other421.elapsed_us;
+  __isset = other421.__isset;
   return *this;
 }
-CreditUse& CreditUse::operator=(CreditUse&& other412) noexcept {
-  credit = other412.credit;
-  stage = other412.stage;
-  elapsed_us = other412.elapsed_us;
-  __isset = other412.__isset;
+CreditUse& CreditUse::operator=(CreditUse&& other422) noexcept {
+  credit = other422.credit;
+  stage = other422.stage;
+  elapsed_us = other422.elapsed_us;
+  __isset = other422.__isset;
   return *this;
 }
 void CreditUse::printTo(std::ostream& out) const {
@@ -11181,34 +11412,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HeldCredit::HeldCredit(const HeldCredit& other413) {
-  credit = other413.credit;
-  ref = other413.ref;
-  engine = other413.engine;
-  prompt_tokens = other413.prompt_tokens;
-  __isset = other413.__isset;
-}
-HeldCredit::HeldCredit(HeldCredit&& other414) noexcept {
-  credit = other414.credit;
-  ref = other414.ref;
-  engine = std::move(other414.engine);
-  prompt_tokens = other414.prompt_tokens;
-  __isset = other414.__isset;
-}
-HeldCredit& HeldCredit::operator=(const HeldCredit& other415) {
-  credit = other415.credit;
-  ref = other415.ref;
-  engine = other415.engine;
-  prompt_tokens = other415.prompt_tokens;
-  __isset = other415.__isset;
+HeldCredit::HeldCredit(const HeldCredit& other423) {
+  credit = other423.credit;
+  ref = other423.ref;
+  engine = other423.engine;
+  prompt_tokens = other423.prompt_tokens;
+  __isset = other423.__isset;
+}
+HeldCredit::HeldCredit(HeldCredit&& other424) noexcept {
+  credit = other424.credit;
+  ref = other424.ref;
+  engine = std::move(other424.engine);
+  prompt_tokens = other424.prompt_tokens;
+  __isset = other424.__isset;
+}
+HeldCredit& HeldCredit::operator=(const HeldCredit& other425) {
+  credit = other425.credit;
+  ref = other425.ref;
+  engine = other425.engine;
+  prompt_tokens = other425.prompt_tokens;
+  __isset = other425.__isset;
   return *this;
 }
-HeldCredit& HeldCredit::operator=(HeldCredit&& other416) noexcept {
-  credit = other416.credit;
-  ref = other416.ref;
-  engine = std::move(other416.engine);
-  prompt_tokens = other416.prompt_tokens;
-  __isset = other416.__isset;
+HeldCredit& HeldCredit::operator=(HeldCredit&& other426) noexcept {
+  credit = other426.credit;
+  ref = other426.ref;
+  engine = std::move(other426.engine);
+  prompt_tokens = other426.prompt_tokens;
+  __isset = other426.__isset;
   return *this;
 }
 void HeldCredit::printTo(std::ostream& out) const {
@@ -11329,14 +11560,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size417;
-            ::apache::thrift::protocol::TType _etype420;
-            xfer += iprot->readListBegin(_etype420, _size417);
-            this->held.resize(_size417);
-            uint32_t _i421;
-            for (_i421 = 0; _i421 < _size417; ++_i421)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->held.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += this->held[_i421].read(iprot);
+              xfer += this->held[_i431].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11349,14 +11580,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size422;
-            ::apache::thrift::protocol::TType _etype425;
-            xfer += iprot->readListBegin(_etype425, _size422);
-            this->items.resize(_size422);
-            uint32_t _i426;
-            for (_i426 = 0; _i426 < _size422; ++_i426)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->items.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += this->items[_i426].read(iprot);
+              xfer += this->items[_i436].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11369,14 +11600,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size427;
-            ::apache::thrift::protocol::TType _etype430;
-            xfer += iprot->readListBegin(_etype430, _size427);
-            this->waiting.resize(_size427);
-            uint32_t _i431;
-            for (_i431 = 0; _i431 < _size427; ++_i431)
+            uint32_t _size437;
+            ::apache::thrift::protocol::TType _etype440;
+            xfer += iprot->readListBegin(_etype440, _size437);
+            this->waiting.resize(_size437);
+            uint32_t _i441;
+            for (_i441 = 0; _i441 < _size437; ++_i441)
             {
-              xfer += iprot->readI32(this->waiting[_i431]);
+              xfer += iprot->readI32(this->waiting[_i441]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11389,14 +11620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size432;
-            ::apache::thrift::protocol::TType _etype435;
-            xfer += iprot->readListBegin(_etype435, _size432);
-            this->uses.resize(_size432);
-            uint32_t _i436;
-            for (_i436 = 0; _i436 < _size432; ++_i436)
+            uint32_t _size442;
+            ::apache::thrift::protocol::TType _etype445;
+            xfer += iprot->readListBegin(_etype445, _size442);
+            this->uses.resize(_size442);
+            uint32_t _i446;
+            for (_i446 = 0; _i446 < _size442; ++_i446)
             {
-              xfer += this->uses[_i436].read(iprot);
+              xfer += this->uses[_i446].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11457,10 +11688,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<HeldCredit> ::const_iterator _iter437;
-    for (_iter437 = this->held.begin(); _iter437 != this->held.end(); ++_iter437)
+    std::vector<HeldCredit> ::const_iterator _iter447;
+    for (_iter447 = this->held.begin(); _iter447 != this->held.end(); ++_iter447)
     {
-      xfer += (*_iter437).write(oprot);
+      xfer += (*_iter447).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11469,10 +11700,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter438;
-    for (_iter438 = this->items.begin(); _iter438 != this->items.end(); ++_iter438)
+    std::vector<DemandItem> ::const_iterator _iter448;
+    for (_iter448 = this->items.begin(); _iter448 != this->items.end(); ++_iter448)
     {
-      xfer += (*_iter438).write(oprot);
+      xfer += (*_iter448).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11481,10 +11712,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter439;
-    for (_iter439 = this->waiting.begin(); _iter439 != this->waiting.end(); ++_iter439)
+    std::vector<int32_t> ::const_iterator _iter449;
+    for (_iter449 = this->waiting.begin(); _iter449 != this->waiting.end(); ++_iter449)
     {
-      xfer += oprot->writeI32((*_iter439));
+      xfer += oprot->writeI32((*_iter449));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11493,10 +11724,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<CreditUse> ::const_iterator _iter440;
-    for (_iter440 = this->uses.begin(); _iter440 != this->uses.end(); ++_iter440)
+    std::vector<CreditUse> ::const_iterator _iter450;
+    for (_iter450 = this->uses.begin(); _iter450 != this->uses.end(); ++_iter450)
     {
-      xfer += (*_iter440).write(oprot);
+      xfer += (*_iter450).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11530,58 +11761,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other441) {
-  pool = other441.pool;
-  incarnation = other441.incarnation;
-  epoch = other441.epoch;
-  resync = other441.resync;
-  held = other441.held;
-  items = other441.items;
-  waiting = other441.waiting;
-  uses = other441.uses;
-  floor_ack = other441.floor_ack;
-  sequence = other441.sequence;
-  __isset = other441.__isset;
-}
-Demand::Demand(Demand&& other442) noexcept {
-  pool = std::move(other442.pool);
-  incarnation = std::move(other442.incarnation);
-  epoch = other442.epoch;
-  resync = other442.resync;
-  held = std::move(other442.held);
-  items = std::move(other442.items);
-  waiting = std::move(other442.waiting);
-  uses = std::move(other442.uses);
-  floor_ack = other442.floor_ack;
-  sequence = other442.sequence;
-  __isset = other442.__isset;
-}
-Demand& Demand::operator=(const Demand& other443) {
-  pool = other443.pool;
-  incarnation = other443.incarnation;
-  epoch = other443.epoch;
-  resync = other443.resync;
-  held = other443.held;
-  items = other443.items;
-  waiting = other443.waiting;
-  uses = other443.uses;
-  floor_ack = other443.floor_ack;
-  sequence = other443.sequence;
-  __isset = other443.__isset;
+Demand::Demand(const Demand& other451) {
+  pool = other451.pool;
+  incarnation = other451.incarnation;
+  epoch = other451.epoch;
+  resync = other451.resync;
+  held = other451.held;
+  items = other451.items;
+  waiting = other451.waiting;
+  uses = other451.uses;
+  floor_ack = other451.floor_ack;
+  sequence = other451.sequence;
+  __isset = other451.__isset;
+}
+Demand::Demand(Demand&& other452) noexcept {
+  pool = std::move(other452.pool);
+  incarnation = std::move(other452.incarnation);
+  epoch = other452.epoch;
+  resync = other452.resync;
+  held = std::move(other452.held);
+  items = std::move(other452.items);
+  waiting = std::move(other452.waiting);
+  uses = std::move(other452.uses);
+  floor_ack = other452.floor_ack;
+  sequence = other452.sequence;
+  __isset = other452.__isset;
+}
+Demand& Demand::operator=(const Demand& other453) {
+  pool = other453.pool;
+  incarnation = other453.incarnation;
+  epoch = other453.epoch;
+  resync = other453.resync;
+  held = other453.held;
+  items = other453.items;
+  waiting = other453.waiting;
+  uses = other453.uses;
+  floor_ack = other453.floor_ack;
+  sequence = other453.sequence;
+  __isset = other453.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other444) noexcept {
-  pool = std::move(other444.pool);
-  incarnation = std::move(other444.incarnation);
-  epoch = other444.epoch;
-  resync = other444.resync;
-  held = std::move(other444.held);
-  items = std::move(other444.items);
-  waiting = std::move(other444.waiting);
-  uses = std::move(other444.uses);
-  floor_ack = other444.floor_ack;
-  sequence = other444.sequence;
-  __isset = other444.__isset;
+Demand& Demand::operator=(Demand&& other454) noexcept {
+  pool = std::move(other454.pool);
+  incarnation = std::move(other454.incarnation);
+  epoch = other454.epoch;
+  resync = other454.resync;
+  held = std::move(other454.held);
+  items = std::move(other454.items);
+  waiting = std::move(other454.waiting);
+  uses = std::move(other454.uses);
+  floor_ack = other454.floor_ack;
+  sequence = other454.sequence;
+  __isset = other454.__isset;
   return *this;
 }
 void Demand::printTo(std::ostream& out) const {
@@ -11704,14 +11935,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->credits.clear();
-            uint32_t _size445;
-            ::apache::thrift::protocol::TType _etype448;
-            xfer += iprot->readListBegin(_etype448, _size445);
-            this->credits.resize(_size445);
-            uint32_t _i449;
-            for (_i449 = 0; _i449 < _size445; ++_i449)
+            uint32_t _size455;
+            ::apache::thrift::protocol::TType _etype458;
+            xfer += iprot->readListBegin(_etype458, _size455);
+            this->credits.resize(_size455);
+            uint32_t _i459;
+            for (_i459 = 0; _i459 < _size455; ++_i459)
             {
-              xfer += this->credits[_i449].read(iprot);
+              xfer += this->credits[_i459].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11724,14 +11955,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size450;
-            ::apache::thrift::protocol::TType _etype453;
-            xfer += iprot->readListBegin(_etype453, _size450);
-            this->unreachable.resize(_size450);
-            uint32_t _i454;
-            for (_i454 = 0; _i454 < _size450; ++_i454)
+            uint32_t _size460;
+            ::apache::thrift::protocol::TType _etype463;
+            xfer += iprot->readListBegin(_etype463, _size460);
+            this->unreachable.resize(_size460);
+            uint32_t _i464;
+            for (_i464 = 0; _i464 < _size460; ++_i464)
             {
-              xfer += iprot->readI64(this->unreachable[_i454]);
+              xfer += iprot->readI64(this->unreachable[_i464]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11784,14 +12015,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backlog.clear();
-            uint32_t _size455;
-            ::apache::thrift::protocol::TType _etype458;
-            xfer += iprot->readListBegin(_etype458, _size455);
-            this->backlog.resize(_size455);
-            uint32_t _i459;
-            for (_i459 = 0; _i459 < _size455; ++_i459)
+            uint32_t _size465;
+            ::apache::thrift::protocol::TType _etype468;
+            xfer += iprot->readListBegin(_etype468, _size465);
+            this->backlog.resize(_size465);
+            uint32_t _i469;
+            for (_i469 = 0; _i469 < _size465; ++_i469)
             {
-              xfer += iprot->readI32(this->backlog[_i459]);
+              xfer += iprot->readI32(this->backlog[_i469]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11852,10 +12083,10 @@
   xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
-    std::vector<HeldCredit> ::const_iterator _iter460;
-    for (_iter460 = this->credits.begin(); _iter460 != this->credits.end(); ++_iter460)
+    std::vector<HeldCredit> ::const_iterator _iter470;
+    for (_iter470 = this->credits.begin(); _iter470 != this->credits.end(); ++_iter470)
     {
-      xfer += (*_iter460).write(oprot);
+      xfer += (*_iter470).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11864,10 +12095,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<int64_t> ::const_iterator _iter461;
-    for (_iter461 = this->unreachable.begin(); _iter461 != this->unreachable.end(); ++_iter461)
+    std::vector<int64_t> ::const_iterator _iter471;
+    for (_iter471 = this->unreachable.begin(); _iter471 != this->unreachable.end(); ++_iter471)
     {
-      xfer += oprot->writeI64((*_iter461));
+      xfer += oprot->writeI64((*_iter471));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11896,10 +12127,10 @@
   xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
-    std::vector<int32_t> ::const_iterator _iter462;
-    for (_iter462 = this->backlog.begin(); _iter462 != this->backlog.end(); ++_iter462)
+    std::vector<int32_t> ::const_iterator _iter472;
+    for (_iter472 = this->backlog.begin(); _iter472 != this->backlog.end(); ++_iter472)
     {
-      xfer += oprot->writeI32((*_iter462));
+      xfer += oprot->writeI32((*_iter472));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11940,70 +12171,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other463) {
-  pool = other463.pool;
-  epoch = other463.epoch;
-  credits = other463.credits;
-  unreachable = other463.unreachable;
-  floor = other463.floor;
-  floor_epoch = other463.floor_epoch;
-  contended = other463.contended;
-  drain_per_s = other463.drain_per_s;
-  gateways = other463.gateways;
-  backlog = other463.backlog;
-  lease_ms = other463.lease_ms;
-  sequence = other463.sequence;
-  not_broker = other463.not_broker;
-  __isset = other463.__isset;
-}
-Grants::Grants(Grants&& other464) noexcept {
-  pool = std::move(other464.pool);
-  epoch = other464.epoch;
-  credits = std::move(other464.credits);
-  unreachable = std::move(other464.unreachable);
-  floor = other464.floor;
-  floor_epoch = other464.floor_epoch;
-  contended = other464.contended;
-  drain_per_s = other464.drain_per_s;
-  gateways = other464.gateways;
-  backlog = std::move(other464.backlog);
-  lease_ms = other464.lease_ms;
-  sequence = other464.sequence;
-  not_broker = other464.not_broker;
-  __isset = other464.__isset;
-}
-Grants& Grants::operator=(const Grants& other465) {
-  pool = other465.pool;
-  epoch = other465.epoch;
-  credits = other465.credits;
-  unreachable = other465.unreachable;
-  floor = other465.floor;
-  floor_epoch = other465.floor_epoch;
-  contended = other465.contended;
-  drain_per_s = other465.drain_per_s;
-  gateways = other465.gateways;
-  backlog = other465.backlog;
-  lease_ms = other465.lease_ms;
-  sequence = other465.sequence;
-  not_broker = other465.not_broker;
-  __isset = other465.__isset;
+Grants::Grants(const Grants& other473) {
+  pool = other473.pool;
+  epoch = other473.epoch;
+  credits = other473.credits;
+  unreachable = other473.unreachable;
+  floor = other473.floor;
+  floor_epoch = other473.floor_epoch;
+  contended = other473.contended;
+  drain_per_s = other473.drain_per_s;
+  gateways = other473.gateways;
+  backlog = other473.backlog;
+  lease_ms = other473.lease_ms;
+  sequence = other473.sequence;
+  not_broker = other473.not_broker;
+  __isset = other473.__isset;
+}
+Grants::Grants(Grants&& other474) noexcept {
+  pool = std::move(other474.pool);
+  epoch = other474.epoch;
+  credits = std::move(other474.credits);
+  unreachable = std::move(other474.unreachable);
+  floor = other474.floor;
+  floor_epoch = other474.floor_epoch;
+  contended = other474.contended;
+  drain_per_s = other474.drain_per_s;
+  gateways = other474.gateways;
+  backlog = std::move(other474.backlog);
+  lease_ms = other474.lease_ms;
+  sequence = other474.sequence;
+  not_broker = other474.not_broker;
+  __isset = other474.__isset;
+}
+Grants& Grants::operator=(const Grants& other475) {
+  pool = other475.pool;
+  epoch = other475.epoch;
+  credits = other475.credits;
+  unreachable = other475.unreachable;
+  floor = other475.floor;
+  floor_epoch = other475.floor_epoch;
+  contended = other475.contended;
+  drain_per_s = other475.drain_per_s;
+  gateways = other475.gateways;
+  backlog = other475.backlog;
+  lease_ms = other475.lease_ms;
+  sequence = other475.sequence;
+  not_broker = other475.not_broker;
+  __isset = other475.__isset;
   return *this;
 }
-Grants& Grants::operator=(Grants&& other466) noexcept {
-  pool = std::move(other466.pool);
-  epoch = other466.epoch;
-  credits = std::move(other466.credits);
-  unreachable = std::move(other466.unreachable);
-  floor = other466.floor;
-  floor_epoch = other466.floor_epoch;
-  contended = other466.contended;
-  drain_per_s = other466.drain_per_s;
-  gateways = other466.gateways;
-  backlog = std::move(other466.backlog);
-  lease_ms = other466.lease_ms;
-  sequence = other466.sequence;
-  not_broker = other466.not_broker;
-  __isset = other466.__isset;
+Grants& Grants::operator=(Grants&& other476) noexcept {
+  pool = std::move(other476.pool);
+  epoch = other476.epoch;
+  credits = std::move(other476.credits);
+  unreachable = std::move(other476.unreachable);
+  floor = other476.floor;
+  floor_epoch = other476.floor_epoch;
+  contended = other476.contended;
+  drain_per_s = other476.drain_per_s;
+  gateways = other476.gateways;
+  backlog = std::move(other476.backlog);
+  lease_ms = other476.lease_ms;
+  sequence = other476.sequence;
+  not_broker = other476.not_broker;
+  __isset = other476.__isset;
   return *this;
 }
 void Grants::printTo(std::ostream& out) const {
@@ -12118,26 +12349,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptPart::PromptPart(const PromptPart& other467) noexcept {
-  id = other467.id;
-  tokens = other467.tokens;
-  __isset = other467.__isset;
+PromptPart::PromptPart(const PromptPart& other477) noexcept {
+  id = other477.id;
+  tokens = other477.tokens;
+  __isset = other477.__isset;
 }
-PromptPart::PromptPart(PromptPart&& other468) noexcept {
-  id = other468.id;
-  tokens = other468.tokens;
-  __isset = other468.__isset;
+PromptPart::PromptPart(PromptPart&& other478) noexcept {
+  id = other478.id;
+  tokens = other478.tokens;
+  __isset = other478.__isset;
 }
-PromptPart& PromptPart::operator=(const PromptPart& other469) noexcept {
-  id = other469.id;
-  tokens = other469.tokens;
-  __isset = other469.__isset;
+PromptPart& PromptPart::operator=(const PromptPart& other479) noexcept {
+  id = other479.id;
+  tokens = other479.tokens;
+  __isset = other479.__isset;
   return *this;
 }
-PromptPart& PromptPart::operator=(PromptPart&& other470) noexcept {
-  id = other470.id;
-  tokens = other470.tokens;
-  __isset = other470.__isset;
+PromptPart& PromptPart::operator=(PromptPart&& other480) noexcept {
+  id = other480.id;
+  tokens = other480.tokens;
+  __isset = other480.__isset;
   return *this;
 }
 void PromptPart::printTo(std::ostream& out) const {
@@ -12368,14 +12599,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size471;
-            ::apache::thrift::protocol::TType _etype474;
-            xfer += iprot->readListBegin(_etype474, _size471);
-            this->parts.resize(_size471);
-            uint32_t _i475;
-            for (_i475 = 0; _i475 < _size471; ++_i475)
+            uint32_t _size481;
+            ::apache::thrift::protocol::TType _etype484;
+            xfer += iprot->readListBegin(_etype484, _size481);
+            this->parts.resize(_size481);
+            uint32_t _i485;
+            for (_i485 = 0; _i485 < _size481; ++_i485)
             {
-              xfer += this->parts[_i475].read(iprot);
+              xfer += this->parts[_i485].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12388,14 +12619,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size476;
-            ::apache::thrift::protocol::TType _etype479;
-            xfer += iprot->readListBegin(_etype479, _size476);
-            this->tried.resize(_size476);
-            uint32_t _i480;
-            for (_i480 = 0; _i480 < _size476; ++_i480)
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _etype489;
+            xfer += iprot->readListBegin(_etype489, _size486);
+            this->tried.resize(_size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
             {
-              xfer += iprot->readString(this->tried[_i480]);
+              xfer += iprot->readString(this->tried[_i490]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12448,14 +12679,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->regions.clear();
-            uint32_t _size481;
-            ::apache::thrift::protocol::TType _etype484;
-            xfer += iprot->readListBegin(_etype484, _size481);
-            this->regions.resize(_size481);
-            uint32_t _i485;
-            for (_i485 = 0; _i485 < _size481; ++_i485)
+            uint32_t _size491;
+            ::apache::thrift::protocol::TType _etype494;
+            xfer += iprot->readListBegin(_etype494, _size491);
+            this->regions.resize(_size491);
+            uint32_t _i495;
+            for (_i495 = 0; _i495 < _size491; ++_i495)
             {
-              xfer += iprot->readString(this->regions[_i485]);
+              xfer += iprot->readString(this->regions[_i495]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12548,10 +12779,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<PromptPart> ::const_iterator _iter486;
-    for (_iter486 = this->parts.begin(); _iter486 != this->parts.end(); ++_iter486)
+    std::vector<PromptPart> ::const_iterator _iter496;
+    for (_iter496 = this->parts.begin(); _iter496 != this->parts.end(); ++_iter496)
     {
-      xfer += (*_iter486).write(oprot);
+      xfer += (*_iter496).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12560,10 +12791,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tried.size()));
-    std::vector<std::string> ::const_iterator _iter487;
-    for (_iter487 = this->tried.begin(); _iter487 != this->tried.end(); ++_iter487)
+    std::vector<std::string> ::const_iterator _iter497;
+    for (_iter497 = this->tried.begin(); _iter497 != this->tried.end(); ++_iter497)
     {
-      xfer += oprot->writeString((*_iter487));
+      xfer += oprot->writeString((*_iter497));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12592,10 +12823,10 @@
   xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
-    std::vector<std::string> ::const_iterator _iter488;
-    for (_iter488 = this->regions.begin(); _iter488 != this->regions.end(); ++_iter488)
+    std::vector<std::string> ::const_iterator _iter498;
+    for (_iter498 = this->regions.begin(); _iter498 != this->regions.end(); ++_iter498)
     {
-      xfer += oprot->writeString((*_iter488));
+      xfer += oprot->writeString((*_iter498));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12641,106 +12872,106 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other489) {
-  ref = other489.ref;
-  pool = other489.pool;
-  workspace = other489.workspace;
-  tier = other489.tier;
-  rank = other489.rank;
-  prompt_tokens = other489.prompt_tokens;
-  expected_tokens = other489.expected_tokens;
-  aim_ms = other489.aim_ms;
-  waited_ms = other489.waited_ms;
-  left_ms = other489.left_ms;
-  pause_aim_ms = other489.pause_aim_ms;
-  wait_ms = other489.wait_ms;
-  parts = other489.parts;
-  tried = other489.tried;
-  cost = other489.cost;
-  reserve = other489.reserve;
-  limit_rate = other489.limit_rate;
-  limit_burst = other489.limit_burst;
-  route = other489.route;
-  regions = other489.regions;
-  bound = other489.bound;
-  retried = other489.retried;
-  __isset = other489.__isset;
-}
-PlaceAsk::PlaceAsk(PlaceAsk&& other490) noexcept {
-  ref = other490.ref;
-  pool = std::move(other490.pool);
-  workspace = std::move(other490.workspace);
-  tier = other490.tier;
-  rank = other490.rank;
-  prompt_tokens = other490.prompt_tokens;
-  expected_tokens = other490.expected_tokens;
-  aim_ms = other490.aim_ms;
-  waited_ms = other490.waited_ms;
-  left_ms = other490.left_ms;
-  pause_aim_ms = other490.pause_aim_ms;
-  wait_ms = other490.wait_ms;
-  parts = std::move(other490.parts);
-  tried = std::move(other490.tried);
-  cost = other490.cost;
-  reserve = other490.reserve;
-  limit_rate = other490.limit_rate;
-  limit_burst = other490.limit_burst;
-  route = other490.route;
-  regions = std::move(other490.regions);
-  bound = other490.bound;
-  retried = other490.retried;
-  __isset = other490.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other491) {
-  ref = other491.ref;
-  pool = other491.pool;
-  workspace = other491.workspace;
-  tier = other491.tier;
-  rank = other491.rank;
-  prompt_tokens = other491.prompt_tokens;
-  expected_tokens = other491.expected_tokens;
-  aim_ms = other491.aim_ms;
-  waited_ms = other491.waited_ms;
-  left_ms = other491.left_ms;
-  pause_aim_ms = other491.pause_aim_ms;
-  wait_ms = other491.wait_ms;
-  parts = other491.parts;
-  tried = other491.tried;
-  cost = other491.cost;
-  reserve = other491.reserve;
-  limit_rate = other491.limit_rate;
-  limit_burst = other491.limit_burst;
-  route = other491.route;
-  regions = other491.regions;
-  bound = other491.bound;
-  retried = other491.retried;
-  __isset = other491.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other499) {
+  ref = other499.ref;
+  pool = other499.pool;
+  workspace = other499.workspace;
+  tier = other499.tier;
+  rank = other499.rank;
+  prompt_tokens = other499.prompt_tokens;
+  expected_tokens = other499.expected_tokens;
+  aim_ms = other499.aim_ms;
+  waited_ms = other499.waited_ms;
+  left_ms = other499.left_ms;
+  pause_aim_ms = other499.pause_aim_ms;
+  wait_ms = other499.wait_ms;
+  parts = other499.parts;
+  tried = other499.tried;
+  cost = other499.cost;
+  reserve = other499.reserve;
+  limit_rate = other499.limit_rate;
+  limit_burst = other499.limit_burst;
+  route = other499.route;
+  regions = other499.regions;
+  bound = other499.bound;
+  retried = other499.retried;
+  __isset = other499.__isset;
+}
+PlaceAsk::PlaceAsk(PlaceAsk&& other500) noexcept {
+  ref = other500.ref;
+  pool = std::move(other500.pool);
+  workspace = std::move(other500.workspace);
+  tier = other500.tier;
+  rank = other500.rank;
+  prompt_tokens = other500.prompt_tokens;
+  expected_tokens = other500.expected_tokens;
+  aim_ms = other500.aim_ms;
+  waited_ms = other500.waited_ms;
+  left_ms = other500.left_ms;
+  pause_aim_ms = other500.pause_aim_ms;
+  wait_ms = other500.wait_ms;
+  parts = std::move(other500.parts);
+  tried = std::move(other500.tried);
+  cost = other500.cost;
+  reserve = other500.reserve;
+  limit_rate = other500.limit_rate;
+  limit_burst = other500.limit_burst;
+  route = other500.route;
+  regions = std::move(other500.regions);
+  bound = other500.bound;
+  retried = other500.retried;
+  __isset = other500.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other501) {
+  ref = other501.ref;
+  pool = other501.pool;
+  workspace = other501.workspace;
+  tier = other501.tier;
+  rank = other501.rank;
+  prompt_tokens = other501.prompt_tokens;
+  expected_tokens = other501.expected_tokens;
+  aim_ms = other501.aim_ms;
+  waited_ms = other501.waited_ms;
+  left_ms = other501.left_ms;
+  pause_aim_ms = other501.pause_aim_ms;
+  wait_ms = other501.wait_ms;
+  parts = other501.parts;
+  tried = other501.tried;
+  cost = other501.cost;
+  reserve = other501.reserve;
+  limit_rate = other501.limit_rate;
+  limit_burst = other501.limit_burst;
+  route = other501.route;
+  regions = other501.regions;
+  bound = other501.bound;
+  retried = other501.retried;
+  __isset = other501.__isset;
   return *this;
 }
-PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other492) noexcept {
-  ref = other492.ref;
-  pool = std::move(other492.pool);
-  workspace = std::move(other492.workspace);
-  tier = other492.tier;
-  rank = other492.rank;
-  prompt_tokens = other492.prompt_tokens;
-  expected_tokens = other492.expected_tokens;
-  aim_ms = other492.aim_ms;
-  waited_ms = other492.waited_ms;
-  left_ms = other492.left_ms;
-  pause_aim_ms = other492.pause_aim_ms;
-  wait_ms = other492.wait_ms;
-  parts = std::move(other492.parts);
-  tried = std::move(other492.tried);
-  cost = other492.cost;
-  reserve = other492.reserve;
-  limit_rate = other492.limit_rate;
-  limit_burst = other492.limit_burst;
-  route = other492.route;
-  regions = std::move(other492.regions);
-  bound = other492.bound;
-  retried = other492.retried;
-  __isset = other492.__isset;
+PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other502) noexcept {
+  ref = other502.ref;
+  pool = std::move(other502.pool);
+  workspace = std::move(other502.workspace);
+  tier = other502.tier;
+  rank = other502.rank;
+  prompt_tokens = other502.prompt_tokens;
+  expected_tokens = other502.expected_tokens;
+  aim_ms = other502.aim_ms;
+  waited_ms = other502.waited_ms;
+  left_ms = other502.left_ms;
+  pause_aim_ms = other502.pause_aim_ms;
+  wait_ms = other502.wait_ms;
+  parts = std::move(other502.parts);
+  tried = std::move(other502.tried);
+  cost = other502.cost;
+  reserve = other502.reserve;
+  limit_rate = other502.limit_rate;
+  limit_burst = other502.limit_burst;
+  route = other502.route;
+  regions = std::move(other502.regions);
+  bound = other502.bound;
+  retried = other502.retried;
+  __isset = other502.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -12915,38 +13146,38 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceHeld::PlaceHeld(const PlaceHeld& other493) {
-  ref = other493.ref;
-  server = other493.server;
-  reading_tokens = other493.reading_tokens;
-  expected_tokens = other493.expected_tokens;
-  born = other493.born;
-  __isset = other493.__isset;
-}
-PlaceHeld::PlaceHeld(PlaceHeld&& other494) noexcept {
-  ref = other494.ref;
-  server = std::move(other494.server);
-  reading_tokens = other494.reading_tokens;
-  expected_tokens = other494.expected_tokens;
-  born = other494.born;
-  __isset = other494.__isset;
-}
-PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other495) {
-  ref = other495.ref;
-  server = other495.server;
-  reading_tokens = other495.reading_tokens;
-  expected_tokens = other495.expected_tokens;
-  born = other495.born;
-  __isset = other495.__isset;
+PlaceHeld::PlaceHeld(const PlaceHeld& other503) {
+  ref = other503.ref;
+  server = other503.server;
+  reading_tokens = other503.reading_tokens;
+  expected_tokens = other503.expected_tokens;
+  born = other503.born;
+  __isset = other503.__isset;
+}
+PlaceHeld::PlaceHeld(PlaceHeld&& other504) noexcept {
+  ref = other504.ref;
+  server = std::move(other504.server);
+  reading_tokens = other504.reading_tokens;
+  expected_tokens = other504.expected_tokens;
+  born = other504.born;
+  __isset = other504.__isset;
+}
+PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other505) {
+  ref = other505.ref;
+  server = other505.server;
+  reading_tokens = other505.reading_tokens;
+  expected_tokens = other505.expected_tokens;
+  born = other505.born;
+  __isset = other505.__isset;
   return *this;
 }
-PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other496) noexcept {
-  ref = other496.ref;
-  server = std::move(other496.server);
-  reading_tokens = other496.reading_tokens;
-  expected_tokens = other496.expected_tokens;
-  born = other496.born;
-  __isset = other496.__isset;
+PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other506) noexcept {
+  ref = other506.ref;
+  server = std::move(other506.server);
+  reading_tokens = other506.reading_tokens;
+  expected_tokens = other506.expected_tokens;
+  born = other506.born;
+  __isset = other506.__isset;
   return *this;
 }
 void PlaceHeld::printTo(std::ostream& out) const {
@@ -13091,9 +13322,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast497;
-          xfer += iprot->readI32(ecast497);
-          this->sign = static_cast<PlaceSign::type>(ecast497);
+          int32_t ecast507;
+          xfer += iprot->readI32(ecast507);
+          this->sign = static_cast<PlaceSign::type>(ecast507);
           this->__isset.sign = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13261,74 +13492,74 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceReport::PlaceReport(const PlaceReport& other498) noexcept {
-  ref = other498.ref;
-  tokens_read = other498.tokens_read;
-  first_ms = other498.first_ms;
-  ended = other498.ended;
-  ran = other498.ran;
-  sign = other498.sign;
-  service_ms = other498.service_ms;
-  events = other498.events;
-  span_ms = other498.span_ms;
-  pause_ms = other498.pause_ms;
-  failed = other498.failed;
-  connect_us = other498.connect_us;
-  limit_per_s = other498.limit_per_s;
-  head = other498.head;
-  __isset = other498.__isset;
-}
-PlaceReport::PlaceReport(PlaceReport&& other499) noexcept {
-  ref = other499.ref;
-  tokens_read = other499.tokens_read;
-  first_ms = other499.first_ms;
-  ended = other499.ended;
-  ran = other499.ran;
-  sign = other499.sign;
-  service_ms = other499.service_ms;
-  events = other499.events;
-  span_ms = other499.span_ms;
-  pause_ms = other499.pause_ms;
-  failed = other499.failed;
-  connect_us = other499.connect_us;
-  limit_per_s = other499.limit_per_s;
-  head = other499.head;
-  __isset = other499.__isset;
+PlaceReport::PlaceReport(const PlaceReport& other508) noexcept {
+  ref = other508.ref;
+  tokens_read = other508.tokens_read;
+  first_ms = other508.first_ms;
+  ended = other508.ended;
+  ran = other508.ran;
+  sign = other508.sign;
+  service_ms = other508.service_ms;
+  events = other508.events;
+  span_ms = other508.span_ms;
+  pause_ms = other508.pause_ms;
+  failed = other508.failed;
+  connect_us = other508.connect_us;
+  limit_per_s = other508.limit_per_s;
+  head = other508.head;
+  __isset = other508.__isset;
 }
-PlaceReport& PlaceReport::operator=(const PlaceReport& other500) noexcept {
-  ref = other500.ref;
-  tokens_read = other500.tokens_read;
-  first_ms = other500.first_ms;
-  ended = other500.ended;
-  ran = other500.ran;
-  sign = other500.sign;
-  service_ms = other500.service_ms;
-  events = other500.events;
-  span_ms = other500.span_ms;
-  pause_ms = other500.pause_ms;
-  failed = other500.failed;
-  connect_us = other500.connect_us;
-  limit_per_s = other500.limit_per_s;
-  head = other500.head;
-  __isset = other500.__isset;
+PlaceReport::PlaceReport(PlaceReport&& other509) noexcept {
+  ref = other509.ref;
+  tokens_read = other509.tokens_read;
+  first_ms = other509.first_ms;
+  ended = other509.ended;
+  ran = other509.ran;
+  sign = other509.sign;
+  service_ms = other509.service_ms;
+  events = other509.events;
+  span_ms = other509.span_ms;
+  pause_ms = other509.pause_ms;
+  failed = other509.failed;
+  connect_us = other509.connect_us;
+  limit_per_s = other509.limit_per_s;
+  head = other509.head;
+  __isset = other509.__isset;
+}
+PlaceReport& PlaceReport::operator=(const PlaceReport& other510) noexcept {
+  ref = other510.ref;
+  tokens_read = other510.tokens_read;
+  first_ms = other510.first_ms;
+  ended = other510.ended;
+  ran = other510.ran;
+  sign = other510.sign;
+  service_ms = other510.service_ms;
+  events = other510.events;
+  span_ms = other510.span_ms;
+  pause_ms = other510.pause_ms;
+  failed = other510.failed;
+  connect_us = other510.connect_us;
+  limit_per_s = other510.limit_per_s;
+  head = other510.head;
+  __isset = other510.__isset;
   return *this;
 }
-PlaceReport& PlaceReport::operator=(PlaceReport&& other501) noexcept {
-  ref = other501.ref;
-  tokens_read = other501.tokens_read;
-  first_ms = other501.first_ms;
-  ended = other501.ended;
-  ran = other501.ran;
-  sign = other501.sign;
-  service_ms = other501.service_ms;
-  events = other501.events;
-  span_ms = other501.span_ms;
-  pause_ms = other501.pause_ms;
-  failed = other501.failed;
-  connect_us = other501.connect_us;
-  limit_per_s = other501.limit_per_s;
-  head = other501.head;
-  __isset = other501.__isset;
+PlaceReport& PlaceReport::operator=(PlaceReport&& other511) noexcept {
+  ref = other511.ref;
+  tokens_read = other511.tokens_read;
+  first_ms = other511.first_ms;
+  ended = other511.ended;
+  ran = other511.ran;
+  sign = other511.sign;
+  service_ms = other511.service_ms;
+  events = other511.events;
+  span_ms = other511.span_ms;
+  pause_ms = other511.pause_ms;
+  failed = other511.failed;
+  connect_us = other511.connect_us;
+  limit_per_s = other511.limit_per_s;
+  head = other511.head;
+  __isset = other511.__isset;
   return *this;
 }
 void PlaceReport::printTo(std::ostream& out) const {
@@ -13529,46 +13760,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitUse::LimitUse(const LimitUse& other502) {
-  workspace = other502.workspace;
-  left = other502.left;
-  age_ms = other502.age_ms;
-  spent_alone = other502.spent_alone;
-  rate = other502.rate;
-  burst = other502.burst;
-  epoch = other502.epoch;
-  __isset = other502.__isset;
+LimitUse::LimitUse(const LimitUse& other512) {
+  workspace = other512.workspace;
+  left = other512.left;
+  age_ms = other512.age_ms;
+  spent_alone = other512.spent_alone;
+  rate = other512.rate;
+  burst = other512.burst;
+  epoch = other512.epoch;
+  __isset = other512.__isset;
 }
-LimitUse::LimitUse(LimitUse&& other503) noexcept {
-  workspace = std::move(other503.workspace);
-  left = other503.left;
-  age_ms = other503.age_ms;
-  spent_alone = other503.spent_alone;
-  rate = other503.rate;
-  burst = other503.burst;
-  epoch = other503.epoch;
-  __isset = other503.__isset;
+LimitUse::LimitUse(LimitUse&& other513) noexcept {
+  workspace = std::move(other513.workspace);
+  left = other513.left;
+  age_ms = other513.age_ms;
+  spent_alone = other513.spent_alone;
+  rate = other513.rate;
+  burst = other513.burst;
+  epoch = other513.epoch;
+  __isset = other513.__isset;
 }
-LimitUse& LimitUse::operator=(const LimitUse& other504) {
-  workspace = other504.workspace;
-  left = other504.left;
-  age_ms = other504.age_ms;
-  spent_alone = other504.spent_alone;
-  rate = other504.rate;
-  burst = other504.burst;
-  epoch = other504.epoch;
-  __isset = other504.__isset;
+LimitUse& LimitUse::operator=(const LimitUse& other514) {
+  workspace = other514.workspace;
+  left = other514.left;
+  age_ms = other514.age_ms;
+  spent_alone = other514.spent_alone;
+  rate = other514.rate;
+  burst = other514.burst;
+  epoch = other514.epoch;
+  __isset = other514.__isset;
   return *this;
 }
-LimitUse& LimitUse::operator=(LimitUse&& other505) noexcept {
-  workspace = std::move(other505.workspace);
-  left = other505.left;
-  age_ms = other505.age_ms;
-  spent_alone = other505.spent_alone;
-  rate = other505.rate;
-  burst = other505.burst;
-  epoch = other505.epoch;
-  __isset = other505.__isset;
+LimitUse& LimitUse::operator=(LimitUse&& other515) noexcept {
+  workspace = std::move(other515.workspace);
+  left = other515.left;
+  age_ms = other515.age_ms;
+  spent_alone = other515.spent_alone;
+  rate = other515.rate;
+  burst = other515.burst;
+  epoch = other515.epoch;
+  __isset = other515.__isset;
   return *this;
 }
 void LimitUse::printTo(std::ostream& out) const {
@@ -13728,38 +13959,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryUse::RetryUse(const RetryUse& other506) {
-  pool = other506.pool;
-  left = other506.left;
-  age_ms = other506.age_ms;
-  used_alone = other506.used_alone;
-  epoch = other506.epoch;
-  __isset = other506.__isset;
-}
-RetryUse::RetryUse(RetryUse&& other507) noexcept {
-  pool = std::move(other507.pool);
-  left = other507.left;
-  age_ms = other507.age_ms;
-  used_alone = other507.used_alone;
-  epoch = other507.epoch;
-  __isset = other507.__isset;
-}
-RetryUse& RetryUse::operator=(const RetryUse& other508) {
-  pool = other508.pool;
-  left = other508.left;
-  age_ms = other508.age_ms;
-  used_alone = other508.used_alone;
-  epoch = other508.epoch;
-  __isset = other508.__isset;
+RetryUse::RetryUse(const RetryUse& other516) {
+  pool = other516.pool;
+  left = other516.left;
+  age_ms = other516.age_ms;
+  used_alone = other516.used_alone;
+  epoch = other516.epoch;
+  __isset = other516.__isset;
+}
+RetryUse::RetryUse(RetryUse&& other517) noexcept {
+  pool = std::move(other517.pool);
+  left = other517.left;
+  age_ms = other517.age_ms;
+  used_alone = other517.used_alone;
+  epoch = other517.epoch;
+  __isset = other517.__isset;
+}
+RetryUse& RetryUse::operator=(const RetryUse& other518) {
+  pool = other518.pool;
+  left = other518.left;
+  age_ms = other518.age_ms;
+  used_alone = other518.used_alone;
+  epoch = other518.epoch;
+  __isset = other518.__isset;
   return *this;
 }
-RetryUse& RetryUse::operator=(RetryUse&& other509) noexcept {
-  pool = std::move(other509.pool);
-  left = other509.left;
-  age_ms = other509.age_ms;
-  used_alone = other509.used_alone;
-  epoch = other509.epoch;
-  __isset = other509.__isset;
+RetryUse& RetryUse::operator=(RetryUse&& other519) noexcept {
+  pool = std::move(other519.pool);
+  left = other519.left;
+  age_ms = other519.age_ms;
+  used_alone = other519.used_alone;
+  epoch = other519.epoch;
+  __isset = other519.__isset;
   return *this;
 }
 void RetryUse::printTo(std::ostream& out) const {
@@ -13919,38 +14150,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerWord::ServerWord(const ServerWord& other510) {
-  server = other510.server;
-  born = other510.born;
-  back_off_ms = other510.back_off_ms;
-  leaving = other510.leaving;
-  limit_per_s = other510.limit_per_s;
-  __isset = other510.__isset;
-}
-ServerWord::ServerWord(ServerWord&& other511) noexcept {
-  server = std::move(other511.server);
-  born = other511.born;
-  back_off_ms = other511.back_off_ms;
-  leaving = other511.leaving;
-  limit_per_s = other511.limit_per_s;
-  __isset = other511.__isset;
-}
-ServerWord& ServerWord::operator=(const ServerWord& other512) {
-  server = other512.server;
-  born = other512.born;
-  back_off_ms = other512.back_off_ms;
-  leaving = other512.leaving;
-  limit_per_s = other512.limit_per_s;
-  __isset = other512.__isset;
+ServerWord::ServerWord(const ServerWord& other520) {
+  server = other520.server;
+  born = other520.born;
+  back_off_ms = other520.back_off_ms;
+  leaving = other520.leaving;
+  limit_per_s = other520.limit_per_s;
+  __isset = other520.__isset;
+}
+ServerWord::ServerWord(ServerWord&& other521) noexcept {
+  server = std::move(other521.server);
+  born = other521.born;
+  back_off_ms = other521.back_off_ms;
+  leaving = other521.leaving;
+  limit_per_s = other521.limit_per_s;
+  __isset = other521.__isset;
+}
+ServerWord& ServerWord::operator=(const ServerWord& other522) {
+  server = other522.server;
+  born = other522.born;
+  back_off_ms = other522.back_off_ms;
+  leaving = other522.leaving;
+  limit_per_s = other522.limit_per_s;
+  __isset = other522.__isset;
   return *this;
 }
-ServerWord& ServerWord::operator=(ServerWord&& other513) noexcept {
-  server = std::move(other513.server);
-  born = other513.born;
-  back_off_ms = other513.back_off_ms;
-  leaving = other513.leaving;
-  limit_per_s = other513.limit_per_s;
-  __isset = other513.__isset;
+ServerWord& ServerWord::operator=(ServerWord&& other523) noexcept {
+  server = std::move(other523.server);
+  born = other523.born;
+  back_off_ms = other523.back_off_ms;
+  leaving = other523.leaving;
+  limit_per_s = other523.limit_per_s;
+  __isset = other523.__isset;
   return *this;
 }
 void ServerWord::printTo(std::ostream& out) const {
@@ -14088,14 +14319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size514;
-            ::apache::thrift::protocol::TType _etype517;
-            xfer += iprot->readListBegin(_etype517, _size514);
-            this->held.resize(_size514);
-            uint32_t _i518;
-            for (_i518 = 0; _i518 < _size514; ++_i518)
+            uint32_t _size524;
+            ::apache::thrift::protocol::TType _etype527;
+            xfer += iprot->readListBegin(_etype527, _size524);
+            this->held.resize(_size524);
+            uint32_t _i528;
+            for (_i528 = 0; _i528 < _size524; ++_i528)
             {
-              xfer += this->held[_i518].read(iprot);
+              xfer += this->held[_i528].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14108,14 +14339,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size519;
-            ::apache::thrift::protocol::TType _etype522;
-            xfer += iprot->readListBegin(_etype522, _size519);
-            this->limits.resize(_size519);
-            uint32_t _i523;
-            for (_i523 = 0; _i523 < _size519; ++_i523)
+            uint32_t _size529;
+            ::apache::thrift::protocol::TType _etype532;
+            xfer += iprot->readListBegin(_etype532, _size529);
+            this->limits.resize(_size529);
+            uint32_t _i533;
+            for (_i533 = 0; _i533 < _size529; ++_i533)
             {
-              xfer += this->limits[_i523].read(iprot);
+              xfer += this->limits[_i533].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14128,14 +14359,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size524;
-            ::apache::thrift::protocol::TType _etype527;
-            xfer += iprot->readListBegin(_etype527, _size524);
-            this->asks.resize(_size524);
-            uint32_t _i528;
-            for (_i528 = 0; _i528 < _size524; ++_i528)
+            uint32_t _size534;
+            ::apache::thrift::protocol::TType _etype537;
+            xfer += iprot->readListBegin(_etype537, _size534);
+            this->asks.resize(_size534);
+            uint32_t _i538;
+            for (_i538 = 0; _i538 < _size534; ++_i538)
             {
-              xfer += this->asks[_i528].read(iprot);
+              xfer += this->asks[_i538].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14148,14 +14379,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withdrawn.clear();
-            uint32_t _size529;
-            ::apache::thrift::protocol::TType _etype532;
-            xfer += iprot->readListBegin(_etype532, _size529);
-            this->withdrawn.resize(_size529);
-            uint32_t _i533;
-            for (_i533 = 0; _i533 < _size529; ++_i533)
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->withdrawn.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
             {
-              xfer += iprot->readI64(this->withdrawn[_i533]);
+              xfer += iprot->readI64(this->withdrawn[_i543]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14168,14 +14399,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size534;
-            ::apache::thrift::protocol::TType _etype537;
-            xfer += iprot->readListBegin(_etype537, _size534);
-            this->reports.resize(_size534);
-            uint32_t _i538;
-            for (_i538 = 0; _i538 < _size534; ++_i538)
+            uint32_t _size544;
+            ::apache::thrift::protocol::TType _etype547;
+            xfer += iprot->readListBegin(_etype547, _size544);
+            this->reports.resize(_size544);
+            uint32_t _i548;
+            for (_i548 = 0; _i548 < _size544; ++_i548)
             {
-              xfer += this->reports[_i538].read(iprot);
+              xfer += this->reports[_i548].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14188,14 +14419,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->words.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->words.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size549;
+            ::apache::thrift::protocol::TType _etype552;
+            xfer += iprot->readListBegin(_etype552, _size549);
+            this->words.resize(_size549);
+            uint32_t _i553;
+            for (_i553 = 0; _i553 < _size549; ++_i553)
             {
-              xfer += this->words[_i543].read(iprot);
+              xfer += this->words[_i553].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14208,14 +14439,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size544;
-            ::apache::thrift::protocol::TType _etype547;
-            xfer += iprot->readListBegin(_etype547, _size544);
-            this->retries.resize(_size544);
-            uint32_t _i548;
-            for (_i548 = 0; _i548 < _size544; ++_i548)
+            uint32_t _size554;
+            ::apache::thrift::protocol::TType _etype557;
+            xfer += iprot->readListBegin(_etype557, _size554);
+            this->retries.resize(_size554);
+            uint32_t _i558;
+            for (_i558 = 0; _i558 < _size554; ++_i558)
             {
-              xfer += this->retries[_i548].read(iprot);
+              xfer += this->retries[_i558].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14264,10 +14495,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<PlaceHeld> ::const_iterator _iter549;
-    for (_iter549 = this->held.begin(); _iter549 != this->held.end(); ++_iter549)
+    std::vector<PlaceHeld> ::const_iterator _iter559;
+    for (_iter559 = this->held.begin(); _iter559 != this->held.end(); ++_iter559)
     {
-      xfer += (*_iter549).write(oprot);
+      xfer += (*_iter559).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14276,10 +14507,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<LimitUse> ::const_iterator _iter550;
-    for (_iter550 = this->limits.begin(); _iter550 != this->limits.end(); ++_iter550)
+    std::vector<LimitUse> ::const_iterator _iter560;
+    for (_iter560 = this->limits.begin(); _iter560 != this->limits.end(); ++_iter560)
     {
-      xfer += (*_iter550).write(oprot);
+      xfer += (*_iter560).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14288,10 +14519,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter551;
-    for (_iter551 = this->asks.begin(); _iter551 != this->asks.end(); ++_iter551)
+    std::vector<PlaceAsk> ::const_iterator _iter561;
+    for (_iter561 = this->asks.begin(); _iter561 != this->asks.end(); ++_iter561)
     {
-      xfer += (*_iter551).write(oprot);
+      xfer += (*_iter561).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14300,10 +14531,10 @@
   xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withdrawn.size()));
-    std::vector<int64_t> ::const_iterator _iter552;
-    for (_iter552 = this->withdrawn.begin(); _iter552 != this->withdrawn.end(); ++_iter552)
+    std::vector<int64_t> ::const_iterator _iter562;
+    for (_iter562 = this->withdrawn.begin(); _iter562 != this->withdrawn.end(); ++_iter562)
     {
-      xfer += oprot->writeI64((*_iter552));
+      xfer += oprot->writeI64((*_iter562));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14312,10 +14543,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<PlaceReport> ::const_iterator _iter553;
-    for (_iter553 = this->reports.begin(); _iter553 != this->reports.end(); ++_iter553)
+    std::vector<PlaceReport> ::const_iterator _iter563;
+    for (_iter563 = this->reports.begin(); _iter563 != this->reports.end(); ++_iter563)
     {
-      xfer += (*_iter553).write(oprot);
+      xfer += (*_iter563).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14324,10 +14555,10 @@
   xfer += oprot->writeFieldBegin("words", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->words.size()));
-    std::vector<ServerWord> ::const_iterator _iter554;
-    for (_iter554 = this->words.begin(); _iter554 != this->words.end(); ++_iter554)
+    std::vector<ServerWord> ::const_iterator _iter564;
+    for (_iter564 = this->words.begin(); _iter564 != this->words.end(); ++_iter564)
     {
-      xfer += (*_iter554).write(oprot);
+      xfer += (*_iter564).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14336,10 +14567,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter555;
-    for (_iter555 = this->retries.begin(); _iter555 != this->retries.end(); ++_iter555)
+    std::vector<RetryUse> ::const_iterator _iter565;
+    for (_iter565 = this->retries.begin(); _iter565 != this->retries.end(); ++_iter565)
     {
-      xfer += (*_iter555).write(oprot);
+      xfer += (*_iter565).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14367,66 +14598,66 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceBatch::PlaceBatch(const PlaceBatch& other556) {
-  incarnation = other556.incarnation;
-  data_centre = other556.data_centre;
-  epoch = other556.epoch;
-  resync = other556.resync;
-  instances = other556.instances;
-  held = other556.held;
-  limits = other556.limits;
-  asks = other556.asks;
-  withdrawn = other556.withdrawn;
-  reports = other556.reports;
-  words = other556.words;
-  retries = other556.retries;
-  __isset = other556.__isset;
-}
-PlaceBatch::PlaceBatch(PlaceBatch&& other557) noexcept {
-  incarnation = std::move(other557.incarnation);
-  data_centre = std::move(other557.data_centre);
-  epoch = other557.epoch;
-  resync = other557.resync;
-  instances = other557.instances;
-  held = std::move(other557.held);
-  limits = std::move(other557.limits);
-  asks = std::move(other557.asks);
-  withdrawn = std::move(other557.withdrawn);
-  reports = std::move(other557.reports);
-  words = std::move(other557.words);
-  retries = std::move(other557.retries);
-  __isset = other557.__isset;
-}
-PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other558) {
-  incarnation = other558.incarnation;
-  data_centre = other558.data_centre;
-  epoch = other558.epoch;
-  resync = other558.resync;
-  instances = other558.instances;
-  held = other558.held;
-  limits = other558.limits;
-  asks = other558.asks;
-  withdrawn = other558.withdrawn;
-  reports = other558.reports;
-  words = other558.words;
-  retries = other558.retries;
-  __isset = other558.__isset;
+PlaceBatch::PlaceBatch(const PlaceBatch& other566) {
+  incarnation = other566.incarnation;
+  data_centre = other566.data_centre;
+  epoch = other566.epoch;
+  resync = other566.resync;
+  instances = other566.instances;
+  held = other566.held;
+  limits = other566.limits;
+  asks = other566.asks;
+  withdrawn = other566.withdrawn;
+  reports = other566.reports;
+  words = other566.words;
+  retries = other566.retries;
+  __isset = other566.__isset;
+}
+PlaceBatch::PlaceBatch(PlaceBatch&& other567) noexcept {
+  incarnation = std::move(other567.incarnation);
+  data_centre = std::move(other567.data_centre);
+  epoch = other567.epoch;
+  resync = other567.resync;
+  instances = other567.instances;
+  held = std::move(other567.held);
+  limits = std::move(other567.limits);
+  asks = std::move(other567.asks);
+  withdrawn = std::move(other567.withdrawn);
+  reports = std::move(other567.reports);
+  words = std::move(other567.words);
+  retries = std::move(other567.retries);
+  __isset = other567.__isset;
+}
+PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other568) {
+  incarnation = other568.incarnation;
+  data_centre = other568.data_centre;
+  epoch = other568.epoch;
+  resync = other568.resync;
+  instances = other568.instances;
+  held = other568.held;
+  limits = other568.limits;
+  asks = other568.asks;
+  withdrawn = other568.withdrawn;
+  reports = other568.reports;
+  words = other568.words;
+  retries = other568.retries;
+  __isset = other568.__isset;
   return *this;
 }
-PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other559) noexcept {
-  incarnation = std::move(other559.incarnation);
-  data_centre = std::move(other559.data_centre);
-  epoch = other559.epoch;
-  resync = other559.resync;
-  instances = other559.instances;
-  held = std::move(other559.held);
-  limits = std::move(other559.limits);
-  asks = std::move(other559.asks);
-  withdrawn = std::move(other559.withdrawn);
-  reports = std::move(other559.reports);
-  words = std::move(other559.words);
-  retries = std::move(other559.retries);
-  __isset = other559.__isset;
+PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other569) noexcept {
+  incarnation = std::move(other569.incarnation);
+  data_centre = std::move(other569.data_centre);
+  epoch = other569.epoch;
+  resync = other569.resync;
+  instances = other569.instances;
+  held = std::move(other569.held);
+  limits = std::move(other569.limits);
+  asks = std::move(other569.asks);
+  withdrawn = std::move(other569.withdrawn);
+  reports = std::move(other569.reports);
+  words = std::move(other569.words);
+  retries = std::move(other569.retries);
+  __isset = other569.__isset;
   return *this;
 }
 void PlaceBatch::printTo(std::ostream& out) const {
@@ -14530,9 +14761,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast560;
-          xfer += iprot->readI32(ecast560);
-          this->verdict = static_cast<PlaceVerdict::type>(ecast560);
+          int32_t ecast570;
+          xfer += iprot->readI32(ecast570);
+          this->verdict = static_cast<PlaceVerdict::type>(ecast570);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14680,58 +14911,58 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other561) {
-  ref = other561.ref;
-  verdict = other561.verdict;
-  server = other561.server;
-  first_ms = other561.first_ms;
-  left = other561.left;
-  come_back_ms = other561.come_back_ms;
-  born = other561.born;
-  address = other561.address;
-  port = other561.port;
-  retries_left = other561.retries_left;
-  __isset = other561.__isset;
-}
-PlaceAnswer::PlaceAnswer(PlaceAnswer&& other562) noexcept {
-  ref = other562.ref;
-  verdict = other562.verdict;
-  server = std::move(other562.server);
-  first_ms = other562.first_ms;
-  left = other562.left;
-  come_back_ms = other562.come_back_ms;
-  born = other562.born;
-  address = std::move(other562.address);
-  port = other562.port;
-  retries_left = other562.retries_left;
-  __isset = other562.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other563) {
-  ref = other563.ref;
-  verdict = other563.verdict;
-  server = other563.server;
-  first_ms = other563.first_ms;
-  left = other563.left;
-  come_back_ms = other563.come_back_ms;
-  born = other563.born;
-  address = other563.address;
-  port = other563.port;
-  retries_left = other563.retries_left;
-  __isset = other563.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other571) {
+  ref = other571.ref;
+  verdict = other571.verdict;
+  server = other571.server;
+  first_ms = other571.first_ms;
+  left = other571.left;
+  come_back_ms = other571.come_back_ms;
+  born = other571.born;
+  address = other571.address;
+  port = other571.port;
+  retries_left = other571.retries_left;
+  __isset = other571.__isset;
+}
+PlaceAnswer::PlaceAnswer(PlaceAnswer&& other572) noexcept {
+  ref = other572.ref;
+  verdict = other572.verdict;
+  server = std::move(other572.server);
+  first_ms = other572.first_ms;
+  left = other572.left;
+  come_back_ms = other572.come_back_ms;
+  born = other572.born;
+  address = std::move(other572.address);
+  port = other572.port;
+  retries_left = other572.retries_left;
+  __isset = other572.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other573) {
+  ref = other573.ref;
+  verdict = other573.verdict;
+  server = other573.server;
+  first_ms = other573.first_ms;
+  left = other573.left;
+  come_back_ms = other573.come_back_ms;
+  born = other573.born;
+  address = other573.address;
+  port = other573.port;
+  retries_left = other573.retries_left;
+  __isset = other573.__isset;
   return *this;
 }
-PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other564) noexcept {
-  ref = other564.ref;
-  verdict = other564.verdict;
-  server = std::move(other564.server);
-  first_ms = other564.first_ms;
-  left = other564.left;
-  come_back_ms = other564.come_back_ms;
-  born = other564.born;
-  address = std::move(other564.address);
-  port = other564.port;
-  retries_left = other564.retries_left;
-  __isset = other564.__isset;
+PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other574) noexcept {
+  ref = other574.ref;
+  verdict = other574.verdict;
+  server = std::move(other574.server);
+  first_ms = other574.first_ms;
+  left = other574.left;
+  come_back_ms = other574.come_back_ms;
+  born = other574.born;
+  address = std::move(other574.address);
+  port = other574.port;
+  retries_left = other574.retries_left;
+  __isset = other574.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -14811,14 +15042,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size565;
-            ::apache::thrift::protocol::TType _etype568;
-            xfer += iprot->readListBegin(_etype568, _size565);
-            this->answers.resize(_size565);
-            uint32_t _i569;
-            for (_i569 = 0; _i569 < _size565; ++_i569)
+            uint32_t _size575;
+            ::apache::thrift::protocol::TType _etype578;
+            xfer += iprot->readListBegin(_etype578, _size575);
+            this->answers.resize(_size575);
+            uint32_t _i579;
+            for (_i579 = 0; _i579 < _size575; ++_i579)
             {
-              xfer += this->answers[_i569].read(iprot);
+              xfer += this->answers[_i579].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14839,14 +15070,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size570;
-            ::apache::thrift::protocol::TType _etype573;
-            xfer += iprot->readListBegin(_etype573, _size570);
-            this->suspects.resize(_size570);
-            uint32_t _i574;
-            for (_i574 = 0; _i574 < _size570; ++_i574)
+            uint32_t _size580;
+            ::apache::thrift::protocol::TType _etype583;
+            xfer += iprot->readListBegin(_etype583, _size580);
+            this->suspects.resize(_size580);
+            uint32_t _i584;
+            for (_i584 = 0; _i584 < _size580; ++_i584)
             {
-              xfer += iprot->readString(this->suspects[_i574]);
+              xfer += iprot->readString(this->suspects[_i584]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14879,10 +15110,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter575;
-    for (_iter575 = this->answers.begin(); _iter575 != this->answers.end(); ++_iter575)
+    std::vector<PlaceAnswer> ::const_iterator _iter585;
+    for (_iter585 = this->answers.begin(); _iter585 != this->answers.end(); ++_iter585)
     {
-      xfer += (*_iter575).write(oprot);
+      xfer += (*_iter585).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14896,10 +15127,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<std::string> ::const_iterator _iter576;
-      for (_iter576 = this->suspects.begin(); _iter576 != this->suspects.end(); ++_iter576)
+      std::vector<std::string> ::const_iterator _iter586;
+      for (_iter586 = this->suspects.begin(); _iter586 != this->suspects.end(); ++_iter586)
       {
-        xfer += oprot->writeString((*_iter576));
+        xfer += oprot->writeString((*_iter586));
       }
       xfer += oprot->writeListEnd();
     }
@@ -14919,34 +15150,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswers::PlaceAnswers(const PlaceAnswers& other577) {
-  epoch = other577.epoch;
-  answers = other577.answers;
-  not_broker = other577.not_broker;
-  suspects = other577.suspects;
-  __isset = other577.__isset;
-}
-PlaceAnswers::PlaceAnswers(PlaceAnswers&& other578) noexcept {
-  epoch = other578.epoch;
-  answers = std::move(other578.answers);
-  not_broker = other578.not_broker;
-  suspects = std::move(other578.suspects);
-  __isset = other578.__isset;
-}
-PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other579) {
-  epoch = other579.epoch;
-  answers = other579.answers;
-  not_broker = other579.not_broker;
-  suspects = other579.suspects;
-  __isset = other579.__isset;
+PlaceAnswers::PlaceAnswers(const PlaceAnswers& other587) {
+  epoch = other587.epoch;
+  answers = other587.answers;
+  not_broker = other587.not_broker;
+  suspects = other587.suspects;
+  __isset = other587.__isset;
+}
+PlaceAnswers::PlaceAnswers(PlaceAnswers&& other588) noexcept {
+  epoch = other588.epoch;
+  answers = std::move(other588.answers);
+  not_broker = other588.not_broker;
+  suspects = std::move(other588.suspects);
+  __isset = other588.__isset;
+}
+PlaceAnswers& PlaceAnswers::operator=(const PlaceAnswers& other589) {
+  epoch = other589.epoch;
+  answers = other589.answers;
+  not_broker = other589.not_broker;
+  suspects = other589.suspects;
+  __isset = other589.__isset;
   return *this;
 }
-PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other580) noexcept {
-  epoch = other580.epoch;
-  answers = std::move(other580.answers);
-  not_broker = other580.not_broker;
-  suspects = std::move(other580.suspects);
-  __isset = other580.__isset;
+PlaceAnswers& PlaceAnswers::operator=(PlaceAnswers&& other590) noexcept {
+  epoch = other590.epoch;
+  answers = std::move(other590.answers);
+  not_broker = other590.not_broker;
+  suspects = std::move(other590.suspects);
+  __isset = other590.__isset;
   return *this;
 }
 void PlaceAnswers::printTo(std::ostream& out) const {
@@ -15035,22 +15266,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentRead::DocumentRead(const DocumentRead& other581) noexcept {
-  have_version = other581.have_version;
-  __isset = other581.__isset;
+DocumentRead::DocumentRead(const DocumentRead& other591) noexcept {
+  have_version = other591.have_version;
+  __isset = other591.__isset;
 }
-DocumentRead::DocumentRead(DocumentRead&& other582) noexcept {
-  have_version = other582.have_version;
-  __isset = other582.__isset;
+DocumentRead::DocumentRead(DocumentRead&& other592) noexcept {
+  have_version = other592.have_version;
+  __isset = other592.__isset;
 }
-DocumentRead& DocumentRead::operator=(const DocumentRead& other583) noexcept {
-  have_version = other583.have_version;
-  __isset = other583.__isset;
+DocumentRead& DocumentRead::operator=(const DocumentRead& other593) noexcept {
+  have_version = other593.have_version;
+  __isset = other593.__isset;
   return *this;
 }
-DocumentRead& DocumentRead::operator=(DocumentRead&& other584) noexcept {
-  have_version = other584.have_version;
-  __isset = other584.__isset;
+DocumentRead& DocumentRead::operator=(DocumentRead&& other594) noexcept {
+  have_version = other594.have_version;
+  __isset = other594.__isset;
   return *this;
 }
 void DocumentRead::printTo(std::ostream& out) const {
@@ -15100,14 +15331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size585;
-            ::apache::thrift::protocol::TType _etype588;
-            xfer += iprot->readListBegin(_etype588, _size585);
-            this->steps.resize(_size585);
-            uint32_t _i589;
-            for (_i589 = 0; _i589 < _size585; ++_i589)
+            uint32_t _size595;
+            ::apache::thrift::protocol::TType _etype598;
+            xfer += iprot->readListBegin(_etype598, _size595);
+            this->steps.resize(_size595);
+            uint32_t _i599;
+            for (_i599 = 0; _i599 < _size595; ++_i599)
             {
-              xfer += this->steps[_i589].read(iprot);
+              xfer += this->steps[_i599].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15136,10 +15367,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<DocumentChange> ::const_iterator _iter590;
-    for (_iter590 = this->steps.begin(); _iter590 != this->steps.end(); ++_iter590)
+    std::vector<DocumentChange> ::const_iterator _iter600;
+    for (_iter600 = this->steps.begin(); _iter600 != this->steps.end(); ++_iter600)
     {
-      xfer += (*_iter590).write(oprot);
+      xfer += (*_iter600).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15156,22 +15387,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DocumentSteps::DocumentSteps(const DocumentSteps& other591) {
-  steps = other591.steps;
-  __isset = other591.__isset;
+DocumentSteps::DocumentSteps(const DocumentSteps& other601) {
+  steps = other601.steps;
+  __isset = other601.__isset;
 }
-DocumentSteps::DocumentSteps(DocumentSteps&& other592) noexcept {
-  steps = std::move(other592.steps);
-  __isset = other592.__isset;
+DocumentSteps::DocumentSteps(DocumentSteps&& other602) noexcept {
+  steps = std::move(other602.steps);
+  __isset = other602.__isset;
 }
-DocumentSteps& DocumentSteps::operator=(const DocumentSteps& other593) {
-  steps = other593.steps;
-  __isset = other593.__isset;
+DocumentSteps& DocumentSteps::operator=(const DocumentSteps& other603) {
+  steps = other603.steps;
+  __isset = other603.__isset;
   return *this;
 }
-DocumentSteps& DocumentSteps::operator=(DocumentSteps&& other594) noexcept {
-  steps = std::move(other594.steps);
-  __isset = other594.__isset;
+DocumentSteps& DocumentSteps::operator=(DocumentSteps&& other604) noexcept {
+  steps = std::move(other604.steps);
+  __isset = other604.__isset;
   return *this;
 }
 void DocumentSteps::printTo(std::ostream& out) const {
@@ -15257,22 +15488,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other595) noexcept {
-  here = other595.here;
-  __isset = other595.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other605) noexcept {
+  here = other605.here;
+  __isset = other605.__isset;
 }
-StatusRequest::StatusRequest(StatusRequest&& other596) noexcept {
-  here = other596.here;
-  __isset = other596.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other606) noexcept {
+  here = other606.here;
+  __isset = other606.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other597) noexcept {
-  here = other597.here;
-  __isset = other597.__isset;
+StatusRequest& StatusRequest::operator=(const StatusRequest& other607) noexcept {
+  here = other607.here;
+  __isset = other607.__isset;
   return *this;
 }
-StatusRequest& StatusRequest::operator=(StatusRequest&& other598) noexcept {
-  here = other598.here;
-  __isset = other598.__isset;
+StatusRequest& StatusRequest::operator=(StatusRequest&& other608) noexcept {
+  here = other608.here;
+  __isset = other608.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -15511,58 +15742,58 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceStatus::InstanceStatus(const InstanceStatus& other599) {
-  instance = other599.instance;
-  incarnation = other599.incarnation;
-  data_centre = other599.data_centre;
-  version_in_force = other599.version_in_force;
-  ready = other599.ready;
-  stopping = other599.stopping;
-  age_ms = other599.age_ms;
-  http = other599.http;
-  address = other599.address;
-  port = other599.port;
-  __isset = other599.__isset;
-}
-InstanceStatus::InstanceStatus(InstanceStatus&& other600) noexcept {
-  instance = std::move(other600.instance);
-  incarnation = std::move(other600.incarnation);
-  data_centre = std::move(other600.data_centre);
-  version_in_force = other600.version_in_force;
-  ready = other600.ready;
-  stopping = other600.stopping;
-  age_ms = other600.age_ms;
-  http = std::move(other600.http);
-  address = std::move(other600.address);
-  port = other600.port;
-  __isset = other600.__isset;
-}
-InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other601) {
-  instance = other601.instance;
-  incarnation = other601.incarnation;
-  data_centre = other601.data_centre;
-  version_in_force = other601.version_in_force;
-  ready = other601.ready;
-  stopping = other601.stopping;
-  age_ms = other601.age_ms;
-  http = other601.http;
-  address = other601.address;
-  port = other601.port;
-  __isset = other601.__isset;
+InstanceStatus::InstanceStatus(const InstanceStatus& other609) {
+  instance = other609.instance;
+  incarnation = other609.incarnation;
+  data_centre = other609.data_centre;
+  version_in_force = other609.version_in_force;
+  ready = other609.ready;
+  stopping = other609.stopping;
+  age_ms = other609.age_ms;
+  http = other609.http;
+  address = other609.address;
+  port = other609.port;
+  __isset = other609.__isset;
+}
+InstanceStatus::InstanceStatus(InstanceStatus&& other610) noexcept {
+  instance = std::move(other610.instance);
+  incarnation = std::move(other610.incarnation);
+  data_centre = std::move(other610.data_centre);
+  version_in_force = other610.version_in_force;
+  ready = other610.ready;
+  stopping = other610.stopping;
+  age_ms = other610.age_ms;
+  http = std::move(other610.http);
+  address = std::move(other610.address);
+  port = other610.port;
+  __isset = other610.__isset;
+}
+InstanceStatus& InstanceStatus::operator=(const InstanceStatus& other611) {
+  instance = other611.instance;
+  incarnation = other611.incarnation;
+  data_centre = other611.data_centre;
+  version_in_force = other611.version_in_force;
+  ready = other611.ready;
+  stopping = other611.stopping;
+  age_ms = other611.age_ms;
+  http = other611.http;
+  address = other611.address;
+  port = other611.port;
+  __isset = other611.__isset;
   return *this;
 }
-InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other602) noexcept {
-  instance = std::move(other602.instance);
-  incarnation = std::move(other602.incarnation);
-  data_centre = std::move(other602.data_centre);
-  version_in_force = other602.version_in_force;
-  ready = other602.ready;
-  stopping = other602.stopping;
-  age_ms = other602.age_ms;
-  http = std::move(other602.http);
-  address = std::move(other602.address);
-  port = other602.port;
-  __isset = other602.__isset;
+InstanceStatus& InstanceStatus::operator=(InstanceStatus&& other612) noexcept {
+  instance = std::move(other612.instance);
+  incarnation = std::move(other612.incarnation);
+  data_centre = std::move(other612.data_centre);
+  version_in_force = other612.version_in_force;
+  ready = other612.ready;
+  stopping = other612.stopping;
+  age_ms = other612.age_ms;
+  http = std::move(other612.http);
+  address = std::move(other612.address);
+  port = other612.port;
+  __isset = other612.__isset;
   return *this;
 }
 void InstanceStatus::printTo(std::ostream& out) const {
@@ -15691,30 +15922,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationStatus::EvacuationStatus(const EvacuationStatus& other603) {
-  evacuation = other603.evacuation;
-  servers = other603.servers;
-  running = other603.running;
-  __isset = other603.__isset;
+EvacuationStatus::EvacuationStatus(const EvacuationStatus& other613) {
+  evacuation = other613.evacuation;
+  servers = other613.servers;
+  running = other613.running;
+  __isset = other613.__isset;
 }
-EvacuationStatus::EvacuationStatus(EvacuationStatus&& other604) noexcept {
-  evacuation = std::move(other604.evacuation);
-  servers = other604.servers;
-  running = other604.running;
-  __isset = other604.__isset;
+EvacuationStatus::EvacuationStatus(EvacuationStatus&& other614) noexcept {
+  evacuation = std::move(other614.evacuation);
+  servers = other614.servers;
+  running = other614.running;
+  __isset = other614.__isset;
 }
-EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other605) {
-  evacuation = other605.evacuation;
-  servers = other605.servers;
-  running = other605.running;
-  __isset = other605.__isset;
+EvacuationStatus& EvacuationStatus::operator=(const EvacuationStatus& other615) {
+  evacuation = other615.evacuation;
+  servers = other615.servers;
+  running = other615.running;
+  __isset = other615.__isset;
   return *this;
 }
-EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other606) noexcept {
-  evacuation = std::move(other606.evacuation);
-  servers = other606.servers;
-  running = other606.running;
-  __isset = other606.__isset;
+EvacuationStatus& EvacuationStatus::operator=(EvacuationStatus&& other616) noexcept {
+  evacuation = std::move(other616.evacuation);
+  servers = other616.servers;
+  running = other616.running;
+  __isset = other616.__isset;
   return *this;
 }
 void EvacuationStatus::printTo(std::ostream& out) const {
@@ -15862,14 +16093,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size607;
-            ::apache::thrift::protocol::TType _etype610;
-            xfer += iprot->readListBegin(_etype610, _size607);
-            this->instances.resize(_size607);
-            uint32_t _i611;
-            for (_i611 = 0; _i611 < _size607; ++_i611)
+            uint32_t _size617;
+            ::apache::thrift::protocol::TType _etype620;
+            xfer += iprot->readListBegin(_etype620, _size617);
+            this->instances.resize(_size617);
+            uint32_t _i621;
+            for (_i621 = 0; _i621 < _size617; ++_i621)
             {
-              xfer += this->instances[_i611].read(iprot);
+              xfer += this->instances[_i621].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15882,14 +16113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size612;
-            ::apache::thrift::protocol::TType _etype615;
-            xfer += iprot->readListBegin(_etype615, _size612);
-            this->leases.resize(_size612);
-            uint32_t _i616;
-            for (_i616 = 0; _i616 < _size612; ++_i616)
+            uint32_t _size622;
+            ::apache::thrift::protocol::TType _etype625;
+            xfer += iprot->readListBegin(_etype625, _size622);
+            this->leases.resize(_size622);
+            uint32_t _i626;
+            for (_i626 = 0; _i626 < _size622; ++_i626)
             {
-              xfer += this->leases[_i616].read(iprot);
+              xfer += this->leases[_i626].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15926,14 +16157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size617;
-            ::apache::thrift::protocol::TType _etype620;
-            xfer += iprot->readListBegin(_etype620, _size617);
-            this->leaving.resize(_size617);
-            uint32_t _i621;
-            for (_i621 = 0; _i621 < _size617; ++_i621)
+            uint32_t _size627;
+            ::apache::thrift::protocol::TType _etype630;
+            xfer += iprot->readListBegin(_etype630, _size627);
+            this->leaving.resize(_size627);
+            uint32_t _i631;
+            for (_i631 = 0; _i631 < _size627; ++_i631)
             {
-              xfer += iprot->readString(this->leaving[_i621]);
+              xfer += iprot->readString(this->leaving[_i631]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15946,14 +16177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size622;
-            ::apache::thrift::protocol::TType _etype625;
-            xfer += iprot->readListBegin(_etype625, _size622);
-            this->evacuations.resize(_size622);
-            uint32_t _i626;
-            for (_i626 = 0; _i626 < _size622; ++_i626)
+            uint32_t _size632;
+            ::apache::thrift::protocol::TType _etype635;
+            xfer += iprot->readListBegin(_etype635, _size632);
+            this->evacuations.resize(_size632);
+            uint32_t _i636;
+            for (_i636 = 0; _i636 < _size632; ++_i636)
             {
-              xfer += this->evacuations[_i626].read(iprot);
+              xfer += this->evacuations[_i636].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16006,10 +16237,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceStatus> ::const_iterator _iter627;
-    for (_iter627 = this->instances.begin(); _iter627 != this->instances.end(); ++_iter627)
+    std::vector<InstanceStatus> ::const_iterator _iter637;
+    for (_iter637 = this->instances.begin(); _iter637 != this->instances.end(); ++_iter637)
     {
-      xfer += (*_iter627).write(oprot);
+      xfer += (*_iter637).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16018,10 +16249,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter628;
-    for (_iter628 = this->leases.begin(); _iter628 != this->leases.end(); ++_iter628)
+    std::vector<LeaseGrant> ::const_iterator _iter638;
+    for (_iter638 = this->leases.begin(); _iter638 != this->leases.end(); ++_iter638)
     {
-      xfer += (*_iter628).write(oprot);
+      xfer += (*_iter638).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16042,10 +16273,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<std::string> ::const_iterator _iter629;
-    for (_iter629 = this->leaving.begin(); _iter629 != this->leaving.end(); ++_iter629)
+    std::vector<std::string> ::const_iterator _iter639;
+    for (_iter639 = this->leaving.begin(); _iter639 != this->leaving.end(); ++_iter639)
     {
-      xfer += oprot->writeString((*_iter629));
+      xfer += oprot->writeString((*_iter639));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16054,10 +16285,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<EvacuationStatus> ::const_iterator _iter630;
-    for (_iter630 = this->evacuations.begin(); _iter630 != this->evacuations.end(); ++_iter630)
+    std::vector<EvacuationStatus> ::const_iterator _iter640;
+    for (_iter640 = this->evacuations.begin(); _iter640 != this->evacuations.end(); ++_iter640)
     {
-      xfer += (*_iter630).write(oprot);
+      xfer += (*_iter640).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16086,70 +16317,70 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other631) {
-  instance = other631.instance;
-  leader_id = other631.leader_id;
-  term = other631.term;
-  commit = other631.commit;
-  version = other631.version;
-  membership = other631.membership;
-  instances = other631.instances;
-  leases = other631.leases;
-  ledger_keys = other631.ledger_keys;
-  leader_here = other631.leader_here;
-  lease_age_ms = other631.lease_age_ms;
-  leaving = other631.leaving;
-  evacuations = other631.evacuations;
-  __isset = other631.__isset;
-}
-StatusReply::StatusReply(StatusReply&& other632) noexcept {
-  instance = std::move(other632.instance);
-  leader_id = other632.leader_id;
-  term = other632.term;
-  commit = other632.commit;
-  version = other632.version;
-  membership = std::move(other632.membership);
-  instances = std::move(other632.instances);
-  leases = std::move(other632.leases);
-  ledger_keys = other632.ledger_keys;
-  leader_here = other632.leader_here;
-  lease_age_ms = other632.lease_age_ms;
-  leaving = std::move(other632.leaving);
-  evacuations = std::move(other632.evacuations);
-  __isset = other632.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other633) {
-  instance = other633.instance;
-  leader_id = other633.leader_id;
-  term = other633.term;
-  commit = other633.commit;
-  version = other633.version;
-  membership = other633.membership;
-  instances = other633.instances;
-  leases = other633.leases;
-  ledger_keys = other633.ledger_keys;
-  leader_here = other633.leader_here;
-  lease_age_ms = other633.lease_age_ms;
-  leaving = other633.leaving;
-  evacuations = other633.evacuations;
-  __isset = other633.__isset;
+StatusReply::StatusReply(const StatusReply& other641) {
+  instance = other641.instance;
+  leader_id = other641.leader_id;
+  term = other641.term;
+  commit = other641.commit;
+  version = other641.version;
+  membership = other641.membership;
+  instances = other641.instances;
+  leases = other641.leases;
+  ledger_keys = other641.ledger_keys;
+  leader_here = other641.leader_here;
+  lease_age_ms = other641.lease_age_ms;
+  leaving = other641.leaving;
+  evacuations = other641.evacuations;
+  __isset = other641.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other642) noexcept {
+  instance = std::move(other642.instance);
+  leader_id = other642.leader_id;
+  term = other642.term;
+  commit = other642.commit;
+  version = other642.version;
+  membership = std::move(other642.membership);
+  instances = std::move(other642.instances);
+  leases = std::move(other642.leases);
+  ledger_keys = other642.ledger_keys;
+  leader_here = other642.leader_here;
+  lease_age_ms = other642.lease_age_ms;
+  leaving = std::move(other642.leaving);
+  evacuations = std::move(other642.evacuations);
+  __isset = other642.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other643) {
+  instance = other643.instance;
+  leader_id = other643.leader_id;
+  term = other643.term;
+  commit = other643.commit;
+  version = other643.version;
+  membership = other643.membership;
+  instances = other643.instances;
+  leases = other643.leases;
+  ledger_keys = other643.ledger_keys;
+  leader_here = other643.leader_here;
+  lease_age_ms = other643.lease_age_ms;
+  leaving = other643.leaving;
+  evacuations = other643.evacuations;
+  __isset = other643.__isset;
   return *this;
 }
-StatusReply& StatusReply::operator=(StatusReply&& other634) noexcept {
-  instance = std::move(other634.instance);
-  leader_id = other634.leader_id;
-  term = other634.term;
-  commit = other634.commit;
-  version = other634.version;
-  membership = std::move(other634.membership);
-  instances = std::move(other634.instances);
-  leases = std::move(other634.leases);
-  ledger_keys = other634.ledger_keys;
-  leader_here = other634.leader_here;
-  lease_age_ms = other634.lease_age_ms;
-  leaving = std::move(other634.leaving);
-  evacuations = std::move(other634.evacuations);
-  __isset = other634.__isset;
+StatusReply& StatusReply::operator=(StatusReply&& other644) noexcept {
+  instance = std::move(other644.instance);
+  leader_id = other644.leader_id;
+  term = other644.term;
+  commit = other644.commit;
+  version = other644.version;
+  membership = std::move(other644.membership);
+  instances = std::move(other644.instances);
+  leases = std::move(other644.leases);
+  ledger_keys = other644.ledger_keys;
+  leader_here = other644.leader_here;
+  lease_age_ms = other644.lease_age_ms;
+  leaving = std::move(other644.leaving);
+  evacuations = std::move(other644.evacuations);
+  __isset = other644.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -16247,22 +16478,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsRequest::ObjectsRequest(const ObjectsRequest& other635) noexcept {
-  history = other635.history;
-  __isset = other635.__isset;
+ObjectsRequest::ObjectsRequest(const ObjectsRequest& other645) noexcept {
+  history = other645.history;
+  __isset = other645.__isset;
 }
-ObjectsRequest::ObjectsRequest(ObjectsRequest&& other636) noexcept {
-  history = other636.history;
-  __isset = other636.__isset;
+ObjectsRequest::ObjectsRequest(ObjectsRequest&& other646) noexcept {
+  history = other646.history;
+  __isset = other646.__isset;
 }
-ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other637) noexcept {
-  history = other637.history;
-  __isset = other637.__isset;
+ObjectsRequest& ObjectsRequest::operator=(const ObjectsRequest& other647) noexcept {
+  history = other647.history;
+  __isset = other647.__isset;
   return *this;
 }
-ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other638) noexcept {
-  history = other638.history;
-  __isset = other638.__isset;
+ObjectsRequest& ObjectsRequest::operator=(ObjectsRequest&& other648) noexcept {
+  history = other648.history;
+  __isset = other648.__isset;
   return *this;
 }
 void ObjectsRequest::printTo(std::ostream& out) const {
@@ -16328,14 +16559,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size639;
-            ::apache::thrift::protocol::TType _etype642;
-            xfer += iprot->readListBegin(_etype642, _size639);
-            this->objects.resize(_size639);
-            uint32_t _i643;
-            for (_i643 = 0; _i643 < _size639; ++_i643)
+            uint32_t _size649;
+            ::apache::thrift::protocol::TType _etype652;
+            xfer += iprot->readListBegin(_etype652, _size649);
+            this->objects.resize(_size649);
+            uint32_t _i653;
+            for (_i653 = 0; _i653 < _size649; ++_i653)
             {
-              xfer += this->objects[_i643].read(iprot);
+              xfer += this->objects[_i653].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16348,14 +16579,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size644;
-            ::apache::thrift::protocol::TType _etype647;
-            xfer += iprot->readListBegin(_etype647, _size644);
-            this->history.resize(_size644);
-            uint32_t _i648;
-            for (_i648 = 0; _i648 < _size644; ++_i648)
+            uint32_t _size654;
+            ::apache::thrift::protocol::TType _etype657;
+            xfer += iprot->readListBegin(_etype657, _size654);
+            this->history.resize(_size654);
+            uint32_t _i658;
+            for (_i658 = 0; _i658 < _size654; ++_i658)
             {
-              xfer += this->history[_i648].read(iprot);
+              xfer += this->history[_i658].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16388,10 +16619,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectText> ::const_iterator _iter649;
-    for (_iter649 = this->objects.begin(); _iter649 != this->objects.end(); ++_iter649)
+    std::vector<ObjectText> ::const_iterator _iter659;
+    for (_iter659 = this->objects.begin(); _iter659 != this->objects.end(); ++_iter659)
     {
-      xfer += (*_iter649).write(oprot);
+      xfer += (*_iter659).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16400,10 +16631,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter650;
-    for (_iter650 = this->history.begin(); _iter650 != this->history.end(); ++_iter650)
+    std::vector<HistoryRow> ::const_iterator _iter660;
+    for (_iter660 = this->history.begin(); _iter660 != this->history.end(); ++_iter660)
     {
-      xfer += (*_iter650).write(oprot);
+      xfer += (*_iter660).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16422,30 +16653,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectsReply::ObjectsReply(const ObjectsReply& other651) {
-  version = other651.version;
-  objects = other651.objects;
-  history = other651.history;
-  __isset = other651.__isset;
+ObjectsReply::ObjectsReply(const ObjectsReply& other661) {
+  version = other661.version;
+  objects = other661.objects;
+  history = other661.history;
+  __isset = other661.__isset;
 }
-ObjectsReply::ObjectsReply(ObjectsReply&& other652) noexcept {
-  version = other652.version;
-  objects = std::move(other652.objects);
-  history = std::move(other652.history);
-  __isset = other652.__isset;
+ObjectsReply::ObjectsReply(ObjectsReply&& other662) noexcept {
+  version = other662.version;
+  objects = std::move(other662.objects);
+  history = std::move(other662.history);
+  __isset = other662.__isset;
 }
-ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other653) {
-  version = other653.version;
-  objects = other653.objects;
-  history = other653.history;
-  __isset = other653.__isset;
+ObjectsReply& ObjectsReply::operator=(const ObjectsReply& other663) {
+  version = other663.version;
+  objects = other663.objects;
+  history = other663.history;
+  __isset = other663.__isset;
   return *this;
 }
-ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other654) noexcept {
-  version = other654.version;
-  objects = std::move(other654.objects);
-  history = std::move(other654.history);
-  __isset = other654.__isset;
+ObjectsReply& ObjectsReply::operator=(ObjectsReply&& other664) noexcept {
+  version = other664.version;
+  objects = std::move(other664.objects);
+  history = std::move(other664.history);
+  __isset = other664.__isset;
   return *this;
 }
 void ObjectsReply::printTo(std::ostream& out) const {
@@ -16533,22 +16764,22 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainRequest::DrainRequest(const DrainRequest& other655) {
-  instance = other655.instance;
-  __isset = other655.__isset;
+DrainRequest::DrainRequest(const DrainRequest& other665) {
+  instance = other665.instance;
+  __isset = other665.__isset;
 }
-DrainRequest::DrainRequest(DrainRequest&& other656) noexcept {
-  instance = std::move(other656.instance);
-  __isset = other656.__isset;
+DrainRequest::DrainRequest(DrainRequest&& other666) noexcept {
+  instance = std::move(other666.instance);
+  __isset = other666.__isset;
 }
-DrainRequest& DrainRequest::operator=(const DrainRequest& other657) {
-  instance = other657.instance;
-  __isset = other657.__isset;
+DrainRequest& DrainRequest::operator=(const DrainRequest& other667) {
+  instance = other667.instance;
+  __isset = other667.__isset;
   return *this;
 }
-DrainRequest& DrainRequest::operator=(DrainRequest&& other658) noexcept {
-  instance = std::move(other658.instance);
-  __isset = other658.__isset;
+DrainRequest& DrainRequest::operator=(DrainRequest&& other668) noexcept {
+  instance = std::move(other668.instance);
+  __isset = other668.__isset;
   return *this;
 }
 void DrainRequest::printTo(std::ostream& out) const {
@@ -16685,34 +16916,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ErrorReply::ErrorReply(const ErrorReply& other659) {
-  code = other659.code;
-  message = other659.message;
-  leader_address = other659.leader_address;
-  leader_port = other659.leader_port;
-  __isset = other659.__isset;
-}
-ErrorReply::ErrorReply(ErrorReply&& other660) noexcept {
-  code = other660.code;
-  message = std::move(other660.message);
-  leader_address = std::move(other660.leader_address);
-  leader_port = other660.leader_port;
-  __isset = other660.__isset;
-}
-ErrorReply& ErrorReply::operator=(const ErrorReply& other661) {
-  code = other661.code;
-  message = other661.message;
-  leader_address = other661.leader_address;
-  leader_port = other661.leader_port;
-  __isset = other661.__isset;
+ErrorReply::ErrorReply(const ErrorReply& other669) {
+  code = other669.code;
+  message = other669.message;
+  leader_address = other669.leader_address;
+  leader_port = other669.leader_port;
+  __isset = other669.__isset;
+}
+ErrorReply::ErrorReply(ErrorReply&& other670) noexcept {
+  code = other670.code;
+  message = std::move(other670.message);
+  leader_address = std::move(other670.leader_address);
+  leader_port = other670.leader_port;
+  __isset = other670.__isset;
+}
+ErrorReply& ErrorReply::operator=(const ErrorReply& other671) {
+  code = other671.code;
+  message = other671.message;
+  leader_address = other671.leader_address;
+  leader_port = other671.leader_port;
+  __isset = other671.__isset;
   return *this;
 }
-ErrorReply& ErrorReply::operator=(ErrorReply&& other662) noexcept {
-  code = other662.code;
-  message = std::move(other662.message);
-  leader_address = std::move(other662.leader_address);
-  leader_port = other662.leader_port;
-  __isset = other662.__isset;
+ErrorReply& ErrorReply::operator=(ErrorReply&& other672) noexcept {
+  code = other672.code;
+  message = std::move(other672.message);
+  leader_address = std::move(other672.leader_address);
+  leader_port = other672.leader_port;
+  __isset = other672.__isset;
   return *this;
 }
 void ErrorReply::printTo(std::ostream& out) const {
