@@ -17373,142 +17604,142 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other663) {
-  log = other663.log;
-  hello = other663.hello;
-  hello_reply = other663.hello_reply;
-  heartbeat = other663.heartbeat;
-  heartbeat_reply = other663.heartbeat_reply;
-  propose = other663.propose;
-  propose_reply = other663.propose_reply;
-  poll = other663.poll;
-  delta = other663.delta;
-  demand = other663.demand;
-  grants = other663.grants;
-  status = other663.status;
-  status_reply = other663.status_reply;
-  objects = other663.objects;
-  objects_reply = other663.objects_reply;
-  drain = other663.drain;
-  error = other663.error;
-  done = other663.done;
-  document = other663.document;
-  server_seen = other663.server_seen;
-  place_batch = other663.place_batch;
-  place_answers = other663.place_answers;
-  rollout_order = other663.rollout_order;
-  rollout_request = other663.rollout_request;
-  rollout = other663.rollout;
-  evacuation_order = other663.evacuation_order;
-  document_change = other663.document_change;
-  document_read = other663.document_read;
-  document_steps = other663.document_steps;
-  piece_request = other663.piece_request;
-  piece = other663.piece;
-  __isset = other663.__isset;
-}
-Body::Body(Body&& other664) noexcept {
-  log = std::move(other664.log);
-  hello = std::move(other664.hello);
-  hello_reply = std::move(other664.hello_reply);
-  heartbeat = std::move(other664.heartbeat);
-  heartbeat_reply = std::move(other664.heartbeat_reply);
-  propose = std::move(other664.propose);
-  propose_reply = std::move(other664.propose_reply);
-  poll = std::move(other664.poll);
-  delta = std::move(other664.delta);
-  demand = std::move(other664.demand);
-  grants = std::move(other664.grants);
-  status = std::move(other664.status);
-  status_reply = std::move(other664.status_reply);
-  objects = std::move(other664.objects);
-  objects_reply = std::move(other664.objects_reply);
-  drain = std::move(other664.drain);
-  error = std::move(other664.error);
-  done = other664.done;
-  document = std::move(other664.document);
-  server_seen = std::move(other664.server_seen);
-  place_batch = std::move(other664.place_batch);
-  place_answers = std::move(other664.place_answers);
-  rollout_order = std::move(other664.rollout_order);
-  rollout_request = std::move(other664.rollout_request);
-  rollout = std::move(other664.rollout);
-  evacuation_order = std::move(other664.evacuation_order);
-  document_change = std::move(other664.document_change);
-  document_read = std::move(other664.document_read);
-  document_steps = std::move(other664.document_steps);
-  piece_request = std::move(other664.piece_request);
-  piece = std::move(other664.piece);
-  __isset = other664.__isset;
-}
-Body& Body::operator=(const Body& other665) {
-  log = other665.log;
-  hello = other665.hello;
-  hello_reply = other665.hello_reply;
-  heartbeat = other665.heartbeat;
-  heartbeat_reply = other665.heartbeat_reply;
-  propose = other665.propose;
-  propose_reply = other665.propose_reply;
-  poll = other665.poll;
-  delta = other665.delta;
-  demand = other665.demand;
-  grants = other665.grants;
-  status = other665.status;
-  status_reply = other665.status_reply;
-  objects = other665.objects;
-  objects_reply = other665.objects_reply;
-  drain = other665.drain;
-  error = other665.error;
-  done = other665.done;
-  document = other665.document;
-  server_seen = other665.server_seen;
-  place_batch = other665.place_batch;
-  place_answers = other665.place_answers;
-  rollout_order = other665.rollout_order;
-  rollout_request = other665.rollout_request;
-  rollout = other665.rollout;
-  evacuation_order = other665.evacuation_order;
-  document_change = other665.document_change;
-  document_read = other665.document_read;
-  document_steps = other665.document_steps;
-  piece_request = other665.piece_request;
-  piece = other665.piece;
-  __isset = other665.__isset;
+Body::Body(const Body& other673) {
+  log = other673.log;
+  hello = other673.hello;
+  hello_reply = other673.hello_reply;
+  heartbeat = other673.heartbeat;
+  heartbeat_reply = other673.heartbeat_reply;
+  propose = other673.propose;
+  propose_reply = other673.propose_reply;
+  poll = other673.poll;
+  delta = other673.delta;
+  demand = other673.demand;
+  grants = other673.grants;
+  status = other673.status;
+  status_reply = other673.status_reply;
+  objects = other673.objects;
+  objects_reply = other673.objects_reply;
+  drain = other673.drain;
+  error = other673.error;
+  done = other673.done;
+  document = other673.document;
+  server_seen = other673.server_seen;
+  place_batch = other673.place_batch;
+  place_answers = other673.place_answers;
+  rollout_order = other673.rollout_order;
+  rollout_request = other673.rollout_request;
+  rollout = other673.rollout;
+  evacuation_order = other673.evacuation_order;
+  document_change = other673.document_change;
+  document_read = other673.document_read;
+  document_steps = other673.document_steps;
+  piece_request = other673.piece_request;
+  piece = other673.piece;
+  __isset = other673.__isset;
+}
+Body::Body(Body&& other674) noexcept {
+  log = std::move(other674.log);
+  hello = std::move(other674.hello);
+  hello_reply = std::move(other674.hello_reply);
+  heartbeat = std::move(other674.heartbeat);
+  heartbeat_reply = std::move(other674.heartbeat_reply);
+  propose = std::move(other674.propose);
+  propose_reply = std::move(other674.propose_reply);
+  poll = std::move(other674.poll);
+  delta = std::move(other674.delta);
+  demand = std::move(other674.demand);
+  grants = std::move(other674.grants);
+  status = std::move(other674.status);
+  status_reply = std::move(other674.status_reply);
+  objects = std::move(other674.objects);
+  objects_reply = std::move(other674.objects_reply);
+  drain = std::move(other674.drain);
+  error = std::move(other674.error);
+  done = other674.done;
+  document = std::move(other674.document);
+  server_seen = std::move(other674.server_seen);
+  place_batch = std::move(other674.place_batch);
+  place_answers = std::move(other674.place_answers);
+  rollout_order = std::move(other674.rollout_order);
+  rollout_request = std::move(other674.rollout_request);
+  rollout = std::move(other674.rollout);
+  evacuation_order = std::move(other674.evacuation_order);
+  document_change = std::move(other674.document_change);
+  document_read = std::move(other674.document_read);
+  document_steps = std::move(other674.document_steps);
+  piece_request = std::move(other674.piece_request);
+  piece = std::move(other674.piece);
+  __isset = other674.__isset;
+}
+Body& Body::operator=(const Body& other675) {
+  log = other675.log;
+  hello = other675.hello;
+  hello_reply = other675.hello_reply;
+  heartbeat = other675.heartbeat;
+  heartbeat_reply = other675.heartbeat_reply;
+  propose = other675.propose;
+  propose_reply = other675.propose_reply;
+  poll = other675.poll;
+  delta = other675.delta;
+  demand = other675.demand;
+  grants = other675.grants;
+  status = other675.status;
+  status_reply = other675.status_reply;
+  objects = other675.objects;
+  objects_reply = other675.objects_reply;
+  drain = other675.drain;
+  error = other675.error;
+  done = other675.done;
+  document = other675.document;
+  server_seen = other675.server_seen;
+  place_batch = other675.place_batch;
+  place_answers = other675.place_answers;
+  rollout_order = other675.rollout_order;
+  rollout_request = other675.rollout_request;
+  rollout = other675.rollout;
+  evacuation_order = other675.evacuation_order;
+  document_change = other675.document_change;
+  document_read = other675.document_read;
+  document_steps = other675.document_steps;
+  piece_request = other675.piece_request;
+  piece = other675.piece;
+  __isset = other675.__isset;
   return *this;
 }
-Body& Body::operator=(Body&& other666) noexcept {
-  log = std::move(other666.log);
-  hello = std::move(other666.hello);
-  hello_reply = std::move(other666.hello_reply);
-  heartbeat = std::move(other666.heartbeat);
-  heartbeat_reply = std::move(other666.heartbeat_reply);
-  propose = std::move(other666.propose);
-  propose_reply = std::move(other666.propose_reply);
-  poll = std::move(other666.poll);
-  delta = std::move(other666.delta);
-  demand = std::move(other666.demand);
-  grants = std::move(other666.grants);
-  status = std::move(other666.status);
-  status_reply = std::move(other666.status_reply);
-  objects = std::move(other666.objects);
-  objects_reply = std::move(other666.objects_reply);
-  drain = std::move(other666.drain);
-  error = std::move(other666.error);
-  done = other666.done;
-  document = std::move(other666.document);
-  server_seen = std::move(other666.server_seen);
-  place_batch = std::move(other666.place_batch);
-  place_answers = std::move(other666.place_answers);
-  rollout_order = std::move(other666.rollout_order);
-  rollout_request = std::move(other666.rollout_request);
-  rollout = std::move(other666.rollout);
-  evacuation_order = std::move(other666.evacuation_order);
-  document_change = std::move(other666.document_change);
-  document_read = std::move(other666.document_read);
-  document_steps = std::move(other666.document_steps);
-  piece_request = std::move(other666.piece_request);
-  piece = std::move(other666.piece);
-  __isset = other666.__isset;
+Body& Body::operator=(Body&& other676) noexcept {
+  log = std::move(other676.log);
+  hello = std::move(other676.hello);
+  hello_reply = std::move(other676.hello_reply);
+  heartbeat = std::move(other676.heartbeat);
+  heartbeat_reply = std::move(other676.heartbeat_reply);
+  propose = std::move(other676.propose);
+  propose_reply = std::move(other676.propose_reply);
+  poll = std::move(other676.poll);
+  delta = std::move(other676.delta);
+  demand = std::move(other676.demand);
+  grants = std::move(other676.grants);
+  status = std::move(other676.status);
+  status_reply = std::move(other676.status_reply);
+  objects = std::move(other676.objects);
+  objects_reply = std::move(other676.objects_reply);
+  drain = std::move(other676.drain);
+  error = std::move(other676.error);
+  done = other676.done;
+  document = std::move(other676.document);
+  server_seen = std::move(other676.server_seen);
+  place_batch = std::move(other676.place_batch);
+  place_answers = std::move(other676.place_answers);
+  rollout_order = std::move(other676.rollout_order);
+  rollout_request = std::move(other676.rollout_request);
+  rollout = std::move(other676.rollout);
+  evacuation_order = std::move(other676.evacuation_order);
+  document_change = std::move(other676.document_change);
+  document_read = std::move(other676.document_read);
+  document_steps = std::move(other676.document_steps);
+  piece_request = std::move(other676.piece_request);
+  piece = std::move(other676.piece);
+  __isset = other676.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -17658,30 +17889,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other667) {
-  id = other667.id;
-  reply = other667.reply;
-  body = other667.body;
-  __isset = other667.__isset;
+Envelope::Envelope(const Envelope& other677) {
+  id = other677.id;
+  reply = other677.reply;
+  body = other677.body;
+  __isset = other677.__isset;
 }
-Envelope::Envelope(Envelope&& other668) noexcept {
-  id = other668.id;
-  reply = other668.reply;
-  body = std::move(other668.body);
-  __isset = other668.__isset;
+Envelope::Envelope(Envelope&& other678) noexcept {
+  id = other678.id;
+  reply = other678.reply;
+  body = std::move(other678.body);
+  __isset = other678.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other669) {
-  id = other669.id;
-  reply = other669.reply;
-  body = other669.body;
-  __isset = other669.__isset;
+Envelope& Envelope::operator=(const Envelope& other679) {
+  id = other679.id;
+  reply = other679.reply;
+  body = other679.body;
+  __isset = other679.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other670) noexcept {
-  id = other670.id;
-  reply = other670.reply;
-  body = std::move(other670.body);
-  __isset = other670.__isset;
+Envelope& Envelope::operator=(Envelope&& other680) noexcept {
+  id = other680.id;
+  reply = other680.reply;
+  body = std::move(other680.body);
+  __isset = other680.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -274,6 +274,8 @@
 
 class MachineState;
 
+class PeerAddress;
+
 class Heartbeat;
 
 class HeartbeatReply;
@@ -3497,8 +3499,60 @@
 
 std::ostream& operator<<(std::ostream& out, const MachineState& obj);
 
+typedef struct _PeerAddress__isset {
+  _PeerAddress__isset() : address(false), port(false) {}
+  bool address :1;
+  bool port :1;
+} _PeerAddress__isset;
+
+class PeerAddress : public virtual ::apache::thrift::TBase {
+ public:
+
+  PeerAddress(const PeerAddress&);
+  PeerAddress(PeerAddress&&) noexcept;
+  PeerAddress& operator=(const PeerAddress&);
+  PeerAddress& operator=(PeerAddress&&) noexcept;
+  PeerAddress() noexcept
+              : address(),
+                port(0) {
+  }
+
+  virtual ~PeerAddress() noexcept;
+  std::string address;
+  int32_t port;
+
+  _PeerAddress__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  bool operator == (const PeerAddress & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    return true;
+  }
+  bool operator != (const PeerAddress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PeerAddress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PeerAddress &a, PeerAddress &b);
+
+std::ostream& operator<<(std::ostream& out, const PeerAddress& obj);
+
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false), members_seen(false) {}
+  _Heartbeat__isset() : instance(false), incarnation(false), address(false), port(false), data_centre(false), version_in_force(false), ready(false), stopping(false), http(false), leases_seen(false), members_seen(false), relay_port(false), cut_off(false), wants_helpers(false) {}
   bool instance :1;
   bool incarnation :1;
   bool address :1;
@@ -3510,6 +3564,9 @@
   bool http :1;
   bool leases_seen :1;
   bool members_seen :1;
+  bool relay_port :1;
+  bool cut_off :1;
+  bool wants_helpers :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -3530,7 +3587,10 @@
               stopping(0),
               http(),
               leases_seen(0),
-              members_seen(0) {
+              members_seen(0),
+              relay_port(0),
+              cut_off(0),
+              wants_helpers(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -3545,6 +3605,9 @@
   std::string http;
   int64_t leases_seen;
   int64_t members_seen;
+  int32_t relay_port;
+  bool cut_off;
+  bool wants_helpers;
 
   _Heartbeat__isset __isset;
 
@@ -3570,6 +3633,12 @@
 
   void __set_members_seen(const int64_t val);
 
+  void __set_relay_port(const int32_t val);
+
+  void __set_cut_off(const bool val);
+
+  void __set_wants_helpers(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -3594,6 +3663,12 @@
       return false;
     if (!(members_seen == rhs.members_seen))
       return false;
+    if (!(relay_port == rhs.relay_port))
+      return false;
+    if (!(cut_off == rhs.cut_off))
+      return false;
+    if (!(wants_helpers == rhs.wants_helpers))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
@@ -3613,7 +3688,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), members_digest(false) {}
+  _HeartbeatReply__isset() : leases(false), version(false), leader_term(false), live(false), leases_index(false), leases_same(false), members(false), document_version(false), servers_index(false), members_digest(false), helpers(false) {}
   bool leases :1;
   bool version :1;
   bool leader_term :1;
@@ -3624,6 +3699,7 @@
   bool document_version :1;
   bool servers_index :1;
   bool members_digest :1;
+  bool helpers :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -3655,6 +3731,7 @@
   int64_t document_version;
   int64_t servers_index;
   int64_t members_digest;
+  std::vector<PeerAddress>  helpers;
 
   _HeartbeatReply__isset __isset;
 
@@ -3678,6 +3755,8 @@
 
   void __set_members_digest(const int64_t val);
 
+  void __set_helpers(const std::vector<PeerAddress> & val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leases == rhs.leases))
@@ -3700,6 +3779,8 @@
       return false;
     if (!(members_digest == rhs.members_digest))
       return false;
+    if (!(helpers == rhs.helpers))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -163,14 +163,21 @@
 }
 
 // ---- Instances to the leader ---------------------------------------------------------------
+struct PeerAddress { 1: string address; 2: i32 port }
 struct Heartbeat {
   1: string instance; 2: string incarnation; 3: string address; 4: i32 port; 5: string data_centre;
   6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen;
   11: i64 members_seen  // The digest of the last member list from the leader.
+  // The port on which the instance passes on calls of others to servers; zero: it doesn't.
+  12: i32 relay_port;
+  13: bool cut_off;  // The instance reaches no backend servers itself.
+  14: bool wants_helpers
 }
 struct HeartbeatReply { 1: list<LeaseGrant> leases; 2: i64 version; 3: i64 leader_term; 4: i32 live; 5: i64 leases_index; 6: bool leases_same;
   7: list<MemberInfo> members; 8: i64 document_version; 9: i64 servers_index;
-  10: i64 members_digest  // `members` is sent only to an instance whose list differs.
+  10: i64 members_digest;  // `members` is sent only to an instance whose list differs.
+  // With `wants_helpers`: some instances that pass on calls to servers.
+  11: list<PeerAddress> helpers
 }
 struct Propose { 1: list<Command> commands }
 union CommandResult { 1: ConfigOutcome config; 2: ClaimResult claim; 3: bool done; 4: RolloutVerdict rollout }
--- /dev/null
+++ b/tests/peer_relay_test.cc
@@ -0,0 +1,382 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+// Calls that an instance makes through another one, since it doesn't reach the server itself.
+//
+// Guards against an instance that refuses its callers, or reports sound servers as lost, while the
+// other instances reach all servers.
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "fake_broker.h"
+#include "forwarder_fixture.h"
+
+namespace poppyway {
+namespace {
+
+/// \brief A listener that lets no connection come up: its queue is full and nobody accepts.
+class SilentListener {
+ public:
+  SilentListener() {
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(where);
+    m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    bind(m_listener, reinterpret_cast<sockaddr*>(&where), size);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&where), &size);
+    listen(m_listener, 0);
+    for (int& fd : m_fill) {
+      fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect(fd, reinterpret_cast<sockaddr*>(&where), size);
+    }
+    m_port = ntohs(where.sin_port);
+  }
+  ~SilentListener() {
+    for (const int fd : m_fill)
+      close(fd);
+    close(m_listener);
+  }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+  [[nodiscard]] std::uint16_t port() const noexcept { return m_port; }
+
+ private:
+  int m_listener = -1;
+  int m_fill[3] = {-1, -1, -1};
+  std::uint16_t m_port = 0;
+};
+
+/// \brief A helper on a loop and a thread of its own.
+///
+/// Both instances know the servers by the same addresses, so a broken path of the one under test is
+/// made by an address that only the helper is told otherwise: see `TwoInstances`.
+class HelperInstance {
+ public:
+  HelperInstance() {
+    m_settings.m_instance = "helper";
+    for (int i = 0; i < kPortTries; ++i) {
+      m_settings.m_caller_endpoint = {"127.0.0.1", FreePort()};
+      m_settings.m_relay_endpoint = {"127.0.0.1", FreePort()};
+      m_forwarder =
+          std::make_unique<Forwarder>(m_loop, m_settings, platform::MakeProtocolAdapter());
+      if (m_forwarder->Listen())
+        break;
+    }
+  }
+  ~HelperInstance() { Stop(); }
+  HelperInstance(const HelperInstance&) = delete;
+  HelperInstance& operator=(const HelperInstance&) = delete;
+
+  void Register(const std::string& id, std::uint16_t port) {
+    wire::ServerRecord record;
+    record.id = id;
+    record.pool = "app";
+    record.address = "127.0.0.1";
+    record.port = port;
+    record.slots = 4;
+    record.stage = wire::ServerStage::READY;
+    record.index = ++m_index;
+    m_forwarder->HandleMessage(ServersChanged{{record}});
+  }
+  /// Runs the loop on a thread until `Stop`. The forwarder must not be used meanwhile.
+  void Run() {
+    m_thread = std::thread([this] {
+      while (!m_stop.load())
+        m_loop.RunFor(5);
+    });
+  }
+  void Stop() {
+    m_stop.store(true);
+    if (m_thread.joinable())
+      m_thread.join();
+  }
+  [[nodiscard]] Forwarder& forwarder() { return *m_forwarder; }
+  [[nodiscard]] Endpoint endpoint() const { return m_settings.m_relay_endpoint; }
+
+ private:
+  EventLoop m_loop;
+  ForwarderSettings m_settings;
+  std::unique_ptr<Forwarder> m_forwarder;
+  std::int64_t m_index = 1;
+  std::atomic<bool> m_stop{false};
+  std::thread m_thread;
+};
+
+/// Returns the raw response to a request on the helper's port.
+CallResult Ask(const Endpoint& helper, const std::string& request) {
+  CallResult seen;
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const timeval limit{3, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(helper.m_port);
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0);
+  send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  char buffer[4096];
+  while (!IsCompleteResponse(seen.m_bytes)) {
+    const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
+    if (got <= 0)
+      break;
+    seen.m_bytes.append(buffer, static_cast<std::size_t>(got));
+  }
+  close(fd);
+  seen.m_bytes = PlainHead(seen.m_bytes);
+  return seen;
+}
+
+std::string RelayRequest(std::uint16_t port, const std::string& method, const std::string& body) {
+  return method + " /safe/x?q=1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n" +
+         "X-Other: kept\r\n" + std::string(kRelayTo) + ": 127.0.0.1:" + std::to_string(port) +
+         "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string CheckOf(std::uint16_t port) {
+  return "GET / HTTP/1.1\r\nHost: h\r\n" + std::string(kRelayTo) +
+         ": 127.0.0.1:" + std::to_string(port) + "\r\n" + std::string(kRelayCheck) + ": 1\r\n\r\n";
+}
+
+std::string FaultLine(RelayFault fault) {
+  return std::string(kRelayFault) + ": " + std::string(RelayFaultName(fault)) + "\r\n";
+}
+
+TEST_CASE("a helper passes a request and its response on unchanged") {
+  const std::string body = GENERATE(std::string(), std::string("abc"), std::string(300'000, 'y'));
+  ScriptedServer server([&](const std::string& request) { return MakeResponse(request, "whole"); });
+  HelperInstance helper;
+  helper.Register("s", server.port());
+  helper.Run();
+  const CallResult seen = Ask(helper.endpoint(), RelayRequest(server.port(), "POST", body));
+  CHECK(seen.status() == 200);
+  CHECK(seen.body() == "whole");
+  CHECK(seen.m_bytes.find("x-response-seal: s") != std::string::npos);
+  REQUIRE(server.requests().size() == 1);
+  const std::string received = server.requests()[0];
+  CHECK(received.starts_with("POST /safe/x?q=1 HTTP/1.1\r\nhost: a.example\r\n"));
+  CHECK(received.find("x-other: kept") != std::string::npos);
+  CHECK(received.find(kRelayTo) == std::string::npos);
+  CHECK(received.ends_with("\r\n\r\n" + body));
+}
+
+TEST_CASE("a helper tells whether it reaches a server, and sends nothing for it") {
+  ScriptedServer server(&MakeOkResponse);
+  HelperInstance helper;
+  helper.Register("s", server.port());
+  helper.Run();
+  const CallResult seen = Ask(helper.endpoint(), CheckOf(server.port()));
+  CHECK(seen.status() == 204);
+  CHECK(seen.m_bytes.find(kRelayFault) == std::string::npos);
+  CHECK(server.requests().empty());
+}
+
+TEST_CASE("a helper that has heard of no server can't tell that one is unreachable") {
+  HelperInstance helper;
+  const std::uint16_t closed = FreePort();
+  helper.Register("gone", closed);
+  helper.Run();
+  CHECK(Ask(helper.endpoint(), CheckOf(closed)).m_bytes.find(FaultLine(RelayFault::kUnavailable)) !=
+        std::string::npos);
+}
+
+TEST_CASE("a helper that reaches others tells that a server is unreachable") {
+  ScriptedServer server(&MakeOkResponse);
+  HelperInstance helper;
+  const std::uint16_t closed = FreePort();
+  helper.Register("s", server.port());
+  helper.Register("gone", closed);
+  helper.Run();
+  CHECK(Ask(helper.endpoint(), CheckOf(server.port())).status() == 204);
+  const std::string fault = FaultLine(RelayFault::kServerUnreachable);
+  CHECK(Ask(helper.endpoint(), CheckOf(closed)).m_bytes.find(fault) != std::string::npos);
+  CHECK(Ask(helper.endpoint(), RelayRequest(closed, "GET", "")).m_bytes.find(fault) !=
+        std::string::npos);
+}
+
+TEST_CASE("a helper passes nothing on to an address that is no server's") {
+  ScriptedServer server(&MakeOkResponse);
+  HelperInstance helper;
+  helper.Run();
+  const CallResult seen = Ask(helper.endpoint(), RelayRequest(server.port(), "GET", ""));
+  CHECK(seen.m_bytes.find(FaultLine(RelayFault::kUnavailable)) != std::string::npos);
+  CHECK(server.connections() == 0);
+}
+
+TEST_CASE("a helper says that a server may have run what broke off") {
+  ScriptedServer server([](const std::string&) { return std::vector<ScriptStep>{ResetNow()}; });
+  HelperInstance helper;
+  helper.Register("s", server.port());
+  helper.Run();
+  const CallResult seen = Ask(helper.endpoint(), RelayRequest(server.port(), "GET", ""));
+  CHECK(seen.m_bytes.find(FaultLine(RelayFault::kBroken)) != std::string::npos);
+}
+
+TEST_CASE("a helper cuts off a response that the server cuts off") {
+  ScriptedServer server([](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send(MakeResponseHead(request, "content-length: 10\r\n") + "short"), ResetNow()};
+  });
+  HelperInstance helper;
+  helper.Register("s", server.port());
+  helper.Run();
+  CHECK_FALSE(IsCompleteResponse(
+      Ask(helper.endpoint(), RelayRequest(server.port(), "GET", "")).m_bytes));
+}
+
+/// \brief An instance whose paths to servers are broken, with a helper that reaches them. The
+/// instance knows the servers at addresses of listeners on which no connection comes up; what it
+/// asks its helper for is translated by `m_translate`, since one address can't be both.
+struct CutOffInstance : ForwarderFixture {
+  ScriptedServer m_helper;
+  int m_calls = 0;
+  std::atomic<int> m_checks{0};
+
+  explicit CutOffInstance(ScriptedServer::Script respond)
+      : m_helper([this, respond = std::move(respond)](const std::string& request) {
+          if (request.find(kRelayCheck) == std::string::npos)
+            return respond(request);
+          ++m_checks;
+          return std::vector<ScriptStep>{Send("HTTP/1.1 204 No Content\r\n\r\n")};
+        }) {
+    Help({{"127.0.0.1", m_helper.port()}});
+  }
+  void Help(const std::vector<Endpoint>& helpers) {
+    m_forwarder->HandleMessage(HelpersChanged{helpers});
+  }
+  void RegisterAt(const std::string& id, std::uint16_t port) {
+    wire::ServerRecord record;
+    record.id = id;
+    record.pool = "app";
+    record.address = "127.0.0.1";
+    record.port = port;
+    record.slots = 4;
+    record.stage = wire::ServerStage::READY;
+    record.index = ++m_index;
+    m_forwarder->HandleMessage(ServersChanged{{record}});
+  }
+  [[nodiscard]] ForwarderState& state() { return m_forwarder->state(); }
+};
+
+TEST_CASE("a request goes through a helper when no connection to its server comes up") {
+  const std::string path = GENERATE("/safe/x", "/once/x");
+  SilentListener silent;
+  CutOffInstance fixture(&MakeOkResponse);
+  fixture.RegisterAt("s", silent.port());
+  const CallResult seen = Call(fixture, Request(path, "r1"));
+  CHECK(seen.status() == 200);
+  CHECK(seen.body() == "ok");
+  // The next one doesn't wait for a connection of its own.
+  const CallResult next = Call(fixture, Request(path, "r2"));
+  CHECK(next.status() == 200);
+  CHECK(next.m_elapsed_ms < 150);
+  CHECK(fixture.state().m_paths.m_cut_off);
+  CHECK(fixture.state().m_backends.at("s").m_health.m_failures == 0);
+}
+
+TEST_CASE("a server that neither an instance nor its helper reaches is reported as unreachable") {
+  const std::uint16_t closed = FreePort();
+  CutOffInstance fixture([](const std::string&) {
+    return std::vector<ScriptStep>{Send("HTTP/1.1 502 Bad\r\ncontent-length: 0\r\n" +
+                                        FaultLine(RelayFault::kServerUnreachable) + "\r\n")};
+  });
+  FakeBroker broker(fixture);
+  fixture.RegisterAt("gone", closed);
+  BackgroundCall call(fixture, Request("/once/x", "r1"), 500);
+  fixture.RunUntil([&] { return !broker.SlotRequests().empty(); });
+  SendSlotResponse(fixture, broker.SlotRequests()[0].m_ref, SlotVerdict::kPlaced, "gone");
+  fixture.RunUntil([&] { return !broker.Reports().empty(); });
+  REQUIRE_FALSE(broker.Reports().empty());
+  const SlotReport report = broker.Reports()[0];
+  CHECK(report.m_health_signal == HealthSignal::kUnreachable);
+  CHECK_FALSE(report.m_may_have_run);
+}
+
+TEST_CASE("a slot whose request went through a helper is reported like any other") {
+  SilentListener silent;
+  CutOffInstance fixture(&MakeOkResponse);
+  FakeBroker broker(fixture);
+  fixture.RegisterAt("s", silent.port());
+  BackgroundCall call(fixture, Request("/once/x", "r1"));
+  fixture.RunUntil([&] { return !broker.SlotRequests().empty(); });
+  SendSlotResponse(fixture, broker.SlotRequests()[0].m_ref, SlotVerdict::kPlaced, "s");
+  CHECK(call.AwaitResponse(fixture).status() == 200);
+  CHECK(broker.SlotRequests().size() == 1);
+  REQUIRE(broker.Reports().size() == 1);
+  CHECK(broker.Reports()[0].m_health_signal == HealthSignal::kSuccess);
+  CHECK(broker.Reports()[0].m_connect == Duration(0));
+}
+
+TEST_CASE("a request goes to the next helper when one can't help") {
+  SilentListener silent;
+  const std::uint16_t closed = FreePort();
+  CutOffInstance fixture(&MakeOkResponse);
+  ScriptedServer unwilling([](const std::string&) {
+    return std::vector<ScriptStep>{Send("HTTP/1.1 502 Bad\r\ncontent-length: 0\r\n" +
+                                        FaultLine(RelayFault::kUnavailable) + "\r\n")};
+  });
+  fixture.RegisterAt("s", silent.port());
+  fixture.Help({{"127.0.0.1", closed},
+                {"127.0.0.1", unwilling.port()},
+                {"127.0.0.1", fixture.m_helper.port()}});
+  CHECK(Call(fixture, Request("/once/x", "r1")).status() == 200);
+}
+
+TEST_CASE("a request that no helper passes on is refused at once, truly as not run") {
+  SilentListener silent;
+  CutOffInstance fixture([](const std::string&) {
+    return std::vector<ScriptStep>{Send("HTTP/1.1 502 Bad\r\ncontent-length: 0\r\n" +
+                                        FaultLine(RelayFault::kUnavailable) + "\r\n")};
+  });
+  fixture.RegisterAt("s", silent.port());
+  (void)Call(fixture, Request("/once/x", "r1"));
+  const CallResult seen = Call(fixture, Request("/once/x", "r2"));
+  CHECK(seen.status() == 503);
+  CHECK(seen.m_elapsed_ms < 700);
+}
+
+TEST_CASE("what broke off at a helper after it was sent isn't called not run") {
+  SilentListener silent;
+  CutOffInstance fixture([](const std::string&) { return std::vector<ScriptStep>{ResetNow()}; });
+  fixture.RegisterAt("s", silent.port());
+  CHECK(Call(fixture, Request("/once/x", "r1")).status() == 502);
+}
+
+TEST_CASE("a server that a helper reaches isn't reported as crashed") {
+  SilentListener silent;
+  CutOffInstance fixture(&MakeOkResponse);
+  int reports = 0;
+  fixture.m_forwarder->SetCrashReportPort({[&](const CrashReport& report) {
+    reports += report.m_crash.m_process != 0 ? 1 : 0;
+  }});
+  ScriptedServer breaking([](const std::string&) { return std::vector<ScriptStep>{Crash()}; });
+  fixture.RegisterAt("s", breaking.port());
+  (void)Call(fixture, Request("/once/x", "r1"));
+  fixture.m_loop.RunFor(100);
+  CHECK(fixture.m_checks.load() > 0);
+  CHECK(reports == 0);
+}
+
+TEST_CASE("an instance that reaches a server again calls it itself") {
+  CutOffInstance fixture(&MakeOkResponse);
+  ScriptedServer server(&MakeOkResponse);
+  fixture.RegisterAt("s", server.port());
+  (void)RecordBrokenPath(fixture.state().m_paths, "s", 1, ReadClock());
+  REQUIRE(fixture.state().m_paths.m_cut_off);
+  fixture.RunUntil([&] { return !fixture.state().m_paths.m_cut_off; });
+  CHECK_FALSE(fixture.state().m_paths.m_cut_off);
+  CHECK(Call(fixture, Request("/safe/x", "r1")).status() == 200);
+  CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE("an instance that shuts down passes nothing more on") {
+  ScriptedServer server(&MakeOkResponse);
+  HelperInstance helper;
+  helper.Register("s", server.port());
+  helper.forwarder().BeginShutdown();
+  helper.Run();
+  CHECK(Ask(helper.endpoint(), RelayRequest(server.port(), "GET", ""))
+            .m_bytes.find(FaultLine(RelayFault::kUnavailable)) != std::string::npos);
+}
+
+}  // namespace
+}  // namespace poppyway
