--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -31,10 +31,10 @@
   [[nodiscard]] BrokerPort MakeSlotBrokerPort() { return m_instance.MakeSlotBrokerPort(); }
   /// Returns the port for reports of crashed servers. Hosted deployments only.
   [[nodiscard]] CrashReportPort MakeCrashReportPort() { return m_instance.MakeCrashReportPort(); }
-  /// Sets how the control task learns that the forwarder reaches no servers. Hosted deployments
-  /// only.
-  void SetCutOffReader(std::function<bool()> is_cut_off) {
-    m_instance.SetCutOffReader(std::move(is_cut_off));
+  /// Sets how the control task learns whether the forwarder needs help or may help others. Hosted
+  /// deployments only.
+  void SetRelayStatusReader(std::function<RelayStatus()> read) {
+    m_instance.SetRelayStatusReader(std::move(read));
   }
   /// Adds addresses at which members can be reached. Hosted deployments only.
   void AddSeeds(const std::vector<MemberSettings>& seeds);
--- a/apps/poppywayd/hosted_daemon.cc
+++ b/apps/poppywayd/hosted_daemon.cc
@@ -161,7 +161,9 @@
     if (m_forwarder) {
       m_control.SetForwarder(
           {[this](ForwarderMessage message) { m_forwarder->HandleMessage(std::move(message)); }});
-      m_control.SetCutOffReader([this] { return m_forwarder->IsCutOff(); });
+      m_control.SetRelayStatusReader([this] {
+        return RelayStatus{!m_forwarder->ReachesServers(), m_forwarder->MayHelp()};
+      });
       m_forwarder->SetBrokerPort(m_control.MakeSlotBrokerPort());
       m_forwarder->SetCrashReportPort(m_control.MakeCrashReportPort());
       m_forwarder->SetExtraMetrics([this](MetricSet& metrics) { m_control.AddMetrics(metrics); });
--- a/apps/poppywayd/instance_agent.cc
+++ b/apps/poppywayd/instance_agent.cc
@@ -127,8 +127,9 @@
   heartbeat.members_seen = m_members_digest;
   if (m_poller) {
     heartbeat.version_in_force = m_poller->document_version();
-    heartbeat.relay_port = m_settings.m_relay.m_port;
-    heartbeat.cut_off = m_is_cut_off && m_is_cut_off();
+    const RelayStatus status = m_relay_status ? m_relay_status() : RelayStatus{};
+    heartbeat.relay_port = status.m_may_help ? m_settings.m_relay.m_port : 0;
+    heartbeat.cut_off = status.m_cut_off;
     heartbeat.wants_helpers = heartbeat.cut_off || now - m_helpers_at >= kHelpersAge;
   }
   wire::Body body;
--- a/apps/poppywayd/instance_agent.h
+++ b/apps/poppywayd/instance_agent.h
@@ -19,6 +19,14 @@
 
 namespace poppyway {
 
+/// \brief Whether an instance needs others to reach backend servers, or passes on their calls.
+struct RelayStatus {
+  bool m_cut_off = false;  ///< It reaches no servers itself, or may not.
+  bool m_may_help = true;
+
+  friend bool operator==(const RelayStatus&, const RelayStatus&) = default;
+};
+
 /// \brief Client of the members and the brokers on every instance: it sends heartbeats, polls the
 /// configuration, proposes ledger commands and sends demands. Not thread-safe: it belongs to the
 /// control task.
@@ -40,8 +48,9 @@
   /// Creates the object through which the forwarder reports crashes of servers. Hosted deployments
   /// only.
   [[nodiscard]] CrashReportPort MakeCrashReportPort();
-  /// Sets how the agent learns that the forwarder reaches no servers. Hosted deployments only.
-  void SetCutOffReader(std::function<bool()> is_cut_off) { m_is_cut_off = std::move(is_cut_off); }
+  /// Sets how the agent learns whether the forwarder needs help or may help others. Hosted
+  /// deployments only.
+  void SetRelayStatusReader(std::function<RelayStatus()> read) { m_relay_status = std::move(read); }
   /// Adds addresses at which members can be reached.
   void AddSeeds(const std::vector<MemberSettings>& seeds);
   /// Sends heartbeats, polls and ledger commands that are due.
@@ -146,12 +155,12 @@
   std::size_t m_poll_member = 0;      ///< Index of the member that is polled.
   bool m_polling = false;
   std::unique_ptr<HostedStatePoller> m_poller;  ///< Null unless the deployment is hosted.
-  std::int64_t m_leader_document = 0;   ///< Highest document version that a leader reported.
-  std::int64_t m_leader_servers = 0;    ///< Highest index of servers that a leader reported.
-  std::int64_t m_leader_term = 0;       ///< Term of the latest leader that was named or responded.
-  bool m_broker_announced = false;      ///< The forwarder uses the broker at the leader.
-  std::function<bool()> m_is_cut_off;
-  Instant m_helpers_at{};  ///< When a leader last named helpers.
+  std::int64_t m_leader_document = 0;  ///< Highest document version that a leader reported.
+  std::int64_t m_leader_servers = 0;   ///< Highest index of servers that a leader reported.
+  std::int64_t m_leader_term = 0;      ///< Term of the latest leader that was named or responded.
+  bool m_broker_announced = false;     ///< The forwarder uses the broker at the leader.
+  std::function<RelayStatus()> m_relay_status;
+  Instant m_helpers_at{};               ///< When a leader last named helpers.
   Instant m_answered_heartbeat_sent{};  ///< Send time of the last heartbeat that a leader answered.
   Instant m_published_until{};
   Instant m_poll_after{};
--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -450,11 +450,11 @@
     answer.document_version = m_machine.m_hosted.m_document.version;
     answer.servers_index = m_machine.m_hosted.m_servers_index;
     if (heartbeat.wants_helpers)
-      answer.helpers = ChooseHelpers(
-          m_table, heartbeat,
-          MixHash(Hash(heartbeat.incarnation),
-                  static_cast<std::uint64_t>(now.time_since_epoch().count())),
-          now);
+      answer.helpers =
+          ChooseHelpers(m_table, heartbeat,
+                        MixHash(Hash(heartbeat.incarnation),
+                                static_cast<std::uint64_t>(now.time_since_epoch().count())),
+                        now);
     m_slot_broker.RecordContact(heartbeat.incarnation, now);
   }
   wire::Body body;
--- a/packages/forward/include/poppyway/forward/impl/crash_tracker.h
+++ b/packages/forward/include/poppyway/forward/impl/crash_tracker.h
@@ -37,7 +37,7 @@
   CrashReportPort m_port;
   std::set<RequestFingerprint> m_quarantined;  ///< As the members last reported.
   CrashSuspects m_uncommitted;                 ///< From own reports that no leader has committed.
-  RecentFingerprints m_reported;  ///< Requests in own reports.
+  RecentFingerprints m_reported;               ///< Requests in own reports.
   /// Requests with a complete response since their last broken call; they crash no server so far.
   RecentFingerprints m_answered;
 };
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -137,6 +137,8 @@
   Instant m_back_off_until{};  ///< The latest back-off end of all servers.
   Instant m_last_byte{};       ///< When any server last sent a byte to this instance itself.
   Instant m_last_open_path{};  ///< When a probe of a path last succeeded.
+  /// When a server was last out of reach with no helper that could tell why; zero: never.
+  Instant m_doubtful_at{};
   ServerPaths m_paths;
   std::vector<Helper> m_helpers;
   std::map<ServerProcessId, PathCheck> m_path_checks;
@@ -184,8 +186,11 @@
   /// \brief Returns true once all requests have ended and the balancer had time to notice, or once
   /// the shutdown timeout, less a margin, has passed.
   [[nodiscard]] bool ShutdownComplete() const;
-  /// \brief Returns true while this instance reaches no backend servers itself.
-  [[nodiscard]] bool IsCutOff() const noexcept { return m_state.m_paths.m_cut_off; }
+  /// \brief Returns false while this instance reaches no backend servers itself, or may not.
+  [[nodiscard]] bool ReachesServers() const noexcept;
+  /// \brief Returns true if it passes on calls of other instances: it reaches servers and isn't
+  /// shutting down.
+  [[nodiscard]] bool MayHelp() const noexcept;
   [[nodiscard]] ForwarderState& state() noexcept { return m_state; }
 
  private:
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -56,8 +56,7 @@
   request += "host: " + host + "\r\n";
   for (const Field& field : fields)
     request += field.m_name + ": " + field.m_value + "\r\n";
-  const bool has_body =
-      !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
+  const bool has_body = !body.empty() || method == "POST" || method == "PUT" || method == "PATCH";
   if (has_body)
     request += "content-length: " + std::to_string(body.size()) + "\r\n";
   request += "\r\n";
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -225,11 +225,19 @@
   if (!m_state.m_stopping)
     return false;
   const Duration since = ReadClock() - m_state.m_shutdown_started;
-  const bool idle = since >= kMinShutdown && m_state.m_forwardings.empty() &&
-                    m_relay->in_progress() == 0;
+  const bool idle =
+      since >= kMinShutdown && m_state.m_forwardings.empty() && m_relay->in_progress() == 0;
   return idle || ReadClock() >= impl::ShutdownEnd(m_state);
 }
 
+bool Forwarder::ReachesServers() const noexcept {
+  return impl::ReachesServers(m_state);
+}
+
+bool Forwarder::MayHelp() const noexcept {
+  return !m_state.m_stopping && ReachesServers();
+}
+
 void Forwarder::OnRequest(h2o_req_t* req) {
   const ForwardingRef ref = m_state.m_next_ref++;
   auto owned = std::make_unique<Forwarding>();
--- a/packages/forward/src/helper_choice.cc
+++ b/packages/forward/src/helper_choice.cc
@@ -34,10 +34,9 @@
   }
   if (!usable.empty())
     return usable[random % usable.size()]->m_endpoint;
-  return std::min_element(helpers.begin(), helpers.end(),
-                          [](const Helper& a, const Helper& b) {
-                            return a.m_avoided_until < b.m_avoided_until;
-                          })
+  return std::min_element(
+             helpers.begin(), helpers.end(),
+             [](const Helper& a, const Helper& b) { return a.m_avoided_until < b.m_avoided_until; })
       ->m_endpoint;
 }
 
--- a/packages/forward/src/helpers.cc
+++ b/packages/forward/src/helpers.cc
@@ -7,7 +7,7 @@
 namespace poppyway::impl {
 namespace {
 
-constexpr int kMaxHelpersTried = 3;  // For one slot.
+constexpr int kMaxHelpersTried = 6;  // For one slot; as many as a leader names.
 
 /// Takes back that a call was sent: the helper states that the server got nothing.
 void UndoSend(Forwarding& forwarding) {
@@ -30,8 +30,7 @@
 }
 
 void LogHelperFailed(ForwarderState& state, const Forwarding& forwarding, std::string_view why) {
-  state.m_metrics.Add("poppyway_forward_helper_failures_total",
-                      "why=\"" + std::string(why) + "\"");
+  state.m_metrics.Add("poppyway_forward_helper_failures_total", "why=\"" + std::string(why) + "\"");
   POPPYWAY_LOG(info, "helper_failed")
       .Field("request", forwarding.m_request.m_id)
       .Field("server", forwarding.m_server)
--- a/packages/forward/src/path_checks.cc
+++ b/packages/forward/src/path_checks.cc
@@ -9,7 +9,7 @@
 namespace poppyway::impl {
 namespace {
 
-constexpr int kMaxHelpersAsked = 3;
+constexpr int kMaxHelpersAsked = 6;  // As many as a leader names.
 // With no byte of any server for this long, and a call that waits, the paths are checked.
 constexpr Duration kSilentTime{200'000};
 constexpr Duration kSilenceCheckInterval{1'000'000};
@@ -32,9 +32,8 @@
   state.m_metrics.Add("poppyway_forward_cut_off_changes_total");
   POPPYWAY_LOG(warning, cut_off ? "servers_cut_off" : "servers_reached")
       .Field("server", server)
-      .Field("any_heard_ms", state.m_last_byte == Instant{}
-                                 ? -1
-                                 : (ReadClock() - state.m_last_byte).count() / 1000)
+      .Field("any_heard_ms",
+             state.m_last_byte == Instant{} ? -1 : (ReadClock() - state.m_last_byte).count() / 1000)
       .Field("helpers", state.m_helpers.size());
 }
 
@@ -78,6 +77,8 @@
     OnBrokenPath(state, check.m_server);
     return;
   }
+  if (!reached_by_helper && !state.m_helpers.empty())
+    state.m_doubtful_at = ReadClock();
   // Without any other instance, a server that can't be reached counts as crashed.
   const bool alone = !reached_by_helper && state.m_helpers.empty();
   const bool crashed = alone || (reached_by_helper && !*reached_by_helper);
@@ -136,9 +137,9 @@
   events.m_on_fault = [&state, process](CallFault) {
     OnHelperWord(state, process, RelayFault::kUnavailable);
   };
-  check.m_asked = std::make_unique<BackendCall>(
-      *state.m_connections, *helper, CheckRequest(check.m_endpoint), false, true,
-      std::move(events));
+  check.m_asked =
+      std::make_unique<BackendCall>(*state.m_connections, *helper, CheckRequest(check.m_endpoint),
+                                    false, true, std::move(events));
 }
 
 /// Tries a connection to the server from here, then asks a helper if it doesn't come up.
@@ -164,8 +165,7 @@
   if (chosen->second.m_leaving)
     return;  // The next one will be another server.
   state.m_restoring = std::make_unique<ConnectionProbe>(
-      *state.m_connections, chosen->second.m_endpoint,
-      [&state, server = chosen->first](bool open) {
+      *state.m_connections, chosen->second.m_endpoint, [&state, server = chosen->first](bool open) {
         state.m_retired_probes.push_back(std::move(state.m_restoring));
         if (!open)
           return;
@@ -185,15 +185,14 @@
 /// Checks the paths to some servers if calls wait and no server sends a byte.
 void WatchSilence(ForwarderState& state, Instant now) {
   const bool due = !state.m_helpers.empty() && !state.m_paths.m_cut_off &&
-                   now - state.m_last_byte >= kSilentTime &&
-                   now >= state.m_next_silence_check;
+                   now - state.m_last_byte >= kSilentTime && now >= state.m_next_silence_check;
   if (!due)
     return;
   std::vector<std::string> silent;
   for (const auto& [ref, forwarding] : state.m_forwardings) {
-    const bool counts = forwarding->m_sent && IsSilentDirectCall(*forwarding, kSilentTime, now) &&
-                        std::find(silent.begin(), silent.end(), forwarding->m_server) ==
-                            silent.end();
+    const bool counts =
+        forwarding->m_sent && IsSilentDirectCall(*forwarding, kSilentTime, now) &&
+        std::find(silent.begin(), silent.end(), forwarding->m_server) == silent.end();
     if (counts)
       silent.push_back(forwarding->m_server);
     if (silent.size() == kServersPerSilenceCheck)
@@ -256,8 +255,7 @@
   const ServerProcessId process = ServerProcessOf(server, backend->m_record.born);
   const auto [entry, added] = state.m_path_checks.try_emplace(process);
   PathCheck& check = entry->second;
-  check.m_broken_calls.insert(check.m_broken_calls.end(), broken_calls.begin(),
-                              broken_calls.end());
+  check.m_broken_calls.insert(check.m_broken_calls.end(), broken_calls.begin(), broken_calls.end());
   if (!added)
     return;
   check.m_server = server;
@@ -285,9 +283,14 @@
   AskHelper(state, process);
 }
 
+bool ReachesServers(const ForwarderState& state) noexcept {
+  const bool doubtful = state.m_doubtful_at > std::max(state.m_last_byte, state.m_last_open_path);
+  return !state.m_paths.m_cut_off && !doubtful;
+}
+
 RelayFault FaultWithoutConnection(const ForwarderState& state, Instant now) noexcept {
   const Instant last = std::max(state.m_last_byte, state.m_last_open_path);
-  const bool certain = !state.m_paths.m_cut_off && now - last < kRecentContact;
+  const bool certain = ReachesServers(state) && now - last < kRecentContact;
   return certain ? RelayFault::kServerUnreachable : RelayFault::kUnavailable;
 }
 
--- a/packages/forward/src/peer_relay.cc
+++ b/packages/forward/src/peer_relay.cc
@@ -9,11 +9,11 @@
 namespace poppyway {
 namespace {
 
-constexpr std::size_t kMaxRelayed = 256;           // Calls passed on at once.
-constexpr std::size_t kMaxUnread = 256 * 1024;     // Bytes that the other instance may leave unread.
-constexpr std::int64_t kBodyCopies = 3;            // Copies of a body: request, call, HTTP library.
-constexpr std::size_t kMaxBody = 16 << 20;         // As for callers.
-constexpr std::uint64_t kIdleMillis = 60'000;      // Of connections from other instances.
+constexpr std::size_t kMaxRelayed = 256;        // Calls passed on at once.
+constexpr std::size_t kMaxUnread = 256 * 1024;  // Bytes that the other instance may leave unread.
+constexpr std::int64_t kBodyCopies = 3;         // Copies of a body: request, call, HTTP library.
+constexpr std::size_t kMaxBody = 16 << 20;      // As for callers.
+constexpr std::uint64_t kIdleMillis = 60'000;   // Of connections from other instances.
 constexpr Duration kCallerPollInterval{100'000};
 // While this instance is cut off, a call without progress for this long is given up.
 constexpr Duration kSilentTime{300'000};
@@ -130,7 +130,7 @@
 
 bool PeerRelay::MayHelp(const Endpoint& server) const {
   return m_state.m_by_address.contains(server) && !m_state.m_stopping &&
-         !m_state.m_paths.m_cut_off && m_calls.size() < kMaxRelayed &&
+         impl::ReachesServers(m_state) && m_calls.size() < kMaxRelayed &&
          IsWithinBudget(m_state.m_held);
 }
 
@@ -166,8 +166,8 @@
   call.m_id = m_state.m_adapter.m_decode_request(decoded.m_fields).m_id;
   CountBytes(call);
   BeginCall(ref, call,
-            impl::FormatRequest(method, TextOf(req->path), TextOf(req->authority),
-                                decoded.m_fields, body),
+            impl::FormatRequest(method, TextOf(req->path), TextOf(req->authority), decoded.m_fields,
+                                body),
             method == "HEAD");
 }
 
@@ -207,9 +207,9 @@
   events.m_on_fault = [this, ref](CallFault fault) { OnFault(ref, fault); };
   // A request that may not be lost doesn't travel on a connection that has rested for long.
   constexpr bool kCareful = true;
-  call.m_call = std::make_unique<BackendCall>(*m_state.m_connections, call.m_server,
-                                              std::move(request), head_only, kCareful,
-                                              std::move(events));
+  call.m_call =
+      std::make_unique<BackendCall>(*m_state.m_connections, call.m_server, std::move(request),
+                                    head_only, kCareful, std::move(events));
 }
 
 HeadVerdict PeerRelay::OnHead(Ref ref, int status, const std::vector<Field>& fields) {
--- a/packages/forward/src/queue.cc
+++ b/packages/forward/src/queue.cc
@@ -28,7 +28,7 @@
 
 /// Returns true if no member has responded for a while. Other instances likely reach them and serve
 /// what this one must refuse; during a change of leader, members respond that don't lead.
-bool IsCutOff(const ForwarderState& state, Instant now) {
+bool IsCutOffFromMembers(const ForwarderState& state, Instant now) {
   const BrokerLink& link = state.m_broker;
   const bool responds = link.m_active && !IsBrokerOverdue(link);
   if (responds || !link.m_port.m_last_member_contact)
@@ -149,7 +149,9 @@
   if (code == ResultCode::kQuarantined)
     return kQuarantineRetryAfter;
   const Instant now = ReadClock();
-  if (code == ResultCode::kStopping || IsCutOff(state, now))
+  const bool served_elsewhere =
+      code == ResultCode::kStopping || state.m_paths.m_cut_off || IsCutOffFromMembers(state, now);
+  if (served_elsewhere)
     return Duration(0);  // Any other instance can serve the request now.
   const Duration left = forwarding.m_deadline - now;
   const double spread =
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -306,6 +306,9 @@
                     const std::vector<RequestFingerprint>& broken_calls);
 /// Asks a helper whether it reaches a server to which a connection from here has just failed.
 void CheckPathAfterFailedConnect(ForwarderState& state, const Endpoint& endpoint);
+/// Returns false while this instance is cut off, or fails to reach servers and has found no helper
+/// that could tell why.
+[[nodiscard]] bool ReachesServers(const ForwarderState& state) noexcept;
 /// Returns what this instance, as a helper, can tell of a server that it doesn't reach.
 [[nodiscard]] RelayFault FaultWithoutConnection(const ForwarderState& state, Instant now) noexcept;
 /// Watches the paths: probes them while this instance is cut off, checks them when all servers are
--- a/packages/state/src/instance_table.cc
+++ b/packages/state/src/instance_table.cc
@@ -58,13 +58,11 @@
   std::vector<wire::PeerAddress> chosen;
   if (relays.empty())
     return chosen;
-  // Steps of a random width from a random place: cheap for any number of instances, and each relay
-  // is as likely as any other.
-  const std::size_t step = 1 + (random >> 32U) % relays.size();
-  std::size_t at = random % relays.size();
-  for (std::size_t tries = 0; tries < 2 * kMaxHelpers + 1 && chosen.size() < kMaxHelpers;
-       ++tries, at = (at + step) % relays.size()) {
-    const wire::PeerAddress& relay = relays[at];
+  // The cost doesn't depend on the number of instances. With few of them, the draws include each
+  // one almost certainly.
+  constexpr std::uint64_t kDraws = 8 * kMaxHelpers;
+  for (std::uint64_t draw = 0; draw < kDraws && chosen.size() < kMaxHelpers; ++draw) {
+    const wire::PeerAddress& relay = relays[MixHash(random, draw) % relays.size()];
     const bool own = relay.address == for_instance.address && relay.port == for_instance.relay_port;
     if (!own && std::find(chosen.begin(), chosen.end(), relay) == chosen.end())
       chosen.push_back(relay);
--- a/soak/cut_instances.py
+++ b/soak/cut_instances.py
@@ -18,8 +18,9 @@
 import tempfile
 import time
 
-from cases import FleetCase, run_cases
+from cases import KEY, POOL, FleetCase, run_cases
 from cut_paths import SERVER_PORT, CutServers, Elsewhere
+from fleet import document
 from stand_ins import FaultModel
 
 PER_S = 250
@@ -28,6 +29,7 @@
 FROM_S = 3.0  # The checks count requests sent so long after a cut began.
 CUT_S = 8.0
 MOVES_AFTER_S = 4.5
+MEMBERS_DOWN_S = 2.0
 CUT_SHARE = 0.9  # Share of the first tries at cut instances that must be served.
 OTHERS_SHARE = 0.97  # The same for the other instances, which lose nothing.
 AVOIDED_PER_CUT = 2  # Sound servers that all instances may avoid on the word of a cut one.
@@ -36,19 +38,24 @@
 class Case(FleetCase):
     """A fleet some of whose instances lose all servers."""
 
+    PER_S = PER_S
+
     def __init__(self, program, name, subnet, seed, variable):
         self._folder = tempfile.TemporaryDirectory(prefix="poppyway-cuts-")
-        super().__init__(program, name, subnet, seed, PER_S, instances=INSTANCES,
+        super().__init__(program, name, subnet, seed, self.PER_S, instances=INSTANCES,
                          environment_of=lambda number: {
                              **dict([variable.split("=", 1)]),
                              "POPPYWAY_CUT_PORT": str(SERVER_PORT),
                              "POPPYWAY_CUT_FILE": self._cut_file(number)})
-        self.servers = CutServers(self.fleet.instances, subnet, "v1", SERVERS, self.fleet.members,
-                                  FaultModel(), seed)
+        self.servers = self.make_servers(subnet, seed)
         self._subnet = subnet
         self.cuts = []  # (begin, end, number of the instance).
         self._begun = {}  # Number of a cut instance to the beginning of its cut.
 
+    def make_servers(self, subnet, seed):
+        return CutServers(self.fleet.instances, subnet, "v1", SERVERS, self.fleet.members,
+                          FaultModel(), seed)
+
     def _cut_file(self, number):
         return os.path.join(self._folder.name, f"cut-{number}")
 
@@ -105,6 +112,32 @@
         await asyncio.sleep(CUT_S * 3 / 4)
         self.heal([0, 1])
 
+    async def all_members_killed(self):
+        """Kills all members for a while that instances may go on without them."""
+        self.cut([0, 1])
+        await asyncio.sleep(CUT_S / 4)
+        for member in self.fleet.members:
+            member.kill()
+        await asyncio.sleep(MEMBERS_DOWN_S)
+        for member in self.fleet.members:
+            member.start()
+        await asyncio.sleep(CUT_S * 3 / 4 - MEMBERS_DOWN_S)
+        self.heal([0, 1])
+
+    async def from_the_start(self):
+        """Two instances reach no server from their start on; `play` has begun the cut."""
+        await asyncio.sleep(CUT_S)
+        self.heal([0, 1])
+
+    async def configuration_changes(self):
+        """Sends new documents while two instances are cut off."""
+        self.cut([0, 1])
+        for version in range(2, 6):
+            await asyncio.sleep(CUT_S / 4)
+            status, _ = await self.operator.ask("PUT", "/-/config", document(version, POOL, KEY))
+            self.check(status == 200, f"document {version} got {status}")
+        self.heal([0, 1])
+
     async def moving(self):
         """Cuts the next two instances off as soon as the former two are back."""
         for first in (0, 2, 4):
@@ -142,6 +175,8 @@
 
     async def play(self):
         self.elsewhere = Elsewhere(self._subnet)
+        if self.name == "from-the-start":
+            self.cut([0, 1])
         await self.start_with(self.servers, warm_up_s=2.0)
         await CASES[self.name](self)
         await asyncio.sleep(2.0)
@@ -208,6 +243,9 @@
     "reset-at-once": Case.reset_at_once,
     "most-silent": Case.most,
     "leader-killed": Case.leader_killed,
+    "all-members-killed": Case.all_members_killed,
+    "from-the-start": Case.from_the_start,
+    "configuration-changes": Case.configuration_changes,
     "moving": Case.moving,
     "helper-stopped": Case.helper_stopped,
     "overlapping": Case.overlapping,
--- a/soak/cut_paths.py
+++ b/soak/cut_paths.py
@@ -80,7 +80,6 @@
         self._instances = instances
         self._ends = {}  # Number of a cut instance whose kept connections are silent to its end.
         self._connections = {}  # Number of an instance to the writers of its connections.
-        self.brittle = {}  # Filled by subclasses.
 
     def hold_back(self, number):
         self._ends[number] = asyncio.Event()
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -15,10 +15,10 @@
     ends."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
     except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
         return None  # The peer or this process ended the connection.
-    fields = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
-    body = await reader.readexactly(int(fields.get("content-length", 0)))
     return head[0], fields, body
 
 
@@ -129,11 +129,13 @@
         self._stage = "ready"
         self._tasks = []
         self._listeners = []
+        self.states = {}  # Address to the state of the server.
 
     async def start(self, pool):
         self.begun = time.monotonic()
         for i, address in enumerate(self.addresses):
             state = {"running": 0, "speed": self._rng.uniform(0.8, 1.25), "address": address}
+            self.states[address] = state
             handler = lambda r, w, s=state: self._serve(r, w, s)
             self._listeners.append(await asyncio.start_server(handler, address, 8080))
             name = f"{self._names}-{i}"
--- a/tests/peer_relay_test.cc
+++ b/tests/peer_relay_test.cc
@@ -219,8 +219,8 @@
   HelperInstance helper;
   helper.Register("s", server.port());
   helper.Run();
-  CHECK_FALSE(IsCompleteResponse(
-      Ask(helper.endpoint(), RelayRequest(server.port(), "GET", "")).m_bytes));
+  CHECK_FALSE(
+      IsCompleteResponse(Ask(helper.endpoint(), RelayRequest(server.port(), "GET", "")).m_bytes));
 }
 
 /// \brief An instance whose paths to servers are broken, with a helper that reaches them. The
@@ -334,6 +334,20 @@
   CHECK(seen.m_elapsed_ms < 700);
 }
 
+// Guards against an instance that stays with helpers that are cut off as well, and is named as a
+// helper itself.
+TEST_CASE("an instance that nobody can tell why it reaches no server helps nobody") {
+  SilentListener silent;
+  CutOffInstance fixture(&MakeOkResponse);
+  const std::uint16_t closed = FreePort();
+  fixture.Help({{"127.0.0.1", closed}});
+  fixture.RegisterAt("s", silent.port());
+  CHECK(fixture.m_forwarder->ReachesServers());
+  (void)Call(fixture, Request("/once/x", "r1"));
+  CHECK_FALSE(fixture.m_forwarder->ReachesServers());
+  CHECK_FALSE(fixture.state().m_paths.m_cut_off);
+}
+
 TEST_CASE("what broke off at a helper after it was sent isn't called not run") {
   SilentListener silent;
   CutOffInstance fixture([](const std::string&) { return std::vector<ScriptStep>{ResetNow()}; });
@@ -345,9 +359,8 @@
   SilentListener silent;
   CutOffInstance fixture(&MakeOkResponse);
   int reports = 0;
-  fixture.m_forwarder->SetCrashReportPort({[&](const CrashReport& report) {
-    reports += report.m_crash.m_process != 0 ? 1 : 0;
-  }});
+  fixture.m_forwarder->SetCrashReportPort(
+      {[&](const CrashReport& report) { reports += report.m_crash.m_process != 0 ? 1 : 0; }});
   ScriptedServer breaking([](const std::string&) { return std::vector<ScriptStep>{Crash()}; });
   fixture.RegisterAt("s", breaking.port());
   (void)Call(fixture, Request("/once/x", "r1"));
@@ -368,6 +381,63 @@
   CHECK(server.requests().size() == 1);
 }
 
+// Guards against an instance that takes the silence of one server for a lost path.
+TEST_CASE("a server that is silent for a second keeps its calls") {
+  CutOffInstance fixture(&MakeOkResponse);
+  ScriptedServer server([](const std::string& request) {
+    std::vector<ScriptStep> steps = MakeOkResponse(request);
+    steps.insert(steps.begin(), Wait(1'100));
+    return steps;
+  });
+  fixture.RegisterAt("s", server.port());
+  CHECK(Call(fixture, Request("/safe/x", "r1")).status() == 200);
+  CHECK(server.requests().size() == 1);
+  CHECK_FALSE(fixture.state().m_paths.m_cut_off);
+}
+
+/// Returns true if the peer resets the connection on which it sent a request.
+bool WaitForReset(int listener) {
+  const int fd = accept(listener, nullptr, nullptr);
+  char buffer[4096];
+  ssize_t got = 1;
+  while (got > 0)
+    got = recv(fd, buffer, sizeof(buffer), 0);
+  const bool reset = got < 0 && errno == ECONNRESET;
+  close(fd);
+  return reset;
+}
+
+// Guards against requests that reach a server long after they were given up, all at once, when a
+// cut between instance and server ends.
+TEST_CASE("a request that was given up is taken back") {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(where);
+  REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&where), size) == 0);
+  REQUIRE(listen(listener, 4) == 0);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&where), &size);
+  std::atomic<bool> reset{false};
+  std::thread server([&] { reset.store(WaitForReset(listener)); });
+  ForwarderFixture fixture;
+  wire::ServerRecord record;
+  record.id = "s";
+  record.pool = "app";
+  record.address = "127.0.0.1";
+  record.port = ntohs(where.sin_port);
+  record.slots = 4;
+  record.stage = wire::ServerStage::READY;
+  record.index = 2;
+  fixture.m_forwarder->HandleMessage(ServersChanged{{record}});
+  (void)Call(fixture, Request("/safe/x", "r1"), 100);
+  fixture.m_loop.RunFor(300);
+  shutdown(listener, SHUT_RDWR);
+  server.join();
+  close(listener);
+  CHECK(reset.load());
+}
+
 TEST_CASE("an instance that shuts down passes nothing more on") {
   ScriptedServer server(&MakeOkResponse);
   HelperInstance helper;
--- a/tests/server_paths_test.cc
+++ b/tests/server_paths_test.cc
@@ -113,8 +113,8 @@
   std::map<std::string, int> asked;
   for (int i = 0; i < kCutOff; ++i) {
     const wire::Heartbeat heartbeat = RelayHeartbeat(i);
-    const auto helpers = ChooseHelpers(
-        table, heartbeat, MixHash(Hash(heartbeat.incarnation), 7), kStart + kMillisecond);
+    const auto helpers = ChooseHelpers(table, heartbeat, MixHash(Hash(heartbeat.incarnation), 7),
+                                       kStart + kMillisecond);
     CHECK(helpers.size() >= kMaxHelpers - 2);
     CHECK(helpers.size() <= kMaxHelpers);
     for (const wire::PeerAddress& helper : helpers)
