Judge what a failure says something of, and keep brittle servers from queues (policy)

Two things in one commit, since both change the broker's handling of a report. 1. Now a failure says something of the server, of the instance (the server, or one at which the instance failed before, responds to others) or it is unknown; an unknown one counts towards lost data centres, which ask for several servers and instances, and towards the server once a server responds to that instance.

--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -22,6 +22,7 @@
 /// - `ServerLimit`: the rate that a server states to take from all instances together.
 /// - `LastResponses`: which instances a server responded to last.
 /// - `ServerPaths`: whether an instance reaches the backend servers itself.
+/// - `Brittleness`: servers that end if they must reject too many requests.
 /// - `OutageDetector`: detects data centres that are lost or unreachable as a whole.
 /// - `SlowStartState`: limits the requests to a server that is slow after its start.
 /// - `ChooseServer`, `ServerHealth`: choose a backend server by predicted time and health.
@@ -37,6 +38,7 @@
 /// delay asked of rejected callers.
 
 #include "poppyway/policy/impl/admission_queue.h"
+#include "poppyway/policy/impl/brittleness.h"
 #include "poppyway/policy/impl/broker.h"
 #include "poppyway/policy/impl/crash_suspects.h"
 #include "poppyway/policy/impl/credit_book.h"
--- a/packages/policy/include/poppyway/policy/impl/server_choice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_choice.h
@@ -30,7 +30,8 @@
   std::int64_t m_pending_prefill_tokens = 0;  ///< Prompt tokens ahead that it hasn't prefilled yet.
   std::int64_t m_cached_tokens = 0;  ///< Prompt tokens of this request that its cache likely holds.
   ServerPerformance m_performance;
-  bool m_usable = true;  ///< Neither leaving nor suspect nor tried before.
+  bool m_no_queue = false;  ///< It gets no more requests than it processes at once.
+  bool m_usable = true;     ///< Neither leaving nor suspect nor tried before.
   bool m_same_data_centre = false;
   Duration m_round_trip{};  ///< Learned time to another region; zero if it is the same or unknown.
 };
--- a/packages/policy/include/poppyway/policy/impl/server_notice.h
+++ b/packages/policy/include/poppyway/policy/impl/server_notice.h
@@ -24,6 +24,8 @@
   bool m_leaving = false;  ///< The server is shutting down and gets no new work from any instance.
   /// Requests per second that the server states to take from all instances; unset: any number.
   std::optional<double> m_limit_per_s;
+  /// Rejections per second above which the server ends; unset: it isn't brittle.
+  std::optional<double> m_max_rejections;
 
   friend bool operator==(const ServerNotice&, const ServerNotice&) = default;
 };
--- a/packages/policy/include/poppyway/policy/impl/slot_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/slot_broker.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "poppyway/core.h"
+#include "poppyway/policy/impl/brittleness.h"
 #include "poppyway/policy/impl/instance_share.h"
 #include "poppyway/policy/impl/last_responses.h"
 #include "poppyway/policy/impl/outage_detector.h"
@@ -144,6 +145,8 @@
   bool m_head = false;         ///< A response head has arrived since the last report.
   /// With `m_head`: requests per second that the server states to take; unset: any number.
   std::optional<double> m_limit_per_s;
+  /// With `m_head`: rejections per second above which the server ends; unset: it isn't brittle.
+  std::optional<double> m_max_rejections;
 
   friend bool operator==(const SlotReport&, const SlotReport&) = default;
 };
@@ -245,6 +248,7 @@
   std::vector<ServerNotices> m_notices;
   Instant m_back_off_until{};  ///< After this time no back-off of the pool's servers is in effect.
   std::vector<ServerLimit> m_limits;  ///< Rates that the servers stated.
+  std::vector<Brittleness> m_brittleness;
   std::vector<SlowStartState> m_slow_starts;
   /// Limit of the pool's servers; by default they are never cold.
   SlowStartLimit m_slow_start_limit;
@@ -330,10 +334,10 @@
   RetryLimit m_retry_limit;                               ///< Of each pool.
   /// Number of reported failures that say something of the reporting instance, not of the server.
   std::int64_t m_disregarded_failures = 0;
-  std::vector<EjectedServer> m_ejected;                   ///< The owner logs and clears them.
-  std::vector<LeavingServer> m_leaving_events;            ///< The owner logs and clears them.
-  OutageDetector m_outages;                               ///< Fed by the reports of all instances.
-  std::vector<OutageEvent> m_outage_events;               ///< The owner logs and clears them.
+  std::vector<EjectedServer> m_ejected;         ///< The owner logs and clears them.
+  std::vector<LeavingServer> m_leaving_events;  ///< The owner logs and clears them.
+  OutageDetector m_outages;                     ///< Fed by the reports of all instances.
+  std::vector<OutageEvent> m_outage_events;     ///< The owner logs and clears them.
   /// By pool: number of times that a request found no slot at any server while cold servers were at
   /// their limit.
   std::map<std::string, std::int64_t> m_cold_waits;
--- a/packages/policy/src/server_choice.cc
+++ b/packages/policy/src/server_choice.cc
@@ -168,10 +168,11 @@
   const double queue = QueueMs(server, typical);
   if (queue > share * target)
     return false;
+  const bool full = in_flight >= server.m_slots || server.m_available_slots <= 0;
+  if (full && (server.m_no_queue || request.m_prompt_tokens > 0))
+    return false;
   if (request.m_prompt_tokens == 0)
     return true;
-  if (in_flight >= server.m_slots || server.m_available_slots <= 0)
-    return false;
   const double left = kTargetShare * (target - Ms(request.m_waited));
   const double first = FirstMs(server, request, typical);
   if (first <= left)
--- a/packages/policy/src/slot_broker.cc
+++ b/packages/policy/src/slot_broker.cc
@@ -178,6 +178,7 @@
     LastResponses responses;
     ServerNotices notices;
     ServerLimit limit;
+    Brittleness brittleness;
     SlowStartState slow_start;
     const auto known = index_before.find(server.m_id);
     bool appeared = known == index_before.end();
@@ -188,6 +189,7 @@
       responses = std::move(old.m_responses[known->second.second]);
       notices = std::move(old.m_notices[known->second.second]);
       limit = old.m_limits[known->second.second];
+      brittleness = old.m_brittleness[known->second.second];
       slow_start = std::move(old.m_slow_starts[known->second.second]);
       const std::int64_t started_ms = old.m_servers[known->second.second].m_started_ms;
       appeared = server.m_started_ms != started_ms;
@@ -199,6 +201,7 @@
         responses = {};
         notices = {};
         limit = {};
+        brittleness = {};
       }
     }
     if (appeared)
@@ -214,6 +217,7 @@
     pool.m_responses.push_back(std::move(responses));
     pool.m_notices.push_back(std::move(notices));
     pool.m_limits.push_back(limit);
+    pool.m_brittleness.push_back(brittleness);
     pool.m_slow_starts.push_back(std::move(slow_start));
   }
   for (const auto& [id, before] : restarts)
@@ -343,13 +347,17 @@
     return;
   HeldSlot& held = found->second;
   const auto [pool, i] = FindServer(broker, held.m_server);
+  const bool counts = pool != nullptr && IsAtCurrentProcess(held, pool->m_servers[i]);
   SlotReport report = original;
-  // Such a failure must move no belief about the server, its version or its data centre.
-  if (pool != nullptr && SpeaksOfInstance(broker, *pool, i, instance, held, report, now)) {
+  const FailureSubject subject = pool == nullptr
+                                     ? FailureSubject::kServer
+                                     : JudgeFailure(broker, *pool, i, instance, held, report, now);
+  if (subject != FailureSubject::kServer) {
+    // It moves no belief about the server or its version. That a data centre is lost is found from
+    // several servers and instances, so a failure of unknown subject counts there.
     report.m_health_signal.reset();
     ++broker.m_disregarded_failures;
   }
-  const bool counts = pool != nullptr && IsAtCurrentProcess(held, pool->m_servers[i]);
   if (pool != nullptr) {
     const SlotReport at_server = LearnRoundTrip(broker, held, pool->m_servers[i].m_region, report);
     LearnVersion(*pool, held, at_server, now);
@@ -357,9 +365,14 @@
       pool->m_views[i].m_performance = LearnPerformance(pool->m_views[i].m_performance, at_server);
   }
   if (counts) {
-    if (report.m_head)
+    if (report.m_head) {
       ApplyStatedLimit(pool->m_limits[i], report.m_limit_per_s, held.m_taken, now);
-    LearnReachability(broker, instance, held, report, now);
+      ApplyStatedBrittleness(pool->m_brittleness[i], report.m_max_rejections, held.m_taken, now);
+    }
+    if (IsRejection(report))
+      RecordRejection(pool->m_brittleness[i], now);
+    const bool shows_reachability = subject != FailureSubject::kInstance;
+    LearnReachability(broker, instance, held, shows_reachability ? original : report, now);
     const bool old = SentBeforeRecovery(broker.m_outages, pool->m_servers[i].m_data_centre,
                                         held.m_server, held.m_taken);
     // A failure of a request that was sent before the server recovered says nothing about its
@@ -423,6 +436,8 @@
   // Only a response that a report tells of ends a limit: the instance may not have heard lately.
   if (notice.m_limit_per_s)
     ApplyStatedLimit(pool->m_limits[i], notice.m_limit_per_s, now, now);
+  if (notice.m_max_rejections)
+    ApplyStatedBrittleness(pool->m_brittleness[i], notice.m_max_rejections, now, now);
   pool->m_back_off_until = std::max(pool->m_back_off_until, now + notice.m_back_off);
   BackendServer& server = pool->m_servers[i];
   if (!notice.m_leaving || server.m_leaving)
--- a/packages/policy/src/slot_internal.h
+++ b/packages/policy/src/slot_internal.h
@@ -129,18 +129,25 @@
 // ---- slot_evidence.cc -------------------------------------------------------------------------
 /// \brief Returns true if the server sent anything, even a rejection.
 [[nodiscard]] bool ServerResponded(const SlotReport& report) noexcept;
-/// \brief Records what a report shows of the instance's own paths, and returns true if the failure
-/// in it likely says something of the instance and not of the server.
-///
-/// That is so if no server has responded to the instance since it got the slot, and either the
-/// server responds to other instances or the instance fails at several servers.
-[[nodiscard]] bool SpeaksOfInstance(SlotBroker& broker,
-                                    const SlotPool& pool,
-                                    std::size_t i,
-                                    const std::string& instance,
-                                    const HeldSlot& held,
-                                    const SlotReport& report,
-                                    Instant now);
+/// \brief Returns true if the server rejected the request without running it.
+[[nodiscard]] bool IsRejection(const SlotReport& report) noexcept;
+/// \brief What a failure that an instance reports says something of.
+enum class FailureSubject : std::uint8_t {
+  kServer,
+  kInstance,  ///< The server, or one at which the instance failed before, responds to others.
+  /// No server responds to the instance, while servers respond to others; this one may be lost.
+  kUnknown,
+};
+/// \brief Records what a report shows of the instance's own paths, and returns what its failure, if
+/// it has one, says something of. A failure whose subject is unknown is counted later, once a
+/// server responds to the instance.
+[[nodiscard]] FailureSubject JudgeFailure(SlotBroker& broker,
+                                          const SlotPool& pool,
+                                          std::size_t i,
+                                          const std::string& instance,
+                                          const HeldSlot& held,
+                                          const SlotReport& report,
+                                          Instant now);
 
 // ---- slot_rollout.cc --------------------------------------------------------------------------
 /// \brief The servers of a pool that take its ordinary work.
--- a/packages/policy/src/slot_serve.cc
+++ b/packages/policy/src/slot_serve.cc
@@ -47,6 +47,7 @@
   view.m_round_trip = trips.empty() ? Duration(0) : RoundTripTo(trips, server.m_region);
   view.m_available_slots =
       static_cast<int>(std::ceil(view.m_slots * reported_share)) - view.m_other_in_flight;
+  view.m_no_queue = pool.m_brittleness[i].m_max_rejections.has_value();
   view.m_cached_tokens = 0;
 }
 
@@ -212,7 +213,8 @@
   inputs.m_evacuated = server.m_evacuated;
   inputs.m_kept_by_rollout = excluded_by_rollout;
   inputs.m_backs_off = BackOffLeft(pool.m_notices[i], waiting.m_instance, now) > Duration(0);
-  inputs.m_at_limit = !TakesRequest(pool.m_limits[i], now);
+  inputs.m_at_limit =
+      !TakesRequest(pool.m_limits[i], now) || !MayRiskRejection(pool.m_brittleness[i], 1, now);
   inputs.m_cold_full = ColdFull(pool.m_slow_starts[i], pool.m_slow_start_limit, now);
   inputs.m_suspect = IsSuspect(outages, pool, i, now);
   inputs.m_region = server.m_region;
--- a/packages/policy/src/slot_wait.cc
+++ b/packages/policy/src/slot_wait.cc
@@ -178,7 +178,8 @@
   Duration fastest = kLongestWait;
   const auto look_at = [&](std::size_t i) {
     // A server at its limit takes requests again soon, and a back-off may end in time.
-    const bool paced = pool.m_slow_starts[i].m_full || pool.m_limits[i].m_per_s.has_value();
+    const bool paced = pool.m_slow_starts[i].m_full || pool.m_limits[i].m_per_s.has_value() ||
+                       pool.m_brittleness[i].m_max_rejections.has_value();
     const bool backs_off = BackOffLeft(pool.m_notices[i], waiting.m_instance, now) > Duration(0);
     if (pool.m_views[i].m_usable || paced || backs_off)
       fastest = std::min(fastest,
