Send brittle servers little more than they have room for

What callers saw: nobody read Server-Brittle. Cause: class of the stated limits: what a server says of itself was no input to any decision; plain services have a queue of their own, and a rejection only sent the request to the next server. A call that is given up before its response is reset, so that what it had on its way doesn't arrive later.

--- a/apps/poppywayd/slot_convert.cc
+++ b/apps/poppywayd/slot_convert.cc
@@ -141,6 +141,8 @@
   message.head = report.m_head;
   if (report.m_limit_per_s)
     message.__set_limit_per_s(*report.m_limit_per_s);
+  if (report.m_max_rejections)
+    message.__set_max_rejections(*report.m_max_rejections);
   return message;
 }
 
@@ -161,6 +163,8 @@
   report.m_head = message.head;
   if (message.__isset.limit_per_s)
     report.m_limit_per_s = message.limit_per_s;
+  if (message.__isset.max_rejections)
+    report.m_max_rejections = message.max_rejections;
   return report;
 }
 
@@ -215,6 +219,8 @@
   message.leaving = notice.m_leaving;
   if (notice.m_limit_per_s)
     message.__set_limit_per_s(*notice.m_limit_per_s);
+  if (notice.m_max_rejections)
+    message.__set_max_rejections(*notice.m_max_rejections);
   return message;
 }
 
@@ -226,6 +232,8 @@
   notice.m_leaving = message.leaving;
   if (message.__isset.limit_per_s)
     notice.m_limit_per_s = message.limit_per_s;
+  if (message.__isset.max_rejections)
+    notice.m_max_rejections = message.max_rejections;
   return notice;
 }
 
--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -39,10 +39,10 @@
 
 /// \brief What became of a call's connection attempt.
 enum class ConnectOutcome : std::uint8_t {
-  kNone,       ///< A kept connection was reused, or the attempt hasn't ended.
+  kNone,  ///< A kept connection was reused, or the attempt hasn't ended.
   kConnected,
-  kRefused,    ///< The attempt failed before its time limit: the peer or the network refused it.
-  kTimedOut,   ///< Nothing came back within the time limit.
+  kRefused,   ///< The attempt failed before its time limit: the peer or the network refused it.
+  kTimedOut,  ///< Nothing came back within the time limit.
 };
 
 /// \brief Returns the text of an outcome for logs and counters.
@@ -184,6 +184,7 @@
   bool m_head_done = false;
   bool m_skipping = false;  ///< The current message is a response to another request.
   bool m_complete = false;
+  bool m_sending = false;  ///< The request was passed to the socket.
   bool m_written = false;
   bool m_detached = false;  ///< No more callbacks are made.
   bool m_reused = false;
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -43,6 +43,7 @@
   ServerHealth m_health;
   Instant m_back_off_until{};  ///< The server asked for no requests before this time.
   ServerLimit m_limit;         ///< As the server last stated to this instance.
+  Brittleness m_brittleness;   ///< The same.
   SlowStartState m_slow_start;
   Instant m_last_byte{};        ///< When this instance last received a byte from it.
   Instant m_restart_learned{};  ///< When this instance learned of the server's last restart.
--- a/packages/forward/include/poppyway/forward/impl/protocol_adapter.h
+++ b/packages/forward/include/poppyway/forward/impl/protocol_adapter.h
@@ -60,6 +60,8 @@
   std::optional<Duration> m_back_off;  ///< The server asks for no requests for this long.
   /// Requests per second that the server takes from all instances together; unset: any number.
   std::optional<double> m_limit_per_s;
+  /// Rejections per second above which the server ends; unset: it isn't brittle.
+  std::optional<double> m_max_rejections;
   std::optional<Duration> m_keep_alive;  ///< How long the connection may stay idle.
   int m_running = -1;                    ///< Requests that the server runs; -1: not stated.
   int m_waiting = 0;                     ///< Requests queued at the server.
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -34,6 +34,13 @@
   return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/// Makes the next close of a connection discard what the peer hasn't acknowledged. Otherwise the
+/// kernel goes on delivering a request that was given up, also long after.
+void DiscardOnClose(h2o_socket_t* socket) {
+  const linger at_once{1, 0};
+  setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 }  // namespace
 
 std::string_view CallFaultName(CallFault fault) noexcept {
@@ -214,6 +221,9 @@
     return;
   h2o_socket_t* socket = m_socket;
   m_socket = nullptr;
+  const bool unanswered = m_sending && !m_head_done;
+  if (unanswered)
+    DiscardOnClose(socket);
   h2o_socket_close(socket);
 }
 
@@ -264,6 +274,7 @@
 }
 
 void BackendCall::Send() {
+  m_sending = true;
   h2o_iovec_t bytes = h2o_iovec_init(m_request.data(), m_request.size());
   h2o_socket_write(m_socket, &bytes, 1, &BackendCall::OnWritten);
   h2o_socket_read_start(m_socket, &BackendCall::OnReadable);
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -91,6 +91,7 @@
   view.m_available_slots = SlotsWithoutBroker(state, backend) - backend.m_in_flight;
   view.m_pending_prefill_tokens = backend.m_pending_prefill_tokens;
   view.m_cached_tokens = CachedTokens(backend, forwarding.m_request);
+  view.m_no_queue = backend.m_brittleness.m_max_rejections.has_value();
   view.m_performance = backend.m_performance;
   view.m_same_data_centre = backend.m_record.data_centre == state.m_settings.m_data_centre;
   view.m_round_trip =
--- a/packages/forward/src/eligibility.cc
+++ b/packages/forward/src/eligibility.cc
@@ -33,7 +33,8 @@
   EligibilityInputs inputs = BaseInputs(state, backend, now);
   inputs.m_leaving = backend.m_leaving || backend.m_replaced;
   inputs.m_kept_by_rollout = held_back;
-  inputs.m_at_limit = !TakesRequestWithoutBroker(backend.m_limit, now);
+  inputs.m_at_limit = !TakesRequestWithoutBroker(backend.m_limit, now) ||
+                      !MayRiskRejection(backend.m_brittleness, state.m_instances.m_recent_max, now);
   inputs.m_cold_full = IsCold(backend.m_slow_start, now) &&
                        !MaySendWithoutBroker(backend.m_slow_start,
                                              SlowStartLimitOf(state, backend.m_record.pool), now);
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -221,6 +221,8 @@
     return HeadVerdict::kAccept;
   }
   if (answer.m_not_run) {
+    if (Backend* backend = FindCalledBackend(state, *forwarding))
+      RecordRejection(backend->m_brittleness, ReadClock());
     RecordHealth(state, *forwarding, HealthSignal::kFailure);
     OnRejected(state, *forwarding, "server_declined");
     return HeadVerdict::kAccept;
--- a/packages/forward/src/restarts.cc
+++ b/packages/forward/src/restarts.cc
@@ -55,6 +55,7 @@
   backend.m_health = {};
   backend.m_back_off_until = {};
   backend.m_limit = {};
+  backend.m_brittleness = {};
   backend.m_announced_leaving = false;
   backend.m_last_byte = {};
   backend.m_prompt_segments.clear();
--- a/packages/forward/src/server_notice.cc
+++ b/packages/forward/src/server_notice.cc
@@ -23,6 +23,7 @@
   notice.m_back_off = std::max(Duration(0), backend.m_back_off_until - now);
   notice.m_leaving = backend.m_announced_leaving;
   notice.m_limit_per_s = backend.m_limit.m_per_s;
+  notice.m_max_rejections = backend.m_brittleness.m_max_rejections;
   return notice;
 }
 
@@ -76,6 +77,28 @@
   NotifyBroker(state, backend, now);
 }
 
+/// Records whether the server is brittle. Like a limit, it isn't ended by another request's
+/// response.
+void HandleBrittleness(ForwarderState& state,
+                       Backend& backend,
+                       Forwarding& forwarding,
+                       const ServerResponse& answer,
+                       Instant now) {
+  const bool crossed = answer.m_id && *answer.m_id != forwarding.m_request.m_id;
+  if (crossed && !answer.m_max_rejections)
+    return;
+  forwarding.m_report.m_max_rejections = answer.m_max_rejections;
+  if (!ApplyStatedBrittleness(backend.m_brittleness, answer.m_max_rejections,
+                              forwarding.m_dispatched, now))
+    return;
+  state.m_metrics.Add("poppyway_forward_brittle_changes_total");
+  POPPYWAY_LOG(info, "server_brittle")
+      .Field("request", forwarding.m_request.m_id)
+      .Field("server", backend.m_record.id)
+      .Field("max_rejections", answer.m_max_rejections.value_or(-1))
+      .Field("in_flight", backend.m_in_flight);
+}
+
 /// Records the limit of a response head. A response to another request may be older than the last
 /// change, so it doesn't end a limit. The broker hears of it with the next report on the slot.
 void HandleLimit(ForwarderState& state,
@@ -113,8 +136,10 @@
   if (backend == nullptr)
     return;
   const Instant now = ReadClock();
-  if (!answer.m_other_server)
+  if (!answer.m_other_server) {
     HandleLimit(state, *backend, forwarding, answer, now);
+    HandleBrittleness(state, *backend, forwarding, answer, now);
+  }
   if (answer.m_leaving)
     HandleLeaving(state, *backend, forwarding, now);
   if (answer.m_back_off)
@@ -125,7 +150,8 @@
   std::vector<ServerNotice> notices;
   for (const auto& [id, backend] : state.m_backends) {
     const bool holds = backend.m_announced_leaving || now < backend.m_back_off_until ||
-                       backend.m_limit.m_per_s.has_value();
+                       backend.m_limit.m_per_s.has_value() ||
+                       backend.m_brittleness.m_max_rejections.has_value();
     if (holds)
       notices.push_back(MakeNotice(backend, now));
   }
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -13252,6 +13252,11 @@
 void PlaceReport::__set_head(const bool val) {
   this->head = val;
 }
+
+void PlaceReport::__set_max_rejections(const double val) {
+  this->max_rejections = val;
+__isset.max_rejections = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceReport& obj)
 {
   obj.printTo(out);
@@ -13394,6 +13399,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->max_rejections);
+          this->__isset.max_rejections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13468,6 +13481,11 @@
   xfer += oprot->writeBool(this->head);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.max_rejections) {
+    xfer += oprot->writeFieldBegin("max_rejections", ::apache::thrift::protocol::T_DOUBLE, 15);
+    xfer += oprot->writeDouble(this->max_rejections);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13489,6 +13507,7 @@
   swap(a.connect_us, b.connect_us);
   swap(a.limit_per_s, b.limit_per_s);
   swap(a.head, b.head);
+  swap(a.max_rejections, b.max_rejections);
   swap(a.__isset, b.__isset);
 }
 
@@ -13507,6 +13526,7 @@
   connect_us = other508.connect_us;
   limit_per_s = other508.limit_per_s;
   head = other508.head;
+  max_rejections = other508.max_rejections;
   __isset = other508.__isset;
 }
 PlaceReport::PlaceReport(PlaceReport&& other509) noexcept {
@@ -13524,6 +13544,7 @@
   connect_us = other509.connect_us;
   limit_per_s = other509.limit_per_s;
   head = other509.head;
+  max_rejections = other509.max_rejections;
   __isset = other509.__isset;
 }
 PlaceReport& PlaceReport::operator=(const PlaceReport& other510) noexcept {
@@ -13541,6 +13562,7 @@
   connect_us = other510.connect_us;
   limit_per_s = other510.limit_per_s;
   head = other510.head;
+  max_rejections = other510.max_rejections;
   __isset = other510.__isset;
   return *this;
 }
@@ -13559,6 +13581,7 @@
   connect_us = other511.connect_us;
   limit_per_s = other511.limit_per_s;
   head = other511.head;
+  max_rejections = other511.max_rejections;
   __isset = other511.__isset;
   return *this;
 }
@@ -13579,6 +13602,7 @@
   out << ", " << "connect_us=" << to_string(connect_us);
   out << ", " << "limit_per_s="; (__isset.limit_per_s ? (out << to_string(limit_per_s)) : (out << "<null>"));
   out << ", " << "head=" << to_string(head);
+  out << ", " << "max_rejections="; (__isset.max_rejections ? (out << to_string(max_rejections)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14029,6 +14053,11 @@
   this->limit_per_s = val;
 __isset.limit_per_s = true;
 }
+
+void ServerWord::__set_max_rejections(const double val) {
+  this->max_rejections = val;
+__isset.max_rejections = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerWord& obj)
 {
   obj.printTo(out);
@@ -14097,6 +14126,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->max_rejections);
+          this->__isset.max_rejections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14135,6 +14172,11 @@
     xfer += oprot->writeDouble(this->limit_per_s);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.max_rejections) {
+    xfer += oprot->writeFieldBegin("max_rejections", ::apache::thrift::protocol::T_DOUBLE, 6);
+    xfer += oprot->writeDouble(this->max_rejections);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14147,6 +14189,7 @@
   swap(a.back_off_ms, b.back_off_ms);
   swap(a.leaving, b.leaving);
   swap(a.limit_per_s, b.limit_per_s);
+  swap(a.max_rejections, b.max_rejections);
   swap(a.__isset, b.__isset);
 }
 
@@ -14156,6 +14199,7 @@
   back_off_ms = other520.back_off_ms;
   leaving = other520.leaving;
   limit_per_s = other520.limit_per_s;
+  max_rejections = other520.max_rejections;
   __isset = other520.__isset;
 }
 ServerWord::ServerWord(ServerWord&& other521) noexcept {
@@ -14164,6 +14208,7 @@
   back_off_ms = other521.back_off_ms;
   leaving = other521.leaving;
   limit_per_s = other521.limit_per_s;
+  max_rejections = other521.max_rejections;
   __isset = other521.__isset;
 }
 ServerWord& ServerWord::operator=(const ServerWord& other522) {
@@ -14172,6 +14217,7 @@
   back_off_ms = other522.back_off_ms;
   leaving = other522.leaving;
   limit_per_s = other522.limit_per_s;
+  max_rejections = other522.max_rejections;
   __isset = other522.__isset;
   return *this;
 }
@@ -14181,6 +14227,7 @@
   back_off_ms = other523.back_off_ms;
   leaving = other523.leaving;
   limit_per_s = other523.limit_per_s;
+  max_rejections = other523.max_rejections;
   __isset = other523.__isset;
   return *this;
 }
@@ -14192,6 +14239,7 @@
   out << ", " << "back_off_ms=" << to_string(back_off_ms);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "limit_per_s="; (__isset.limit_per_s ? (out << to_string(limit_per_s)) : (out << "<null>"));
+  out << ", " << "max_rejections="; (__isset.max_rejections ? (out << to_string(max_rejections)) : (out << "<null>"));
   out << ")";
 }
 
--- a/packages/wire/gen/poppyway_types.h
+++ b/packages/wire/gen/poppyway_types.h
@@ -4938,7 +4938,7 @@
 std::ostream& operator<<(std::ostream& out, const PlaceHeld& obj);
 
 typedef struct _PlaceReport__isset {
-  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false), failed(false), connect_us(false), limit_per_s(false), head(false) {}
+  _PlaceReport__isset() : ref(false), tokens_read(false), first_ms(false), ended(false), ran(false), sign(false), service_ms(false), events(false), span_ms(false), pause_ms(false), failed(false), connect_us(false), limit_per_s(false), head(false), max_rejections(false) {}
   bool ref :1;
   bool tokens_read :1;
   bool first_ms :1;
@@ -4953,6 +4953,7 @@
   bool connect_us :1;
   bool limit_per_s :1;
   bool head :1;
+  bool max_rejections :1;
 } _PlaceReport__isset;
 
 class PlaceReport : public virtual ::apache::thrift::TBase {
@@ -4976,7 +4977,8 @@
                 failed(0),
                 connect_us(0),
                 limit_per_s(0),
-                head(0) {
+                head(0),
+                max_rejections(0) {
   }
 
   virtual ~PlaceReport() noexcept;
@@ -4998,6 +5000,7 @@
   int32_t connect_us;
   double limit_per_s;
   bool head;
+  double max_rejections;
 
   _PlaceReport__isset __isset;
 
@@ -5029,6 +5032,8 @@
 
   void __set_head(const bool val);
 
+  void __set_max_rejections(const double val);
+
   bool operator == (const PlaceReport & rhs) const
   {
     if (!(ref == rhs.ref))
@@ -5061,6 +5066,10 @@
       return false;
     if (!(head == rhs.head))
       return false;
+    if (__isset.max_rejections != rhs.__isset.max_rejections)
+      return false;
+    else if (__isset.max_rejections && !(max_rejections == rhs.max_rejections))
+      return false;
     return true;
   }
   bool operator != (const PlaceReport &rhs) const {
@@ -5240,12 +5249,13 @@
 std::ostream& operator<<(std::ostream& out, const RetryUse& obj);
 
 typedef struct _ServerWord__isset {
-  _ServerWord__isset() : server(false), born(false), back_off_ms(false), leaving(false), limit_per_s(false) {}
+  _ServerWord__isset() : server(false), born(false), back_off_ms(false), leaving(false), limit_per_s(false), max_rejections(false) {}
   bool server :1;
   bool born :1;
   bool back_off_ms :1;
   bool leaving :1;
   bool limit_per_s :1;
+  bool max_rejections :1;
 } _ServerWord__isset;
 
 class ServerWord : public virtual ::apache::thrift::TBase {
@@ -5260,7 +5270,8 @@
                born(0),
                back_off_ms(0),
                leaving(0),
-               limit_per_s(0) {
+               limit_per_s(0),
+               max_rejections(0) {
   }
 
   virtual ~ServerWord() noexcept;
@@ -5269,6 +5280,7 @@
   int32_t back_off_ms;
   bool leaving;
   double limit_per_s;
+  double max_rejections;
 
   _ServerWord__isset __isset;
 
@@ -5282,6 +5294,8 @@
 
   void __set_limit_per_s(const double val);
 
+  void __set_max_rejections(const double val);
+
   bool operator == (const ServerWord & rhs) const
   {
     if (!(server == rhs.server))
@@ -5296,6 +5310,10 @@
       return false;
     else if (__isset.limit_per_s && !(limit_per_s == rhs.limit_per_s))
       return false;
+    if (__isset.max_rejections != rhs.__isset.max_rejections)
+      return false;
+    else if (__isset.max_rejections && !(max_rejections == rhs.max_rejections))
+      return false;
     return true;
   }
   bool operator != (const ServerWord &rhs) const {
--- a/packages/wire/poppyway.thrift
+++ b/packages/wire/poppyway.thrift
@@ -168,7 +168,7 @@
   1: string instance; 2: string incarnation; 3: string address; 4: i32 port; 5: string data_centre;
   6: i64 version_in_force; 7: bool ready; 8: bool stopping; 9: string http; 10: i64 leases_seen;
   11: i64 members_seen  // The digest of the last member list from the leader.
-  // The port on which the instance passes on calls of others to servers; zero: it doesn't.
+  // The port on which the instance passes on calls of others to servers; zero: it doesn't now.
   12: i32 relay_port;
   13: bool cut_off;  // The instance reaches no backend servers itself.
   14: bool wants_helpers
@@ -239,7 +239,9 @@
   12: i32 connect_us;  // The time to open a new connection; zero: none was opened.
   // `head`: a response head has arrived since the last report. With it, `limit_per_s` is the number
   // of requests a second that the server states to take from all instances; unset: any number.
-  13: optional double limit_per_s; 14: bool head
+  13: optional double limit_per_s; 14: bool head;
+  // With `head`: rejections a second above which the server ends; unset: it isn't brittle.
+  15: optional double max_rejections
 }
 // The rest of a workspace's quota as a broker last reported it, and what the instance has charged
 // to it since without a broker.
@@ -258,7 +260,8 @@
 // the server is about to stop. `limit_per_s`: the number of requests a second that the server stated
 // to take from all instances together; unset: any number.
 struct ServerWord {
-  1: string server; 2: i64 born; 3: i32 back_off_ms; 4: bool leaving; 5: optional double limit_per_s
+  1: string server; 2: i64 born; 3: i32 back_off_ms; 4: bool leaving; 5: optional double limit_per_s;
+  6: optional double max_rejections  // Rejections a second above which the server ends.
 }
 // Sent by an instance. With `resync`, `held` lists all slots that it holds and `words` all server
 // notices that are still in force.
