--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -304,14 +304,16 @@
 
 namespace {
 
-/// Handles a call of which the server got nothing. A connection that fails is made through a
-/// helper, which shows whether the server or only the path to it is lost.
+/// Handles a call of which the server got nothing. If no connection came up and no other server
+/// responded meanwhile, the path may be lost: the call is made through a helper. Otherwise the
+/// server is likely lost, and a helper would only wait for it once more.
 void OnNothingSent(ForwarderState& state, Forwarding& forwarding, CallFault fault) {
   if (fault == CallFault::kNotConnected) {
     const Backend* backend = FindBackend(state, forwarding.m_server);
     if (backend != nullptr)
       CheckPathAfterFailedConnect(state, backend->m_endpoint);
-    if (CallThroughHelper(state, forwarding))
+    const bool others_respond = state.m_last_byte > forwarding.m_dispatched;
+    if (!others_respond && CallThroughHelper(state, forwarding))
       return;
     ReportReachability(state, forwarding, false);
     RecordHealth(state, forwarding, HealthSignal::kUnreachable);
--- a/tests/peer_relay_test.cc
+++ b/tests/peer_relay_test.cc
@@ -291,6 +291,32 @@
   CHECK_FALSE(report.m_may_have_run);
 }
 
+// Guards against a second wait for a server that is lost, at a helper, while others respond here.
+TEST_CASE("a request leaves a server that is lost at once while others respond") {
+  SilentListener silent;
+  CutOffInstance fixture(&MakeOkResponse);
+  ScriptedServer sound([](const std::string& request) {
+    std::vector<ScriptStep> steps = MakeOkResponse(request);
+    steps.insert(steps.begin(), Wait(150));
+    return steps;
+  });
+  fixture.RegisterAt("lost", silent.port());
+  fixture.RegisterAt("sound", sound.port());
+  FakeBroker broker(fixture);
+  BackgroundCall first(fixture, Request("/once/x", "r1"));
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 1; });
+  SendSlotResponse(fixture, broker.SlotRequests()[0].m_ref, SlotVerdict::kPlaced, "lost");
+  BackgroundCall second(fixture, Request("/once/y", "r2"));
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 2; });
+  SendSlotResponse(fixture, broker.SlotRequests()[1].m_ref, SlotVerdict::kPlaced, "sound");
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 3; });
+  REQUIRE(broker.SlotRequests().size() == 3);
+  SendSlotResponse(fixture, broker.SlotRequests()[2].m_ref, SlotVerdict::kPlaced, "sound");
+  CHECK(first.AwaitResponse(fixture).status() == 200);
+  CHECK(second.AwaitResponse(fixture).status() == 200);
+  CHECK(sound.requests().size() == 2);
+}
+
 TEST_CASE("a slot whose request went through a helper is reported like any other") {
   SilentListener silent;
   CutOffInstance fixture(&MakeOkResponse);
