--- a/tests/cut_off_instance_test.cc
+++ b/tests/cut_off_instance_test.cc
@@ -13,7 +13,7 @@
 
 constexpr Duration kStep{20'000};
 constexpr Duration kConnectLimit{300'000};
-constexpr int kSteps = 200;     // Four seconds.
+constexpr int kSteps = 200;  // Four seconds.
 constexpr int kCutFromStep = 50;
 
 const std::vector<std::string> kCutOff{"cut-1", "cut-2"};
--- a/tests/process/path_cut.cc
+++ b/tests/process/path_cut.cc
@@ -3,8 +3,9 @@
 // Cuts a process off from the backend servers in the process tests: a library that is loaded before
 // the others and sends connection attempts to the servers' port elsewhere while a file exists.
 //
-// POPPYWAY_CUT_PORT is the servers' port. POPPYWAY_CUT_FILE names the file, which holds an address and a
-// port: those of a listener that answers nothing, of none, or of one that resets each connection.
+// POPPYWAY_CUT_PORT is the servers' port. POPPYWAY_CUT_FILE names the file, which holds an address
+// and a port: those of a listener that answers nothing, of none, or of one that resets each
+// connection.
 
 #include <arpa/inet.h>
 #include <dlfcn.h>
