--- a/tests/peer_relay_test.cc
+++ b/tests/peer_relay_test.cc
@@ -179,6 +179,20 @@
         std::string::npos);
 }
 
+// Guards against a helper that is cut off a moment after it was in contact: it reports sound
+// servers as lost, and the instance that asked as crashed.
+TEST_CASE("a helper that has just lost all servers can't tell that one is lost") {
+  HelperInstance helper;
+  auto server = std::make_unique<ScriptedServer>(&MakeOkResponse);
+  const std::uint16_t port = server->port();
+  helper.Register("s", port);
+  helper.Run();
+  REQUIRE(Ask(helper.endpoint(), CheckOf(port)).status() == 204);
+  server.reset();
+  CHECK(Ask(helper.endpoint(), CheckOf(port)).m_bytes.find(FaultLine(RelayFault::kUnavailable)) !=
+        std::string::npos);
+}
+
 TEST_CASE("a helper that reaches others tells that a server is unreachable") {
   ScriptedServer server(&MakeOkResponse);
   HelperInstance helper;
