--- a/tests/peer_relay_test.cc
+++ b/tests/peer_relay_test.cc
@@ -13,6 +13,19 @@
 namespace poppyway {
 namespace {
 
+/// Returns the record of a server at a port of this machine.
+wire::ServerRecord RecordAt(const std::string& id, std::uint16_t port, std::int64_t index) {
+  wire::ServerRecord record;
+  record.id = id;
+  record.pool = "app";
+  record.address = "127.0.0.1";
+  record.port = port;
+  record.slots = 4;
+  record.stage = wire::ServerStage::READY;
+  record.index = index;
+  return record;
+}
+
 /// \brief A listener that lets no connection come up: its queue is full and nobody accepts.
 class SilentListener {
  public:
@@ -48,8 +61,7 @@
 
 /// \brief A helper on a loop and a thread of its own.
 ///
-/// Both instances know the servers by the same addresses, so a broken path of the one under test is
-/// made by an address that only the helper is told otherwise: see `TwoInstances`.
+/// Its thread stands for another machine; the test asks it as another instance does.
 class HelperInstance {
  public:
   HelperInstance() {
@@ -68,15 +80,7 @@
   HelperInstance& operator=(const HelperInstance&) = delete;
 
   void Register(const std::string& id, std::uint16_t port) {
-    wire::ServerRecord record;
-    record.id = id;
-    record.pool = "app";
-    record.address = "127.0.0.1";
-    record.port = port;
-    record.slots = 4;
-    record.stage = wire::ServerStage::READY;
-    record.index = ++m_index;
-    m_forwarder->HandleMessage(ServersChanged{{record}});
+    m_forwarder->HandleMessage(ServersChanged{{RecordAt(id, port, ++m_index)}});
   }
   /// Runs the loop on a thread until `Stop`. The forwarder must not be used meanwhile.
   void Run() {
@@ -238,11 +242,10 @@
 }
 
 /// \brief An instance whose paths to servers are broken, with a helper that reaches them. The
-/// instance knows the servers at addresses of listeners on which no connection comes up; what it
-/// asks its helper for is translated by `m_translate`, since one address can't be both.
+/// instance knows the servers at addresses of listeners on which no connection comes up; its helper
+/// is scripted, since one address can't both be silent and respond.
 struct CutOffInstance : ForwarderFixture {
   ScriptedServer m_helper;
-  int m_calls = 0;
   std::atomic<int> m_checks{0};
 
   explicit CutOffInstance(ScriptedServer::Script respond)
@@ -258,15 +261,7 @@
     m_forwarder->HandleMessage(HelpersChanged{helpers});
   }
   void RegisterAt(const std::string& id, std::uint16_t port) {
-    wire::ServerRecord record;
-    record.id = id;
-    record.pool = "app";
-    record.address = "127.0.0.1";
-    record.port = port;
-    record.slots = 4;
-    record.stage = wire::ServerStage::READY;
-    record.index = ++m_index;
-    m_forwarder->HandleMessage(ServersChanged{{record}});
+    m_forwarder->HandleMessage(ServersChanged{{RecordAt(id, port, ++m_index)}});
   }
   [[nodiscard]] ForwarderState& state() { return m_forwarder->state(); }
 };
@@ -461,15 +456,7 @@
   std::atomic<bool> reset{false};
   std::thread server([&] { reset.store(WaitForReset(listener)); });
   ForwarderFixture fixture;
-  wire::ServerRecord record;
-  record.id = "s";
-  record.pool = "app";
-  record.address = "127.0.0.1";
-  record.port = ntohs(where.sin_port);
-  record.slots = 4;
-  record.stage = wire::ServerStage::READY;
-  record.index = 2;
-  fixture.m_forwarder->HandleMessage(ServersChanged{{record}});
+  fixture.m_forwarder->HandleMessage(ServersChanged{{RecordAt("s", ntohs(where.sin_port), 2)}});
   (void)Call(fixture, Request("/safe/x", "r1"), 100);
   fixture.m_loop.RunFor(300);
   shutdown(listener, SHUT_RDWR);
