--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -109,6 +109,10 @@
   bool m_head_accepted = false;  ///< The response head has been accepted.
   std::string m_buffered;        ///< Response body held until the caller's response starts.
   EventStreamParser m_events;
+  /// Software version of the server that wrote the first event; unset: no event, or not known.
+  std::optional<std::string> m_first_version;
+  /// The same of the last server that wrote an event.
+  std::optional<std::string> m_last_version;
   Instant m_dispatched{};
   Instant m_last_byte{};    ///< When the last byte of the response arrived.
   Instant m_first_event{};  ///< When the first event of this call arrived.
--- a/packages/forward/include/poppyway/forward/impl/protocol_adapter.h
+++ b/packages/forward/include/poppyway/forward/impl/protocol_adapter.h
@@ -34,6 +34,8 @@
   bool m_names_tokens = false;         ///< The request states its token counts.
   std::vector<PromptSegment> m_prompt_segments;
   std::optional<std::int64_t> m_resume_after;  ///< Id of the last event that the caller has.
+  /// Id of the caller's attempt that brought the first event of the stream; empty: not stated.
+  std::string m_first_attempt;
   std::vector<Field> m_forwarded;  ///< Fields that are forwarded to the server unchanged.
 
   friend bool operator==(const CallerRequest&, const CallerRequest&) = default;
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -9,6 +9,7 @@
 
 // Never read; the library needs a response to release the request.
 constexpr int kCallerGoneStatus = 499;
+constexpr std::size_t kMaxLoggedId = 64;  // Bytes of a caller's text in a log line.
 
 /// The body generator of a response; the library passes it to the callbacks.
 struct Generator {
@@ -69,6 +70,10 @@
       .Field("most_tokens", forwarding.m_request.m_most_tokens)
       .Field("expected_tokens", forwarding.m_request.m_expected_tokens)
       .Field("events", forwarding.m_events.m_events)
+      .Field("resume_after", forwarding.m_request.m_resume_after.value_or(-1))
+      .Field("first_attempt", forwarding.m_request.m_first_attempt.substr(0, kMaxLoggedId))
+      .Field("first_software", forwarding.m_first_version.value_or("-"))
+      .Field("last_software", forwarding.m_last_version.value_or("-"))
       .Field("sent_ms", forwarding.m_tried.empty()
                             ? -1
                             : Millis(forwarding.m_dispatched - forwarding.m_arrived))
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -74,8 +74,30 @@
     backend->m_last_byte = forwarding.m_last_byte;
 }
 
+/// Records which software version writes a stream, and counts a stream that goes on at another
+/// server than the one that wrote its last event.
+void RecordVersion(ForwarderState& state, Forwarding& forwarding) {
+  const Backend* backend = FindCalledBackend(state, forwarding);
+  const std::optional<std::string> version =
+      backend == nullptr ? std::nullopt : std::optional(backend->m_record.version);
+  const bool retried = forwarding.m_caller.m_started;
+  const bool taken_up = !retried && forwarding.m_request.m_resume_after.has_value();
+  if (!retried)
+    forwarding.m_first_version = version;
+  forwarding.m_last_version = version;
+  if (!retried && !taken_up)
+    return;
+  std::string_view match = "unknown";
+  if (retried && version && forwarding.m_first_version)
+    match = version == forwarding.m_first_version ? "same" : "other";
+  state.m_metrics.Add("poppyway_forward_streams_continued_total",
+                      std::string("how=\"") + (retried ? "retry" : "taken_up") + "\",version=\"" +
+                          std::string(match) + "\"");
+}
+
 void RecordFirstEvent(ForwarderState& state, Forwarding& forwarding, Instant now) {
   forwarding.m_first_event = now;
+  RecordVersion(state, forwarding);
   forwarding.m_report.m_tokens_read = forwarding.m_prefill_tokens;
   forwarding.m_report.m_time_to_first_event = std::max(Duration(1), now - forwarding.m_dispatched);
   if (Backend* backend = FindCalledBackend(state, forwarding)) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -219,6 +219,7 @@
                                               {"x-length-hint", "44"},
                                               {"x-deadline-ms", "1500"},
                                               {"last-event-id", "12"},
+                                              {"resumes", " a1 "},
                                               {"x-other", "kept"}});
   CHECK(request.m_id == "a1");
   CHECK(request.m_key == "k1");
@@ -228,11 +229,12 @@
   CHECK(request.m_expected_tokens == 44);
   CHECK(request.m_prompt_segments == std::vector<PromptSegment>{{0x5c1e07a2, 800}, {0xff, 60}});
   CHECK(request.m_resume_after == 12);
+  CHECK(request.m_first_attempt == "a1");
   std::vector<std::string> names;
   for (const Field& field : request.m_forwarded)
     names.push_back(field.m_name);
   CHECK(names == std::vector<std::string>{"x-attempt-id", "x-token-count", "x-prefix-hash",
-                                          "x-length-hint", "x-other"});
+                                          "x-length-hint", "resumes", "x-other"});
 }
 
 TEST_CASE("a dispatch names the meant server, the workspace and the time that is left") {
