--- a/soak/cases.py
+++ b/soak/cases.py
@@ -46,10 +46,11 @@
         if not holds:
             self.failures.append(what)
 
-    async def start_with(self, *servers, warm_up_s=WARM_UP_S):
+    async def start_with(self, *servers, warm_up_s=WARM_UP_S, more_routes=()):
         """Starts all processes, sends the document, then starts the servers and the clients."""
         self.fleet.start()
-        status, _ = await self.operator.ask("PUT", "/-/config", document(1, POOL, KEY),
+        status, _ = await self.operator.ask("PUT", "/-/config",
+                                            document(1, POOL, KEY, more_routes),
                                             limit=DOCUMENT_LIMIT_S)
         self.check(status == 200, f"the document got {status}")
         for group in servers:
--- a/soak/crashing_requests.py
+++ b/soak/crashing_requests.py
@@ -13,8 +13,9 @@
 import time
 
 from cases import FleetCase, run_cases, wait_until
+from ending_servers import EndingServers
 from fleet import CALLERS_PORT
-from stand_ins import FaultModel, Servers, call
+from stand_ins import FaultModel, call
 
 PER_S = 120
 SERVERS = 10
@@ -30,40 +31,13 @@
 SERVED_SHARE = 0.8  # Share of the other requests that must be served without a fault.
 
 
-class CrashingServers(Servers):
+class CrashingServers(EndingServers):
     """Servers that crash at a fatal request and start again as new processes."""
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.reached = {}  # Path of a fatal request to the times at which it reached a server.
         self.ended = {}  # The same, to the times at which servers ended under it.
-        self._open = {address: set() for address in self.addresses}  # Open connections.
-        self._lives = 0
-
-    async def start(self, pool):
-        self._pool = pool
-        for address in self.addresses:
-            await self._start_one(address)
-
-    async def _start_one(self, address):
-        self._lives += 1
-        state = {"running": 0, "speed": self._rng.uniform(0.8, 1.25), "address": address}
-        handler = lambda r, w, s=state: self._serve_until_crash(r, w, s)
-        state["listener"] = await asyncio.start_server(handler, address, 8080)
-        self._listeners.append(state["listener"])
-        state["heartbeats"] = asyncio.create_task(
-            self._send_heartbeats(f"{self._names}-{self._lives}", address, self._pool))
-        self._tasks.append(state["heartbeats"])
-
-    async def _serve_until_crash(self, reader, writer, state):
-        writers = self._open[state["address"]]
-        writers.add(writer)
-        state.setdefault("writers", set()).add(writer)
-        try:
-            await self._serve(reader, writer, state)
-        finally:
-            writers.discard(writer)
-            writer.close()
 
     def judge_path(self, path, state):
         """Returns True for a request that crashes the server, and starts the crash."""
@@ -75,16 +49,8 @@
 
     async def _crash(self, path, state):
         await asyncio.sleep(CRASH_AFTER_S)
-        if state.get("crashed"):
-            return
-        state["crashed"] = True
-        self.ended.setdefault(path, []).append(time.monotonic())
-        state["heartbeats"].cancel()
-        state["listener"].close()
-        for writer in list(self._open[state["address"]]):
-            writer.transport.abort()
-        await asyncio.sleep(self._rng.uniform(*RESTART_S))
-        await self._start_one(state["address"])
+        if await self.end(state, self._rng.uniform(*RESTART_S)):
+            self.ended.setdefault(path, []).append(time.monotonic())
 
     def late(self, path):
         """Returns how many repeats reached servers too late after the third crash."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -185,7 +185,15 @@
         return 0 if leader is None else leader.log().count(text)
 
 
-def document(version, pool, key):
+def stream_route(pool):
+    """Returns a route whose streams may be resumed."""
+    return {"name": "tell", "host": "a.example", "path_prefix": "/tell/",
+            "route_kind": "streaming", "timeout_ms": 8000, "slo_ms": 500, "gap_slo_ms": 400,
+            "priority": 0, "service": pool, "max_attempts": 2, "anonymous": False,
+            "resumable": True}
+
+
+def document(version, pool, key, more_routes=()):
     """Returns an operator's document with one pool, a repeatable route and a non-repeatable one."""
     def route(name, kind):
         return {"name": name, "host": "a.example", "path_prefix": f"/{name}/", "route_kind": kind,
@@ -193,6 +201,6 @@
                 "max_attempts": 2 if kind == "safe" else 1, "anonymous": False}
     return json.dumps({
         "version": version,
-        "routes": [route("look", "safe"), route("book", "unsafe")],
+        "routes": [route("look", "safe"), route("book", "unsafe"), *more_routes],
         "services": [{"name": pool, "health_path": "/healthz", "max_conns": 500}],
         "tenants": [{"name": "north", "api_keys": [key], "rate_per_s": 0, "burst": 0}]})
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -156,6 +156,10 @@
         """Returns the stage that a server reports in its heartbeats."""
         return self._stage
 
+    def version_of(self, _address):
+        """Returns the software version that a server reports in its heartbeats."""
+        return self.version
+
     def judge_path(self, _path, _state):
         """Returns True for a request that gets no response."""
         return False
@@ -174,7 +178,7 @@
         while True:
             sequence += 1
             body = json.dumps({"service": pool, "address": f"{address}:8080", "zone": self.zone,
-                               "version": self.version, "slots": 6,
+                               "version": self.version_of(address), "slots": 6,
                                "state": self.stage_of(address),
                                "sequence": sequence})
             for member in self._rng.sample(self._members, len(self._members)):
--- /dev/null
+++ b/soak/stream_versions.py
@@ -0,0 +1,133 @@
+#!/usr/bin/env python3
+# SPDX-License-Identifier: MIT
+# Part of poppyway, a request scheduler for unlike engines.
+"""Streams over servers of two software versions, with real processes: what two versions write
+doesn't fit together, so a stream may go on only at the version that began it.
+
+Servers end, instances are killed, leaders and all members are lost, one by one and together. The
+checks use what clients received. The schedule of faults is deterministic for a seed.
+
+    soak/stream_versions.py --program build/poppywayd [--seed N] [--case NAME ...]
+"""
+
+import asyncio
+
+from cases import POOL, FleetCase, run_cases
+from fleet import stream_route
+from stand_ins import FaultModel
+from streams import StreamClients, StreamServers
+
+STREAMS_PER_S = 25
+SERVERS = 14
+PLAY_S = 10.0
+SERVER_ENDS_S = 0.3  # Time between two ends of servers.
+DOWN_S = (0.6, 1.5)  # How long a server is down.
+INSTANCE_ENDS_S = (0.8, 1.6)  # Time between two kills of instances.
+MEMBERS_DOWN_S = 3.0
+GO_ON_SHARE = 0.5  # Of the share of new streams that begin.
+COUNTED = 12  # Fewer take-ups say nothing.
+VERSIONS = ("v1", "v2")
+LONE_VERSION = ("v1",) * 6 + ("v2",)  # Two servers of fourteen.
+
+
+class Case(FleetCase):
+    """A fleet before servers of several software versions."""
+
+    def __init__(self, program, name, subnet, seed):
+        super().__init__(program, name, subnet, seed, per_s=5)
+        options = CASES[name]
+        self.servers = StreamServers(subnet, options.get("versions", VERSIONS), SERVERS,
+                                     self.fleet.members, FaultModel(), seed,
+                                     options.get("until_close", False))
+        self.servers.change_version = options.get("change_version", False)
+        self.faults = options["faults"]
+        self.clients = StreamClients(self.fleet.instances, self.callers.key, STREAMS_PER_S, seed,
+                                     self.servers)
+
+    async def end_servers(self):
+        while True:
+            await asyncio.sleep(SERVER_ENDS_S)
+            state = self.servers.states[self.rng.choice(self.servers.addresses)]
+            await self.servers.end(state, self.rng.uniform(*DOWN_S))
+
+    async def kill_instances(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(*INSTANCE_ENDS_S))
+            await self.restart_instance()
+
+    async def kill_leaders(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(1.0, 2.5))
+            await self.kill_leader()
+
+    async def stop_members(self):
+        await asyncio.sleep(1.0)
+        for member in self.fleet.members:
+            member.kill()
+        await asyncio.sleep(MEMBERS_DOWN_S)
+        for member in self.fleet.members:
+            member.start()
+        await asyncio.sleep(PLAY_S)
+
+    async def pause_processes(self):
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+            await self.pause(self.rng.choice(self.fleet.members + self.fleet.instances))
+
+    async def play(self):
+        await self.start_with(self.servers, more_routes=(stream_route(POOL),))
+        self.clients.start()
+        await asyncio.sleep(1.0)
+        tasks = [asyncio.create_task(fault(self)) for fault in self.faults]
+        await asyncio.sleep(PLAY_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.clients.stop()
+        await self.callers.stop()
+        self.judge()
+
+    def judge(self):
+        streams = [stream for stream in self.clients.streams if stream.events]
+        mixed = [stream for stream in streams if len(stream.versions()) > 1]
+        within = sum(1 for stream in mixed if stream.joined_within)
+        wrong = [stream.ident for stream in streams if stream.out_of_order()]
+        short = [stream.ident for stream in streams if stream.cut_short()]
+        self.check(not mixed, f"{len(mixed)} of {len(streams)} streams hold events of two versions, "
+                              f"{within} of them within one response")
+        self.check(not wrong, f"events missing or twice: {wrong}")
+        self.check(not short, f"streams that look complete and aren't: {short}")
+        begun, gone_on = self.clients.begun, self.clients.gone_on
+        begin_share = begun[1] / max(1, begun[0])
+        go_on_share = gone_on[1] / max(1, gone_on[0])
+        if gone_on[0] >= COUNTED:
+            self.check(go_on_share >= GO_ON_SHARE * begin_share,
+                       f"{gone_on[1]} of {gone_on[0]} take-ups went on, "
+                       f"{begun[1]} of {begun[0]} new streams began")
+        complete = sum(1 for stream in streams if stream.complete)
+        print(f"case={self.name} streams={len(streams)} mixed={len(mixed)} within={within} "
+              f"complete={complete} begun={begun} gone_on={gone_on} "
+              f"refused={self.clients.statuses}", flush=True)
+
+    async def stop(self):
+        await self.stop_with(self.servers)
+
+
+CASES = {
+    "no-fault": {"faults": ()},
+    "servers-end": {"faults": (Case.end_servers,)},
+    "servers-change-version": {"faults": (Case.end_servers,), "change_version": True},
+    "instances-killed": {"faults": (Case.kill_instances,)},
+    "servers-end-instances-killed": {"faults": (Case.end_servers, Case.kill_instances)},
+    "leaders-killed": {"faults": (Case.end_servers, Case.kill_instances, Case.kill_leaders)},
+    "members-down": {"faults": (Case.end_servers, Case.stop_members)},
+    "processes-paused": {"faults": (Case.end_servers, Case.pause_processes)},
+    "few-servers-of-a-version": {"faults": (Case.kill_instances,), "versions": LONE_VERSION},
+    "until-close": {"faults": (Case.end_servers,), "until_close": True},
+    "all-together": {"faults": (Case.end_servers, Case.kill_instances, Case.kill_leaders,
+                                Case.pause_processes), "change_version": True},
+}
+
+
+if __name__ == "__main__":
+    run_cases(Case, CASES, __doc__)
