Log the prompt's shared parts of a call that broke off, and whether its response had begun

Cause of the gap: the incident's logs don't tell which prompts ran at a server that ended, nor at which of them it had begun to write. Change, with no change of logic: 'call_failed' names up to six shared parts of the prompt; poppyway_forward_broken_calls_total tells calls whose response had begun from others.

--- a/packages/forward/src/crashes.cc
+++ b/packages/forward/src/crashes.cc
@@ -28,6 +28,8 @@
 namespace impl {
 namespace {
 
+constexpr std::size_t kMaxLoggedParts = 6;
+
 std::int64_t Millis(Instant now) {
   return now.time_since_epoch().count() / 1000;
 }
@@ -66,6 +68,15 @@
   RefuseQuarantined(state);
 }
 
+std::string SharedPartsText(const CallerRequest& request) {
+  const std::vector<PromptSegment>& segments = request.m_prompt_segments;
+  const std::size_t shared = segments.empty() ? 0 : segments.size() - 1;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(shared, kMaxLoggedParts); ++i)
+    text += (i == 0 ? "" : ",") + FingerprintText(segments[i].m_id);
+  return text;
+}
+
 bool IsQuarantined(const ForwarderState& state, RequestFingerprint fingerprint) {
   return state.m_crashes.m_quarantined.contains(fingerprint) ||
          poppyway::IsQuarantined(state.m_crashes.m_uncommitted, fingerprint);
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -354,6 +354,9 @@
     return;
   const std::string_view why = CallFaultName(fault);
   state.m_metrics.Add("poppyway_forward_calls_failed_total", "why=\"" + std::string(why) + "\"");
+  if (forwarding->m_sent)
+    state.m_metrics.Add("poppyway_forward_broken_calls_total",
+                        forwarding->m_head_accepted ? "begun=\"1\"" : "begun=\"0\"");
   const Instant now = ReadClock();
   const ConnectOutcome connect =
       forwarding->m_call ? forwarding->m_call->connect_outcome() : ConnectOutcome::kNone;
@@ -366,6 +369,7 @@
       .Field("server", forwarding->m_server)
       .Field("why", why)
       .Field("headed", forwarding->m_head_accepted)
+      .Field("parts", SharedPartsText(forwarding->m_request))
       .Field("events", forwarding->m_call_events)
       .Field("reused", forwarding->m_call && forwarding->m_call->reused())
       .Field("connect", ConnectOutcomeName(connect))
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -355,6 +355,8 @@
 void OnRelayFault(ForwarderState& state, Forwarding& forwarding, RelayFault fault);
 
 // ---- crashes.cc: requests that crash servers ---------------------------------------------------
+/// Returns the ids of the prompt's first segments but its last one, for logs.
+[[nodiscard]] std::string SharedPartsText(const CallerRequest& request);
 /// Returns true if no server may be sent the request.
 [[nodiscard]] bool IsQuarantined(const ForwarderState& state, RequestFingerprint fingerprint);
 /// Ends a quarantined request.
