--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -106,6 +106,7 @@
   std::int64_t m_server_started_ms = 0;  ///< Start time of the server process that was called.
   std::unique_ptr<BackendCall> m_call;
   std::optional<Endpoint> m_helper;  ///< The instance that passes the active call on, if one does.
+  int m_servers_out_of_reach = 0;    ///< Servers without a connection and without a helper's word.
   int m_helpers_tried = 0;           ///< For the current slot.
   ServerResponse m_response;
   bool m_head_accepted = false;  ///< The response head has been accepted.
--- a/packages/forward/src/helpers.cc
+++ b/packages/forward/src/helpers.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kMaxHelpersTried = 6;  // For one slot; as many as a leader names.
+// A request that found no connection at so many servers, and no helper that could tell why, is
+// likely at an instance that is cut off.
+constexpr int kMaxServersOutOfReach = 3;
 
 /// Takes back that a call was sent: the helper states that the server got nothing.
 void UndoSend(Forwarding& forwarding) {
@@ -20,8 +23,18 @@
     forwarding.m_tried.pop_back();
 }
 
-/// Ends a request that no instance can pass on. It has a slot, so other instances serve it.
-void GiveUp(ForwarderState& state, Forwarding& forwarding) {
+/// Handles a request that no instance can pass on. That nobody can tell why doesn't mean that this
+/// instance reaches no server, so others are tried first unless it is known to be cut off.
+void OnNoHelper(ForwarderState& state, Forwarding& forwarding) {
+  const bool try_another =
+      !state.m_paths.m_cut_off && ++forwarding.m_servers_out_of_reach <= kMaxServersOutOfReach;
+  if (try_another) {
+    forwarding.m_tried.push_back(forwarding.m_server);
+    ReportReachability(state, forwarding, false);
+    RecordHealth(state, forwarding, HealthSignal::kUnreachable);
+    RetryRequest(state, forwarding, CallFaultName(CallFault::kNotConnected));
+    return;
+  }
   const std::string pool = forwarding.m_pool->m_name;
   Refuse(state, forwarding,
          forwarding.m_possible_runs > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kNoBackend,
@@ -77,7 +90,7 @@
     return;
   }
   if (!CallThroughHelper(state, forwarding))
-    GiveUp(state, forwarding);
+    OnNoHelper(state, forwarding);
 }
 
 void OnRelayFault(ForwarderState& state, Forwarding& forwarding, RelayFault fault) {
@@ -99,7 +112,7 @@
   }
   AvoidHelper(state.m_helpers, *forwarding.m_helper, ReadClock());
   if (!CallThroughHelper(state, forwarding))
-    GiveUp(state, forwarding);
+    OnNoHelper(state, forwarding);
 }
 
 }  // namespace poppyway::impl
--- a/tests/peer_relay_test.cc
+++ b/tests/peer_relay_test.cc
@@ -369,6 +369,28 @@
   CHECK(seen.m_elapsed_ms < 700);
 }
 
+// Guards against instances that each met one dead server and take each other's doubt for their own
+// loss of all servers.
+TEST_CASE("a request whose server is gone goes to another one when no helper can tell why") {
+  const std::uint16_t closed = FreePort();
+  CutOffInstance fixture([](const std::string&) {
+    return std::vector<ScriptStep>{Send("HTTP/1.1 502 Bad\r\ncontent-length: 0\r\n" +
+                                        FaultLine(RelayFault::kUnavailable) + "\r\n")};
+  });
+  ScriptedServer sound(&MakeOkResponse);
+  fixture.RegisterAt("gone", closed);
+  fixture.RegisterAt("sound", sound.port());
+  FakeBroker broker(fixture);
+  BackgroundCall call(fixture, Request("/once/x", "r1"));
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 1; });
+  SendSlotResponse(fixture, broker.SlotRequests()[0].m_ref, SlotVerdict::kPlaced, "gone");
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 2; });
+  REQUIRE(broker.SlotRequests().size() == 2);
+  CHECK(broker.SlotRequests()[1].m_tried == std::vector<std::string>{"gone"});
+  SendSlotResponse(fixture, broker.SlotRequests()[1].m_ref, SlotVerdict::kPlaced, "sound");
+  CHECK(call.AwaitResponse(fixture).status() == 200);
+}
+
 // Guards against an instance that stays with helpers that are cut off as well, and is named as a
 // helper itself.
 TEST_CASE("an instance that nobody can tell why it reaches no server helps nobody") {
