--- a/packages/forward/src/stream_versions.cc
+++ b/packages/forward/src/stream_versions.cc
@@ -8,10 +8,6 @@
 namespace poppyway::impl {
 namespace {
 
-// A record of the stream may be on its way to the broker for this time.
-constexpr Duration kMaxOriginWait{1'000'000};
-// Callers that wait for the rest of a stream leave after two seconds of silence at the earliest.
-constexpr Duration kMaxContinuationWait{2'000'000};
 // Well before the broker forgets the record of a stream.
 constexpr Duration kOriginRefreshInterval{20'000'000};
 
--- a/packages/policy/src/slot_continuation.cc
+++ b/packages/policy/src/slot_continuation.cc
@@ -7,14 +7,6 @@
 #include "slot_internal.h"
 
 namespace poppyway {
-namespace {
-
-// A record of the stream may be on its way for this time.
-constexpr Duration kMaxOriginWait{1'000'000};
-// Callers that wait for the rest of a stream leave after two seconds of silence at the earliest.
-constexpr Duration kMaxContinuationWait{2'000'000};
-
-}  // namespace
 
 void SetSoleVersions(SlotBroker& broker, const std::map<std::string, SoftwareId>& sole_versions) {
   for (auto& [name, pool] : broker.m_pools) {
