--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -22,10 +22,15 @@
   return status >= 500;
 }
 
-/// Returns true for a request of a repeatable route and for a resumable stream.
+/// Returns true for a request of a repeatable route and for a resumable stream, unless its caller
+/// has events without ids: then nobody knows where to go on.
 bool MayRerun(const Forwarding& forwarding) {
   const Route& route = *forwarding.m_route;
-  return route.m_stream ? route.m_resumable : route.m_repeat == Repeat::kAlways;
+  if (!route.m_stream)
+    return route.m_repeat == Repeat::kAlways;
+  const bool position_known =
+      forwarding.m_events.m_events == 0 || forwarding.m_events.m_last_id.has_value();
+  return route.m_resumable && position_known;
 }
 
 /// Returns true if the limit of retries allows one more; the next call then counts as a retry.
--- a/tests/stream_versions_test.cc
+++ b/tests/stream_versions_test.cc
@@ -185,6 +185,23 @@
   CHECK(server.requests().empty());
 }
 
+// Guards against events that a caller gets twice: without ids nobody knows where to go on.
+TEST_CASE("a stream whose events have no ids is cut when it breaks off") {
+  const auto script = [](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send(MakeResponseHead(request, kStreamHead) + Chunk("data: x\n\n")), Wait(30), ResetNow()};
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  ForwarderFixture fixture;
+  RegisterVersion(fixture, "v1", "s0", first);
+  RegisterVersion(fixture, "v1", "s1", second);
+  const CallResult seen = Call(fixture, Request("/stream/", "a1"));
+  CHECK(seen.m_closed);
+  CHECK(seen.m_bytes.ends_with(Chunk("data: x\n\n")));
+  CHECK(first.requests().size() + second.requests().size() == 1);
+}
+
 // Guards against a gap or a repeat between what the caller has and what the server goes on with.
 TEST_CASE("a take-up that doesn't go on with the next event is cut") {
   ScriptedServer first(&BreakOffAfterOneEvent);
