Bound a crash report's parts, each named once

Found by reading the change: each broken call added up to 256 parts, so that a report of a hundred calls could hold 25,600, and the same part many times. A report is an entry of the replicated log. Now 256 different ones at most, over all calls of the crash.

--- a/packages/forward/src/crashes.cc
+++ b/packages/forward/src/crashes.cc
@@ -49,7 +49,6 @@
 namespace {
 
 constexpr std::size_t kMaxLoggedParts = 6;
-constexpr std::size_t kMaxReportedParts = 256;  // Of one crash; an entry of the log holds them.
 // A part is sound if a request with it, sent this long before the crash or later, was responded to.
 constexpr Duration kSoundAge{2'000'000};
 constexpr Duration kMaxClockSkew{200'000};  // Between the clocks of two machines.
@@ -71,8 +70,8 @@
   for (const PromptPartId part : SharedParts(forwarding)) {
     const std::optional<Instant> sound = LastSound(state.m_crashes.m_sound, part);
     const bool just_sound = sound && *sound + kSoundAge >= forwarding.m_dispatched;
-    if (!just_sound && suspects.size() < kMaxReportedParts)
-      suspects.push_back({part, sound.has_value()});
+    if (!just_sound)
+      AddSuspectPart(suspects, {part, sound.has_value()});
   }
   return suspects;
 }
@@ -123,6 +122,14 @@
   RefuseQuarantined(state);
 }
 
+void AddSuspectPart(std::vector<SuspectPart>& parts, const SuspectPart& part) {
+  const bool contained = std::any_of(parts.begin(), parts.end(), [&part](const SuspectPart& other) {
+    return other.m_part == part.m_part;
+  });
+  if (!contained && parts.size() < kMaxReportedParts)
+    parts.push_back(part);
+}
+
 std::string SharedPartsText(const CallerRequest& request) {
   const std::vector<PromptSegment>& segments = request.m_prompt_segments;
   const std::size_t shared = segments.empty() ? 0 : segments.size() - 1;
--- a/packages/forward/src/path_checks.cc
+++ b/packages/forward/src/path_checks.cc
@@ -19,6 +19,13 @@
 // An instance that heard of a server so recently can tell that another one is unreachable.
 constexpr Duration kRecentContact{1'000'000};
 
+/// Adds what ran in further calls, each part of prompts once.
+void AddBrokenCalls(ServerCrash& known, const ServerCrash& more) {
+  known.m_running.insert(known.m_running.end(), more.m_running.begin(), more.m_running.end());
+  for (const SuspectPart& part : more.m_parts)
+    AddSuspectPart(known.m_parts, part);
+}
+
 std::string CheckRequest(const Endpoint& server) {
   return "GET / HTTP/1.1\r\nhost: helper\r\n" + std::string(kRelayTo) + ": " + ToText(server) +
          "\r\n" + std::string(kRelayCheck) + ": 1\r\n\r\n";
@@ -255,12 +262,8 @@
   const ServerProcessId process = ServerProcessOf(server, backend->m_record.born);
   const auto [entry, added] = state.m_path_checks.try_emplace(process);
   PathCheck& check = entry->second;
-  ServerCrash& known = check.m_broken_calls;
-  known.m_process = process;
-  known.m_running.insert(known.m_running.end(), broken_calls.m_running.begin(),
-                         broken_calls.m_running.end());
-  known.m_parts.insert(known.m_parts.end(), broken_calls.m_parts.begin(),
-                       broken_calls.m_parts.end());
+  check.m_broken_calls.m_process = process;
+  AddBrokenCalls(check.m_broken_calls, broken_calls);
   if (!added)
     return;
   check.m_server = server;
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -355,6 +355,10 @@
 void OnRelayFault(ForwarderState& state, Forwarding& forwarding, RelayFault fault);
 
 // ---- crashes.cc: requests that crash servers ---------------------------------------------------
+/// Most parts of prompts in the report of one crash, which an entry of the log holds.
+inline constexpr std::size_t kMaxReportedParts = 256;
+/// Adds a part to those of a report, once, unless the report is full.
+void AddSuspectPart(std::vector<SuspectPart>& parts, const SuspectPart& part);
 /// Returns the ids of the prompt's first segments but its last one, for logs.
 [[nodiscard]] std::string SharedPartsText(const CallerRequest& request);
 /// Returns true if no server may be sent the request.
--- a/tests/crashing_parts_test.cc
+++ b/tests/crashing_parts_test.cc
@@ -138,6 +138,21 @@
   CHECK(reports.Cleared() == std::vector<PromptPartId>{0xb1});
 }
 
+// Guards against crash reports as large as what callers send.
+TEST_CASE("a crash report names each part once and a bounded number of them") {
+  PartsFixture fixture;
+  Reports reports(fixture);
+  std::string many = "d1:6,d1:6,";
+  for (int i = 0; i < 600; ++i)
+    many += "d" + std::to_string(1000 + i) + ":6,";
+  (void)fixture.Send(many + "f1:6");
+  fixture.RunUntil([&] { return !reports.m_all.empty(); });
+  REQUIRE_FALSE(reports.m_all.empty());
+  const std::vector<SuspectPart>& parts = reports.m_all[0].m_crash.m_parts;
+  CHECK(parts.size() == 256);
+  CHECK(std::count(parts.begin(), parts.end(), SuspectPart{0xd1, false}) == 1);
+}
+
 // Guards against lists of parts that no well-behaved caller sends.
 TEST_CASE("parts that are malformed or many get a response like all others") {
   PartsFixture fixture;
