Measure a test caller's time on a clock that isn't suspended

Traced: the instance sent its 503 in both; the test's caller measured its limit of 3 s with the clock that the test lets jump by 5 s, so it left at its next look unless the response came within its 50 ms read. The caller is another machine; it now uses the steady clock. No check changes.

--- a/tests/forwarder_fixture.h
+++ b/tests/forwarder_fixture.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <functional>
 #include <thread>
 
@@ -238,9 +239,11 @@
     where.sin_port = htons(port);
     where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0);
-    const Instant begun = ReadClock();
+    // The caller is another machine: it isn't suspended when the instance is.
+    const auto begun = std::chrono::steady_clock::now();
+    const auto elapsed = [begun] { return std::chrono::steady_clock::now() - begun; };
     send(fd, request.data(), request.size(), MSG_NOSIGNAL);
-    while (!m_leave.load() && ReadClock() - begun < std::chrono::milliseconds(m_limit_ms) &&
+    while (!m_leave.load() && elapsed() < std::chrono::milliseconds(m_limit_ms) &&
            (m_await_close || !IsCompleteResponse(m_seen.m_bytes))) {
       char buffer[4096];
       const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
@@ -251,7 +254,8 @@
         break;
     }
     m_seen.m_bytes = PlainHead(m_seen.m_bytes);
-    m_seen.m_elapsed_ms = static_cast<int>((ReadClock() - begun).count() / 1000);
+    m_seen.m_elapsed_ms =
+        static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed()).count());
     close(fd);
     m_done.store(true);
   }
