--- a/packages/policy/include/poppyway/policy/impl/stream_origins.h
+++ b/packages/policy/include/poppyway/policy/impl/stream_origins.h
@@ -52,10 +52,11 @@
                                   std::string_view pool,
                                   std::string_view version) noexcept;
 
-/// \brief How long a continuation of unknown version waits: a record of the stream may be on its way.
+/// \brief How long a continuation of unknown version waits: a record of the stream may be on its
+/// way.
 inline constexpr Duration kMaxOriginWait{1'000'000};
-/// \brief How long a continuation waits for a slot. Callers that wait for the rest of a stream leave
-/// after two seconds of silence at the earliest.
+/// \brief How long a continuation waits for a slot. Callers that wait for the rest of a stream
+/// leave after two seconds of silence at the earliest.
 inline constexpr Duration kMaxContinuationWait{2'000'000};
 
 /// \brief Most streams in each of the two maps of `StreamOrigins`.
