Review case 3: a late heartbeat hides a running server

A script: in four cuts, one after the other, a server crashes and starts again as a new incarnation; the heartbeat that the cut held up arrives after the new one has registered. Then all processes are killed right after an acknowledgement.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
