--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -28,6 +28,7 @@
 GUARD_PORT = 7999  # A listener on this port marks a subnet as used, also by the programs in soak/
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 HEARTBEAT_S = 1.2
+MOST_S = 110  # A script ends by then in any case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # Exit codes of a script.
 
 BOUNDS = {
@@ -244,9 +245,8 @@
     """Reads the head of an HTTP message. Returns its first line and its fields, or None."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError,
-            asyncio.CancelledError):
-        return None  # The peer or this case ended the connection.
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError):
+        return None
     return head[0], {line.split(":", 1)[0].strip().lower(): line.split(":", 1)[1].strip()
                      for line in head[1:] if ":" in line}
 
@@ -266,7 +266,7 @@
             await reader.readline()
         else:
             body = await reader.readexactly(int(head[1].get("content-length", 0)))
-    except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
         return None
     return head[0], head[1], body
 
@@ -352,7 +352,9 @@
     """Runs a case: `main(record, fleet)` returns True if the rule held. Ends all its processes."""
     record = Record(folder)
     fleet = None
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+    signal.alarm(MOST_S)
     try:
         fleet = Fleet()
         held = asyncio.run(main(record, fleet))
