--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -94,10 +94,12 @@
 
 
 def program():
-    path = os.path.join(ROOT, "target", "poppywayd")
-    if not os.access(path, os.X_OK):
-        raise CannotRun("target/poppywayd is missing: run the build line of deploy/system.toml")
-    return path
+    """Returns the daemon that the build line of deploy/system.toml makes, or that of the full build."""
+    for folder in ("target", "build"):
+        path = os.path.join(ROOT, folder, "poppywayd")
+        if os.access(path, os.X_OK):
+            return path
+    raise CannotRun("target/poppywayd is missing: run the build line of deploy/system.toml")
 
 
 class Machine:
