--- a/apps/poppyway/operate.cc
+++ b/apps/poppyway/operate.cc
@@ -18,13 +18,26 @@
 
 constexpr auto kDrainPoll = std::chrono::milliseconds(200);
 
+/// Returns the milliseconds since the member's last reply; zero if it replies, -1 if the member
+/// that sent the status doesn't lead.
+std::int64_t SilentMillis(const wire::StatusReply& status, std::int64_t member) {
+  if (!status.__isset.tolerated_losses)
+    return -1;
+  for (const wire::SilentMember& silent : status.silent) {
+    if (silent.id == member)
+      return silent.silent_ms;
+  }
+  return 0;
+}
+
 json ToJson(const wire::StatusReply& status) {
   json members = json::array();
   for (const wire::MemberInfo& member : status.membership.members)
     members.push_back({{"name", member.name},
                        {"id", member.id},
                        {"voter", member.voter},
-                       {"leader", member.id == status.leader_id}});
+                       {"leader", member.id == status.leader_id},
+                       {"silent_ms", SilentMillis(status, member.id)}});
   json instances = json::array();
   for (const wire::InstanceStatus& instance : status.instances)
     instances.push_back({{"instance", instance.instance},
@@ -45,10 +58,12 @@
                            {"ended", one.evacuation.ended},
                            {"servers", one.servers},
                            {"running", one.running}});
-  return {{"version", status.version}, {"term", status.term},
-          {"commit", status.commit},   {"ledger_keys", status.ledger_keys},
-          {"members", members},        {"instances", instances},
-          {"brokers", brokers},        {"evacuations", evacuations}};
+  const json tolerated = status.__isset.tolerated_losses ? json(status.tolerated_losses) : json();
+  return {{"version", status.version},    {"term", status.term},
+          {"commit", status.commit},      {"ledger_keys", status.ledger_keys},
+          {"members", members},           {"instances", instances},
+          {"brokers", brokers},           {"evacuations", evacuations},
+          {"tolerated_losses", tolerated}};
 }
 
 void PrintEvacuations(const std::vector<wire::EvacuationStatus>& evacuations) {
@@ -65,17 +80,31 @@
   }
 }
 
-void PrintTable(const wire::StatusReply& status) {
-  std::cout << "version " << status.version << ", term " << status.term << ", commit "
-            << status.commit << ", ledger keys " << status.ledger_keys << "\n\n";
-  std::cout << std::left << std::setw(16) << "MEMBER" << std::setw(10) << "ROLE"
+std::string SilenceText(std::int64_t silent_ms) {
+  if (silent_ms < 0)
+    return "?";
+  return silent_ms == 0 ? "no" : std::to_string(silent_ms) + " ms";
+}
+
+void PrintMembers(const wire::StatusReply& status) {
+  std::cout << std::left << std::setw(16) << "MEMBER" << std::setw(10) << "ROLE" << std::setw(14)
+            << "SILENT"
             << "ID\n";
   for (const wire::MemberInfo& member : status.membership.members) {
     const char* role = member.id == status.leader_id ? "leader"
                        : member.voter                ? "voter"
                                                      : "learner";
-    std::cout << std::setw(16) << member.name << std::setw(10) << role << member.id << "\n";
+    std::cout << std::setw(16) << member.name << std::setw(10) << role << std::setw(14)
+              << SilenceText(SilentMillis(status, member.id)) << member.id << "\n";
   }
+  if (status.__isset.tolerated_losses)
+    std::cout << "voters that may still be lost: " << status.tolerated_losses << "\n";
+}
+
+void PrintTable(const wire::StatusReply& status) {
+  std::cout << "version " << status.version << ", term " << status.term << ", commit "
+            << status.commit << ", ledger keys " << status.ledger_keys << "\n\n";
+  PrintMembers(status);
   std::cout << "\n"
             << std::setw(16) << "INSTANCE" << std::setw(14) << "DATA CENTRE" << std::setw(22)
             << "HTTP" << std::setw(10) << "IN FORCE" << std::setw(10) << "STATE"
--- a/apps/poppywayd/hosted_daemon.cc
+++ b/apps/poppywayd/hosted_daemon.cc
@@ -35,6 +35,9 @@
 // The share of the process's memory for bodies and unread responses. The rest holds the
 // configuration, the connections and the allocator's overhead.
 constexpr double kHeldBytesShare = 0.5;
+// The time that an election and the replacement of a silent member take.
+constexpr Duration kReplacementTime{1'500'000};
+constexpr Duration kMinRemovalTimeout{2'000'000};  // A restart takes less than a second.
 constexpr std::uint64_t kSignalMillis = 20;
 constexpr Duration kMemberStopTime{100'000};  // This lets responses that are being sent arrive.
 
@@ -76,6 +79,14 @@
           static_cast<std::uint16_t>(hosted.m_first_internal_port + kRelayOffset)};
 }
 
+/// Returns how long a member may be silent before it is replaced, so that its replacement is
+/// complete when its successor counts as one.
+Duration MemberRemovalTimeout(const platform::HostedSettings& hosted) {
+  if (hosted.m_member_catch_up == Duration(0))
+    return LogTiming{}.m_removal_timeout;
+  return std::max(kMinRemovalTimeout, hosted.m_member_catch_up - kReplacementTime);
+}
+
 DaemonSettings ToDaemonSettings(const platform::HostedSettings& hosted) {
   DaemonSettings settings;
   settings.m_hosted = true;
@@ -99,6 +110,9 @@
   settings.m_exposure_slack = hosted.m_exposure.m_slack;
   settings.m_retry_ratio = UsedRetryLimit(hosted).m_ratio;
   settings.m_retry_burst = UsedRetryLimit(hosted).m_burst;
+  settings.m_tolerated_members = hosted.m_tolerated_members;
+  settings.m_tolerated_data_centres = hosted.m_tolerated_data_centres;
+  settings.m_member_removal_ms = MemberRemovalTimeout(hosted).count() / 1000;
   settings.m_confirmation_ttl_ms =
       static_cast<std::int64_t>(kConfirmShare * static_cast<double>(bound.count()) / 1000);
   return settings;
--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -15,11 +15,15 @@
 constexpr Duration kProposalTimeout{3'000'000};
 constexpr Duration kMaxPollWait{30'000'000};
 
-/// Lists the members' names; the names of non-voters are in parentheses.
+/// Lists the members' names; the names of non-voters are in parentheses. During a replacement, `-`
+/// follows the name of the voter that leaves, and `+` that of the one that joins.
 std::string DescribeMembers(const wire::Membership& membership) {
   std::string text;
-  for (const wire::MemberInfo& member : membership.members)
-    text += (text.empty() ? "" : ",") + (member.voter ? member.name : "(" + member.name + ")");
+  for (const wire::MemberInfo& member : membership.members) {
+    const std::string name = member.voter ? member.name : "(" + member.name + ")";
+    const std::string change = member.leaving ? "-" : member.joining ? "+" : "";
+    text += (text.empty() ? "" : ",") + name + change;
+  }
   return text;
 }
 
@@ -62,6 +66,8 @@
     return tl::unexpected<Error>(store.error());
   m_node.m_name = MemberName();
   m_node.m_cluster = m_settings.m_cluster;
+  m_node.m_tolerance = {m_settings.m_tolerated_members, m_settings.m_tolerated_data_centres};
+  m_node.m_timing.m_removal_timeout = std::chrono::milliseconds(m_settings.m_member_removal_ms);
   m_node.m_random.seed(static_cast<std::uint64_t>(stored.m_id) ^
                        static_cast<std::uint64_t>(ReadClock().time_since_epoch().count()));
   if (stored.m_snapshot) {
@@ -240,6 +246,7 @@
     SendHellos(now);
   if (!is_leader()) {
     m_table = {};
+    m_membership_watch.Reset();
     m_slot_broker.OnLeadershipLost();
     if (!m_pending.empty())
       FailPending("leadership was lost");
@@ -250,6 +257,7 @@
     m_table = MakeInstanceTable(std::chrono::milliseconds(std::max(
                                     m_settings.m_lease_ms, m_settings.m_confirmation_ttl_ms)),
                                 std::chrono::milliseconds(m_settings.m_lease_ms / 5), now);
+  m_membership_watch.Update(m_node, now);
   ProposeOwnCommands(now);
   if (m_settings.m_hosted && m_slot_broker.epoch() != m_node.m_hard_state.term)
     m_slot_broker.OnLeadershipGained(m_node.m_hard_state.term, m_machine.m_hosted,
--- a/apps/poppywayd/member_service.h
+++ b/apps/poppywayd/member_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "log_writer.h"
+#include "membership_watch.h"
 #include "poppyway/log.h"
 #include "poppyway/settings.h"
 #include "poppyway/state.h"
@@ -201,6 +202,9 @@
   [[nodiscard]] wire::MemberInfo Self() const;
   /// Returns true if this member knows no membership yet.
   [[nodiscard]] bool IsBlank() const { return m_node.m_membership.members.empty(); }
+  /// Adds, on the leader, which members are silent and how many voters may still be lost.
+  void AddMembershipStatus(wire::StatusReply& status, Instant now) const;
+  void AddMembershipMetrics(MetricSet& metrics) const;
   /// Returns the status of each data centre for which an evacuation was ordered.
   [[nodiscard]] std::vector<wire::EvacuationStatus> EvacuationStatuses() const;
   /// Logs the error and ends the process.
@@ -254,6 +258,7 @@
   std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
   std::map<MemberId, std::string> m_member_names;              ///< Names learned from messages.
   ClusterBootstrap m_bootstrap;
+  MembershipWatch m_membership_watch;
   std::map<std::string, wire::MemberInfo> m_joining;  ///< Members that requested to join, by name.
   LogEffects m_effects;                               ///< Effects queued for the next flush.
   LogEffects m_unsaved;                      ///< Processed effects that the next save writes.
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -53,9 +53,24 @@
   for (const auto& [name, lease] : m_machine.m_leases)
     status.leases.push_back(lease);
   status.evacuations = EvacuationStatuses();
+  AddMembershipStatus(status, now);
   return status;
 }
 
+void MemberService::AddMembershipStatus(wire::StatusReply& status, Instant now) const {
+  if (!is_leader())
+    return;
+  const MembershipStatus membership = DescribeMembership(m_node, now);
+  status.__set_tolerated_losses(membership.m_tolerated_losses);
+  for (const MemberStatus& member : membership.m_members) {
+    if (!member.m_silent)
+      continue;
+    wire::SilentMember& silent = status.silent.emplace_back();
+    silent.id = member.m_id;
+    silent.silent_ms = member.m_silent_for.count() / 1000;
+  }
+}
+
 bool MemberService::IsConnectedToQuorum(Instant now) const {
   if (is_leader())
     return LeadsWithQuorum(m_node, now);
@@ -77,7 +92,23 @@
   return all;
 }
 
+void MemberService::AddMembershipMetrics(MetricSet& metrics) const {
+  if (!is_leader())
+    return;
+  const MembershipStatus membership = DescribeMembership(m_node, ReadClock());
+  int voters = 0;
+  int silent = 0;
+  for (const MemberStatus& member : membership.m_members) {
+    voters += member.m_voter ? 1 : 0;
+    silent += member.m_voter && member.m_silent ? 1 : 0;
+  }
+  metrics.Set("poppyway_log_voters", "", voters);
+  metrics.Set("poppyway_log_silent_voters", "", silent);
+  metrics.Set("poppyway_log_tolerated_losses", "", membership.m_tolerated_losses);
+}
+
 void MemberService::AddMetrics(MetricSet& metrics) const {
+  AddMembershipMetrics(metrics);
   metrics.Set("poppyway_log_term", "", static_cast<double>(m_node.m_hard_state.term));
   metrics.Set("poppyway_log_commit", "", static_cast<double>(m_node.m_commit_index));
   metrics.Set("poppyway_log_leader", "", is_leader() ? 1 : 0);
--- a/packages/log/include/poppyway/log.h
+++ b/packages/log/include/poppyway/log.h
@@ -21,3 +21,4 @@
 #include "poppyway/log/impl/cluster_bootstrap.h"
 #include "poppyway/log/impl/log_node.h"
 #include "poppyway/log/impl/log_store.h"
+#include "poppyway/log/impl/membership_plan.h"
--- a/packages/log/include/poppyway/log/impl/log_node.h
+++ b/packages/log/include/poppyway/log/impl/log_node.h
@@ -29,6 +29,15 @@
   Duration m_removal_timeout{5'000'000};
 };
 
+/// \brief The losses that the voters have to tolerate at the same time, with a majority left. Zero
+/// members: not stated.
+struct LossTolerance {
+  int m_members = 0;       ///< Any voters.
+  int m_data_centres = 0;  ///< All voters of so many data centres.
+
+  friend bool operator==(const LossTolerance&, const LossTolerance&) = default;
+};
+
 /// \brief A member's Raft role in its term.
 enum class Role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
 
@@ -47,6 +56,7 @@
 /// thread-safe.
 struct LogNode {
   LogTiming m_timing;
+  LossTolerance m_tolerance;
   MemberId m_id = 0;
   std::string m_name;
   std::string m_cluster;
@@ -80,6 +90,8 @@
   std::int64_t m_term_start = 0;  ///< On a leader: the index of the first entry of its term.
   std::set<MemberId> m_votes;
   std::map<MemberId, Progress> m_progress;
+  /// On a follower: when the members that its leader reports as silent last replied.
+  std::map<MemberId, Instant> m_silent_since;
 };
 
 /// \brief The actions that the caller has to perform: save the changes, send the messages that
@@ -112,7 +124,7 @@
                                               Instant now);
 
 /// \brief Proposes a membership. Precondition: it differs from the current one in at most one
-/// voter.
+/// voter, or it begins or ends the replacement of one voter by another.
 /// \return the index of its entry; `kNotLeader`; or `kVersionConflict` while another change is not
 /// committed yet, or before this leader has committed an entry of its term.
 [[nodiscard]] Result<std::int64_t> ProposeMembership(LogNode& node,
@@ -169,7 +181,8 @@
 /// \brief Estimates the bytes of an entry in a message. Fields that can be large count exactly.
 [[nodiscard]] std::size_t EntrySizeBytes(const wire::LogEntry& entry) noexcept;
 /// \brief Returns true on a leader to which a majority of voters, itself included, has replied
-/// within the shortest election timeout.
+/// within the shortest election timeout. During the replacement of a voter, here and below, a
+/// majority is one of the voters before it and one of those after it.
 [[nodiscard]] bool LeadsWithQuorum(const LogNode& node, Instant now);
 /// \brief Returns true on a leader whose state, with entries up to `applied` in it, holds every
 /// entry that earlier leaders committed. A new leader knows these once it has committed the first
@@ -185,20 +198,5 @@
 [[nodiscard]] bool CanServeLinearizableReads(const LogNode& node,
                                              std::int64_t applied,
                                              Instant now);
-/// \brief Returns the voter that has not replied for the longest time, if it may be removed: it has
-/// exceeded the removal timeout, there are more than three voters, and either a caught-up non-voter
-/// can replace it or the number of voters is even, so that its removal costs no fault tolerance.
-[[nodiscard]] std::optional<MemberId> RemovableVoter(const LogNode& node, Instant now);
-
-/// \brief Returns the membership change that a leader should propose now, if one is due.
-///
-/// A joining member is added as a non-voter and replaces a member of the same name, which has lost
-/// its folder; a voter that `RemovableVoter` returns is removed; a caught-up non-voter becomes a
-/// voter.
-/// \param joining_members the members that requested to join.
-[[nodiscard]] std::optional<wire::Membership> PlanMembershipChange(
-    const LogNode& node,
-    const std::vector<wire::MemberInfo>& joining_members,
-    Instant now);
 
 }  // namespace poppyway
--- a/packages/log/src/election.cc
+++ b/packages/log/src/election.cc
@@ -21,6 +21,10 @@
   return node.m_leader != 0 && now - node.m_last_leader_contact < node.m_timing.m_election_min;
 }
 
+bool HasMajorityOfVotes(const LogNode& node) {
+  return IsMajority(node.m_membership, [&node](MemberId id) { return node.m_votes.contains(id); });
+}
+
 }  // namespace
 
 void StartElection(LogNode& node, bool pre, LogEffects& effects, Instant now) {
@@ -45,7 +49,7 @@
     message.body.__set_vote(request);
     effects.m_send.push_back(std::move(message));
   }
-  if (node.m_votes.size() < Majority(node.m_membership))
+  if (!HasMajorityOfVotes(node))
     return;
   if (pre)
     StartElection(node, false, effects, now);
@@ -100,7 +104,7 @@
   if ((!pre_vote && !vote) || !IsVoter(node.m_membership, from))
     return;
   node.m_votes.insert(from);
-  if (node.m_votes.size() < Majority(node.m_membership))
+  if (!HasMajorityOfVotes(node))
     return;
   if (pre_vote)
     StartElection(node, false, effects, now);
--- a/packages/log/src/log_internal.h
+++ b/packages/log/src/log_internal.h
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <functional>
+
 #include "poppyway/log.h"
 
 namespace poppyway::impl {
@@ -9,8 +11,14 @@
 /// \brief Returns true if a member has acknowledged nearly the whole log, including the first entry
 /// of the leader's term, and has replied within the longest election timeout.
 [[nodiscard]] bool IsCaughtUp(const LogNode& node, MemberId id, Instant now);
-/// \brief Returns the number of voters that form a majority.
-[[nodiscard]] std::size_t Majority(const wire::Membership& membership);
+/// \brief Returns true if the members for which `counts` returns true are a majority: of all
+/// voters, or, during the replacement of a voter, of the voters before it and of those after it.
+[[nodiscard]] bool IsMajority(const wire::Membership& membership,
+                              const std::function<bool(MemberId)>& counts);
+/// \brief Returns how many of the members for which `counts` returns true may be lost so that the
+/// others are still a majority; negative if they are none.
+[[nodiscard]] int SpareVoters(const wire::Membership& membership,
+                              const std::function<bool(MemberId)>& counts);
 /// \brief Appends entries to the node's own log and to the entries to save.
 void AppendLocal(LogNode& node, std::vector<wire::LogEntry> entries, LogEffects& effects);
 /// \brief Puts the latest membership of the log in force, committed or not.
@@ -39,6 +47,14 @@
 /// \brief Returns a message from this node to member `to`, without a body.
 [[nodiscard]] wire::LogMessage Message(const LogNode& node, MemberId to);
 
+/// \brief Records, on a follower, which members its leader reports as silent.
+void RecordSilentMembers(LogNode& node, const wire::AppendRequest& request, Instant now);
+/// \brief Returns the members that don't reply to this leader, for its appends.
+[[nodiscard]] std::vector<wire::SilentMember> SilentMembers(const LogNode& node, Instant now);
+/// \brief Returns when a member counts as having last replied to a new leader: now, or earlier if
+/// the leader before reported it as silent. Even then the member has some time to reply.
+[[nodiscard]] Instant InitialLastReply(const LogNode& node, MemberId id, Instant now);
+
 // ---- election.cc -----------------------------------------------------------------------------
 /// \brief Starts a pre-vote (`pre`) or an election, and wins it at once if the node's own vote is a
 /// majority.
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -51,13 +51,11 @@
 bool LeadsWithQuorum(const LogNode& node, Instant now) {
   if (node.m_role != Role::kLeader)
     return false;
-  std::size_t active = IsVoter(node.m_membership, node.m_id) ? 1 : 0;
-  for (const auto& [id, progress] : node.m_progress) {
-    if (IsVoter(node.m_membership, id) &&
-        now - progress.m_last_reply < node.m_timing.m_election_min)
-      ++active;
-  }
-  return active >= Majority(node.m_membership);
+  return IsMajority(node.m_membership, [&node, now](MemberId id) {
+    const auto progress = node.m_progress.find(id);
+    return id == node.m_id || (progress != node.m_progress.end() &&
+                               now - progress->second.m_last_reply < node.m_timing.m_election_min);
+  });
 }
 
 bool HoldsAllCommitted(const LogNode& node, std::int64_t applied) noexcept {
@@ -67,40 +65,12 @@
 bool CanServeLinearizableReads(const LogNode& node, std::int64_t applied, Instant now) {
   if (!HoldsAllCommitted(node, applied))
     return false;
-  std::size_t confirmed = IsVoter(node.m_membership, node.m_id) ? 1 : 0;
-  for (const auto& [id, progress] : node.m_progress) {
-    const bool recent = now - progress.m_last_confirmed < node.m_timing.m_election_min;
-    if (IsVoter(node.m_membership, id) && recent)
-      ++confirmed;
-  }
-  return confirmed >= Majority(node.m_membership);
-}
-
-std::optional<MemberId> RemovableVoter(const LogNode& node, Instant now) {
-  const auto voters =
-      std::count_if(node.m_membership.members.begin(), node.m_membership.members.end(),
-                    [](const wire::MemberInfo& m) { return m.voter; });
-  const bool successor =
-      std::any_of(node.m_membership.members.begin(), node.m_membership.members.end(),
-                  [&node, now](const wire::MemberInfo& member) {
-                    return !member.voter && IsCaughtUp(node, member.id, now);
-                  });
-  constexpr std::int64_t kFewestVoters = 3;  // Two voters would tolerate no failure.
-  if (voters <= kFewestVoters || (!successor && voters % 2 != 0))
-    return std::nullopt;
-  std::optional<MemberId> removable;
-  Instant oldest = now - node.m_timing.m_removal_timeout;
-  for (const wire::MemberInfo& member : node.m_membership.members) {
-    const auto progress = node.m_progress.find(member.id);
-    const bool is_self = member.id == node.m_id;
-    if (is_self || !member.voter || progress == node.m_progress.end())
-      continue;
-    if (progress->second.m_last_reply >= oldest)
-      continue;
-    oldest = progress->second.m_last_reply;
-    removable = member.id;
-  }
-  return removable;
+  return IsMajority(node.m_membership, [&node, now](MemberId id) {
+    const auto progress = node.m_progress.find(id);
+    return id == node.m_id ||
+           (progress != node.m_progress.end() &&
+            now - progress->second.m_last_confirmed < node.m_timing.m_election_min);
+  });
 }
 
 void MergeEffects(LogEffects& into, LogEffects&& more) {
@@ -199,6 +169,10 @@
     return Fail(ResultCode::kVersionConflict, "another membership change is in progress");
   wire::Command command;
   command.__set_membership(membership);
+  // A removed member that joins again is tracked anew.
+  std::erase_if(node.m_progress, [&membership](const auto& entry) {
+    return FindMember(membership, entry.first) == nullptr;
+  });
   return ProposeLog(node, {command}, effects, now);
 }
 
@@ -251,54 +225,8 @@
   return effects;
 }
 
-std::optional<wire::Membership> PlanMembershipChange(
-    const LogNode& node,
-    const std::vector<wire::MemberInfo>& joining_members,
-    Instant now) {
-  if (node.m_role != Role::kLeader)
-    return std::nullopt;
-  wire::Membership next = node.m_membership;
-  for (const wire::MemberInfo& joining : joining_members) {
-    if (FindMember(node.m_membership, joining.id) != nullptr)
-      continue;
-    std::erase_if(next.members,
-                  [&joining](const wire::MemberInfo& m) { return m.name == joining.name; });
-    next.members.push_back(joining);
-    next.members.back().voter = false;
-    return next;
-  }
-  if (const std::optional<MemberId> removable = RemovableVoter(node, now)) {
-    std::erase_if(next.members,
-                  [&removable](const wire::MemberInfo& m) { return m.id == *removable; });
-    return next;
-  }
-  for (wire::MemberInfo& member : next.members) {
-    if (member.voter || !IsCaughtUp(node, member.id, now))
-      continue;
-    member.voter = true;
-    return next;
-  }
-  return std::nullopt;
-}
-
 namespace impl {
 
-bool IsCaughtUp(const LogNode& node, MemberId id, Instant now) {
-  // The most entries that a member may lag. Appends are pipelined, so the lag is never quite zero.
-  constexpr std::int64_t kMaxLag = 16;
-  const auto progress = node.m_progress.find(id);
-  return progress != node.m_progress.end() &&
-         now - progress->second.m_last_reply < node.m_timing.m_election_max &&
-         progress->second.m_match + kMaxLag >= LastIndex(node) &&
-         progress->second.m_match >= node.m_term_start;
-}
-
-std::size_t Majority(const wire::Membership& membership) {
-  const auto voters = std::count_if(membership.members.begin(), membership.members.end(),
-                                    [](const wire::MemberInfo& m) { return m.voter; });
-  return static_cast<std::size_t>(voters) / 2 + 1;
-}
-
 wire::LogMessage Message(const LogNode& node, MemberId to) {
   wire::LogMessage message;
   message.from_id = node.m_id;
@@ -361,8 +289,10 @@
   node.m_progress.clear();
   for (const wire::MemberInfo& member : node.m_membership.members) {
     if (member.id != node.m_id)
-      node.m_progress[member.id] = {LastIndex(node) + 1, 0, now, {}, {}, {}};
+      node.m_progress[member.id] = {
+          LastIndex(node) + 1, 0, InitialLastReply(node, member.id, now), {}, {}, {}};
   }
+  node.m_silent_since.clear();
   node.m_term_start = LastIndex(node) + 1;
   wire::LogEntry entry;
   entry.index = node.m_term_start;
@@ -382,23 +312,25 @@
 }
 
 void AdvanceCommit(LogNode& node, LogEffects& effects) {
+  const auto match_of = [&node](MemberId id) {
+    if (id == node.m_id)
+      return node.m_durable_index;
+    const auto progress = node.m_progress.find(id);
+    return progress == node.m_progress.end() ? std::int64_t{0} : progress->second.m_match;
+  };
   std::vector<std::int64_t> matches;
   for (const wire::MemberInfo& member : node.m_membership.members) {
-    if (!member.voter)
-      continue;
-    const auto progress = node.m_progress.find(member.id);
-    if (member.id == node.m_id)
-      matches.push_back(node.m_durable_index);
-    else
-      matches.push_back(progress == node.m_progress.end() ? 0 : progress->second.m_match);
+    if (member.voter)
+      matches.push_back(match_of(member.id));
   }
-  const std::size_t majority = Majority(node.m_membership);
-  if (matches.size() < majority)
-    return;
   std::sort(matches.rbegin(), matches.rend());
-  const std::int64_t index = matches[majority - 1];
-  if (index > node.m_commit_index && TermAt(node, index) == node.m_hard_state.term)
-    node.m_commit_index = index;
+  const auto stored = std::find_if(matches.begin(), matches.end(), [&](std::int64_t index) {
+    return IsMajority(node.m_membership, [&](MemberId id) { return match_of(id) >= index; });
+  });
+  if (stored == matches.end())
+    return;
+  if (*stored > node.m_commit_index && TermAt(node, *stored) == node.m_hard_state.term)
+    node.m_commit_index = *stored;
   EmitCommitted(node, effects);
 }
 
--- a/packages/log/src/replication.cc
+++ b/packages/log/src/replication.cc
@@ -94,6 +94,8 @@
     bytes += EntrySizeBytes(node.m_entries[i]);
     request.entries.push_back(node.m_entries[i]);
   }
+  if (std::vector<wire::SilentMember> silent = SilentMembers(node, now); !silent.empty())
+    request.__set_silent(silent);
   // Appends are pipelined: the next one doesn't wait for a reply.
   progress.m_next += static_cast<std::int64_t>(request.entries.size());
   wire::LogMessage message = Message(node, to);
@@ -121,6 +123,7 @@
     return;
   }
   AcceptLeader(node, from, request.term, effects, now);
+  RecordSilentMembers(node, request, now);
   const bool behind_snapshot = request.prev_index < node.m_snapshot_index;
   if (!behind_snapshot && TermAt(node, request.prev_index) != request.prev_term) {
     SendAppendReply(node, from, false, ConflictHint(node, request.prev_index), request.sent_us,
--- a/packages/settings/include/poppyway/settings/impl/daemon_settings.h
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -58,14 +58,17 @@
   std::string m_log_file;       ///< Path of the log file; empty: standard error.
 
   // These are set by code for hosted deployments, which discover members at run time.
-  bool m_hosted = false;          ///< `m_members` lists only the seeds to contact first.
-  double m_exposure_share = 0.1;  ///< Share of a pool's requests for a version under trial.
-  double m_exposure_slack = 50;   ///< Requests allowed beyond that share.
-  double m_retry_ratio = 0.1;     ///< Retries at servers for each new request, all instances.
-  double m_retry_burst = 50;      ///< Retries beyond that ratio.
-  RegionMap m_regions;            ///< Regions of all data centres.
-  bool m_is_member = false;       ///< Whether this hosted instance is a member of the log.
-  bool m_may_bootstrap = true;    ///< Whether a member without data may form a cluster.
+  bool m_hosted = false;             ///< `m_members` lists only the seeds to contact first.
+  double m_exposure_share = 0.1;     ///< Share of a pool's requests for a version under trial.
+  double m_exposure_slack = 50;      ///< Requests allowed beyond that share.
+  double m_retry_ratio = 0.1;        ///< Retries at servers for each new request, all instances.
+  double m_retry_burst = 50;         ///< Retries beyond that ratio.
+  RegionMap m_regions;               ///< Regions of all data centres.
+  bool m_is_member = false;          ///< Whether this hosted instance is a member of the log.
+  bool m_may_bootstrap = true;       ///< Whether a member without data may form a cluster.
+  int m_tolerated_members = 0;       ///< Members that may be lost at once; 0: not stated.
+  int m_tolerated_data_centres = 0;  ///< Data centres that may be lost at once.
+  std::int64_t m_member_removal_ms = 5000;  ///< A member silent for longer may be replaced.
   bool m_log_to_stdout = false;
   /// How long the configuration document may be used after a leader confirmed it; 0: without limit.
   std::int64_t m_confirmation_ttl_ms = 0;
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -5548,6 +5548,14 @@
 void MemberInfo::__set_data_centre(const std::string& val) {
   this->data_centre = val;
 }
+
+void MemberInfo::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void MemberInfo::__set_joining(const bool val) {
+  this->joining = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberInfo& obj)
 {
   obj.printTo(out);
@@ -5624,6 +5632,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5665,6 +5689,14 @@
   xfer += oprot->writeString(this->data_centre);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->joining);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5678,6 +5710,8 @@
   swap(a.port, b.port);
   swap(a.voter, b.voter);
   swap(a.data_centre, b.data_centre);
+  swap(a.leaving, b.leaving);
+  swap(a.joining, b.joining);
   swap(a.__isset, b.__isset);
 }
 
@@ -5688,6 +5722,8 @@
   port = other207.port;
   voter = other207.voter;
   data_centre = other207.data_centre;
+  leaving = other207.leaving;
+  joining = other207.joining;
   __isset = other207.__isset;
 }
 MemberInfo::MemberInfo(MemberInfo&& other208) noexcept {
@@ -5697,6 +5733,8 @@
   port = other208.port;
   voter = other208.voter;
   data_centre = std::move(other208.data_centre);
+  leaving = other208.leaving;
+  joining = other208.joining;
   __isset = other208.__isset;
 }
 MemberInfo& MemberInfo::operator=(const MemberInfo& other209) {
@@ -5706,6 +5744,8 @@
   port = other209.port;
   voter = other209.voter;
   data_centre = other209.data_centre;
+  leaving = other209.leaving;
+  joining = other209.joining;
   __isset = other209.__isset;
   return *this;
 }
@@ -5716,6 +5756,8 @@
   port = other210.port;
   voter = other210.voter;
   data_centre = std::move(other210.data_centre);
+  leaving = other210.leaving;
+  joining = other210.joining;
   __isset = other210.__isset;
   return *this;
 }
@@ -5728,6 +5770,8 @@
   out << ", " << "port=" << to_string(port);
   out << ", " << "voter=" << to_string(voter);
   out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "joining=" << to_string(joining);
   out << ")";
 }
 
@@ -7015,6 +7059,129 @@
 }
 
 
+SilentMember::~SilentMember() noexcept {
+}
+
+
+void SilentMember::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void SilentMember::__set_silent_ms(const int64_t val) {
+  this->silent_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const SilentMember& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SilentMember::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->silent_ms);
+          this->__isset.silent_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SilentMember::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SilentMember");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->silent_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SilentMember &a, SilentMember &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.silent_ms, b.silent_ms);
+  swap(a.__isset, b.__isset);
+}
+
+SilentMember::SilentMember(const SilentMember& other245) noexcept {
+  id = other245.id;
+  silent_ms = other245.silent_ms;
+  __isset = other245.__isset;
+}
+SilentMember::SilentMember(SilentMember&& other246) noexcept {
+  id = other246.id;
+  silent_ms = other246.silent_ms;
+  __isset = other246.__isset;
+}
+SilentMember& SilentMember::operator=(const SilentMember& other247) noexcept {
+  id = other247.id;
+  silent_ms = other247.silent_ms;
+  __isset = other247.__isset;
+  return *this;
+}
+SilentMember& SilentMember::operator=(SilentMember&& other248) noexcept {
+  id = other248.id;
+  silent_ms = other248.silent_ms;
+  __isset = other248.__isset;
+  return *this;
+}
+void SilentMember::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SilentMember(";
+  out << "id=" << to_string(id);
+  out << ", " << "silent_ms=" << to_string(silent_ms);
+  out << ")";
+}
+
+
 AppendRequest::~AppendRequest() noexcept {
 }
 
@@ -7042,6 +7209,11 @@
 void AppendRequest::__set_sent_us(const int64_t val) {
   this->sent_us = val;
 }
+
+void AppendRequest::__set_silent(const std::vector<SilentMember> & val) {
+  this->silent = val;
+__isset.silent = true;
+}
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
@@ -7098,14 +7270,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size245;
-            ::apache::thrift::protocol::TType _etype248;
-            xfer += iprot->readListBegin(_etype248, _size245);
-            this->entries.resize(_size245);
-            uint32_t _i249;
-            for (_i249 = 0; _i249 < _size245; ++_i249)
+            uint32_t _size249;
+            ::apache::thrift::protocol::TType _etype252;
+            xfer += iprot->readListBegin(_etype252, _size249);
+            this->entries.resize(_size249);
+            uint32_t _i253;
+            for (_i253 = 0; _i253 < _size249; ++_i253)
             {
-              xfer += this->entries[_i249].read(iprot);
+              xfer += this->entries[_i253].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7130,6 +7302,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->silent.clear();
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->silent.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
+            {
+              xfer += this->silent[_i258].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7162,10 +7354,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter250;
-    for (_iter250 = this->entries.begin(); _iter250 != this->entries.end(); ++_iter250)
+    std::vector<LogEntry> ::const_iterator _iter259;
+    for (_iter259 = this->entries.begin(); _iter259 != this->entries.end(); ++_iter259)
     {
-      xfer += (*_iter250).write(oprot);
+      xfer += (*_iter259).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7179,6 +7371,19 @@
   xfer += oprot->writeI64(this->sent_us);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.silent) {
+    xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->silent.size()));
+      std::vector<SilentMember> ::const_iterator _iter260;
+      for (_iter260 = this->silent.begin(); _iter260 != this->silent.end(); ++_iter260)
+      {
+        xfer += (*_iter260).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7192,45 +7397,50 @@
   swap(a.entries, b.entries);
   swap(a.commit, b.commit);
   swap(a.sent_us, b.sent_us);
+  swap(a.silent, b.silent);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other251) {
-  term = other251.term;
-  prev_index = other251.prev_index;
-  prev_term = other251.prev_term;
-  entries = other251.entries;
-  commit = other251.commit;
-  sent_us = other251.sent_us;
-  __isset = other251.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other252) noexcept {
-  term = other252.term;
-  prev_index = other252.prev_index;
-  prev_term = other252.prev_term;
-  entries = std::move(other252.entries);
-  commit = other252.commit;
-  sent_us = other252.sent_us;
-  __isset = other252.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other253) {
-  term = other253.term;
-  prev_index = other253.prev_index;
-  prev_term = other253.prev_term;
-  entries = other253.entries;
-  commit = other253.commit;
-  sent_us = other253.sent_us;
-  __isset = other253.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other261) {
+  term = other261.term;
+  prev_index = other261.prev_index;
+  prev_term = other261.prev_term;
+  entries = other261.entries;
+  commit = other261.commit;
+  sent_us = other261.sent_us;
+  silent = other261.silent;
+  __isset = other261.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other262) noexcept {
+  term = other262.term;
+  prev_index = other262.prev_index;
+  prev_term = other262.prev_term;
+  entries = std::move(other262.entries);
+  commit = other262.commit;
+  sent_us = other262.sent_us;
+  silent = std::move(other262.silent);
+  __isset = other262.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other263) {
+  term = other263.term;
+  prev_index = other263.prev_index;
+  prev_term = other263.prev_term;
+  entries = other263.entries;
+  commit = other263.commit;
+  sent_us = other263.sent_us;
+  silent = other263.silent;
+  __isset = other263.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other254) noexcept {
-  term = other254.term;
-  prev_index = other254.prev_index;
-  prev_term = other254.prev_term;
-  entries = std::move(other254.entries);
-  commit = other254.commit;
-  sent_us = other254.sent_us;
-  __isset = other254.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other264) noexcept {
+  term = other264.term;
+  prev_index = other264.prev_index;
+  prev_term = other264.prev_term;
+  entries = std::move(other264.entries);
+  commit = other264.commit;
+  sent_us = other264.sent_us;
+  silent = std::move(other264.silent);
+  __isset = other264.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7242,6 +7452,7 @@
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "commit=" << to_string(commit);
   out << ", " << "sent_us=" << to_string(sent_us);
+  out << ", " << "silent="; (__isset.silent ? (out << to_string(silent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7372,34 +7583,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other255) noexcept {
-  term = other255.term;
-  ok = other255.ok;
-  match = other255.match;
-  sent_us = other255.sent_us;
-  __isset = other255.__isset;
-}
-AppendReply::AppendReply(AppendReply&& other256) noexcept {
-  term = other256.term;
-  ok = other256.ok;
-  match = other256.match;
-  sent_us = other256.sent_us;
-  __isset = other256.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other257) noexcept {
-  term = other257.term;
-  ok = other257.ok;
-  match = other257.match;
-  sent_us = other257.sent_us;
-  __isset = other257.__isset;
+AppendReply::AppendReply(const AppendReply& other265) noexcept {
+  term = other265.term;
+  ok = other265.ok;
+  match = other265.match;
+  sent_us = other265.sent_us;
+  __isset = other265.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other266) noexcept {
+  term = other266.term;
+  ok = other266.ok;
+  match = other266.match;
+  sent_us = other266.sent_us;
+  __isset = other266.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other267) noexcept {
+  term = other267.term;
+  ok = other267.ok;
+  match = other267.match;
+  sent_us = other267.sent_us;
+  __isset = other267.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other258) noexcept {
-  term = other258.term;
-  ok = other258.ok;
-  match = other258.match;
-  sent_us = other258.sent_us;
-  __isset = other258.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other268) noexcept {
+  term = other268.term;
+  ok = other268.ok;
+  match = other268.match;
+  sent_us = other268.sent_us;
+  __isset = other268.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -7505,26 +7716,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other259) {
-  term = other259.term;
-  snapshot = other259.snapshot;
-  __isset = other259.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other269) {
+  term = other269.term;
+  snapshot = other269.snapshot;
+  __isset = other269.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other260) noexcept {
-  term = other260.term;
-  snapshot = std::move(other260.snapshot);
-  __isset = other260.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other270) noexcept {
+  term = other270.term;
+  snapshot = std::move(other270.snapshot);
+  __isset = other270.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other261) {
-  term = other261.term;
-  snapshot = other261.snapshot;
-  __isset = other261.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other271) {
+  term = other271.term;
+  snapshot = other271.snapshot;
+  __isset = other271.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other262) noexcept {
-  term = other262.term;
-  snapshot = std::move(other262.snapshot);
-  __isset = other262.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other272) noexcept {
+  term = other272.term;
+  snapshot = std::move(other272.snapshot);
+  __isset = other272.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -7689,38 +7900,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBody::LogBody(const LogBody& other263) {
-  vote = other263.vote;
-  vote_reply = other263.vote_reply;
-  append = other263.append;
-  append_reply = other263.append_reply;
-  snapshot = other263.snapshot;
-  __isset = other263.__isset;
+LogBody::LogBody(const LogBody& other273) {
+  vote = other273.vote;
+  vote_reply = other273.vote_reply;
+  append = other273.append;
+  append_reply = other273.append_reply;
+  snapshot = other273.snapshot;
+  __isset = other273.__isset;
 }
-LogBody::LogBody(LogBody&& other264) noexcept {
-  vote = std::move(other264.vote);
-  vote_reply = std::move(other264.vote_reply);
-  append = std::move(other264.append);
-  append_reply = std::move(other264.append_reply);
-  snapshot = std::move(other264.snapshot);
-  __isset = other264.__isset;
+LogBody::LogBody(LogBody&& other274) noexcept {
+  vote = std::move(other274.vote);
+  vote_reply = std::move(other274.vote_reply);
+  append = std::move(other274.append);
+  append_reply = std::move(other274.append_reply);
+  snapshot = std::move(other274.snapshot);
+  __isset = other274.__isset;
 }
-LogBody& LogBody::operator=(const LogBody& other265) {
-  vote = other265.vote;
-  vote_reply = other265.vote_reply;
-  append = other265.append;
-  append_reply = other265.append_reply;
-  snapshot = other265.snapshot;
-  __isset = other265.__isset;
+LogBody& LogBody::operator=(const LogBody& other275) {
+  vote = other275.vote;
+  vote_reply = other275.vote_reply;
+  append = other275.append;
+  append_reply = other275.append_reply;
+  snapshot = other275.snapshot;
+  __isset = other275.__isset;
   return *this;
 }
-LogBody& LogBody::operator=(LogBody&& other266) noexcept {
-  vote = std::move(other266.vote);
-  vote_reply = std::move(other266.vote_reply);
-  append = std::move(other266.append);
-  append_reply = std::move(other266.append_reply);
-  snapshot = std::move(other266.snapshot);
-  __isset = other266.__isset;
+LogBody& LogBody::operator=(LogBody&& other276) noexcept {
+  vote = std::move(other276.vote);
+  vote_reply = std::move(other276.vote_reply);
+  append = std::move(other276.append);
+  append_reply = std::move(other276.append_reply);
+  snapshot = std::move(other276.snapshot);
+  __isset = other276.__isset;
   return *this;
 }
 void LogBody::printTo(std::ostream& out) const {
@@ -7878,38 +8089,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other267) {
-  from_id = other267.from_id;
-  to_id = other267.to_id;
-  body = other267.body;
-  cluster = other267.cluster;
-  from_name = other267.from_name;
-  __isset = other267.__isset;
-}
-LogMessage::LogMessage(LogMessage&& other268) noexcept {
-  from_id = other268.from_id;
-  to_id = other268.to_id;
-  body = std::move(other268.body);
-  cluster = std::move(other268.cluster);
-  from_name = std::move(other268.from_name);
-  __isset = other268.__isset;
-}
-LogMessage& LogMessage::operator=(const LogMessage& other269) {
-  from_id = other269.from_id;
-  to_id = other269.to_id;
-  body = other269.body;
-  cluster = other269.cluster;
-  from_name = other269.from_name;
-  __isset = other269.__isset;
+LogMessage::LogMessage(const LogMessage& other277) {
+  from_id = other277.from_id;
+  to_id = other277.to_id;
+  body = other277.body;
+  cluster = other277.cluster;
+  from_name = other277.from_name;
+  __isset = other277.__isset;
+}
+LogMessage::LogMessage(LogMessage&& other278) noexcept {
+  from_id = other278.from_id;
+  to_id = other278.to_id;
+  body = std::move(other278.body);
+  cluster = std::move(other278.cluster);
+  from_name = std::move(other278.from_name);
+  __isset = other278.__isset;
+}
+LogMessage& LogMessage::operator=(const LogMessage& other279) {
+  from_id = other279.from_id;
+  to_id = other279.to_id;
+  body = other279.body;
+  cluster = other279.cluster;
+  from_name = other279.from_name;
+  __isset = other279.__isset;
   return *this;
 }
-LogMessage& LogMessage::operator=(LogMessage&& other270) noexcept {
-  from_id = other270.from_id;
-  to_id = other270.to_id;
-  body = std::move(other270.body);
-  cluster = std::move(other270.cluster);
-  from_name = std::move(other270.from_name);
-  __isset = other270.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other280) noexcept {
+  from_id = other280.from_id;
+  to_id = other280.to_id;
+  body = std::move(other280.body);
+  cluster = std::move(other280.cluster);
+  from_name = std::move(other280.from_name);
+  __isset = other280.__isset;
   return *this;
 }
 void LogMessage::printTo(std::ostream& out) const {
@@ -8033,30 +8244,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other271) {
-  cluster = other271.cluster;
-  member = other271.member;
-  blank = other271.blank;
-  __isset = other271.__isset;
+Hello::Hello(const Hello& other281) {
+  cluster = other281.cluster;
+  member = other281.member;
+  blank = other281.blank;
+  __isset = other281.__isset;
 }
-Hello::Hello(Hello&& other272) noexcept {
-  cluster = std::move(other272.cluster);
-  member = std::move(other272.member);
-  blank = other272.blank;
-  __isset = other272.__isset;
+Hello::Hello(Hello&& other282) noexcept {
+  cluster = std::move(other282.cluster);
+  member = std::move(other282.member);
+  blank = other282.blank;
+  __isset = other282.__isset;
 }
-Hello& Hello::operator=(const Hello& other273) {
-  cluster = other273.cluster;
-  member = other273.member;
-  blank = other273.blank;
-  __isset = other273.__isset;
+Hello& Hello::operator=(const Hello& other283) {
+  cluster = other283.cluster;
+  member = other283.member;
+  blank = other283.blank;
+  __isset = other283.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other274) noexcept {
-  cluster = std::move(other274.cluster);
-  member = std::move(other274.member);
-  blank = other274.blank;
-  __isset = other274.__isset;
+Hello& Hello::operator=(Hello&& other284) noexcept {
+  cluster = std::move(other284.cluster);
+  member = std::move(other284.member);
+  blank = other284.blank;
+  __isset = other284.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8144,14 +8355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->members.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->members.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += this->members[_i279].read(iprot);
+              xfer += this->members[_i289].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8192,10 +8403,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter280;
-    for (_iter280 = this->members.begin(); _iter280 != this->members.end(); ++_iter280)
+    std::vector<MemberInfo> ::const_iterator _iter290;
+    for (_iter290 = this->members.begin(); _iter290 != this->members.end(); ++_iter290)
     {
-      xfer += (*_iter280).write(oprot);
+      xfer += (*_iter290).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8215,34 +8426,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other281) {
-  member = other281.member;
-  blank = other281.blank;
-  leader_id = other281.leader_id;
-  members = other281.members;
-  __isset = other281.__isset;
+HelloReply::HelloReply(const HelloReply& other291) {
+  member = other291.member;
+  blank = other291.blank;
+  leader_id = other291.leader_id;
+  members = other291.members;
+  __isset = other291.__isset;
 }
-HelloReply::HelloReply(HelloReply&& other282) noexcept {
-  member = std::move(other282.member);
-  blank = other282.blank;
-  leader_id = other282.leader_id;
-  members = std::move(other282.members);
-  __isset = other282.__isset;
+HelloReply::HelloReply(HelloReply&& other292) noexcept {
+  member = std::move(other292.member);
+  blank = other292.blank;
+  leader_id = other292.leader_id;
+  members = std::move(other292.members);
+  __isset = other292.__isset;
 }
-HelloReply& HelloReply::operator=(const HelloReply& other283) {
-  member = other283.member;
-  blank = other283.blank;
-  leader_id = other283.leader_id;
-  members = other283.members;
-  __isset = other283.__isset;
+HelloReply& HelloReply::operator=(const HelloReply& other293) {
+  member = other293.member;
+  blank = other293.blank;
+  leader_id = other293.leader_id;
+  members = other293.members;
+  __isset = other293.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other284) noexcept {
-  member = std::move(other284.member);
-  blank = other284.blank;
-  leader_id = other284.leader_id;
-  members = std::move(other284.members);
-  __isset = other284.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other294) noexcept {
+  member = std::move(other294.member);
+  blank = other294.blank;
+  leader_id = other294.leader_id;
+  members = std::move(other294.members);
+  __isset = other294.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -8348,26 +8559,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectState::ObjectState(const ObjectState& other285) {
-  object = other285.object;
-  version = other285.version;
-  __isset = other285.__isset;
+ObjectState::ObjectState(const ObjectState& other295) {
+  object = other295.object;
+  version = other295.version;
+  __isset = other295.__isset;
 }
-ObjectState::ObjectState(ObjectState&& other286) noexcept {
-  object = std::move(other286.object);
-  version = other286.version;
-  __isset = other286.__isset;
+ObjectState::ObjectState(ObjectState&& other296) noexcept {
+  object = std::move(other296.object);
+  version = other296.version;
+  __isset = other296.__isset;
 }
-ObjectState& ObjectState::operator=(const ObjectState& other287) {
-  object = other287.object;
-  version = other287.version;
-  __isset = other287.__isset;
+ObjectState& ObjectState::operator=(const ObjectState& other297) {
+  object = other297.object;
+  version = other297.version;
+  __isset = other297.__isset;
   return *this;
 }
-ObjectState& ObjectState::operator=(ObjectState&& other288) noexcept {
-  object = std::move(other288.object);
-  version = other288.version;
-  __isset = other288.__isset;
+ObjectState& ObjectState::operator=(ObjectState&& other298) noexcept {
+  object = std::move(other298.object);
+  version = other298.version;
+  __isset = other298.__isset;
   return *this;
 }
 void ObjectState::printTo(std::ostream& out) const {
@@ -8471,26 +8682,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RemovalState::RemovalState(const RemovalState& other289) {
-  key = other289.key;
-  version = other289.version;
-  __isset = other289.__isset;
+RemovalState::RemovalState(const RemovalState& other299) {
+  key = other299.key;
+  version = other299.version;
+  __isset = other299.__isset;
 }
-RemovalState::RemovalState(RemovalState&& other290) noexcept {
-  key = std::move(other290.key);
-  version = other290.version;
-  __isset = other290.__isset;
+RemovalState::RemovalState(RemovalState&& other300) noexcept {
+  key = std::move(other300.key);
+  version = other300.version;
+  __isset = other300.__isset;
 }
-RemovalState& RemovalState::operator=(const RemovalState& other291) {
-  key = other291.key;
-  version = other291.version;
-  __isset = other291.__isset;
+RemovalState& RemovalState::operator=(const RemovalState& other301) {
+  key = other301.key;
+  version = other301.version;
+  __isset = other301.__isset;
   return *this;
 }
-RemovalState& RemovalState::operator=(RemovalState&& other292) noexcept {
-  key = std::move(other292.key);
-  version = other292.version;
-  __isset = other292.__isset;
+RemovalState& RemovalState::operator=(RemovalState&& other302) noexcept {
+  key = std::move(other302.key);
+  version = other302.version;
+  __isset = other302.__isset;
   return *this;
 }
 void RemovalState::printTo(std::ostream& out) const {
@@ -8611,30 +8822,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeState::ChangeState(const ChangeState& other293) {
-  change_id = other293.change_id;
-  fingerprint = other293.fingerprint;
-  outcome = other293.outcome;
-  __isset = other293.__isset;
+ChangeState::ChangeState(const ChangeState& other303) {
+  change_id = other303.change_id;
+  fingerprint = other303.fingerprint;
+  outcome = other303.outcome;
+  __isset = other303.__isset;
 }
-ChangeState::ChangeState(ChangeState&& other294) noexcept {
-  change_id = std::move(other294.change_id);
-  fingerprint = other294.fingerprint;
-  outcome = std::move(other294.outcome);
-  __isset = other294.__isset;
+ChangeState::ChangeState(ChangeState&& other304) noexcept {
+  change_id = std::move(other304.change_id);
+  fingerprint = other304.fingerprint;
+  outcome = std::move(other304.outcome);
+  __isset = other304.__isset;
 }
-ChangeState& ChangeState::operator=(const ChangeState& other295) {
-  change_id = other295.change_id;
-  fingerprint = other295.fingerprint;
-  outcome = other295.outcome;
-  __isset = other295.__isset;
+ChangeState& ChangeState::operator=(const ChangeState& other305) {
+  change_id = other305.change_id;
+  fingerprint = other305.fingerprint;
+  outcome = other305.outcome;
+  __isset = other305.__isset;
   return *this;
 }
-ChangeState& ChangeState::operator=(ChangeState&& other296) noexcept {
-  change_id = std::move(other296.change_id);
-  fingerprint = other296.fingerprint;
-  outcome = std::move(other296.outcome);
-  __isset = other296.__isset;
+ChangeState& ChangeState::operator=(ChangeState&& other306) noexcept {
+  change_id = std::move(other306.change_id);
+  fingerprint = other306.fingerprint;
+  outcome = std::move(other306.outcome);
+  __isset = other306.__isset;
   return *this;
 }
 void ChangeState::printTo(std::ostream& out) const {
@@ -8740,9 +8951,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast297;
-          xfer += iprot->readI32(ecast297);
-          this->state = static_cast<KeyState::type>(ecast297);
+          int32_t ecast307;
+          xfer += iprot->readI32(ecast307);
+          this->state = static_cast<KeyState::type>(ecast307);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8826,46 +9037,46 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other298) {
-  key = other298.key;
-  owner = other298.owner;
-  ref = other298.ref;
-  fingerprint = other298.fingerprint;
-  state = other298.state;
-  expires_ms = other298.expires_ms;
-  answer = other298.answer;
-  __isset = other298.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other299) noexcept {
-  key = std::move(other299.key);
-  owner = std::move(other299.owner);
-  ref = other299.ref;
-  fingerprint = other299.fingerprint;
-  state = other299.state;
-  expires_ms = other299.expires_ms;
-  answer = std::move(other299.answer);
-  __isset = other299.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other300) {
-  key = other300.key;
-  owner = other300.owner;
-  ref = other300.ref;
-  fingerprint = other300.fingerprint;
-  state = other300.state;
-  expires_ms = other300.expires_ms;
-  answer = other300.answer;
-  __isset = other300.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other308) {
+  key = other308.key;
+  owner = other308.owner;
+  ref = other308.ref;
+  fingerprint = other308.fingerprint;
+  state = other308.state;
+  expires_ms = other308.expires_ms;
+  answer = other308.answer;
+  __isset = other308.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other309) noexcept {
+  key = std::move(other309.key);
+  owner = std::move(other309.owner);
+  ref = other309.ref;
+  fingerprint = other309.fingerprint;
+  state = other309.state;
+  expires_ms = other309.expires_ms;
+  answer = std::move(other309.answer);
+  __isset = other309.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other310) {
+  key = other310.key;
+  owner = other310.owner;
+  ref = other310.ref;
+  fingerprint = other310.fingerprint;
+  state = other310.state;
+  expires_ms = other310.expires_ms;
+  answer = other310.answer;
+  __isset = other310.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other301) noexcept {
-  key = std::move(other301.key);
-  owner = std::move(other301.owner);
-  ref = other301.ref;
-  fingerprint = other301.fingerprint;
-  state = other301.state;
-  expires_ms = other301.expires_ms;
-  answer = std::move(other301.answer);
-  __isset = other301.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other311) noexcept {
+  key = std::move(other311.key);
+  owner = std::move(other311.owner);
+  ref = other311.ref;
+  fingerprint = other311.fingerprint;
+  state = other311.state;
+  expires_ms = other311.expires_ms;
+  answer = std::move(other311.answer);
+  __isset = other311.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -8985,14 +9196,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size302;
-            ::apache::thrift::protocol::TType _etype305;
-            xfer += iprot->readListBegin(_etype305, _size302);
-            this->objects.resize(_size302);
-            uint32_t _i306;
-            for (_i306 = 0; _i306 < _size302; ++_i306)
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            this->objects.resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
             {
-              xfer += this->objects[_i306].read(iprot);
+              xfer += this->objects[_i316].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9005,14 +9216,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size307;
-            ::apache::thrift::protocol::TType _etype310;
-            xfer += iprot->readListBegin(_etype310, _size307);
-            this->removals.resize(_size307);
-            uint32_t _i311;
-            for (_i311 = 0; _i311 < _size307; ++_i311)
+            uint32_t _size317;
+            ::apache::thrift::protocol::TType _etype320;
+            xfer += iprot->readListBegin(_etype320, _size317);
+            this->removals.resize(_size317);
+            uint32_t _i321;
+            for (_i321 = 0; _i321 < _size317; ++_i321)
             {
-              xfer += this->removals[_i311].read(iprot);
+              xfer += this->removals[_i321].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9033,14 +9244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size312;
-            ::apache::thrift::protocol::TType _etype315;
-            xfer += iprot->readListBegin(_etype315, _size312);
-            this->history.resize(_size312);
-            uint32_t _i316;
-            for (_i316 = 0; _i316 < _size312; ++_i316)
+            uint32_t _size322;
+            ::apache::thrift::protocol::TType _etype325;
+            xfer += iprot->readListBegin(_etype325, _size322);
+            this->history.resize(_size322);
+            uint32_t _i326;
+            for (_i326 = 0; _i326 < _size322; ++_i326)
             {
-              xfer += this->history[_i316].read(iprot);
+              xfer += this->history[_i326].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9053,14 +9264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size317;
-            ::apache::thrift::protocol::TType _etype320;
-            xfer += iprot->readListBegin(_etype320, _size317);
-            this->changes.resize(_size317);
-            uint32_t _i321;
-            for (_i321 = 0; _i321 < _size317; ++_i321)
+            uint32_t _size327;
+            ::apache::thrift::protocol::TType _etype330;
+            xfer += iprot->readListBegin(_etype330, _size327);
+            this->changes.resize(_size327);
+            uint32_t _i331;
+            for (_i331 = 0; _i331 < _size327; ++_i331)
             {
-              xfer += this->changes[_i321].read(iprot);
+              xfer += this->changes[_i331].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9073,14 +9284,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size322;
-            ::apache::thrift::protocol::TType _etype325;
-            xfer += iprot->readListBegin(_etype325, _size322);
-            this->keys.resize(_size322);
-            uint32_t _i326;
-            for (_i326 = 0; _i326 < _size322; ++_i326)
+            uint32_t _size332;
+            ::apache::thrift::protocol::TType _etype335;
+            xfer += iprot->readListBegin(_etype335, _size332);
+            this->keys.resize(_size332);
+            uint32_t _i336;
+            for (_i336 = 0; _i336 < _size332; ++_i336)
             {
-              xfer += this->keys[_i326].read(iprot);
+              xfer += this->keys[_i336].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9093,14 +9304,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size327;
-            ::apache::thrift::protocol::TType _etype330;
-            xfer += iprot->readListBegin(_etype330, _size327);
-            this->leases.resize(_size327);
-            uint32_t _i331;
-            for (_i331 = 0; _i331 < _size327; ++_i331)
+            uint32_t _size337;
+            ::apache::thrift::protocol::TType _etype340;
+            xfer += iprot->readListBegin(_etype340, _size337);
+            this->leases.resize(_size337);
+            uint32_t _i341;
+            for (_i341 = 0; _i341 < _size337; ++_i341)
             {
-              xfer += this->leases[_i331].read(iprot);
+              xfer += this->leases[_i341].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9129,14 +9340,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size332;
-            ::apache::thrift::protocol::TType _etype335;
-            xfer += iprot->readListBegin(_etype335, _size332);
-            this->servers.resize(_size332);
-            uint32_t _i336;
-            for (_i336 = 0; _i336 < _size332; ++_i336)
+            uint32_t _size342;
+            ::apache::thrift::protocol::TType _etype345;
+            xfer += iprot->readListBegin(_etype345, _size342);
+            this->servers.resize(_size342);
+            uint32_t _i346;
+            for (_i346 = 0; _i346 < _size342; ++_i346)
             {
-              xfer += this->servers[_i336].read(iprot);
+              xfer += this->servers[_i346].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9149,14 +9360,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rollouts.clear();
-            uint32_t _size337;
-            ::apache::thrift::protocol::TType _etype340;
-            xfer += iprot->readListBegin(_etype340, _size337);
-            this->rollouts.resize(_size337);
-            uint32_t _i341;
-            for (_i341 = 0; _i341 < _size337; ++_i341)
+            uint32_t _size347;
+            ::apache::thrift::protocol::TType _etype350;
+            xfer += iprot->readListBegin(_etype350, _size347);
+            this->rollouts.resize(_size347);
+            uint32_t _i351;
+            for (_i351 = 0; _i351 < _size347; ++_i351)
             {
-              xfer += this->rollouts[_i341].read(iprot);
+              xfer += this->rollouts[_i351].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9169,14 +9380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size342;
-            ::apache::thrift::protocol::TType _etype345;
-            xfer += iprot->readListBegin(_etype345, _size342);
-            this->evacuations.resize(_size342);
-            uint32_t _i346;
-            for (_i346 = 0; _i346 < _size342; ++_i346)
+            uint32_t _size352;
+            ::apache::thrift::protocol::TType _etype355;
+            xfer += iprot->readListBegin(_etype355, _size352);
+            this->evacuations.resize(_size352);
+            uint32_t _i356;
+            for (_i356 = 0; _i356 < _size352; ++_i356)
             {
-              xfer += this->evacuations[_i346].read(iprot);
+              xfer += this->evacuations[_i356].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9189,14 +9400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_suspects.clear();
-            uint32_t _size347;
-            ::apache::thrift::protocol::TType _etype350;
-            xfer += iprot->readListBegin(_etype350, _size347);
-            this->crash_suspects.resize(_size347);
-            uint32_t _i351;
-            for (_i351 = 0; _i351 < _size347; ++_i351)
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->crash_suspects.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
             {
-              xfer += this->crash_suspects[_i351].read(iprot);
+              xfer += this->crash_suspects[_i361].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9237,10 +9448,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectState> ::const_iterator _iter352;
-    for (_iter352 = this->objects.begin(); _iter352 != this->objects.end(); ++_iter352)
+    std::vector<ObjectState> ::const_iterator _iter362;
+    for (_iter362 = this->objects.begin(); _iter362 != this->objects.end(); ++_iter362)
     {
-      xfer += (*_iter352).write(oprot);
+      xfer += (*_iter362).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9249,10 +9460,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RemovalState> ::const_iterator _iter353;
-    for (_iter353 = this->removals.begin(); _iter353 != this->removals.end(); ++_iter353)
+    std::vector<RemovalState> ::const_iterator _iter363;
+    for (_iter363 = this->removals.begin(); _iter363 != this->removals.end(); ++_iter363)
     {
-      xfer += (*_iter353).write(oprot);
+      xfer += (*_iter363).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9265,10 +9476,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter354;
-    for (_iter354 = this->history.begin(); _iter354 != this->history.end(); ++_iter354)
+    std::vector<HistoryRow> ::const_iterator _iter364;
+    for (_iter364 = this->history.begin(); _iter364 != this->history.end(); ++_iter364)
     {
-      xfer += (*_iter354).write(oprot);
+      xfer += (*_iter364).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9277,10 +9488,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ChangeState> ::const_iterator _iter355;
-    for (_iter355 = this->changes.begin(); _iter355 != this->changes.end(); ++_iter355)
+    std::vector<ChangeState> ::const_iterator _iter365;
+    for (_iter365 = this->changes.begin(); _iter365 != this->changes.end(); ++_iter365)
     {
-      xfer += (*_iter355).write(oprot);
+      xfer += (*_iter365).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9289,10 +9500,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeyRecord> ::const_iterator _iter356;
-    for (_iter356 = this->keys.begin(); _iter356 != this->keys.end(); ++_iter356)
+    std::vector<KeyRecord> ::const_iterator _iter366;
+    for (_iter366 = this->keys.begin(); _iter366 != this->keys.end(); ++_iter366)
     {
-      xfer += (*_iter356).write(oprot);
+      xfer += (*_iter366).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9301,10 +9512,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter357;
-    for (_iter357 = this->leases.begin(); _iter357 != this->leases.end(); ++_iter357)
+    std::vector<LeaseGrant> ::const_iterator _iter367;
+    for (_iter367 = this->leases.begin(); _iter367 != this->leases.end(); ++_iter367)
     {
-      xfer += (*_iter357).write(oprot);
+      xfer += (*_iter367).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9321,10 +9532,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter358;
-    for (_iter358 = this->servers.begin(); _iter358 != this->servers.end(); ++_iter358)
+    std::vector<ServerRecord> ::const_iterator _iter368;
+    for (_iter368 = this->servers.begin(); _iter368 != this->servers.end(); ++_iter368)
     {
-      xfer += (*_iter358).write(oprot);
+      xfer += (*_iter368).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9333,10 +9544,10 @@
   xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
-    std::vector<Rollout> ::const_iterator _iter359;
-    for (_iter359 = this->rollouts.begin(); _iter359 != this->rollouts.end(); ++_iter359)
+    std::vector<Rollout> ::const_iterator _iter369;
+    for (_iter369 = this->rollouts.begin(); _iter369 != this->rollouts.end(); ++_iter369)
     {
-      xfer += (*_iter359).write(oprot);
+      xfer += (*_iter369).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9345,10 +9556,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<Evacuation> ::const_iterator _iter360;
-    for (_iter360 = this->evacuations.begin(); _iter360 != this->evacuations.end(); ++_iter360)
+    std::vector<Evacuation> ::const_iterator _iter370;
+    for (_iter370 = this->evacuations.begin(); _iter370 != this->evacuations.end(); ++_iter370)
     {
-      xfer += (*_iter360).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9357,10 +9568,10 @@
   xfer += oprot->writeFieldBegin("crash_suspects", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crash_suspects.size()));
-    std::vector<CrashSuspectState> ::const_iterator _iter361;
-    for (_iter361 = this->crash_suspects.begin(); _iter361 != this->crash_suspects.end(); ++_iter361)
+    std::vector<CrashSuspectState> ::const_iterator _iter371;
+    for (_iter371 = this->crash_suspects.begin(); _iter371 != this->crash_suspects.end(); ++_iter371)
     {
-      xfer += (*_iter361).write(oprot);
+      xfer += (*_iter371).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9395,78 +9606,78 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineState::MachineState(const MachineState& other362) {
-  version = other362.version;
-  objects = other362.objects;
-  removals = other362.removals;
-  whole_before = other362.whole_before;
-  history = other362.history;
-  changes = other362.changes;
-  keys = other362.keys;
-  leases = other362.leases;
-  now_ms = other362.now_ms;
-  document = other362.document;
-  servers = other362.servers;
-  rollouts = other362.rollouts;
-  evacuations = other362.evacuations;
-  crash_suspects = other362.crash_suspects;
-  quarantine_index = other362.quarantine_index;
-  __isset = other362.__isset;
-}
-MachineState::MachineState(MachineState&& other363) noexcept {
-  version = other363.version;
-  objects = std::move(other363.objects);
-  removals = std::move(other363.removals);
-  whole_before = other363.whole_before;
-  history = std::move(other363.history);
-  changes = std::move(other363.changes);
-  keys = std::move(other363.keys);
-  leases = std::move(other363.leases);
-  now_ms = other363.now_ms;
-  document = std::move(other363.document);
-  servers = std::move(other363.servers);
-  rollouts = std::move(other363.rollouts);
-  evacuations = std::move(other363.evacuations);
-  crash_suspects = std::move(other363.crash_suspects);
-  quarantine_index = other363.quarantine_index;
-  __isset = other363.__isset;
-}
-MachineState& MachineState::operator=(const MachineState& other364) {
-  version = other364.version;
-  objects = other364.objects;
-  removals = other364.removals;
-  whole_before = other364.whole_before;
-  history = other364.history;
-  changes = other364.changes;
-  keys = other364.keys;
-  leases = other364.leases;
-  now_ms = other364.now_ms;
-  document = other364.document;
-  servers = other364.servers;
-  rollouts = other364.rollouts;
-  evacuations = other364.evacuations;
-  crash_suspects = other364.crash_suspects;
-  quarantine_index = other364.quarantine_index;
-  __isset = other364.__isset;
+MachineState::MachineState(const MachineState& other372) {
+  version = other372.version;
+  objects = other372.objects;
+  removals = other372.removals;
+  whole_before = other372.whole_before;
+  history = other372.history;
+  changes = other372.changes;
+  keys = other372.keys;
+  leases = other372.leases;
+  now_ms = other372.now_ms;
+  document = other372.document;
+  servers = other372.servers;
+  rollouts = other372.rollouts;
+  evacuations = other372.evacuations;
+  crash_suspects = other372.crash_suspects;
+  quarantine_index = other372.quarantine_index;
+  __isset = other372.__isset;
+}
+MachineState::MachineState(MachineState&& other373) noexcept {
+  version = other373.version;
+  objects = std::move(other373.objects);
+  removals = std::move(other373.removals);
+  whole_before = other373.whole_before;
+  history = std::move(other373.history);
+  changes = std::move(other373.changes);
+  keys = std::move(other373.keys);
+  leases = std::move(other373.leases);
+  now_ms = other373.now_ms;
+  document = std::move(other373.document);
+  servers = std::move(other373.servers);
+  rollouts = std::move(other373.rollouts);
+  evacuations = std::move(other373.evacuations);
+  crash_suspects = std::move(other373.crash_suspects);
+  quarantine_index = other373.quarantine_index;
+  __isset = other373.__isset;
+}
+MachineState& MachineState::operator=(const MachineState& other374) {
+  version = other374.version;
+  objects = other374.objects;
+  removals = other374.removals;
+  whole_before = other374.whole_before;
+  history = other374.history;
+  changes = other374.changes;
+  keys = other374.keys;
+  leases = other374.leases;
+  now_ms = other374.now_ms;
+  document = other374.document;
+  servers = other374.servers;
+  rollouts = other374.rollouts;
+  evacuations = other374.evacuations;
+  crash_suspects = other374.crash_suspects;
+  quarantine_index = other374.quarantine_index;
+  __isset = other374.__isset;
   return *this;
 }
-MachineState& MachineState::operator=(MachineState&& other365) noexcept {
-  version = other365.version;
-  objects = std::move(other365.objects);
-  removals = std::move(other365.removals);
-  whole_before = other365.whole_before;
-  history = std::move(other365.history);
-  changes = std::move(other365.changes);
-  keys = std::move(other365.keys);
-  leases = std::move(other365.leases);
-  now_ms = other365.now_ms;
-  document = std::move(other365.document);
-  servers = std::move(other365.servers);
-  rollouts = std::move(other365.rollouts);
-  evacuations = std::move(other365.evacuations);
-  crash_suspects = std::move(other365.crash_suspects);
-  quarantine_index = other365.quarantine_index;
-  __isset = other365.__isset;
+MachineState& MachineState::operator=(MachineState&& other375) noexcept {
+  version = other375.version;
+  objects = std::move(other375.objects);
+  removals = std::move(other375.removals);
+  whole_before = other375.whole_before;
+  history = std::move(other375.history);
+  changes = std::move(other375.changes);
+  keys = std::move(other375.keys);
+  leases = std::move(other375.leases);
+  now_ms = other375.now_ms;
+  document = std::move(other375.document);
+  servers = std::move(other375.servers);
+  rollouts = std::move(other375.rollouts);
+  evacuations = std::move(other375.evacuations);
+  crash_suspects = std::move(other375.crash_suspects);
+  quarantine_index = other375.quarantine_index;
+  __isset = other375.__isset;
   return *this;
 }
 void MachineState::printTo(std::ostream& out) const {
@@ -9583,26 +9794,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerAddress::PeerAddress(const PeerAddress& other366) {
-  address = other366.address;
-  port = other366.port;
-  __isset = other366.__isset;
+PeerAddress::PeerAddress(const PeerAddress& other376) {
+  address = other376.address;
+  port = other376.port;
+  __isset = other376.__isset;
 }
-PeerAddress::PeerAddress(PeerAddress&& other367) noexcept {
-  address = std::move(other367.address);
-  port = other367.port;
-  __isset = other367.__isset;
+PeerAddress::PeerAddress(PeerAddress&& other377) noexcept {
+  address = std::move(other377.address);
+  port = other377.port;
+  __isset = other377.__isset;
 }
-PeerAddress& PeerAddress::operator=(const PeerAddress& other368) {
-  address = other368.address;
-  port = other368.port;
-  __isset = other368.__isset;
+PeerAddress& PeerAddress::operator=(const PeerAddress& other378) {
+  address = other378.address;
+  port = other378.port;
+  __isset = other378.__isset;
   return *this;
 }
-PeerAddress& PeerAddress::operator=(PeerAddress&& other369) noexcept {
-  address = std::move(other369.address);
-  port = other369.port;
-  __isset = other369.__isset;
+PeerAddress& PeerAddress::operator=(PeerAddress&& other379) noexcept {
+  address = std::move(other379.address);
+  port = other379.port;
+  __isset = other379.__isset;
   return *this;
 }
 void PeerAddress::printTo(std::ostream& out) const {
@@ -9910,74 +10121,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other370) {
-  instance = other370.instance;
-  incarnation = other370.incarnation;
-  address = other370.address;
-  port = other370.port;
-  data_centre = other370.data_centre;
-  version_in_force = other370.version_in_force;
-  ready = other370.ready;
-  stopping = other370.stopping;
-  http = other370.http;
-  leases_seen = other370.leases_seen;
-  members_seen = other370.members_seen;
-  relay_port = other370.relay_port;
-  cut_off = other370.cut_off;
-  wants_helpers = other370.wants_helpers;
-  __isset = other370.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other371) noexcept {
-  instance = std::move(other371.instance);
-  incarnation = std::move(other371.incarnation);
-  address = std::move(other371.address);
-  port = other371.port;
-  data_centre = std::move(other371.data_centre);
-  version_in_force = other371.version_in_force;
-  ready = other371.ready;
-  stopping = other371.stopping;
-  http = std::move(other371.http);
-  leases_seen = other371.leases_seen;
-  members_seen = other371.members_seen;
-  relay_port = other371.relay_port;
-  cut_off = other371.cut_off;
-  wants_helpers = other371.wants_helpers;
-  __isset = other371.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other372) {
-  instance = other372.instance;
-  incarnation = other372.incarnation;
-  address = other372.address;
-  port = other372.port;
-  data_centre = other372.data_centre;
-  version_in_force = other372.version_in_force;
-  ready = other372.ready;
-  stopping = other372.stopping;
-  http = other372.http;
-  leases_seen = other372.leases_seen;
-  members_seen = other372.members_seen;
-  relay_port = other372.relay_port;
-  cut_off = other372.cut_off;
-  wants_helpers = other372.wants_helpers;
-  __isset = other372.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other380) {
+  instance = other380.instance;
+  incarnation = other380.incarnation;
+  address = other380.address;
+  port = other380.port;
+  data_centre = other380.data_centre;
+  version_in_force = other380.version_in_force;
+  ready = other380.ready;
+  stopping = other380.stopping;
+  http = other380.http;
+  leases_seen = other380.leases_seen;
+  members_seen = other380.members_seen;
+  relay_port = other380.relay_port;
+  cut_off = other380.cut_off;
+  wants_helpers = other380.wants_helpers;
+  __isset = other380.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other381) noexcept {
+  instance = std::move(other381.instance);
+  incarnation = std::move(other381.incarnation);
+  address = std::move(other381.address);
+  port = other381.port;
+  data_centre = std::move(other381.data_centre);
+  version_in_force = other381.version_in_force;
+  ready = other381.ready;
+  stopping = other381.stopping;
+  http = std::move(other381.http);
+  leases_seen = other381.leases_seen;
+  members_seen = other381.members_seen;
+  relay_port = other381.relay_port;
+  cut_off = other381.cut_off;
+  wants_helpers = other381.wants_helpers;
+  __isset = other381.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other382) {
+  instance = other382.instance;
+  incarnation = other382.incarnation;
+  address = other382.address;
+  port = other382.port;
+  data_centre = other382.data_centre;
+  version_in_force = other382.version_in_force;
+  ready = other382.ready;
+  stopping = other382.stopping;
+  http = other382.http;
+  leases_seen = other382.leases_seen;
+  members_seen = other382.members_seen;
+  relay_port = other382.relay_port;
+  cut_off = other382.cut_off;
+  wants_helpers = other382.wants_helpers;
+  __isset = other382.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other373) noexcept {
-  instance = std::move(other373.instance);
-  incarnation = std::move(other373.incarnation);
-  address = std::move(other373.address);
-  port = other373.port;
-  data_centre = std::move(other373.data_centre);
-  version_in_force = other373.version_in_force;
-  ready = other373.ready;
-  stopping = other373.stopping;
-  http = std::move(other373.http);
-  leases_seen = other373.leases_seen;
-  members_seen = other373.members_seen;
-  relay_port = other373.relay_port;
-  cut_off = other373.cut_off;
-  wants_helpers = other373.wants_helpers;
-  __isset = other373.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other383) noexcept {
+  instance = std::move(other383.instance);
+  incarnation = std::move(other383.incarnation);
+  address = std::move(other383.address);
+  port = other383.port;
+  data_centre = std::move(other383.data_centre);
+  version_in_force = other383.version_in_force;
+  ready = other383.ready;
+  stopping = other383.stopping;
+  http = std::move(other383.http);
+  leases_seen = other383.leases_seen;
+  members_seen = other383.members_seen;
+  relay_port = other383.relay_port;
+  cut_off = other383.cut_off;
+  wants_helpers = other383.wants_helpers;
+  __isset = other383.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -10080,14 +10291,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->leases.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size384;
+            ::apache::thrift::protocol::TType _etype387;
+            xfer += iprot->readListBegin(_etype387, _size384);
+            this->leases.resize(_size384);
+            uint32_t _i388;
+            for (_i388 = 0; _i388 < _size384; ++_i388)
             {
-              xfer += this->leases[_i378].read(iprot);
+              xfer += this->leases[_i388].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10140,14 +10351,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->members.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size389;
+            ::apache::thrift::protocol::TType _etype392;
+            xfer += iprot->readListBegin(_etype392, _size389);
+            this->members.resize(_size389);
+            uint32_t _i393;
+            for (_i393 = 0; _i393 < _size389; ++_i393)
             {
-              xfer += this->members[_i383].read(iprot);
+              xfer += this->members[_i393].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10184,14 +10395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->helpers.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->helpers.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->helpers.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += this->helpers[_i388].read(iprot);
+              xfer += this->helpers[_i398].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10220,10 +10431,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter389;
-    for (_iter389 = this->leases.begin(); _iter389 != this->leases.end(); ++_iter389)
+    std::vector<LeaseGrant> ::const_iterator _iter399;
+    for (_iter399 = this->leases.begin(); _iter399 != this->leases.end(); ++_iter399)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter399).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10252,10 +10463,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter390;
-    for (_iter390 = this->members.begin(); _iter390 != this->members.end(); ++_iter390)
+    std::vector<MemberInfo> ::const_iterator _iter400;
+    for (_iter400 = this->members.begin(); _iter400 != this->members.end(); ++_iter400)
     {
-      xfer += (*_iter390).write(oprot);
+      xfer += (*_iter400).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10276,10 +10487,10 @@
   xfer += oprot->writeFieldBegin("helpers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->helpers.size()));
-    std::vector<PeerAddress> ::const_iterator _iter391;
-    for (_iter391 = this->helpers.begin(); _iter391 != this->helpers.end(); ++_iter391)
+    std::vector<PeerAddress> ::const_iterator _iter401;
+    for (_iter401 = this->helpers.begin(); _iter401 != this->helpers.end(); ++_iter401)
     {
-      xfer += (*_iter391).write(oprot);
+      xfer += (*_iter401).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10306,62 +10517,62 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other392) {
-  leases = other392.leases;
-  version = other392.version;
-  leader_term = other392.leader_term;
-  live = other392.live;
-  leases_index = other392.leases_index;
-  leases_same = other392.leases_same;
-  members = other392.members;
-  document_version = other392.document_version;
-  servers_index = other392.servers_index;
-  members_digest = other392.members_digest;
-  helpers = other392.helpers;
-  __isset = other392.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other393) noexcept {
-  leases = std::move(other393.leases);
-  version = other393.version;
-  leader_term = other393.leader_term;
-  live = other393.live;
-  leases_index = other393.leases_index;
-  leases_same = other393.leases_same;
-  members = std::move(other393.members);
-  document_version = other393.document_version;
-  servers_index = other393.servers_index;
-  members_digest = other393.members_digest;
-  helpers = std::move(other393.helpers);
-  __isset = other393.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other394) {
-  leases = other394.leases;
-  version = other394.version;
-  leader_term = other394.leader_term;
-  live = other394.live;
-  leases_index = other394.leases_index;
-  leases_same = other394.leases_same;
-  members = other394.members;
-  document_version = other394.document_version;
-  servers_index = other394.servers_index;
-  members_digest = other394.members_digest;
-  helpers = other394.helpers;
-  __isset = other394.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other402) {
+  leases = other402.leases;
+  version = other402.version;
+  leader_term = other402.leader_term;
+  live = other402.live;
+  leases_index = other402.leases_index;
+  leases_same = other402.leases_same;
+  members = other402.members;
+  document_version = other402.document_version;
+  servers_index = other402.servers_index;
+  members_digest = other402.members_digest;
+  helpers = other402.helpers;
+  __isset = other402.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other403) noexcept {
+  leases = std::move(other403.leases);
+  version = other403.version;
+  leader_term = other403.leader_term;
+  live = other403.live;
+  leases_index = other403.leases_index;
+  leases_same = other403.leases_same;
+  members = std::move(other403.members);
+  document_version = other403.document_version;
+  servers_index = other403.servers_index;
+  members_digest = other403.members_digest;
+  helpers = std::move(other403.helpers);
+  __isset = other403.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other404) {
+  leases = other404.leases;
+  version = other404.version;
+  leader_term = other404.leader_term;
+  live = other404.live;
+  leases_index = other404.leases_index;
+  leases_same = other404.leases_same;
+  members = other404.members;
+  document_version = other404.document_version;
+  servers_index = other404.servers_index;
+  members_digest = other404.members_digest;
+  helpers = other404.helpers;
+  __isset = other404.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other395) noexcept {
-  leases = std::move(other395.leases);
-  version = other395.version;
-  leader_term = other395.leader_term;
-  live = other395.live;
-  leases_index = other395.leases_index;
-  leases_same = other395.leases_same;
-  members = std::move(other395.members);
-  document_version = other395.document_version;
-  servers_index = other395.servers_index;
-  members_digest = other395.members_digest;
-  helpers = std::move(other395.helpers);
-  __isset = other395.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other405) noexcept {
+  leases = std::move(other405.leases);
+  version = other405.version;
+  leader_term = other405.leader_term;
+  live = other405.live;
+  leases_index = other405.leases_index;
+  leases_same = other405.leases_same;
+  members = std::move(other405.members);
+  document_version = other405.document_version;
+  servers_index = other405.servers_index;
+  members_digest = other405.members_digest;
+  helpers = std::move(other405.helpers);
+  __isset = other405.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -10421,14 +10632,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size396;
-            ::apache::thrift::protocol::TType _etype399;
-            xfer += iprot->readListBegin(_etype399, _size396);
-            this->commands.resize(_size396);
-            uint32_t _i400;
-            for (_i400 = 0; _i400 < _size396; ++_i400)
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->commands.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
             {
-              xfer += this->commands[_i400].read(iprot);
+              xfer += this->commands[_i410].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10457,10 +10668,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter401;
-    for (_iter401 = this->commands.begin(); _iter401 != this->commands.end(); ++_iter401)
+    std::vector<Command> ::const_iterator _iter411;
+    for (_iter411 = this->commands.begin(); _iter411 != this->commands.end(); ++_iter411)
     {
-      xfer += (*_iter401).write(oprot);
+      xfer += (*_iter411).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10477,22 +10688,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other402) {
-  commands = other402.commands;
-  __isset = other402.__isset;
+Propose::Propose(const Propose& other412) {
+  commands = other412.commands;
+  __isset = other412.__isset;
 }
-Propose::Propose(Propose&& other403) noexcept {
-  commands = std::move(other403.commands);
-  __isset = other403.__isset;
+Propose::Propose(Propose&& other413) noexcept {
+  commands = std::move(other413.commands);
+  __isset = other413.__isset;
 }
-Propose& Propose::operator=(const Propose& other404) {
-  commands = other404.commands;
-  __isset = other404.__isset;
+Propose& Propose::operator=(const Propose& other414) {
+  commands = other414.commands;
+  __isset = other414.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other405) noexcept {
-  commands = std::move(other405.commands);
-  __isset = other405.__isset;
+Propose& Propose::operator=(Propose&& other415) noexcept {
+  commands = std::move(other415.commands);
+  __isset = other415.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -10580,9 +10791,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast406;
-          xfer += iprot->readI32(ecast406);
-          this->rollout = static_cast<RolloutVerdict::type>(ecast406);
+          int32_t ecast416;
+          xfer += iprot->readI32(ecast416);
+          this->rollout = static_cast<RolloutVerdict::type>(ecast416);
           this->__isset.rollout = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10639,34 +10850,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other407) {
-  config = other407.config;
-  claim = other407.claim;
-  done = other407.done;
-  rollout = other407.rollout;
-  __isset = other407.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other408) noexcept {
-  config = std::move(other408.config);
-  claim = std::move(other408.claim);
-  done = other408.done;
-  rollout = other408.rollout;
-  __isset = other408.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other409) {
-  config = other409.config;
-  claim = other409.claim;
-  done = other409.done;
-  rollout = other409.rollout;
-  __isset = other409.__isset;
+CommandResult::CommandResult(const CommandResult& other417) {
+  config = other417.config;
+  claim = other417.claim;
+  done = other417.done;
+  rollout = other417.rollout;
+  __isset = other417.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other418) noexcept {
+  config = std::move(other418.config);
+  claim = std::move(other418.claim);
+  done = other418.done;
+  rollout = other418.rollout;
+  __isset = other418.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other419) {
+  config = other419.config;
+  claim = other419.claim;
+  done = other419.done;
+  rollout = other419.rollout;
+  __isset = other419.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other410) noexcept {
-  config = std::move(other410.config);
-  claim = std::move(other410.claim);
-  done = other410.done;
-  rollout = other410.rollout;
-  __isset = other410.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other420) noexcept {
+  config = std::move(other420.config);
+  claim = std::move(other420.claim);
+  done = other420.done;
+  rollout = other420.rollout;
+  __isset = other420.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -10719,14 +10930,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->results.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size421;
+            ::apache::thrift::protocol::TType _etype424;
+            xfer += iprot->readListBegin(_etype424, _size421);
+            this->results.resize(_size421);
+            uint32_t _i425;
+            for (_i425 = 0; _i425 < _size421; ++_i425)
             {
-              xfer += this->results[_i415].read(iprot);
+              xfer += this->results[_i425].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10755,10 +10966,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter416;
-    for (_iter416 = this->results.begin(); _iter416 != this->results.end(); ++_iter416)
+    std::vector<CommandResult> ::const_iterator _iter426;
+    for (_iter426 = this->results.begin(); _iter426 != this->results.end(); ++_iter426)
     {
-      xfer += (*_iter416).write(oprot);
+      xfer += (*_iter426).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10775,22 +10986,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other417) {
-  results = other417.results;
-  __isset = other417.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other427) {
+  results = other427.results;
+  __isset = other427.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other418) noexcept {
-  results = std::move(other418.results);
-  __isset = other418.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other428) noexcept {
+  results = std::move(other428.results);
+  __isset = other428.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other419) {
-  results = other419.results;
-  __isset = other419.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other429) {
+  results = other429.results;
+  __isset = other429.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other420) noexcept {
-  results = std::move(other420.results);
-  __isset = other420.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other430) noexcept {
+  results = std::move(other430.results);
+  __isset = other430.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -10910,9 +11121,9 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast421;
-          xfer += iprot->readI32(ecast421);
-          this->kind = static_cast<NewsKind::type>(ecast421);
+          int32_t ecast431;
+          xfer += iprot->readI32(ecast431);
+          this->kind = static_cast<NewsKind::type>(ecast431);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10980,46 +11191,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPoll::ConfigPoll(const ConfigPoll& other422) noexcept {
-  have_version = other422.have_version;
-  wait_ms = other422.wait_ms;
-  have_document = other422.have_document;
-  have_servers = other422.have_servers;
-  hosted = other422.hosted;
-  have_term = other422.have_term;
-  kind = other422.kind;
-  __isset = other422.__isset;
-}
-ConfigPoll::ConfigPoll(ConfigPoll&& other423) noexcept {
-  have_version = other423.have_version;
-  wait_ms = other423.wait_ms;
-  have_document = other423.have_document;
-  have_servers = other423.have_servers;
-  hosted = other423.hosted;
-  have_term = other423.have_term;
-  kind = other423.kind;
-  __isset = other423.__isset;
-}
-ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other424) noexcept {
-  have_version = other424.have_version;
-  wait_ms = other424.wait_ms;
-  have_document = other424.have_document;
-  have_servers = other424.have_servers;
-  hosted = other424.hosted;
-  have_term = other424.have_term;
-  kind = other424.kind;
-  __isset = other424.__isset;
+ConfigPoll::ConfigPoll(const ConfigPoll& other432) noexcept {
+  have_version = other432.have_version;
+  wait_ms = other432.wait_ms;
+  have_document = other432.have_document;
+  have_servers = other432.have_servers;
+  hosted = other432.hosted;
+  have_term = other432.have_term;
+  kind = other432.kind;
+  __isset = other432.__isset;
+}
+ConfigPoll::ConfigPoll(ConfigPoll&& other433) noexcept {
+  have_version = other433.have_version;
+  wait_ms = other433.wait_ms;
+  have_document = other433.have_document;
+  have_servers = other433.have_servers;
+  hosted = other433.hosted;
+  have_term = other433.have_term;
+  kind = other433.kind;
+  __isset = other433.__isset;
+}
+ConfigPoll& ConfigPoll::operator=(const ConfigPoll& other434) noexcept {
+  have_version = other434.have_version;
+  wait_ms = other434.wait_ms;
+  have_document = other434.have_document;
+  have_servers = other434.have_servers;
+  hosted = other434.hosted;
+  have_term = other434.have_term;
+  kind = other434.kind;
+  __isset = other434.__isset;
   return *this;
 }
-ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other425) noexcept {
-  have_version = other425.have_version;
-  wait_ms = other425.wait_ms;
-  have_document = other425.have_document;
-  have_servers = other425.have_servers;
-  hosted = other425.hosted;
-  have_term = other425.have_term;
-  kind = other425.kind;
-  __isset = other425.__isset;
+ConfigPoll& ConfigPoll::operator=(ConfigPoll&& other435) noexcept {
+  have_version = other435.have_version;
+  wait_ms = other435.wait_ms;
+  have_document = other435.have_document;
+  have_servers = other435.have_servers;
+  hosted = other435.hosted;
+  have_term = other435.have_term;
+  kind = other435.kind;
+  __isset = other435.__isset;
   return *this;
 }
 void ConfigPoll::printTo(std::ostream& out) const {
@@ -11145,30 +11356,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PieceRequest::PieceRequest(const PieceRequest& other426) noexcept {
-  base = other426.base;
-  version = other426.version;
-  offset = other426.offset;
-  __isset = other426.__isset;
+PieceRequest::PieceRequest(const PieceRequest& other436) noexcept {
+  base = other436.base;
+  version = other436.version;
+  offset = other436.offset;
+  __isset = other436.__isset;
 }
-PieceRequest::PieceRequest(PieceRequest&& other427) noexcept {
-  base = other427.base;
-  version = other427.version;
-  offset = other427.offset;
-  __isset = other427.__isset;
+PieceRequest::PieceRequest(PieceRequest&& other437) noexcept {
+  base = other437.base;
+  version = other437.version;
+  offset = other437.offset;
+  __isset = other437.__isset;
 }
-PieceRequest& PieceRequest::operator=(const PieceRequest& other428) noexcept {
-  base = other428.base;
-  version = other428.version;
-  offset = other428.offset;
-  __isset = other428.__isset;
+PieceRequest& PieceRequest::operator=(const PieceRequest& other438) noexcept {
+  base = other438.base;
+  version = other438.version;
+  offset = other438.offset;
+  __isset = other438.__isset;
   return *this;
 }
-PieceRequest& PieceRequest::operator=(PieceRequest&& other429) noexcept {
-  base = other429.base;
-  version = other429.version;
-  offset = other429.offset;
-  __isset = other429.__isset;
+PieceRequest& PieceRequest::operator=(PieceRequest&& other439) noexcept {
+  base = other439.base;
+  version = other439.version;
+  offset = other439.offset;
+  __isset = other439.__isset;
   return *this;
 }
 void PieceRequest::printTo(std::ostream& out) const {
@@ -11256,22 +11467,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Piece::Piece(const Piece& other430) {
-  bytes = other430.bytes;
-  __isset = other430.__isset;
+Piece::Piece(const Piece& other440) {
+  bytes = other440.bytes;
+  __isset = other440.__isset;
 }
-Piece::Piece(Piece&& other431) noexcept {
-  bytes = std::move(other431.bytes);
-  __isset = other431.__isset;
+Piece::Piece(Piece&& other441) noexcept {
+  bytes = std::move(other441.bytes);
+  __isset = other441.__isset;
 }
-Piece& Piece::operator=(const Piece& other432) {
-  bytes = other432.bytes;
-  __isset = other432.__isset;
+Piece& Piece::operator=(const Piece& other442) {
+  bytes = other442.bytes;
+  __isset = other442.__isset;
   return *this;
 }
-Piece& Piece::operator=(Piece&& other433) noexcept {
-  bytes = std::move(other433.bytes);
-  __isset = other433.__isset;
+Piece& Piece::operator=(Piece&& other443) noexcept {
+  bytes = std::move(other443.bytes);
+  __isset = other443.__isset;
   return *this;
 }
 void Piece::printTo(std::ostream& out) const {
@@ -11381,14 +11592,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->prefixes.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size444;
+            ::apache::thrift::protocol::TType _etype447;
+            xfer += iprot->readListBegin(_etype447, _size444);
+            this->prefixes.resize(_size444);
+            uint32_t _i448;
+            for (_i448 = 0; _i448 < _size444; ++_i448)
             {
-              xfer += iprot->readI64(this->prefixes[_i438]);
+              xfer += iprot->readI64(this->prefixes[_i448]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11433,14 +11644,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->avoid.clear();
-            uint32_t _size439;
-            ::apache::thrift::protocol::TType _etype442;
-            xfer += iprot->readListBegin(_etype442, _size439);
-            this->avoid.resize(_size439);
-            uint32_t _i443;
-            for (_i443 = 0; _i443 < _size439; ++_i443)
+            uint32_t _size449;
+            ::apache::thrift::protocol::TType _etype452;
+            xfer += iprot->readListBegin(_etype452, _size449);
+            this->avoid.resize(_size449);
+            uint32_t _i453;
+            for (_i453 = 0; _i453 < _size449; ++_i453)
             {
-              xfer += iprot->readString(this->avoid[_i443]);
+              xfer += iprot->readString(this->avoid[_i453]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11489,10 +11700,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<int64_t> ::const_iterator _iter444;
-    for (_iter444 = this->prefixes.begin(); _iter444 != this->prefixes.end(); ++_iter444)
+    std::vector<int64_t> ::const_iterator _iter454;
+    for (_iter454 = this->prefixes.begin(); _iter454 != this->prefixes.end(); ++_iter454)
     {
-      xfer += oprot->writeI64((*_iter444));
+      xfer += oprot->writeI64((*_iter454));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11517,10 +11728,10 @@
   xfer += oprot->writeFieldBegin("avoid", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->avoid.size()));
-    std::vector<std::string> ::const_iterator _iter445;
-    for (_iter445 = this->avoid.begin(); _iter445 != this->avoid.end(); ++_iter445)
+    std::vector<std::string> ::const_iterator _iter455;
+    for (_iter455 = this->avoid.begin(); _iter455 != this->avoid.end(); ++_iter455)
     {
-      xfer += oprot->writeString((*_iter445));
+      xfer += oprot->writeString((*_iter455));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11550,58 +11761,58 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandItem::DemandItem(const DemandItem& other446) {
-  ref = other446.ref;
-  tier = other446.tier;
-  prompt_tokens = other446.prompt_tokens;
-  prefixes = other446.prefixes;
-  age_ms = other446.age_ms;
-  workspace = other446.workspace;
-  event = other446.event;
-  model = other446.model;
-  avoid = other446.avoid;
-  deadline_ms = other446.deadline_ms;
-  __isset = other446.__isset;
-}
-DemandItem::DemandItem(DemandItem&& other447) noexcept {
-  ref = other447.ref;
-  tier = other447.tier;
-  prompt_tokens = other447.prompt_tokens;
-  prefixes = std::move(other447.prefixes);
-  age_ms = other447.age_ms;
-  workspace = std::move(other447.workspace);
-  event = std::move(other447.event);
-  model = std::move(other447.model);
-  avoid = std::move(other447.avoid);
-  deadline_ms = other447.deadline_ms;
-  __isset = other447.__isset;
-}
-DemandItem& DemandItem::operator=(const DemandItem& other448) {
-  ref = other448.ref;
-  tier = other448.tier;
-  prompt_tokens = other448.prompt_tokens;
-  prefixes = other448.prefixes;
-  age_ms = other448.age_ms;
-  workspace = other448.workspace;
-  event = other448.event;
-  model = other448.model;
-  avoid = other448.avoid;
-  deadline_ms = other448.deadline_ms;
-  __isset = other448.__isset;
+DemandItem::DemandItem(const DemandItem& other456) {
+  ref = other456.ref;
+  tier = other456.tier;
+  prompt_tokens = other456.prompt_tokens;
+  prefixes = other456.prefixes;
+  age_ms = other456.age_ms;
+  workspace = other456.workspace;
+  event = other456.event;
+  model = other456.model;
+  avoid = other456.avoid;
+  deadline_ms = other456.deadline_ms;
+  __isset = other456.__isset;
+}
+DemandItem::DemandItem(DemandItem&& other457) noexcept {
+  ref = other457.ref;
+  tier = other457.tier;
+  prompt_tokens = other457.prompt_tokens;
+  prefixes = std::move(other457.prefixes);
+  age_ms = other457.age_ms;
+  workspace = std::move(other457.workspace);
+  event = std::move(other457.event);
+  model = std::move(other457.model);
+  avoid = std::move(other457.avoid);
+  deadline_ms = other457.deadline_ms;
+  __isset = other457.__isset;
+}
+DemandItem& DemandItem::operator=(const DemandItem& other458) {
+  ref = other458.ref;
+  tier = other458.tier;
+  prompt_tokens = other458.prompt_tokens;
+  prefixes = other458.prefixes;
+  age_ms = other458.age_ms;
+  workspace = other458.workspace;
+  event = other458.event;
+  model = other458.model;
+  avoid = other458.avoid;
+  deadline_ms = other458.deadline_ms;
+  __isset = other458.__isset;
   return *this;
 }
-DemandItem& DemandItem::operator=(DemandItem&& other449) noexcept {
-  ref = other449.ref;
-  tier = other449.tier;
-  prompt_tokens = other449.prompt_tokens;
-  prefixes = std::move(other449.prefixes);
-  age_ms = other449.age_ms;
-  workspace = std::move(other449.workspace);
-  event = std::move(other449.event);
-  model = std::move(other449.model);
-  avoid = std::move(other449.avoid);
-  deadline_ms = other449.deadline_ms;
-  __isset = other449.__isset;
+DemandItem& DemandItem::operator=(DemandItem&& other459) noexcept {
+  ref = other459.ref;
+  tier = other459.tier;
+  prompt_tokens = other459.prompt_tokens;
+  prefixes = std::move(other459.prefixes);
+  age_ms = other459.age_ms;
+  workspace = std::move(other459.workspace);
+  event = std::move(other459.event);
+  model = std::move(other459.model);
+  avoid = std::move(other459.avoid);
+  deadline_ms = other459.deadline_ms;
+  __isset = other459.__isset;
   return *this;
 }
 void DemandItem::printTo(std::ostream& out) const {
@@ -11674,9 +11885,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast450;
-          xfer += iprot->readI32(ecast450);
-          this->stage = static_cast<UseStage::type>(ecast450);
+          int32_t ecast460;
+          xfer += iprot->readI32(ecast460);
+          this->stage = static_cast<UseStage::type>(ecast460);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11732,30 +11943,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CreditUse::CreditUse(const CreditUse& other451) noexcept {
-  credit = other451.credit;
-  stage = other451.stage;
-  elapsed_us = other451.elapsed_us;
-  __isset = other451.__isset;
+CreditUse::CreditUse(const CreditUse& other461) noexcept {
+  credit = other461.credit;
+  stage = other461.stage;
+  elapsed_us = other461.elapsed_us;
+  __isset = other461.__isset;
 }
-CreditUse::CreditUse(CreditUse&& other452) noexcept {
-  credit = other452.credit;
-  stage = other452.stage;
-  elapsed_us = other452.elapsed_us;
-  __isset = other452.__isset;
+CreditUse::CreditUse(CreditUse&& other462) noexcept {
+  credit = other462.credit;
+  stage = other462.stage;
+  elapsed_us = other462.elapsed_us;
+  __isset = other462.__isset;
 }
-CreditUse& CreditUse::operator=(const CreditUse& other453) noexcept {
-  credit = other453.credit;
-  stage = other453.stage;
-  elapsed_us = other453.elapsed_us;
-  __isset = other453.__isset;
+CreditUse& CreditUse::operator=(const CreditUse& other463) noexcept {
+  credit = other463.credit;
+  stage = other463.stage;
+  elapsed_us = other463.elapsed_us;
+  __isset = other463.__isset;
   return *this;
 }
-CreditUse& CreditUse::operator=(CreditUse&& other454) noexcept {
-  credit = other454.credit;
-  stage = other454.stage;
-  elapsed_us = other454.elapsed_us;
-  __isset = other454.__isset;
+CreditUse& CreditUse::operator=(CreditUse&& other464) noexcept {
+  credit = other464.credit;
+  stage = other464.stage;
+  elapsed_us = other464.elapsed_us;
+  __isset = other464.__isset;
   return *this;
 }
 void CreditUse::printTo(std::ostream& out) const {
@@ -11890,38 +12101,38 @@
   swap(a.credit, b.credit);
   swap(a.ref, b.ref);
   swap(a.engine, b.engine);
-  swap(a.prompt_tokens, b.prompt_tokens);
-  swap(a.__isset, b.__isset);
-}
-
-HeldCredit::HeldCredit(const HeldCredit& other455) {
-  credit = other455.credit;
-  ref = other455.ref;
-  engine = other455.engine;
-  prompt_tokens = other455.prompt_tokens;
-  __isset = other455.__isset;
-}
-HeldCredit::HeldCredit(HeldCredit&& other456) noexcept {
-  credit = other456.credit;
-  ref = other456.ref;
-  engine = std::move(other456.engine);
-  prompt_tokens = other456.prompt_tokens;
-  __isset = other456.__isset;
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.__isset, b.__isset);
 }
-HeldCredit& HeldCredit::operator=(const HeldCredit& other457) {
-  credit = other457.credit;
-  ref = other457.ref;
-  engine = other457.engine;
-  prompt_tokens = other457.prompt_tokens;
-  __isset = other457.__isset;
+
+HeldCredit::HeldCredit(const HeldCredit& other465) {
+  credit = other465.credit;
+  ref = other465.ref;
+  engine = other465.engine;
+  prompt_tokens = other465.prompt_tokens;
+  __isset = other465.__isset;
+}
+HeldCredit::HeldCredit(HeldCredit&& other466) noexcept {
+  credit = other466.credit;
+  ref = other466.ref;
+  engine = std::move(other466.engine);
+  prompt_tokens = other466.prompt_tokens;
+  __isset = other466.__isset;
+}
+HeldCredit& HeldCredit::operator=(const HeldCredit& other467) {
+  credit = other467.credit;
+  ref = other467.ref;
+  engine = other467.engine;
+  prompt_tokens = other467.prompt_tokens;
+  __isset = other467.__isset;
   return *this;
 }
-HeldCredit& HeldCredit::operator=(HeldCredit&& other458) noexcept {
-  credit = other458.credit;
-  ref = other458.ref;
-  engine = std::move(other458.engine);
-  prompt_tokens = other458.prompt_tokens;
-  __isset = other458.__isset;
+HeldCredit& HeldCredit::operator=(HeldCredit&& other468) noexcept {
+  credit = other468.credit;
+  ref = other468.ref;
+  engine = std::move(other468.engine);
+  prompt_tokens = other468.prompt_tokens;
+  __isset = other468.__isset;
   return *this;
 }
 void HeldCredit::printTo(std::ostream& out) const {
@@ -12042,14 +12253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size459;
-            ::apache::thrift::protocol::TType _etype462;
-            xfer += iprot->readListBegin(_etype462, _size459);
-            this->held.resize(_size459);
-            uint32_t _i463;
-            for (_i463 = 0; _i463 < _size459; ++_i463)
+            uint32_t _size469;
+            ::apache::thrift::protocol::TType _etype472;
+            xfer += iprot->readListBegin(_etype472, _size469);
+            this->held.resize(_size469);
+            uint32_t _i473;
+            for (_i473 = 0; _i473 < _size469; ++_i473)
             {
-              xfer += this->held[_i463].read(iprot);
+              xfer += this->held[_i473].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12062,14 +12273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size464;
-            ::apache::thrift::protocol::TType _etype467;
-            xfer += iprot->readListBegin(_etype467, _size464);
-            this->items.resize(_size464);
-            uint32_t _i468;
-            for (_i468 = 0; _i468 < _size464; ++_i468)
+            uint32_t _size474;
+            ::apache::thrift::protocol::TType _etype477;
+            xfer += iprot->readListBegin(_etype477, _size474);
+            this->items.resize(_size474);
+            uint32_t _i478;
+            for (_i478 = 0; _i478 < _size474; ++_i478)
             {
-              xfer += this->items[_i468].read(iprot);
+              xfer += this->items[_i478].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12082,14 +12293,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waiting.clear();
-            uint32_t _size469;
-            ::apache::thrift::protocol::TType _etype472;
-            xfer += iprot->readListBegin(_etype472, _size469);
-            this->waiting.resize(_size469);
-            uint32_t _i473;
-            for (_i473 = 0; _i473 < _size469; ++_i473)
+            uint32_t _size479;
+            ::apache::thrift::protocol::TType _etype482;
+            xfer += iprot->readListBegin(_etype482, _size479);
+            this->waiting.resize(_size479);
+            uint32_t _i483;
+            for (_i483 = 0; _i483 < _size479; ++_i483)
             {
-              xfer += iprot->readI32(this->waiting[_i473]);
+              xfer += iprot->readI32(this->waiting[_i483]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12102,14 +12313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size474;
-            ::apache::thrift::protocol::TType _etype477;
-            xfer += iprot->readListBegin(_etype477, _size474);
-            this->uses.resize(_size474);
-            uint32_t _i478;
-            for (_i478 = 0; _i478 < _size474; ++_i478)
+            uint32_t _size484;
+            ::apache::thrift::protocol::TType _etype487;
+            xfer += iprot->readListBegin(_etype487, _size484);
+            this->uses.resize(_size484);
+            uint32_t _i488;
+            for (_i488 = 0; _i488 < _size484; ++_i488)
             {
-              xfer += this->uses[_i478].read(iprot);
+              xfer += this->uses[_i488].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12170,10 +12381,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<HeldCredit> ::const_iterator _iter479;
-    for (_iter479 = this->held.begin(); _iter479 != this->held.end(); ++_iter479)
+    std::vector<HeldCredit> ::const_iterator _iter489;
+    for (_iter489 = this->held.begin(); _iter489 != this->held.end(); ++_iter489)
     {
-      xfer += (*_iter479).write(oprot);
+      xfer += (*_iter489).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12182,10 +12393,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<DemandItem> ::const_iterator _iter480;
-    for (_iter480 = this->items.begin(); _iter480 != this->items.end(); ++_iter480)
+    std::vector<DemandItem> ::const_iterator _iter490;
+    for (_iter490 = this->items.begin(); _iter490 != this->items.end(); ++_iter490)
     {
-      xfer += (*_iter480).write(oprot);
+      xfer += (*_iter490).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12194,10 +12405,10 @@
   xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waiting.size()));
-    std::vector<int32_t> ::const_iterator _iter481;
-    for (_iter481 = this->waiting.begin(); _iter481 != this->waiting.end(); ++_iter481)
+    std::vector<int32_t> ::const_iterator _iter491;
+    for (_iter491 = this->waiting.begin(); _iter491 != this->waiting.end(); ++_iter491)
     {
-      xfer += oprot->writeI32((*_iter481));
+      xfer += oprot->writeI32((*_iter491));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12206,10 +12417,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<CreditUse> ::const_iterator _iter482;
-    for (_iter482 = this->uses.begin(); _iter482 != this->uses.end(); ++_iter482)
+    std::vector<CreditUse> ::const_iterator _iter492;
+    for (_iter492 = this->uses.begin(); _iter492 != this->uses.end(); ++_iter492)
     {
-      xfer += (*_iter482).write(oprot);
+      xfer += (*_iter492).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12243,58 +12454,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Demand::Demand(const Demand& other483) {
-  pool = other483.pool;
-  incarnation = other483.incarnation;
-  epoch = other483.epoch;
-  resync = other483.resync;
-  held = other483.held;
-  items = other483.items;
-  waiting = other483.waiting;
-  uses = other483.uses;
-  floor_ack = other483.floor_ack;
-  sequence = other483.sequence;
-  __isset = other483.__isset;
-}
-Demand::Demand(Demand&& other484) noexcept {
-  pool = std::move(other484.pool);
-  incarnation = std::move(other484.incarnation);
-  epoch = other484.epoch;
-  resync = other484.resync;
-  held = std::move(other484.held);
-  items = std::move(other484.items);
-  waiting = std::move(other484.waiting);
-  uses = std::move(other484.uses);
-  floor_ack = other484.floor_ack;
-  sequence = other484.sequence;
-  __isset = other484.__isset;
-}
-Demand& Demand::operator=(const Demand& other485) {
-  pool = other485.pool;
-  incarnation = other485.incarnation;
-  epoch = other485.epoch;
-  resync = other485.resync;
-  held = other485.held;
-  items = other485.items;
-  waiting = other485.waiting;
-  uses = other485.uses;
-  floor_ack = other485.floor_ack;
-  sequence = other485.sequence;
-  __isset = other485.__isset;
+Demand::Demand(const Demand& other493) {
+  pool = other493.pool;
+  incarnation = other493.incarnation;
+  epoch = other493.epoch;
+  resync = other493.resync;
+  held = other493.held;
+  items = other493.items;
+  waiting = other493.waiting;
+  uses = other493.uses;
+  floor_ack = other493.floor_ack;
+  sequence = other493.sequence;
+  __isset = other493.__isset;
+}
+Demand::Demand(Demand&& other494) noexcept {
+  pool = std::move(other494.pool);
+  incarnation = std::move(other494.incarnation);
+  epoch = other494.epoch;
+  resync = other494.resync;
+  held = std::move(other494.held);
+  items = std::move(other494.items);
+  waiting = std::move(other494.waiting);
+  uses = std::move(other494.uses);
+  floor_ack = other494.floor_ack;
+  sequence = other494.sequence;
+  __isset = other494.__isset;
+}
+Demand& Demand::operator=(const Demand& other495) {
+  pool = other495.pool;
+  incarnation = other495.incarnation;
+  epoch = other495.epoch;
+  resync = other495.resync;
+  held = other495.held;
+  items = other495.items;
+  waiting = other495.waiting;
+  uses = other495.uses;
+  floor_ack = other495.floor_ack;
+  sequence = other495.sequence;
+  __isset = other495.__isset;
   return *this;
 }
-Demand& Demand::operator=(Demand&& other486) noexcept {
-  pool = std::move(other486.pool);
-  incarnation = std::move(other486.incarnation);
-  epoch = other486.epoch;
-  resync = other486.resync;
-  held = std::move(other486.held);
-  items = std::move(other486.items);
-  waiting = std::move(other486.waiting);
-  uses = std::move(other486.uses);
-  floor_ack = other486.floor_ack;
-  sequence = other486.sequence;
-  __isset = other486.__isset;
+Demand& Demand::operator=(Demand&& other496) noexcept {
+  pool = std::move(other496.pool);
+  incarnation = std::move(other496.incarnation);
+  epoch = other496.epoch;
+  resync = other496.resync;
+  held = std::move(other496.held);
+  items = std::move(other496.items);
+  waiting = std::move(other496.waiting);
+  uses = std::move(other496.uses);
+  floor_ack = other496.floor_ack;
+  sequence = other496.sequence;
+  __isset = other496.__isset;
   return *this;
 }
 void Demand::printTo(std::ostream& out) const {
@@ -12417,14 +12628,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->credits.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->credits.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            uint32_t _size497;
+            ::apache::thrift::protocol::TType _etype500;
+            xfer += iprot->readListBegin(_etype500, _size497);
+            this->credits.resize(_size497);
+            uint32_t _i501;
+            for (_i501 = 0; _i501 < _size497; ++_i501)
             {
-              xfer += this->credits[_i491].read(iprot);
+              xfer += this->credits[_i501].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12437,14 +12648,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unreachable.clear();
-            uint32_t _size492;
-            ::apache::thrift::protocol::TType _etype495;
-            xfer += iprot->readListBegin(_etype495, _size492);
-            this->unreachable.resize(_size492);
-            uint32_t _i496;
-            for (_i496 = 0; _i496 < _size492; ++_i496)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _etype505;
+            xfer += iprot->readListBegin(_etype505, _size502);
+            this->unreachable.resize(_size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              xfer += iprot->readI64(this->unreachable[_i496]);
+              xfer += iprot->readI64(this->unreachable[_i506]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12497,14 +12708,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backlog.clear();
-            uint32_t _size497;
-            ::apache::thrift::protocol::TType _etype500;
-            xfer += iprot->readListBegin(_etype500, _size497);
-            this->backlog.resize(_size497);
-            uint32_t _i501;
-            for (_i501 = 0; _i501 < _size497; ++_i501)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->backlog.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += iprot->readI32(this->backlog[_i501]);
+              xfer += iprot->readI32(this->backlog[_i511]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12565,10 +12776,10 @@
   xfer += oprot->writeFieldBegin("credits", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credits.size()));
-    std::vector<HeldCredit> ::const_iterator _iter502;
-    for (_iter502 = this->credits.begin(); _iter502 != this->credits.end(); ++_iter502)
+    std::vector<HeldCredit> ::const_iterator _iter512;
+    for (_iter512 = this->credits.begin(); _iter512 != this->credits.end(); ++_iter512)
     {
-      xfer += (*_iter502).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12577,10 +12788,10 @@
   xfer += oprot->writeFieldBegin("unreachable", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->unreachable.size()));
-    std::vector<int64_t> ::const_iterator _iter503;
-    for (_iter503 = this->unreachable.begin(); _iter503 != this->unreachable.end(); ++_iter503)
+    std::vector<int64_t> ::const_iterator _iter513;
+    for (_iter513 = this->unreachable.begin(); _iter513 != this->unreachable.end(); ++_iter513)
     {
-      xfer += oprot->writeI64((*_iter503));
+      xfer += oprot->writeI64((*_iter513));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12609,10 +12820,10 @@
   xfer += oprot->writeFieldBegin("backlog", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backlog.size()));
-    std::vector<int32_t> ::const_iterator _iter504;
-    for (_iter504 = this->backlog.begin(); _iter504 != this->backlog.end(); ++_iter504)
+    std::vector<int32_t> ::const_iterator _iter514;
+    for (_iter514 = this->backlog.begin(); _iter514 != this->backlog.end(); ++_iter514)
     {
-      xfer += oprot->writeI32((*_iter504));
+      xfer += oprot->writeI32((*_iter514));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12653,70 +12864,70 @@
   swap(a.__isset, b.__isset);
 }
 
-Grants::Grants(const Grants& other505) {
-  pool = other505.pool;
-  epoch = other505.epoch;
-  credits = other505.credits;
-  unreachable = other505.unreachable;
-  floor = other505.floor;
-  floor_epoch = other505.floor_epoch;
-  contended = other505.contended;
-  drain_per_s = other505.drain_per_s;
-  gateways = other505.gateways;
-  backlog = other505.backlog;
-  lease_ms = other505.lease_ms;
-  sequence = other505.sequence;
-  not_broker = other505.not_broker;
-  __isset = other505.__isset;
-}
-Grants::Grants(Grants&& other506) noexcept {
-  pool = std::move(other506.pool);
-  epoch = other506.epoch;
-  credits = std::move(other506.credits);
-  unreachable = std::move(other506.unreachable);
-  floor = other506.floor;
-  floor_epoch = other506.floor_epoch;
-  contended = other506.contended;
-  drain_per_s = other506.drain_per_s;
-  gateways = other506.gateways;
-  backlog = std::move(other506.backlog);
-  lease_ms = other506.lease_ms;
-  sequence = other506.sequence;
-  not_broker = other506.not_broker;
-  __isset = other506.__isset;
-}
-Grants& Grants::operator=(const Grants& other507) {
-  pool = other507.pool;
-  epoch = other507.epoch;
-  credits = other507.credits;
-  unreachable = other507.unreachable;
-  floor = other507.floor;
-  floor_epoch = other507.floor_epoch;
-  contended = other507.contended;
-  drain_per_s = other507.drain_per_s;
-  gateways = other507.gateways;
-  backlog = other507.backlog;
-  lease_ms = other507.lease_ms;
-  sequence = other507.sequence;
-  not_broker = other507.not_broker;
-  __isset = other507.__isset;
+Grants::Grants(const Grants& other515) {
+  pool = other515.pool;
+  epoch = other515.epoch;
+  credits = other515.credits;
+  unreachable = other515.unreachable;
+  floor = other515.floor;
+  floor_epoch = other515.floor_epoch;
+  contended = other515.contended;
+  drain_per_s = other515.drain_per_s;
+  gateways = other515.gateways;
+  backlog = other515.backlog;
+  lease_ms = other515.lease_ms;
+  sequence = other515.sequence;
+  not_broker = other515.not_broker;
+  __isset = other515.__isset;
+}
+Grants::Grants(Grants&& other516) noexcept {
+  pool = std::move(other516.pool);
+  epoch = other516.epoch;
+  credits = std::move(other516.credits);
+  unreachable = std::move(other516.unreachable);
+  floor = other516.floor;
+  floor_epoch = other516.floor_epoch;
+  contended = other516.contended;
+  drain_per_s = other516.drain_per_s;
+  gateways = other516.gateways;
+  backlog = std::move(other516.backlog);
+  lease_ms = other516.lease_ms;
+  sequence = other516.sequence;
+  not_broker = other516.not_broker;
+  __isset = other516.__isset;
+}
+Grants& Grants::operator=(const Grants& other517) {
+  pool = other517.pool;
+  epoch = other517.epoch;
+  credits = other517.credits;
+  unreachable = other517.unreachable;
+  floor = other517.floor;
+  floor_epoch = other517.floor_epoch;
+  contended = other517.contended;
+  drain_per_s = other517.drain_per_s;
+  gateways = other517.gateways;
+  backlog = other517.backlog;
+  lease_ms = other517.lease_ms;
+  sequence = other517.sequence;
+  not_broker = other517.not_broker;
+  __isset = other517.__isset;
   return *this;
 }
-Grants& Grants::operator=(Grants&& other508) noexcept {
-  pool = std::move(other508.pool);
-  epoch = other508.epoch;
-  credits = std::move(other508.credits);
-  unreachable = std::move(other508.unreachable);
-  floor = other508.floor;
-  floor_epoch = other508.floor_epoch;
-  contended = other508.contended;
-  drain_per_s = other508.drain_per_s;
-  gateways = other508.gateways;
-  backlog = std::move(other508.backlog);
-  lease_ms = other508.lease_ms;
-  sequence = other508.sequence;
-  not_broker = other508.not_broker;
-  __isset = other508.__isset;
+Grants& Grants::operator=(Grants&& other518) noexcept {
+  pool = std::move(other518.pool);
+  epoch = other518.epoch;
+  credits = std::move(other518.credits);
+  unreachable = std::move(other518.unreachable);
+  floor = other518.floor;
+  floor_epoch = other518.floor_epoch;
+  contended = other518.contended;
+  drain_per_s = other518.drain_per_s;
+  gateways = other518.gateways;
+  backlog = std::move(other518.backlog);
+  lease_ms = other518.lease_ms;
+  sequence = other518.sequence;
+  not_broker = other518.not_broker;
+  __isset = other518.__isset;
   return *this;
 }
 void Grants::printTo(std::ostream& out) const {
@@ -12831,26 +13042,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PromptPart::PromptPart(const PromptPart& other509) noexcept {
-  id = other509.id;
-  tokens = other509.tokens;
-  __isset = other509.__isset;
+PromptPart::PromptPart(const PromptPart& other519) noexcept {
+  id = other519.id;
+  tokens = other519.tokens;
+  __isset = other519.__isset;
 }
-PromptPart::PromptPart(PromptPart&& other510) noexcept {
-  id = other510.id;
-  tokens = other510.tokens;
-  __isset = other510.__isset;
+PromptPart::PromptPart(PromptPart&& other520) noexcept {
+  id = other520.id;
+  tokens = other520.tokens;
+  __isset = other520.__isset;
 }
-PromptPart& PromptPart::operator=(const PromptPart& other511) noexcept {
-  id = other511.id;
-  tokens = other511.tokens;
-  __isset = other511.__isset;
+PromptPart& PromptPart::operator=(const PromptPart& other521) noexcept {
+  id = other521.id;
+  tokens = other521.tokens;
+  __isset = other521.__isset;
   return *this;
 }
-PromptPart& PromptPart::operator=(PromptPart&& other512) noexcept {
-  id = other512.id;
-  tokens = other512.tokens;
-  __isset = other512.__isset;
+PromptPart& PromptPart::operator=(PromptPart&& other522) noexcept {
+  id = other522.id;
+  tokens = other522.tokens;
+  __isset = other522.__isset;
   return *this;
 }
 void PromptPart::printTo(std::ostream& out) const {
@@ -13093,14 +13304,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size513;
-            ::apache::thrift::protocol::TType _etype516;
-            xfer += iprot->readListBegin(_etype516, _size513);
-            this->parts.resize(_size513);
-            uint32_t _i517;
-            for (_i517 = 0; _i517 < _size513; ++_i517)
+            uint32_t _size523;
+            ::apache::thrift::protocol::TType _etype526;
+            xfer += iprot->readListBegin(_etype526, _size523);
+            this->parts.resize(_size523);
+            uint32_t _i527;
+            for (_i527 = 0; _i527 < _size523; ++_i527)
             {
-              xfer += this->parts[_i517].read(iprot);
+              xfer += this->parts[_i527].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13113,14 +13324,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tried.clear();
-            uint32_t _size518;
-            ::apache::thrift::protocol::TType _etype521;
-            xfer += iprot->readListBegin(_etype521, _size518);
-            this->tried.resize(_size518);
-            uint32_t _i522;
-            for (_i522 = 0; _i522 < _size518; ++_i522)
+            uint32_t _size528;
+            ::apache::thrift::protocol::TType _etype531;
+            xfer += iprot->readListBegin(_etype531, _size528);
+            this->tried.resize(_size528);
+            uint32_t _i532;
+            for (_i532 = 0; _i532 < _size528; ++_i532)
             {
-              xfer += iprot->readString(this->tried[_i522]);
+              xfer += iprot->readString(this->tried[_i532]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13173,14 +13384,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->regions.clear();
-            uint32_t _size523;
-            ::apache::thrift::protocol::TType _etype526;
-            xfer += iprot->readListBegin(_etype526, _size523);
-            this->regions.resize(_size523);
-            uint32_t _i527;
-            for (_i527 = 0; _i527 < _size523; ++_i527)
+            uint32_t _size533;
+            ::apache::thrift::protocol::TType _etype536;
+            xfer += iprot->readListBegin(_etype536, _size533);
+            this->regions.resize(_size533);
+            uint32_t _i537;
+            for (_i537 = 0; _i537 < _size533; ++_i537)
             {
-              xfer += iprot->readString(this->regions[_i527]);
+              xfer += iprot->readString(this->regions[_i537]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13297,10 +13508,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<PromptPart> ::const_iterator _iter528;
-    for (_iter528 = this->parts.begin(); _iter528 != this->parts.end(); ++_iter528)
+    std::vector<PromptPart> ::const_iterator _iter538;
+    for (_iter538 = this->parts.begin(); _iter538 != this->parts.end(); ++_iter538)
     {
-      xfer += (*_iter528).write(oprot);
+      xfer += (*_iter538).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13309,10 +13520,10 @@
   xfer += oprot->writeFieldBegin("tried", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tried.size()));
-    std::vector<std::string> ::const_iterator _iter529;
-    for (_iter529 = this->tried.begin(); _iter529 != this->tried.end(); ++_iter529)
+    std::vector<std::string> ::const_iterator _iter539;
+    for (_iter539 = this->tried.begin(); _iter539 != this->tried.end(); ++_iter539)
     {
-      xfer += oprot->writeString((*_iter529));
+      xfer += oprot->writeString((*_iter539));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13341,10 +13552,10 @@
   xfer += oprot->writeFieldBegin("regions", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->regions.size()));
-    std::vector<std::string> ::const_iterator _iter530;
-    for (_iter530 = this->regions.begin(); _iter530 != this->regions.end(); ++_iter530)
+    std::vector<std::string> ::const_iterator _iter540;
+    for (_iter540 = this->regions.begin(); _iter540 != this->regions.end(); ++_iter540)
     {
-      xfer += oprot->writeString((*_iter530));
+      xfer += oprot->writeString((*_iter540));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13405,118 +13616,118 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other531) {
-  ref = other531.ref;
-  pool = other531.pool;
-  workspace = other531.workspace;
-  tier = other531.tier;
-  rank = other531.rank;
-  prompt_tokens = other531.prompt_tokens;
-  expected_tokens = other531.expected_tokens;
-  aim_ms = other531.aim_ms;
-  waited_ms = other531.waited_ms;
-  left_ms = other531.left_ms;
-  pause_aim_ms = other531.pause_aim_ms;
-  wait_ms = other531.wait_ms;
-  parts = other531.parts;
-  tried = other531.tried;
-  cost = other531.cost;
-  reserve = other531.reserve;
-  limit_rate = other531.limit_rate;
-  limit_burst = other531.limit_burst;
-  route = other531.route;
-  regions = other531.regions;
-  bound = other531.bound;
-  retried = other531.retried;
-  continues = other531.continues;
-  stream = other531.stream;
-  software = other531.software;
-  __isset = other531.__isset;
-}
-PlaceAsk::PlaceAsk(PlaceAsk&& other532) noexcept {
-  ref = other532.ref;
-  pool = std::move(other532.pool);
-  workspace = std::move(other532.workspace);
-  tier = other532.tier;
-  rank = other532.rank;
-  prompt_tokens = other532.prompt_tokens;
-  expected_tokens = other532.expected_tokens;
-  aim_ms = other532.aim_ms;
-  waited_ms = other532.waited_ms;
-  left_ms = other532.left_ms;
-  pause_aim_ms = other532.pause_aim_ms;
-  wait_ms = other532.wait_ms;
-  parts = std::move(other532.parts);
-  tried = std::move(other532.tried);
-  cost = other532.cost;
-  reserve = other532.reserve;
-  limit_rate = other532.limit_rate;
-  limit_burst = other532.limit_burst;
-  route = other532.route;
-  regions = std::move(other532.regions);
-  bound = other532.bound;
-  retried = other532.retried;
-  continues = other532.continues;
-  stream = other532.stream;
-  software = other532.software;
-  __isset = other532.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other533) {
-  ref = other533.ref;
-  pool = other533.pool;
-  workspace = other533.workspace;
-  tier = other533.tier;
-  rank = other533.rank;
-  prompt_tokens = other533.prompt_tokens;
-  expected_tokens = other533.expected_tokens;
-  aim_ms = other533.aim_ms;
-  waited_ms = other533.waited_ms;
-  left_ms = other533.left_ms;
-  pause_aim_ms = other533.pause_aim_ms;
-  wait_ms = other533.wait_ms;
-  parts = other533.parts;
-  tried = other533.tried;
-  cost = other533.cost;
-  reserve = other533.reserve;
-  limit_rate = other533.limit_rate;
-  limit_burst = other533.limit_burst;
-  route = other533.route;
-  regions = other533.regions;
-  bound = other533.bound;
-  retried = other533.retried;
-  continues = other533.continues;
-  stream = other533.stream;
-  software = other533.software;
-  __isset = other533.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other541) {
+  ref = other541.ref;
+  pool = other541.pool;
+  workspace = other541.workspace;
+  tier = other541.tier;
+  rank = other541.rank;
+  prompt_tokens = other541.prompt_tokens;
+  expected_tokens = other541.expected_tokens;
+  aim_ms = other541.aim_ms;
+  waited_ms = other541.waited_ms;
+  left_ms = other541.left_ms;
+  pause_aim_ms = other541.pause_aim_ms;
+  wait_ms = other541.wait_ms;
+  parts = other541.parts;
+  tried = other541.tried;
+  cost = other541.cost;
+  reserve = other541.reserve;
+  limit_rate = other541.limit_rate;
+  limit_burst = other541.limit_burst;
+  route = other541.route;
+  regions = other541.regions;
+  bound = other541.bound;
+  retried = other541.retried;
+  continues = other541.continues;
+  stream = other541.stream;
+  software = other541.software;
+  __isset = other541.__isset;
+}
+PlaceAsk::PlaceAsk(PlaceAsk&& other542) noexcept {
+  ref = other542.ref;
+  pool = std::move(other542.pool);
+  workspace = std::move(other542.workspace);
+  tier = other542.tier;
+  rank = other542.rank;
+  prompt_tokens = other542.prompt_tokens;
+  expected_tokens = other542.expected_tokens;
+  aim_ms = other542.aim_ms;
+  waited_ms = other542.waited_ms;
+  left_ms = other542.left_ms;
+  pause_aim_ms = other542.pause_aim_ms;
+  wait_ms = other542.wait_ms;
+  parts = std::move(other542.parts);
+  tried = std::move(other542.tried);
+  cost = other542.cost;
+  reserve = other542.reserve;
+  limit_rate = other542.limit_rate;
+  limit_burst = other542.limit_burst;
+  route = other542.route;
+  regions = std::move(other542.regions);
+  bound = other542.bound;
+  retried = other542.retried;
+  continues = other542.continues;
+  stream = other542.stream;
+  software = other542.software;
+  __isset = other542.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other543) {
+  ref = other543.ref;
+  pool = other543.pool;
+  workspace = other543.workspace;
+  tier = other543.tier;
+  rank = other543.rank;
+  prompt_tokens = other543.prompt_tokens;
+  expected_tokens = other543.expected_tokens;
+  aim_ms = other543.aim_ms;
+  waited_ms = other543.waited_ms;
+  left_ms = other543.left_ms;
+  pause_aim_ms = other543.pause_aim_ms;
+  wait_ms = other543.wait_ms;
+  parts = other543.parts;
+  tried = other543.tried;
+  cost = other543.cost;
+  reserve = other543.reserve;
+  limit_rate = other543.limit_rate;
+  limit_burst = other543.limit_burst;
+  route = other543.route;
+  regions = other543.regions;
+  bound = other543.bound;
+  retried = other543.retried;
+  continues = other543.continues;
+  stream = other543.stream;
+  software = other543.software;
+  __isset = other543.__isset;
   return *this;
 }
-PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other534) noexcept {
-  ref = other534.ref;
-  pool = std::move(other534.pool);
-  workspace = std::move(other534.workspace);
-  tier = other534.tier;
-  rank = other534.rank;
-  prompt_tokens = other534.prompt_tokens;
-  expected_tokens = other534.expected_tokens;
-  aim_ms = other534.aim_ms;
-  waited_ms = other534.waited_ms;
-  left_ms = other534.left_ms;
-  pause_aim_ms = other534.pause_aim_ms;
-  wait_ms = other534.wait_ms;
-  parts = std::move(other534.parts);
-  tried = std::move(other534.tried);
-  cost = other534.cost;
-  reserve = other534.reserve;
-  limit_rate = other534.limit_rate;
-  limit_burst = other534.limit_burst;
-  route = other534.route;
-  regions = std::move(other534.regions);
-  bound = other534.bound;
-  retried = other534.retried;
-  continues = other534.continues;
-  stream = other534.stream;
-  software = other534.software;
-  __isset = other534.__isset;
+PlaceAsk& PlaceAsk::operator=(PlaceAsk&& other544) noexcept {
+  ref = other544.ref;
+  pool = std::move(other544.pool);
+  workspace = std::move(other544.workspace);
+  tier = other544.tier;
+  rank = other544.rank;
+  prompt_tokens = other544.prompt_tokens;
+  expected_tokens = other544.expected_tokens;
+  aim_ms = other544.aim_ms;
+  waited_ms = other544.waited_ms;
+  left_ms = other544.left_ms;
+  pause_aim_ms = other544.pause_aim_ms;
+  wait_ms = other544.wait_ms;
+  parts = std::move(other544.parts);
+  tried = std::move(other544.tried);
+  cost = other544.cost;
+  reserve = other544.reserve;
+  limit_rate = other544.limit_rate;
+  limit_burst = other544.limit_burst;
+  route = other544.route;
+  regions = std::move(other544.regions);
+  bound = other544.bound;
+  retried = other544.retried;
+  continues = other544.continues;
+  stream = other544.stream;
+  software = other544.software;
+  __isset = other544.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -13643,26 +13854,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamBegun::StreamBegun(const StreamBegun& other535) noexcept {
-  stream = other535.stream;
-  software = other535.software;
-  __isset = other535.__isset;
+StreamBegun::StreamBegun(const StreamBegun& other545) noexcept {
+  stream = other545.stream;
+  software = other545.software;
+  __isset = other545.__isset;
 }
-StreamBegun::StreamBegun(StreamBegun&& other536) noexcept {
-  stream = other536.stream;
-  software = other536.software;
-  __isset = other536.__isset;
+StreamBegun::StreamBegun(StreamBegun&& other546) noexcept {
+  stream = other546.stream;
+  software = other546.software;
+  __isset = other546.__isset;
 }
-StreamBegun& StreamBegun::operator=(const StreamBegun& other537) noexcept {
-  stream = other537.stream;
-  software = other537.software;
-  __isset = other537.__isset;
+StreamBegun& StreamBegun::operator=(const StreamBegun& other547) noexcept {
+  stream = other547.stream;
+  software = other547.software;
+  __isset = other547.__isset;
   return *this;
 }
-StreamBegun& StreamBegun::operator=(StreamBegun&& other538) noexcept {
-  stream = other538.stream;
-  software = other538.software;
-  __isset = other538.__isset;
+StreamBegun& StreamBegun::operator=(StreamBegun&& other548) noexcept {
+  stream = other548.stream;
+  software = other548.software;
+  __isset = other548.__isset;
   return *this;
 }
 void StreamBegun::printTo(std::ostream& out) const {
@@ -13817,38 +14028,38 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceHeld::PlaceHeld(const PlaceHeld& other539) {
-  ref = other539.ref;
-  server = other539.server;
-  reading_tokens = other539.reading_tokens;
-  expected_tokens = other539.expected_tokens;
-  born = other539.born;
-  __isset = other539.__isset;
+PlaceHeld::PlaceHeld(const PlaceHeld& other549) {
+  ref = other549.ref;
+  server = other549.server;
+  reading_tokens = other549.reading_tokens;
+  expected_tokens = other549.expected_tokens;
+  born = other549.born;
+  __isset = other549.__isset;
 }
-PlaceHeld::PlaceHeld(PlaceHeld&& other540) noexcept {
-  ref = other540.ref;
-  server = std::move(other540.server);
-  reading_tokens = other540.reading_tokens;
-  expected_tokens = other540.expected_tokens;
-  born = other540.born;
-  __isset = other540.__isset;
+PlaceHeld::PlaceHeld(PlaceHeld&& other550) noexcept {
+  ref = other550.ref;
+  server = std::move(other550.server);
+  reading_tokens = other550.reading_tokens;
+  expected_tokens = other550.expected_tokens;
+  born = other550.born;
+  __isset = other550.__isset;
 }
-PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other541) {
-  ref = other541.ref;
-  server = other541.server;
-  reading_tokens = other541.reading_tokens;
-  expected_tokens = other541.expected_tokens;
-  born = other541.born;
-  __isset = other541.__isset;
+PlaceHeld& PlaceHeld::operator=(const PlaceHeld& other551) {
+  ref = other551.ref;
+  server = other551.server;
+  reading_tokens = other551.reading_tokens;
+  expected_tokens = other551.expected_tokens;
+  born = other551.born;
+  __isset = other551.__isset;
   return *this;
 }
-PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other542) noexcept {
-  ref = other542.ref;
-  server = std::move(other542.server);
-  reading_tokens = other542.reading_tokens;
-  expected_tokens = other542.expected_tokens;
-  born = other542.born;
-  __isset = other542.__isset;
+PlaceHeld& PlaceHeld::operator=(PlaceHeld&& other552) noexcept {
+  ref = other552.ref;
+  server = std::move(other552.server);
+  reading_tokens = other552.reading_tokens;
+  expected_tokens = other552.expected_tokens;
+  born = other552.born;
+  __isset = other552.__isset;
   return *this;
 }
 void PlaceHeld::printTo(std::ostream& out) const {
@@ -13998,9 +14209,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast543;
-          xfer += iprot->readI32(ecast543);
-          this->sign = static_cast<PlaceSign::type>(ecast543);
+          int32_t ecast553;
+          xfer += iprot->readI32(ecast553);
+          this->sign = static_cast<PlaceSign::type>(ecast553);
           this->__isset.sign = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14182,78 +14393,78 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceReport::PlaceReport(const PlaceReport& other544) noexcept {
-  ref = other544.ref;
-  tokens_read = other544.tokens_read;
-  first_ms = other544.first_ms;
-  ended = other544.ended;
-  ran = other544.ran;
-  sign = other544.sign;
-  service_ms = other544.service_ms;
-  events = other544.events;
-  span_ms = other544.span_ms;
-  pause_ms = other544.pause_ms;
-  failed = other544.failed;
-  connect_us = other544.connect_us;
-  limit_per_s = other544.limit_per_s;
-  head = other544.head;
-  max_rejections = other544.max_rejections;
-  __isset = other544.__isset;
+PlaceReport::PlaceReport(const PlaceReport& other554) noexcept {
+  ref = other554.ref;
+  tokens_read = other554.tokens_read;
+  first_ms = other554.first_ms;
+  ended = other554.ended;
+  ran = other554.ran;
+  sign = other554.sign;
+  service_ms = other554.service_ms;
+  events = other554.events;
+  span_ms = other554.span_ms;
+  pause_ms = other554.pause_ms;
+  failed = other554.failed;
+  connect_us = other554.connect_us;
+  limit_per_s = other554.limit_per_s;
+  head = other554.head;
+  max_rejections = other554.max_rejections;
+  __isset = other554.__isset;
 }
-PlaceReport::PlaceReport(PlaceReport&& other545) noexcept {
-  ref = other545.ref;
-  tokens_read = other545.tokens_read;
-  first_ms = other545.first_ms;
-  ended = other545.ended;
-  ran = other545.ran;
-  sign = other545.sign;
-  service_ms = other545.service_ms;
-  events = other545.events;
-  span_ms = other545.span_ms;
-  pause_ms = other545.pause_ms;
-  failed = other545.failed;
-  connect_us = other545.connect_us;
-  limit_per_s = other545.limit_per_s;
-  head = other545.head;
-  max_rejections = other545.max_rejections;
-  __isset = other545.__isset;
+PlaceReport::PlaceReport(PlaceReport&& other555) noexcept {
+  ref = other555.ref;
+  tokens_read = other555.tokens_read;
+  first_ms = other555.first_ms;
+  ended = other555.ended;
+  ran = other555.ran;
+  sign = other555.sign;
+  service_ms = other555.service_ms;
+  events = other555.events;
+  span_ms = other555.span_ms;
+  pause_ms = other555.pause_ms;
+  failed = other555.failed;
+  connect_us = other555.connect_us;
+  limit_per_s = other555.limit_per_s;
+  head = other555.head;
+  max_rejections = other555.max_rejections;
+  __isset = other555.__isset;
 }
-PlaceReport& PlaceReport::operator=(const PlaceReport& other546) noexcept {
-  ref = other546.ref;
-  tokens_read = other546.tokens_read;
-  first_ms = other546.first_ms;
-  ended = other546.ended;
-  ran = other546.ran;
-  sign = other546.sign;
-  service_ms = other546.service_ms;
-  events = other546.events;
-  span_ms = other546.span_ms;
-  pause_ms = other546.pause_ms;
-  failed = other546.failed;
-  connect_us = other546.connect_us;
-  limit_per_s = other546.limit_per_s;
-  head = other546.head;
-  max_rejections = other546.max_rejections;
-  __isset = other546.__isset;
+PlaceReport& PlaceReport::operator=(const PlaceReport& other556) noexcept {
+  ref = other556.ref;
+  tokens_read = other556.tokens_read;
+  first_ms = other556.first_ms;
+  ended = other556.ended;
+  ran = other556.ran;
+  sign = other556.sign;
+  service_ms = other556.service_ms;
+  events = other556.events;
+  span_ms = other556.span_ms;
+  pause_ms = other556.pause_ms;
+  failed = other556.failed;
+  connect_us = other556.connect_us;
+  limit_per_s = other556.limit_per_s;
+  head = other556.head;
+  max_rejections = other556.max_rejections;
+  __isset = other556.__isset;
   return *this;
 }
-PlaceReport& PlaceReport::operator=(PlaceReport&& other547) noexcept {
-  ref = other547.ref;
-  tokens_read = other547.tokens_read;
-  first_ms = other547.first_ms;
-  ended = other547.ended;
-  ran = other547.ran;
-  sign = other547.sign;
-  service_ms = other547.service_ms;
-  events = other547.events;
-  span_ms = other547.span_ms;
-  pause_ms = other547.pause_ms;
-  failed = other547.failed;
-  connect_us = other547.connect_us;
-  limit_per_s = other547.limit_per_s;
-  head = other547.head;
-  max_rejections = other547.max_rejections;
-  __isset = other547.__isset;
+PlaceReport& PlaceReport::operator=(PlaceReport&& other557) noexcept {
+  ref = other557.ref;
+  tokens_read = other557.tokens_read;
+  first_ms = other557.first_ms;
+  ended = other557.ended;
+  ran = other557.ran;
+  sign = other557.sign;
+  service_ms = other557.service_ms;
+  events = other557.events;
+  span_ms = other557.span_ms;
+  pause_ms = other557.pause_ms;
+  failed = other557.failed;
+  connect_us = other557.connect_us;
+  limit_per_s = other557.limit_per_s;
+  head = other557.head;
+  max_rejections = other557.max_rejections;
+  __isset = other557.__isset;
   return *this;
 }
 void PlaceReport::printTo(std::ostream& out) const {
@@ -14455,46 +14666,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitUse::LimitUse(const LimitUse& other548) {
-  workspace = other548.workspace;
-  left = other548.left;
-  age_ms = other548.age_ms;
-  spent_alone = other548.spent_alone;
-  rate = other548.rate;
-  burst = other548.burst;
-  epoch = other548.epoch;
-  __isset = other548.__isset;
+LimitUse::LimitUse(const LimitUse& other558) {
+  workspace = other558.workspace;
+  left = other558.left;
+  age_ms = other558.age_ms;
+  spent_alone = other558.spent_alone;
+  rate = other558.rate;
+  burst = other558.burst;
+  epoch = other558.epoch;
+  __isset = other558.__isset;
 }
-LimitUse::LimitUse(LimitUse&& other549) noexcept {
-  workspace = std::move(other549.workspace);
-  left = other549.left;
-  age_ms = other549.age_ms;
-  spent_alone = other549.spent_alone;
-  rate = other549.rate;
-  burst = other549.burst;
-  epoch = other549.epoch;
-  __isset = other549.__isset;
+LimitUse::LimitUse(LimitUse&& other559) noexcept {
+  workspace = std::move(other559.workspace);
+  left = other559.left;
+  age_ms = other559.age_ms;
+  spent_alone = other559.spent_alone;
+  rate = other559.rate;
+  burst = other559.burst;
+  epoch = other559.epoch;
+  __isset = other559.__isset;
 }
-LimitUse& LimitUse::operator=(const LimitUse& other550) {
-  workspace = other550.workspace;
-  left = other550.left;
-  age_ms = other550.age_ms;
-  spent_alone = other550.spent_alone;
-  rate = other550.rate;
-  burst = other550.burst;
-  epoch = other550.epoch;
-  __isset = other550.__isset;
+LimitUse& LimitUse::operator=(const LimitUse& other560) {
+  workspace = other560.workspace;
+  left = other560.left;
+  age_ms = other560.age_ms;
+  spent_alone = other560.spent_alone;
+  rate = other560.rate;
+  burst = other560.burst;
+  epoch = other560.epoch;
+  __isset = other560.__isset;
   return *this;
 }
-LimitUse& LimitUse::operator=(LimitUse&& other551) noexcept {
-  workspace = std::move(other551.workspace);
-  left = other551.left;
-  age_ms = other551.age_ms;
-  spent_alone = other551.spent_alone;
-  rate = other551.rate;
-  burst = other551.burst;
-  epoch = other551.epoch;
-  __isset = other551.__isset;
+LimitUse& LimitUse::operator=(LimitUse&& other561) noexcept {
+  workspace = std::move(other561.workspace);
+  left = other561.left;
+  age_ms = other561.age_ms;
+  spent_alone = other561.spent_alone;
+  rate = other561.rate;
+  burst = other561.burst;
+  epoch = other561.epoch;
+  __isset = other561.__isset;
   return *this;
 }
 void LimitUse::printTo(std::ostream& out) const {
@@ -14654,38 +14865,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryUse::RetryUse(const RetryUse& other552) {
-  pool = other552.pool;
-  left = other552.left;
-  age_ms = other552.age_ms;
-  used_alone = other552.used_alone;
-  epoch = other552.epoch;
-  __isset = other552.__isset;
-}
-RetryUse::RetryUse(RetryUse&& other553) noexcept {
-  pool = std::move(other553.pool);
-  left = other553.left;
-  age_ms = other553.age_ms;
-  used_alone = other553.used_alone;
-  epoch = other553.epoch;
-  __isset = other553.__isset;
-}
-RetryUse& RetryUse::operator=(const RetryUse& other554) {
-  pool = other554.pool;
-  left = other554.left;
-  age_ms = other554.age_ms;
-  used_alone = other554.used_alone;
-  epoch = other554.epoch;
-  __isset = other554.__isset;
+RetryUse::RetryUse(const RetryUse& other562) {
+  pool = other562.pool;
+  left = other562.left;
+  age_ms = other562.age_ms;
+  used_alone = other562.used_alone;
+  epoch = other562.epoch;
+  __isset = other562.__isset;
+}
+RetryUse::RetryUse(RetryUse&& other563) noexcept {
+  pool = std::move(other563.pool);
+  left = other563.left;
+  age_ms = other563.age_ms;
+  used_alone = other563.used_alone;
+  epoch = other563.epoch;
+  __isset = other563.__isset;
+}
+RetryUse& RetryUse::operator=(const RetryUse& other564) {
+  pool = other564.pool;
+  left = other564.left;
+  age_ms = other564.age_ms;
+  used_alone = other564.used_alone;
+  epoch = other564.epoch;
+  __isset = other564.__isset;
   return *this;
 }
-RetryUse& RetryUse::operator=(RetryUse&& other555) noexcept {
-  pool = std::move(other555.pool);
-  left = other555.left;
-  age_ms = other555.age_ms;
-  used_alone = other555.used_alone;
-  epoch = other555.epoch;
-  __isset = other555.__isset;
+RetryUse& RetryUse::operator=(RetryUse&& other565) noexcept {
+  pool = std::move(other565.pool);
+  left = other565.left;
+  age_ms = other565.age_ms;
+  used_alone = other565.used_alone;
+  epoch = other565.epoch;
+  __isset = other565.__isset;
   return *this;
 }
 void RetryUse::printTo(std::ostream& out) const {
@@ -14864,42 +15075,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerWord::ServerWord(const ServerWord& other556) {
-  server = other556.server;
-  born = other556.born;
-  back_off_ms = other556.back_off_ms;
-  leaving = other556.leaving;
-  limit_per_s = other556.limit_per_s;
-  max_rejections = other556.max_rejections;
-  __isset = other556.__isset;
-}
-ServerWord::ServerWord(ServerWord&& other557) noexcept {
-  server = std::move(other557.server);
-  born = other557.born;
-  back_off_ms = other557.back_off_ms;
-  leaving = other557.leaving;
-  limit_per_s = other557.limit_per_s;
-  max_rejections = other557.max_rejections;
-  __isset = other557.__isset;
-}
-ServerWord& ServerWord::operator=(const ServerWord& other558) {
-  server = other558.server;
-  born = other558.born;
-  back_off_ms = other558.back_off_ms;
-  leaving = other558.leaving;
-  limit_per_s = other558.limit_per_s;
-  max_rejections = other558.max_rejections;
-  __isset = other558.__isset;
+ServerWord::ServerWord(const ServerWord& other566) {
+  server = other566.server;
+  born = other566.born;
+  back_off_ms = other566.back_off_ms;
+  leaving = other566.leaving;
+  limit_per_s = other566.limit_per_s;
+  max_rejections = other566.max_rejections;
+  __isset = other566.__isset;
+}
+ServerWord::ServerWord(ServerWord&& other567) noexcept {
+  server = std::move(other567.server);
+  born = other567.born;
+  back_off_ms = other567.back_off_ms;
+  leaving = other567.leaving;
+  limit_per_s = other567.limit_per_s;
+  max_rejections = other567.max_rejections;
+  __isset = other567.__isset;
+}
+ServerWord& ServerWord::operator=(const ServerWord& other568) {
+  server = other568.server;
+  born = other568.born;
+  back_off_ms = other568.back_off_ms;
+  leaving = other568.leaving;
+  limit_per_s = other568.limit_per_s;
+  max_rejections = other568.max_rejections;
+  __isset = other568.__isset;
   return *this;
 }
-ServerWord& ServerWord::operator=(ServerWord&& other559) noexcept {
-  server = std::move(other559.server);
-  born = other559.born;
-  back_off_ms = other559.back_off_ms;
-  leaving = other559.leaving;
-  limit_per_s = other559.limit_per_s;
-  max_rejections = other559.max_rejections;
-  __isset = other559.__isset;
+ServerWord& ServerWord::operator=(ServerWord&& other569) noexcept {
+  server = std::move(other569.server);
+  born = other569.born;
+  back_off_ms = other569.back_off_ms;
+  leaving = other569.leaving;
+  limit_per_s = other569.limit_per_s;
+  max_rejections = other569.max_rejections;
+  __isset = other569.__isset;
   return *this;
 }
 void ServerWord::printTo(std::ostream& out) const {
@@ -15042,14 +15253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size560;
-            ::apache::thrift::protocol::TType _etype563;
-            xfer += iprot->readListBegin(_etype563, _size560);
-            this->held.resize(_size560);
-            uint32_t _i564;
-            for (_i564 = 0; _i564 < _size560; ++_i564)
+            uint32_t _size570;
+            ::apache::thrift::protocol::TType _etype573;
+            xfer += iprot->readListBegin(_etype573, _size570);
+            this->held.resize(_size570);
+            uint32_t _i574;
+            for (_i574 = 0; _i574 < _size570; ++_i574)
             {
-              xfer += this->held[_i564].read(iprot);
+              xfer += this->held[_i574].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15062,14 +15273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size565;
-            ::apache::thrift::protocol::TType _etype568;
-            xfer += iprot->readListBegin(_etype568, _size565);
-            this->limits.resize(_size565);
-            uint32_t _i569;
-            for (_i569 = 0; _i569 < _size565; ++_i569)
+            uint32_t _size575;
+            ::apache::thrift::protocol::TType _etype578;
+            xfer += iprot->readListBegin(_etype578, _size575);
+            this->limits.resize(_size575);
+            uint32_t _i579;
+            for (_i579 = 0; _i579 < _size575; ++_i579)
             {
-              xfer += this->limits[_i569].read(iprot);
+              xfer += this->limits[_i579].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15082,14 +15293,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size570;
-            ::apache::thrift::protocol::TType _etype573;
-            xfer += iprot->readListBegin(_etype573, _size570);
-            this->asks.resize(_size570);
-            uint32_t _i574;
-            for (_i574 = 0; _i574 < _size570; ++_i574)
+            uint32_t _size580;
+            ::apache::thrift::protocol::TType _etype583;
+            xfer += iprot->readListBegin(_etype583, _size580);
+            this->asks.resize(_size580);
+            uint32_t _i584;
+            for (_i584 = 0; _i584 < _size580; ++_i584)
             {
-              xfer += this->asks[_i574].read(iprot);
+              xfer += this->asks[_i584].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15102,14 +15313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withdrawn.clear();
-            uint32_t _size575;
-            ::apache::thrift::protocol::TType _etype578;
-            xfer += iprot->readListBegin(_etype578, _size575);
-            this->withdrawn.resize(_size575);
-            uint32_t _i579;
-            for (_i579 = 0; _i579 < _size575; ++_i579)
+            uint32_t _size585;
+            ::apache::thrift::protocol::TType _etype588;
+            xfer += iprot->readListBegin(_etype588, _size585);
+            this->withdrawn.resize(_size585);
+            uint32_t _i589;
+            for (_i589 = 0; _i589 < _size585; ++_i589)
             {
-              xfer += iprot->readI64(this->withdrawn[_i579]);
+              xfer += iprot->readI64(this->withdrawn[_i589]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15122,14 +15333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size580;
-            ::apache::thrift::protocol::TType _etype583;
-            xfer += iprot->readListBegin(_etype583, _size580);
-            this->reports.resize(_size580);
-            uint32_t _i584;
-            for (_i584 = 0; _i584 < _size580; ++_i584)
+            uint32_t _size590;
+            ::apache::thrift::protocol::TType _etype593;
+            xfer += iprot->readListBegin(_etype593, _size590);
+            this->reports.resize(_size590);
+            uint32_t _i594;
+            for (_i594 = 0; _i594 < _size590; ++_i594)
             {
-              xfer += this->reports[_i584].read(iprot);
+              xfer += this->reports[_i594].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15142,14 +15353,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->words.clear();
-            uint32_t _size585;
-            ::apache::thrift::protocol::TType _etype588;
-            xfer += iprot->readListBegin(_etype588, _size585);
-            this->words.resize(_size585);
-            uint32_t _i589;
-            for (_i589 = 0; _i589 < _size585; ++_i589)
+            uint32_t _size595;
+            ::apache::thrift::protocol::TType _etype598;
+            xfer += iprot->readListBegin(_etype598, _size595);
+            this->words.resize(_size595);
+            uint32_t _i599;
+            for (_i599 = 0; _i599 < _size595; ++_i599)
             {
-              xfer += this->words[_i589].read(iprot);
+              xfer += this->words[_i599].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15162,14 +15373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size590;
-            ::apache::thrift::protocol::TType _etype593;
-            xfer += iprot->readListBegin(_etype593, _size590);
-            this->retries.resize(_size590);
-            uint32_t _i594;
-            for (_i594 = 0; _i594 < _size590; ++_i594)
+            uint32_t _size600;
+            ::apache::thrift::protocol::TType _etype603;
+            xfer += iprot->readListBegin(_etype603, _size600);
+            this->retries.resize(_size600);
+            uint32_t _i604;
+            for (_i604 = 0; _i604 < _size600; ++_i604)
             {
-              xfer += this->retries[_i594].read(iprot);
+              xfer += this->retries[_i604].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15182,14 +15393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->begun.clear();
-            uint32_t _size595;
-            ::apache::thrift::protocol::TType _etype598;
-            xfer += iprot->readListBegin(_etype598, _size595);
-            this->begun.resize(_size595);
-            uint32_t _i599;
-            for (_i599 = 0; _i599 < _size595; ++_i599)
+            uint32_t _size605;
+            ::apache::thrift::protocol::TType _etype608;
+            xfer += iprot->readListBegin(_etype608, _size605);
+            this->begun.resize(_size605);
+            uint32_t _i609;
+            for (_i609 = 0; _i609 < _size605; ++_i609)
             {
-              xfer += this->begun[_i599].read(iprot);
+              xfer += this->begun[_i609].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15238,10 +15449,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<PlaceHeld> ::const_iterator _iter600;
-    for (_iter600 = this->held.begin(); _iter600 != this->held.end(); ++_iter600)
+    std::vector<PlaceHeld> ::const_iterator _iter610;
+    for (_iter610 = this->held.begin(); _iter610 != this->held.end(); ++_iter610)
     {
-      xfer += (*_iter600).write(oprot);
+      xfer += (*_iter610).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15250,10 +15461,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<LimitUse> ::const_iterator _iter601;
-    for (_iter601 = this->limits.begin(); _iter601 != this->limits.end(); ++_iter601)
+    std::vector<LimitUse> ::const_iterator _iter611;
+    for (_iter611 = this->limits.begin(); _iter611 != this->limits.end(); ++_iter611)
     {
-      xfer += (*_iter601).write(oprot);
+      xfer += (*_iter611).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15262,10 +15473,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter602;
-    for (_iter602 = this->asks.begin(); _iter602 != this->asks.end(); ++_iter602)
+    std::vector<PlaceAsk> ::const_iterator _iter612;
+    for (_iter612 = this->asks.begin(); _iter612 != this->asks.end(); ++_iter612)
     {
-      xfer += (*_iter602).write(oprot);
+      xfer += (*_iter612).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15274,10 +15485,10 @@
   xfer += oprot->writeFieldBegin("withdrawn", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->withdrawn.size()));
-    std::vector<int64_t> ::const_iterator _iter603;
-    for (_iter603 = this->withdrawn.begin(); _iter603 != this->withdrawn.end(); ++_iter603)
+    std::vector<int64_t> ::const_iterator _iter613;
+    for (_iter613 = this->withdrawn.begin(); _iter613 != this->withdrawn.end(); ++_iter613)
     {
-      xfer += oprot->writeI64((*_iter603));
+      xfer += oprot->writeI64((*_iter613));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15286,10 +15497,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<PlaceReport> ::const_iterator _iter604;
-    for (_iter604 = this->reports.begin(); _iter604 != this->reports.end(); ++_iter604)
+    std::vector<PlaceReport> ::const_iterator _iter614;
+    for (_iter614 = this->reports.begin(); _iter614 != this->reports.end(); ++_iter614)
     {
-      xfer += (*_iter604).write(oprot);
+      xfer += (*_iter614).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15298,10 +15509,10 @@
   xfer += oprot->writeFieldBegin("words", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->words.size()));
-    std::vector<ServerWord> ::const_iterator _iter605;
-    for (_iter605 = this->words.begin(); _iter605 != this->words.end(); ++_iter605)
+    std::vector<ServerWord> ::const_iterator _iter615;
+    for (_iter615 = this->words.begin(); _iter615 != this->words.end(); ++_iter615)
     {
-      xfer += (*_iter605).write(oprot);
+      xfer += (*_iter615).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15310,10 +15521,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter606;
-    for (_iter606 = this->retries.begin(); _iter606 != this->retries.end(); ++_iter606)
+    std::vector<RetryUse> ::const_iterator _iter616;
+    for (_iter616 = this->retries.begin(); _iter616 != this->retries.end(); ++_iter616)
     {
-      xfer += (*_iter606).write(oprot);
+      xfer += (*_iter616).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15322,10 +15533,10 @@
   xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->begun.size()));
-    std::vector<StreamBegun> ::const_iterator _iter607;
-    for (_iter607 = this->begun.begin(); _iter607 != this->begun.end(); ++_iter607)
+    std::vector<StreamBegun> ::const_iterator _iter617;
+    for (_iter617 = this->begun.begin(); _iter617 != this->begun.end(); ++_iter617)
     {
-      xfer += (*_iter607).write(oprot);
+      xfer += (*_iter617).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15354,70 +15565,70 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceBatch::PlaceBatch(const PlaceBatch& other608) {
-  incarnation = other608.incarnation;
-  data_centre = other608.data_centre;
-  epoch = other608.epoch;
-  resync = other608.resync;
-  instances = other608.instances;
-  held = other608.held;
-  limits = other608.limits;
-  asks = other608.asks;
-  withdrawn = other608.withdrawn;
-  reports = other608.reports;
-  words = other608.words;
-  retries = other608.retries;
-  begun = other608.begun;
-  __isset = other608.__isset;
-}
-PlaceBatch::PlaceBatch(PlaceBatch&& other609) noexcept {
-  incarnation = std::move(other609.incarnation);
-  data_centre = std::move(other609.data_centre);
-  epoch = other609.epoch;
-  resync = other609.resync;
-  instances = other609.instances;
-  held = std::move(other609.held);
-  limits = std::move(other609.limits);
-  asks = std::move(other609.asks);
-  withdrawn = std::move(other609.withdrawn);
-  reports = std::move(other609.reports);
-  words = std::move(other609.words);
-  retries = std::move(other609.retries);
-  begun = std::move(other609.begun);
-  __isset = other609.__isset;
-}
-PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other610) {
-  incarnation = other610.incarnation;
-  data_centre = other610.data_centre;
-  epoch = other610.epoch;
-  resync = other610.resync;
-  instances = other610.instances;
-  held = other610.held;
-  limits = other610.limits;
-  asks = other610.asks;
-  withdrawn = other610.withdrawn;
-  reports = other610.reports;
-  words = other610.words;
-  retries = other610.retries;
-  begun = other610.begun;
-  __isset = other610.__isset;
+PlaceBatch::PlaceBatch(const PlaceBatch& other618) {
+  incarnation = other618.incarnation;
+  data_centre = other618.data_centre;
+  epoch = other618.epoch;
+  resync = other618.resync;
+  instances = other618.instances;
+  held = other618.held;
+  limits = other618.limits;
+  asks = other618.asks;
+  withdrawn = other618.withdrawn;
+  reports = other618.reports;
+  words = other618.words;
+  retries = other618.retries;
+  begun = other618.begun;
+  __isset = other618.__isset;
+}
+PlaceBatch::PlaceBatch(PlaceBatch&& other619) noexcept {
+  incarnation = std::move(other619.incarnation);
+  data_centre = std::move(other619.data_centre);
+  epoch = other619.epoch;
+  resync = other619.resync;
+  instances = other619.instances;
+  held = std::move(other619.held);
+  limits = std::move(other619.limits);
+  asks = std::move(other619.asks);
+  withdrawn = std::move(other619.withdrawn);
+  reports = std::move(other619.reports);
+  words = std::move(other619.words);
+  retries = std::move(other619.retries);
+  begun = std::move(other619.begun);
+  __isset = other619.__isset;
+}
+PlaceBatch& PlaceBatch::operator=(const PlaceBatch& other620) {
+  incarnation = other620.incarnation;
+  data_centre = other620.data_centre;
+  epoch = other620.epoch;
+  resync = other620.resync;
+  instances = other620.instances;
+  held = other620.held;
+  limits = other620.limits;
+  asks = other620.asks;
+  withdrawn = other620.withdrawn;
+  reports = other620.reports;
+  words = other620.words;
+  retries = other620.retries;
+  begun = other620.begun;
+  __isset = other620.__isset;
   return *this;
 }
-PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other611) noexcept {
-  incarnation = std::move(other611.incarnation);
-  data_centre = std::move(other611.data_centre);
-  epoch = other611.epoch;
-  resync = other611.resync;
-  instances = other611.instances;
-  held = std::move(other611.held);
-  limits = std::move(other611.limits);
-  asks = std::move(other611.asks);
-  withdrawn = std::move(other611.withdrawn);
-  reports = std::move(other611.reports);
-  words = std::move(other611.words);
-  retries = std::move(other611.retries);
-  begun = std::move(other611.begun);
-  __isset = other611.__isset;
+PlaceBatch& PlaceBatch::operator=(PlaceBatch&& other621) noexcept {
+  incarnation = std::move(other621.incarnation);
+  data_centre = std::move(other621.data_centre);
+  epoch = other621.epoch;
+  resync = other621.resync;
+  instances = other621.instances;
+  held = std::move(other621.held);
+  limits = std::move(other621.limits);
+  asks = std::move(other621.asks);
+  withdrawn = std::move(other621.withdrawn);
+  reports = std::move(other621.reports);
+  words = std::move(other621.words);
+  retries = std::move(other621.retries);
+  begun = std::move(other621.begun);
+  __isset = other621.__isset;
   return *this;
 }
 void PlaceBatch::printTo(std::ostream& out) const {
@@ -15526,9 +15737,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast612;
-          xfer += iprot->readI32(ecast612);
-          this->verdict = static_cast<PlaceVerdict::type>(ecast612);
+          int32_t ecast622;
+          xfer += iprot->readI32(ecast622);
+          this->verdict = static_cast<PlaceVerdict::type>(ecast622);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15689,62 +15900,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other613) {
-  ref = other613.ref;
-  verdict = other613.verdict;
-  server = other613.server;
-  first_ms = other613.first_ms;
-  left = other613.left;
-  come_back_ms = other613.come_back_ms;
-  born = other613.born;
-  address = other613.address;
-  port = other613.port;
-  retries_left = other613.retries_left;
-  software = other613.software;
-  __isset = other613.__isset;
-}
-PlaceAnswer::PlaceAnswer(PlaceAnswer&& other614) noexcept {
-  ref = other614.ref;
-  verdict = other614.verdict;
-  server = std::move(other614.server);
-  first_ms = other614.first_ms;
-  left = other614.left;
-  come_back_ms = other614.come_back_ms;
-  born = other614.born;
-  address = std::move(other614.address);
-  port = other614.port;
-  retries_left = other614.retries_left;
-  software = other614.software;
-  __isset = other614.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other615) {
-  ref = other615.ref;
-  verdict = other615.verdict;
-  server = other615.server;
-  first_ms = other615.first_ms;
-  left = other615.left;
-  come_back_ms = other615.come_back_ms;
-  born = other615.born;
-  address = other615.address;
-  port = other615.port;
-  retries_left = other615.retries_left;
-  software = other615.software;
-  __isset = other615.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other623) {
+  ref = other623.ref;
+  verdict = other623.verdict;
+  server = other623.server;
+  first_ms = other623.first_ms;
+  left = other623.left;
+  come_back_ms = other623.come_back_ms;
+  born = other623.born;
+  address = other623.address;
+  port = other623.port;
+  retries_left = other623.retries_left;
+  software = other623.software;
+  __isset = other623.__isset;
+}
+PlaceAnswer::PlaceAnswer(PlaceAnswer&& other624) noexcept {
+  ref = other624.ref;
+  verdict = other624.verdict;
+  server = std::move(other624.server);
+  first_ms = other624.first_ms;
+  left = other624.left;
+  come_back_ms = other624.come_back_ms;
+  born = other624.born;
+  address = std::move(other624.address);
+  port = other624.port;
+  retries_left = other624.retries_left;
+  software = other624.software;
+  __isset = other624.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other625) {
+  ref = other625.ref;
+  verdict = other625.verdict;
+  server = other625.server;
+  first_ms = other625.first_ms;
+  left = other625.left;
+  come_back_ms = other625.come_back_ms;
+  born = other625.born;
+  address = other625.address;
+  port = other625.port;
+  retries_left = other625.retries_left;
+  software = other625.software;
+  __isset = other625.__isset;
   return *this;
 }
-PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other616) noexcept {
-  ref = other616.ref;
-  verdict = other616.verdict;
-  server = std::move(other616.server);
-  first_ms = other616.first_ms;
-  left = other616.left;
-  come_back_ms = other616.come_back_ms;
-  born = other616.born;
-  address = std::move(other616.address);
-  port = other616.port;
-  retries_left = other616.retries_left;
-  software = other616.software;
-  __isset = other616.__isset;
+PlaceAnswer& PlaceAnswer::operator=(PlaceAnswer&& other626) noexcept {
+  ref = other626.ref;
+  verdict = other626.verdict;
+  server = std::move(other626.server);
+  first_ms = other626.first_ms;
+  left = other626.left;
+  come_back_ms = other626.come_back_ms;
+  born = other626.born;
+  address = std::move(other626.address);
+  port = other626.port;
+  retries_left = other626.retries_left;
+  software = other626.software;
+  __isset = other626.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -15825,14 +16036,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size617;
-            ::apache::thrift::protocol::TType _etype620;
-            xfer += iprot->readListBegin(_etype620, _size617);
-            this->answers.resize(_size617);
-            uint32_t _i621;
-            for (_i621 = 0; _i621 < _size617; ++_i621)
+            uint32_t _size627;
+            ::apache::thrift::protocol::TType _etype630;
+            xfer += iprot->readListBegin(_etype630, _size627);
+            this->answers.resize(_size627);
+            uint32_t _i631;
+            for (_i631 = 0; _i631 < _size627; ++_i631)
             {
-              xfer += this->answers[_i621].read(iprot);
+              xfer += this->answers[_i631].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15853,14 +16064,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size622;
-            ::apache::thrift::protocol::TType _etype625;
-            xfer += iprot->readListBegin(_etype625, _size622);
-            this->suspects.resize(_size622);
-            uint32_t _i626;
-            for (_i626 = 0; _i626 < _size622; ++_i626)
+            uint32_t _size632;
+            ::apache::thrift::protocol::TType _etype635;
+            xfer += iprot->readListBegin(_etype635, _size632);
+            this->suspects.resize(_size632);
+            uint32_t _i636;
+            for (_i636 = 0; _i636 < _size632; ++_i636)
             {
-              xfer += iprot->readString(this->suspects[_i626]);
+              xfer += iprot->readString(this->suspects[_i636]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15893,10 +16104,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter627;
-    for (_iter627 = this->answers.begin(); _iter627 != this->answers.end(); ++_iter627)
+    std::vector<PlaceAnswer> ::const_iterator _iter637;
+    for (_iter637 = this->answers.begin(); _iter637 != this->answers.end(); ++_iter637)
     {
-      xfer += (*_iter627).write(oprot);
+      xfer += (*_iter637).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15910,10 +16121,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<std::string> ::const_iterator _iter628;
-      for (_iter628 = this->suspects.begin(); _iter628 != this->suspects.end(); ++_iter628)
+      std::vector<std::string> ::const_iterator _iter638;
+      for (_iter638 = this->suspects.begin(); _iter638 != this->suspects.end(); ++_iter638)
       {
-        xfer += oprot->writeString((*_iter628));
+        xfer += oprot->writeString((*_iter638));
       }
       xfer += oprot->writeListEnd();
     }
