--- a/apps/poppywayd/member_hosted.cc
+++ b/apps/poppywayd/member_hosted.cc
@@ -203,7 +203,8 @@
 }
 
 void MemberService::SubmitServer(const wire::ServerRecord& record, const ReplyFn& reply) {
-  if (!is_leader() && IsAlreadyApplied(record)) {
+  const bool contradicts = ContradictsState(m_machine.m_hosted, record);
+  if (!is_leader() && !contradicts && IsAlreadyApplied(record)) {
     wire::Body done;
     done.__set_done(true);
     reply(std::move(done));
@@ -215,6 +216,8 @@
     CallLeader(std::move(body), reply);
     return;
   }
+  if (contradicts && IsConfirmedLeader(ReadClock()))
+    RecordContradiction(record);
   if (HasServerChange(record)) {
     if (m_registration_limit.Rejects(m_machine.m_hosted, record)) {
       if (RequireConfirmedLeader(reply))
--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -247,6 +247,7 @@
   if (!is_leader()) {
     m_table = {};
     m_membership_watch.Reset();
+    m_contradicting_heartbeats = {};
     m_slot_broker.OnLeadershipLost();
     if (!m_pending.empty())
       FailPending("leadership was lost");
@@ -473,6 +474,8 @@
 void MemberService::OnSlotBatch(const wire::PlaceBatch& batch, PeerConnection& from) {
   const Instant now = ReadClock();
   m_slot_broker.OnBatch(batch, from, IsConfirmedLeader(now), now);
+  if (IsConfirmedLeader(now))
+    RecordResponses(batch);
 }
 
 void MemberService::OnPoll(const wire::ConfigPoll& poll, const ReplyFn& reply) {
--- a/apps/poppywayd/member_service.h
+++ b/apps/poppywayd/member_service.h
@@ -238,6 +238,12 @@
   /// Returns true if a server's heartbeat differs from the state, or if the server will be cold
   /// for longer than it last reported, which is judged on this member's clock.
   [[nodiscard]] bool HasServerChange(const wire::ServerRecord& record) const;
+  /// Counts a heartbeat of a server that the state takes for away, and proposes that it is present
+  /// once it has been heard steadily. Precondition: this member leads.
+  void RecordContradiction(const wire::ServerRecord& heartbeat);
+  /// Proposes that servers are present which have responded to an instance in place of others.
+  void RecordResponses(const wire::PlaceBatch& batch);
+  void ProposePresence(const wire::ServerPresence& presence, const char* shown_by);
   /// Updates the end of the cold time of the servers that changed after log index `index`.
   void UpdateColdTimes(std::int64_t index, Instant now);
   /// Recomputes what is derived from the state after a snapshot replaced it.
@@ -255,6 +261,8 @@
   SlowStartLimitReader m_slow_start_limit_reader;
   std::map<std::string, Instant> m_cold_until;  ///< End of each server's last reported cold time.
   RegistrationLimit m_registration_limit;
+  ContradictingHeartbeats m_contradicting_heartbeats;
+  std::uint64_t m_presences_proposed = 0;
   std::map<std::string, std::unique_ptr<PeerClient>> m_peers;  ///< By member name.
   std::map<MemberId, std::string> m_member_names;              ///< Names learned from messages.
   ClusterBootstrap m_bootstrap;
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -119,6 +119,7 @@
   metrics.Set("poppyway_log_sent_bytes", "", static_cast<double>(m_log_bytes));
   metrics.Set("poppyway_log_sent_again_bytes", "", static_cast<double>(m_log_bytes_resent));
   metrics.Set("poppyway_heartbeats_unconfirmed", "", static_cast<double>(m_heartbeats_rejected));
+  metrics.Set("poppyway_server_presences_total", "", static_cast<double>(m_presences_proposed));
   metrics.Set("poppyway_news_answers", "", static_cast<double>(m_poll_responses));
   metrics.Set("poppyway_news_document_bytes", "", static_cast<double>(m_document_bytes_sent));
   metrics.Set("poppyway_ledger_keys", "", static_cast<double>(m_machine.m_ledger.m_keys.size()));
--- a/apps/poppywayd/slot_broker_service.cc
+++ b/apps/poppywayd/slot_broker_service.cc
@@ -65,17 +65,8 @@
 }
 
 /// Returns the registered servers that have a pool. Of several servers at one address only the
-/// latest takes new requests; the others count as leaving.
+/// owner takes new requests; the others count as leaving.
 std::vector<BackendServer> PresentServers(const HostedState& state, const RegionMap& regions) {
-  std::map<std::pair<std::string, int>, const wire::ServerRecord*> latest;
-  for (const auto& [id, record] : state.m_servers) {
-    const wire::ServerRecord*& known = latest[{record.address, record.port}];
-    const bool preferred = known == nullptr || record.stage == wire::ServerStage::READY ||
-                           known->stage != wire::ServerStage::READY;
-    const bool later = known == nullptr || record.index > known->index;
-    if (preferred && later)
-      known = &record;
-  }
   std::vector<BackendServer> servers;
   for (const auto& [id, record] : state.m_servers) {
     if (record.stage == wire::ServerStage::GONE || record.pool.empty())
@@ -83,7 +74,7 @@
     BackendServer& server = servers.emplace_back(ToBackendServer(record));
     server.m_region = RegionOf(regions, record.data_centre);
     server.m_evacuated = IsEvacuated(state, record.data_centre);
-    server.m_leaving = server.m_leaving || latest.at({record.address, record.port}) != &record;
+    server.m_leaving = server.m_leaving || IsReplaced(state, record);
   }
   return servers;
 }
--- a/apps/poppywayd/slot_convert.cc
+++ b/apps/poppywayd/slot_convert.cc
@@ -274,6 +274,11 @@
     message.words.push_back(ToWire(notice));
   for (const StreamOrigin& origin : batch.m_begun_streams)
     message.begun.push_back(ToWire(origin));
+  for (const ServerResponded& responded : batch.m_responded) {
+    wire::ServerResponded& one = message.responded.emplace_back();
+    one.server = responded.m_server;
+    one.expected = responded.m_expected;
+  }
   for (const SlotRequest& slot_request : batch.m_slot_requests)
     message.asks.push_back(ToWire(slot_request));
   message.withdrawn = batch.m_cancelled_requests;
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -148,6 +148,7 @@
   std::vector<std::unique_ptr<ConnectionProbe>> m_retired_probes;  ///< Destroyed outside callbacks.
   Instant m_next_silence_check{};
   std::map<Endpoint, std::vector<std::string>> m_by_address;  ///< Server ids by address.
+  std::map<Endpoint, AddressOwner> m_address_owners;  ///< For the addresses of `m_by_address`.
   std::map<std::string, PoolState> m_pools;
   std::map<std::string, wire::Evacuation> m_evacuations;  ///< Latest evacuation by data centre.
   OutageDetector m_outages = LocalOutageDetector();       ///< Fed by this instance's own requests.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -19,20 +19,41 @@
       return false;
     state.m_connections->Forget(backend.m_endpoint);
     std::erase(state.m_by_address[backend.m_endpoint], entry.first);
-    if (state.m_by_address[backend.m_endpoint].empty())
+    if (state.m_by_address[backend.m_endpoint].empty()) {
       state.m_by_address.erase(backend.m_endpoint);
+      state.m_address_owners.erase(backend.m_endpoint);
+    }
     return true;
   });
 }
 
-/// Marks all other servers at the address of a new server as replaced: they are gone, even without
-/// a notice. The index by address makes a full list take linear time: comparing each of 3,000
-/// servers with all others took seconds of the start of an instance with a quarter of a core.
-void ReplaceOthers(ForwarderState& state, const std::string& server) {
-  for (const std::string& id : state.m_by_address[state.m_backends.at(server).m_endpoint]) {
-    if (id != server)
-      state.m_backends.at(id).m_replaced = true;
-  }
+/// Marks all servers at an address but its owner as replaced: they are gone, even without a notice.
+/// The index by address makes a full list take linear time: comparing each of 3,000 servers with
+/// all others took seconds of the start of an instance with a quarter of a core.
+void UpdateReplaced(ForwarderState& state, const Endpoint& endpoint) {
+  const std::string& owner = state.m_address_owners[endpoint].m_server;
+  for (const std::string& id : state.m_by_address[endpoint])
+    state.m_backends.at(id).m_replaced = !owner.empty() && id != owner;
+}
+
+/// Returns true if a record shows its server at its address. A record of an earlier build does so
+/// if its process is new to this instance.
+bool ShowsPresence(const wire::ServerRecord& record, bool new_process, bool leaving) {
+  if (record.present_index != 0)
+    return record.present_index > 0;
+  return new_process && !leaving;
+}
+
+std::int64_t PresenceIndex(const wire::ServerRecord& record) noexcept {
+  return poppyway::PresenceIndex(record.present_index, record.index);
+}
+
+/// Returns true if a gone server, unknown here, was the last one at the address of others. They are
+/// not there any more either.
+bool OwnsAddressOfOthers(const ForwarderState& state,
+                         const wire::ServerRecord& record,
+                         const Endpoint& endpoint) {
+  return record.present_index > 0 && state.m_by_address.contains(endpoint);
 }
 
 void SetAddress(ForwarderState& state,
@@ -42,11 +63,17 @@
   std::vector<std::string>& ids = state.m_by_address[endpoint];
   if (backend.m_endpoint == endpoint && std::find(ids.begin(), ids.end(), id) != ids.end())
     return;
-  const auto before = state.m_by_address.find(backend.m_endpoint);
+  const Endpoint former = backend.m_endpoint;
+  const auto before = state.m_by_address.find(former);
   if (before != state.m_by_address.end())
     std::erase(before->second, id);
   backend.m_endpoint = endpoint;
   ids.push_back(id);
+  const auto owner = state.m_address_owners.find(former);
+  if (owner == state.m_address_owners.end() || owner->second.m_server != id)
+    return;
+  state.m_address_owners.erase(owner);
+  UpdateReplaced(state, former);
 }
 
 void LogServer(const wire::ServerRecord& record) {
@@ -58,16 +85,16 @@
       .Field("log_index", record.index);
 }
 
-/// Sorts records by the index of their change, since of two servers at one address the later one is
-/// there now. A full list, as an instance gets at its start, is sorted by id.
-std::vector<const wire::ServerRecord*> SortedByIndex(
+/// Sorts records by when their servers were shown at their addresses, since the owner of an address
+/// is the last one. A full list, as an instance gets at its start, is sorted by id.
+std::vector<const wire::ServerRecord*> SortedByPresence(
     const std::vector<wire::ServerRecord>& records) {
   std::vector<const wire::ServerRecord*> ordered;
   ordered.reserve(records.size());
   for (const wire::ServerRecord& record : records)
     ordered.push_back(&record);
   std::sort(ordered.begin(), ordered.end(),
-            [](const auto* a, const auto* b) { return a->index < b->index; });
+            [](const auto* a, const auto* b) { return PresenceIndex(*a) < PresenceIndex(*b); });
   return ordered;
 }
 
@@ -143,9 +170,13 @@
                   bool fresh,
                   Instant now) {
   const bool known = state.m_backends.contains(record.id);
-  if (!known && record.stage == wire::ServerStage::GONE)
-    return;
   const Endpoint endpoint{record.address, static_cast<std::uint16_t>(record.port)};
+  if (!known && record.stage == wire::ServerStage::GONE) {
+    if (OwnsAddressOfOthers(state, record, endpoint) &&
+        ClaimAddress(state.m_address_owners[endpoint], record.id, record.present_index))
+      UpdateReplaced(state, endpoint);
+    return;
+  }
   Backend& backend = state.m_backends[record.id];
   if (record.born > 0 && record.born < backend.m_record.born)
     return;  // The record is of an earlier process and arrived late.
@@ -163,8 +194,9 @@
   // A drain notice of the server itself is newer than the registry's record, which may lag by an
   // acknowledgement that the server waits for, or may never arrive.
   backend.m_leaving = record.stage != wire::ServerStage::READY || backend.m_announced_leaving;
-  if ((!known || restarted) && !backend.m_leaving)
-    ReplaceOthers(state, record.id);
+  if (ShowsPresence(record, !known || restarted, backend.m_leaving))
+    (void)ClaimAddress(state.m_address_owners[endpoint], record.id, PresenceIndex(record));
+  UpdateReplaced(state, endpoint);
   UpdateSlowStart(state, backend, fresh, now);
 }
 
@@ -172,7 +204,7 @@
   // The servers of the first list existed before this instance started.
   const bool serving = !state.m_backends.empty();
   const Instant now = ReadClock();
-  for (const wire::ServerRecord* record : SortedByIndex(records)) {
+  for (const wire::ServerRecord* record : SortedByPresence(records)) {
     const bool known = state.m_backends.contains(record->id);
     UpdateServer(state, *record, serving && !known, now);
     if (records.size() <= kMaxLogged)
@@ -279,17 +311,21 @@
 void RecordReplacement(ForwarderState& state,
                        const std::string& expected,
                        const std::string& responding) {
-  if (Backend* backend = FindBackend(state, expected))
-    backend->m_replaced = true;
-  Backend* other = FindBackend(state, responding);
-  // The registration of a gone server may arrive late and mark its successor as replaced.
-  const bool restored = other != nullptr && other->m_replaced;
-  if (restored)
-    other->m_replaced = false;
+  Backend* backend = FindBackend(state, expected);
+  if (backend == nullptr)
+    return;
+  AddressOwner& owner = state.m_address_owners[backend->m_endpoint];
+  const bool news = owner.m_server != responding;
+  owner.m_server = responding;  // Until a later entry of the log shows another server there.
+  UpdateReplaced(state, backend->m_endpoint);
   POPPYWAY_LOG(info, "server_replaced")
       .Field("server", expected)
       .Field("by", responding)
-      .Field("restored", restored);
+      .Field("restored", news && FindBackend(state, responding) != nullptr);
+  if (!news || !state.m_broker.m_active)
+    return;
+  state.m_broker.m_outbox.m_responded.push_back({responding, expected});
+  FlushToBroker(state);
 }
 
 }  // namespace poppyway::impl
--- a/packages/policy/include/poppyway/policy.h
+++ b/packages/policy/include/poppyway/policy.h
@@ -38,6 +38,7 @@
 /// - `RateEstimate`, `RetryBudget`, `RetryAfter`: engine speed, the limit on retries, the
 /// delay asked of rejected callers.
 
+#include "poppyway/policy/impl/address_owner.h"
 #include "poppyway/policy/impl/admission_queue.h"
 #include "poppyway/policy/impl/brittleness.h"
 #include "poppyway/policy/impl/broker.h"
--- a/packages/policy/include/poppyway/policy/impl/slot_broker.h
+++ b/packages/policy/include/poppyway/policy/impl/slot_broker.h
@@ -190,6 +190,14 @@
   friend bool operator==(const LimitReport&, const LimitReport&) = default;
 };
 
+/// \brief A server responded at its address to a request for another one that registered there.
+struct ServerResponded {
+  std::string m_server;
+  std::string m_expected;
+
+  friend bool operator==(const ServerResponded&, const ServerResponded&) = default;
+};
+
 /// \brief Everything that an instance sends to the broker in one message.
 struct SlotBatch {
   std::int64_t m_epoch = 0;
@@ -203,12 +211,13 @@
   std::vector<SlotReport> m_reports;
   /// Streams that servers have begun. With a resync: all that may still be continued.
   std::vector<StreamOrigin> m_begun_streams;
+  std::vector<ServerResponded> m_responded;
   std::vector<SlotRequest> m_slot_requests;
 
   [[nodiscard]] bool empty() const noexcept {
     return !m_resync && m_held.empty() && m_limits.empty() && m_retries.empty() &&
            m_notices.empty() && m_cancelled_requests.empty() && m_reports.empty() &&
-           m_begun_streams.empty() && m_slot_requests.empty();
+           m_begun_streams.empty() && m_responded.empty() && m_slot_requests.empty();
   }
   friend bool operator==(const SlotBatch&, const SlotBatch&) = default;
 };
--- a/packages/state/include/poppyway/state.h
+++ b/packages/state/include/poppyway/state.h
@@ -18,5 +18,6 @@
 #include "poppyway/state/impl/hosted_state.h"
 #include "poppyway/state/impl/instance_table.h"
 #include "poppyway/state/impl/rollout_state.h"
+#include "poppyway/state/impl/server_presence.h"
 #include "poppyway/state/impl/state_machine.h"
 #include "poppyway/state/impl/text_edits.h"
--- a/packages/state/include/poppyway/state/impl/hosted_state.h
+++ b/packages/state/include/poppyway/state/impl/hosted_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "poppyway/policy.h"
+#include "poppyway/state/impl/server_presence.h"
 #include "poppyway/wire.h"
 
 namespace poppyway {
@@ -20,11 +21,12 @@
 /// The log holds only changes of a server (it registers, drains, is removed), not its heartbeats: a
 /// pool of thousands of servers costs a few entries a second while it is replaced.
 struct HostedState {
-  wire::Document m_document;                              ///< Version 0: none accepted yet.
-  std::map<std::string, wire::ServerRecord> m_servers;    ///< By id; includes gone servers.
-  std::int64_t m_servers_index = 0;                       ///< Log index of their last change.
-  std::map<std::string, wire::Rollout> m_rollouts;        ///< By pool; the last one.
-  std::map<std::string, wire::Evacuation> m_evacuations;  ///< By data centre; the last one.
+  wire::Document m_document;                               ///< Version 0: none accepted yet.
+  std::map<std::string, wire::ServerRecord> m_servers;     ///< By id; includes gone servers.
+  std::int64_t m_servers_index = 0;                        ///< Log index of their last change.
+  std::map<ServerAddress, AddressOwner> m_address_owners;  ///< Derived from the servers' records.
+  std::map<std::string, wire::Rollout> m_rollouts;         ///< By pool; the last one.
+  std::map<std::string, wire::Evacuation> m_evacuations;   ///< By data centre; the last one.
   CrashSuspects m_crash_suspects;       ///< Requests that were running when servers crashed.
   std::int64_t m_quarantine_index = 0;  ///< Log index of the last change of the quarantine.
 };
@@ -48,6 +50,9 @@
 /// Within one process, a server that has begun to leave never becomes READY again, and a gone one
 /// stays gone.
 ///
+/// Only the registration of a READY server process, or its move to another address, shows it at its
+/// address (see `AddressOwner`); no other change does.
+///
 /// A record without a start time counts for the known process. A known READY server without a start
 /// time takes the first one that is reported.
 void ApplyServer(HostedState& state, const wire::ServerRecord& record, std::int64_t index);
--- a/packages/state/include/poppyway/state/impl/rollout_state.h
+++ b/packages/state/include/poppyway/state/impl/rollout_state.h
@@ -33,4 +33,7 @@
 /// Such a server gets no requests, even if it registers after the roll-back.
 [[nodiscard]] bool IsRolledBack(const HostedState& state, const wire::ServerRecord& server);
 
+/// \brief True if the end of the pool's last roll-out took the server's version out of use.
+[[nodiscard]] bool IsOutOfUseByRollout(const HostedState& state, const wire::ServerRecord& server);
+
 }  // namespace poppyway
--- a/packages/state/src/hosted_state.cc
+++ b/packages/state/src/hosted_state.cc
@@ -8,6 +8,8 @@
 namespace poppyway {
 namespace {
 
+constexpr std::int64_t kNeverShown = -1;  // The presence index of a server that registers to leave.
+
 /// Erases the gone server with the oldest change if too many gone servers are remembered.
 void EraseOldestGone(HostedState& state) {
   std::size_t gone = 0;
@@ -19,8 +21,11 @@
     if (oldest == state.m_servers.end() || it->second.index < oldest->second.index)
       oldest = it;
   }
-  if (gone > kMaxGoneServers)
-    state.m_servers.erase(oldest);
+  if (gone <= kMaxGoneServers)
+    return;
+  const wire::ServerRecord erased = oldest->second;
+  state.m_servers.erase(oldest);
+  ReleaseAddress(state, AddressOf(erased), erased.id);
 }
 
 bool SameRegistration(const wire::ServerRecord& a, const wire::ServerRecord& b) {
@@ -51,6 +56,7 @@
 void UpdateServer(wire::ServerRecord& known, const wire::ServerRecord& record) {
   const std::int64_t sequence = std::max(known.sequence, record.sequence);
   const std::int64_t started_ms = std::max(known.born, record.born);
+  const std::int64_t present_index = known.present_index;
   const bool named = !record.pool.empty();
   if (named) {
     known = record;
@@ -60,6 +66,7 @@
   }
   known.sequence = sequence;
   known.born = started_ms;
+  known.present_index = present_index;
 }
 
 }  // namespace
@@ -111,16 +118,27 @@
 void ApplyServer(HostedState& state, const wire::ServerRecord& record, std::int64_t index) {
   if (!ChangesServer(state, record) && !ChangesColdTime(state, record))
     return;
+  const auto found = state.m_servers.find(record.id);
+  const bool is_new = found == state.m_servers.end() ||
+                      CompareStartTimes(found->second, record) == StartTimeOrder::kLater;
+  const ServerAddress before =
+      found == state.m_servers.end() ? AddressOf(record) : AddressOf(found->second);
   wire::ServerRecord& known = state.m_servers[record.id];
-  if (CompareStartTimes(known, record) == StartTimeOrder::kLater)
+  if (is_new)
     known = record;  // The sequence numbers of a new process start over.
   else
     UpdateServer(known, record);
   known.index = index;
+  if (is_new || AddressOf(known) != before)
+    known.present_index = record.stage == wire::ServerStage::READY ? index : kNeverShown;
   known.held_back = IsHeldBack(state, known);
   if (known.stage == wire::ServerStage::READY && IsRolledBack(state, known))
     known.stage = wire::ServerStage::LEAVING;
   state.m_servers_index = index;
+  if (AddressOf(known) != before)
+    ReleaseAddress(state, before, known.id);
+  if (known.present_index == index)
+    ClaimAddress(state, known);
   if (known.stage == wire::ServerStage::GONE)
     EraseOldestGone(state);
 }
--- a/packages/state/src/rollout_state.cc
+++ b/packages/state/src/rollout_state.cc
@@ -100,4 +100,13 @@
          server.version == rollout->second.target;
 }
 
+bool IsOutOfUseByRollout(const HostedState& state, const wire::ServerRecord& server) {
+  const auto rollout = state.m_rollouts.find(server.pool);
+  if (rollout == state.m_rollouts.end())
+    return false;
+  const bool target = server.version == rollout->second.target;
+  const Stage::type stage = rollout->second.stage;
+  return (stage == Stage::ROLLED_BACK && target) || (stage == Stage::COMPLETED && !target);
+}
+
 }  // namespace poppyway
--- a/packages/state/src/state_machine.cc
+++ b/packages/state/src/state_machine.cc
@@ -41,6 +41,8 @@
       ApplyDocument(machine.m_hosted, command.document);
     else if (command.__isset.server)
       ApplyServer(machine.m_hosted, command.server, entry.index);
+    else if (command.__isset.presence)
+      ApplyServerPresence(machine.m_hosted, command.presence, entry.index);
     else if (command.__isset.rollout_step)
       ApplyRolloutStep(machine.m_hosted, command.rollout_step, entry.index);
     else if (command.__isset.evacuation)
@@ -113,6 +115,7 @@
     machine.m_hosted.m_servers[record.id] = record;
     machine.m_hosted.m_servers_index = std::max(machine.m_hosted.m_servers_index, record.index);
   }
+  RebuildAddressOwners(machine.m_hosted);
   for (const wire::Rollout& rollout : state->rollouts)
     machine.m_hosted.m_rollouts[rollout.pool] = rollout;
   for (const wire::Evacuation& evacuation : state->evacuations) {
--- a/packages/wire/gen/poppyway_types.cpp
+++ b/packages/wire/gen/poppyway_types.cpp
@@ -1012,6 +1012,10 @@
 void ServerRecord::__set_cold_for_ms(const int32_t val) {
   this->cold_for_ms = val;
 }
+
+void ServerRecord::__set_present_index(const int64_t val) {
+  this->present_index = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
@@ -1146,6 +1150,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->present_index);
+          this->__isset.present_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1215,6 +1227,10 @@
   xfer += oprot->writeI32(this->cold_for_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("present_index", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->present_index);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1235,6 +1251,7 @@
   swap(a.held_back, b.held_back);
   swap(a.born, b.born);
   swap(a.cold_for_ms, b.cold_for_ms);
+  swap(a.present_index, b.present_index);
   swap(a.__isset, b.__isset);
 }
 
@@ -1252,6 +1269,7 @@
   held_back = other23.held_back;
   born = other23.born;
   cold_for_ms = other23.cold_for_ms;
+  present_index = other23.present_index;
   __isset = other23.__isset;
 }
 ServerRecord::ServerRecord(ServerRecord&& other24) noexcept {
@@ -1268,6 +1286,7 @@
   held_back = other24.held_back;
   born = other24.born;
   cold_for_ms = other24.cold_for_ms;
+  present_index = other24.present_index;
   __isset = other24.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other25) {
@@ -1284,6 +1303,7 @@
   held_back = other25.held_back;
   born = other25.born;
   cold_for_ms = other25.cold_for_ms;
+  present_index = other25.present_index;
   __isset = other25.__isset;
   return *this;
 }
@@ -1301,6 +1321,7 @@
   held_back = other26.held_back;
   born = other26.born;
   cold_for_ms = other26.cold_for_ms;
+  present_index = other26.present_index;
   __isset = other26.__isset;
   return *this;
 }
@@ -1320,6 +1341,152 @@
   out << ", " << "held_back=" << to_string(held_back);
   out << ", " << "born=" << to_string(born);
   out << ", " << "cold_for_ms=" << to_string(cold_for_ms);
+  out << ", " << "present_index=" << to_string(present_index);
+  out << ")";
+}
+
+
+ServerPresence::~ServerPresence() noexcept {
+}
+
+
+void ServerPresence::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ServerPresence::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void ServerPresence::__set_returns(const bool val) {
+  this->returns = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerPresence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerPresence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->returns);
+          this->__isset.returns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerPresence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerPresence");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returns", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->returns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerPresence &a, ServerPresence &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.born, b.born);
+  swap(a.returns, b.returns);
+  swap(a.__isset, b.__isset);
+}
+
+ServerPresence::ServerPresence(const ServerPresence& other27) {
+  id = other27.id;
+  born = other27.born;
+  returns = other27.returns;
+  __isset = other27.__isset;
+}
+ServerPresence::ServerPresence(ServerPresence&& other28) noexcept {
+  id = std::move(other28.id);
+  born = other28.born;
+  returns = other28.returns;
+  __isset = other28.__isset;
+}
+ServerPresence& ServerPresence::operator=(const ServerPresence& other29) {
+  id = other29.id;
+  born = other29.born;
+  returns = other29.returns;
+  __isset = other29.__isset;
+  return *this;
+}
+ServerPresence& ServerPresence::operator=(ServerPresence&& other30) noexcept {
+  id = std::move(other30.id);
+  born = other30.born;
+  returns = other30.returns;
+  __isset = other30.__isset;
+  return *this;
+}
+void ServerPresence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerPresence(";
+  out << "id=" << to_string(id);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "returns=" << to_string(returns);
   out << ")";
 }
 
@@ -1435,30 +1602,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EvacuationOrder::EvacuationOrder(const EvacuationOrder& other27) {
-  data_centre = other27.data_centre;
-  ends = other27.ends;
-  known = other27.known;
-  __isset = other27.__isset;
+EvacuationOrder::EvacuationOrder(const EvacuationOrder& other31) {
+  data_centre = other31.data_centre;
+  ends = other31.ends;
+  known = other31.known;
+  __isset = other31.__isset;
 }
-EvacuationOrder::EvacuationOrder(EvacuationOrder&& other28) noexcept {
-  data_centre = std::move(other28.data_centre);
-  ends = other28.ends;
-  known = other28.known;
-  __isset = other28.__isset;
+EvacuationOrder::EvacuationOrder(EvacuationOrder&& other32) noexcept {
+  data_centre = std::move(other32.data_centre);
+  ends = other32.ends;
+  known = other32.known;
+  __isset = other32.__isset;
 }
-EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other29) {
-  data_centre = other29.data_centre;
-  ends = other29.ends;
-  known = other29.known;
-  __isset = other29.__isset;
+EvacuationOrder& EvacuationOrder::operator=(const EvacuationOrder& other33) {
+  data_centre = other33.data_centre;
+  ends = other33.ends;
+  known = other33.known;
+  __isset = other33.__isset;
   return *this;
 }
-EvacuationOrder& EvacuationOrder::operator=(EvacuationOrder&& other30) noexcept {
-  data_centre = std::move(other30.data_centre);
-  ends = other30.ends;
-  known = other30.known;
-  __isset = other30.__isset;
+EvacuationOrder& EvacuationOrder::operator=(EvacuationOrder&& other34) noexcept {
+  data_centre = std::move(other34.data_centre);
+  ends = other34.ends;
+  known = other34.known;
+  __isset = other34.__isset;
   return *this;
 }
 void EvacuationOrder::printTo(std::ostream& out) const {
@@ -1597,34 +1764,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Evacuation::Evacuation(const Evacuation& other31) {
-  data_centre = other31.data_centre;
-  number = other31.number;
-  ended = other31.ended;
-  index = other31.index;
-  __isset = other31.__isset;
+Evacuation::Evacuation(const Evacuation& other35) {
+  data_centre = other35.data_centre;
+  number = other35.number;
+  ended = other35.ended;
+  index = other35.index;
+  __isset = other35.__isset;
 }
-Evacuation::Evacuation(Evacuation&& other32) noexcept {
-  data_centre = std::move(other32.data_centre);
-  number = other32.number;
-  ended = other32.ended;
-  index = other32.index;
-  __isset = other32.__isset;
+Evacuation::Evacuation(Evacuation&& other36) noexcept {
+  data_centre = std::move(other36.data_centre);
+  number = other36.number;
+  ended = other36.ended;
+  index = other36.index;
+  __isset = other36.__isset;
 }
-Evacuation& Evacuation::operator=(const Evacuation& other33) {
-  data_centre = other33.data_centre;
-  number = other33.number;
-  ended = other33.ended;
-  index = other33.index;
-  __isset = other33.__isset;
+Evacuation& Evacuation::operator=(const Evacuation& other37) {
+  data_centre = other37.data_centre;
+  number = other37.number;
+  ended = other37.ended;
+  index = other37.index;
+  __isset = other37.__isset;
   return *this;
 }
-Evacuation& Evacuation::operator=(Evacuation&& other34) noexcept {
-  data_centre = std::move(other34.data_centre);
-  number = other34.number;
-  ended = other34.ended;
-  index = other34.index;
-  __isset = other34.__isset;
+Evacuation& Evacuation::operator=(Evacuation&& other38) noexcept {
+  data_centre = std::move(other38.data_centre);
+  number = other38.number;
+  ended = other38.ended;
+  index = other38.index;
+  __isset = other38.__isset;
   return *this;
 }
 void Evacuation::printTo(std::ostream& out) const {
@@ -1747,30 +1914,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutOrder::RolloutOrder(const RolloutOrder& other35) {
-  pool = other35.pool;
-  target = other35.target;
-  duration_ms = other35.duration_ms;
-  __isset = other35.__isset;
+RolloutOrder::RolloutOrder(const RolloutOrder& other39) {
+  pool = other39.pool;
+  target = other39.target;
+  duration_ms = other39.duration_ms;
+  __isset = other39.__isset;
 }
-RolloutOrder::RolloutOrder(RolloutOrder&& other36) noexcept {
-  pool = std::move(other36.pool);
-  target = std::move(other36.target);
-  duration_ms = other36.duration_ms;
-  __isset = other36.__isset;
+RolloutOrder::RolloutOrder(RolloutOrder&& other40) noexcept {
+  pool = std::move(other40.pool);
+  target = std::move(other40.target);
+  duration_ms = other40.duration_ms;
+  __isset = other40.__isset;
 }
-RolloutOrder& RolloutOrder::operator=(const RolloutOrder& other37) {
-  pool = other37.pool;
-  target = other37.target;
-  duration_ms = other37.duration_ms;
-  __isset = other37.__isset;
+RolloutOrder& RolloutOrder::operator=(const RolloutOrder& other41) {
+  pool = other41.pool;
+  target = other41.target;
+  duration_ms = other41.duration_ms;
+  __isset = other41.__isset;
   return *this;
 }
-RolloutOrder& RolloutOrder::operator=(RolloutOrder&& other38) noexcept {
-  pool = std::move(other38.pool);
-  target = std::move(other38.target);
-  duration_ms = other38.duration_ms;
-  __isset = other38.__isset;
+RolloutOrder& RolloutOrder::operator=(RolloutOrder&& other42) noexcept {
+  pool = std::move(other42.pool);
+  target = std::move(other42.target);
+  duration_ms = other42.duration_ms;
+  __isset = other42.__isset;
   return *this;
 }
 void RolloutOrder::printTo(std::ostream& out) const {
@@ -1888,9 +2055,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast39;
-          xfer += iprot->readI32(ecast39);
-          this->stage = static_cast<RolloutStage::type>(ecast39);
+          int32_t ecast43;
+          xfer += iprot->readI32(ecast43);
+          this->stage = static_cast<RolloutStage::type>(ecast43);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1930,9 +2097,9 @@
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast40;
-          xfer += iprot->readI32(ecast40);
-          this->finding = static_cast<RolloutFinding::type>(ecast40);
+          int32_t ecast44;
+          xfer += iprot->readI32(ecast44);
+          this->finding = static_cast<RolloutFinding::type>(ecast44);
           this->__isset.finding = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2015,58 +2182,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Rollout::Rollout(const Rollout& other41) {
-  pool = other41.pool;
-  target = other41.target;
-  number = other41.number;
-  duration_ms = other41.duration_ms;
-  stage = other41.stage;
-  left_ms = other41.left_ms;
-  requests = other41.requests;
-  allowed = other41.allowed;
-  why = other41.why;
-  finding = other41.finding;
-  __isset = other41.__isset;
-}
-Rollout::Rollout(Rollout&& other42) noexcept {
-  pool = std::move(other42.pool);
-  target = std::move(other42.target);
-  number = other42.number;
-  duration_ms = other42.duration_ms;
-  stage = other42.stage;
-  left_ms = other42.left_ms;
-  requests = other42.requests;
-  allowed = other42.allowed;
-  why = std::move(other42.why);
-  finding = other42.finding;
-  __isset = other42.__isset;
-}
-Rollout& Rollout::operator=(const Rollout& other43) {
-  pool = other43.pool;
-  target = other43.target;
-  number = other43.number;
-  duration_ms = other43.duration_ms;
-  stage = other43.stage;
-  left_ms = other43.left_ms;
-  requests = other43.requests;
-  allowed = other43.allowed;
-  why = other43.why;
-  finding = other43.finding;
-  __isset = other43.__isset;
+Rollout::Rollout(const Rollout& other45) {
+  pool = other45.pool;
+  target = other45.target;
+  number = other45.number;
+  duration_ms = other45.duration_ms;
+  stage = other45.stage;
+  left_ms = other45.left_ms;
+  requests = other45.requests;
+  allowed = other45.allowed;
+  why = other45.why;
+  finding = other45.finding;
+  __isset = other45.__isset;
+}
+Rollout::Rollout(Rollout&& other46) noexcept {
+  pool = std::move(other46.pool);
+  target = std::move(other46.target);
+  number = other46.number;
+  duration_ms = other46.duration_ms;
+  stage = other46.stage;
+  left_ms = other46.left_ms;
+  requests = other46.requests;
+  allowed = other46.allowed;
+  why = std::move(other46.why);
+  finding = other46.finding;
+  __isset = other46.__isset;
+}
+Rollout& Rollout::operator=(const Rollout& other47) {
+  pool = other47.pool;
+  target = other47.target;
+  number = other47.number;
+  duration_ms = other47.duration_ms;
+  stage = other47.stage;
+  left_ms = other47.left_ms;
+  requests = other47.requests;
+  allowed = other47.allowed;
+  why = other47.why;
+  finding = other47.finding;
+  __isset = other47.__isset;
   return *this;
 }
-Rollout& Rollout::operator=(Rollout&& other44) noexcept {
-  pool = std::move(other44.pool);
-  target = std::move(other44.target);
-  number = other44.number;
-  duration_ms = other44.duration_ms;
-  stage = other44.stage;
-  left_ms = other44.left_ms;
-  requests = other44.requests;
-  allowed = other44.allowed;
-  why = std::move(other44.why);
-  finding = other44.finding;
-  __isset = other44.__isset;
+Rollout& Rollout::operator=(Rollout&& other48) noexcept {
+  pool = std::move(other48.pool);
+  target = std::move(other48.target);
+  number = other48.number;
+  duration_ms = other48.duration_ms;
+  stage = other48.stage;
+  left_ms = other48.left_ms;
+  requests = other48.requests;
+  allowed = other48.allowed;
+  why = std::move(other48.why);
+  finding = other48.finding;
+  __isset = other48.__isset;
   return *this;
 }
 void Rollout::printTo(std::ostream& out) const {
@@ -2167,9 +2334,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast45;
-          xfer += iprot->readI32(ecast45);
-          this->stage = static_cast<RolloutStage::type>(ecast45);
+          int32_t ecast49;
+          xfer += iprot->readI32(ecast49);
+          this->stage = static_cast<RolloutStage::type>(ecast49);
           this->__isset.stage = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2209,9 +2376,9 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast46;
-          xfer += iprot->readI32(ecast46);
-          this->finding = static_cast<RolloutFinding::type>(ecast46);
+          int32_t ecast50;
+          xfer += iprot->readI32(ecast50);
+          this->finding = static_cast<RolloutFinding::type>(ecast50);
           this->__isset.finding = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2284,50 +2451,50 @@
   swap(a.__isset, b.__isset);
 }
 
-RolloutStep::RolloutStep(const RolloutStep& other47) {
-  pool = other47.pool;
-  number = other47.number;
-  stage = other47.stage;
-  left_ms = other47.left_ms;
-  requests = other47.requests;
-  allowed = other47.allowed;
-  why = other47.why;
-  finding = other47.finding;
-  __isset = other47.__isset;
+RolloutStep::RolloutStep(const RolloutStep& other51) {
+  pool = other51.pool;
+  number = other51.number;
+  stage = other51.stage;
+  left_ms = other51.left_ms;
+  requests = other51.requests;
+  allowed = other51.allowed;
+  why = other51.why;
+  finding = other51.finding;
+  __isset = other51.__isset;
 }
-RolloutStep::RolloutStep(RolloutStep&& other48) noexcept {
-  pool = std::move(other48.pool);
-  number = other48.number;
-  stage = other48.stage;
-  left_ms = other48.left_ms;
-  requests = other48.requests;
-  allowed = other48.allowed;
-  why = std::move(other48.why);
-  finding = other48.finding;
-  __isset = other48.__isset;
+RolloutStep::RolloutStep(RolloutStep&& other52) noexcept {
+  pool = std::move(other52.pool);
+  number = other52.number;
+  stage = other52.stage;
+  left_ms = other52.left_ms;
+  requests = other52.requests;
+  allowed = other52.allowed;
+  why = std::move(other52.why);
+  finding = other52.finding;
+  __isset = other52.__isset;
 }
-RolloutStep& RolloutStep::operator=(const RolloutStep& other49) {
-  pool = other49.pool;
-  number = other49.number;
-  stage = other49.stage;
-  left_ms = other49.left_ms;
-  requests = other49.requests;
-  allowed = other49.allowed;
-  why = other49.why;
-  finding = other49.finding;
-  __isset = other49.__isset;
+RolloutStep& RolloutStep::operator=(const RolloutStep& other53) {
+  pool = other53.pool;
+  number = other53.number;
+  stage = other53.stage;
+  left_ms = other53.left_ms;
+  requests = other53.requests;
+  allowed = other53.allowed;
+  why = other53.why;
+  finding = other53.finding;
+  __isset = other53.__isset;
   return *this;
 }
-RolloutStep& RolloutStep::operator=(RolloutStep&& other50) noexcept {
-  pool = std::move(other50.pool);
-  number = other50.number;
-  stage = other50.stage;
-  left_ms = other50.left_ms;
-  requests = other50.requests;
-  allowed = other50.allowed;
-  why = std::move(other50.why);
-  finding = other50.finding;
-  __isset = other50.__isset;
+RolloutStep& RolloutStep::operator=(RolloutStep&& other54) noexcept {
+  pool = std::move(other54.pool);
+  number = other54.number;
+  stage = other54.stage;
+  left_ms = other54.left_ms;
+  requests = other54.requests;
+  allowed = other54.allowed;
+  why = std::move(other54.why);
+  finding = other54.finding;
+  __isset = other54.__isset;
   return *this;
 }
 void RolloutStep::printTo(std::ostream& out) const {
@@ -2437,26 +2604,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectPart::SuspectPart(const SuspectPart& other51) noexcept {
-  part = other51.part;
-  answered = other51.answered;
-  __isset = other51.__isset;
+SuspectPart::SuspectPart(const SuspectPart& other55) noexcept {
+  part = other55.part;
+  answered = other55.answered;
+  __isset = other55.__isset;
 }
-SuspectPart::SuspectPart(SuspectPart&& other52) noexcept {
-  part = other52.part;
-  answered = other52.answered;
-  __isset = other52.__isset;
+SuspectPart::SuspectPart(SuspectPart&& other56) noexcept {
+  part = other56.part;
+  answered = other56.answered;
+  __isset = other56.__isset;
 }
-SuspectPart& SuspectPart::operator=(const SuspectPart& other53) noexcept {
-  part = other53.part;
-  answered = other53.answered;
-  __isset = other53.__isset;
+SuspectPart& SuspectPart::operator=(const SuspectPart& other57) noexcept {
+  part = other57.part;
+  answered = other57.answered;
+  __isset = other57.__isset;
   return *this;
 }
-SuspectPart& SuspectPart::operator=(SuspectPart&& other54) noexcept {
-  part = other54.part;
-  answered = other54.answered;
-  __isset = other54.__isset;
+SuspectPart& SuspectPart::operator=(SuspectPart&& other58) noexcept {
+  part = other58.part;
+  answered = other58.answered;
+  __isset = other58.__isset;
   return *this;
 }
 void SuspectPart::printTo(std::ostream& out) const {
@@ -2535,14 +2702,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->running.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->running.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += iprot->readI64(this->running[_i59]);
+              xfer += iprot->readI64(this->running[_i63]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2555,14 +2722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cleared.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->cleared.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->cleared.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readI64(this->cleared[_i64]);
+              xfer += iprot->readI64(this->cleared[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2583,14 +2750,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->parts.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->parts.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->parts[_i69].read(iprot);
+              xfer += this->parts[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2603,14 +2770,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cleared_parts.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->cleared_parts.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->cleared_parts.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += iprot->readI64(this->cleared_parts[_i74]);
+              xfer += iprot->readI64(this->cleared_parts[_i78]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2643,10 +2810,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->running.size()));
-    std::vector<int64_t> ::const_iterator _iter75;
-    for (_iter75 = this->running.begin(); _iter75 != this->running.end(); ++_iter75)
+    std::vector<int64_t> ::const_iterator _iter79;
+    for (_iter79 = this->running.begin(); _iter79 != this->running.end(); ++_iter79)
     {
-      xfer += oprot->writeI64((*_iter75));
+      xfer += oprot->writeI64((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2655,10 +2822,10 @@
   xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared.size()));
-    std::vector<int64_t> ::const_iterator _iter76;
-    for (_iter76 = this->cleared.begin(); _iter76 != this->cleared.end(); ++_iter76)
+    std::vector<int64_t> ::const_iterator _iter80;
+    for (_iter80 = this->cleared.begin(); _iter80 != this->cleared.end(); ++_iter80)
     {
-      xfer += oprot->writeI64((*_iter76));
+      xfer += oprot->writeI64((*_iter80));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2671,10 +2838,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<SuspectPart> ::const_iterator _iter77;
-    for (_iter77 = this->parts.begin(); _iter77 != this->parts.end(); ++_iter77)
+    std::vector<SuspectPart> ::const_iterator _iter81;
+    for (_iter81 = this->parts.begin(); _iter81 != this->parts.end(); ++_iter81)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2683,10 +2850,10 @@
   xfer += oprot->writeFieldBegin("cleared_parts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->cleared_parts.size()));
-    std::vector<int64_t> ::const_iterator _iter78;
-    for (_iter78 = this->cleared_parts.begin(); _iter78 != this->cleared_parts.end(); ++_iter78)
+    std::vector<int64_t> ::const_iterator _iter82;
+    for (_iter82 = this->cleared_parts.begin(); _iter82 != this->cleared_parts.end(); ++_iter82)
     {
-      xfer += oprot->writeI64((*_iter78));
+      xfer += oprot->writeI64((*_iter82));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2708,42 +2875,42 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other79) {
-  process = other79.process;
-  running = other79.running;
-  cleared = other79.cleared;
-  now_ms = other79.now_ms;
-  parts = other79.parts;
-  cleared_parts = other79.cleared_parts;
-  __isset = other79.__isset;
-}
-CrashReport::CrashReport(CrashReport&& other80) noexcept {
-  process = other80.process;
-  running = std::move(other80.running);
-  cleared = std::move(other80.cleared);
-  now_ms = other80.now_ms;
-  parts = std::move(other80.parts);
-  cleared_parts = std::move(other80.cleared_parts);
-  __isset = other80.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other81) {
-  process = other81.process;
-  running = other81.running;
-  cleared = other81.cleared;
-  now_ms = other81.now_ms;
-  parts = other81.parts;
-  cleared_parts = other81.cleared_parts;
-  __isset = other81.__isset;
+CrashReport::CrashReport(const CrashReport& other83) {
+  process = other83.process;
+  running = other83.running;
+  cleared = other83.cleared;
+  now_ms = other83.now_ms;
+  parts = other83.parts;
+  cleared_parts = other83.cleared_parts;
+  __isset = other83.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other84) noexcept {
+  process = other84.process;
+  running = std::move(other84.running);
+  cleared = std::move(other84.cleared);
+  now_ms = other84.now_ms;
+  parts = std::move(other84.parts);
+  cleared_parts = std::move(other84.cleared_parts);
+  __isset = other84.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other85) {
+  process = other85.process;
+  running = other85.running;
+  cleared = other85.cleared;
+  now_ms = other85.now_ms;
+  parts = other85.parts;
+  cleared_parts = other85.cleared_parts;
+  __isset = other85.__isset;
   return *this;
 }
-CrashReport& CrashReport::operator=(CrashReport&& other82) noexcept {
-  process = other82.process;
-  running = std::move(other82.running);
-  cleared = std::move(other82.cleared);
-  now_ms = other82.now_ms;
-  parts = std::move(other82.parts);
-  cleared_parts = std::move(other82.cleared_parts);
-  __isset = other82.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other86) noexcept {
+  process = other86.process;
+  running = std::move(other86.running);
+  cleared = std::move(other86.cleared);
+  now_ms = other86.now_ms;
+  parts = std::move(other86.parts);
+  cleared_parts = std::move(other86.cleared_parts);
+  __isset = other86.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -2830,14 +2997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->crashes.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->crashes.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readI64(this->crashes[_i87]);
+              xfer += iprot->readI64(this->crashes[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2910,10 +3077,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<int64_t> ::const_iterator _iter88;
-    for (_iter88 = this->crashes.begin(); _iter88 != this->crashes.end(); ++_iter88)
+    std::vector<int64_t> ::const_iterator _iter92;
+    for (_iter92 = this->crashes.begin(); _iter92 != this->crashes.end(); ++_iter92)
     {
-      xfer += oprot->writeI64((*_iter88));
+      xfer += oprot->writeI64((*_iter92));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2956,46 +3123,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashSuspectState::CrashSuspectState(const CrashSuspectState& other89) {
-  fingerprint = other89.fingerprint;
-  crashes = other89.crashes;
-  last_ms = other89.last_ms;
-  is_part = other89.is_part;
-  first_ms = other89.first_ms;
-  answered = other89.answered;
-  ended_quarantines = other89.ended_quarantines;
-  __isset = other89.__isset;
-}
-CrashSuspectState::CrashSuspectState(CrashSuspectState&& other90) noexcept {
-  fingerprint = other90.fingerprint;
-  crashes = std::move(other90.crashes);
-  last_ms = other90.last_ms;
-  is_part = other90.is_part;
-  first_ms = other90.first_ms;
-  answered = other90.answered;
-  ended_quarantines = other90.ended_quarantines;
-  __isset = other90.__isset;
-}
-CrashSuspectState& CrashSuspectState::operator=(const CrashSuspectState& other91) {
-  fingerprint = other91.fingerprint;
-  crashes = other91.crashes;
-  last_ms = other91.last_ms;
-  is_part = other91.is_part;
-  first_ms = other91.first_ms;
-  answered = other91.answered;
-  ended_quarantines = other91.ended_quarantines;
-  __isset = other91.__isset;
+CrashSuspectState::CrashSuspectState(const CrashSuspectState& other93) {
+  fingerprint = other93.fingerprint;
+  crashes = other93.crashes;
+  last_ms = other93.last_ms;
+  is_part = other93.is_part;
+  first_ms = other93.first_ms;
+  answered = other93.answered;
+  ended_quarantines = other93.ended_quarantines;
+  __isset = other93.__isset;
+}
+CrashSuspectState::CrashSuspectState(CrashSuspectState&& other94) noexcept {
+  fingerprint = other94.fingerprint;
+  crashes = std::move(other94.crashes);
+  last_ms = other94.last_ms;
+  is_part = other94.is_part;
+  first_ms = other94.first_ms;
+  answered = other94.answered;
+  ended_quarantines = other94.ended_quarantines;
+  __isset = other94.__isset;
+}
+CrashSuspectState& CrashSuspectState::operator=(const CrashSuspectState& other95) {
+  fingerprint = other95.fingerprint;
+  crashes = other95.crashes;
+  last_ms = other95.last_ms;
+  is_part = other95.is_part;
+  first_ms = other95.first_ms;
+  answered = other95.answered;
+  ended_quarantines = other95.ended_quarantines;
+  __isset = other95.__isset;
   return *this;
 }
-CrashSuspectState& CrashSuspectState::operator=(CrashSuspectState&& other92) noexcept {
-  fingerprint = other92.fingerprint;
-  crashes = std::move(other92.crashes);
-  last_ms = other92.last_ms;
-  is_part = other92.is_part;
-  first_ms = other92.first_ms;
-  answered = other92.answered;
-  ended_quarantines = other92.ended_quarantines;
-  __isset = other92.__isset;
+CrashSuspectState& CrashSuspectState::operator=(CrashSuspectState&& other96) noexcept {
+  fingerprint = other96.fingerprint;
+  crashes = std::move(other96.crashes);
+  last_ms = other96.last_ms;
+  is_part = other96.is_part;
+  first_ms = other96.first_ms;
+  answered = other96.answered;
+  ended_quarantines = other96.ended_quarantines;
+  __isset = other96.__isset;
   return *this;
 }
 void CrashSuspectState::printTo(std::ostream& out) const {
@@ -3055,14 +3222,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->parts.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->parts.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readI64(this->parts[_i97]);
+              xfer += iprot->readI64(this->parts[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3099,10 +3266,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter98;
-    for (_iter98 = this->parts.begin(); _iter98 != this->parts.end(); ++_iter98)
+    std::vector<int64_t> ::const_iterator _iter102;
+    for (_iter102 = this->parts.begin(); _iter102 != this->parts.end(); ++_iter102)
     {
-      xfer += oprot->writeI64((*_iter98));
+      xfer += oprot->writeI64((*_iter102));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3124,26 +3291,26 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantinedParts::QuarantinedParts(const QuarantinedParts& other99) {
-  parts = other99.parts;
-  first_ms = other99.first_ms;
-  __isset = other99.__isset;
+QuarantinedParts::QuarantinedParts(const QuarantinedParts& other103) {
+  parts = other103.parts;
+  first_ms = other103.first_ms;
+  __isset = other103.__isset;
 }
-QuarantinedParts::QuarantinedParts(QuarantinedParts&& other100) noexcept {
-  parts = std::move(other100.parts);
-  first_ms = other100.first_ms;
-  __isset = other100.__isset;
+QuarantinedParts::QuarantinedParts(QuarantinedParts&& other104) noexcept {
+  parts = std::move(other104.parts);
+  first_ms = other104.first_ms;
+  __isset = other104.__isset;
 }
-QuarantinedParts& QuarantinedParts::operator=(const QuarantinedParts& other101) {
-  parts = other101.parts;
-  first_ms = other101.first_ms;
-  __isset = other101.__isset;
+QuarantinedParts& QuarantinedParts::operator=(const QuarantinedParts& other105) {
+  parts = other105.parts;
+  first_ms = other105.first_ms;
+  __isset = other105.__isset;
   return *this;
 }
-QuarantinedParts& QuarantinedParts::operator=(QuarantinedParts&& other102) noexcept {
-  parts = std::move(other102.parts);
-  first_ms = other102.first_ms;
-  __isset = other102.__isset;
+QuarantinedParts& QuarantinedParts::operator=(QuarantinedParts&& other106) noexcept {
+  parts = std::move(other106.parts);
+  first_ms = other106.first_ms;
+  __isset = other106.__isset;
   return *this;
 }
 void QuarantinedParts::printTo(std::ostream& out) const {
@@ -3247,26 +3414,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectKey::ObjectKey(const ObjectKey& other103) {
-  kind = other103.kind;
-  name = other103.name;
-  __isset = other103.__isset;
+ObjectKey::ObjectKey(const ObjectKey& other107) {
+  kind = other107.kind;
+  name = other107.name;
+  __isset = other107.__isset;
 }
-ObjectKey::ObjectKey(ObjectKey&& other104) noexcept {
-  kind = std::move(other104.kind);
-  name = std::move(other104.name);
-  __isset = other104.__isset;
+ObjectKey::ObjectKey(ObjectKey&& other108) noexcept {
+  kind = std::move(other108.kind);
+  name = std::move(other108.name);
+  __isset = other108.__isset;
 }
-ObjectKey& ObjectKey::operator=(const ObjectKey& other105) {
-  kind = other105.kind;
-  name = other105.name;
-  __isset = other105.__isset;
+ObjectKey& ObjectKey::operator=(const ObjectKey& other109) {
+  kind = other109.kind;
+  name = other109.name;
+  __isset = other109.__isset;
   return *this;
 }
-ObjectKey& ObjectKey::operator=(ObjectKey&& other106) noexcept {
-  kind = std::move(other106.kind);
-  name = std::move(other106.name);
-  __isset = other106.__isset;
+ObjectKey& ObjectKey::operator=(ObjectKey&& other110) noexcept {
+  kind = std::move(other110.kind);
+  name = std::move(other110.name);
+  __isset = other110.__isset;
   return *this;
 }
 void ObjectKey::printTo(std::ostream& out) const {
@@ -3387,30 +3554,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectText::ObjectText(const ObjectText& other107) {
-  kind = other107.kind;
-  name = other107.name;
-  body = other107.body;
-  __isset = other107.__isset;
+ObjectText::ObjectText(const ObjectText& other111) {
+  kind = other111.kind;
+  name = other111.name;
+  body = other111.body;
+  __isset = other111.__isset;
 }
-ObjectText::ObjectText(ObjectText&& other108) noexcept {
-  kind = std::move(other108.kind);
-  name = std::move(other108.name);
-  body = std::move(other108.body);
-  __isset = other108.__isset;
+ObjectText::ObjectText(ObjectText&& other112) noexcept {
+  kind = std::move(other112.kind);
+  name = std::move(other112.name);
+  body = std::move(other112.body);
+  __isset = other112.__isset;
 }
-ObjectText& ObjectText::operator=(const ObjectText& other109) {
-  kind = other109.kind;
-  name = other109.name;
-  body = other109.body;
-  __isset = other109.__isset;
+ObjectText& ObjectText::operator=(const ObjectText& other113) {
+  kind = other113.kind;
+  name = other113.name;
+  body = other113.body;
+  __isset = other113.__isset;
   return *this;
 }
-ObjectText& ObjectText::operator=(ObjectText&& other110) noexcept {
-  kind = std::move(other110.kind);
-  name = std::move(other110.name);
-  body = std::move(other110.body);
-  __isset = other110.__isset;
+ObjectText& ObjectText::operator=(ObjectText&& other114) noexcept {
+  kind = std::move(other114.kind);
+  name = std::move(other114.name);
+  body = std::move(other114.body);
+  __isset = other114.__isset;
   return *this;
 }
 void ObjectText::printTo(std::ostream& out) const {
@@ -3502,14 +3669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->upserts.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->upserts.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->upserts[_i115].read(iprot);
+              xfer += this->upserts[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3522,14 +3689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->removals.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->removals.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->removals[_i120].read(iprot);
+              xfer += this->removals[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3570,10 +3737,10 @@
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter121;
-    for (_iter121 = this->upserts.begin(); _iter121 != this->upserts.end(); ++_iter121)
+    std::vector<ObjectText> ::const_iterator _iter125;
+    for (_iter125 = this->upserts.begin(); _iter125 != this->upserts.end(); ++_iter125)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3582,10 +3749,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter122;
-    for (_iter122 = this->removals.begin(); _iter122 != this->removals.end(); ++_iter122)
+    std::vector<ObjectKey> ::const_iterator _iter126;
+    for (_iter126 = this->removals.begin(); _iter126 != this->removals.end(); ++_iter126)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3606,38 +3773,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigChange::ConfigChange(const ConfigChange& other123) {
-  change_id = other123.change_id;
-  base_version = other123.base_version;
-  author = other123.author;
-  upserts = other123.upserts;
-  removals = other123.removals;
-  __isset = other123.__isset;
-}
-ConfigChange::ConfigChange(ConfigChange&& other124) noexcept {
-  change_id = std::move(other124.change_id);
-  base_version = other124.base_version;
-  author = std::move(other124.author);
-  upserts = std::move(other124.upserts);
-  removals = std::move(other124.removals);
-  __isset = other124.__isset;
-}
-ConfigChange& ConfigChange::operator=(const ConfigChange& other125) {
-  change_id = other125.change_id;
-  base_version = other125.base_version;
-  author = other125.author;
-  upserts = other125.upserts;
-  removals = other125.removals;
-  __isset = other125.__isset;
+ConfigChange::ConfigChange(const ConfigChange& other127) {
+  change_id = other127.change_id;
+  base_version = other127.base_version;
+  author = other127.author;
+  upserts = other127.upserts;
+  removals = other127.removals;
+  __isset = other127.__isset;
+}
+ConfigChange::ConfigChange(ConfigChange&& other128) noexcept {
+  change_id = std::move(other128.change_id);
+  base_version = other128.base_version;
+  author = std::move(other128.author);
+  upserts = std::move(other128.upserts);
+  removals = std::move(other128.removals);
+  __isset = other128.__isset;
+}
+ConfigChange& ConfigChange::operator=(const ConfigChange& other129) {
+  change_id = other129.change_id;
+  base_version = other129.base_version;
+  author = other129.author;
+  upserts = other129.upserts;
+  removals = other129.removals;
+  __isset = other129.__isset;
   return *this;
 }
-ConfigChange& ConfigChange::operator=(ConfigChange&& other126) noexcept {
-  change_id = std::move(other126.change_id);
-  base_version = other126.base_version;
-  author = std::move(other126.author);
-  upserts = std::move(other126.upserts);
-  removals = std::move(other126.removals);
-  __isset = other126.__isset;
+ConfigChange& ConfigChange::operator=(ConfigChange&& other130) noexcept {
+  change_id = std::move(other130.change_id);
+  base_version = other130.base_version;
+  author = std::move(other130.author);
+  upserts = std::move(other130.upserts);
+  removals = std::move(other130.removals);
+  __isset = other130.__isset;
   return *this;
 }
 void ConfigChange::printTo(std::ostream& out) const {
@@ -3761,30 +3928,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigOutcome::ConfigOutcome(const ConfigOutcome& other127) {
-  code = other127.code;
-  version = other127.version;
-  message = other127.message;
-  __isset = other127.__isset;
+ConfigOutcome::ConfigOutcome(const ConfigOutcome& other131) {
+  code = other131.code;
+  version = other131.version;
+  message = other131.message;
+  __isset = other131.__isset;
 }
-ConfigOutcome::ConfigOutcome(ConfigOutcome&& other128) noexcept {
-  code = other128.code;
-  version = other128.version;
-  message = std::move(other128.message);
-  __isset = other128.__isset;
+ConfigOutcome::ConfigOutcome(ConfigOutcome&& other132) noexcept {
+  code = other132.code;
+  version = other132.version;
+  message = std::move(other132.message);
+  __isset = other132.__isset;
 }
-ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other129) {
-  code = other129.code;
-  version = other129.version;
-  message = other129.message;
-  __isset = other129.__isset;
+ConfigOutcome& ConfigOutcome::operator=(const ConfigOutcome& other133) {
+  code = other133.code;
+  version = other133.version;
+  message = other133.message;
+  __isset = other133.__isset;
   return *this;
 }
-ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other130) noexcept {
-  code = other130.code;
-  version = other130.version;
-  message = std::move(other130.message);
-  __isset = other130.__isset;
+ConfigOutcome& ConfigOutcome::operator=(ConfigOutcome&& other134) noexcept {
+  code = other134.code;
+  version = other134.version;
+  message = std::move(other134.message);
+  __isset = other134.__isset;
   return *this;
 }
 void ConfigOutcome::printTo(std::ostream& out) const {
@@ -3913,14 +4080,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upserts.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->upserts.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->upserts.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += this->upserts[_i135].read(iprot);
+              xfer += this->upserts[_i139].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3933,14 +4100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->removals.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->removals.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->removals[_i140].read(iprot);
+              xfer += this->removals[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3953,14 +4120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->steps.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->steps.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->steps[_i145].read(iprot);
+              xfer += this->steps[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3973,14 +4140,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->servers.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->servers.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->servers[_i150].read(iprot);
+              xfer += this->servers[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4025,14 +4192,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->evacuations.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->evacuations.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += this->evacuations[_i155].read(iprot);
+              xfer += this->evacuations[_i159].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4045,14 +4212,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->quarantined.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->quarantined.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += iprot->readI64(this->quarantined[_i160]);
+              xfer += iprot->readI64(this->quarantined[_i164]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4065,14 +4232,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantined_parts.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->quarantined_parts.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->quarantined_parts.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->quarantined_parts[_i165].read(iprot);
+              xfer += this->quarantined_parts[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4113,10 +4280,10 @@
   xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upserts.size()));
-    std::vector<ObjectText> ::const_iterator _iter166;
-    for (_iter166 = this->upserts.begin(); _iter166 != this->upserts.end(); ++_iter166)
+    std::vector<ObjectText> ::const_iterator _iter170;
+    for (_iter170 = this->upserts.begin(); _iter170 != this->upserts.end(); ++_iter170)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter170).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4125,10 +4292,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<ObjectKey> ::const_iterator _iter167;
-    for (_iter167 = this->removals.begin(); _iter167 != this->removals.end(); ++_iter167)
+    std::vector<ObjectKey> ::const_iterator _iter171;
+    for (_iter171 = this->removals.begin(); _iter171 != this->removals.end(); ++_iter171)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4137,10 +4304,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter168;
-    for (_iter168 = this->servers.begin(); _iter168 != this->servers.end(); ++_iter168)
+    std::vector<ServerRecord> ::const_iterator _iter172;
+    for (_iter172 = this->servers.begin(); _iter172 != this->servers.end(); ++_iter172)
     {
-      xfer += (*_iter168).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4165,10 +4332,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<Evacuation> ::const_iterator _iter169;
-    for (_iter169 = this->evacuations.begin(); _iter169 != this->evacuations.end(); ++_iter169)
+    std::vector<Evacuation> ::const_iterator _iter173;
+    for (_iter173 = this->evacuations.begin(); _iter173 != this->evacuations.end(); ++_iter173)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4177,10 +4344,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<DocumentChange> ::const_iterator _iter170;
-    for (_iter170 = this->steps.begin(); _iter170 != this->steps.end(); ++_iter170)
+    std::vector<DocumentChange> ::const_iterator _iter174;
+    for (_iter174 = this->steps.begin(); _iter174 != this->steps.end(); ++_iter174)
     {
-      xfer += (*_iter170).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4190,10 +4357,10 @@
     xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->quarantined.size()));
-      std::vector<int64_t> ::const_iterator _iter171;
-      for (_iter171 = this->quarantined.begin(); _iter171 != this->quarantined.end(); ++_iter171)
+      std::vector<int64_t> ::const_iterator _iter175;
+      for (_iter175 = this->quarantined.begin(); _iter175 != this->quarantined.end(); ++_iter175)
       {
-        xfer += oprot->writeI64((*_iter171));
+        xfer += oprot->writeI64((*_iter175));
       }
       xfer += oprot->writeListEnd();
     }
@@ -4202,10 +4369,10 @@
   xfer += oprot->writeFieldBegin("quarantined_parts", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantined_parts.size()));
-    std::vector<QuarantinedParts> ::const_iterator _iter172;
-    for (_iter172 = this->quarantined_parts.begin(); _iter172 != this->quarantined_parts.end(); ++_iter172)
+    std::vector<QuarantinedParts> ::const_iterator _iter176;
+    for (_iter176 = this->quarantined_parts.begin(); _iter176 != this->quarantined_parts.end(); ++_iter176)
     {
-      xfer += (*_iter172).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4235,74 +4402,74 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other173) {
-  from_version = other173.from_version;
-  to_version = other173.to_version;
-  whole = other173.whole;
-  upserts = other173.upserts;
-  removals = other173.removals;
-  steps = other173.steps;
-  servers = other173.servers;
-  servers_index = other173.servers_index;
-  leader_term = other173.leader_term;
-  leader_address = other173.leader_address;
-  leader_port = other173.leader_port;
-  evacuations = other173.evacuations;
-  quarantined = other173.quarantined;
-  quarantined_parts = other173.quarantined_parts;
-  __isset = other173.__isset;
-}
-ConfigDelta::ConfigDelta(ConfigDelta&& other174) noexcept {
-  from_version = other174.from_version;
-  to_version = other174.to_version;
-  whole = other174.whole;
-  upserts = std::move(other174.upserts);
-  removals = std::move(other174.removals);
-  steps = std::move(other174.steps);
-  servers = std::move(other174.servers);
-  servers_index = other174.servers_index;
-  leader_term = other174.leader_term;
-  leader_address = std::move(other174.leader_address);
-  leader_port = other174.leader_port;
-  evacuations = std::move(other174.evacuations);
-  quarantined = std::move(other174.quarantined);
-  quarantined_parts = std::move(other174.quarantined_parts);
-  __isset = other174.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other175) {
-  from_version = other175.from_version;
-  to_version = other175.to_version;
-  whole = other175.whole;
-  upserts = other175.upserts;
-  removals = other175.removals;
-  steps = other175.steps;
-  servers = other175.servers;
-  servers_index = other175.servers_index;
-  leader_term = other175.leader_term;
-  leader_address = other175.leader_address;
-  leader_port = other175.leader_port;
-  evacuations = other175.evacuations;
-  quarantined = other175.quarantined;
-  quarantined_parts = other175.quarantined_parts;
-  __isset = other175.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other177) {
+  from_version = other177.from_version;
+  to_version = other177.to_version;
+  whole = other177.whole;
+  upserts = other177.upserts;
+  removals = other177.removals;
+  steps = other177.steps;
+  servers = other177.servers;
+  servers_index = other177.servers_index;
+  leader_term = other177.leader_term;
+  leader_address = other177.leader_address;
+  leader_port = other177.leader_port;
+  evacuations = other177.evacuations;
+  quarantined = other177.quarantined;
+  quarantined_parts = other177.quarantined_parts;
+  __isset = other177.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other178) noexcept {
+  from_version = other178.from_version;
+  to_version = other178.to_version;
+  whole = other178.whole;
+  upserts = std::move(other178.upserts);
+  removals = std::move(other178.removals);
+  steps = std::move(other178.steps);
+  servers = std::move(other178.servers);
+  servers_index = other178.servers_index;
+  leader_term = other178.leader_term;
+  leader_address = std::move(other178.leader_address);
+  leader_port = other178.leader_port;
+  evacuations = std::move(other178.evacuations);
+  quarantined = std::move(other178.quarantined);
+  quarantined_parts = std::move(other178.quarantined_parts);
+  __isset = other178.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other179) {
+  from_version = other179.from_version;
+  to_version = other179.to_version;
+  whole = other179.whole;
+  upserts = other179.upserts;
+  removals = other179.removals;
+  steps = other179.steps;
+  servers = other179.servers;
+  servers_index = other179.servers_index;
+  leader_term = other179.leader_term;
+  leader_address = other179.leader_address;
+  leader_port = other179.leader_port;
+  evacuations = other179.evacuations;
+  quarantined = other179.quarantined;
+  quarantined_parts = other179.quarantined_parts;
+  __isset = other179.__isset;
   return *this;
 }
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other176) noexcept {
-  from_version = other176.from_version;
-  to_version = other176.to_version;
-  whole = other176.whole;
-  upserts = std::move(other176.upserts);
-  removals = std::move(other176.removals);
-  steps = std::move(other176.steps);
-  servers = std::move(other176.servers);
-  servers_index = other176.servers_index;
-  leader_term = other176.leader_term;
-  leader_address = std::move(other176.leader_address);
-  leader_port = other176.leader_port;
-  evacuations = std::move(other176.evacuations);
-  quarantined = std::move(other176.quarantined);
-  quarantined_parts = std::move(other176.quarantined_parts);
-  __isset = other176.__isset;
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other180) noexcept {
+  from_version = other180.from_version;
+  to_version = other180.to_version;
+  whole = other180.whole;
+  upserts = std::move(other180.upserts);
+  removals = std::move(other180.removals);
+  steps = std::move(other180.steps);
+  servers = std::move(other180.servers);
+  servers_index = other180.servers_index;
+  leader_term = other180.leader_term;
+  leader_address = std::move(other180.leader_address);
+  leader_port = other180.leader_port;
+  evacuations = std::move(other180.evacuations);
+  quarantined = std::move(other180.quarantined);
+  quarantined_parts = std::move(other180.quarantined_parts);
+  __isset = other180.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -4469,38 +4636,38 @@
   swap(a.__isset, b.__isset);
 }
 
-HistoryRow::HistoryRow(const HistoryRow& other177) {
-  version = other177.version;
-  change_id = other177.change_id;
-  author = other177.author;
-  upserts = other177.upserts;
-  removals = other177.removals;
-  __isset = other177.__isset;
+HistoryRow::HistoryRow(const HistoryRow& other181) {
+  version = other181.version;
+  change_id = other181.change_id;
+  author = other181.author;
+  upserts = other181.upserts;
+  removals = other181.removals;
+  __isset = other181.__isset;
 }
-HistoryRow::HistoryRow(HistoryRow&& other178) noexcept {
-  version = other178.version;
-  change_id = std::move(other178.change_id);
-  author = std::move(other178.author);
-  upserts = other178.upserts;
-  removals = other178.removals;
-  __isset = other178.__isset;
+HistoryRow::HistoryRow(HistoryRow&& other182) noexcept {
+  version = other182.version;
+  change_id = std::move(other182.change_id);
+  author = std::move(other182.author);
+  upserts = other182.upserts;
+  removals = other182.removals;
+  __isset = other182.__isset;
 }
-HistoryRow& HistoryRow::operator=(const HistoryRow& other179) {
-  version = other179.version;
-  change_id = other179.change_id;
-  author = other179.author;
-  upserts = other179.upserts;
-  removals = other179.removals;
-  __isset = other179.__isset;
+HistoryRow& HistoryRow::operator=(const HistoryRow& other183) {
+  version = other183.version;
+  change_id = other183.change_id;
+  author = other183.author;
+  upserts = other183.upserts;
+  removals = other183.removals;
+  __isset = other183.__isset;
   return *this;
 }
-HistoryRow& HistoryRow::operator=(HistoryRow&& other180) noexcept {
-  version = other180.version;
-  change_id = std::move(other180.change_id);
-  author = std::move(other180.author);
-  upserts = other180.upserts;
-  removals = other180.removals;
-  __isset = other180.__isset;
+HistoryRow& HistoryRow::operator=(HistoryRow&& other184) noexcept {
+  version = other184.version;
+  change_id = std::move(other184.change_id);
+  author = std::move(other184.author);
+  upserts = other184.upserts;
+  removals = other184.removals;
+  __isset = other184.__isset;
   return *this;
 }
 void HistoryRow::printTo(std::ostream& out) const {
@@ -4641,34 +4808,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other181) {
-  status = other181.status;
-  content_type = other181.content_type;
-  body = other181.body;
-  kept = other181.kept;
-  __isset = other181.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other185) {
+  status = other185.status;
+  content_type = other185.content_type;
+  body = other185.body;
+  kept = other185.kept;
+  __isset = other185.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other182) noexcept {
-  status = other182.status;
-  content_type = std::move(other182.content_type);
-  body = std::move(other182.body);
-  kept = other182.kept;
-  __isset = other182.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other186) noexcept {
+  status = other186.status;
+  content_type = std::move(other186.content_type);
+  body = std::move(other186.body);
+  kept = other186.kept;
+  __isset = other186.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other183) {
-  status = other183.status;
-  content_type = other183.content_type;
-  body = other183.body;
-  kept = other183.kept;
-  __isset = other183.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other187) {
+  status = other187.status;
+  content_type = other187.content_type;
+  body = other187.body;
+  kept = other187.kept;
+  __isset = other187.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other184) noexcept {
-  status = other184.status;
-  content_type = std::move(other184.content_type);
-  body = std::move(other184.body);
-  kept = other184.kept;
-  __isset = other184.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other188) noexcept {
+  status = other188.status;
+  content_type = std::move(other188.content_type);
+  body = std::move(other188.body);
+  kept = other188.kept;
+  __isset = other188.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -4859,46 +5026,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerClaim::LedgerClaim(const LedgerClaim& other185) {
-  key = other185.key;
-  owner = other185.owner;
-  fingerprint = other185.fingerprint;
-  now_ms = other185.now_ms;
-  retention_ms = other185.retention_ms;
-  rerun_unknown = other185.rerun_unknown;
-  ref = other185.ref;
-  __isset = other185.__isset;
-}
-LedgerClaim::LedgerClaim(LedgerClaim&& other186) noexcept {
-  key = std::move(other186.key);
-  owner = std::move(other186.owner);
-  fingerprint = other186.fingerprint;
-  now_ms = other186.now_ms;
-  retention_ms = other186.retention_ms;
-  rerun_unknown = other186.rerun_unknown;
-  ref = other186.ref;
-  __isset = other186.__isset;
+LedgerClaim::LedgerClaim(const LedgerClaim& other189) {
+  key = other189.key;
+  owner = other189.owner;
+  fingerprint = other189.fingerprint;
+  now_ms = other189.now_ms;
+  retention_ms = other189.retention_ms;
+  rerun_unknown = other189.rerun_unknown;
+  ref = other189.ref;
+  __isset = other189.__isset;
+}
+LedgerClaim::LedgerClaim(LedgerClaim&& other190) noexcept {
+  key = std::move(other190.key);
+  owner = std::move(other190.owner);
+  fingerprint = other190.fingerprint;
+  now_ms = other190.now_ms;
+  retention_ms = other190.retention_ms;
+  rerun_unknown = other190.rerun_unknown;
+  ref = other190.ref;
+  __isset = other190.__isset;
 }
-LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other187) {
-  key = other187.key;
-  owner = other187.owner;
-  fingerprint = other187.fingerprint;
-  now_ms = other187.now_ms;
-  retention_ms = other187.retention_ms;
-  rerun_unknown = other187.rerun_unknown;
-  ref = other187.ref;
-  __isset = other187.__isset;
+LedgerClaim& LedgerClaim::operator=(const LedgerClaim& other191) {
+  key = other191.key;
+  owner = other191.owner;
+  fingerprint = other191.fingerprint;
+  now_ms = other191.now_ms;
+  retention_ms = other191.retention_ms;
+  rerun_unknown = other191.rerun_unknown;
+  ref = other191.ref;
+  __isset = other191.__isset;
   return *this;
 }
-LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other188) noexcept {
-  key = std::move(other188.key);
-  owner = std::move(other188.owner);
-  fingerprint = other188.fingerprint;
-  now_ms = other188.now_ms;
-  retention_ms = other188.retention_ms;
-  rerun_unknown = other188.rerun_unknown;
-  ref = other188.ref;
-  __isset = other188.__isset;
+LedgerClaim& LedgerClaim::operator=(LedgerClaim&& other192) noexcept {
+  key = std::move(other192.key);
+  owner = std::move(other192.owner);
+  fingerprint = other192.fingerprint;
+  now_ms = other192.now_ms;
+  retention_ms = other192.retention_ms;
+  rerun_unknown = other192.rerun_unknown;
+  ref = other192.ref;
+  __isset = other192.__isset;
   return *this;
 }
 void LedgerClaim::printTo(std::ostream& out) const {
@@ -4956,9 +5123,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast189;
-          xfer += iprot->readI32(ecast189);
-          this->verdict = static_cast<ClaimVerdict::type>(ecast189);
+          int32_t ecast193;
+          xfer += iprot->readI32(ecast193);
+          this->verdict = static_cast<ClaimVerdict::type>(ecast193);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5009,26 +5176,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimResult::ClaimResult(const ClaimResult& other190) {
-  verdict = other190.verdict;
-  answer = other190.answer;
-  __isset = other190.__isset;
+ClaimResult::ClaimResult(const ClaimResult& other194) {
+  verdict = other194.verdict;
+  answer = other194.answer;
+  __isset = other194.__isset;
 }
-ClaimResult::ClaimResult(ClaimResult&& other191) noexcept {
-  verdict = other191.verdict;
-  answer = std::move(other191.answer);
-  __isset = other191.__isset;
+ClaimResult::ClaimResult(ClaimResult&& other195) noexcept {
+  verdict = other195.verdict;
+  answer = std::move(other195.answer);
+  __isset = other195.__isset;
 }
-ClaimResult& ClaimResult::operator=(const ClaimResult& other192) {
-  verdict = other192.verdict;
-  answer = other192.answer;
-  __isset = other192.__isset;
+ClaimResult& ClaimResult::operator=(const ClaimResult& other196) {
+  verdict = other196.verdict;
+  answer = other196.answer;
+  __isset = other196.__isset;
   return *this;
 }
-ClaimResult& ClaimResult::operator=(ClaimResult&& other193) noexcept {
-  verdict = other193.verdict;
-  answer = std::move(other193.answer);
-  __isset = other193.__isset;
+ClaimResult& ClaimResult::operator=(ClaimResult&& other197) noexcept {
+  verdict = other197.verdict;
+  answer = std::move(other197.answer);
+  __isset = other197.__isset;
   return *this;
 }
 void ClaimResult::printTo(std::ostream& out) const {
@@ -5109,9 +5276,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast194;
-          xfer += iprot->readI32(ecast194);
-          this->kind = static_cast<FinishKind::type>(ecast194);
+          int32_t ecast198;
+          xfer += iprot->readI32(ecast198);
+          this->kind = static_cast<FinishKind::type>(ecast198);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5185,38 +5352,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LedgerFinish::LedgerFinish(const LedgerFinish& other195) {
-  key = other195.key;
-  owner = other195.owner;
-  kind = other195.kind;
-  answer = other195.answer;
-  ref = other195.ref;
-  __isset = other195.__isset;
+LedgerFinish::LedgerFinish(const LedgerFinish& other199) {
+  key = other199.key;
+  owner = other199.owner;
+  kind = other199.kind;
+  answer = other199.answer;
+  ref = other199.ref;
+  __isset = other199.__isset;
 }
-LedgerFinish::LedgerFinish(LedgerFinish&& other196) noexcept {
-  key = std::move(other196.key);
-  owner = std::move(other196.owner);
-  kind = other196.kind;
-  answer = std::move(other196.answer);
-  ref = other196.ref;
-  __isset = other196.__isset;
+LedgerFinish::LedgerFinish(LedgerFinish&& other200) noexcept {
+  key = std::move(other200.key);
+  owner = std::move(other200.owner);
+  kind = other200.kind;
+  answer = std::move(other200.answer);
+  ref = other200.ref;
+  __isset = other200.__isset;
 }
-LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other197) {
-  key = other197.key;
-  owner = other197.owner;
-  kind = other197.kind;
-  answer = other197.answer;
-  ref = other197.ref;
-  __isset = other197.__isset;
+LedgerFinish& LedgerFinish::operator=(const LedgerFinish& other201) {
+  key = other201.key;
+  owner = other201.owner;
+  kind = other201.kind;
+  answer = other201.answer;
+  ref = other201.ref;
+  __isset = other201.__isset;
   return *this;
 }
-LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other198) noexcept {
-  key = std::move(other198.key);
-  owner = std::move(other198.owner);
-  kind = other198.kind;
-  answer = std::move(other198.answer);
-  ref = other198.ref;
-  __isset = other198.__isset;
+LedgerFinish& LedgerFinish::operator=(LedgerFinish&& other202) noexcept {
+  key = std::move(other202.key);
+  owner = std::move(other202.owner);
+  kind = other202.kind;
+  answer = std::move(other202.answer);
+  ref = other202.ref;
+  __isset = other202.__isset;
   return *this;
 }
 void LedgerFinish::printTo(std::ostream& out) const {
@@ -5374,38 +5541,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaseGrant::LeaseGrant(const LeaseGrant& other199) {
-  lease = other199.lease;
-  holder = other199.holder;
-  address = other199.address;
-  port = other199.port;
-  epoch = other199.epoch;
-  __isset = other199.__isset;
+LeaseGrant::LeaseGrant(const LeaseGrant& other203) {
+  lease = other203.lease;
+  holder = other203.holder;
+  address = other203.address;
+  port = other203.port;
+  epoch = other203.epoch;
+  __isset = other203.__isset;
 }
-LeaseGrant::LeaseGrant(LeaseGrant&& other200) noexcept {
-  lease = std::move(other200.lease);
-  holder = std::move(other200.holder);
-  address = std::move(other200.address);
-  port = other200.port;
-  epoch = other200.epoch;
-  __isset = other200.__isset;
+LeaseGrant::LeaseGrant(LeaseGrant&& other204) noexcept {
+  lease = std::move(other204.lease);
+  holder = std::move(other204.holder);
+  address = std::move(other204.address);
+  port = other204.port;
+  epoch = other204.epoch;
+  __isset = other204.__isset;
 }
-LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other201) {
-  lease = other201.lease;
-  holder = other201.holder;
-  address = other201.address;
-  port = other201.port;
-  epoch = other201.epoch;
-  __isset = other201.__isset;
+LeaseGrant& LeaseGrant::operator=(const LeaseGrant& other205) {
+  lease = other205.lease;
+  holder = other205.holder;
+  address = other205.address;
+  port = other205.port;
+  epoch = other205.epoch;
+  __isset = other205.__isset;
   return *this;
 }
-LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other202) noexcept {
-  lease = std::move(other202.lease);
-  holder = std::move(other202.holder);
-  address = std::move(other202.address);
-  port = other202.port;
-  epoch = other202.epoch;
-  __isset = other202.__isset;
+LeaseGrant& LeaseGrant::operator=(LeaseGrant&& other206) noexcept {
+  lease = std::move(other206.lease);
+  holder = std::move(other206.holder);
+  address = std::move(other206.address);
+  port = other206.port;
+  epoch = other206.epoch;
+  __isset = other206.__isset;
   return *this;
 }
 void LeaseGrant::printTo(std::ostream& out) const {
@@ -5495,22 +5662,22 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceGone::InstanceGone(const InstanceGone& other203) {
-  incarnation = other203.incarnation;
-  __isset = other203.__isset;
+InstanceGone::InstanceGone(const InstanceGone& other207) {
+  incarnation = other207.incarnation;
+  __isset = other207.__isset;
 }
-InstanceGone::InstanceGone(InstanceGone&& other204) noexcept {
-  incarnation = std::move(other204.incarnation);
-  __isset = other204.__isset;
+InstanceGone::InstanceGone(InstanceGone&& other208) noexcept {
+  incarnation = std::move(other208.incarnation);
+  __isset = other208.__isset;
 }
-InstanceGone& InstanceGone::operator=(const InstanceGone& other205) {
-  incarnation = other205.incarnation;
-  __isset = other205.__isset;
+InstanceGone& InstanceGone::operator=(const InstanceGone& other209) {
+  incarnation = other209.incarnation;
+  __isset = other209.__isset;
   return *this;
 }
-InstanceGone& InstanceGone::operator=(InstanceGone&& other206) noexcept {
-  incarnation = std::move(other206.incarnation);
-  __isset = other206.__isset;
+InstanceGone& InstanceGone::operator=(InstanceGone&& other210) noexcept {
+  incarnation = std::move(other210.incarnation);
+  __isset = other210.__isset;
   return *this;
 }
 void InstanceGone::printTo(std::ostream& out) const {
@@ -5715,50 +5882,50 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberInfo::MemberInfo(const MemberInfo& other207) {
-  id = other207.id;
-  name = other207.name;
-  address = other207.address;
-  port = other207.port;
-  voter = other207.voter;
-  data_centre = other207.data_centre;
-  leaving = other207.leaving;
-  joining = other207.joining;
-  __isset = other207.__isset;
-}
-MemberInfo::MemberInfo(MemberInfo&& other208) noexcept {
-  id = other208.id;
-  name = std::move(other208.name);
-  address = std::move(other208.address);
-  port = other208.port;
-  voter = other208.voter;
-  data_centre = std::move(other208.data_centre);
-  leaving = other208.leaving;
-  joining = other208.joining;
-  __isset = other208.__isset;
-}
-MemberInfo& MemberInfo::operator=(const MemberInfo& other209) {
-  id = other209.id;
-  name = other209.name;
-  address = other209.address;
-  port = other209.port;
-  voter = other209.voter;
-  data_centre = other209.data_centre;
-  leaving = other209.leaving;
-  joining = other209.joining;
-  __isset = other209.__isset;
+MemberInfo::MemberInfo(const MemberInfo& other211) {
+  id = other211.id;
+  name = other211.name;
+  address = other211.address;
+  port = other211.port;
+  voter = other211.voter;
+  data_centre = other211.data_centre;
+  leaving = other211.leaving;
+  joining = other211.joining;
+  __isset = other211.__isset;
+}
+MemberInfo::MemberInfo(MemberInfo&& other212) noexcept {
+  id = other212.id;
+  name = std::move(other212.name);
+  address = std::move(other212.address);
+  port = other212.port;
+  voter = other212.voter;
+  data_centre = std::move(other212.data_centre);
+  leaving = other212.leaving;
+  joining = other212.joining;
+  __isset = other212.__isset;
+}
+MemberInfo& MemberInfo::operator=(const MemberInfo& other213) {
+  id = other213.id;
+  name = other213.name;
+  address = other213.address;
+  port = other213.port;
+  voter = other213.voter;
+  data_centre = other213.data_centre;
+  leaving = other213.leaving;
+  joining = other213.joining;
+  __isset = other213.__isset;
   return *this;
 }
-MemberInfo& MemberInfo::operator=(MemberInfo&& other210) noexcept {
-  id = other210.id;
-  name = std::move(other210.name);
-  address = std::move(other210.address);
-  port = other210.port;
-  voter = other210.voter;
-  data_centre = std::move(other210.data_centre);
-  leaving = other210.leaving;
-  joining = other210.joining;
-  __isset = other210.__isset;
+MemberInfo& MemberInfo::operator=(MemberInfo&& other214) noexcept {
+  id = other214.id;
+  name = std::move(other214.name);
+  address = std::move(other214.address);
+  port = other214.port;
+  voter = other214.voter;
+  data_centre = std::move(other214.data_centre);
+  leaving = other214.leaving;
+  joining = other214.joining;
+  __isset = other214.__isset;
   return *this;
 }
 void MemberInfo::printTo(std::ostream& out) const {
@@ -5815,14 +5982,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _etype214;
-            xfer += iprot->readListBegin(_etype214, _size211);
-            this->members.resize(_size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->members.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
             {
-              xfer += this->members[_i215].read(iprot);
+              xfer += this->members[_i219].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5851,10 +6018,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter216;
-    for (_iter216 = this->members.begin(); _iter216 != this->members.end(); ++_iter216)
+    std::vector<MemberInfo> ::const_iterator _iter220;
+    for (_iter220 = this->members.begin(); _iter220 != this->members.end(); ++_iter220)
     {
-      xfer += (*_iter216).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5871,22 +6038,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Membership::Membership(const Membership& other217) {
-  members = other217.members;
-  __isset = other217.__isset;
+Membership::Membership(const Membership& other221) {
+  members = other221.members;
+  __isset = other221.__isset;
 }
-Membership::Membership(Membership&& other218) noexcept {
-  members = std::move(other218.members);
-  __isset = other218.__isset;
+Membership::Membership(Membership&& other222) noexcept {
+  members = std::move(other222.members);
+  __isset = other222.__isset;
 }
-Membership& Membership::operator=(const Membership& other219) {
-  members = other219.members;
-  __isset = other219.__isset;
+Membership& Membership::operator=(const Membership& other223) {
+  members = other223.members;
+  __isset = other223.__isset;
   return *this;
 }
-Membership& Membership::operator=(Membership&& other220) noexcept {
-  members = std::move(other220.members);
-  __isset = other220.__isset;
+Membership& Membership::operator=(Membership&& other224) noexcept {
+  members = std::move(other224.members);
+  __isset = other224.__isset;
   return *this;
 }
 void Membership::printTo(std::ostream& out) const {
@@ -5970,6 +6137,11 @@
   this->crash = val;
 __isset.crash = true;
 }
+
+void Command::__set_presence(const ServerPresence& val) {
+  this->presence = val;
+__isset.presence = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -6110,6 +6282,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->presence.read(iprot);
+          this->__isset.presence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6197,6 +6377,11 @@
     xfer += this->crash.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.presence) {
+    xfer += oprot->writeFieldBegin("presence", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->presence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6218,77 +6403,82 @@
   swap(a.evacuation, b.evacuation);
   swap(a.document_change, b.document_change);
   swap(a.crash, b.crash);
+  swap(a.presence, b.presence);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other221) {
-  config = other221.config;
-  claim = other221.claim;
-  finish = other221.finish;
-  lease = other221.lease;
-  gone = other221.gone;
-  membership = other221.membership;
-  noop = other221.noop;
-  document = other221.document;
-  server = other221.server;
-  rollout = other221.rollout;
-  rollout_step = other221.rollout_step;
-  evacuation = other221.evacuation;
-  document_change = other221.document_change;
-  crash = other221.crash;
-  __isset = other221.__isset;
+Command::Command(const Command& other225) {
+  config = other225.config;
+  claim = other225.claim;
+  finish = other225.finish;
+  lease = other225.lease;
+  gone = other225.gone;
+  membership = other225.membership;
+  noop = other225.noop;
+  document = other225.document;
+  server = other225.server;
+  rollout = other225.rollout;
+  rollout_step = other225.rollout_step;
+  evacuation = other225.evacuation;
+  document_change = other225.document_change;
+  crash = other225.crash;
+  presence = other225.presence;
+  __isset = other225.__isset;
 }
-Command::Command(Command&& other222) noexcept {
-  config = std::move(other222.config);
-  claim = std::move(other222.claim);
-  finish = std::move(other222.finish);
-  lease = std::move(other222.lease);
-  gone = std::move(other222.gone);
-  membership = std::move(other222.membership);
-  noop = other222.noop;
-  document = std::move(other222.document);
-  server = std::move(other222.server);
-  rollout = std::move(other222.rollout);
-  rollout_step = std::move(other222.rollout_step);
-  evacuation = std::move(other222.evacuation);
-  document_change = std::move(other222.document_change);
-  crash = std::move(other222.crash);
-  __isset = other222.__isset;
+Command::Command(Command&& other226) noexcept {
+  config = std::move(other226.config);
+  claim = std::move(other226.claim);
+  finish = std::move(other226.finish);
+  lease = std::move(other226.lease);
+  gone = std::move(other226.gone);
+  membership = std::move(other226.membership);
+  noop = other226.noop;
+  document = std::move(other226.document);
+  server = std::move(other226.server);
+  rollout = std::move(other226.rollout);
+  rollout_step = std::move(other226.rollout_step);
+  evacuation = std::move(other226.evacuation);
+  document_change = std::move(other226.document_change);
+  crash = std::move(other226.crash);
+  presence = std::move(other226.presence);
+  __isset = other226.__isset;
 }
-Command& Command::operator=(const Command& other223) {
-  config = other223.config;
-  claim = other223.claim;
-  finish = other223.finish;
-  lease = other223.lease;
-  gone = other223.gone;
-  membership = other223.membership;
-  noop = other223.noop;
-  document = other223.document;
-  server = other223.server;
-  rollout = other223.rollout;
-  rollout_step = other223.rollout_step;
-  evacuation = other223.evacuation;
-  document_change = other223.document_change;
-  crash = other223.crash;
-  __isset = other223.__isset;
+Command& Command::operator=(const Command& other227) {
+  config = other227.config;
+  claim = other227.claim;
+  finish = other227.finish;
+  lease = other227.lease;
+  gone = other227.gone;
+  membership = other227.membership;
+  noop = other227.noop;
+  document = other227.document;
+  server = other227.server;
+  rollout = other227.rollout;
+  rollout_step = other227.rollout_step;
+  evacuation = other227.evacuation;
+  document_change = other227.document_change;
+  crash = other227.crash;
+  presence = other227.presence;
+  __isset = other227.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other224) noexcept {
-  config = std::move(other224.config);
-  claim = std::move(other224.claim);
-  finish = std::move(other224.finish);
-  lease = std::move(other224.lease);
-  gone = std::move(other224.gone);
-  membership = std::move(other224.membership);
-  noop = other224.noop;
-  document = std::move(other224.document);
-  server = std::move(other224.server);
-  rollout = std::move(other224.rollout);
-  rollout_step = std::move(other224.rollout_step);
-  evacuation = std::move(other224.evacuation);
-  document_change = std::move(other224.document_change);
-  crash = std::move(other224.crash);
-  __isset = other224.__isset;
+Command& Command::operator=(Command&& other228) noexcept {
+  config = std::move(other228.config);
+  claim = std::move(other228.claim);
+  finish = std::move(other228.finish);
+  lease = std::move(other228.lease);
+  gone = std::move(other228.gone);
+  membership = std::move(other228.membership);
+  noop = other228.noop;
+  document = std::move(other228.document);
+  server = std::move(other228.server);
+  rollout = std::move(other228.rollout);
+  rollout_step = std::move(other228.rollout_step);
+  evacuation = std::move(other228.evacuation);
+  document_change = std::move(other228.document_change);
+  crash = std::move(other228.crash);
+  presence = std::move(other228.presence);
+  __isset = other228.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -6308,6 +6498,7 @@
   out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
   out << ", " << "document_change="; (__isset.document_change ? (out << to_string(document_change)) : (out << "<null>"));
   out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
+  out << ", " << "presence="; (__isset.presence ? (out << to_string(presence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6421,30 +6612,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other225) {
-  index = other225.index;
-  term = other225.term;
-  command = other225.command;
-  __isset = other225.__isset;
+LogEntry::LogEntry(const LogEntry& other229) {
+  index = other229.index;
+  term = other229.term;
+  command = other229.command;
+  __isset = other229.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other226) noexcept {
-  index = other226.index;
-  term = other226.term;
-  command = std::move(other226.command);
-  __isset = other226.__isset;
+LogEntry::LogEntry(LogEntry&& other230) noexcept {
+  index = other230.index;
+  term = other230.term;
+  command = std::move(other230.command);
+  __isset = other230.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other227) {
-  index = other227.index;
-  term = other227.term;
-  command = other227.command;
-  __isset = other227.__isset;
+LogEntry& LogEntry::operator=(const LogEntry& other231) {
+  index = other231.index;
+  term = other231.term;
+  command = other231.command;
+  __isset = other231.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other228) noexcept {
-  index = other228.index;
-  term = other228.term;
-  command = std::move(other228.command);
-  __isset = other228.__isset;
+LogEntry& LogEntry::operator=(LogEntry&& other232) noexcept {
+  index = other232.index;
+  term = other232.term;
+  command = std::move(other232.command);
+  __isset = other232.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -6549,26 +6740,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HardState::HardState(const HardState& other229) noexcept {
-  term = other229.term;
-  vote = other229.vote;
-  __isset = other229.__isset;
+HardState::HardState(const HardState& other233) noexcept {
+  term = other233.term;
+  vote = other233.vote;
+  __isset = other233.__isset;
 }
-HardState::HardState(HardState&& other230) noexcept {
-  term = other230.term;
-  vote = other230.vote;
-  __isset = other230.__isset;
+HardState::HardState(HardState&& other234) noexcept {
+  term = other234.term;
+  vote = other234.vote;
+  __isset = other234.__isset;
 }
-HardState& HardState::operator=(const HardState& other231) noexcept {
-  term = other231.term;
-  vote = other231.vote;
-  __isset = other231.__isset;
+HardState& HardState::operator=(const HardState& other235) noexcept {
+  term = other235.term;
+  vote = other235.vote;
+  __isset = other235.__isset;
   return *this;
 }
-HardState& HardState::operator=(HardState&& other232) noexcept {
-  term = other232.term;
-  vote = other232.vote;
-  __isset = other232.__isset;
+HardState& HardState::operator=(HardState&& other236) noexcept {
+  term = other236.term;
+  vote = other236.vote;
+  __isset = other236.__isset;
   return *this;
 }
 void HardState::printTo(std::ostream& out) const {
@@ -6706,34 +6897,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other233) {
-  index = other233.index;
-  term = other233.term;
-  membership = other233.membership;
-  state = other233.state;
-  __isset = other233.__isset;
+Snapshot::Snapshot(const Snapshot& other237) {
+  index = other237.index;
+  term = other237.term;
+  membership = other237.membership;
+  state = other237.state;
+  __isset = other237.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other234) noexcept {
-  index = other234.index;
-  term = other234.term;
-  membership = std::move(other234.membership);
-  state = std::move(other234.state);
-  __isset = other234.__isset;
+Snapshot::Snapshot(Snapshot&& other238) noexcept {
+  index = other238.index;
+  term = other238.term;
+  membership = std::move(other238.membership);
+  state = std::move(other238.state);
+  __isset = other238.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other235) {
-  index = other235.index;
-  term = other235.term;
-  membership = other235.membership;
-  state = other235.state;
-  __isset = other235.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other239) {
+  index = other239.index;
+  term = other239.term;
+  membership = other239.membership;
+  state = other239.state;
+  __isset = other239.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other236) noexcept {
-  index = other236.index;
-  term = other236.term;
-  membership = std::move(other236.membership);
-  state = std::move(other236.state);
-  __isset = other236.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other240) noexcept {
+  index = other240.index;
+  term = other240.term;
+  membership = std::move(other240.membership);
+  state = std::move(other240.state);
+  __isset = other240.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -6873,34 +7064,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other237) noexcept {
-  term = other237.term;
-  last_index = other237.last_index;
-  last_term = other237.last_term;
-  pre = other237.pre;
-  __isset = other237.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other241) noexcept {
+  term = other241.term;
+  last_index = other241.last_index;
+  last_term = other241.last_term;
+  pre = other241.pre;
+  __isset = other241.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other238) noexcept {
-  term = other238.term;
-  last_index = other238.last_index;
-  last_term = other238.last_term;
-  pre = other238.pre;
-  __isset = other238.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other242) noexcept {
+  term = other242.term;
+  last_index = other242.last_index;
+  last_term = other242.last_term;
+  pre = other242.pre;
+  __isset = other242.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other239) noexcept {
-  term = other239.term;
-  last_index = other239.last_index;
-  last_term = other239.last_term;
-  pre = other239.pre;
-  __isset = other239.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other243) noexcept {
+  term = other243.term;
+  last_index = other243.last_index;
+  last_term = other243.last_term;
+  pre = other243.pre;
+  __isset = other243.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other240) noexcept {
-  term = other240.term;
-  last_index = other240.last_index;
-  last_term = other240.last_term;
-  pre = other240.pre;
-  __isset = other240.__isset;
+VoteRequest& VoteRequest::operator=(VoteRequest&& other244) noexcept {
+  term = other244.term;
+  last_index = other244.last_index;
+  last_term = other244.last_term;
+  pre = other244.pre;
+  __isset = other244.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -7023,30 +7214,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other241) noexcept {
-  term = other241.term;
-  granted = other241.granted;
-  pre = other241.pre;
-  __isset = other241.__isset;
+VoteReply::VoteReply(const VoteReply& other245) noexcept {
+  term = other245.term;
+  granted = other245.granted;
+  pre = other245.pre;
+  __isset = other245.__isset;
 }
-VoteReply::VoteReply(VoteReply&& other242) noexcept {
-  term = other242.term;
-  granted = other242.granted;
-  pre = other242.pre;
-  __isset = other242.__isset;
+VoteReply::VoteReply(VoteReply&& other246) noexcept {
+  term = other246.term;
+  granted = other246.granted;
+  pre = other246.pre;
+  __isset = other246.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other243) noexcept {
-  term = other243.term;
-  granted = other243.granted;
-  pre = other243.pre;
-  __isset = other243.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other247) noexcept {
+  term = other247.term;
+  granted = other247.granted;
+  pre = other247.pre;
+  __isset = other247.__isset;
   return *this;
 }
-VoteReply& VoteReply::operator=(VoteReply&& other244) noexcept {
-  term = other244.term;
-  granted = other244.granted;
-  pre = other244.pre;
-  __isset = other244.__isset;
+VoteReply& VoteReply::operator=(VoteReply&& other248) noexcept {
+  term = other248.term;
+  granted = other248.granted;
+  pre = other248.pre;
+  __isset = other248.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -7151,26 +7342,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SilentMember::SilentMember(const SilentMember& other245) noexcept {
-  id = other245.id;
-  silent_ms = other245.silent_ms;
-  __isset = other245.__isset;
+SilentMember::SilentMember(const SilentMember& other249) noexcept {
+  id = other249.id;
+  silent_ms = other249.silent_ms;
+  __isset = other249.__isset;
 }
-SilentMember::SilentMember(SilentMember&& other246) noexcept {
-  id = other246.id;
-  silent_ms = other246.silent_ms;
-  __isset = other246.__isset;
+SilentMember::SilentMember(SilentMember&& other250) noexcept {
+  id = other250.id;
+  silent_ms = other250.silent_ms;
+  __isset = other250.__isset;
 }
-SilentMember& SilentMember::operator=(const SilentMember& other247) noexcept {
-  id = other247.id;
-  silent_ms = other247.silent_ms;
-  __isset = other247.__isset;
+SilentMember& SilentMember::operator=(const SilentMember& other251) noexcept {
+  id = other251.id;
+  silent_ms = other251.silent_ms;
+  __isset = other251.__isset;
   return *this;
 }
-SilentMember& SilentMember::operator=(SilentMember&& other248) noexcept {
-  id = other248.id;
-  silent_ms = other248.silent_ms;
-  __isset = other248.__isset;
+SilentMember& SilentMember::operator=(SilentMember&& other252) noexcept {
+  id = other252.id;
+  silent_ms = other252.silent_ms;
+  __isset = other252.__isset;
   return *this;
 }
 void SilentMember::printTo(std::ostream& out) const {
@@ -7270,14 +7461,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size249;
-            ::apache::thrift::protocol::TType _etype252;
-            xfer += iprot->readListBegin(_etype252, _size249);
-            this->entries.resize(_size249);
-            uint32_t _i253;
-            for (_i253 = 0; _i253 < _size249; ++_i253)
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->entries.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
             {
-              xfer += this->entries[_i253].read(iprot);
+              xfer += this->entries[_i257].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7306,14 +7497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->silent.clear();
-            uint32_t _size254;
-            ::apache::thrift::protocol::TType _etype257;
-            xfer += iprot->readListBegin(_etype257, _size254);
-            this->silent.resize(_size254);
-            uint32_t _i258;
-            for (_i258 = 0; _i258 < _size254; ++_i258)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->silent.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->silent[_i258].read(iprot);
+              xfer += this->silent[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7354,10 +7545,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter259;
-    for (_iter259 = this->entries.begin(); _iter259 != this->entries.end(); ++_iter259)
+    std::vector<LogEntry> ::const_iterator _iter263;
+    for (_iter263 = this->entries.begin(); _iter263 != this->entries.end(); ++_iter263)
     {
-      xfer += (*_iter259).write(oprot);
+      xfer += (*_iter263).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7375,10 +7566,10 @@
     xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->silent.size()));
-      std::vector<SilentMember> ::const_iterator _iter260;
-      for (_iter260 = this->silent.begin(); _iter260 != this->silent.end(); ++_iter260)
+      std::vector<SilentMember> ::const_iterator _iter264;
+      for (_iter264 = this->silent.begin(); _iter264 != this->silent.end(); ++_iter264)
       {
-        xfer += (*_iter260).write(oprot);
+        xfer += (*_iter264).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7401,46 +7592,46 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other261) {
-  term = other261.term;
-  prev_index = other261.prev_index;
-  prev_term = other261.prev_term;
-  entries = other261.entries;
-  commit = other261.commit;
-  sent_us = other261.sent_us;
-  silent = other261.silent;
-  __isset = other261.__isset;
-}
-AppendRequest::AppendRequest(AppendRequest&& other262) noexcept {
-  term = other262.term;
-  prev_index = other262.prev_index;
-  prev_term = other262.prev_term;
-  entries = std::move(other262.entries);
-  commit = other262.commit;
-  sent_us = other262.sent_us;
-  silent = std::move(other262.silent);
-  __isset = other262.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other263) {
-  term = other263.term;
-  prev_index = other263.prev_index;
-  prev_term = other263.prev_term;
-  entries = other263.entries;
-  commit = other263.commit;
-  sent_us = other263.sent_us;
-  silent = other263.silent;
-  __isset = other263.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other265) {
+  term = other265.term;
+  prev_index = other265.prev_index;
+  prev_term = other265.prev_term;
+  entries = other265.entries;
+  commit = other265.commit;
+  sent_us = other265.sent_us;
+  silent = other265.silent;
+  __isset = other265.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other266) noexcept {
+  term = other266.term;
+  prev_index = other266.prev_index;
+  prev_term = other266.prev_term;
+  entries = std::move(other266.entries);
+  commit = other266.commit;
+  sent_us = other266.sent_us;
+  silent = std::move(other266.silent);
+  __isset = other266.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other267) {
+  term = other267.term;
+  prev_index = other267.prev_index;
+  prev_term = other267.prev_term;
+  entries = other267.entries;
+  commit = other267.commit;
+  sent_us = other267.sent_us;
+  silent = other267.silent;
+  __isset = other267.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other264) noexcept {
-  term = other264.term;
-  prev_index = other264.prev_index;
-  prev_term = other264.prev_term;
-  entries = std::move(other264.entries);
-  commit = other264.commit;
-  sent_us = other264.sent_us;
-  silent = std::move(other264.silent);
-  __isset = other264.__isset;
+AppendRequest& AppendRequest::operator=(AppendRequest&& other268) noexcept {
+  term = other268.term;
+  prev_index = other268.prev_index;
+  prev_term = other268.prev_term;
+  entries = std::move(other268.entries);
+  commit = other268.commit;
+  sent_us = other268.sent_us;
+  silent = std::move(other268.silent);
+  __isset = other268.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -7583,34 +7774,34 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other265) noexcept {
-  term = other265.term;
-  ok = other265.ok;
-  match = other265.match;
-  sent_us = other265.sent_us;
-  __isset = other265.__isset;
+AppendReply::AppendReply(const AppendReply& other269) noexcept {
+  term = other269.term;
+  ok = other269.ok;
+  match = other269.match;
+  sent_us = other269.sent_us;
+  __isset = other269.__isset;
 }
-AppendReply::AppendReply(AppendReply&& other266) noexcept {
-  term = other266.term;
-  ok = other266.ok;
-  match = other266.match;
-  sent_us = other266.sent_us;
-  __isset = other266.__isset;
+AppendReply::AppendReply(AppendReply&& other270) noexcept {
+  term = other270.term;
+  ok = other270.ok;
+  match = other270.match;
+  sent_us = other270.sent_us;
+  __isset = other270.__isset;
 }
-AppendReply& AppendReply::operator=(const AppendReply& other267) noexcept {
-  term = other267.term;
-  ok = other267.ok;
-  match = other267.match;
-  sent_us = other267.sent_us;
-  __isset = other267.__isset;
+AppendReply& AppendReply::operator=(const AppendReply& other271) noexcept {
+  term = other271.term;
+  ok = other271.ok;
+  match = other271.match;
+  sent_us = other271.sent_us;
+  __isset = other271.__isset;
   return *this;
 }
-AppendReply& AppendReply::operator=(AppendReply&& other268) noexcept {
-  term = other268.term;
-  ok = other268.ok;
-  match = other268.match;
-  sent_us = other268.sent_us;
-  __isset = other268.__isset;
+AppendReply& AppendReply::operator=(AppendReply&& other272) noexcept {
+  term = other272.term;
+  ok = other272.ok;
+  match = other272.match;
+  sent_us = other272.sent_us;
+  __isset = other272.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -7716,26 +7907,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other269) {
-  term = other269.term;
-  snapshot = other269.snapshot;
-  __isset = other269.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other273) {
+  term = other273.term;
+  snapshot = other273.snapshot;
+  __isset = other273.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other270) noexcept {
-  term = other270.term;
-  snapshot = std::move(other270.snapshot);
-  __isset = other270.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other274) noexcept {
+  term = other274.term;
+  snapshot = std::move(other274.snapshot);
+  __isset = other274.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other271) {
-  term = other271.term;
-  snapshot = other271.snapshot;
-  __isset = other271.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other275) {
+  term = other275.term;
+  snapshot = other275.snapshot;
+  __isset = other275.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other272) noexcept {
-  term = other272.term;
-  snapshot = std::move(other272.snapshot);
-  __isset = other272.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other276) noexcept {
+  term = other276.term;
+  snapshot = std::move(other276.snapshot);
+  __isset = other276.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -7900,38 +8091,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBody::LogBody(const LogBody& other273) {
-  vote = other273.vote;
-  vote_reply = other273.vote_reply;
-  append = other273.append;
-  append_reply = other273.append_reply;
-  snapshot = other273.snapshot;
-  __isset = other273.__isset;
+LogBody::LogBody(const LogBody& other277) {
+  vote = other277.vote;
+  vote_reply = other277.vote_reply;
+  append = other277.append;
+  append_reply = other277.append_reply;
+  snapshot = other277.snapshot;
+  __isset = other277.__isset;
 }
-LogBody::LogBody(LogBody&& other274) noexcept {
-  vote = std::move(other274.vote);
-  vote_reply = std::move(other274.vote_reply);
-  append = std::move(other274.append);
-  append_reply = std::move(other274.append_reply);
-  snapshot = std::move(other274.snapshot);
-  __isset = other274.__isset;
+LogBody::LogBody(LogBody&& other278) noexcept {
+  vote = std::move(other278.vote);
+  vote_reply = std::move(other278.vote_reply);
+  append = std::move(other278.append);
+  append_reply = std::move(other278.append_reply);
+  snapshot = std::move(other278.snapshot);
+  __isset = other278.__isset;
 }
-LogBody& LogBody::operator=(const LogBody& other275) {
-  vote = other275.vote;
-  vote_reply = other275.vote_reply;
-  append = other275.append;
-  append_reply = other275.append_reply;
-  snapshot = other275.snapshot;
-  __isset = other275.__isset;
+LogBody& LogBody::operator=(const LogBody& other279) {
+  vote = other279.vote;
+  vote_reply = other279.vote_reply;
+  append = other279.append;
+  append_reply = other279.append_reply;
+  snapshot = other279.snapshot;
+  __isset = other279.__isset;
   return *this;
 }
-LogBody& LogBody::operator=(LogBody&& other276) noexcept {
-  vote = std::move(other276.vote);
-  vote_reply = std::move(other276.vote_reply);
-  append = std::move(other276.append);
-  append_reply = std::move(other276.append_reply);
-  snapshot = std::move(other276.snapshot);
-  __isset = other276.__isset;
+LogBody& LogBody::operator=(LogBody&& other280) noexcept {
+  vote = std::move(other280.vote);
+  vote_reply = std::move(other280.vote_reply);
+  append = std::move(other280.append);
+  append_reply = std::move(other280.append_reply);
+  snapshot = std::move(other280.snapshot);
+  __isset = other280.__isset;
   return *this;
 }
 void LogBody::printTo(std::ostream& out) const {
@@ -8089,38 +8280,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other277) {
-  from_id = other277.from_id;
-  to_id = other277.to_id;
-  body = other277.body;
-  cluster = other277.cluster;
-  from_name = other277.from_name;
-  __isset = other277.__isset;
+LogMessage::LogMessage(const LogMessage& other281) {
+  from_id = other281.from_id;
+  to_id = other281.to_id;
+  body = other281.body;
+  cluster = other281.cluster;
+  from_name = other281.from_name;
+  __isset = other281.__isset;
 }
-LogMessage::LogMessage(LogMessage&& other278) noexcept {
-  from_id = other278.from_id;
-  to_id = other278.to_id;
-  body = std::move(other278.body);
-  cluster = std::move(other278.cluster);
-  from_name = std::move(other278.from_name);
-  __isset = other278.__isset;
+LogMessage::LogMessage(LogMessage&& other282) noexcept {
+  from_id = other282.from_id;
+  to_id = other282.to_id;
+  body = std::move(other282.body);
+  cluster = std::move(other282.cluster);
+  from_name = std::move(other282.from_name);
+  __isset = other282.__isset;
 }
-LogMessage& LogMessage::operator=(const LogMessage& other279) {
-  from_id = other279.from_id;
-  to_id = other279.to_id;
-  body = other279.body;
-  cluster = other279.cluster;
-  from_name = other279.from_name;
-  __isset = other279.__isset;
+LogMessage& LogMessage::operator=(const LogMessage& other283) {
+  from_id = other283.from_id;
+  to_id = other283.to_id;
+  body = other283.body;
+  cluster = other283.cluster;
+  from_name = other283.from_name;
+  __isset = other283.__isset;
   return *this;
 }
-LogMessage& LogMessage::operator=(LogMessage&& other280) noexcept {
-  from_id = other280.from_id;
-  to_id = other280.to_id;
-  body = std::move(other280.body);
-  cluster = std::move(other280.cluster);
-  from_name = std::move(other280.from_name);
-  __isset = other280.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other284) noexcept {
+  from_id = other284.from_id;
+  to_id = other284.to_id;
+  body = std::move(other284.body);
+  cluster = std::move(other284.cluster);
+  from_name = std::move(other284.from_name);
+  __isset = other284.__isset;
   return *this;
 }
 void LogMessage::printTo(std::ostream& out) const {
@@ -8244,30 +8435,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other281) {
-  cluster = other281.cluster;
-  member = other281.member;
-  blank = other281.blank;
-  __isset = other281.__isset;
+Hello::Hello(const Hello& other285) {
+  cluster = other285.cluster;
+  member = other285.member;
+  blank = other285.blank;
+  __isset = other285.__isset;
 }
-Hello::Hello(Hello&& other282) noexcept {
-  cluster = std::move(other282.cluster);
-  member = std::move(other282.member);
-  blank = other282.blank;
-  __isset = other282.__isset;
+Hello::Hello(Hello&& other286) noexcept {
+  cluster = std::move(other286.cluster);
+  member = std::move(other286.member);
+  blank = other286.blank;
+  __isset = other286.__isset;
 }
-Hello& Hello::operator=(const Hello& other283) {
-  cluster = other283.cluster;
-  member = other283.member;
-  blank = other283.blank;
-  __isset = other283.__isset;
+Hello& Hello::operator=(const Hello& other287) {
+  cluster = other287.cluster;
+  member = other287.member;
+  blank = other287.blank;
+  __isset = other287.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other284) noexcept {
-  cluster = std::move(other284.cluster);
-  member = std::move(other284.member);
-  blank = other284.blank;
-  __isset = other284.__isset;
+Hello& Hello::operator=(Hello&& other288) noexcept {
+  cluster = std::move(other288.cluster);
+  member = std::move(other288.member);
+  blank = other288.blank;
+  __isset = other288.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8355,14 +8546,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->members.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size289;
+            ::apache::thrift::protocol::TType _etype292;
+            xfer += iprot->readListBegin(_etype292, _size289);
+            this->members.resize(_size289);
+            uint32_t _i293;
+            for (_i293 = 0; _i293 < _size289; ++_i293)
             {
-              xfer += this->members[_i289].read(iprot);
+              xfer += this->members[_i293].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8403,10 +8594,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter290;
-    for (_iter290 = this->members.begin(); _iter290 != this->members.end(); ++_iter290)
+    std::vector<MemberInfo> ::const_iterator _iter294;
+    for (_iter294 = this->members.begin(); _iter294 != this->members.end(); ++_iter294)
     {
-      xfer += (*_iter290).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8426,34 +8617,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other291) {
-  member = other291.member;
-  blank = other291.blank;
-  leader_id = other291.leader_id;
-  members = other291.members;
-  __isset = other291.__isset;
-}
-HelloReply::HelloReply(HelloReply&& other292) noexcept {
-  member = std::move(other292.member);
-  blank = other292.blank;
-  leader_id = other292.leader_id;
-  members = std::move(other292.members);
-  __isset = other292.__isset;
-}
-HelloReply& HelloReply::operator=(const HelloReply& other293) {
-  member = other293.member;
-  blank = other293.blank;
-  leader_id = other293.leader_id;
-  members = other293.members;
-  __isset = other293.__isset;
+HelloReply::HelloReply(const HelloReply& other295) {
+  member = other295.member;
+  blank = other295.blank;
+  leader_id = other295.leader_id;
+  members = other295.members;
+  __isset = other295.__isset;
+}
+HelloReply::HelloReply(HelloReply&& other296) noexcept {
+  member = std::move(other296.member);
+  blank = other296.blank;
+  leader_id = other296.leader_id;
+  members = std::move(other296.members);
+  __isset = other296.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other297) {
+  member = other297.member;
+  blank = other297.blank;
+  leader_id = other297.leader_id;
+  members = other297.members;
+  __isset = other297.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other294) noexcept {
-  member = std::move(other294.member);
-  blank = other294.blank;
-  leader_id = other294.leader_id;
-  members = std::move(other294.members);
-  __isset = other294.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other298) noexcept {
+  member = std::move(other298.member);
+  blank = other298.blank;
+  leader_id = other298.leader_id;
+  members = std::move(other298.members);
+  __isset = other298.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -8559,26 +8750,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ObjectState::ObjectState(const ObjectState& other295) {
-  object = other295.object;
-  version = other295.version;
-  __isset = other295.__isset;
+ObjectState::ObjectState(const ObjectState& other299) {
+  object = other299.object;
+  version = other299.version;
+  __isset = other299.__isset;
 }
-ObjectState::ObjectState(ObjectState&& other296) noexcept {
-  object = std::move(other296.object);
-  version = other296.version;
-  __isset = other296.__isset;
+ObjectState::ObjectState(ObjectState&& other300) noexcept {
+  object = std::move(other300.object);
+  version = other300.version;
+  __isset = other300.__isset;
 }
-ObjectState& ObjectState::operator=(const ObjectState& other297) {
-  object = other297.object;
-  version = other297.version;
-  __isset = other297.__isset;
+ObjectState& ObjectState::operator=(const ObjectState& other301) {
+  object = other301.object;
+  version = other301.version;
+  __isset = other301.__isset;
   return *this;
 }
-ObjectState& ObjectState::operator=(ObjectState&& other298) noexcept {
-  object = std::move(other298.object);
-  version = other298.version;
-  __isset = other298.__isset;
+ObjectState& ObjectState::operator=(ObjectState&& other302) noexcept {
+  object = std::move(other302.object);
+  version = other302.version;
+  __isset = other302.__isset;
   return *this;
 }
 void ObjectState::printTo(std::ostream& out) const {
@@ -8682,26 +8873,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RemovalState::RemovalState(const RemovalState& other299) {
-  key = other299.key;
-  version = other299.version;
-  __isset = other299.__isset;
+RemovalState::RemovalState(const RemovalState& other303) {
+  key = other303.key;
+  version = other303.version;
+  __isset = other303.__isset;
 }
-RemovalState::RemovalState(RemovalState&& other300) noexcept {
-  key = std::move(other300.key);
-  version = other300.version;
-  __isset = other300.__isset;
+RemovalState::RemovalState(RemovalState&& other304) noexcept {
+  key = std::move(other304.key);
+  version = other304.version;
+  __isset = other304.__isset;
 }
-RemovalState& RemovalState::operator=(const RemovalState& other301) {
-  key = other301.key;
-  version = other301.version;
-  __isset = other301.__isset;
+RemovalState& RemovalState::operator=(const RemovalState& other305) {
+  key = other305.key;
+  version = other305.version;
+  __isset = other305.__isset;
   return *this;
 }
-RemovalState& RemovalState::operator=(RemovalState&& other302) noexcept {
-  key = std::move(other302.key);
-  version = other302.version;
-  __isset = other302.__isset;
+RemovalState& RemovalState::operator=(RemovalState&& other306) noexcept {
+  key = std::move(other306.key);
+  version = other306.version;
+  __isset = other306.__isset;
   return *this;
 }
 void RemovalState::printTo(std::ostream& out) const {
@@ -8822,30 +9013,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeState::ChangeState(const ChangeState& other303) {
-  change_id = other303.change_id;
-  fingerprint = other303.fingerprint;
-  outcome = other303.outcome;
-  __isset = other303.__isset;
+ChangeState::ChangeState(const ChangeState& other307) {
+  change_id = other307.change_id;
+  fingerprint = other307.fingerprint;
+  outcome = other307.outcome;
+  __isset = other307.__isset;
 }
-ChangeState::ChangeState(ChangeState&& other304) noexcept {
-  change_id = std::move(other304.change_id);
-  fingerprint = other304.fingerprint;
-  outcome = std::move(other304.outcome);
-  __isset = other304.__isset;
+ChangeState::ChangeState(ChangeState&& other308) noexcept {
+  change_id = std::move(other308.change_id);
+  fingerprint = other308.fingerprint;
+  outcome = std::move(other308.outcome);
+  __isset = other308.__isset;
 }
-ChangeState& ChangeState::operator=(const ChangeState& other305) {
-  change_id = other305.change_id;
-  fingerprint = other305.fingerprint;
-  outcome = other305.outcome;
-  __isset = other305.__isset;
+ChangeState& ChangeState::operator=(const ChangeState& other309) {
+  change_id = other309.change_id;
+  fingerprint = other309.fingerprint;
+  outcome = other309.outcome;
+  __isset = other309.__isset;
   return *this;
 }
-ChangeState& ChangeState::operator=(ChangeState&& other306) noexcept {
-  change_id = std::move(other306.change_id);
-  fingerprint = other306.fingerprint;
-  outcome = std::move(other306.outcome);
-  __isset = other306.__isset;
+ChangeState& ChangeState::operator=(ChangeState&& other310) noexcept {
+  change_id = std::move(other310.change_id);
+  fingerprint = other310.fingerprint;
+  outcome = std::move(other310.outcome);
+  __isset = other310.__isset;
   return *this;
 }
 void ChangeState::printTo(std::ostream& out) const {
@@ -8951,9 +9142,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast307;
-          xfer += iprot->readI32(ecast307);
-          this->state = static_cast<KeyState::type>(ecast307);
+          int32_t ecast311;
+          xfer += iprot->readI32(ecast311);
+          this->state = static_cast<KeyState::type>(ecast311);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9037,46 +9228,46 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other308) {
-  key = other308.key;
-  owner = other308.owner;
-  ref = other308.ref;
-  fingerprint = other308.fingerprint;
-  state = other308.state;
-  expires_ms = other308.expires_ms;
-  answer = other308.answer;
-  __isset = other308.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other309) noexcept {
-  key = std::move(other309.key);
-  owner = std::move(other309.owner);
-  ref = other309.ref;
-  fingerprint = other309.fingerprint;
-  state = other309.state;
-  expires_ms = other309.expires_ms;
-  answer = std::move(other309.answer);
-  __isset = other309.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other310) {
-  key = other310.key;
-  owner = other310.owner;
-  ref = other310.ref;
-  fingerprint = other310.fingerprint;
-  state = other310.state;
-  expires_ms = other310.expires_ms;
-  answer = other310.answer;
-  __isset = other310.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other312) {
+  key = other312.key;
+  owner = other312.owner;
+  ref = other312.ref;
+  fingerprint = other312.fingerprint;
+  state = other312.state;
+  expires_ms = other312.expires_ms;
+  answer = other312.answer;
+  __isset = other312.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other313) noexcept {
+  key = std::move(other313.key);
+  owner = std::move(other313.owner);
+  ref = other313.ref;
+  fingerprint = other313.fingerprint;
+  state = other313.state;
+  expires_ms = other313.expires_ms;
+  answer = std::move(other313.answer);
+  __isset = other313.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other314) {
+  key = other314.key;
+  owner = other314.owner;
+  ref = other314.ref;
+  fingerprint = other314.fingerprint;
+  state = other314.state;
+  expires_ms = other314.expires_ms;
+  answer = other314.answer;
+  __isset = other314.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other311) noexcept {
-  key = std::move(other311.key);
-  owner = std::move(other311.owner);
-  ref = other311.ref;
-  fingerprint = other311.fingerprint;
-  state = other311.state;
-  expires_ms = other311.expires_ms;
-  answer = std::move(other311.answer);
-  __isset = other311.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other315) noexcept {
+  key = std::move(other315.key);
+  owner = std::move(other315.owner);
+  ref = other315.ref;
+  fingerprint = other315.fingerprint;
+  state = other315.state;
+  expires_ms = other315.expires_ms;
+  answer = std::move(other315.answer);
+  __isset = other315.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -9196,14 +9387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size312;
-            ::apache::thrift::protocol::TType _etype315;
-            xfer += iprot->readListBegin(_etype315, _size312);
-            this->objects.resize(_size312);
-            uint32_t _i316;
-            for (_i316 = 0; _i316 < _size312; ++_i316)
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->objects.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
             {
-              xfer += this->objects[_i316].read(iprot);
+              xfer += this->objects[_i320].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9216,14 +9407,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size317;
-            ::apache::thrift::protocol::TType _etype320;
-            xfer += iprot->readListBegin(_etype320, _size317);
-            this->removals.resize(_size317);
-            uint32_t _i321;
-            for (_i321 = 0; _i321 < _size317; ++_i321)
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->removals.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->removals[_i321].read(iprot);
+              xfer += this->removals[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9244,14 +9435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->history.clear();
-            uint32_t _size322;
-            ::apache::thrift::protocol::TType _etype325;
-            xfer += iprot->readListBegin(_etype325, _size322);
-            this->history.resize(_size322);
-            uint32_t _i326;
-            for (_i326 = 0; _i326 < _size322; ++_i326)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->history.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += this->history[_i326].read(iprot);
+              xfer += this->history[_i330].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9264,14 +9455,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size327;
-            ::apache::thrift::protocol::TType _etype330;
-            xfer += iprot->readListBegin(_etype330, _size327);
-            this->changes.resize(_size327);
-            uint32_t _i331;
-            for (_i331 = 0; _i331 < _size327; ++_i331)
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->changes.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
             {
-              xfer += this->changes[_i331].read(iprot);
+              xfer += this->changes[_i335].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9284,14 +9475,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size332;
-            ::apache::thrift::protocol::TType _etype335;
-            xfer += iprot->readListBegin(_etype335, _size332);
-            this->keys.resize(_size332);
-            uint32_t _i336;
-            for (_i336 = 0; _i336 < _size332; ++_i336)
+            uint32_t _size336;
+            ::apache::thrift::protocol::TType _etype339;
+            xfer += iprot->readListBegin(_etype339, _size336);
+            this->keys.resize(_size336);
+            uint32_t _i340;
+            for (_i340 = 0; _i340 < _size336; ++_i340)
             {
-              xfer += this->keys[_i336].read(iprot);
+              xfer += this->keys[_i340].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9304,14 +9495,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size337;
-            ::apache::thrift::protocol::TType _etype340;
-            xfer += iprot->readListBegin(_etype340, _size337);
-            this->leases.resize(_size337);
-            uint32_t _i341;
-            for (_i341 = 0; _i341 < _size337; ++_i341)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->leases.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += this->leases[_i341].read(iprot);
+              xfer += this->leases[_i345].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9340,14 +9531,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size342;
-            ::apache::thrift::protocol::TType _etype345;
-            xfer += iprot->readListBegin(_etype345, _size342);
-            this->servers.resize(_size342);
-            uint32_t _i346;
-            for (_i346 = 0; _i346 < _size342; ++_i346)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->servers.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->servers[_i346].read(iprot);
+              xfer += this->servers[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9360,14 +9551,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rollouts.clear();
-            uint32_t _size347;
-            ::apache::thrift::protocol::TType _etype350;
-            xfer += iprot->readListBegin(_etype350, _size347);
-            this->rollouts.resize(_size347);
-            uint32_t _i351;
-            for (_i351 = 0; _i351 < _size347; ++_i351)
+            uint32_t _size351;
+            ::apache::thrift::protocol::TType _etype354;
+            xfer += iprot->readListBegin(_etype354, _size351);
+            this->rollouts.resize(_size351);
+            uint32_t _i355;
+            for (_i355 = 0; _i355 < _size351; ++_i355)
             {
-              xfer += this->rollouts[_i351].read(iprot);
+              xfer += this->rollouts[_i355].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9380,14 +9571,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evacuations.clear();
-            uint32_t _size352;
-            ::apache::thrift::protocol::TType _etype355;
-            xfer += iprot->readListBegin(_etype355, _size352);
-            this->evacuations.resize(_size352);
-            uint32_t _i356;
-            for (_i356 = 0; _i356 < _size352; ++_i356)
+            uint32_t _size356;
+            ::apache::thrift::protocol::TType _etype359;
+            xfer += iprot->readListBegin(_etype359, _size356);
+            this->evacuations.resize(_size356);
+            uint32_t _i360;
+            for (_i360 = 0; _i360 < _size356; ++_i360)
             {
-              xfer += this->evacuations[_i356].read(iprot);
+              xfer += this->evacuations[_i360].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9400,14 +9591,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crash_suspects.clear();
-            uint32_t _size357;
-            ::apache::thrift::protocol::TType _etype360;
-            xfer += iprot->readListBegin(_etype360, _size357);
-            this->crash_suspects.resize(_size357);
-            uint32_t _i361;
-            for (_i361 = 0; _i361 < _size357; ++_i361)
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->crash_suspects.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
             {
-              xfer += this->crash_suspects[_i361].read(iprot);
+              xfer += this->crash_suspects[_i365].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9448,10 +9639,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ObjectState> ::const_iterator _iter362;
-    for (_iter362 = this->objects.begin(); _iter362 != this->objects.end(); ++_iter362)
+    std::vector<ObjectState> ::const_iterator _iter366;
+    for (_iter366 = this->objects.begin(); _iter366 != this->objects.end(); ++_iter366)
     {
-      xfer += (*_iter362).write(oprot);
+      xfer += (*_iter366).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9460,10 +9651,10 @@
   xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-    std::vector<RemovalState> ::const_iterator _iter363;
-    for (_iter363 = this->removals.begin(); _iter363 != this->removals.end(); ++_iter363)
+    std::vector<RemovalState> ::const_iterator _iter367;
+    for (_iter367 = this->removals.begin(); _iter367 != this->removals.end(); ++_iter367)
     {
-      xfer += (*_iter363).write(oprot);
+      xfer += (*_iter367).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9476,10 +9667,10 @@
   xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->history.size()));
-    std::vector<HistoryRow> ::const_iterator _iter364;
-    for (_iter364 = this->history.begin(); _iter364 != this->history.end(); ++_iter364)
+    std::vector<HistoryRow> ::const_iterator _iter368;
+    for (_iter368 = this->history.begin(); _iter368 != this->history.end(); ++_iter368)
     {
-      xfer += (*_iter364).write(oprot);
+      xfer += (*_iter368).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9488,10 +9679,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ChangeState> ::const_iterator _iter365;
-    for (_iter365 = this->changes.begin(); _iter365 != this->changes.end(); ++_iter365)
+    std::vector<ChangeState> ::const_iterator _iter369;
+    for (_iter369 = this->changes.begin(); _iter369 != this->changes.end(); ++_iter369)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter369).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9500,10 +9691,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<KeyRecord> ::const_iterator _iter366;
-    for (_iter366 = this->keys.begin(); _iter366 != this->keys.end(); ++_iter366)
+    std::vector<KeyRecord> ::const_iterator _iter370;
+    for (_iter370 = this->keys.begin(); _iter370 != this->keys.end(); ++_iter370)
     {
-      xfer += (*_iter366).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9512,10 +9703,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter367;
-    for (_iter367 = this->leases.begin(); _iter367 != this->leases.end(); ++_iter367)
+    std::vector<LeaseGrant> ::const_iterator _iter371;
+    for (_iter371 = this->leases.begin(); _iter371 != this->leases.end(); ++_iter371)
     {
-      xfer += (*_iter367).write(oprot);
+      xfer += (*_iter371).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9532,10 +9723,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter368;
-    for (_iter368 = this->servers.begin(); _iter368 != this->servers.end(); ++_iter368)
+    std::vector<ServerRecord> ::const_iterator _iter372;
+    for (_iter372 = this->servers.begin(); _iter372 != this->servers.end(); ++_iter372)
     {
-      xfer += (*_iter368).write(oprot);
+      xfer += (*_iter372).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9544,10 +9735,10 @@
   xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
-    std::vector<Rollout> ::const_iterator _iter369;
-    for (_iter369 = this->rollouts.begin(); _iter369 != this->rollouts.end(); ++_iter369)
+    std::vector<Rollout> ::const_iterator _iter373;
+    for (_iter373 = this->rollouts.begin(); _iter373 != this->rollouts.end(); ++_iter373)
     {
-      xfer += (*_iter369).write(oprot);
+      xfer += (*_iter373).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9556,10 +9747,10 @@
   xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evacuations.size()));
-    std::vector<Evacuation> ::const_iterator _iter370;
-    for (_iter370 = this->evacuations.begin(); _iter370 != this->evacuations.end(); ++_iter370)
+    std::vector<Evacuation> ::const_iterator _iter374;
+    for (_iter374 = this->evacuations.begin(); _iter374 != this->evacuations.end(); ++_iter374)
     {
-      xfer += (*_iter370).write(oprot);
+      xfer += (*_iter374).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9568,10 +9759,10 @@
   xfer += oprot->writeFieldBegin("crash_suspects", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crash_suspects.size()));
-    std::vector<CrashSuspectState> ::const_iterator _iter371;
-    for (_iter371 = this->crash_suspects.begin(); _iter371 != this->crash_suspects.end(); ++_iter371)
+    std::vector<CrashSuspectState> ::const_iterator _iter375;
+    for (_iter375 = this->crash_suspects.begin(); _iter375 != this->crash_suspects.end(); ++_iter375)
     {
-      xfer += (*_iter371).write(oprot);
+      xfer += (*_iter375).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9606,78 +9797,78 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineState::MachineState(const MachineState& other372) {
-  version = other372.version;
-  objects = other372.objects;
-  removals = other372.removals;
-  whole_before = other372.whole_before;
-  history = other372.history;
-  changes = other372.changes;
-  keys = other372.keys;
-  leases = other372.leases;
-  now_ms = other372.now_ms;
-  document = other372.document;
-  servers = other372.servers;
-  rollouts = other372.rollouts;
-  evacuations = other372.evacuations;
-  crash_suspects = other372.crash_suspects;
-  quarantine_index = other372.quarantine_index;
-  __isset = other372.__isset;
-}
-MachineState::MachineState(MachineState&& other373) noexcept {
-  version = other373.version;
-  objects = std::move(other373.objects);
-  removals = std::move(other373.removals);
-  whole_before = other373.whole_before;
-  history = std::move(other373.history);
-  changes = std::move(other373.changes);
-  keys = std::move(other373.keys);
-  leases = std::move(other373.leases);
-  now_ms = other373.now_ms;
-  document = std::move(other373.document);
-  servers = std::move(other373.servers);
-  rollouts = std::move(other373.rollouts);
-  evacuations = std::move(other373.evacuations);
-  crash_suspects = std::move(other373.crash_suspects);
-  quarantine_index = other373.quarantine_index;
-  __isset = other373.__isset;
-}
-MachineState& MachineState::operator=(const MachineState& other374) {
-  version = other374.version;
-  objects = other374.objects;
-  removals = other374.removals;
-  whole_before = other374.whole_before;
-  history = other374.history;
-  changes = other374.changes;
-  keys = other374.keys;
-  leases = other374.leases;
-  now_ms = other374.now_ms;
-  document = other374.document;
-  servers = other374.servers;
-  rollouts = other374.rollouts;
-  evacuations = other374.evacuations;
-  crash_suspects = other374.crash_suspects;
-  quarantine_index = other374.quarantine_index;
-  __isset = other374.__isset;
+MachineState::MachineState(const MachineState& other376) {
+  version = other376.version;
+  objects = other376.objects;
+  removals = other376.removals;
+  whole_before = other376.whole_before;
+  history = other376.history;
+  changes = other376.changes;
+  keys = other376.keys;
+  leases = other376.leases;
+  now_ms = other376.now_ms;
+  document = other376.document;
+  servers = other376.servers;
+  rollouts = other376.rollouts;
+  evacuations = other376.evacuations;
+  crash_suspects = other376.crash_suspects;
+  quarantine_index = other376.quarantine_index;
+  __isset = other376.__isset;
+}
+MachineState::MachineState(MachineState&& other377) noexcept {
+  version = other377.version;
+  objects = std::move(other377.objects);
+  removals = std::move(other377.removals);
+  whole_before = other377.whole_before;
+  history = std::move(other377.history);
+  changes = std::move(other377.changes);
+  keys = std::move(other377.keys);
+  leases = std::move(other377.leases);
+  now_ms = other377.now_ms;
+  document = std::move(other377.document);
+  servers = std::move(other377.servers);
+  rollouts = std::move(other377.rollouts);
+  evacuations = std::move(other377.evacuations);
+  crash_suspects = std::move(other377.crash_suspects);
+  quarantine_index = other377.quarantine_index;
+  __isset = other377.__isset;
+}
+MachineState& MachineState::operator=(const MachineState& other378) {
+  version = other378.version;
+  objects = other378.objects;
+  removals = other378.removals;
+  whole_before = other378.whole_before;
+  history = other378.history;
+  changes = other378.changes;
+  keys = other378.keys;
+  leases = other378.leases;
+  now_ms = other378.now_ms;
+  document = other378.document;
+  servers = other378.servers;
+  rollouts = other378.rollouts;
+  evacuations = other378.evacuations;
+  crash_suspects = other378.crash_suspects;
+  quarantine_index = other378.quarantine_index;
+  __isset = other378.__isset;
   return *this;
 }
-MachineState& MachineState::operator=(MachineState&& other375) noexcept {
-  version = other375.version;
-  objects = std::move(other375.objects);
-  removals = std::move(other375.removals);
-  whole_before = other375.whole_before;
-  history = std::move(other375.history);
-  changes = std::move(other375.changes);
-  keys = std::move(other375.keys);
-  leases = std::move(other375.leases);
-  now_ms = other375.now_ms;
-  document = std::move(other375.document);
-  servers = std::move(other375.servers);
-  rollouts = std::move(other375.rollouts);
-  evacuations = std::move(other375.evacuations);
-  crash_suspects = std::move(other375.crash_suspects);
-  quarantine_index = other375.quarantine_index;
-  __isset = other375.__isset;
+MachineState& MachineState::operator=(MachineState&& other379) noexcept {
+  version = other379.version;
+  objects = std::move(other379.objects);
+  removals = std::move(other379.removals);
+  whole_before = other379.whole_before;
+  history = std::move(other379.history);
+  changes = std::move(other379.changes);
+  keys = std::move(other379.keys);
+  leases = std::move(other379.leases);
+  now_ms = other379.now_ms;
+  document = std::move(other379.document);
+  servers = std::move(other379.servers);
+  rollouts = std::move(other379.rollouts);
+  evacuations = std::move(other379.evacuations);
+  crash_suspects = std::move(other379.crash_suspects);
+  quarantine_index = other379.quarantine_index;
+  __isset = other379.__isset;
   return *this;
 }
 void MachineState::printTo(std::ostream& out) const {
@@ -9794,26 +9985,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerAddress::PeerAddress(const PeerAddress& other376) {
-  address = other376.address;
-  port = other376.port;
-  __isset = other376.__isset;
+PeerAddress::PeerAddress(const PeerAddress& other380) {
+  address = other380.address;
+  port = other380.port;
+  __isset = other380.__isset;
 }
-PeerAddress::PeerAddress(PeerAddress&& other377) noexcept {
-  address = std::move(other377.address);
-  port = other377.port;
-  __isset = other377.__isset;
+PeerAddress::PeerAddress(PeerAddress&& other381) noexcept {
+  address = std::move(other381.address);
+  port = other381.port;
+  __isset = other381.__isset;
 }
-PeerAddress& PeerAddress::operator=(const PeerAddress& other378) {
-  address = other378.address;
-  port = other378.port;
-  __isset = other378.__isset;
+PeerAddress& PeerAddress::operator=(const PeerAddress& other382) {
+  address = other382.address;
+  port = other382.port;
+  __isset = other382.__isset;
   return *this;
 }
-PeerAddress& PeerAddress::operator=(PeerAddress&& other379) noexcept {
-  address = std::move(other379.address);
-  port = other379.port;
-  __isset = other379.__isset;
+PeerAddress& PeerAddress::operator=(PeerAddress&& other383) noexcept {
+  address = std::move(other383.address);
+  port = other383.port;
+  __isset = other383.__isset;
   return *this;
 }
 void PeerAddress::printTo(std::ostream& out) const {
@@ -10121,74 +10312,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other380) {
-  instance = other380.instance;
-  incarnation = other380.incarnation;
-  address = other380.address;
-  port = other380.port;
-  data_centre = other380.data_centre;
-  version_in_force = other380.version_in_force;
-  ready = other380.ready;
-  stopping = other380.stopping;
-  http = other380.http;
-  leases_seen = other380.leases_seen;
-  members_seen = other380.members_seen;
-  relay_port = other380.relay_port;
-  cut_off = other380.cut_off;
-  wants_helpers = other380.wants_helpers;
-  __isset = other380.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other381) noexcept {
-  instance = std::move(other381.instance);
-  incarnation = std::move(other381.incarnation);
-  address = std::move(other381.address);
-  port = other381.port;
-  data_centre = std::move(other381.data_centre);
-  version_in_force = other381.version_in_force;
-  ready = other381.ready;
-  stopping = other381.stopping;
-  http = std::move(other381.http);
-  leases_seen = other381.leases_seen;
-  members_seen = other381.members_seen;
-  relay_port = other381.relay_port;
-  cut_off = other381.cut_off;
-  wants_helpers = other381.wants_helpers;
-  __isset = other381.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other382) {
-  instance = other382.instance;
-  incarnation = other382.incarnation;
-  address = other382.address;
-  port = other382.port;
-  data_centre = other382.data_centre;
-  version_in_force = other382.version_in_force;
-  ready = other382.ready;
-  stopping = other382.stopping;
-  http = other382.http;
-  leases_seen = other382.leases_seen;
-  members_seen = other382.members_seen;
-  relay_port = other382.relay_port;
-  cut_off = other382.cut_off;
-  wants_helpers = other382.wants_helpers;
-  __isset = other382.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other384) {
+  instance = other384.instance;
+  incarnation = other384.incarnation;
+  address = other384.address;
+  port = other384.port;
+  data_centre = other384.data_centre;
+  version_in_force = other384.version_in_force;
+  ready = other384.ready;
+  stopping = other384.stopping;
+  http = other384.http;
+  leases_seen = other384.leases_seen;
+  members_seen = other384.members_seen;
+  relay_port = other384.relay_port;
+  cut_off = other384.cut_off;
+  wants_helpers = other384.wants_helpers;
+  __isset = other384.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other385) noexcept {
+  instance = std::move(other385.instance);
+  incarnation = std::move(other385.incarnation);
+  address = std::move(other385.address);
+  port = other385.port;
+  data_centre = std::move(other385.data_centre);
+  version_in_force = other385.version_in_force;
+  ready = other385.ready;
+  stopping = other385.stopping;
+  http = std::move(other385.http);
+  leases_seen = other385.leases_seen;
+  members_seen = other385.members_seen;
+  relay_port = other385.relay_port;
+  cut_off = other385.cut_off;
+  wants_helpers = other385.wants_helpers;
+  __isset = other385.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other386) {
+  instance = other386.instance;
+  incarnation = other386.incarnation;
+  address = other386.address;
+  port = other386.port;
+  data_centre = other386.data_centre;
+  version_in_force = other386.version_in_force;
+  ready = other386.ready;
+  stopping = other386.stopping;
+  http = other386.http;
+  leases_seen = other386.leases_seen;
+  members_seen = other386.members_seen;
+  relay_port = other386.relay_port;
+  cut_off = other386.cut_off;
+  wants_helpers = other386.wants_helpers;
+  __isset = other386.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other383) noexcept {
-  instance = std::move(other383.instance);
-  incarnation = std::move(other383.incarnation);
-  address = std::move(other383.address);
-  port = other383.port;
-  data_centre = std::move(other383.data_centre);
-  version_in_force = other383.version_in_force;
-  ready = other383.ready;
-  stopping = other383.stopping;
-  http = std::move(other383.http);
-  leases_seen = other383.leases_seen;
-  members_seen = other383.members_seen;
-  relay_port = other383.relay_port;
-  cut_off = other383.cut_off;
-  wants_helpers = other383.wants_helpers;
-  __isset = other383.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other387) noexcept {
+  instance = std::move(other387.instance);
+  incarnation = std::move(other387.incarnation);
+  address = std::move(other387.address);
+  port = other387.port;
+  data_centre = std::move(other387.data_centre);
+  version_in_force = other387.version_in_force;
+  ready = other387.ready;
+  stopping = other387.stopping;
+  http = std::move(other387.http);
+  leases_seen = other387.leases_seen;
+  members_seen = other387.members_seen;
+  relay_port = other387.relay_port;
+  cut_off = other387.cut_off;
+  wants_helpers = other387.wants_helpers;
+  __isset = other387.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -10291,14 +10482,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->leases.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->leases.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              xfer += this->leases[_i388].read(iprot);
+              xfer += this->leases[_i392].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10351,14 +10542,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size389;
-            ::apache::thrift::protocol::TType _etype392;
-            xfer += iprot->readListBegin(_etype392, _size389);
-            this->members.resize(_size389);
-            uint32_t _i393;
-            for (_i393 = 0; _i393 < _size389; ++_i393)
+            uint32_t _size393;
+            ::apache::thrift::protocol::TType _etype396;
+            xfer += iprot->readListBegin(_etype396, _size393);
+            this->members.resize(_size393);
+            uint32_t _i397;
+            for (_i397 = 0; _i397 < _size393; ++_i397)
             {
-              xfer += this->members[_i393].read(iprot);
+              xfer += this->members[_i397].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10395,14 +10586,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->helpers.clear();
-            uint32_t _size394;
-            ::apache::thrift::protocol::TType _etype397;
-            xfer += iprot->readListBegin(_etype397, _size394);
-            this->helpers.resize(_size394);
-            uint32_t _i398;
-            for (_i398 = 0; _i398 < _size394; ++_i398)
+            uint32_t _size398;
+            ::apache::thrift::protocol::TType _etype401;
+            xfer += iprot->readListBegin(_etype401, _size398);
+            this->helpers.resize(_size398);
+            uint32_t _i402;
+            for (_i402 = 0; _i402 < _size398; ++_i402)
             {
-              xfer += this->helpers[_i398].read(iprot);
+              xfer += this->helpers[_i402].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10431,10 +10622,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<LeaseGrant> ::const_iterator _iter399;
-    for (_iter399 = this->leases.begin(); _iter399 != this->leases.end(); ++_iter399)
+    std::vector<LeaseGrant> ::const_iterator _iter403;
+    for (_iter403 = this->leases.begin(); _iter403 != this->leases.end(); ++_iter403)
     {
-      xfer += (*_iter399).write(oprot);
+      xfer += (*_iter403).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10463,10 +10654,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberInfo> ::const_iterator _iter400;
-    for (_iter400 = this->members.begin(); _iter400 != this->members.end(); ++_iter400)
+    std::vector<MemberInfo> ::const_iterator _iter404;
+    for (_iter404 = this->members.begin(); _iter404 != this->members.end(); ++_iter404)
     {
-      xfer += (*_iter400).write(oprot);
+      xfer += (*_iter404).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10487,10 +10678,10 @@
   xfer += oprot->writeFieldBegin("helpers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->helpers.size()));
-    std::vector<PeerAddress> ::const_iterator _iter401;
-    for (_iter401 = this->helpers.begin(); _iter401 != this->helpers.end(); ++_iter401)
+    std::vector<PeerAddress> ::const_iterator _iter405;
+    for (_iter405 = this->helpers.begin(); _iter405 != this->helpers.end(); ++_iter405)
     {
-      xfer += (*_iter401).write(oprot);
+      xfer += (*_iter405).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10517,62 +10708,62 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other402) {
-  leases = other402.leases;
-  version = other402.version;
-  leader_term = other402.leader_term;
-  live = other402.live;
-  leases_index = other402.leases_index;
-  leases_same = other402.leases_same;
-  members = other402.members;
-  document_version = other402.document_version;
-  servers_index = other402.servers_index;
-  members_digest = other402.members_digest;
-  helpers = other402.helpers;
-  __isset = other402.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other403) noexcept {
-  leases = std::move(other403.leases);
-  version = other403.version;
-  leader_term = other403.leader_term;
-  live = other403.live;
-  leases_index = other403.leases_index;
-  leases_same = other403.leases_same;
-  members = std::move(other403.members);
-  document_version = other403.document_version;
-  servers_index = other403.servers_index;
-  members_digest = other403.members_digest;
-  helpers = std::move(other403.helpers);
-  __isset = other403.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other404) {
-  leases = other404.leases;
-  version = other404.version;
-  leader_term = other404.leader_term;
-  live = other404.live;
-  leases_index = other404.leases_index;
-  leases_same = other404.leases_same;
-  members = other404.members;
-  document_version = other404.document_version;
-  servers_index = other404.servers_index;
-  members_digest = other404.members_digest;
-  helpers = other404.helpers;
-  __isset = other404.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other406) {
+  leases = other406.leases;
+  version = other406.version;
+  leader_term = other406.leader_term;
+  live = other406.live;
+  leases_index = other406.leases_index;
+  leases_same = other406.leases_same;
+  members = other406.members;
+  document_version = other406.document_version;
+  servers_index = other406.servers_index;
+  members_digest = other406.members_digest;
+  helpers = other406.helpers;
+  __isset = other406.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other407) noexcept {
+  leases = std::move(other407.leases);
+  version = other407.version;
+  leader_term = other407.leader_term;
+  live = other407.live;
+  leases_index = other407.leases_index;
+  leases_same = other407.leases_same;
+  members = std::move(other407.members);
+  document_version = other407.document_version;
+  servers_index = other407.servers_index;
+  members_digest = other407.members_digest;
+  helpers = std::move(other407.helpers);
+  __isset = other407.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other408) {
+  leases = other408.leases;
+  version = other408.version;
+  leader_term = other408.leader_term;
+  live = other408.live;
+  leases_index = other408.leases_index;
+  leases_same = other408.leases_same;
+  members = other408.members;
+  document_version = other408.document_version;
+  servers_index = other408.servers_index;
+  members_digest = other408.members_digest;
+  helpers = other408.helpers;
+  __isset = other408.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other405) noexcept {
-  leases = std::move(other405.leases);
-  version = other405.version;
-  leader_term = other405.leader_term;
-  live = other405.live;
-  leases_index = other405.leases_index;
-  leases_same = other405.leases_same;
-  members = std::move(other405.members);
-  document_version = other405.document_version;
-  servers_index = other405.servers_index;
-  members_digest = other405.members_digest;
-  helpers = std::move(other405.helpers);
-  __isset = other405.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other409) noexcept {
+  leases = std::move(other409.leases);
+  version = other409.version;
+  leader_term = other409.leader_term;
+  live = other409.live;
+  leases_index = other409.leases_index;
+  leases_same = other409.leases_same;
+  members = std::move(other409.members);
+  document_version = other409.document_version;
+  servers_index = other409.servers_index;
+  members_digest = other409.members_digest;
+  helpers = std::move(other409.helpers);
+  __isset = other409.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -10632,14 +10823,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->commands.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->commands.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += this->commands[_i410].read(iprot);
+              xfer += this->commands[_i414].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10668,10 +10859,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<Command> ::const_iterator _iter411;
-    for (_iter411 = this->commands.begin(); _iter411 != this->commands.end(); ++_iter411)
+    std::vector<Command> ::const_iterator _iter415;
+    for (_iter415 = this->commands.begin(); _iter415 != this->commands.end(); ++_iter415)
     {
-      xfer += (*_iter411).write(oprot);
+      xfer += (*_iter415).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10688,22 +10879,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Propose::Propose(const Propose& other412) {
-  commands = other412.commands;
-  __isset = other412.__isset;
+Propose::Propose(const Propose& other416) {
+  commands = other416.commands;
+  __isset = other416.__isset;
 }
-Propose::Propose(Propose&& other413) noexcept {
-  commands = std::move(other413.commands);
-  __isset = other413.__isset;
+Propose::Propose(Propose&& other417) noexcept {
+  commands = std::move(other417.commands);
+  __isset = other417.__isset;
 }
-Propose& Propose::operator=(const Propose& other414) {
-  commands = other414.commands;
-  __isset = other414.__isset;
+Propose& Propose::operator=(const Propose& other418) {
+  commands = other418.commands;
+  __isset = other418.__isset;
   return *this;
 }
-Propose& Propose::operator=(Propose&& other415) noexcept {
-  commands = std::move(other415.commands);
-  __isset = other415.__isset;
+Propose& Propose::operator=(Propose&& other419) noexcept {
+  commands = std::move(other419.commands);
+  __isset = other419.__isset;
   return *this;
 }
 void Propose::printTo(std::ostream& out) const {
@@ -10791,9 +10982,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast416;
-          xfer += iprot->readI32(ecast416);
-          this->rollout = static_cast<RolloutVerdict::type>(ecast416);
+          int32_t ecast420;
+          xfer += iprot->readI32(ecast420);
+          this->rollout = static_cast<RolloutVerdict::type>(ecast420);
           this->__isset.rollout = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10850,34 +11041,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other417) {
-  config = other417.config;
-  claim = other417.claim;
-  done = other417.done;
-  rollout = other417.rollout;
-  __isset = other417.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other418) noexcept {
-  config = std::move(other418.config);
-  claim = std::move(other418.claim);
-  done = other418.done;
-  rollout = other418.rollout;
-  __isset = other418.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other419) {
-  config = other419.config;
-  claim = other419.claim;
-  done = other419.done;
-  rollout = other419.rollout;
-  __isset = other419.__isset;
+CommandResult::CommandResult(const CommandResult& other421) {
+  config = other421.config;
+  claim = other421.claim;
+  done = other421.done;
+  rollout = other421.rollout;
+  __isset = other421.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other422) noexcept {
+  config = std::move(other422.config);
+  claim = std::move(other422.claim);
+  done = other422.done;
+  rollout = other422.rollout;
+  __isset = other422.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other423) {
+  config = other423.config;
+  claim = other423.claim;
+  done = other423.done;
+  rollout = other423.rollout;
+  __isset = other423.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other420) noexcept {
-  config = std::move(other420.config);
-  claim = std::move(other420.claim);
-  done = other420.done;
-  rollout = other420.rollout;
-  __isset = other420.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other424) noexcept {
+  config = std::move(other424.config);
+  claim = std::move(other424.claim);
+  done = other424.done;
+  rollout = other424.rollout;
+  __isset = other424.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -10930,14 +11121,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size421;
-            ::apache::thrift::protocol::TType _etype424;
-            xfer += iprot->readListBegin(_etype424, _size421);
-            this->results.resize(_size421);
-            uint32_t _i425;
-            for (_i425 = 0; _i425 < _size421; ++_i425)
+            uint32_t _size425;
+            ::apache::thrift::protocol::TType _etype428;
+            xfer += iprot->readListBegin(_etype428, _size425);
+            this->results.resize(_size425);
+            uint32_t _i429;
+            for (_i429 = 0; _i429 < _size425; ++_i429)
             {
-              xfer += this->results[_i425].read(iprot);
+              xfer += this->results[_i429].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10966,10 +11157,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<CommandResult> ::const_iterator _iter426;
-    for (_iter426 = this->results.begin(); _iter426 != this->results.end(); ++_iter426)
+    std::vector<CommandResult> ::const_iterator _iter430;
+    for (_iter430 = this->results.begin(); _iter430 != this->results.end(); ++_iter430)
     {
-      xfer += (*_iter426).write(oprot);
+      xfer += (*_iter430).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10986,22 +11177,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other427) {
-  results = other427.results;
-  __isset = other427.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other431) {
+  results = other431.results;
+  __isset = other431.__isset;
 }
-ProposeReply::ProposeReply(ProposeReply&& other428) noexcept {
-  results = std::move(other428.results);
-  __isset = other428.__isset;
+ProposeReply::ProposeReply(ProposeReply&& other432) noexcept {
+  results = std::move(other432.results);
+  __isset = other432.__isset;
 }
-ProposeReply& ProposeReply::operator=(const ProposeReply& other429) {
-  results = other429.results;
-  __isset = other429.__isset;
+ProposeReply& ProposeReply::operator=(const ProposeReply& other433) {
+  results = other433.results;
+  __isset = other433.__isset;
   return *this;
 }
-ProposeReply& ProposeReply::operator=(ProposeReply&& other430) noexcept {
-  results = std::move(other430.results);
-  __isset = other430.__isset;
+ProposeReply& ProposeReply::operator=(ProposeReply&& other434) noexcept {
+  results = std::move(other434.results);
+  __isset = other434.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -11121,9 +11312,9 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast431;
-          xfer += iprot->readI32(ecast431);
-          this->kind = static_cast<NewsKind::type>(ecast431);
+          int32_t ecast435;
+          xfer += iprot->readI32(ecast435);
+          this->kind = static_cast<NewsKind::type>(ecast435);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
