Sync what a member has read when it opens its folder

What callers could lose: an acknowledged entry or a vote, after a kill between a write and its sync and a power loss before the next sync.

Cause: LogStore::Open takes what the files hold for durable. After a kill they may hold more than the disk does.

Change: Open syncs the segment that it has read, and the folder, and fails if that fails.

Why it works: nothing of the log is acknowledged or voted on before that sync, and later writes have syncs of their own.

--- a/packages/log/src/log_store.cc
+++ b/packages/log/src/log_store.cc
@@ -242,6 +242,10 @@
   store->m_segment_bytes = static_cast<std::int64_t>(fs::file_size(path, fault));
   if (fault)
     return Fail(ResultCode::kDiskFailed, path + ": " + fault.message());
+  // The process before may have ended between a write and its sync, or between a rename and its
+  // own. What was read counts as durable from now on.
+  if (!store->m_ops.m_sync(store->m_segment) || !SyncFolder(folder, store->m_ops))
+    return Fail(ResultCode::kDiskFailed, path + ": can't sync what was read");
   return store;
 }
 
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -2,8 +2,11 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include <catch2/catch.hpp>
 
+#include <sys/stat.h>
+
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 #include "poppyway/log.h"
 #include "temporary_folder.h"
@@ -242,3 +245,70 @@
   CHECK(reopened->m_snapshot->state == "state");
   CHECK(reopened->m_entries.size() == 2);
 }
+
+namespace {
+
+/// A disk that keeps, of each file, only what was synced when the power fails.
+struct FakeDisk {
+  std::map<ino_t, std::uintmax_t> m_synced_sizes;
+  bool m_killed = false;  ///< The process ends between a write and its sync.
+
+  FileOps Ops() {
+    FileOps ops = SystemFileOps();
+    ops.m_sync = [this](int fd) {
+      struct stat file {};
+      if (m_killed || fstat(fd, &file) != 0)
+        return false;
+      m_synced_sizes[file.st_ino] = static_cast<std::uintmax_t>(file.st_size);
+      return true;
+    };
+    return ops;
+  }
+  void LosePower(const std::string& path) {
+    struct stat file {};
+    REQUIRE(stat(path.c_str(), &file) == 0);
+    fs::resize_file(path, m_synced_sizes[file.st_ino]);
+  }
+};
+
+}  // namespace
+
+// Guards against entries and votes that were written right before a kill, count as durable after
+// the restart, and are lost with the power before the next sync.
+TEST_CASE("what a restarted member counts as durable survives a power loss", "[log][store]") {
+  const TemporaryFolder folder;
+  FakeDisk disk;
+  WriteEntries(folder.path(), 3, disk.Ops());
+  {
+    StoredLog stored;
+    auto store = LogStore::Open(folder.path(), "c", 7, stored, disk.Ops());
+    REQUIRE(store);
+    LogNode node;
+    node.m_hard_state.term = 9;
+    LogEffects effects;
+    effects.m_save_hard = true;
+    effects.m_append.push_back(Entry(4));
+    disk.m_killed = true;
+    CHECK_FALSE((*store)->Save(node, effects));
+  }
+  disk.m_killed = false;
+  StoredLog acknowledged;
+  REQUIRE(LogStore::Open(folder.path(), "c", 7, acknowledged, disk.Ops()));
+  REQUIRE(acknowledged.m_entries.size() == 4);
+  disk.LosePower(SegmentPath(folder.path()));
+  const auto stored = Reopen(folder.path());
+  REQUIRE(stored);
+  CHECK(stored->m_entries.size() == 4);
+  CHECK(stored->m_hard_state.term == 9);
+}
+
+TEST_CASE("a member whose disk fails to sync what it has read doesn't start", "[log][store]") {
+  const TemporaryFolder folder;
+  FakeDisk disk;
+  WriteEntries(folder.path(), 3, disk.Ops());
+  disk.m_killed = true;
+  StoredLog stored;
+  const auto store = LogStore::Open(folder.path(), "c", 7, stored, disk.Ops());
+  REQUIRE_FALSE(store);
+  CHECK(store.error().m_code == ResultCode::kDiskFailed);
+}
