Don't run a request again once its caller has bytes of an answer (MIXED)

Cause: answers over 256 KiB are passed on in pieces. MayRerun asked whether the route may be repeated, not whether the caller has bytes already; the second server's whole answer was then appended.

Change: a request isn't run again once its caller has bytes that aren't events. The answer is broken off, which a caller can tell from a whole one.

Why it works: only events can be continued, by their ids; everything else has one server's bytes or is visibly broken.

--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -22,10 +22,14 @@
   return status >= 500;
 }
 
-/// Returns true for a request of a repeatable route and for a resumable stream, unless its caller
-/// has events without ids: then nobody knows where to go on.
+/// Returns true for a request of a repeatable route, unless its caller has a part of the response,
+/// which a second one can't continue; and for a resumable stream, unless its caller has events
+/// without ids: then nobody knows where to go on.
 bool MayRerun(const Forwarding& forwarding) {
   const Route& route = *forwarding.m_route;
+  const bool has_other_bytes = forwarding.m_caller.m_started && forwarding.m_events.m_events == 0;
+  if (has_other_bytes)
+    return false;
   if (!route.m_stream)
     return route.m_repeat == Repeat::kAlways;
   const bool position_known =
