Order addresses of servers in the way of other keys

The linter takes a defaulted three-way comparison for a null pointer. ServerAddress compares like Endpoint now. Two constants are explained. No behaviour changes.

--- a/packages/state/include/poppyway/state/impl/server_presence.h
+++ b/packages/state/include/poppyway/state/impl/server_presence.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "poppyway/core.h"
 #include "poppyway/wire.h"
@@ -23,7 +24,10 @@
   std::string m_ip;
   int m_port = 0;
 
-  friend auto operator<=>(const ServerAddress&, const ServerAddress&) = default;
+  friend bool operator==(const ServerAddress&, const ServerAddress&) = default;
+  friend bool operator<(const ServerAddress& a, const ServerAddress& b) {
+    return std::tie(a.m_ip, a.m_port) < std::tie(b.m_ip, b.m_port);
+  }
 };
 
 /// \brief Returns the address of a record.
--- a/packages/state/src/server_presence.cc
+++ b/packages/state/src/server_presence.cc
@@ -16,9 +16,9 @@
 constexpr int kReturnHeartbeats = 5;
 // Heartbeats that are further apart aren't steady.
 constexpr Duration kMaxGap{15'000'000};
-// Servers that contend for an address for longer may each take this many times more heartbeats.
+// While servers contend for an address, each entry doubles the heartbeats needed, at most so often.
 constexpr int kMaxDoublings = 5;
-constexpr Duration kProposalMemory{300'000'000};
+constexpr Duration kProposalMemory{300'000'000};  // Older entries don't count any more.
 constexpr Duration kMinProposalInterval{1'000'000};
 
 using Heard = ContradictingHeartbeats::Heard;
