Write the current members into the settings at each start of a soak's process

Traced: a blank member that started again had only the seeds of its first start in its settings, all of them replaced since, so it found no leader to join (the leader's log has no proposal for 5 s, though it led with a quorum). A platform writes the operator's list into the settings at every start. The soak does so now, too.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -59,6 +59,7 @@
     """A poppywayd process with its settings file, data folder and log."""
 
     def __init__(self, folder, name, address, member, seeds, program, environment=()):
+        """`seeds`: returns the addresses of some members, for the settings of each start."""
         self.name = name
         self.address = address
         self.member = member
@@ -82,7 +83,7 @@
             "zone": "east",
             "region": "here",
             "internal_ports": INTERNAL_PORTS,
-            "seeds": ",".join(f"{seed}:{CONTROL_PORT}" for seed in self._seeds),
+            "seeds": ",".join(f"{seed}:{CONTROL_PORT}" for seed in self._seeds()),
             "bootstrap": "true" if first_start else "false",
             "bounds.revoke_ms": 5000,
             "bounds.strict_revoke": "true",
@@ -159,19 +160,23 @@
         self._members_made = members
         addresses = [f"127.{subnet}.0.{i + 1}" for i in range(members)]
         self.members = [
-            Process(self._folder.name, f"member-{i}", address, True, addresses[:3], program)
+            Process(self._folder.name, f"member-{i}", address, True, self.seeds, program)
             for i, address in enumerate(addresses)]
         self.instances = [
             Process(self._folder.name, f"edge-{i}", f"127.{subnet}.1.{i + 1}", False,
-                    addresses[:3], program, environment_of(i) if environment_of else ())
+                    self.seeds, program, environment_of(i) if environment_of else ())
             for i in range(instances)]
 
+    def seeds(self):
+        """Returns the addresses of three members, as a platform knows them now."""
+        return [member.address for member in self.members][:3]
+
     def add_member(self):
         """Adds and starts a blank member at an address of its own. Returns it."""
         self._members_made += 1
-        seeds = [member.address for member in self.members if member.running()][:3]
         added = Process(self._folder.name, f"member-{self._members_made - 1}",
-                        f"127.{self._subnet}.0.{self._members_made}", True, seeds, self.program)
+                        f"127.{self._subnet}.0.{self._members_made}", True, self.seeds,
+                        self.program)
         self.members.append(added)
         added.start()
         return added
