--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -109,8 +109,9 @@
   int m_servers_out_of_reach = 0;    ///< Servers without a connection and without a helper's word.
   int m_helpers_tried = 0;           ///< For the current slot.
   ServerResponse m_response;
-  bool m_head_accepted = false;  ///< The response head has been accepted.
-  std::string m_buffered;        ///< Response body held until the caller's response starts.
+  bool m_head_accepted = false;                 ///< The response head has been accepted.
+  std::optional<std::size_t> m_content_length;  ///< Of the server's response, if it states one.
+  std::string m_buffered;  ///< Response body held until the caller's response starts.
   EventStreamParser m_events;
   bool m_server_lived = false;       ///< The server has lived on after it began to write.
   bool m_continued = false;          ///< The call goes on with a stream that has begun.
--- a/packages/forward/src/dispatch.cc
+++ b/packages/forward/src/dispatch.cc
@@ -115,6 +115,7 @@
   forwarding.m_continued = ContinuationOf(forwarding).m_continues;
   forwarding.m_response = {};
   forwarding.m_head_accepted = false;
+  forwarding.m_content_length.reset();
   forwarding.m_buffered.clear();
   forwarding.m_reading_paused = false;
   forwarding.m_events.m_partial.clear();
--- a/packages/forward/src/peer_relay.cc
+++ b/packages/forward/src/peer_relay.cc
@@ -29,14 +29,6 @@
   return std::find(kNotPassedOn.begin(), kNotPassedOn.end(), name) == kNotPassedOn.end();
 }
 
-std::optional<std::size_t> LengthOf(const std::vector<Field>& fields) {
-  for (const Field& field : fields) {
-    if (field.m_name == "content-length")
-      return static_cast<std::size_t>(std::strtoull(field.m_value.c_str(), nullptr, 10));
-  }
-  return std::nullopt;
-}
-
 std::string TextOf(h2o_iovec_t bytes) {
   return std::string(bytes.base, bytes.len);
 }
@@ -226,7 +218,7 @@
   h2o_req_t* req = call->m_caller.m_req;
   req->res.status = status;
   req->res.reason = ReasonPhrase(status);
-  if (const std::optional<std::size_t> length = LengthOf(fields))
+  if (const std::optional<std::size_t> length = impl::ContentLength(fields))
     req->res.content_length = *length;
   for (const Field& field : fields) {
     if (IsPassedOn(field.m_name))
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -165,6 +165,14 @@
 
 }  // namespace
 
+std::optional<std::size_t> ContentLength(const std::vector<Field>& fields) {
+  for (const Field& field : fields) {
+    if (field.m_name == "content-length")
+      return static_cast<std::size_t>(std::strtoull(field.m_value.c_str(), nullptr, 10));
+  }
+  return std::nullopt;
+}
+
 void RetryRequest(ForwarderState& state, Forwarding& forwarding, std::string_view why) {
   state.m_metrics.Add("poppyway_forward_retries_total", TierAndReason(forwarding.m_tier, why));
   POPPYWAY_LOG(info, "retry")
@@ -220,6 +228,7 @@
       return HeadVerdict::kAccept;
     }
   }
+  const std::optional<std::size_t> content_length = ContentLength(fields);
   ServerResponse answer = state.m_adapter.m_decode_response(status, std::move(fields));
   HandleServerNotice(state, *forwarding, answer);
   if (answer.m_id && *answer.m_id != forwarding->m_request.m_id) {
@@ -270,6 +279,7 @@
     return HeadVerdict::kAccept;
   }
   forwarding->m_head_accepted = true;
+  forwarding->m_content_length = content_length;
   if (answer.m_keep_alive)
     forwarding->m_call->SetKeepAlive(*answer.m_keep_alive);
   forwarding->m_response = std::move(answer);
@@ -289,7 +299,8 @@
   } else {
     forwarding->m_buffered += bytes;
     if (forwarding->m_buffered.size() > kMaxBuffered) {
-      StartResponse(state, *forwarding, std::nullopt);
+      // With the length, each caller can tell a response that breaks off from a whole one.
+      StartResponse(state, *forwarding, forwarding->m_content_length);
       SendChunk(forwarding->m_caller, forwarding->m_buffered, false);
       forwarding->m_buffered.clear();
     }
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -264,6 +264,8 @@
 /// Records a health signal of the active call's server, locally and in the slot's report for the
 /// broker.
 void RecordHealth(ForwarderState& state, Forwarding& forwarding, HealthSignal signal);
+/// Returns the length that a response head states; nullopt if it states none.
+[[nodiscard]] std::optional<std::size_t> ContentLength(const std::vector<Field>& fields);
 /// Marks the server `expected` as replaced, since the server `responding` answered at its address.
 void RecordReplacement(ForwarderState& state,
                        const std::string& expected,
--- a/tests/long_answers_test.cc
+++ b/tests/long_answers_test.cc
@@ -69,6 +69,21 @@
   }
 }
 
+// Guards against an answer that a caller who reads to the end of the connection takes for whole.
+TEST_CASE("a long answer keeps the length that its server states") {
+  for (const ScriptStep& how : {ResetNow(), CloseNow()}) {
+    ScriptedServer breaking(BreaksAfter(400'000, how));
+    ForwarderFixture fixture;
+    fixture.Register("s0", breaking);
+    const CallResult seen = Call(fixture, Request("/safe/", "i"));
+    CHECK(seen.status() == 200);
+    CHECK(seen.m_bytes.find("content-length: 600000\r\n") != std::string::npos);
+    CHECK(seen.m_bytes.find("transfer-encoding") == std::string::npos);
+    CHECK(seen.m_closed);
+    CHECK(seen.body().size() < kAnswerBytes);
+  }
+}
+
 TEST_CASE("an answer that breaks off before its beginning was passed on is run again") {
   ScriptedServer breaking(BreaksAfter(100'000, ResetNow()));
   ScriptedServer sound(SendWhole);
