Ask one function whether a member replies, derive the reply time

Read again: what counts as a reply now stood twice (confirmed reads, the plan of the membership); both ask RepliesNow. The time that a member reported as silent has to reply to a new leader was a constant of 0.6 s; it is the longest election timeout, which has that value. The settings repeated the log's removal timeout of 5 s; they say nothing now where the platform says nothing. DescribeMembership stood beside DescribeMembers, which makes a log text; it is MembershipStatusOf. Behaviour is the same; the tests keep their assertions (one name changed).

--- a/apps/poppywayd/hosted_daemon.cc
+++ b/apps/poppywayd/hosted_daemon.cc
@@ -80,10 +80,10 @@
 }
 
 /// Returns how long a member may be silent before it is replaced, so that its replacement is
-/// complete when its successor counts as one.
+/// complete when its successor counts as one; zero if the platform doesn't state when that is.
 Duration MemberRemovalTimeout(const platform::HostedSettings& hosted) {
   if (hosted.m_member_catch_up == Duration(0))
-    return LogTiming{}.m_removal_timeout;
+    return Duration(0);
   return std::max(kMinRemovalTimeout, hosted.m_member_catch_up - kReplacementTime);
 }
 
--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -67,7 +67,8 @@
   m_node.m_name = MemberName();
   m_node.m_cluster = m_settings.m_cluster;
   m_node.m_tolerance = {m_settings.m_tolerated_members, m_settings.m_tolerated_data_centres};
-  m_node.m_timing.m_removal_timeout = std::chrono::milliseconds(m_settings.m_member_removal_ms);
+  if (m_settings.m_member_removal_ms > 0)
+    m_node.m_timing.m_removal_timeout = std::chrono::milliseconds(m_settings.m_member_removal_ms);
   m_node.m_random.seed(static_cast<std::uint64_t>(stored.m_id) ^
                        static_cast<std::uint64_t>(ReadClock().time_since_epoch().count()));
   if (stored.m_snapshot) {
--- a/apps/poppywayd/member_status.cc
+++ b/apps/poppywayd/member_status.cc
@@ -60,7 +60,7 @@
 void MemberService::AddMembershipStatus(wire::StatusReply& status, Instant now) const {
   if (!is_leader())
     return;
-  const MembershipStatus membership = DescribeMembership(m_node, now);
+  const MembershipStatus membership = MembershipStatusOf(m_node, now);
   status.__set_tolerated_losses(membership.m_tolerated_losses);
   for (const MemberStatus& member : membership.m_members) {
     if (!member.m_silent)
@@ -95,7 +95,7 @@
 void MemberService::AddMembershipMetrics(MetricSet& metrics) const {
   if (!is_leader())
     return;
-  const MembershipStatus membership = DescribeMembership(m_node, ReadClock());
+  const MembershipStatus membership = MembershipStatusOf(m_node, ReadClock());
   int voters = 0;
   int silent = 0;
   for (const MemberStatus& member : membership.m_members) {
--- a/apps/poppywayd/membership_watch.cc
+++ b/apps/poppywayd/membership_watch.cc
@@ -18,7 +18,7 @@
   if (now - m_checked < kCheckInterval)
     return;
   m_checked = now;
-  const MembershipStatus status = DescribeMembership(node, now);
+  const MembershipStatus status = MembershipStatusOf(node, now);
   std::set<MemberId> members;
   for (const MemberStatus& member : status.m_members) {
     members.insert(member.m_id);
--- a/packages/log/include/poppyway/log/impl/membership_plan.h
+++ b/packages/log/include/poppyway/log/impl/membership_plan.h
@@ -59,6 +59,6 @@
 
 /// \brief Returns the state of all members and the number of voters that may still be lost.
 /// Precondition: the node leads; a follower hears only from its leader.
-[[nodiscard]] MembershipStatus DescribeMembership(const LogNode& node, Instant now);
+[[nodiscard]] MembershipStatus MembershipStatusOf(const LogNode& node, Instant now);
 
 }  // namespace poppyway
--- a/packages/log/src/log_internal.h
+++ b/packages/log/src/log_internal.h
@@ -47,6 +47,9 @@
 /// \brief Returns a message from this node to member `to`, without a body.
 [[nodiscard]] wire::LogMessage Message(const LogNode& node, MemberId to);
 
+/// \brief Returns true for the leader itself, and for a member that has replied to an append which
+/// was sent within the shortest election timeout.
+[[nodiscard]] bool RepliesNow(const LogNode& node, MemberId id, Instant now);
 /// \brief Records, on a follower, which members its leader reports as silent.
 void RecordSilentMembers(LogNode& node, const wire::AppendRequest& request, Instant now);
 /// \brief Returns the members that don't reply to this leader, for its appends.
--- a/packages/log/src/log_node.cc
+++ b/packages/log/src/log_node.cc
@@ -65,12 +65,8 @@
 bool CanServeLinearizableReads(const LogNode& node, std::int64_t applied, Instant now) {
   if (!HoldsAllCommitted(node, applied))
     return false;
-  return IsMajority(node.m_membership, [&node, now](MemberId id) {
-    const auto progress = node.m_progress.find(id);
-    return id == node.m_id ||
-           (progress != node.m_progress.end() &&
-            now - progress->second.m_last_confirmed < node.m_timing.m_election_min);
-  });
+  return IsMajority(node.m_membership,
+                    [&node, now](MemberId id) { return RepliesNow(node, id, now); });
 }
 
 void MergeEffects(LogEffects& into, LogEffects&& more) {
--- a/packages/log/src/member_contact.cc
+++ b/packages/log/src/member_contact.cc
@@ -8,15 +8,20 @@
 namespace poppyway::impl {
 namespace {
 
-// A member that the leader before reported as silent has this long to reply to the new one.
-constexpr Duration kReplyTimeAfterElection{600'000};
-
 Duration SinceLastReply(const Progress& progress, Instant now) {
   return now - progress.m_last_reply;
 }
 
 }  // namespace
 
+bool RepliesNow(const LogNode& node, MemberId id, Instant now) {
+  if (id == node.m_id)
+    return true;
+  const auto progress = node.m_progress.find(id);
+  return progress != node.m_progress.end() &&
+         now - progress->second.m_last_confirmed < node.m_timing.m_election_min;
+}
+
 void RecordSilentMembers(LogNode& node, const wire::AppendRequest& request, Instant now) {
   node.m_silent_since.clear();
   for (const wire::SilentMember& silent : request.silent)
@@ -38,8 +43,9 @@
   const auto silent = node.m_silent_since.find(id);
   if (silent == node.m_silent_since.end())
     return now;
-  const Instant latest_removal = now - node.m_timing.m_removal_timeout + kReplyTimeAfterElection;
-  return std::max(silent->second, latest_removal);
+  // It may be removed once it hasn't replied to this leader for an election timeout either.
+  const Duration longest = node.m_timing.m_removal_timeout - node.m_timing.m_election_max;
+  return std::max(silent->second, now - longest);
 }
 
 }  // namespace poppyway::impl
--- a/packages/log/src/membership_plan.cc
+++ b/packages/log/src/membership_plan.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using impl::IsCaughtUp;
+using impl::RepliesNow;
 using impl::SpareVoters;
 
 // Two voters would tolerate no failure.
@@ -52,16 +53,6 @@
   return tracked ? progress->second.m_last_reply : now;
 }
 
-/// Returns true if a member has replied to an append that was sent within the shortest election
-/// timeout.
-bool RepliesNow(const LogNode& node, MemberId id, Instant now) {
-  if (id == node.m_id)
-    return true;
-  const auto progress = node.m_progress.find(id);
-  return progress != node.m_progress.end() &&
-         now - progress->second.m_last_confirmed < node.m_timing.m_election_min;
-}
-
 std::vector<wire::MemberInfo> ReplyingVoters(const LogNode& node, Instant now) {
   std::vector<wire::MemberInfo> replying;
   for (const wire::MemberInfo& member : node.m_membership.members) {
@@ -249,7 +240,7 @@
   return std::nullopt;
 }
 
-MembershipStatus DescribeMembership(const LogNode& node, Instant now) {
+MembershipStatus MembershipStatusOf(const LogNode& node, Instant now) {
   MembershipStatus status;
   for (const wire::MemberInfo& member : node.m_membership.members) {
     const bool silent = !RepliesNow(node, member.id, now);
--- a/packages/settings/include/poppyway/settings/impl/daemon_settings.h
+++ b/packages/settings/include/poppyway/settings/impl/daemon_settings.h
@@ -68,7 +68,8 @@
   bool m_may_bootstrap = true;       ///< Whether a member without data may form a cluster.
   int m_tolerated_members = 0;       ///< Members that may be lost at once; 0: not stated.
   int m_tolerated_data_centres = 0;  ///< Data centres that may be lost at once.
-  std::int64_t m_member_removal_ms = 5000;  ///< A member silent for longer may be replaced.
+  std::int64_t m_member_removal_ms =
+      0;  ///< A member silent for longer may be replaced; 0: as in `LogTiming`.
   bool m_log_to_stdout = false;
   /// How long the configuration document may be used after a leader confirmed it; 0: without limit.
   std::int64_t m_confirmation_ttl_ms = 0;
--- a/tests/log_membership_test.cc
+++ b/tests/log_membership_test.cc
@@ -345,10 +345,10 @@
 
 TEST_CASE("the state of the members names who is silent and how many losses are tolerated") {
   LogNode node = MakeLeader(5);
-  CHECK(DescribeMembership(node, kNow).m_tolerated_losses == 2);
+  CHECK(MembershipStatusOf(node, kNow).m_tolerated_losses == 2);
   MakeSilent(node, 5, Duration(7'000'000));
   AddCaughtUpNonVoter(node, 6);
-  const MembershipStatus status = DescribeMembership(node, kNow);
+  const MembershipStatus status = MembershipStatusOf(node, kNow);
   CHECK(status.m_tolerated_losses == 1);
   REQUIRE(status.m_members.size() == 6);
   CHECK(status.m_members[4] ==
@@ -356,7 +356,7 @@
   CHECK_FALSE(status.m_members[5].m_silent);
   MakeSilent(node, 4);
   MakeSilent(node, 3);
-  CHECK(DescribeMembership(node, kNow).m_tolerated_losses == 0);
+  CHECK(MembershipStatusOf(node, kNow).m_tolerated_losses == 0);
 }
 
 }  // namespace
