Say once what a roll-out takes out of use; plain names for runs of heartbeats

Read again: RefreshServer asked by itself what IsOutOfUseByRollout asks; it calls it. A presence entry for a response was built with a flag that was then reset; the flag is an argument. Consecutive heartbeats are a run and arrive; they were "heard". Behaviour is the same; no test changed.

--- a/apps/poppywayd/member_presence.cc
+++ b/apps/poppywayd/member_presence.cc
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
-// Servers that the state takes for away although they are heard or have responded.
+// Servers that the state takes for away although their heartbeats arrive or they have responded.
 
 #include "member_service.h"
 
--- a/apps/poppywayd/member_service.h
+++ b/apps/poppywayd/member_service.h
@@ -239,7 +239,7 @@
   /// for longer than it last reported, which is judged on this member's clock.
   [[nodiscard]] bool HasServerChange(const wire::ServerRecord& record) const;
   /// Counts a heartbeat of a server that the state takes for away, and proposes that it is present
-  /// once it has been heard steadily. Precondition: this member leads.
+  /// once they arrive steadily. Precondition: this member leads.
   void RecordContradiction(const wire::ServerRecord& heartbeat);
   /// Proposes that servers are present which have responded to an instance in place of others.
   void RecordResponses(const wire::PlaceBatch& batch);
--- a/packages/policy/include/poppyway/policy/impl/address_owner.h
+++ b/packages/policy/include/poppyway/policy/impl/address_owner.h
@@ -6,8 +6,8 @@
 /// \brief Which of the servers that registered at one address is there now.
 ///
 /// \detail The owner of an address is the server that was shown there last: by its registration, or
-/// by a presence entry, which the leader proposes when another server at the address is heard
-/// steadily or has responded there. Any other change of a server's record (the end of its slow
+/// by a presence entry, which the leader proposes when heartbeats of another server there arrive
+/// steadily or it has responded there. Any other change of a server's record (the end of its slow
 /// start, its drain, its slots) says nothing about the address, since it may come from a heartbeat
 /// that was delayed until after its sender's end. The replicated state, the broker and all
 /// instances use this rule.
--- a/packages/state/include/poppyway/state/impl/server_presence.h
+++ b/packages/state/include/poppyway/state/impl/server_presence.h
@@ -57,16 +57,17 @@
 /// recorded, except where a roll-out took it out of use.
 [[nodiscard]] bool ContradictsState(const HostedState& state, const wire::ServerRecord& heartbeat);
 
-/// \brief The heartbeats, as a leader hears them, of servers that the state takes for away.
+/// \brief The heartbeats that a leader has received from servers that the state takes for away.
 struct ContradictingHeartbeats {
-  struct Heard {
+  /// Consecutive heartbeats of one process.
+  struct Run {
     std::int64_t m_started_ms = 0;
     std::int64_t m_sequence = 0;
     int m_count = 0;
     Instant m_first{};
     Instant m_last{};
 
-    friend bool operator==(const Heard&, const Heard&) = default;
+    friend bool operator==(const Run&, const Run&) = default;
   };
   /// Presence entries that were proposed for the servers of an address.
   struct Proposals {
@@ -75,7 +76,7 @@
 
     friend bool operator==(const Proposals&, const Proposals&) = default;
   };
-  std::map<std::string, Heard> m_servers;          ///< By id.
+  std::map<std::string, Run> m_servers;            ///< By server id.
   std::map<ServerAddress, Proposals> m_proposals;  ///< Those of the last minutes.
 };
 
@@ -84,9 +85,9 @@
 inline constexpr std::size_t kMaxContradictingServers = 1024;
 
 /// \brief Records a heartbeat for which `ContradictsState` holds.
-/// \return the presence entry to propose, once the server has been heard steadily: with two
-/// heartbeats, or for half a minute if its drain or removal was recorded. If servers contend for an
-/// address, each further entry takes twice as many heartbeats, up to a limit.
+/// \return the presence entry to propose, once heartbeats of the server have arrived steadily:
+/// two of them, or for half a minute if its drain or removal was recorded. If servers contend for
+/// an address, each further entry takes twice as many heartbeats, up to a limit.
 [[nodiscard]] std::optional<wire::ServerPresence> RecordContradictingHeartbeat(
     ContradictingHeartbeats& heartbeats,
     const HostedState& state,
--- a/packages/state/src/rollout_state.cc
+++ b/packages/state/src/rollout_state.cc
@@ -21,10 +21,7 @@
   server.held_back = IsHeldBack(state, server);
   if (server.stage != wire::ServerStage::READY)
     return;
-  const wire::Rollout& rollout = state.m_rollouts.at(server.pool);
-  const bool target = server.version == rollout.target;
-  const bool replaced = rollout.stage == Stage::COMPLETED && !target;
-  if (replaced || IsRolledBack(state, server))
+  if (IsOutOfUseByRollout(state, server))
     server.stage = wire::ServerStage::LEAVING;
 }
 
--- a/packages/state/src/server_presence.cc
+++ b/packages/state/src/server_presence.cc
@@ -21,17 +21,17 @@
 constexpr Duration kProposalMemory{300'000'000};  // Older entries don't count any more.
 constexpr Duration kMinProposalInterval{1'000'000};
 
-using Heard = ContradictingHeartbeats::Heard;
+using Run = ContradictingHeartbeats::Run;
 
 bool WasTakenOutOfUse(const wire::ServerRecord& record) noexcept {
   return record.stage != wire::ServerStage::READY;
 }
 
-/// Returns true if the heartbeat follows the last one of the same process.
-bool Continues(const Heard& heard, const wire::ServerRecord& heartbeat, Instant now) noexcept {
-  const bool newer = heartbeat.sequence == 0 || heartbeat.sequence > heard.m_sequence;
-  return heard.m_count > 0 && heard.m_started_ms == heartbeat.born && newer &&
-         now - heard.m_last <= kMaxGap;
+/// Returns true if the heartbeat follows the last one of the run.
+bool Continues(const Run& run, const wire::ServerRecord& heartbeat, Instant now) noexcept {
+  const bool newer = heartbeat.sequence == 0 || heartbeat.sequence > run.m_sequence;
+  return run.m_count > 0 && run.m_started_ms == heartbeat.born && newer &&
+         now - run.m_last <= kMaxGap;
 }
 
 /// Erases the entry with the oldest `m_last` if there is no room for a further one.
@@ -55,18 +55,19 @@
 }
 
 bool IsSteady(const ContradictingHeartbeats& heartbeats,
-              const Heard& heard,
+              const Run& run,
               const wire::ServerRecord& known,
               Instant now) {
-  const Duration heard_for = now - heard.m_first;
+  const Duration lasted = now - run.m_first;
   if (WasTakenOutOfUse(known))
-    return heard.m_count >= kReturnHeartbeats && heard_for >= kReturnTime;
+    return run.m_count >= kReturnHeartbeats && lasted >= kReturnTime;
   const int doublings = std::min(RecentProposals(heartbeats, AddressOf(known), now), kMaxDoublings);
-  return heard.m_count >= (kSteadyHeartbeats << doublings) && heard_for >= kSteadyTime;
+  return run.m_count >= (kSteadyHeartbeats << doublings) && lasted >= kSteadyTime;
 }
 
 wire::ServerPresence Propose(ContradictingHeartbeats& heartbeats,
                              const wire::ServerRecord& known,
+                             bool returns,
                              Instant now) {
   const ServerAddress address = AddressOf(known);
   MakeRoom(heartbeats.m_proposals, address);
@@ -75,7 +76,7 @@
   wire::ServerPresence presence;
   presence.id = known.id;
   presence.born = known.born;
-  presence.returns = WasTakenOutOfUse(known);
+  presence.returns = returns;
   return presence;
 }
 
@@ -150,21 +151,21 @@
     const wire::ServerRecord& heartbeat,
     Instant now) {
   MakeRoom(heartbeats.m_servers, heartbeat.id);
-  Heard& heard = heartbeats.m_servers[heartbeat.id];
+  Run& run = heartbeats.m_servers[heartbeat.id];
   const bool repeated =
-      heard.m_count > 0 && heartbeat.sequence != 0 && heartbeat.sequence == heard.m_sequence;
+      run.m_count > 0 && heartbeat.sequence != 0 && heartbeat.sequence == run.m_sequence;
   if (repeated)
     return std::nullopt;
-  if (!Continues(heard, heartbeat, now))
-    heard = {heartbeat.born, 0, 0, now, now};
-  heard.m_sequence = heartbeat.sequence;
-  heard.m_last = now;
-  ++heard.m_count;
+  if (!Continues(run, heartbeat, now))
+    run = {heartbeat.born, 0, 0, now, now};
+  run.m_sequence = heartbeat.sequence;
+  run.m_last = now;
+  ++run.m_count;
   const wire::ServerRecord& known = state.m_servers.at(heartbeat.id);
-  if (!IsSteady(heartbeats, heard, known, now))
+  if (!IsSteady(heartbeats, run, known, now))
     return std::nullopt;
   heartbeats.m_servers.erase(heartbeat.id);
-  return Propose(heartbeats, known, now);
+  return Propose(heartbeats, known, WasTakenOutOfUse(known), now);
 }
 
 std::optional<wire::ServerPresence> RecordResponse(ContradictingHeartbeats& heartbeats,
@@ -184,9 +185,7 @@
                              now - proposed->second.m_last < kMinProposalInterval;
   if (just_proposed)
     return std::nullopt;
-  wire::ServerPresence presence = Propose(heartbeats, responded->second, now);
-  presence.returns = false;
-  return presence;
+  return Propose(heartbeats, responded->second, false, now);
 }
 
 }  // namespace poppyway
