Keep an instance's servers by address in a file of its own

Read again: backends.cc had grown by who owns an address. That is server_addresses.cc now. The answer of a broker that knows of a newer process forged the index at which the process was shown, in restarts.cc; the rule itself says now that a restarted process owns its address, whatever index its record has, so that the registry's and the broker's word take one way.

--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -27,55 +27,6 @@
   });
 }
 
-/// Marks all servers at an address but its owner as replaced: they are gone, even without a notice.
-/// The index by address makes a full list take linear time: comparing each of 3,000 servers with
-/// all others took seconds of the start of an instance with a quarter of a core.
-void UpdateReplaced(ForwarderState& state, const Endpoint& endpoint) {
-  const std::string& owner = state.m_address_owners[endpoint].m_server;
-  for (const std::string& id : state.m_by_address[endpoint])
-    state.m_backends.at(id).m_replaced = !owner.empty() && id != owner;
-}
-
-/// Returns true if a record shows its server at its address. A record of an earlier build does so
-/// if its process is new to this instance.
-bool ShowsPresence(const wire::ServerRecord& record, bool new_process, bool leaving) {
-  if (record.present_index != 0)
-    return record.present_index > 0;
-  return new_process && !leaving;
-}
-
-std::int64_t PresenceIndex(const wire::ServerRecord& record) noexcept {
-  return poppyway::PresenceIndex(record.present_index, record.index);
-}
-
-/// Returns true if a gone server, unknown here, was the last one at the address of others. They are
-/// not there any more either.
-bool OwnsAddressOfOthers(const ForwarderState& state,
-                         const wire::ServerRecord& record,
-                         const Endpoint& endpoint) {
-  return record.present_index > 0 && state.m_by_address.contains(endpoint);
-}
-
-void SetAddress(ForwarderState& state,
-                Backend& backend,
-                const std::string& id,
-                const Endpoint& endpoint) {
-  std::vector<std::string>& ids = state.m_by_address[endpoint];
-  if (backend.m_endpoint == endpoint && std::find(ids.begin(), ids.end(), id) != ids.end())
-    return;
-  const Endpoint former = backend.m_endpoint;
-  const auto before = state.m_by_address.find(former);
-  if (before != state.m_by_address.end())
-    std::erase(before->second, id);
-  backend.m_endpoint = endpoint;
-  ids.push_back(id);
-  const auto owner = state.m_address_owners.find(former);
-  if (owner == state.m_address_owners.end() || owner->second.m_server != id)
-    return;
-  state.m_address_owners.erase(owner);
-  UpdateReplaced(state, former);
-}
-
 void LogServer(const wire::ServerRecord& record) {
   POPPYWAY_LOG(info, "server_changed")
       .Field("server", record.id)
@@ -94,7 +45,7 @@
   for (const wire::ServerRecord& record : records)
     ordered.push_back(&record);
   std::sort(ordered.begin(), ordered.end(),
-            [](const auto* a, const auto* b) { return PresenceIndex(*a) < PresenceIndex(*b); });
+            [](const auto* a, const auto* b) { return PresenceIndexOf(*a) < PresenceIndexOf(*b); });
   return ordered;
 }
 
@@ -172,9 +123,7 @@
   const bool known = state.m_backends.contains(record.id);
   const Endpoint endpoint{record.address, static_cast<std::uint16_t>(record.port)};
   if (!known && record.stage == wire::ServerStage::GONE) {
-    if (OwnsAddressOfOthers(state, record, endpoint) &&
-        ClaimAddress(state.m_address_owners[endpoint], record.id, record.present_index))
-      UpdateReplaced(state, endpoint);
+    RecordGoneOwner(state, record, endpoint);
     return;
   }
   Backend& backend = state.m_backends[record.id];
@@ -194,9 +143,7 @@
   // A drain notice of the server itself is newer than the registry's record, which may lag by an
   // acknowledgement that the server waits for, or may never arrive.
   backend.m_leaving = record.stage != wire::ServerStage::READY || backend.m_announced_leaving;
-  if (ShowsPresence(record, !known || restarted, backend.m_leaving))
-    (void)ClaimAddress(state.m_address_owners[endpoint], record.id, PresenceIndex(record));
-  UpdateReplaced(state, endpoint);
+  RecordPresence(state, backend, !known, restarted);
   UpdateSlowStart(state, backend, fresh, now);
 }
 
@@ -308,24 +255,4 @@
       .Field("for_ms", (backend->m_health.m_ejected_until - now).count() / 1000);
 }
 
-void RecordReplacement(ForwarderState& state,
-                       const std::string& expected,
-                       const std::string& responding) {
-  Backend* backend = FindBackend(state, expected);
-  if (backend == nullptr)
-    return;
-  AddressOwner& owner = state.m_address_owners[backend->m_endpoint];
-  const bool news = owner.m_server != responding;
-  owner.m_server = responding;  // Until a later entry of the log shows another server there.
-  UpdateReplaced(state, backend->m_endpoint);
-  POPPYWAY_LOG(info, "server_replaced")
-      .Field("server", expected)
-      .Field("by", responding)
-      .Field("restored", news && FindBackend(state, responding) != nullptr);
-  if (!news || !state.m_broker.m_active)
-    return;
-  state.m_broker.m_outbox.m_responded.push_back({responding, expected});
-  FlushToBroker(state);
-}
-
 }  // namespace poppyway::impl
--- a/packages/forward/src/restarts.cc
+++ b/packages/forward/src/restarts.cc
@@ -83,9 +83,6 @@
   record.address = answer.m_address;
   record.port = answer.m_port;
   record.stage = wire::ServerStage::READY;
-  const auto owner = state.m_address_owners.find({record.address, answer.m_port});
-  if (owner != state.m_address_owners.end())
-    record.present_index = std::max(record.present_index, owner->second.m_index);
   UpdateServer(state, record, true, ReadClock());
   IndexPools(state);  // Queues aren't served here: the caller is handling a queued request.
 }
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -266,7 +266,25 @@
 void RecordHealth(ForwarderState& state, Forwarding& forwarding, HealthSignal signal);
 /// Returns the length that a response head states; nullopt if it states none.
 [[nodiscard]] std::optional<std::size_t> ContentLength(const std::vector<Field>& fields);
-/// Marks the server `expected` as replaced, since the server `responding` answered at its address.
+// ---- server_addresses.cc ----------------------------------------------------------------------
+/// Returns the log index of the last entry that showed a server at its address; negative if none
+/// did.
+[[nodiscard]] std::int64_t PresenceIndexOf(const wire::ServerRecord& record) noexcept;
+/// Sets the address of server `id` in its record and in the index by address.
+void SetAddress(ForwarderState& state,
+                Backend& backend,
+                const std::string& id,
+                const Endpoint& endpoint);
+/// Makes a server the owner of its address if its record shows it there, and marks the others there
+/// as replaced. `is_new`: this instance didn't know the server; `restarted`: not this process.
+void RecordPresence(ForwarderState& state, const Backend& backend, bool is_new, bool restarted);
+/// Marks the servers at an address as replaced if a gone server, unknown here, was there after
+/// them.
+void RecordGoneOwner(ForwarderState& state,
+                     const wire::ServerRecord& record,
+                     const Endpoint& endpoint);
+/// Marks the server `expected` as replaced, since the server `responding` answered at its address,
+/// and tells the broker if that is news.
 void RecordReplacement(ForwarderState& state,
                        const std::string& expected,
                        const std::string& responding);
