--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -11,22 +11,9 @@
 namespace poppyway {
 namespace {
 
-constexpr Duration kHelloInterval{200'000};
 constexpr Duration kProposalTimeout{3'000'000};
 constexpr Duration kMaxPollWait{30'000'000};
 
-/// Lists the members' names; the names of non-voters are in parentheses. During a replacement, `-`
-/// follows the name of the voter that leaves, and `+` that of the one that joins.
-std::string DescribeMembers(const wire::Membership& membership) {
-  std::string text;
-  for (const wire::MemberInfo& member : membership.members) {
-    const std::string name = member.voter ? member.name : "(" + member.name + ")";
-    const std::string change = member.leaving ? "-" : member.joining ? "+" : "";
-    text += (text.empty() ? "" : ",") + name + change;
-  }
-  return text;
-}
-
 /// Returns a digest by which lists of members are compared.
 std::int64_t MembershipDigest(const wire::Membership& membership) {
   return static_cast<std::int64_t>(Hash(Serialize(membership)));
@@ -97,17 +84,6 @@
   UpdateColdTimes(0, now);
 }
 
-wire::MemberInfo MemberService::Self() const {
-  wire::MemberInfo self;
-  self.id = m_node.m_id;
-  self.name = MemberName();
-  self.address = m_settings.m_peer.m_address;
-  self.port = m_settings.m_peer.m_port;
-  self.voter = false;
-  self.data_centre = m_settings.m_data_centre;
-  return self;
-}
-
 void MemberService::QueueEffects(LogEffects&& effects) {
   MergeEffects(m_effects, std::move(effects));
   if (m_flush_due)
@@ -284,77 +260,12 @@
     m_pending.erase(index);
 }
 
-void MemberService::SendHellos(Instant now) {
-  m_hello_due = now + kHelloInterval;
-  const bool blank = IsBlank();
-  for (auto& [name, peer] : m_peers) {
-    wire::Hello hello;
-    hello.cluster = m_settings.m_cluster;
-    hello.member = Self();
-    hello.blank = blank;
-    wire::Body body;
-    body.__set_hello(hello);
-    peer->Call(std::move(body), kHelloInterval, [this](Result<wire::Body> reply) {
-      if (!reply || !reply->__isset.hello_reply)
-        return;
-      for (const wire::MemberInfo& member : reply->hello_reply.members) {
-        if (FindOrAddPeer(member.name) != nullptr)
-          m_member_names[member.id] = member.name;
-      }
-      RecordHello(m_bootstrap, reply->hello_reply.member, reply->hello_reply.blank);
-    });
-  }
-  TryBootstrap(now);
-}
-
-void MemberService::TryBootstrap(Instant now) {
-  if (!m_settings.m_may_bootstrap || !IsBlank())
-    return;
-  const std::optional<wire::Membership> membership = BootstrapMembership(m_bootstrap);
-  if (!membership)
-    return;
-  POPPYWAY_LOG(info, "cluster_formed").Field("members", membership->members.size());
-  QueueEffects(BootstrapLog(m_node, *membership, now));
-}
-
-void MemberService::OnHello(const wire::Hello& hello, const ReplyFn& reply) {
-  if (hello.cluster != m_settings.m_cluster) {
-    reply(ErrorBody(ResultCode::kDataForeign, "this is cluster '" + m_settings.m_cluster + "'"));
-    return;
-  }
-  m_member_names[hello.member.id] = hello.member.name;
-  const bool unknown_member = FindMember(m_node.m_membership, hello.member.id) == nullptr;
-  if (IsBlank())
-    RecordHello(m_bootstrap, hello.member, hello.blank);
-  else if (is_leader() && (hello.blank || unknown_member))
-    m_joining[hello.member.name] = hello.member;
-  wire::HelloReply answer;
-  answer.member = Self();
-  answer.blank = IsBlank();
-  answer.leader_id = m_node.m_leader;
-  answer.members = m_node.m_membership.members;
-  wire::Body body;
-  body.__set_hello_reply(answer);
-  reply(std::move(body));
-}
-
 /// Proposes the leader's own commands: membership changes, gone instances and broker leases.
 void MemberService::ProposeOwnCommands(Instant now) {
   if (m_machine.m_applied_index < m_last_own_proposal)
     return;
   LogEffects effects;
-  std::vector<wire::MemberInfo> joining;
-  for (const auto& [name, member] : m_joining)
-    joining.push_back(member);
-  if (const std::optional<wire::Membership> membership =
-          PlanMembershipChange(m_node, joining, now)) {
-    const Result<std::int64_t> index = ProposeMembership(m_node, *membership, effects, now);
-    if (index)
-      POPPYWAY_LOG(info, "membership_proposed")
-          .Field("index", *index)
-          .Field("members", DescribeMembers(*membership));
-    m_joining.clear();
-  }
+  ProposeMembershipIfDue(effects, now);
   std::set<std::string> owners;
   for (const auto& [owner, keys] : m_machine.m_ledger.m_running_by_owner)
     owners.insert(owner);
--- a/apps/poppywayd/member_service.h
+++ b/apps/poppywayd/member_service.h
@@ -164,6 +164,8 @@
   void RespondToPolls(Instant now);
   void SendHellos(Instant now);
   void TryBootstrap(Instant now);
+  /// Proposes the membership change that is due, if any. Precondition: this member leads.
+  void ProposeMembershipIfDue(LogEffects& effects, Instant now);
   void ProposeOwnCommands(Instant now);
   [[nodiscard]] bool SnapshotDue() const;
   void SendTo(const wire::LogMessage& message);
--- a/packages/policy/src/slot_internal.h
+++ b/packages/policy/src/slot_internal.h
@@ -11,6 +11,11 @@
 
 namespace poppyway {
 
+// ---- slot_servers.cc --------------------------------------------------------------------------
+/// \brief Returns the pool and index of a server; a null pool if the server is unknown.
+[[nodiscard]] std::pair<SlotPool*, std::size_t> FindServer(SlotBroker& broker,
+                                                           const std::string& id);
+
 // ---- slot_serve.cc ----------------------------------------------------------------------------
 /// \brief Returns why server `i` may not take the request, or `kNone`.
 /// \param excluded_by_rollout true if a roll-out keeps ordinary work from the server.
