--- a/tests/log_membership_test.cc
+++ b/tests/log_membership_test.cc
@@ -83,6 +83,7 @@
   LogNode node = MakeLeader(5);
   node.m_progress[4].m_last_reply = kNow - Duration(20'000'000);
   node.m_progress[4].m_last_confirmed = kNow - Duration(20'000'000);
+  CHECK_FALSE(RemovableVoter(node, kNow));
   CHECK_FALSE(PlanMembershipChange(node, {}, kNow));
   node.m_membership.members.push_back(MakeMember(6, false));
   node.m_progress[6] = {1, 0, kNow, {}, kNow};
