--- a/packages/state/include/poppyway/state/impl/server_presence.h
+++ b/packages/state/include/poppyway/state/impl/server_presence.h
@@ -81,8 +81,9 @@
 };
 
 /// \brief The most servers whose contradicting heartbeats are counted, and the most addresses whose
-/// proposals are remembered.
-inline constexpr std::size_t kMaxContradictingServers = 1024;
+/// proposals are remembered. It is above the number of servers of any deployment, since all of them
+/// may be hidden at once.
+inline constexpr std::size_t kMaxContradictingServers = 16'384;
 
 /// \brief Records a heartbeat for which `ContradictsState` holds.
 /// \return the presence entry to propose, once heartbeats of the server have arrived steadily:
--- a/tests/server_presence_test.cc
+++ b/tests/server_presence_test.cc
@@ -146,6 +146,30 @@
   CHECK(TakesWork(registry, "old") != TakesWork(registry, "next"));
 }
 
+// Guards against servers that drive one another out of the count before any of them is steady.
+TEST_CASE("all servers of a large deployment that were hidden at once return") {
+  constexpr int kServers = 11'400;  // Twice the planned size.
+  Registry registry;
+  const auto make = [](const std::string& id, int i, std::int64_t sequence) {
+    wire::ServerRecord record = MakeRecord(id + std::to_string(i), sequence);
+    record.port = i;
+    return record;
+  };
+  for (int i = 0; i < kServers; ++i) {
+    Hear(registry, make("running", i, 1));
+    Hear(registry, make("ended", i, 1));
+  }
+  for (int sequence = 2; sequence <= 3; ++sequence) {
+    registry.m_now += kHeartbeat;
+    for (int i = 0; i < kServers; ++i)
+      Hear(registry, make("running", i, sequence));
+  }
+  int hidden = 0;
+  for (int i = 0; i < kServers; ++i)
+    hidden += TakesWork(registry, "running" + std::to_string(i)) ? 0 : 1;
+  CHECK(hidden == 0);
+}
+
 TEST_CASE("a server that responded in place of another one is present") {
   Registry registry;
   Hear(registry, MakeRecord("running", 1));
