--- a/packages/log/src/log_internal.h
+++ b/packages/log/src/log_internal.h
@@ -11,14 +11,6 @@
 /// \brief Returns true if a member has acknowledged nearly the whole log, including the first entry
 /// of the leader's term, and has replied within the longest election timeout.
 [[nodiscard]] bool IsCaughtUp(const LogNode& node, MemberId id, Instant now);
-/// \brief Returns true if the members for which `counts` returns true are a majority: of all
-/// voters, or, during the replacement of a voter, of the voters before it and of those after it.
-[[nodiscard]] bool IsMajority(const wire::Membership& membership,
-                              const std::function<bool(MemberId)>& counts);
-/// \brief Returns how many of the members for which `counts` returns true may be lost so that the
-/// others are still a majority; negative if they are none.
-[[nodiscard]] int SpareVoters(const wire::Membership& membership,
-                              const std::function<bool(MemberId)>& counts);
 /// \brief Appends entries to the node's own log and to the entries to save.
 void AppendLocal(LogNode& node, std::vector<wire::LogEntry> entries, LogEffects& effects);
 /// \brief Puts the latest membership of the log in force, committed or not.
@@ -47,6 +39,17 @@
 /// \brief Returns a message from this node to member `to`, without a body.
 [[nodiscard]] wire::LogMessage Message(const LogNode& node, MemberId to);
 
+// ---- quorum.cc -------------------------------------------------------------------------------
+/// \brief Returns true if the members for which `counts` returns true are a majority: of all
+/// voters, or, during the replacement of a voter, of the voters before it and of those after it.
+[[nodiscard]] bool IsMajority(const wire::Membership& membership,
+                              const std::function<bool(MemberId)>& counts);
+/// \brief Returns how many of the members for which `counts` returns true may be lost so that the
+/// others are still a majority; negative if they are none.
+[[nodiscard]] int SpareVoters(const wire::Membership& membership,
+                              const std::function<bool(MemberId)>& counts);
+
+// ---- member_contact.cc -----------------------------------------------------------------------
 /// \brief Returns true for the leader itself, and for a member that has replied to an append which
 /// was sent within the shortest election timeout.
 [[nodiscard]] bool RepliesNow(const LogNode& node, MemberId id, Instant now);
--- a/packages/state/include/poppyway/state/impl/hosted_state.h
+++ b/packages/state/include/poppyway/state/impl/hosted_state.h
@@ -21,12 +21,12 @@
 /// The log holds only changes of a server (it registers, drains, is removed), not its heartbeats: a
 /// pool of thousands of servers costs a few entries a second while it is replaced.
 struct HostedState {
-  wire::Document m_document;                               ///< Version 0: none accepted yet.
-  std::map<std::string, wire::ServerRecord> m_servers;     ///< By id; includes gone servers.
-  std::int64_t m_servers_index = 0;                        ///< Log index of their last change.
-  std::map<ServerAddress, AddressOwner> m_address_owners;  ///< Derived from the servers' records.
-  std::map<std::string, wire::Rollout> m_rollouts;         ///< By pool; the last one.
-  std::map<std::string, wire::Evacuation> m_evacuations;   ///< By data centre; the last one.
+  wire::Document m_document;                              ///< Version 0: none accepted yet.
+  std::map<std::string, wire::ServerRecord> m_servers;    ///< By id; includes gone servers.
+  std::int64_t m_servers_index = 0;                       ///< Log index of their last change.
+  std::map<Endpoint, AddressOwner> m_address_owners;      ///< Derived from the servers' records.
+  std::map<std::string, wire::Rollout> m_rollouts;        ///< By pool; the last one.
+  std::map<std::string, wire::Evacuation> m_evacuations;  ///< By data centre; the last one.
   CrashSuspects m_crash_suspects;       ///< Requests that were running when servers crashed.
   std::int64_t m_quarantine_index = 0;  ///< Log index of the last change of the quarantine.
 };
--- a/packages/state/include/poppyway/state/impl/server_presence.h
+++ b/packages/state/include/poppyway/state/impl/server_presence.h
@@ -10,28 +10,17 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <tuple>
 
 #include "poppyway/core.h"
+#include "poppyway/settings.h"
 #include "poppyway/wire.h"
 
 namespace poppyway {
 
 struct HostedState;
 
-/// \brief The address of a server: IP and port.
-struct ServerAddress {
-  std::string m_ip;
-  int m_port = 0;
-
-  friend bool operator==(const ServerAddress&, const ServerAddress&) = default;
-  friend bool operator<(const ServerAddress& a, const ServerAddress& b) {
-    return std::tie(a.m_ip, a.m_port) < std::tie(b.m_ip, b.m_port);
-  }
-};
-
 /// \brief Returns the address of a record.
-[[nodiscard]] ServerAddress AddressOf(const wire::ServerRecord& record);
+[[nodiscard]] Endpoint AddressOf(const wire::ServerRecord& record);
 
 /// \brief Returns true if another server owns the address of the record. Pure.
 [[nodiscard]] bool IsReplaced(const HostedState& state, const wire::ServerRecord& record);
@@ -41,7 +30,7 @@
 
 /// \brief Gives up the address if `server` owns it: of the other servers there, the one that was
 /// shown last becomes the owner. Linear in the number of servers.
-void ReleaseAddress(HostedState& state, const ServerAddress& address, const std::string& server);
+void ReleaseAddress(HostedState& state, const Endpoint& address, const std::string& server);
 
 /// \brief Derives the owners of all addresses from the records, as after a snapshot was read.
 void RebuildAddressOwners(HostedState& state);
@@ -76,8 +65,8 @@
 
     friend bool operator==(const Proposals&, const Proposals&) = default;
   };
-  std::map<std::string, Run> m_servers;            ///< By server id.
-  std::map<ServerAddress, Proposals> m_proposals;  ///< Those of the last minutes.
+  std::map<std::string, Run> m_servers;       ///< By server id.
+  std::map<Endpoint, Proposals> m_proposals;  ///< Those of the last minutes.
 };
 
 /// \brief The most servers whose contradicting heartbeats are counted, and the most addresses whose
--- a/packages/state/src/hosted_state.cc
+++ b/packages/state/src/hosted_state.cc
@@ -121,7 +121,7 @@
   const auto found = state.m_servers.find(record.id);
   const bool is_new = found == state.m_servers.end() ||
                       CompareStartTimes(found->second, record) == StartTimeOrder::kLater;
-  const ServerAddress before =
+  const Endpoint before =
       found == state.m_servers.end() ? AddressOf(record) : AddressOf(found->second);
   wire::ServerRecord& known = state.m_servers[record.id];
   if (is_new)
--- a/packages/state/src/server_presence.cc
+++ b/packages/state/src/server_presence.cc
@@ -46,7 +46,7 @@
 
 /// Returns the number of entries that were proposed for the address within the last minutes.
 int RecentProposals(const ContradictingHeartbeats& heartbeats,
-                    const ServerAddress& address,
+                    const Endpoint& address,
                     Instant now) {
   const auto proposals = heartbeats.m_proposals.find(address);
   const bool recent =
@@ -69,7 +69,7 @@
                              const wire::ServerRecord& known,
                              bool returns,
                              Instant now) {
-  const ServerAddress address = AddressOf(known);
+  const Endpoint address = AddressOf(known);
   MakeRoom(heartbeats.m_proposals, address);
   const int before = RecentProposals(heartbeats, address, now);
   heartbeats.m_proposals[address] = {before + 1, now};
@@ -82,8 +82,8 @@
 
 }  // namespace
 
-ServerAddress AddressOf(const wire::ServerRecord& record) {
-  return {record.address, record.port};
+Endpoint AddressOf(const wire::ServerRecord& record) {
+  return {record.address, static_cast<std::uint16_t>(record.port)};
 }
 
 bool IsReplaced(const HostedState& state, const wire::ServerRecord& record) {
@@ -99,7 +99,7 @@
     (void)ClaimAddress(state.m_address_owners[AddressOf(record)], record.id, index);
 }
 
-void ReleaseAddress(HostedState& state, const ServerAddress& address, const std::string& server) {
+void ReleaseAddress(HostedState& state, const Endpoint& address, const std::string& server) {
   const auto owner = state.m_address_owners.find(address);
   if (owner == state.m_address_owners.end() || owner->second.m_server != server)
     return;
@@ -177,7 +177,7 @@
   const auto other = state.m_servers.find(expected);
   if (responded == state.m_servers.end() || other == state.m_servers.end())
     return std::nullopt;
-  const ServerAddress address = AddressOf(responded->second);
+  const Endpoint address = AddressOf(responded->second);
   if (address != AddressOf(other->second) || !IsReplaced(state, responded->second))
     return std::nullopt;
   const auto proposed = heartbeats.m_proposals.find(address);
--- a/tests/server_presence_test.cc
+++ b/tests/server_presence_test.cc
@@ -41,7 +41,7 @@
 }
 
 /// Handles a heartbeat as a leader does.
-void Hear(Registry& registry, const wire::ServerRecord& heartbeat) {
+void Receive(Registry& registry, const wire::ServerRecord& heartbeat) {
   if (ContradictsState(registry.m_state, heartbeat)) {
     if (const std::optional<wire::ServerPresence> presence = RecordContradictingHeartbeat(
             registry.m_heartbeats, registry.m_state, heartbeat, registry.m_now)) {
@@ -61,8 +61,8 @@
 /// Registers server `old`, which crashes, and `next` at the same address.
 Registry MakeSuccession() {
   Registry registry;
-  Hear(registry, MakeRecord("old", 1, 1'000));
-  Hear(registry, MakeRecord("next", 1));
+  Receive(registry, MakeRecord("old", 1, 1'000));
+  Receive(registry, MakeRecord("next", 1));
   REQUIRE_FALSE(TakesWork(registry, "old"));
   REQUIRE(TakesWork(registry, "next"));
   return registry;
@@ -80,7 +80,7 @@
   for (const wire::ServerRecord& late :
        {warm, drains, other_slots, other_version, MakeRemoval("old")}) {
     Registry registry = MakeSuccession();
-    Hear(registry, late);
+    Receive(registry, late);
     CHECK(registry.m_state.m_servers.at("old").index == 12);
     CHECK(TakesWork(registry, "next"));
     CHECK_FALSE(TakesWork(registry, "old"));
@@ -89,8 +89,8 @@
 
 TEST_CASE("a single late heartbeat of a known server brings nothing back") {
   Registry registry = MakeSuccession();
-  Hear(registry, MakeRecord("old", 2, 1'000));
-  Hear(registry, MakeRecord("old", 3, 1'000));  // Delayed together with the one before.
+  Receive(registry, MakeRecord("old", 2, 1'000));
+  Receive(registry, MakeRecord("old", 3, 1'000));  // Delayed together with the one before.
   CHECK(registry.m_presences == 0);
   CHECK(TakesWork(registry, "next"));
 }
@@ -98,29 +98,29 @@
 // Guards against a belief that only a change of the running server's record would end.
 TEST_CASE("a server hidden by the first heartbeat of an ended one returns with two heartbeats") {
   Registry registry;
-  Hear(registry, MakeRecord("running", 1));
-  Hear(registry, MakeRecord("ended", 1, 1'000));
+  Receive(registry, MakeRecord("running", 1));
+  Receive(registry, MakeRecord("ended", 1, 1'000));
   CHECK_FALSE(TakesWork(registry, "running"));
   registry.m_now += kHeartbeat;
-  Hear(registry, MakeRecord("running", 2));
+  Receive(registry, MakeRecord("running", 2));
   registry.m_now += kHeartbeat;
-  Hear(registry, MakeRecord("running", 3));
+  Receive(registry, MakeRecord("running", 3));
   CHECK(TakesWork(registry, "running"));
   CHECK_FALSE(TakesWork(registry, "ended"));
   const std::int64_t entries = registry.m_index;
   for (int i = 4; i < 20; ++i) {
     registry.m_now += kHeartbeat;
-    Hear(registry, MakeRecord("running", i));
+    Receive(registry, MakeRecord("running", i));
   }
   CHECK(registry.m_index == entries);  // Steady heartbeats make no entries.
 }
 
 TEST_CASE("the first word of an ended server that drains hides no other") {
   Registry registry;
-  Hear(registry, MakeRecord("running", 1));
+  Receive(registry, MakeRecord("running", 1));
   wire::ServerRecord drains = MakeRecord("ended", 1);
   drains.stage = wire::ServerStage::LEAVING;
-  Hear(registry, drains);
+  Receive(registry, drains);
   CHECK(TakesWork(registry, "running"));
 }
 
@@ -128,9 +128,9 @@
   Registry registry = MakeSuccession();
   wire::ServerRecord drains = MakeRecord("next", 2);
   drains.stage = wire::ServerStage::LEAVING;
-  Hear(registry, drains);
+  Receive(registry, drains);
   CHECK_FALSE(TakesWork(registry, "old"));
-  Hear(registry, MakeRemoval("next"));
+  Receive(registry, MakeRemoval("next"));
   CHECK_FALSE(TakesWork(registry, "old"));
 }
 
@@ -139,8 +139,8 @@
   constexpr int kHeartbeats = 3'000;  // An hour.
   for (int i = 2; i < kHeartbeats; ++i) {
     registry.m_now += kHeartbeat;
-    Hear(registry, MakeRecord("old", i, 1'000));
-    Hear(registry, MakeRecord("next", i));
+    Receive(registry, MakeRecord("old", i, 1'000));
+    Receive(registry, MakeRecord("next", i));
   }
   CHECK(registry.m_presences < kHeartbeats / 30);
   CHECK(TakesWork(registry, "old") != TakesWork(registry, "next"));
@@ -156,13 +156,13 @@
     return record;
   };
   for (int i = 0; i < kServers; ++i) {
-    Hear(registry, make("running", i, 1));
-    Hear(registry, make("ended", i, 1));
+    Receive(registry, make("running", i, 1));
+    Receive(registry, make("ended", i, 1));
   }
   for (int sequence = 2; sequence <= 3; ++sequence) {
     registry.m_now += kHeartbeat;
     for (int i = 0; i < kServers; ++i)
-      Hear(registry, make("running", i, sequence));
+      Receive(registry, make("running", i, sequence));
   }
   int hidden = 0;
   for (int i = 0; i < kServers; ++i)
@@ -172,8 +172,8 @@
 
 TEST_CASE("a server that responded in place of another one is present") {
   Registry registry;
-  Hear(registry, MakeRecord("running", 1));
-  Hear(registry, MakeRecord("ended", 1, 1'000));
+  Receive(registry, MakeRecord("running", 1));
+  Receive(registry, MakeRecord("ended", 1, 1'000));
   const auto presence =
       RecordResponse(registry.m_heartbeats, registry.m_state, "running", "ended", registry.m_now);
   REQUIRE(presence);
@@ -189,7 +189,7 @@
 TEST_CASE("the owners of addresses are the same after a snapshot") {
   StateMachine machine;
   Registry registry = MakeSuccession();
-  Hear(registry, MakeRecord("old", 2));
+  Receive(registry, MakeRecord("old", 2));
   machine.m_hosted = registry.m_state;
   wire::Snapshot snapshot;
   snapshot.index = 40;
@@ -214,7 +214,7 @@
   CHECK_FALSE(TakesWork(registry, "running"));
   for (int i = 2; i < 4; ++i) {
     registry.m_now += kHeartbeat;
-    Hear(registry, MakeRecord("running", i));
+    Receive(registry, MakeRecord("running", i));
   }
   CHECK(TakesWork(registry, "running"));
 }
@@ -222,13 +222,13 @@
 // Guards against a removal of an earlier process that takes a server out that keeps its id.
 TEST_CASE("a removal ends once the server has been heard steadily for half a minute") {
   Registry registry;
-  Hear(registry, MakeRecord("server", 1));
-  Hear(registry, MakeRemoval("server"));
+  Receive(registry, MakeRecord("server", 1));
+  Receive(registry, MakeRemoval("server"));
   const Instant removed = registry.m_now;
   int sequence = 2;
   while (!TakesWork(registry, "server") && sequence < 100) {
     registry.m_now += kHeartbeat;
-    Hear(registry, MakeRecord("server", sequence++));
+    Receive(registry, MakeRecord("server", sequence++));
   }
   CHECK(registry.m_now - removed >= Duration(30'000'000));
   CHECK(registry.m_now - removed <= Duration(33'000'000));
@@ -236,7 +236,7 @@
 
 TEST_CASE("a server that a roll-out took out of use isn't brought back by its heartbeats") {
   Registry registry;
-  Hear(registry, MakeRecord("server", 1));
+  Receive(registry, MakeRecord("server", 1));
   wire::Rollout rollout;
   rollout.pool = "app";
   rollout.target = "v2";
@@ -245,7 +245,7 @@
   registry.m_state.m_servers.at("server").stage = wire::ServerStage::LEAVING;
   for (int i = 2; i < 60; ++i) {
     registry.m_now += kHeartbeat;
-    Hear(registry, MakeRecord("server", i));
+    Receive(registry, MakeRecord("server", i));
   }
   CHECK_FALSE(TakesWork(registry, "server"));
 }
