--- a/packages/core/include/poppyway/core.h
+++ b/packages/core/include/poppyway/core.h
@@ -22,4 +22,5 @@
 #include "poppyway/core/impl/hash.h"
 #include "poppyway/core/impl/region_map.h"
 #include "poppyway/core/impl/result_code.h"
+#include "poppyway/core/impl/slewed_clock.h"
 #include "poppyway/core/impl/time.h"
--- a/packages/wire/src/event_loop.cc
+++ b/packages/wire/src/event_loop.cc
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
+#include <sys/time.h>
+
 #include "poppyway/wire.h"
 
 namespace poppyway {
@@ -35,3 +37,15 @@
 }
 
 }  // namespace poppyway
+
+// The HTTP library reads the time of its loop with `gettimeofday`. The time of day may step: after
+// a step back no timer would fire until it has caught up, and a step ahead would end every timeout
+// at once. A definition in the program takes the place of the C library's for the libraries too.
+// See docs/design/loop-clock.md.
+extern "C" int gettimeofday(timeval* now, void* /*zone*/) noexcept {
+  constexpr poppyway::Duration kSecond{1'000'000};
+  const poppyway::Duration time = poppyway::ReadLoopTime();
+  now->tv_sec = time / kSecond;
+  now->tv_usec = (time % kSecond).count();
+  return 0;
+}
--- /dev/null
+++ b/packages/wire/src/loop_clock.cc
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: MIT
+// Part of poppyway, a request scheduler for unlike engines.
+#include <optional>
+
+#include "poppyway/wire.h"
+
+namespace poppyway {
+namespace {
+
+constexpr Duration kCompareInterval{1'000'000};  // Between two readings of the time of day.
+
+Duration ReadTimeOfDay() noexcept {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  return std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                              std::chrono::nanoseconds(now.tv_nsec));
+}
+
+}  // namespace
+
+Duration ReadLoopTime() noexcept {
+  // A loop lives on one thread, so threads need no clock in common, and no lock.
+  thread_local std::optional<SlewedClock> clock;
+  const Instant now = ReadClock();
+  if (!clock)
+    clock = SlewedClock{now, ReadTimeOfDay(), Duration(0)};
+  else if (now - clock->m_set_at >= kCompareInterval)
+    clock = CompareSlewed(*clock, now, ReadTimeOfDay());
+  return SlewedTime(*clock, now);
+}
+
+}  // namespace poppyway
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -151,16 +151,18 @@
 class Fleet:
     """The members and instances of one deployment."""
 
-    def __init__(self, program, subnet, members=5, instances=3, environment_of=None):
+    def __init__(self, program, subnet, members=5, instances=3, environment_of=None,
+                 member_environment_of=None):
         """`environment_of`: returns additional environment variables of an instance, by its
-        number."""
+        number; `member_environment_of`: those of a member that is there from the start."""
         self.program = program
         self._folder = tempfile.TemporaryDirectory(prefix="poppyway-soak-")
         self._subnet = subnet
         self._members_made = members
         addresses = [f"127.{subnet}.0.{i + 1}" for i in range(members)]
         self.members = [
-            Process(self._folder.name, f"member-{i}", address, True, self.seeds, program)
+            Process(self._folder.name, f"member-{i}", address, True, self.seeds, program,
+                    member_environment_of(i) if member_environment_of else ())
             for i, address in enumerate(addresses)]
         self.instances = [
             Process(self._folder.name, f"edge-{i}", f"127.{subnet}.1.{i + 1}", False,
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -69,6 +69,11 @@
             if writer:
                 writer.close()
 
+    def idle(self):
+        """Returns the connections that no request uses, as pairs of reader and writer."""
+        return [(reader, writer) for reader, writer in self._idle
+                if not reader.at_eof() and not writer.is_closing()]
+
     def close(self):
         for _, writer in self._idle:
             writer.close()
@@ -164,6 +169,10 @@
         """Returns True for a request that gets no response."""
         return False
 
+    def work_of(self, _path, state):
+        """Returns the processing time of a request in seconds."""
+        return self._work_s * state["speed"] * self._rng.uniform(0.8, 1.3)
+
     def turn_bad(self):
         self._faults_enabled = True
 
@@ -215,8 +224,7 @@
             failed = bad and self._rng.random() < self._fault_model.fails
             if failed or (bad and self._fault_model.slow > 1):
                 self.bad.append(now)
-            work = self._work_s * state["speed"] * slow * self._rng.uniform(0.8, 1.3)
-            await asyncio.sleep(work)
+            await asyncio.sleep(slow * self.work_of(path, state))
             state["running"] -= 1
             status = "500 Internal Server Error" if failed else "200 OK"
             body = f"{self.version} {ident}"
@@ -241,6 +249,7 @@
         self.wrong = []  # Ids of requests that got the response to another request.
         self.books = set()  # Ids of non-repeatable requests.
         self._left = set()  # Numbers of instances that get no more requests.
+        self._only_kept = set()  # Numbers of instances that get no new connections.
         self.cut = []  # (time, number of the instance) of requests without a complete response.
         self.key, self._per_s = key, per_s
         self._connections = [Connections(instance.address, CALLERS_PORT) for instance in instances]
@@ -261,12 +270,29 @@
         """Sends no more requests to an instance, as a balancer that has taken it out."""
         self._left.add(instance)
 
+    def only_kept(self, instance):
+        """Sends requests to an instance on connections that are open already, as long as it keeps
+        them: a balancer that takes an instance out doesn't end them."""
+        self._only_kept.add(instance)
+
+    def is_out(self, instance):
+        """Returns True while an instance gets no new connections."""
+        return instance in self._only_kept
+
+    def use_again(self, instance):
+        self._only_kept.discard(instance)
+
+    def _may_use(self, instance):
+        if instance in self._left:
+            return False
+        return instance not in self._only_kept or bool(self._connections[instance].idle())
+
     async def _run(self):
         number = 0
         while True:
             number += 1
             instance = self._rng.choice([other for other in range(len(self._connections))
-                                         if other not in self._left])
+                                         if self._may_use(other)])
             task = asyncio.create_task(self._one(f"r{number}-{instance}", instance))
             self._open.add(task)
             task.add_done_callback(self._open.discard)
--- a/tests/suspension_test.cc
+++ b/tests/suspension_test.cc
@@ -40,6 +40,21 @@
   CHECK(ReadClock() - before < Duration(11'000'000));
 }
 
+// Guards against a library that reads another clock than the program's definition: its timers would
+// stand still, or all fire, when the time of day steps.
+TEST_CASE("the timers of an event loop count by the loop's clock, over suspensions too") {
+  EventLoop loop;
+  int ticks = 0;
+  const RepeatingTimer timer(loop, 60'000, [&ticks] { ++ticks; });
+  loop.RunFor(20);
+  CHECK(ticks == 0);
+  Suspend(61);
+  loop.RunFor(20);
+  CHECK(ticks == 1);
+  const std::int64_t shown = ReadLoopTime().count() / 1000;
+  CHECK(std::abs(shown - static_cast<std::int64_t>(h2o_now(loop.loop()))) < 1'000);
+}
+
 TEST_CASE("an instance that was suspended past its confirmation relies on no key") {
   ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
   ForwarderFixture fixture;
