--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -46,7 +46,7 @@
   [[nodiscard]] Mailbox<GatewayMessage>& inbox() noexcept { return m_inbox; }
   /// Adds the metrics of the peers, the member, the brokers and the instance.
   void AddMetrics(MetricSet& metrics) const;
-  /// Requests a planned stop. Thread-safe and safe in a signal handler.
+  /// Requests a planned stop. Thread-safe.
   void RequestStop() noexcept { m_stop_requested.store(true); }
 
  private:
--- a/apps/poppywayd/hosted_daemon.cc
+++ b/apps/poppywayd/hosted_daemon.cc
@@ -2,15 +2,15 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "hosted_daemon.h"
 
-#include <atomic>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "control_server.h"
 #include "control_task.h"
 #include "incarnation.h"
 #include "poppyway/platform.h"
+#include "signal_reader.h"
 
 namespace poppyway {
 namespace {
@@ -38,19 +38,8 @@
 // The time that an election and the replacement of a silent member take.
 constexpr Duration kReplacementTime{1'500'000};
 constexpr Duration kMinRemovalTimeout{2'000'000};  // A restart takes less than a second.
-constexpr std::uint64_t kSignalMillis = 20;
-constexpr Duration kMemberStopTime{100'000};  // This lets responses that are being sent arrive.
-
-std::atomic<bool> g_stop{false};
-std::atomic<bool> g_reload{false};
-
-void OnStopSignal(int) {
-  g_stop.store(true);
-}
-
-void OnReloadSignal(int) {
-  g_reload.store(true);
-}
+constexpr std::uint64_t kStopTickMillis = 20;  // Between two checks whether the stop is complete.
+constexpr Duration kMemberStopTime{100'000};   // This lets responses that are being sent arrive.
 
 /// Returns the endpoint of the peer protocol on the host of a control endpoint.
 Endpoint PeerEndpoint(const Endpoint& control, std::uint16_t port) {
@@ -168,7 +157,8 @@
       : m_path(path),
         m_settings(ToDaemonSettings(hosted)),
         m_control(m_loop, m_settings, MakeIncarnation(hosted.m_instance), [](ControlMessage) {}),
-        m_signals(m_loop, kSignalMillis, [this] { CheckSignals(); }) {
+        m_signals(m_loop,
+                  {[this](Instant arrived) { BeginShutdown(arrived); }, [this] { Reload(); }}) {
     if (hosted.m_caller_endpoint.m_port != 0)
       m_forwarder = std::make_unique<Forwarder>(m_loop, ToForwarderSettings(hosted),
                                                 platform::MakeProtocolAdapter());
@@ -223,13 +213,6 @@
     SendResponse(req, 200, "text/plain; version=0.0.4", metrics.Text());
   }
 
-  void CheckSignals() {
-    if (g_reload.exchange(false))
-      Reload();
-    if (g_stop.load())
-      DriveShutdown();
-  }
-
   void Reload() {
     const Result<platform::HostedSettings> hosted = platform::ReadHostedSettings(m_path);
     if (!hosted) {
@@ -241,15 +224,17 @@
     POPPYWAY_LOG(info, "reloaded").Field("seeds", seeds.size());
   }
 
-  /// Begins the shutdown on the first call and ends the loop once it is complete. Called on every
-  /// check of the signals from the stop signal on.
-  void DriveShutdown() {
+  /// `arrived`: when the stop signal was handled.
+  void BeginShutdown(Instant arrived) {
+    m_shutdown_started = arrived;
+    if (m_forwarder)
+      m_forwarder->BeginShutdown(arrived);
+    m_stop_tick.emplace(m_loop, kStopTickMillis, [this] { EndIfComplete(); });
+  }
+
+  /// Ends the loop once the shutdown is complete.
+  void EndIfComplete() {
     const Instant now = ReadClock();
-    if (m_shutdown_started == Instant{}) {
-      m_shutdown_started = now;
-      if (m_forwarder)
-        m_forwarder->BeginShutdown();
-    }
     const bool complete =
         m_forwarder ? m_forwarder->ShutdownComplete() : now - m_shutdown_started >= kMemberStopTime;
     if (!complete)
@@ -266,8 +251,9 @@
   std::unique_ptr<ControlServer> m_server;
   std::unique_ptr<HttpServer> m_metrics;
   Endpoint m_metrics_endpoint;
-  RepeatingTimer m_signals;
+  SignalReader m_signals;
   Instant m_shutdown_started{};
+  std::optional<RepeatingTimer> m_stop_tick;  ///< Runs from the stop signal on.
 };
 
 int Fail(const Error& error) {
@@ -289,10 +275,6 @@
   StartLogging({.m_to_stdout = true, .m_instance = hosted ? hosted->m_instance : "unknown"});
   if (!hosted)
     return Fail(hosted.error());
-  std::signal(SIGTERM, &OnStopSignal);
-  std::signal(SIGINT, &OnStopSignal);
-  std::signal(SIGHUP, &OnReloadSignal);
-  std::signal(SIGPIPE, SIG_IGN);
   HostedDaemon daemon(*hosted, path);
   if (Result<void> started = daemon.Start(); !started)
     return Fail(started.error());
--- a/apps/poppywayd/main.cc
+++ b/apps/poppywayd/main.cc
@@ -3,7 +3,6 @@
 // The daemon reads its settings, starts the control task and the gateway task and stops on SIGTERM
 // or SIGINT.
 
-#include <csignal>
 #include <cstdlib>
 #include <future>
 #include <iostream>
@@ -15,6 +14,7 @@
 #include "hosted_daemon.h"
 #include "incarnation.h"
 #include "poppyway/gateway.h"
+#include "signal_reader.h"
 
 namespace poppyway {
 namespace {
@@ -22,13 +22,6 @@
 constexpr int kUsageExit = 64;
 constexpr int kStartFailedExit = 70;
 
-ControlTask* g_control = nullptr;  // Only the signal handler reads it.
-
-void OnStopSignal(int) {
-  if (g_control != nullptr)
-    g_control->RequestStop();
-}
-
 /// Runs the gateway task. Its loop and everything on the loop are created, used and destroyed on
 /// its own thread, since the HTTP library keeps buffers per thread.
 class GatewayThread {
@@ -87,10 +80,8 @@
     gateway->Stop();
     return ReportStartFailure(started.error());
   }
-  g_control = &control;
-  std::signal(SIGTERM, &OnStopSignal);
-  std::signal(SIGINT, &OnStopSignal);
-  std::signal(SIGPIPE, SIG_IGN);
+  const SignalReader signals(control_loop,
+                             {[&control](Instant /*arrived*/) { control.RequestStop(); }, {}});
   POPPYWAY_LOG(info, "started")
       .Field("incarnation", incarnation)
       .Field("http", ToText(settings.m_http))
--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -133,7 +133,8 @@
   HeldBytes m_held;
   bool m_any_reading_paused = false;  ///< A response isn't read on until others need less memory.
   bool m_stopping = false;
-  Instant m_shutdown_started{};
+  Instant m_shutdown_started{};  ///< When the stop signal was handled.
+  Duration m_signal_delay{};     ///< It was sent at most this much earlier.
   bool m_ready_logged = false;
   std::map<std::string, Backend> m_backends;
   Instant m_back_off_until{};  ///< The latest back-off end of all servers.
@@ -185,7 +186,9 @@
   /// \brief Adds metrics of other parts of the daemon to each metrics response.
   void SetExtraMetrics(std::function<void(MetricSet&)> add) { m_extra_metrics = std::move(add); }
   /// \brief Begins a planned shutdown: reports not ready at once and finishes requests in flight.
-  void BeginShutdown();
+  /// \param signalled when the process handled the stop signal. The signal may have been sent at
+  /// any time since the last tick: nothing else tells how long the process was paused or starved.
+  void BeginShutdown(Instant signalled);
   /// \brief Returns true once all requests have ended and the balancer had time to notice, or once
   /// the shutdown timeout, less a margin, has passed.
   [[nodiscard]] bool ShutdownComplete() const;
@@ -209,6 +212,7 @@
   std::unique_ptr<HttpServer> m_metrics_server;
   std::unique_ptr<PeerRelay> m_relay;
   std::unique_ptr<RepeatingTimer> m_tick;
+  Instant m_last_tick{};
   std::function<void(MetricSet&)> m_extra_metrics;
 };
 
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -56,9 +56,10 @@
 }
 
 Step CheckShutdown(ForwarderState& state, Forwarding& forwarding) {
-  if (!state.m_stopping || forwarding.m_arrived - state.m_shutdown_started <= kServeDuringShutdown)
+  const Instant begun = EarliestShutdown(state);
+  if (!state.m_stopping || forwarding.m_arrived - begun <= kServeDuringShutdown)
     return Step::kContinue;
-  if (forwarding.m_deadline < ShutdownEnd(state))
+  if (forwarding.m_deadline < ShutdownEnd(state) - state.m_signal_delay)
     return Step::kContinue;
   Refuse(state, forwarding, ResultCode::kStopping, "the instance stops");
   return Step::kEnded;
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -164,6 +164,10 @@
   return state.m_shutdown_started + state.m_settings.m_shutdown_timeout - kShutdownMargin;
 }
 
+Instant impl::EarliestShutdown(const ForwarderState& state) noexcept {
+  return state.m_shutdown_started - state.m_signal_delay;
+}
+
 Forwarder::Forwarder(EventLoop& loop, const ForwarderSettings& settings, ProtocolAdapter adapter)
     : m_loop(loop) {
   m_state.m_settings = settings;
@@ -213,12 +217,17 @@
   std::visit(MessageHandler{m_state}, message);
 }
 
-void Forwarder::BeginShutdown() {
+void Forwarder::BeginShutdown(Instant signalled) {
   if (m_state.m_stopping)
     return;
   m_state.m_stopping = true;
-  m_state.m_shutdown_started = ReadClock();
-  POPPYWAY_LOG(info, "stop_begun").Field("in_progress", m_state.m_forwardings.size());
+  m_state.m_shutdown_started = signalled;
+  if (m_last_tick != Instant{})
+    m_state.m_signal_delay = std::max(Duration(0), signalled - m_last_tick);
+  POPPYWAY_LOG(info, "stop_begun")
+      .Field("in_progress", m_state.m_forwardings.size())
+      .Field("signalled_ms", (ReadClock() - signalled).count() / 1000)
+      .Field("signal_delay_ms", m_state.m_signal_delay.count() / 1000);
 }
 
 bool Forwarder::ShutdownComplete() const {
@@ -281,6 +290,7 @@
 
 bool Forwarder::Tick() {
   const Instant now = ReadClock();
+  m_last_tick = now;
   m_state.m_retired.clear();
   for (const ForwardingRef ref : m_state.m_finished)
     impl::EraseForwarding(m_state, ref);
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -405,6 +405,9 @@
 // ---- forwarder.cc ------------------------------------------------------------------------------
 /// Returns when a planned shutdown ends at the latest: its timeout less a margin.
 [[nodiscard]] Instant ShutdownEnd(const ForwarderState& state) noexcept;
+/// Returns when the stop signal may have been sent at the earliest: a process that was paused or
+/// starved handles it late.
+[[nodiscard]] Instant EarliestShutdown(const ForwarderState& state) noexcept;
 
 // ---- outage.cc: lost or unreachable data centres -----------------------------------------------
 /// Reports to this instance's outage detector whether the active call's server responded.
--- a/soak/clock_steps.py
+++ b/soak/clock_steps.py
@@ -16,6 +16,7 @@
 import asyncio
 import os
 import random
+import signal
 import struct
 import tempfile
 import time
@@ -42,6 +43,7 @@
 KEPT_REST_S = 1.2
 HOUR_S = 3600.0
 SERIES_S = 12.0
+PAUSES_S = (0.5, 1.5, 2.4)  # Callers give up after 3 s.
 
 
 SLOW_ROUTE = {"name": "slow", "host": "a.example", "path_prefix": "/slow/", "route_kind": "unsafe",
@@ -115,12 +117,17 @@
         status, _ = await call(instance.address, READINESS_PORT, "GET", "/-/readyz")
         return status == 200
 
-    async def stop_as_planned(self, number):
+    async def stop_as_planned(self, number, paused_s=0.0):
         """Stops an instance as a platform does. Clients go on using their open connections until
-        the process is gone."""
+        the process is gone. `paused_s`: how long the process is paused when it is told to stop."""
         instance = self.fleet.instances[number]
+        if paused_s > 0:
+            instance.send_signal(signal.SIGSTOP)
         begun = time.monotonic()
         instance.terminate()
+        if paused_s > 0:
+            asyncio.get_running_loop().call_later(
+                paused_s, lambda: instance.send_signal(signal.SIGCONT))
         long = asyncio.create_task(self.send_long(number))
         misses, probes = 0, 0
         while instance.running() and time.monotonic() < begun + GRACE_S:
@@ -165,6 +172,10 @@
             await asyncio.sleep(LONG_EVERY_S)
         return {ident: (await answer)[0] for ident, answer in sent.items()}
 
+    async def stop_while_paused(self):
+        for number, paused_s in enumerate(PAUSES_S):
+            await self.stop_as_planned(number, paused_s)
+
     async def stop_after(self, *steps):
         """Stops the instances one after the other, each right after the steps of its time."""
         for number, instance in enumerate(self.fleet.instances):
@@ -292,6 +303,7 @@
     "stop-after-far-back": lambda case: case.stop_after(-HOUR_S),
     "stop-after-ahead-and-back": lambda case: case.stop_after(3.0, -3.0),
     "stop-after-ahead": lambda case: case.stop_after(HOUR_S),
+    "stop-while-paused": Case.stop_while_paused,
     "change-after-back": lambda case: case.change_after(-4.0),
     "change-after-far-back": lambda case: case.change_after(-HOUR_S),
     "election-after-back": lambda case: case.election_after(-30.0),
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -365,7 +365,7 @@
   ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
   ForwarderFixture fixture;
   fixture.Register("s0", server);
-  fixture.m_forwarder->BeginShutdown();
+  fixture.m_forwarder->BeginShutdown(ReadClock());
   const CallResult served = Call(fixture, Request("/once/", "i"));
   CHECK(served.status() == 200);
   CHECK(served.m_bytes.find("connection: close\r\n") != std::string::npos);
@@ -384,7 +384,7 @@
   ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
   ForwarderFixture fixture;
   fixture.Register("s0", server);
-  fixture.m_forwarder->BeginShutdown();
+  fixture.m_forwarder->BeginShutdown(ReadClock());
   fixture.m_forwarder->state().m_shutdown_started = ReadClock() - Duration(3'500'000);
   CHECK(Call(fixture, Request("/once/", "j")).status() == 200);
   fixture.m_forwarder->state().m_shutdown_started = ReadClock() - Duration(6'500'000);
@@ -392,6 +392,25 @@
   CHECK(server.requests().size() == 1);
 }
 
+// Guards against requests that are taken late and cut: a process that was paused handles the stop
+// signal after it was sent, and is killed that much earlier than it counts.
+TEST_CASE("a stop signal that was handled late counts from the last tick before it") {
+  ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
+  ForwarderFixture fixture;
+  fixture.Register("s0", server);
+  CHECK(Call(fixture, Request("/once/", "before")).status() == 200);
+  constexpr Duration kPause{7'000'000};
+  fixture.m_forwarder->BeginShutdown(ReadClock() + kPause);
+  ForwarderState& state = fixture.m_forwarder->state();
+  CHECK(state.m_signal_delay >= kPause);
+  state.m_shutdown_started = ReadClock();  // As if the pause had just ended.
+  CHECK(Call(fixture, Request("/once/", "late")).status() == 503);
+  CHECK_FALSE(fixture.m_forwarder->ShutdownComplete());
+  state.m_signal_delay = Duration(0);
+  CHECK(Call(fixture, Request("/once/", "punctual")).status() == 200);
+  CHECK(server.requests().size() == 2);
+}
+
 TEST_CASE("an answer that began before a planned stop closes its connection when it ends") {
   ScriptedServer server([](const std::string& request) {
     return std::vector<ScriptStep>{
@@ -402,7 +421,8 @@
   });
   ForwarderFixture fixture;
   fixture.Register("s0", server);
-  RepeatingTimer stop(fixture.m_loop, 100, [&fixture] { fixture.m_forwarder->BeginShutdown(); });
+  RepeatingTimer stop(fixture.m_loop, 100,
+                      [&fixture] { fixture.m_forwarder->BeginShutdown(ReadClock()); });
   const CallResult seen = Call(fixture, Request("/stream/", "i"), 800, true);
   CHECK(IsCompleteResponse(seen.m_bytes));
   CHECK(seen.m_closed);
--- a/tests/helper_calls_test.cc
+++ b/tests/helper_calls_test.cc
@@ -259,7 +259,7 @@
   ScriptedServer server(&MakeOkResponse);
   HelperInstance helper;
   helper.Register("s", server.port());
-  helper.forwarder().BeginShutdown();
+  helper.forwarder().BeginShutdown(ReadClock());
   helper.Run();
   CHECK(Ask(helper.endpoint(), RelayRequest(server.port(), "GET", ""))
             .m_bytes.find(FaultLine(RelayFault::kUnavailable)) != std::string::npos);
--- a/tests/start_test.cc
+++ b/tests/start_test.cc
@@ -63,7 +63,7 @@
 TEST_CASE("an instance that stops before it knows the configuration refuses at once") {
   ForwarderFixture fixture;
   ForgetConfiguration(fixture);
-  fixture.m_forwarder->BeginShutdown();
+  fixture.m_forwarder->BeginShutdown(ReadClock());
   const CallResult seen = Call(fixture, Request("/safe/", "i", kTimeoutField));
   CHECK(seen.status() == 503);
   CHECK(seen.m_elapsed_ms < 100);
