Bytes of a server without end are read up to a bound

Reported by the users: bytes that are no answer may come without end, until the caller closes. Tried with servers that write as fast as they can: heads, lines, junk, chunk sizes, chunk extensions and trailers end at the parser's bound. Interim responses, responses to other requests and an event of a stream did not: they were read until the request's deadline, or until the server had written enough.

Cause: the parser bounds each head by itself and not their number; skipped bodies and the part of an event that has no end yet had no bound.

Change: 16 interim responses or responses to other requests, 1 MiB of the latter's bodies, 1 MiB for an event; at the bound the call ends and its connection closes.

Left: a body without a length or end is passed on as it comes, at its caller's pace, until the deadline; declared servers (the product's own interface) are read by the HTTP library's client, which bounds neither a head nor interim responses: by reading, until the deadline.

--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -66,6 +66,11 @@
 
 class BackendCall;
 
+/// \brief The most interim responses and responses to other requests that a call reads before its
+/// own, and the most bytes of the latter's bodies.
+inline constexpr int kMaxUnwantedResponses = 16;
+inline constexpr std::size_t kMaxUnwantedBytes = 1024 * 1024;
+
 /// \brief Idle keep-alive connections to backend servers, by address. Belongs to one task.
 ///
 /// The HTTP library's own client isn't used: it can't distinguish a close from a reset, which
@@ -179,6 +184,8 @@
   Timer m_timer{};
   CallFault m_timer_fault = CallFault::kNotConnected;
   http_parser m_parser{};
+  int m_unwanted_responses = 0;
+  std::size_t m_unwanted_bytes = 0;
   std::vector<Field> m_fields;
   bool m_in_value = false;
   bool m_head_done = false;
--- a/packages/forward/include/poppyway/forward/impl/event_stream.h
+++ b/packages/forward/include/poppyway/forward/impl/event_stream.h
@@ -2,6 +2,7 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,9 @@
   bool m_out_of_order = false;            ///< An id was not the previous id plus one.
 };
 
+/// \brief The longest event that is passed on; a longer one counts as invalid bytes of the server.
+inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 /// \brief Appends bytes to the stream and returns the bytes of all events that are now complete.
 ///
 /// An event ends with an empty line. Its id is the value of its `id` line. At the first id that
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -383,9 +383,10 @@
 
 int BackendCall::OnHeadComplete(http_parser* parser) {
   constexpr int kNoBody = 1;
+  constexpr int kFault = -1;
   auto* self = static_cast<BackendCall*>(parser->data);
   if (parser->status_code < kFirstFinalStatus)
-    return kNoBody;
+    return ++self->m_unwanted_responses > kMaxUnwantedResponses ? kFault : kNoBody;
   self->m_head_done = true;
   self->m_skipping = false;
   if (self->m_detached)
@@ -395,12 +396,18 @@
   self->m_fields.clear();
   self->m_skipping = verdict == HeadVerdict::kSkip;
   self->m_not_reusable = self->m_not_reusable || self->m_skipping;
+  if (self->m_skipping && ++self->m_unwanted_responses > kMaxUnwantedResponses)
+    return kFault;
   return self->m_head_only ? kNoBody : 0;
 }
 
 int BackendCall::OnBody(http_parser* parser, const char* at, std::size_t length) {
   auto* self = static_cast<BackendCall*>(parser->data);
-  if (!self->m_detached && !self->m_skipping)
+  if (self->m_skipping) {
+    self->m_unwanted_bytes += length;
+    return self->m_unwanted_bytes > kMaxUnwantedBytes ? 1 : 0;
+  }
+  if (!self->m_detached)
     self->m_events.m_on_data(std::string_view(at, length));
   return 0;
 }
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -127,11 +127,13 @@
       StartResponse(state, forwarding, std::nullopt);
     SendChunk(forwarding.m_caller, complete, false);
   }
-  if (!forwarding.m_events.m_out_of_order)
+  const bool too_long = forwarding.m_events.m_partial.size() > kMaxEventBytes;
+  if (!forwarding.m_events.m_out_of_order && !too_long)
     return;
   RecordHealth(state, forwarding, HealthSignal::kFailure);
   const std::string pool = forwarding.m_pool->m_name;
-  Refuse(state, forwarding, ResultCode::kAnswerIncomplete, "events out of order");
+  Refuse(state, forwarding, ResultCode::kAnswerIncomplete,
+         too_long ? "an event without end" : "events out of order");
   ServeQueue(state, pool);
 }
 
