--- a/fuzz/codec_fuzz.cc
+++ b/fuzz/codec_fuzz.cc
@@ -104,6 +104,22 @@
             at_once_text + at_once.m_partial == bytes);
 }
 
+/// Checks that an acceptable head of a response means the same to a second reader.
+void FuzzResponseHead(std::string_view bytes) {
+  const HeadSearch search = FindHeadEnd({}, bytes);
+  const std::string_view head = bytes.substr(0, search.m_size);
+  if (search.m_size == 0 || CheckResponseHead(head) != HeadFault::kNone)
+    return;
+  http_parser parser;
+  http_parser_init(&parser, HTTP_RESPONSE);
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_headers_complete = [](http_parser*) { return 1; };
+  Require(http_parser_execute(&parser, &settings, head.data(), head.size()) == head.size());
+  Require(parser.status_code >= 100 && parser.status_code <= 599 && parser.http_major == 1);
+  Require(parser.status_code == std::stoul(std::string(head.substr(9, 3))));
+}
+
 /// Checks that an accepted peer message is the same after it was written and read again.
 void FuzzEnvelope(std::string_view bytes) {
   (void)NextFrame(bytes);
@@ -144,6 +160,9 @@
     case 'd':
       FuzzDocument(bytes);
       break;
+    case 'r':
+      FuzzResponseHead(bytes);
+      break;
     case 'h':
       FuzzProtocolAdapter(bytes);
       break;
--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -15,6 +15,7 @@
 
 #include "poppyway/core.h"
 #include "poppyway/forward/impl/protocol_adapter.h"
+#include "poppyway/http.h"
 #include "poppyway/settings.h"
 #include "poppyway/wire.h"
 
@@ -145,6 +146,8 @@
   [[nodiscard]] bool reused() const noexcept { return m_reused; }
   /// \brief Returns the connect time; zero: not connected, or a connection was reused.
   [[nodiscard]] Duration connect_time() const noexcept { return m_connect_time; }
+  /// \brief Returns what was wrong with the head of the response, after `kNotHttp`.
+  [[nodiscard]] HeadFault head_fault() const noexcept { return m_head_search.m_fault; }
   /// \brief Returns what became of the connection attempt.
   [[nodiscard]] ConnectOutcome connect_outcome() const noexcept { return m_connect_outcome; }
 
@@ -170,7 +173,11 @@
   void Connect();
   void Send();
   void Parse();
+  /// Looks for the whole head of the next response. Returns true if it is there and acceptable.
+  [[nodiscard]] bool HasAcceptableHead();
   void OnPeerClosed(const char* fault);
+  /// Ends the call after the server's close in order and the end of the request's write.
+  void EndByClose();
   void Finish();
   void Fail(CallFault fault);
   void CloseSocket();
@@ -184,6 +191,8 @@
   Timer m_timer{};
   CallFault m_timer_fault = CallFault::kNotConnected;
   http_parser m_parser{};
+  HeadSearch m_head_search;
+  bool m_head_checked = false;  ///< The current message's head is whole and acceptable.
   int m_unwanted_responses = 0;
   std::size_t m_unwanted_bytes = 0;
   std::vector<Field> m_fields;
@@ -192,8 +201,11 @@
   bool m_skipping = false;  ///< The current message is a response to another request.
   bool m_complete = false;
   bool m_sending = false;  ///< The request was passed to the socket.
-  bool m_written = false;
-  bool m_detached = false;  ///< No more callbacks are made.
+  bool m_written = false;  ///< The whole request was passed to the kernel.
+  bool m_write_failed = false;
+  bool m_until_close = false;  ///< The response has no length: the server's close ends it.
+  bool m_peer_closed = false;  ///< The server closed in order while the request was being written.
+  bool m_detached = false;     ///< No more callbacks are made.
   bool m_reused = false;
   Instant m_connect_begun{};
   Duration m_connect_time{};
--- a/packages/forward/src/backend_call.cc
+++ b/packages/forward/src/backend_call.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <limits>
 
 #include "poppyway/forward.h"
 
@@ -26,6 +27,9 @@
 constexpr Duration kCarefulIdleLimit{1'000'000};
 // Lower status codes are interim responses, which are skipped.
 constexpr unsigned kFirstFinalStatus = 200;
+// Responses with these codes have no body, whatever length they state.
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
 
 /// Returns true if the peer has closed the connection or sent bytes, so that it can't be reused.
 bool IsStale(h2o_socket_t* socket) {
@@ -284,6 +288,9 @@
   auto* self = static_cast<BackendCall*>(socket->data);
   self->m_written = fault == nullptr;
   // After a failed write the server may still have responded, which reading shows.
+  self->m_write_failed = fault != nullptr;
+  if (self->m_peer_closed)
+    self->EndByClose();
 }
 
 void BackendCall::OnReadable(h2o_socket_t* socket, const char* fault) {
@@ -316,9 +323,19 @@
 
 void BackendCall::Parse() {
   while (m_socket != nullptr && !m_complete && m_socket->input->size > 0) {
+    if (!m_head_checked && !HasAcceptableHead()) {
+      if (m_head_search.m_fault != HeadFault::kNone)
+        Fail(CallFault::kNotHttp);
+      return;
+    }
     h2o_buffer_t* input = m_socket->input;
+    // The parser gets a head on its own, which was checked before.
+    const std::size_t size = m_head_checked ? input->size : m_head_search.m_size;
+    if (!m_head_checked)
+      m_head_search = {};
+    m_head_checked = true;
     m_parsing = true;
-    const std::size_t used = http_parser_execute(&m_parser, &Settings(), input->bytes, input->size);
+    const std::size_t used = http_parser_execute(&m_parser, &Settings(), input->bytes, size);
     m_parsing = false;
     if (m_cancelled) {
       CloseSocket();
@@ -337,12 +354,36 @@
   }
 }
 
+bool BackendCall::HasAcceptableHead() {
+  const std::string_view received(m_socket->input->bytes, m_socket->input->size);
+  m_head_search = FindHeadEnd(m_head_search, received);
+  if (m_head_search.m_size == 0)
+    return false;
+  m_head_search.m_fault = CheckResponseHead(received.substr(0, m_head_search.m_size));
+  return m_head_search.m_fault == HeadFault::kNone;
+}
+
 void BackendCall::OnPeerClosed(const char* fault) {
   const bool orderly = fault == h2o_socket_error_closed;
   if (!orderly) {
     Fail(CallFault::kReset);
     return;
   }
+  // A write that is under way takes the error of a reset, and the read after it sees a close in
+  // order. So a response that the close ends is complete only once the write has ended well.
+  m_peer_closed = true;
+  const bool in_doubt = m_head_done && m_until_close && !m_written && !m_write_failed;
+  if (in_doubt)
+    h2o_socket_read_stop(m_socket);
+  else
+    EndByClose();
+}
+
+void BackendCall::EndByClose() {
+  if (m_until_close && m_write_failed) {
+    Fail(CallFault::kReset);
+    return;
+  }
   // A close completes a response without a stated length, and no other; the parser decides.
   m_not_reusable = true;
   http_parser_execute(&m_parser, &Settings(), nullptr, 0);
@@ -387,7 +428,11 @@
   auto* self = static_cast<BackendCall*>(parser->data);
   if (parser->status_code < kFirstFinalStatus)
     return ++self->m_unwanted_responses > kMaxUnwantedResponses ? kFault : kNoBody;
+  const bool bodiless =
+      self->m_head_only || parser->status_code == kNoContent || parser->status_code == kNotModified;
   self->m_head_done = true;
+  self->m_until_close = !bodiless && (parser->flags & F_CHUNKED) == 0 &&
+                        parser->content_length == std::numeric_limits<std::uint64_t>::max();
   self->m_skipping = false;
   if (self->m_detached)
     return 0;
@@ -398,7 +443,7 @@
   self->m_not_reusable = self->m_not_reusable || self->m_skipping;
   if (self->m_skipping && ++self->m_unwanted_responses > kMaxUnwantedResponses)
     return kFault;
-  return self->m_head_only ? kNoBody : 0;
+  return bodiless ? kNoBody : 0;
 }
 
 int BackendCall::OnBody(http_parser* parser, const char* at, std::size_t length) {
@@ -417,6 +462,7 @@
   const bool interim = parser->status_code < kFirstFinalStatus;
   if (!interim && !self->m_skipping)
     self->m_complete = true;
+  self->m_head_checked = false;
   http_parser_pause(parser, 1);
   return 0;
 }
--- a/packages/forward/src/peer_relay.cc
+++ b/packages/forward/src/peer_relay.cc
@@ -265,7 +265,8 @@
   POPPYWAY_LOG(info, "relayed_call_failed")
       .Field("request", call->m_id)
       .Field("to", ToText(call->m_server))
-      .Field("why", CallFaultName(fault));
+      .Field("why", CallFaultName(fault))
+      .Field("head", HeadFaultName(call->m_call->head_fault()));
   if (fault == CallFault::kNotConnected)
     impl::CheckPathAfterFailedConnect(m_state, call->m_server);
   if (fault == CallFault::kWithdrawn)
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -395,6 +395,8 @@
       .Field("fingerprint", FingerprintText(forwarding->m_fingerprint))
       .Field("server", forwarding->m_server)
       .Field("why", why)
+      .Field("head", HeadFaultName(forwarding->m_call ? forwarding->m_call->head_fault()
+                                                      : HeadFault::kNone))
       .Field("headed", forwarding->m_head_accepted)
       .Field("parts", SharedPartsText(forwarding->m_request))
       .Field("events", forwarding->m_call_events)
--- a/packages/gateway/src/upstream.cc
+++ b/packages/gateway/src/upstream.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "poppyway/http.h"
+
 namespace poppyway {
 namespace {
 
@@ -23,6 +25,14 @@
   });
 }
 
+/// Checks a decoded head as those of other responses are checked.
+HeadFault CheckHead(int minor, const UpstreamHead& head) {
+  std::vector<HeadField> fields;
+  for (const Header& header : head.m_headers)
+    fields.push_back({header.m_name, header.m_value});
+  return CheckResponse(minor, head.m_status, fields);
+}
+
 }  // namespace
 
 UpstreamPools::UpstreamPools(EventLoop& loop) : m_loop(loop), m_context{} {
@@ -101,7 +111,7 @@
 
 h2o_http1client_body_cb Upstream::OnHead(h2o_http1client_t* client,
                                          const char* fault,
-                                         int /*minor*/,
+                                         int minor,
                                          int status,
                                          h2o_iovec_t /*message*/,
                                          h2o_header_t* headers,
@@ -119,6 +129,11 @@
     head.m_headers.push_back({std::string(headers[i].name->base, headers[i].name->len),
                               std::string(headers[i].value.base, headers[i].value.len)});
   }
+  if (const HeadFault invalid = CheckHead(minor, head); invalid != HeadFault::kNone) {
+    const std::string why = "invalid head: " + std::string(HeadFaultName(invalid));
+    self->End(why.c_str());
+    return nullptr;
+  }
   if (!IsFramed(status, head.m_headers, self->m_head_only)) {
     self->End("the answer's length is not framed");
     return nullptr;
--- a/tests/troubled_servers_test.cc
+++ b/tests/troubled_servers_test.cc
@@ -87,6 +87,7 @@
   std::string m_data;
   bool m_whole = false;
   std::optional<CallFault> m_fault;
+  HeadFault m_head_fault = HeadFault::kNone;
   int m_heads = 0;
   Duration m_took{};
 
@@ -114,10 +115,42 @@
                    false, false, std::move(events));
   while (!report.ended() && ReadClock() < begun + std::chrono::milliseconds(kLimitMillis))
     loop.RunFor(2);
+  report.m_head_fault = call.head_fault();
   report.m_took = ReadClock() - begun;
   return report;
 }
 
+// Guards against a part of a response that a caller gets as a whole one: the write that was under
+// way takes the error of the reset, and the read after it sees a close in order.
+TEST_CASE("a response without a length is broken if a reset meets the request's write") {
+  for (int i = 0; i < 6; ++i) {
+    const RawServer server([](int fd) {
+      ReadSome(fd);
+      SendAll(fd, "HTTP/1.1 200 OK\r\nx-a: b\r\n\r\na part");
+      SleepMillis(30);
+      CloseWithReset(fd);
+    });
+    const Report report = RunCall(server, std::string(kUpload, 'x'));
+    CHECK_FALSE(report.m_whole);
+    REQUIRE(report.m_fault);
+    CHECK(CallFaultName(*report.m_fault) == "reset");
+  }
+}
+
+TEST_CASE("a response without a length is whole if the server reads all and closes in order") {
+  const RawServer server([](int fd) {
+    ReadSome(fd);
+    SendAll(fd, "HTTP/1.1 200 OK\r\n\r\nall of it");
+    shutdown(fd, SHUT_WR);
+    char buffer[65'536];
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+  });
+  const Report report = RunCall(server, std::string(kUpload, 'x'));
+  CHECK(report.m_whole);
+  CHECK(report.m_data == "all of it");
+}
+
 // Guards against servers whose bytes are read without end, until the request's deadline.
 TEST_CASE("interim responses without end are read up to a bound") {
   std::atomic<std::size_t> sent{0};
@@ -195,6 +228,36 @@
   }
 }
 
+TEST_CASE("a response without a body ends with its head, whatever length it states") {
+  for (const std::string& status : {"204 No Content", "304 Not Modified"}) {
+    const RawServer server([&status](int fd) {
+      ReadSome(fd);
+      SendAll(fd, "HTTP/1.1 " + status + "\r\ncontent-length: 5\r\n\r\n");
+      SleepMillis(100);
+    });
+    const Report report = RunCall(server, "");
+    CHECK(report.m_whole);
+    CHECK(report.m_data.empty());
+  }
+}
+
+// Guards against a response that isn't HTTP/1.1 and reaches a caller, whose reader may take it for
+// another one.
+TEST_CASE("nothing of a response with an unacceptable head reaches the caller") {
+  for (const std::string& line : {"a b: c", "Content-Length : 2", "a\x01: c", "x: \x01",
+                                  "content-length: 2\r\ncontent-length: 3"}) {
+    ScriptedServer server([&line](const std::string& request) {
+      return std::vector<ScriptStep>{Send(MakeResponseHead(request, line + "\r\n") + "ok"),
+                                     CloseNow()};
+    });
+    ForwarderFixture fixture;
+    fixture.Register("s0", server);
+    const CallResult result = Call(fixture, Request("/once/", "i"));
+    CHECK(result.status() == 502);
+    CHECK(server.requests().size() == 1);
+  }
+}
+
 // Guards against the memory that an event without end takes.
 TEST_CASE("an event without end is read up to a bound") {
   std::atomic<std::size_t> sent{0};
