--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -335,6 +335,10 @@
         R"({"service":"llm","target_version":"","duration_s":1})",
         R"({"service":"llm","target_version":"v2","duration_s":0})",
         R"({"service":"llm","target_version":"v2","duration_s":-3})",
+        // Guards against durations that no integer of milliseconds holds.
+        R"({"service":"llm","target_version":"v2","duration_s":2e92})",
+        R"({"service":"llm","target_version":"v2","duration_s":-2e92})",
+        R"({"service":"llm","target_version":"v2","duration_s":1e999})",
         R"({"service":"llm","target_version":2,"duration_s":3})",
         R"({"service":"llm","target_version":"v2","duration_s":"soon"})"}) {
     CAPTURE(bad);
