Soak: streams while all instances are killed at once and a version leaves

A report says that take-ups join two versions when all instances are killed while an old version's servers leave.

--- a/soak/stream_versions.py
+++ b/soak/stream_versions.py
@@ -17,7 +17,7 @@
 from cases import POOL, FleetCase, run_cases
 from fleet import stream_route
 from stand_ins import FaultModel
-from streams import StreamClients, StreamServers
+from streams import TAKE_UP_S, StreamClients, StreamServers
 
 STREAMS_PER_S = 25
 SERVERS = 14
@@ -26,6 +26,11 @@
 DOWN_S = (0.6, 1.5)  # How long a server is down.
 INSTANCE_ENDS_S = (0.8, 1.6)  # Time between two kills of instances.
 MEMBERS_DOWN_S = 3.0
+ALL_KILLED = 3  # Times that all instances are killed at once.
+ALL_DOWN_S = (1.0, 1.5)
+LATE_TAKE_UP_S = (0.6, 1.6)  # So that some reach an instance that is back.
+LEAVE_EVERY_S = 0.4
+DRAIN_S = 1.2
 CONTACT_S = 3.0  # Until instances are in touch with members that are back.
 GO_ON_SHARE = 0.5  # Of the share of new streams that begin.
 COUNTED = 12  # Fewer take-ups say nothing.
@@ -44,9 +49,13 @@
                                      options.get("until_close", False))
         self.servers.change_version = options.get("change_version", False)
         self.faults = options["faults"]
+        # False if the leader is lost together with all instances: then nobody knows what began a
+        # stream, and a refusal is right.
+        self._records_outlive_faults = options.get("records_outlive_faults", True)
         self._in_touch_from = 0.0
         self.clients = StreamClients(self.fleet.instances, self.callers.key, STREAMS_PER_S, seed,
-                                     self.servers, lambda: time.monotonic() >= self._in_touch_from)
+                                     self.servers, lambda: time.monotonic() >= self._in_touch_from,
+                                     options.get("take_up_s", TAKE_UP_S))
 
     async def end_servers(self):
         while True:
@@ -59,6 +68,24 @@
             await asyncio.sleep(self.rng.uniform(*INSTANCE_ENDS_S))
             await self.restart_instance()
 
+    async def kill_all_instances(self):
+        """Kills all instances at once, three times."""
+        for _ in range(ALL_KILLED):
+            await asyncio.sleep(self.rng.uniform(1.0, 2.0))
+            for instance in self.fleet.instances:
+                instance.kill()
+            await asyncio.sleep(self.rng.uniform(*ALL_DOWN_S))
+            for instance in self.fleet.instances:
+                instance.start()
+
+    async def old_version_leaves(self):
+        """The servers of the first version leave for good, one after the other."""
+        old = [address for address in self.servers.addresses
+               if self.servers.versions[address] == VERSIONS[0]]
+        for address in old[:-1]:
+            await asyncio.sleep(LEAVE_EVERY_S)
+            await self.servers.leave(address, DRAIN_S)
+
     async def kill_leaders(self):
         while True:
             await asyncio.sleep(self.rng.uniform(1.0, 2.5))
@@ -106,7 +133,7 @@
         begun, gone_on = self.clients.begun, self.clients.gone_on
         begin_share = begun[1] / max(1, begun[0])
         go_on_share = gone_on[1] / max(1, gone_on[0])
-        if gone_on[0] >= COUNTED:
+        if gone_on[0] >= COUNTED and self._records_outlive_faults:
             self.check(go_on_share >= GO_ON_SHARE * begin_share,
                        f"{gone_on[1]} of {gone_on[0]} take-ups went on, "
                        f"{begun[1]} of {begun[0]} new streams began")
@@ -125,6 +152,12 @@
     "servers-change-version": {"faults": (Case.end_servers,), "change_version": True},
     "instances-killed": {"faults": (Case.kill_instances,)},
     "servers-end-instances-killed": {"faults": (Case.end_servers, Case.kill_instances)},
+    "all-instances-killed": {"faults": (Case.kill_all_instances,), "take_up_s": LATE_TAKE_UP_S},
+    "old-version-leaves": {"faults": (Case.old_version_leaves, Case.kill_all_instances),
+                           "take_up_s": LATE_TAKE_UP_S},
+    "old-version-leaves-leaders-killed": {
+        "faults": (Case.old_version_leaves, Case.kill_all_instances, Case.kill_leaders),
+        "take_up_s": LATE_TAKE_UP_S, "records_outlive_faults": False},
     "leaders-killed": {"faults": (Case.end_servers, Case.kill_instances, Case.kill_leaders)},
     "members-down": {"faults": (Case.end_servers, Case.stop_members)},
     "processes-paused": {"faults": (Case.end_servers, Case.pause_processes)},
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -10,8 +10,8 @@
 import time
 
 from ending_servers import EndingServers
-from fleet import CALLERS_PORT
-from stand_ins import read_message, write_request
+from fleet import CALLERS_PORT, CONTROL_PORT
+from stand_ins import call, read_message, write_request
 
 EVENTS = 12  # Events of a stream.
 EVENT_S = 0.06  # Time between two events.
@@ -40,6 +40,26 @@
             others = [v for v in self._all_versions if v != self.versions[address]]
             self.versions[address] = self._rng.choice(others)
 
+    def stage_of(self, address):
+        return "draining" if self.states[address].get("draining") else "ready"
+
+    async def leave(self, address, drain_s):
+        """Ends a server as a platform does: it says that it drains, serves on for a while, removes
+        itself and is gone for good."""
+        state = self.states[address]
+        state["draining"] = True
+        await asyncio.sleep(drain_s)
+        state["ended"] = True
+        state["heartbeats"].cancel()
+        state["listener"].close()
+        for member in self._members:
+            status, _ = await call(member.address, CONTROL_PORT, "DELETE",
+                                   f"/-/instances/{state['id']}", timeout=1.0)
+            if status == 200:
+                break
+        for writer in list(self._open[address]):
+            self.break_off(writer)
+
     def break_off(self, writer):
         """A response without a stated length would look complete if its connection were closed in
         order between two events: it ends within an event, or with a reset."""
@@ -116,8 +136,10 @@
 class StreamClients:
     """Clients that start streams at a steady rate and take broken ones up at other instances."""
 
-    def __init__(self, instances, key, per_s, seed, servers, in_touch):
-        """`in_touch`: returns False while the members are lost, and shortly after."""
+    def __init__(self, instances, key, per_s, seed, servers, in_touch, take_up_s=TAKE_UP_S):
+        """`in_touch`: returns False while the members are lost, and shortly after. `take_up_s`: the
+        shortest and longest time until a client takes a broken stream up again."""
+        self._take_up_s = take_up_s
         self._in_touch = in_touch
         self._instances, self._key, self._per_s = instances, key, per_s
         self._servers = servers
@@ -164,7 +186,7 @@
                     self.statuses[status] = self.statuses.get(status, 0) + 1
             if stream.complete or time.monotonic() > end:
                 return
-            await asyncio.sleep(self._rng.uniform(*TAKE_UP_S))
+            await asyncio.sleep(self._rng.uniform(*self._take_up_s))
             instance = self._rng.choice([i for i in self._instances if i is not instance])
 
     async def _attempt(self, stream, ident, instance, end):
