Answer what a planned stop can't wait for before the process ends (LOST)

Cause: the process ended without a word to those that were still in progress.

Change: at the stop's end, before the kill, each request without a response gets one: outcome unknown if it may have run, not run otherwise; the process then ends within 100 ms.

--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -18,7 +18,8 @@
 constexpr std::size_t kMaxBody = 16 << 20;
 // A planned shutdown ends this long before its timeout.
 constexpr Duration kShutdownMargin{500'000};
-constexpr Duration kMinShutdown{3'000'000};  // The balancer needs time for two readiness checks.
+constexpr Duration kLastAnswersTime{100'000};  // This lets the answers at the end arrive.
+constexpr Duration kMinShutdown{3'000'000};    // The balancer needs time for two readiness checks.
 
 /// An object in the request's memory pool whose destructor callback reports that the library
 /// disposes of the request.
@@ -94,6 +95,22 @@
   }
 }
 
+/// Answers all requests that the end of the shutdown would cut without an answer.
+void AnswerUnfinished(ForwarderState& state) {
+  std::vector<ForwardingRef> unanswered;
+  for (const auto& [ref, forwarding] : state.m_forwardings) {
+    if (forwarding->m_stage != ForwardingStage::kDone && !forwarding->m_caller.m_started)
+      unanswered.push_back(ref);
+  }
+  for (const ForwardingRef ref : unanswered) {
+    Forwarding& forwarding = *Find(state, ref);
+    impl::Refuse(
+        state, forwarding,
+        forwarding.m_possible_runs > 0 ? ResultCode::kOutcomeUnknown : ResultCode::kStopping,
+        "the instance stops");
+  }
+}
+
 bool IsReady(const ForwarderState& state, Instant now) {
   return state.m_table != nullptr && !state.m_stopping && now < state.m_confirmed_until;
 }
@@ -236,7 +253,7 @@
   const Duration since = ReadClock() - m_state.m_shutdown_started;
   const bool idle =
       since >= kMinShutdown && m_state.m_forwardings.empty() && m_relay->in_progress() == 0;
-  return idle || ReadClock() >= impl::ShutdownEnd(m_state);
+  return idle || ReadClock() >= impl::ShutdownEnd(m_state) + kLastAnswersTime;
 }
 
 bool Forwarder::ReachesServers() const noexcept {
@@ -303,6 +320,8 @@
   impl::ExpireWaiting(m_state, now);
   impl::LeaveLostDataCentres(m_state, now);
   EndOverdue(m_state, now);
+  if (m_state.m_stopping && now >= impl::ShutdownEnd(m_state))
+    AnswerUnfinished(m_state);
   impl::EndLostCalls(m_state, now);
   impl::ExpireCrashes(m_state, now);
   impl::RefreshOrigins(m_state, now);
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -392,6 +392,24 @@
   CHECK(server.requests().size() == 1);
 }
 
+// Guards against callers whose connection closes without an answer at the end of a planned stop:
+// they can't tell whether their request ran.
+TEST_CASE("what a planned stop can't wait for is answered before the process ends") {
+  ScriptedServer server([](const std::string&) { return std::vector<ScriptStep>{Wait(1'000)}; });
+  ForwarderFixture fixture;
+  fixture.Register("s0", server);
+  fixture.m_forwarder->BeginShutdown(ReadClock());
+  BackgroundCall sent(fixture, Request("/once/", "sent"));
+  fixture.RunUntil([&server] { return !server.requests().empty(); });
+  ForwarderState& state = fixture.m_forwarder->state();
+  state.m_shutdown_started = ReadClock() - state.m_settings.m_shutdown_timeout;
+  const CallResult result = sent.AwaitResponse(fixture);
+  CHECK(result.status() == 502);
+  CHECK(IsCompleteResponse(result.m_bytes));
+  CHECK(result.m_elapsed_ms < 900);
+  CHECK(fixture.m_forwarder->ShutdownComplete());
+}
+
 // Guards against requests that are taken late and cut: a process that was paused handles the stop
 // signal after it was sent, and is killed that much earlier than it counts.
 TEST_CASE("a stop signal that was handled late counts from the last tick before it") {
