--- a/soak/cases.py
+++ b/soak/cases.py
@@ -109,6 +109,16 @@
     return not case.failures
 
 
+def library_argument(name, purpose):
+    """Returns the `add_arguments` of a program whose processes load a library: the argument `name`
+    is required and holds NAME=VALUE."""
+    def add_arguments(parser):
+        parser.add_argument(f"--{name}", required=True, help=f"NAME=VALUE: loads the library that "
+                                                             f"{purpose}")
+        return [name.replace("-", "_")]
+    return add_arguments
+
+
 def run_cases(make_case, names, description, add_arguments=None):
     """Entry point of a soak program: parses the command line, runs the cases and exits with status
     1 if one of them failed. `add_arguments` adds the program's own to the parser; `make_case` gets
--- a/soak/clock_steps.py
+++ b/soak/clock_steps.py
@@ -21,7 +21,7 @@
 import tempfile
 import time
 
-from cases import KEY, POOL, FleetCase, run_cases, wait_until
+from cases import KEY, POOL, FleetCase, library_argument, run_cases, wait_until
 from fleet import CALLERS_PORT, READINESS_PORT, document
 from stand_ins import Connections, FaultModel, Servers, call
 
@@ -314,11 +314,6 @@
 }
 
 
-def add_arguments(parser):
-    parser.add_argument("--environment", required=True,
-                        help="NAME=VALUE that loads the library which steps the time of day")
-    return ["environment"]
-
-
 if __name__ == "__main__":
-    run_cases(Case, CASES, __doc__, add_arguments)
+    run_cases(Case, CASES, __doc__,
+              library_argument("environment", "steps the time of day"))
--- a/soak/cut_instances.py
+++ b/soak/cut_instances.py
@@ -252,10 +252,7 @@
 }
 
 
-def add_arguments(parser):
-    parser.add_argument("--instance-environment", required=True,
-                        help="NAME=VALUE: loads the library that cuts an instance off from servers")
-    return ["instance_environment"]
+add_arguments = library_argument("instance-environment", "cuts an instance off from servers")
 
 
 if __name__ == "__main__":
