Ages that processes agree on don't jump with the time of day

The same cause as that of the timers, on a related path, found when each reader of the time of day was looked at: ReadWallMillis read the time of day as it steps. The ledger of non-repeatable requests and the list of requests that crash servers take the latest time that any instance tells them, so an instance an hour ahead ended what they remember an hour early for all: by reading, not seen with processes.

ReadWallMillis and the library's clock now read one clock without steps, in core. Dates that callers state (the age of a request) are compared with it too.

Test: "the wall clock doesn't jump when the time of day steps": with the time of day as before it shows 3,602,000 ms after an hour's step and two seconds, at most 2,250 is asked. A process that starts while its time of day is wrong tells wrong ages until that has been worked off.

--- a/packages/core/include/poppyway/core.h
+++ b/packages/core/include/poppyway/core.h
@@ -5,7 +5,7 @@
 /// \file
 /// \brief Values that all packages share: result codes, errors, time, hashing, regions.
 ///
-/// \detail Everything here may be used from any thread. Except for `ReadClock` and
+/// \detail Everything here may be used from any thread. Except for `ReadClock`, `ReadWallTime` and
 /// `ReadWallMillis`, functions are pure and don't read a clock: callers pass an `Instant`.
 ///
 /// Example:
--- a/packages/core/include/poppyway/core/impl/time.h
+++ b/packages/core/include/poppyway/core/impl/time.h
@@ -37,12 +37,16 @@
                                                       std::chrono::nanoseconds(now.tv_nsec)));
 }
 
-/// \brief Reads the wall clock. \return milliseconds since 1970-01-01 UTC.
-[[nodiscard]] inline std::int64_t ReadWallMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
+/// \brief Reads the wall clock, since 1970-01-01 UTC: the time of day without its steps, since ages
+/// are measured by it too. Thread-safe; the clocks of two threads may differ by a step that came
+/// between their first readings.
+///
+/// Use it for dates, and for ages that several machines or processes must agree on; a length of
+/// time within one process is measured with `ReadClock`.
+[[nodiscard]] Duration ReadWallTime() noexcept;
+
+/// \brief Reads the wall clock in milliseconds; see `ReadWallTime`.
+[[nodiscard]] std::int64_t ReadWallMillis() noexcept;
 
 /// \brief Returns `duration` in seconds.
 [[nodiscard]] constexpr double Seconds(Duration duration) noexcept {
--- a/packages/wire/src/loop_clock.cc
+++ b/packages/core/src/wall_clock.cc
@@ -2,7 +2,7 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include <optional>
 
-#include "poppyway/wire.h"
+#include "poppyway/core.h"
 
 namespace poppyway {
 namespace {
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-Duration ReadLoopTime() noexcept {
-  // A loop lives on one thread, so threads need no clock in common, and no lock.
+Duration ReadWallTime() noexcept {
+  // Each thread has a clock of its own, so that none waits for a lock.
   thread_local std::optional<SlewedClock> clock;
   const Instant now = ReadClock();
   if (!clock)
@@ -29,4 +29,8 @@
   return SlewedTime(*clock, now);
 }
 
+std::int64_t ReadWallMillis() noexcept {
+  return ReadWallTime().count() / 1000;
+}
+
 }  // namespace poppyway
--- a/packages/wire/include/poppyway/wire/impl/event_loop.h
+++ b/packages/wire/include/poppyway/wire/impl/event_loop.h
@@ -6,15 +6,8 @@
 
 #include <h2o.h>
 
-#include "poppyway/core.h"
-
 namespace poppyway {
 
-/// \brief Returns the time by which all timers on event loops count, those of the HTTP library
-/// included, since 1970-01-01 UTC: the time of day without its steps. Thread-safe; the clocks of
-/// two threads may differ by a step that came between their first readings.
-[[nodiscard]] Duration ReadLoopTime() noexcept;
-
 /// \brief The event loop of one task. It is created, run and destroyed on one thread; only `Stop`
 /// may be called on any thread.
 ///
--- a/packages/wire/src/event_loop.cc
+++ b/packages/wire/src/event_loop.cc
@@ -44,7 +44,7 @@
 // See docs/design/loop-clock.md.
 extern "C" int gettimeofday(timeval* now, void* /*zone*/) noexcept {
   constexpr poppyway::Duration kSecond{1'000'000};
-  const poppyway::Duration time = poppyway::ReadLoopTime();
+  const poppyway::Duration time = poppyway::ReadWallTime();
   now->tv_sec = time / kSecond;
   now->tv_usec = (time % kSecond).count();
   return 0;
--- a/tests/suspension_test.cc
+++ b/tests/suspension_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 std::atomic<long> g_suspended_s{0};  // Time for which the machine has been suspended so far.
+std::atomic<long> g_stepped_s{0};    // By how much the time of day has been stepped ahead so far.
 
 }  // namespace
 
@@ -22,6 +23,8 @@
   const long result = syscall(SYS_clock_gettime, clock, now);
   if (clock != CLOCK_MONOTONIC)
     now->tv_sec += g_suspended_s.load();
+  if (clock == CLOCK_REALTIME)
+    now->tv_sec += g_stepped_s.load();
   return static_cast<int>(result);
 }
 
@@ -40,6 +43,20 @@
   CHECK(ReadClock() - before < Duration(11'000'000));
 }
 
+// Guards against ages that jump with the time of day: keys of requests that ran, and requests that
+// crash servers, would be forgotten early.
+TEST_CASE("the wall clock doesn't jump when the time of day steps") {
+  constexpr long kHour = 3'600;
+  for (const long step : {kHour, -2 * kHour, kHour}) {
+    const std::int64_t before = ReadWallMillis();
+    g_stepped_s += step;
+    Suspend(2);  // The time of day is read once a second.
+    const std::int64_t shown = ReadWallMillis() - before;
+    CHECK(shown >= 1'950);
+    CHECK(shown <= 2'250);
+  }
+}
+
 // Guards against a library that reads another clock than the program's definition: its timers would
 // stand still, or all fire, when the time of day steps.
 TEST_CASE("the timers of an event loop count by the loop's clock, over suspensions too") {
@@ -51,7 +68,7 @@
   Suspend(61);
   loop.RunFor(20);
   CHECK(ticks == 1);
-  const std::int64_t shown = ReadLoopTime().count() / 1000;
+  const std::int64_t shown = ReadWallTime().count() / 1000;
   CHECK(std::abs(shown - static_cast<std::int64_t>(h2o_now(loop.loop()))) < 1'000);
 }
 
