--- a/apps/poppywayd/member_disk.cc
+++ b/apps/poppywayd/member_disk.cc
@@ -62,8 +62,8 @@
   const std::vector<wire::LogEntry> committed = ProcessEffects();
   StartSave();
   Apply(committed);
-  if (!led && !m_pending.empty() && !is_leader())
-    FailPending("leadership was lost");
+  if (!led && !is_leader())
+    FailProposals(m_pending, kLeadershipLost);
 }
 
 std::vector<wire::LogEntry> MemberService::ProcessEffects() {
--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -19,6 +19,17 @@
   return static_cast<std::int64_t>(Hash(Serialize(membership)));
 }
 
+/// Returns the reply to a proposal as it is sent.
+wire::Body ToBody(const Result<std::vector<wire::CommandResult>>& results) {
+  if (!results)
+    return ErrorBody(results.error().m_code, results.error().m_message);
+  wire::ProposeReply reply;
+  reply.results = *results;
+  wire::Body body;
+  body.__set_propose_reply(std::move(reply));
+  return body;
+}
+
 MemberId RandomId() {
   std::random_device device;
   std::uniform_int_distribution<MemberId> any(1, std::numeric_limits<MemberId>::max());
@@ -132,23 +143,7 @@
     wire::CommandResult result = ApplyEntry(m_machine, entry);
     if (m_machine.m_hosted.m_document.version != held)
       AppendToHistory(m_document_history, entry.command.document_change);
-    const auto found = m_pending.find(entry.index);
-    if (found == m_pending.end())
-      continue;
-    const PendingCommand command = found->second;
-    m_pending.erase(found);
-    PendingProposal& proposal = *command.m_proposal;
-    if (proposal.m_term != entry.term || !proposal.m_reply)
-      continue;
-    proposal.m_results[command.m_result_index] = std::move(result);
-    if (--proposal.m_left > 0)
-      continue;
-    wire::ProposeReply reply;
-    reply.results = std::move(proposal.m_results);
-    wire::Body body;
-    body.__set_propose_reply(std::move(reply));
-    proposal.m_reply(std::move(body));
-    proposal.m_reply = nullptr;
+    CompleteCommand(m_pending, entry.index, entry.term, std::move(result));
   }
   const bool declared = m_machine.m_configuration.m_version != version_before;
   const bool document = m_machine.m_hosted.m_document.version != document_before;
@@ -176,22 +171,11 @@
   RespondToPolls(ReadClock());
 }
 
-void MemberService::FailPending(const std::string& why) {
-  std::map<std::int64_t, PendingCommand> pending;
-  pending.swap(m_pending);
-  for (auto& [index, command] : pending) {
-    if (!command.m_proposal->m_reply)
-      continue;
-    command.m_proposal->m_reply(ErrorBody(ResultCode::kNoMajority, why));
-    command.m_proposal->m_reply = nullptr;
-  }
-}
-
 void MemberService::Tick(Instant now) {
   RetryDisk(now);
   if (!m_disk_full)
     Lead(now);
-  ExpireProposals(now);
+  ExpireProposals(m_pending, now);
   RespondToPolls(now);
 }
 
@@ -226,8 +210,7 @@
     m_membership_watch.Reset();
     m_contradicting_heartbeats = {};
     m_slot_broker.OnLeadershipLost();
-    if (!m_pending.empty())
-      FailPending("leadership was lost");
+    FailProposals(m_pending, kLeadershipLost);
     return;
   }
   if (m_table.m_leading_since == Instant{})
@@ -246,20 +229,6 @@
   ProposeCrashExpiry(now);
 }
 
-void MemberService::ExpireProposals(Instant now) {
-  std::vector<std::int64_t> expired;
-  for (auto& [index, command] : m_pending) {
-    if (now < command.m_proposal->m_expires)
-      continue;
-    expired.push_back(index);
-    if (command.m_proposal->m_reply)
-      command.m_proposal->m_reply(ErrorBody(ResultCode::kNoMajority, "no majority in time"));
-    command.m_proposal->m_reply = nullptr;
-  }
-  for (const std::int64_t index : expired)
-    m_pending.erase(index);
-}
-
 /// Proposes the leader's own commands: membership changes, gone instances and broker leases.
 void MemberService::ProposeOwnCommands(Instant now) {
   if (m_machine.m_applied_index < m_last_own_proposal)
@@ -331,14 +300,8 @@
     reply(NotLeader());
     return;
   }
-  auto proposal = std::make_shared<PendingProposal>();
-  proposal->m_left = propose.commands.size();
-  proposal->m_term = m_node.m_hard_state.term;
-  proposal->m_results.resize(propose.commands.size());
-  proposal->m_reply = reply;
-  proposal->m_expires = now + kProposalTimeout;
-  for (std::size_t i = 0; i < propose.commands.size(); ++i)
-    m_pending[*first + static_cast<std::int64_t>(i)] = {proposal, i};
+  AddProposal(m_pending, *first, propose.commands.size(), m_node.m_hard_state.term,
+              now + kProposalTimeout, [reply](const auto& results) { reply(ToBody(results)); });
   QueueEffects(std::move(effects));
 }
 
--- a/apps/poppywayd/member_service.h
+++ b/apps/poppywayd/member_service.h
@@ -107,13 +107,9 @@
   [[nodiscard]] std::uint64_t bytes_sent() const;
 
  private:
-  struct PendingProposal {
-    std::size_t m_left = 0;  ///< Commands that aren't applied yet.
-    std::int64_t m_term = 0;
-    std::vector<wire::CommandResult> m_results;
-    ReplyFn m_reply;
-    Instant m_expires{};
-  };
+  /// Why proposals fail when another member may lead.
+  static constexpr const char* kLeadershipLost = "leadership was lost";
+
   /// Operators' documents, of one or several versions, that are acknowledged together.
   struct DocumentOrder {
     wire::Document m_document;  ///< The newest of the documents.
@@ -125,11 +121,6 @@
     ReplyFn m_reply;
     Instant m_expires{};
   };
-  /// A command that waits to be applied.
-  struct PendingCommand {
-    std::shared_ptr<PendingProposal> m_proposal;
-    std::size_t m_result_index = 0;  ///< Index of its result in the proposal.
-  };
 
   /// This member's role and known leader, compared before and after a step of the log.
   struct RoleState {
@@ -160,7 +151,6 @@
   /// Ends the state of a full disk after a save succeeded.
   void OnDiskSpaceAvailable();
   void Apply(const std::vector<wire::LogEntry>& entries);
-  void FailPending(const std::string& why);
   void RespondToPolls(Instant now);
   void SendHellos(Instant now);
   void TryBootstrap(Instant now);
@@ -217,7 +207,6 @@
   void RetryDisk(Instant now);
   /// Advances the log and, on the leader, proposes its commands and runs the slot broker.
   void Lead(Instant now);
-  void ExpireProposals(Instant now);
   /// Proposes the steps of roll-outs that are due. Hosted deployments only; precondition: this
   /// member leads.
   void ProposeRollouts(Instant now);
@@ -278,7 +267,7 @@
   Instant m_disk_full_since{};  ///< Zero if the disk isn't full.
   Instant m_disk_retry{};
   Mailbox<int> m_flusher;
-  std::map<std::int64_t, PendingCommand> m_pending;  ///< By log index.
+  PendingProposals m_pending;
   std::vector<PendingPoll> m_polls;
   DocumentHistory m_document_history;                ///< Changes of the document, kept for readers.
   std::optional<DocumentOrder> m_proposed_document;  ///< The proposal in progress.
--- a/packages/state/include/poppyway/state.h
+++ b/packages/state/include/poppyway/state.h
@@ -17,6 +17,7 @@
 #include "poppyway/state/impl/evacuation_state.h"
 #include "poppyway/state/impl/hosted_state.h"
 #include "poppyway/state/impl/instance_table.h"
+#include "poppyway/state/impl/pending_proposals.h"
 #include "poppyway/state/impl/rollout_state.h"
 #include "poppyway/state/impl/server_presence.h"
 #include "poppyway/state/impl/state_machine.h"
