Read nothing of a response's generator once its request may be disposed of

OnProceed read its generator after ContinueResponse, which cuts an aborted answer off; the library then disposes of the request, and with it of the generator. Traced with a line in OnProceed: of 24 answers whose server closed while their callers were behind, 10 had lost their request when ContinueResponse returned.

Change: the state is taken from the generator before. The gateway's generator reads nothing after, nor does the relay's. Test: the traced case, which checks what callers see; by itself it doesn't fail on the code before.

--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -19,12 +19,14 @@
 };
 
 void OnProceed(h2o_generator_t* base, h2o_req_t* /*req*/) {
-  auto* self = reinterpret_cast<Generator*>(base);
-  Forwarding* forwarding = Find(*self->m_state, self->m_ref);
+  const auto* self = reinterpret_cast<Generator*>(base);
+  ForwarderState& state = *self->m_state;
+  Forwarding* forwarding = Find(state, self->m_ref);
   if (forwarding == nullptr)
     return;
+  // A response that is cut off ends its request, and with it the generator.
   ContinueResponse(forwarding->m_caller);
-  PauseOrResumeReading(*self->m_state, *forwarding);
+  PauseOrResumeReading(state, *forwarding);
 }
 
 void BeginCallerResponse(ForwarderState& state, Forwarding& forwarding) {
--- a/tests/forwarder_fixture.h
+++ b/tests/forwarder_fixture.h
@@ -201,12 +201,15 @@
   /// \param leave_after_ms time until the caller closes its connection, in ms; -1: it waits for the
   /// response for up to `kCallerMillis`.
   /// \param await_close the caller keeps reading after a complete response.
+  /// \param reads_after_ms the caller reads nothing for this long and has little room for bytes.
   BackgroundCall(ForwarderFixture& fixture,
                  std::string request,
                  int leave_after_ms = -1,
-                 bool await_close = false)
+                 bool await_close = false,
+                 int reads_after_ms = 0)
       : m_limit_ms(leave_after_ms >= 0 ? leave_after_ms : kCallerMillis),
         m_await_close(await_close),
+        m_reads_after_ms(reads_after_ms),
         m_caller([this,
                   port = fixture.m_settings.m_caller_endpoint.m_port,
                   request = std::move(request)] { Run(port, request); }) {}
@@ -234,6 +237,9 @@
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     const timeval limit{0, 50'000};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    constexpr int kLittleRoom = 4096;
+    if (m_reads_after_ms > 0)
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kLittleRoom, sizeof(kLittleRoom));
     sockaddr_in where{};
     where.sin_family = AF_INET;
     where.sin_port = htons(port);
@@ -243,9 +249,10 @@
     const auto begun = std::chrono::steady_clock::now();
     const auto elapsed = [begun] { return std::chrono::steady_clock::now() - begun; };
     send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(m_reads_after_ms));
     while (!m_leave.load() && elapsed() < std::chrono::milliseconds(m_limit_ms) &&
            (m_await_close || !IsCompleteResponse(m_seen.m_bytes))) {
-      char buffer[4096];
+      char buffer[65'536];
       const ssize_t got = recv(fd, buffer, sizeof(buffer), 0);
       if (got > 0)
         m_seen.m_bytes.append(buffer, static_cast<std::size_t>(got));
@@ -262,6 +269,7 @@
 
   int m_limit_ms;
   bool m_await_close;
+  int m_reads_after_ms;
   CallResult m_seen;
   std::atomic<bool> m_leave{false};
   std::atomic<bool> m_done{false};
--- a/tests/long_answers_test.cc
+++ b/tests/long_answers_test.cc
@@ -84,6 +84,33 @@
   }
 }
 
+// Guards against a read of the response's generator after the library has disposed of its request,
+// which it does while it is told to cut the answer off.
+TEST_CASE(
+    "an answer that breaks off while its caller is behind is cut off when the caller reads on") {
+  constexpr int kCallers = 12;
+  constexpr std::size_t kSent =
+      3'000'000;  // More than the kernel takes for a caller who is behind.
+  ScriptedServer breaking([](const std::string& request) {
+    return std::vector<ScriptStep>{
+        Send(MakeResponseHead(request, "content-length: 9000000\r\n") + std::string(kSent, kFirst)),
+        CloseNow()};
+  });
+  ForwarderFixture fixture;
+  wire::ServerRecord record = fixture.Record("s0", breaking);
+  record.slots = kCallers;
+  fixture.m_forwarder->HandleMessage(ServersChanged{{record}});
+  std::vector<std::unique_ptr<BackgroundCall>> calls;
+  for (int i = 0; i < kCallers; ++i)
+    calls.push_back(std::make_unique<BackgroundCall>(
+        fixture, Request("/safe/", "i" + std::to_string(i)), -1, true, 300));
+  for (const auto& call : calls) {
+    const CallResult seen = call->AwaitResponse(fixture);
+    CHECK(seen.m_closed);
+    CHECK(seen.body().size() <= kSent);
+  }
+}
+
 TEST_CASE("an answer that breaks off before its beginning was passed on is run again") {
   ScriptedServer breaking(BreaksAfter(100'000, ResetNow()));
   ScriptedServer sound(SendWhole);
