--- a/soak/cut_instances.py
+++ b/soak/cut_instances.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 
-from cases import KEY, POOL, FleetCase, run_cases
+from cases import KEY, POOL, FleetCase, library_argument, run_cases
 from cut_paths import SERVER_PORT, CutServers, Elsewhere
 from fleet import document
 from stand_ins import FaultModel
