A broker grants only to gateways whose credits it knows

What callers saw: 60 requests ran on the 48 slots of a pool of declared servers.

Cause, two ways: the broker took a demand of changes from a gateway that it had forgotten during a pause, and counted none of its running requests; and while a broker begins, a complete demand, asked for by the rejection of an early one, crossed the grants to a later one, which the broker then released as not held.

Ruled out: engines that stayed fast (the test now requires that each answers "ok"), fair share (its wait of 3 s hadn't passed), load (it failed on an idle machine too, four tests at a time).

Change: demands of changes are accepted only after a complete demand, as the slot broker of hosted deployments does already; gateways and agents number their sessions with a broker, and demands and rejections of earlier sessions count no more, so that at most one complete demand is in flight.

--- a/apps/poppywayd/broker_service.cc
+++ b/apps/poppywayd/broker_service.cc
@@ -84,7 +84,12 @@
   const auto found = m_brokers.find(demand.pool);
   const bool has_lease = found != m_brokers.end() && now < found->second.m_valid_until &&
                          found->second.m_broker.m_epoch == demand.epoch;
-  if (!has_lease) {
+  const bool known =
+      has_lease && (demand.resync || found->second.m_connections.contains(demand.incarnation));
+  if (!known) {
+    // Nothing is granted to the gateway until its next demand, which lists all that it holds.
+    if (found != m_brokers.end())
+      found->second.m_connections.erase(demand.incarnation);
     wire::Grants rejection;
     rejection.pool = demand.pool;
     rejection.epoch = demand.epoch;
@@ -106,14 +111,16 @@
                          HostedBroker& hosted,
                          const std::vector<GrantBatch>& batches) {
   for (const GrantBatch& batch : batches) {
-    const GatewayConnection& gateway = hosted.m_connections[batch.m_gateway];
-    const std::shared_ptr<PeerConnection> connection = gateway.m_connection.lock();
+    const auto gateway = hosted.m_connections.find(batch.m_gateway);
+    const std::shared_ptr<PeerConnection> connection =
+        gateway == hosted.m_connections.end() ? nullptr : gateway->second.m_connection.lock();
     if (!connection)
       continue;  // The gateway's resync or the end of its lease returns these credits.
     wire::Envelope envelope;
     envelope.id = 0;
     envelope.reply = true;
-    envelope.body.__set_grants(ToWire(pool, batch, hosted.m_broker.m_epoch, gateway.m_sequence));
+    envelope.body.__set_grants(
+        ToWire(pool, batch, hosted.m_broker.m_epoch, gateway->second.m_sequence));
     envelope.body.grants.lease_ms = m_settings.m_lease_ms;
     connection->Send(envelope);
   }
--- a/apps/poppywayd/broker_service.h
+++ b/apps/poppywayd/broker_service.h
@@ -31,7 +31,8 @@
   /// Stops the broker of `lease`, which the leader granted to another instance.
   void OnLeaseLost(const std::string& lease);
   /// Handles a gateway's demand. Grants go over `from`. A demand is rejected if this instance has
-  /// no valid lease for the pool or the demand names another epoch.
+  /// no valid lease for the pool, if the demand names another epoch, or if it isn't complete and
+  /// comes from a gateway whose credits the broker doesn't know.
   void OnDemand(const wire::Demand& demand, PeerConnection& from);
   /// Stops brokers whose lease ran out and sends the grants that are due.
   void Tick(Instant now);
--- a/apps/poppywayd/instance_agent.cc
+++ b/apps/poppywayd/instance_agent.cc
@@ -197,9 +197,8 @@
       if (body.__isset.grants)
         OnGrants(body.grants);
     });
-    connection.m_client->SetOnLost(
-        [this, pool = lease.lease] { m_to_gateway(BrokerReconnected{pool}); });
-    m_to_gateway(BrokerReconnected{lease.lease});
+    connection.m_client->SetOnLost([this, pool = lease.lease] { BeginSession(pool); });
+    BeginSession(lease.lease);
   }
 }
 
@@ -372,15 +371,24 @@
     GiveUp(command);
 }
 
+void InstanceAgent::BeginSession(const std::string& pool) {
+  BrokerConnection& connection = m_broker_connections.at(pool);
+  ++connection.m_session;
+  connection.m_session_from = connection.m_sequence + 1;
+  m_to_gateway(BrokerReconnected{pool, connection.m_session});
+}
+
 void InstanceAgent::OnDemand(const SendDemand& message) {
   const auto found = m_broker_connections.find(message.m_pool);
   const Instant now = ReadClock();
   if (found == m_broker_connections.end()) {
     // No broker is known yet. No broker needs the credit uses; the rest is sent again.
-    m_to_gateway(BrokerReconnected{message.m_pool});
+    m_to_gateway(BrokerReconnected{message.m_pool, 0});
     return;
   }
   BrokerConnection& connection = found->second;
+  if (message.m_session != connection.m_session)
+    return;  // The first demand of the new session is complete.
   const std::int64_t sequence = ++connection.m_sequence;
   connection.m_sent[sequence] = now;
   if (connection.m_sent.size() > kMaxSequences)
@@ -397,11 +405,14 @@
       found != m_broker_connections.end() && found->second.m_lease.epoch == grants.epoch;
   if (!current)
     return;
+  BrokerConnection& connection = found->second;
   if (grants.not_broker) {
-    m_to_gateway(BrokerReconnected{grants.pool});
+    // A demand of an earlier session needs no answer. A second complete demand would cross the
+    // grants that answer the first one, and the broker would give their slots to others.
+    if (grants.sequence >= connection.m_session_from)
+      BeginSession(grants.pool);
     return;
   }
-  BrokerConnection& connection = found->second;
   GrantsReceived message;
   message.m_pool = grants.pool;
   message.m_batch = FromWire(grants);
--- a/apps/poppywayd/instance_agent.h
+++ b/apps/poppywayd/instance_agent.h
@@ -86,8 +86,10 @@
   struct BrokerConnection {
     wire::LeaseGrant m_lease;
     std::unique_ptr<PeerClient> m_client;
-    std::int64_t m_sequence = 0;
+    std::int64_t m_sequence = 0;             ///< Of the last demand that was sent.
     std::map<std::int64_t, Instant> m_sent;  ///< Send time of each demand, by sequence number.
+    std::int64_t m_session = 0;              ///< The gateway names it in its demands.
+    std::int64_t m_session_from = 1;         ///< Sequence number of the session's first demand.
   };
 
   void SendHeartbeat(Instant now);
@@ -136,6 +138,9 @@
   /// Logs a claim that got neither a grant nor a stored response.
   static void LogClaim(const char* event, const QueuedCommand& command);
   void ExpireCommands(Instant now);
+  /// Begins a session with the broker of `pool`, in which the gateway's first demand is complete.
+  /// Must be called when a demand was lost or rejected.
+  void BeginSession(const std::string& pool);
   void OnDemand(const SendDemand& message);
   void OnGrants(const wire::Grants& grants);
   [[nodiscard]] PeerClient& Leader();
--- a/packages/gateway/include/poppyway/gateway/impl/control_messages.h
+++ b/packages/gateway/include/poppyway/gateway/impl/control_messages.h
@@ -32,6 +32,7 @@
 struct SendDemand {
   std::string m_pool;
   GatewayDemand m_demand;
+  std::int64_t m_session = 0;  ///< Of the last `BrokerReconnected`.
 };
 
 /// \brief Reports, once after `BeginShutdown`, that all requests of this gateway have ended.
@@ -59,10 +60,11 @@
   Instant m_lease_end{};
 };
 
-/// \brief Reports a new connection to the broker of `m_pool`; the next demand lists all held
-/// credits.
+/// \brief Begins a session with the broker of `m_pool`: the next demand lists all held credits, and
+/// demands of earlier sessions are dropped.
 struct BrokerReconnected {
   std::string m_pool;
+  std::int64_t m_session = 0;  ///< Zero while no broker is known.
 };
 
 /// \brief Replaces the set of backend servers that the platform lists as leaving.
--- a/packages/gateway/src/gateway.cc
+++ b/packages/gateway/src/gateway.cc
@@ -214,6 +214,7 @@
   void operator()(const GrantsReceived& message) const { impl::OnGrants(m_state, message); }
   void operator()(const BrokerReconnected& message) const {
     PoolClient& pool = m_state.m_pools[message.m_pool];
+    pool.m_session = message.m_session;
     pool.m_resync = true;
     pool.m_dirty = true;
   }
--- a/packages/gateway/src/pools.cc
+++ b/packages/gateway/src/pools.cc
@@ -88,7 +88,7 @@
   const Duration lease = std::chrono::milliseconds(state.m_settings.m_lease_ms);
   std::optional<GatewayDemand> demand = DueDemand(pool, state.m_incarnation, lease, now);
   if (demand)
-    state.m_to_control(SendDemand{name, std::move(*demand)});
+    state.m_to_control(SendDemand{name, std::move(*demand), pool.m_session});
 }
 
 void OnGrants(GatewayState& state, const GrantsReceived& grants) {
--- a/packages/policy/include/poppyway/policy/impl/pool_client.h
+++ b/packages/policy/include/poppyway/policy/impl/pool_client.h
@@ -32,8 +32,9 @@
   bool m_contended = false;
   double m_drain_per_s = 0;
   TierCounts m_backlog{};
-  bool m_resync = true;   ///< The next demand lists all credits held.
-  bool m_dirty = false;   ///< There are unreported changes.
+  std::int64_t m_session = 0;  ///< Session with the broker, which each demand names.
+  bool m_resync = true;        ///< The next demand lists all credits held.
+  bool m_dirty = false;        ///< There are unreported changes.
   bool m_urgent = false;  ///< A request waits that the pool may serve now; a demand is due at once.
   Instant m_last_demand{};
   Instant m_unanswered_since{};  ///< Time of the oldest demand without a response; zero if none.
--- a/tests/process/promises_test.cc
+++ b/tests/process/promises_test.cc
@@ -49,6 +49,36 @@
               {"poppyway-event: book", "idempotency-key: " + key}, body, 8000);
 }
 
+/// Returns the last lines of each instance's log, to be printed where a check fails.
+std::string LogTailsOf(const ProcessCluster& cluster) {
+  constexpr std::size_t kTail = 8'000;  // Bytes of each log: some seconds under load.
+  std::string tails;
+  for (const int instance : cluster.all()) {
+    const std::string log = cluster.LogOf(instance);
+    tails += log.substr(log.size() - std::min(log.size(), kTail)) + "\n";
+  }
+  return tails;
+}
+
+/// Returns an instance that neither leads nor runs the broker of `pool`.
+int NeitherLeaderNorBroker(ProcessCluster& cluster, const std::string& pool) {
+  const int leader = cluster.Leader();
+  const Result<wire::StatusReply> status = cluster.Status();
+  REQUIRE(status);
+  std::string holder;
+  for (const wire::LeaseGrant& lease : status->leases) {
+    if (lease.lease == pool)
+      holder = lease.holder;
+  }
+  for (const int instance : cluster.all()) {
+    const bool holds = holder.starts_with("entry-" + std::to_string(instance) + "-");
+    if (instance != leader && !holds)
+      return instance;
+  }
+  FAIL("no such instance");
+  return 0;
+}
+
 constexpr const char* kSteadyPlan = R"(duration_s: 12
 classes:
   - {name: exam, event: exam, tier: 0, rate_per_minute: 600, output_tokens: [8, 40], deadline_ms: 10000, key: true}
@@ -314,13 +344,52 @@
   }
 }
 
+// Guards against brokers that forget what a paused instance still runs at servers, and give its
+// slots to others.
+TEST_CASE("the slots of an instance that was paused are not given out while its requests run",
+          "[process][callers]") {
+  ProcessCluster cluster(3);
+  StartSmallDeployment(cluster);
+  for (int e = 1; e <= 6; ++e)
+    REQUIRE(cluster.Fake("/__fake/speed", std::to_string(cluster.FakePort(e)) + " 0.02").m_body ==
+            "ok\n");
+  constexpr int kSlots = 48;  // Of all engines.
+  std::vector<std::thread> callers;
+  const auto call = [&](int instance) {
+    callers.emplace_back([&cluster, instance] {
+      const std::string body = R"({"prompt":"x","max_tokens":50,"stream":true})";
+      (void)Http(cluster.HttpPort(instance), "POST", "/v1/completions", {"poppyway-event: chat"},
+                 body, 4000);
+    });
+  };
+  for (int i = 0; i < kSlots; ++i)
+    call(1 + i % 3);
+  SleepMs(1500);
+  CHECK(cluster.FakeCount("dispatches") == kSlots);
+  const int paused = NeitherLeaderNorBroker(cluster, "models");
+  cluster.Suspend(paused);
+  SleepMs(1500);  // Longer than the instance's lease.
+  cluster.Resume(paused);
+  SleepMs(500);
+  for (int i = 0; i < 12; ++i)
+    call(1 + (paused + i % 2) % 3);
+  SleepMs(500);
+  INFO(LogTailsOf(cluster));
+  CHECK(cluster.FakeCount("dispatches") == kSlots);
+  for (int e = 1; e <= 6; ++e)
+    (void)cluster.Fake("/__fake/speed", std::to_string(cluster.FakePort(e)) + " 50");
+  for (std::thread& caller : callers)
+    caller.join();
+}
+
 TEST_CASE("a caller that leaves while its request waits is never dispatched",
           "[process][callers]") {
   ProcessCluster cluster(3);
   StartSmallDeployment(cluster);
   // All engines are slowed to 2 % of their speed, and their slots are filled.
   for (int e = 1; e <= 6; ++e)
-    (void)cluster.Fake("/__fake/speed", std::to_string(cluster.FakePort(e)) + " 0.02");
+    REQUIRE(cluster.Fake("/__fake/speed", std::to_string(cluster.FakePort(e)) + " 0.02").m_body ==
+            "ok\n");
   const std::string body = R"({"prompt":"x","max_tokens":50,"stream":true})";
   std::vector<std::thread> fillers;
   for (int i = 0; i < 60; ++i)
@@ -330,6 +399,7 @@
     });
   SleepMs(1500);
   const long before = cluster.FakeCount("dispatches");
+  INFO(LogTailsOf(cluster));
   CHECK(before == 48);
   // Three clients send a request and disconnect while it waits.
   for (int i = 1; i <= 3; ++i)
