--- a/packages/forward/include/poppyway/forward/impl/peer_relay.h
+++ b/packages/forward/include/poppyway/forward/impl/peer_relay.h
@@ -47,6 +47,7 @@
   Endpoint m_server;
   std::unique_ptr<BackendCall> m_call;
   std::unique_ptr<ConnectionProbe> m_probe;
+  int m_others_tried = 0;  ///< Other servers that were tried after this one wasn't reached.
   std::size_t m_body_bytes = 0;
   std::int64_t m_held_bytes = 0;  ///< Bytes counted in `ForwarderState::m_held`.
   bool m_sent = false;
@@ -88,6 +89,9 @@
   void OnFault(Ref ref, CallFault fault);
   void OnDisposed(Ref ref);
   void OnProceed(Ref ref);
+  /// Ends a call whose server isn't reached from here, once it is known whether others are: an
+  /// instance that has just lost all of them can't tell that one is lost.
+  void EndUnreached(Ref ref);
   /// Responds without a response of the server, or cuts off the one that has begun.
   void End(RelayedCall& call, RelayFault fault);
   void Cancel(RelayedCall& call);
--- a/packages/forward/src/path_checks.cc
+++ b/packages/forward/src/path_checks.cc
@@ -16,8 +16,6 @@
 constexpr std::size_t kServersPerSilenceCheck = 2;
 // While cut off, a call without progress for this long is given up.
 constexpr Duration kSilentCallTime{300'000};
-// An instance that heard of a server so recently can tell that another one is unreachable.
-constexpr Duration kRecentContact{1'000'000};
 
 /// Adds what ran in further calls, each part of prompts once.
 void AddBrokenCalls(ServerCrash& known, const ServerCrash& more) {
@@ -296,10 +294,15 @@
   return !state.m_paths.m_cut_off && !doubtful;
 }
 
-RelayFault FaultWithoutConnection(const ForwarderState& state, Instant now) noexcept {
-  const Instant last = std::max(state.m_last_byte, state.m_last_open_path);
-  const bool certain = ReachesServers(state) && now - last < kRecentContact;
-  return certain ? RelayFault::kServerUnreachable : RelayFault::kUnavailable;
+std::optional<Endpoint> AnyOtherServer(ForwarderState& state, const Endpoint& server) {
+  std::vector<Endpoint> others;
+  for (const auto& [id, backend] : state.m_backends) {
+    if (!backend.m_leaving && backend.m_endpoint != server)
+      others.push_back(backend.m_endpoint);
+  }
+  if (others.empty())
+    return std::nullopt;
+  return others[state.m_random() % others.size()];
 }
 
 void TickPaths(ForwarderState& state, Instant now) {
--- a/packages/forward/src/peer_relay.cc
+++ b/packages/forward/src/peer_relay.cc
@@ -17,6 +17,8 @@
 constexpr Duration kCallerPollInterval{100'000};
 // While this instance is cut off, a call without progress for this long is given up.
 constexpr Duration kSilentTime{300'000};
+// Of several servers that are lost at once, the first other one may be among them.
+constexpr int kOthersTried = 2;
 constexpr int kFaultStatus = 502;
 constexpr int kReachedStatus = 204;
 
@@ -170,7 +172,7 @@
         if (checked == nullptr)
           return;
         if (!open) {
-          End(*checked, impl::FaultWithoutConnection(m_state, ReadClock()));
+          EndUnreached(ref);
           return;
         }
         m_state.m_last_open_path = ReadClock();
@@ -272,7 +274,7 @@
   if (fault == CallFault::kWithdrawn)
     End(*call, RelayFault::kUnavailable);
   else if (NothingSent(fault))
-    End(*call, impl::FaultWithoutConnection(m_state, ReadClock()));
+    EndUnreached(ref);
   else
     End(*call, RelayFault::kBroken);
 }
@@ -301,6 +303,32 @@
     call.m_call->Cancel();
 }
 
+void PeerRelay::EndUnreached(Ref ref) {
+  RelayedCall& call = *Find(ref);
+  const std::optional<Endpoint> other = call.m_others_tried < kOthersTried
+                                            ? impl::AnyOtherServer(m_state, call.m_server)
+                                            : std::nullopt;
+  if (!other || !impl::ReachesServers(m_state)) {
+    End(call, RelayFault::kUnavailable);
+    return;
+  }
+  ++call.m_others_tried;
+  if (call.m_probe)
+    m_state.m_retired_probes.push_back(std::move(call.m_probe));
+  call.m_probe =
+      std::make_unique<ConnectionProbe>(*m_state.m_connections, *other, [this, ref](bool open) {
+        RelayedCall* asked = Find(ref);
+        if (asked == nullptr)
+          return;
+        if (!open) {
+          EndUnreached(ref);
+          return;
+        }
+        m_state.m_last_open_path = ReadClock();
+        End(*asked, RelayFault::kServerUnreachable);
+      });
+}
+
 void PeerRelay::End(RelayedCall& call, RelayFault fault) {
   call.m_done = true;
   if (call.m_caller.m_req == nullptr)
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -358,8 +358,9 @@
 /// Returns false while this instance is cut off, or fails to reach servers and has found no helper
 /// that could tell why.
 [[nodiscard]] bool ReachesServers(const ForwarderState& state) noexcept;
-/// Returns what this instance, as a helper, can tell of a server that it doesn't reach.
-[[nodiscard]] RelayFault FaultWithoutConnection(const ForwarderState& state, Instant now) noexcept;
+/// Returns the endpoint of any server but `server` that isn't leaving. Linear in the number of
+/// servers.
+[[nodiscard]] std::optional<Endpoint> AnyOtherServer(ForwarderState& state, const Endpoint& server);
 /// Watches the paths: probes them while this instance is cut off, checks them when all servers are
 /// silent, and gives up silent calls.
 void TickPaths(ForwarderState& state, Instant now);
