--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -122,6 +122,9 @@
   ForwarderSettings m_settings;
   ProtocolAdapter m_adapter;
   std::shared_ptr<const RouteTable> m_table;
+  SharedCopies<Route> m_routes;  ///< Of `m_table`, like the next two.
+  SharedCopies<Workspace> m_workspaces;
+  SharedCopies<Pool> m_table_pools;
   Instant m_confirmed_until{};
   BrokerLink m_broker;
   CrashTracker m_crashes;
--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -69,10 +69,10 @@
   CallerRequest m_request;
 
   // Decisions about the request.
-  std::shared_ptr<const RouteTable> m_table;
-  const Route* m_route = nullptr;
-  const Workspace* m_workspace = nullptr;
-  const Pool* m_pool = nullptr;
+  std::int64_t m_table_version = 0;  ///< Of the table that was in force at its arrival.
+  std::shared_ptr<const Route> m_route;
+  std::shared_ptr<const Workspace> m_workspace;
+  std::shared_ptr<const Pool> m_pool;
   RequestFingerprint m_fingerprint = 0;  ///< Zero until the workspace is known.
   Tier m_tier = 0;  ///< The workspace's tier, or the route's if the workspace has none.
   Instant m_arrived{};
--- a/packages/forward/include/poppyway/forward/impl/route_table.h
+++ b/packages/forward/include/poppyway/forward/impl/route_table.h
@@ -4,9 +4,11 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "poppyway/core.h"
@@ -95,6 +97,28 @@
   friend bool operator==(const RouteTable&, const RouteTable&) = default;
 };
 
+/// \brief Copies of parts of the current table that requests hold on to. Requests of one table
+/// share them, and none keeps a whole table: tables of thousands of routes may follow each other
+/// while requests last. Not thread-safe.
+template <typename Part>
+class SharedCopies {
+ public:
+  /// Returns the copy of `part`, or null for null.
+  [[nodiscard]] std::shared_ptr<const Part> Get(const Part* part) {
+    if (part == nullptr)
+      return nullptr;
+    std::shared_ptr<const Part>& copy = m_copies[part];
+    if (!copy)
+      copy = std::make_shared<const Part>(*part);
+    return copy;
+  }
+  /// Forgets all copies: the table that held their originals is replaced. Requests keep theirs.
+  void Clear() noexcept { m_copies.clear(); }
+
+ private:
+  std::unordered_map<const Part*, std::shared_ptr<const Part>> m_copies;  ///< By the original.
+};
+
 /// \brief Validates a table and builds its indexes.
 /// \return the table, or `kBadDeclaration` naming the route, pool or workspace at fault: an unknown
 /// or duplicate pool, two routes with the same host and prefix, weights that sum to zero, no
--- a/packages/forward/src/chain.cc
+++ b/packages/forward/src/chain.cc
@@ -29,8 +29,6 @@
 // After `Enqueue`, the request is driven by the queue, the callbacks of its call and the timer;
 // `Close` ends it.
 void RunChain(ForwarderState& state, Forwarding& forwarding) {
-  if (PinRouteTable(state, forwarding) == Step::kEnded)
-    return;
   if (MatchRoute(state, forwarding) == Step::kEnded)
     return;
   if (CheckShutdown(state, forwarding) == Step::kEnded)
@@ -50,11 +48,6 @@
   Enqueue(state, forwarding);
 }
 
-Step PinRouteTable(ForwarderState& state, Forwarding& forwarding) {
-  forwarding.m_table = state.m_table;
-  return Step::kContinue;
-}
-
 Step CheckShutdown(ForwarderState& state, Forwarding& forwarding) {
   const Instant begun = EarliestShutdown(state);
   if (!state.m_stopping || forwarding.m_arrived - begun <= kServeDuringShutdown)
@@ -75,7 +68,9 @@
 
 Step MatchRoute(ForwarderState& state, Forwarding& forwarding) {
   const bool confirmed = forwarding.m_arrived < state.m_confirmed_until;
-  forwarding.m_route = FindRoute(*forwarding.m_table, forwarding.m_host, forwarding.m_target);
+  forwarding.m_table_version = state.m_table->m_version;
+  forwarding.m_route =
+      state.m_routes.Get(FindRoute(*state.m_table, forwarding.m_host, forwarding.m_target));
   if (forwarding.m_route == nullptr) {
     // Without a confirmation, a newer configuration may have the route, so this isn't `kNoRoute`.
     Refuse(state, forwarding, confirmed ? ResultCode::kNoRoute : ResultCode::kNotConfirmed,
@@ -92,14 +87,14 @@
 }
 
 Step IdentifyWorkspace(ForwarderState& state, Forwarding& forwarding) {
-  const RouteTable& table = *forwarding.m_table;
+  const RouteTable& table = *state.m_table;
   if (forwarding.m_route->m_anonymous || table.m_workspaces.empty())
     return Step::kContinue;
   if (forwarding.m_arrived >= state.m_confirmed_until) {
     Refuse(state, forwarding, ResultCode::kNotConfirmed, "keys can't be relied on without contact");
     return Step::kEnded;
   }
-  forwarding.m_workspace = FindWorkspace(table, forwarding.m_request.m_key);
+  forwarding.m_workspace = state.m_workspaces.Get(FindWorkspace(table, forwarding.m_request.m_key));
   if (forwarding.m_workspace == nullptr) {
     Refuse(state, forwarding, ResultCode::kUnknownKey, "no workspace holds the key");
     return Step::kEnded;
@@ -109,14 +104,14 @@
 }
 
 void SetFingerprint(Forwarding& forwarding) {
-  const Workspace* workspace = forwarding.m_workspace;
+  const Workspace* workspace = forwarding.m_workspace.get();
   forwarding.m_fingerprint =
       FingerprintOf(forwarding.m_method, forwarding.m_host, forwarding.m_target,
                     workspace == nullptr ? "" : workspace->m_name, forwarding.m_body);
 }
 
 void PriceRequest(ForwarderState& state, Forwarding& forwarding) {
-  const Workspace* workspace = forwarding.m_workspace;
+  const Workspace* workspace = forwarding.m_workspace.get();
   if (workspace == nullptr || workspace->m_limit.m_rate_per_s <= 0)
     return;
   std::optional<std::int64_t> tokens;
@@ -132,7 +127,7 @@
   // Whoever takes a stream up again comes to the pool that began it.
   const std::uint64_t draw = forwarding.m_stream != 0 ? forwarding.m_stream : state.m_random();
   const std::string& pool = PickPool(*forwarding.m_route, draw);
-  forwarding.m_pool = FindPool(*forwarding.m_table, pool);
+  forwarding.m_pool = state.m_table_pools.Get(FindPool(*state.m_table, pool));
   PoolState& waiting = state.m_pools[pool];
   CountNewRequest(state, waiting);
   const auto rank = static_cast<std::size_t>(std::clamp(forwarding.m_route->m_tier, 0, kTiers - 1));
--- a/packages/forward/src/finish.cc
+++ b/packages/forward/src/finish.cc
@@ -84,7 +84,7 @@
       .Field("by_broker", forwarding.m_by_broker)
       .Field("pause_ms", Millis(forwarding.m_longest_pause))
       .Field("total_ms", Millis(now - forwarding.m_arrived))
-      .Field("version", forwarding.m_table ? forwarding.m_table->m_version : 0)
+      .Field("version", forwarding.m_table_version)
       .Field("confirmed_ms", Millis(state.m_confirmed_until - now));
 }
 
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -131,6 +131,9 @@
       return;
     }
     m_state.m_table = std::make_shared<const RouteTable>(std::move(*table));
+    m_state.m_routes.Clear();
+    m_state.m_workspaces.Clear();
+    m_state.m_table_pools.Clear();
     POPPYWAY_LOG(info, "configuration_in_force")
         .Field("version", document.version)
         .Field("routes", m_state.m_table->m_routes.size())
--- a/packages/forward/src/homes.cc
+++ b/packages/forward/src/homes.cc
@@ -70,7 +70,8 @@
 }  // namespace
 
 Step SetHomeRegions(ForwarderState& state, Forwarding& forwarding) {
-  forwarding.m_allowed_regions = CommonHomesOf(forwarding.m_route, forwarding.m_workspace);
+  forwarding.m_allowed_regions =
+      CommonHomesOf(forwarding.m_route.get(), forwarding.m_workspace.get());
   if (!HasNoRegion(forwarding.m_allowed_regions))
     return Step::kContinue;
   RefuseWithoutHome(state, forwarding);
@@ -78,8 +79,8 @@
 }
 
 HomeRegions CurrentHomes(const ForwarderState& state, const Forwarding& forwarding) {
-  const HomeRegions arrived = CommonHomesOf(forwarding.m_route, forwarding.m_workspace);
-  if (state.m_table == forwarding.m_table)
+  const HomeRegions arrived = CommonHomesOf(forwarding.m_route.get(), forwarding.m_workspace.get());
+  if (state.m_table->m_version == forwarding.m_table_version)
     return arrived;
   return CommonHomes(arrived, HomesByCurrentTable(*state.m_table, forwarding));
 }
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -15,8 +15,6 @@
 // ---- chain.cc: the steps of a new request; at `kEnded` it has been rejected --------------------
 /// Runs all steps of a new request, up to its pool's queue.
 void RunChain(ForwarderState& state, Forwarding& forwarding);
-/// Keeps the current route table for the lifetime of the request.
-[[nodiscard]] Step PinRouteTable(ForwarderState& state, Forwarding& forwarding);
 /// Finds the route; sets its tier and the deadline.
 [[nodiscard]] Step MatchRoute(ForwarderState& state, Forwarding& forwarding);
 /// During a shutdown, rejects a late request that may not end in time.
--- a/packages/forward/src/stream_versions.cc
+++ b/packages/forward/src/stream_versions.cc
@@ -12,7 +12,7 @@
 constexpr Duration kOriginRefreshInterval{20'000'000};
 
 bool IsResumable(const Forwarding& forwarding) noexcept {
-  const Route* route = forwarding.m_route;
+  const Route* route = forwarding.m_route.get();
   return route != nullptr && route->m_stream && route->m_resumable;
 }
 
@@ -48,7 +48,7 @@
     Refuse(state, forwarding, ResultCode::kBadRequest, "the stream's first attempt is named twice");
     return Step::kEnded;
   }
-  const Workspace* workspace = forwarding.m_workspace;
+  const Workspace* workspace = forwarding.m_workspace.get();
   const bool taken_up = request.m_resume_after.has_value();
   forwarding.m_stream = StreamKeyOf(workspace == nullptr ? "" : workspace->m_name,
                                     taken_up ? request.m_first_attempt : request.m_id);
--- a/tests/forwarder_test.cc
+++ b/tests/forwarder_test.cc
@@ -352,15 +352,33 @@
   Route first;
   Route second;
   second.m_tier = 2;
-  urgent.m_route = &first;
+  urgent.m_route = std::make_shared<const Route>(first);
   urgent.m_ref = 9;
-  other.m_route = &second;
+  other.m_route = std::make_shared<const Route>(second);
   other.m_ref = 1;
   const WaitingOrder a{urgent.m_tier, first.m_tier, 0, urgent.m_ref};
   const WaitingOrder b{other.m_tier, second.m_tier, 0, other.m_ref};
   CHECK(a < b);
 }
 
+// Guards against gateways that run out of memory while large configurations follow each other and
+// requests last: each kept the whole configuration of its arrival.
+TEST_CASE("a request in progress doesn't keep a configuration that was replaced") {
+  ScriptedServer server([](const std::string& request) {
+    std::vector<ScriptStep> steps = MakeResponse(request, "ok");
+    steps.insert(steps.begin(), Wait(200));
+    return steps;
+  });
+  ForwarderFixture fixture;
+  fixture.Register("s0", server);
+  const std::weak_ptr<const RouteTable> replaced = fixture.m_forwarder->state().m_table;
+  BackgroundCall call(fixture, Request("/once/", "i"));
+  fixture.RunUntil([&server] { return !server.requests().empty(); });
+  fixture.Adopt(2, Document(2, "key"));
+  CHECK(replaced.expired());
+  CHECK(call.AwaitResponse(fixture).status() == 200);
+}
+
 TEST_CASE("a planned stop is unready at once, serves for a while, then sends callers away unrun") {
   ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
   ForwarderFixture fixture;
