Bytes of a declared server without end are read up to a bound

What callers saw: by the users' report, a server in trouble may send bytes that are no answer without end. Declared servers were left out when the forwarder's readers got their bounds; a request there held its connection and, for a head, its memory until the deadline.

Cause: the library's client gathers a head until it ends, passes over each interim response, and drops what stands between two chunks, without a bound but the deadline.

Change: the bounds of the other readers of responses (64 KiB for a head, 16 interim responses, 1 MiB of bytes that nobody asked for), now in one place. The library shows an incomplete head to nobody, so the calls that wait for one are looked at each 5 ms.

--- a/packages/forward/include/poppyway/forward/impl/backend_call.h
+++ b/packages/forward/include/poppyway/forward/impl/backend_call.h
@@ -67,11 +67,6 @@
 
 class BackendCall;
 
-/// \brief The most interim responses and responses to other requests that a call reads before its
-/// own, and the most bytes of the latter's bodies.
-inline constexpr int kMaxUnwantedResponses = 16;
-inline constexpr std::size_t kMaxUnwantedBytes = 1024 * 1024;
-
 /// \brief Idle keep-alive connections to backend servers, by address. Belongs to one task.
 ///
 /// The HTTP library's own client isn't used: it can't distinguish a close from a reset, which
--- a/packages/gateway/include/poppyway/gateway/impl/gateway.h
+++ b/packages/gateway/include/poppyway/gateway/impl/gateway.h
@@ -31,6 +31,7 @@
   Instant m_refuse_from{};  ///< A stopping gateway refuses requests that arrive from this time on.
   bool m_drained_reported = false;
   std::map<std::string, PoolClient> m_pools;
+  std::unique_ptr<UpstreamPools> m_upstreams;  ///< Outlives the calls of the exchanges.
   std::unordered_map<RequestRef, std::unique_ptr<Exchange>> m_exchanges;
   std::vector<std::unique_ptr<Upstream>> m_retired;  ///< Destroyed outside their callbacks.
   std::set<std::string> m_leaving;  ///< Backend servers that the platform lists as leaving.
@@ -38,7 +39,6 @@
   RequestRef m_next_ref = 1;
   MetricSet m_metrics;
   std::string m_control_metrics;
-  std::unique_ptr<UpstreamPools> m_upstreams;
   std::mt19937_64 m_random;
   Instant m_last_poll{};
 };
--- a/packages/gateway/include/poppyway/gateway/impl/upstream.h
+++ b/packages/gateway/include/poppyway/gateway/impl/upstream.h
@@ -2,8 +2,11 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #pragma once
 
+#include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,8 +39,10 @@
   std::function<void(bool sent, const std::string& why)> m_on_failure;
 };
 
-/// \brief Pools of connections to back ends, one per endpoint. Not thread-safe; `loop` must outlive
-/// them.
+class Upstream;
+
+/// \brief Pools of connections to back ends, one per endpoint, and the calls that wait for a
+/// response's head. Not thread-safe; `loop` must outlive them.
 class UpstreamPools {
  public:
   explicit UpstreamPools(EventLoop& loop);
@@ -45,12 +50,22 @@
   [[nodiscard]] h2o_socketpool_t* Get(const Endpoint& endpoint);
   [[nodiscard]] h2o_http1client_ctx_t* context() noexcept { return &m_context; }
 
+  /// Bounds the bytes of the response's head of `call`, which the library reads without a bound,
+  /// until `HeadEnded`.
+  void AwaitHead(Upstream& call) { m_awaiting_heads.insert(&call); }
+  void HeadEnded(Upstream& call) noexcept { m_awaiting_heads.erase(&call); }
+
  private:
+  /// Ends the calls whose heads are too long. Returns true if calls wait for heads.
+  bool CheckHeads();
+
   EventLoop& m_loop;
+  std::set<Upstream*> m_awaiting_heads;
   h2o_timeout_t m_io_timeout;
   h2o_multithread_receiver_t m_resolver;
   h2o_http1client_ctx_t m_context;
   std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> m_pools;
+  std::unique_ptr<RepeatingTimer> m_check_heads;
 };
 
 /// \brief One call to a back end. Its destructor cancels the call without a callback. Not
@@ -77,6 +92,10 @@
   void Pause();
   /// Continues to read after `Pause`; does nothing if the call isn't paused.
   void Resume();
+  /// Bytes that have arrived of a head that isn't complete.
+  [[nodiscard]] std::size_t UnparsedBytes() const noexcept;
+  /// Closes the connection and reports the call as failed.
+  void Fail(const char* why);
 
  private:
   static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client,
@@ -92,9 +111,17 @@
                                         h2o_header_t* headers,
                                         size_t header_count,
                                         int length);
+  static int OnInterim(h2o_http1client_t* client,
+                       int minor,
+                       int status,
+                       h2o_iovec_t message,
+                       h2o_header_t* headers,
+                       size_t header_count);
   static int OnBody(h2o_http1client_t* client, const char* fault);
+  [[nodiscard]] bool HasUnwantedBytes(const h2o_socket_t& socket);
   void End(const char* why);
 
+  UpstreamPools& m_pools;
   std::string m_request;
   h2o_iovec_t m_buffer{};  ///< Refers to `m_request` while the library writes it.
   bool m_head_only;
@@ -104,6 +131,9 @@
   bool m_sent = false;
   bool m_events_suppressed = false;
   bool m_chunked = false;
+  int m_interim_responses = 0;
+  std::size_t m_data_bytes = 0;
+  std::size_t m_framing_bytes = 0;  ///< Between the chunks of the body.
 };
 
 }  // namespace poppyway
--- a/packages/gateway/src/upstream.cc
+++ b/packages/gateway/src/upstream.cc
@@ -14,6 +14,10 @@
 constexpr std::uint64_t kIoTimeoutMillis = 600'000;  // Timeout of one connect, read or write.
 constexpr std::uint64_t kIdleMillis = 30'000;        // Idle pooled connections are closed.
 constexpr std::size_t kPoolCapacity = 4096;          // Capacity of h2o's pool of an endpoint.
+constexpr std::uint64_t kHeadCheckMillis = 5;        // While calls wait for heads.
+constexpr std::uint64_t kIdleCheckMillis = 50;
+// Chunks of one byte have less framing for each.
+constexpr std::size_t kMaxFramingPerByte = 32;
 
 /// Returns true if the response's framing says where its body ends; without that, a truncated
 /// response can't be detected.
@@ -41,6 +45,22 @@
   m_context.loop = loop.loop();
   m_context.getaddr_receiver = &m_resolver;
   m_context.io_timeout = &m_io_timeout;
+  m_check_heads = std::make_unique<RepeatingTimer>(loop, kHeadCheckMillis, kIdleCheckMillis,
+                                                   [this] { return CheckHeads(); });
+}
+
+bool UpstreamPools::CheckHeads() {
+  std::vector<Upstream*> too_long;
+  for (Upstream* call : m_awaiting_heads) {
+    if (call->UnparsedBytes() > kMaxHeadBytes)
+      too_long.push_back(call);
+  }
+  for (Upstream* call : too_long) {
+    // The failure of another call may have ended it.
+    if (m_awaiting_heads.contains(call))
+      call->Fail("invalid head: too_long");
+  }
+  return !m_awaiting_heads.empty();
 }
 
 h2o_socketpool_t* UpstreamPools::Get(const Endpoint& endpoint) {
@@ -63,17 +83,34 @@
                    std::string request,
                    bool head_only,
                    UpstreamEvents events)
-    : m_request(std::move(request)), m_head_only(head_only), m_events(std::move(events)) {
+    : m_pools(pools),
+      m_request(std::move(request)),
+      m_head_only(head_only),
+      m_events(std::move(events)) {
   h2o_http1client_connect_with_pool(&m_client, this, pools.context(), pools.Get(endpoint),
                                     &Upstream::OnConnect);
 }
 
 Upstream::~Upstream() {
+  m_pools.HeadEnded(*this);
   if (m_client != nullptr)
     h2o_http1client_cancel(m_client);
 }
 
+std::size_t Upstream::UnparsedBytes() const noexcept {
+  const bool connected = m_client != nullptr && m_client->sock != nullptr;
+  return connected ? m_client->sock->input->size : 0;
+}
+
+void Upstream::Fail(const char* why) {
+  if (m_client == nullptr)
+    return;
+  h2o_http1client_cancel(m_client);
+  End(why);
+}
+
 void Upstream::End(const char* why) {
+  m_pools.HeadEnded(*this);
   m_client = nullptr;
   if (m_events_suppressed)
     return;
@@ -102,6 +139,8 @@
     return nullptr;
   }
   self->m_sent = true;
+  self->m_pools.AwaitHead(*self);
+  client->informational_cb = &Upstream::OnInterim;
   self->m_buffer = h2o_iovec_init(self->m_request.data(), self->m_request.size());
   *bufs = &self->m_buffer;
   *count = 1;
@@ -118,6 +157,7 @@
                                          size_t header_count,
                                          int /*length*/) {
   auto* self = static_cast<Upstream*>(client->data);
+  self->m_pools.HeadEnded(*self);
   const bool ended = fault == h2o_http1client_error_is_eos;
   if (fault != nullptr && !ended) {
     self->End(fault);
@@ -148,6 +188,29 @@
   return &Upstream::OnBody;
 }
 
+int Upstream::OnInterim(h2o_http1client_t* client,
+                        int /*minor*/,
+                        int /*status*/,
+                        h2o_iovec_t /*message*/,
+                        h2o_header_t* /*headers*/,
+                        size_t /*header_count*/) {
+  auto* self = static_cast<Upstream*>(client->data);
+  if (++self->m_interim_responses <= kMaxUnwantedResponses)
+    return 0;
+  self->End("too many interim responses");
+  return 1;  // The library closes the connection.
+}
+
+/// Counts what the last read brought. Returns true if too much of it was framing.
+bool Upstream::HasUnwantedBytes(const h2o_socket_t& socket) {
+  if (!m_chunked)
+    return false;
+  const std::size_t data = socket.input->size;
+  m_data_bytes += data;
+  m_framing_bytes += socket.bytes_read - std::min(socket.bytes_read, data);
+  return m_framing_bytes > kMaxUnwantedBytes + kMaxFramingPerByte * m_data_bytes;
+}
+
 int Upstream::OnBody(h2o_http1client_t* client, const char* fault) {
   auto* self = static_cast<Upstream*>(client->data);
   const bool ended = fault == h2o_http1client_error_is_eos;
@@ -162,6 +225,10 @@
     self->End("closed before the last chunk");
     return 0;
   }
+  if (self->HasUnwantedBytes(*client->sock)) {
+    self->End("framing without end");
+    return -1;
+  }
   h2o_buffer_t*& input = client->sock->input;
   if (input->size > 0 && !self->m_events_suppressed) {
     self->m_events.m_on_data(std::string_view(input->bytes, input->size));
--- a/packages/http/include/poppyway/http/impl/response_head.h
+++ b/packages/http/include/poppyway/http/impl/response_head.h
@@ -27,6 +27,14 @@
 /// \brief The longest head of a response, and the most bytes that are read in search of its end.
 inline constexpr std::size_t kMaxHeadBytes = 64 * 1024;
 
+/// \brief The most interim responses and responses to other requests that a call reads before its
+/// own.
+inline constexpr int kMaxUnwantedResponses = 16;
+
+/// \brief The most bytes that a call reads and nobody asked for: bodies of responses to other
+/// requests, or what stands between the chunks of a body.
+inline constexpr std::size_t kMaxUnwantedBytes = 1024 * 1024;
+
 /// \brief One field of a head.
 struct HeadField {
   std::string_view m_name;   ///< In any case.
