--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -198,6 +198,7 @@
   m_state.m_connections = std::make_unique<BackendPool>(loop);
   m_caller_server = std::make_unique<HttpServer>(loop, HttpLimits{kMaxBody, kCallerIdleMillis},
                                                  [this](h2o_req_t* req) { OnRequest(req); });
+  impl::WatchArrivingRequests(m_state, *m_caller_server);
   m_readiness_server = std::make_unique<HttpServer>(loop, HttpLimits{},
                                                     [this](h2o_req_t* req) { OnReadiness(req); });
   m_metrics_server =
@@ -316,6 +317,7 @@
     impl::EraseForwarding(m_state, ref);
   m_state.m_finished.clear();
   impl::ResumeReading(m_state);
+  const bool arriving = impl::LimitArrivingRequests(m_state, *m_caller_server);
   m_relay->Tick(now);
   impl::CheckBroker(m_state, now);
   impl::TickPaths(m_state, now);
@@ -331,6 +333,7 @@
   if (now - m_state.m_callers_polled >= kCallerPollInterval) {
     m_state.m_callers_polled = now;
     PollCallers(m_state);
+    m_caller_server->Refresh();
   }
   impl::FlushToBroker(m_state);
   const bool ready = IsReady(m_state, now);
@@ -341,7 +344,7 @@
         .Field("version", m_state.m_table ? m_state.m_table->m_version : 0)
         .Field("confirmed_ms", (m_state.m_confirmed_until - now).count() / 1000);
   }
-  if (!m_state.m_held_requests.empty())
+  if (arriving || !m_state.m_held_requests.empty())
     return true;
   return std::any_of(m_state.m_pools.begin(), m_state.m_pools.end(),
                      [](const auto& pool) { return !pool.second.m_waiting.empty(); });
--- a/packages/forward/src/peer_relay.cc
+++ b/packages/forward/src/peer_relay.cc
@@ -101,7 +101,9 @@
 PeerRelay::PeerRelay(EventLoop& loop, ForwarderState& state)
     : m_state(state), m_server(loop, HttpLimits{kMaxBody, kIdleMillis}, [this](h2o_req_t* req) {
         OnRequest(req);
-      }) {}
+      }) {
+  impl::WatchArrivingRequests(m_state, m_server);
+}
 
 PeerRelay::~PeerRelay() {
   for (auto& [ref, call] : m_calls)
@@ -356,8 +358,11 @@
 
 void PeerRelay::Tick(Instant now) {
   const bool poll = now - m_callers_polled >= kCallerPollInterval;
-  if (poll)
+  if (poll) {
     m_callers_polled = now;
+    m_server.Refresh();
+  }
+  impl::LimitArrivingRequests(m_state, m_server);
   for (auto& [ref, call] : m_calls) {
     if (call.m_done)
       continue;
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -138,6 +138,12 @@
 void PauseOrResumeReading(ForwarderState& state, Forwarding& forwarding);
 /// Continues reading the responses that fit into the budget again.
 void ResumeReading(ForwarderState& state);
+/// Limits the memory of the requests that arrive at a listener. Call before it listens; `state`
+/// must outlive it.
+void WatchArrivingRequests(ForwarderState& state, HttpServer& server);
+/// Stops reading the arriving requests of a listener that don't fit into the budget, and continues
+/// reading those that fit again. Returns true if long requests are arriving.
+bool LimitArrivingRequests(ForwarderState& state, HttpServer& server);
 /// Erases a finished request and the bytes counted for it. Call it outside the request's callbacks.
 void EraseForwarding(ForwarderState& state, ForwardingRef ref);
 
--- a/packages/http/src/http_server.cc
+++ b/packages/http/src/http_server.cc
@@ -2,6 +2,10 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "poppyway/http.h"
 
+#include <sys/socket.h>
+
+#include <memory>
+
 namespace poppyway {
 namespace {
 
@@ -10,6 +14,10 @@
 // A connection whose bytes are unacknowledged for this long is closed: the caller's machine is
 // gone.
 constexpr Duration kUnacknowledgedLimit{10'000'000};
+// A buffer of this size may stay with an idle connection.
+constexpr std::size_t kMaxIdleBuffer = 64 * 1024;
+// In bytes; one read brings no more of a request.
+constexpr int kReceiveBuffer = 128 * 1024;
 
 }  // namespace
 
@@ -33,12 +41,16 @@
 
 HttpServer::~HttpServer() {
   StopListening();
+  for (auto& [number, connection] : m_connections)
+    connection->m_server = nullptr;
 }
 
 Result<void> HttpServer::Listen(const std::string& address, std::uint16_t port) {
   Result<int> fd = OpenListener(address, port);
   if (!fd)
     return tl::unexpected<Error>(fd.error());
+  // Accepted connections take it over.
+  setsockopt(*fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof(kReceiveBuffer));
   m_listener = h2o_evloop_socket_create(m_loop.loop(), *fd, H2O_SOCKET_FLAG_DONT_READ);
   m_listener->data = this;
   h2o_socket_read_start(m_listener, &HttpServer::OnAccept);
@@ -61,7 +73,83 @@
     if (socket == nullptr)
       return;
     SetDeadPeerTimeout(h2o_socket_get_fd(socket), kUnacknowledgedLimit);
+    const ConnectionNumber number = self->m_next_connection++;
+    auto* connection = new Connection{self, number, socket};  // Deleted by `OnClose`.
+    self->m_connections.emplace(number, connection);
+    socket->on_close.cb = &HttpServer::OnClose;
+    socket->on_close.data = connection;
     h2o_accept(&self->m_accept, socket);
+    if (self->m_on_long)
+      WatchReads(*connection);
+  }
+}
+
+void HttpServer::WatchReads(Connection& connection) {
+  h2o_socket_cb& read = connection.m_socket->_cb.read;
+  if (read == nullptr || read == &HttpServer::OnRead)
+    return;
+  connection.m_library_read = read;
+  read = &HttpServer::OnRead;
+}
+
+void HttpServer::OnRead(h2o_socket_t* socket, const char* fault) {
+  const auto* connection = static_cast<const Connection*>(socket->on_close.data);
+  HttpServer* server = connection->m_server;
+  const bool is_long = server != nullptr && socket->input->size >= server->m_min_long;
+  connection->m_library_read(socket, fault);  // It may close the connection.
+  if (is_long)
+    server->m_on_long();
+}
+
+void HttpServer::OnClose(void* data) {
+  const std::unique_ptr<Connection> connection(static_cast<Connection*>(data));
+  if (connection->m_server != nullptr)
+    connection->m_server->m_connections.erase(connection->m_number);
+}
+
+void HttpServer::WatchLongRequests(std::size_t min_bytes, std::function<void()> on_long) {
+  m_min_long = min_bytes;
+  m_on_long = std::move(on_long);
+}
+
+std::vector<ArrivingRequest> HttpServer::LongRequests() const {
+  std::vector<ArrivingRequest> arriving;
+  for (const auto& [number, connection] : m_connections) {
+    const h2o_socket_t& socket = *connection->m_socket;
+    // The library doesn't read while a complete request is handled.
+    const bool incomplete = socket._cb.read != nullptr || connection->m_paused;
+    if (incomplete && socket.input->size >= m_min_long)
+      arriving.push_back({number, std::string_view(socket.input->bytes, socket.input->size)});
+  }
+  return arriving;
+}
+
+bool HttpServer::Pause(ConnectionNumber number) {
+  Connection& connection = *m_connections.at(number);
+  if (connection.m_paused)
+    return false;
+  WatchReads(connection);  // `Resume` continues with what it has recorded.
+  connection.m_paused = true;
+  h2o_socket_read_stop(connection.m_socket);
+  return true;
+}
+
+void HttpServer::Resume(ConnectionNumber number) {
+  const auto found = m_connections.find(number);
+  if (found == m_connections.end() || !found->second->m_paused)
+    return;
+  found->second->m_paused = false;
+  h2o_socket_read_start(found->second->m_socket, &HttpServer::OnRead);
+}
+
+void HttpServer::Refresh() {
+  for (auto& [number, connection] : m_connections) {
+    WatchReads(*connection);
+    h2o_buffer_t*& input = connection->m_socket->input;
+    if (input->size > 0 || input->capacity <= kMaxIdleBuffer)
+      continue;
+    h2o_buffer_dispose(&input);
+    h2o_buffer_init(&input, &h2o_socket_buffer_prototype);
   }
 }
 
--- a/packages/policy/include/poppyway/policy/impl/held_bytes.h
+++ b/packages/policy/include/poppyway/policy/impl/held_bytes.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <span>
 
 namespace poppyway {
 
@@ -37,4 +39,21 @@
   return held.m_total <= held.m_budget;
 }
 
+/// \brief A request body that is still arriving. Values are in bytes of memory.
+struct ArrivingBody {
+  std::int64_t m_arrived = 0;   ///< What it takes now.
+  std::int64_t m_complete = 0;  ///< What it will take once it is complete and sent on.
+
+  friend bool operator==(const ArrivingBody&, const ArrivingBody&) = default;
+};
+
+/// \brief Returns how many of `bodies`, from the first one on, may be read on so that all of them
+/// fit into the budget together with what is held already and what the others take now.
+///
+/// Only complete bodies are ever released, so the first one waits for what is held and not for what
+/// has arrived of the others. One that never fits is read on: once complete, it is refused. Bodies
+/// are in the order in which they are to be completed. Pure, thread-safe.
+[[nodiscard]] std::size_t CountReadableBodies(const HeldBytes& held,
+                                              std::span<const ArrivingBody> bodies) noexcept;
+
 }  // namespace poppyway
--- a/tests/held_bytes_test.cc
+++ b/tests/held_bytes_test.cc
@@ -1,7 +1,12 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 // Callers that don't read their responses: the memory that they take, and what others get.
+#include <sys/socket.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <sstream>
+#include <thread>
 
 #include "forwarder_fixture.h"
 
@@ -122,5 +127,87 @@
   CHECK(Call(fixture, Request("/safe/", "j")).body() == "ok");
 }
 
+TEST_CASE("arriving bodies are read on in their order while all of them fit into the budget") {
+  const HeldBytes held{100, 10};
+  CHECK(CountReadableBodies(held, {}) == 0);
+  const std::vector<ArrivingBody> small{{5, 20}, {5, 20}, {5, 20}};
+  CHECK(CountReadableBodies(held, small) == 3);
+  const std::vector<ArrivingBody> third_too_long{{5, 20}, {5, 20}, {5, 60}, {5, 20}};
+  CHECK(CountReadableBodies(held, third_too_long) == 2);
+  // What has arrived of the others takes memory, too.
+  const std::vector<ArrivingBody> others_arrived{{5, 20}, {30, 60}, {30, 60}};
+  CHECK(CountReadableBodies(held, others_arrived) == 1);
+}
+
+TEST_CASE("the first of the arriving bodies waits only for what is held") {
+  const std::vector<ArrivingBody> bodies{{50, 80}, {60, 80}};
+  CHECK(CountReadableBodies(HeldBytes{100, 20}, bodies) == 1);
+  CHECK(CountReadableBodies(HeldBytes{100, 21}, bodies) == 0);
+  // It never fits.
+  CHECK(CountReadableBodies(HeldBytes{100, 50}, std::vector<ArrivingBody>{{10, 300}}) == 1);
+}
+
+constexpr std::size_t kUpload = 1 << 20;
+constexpr Duration kUploadsLimit{10'000'000};
+
+/// Sends a request with a long body, as a caller that waits for its response does. Returns the
+/// status; zero without a response.
+int Upload(const ForwarderFixture& fixture, const std::string& framing, const std::string& body) {
+  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval limit{10, 0};
+  setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(fixture.m_settings.m_caller_endpoint.m_port);
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const std::string request =
+      "POST /safe/ HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: i\r\n"
+      "Authorization: Bearer key\r\n" +
+      framing + "\r\n\r\n" + body;
+  std::string head(12, '\0');  // "HTTP/1.1 200"
+  const bool responded =
+      connect(caller, reinterpret_cast<sockaddr*>(&where), sizeof(where)) == 0 &&
+      send(caller, request.data(), request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(request.size()) &&
+      recv(caller, head.data(), head.size(), MSG_WAITALL) == static_cast<ssize_t>(head.size());
+  close(caller);
+  return responded ? std::stoi(head.substr(9)) : 0;
+}
+
+// Guards against long bodies that arrive at once and take an instance over its memory: those that
+// don't fit wait with their senders, and none is refused.
+TEST_CASE("long bodies that arrive at once wait for memory, and all are answered") {
+  constexpr int kCallers = 12;
+  const bool chunked = GENERATE(false, true);
+  CAPTURE(chunked);
+  ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
+  ForwarderFixture fixture;
+  fixture.m_forwarder->state().m_held.m_budget = 5 * kUpload;
+  fixture.Register("s0", server);
+  const std::string body(kUpload, 'b');
+  std::ostringstream chunk;
+  chunk << std::hex << kUpload << "\r\n" << body << "\r\n0\r\n\r\n";
+  const std::string framing =
+      chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(kUpload);
+  const std::string sent = chunked ? chunk.str() : body;
+  std::atomic<int> ended{0};
+  std::atomic<int> served{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&] {
+      served += Upload(fixture, framing, sent) == 200 ? 1 : 0;
+      ++ended;
+    });
+  }
+  const Instant begun = ReadClock();
+  while (ended < kCallers && ReadClock() - begun < kUploadsLimit)
+    fixture.m_loop.RunFor(5);
+  for (std::thread& caller : callers)
+    caller.join();
+  CHECK(served == kCallers);
+  CHECK(fixture.m_forwarder->state().m_metrics.Counter("poppyway_forward_requests_paused_total") >=
+        1);
+}
+
 }  // namespace
 }  // namespace poppyway
