Soak: the whole old version leaves or is replaced while all is killed

The report of joined take-ups names servers of the old version that had just left; so far one of them always stayed, and members weren't killed. Four cases: the old version leaves for good, or comes back as the new one at its addresses, while all instances, or all members too, are killed at once.

--- a/soak/stream_versions.py
+++ b/soak/stream_versions.py
@@ -78,14 +78,44 @@
             for instance in self.fleet.instances:
                 instance.start()
 
+    def old_servers(self):
+        """Returns the addresses of the servers of the first version."""
+        return [address for address in self.servers.addresses
+                if self.servers.versions[address] == VERSIONS[0]]
+
     async def old_version_leaves(self):
-        """The servers of the first version leave for good, one after the other."""
-        old = [address for address in self.servers.addresses
-               if self.servers.versions[address] == VERSIONS[0]]
-        for address in old[:-1]:
+        """The servers of the first version but one leave for good, one after the other."""
+        for address in self.old_servers()[:-1]:
             await asyncio.sleep(LEAVE_EVERY_S)
             await self.servers.leave(address, DRAIN_S)
 
+    async def old_version_gone(self):
+        """All servers of the first version leave for good, overlapping, between the kills."""
+        leaving = []
+        for address in self.old_servers():
+            leaving.append(asyncio.create_task(self.servers.leave(address, DRAIN_S)))
+            await asyncio.sleep(LEAVE_EVERY_S)
+        await asyncio.gather(*leaving)
+
+    async def old_version_replaced(self):
+        """Each server of the first version ends at once and comes back as the second version, as a
+        new process at the same address."""
+        for address in self.old_servers():
+            await asyncio.sleep(LEAVE_EVERY_S)
+            self.servers.versions_after_restart[address] = VERSIONS[1]
+            await self.servers.end(self.servers.states[address], self.rng.uniform(*DOWN_S))
+
+    async def kill_everything(self):
+        """Kills all members and instances at once, three times."""
+        for _ in range(ALL_KILLED):
+            await asyncio.sleep(self.rng.uniform(1.0, 2.0))
+            processes = self.fleet.members + self.fleet.instances
+            for process in processes:
+                process.kill()
+            await asyncio.sleep(self.rng.uniform(*ALL_DOWN_S))
+            for process in processes:
+                process.start()
+
     async def kill_leaders(self):
         while True:
             await asyncio.sleep(self.rng.uniform(1.0, 2.5))
@@ -158,6 +188,16 @@
     "old-version-leaves-leaders-killed": {
         "faults": (Case.old_version_leaves, Case.kill_all_instances, Case.kill_leaders),
         "take_up_s": LATE_TAKE_UP_S, "records_outlive_faults": False},
+    "old-version-gone": {"faults": (Case.old_version_gone, Case.kill_all_instances),
+                         "take_up_s": LATE_TAKE_UP_S},
+    "old-version-gone-everything-killed": {
+        "faults": (Case.old_version_gone, Case.kill_everything),
+        "take_up_s": LATE_TAKE_UP_S, "records_outlive_faults": False},
+    "old-version-replaced": {"faults": (Case.old_version_replaced, Case.kill_all_instances),
+                             "take_up_s": LATE_TAKE_UP_S},
+    "old-version-replaced-everything-killed": {
+        "faults": (Case.old_version_replaced, Case.kill_everything),
+        "take_up_s": LATE_TAKE_UP_S, "records_outlive_faults": False},
     "leaders-killed": {"faults": (Case.end_servers, Case.kill_instances, Case.kill_leaders)},
     "members-down": {"faults": (Case.end_servers, Case.stop_members)},
     "processes-paused": {"faults": (Case.end_servers, Case.pause_processes)},
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -31,6 +31,7 @@
         self._all_versions = versions
         self._until_close = until_close  # Streams end with their connection.
         self.change_version = False  # A server that ends comes back as another version.
+        self.versions_after_restart = {}  # Address to the version as which the next one starts.
 
     def version_of(self, address):
         return self.versions[address]
@@ -39,6 +40,7 @@
         if self.change_version:
             others = [v for v in self._all_versions if v != self.versions[address]]
             self.versions[address] = self._rng.choice(others)
+        self.versions[address] = self.versions_after_restart.pop(address, self.versions[address])
 
     def stage_of(self, address):
         return "draining" if self.states[address].get("draining") else "ready"
