--- a/soak/crashing_requests.py
+++ b/soak/crashing_requests.py
@@ -32,7 +32,6 @@
 EQUAL = "/look/equal"  # A request that crashes nothing and that many callers send.
 EQUAL_CALLERS = 24
 EQUAL_DEADLINE_S = 2.0
-EQUAL_SHARE = 0.5  # Of the share that was served before.
 EQUAL_PAUSE_S = (0.01, 0.1)  # Between two requests of such a caller.
 EQUAL_WORK_S = 1.0  # So that few end between the servers and the instances.
 ALL_DOWN_S = (0.5, 1.5)  # How long all instances are down.
@@ -221,7 +220,7 @@
         after = equal.served_share(counted_from, time.monotonic())
         await equal.stop()
         await self.callers.stop()
-        self.check(after >= EQUAL_SHARE * before,
+        self.check(after >= SERVED_SHARE * before,
                    f"served {after:.3f} of equal requests, {before:.3f} before")
         print(f"case={self.name} equal requests served before={before:.3f} after={after:.3f}",
               flush=True)
