A call whose message can't be sent fails soon, not at its timeout

An instance has one poll for documents in flight. If its connection could not be opened at once (the system refuses: no route, no local port, no descriptor), or if too many messages waited for the connection, the message was dropped and the call stayed open until its timeout: ten seconds for a poll, of two that a configuration may take.

Cause: PeerClient::Post dropped the message and told nobody.

Ruled out: connection attempts that get no answer (ended after 400 ms, all their calls fail) and refused ones (fail at once).

Change: Post says whether the message was kept; if not, its call expires at the next check, 20 ms later, never within the call itself.

--- a/packages/wire/include/poppyway/wire/impl/peer_client.h
+++ b/packages/wire/include/poppyway/wire/impl/peer_client.h
@@ -20,8 +20,8 @@
   ~PeerClient();
 
   /// Sends `body` and calls `on_reply` once: with the reply; with `kPeerUnreachable` on connection
-  /// loss or after `timeout`; or with `kPeerProtocol` after a malformed message. The peer may have
-  /// executed a call that failed.
+  /// loss, after `timeout`, or soon if the message can't be sent; or with `kPeerProtocol` after a
+  /// malformed message. The peer may have executed a call that failed.
   void Call(wire::Body body, Duration timeout, OnReply on_reply);
   /// Sends `body` without waiting for a reply. The message is dropped if no connection can be
   /// opened or too many messages wait for one.
@@ -49,8 +49,10 @@
     Instant m_expires;
   };
   static void OnConnected(h2o_socket_t* socket, const char* fault);
-  void Connect();
-  void Post(wire::Envelope envelope);
+  /// Begins to connect unless an attempt is in progress. Returns false if none can be made.
+  bool Connect();
+  /// Sends a message, or keeps it until the connection is up. Returns false if it was dropped.
+  bool Post(wire::Envelope envelope);
   void FailAll(const Error& why);
   /// Fails calls and connection attempts that have timed out. Returns true while any is open.
   bool ExpireCalls();
--- a/packages/wire/src/peer_client.cc
+++ b/packages/wire/src/peer_client.cc
@@ -53,8 +53,11 @@
   envelope.id = m_next_id++;
   envelope.reply = false;
   envelope.body = std::move(body);
-  m_pending_calls[envelope.id] = {std::move(on_reply), ReadClock() + timeout};
-  Post(std::move(envelope));
+  const std::int64_t id = envelope.id;
+  const Instant now = ReadClock();
+  m_pending_calls[id] = {std::move(on_reply), now + timeout};
+  if (!Post(std::move(envelope)))
+    m_pending_calls.at(id).m_expires = now;
 }
 
 void PeerClient::Notify(wire::Body body) {
@@ -62,22 +65,23 @@
   envelope.id = 0;
   envelope.reply = false;
   envelope.body = std::move(body);
-  Post(std::move(envelope));
+  (void)Post(std::move(envelope));
 }
 
-void PeerClient::Post(wire::Envelope envelope) {
+bool PeerClient::Post(wire::Envelope envelope) {
   if (m_connection && m_connection->open()) {
     m_connection->Send(envelope);
-    return;
+    return true;
   }
-  if (m_unsent.size() < kMaxUnsent)
+  const bool has_room = m_unsent.size() < kMaxUnsent;
+  if (has_room)
     m_unsent.push_back(std::move(envelope));
-  Connect();
+  return Connect() && has_room;
 }
 
-void PeerClient::Connect() {
+bool PeerClient::Connect() {
   if (m_connecting != nullptr)
-    return;
+    return true;
   sockaddr_in endpoint{};
   endpoint.sin_family = AF_INET;
   endpoint.sin_port = htons(m_port);
@@ -86,10 +90,11 @@
                                     sizeof(endpoint), &PeerClient::OnConnected);
   if (m_connecting == nullptr) {
     m_unsent.clear();
-    return;
+    return false;
   }
   m_connecting->data = this;
   m_connect_expires = ReadClock() + kConnectTimeout;
+  return true;
 }
 
 void PeerClient::OnConnected(h2o_socket_t* socket, const char* fault) {
