Members that were removed are polled only where no other is known

An instance never forgot a member's address. One that was replaced counted as near for ever: it was polled again every five seconds, and each time the poll waited 400 ms for a connection and 100 ms more, before another member was asked; so did the search for a leader. With two replaced members in a data centre these waits follow each other.

Change: what the leader lists as members marks the others as removed. Those are chosen last, for polls and in the search for a leader. Seeds that are told anew count again.

Evidence: tests/poll_source_test.cc, "a member that was removed is read only where no other is known"; without the mark the removed member is chosen (0 == 1).

--- a/apps/poppywayd/instance_agent.cc
+++ b/apps/poppywayd/instance_agent.cc
@@ -82,7 +82,7 @@
 
 void InstanceAgent::AddSeeds(const std::vector<MemberSettings>& seeds) {
   for (const MemberSettings& seed : seeds)
-    (void)FindOrAddMember(seed.m_peer);
+    m_sources[FindOrAddMember(seed.m_peer)].m_removed = false;
 }
 
 PeerClient& InstanceAgent::Leader() {
@@ -161,6 +161,15 @@
   ApplyLeases(reply.live, sent);
 }
 
+std::size_t InstanceAgent::NextMember() const {
+  for (std::size_t step = 1; step < m_members.size(); ++step) {
+    const std::size_t next = (m_leader + step) % m_members.size();
+    if (!m_sources[next].m_removed)
+      return next;
+  }
+  return (m_leader + 1) % m_members.size();
+}
+
 /// Switches to the member that the response names as leader, or to the next one.
 void InstanceAgent::OnLeaderError(const Result<wire::Body>& reply) {
   ++m_leader_calls_failed;
@@ -168,7 +177,7 @@
     m_forwarder.m_send(BrokerDisconnected{});
   m_broker_announced = false;
   const bool named = reply && reply->__isset.error && reply->error.leader_port != 0;
-  std::size_t next = (m_leader + 1) % m_members.size();
+  std::size_t next = NextMember();
   if (named)
     next = FindOrAddMember(
         {reply->error.leader_address, static_cast<std::uint16_t>(reply->error.leader_port)});
--- a/apps/poppywayd/instance_agent.h
+++ b/apps/poppywayd/instance_agent.h
@@ -95,6 +95,8 @@
   void SendHeartbeat(Instant now);
   void OnHeartbeatReply(const wire::HeartbeatReply& reply, Instant sent);
   void OnLeaderError(const Result<wire::Body>& reply);
+  /// Returns the member to ask after the current leader didn't respond as one.
+  [[nodiscard]] std::size_t NextMember() const;
   void ApplyLeases(int live, Instant sent);
   void Poll();
   void OnDelta(const wire::ConfigDelta& delta);
--- a/apps/poppywayd/instance_hosted.cc
+++ b/apps/poppywayd/instance_hosted.cc
@@ -56,10 +56,13 @@
 }
 
 void InstanceAgent::UpdateMembers(const std::vector<wire::MemberInfo>& members) {
+  for (PollSource& source : m_sources)
+    source.m_removed = true;
   for (const wire::MemberInfo& member : members) {
     const std::size_t index =
         FindOrAddMember({member.address, static_cast<std::uint16_t>(member.port)});
     m_sources[index].m_data_centre = member.data_centre;
+    m_sources[index].m_removed = false;
   }
 }
 
--- a/packages/policy/include/poppyway/policy/impl/poll_source.h
+++ b/packages/policy/include/poppyway/policy/impl/poll_source.h
@@ -16,6 +16,7 @@
 struct PollSource {
   std::string m_data_centre;  ///< Empty while unknown.
   Instant m_ejected_until{};  ///< The member lagged or didn't respond; it is avoided until then.
+  bool m_removed = false;     ///< It is no member any more: it is chosen only if all others are.
 
   friend bool operator==(const PollSource&, const PollSource&) = default;
 };
--- a/packages/policy/src/poll_source.cc
+++ b/packages/policy/src/poll_source.cc
@@ -7,6 +7,9 @@
 namespace poppyway {
 namespace {
 
+constexpr int kEjectedDistance = 3;  // Farther than any member that isn't ejected.
+constexpr int kRemovedDistance = 4;
+
 /// Returns 0 for the reader's data centre, 1 for its region and 2 for anything else or unknown.
 int DistanceOf(const PollSource& source, const RegionMap& regions, const PollerLocation& reader) {
   if (source.m_data_centre.empty())
@@ -17,6 +20,16 @@
   return !region.empty() && region == reader.m_region ? 1 : 2;
 }
 
+/// Returns the distance of a member that may be used, and a larger number for any other.
+int PenalizedDistance(const PollSource& source,
+                      const RegionMap& regions,
+                      const PollerLocation& reader,
+                      Instant now) {
+  if (source.m_removed)
+    return kRemovedDistance;
+  return now < source.m_ejected_until ? kEjectedDistance : DistanceOf(source, regions, reader);
+}
+
 }  // namespace
 
 std::size_t ChoosePollSource(std::span<const PollSource> sources,
@@ -24,12 +37,10 @@
                              const PollerLocation& reader,
                              std::uint64_t turn,
                              Instant now) {
-  constexpr int kEjectedDistance = 3;  // Farther than any member that isn't ejected.
   std::vector<std::size_t> nearest;
-  int min_distance = kEjectedDistance + 1;
+  int min_distance = kRemovedDistance;
   for (std::size_t i = 0; i < sources.size(); ++i) {
-    const bool ejected = now < sources[i].m_ejected_until;
-    const int distance = ejected ? kEjectedDistance : DistanceOf(sources[i], regions, reader);
+    const int distance = PenalizedDistance(sources[i], regions, reader, now);
     if (distance > min_distance)
       continue;
     if (distance < min_distance)
--- a/tests/poll_source_test.cc
+++ b/tests/poll_source_test.cc
@@ -43,6 +43,15 @@
   CHECK(readers[1] == 50);
 }
 
+// Guards against polls of members that were replaced: each fails only after the time of a
+// connection attempt, and a document waits meanwhile.
+TEST_CASE("a member that was removed is read only where no other is known") {
+  const Instant later = kNow + Duration(1'000'000);
+  CHECK(Choose({{"a1", {}, true}, {"b1", {}}}, "a1") == 1);
+  CHECK(Choose({{"a1", {}, true}, {"b1", later}}, "a1") == 1);
+  CHECK(Choose({{"a1", {}, true}}, "a1") == 0);
+}
+
 TEST_CASE("with every member passed over one of them is read all the same") {
   const Instant later = kNow + Duration(1'000'000);
   CHECK(Choose({{"a1", later}}, "b1") == 0);
