A document that is late is asked of another member within 0.6 s

Change, for documents only: the tolerance is 0.3 s, then 0.6 s; a poll moves on from the leader too; a fetch whose member sends no byte for 0.4 s is given up, and its late piece ignored. While bytes arrive nothing is asked again, as before.

A log line for each document that arrives, document_received, tells the waits apart: since when the instance was known to be behind, how long the poll was out, polls that failed or were overdue, fetches given up.

Evidence: with the former constants and rule these fail in tests/hosted_state_poller_test.cc: "a document that neither a member nor the leader sends is asked of another in time" (2 polls of 3), "however often documents were late ..." (2 of at least 14 in 10 s), "where pieces stop coming ..." (no other member asked).

--- a/packages/polling/include/poppyway/polling/impl/hosted_state_poller.h
+++ b/packages/polling/include/poppyway/polling/impl/hosted_state_poller.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "poppyway/state.h"
 #include "poppyway/wire.h"
@@ -61,6 +62,7 @@
     std::size_t m_member = 0;
     bool m_in_flight = false;
     std::uint64_t m_request_number = 0;  ///< Number of the last request of this poll.
+    Instant m_sent{};                    ///< When the last request was sent.
     Instant m_not_before{};              ///< Earliest time of the next request.
     /// Since when the leader has had something newer while the poll is in flight; zero: it hasn't.
     Instant m_behind_since{};
@@ -71,6 +73,15 @@
     wire::DocumentChange m_change;  ///< `edits` holds the bytes received so far.
     std::size_t m_member = 0;
     Instant m_started{};
+    Instant m_requested{};       ///< Tick before the last piece was requested.
+    std::uint64_t m_number = 0;  ///< Identifies the fetch; late pieces of others are ignored.
+  };
+  /// What the next document has waited for so far, for its log line.
+  struct DocumentWaits {
+    Instant m_behind_since{};  ///< Since when the leader is known to have it; zero: not known.
+    int m_failed = 0;          ///< Polls that failed.
+    int m_overdue = 0;         ///< Polls that were moved to another member.
+    int m_fetches_ended = 0;   ///< Fetches that were given up.
   };
 
   /// Sends the poll if none is in flight, or else checks whether its reply is overdue.
@@ -87,13 +98,19 @@
   bool PatchHeldDocument(const wire::DocumentChange& change);
   void BeginFetch(const wire::DocumentChange& change, std::size_t member);
   void FetchPiece();
+  /// Gives up a fetch whose member sends nothing.
+  void CheckFetchOverdue(Instant now);
+  void EndFetch(std::string_view why);
   void OnPiece(const Result<wire::Body>& reply);
   void FinishFetch();
-  /// Moves a poll to the leader if its member has not replied with what the leader has in time.
+  /// Moves a poll to the leader if its member has not replied with what the leader has in time. A
+  /// poll for documents moves on from the leader too.
   void CheckOverdue(LongPoll& poll, bool behind, Instant now);
   /// Reports the poll's member as one to avoid and delays the next request.
   void AvoidMember(LongPoll& poll, Instant now);
   void PublishDocument();
+  /// Logs what the document that is about to be published has waited for.
+  void LogWaits();
 
   PollerCallbacks m_callbacks;
   LongPoll m_servers_poll;
@@ -105,6 +122,9 @@
   /// A document change didn't apply: the next poll requests the full document.
   bool m_need_full_document = false;
   std::unique_ptr<Fetch> m_fetch;  ///< Null: no fetch is in progress.
+  std::uint64_t m_fetch_number = 0;
+  DocumentWaits m_waits;
+  Instant m_last_tick{};
 };
 
 }  // namespace poppyway
--- a/tests/hosted_state_poller_test.cc
+++ b/tests/hosted_state_poller_test.cc
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kNearest = 1;
 constexpr std::size_t kLeader = 0;
+constexpr std::size_t kOther = 2;  // Is chosen while the nearest member is avoided.
 constexpr int kTickMillis = 50;
 
 /// A request that a member received.
@@ -89,6 +90,7 @@
   std::int64_t m_leader_servers = 0;
   bool m_bytes_arriving = false;  // Bytes arrive from each member at each tick.
   Instant m_last_receive_time{};
+  bool m_spreads = false;  // Another member is chosen once the nearest one is avoided.
   std::deque<SentRequest> m_requests;
   std::vector<std::size_t> m_avoided;
   std::vector<std::int64_t> m_servers;  // Indexes that were delivered.
@@ -103,7 +105,9 @@
       m_requests.push_back({member, std::move(body), std::move(reply)});
     };
     callbacks.m_last_receive_time = [this](std::size_t /*member*/) { return m_last_receive_time; };
-    callbacks.m_choose_member = [](Instant /*now*/) { return kNearest; };
+    callbacks.m_choose_member = [this](Instant /*now*/) {
+      return m_spreads && !m_avoided.empty() ? kOther : kNearest;
+    };
     callbacks.m_avoid = [this](std::size_t member, Instant /*now*/) {
       m_avoided.push_back(member);
     };
@@ -218,6 +222,63 @@
   CHECK(*members.m_documents[0] == document);
 }
 
+// Guards against a document that waits at a member which holds the poll: from the moment at which
+// an instance knows that the leader has it, each member is left after at most 0.6 s, the leader
+// too.
+TEST_CASE("a document that neither a member nor the leader sends is asked of another in time") {
+  FakeMembers members;
+  members.m_spreads = true;
+  members.AdvanceTime(1'000);
+  members.m_leader_document = 9;
+  members.AdvanceTime(1'000);
+  const std::vector<SentRequest*> polls = members.Polls(wire::NewsKind::DOCUMENT);
+  REQUIRE(polls.size() == 3);
+  CHECK(polls[0]->m_member == kNearest);
+  CHECK(polls[1]->m_member == kLeader);
+  CHECK(polls[2]->m_member == kOther);
+  FakeMembers::Reply(*polls[2], FakeMembers::Steps({FullDocumentChange(Document(9, "nine"))}));
+  CHECK(members.m_documents.size() == 1);
+}
+
+// Guards against a tolerance that doubles beyond the time in which a document is to be in force.
+TEST_CASE("however often documents were late, the next one is asked for again within 0.6 s") {
+  FakeMembers members;
+  members.m_spreads = true;
+  members.m_leader_document = 9;
+  members.AdvanceTime(10'000);
+  CHECK(members.Polls(wire::NewsKind::DOCUMENT).size() >= 10'000 / (600 + 2 * kTickMillis));
+}
+
+// Guards against a document whose pieces stop coming: the time limit of a call, a second, at each
+// of two members is longer than a document may take.
+TEST_CASE("where pieces stop coming another member is asked within half a second") {
+  FakeMembers members;
+  members.m_spreads = true;
+  members.AdvanceTime(50);
+  const wire::Document document = Document(5, "five");
+  FakeMembers::Reply(*members.Polls(wire::NewsKind::DOCUMENT)[0],
+                     FakeMembers::Steps({WithoutEdits(FullDocumentChange(document))}));
+  REQUIRE(members.Pieces().size() == 1);
+  members.AdvanceTime(600);
+  REQUIRE(members.Polls(wire::NewsKind::DOCUMENT).size() == 1);
+  CHECK(members.Polls(wire::NewsKind::DOCUMENT)[0]->m_member == kOther);
+  CHECK(members.m_avoided == std::vector<std::size_t>{kNearest});
+  // The piece that comes late belongs to no fetch.
+  FakeMembers::Reply(*members.Pieces()[0], FakeMembers::Piece(FullDocumentChange(document).edits));
+  CHECK(members.m_documents.empty());
+}
+
+TEST_CASE("pieces that come slowly are waited for") {
+  FakeMembers members;
+  members.m_bytes_arriving = true;
+  members.AdvanceTime(50);
+  FakeMembers::Reply(*members.Polls(wire::NewsKind::DOCUMENT)[0],
+                     FakeMembers::Steps({WithoutEdits(FullDocumentChange(Document(5, "five")))}));
+  members.AdvanceTime(900);
+  CHECK(members.Polls(wire::NewsKind::DOCUMENT).empty());
+  CHECK(members.m_avoided.empty());
+}
+
 TEST_CASE("where a piece doesn't come, another member is asked") {
   FakeMembers members;
   members.AdvanceTime(50);
