A call to a server that is gone, answered by another one, goes on elsewhere

Cause, two parts: - a 421 from the server that has taken the address over counted as one of the route's attempts, though the meant server is gone and nothing ran; with one attempt the request was refused at once; - the broker learns that a server is gone when the one at its address registers, up to two heartbeats later. Until then it chose the server again, and the instance, which had got the 421, used that slot.

Change: up to two such answers don't count as attempts (they count in the limit of retries, as before). A slot at a server that was answered for by another one within the last two seconds is returned and another one asked for. After that the broker's word counts again, so a wrong 421 hides no server for good.

Evidence: tests/replaced_servers_test.cc. Without the first part "a request that reached another server than it was meant for goes on to a third one" gets 503, and "a request goes on for as often as two servers that are gone" sends 1 of 3. The third test, of the returned slot, was written with its fix and not run before it.

--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -36,6 +36,7 @@
   bool m_leaving = false;            ///< The server is draining or gone and gets no new requests.
   bool m_announced_leaving = false;  ///< The running process announced it; the registry may lag.
   bool m_replaced = false;           ///< Another server answered at its address.
+  Instant m_misdirected_at{};        ///< When another server last rejected a call to this one.
   int m_in_flight = 0;               ///< Requests that this instance has in flight there.
   std::int64_t m_pending_prefill_tokens = 0;
   int m_in_flight_at_loss = 0;  ///< Requests in flight when the broker became unreachable.
@@ -80,13 +81,14 @@
   int m_length_class = 0;            ///< Length of the expected response; see `LengthClass`.
   Instant m_wait_until{};            ///< A queued request is rejected after this time.
   std::vector<std::string> m_tried;  ///< Servers that were sent a byte or whose slot was returned.
-  int m_attempts = 0;                ///< Number of calls that sent a byte.
-  bool m_uncounted_retry = false;    ///< The next call is a retry that no limit has counted yet.
-  QuotaRequest m_quota;              ///< Quota that one run charges to the workspace.
-  QuotaLimit m_limit;                ///< The workspace's limit with tolerance applied.
-  StreamKey m_stream = 0;            ///< Of a resumable stream; zero: not stated.
-  SoftwareId m_software = 0;         ///< That began the stream; zero: none did, or not known.
-  HomeRegions m_allowed_regions;     ///< Allowed by the document at arrival and the current one.
+  int m_attempts = 0;              ///< Number of calls that sent a byte.
+  int m_misdirected = 0;           ///< Of these, those that another server rejected.
+  bool m_uncounted_retry = false;  ///< The next call is a retry that no limit has counted yet.
+  QuotaRequest m_quota;            ///< Quota that one run charges to the workspace.
+  QuotaLimit m_limit;              ///< The workspace's limit with tolerance applied.
+  StreamKey m_stream = 0;          ///< Of a resumable stream; zero: not stated.
+  SoftwareId m_software = 0;       ///< That began the stream; zero: none did, or not known.
+  HomeRegions m_allowed_regions;   ///< Allowed by the document at arrival and the current one.
   bool m_charged_without_broker = false;  ///< Charged to this instance's share of the limit.
   int m_possible_runs = 0;                ///< Number of calls that may have run the request.
 
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -15,6 +15,8 @@
 // the timeout of a single response as the criterion, the instances of one data centre considered a
 // live broker lost 80 to 100 times a second.
 constexpr Duration kBrokerTimeout{1'000'000};
+// A server that started registers within two heartbeats.
+constexpr Duration kRegistrationDelay{2'000'000};
 
 SlotRequest MakeSlotRequest(const ForwarderState& state,
                             const Forwarding& forwarding,
@@ -61,6 +63,23 @@
   return held;
 }
 
+/// Returns true if a call to the server just reached another one at its address. The broker learns
+/// that it is gone when the other one registers.
+bool IsMisdirected(const Backend& backend, Instant now) noexcept {
+  return backend.m_misdirected_at != Instant{} &&
+         now - backend.m_misdirected_at < kRegistrationDelay;
+}
+
+/// Returns why a slot at the server, which may be unknown here, can't be used; `kNone` if it can.
+IneligibleReason CheckSlotServer(const ForwarderState& state,
+                                 const Forwarding& forwarding,
+                                 const Backend* backend,
+                                 Instant now) {
+  if (backend == nullptr || IsMisdirected(*backend, now))
+    return IneligibleReason::kLeaving;
+  return CheckEligibilityOnSend(state, forwarding, *backend, now);
+}
+
 /// Returns an unused slot to the broker at once.
 void ReturnSlot(ForwarderState& state, SlotRef ref) {
   SlotReport report;
@@ -88,9 +107,7 @@
   const Backend* backend = FindBackend(state, answer.m_server);
   const Instant now = ReadClock();
   const bool confirmed = forwarding.m_workspace == nullptr || now < state.m_confirmed_until;
-  const IneligibleReason reason = backend == nullptr
-                                      ? IneligibleReason::kLeaving
-                                      : CheckEligibilityOnSend(state, forwarding, *backend, now);
+  const IneligibleReason reason = CheckSlotServer(state, forwarding, backend, now);
   const bool usable = reason == IneligibleReason::kNone && confirmed;
   if (!usable) {
     POPPYWAY_LOG(info, "place_returned")
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxBuffered = 256 * 1024;
 // Smoothing factor of the tokens per event, an average of some 20 responses of this instance.
 constexpr double kEventGain = 0.05;
+// Calls to servers that are gone, beyond the attempts of a route.
+constexpr int kMaxMisdirected = 2;
 // What crashes a server as it begins to write does so sooner.
 constexpr Duration kLivesOn{300'000};
 
@@ -52,11 +54,17 @@
   return true;
 }
 
+/// Returns how many servers have been sent the request. A server that another one has replaced at
+/// its address doesn't count: it is gone, and nothing ran.
+int CountAttempts(const Forwarding& forwarding) {
+  return forwarding.m_attempts - std::min(forwarding.m_misdirected, kMaxMisdirected);
+}
+
 /// Returns true if the route, the deadline and the limit of retries allow another attempt. An
 /// attempt after one that sent a byte counts against the limit when it gets a server.
 bool MayRetry(ForwarderState& state, Forwarding& forwarding) {
   const bool over = ReadClock() >= forwarding.m_deadline;
-  if (over || forwarding.m_attempts >= forwarding.m_route->m_max_attempts)
+  if (over || CountAttempts(forwarding) >= forwarding.m_route->m_max_attempts)
     return false;
   if (forwarding.m_attempts == 0)
     return true;  // No server has received a byte of it.
@@ -246,6 +254,7 @@
   if (answer.m_other_server) {
     RecordReplacement(state, forwarding->m_server, *answer.m_other_server);
     forwarding->m_report.m_health_signal = HealthSignal::kUnreachable;
+    ++forwarding->m_misdirected;
     OnRejected(state, *forwarding, "another_server_answered");
     return HeadVerdict::kAccept;
   }
@@ -263,7 +272,7 @@
     return HeadVerdict::kAccept;
   }
   const bool may_retry = IsServerError(status) && MayRerun(*forwarding) &&
-                         forwarding->m_attempts < forwarding->m_route->m_max_attempts;
+                         CountAttempts(*forwarding) < forwarding->m_route->m_max_attempts;
   if (may_retry) {
     forwarding->m_report.m_failed = true;
     RecordHealth(state, *forwarding, HealthSignal::kFailure);
--- a/packages/forward/src/server_addresses.cc
+++ b/packages/forward/src/server_addresses.cc
@@ -75,9 +75,10 @@
 void RecordReplacement(ForwarderState& state,
                        const std::string& expected,
                        const std::string& responding) {
-  const Backend* backend = FindBackend(state, expected);
+  Backend* backend = FindBackend(state, expected);
   if (backend == nullptr)
     return;
+  backend->m_misdirected_at = ReadClock();
   AddressOwner& owner = state.m_address_owners[backend->m_endpoint];
   const bool news = owner.m_server != responding;
   owner.m_server = responding;  // Until a later entry of the log shows another server there.
--- a/tests/replaced_servers_test.cc
+++ b/tests/replaced_servers_test.cc
@@ -107,5 +107,77 @@
   CHECK(told == std::vector<ServerResponded>{{"running", "ended"}});
 }
 
+/// Returns the document in which each request is sent to one server at most.
+std::string OneAttempt() {
+  constexpr std::string_view kTwo = "\"max_attempts\":2";
+  std::string document = Document(1, "key");
+  for (std::size_t at = document.find(kTwo); at != std::string::npos; at = document.find(kTwo))
+    document.replace(at, kTwo.size(), "\"max_attempts\":1");
+  return document;
+}
+
+// Guards against callers who are refused because a server that an instance knew is gone, and
+// another one answers at its address: the request was sent to no server yet.
+TEST_CASE("a request that reached another server than it was meant for goes on to a third one") {
+  const std::string path = GENERATE("/safe/", "/once/");
+  ScriptedServer replaced(OnlyFor("new"));
+  ScriptedServer sound(OnlyFor("sound"));
+  ForwarderFixture fixture(OneAttempt());
+  Tell(fixture, {MakeRecord(fixture, "old", replaced, 3, 3)});
+  const auto call = std::make_unique<BackgroundCall>(fixture, Request(path, "r1"));
+  fixture.RunUntil([&] { return !replaced.requests().empty(); });
+  Tell(fixture, {MakeRecord(fixture, "sound", sound, 9, 9)});
+  CHECK(call->AwaitResponse(fixture).status() == 200);
+  CHECK(replaced.requests().size() == 1);
+  CHECK(sound.requests().size() == 1);
+}
+
+// Guards against an instance that sends request after request to a server of which it has just
+// learned that it is gone: the broker doesn't know that until the server at its address has
+// registered.
+TEST_CASE("a slot at a server that is known to be gone is returned, and another one asked for") {
+  ScriptedServer replaced(OnlyFor("new"));
+  ScriptedServer sound(OnlyFor("sound"));
+  ForwarderFixture fixture;
+  Tell(fixture,
+       {MakeRecord(fixture, "old", replaced, 3, 3), MakeRecord(fixture, "sound", sound, 4, 4)});
+  FakeBroker broker(fixture);
+  std::size_t asked = 0;
+  const auto place = [&](const std::string& server) {
+    ++asked;
+    fixture.RunUntil([&] { return broker.SlotRequests().size() >= asked; });
+    REQUIRE(broker.SlotRequests().size() == asked);
+    SendSlotResponse(fixture, broker.SlotRequests().back().m_ref, SlotVerdict::kPlaced, server);
+  };
+  for (const std::string id : {"r1", "r2"}) {
+    const auto call = std::make_unique<BackgroundCall>(fixture, Request("/safe/", id));
+    place("old");
+    place("sound");
+    CHECK(call->AwaitResponse(fixture).status() == 200);
+  }
+  CHECK(replaced.requests().size() == 1);
+  CHECK(sound.requests().size() == 2);
+}
+
+TEST_CASE("a request goes on for as often as two servers that are gone, not without end") {
+  ScriptedServer replaced(OnlyFor("new"));
+  ForwarderFixture fixture(OneAttempt());
+  ScriptedServer sound(OnlyFor("sound"));
+  Tell(fixture, {MakeRecord(fixture, "sound", sound, 2, 2)});
+  (void)RequestsAfterCalls(fixture, sound);  // They let the limit of retries allow some.
+  Tell(fixture, {MakeRecord(fixture, "sound", sound, 2, 3, wire::ServerStage::GONE)});
+  Tell(fixture, {MakeRecord(fixture, "a", replaced, 3, 3)});
+  std::vector<std::unique_ptr<ScriptedServer>> more;
+  for (int i = 0; i < 5; ++i) {
+    more.push_back(std::make_unique<ScriptedServer>(OnlyFor("other")));
+    Tell(fixture, {MakeRecord(fixture, "s" + std::to_string(i), *more.back(), 4 + i, 4 + i)});
+  }
+  CHECK(Call(fixture, Request("/once/", "r1")).status() == 503);
+  std::size_t sent = replaced.requests().size();
+  for (const auto& server : more)
+    sent += server->requests().size();
+  CHECK(sent == 3);
+}
+
 }  // namespace
 }  // namespace poppyway
