Servers that an instance didn't know when the broker chose them stay eligible

Cause: the broker chose servers that this instance's table didn't have yet (its poll's answer was still on the way). Each slot was returned and the server counted as tried, within a millisecond or two all servers of the stream's version. When the table came, a moment later, none was left: the request waited at the broker until its time was over. New streams had other versions' servers left.

Ruled out: a wait for the stream's record (its version was known), a full pool, servers held for faulty (avoided=0).

Change: an instance remembers which servers it returned a slot at because it didn't know them. Once its table has them they aren't tried any more, and requests that wait are asked for again.

Evidence: tests/broker_link_test.cc, "servers that the broker chose before they were known here may be chosen again"; without the call in UpdateServers no slot is asked for again (2 == 3).

--- a/packages/forward/include/poppyway/forward/impl/forwarding.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarding.h
@@ -81,6 +81,8 @@
   int m_length_class = 0;            ///< Length of the expected response; see `LengthClass`.
   Instant m_wait_until{};            ///< A queued request is rejected after this time.
   std::vector<std::string> m_tried;  ///< Servers that were sent a byte or whose slot was returned.
+  /// Of these, those that this instance didn't know when the broker chose them.
+  std::vector<std::string> m_unknown_servers;
   int m_attempts = 0;              ///< Number of calls that sent a byte.
   int m_misdirected = 0;           ///< Of these, those that another server rejected.
   bool m_uncounted_retry = false;  ///< The next call is a retry that no limit has counted yet.
--- a/packages/forward/src/backends.cc
+++ b/packages/forward/src/backends.cc
@@ -162,6 +162,7 @@
   DropUnused(state);
   IndexPools(state);
   UpdateWatchedServers(state);
+  RequestSlotsAtLearnedServers(state);
   for (const auto& [name, pool] : state.m_pools)
     ServeQueue(state, name);
 }
--- a/packages/forward/src/broker_link.cc
+++ b/packages/forward/src/broker_link.cc
@@ -118,6 +118,8 @@
         .Field("confirmed", confirmed);
     ReturnSlot(state, answer.m_ref);
     forwarding.m_tried.push_back(answer.m_server);
+    if (backend == nullptr)
+      forwarding.m_unknown_servers.push_back(answer.m_server);
     if (state.m_broker.m_active)
       RequestSlot(state, forwarding);
     return;
@@ -299,6 +301,37 @@
   FlushToBroker(state);
 }
 
+namespace {
+
+/// Lets the broker choose servers again that this instance has learned of since it returned a slot
+/// there. Returns true if there are any.
+bool AllowLearnedServers(const ForwarderState& state, Forwarding& forwarding) {
+  std::vector<std::string>& unknown = forwarding.m_unknown_servers;
+  const auto learned =
+      std::partition(unknown.begin(), unknown.end(),
+                     [&state](const std::string& id) { return !state.m_backends.contains(id); });
+  if (learned == unknown.end())
+    return false;
+  std::erase_if(forwarding.m_tried, [&](const std::string& id) {
+    return std::find(learned, unknown.end(), id) != unknown.end();
+  });
+  unknown.erase(learned, unknown.end());
+  return true;
+}
+
+}  // namespace
+
+void RequestSlotsAtLearnedServers(ForwarderState& state) {
+  for (const auto& [ref, forwarding] : state.m_forwardings) {
+    const bool asks_again =
+        AllowLearnedServers(state, *forwarding) && forwarding->m_slot_request != 0;
+    if (!asks_again || !state.m_broker.m_active)
+      continue;
+    CancelSlotRequest(state, *forwarding);
+    RequestSlot(state, *forwarding);
+  }
+}
+
 void HandleSlotResponses(ForwarderState& state, const SlotResponses& message) {
   BrokerLink& link = state.m_broker;
   if (!link.m_active || message.m_epoch != link.m_epoch)
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -101,6 +101,9 @@
 void RequestSlot(ForwarderState& state, Forwarding& forwarding);
 /// Cancels the request's pending slot request, if it has one.
 void CancelSlotRequest(ForwarderState& state, Forwarding& forwarding);
+/// Asks the broker again for requests that returned a slot at a server which this instance didn't
+/// know then and has learned of now.
+void RequestSlotsAtLearnedServers(ForwarderState& state);
 /// Handles responses of the connected broker; those of another epoch are ignored.
 void HandleSlotResponses(ForwarderState& state, const SlotResponses& message);
 /// Sends a new broker the full state of this instance and requests slots for all queued requests.
--- a/tests/broker_link_test.cc
+++ b/tests/broker_link_test.cc
@@ -233,5 +233,32 @@
   CHECK(withdrawn());
 }
 
+// Guards against callers who are refused while servers have room: an instance that stood still
+// returns the slots at servers that joined meanwhile, and never asked for one there again.
+TEST_CASE("servers that the broker chose before they were known here may be chosen again") {
+  ScriptedServer server([](const std::string& request) { return MakeResponse(request, "ok"); });
+  ScriptedServer other([](const std::string& request) { return MakeResponse(request, "ok"); });
+  ForwarderFixture fixture;
+  fixture.Register("other", other);
+  FakeBroker broker(fixture);
+  BackgroundCall call(fixture, Request("/safe/", "i"));
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 1; });
+  SendSlotResponse(fixture, broker.SlotRequests()[0].m_ref, SlotVerdict::kPlaced, "late");
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 2; });
+  REQUIRE(broker.SlotRequests().size() == 2);
+  CHECK(broker.SlotRequests()[1].m_tried == std::vector<std::string>{"late"});
+  const SlotRef waiting = broker.SlotRequests()[1].m_ref;
+  SendSlotResponse(fixture, waiting, SlotVerdict::kQueued);
+  fixture.Register("late", server);
+  fixture.RunUntil([&] { return broker.SlotRequests().size() == 3; });
+  REQUIRE(broker.SlotRequests().size() == 3);
+  CHECK(broker.Withdrawn() == std::vector<SlotRef>{waiting});
+  CHECK(broker.SlotRequests()[2].m_tried.empty());
+  SendSlotResponse(fixture, broker.SlotRequests()[2].m_ref, SlotVerdict::kPlaced, "late");
+  CHECK(call.AwaitResponse(fixture).status() == 200);
+  CHECK(server.requests().size() == 1);
+  CHECK(other.requests().empty());
+}
+
 }  // namespace
 }  // namespace poppyway
