The origin of a stream is kept for ten seconds after its server ended it

Cause: on waking the instance found the rest of the stream in one socket and the caller's close in another. It read the stream to its end first, took it for delivered and forgot what had begun it. The broker that had come meanwhile was told what the instance still had: nothing.

Change: the record stays for ten seconds after the end. What a new broker is told grows by as much: at the planned size 160 records of 20 bytes an instance, 150,000 (3 MB) in all. Not measured.

Evidence: tests/stream_versions_test.cc, "a stream that ended is taken up by a caller who didn't get all of it": 503 before.

--- a/packages/forward/include/poppyway/forward/impl/forwarder.h
+++ b/packages/forward/include/poppyway/forward/impl/forwarder.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +62,12 @@
   }
 };
 
+/// \brief A stream that its server has completed.
+struct EndedStream {
+  StreamKey m_stream = 0;
+  Instant m_forget_at{};  ///< When its origin is forgotten.
+};
+
 /// \brief Queued requests of one pool.
 using WaitingQueue = std::map<WaitingOrder, ForwardingRef>;
 
@@ -129,6 +136,8 @@
   BrokerLink m_broker;
   CrashTracker m_crashes;
   StreamOrigins m_origins;  ///< Of the streams that this instance passes on or that broke off here.
+  /// Complete streams whose origin is kept for a while, oldest first.
+  std::deque<EndedStream> m_ended_streams;
   Instant m_origins_refreshed{};
   InstanceCount m_instances;
   double m_tokens_per_event = 0;      ///< Estimated from responses; zero: not known yet.
--- a/packages/forward/src/forwarder.cc
+++ b/packages/forward/src/forwarder.cc
@@ -329,6 +329,7 @@
     AnswerUnfinished(m_state);
   impl::EndLostCalls(m_state, now);
   impl::ExpireCrashes(m_state, now);
+  impl::ForgetEndedStreams(m_state, now);
   impl::RefreshOrigins(m_state, now);
   if (now - m_state.m_callers_polled >= kCallerPollInterval) {
     m_state.m_callers_polled = now;
--- a/packages/forward/src/relay.cc
+++ b/packages/forward/src/relay.cc
@@ -333,7 +333,7 @@
   }
   LearnFromResponse(state, *forwarding);
   OnServerLived(state, *forwarding);
-  ForgetOrigin(state.m_origins, forwarding->m_stream);
+  ForgetOriginLater(state, forwarding->m_stream);
   const bool showed_nothing = IsEventResponse(*forwarding) && forwarding->m_call_events == 0;
   if (IsSuccess(forwarding->m_response.m_status) && !showed_nothing)
     OnCompleteResponse(state, *forwarding);
--- a/packages/forward/src/steps.h
+++ b/packages/forward/src/steps.h
@@ -57,6 +57,11 @@
 void DoubtVersions(ForwarderState& state, const std::string& server, Instant now);
 /// Why a request is refused that goes on with a stream of unknown version.
 inline constexpr std::string_view kWhyStreamUnknown = "the stream's software version isn't known";
+/// Keeps the origin of a stream that its server has completed for a while: its caller may not have
+/// got all of it.
+void ForgetOriginLater(ForwarderState& state, StreamKey stream);
+/// Forgets the origins of complete streams whose time is over.
+void ForgetEndedStreams(ForwarderState& state, Instant now);
 /// Tells the broker again of streams that have run for long.
 void RefreshOrigins(ForwarderState& state, Instant now);
 
--- a/packages/forward/src/stream_versions.cc
+++ b/packages/forward/src/stream_versions.cc
@@ -10,6 +10,9 @@
 
 // Well before the broker forgets the record of a stream.
 constexpr Duration kOriginRefreshInterval{20'000'000};
+// A caller that got no whole stream takes it up within this time: it leaves after some seconds of
+// silence, and an instance that stood still doesn't know that it left.
+constexpr Duration kEndedStreamKept{10'000'000};
 
 bool IsResumable(const Forwarding& forwarding) noexcept {
   const Route* route = forwarding.m_route.get();
@@ -143,6 +146,18 @@
   }
 }
 
+void ForgetOriginLater(ForwarderState& state, StreamKey stream) {
+  if (stream != 0)
+    state.m_ended_streams.push_back({stream, ReadClock() + kEndedStreamKept});
+}
+
+void ForgetEndedStreams(ForwarderState& state, Instant now) {
+  while (!state.m_ended_streams.empty() && state.m_ended_streams.front().m_forget_at <= now) {
+    ForgetOrigin(state.m_origins, state.m_ended_streams.front().m_stream);
+    state.m_ended_streams.pop_front();
+  }
+}
+
 void RefreshOrigins(ForwarderState& state, Instant now) {
   if (state.m_origins_refreshed == Instant{})
     state.m_origins_refreshed = now;
--- a/tests/stream_versions_test.cc
+++ b/tests/stream_versions_test.cc
@@ -92,6 +92,24 @@
   CHECK(other.requests().empty());
 }
 
+// Guards against callers who are refused the rest of a stream that was written whole, but not to
+// them: an instance that stood still learns of the stream's end before it learns that the caller
+// left.
+TEST_CASE("a stream that ended is taken up by a caller who didn't get all of it") {
+  ScriptedServer server([](const std::string& request) {
+    const bool taken_up = request.find("last-event-id") != std::string::npos;
+    return std::vector<ScriptStep>{
+        Send(MakeResponseHead(request, kStreamHead) +
+             (taken_up ? Chunk(Event(2)) : Chunk(Event(1)) + Chunk(Event(2))) + "0\r\n\r\n")};
+  });
+  ForwarderFixture fixture;
+  RegisterVersion(fixture, "v1", "s0", server);
+  CHECK(IsCompleteResponse(Call(fixture, Request("/stream/", "a1")).m_bytes));
+  const CallResult seen = Call(fixture, TakeUp("a2", "a1"));
+  CHECK(seen.status() == 200);
+  CHECK(seen.body() == Chunk(Event(2)) + "0\r\n\r\n");
+}
+
 // Guards against an instance that goes on with a stream of which it knows nothing, since the
 // instance that began it is gone.
 TEST_CASE("without a broker a stream that another instance began waits, then is refused unrun") {
