A leader that isn't confirmed answers no request that waits at its broker

A leader that stood still checked its right to lead when a request for a slot came, but not when it answered requests that had waited since. On waking, replies of followers that lay in its sockets count as contact until the next round trip, so it didn't step down at once, and its next tick answered what waited by the state of before the stop.

--- a/apps/poppywayd/member_service.cc
+++ b/apps/poppywayd/member_service.cc
@@ -224,7 +224,7 @@
     m_slot_broker.OnLeadershipGained(m_node.m_hard_state.term, m_machine.m_hosted,
                                      std::chrono::milliseconds(m_settings.m_confirmation_ttl_ms),
                                      now);
-  m_slot_broker.Tick(now);
+  m_slot_broker.Tick(IsConfirmedLeader(now), now);
   ProposeRollouts(now);
   ProposeCrashExpiry(now);
 }
--- a/apps/poppywayd/slot_broker_service.cc
+++ b/apps/poppywayd/slot_broker_service.cc
@@ -303,8 +303,10 @@
   SendSuspectDataCentres();
 }
 
-void SlotBrokerService::Tick(Instant now) {
-  if (!m_broker || now - m_last_tick < kTickInterval)
+void SlotBrokerService::Tick(bool may_decide, Instant now) {
+  // A leader that stood still answers no request that has waited here since: another member may
+  // lead by now, and know other servers.
+  if (!m_broker || !may_decide || now - m_last_tick < kTickInterval)
     return;
   m_last_tick = now;
   std::vector<SlotResponse> answers;
--- a/apps/poppywayd/slot_broker_service.h
+++ b/apps/poppywayd/slot_broker_service.h
@@ -61,7 +61,8 @@
   /// Records that an instance made contact by other means than a batch.
   void RecordContact(const std::string& incarnation, Instant now);
   /// Expires waiting requests and removes instances that are gone. Call it every few milliseconds.
-  void Tick(Instant now);
+  /// \param may_decide whether this member is confirmed as leader; if not, nothing is decided.
+  void Tick(bool may_decide, Instant now);
   /// Returns the observations of a pool's active roll-out, or the defaults if there is none.
   [[nodiscard]] RolloutObservation ObserveRollout(const std::string& pool) const;
   /// Returns the number of requests in flight at the servers of a data centre, or nullopt if this
