--- a/apps/poppywayd/control_task.cc
+++ b/apps/poppywayd/control_task.cc
@@ -2,6 +2,8 @@
 // Part of poppyway, a request scheduler for unlike engines.
 #include "control_task.h"
 
+#include <utility>
+
 #include "broker_convert.h"
 
 namespace poppyway {
@@ -10,6 +12,9 @@
 constexpr std::uint64_t kBusyTickMillis = 5;
 constexpr std::uint64_t kIdleTickMillis = 50;
 constexpr std::uint64_t kMetricsMillis = 1000;
+// The offset of the wall clock changes by 10 ms at most between two checks unless the time of day
+// steps.
+constexpr Duration kClockStepThreshold{50'000};
 constexpr Duration kStallThreshold{100'000};  // This is twice the interval of the log's heartbeats.
 // A message that waits longer is late for its receiver.
 constexpr Duration kQueueDelayThreshold{100'000};
@@ -122,11 +127,24 @@
   const std::uint64_t sent =
       m_server.bytes_sent() + m_instance.bytes_sent() + (m_member ? m_member->bytes_sent() : 0);
   metrics.Set("poppyway_loop_stalls", "", static_cast<double>(m_stalls));
+  metrics.Set("poppyway_clock_steps_total", "", static_cast<double>(m_clock_steps));
   metrics.Set("poppyway_peer_sent_bytes", "", static_cast<double>(sent));
   metrics.Set("poppyway_peer_queued_bytes", "", static_cast<double>(CombinedQueueStats().m_bytes));
 }
 
+void ControlTask::LogClockStep() {
+  const Duration offset = ReadWallOffset();
+  const Duration step = offset - std::exchange(m_wall_offset, offset);
+  if (std::chrono::abs(step) < kClockStepThreshold)
+    return;
+  ++m_clock_steps;
+  POPPYWAY_LOG(warning, "clock_stepped")
+      .Field("ms", step.count() / 1000)
+      .Field("offset_ms", offset.count() / 1000);
+}
+
 void ControlTask::PublishMetrics() {
+  LogClockStep();
   LogQueueDelay();
   MetricSet metrics;
   AddMetrics(metrics);
--- a/apps/poppywayd/control_task.h
+++ b/apps/poppywayd/control_task.h
@@ -57,6 +57,8 @@
   /// Returns whether the next tick is due soon.
   bool Tick();
   void PublishMetrics();
+  /// Logs a step of the time of day since the last call.
+  void LogClockStep();
   /// Logs a stall if the time since the end of the last tick exceeds a limit.
   void LogStall(Instant now);
   /// Returns the combined state of all send queues to peers: the sum of their bytes, and since when
@@ -82,6 +84,8 @@
   std::uint64_t m_bad_messages = 0;
   Instant m_last_tick_end{};
   std::uint64_t m_stalls = 0;  ///< Stalls of the event loop.
+  Duration m_wall_offset{};
+  std::uint64_t m_clock_steps = 0;  ///< Steps of the time of day.
 };
 
 }  // namespace poppyway
--- a/packages/core/include/poppyway/core/impl/time.h
+++ b/packages/core/include/poppyway/core/impl/time.h
@@ -45,6 +45,11 @@
 /// time within one process is measured with `ReadClock`.
 [[nodiscard]] Duration ReadWallTime() noexcept;
 
+/// \brief Returns by how much the time of day is ahead of the wall clock of this thread: what its
+/// steps have left to work off. It changes by a step at once, and else by a hundredth of the time
+/// that passes at most. Thread-safe.
+[[nodiscard]] Duration ReadWallOffset() noexcept;
+
 /// \brief Reads the wall clock in milliseconds; see `ReadWallTime`.
 [[nodiscard]] std::int64_t ReadWallMillis() noexcept;
 
--- a/packages/core/src/wall_clock.cc
+++ b/packages/core/src/wall_clock.cc
@@ -29,6 +29,10 @@
   return SlewedTime(*clock, now);
 }
 
+Duration ReadWallOffset() noexcept {
+  return ReadTimeOfDay() - ReadWallTime();
+}
+
 std::int64_t ReadWallMillis() noexcept {
   return ReadWallTime().count() / 1000;
 }
--- a/tests/suspension_test.cc
+++ b/tests/suspension_test.cc
@@ -57,6 +57,18 @@
   }
 }
 
+// Guards against steps that leave no trace: which wait held up a configuration can be told from
+// logs.
+TEST_CASE("a step of the time of day shows in the offset of the wall clock at once") {
+  constexpr long kStep = 2;
+  for (const long step : {kStep, -2 * kStep, kStep}) {
+    const Duration before = ReadWallOffset();
+    g_stepped_s += step;
+    const Duration change = ReadWallOffset() - before;
+    CHECK(std::chrono::abs(change - std::chrono::seconds(step)) < Duration(50'000));
+  }
+}
+
 // Guards against a library that reads another clock than the program's definition: its timers would
 // stand still, or all fire, when the time of day steps.
 TEST_CASE("the timers of an event loop count by the loop's clock, over suspensions too") {
