--- a/soak/clock_steps.py
+++ b/soak/clock_steps.py
@@ -90,13 +90,14 @@
 class Case(FleetCase):
     """A fleet whose processes' time of day steps."""
 
-    def __init__(self, program, name, subnet, seed, environment):
+    def __init__(self, program, name, subnet, seed, environment, **fleet_options):
         self._folder = tempfile.TemporaryDirectory(prefix="poppyway-time-")
         self._library = dict([environment.split("=", 1)])
         self.times = {}  # Process name to its time of day.
         super().__init__(program, name, subnet, seed, PER_S,
                          environment_of=lambda number: self._environment(f"edge-{number}"),
-                         member_environment_of=lambda number: self._environment(f"member-{number}"))
+                         member_environment_of=lambda number: self._environment(f"member-{number}"),
+                         **fleet_options)
         self.servers = SlowServers(subnet, "v1", SERVERS, self.fleet.members, FaultModel(), seed,
                                    WORK_S)
         self.version = 1
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -220,11 +220,11 @@
         return 0 if leader is None else leader.log().count(text)
 
 
-def stream_route(pool):
+def stream_route(pool, max_attempts=2):
     """Returns a route whose streams may be resumed."""
     return {"name": "tell", "host": "a.example", "path_prefix": "/tell/",
             "route_kind": "streaming", "timeout_ms": 8000, "slo_ms": 500, "gap_slo_ms": 400,
-            "priority": 0, "service": pool, "max_attempts": 2, "anonymous": False,
+            "priority": 0, "service": pool, "max_attempts": max_attempts, "anonymous": False,
             "resumable": True}
 
 
--- a/soak/stream_versions.py
+++ b/soak/stream_versions.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import math
+import signal
 import time
 
 from cases import POOL, FleetCase, run_cases
@@ -33,6 +34,13 @@
 DRAIN_S = 1.2
 CONTACT_S = 3.0  # Until instances are in touch with members that are back.
 GO_ON_SHARE = 0.5  # Of the share of new streams that begin.
+OUT_OF_STEP_S = (3.0, 4.0)  # How long a process stands still.
+OUT_OF_STEP_ROUNDS = 5
+SHORT_ROUNDS = 2
+TAKEN_UP_THERE_S = 0.7  # How long broken streams are taken up at the process that stood still.
+BETWEEN_ROUNDS_S = 2.5
+AT_ONCE_S = (0.0, 0.05)
+LATE_VERSIONS = ("v1",) * 8 + ("v2",) * 6
 COUNTED = 12  # Fewer take-ups say nothing.
 VERSIONS = ("v1", "v2")
 LONE_VERSION = ("v1",) * 6 + ("v2",)  # Two servers of fourteen.
@@ -48,6 +56,10 @@
                                      self.fleet.members, FaultModel(), seed,
                                      options.get("until_close", False))
         self.servers.change_version = options.get("change_version", False)
+        self.servers.late_version = options.get("late_version")
+        self._rounds = options.get("rounds", 0)
+        # With one attempt each broken stream is taken up by its client.
+        self._max_attempts = 1 if self._rounds else 2
         self.faults = options["faults"]
         # False if the leader is lost together with all instances: then nobody knows what began a
         # stream, and a refusal is right.
@@ -137,12 +149,55 @@
             await asyncio.sleep(self.rng.uniform(0.5, 1.5))
             await self.pause(self.rng.choice(self.fleet.members + self.fleet.instances))
 
+    async def out_of_step(self, choose):
+        """In rounds, some processes stand still while servers of a new version join and streams
+        begin on them elsewhere. As the processes go on, half of these servers crash, and the broken
+        streams are taken up there at once. `choose`: returns the processes that stand still."""
+        late = self.servers.late_addresses()
+        for _ in range(self._rounds):
+            struck = choose(self)
+            here = [instance for instance in self.fleet.instances if instance in struck]
+            here = here or [self.rng.choice(self.fleet.instances)]
+            self.clients.away = set(here)
+            for process in struck:
+                process.send_signal(signal.SIGSTOP)
+            for address in late:
+                await self.servers.start_one(address)
+            await asyncio.sleep(self.rng.uniform(*OUT_OF_STEP_S))
+            for process in struck:
+                process.send_signal(signal.SIGCONT)
+            self.clients.take_up_at = here[0]
+            for address in self.rng.sample(late, len(late) // 2):
+                self.servers.end_for_good(address)
+            await asyncio.sleep(TAKEN_UP_THERE_S)
+            self.clients.take_up_at, self.clients.away = None, set()
+            await asyncio.sleep(BETWEEN_ROUNDS_S)
+            await asyncio.gather(*(self.servers.leave(address, DRAIN_S) for address in late
+                                   if not self.servers.states[address].get("ended")))
+        self._rounds_done.set()
+
+    async def instance_out_of_step(self):
+        await self.out_of_step(lambda case: [case.rng.choice(case.fleet.instances)])
+
+    async def leader_out_of_step(self):
+        await self.out_of_step(lambda case: [case.fleet.leader()])
+
+    async def both_out_of_step(self):
+        await self.out_of_step(
+            lambda case: [case.fleet.leader(), case.rng.choice(case.fleet.instances)])
+
+    async def members_out_of_step(self):
+        await self.out_of_step(lambda case: [*case.rng.sample(case.fleet.members, 2),
+                                             case.rng.choice(case.fleet.instances)])
+
     async def play(self):
-        await self.start_with(self.servers, more_routes=(stream_route(POOL),))
+        self._rounds_done = asyncio.Event()
+        await self.start_with(self.servers,
+                              more_routes=(stream_route(POOL, self._max_attempts),))
         self.clients.start()
         await asyncio.sleep(1.0)
         tasks = [asyncio.create_task(fault(self)) for fault in self.faults]
-        await asyncio.sleep(PLAY_S)
+        await (self._rounds_done.wait() if self._rounds else asyncio.sleep(PLAY_S))
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -202,6 +257,21 @@
     "members-down": {"faults": (Case.end_servers, Case.stop_members)},
     "processes-paused": {"faults": (Case.end_servers, Case.pause_processes)},
     "few-servers-of-a-version": {"faults": (Case.kill_instances,), "versions": LONE_VERSION},
+    "instance-out-of-step": {
+        "faults": (Case.instance_out_of_step,), "rounds": OUT_OF_STEP_ROUNDS,
+        "versions": LATE_VERSIONS, "late_version": "v2", "take_up_s": AT_ONCE_S},
+    "instance-out-of-step-short": {
+        "faults": (Case.instance_out_of_step,), "rounds": SHORT_ROUNDS,
+        "versions": LATE_VERSIONS, "late_version": "v2", "take_up_s": AT_ONCE_S},
+    "leader-out-of-step": {
+        "faults": (Case.leader_out_of_step,), "rounds": OUT_OF_STEP_ROUNDS,
+        "versions": LATE_VERSIONS, "late_version": "v2", "take_up_s": AT_ONCE_S},
+    "both-out-of-step": {
+        "faults": (Case.both_out_of_step,), "rounds": OUT_OF_STEP_ROUNDS,
+        "versions": LATE_VERSIONS, "late_version": "v2", "take_up_s": AT_ONCE_S},
+    "members-out-of-step": {
+        "faults": (Case.members_out_of_step,), "rounds": OUT_OF_STEP_ROUNDS,
+        "versions": LATE_VERSIONS, "late_version": "v2", "take_up_s": AT_ONCE_S},
     "until-close": {"faults": (Case.end_servers,), "until_close": True},
     "all-together": {"faults": (Case.end_servers, Case.kill_instances, Case.kill_leaders,
                                 Case.pause_processes), "change_version": True},
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -32,6 +32,27 @@
         self._until_close = until_close  # Streams end with their connection.
         self.change_version = False  # A server that ends comes back as another version.
         self.versions_after_restart = {}  # Address to the version as which the next one starts.
+        self.late_version = None  # The version whose servers don't start with the others.
+
+    async def start(self, pool):
+        self._pool = pool
+        for address in self.addresses:
+            if self.versions[address] != self.late_version:
+                await self.start_one(address)
+
+    def late_addresses(self):
+        """Returns the addresses of the servers that start later."""
+        return [address for address in self.addresses
+                if self.versions[address] == self.late_version]
+
+    def end_for_good(self, address):
+        """Ends a server at once, as a crashed process."""
+        state = self.states[address]
+        state["ended"] = True
+        state["heartbeats"].cancel()
+        state["listener"].close()
+        for writer in list(self._open[address]):
+            self.break_off(writer)
 
     def version_of(self, address):
         return self.versions[address]
@@ -152,6 +173,8 @@
         self.begun = [0, 0]  # First attempts at instances that run: all, those with an event.
         self.gone_on = [0, 0]  # The same of attempts that take a stream up.
         self.statuses = {}  # Status of a take-up without an event to the number of them.
+        self.away = set()  # Instances that get nothing new.
+        self.take_up_at = None  # The only instance at which streams are taken up; None: any.
 
     def start(self):
         self._task = asyncio.create_task(self._run())
@@ -171,7 +194,7 @@
 
     async def _one(self, stream):
         self.streams.append(stream)
-        instance = self._rng.choice(self._instances)
+        instance = self._rng.choice([i for i in self._instances if i not in self.away])
         end = time.monotonic() + DEADLINE_S
         for attempt in range(TAKE_UPS + 1):
             taken_up = bool(stream.events)
@@ -189,7 +212,8 @@
             if stream.complete or time.monotonic() > end:
                 return
             await asyncio.sleep(self._rng.uniform(*self._take_up_s))
-            instance = self._rng.choice([i for i in self._instances if i is not instance])
+            instance = self.take_up_at or self._rng.choice(
+                [i for i in self._instances if i is not instance and i not in self.away])
 
     async def _attempt(self, stream, ident, instance, end):
         """Makes one attempt. Returns its status; 0: no response head."""
@@ -203,7 +227,8 @@
         before = len(stream.events)
         try:
             reader, writer = await asyncio.open_connection(instance.address, CALLERS_PORT)
-            write_request(writer, "POST", "/tell/x", "", fields)
+            # Requests that are alike are held back together when servers crash while they run them.
+            write_request(writer, "POST", f"/tell/{stream.ident}", "", fields)
             async with asyncio.timeout(SILENCE_S):
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             status = int(head.split()[1])
