--- a/tests/peer_client_test.cc
+++ b/tests/peer_client_test.cc
@@ -1,10 +1,13 @@
 // SPDX-License-Identifier: MIT
 // Part of poppyway, a request scheduler for unlike engines.
 // Calls to a peer whose messages can't be sent.
+#include <sys/socket.h>
+
 #include <catch2/catch.hpp>
 #include <optional>
 
 #include "poppyway/wire.h"
+#include "raw_server.h"
 
 namespace poppyway {
 namespace {
@@ -32,11 +35,12 @@
 TEST_CASE("a call whose message is dropped fails soon, and the others are kept") {
   constexpr int kMoreThanWait = 300;
   EventLoop loop;
-  PeerServer silent(
-      loop, [](PeerConnection& /*connection*/, wire::Envelope /*envelope*/) {},
-      [](const Error& /*why*/) {});
-  REQUIRE(silent.Listen("127.0.0.1", 18'231));
-  PeerClient client(loop, "127.0.0.1", 18'231);
+  const test::RawServer silent([](int fd) {
+    char buffer[4096];
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+  });
+  PeerClient client(loop, "127.0.0.1", silent.port());
   int failed = 0;
   for (int i = 0; i < kMoreThanWait; ++i)
     client.Call({}, kLongTimeout, [&failed](const Result<wire::Body>& reply) { failed += !reply; });
--- a/tests/slot_broker_service_test.cc
+++ b/tests/slot_broker_service_test.cc
@@ -3,14 +3,19 @@
 // The slot broker of a member and its connections to instances.
 #include "slot_broker_service.h"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
 
+#include "loopback.h"
 #include "poppyway/wire.h"
 
 namespace poppyway {
 namespace {
 
-constexpr std::uint16_t kPort = 18'232;
+constexpr int kPortTries = 20;
 constexpr std::int64_t kTerm = 3;
 constexpr int kRoundTripMillis = 50;
 constexpr int kWaitMillis = 100;
@@ -44,16 +49,9 @@
 /// A broker, and an instance that is connected to it.
 class BrokerAndInstance {
  public:
-  BrokerAndInstance()
-      : m_server(
-            m_loop,
-            [this](PeerConnection& from, const wire::Envelope& envelope) {
-              m_service.OnBatch(envelope.body.place_batch, from, true, ReadClock());
-            },
-            [](const Error& /*why*/) {}),
-        m_instance(m_loop, "127.0.0.1", kPort) {
-    REQUIRE(m_server.Listen("127.0.0.1", kPort));
-    m_instance.SetOnPush([this](const wire::Body& body) {
+  BrokerAndInstance() {
+    Listen();
+    m_instance->SetOnPush([this](const wire::Body& body) {
       for (const wire::PlaceAnswer& answer : body.place_answers.answers)
         m_answers.push_back(answer);
     });
@@ -70,7 +68,7 @@
     batch.asks = std::move(asks);
     wire::Body body;
     body.__set_place_batch(batch);
-    m_instance.Notify(std::move(body));
+    m_instance->Notify(std::move(body));
     m_loop.RunFor(kRoundTripMillis);
   }
   /// Lets the broker act on what waits, and handles its answers.
@@ -88,10 +86,32 @@
   }
 
  private:
+  /// Listens on a free port. Another test's process may take it before.
+  void Listen() {
+    Result<void> listening;
+    std::uint16_t port = 0;
+    for (int i = 0; i < kPortTries; ++i) {
+      const test::LoopbackListener free = test::ListenOnLoopback(1);
+      close(free.m_fd);
+      port = free.m_port;
+      m_server.emplace(
+          m_loop,
+          [this](PeerConnection& from, const wire::Envelope& envelope) {
+            m_service.OnBatch(envelope.body.place_batch, from, true, ReadClock());
+          },
+          [](const Error& /*why*/) {});
+      listening = m_server->Listen("127.0.0.1", port);
+      if (listening)
+        break;
+    }
+    REQUIRE(listening);
+    m_instance = std::make_unique<PeerClient>(m_loop, "127.0.0.1", port);
+  }
+
   EventLoop m_loop;
   SlotBrokerService m_service{{}, {1, 50, 1}, {}};
-  PeerServer m_server;
-  PeerClient m_instance;
+  std::optional<PeerServer> m_server;
+  std::unique_ptr<PeerClient> m_instance;
   std::vector<wire::PlaceAnswer> m_answers;
 };
 
